--- /dev/null
+++ b/router/contract.go
@@ -0,0 +1,169 @@
+// Package router is the one facade over the tables and systems: typed inputs
+// and a clock reading go in, typed actions come out. It holds no goroutine,
+// clock, random source or socket, so that the daemon, the measure command,
+// tests and outside harnesses drive the same decisions.
+package router
+
+import (
+	"time"
+
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// Input is something that happened outside the decisions.
+type Input interface{ input() }
+
+// LoadReport is what an endpoint says of itself; it describes a moment that
+// lies a lag in the past.
+type LoadReport struct {
+	Endpoint tables.EndpointID
+	Boot     tables.BootID
+	Weights  map[tables.ModelName]tables.WeightsVersion
+	Running  int
+	Queued   int
+	// QueuedTokens is prefill work waiting at the endpoint.
+	QueuedTokens int
+	CacheBlocks  int
+	// Attempts lists running and queued attempts if the endpoint tells, so
+	// that own dispatches can be told from others'.
+	Attempts []tables.AttemptID
+}
+
+// CacheEvent says that blocks entered or left an endpoint's cache.
+type CacheEvent struct {
+	Endpoint tables.EndpointID
+	Boot     tables.BootID
+	// Sequence grows by one per event within a boot; a jump is a gap.
+	Sequence uint64
+	Stored   []tables.BlockHash
+	Evicted  []tables.BlockHash
+}
+
+// PeerPlacement is what another instance passes on: a prefix placed at an
+// endpoint.
+type PeerPlacement struct {
+	Endpoint tables.EndpointID
+	Boot     tables.BootID
+	Block    tables.BlockHash
+}
+
+// AttemptStarted says that the endpoint accepted an attempt.
+type AttemptStarted struct {
+	Attempt tables.AttemptID
+	Boot    tables.BootID
+	Weights tables.WeightsVersion
+}
+
+// FirstToken says that an attempt produced its first token, and how many
+// prompt tokens the endpoint took from its cache.
+type FirstToken struct {
+	Attempt      tables.AttemptID
+	CachedTokens int
+}
+
+// AttemptEnd says how an attempt ended.
+type AttemptEnd uint8
+
+// The ends of an attempt.
+const (
+	// Completed: the whole answer arrived.
+	Completed AttemptEnd = iota
+	// NeverStarted: provably nothing ran.
+	NeverStarted
+	// Refused: the endpoint said no before running (full, wrong version).
+	Refused
+	// Broken: the connection or the endpoint failed after dispatch.
+	Broken
+	// Crashed: Broken, and the endpoint's boot identity changed or its port
+	// refuses connections.
+	Crashed
+	// Cancelled: ended by us.
+	Cancelled
+)
+
+// AttemptEnded ends an attempt. Delivered is the number of tokens that have
+// reached the caller so far.
+type AttemptEnded struct {
+	Attempt   tables.AttemptID
+	End       AttemptEnd
+	Tokens    int
+	Delivered int
+}
+
+// EndpointGone says that an endpoint leaves according to a source other than
+// the configuration (the platform's list), for the given life and before.
+type EndpointGone struct {
+	Endpoint tables.EndpointID
+	Life     uint64
+}
+
+// PeersSeen says how many entry instances share the load, for limits that hold
+// over all of them.
+type PeersSeen struct {
+	// Share is this instance's part of the traffic, above 0 and at most 1.
+	Share float64
+}
+
+// SuspectSeen is another instance's report that equal work has crashed
+// endpoints.
+type SuspectSeen struct {
+	Fingerprint tables.Fingerprint
+	Crashes     int
+	// Until is when the suspicion is forgotten.
+	Until tables.Instant
+}
+
+func (LoadReport) input()     {}
+func (CacheEvent) input()     {}
+func (PeerPlacement) input()  {}
+func (AttemptStarted) input() {}
+func (FirstToken) input()     {}
+func (AttemptEnded) input()   {}
+func (EndpointGone) input()   {}
+func (PeersSeen) input()      {}
+func (SuspectSeen) input()    {}
+
+// Action is something the shell must do now.
+type Action interface{ action() }
+
+// Dispatch starts an attempt at an endpoint. For work that must run at most
+// once the shell asks for the claim before it acts, and reports NeverStarted
+// when it is not granted.
+type Dispatch struct {
+	Request  tables.RequestID
+	Attempt  tables.AttemptID
+	Endpoint tables.Endpoint
+	// Boot is the life that placement counted on, empty if none is known yet.
+	Boot tables.BootID
+	// Weights must be what the endpoint serves, or it refuses the attempt.
+	Weights  tables.WeightsVersion
+	Priority tables.Priority
+	// ResumeFrom is the number of tokens the caller already has.
+	ResumeFrom int
+	Hedge      bool
+}
+
+// Refuse ends a request that never left this process.
+type Refuse struct {
+	Request tables.RequestID
+	Refusal tables.Refusal
+}
+
+// Fail ends a request that was dispatched and cannot be completed.
+type Fail struct {
+	Request    tables.RequestID
+	Code       tables.Code
+	Outcome    tables.Outcome
+	RetryAfter time.Duration
+}
+
+// Abort cancels an attempt that lost or is no longer wanted.
+type Abort struct {
+	Attempt  tables.AttemptID
+	Endpoint tables.Endpoint
+}
+
+func (Dispatch) action() {}
+func (Refuse) action()   {}
+func (Fail) action()     {}
+func (Abort) action()    {}
