--- /dev/null
+++ b/systems/placement/filter/capacity/capacity.go
@@ -0,0 +1,29 @@
+// Package capacity drops endpoints that have as much work as they should get.
+package capacity
+
+import (
+	"github.com/carawaystile/carawaystile/systems/placement"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// Limits are the most attempts at an endpoint, as multiples of its slots, for
+// requests of each priority. Urgent work may queue at the endpoint, which
+// honours priorities; work that can wait waits here, where it can still be
+// placed elsewhere.
+var Limits = [tables.Priorities]float64{
+	tables.Urgent:     2,
+	tables.Normal:     1.25,
+	tables.Background: 0.75,
+}
+
+// Filter keeps endpoints with room.
+type Filter struct{}
+
+// Name is the reason given for a dropped candidate.
+func (Filter) Name() string { return "capacity" }
+
+// Keep compares the estimated attempts with the limit of the priority.
+func (Filter) Keep(q *placement.Query, c *placement.Candidate) bool {
+	limit := Limits[q.Request.Urgency()] * float64(c.Row.Slots())
+	return float64(c.Row.Load.Active()) < max(1, limit)
+}
--- /dev/null
+++ b/systems/placement/score/queue/queue.go
@@ -0,0 +1,39 @@
+// Package queue scores the wait for an endpoint's queue.
+package queue
+
+import (
+	"time"
+
+	"github.com/carawaystile/carawaystile/systems/placement"
+)
+
+// DefaultService is the time an attempt is taken to run before any has ended.
+const DefaultService = 2 * time.Second
+
+// Scorer gives the expected wait before the request's own prefill begins, in
+// seconds from 0 up: the prefill work ahead of it, and the wait for a slot.
+type Scorer struct{}
+
+// Name names the part in explanations.
+func (Scorer) Name() string { return "queue" }
+
+// Score adds own dispatches, counted exactly, to what the last report said of
+// others.
+func (Scorer) Score(_ *placement.Query, c *placement.Candidate) float64 {
+	load := &c.Row.Load
+	prefill := float64(load.OtherTokens+load.OwnTokens) / c.PrefillRate()
+	return prefill + slotWait(c)
+}
+
+func slotWait(c *placement.Candidate) float64 {
+	slots := c.Row.Slots()
+	excess := c.Row.Load.Active() - slots + 1
+	if excess <= 0 {
+		return 0
+	}
+	service := c.Row.Speed.Service
+	if service <= 0 {
+		service = DefaultService
+	}
+	return float64(excess) / float64(slots) * service.Seconds()
+}
