--- /dev/null
+++ b/router/candidates.go
@@ -0,0 +1,143 @@
+package router
+
+import (
+	"github.com/carawaystile/carawaystile/prefix"
+	"github.com/carawaystile/carawaystile/systems/placement"
+	"github.com/carawaystile/carawaystile/systems/placement/homes"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// groupKey names the endpoints that profiles choose from.
+type groupKey struct {
+	kind    tables.EndpointKind
+	model   tables.ModelName
+	service tables.ServiceName
+}
+
+// group is the endpoints declared for one model or service.
+type group struct {
+	members []tables.EndpointIndex
+	homes   *homes.Table
+	// capacity is the slots of all members.
+	capacity int
+}
+
+func keyOf(p *tables.Profile) groupKey {
+	if p.Kind == tables.PlainService {
+		return groupKey{kind: p.Kind, service: p.Service}
+	}
+	return groupKey{kind: p.Kind, model: p.Model}
+}
+
+func (k groupKey) accepts(e *tables.Endpoint) bool {
+	if e.Kind != k.kind {
+		return false
+	}
+	if k.kind == tables.PlainService {
+		return e.Service == k.service
+	}
+	for _, m := range e.Models {
+		if m == k.model {
+			return true
+		}
+	}
+	return false
+}
+
+// configureGroups works out the endpoints of each profile. A table of homes is
+// filled anew only when its members have changed, because that is costly.
+func (r *Router) configureGroups() {
+	groups := make(map[groupKey]*group)
+	for i := range r.config.Profiles {
+		key := keyOf(&r.config.Profiles[i])
+		if groups[key] == nil {
+			groups[key] = r.newGroup(key)
+		}
+	}
+	r.groups = groups
+	for i := range r.endpoints.Len() {
+		row := r.endpoints.Row(tables.EndpointIndex(i))
+		r.view.SetEndpoint(row.Index, row.CacheBlocks)
+	}
+}
+
+func (r *Router) newGroup(key groupKey) *group {
+	g := &group{}
+	var members []homes.Member
+	for i := range r.endpoints.Len() {
+		row := r.endpoints.Row(tables.EndpointIndex(i))
+		if row.Leaving() || !key.accepts(&row.Endpoint) {
+			continue
+		}
+		g.members = append(g.members, row.Index)
+		g.capacity += row.Slots()
+		members = append(members, homes.Member{ID: row.Endpoint.ID, Index: row.Index, Weight: homeWeight(&row.Endpoint)})
+	}
+	if old := r.groups[key]; old != nil && old.homes.Same(members) {
+		g.homes = old.homes
+		return g
+	}
+	g.homes = homes.New(members)
+	return g
+}
+
+// homeWeight is the endpoint's part of prefixes by its declared speed.
+func homeWeight(e *tables.Endpoint) float64 {
+	if e.PrefillRate > 0 {
+		return e.PrefillRate / placement.DefaultPrefillRate
+	}
+	return 1
+}
+
+// sharedCount is how often a block must have been asked for lately to count as
+// shared by several requests.
+const sharedCount = 1.5
+
+// candidates describes the endpoints of the request's group.
+func (r *Router) candidates(q *placement.Query) []placement.Candidate {
+	g := r.groups[keyOf(q.Request.Profile)]
+	r.scratch = r.scratch[:0]
+	if g == nil {
+		return r.scratch
+	}
+	blocks := q.Request.Request.Blocks
+	if len(blocks) > 0 {
+		r.view.Match(q.Now, blocks, &r.matches)
+	}
+	home, level := r.home(g, blocks)
+	for _, index := range g.members {
+		c := placement.Candidate{Row: r.endpoints.Row(index)}
+		if len(blocks) > 0 {
+			c.KnownTokens = r.matches.Blocks(index) * prefix.PieceTokens
+			c.Turnover = r.view.Turnover(q.Now, index).Seconds()
+		}
+		c.CachedTokens = c.KnownTokens
+		if index == home {
+			c.HomeTokens = float64(level * prefix.PieceTokens)
+			c.CachedTokens = max(c.KnownTokens, r.homeTrust*c.HomeTokens)
+		}
+		r.scratch = append(r.scratch, c)
+	}
+	return r.scratch
+}
+
+// home is the endpoint that the shared part of a prompt belongs to, and the
+// number of blocks of that part.
+func (r *Router) home(g *group, blocks []tables.BlockHash) (tables.EndpointIndex, int) {
+	level := r.sharedLevel(blocks)
+	if level == 0 {
+		return tables.NoEndpoint, 0
+	}
+	return g.homes.Home(blocks[level-1], 0), level
+}
+
+// sharedLevel is how many outermost blocks several requests have in common. A
+// prompt of which nothing has been seen is taken as shared to its end.
+func (r *Router) sharedLevel(blocks []tables.BlockHash) int {
+	for level := len(blocks); level > 0; level-- {
+		if r.counter.Count(blocks[level-1]) >= sharedCount {
+			return level
+		}
+	}
+	return len(blocks)
+}
--- a/router/finish.go
+++ b/router/finish.go
@@ -22,6 +22,7 @@
 		return
 	}
 	r.release(a)
+	r.learnEnd(now, a, in)
 	row := a.Request
 	if in.End != NeverStarted && in.End != Refused {
 		row.MayHaveRun = true
--- /dev/null
+++ b/router/learn.go
@@ -0,0 +1,96 @@
+package router
+
+import (
+	"time"
+
+	"github.com/carawaystile/carawaystile/prefix"
+	"github.com/carawaystile/carawaystile/systems/placement"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+const (
+	// initialHomeTrust is the part of a prefix that is supposed to be at its
+	// home before that was ever seen to be so.
+	initialHomeTrust = 0.5
+	// learnHome, learnSpeed and learnService are the weights of one sample.
+	learnHome    = 0.02
+	learnSpeed   = 0.1
+	learnService = 0.05
+	// minSampleTokens is the least prefill work that says something of speed.
+	minSampleTokens = 2000
+	// learnWork is the weight of one dispatch in the means of prefill work.
+	learnWork = 0.02
+	// otherMargin is how much more prefill work than own attempts those of
+	// other instances are believed to bring. Engines count a prefix that several
+	// queued attempts share once for each; without the bound the queue of a hot
+	// prefix's home looks many times longer than it is, and its requests flee to
+	// endpoints that must compute the prefix anew.
+	otherMargin = 1.5
+)
+
+// learn takes in what the first token of an attempt shows of the endpoint's
+// cache and speed.
+func (r *Router) learn(now tables.Instant, a *tables.AttemptRow, found int) {
+	row := r.endpoints.Row(a.Endpoint)
+	if a.Boot == row.Boot {
+		r.view.Learn(a.Endpoint, a.KnownTokens, found)
+	}
+	if a.HomeTokens > 0 && a.KnownTokens == 0 {
+		part := min(1, float64(found)/float64(a.HomeTokens))
+		r.homeTrust += learnHome * (part - r.homeTrust)
+	}
+	uncached := max(0, a.Request.Request.PromptTokens-found)
+	if a.WorkAhead <= uncached {
+		r.learnPrefill(row, a.WorkAhead+uncached, now-a.Dispatched)
+	}
+}
+
+// learnPrefill averages the time for a token of prefill work, the work that
+// was ahead included.
+func (r *Router) learnPrefill(row *tables.EndpointRow, tokens int, took time.Duration) {
+	if tokens < minSampleTokens || took <= 0 {
+		return
+	}
+	speed := &row.Speed
+	rate := speed.Prefill
+	if rate <= 0 {
+		rate = placement.DefaultPrefillRate
+	}
+	seconds := took.Seconds() / float64(tokens)
+	speed.Prefill = 1 / (1/rate + learnSpeed*(seconds-1/rate))
+	speed.Samples++
+}
+
+// learnEnd takes in what the end of an attempt shows.
+func (r *Router) learnEnd(now tables.Instant, a *tables.AttemptRow, in AttemptEnded) {
+	row := r.endpoints.Row(a.Endpoint)
+	if in.End == Completed {
+		r.learnService(row, now-a.Dispatched)
+		return
+	}
+	if a.FirstToken == 0 && a.Boot == row.Boot {
+		known := min(len(a.Request.Request.Blocks), a.KnownTokens/prefix.PieceTokens)
+		r.view.Forget(a.Endpoint, a.Request.Request.Blocks[known:])
+	}
+}
+
+func (r *Router) learnService(row *tables.EndpointRow, took time.Duration) {
+	if row.Speed.Service == 0 {
+		row.Speed.Service = took
+		return
+	}
+	row.Speed.Service += time.Duration(learnService * float64(took-row.Speed.Service))
+}
+
+// learnMix takes in the prefill work of a dispatch.
+func (r *Router) learnMix(p tables.Priority, uncached int) {
+	r.meanUncached += learnWork * (float64(uncached) - r.meanUncached)
+	if uncached == 0 {
+		return
+	}
+	weight := learnWork * min(1, float64(uncached)/prefix.PieceTokens)
+	for i := range r.mix {
+		r.mix[i] -= weight * r.mix[i]
+	}
+	r.mix[p] += weight
+}
--- a/router/observe.go
+++ b/router/observe.go
@@ -1,6 +1,11 @@
 package router
 
-import "github.com/carawaystile/carawaystile/tables"
+import (
+	"maps"
+
+	"github.com/carawaystile/carawaystile/systems/cacheview"
+	"github.com/carawaystile/carawaystile/tables"
+)
 
 // Observe takes in something that happened. Its consequences come out of the
 // next Tick.
@@ -23,6 +28,7 @@
 	case PeersSeen:
 		if in.Share > 0 && in.Share <= 1 {
 			r.share = in.Share
+			r.view.SetShare(in.Share)
 		}
 	case SuspectSeen:
 	}
@@ -38,7 +44,7 @@
 
 func (r *Router) loadReport(now tables.Instant, in LoadReport) {
 	row := r.find(in.Endpoint)
-	if row == nil || r.seeBoot(now, row, in.Boot) == tables.BootOld {
+	if row == nil || r.seeBoot(row, in.Boot) == tables.BootOld {
 		return
 	}
 	own := 0
@@ -54,12 +60,13 @@
 	row.Load.Reported = true
 	row.Load.ReportedAt = now
 	row.Load.Others = max(0, total-own)
-	row.Load.OtherTokens = othersTokens(in, own, total)
+	row.Load.OtherTokens = min(othersTokens(in, own, total), int(r.meanUncached*otherMargin)*row.Load.Others)
 	if in.CacheBlocks > 0 {
 		row.CacheBlocks = in.CacheBlocks
+		r.view.SetEndpoint(row.Index, in.CacheBlocks)
 	}
 	if len(in.Weights) > 0 {
-		r.seeWeights(now, row, in.Weights)
+		r.seeWeights(row, in.Weights)
 	}
 }
 
@@ -72,22 +79,45 @@
 	return in.QueuedTokens * (total - own) / total
 }
 
-func (r *Router) seeWeights(_ tables.Instant, row *tables.EndpointRow, weights map[tables.ModelName]tables.WeightsVersion) {
-	row.Weights = weights
+// seeWeights takes over what an endpoint says it serves. When a version has
+// changed, cache of the older one must not be counted on any more.
+func (r *Router) seeWeights(row *tables.EndpointRow, weights map[tables.ModelName]tables.WeightsVersion) {
+	if row.WeightsKnown && !maps.Equal(row.Weights, weights) {
+		r.view.Reset(row.Index)
+	}
+	row.Weights = maps.Clone(weights)
 	row.WeightsKnown = true
 }
 
-func (r *Router) seeBoot(_ tables.Instant, row *tables.EndpointRow, boot tables.BootID) tables.BootChange {
-	return row.SeeBoot(boot)
+// seeBoot compares a boot identity. A new boot has an empty cache. The first
+// one heard of changes nothing: what was placed so far went to it.
+func (r *Router) seeBoot(row *tables.EndpointRow, boot tables.BootID) tables.BootChange {
+	first := row.Boot == "" && len(row.Former) == 0
+	change := row.SeeBoot(boot)
+	if change == tables.BootNew && !first {
+		r.view.Reset(row.Index)
+	}
+	return change
 }
 
 func (r *Router) cacheEvent(now tables.Instant, in CacheEvent) {
-	if row := r.find(in.Endpoint); row != nil {
-		r.seeBoot(now, row, in.Boot)
+	row := r.find(in.Endpoint)
+	if row == nil || r.seeBoot(row, in.Boot) == tables.BootOld {
+		return
 	}
+	r.view.Event(now, row.Index, cacheview.Event{Sequence: in.Sequence, Stored: in.Stored, Evicted: in.Evicted})
 }
 
-func (r *Router) peerPlacement(_ tables.Instant, _ PeerPlacement) {}
+// peerPlacement takes over what another instance placed, unless it concerns a
+// life of the endpoint that is not the present one. A peer may know of a new
+// boot first; that is left to the endpoint's own messages.
+func (r *Router) peerPlacement(now tables.Instant, in PeerPlacement) {
+	row := r.find(in.Endpoint)
+	if row == nil || (in.Boot != "" && row.Boot != "" && in.Boot != row.Boot) {
+		return
+	}
+	r.view.Peer(now, row.Index, in.Block)
+}
 
 func (r *Router) attemptStarted(now tables.Instant, in AttemptStarted) {
 	a, ok := r.attempts[in.Attempt]
@@ -100,7 +130,7 @@
 	}
 	if in.Boot != "" {
 		a.Boot = in.Boot
-		r.seeBoot(now, r.endpoints.Row(a.Endpoint), in.Boot)
+		r.seeBoot(r.endpoints.Row(a.Endpoint), in.Boot)
 	}
 }
 
@@ -111,6 +141,7 @@
 	}
 	a.FirstToken = now
 	r.prefillOver(a)
+	r.learn(now, a, in.CachedTokens)
 	r.abortOthers(now, a)
 }
 
@@ -118,7 +149,7 @@
 func (r *Router) prefillOver(a *tables.AttemptRow) {
 	load := &r.endpoints.Row(a.Endpoint).Load
 	load.OwnPrefilling--
-	load.OwnTokens -= a.UncachedTokens
+	load.OwnTokens[a.Priority] -= a.UncachedTokens
 }
 
 func (r *Router) endpointGone(in EndpointGone) {
--- a/router/place.go
+++ b/router/place.go
@@ -17,6 +17,12 @@
 
 // standardPicker puts the filters and scorers together. Weights are in the
 // order of tables.Preference: balanced, first token, reuse.
+var (
+	TuneP = 3.0
+	TuneW = 0.2
+	TuneB = 0.75
+)
+
 func standardPicker() placement.Picker {
 	return placement.Picker{
 		Filters: []placement.Filter{
@@ -24,7 +30,7 @@
 		},
 		Scorers: []placement.Weighted{
 			{Scorer: queue.Scorer{}, Weights: [placement.Preferences]float64{1, 1, 1}},
-			{Scorer: compute.Scorer{}, Weights: [placement.Preferences]float64{1.5, 1.2, 3}},
+			{Scorer: compute.Scorer{}, Weights: [placement.Preferences]float64{1, 1, 1}},
 			{Scorer: zone.Scorer{}, Weights: [placement.Preferences]float64{1, 1, 1}},
 		},
 	}
@@ -39,6 +45,9 @@
 	if choice.Endpoint == tables.NoEndpoint {
 		return false
 	}
+	if row.Profile.MaxWait > 0 && float64(choice.Row.Load.Backlog())/choice.PrefillRate() > TuneB {
+		return false
+	}
 	r.dispatch(&q, choice)
 	return true
 }
@@ -52,6 +61,12 @@
 		Spread:  placement.Mix(r.options.Seed + r.lastID),
 		Share:   r.share,
 		Hedge:   hedge,
+		Mix:     r.mix,
+	}
+	q.WaitWeight = 1
+	q.Price = TuneP
+	if row.Profile.MaxWait > 0 {
+		q.WaitWeight = TuneW
 	}
 	if row.Delivered > 0 {
 		q.Weights = row.Weights
@@ -59,35 +74,34 @@
 	return q
 }
 
-func (r *Router) candidates(_ *placement.Query) []placement.Candidate {
-	r.scratch = r.scratch[:0]
-	for i := range r.endpoints.Len() {
-		r.scratch = append(r.scratch, placement.Candidate{Row: r.endpoints.Row(tables.EndpointIndex(i))})
-	}
-	return r.scratch
-}
-
 func (r *Router) dispatch(q *placement.Query, choice placement.Choice) {
 	row := q.Request
 	endpoint := r.endpoints.Row(choice.Endpoint)
-	uncached := max(0, row.Request.PromptTokens-int(choice.CachedTokens))
+	uncached := int(choice.UncachedTokens(q))
+	load := &endpoint.Load
 	attempt := &tables.AttemptRow{
 		ID:             r.newAttemptID(),
 		Request:        row,
 		Endpoint:       choice.Endpoint,
+		Priority:       row.Urgency(),
 		Boot:           endpoint.Boot,
 		Weights:        q.Weights,
 		Dispatched:     q.Now,
 		UncachedTokens: uncached,
+		KnownTokens:    int(choice.KnownTokens),
+		HomeTokens:     int(choice.HomeTokens),
+		WorkAhead:      load.Backlog(),
 		Hedge:          q.Hedge,
 	}
 	r.attempts[attempt.ID] = attempt
 	row.Attempts = append(row.Attempts, attempt)
 	row.State = tables.Flying
 	row.Dispatched = true
-	endpoint.Load.Own++
-	endpoint.Load.OwnPrefilling++
-	endpoint.Load.OwnTokens += uncached
+	load.Own++
+	load.OwnPrefilling++
+	load.OwnTokens[row.Urgency()] += uncached
+	r.learnMix(row.Urgency(), uncached)
+	r.view.Placed(q.Now, choice.Endpoint, row.Request.Blocks)
 	r.actions = append(r.actions, Dispatch{
 		Request:    row.Request.ID,
 		Attempt:    attempt.ID,
--- a/router/router.go
+++ b/router/router.go
@@ -5,6 +5,9 @@
 	"slices"
 	"time"
 
+	"github.com/carawaystile/carawaystile/prefix"
+	"github.com/carawaystile/carawaystile/systems/cacheview"
+	"github.com/carawaystile/carawaystile/systems/hotness"
 	"github.com/carawaystile/carawaystile/systems/placement"
 	"github.com/carawaystile/carawaystile/tables"
 )
@@ -17,6 +20,9 @@
 	// attempt identities are made from it. The same seed and the same calls
 	// give the same actions.
 	Seed uint64
+	// CacheRows is how many (block, endpoint) pairs are remembered, at 8 bytes
+	// each; 0 means 1 Mi.
+	CacheRows int
 	// Explanations is how many decisions Explain remembers; 0 means 256.
 	Explanations int
 }
@@ -25,6 +31,9 @@
 	defaultExplanations = 256
 	// tickPeriod is the longest time between two ticks while there is work.
 	tickPeriod = 50 * time.Millisecond
+	// sweepBuckets is how many buckets of cache knowledge each tick cleans. At
+	// 20 ticks a second the largest view is swept every 26 minutes.
+	sweepBuckets = 64
 )
 
 // Router decides where, when and whether each request runs. It is not safe for
@@ -34,18 +43,27 @@
 	options   Options
 	config    *tables.Configuration
 	profiles  map[tables.ProfileName]*tables.Profile
+	groups    map[groupKey]*group
 	weights   map[tables.ModelName]tables.WeightsVersion
 	endpoints *tables.Endpoints
 	requests  map[tables.RequestID]*tables.RequestRow
 	attempts  map[tables.AttemptID]*tables.AttemptRow
 	pending   [tables.Priorities][]*tables.RequestRow
 	picker    placement.Picker
-	scratch   []placement.Candidate
-	actions   []Action
-	spare     []Action
-	explained ring
-	share     float64
-	lastID    uint64
+	view      *cacheview.View
+	matches   cacheview.Matches
+	counter   hotness.Counter
+	homeTrust float64
+	// mix is the part of each priority in recent prefill work, meanUncached
+	// the mean prefill work of an attempt in tokens.
+	mix          [tables.Priorities]float64
+	meanUncached float64
+	scratch      []placement.Candidate
+	actions      []Action
+	spare        []Action
+	explained    ring
+	share        float64
+	lastID       uint64
 }
 
 // New returns a router without a configuration, which refuses all requests
@@ -57,13 +75,18 @@
 	return &Router{
 		options:   options,
 		profiles:  make(map[tables.ProfileName]*tables.Profile),
+		groups:    make(map[groupKey]*group),
 		weights:   make(map[tables.ModelName]tables.WeightsVersion),
 		endpoints: tables.NewEndpoints(),
 		requests:  make(map[tables.RequestID]*tables.RequestRow),
 		attempts:  make(map[tables.AttemptID]*tables.AttemptRow),
 		picker:    standardPicker(),
-		explained: newRing(options.Explanations),
-		share:     1,
+		view:      cacheview.New(cacheview.Options{Rows: options.CacheRows}),
+		homeTrust: initialHomeTrust,
+
+		meanUncached: prefix.PieceTokens,
+		explained:    newRing(options.Explanations),
+		share:        1,
 	}
 }
 
@@ -83,6 +106,7 @@
 		r.weights[c.Models[i].Name] = c.Models[i].Weights
 	}
 	r.endpoints.Configure(c)
+	r.configureGroups()
 	for _, row := range r.requests {
 		if profile, ok := r.profiles[row.Request.Profile]; ok {
 			row.Profile = profile
@@ -110,6 +134,7 @@
 		Weights:   request.Weights,
 	}
 	r.requests[request.ID] = row
+	r.counter.Seen(now, request.Blocks)
 	r.enqueue(row)
 }
 
@@ -128,6 +153,7 @@
 // next Tick.
 func (r *Router) Tick(now tables.Instant) []Action {
 	r.expire(now)
+	r.view.Sweep(now, sweepBuckets)
 	for priority := range r.pending {
 		r.placePending(now, priority)
 	}
--- a/systems/placement/placement.go
+++ b/systems/placement/placement.go
@@ -21,6 +21,14 @@
 	Spread uint64
 	// Share is this instance's part of all traffic, above 0 and at most 1.
 	Share float64
+	// Mix is the part of each priority in the prefill work of this instance.
+	Mix [tables.Priorities]float64
+	// WaitWeight is how much a second of waiting counts: 1 for work that cannot
+	// wait, less for work that can.
+	WaitWeight float64
+	// Price is how much a second of prefill counts beyond the wait that it
+	// means for the request itself, because others wait for it too.
+	Price float64
 	// Hedge is set for a second attempt beside a slow one.
 	Hedge bool
 }
@@ -30,9 +38,14 @@
 	Row *tables.EndpointRow
 	// CachedTokens is how much of the prompt the endpoint is expected to hold.
 	CachedTokens float64
+	// KnownTokens is the part of CachedTokens that something was heard of.
+	KnownTokens float64
 	// HomeTokens is how much of the prompt belongs to this endpoint by hashing,
 	// whether it is held there yet or not.
 	HomeTokens float64
+	// Turnover is the time in which the endpoint's cache is filled once over, in
+	// seconds.
+	Turnover float64
 }
 
 // UncachedTokens is the part of the prompt to be computed.
@@ -79,10 +92,9 @@
 // Choice is the outcome for one query.
 type Choice struct {
 	Endpoint tables.EndpointIndex
-	// Score is the chosen endpoint's cost; Expected the time to first token
-	// that is expected there, in seconds.
-	Score        float64
-	CachedTokens float64
+	// Score is the chosen endpoint's cost in seconds.
+	Score float64
+	Candidate
 }
 
 // Picker runs the filters and scorers.
@@ -103,7 +115,7 @@
 		}
 		score := p.Cost(q, c) + spread(q, c)
 		if best.Endpoint == tables.NoEndpoint || score < best.Score {
-			best = Choice{Endpoint: c.Row.Index, Score: score, CachedTokens: c.CachedTokens}
+			best = Choice{Endpoint: c.Row.Index, Score: score, Candidate: *c}
 		}
 	}
 	return best
--- a/systems/placement/score/compute/compute.go
+++ b/systems/placement/score/compute/compute.go
@@ -13,5 +13,5 @@
 
 // Score divides the uncached tokens by the endpoint's learned speed.
 func (Scorer) Score(q *placement.Query, c *placement.Candidate) float64 {
-	return c.UncachedTokens(q) / c.PrefillRate()
+	return (q.WaitWeight + q.Price) * c.UncachedTokens(q) / c.PrefillRate()
 }
--- a/systems/placement/score/queue/queue.go
+++ b/systems/placement/score/queue/queue.go
@@ -19,10 +19,9 @@
 
 // Score adds own dispatches, counted exactly, to what the last report said of
 // others.
-func (Scorer) Score(_ *placement.Query, c *placement.Candidate) float64 {
-	load := &c.Row.Load
-	prefill := float64(load.OtherTokens+load.OwnTokens) / c.PrefillRate()
-	return prefill + slotWait(c)
+func (Scorer) Score(q *placement.Query, c *placement.Candidate) float64 {
+	prefill := c.Row.Load.Ahead(q.Request.Urgency(), &q.Mix) / c.PrefillRate()
+	return q.WaitWeight * (prefill + slotWait(c))
 }
 
 func slotWait(c *placement.Candidate) float64 {
--- a/tables/endpoints.go
+++ b/tables/endpoints.go
@@ -23,8 +23,9 @@
 	OtherTokens int
 	// Own counts attempts of this instance that have not ended.
 	Own int
-	// OwnTokens is prefill work of own attempts that have no first token yet.
-	OwnTokens int
+	// OwnTokens is prefill work of own attempts that have no first token yet,
+	// by priority.
+	OwnTokens [Priorities]int
 	// OwnPrefilling counts own attempts that have no first token yet.
 	OwnPrefilling int
 }
@@ -32,6 +33,29 @@
 // Active is the estimate of attempts at the endpoint, queued ones included.
 func (l *Load) Active() int { return l.Others + l.Own }
 
+// Ahead is the prefill work, in tokens, that an endpoint does before that of a
+// new request: all of the same or a more urgent priority. The part of others'
+// work that is so is not reported; mix is the part that each priority has in
+// this instance's own work, and is taken to hold for others too.
+func (l *Load) Ahead(p Priority, mix *[Priorities]float64) float64 {
+	ahead := 0.0
+	part := 0.0
+	for i := range int(p) + 1 {
+		ahead += float64(l.OwnTokens[i])
+		part += mix[i]
+	}
+	return ahead + part*float64(l.OtherTokens)
+}
+
+// Backlog is all prefill work at the endpoint in tokens.
+func (l *Load) Backlog() int {
+	sum := l.OtherTokens
+	for _, tokens := range l.OwnTokens {
+		sum += tokens
+	}
+	return sum
+}
+
 // Speed holds what was learned of an endpoint's speed.
 type Speed struct {
 	// Prefill is in prompt tokens per second over the whole endpoint, Decode
--- a/tables/requests.go
+++ b/tables/requests.go
@@ -59,6 +59,8 @@
 	ID       AttemptID
 	Request  *RequestRow
 	Endpoint EndpointIndex
+	// Priority is that of the profile when the attempt was dispatched.
+	Priority Priority
 	Boot     BootID
 	Weights  WeightsVersion
 	// Started and FirstToken are zero until they have happened.
@@ -67,6 +69,14 @@
 	FirstToken Instant
 	// UncachedTokens is the prefill work that placement expected.
 	UncachedTokens int
+	// KnownTokens is the cached part of the prompt that placement expected from
+	// what is known of the endpoint's cache, HomeTokens the part that it only
+	// supposed to be there because the prefix belongs there by hashing.
+	KnownTokens int
+	HomeTokens  int
+	// WorkAhead is the prefill work at the endpoint when the attempt was
+	// dispatched, its own not included.
+	WorkAhead int
 	// ExpectedFirstToken is the time from dispatch that placement expected.
 	ExpectedFirstToken Instant
 	Hedge              bool
