Price recomputation at one speed, hold work that can wait, share by organisation

A spill to a fast endpoint looked cheap because recomputation was priced at the endpoint's own speed; copies then pushed each other out. Recomputed tokens now cost the same everywhere, busy endpoints' time costs more, and work that can be held is grouped by prefix and uses what time is left. Fair queueing, limits, admission, retry budget and health stand behind the router.

--- a/router/candidates.go
+++ b/router/candidates.go
@@ -104,6 +104,7 @@
 	if len(blocks) > 0 {
 		r.view.Match(q.Now, blocks, &r.matches)
 	}
+	q.MeanTurnover = 0
 	home, level := r.home(g, blocks)
 	for _, index := range g.members {
 		c := placement.Candidate{Row: r.endpoints.Row(index)}
@@ -116,6 +117,7 @@
 			c.HomeTokens = float64(level * prefix.PieceTokens)
 			c.CachedTokens = max(c.KnownTokens, r.homeTrust*c.HomeTokens)
 		}
+		q.MeanTurnover += c.Turnover / float64(len(g.members))
 		r.scratch = append(r.scratch, c)
 	}
 	return r.scratch
--- /dev/null
+++ b/router/classes.go
@@ -0,0 +1,163 @@
+package router
+
+import (
+	"github.com/carawaystile/carawaystile/systems/admission"
+	"github.com/carawaystile/carawaystile/systems/fairness"
+	"github.com/carawaystile/carawaystile/systems/placement"
+	"github.com/carawaystile/carawaystile/systems/waiting"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+const (
+	// headsTried is how many groups of one organisation are tried in a round.
+	headsTried = 8
+)
+
+// class holds the waiting requests of one priority.
+type class struct {
+	schedule  fairness.Scheduler
+	admission admission.Class
+	// queues and recent are by organisation; recent is the group served last.
+	queues []waiting.Queue
+	recent []tables.BlockHash
+	// blocked is the round in which nothing of an organisation could be placed.
+	blocked []uint32
+	round   uint32
+}
+
+// heading is the head of a group that is being tried.
+type heading = waiting.Item
+
+func (c *class) configure(flow fairness.Flow, weight float64) {
+	c.schedule.SetWeight(flow, weight)
+	for int(flow) >= len(c.queues) {
+		c.queues = append(c.queues, waiting.Queue{})
+		c.recent = append(c.recent, 0)
+		c.blocked = append(c.blocked, 0)
+	}
+}
+
+// takeFresh places new requests at once, unless others of their class wait
+// already and would be overtaken.
+func (r *Router) takeFresh(now tables.Instant) {
+	for _, row := range r.fresh {
+		if row.State != tables.Pending {
+			continue
+		}
+		if r.classes[row.Priority].schedule.Active() > 0 || !r.startFresh(now, row) {
+			r.enqueue(now, row, r.groupOf(row))
+		}
+	}
+	clear(r.fresh)
+	r.fresh = r.fresh[:0]
+}
+
+func (r *Router) startFresh(now tables.Instant, row *tables.RequestRow) bool {
+	if r.organisations.rows[row.Organisation].limiter.Full(r.share) {
+		return false
+	}
+	if !r.place(now, row, false) {
+		return false
+	}
+	r.started(now, row)
+	return true
+}
+
+// groupOf is the block by which a waiting request is grouped: the end of what
+// it shares with others.
+func (r *Router) groupOf(row *tables.RequestRow) tables.BlockHash {
+	blocks := row.Request.Blocks
+	if level := r.sharedLevel(blocks); level > 0 {
+		return blocks[level-1]
+	}
+	return 0
+}
+
+// ownGroup is a group that a request that failed has for itself, so that it
+// does not hold up others that can be placed.
+func ownGroup(row *tables.RequestRow) tables.BlockHash {
+	return tables.BlockHash(placement.Mix(uint64(row.Submitted) + uint64(row.Retries)<<56))
+}
+
+// enqueue makes a request wait in its class.
+func (r *Router) enqueue(now tables.Instant, row *tables.RequestRow, key tables.BlockHash) {
+	row.State = tables.Pending
+	row.Waiting = true
+	row.Group = key
+	if row.StartBy == 0 {
+		row.StartBy = admission.StartBy(row, 0)
+	}
+	c := &r.classes[row.Priority]
+	flow := row.Organisation
+	c.queues[flow].Add(waiting.Item{Row: row, Key: key, StartBy: row.StartBy})
+	c.schedule.Add(flow)
+	c.admission.Queued(now)
+}
+
+// dequeue takes a request out of its class, if it waits there.
+func (r *Router) dequeue(row *tables.RequestRow) {
+	if !row.Waiting {
+		return
+	}
+	row.Waiting = false
+	c := &r.classes[row.Priority]
+	c.queues[row.Organisation].Remove(row, row.Group)
+	c.schedule.Remove(row.Organisation)
+	c.admission.Left()
+}
+
+// serve places waiting requests of a class, organisation by organisation in
+// the order of fair shares, until nothing more can be placed.
+func (r *Router) serve(now tables.Instant, p tables.Priority) {
+	c := &r.classes[p]
+	c.round++
+	blocked := func(f fairness.Flow) bool { return c.blocked[f] == c.round }
+	for {
+		flow, ok := c.schedule.Next(blocked)
+		if !ok {
+			return
+		}
+		if !r.serveOne(now, c, flow) {
+			c.blocked[flow] = c.round
+		}
+	}
+}
+
+// serveOne places one waiting request of an organisation.
+func (r *Router) serveOne(now tables.Instant, c *class, flow fairness.Flow) bool {
+	if r.organisations.rows[flow].limiter.Full(r.share) {
+		return false
+	}
+	r.heads = c.queues[flow].Heads(r.heads[:0], c.recent[flow], headsTried)
+	for i := range r.heads {
+		row := r.heads[i].Row
+		if row.NotBefore > now || !r.place(now, row, false) {
+			continue
+		}
+		c.recent[flow] = row.Group
+		r.dequeue(row)
+		r.started(now, row)
+		return true
+	}
+	return false
+}
+
+// started accounts for a request whose first or next attempt was dispatched.
+func (r *Router) started(now tables.Instant, row *tables.RequestRow) {
+	c := &r.classes[row.Priority]
+	c.admission.Started(now)
+	c.schedule.Charge(row.Organisation, r.costOf(row))
+	if !row.Counted {
+		row.Counted = true
+		r.organisations.rows[row.Organisation].limiter.Start()
+	}
+}
+
+// costOf is what a dispatched request takes of the endpoints, in tokens of
+// prefill. A token of the answer counts as answerCost tokens of prefill.
+func (r *Router) costOf(row *tables.RequestRow) float64 {
+	a := row.Attempts[len(row.Attempts)-1]
+	return float64(a.UncachedTokens) + answerCost*float64(row.Request.MaxTokens) + 1
+}
+
+const answerCost = 4
--- a/router/explain.go
+++ b/router/explain.go
@@ -57,3 +57,10 @@
 	}
 	row.Candidates = r.picker.Explain(row.Candidates[:0], q, candidates)
 }
+
+// explainWait records why a request waits, once; it is tried again many times.
+func (r *Router) explainWait(q *placement.Query, candidates []placement.Candidate) {
+	if _, ok := r.explained.at[q.Request.Request.ID]; !ok {
+		r.explain(q, candidates, tables.NoEndpoint)
+	}
+}
--- a/router/finish.go
+++ b/router/finish.go
@@ -3,17 +3,14 @@
 import (
 	"time"
 
+	"github.com/carawaystile/carawaystile/systems/admission"
+	"github.com/carawaystile/carawaystile/systems/health"
+	"github.com/carawaystile/carawaystile/systems/retry"
 	"github.com/carawaystile/carawaystile/tables"
 )
 
-const (
-	// maxRetries bounds the attempts of one request after its first.
-	maxRetries = 3
-	// retryDelay is how long a request waits after a failed attempt.
-	retryDelay = 5 * time.Millisecond
-	// retryAfter is the time to try again named when nothing better is known.
-	retryAfter = 2 * time.Second
-)
+// retryAfter is the time to try again named when nothing better is known.
+const retryAfter = 2 * time.Second
 
 // attemptEnded frees the endpoint and decides what becomes of the request.
 func (r *Router) attemptEnded(now tables.Instant, in AttemptEnded) {
@@ -23,6 +20,7 @@
 	}
 	r.release(a)
 	r.learnEnd(now, a, in)
+	r.judge(now, a, in.End)
 	row := a.Request
 	if in.End != NeverStarted && in.End != Refused {
 		row.MayHaveRun = true
@@ -40,10 +38,34 @@
 		r.finish(row)
 		return
 	}
-	if len(row.Attempts) > 0 {
+	row.Tried = append(row.Tried, a.Endpoint)
+	if len(row.Attempts) == 0 {
+		r.afterFailure(now, a, in)
+	}
+}
+
+// judge takes an attempt's end into the health of its endpoint.
+func (r *Router) judge(now tables.Instant, a *tables.AttemptRow, end AttemptEnd) {
+	row := r.endpoints.Row(a.Endpoint)
+	switch end {
+	case Completed:
+		row.Progress = now
+		health.Succeeded(&row.Health)
+	case Broken, NeverStarted:
+		health.Failed(now, &row.Health)
+	case Crashed:
+		r.crashed(now, row, a.Boot)
+	}
+}
+
+// crashed ends a life of an endpoint: its cache is gone.
+func (r *Router) crashed(now tables.Instant, row *tables.EndpointRow, boot tables.BootID) {
+	if boot != row.Boot {
 		return
 	}
-	r.afterFailure(now, a, in)
+	row.EndBoot()
+	r.view.Reset(row.Index)
+	health.Eject(now, &row.Health)
 }
 
 // release removes an attempt from its endpoint, request and table.
@@ -65,22 +87,34 @@
 // afterFailure retries a request whose last attempt failed, or fails it.
 func (r *Router) afterFailure(now tables.Instant, a *tables.AttemptRow, in AttemptEnded) {
 	row := a.Request
-	row.Tried = append(row.Tried, a.Endpoint)
-	if in.End == Cancelled && !a.Aborted {
+	switch {
+	case in.End == Cancelled && !a.Aborted:
+		// The shell gave the request up itself and tells its caller.
 		r.finish(row)
-		return
-	}
-	if row.MayHaveRun && !row.Profile.Idempotent {
+	case !retry.Allowed(row):
 		r.fail(row, tables.CodeOutcomeUnknown, 0)
-		return
-	}
-	if row.Retries >= maxRetries {
+	case row.Retries+1 >= retry.MaxAttempts:
 		r.fail(row, failureCode(row), retryAfter)
-		return
+	case !r.budget.Spend():
+		r.fail(row, r.budgetCode(row), retryAfter)
+	default:
+		row.Retries++
+		row.NotBefore = now + retry.Delay(row.Retries)
+		row.StartBy = now + admission.Patience(row.Profile)
+		if row.Request.Deadline > 0 {
+			row.StartBy = min(row.StartBy, row.Request.Deadline)
+		}
+		r.enqueue(now, row, ownGroup(row))
+	}
+}
+
+// budgetCode is the code of a request that was not tried again for want of
+// budget. A stream that broke is called that, whatever the reason.
+func (r *Router) budgetCode(row *tables.RequestRow) tables.Code {
+	if row.Delivered > 0 {
+		return tables.CodeStreamBroken
 	}
-	row.Retries++
-	row.NotBefore = now + retryDelay
-	r.enqueue(row)
+	return tables.CodeRetryBudget
 }
 
 // failureCode is the code of a request whose attempts have all failed.
@@ -113,14 +147,14 @@
 	r.finish(row)
 }
 
-func (r *Router) refuse(_ tables.Instant, request *tables.Request, refusal tables.Refusal) {
+func (r *Router) refuse(request *tables.Request, refusal tables.Refusal) {
 	r.actions = append(r.actions, Refuse{Request: request.ID, Refusal: refusal})
 }
 
 // timeout ends a request whose deadline has passed.
 func (r *Router) timeout(now tables.Instant, row *tables.RequestRow) {
 	if !row.Dispatched {
-		r.refuse(now, row.Request, tables.Refusal{Code: tables.CodeTimeout, RetryAfter: retryAfter})
+		r.refuse(row.Request, tables.Refusal{Code: tables.CodeTimeout, RetryAfter: retryAfter})
 		r.finish(row)
 		return
 	}
@@ -128,10 +162,34 @@
 	r.fail(row, tables.CodeTimeout, retryAfter)
 }
 
+// giveUp ends a request that waited for as long as it may. One that was
+// dispatched before cannot be refused any more; it fails.
+func (r *Router) giveUp(now tables.Instant, row *tables.RequestRow) {
+	if row.Dispatched {
+		r.fail(row, failureCode(row), retryAfter)
+		return
+	}
+	c := &r.classes[row.Priority]
+	refusal := tables.Refusal{Code: tables.CodeOverloaded, RetryAfter: c.admission.RetryAfter(now, row.StartBy-row.Submitted)}
+	switch {
+	case r.organisations.rows[row.Organisation].limiter.Full(r.share):
+		refusal.Code = tables.CodeOrganisationRate
+	case !r.anyServes(now, row):
+		refusal.Code = tables.CodeNoEndpoint
+	}
+	r.refuse(row.Request, refusal)
+	r.finish(row)
+}
+
 // finish marks the request as answered. Its row stays until the last attempt
 // has ended.
 func (r *Router) finish(row *tables.RequestRow) {
 	row.State = tables.Final
+	r.dequeue(row)
+	if row.Counted {
+		row.Counted = false
+		r.organisations.rows[row.Organisation].limiter.Stop()
+	}
 	r.forget(row)
 }
 
--- a/router/learn.go
+++ b/router/learn.go
@@ -82,6 +82,19 @@
 	row.Speed.Service += time.Duration(learnService * float64(took-row.Speed.Service))
 }
 
+// busyWindow is the time constant over which the use of endpoints is averaged.
+const busyWindow = 10 * time.Second
+
+// learnBusy takes in whether an endpoint had prefill work at its last report.
+func (r *Router) learnBusy(now tables.Instant, row *tables.EndpointRow, busy bool) {
+	passed := float64(min(now-row.Load.ReportedAt, busyWindow)) / float64(busyWindow)
+	target := 0.0
+	if busy {
+		target = 1
+	}
+	row.Load.Busy += passed * (target - row.Load.Busy)
+}
+
 // learnMix takes in the prefill work of a dispatch.
 func (r *Router) learnMix(p tables.Priority, uncached int) {
 	r.meanUncached += learnWork * (float64(uncached) - r.meanUncached)
--- a/router/observe.go
+++ b/router/observe.go
@@ -57,6 +57,11 @@
 	if len(in.Attempts) == 0 {
 		own = min(total, row.Load.Own)
 	}
+	if total < row.Load.ReportedTotal || in.QueuedTokens < row.Load.ReportedTokens {
+		row.Progress = now
+	}
+	row.Load.ReportedTotal, row.Load.ReportedTokens = total, in.QueuedTokens
+	r.learnBusy(now, row, in.QueuedTokens > 0)
 	row.Load.Reported = true
 	row.Load.ReportedAt = now
 	row.Load.Others = max(0, total-own)
@@ -140,6 +145,7 @@
 		return
 	}
 	a.FirstToken = now
+	r.endpoints.Row(a.Endpoint).Progress = now
 	r.prefillOver(a)
 	r.learn(now, a, in.CachedTokens)
 	r.abortOthers(now, a)
--- a/router/place.go
+++ b/router/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"time"
 
 	"github.com/carawaystile/carawaystile/systems/placement"
 	"github.com/carawaystile/carawaystile/systems/placement/filter/capacity"
@@ -10,19 +11,43 @@
 	"github.com/carawaystile/carawaystile/systems/placement/filter/serves"
 	"github.com/carawaystile/carawaystile/systems/placement/filter/tried"
 	"github.com/carawaystile/carawaystile/systems/placement/score/compute"
+	"github.com/carawaystile/carawaystile/systems/placement/score/eviction"
 	"github.com/carawaystile/carawaystile/systems/placement/score/queue"
+	"github.com/carawaystile/carawaystile/systems/placement/score/recompute"
 	"github.com/carawaystile/carawaystile/systems/placement/score/zone"
 	"github.com/carawaystile/carawaystile/tables"
 )
 
-// standardPicker puts the filters and scorers together. Weights are in the
-// order of tables.Preference: balanced, first token, reuse.
-var (
-	TuneP = 3.0
-	TuneW = 0.2
-	TuneB = 0.75
+const (
+	// waitReuse and waitHeld are how much a second of waiting counts for work
+	// that favours reuse, and for work that can be held.
+	waitReuse = 0.3
+	waitHeld  = 0.1
+	// maxAhead is the longest queue of prefill, in weighted seconds, that work
+	// which cannot be held is added to. What would wait longer waits here, where
+	// its turn can pass to another organisation and where it can still be
+	// refused as not run.
+	maxAhead = 3.0
+	// maxBacklog is the same for work that can be held, in seconds. It is small,
+	// so that held work uses the time that is left without filling queues.
+	maxBacklog = 1.5
+	// promoteAfter is the part of its wait after which held work is treated like
+	// work that cannot be held.
+	promoteAfter = 0.7
 )
 
+// recomputePrice is what a second of computing something again costs beyond the
+// wait it means for the request itself, by preference. It is paid at one speed
+// for all endpoints: were it paid at the endpoint's own, a fast endpoint would
+// look like a cheap place for another copy, and copies push each other out.
+var recomputePrice = [placement.Preferences]float64{
+	tables.PreferBalanced:   5,
+	tables.PreferFirstToken: 5,
+	tables.PreferReuse:      10,
+}
+
+// standardPicker puts the filters and scorers together. Weights are in the
+// order of tables.Preference: balanced, first token, reuse.
 func standardPicker() placement.Picker {
 	return placement.Picker{
 		Filters: []placement.Filter{
@@ -31,25 +56,77 @@
 		Scorers: []placement.Weighted{
 			{Scorer: queue.Scorer{}, Weights: [placement.Preferences]float64{1, 1, 1}},
 			{Scorer: compute.Scorer{}, Weights: [placement.Preferences]float64{1, 1, 1}},
+			{Scorer: recompute.Scorer{}, Weights: recomputePrice},
+			{Scorer: eviction.Scorer{}, Weights: [placement.Preferences]float64{0.5, 0, 1}},
 			{Scorer: zone.Scorer{}, Weights: [placement.Preferences]float64{1, 1, 1}},
 		},
 	}
 }
 
-// place dispatches an attempt of the request if any endpoint may take it.
+// place dispatches an attempt of the request if any endpoint may take it now.
 func (r *Router) place(now tables.Instant, row *tables.RequestRow, hedge bool) bool {
 	q := r.query(now, row, hedge)
 	candidates := r.candidates(&q)
 	choice := r.picker.Pick(&q, candidates)
+	if choice.Endpoint == tables.NoEndpoint || r.better(&q, &choice) {
+		r.explainWait(&q, candidates)
+		return false
+	}
 	r.explain(&q, candidates, choice.Endpoint)
-	if choice.Endpoint == tables.NoEndpoint {
+	r.dispatch(&q, choice)
+	return true
+}
+
+// better says whether it is better to wait for the chosen endpoint than to add
+// to its queue. Work that can wait keeps out of the way of work that cannot.
+func (r *Router) better(q *placement.Query, choice *placement.Choice) bool {
+	if q.Request.Delivered > 0 {
 		return false
 	}
-	if row.Profile.MaxWait > 0 && float64(choice.Row.Load.Backlog())/choice.PrefillRate() > TuneB {
+	if q.Request.Profile.MaxWait <= 0 || promoted(q.Now, q.Request) {
+		return choice.Row.Load.Ahead(q.Request.Priority, &q.Mix)*q.WaitWeight > maxAhead*choice.PrefillRate()
+	}
+	return float64(choice.Row.Load.Backlog())/choice.PrefillRate() > maxBacklog
+}
+
+// promoted says whether work has been held for so long that it no longer
+// yields. Without it a steady stream of urgent work would keep every endpoint
+// just busy enough for held work never to start.
+func promoted(now tables.Instant, row *tables.RequestRow) bool {
+	if row.Profile.MaxWait <= 0 || !row.Waiting {
 		return false
 	}
-	r.dispatch(&q, choice)
-	return true
+	return float64(now-row.Submitted) > promoteAfter*float64(row.Profile.MaxWait)
+}
+
+// priority is the urgency with which the endpoint is asked to run the request.
+func priority(now tables.Instant, row *tables.RequestRow) tables.Priority {
+	if promoted(now, row) {
+		return min(row.Priority, tables.Normal)
+	}
+	return row.Priority
+}
+
+func waitWeight(p *tables.Profile) float64 {
+	switch {
+	case p.MaxWait > 0:
+		return waitHeld
+	case p.Prefer == tables.PreferReuse:
+		return waitReuse
+	default:
+		return 1
+	}
+}
+
+// anyServes says whether any endpoint could take the request if it had room.
+func (r *Router) anyServes(now tables.Instant, row *tables.RequestRow) bool {
+	q := r.query(now, row, false)
+	for _, c := range r.candidates(&q) {
+		if (leaving.Filter{}).Keep(&q, &c) && (serves.Filter{}).Keep(&q, &c) {
+			return true
+		}
+	}
+	return false
 }
 
 func (r *Router) query(now tables.Instant, row *tables.RequestRow, hedge bool) placement.Query {
@@ -62,11 +139,8 @@
 		Share:   r.share,
 		Hedge:   hedge,
 		Mix:     r.mix,
-	}
-	q.WaitWeight = 1
-	q.Price = TuneP
-	if row.Profile.MaxWait > 0 {
-		q.WaitWeight = TuneW
+
+		WaitWeight: waitWeight(row.Profile),
 	}
 	if row.Delivered > 0 {
 		q.Weights = row.Weights
@@ -83,7 +157,7 @@
 		ID:             r.newAttemptID(),
 		Request:        row,
 		Endpoint:       choice.Endpoint,
-		Priority:       row.Urgency(),
+		Priority:       priority(q.Now, row),
 		Boot:           endpoint.Boot,
 		Weights:        q.Weights,
 		Dispatched:     q.Now,
@@ -91,7 +165,9 @@
 		KnownTokens:    int(choice.KnownTokens),
 		HomeTokens:     int(choice.HomeTokens),
 		WorkAhead:      load.Backlog(),
-		Hedge:          q.Hedge,
+
+		ExpectedFirstToken: expectedFirstToken(q, &choice.Candidate),
+		Hedge:              q.Hedge,
 	}
 	r.attempts[attempt.ID] = attempt
 	row.Attempts = append(row.Attempts, attempt)
@@ -99,8 +175,8 @@
 	row.Dispatched = true
 	load.Own++
 	load.OwnPrefilling++
-	load.OwnTokens[row.Urgency()] += uncached
-	r.learnMix(row.Urgency(), uncached)
+	load.OwnTokens[attempt.Priority] += uncached
+	r.learnMix(row.Priority, uncached)
 	r.view.Placed(q.Now, choice.Endpoint, row.Request.Blocks)
 	r.actions = append(r.actions, Dispatch{
 		Request:    row.Request.ID,
@@ -108,12 +184,18 @@
 		Endpoint:   endpoint.Endpoint,
 		Boot:       endpoint.Boot,
 		Weights:    q.Weights,
-		Priority:   row.Urgency(),
+		Priority:   attempt.Priority,
 		ResumeFrom: row.Delivered,
 		Hedge:      q.Hedge,
 	})
 }
 
+// expectedFirstToken is the time from dispatch to the first token.
+func expectedFirstToken(q *placement.Query, c *placement.Candidate) time.Duration {
+	seconds := queue.Wait(q, c) + c.UncachedTokens(q)/c.PrefillRate()
+	return time.Duration(seconds * float64(time.Second))
+}
+
 // newAttemptID makes an identity that no other instance and no other life of
 // this one makes, as long as seeds differ.
 func (r *Router) newAttemptID() tables.AttemptID {
--- a/router/router.go
+++ b/router/router.go
@@ -1,14 +1,14 @@
 package router
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/carawaystile/carawaystile/prefix"
+	"github.com/carawaystile/carawaystile/systems/admission"
 	"github.com/carawaystile/carawaystile/systems/cacheview"
 	"github.com/carawaystile/carawaystile/systems/hotness"
 	"github.com/carawaystile/carawaystile/systems/placement"
+	"github.com/carawaystile/carawaystile/systems/retry"
 	"github.com/carawaystile/carawaystile/tables"
 )
 
@@ -29,10 +29,14 @@
 
 const (
 	defaultExplanations = 256
-	// tickPeriod is the longest time between two ticks while there is work.
-	tickPeriod = 50 * time.Millisecond
-	// sweepBuckets is how many buckets of cache knowledge each tick cleans. At
-	// 20 ticks a second the largest view is swept every 26 minutes.
+	// watchPeriod is how often deadlines, hanging attempts and ejected
+	// endpoints are looked at.
+	watchPeriod = 50 * time.Millisecond
+	// servePeriod is how often requests that could not be placed are tried
+	// again. New requests are tried at once.
+	servePeriod = 10 * time.Millisecond
+	// sweepBuckets is how many buckets of cache knowledge each watch cleans. At
+	// 20 a second the largest view is swept every 26 minutes.
 	sweepBuckets = 64
 )
 
@@ -40,30 +44,39 @@
 // concurrent use: the owner calls it from one goroutine with readings of one
 // monotonic clock that never go back.
 type Router struct {
-	options   Options
-	config    *tables.Configuration
-	profiles  map[tables.ProfileName]*tables.Profile
-	groups    map[groupKey]*group
-	weights   map[tables.ModelName]tables.WeightsVersion
-	endpoints *tables.Endpoints
-	requests  map[tables.RequestID]*tables.RequestRow
-	attempts  map[tables.AttemptID]*tables.AttemptRow
-	pending   [tables.Priorities][]*tables.RequestRow
-	picker    placement.Picker
-	view      *cacheview.View
-	matches   cacheview.Matches
-	counter   hotness.Counter
+	options       Options
+	config        *tables.Configuration
+	profiles      map[tables.ProfileName]*tables.Profile
+	groups        map[groupKey]*group
+	weights       map[tables.ModelName]tables.WeightsVersion
+	endpoints     *tables.Endpoints
+	requests      map[tables.RequestID]*tables.RequestRow
+	attempts      map[tables.AttemptID]*tables.AttemptRow
+	organisations organisations
+	classes       [tables.Priorities]class
+	// fresh holds new requests until the next Tick.
+	fresh   []*tables.RequestRow
+	budget  retry.Budget
+	picker  placement.Picker
+	view    *cacheview.View
+	matches cacheview.Matches
+	counter hotness.Counter
+	// homeTrust is the part of a prefix found at its home when nothing was
+	// known of it.
 	homeTrust float64
 	// mix is the part of each priority in recent prefill work, meanUncached
 	// the mean prefill work of an attempt in tokens.
 	mix          [tables.Priorities]float64
 	meanUncached float64
 	scratch      []placement.Candidate
+	heads        []heading
 	actions      []Action
 	spare        []Action
 	explained    ring
 	share        float64
 	lastID       uint64
+	watchAt      tables.Instant
+	serveAt      tables.Instant
 }
 
 // New returns a router without a configuration, which refuses all requests
@@ -73,17 +86,16 @@
 		options.Explanations = defaultExplanations
 	}
 	return &Router{
-		options:   options,
-		profiles:  make(map[tables.ProfileName]*tables.Profile),
-		groups:    make(map[groupKey]*group),
-		weights:   make(map[tables.ModelName]tables.WeightsVersion),
-		endpoints: tables.NewEndpoints(),
-		requests:  make(map[tables.RequestID]*tables.RequestRow),
-		attempts:  make(map[tables.AttemptID]*tables.AttemptRow),
-		picker:    standardPicker(),
-		view:      cacheview.New(cacheview.Options{Rows: options.CacheRows}),
-		homeTrust: initialHomeTrust,
-
+		options:      options,
+		profiles:     make(map[tables.ProfileName]*tables.Profile),
+		groups:       make(map[groupKey]*group),
+		weights:      make(map[tables.ModelName]tables.WeightsVersion),
+		endpoints:    tables.NewEndpoints(),
+		requests:     make(map[tables.RequestID]*tables.RequestRow),
+		attempts:     make(map[tables.AttemptID]*tables.AttemptRow),
+		picker:       standardPicker(),
+		view:         cacheview.New(cacheview.Options{Rows: options.CacheRows}),
+		homeTrust:    initialHomeTrust,
 		meanUncached: prefix.PieceTokens,
 		explained:    newRing(options.Explanations),
 		share:        1,
@@ -107,11 +119,7 @@
 	}
 	r.endpoints.Configure(c)
 	r.configureGroups()
-	for _, row := range r.requests {
-		if profile, ok := r.profiles[row.Request.Profile]; ok {
-			row.Profile = profile
-		}
-	}
+	r.configureOrganisations()
 }
 
 // Submit hands in a request. The next Tick acts on it. The request must not be
@@ -123,26 +131,52 @@
 	}
 	profile, ok := r.profiles[request.Profile]
 	if !ok {
-		r.refuse(now, request, tables.Refusal{Code: tables.CodeUnknownProfile})
+		r.refuse(request, r.unknownProfile())
 		return
 	}
 	row := &tables.RequestRow{
-		Request:   request,
-		Profile:   profile,
-		Submitted: now,
-		Delivered: request.Delivered,
-		Weights:   request.Weights,
+		Request:      request,
+		Profile:      profile,
+		Priority:     profile.Priority,
+		Organisation: r.flow(request.Organisation),
+		Submitted:    now,
+		Delivered:    request.Delivered,
+		Weights:      request.Weights,
+	}
+	if refusal, ok := r.admit(now, row); !ok {
+		r.refuse(request, refusal)
+		return
 	}
 	r.requests[request.ID] = row
 	r.counter.Seen(now, request.Blocks)
-	r.enqueue(row)
+	r.budget.Earn()
+	r.fresh = append(r.fresh, row)
+}
+
+// unknownProfile tells a profile that does not exist from a router that has
+// not been configured yet.
+func (r *Router) unknownProfile() tables.Refusal {
+	if r.config == nil {
+		return tables.Refusal{Code: tables.CodeNoEndpoint, RetryAfter: retryAfter}
+	}
+	return tables.Refusal{Code: tables.CodeUnknownProfile}
+}
+
+// admit holds a new request against its organisation's rate and against the
+// queue of its class.
+func (r *Router) admit(now tables.Instant, row *tables.RequestRow) (tables.Refusal, bool) {
+	if wait := r.organisations.rows[row.Organisation].limiter.Admit(now, r.share); wait > 0 {
+		return tables.Refusal{Code: tables.CodeOrganisationRate, RetryAfter: wait}, false
+	}
+	wait := admission.StartBy(row, 0) - now
+	return r.classes[row.Priority].admission.Check(now, wait)
 }
 
 // Cancel ends a request because its caller no longer wants it. Its attempts
 // are aborted by the next Tick; no further action names the request.
 func (r *Router) Cancel(now tables.Instant, id tables.RequestID) {
 	row, ok := r.requests[id]
-	if !ok {
+	if !ok || row.State == tables.Final {
 		return
 	}
 	r.abortAll(now, row)
@@ -150,12 +184,18 @@
 }
 
 // Tick decides what can be decided now. The returned slice is reused by the
-// next Tick.
+// Tick after the next.
 func (r *Router) Tick(now tables.Instant) []Action {
-	r.expire(now)
-	r.view.Sweep(now, sweepBuckets)
-	for priority := range r.pending {
-		r.placePending(now, priority)
+	r.takeFresh(now)
+	if now >= r.watchAt {
+		r.watchAt = now + watchPeriod
+		r.watch(now)
+	}
+	if now >= r.serveAt {
+		r.serveAt = now + servePeriod
+		for p := range r.classes {
+			r.serve(now, tables.Priority(p))
+		}
 	}
 	out := r.actions
 	r.actions, r.spare = r.spare[:0], out
@@ -164,45 +204,14 @@
 
 // NextTick is when Tick is next worth calling if nothing happens before.
 func (r *Router) NextTick(now tables.Instant) tables.Instant {
-	if len(r.actions) > 0 {
+	if len(r.actions) > 0 || len(r.fresh) > 0 {
 		return now
 	}
-	return now + tickPeriod
-}
-
-func (r *Router) enqueue(row *tables.RequestRow) {
-	row.State = tables.Pending
-	priority := row.Urgency()
-	r.pending[priority] = append(r.pending[priority], row)
-}
-
-func (r *Router) placePending(now tables.Instant, priority int) {
-	queue := r.pending[priority]
-	kept := queue[:0]
-	for _, row := range queue {
-		if row.State != tables.Pending {
-			continue
-		}
-		if row.NotBefore > now || !r.place(now, row, false) {
-			kept = append(kept, row)
-		}
-	}
-	clear(queue[len(kept):])
-	r.pending[priority] = kept
-}
-
-// expire ends the requests whose deadline has passed.
-func (r *Router) expire(now tables.Instant) {
-	var late []*tables.RequestRow
-	for _, row := range r.requests {
-		if row.State != tables.Final && row.Request.Deadline > 0 && now >= row.Request.Deadline {
-			late = append(late, row)
+	next := max(now, r.watchAt)
+	for i := range r.classes {
+		if r.classes[i].schedule.Active() > 0 {
+			next = min(next, max(now, r.serveAt))
 		}
 	}
-	slices.SortFunc(late, func(a, b *tables.RequestRow) int {
-		return cmp.Compare(a.Request.ID, b.Request.ID)
-	})
-	for _, row := range late {
-		r.timeout(now, row)
-	}
+	return next
 }
--- /dev/null
+++ b/systems/admission/admission.go
@@ -0,0 +1,113 @@
+// Package admission decides which requests are refused because there is too
+// much work. A request is refused as soon as it is clear that it cannot start
+// in time, while its caller can still ask elsewhere or later, and never once it
+// may have run. The less urgent are held back first, so they are the first to
+// run out of time and be refused.
+package admission
+
+import (
+	"time"
+
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+const (
+	// patiencePart is the part of its timeout for which a request whose profile
+	// names no wait may be held, within the bounds below.
+	patiencePart = 12
+	minPatience  = time.Second
+	maxPatience  = 5 * time.Second
+	// drainWindow is the time over which the rate of starts is averaged.
+	drainWindow = 5 * time.Second
+	// minRetryAfter and maxRetryAfter bound the time to try again.
+	minRetryAfter = time.Second
+	maxRetryAfter = 2 * time.Minute
+	// MaxWaiting bounds the requests held in one class, for memory's sake.
+	MaxWaiting = 20000
+	// minWaiting is the queue length below which no prediction is made: a short
+	// queue says nothing of the rate at which it empties.
+	minWaiting = 8
+)
+
+// Patience is how long a request may be held whose profile names no wait.
+func Patience(p *tables.Profile) time.Duration {
+	return max(minPatience, min(maxPatience, p.Timeout/patiencePart))
+}
+
+// StartBy is when a request must have started: within the wait its profile
+// allows, and early enough to be answered by its deadline.
+func StartBy(row *tables.RequestRow, service time.Duration) tables.Instant {
+	wait := row.Profile.MaxWait
+	if wait <= 0 {
+		wait = Patience(row.Profile)
+	}
+	by := row.Submitted + wait
+	if row.Request.Deadline > 0 {
+		by = min(by, max(row.Submitted, row.Request.Deadline-service))
+	}
+	return by
+}
+
+// Class watches the queue of one class. It is not safe for concurrent use.
+type Class struct {
+	// waited counts requests that began to wait and have not left the queue.
+	waiting int
+	// started is a count of starts that decays over drainWindow.
+	started   float64
+	startedAt tables.Instant
+	// since is when the queue last became non-empty.
+	since tables.Instant
+}
+
+// Queued counts a request that begins to wait.
+func (c *Class) Queued(now tables.Instant) {
+	if c.waiting == 0 {
+		c.since = now
+	}
+	c.waiting++
+}
+
+// Left counts a request that no longer waits.
+func (c *Class) Left() { c.waiting-- }
+
+// Started counts a request that was dispatched.
+func (c *Class) Started(now tables.Instant) {
+	c.started = c.startedNow(now) + 1
+	c.startedAt = now
+}
+
+func (c *Class) startedNow(now tables.Instant) float64 {
+	passed := float64(now-c.startedAt) / float64(drainWindow)
+	return c.started * max(0, 1-passed)
+}
+
+// Waiting is the number of requests held.
+func (c *Class) Waiting() int { return c.waiting }
+
+// Wait predicts how long a request that comes now would be held: the queue
+// over the rate at which requests of the class have lately started.
+func (c *Class) Wait(now tables.Instant) time.Duration {
+	if c.waiting < minWaiting {
+		return 0
+	}
+	rate := max(c.startedNow(now), 0.5) / drainWindow.Seconds()
+	return time.Duration(float64(c.waiting) / rate * float64(time.Second))
+}
+
+// Check says whether a new request can be expected to start within wait. If
+// not it returns when to try again.
+func (c *Class) Check(now tables.Instant, wait time.Duration) (tables.Refusal, bool) {
+	predicted := c.Wait(now)
+	full := c.waiting >= MaxWaiting
+	settled := now-c.since >= drainWindow
+	if !full && (predicted <= wait || !settled) {
+		return tables.Refusal{}, true
+	}
+	return tables.Refusal{Code: tables.CodeOverloaded, RetryAfter: c.RetryAfter(now, wait)}, false
+}
+
+// RetryAfter is when a request that can wait so long has a chance again: when
+// the queue that is there now will have gone down to what it can wait for.
+func (c *Class) RetryAfter(now tables.Instant, wait time.Duration) time.Duration {
+	return min(maxRetryAfter, max(minRetryAfter, c.Wait(now)-wait))
+}
--- a/systems/cacheview/home.go
+++ b/systems/cacheview/home.go
@@ -21,7 +21,7 @@
 	stalePart = 2.0
 	// eventFloor is the least confidence that age alone leaves to a row whose
 	// eviction would have been announced.
-	eventFloor = 0.7
+	eventFloor = 0.92
 	// learnRate is the weight of one observed hit or miss.
 	learnRate = 0.05
 	// trustFor is how long a home's trust is used before it is worked out anew.
--- /dev/null
+++ b/systems/health/health.go
@@ -0,0 +1,78 @@
+// Package health judges endpoints by the traffic they get. An endpoint that
+// fails is ejected for a time that doubles with each ejection; when it is over
+// the endpoint is on probation, where it gets few attempts until some have
+// succeeded. Slow endpoints are not ejected: placement learns their speed.
+package health
+
+import (
+	"time"
+
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+const (
+	// failuresToEject is how many failures in a row eject a healthy endpoint.
+	failuresToEject = 3
+	// successesToTrust is how many successes end a probation.
+	successesToTrust = 3
+	firstEjection    = time.Second
+	maxEjection      = 30 * time.Second
+	// hangFactor and hangMargin make the longest wait for a first token out of
+	// the expected one.
+	hangFactor = 5
+	hangMargin = 5 * time.Second
+)
+
+// Succeeded takes in an attempt that was answered.
+func Succeeded(h *tables.Health) {
+	h.Failures = 0
+	if h.State != tables.Probation {
+		return
+	}
+	h.Successes++
+	if h.Successes >= successesToTrust {
+		h.State = tables.Healthy
+		h.Ejections = 0
+	}
+}
+
+// Failed takes in an attempt that broke or could not be started. An endpoint on
+// probation is ejected again by one failure.
+func Failed(now tables.Instant, h *tables.Health) {
+	h.Failures++
+	if h.State == tables.Probation || h.Failures >= failuresToEject {
+		Eject(now, h)
+	}
+}
+
+// Eject takes an endpoint out at once, as after a crash.
+func Eject(now tables.Instant, h *tables.Health) {
+	if h.State == tables.Ejected && h.Until > now {
+		return
+	}
+	wait := min(firstEjection<<min(h.Ejections, 8), maxEjection)
+	h.Ejections++
+	h.State = tables.Ejected
+	h.Until = now + wait
+	h.Failures = 0
+}
+
+// Renew puts an ejected endpoint on probation when its time is over.
+func Renew(now tables.Instant, h *tables.Health) {
+	if h.State == tables.Ejected && now >= h.Until {
+		h.State = tables.Probation
+		h.Successes = 0
+	}
+}
+
+// Hanging says whether an attempt has waited for its first token, without any
+// sign of progress from its endpoint, so much longer than expected that the
+// endpoint must be taken to hang. A connection to an engine that hangs stays
+// open and breaks nothing; only what does not happen shows it. An attempt that
+// waits while more urgent ones are answered does not hang.
+func Hanging(now, progress tables.Instant, a *tables.AttemptRow) bool {
+	if a.FirstToken != 0 || a.Aborted {
+		return false
+	}
+	return now-max(a.Dispatched, progress) > hangFactor*a.ExpectedFirstToken+hangMargin
+}
--- a/systems/placement/filter/capacity/capacity.go
+++ b/systems/placement/filter/capacity/capacity.go
@@ -24,6 +24,6 @@
 
 // Keep compares the estimated attempts with the limit of the priority.
 func (Filter) Keep(q *placement.Query, c *placement.Candidate) bool {
-	limit := Limits[q.Request.Urgency()] * float64(c.Row.Slots())
+	limit := Limits[q.Request.Priority] * float64(c.Row.Slots())
 	return float64(c.Row.Load.Active()) < max(1, limit)
 }
--- a/systems/placement/placement.go
+++ b/systems/placement/placement.go
@@ -26,9 +26,8 @@
 	// WaitWeight is how much a second of waiting counts: 1 for work that cannot
 	// wait, less for work that can.
 	WaitWeight float64
-	// Price is how much a second of prefill counts beyond the wait that it
-	// means for the request itself, because others wait for it too.
-	Price float64
+	// MeanTurnover is the mean of the candidates' turnovers, in seconds.
+	MeanTurnover float64
 	// Hedge is set for a second attempt beside a slow one.
 	Hedge bool
 }
@@ -46,6 +45,10 @@
 	// Turnover is the time in which the endpoint's cache is filled once over, in
 	// seconds.
 	Turnover float64
+	// Score is the cost that Pick found, or dropped the position of the filter
+	// that dropped the candidate, plus 1.
+	Score   float64
+	dropped int
 }
 
 // UncachedTokens is the part of the prompt to be computed.
@@ -92,8 +95,6 @@
 // Choice is the outcome for one query.
 type Choice struct {
 	Endpoint tables.EndpointIndex
-	// Score is the chosen endpoint's cost in seconds.
-	Score float64
 	Candidate
 }
 
@@ -110,24 +111,26 @@
 	best := Choice{Endpoint: tables.NoEndpoint}
 	for i := range candidates {
 		c := &candidates[i]
-		if p.dropped(q, c) != nil {
+		c.dropped = p.drop(q, c)
+		if c.dropped != 0 {
 			continue
 		}
-		score := p.Cost(q, c) + spread(q, c)
-		if best.Endpoint == tables.NoEndpoint || score < best.Score {
-			best = Choice{Endpoint: c.Row.Index, Score: score, Candidate: *c}
+		c.Score = p.Cost(q, c) + spread(q, c)
+		if best.Endpoint == tables.NoEndpoint || c.Score < best.Score {
+			best = Choice{Endpoint: c.Row.Index, Candidate: *c}
 		}
 	}
 	return best
 }
 
-func (p *Picker) dropped(q *Query, c *Candidate) Filter {
-	for _, f := range p.Filters {
+// drop is the position, plus 1, of the first filter that drops the candidate.
+func (p *Picker) drop(q *Query, c *Candidate) int {
+	for i, f := range p.Filters {
 		if !f.Keep(q, c) {
-			return f
+			return i + 1
 		}
 	}
-	return nil
+	return 0
 }
 
 // Cost is the weighted sum of all scorers.
@@ -163,41 +166,3 @@
 	x ^= x >> 31
 	return x
 }
-
-// Part is one scorer's weighted share of a candidate's cost.
-type Part struct {
-	Name    string  `json:"name"`
-	Seconds float64 `json:"seconds"`
-}
-
-// Report describes one candidate for people.
-type Report struct {
-	Endpoint tables.EndpointID `json:"endpoint"`
-	// Dropped names the filter that dropped the candidate, if one did.
-	Dropped      string  `json:"dropped,omitempty"`
-	CachedTokens int     `json:"cached_tokens"`
-	Seconds      float64 `json:"seconds"`
-	Parts        []Part  `json:"parts,omitempty"`
-}
-
-// Explain appends a report on each candidate to dst.
-func (p *Picker) Explain(dst []Report, q *Query, candidates []Candidate) []Report {
-	for i := range candidates {
-		dst = append(dst, p.explain(q, &candidates[i]))
-	}
-	return dst
-}
-
-func (p *Picker) explain(q *Query, c *Candidate) Report {
-	r := Report{Endpoint: c.Row.Endpoint.ID, CachedTokens: int(c.CachedTokens)}
-	if f := p.dropped(q, c); f != nil {
-		r.Dropped = f.Name()
-		return r
-	}
-	for _, s := range p.Scorers {
-		seconds := s.Weights[q.Request.Profile.Prefer] * s.Scorer.Score(q, c)
-		r.Parts = append(r.Parts, Part{Name: s.Scorer.Name(), Seconds: seconds})
-		r.Seconds += seconds
-	}
-	return r
-}
--- a/systems/placement/score/compute/compute.go
+++ b/systems/placement/score/compute/compute.go
@@ -4,8 +4,14 @@
 
 import "github.com/carawaystile/carawaystile/systems/placement"
 
-// Scorer gives the time of the request's own prefill in seconds, from 0 up. It
-// is both a part of the time to first token and work that others wait for.
+// maxBusy bounds the use at which an endpoint's time has its highest price.
+const maxBusy = 0.95
+
+// Scorer gives the time of the request's own prefill in seconds, from 0 up,
+// with the wait that it means for those who come after it: a second of work at
+// an endpoint that is busy for the part b of its time delays others by about
+// b/(1-b) seconds in all. Work that can be held yields to others and delays
+// nobody.
 type Scorer struct{}
 
 // Name names the part in explanations.
@@ -13,5 +19,11 @@
 
 // Score divides the uncached tokens by the endpoint's learned speed.
 func (Scorer) Score(q *placement.Query, c *placement.Candidate) float64 {
-	return (q.WaitWeight + q.Price) * c.UncachedTokens(q) / c.PrefillRate()
+	own := c.UncachedTokens(q) / c.PrefillRate()
+	weight := q.WaitWeight
+	if q.Request.Profile.MaxWait <= 0 {
+		busy := min(c.Row.Load.Busy, maxBusy)
+		weight += busy / (1 - busy)
+	}
+	return weight * own
 }
--- a/systems/placement/score/queue/queue.go
+++ b/systems/placement/score/queue/queue.go
@@ -20,8 +20,13 @@
 // Score adds own dispatches, counted exactly, to what the last report said of
 // others.
 func (Scorer) Score(q *placement.Query, c *placement.Candidate) float64 {
-	prefill := c.Row.Load.Ahead(q.Request.Urgency(), &q.Mix) / c.PrefillRate()
-	return q.WaitWeight * (prefill + slotWait(c))
+	return q.WaitWeight * Wait(q, c)
+}
+
+// Wait is the expected wait in seconds.
+func Wait(q *placement.Query, c *placement.Candidate) float64 {
+	prefill := c.Row.Load.Ahead(q.Request.Priority, &q.Mix) / c.PrefillRate()
+	return prefill + slotWait(c)
 }
 
 func slotWait(c *placement.Candidate) float64 {
--- /dev/null
+++ b/systems/retry/retry.go
@@ -0,0 +1,52 @@
+// Package retry decides whether a failed attempt is followed by another one,
+// and bounds how many are. Without a bound every failure of an overloaded or
+// broken fleet adds a request to it, and callers see the whole fleet go down
+// with the first part of it.
+package retry
+
+import (
+	"time"
+
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+const (
+	// ratio is how many retries each request earns, and reserve how many may be
+	// made before any was earned.
+	ratio   = 0.2
+	reserve = 20
+	// MaxAttempts bounds the attempts of one request.
+	MaxAttempts = 4
+	// firstDelay is the wait before the first retry; it doubles with each.
+	firstDelay = 5 * time.Millisecond
+)
+
+// Budget is earned by requests and spent by retries and hedges. It is not safe
+// for concurrent use.
+type Budget struct{ spent float64 }
+
+// Earn counts a request.
+func (b *Budget) Earn() { b.spent = max(0, b.spent-ratio) }
+
+// Spend takes one retry if there is budget for it.
+func (b *Budget) Spend() bool {
+	if b.spent+1 > reserve {
+		return false
+	}
+	b.spent++
+	return true
+}
+
+// Left is how many retries could be made at once.
+func (b *Budget) Left() float64 { return reserve - b.spent }
+
+// Allowed says whether the request may be tried again, the budget aside. Work
+// that must not run twice is only tried again while it is certain that no
+// attempt has begun it.
+func Allowed(row *tables.RequestRow) bool {
+	return row.Profile.Idempotent || !row.MayHaveRun
+}
+
+// Delay is the wait before the retry of the given number, from 1 up. Retries of
+// attempts that were declined at once would otherwise spin.
+func Delay(n int) time.Duration { return firstDelay << min(n-1, 8) }
--- /dev/null
+++ b/systems/waiting/waiting.go
@@ -0,0 +1,153 @@
+// Package waiting holds the requests of one organisation and class until they
+// can be placed. Those with a prefix in common form a group, so that they are
+// dispatched one after the other to the endpoint that has just computed it.
+// Groups are served in the order of their most pressing request: the one that
+// must start first. No request is passed over for ever, since the start-by
+// times of later ones are later.
+package waiting
+
+import (
+	"slices"
+
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// Item is a waiting request.
+type Item struct {
+	Row *tables.RequestRow
+	// Key is the block that the request has in common with its group; requests
+	// with key 0 are served in order of start-by time and not grouped.
+	Key tables.BlockHash
+	// StartBy is when it must have started or be refused.
+	StartBy tables.Instant
+	// seq is the order of arrival.
+	seq uint64
+}
+
+// group holds items of one key by start-by time.
+type group struct {
+	key   tables.BlockHash
+	items []Item
+}
+
+// Queue holds the waiting requests of one organisation in one class. It is not
+// safe for concurrent use.
+type Queue struct {
+	groups map[tables.BlockHash]*group
+	// order holds the groups by their first item.
+	order []*group
+	size  int
+	next  uint64
+}
+
+// Len is the number of waiting requests.
+func (q *Queue) Len() int { return q.size }
+
+func before(a, b Item) bool {
+	if a.StartBy != b.StartBy {
+		return a.StartBy < b.StartBy
+	}
+	return a.seq < b.seq
+}
+
+// Add enters a request.
+func (q *Queue) Add(item Item) {
+	if q.groups == nil {
+		q.groups = make(map[tables.BlockHash]*group)
+	}
+	q.next++
+	item.seq = q.next
+	q.size++
+	g := q.groups[item.Key]
+	if g == nil {
+		g = &group{key: item.Key, items: []Item{item}}
+		q.groups[item.Key] = g
+		q.insert(g)
+		return
+	}
+	at := position(g.items, item)
+	g.items = slices.Insert(g.items, at, item)
+	if at == 0 {
+		q.take(g)
+		q.insert(g)
+	}
+}
+
+func position(items []Item, item Item) int {
+	at := len(items)
+	for at > 0 && before(item, items[at-1]) {
+		at--
+	}
+	return at
+}
+
+func (q *Queue) insert(g *group) {
+	at := len(q.order)
+	for at > 0 && before(g.items[0], q.order[at-1].items[0]) {
+		at--
+	}
+	q.order = slices.Insert(q.order, at, g)
+}
+
+func (q *Queue) take(g *group) {
+	at := slices.Index(q.order, g)
+	q.order = slices.Delete(q.order, at, at+1)
+}
+
+// Heads appends to dst the most pressing request of each group, at most limit
+// of them, in the order in which they should be tried. The group with the given
+// key comes first, if it has one: its prefix has just been computed somewhere.
+func (q *Queue) Heads(dst []Item, recent tables.BlockHash, limit int) []Item {
+	if g := q.groups[recent]; g != nil && recent != 0 && limit > 0 {
+		dst = append(dst, g.items[0])
+		limit--
+	}
+	for _, g := range q.order {
+		if limit <= 0 {
+			break
+		}
+		if recent != 0 && g.key == recent {
+			continue
+		}
+		dst = append(dst, g.items[0])
+		limit--
+	}
+	return dst
+}
+
+// Remove takes a request out, and says whether it was there.
+func (q *Queue) Remove(row *tables.RequestRow, key tables.BlockHash) bool {
+	g := q.groups[key]
+	if g == nil {
+		return false
+	}
+	at := slices.IndexFunc(g.items, func(i Item) bool { return i.Row == row })
+	if at < 0 {
+		return false
+	}
+	q.take(g)
+	g.items = slices.Delete(g.items, at, at+1)
+	q.size--
+	if len(g.items) == 0 {
+		delete(q.groups, key)
+		return true
+	}
+	q.insert(g)
+	return true
+}
+
+// Overdue appends to dst the requests that had to start by now.
+func (q *Queue) Overdue(dst []Item, now tables.Instant) []Item {
+	for _, g := range q.order {
+		if g.items[0].StartBy > now {
+			break
+		}
+		for _, item := range g.items {
+			if item.StartBy > now {
+				break
+			}
+			dst = append(dst, item)
+		}
+	}
+	return dst
+}
--- a/tables/endpoints.go
+++ b/tables/endpoints.go
@@ -19,8 +19,15 @@
 	// Others counts attempts of other instances in the last report, queued
 	// ones included.
 	Others int
+	// ReportedTotal and ReportedTokens are the attempts and the prefill work of
+	// the last report.
+	ReportedTotal  int
+	ReportedTokens int
 	// OtherTokens is the prefill work of other instances in the last report.
 	OtherTokens int
+	// Busy is the part of recent load reports in which there was prefill work,
+	// 0 to 1.
+	Busy float64
 	// Own counts attempts of this instance that have not ended.
 	Own int
 	// OwnTokens is prefill work of own attempts that have no first token yet,
@@ -114,6 +121,8 @@
 	Weights      map[ModelName]WeightsVersion
 	WeightsKnown bool
 	Load         Load
+	// Progress is when the endpoint last showed that it gets work done.
+	Progress Instant
 	Speed        Speed
 	Health       Health
 	// CacheBlocks is the capacity of its cache in pieces, 0 if not known.
--- a/tables/requests.go
+++ b/tables/requests.go
@@ -18,8 +18,10 @@
 type RequestRow struct {
 	Request *Request
 	Profile *Profile
-	// Organisation is the position of the organisation in its table.
-	Organisation int32
+	// Priority is that of the profile when the request came.
+	Priority Priority
+	// Organisation is the number of the organisation's flow.
+	Organisation FlowIndex
 	State        RequestState
 	// Submitted is when the request was handed to the decisions.
 	Submitted Instant
@@ -37,12 +39,20 @@
 	// that the caller has, and the weights that made them.
 	Delivered int
 	Weights   WeightsVersion
+	// Waiting is set while the request stands in a queue, in the given group,
+	// and must start by StartBy.
+	Waiting bool
+	Group   BlockHash
+	StartBy Instant
+	// Counted is set while the request counts against its organisation's
+	// concurrency limit.
+	Counted bool
 	// NotBefore holds a request back until an instant, after a failure.
 	NotBefore Instant
 }
 
-// Urgency is the priority of the request's profile.
-func (r *RequestRow) Urgency() Priority { return r.Profile.Priority }
+// FlowIndex is the dense number of an organisation at one instance.
+type FlowIndex int32
 
 // WasTried says whether an attempt at the endpoint has failed.
 func (r *RequestRow) WasTried(index EndpointIndex) bool {
