--- /dev/null
+++ b/control/state/configurations_test.go
@@ -0,0 +1,181 @@
+package state
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/carawaystile/carawaystile/control/configuration"
+	"github.com/carawaystile/carawaystile/rpc"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// contentOf declares one endpoint and one profile that carries mark.
+func contentOf(t assert.TestingT, mark string) *configuration.Content {
+	items, err := configuration.Encode(tables.Configuration{
+		WeightLoads: 2,
+		Profiles:    []tables.Profile{{Name: tables.ProfileName("p-" + mark)}},
+		Endpoints:   []tables.Endpoint{{ID: "e1"}, {ID: tables.EndpointID("e-" + mark)}},
+	})
+	assert.NilError(t, err)
+	return configuration.NewContent(items)
+}
+
+func (w *world) applyCommand(operator, request string, base uint64, to *configuration.Content) *rpc.Command {
+	return &rpc.Command{Wall: 7, Action: &rpc.Command_Apply{Apply: &rpc.ApplyConfiguration{
+		Operator: operator,
+		Request:  request,
+		Base:     base,
+		Digest:   to.Declared(),
+		Changes:  configuration.Changes(w.Content(), to),
+	}}}
+}
+
+func (w *world) life(request string, join bool, life uint64) *rpc.Result {
+	return w.run(&rpc.Command{Action: &rpc.Command_ChangeLife{ChangeLife: &rpc.ChangeLife{
+		Operator: "ama", Request: request, Endpoint: "e1", Join: join, Life: life,
+	}}})
+}
+
+func (w *world) endpoint(t assert.TestingT) tables.Endpoint {
+	decoded, err := w.Content().Decode(w.Revision())
+	assert.NilError(t, err)
+	for _, endpoint := range decoded.Endpoints {
+		if endpoint.ID == "e1" {
+			return endpoint
+		}
+	}
+	return tables.Endpoint{}
+}
+
+// Two operators read one revision and apply different contents. If both were
+// accepted, one of them would believe in a change that is not in force. The
+// second is told who won.
+func TestOneOfTwoOperatorsWins(t *testing.T) {
+	w := newWorld()
+	ama := w.applyCommand("ama", "r", 0, contentOf(t, "a"))
+	eleri := w.applyCommand("eleri", "r", 0, contentOf(t, "b"))
+	assert.Equal(t, w.run(ama).GetAccepted().GetRevision().GetNumber(), uint64(1))
+	conflict := w.run(eleri).GetConflict()
+	assert.Equal(t, conflict.GetWinner().GetOperator(), "ama")
+	assert.Equal(t, conflict.GetWinner().GetNumber(), uint64(1))
+	assert.Equal(t, conflict.GetWinner().GetWall(), int64(7))
+	assert.Equal(t, w.Content().Declared(), contentOf(t, "a").Declared())
+}
+
+// The answer to an apply is lost, others apply newer revisions, and the
+// operator sends the first one again. It must not take the newer ones out of
+// force. The operator gets the answer that was lost.
+func TestResendAfterNewerRevisionsChangesNothing(t *testing.T) {
+	w := newWorld()
+	first := w.applyCommand("ama", "r1", 0, contentOf(t, "a"))
+	w.run(first)
+	w.run(w.applyCommand("eleri", "r2", 1, contentOf(t, "b")))
+	again := w.run(first).GetAccepted()
+	assert.Assert(t, again.GetResent())
+	assert.Equal(t, again.GetRevision().GetNumber(), uint64(1))
+	assert.Equal(t, w.Revision(), tables.Revision(2))
+	assert.Equal(t, w.Content().Declared(), contentOf(t, "b").Declared())
+	other := w.applyCommand("ama", "r1", 2, contentOf(t, "c"))
+	assert.Equal(t, reason(w.run(other)), rpc.RefusalReason_REFUSED_REQUEST_REUSED)
+}
+
+// A leave is sent, the endpoint joins again, and a late copy of the leave
+// comes. The new life must go on serving. A leave also has to outlast applies
+// that were written by people who did not know of it.
+func TestLeavingLastsUntilANewerLife(t *testing.T) {
+	w := newWorld()
+	w.run(w.applyCommand("ama", "r", 0, contentOf(t, "a")))
+	assert.Equal(t, w.life("leave", false, 0).GetAccepted().GetRevision().GetNumber(), uint64(2))
+	w.run(w.applyCommand("ama", "r2", 2, contentOf(t, "b")))
+	assert.Assert(t, w.endpoint(t).Leaving)
+	w.life("join", true, 0)
+	assert.Assert(t, !w.endpoint(t).Leaving)
+	assert.Equal(t, w.endpoint(t).Life, uint64(1))
+	assert.Assert(t, w.life("leave", false, 0).GetAccepted().GetResent())
+	assert.Assert(t, !w.endpoint(t).Leaving)
+	w.life("join2", true, 1)
+	assert.Equal(t, reason(w.life("late", false, 1)), rpc.RefusalReason_REFUSED_OLD_LIFE)
+	assert.Assert(t, !w.endpoint(t).Leaving)
+}
+
+// A change worked out against another revision than the base it names would
+// leave a mixture of two contents in force.
+func TestChangesMustLeadToTheContentAskedFor(t *testing.T) {
+	w := newWorld()
+	command := w.applyCommand("ama", "r", 0, contentOf(t, "a"))
+	command.GetApply().Changes = command.GetApply().Changes[1:]
+	assert.Equal(t, reason(w.run(command)), rpc.RefusalReason_REFUSED_MALFORMED)
+	assert.Equal(t, w.Revision(), tables.Revision(0))
+}
+
+// Operators race under equal numbers and resend what they got no answer for;
+// the network repeats and reorders; replicas come back from snapshots; a
+// follower takes changes whenever it is reached. Each number has one winner and
+// no instance ever goes back.
+func TestRevisionsHaveOneWinnerAndNeverRevert(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w, replica := newWorld(), newWorld()
+		w.limits.Revisions = 5
+		w.configuration.limits.Revisions = 5
+		var sent []*rpc.Command
+		winners := map[uint64]string{}
+		firstAnswers := map[string]uint64{}
+		seen := tables.Revision(0)
+		follower, followerRevision := configuration.NewContent(nil), tables.Revision(0)
+		t.Repeat(map[string]func(*rapid.T){
+			"write": func(t *rapid.T) {
+				operator := rapid.SampledFrom([]string{"ama", "eleri"}).Draw(t, "operator")
+				base := rapid.Uint64Range(0, uint64(w.Revision())).Draw(t, "base")
+				content := contentOf(t, fmt.Sprint(len(sent)))
+				sent = append(sent, w.applyCommand(operator, fmt.Sprint(len(sent)), base, content))
+			},
+			"deliver": func(t *rapid.T) {
+				if len(sent) == 0 {
+					t.Skip("nothing sent")
+				}
+				command := rapid.SampledFrom(sent).Draw(t, "command")
+				result := w.run(command)
+				request, number := command.GetApply().GetRequest(), result.GetAccepted().GetRevision().GetNumber()
+				if first, ok := firstAnswers[request]; ok {
+					assert.Equal(t, number, first)
+				}
+				if result.GetRefusal() == nil {
+					firstAnswers[request] = number
+				}
+				if number > 0 {
+					winner, ok := winners[number]
+					assert.Assert(t, !ok || winner == request, "revision %d has two winners", number)
+					winners[number] = request
+				}
+			},
+			"leave or join": func(t *rapid.T) {
+				w.life(fmt.Sprint("life", w.index), rapid.Bool().Draw(t, "join"), 0)
+			},
+			"follow": func(*rapid.T) {
+				if changes, ok := w.ChangesSince(followerRevision); ok {
+					follower.Apply(changes)
+				} else {
+					follower = configuration.NewContent(w.Content().Items())
+				}
+				followerRevision = w.Revision()
+				assert.Equal(t, follower.Digest(), w.Content().Digest())
+			},
+			"snapshot": func(*rapid.T) {
+				encoded, err := w.Snapshot()
+				assert.NilError(t, err)
+				assert.NilError(t, replica.Restore(encoded))
+				again, err := replica.Snapshot()
+				assert.NilError(t, err)
+				assert.DeepEqual(t, encoded, again)
+				w.State, replica.State = replica.State, w.State
+			},
+			"": func(t *rapid.T) {
+				assert.Assert(t, w.Revision() >= seen)
+				seen = w.Revision()
+			},
+		})
+	})
+}
--- /dev/null
+++ b/control/state/limits.go
@@ -0,0 +1,61 @@
+package state
+
+import "time"
+
+// Limits bounds the replicated state. It is part of the state machine's
+// version: replicas with different limits would drift apart, so it is not a
+// setting.
+type Limits struct {
+	// Revisions and RevisionBytes bound the history of configurations; the
+	// oldest revisions go first.
+	Revisions     int
+	RevisionBytes int
+	// Requests is how many operators' requests are remembered with their first
+	// answer.
+	Requests int
+	// ClaimedFor is how long a claim that was never dispatched is kept, and
+	// TakeOverAfter how long its owner has it to itself.
+	ClaimedFor    time.Duration
+	TakeOverAfter time.Duration
+	// Retention is how long a claim is kept after its dispatch or its answer.
+	Retention time.Duration
+	// Claims bounds the claims kept, ClaimsPerOrganisation those of one
+	// organisation. New claims above are refused: forgetting an old key early
+	// could run its work twice.
+	Claims                int
+	ClaimsPerOrganisation int
+	// AnswerBytes bounds one stored answer, AllAnswerBytes all together. An
+	// answer that does not fit is forgotten, its claim is not.
+	AnswerBytes    int
+	AllAnswerBytes int
+}
+
+// DefaultLimits returns the limits of this version.
+func DefaultLimits() Limits {
+	return Limits{
+		Revisions:             4096,
+		RevisionBytes:         16 << 20,
+		Requests:              16384,
+		ClaimedFor:            2 * time.Minute,
+		TakeOverAfter:         3 * time.Second,
+		Retention:             24 * time.Hour,
+		Claims:                200_000,
+		ClaimsPerOrganisation: 50_000,
+		AnswerBytes:           64 << 10,
+		AllAnswerBytes:        64 << 20,
+	}
+}
+
+const (
+	// minLostAfter and maxLostAfter bound how long dispatched work is waited
+	// for before its outcome counts as unknown.
+	minLostAfter = time.Second
+	maxLostAfter = 2 * time.Hour
+	// maxRetryAfter bounds the advice to those who find a claim in progress.
+	maxRetryAfter = time.Second
+	// minLease and maxLease bound the duration of a lease.
+	minLease = time.Second
+	maxLease = time.Minute
+	// maxNameBytes bounds names and keys in commands.
+	maxNameBytes = 512
+)
--- /dev/null
+++ b/control/state/state.go
@@ -0,0 +1,174 @@
+// Package state is the replicated state machine of the control instances: the
+// configuration, the claims for work that runs at most once, and the leases for
+// orders to endpoints.
+//
+// It is pure. Equal commands in equal order give equal states and results at
+// every replica, so nothing here reads a clock, a random source or the order of
+// a map. It is not safe for concurrent use.
+package state
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/carawaystile/carawaystile/control/configuration"
+	"github.com/carawaystile/carawaystile/rpc"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// snapshotVersion is written into snapshots; Restore refuses any other.
+const snapshotVersion = 1
+
+// State is the replicated state.
+//
+// Its time is the log time: each command carries a stamp that the proposing
+// leader took from its own monotonic clock, counted on from the newest stamp in
+// its log when it was elected. Log time therefore never runs faster than the
+// fastest leader's clock, also across changes of leader, and a duration that
+// has passed in log time has passed everywhere, but for the drift of clocks.
+type State struct {
+	limits        Limits
+	now           time.Duration
+	configuration configurations
+	claims        claims
+	leases        leases
+}
+
+// New returns an empty state. All replicas must be given equal limits.
+func New(limits Limits) *State {
+	return &State{
+		limits:        limits,
+		configuration: newConfigurations(limits),
+		claims:        newClaims(limits),
+		leases:        newLeases(),
+	}
+}
+
+// Now returns the log time of the newest command.
+func (s *State) Now() time.Duration { return s.now }
+
+// Apply runs one committed log entry. An entry that cannot be read changes
+// nothing, at every replica alike.
+func (s *State) Apply(index uint64, entry []byte) (*rpc.Command, *rpc.Result) {
+	command := &rpc.Command{}
+	if err := proto.Unmarshal(entry, command); err != nil {
+		return command, refused(rpc.RefusalReason_REFUSED_MALFORMED)
+	}
+	return command, s.Execute(index, command)
+}
+
+// Execute is Apply for a decoded command. The index must grow from call to
+// call; fencing numbers are taken from it.
+func (s *State) Execute(index uint64, command *rpc.Command) *rpc.Result {
+	s.now = max(s.now, time.Duration(command.GetStamp()))
+	s.claims.expire(s.now)
+	switch action := command.GetAction().(type) {
+	case *rpc.Command_Apply:
+		return s.configuration.apply(action.Apply, command.GetWall())
+	case *rpc.Command_ChangeLife:
+		return s.configuration.changeLife(action.ChangeLife, command.GetWall())
+	case *rpc.Command_Claim:
+		return s.claims.claim(index, s.now, action.Claim)
+	case *rpc.Command_MarkDispatched:
+		return s.claims.markDispatched(index, s.now, action.MarkDispatched)
+	case *rpc.Command_FinishClaim:
+		return s.claims.finish(index, s.now, action.FinishClaim)
+	case *rpc.Command_ReleaseClaim:
+		return s.claims.release(action.ReleaseClaim)
+	case *rpc.Command_AcquireLease:
+		return s.leases.acquire(index, s.now, action.AcquireLease)
+	case *rpc.Command_ReleaseLease:
+		return s.leases.release(action.ReleaseLease)
+	case *rpc.Command_StartLoad:
+		return s.leases.startLoad(s.now, s.configuration.content.WeightLoads(), action.StartLoad)
+	case *rpc.Command_EndLoad:
+		return s.leases.endLoad(s.now, action.EndLoad)
+	case *rpc.Command_PassTime:
+		return done()
+	default:
+		return refused(rpc.RefusalReason_REFUSED_MALFORMED)
+	}
+}
+
+// Revision returns the number of the configuration in force, zero for none.
+func (s *State) Revision() tables.Revision {
+	return tables.Revision(s.configuration.revision)
+}
+
+// Content returns the configuration in force. The caller must not change it.
+func (s *State) Content() *configuration.Content { return s.configuration.content }
+
+// History returns the kept revisions, oldest first. The caller must not change
+// them.
+func (s *State) History() []*rpc.Revision { return s.configuration.history }
+
+// ChangesSince returns the items that bring a copy at the given revision up to
+// date, and false if the history no longer reaches back to it.
+func (s *State) ChangesSince(revision tables.Revision) ([]*rpc.Item, bool) {
+	return s.configuration.changesSince(uint64(revision))
+}
+
+// Claims returns the number of claims kept.
+func (s *State) Claims() int { return len(s.claims.rows) }
+
+// Snapshot encodes the state. Equal states give equal bytes.
+func (s *State) Snapshot() ([]byte, error) {
+	snapshot := &rpc.Snapshot{Version: snapshotVersion, Now: int64(s.now)}
+	s.configuration.save(snapshot)
+	s.claims.save(snapshot)
+	s.leases.save(snapshot)
+	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(snapshot)
+	return encoded, trace.Wrap(err)
+}
+
+// Restore replaces the state by a snapshot. After an error the state is as it
+// was.
+func (s *State) Restore(encoded []byte) error {
+	snapshot := &rpc.Snapshot{}
+	if err := proto.Unmarshal(encoded, snapshot); err != nil {
+		return trace.Wrap(&BadSnapshot{Cause: err})
+	}
+	if snapshot.GetVersion() != snapshotVersion {
+		return trace.Wrap(&BadSnapshot{Version: snapshot.GetVersion()})
+	}
+	fresh := New(s.limits)
+	fresh.now = time.Duration(snapshot.GetNow())
+	fresh.configuration.load(snapshot)
+	fresh.claims.load(snapshot)
+	fresh.leases.load(snapshot)
+	*s = *fresh
+	return nil
+}
+
+// BadSnapshot means that a snapshot cannot be read by this version.
+type BadSnapshot struct {
+	Version uint32
+	Cause   error
+}
+
+// Error gives the cause.
+func (e *BadSnapshot) Error() string {
+	if e.Cause != nil {
+		return fmt.Sprintf("snapshot cannot be read: %v", e.Cause)
+	}
+	return fmt.Sprintf("snapshot has version %d, this version reads %d", e.Version, snapshotVersion)
+}
+
+// Unwrap gives the cause.
+func (e *BadSnapshot) Unwrap() error { return e.Cause }
+
+func done() *rpc.Result {
+	return &rpc.Result{Answer: &rpc.Result_Done{Done: &rpc.Done{}}}
+}
+
+func refused(reason rpc.RefusalReason) *rpc.Result {
+	return refusedFor(reason, 0)
+}
+
+func refusedFor(reason rpc.RefusalReason, retryAfter time.Duration) *rpc.Result {
+	refusal := &rpc.Refusal{Reason: reason, RetryAfterNanos: int64(retryAfter)}
+	return &rpc.Result{Answer: &rpc.Result_Refusal{Refusal: refusal}}
+}
