--- /dev/null
+++ b/engine/eventreader.go
@@ -0,0 +1,106 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"sync"
+)
+
+const eventBuffer = 4 << 10
+
+var readerPool = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, eventBuffer) }}
+
+var (
+	fieldEvent = []byte("event:")
+	fieldData  = []byte("data:")
+)
+
+// eventReader reads server-sent events in bounded memory. The slices it
+// returns hold until the next call.
+type eventReader struct {
+	r     *bufio.Reader
+	limit int
+	// alive is called for every line, comments included.
+	alive func()
+	name  [16]byte
+	data  []byte
+	line  []byte
+}
+
+func newEventReader(r io.Reader, limit int, alive func()) *eventReader {
+	buffered := readerPool.Get().(*bufio.Reader)
+	buffered.Reset(r)
+	return &eventReader{r: buffered, limit: limit, alive: alive}
+}
+
+// release gives the buffer back; the reader must not be used afterwards.
+func (e *eventReader) release() {
+	if e.r == nil {
+		return
+	}
+	e.r.Reset(nil)
+	readerPool.Put(e.r)
+	e.r = nil
+}
+
+// next returns the name and data of the next event. An event that is cut off
+// before its empty line is not returned.
+func (e *eventReader) next() (name, data []byte, err error) {
+	if e.r == nil {
+		return nil, nil, io.ErrClosedPipe
+	}
+	e.data = e.data[:0]
+	named := 0
+	for {
+		line, err := e.readLine()
+		if err != nil {
+			return nil, nil, err
+		}
+		e.alive()
+		switch {
+		case len(line) == 0:
+			if named > 0 || len(e.data) > 0 {
+				return e.name[:named], e.data, nil
+			}
+		case line[0] == ':':
+		case bytes.HasPrefix(line, fieldEvent):
+			named = copy(e.name[:], bytes.TrimPrefix(line[len(fieldEvent):], []byte{' '}))
+		case bytes.HasPrefix(line, fieldData):
+			if len(e.data)+len(line) > e.limit {
+				return nil, nil, &TooLong{What: "event", Limit: int64(e.limit)}
+			}
+			e.data = append(e.data, bytes.TrimPrefix(line[len(fieldData):], []byte{' '})...)
+		}
+	}
+}
+
+// readLine returns one line without its end.
+func (e *eventReader) readLine() ([]byte, error) {
+	line, err := e.r.ReadSlice('\n')
+	if err == nil {
+		return trimEnd(line), nil
+	}
+	e.line = e.line[:0]
+	for errors.Is(err, bufio.ErrBufferFull) {
+		e.line = append(e.line, line...)
+		if len(e.line) > e.limit {
+			return nil, &TooLong{What: "event", Limit: int64(e.limit)}
+		}
+		line, err = e.r.ReadSlice('\n')
+	}
+	if err != nil {
+		return nil, err
+	}
+	e.line = append(e.line, line...)
+	return trimEnd(e.line), nil
+}
+
+func trimEnd(line []byte) []byte {
+	line = line[:len(line)-1]
+	if n := len(line); n > 0 && line[n-1] == '\r' {
+		line = line[:n-1]
+	}
+	return line
+}
