--- /dev/null
+++ b/replog/config.go
@@ -0,0 +1,81 @@
+package replog
+
+// Config sets up a Node. Times are in ticks; the owner decides how long a tick
+// is.
+type Config struct {
+	// ID is this replica.
+	ID ReplicaID
+	// Group is the group of replicas that this one belongs to. It goes with
+	// every message.
+	Group uint64
+	// ElectionTicks is the time without a leader after which a follower starts
+	// an election, and the time without a quorum after which a leader steps
+	// down. The former is randomised up to twice the value. Default 10.
+	ElectionTicks int
+	// HeartbeatTicks is the time between two heartbeats. Default 1.
+	HeartbeatTicks int
+	// SnapshotTicks is the time without an answer after which a snapshot is sent
+	// again. Default 20 times ElectionTicks.
+	SnapshotTicks int
+	// MaxBatchBytes bounds the entries in one message; one entry may exceed it.
+	// Default 256 KiB.
+	MaxBatchBytes int
+	// MaxEntryBytes bounds one proposal. Default 4 MiB.
+	MaxEntryBytes int
+	// MaxUncommittedBytes bounds what is proposed and not committed. Default
+	// 32 MiB.
+	MaxUncommittedBytes int
+	// MaxInflight bounds the messages with entries that are sent to a replica
+	// and not acknowledged. Default 64.
+	MaxInflight int
+	// TrailingEntries is how many entries are kept in memory before a snapshot,
+	// for replicas that are only a little behind. Default 1000.
+	TrailingEntries uint64
+	// Seed determines the election timeouts. Replicas need different seeds or
+	// IDs.
+	Seed uint64
+}
+
+const (
+	defaultElectionTicks       = 10
+	defaultHeartbeatTicks      = 1
+	defaultSnapshotFactor      = 20
+	defaultMaxBatchBytes       = 256 << 10
+	defaultMaxEntryBytes       = 4 << 20
+	defaultMaxUncommittedBytes = 32 << 20
+	defaultMaxInflight         = 64
+	defaultTrailingEntries     = 1000
+)
+
+func (c *Config) setDefaults() {
+	setDefault(&c.ElectionTicks, defaultElectionTicks)
+	setDefault(&c.HeartbeatTicks, defaultHeartbeatTicks)
+	setDefault(&c.SnapshotTicks, defaultSnapshotFactor*c.ElectionTicks)
+	setDefault(&c.MaxBatchBytes, defaultMaxBatchBytes)
+	setDefault(&c.MaxEntryBytes, defaultMaxEntryBytes)
+	setDefault(&c.MaxUncommittedBytes, defaultMaxUncommittedBytes)
+	setDefault(&c.MaxInflight, defaultMaxInflight)
+	if c.TrailingEntries == 0 {
+		c.TrailingEntries = defaultTrailingEntries
+	}
+}
+
+func setDefault(v *int, d int) {
+	if *v == 0 {
+		*v = d
+	}
+}
+
+func (c *Config) check() error {
+	switch {
+	case c.ID == None:
+		return &BadConfig{Field: "ID", Reason: "is zero"}
+	case c.HeartbeatTicks < 1:
+		return &BadConfig{Field: "HeartbeatTicks", Reason: "is less than 1"}
+	case c.ElectionTicks <= c.HeartbeatTicks:
+		return &BadConfig{Field: "ElectionTicks", Reason: "is not more than HeartbeatTicks"}
+	case c.MaxInflight < 1:
+		return &BadConfig{Field: "MaxInflight", Reason: "is less than 1"}
+	}
+	return nil
+}
