--- a/events/daemon.go
+++ b/events/daemon.go
@@ -4,6 +4,12 @@
 
 // Events of the daemon.
 var (
-	DaemonStarted = define(6000, zapcore.InfoLevel, "The daemon has started.")
-	DaemonStopped = define(6001, zapcore.InfoLevel, "The daemon has stopped.")
+	DaemonStarted       = define(6000, zapcore.InfoLevel, "The daemon has started.")
+	DaemonStopped       = define(6001, zapcore.InfoLevel, "The daemon has stopped.")
+	DaemonDrainStarted  = define(6002, zapcore.InfoLevel, "The daemon drains: it ends its requests and then stops.")
+	DaemonDrainCut      = define(6003, zapcore.WarnLevel, "The drain was ended while requests were running.")
+	ConfigurationServed = define(6004, zapcore.InfoLevel, "A configuration revision is in force on this instance.")
+	KeysReread          = define(6005, zapcore.InfoLevel, "The shared keys were read again.")
+	KeysUnreadable      = define(6006, zapcore.ErrorLevel, "The shared keys cannot be read. The last good keys stay in use.")
+	ListenerFailed      = define(6007, zapcore.ErrorLevel, "A listener has failed.")
 )
