--- a/control/configuration/encode.go
+++ b/control/configuration/encode.go
@@ -82,9 +82,12 @@
 	return e.items[0], trace.Wrap(e.err)
 }
 
-// LifeOf returns the life of an endpoint, the zero one if it never left.
+// firstLife is the life of an endpoint that never left.
+const firstLife = 1
+
+// LifeOf returns the life of an endpoint that is in force.
 func (c *Content) LifeOf(endpoint tables.EndpointID) (Life, error) {
-	var life Life
+	life := Life{Life: firstLife}
 	name := Name{rpc.ItemKind_ITEM_LIFE, string(endpoint)}
 	body := c.bodies[name]
 	if body == nil {
--- a/control/state/claims.go
+++ b/control/state/claims.go
@@ -62,8 +62,7 @@
 	// answers lists rows with stored answers, oldest first.
 	answers     []due
 	answerBytes int
-	// boots is the newest boot seen of each instance.
-	boots map[string]uint64
+	sessions    sessions
 }
 
 func newClaims(limits Limits) claims {
@@ -71,7 +70,7 @@
 		limits:        limits,
 		rows:          map[claimID]*claim{},
 		organisations: map[string]int{},
-		boots:         map[string]uint64{},
+		sessions:      newSessions(limits),
 	}
 }
 
@@ -83,7 +82,7 @@
 	if !id.valid() || len(request.GetBody()) > maxNameBytes || len(request.GetToken()) > maxNameBytes {
 		return refused(rpc.RefusalReason_REFUSED_MALFORMED)
 	}
-	c.boots[asker.instance] = max(c.boots[asker.instance], asker.boot)
+	c.sessions.seen(now, asker)
 	row := c.rows[id]
 	if row == nil {
 		if c.full(id.organisation) {
@@ -112,26 +111,21 @@
 	if row.owner == asker && row.token == token {
 		return granted(row)
 	}
-	free := row.expires - c.limits.ClaimedFor + c.limits.TakeOverAfter
-	if now < free && !c.restarted(row.owner) {
-		return inProgress(free - now)
+	if wait := c.sessions.lostIn(now, row.owner); wait > 0 {
+		return inProgress(wait)
 	}
 	return c.grant(index, now, id, row, asker, token)
 }
 
 // claimDispatched answers a claim of a row whose work has left its owner. It
-// never grants: the work may be running.
+// never grants: the work may be running, also when its owner is lost.
 func (c *claims) claimDispatched(now time.Duration, row *claim) *rpc.Result {
-	if now < row.lostAt && !c.restarted(row.owner) {
-		return inProgress(row.lostAt - now)
+	if wait := min(row.lostAt-now, c.sessions.lostIn(now, row.owner)); wait > 0 {
+		return inProgress(wait)
 	}
 	return claimAnswer(&rpc.ClaimAnswer{State: rpc.ClaimState_CLAIM_UNKNOWN})
 }
 
-// restarted says whether the owner is known to have ended: a newer process of
-// the same instance has claimed something.
-func (c *claims) restarted(o owner) bool { return c.boots[o.instance] > o.boot }
-
 func (c *claims) grant(index uint64, now time.Duration, id claimID, row *claim, to owner, token string) *rpc.Result {
 	row.stage = rpc.ClaimStage_STAGE_CLAIMED
 	row.owner = to
--- a/control/state/claims_snapshot.go
+++ b/control/state/claims_snapshot.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -31,9 +30,7 @@
 	slices.SortFunc(snapshot.Claims, func(a, b *rpc.ClaimRow) int {
 		return cmp.Compare(a.GetChanged(), b.GetChanged())
 	})
-	for _, instance := range slices.Sorted(maps.Keys(c.boots)) {
-		snapshot.Boots = append(snapshot.Boots, &rpc.BootRow{Instance: instance, Boot: c.boots[instance]})
-	}
+	c.sessions.save(snapshot)
 }
 
 func (c *claims) load(snapshot *rpc.Snapshot) {
@@ -63,7 +60,5 @@
 			c.keepAnswer(id, row)
 		}
 	}
-	for _, boot := range snapshot.GetBoots() {
-		c.boots[boot.GetInstance()] = boot.GetBoot()
-	}
+	c.sessions.load(snapshot)
 }
--- a/control/state/limits.go
+++ b/control/state/limits.go
@@ -13,10 +13,12 @@
 	// Requests is how many operators' requests are remembered with their first
 	// answer.
 	Requests int
-	// ClaimedFor is how long a claim that was never dispatched is kept, and
-	// TakeOverAfter how long its owner has it to itself.
-	ClaimedFor    time.Duration
-	TakeOverAfter time.Duration
+	// ClaimedFor is how long a claim that was never dispatched is kept. It is
+	// above the longest time that work may be held back.
+	ClaimedFor time.Duration
+	// SessionFor is how long an owner that is not heard of counts as alive.
+	// Then its claims that were not dispatched can be taken over.
+	SessionFor time.Duration
 	// Retention is how long a claim is kept after its dispatch or its answer.
 	Retention time.Duration
 	// Claims bounds the claims kept, ClaimsPerOrganisation those of one
@@ -36,8 +38,8 @@
 		Revisions:             4096,
 		RevisionBytes:         16 << 20,
 		Requests:              16384,
-		ClaimedFor:            2 * time.Minute,
-		TakeOverAfter:         3 * time.Second,
+		ClaimedFor:            2 * time.Hour,
+		SessionFor:            6 * time.Second,
 		Retention:             24 * time.Hour,
 		Claims:                200_000,
 		ClaimsPerOrganisation: 50_000,
@@ -50,12 +52,15 @@
 	// minLostAfter and maxLostAfter bound how long dispatched work is waited
 	// for before its outcome counts as unknown.
 	minLostAfter = time.Second
-	maxLostAfter = 2 * time.Hour
+	maxLostAfter = 5 * time.Hour
 	// maxRetryAfter bounds the advice to those who find a claim in progress.
 	maxRetryAfter = time.Second
 	// minLease and maxLease bound the duration of a lease.
 	minLease = time.Second
 	maxLease = time.Minute
+	// manySessions is how many instances are remembered before old ones are
+	// looked for and forgotten.
+	manySessions = 1024
 	// maxNameBytes bounds names and keys in commands.
 	maxNameBytes = 512
 )
--- a/control/state/state.go
+++ b/control/state/state.go
@@ -78,6 +78,8 @@
 		return s.claims.finish(index, s.now, action.FinishClaim)
 	case *rpc.Command_ReleaseClaim:
 		return s.claims.release(action.ReleaseClaim)
+	case *rpc.Command_KeepAlive:
+		return s.claims.keepAlive(s.now, action.KeepAlive)
 	case *rpc.Command_AcquireLease:
 		return s.leases.acquire(index, s.now, action.AcquireLease)
 	case *rpc.Command_ReleaseLease:
