--- a/engine/generate.go
+++ b/engine/generate.go
@@ -26,8 +26,8 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	s := &httpStream{client: c, at: at, attempt: req.Attempt, cancel: cancel, ctx: ctx}
 	s.position.next, s.position.limit = req.ResumeFrom, req.MaxToken
+	s.allowed.Store(int64(c.options.AcceptTimeout))
 	s.silence = time.AfterFunc(c.options.AcceptTimeout, s.expire)
-	s.allowed = c.options.AcceptTimeout
 
 	body := newOnceBody(content)
 	call := newRequest(ctx, http.MethodPost, endpointURL(at, PathGenerate), body)
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/carawaystile/carawaystile/tables"
@@ -31,7 +32,7 @@
 	// allowed. It runs only while Next waits, so that a slow caller does not
 	// look like a hanging endpoint.
 	silence *time.Timer
-	allowed time.Duration
+	allowed atomic.Int64
 
 	body     io.ReadCloser
 	events   *eventReader
@@ -52,12 +53,14 @@
 	s.events = newEventReader(body, s.client.options.EventBytes, s.alive)
 }
 
-func (s *httpStream) expire() { s.cancel(&Silent{After: s.allowed}) }
+func (s *httpStream) expire() { s.cancel(&Silent{After: s.patience()}) }
+
+func (s *httpStream) patience() time.Duration { return time.Duration(s.allowed.Load()) }
 
 // alive notes that the endpoint said something.
 func (s *httpStream) alive() {
 	if s.events.r.Buffered() == 0 {
-		s.silence.Reset(s.allowed)
+		s.silence.Reset(s.patience())
 	}
 }
 
@@ -85,7 +88,7 @@
 	case req.Weights != "" && got.Weights != req.Weights:
 		return s.client.mismatch(req.Attempt, "weights", string(req.Weights), string(got.Weights))
 	}
-	s.allowed = s.client.options.SilenceTimeout
+	s.allowed.Store(int64(s.client.options.SilenceTimeout))
 	s.silence.Stop()
 	return nil
 }
@@ -98,7 +101,7 @@
 	if s.failure != nil {
 		return Token{}, s.failure
 	}
-	s.silence.Reset(s.allowed)
+	s.silence.Reset(s.patience())
 	defer s.silence.Stop()
 	for {
 		name, data, err := s.events.next()
