--- /dev/null
+++ b/entry/attempt.go
@@ -0,0 +1,185 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+
+	"go.uber.org/zap"
+
+	"github.com/carawaystile/carawaystile/engine"
+	"github.com/carawaystile/carawaystile/entry/outcome"
+	"github.com/carawaystile/carawaystile/events"
+	"github.com/carawaystile/carawaystile/router"
+)
+
+// run takes the attempt to its first token, or to a plain service's whole
+// answer, and hands it to the goroutine that serves the caller.
+func (a *attempt) run() {
+	if !a.permitted() {
+		return
+	}
+	if a.flight.call != nil {
+		a.runCall()
+		return
+	}
+	a.runGenerate()
+}
+
+func (a *attempt) runGenerate() {
+	f := a.flight
+	delivered, emitted := f.progress()
+	stream, err := f.server.client.Generate(a.ctx, a.dispatch.Endpoint.Address, engine.GenerateRequest{
+		Attempt:    a.dispatch.Attempt,
+		Model:      f.profile.Model,
+		Adapter:    f.profile.Adapter,
+		Weights:    a.dispatch.Weights,
+		Prompt:     f.prompt,
+		MaxToken:   f.row.MaxTokens,
+		Priority:   a.dispatch.Priority,
+		Salt:       "org/" + string(f.row.Organisation),
+		ResumeFrom: delivered,
+		Emitted:    emitted,
+	})
+	if err != nil {
+		a.fail(err, 0)
+		return
+	}
+	accepted := stream.Accepted()
+	if err := a.check(accepted); err != nil {
+		a.abandon(stream, err, 0)
+		return
+	}
+	f.server.Observe(router.AttemptStarted{Attempt: accepted.Attempt, Boot: accepted.Boot, Weights: accepted.Weights})
+	token, err := stream.Next()
+	if err != nil && err != io.EOF {
+		a.abandon(stream, err, 0)
+		return
+	}
+	f.server.Observe(router.FirstToken{Attempt: accepted.Attempt, CachedTokens: accepted.CachedTokens})
+	f.server.metrics.ObserveHit(f.row.Organisation, f.profile.Priority, accepted.CachedTokens, f.row.PromptTokens)
+	a.offer(&opened{attempt: a, stream: stream, first: token, whole: err == io.EOF})
+}
+
+func (a *attempt) runCall() {
+	f := a.flight
+	call := *f.call
+	call.Attempt = a.dispatch.Attempt
+	answer, err := f.server.client.Call(a.ctx, a.dispatch.Endpoint.Address, call)
+	if err != nil {
+		a.fail(err, 0)
+		return
+	}
+	if answer.Attempt != a.dispatch.Attempt {
+		a.fail(&engine.Mismatch{
+			Attempt: a.dispatch.Attempt, Field: "attempt",
+			Want: string(a.dispatch.Attempt), Got: string(answer.Attempt),
+		}, 0)
+		return
+	}
+	f.server.Observe(router.AttemptStarted{Attempt: a.dispatch.Attempt, Boot: answer.Boot})
+	f.server.Observe(router.FirstToken{Attempt: a.dispatch.Attempt})
+	a.offer(&opened{attempt: a, answer: answer, whole: true})
+}
+
+// check compares what the endpoint says of itself with what was asked. Without
+// it an answer that crossed another's, or one from older weights, would reach
+// the caller.
+func (a *attempt) check(got engine.Accepted) error {
+	id := a.dispatch.Attempt
+	if got.Attempt != id {
+		return &engine.Mismatch{Attempt: id, Field: "attempt", Want: string(id), Got: string(got.Attempt)}
+	}
+	if want := a.dispatch.Weights; want != "" && got.Weights != want {
+		return &engine.Mismatch{Attempt: id, Field: "weights", Want: string(want), Got: string(got.Weights)}
+	}
+	return nil
+}
+
+// offer hands the attempt over, unless another has won or the caller is gone.
+func (a *attempt) offer(o *opened) {
+	select {
+	case a.flight.opened <- o:
+	case <-a.ctx.Done():
+		if a.flight.won.Load() != nil {
+			a.flight.server.metrics.CountDropped(DroppedLate)
+		}
+		if o.stream == nil {
+			a.tell(router.AttemptEnded{End: router.Completed}, nil)
+			return
+		}
+		a.abandon(o.stream, context.Cause(a.ctx), 0)
+	}
+}
+
+// abandon closes a stream and reports its end once the endpoint has been told.
+func (a *attempt) abandon(stream engine.Stream, err error, tokens int) {
+	_ = stream.Close()
+	a.fail(err, tokens)
+}
+
+// fail reports the end of the attempt after err, with tokens received.
+func (a *attempt) fail(err error, tokens int) {
+	end := router.AttemptEnded{Tokens: tokens, End: router.Broken}
+	if proof, ok := outcome.ProofOf(err); ok {
+		end.End = router.NeverStarted
+		var not *engine.NotStarted
+		if errors.As(err, &not) && not.Declined {
+			end.End = router.Refused
+		}
+		a.tell(end, &proof)
+		return
+	}
+	var mismatch *engine.Mismatch
+	if errors.As(err, &mismatch) {
+		a.flight.server.metrics.CountDropped(DroppedMismatch)
+		events.AnswerMismatch.Log(a.flight.server.log, a.fields(zap.String("field", mismatch.Field))...)
+	}
+	unreachable := a.confirmCancel()
+	switch {
+	case a.unwanted():
+		end.End = router.Cancelled
+	case unreachable:
+		end.End = router.Crashed
+	}
+	if end.End != router.Cancelled {
+		events.AttemptBroken.Log(a.flight.server.log, a.fields(zap.Bool("unreachable", unreachable))...)
+	}
+	a.tell(end, nil)
+}
+
+// confirmCancel tells the endpoint that the attempt is not wanted, so that its
+// slot is known to be free when the end is reported. It says whether the
+// endpoint's port refuses connections, which is how a crash shows first.
+func (a *attempt) confirmCancel() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), a.flight.server.limits.CancelWait)
+	defer cancel()
+	err := a.flight.server.client.Cancel(ctx, a.dispatch.Endpoint.Address, a.dispatch.Attempt)
+	var not *engine.NotStarted
+	return errors.As(err, &not) && not.Unreachable
+}
+
+// unwanted says whether the attempt was cancelled on this side for a reason
+// other than a stall of the endpoint.
+func (a *attempt) unwanted() bool {
+	if a.ctx.Err() == nil {
+		return false
+	}
+	var stall *stalled
+	return !errors.As(context.Cause(a.ctx), &stall)
+}
+
+// tell reports the end of the attempt to the loop.
+func (a *attempt) tell(how router.AttemptEnded, proof *outcome.Proof) {
+	a.cancel(nil)
+	how.Attempt = a.dispatch.Attempt
+	how.Delivered, _ = a.flight.progress()
+	a.flight.server.tell(ended{attempt: a, how: how, proof: proof})
+}
+
+func (a *attempt) fields(more ...zap.Field) []zap.Field {
+	return append(more,
+		zap.String("request", string(a.flight.row.ID)),
+		zap.String("attempt", string(a.dispatch.Attempt)),
+		zap.String("endpoint", string(a.dispatch.Endpoint.ID)))
+}
--- /dev/null
+++ b/entry/claim.go
@@ -0,0 +1,120 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/carawaystile/carawaystile/entry/outcome"
+	"github.com/carawaystile/carawaystile/events"
+	"github.com/carawaystile/carawaystile/router"
+	"github.com/carawaystile/carawaystile/tables"
+	"go.uber.org/zap"
+)
+
+const (
+	// retryInProgress is when a resend should ask again for the answer of a run
+	// that has not ended.
+	retryInProgress = time.Second
+	// retryQuorum is when the control state may be reachable again.
+	retryQuorum = 2 * time.Second
+)
+
+// claim is the right to run one flight's work once.
+type claim struct {
+	claimer Claimer
+	wait    time.Duration
+	grant   tables.Grant
+	// marked is set once the work may have been handed to an endpoint. Attempts
+	// of one flight follow each other, so nothing guards it.
+	marked bool
+}
+
+// take asks for the claim. It gives the stored answer if the work has run, a
+// failure if it must not run now, and neither if it may.
+func (c *claim) take(ctx context.Context, f *flight, key tables.Key, body tables.BodyHash) (*tables.Answer, *outcome.Failure) {
+	ctx, cancel := context.WithTimeout(ctx, c.wait)
+	defer cancel()
+	grant, err := c.claimer.Claim(ctx, f.row.Organisation, key, body)
+	if err != nil {
+		return nil, claimFailure(f.row.ID, err)
+	}
+	c.grant = grant
+	switch grant.State {
+	case tables.GrantNew:
+		return nil, nil
+	case tables.GrantDone:
+		return &grant.Answer, nil
+	case tables.GrantInProgress:
+		return nil, elsewhere(f.row.ID, tables.CodeKeyInProgress, retryInProgress)
+	default:
+		return nil, elsewhere(f.row.ID, tables.CodeOutcomeUnknown, 0)
+	}
+}
+
+// claimFailure is for a claim that was not made: this request did not run.
+func claimFailure(id tables.RequestID, err error) *outcome.Failure {
+	var reused *tables.KeyReused
+	if errors.As(err, &reused) {
+		return notRun(id, tables.CodeKeyReused, 0)
+	}
+	return notRun(id, tables.CodeNoQuorum, retryQuorum)
+}
+
+// elsewhere is for work that another request under the same key has begun.
+func elsewhere(id tables.RequestID, code tables.Code, retryAfter time.Duration) *outcome.Failure {
+	return outcome.New(id).Dispatch("").Fail(code, outcome.MayHaveRun, retryAfter)
+}
+
+// permitted says whether the attempt may be handed to the client. Work that
+// must run once needs the control state to have recorded the dispatch first: a
+// router that died between would otherwise leave a claim that looks unused,
+// and a resend would run the work again.
+func (a *attempt) permitted() bool {
+	c := a.flight.claim
+	if a.ctx.Err() != nil {
+		a.drop(nil)
+		return false
+	}
+	if c == nil || c.marked {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(a.ctx, c.wait)
+	defer cancel()
+	if err := c.claimer.MarkDispatched(ctx, c.grant); err != nil {
+		a.drop(notRun(a.flight.row.ID, tables.CodeNoQuorum, retryQuorum))
+		return false
+	}
+	c.marked = true
+	return true
+}
+
+// drop ends an attempt that was never sent.
+func (a *attempt) drop(final *outcome.Failure) {
+	a.cancel(nil)
+	proof := a.unsent.Drop()
+	how := router.AttemptEnded{Attempt: a.dispatch.Attempt, End: router.NeverStarted}
+	a.flight.server.tell(ended{attempt: a, how: how, proof: &proof, final: final})
+}
+
+// finish stores the answer for resends. The caller gets it also when it could
+// not be stored; a resend is then told that the outcome is unknown.
+func (c *claim) finish(f *flight, answer tables.Answer) {
+	ctx, cancel := context.WithTimeout(context.Background(), c.wait)
+	defer cancel()
+	if err := c.claimer.Finish(ctx, c.grant, answer); err != nil {
+		events.AnswerNotStored.Log(f.server.log, zap.String("request", string(f.row.ID)), zap.Error(err))
+	}
+}
+
+// release gives the claim back if the work did not run.
+func (c *claim) release(f *flight, failure *outcome.Failure) {
+	if failure.Outcome() != tables.NotRun || c.grant.State != tables.GrantNew {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), c.wait)
+	defer cancel()
+	if err := c.claimer.Release(ctx, c.grant); err != nil {
+		events.ClaimNotReleased.Log(f.server.log, zap.String("request", string(f.row.ID)), zap.Error(err))
+	}
+}
--- /dev/null
+++ b/entry/flight.go
@@ -0,0 +1,113 @@
+package entry
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/carawaystile/carawaystile/engine"
+	"github.com/carawaystile/carawaystile/entry/outcome"
+	"github.com/carawaystile/carawaystile/router"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// flight is one request from its submission until its caller has the answer.
+type flight struct {
+	server  *Server
+	row     tables.Request
+	org     *tables.Organisation
+	profile *tables.Profile
+	// prompt is what engines get; call is what plain services get.
+	prompt string
+	call   *engine.CallRequest
+
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	// opened hands over an attempt whose first token or whole answer is there.
+	opened chan *opened
+	// failed carries the final failure; the loop sends at most one.
+	failed chan *outcome.Failure
+
+	// Fields of the loop alone.
+	state    outcome.State
+	attempts []*attempt
+	queued   bool
+	ended    bool
+
+	// claim is set for work that must run at most once.
+	claim *claim
+
+	// mu guards what an attempt that starts needs to know of the answer so far.
+	mu        sync.Mutex
+	emitted   strings.Builder
+	delivered int
+
+	// won holds the attempt that the caller is being answered from.
+	won atomic.Pointer[attempt]
+}
+
+// attempt is one try at running a flight.
+type attempt struct {
+	flight   *flight
+	dispatch router.Dispatch
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+	unsent   *outcome.Unsent
+}
+
+// opened is an attempt that has something for the caller.
+type opened struct {
+	attempt *attempt
+	stream  engine.Stream
+	first   engine.Token
+	// whole is set when the stream ended before any token.
+	whole  bool
+	answer engine.CallAnswer
+}
+
+// progress gives how many tokens the caller has, and their text.
+func (f *flight) progress() (int, string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.delivered, f.emitted.String()
+}
+
+// advance records a token that is about to be given to the caller.
+func (f *flight) advance(text string) {
+	f.mu.Lock()
+	f.delivered++
+	f.emitted.WriteString(text)
+	f.mu.Unlock()
+}
+
+// fail hands the final failure to the goroutine that serves the caller. Only
+// the loop calls it.
+func (f *flight) fail(failure *outcome.Failure) {
+	if f.ended {
+		return
+	}
+	f.ended = true
+	failure.Request = f.row.ID
+	f.failed <- failure
+	for _, a := range f.attempts {
+		a.cancel(nil)
+	}
+}
+
+// remove forgets an attempt that has ended.
+func (f *flight) remove(id tables.AttemptID) {
+	for i, a := range f.attempts {
+		if a.dispatch.Attempt == id {
+			f.attempts = append(f.attempts[:i], f.attempts[i+1:]...)
+			return
+		}
+	}
+}
+
+// notRun ends a flight that was never submitted.
+func notRun(id tables.RequestID, code tables.Code, retryAfter time.Duration) *outcome.Failure {
+	return outcome.New(id).Refuse(tables.Refusal{Code: code, RetryAfter: retryAfter})
+}
--- /dev/null
+++ b/entry/loop.go
@@ -0,0 +1,213 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/carawaystile/carawaystile/entry/outcome"
+	"github.com/carawaystile/carawaystile/events"
+	"github.com/carawaystile/carawaystile/router"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+const (
+	// inbox is how many messages may wait for the loop.
+	inbox = 4096
+	// batch bounds how many messages share one tick, so that a flood of load
+	// reports cannot hold back a request for long.
+	batch = 256
+)
+
+// message is something that the loop is told.
+type message interface{ message() }
+
+type (
+	submitted struct{ flight *flight }
+	// closed: the caller has its answer or is gone.
+	closed     struct{ flight *flight }
+	configured struct{ configuration *tables.Configuration }
+	observed   struct{ input router.Input }
+	// ended is the end of an attempt, with a proof if it never began.
+	ended struct {
+		attempt *attempt
+		how     router.AttemptEnded
+		proof   *outcome.Proof
+		// final ends the whole request with this failure; set when the control
+		// state did not let the attempt go.
+		final *outcome.Failure
+	}
+)
+
+func (submitted) message()  {}
+func (closed) message()     {}
+func (configured) message() {}
+func (observed) message()   {}
+func (ended) message()      {}
+
+// loop owns the router and the flights.
+type loop struct {
+	server  *Server
+	router  Decider
+	flights map[tables.RequestID]*flight
+	running map[tables.AttemptID]*attempt
+}
+
+// tell hands a message to the loop; it is lost only when the server is closed.
+func (s *Server) tell(m message) {
+	select {
+	case s.inbox <- m:
+	case <-s.stopped:
+	}
+}
+
+// run takes messages until the server is closed.
+func (l *loop) run() {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-l.server.stopped:
+			return
+		case m := <-l.server.inbox:
+			l.take(m)
+			l.takeWaiting()
+		case <-timer.C:
+		}
+		now := l.server.now()
+		l.tick(now)
+		timer.Reset(max(l.router.NextTick(now)-now, 0))
+	}
+}
+
+// takeWaiting takes the messages that are there already, up to a batch.
+func (l *loop) takeWaiting() {
+	for range batch {
+		select {
+		case m := <-l.server.inbox:
+			l.take(m)
+		default:
+			return
+		}
+	}
+}
+
+func (l *loop) take(m message) {
+	now := l.server.now()
+	switch m := m.(type) {
+	case submitted:
+		l.flights[m.flight.row.ID] = m.flight
+		m.flight.queued = true
+		l.router.Submit(now, m.flight.row)
+	case closed:
+		l.close(now, m.flight)
+	case configured:
+		l.router.Configure(now, m.configuration)
+	case observed:
+		l.router.Observe(now, m.input)
+	case ended:
+		l.end(now, m)
+	}
+}
+
+// close forgets a flight. Its attempts stay in running, and thereby in the
+// router's account of slots, until each has ended.
+func (l *loop) close(now tables.Instant, f *flight) {
+	f.ended = true
+	delete(l.flights, f.row.ID)
+	l.router.Cancel(now, f.row.ID)
+}
+
+func (l *loop) end(now tables.Instant, m ended) {
+	id := m.attempt.dispatch.Attempt
+	if _, known := l.running[id]; !known {
+		return
+	}
+	delete(l.running, id)
+	f := m.attempt.flight
+	f.remove(id)
+	if m.proof != nil {
+		if d, ok := f.state.(*outcome.Dispatched); ok {
+			f.state = d.NotStarted(*m.proof)
+		}
+	}
+	l.router.Observe(now, m.how)
+	if m.final != nil && !f.ended {
+		l.router.Cancel(now, f.row.ID)
+		f.fail(m.final)
+	}
+}
+
+// tick lets the router decide and carries its actions out.
+func (l *loop) tick(now tables.Instant) {
+	for _, action := range l.router.Tick(now) {
+		switch a := action.(type) {
+		case router.Dispatch:
+			l.dispatch(now, a)
+		case router.Refuse:
+			l.refuse(a)
+		case router.Fail:
+			l.fail(a)
+		case router.Abort:
+			l.abort(a)
+		}
+	}
+}
+
+func (l *loop) dispatch(now tables.Instant, d router.Dispatch) {
+	f := l.flights[d.Request]
+	if f == nil || f.ended {
+		l.router.Observe(now, router.AttemptEnded{Attempt: d.Attempt, End: router.NeverStarted})
+		return
+	}
+	if f.queued {
+		f.queued = false
+		l.server.metrics.ObserveQueueWait(f.row.Organisation, f.profile.Priority, now-f.row.Arrived)
+	}
+	a := &attempt{flight: f, dispatch: d, unsent: outcome.NewUnsent(d.Attempt)}
+	a.ctx, a.cancel = context.WithCancelCause(f.ctx)
+	f.state = f.state.Dispatch(d.Attempt)
+	f.attempts = append(f.attempts, a)
+	l.running[d.Attempt] = a
+	go a.run()
+}
+
+// refuse ends a request as not run. The router says so only of requests it did
+// not dispatch; were it wrong, the state would not let the caller be told so.
+func (l *loop) refuse(r router.Refuse) {
+	f := l.flights[r.Request]
+	if f == nil {
+		return
+	}
+	switch state := f.state.(type) {
+	case *outcome.Undispatched:
+		f.fail(state.Refuse(r.Refusal))
+	case *outcome.Dispatched:
+		events.RefusedAfterDispatch.Log(l.server.log, zap.String("request", string(r.Request)))
+		f.fail(state.Fail(r.Refusal.Code, outcome.MayHaveRun, r.Refusal.RetryAfter))
+	}
+}
+
+func (l *loop) fail(a router.Fail) {
+	f := l.flights[a.Request]
+	if f == nil {
+		return
+	}
+	possible := outcome.MayHaveRun
+	if a.Outcome == tables.Ran {
+		possible = outcome.HasRun
+	}
+	switch state := f.state.(type) {
+	case *outcome.Undispatched:
+		f.fail(state.Refuse(tables.Refusal{Code: a.Code, RetryAfter: a.RetryAfter}))
+	case *outcome.Dispatched:
+		f.fail(state.Fail(a.Code, possible, a.RetryAfter))
+	}
+}
+
+func (l *loop) abort(a router.Abort) {
+	if attempt := l.running[a.Attempt]; attempt != nil {
+		attempt.cancel(nil)
+	}
+}
--- /dev/null
+++ b/entry/options.go
@@ -0,0 +1,140 @@
+// Package entry is the callers' side of an instance: it authenticates, checks
+// and bounds requests, lets the router place them, streams the answers, resumes
+// them elsewhere when an endpoint fails, and tells the truth about what ran.
+//
+// One goroutine owns the router. Requests and whatever endpoints say arrive
+// there as messages; several that wait share one tick. Tokens do not pass
+// through it: the goroutine that serves a caller reads them from the endpoint.
+package entry
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/carawaystile/carawaystile/engine"
+	"github.com/carawaystile/carawaystile/router"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// Decider decides where and when requests run; *router.Router is one. It is
+// called by one goroutine.
+type Decider interface {
+	Configure(now tables.Instant, c *tables.Configuration)
+	Submit(now tables.Instant, r tables.Request)
+	Observe(now tables.Instant, in router.Input)
+	Cancel(now tables.Instant, id tables.RequestID)
+	Tick(now tables.Instant) []router.Action
+	// NextTick is when a tick is due though nothing arrives.
+	NextTick(now tables.Instant) tables.Instant
+}
+
+// Claimer grants the right to run work that must run at most once. Its errors
+// are *tables.KeyReused, *tables.NoQuorum and *tables.GrantLost.
+type Claimer interface {
+	// Claim asks for the organisation's key. The same key with another body is
+	// *tables.KeyReused.
+	Claim(ctx context.Context, org tables.OrganisationID, key tables.Key, body tables.BodyHash) (tables.Grant, error)
+	// MarkDispatched records that the work may run from now on. Nothing may be
+	// sent to an endpoint unless it returned nil.
+	MarkDispatched(ctx context.Context, g tables.Grant) error
+	// Finish stores the answer that resends get.
+	Finish(ctx context.Context, g tables.Grant, a tables.Answer) error
+	// Release gives the claim back; the caller knows that the work did not run.
+	Release(ctx context.Context, g tables.Grant) error
+}
+
+// Metrics takes the measurements of requests. Calls come from many goroutines.
+type Metrics interface {
+	// ObserveTTFT takes the time from arrival to the first token.
+	ObserveTTFT(org tables.OrganisationID, profile tables.ProfileName, p tables.Priority, d time.Duration)
+	// ObserveTokenGap takes the time between two tokens of one stream.
+	ObserveTokenGap(org tables.OrganisationID, p tables.Priority, d time.Duration)
+	// ObserveQueueWait takes the time from arrival to the first dispatch.
+	ObserveQueueWait(org tables.OrganisationID, p tables.Priority, d time.Duration)
+	// ObserveHit takes how many prompt tokens came from a cache, of how many.
+	ObserveHit(org tables.OrganisationID, p tables.Priority, cached, total int)
+	// CountRefused counts failures by number and outcome.
+	CountRefused(org tables.OrganisationID, code tables.Code, o tables.Outcome)
+	// CountDropped counts answers and tokens that were dropped.
+	CountDropped(d Dropped)
+	// CountResumed counts streams that went on at another endpoint.
+	CountResumed(org tables.OrganisationID)
+}
+
+// Dropped names why a part of an answer was dropped.
+type Dropped uint8
+
+// The reasons for dropping a part of an answer.
+const (
+	// DroppedMismatch: it names another attempt or other weights.
+	DroppedMismatch Dropped = iota
+	// DroppedDuplicate: the caller already has this token.
+	DroppedDuplicate
+	// DroppedLate: another attempt had already won.
+	DroppedLate
+)
+
+// Limits bound the memory and time that callers can take.
+type Limits struct {
+	// MaxBody is the largest request body in bytes.
+	MaxBody int64
+	// MaxHeld is how many bytes of request bodies are held at once.
+	MaxHeld int64
+	// MaxOpen is how many requests are open at once.
+	MaxOpen int
+	// MaxAnswer is the largest answer that is held in memory, in bytes: answers
+	// of plain services, answers that are not streamed, and the part of a stream
+	// that a resume would have to repeat.
+	MaxAnswer int
+	// DefaultMaxTokens is used when a caller names no limit.
+	DefaultMaxTokens int
+	// TokenStall is how long an endpoint may pause within a stream before the
+	// attempt counts as broken.
+	TokenStall time.Duration
+	// WriteStall is how long a caller may take no data before it is cut off.
+	WriteStall time.Duration
+	// ReadStall bounds how long a caller may take to send its request.
+	ReadStall time.Duration
+	// CancelWait bounds how long a cancelled attempt's slot stays accounted
+	// when the endpoint does not confirm.
+	CancelWait time.Duration
+	// ClaimWait bounds each question to the control state.
+	ClaimWait time.Duration
+	// DrainServe is how long new requests are still served after the balancer
+	// is told that the instance is not ready.
+	DrainServe time.Duration
+}
+
+// DefaultLimits are the limits used for fields that are zero.
+func DefaultLimits() Limits {
+	return Limits{
+		MaxBody:          8 << 20,
+		MaxHeld:          64 << 20,
+		MaxOpen:          4096,
+		MaxAnswer:        4 << 20,
+		DefaultMaxTokens: 256,
+		TokenStall:       10 * time.Second,
+		WriteStall:       30 * time.Second,
+		ReadStall:        30 * time.Second,
+		CancelWait:       2 * time.Second,
+		ClaimWait:        2 * time.Second,
+		DrainServe:       5 * time.Second,
+	}
+}
+
+// Options are what a Server is made of.
+type Options struct {
+	Instance tables.InstanceID
+	// Boot tells this life of the instance from others in request identities.
+	Boot    string
+	Router  Decider
+	Client  engine.Client
+	Claimer Claimer
+	Metrics Metrics
+	Log     *zap.Logger
+	// Now reads the process's monotonic clock.
+	Now    func() tables.Instant
+	Limits Limits
+}
--- /dev/null
+++ b/events/entry.go
@@ -0,0 +1,16 @@
+package events
+
+import "go.uber.org/zap/zapcore"
+
+// Events of the entry.
+var (
+	RefusedAfterDispatch = define(1000, zapcore.ErrorLevel, "A dispatched request was refused; its outcome was reported as unknown.")
+	AnswerMismatch       = define(1001, zapcore.WarnLevel, "An answer that belongs to another attempt was dropped.")
+	AttemptBroken        = define(1002, zapcore.WarnLevel, "An attempt ended before its answer was whole.")
+	AnswerNotStored      = define(1003, zapcore.WarnLevel, "The answer of work that ran once could not be stored.")
+	ClaimNotReleased     = define(1004, zapcore.InfoLevel, "A claim of work that did not run could not be given back.")
+	RequestFailed        = define(1005, zapcore.InfoLevel, "A request got no whole answer.")
+	DrainStarted         = define(1006, zapcore.InfoLevel, "The instance takes itself out of service.")
+	DrainEnded           = define(1007, zapcore.InfoLevel, "Every request of the draining instance has ended.")
+	DrainCut             = define(1008, zapcore.WarnLevel, "The drain was ended while requests were open.")
+)
