Carry a streamed completion from a caller to an engine and back

Cause: nothing yet joined the callers' interface to the router and the engines. Change: entry.Server with one goroutine that owns the router, request states that allow 'not run' only before dispatch, resume after a broken attempt, events flushed one by one, claims for work that must run once, drain, and numbered errors. ogen's response recorder hides ReadFrom, so the writer that is handed in flushes on each Write; the generated copy makes one Write per event. Conclusion: a test sees the first event before the second is produced, and another sees a stream go on at a second endpoint without gap or repeat.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/carawaystile/carawaystile/engine"
-	"github.com/carawaystile/carawaystile/entry/outcome"
 	"github.com/carawaystile/carawaystile/router"
 	"github.com/carawaystile/carawaystile/tables"
 )
@@ -126,7 +125,7 @@
 		f.server.metrics.CountDropped(DroppedMismatch)
 		return "", false
 	}
-	have, _ := f.delivered, f
+	have := f.delivered
 	if t.Index < have {
 		f.server.metrics.CountDropped(DroppedDuplicate)
 		return "", false
@@ -180,13 +179,13 @@
 }
 
 // whole waits for a plain service's answer.
-func (r *reader) whole() (engine.CallAnswer, error) {
+func (r *reader) whole() (tables.Answer, error) {
 	if err := r.await(); err != nil {
-		return engine.CallAnswer{}, err
+		return tables.Answer{}, err
 	}
-	answer := r.current.answer
+	got := r.current.answer
 	r.complete()
-	return answer, nil
+	return tables.Answer{Status: got.Status, Type: got.Type, Body: got.Body}, nil
 }
 
 // text collects the whole answer; it is for callers who do not stream.
@@ -202,5 +201,3 @@
 		}
 	}
 }
-
-var _ error = (*outcome.Failure)(nil)
--- /dev/null
+++ b/entry/api.go
@@ -0,0 +1,241 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sort"
+	"time"
+
+	"github.com/ogen-go/ogen/ogenerrors"
+
+	"github.com/carawaystile/carawaystile/api/oas"
+	"github.com/carawaystile/carawaystile/entry/outcome"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// organisationKey carries the caller's organisation in a request's context.
+type organisationKey struct{}
+
+func organisationOf(ctx context.Context) *tables.Organisation {
+	o, _ := ctx.Value(organisationKey{}).(*tables.Organisation)
+	return o
+}
+
+// security turns bearer tokens into organisations.
+type security struct{ server *Server }
+
+// HandleBearer finds the organisation of a token.
+func (s *security) HandleBearer(ctx context.Context, _ oas.OperationName, t oas.Bearer) (context.Context, error) {
+	if d := s.server.directory.Load(); d != nil {
+		if o := d.organisation(t.Token); o != nil {
+			return context.WithValue(ctx, organisationKey{}, o), nil
+		}
+	}
+	return ctx, notRun("", tables.CodeUnauthorised, 0)
+}
+
+// api implements the generated interface.
+type api struct{ server *Server }
+
+// CreateCompletion answers POST /v1/completions.
+func (a *api) CreateCompletion(ctx context.Context, req *oas.CompletionRequest, p oas.CreateCompletionParams) (oas.CreateCompletionRes, error) {
+	ask := completionAsk{
+		profile: p.XProfile.Or(""), model: req.Model.Or(""), key: p.IdempotencyKey.Or(""),
+		prompt: req.Prompt, maxTokens: req.MaxTokens.Or(a.server.limits.DefaultMaxTokens),
+	}
+	source, f, err := a.server.complete(ctx, ask)
+	if err != nil {
+		return nil, err
+	}
+	created := time.Now().Unix()
+	if req.Stream.Or(false) {
+		stream, err := a.server.openStream(source, f, newShape(f.row.ID, modelName(f.profile), created, false))
+		if err != nil {
+			return nil, err
+		}
+		return &oas.CreateCompletionOKTextEventStream{Data: stream}, nil
+	}
+	defer source.close()
+	text, usage, err := collect(source, f)
+	if err != nil {
+		return nil, err
+	}
+	return &oas.Completion{
+		ID: string(f.row.ID), Object: "text_completion", Created: created, Model: modelName(f.profile),
+		Choices: []oas.CompletionChoicesItem{{Text: text, FinishReason: source.finishReason()}},
+		Usage:   usage,
+	}, nil
+}
+
+// CreateChatCompletion answers POST /v1/chat/completions.
+func (a *api) CreateChatCompletion(ctx context.Context, req *oas.ChatRequest, p oas.CreateChatCompletionParams) (oas.CreateChatCompletionRes, error) {
+	ask := completionAsk{
+		profile: p.XProfile.Or(""), model: req.Model.Or(""), key: p.IdempotencyKey.Or(""),
+		prompt: chatPrompt(req.Messages), maxTokens: req.MaxTokens.Or(a.server.limits.DefaultMaxTokens),
+	}
+	source, f, err := a.server.complete(ctx, ask)
+	if err != nil {
+		return nil, err
+	}
+	created := time.Now().Unix()
+	if req.Stream.Or(false) {
+		stream, err := a.server.openStream(source, f, newShape(f.row.ID, modelName(f.profile), created, true))
+		if err != nil {
+			return nil, err
+		}
+		return &oas.CreateChatCompletionOKTextEventStream{Data: stream}, nil
+	}
+	defer source.close()
+	text, usage, err := collect(source, f)
+	if err != nil {
+		return nil, err
+	}
+	message := oas.Message{Role: oas.MessageRoleAssistant, Content: text}
+	return &oas.ChatCompletion{
+		ID: string(f.row.ID), Object: "chat.completion", Created: created, Model: modelName(f.profile),
+		Choices: []oas.ChatCompletionChoicesItem{{Message: message, FinishReason: source.finishReason()}},
+		Usage:   usage,
+	}, nil
+}
+
+// CallService answers POST /v1/services/{service}/{call}.
+func (a *api) CallService(ctx context.Context, req oas.CallServiceReq, p oas.CallServiceParams) (*oas.CallServiceOKHeaders, error) {
+	content, err := io.ReadAll(req)
+	if err != nil {
+		return nil, a.server.unreadable(err)
+	}
+	answer, err := a.server.callService(ctx, serviceAsk{
+		profile: p.XProfile.Or(""), service: p.Service, call: p.Call, key: p.IdempotencyKey.Or(""), body: content,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &oas.CallServiceOKHeaders{
+		XServiceStatus: oas.NewOptInt(answer.Status),
+		Response:       oas.CallServiceOK{Data: bytes.NewReader(answer.Body)},
+	}, nil
+}
+
+// ListModels answers GET /v1/models with what the organisation may use.
+func (a *api) ListModels(ctx context.Context) (*oas.ModelList, error) {
+	o, d := organisationOf(ctx), a.server.directory.Load()
+	names := map[string]bool{}
+	for _, p := range d.order {
+		if p.Kind == tables.Engine && mayUse(o, p.Name) {
+			names[modelName(p)] = true
+		}
+	}
+	list := &oas.ModelList{Object: "list", Data: []oas.ModelListDataItem{}}
+	for name := range names {
+		list.Data = append(list.Data, oas.ModelListDataItem{ID: name, Object: "model"})
+	}
+	sort.Slice(list.Data, func(i, j int) bool { return list.Data[i].ID < list.Data[j].ID })
+	return list, nil
+}
+
+// NewError renders the failures of the methods above.
+func (a *api) NewError(ctx context.Context, err error) *oas.FailureStatusCodeWithHeaders {
+	failure := a.server.failureOf(err)
+	org := tables.OrganisationID("")
+	if o := organisationOf(ctx); o != nil {
+		org = o.ID
+	}
+	a.server.noteFailure(org, failure)
+	return response(failure)
+}
+
+// failureOf turns an error into what the caller is told. An error that is not
+// known says nothing about the work, so its outcome is unknown.
+func (s *Server) failureOf(err error) *outcome.Failure {
+	var failure *outcome.Failure
+	if errors.As(err, &failure) {
+		return failure
+	}
+	var denied *ogenerrors.SecurityError
+	if errors.As(err, &denied) {
+		return notRun("", tables.CodeUnauthorised, 0)
+	}
+	return elsewhere("", tables.CodeInternal, 0)
+}
+
+// unreadable is for a request whose body could not be read or understood:
+// nothing was started for it.
+func (s *Server) unreadable(err error) *outcome.Failure {
+	var full *heldFull
+	if errors.As(err, &full) {
+		return notRun("", tables.CodeOverloaded, retryFull)
+	}
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return notRun("", tables.CodeTooLarge, 0)
+	}
+	failure := notRun("", tables.CodeMalformed, 0)
+	var params *ogenerrors.DecodeParamsError
+	if errors.As(err, &params) {
+		failure.Detail = "A header or a part of the path is wrong."
+	}
+	return failure
+}
+
+// rejected answers requests that the generated code could not decode. Failures
+// to write an answer come here too; then nobody is left to tell.
+func (s *Server) rejected(ctx context.Context, w http.ResponseWriter, _ *http.Request, err error) {
+	var params *ogenerrors.DecodeParamsError
+	var request *ogenerrors.DecodeRequestError
+	if !errors.As(err, &params) && !errors.As(err, &request) {
+		return
+	}
+	failure := s.unreadable(err)
+	org := tables.OrganisationID("")
+	if o := organisationOf(ctx); o != nil {
+		org = o.ID
+	}
+	s.noteFailure(org, failure)
+	writeFailure(w, failure)
+}
+
+func (s *Server) notFound(w http.ResponseWriter, _ *http.Request) {
+	writeFailure(w, notRun("", tables.CodeUnknownRoute, 0))
+}
+
+func (s *Server) notAllowed(w http.ResponseWriter, _ *http.Request, allowed string) {
+	w.Header().Set("Allow", allowed)
+	writeFailure(w, notRun("", tables.CodeUnknownRoute, 0))
+}
+
+// openStream waits for the first event of a stream, so that a failure before
+// it still gets its own HTTP status.
+func (s *Server) openStream(source source, f *flight, shape shape) (*eventStream, error) {
+	stream := &eventStream{source: source, shape: shape}
+	stream.failed = func(failure *outcome.Failure) { s.noteFailure(f.row.Organisation, failure) }
+	if err := stream.prime(); err != nil {
+		source.close()
+		return nil, err
+	}
+	return stream, nil
+}
+
+// collect gives a completion's whole text.
+func collect(source source, f *flight) (string, oas.Usage, error) {
+	var text bytes.Buffer
+	tokens := 0
+	for {
+		piece, err := source.next()
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			return "", oas.Usage{}, err
+		}
+		text.WriteString(piece)
+		tokens++
+	}
+	return text.String(), oas.Usage{
+		PromptTokens:     f.row.PromptTokens,
+		CompletionTokens: tokens,
+		TotalTokens:      f.row.PromptTokens + tokens,
+	}, nil
+}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"io"
+	"syscall"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -13,6 +15,9 @@
 	"github.com/carawaystile/carawaystile/router"
 )
 
+// cancelPause is the time between two questions whether an attempt has ended.
+const cancelPause = 100 * time.Millisecond
+
 // run takes the attempt to its first token, or to a plain service's whole
 // answer, and hands it to the goroutine that serves the caller.
 func (a *attempt) run() {
@@ -42,7 +47,7 @@
 		Emitted:    emitted,
 	})
 	if err != nil {
-		a.fail(err, 0)
+		a.fail(err)
 		return
 	}
 	accepted := stream.Accepted()
@@ -67,14 +72,14 @@
 	call.Attempt = a.dispatch.Attempt
 	answer, err := f.server.client.Call(a.ctx, a.dispatch.Endpoint.Address, call)
 	if err != nil {
-		a.fail(err, 0)
+		a.fail(err)
 		return
 	}
 	if answer.Attempt != a.dispatch.Attempt {
 		a.fail(&engine.Mismatch{
 			Attempt: a.dispatch.Attempt, Field: "attempt",
 			Want: string(a.dispatch.Attempt), Got: string(answer.Attempt),
-		}, 0)
+		})
 		return
 	}
 	f.server.Observe(router.AttemptStarted{Attempt: a.dispatch.Attempt, Boot: answer.Boot})
@@ -112,51 +117,84 @@
 	}
 }
 
-// abandon closes a stream and reports its end once the endpoint has been told.
+// abandon closes a stream, which cancels the attempt at the endpoint, and
+// reports its end.
 func (a *attempt) abandon(stream engine.Stream, err error, tokens int) {
-	_ = stream.Close()
-	a.fail(err, tokens)
+	a.broken(err, tokens, stream.Close())
 }
 
-// fail reports the end of the attempt after err, with tokens received.
-func (a *attempt) fail(err error, tokens int) {
-	end := router.AttemptEnded{Tokens: tokens, End: router.Broken}
-	if proof, ok := outcome.ProofOf(err); ok {
-		end.End = router.NeverStarted
-		var not *engine.NotStarted
-		if errors.As(err, &not) && not.Declined {
-			end.End = router.Refused
-		}
-		a.tell(end, &proof)
+// fail reports the end of an attempt that gave no stream.
+func (a *attempt) fail(err error) {
+	proof, ok := outcome.ProofOf(err)
+	if !ok {
+		a.broken(err, 0, a.cancelAtEndpoint())
 		return
 	}
+	end := router.NeverStarted
+	var not *engine.NotStarted
+	if errors.As(err, &not) && not.Declined {
+		end = router.Refused
+	}
+	a.tell(router.AttemptEnded{End: end}, &proof)
+}
+
+// broken reports the end of an attempt that may have run. unconfirmed is the
+// failure to cancel it at the endpoint, if that failed: a port that refuses
+// connections is how a crash shows first; otherwise the slot stays accounted
+// for a while, because the endpoint may still be busy with it.
+func (a *attempt) broken(err error, tokens int, unconfirmed error) {
+	s := a.flight.server
 	var mismatch *engine.Mismatch
 	if errors.As(err, &mismatch) {
-		a.flight.server.metrics.CountDropped(DroppedMismatch)
-		events.AnswerMismatch.Log(a.flight.server.log, a.fields(zap.String("field", mismatch.Field))...)
+		s.metrics.CountDropped(DroppedMismatch)
+		events.AnswerMismatch.Log(s.log, a.fields(zap.String("field", mismatch.Field))...)
+	}
+	crashed := errors.Is(unconfirmed, syscall.ECONNREFUSED)
+	if unconfirmed != nil && !crashed {
+		crashed = a.confirmCancel()
 	}
-	unreachable := a.confirmCancel()
+	end := router.Broken
 	switch {
 	case a.unwanted():
-		end.End = router.Cancelled
-	case unreachable:
-		end.End = router.Crashed
+		end = router.Cancelled
+	case crashed:
+		end = router.Crashed
 	}
-	if end.End != router.Cancelled {
-		events.AttemptBroken.Log(a.flight.server.log, a.fields(zap.Bool("unreachable", unreachable))...)
+	if end != router.Cancelled {
+		events.AttemptBroken.Log(s.log, a.fields(zap.Bool("crashed", crashed), zap.Error(err))...)
 	}
-	a.tell(end, nil)
+	a.tell(router.AttemptEnded{End: end, Tokens: tokens}, nil)
 }
 
-// confirmCancel tells the endpoint that the attempt is not wanted, so that its
-// slot is known to be free when the end is reported. It says whether the
-// endpoint's port refuses connections, which is how a crash shows first.
+// confirmCancel asks the endpoint again to cancel the attempt until it confirms
+// or CancelWait has passed. It says whether the port refuses connections.
 func (a *attempt) confirmCancel() bool {
+	pause := time.NewTimer(0)
+	defer pause.Stop()
+	over := time.After(a.flight.server.limits.CancelWait)
+	for {
+		select {
+		case <-over:
+			return false
+		case <-a.flight.server.stopped:
+			return false
+		case <-pause.C:
+		}
+		err := a.cancelAtEndpoint()
+		if err == nil {
+			return false
+		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return true
+		}
+		pause.Reset(cancelPause)
+	}
+}
+
+func (a *attempt) cancelAtEndpoint() error {
 	ctx, cancel := context.WithTimeout(context.Background(), a.flight.server.limits.CancelWait)
 	defer cancel()
-	err := a.flight.server.client.Cancel(ctx, a.dispatch.Endpoint.Address, a.dispatch.Attempt)
-	var not *engine.NotStarted
-	return errors.As(err, &not) && not.Unreachable
+	return a.flight.server.client.Cancel(ctx, a.dispatch.Endpoint.Address, a.dispatch.Attempt)
 }
 
 // unwanted says whether the attempt was cancelled on this side for a reason
--- /dev/null
+++ b/entry/failure.go
@@ -0,0 +1,82 @@
+package entry
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/carawaystile/carawaystile/api/oas"
+	"github.com/carawaystile/carawaystile/entry/outcome"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// explanation is how a code looks to a caller.
+type explanation struct {
+	status  int
+	message string
+}
+
+// explanations holds every code that a caller can meet. The sentences are
+// explained further in docs/operating/requests.md.
+var explanations = map[tables.Code]explanation{
+	tables.CodeMalformed:        {http.StatusBadRequest, "The request is not well formed."},
+	tables.CodeUnauthorised:     {http.StatusUnauthorized, "The bearer token is missing or not known."},
+	tables.CodeForbiddenProfile: {http.StatusForbidden, "The organisation may not use this profile."},
+	tables.CodeUnknownProfile:   {http.StatusNotFound, "No single profile fits; name one in X-Profile."},
+	tables.CodeUnknownModel:     {http.StatusNotFound, "No profile of the organisation serves this model."},
+	tables.CodeUnknownService:   {http.StatusNotFound, "No profile of the organisation serves this service."},
+	tables.CodeUnknownRoute:     {http.StatusNotFound, "There is no such route."},
+	tables.CodeKeyMissing:       {http.StatusBadRequest, "This work must run once; give it an Idempotency-Key."},
+	tables.CodeKeyReused:        {http.StatusConflict, "The Idempotency-Key was used for a different request."},
+	tables.CodeKeyInProgress:    {http.StatusConflict, "The first request with this Idempotency-Key is still running."},
+	tables.CodeTooLarge:         {http.StatusRequestEntityTooLarge, "The request is too large."},
+	tables.CodeSuspect:          {http.StatusUnprocessableEntity, "Equal requests have crashed endpoints; this one is not run for a while."},
+	tables.CodeOrganisationRate: {http.StatusTooManyRequests, "The organisation has reached its limit."},
+	tables.CodeOverloaded:       {http.StatusServiceUnavailable, "The system has too much work of this kind now."},
+	tables.CodeRetryBudget:      {http.StatusServiceUnavailable, "Endpoints fail too often to try again now."},
+	tables.CodeInternal:         {http.StatusInternalServerError, "The instance failed."},
+	tables.CodeEndpointFailed:   {http.StatusBadGateway, "The endpoint failed before the answer was whole."},
+	tables.CodeStreamBroken:     {http.StatusBadGateway, "The stream cannot be completed."},
+	tables.CodeWrongAnswer:      {http.StatusBadGateway, "The endpoint gave an answer that does not belong to the request."},
+	tables.CodeNoEndpoint:       {http.StatusServiceUnavailable, "No endpoint can run the request now."},
+	tables.CodeDraining:         {http.StatusServiceUnavailable, "The instance is going out of service; ask again."},
+	tables.CodeNoQuorum:         {http.StatusServiceUnavailable, "Work that must run once cannot be agreed on now."},
+	tables.CodeTimeout:          {http.StatusGatewayTimeout, "The request's time is over."},
+	tables.CodeOutcomeUnknown:   {http.StatusBadGateway, "The work may have run; it will not be run again under this key."},
+}
+
+// explain gives the status and sentence of a code.
+func explain(code tables.Code) explanation {
+	if e, ok := explanations[code]; ok {
+		return e
+	}
+	return explanations[tables.CodeInternal]
+}
+
+// body is the failure as callers see it.
+func body(f *outcome.Failure) oas.Failure {
+	message := explain(f.Code).message
+	if f.Detail != "" {
+		message += " " + f.Detail
+	}
+	e := oas.FailureError{
+		Code:    int(f.Code),
+		Message: message,
+		Outcome: oas.FailureErrorOutcome(f.Outcome()),
+	}
+	if f.RetryAfter > 0 {
+		e.RetryAfterMs = oas.NewOptInt64(f.RetryAfter.Milliseconds())
+	}
+	if f.Request != "" {
+		e.Request = oas.NewOptString(string(f.Request))
+	}
+	return oas.Failure{Error: e}
+}
+
+// response is the failure with its status and headers.
+func response(f *outcome.Failure) *oas.FailureStatusCodeWithHeaders {
+	r := &oas.FailureStatusCodeWithHeaders{StatusCode: explain(f.Code).status, Response: body(f)}
+	if f.RetryAfter > 0 {
+		r.RetryAfter = oas.NewOptInt(int((f.RetryAfter + time.Second - 1) / time.Second))
+	}
+	return r
+}
--- /dev/null
+++ b/entry/fake_test.go
@@ -0,0 +1,214 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/engine"
+	"github.com/carawaystile/carawaystile/router"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+const (
+	testToken = "secret-of-press"
+	testWait  = 10 * time.Second
+)
+
+// script says what the fake engine at one address does with an attempt.
+type script func(ctx context.Context, req engine.GenerateRequest) (engine.Stream, error)
+
+// fakeClient answers attempts by scripts, in order of dispatch.
+type fakeClient struct {
+	mu        sync.Mutex
+	generate  []script
+	call      []func(engine.CallRequest) (engine.CallAnswer, error)
+	requests  []engine.GenerateRequest
+	calls     []engine.CallRequest
+	cancelled chan tables.AttemptID
+	cancelErr error
+}
+
+func (c *fakeClient) Generate(ctx context.Context, _ netip.AddrPort, req engine.GenerateRequest) (engine.Stream, error) {
+	c.mu.Lock()
+	c.requests = append(c.requests, req)
+	next := c.generate[0]
+	if len(c.generate) > 1 {
+		c.generate = c.generate[1:]
+	}
+	c.mu.Unlock()
+	return next(ctx, req)
+}
+
+func (c *fakeClient) Call(_ context.Context, _ netip.AddrPort, req engine.CallRequest) (engine.CallAnswer, error) {
+	c.mu.Lock()
+	c.calls = append(c.calls, req)
+	next := c.call[0]
+	if len(c.call) > 1 {
+		c.call = c.call[1:]
+	}
+	c.mu.Unlock()
+	return next(req)
+}
+
+func (c *fakeClient) Cancel(_ context.Context, _ netip.AddrPort, a tables.AttemptID) error {
+	select {
+	case c.cancelled <- a:
+	default:
+	}
+	return c.cancelErr
+}
+
+func (c *fakeClient) seen() []engine.GenerateRequest {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]engine.GenerateRequest(nil), c.requests...)
+}
+
+// fakeStream gives tokens from a channel until it is closed.
+type fakeStream struct {
+	accepted engine.Accepted
+	ctx      context.Context
+	tokens   <-chan engine.Token
+	// err ends the stream once tokens is closed; nil means the end mark.
+	err    error
+	cancel func()
+}
+
+func (s *fakeStream) Accepted() engine.Accepted { return s.accepted }
+
+func (s *fakeStream) Next() (engine.Token, error) {
+	select {
+	case t, ok := <-s.tokens:
+		if ok {
+			return t, nil
+		}
+	case <-s.ctx.Done():
+		return engine.Token{}, &engine.Interrupted{Attempt: s.accepted.Attempt, Cause: s.ctx.Err()}
+	}
+	if s.err != nil {
+		return engine.Token{}, s.err
+	}
+	return engine.Token{}, io.EOF
+}
+
+func (s *fakeStream) Close() error {
+	s.cancel()
+	return nil
+}
+
+// says is a script that gives tokens from the offset asked for up to the end,
+// and then fails with err or ends whole.
+func (c *fakeClient) says(words []string, err error) script {
+	return func(ctx context.Context, req engine.GenerateRequest) (engine.Stream, error) {
+		tokens := make(chan engine.Token, len(words))
+		for i := req.ResumeFrom; i < len(words); i++ {
+			tokens <- engine.Token{Attempt: req.Attempt, Index: i, Text: words[i]}
+		}
+		close(tokens)
+		return c.stream(ctx, req, tokens, err), nil
+	}
+}
+
+func (c *fakeClient) stream(ctx context.Context, req engine.GenerateRequest, tokens <-chan engine.Token, err error) *fakeStream {
+	if interrupted, ok := err.(*engine.Interrupted); ok {
+		interrupted.Attempt = req.Attempt
+	}
+	return &fakeStream{
+		accepted: engine.Accepted{Attempt: req.Attempt, Boot: "b1", Weights: req.Weights},
+		ctx:      ctx, tokens: tokens, err: err,
+		cancel: func() { _ = c.Cancel(ctx, netip.AddrPort{}, req.Attempt) },
+	}
+}
+
+func testConfiguration() *tables.Configuration {
+	hash := sha256.Sum256([]byte(testToken))
+	c := &tables.Configuration{
+		Revision: 1,
+		Profiles: []tables.Profile{
+			{Name: "drafting", Kind: tables.Engine, Model: "m", Timeout: time.Minute, Idempotent: true},
+			{Name: "notes", Kind: tables.PlainService, Service: "notes", Timeout: time.Minute, Idempotent: true},
+			{Name: "publish", Kind: tables.PlainService, Service: "press", Timeout: time.Minute},
+		},
+		Organisations: []tables.Organisation{{ID: "press", TokenHashes: []string{hex.EncodeToString(hash[:])}, Share: 1}},
+		Models:        []tables.Model{{Name: "m", Weights: "v1"}},
+		WeightLoads:   1,
+	}
+	for i := range 3 {
+		c.Endpoints = append(c.Endpoints, tables.Endpoint{
+			ID: tables.EndpointID(fmt.Sprintf("e%d", i)), Kind: tables.Engine, Life: 1,
+			Address: netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(1000+i)),
+			Models:  []tables.ModelName{"m"}, Slots: 8, CacheBlocks: 100,
+		})
+	}
+	for i, service := range []tables.ServiceName{"notes", "press"} {
+		c.Endpoints = append(c.Endpoints, tables.Endpoint{
+			ID: tables.EndpointID(fmt.Sprintf("s%d", i)), Kind: tables.PlainService, Life: 1,
+			Address: netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(2000+i)), Service: service, Slots: 8,
+		})
+	}
+	return c
+}
+
+// rig is an entry over a real router and a scripted client.
+type rig struct {
+	server *Server
+	client *fakeClient
+	url    string
+	http   *http.Client
+}
+
+func newRig(t *testing.T, change func(*Options)) *rig {
+	t.Helper()
+	client := &fakeClient{cancelled: make(chan tables.AttemptID, 64)}
+	o := Options{
+		Instance: "i1", Boot: "1", Client: client, Limits: Limits{DrainServe: time.Nanosecond},
+		Router: router.New(router.Options{Instance: "i1", Seed: 1}),
+	}
+	if change != nil {
+		change(&o)
+	}
+	server, err := New(o)
+	assert.NilError(t, err)
+	server.Configure(testConfiguration())
+	listener := httptest.NewServer(server.Handler())
+	t.Cleanup(func() {
+		listener.Close()
+		server.Close()
+	})
+	return &rig{server: server, client: client, url: listener.URL, http: listener.Client()}
+}
+
+// post sends a JSON body and returns the response; headers come in pairs.
+func (r *rig) post(t *testing.T, ctx context.Context, path, body string, headers ...string) *http.Response {
+	t.Helper()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, r.url+path, strings.NewReader(body))
+	assert.NilError(t, err)
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Authorization", "Bearer "+testToken)
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := r.http.Do(req)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = resp.Body.Close() })
+	return resp
+}
+
+func read(t *testing.T, resp *http.Response) string {
+	t.Helper()
+	content, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	return string(content)
+}
--- a/entry/loop.go
+++ b/entry/loop.go
@@ -99,7 +99,7 @@
 	case submitted:
 		l.flights[m.flight.row.ID] = m.flight
 		m.flight.queued = true
-		l.router.Submit(now, m.flight.row)
+		l.router.Submit(now, &m.flight.row)
 	case closed:
 		l.close(now, m.flight)
 	case configured:
--- a/entry/options.go
+++ b/entry/options.go
@@ -22,7 +22,7 @@
 // called by one goroutine.
 type Decider interface {
 	Configure(now tables.Instant, c *tables.Configuration)
-	Submit(now tables.Instant, r tables.Request)
+	Submit(now tables.Instant, r *tables.Request)
 	Observe(now tables.Instant, in router.Input)
 	Cancel(now tables.Instant, id tables.RequestID)
 	Tick(now tables.Instant) []router.Action
--- /dev/null
+++ b/entry/outer.go
@@ -0,0 +1,152 @@
+package entry
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/jx"
+
+	"github.com/carawaystile/carawaystile/entry/outcome"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+const (
+	// retryFull is when an instance that holds too much may have room again.
+	retryFull = time.Second
+	// retryDraining is when another instance will get the request.
+	retryDraining = 100 * time.Millisecond
+
+	eventStreamType = "text/event-stream"
+)
+
+// heldFull means that the instance holds too many request bodies.
+type heldFull struct{}
+
+// Error says so.
+func (*heldFull) Error() string { return "too many request bodies are held" }
+
+// outer is the handler around the generated server: health, admission, bounds
+// on what a request may hold, and flushing of events.
+func (s *Server) outer(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/healthz":
+			w.WriteHeader(http.StatusNoContent)
+			return
+		case "/readyz":
+			s.serveReady(w)
+			return
+		}
+		if failure := s.admit(); failure != nil {
+			s.noteFailure("", failure)
+			writeFailure(w, failure)
+			return
+		}
+		defer s.leave()
+		control := http.NewResponseController(w)
+		body := &boundedBody{server: s, body: r.Body, left: s.limits.MaxBody, control: control}
+		defer body.release()
+		_ = control.SetReadDeadline(time.Now().Add(s.limits.ReadStall))
+		r.Body = body
+		next.ServeHTTP(&flushWriter{ResponseWriter: w, control: control, stall: s.limits.WriteStall}, r)
+	})
+}
+
+func (s *Server) serveReady(w http.ResponseWriter) {
+	if s.Ready() {
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// boundedBody bounds one request's body and accounts it against what all
+// requests may hold together.
+type boundedBody struct {
+	server  *Server
+	body    io.ReadCloser
+	control *http.ResponseController
+	left    int64
+	held    int64
+	ended   bool
+}
+
+// Read fails with *http.MaxBytesError or *heldFull beyond the bounds.
+func (b *boundedBody) Read(p []byte) (int, error) {
+	n, err := b.body.Read(p)
+	b.left -= int64(n)
+	b.held += int64(n)
+	if b.left < 0 {
+		return 0, &http.MaxBytesError{Limit: b.server.limits.MaxBody}
+	}
+	if b.server.held.Add(int64(n)) > b.server.limits.MaxHeld {
+		return 0, &heldFull{}
+	}
+	if err != nil && !b.ended {
+		// A deadline left in place would end the connection under a long
+		// stream and look like a caller who has gone.
+		b.ended = true
+		_ = b.control.SetReadDeadline(time.Time{})
+	}
+	return n, err
+}
+
+// Close closes the body.
+func (b *boundedBody) Close() error { return b.body.Close() }
+
+func (b *boundedBody) release() { b.server.held.Add(-b.held) }
+
+// flushWriter sends each event of a stream at once. Generated code copies a
+// stream to it one Read, and so one event, at a time; net/http alone would hold
+// events back until four kilobytes have come together.
+type flushWriter struct {
+	http.ResponseWriter
+	control *http.ResponseController
+	stall   time.Duration
+	events  bool
+}
+
+// WriteHeader notes whether events follow.
+func (w *flushWriter) WriteHeader(status int) {
+	header := w.Header()
+	w.events = strings.HasPrefix(header.Get("Content-Type"), eventStreamType)
+	if w.events {
+		header.Set("Cache-Control", "no-cache")
+		header.Set("X-Accel-Buffering", "no")
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write fails once the caller has taken nothing for the stall time, so that a
+// caller who does not read cannot hold an engine's slot for ever.
+func (w *flushWriter) Write(p []byte) (int, error) {
+	_ = w.control.SetWriteDeadline(time.Now().Add(w.stall))
+	n, err := w.ResponseWriter.Write(p)
+	if err != nil || !w.events {
+		return n, err
+	}
+	return n, w.control.Flush()
+}
+
+// Unwrap lets net/http find the writer below.
+func (w *flushWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// writeFailure answers with a failure outside the generated code.
+func writeFailure(w http.ResponseWriter, f *outcome.Failure) {
+	r := response(f)
+	header := w.Header()
+	header.Set("Content-Type", "application/json; charset=utf-8")
+	if seconds, ok := r.RetryAfter.Get(); ok {
+		header.Set("Retry-After", strconv.Itoa(seconds))
+	}
+	if f.Code == tables.CodeTooLarge {
+		header.Set("Connection", "close")
+	}
+	w.WriteHeader(r.StatusCode)
+	var e jx.Encoder
+	r.Response.Encode(&e)
+	_, _ = e.WriteTo(w)
+}
--- /dev/null
+++ b/entry/stream_test.go
@@ -0,0 +1,76 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/engine"
+)
+
+// texts gives the text of each event of a completion stream.
+func texts(t *testing.T, body string) []string {
+	t.Helper()
+	var found []string
+	for _, event := range strings.Split(body, "\n\n") {
+		_, after, ok := strings.Cut(event, `"text":"`)
+		if !ok {
+			continue
+		}
+		text, _, _ := strings.Cut(after, `"`)
+		if text != "" {
+			found = append(found, text)
+		}
+	}
+	return found
+}
+
+func TestEventsAreFlushedOneByOne(t *testing.T) {
+	r := newRig(t, nil)
+	tokens := make(chan engine.Token)
+	r.client.generate = []script{func(ctx context.Context, req engine.GenerateRequest) (engine.Stream, error) {
+		return r.client.stream(ctx, req, tokens, nil), nil
+	}}
+	go func() { tokens <- engine.Token{Index: 0, Text: "one"} }()
+	resp := r.post(t, t.Context(), "/v1/completions", `{"model":"m","prompt":"p","stream":true}`)
+	assert.Equal(t, resp.StatusCode, 200)
+	lines := bufio.NewReader(resp.Body)
+	line, err := lines.ReadString('\n')
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(line, `"text":"one"`), line)
+
+	// Only now does the engine produce the second token.
+	tokens <- engine.Token{Index: 1, Text: "two"}
+	_, _ = lines.ReadString('\n')
+	line, err = lines.ReadString('\n')
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(line, `"text":"two"`), line)
+	close(tokens)
+	rest := new(strings.Builder)
+	_, err = lines.WriteTo(rest)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.HasSuffix(rest.String(), endMark), rest)
+}
+
+// An engine's process dies while a writer's note is being streamed. The writer
+// sees a pause and then the rest, without a gap or a repeated word.
+func TestStreamGoesOnElsewhereAfterCrash(t *testing.T) {
+	r := newRig(t, nil)
+	words := []string{"a", "b", "c", "d"}
+	r.client.generate = []script{
+		r.client.says(words[:2], &engine.Interrupted{Tokens: 2, Cause: context.DeadlineExceeded}),
+		r.client.says(words, nil),
+	}
+	resp := r.post(t, t.Context(), "/v1/completions", `{"model":"m","prompt":"p","stream":true}`)
+	got := read(t, resp)
+	assert.DeepEqual(t, texts(t, got), words)
+	assert.Assert(t, strings.HasSuffix(got, endMark), got)
+	requests := r.client.seen()
+	assert.Equal(t, len(requests), 2)
+	assert.Equal(t, requests[1].ResumeFrom, 2)
+	assert.Equal(t, requests[1].Emitted, "ab")
+	assert.Equal(t, string(requests[1].Weights), "v1")
+}
--- a/tables/codes.go
+++ b/tables/codes.go
@@ -14,6 +14,7 @@
 	CodeUnknownProfile   Code = 4040
 	CodeUnknownModel     Code = 4041
 	CodeUnknownService   Code = 4042
+	CodeUnknownRoute     Code = 4043
 	CodeKeyMissing       Code = 4090
 	CodeKeyReused        Code = 4091
 	CodeKeyInProgress    Code = 4092
