Send the organisation itself as the cache salt

Cause: endpoints name their cached blocks by prefix.Scope with the salt in the organisation's place; a salt that is spelled differently from the scope's organisation made every cache event name blocks that placement never asks for.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -42,7 +42,7 @@
 		Prompt:     f.prompt,
 		MaxToken:   f.row.MaxTokens,
 		Priority:   a.dispatch.Priority,
-		Salt:       "org/" + string(f.row.Organisation),
+		Salt:       string(f.row.Organisation),
 		ResumeFrom: delivered,
 		Emitted:    emitted,
 	})
