Run the replicated state on control instances

Cause: the state machine needs a log, a disk and peers. Change: control/server drives replog: forms the group only once every other control instance has said it has no state, takes in replicas that lost their disk under a new identity, forwards commands to the leader, batches proposals into one sync, stamps log time, answers Watch with changes. Conclusion: the claims client and the operators' service can stand on it.

--- /dev/null
+++ b/control/server/execute.go
@@ -0,0 +1,145 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/twitchtv/twirp"
+
+	"github.com/carawaystile/carawaystile/replog"
+	"github.com/carawaystile/carawaystile/rpc"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// Execute has the command agreed by the quorum and returns its result. A
+// replica that does not lead passes it on to the leader. It tries again until
+// the context ends, which is safe because every command says whose it is and is
+// answered alike when it comes twice. Its failure means that the command may or
+// may not have been decided.
+func (s *Server) Execute(ctx context.Context, command *rpc.Command) (*rpc.Result, error) {
+	if _, bounded := ctx.Deadline(); !bounded {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, executeTimeout)
+		defer cancel()
+	}
+	for {
+		result, err := s.try(ctx, command)
+		if err == nil {
+			return result, nil
+		}
+		if command.GetForwarded() || ctx.Err() != nil || s.hasStopped() {
+			return nil, twirp.NewError(twirp.Unavailable, err.Error())
+		}
+		s.pause(ctx, retryPause)
+	}
+}
+
+func (s *Server) hasStopped() bool {
+	select {
+	case <-s.stopped:
+		return true
+	default:
+		return false
+	}
+}
+
+func (s *Server) try(ctx context.Context, command *rpc.Command) (*rpc.Result, error) {
+	s.mu.RLock()
+	seen := s.view
+	s.mu.RUnlock()
+	switch {
+	case !seen.formed:
+		return nil, &Unavailable{Reason: NotFormed}
+	case seen.leads:
+		return s.decideHere(ctx, command)
+	case seen.leader == replog.None || seen.leaderAddress == "" || command.GetForwarded():
+		return nil, &Unavailable{Reason: NoLeader}
+	}
+	forwarded := &rpc.Command{Forwarded: true, Action: command.GetAction()}
+	result, err := s.options.Dialer.Control(seen.leaderAddress).Execute(ctx, forwarded)
+	if err != nil {
+		return nil, &Unavailable{Reason: ForwardFailed, Cause: err}
+	}
+	return result, nil
+}
+
+func (s *Server) decideHere(ctx context.Context, command *rpc.Command) (*rpc.Result, error) {
+	p := &proposal{
+		command: &rpc.Command{Action: command.GetAction()},
+		decided: make(chan outcome, 1),
+	}
+	select {
+	case s.proposals <- p:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-s.stopped:
+		return nil, &Unavailable{Reason: Stopped}
+	}
+	select {
+	case o := <-p.decided:
+		return o.result, o.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-s.stopped:
+		return nil, &Unavailable{Reason: Stopped}
+	}
+}
+
+// Barrier waits until this replica has applied everything that was decided when
+// it was called.
+func (s *Server) Barrier(ctx context.Context) error {
+	result, err := s.Execute(ctx, &rpc.Command{Action: &rpc.Command_PassTime{PassTime: &rpc.PassTime{}}})
+	if err != nil {
+		return trace.Wrap(&tables.NoQuorum{Asked: "read", Cause: err})
+	}
+	return trace.Wrap(s.until(ctx, func() bool { return s.applied >= result.GetIndex() }))
+}
+
+// Deliver takes in messages of the replicated log. Those for an older replica,
+// whose disk was lost, are for nobody.
+func (s *Server) Deliver(_ context.Context, request *rpc.DeliverRequest) (*rpc.DeliverAnswer, error) {
+	d := delivery{address: request.GetAddress()}
+	for _, encoded := range request.GetMessages() {
+		m, err := decodeMessage(encoded)
+		if err != nil {
+			return nil, twirp.InvalidArgumentError("messages", err.Error())
+		}
+		if m.To == s.replica {
+			d.messages = append(d.messages, m)
+		}
+	}
+	select {
+	case s.inbox <- d:
+		return &rpc.DeliverAnswer{}, nil
+	default:
+		return nil, twirp.NewError(twirp.ResourceExhausted, "too many messages are waiting")
+	}
+}
+
+// Watch answers once the configuration in force is newer than the caller's, or
+// with nothing new when the wait is over. It never answers with an older one.
+func (s *Server) Watch(ctx context.Context, request *rpc.WatchRequest) (*rpc.WatchAnswer, error) {
+	wait := min(time.Duration(request.GetWaitNanos()), maxWatch)
+	waiting, cancel := context.WithTimeout(ctx, max(0, wait))
+	defer cancel()
+	have := tables.Revision(request.GetRevision())
+	_ = s.until(waiting, func() bool { return s.state.Revision() > have })
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	if s.state.Revision() <= have {
+		return &rpc.WatchAnswer{Revision: request.GetRevision()}, nil
+	}
+	answer := &rpc.WatchAnswer{
+		Revision: uint64(s.state.Revision()),
+		Digest:   s.state.Content().Digest(),
+	}
+	changes, reaches := s.state.ChangesSince(have)
+	if reaches && have > 0 {
+		answer.Items = changes
+		return answer, nil
+	}
+	answer.Full = true
+	answer.Items = s.state.Content().Items()
+	return answer, nil
+}
--- /dev/null
+++ b/control/server/messages.go
@@ -0,0 +1,82 @@
+package server
+
+import (
+	"github.com/carawaystile/carawaystile/replog"
+	"github.com/carawaystile/carawaystile/rpc"
+)
+
+func encodeMessage(m replog.Message) *rpc.LogMessage {
+	out := &rpc.LogMessage{
+		Type:        uint32(m.Type),
+		Group:       m.Group,
+		From:        uint64(m.From),
+		To:          uint64(m.To),
+		Term:        m.Term,
+		Index:       m.Index,
+		LogTerm:     m.LogTerm,
+		Commit:      m.Commit,
+		Reject:      m.Reject,
+		RejectIndex: m.RejectIndex,
+		HintIndex:   m.HintIndex,
+		HintTerm:    m.HintTerm,
+		Round:       m.Round,
+		Force:       m.Force,
+		ToLearner:   m.ToLearner,
+		Fresh:       m.Fresh,
+	}
+	for _, e := range m.Entries {
+		out.Entries = append(out.Entries, &rpc.LogEntry{
+			Term: e.Term, Index: e.Index, Kind: uint32(e.Kind), Data: e.Data,
+		})
+	}
+	if m.Snapshot != nil {
+		out.Snapshot = &rpc.LogSnapshot{
+			Index:   m.Snapshot.Index,
+			Term:    m.Snapshot.Term,
+			Members: replog.EncodeMembers(m.Snapshot.Members),
+			Data:    m.Snapshot.Data,
+		}
+	}
+	return out
+}
+
+// decodeMessage fails with *replog.BadEncoding.
+func decodeMessage(in *rpc.LogMessage) (replog.Message, error) {
+	m := replog.Message{
+		Type:        replog.MessageType(in.GetType()),
+		Group:       in.GetGroup(),
+		From:        replog.ReplicaID(in.GetFrom()),
+		To:          replog.ReplicaID(in.GetTo()),
+		Term:        in.GetTerm(),
+		Index:       in.GetIndex(),
+		LogTerm:     in.GetLogTerm(),
+		Commit:      in.GetCommit(),
+		Reject:      in.GetReject(),
+		RejectIndex: in.GetRejectIndex(),
+		HintIndex:   in.GetHintIndex(),
+		HintTerm:    in.GetHintTerm(),
+		Round:       in.GetRound(),
+		Force:       in.GetForce(),
+		ToLearner:   in.GetToLearner(),
+		Fresh:       in.GetFresh(),
+	}
+	for _, e := range in.GetEntries() {
+		m.Entries = append(m.Entries, replog.Entry{
+			Term: e.GetTerm(), Index: e.GetIndex(), Kind: replog.EntryKind(e.GetKind()), Data: e.GetData(),
+		})
+	}
+	if in.GetSnapshot() == nil {
+		return m, nil
+	}
+	members, err := replog.DecodeMembers(in.GetSnapshot().GetMembers())
+	if err != nil {
+		return m, err
+	}
+	m.Snapshot = &replog.Snapshot{
+		Index:   in.GetSnapshot().GetIndex(),
+		Term:    in.GetSnapshot().GetTerm(),
+		Members: members,
+		Data:    in.GetSnapshot().GetData(),
+	}
+	return m, nil
+}
--- /dev/null
+++ b/control/server/server.go
@@ -0,0 +1,266 @@
+package server
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+
+	"github.com/carawaystile/carawaystile/control/state"
+	"github.com/carawaystile/carawaystile/events"
+	"github.com/carawaystile/carawaystile/replog"
+	"github.com/carawaystile/carawaystile/rpc"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// Server is one control instance. It implements rpc.Control. Its methods may be
+// called from any goroutine.
+type Server struct {
+	options Options
+	log     *zap.Logger
+	// replica is this disk's identity; fixed once Start has returned.
+	replica replog.ReplicaID
+	peers   *peers
+
+	inbox     chan delivery
+	lost      chan replog.ReplicaID
+	proposals chan *proposal
+	joins     chan *rpc.Founder
+	// disk is written by one goroutine; jobs are done in order.
+	jobs  chan job
+	saved chan replog.Ready
+
+	stop    context.CancelFunc
+	stopped chan struct{}
+	running sync.WaitGroup
+
+	// mu guards what follows.
+	mu    sync.RWMutex
+	state *state.State
+	// applied is the index of the newest applied entry.
+	applied uint64
+	view    view
+	failure error
+	// changed is closed and replaced when applied, view or the revision moves.
+	changed chan struct{}
+
+	// What follows is used by the loop only.
+	node         *replog.Node
+	logClock     logClock
+	waiting      map[uint64]*proposal
+	appliedBytes int
+	compacting   bool
+	joiners      map[replog.ReplicaID]*rpc.Founder
+	repairTicks  int
+}
+
+// view is what other goroutines need to know of the replicated log.
+type view struct {
+	formed        bool
+	leads         bool
+	leader        replog.ReplicaID
+	leaderAddress string
+	group         uint64
+	founders      []*rpc.Founder
+	voter         bool
+	members       replog.Members
+}
+
+// Start opens the disk and runs the replica. A replica without a log first
+// forms the group with the other control instances, or joins the one they have;
+// Start does not wait for that. It fails if the disk is damaged.
+func Start(options Options) (*Server, error) {
+	options.setDefaults()
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Server{
+		options:   options,
+		log:       options.Log,
+		inbox:     make(chan delivery, inboxLength),
+		lost:      make(chan replog.ReplicaID, inboxLength),
+		proposals: make(chan *proposal, proposalBatch),
+		joins:     make(chan *rpc.Founder, len(options.Others)+1),
+		jobs:      make(chan job, 2),
+		saved:     make(chan replog.Ready, 1),
+		stop:      cancel,
+		stopped:   make(chan struct{}),
+		state:     state.New(options.Limits),
+		changed:   make(chan struct{}),
+		waiting:   map[uint64]*proposal{},
+		joiners:   map[replog.ReplicaID]*rpc.Founder{},
+	}
+	s.peers = newPeers(ctx, options, s.lost, &s.running)
+	log, err := options.Disk.Open()
+	if err != nil {
+		cancel()
+		return nil, trace.Wrap(err)
+	}
+	if log != nil {
+		_, s.replica = log.Identity()
+	} else if s.replica, err = options.Disk.NewReplica(); err != nil {
+		cancel()
+		return nil, trace.Wrap(err)
+	}
+	s.running.Go(func() {
+		defer close(s.stopped)
+		s.run(ctx, log)
+	})
+	return s, nil
+}
+
+// Close stops the replica and closes its log.
+func (s *Server) Close() {
+	s.stop()
+	s.running.Wait()
+}
+
+// Stopped is closed when the replica has stopped, by Close or by a failure.
+func (s *Server) Stopped() <-chan struct{} { return s.stopped }
+
+// Failure returns why the replica stopped by itself, nil if it did not.
+func (s *Server) Failure() error {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.failure
+}
+
+func (s *Server) fail(err error) {
+	s.mu.Lock()
+	s.failure = err
+	s.mu.Unlock()
+	events.ControlFailed.Log(s.log, zap.Error(err))
+	s.stop()
+}
+
+// run forms or joins the group where needed and then runs the loop.
+func (s *Server) run(ctx context.Context, log Log) {
+	if log == nil {
+		var err error
+		if log, err = s.form(ctx); err != nil {
+			if ctx.Err() == nil {
+				s.fail(err)
+			}
+			return
+		}
+	}
+	defer func() { _ = log.Close() }()
+	if err := s.open(log); err != nil {
+		s.fail(err)
+		return
+	}
+	writer := sync.WaitGroup{}
+	writer.Go(func() { s.write(ctx, log) })
+	s.loop(ctx)
+	s.stop()
+	writer.Wait()
+}
+
+// open restores the state from the log.
+func (s *Server) open(log Log) error {
+	group, replica := log.Identity()
+	saved, err := log.Load()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if saved.Snapshot.Index > 0 {
+		if err := s.state.Restore(saved.Snapshot.Data); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	s.applied = saved.Snapshot.Index
+	s.node, err = replog.NewNode(replog.Config{
+		ID:             replica,
+		Group:          group,
+		ElectionTicks:  s.options.ElectionTicks,
+		HeartbeatTicks: defaultHeartbeatTicks,
+		Seed:           uint64(replica),
+	}, saved)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	s.view.formed = true
+	s.view.group = group
+	s.wake()
+	return nil
+}
+
+// wake lets those who wait for a change look again. The caller holds mu.
+func (s *Server) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Revision returns the revision in force at this replica.
+func (s *Server) Revision() tables.Revision {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.state.Revision()
+}
+
+// View calls f with the replicated state, which f must not change or keep.
+func (s *Server) View(f func(*state.State)) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	f(s.state)
+}
+
+// Status is a replica's view of its group.
+type Status struct {
+	Formed  bool
+	Leads   bool
+	Leader  string
+	Voter   bool
+	Applied uint64
+	Members replog.Members
+}
+
+// Status returns the replica's view of its group.
+func (s *Server) Status() Status {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return Status{
+		Formed:  s.view.formed,
+		Leads:   s.view.leads,
+		Leader:  s.view.leaderAddress,
+		Voter:   s.view.voter,
+		Applied: s.applied,
+		Members: s.view.members,
+	}
+}
+
+// until waits until ok, which is called with mu held for reading, is true.
+func (s *Server) until(ctx context.Context, ok func() bool) error {
+	for {
+		s.mu.RLock()
+		changed, reached := s.changed, ok()
+		s.mu.RUnlock()
+		if reached {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return trace.Wrap(ctx.Err())
+		case <-s.stopped:
+			return trace.Wrap(&Unavailable{Reason: Stopped})
+		}
+	}
+}
+
+// pause waits for a while, for a change, or for the end of the context.
+func (s *Server) pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	s.mu.RLock()
+	changed := s.changed
+	s.mu.RUnlock()
+	select {
+	case <-timer.C:
+	case <-changed:
+	case <-ctx.Done():
+	case <-s.stopped:
+	}
+}
--- /dev/null
+++ b/control/server/server_test.go
@@ -0,0 +1,201 @@
+package server
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/rpc"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+func claimCommand(instance, token string) *rpc.Command {
+	return &rpc.Command{Action: &rpc.Command_Claim{Claim: &rpc.Claim{
+		Organisation: "press",
+		Key:          "note-1",
+		Body:         []byte("body"),
+		Owner:        &rpc.ClaimOwner{Instance: instance, Boot: 1},
+		Token:        token,
+	}}}
+}
+
+func markCommand(fence uint64, token string) *rpc.Command {
+	return &rpc.Command{Action: &rpc.Command_MarkDispatched{MarkDispatched: &rpc.MarkDispatched{
+		Organisation: "press", Key: "note-1", Fence: fence, Token: token,
+	}}}
+}
+
+func TestApplyReachesAll(t *testing.T) {
+	g := newGroup(t, 3)
+	assert.Equal(t, g.apply(1, "r1", "p"), uint64(1))
+	for i := range g.servers {
+		answer, err := g.servers[i].Watch(g.long(), &rpc.WatchRequest{WaitNanos: int64(maxWatch)})
+		assert.NilError(t, err)
+		assert.Equal(t, answer.GetRevision(), uint64(1))
+		assert.Assert(t, answer.GetFull())
+	}
+	g.apply(2, "r2", "q")
+	answer, err := g.servers[0].Watch(g.long(), &rpc.WatchRequest{Revision: 1, WaitNanos: int64(maxWatch)})
+	assert.NilError(t, err)
+	assert.Assert(t, !answer.GetFull())
+	assert.Equal(t, len(answer.GetItems()), 2)
+}
+
+// Two operators read revision 0 and apply through two instances at once. One
+// must win at all instances, and the other must be told.
+func TestOperatorsRace(t *testing.T) {
+	g := newGroup(t, 3)
+	results := make(chan *rpc.Result, 2)
+	for i := range 2 {
+		command := g.applyCommand(i, fmt.Sprint("operator", i), "r", 0, fmt.Sprint("p", i))
+		go func() { results <- g.execute(i, g.long(), command) }()
+	}
+	accepted, conflicts := 0, 0
+	for range 2 {
+		result := <-results
+		if result.GetAccepted() != nil {
+			accepted++
+		}
+		if result.GetConflict().GetWinner().GetNumber() == 1 {
+			conflicts++
+		}
+	}
+	assert.Equal(t, accepted, 1)
+	assert.Equal(t, conflicts, 1)
+	for i := range g.servers {
+		g.barrier(i)
+		assert.Equal(t, g.servers[i].Revision(), tables.Revision(1))
+	}
+}
+
+// The leader is cut off while it has an apply in hand. The operator gets no
+// answer and sends the same request through another instance. It must be in
+// force once, also after the cut heals.
+func TestCutDuringApply(t *testing.T) {
+	g := newGroup(t, 3)
+	g.network.repeat()
+	g.apply(0, "r0", "first")
+	leader := g.leader()
+	command := g.applyCommand(leader, "ama", "r1", 1, "second")
+	g.network.isolate(g, leader, true)
+	short, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	assert.Assert(t, g.execute(leader, short, command) == nil)
+	other := (leader + 1) % 3
+	result := g.execute(other, g.long(), command)
+	assert.Equal(t, result.GetAccepted().GetRevision().GetNumber(), uint64(2))
+	assert.Equal(t, g.apply(other, "r2", "third"), uint64(3))
+	g.network.isolate(g, leader, false)
+	again := g.execute(leader, g.long(), command)
+	assert.Equal(t, again.GetAccepted().GetRevision().GetNumber(), uint64(2))
+	assert.Assert(t, again.GetAccepted().GetResent())
+	g.barrier(leader)
+	assert.Equal(t, g.servers[leader].Revision(), tables.Revision(3))
+}
+
+// An instance in a zone that is cut off is asked for a claim. It has no quorum
+// and must say so, since the other zones may run the same work.
+func TestNoClaimInTheMinority(t *testing.T) {
+	g := newGroup(t, 3)
+	leader := g.leader()
+	g.network.isolate(g, leader, true)
+	short, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	assert.Assert(t, g.execute(leader, short, claimCommand("i1", "t1")) == nil)
+	other := g.execute((leader+1)%3, g.long(), claimCommand("i2", "t2"))
+	assert.Equal(t, other.GetClaim().GetState(), rpc.ClaimState_CLAIM_NEW)
+	g.network.isolate(g, leader, false)
+	g.barrier(leader)
+	late := g.execute(leader, g.long(), claimCommand("i1", "t1"))
+	assert.Equal(t, late.GetClaim().GetState(), rpc.ClaimState_CLAIM_IN_PROGRESS)
+}
+
+// All control instances restart between a claim and its dispatch. The owner may
+// still dispatch, once, and nobody else can.
+func TestRestartDuringClaim(t *testing.T) {
+	g := newGroup(t, 3)
+	grant := g.execute(0, g.long(), claimCommand("i1", "t1")).GetClaim()
+	for i := range g.servers {
+		g.stop(i)
+	}
+	for i := range g.servers {
+		g.start(i)
+	}
+	other := g.execute(1, g.long(), claimCommand("i2", "t2")).GetClaim()
+	assert.Equal(t, other.GetState(), rpc.ClaimState_CLAIM_IN_PROGRESS)
+	assert.Assert(t, g.execute(2, g.long(), markCommand(grant.GetFence(), "d1")).GetDone() != nil)
+	second := g.execute(0, g.long(), markCommand(grant.GetFence(), "d2"))
+	assert.Equal(t, second.GetRefusal().GetReason(), rpc.RefusalReason_REFUSED_ALREADY_DISPATCHED)
+}
+
+// Hundreds of changes go through, with snapshots between them, and then every
+// instance restarts more than once. An operator would find an older
+// configuration in force, or an old request accepted a second time.
+func TestRestartsAfterHundredsOfChanges(t *testing.T) {
+	g := newGroup(t, 3)
+	g.snapshotBytes = 4096
+	for i := range g.servers {
+		g.restart(i)
+	}
+	const changes = 300
+	first := g.applyCommand(0, "ama", "r1", 0, "p1")
+	for n := 1; n <= changes; n++ {
+		g.apply(0, fmt.Sprint("r", n), fmt.Sprint("p", n))
+		if n%100 == 0 {
+			g.restart(n / 100 % 3)
+		}
+	}
+	for range 2 {
+		for i := range g.servers {
+			g.restart(i)
+			g.barrier(i)
+			assert.Equal(t, g.servers[i].Revision(), tables.Revision(changes))
+		}
+	}
+	again := g.execute(2, g.long(), first).GetAccepted()
+	assert.Equal(t, again.GetRevision().GetNumber(), uint64(1))
+	g.barrier(2)
+	assert.Equal(t, g.servers[2].Revision(), tables.Revision(changes))
+}
+
+// A disk is lost, the instance comes back empty and is taken in again. Right
+// after that repair another instance is lost for good. What was accepted must
+// still be in force and changes must still be accepted.
+func TestSecondInstanceLostAfterRepair(t *testing.T) {
+	g := newGroup(t, 3)
+	g.apply(0, "r1", "p1")
+	leader := g.leader()
+	lost, second := (leader+1)%3, (leader+2)%3
+	g.stop(lost)
+	g.disks[lost] = &memoryDisk{}
+	g.apply(leader, "r2", "p2")
+	g.start(lost)
+	server := g.servers[lost]
+	assert.NilError(t, server.until(g.long(), func() bool { return server.view.voter }))
+	g.stop(second)
+	assert.Equal(t, g.apply(lost, "r3", "p3"), uint64(3))
+	assert.Equal(t, len(g.servers[leader].Status().Members), 3)
+}
+
+// All three disks are lost but one instance starts alone. It must not found a
+// new group by itself, or it would serve an empty configuration beside a group
+// that may still exist.
+func TestNoGroupIsFoundedWithoutTheOthers(t *testing.T) {
+	g := newGroup(t, 3)
+	for i := range g.servers {
+		g.stop(i)
+	}
+	g.disks[0] = &memoryDisk{}
+	g.start(0)
+	short, cancel := context.WithTimeout(context.Background(), 4*joinPause)
+	defer cancel()
+	assert.Assert(t, g.execute(0, short, claimCommand("i1", "t1")) == nil)
+	assert.Assert(t, !g.servers[0].Status().Formed)
+	g.start(1)
+	g.start(2)
+	g.barrier(0)
+	assert.Assert(t, g.disks[0].group == g.disks[1].group)
+}
--- a/control/state/state.go
+++ b/control/state/state.go
@@ -31,6 +31,8 @@
 // has passed in log time has passed everywhere, but for the drift of clocks.
 type State struct {
 	limits        Limits
+	group         uint64
+	founders      []*rpc.Founder
 	now           time.Duration
 	configuration configurations
 	claims        claims
@@ -47,6 +49,15 @@
 	}
 }
 
+// Found names the group and the replicas it starts with. It is called once, on
+// an empty state, before the first snapshot is taken of it.
+func (s *State) Found(group uint64, founders []*rpc.Founder) {
+	s.group, s.founders = group, founders
+}
+
+// Group returns what Found was given.
+func (s *State) Group() (uint64, []*rpc.Founder) { return s.group, s.founders }
+
 // Now returns the log time of the newest command.
 func (s *State) Now() time.Duration { return s.now }
 
@@ -118,7 +129,12 @@
 
 // Snapshot encodes the state. Equal states give equal bytes.
 func (s *State) Snapshot() ([]byte, error) {
-	snapshot := &rpc.Snapshot{Version: snapshotVersion, Now: int64(s.now)}
+	snapshot := &rpc.Snapshot{
+		Version:  snapshotVersion,
+		Now:      int64(s.now),
+		Group:    s.group,
+		Founders: s.founders,
+	}
 	s.configuration.save(snapshot)
 	s.claims.save(snapshot)
 	s.leases.save(snapshot)
@@ -137,6 +153,8 @@
 		return trace.Wrap(&BadSnapshot{Version: snapshot.GetVersion()})
 	}
 	fresh := New(s.limits)
+	fresh.group = snapshot.GetGroup()
+	fresh.founders = snapshot.GetFounders()
 	fresh.now = time.Duration(snapshot.GetNow())
 	fresh.configuration.load(snapshot)
 	fresh.claims.load(snapshot)
--- /dev/null
+++ b/events/control.go
@@ -0,0 +1,15 @@
+package events
+
+import "go.uber.org/zap/zapcore"
+
+// Events of the control state.
+var (
+	ControlFailed         = define(3000, zapcore.ErrorLevel, "The control replica has stopped because of a failure.")
+	ControlLeads          = define(3001, zapcore.InfoLevel, "This control replica leads the group now.")
+	ControlMessageDropped = define(3002, zapcore.WarnLevel, "A message of another control replica was dropped.")
+	ControlSnapshotTaken  = define(3003, zapcore.InfoLevel, "The control state was taken from another replica's snapshot.")
+	ControlFormed         = define(3004, zapcore.InfoLevel, "The control group was formed.")
+	ControlJoins          = define(3005, zapcore.InfoLevel, "This control replica has no state and asks to join the group.")
+	ControlReplicaAdded   = define(3006, zapcore.InfoLevel, "A control replica was added, promoted or removed.")
+	ControlRepairRefused  = define(3007, zapcore.WarnLevel, "A change of the control group was refused.")
+)
