--- /dev/null
+++ b/cmd/carawaystile/exit.go
@@ -0,0 +1,33 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/google/subcommands"
+)
+
+// The exit codes of every subcommand. They are documented in docs/OPERATING.md
+// and never change their meaning.
+const (
+	exitOK      = subcommands.ExitSuccess
+	exitFailure = subcommands.ExitFailure
+	exitUsage   = subcommands.ExitUsageError
+	// exitInvalid: a file has faults.
+	exitInvalid subcommands.ExitStatus = 3
+)
+
+// fail prints a failure and returns the exit code.
+func fail(code subcommands.ExitStatus, err error) subcommands.ExitStatus {
+	fmt.Fprintln(os.Stderr, err)
+	return code
+}
+
+// writeJSON prints a value as one indented JSON object.
+func writeJSON(w io.Writer, value any) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
+}
--- /dev/null
+++ b/cmd/carawaystile/token.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/hex"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/google/subcommands"
+	"github.com/gravitational/trace"
+)
+
+// tokenBytes is the length of the random part of a token.
+const tokenBytes = 32
+
+// tokenCommand makes a bearer token for an organisation.
+type tokenCommand struct{ asJSON bool }
+
+func (*tokenCommand) Name() string     { return "token" }
+func (*tokenCommand) Synopsis() string { return "make a bearer token and the hash to declare" }
+
+func (*tokenCommand) Usage() string {
+	return `token [-json]
+  Prints a new random bearer token and its SHA-256 hash. Give the token to the
+  organisation and write the hash into its declaration. The token is not kept.
+`
+}
+
+func (c *tokenCommand) SetFlags(f *flag.FlagSet) {
+	f.BoolVar(&c.asJSON, "json", false, "print the result as one JSON object")
+}
+
+// tokenResult is what -json prints.
+type tokenResult struct {
+	Token  string `json:"token"`
+	SHA256 string `json:"token_sha256"`
+}
+
+func (c *tokenCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	raw := make([]byte, tokenBytes)
+	if _, err := rand.Read(raw); err != nil {
+		return fail(exitFailure, trace.Wrap(err))
+	}
+	token := base64.RawURLEncoding.EncodeToString(raw)
+	sum := sha256.Sum256([]byte(token))
+	result := tokenResult{Token: token, SHA256: hex.EncodeToString(sum[:])}
+	if !c.asJSON {
+		fmt.Printf("token:        %s\ntoken_sha256: %s\n", result.Token, result.SHA256)
+		return exitOK
+	}
+	if err := writeJSON(os.Stdout, result); err != nil {
+		return fail(exitFailure, trace.Wrap(err))
+	}
+	return exitOK
+}
--- /dev/null
+++ b/cmd/carawaystile/validate.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/google/subcommands"
+	"github.com/gravitational/trace"
+
+	"github.com/carawaystile/carawaystile/settings"
+)
+
+// validateCommand checks files without talking to any instance.
+type validateCommand struct {
+	asJSON  bool
+	process bool
+}
+
+func (*validateCommand) Name() string     { return "validate" }
+func (*validateCommand) Synopsis() string { return "check declarations or settings files" }
+
+func (*validateCommand) Usage() string {
+	return `validate [-settings] [-json] PATH
+  Checks the declarations in a file or folder, or with -settings the settings
+  file of one instance. Talks to no instance. Exit code 3 if there are faults.
+`
+}
+
+func (c *validateCommand) SetFlags(f *flag.FlagSet) {
+	f.BoolVar(&c.asJSON, "json", false, "print the result as one JSON object")
+	f.BoolVar(&c.process, "settings", false, "PATH is the settings file of one instance")
+}
+
+// validateResult is what -json prints.
+type validateResult struct {
+	Path     string             `json:"path"`
+	Valid    bool               `json:"valid"`
+	Problems []settings.Problem `json:"problems"`
+	Summary  string             `json:"summary"`
+}
+
+func (c *validateCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() != 1 {
+		f.Usage()
+		return exitUsage
+	}
+	path := f.Arg(0)
+	summary, err := c.check(path)
+	var invalid *settings.Invalid
+	if err != nil && !errors.As(err, &invalid) {
+		return fail(exitFailure, err)
+	}
+	result := validateResult{Path: path, Valid: err == nil, Problems: []settings.Problem{}, Summary: summary}
+	if invalid != nil {
+		result.Problems = invalid.Problems
+		result.Summary = fmt.Sprintf("%d faults", len(invalid.Problems))
+	}
+	return c.print(result, invalid)
+}
+
+func (c *validateCommand) print(result validateResult, invalid *settings.Invalid) subcommands.ExitStatus {
+	switch {
+	case c.asJSON:
+		if err := writeJSON(os.Stdout, result); err != nil {
+			return fail(exitFailure, trace.Wrap(err))
+		}
+	case invalid != nil:
+		fmt.Fprintln(os.Stderr, invalid)
+	default:
+		fmt.Printf("%s is valid: %s.\n", result.Path, result.Summary)
+	}
+	if invalid != nil {
+		return exitInvalid
+	}
+	return exitOK
+}
+
+// check reads the path and sums up what it holds.
+func (c *validateCommand) check(path string) (string, error) {
+	if c.process {
+		p, err := settings.ReadProcess(path)
+		if err != nil {
+			return "", err
+		}
+		return fmt.Sprintf("instance %s in zone %s", p.Instance, p.Zone), nil
+	}
+	d, err := settings.ReadDeclarations(path)
+	if err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("%d models, %d profiles, %d organisations, %d endpoints",
+		len(d.Models), len(d.Profiles), len(d.Organisations), len(d.Endpoints)), nil
+}
