Read load reports and cache events of endpoints into the router

Cause: placement needs what endpoints say of themselves, and endpoints are slow, silent or reborn at any moment. Change: engine/feed polls load reports and long-polls cache events of each configured endpoint with jitter and doubling waits, hands each event on once per boot, and says once when an endpoint falls silent. Events 5000 to 5003.

--- /dev/null
+++ b/engine/feed/feed.go
@@ -0,0 +1,218 @@
+// Package feed reads what endpoints say of themselves, their load reports and
+// cache events, and hands it on as inputs of the router. It is the shell around
+// engine.Reporter: it has goroutines and waits, and decides nothing.
+package feed
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/carawaystile/carawaystile/engine"
+	"github.com/carawaystile/carawaystile/events"
+	"github.com/carawaystile/carawaystile/router"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// The defaults of Options.
+const (
+	DefaultPeriod     = 250 * time.Millisecond
+	DefaultEventWait  = 2 * time.Second
+	DefaultEventPause = 20 * time.Millisecond
+	DefaultMaxBackOff = 5 * time.Second
+	DefaultSilentAt   = 3
+)
+
+// jitter is the part of each wait that is random. Without it instances that
+// started together would ask every endpoint at the same moment for good.
+const jitter = 0.3
+
+// Options are shared by the feeds of all endpoints.
+type Options struct {
+	Reporter engine.Reporter
+	// Deliver takes the inputs. It is called by many goroutines.
+	Deliver func(router.Input)
+	// Silent is told when an endpoint stops answering and when it answers
+	// again; nil means nobody.
+	Silent func(id tables.EndpointID, silent bool)
+	// Watches chooses the endpoints that this instance reads; nil means all.
+	// At many instances and endpoints each instance reads its share only.
+	Watches func(id tables.EndpointID) bool
+	// Period is the time between two load reports, EventWait how long an
+	// endpoint may hold back the question for cache events, EventPause the
+	// least time between two such questions, so that a busy cache is read in
+	// batches.
+	Period     time.Duration
+	EventWait  time.Duration
+	EventPause time.Duration
+	// MaxBackOff bounds the waits between questions that fail.
+	MaxBackOff time.Duration
+	// SilentAt is the number of load reports in a row that must fail.
+	SilentAt int
+	// Sleep waits, or returns early with the context's error; nil means real
+	// time. Random gives numbers in [0, 1); nil means math/rand.
+	Sleep  func(ctx context.Context, d time.Duration) error
+	Random func() float64
+	Log    *zap.Logger
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.Period, DefaultPeriod)
+	setDefault(&o.EventWait, DefaultEventWait)
+	setDefault(&o.EventPause, DefaultEventPause)
+	setDefault(&o.MaxBackOff, DefaultMaxBackOff)
+	setDefault(&o.SilentAt, DefaultSilentAt)
+	if o.Sleep == nil {
+		o.Sleep = sleep
+	}
+	if o.Random == nil {
+		o.Random = rand.Float64
+	}
+	if o.Log == nil {
+		o.Log = zap.NewNop()
+	}
+	if o.Silent == nil {
+		o.Silent = func(tables.EndpointID, bool) {}
+	}
+	return o
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// feed reads one endpoint.
+type feed struct {
+	Options
+	id tables.EndpointID
+	at netip.AddrPort
+}
+
+// backOff is the wait after so many failures in a row. It doubles, so that an
+// endpoint that is down or overloaded is not asked at full rate by every
+// instance.
+func (f *feed) backOff(base time.Duration, failures int) time.Duration {
+	wait := base
+	for i := 1; i < failures && wait < f.MaxBackOff; i++ {
+		wait *= 2
+	}
+	return f.spread(min(wait, f.MaxBackOff))
+}
+
+func (f *feed) spread(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 - jitter/2 + jitter*f.Random()))
+}
+
+// readLoads delivers load reports until the context ends.
+func (f *feed) readLoads(ctx context.Context) {
+	var boot tables.BootID
+	failures := 0
+	wait := time.Duration(f.Random() * float64(f.Period))
+	for f.Sleep(ctx, wait) == nil {
+		load, err := f.Reporter.Load(ctx, f.at)
+		if err != nil || load.Boot == "" {
+			failures++
+			f.noteSilence(failures, err)
+			wait = f.backOff(f.Period, failures)
+			continue
+		}
+		f.noteAnswer(failures)
+		failures = 0
+		if boot != "" && load.Boot != boot {
+			events.EndpointRebooted.Log(f.Log, f.named())
+		}
+		boot = load.Boot
+		f.Deliver(f.report(load))
+		wait = f.spread(f.Period)
+	}
+}
+
+func (f *feed) named() zap.Field { return zap.String("endpoint", string(f.id)) }
+
+func (f *feed) noteSilence(failures int, err error) {
+	if failures == f.SilentAt {
+		events.EndpointSilent.Log(f.Log, f.named(), zap.Error(err))
+		f.Silent(f.id, true)
+	}
+}
+
+func (f *feed) noteAnswer(failures int) {
+	if failures >= f.SilentAt {
+		events.EndpointAnswers.Log(f.Log, f.named())
+		f.Silent(f.id, false)
+	}
+}
+
+func (f *feed) report(load engine.Load) router.LoadReport {
+	return router.LoadReport{
+		Endpoint:     f.id,
+		Boot:         load.Boot,
+		Weights:      load.Weights,
+		Running:      max(load.Running, 0),
+		Queued:       max(load.Queued, 0),
+		QueuedTokens: max(load.QueuedTokens, 0),
+		CacheBlocks:  max(load.CacheBlocks, 0),
+		Attempts:     load.Attempts,
+	}
+}
+
+// readChanges delivers cache events until the context ends.
+func (f *feed) readChanges(ctx context.Context) {
+	var boot tables.BootID
+	var after uint64
+	failures := 0
+	wait := f.spread(f.EventPause)
+	for f.Sleep(ctx, wait) == nil {
+		changes, err := f.Reporter.CacheChanges(ctx, f.at, boot, after, f.EventWait)
+		if err != nil || changes.Boot == "" {
+			failures++
+			wait = f.backOff(f.Period, failures)
+			continue
+		}
+		failures = 0
+		if changes.Boot != boot {
+			boot, after = changes.Boot, 0
+		}
+		after = f.deliverChanges(boot, after, changes.Changes)
+		wait = f.spread(f.EventPause)
+	}
+}
+
+// deliverChanges hands on what is new, in order, and returns the last sequence
+// number. A gap is left to the router, which sees the jump itself.
+func (f *feed) deliverChanges(boot tables.BootID, after uint64, changes []engine.CacheChange) uint64 {
+	for _, change := range changes {
+		if change.Sequence <= after {
+			continue
+		}
+		if change.Sequence > after+1 {
+			events.CacheEventGap.Log(f.Log, f.named(), zap.Uint64("after", after), zap.Uint64("sequence", change.Sequence))
+		}
+		after = change.Sequence
+		f.Deliver(router.CacheEvent{
+			Endpoint: f.id,
+			Boot:     boot,
+			Sequence: change.Sequence,
+			Stored:   change.Stored,
+			Evicted:  change.Evicted,
+		})
+	}
+	return after
+}
--- /dev/null
+++ b/engine/feed/feed_test.go
@@ -0,0 +1,166 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/engine"
+	"github.com/carawaystile/carawaystile/prefix"
+	"github.com/carawaystile/carawaystile/router"
+	"github.com/carawaystile/carawaystile/standin"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// script answers questions one after another and ends the feed after the last.
+type script struct {
+	loads   []engine.Load
+	changes []engine.CacheChanges
+	errs    []error
+	asked   []uint64
+	end     context.CancelFunc
+}
+
+func (s *script) step() error {
+	if len(s.errs) == 0 {
+		s.end()
+		return context.Canceled
+	}
+	err := s.errs[0]
+	s.errs = s.errs[1:]
+	return err
+}
+
+func (s *script) Load(context.Context, netip.AddrPort) (engine.Load, error) {
+	if err := s.step(); err != nil {
+		return engine.Load{}, err
+	}
+	load := s.loads[0]
+	s.loads = s.loads[1:]
+	return load, nil
+}
+
+func (s *script) CacheChanges(_ context.Context, _ netip.AddrPort, _ tables.BootID, after uint64, _ time.Duration) (engine.CacheChanges, error) {
+	s.asked = append(s.asked, after)
+	if err := s.step(); err != nil {
+		return engine.CacheChanges{}, err
+	}
+	changes := s.changes[0]
+	s.changes = s.changes[1:]
+	return changes, nil
+}
+
+// rig is a feed that does not wait and notes what it would have waited.
+type rig struct {
+	feed
+	ctx    context.Context
+	inputs []router.Input
+	silent []bool
+	waits  []time.Duration
+}
+
+func newRig(t *testing.T, s *script) *rig {
+	ctx, cancel := context.WithCancel(t.Context())
+	s.end = cancel
+	r := &rig{ctx: ctx}
+	r.feed = feed{id: "e", Options: Options{
+		Reporter: s,
+		Deliver:  func(in router.Input) { r.inputs = append(r.inputs, in) },
+		Silent:   func(_ tables.EndpointID, silent bool) { r.silent = append(r.silent, silent) },
+		Random:   func() float64 { return 0.5 },
+		Sleep: func(ctx context.Context, d time.Duration) error {
+			r.waits = append(r.waits, d)
+			return ctx.Err()
+		},
+	}.withDefaults()}
+	return r
+}
+
+// An endpoint stops answering and comes back. Instances must ask it less and
+// less often, say so once, and go on at the normal rate afterwards.
+func TestSilentEndpointIsAskedLessOften(t *testing.T) {
+	down := errors.New("refused")
+	s := &script{
+		errs:  []error{nil, down, down, down, down, nil},
+		loads: []engine.Load{{Boot: "b1", Running: 1}, {Boot: "b2"}},
+	}
+	r := newRig(t, s)
+	r.readLoads(r.ctx)
+	assert.DeepEqual(t, r.silent, []bool{true, false})
+	p := r.Period
+	assert.DeepEqual(t, r.waits[1:7], []time.Duration{p, p, 2 * p, 4 * p, 8 * p, p})
+	assert.DeepEqual(t, r.inputs, []router.Input{
+		router.LoadReport{Endpoint: "e", Boot: "b1", Running: 1},
+		router.LoadReport{Endpoint: "e", Boot: "b2"},
+	})
+}
+
+// Cache events come twice and with a gap, and then the endpoint has restarted
+// and counts from the beginning. Every event must be handed on once, under the
+// boot that it belongs to.
+func TestChangesAreDeliveredOncePerBoot(t *testing.T) {
+	s := &script{
+		errs: []error{nil, nil, nil},
+		changes: []engine.CacheChanges{
+			{Boot: "b1", Changes: []engine.CacheChange{{Sequence: 1}, {Sequence: 2}}},
+			{Boot: "b1", Changes: []engine.CacheChange{{Sequence: 2}, {Sequence: 5}}},
+			{Boot: "b2", Changes: []engine.CacheChange{{Sequence: 1}}},
+		},
+	}
+	r := newRig(t, s)
+	r.readChanges(r.ctx)
+	assert.DeepEqual(t, s.asked, []uint64{0, 2, 5, 1})
+	assert.DeepEqual(t, r.inputs, []router.Input{
+		router.CacheEvent{Endpoint: "e", Boot: "b1", Sequence: 1},
+		router.CacheEvent{Endpoint: "e", Boot: "b1", Sequence: 2},
+		router.CacheEvent{Endpoint: "e", Boot: "b1", Sequence: 5},
+		router.CacheEvent{Endpoint: "e", Boot: "b2", Sequence: 1},
+	})
+}
+
+// The whole way from a stand-in: an engine computes a prompt, its event names
+// the block that the router hashes, and a crash gives a new boot identity.
+func TestGroupReadsAnEngine(t *testing.T) {
+	e, err := standin.StartEngine(standin.EngineOptions{
+		ID: "e1", Speedup: -1, Weights: map[tables.ModelName]tables.WeightsVersion{"m": "v1"},
+	})
+	assert.NilError(t, err)
+	defer e.Close()
+	inputs := make(chan router.Input, 1024)
+	client := engine.NewHTTPClient(engine.Options{})
+	g := NewGroup(Options{Reporter: client, Deliver: func(in router.Input) { inputs <- in }, Period: time.Millisecond, MaxBackOff: 5 * time.Millisecond})
+	defer g.Close()
+	g.Configure(&tables.Configuration{Endpoints: []tables.Endpoint{{ID: "e1", Address: e.Address()}}})
+
+	prompt := string(make([]byte, prefix.PieceBytes))
+	s, err := client.Generate(t.Context(), e.Address(), engine.GenerateRequest{
+		Attempt: "a", Model: "m", Prompt: prompt, MaxToken: 1, Salt: "org",
+	})
+	assert.NilError(t, err)
+	_, err = s.Next()
+	assert.NilError(t, err)
+	assert.NilError(t, s.Close())
+
+	scope := prefix.Scope{Organisation: "org", Model: "m", Weights: "v1"}
+	want := prefix.Blocks(nil, scope.Root(), prompt)
+	for in := range inputs {
+		if event, ok := in.(router.CacheEvent); ok {
+			assert.DeepEqual(t, event.Stored, want)
+			assert.Equal(t, event.Boot, e.Boot())
+			break
+		}
+	}
+	e.Crash()
+	assert.NilError(t, e.Restart())
+	boot := e.Boot()
+	for in := range inputs {
+		if load, ok := in.(router.LoadReport); ok && load.Boot == boot {
+			assert.Equal(t, load.CacheBlocks, 0)
+			break
+		}
+	}
+}
--- a/engine/reports.go
+++ b/engine/reports.go
@@ -34,6 +34,11 @@
 	Evicted  []tables.BlockHash `json:"evicted,omitempty"`
 }
 
+// MaxChanges is how many changes an endpoint gives in one answer at most. It
+// keeps an answer far below the client's limit, which would otherwise refuse
+// the same long answer for ever after a long pause.
+const MaxChanges = 1024
+
 // CacheChanges answers a question for the changes after a sequence number.
 type CacheChanges struct {
 	Boot    tables.BootID `json:"boot"`
@@ -144,6 +149,7 @@
 		"boot":    {string(boot)},
 		"after":   {strconv.FormatUint(after, 10)},
 		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
+		"limit":   {strconv.Itoa(MaxChanges)},
 	}.Encode()
 	var changes CacheChanges
 	err := c.fetch(ctx, wait+c.options.AcceptTimeout, to, &changes)
--- /dev/null
+++ b/events/endpoints.go
@@ -0,0 +1,11 @@
+package events
+
+import "go.uber.org/zap/zapcore"
+
+// Events of endpoints.
+var (
+	EndpointSilent   = define(5000, zapcore.WarnLevel, "An endpoint does not answer its load report.")
+	EndpointAnswers  = define(5001, zapcore.InfoLevel, "An endpoint answers its load report again.")
+	EndpointRebooted = define(5002, zapcore.WarnLevel, "An endpoint came back with a new boot identity.")
+	CacheEventGap    = define(5003, zapcore.DebugLevel, "Cache events of an endpoint are missing.")
+)
--- a/standin/handlers.go
+++ b/standin/handlers.go
@@ -203,6 +203,9 @@
 	defer deadline.Stop()
 	for {
 		changes, next, grown := l.log.after(after, time.Now())
+		if len(changes) > engine.MaxChanges {
+			changes = changes[:engine.MaxChanges]
+		}
 		if len(changes) > 0 {
 			answerJSON(w, http.StatusOK, engine.CacheChanges{Boot: l.boot, Changes: changes})
 			return
