Assemble an instance from its settings and serve it

Cause: the thin path ran in tests only. Figures: one streamed completion through a real listener in the test of package daemon.

--- /dev/null
+++ b/daemon/daemon_test.go
@@ -0,0 +1,99 @@
+package daemon
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/settings"
+	"github.com/carawaystile/carawaystile/standin"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// freeAddress finds a loopback address that nothing listens on.
+func freeAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+func testProcess(t *testing.T) *settings.Process {
+	return &settings.Process{
+		Instance: "i1", Zone: "z", Data: t.TempDir(), Entry: true, Size: 1,
+		Listen: settings.Listen{Callers: freeAddress(t), Instances: freeAddress(t), Membership: freeAddress(t)},
+		Limits: settings.Limits{BodyBytes: 1 << 20, HeaderBytes: 1 << 16, Connections: 100, Requests: 100, OrganisationRequests: 100},
+	}
+}
+
+const testToken = "token"
+
+func testDeclarations(engines ...*standin.Engine) *tables.Configuration {
+	sum := sha256.Sum256([]byte(testToken))
+	c := &tables.Configuration{
+		Revision:      1,
+		WeightLoads:   2,
+		Models:        []tables.Model{{Name: "m", Weights: "w1"}},
+		Profiles:      []tables.Profile{{Name: "p", Model: "m", Idempotent: true, Timeout: 20 * time.Second, Priority: tables.Urgent}},
+		Organisations: []tables.Organisation{{ID: "o", Share: 1, TokenHashes: []string{hex.EncodeToString(sum[:])}}},
+	}
+	for _, e := range engines {
+		c.Endpoints = append(c.Endpoints, tables.Endpoint{
+			ID: e.ID(), Zone: "z", Address: e.Address(), Life: 1, Models: []tables.ModelName{"m"}, Slots: 8, CacheBlocks: 64,
+		})
+	}
+	return c
+}
+
+func startTestEngine(t *testing.T, id tables.EndpointID) *standin.Engine {
+	t.Helper()
+	e, err := standin.StartEngine(standin.EngineOptions{
+		ID: id, Speedup: -1, Weights: map[tables.ModelName]tables.WeightsVersion{"m": "w1"},
+	})
+	assert.NilError(t, err)
+	t.Cleanup(e.Close)
+	return e
+}
+
+func complete(t *testing.T, at netip.AddrPort, body string) (int, string) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, "http://"+at.String()+"/v1/completions", strings.NewReader(body))
+	assert.NilError(t, err)
+	req.Header.Set("Authorization", "Bearer "+testToken)
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	return resp.StatusCode, string(answer)
+}
+
+func TestInstanceServesAStreamedCompletion(t *testing.T) {
+	e := startTestEngine(t, "e1")
+	process := testProcess(t)
+	d, err := Start(Options{Process: process, Declarations: testDeclarations(e), Boot: 1})
+	assert.NilError(t, err)
+	defer d.Stop()
+	status, answer := complete(t, process.Listen.Callers, `{"prompt": "one", "max_tokens": 5, "stream": true}`)
+	assert.Equal(t, status, http.StatusOK, answer)
+	assert.Equal(t, strings.Count(answer, "data: "), 7, answer)
+	assert.Assert(t, strings.HasSuffix(answer, "data: [DONE]\n\n"), answer)
+
+	resp, err := http.Get("http://" + process.Listen.Instances.String() + "/metrics")
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(string(text),
+		`carawaystile_organisation_time_to_first_token_seconds_count{organisation="o"} 1`), string(text))
+}
--- /dev/null
+++ b/daemon/listen.go
@@ -0,0 +1,90 @@
+package daemon
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+	"golang.org/x/net/netutil"
+
+	"github.com/carawaystile/carawaystile/events"
+)
+
+// Bounds of the listeners.
+const (
+	headerTimeout       = 10 * time.Second
+	idleTimeout         = 2 * time.Minute
+	instanceHeaderBytes = 32 << 10
+	instanceConnections = 4096
+)
+
+// listeners are the HTTP servers of an instance.
+type listeners struct {
+	mu      sync.Mutex
+	servers []*http.Server
+	serving sync.WaitGroup
+}
+
+// listen opens the listeners of the instance's roles.
+func (d *Daemon) listen() error {
+	p := d.options.Process
+	if d.entry != nil {
+		server := &http.Server{Handler: d.entry.Handler(), MaxHeaderBytes: int(p.Limits.HeaderBytes)}
+		if err := d.serve(server, p.Listen.Callers, p.Limits.Connections); err != nil {
+			return err
+		}
+	}
+	server := &http.Server{Handler: d.instanceHandler(), MaxHeaderBytes: instanceHeaderBytes}
+	return d.serve(server, p.Listen.Instances, instanceConnections)
+}
+
+// serve opens one listener and serves it until the instance stops. The number
+// of connections is bounded: without it a flood of callers takes the process's
+// file descriptors, and then it can reach no endpoint either.
+func (d *Daemon) serve(server *http.Server, at netip.AddrPort, connections int) error {
+	listener, err := net.Listen("tcp", at.String())
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	server.ReadHeaderTimeout = headerTimeout
+	server.IdleTimeout = idleTimeout
+	server.ErrorLog = zap.NewStdLog(d.options.Log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel)))
+	d.listeners.mu.Lock()
+	d.listeners.servers = append(d.listeners.servers, server)
+	d.listeners.mu.Unlock()
+	bounded := netutil.LimitListener(listener, connections)
+	d.listeners.serving.Go(func() {
+		if err := server.Serve(bounded); !errors.Is(err, http.ErrServerClosed) {
+			events.ListenerFailed.Log(d.options.Log, zap.Stringer("address", at), zap.Error(err))
+		}
+	})
+	return nil
+}
+
+// close ends all listeners and their connections.
+func (l *listeners) close() {
+	l.mu.Lock()
+	servers := l.servers
+	l.mu.Unlock()
+	for _, server := range servers {
+		_ = server.Close()
+	}
+	l.serving.Wait()
+}
+
+// instanceHandler serves operators, other instances and scrapers.
+func (d *Daemon) instanceHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", d.serveMetrics)
+	return mux
+}
+
+func (d *Daemon) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+	_ = d.registry.WriteText(w)
+}
