--- /dev/null
+++ b/demo/network.go
@@ -0,0 +1,127 @@
+package demo
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// network knows which zone each address is in and which zones are cut off. A
+// cut is silent: what is sent into it is lost and nobody is told, as in a
+// partition without resets.
+type network struct {
+	mu    sync.Mutex
+	zones map[string]tables.Zone
+	// isolated is the zone that is cut off, empty if none.
+	isolated tables.Zone
+	// healed is closed when the cut ends.
+	healed chan struct{}
+}
+
+func newNetwork() *network {
+	return &network{zones: make(map[string]tables.Zone)}
+}
+
+// place notes the zone of an address.
+func (n *network) place(address string, zone tables.Zone) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.zones[address] = zone
+}
+
+func (n *network) cut(zone tables.Zone) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.isolated = zone
+	n.healed = make(chan struct{})
+}
+
+func (n *network) heal() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.isolated != "" {
+		n.isolated = ""
+		close(n.healed)
+	}
+}
+
+// blocked returns nil if two zones reach each other, or a channel that is
+// closed when they may do so again.
+func (n *network) blocked(a, b tables.Zone) <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.isolated == "" || a == b || a != n.isolated && b != n.isolated {
+		return nil
+	}
+	return n.healed
+}
+
+// reachesMajority reports whether a zone is on the side of a cut that holds
+// most zones.
+func (n *network) reachesMajority(zone tables.Zone) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.isolated != zone
+}
+
+// dialer opens connections from a zone.
+func (n *network) dialer(from tables.Zone) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, protocol, address string) (net.Conn, error) {
+		n.mu.Lock()
+		to := n.zones[address]
+		n.mu.Unlock()
+		if healed := n.blocked(from, to); healed != nil {
+			select {
+			case <-healed:
+			case <-ctx.Done():
+				return nil, &net.OpError{Op: "dial", Net: protocol, Err: ctx.Err()}
+			}
+		}
+		inner, err := new(net.Dialer).DialContext(ctx, protocol, address)
+		if err != nil {
+			return nil, err
+		}
+		return &cuttable{Conn: inner, network: n, from: from, to: to, closed: make(chan struct{})}, nil
+	}
+}
+
+// cuttable is a connection that a cut can silence. After a cut that lost bytes
+// it is reset.
+type cuttable struct {
+	net.Conn
+	network  *network
+	from, to tables.Zone
+	closing  sync.Once
+	closed   chan struct{}
+}
+
+// Read gives nothing while the zones are cut off from each other.
+func (c *cuttable) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	healed := c.network.blocked(c.from, c.to)
+	if err != nil || healed == nil {
+		return n, err
+	}
+	select {
+	case <-healed:
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: net.ErrClosed}
+	case <-c.closed:
+		return 0, net.ErrClosed
+	}
+}
+
+// Write loses what is sent into a cut.
+func (c *cuttable) Write(p []byte) (int, error) {
+	if c.network.blocked(c.from, c.to) != nil {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// Close ends the connection.
+func (c *cuttable) Close() error {
+	c.closing.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -171,6 +171,9 @@
 // Boot returns the identity of the engine's present life.
 func (e *Engine) Boot() tables.BootID { return e.current().boot }
 
+// Busy counts the attempts that are queued or running, without a lag.
+func (e *Engine) Busy() int { return e.current().busy() }
+
 // Records returns the records that the engine writes to.
 func (e *Engine) Records() *Records { return e.options.Records }
 
--- a/standin/life.go
+++ b/standin/life.go
@@ -259,6 +259,7 @@
 	l.engine.options.Records.accepted(AttemptRecord{
 		Attempt: a.req.Attempt, Endpoint: l.engine.options.ID, Boot: l.boot,
 		Weights: a.weights, Owner: a.owner, ResumeFrom: a.req.ResumeFrom,
+		Work: PromptWork(a.req.Prompt),
 	})
 	l.queue = slices.Insert(l.queue, at, a)
 	select {
@@ -288,6 +289,16 @@
 	return false
 }
 
+// busy counts what is queued and running.
+func (l *life) busy() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ctx.Err() != nil {
+		return 0
+	}
+	return len(l.queue) + len(l.running)
+}
+
 // cut notes that an attempt was lost in a crash.
 func (l *life) cut(a *attempt) {
 	l.engine.options.Records.ended(a.req.Attempt, int(a.produced.Load()), EndCut)
--- a/standin/records.go
+++ b/standin/records.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/carawaystile/carawaystile/prefix"
 	"github.com/carawaystile/carawaystile/tables"
 )
@@ -26,6 +28,8 @@
 	Weights  tables.WeightsVersion
 	// Owner is the organisation that the prompt itself names.
 	Owner string
+	// Work identifies the prompt.
+	Work uint64
 	// Ran is set once the engine computed anything for the attempt.
 	Ran            bool
 	ResumeFrom     int
@@ -35,6 +39,9 @@
 	End            End
 }
 
+// PromptWork identifies a prompt in the records.
+func PromptWork(prompt string) uint64 { return xxhash.Sum64String(prompt) }
+
 // Totals sums up what a group of stand-ins has seen. The fields of the second
 // part break a promise when they are not zero.
 type Totals struct {
--- a/standin/service.go
+++ b/standin/service.go
@@ -210,7 +210,7 @@
 	s.options.Records.mu.Lock()
 	s.options.Records.executions = append(s.options.Records.executions, Execution{
 		Endpoint: s.options.ID, Boot: s.Boot(), Attempt: attempt, Call: call,
-		Key: r.Header.Get(engine.HeaderKey), Work: work(call, body),
+		Key: r.Header.Get(engine.HeaderKey), Work: ServiceWork(call, body),
 	})
 	s.options.Records.mu.Unlock()
 	if bytes.Contains(body, []byte(PoisonMark)) {
@@ -232,7 +232,8 @@
 	_ = s.Restart()
 }
 
-func work(call string, body []byte) uint64 {
+// ServiceWork identifies a call and its body in the records.
+func ServiceWork(call string, body []byte) uint64 {
 	var d xxhash.Digest
 	d.Reset()
 	_, _ = d.WriteString(strings.TrimSpace(call))
@@ -244,5 +245,5 @@
 // ServiceAnswer is what every stand-in service answers to a call, so that a
 // crossed answer can be recognised.
 func ServiceAnswer(call string, body []byte) string {
-	return fmt.Sprintf("%s done for %016x", call, work(call, body))
+	return fmt.Sprintf("%s done for %016x", call, ServiceWork(call, body))
 }
