--- /dev/null
+++ b/systems/quarantine/fleet_test.go
@@ -0,0 +1,315 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// fleet is three instances before a few endpoints in virtual time. Callers of
+// requests that crash endpoints send them again through the next instance.
+type fleet struct {
+	rand      *rand.Rand
+	now       tables.Instant
+	instances [3]*System
+	endpoints []*fakeEndpoint
+	requests  []*fakeRequest
+	mail      []letter
+	attempts  int
+	lost      int
+	hit       int
+	refused   map[bool]int
+	answered  int
+}
+
+type fakeEndpoint struct {
+	id     tables.EndpointID
+	boot   int
+	downAt tables.Instant
+	runs   []*fakeRequest
+}
+
+func (e *fakeEndpoint) life() Life {
+	return Life{Endpoint: e.id, Boot: tables.BootID(fmt.Sprint(e.boot))}
+}
+
+type fakeRequest struct {
+	fingerprint tables.Fingerprint
+	crashes     bool
+	instance    int
+	resends     int
+	attempt     tables.AttemptID
+	endpoint    *fakeEndpoint
+	started     tables.Instant
+	takes       time.Duration
+	position    int
+	notBefore   tables.Instant
+	ended       bool
+}
+
+type letter struct {
+	to   int
+	due  tables.Instant
+	told Suspect
+}
+
+const (
+	step        = 10 * time.Millisecond
+	gossipDelay = 50 * time.Millisecond
+	firstToken  = 200 * time.Millisecond
+	repair      = 3 * time.Second
+	resendAfter = 300 * time.Millisecond
+	tokenTime   = 30 * time.Millisecond
+	slots       = 8
+)
+
+func newFleet(seed uint64, endpoints int) *fleet {
+	f := &fleet{rand: rand.New(rand.NewPCG(seed, 1)), refused: map[bool]int{}}
+	for i := range f.instances {
+		f.instances[i] = New(Options{})
+		f.instances[i].SetRank(i, len(f.instances))
+	}
+	for i := range endpoints {
+		f.endpoints = append(f.endpoints, &fakeEndpoint{id: tables.EndpointID(fmt.Sprint("e", i))})
+	}
+	return f
+}
+
+func (f *fleet) run(d time.Duration, innocent float64) {
+	for end := f.now + d; f.now < end; f.now += step {
+		if f.rand.Float64() < innocent*step.Seconds() {
+			f.add(&fakeRequest{
+				fingerprint: tables.Fingerprint(f.rand.Uint64() | 1), instance: f.rand.IntN(3),
+				takes: 500*time.Millisecond + time.Duration(f.rand.Int64N(int64(6*time.Second))),
+			})
+		}
+		f.deliver()
+		open := f.requests[:0]
+		for _, r := range f.requests {
+			if f.advance(r); !r.ended {
+				open = append(open, r)
+			}
+		}
+		f.requests = open
+	}
+}
+
+func (f *fleet) add(r *fakeRequest) { f.requests = append(f.requests, r) }
+
+func (f *fleet) poison(fingerprint tables.Fingerprint, instance int) {
+	f.add(&fakeRequest{
+		fingerprint: fingerprint, crashes: true, instance: instance, resends: 6,
+		takes: 30*time.Millisecond + time.Duration(f.rand.Int64N(int64(300*time.Millisecond))),
+	})
+}
+
+func (f *fleet) deliver() {
+	kept := f.mail[:0]
+	for _, m := range f.mail {
+		if m.due > f.now {
+			kept = append(kept, m)
+			continue
+		}
+		m.told.Age = gossipDelay
+		f.instances[m.to].Merge(f.now, m.told)
+	}
+	f.mail = kept
+}
+
+func (f *fleet) advance(r *fakeRequest) {
+	switch {
+	case r.ended || f.now < r.notBefore:
+	case r.endpoint == nil:
+		f.place(r)
+	case f.now-r.started >= r.takes && r.crashes:
+		f.crash(r.endpoint)
+	case f.now-r.started >= r.takes:
+		f.leave(r)
+		f.instances[r.instance].Completed(r.attempt)
+		r.ended = true
+		f.answered++
+	case f.now-r.started == firstToken:
+		f.instances[r.instance].FirstToken(f.now, r.attempt)
+	}
+}
+
+func (f *fleet) place(r *fakeRequest) {
+	s := f.instances[r.instance]
+	verdict := s.Verdict(f.now, r.fingerprint)
+	if verdict == Refuse {
+		f.refused[r.crashes]++
+		if r.resends--; r.resends <= 0 {
+			r.ended = true
+			return
+		}
+		r.instance = (r.instance + 1) % 3
+		r.notBefore = f.now + resendAfter
+		return
+	}
+	var best *fakeEndpoint
+	for _, e := range f.endpoints {
+		if f.now < e.downAt || len(e.runs) >= slots || !s.Admits(e.id, verdict) {
+			continue
+		}
+		if best == nil || len(e.runs) < len(best.runs) {
+			best = e
+		}
+	}
+	if best == nil {
+		return
+	}
+	f.attempts++
+	r.attempt = tables.AttemptID(fmt.Sprint(f.attempts))
+	r.endpoint, r.started = best, f.now
+	best.runs = append(best.runs, r)
+	s.Started(f.now, r.attempt, best.life(), r.fingerprint)
+}
+
+func (f *fleet) leave(r *fakeRequest) {
+	kept := r.endpoint.runs[:0]
+	for _, other := range r.endpoint.runs {
+		if other != r {
+			kept = append(kept, other)
+		}
+	}
+	r.endpoint.runs = kept
+	r.endpoint = nil
+}
+
+func (f *fleet) crash(e *fakeEndpoint) {
+	f.lost++
+	life := e.life()
+	e.boot++
+	e.downAt = f.now + repair
+	f.hit += len(e.runs)
+	for _, r := range append([]*fakeRequest(nil), e.runs...) {
+		f.leave(r)
+		tokens := max(0, int((f.now-r.started-firstToken)/tokenTime))
+		r.position += tokens
+		f.instances[r.instance].Broken(f.now, r.attempt, tokens, r.position)
+		r.notBefore = f.now + 5*time.Millisecond
+	}
+	for from, s := range f.instances {
+		for _, told := range s.Crashed(f.now, life) {
+			for to := range f.instances {
+				if to != from {
+					f.mail = append(f.mail, letter{to: to, due: f.now + gossipDelay, told: told})
+				}
+			}
+		}
+	}
+}
+
+// A caller's request kills every engine that runs it, and the caller sends it
+// again and again through all instances. Other callers notice a pause when
+// their engine dies; none of them is refused.
+func TestRequestThatCrashesEndpointsIsStopped(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		endpoints int
+		poisons   int
+		rate      float64
+		// most is the largest number of endpoints that may be lost.
+		most int
+	}{
+		{"one, small fleet, idle", 9, 1, 1, 2},
+		{"one, small fleet, busy", 9, 1, 12, 2},
+		{"one, larger fleet, busy", 18, 1, 25, 2},
+		{"two at once", 9, 2, 12, 8},
+		{"two at once, larger", 18, 2, 25, 8},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			worst, total := 0, 0
+			const seeds = 50
+			for seed := range uint64(seeds) {
+				f := newFleet(seed, c.endpoints)
+				f.run(10*time.Second, c.rate)
+				for p := range c.poisons {
+					f.poison(tables.Fingerprint(2*p+2), int(seed+uint64(p))%3)
+				}
+				f.run(30*time.Second, c.rate)
+				worst, total = max(worst, f.lost), total+f.lost
+				assert.Equal(t, f.refused[false], 0, "seed %d: innocents refused", seed)
+				assert.Assert(t, f.lost <= c.most, "seed %d: %d endpoints lost", seed, f.lost)
+				assert.Assert(t, f.refused[true] > 0, "seed %d: never refused", seed)
+			}
+			t.Logf("endpoints lost: worst %d, mean %.2f over %d seeds", worst, float64(total)/seeds, seeds)
+		})
+	}
+}
+
+// Endpoints crash by themselves, several a minute, and a rack of six goes down
+// within a second. Hardly anybody's request may be refused for it: only one that
+// met two crashes at the same point cannot be told from a guilty one.
+func TestCrashesOfOtherCauseConvictHardlyAnyone(t *testing.T) {
+	refused, hit := 0, 0
+	for seed := range uint64(50) {
+		f := newFleet(seed, 18)
+		f.run(5*time.Second, 25)
+		for range 4 {
+			f.crash(f.endpoints[f.rand.IntN(len(f.endpoints))])
+			f.run(4*time.Second, 25)
+		}
+		for i := range 6 {
+			f.crash(f.endpoints[i])
+			f.run(100*time.Millisecond, 25)
+		}
+		f.run(20*time.Second, 25)
+		refused, hit = refused+f.refused[false], hit+f.hit
+	}
+	t.Logf("refused %d of %d that were hit by a crash", refused, hit)
+	assert.Assert(t, refused*100 <= hit, "refused %d of %d", refused, hit)
+}
+
+func TestSuspicionIsBoundedAndForgotten(t *testing.T) {
+	s := New(Options{Incidents: 3, Convicted: 2})
+	now := tables.Instant(0)
+	crash := func(endpoint string, f tables.Fingerprint) {
+		id := tables.AttemptID(fmt.Sprint(endpoint, f))
+		life := Life{Endpoint: tables.EndpointID(endpoint), Boot: "1"}
+		s.Started(now, id, life, f)
+		s.Broken(now, id, 0, 0)
+		s.Crashed(now, life)
+	}
+	crash("a", 1)
+	assert.Equal(t, s.Verdict(now, 1), ApartOwn)
+	now += DefaultOwn
+	assert.Equal(t, s.Verdict(now, 1), Apart)
+	crash("b", 1)
+	assert.Equal(t, s.Verdict(now, 1), Hold)
+	now += DefaultSettle
+	assert.Equal(t, s.Verdict(now, 1), Refuse)
+	assert.Equal(t, s.Verdict(now, 2), Allow)
+
+	for i := range 10 {
+		crash(fmt.Sprint("c", i), tables.Fingerprint(100+i))
+		s.Merge(now, Suspect{Fingerprint: tables.Fingerprint(200 + i), Convicted: true})
+	}
+	assert.Equal(t, len(s.incidents), 3)
+	assert.Equal(t, len(s.weights), 3)
+	assert.Equal(t, len(s.convicted), 2)
+
+	now += DefaultForget + 1
+	assert.Equal(t, s.Verdict(now, 209), Allow)
+	assert.Assert(t, s.Quiet())
+	assert.Equal(t, len(s.weights), 0)
+}
+
+// A message about an old crash arrives after the request has completed
+// elsewhere. It must not make the request a suspect again.
+func TestClearedRequestStaysCleared(t *testing.T) {
+	s := New(Options{})
+	life := Life{Endpoint: "a", Boot: "1"}
+	told := Suspect{Fingerprint: 7, Life: life, Mark: Mark{Likely: true}}
+	s.Merge(1, told)
+	assert.Equal(t, s.Verdict(1, 7), ApartOwn)
+	s.Started(1, "x", Life{Endpoint: "b", Boot: "1"}, 7)
+	s.Completed("x")
+	s.Merge(2, told)
+	assert.Equal(t, s.Verdict(2, 7), Allow)
+}
