Store the log and small files so that a crash loses nothing acknowledged

Cause: the log's promises hold only if what was acknowledged is on the disk, and damage must not pass for the end of the log.

--- /dev/null
+++ b/store/atomic_test.go
@@ -0,0 +1,56 @@
+package store
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// A crash comes while a small file is replaced. An entry instance that restarts
+// then needs one whole configuration, the old or the new.
+func TestAtomicFileSurvivesCrashes(t *testing.T) {
+	d := newCrashDisk(t)
+	assert.NilError(t, writeAtomic(d, d.root, "config", []byte("old")))
+	seen := map[string]bool{}
+	d.check = func(op Op, dir string) {
+		got, err := ReadAtomic(dir, "config")
+		assert.NilError(t, err)
+		seen[string(got)] = true
+	}
+	assert.NilError(t, writeAtomic(d, d.root, "config", []byte("new")))
+	assert.DeepEqual(t, seen, map[string]bool{"old": true, "new": true})
+	d.check(OpSync, d.root)
+}
+
+func TestAtomicFileReportsEveryDamagedByte(t *testing.T) {
+	dir := t.TempDir()
+	assert.NilError(t, WriteAtomic(dir, "config", []byte("content")))
+	path := filepath.Join(dir, "config")
+	b, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	for i := range b {
+		b[i] ^= 1
+		_, damage := decodeAtomic(b)
+		assert.Assert(t, damage != nil, "byte %d", i)
+		b[i] ^= 1
+	}
+	assert.NilError(t, os.Truncate(path, int64(len(b)-1)))
+	_, err = ReadAtomic(dir, "config")
+	var damaged *Damaged
+	assert.Assert(t, errors.As(err, &damaged))
+	assert.Equal(t, damaged.File, path)
+}
+
+func TestAtomicFileNames(t *testing.T) {
+	dir := t.TempDir()
+	var missing *Missing
+	_, err := ReadAtomic(dir, "config")
+	assert.Assert(t, errors.As(err, &missing))
+	var bad *BadName
+	for _, name := range []string{"", ".hidden", "a/b", "..", "x.tmp", lockName, logDirName} {
+		assert.Assert(t, errors.As(WriteAtomic(dir, name, nil), &bad), "%q", name)
+	}
+}
--- /dev/null
+++ b/store/folder.go
@@ -0,0 +1,75 @@
+package store
+
+import (
+	"os"
+	"path/filepath"
+
+	"github.com/gravitational/trace"
+	"golang.org/x/sys/unix"
+)
+
+const lockName = "LOCK"
+
+// Folder is a data folder that this process has locked.
+type Folder struct {
+	dir  string
+	lock *os.File
+	fs   files
+}
+
+// OpenFolder locks a data folder and creates it if needed; its parent has to
+// exist. It fails with *Locked if another process, or another Folder of this
+// one, has it: two processes that append to one log would overwrite each other.
+func OpenFolder(dir string) (*Folder, error) {
+	f, err := openFolder(osFiles{}, dir)
+	return f, trace.Wrap(err)
+}
+
+func openFolder(fs files, dir string) (*Folder, error) {
+	if err := makeDir(fs, dir); err != nil {
+		return nil, err
+	}
+	path := filepath.Join(dir, lockName)
+	lock, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, filePerm)
+	if err != nil {
+		return nil, failed(OpOpen, path, err)
+	}
+	err = unix.Flock(int(lock.Fd()), unix.LOCK_EX|unix.LOCK_NB)
+	if err == nil {
+		return &Folder{dir: dir, lock: lock, fs: fs}, nil
+	}
+	lock.Close()
+	if err == unix.EWOULDBLOCK {
+		return nil, &Locked{Dir: dir}
+	}
+	return nil, failed(OpLock, path, err)
+}
+
+func makeDir(fs files, dir string) error {
+	err := os.Mkdir(dir, dirPerm)
+	if os.IsExist(err) {
+		return nil
+	}
+	if err != nil {
+		return failed(OpOpen, dir, err)
+	}
+	return fs.syncDir(filepath.Dir(dir))
+}
+
+// Close gives the folder free.
+func (f *Folder) Close() error {
+	return trace.Wrap(failed(OpLock, f.dir, f.lock.Close()))
+}
+
+// Dir is the folder's path.
+func (f *Folder) Dir() string { return f.dir }
+
+// WriteAtomic is like the function of that name.
+func (f *Folder) WriteAtomic(name string, data []byte) error {
+	return trace.Wrap(writeAtomic(f.fs, f.dir, name, data))
+}
+
+// ReadAtomic is like the function of that name.
+func (f *Folder) ReadAtomic(name string) ([]byte, error) {
+	return ReadAtomic(f.dir, name)
+}
--- /dev/null
+++ b/store/log_test.go
@@ -0,0 +1,336 @@
+package store
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/carawaystile/carawaystile/replog"
+)
+
+var testIdentity = Identity{Group: 7, Replica: 3}
+
+func bootstrapped() replog.Saved {
+	return replog.BootstrapGroup(replog.Members{{Replica: 3, Address: "a"}}, 1, []byte("start"))
+}
+
+// entry has enough data for frames to reach over a sector.
+func entry(term, index uint64) replog.Entry {
+	data := fmt.Sprintf("%0200d", index*1000+term)
+	return replog.Entry{Term: term, Index: index, Kind: replog.EntryData, Data: []byte(data)}
+}
+
+func write(hard replog.HardState, es ...replog.Entry) replog.Ready {
+	return replog.Ready{HardState: &hard, Entries: es, MustSync: true}
+}
+
+func createAt(t assert.TestingT, fs files, dir string) *Log {
+	path := filepath.Join(dir, logDirName)
+	assert.NilError(t, createLog(fs, path, testIdentity, bootstrapped()))
+	return openAt(t, fs, dir)
+}
+
+func openAt(t assert.TestingT, fs files, dir string) *Log {
+	l, err := openLog(fs, filepath.Join(dir, logDirName), testIdentity)
+	assert.NilError(t, err)
+	l.segmentBytes = 1000
+	return l
+}
+
+// loadAt returns what a replica that starts now would go on from.
+func loadAt(t assert.TestingT, dir string) replog.Saved {
+	l := openAt(t, osFiles{}, dir)
+	defer l.Close()
+	s, err := l.Load()
+	assert.NilError(t, err)
+	return s
+}
+
+// A process is killed or its machine loses power at any moment, also between two
+// writes. What it acknowledged before must be there at the next start; callers
+// would see licences issued twice otherwise.
+func TestCrashAtEveryOperation(t *testing.T) {
+	d := newCrashDisk(t)
+	l := createAt(t, d, d.root)
+	model := replog.NewMemoryStorage(bootstrapped())
+	before, after := bootstrapped(), bootstrapped()
+	d.check = func(op Op, dir string) {
+		got := loadAt(t, dir)
+		if !sameSaved(got, before) && !sameSaved(got, after) && !mixed(got, before, after) {
+			t.Errorf("after %s: got %s, want %s or %s", op, outline(got), outline(before), outline(after))
+		}
+	}
+	for _, rd := range crashScript() {
+		before = after
+		if rd.MustSync {
+			assert.NilError(t, model.Save(rd))
+			after, _ = model.Load()
+			assert.NilError(t, l.Save(rd))
+			continue
+		}
+		assert.NilError(t, model.Compact(*rd.Snapshot))
+		after, _ = model.Load()
+		assert.NilError(t, l.Compact(*rd.Snapshot))
+	}
+	assert.Assert(t, sameSaved(loadAt(t, d.root), after))
+}
+
+// crashScript appends, replaces, compacts and takes over a snapshot.
+func crashScript() []replog.Ready {
+	hard := replog.HardState{Term: 2, Vote: 3, Commit: 1}
+	var rds []replog.Ready
+	for i := uint64(2); i < 14; i += 2 {
+		rds = append(rds, write(hard, entry(2, i), entry(2, i+1)))
+	}
+	compaction := replog.Snapshot{Index: 9, Term: 2, Members: bootstrapped().Snapshot.Members, Data: []byte("nine")}
+	rds = append(rds, replog.Ready{Snapshot: &compaction})
+	hard.Term = 4
+	rds = append(rds, write(hard, entry(4, 12)))
+	hard = replog.HardState{Term: 5, Commit: 30}
+	installed := write(hard, entry(5, 31))
+	installed.Snapshot = &replog.Snapshot{Index: 30, Term: 5, Data: []byte("thirty")}
+	return append(rds, installed, write(hard, entry(5, 32)))
+}
+
+// mixed allows the one state between: a received snapshot is there and what
+// goes with it is not. Nothing of it was acknowledged, and nothing that was
+// acknowledged before is missing from the snapshot.
+func mixed(got, before, after replog.Saved) bool {
+	return got.Snapshot.Index == after.Snapshot.Index && after.Snapshot.Index > before.Snapshot.Index &&
+		len(got.Entries) == 0 && got.HardState.Term >= before.HardState.Term
+}
+
+// outline leaves the data out.
+func outline(s replog.Saved) string {
+	out := fmt.Sprintf("%+v snapshot %d/%d entries", s.HardState, s.Snapshot.Index, s.Snapshot.Term)
+	for _, e := range s.Entries {
+		out += fmt.Sprintf(" %d/%d", e.Index, e.Term)
+	}
+	return out
+}
+
+func sameSaved(a, b replog.Saved) bool {
+	return fmt.Sprintf("%+v", a) == fmt.Sprintf("%+v", b)
+}
+
+// The log behaves like the naive one in memory over any sequence of appends,
+// replacements, compactions, received snapshots and restarts.
+func TestLogAgainstMemory(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		dir, err := os.MkdirTemp(t.TempDir(), "log")
+		assert.NilError(rt, err)
+		m := &logModel{t: rt, dir: dir, memory: replog.NewMemoryStorage(bootstrapped())}
+		m.log = createAt(rt, osFiles{}, dir)
+		m.hard = bootstrapped().HardState
+		rt.Repeat(map[string]func(*rapid.T){
+			"append":  m.append,
+			"compact": m.compact,
+			"install": m.install,
+			"reopen":  m.reopen,
+			"tear":    m.tear,
+		})
+		m.reopen(rt)
+	})
+}
+
+type logModel struct {
+	t      *rapid.T
+	dir    string
+	log    *Log
+	memory *replog.MemoryStorage
+	hard   replog.HardState
+}
+
+func (m *logModel) saved() replog.Saved {
+	s, _ := m.memory.Load()
+	return s
+}
+
+func (m *logModel) append(t *rapid.T) {
+	s := m.saved()
+	last := s.Snapshot.Index + uint64(len(s.Entries))
+	m.hard.Term += rapid.Uint64Range(0, 1).Draw(t, "term")
+	first := rapid.Uint64Range(max(s.Snapshot.Index, last-min(last, 3))+1, last+1).Draw(t, "first")
+	var es []replog.Entry
+	for i := range rapid.Uint64Range(0, 4).Draw(t, "count") {
+		es = append(es, entry(m.hard.Term, first+i))
+	}
+	m.save(write(m.hard, es...))
+}
+
+func (m *logModel) save(rd replog.Ready) {
+	assert.NilError(m.t, m.memory.Save(rd))
+	assert.NilError(m.t, m.log.Save(rd))
+}
+
+func (m *logModel) compact(t *rapid.T) {
+	s := m.saved()
+	if len(s.Entries) == 0 {
+		t.Skip("nothing to compact")
+	}
+	e := rapid.SampledFrom(s.Entries).Draw(t, "entry")
+	snap := replog.Snapshot{Index: e.Index, Term: e.Term, Data: []byte(fmt.Sprint("compact", e.Index))}
+	assert.NilError(t, m.memory.Compact(snap))
+	assert.NilError(t, m.log.Compact(snap))
+}
+
+func (m *logModel) install(t *rapid.T) {
+	s := m.saved()
+	m.hard.Term++
+	index := s.Snapshot.Index + rapid.Uint64Range(1, 20).Draw(t, "ahead")
+	rd := write(m.hard, entry(m.hard.Term, index+1))
+	rd.Snapshot = &replog.Snapshot{Index: index, Term: m.hard.Term, Data: []byte("install")}
+	m.save(rd)
+}
+
+func (m *logModel) reopen(t *rapid.T) {
+	assert.NilError(t, m.log.Close())
+	got := loadAt(t, m.dir)
+	assert.Assert(t, sameSaved(got, m.saved()), "got %s, want %s", outline(got), outline(m.saved()))
+	m.log = openAt(t, osFiles{}, m.dir)
+}
+
+// tear loses the end of a write that was not acknowledged.
+func (m *logModel) tear(t *rapid.T) {
+	path := m.log.current().path
+	size := m.log.current().size
+	s := m.saved()
+	next := s.Snapshot.Index + uint64(len(s.Entries)) + 1
+	rd := write(m.hard, entry(m.hard.Term, next), entry(m.hard.Term, next+1))
+	b := m.log.frame(record{hard: m.hard, entries: rd.Entries}, m.log.current().salt, nil)
+	assert.NilError(t, m.log.fs.write(m.log.file, b))
+	kept := rapid.IntRange(0, len(b)-1).Draw(t, "kept")
+	assert.NilError(t, os.Truncate(path, size+int64(kept)))
+	m.reopen(t)
+}
+
+// Some sectors of the last write reached the disk and others read as zeros. The
+// write was not acknowledged, so that the replica may go on without it.
+func TestUnwrittenSectorsAreCut(t *testing.T) {
+	dir := t.TempDir()
+	l := createAt(t, osFiles{}, dir)
+	size := l.current().size
+	path := l.current().path
+	assert.NilError(t, l.Save(write(replog.HardState{Term: 2}, entry(2, 2), entry(2, 3), entry(2, 4))))
+	assert.NilError(t, l.Close())
+	b, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	from := (size/sectorSize + 1) * sectorSize
+	clear(b[from:])
+	assert.NilError(t, os.WriteFile(path, b, filePerm))
+	assert.Assert(t, sameSaved(loadAt(t, dir), bootstrapped()))
+}
+
+// A disk returns other bytes than were written. The replica would go on with a
+// wrong log or without entries that it acknowledged; it has to refuse and name
+// the place.
+func TestEveryDamagedByteIsReported(t *testing.T) {
+	dir := t.TempDir()
+	l := createAt(t, osFiles{}, dir)
+	for i := uint64(2); i < 16; i++ {
+		assert.NilError(t, l.Save(write(replog.HardState{Term: 2}, entry(2, i))))
+	}
+	assert.NilError(t, l.Close())
+	paths, err := filepath.Glob(filepath.Join(dir, logDirName, "*"))
+	assert.NilError(t, err)
+	assert.Assert(t, len(paths) > 4, "want several segments, got %v", paths)
+	for _, path := range paths {
+		damageEachByte(t, dir, path)
+	}
+}
+
+func damageEachByte(t *testing.T, dir, path string) {
+	b, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	for i := range b {
+		b[i] ^= 0x41
+		assert.NilError(t, os.WriteFile(path, b, filePerm))
+		_, err := openLog(osFiles{}, filepath.Join(dir, logDirName), testIdentity)
+		var d *Damaged
+		if !errors.As(err, &d) {
+			t.Fatalf("%s byte %d: got %v, want damage", path, i, err)
+		}
+		assert.Equal(t, d.File, path)
+		b[i] ^= 0x41
+	}
+	assert.NilError(t, os.WriteFile(path, b, filePerm))
+}
+
+// Someone removes a file to make room. Acknowledged entries would be missing.
+func TestRemovedFilesAreReported(t *testing.T) {
+	dir := t.TempDir()
+	l := createAt(t, osFiles{}, dir)
+	for i := uint64(2); i < 20; i++ {
+		assert.NilError(t, l.Save(write(replog.HardState{Term: 2}, entry(2, i))))
+	}
+	for _, path := range []string{
+		l.segments[0].path, l.segments[1].path,
+		filepath.Join(l.dir, snapshotName), filepath.Join(l.dir, identityName),
+	} {
+		assert.NilError(t, os.Rename(path, path+".away"))
+		_, err := openLog(osFiles{}, l.dir, testIdentity)
+		var d *Damaged
+		assert.Assert(t, errors.As(err, &d), "%s removed: %v", path, err)
+		assert.NilError(t, os.Rename(path+".away", path))
+	}
+}
+
+// The disk refuses a sync, and the next one succeeds because the kernel has
+// dropped the data. An entry acknowledged after that could be lost.
+func TestFailedSyncIsFinal(t *testing.T) {
+	d := newCrashDisk(t)
+	l := createAt(t, d, d.root)
+	d.failSync = true
+	rd := write(replog.HardState{Term: 2}, entry(2, 2))
+	var failure *IOFailed
+	assert.Assert(t, errors.As(l.Save(rd), &failure))
+	assert.Assert(t, errors.As(l.Save(rd), &failure))
+	assert.Equal(t, failure.Op, OpSync)
+}
+
+// A replica's disk is lost and replaced by an empty one. If it started again
+// under its old identity, it could vote without what it had acknowledged.
+func TestLogIsNeverCreatedOnOpen(t *testing.T) {
+	f, err := OpenFolder(filepath.Join(t.TempDir(), "data"))
+	assert.NilError(t, err)
+	_, err = f.OpenLog(testIdentity)
+	var none *NotInitialised
+	assert.Assert(t, errors.As(err, &none))
+
+	id, err := MintIdentity(testIdentity.Group)
+	assert.NilError(t, err)
+	assert.Assert(t, id.Group == testIdentity.Group && id.Replica != replog.None)
+	assert.NilError(t, f.CreateLog(id, replog.Saved{}))
+	var already *AlreadyInitialised
+	assert.Assert(t, errors.As(f.CreateLog(id, replog.Saved{}), &already))
+
+	_, err = f.OpenLog(Identity{Replica: id.Replica + 1})
+	var wrong *WrongIdentity
+	assert.Assert(t, errors.As(err, &wrong))
+	l, err := f.OpenLog(Identity{})
+	assert.NilError(t, err)
+	assert.Equal(t, l.Identity(), id)
+	s, err := l.Load()
+	assert.NilError(t, err)
+	assert.Assert(t, s.Empty())
+}
+
+// An operator starts the daemon twice on one folder. Both would append to the
+// same log.
+func TestFolderIsLocked(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "data")
+	f, err := OpenFolder(dir)
+	assert.NilError(t, err)
+	_, err = OpenFolder(dir)
+	var locked *Locked
+	assert.Assert(t, errors.As(err, &locked))
+	assert.NilError(t, f.Close())
+	f, err = OpenFolder(dir)
+	assert.NilError(t, err)
+	assert.NilError(t, f.Close())
+}
