Let routers exchange what they suspect

Cause: the router contract had no room for which crash a suspicion comes from, nor a way out for what the router finds. Change: SuspectSeen carries a quarantine.Suspect, the action Suspected hands findings to the shell, entry.Options.Share takes them, PeersSeen gives the instance's rank, by which endpoints are divided for suspects. The contract is the router's; the hook into placement follows there. Conclusion: the router can call systems/quarantine without further changes.

--- a/entry/loop.go
+++ b/entry/loop.go
@@ -151,6 +151,8 @@
 			l.fail(a)
 		case router.Abort:
 			l.abort(a)
+		case router.Suspected:
+			l.server.share(a.Suspects)
 		}
 	}
 }
--- a/entry/options.go
+++ b/entry/options.go
@@ -15,6 +15,7 @@
 
 	"github.com/carawaystile/carawaystile/engine"
 	"github.com/carawaystile/carawaystile/router"
+	"github.com/carawaystile/carawaystile/systems/quarantine"
 	"github.com/carawaystile/carawaystile/tables"
 )
 
@@ -134,6 +135,9 @@
 	Claimer Claimer
 	Metrics Metrics
 	Log     *zap.Logger
+	// Share tells the other instances what the router suspects; nil means that
+	// there are none. It must not block.
+	Share func([]quarantine.Suspect)
 	// Now reads the process's monotonic clock.
 	Now    func() tables.Instant
 	Limits Limits
--- a/entry/server.go
+++ b/entry/server.go
@@ -16,6 +16,7 @@
 	"github.com/carawaystile/carawaystile/entry/outcome"
 	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/router"
+	"github.com/carawaystile/carawaystile/systems/quarantine"
 	"github.com/carawaystile/carawaystile/tables"
 )
 
@@ -28,6 +29,7 @@
 	metrics  Metrics
 	log      *zap.Logger
 	now      func() tables.Instant
+	share    func([]quarantine.Suspect)
 	limits   Limits
 	handler  http.Handler
 
@@ -57,6 +59,7 @@
 		metrics:  o.Metrics,
 		log:      o.Log,
 		now:      o.Now,
+		share:    o.Share,
 		limits:   o.Limits.withDefaults(),
 		inbox:    make(chan message, inbox),
 		stopped:  make(chan struct{}),
@@ -68,6 +71,9 @@
 	if s.log == nil {
 		s.log = zap.NewNop()
 	}
+	if s.share == nil {
+		s.share = func([]quarantine.Suspect) {}
+	}
 	if s.now == nil {
 		origin := time.Now()
 		s.now = func() tables.Instant { return time.Since(origin) }
--- a/router/contract.go
+++ b/router/contract.go
@@ -7,6 +7,7 @@
 import (
 	"time"
 
+	"github.com/carawaystile/carawaystile/systems/quarantine"
 	"github.com/carawaystile/carawaystile/tables"
 )
 
@@ -102,15 +103,15 @@
 type PeersSeen struct {
 	// Share is this instance's part of the traffic, above 0 and at most 1.
 	Share float64
+	// Rank is this instance's place among the Of live entry instances, in an
+	// order that all of them agree on, from 0. Of 0 means not known.
+	Rank, Of int
 }
 
-// SuspectSeen is another instance's report that equal work has crashed
-// endpoints.
+// SuspectSeen is what another instance found out about a crash, or about a
+// request that crashes endpoints.
 type SuspectSeen struct {
-	Fingerprint tables.Fingerprint
-	Crashes     int
-	// Until is when the suspicion is forgotten.
-	Until tables.Instant
+	Suspect quarantine.Suspect
 }
 
 func (LoadReport) input()     {}
@@ -163,7 +164,14 @@
 	Endpoint tables.Endpoint
 }
 
-func (Dispatch) action() {}
-func (Refuse) action()   {}
-func (Fail) action()     {}
-func (Abort) action()    {}
+// Suspected asks the shell to tell the other instances about a crash. Losing
+// the message costs no more than a further endpoint.
+type Suspected struct {
+	Suspects []quarantine.Suspect
+}
+
+func (Dispatch) action()  {}
+func (Refuse) action()    {}
+func (Fail) action()      {}
+func (Abort) action()     {}
+func (Suspected) action() {}
