--- a/cmd/carawaystile/exit.go
+++ b/cmd/carawaystile/exit.go
@@ -17,6 +17,8 @@
 	exitUsage   = subcommands.ExitUsageError
 	// exitInvalid: a file has faults.
 	exitInvalid subcommands.ExitStatus = 3
+	// exitBroken: a demo or measurement saw a promise broken.
+	exitBroken subcommands.ExitStatus = 6
 )
 
 // fail prints a failure and returns the exit code.
--- a/cmd/carawaystile/main.go
+++ b/cmd/carawaystile/main.go
@@ -33,4 +33,5 @@
 	commander.Register(&versionCommand{}, "help")
 	commander.Register(&validateCommand{}, "declarations")
 	commander.Register(&tokenCommand{}, "declarations")
+	commander.Register(&demoCommand{}, "trials")
 }
