Let the demo's balancer take 204 as ready, and check that restarts refuse nobody

Cause: /readyz answers 204 and the demo's balancer wanted 200, so it sent everything to the first instance and restarts refused 3 to 7 of 150 requests. Change: any 2xx is ready; without a fault and with -fault restart every request must now get its answer.

--- a/demo/check.go
+++ b/demo/check.go
@@ -20,6 +20,7 @@
 	w.checkRefusals(r, results)
 	w.checkOnce(r, results)
 	w.checkEngines(r)
+	w.checkServed(r, results)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, note := range w.notes {
@@ -135,3 +136,21 @@
 		}
 	}
 }
+
+// checkServed: without a fault, and while instances restart one after another,
+// every request gets its answer.
+func (w *world) checkServed(r *Report, results []result) {
+	if w.options.Fault != NoFault && w.options.Fault != FaultRestart {
+		return
+	}
+	unserved := 0
+	for i := range results {
+		got := &results[i]
+		if got.ending != complete && got.ending != left && !got.resent {
+			unserved++
+		}
+	}
+	if unserved > 0 {
+		r.broken("%d requests got no answer though nothing failed", unserved)
+	}
+}
--- a/demo/instance.go
+++ b/demo/instance.go
@@ -151,5 +151,5 @@
 		return false
 	}
 	_ = resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
+	return resp.StatusCode < http.StatusMultipleChoices
 }
