Explain decisions and show measurements to holders of the operators' key

Cause: operators ask why a request went where it went; the router belongs to one goroutine, and callers must not reach the answer. Change: Inspect on the entry, explain and measurements on the instances' listener, behind keys that are read again. Conclusion: a caller's token gets 401 on all three paths.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/carawaystile/carawaystile/engine/feed"
 	"github.com/carawaystile/carawaystile/entry"
 	"github.com/carawaystile/carawaystile/events"
+	"github.com/carawaystile/carawaystile/keys"
 	"github.com/carawaystile/carawaystile/metrics"
 	"github.com/carawaystile/carawaystile/router"
 	"github.com/carawaystile/carawaystile/settings"
@@ -46,7 +47,12 @@
 	entry    *entry.Server
 	feeds    *feed.Group
 
-	listeners listeners
+	operatorKeys *keys.Ring
+	instanceKeys *keys.Ring
+	listeners    listeners
+	stopping     chan struct{}
+	stop         sync.Once
+	background   sync.WaitGroup
 
 	mu       sync.Mutex
 	revision tables.Revision
@@ -58,7 +64,15 @@
 	if o.Log == nil {
 		o.Log = zap.NewNop()
 	}
-	d := &Daemon{options: o, started: time.Now(), registry: metrics.NewRegistry()}
+	d := &Daemon{
+		options:  o,
+		started:  time.Now(),
+		registry: metrics.NewRegistry(),
+		stopping: make(chan struct{}),
+	}
+	if err := d.readKeys(); err != nil {
+		return nil, trace.Wrap(err)
+	}
 	if o.Process.Entry {
 		if err := d.startEntry(); err != nil {
 			return nil, trace.Wrap(err)
@@ -71,6 +85,7 @@
 		d.Stop()
 		return nil, trace.Wrap(err)
 	}
+	d.background.Go(d.rereadKeys)
 	events.DaemonStarted.Log(o.Log, zap.String("instance", string(o.Process.Instance)),
 		zap.String("zone", string(o.Process.Zone)), zap.Bool("entry", o.Process.Entry),
 		zap.Bool("control", o.Process.Control))
@@ -113,8 +128,12 @@
 }
 
 // Stop ends the instance at once; open requests are cut.
-func (d *Daemon) Stop() {
+func (d *Daemon) Stop() { d.stop.Do(d.end) }
+
+func (d *Daemon) end() {
+	close(d.stopping)
 	d.listeners.close()
+	d.background.Wait()
 	if d.entry != nil {
 		d.feeds.Close()
 		d.entry.Close()
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -3,10 +3,13 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -27,8 +30,15 @@
 	return netip.MustParseAddrPort(l.Addr().String())
 }
 
+// operatorKey is a key of the tests' instances.
+var operatorKey = strings.Repeat("k", 40)
+
 func testProcess(t *testing.T) *settings.Process {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "key")
+	assert.NilError(t, os.WriteFile(file, []byte(operatorKey+"\n"), 0o600))
 	return &settings.Process{
+		Keys:     settings.Keys{Operators: file, Instances: file},
 		Instance: "i1", Zone: "z", Data: t.TempDir(), Entry: true, Size: 1,
 		Listen: settings.Listen{Callers: freeAddress(t), Instances: freeAddress(t), Membership: freeAddress(t)},
 		Limits: settings.Limits{BodyBytes: 1 << 20, HeaderBytes: 1 << 16, Connections: 100, Requests: 100, OrganisationRequests: 100},
@@ -89,11 +99,41 @@
 	assert.Equal(t, strings.Count(answer, "data: "), 7, answer)
 	assert.Assert(t, strings.HasSuffix(answer, "data: [DONE]\n\n"), answer)
 
-	resp, err := http.Get("http://" + process.Listen.Instances.String() + "/metrics")
+	_, text := ask(t, process, "/metrics", operatorKey)
+	assert.Assert(t, strings.Contains(text,
+		`carawaystile_organisation_time_to_first_token_seconds_count{organisation="o"} 1`), text)
+
+	var event struct{ ID string }
+	first, _, _ := strings.Cut(strings.TrimPrefix(answer, "data: "), "\n")
+	assert.NilError(t, json.Unmarshal([]byte(first), &event))
+	status, text = ask(t, process, ExplainPath+"?request="+event.ID, operatorKey)
+	assert.Equal(t, status, http.StatusOK, text)
+	assert.Assert(t, strings.Contains(text, `"endpoint":"e1"`), text)
+}
+
+// ask asks an instance's operators' side.
+func ask(t *testing.T, process *settings.Process, path, key string) (int, string) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodGet, "http://"+process.Listen.Instances.String()+path, nil)
+	assert.NilError(t, err)
+	req.Header.Set("Authorization", "Bearer "+key)
+	resp, err := http.DefaultClient.Do(req)
 	assert.NilError(t, err)
 	defer resp.Body.Close()
 	text, err := io.ReadAll(resp.Body)
 	assert.NilError(t, err)
-	assert.Assert(t, strings.Contains(string(text),
-		`carawaystile_organisation_time_to_first_token_seconds_count{organisation="o"} 1`), string(text))
+	return resp.StatusCode, string(text)
+}
+
+// A caller finds the operators' address and tries its own token there. It must
+// learn neither measurements of other organisations nor where requests go.
+func TestCallersCannotReachTheOperatorsSide(t *testing.T) {
+	process := testProcess(t)
+	d, err := Start(Options{Process: process, Declarations: testDeclarations(), Boot: 1})
+	assert.NilError(t, err)
+	defer d.Stop()
+	for _, path := range []string{"/metrics", MeasurementsPath, ExplainPath + "?request=r"} {
+		status, text := ask(t, process, path, testToken)
+		assert.Equal(t, status, http.StatusUnauthorized, "%s gave %s", path, text)
+	}
 }
--- a/daemon/listen.go
+++ b/daemon/listen.go
@@ -13,6 +13,7 @@
 	"golang.org/x/net/netutil"
 
 	"github.com/carawaystile/carawaystile/events"
+	"github.com/carawaystile/carawaystile/keys"
 )
 
 // Bounds of the listeners.
@@ -77,11 +78,14 @@
 	l.serving.Wait()
 }
 
-// instanceHandler serves operators, other instances and scrapers.
+// instanceHandler serves operators, other instances and scrapers. Each part
+// needs a key, so that a caller who reaches the address learns nothing.
 func (d *Daemon) instanceHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /metrics", d.serveMetrics)
-	return mux
+	operators := http.NewServeMux()
+	operators.HandleFunc("GET /metrics", d.serveMetrics)
+	operators.HandleFunc("GET "+MeasurementsPath, d.serveMeasurements)
+	operators.HandleFunc("GET "+ExplainPath, d.serveExplain)
+	return keys.Require(d.operatorKeys, operators)
 }
 
 func (d *Daemon) serveMetrics(w http.ResponseWriter, _ *http.Request) {
--- a/entry/loop.go
+++ b/entry/loop.go
@@ -108,6 +108,9 @@
 		l.router.Observe(now, m.input)
 	case ended:
 		l.end(now, m)
+	case inspection:
+		m.look()
+		close(m.done)
 	}
 }
 
