--- a/entry/loop.go
+++ b/entry/loop.go
@@ -108,6 +108,9 @@
 		l.router.Observe(now, m.input)
 	case ended:
 		l.end(now, m)
+	case inspection:
+		m.look()
+		close(m.done)
 	}
 }
 
@@ -151,6 +154,8 @@
 			l.fail(a)
 		case router.Abort:
 			l.abort(a)
+		case router.Suspected:
+			l.server.share(a.Suspects)
 		}
 	}
 }
