--- /dev/null
+++ b/control/client/claims.go
@@ -0,0 +1,311 @@
+package client
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+
+	"github.com/carawaystile/carawaystile/control/state"
+	"github.com/carawaystile/carawaystile/events"
+	"github.com/carawaystile/carawaystile/rpc"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+const (
+	// keepAlive is the time between two signs of life of an owner. Three of them
+	// fit into the time after which the group counts an owner as lost.
+	keepAlive = 2 * time.Second
+	// lostAfter is how long dispatched work may run. It is above the longest
+	// timeout of a profile.
+	lostAfter = 5 * time.Hour
+	// maxUnsent bounds the ends of claims that wait for a quorum.
+	maxUnsent = 4096
+	// driftMargin is the part of a duration by which a holder stops before its
+	// own clock says so: twice the drift that is allowed for, once for its clock
+	// and once for the leader's.
+	driftMargin = 2 * maxDrift
+	// maxDrift is how much faster or slower than real time a monotonic clock may
+	// run: 1 in 100, far above what clocks of sound machines do.
+	maxDrift = 0.01
+)
+
+// ClaimsOptions sets Claims up.
+type ClaimsOptions struct {
+	Executor Executor
+	Instance tables.InstanceID
+	// Boot grows with every start of this instance.
+	Boot uint64
+	// Now is this process's monotonic clock.
+	Now func() tables.Instant
+	Log *zap.Logger
+}
+
+// Claims makes the claims of one entry instance. It is safe for concurrent use.
+// Its errors are *tables.KeyReused, *tables.NoQuorum, *tables.GrantLost and
+// *ClaimsFull; after any of them nothing may be dispatched.
+type Claims struct {
+	options ClaimsOptions
+	tokens  atomic.Uint64
+	stop    context.CancelFunc
+	running sync.WaitGroup
+
+	mu   sync.Mutex
+	open map[claimID]bool
+	// unsent are ends of claims that no quorum has taken yet.
+	unsent []*rpc.Command
+}
+
+type claimID struct {
+	organisation tables.OrganisationID
+	key          tables.Key
+	fence        tables.Fence
+}
+
+// ClaimsFull means that the control state keeps as many claims as it can.
+// Forgetting one to make room could let its work run twice.
+type ClaimsFull struct {
+	Organisation tables.OrganisationID
+}
+
+// Error says whose claim it was.
+func (e *ClaimsFull) Error() string {
+	return fmt.Sprintf("no room for another claim of organisation %s", e.Organisation)
+}
+
+// Unexpected means that the control state answered what does not fit the
+// question.
+type Unexpected struct {
+	Asked  string
+	Reason rpc.RefusalReason
+}
+
+// Error gives the answer.
+func (e *Unexpected) Error() string {
+	return fmt.Sprintf("%s: control state answered %s", e.Asked, e.Reason)
+}
+
+// NewClaims returns Claims that keep themselves alive until Close.
+func NewClaims(options ClaimsOptions) *Claims {
+	if options.Log == nil {
+		options.Log = zap.NewNop()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &Claims{options: options, stop: cancel, open: map[claimID]bool{}}
+	c.running.Go(func() { c.run(ctx) })
+	return c
+}
+
+// Close stops the signs of life; open claims then count as lost.
+func (c *Claims) Close() {
+	c.stop()
+	c.running.Wait()
+}
+
+// Claim asks for the right to run the work named by the organisation's key.
+func (c *Claims) Claim(ctx context.Context, organisation tables.OrganisationID, key tables.Key, body tables.BodyHash) (tables.Grant, error) {
+	sent := c.options.Now()
+	result, err := c.options.Executor.Execute(ctx, &rpc.Command{Action: &rpc.Command_Claim{Claim: &rpc.Claim{
+		Organisation: string(organisation),
+		Key:          string(key),
+		Body:         body[:],
+		Owner:        c.owner(),
+		Token:        c.token(),
+	}}})
+	if err != nil {
+		return tables.Grant{}, trace.Wrap(err)
+	}
+	answer := result.GetClaim()
+	if answer == nil {
+		return tables.Grant{}, trace.Wrap(refusal("claim", result, organisation, key, 0))
+	}
+	grant := tables.Grant{
+		Organisation: organisation,
+		Key:          key,
+		State:        grantState(answer.GetState()),
+		Fence:        tables.Fence(answer.GetFence()),
+		Answer:       decodeAnswer(answer.GetAnswer()),
+	}
+	if grant.State == tables.GrantNew {
+		grant.Until = sent + safe(state.DefaultLimits().ClaimedFor)
+		c.opened(grant)
+	}
+	return grant, nil
+}
+
+// MarkDispatched records that the work may run from now on. It is called before
+// the call leaves, and once per grant: a second one would be a second dispatch.
+func (c *Claims) MarkDispatched(ctx context.Context, grant tables.Grant) error {
+	if c.options.Now() >= grant.Until {
+		return trace.Wrap(&tables.GrantLost{Organisation: grant.Organisation, Key: grant.Key, Fence: grant.Fence})
+	}
+	result, err := c.options.Executor.Execute(ctx, &rpc.Command{Action: &rpc.Command_MarkDispatched{
+		MarkDispatched: &rpc.MarkDispatched{
+			Organisation:   string(grant.Organisation),
+			Key:            string(grant.Key),
+			Fence:          uint64(grant.Fence),
+			Token:          c.token(),
+			LostAfterNanos: int64(lostAfter),
+		},
+	}})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if result.GetDone() == nil {
+		return trace.Wrap(refusal("mark claim dispatched", result, grant.Organisation, grant.Key, grant.Fence))
+	}
+	return nil
+}
+
+// Finish stores the answer that resends get. When no quorum takes it, it is
+// sent again in the background for as long as the process lives.
+func (c *Claims) Finish(ctx context.Context, grant tables.Grant, answer tables.Answer) error {
+	return c.end(ctx, grant, &rpc.Command{Action: &rpc.Command_FinishClaim{FinishClaim: &rpc.FinishClaim{
+		Organisation: string(grant.Organisation),
+		Key:          string(grant.Key),
+		Fence:        uint64(grant.Fence),
+		Answer: &rpc.StoredAnswer{
+			Status: int32(answer.Status),
+			Type:   answer.Type,
+			Body:   answer.Body,
+			Tokens: int64(answer.Tokens),
+		},
+	}}})
+}
+
+// Release gives the claim back. The caller has proof that the work did not run,
+// and will not dispatch it under this grant any more.
+func (c *Claims) Release(ctx context.Context, grant tables.Grant) error {
+	return c.end(ctx, grant, &rpc.Command{Action: &rpc.Command_ReleaseClaim{ReleaseClaim: &rpc.ReleaseClaim{
+		Organisation: string(grant.Organisation),
+		Key:          string(grant.Key),
+		Fence:        uint64(grant.Fence),
+	}}})
+}
+
+func (c *Claims) end(ctx context.Context, grant tables.Grant, command *rpc.Command) error {
+	c.closed(grant)
+	result, err := c.options.Executor.Execute(ctx, command)
+	if err != nil {
+		c.later(command)
+		return trace.Wrap(err)
+	}
+	if result.GetDone() == nil {
+		return trace.Wrap(refusal(asked(command), result, grant.Organisation, grant.Key, grant.Fence))
+	}
+	return nil
+}
+
+func (c *Claims) owner() *rpc.ClaimOwner {
+	return &rpc.ClaimOwner{Instance: string(c.options.Instance), Boot: c.options.Boot}
+}
+
+// token names one call of this process, so that its copies are told from the
+// next call.
+func (c *Claims) token() string {
+	return strconv.FormatUint(c.options.Boot, 36) + "-" + strconv.FormatUint(c.tokens.Add(1), 36)
+}
+
+func (c *Claims) opened(grant tables.Grant) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open[claimID{grant.Organisation, grant.Key, grant.Fence}] = true
+}
+
+func (c *Claims) closed(grant tables.Grant) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.open, claimID{grant.Organisation, grant.Key, grant.Fence})
+}
+
+// later keeps the end of a claim. Without it, a resend would be told that the
+// outcome is unknown although the answer is here.
+func (c *Claims) later(command *rpc.Command) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.unsent) < maxUnsent {
+		c.unsent = append(c.unsent, command)
+	}
+}
+
+// run says that this owner lives while it has open claims, and sends again what
+// found no quorum.
+func (c *Claims) run(ctx context.Context) {
+	for wait(ctx, keepAlive) {
+		c.mu.Lock()
+		open, unsent := len(c.open), c.unsent
+		c.unsent = nil
+		c.mu.Unlock()
+		if open > 0 {
+			bounded, cancel := context.WithTimeout(ctx, keepAlive)
+			_, err := c.options.Executor.Execute(bounded, &rpc.Command{Action: &rpc.Command_KeepAlive{
+				KeepAlive: &rpc.KeepAlive{Owner: c.owner()},
+			}})
+			cancel()
+			if err != nil {
+				events.ClaimsNotKeptAlive.Log(c.options.Log, zap.Error(err))
+			}
+		}
+		c.sendAgain(ctx, unsent)
+	}
+}
+
+func (c *Claims) sendAgain(ctx context.Context, unsent []*rpc.Command) {
+	for i, command := range unsent {
+		bounded, cancel := context.WithTimeout(ctx, keepAlive)
+		_, err := c.options.Executor.Execute(bounded, command)
+		cancel()
+		if err != nil {
+			c.mu.Lock()
+			c.unsent = append(c.unsent, unsent[i:]...)
+			c.mu.Unlock()
+			return
+		}
+	}
+}
+
+// safe shortens a duration of the log so that it has passed by this process's
+// clock before it can have passed by any leader's.
+func safe(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 - driftMargin))
+}
+
+func grantState(s rpc.ClaimState) tables.GrantState {
+	switch s {
+	case rpc.ClaimState_CLAIM_NEW:
+		return tables.GrantNew
+	case rpc.ClaimState_CLAIM_IN_PROGRESS:
+		return tables.GrantInProgress
+	case rpc.ClaimState_CLAIM_DONE:
+		return tables.GrantDone
+	default:
+		return tables.GrantUnknown
+	}
+}
+
+func decodeAnswer(answer *rpc.StoredAnswer) tables.Answer {
+	return tables.Answer{
+		Status: int(answer.GetStatus()),
+		Type:   answer.GetType(),
+		Body:   answer.GetBody(),
+		Tokens: int(answer.GetTokens()),
+	}
+}
+
+func refusal(asked string, result *rpc.Result, organisation tables.OrganisationID, key tables.Key, fence tables.Fence) error {
+	switch reason := result.GetRefusal().GetReason(); reason {
+	case rpc.RefusalReason_REFUSED_KEY_REUSED:
+		return &tables.KeyReused{Organisation: organisation, Key: key}
+	case rpc.RefusalReason_REFUSED_CLAIMS_FULL:
+		return &ClaimsFull{Organisation: organisation}
+	case rpc.RefusalReason_REFUSED_CLAIM_LOST, rpc.RefusalReason_REFUSED_ALREADY_DISPATCHED:
+		return &tables.GrantLost{Organisation: organisation, Key: key, Fence: fence}
+	default:
+		return &Unexpected{Asked: asked, Reason: reason}
+	}
+}
--- a/events/control.go
+++ b/events/control.go
@@ -12,4 +12,8 @@
 	ControlJoins          = define(3005, zapcore.InfoLevel, "This control replica has no state and asks to join the group.")
 	ControlReplicaAdded   = define(3006, zapcore.InfoLevel, "A control replica was added, promoted or removed.")
 	ControlRepairRefused  = define(3007, zapcore.WarnLevel, "A change of the control group was refused.")
+	ClaimsNotKeptAlive    = define(3008, zapcore.WarnLevel, "The control state was not told that this instance still works on its claims.")
+	FollowerBehind        = define(3009, zapcore.WarnLevel, "No instance gives a configuration now; the last one stays in force.")
+	FollowerCopyUnusable  = define(3010, zapcore.ErrorLevel, "The saved configuration cannot be used.")
+	FollowerNotSaved      = define(3011, zapcore.ErrorLevel, "The configuration in force cannot be saved.")
 )
