Run control state, claims and follower in every instance

Cause: the daemon knew no control state; work that must run at most once was always refused. Change: control instances run their replica and the operators' service; every instance follows the configuration, keeps its copy on disk and asks its own zone's control instances first; first declarations are applied once by the group. The number of each life is on disk before it is used. Conclusion: apply, history and claims are served by real processes.

--- a/cmd/carawaystiled/serve.go
+++ b/cmd/carawaystiled/serve.go
@@ -53,9 +53,7 @@
 		return exitInvalid
 	}
 	log := newLog(process.LogLevel)
-	d, err := daemon.Start(daemon.Options{
-		Process: process, Declarations: declarations, Log: log, Boot: uint64(time.Now().UnixNano()),
-	})
+	d, err := daemon.Start(daemon.Options{Process: process, Declarations: declarations, Log: log})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitFailure
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -6,12 +6,20 @@
 
 import (
 	"context"
+	"net"
+	"net/http"
+	"net/netip"
 	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
+	"github.com/carawaystile/carawaystile/control/client"
+	"github.com/carawaystile/carawaystile/control/follower"
+	"github.com/carawaystile/carawaystile/control/operator"
+	"github.com/carawaystile/carawaystile/control/server"
+	"github.com/carawaystile/carawaystile/control/transport"
 	"github.com/carawaystile/carawaystile/engine"
 	"github.com/carawaystile/carawaystile/engine/feed"
 	"github.com/carawaystile/carawaystile/entry"
@@ -20,18 +28,24 @@
 	"github.com/carawaystile/carawaystile/metrics"
 	"github.com/carawaystile/carawaystile/router"
 	"github.com/carawaystile/carawaystile/settings"
+	"github.com/carawaystile/carawaystile/store"
 	"github.com/carawaystile/carawaystile/tables"
 )
 
 // Options are what an instance is started from.
 type Options struct {
 	Process *settings.Process
-	// Declarations is put in force at once if there is no newer configuration.
+	// Declarations are applied by control instances when no configuration was
+	// ever accepted; nil means none.
 	Declarations *tables.Configuration
 	Log          *zap.Logger
-	// Boot tells this life of the instance from others; it must differ at each
-	// start.
-	Boot uint64
+	// Dial opens connections to other instances and to endpoints; nil means
+	// TCP. Tests cut availability zones off here.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Listen opens the instance's TCP listeners; nil means TCP. Tests hand in
+	// listeners that they hold already, so that no other process takes the
+	// port.
+	Listen func(at netip.AddrPort) (net.Listener, error)
 	// FeedPeriod is the time between two load reports of an endpoint; 0 means
 	// the default.
 	FeedPeriod time.Duration
@@ -41,22 +55,32 @@
 type Daemon struct {
 	options  Options
 	started  time.Time
+	boot     uint64
 	registry *metrics.Registry
-	router   *router.Router
-	client   *engine.HTTPClient
-	entry    *entry.Server
-	feeds    *feed.Group
+	folder   *store.Folder
 
 	operatorKeys *keys.Ring
 	instanceKeys *keys.Ring
-	listeners    listeners
-	stopping     chan struct{}
-	stop         sync.Once
-	background   sync.WaitGroup
-
-	mu       sync.Mutex
-	revision tables.Revision
-	since    time.Time
+
+	// The entry role; nil without it.
+	router *router.Router
+	client *engine.HTTPClient
+	entry  *entry.Server
+	feeds  *feed.Group
+
+	peerTransport *http.Transport
+	dialer        *transport.Dialer
+	follower      *follower.Follower
+	claims        *client.Claims
+	// The control role; nil without it.
+	replica   *server.Server
+	operators *operator.Service
+
+	listeners  listeners
+	stopping   context.Context
+	stop       context.CancelFunc
+	ending     sync.Once
+	background sync.WaitGroup
 }
 
 // Start starts the instance and returns once it listens.
@@ -64,48 +88,61 @@
 	if o.Log == nil {
 		o.Log = zap.NewNop()
 	}
-	d := &Daemon{
-		options:  o,
-		started:  time.Now(),
-		registry: metrics.NewRegistry(),
-		stopping: make(chan struct{}),
+	d := &Daemon{options: o, started: time.Now(), registry: metrics.NewRegistry()}
+	d.stopping, d.stop = context.WithCancel(context.Background())
+	if err := d.start(); err != nil {
+		d.Stop()
+		return nil, trace.Wrap(err)
+	}
+	events.DaemonStarted.Log(o.Log, zap.String("instance", string(o.Process.Instance)),
+		zap.String("zone", string(o.Process.Zone)), zap.Bool("entry", o.Process.Entry),
+		zap.Bool("control", o.Process.Control), zap.Uint64("boot", d.boot))
+	return d, nil
+}
+
+// start starts the parts, each after those it uses.
+func (d *Daemon) start() error {
+	if err := d.openFolder(); err != nil {
+		return err
 	}
 	if err := d.readKeys(); err != nil {
-		return nil, trace.Wrap(err)
+		return err
+	}
+	if err := d.startControl(); err != nil {
+		return err
 	}
-	if o.Process.Entry {
+	if d.options.Process.Entry {
 		if err := d.startEntry(); err != nil {
-			return nil, trace.Wrap(err)
+			return err
 		}
 	}
-	if o.Declarations != nil {
-		d.configure(o.Declarations)
-	}
+	d.startFollower()
 	if err := d.listen(); err != nil {
-		d.Stop()
-		return nil, trace.Wrap(err)
+		return err
 	}
 	d.background.Go(d.rereadKeys)
-	events.DaemonStarted.Log(o.Log, zap.String("instance", string(o.Process.Instance)),
-		zap.String("zone", string(o.Process.Zone)), zap.Bool("entry", o.Process.Entry),
-		zap.Bool("control", o.Process.Control))
-	return d, nil
+	if d.replica != nil && d.options.Declarations != nil {
+		d.background.Go(func() { d.bootstrap(d.stopping) })
+	}
+	return nil
+}
+
+func (d *Daemon) openFolder() error {
+	folder, err := store.OpenFolder(d.options.Process.Data)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	d.folder = folder
+	d.boot, err = nextBoot(folder, uint64(d.started.UnixNano()))
+	return trace.Wrap(err)
 }
 
 // now reads the monotonic clock, as time since the instance started.
 func (d *Daemon) now() tables.Instant { return time.Since(d.started) }
 
-// configure puts a configuration in force on this instance.
+// configure puts a configuration in force on this instance. The follower calls
+// it with revisions that only grow.
 func (d *Daemon) configure(c *tables.Configuration) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	// Two sources hand in configurations, the group's followers and other
-	// instances. One that arrives late must not take the place of a newer one.
-	if c.Revision < d.revision {
-		return
-	}
-	d.revision = c.Revision
-	d.since = time.Now()
 	if d.entry != nil {
 		d.entry.Configure(c)
 		d.feeds.Configure(c)
@@ -113,6 +150,9 @@
 	events.ConfigurationServed.Log(d.options.Log, zap.Uint64("revision", uint64(c.Revision)))
 }
 
+// Configured is closed once a configuration is in force.
+func (d *Daemon) Configured() <-chan struct{} { return d.follower.Ready() }
+
 // Drain takes the instance out of service without cutting a request. It returns
 // early when the context ends.
 func (d *Daemon) Drain(ctx context.Context) error {
@@ -128,16 +168,20 @@
 }
 
 // Stop ends the instance at once; open requests are cut.
-func (d *Daemon) Stop() { d.stop.Do(d.end) }
+func (d *Daemon) Stop() { d.ending.Do(d.end) }
 
 func (d *Daemon) end() {
-	close(d.stopping)
+	d.stop()
 	d.listeners.close()
 	d.background.Wait()
+	d.stopControl()
 	if d.entry != nil {
 		d.feeds.Close()
 		d.entry.Close()
 		d.client.CloseIdle()
 	}
+	if d.folder != nil {
+		_ = d.folder.Close()
+	}
 	events.DaemonStopped.Log(d.options.Log)
 }
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -21,28 +21,45 @@
 	"github.com/carawaystile/carawaystile/tables"
 )
 
-// freeAddress finds a loopback address that nothing listens on.
-func freeAddress(t *testing.T) netip.AddrPort {
+// ports holds listeners on loopback ports from their choice until an instance
+// takes them.
+type ports map[netip.AddrPort]net.Listener
+
+func (p ports) hold(t *testing.T) netip.AddrPort {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	defer l.Close()
-	return netip.MustParseAddrPort(l.Addr().String())
+	t.Cleanup(func() { _ = l.Close() })
+	at := netip.MustParseAddrPort(l.Addr().String())
+	p[at] = l
+	return at
+}
+
+func (p ports) listen(at netip.AddrPort) (net.Listener, error) {
+	if l := p[at]; l != nil {
+		delete(p, at)
+		return l, nil
+	}
+	return listenTCP(at)
 }
 
 // operatorKey is a key of the tests' instances.
 var operatorKey = strings.Repeat("k", 40)
 
-func testProcess(t *testing.T) *settings.Process {
+func testOptions(t *testing.T, declarations *tables.Configuration) Options {
 	t.Helper()
+	held := make(ports)
 	file := filepath.Join(t.TempDir(), "key")
 	assert.NilError(t, os.WriteFile(file, []byte(operatorKey+"\n"), 0o600))
-	return &settings.Process{
+	at := held.hold(t)
+	process := &settings.Process{
+		Control: true, ControlInstances: []settings.ControlInstance{{Name: "i1", Zone: "z", Address: at}},
 		Keys:     settings.Keys{Operators: file, Instances: file},
 		Instance: "i1", Zone: "z", Data: t.TempDir(), Entry: true, Size: 1,
-		Listen: settings.Listen{Callers: freeAddress(t), Instances: freeAddress(t), Membership: freeAddress(t)},
+		Listen: settings.Listen{Callers: held.hold(t), Instances: at, Membership: at},
 		Limits: settings.Limits{BodyBytes: 1 << 20, HeaderBytes: 1 << 16, Connections: 100, Requests: 100, OrganisationRequests: 100},
 	}
+	return Options{Process: process, Declarations: declarations, Listen: held.listen}
 }
 
 const testToken = "token"
@@ -50,7 +67,6 @@
 func testDeclarations(engines ...*standin.Engine) *tables.Configuration {
 	sum := sha256.Sum256([]byte(testToken))
 	c := &tables.Configuration{
-		Revision:      1,
 		WeightLoads:   2,
 		Models:        []tables.Model{{Name: "m", Weights: "w1"}},
 		Profiles:      []tables.Profile{{Name: "p", Model: "m", Idempotent: true, Timeout: 20 * time.Second, Priority: tables.Urgent}},
@@ -90,10 +106,12 @@
 
 func TestInstanceServesAStreamedCompletion(t *testing.T) {
 	e := startTestEngine(t, "e1")
-	process := testProcess(t)
-	d, err := Start(Options{Process: process, Declarations: testDeclarations(e), Boot: 1})
+	options := testOptions(t, testDeclarations(e))
+	process := options.Process
+	d, err := Start(options)
 	assert.NilError(t, err)
 	defer d.Stop()
+	<-d.Configured()
 	status, answer := complete(t, process.Listen.Callers, `{"prompt": "one", "max_tokens": 5, "stream": true}`)
 	assert.Equal(t, status, http.StatusOK, answer)
 	assert.Equal(t, strings.Count(answer, "data: "), 7, answer)
@@ -128,8 +146,9 @@
 // A caller finds the operators' address and tries its own token there. It must
 // learn neither measurements of other organisations nor where requests go.
 func TestCallersCannotReachTheOperatorsSide(t *testing.T) {
-	process := testProcess(t)
-	d, err := Start(Options{Process: process, Declarations: testDeclarations(), Boot: 1})
+	options := testOptions(t, testDeclarations())
+	process := options.Process
+	d, err := Start(options)
 	assert.NilError(t, err)
 	defer d.Stop()
 	for _, path := range []string{"/metrics", MeasurementsPath, ExplainPath + "?request=r"} {
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"context"
 	"hash/fnv"
 	"strconv"
 
@@ -10,13 +9,12 @@
 	"github.com/carawaystile/carawaystile/entry"
 	"github.com/carawaystile/carawaystile/metrics"
 	"github.com/carawaystile/carawaystile/router"
-	"github.com/carawaystile/carawaystile/tables"
 )
 
 // startEntry makes the parts of the entry role.
 func (d *Daemon) startEntry() error {
 	p := d.options.Process
-	d.client = engine.NewHTTPClient(engine.Options{})
+	d.client = engine.NewHTTPClient(engine.Options{Dial: d.options.Dial})
 	d.router = router.New(router.Options{Instance: p.Instance, Zone: p.Zone, Seed: d.seed()})
 	limits := entry.DefaultLimits()
 	limits.MaxBody = p.Limits.BodyBytes
@@ -24,10 +22,10 @@
 	limits.DrainServe = p.Drain.Announce
 	server, err := entry.New(entry.Options{
 		Instance: p.Instance,
-		Boot:     strconv.FormatUint(d.options.Boot, 36),
+		Boot:     strconv.FormatUint(d.boot, 36),
 		Router:   d.router,
 		Client:   d.client,
-		Claimer:  noClaims{},
+		Claimer:  d.claims,
 		Metrics:  requestMetrics{metrics.NewRequests(d.registry)},
 		Log:      d.options.Log,
 		Now:      d.now,
@@ -51,7 +49,7 @@
 func (d *Daemon) seed() uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(d.options.Process.Instance))
-	return h.Sum64() ^ d.options.Boot
+	return h.Sum64() ^ d.boot
 }
 
 // requestMetrics gives the entry its measurements.
@@ -66,23 +64,3 @@
 
 // CountDropped counts answers and tokens that were dropped.
 func (m requestMetrics) CountDropped(d entry.Dropped) { m.CountDroppedAnswer(droppedReasons[d]) }
-
-// noClaims is the claims of an instance without a control state: work that must
-// run at most once is refused before it starts.
-type noClaims struct{}
-
-func (noClaims) Claim(context.Context, tables.OrganisationID, tables.Key, tables.BodyHash) (tables.Grant, error) {
-	return tables.Grant{}, &tables.NoQuorum{Asked: "claim"}
-}
-
-func (noClaims) MarkDispatched(context.Context, tables.Grant) error {
-	return &tables.NoQuorum{Asked: "mark dispatched"}
-}
-
-func (noClaims) Finish(context.Context, tables.Grant, tables.Answer) error {
-	return &tables.NoQuorum{Asked: "finish"}
-}
-
-func (noClaims) Release(context.Context, tables.Grant) error {
-	return &tables.NoQuorum{Asked: "release"}
-}
--- a/daemon/keys.go
+++ b/daemon/keys.go
@@ -30,7 +30,7 @@
 	defer ticker.Stop()
 	for {
 		select {
-		case <-d.stopping:
+		case <-d.stopping.Done():
 			return
 		case <-ticker.C:
 			d.reload(d.operatorKeys, d.options.Process.Keys.Operators)
--- a/daemon/listen.go
+++ b/daemon/listen.go
@@ -14,6 +14,7 @@
 
 	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/keys"
+	"github.com/carawaystile/carawaystile/rpc"
 )
 
 // Bounds of the listeners.
@@ -48,7 +49,11 @@
 // of connections is bounded: without it a flood of callers takes the process's
 // file descriptors, and then it can reach no endpoint either.
 func (d *Daemon) serve(server *http.Server, at netip.AddrPort, connections int) error {
-	listener, err := net.Listen("tcp", at.String())
+	open := d.options.Listen
+	if open == nil {
+		open = listenTCP
+	}
+	listener, err := open(at)
 	if err != nil {
 		return trace.ConvertSystemError(err)
 	}
@@ -67,6 +72,8 @@
 	return nil
 }
 
+func listenTCP(at netip.AddrPort) (net.Listener, error) { return net.Listen("tcp", at.String()) }
+
 // close ends all listeners and their connections.
 func (l *listeners) close() {
 	l.mu.Lock()
@@ -85,7 +92,13 @@
 	operators.HandleFunc("GET /metrics", d.serveMetrics)
 	operators.HandleFunc("GET "+MeasurementsPath, d.serveMeasurements)
 	operators.HandleFunc("GET "+ExplainPath, d.serveExplain)
-	return keys.Require(d.operatorKeys, operators)
+	if d.operators != nil {
+		operators.Handle(rpc.OperatorPathPrefix, rpc.NewOperatorServer(d.operators))
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/", keys.Require(d.operatorKeys, operators))
+	mux.Handle(rpc.ControlPathPrefix, keys.Require(d.instanceKeys, d.controlHandler()))
+	return mux
 }
 
 func (d *Daemon) serveMetrics(w http.ResponseWriter, _ *http.Request) {
--- a/events/daemon.go
+++ b/events/daemon.go
@@ -12,4 +12,5 @@
 	KeysReread          = define(6005, zapcore.InfoLevel, "The shared keys were read again.")
 	KeysUnreadable      = define(6006, zapcore.ErrorLevel, "The shared keys cannot be read. The last good keys stay in use.")
 	ListenerFailed      = define(6007, zapcore.ErrorLevel, "A listener has failed.")
+	BootstrapFailed     = define(6008, zapcore.ErrorLevel, "The first declarations cannot be applied.")
 )
