--- a/router/finish.go
+++ b/router/finish.go
@@ -21,6 +21,7 @@
 	r.release(a)
 	r.learnEnd(now, a, in)
 	r.judge(now, a, in.End)
+	r.suspectEnd(now, a, in)
 	row := a.Request
 	if in.End != NeverStarted && in.End != Refused {
 		row.MayHaveRun = true
@@ -91,6 +92,8 @@
 	case in.End == Cancelled && !a.Aborted:
 		// The shell gave the request up itself and tells its caller.
 		r.finish(row)
+	case r.convicted(now, row.Request.Fingerprint):
+		r.fail(row, tables.CodeSuspect, 0)
 	case !retry.Allowed(row):
 		r.fail(row, tables.CodeOutcomeUnknown, 0)
 	case row.Retries+1 >= retry.MaxAttempts:
--- a/router/observe.go
+++ b/router/observe.go
@@ -4,6 +4,7 @@
 	"maps"
 
 	"github.com/carawaystile/carawaystile/systems/cacheview"
+	"github.com/carawaystile/carawaystile/systems/quarantine"
 	"github.com/carawaystile/carawaystile/tables"
 )
 
@@ -30,7 +31,9 @@
 			r.share = in.Share
 			r.view.SetShare(in.Share)
 		}
+		r.suspects.SetRank(in.Rank, in.Of)
 	case SuspectSeen:
+		r.suspects.Merge(now, in.Suspect)
 	}
 }
 
@@ -44,7 +47,7 @@
 
 func (r *Router) loadReport(now tables.Instant, in LoadReport) {
 	row := r.find(in.Endpoint)
-	if row == nil || r.seeBoot(row, in.Boot) == tables.BootOld {
+	if row == nil || r.seeBoot(now, row, in.Boot) == tables.BootOld {
 		return
 	}
 	own := 0
@@ -96,18 +99,22 @@
 
 // seeBoot compares a boot identity. A new boot has an empty cache. The first
 // one heard of changes nothing: what was placed so far went to it.
-func (r *Router) seeBoot(row *tables.EndpointRow, boot tables.BootID) tables.BootChange {
+func (r *Router) seeBoot(now tables.Instant, row *tables.EndpointRow, boot tables.BootID) tables.BootChange {
 	first := row.Boot == "" && len(row.Former) == 0
+	former := quarantine.Life{Endpoint: row.Endpoint.ID, Boot: row.Boot}
 	change := row.SeeBoot(boot)
 	if change == tables.BootNew && !first {
 		r.view.Reset(row.Index)
 	}
+	if change == tables.BootNew && former.Boot != "" {
+		r.suspectCrash(now, former)
+	}
 	return change
 }
 
 func (r *Router) cacheEvent(now tables.Instant, in CacheEvent) {
 	row := r.find(in.Endpoint)
-	if row == nil || r.seeBoot(row, in.Boot) == tables.BootOld {
+	if row == nil || r.seeBoot(now, row, in.Boot) == tables.BootOld {
 		return
 	}
 	r.view.Event(now, row.Index, cacheview.Event{Sequence: in.Sequence, Stored: in.Stored, Evicted: in.Evicted})
@@ -130,12 +137,13 @@
 		return
 	}
 	a.Started = now
+	r.suspects.Accepted(a.ID, in.Boot)
 	if in.Weights != "" {
 		a.Weights = in.Weights
 	}
 	if in.Boot != "" {
 		a.Boot = in.Boot
-		r.seeBoot(r.endpoints.Row(a.Endpoint), in.Boot)
+		r.seeBoot(now, r.endpoints.Row(a.Endpoint), in.Boot)
 	}
 }
 
@@ -145,6 +153,7 @@
 		return
 	}
 	a.FirstToken = now
+	r.suspects.FirstToken(now, a.ID)
 	r.endpoints.Row(a.Endpoint).Progress = now
 	r.prefillOver(a)
 	r.learn(now, a, in.CachedTokens)
--- a/router/place.go
+++ b/router/place.go
@@ -15,6 +15,7 @@
 	"github.com/carawaystile/carawaystile/systems/placement/score/queue"
 	"github.com/carawaystile/carawaystile/systems/placement/score/recompute"
 	"github.com/carawaystile/carawaystile/systems/placement/score/zone"
+	"github.com/carawaystile/carawaystile/systems/quarantine"
 	"github.com/carawaystile/carawaystile/tables"
 )
 
@@ -48,10 +49,11 @@
 
 // standardPicker puts the filters and scorers together. Weights are in the
 // order of tables.Preference: balanced, first token, reuse.
-func standardPicker() placement.Picker {
+func standardPicker(suspects *quarantine.System) placement.Picker {
 	return placement.Picker{
 		Filters: []placement.Filter{
 			leaving.Filter{}, serves.Filter{}, health.Filter{}, tried.Filter{}, capacity.Filter{},
+			suspectFilter{suspects: suspects},
 		},
 		Scorers: []placement.Weighted{
 			{Scorer: queue.Scorer{}, Weights: [placement.Preferences]float64{1, 1, 1}},
@@ -177,6 +179,8 @@
 	load.OwnPrefilling++
 	load.OwnTokens[attempt.Priority] += uncached
 	r.learnMix(row.Priority, uncached)
+	life := quarantine.Life{Endpoint: endpoint.Endpoint.ID, Boot: endpoint.Boot}
+	r.suspects.Started(q.Now, attempt.ID, life, row.Request.Fingerprint)
 	r.view.Placed(q.Now, choice.Endpoint, row.Request.Blocks)
 	r.actions = append(r.actions, Dispatch{
 		Request:    row.Request.ID,
--- a/router/router.go
+++ b/router/router.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"slices"
 	"time"
 
 	"github.com/carawaystile/carawaystile/prefix"
@@ -8,6 +9,7 @@
 	"github.com/carawaystile/carawaystile/systems/cacheview"
 	"github.com/carawaystile/carawaystile/systems/hotness"
 	"github.com/carawaystile/carawaystile/systems/placement"
+	"github.com/carawaystile/carawaystile/systems/quarantine"
 	"github.com/carawaystile/carawaystile/systems/retry"
 	"github.com/carawaystile/carawaystile/tables"
 )
@@ -55,12 +57,13 @@
 	organisations organisations
 	classes       [tables.Priorities]class
 	// fresh holds new requests until the next Tick.
-	fresh   []*tables.RequestRow
-	budget  retry.Budget
-	picker  placement.Picker
-	view    *cacheview.View
-	matches cacheview.Matches
-	counter hotness.Counter
+	fresh    []*tables.RequestRow
+	budget   retry.Budget
+	suspects *quarantine.System
+	picker   placement.Picker
+	view     *cacheview.View
+	matches  cacheview.Matches
+	counter  hotness.Counter
 	// homeTrust is the part of a prefix found at its home when nothing was
 	// known of it.
 	homeTrust float64
@@ -85,7 +88,9 @@
 	if options.Explanations <= 0 {
 		options.Explanations = defaultExplanations
 	}
+	suspects := quarantine.New(quarantine.Options{})
 	return &Router{
+		suspects:     suspects,
 		options:      options,
 		profiles:     make(map[tables.ProfileName]*tables.Profile),
 		groups:       make(map[groupKey]*group),
@@ -93,7 +98,7 @@
 		endpoints:    tables.NewEndpoints(),
 		requests:     make(map[tables.RequestID]*tables.RequestRow),
 		attempts:     make(map[tables.AttemptID]*tables.AttemptRow),
-		picker:       standardPicker(),
+		picker:       standardPicker(suspects),
 		view:         cacheview.New(cacheview.Options{Rows: options.CacheRows}),
 		homeTrust:    initialHomeTrust,
 		meanUncached: prefix.PieceTokens,
@@ -162,9 +167,12 @@
 	return tables.Refusal{Code: tables.CodeUnknownProfile}
 }
 
-// admit holds a new request against its organisation's rate and against the
-// queue of its class.
+// admit holds a new request against what is known of equal ones, against its
+// organisation's rate and against the queue of its class.
 func (r *Router) admit(now tables.Instant, row *tables.RequestRow) (tables.Refusal, bool) {
+	if r.convicted(now, row.Request.Fingerprint) {
+		return tables.Refusal{Code: tables.CodeSuspect}, false
+	}
 	if wait := r.organisations.rows[row.Organisation].limiter.Admit(now, r.share); wait > 0 {
 		return tables.Refusal{Code: tables.CodeOrganisationRate, RetryAfter: wait}, false
 	}
@@ -175,6 +183,7 @@
 // Cancel ends a request because its caller no longer wants it. Its attempts
 // are aborted by the next Tick; no further action names the request.
 func (r *Router) Cancel(now tables.Instant, id tables.RequestID) {
+	r.withdraw(id)
 	row, ok := r.requests[id]
 	if !ok || row.State == tables.Final {
 		return
@@ -183,6 +192,20 @@
 	r.finish(row)
 }
 
+// withdraw drops an end of the request that the next Tick would have told.
+func (r *Router) withdraw(id tables.RequestID) {
+	r.actions = slices.DeleteFunc(r.actions, func(action Action) bool {
+		switch a := action.(type) {
+		case Refuse:
+			return a.Request == id
+		case Fail:
+			return a.Request == id
+		default:
+			return false
+		}
+	})
+}
+
 // Tick decides what can be decided now. The returned slice is reused by the
 // Tick after the next.
 func (r *Router) Tick(now tables.Instant) []Action {
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -122,7 +122,11 @@
 	r.Observe(2*ms, router.AttemptStarted{Attempt: first.Attempt, Boot: "b", Weights: "w1"})
 	r.Observe(3*ms, router.FirstToken{Attempt: first.Attempt})
 	r.Observe(4*ms, router.AttemptEnded{Attempt: first.Attempt, End: router.Crashed, Tokens: 7, Delivered: 7})
-	second := only[router.Dispatch](t, r.Tick(100*ms))
+	actions := r.Tick(100 * ms)
+	assert.Equal(t, len(actions), 2, "%v", actions)
+	_, told := actions[0].(router.Suspected)
+	assert.Assert(t, told, "%#v", actions[0])
+	second := only[router.Dispatch](t, actions[1:])
 	assert.Equal(t, second.ResumeFrom, 7)
 	assert.Equal(t, second.Weights, tables.WeightsVersion("w1"))
 }
--- /dev/null
+++ b/router/suspects.go
@@ -0,0 +1,68 @@
+package router
+
+import (
+	"github.com/carawaystile/carawaystile/systems/placement"
+	"github.com/carawaystile/carawaystile/systems/quarantine"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// suspectFilter drops endpoints that a request suspected of crashing them may
+// not share with what runs there.
+type suspectFilter struct{ suspects *quarantine.System }
+
+// Name is the reason given for a dropped candidate.
+func (suspectFilter) Name() string { return "quarantine" }
+
+// Keep asks the quarantine, unless it suspects nobody.
+func (f suspectFilter) Keep(q *placement.Query, c *placement.Candidate) bool {
+	if f.suspects.Quiet() {
+		return true
+	}
+	verdict := f.suspects.Verdict(q.Now, q.Request.Request.Fingerprint)
+	return f.suspects.Admits(c.Row.Endpoint.ID, verdict)
+}
+
+// convicted says whether equal work must not run for now.
+func (r *Router) convicted(now tables.Instant, f tables.Fingerprint) bool {
+	return !r.suspects.Quiet() && r.suspects.Verdict(now, f) == quarantine.Refuse
+}
+
+// suspectEnd tells the quarantine how an attempt ended.
+func (r *Router) suspectEnd(now tables.Instant, a *tables.AttemptRow, in AttemptEnded) {
+	switch in.End {
+	case Completed:
+		r.suspects.Completed(a.ID)
+	case Broken:
+		r.suspects.Broken(now, a.ID, in.Tokens, in.Delivered)
+	case Crashed:
+		r.suspects.Broken(now, a.ID, in.Tokens, in.Delivered)
+		r.suspectCrash(now, quarantine.Life{Endpoint: r.endpoints.Row(a.Endpoint).Endpoint.ID, Boot: a.Boot})
+	default:
+		r.suspects.Ended(a.ID)
+	}
+}
+
+// suspectCrash blames what a life of an endpoint was running for its end, and
+// asks the shell to tell the other instances.
+func (r *Router) suspectCrash(now tables.Instant, life quarantine.Life) {
+	if told := r.suspects.Crashed(now, life); len(told) > 0 {
+		r.actions = append(r.actions, Suspected{Suspects: told})
+	}
+}
+
+// refuseConvicted ends waiting requests that were convicted meanwhile.
+func (r *Router) refuseConvicted(now tables.Instant) {
+	if r.suspects.Quiet() {
+		return
+	}
+	for _, row := range r.sortedRequests(func(row *tables.RequestRow) bool {
+		return row.State == tables.Pending && r.convicted(now, row.Request.Fingerprint)
+	}) {
+		if row.Dispatched {
+			r.fail(row, tables.CodeSuspect, 0)
+			continue
+		}
+		r.refuse(row.Request, tables.Refusal{Code: tables.CodeSuspect})
+		r.finish(row)
+	}
+}
--- a/router/watch.go
+++ b/router/watch.go
@@ -27,7 +27,8 @@
 		health.Renew(now, &r.endpoints.Row(tables.EndpointIndex(i)).Health)
 	}
 	r.refuseOverdue(now)
-	for _, row := range r.sortedRequests(now) {
+	r.refuseConvicted(now)
+	for _, row := range r.sortedRequests(func(row *tables.RequestRow) bool { return r.needsLook(now, row) }) {
 		if now >= row.Request.Deadline && row.Request.Deadline > 0 {
 			r.timeout(now, row)
 			continue
@@ -37,12 +38,12 @@
 	r.dropLost(now)
 }
 
-// sortedRequests returns the requests that need a look, by identity, so that
-// actions do not depend on the order of a map.
-func (r *Router) sortedRequests(now tables.Instant) []*tables.RequestRow {
+// sortedRequests returns the requests in progress that are wanted, by identity,
+// so that actions do not depend on the order of a map.
+func (r *Router) sortedRequests(wanted func(*tables.RequestRow) bool) []*tables.RequestRow {
 	var rows []*tables.RequestRow
 	for _, row := range r.requests {
-		if row.State != tables.Final && r.needsLook(now, row) {
+		if row.State != tables.Final && wanted(row) {
 			rows = append(rows, row)
 		}
 	}
