Gather held work by prefix before computing it, refuse by organisation, trust young rows

Held work with a cold prefix started at once and its prefix was pushed out before the next request for it. It now gathers for 0.3 of its wait. A backlog was predicted for a whole class, so that one organisation's burst refused all; it is now kept by organisation, and a request goes to an idle endpoint before it is refused.

--- a/measure/cluster.go
+++ b/measure/cluster.go
@@ -69,6 +69,8 @@
 	firstAt tables.Instant
 	endedAt tables.Instant
 	cached  int
+	// at is the instance that the balancer chose.
+	at *instance
 	dispatched,
 	completed, refused, failed bool
 	attempts int
@@ -142,6 +144,7 @@
 		}
 	}
 	i := up[c.random.IntN(len(up))]
+	c.records[r.ID].at = i
 	i.decider.Submit(c.time.now, r)
 	i.tick()
 }
--- a/measure/measure.go
+++ b/measure/measure.go
@@ -251,6 +251,11 @@
 			}
 		}
 	}
+	for _, r := range c.records {
+		if r.at == old && !r.dispatched && !r.refused {
+			r.failed = true
+		}
+	}
 	d, err := c.newDecider(policy, n, seed, instances)
 	if err != nil {
 		return
--- a/router/classes.go
+++ b/router/classes.go
@@ -15,14 +15,17 @@
 
 // class holds the waiting requests of one priority.
 type class struct {
-	schedule  fairness.Scheduler
-	admission admission.Class
-	// queues and recent are by organisation; recent is the group served last.
-	queues []waiting.Queue
-	recent []tables.BlockHash
+	schedule fairness.Scheduler
+	// The following are by organisation; recent is the group served last.
+	queues  []waiting.Queue
+	backlog []admission.Backlog
+	recent  []tables.BlockHash
 	// blocked is the round in which nothing of an organisation could be placed.
 	blocked []uint32
-	round   uint32
+	// cursor walks through the groups of an organisation, so that one which
+	// cannot be placed does not keep the others from being tried.
+	cursor []int
+	round  uint32
 }
 
 // heading is the head of a group that is being tried.
@@ -32,21 +35,32 @@
 	c.schedule.SetWeight(flow, weight)
 	for int(flow) >= len(c.queues) {
 		c.queues = append(c.queues, waiting.Queue{})
+		c.backlog = append(c.backlog, admission.Backlog{})
 		c.recent = append(c.recent, 0)
 		c.blocked = append(c.blocked, 0)
+		c.cursor = append(c.cursor, 0)
 	}
 }
 
-// takeFresh places new requests at once, unless others of their class wait
-// already and would be overtaken.
+// takeFresh places new requests at once, unless others of their organisation
+// and class wait already and would be overtaken. What cannot be placed waits, or
+// is refused at once if it would wait in vain.
 func (r *Router) takeFresh(now tables.Instant) {
 	for _, row := range r.fresh {
 		if row.State != tables.Pending {
 			continue
 		}
-		if r.classes[row.Priority].schedule.Active() > 0 || !r.startFresh(now, row) {
-			r.enqueue(now, row, r.groupOf(row))
+		c := &r.classes[row.Priority]
+		if c.queues[row.Organisation].Len() == 0 && r.startFresh(now, row) {
+			continue
+		}
+		row.StartBy = admission.StartBy(row, 0)
+		if refusal, ok := c.backlog[row.Organisation].Check(now, row.StartBy-now); !ok {
+			r.refuse(row.Request, refusal)
+			r.finish(row)
+			continue
 		}
+		r.enqueue(now, row, r.groupOf(row))
 	}
 	clear(r.fresh)
 	r.fresh = r.fresh[:0]
@@ -84,14 +98,11 @@
 	row.State = tables.Pending
 	row.Waiting = true
 	row.Group = key
-	if row.StartBy == 0 {
-		row.StartBy = admission.StartBy(row, 0)
-	}
 	c := &r.classes[row.Priority]
 	flow := row.Organisation
 	c.queues[flow].Add(waiting.Item{Row: row, Key: key, StartBy: row.StartBy})
 	c.schedule.Add(flow)
-	c.admission.Queued(now)
+	c.backlog[flow].Queued(now, row.StartBy-now)
 }
 
 // dequeue takes a request out of its class, if it waits there.
@@ -103,7 +114,7 @@
 	c := &r.classes[row.Priority]
 	c.queues[row.Organisation].Remove(row, row.Group)
 	c.schedule.Remove(row.Organisation)
-	c.admission.Left()
+	c.backlog[row.Organisation].Left()
 }
 
 // serve places waiting requests of a class, organisation by organisation in
@@ -128,7 +139,8 @@
 	if r.organisations.rows[flow].limiter.Full(r.share) {
 		return false
 	}
-	r.heads = c.queues[flow].Heads(r.heads[:0], c.recent[flow], headsTried)
+	r.heads = c.queues[flow].Heads(r.heads[:0], c.recent[flow], c.cursor[flow], headsTried)
+	c.cursor[flow]++
 	for i := range r.heads {
 		row := r.heads[i].Row
 		if row.NotBefore > now || !r.place(now, row, false) {
@@ -145,7 +157,7 @@
 // started accounts for a request whose first or next attempt was dispatched.
 func (r *Router) started(now tables.Instant, row *tables.RequestRow) {
 	c := &r.classes[row.Priority]
-	c.admission.Started(now)
+	c.backlog[row.Organisation].Started(now)
 	c.schedule.Charge(row.Organisation, r.costOf(row))
 	if !row.Counted {
 		row.Counted = true
--- a/router/finish.go
+++ b/router/finish.go
@@ -173,7 +173,7 @@
 		return
 	}
 	c := &r.classes[row.Priority]
-	refusal := tables.Refusal{Code: tables.CodeOverloaded, RetryAfter: c.admission.RetryAfter(now, row.StartBy-row.Submitted)}
+	refusal := tables.Refusal{Code: tables.CodeOverloaded, RetryAfter: c.backlog[row.Organisation].RetryAfter(now, row.StartBy-row.Submitted)}
 	switch {
 	case r.organisations.rows[row.Organisation].limiter.Full(r.share):
 		refusal.Code = tables.CodeOrganisationRate
--- a/router/place.go
+++ b/router/place.go
@@ -7,6 +7,7 @@
 	"github.com/carawaystile/carawaystile/systems/placement"
 	"github.com/carawaystile/carawaystile/systems/placement/filter/capacity"
 	"github.com/carawaystile/carawaystile/systems/placement/filter/health"
+	"github.com/carawaystile/carawaystile/systems/placement/filter/idle"
 	"github.com/carawaystile/carawaystile/systems/placement/filter/leaving"
 	"github.com/carawaystile/carawaystile/systems/placement/filter/serves"
 	"github.com/carawaystile/carawaystile/systems/placement/filter/tried"
@@ -32,9 +33,16 @@
 	// maxBacklog is the same for work that can be held, in seconds. It is small,
 	// so that held work uses the time that is left without filling queues.
 	maxBacklog = 1.5
+	// coldPart is the part of a prompt above which it counts as not held, and
+	// gatherFor the part of its wait for which held work then gathers.
+	coldPart  = 0.25
+	gatherFor = 0.3
 	// promoteAfter is the part of its wait after which held work is treated like
 	// work that cannot be held.
 	promoteAfter = 0.7
+	// lastChanceAfter is the part of its wait after which a request goes to any
+	// idle endpoint.
+	lastChanceAfter = 0.5
 )
 
 // recomputePrice is what a second of computing something again costs beyond the
@@ -52,7 +60,7 @@
 func standardPicker(suspects *quarantine.System) placement.Picker {
 	return placement.Picker{
 		Filters: []placement.Filter{
-			leaving.Filter{}, serves.Filter{}, health.Filter{}, tried.Filter{}, capacity.Filter{},
+			leaving.Filter{}, serves.Filter{}, health.Filter{}, tried.Filter{}, capacity.Filter{}, idle.Filter{},
 			suspectFilter{suspects: suspects},
 		},
 		Scorers: []placement.Weighted{
@@ -71,8 +79,14 @@
 	candidates := r.candidates(&q)
 	choice := r.picker.Pick(&q, candidates)
 	if choice.Endpoint == tables.NoEndpoint || r.better(&q, &choice) {
-		r.explainWait(&q, candidates)
-		return false
+		if !lastChance(now, row) {
+			r.explainWait(&q, candidates)
+			return false
+		}
+		q.LastChance = true
+		if choice = r.picker.Pick(&q, candidates); choice.Endpoint == tables.NoEndpoint {
+			return false
+		}
 	}
 	r.explain(&q, candidates, choice.Endpoint)
 	r.dispatch(&q, choice)
@@ -88,9 +102,22 @@
 	if q.Request.Profile.MaxWait <= 0 || promoted(q.Now, q.Request) {
 		return choice.Row.Load.Ahead(q.Request.Priority, &q.Mix)*q.WaitWeight > maxAhead*choice.PrefillRate()
 	}
+	if r.gathers(q, choice) {
+		return true
+	}
 	return float64(choice.Row.Load.Backlog())/choice.PrefillRate() > maxBacklog
 }
 
+// gathers says whether held work stays held so that more of its group comes
+// together before its prefix is computed. A prefix that is asked for rarely is
+// pushed out between two requests; held, several are served by one computation.
+func (r *Router) gathers(q *placement.Query, choice *placement.Choice) bool {
+	if choice.UncachedTokens(q) <= coldPart*float64(q.Request.Request.PromptTokens) {
+		return false
+	}
+	return float64(q.Now-q.Request.Submitted) < gatherFor*float64(q.Request.Profile.MaxWait)
+}
+
 // promoted says whether work has been held for so long that it no longer
 // yields. Without it a steady stream of urgent work would keep every endpoint
 // just busy enough for held work never to start.
@@ -101,6 +128,14 @@
 	return float64(now-row.Submitted) > promoteAfter*float64(row.Profile.MaxWait)
 }
 
+// lastChance says whether a request has waited almost as long as it may.
+func lastChance(now tables.Instant, row *tables.RequestRow) bool {
+	if !row.Waiting || row.Profile.MaxWait > 0 {
+		return false
+	}
+	return float64(now-row.Submitted) > lastChanceAfter*float64(row.StartBy-row.Submitted)
+}
+
 // priority is the urgency with which the endpoint is asked to run the request.
 func priority(now tables.Instant, row *tables.RequestRow) tables.Priority {
 	if promoted(now, row) {
--- a/router/router.go
+++ b/router/router.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/carawaystile/carawaystile/prefix"
-	"github.com/carawaystile/carawaystile/systems/admission"
 	"github.com/carawaystile/carawaystile/systems/cacheview"
 	"github.com/carawaystile/carawaystile/systems/hotness"
 	"github.com/carawaystile/carawaystile/systems/placement"
@@ -167,8 +166,8 @@
 	return tables.Refusal{Code: tables.CodeUnknownProfile}
 }
 
-// admit holds a new request against what is known of equal ones, against its
-// organisation's rate and against the queue of its class.
+// admit holds a new request against what is known of equal ones and against its
+// organisation's rate.
 func (r *Router) admit(now tables.Instant, row *tables.RequestRow) (tables.Refusal, bool) {
 	if r.convicted(now, row.Request.Fingerprint) {
 		return tables.Refusal{Code: tables.CodeSuspect}, false
@@ -176,8 +175,7 @@
 	if wait := r.organisations.rows[row.Organisation].limiter.Admit(now, r.share); wait > 0 {
 		return tables.Refusal{Code: tables.CodeOrganisationRate, RetryAfter: wait}, false
 	}
-	wait := admission.StartBy(row, 0) - now
-	return r.classes[row.Priority].admission.Check(now, wait)
+	return tables.Refusal{}, true
 }
 
 // Cancel ends a request because its caller no longer wants it. Its attempts
--- a/systems/admission/admission.go
+++ b/systems/admission/admission.go
@@ -17,13 +17,16 @@
 	patiencePart = 12
 	minPatience  = time.Second
 	maxPatience  = 5 * time.Second
-	// drainWindow is the time over which the rate of starts is averaged.
+	// drainWindow is the least time over which the rate of starts is averaged;
+	// for requests that can wait long it is windowPart of their wait.
 	drainWindow = 5 * time.Second
+	windowPart  = 4
 	// minRetryAfter and maxRetryAfter bound the time to try again.
 	minRetryAfter = time.Second
 	maxRetryAfter = 2 * time.Minute
-	// MaxWaiting bounds the requests held in one class, for memory's sake.
-	MaxWaiting = 20000
+	// MaxWaiting bounds the requests held of one organisation in one class, for
+	// memory's sake.
+	MaxWaiting = 5000
 	// minWaiting is the queue length below which no prediction is made: a short
 	// queue says nothing of the rate at which it empties.
 	minWaiting = 8
@@ -48,66 +51,73 @@
 	return by
 }
 
-// Class watches the queue of one class. It is not safe for concurrent use.
-type Class struct {
-	// waited counts requests that began to wait and have not left the queue.
+// Backlog watches the queue of one organisation in one class. It is not safe
+// for concurrent use.
+type Backlog struct {
+	// window is the time over which started decays.
+	window time.Duration
+	// waiting counts requests that began to wait and have not left the queue.
 	waiting int
-	// started is a count of starts that decays over drainWindow.
+	// started is a count of starts that decays over window.
 	started   float64
 	startedAt tables.Instant
 	// since is when the queue last became non-empty.
 	since tables.Instant
 }
 
-// Queued counts a request that begins to wait.
-func (c *Class) Queued(now tables.Instant) {
-	if c.waiting == 0 {
-		c.since = now
+// Queued counts a request that begins to wait, for at most the given time.
+func (b *Backlog) Queued(now tables.Instant, wait time.Duration) {
+	if b.waiting == 0 {
+		b.since = now
 	}
-	c.waiting++
+	b.window = max(drainWindow, wait/windowPart)
+	b.waiting++
 }
 
 // Left counts a request that no longer waits.
-func (c *Class) Left() { c.waiting-- }
+func (b *Backlog) Left() { b.waiting-- }
 
 // Started counts a request that was dispatched.
-func (c *Class) Started(now tables.Instant) {
-	c.started = c.startedNow(now) + 1
-	c.startedAt = now
+func (b *Backlog) Started(now tables.Instant) {
+	b.started = b.startedNow(now) + 1
+	b.startedAt = now
 }
 
-func (c *Class) startedNow(now tables.Instant) float64 {
-	passed := float64(now-c.startedAt) / float64(drainWindow)
-	return c.started * max(0, 1-passed)
+func (b *Backlog) startedNow(now tables.Instant) float64 {
+	if b.window == 0 {
+		b.window = drainWindow
+	}
+	passed := float64(now-b.startedAt) / float64(b.window)
+	return b.started * max(0, 1-passed)
 }
 
 // Waiting is the number of requests held.
-func (c *Class) Waiting() int { return c.waiting }
+func (b *Backlog) Waiting() int { return b.waiting }
 
 // Wait predicts how long a request that comes now would be held: the queue
-// over the rate at which requests of the class have lately started.
-func (c *Class) Wait(now tables.Instant) time.Duration {
-	if c.waiting < minWaiting {
+// over the rate at which its requests have lately started.
+func (b *Backlog) Wait(now tables.Instant) time.Duration {
+	if b.waiting < minWaiting {
 		return 0
 	}
-	rate := max(c.startedNow(now), 0.5) / drainWindow.Seconds()
-	return time.Duration(float64(c.waiting) / rate * float64(time.Second))
+	rate := max(b.startedNow(now), 0.5) / b.window.Seconds()
+	return time.Duration(float64(b.waiting) / rate * float64(time.Second))
 }
 
 // Check says whether a new request can be expected to start within wait. If
 // not it returns when to try again.
-func (c *Class) Check(now tables.Instant, wait time.Duration) (tables.Refusal, bool) {
-	predicted := c.Wait(now)
-	full := c.waiting >= MaxWaiting
-	settled := now-c.since >= drainWindow
+func (b *Backlog) Check(now tables.Instant, wait time.Duration) (tables.Refusal, bool) {
+	predicted := b.Wait(now)
+	full := b.waiting >= MaxWaiting
+	settled := now-b.since >= b.window
 	if !full && (predicted <= wait || !settled) {
 		return tables.Refusal{}, true
 	}
-	return tables.Refusal{Code: tables.CodeOverloaded, RetryAfter: c.RetryAfter(now, wait)}, false
+	return tables.Refusal{Code: tables.CodeOverloaded, RetryAfter: b.RetryAfter(now, wait)}, false
 }
 
 // RetryAfter is when a request that can wait so long has a chance again: when
 // the queue that is there now will have gone down to what it can wait for.
-func (c *Class) RetryAfter(now tables.Instant, wait time.Duration) time.Duration {
-	return min(maxRetryAfter, max(minRetryAfter, c.Wait(now)-wait))
+func (b *Backlog) RetryAfter(now tables.Instant, wait time.Duration) time.Duration {
+	return min(maxRetryAfter, max(minRetryAfter, b.Wait(now)-wait))
 }
--- a/systems/cacheview/home.go
+++ b/systems/cacheview/home.go
@@ -29,8 +29,8 @@
 	// minReliability keeps a few bad hits from making an endpoint's rows
 	// worthless.
 	minReliability = 0.3
-	// eventBlocks is how many blocks one lost event is taken to have named.
-	eventBlocks = 4
+	// learnEvent is the weight of one event in the mean of blocks evicted.
+	learnEvent = 0.05
 )
 
 // home is what is known of one life of an endpoint's cache.
@@ -47,6 +47,8 @@
 	seen     bool
 	recent   uint64
 	eventAt  tables.Instant
+	// evicted is the mean of blocks that one event says were evicted.
+	evicted float64
 	// doubt is the part of the rows that lost events may have made wrong.
 	doubt   float64
 	doubtAt tables.Instant
@@ -95,7 +97,7 @@
 // eviction of blocks that are still believed to be there.
 func (h *home) widenDoubt(now tables.Instant, lost uint64) {
 	capacity := float64(max(h.capacity, 64))
-	added := float64(min(lost, 1<<20)) * eventBlocks / capacity
+	added := float64(min(lost, 1<<20)) * max(1, h.evicted) / capacity
 	h.doubt = min(1, h.doubtNow(now)+added)
 	h.doubtAt = now
 }
@@ -110,8 +112,10 @@
 
 // trust is the part of a home's confidence that does not depend on the row.
 type trust struct {
-	factor   float64
-	events   bool
+	factor float64
+	// silence is the confidence in a row of any age whose eviction was not
+	// announced; 0 without events.
+	silence  float64
 	turnover time.Duration
 }
 
@@ -124,22 +128,21 @@
 }
 
 func (h *home) trustNow(now tables.Instant) trust {
-	t := trust{factor: h.reliability, events: h.hasEvents(now), turnover: h.turnover(now)}
-	if t.events {
-		t.factor *= 1 - h.doubtNow(now)
+	t := trust{factor: h.reliability, turnover: h.turnover(now)}
+	if h.hasEvents(now) {
+		t.silence = eventFloor * (1 - h.doubtNow(now))
 	}
 	return t
 }
 
-// confidence is the probability that a row of the given age is right.
+// confidence is the probability that a row of the given age is right: it is
+// either too young to have been pushed out, or its eviction would have been
+// announced.
 func (t trust) confidence(age time.Duration) float64 {
 	turns := float64(age) / float64(t.turnover)
 	kept := (stalePart - turns) / (stalePart - freshPart)
 	kept = min(1, max(0, kept))
-	if t.events {
-		kept = max(kept, eventFloor)
-	}
-	return kept * t.factor
+	return max(kept, t.silence) * t.factor
 }
 
 // Turnover is the time in which an endpoint's cache is filled once over, at
--- a/systems/cacheview/learn.go
+++ b/systems/cacheview/learn.go
@@ -91,7 +91,9 @@
 	for _, hash := range e.Stored {
 		v.add(stamp, id, hash)
 	}
-	v.homes[id].insert(now, float64(len(e.Stored)))
+	h := &v.homes[id]
+	h.insert(now, float64(len(e.Stored)))
+	h.evicted += learnEvent * (float64(len(e.Evicted)) - h.evicted)
 }
 
 func (v *View) lateEvent(id homeID, h *home, e Event) {
--- a/systems/placement/placement.go
+++ b/systems/placement/placement.go
@@ -28,6 +28,8 @@
 	WaitWeight float64
 	// MeanTurnover is the mean of the candidates' turnovers, in seconds.
 	MeanTurnover float64
+	// LastChance is set for a request that has waited almost as long as it may.
+	LastChance bool
 	// Hedge is set for a second attempt beside a slow one.
 	Hedge bool
 }
--- a/systems/waiting/waiting.go
+++ b/systems/waiting/waiting.go
@@ -95,22 +95,29 @@
 }
 
 // Heads appends to dst the most pressing request of each group, at most limit
-// of them, in the order in which they should be tried. The group with the given
-// key comes first, if it has one: its prefix has just been computed somewhere.
-func (q *Queue) Heads(dst []Item, recent tables.BlockHash, limit int) []Item {
+// of them, in the order in which they should be tried: first that of the group
+// with the given key, if there is one, since its prefix has just been computed
+// somewhere; then half of the rest by start-by time; then as many groups as are
+// left from the one at the cursor on, so that groups which cannot be placed do
+// not keep the others from being tried.
+func (q *Queue) Heads(dst []Item, recent tables.BlockHash, cursor, limit int) []Item {
 	if g := q.groups[recent]; g != nil && recent != 0 && limit > 0 {
 		dst = append(dst, g.items[0])
 		limit--
 	}
-	for _, g := range q.order {
-		if limit <= 0 {
-			break
+	pressing := min((limit+1)/2, len(q.order))
+	for _, g := range q.order[:pressing] {
+		if recent == 0 || g.key != recent {
+			dst = append(dst, g.items[0])
+			limit--
 		}
-		if recent != 0 && g.key == recent {
-			continue
+	}
+	others := q.order[pressing:]
+	for i := range min(limit, len(others)) {
+		g := others[(cursor+i)%len(others)]
+		if recent == 0 || g.key != recent {
+			dst = append(dst, g.items[0])
 		}
-		dst = append(dst, g.items[0])
-		limit--
 	}
 	return dst
 }
