Serve operators: diff, apply, export, history, status, endpoint, explain

Cause: declarations could be checked but not put in force by command. Example addresses are loopback now: a trial of the daemon with the old ones polled 10.x addresses, which must not happen by following an example.

--- a/cmd/carawaystile/exit.go
+++ b/cmd/carawaystile/exit.go
@@ -17,8 +17,14 @@
 	exitUsage   = subcommands.ExitUsageError
 	// exitInvalid: a file has faults.
 	exitInvalid subcommands.ExitStatus = 3
+	// exitConflict: another change was accepted first.
+	exitConflict subcommands.ExitStatus = 4
+	// exitUnreachable: no instance answered, or no quorum.
+	exitUnreachable subcommands.ExitStatus = 5
 	// exitBroken: a demo or measurement saw a promise broken.
 	exitBroken subcommands.ExitStatus = 6
+	// exitDiffers: diff found a difference.
+	exitDiffers subcommands.ExitStatus = 7
 )
 
 // fail prints a failure and returns the exit code.
--- a/cmd/carawaystile/main.go
+++ b/cmd/carawaystile/main.go
@@ -33,5 +33,12 @@
 	commander.Register(&versionCommand{}, "help")
 	commander.Register(&validateCommand{}, "declarations")
 	commander.Register(&tokenCommand{}, "declarations")
+	commander.Register(&diffCommand{}, "declarations")
+	commander.Register(&applyCommand{}, "declarations")
+	commander.Register(&exportCommand{}, "declarations")
+	commander.Register(&historyCommand{}, "declarations")
+	commander.Register(&endpointCommand{}, "instances")
+	commander.Register(&statusCommand{}, "instances")
+	commander.Register(&explainCommand{}, "instances")
 	commander.Register(&demoCommand{}, "trials")
 }
--- /dev/null
+++ b/cmd/carawaystile/status.go
@@ -0,0 +1,165 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/http"
+	"net/url"
+	"os"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/gravitational/trace"
+
+	"github.com/carawaystile/carawaystile/daemon"
+	"github.com/carawaystile/carawaystile/metrics"
+	"github.com/carawaystile/carawaystile/router"
+	"github.com/carawaystile/carawaystile/rpc"
+)
+
+// statusCommand shows instances and measurements.
+type statusCommand struct{ remote }
+
+func (*statusCommand) Name() string     { return "status" }
+func (*statusCommand) Synopsis() string { return "show instances, revisions and measurements" }
+
+func (*statusCommand) Usage() string {
+	return `status [-json]
+  Shows which instance has which revision in force and since when, the leader
+  of the control group, and the histograms of the first instance that answers.
+` + remoteUsage
+}
+
+func (c *statusCommand) SetFlags(f *flag.FlagSet) { c.setFlags(f) }
+
+// statusResult is what -json prints.
+type statusResult struct {
+	Instance     string           `json:"instance"`
+	Zone         string           `json:"zone"`
+	Leader       string           `json:"leader"`
+	Revision     uint64           `json:"revision"`
+	Instances    []instanceStatus `json:"instances"`
+	Measurements []metrics.Row    `json:"measurements"`
+}
+
+// instanceStatus is one instance of statusResult.
+type instanceStatus struct {
+	Instance string `json:"instance"`
+	Zone     string `json:"zone"`
+	Role     string `json:"role"`
+	State    string `json:"state"`
+	Revision uint64 `json:"revision"`
+	Since    string `json:"since"`
+}
+
+func (c *statusCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() > 0 {
+		f.Usage()
+		return exitUsage
+	}
+	if err := c.open(); err != nil {
+		return fail(exitUsage, err)
+	}
+	answer, err := ask(ctx, &c.remote, func(ctx context.Context, o rpc.Operator) (*rpc.StatusAnswer, error) {
+		return o.Status(ctx, &rpc.StatusRequest{})
+	})
+	if err != nil {
+		return failRemote(err, "")
+	}
+	result := newStatusResult(answer)
+	for _, at := range c.addresses {
+		if code, err := c.get(ctx, at, daemon.MeasurementsPath, &result.Measurements); err == nil && code == http.StatusOK {
+			break
+		}
+	}
+	if c.asJSON {
+		if err := writeJSON(os.Stdout, result); err != nil {
+			return fail(exitFailure, trace.Wrap(err))
+		}
+		return exitOK
+	}
+	result.print()
+	return exitOK
+}
+
+func newStatusResult(answer *rpc.StatusAnswer) statusResult {
+	result := statusResult{
+		Instance: answer.GetInstance(), Zone: answer.GetZone(), Leader: answer.GetLeader(),
+		Revision: answer.GetRevision(), Instances: []instanceStatus{},
+	}
+	for _, i := range answer.GetInstances() {
+		result.Instances = append(result.Instances, instanceStatus{
+			Instance: i.GetInstance(), Zone: i.GetZone(), Role: i.GetRole(), State: i.GetState(),
+			Revision: i.GetRevision(), Since: time.Unix(0, i.GetSince()).UTC().Format(time.RFC3339),
+		})
+	}
+	return result
+}
+
+func (r statusResult) print() {
+	fmt.Printf("Asked %s in %s. Revision %d is accepted. The control group's leader is %s.\n\n",
+		r.Instance, r.Zone, r.Revision, r.Leader)
+	out := newTable()
+	defer out.Flush()
+	fmt.Fprintln(out, "instance\tzone\trole\tstate\trevision\tsince")
+	for _, i := range r.Instances {
+		fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%d\t%s\n", i.Instance, i.Zone, i.Role, i.State, i.Revision, i.Since)
+	}
+	fmt.Fprintln(out, "\nmeasurement\tof\tcount\tp50\tp95\tp99")
+	for _, m := range r.Measurements {
+		if m.Count > 0 {
+			fmt.Fprintf(out, "%s\t%s\t%d\t%.4g\t%.4g\t%.4g\n", m.Family, m.Labels, m.Count, m.P50, m.P95, m.P99)
+		}
+	}
+}
+
+// explainCommand tells why a request went where it went.
+type explainCommand struct{ remote }
+
+func (*explainCommand) Name() string     { return "explain" }
+func (*explainCommand) Synopsis() string { return "tell why a request went where it went" }
+
+func (*explainCommand) Usage() string {
+	return `explain [-json] REQUEST
+  Shows the last decision on a request: the candidates, what each scored, and
+  the choice. REQUEST is the id of the answer. Only the entry instance that
+  served the request knows it, for a while; name all of them in -instances.
+` + remoteUsage
+}
+
+func (c *explainCommand) SetFlags(f *flag.FlagSet) { c.setFlags(f) }
+
+func (c *explainCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() != 1 {
+		f.Usage()
+		return exitUsage
+	}
+	if err := c.open(); err != nil {
+		return fail(exitUsage, err)
+	}
+	path := daemon.ExplainPath + "?request=" + url.QueryEscape(f.Arg(0))
+	failed := &unreachable{}
+	for _, at := range c.addresses {
+		var explanation router.Explanation
+		code, err := c.get(ctx, at, path, &explanation)
+		switch {
+		case err != nil:
+			failed.Causes = append(failed.Causes, trace.Wrap(err, "%s", at))
+		case code == http.StatusOK:
+			return c.print(explanation)
+		}
+	}
+	if len(failed.Causes) > 0 {
+		return failRemote(failed, "")
+	}
+	fmt.Fprintf(os.Stderr, "No instance that was asked remembers the request %s.\n", f.Arg(0))
+	return exitFailure
+}
+
+func (c *explainCommand) print(e router.Explanation) subcommands.ExitStatus {
+	if err := writeJSON(os.Stdout, e); err != nil {
+		return fail(exitFailure, trace.Wrap(err))
+	}
+	return exitOK
+}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -121,8 +121,8 @@
 		{"no role", "[entry, control]", "[]", "has no role"},
 		{"unknown role", "[entry, control]", "[entrance]", "not known here"},
 		{"not listed", "instance: accra-a-1", "instance: accra-a-2", "does not list it"},
-		{"no callers", "  callers: 10.20.1.5:8080\n", "", "no address for callers"},
-		{"even group", "  - {name: accra-c-1, zone: accra-c, address: '10.20.3.5:8081'}\n", "", "control instances is 2"},
+		{"no callers", "  callers: 127.20.1.5:8080\n", "", "no address for callers"},
+		{"even group", "  - {name: accra-c-1, zone: accra-c, address: '127.20.3.5:8081'}\n", "", "control instances is 2"},
 		{"listed twice", "name: accra-b-1", "name: accra-c-1", "listed twice"},
 	}
 	for _, test := range tests {
