--- a/engine/body.go
+++ b/engine/body.go
@@ -35,6 +35,12 @@
 	}
 	n := copy(p, b.rest)
 	b.rest = b.rest[n:]
+	if len(b.rest) == 0 {
+		// net/http holds the request for as long as its answer is read, which
+		// for a stream is long. Without this each open stream would hold a
+		// second copy of its prompt.
+		b.rest = nil
+	}
 	return n, nil
 }
 
