--- /dev/null
+++ b/keys/mac_test.go
@@ -0,0 +1,35 @@
+package keys
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func ringOf(t *testing.T, content string) *Ring {
+	path := filepath.Join(t.TempDir(), "key")
+	assert.NilError(t, os.WriteFile(path, []byte(content), 0o600))
+	ring, err := Read(path)
+	assert.NilError(t, err)
+	return ring
+}
+
+// A key is being rotated: some instances send the new one, others still the old
+// one. A datagram under a key that nobody was given must not count.
+func TestSealedDatagrams(t *testing.T) {
+	const older, newer = "older-older-older-older-older-older", "newer-newer-newer-newer-newer-newer"
+	both, only := ringOf(t, older+"\n"+newer+"\n"), ringOf(t, newer+"\n")
+	payload, ok := both.Open(only.Seal([]byte("row")))
+	assert.Assert(t, ok)
+	assert.Equal(t, string(payload), "row")
+	_, ok = only.Open(both.Seal([]byte("row")))
+	assert.Assert(t, !ok)
+	changed := only.Seal([]byte("row"))
+	changed[len(changed)-1]++
+	_, ok = only.Open(changed)
+	assert.Assert(t, !ok)
+	_, ok = only.Open([]byte("short"))
+	assert.Assert(t, !ok)
+}
