Detect failures between instances, and pass hints on

Cause: instances have to know who is alive, at bounded cost. Change: systems/membership is SWIM as a pure state machine (indirect pings, suspicion, refutation, doubt of itself, revisions and hints that ride along); control/gossip runs it over sealed UDP datagrams.

--- /dev/null
+++ b/control/gossip/gossip.go
@@ -0,0 +1,257 @@
+// Package gossip runs the failure detection of package systems/membership over
+// UDP.
+package gossip
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+
+	"github.com/carawaystile/carawaystile/events"
+	"github.com/carawaystile/carawaystile/keys"
+	"github.com/carawaystile/carawaystile/systems/membership"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+const (
+	tickInterval = 100 * time.Millisecond
+	// readBuffer is above the largest datagram.
+	readBuffer = 2048
+)
+
+// Options sets a Gossip up. The functions are called by one goroutine at a time
+// and must not call the Gossip's Close; nil ones are not called.
+type Options struct {
+	// Membership says who this instance is and whom to join through. Its Self
+	// address is listened on.
+	Membership membership.Options
+	// Ring holds the key that datagrams are sealed with.
+	Ring *keys.Ring
+	Log  *zap.Logger
+	// Changed is called when an instance came, went or changed its state.
+	Changed func([]membership.Member)
+	// Newer is called with the control address of an instance that has a newer
+	// revision in force.
+	Newer func(netip.AddrPort)
+	// Suspect and Placed hand out hints of other instances.
+	Suspect func(membership.CrashSuspect)
+	Placed  func(membership.Placement)
+}
+
+// Traffic counts what was sent and received.
+type Traffic struct {
+	SentBytes, SentDatagrams         uint64
+	ReceivedBytes, ReceivedDatagrams uint64
+	Dropped                          uint64
+}
+
+// Gossip is a running detection. It is safe for concurrent use.
+type Gossip struct {
+	options Options
+	conn    *net.UDPConn
+	started time.Time
+	stop    chan struct{}
+	running sync.WaitGroup
+
+	mu         sync.Mutex
+	membership *membership.Membership
+	version    uint64
+
+	// calls is held while the functions of the options are called.
+	calls sync.Mutex
+
+	sentBytes, sent         atomic.Uint64
+	receivedBytes, received atomic.Uint64
+	dropped                 atomic.Uint64
+}
+
+// Start listens and joins.
+func Start(options Options) (*Gossip, error) {
+	if options.Log == nil {
+		options.Log = zap.NewNop()
+	}
+	address := net.UDPAddrFromAddrPort(options.Membership.Self.Address)
+	conn, err := net.ListenUDP("udp", address)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	// Tests listen on any port; the others must learn the real one.
+	options.Membership.Self.Address = conn.LocalAddr().(*net.UDPAddr).AddrPort()
+	g := &Gossip{
+		options:    options,
+		conn:       conn,
+		started:    time.Now(),
+		stop:       make(chan struct{}),
+		membership: membership.New(options.Membership),
+	}
+	g.running.Go(g.read)
+	g.running.Go(g.tick)
+	return g, nil
+}
+
+// Address is where datagrams are taken.
+func (g *Gossip) Address() netip.AddrPort { return g.options.Membership.Self.Address }
+
+// Close tells the others that this instance leaves, and stops.
+func (g *Gossip) Close() {
+	g.run((*membership.Membership).Leave)
+	close(g.stop)
+	_ = g.conn.Close()
+	g.running.Wait()
+}
+
+// Members returns all known instances, by name.
+func (g *Gossip) Members() []membership.Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.membership.Members()
+}
+
+// Share returns this instance's part of the load, above 0 and at most 1.
+func (g *Gossip) Share() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.membership.Share()
+}
+
+// SetRevision tells the others which revision is in force here.
+func (g *Gossip) SetRevision(revision tables.Revision, since time.Time) {
+	g.run(func(m *membership.Membership, now tables.Instant) membership.Output {
+		return m.SetRevision(now, revision, since)
+	})
+}
+
+// ShareSuspect lets the others know of a request that crashes endpoints.
+func (g *Gossip) ShareSuspect(s membership.CrashSuspect) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.membership.ShareSuspect(g.now(), s)
+}
+
+// SharePlacement lets the others know where a prefix was placed.
+func (g *Gossip) SharePlacement(p membership.Placement) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.membership.SharePlacement(p)
+}
+
+// PlatformList takes the platform's list as a hint.
+func (g *Gossip) PlatformList(list []membership.PlatformInstance) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.membership.PlatformList(list)
+}
+
+// Traffic returns the counts since the start.
+func (g *Gossip) Traffic() Traffic {
+	return Traffic{
+		SentBytes:         g.sentBytes.Load(),
+		SentDatagrams:     g.sent.Load(),
+		ReceivedBytes:     g.receivedBytes.Load(),
+		ReceivedDatagrams: g.received.Load(),
+		Dropped:           g.dropped.Load(),
+	}
+}
+
+func (g *Gossip) now() tables.Instant { return time.Since(g.started) }
+
+// run lets the detection do something and carries out what comes of it.
+func (g *Gossip) run(f func(*membership.Membership, tables.Instant) membership.Output) {
+	g.mu.Lock()
+	out := f(g.membership, g.now())
+	var changed []membership.Member
+	if version := g.membership.Version(); version != g.version && g.options.Changed != nil {
+		g.version = version
+		changed = g.membership.Members()
+	}
+	g.mu.Unlock()
+	for _, d := range out.Datagrams {
+		g.send(d)
+	}
+	g.tell(out, changed)
+}
+
+func (g *Gossip) send(d membership.Datagram) {
+	sealed := g.options.Ring.Seal(d.Payload)
+	if _, err := g.conn.WriteToUDPAddrPort(sealed, d.To); err != nil {
+		g.dropped.Add(1)
+		return
+	}
+	g.sent.Add(1)
+	g.sentBytes.Add(uint64(len(sealed)))
+}
+
+func (g *Gossip) tell(out membership.Output, changed []membership.Member) {
+	g.calls.Lock()
+	defer g.calls.Unlock()
+	if changed != nil {
+		g.options.Changed(changed)
+	}
+	if out.Newer.IsValid() && g.options.Newer != nil {
+		g.options.Newer(out.Newer)
+	}
+	for _, s := range out.Suspects {
+		if g.options.Suspect != nil {
+			g.options.Suspect(s)
+		}
+	}
+	for _, p := range out.Placements {
+		if g.options.Placed != nil {
+			g.options.Placed(p)
+		}
+	}
+}
+
+func (g *Gossip) tick() {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			g.run((*membership.Membership).Tick)
+		case <-g.stop:
+			return
+		}
+	}
+}
+
+func (g *Gossip) read() {
+	buffer := make([]byte, readBuffer)
+	for {
+		n, from, err := g.conn.ReadFromUDPAddrPort(buffer)
+		select {
+		case <-g.stop:
+			return
+		default:
+		}
+		if err != nil {
+			// An ICMP answer to an earlier datagram ends up here; the socket
+			// goes on working.
+			continue
+		}
+		g.receive(buffer[:n], netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
+	}
+}
+
+func (g *Gossip) receive(sealed []byte, from netip.AddrPort) {
+	g.received.Add(1)
+	g.receivedBytes.Add(uint64(len(sealed)))
+	payload, ok := g.options.Ring.Open(sealed)
+	if !ok {
+		g.dropped.Add(1)
+		return
+	}
+	g.run(func(m *membership.Membership, now tables.Instant) membership.Output {
+		out, err := m.Receive(now, from, payload)
+		if err != nil {
+			g.dropped.Add(1)
+			events.DatagramDropped.Log(g.options.Log, zap.Error(err))
+		}
+		return out
+	})
+}
--- /dev/null
+++ b/control/gossip/gossip_test.go
@@ -0,0 +1,70 @@
+package gossip
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/keys"
+	"github.com/carawaystile/carawaystile/systems/membership"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+func start(t *testing.T, key string, i int, seeds []netip.AddrPort, options Options) *Gossip {
+	path := filepath.Join(t.TempDir(), "key")
+	assert.NilError(t, os.WriteFile(path, []byte(key), 0o600))
+	ring, err := keys.Read(path)
+	assert.NilError(t, err)
+	options.Ring = ring
+	options.Membership = membership.Options{
+		Self: membership.Row{
+			Instance: tables.InstanceID(fmt.Sprint("i", i)),
+			Roles:    membership.RoleEntry,
+			Size:     1,
+			Address:  netip.MustParseAddrPort("127.0.0.1:0"),
+			Control:  netip.MustParseAddrPort("127.0.0.1:1"),
+			Boot:     1,
+		},
+		Seeds: seeds,
+	}
+	g, err := Start(options)
+	assert.NilError(t, err)
+	t.Cleanup(g.Close)
+	return g
+}
+
+// An instance with another key, such as one of another deployment, sends to the
+// same address. It must neither be believed nor stop the others.
+func TestInstancesFindEachOtherOverUDP(t *testing.T) {
+	const key, other = "0123456789abcdef0123456789abcdef", "another-key-of-thirty-two-letters"
+	changed := make(chan []membership.Member, 100)
+	placed := make(chan membership.Placement, 1)
+	newer := make(chan netip.AddrPort, 100)
+	first := start(t, key, 0, nil, Options{
+		Changed: func(members []membership.Member) { changed <- members },
+		Placed:  func(p membership.Placement) { placed <- p },
+		Newer:   func(at netip.AddrPort) { newer <- at },
+	})
+	seeds := []netip.AddrPort{first.Address()}
+	second := start(t, key, 1, seeds, Options{})
+	stranger := start(t, other, 2, seeds, Options{})
+	second.SharePlacement(membership.Placement{Endpoint: "e", Boot: "b", Block: 1})
+	second.SetRevision(4, time.Unix(1, 0))
+	members := <-changed
+	for len(members) < 2 {
+		members = <-changed
+	}
+	assert.Equal(t, len(members), 2)
+	assert.Equal(t, (<-placed).Block, tables.BlockHash(1))
+	assert.Equal(t, (<-newer).Port(), uint16(1))
+	assert.Equal(t, first.Share(), 0.5)
+	for first.Traffic().Dropped == 0 {
+		<-newer
+	}
+	assert.Equal(t, len(stranger.Members()), 1)
+}
--- /dev/null
+++ b/systems/membership/membership.go
@@ -0,0 +1,328 @@
+// Package membership tells which instances are alive, by the SWIM protocol:
+// each instance pings one other a period, asks a few others to ping it when no
+// answer comes, suspects it next, and holds it for dead when it does not refute
+// the suspicion in time. What is new rides on the pings. So the bytes that an
+// instance sends in a second do not grow with the number of instances.
+//
+// The package is pure: datagrams and the clock go in, datagrams and news come
+// out. A Membership is not safe for concurrent use.
+package membership
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// Role says what an instance does; roles can be added.
+type Role uint8
+
+// The roles of an instance.
+const (
+	RoleEntry Role = 1 << iota
+	RoleControl
+)
+
+// Row describes an instance, as it says itself.
+type Row struct {
+	Instance tables.InstanceID
+	Zone     tables.Zone
+	Roles    Role
+	// Size weighs the instance against others.
+	Size int
+	// Address takes datagrams; Control serves the other instances over TCP.
+	Address netip.AddrPort
+	Control netip.AddrPort
+	// Boot grows with every start of the instance.
+	Boot uint64
+	// Revision is in force at the instance since Since.
+	Revision tables.Revision
+	Since    time.Time
+}
+
+// State is what is believed of an instance.
+type State uint8
+
+// The states. Of two beliefs about one incarnation the later state wins.
+const (
+	Alive State = iota
+	Suspect
+	Dead
+	Left
+)
+
+// String gives the state's name.
+func (s State) String() string { return [...]string{"alive", "suspect", "dead", "left"}[s] }
+
+// Member is an instance and what is believed of it.
+type Member struct {
+	Row
+	State State
+	// Incarnation grows when the instance refutes a suspicion.
+	Incarnation uint64
+	// Leaving is set while the platform's list says that the instance leaves.
+	Leaving bool
+}
+
+// member is a Member with what the detection needs.
+type member struct {
+	Member
+	// changed is when the state last changed here.
+	changed tables.Instant
+	// unsent is how many more datagrams the row rides on.
+	unsent int
+	// private rows are doubts of an instance that doubts itself; they are told
+	// to nobody but the member itself.
+	private bool
+}
+
+// Config holds the times and bounds of the protocol. Zero values mean the
+// defaults.
+type Config struct {
+	// Period is the time between two probes; half a second is enough for the
+	// direct answer, see ProbeTimeout.
+	Period       time.Duration
+	ProbeTimeout time.Duration
+	// Helpers is how many others are asked to ping one that did not answer.
+	Helpers int
+	// Forget is how long dead instances are kept and tried again, so that zones
+	// find each other after they were cut off.
+	Forget time.Duration
+	// DatagramBytes bounds one datagram, ItemBytes the hints in it.
+	DatagramBytes int
+	ItemBytes     int
+	// SyncBytesPerSecond bounds what is sent to joining instances; herds of them
+	// are served in turn.
+	SyncBytesPerSecond int
+}
+
+const (
+	defaultPeriod        = time.Second
+	defaultProbeTimeout  = 400 * time.Millisecond
+	defaultHelpers       = 3
+	defaultForget        = time.Hour
+	defaultDatagramBytes = 1180
+	defaultItemBytes     = 360
+	defaultSyncBytes     = 6000
+	// syncBurst is how many seconds of SyncBytesPerSecond can be saved up.
+	syncBurst = 4
+	// backgroundRows is how many rows, in turn, ride along though they are not
+	// new. They repair what was lost and bring revisions in force.
+	backgroundRows = 5
+	// eagerTargets is how many others are told at once of a new revision.
+	eagerTargets = 4
+	// loneProbes is the number of failed probes in a row, of different members,
+	// after which an instance doubts itself and accuses nobody.
+	loneProbes = 3
+	// suspectPeriods times the logarithm of the group's size is how many periods
+	// an instance has to refute a suspicion.
+	suspectPeriods = 4
+	// retryDead is the number of periods between two pings of a dead member.
+	retryDead = 5
+	// spreadFactor times the logarithm of the group's size is how many datagrams
+	// of each instance a new row rides on.
+	spreadFactor = 3
+)
+
+func (c *Config) setDefaults() {
+	c.Period = cmp.Or(c.Period, defaultPeriod)
+	c.ProbeTimeout = cmp.Or(c.ProbeTimeout, defaultProbeTimeout)
+	c.Helpers = cmp.Or(c.Helpers, defaultHelpers)
+	c.Forget = cmp.Or(c.Forget, defaultForget)
+	c.DatagramBytes = cmp.Or(c.DatagramBytes, defaultDatagramBytes)
+	c.ItemBytes = cmp.Or(c.ItemBytes, defaultItemBytes)
+	c.SyncBytesPerSecond = cmp.Or(c.SyncBytesPerSecond, defaultSyncBytes)
+}
+
+// Options sets a Membership up.
+type Options struct {
+	Self   Row
+	Config Config
+	// Seeds are addresses to join through. They are tried as long as they are
+	// not those of living members.
+	Seeds []netip.AddrPort
+	Seed  uint64
+}
+
+// Datagram is one to be sent.
+type Datagram struct {
+	To      netip.AddrPort
+	Payload []byte
+}
+
+// Output is what came of one call.
+type Output struct {
+	Datagrams []Datagram
+	// Suspects and Placements are hints that were new.
+	Suspects   []CrashSuspect
+	Placements []Placement
+	// Newer is set to the control address of an instance that has a newer
+	// revision in force than this one.
+	Newer netip.AddrPort
+}
+
+// Membership is one instance's view of all.
+type Membership struct {
+	config Config
+	self   *member
+	seeds  []netip.AddrPort
+	random *rand.Rand
+	rows   map[tables.InstanceID]*member
+	// version grows whenever a state changes or a member comes or goes.
+	version uint64
+
+	probes  probes
+	gossip  gossip
+	gone    map[netip.AddrPort]bool
+	leaving map[netip.AddrPort]bool
+	out     Output
+
+	// background is where the turn of rows stands.
+	background int
+	syncBytes  float64
+	lastTick   tables.Instant
+	// now is the time of the newest call.
+	now tables.Instant
+}
+
+// New returns the view of an instance that knows of nobody yet.
+func New(options Options) *Membership {
+	options.Config.setDefaults()
+	self := &member{Member: Member{Row: options.Self, Incarnation: 1}}
+	return &Membership{
+		config: options.Config,
+		self:   self,
+		seeds:  options.Seeds,
+		random: rand.New(rand.NewPCG(options.Seed, options.Self.Boot)),
+		rows:   map[tables.InstanceID]*member{options.Self.Instance: self},
+		probes: newProbes(),
+		gossip: newGossip(),
+	}
+}
+
+// Members returns all known instances, this one included, by name.
+func (m *Membership) Members() []Member {
+	members := make([]Member, 0, len(m.rows))
+	for _, row := range m.rows {
+		member := row.Member
+		member.Leaving = m.leaving[row.Address]
+		members = append(members, member)
+	}
+	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.Instance, b.Instance) })
+	return members
+}
+
+// Version grows whenever the set of living instances changes.
+func (m *Membership) Version() uint64 { return m.version }
+
+// Share returns this instance's part of the load that living entry instances
+// share by size, above 0 and at most 1.
+func (m *Membership) Share() float64 {
+	all := 0
+	for _, row := range m.rows {
+		if row.State <= Suspect && row.Roles&RoleEntry != 0 {
+			all += max(1, row.Size)
+		}
+	}
+	return float64(max(1, m.self.Size)) / float64(max(all, m.self.Size, 1))
+}
+
+// SetRevision notes which revision is in force here, and tells a few others at
+// once: those that reach no control instance learn of it this way.
+func (m *Membership) SetRevision(now tables.Instant, revision tables.Revision, since time.Time) Output {
+	if revision <= m.self.Revision {
+		return Output{}
+	}
+	m.now = now
+	m.self.Revision, m.self.Since = revision, since
+	for _, to := range m.pick(eagerTargets, m.self.Instance) {
+		m.send(to.Address, datagramRows, 0)
+	}
+	return m.take()
+}
+
+// Leave tells a few others that this instance ends, so that nobody has to find
+// out.
+func (m *Membership) Leave(now tables.Instant) Output {
+	m.now = now
+	m.self.State = Left
+	m.self.unsent = m.spread()
+	for _, to := range m.pick(eagerTargets, m.self.Instance) {
+		m.send(to.Address, datagramRows, 0)
+	}
+	return m.take()
+}
+
+// PlatformInstance is one line of the platform's list.
+type PlatformInstance struct {
+	Address netip.AddrPort
+	Leaving bool
+}
+
+// PlatformList takes the platform's list as a hint: it may be old. Instances in
+// it that are not known are tried. One that is suspect and that the list does
+// not have, or has as leaving, is held for dead without further waiting.
+func (m *Membership) PlatformList(list []PlatformInstance) {
+	m.gone, m.leaving = map[netip.AddrPort]bool{}, map[netip.AddrPort]bool{}
+	listed := map[netip.AddrPort]bool{}
+	for _, line := range list {
+		listed[line.Address] = true
+		m.leaving[line.Address] = line.Leaving
+		if !line.Leaving && !slices.Contains(m.seeds, line.Address) {
+			m.seeds = append(m.seeds, line.Address)
+		}
+	}
+	m.seeds = slices.DeleteFunc(m.seeds, func(seed netip.AddrPort) bool { return m.leaving[seed] })
+	for _, row := range m.rows {
+		if !listed[row.Address] || m.leaving[row.Address] {
+			m.gone[row.Address] = true
+		}
+	}
+}
+
+// take returns what has come together since the last call.
+func (m *Membership) take() Output {
+	out := m.out
+	m.out = Output{}
+	return out
+}
+
+// living counts members that are not dead or left.
+func (m *Membership) living() int {
+	n := 0
+	for _, row := range m.rows {
+		if row.State <= Suspect {
+			n++
+		}
+	}
+	return n
+}
+
+// logSize is the logarithm that times and repetitions grow with.
+func (m *Membership) logSize() int { return int(math.Ceil(math.Log2(float64(m.living() + 1)))) }
+
+func (m *Membership) spread() int { return spreadFactor * m.logSize() }
+
+// suspectFor is how long a member has to refute a suspicion.
+func (m *Membership) suspectFor() time.Duration {
+	factor := max(1, math.Log10(float64(m.living())))
+	return time.Duration(suspectPeriods * factor * float64(m.config.Period))
+}
+
+// pick returns up to n living members at random, without this one and except.
+func (m *Membership) pick(n int, except tables.InstanceID) []*member {
+	var all []*member
+	for _, row := range m.rows {
+		if row != m.self && row.Instance != except && row.State <= Suspect {
+			all = append(all, row)
+		}
+	}
+	slices.SortFunc(all, func(a, b *member) int { return cmp.Compare(a.Instance, b.Instance) })
+	m.random.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(n, len(all))]
+}
--- /dev/null
+++ b/systems/membership/membership_test.go
@@ -0,0 +1,196 @@
+package membership
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestAllFindEachOther(t *testing.T) {
+	for _, n := range []int{2, 9, 100} {
+		w := newWorld(t, n)
+		w.until(30*time.Second, "find each other", w.allAlive)
+		assert.Equal(t, w.nodes[1].Share(), 1/float64(n))
+	}
+}
+
+// An instance stops without a word. Its part of the load and of every limit has
+// to go to the others soon, and nobody else may be given up for it.
+func TestStoppedInstanceIsFound(t *testing.T) {
+	w := newWorld(t, 9)
+	w.until(30*time.Second, "find each other", w.allAlive)
+	w.nodes[4].down = true
+	w.until(30*time.Second, "find the dead", func() bool { return w.seen(4, Dead) })
+	assert.Assert(t, w.allAlive())
+}
+
+func TestLeavingIsToldAtOnce(t *testing.T) {
+	w := newWorld(t, 9)
+	w.until(30*time.Second, "find each other", w.allAlive)
+	w.send(w.nodes[4], w.nodes[4].Leave(w.now))
+	w.nodes[4].down = true
+	took := w.until(30*time.Second, "hear of the leave", func() bool { return w.seen(4, Left) })
+	assert.Assert(t, took <= 3*time.Second, "%v", took)
+}
+
+// Datagrams from one instance to one other are lost in one direction. Everyone
+// else reaches both, so neither may be given up.
+func TestOneWayLossBetweenTwo(t *testing.T) {
+	w := newWorld(t, 9)
+	w.until(30*time.Second, "find each other", w.allAlive)
+	w.lost = func(from, to int) bool { return from == 2 && to == 5 }
+	for range 600 {
+		w.step()
+		for i := range w.nodes {
+			assert.Assert(t, w.state(i, 2) != Dead && w.state(i, 5) != Dead, "after %v", w.now)
+		}
+	}
+}
+
+// An instance sends but hears nothing. The others give it up; it must not make
+// them give up each other, and must be taken back when it hears again.
+func TestDeafInstanceAccusesNobody(t *testing.T) {
+	w := newWorld(t, 9)
+	w.until(30*time.Second, "find each other", w.allAlive)
+	w.lost = func(_, to int) bool { return to == 3 }
+	w.until(time.Minute, "give up the deaf one", func() bool { return w.seen(3, Dead) })
+	for range 600 {
+		w.step()
+		for i := range w.nodes {
+			for j := range w.nodes {
+				assert.Assert(t, i == 3 || j == 3 || w.state(i, j) != Dead, "%d holds %d for dead", i, j)
+			}
+		}
+	}
+	w.lost = func(int, int) bool { return false }
+	w.until(time.Minute, "take it back", w.allAlive)
+}
+
+// Zones are cut off from each other for long and then find together again,
+// though none of the seeds lies in the second one.
+func TestZonesFindTogetherAgain(t *testing.T) {
+	w := newWorld(t, 9)
+	w.until(30*time.Second, "find each other", w.allAlive)
+	w.lost = func(from, to int) bool { return (from < 3) != (to < 3) }
+	w.until(2*time.Minute, "hold the other zone for dead", func() bool { return w.state(8, 0) == Dead && w.state(0, 8) == Dead })
+	w.run(5 * time.Minute)
+	assert.Equal(t, w.state(3, 8), Alive)
+	w.lost = func(int, int) bool { return false }
+	w.until(2*time.Minute, "find together", w.allAlive)
+}
+
+// All instances restart within one tick and ask the same seed for everything.
+func TestHerdOfRestarts(t *testing.T) {
+	w := newWorld(t, 100)
+	w.until(time.Minute, "find each other", w.allAlive)
+	for i := range w.nodes {
+		w.boot(i)
+	}
+	w.until(time.Minute, "find each other again", w.allAlive)
+}
+
+// Every fifth datagram is lost. Suspicions come up and are refuted in time.
+func TestRandomLoss(t *testing.T) {
+	w := newWorld(t, 30)
+	random := rand.New(rand.NewPCG(1, 2))
+	w.until(time.Minute, "find each other", w.allAlive)
+	w.lost = func(int, int) bool { return random.IntN(5) == 0 }
+	for range 3000 {
+		w.step()
+		for i := range w.nodes {
+			for j := range w.nodes {
+				assert.Assert(t, w.state(i, j) <= Suspect, "%d holds %d for dead at %v", i, j, w.now)
+			}
+		}
+	}
+}
+
+// A restarted instance comes back after its wall clock was set back, with a
+// lower boot number. The others must not take it for its former self.
+func TestBootNumberWentBack(t *testing.T) {
+	w := newWorld(t, 5)
+	w.until(30*time.Second, "find each other", w.allAlive)
+	w.boots = 0
+	w.boot(3)
+	w.nodes[3].SetRevision(w.now, 7, time.Unix(1, 0))
+	w.until(30*time.Second, "see the new process", func() bool {
+		row := w.nodes[1].rows[w.nodes[3].self.Instance]
+		return row.State == Alive && row.Revision == 7 && row.Boot == w.nodes[3].self.Boot
+	})
+}
+
+// The platform's list has an instance as leaving. While it answers it is alive;
+// once it does not, nobody waits any longer.
+func TestPlatformListShortensSuspicion(t *testing.T) {
+	w := newWorld(t, 9)
+	w.until(30*time.Second, "find each other", w.allAlive)
+	for _, node := range w.nodes {
+		var list []PlatformInstance
+		for i, other := range w.nodes {
+			list = append(list, PlatformInstance{Address: other.address, Leaving: i == 4})
+		}
+		node.PlatformList(list)
+	}
+	w.run(10 * time.Second)
+	assert.Assert(t, w.allAlive())
+	assert.Assert(t, w.nodes[0].Members()[4].Leaving)
+	w.nodes[4].down = true
+	took := w.until(30*time.Second, "find the dead", func() bool { return w.seen(4, Dead) })
+	assert.Assert(t, took < w.nodes[0].suspectFor()+2*time.Second, "%v", took)
+}
+
+func TestHintsReachAll(t *testing.T) {
+	w := newWorld(t, 30)
+	w.until(time.Minute, "find each other", w.allAlive)
+	w.nodes[7].ShareSuspect(w.now, CrashSuspect{Fingerprint: 9, Crashes: 2, TTL: time.Minute})
+	w.nodes[7].SharePlacement(Placement{Endpoint: "e1", Boot: "b", Block: 5})
+	w.send(w.nodes[7], w.nodes[7].SetRevision(w.now, 12, time.Unix(1, 0)))
+	w.until(time.Minute, "hints reach all", func() bool {
+		for i, node := range w.nodes {
+			if i != 7 && (len(node.suspects) == 0 || len(node.placements) == 0 || !node.newer.IsValid()) {
+				return false
+			}
+		}
+		return true
+	})
+	w.run(time.Minute)
+	shortest := time.Minute
+	for i, node := range w.nodes {
+		if i == 7 {
+			continue
+		}
+		assert.Equal(t, len(node.suspects), 1)
+		assert.Equal(t, len(node.placements), 1)
+		assert.Assert(t, node.suspects[0].TTL <= time.Minute)
+		shortest = min(shortest, node.suspects[0].TTL)
+	}
+	assert.Assert(t, shortest < time.Minute-time.Second)
+	assert.Equal(t, len(w.nodes[7].gossip.suspects), 0)
+}
+
+// The limit for all control traffic of an instance is 29 KB a second at 340
+// instances. Failure detection must stay far below it, whatever the size.
+func TestBytesDoNotGrowWithSize(t *testing.T) {
+	perSecond := func(n int) (bytes, datagrams float64) {
+		w := newWorld(t, n)
+		w.until(2*time.Minute, "find each other", w.allAlive)
+		w.sent, w.packets = 0, 0
+		w.run(20 * time.Second)
+		seconds := 20 * float64(n)
+		return float64(w.sent) / seconds, float64(w.packets) / seconds
+	}
+	_, few := perSecond(40)
+	bytes, many := perSecond(160)
+	assert.Assert(t, many < 1.1*few, "%.2f datagrams a second with 160, %.2f with 40", many, few)
+	assert.Assert(t, bytes < 3000, "%.0f bytes a second", bytes)
+}
+
+func TestBadDatagram(t *testing.T) {
+	w := newWorld(t, 2)
+	_, err := w.nodes[0].Receive(0, w.nodes[1].address, []byte{0xff})
+	assert.ErrorContains(t, err, "cannot be read")
+	_, err = w.nodes[0].Receive(0, w.nodes[1].address, nil)
+	assert.ErrorContains(t, err, "no sender")
+}
--- /dev/null
+++ b/systems/membership/network_test.go
@@ -0,0 +1,167 @@
+package membership
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+const (
+	tickEvery = 100 * time.Millisecond
+	latency   = 2 * time.Millisecond
+)
+
+// world runs many memberships in virtual time.
+type world struct {
+	t       testing.TB
+	now     time.Duration
+	nodes   []*node
+	at      map[netip.AddrPort]*node
+	flying  []flight
+	boots   uint64
+	lost    func(from, to int) bool
+	sent    int
+	packets int
+}
+
+type node struct {
+	*Membership
+	index      int
+	address    netip.AddrPort
+	down       bool
+	suspects   []CrashSuspect
+	placements []Placement
+	newer      netip.AddrPort
+}
+
+type flight struct {
+	due     time.Duration
+	from    *node
+	to      netip.AddrPort
+	payload []byte
+}
+
+// newWorld starts n instances; all but the first join through it.
+func newWorld(t testing.TB, n int) *world {
+	w := &world{t: t, at: map[netip.AddrPort]*node{}, lost: func(int, int) bool { return false }}
+	for i := range n {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 8082)
+		node := &node{index: i, address: address}
+		w.nodes = append(w.nodes, node)
+		w.at[address] = node
+		w.boot(i)
+	}
+	return w
+}
+
+// boot starts instance i anew.
+func (w *world) boot(i int) {
+	w.boots++
+	node := w.nodes[i]
+	node.down = false
+	node.Membership = New(Options{
+		Self: Row{
+			Instance: tables.InstanceID(fmt.Sprintf("accra-a-%03d", i)),
+			Zone:     "accra-a",
+			Roles:    RoleEntry,
+			Size:     4,
+			Address:  node.address,
+			Control:  netip.AddrPortFrom(node.address.Addr(), 8081),
+			Boot:     w.boots,
+		},
+		Seeds: []netip.AddrPort{w.nodes[0].address},
+		Seed:  uint64(i),
+	})
+}
+
+func (w *world) send(from *node, out Output) {
+	from.suspects = append(from.suspects, out.Suspects...)
+	from.placements = append(from.placements, out.Placements...)
+	if out.Newer.IsValid() {
+		from.newer = out.Newer
+	}
+	for _, d := range out.Datagrams {
+		w.sent += len(d.Payload)
+		w.packets++
+		assert.Assert(w.t, len(d.Payload) <= defaultDatagramBytes)
+		w.flying = append(w.flying, flight{due: w.now + latency, from: from, to: d.To, payload: d.Payload})
+	}
+}
+
+// step moves time on by a tick.
+func (w *world) step() {
+	end := w.now + tickEvery
+	for i, node := range w.nodes {
+		w.now += tickEvery / time.Duration(len(w.nodes)+1)
+		w.deliver()
+		if !node.down && (i >= 0) {
+			w.send(node, node.Tick(w.now))
+		}
+	}
+	w.now = end
+	w.deliver()
+}
+
+func (w *world) deliver() {
+	for len(w.flying) > 0 && w.flying[0].due <= w.now {
+		f := w.flying[0]
+		w.flying = w.flying[1:]
+		to := w.at[f.to]
+		if to == nil || to.down || w.lost(f.from.index, to.index) {
+			continue
+		}
+		out, err := to.Receive(w.now, f.from.address, f.payload)
+		assert.NilError(w.t, err)
+		w.send(to, out)
+	}
+}
+
+func (w *world) run(d time.Duration) {
+	for end := w.now + d; w.now < end; {
+		w.step()
+	}
+}
+
+// until runs until ok, and fails after a bound.
+func (w *world) until(bound time.Duration, what string, ok func() bool) time.Duration {
+	start := w.now
+	for !ok() {
+		if w.now-start >= bound {
+			w.t.Fatalf("%s: not within %v", what, bound)
+		}
+		w.step()
+	}
+	return w.now - start
+}
+
+func (w *world) state(at, of int) State {
+	row := w.nodes[at].rows[w.nodes[of].self.Instance]
+	if row == nil {
+		return Left
+	}
+	return row.State
+}
+
+// seen says whether all that are up see all of them in the state.
+func (w *world) seen(of int, state State) bool {
+	for i, node := range w.nodes {
+		if i != of && !node.down && w.state(i, of) != state {
+			return false
+		}
+	}
+	return true
+}
+
+func (w *world) allAlive() bool {
+	for i, node := range w.nodes {
+		if !node.down && !w.seen(i, Alive) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/systems/membership/send.go
@@ -0,0 +1,174 @@
+package membership
+
+import (
+	"cmp"
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/carawaystile/carawaystile/rpc"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+const (
+	datagramPing        = rpc.DatagramKind_DATAGRAM_PING
+	datagramAck         = rpc.DatagramKind_DATAGRAM_ACK
+	datagramPingRequest = rpc.DatagramKind_DATAGRAM_PING_REQUEST
+	datagramRows        = rpc.DatagramKind_DATAGRAM_ROWS
+	// fieldOverhead is what an embedded message costs besides its content.
+	fieldOverhead = 3
+)
+
+// send sends a datagram with what is new and some of what is not.
+func (m *Membership) send(to netip.AddrPort, kind rpc.DatagramKind, sequence uint64) {
+	m.finish(to, m.datagram(kind, sequence), nil)
+}
+
+func (m *Membership) sendAbout(to netip.AddrPort, kind rpc.DatagramKind, sequence uint64, target netip.AddrPort) {
+	d := m.datagram(kind, sequence)
+	d.Target, _ = target.MarshalBinary()
+	m.finish(to, d, nil)
+}
+
+func (m *Membership) sendJoining(to netip.AddrPort, sequence uint64) {
+	d := m.datagram(datagramPing, sequence)
+	d.Joining = true
+	m.finish(to, d, nil)
+}
+
+// sendRows sends only the given rows, as far as they fit.
+func (m *Membership) sendRows(to netip.AddrPort, rows []*member) int {
+	return m.finish(to, m.datagram(datagramRows, 0), rows)
+}
+
+// sync sends all rows to one that joins, as far as the budget allows. A joiner
+// that gets no or few asks again, and gets the rest with the pings.
+func (m *Membership) sync(to netip.AddrPort) {
+	rows := slices.SortedFunc(maps.Values(m.rows), func(a, b *member) int {
+		return cmp.Compare(a.Instance, b.Instance)
+	})
+	for len(rows) > 0 && m.syncBytes >= float64(m.config.DatagramBytes) {
+		sent := m.sendRows(to, rows)
+		if sent == 0 {
+			return
+		}
+		rows = rows[sent:]
+		last := m.out.Datagrams[len(m.out.Datagrams)-1]
+		m.syncBytes -= float64(len(last.Payload))
+	}
+}
+
+func (m *Membership) datagram(kind rpc.DatagramKind, sequence uint64) *rpc.Datagram {
+	return &rpc.Datagram{Kind: kind, Sequence: sequence, Sender: encodeRow(m.self)}
+}
+
+// finish fills the datagram up and sends it. It returns how many of the rows
+// fitted; without rows, it takes new ones first, then hints, then others.
+func (m *Membership) finish(to netip.AddrPort, d *rpc.Datagram, rows []*member) int {
+	room := m.config.DatagramBytes - proto.Size(d)
+	added := 0
+	if rows != nil {
+		added = m.addRows(d, rows, &room)
+	} else {
+		m.addNews(d, &room)
+		m.gossip.add(m.now, d, min(room, m.config.ItemBytes), m.spread())
+		room = m.config.DatagramBytes - proto.Size(d)
+		m.addBackground(d, &room)
+	}
+	payload, err := proto.Marshal(d)
+	if err == nil {
+		m.out.Datagrams = append(m.out.Datagrams, Datagram{To: to, Payload: payload})
+	}
+	return added
+}
+
+// addRows adds rows while they fit, and returns how many did.
+func (m *Membership) addRows(d *rpc.Datagram, rows []*member, room *int) int {
+	for i, row := range rows {
+		if row.private {
+			continue
+		}
+		encoded := encodeRow(row)
+		size := proto.Size(encoded) + fieldOverhead
+		if size > *room {
+			return i
+		}
+		*room -= size
+		d.Rows = append(d.Rows, encoded)
+	}
+	return len(rows)
+}
+
+// addNews adds rows that changed, those that were sent least often first.
+func (m *Membership) addNews(d *rpc.Datagram, room *int) {
+	var news []*member
+	for _, row := range m.rows {
+		if row.unsent > 0 {
+			news = append(news, row)
+		}
+	}
+	slices.SortFunc(news, func(a, b *member) int {
+		return cmp.Or(cmp.Compare(b.unsent, a.unsent), cmp.Compare(a.Instance, b.Instance))
+	})
+	for _, row := range news[:m.addRows(d, news, room)] {
+		row.unsent--
+	}
+}
+
+// addBackground adds a few rows in turn.
+func (m *Membership) addBackground(d *rpc.Datagram, room *int) {
+	ids := slices.Sorted(maps.Keys(m.rows))
+	for range min(backgroundRows, len(ids)) {
+		row := m.rows[ids[m.background%len(ids)]]
+		if row != m.self && m.addRows(d, []*member{row}, room) == 0 {
+			return
+		}
+		m.background++
+	}
+}
+
+func encodeRow(row *member) *rpc.InstanceRow {
+	address, _ := row.Address.MarshalBinary()
+	control, _ := row.Control.MarshalBinary()
+	encoded := &rpc.InstanceRow{
+		Instance:    string(row.Instance),
+		Zone:        string(row.Zone),
+		Roles:       uint32(row.Roles),
+		Size:        uint32(row.Size),
+		Address:     address,
+		Control:     control,
+		Boot:        row.Boot,
+		Incarnation: row.Incarnation,
+		State:       rpc.MemberState(row.State),
+		Revision:    uint64(row.Revision),
+	}
+	if !row.Since.IsZero() {
+		encoded.Since = row.Since.UnixNano()
+	}
+	return encoded
+}
+
+// decodeRow returns the row, with an invalid address where that cannot be read.
+func decodeRow(encoded *rpc.InstanceRow) Member {
+	row := Member{
+		Row: Row{
+			Instance: tables.InstanceID(encoded.GetInstance()),
+			Zone:     tables.Zone(encoded.GetZone()),
+			Roles:    Role(encoded.GetRoles()),
+			Size:     int(encoded.GetSize()),
+			Boot:     encoded.GetBoot(),
+			Revision: tables.Revision(encoded.GetRevision()),
+		},
+		Incarnation: encoded.GetIncarnation(),
+		State:       min(State(encoded.GetState()), Left),
+	}
+	if encoded.GetSince() != 0 {
+		row.Since = time.Unix(0, encoded.GetSince())
+	}
+	_ = row.Address.UnmarshalBinary(encoded.GetAddress())
+	_ = row.Control.UnmarshalBinary(encoded.GetControl())
+	return row
+}
