--- a/systems/placement/placement.go
+++ b/systems/placement/placement.go
@@ -21,6 +21,13 @@
 	Spread uint64
 	// Share is this instance's part of all traffic, above 0 and at most 1.
 	Share float64
+	// Mix is the part of each priority in the prefill work of this instance.
+	Mix [tables.Priorities]float64
+	// WaitWeight is how much a second of waiting counts: 1 for work that cannot
+	// wait, less for work that can.
+	WaitWeight float64
+	// MeanTurnover is the mean of the candidates' turnovers, in seconds.
+	MeanTurnover float64
 	// Hedge is set for a second attempt beside a slow one.
 	Hedge bool
 }
@@ -30,9 +37,18 @@
 	Row *tables.EndpointRow
 	// CachedTokens is how much of the prompt the endpoint is expected to hold.
 	CachedTokens float64
+	// KnownTokens is the part of CachedTokens that something was heard of.
+	KnownTokens float64
 	// HomeTokens is how much of the prompt belongs to this endpoint by hashing,
 	// whether it is held there yet or not.
 	HomeTokens float64
+	// Turnover is the time in which the endpoint's cache is filled once over, in
+	// seconds.
+	Turnover float64
+	// Score is the cost that Pick found, or dropped the position of the filter
+	// that dropped the candidate, plus 1.
+	Score   float64
+	dropped int
 }
 
 // UncachedTokens is the part of the prompt to be computed.
@@ -79,10 +95,7 @@
 // Choice is the outcome for one query.
 type Choice struct {
 	Endpoint tables.EndpointIndex
-	// Score is the chosen endpoint's cost; Expected the time to first token
-	// that is expected there, in seconds.
-	Score        float64
-	CachedTokens float64
+	Candidate
 }
 
 // Picker runs the filters and scorers.
@@ -98,24 +111,26 @@
 	best := Choice{Endpoint: tables.NoEndpoint}
 	for i := range candidates {
 		c := &candidates[i]
-		if p.dropped(q, c) != nil {
+		c.dropped = p.drop(q, c)
+		if c.dropped != 0 {
 			continue
 		}
-		score := p.Cost(q, c) + spread(q, c)
-		if best.Endpoint == tables.NoEndpoint || score < best.Score {
-			best = Choice{Endpoint: c.Row.Index, Score: score, CachedTokens: c.CachedTokens}
+		c.Score = p.Cost(q, c) + spread(q, c)
+		if best.Endpoint == tables.NoEndpoint || c.Score < best.Score {
+			best = Choice{Endpoint: c.Row.Index, Candidate: *c}
 		}
 	}
 	return best
 }
 
-func (p *Picker) dropped(q *Query, c *Candidate) Filter {
-	for _, f := range p.Filters {
+// drop is the position, plus 1, of the first filter that drops the candidate.
+func (p *Picker) drop(q *Query, c *Candidate) int {
+	for i, f := range p.Filters {
 		if !f.Keep(q, c) {
-			return f
+			return i + 1
 		}
 	}
-	return nil
+	return 0
 }
 
 // Cost is the weighted sum of all scorers.
@@ -151,41 +166,3 @@
 	x ^= x >> 31
 	return x
 }
-
-// Part is one scorer's weighted share of a candidate's cost.
-type Part struct {
-	Name    string  `json:"name"`
-	Seconds float64 `json:"seconds"`
-}
-
-// Report describes one candidate for people.
-type Report struct {
-	Endpoint tables.EndpointID `json:"endpoint"`
-	// Dropped names the filter that dropped the candidate, if one did.
-	Dropped      string  `json:"dropped,omitempty"`
-	CachedTokens int     `json:"cached_tokens"`
-	Seconds      float64 `json:"seconds"`
-	Parts        []Part  `json:"parts,omitempty"`
-}
-
-// Explain appends a report on each candidate to dst.
-func (p *Picker) Explain(dst []Report, q *Query, candidates []Candidate) []Report {
-	for i := range candidates {
-		dst = append(dst, p.explain(q, &candidates[i]))
-	}
-	return dst
-}
-
-func (p *Picker) explain(q *Query, c *Candidate) Report {
-	r := Report{Endpoint: c.Row.Endpoint.ID, CachedTokens: int(c.CachedTokens)}
-	if f := p.dropped(q, c); f != nil {
-		r.Dropped = f.Name()
-		return r
-	}
-	for _, s := range p.Scorers {
-		seconds := s.Weights[q.Request.Profile.Prefer] * s.Scorer.Score(q, c)
-		r.Parts = append(r.Parts, Part{Name: s.Scorer.Name(), Seconds: seconds})
-		r.Seconds += seconds
-	}
-	return r
-}
