Join instances to one another in the daemon

Cause: limits over all instances, status and crash suspects need to know who is alive. Change: membership runs in every instance; status lists all with their revisions; an instance that reaches no control instance fetches configurations from others; crash reports go to every living entry instance directly, because the caller of such a request sends it again at once and pings are too slow.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -29,6 +29,8 @@
 	// bootstrapPause is the time between two tries to apply the first
 	// declarations, while the control group is being formed.
 	bootstrapPause = 200 * time.Millisecond
+	// fetchTimeout bounds asking one instance for a newer configuration.
+	fetchTimeout = 2 * time.Second
 )
 
 // bootstrapName is the operator, and the request, that the first declarations
@@ -47,6 +49,7 @@
 	base := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: idleInstanceConnections}
 	d.peerTransport = base
 	d.dialer = transport.NewDialer(&http.Client{Transport: &keys.Transport{Ring: d.instanceKeys, Base: base}})
+	d.peers = newPeers(d.instanceKeys, base, d.entryPeers)
 	if d.options.Process.Control {
 		if err := d.startReplica(); err != nil {
 			return err
@@ -141,6 +144,9 @@
 	for _, c := range d.controls() {
 		sources = append(sources, c)
 	}
+	for _, m := range d.nearPeers() {
+		sources = append(sources, d.dialer.Control(m.Control.String()))
+	}
 	return sources
 }
 
@@ -152,23 +158,6 @@
 	return transport.NewHandler(follower.Peer{Follower: d.follower})
 }
 
-// instanceStatuses lists what this instance knows of all instances.
-func (d *Daemon) instanceStatuses() []*rpc.InstanceStatus {
-	p := d.options.Process
-	revision, since := d.follower.InForce()
-	role := "entry"
-	if p.Control {
-		role = "control"
-		if p.Entry {
-			role = "entry, control"
-		}
-	}
-	return []*rpc.InstanceStatus{{
-		Instance: string(p.Instance), Zone: string(p.Zone), Role: role, State: "alive",
-		Revision: uint64(revision), Since: since.UnixNano(),
-	}}
-}
-
 // bootstrap applies the first declarations of a deployment, once: it does
 // nothing if any configuration was ever accepted.
 func (d *Daemon) bootstrap(ctx context.Context) {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -17,6 +18,7 @@
 
 	"github.com/carawaystile/carawaystile/control/client"
 	"github.com/carawaystile/carawaystile/control/follower"
+	"github.com/carawaystile/carawaystile/control/gossip"
 	"github.com/carawaystile/carawaystile/control/operator"
 	"github.com/carawaystile/carawaystile/control/server"
 	"github.com/carawaystile/carawaystile/control/transport"
@@ -72,6 +74,9 @@
 	dialer        *transport.Dialer
 	follower      *follower.Follower
 	claims        *client.Claims
+	// members is nil until the instance has joined.
+	members atomic.Pointer[gossip.Gossip]
+	peers   *peers
 	// The control role; nil without it.
 	replica   *server.Server
 	operators *operator.Service
@@ -120,6 +125,10 @@
 	if err := d.listen(); err != nil {
 		return err
 	}
+	if err := d.startMembership(); err != nil {
+		return err
+	}
+	d.background.Go(func() { d.peers.run(d.stopping) })
 	d.background.Go(d.rereadKeys)
 	if d.replica != nil && d.options.Declarations != nil {
 		d.background.Go(func() { d.bootstrap(d.stopping) })
@@ -147,6 +156,7 @@
 		d.entry.Configure(c)
 		d.feeds.Configure(c)
 	}
+	d.tellRevision(c.Revision)
 	events.ConfigurationServed.Log(d.options.Log, zap.Uint64("revision", uint64(c.Revision)))
 }
 
@@ -172,6 +182,9 @@
 
 func (d *Daemon) end() {
 	d.stop()
+	if joined := d.members.Load(); joined != nil {
+		joined.Close()
+	}
 	d.listeners.close()
 	d.background.Wait()
 	d.stopControl()
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -28,6 +28,7 @@
 		Claimer:  d.claims,
 		Metrics:  requestMetrics{metrics.NewRequests(d.registry)},
 		Log:      d.options.Log,
+		Share:    d.peers.share,
 		Now:      d.now,
 		Limits:   limits,
 	})
--- a/daemon/listen.go
+++ b/daemon/listen.go
@@ -96,6 +96,10 @@
 		operators.Handle(rpc.OperatorPathPrefix, rpc.NewOperatorServer(d.operators))
 	}
 	mux := http.NewServeMux()
+	if d.entry != nil {
+		peer := rpc.NewPeerServer(peerService{observe: d.entry.Observe})
+		mux.Handle(rpc.PeerPathPrefix, keys.Require(d.instanceKeys, peer))
+	}
 	mux.Handle("/", keys.Require(d.operatorKeys, operators))
 	mux.Handle(rpc.ControlPathPrefix, keys.Require(d.instanceKeys, d.controlHandler()))
 	return mux
--- /dev/null
+++ b/daemon/peers.go
@@ -0,0 +1,116 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/carawaystile/carawaystile/keys"
+	"github.com/carawaystile/carawaystile/router"
+	"github.com/carawaystile/carawaystile/rpc"
+	"github.com/carawaystile/carawaystile/systems/membership"
+	"github.com/carawaystile/carawaystile/systems/quarantine"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+const (
+	// suspectTimeout bounds telling one instance of a crash.
+	suspectTimeout = 2 * time.Second
+	// suspectQueue bounds crashes that wait to be told.
+	suspectQueue = 64
+	// maxSuspects bounds what one report may hold.
+	maxSuspects = 4096
+)
+
+// peers tells the other entry instances what was running when an endpoint
+// crashed. The caller of a request that crashes endpoints sends it again at
+// once, most likely through another instance; a report that travelled with the
+// membership's pings would come too late, and each resend would take down a
+// further endpoint. So every living entry instance is told directly. Crashes
+// are few, so that this costs little also with hundreds of instances.
+type peers struct {
+	client  *http.Client
+	reports chan *rpc.SuspectReport
+	// members returns the living instances to tell.
+	members func() []membership.Member
+}
+
+func newPeers(ring *keys.Ring, base http.RoundTripper, members func() []membership.Member) *peers {
+	return &peers{
+		client:  &http.Client{Transport: &keys.Transport{Ring: ring, Base: base}, Timeout: suspectTimeout},
+		reports: make(chan *rpc.SuspectReport, suspectQueue),
+		members: members,
+	}
+}
+
+// share queues a report. It does not block: when crashes come faster than they
+// can be told, the newest are left out, which costs a further endpoint at most.
+func (p *peers) share(suspects []quarantine.Suspect) {
+	report := &rpc.SuspectReport{}
+	for _, s := range suspects {
+		report.Suspects = append(report.Suspects, encodeSuspect(s))
+	}
+	select {
+	case p.reports <- report:
+	default:
+	}
+}
+
+// run tells reports until the context ends.
+func (p *peers) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case report := <-p.reports:
+			for _, m := range p.members() {
+				go p.tell(ctx, m.Control, report)
+			}
+		}
+	}
+}
+
+func (p *peers) tell(ctx context.Context, at netip.AddrPort, report *rpc.SuspectReport) {
+	_, _ = rpc.NewPeerProtobufClient("http://"+at.String(), p.client).Suspect(ctx, report)
+}
+
+// peerService takes the reports of other instances.
+type peerService struct{ observe func(router.Input) }
+
+// Suspect takes what another instance found out about a crash.
+func (s peerService) Suspect(_ context.Context, report *rpc.SuspectReport) (*rpc.SuspectAnswer, error) {
+	for i, suspect := range report.GetSuspects() {
+		if i == maxSuspects {
+			break
+		}
+		s.observe(router.SuspectSeen{Suspect: decodeSuspect(suspect)})
+	}
+	return &rpc.SuspectAnswer{}, nil
+}
+
+func encodeSuspect(s quarantine.Suspect) *rpc.PeerSuspect {
+	return &rpc.PeerSuspect{
+		Fingerprint: uint64(s.Fingerprint),
+		Endpoint:    string(s.Life.Endpoint),
+		Boot:        string(s.Life.Boot),
+		Likely:      s.Mark.Likely,
+		Tokens:      int64(s.Mark.Tokens),
+		Position:    int64(s.Mark.Position),
+		Convicted:   s.Convicted,
+		AgeNanos:    int64(s.Age),
+	}
+}
+
+func decodeSuspect(s *rpc.PeerSuspect) quarantine.Suspect {
+	return quarantine.Suspect{
+		Fingerprint: tables.Fingerprint(s.GetFingerprint()),
+		Life: quarantine.Life{
+			Endpoint: tables.EndpointID(s.GetEndpoint()),
+			Boot:     tables.BootID(s.GetBoot()),
+		},
+		Mark:      quarantine.Mark{Likely: s.GetLikely(), Tokens: int(s.GetTokens()), Position: int(s.GetPosition())},
+		Convicted: s.GetConvicted(),
+		Age:       time.Duration(max(s.GetAgeNanos(), 0)),
+	}
+}
