Tell since when a revision is in force

Cause: status gave 1754 for the first revision and the former time for later ones, because the follower's time was read while it was being changed. Change: the daemon keeps its own pair of revision and time, told by whichever comes second of joining and configuring. Conclusion: status is true after joining in either order.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -77,6 +77,7 @@
 	// members is nil until the instance has joined.
 	members atomic.Pointer[gossip.Gossip]
 	peers   *peers
+	inForce atomic.Pointer[inForce]
 	// The control role; nil without it.
 	replica   *server.Server
 	operators *operator.Service
@@ -156,7 +157,8 @@
 		d.entry.Configure(c)
 		d.feeds.Configure(c)
 	}
-	d.tellRevision(c.Revision)
+	d.inForce.Store(&inForce{revision: c.Revision, since: time.Now()})
+	d.tellRevision()
 	events.ConfigurationServed.Log(d.options.Log, zap.Uint64("revision", uint64(c.Revision)))
 }
 
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -156,3 +156,18 @@
 		assert.Equal(t, status, http.StatusUnauthorized, "%s gave %s", path, text)
 	}
 }
+
+// The status of an instance once gave the time of the revision before, since it
+// was read while the newer one was being put in force.
+func TestStatusSaysSinceWhenARevisionIsInForce(t *testing.T) {
+	options := testOptions(t, testDeclarations())
+	before := time.Now()
+	d, err := Start(options)
+	assert.NilError(t, err)
+	defer d.Stop()
+	<-d.Configured()
+	statuses := d.instanceStatuses()
+	assert.Equal(t, len(statuses), 1)
+	assert.Equal(t, statuses[0].GetRevision(), uint64(1))
+	assert.Assert(t, statuses[0].GetSince() >= before.UnixNano(), "since %v", time.Unix(0, statuses[0].GetSince()))
+}
--- a/daemon/membership.go
+++ b/daemon/membership.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"sort"
 	"strings"
+	"time"
 
 	"github.com/gravitational/trace"
 
@@ -22,13 +23,12 @@
 // startMembership joins the other instances.
 func (d *Daemon) startMembership() error {
 	p := d.options.Process
-	revision, since := d.follower.InForce()
 	joined, err := gossip.Start(gossip.Options{
 		Membership: membership.Options{
 			Self: membership.Row{
 				Instance: p.Instance, Zone: p.Zone, Roles: d.roles(), Size: p.Size,
 				Address: p.Listen.Membership, Control: p.Listen.Instances,
-				Boot: d.boot, Revision: revision, Since: since,
+				Boot: d.boot,
 			},
 			Seeds: p.Peers,
 			Seed:  d.seed(),
@@ -43,9 +43,7 @@
 		return trace.Wrap(err)
 	}
 	d.members.Store(joined)
-	if revision, since := d.follower.InForce(); revision > 0 {
-		joined.SetRevision(revision, since)
-	}
+	d.tellRevision()
 	return nil
 }
 
@@ -178,10 +176,18 @@
 	return strings.Join(words, ", ")
 }
 
-// tellRevision lets the other instances know what is in force here.
-func (d *Daemon) tellRevision(revision tables.Revision) {
-	if joined := d.members.Load(); joined != nil {
-		_, since := d.follower.InForce()
-		joined.SetRevision(revision, since)
+// inForce is a revision and since when it is in force here.
+type inForce struct {
+	revision tables.Revision
+	since    time.Time
+}
+
+// tellRevision lets the other instances know what is in force here. Whoever
+// comes second, the first configuration or the joining, tells it.
+func (d *Daemon) tellRevision() {
+	joined := d.members.Load()
+	now := d.inForce.Load()
+	if joined != nil && now != nil {
+		joined.SetRevision(now.revision, now.since)
 	}
 }
