Give weight-load orders under one lease over the whole fleet

Cause: an isolated instance must stop giving orders before another starts, also to endpoints that ignore fencing numbers, and the weight store bears few loads. Conclusion: role changes are not declared anywhere yet and not ordered.

--- /dev/null
+++ b/control/client/lease.go
@@ -0,0 +1,104 @@
+package client
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/carawaystile/carawaystile/rpc"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// LeaseOptions sets a Lease up.
+type LeaseOptions struct {
+	Executor Executor
+	// Name tells leases apart; one instance at most holds each.
+	Name     string
+	Instance tables.InstanceID
+	// Boot grows with every start of this instance.
+	Boot uint64
+	// Duration is how long the lease is held after a renewal, from a second to a
+	// minute.
+	Duration time.Duration
+	// Now is this process's monotonic clock.
+	Now func() tables.Instant
+}
+
+// Lease is the right of one instance at a time to do something. It is safe for
+// concurrent use.
+type Lease struct {
+	options LeaseOptions
+
+	mu    sync.Mutex
+	fence tables.Fence
+	until tables.Instant
+}
+
+// NewLease returns a lease that is not held.
+func NewLease(options LeaseOptions) *Lease { return &Lease{options: options} }
+
+// LeaseHeld means that another instance holds the lease.
+type LeaseHeld struct {
+	Holder     tables.InstanceID
+	RetryAfter time.Duration
+}
+
+// Error names the holder.
+func (e *LeaseHeld) Error() string { return "lease is held by instance " + string(e.Holder) }
+
+// Renew asks for the lease, or for more time if it is held here. Its errors are
+// *LeaseHeld, *tables.NoQuorum and *Unexpected.
+func (l *Lease) Renew(ctx context.Context) error {
+	// The time counts from before the question left: the answer may take long,
+	// and the group counts from when it decided.
+	sent := l.options.Now()
+	result, err := l.options.Executor.Execute(ctx, &rpc.Command{Action: &rpc.Command_AcquireLease{
+		AcquireLease: &rpc.AcquireLease{
+			Name:          l.options.Name,
+			Holder:        &rpc.ClaimOwner{Instance: string(l.options.Instance), Boot: l.options.Boot},
+			DurationNanos: int64(l.options.Duration),
+		},
+	}})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	answer := result.GetLease()
+	if answer == nil {
+		return trace.Wrap(&Unexpected{Asked: "acquire lease", Reason: result.GetRefusal().GetReason()})
+	}
+	if !answer.GetGranted() {
+		return trace.Wrap(&LeaseHeld{
+			Holder:     tables.InstanceID(answer.GetHolder().GetInstance()),
+			RetryAfter: time.Duration(answer.GetRetryAfterNanos()),
+		})
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fence = tables.Fence(answer.GetFence())
+	l.until = sent + safe(l.options.Duration)
+	return nil
+}
+
+// Held returns the fencing number and how much longer the lease is held, by the
+// own clock alone. It is not held if that is not above zero. An instance that
+// is cut off needs no message to know that it must stop.
+func (l *Lease) Held() (tables.Fence, time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.fence, l.until - l.options.Now()
+}
+
+// Release gives the lease up at once. The holder calls it after its last order
+// was answered.
+func (l *Lease) Release(ctx context.Context) error {
+	l.mu.Lock()
+	fence := l.fence
+	l.until = 0
+	l.mu.Unlock()
+	_, err := l.options.Executor.Execute(ctx, &rpc.Command{Action: &rpc.Command_ReleaseLease{
+		ReleaseLease: &rpc.ReleaseLease{Name: l.options.Name, Fence: uint64(fence)},
+	}})
+	return trace.Wrap(err)
+}
--- a/control/state/state.go
+++ b/control/state/state.go
@@ -124,6 +124,9 @@
 	return s.configuration.changesSince(uint64(revision))
 }
 
+// Loads returns the weight loads that may be running, by endpoint.
+func (s *State) Loads() []*rpc.Load { return s.leases.sortedLoads() }
+
 // Claims returns the number of claims kept.
 func (s *State) Claims() int { return len(s.claims.rows) }
 
