Give orders and read the platform's list in the daemon

Cause: weights that the declarations name had to be loaded by hand, and the platform's word on leaving endpoints was not heard. Figures: in the daemon's test an engine with older weights is told to load the declared ones and then serves; no attempt ran on the old ones.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -63,10 +63,10 @@
 
 	operatorKeys *keys.Ring
 	instanceKeys *keys.Ring
+	client       *engine.HTTPClient
 
 	// The entry role; nil without it.
 	router *router.Router
-	client *engine.HTTPClient
 	entry  *entry.Server
 	feeds  *feed.Group
 
@@ -117,6 +117,7 @@
 	if err := d.startControl(); err != nil {
 		return err
 	}
+	d.client = engine.NewHTTPClient(engine.Options{Dial: d.options.Dial})
 	if d.options.Process.Entry {
 		if err := d.startEntry(); err != nil {
 			return err
@@ -130,6 +131,12 @@
 		return err
 	}
 	d.background.Go(func() { d.peers.run(d.stopping) })
+	if d.replica != nil {
+		d.startOrders()
+	}
+	if d.entry != nil && d.options.Process.PlatformList.IsValid() {
+		d.background.Go(func() { d.watchPlatform(d.stopping) })
+	}
 	d.background.Go(d.rereadKeys)
 	if d.replica != nil && d.options.Declarations != nil {
 		d.background.Go(func() { d.bootstrap(d.stopping) })
@@ -157,7 +164,7 @@
 		d.entry.Configure(c)
 		d.feeds.Configure(c)
 	}
-	d.inForce.Store(&inForce{revision: c.Revision, since: time.Now()})
+	d.inForce.Store(&inForce{configuration: c, since: time.Now()})
 	d.tellRevision()
 	events.ConfigurationServed.Log(d.options.Log, zap.Uint64("revision", uint64(c.Revision)))
 }
@@ -193,6 +200,8 @@
 	if d.entry != nil {
 		d.feeds.Close()
 		d.entry.Close()
+	}
+	if d.client != nil {
 		d.client.CloseIdle()
 	}
 	if d.folder != nil {
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -80,10 +80,10 @@
 	return c
 }
 
-func startTestEngine(t *testing.T, id tables.EndpointID) *standin.Engine {
+func startTestEngine(t *testing.T, id tables.EndpointID, weights tables.WeightsVersion) *standin.Engine {
 	t.Helper()
 	e, err := standin.StartEngine(standin.EngineOptions{
-		ID: id, Speedup: -1, Weights: map[tables.ModelName]tables.WeightsVersion{"m": "w1"},
+		ID: id, Speedup: -1, Weights: map[tables.ModelName]tables.WeightsVersion{"m": weights}, ChecksFence: true,
 	})
 	assert.NilError(t, err)
 	t.Cleanup(e.Close)
@@ -105,7 +105,7 @@
 }
 
 func TestInstanceServesAStreamedCompletion(t *testing.T) {
-	e := startTestEngine(t, "e1")
+	e := startTestEngine(t, "e1", "w1")
 	options := testOptions(t, testDeclarations(e))
 	process := options.Process
 	d, err := Start(options)
@@ -171,3 +171,23 @@
 	assert.Equal(t, statuses[0].GetRevision(), uint64(1))
 	assert.Assert(t, statuses[0].GetSince() >= before.UnixNano(), "since %v", time.Unix(0, statuses[0].GetSince()))
 }
+
+// The declarations name newer weights than an engine serves. Requests must not
+// be answered by the old ones, and the engine must be told to load the new ones
+// without anybody's help.
+func TestEngineIsToldToLoadDeclaredWeights(t *testing.T) {
+	e := startTestEngine(t, "e1", "w0")
+	options := testOptions(t, testDeclarations(e))
+	d, err := Start(options)
+	assert.NilError(t, err)
+	defer d.Stop()
+	<-d.Configured()
+	status := 0
+	for deadline := time.Now().Add(30 * time.Second); status != http.StatusOK && time.Now().Before(deadline); {
+		status, _ = complete(t, options.Process.Listen.Callers, `{"prompt": "one", "max_tokens": 1}`)
+	}
+	assert.Equal(t, status, http.StatusOK)
+	for _, a := range e.Records().Attempts() {
+		assert.Equal(t, a.Weights, tables.WeightsVersion("w1"), "attempt %s", a.Attempt)
+	}
+}
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -4,7 +4,6 @@
 	"hash/fnv"
 	"strconv"
 
-	"github.com/carawaystile/carawaystile/engine"
 	"github.com/carawaystile/carawaystile/engine/feed"
 	"github.com/carawaystile/carawaystile/entry"
 	"github.com/carawaystile/carawaystile/metrics"
@@ -14,7 +13,6 @@
 // startEntry makes the parts of the entry role.
 func (d *Daemon) startEntry() error {
 	p := d.options.Process
-	d.client = engine.NewHTTPClient(engine.Options{Dial: d.options.Dial})
 	d.router = router.New(router.Options{Instance: p.Instance, Zone: p.Zone, Seed: d.seed()})
 	limits := entry.DefaultLimits()
 	limits.MaxBody = p.Limits.BodyBytes
--- a/daemon/membership.go
+++ b/daemon/membership.go
@@ -176,10 +176,10 @@
 	return strings.Join(words, ", ")
 }
 
-// inForce is a revision and since when it is in force here.
+// inForce is a configuration and since when it is in force here.
 type inForce struct {
-	revision tables.Revision
-	since    time.Time
+	configuration *tables.Configuration
+	since         time.Time
 }
 
 // tellRevision lets the other instances know what is in force here. Whoever
@@ -188,6 +188,6 @@
 	joined := d.members.Load()
 	now := d.inForce.Load()
 	if joined != nil && now != nil {
-		joined.SetRevision(now.revision, now.since)
+		joined.SetRevision(now.configuration.Revision, now.since)
 	}
 }
