--- a/cmd/carawaystile/main.go
+++ b/cmd/carawaystile/main.go
@@ -41,4 +41,5 @@
 	commander.Register(&statusCommand{}, "instances")
 	commander.Register(&explainCommand{}, "instances")
 	commander.Register(&demoCommand{}, "trials")
+	commander.Register(&measureCommand{}, "trials")
 }
--- /dev/null
+++ b/cmd/carawaystile/measure.go
@@ -0,0 +1,93 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/gravitational/trace"
+
+	"github.com/carawaystile/carawaystile/measure"
+)
+
+// measureCommand plays traffic to several policies in virtual time.
+type measureCommand struct {
+	options  measure.Options
+	sites    string
+	policies string
+	faults   string
+	seeds    string
+	asJSON   bool
+}
+
+func (*measureCommand) Name() string     { return "measure" }
+func (*measureCommand) Synopsis() string { return "compare placement policies in virtual time" }
+
+func (*measureCommand) Usage() string {
+	return `measure [-sites LIST] [-policies LIST] [-faults LIST] [-seeds LIST] [-load X] [-json]
+  Plays the same traffic to each policy, with small fakes of engines in virtual
+  time, and compares what callers would see. Lists are separated by commas;
+  docs/design/placement.md names their words.
+`
+}
+
+func (c *measureCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.sites, "sites", "", "sites; empty means all")
+	f.StringVar(&c.policies, "policies", "", "policies; empty means all")
+	f.StringVar(&c.faults, "faults", "", "faults; empty means none")
+	f.StringVar(&c.seeds, "seeds", "1", "seeds")
+	f.Float64Var(&c.options.Load, "load", 0, "offered load as a part of capacity; 0 means 0.8")
+	f.IntVar(&c.options.Instances, "count", 0, "number of entry instances; 0 means 6")
+	f.DurationVar(&c.options.Duration, "duration", time.Duration(0), "virtual time; 0 means 240s")
+	f.BoolVar(&c.asJSON, "json", false, "print the result as one JSON object")
+}
+
+func (c *measureCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() > 0 {
+		f.Usage()
+		return exitUsage
+	}
+	if err := c.parse(); err != nil {
+		return fail(exitUsage, err)
+	}
+	report, err := measure.Run(ctx, c.options)
+	if err != nil {
+		return fail(exitFailure, err)
+	}
+	if c.asJSON {
+		err = writeJSON(os.Stdout, report)
+	} else {
+		err = report.WriteTable(os.Stdout)
+	}
+	if err != nil {
+		return fail(exitFailure, trace.Wrap(err))
+	}
+	return exitOK
+}
+
+// parse reads the lists.
+func (c *measureCommand) parse() error {
+	c.options.Sites = words(c.sites)
+	c.options.Policies = words(c.policies)
+	for _, fault := range words(c.faults) {
+		c.options.Faults = append(c.options.Faults, measure.Fault(fault))
+	}
+	for _, text := range words(c.seeds) {
+		seed, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			return &badFlag{Flag: "seeds", Reason: fmt.Sprintf("%q is not a number", text)}
+		}
+		c.options.Seeds = append(c.options.Seeds, seed)
+	}
+	return nil
+}
+
+// words splits a list; an empty one has none.
+func words(list string) []string {
+	return strings.FieldsFunc(list, func(r rune) bool { return r == ',' || r == ' ' })
+}
--- a/tables/endpoints.go
+++ b/tables/endpoints.go
@@ -123,8 +123,8 @@
 	Load         Load
 	// Progress is when the endpoint last showed that it gets work done.
 	Progress Instant
-	Speed        Speed
-	Health       Health
+	Speed    Speed
+	Health   Health
 	// CacheBlocks is the capacity of its cache in pieces, 0 if not known.
 	CacheBlocks int
 }
