--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -56,7 +56,7 @@
 		Control: true, ControlInstances: []settings.ControlInstance{{Name: "i1", Zone: "z", Address: at}},
 		Keys:     settings.Keys{Operators: file, Instances: file},
 		Instance: "i1", Zone: "z", Data: t.TempDir(), Entry: true, Size: 1,
-		Listen: settings.Listen{Callers: held.hold(t), Instances: at, Membership: at},
+		Listen: settings.Listen{Callers: held.hold(t), Instances: at, Membership: netip.AddrPortFrom(at.Addr(), 0)},
 		Limits: settings.Limits{BodyBytes: 1 << 20, HeaderBytes: 1 << 16, Connections: 100, Requests: 100, OrganisationRequests: 100},
 	}
 	return Options{Process: process, Declarations: declarations, Listen: held.listen}
