Run the demo on whole instances with their own control group

Cause: the demo assembled entries itself and agreed claims inside the process, so it proved nothing about the control state. Change: three daemons with entry and control roles, folders, keys and membership on loopback; the cut between zones also cuts their connections to each other (membership's UDP is not cut yet).

--- a/demo/added_test.go
+++ b/demo/added_test.go
@@ -117,12 +117,14 @@
 		"  - {name: p, zone: zone-a, address: '127.0.0.1:1', service: publish}\n  - {name: d, zone: zone-a, address: '127.0.0.1:2', service: desk}\n", r.at)
 	c, err := settings.ParseDeclarations(map[string][]byte{"d.yaml": declarations, "e.yaml": []byte(endpoint)})
 	assert.NilError(tb, err)
-	c.Revision = 1
 	o, err := Options{}.withDefaults()
 	assert.NilError(tb, err)
-	w := &world{options: o, network: newNetwork(), claims: newClaims(), configuration: c}
-	r.instance = &instance{name: "i", zone: "zone-a", address: "127.0.0.1:0"}
+	w := &world{options: o, network: newNetwork(), configuration: c}
+	instances, err := newInstances(tb.TempDir(), w.network, []tables.Zone{"zone-a"})
+	assert.NilError(tb, err)
+	r.instance = instances[0]
 	assert.NilError(tb, r.instance.start(w))
+	assert.NilError(tb, r.instance.configured(tb.Context()))
 	tb.Cleanup(r.instance.close)
 	return r
 }
@@ -354,7 +356,6 @@
 		time.Sleep(tokenGap)
 	}
 	r.direct.CloseIdle()
-	r.instance.client.CloseIdle()
 	r.caller.client.CloseIdleConnections()
 	time.Sleep(tokenGap)
 }
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -59,6 +59,8 @@
 	DefaultRate     = 60
 	// overloadFactor is how much faster FaultOverload sends.
 	overloadFactor = 8
+	// startTimeout bounds the forming of the control group.
+	startTimeout = 20 * time.Second
 	// settleTimeout bounds the wait for the engines to be idle at the end.
 	settleTimeout = 5 * time.Second
 	progressEvery = time.Second
--- a/demo/faults.go
+++ b/demo/faults.go
@@ -61,5 +61,19 @@
 			s.world.note("an instance did not come back: " + err.Error())
 			return
 		}
+		s.waitReady(i)
+	}
+}
+
+// waitReady waits until the balancer sends callers to an instance again, as an
+// operator does before restarting the next one.
+func (s *faultScript) waitReady(i *instance) {
+	deadline := time.Now().Add(startTimeout)
+	for !i.ready.Load() {
+		if time.Now().After(deadline) {
+			s.world.note("an instance did not become ready after its restart")
+			return
+		}
+		time.Sleep(balancerPeriod)
 	}
 }
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -148,15 +148,10 @@
 
 // configuration reads the declarations as an operator's files are read.
 func (f *fleet) configuration() (*tables.Configuration, error) {
-	c, err := settings.ParseDeclarations(map[string][]byte{
+	return settings.ParseDeclarations(map[string][]byte{
 		"declarations.yaml": declarations,
 		"endpoints.yaml":    []byte(f.yaml.String()),
 	})
-	if err != nil {
-		return nil, err
-	}
-	c.Revision = 1
-	return c, nil
 }
 
 func (f *fleet) close() {
--- a/demo/instance.go
+++ b/demo/instance.go
@@ -2,113 +2,210 @@
 
 import (
 	"context"
-	"fmt"
+	"crypto/rand"
+	"encoding/hex"
 	"net"
 	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
-	"github.com/carawaystile/carawaystile/engine"
-	"github.com/carawaystile/carawaystile/engine/feed"
-	"github.com/carawaystile/carawaystile/entry"
-	"github.com/carawaystile/carawaystile/router"
+	"github.com/carawaystile/carawaystile/daemon"
+	"github.com/carawaystile/carawaystile/settings"
 	"github.com/carawaystile/carawaystile/tables"
 )
 
-// drainServe is how long a draining instance serves new connections. The
+// drainAnnounce is how long a draining instance serves new connections. The
 // balancer of the demo asks every balancerPeriod whether it is ready.
 const (
-	drainServe     = 200 * time.Millisecond
+	drainAnnounce  = 200 * time.Millisecond
 	drainTimeout   = 20 * time.Second
 	balancerPeriod = 20 * time.Millisecond
+	keyBytes       = 32
+	keyFile        = "key"
+	folderMode     = 0o700
+	keyMode        = 0o600
 )
 
-// instance is one entry instance.
+// The limits of an instance of the demo.
+const (
+	bodyBytes   = 8 << 20
+	headerBytes = 32 << 10
+	connections = 8192
+)
+
+// instance is one instance, with the entry and the control role.
 type instance struct {
-	name    tables.InstanceID
-	zone    tables.Zone
+	process *settings.Process
 	address string
-	lives   int
 	ready   atomic.Bool
+	ports   ports
 
 	mu     sync.Mutex
-	server *entry.Server
-	http   *http.Server
-	feeds  *feed.Group
-	client *engine.HTTPClient
+	daemon *daemon.Daemon
+}
+
+// ports holds the listeners of an instance from the choice of its addresses
+// until its first start, so that nobody else takes them.
+type ports struct {
+	mu   sync.Mutex
+	held map[netip.AddrPort]net.Listener
+}
+
+func (p *ports) hold() (netip.AddrPort, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	at := listener.Addr().(*net.TCPAddr).AddrPort()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.held == nil {
+		p.held = make(map[netip.AddrPort]net.Listener)
+	}
+	p.held[at] = listener
+	return at, nil
 }
 
-// start begins a life of the instance under its address.
+func (p *ports) listen(at netip.AddrPort) (net.Listener, error) {
+	p.mu.Lock()
+	listener := p.held[at]
+	delete(p.held, at)
+	p.mu.Unlock()
+	if listener != nil {
+		return listener, nil
+	}
+	return net.Listen("tcp", at.String())
+}
+
+func (p *ports) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, listener := range p.held {
+		_ = listener.Close()
+	}
+}
+
+// newInstances chooses addresses for one instance a zone, which form the
+// control group together.
+func newInstances(folder string, n *network, where []tables.Zone) ([]*instance, error) {
+	key, err := newKey(folder)
+	if err != nil {
+		return nil, err
+	}
+	var all []*instance
+	var group []settings.ControlInstance
+	for _, zone := range where {
+		i, err := newInstance(folder, key, zone)
+		if err != nil {
+			return all, err
+		}
+		all = append(all, i)
+		group = append(group, settings.ControlInstance{Name: i.process.Instance, Zone: zone, Address: i.process.Listen.Instances})
+		n.place(i.process.Listen.Instances.String(), zone)
+	}
+	for _, i := range all {
+		i.process.ControlInstances = group
+		for _, other := range all {
+			if other != i {
+				i.process.Peers = append(i.process.Peers, other.process.Listen.Membership)
+			}
+		}
+	}
+	return all, nil
+}
+
+// newKey writes the key that the instances know each other by.
+func newKey(folder string) (string, error) {
+	var key [keyBytes]byte
+	_, _ = rand.Read(key[:])
+	file := filepath.Join(folder, keyFile)
+	return file, os.WriteFile(file, []byte(hex.EncodeToString(key[:])+"\n"), keyMode)
+}
+
+func newInstance(folder, key string, zone tables.Zone) (*instance, error) {
+	i := &instance{}
+	callers, err := i.ports.hold()
+	if err != nil {
+		return nil, err
+	}
+	instances, err := i.ports.hold()
+	if err != nil {
+		return nil, err
+	}
+	name := "entry-" + string(zone)
+	data := filepath.Join(folder, name)
+	if err := os.Mkdir(data, folderMode); err != nil {
+		return nil, err
+	}
+	i.address = callers.String()
+	i.process = &settings.Process{
+		Instance: tables.InstanceID(name), Zone: zone, Data: data,
+		Entry: true, Control: true, Size: 1,
+		Listen: settings.Listen{Callers: callers, Instances: instances, Membership: instances},
+		Keys:   settings.Keys{Instances: key, Operators: key},
+		Limits: settings.Limits{
+			BodyBytes: bodyBytes, HeaderBytes: headerBytes, Connections: connections,
+			Requests: connections, OrganisationRequests: connections,
+		},
+		Drain: settings.Drain{Announce: drainAnnounce, Timeout: drainTimeout},
+	}
+	return i, nil
+}
+
+// start begins a life of the instance.
 func (i *instance) start(w *world) error {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.lives++
-	origin := time.Now()
-	i.client = engine.NewHTTPClient(engine.Options{Dial: w.network.dialer(i.zone)})
-	limits := entry.DefaultLimits()
-	limits.DrainServe = drainServe
-	server, err := entry.New(entry.Options{
-		Instance: i.name,
-		Boot:     fmt.Sprint(i.lives),
-		Router:   router.New(router.Options{Instance: i.name, Zone: i.zone, Seed: w.options.Seed<<16 + uint64(i.lives)<<8 + uint64(i.zone[len(i.zone)-1])}),
-		Client:   i.client,
-		Claimer:  &zoneClaimer{claims: w.claims, network: w.network, zone: i.zone},
-		Log:      w.options.Log.With(zap.String("instance", string(i.name))),
-		Now:      func() tables.Instant { return time.Since(origin) },
-		Limits:   limits,
+	d, err := daemon.Start(daemon.Options{
+		Process:      i.process,
+		Declarations: w.configuration,
+		Log:          w.options.Log.With(zap.String("instance", string(i.process.Instance))),
+		Dial:         w.network.dialer(i.process.Zone),
+		Listen:       i.ports.listen,
 	})
 	if err != nil {
 		return err
 	}
-	i.server = server
-	i.feeds = feed.NewGroup(feed.Options{Reporter: i.client, Deliver: server.Observe, Log: w.options.Log})
-	server.Observe(router.PeersSeen{Share: 1 / float64(len(zones))})
-	server.Configure(w.configuration)
-	i.feeds.Configure(w.configuration)
-	listener, err := net.Listen("tcp", i.address)
-	if err != nil {
-		return err
-	}
-	if i.lives == 1 {
-		i.address = listener.Addr().String()
-	}
-	i.http = &http.Server{Handler: server.Handler()}
-	go func(h *http.Server) { _ = h.Serve(listener) }(i.http)
-	i.ready.Store(true)
+	i.daemon = d
 	return nil
 }
 
-// drain takes the instance out of service without cutting a request.
+// configured waits until the instance has a configuration.
+func (i *instance) configured(ctx context.Context) error {
+	select {
+	case <-i.daemon.Configured():
+		i.ready.Store(true)
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// drain takes the instance out of service without cutting a request, and ends
+// it.
 func (i *instance) drain() error {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
 	defer cancel()
-	if err := i.server.Drain(ctx); err != nil {
-		return err
-	}
-	err := i.http.Shutdown(ctx)
-	i.stop()
+	err := i.daemon.Drain(ctx)
+	i.daemon.Stop()
 	return err
 }
 
-// stop ends the life at once.
-func (i *instance) stop() {
-	_ = i.http.Close()
-	i.feeds.Close()
-	i.server.Close()
-	i.client.CloseIdle()
-}
-
 func (i *instance) close() {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if i.http != nil {
-		i.stop()
+	if i.daemon != nil {
+		i.daemon.Stop()
 	}
+	i.ports.close()
 }
 
 // balancer sends callers to instances that say they are ready.
--- a/demo/network.go
+++ b/demo/network.go
@@ -58,14 +58,6 @@
 	return n.healed
 }
 
-// reachesMajority reports whether a zone is on the side of a cut that holds
-// most zones.
-func (n *network) reachesMajority(zone tables.Zone) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.isolated != zone
-}
-
 // dialer opens connections from a zone.
 func (n *network) dialer(from tables.Zone) func(ctx context.Context, network, address string) (net.Conn, error) {
 	return func(ctx context.Context, protocol, address string) (net.Conn, error) {
--- a/demo/world.go
+++ b/demo/world.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,7 +17,7 @@
 	network       *network
 	fleet         *fleet
 	configuration *tables.Configuration
-	claims        *claims
+	folder        string
 	balancer      *balancer
 	caller        *caller
 	stop          context.CancelFunc
@@ -34,7 +35,7 @@
 
 func newWorld(ctx context.Context, o Options) (*world, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	w := &world{options: o, network: newNetwork(), claims: newClaims(), caller: newCaller(), stop: cancel, balancer: &balancer{}}
+	w := &world{options: o, network: newNetwork(), caller: newCaller(), stop: cancel, balancer: &balancer{}}
 	if err := w.start(ctx); err != nil {
 		w.close()
 		return nil, err
@@ -49,13 +50,25 @@
 	if w.configuration, err = w.fleet.configuration(); err != nil {
 		return err
 	}
-	for _, zone := range zones {
-		i := &instance{name: tables.InstanceID("entry-" + zone), zone: zone, address: "127.0.0.1:0"}
-		w.balancer.instances = append(w.balancer.instances, i)
+	if w.folder, err = os.MkdirTemp("", "carawaystile-demo-"); err != nil {
+		return err
+	}
+	w.balancer.instances, err = newInstances(w.folder, w.network, zones)
+	if err != nil {
+		return err
+	}
+	for _, i := range w.balancer.instances {
 		if err := i.start(w); err != nil {
 			return err
 		}
 	}
+	ready, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for _, i := range w.balancer.instances {
+		if err := i.configured(ready); err != nil {
+			return err
+		}
+	}
 	w.background.Go(func() { w.balancer.watch(ctx) })
 	w.background.Go(func() { w.progress(ctx) })
 	return nil
@@ -72,6 +85,9 @@
 		w.fleet.close()
 	}
 	w.caller.client.CloseIdleConnections()
+	if w.folder != "" {
+		_ = os.RemoveAll(w.folder)
+	}
 }
 
 // progress prints a line now and then.
