--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -17,6 +18,7 @@
 
 	"github.com/carawaystile/carawaystile/control/client"
 	"github.com/carawaystile/carawaystile/control/follower"
+	"github.com/carawaystile/carawaystile/control/gossip"
 	"github.com/carawaystile/carawaystile/control/operator"
 	"github.com/carawaystile/carawaystile/control/server"
 	"github.com/carawaystile/carawaystile/control/transport"
@@ -61,10 +63,10 @@
 
 	operatorKeys *keys.Ring
 	instanceKeys *keys.Ring
+	client       *engine.HTTPClient
 
 	// The entry role; nil without it.
 	router *router.Router
-	client *engine.HTTPClient
 	entry  *entry.Server
 	feeds  *feed.Group
 
@@ -72,6 +74,10 @@
 	dialer        *transport.Dialer
 	follower      *follower.Follower
 	claims        *client.Claims
+	// members is nil until the instance has joined.
+	members atomic.Pointer[gossip.Gossip]
+	peers   *peers
+	inForce atomic.Pointer[inForce]
 	// The control role; nil without it.
 	replica   *server.Server
 	operators *operator.Service
@@ -111,6 +117,7 @@
 	if err := d.startControl(); err != nil {
 		return err
 	}
+	d.client = engine.NewHTTPClient(engine.Options{Dial: d.options.Dial})
 	if d.options.Process.Entry {
 		if err := d.startEntry(); err != nil {
 			return err
@@ -120,6 +127,16 @@
 	if err := d.listen(); err != nil {
 		return err
 	}
+	if err := d.startMembership(); err != nil {
+		return err
+	}
+	d.background.Go(func() { d.peers.run(d.stopping) })
+	if d.replica != nil {
+		d.startOrders()
+	}
+	if d.entry != nil && d.options.Process.PlatformList.IsValid() {
+		d.background.Go(func() { d.watchPlatform(d.stopping) })
+	}
 	d.background.Go(d.rereadKeys)
 	if d.replica != nil && d.options.Declarations != nil {
 		d.background.Go(func() { d.bootstrap(d.stopping) })
@@ -147,6 +164,8 @@
 		d.entry.Configure(c)
 		d.feeds.Configure(c)
 	}
+	d.inForce.Store(&inForce{configuration: c, since: time.Now()})
+	d.tellRevision()
 	events.ConfigurationServed.Log(d.options.Log, zap.Uint64("revision", uint64(c.Revision)))
 }
 
@@ -172,12 +191,17 @@
 
 func (d *Daemon) end() {
 	d.stop()
+	if joined := d.members.Load(); joined != nil {
+		joined.Close()
+	}
 	d.listeners.close()
 	d.background.Wait()
 	d.stopControl()
 	if d.entry != nil {
 		d.feeds.Close()
 		d.entry.Close()
+	}
+	if d.client != nil {
 		d.client.CloseIdle()
 	}
 	if d.folder != nil {
