Put an organisation that crowds its class behind the others at the endpoints

A burst filled the endpoints' queues before it was held back. While more of an organisation's requests wait than start and it uses more than its share, its urgent work is sent with normal priority, to endpoints with room only.

--- a/router/classes.go
+++ b/router/classes.go
@@ -16,6 +16,7 @@
 // class holds the waiting requests of one priority.
 type class struct {
 	schedule fairness.Scheduler
+	usage    fairness.Usage
 	// The following are by organisation; recent is the group served last.
 	queues  []waiting.Queue
 	backlog []admission.Backlog
@@ -33,6 +34,7 @@
 
 func (c *class) configure(flow fairness.Flow, weight float64) {
 	c.schedule.SetWeight(flow, weight)
+	c.usage.SetWeight(flow, weight)
 	for int(flow) >= len(c.queues) {
 		c.queues = append(c.queues, waiting.Queue{})
 		c.backlog = append(c.backlog, admission.Backlog{})
@@ -158,7 +160,9 @@
 func (r *Router) started(now tables.Instant, row *tables.RequestRow) {
 	c := &r.classes[row.Priority]
 	c.backlog[row.Organisation].Started(now)
-	c.schedule.Charge(row.Organisation, r.costOf(row))
+	cost := r.costOf(row)
+	c.schedule.Charge(row.Organisation, cost)
+	c.usage.Add(now, row.Organisation, cost)
 	if !row.Counted {
 		row.Counted = true
 		r.organisations.rows[row.Organisation].limiter.Start()
@@ -172,4 +176,15 @@
 	return float64(a.UncachedTokens) + answerCost*float64(row.Request.MaxTokens) + 1
 }
 
-const answerCost = 4
+// crowds says whether a request belongs to an organisation that has more waiting
+// than it can get started while it already uses more than its share.
+func (r *Router) crowds(now tables.Instant, row *tables.RequestRow) bool {
+	c := &r.classes[row.Priority]
+	return c.queues[row.Organisation].Len() >= crowdWaiting && c.usage.Over(now, row.Organisation)
+}
+
+const (
+	answerCost = 4
+	// crowdWaiting is how many waiting requests make a crowd.
+	crowdWaiting = 1
+)
--- a/router/place.go
+++ b/router/place.go
@@ -30,6 +30,8 @@
 	// its turn can pass to another organisation and where it can still be
 	// refused as not run.
 	maxAhead = 3.0
+	// crowdAhead is the same for an organisation that crowds its class.
+	crowdAhead = 1.0
 	// maxBacklog is the same for work that can be held, in seconds. It is small,
 	// so that held work uses the time that is left without filling queues.
 	maxBacklog = 1.5
@@ -100,7 +102,11 @@
 		return false
 	}
 	if q.Request.Profile.MaxWait <= 0 || promoted(q.Now, q.Request) {
-		return choice.Row.Load.Ahead(q.Request.Priority, &q.Mix)*q.WaitWeight > maxAhead*choice.PrefillRate()
+		bound := maxAhead
+		if q.Crowds {
+			bound = crowdAhead
+		}
+		return choice.Row.Load.Ahead(priority(q), &q.Mix)*q.WaitWeight > bound*choice.PrefillRate()
 	}
 	if r.gathers(q, choice) {
 		return true
@@ -137,11 +143,14 @@
 }
 
 // priority is the urgency with which the endpoint is asked to run the request.
-func priority(now tables.Instant, row *tables.RequestRow) tables.Priority {
-	if promoted(now, row) {
-		return min(row.Priority, tables.Normal)
+// Urgent work of an organisation that crowds the class goes behind that of the
+// others: a burst fills the queues of the endpoints before any instance can hold
+// it back, and there only the priority lets a small organisation overtake.
+func priority(q *placement.Query) tables.Priority {
+	if q.Crowds || promoted(q.Now, q.Request) {
+		return tables.Normal
 	}
-	return row.Priority
+	return q.Request.Priority
 }
 
 func waitWeight(p *tables.Profile) float64 {
@@ -178,6 +187,7 @@
 		Mix:     r.mix,
 
 		WaitWeight: waitWeight(row.Profile),
+		Crowds:     row.Priority == tables.Urgent && r.crowds(now, row),
 	}
 	if row.Delivered > 0 {
 		q.Weights = row.Weights
@@ -194,7 +204,7 @@
 		ID:             r.newAttemptID(),
 		Request:        row,
 		Endpoint:       choice.Endpoint,
-		Priority:       priority(q.Now, row),
+		Priority:       priority(q),
 		Boot:           endpoint.Boot,
 		Weights:        q.Weights,
 		Dispatched:     q.Now,
--- a/router/watch.go
+++ b/router/watch.go
@@ -26,6 +26,9 @@
 	for i := range r.endpoints.Len() {
 		health.Renew(now, &r.endpoints.Row(tables.EndpointIndex(i)).Health)
 	}
+	for p := range r.classes {
+		r.classes[p].usage.Prune(now)
+	}
 	r.refuseOverdue(now)
 	r.refuseConvicted(now)
 	for _, row := range r.sortedRequests(func(row *tables.RequestRow) bool { return r.needsLook(now, row) }) {
--- a/systems/placement/filter/capacity/capacity.go
+++ b/systems/placement/filter/capacity/capacity.go
@@ -16,6 +16,10 @@
 	tables.Background: 0.75,
 }
 
+// CrowdLimit is the limit, as a multiple of the slots, for an organisation that
+// crowds its class; it leaves room for the others.
+const CrowdLimit = 0.75
+
 // Filter keeps endpoints with room.
 type Filter struct{}
 
@@ -24,6 +28,10 @@
 
 // Keep compares the estimated attempts with the limit of the priority.
 func (Filter) Keep(q *placement.Query, c *placement.Candidate) bool {
-	limit := Limits[q.Request.Priority] * float64(c.Row.Slots())
+	part := Limits[q.Request.Priority]
+	if q.Crowds {
+		part = min(part, CrowdLimit)
+	}
+	limit := part * float64(c.Row.Slots())
 	return float64(c.Row.Load.Active()) < max(1, limit)
 }
--- a/systems/placement/placement.go
+++ b/systems/placement/placement.go
@@ -28,6 +28,9 @@
 	WaitWeight float64
 	// MeanTurnover is the mean of the candidates' turnovers, in seconds.
 	MeanTurnover float64
+	// Crowds is set for a request of an organisation that uses more than its
+	// share while more of its requests wait.
+	Crowds bool
 	// LastChance is set for a request that has waited almost as long as it may.
 	LastChance bool
 	// Hedge is set for a second attempt beside a slow one.
