--- a/measure/measure.go
+++ b/measure/measure.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -81,6 +82,24 @@
 // policies are all policies in the order of the report.
 var policies = []string{"round-robin", "least-requests", "prefix-hash", "ours", "oracle"}
 
+// faults are all faults.
+var faults = []Fault{None, Crash, EventLoss, Shift, InstanceLoss, Slow, Burst}
+
+// check finds names that do not exist before anything is played.
+func (o Options) check() error {
+	for _, name := range o.Policies {
+		if !slices.Contains(policies, name) {
+			return trace.Wrap(&UnknownNameError{Kind: "policy", Name: name})
+		}
+	}
+	for _, fault := range o.Faults {
+		if !slices.Contains(faults, fault) {
+			return trace.Wrap(&UnknownNameError{Kind: "fault", Name: string(fault)})
+		}
+	}
+	return nil
+}
+
 func (o Options) withDefaults() Options {
 	if len(o.Sites) == 0 {
 		o.Sites = []string{"ashanti", "tawe"}
@@ -123,6 +142,9 @@
 // site, fault and policy.
 func Run(ctx context.Context, options Options) (Report, error) {
 	options = options.withDefaults()
+	if err := options.check(); err != nil {
+		return Report{}, err
+	}
 	var report Report
 	for _, name := range options.Sites {
 		s, err := siteNamed(name)
--- a/router/classes.go
+++ b/router/classes.go
@@ -58,6 +58,7 @@
 		}
 		row.StartBy = admission.StartBy(row, 0)
 		if refusal, ok := c.backlog[row.Organisation].Check(now, row.StartBy-now); !ok {
+			r.notePressure(now, row)
 			r.refuse(row.Request, refusal)
 			r.finish(row)
 			continue
@@ -163,6 +164,7 @@
 	cost := r.costOf(row)
 	c.schedule.Charge(row.Organisation, cost)
 	c.usage.Add(now, row.Organisation, cost)
+	r.pressure.work(now, cost, row.Profile.MaxWait > 0)
 	if !row.Counted {
 		row.Counted = true
 		r.organisations.rows[row.Organisation].limiter.Start()
@@ -176,6 +178,14 @@
 	return float64(a.UncachedTokens) + answerCost*float64(row.Request.MaxTokens) + 1
 }
 
+// notePressure takes a refusal of work that cannot be held as a sign of
+// overload.
+func (r *Router) notePressure(now tables.Instant, row *tables.RequestRow) {
+	if row.Profile.MaxWait <= 0 {
+		r.pressure.sign(now)
+	}
+}
+
 // crowds says whether a request belongs to an organisation that has more waiting
 // than it can get started while it already uses more than its share.
 func (r *Router) crowds(now tables.Instant, row *tables.RequestRow) bool {
--- a/router/finish.go
+++ b/router/finish.go
@@ -180,6 +180,9 @@
 	case !r.anyServes(now, row):
 		refusal.Code = tables.CodeNoEndpoint
 	}
+	if refusal.Code == tables.CodeOverloaded {
+		r.notePressure(now, row)
+	}
 	r.refuse(row.Request, refusal)
 	r.finish(row)
 }
--- a/router/place.go
+++ b/router/place.go
@@ -30,6 +30,10 @@
 	// its turn can pass to another organisation and where it can still be
 	// refused as not run.
 	maxAhead = 3.0
+	// delayWeight is how much of the wait that a request means for others counts
+	// against its being started. It keeps prompts that are nowhere cached from
+	// overloaded endpoints, where each would take the place of many that are.
+	delayWeight = 0.1
 	// crowdAhead is the same for an organisation that crowds its class.
 	crowdAhead = 1.0
 	// maxBacklog is the same for work that can be held, in seconds. It is small,
@@ -101,12 +105,17 @@
 	if q.Request.Delivered > 0 {
 		return false
 	}
-	if q.Request.Profile.MaxWait <= 0 || promoted(q.Now, q.Request) {
+	held := q.Request.Profile.MaxWait > 0
+	if held && r.pressure.on(q.Now) && !r.pressure.room() {
+		return true
+	}
+	if !held || promoted(q.Now, q.Request) {
 		bound := maxAhead
 		if q.Crowds {
 			bound = crowdAhead
 		}
-		return choice.Row.Load.Ahead(priority(q), &q.Mix)*q.WaitWeight > bound*choice.PrefillRate()
+		ahead := choice.Row.Load.Ahead(priority(q), &q.Mix) / choice.PrefillRate()
+		return q.WaitWeight*(ahead+delayWeight*compute.Delay(q, &choice.Candidate)) > bound
 	}
 	if r.gathers(q, choice) {
 		return true
--- a/router/router.go
+++ b/router/router.go
@@ -58,6 +58,7 @@
 	// fresh holds new requests until the next Tick.
 	fresh    []*tables.RequestRow
 	budget   retry.Budget
+	pressure pressure
 	suspects *quarantine.System
 	picker   placement.Picker
 	view     *cacheview.View
--- a/router/watch.go
+++ b/router/watch.go
@@ -29,6 +29,9 @@
 	for p := range r.classes {
 		r.classes[p].usage.Prune(now)
 	}
+	if r.classes[tables.Urgent].schedule.Waiting() >= pressureWaiting {
+		r.pressure.sign(now)
+	}
 	r.refuseOverdue(now)
 	r.refuseConvicted(now)
 	for _, row := range r.sortedRequests(func(row *tables.RequestRow) bool { return r.needsLook(now, row) }) {
--- a/systems/fairness/fairness.go
+++ b/systems/fairness/fairness.go
@@ -24,6 +24,7 @@
 type Scheduler struct {
 	flows   []flow
 	virtual float64
+	waiting int
 	// active lists the flows with waiting requests, in no order.
 	active []Flow
 }
@@ -40,6 +41,7 @@
 func (s *Scheduler) Add(f Flow) {
 	w := &s.flows[f]
 	w.waiting++
+	s.waiting++
 	if w.waiting == 1 {
 		w.start = max(w.start, s.virtual)
 		s.active = append(s.active, f)
@@ -50,6 +52,7 @@
 func (s *Scheduler) Remove(f Flow) {
 	w := &s.flows[f]
 	w.waiting--
+	s.waiting--
 	if w.waiting > 0 {
 		return
 	}
@@ -104,5 +107,8 @@
 	return a < b
 }
 
+// Waiting is the number of waiting requests.
+func (s *Scheduler) Waiting() int { return s.waiting }
+
 // Active is the number of flows with waiting requests.
 func (s *Scheduler) Active() int { return len(s.active) }
--- a/systems/placement/score/compute/compute.go
+++ b/systems/placement/score/compute/compute.go
@@ -19,11 +19,15 @@
 
 // Score divides the uncached tokens by the endpoint's learned speed.
 func (Scorer) Score(q *placement.Query, c *placement.Candidate) float64 {
-	own := c.UncachedTokens(q) / c.PrefillRate()
-	weight := q.WaitWeight
+	score := q.WaitWeight * c.UncachedTokens(q) / c.PrefillRate()
 	if q.Request.Profile.MaxWait <= 0 {
-		busy := min(c.Row.Load.Busy, maxBusy)
-		weight += busy / (1 - busy)
+		score += Delay(q, c)
 	}
-	return weight * own
+	return score
+}
+
+// Delay is the wait in seconds that the request's prefill means for others.
+func Delay(q *placement.Query, c *placement.Candidate) float64 {
+	busy := min(c.Row.Load.Busy, maxBusy)
+	return busy / (1 - busy) * c.UncachedTokens(q) / c.PrefillRate()
 }
