--- /dev/null
+++ b/control/measure_test.go
@@ -0,0 +1,375 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/control/configuration"
+	"github.com/carawaystile/carawaystile/control/follower"
+	"github.com/carawaystile/carawaystile/control/server"
+	"github.com/carawaystile/carawaystile/control/state"
+	"github.com/carawaystile/carawaystile/control/transport"
+	"github.com/carawaystile/carawaystile/keys"
+	"github.com/carawaystile/carawaystile/rpc"
+	"github.com/carawaystile/carawaystile/store"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// durations reports percentiles of measured times in milliseconds.
+func reportTimes(b *testing.B, name string, times []time.Duration) {
+	slices.Sort(times)
+	at := func(p float64) float64 {
+		return float64(times[int(p*float64(len(times)-1))]) / float64(time.Millisecond)
+	}
+	b.ReportMetric(at(0.5), name+"_p50_ms")
+	b.ReportMetric(at(0.99), name+"_p99_ms")
+}
+
+// BenchmarkApplyInForce measures the time from sending an apply until it is in
+// force, and saved, at all of 9 instances, 3 of them control instances.
+func BenchmarkApplyInForce(b *testing.B) {
+	c := newCluster(b, 3, 6)
+	var accepted, inForce []time.Duration
+	revision := uint64(0)
+	b.ResetTimer()
+	for b.Loop() {
+		start := time.Now()
+		answer := c.apply(int(revision%3), fmt.Sprint("r", revision), revision, time.Duration(revision+1)*time.Second)
+		assert.Assert(b, answer.GetAccepted() != nil, "%v", answer)
+		accepted = append(accepted, time.Since(start))
+		revision = answer.GetAccepted().GetRevision().GetNumber()
+		for i := range c.instances {
+			for got := range c.instances[i].inForce {
+				if uint64(got) >= revision {
+					break
+				}
+			}
+		}
+		inForce = append(inForce, time.Since(start))
+	}
+	reportTimes(b, "accepted", accepted)
+	reportTimes(b, "in_force", inForce)
+}
+
+// BenchmarkClaims measures the two quorum steps before a dispatch, over 3
+// control instances with synced files. Serial makes one claim at a time, so that
+// each step has a sync of its own; the others share syncs.
+func BenchmarkClaims(b *testing.B) {
+	for _, callers := range []int{1, 16, 128} {
+		b.Run(fmt.Sprint("callers=", callers), func(b *testing.B) {
+			c := newCluster(b, 3, 0)
+			c.apply(0, "r", 0, time.Second)
+			var next atomic.Int64
+			var mu sync.Mutex
+			var times []time.Duration
+			var running sync.WaitGroup
+			b.ResetTimer()
+			for caller := range callers {
+				running.Go(func() {
+					claims := c.instances[caller%3].claims
+					for {
+						n := next.Add(1)
+						if n > int64(b.N) {
+							return
+						}
+						start := time.Now()
+						claimOnce(b, claims, n)
+						mu.Lock()
+						times = append(times, time.Since(start))
+						mu.Unlock()
+					}
+				})
+			}
+			running.Wait()
+			b.StopTimer()
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "claims/s")
+			reportTimes(b, "before_dispatch", times)
+		})
+	}
+}
+
+type claimer interface {
+	Claim(context.Context, tables.OrganisationID, tables.Key, tables.BodyHash) (tables.Grant, error)
+	MarkDispatched(context.Context, tables.Grant) error
+}
+
+func claimOnce(b *testing.B, claims claimer, n int64) {
+	organisation := tables.OrganisationID(fmt.Sprint("o", n%8))
+	grant, err := claims.Claim(context.Background(), organisation, tables.Key(fmt.Sprint(n)), tables.BodyHash{1})
+	assert.Check(b, err)
+	assert.Check(b, claims.MarkDispatched(context.Background(), grant))
+}
+
+// BenchmarkNewLeader measures the time from the stop of the leader until the
+// group decides again.
+func BenchmarkNewLeader(b *testing.B) {
+	var times []time.Duration
+	for b.Loop() {
+		c := newCluster(b, 3, 0)
+		c.apply(0, "r", 0, time.Second)
+		leader := 0
+		for i, in := range c.instances {
+			if in.server.Status().Leads {
+				leader = i
+			}
+		}
+		in := c.instances[leader]
+		start := time.Now()
+		_ = in.http.Close()
+		in.server.Close()
+		assert.NilError(b, c.instances[(leader+1)%3].server.Barrier(c.long()))
+		times = append(times, time.Since(start))
+	}
+	reportTimes(b, "new_leader", times)
+}
+
+// BenchmarkRestart measures how long a control instance needs to read its disk
+// after many changes, and how large its folder is then.
+func BenchmarkRestart(b *testing.B) {
+	for _, changes := range []int{1400, 140_000} {
+		b.Run(fmt.Sprint("changes=", changes), func(b *testing.B) {
+			dir := filepath.Join(b.TempDir(), "data")
+			fill(b, dir, changes)
+			b.ResetTimer()
+			for b.Loop() {
+				replica, folder := openServer(b, dir)
+				for !replica.Status().Formed {
+					runtime.Gosched()
+				}
+				b.StopTimer()
+				replica.Close()
+				assert.NilError(b, folder.Close())
+				b.StartTimer()
+			}
+			b.ReportMetric(float64(folderBytes(b, dir)), "disk_bytes")
+		})
+	}
+}
+
+type nowhere struct{}
+
+func (nowhere) Control(string) rpc.Control { return nil }
+
+func openServer(b *testing.B, dir string) (*server.Server, *store.Folder) {
+	folder, err := store.OpenFolder(dir)
+	assert.NilError(b, err)
+	replica, err := server.Start(server.Options{
+		Self:   server.Instance{Name: "i", Address: "127.0.0.1:1"},
+		Dialer: nowhere{},
+		Disk:   server.FolderDisk{Folder: folder},
+	})
+	assert.NilError(b, err)
+	return replica, folder
+}
+
+// fill lets a group of one make the changes, many at a time.
+func fill(b *testing.B, dir string, changes int) {
+	replica, folder := openServer(b, dir)
+	ctx := context.Background()
+	assert.NilError(b, replica.Barrier(ctx))
+	items := declare(b, time.Second)
+	_, err := replica.Execute(ctx, &rpc.Command{Action: &rpc.Command_Apply{Apply: &rpc.ApplyConfiguration{
+		Request: "first", Digest: configuration.NewContent(items).Declared(), Changes: items,
+	}}})
+	assert.NilError(b, err)
+	var next atomic.Int64
+	var running sync.WaitGroup
+	for range 256 {
+		running.Go(func() {
+			for n := next.Add(1); n < int64(changes); n = next.Add(1) {
+				_, err := replica.Execute(ctx, &rpc.Command{Action: &rpc.Command_ChangeLife{ChangeLife: &rpc.ChangeLife{
+					Operator: "ama", Request: fmt.Sprint(n), Endpoint: "e1", Join: true,
+				}}})
+				assert.Check(b, err)
+			}
+		})
+	}
+	running.Wait()
+	assert.Equal(b, replica.Revision(), tables.Revision(changes))
+	replica.Close()
+	assert.NilError(b, folder.Close())
+}
+
+func folderBytes(b *testing.B, dir string) int64 {
+	total := int64(0)
+	assert.NilError(b, filepath.Walk(dir, func(_ string, info os.FileInfo, err error) error {
+		if err == nil && !info.IsDir() {
+			total += info.Size()
+		}
+		return err
+	}))
+	return total
+}
+
+// BenchmarkStateBytes measures what one row of each kind costs in a snapshot and
+// in memory.
+func BenchmarkStateBytes(b *testing.B) {
+	const rows = 5000
+	kinds := map[string]func(int) *rpc.Command{
+		"profile":      func(n int) *rpc.Command { return applyOne(b, n, withProfile) },
+		"organisation": func(n int) *rpc.Command { return applyOne(b, n, withOrganisation) },
+		"endpoint":     func(n int) *rpc.Command { return applyOne(b, n, withEndpoint) },
+		"claim":        claimRow,
+	}
+	for name, command := range kinds {
+		b.Run(name, func(b *testing.B) {
+			var heap, snapshot float64
+			for b.Loop() {
+				before := heapBytes()
+				s := state.New(state.DefaultLimits())
+				if name == "claim" {
+					for n := range rows {
+						s.Execute(uint64(n+1), command(n))
+					}
+				} else {
+					s.Execute(1, command(rows))
+				}
+				encoded, err := s.Snapshot()
+				assert.NilError(b, err)
+				snapshot = float64(len(encoded)) / rows
+				encoded = nil
+				heap = (heapBytes() - before) / rows
+				runtime.KeepAlive(s)
+			}
+			b.ReportMetric(snapshot, "snapshot_bytes/row")
+			b.ReportMetric(heap, "heap_bytes/row")
+		})
+	}
+}
+
+func heapBytes() float64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc)
+}
+
+func claimRow(n int) *rpc.Command {
+	return &rpc.Command{Action: &rpc.Command_Claim{Claim: &rpc.Claim{
+		Organisation: fmt.Sprint("organisation-", n%8),
+		Key:          fmt.Sprintf("%032d", n),
+		Body:         make([]byte, 32),
+		Owner:        &rpc.ClaimOwner{Instance: "accra-a-1", Boot: 1},
+		Token:        fmt.Sprintf("boot-%06d", n),
+	}}}
+}
+
+// applyOne declares n rows in one revision.
+func applyOne(b *testing.B, n int, add func(*tables.Configuration, int)) *rpc.Command {
+	var c tables.Configuration
+	for i := range n {
+		add(&c, i)
+	}
+	items, err := configuration.Encode(c)
+	assert.NilError(b, err)
+	return &rpc.Command{Action: &rpc.Command_Apply{Apply: &rpc.ApplyConfiguration{
+		Request: "r", Digest: configuration.NewContent(items).Declared(), Changes: items,
+	}}}
+}
+
+func withProfile(c *tables.Configuration, i int) {
+	c.Profiles = append(c.Profiles, tables.Profile{
+		Name: tables.ProfileName(fmt.Sprintf("profile-%05d", i)), Model: "language-model", Timeout: time.Minute,
+	})
+}
+
+func withOrganisation(c *tables.Configuration, i int) {
+	c.Organisations = append(c.Organisations, tables.Organisation{
+		ID: tables.OrganisationID(fmt.Sprintf("organisation-%05d", i)), Share: 1,
+		TokenHashes: []string{fmt.Sprintf("%064d", i)},
+	})
+}
+
+func withEndpoint(c *tables.Configuration, i int) {
+	c.Endpoints = append(c.Endpoints, tables.Endpoint{
+		ID: tables.EndpointID(fmt.Sprintf("endpoint-%05d", i)), Zone: "accra-a",
+		Models: []tables.ModelName{"language-model"}, Slots: 8, CacheBlocks: 64,
+	})
+}
+
+// countingConn counts bytes in both directions.
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// BenchmarkFanOut measures what a change costs when 340 instances follow 3
+// control instances, the followers without disks.
+func BenchmarkFanOut(b *testing.B) {
+	const followers = 340
+	c := newCluster(b, 3, 0)
+	var bytes atomic.Int64
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		return countingConn{conn, &bytes}, err
+	}
+	client := &http.Client{Transport: &keys.Transport{
+		Ring: c.ring, Base: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: followers},
+	}}
+	dialer := transport.NewDialer(client)
+	inForce := make(chan tables.Revision, followers*4)
+	for i := range followers {
+		f := follower.Start(follower.Options{
+			Instance:  tables.InstanceID(fmt.Sprintf("instance-%03d", i)),
+			Sources:   func() []follower.Source { return []follower.Source{dialer.Control(c.instances[i%3].address)} },
+			Configure: func(configuration *tables.Configuration) { inForce <- configuration.Revision },
+		})
+		b.Cleanup(f.Close)
+	}
+	change := func(revision uint64) {
+		answer := c.apply(0, fmt.Sprint("r", revision), revision, time.Duration(revision+1)*time.Second)
+		assert.Assert(b, answer.GetAccepted() != nil)
+		for range followers {
+			<-inForce
+		}
+	}
+	change(0)
+	var times []time.Duration
+	start := bytes.Load()
+	used := processorTime()
+	revision := uint64(1)
+	b.ResetTimer()
+	for b.Loop() {
+		began := time.Now()
+		change(revision)
+		times = append(times, time.Since(began))
+		revision++
+	}
+	changes := float64(revision - 1)
+	reportTimes(b, "in_force", times)
+	b.ReportMetric(float64(bytes.Load()-start)/changes/3, "bytes/change/control_instance")
+	b.ReportMetric(float64(bytes.Load()-start)/changes/followers, "bytes/change/follower")
+	b.ReportMetric(float64(processorTime()-used)/float64(time.Microsecond)/changes, "cpu_us/change")
+}
+
+func processorTime() time.Duration {
+	var usage unix.Rusage
+	_ = unix.Getrusage(unix.RUSAGE_SELF, &usage)
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
