Back up and restore the control state; close a second-group race; faults

Cause: a majority of disks can be lost for good; and the new test of that showed a replica that was still reading its disk being taken for an empty one, so that a second group with an empty configuration was founded beside the first. Commands find their way around a one-way cut to the leader.

Conclusion: operators need the commands backup and restore on top.

--- a/control/client/claims.go
+++ b/control/client/claims.go
@@ -47,8 +47,8 @@
 }
 
 // Claims makes the claims of one entry instance. It is safe for concurrent use.
-// Its errors are *tables.KeyReused, *tables.NoQuorum, *tables.GrantLost and
-// *ClaimsFull; after any of them nothing may be dispatched.
+// Its errors are *tables.KeyReused, *tables.NoQuorum, *tables.GrantLost,
+// *ClaimsFull and *ClaimsHeld; after any of them nothing may be dispatched.
 type Claims struct {
 	options ClaimsOptions
 	tokens  atomic.Uint64
@@ -78,6 +78,17 @@
 	return fmt.Sprintf("no room for another claim of organisation %s", e.Organisation)
 }
 
+// ClaimsHeld means that the control state was restored from a backup a short
+// while ago. A key that it does not know may have run since the backup.
+type ClaimsHeld struct {
+	For time.Duration
+}
+
+// Error says for how long.
+func (e *ClaimsHeld) Error() string {
+	return fmt.Sprintf("claims on unknown keys are held for another %v after a restore", e.For)
+}
+
 // Unexpected means that the control state answered what does not fit the
 // question.
 type Unexpected struct {
@@ -303,6 +314,8 @@
 		return &tables.KeyReused{Organisation: organisation, Key: key}
 	case rpc.RefusalReason_REFUSED_CLAIMS_FULL:
 		return &ClaimsFull{Organisation: organisation}
+	case rpc.RefusalReason_REFUSED_CLAIMS_HELD:
+		return &ClaimsHeld{For: time.Duration(result.GetRefusal().GetRetryAfterNanos())}
 	case rpc.RefusalReason_REFUSED_CLAIM_LOST, rpc.RefusalReason_REFUSED_ALREADY_DISPATCHED:
 		return &tables.GrantLost{Organisation: organisation, Key: key, Fence: fence}
 	default:
--- a/control/operator/operator.go
+++ b/control/operator/operator.go
@@ -173,3 +173,12 @@
 func unavailable(err error) error {
 	return twirp.NewError(twirp.Unavailable, trace.Unwrap(err).Error())
 }
+
+// Backup gives the replicated state, to be kept elsewhere.
+func (s *Service) Backup(ctx context.Context, _ *rpc.BackupRequest) (*rpc.Backup, error) {
+	backup, err := s.options.Server.Backup(ctx)
+	if err != nil {
+		return nil, unavailable(err)
+	}
+	return backup, nil
+}
--- a/control/server/execute.go
+++ b/control/server/execute.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -28,7 +29,7 @@
 		if err == nil {
 			return result, nil
 		}
-		if command.GetForwarded() || ctx.Err() != nil || s.hasStopped() {
+		if command.GetHops() > 0 || ctx.Err() != nil || s.hasStopped() {
 			return nil, twirp.NewError(twirp.Unavailable, err.Error())
 		}
 		s.pause(ctx, retryPause)
@@ -53,15 +54,42 @@
 		return nil, &Unavailable{Reason: NotFormed}
 	case seen.leads:
 		return s.decideHere(ctx, command)
-	case seen.leader == replog.None || seen.leaderAddress == "" || command.GetForwarded():
+	case command.GetHops() >= maxHops:
 		return nil, &Unavailable{Reason: NoLeader}
 	}
-	forwarded := &rpc.Command{Forwarded: true, Action: command.GetAction()}
-	result, err := s.options.Dialer.Control(seen.leaderAddress).Execute(ctx, forwarded)
-	if err != nil {
-		return nil, &Unavailable{Reason: ForwardFailed, Cause: err}
+	var last error = &Unavailable{Reason: NoLeader}
+	for _, address := range s.ways(seen) {
+		result, err := s.forward(ctx, address, command)
+		if err == nil {
+			return result, nil
+		}
+		last = &Unavailable{Reason: ForwardFailed, Cause: err}
+	}
+	return nil, last
+}
+
+// ways lists where to pass a command on: to the leader, and else to any other
+// member. The way between this replica and the leader may be lost in one
+// direction, while all others reach both.
+func (s *Server) ways(seen view) []string {
+	var ways []string
+	if seen.leader != replog.None && seen.leaderAddress != "" {
+		ways = append(ways, seen.leaderAddress)
+	}
+	if len(seen.members) > 0 {
+		other := seen.members[rand.IntN(len(seen.members))]
+		if other.Replica != s.replica && other.Replica != seen.leader {
+			ways = append(ways, other.Address)
+		}
 	}
-	return result, nil
+	return ways
+}
+
+func (s *Server) forward(ctx context.Context, address string, command *rpc.Command) (*rpc.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	passed := &rpc.Command{Hops: command.GetHops() + 1, Action: command.GetAction()}
+	return s.options.Dialer.Control(address).Execute(ctx, passed)
 }
 
 func (s *Server) decideHere(ctx context.Context, command *rpc.Command) (*rpc.Result, error) {
--- a/control/server/form.go
+++ b/control/server/form.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"github.com/twitchtv/twirp"
 	"go.uber.org/zap"
 
 	"github.com/carawaystile/carawaystile/control/state"
@@ -34,10 +35,12 @@
 		answers, all := s.askToJoin(ctx, self)
 		for _, answer := range answers {
 			if answer.GetFormed() {
+				s.willHaveLog()
 				return s.follow(answer, self)
 			}
 		}
 		if all && s.first() {
+			s.willHaveLog()
 			return s.found(append(s.asFounders(answers), self))
 		}
 		s.pause(ctx, joinPause)
@@ -47,6 +50,12 @@
 	}
 }
 
+func (s *Server) willHaveLog() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view.hasLog = true
+}
+
 func (s *Server) founder() *rpc.Founder {
 	return &rpc.Founder{
 		Replica:  uint64(s.replica),
@@ -137,6 +146,10 @@
 }
 
 // Join answers who this replica is. The leader takes the asking replica in.
+//
+// A replica that has a log but does not know its group's founders, because it
+// is just starting or has not caught up yet, gives no answer: the asker must
+// neither take it for one without state, nor for one that can tell it its part.
 func (s *Server) Join(_ context.Context, request *rpc.JoinRequest) (*rpc.JoinAnswer, error) {
 	s.mu.RLock()
 	seen := s.view
@@ -147,9 +160,13 @@
 		default:
 		}
 	}
+	knows := seen.formed && len(seen.founders) > 0
+	if seen.hasLog && !knows {
+		return nil, twirp.NewError(twirp.Unavailable, string(NotFormed))
+	}
 	return &rpc.JoinAnswer{
 		Replica:  uint64(s.replica),
-		Formed:   seen.formed && len(seen.founders) > 0,
+		Formed:   knows,
 		Group:    seen.group,
 		Founders: seen.founders,
 	}, nil
--- a/control/server/network_test.go
+++ b/control/server/network_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/carawaystile/carawaystile/control/configuration"
+	"github.com/carawaystile/carawaystile/control/state"
 	"github.com/carawaystile/carawaystile/replog"
 	"github.com/carawaystile/carawaystile/rpc"
 	"github.com/carawaystile/carawaystile/tables"
@@ -107,6 +108,13 @@
 	n.cuts[[2]string{b, a}] = cut
 }
 
+// oneWay stops messages from a to b only.
+func (n *network) oneWay(a, b string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cuts[[2]string{a, b}] = cut
+}
+
 func (n *network) isolate(g *group, i int, cut bool) {
 	for j := range g.disks {
 		if j != i {
@@ -264,26 +272,53 @@
 	return result
 }
 
-// applyCommand declares one profile of the given name besides what instance i
-// has in force.
+// applyCommand declares one profile of the given name over what instance i has
+// in force.
 func (g *group) applyCommand(i int, operator, request string, base uint64, profile string) *rpc.Command {
+	items := profileItems(g.t, profile)
+	var command *rpc.Command
+	g.servers[i].View(func(s *state.State) {
+		command = applyOver(s, operator, request, base, items)
+	})
+	return command
+}
+
+func profileItems(t *testing.T, profile string) []*rpc.Item {
 	items, err := configuration.Encode(tables.Configuration{
 		WeightLoads: 2,
 		Profiles:    []tables.Profile{{Name: tables.ProfileName(profile)}},
 	})
-	assert.NilError(g.t, err)
+	assert.NilError(t, err)
+	return items
+}
+
+func applyOver(s *state.State, operator, request string, base uint64, items []*rpc.Item) *rpc.Command {
 	to := configuration.NewContent(items)
-	g.servers[i].mu.RLock()
-	defer g.servers[i].mu.RUnlock()
 	return &rpc.Command{Action: &rpc.Command_Apply{Apply: &rpc.ApplyConfiguration{
 		Operator: operator,
 		Request:  request,
 		Base:     base,
 		Digest:   to.Declared(),
-		Changes:  configuration.Changes(g.servers[i].state.Content(), to),
+		Changes:  configuration.Changes(s.Content(), to),
 	}}}
 }
 
+// server returns the running server at i, nil if there is none. It may be called
+// while servers are replaced.
+func (g *group) server(i int) *Server {
+	g.network.mu.Lock()
+	defer g.network.mu.Unlock()
+	server, _ := g.network.servers[address(i)].(*Server)
+	return server
+}
+
+// replace restarts instance i on a disk.
+func (g *group) replace(i int, disk *memoryDisk) {
+	g.stop(i)
+	g.disks[i] = disk
+	g.start(i)
+}
+
 // apply puts a configuration in force through instance i.
 func (g *group) apply(i int, request, profile string) uint64 {
 	g.barrier(i)
--- a/control/server/options.go
+++ b/control/server/options.go
@@ -109,6 +109,10 @@
 	snapshotTimeout = time.Minute
 	// executeTimeout bounds Execute where the caller set no deadline.
 	executeTimeout = 5 * time.Second
+	// forwardTimeout bounds one try to pass a command on.
+	forwardTimeout = time.Second
+	// maxHops is how often a command is passed on.
+	maxHops = 2
 	// retryPause is the time between two tries of one command.
 	retryPause = 25 * time.Millisecond
 	// maxWatch bounds the wait of one Watch.
--- a/control/server/server.go
+++ b/control/server/server.go
@@ -58,6 +58,9 @@
 
 // view is what other goroutines need to know of the replicated log.
 type view struct {
+	// hasLog is set as soon as this replica has a log or is about to make one,
+	// formed once it takes part in the group.
+	hasLog        bool
 	formed        bool
 	leads         bool
 	leader        replog.ReplicaID
@@ -97,6 +100,7 @@
 		return nil, trace.Wrap(err)
 	}
 	if log != nil {
+		s.view.hasLog = true
 		_, s.replica = log.Identity()
 	} else if s.replica, err = options.Disk.NewReplica(); err != nil {
 		cancel()
@@ -182,7 +186,7 @@
 		return trace.Wrap(err)
 	}
 	s.view.formed = true
-	s.view.group = group
+	s.view.group, s.view.founders = s.state.Group()
 	s.wake()
 	return nil
 }
--- a/control/server/server_test.go
+++ b/control/server/server_test.go
@@ -199,3 +199,25 @@
 	g.barrier(0)
 	assert.Assert(t, g.disks[0].group == g.disks[1].group)
 }
+
+// Nothing that the leader sends reaches one replica, or nothing of what that
+// replica sends reaches the leader. Those who ask it must still get their claim:
+// all others reach both.
+func TestClaimThroughAReplicaCutOffFromTheLeader(t *testing.T) {
+	g := newGroup(t, 3)
+	for _, fromLeader := range []bool{true, false} {
+		leader := g.leader()
+		other := (leader + 1) % 3
+		from, to := address(other), address(leader)
+		if fromLeader {
+			from, to = to, from
+		}
+		g.network.oneWay(from, to, true)
+		claim := claimCommand("i1", fmt.Sprint(fromLeader))
+		claim.GetClaim().Key = fmt.Sprint(fromLeader)
+		result := g.execute(other, g.long(), claim)
+		assert.Equal(t, result.GetClaim().GetState(), rpc.ClaimState_CLAIM_NEW)
+		g.network.oneWay(from, to, false)
+		g.barrier(other)
+	}
+}
--- a/control/state/claims.go
+++ b/control/state/claims.go
@@ -63,6 +63,9 @@
 	answers     []due
 	answerBytes int
 	sessions    sessions
+	// heldUntil is when keys that are not known are granted again after a
+	// restore.
+	heldUntil time.Duration
 }
 
 func newClaims(limits Limits) claims {
@@ -85,6 +88,9 @@
 	c.sessions.seen(now, asker)
 	row := c.rows[id]
 	if row == nil {
+		if now < c.heldUntil {
+			return refusedFor(rpc.RefusalReason_REFUSED_CLAIMS_HELD, c.heldUntil-now)
+		}
 		if c.full(id.organisation) {
 			return refused(rpc.RefusalReason_REFUSED_CLAIMS_FULL)
 		}
--- a/control/state/claims_snapshot.go
+++ b/control/state/claims_snapshot.go
@@ -31,6 +31,7 @@
 		return cmp.Compare(a.GetChanged(), b.GetChanged())
 	})
 	c.sessions.save(snapshot)
+	snapshot.ClaimsHeldUntil = int64(c.heldUntil)
 }
 
 func (c *claims) load(snapshot *rpc.Snapshot) {
@@ -61,4 +62,5 @@
 		}
 	}
 	c.sessions.load(snapshot)
+	c.heldUntil = time.Duration(snapshot.GetClaimsHeldUntil())
 }
--- a/control/state/state.go
+++ b/control/state/state.go
@@ -148,12 +148,9 @@
 // Restore replaces the state by a snapshot. After an error the state is as it
 // was.
 func (s *State) Restore(encoded []byte) error {
-	snapshot := &rpc.Snapshot{}
-	if err := proto.Unmarshal(encoded, snapshot); err != nil {
-		return trace.Wrap(&BadSnapshot{Cause: err})
-	}
-	if snapshot.GetVersion() != snapshotVersion {
-		return trace.Wrap(&BadSnapshot{Version: snapshot.GetVersion()})
+	snapshot, err := decodeSnapshot(encoded)
+	if err != nil {
+		return trace.Wrap(err)
 	}
 	fresh := New(s.limits)
 	fresh.group = snapshot.GetGroup()
@@ -166,6 +163,31 @@
 	return nil
 }
 
+func decodeSnapshot(encoded []byte) (*rpc.Snapshot, error) {
+	snapshot := &rpc.Snapshot{}
+	if err := proto.Unmarshal(encoded, snapshot); err != nil {
+		return nil, &BadSnapshot{Cause: err}
+	}
+	if snapshot.GetVersion() != snapshotVersion {
+		return nil, &BadSnapshot{Version: snapshot.GetVersion()}
+	}
+	last := snapshot.GetRevision()
+	for i, revision := range snapshot.GetHistory() {
+		if revision.GetNumber() != last-uint64(len(snapshot.GetHistory())-1-i) {
+			return nil, &BadSnapshot{Version: snapshotVersion, Cause: &HistoryGap{Revision: revision.GetNumber()}}
+		}
+	}
+	return snapshot, nil
+}
+
+// HistoryGap means that the revisions of a history do not follow each other.
+type HistoryGap struct{ Revision uint64 }
+
+// Error names the first revision out of place.
+func (e *HistoryGap) Error() string {
+	return fmt.Sprintf("revision %d is out of place in the history", e.Revision)
+}
+
 // BadSnapshot means that a snapshot cannot be read by this version.
 type BadSnapshot struct {
 	Version uint32
