Notice endpoints' machines that are gone, and measure the reading of reports

Cause: a call that is not streamed has no heartbeat, so that one to a machine that lost its power hung until the caller's deadline.

--- a/engine/client.go
+++ b/engine/client.go
@@ -62,7 +62,7 @@
 	setDefault(&o.EventBytes, DefaultEventBytes)
 	setDefault(&o.AnswerBytes, DefaultAnswerBytes)
 	if o.Dial == nil {
-		o.Dial = (&net.Dialer{}).DialContext
+		o.Dial = newDialer().DialContext
 	}
 	return o
 }
--- /dev/null
+++ b/engine/dial_linux_test.go
@@ -0,0 +1,35 @@
+package engine
+
+import (
+	"net"
+	"testing"
+
+	"golang.org/x/sys/unix"
+	"gotest.tools/v3/assert"
+)
+
+// A machine loses its power in the middle of a call. Nothing is reset, so only
+// the kernel's own bounds on silence end the connection. Packets cannot be
+// dropped on loopback here; the test holds that the bounds are set.
+func TestConnectionsNoticeDeadMachines(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = l.Close() }()
+	c, err := newDialer().DialContext(t.Context(), "tcp", l.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = c.Close() }()
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	assert.NilError(t, err)
+	for option, want := range map[int]int{
+		unix.TCP_USER_TIMEOUT: int(deadPeerTimeout.Milliseconds()),
+		unix.TCP_KEEPIDLE:     int(probePeriod.Seconds()),
+		unix.TCP_KEEPCNT:      probeCount,
+	} {
+		var got int
+		assert.NilError(t, raw.Control(func(fd uintptr) {
+			got, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, option)
+		}))
+		assert.NilError(t, err)
+		assert.Equal(t, got, want)
+	}
+}
--- /dev/null
+++ b/engine/feed/feed_bench_test.go
@@ -0,0 +1,67 @@
+package feed
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/engine"
+	"github.com/carawaystile/carawaystile/router"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// endpointSaying serves one answer to every question.
+func endpointSaying(b *testing.B, answer any) *feed {
+	content, err := json.Marshal(answer)
+	assert.NilError(b, err)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write(content)
+	}))
+	b.Cleanup(s.Close)
+	return &feed{id: "e", at: s.Listener.Addr().(*net.TCPAddr).AddrPort(), Options: Options{
+		Reporter: engine.NewHTTPClient(engine.Options{}), Deliver: func(router.Input) {},
+	}.withDefaults()}
+}
+
+// BenchmarkLoadReport gives the cost of one load report of an endpoint with 32
+// attempts, the endpoint's side included.
+func BenchmarkLoadReport(b *testing.B) {
+	load := engine.Load{Boot: "b", Running: 24, Queued: 8}
+	for i := range 32 {
+		load.Attempts = append(load.Attempts, tables.AttemptID(fmt.Sprintf("entry-zone-a-kx1f-%d", i)))
+	}
+	f := endpointSaying(b, load)
+	b.ReportAllocs()
+	for range b.N {
+		got, err := f.Reporter.Load(b.Context(), f.at)
+		assert.NilError(b, err)
+		f.Deliver(f.report(got))
+	}
+}
+
+// BenchmarkCacheEvents gives the cost of one cache event, read in batches of
+// 256 events that each store two blocks and evict one.
+func BenchmarkCacheEvents(b *testing.B) {
+	const batch = 256
+	changes := engine.CacheChanges{Boot: "b"}
+	for i := range batch {
+		h := tables.BlockHash(0x9e3779b97f4a7c15 * uint64(i+1))
+		changes.Changes = append(changes.Changes, engine.CacheChange{
+			Sequence: uint64(i + 1), Stored: []tables.BlockHash{h, h + 1}, Evicted: []tables.BlockHash{h + 2},
+		})
+	}
+	f := endpointSaying(b, changes)
+	b.ReportAllocs()
+	for read := 0; read < b.N; read += batch {
+		got, err := f.Reporter.CacheChanges(b.Context(), f.at, "b", 0, time.Second)
+		assert.NilError(b, err)
+		f.deliverChanges("b", 0, got.Changes)
+	}
+}
