--- /dev/null
+++ b/replog/chaos_test.go
@@ -0,0 +1,484 @@
+package replog
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// Messages are lost, late, doubled and out of order, links fail in one
+// direction, processes pause, run at different speeds and crash with writes that
+// were not synced, disks are lost and replaced, and meanwhile operators change
+// the membership. Callers must never see an accepted change vanish or come back
+// in another order, and the group has to work again once the faults are over.
+func TestGroupUnderFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		steps := rapid.IntRange(100, 2500).Draw(rt, "steps")
+		runChaos(rt, seed, steps)
+	})
+}
+
+// runChaos lets the steps that the seed determines happen, and then the group
+// recover.
+func runChaos(t *rapid.T, seed uint64, steps int) {
+	c := newChaos(t, seed)
+	for range steps {
+		c.step()
+	}
+	c.recover()
+	c.copy.checkOutcome()
+}
+
+// chaos does random things to a group and checks it after each.
+type chaos struct {
+	*group
+	t      *rapid.T
+	rand   *rand.Rand
+	copy   *singleCopy
+	lost   map[ReplicaID]bool
+	paused map[ReplicaID]bool
+	nextID ReplicaID
+	nextNo uint64
+	// checked is the last commit of each leader that was checked.
+	checked map[ReplicaID]Position
+	// proposed are proposals whose outcome is open, by proposer.
+	proposed map[ReplicaID]map[Position]string
+}
+
+func newChaos(t *rapid.T, seed uint64) *chaos {
+	r := rand.New(rand.NewPCG(seed, 0))
+	n := 3 + r.IntN(3)
+	var ids []ReplicaID
+	for i := range n {
+		ids = append(ids, ReplicaID(i+1))
+	}
+	g := newGroup(t, seed, ids...)
+	g.delay = true
+	return &chaos{
+		group: g, t: t, rand: r, copy: newSingleCopy(t),
+		lost: map[ReplicaID]bool{}, paused: map[ReplicaID]bool{}, nextID: ReplicaID(n + 1),
+		checked: map[ReplicaID]Position{}, proposed: map[ReplicaID]map[Position]string{},
+	}
+}
+
+// action is one thing that may happen; weight says how often.
+type action struct {
+	weight int
+	do     func(*chaos)
+}
+
+var actions = []action{
+	{50, (*chaos).work},
+	{40, (*chaos).deliverOne},
+	{10, (*chaos).tickOne},
+	{20, (*chaos).saveOne},
+	{12, (*chaos).propose},
+	{6, (*chaos).read},
+	{4, (*chaos).dropOne},
+	{4, (*chaos).doubleOne},
+	{3, (*chaos).cutLink},
+	{6, (*chaos).healLinks},
+	{2, (*chaos).isolateOne},
+	{3, (*chaos).crashOne},
+	{8, (*chaos).startOne},
+	{3, (*chaos).pauseOne},
+	{3, (*chaos).compactOne},
+	{1, (*chaos).loseDisk},
+	{8, (*chaos).changeMembers},
+	{2, (*chaos).transfer},
+}
+
+func (c *chaos) step() {
+	total := 0
+	for _, a := range actions {
+		total += a.weight
+	}
+	n := c.rand.IntN(total)
+	for _, a := range actions {
+		if n -= a.weight; n < 0 {
+			a.do(c)
+			break
+		}
+	}
+	for _, id := range c.running() {
+		c.take(id)
+	}
+}
+
+func (c *chaos) running() []ReplicaID {
+	var ids []ReplicaID
+	for _, id := range c.order {
+		if c.replicas[id].up && !c.paused[id] {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// pick draws one of the running replicas, or None.
+func (c *chaos) pick() ReplicaID {
+	return c.oneOf(c.running())
+}
+
+func (c *chaos) oneOf(ids []ReplicaID) ReplicaID {
+	if len(ids) == 0 {
+		return None
+	}
+	return ids[c.rand.IntN(len(ids))]
+}
+
+// chance is true once in n times.
+func (c *chaos) chance(n int) bool { return c.rand.IntN(n) == 0 }
+
+// take collects what a replica wants done and checks it. Its writes stay
+// outstanding.
+func (c *chaos) take(id ReplicaID) {
+	r := c.replicas[id]
+	c.copy.checkNode(r.node)
+	c.checkCommit(r.node)
+	for r.node.HasReady() {
+		rd := r.node.Ready()
+		disk, _ := r.store.Load()
+		for _, m := range rd.Messages {
+			c.copy.checkPromise(m, disk)
+		}
+		c.queue = append(c.queue, rd.Messages...)
+		c.apply(id, rd)
+		if rd.MustSync {
+			r.pending = append(r.pending, rd)
+		}
+	}
+	c.copy.checkNode(r.node)
+}
+
+// checkCommit checks that what a leader takes for committed is on the disks of a
+// quorum, those that were lost since included.
+func (c *chaos) checkCommit(n *Node) {
+	at := Position{Term: n.term, Index: n.log.commit}
+	if n.role != Leader || !n.log.matches(at.Index, at.Term) || c.checked[n.cfg.ID] == at {
+		return
+	}
+	c.checked[n.cfg.ID] = at
+	ok := n.members.current().hasQuorum(func(id ReplicaID) bool {
+		saved := c.replicas[id].store.saved
+		l := newEntryLog(saved)
+		return saved.Snapshot.Index >= at.Index || l.matches(at.Index, at.Term)
+	})
+	assert.Assert(c.t, ok, "leader %d commits %+v, which is not on a quorum of disks", n.cfg.ID, at)
+}
+
+func (c *chaos) apply(id ReplicaID, rd Ready) {
+	r := c.replicas[id]
+	if rd.Snapshot != nil {
+		c.copy.installed(*rd.Snapshot)
+	}
+	r.take(rd)
+	for _, e := range rd.Committed {
+		c.copy.applied(id, e)
+		at := Position{Term: e.Term, Index: e.Index}
+		if data, ok := c.proposed[id][at]; ok {
+			c.copy.confirmed[data] = at
+		}
+	}
+	for _, s := range rd.ReadStates {
+		c.copy.checkRead(s)
+	}
+}
+
+// work lets a few rounds pass without further faults.
+func (c *chaos) work() {
+	for range 1 + c.rand.IntN(4) {
+		for _, id := range c.running() {
+			c.replicas[id].node.Tick()
+		}
+		for range 3 {
+			c.settle()
+		}
+	}
+}
+
+// settle saves all and delivers what is queued.
+func (c *chaos) settle() {
+	for _, id := range c.running() {
+		c.take(id)
+		c.save(id)
+		c.take(id)
+	}
+	batch := c.queue
+	c.queue = nil
+	for _, m := range batch {
+		c.pass(m)
+	}
+}
+
+// pass delivers a message, or keeps it if the receiver is paused.
+func (c *chaos) pass(m Message) {
+	if c.paused[m.To] {
+		c.queue = append(c.queue, m)
+		return
+	}
+	c.group.step(m)
+}
+
+func (c *chaos) draw() int {
+	if len(c.queue) == 0 {
+		return -1
+	}
+	return c.rand.IntN(len(c.queue))
+}
+
+func (c *chaos) deliverOne() {
+	if i := c.draw(); i >= 0 {
+		m := c.queue[i]
+		c.queue = slices.Delete(c.queue, i, i+1)
+		c.pass(m)
+	}
+}
+
+func (c *chaos) dropOne() {
+	if i := c.draw(); i >= 0 {
+		c.queue = slices.Delete(c.queue, i, i+1)
+	}
+}
+
+func (c *chaos) doubleOne() {
+	if i := c.draw(); i >= 0 {
+		c.pass(c.queue[i])
+	}
+}
+
+func (c *chaos) tickOne() {
+	if id := c.pick(); id != None {
+		for range 1 + c.rand.IntN(15) {
+			c.replicas[id].node.Tick()
+		}
+	}
+}
+
+func (c *chaos) saveOne() {
+	if id := c.pick(); id != None {
+		c.save(id)
+	}
+}
+
+// pickLeader draws one of the replicas that believe they lead, or None.
+func (c *chaos) pickLeader() ReplicaID {
+	var ids []ReplicaID
+	for _, id := range c.running() {
+		if c.replicas[id].node.role == Leader {
+			ids = append(ids, id)
+		}
+	}
+	return c.oneOf(ids)
+}
+
+func (c *chaos) propose() {
+	id := c.pickLeader()
+	if id == None {
+		return
+	}
+	for range 1 + c.rand.IntN(4) {
+		c.nextNo++
+		data := fmt.Sprint("p", c.nextNo)
+		at, err := c.replicas[id].node.Propose([]byte(data))
+		if err != nil {
+			return
+		}
+		if c.proposed[id] == nil {
+			c.proposed[id] = map[Position]string{}
+		}
+		c.proposed[id][at] = data
+	}
+}
+
+func (c *chaos) read() {
+	id := c.pickLeader()
+	if id == None {
+		return
+	}
+	c.nextNo++
+	c.copy.floors[c.nextNo] = c.copy.lastIndex()
+	assert.NilError(c.t, c.replicas[id].node.ReadIndex(c.nextNo))
+}
+
+func (c *chaos) cutLink() {
+	from, to := c.pick(), c.pick()
+	c.cut[[2]ReplicaID{from, to}] = true
+}
+
+func (c *chaos) isolateOne() { c.isolate(c.pick(), true) }
+
+func (c *chaos) healLinks() { clear(c.cut) }
+
+// crashOne stops a replica. Its outstanding write is lost, or was made and not
+// reported.
+func (c *chaos) crashOne() {
+	id := c.pick()
+	if id == None {
+		return
+	}
+	r := c.replicas[id]
+	if c.chance(2) {
+		for _, rd := range r.pending {
+			assert.NilError(c.t, r.store.Save(rd))
+		}
+	}
+	r.up = false
+	r.pending = nil
+}
+
+func (c *chaos) startOne() {
+	for _, id := range c.order {
+		if !c.replicas[id].up && !c.lost[id] && c.chance(2) {
+			c.start(id)
+		}
+	}
+}
+
+func (c *chaos) start(id ReplicaID) {
+	c.restart(id)
+	c.copy.installed(c.replicas[id].start)
+	delete(c.proposed, id)
+}
+
+func (c *chaos) pauseOne() {
+	if id := c.pick(); id != None && len(c.paused) == 0 {
+		c.paused[id] = true
+		return
+	}
+	clear(c.paused)
+}
+
+func (c *chaos) compactOne() {
+	id := c.pick()
+	if id == None {
+		return
+	}
+	n := c.replicas[id].node
+	if n.log.applied <= n.log.snapshot.Index {
+		return
+	}
+	index := n.log.snapshot.Index + 1 + c.rand.Uint64N(n.log.applied-n.log.snapshot.Index)
+	data := binary.LittleEndian.AppendUint64(nil, c.copy.stateAt(index))
+	s, err := n.Compact(index, data)
+	assert.NilError(c.t, err)
+	assert.NilError(c.t, c.replicas[id].store.Compact(s))
+}
+
+// loseDisk destroys a replica for good and starts an empty one under a new
+// identity, unless the group could no longer form a quorum.
+func (c *chaos) loseDisk() {
+	id := c.pick()
+	if id == None || !c.survives(id) {
+		return
+	}
+	c.lost[id] = true
+	c.replicas[id].up = false
+	c.replicas[id].pending = nil
+	c.add(c.nextID, Saved{})
+	c.nextID++
+}
+
+// survives reports whether every membership that may be in force keeps a quorum
+// of disks without one more replica.
+func (c *chaos) survives(id ReplicaID) bool {
+	for _, other := range c.order {
+		for _, at := range c.replicas[other].node.members {
+			if len(at.members) == 0 {
+				continue
+			}
+			if !at.members.hasQuorum(func(v ReplicaID) bool { return v != id && !c.lost[v] }) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// changeMembers proposes a random change, mostly one that repairs the group.
+func (c *chaos) changeMembers() {
+	id := c.pickLeader()
+	if id == None {
+		return
+	}
+	n := c.replicas[id].node
+	target := c.oneOf(c.order)
+	member, ok := n.members.current().Find(target)
+	change := Change{Kind: Promote, Replica: target}
+	switch {
+	case c.lost[target]:
+		change.Kind = Remove
+	case !ok:
+		change.Kind = AddLearner
+	case !member.Learner && c.chance(4):
+		if c.removable(n, target) {
+			change.Kind = Remove
+		}
+	case !member.Learner:
+		change = Change{Kind: SetAddress, Replica: target, Address: "moved"}
+	}
+	_, _ = n.ProposeChange(change)
+}
+
+// removable keeps the group at three voters with a disk or more; smaller ones
+// leave nothing to fail.
+func (c *chaos) removable(n *Node, target ReplicaID) bool {
+	left := 0
+	for _, v := range n.members.current().Voters() {
+		if v != target && !c.lost[v] {
+			left++
+		}
+	}
+	return left >= 3
+}
+
+func (c *chaos) transfer() {
+	if id := c.pickLeader(); id != None {
+		_ = c.replicas[id].node.TransferLeader(c.pick())
+	}
+}
+
+// recover ends all faults and checks that the group works again and agrees.
+func (c *chaos) recover() {
+	clear(c.cut)
+	clear(c.paused)
+	for _, id := range c.order {
+		if !c.replicas[id].up && !c.lost[id] {
+			c.start(id)
+		}
+	}
+	for range 40 * defaultElectionTicks {
+		c.work()
+		if c.leader() != None && c.agreed() {
+			return
+		}
+	}
+	for _, id := range c.order {
+		if c.replicas[id].up {
+			c.t.Logf("%+v", c.replicas[id].node.Status())
+		}
+	}
+	c.t.Fatalf("the group doesn't work again")
+}
+
+// agreed reports whether the leader can commit, and all members have applied
+// all.
+func (c *chaos) agreed() bool {
+	l := c.replicas[c.leader()].node
+	for _, m := range l.members.current() {
+		if c.lost[m.Replica] {
+			continue
+		}
+		n := c.replicas[m.Replica].node
+		if n.term != l.term || n.log.applied != l.log.lastIndex() {
+			return false
+		}
+	}
+	return l.committedInTerm()
+}
--- /dev/null
+++ b/replog/main_test.go
@@ -0,0 +1,31 @@
+package replog
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+var (
+	long    = flag.Int("replog.long", 0, "run the randomised test this many times, from a random seed")
+	rewrite = flag.Bool("replog.rewrite", false, "write what the scripts in testdata gave into them")
+)
+
+// TestMain gives rapid a fixed seed unless a long run is asked for, so that
+// every run of the same code has the same verdict.
+func TestMain(m *testing.M) {
+	set("rapid.seed", "1")
+	set("rapid.checks", "120")
+	flag.Parse()
+	if *long > 0 {
+		set("rapid.seed", "0")
+		set("rapid.checks", flag.Lookup("replog.long").Value.String())
+	}
+	os.Exit(m.Run())
+}
+
+func set(name, value string) {
+	if err := flag.Set(name, value); err != nil {
+		panic(err)
+	}
+}
