--- a/replog/node_test.go
+++ b/replog/node_test.go
@@ -174,6 +174,20 @@
 	refused(Change{Kind: Promote, Replica: 4}, ChangeNotCaughtUp)
 }
 
+// A replica that was removed is at a newer term and still answers messages that
+// were under way. It has no say in the group any more; if it deposed the leader,
+// callers would wait for an election each time.
+func TestRemovedReplicaCannotDepose(t *testing.T) {
+	n := single(t)
+	makeLeader(t, n)
+	late := Message{Type: MessageAppendResponse, From: 9, To: 1, Term: n.term + 5, Reject: true}
+	assert.NilError(t, n.Step(late))
+	assert.Equal(t, n.Status().Role, Leader)
+	vote := Message{Type: MessageVote, From: 9, To: 1, Term: n.term + 5, Index: 100, LogTerm: n.term}
+	assert.NilError(t, n.Step(vote))
+	assert.Equal(t, n.Status().Role, Leader)
+}
+
 func TestProposalsAreBounded(t *testing.T) {
 	n := single(t)
 	_, err := n.Propose(nil)
