--- /dev/null
+++ b/daemon/entry.go
@@ -0,0 +1,65 @@
+package daemon
+
+import (
+	"hash/fnv"
+	"strconv"
+
+	"github.com/carawaystile/carawaystile/engine/feed"
+	"github.com/carawaystile/carawaystile/entry"
+	"github.com/carawaystile/carawaystile/metrics"
+	"github.com/carawaystile/carawaystile/router"
+)
+
+// startEntry makes the parts of the entry role.
+func (d *Daemon) startEntry() error {
+	p := d.options.Process
+	d.router = router.New(router.Options{Instance: p.Instance, Zone: p.Zone, Seed: d.seed()})
+	limits := entry.DefaultLimits()
+	limits.MaxBody = p.Limits.BodyBytes
+	limits.MaxOpen = p.Limits.Requests
+	limits.DrainServe = p.Drain.Announce
+	server, err := entry.New(entry.Options{
+		Instance: p.Instance,
+		Boot:     strconv.FormatUint(d.boot, 36),
+		Router:   d.router,
+		Client:   d.client,
+		Claimer:  d.claims,
+		Metrics:  requestMetrics{metrics.NewRequests(d.registry)},
+		Log:      d.options.Log,
+		Share:    d.peers.share,
+		Now:      d.now,
+		Limits:   limits,
+	})
+	if err != nil {
+		return err
+	}
+	d.entry = server
+	d.feeds = feed.NewGroup(feed.Options{
+		Reporter: d.client,
+		Deliver:  server.Observe,
+		Period:   d.options.FeedPeriod,
+		Log:      d.options.Log,
+	})
+	return nil
+}
+
+// seed differs between instances and between two lives of one, so that attempt
+// identities never repeat.
+func (d *Daemon) seed() uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(d.options.Process.Instance))
+	return h.Sum64() ^ d.boot
+}
+
+// requestMetrics gives the entry its measurements.
+type requestMetrics struct{ *metrics.Requests }
+
+// droppedReasons are the values of the label reason.
+var droppedReasons = map[entry.Dropped]string{
+	entry.DroppedMismatch:  "mismatch",
+	entry.DroppedDuplicate: "duplicate",
+	entry.DroppedLate:      "late",
+}
+
+// CountDropped counts answers and tokens that were dropped.
+func (m requestMetrics) CountDropped(d entry.Dropped) { m.CountDroppedAnswer(droppedReasons[d]) }
--- a/tables/endpoints.go
+++ b/tables/endpoints.go
@@ -19,12 +19,20 @@
 	// Others counts attempts of other instances in the last report, queued
 	// ones included.
 	Others int
+	// ReportedTotal and ReportedTokens are the attempts and the prefill work of
+	// the last report.
+	ReportedTotal  int
+	ReportedTokens int
 	// OtherTokens is the prefill work of other instances in the last report.
 	OtherTokens int
+	// Busy is the part of recent load reports in which there was prefill work,
+	// 0 to 1.
+	Busy float64
 	// Own counts attempts of this instance that have not ended.
 	Own int
-	// OwnTokens is prefill work of own attempts that have no first token yet.
-	OwnTokens int
+	// OwnTokens is prefill work of own attempts that have no first token yet,
+	// by priority.
+	OwnTokens [Priorities]int
 	// OwnPrefilling counts own attempts that have no first token yet.
 	OwnPrefilling int
 }
@@ -32,6 +40,29 @@
 // Active is the estimate of attempts at the endpoint, queued ones included.
 func (l *Load) Active() int { return l.Others + l.Own }
 
+// Ahead is the prefill work, in tokens, that an endpoint does before that of a
+// new request: all of the same or a more urgent priority. The part of others'
+// work that is so is not reported; mix is the part that each priority has in
+// this instance's own work, and is taken to hold for others too.
+func (l *Load) Ahead(p Priority, mix *[Priorities]float64) float64 {
+	ahead := 0.0
+	part := 0.0
+	for i := range int(p) + 1 {
+		ahead += float64(l.OwnTokens[i])
+		part += mix[i]
+	}
+	return ahead + part*float64(l.OtherTokens)
+}
+
+// Backlog is all prefill work at the endpoint in tokens.
+func (l *Load) Backlog() int {
+	sum := l.OtherTokens
+	for _, tokens := range l.OwnTokens {
+		sum += tokens
+	}
+	return sum
+}
+
 // Speed holds what was learned of an endpoint's speed.
 type Speed struct {
 	// Prefill is in prompt tokens per second over the whole endpoint, Decode
@@ -90,8 +121,10 @@
 	Weights      map[ModelName]WeightsVersion
 	WeightsKnown bool
 	Load         Load
-	Speed        Speed
-	Health       Health
+	// Progress is when the endpoint last showed that it gets work done.
+	Progress Instant
+	Speed    Speed
+	Health   Health
 	// CacheBlocks is the capacity of its cache in pieces, 0 if not known.
 	CacheBlocks int
 }
