Test the callers' interface, attempts and claims

Cause: the thin path had two tests. Change: tests of bad requests, bounds, whole answers, claims, cancelled callers, lost attempts, and a rapid test that compares what callers see of broken, repeating and crossing streams with the true answer. CodeNotReady for an instance without a configuration, which answered 401 before. Conclusion: a stream's end mark appears exactly when the answer is whole.

--- a/entry/api.go
+++ b/entry/api.go
@@ -29,10 +29,8 @@
 
 // HandleBearer finds the organisation of a token.
 func (s *security) HandleBearer(ctx context.Context, _ oas.OperationName, t oas.Bearer) (context.Context, error) {
-	if d := s.server.directory.Load(); d != nil {
-		if o := d.organisation(t.Token); o != nil {
-			return context.WithValue(ctx, organisationKey{}, o), nil
-		}
+	if o := s.server.directory.Load().organisation(t.Token); o != nil {
+		return context.WithValue(ctx, organisationKey{}, o), nil
 	}
 	return ctx, notRun("", tables.CodeUnauthorised, 0)
 }
--- /dev/null
+++ b/entry/api_test.go
@@ -0,0 +1,141 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/api/oas"
+	"github.com/carawaystile/carawaystile/engine"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// failureIn decodes the failure of a response.
+func failureIn(t *testing.T, content string) oas.FailureError {
+	t.Helper()
+	var f oas.Failure
+	assert.NilError(t, json.Unmarshal([]byte(content), &f), content)
+	return f.Error
+}
+
+func TestBadRequestsStartNothing(t *testing.T) {
+	const completions = "/v1/completions"
+	for _, c := range []struct {
+		name    string
+		path    string
+		body    string
+		headers []string
+		status  int
+		code    tables.Code
+	}{
+		{"no token", completions, `{"prompt":"p"}`, []string{"Authorization", ""}, 401, tables.CodeUnauthorised},
+		{"other scheme", completions, `{"prompt":"p"}`, []string{"Authorization", "Basic abc"}, 401, tables.CodeUnauthorised},
+		{"wrong token", completions, `{"prompt":"p"}`, []string{"Authorization", "Bearer nobody"}, 401, tables.CodeUnauthorised},
+		{"not JSON", completions, `{"prompt":`, nil, 400, tables.CodeMalformed},
+		{"two values", completions, `{"prompt":"p"}{}`, nil, 400, tables.CodeMalformed},
+		{"no prompt", completions, `{"model":"m"}`, nil, 400, tables.CodeMalformed},
+		{"no messages", "/v1/chat/completions", `{"messages":[]}`, nil, 400, tables.CodeMalformed},
+		{"wrong type", completions, `{"prompt":7}`, nil, 400, tables.CodeMalformed},
+		{"no tokens wanted", completions, `{"prompt":"p","max_tokens":0}`, nil, 400, tables.CodeMalformed},
+		{"empty body", completions, ``, nil, 400, tables.CodeMalformed},
+		{"other content type", completions, `{"prompt":"p"}`, []string{"Content-Type", "text/plain"}, 400, tables.CodeMalformed},
+		{"long key", completions, `{"prompt":"p"}`, []string{"Idempotency-Key", strings.Repeat("k", 300)}, 400, tables.CodeMalformed},
+		{"too large", completions, `{"prompt":"` + strings.Repeat("p", 5000) + `"}`, nil, 413, tables.CodeTooLarge},
+		{"unknown profile", completions, `{"prompt":"p"}`, []string{"X-Profile", "x"}, 404, tables.CodeUnknownProfile},
+		{"profile of services", completions, `{"prompt":"p"}`, []string{"X-Profile", "notes"}, 404, tables.CodeUnknownProfile},
+		{"unknown model", completions, `{"model":"x","prompt":"p"}`, nil, 404, tables.CodeUnknownModel},
+		{"unknown service", "/v1/services/x/read", `b`, []string{"Content-Type", typeData}, 404, tables.CodeUnknownService},
+		{"no key", "/v1/services/press/publish", `b`, []string{"Content-Type", typeData}, 400, tables.CodeKeyMissing},
+		{"unknown route", "/v2/completions", `{}`, nil, 404, tables.CodeUnknownRoute},
+		{"wrong method", "/v1/models", `{}`, nil, 404, tables.CodeUnknownRoute},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t, func(o *Options) { o.Limits.MaxBody = 4096 })
+			resp := r.post(t, t.Context(), c.path, c.body, c.headers...)
+			content := read(t, resp)
+			assert.Equal(t, resp.StatusCode, c.status, content)
+			failure := failureIn(t, content)
+			assert.Equal(t, tables.Code(failure.Code), c.code, content)
+			assert.Equal(t, string(failure.Outcome), string(tables.NotRun))
+			assert.Equal(t, len(r.client.seen()), 0)
+			assert.Equal(t, len(r.client.calls), 0)
+		})
+	}
+}
+
+func TestEveryCodeIsExplained(t *testing.T) {
+	for code, e := range explanations {
+		assert.Assert(t, e.status >= 400 && e.message != "", "code %d", code)
+	}
+	assert.Equal(t, explain(1).message, explain(tables.CodeInternal).message)
+}
+
+// Many callers send large prompts at the same moment. The instance must not run
+// out of memory; those beyond the bound are told to come back.
+func TestHeldBodiesAreBounded(t *testing.T) {
+	r := newRig(t, func(o *Options) { o.Limits.MaxHeld = 1000 })
+	resp := r.post(t, t.Context(), "/v1/completions", `{"prompt":"`+strings.Repeat("p", 2000)+`"}`)
+	content := read(t, resp)
+	assert.Equal(t, resp.StatusCode, 503, content)
+	failure := failureIn(t, content)
+	assert.Equal(t, tables.Code(failure.Code), tables.CodeOverloaded)
+	assert.Equal(t, string(failure.Outcome), string(tables.NotRun))
+	assert.Assert(t, resp.Header.Get("Retry-After") != "")
+	assert.Equal(t, r.server.held.Load(), int64(0))
+}
+
+func TestWholeAnswers(t *testing.T) {
+	r := newRig(t, nil)
+	r.client.generate = []script{r.client.says([]string{"Hel", "lo"}, nil)}
+	content := read(t, r.post(t, t.Context(), "/v1/completions", `{"prompt":"p","max_tokens":2}`))
+	var whole oas.Completion
+	assert.NilError(t, json.Unmarshal([]byte(content), &whole), content)
+	assert.Equal(t, whole.Choices[0].Text, "Hello")
+	assert.Equal(t, whole.Choices[0].FinishReason, finishLength)
+	assert.Equal(t, whole.Usage.CompletionTokens, 2)
+	assert.Equal(t, whole.Model, "m")
+
+	content = read(t, r.post(t, t.Context(), "/v1/chat/completions",
+		`{"messages":[{"role":"system","content":"style"},{"role":"user","content":"hi"}]}`))
+	var chat oas.ChatCompletion
+	assert.NilError(t, json.Unmarshal([]byte(content), &chat), content)
+	assert.Equal(t, chat.Choices[0].Message.Content, "Hello")
+	requests := r.client.seen()
+	assert.Equal(t, requests[1].Prompt, "system: style\nuser: hi\nassistant: ")
+	assert.Equal(t, requests[1].Salt, "press")
+
+	content = read(t, r.post(t, t.Context(), "/v1/chat/completions",
+		`{"stream":true,"messages":[{"role":"user","content":"hi"}]}`))
+	assert.Assert(t, strings.Contains(content, `"delta":{"role":"assistant","content":""}`), content)
+	assert.Assert(t, strings.Contains(content, `"delta":{"content":"Hel"},"finish_reason":null`), content)
+	assert.Assert(t, strings.HasSuffix(content, `"delta":{},"finish_reason":"stop"}]}`+"\n\n"+endMark), content)
+	for _, event := range strings.Split(strings.TrimSuffix(content, "\n\n"), "\n\n") {
+		data := strings.TrimPrefix(event, "data: ")
+		assert.Assert(t, data == "[DONE]" || json.Valid([]byte(data)), data)
+	}
+}
+
+func TestModelsAndServices(t *testing.T) {
+	r := newRig(t, nil)
+	req, err := http.NewRequest(http.MethodGet, r.url+"/v1/models", nil)
+	assert.NilError(t, err)
+	req.Header.Set("Authorization", "Bearer "+testToken)
+	resp, err := r.http.Do(req)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	assert.Equal(t, read(t, resp), `{"object":"list","data":[{"id":"m","object":"model"}]}`)
+
+	r.client.call = []func(engine.CallRequest) (engine.CallAnswer, error){
+		func(q engine.CallRequest) (engine.CallAnswer, error) {
+			return engine.CallAnswer{Attempt: q.Attempt, Boot: "b", Status: 404, Body: append([]byte("no "), q.Body...)}, nil
+		},
+	}
+	resp = r.post(t, t.Context(), "/v1/services/notes/read", "7", "Content-Type", typeData)
+	assert.Equal(t, read(t, resp), "no 7")
+	assert.Equal(t, resp.StatusCode, 200)
+	assert.Equal(t, resp.Header.Get("X-Service-Status"), "404")
+	assert.Equal(t, r.client.calls[0].Path, "/v1/call/read")
+}
--- /dev/null
+++ b/entry/attempt_test.go
@@ -0,0 +1,200 @@
+package entry
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/carawaystile/carawaystile/engine"
+	"github.com/carawaystile/carawaystile/router"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// pairs is a Decider that dispatches two attempts of each request at once and
+// keeps a record of how they ended.
+type pairs struct {
+	waiting []router.Action
+	request tables.RequestID
+	ends    chan router.AttemptEnded
+	first   bool
+}
+
+func (p *pairs) Configure(tables.Instant, *tables.Configuration) {}
+func (p *pairs) Cancel(tables.Instant, tables.RequestID)         {}
+func (p *pairs) NextTick(now tables.Instant) tables.Instant      { return now + testWait }
+
+func (p *pairs) Submit(_ tables.Instant, r *tables.Request) {
+	p.waiting = append(p.waiting,
+		router.Dispatch{Request: r.ID, Attempt: "slow", Weights: "v1"},
+		router.Dispatch{Request: r.ID, Attempt: "fast", Weights: "v1", Hedge: true})
+}
+
+func (p *pairs) Observe(_ tables.Instant, in router.Input) {
+	switch in := in.(type) {
+	case router.FirstToken:
+		if !p.first {
+			p.first = true
+			loser := tables.AttemptID("slow")
+			if in.Attempt == loser {
+				loser = "fast"
+			}
+			p.waiting = append(p.waiting, router.Abort{Attempt: loser})
+		}
+	case router.AttemptEnded:
+		p.ends <- in
+	}
+}
+
+func (p *pairs) Tick(tables.Instant) []router.Action {
+	actions := p.waiting
+	p.waiting = nil
+	return actions
+}
+
+// Two attempts run because the first is slow. The caller gets one of them,
+// whole; of the other it sees nothing, the endpoint is told to stop it, and its
+// slot counts as taken until the endpoint has confirmed.
+func TestOneAttemptWinsAndTheOtherIsCancelled(t *testing.T) {
+	p := &pairs{ends: make(chan router.AttemptEnded, 2)}
+	r := newRig(t, func(o *Options) { o.Router = p })
+	begun := make(chan struct{})
+	r.client.generate = []script{func(ctx context.Context, req engine.GenerateRequest) (engine.Stream, error) {
+		if req.Attempt == "fast" {
+			<-begun
+			return r.client.says([]string{"a", "b"}, nil)(ctx, req)
+		}
+		close(begun)
+		<-ctx.Done()
+		return nil, &engine.Interrupted{Attempt: req.Attempt, Cause: ctx.Err()}
+	}}
+	got := read(t, r.post(t, t.Context(), "/v1/completions", `{"prompt":"p","stream":true}`))
+	assert.DeepEqual(t, texts(t, got), []string{"a", "b"})
+	how := map[tables.AttemptID]router.AttemptEnd{}
+	for range 2 {
+		end := <-p.ends
+		how[end.Attempt] = end.End
+		if end.Attempt == "slow" {
+			cancelled := []tables.AttemptID{<-r.client.cancelled, ""}
+			if cancelled[0] != "slow" {
+				cancelled[1] = <-r.client.cancelled
+			}
+			assert.Assert(t, cancelled[0] == "slow" || cancelled[1] == "slow")
+		}
+	}
+	assert.Equal(t, how["fast"], router.Completed)
+	assert.Equal(t, how["slow"], router.Cancelled)
+}
+
+// The caller closes its connection in the middle of a stream. The engine must
+// be told at once; otherwise it goes on computing for nobody.
+func TestCallerGoneCancelsTheEngine(t *testing.T) {
+	r := newRig(t, nil)
+	tokens := make(chan engine.Token, 1)
+	tokens <- engine.Token{Index: 0, Text: "a"}
+	r.client.generate = []script{func(ctx context.Context, req engine.GenerateRequest) (engine.Stream, error) {
+		return r.client.stream(ctx, req, tokens, nil), nil
+	}}
+	ctx, cancel := context.WithCancel(t.Context())
+	resp := r.post(t, ctx, "/v1/completions", `{"prompt":"p","stream":true}`)
+	assert.Equal(t, resp.StatusCode, 200)
+	cancel()
+	attempt := <-r.client.cancelled
+	assert.Equal(t, attempt, r.client.seen()[0].Attempt)
+}
+
+// All engines break off, each after a few tokens. The caller must not take what
+// it has for a whole answer: it gets an error event and no end mark.
+func TestStreamThatCannotBeCompletedSaysSo(t *testing.T) {
+	r := newRig(t, nil)
+	r.client.generate = []script{r.client.says([]string{"a"}, &engine.Interrupted{Cause: context.DeadlineExceeded})}
+	got := read(t, r.post(t, t.Context(), "/v1/completions", `{"prompt":"p","stream":true}`))
+	assert.DeepEqual(t, texts(t, got), []string{"a"})
+	assert.Assert(t, strings.Contains(got, "event: error\ndata: {"), got)
+	assert.Assert(t, strings.Contains(got, `"outcome":"unknown"`), got)
+	assert.Assert(t, !strings.Contains(got, "[DONE]"), got)
+}
+
+// Every engine refuses before it begins; then nothing has run and the caller is
+// told so.
+func TestProvenNotStartedIsNotRun(t *testing.T) {
+	r := newRig(t, nil)
+	r.client.generate = []script{func(_ context.Context, req engine.GenerateRequest) (engine.Stream, error) {
+		return nil, &engine.NotStarted{Attempt: req.Attempt, Declined: true}
+	}}
+	got := read(t, r.post(t, t.Context(), "/v1/completions", `{"prompt":"p","stream":true}`))
+	assert.Equal(t, string(failureIn(t, got).Outcome), string(tables.NotRun))
+
+	r.client.generate = []script{func(_ context.Context, req engine.GenerateRequest) (engine.Stream, error) {
+		return nil, &engine.Interrupted{Attempt: req.Attempt, Cause: context.DeadlineExceeded}
+	}}
+	got = read(t, r.post(t, t.Context(), "/v1/completions", `{"prompt":"p","stream":true}`))
+	assert.Equal(t, string(failureIn(t, got).Outcome), string(tables.Unknown))
+}
+
+// Streams of engines that repeat, skip, cross and break off are compared with
+// the true answer: what the caller sees is always its beginning, and the end
+// mark comes exactly when it is whole.
+func TestCallersSeeOnlyTheTrueAnswer(t *testing.T) {
+	truth := strings.Split("abcdefghij", "")
+	r := newRig(t, nil)
+	var mu sync.Mutex
+	var plans [][]engine.Token
+	var whole []bool
+	r.client.generate = []script{func(ctx context.Context, req engine.GenerateRequest) (engine.Stream, error) {
+		mu.Lock()
+		defer mu.Unlock()
+		if len(plans) == 0 {
+			return r.client.says(truth, nil)(ctx, req)
+		}
+		tokens := make(chan engine.Token, 64)
+		for _, token := range plans[0] {
+			if token.Attempt == "" {
+				token.Attempt = req.Attempt
+			}
+			tokens <- token
+		}
+		var end error = &engine.Interrupted{Cause: context.DeadlineExceeded}
+		if whole[0] {
+			for i := range truth {
+				tokens <- engine.Token{Attempt: req.Attempt, Index: i, Text: truth[i]}
+			}
+			end = nil
+		}
+		plans, whole = plans[1:], whole[1:]
+		close(tokens)
+		return r.client.stream(ctx, req, tokens, end), nil
+	}}
+	rapid.Check(t, func(rt *rapid.T) {
+		mu.Lock()
+		plans, whole = nil, nil
+		for range rapid.IntRange(0, 5).Draw(rt, "attempts") {
+			var plan []engine.Token
+			for range rapid.IntRange(0, 12).Draw(rt, "tokens") {
+				i := rapid.IntRange(0, len(truth)-1).Draw(rt, "index")
+				token := engine.Token{Index: i, Text: truth[i]}
+				if rapid.IntRange(0, 5).Draw(rt, "crossed") == 0 {
+					token.Attempt, token.Text = "other", "X"
+				}
+				plan = append(plan, token)
+			}
+			plans = append(plans, plan)
+			whole = append(whole, rapid.Bool().Draw(rt, "whole"))
+		}
+		mu.Unlock()
+		got := read(t, r.post(t, t.Context(), "/v1/completions", `{"prompt":"p","stream":true}`))
+		seen := strings.Join(texts(t, got), "")
+		if strings.HasSuffix(got, endMark) {
+			if seen != strings.Join(truth, "") {
+				rt.Fatalf("end mark after %q: %s", seen, got)
+			}
+			return
+		}
+		if !strings.HasPrefix(strings.Join(truth, ""), seen) || !strings.Contains(got, `"error":{`) {
+			rt.Fatalf("caller saw %q: %s", seen, got)
+		}
+	})
+}
--- /dev/null
+++ b/entry/claim_test.go
@@ -0,0 +1,185 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/engine"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// fakeClaimer is a control state of one process.
+type fakeClaimer struct {
+	mu       sync.Mutex
+	claims   map[tables.Key]*fakeClaim
+	noQuorum bool
+	// markFails makes MarkDispatched fail.
+	markFails bool
+}
+
+type fakeClaim struct {
+	body   tables.BodyHash
+	state  tables.GrantState
+	marked bool
+	answer tables.Answer
+}
+
+func (c *fakeClaimer) Claim(_ context.Context, org tables.OrganisationID, key tables.Key, body tables.BodyHash) (tables.Grant, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.noQuorum {
+		return tables.Grant{}, &tables.NoQuorum{Asked: "claim"}
+	}
+	g := tables.Grant{Organisation: org, Key: key}
+	known := c.claims[key]
+	if known == nil {
+		c.claims[key] = &fakeClaim{body: body, state: tables.GrantInProgress}
+		return g, nil
+	}
+	if known.body != body {
+		return g, &tables.KeyReused{Organisation: org, Key: key}
+	}
+	g.State, g.Answer = known.state, known.answer
+	return g, nil
+}
+
+func (c *fakeClaimer) MarkDispatched(_ context.Context, g tables.Grant) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.markFails {
+		return &tables.NoQuorum{Asked: "mark"}
+	}
+	c.claims[g.Key].marked = true
+	return nil
+}
+
+func (c *fakeClaimer) Finish(_ context.Context, g tables.Grant, a tables.Answer) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.claims[g.Key].state, c.claims[g.Key].answer = tables.GrantDone, a
+	return nil
+}
+
+func (c *fakeClaimer) Release(_ context.Context, g tables.Grant) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.claims, g.Key)
+	return nil
+}
+
+type callScript = func(engine.CallRequest) (engine.CallAnswer, error)
+
+func publishes(q engine.CallRequest) (engine.CallAnswer, error) {
+	return engine.CallAnswer{Attempt: q.Attempt, Boot: "b", Status: 201, Body: []byte("published")}, nil
+}
+
+func cutOff(q engine.CallRequest) (engine.CallAnswer, error) {
+	return engine.CallAnswer{}, &engine.Interrupted{Attempt: q.Attempt, Cause: context.DeadlineExceeded}
+}
+
+func refused(q engine.CallRequest) (engine.CallAnswer, error) {
+	return engine.CallAnswer{}, &engine.NotStarted{Attempt: q.Attempt, Unreachable: true}
+}
+
+func TestWorkThatMustRunOnce(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		prepare func(*fakeClaimer)
+		calls   []callScript
+		code    tables.Code
+		outcome tables.Outcome
+		ran     int
+		// held says whether the key is still claimed afterwards.
+		held bool
+	}{
+		{name: "runs", calls: []callScript{publishes}, ran: 1, held: true},
+		// The service answers, the answer is lost on its way. Whether the note
+		// is published is not known, and it must not be published again.
+		{name: "answer lost", calls: []callScript{cutOff, publishes},
+			code: tables.CodeOutcomeUnknown, outcome: tables.Unknown, ran: 1, held: true},
+		// The first server does not listen: nothing has run, the next may.
+		{name: "first server down", calls: []callScript{refused, publishes}, ran: 2, held: true},
+		// The zone is cut off from the other replicas of the control state.
+		{name: "no quorum", prepare: func(f *fakeClaimer) { f.noQuorum = true }, calls: []callScript{publishes},
+			code: tables.CodeNoQuorum, outcome: tables.NotRun},
+		// It is cut off between the claim and the call.
+		{name: "quorum lost after claim", prepare: func(f *fakeClaimer) { f.markFails = true }, calls: []callScript{publishes},
+			code: tables.CodeNoQuorum, outcome: tables.NotRun},
+		{name: "first run in progress", prepare: func(f *fakeClaimer) {
+			f.claims["k"] = &fakeClaim{body: bodyHash("publish", "send", "note"), state: tables.GrantInProgress}
+		}, calls: []callScript{publishes}, code: tables.CodeKeyInProgress, outcome: tables.Unknown, held: true},
+		{name: "first run unknown", prepare: func(f *fakeClaimer) {
+			f.claims["k"] = &fakeClaim{body: bodyHash("publish", "send", "note"), state: tables.GrantUnknown}
+		}, calls: []callScript{publishes}, code: tables.CodeOutcomeUnknown, outcome: tables.Unknown, held: true},
+		{name: "key reused", prepare: func(f *fakeClaimer) {
+			f.claims["k"] = &fakeClaim{state: tables.GrantDone}
+		}, calls: []callScript{publishes}, code: tables.CodeKeyReused, outcome: tables.NotRun, held: true},
+		{name: "resend", prepare: func(f *fakeClaimer) {
+			f.claims["k"] = &fakeClaim{body: bodyHash("publish", "send", "note"), state: tables.GrantDone,
+				answer: tables.Answer{Status: 201, Body: []byte("published")}}
+		}, calls: []callScript{publishes}, held: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			claims := &fakeClaimer{claims: map[tables.Key]*fakeClaim{}}
+			if c.prepare != nil {
+				c.prepare(claims)
+			}
+			r := newRig(t, func(o *Options) { o.Claimer = claims })
+			r.client.call = c.calls
+			resp := r.post(t, t.Context(), "/v1/services/press/send", "note", "Content-Type", typeData, "Idempotency-Key", "k")
+			content := read(t, resp)
+			if c.code == 0 {
+				assert.Equal(t, content, "published")
+				assert.Equal(t, resp.Header.Get("X-Service-Status"), "201")
+			} else {
+				failure := failureIn(t, content)
+				assert.Equal(t, tables.Code(failure.Code), c.code, content)
+				assert.Equal(t, string(failure.Outcome), string(c.outcome))
+			}
+			assert.Equal(t, len(r.client.calls), c.ran)
+			_, held := claims.claims["k"]
+			assert.Equal(t, held, c.held)
+			for _, call := range r.client.calls {
+				assert.Equal(t, call.Key, "k")
+			}
+		})
+	}
+}
+
+// The caller's connection breaks while its note is being published. The note is
+// published all the same, and the caller's resend gets the answer.
+func TestCallerGoneWhileWorkRuns(t *testing.T) {
+	claims := &fakeClaimer{claims: map[tables.Key]*fakeClaim{}}
+	r := newRig(t, func(o *Options) { o.Claimer = claims })
+	gone, goOn, done := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	r.client.call = []callScript{func(q engine.CallRequest) (engine.CallAnswer, error) {
+		defer close(done)
+		close(gone)
+		<-goOn
+		return publishes(q)
+	}}
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-gone
+		cancel()
+	}()
+	req := r.request(t, ctx, "/v1/services/press/send", "note", "Content-Type", typeData, "Idempotency-Key", "k")
+	_, err := r.http.Do(req)
+	assert.Assert(t, err != nil)
+	close(goOn)
+	<-done
+	// The resend may come before the answer is stored.
+	for {
+		resp := r.post(t, t.Context(), "/v1/services/press/send", "note", "Content-Type", typeData, "Idempotency-Key", "k")
+		content := read(t, resp)
+		if resp.StatusCode == 200 {
+			assert.Equal(t, content, "published")
+			break
+		}
+		assert.Equal(t, tables.Code(failureIn(t, content).Code), tables.CodeKeyInProgress, content)
+	}
+	assert.Equal(t, len(r.client.calls), 1)
+}
--- a/entry/drain.go
+++ b/entry/drain.go
@@ -32,6 +32,10 @@
 		s.leave()
 		return notRun("", tables.CodeDraining, retryDraining)
 	}
+	if s.directory.Load() == nil {
+		s.leave()
+		return notRun("", tables.CodeNotReady, retryDraining)
+	}
 	return nil
 }
 
--- a/entry/failure.go
+++ b/entry/failure.go
@@ -40,6 +40,7 @@
 	tables.CodeNoEndpoint:       {http.StatusServiceUnavailable, "No endpoint can run the request now."},
 	tables.CodeDraining:         {http.StatusServiceUnavailable, "The instance is going out of service; ask again."},
 	tables.CodeNoQuorum:         {http.StatusServiceUnavailable, "Work that must run once cannot be agreed on now."},
+	tables.CodeNotReady:         {http.StatusServiceUnavailable, "The instance has no configuration yet; ask again."},
 	tables.CodeTimeout:          {http.StatusGatewayTimeout, "The request's time is over."},
 	tables.CodeOutcomeUnknown:   {http.StatusBadGateway, "The work may have run; it will not be run again under this key."},
 }
--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -145,14 +145,14 @@
 		Models:        []tables.Model{{Name: "m", Weights: "v1"}},
 		WeightLoads:   1,
 	}
-	for i := range 3 {
+	for i := range 5 {
 		c.Endpoints = append(c.Endpoints, tables.Endpoint{
 			ID: tables.EndpointID(fmt.Sprintf("e%d", i)), Kind: tables.Engine, Life: 1,
 			Address: netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(1000+i)),
 			Models:  []tables.ModelName{"m"}, Slots: 8, CacheBlocks: 100,
 		})
 	}
-	for i, service := range []tables.ServiceName{"notes", "press"} {
+	for i, service := range []tables.ServiceName{"notes", "press", "press"} {
 		c.Endpoints = append(c.Endpoints, tables.Endpoint{
 			ID: tables.EndpointID(fmt.Sprintf("s%d", i)), Kind: tables.PlainService, Life: 1,
 			Address: netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(2000+i)), Service: service, Slots: 8,
@@ -192,6 +192,14 @@
 
 // post sends a JSON body and returns the response; headers come in pairs.
 func (r *rig) post(t *testing.T, ctx context.Context, path, body string, headers ...string) *http.Response {
+	t.Helper()
+	resp, err := r.http.Do(r.request(t, ctx, path, body, headers...))
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = resp.Body.Close() })
+	return resp
+}
+
+func (r *rig) request(t *testing.T, ctx context.Context, path, body string, headers ...string) *http.Request {
 	t.Helper()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, r.url+path, strings.NewReader(body))
 	assert.NilError(t, err)
@@ -200,10 +208,7 @@
 	for i := 0; i < len(headers); i += 2 {
 		req.Header.Set(headers[i], headers[i+1])
 	}
-	resp, err := r.http.Do(req)
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = resp.Body.Close() })
-	return resp
+	return req
 }
 
 func read(t *testing.T, resp *http.Response) string {
--- a/tables/codes.go
+++ b/tables/codes.go
@@ -30,6 +30,7 @@
 	CodeNoEndpoint       Code = 5030
 	CodeDraining         Code = 5031
 	CodeNoQuorum         Code = 5032
+	CodeNotReady         Code = 5033
 	CodeTimeout          Code = 5040
 	CodeOutcomeUnknown   Code = 5041
 )
