--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -3,10 +3,13 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -18,21 +21,45 @@
 	"github.com/carawaystile/carawaystile/tables"
 )
 
-// freeAddress finds a loopback address that nothing listens on.
-func freeAddress(t *testing.T) netip.AddrPort {
+// ports holds listeners on loopback ports from their choice until an instance
+// takes them.
+type ports map[netip.AddrPort]net.Listener
+
+func (p ports) hold(t *testing.T) netip.AddrPort {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	defer l.Close()
-	return netip.MustParseAddrPort(l.Addr().String())
+	t.Cleanup(func() { _ = l.Close() })
+	at := netip.MustParseAddrPort(l.Addr().String())
+	p[at] = l
+	return at
+}
+
+func (p ports) listen(at netip.AddrPort) (net.Listener, error) {
+	if l := p[at]; l != nil {
+		delete(p, at)
+		return l, nil
+	}
+	return listenTCP(at)
 }
 
-func testProcess(t *testing.T) *settings.Process {
-	return &settings.Process{
+// operatorKey is a key of the tests' instances.
+var operatorKey = strings.Repeat("k", 40)
+
+func testOptions(t *testing.T, declarations *tables.Configuration) Options {
+	t.Helper()
+	held := make(ports)
+	file := filepath.Join(t.TempDir(), "key")
+	assert.NilError(t, os.WriteFile(file, []byte(operatorKey+"\n"), 0o600))
+	at := held.hold(t)
+	process := &settings.Process{
+		Control: true, ControlInstances: []settings.ControlInstance{{Name: "i1", Zone: "z", Address: at}},
+		Keys:     settings.Keys{Operators: file, Instances: file},
 		Instance: "i1", Zone: "z", Data: t.TempDir(), Entry: true, Size: 1,
-		Listen: settings.Listen{Callers: freeAddress(t), Instances: freeAddress(t), Membership: freeAddress(t)},
+		Listen: settings.Listen{Callers: held.hold(t), Instances: at, Membership: netip.AddrPortFrom(at.Addr(), 0)},
 		Limits: settings.Limits{BodyBytes: 1 << 20, HeaderBytes: 1 << 16, Connections: 100, Requests: 100, OrganisationRequests: 100},
 	}
+	return Options{Process: process, Declarations: declarations, Listen: held.listen}
 }
 
 const testToken = "token"
@@ -40,7 +67,6 @@
 func testDeclarations(engines ...*standin.Engine) *tables.Configuration {
 	sum := sha256.Sum256([]byte(testToken))
 	c := &tables.Configuration{
-		Revision:      1,
 		WeightLoads:   2,
 		Models:        []tables.Model{{Name: "m", Weights: "w1"}},
 		Profiles:      []tables.Profile{{Name: "p", Model: "m", Idempotent: true, Timeout: 20 * time.Second, Priority: tables.Urgent}},
@@ -54,10 +80,10 @@
 	return c
 }
 
-func startTestEngine(t *testing.T, id tables.EndpointID) *standin.Engine {
+func startTestEngine(t *testing.T, id tables.EndpointID, weights tables.WeightsVersion) *standin.Engine {
 	t.Helper()
 	e, err := standin.StartEngine(standin.EngineOptions{
-		ID: id, Speedup: -1, Weights: map[tables.ModelName]tables.WeightsVersion{"m": "w1"},
+		ID: id, Speedup: -1, Weights: map[tables.ModelName]tables.WeightsVersion{"m": weights}, ChecksFence: true,
 	})
 	assert.NilError(t, err)
 	t.Cleanup(e.Close)
@@ -79,21 +105,89 @@
 }
 
 func TestInstanceServesAStreamedCompletion(t *testing.T) {
-	e := startTestEngine(t, "e1")
-	process := testProcess(t)
-	d, err := Start(Options{Process: process, Declarations: testDeclarations(e), Boot: 1})
+	e := startTestEngine(t, "e1", "w1")
+	options := testOptions(t, testDeclarations(e))
+	process := options.Process
+	d, err := Start(options)
 	assert.NilError(t, err)
 	defer d.Stop()
+	<-d.Configured()
 	status, answer := complete(t, process.Listen.Callers, `{"prompt": "one", "max_tokens": 5, "stream": true}`)
 	assert.Equal(t, status, http.StatusOK, answer)
 	assert.Equal(t, strings.Count(answer, "data: "), 7, answer)
 	assert.Assert(t, strings.HasSuffix(answer, "data: [DONE]\n\n"), answer)
 
-	resp, err := http.Get("http://" + process.Listen.Instances.String() + "/metrics")
+	_, text := ask(t, process, "/metrics", operatorKey)
+	assert.Assert(t, strings.Contains(text,
+		`carawaystile_organisation_time_to_first_token_seconds_count{organisation="o"} 1`), text)
+
+	var event struct{ ID string }
+	first, _, _ := strings.Cut(strings.TrimPrefix(answer, "data: "), "\n")
+	assert.NilError(t, json.Unmarshal([]byte(first), &event))
+	status, text = ask(t, process, ExplainPath+"?request="+event.ID, operatorKey)
+	assert.Equal(t, status, http.StatusOK, text)
+	assert.Assert(t, strings.Contains(text, `"endpoint":"e1"`), text)
+}
+
+// ask asks an instance's operators' side.
+func ask(t *testing.T, process *settings.Process, path, key string) (int, string) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodGet, "http://"+process.Listen.Instances.String()+path, nil)
+	assert.NilError(t, err)
+	req.Header.Set("Authorization", "Bearer "+key)
+	resp, err := http.DefaultClient.Do(req)
 	assert.NilError(t, err)
 	defer resp.Body.Close()
 	text, err := io.ReadAll(resp.Body)
 	assert.NilError(t, err)
-	assert.Assert(t, strings.Contains(string(text),
-		`carawaystile_organisation_time_to_first_token_seconds_count{organisation="o"} 1`), string(text))
+	return resp.StatusCode, string(text)
+}
+
+// A caller finds the operators' address and tries its own token there. It must
+// learn neither measurements of other organisations nor where requests go.
+func TestCallersCannotReachTheOperatorsSide(t *testing.T) {
+	options := testOptions(t, testDeclarations())
+	process := options.Process
+	d, err := Start(options)
+	assert.NilError(t, err)
+	defer d.Stop()
+	for _, path := range []string{"/metrics", MeasurementsPath, ExplainPath + "?request=r"} {
+		status, text := ask(t, process, path, testToken)
+		assert.Equal(t, status, http.StatusUnauthorized, "%s gave %s", path, text)
+	}
+}
+
+// The status of an instance once gave the time of the revision before, since it
+// was read while the newer one was being put in force.
+func TestStatusSaysSinceWhenARevisionIsInForce(t *testing.T) {
+	options := testOptions(t, testDeclarations())
+	before := time.Now()
+	d, err := Start(options)
+	assert.NilError(t, err)
+	defer d.Stop()
+	<-d.Configured()
+	statuses := d.instanceStatuses()
+	assert.Equal(t, len(statuses), 1)
+	assert.Equal(t, statuses[0].GetRevision(), uint64(1))
+	assert.Assert(t, statuses[0].GetSince() >= before.UnixNano(), "since %v", time.Unix(0, statuses[0].GetSince()))
+}
+
+// The declarations name newer weights than an engine serves. Requests must not
+// be answered by the old ones, and the engine must be told to load the new ones
+// without anybody's help.
+func TestEngineIsToldToLoadDeclaredWeights(t *testing.T) {
+	e := startTestEngine(t, "e1", "w0")
+	options := testOptions(t, testDeclarations(e))
+	d, err := Start(options)
+	assert.NilError(t, err)
+	defer d.Stop()
+	<-d.Configured()
+	status := 0
+	for deadline := time.Now().Add(30 * time.Second); status != http.StatusOK && time.Now().Before(deadline); {
+		status, _ = complete(t, options.Process.Listen.Callers, `{"prompt": "one", "max_tokens": 1}`)
+	}
+	assert.Equal(t, status, http.StatusOK)
+	for _, a := range e.Records().Attempts() {
+		assert.Equal(t, a.Weights, tables.WeightsVersion("w1"), "attempt %s", a.Attempt)
+	}
 }
--- a/daemon/listen.go
+++ b/daemon/listen.go
@@ -13,6 +13,8 @@
 	"golang.org/x/net/netutil"
 
 	"github.com/carawaystile/carawaystile/events"
+	"github.com/carawaystile/carawaystile/keys"
+	"github.com/carawaystile/carawaystile/rpc"
 )
 
 // Bounds of the listeners.
@@ -47,7 +49,11 @@
 // of connections is bounded: without it a flood of callers takes the process's
 // file descriptors, and then it can reach no endpoint either.
 func (d *Daemon) serve(server *http.Server, at netip.AddrPort, connections int) error {
-	listener, err := net.Listen("tcp", at.String())
+	open := d.options.Listen
+	if open == nil {
+		open = listenTCP
+	}
+	listener, err := open(at)
 	if err != nil {
 		return trace.ConvertSystemError(err)
 	}
@@ -66,6 +72,8 @@
 	return nil
 }
 
+func listenTCP(at netip.AddrPort) (net.Listener, error) { return net.Listen("tcp", at.String()) }
+
 // close ends all listeners and their connections.
 func (l *listeners) close() {
 	l.mu.Lock()
@@ -77,10 +85,23 @@
 	l.serving.Wait()
 }
 
-// instanceHandler serves operators, other instances and scrapers.
+// instanceHandler serves operators, other instances and scrapers. Each part
+// needs a key, so that a caller who reaches the address learns nothing.
 func (d *Daemon) instanceHandler() http.Handler {
+	operators := http.NewServeMux()
+	operators.HandleFunc("GET /metrics", d.serveMetrics)
+	operators.HandleFunc("GET "+MeasurementsPath, d.serveMeasurements)
+	operators.HandleFunc("GET "+ExplainPath, d.serveExplain)
+	if d.operators != nil {
+		operators.Handle(rpc.OperatorPathPrefix, rpc.NewOperatorServer(d.operators))
+	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /metrics", d.serveMetrics)
+	if d.entry != nil {
+		peer := rpc.NewPeerServer(peerService{observe: d.entry.Observe})
+		mux.Handle(rpc.PeerPathPrefix, keys.Require(d.instanceKeys, peer))
+	}
+	mux.Handle("/", keys.Require(d.operatorKeys, operators))
+	mux.Handle(rpc.ControlPathPrefix, keys.Require(d.instanceKeys, d.controlHandler()))
 	return mux
 }
 
