Do not count instances that have left as alive

Cause: an instance that says it leaves gets the state left, which comes after dead; the daemon only looked for dead, so it went on giving such an instance a part of the load and of the limits for an hour. Change: the daemon takes every state from dead on as gone, and status says left. Conclusion: the state's order is part of membership's contract.

--- a/daemon/membership.go
+++ b/daemon/membership.go
@@ -66,7 +66,7 @@
 	self := d.options.Process.Instance
 	total, own, rank, of := 0, d.options.Process.Size, 0, 0
 	for _, m := range members {
-		if m.Roles&membership.RoleEntry == 0 || m.State == membership.Dead || m.Leaving {
+		if m.Roles&membership.RoleEntry == 0 || m.State >= membership.Dead || m.Leaving {
 			continue
 		}
 		of++
@@ -106,7 +106,7 @@
 	}
 	var others []membership.Member
 	for _, m := range joined.Members() {
-		if m.Instance != d.options.Process.Instance && m.State != membership.Dead {
+		if m.Instance != d.options.Process.Instance && m.State < membership.Dead {
 			others = append(others, m)
 		}
 	}
@@ -143,6 +143,7 @@
 	membership.Alive:   "alive",
 	membership.Suspect: "suspect",
 	membership.Dead:    "dead",
+	membership.Left:    "left",
 }
 
 // instanceStatuses lists what this instance knows of all instances.
@@ -154,7 +155,7 @@
 	var statuses []*rpc.InstanceStatus
 	for _, m := range joined.Members() {
 		state := stateWords[m.State]
-		if m.Leaving && m.State != membership.Dead {
+		if m.Leaving && m.State < membership.Dead {
 			state = "leaving"
 		}
 		statuses = append(statuses, &rpc.InstanceStatus{
