--- a/entry/drain.go
+++ b/entry/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -10,40 +11,78 @@
 
 	"github.com/carawaystile/carawaystile/entry/outcome"
 	"github.com/carawaystile/carawaystile/events"
+	"github.com/carawaystile/carawaystile/systems/drain"
 	"github.com/carawaystile/carawaystile/tables"
 )
 
-// drain is how far the instance has gone out of service.
-type drain struct {
-	notReady atomic.Bool
-	closed   atomic.Bool
+// gate counts requests in and out and refuses them as the drain demands.
+type gate struct {
+	mu      sync.Mutex
+	machine drain.Machine
+	// state is machine's, for reading without the lock.
+	state atomic.Uint32
+	open  atomic.Int64
+	// idle is signalled when the last open request ends.
+	idle chan struct{}
 }
 
+// tick moves the drain on.
+func (g *gate) tick(now tables.Instant) drain.State {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	state := g.machine.Tick(now, int(g.open.Load()))
+	g.state.Store(uint32(state))
+	return state
+}
+
+func (g *gate) begin(now tables.Instant) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.machine.Begin(now)
+}
+
+func (g *gate) abandon() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.machine.Abandon()
+}
+
+func (g *gate) wait(now tables.Instant) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.machine.Wait(now)
+}
+
+func (g *gate) current() drain.State { return drain.State(g.state.Load()) }
+
 // Ready says whether the balancer should send callers here.
-func (s *Server) Ready() bool { return !s.stop.notReady.Load() && s.directory.Load() != nil }
+func (s *Server) Ready() bool { return s.gate.current().Ready() && s.directory.Load() != nil }
 
-// admit counts a request in, or gives the reason why it is not served.
+// admit counts a request in, or gives the reason why it is not served. The
+// count comes before the look at the state: a drain that sees no open request
+// can then be sure that none slips in.
 func (s *Server) admit() *outcome.Failure {
-	if s.open.Add(1) > int64(s.limits.MaxOpen) {
-		s.leave()
-		return notRun("", tables.CodeOverloaded, retryFull)
-	}
-	if s.stop.closed.Load() {
-		s.leave()
-		return notRun("", tables.CodeDraining, retryDraining)
-	}
-	if s.directory.Load() == nil {
-		s.leave()
-		return notRun("", tables.CodeNotReady, retryDraining)
+	open := s.gate.open.Add(1)
+	var failure *outcome.Failure
+	switch {
+	case !s.gate.current().Admits():
+		failure = notRun("", tables.CodeDraining, retryDraining)
+	case open > int64(s.limits.MaxOpen):
+		failure = notRun("", tables.CodeOverloaded, retryFull)
+	case s.directory.Load() == nil:
+		failure = notRun("", tables.CodeNotReady, retryDraining)
+	default:
+		return nil
 	}
-	return nil
+	s.leave()
+	return failure
 }
 
 // leave counts a request out.
 func (s *Server) leave() {
-	if s.open.Add(-1) == 0 {
+	if s.gate.open.Add(-1) == 0 {
 		select {
-		case s.idle <- struct{}{}:
+		case s.gate.idle <- struct{}{}:
 		default:
 		}
 	}
@@ -54,23 +93,26 @@
 // takes no new requests and returns when every open one has ended. It returns
 // early when the context ends.
 func (s *Server) Drain(ctx context.Context) error {
-	s.stop.notReady.Store(true)
-	events.DrainStarted.Log(s.log, zap.Int64("open", s.open.Load()))
-	serve := time.NewTimer(s.limits.DrainServe)
-	defer serve.Stop()
-	select {
-	case <-serve.C:
-	case <-ctx.Done():
-	}
-	s.stop.closed.Store(true)
-	for s.open.Load() > 0 {
+	s.gate.begin(s.now())
+	events.DrainStarted.Log(s.log, zap.Int64("open", s.gate.open.Load()))
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		if s.gate.tick(s.now()) == drain.Ended {
+			events.DrainEnded.Log(s.log)
+			return nil
+		}
+		if wait := s.gate.wait(s.now()); wait > 0 {
+			timer.Reset(wait)
+		}
 		select {
-		case <-s.idle:
+		case <-timer.C:
+		case <-s.gate.idle:
 		case <-ctx.Done():
-			events.DrainCut.Log(s.log, zap.Int64("open", s.open.Load()))
+			s.gate.abandon()
+			s.gate.tick(s.now())
+			events.DrainCut.Log(s.log, zap.Int64("open", s.gate.open.Load()))
 			return trace.Wrap(ctx.Err())
 		}
 	}
-	events.DrainEnded.Log(s.log)
-	return nil
 }
--- /dev/null
+++ b/entry/drain_test.go
@@ -0,0 +1,104 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/engine"
+	"github.com/carawaystile/carawaystile/systems/drain"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+func (r *rig) ready(t *testing.T) bool {
+	t.Helper()
+	resp, err := r.http.Get(r.url + "/readyz")
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusNoContent
+}
+
+// An instance is stopped for an update while a caller's stream is running. The
+// caller gets its whole answer; a request that the balancer sends late is served
+// too; only then, and after the stream, does the instance end.
+func TestDrainCutsNoStream(t *testing.T) {
+	now := make(chan tables.Instant, 1)
+	now <- 0
+	clock := func() tables.Instant {
+		at := <-now
+		now <- at
+		return at
+	}
+	r := newRig(t, func(o *Options) {
+		o.Now = clock
+		o.Limits.DrainServe = 10 * time.Millisecond
+	})
+	tokens := make(chan engine.Token, 2)
+	tokens <- engine.Token{Index: 0, Text: "a"}
+	r.client.generate = []script{
+		func(ctx context.Context, req engine.GenerateRequest) (engine.Stream, error) {
+			return r.client.stream(ctx, req, tokens, nil), nil
+		},
+		r.client.says([]string{"late"}, nil),
+	}
+	streaming := r.post(t, t.Context(), "/v1/completions", `{"prompt":"p","stream":true}`)
+	assert.Assert(t, r.ready(t))
+	done := make(chan error, 1)
+	go func() { done <- r.server.Drain(t.Context()) }()
+	for r.server.gate.current() != drain.Announced {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Assert(t, !r.ready(t))
+	late := r.post(t, t.Context(), "/v1/completions", `{"prompt":"p"}`)
+	assert.Equal(t, late.StatusCode, 200)
+	assert.Assert(t, late.Close, "the connection must not be used again")
+
+	<-now
+	now <- time.Second
+	for r.server.gate.current() != drain.Closing {
+		time.Sleep(time.Millisecond)
+	}
+	refused := r.post(t, t.Context(), "/v1/completions", `{"prompt":"p"}`)
+	failure := failureIn(t, read(t, refused))
+	assert.Equal(t, tables.Code(failure.Code), tables.CodeDraining)
+	assert.Equal(t, string(failure.Outcome), string(tables.NotRun))
+
+	select {
+	case <-done:
+		t.Fatal("the drain ended before the stream")
+	default:
+	}
+	tokens <- engine.Token{Index: 1, Text: "b"}
+	close(tokens)
+	assert.DeepEqual(t, texts(t, read(t, streaming)), []string{"a", "b"})
+	assert.NilError(t, <-done)
+}
+
+func TestSecondSignalCutsTheDrain(t *testing.T) {
+	r := newRig(t, nil)
+	tokens := make(chan engine.Token, 1)
+	tokens <- engine.Token{Index: 0, Text: "a"}
+	r.client.generate = []script{func(ctx context.Context, req engine.GenerateRequest) (engine.Stream, error) {
+		return r.client.stream(ctx, req, tokens, nil), nil
+	}}
+	ctx, stop := context.WithCancel(t.Context())
+	r.post(t, ctx, "/v1/completions", `{"prompt":"p","stream":true}`)
+	signal, second := context.WithCancel(t.Context())
+	second()
+	assert.ErrorIs(t, r.server.Drain(signal), context.Canceled)
+	stop()
+}
+
+// An instance has just started and knows no configuration yet. Callers must not
+// be told that their tokens are wrong.
+func TestNoConfigurationYet(t *testing.T) {
+	r := newRig(t, nil)
+	r.server.directory.Store(nil)
+	assert.Assert(t, !r.ready(t))
+	resp := r.post(t, t.Context(), "/v1/completions", `{"prompt":"p"}`)
+	failure := failureIn(t, read(t, resp))
+	assert.Equal(t, tables.Code(failure.Code), tables.CodeNotReady)
+}
--- a/entry/outer.go
+++ b/entry/outer.go
@@ -46,6 +46,11 @@
 			return
 		}
 		defer s.leave()
+		if !s.gate.current().Ready() {
+			// Connections that the balancer keeps open would bring further
+			// requests to an instance that is about to end.
+			w.Header().Set("Connection", "close")
+		}
 		control := http.NewResponseController(w)
 		body := &boundedBody{server: s, body: r.Body, left: s.limits.MaxBody, control: control}
 		defer body.release()
--- a/entry/server.go
+++ b/entry/server.go
@@ -40,12 +40,9 @@
 
 	directory atomic.Pointer[directory]
 	requests  atomic.Uint64
-	// open counts requests between admission and their last byte, held the
-	// bytes of their bodies.
-	open atomic.Int64
+	// held counts the bytes of request bodies.
 	held atomic.Int64
-	idle chan struct{}
-	stop drain
+	gate gate
 }
 
 // New returns a Server that runs until Close. It answers requests once it has
@@ -63,8 +60,9 @@
 		limits:   o.Limits.withDefaults(),
 		inbox:    make(chan message, inbox),
 		stopped:  make(chan struct{}),
-		idle:     make(chan struct{}, 1),
 	}
+	s.gate.idle = make(chan struct{}, 1)
+	s.gate.machine.Serve = s.limits.DrainServe
 	if s.metrics == nil {
 		s.metrics = NoMetrics{}
 	}
