Do not take gathering of held work for overload (decisions' folders)

Change: the window is half of the wait. A router test with one long check a minute on idle engines failed at 15 minutes before, and passes now.

--- /dev/null
+++ b/router/held_test.go
@@ -0,0 +1,41 @@
+package router_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/router"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// A rights desk sends one long check a minute, each with a prefix of its own,
+// to engines that are idle. Checks that can wait an hour are held for a while so
+// that more of a kind come together. While they are held hardly any starts, and
+// the prediction of the wait took that for an overloaded fleet: checks were
+// refused though every engine was idle.
+func TestHeldWorkIsNotRefusedWhileEnginesAreIdle(t *testing.T) {
+	r := newRouter(2)
+	served := 0
+	const sent = 60
+	for second := range int((2 * time.Hour).Seconds()) {
+		now := time.Duration(second) * time.Second
+		if minute := second / 60; second%60 == 0 && minute < sent {
+			req := request(fmt.Sprint("r", minute), "check", now)
+			req.PromptTokens, req.Deadline = 8000, now+2*time.Hour
+			req.Blocks = []tables.BlockHash{tables.BlockHash(2*minute + 1), tables.BlockHash(2*minute + 2)}
+			r.Submit(now, req)
+		}
+		for _, action := range r.Tick(now) {
+			d, ok := action.(router.Dispatch)
+			assert.Assert(t, ok, "after %v: %#v", now, action)
+			served++
+			r.Observe(now, router.AttemptStarted{Attempt: d.Attempt, Boot: "b", Weights: "w1"})
+			r.Observe(now, router.FirstToken{Attempt: d.Attempt})
+			r.Observe(now, router.AttemptEnded{Attempt: d.Attempt, End: router.Completed, Tokens: 5, Delivered: 5})
+		}
+	}
+	assert.Equal(t, served, sent)
+}
--- a/systems/admission/admission.go
+++ b/systems/admission/admission.go
@@ -18,9 +18,11 @@
 	minPatience  = time.Second
 	maxPatience  = 5 * time.Second
 	// drainWindow is the least time over which the rate of starts is averaged;
-	// for requests that can wait long it is windowPart of their wait.
+	// for requests that can wait long their wait divided by windowPart. That
+	// must be longer than the router lets such requests gather on purpose, when
+	// hardly any start: else gathering is taken for overload.
 	drainWindow = 5 * time.Second
-	windowPart  = 4
+	windowPart  = 2
 	// minRetryAfter and maxRetryAfter bound the time to try again.
 	minRetryAfter = time.Second
 	maxRetryAfter = 2 * time.Minute
