Share the cut of zones and held ports between the demo and the scenarios

Cause: scenarios need the demo's network that can be cut and its ports, which were private to it. Change: moved to internal/partition and internal/loopback without a change in what they do. Conclusion: the logic stands once.

--- a/demo/added_test.go
+++ b/demo/added_test.go
@@ -23,6 +23,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/carawaystile/carawaystile/engine"
+	"github.com/carawaystile/carawaystile/internal/partition"
 	"github.com/carawaystile/carawaystile/prefix"
 	"github.com/carawaystile/carawaystile/settings"
 	"github.com/carawaystile/carawaystile/tables"
@@ -119,7 +120,7 @@
 	assert.NilError(tb, err)
 	o, err := Options{}.withDefaults()
 	assert.NilError(tb, err)
-	w := &world{options: o, network: newNetwork(), configuration: c}
+	w := &world{options: o, network: partition.New(), configuration: c}
 	instances, err := newInstances(tb.TempDir(), w.network, []tables.Zone{"zone-a"})
 	assert.NilError(tb, err)
 	r.instance = instances[0]
--- a/demo/check_test.go
+++ b/demo/check_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/carawaystile/carawaystile/engine"
+	"github.com/carawaystile/carawaystile/internal/partition"
 	"github.com/carawaystile/carawaystile/standin"
 	"github.com/carawaystile/carawaystile/tables"
 )
@@ -16,7 +17,7 @@
 	t.Helper()
 	o, err := Options{}.withDefaults()
 	assert.NilError(t, err)
-	f, err := newFleet(o, newNetwork())
+	f, err := newFleet(o, partition.New())
 	assert.NilError(t, err)
 	defer f.close()
 	if prepare != nil {
--- a/demo/faults.go
+++ b/demo/faults.go
@@ -19,9 +19,9 @@
 		s.points[items/4] = func() { s.crash(0) }
 		s.points[items*3/4] = func() { s.crash(4) }
 	case FaultPartition:
-		s.points[items/3] = func() { w.network.cut(zones[len(zones)-1]) }
-		s.points[items*2/3] = w.network.heal
-		s.ending = w.network.heal
+		s.points[items/3] = func() { w.network.Cut(zones[len(zones)-1]) }
+		s.points[items*2/3] = w.network.Heal
+		s.ending = w.network.Heal
 	case FaultRestart:
 		s.done = make(chan struct{})
 		s.points[items/4] = func() { go s.restartAll() }
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/carawaystile/carawaystile/internal/partition"
 	"github.com/carawaystile/carawaystile/settings"
 	"github.com/carawaystile/carawaystile/standin"
 	"github.com/carawaystile/carawaystile/tables"
@@ -69,7 +70,7 @@
 	yaml     strings.Builder
 }
 
-func newFleet(o Options, n *network) (*fleet, error) {
+func newFleet(o Options, n *partition.Network) (*fleet, error) {
 	f := &fleet{records: standin.NewRecords(), calls: &standin.ServiceRecords{}}
 	f.yaml.WriteString("endpoints:\n")
 	for _, zone := range zones {
@@ -89,7 +90,7 @@
 	return f, nil
 }
 
-func (f *fleet) addEngine(o Options, n *network, zone tables.Zone, number int, class engineClass) error {
+func (f *fleet) addEngine(o Options, n *partition.Network, zone tables.Zone, number int, class engineClass) error {
 	options := standin.EngineOptions{
 		ID:          tables.EndpointID(fmt.Sprintf("engine-%s-%d", zone, number+1)),
 		Weights:     map[tables.ModelName]tables.WeightsVersion{"draft-12b": "w1", "rights-34b": "w1"},
@@ -116,7 +117,7 @@
 		return err
 	}
 	f.engines = append(f.engines, e)
-	n.place(e.Address().String(), zone)
+	n.Place(e.Address().String(), zone)
 	fmt.Fprintf(&f.yaml, "  - {name: %s, zone: %s, address: '%s', models: [draft-12b, rights-34b], checks_fencing: %t, slots: %d, "+
 		"cache_pieces: %d, prefill_tokens_per_second: %.0f, decode_tokens_per_second: %.0f}\n",
 		options.ID, zone, e.Address(), options.ChecksFence, class.slots, engineCache,
@@ -124,7 +125,7 @@
 	return nil
 }
 
-func (f *fleet) addService(o Options, n *network, zone tables.Zone, name tables.ServiceName) error {
+func (f *fleet) addService(o Options, n *partition.Network, zone tables.Zone, name tables.ServiceName) error {
 	options := standin.ServiceOptions{
 		ID:       tables.EndpointID(fmt.Sprintf("%s-%s", name, zone)),
 		CallTime: callTime,
@@ -140,7 +141,7 @@
 		return err
 	}
 	f.services = append(f.services, s)
-	n.place(s.Address().String(), zone)
+	n.Place(s.Address().String(), zone)
 	fmt.Fprintf(&f.yaml, "  - {name: %s, zone: %s, address: '%s', service: %s, slots: %d}\n",
 		options.ID, zone, s.Address(), name, serviceSlots)
 	return nil
--- a/demo/instance.go
+++ b/demo/instance.go
@@ -4,9 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"net"
 	"net/http"
-	"net/netip"
 	"os"
 	"path/filepath"
 	"sync"
@@ -16,6 +14,8 @@
 	"go.uber.org/zap"
 
 	"github.com/carawaystile/carawaystile/daemon"
+	"github.com/carawaystile/carawaystile/internal/loopback"
+	"github.com/carawaystile/carawaystile/internal/partition"
 	"github.com/carawaystile/carawaystile/settings"
 	"github.com/carawaystile/carawaystile/tables"
 )
@@ -44,56 +44,15 @@
 	process *settings.Process
 	address string
 	ready   atomic.Bool
-	ports   ports
+	ports   loopback.Ports
 
 	mu     sync.Mutex
 	daemon *daemon.Daemon
 }
 
-// ports holds the listeners of an instance from the choice of its addresses
-// until its first start, so that nobody else takes them.
-type ports struct {
-	mu   sync.Mutex
-	held map[netip.AddrPort]net.Listener
-}
-
-func (p *ports) hold() (netip.AddrPort, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return netip.AddrPort{}, err
-	}
-	at := listener.Addr().(*net.TCPAddr).AddrPort()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.held == nil {
-		p.held = make(map[netip.AddrPort]net.Listener)
-	}
-	p.held[at] = listener
-	return at, nil
-}
-
-func (p *ports) listen(at netip.AddrPort) (net.Listener, error) {
-	p.mu.Lock()
-	listener := p.held[at]
-	delete(p.held, at)
-	p.mu.Unlock()
-	if listener != nil {
-		return listener, nil
-	}
-	return net.Listen("tcp", at.String())
-}
-
-func (p *ports) close() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, listener := range p.held {
-		_ = listener.Close()
-	}
-}
-
 // newInstances chooses addresses for one instance a zone, which form the
 // control group together.
-func newInstances(folder string, n *network, where []tables.Zone) ([]*instance, error) {
+func newInstances(folder string, n *partition.Network, where []tables.Zone) ([]*instance, error) {
 	key, err := newKey(folder)
 	if err != nil {
 		return nil, err
@@ -107,7 +66,7 @@
 		}
 		all = append(all, i)
 		group = append(group, settings.ControlInstance{Name: i.process.Instance, Zone: zone, Address: i.process.Listen.Instances})
-		n.place(i.process.Listen.Instances.String(), zone)
+		n.Place(i.process.Listen.Instances.String(), zone)
 	}
 	for _, i := range all {
 		i.process.ControlInstances = group
@@ -130,11 +89,11 @@
 
 func newInstance(folder, key string, zone tables.Zone) (*instance, error) {
 	i := &instance{}
-	callers, err := i.ports.hold()
+	callers, err := i.ports.Hold()
 	if err != nil {
 		return nil, err
 	}
-	instances, err := i.ports.hold()
+	instances, err := i.ports.Hold()
 	if err != nil {
 		return nil, err
 	}
@@ -166,8 +125,8 @@
 		Process:      i.process,
 		Declarations: w.configuration,
 		Log:          w.options.Log.With(zap.String("instance", string(i.process.Instance))),
-		Dial:         w.network.dialer(i.process.Zone),
-		Listen:       i.ports.listen,
+		Dial:         w.network.Dialer(i.process.Zone),
+		Listen:       i.ports.Listen,
 	})
 	if err != nil {
 		return err
@@ -205,7 +164,7 @@
 	if i.daemon != nil {
 		i.daemon.Stop()
 	}
-	i.ports.close()
+	i.ports.Close()
 }
 
 // balancer sends callers to instances that say they are ready.
--- a/demo/world.go
+++ b/demo/world.go
@@ -8,13 +8,14 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/carawaystile/carawaystile/internal/partition"
 	"github.com/carawaystile/carawaystile/tables"
 )
 
 // world is everything that a run consists of.
 type world struct {
 	options       Options
-	network       *network
+	network       *partition.Network
 	fleet         *fleet
 	configuration *tables.Configuration
 	folder        string
@@ -35,7 +36,7 @@
 
 func newWorld(ctx context.Context, o Options) (*world, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	w := &world{options: o, network: newNetwork(), caller: newCaller(), stop: cancel, balancer: &balancer{}}
+	w := &world{options: o, network: partition.New(), caller: newCaller(), stop: cancel, balancer: &balancer{}}
 	if err := w.start(ctx); err != nil {
 		w.close()
 		return nil, err
@@ -76,7 +77,7 @@
 
 func (w *world) close() {
 	w.stop()
-	w.network.heal()
+	w.network.Heal()
 	w.background.Wait()
 	// Together: instances that lost their quorum wait a while before they give
 	// up what they still ask of it.
--- a/demo/network.go
+++ b/internal/partition/partition.go
@@ -1,4 +1,6 @@
-package demo
+// Package partition cuts availability zones off from each other within one
+// process, for tests and the demo.
+package partition
 
 import (
 	"context"
@@ -8,10 +10,10 @@
 	"github.com/carawaystile/carawaystile/tables"
 )
 
-// network knows which zone each address is in and which zones are cut off. A
+// Network knows which zone each address is in and which zones are cut off. A
 // cut is silent: what is sent into it is lost and nobody is told, as in a
 // partition without resets.
-type network struct {
+type Network struct {
 	mu    sync.Mutex
 	zones map[string]tables.Zone
 	// isolated is the zone that is cut off, empty if none.
@@ -20,25 +22,28 @@
 	healed chan struct{}
 }
 
-func newNetwork() *network {
-	return &network{zones: make(map[string]tables.Zone)}
+// New returns a network in which every zone reaches every other.
+func New() *Network {
+	return &Network{zones: make(map[string]tables.Zone)}
 }
 
-// place notes the zone of an address.
-func (n *network) place(address string, zone tables.Zone) {
+// Place notes the zone of an address.
+func (n *Network) Place(address string, zone tables.Zone) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.zones[address] = zone
 }
 
-func (n *network) cut(zone tables.Zone) {
+// Cut isolates a zone from all others.
+func (n *Network) Cut(zone tables.Zone) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.isolated = zone
 	n.healed = make(chan struct{})
 }
 
-func (n *network) heal() {
+// Heal ends the cut.
+func (n *Network) Heal() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.isolated != "" {
@@ -49,7 +54,7 @@
 
 // blocked returns nil if two zones reach each other, or a channel that is
 // closed when they may do so again.
-func (n *network) blocked(a, b tables.Zone) <-chan struct{} {
+func (n *Network) blocked(a, b tables.Zone) <-chan struct{} {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.isolated == "" || a == b || a != n.isolated && b != n.isolated {
@@ -58,8 +63,8 @@
 	return n.healed
 }
 
-// dialer opens connections from a zone.
-func (n *network) dialer(from tables.Zone) func(ctx context.Context, network, address string) (net.Conn, error) {
+// Dialer opens connections from a zone.
+func (n *Network) Dialer(from tables.Zone) func(ctx context.Context, network, address string) (net.Conn, error) {
 	return func(ctx context.Context, protocol, address string) (net.Conn, error) {
 		n.mu.Lock()
 		to := n.zones[address]
@@ -83,7 +88,7 @@
 // it is reset.
 type cuttable struct {
 	net.Conn
-	network  *network
+	network  *Network
 	from, to tables.Zone
 	closing  sync.Once
 	closed   chan struct{}
