--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -121,6 +121,9 @@
 	assert.Assert(t, strings.Contains(text,
 		`carawaystile_organisation_time_to_first_token_seconds_count{organisation="o"} 1`), text)
 
+	assert.Assert(t, strings.Contains(text, "carawaystile_revision 1\n"), text)
+	assert.Assert(t, strings.Contains(text, `carawaystile_instances{state="alive"} 1`), text)
+
 	var event struct{ ID string }
 	first, _, _ := strings.Cut(strings.TrimPrefix(answer, "data: "), "\n")
 	assert.NilError(t, json.Unmarshal([]byte(first), &event))
--- a/daemon/listen.go
+++ b/daemon/listen.go
@@ -104,8 +104,3 @@
 	mux.Handle(rpc.ControlPathPrefix, keys.Require(d.instanceKeys, d.controlHandler()))
 	return mux
 }
-
-func (d *Daemon) serveMetrics(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
-	_ = d.registry.WriteText(w)
-}
