--- a/cmd/carawaystile/change.go
+++ b/cli/change.go
@@ -1,4 +1,4 @@
-package main
+package cli
 
 import (
 	"fmt"
--- a/cmd/carawaystile/script_test.go
+++ b/cli/script_test.go
@@ -1,4 +1,4 @@
-package main
+package cli
 
 import (
 	"context"
@@ -17,7 +17,7 @@
 
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
-		"carawaystile": func() { os.Exit(int(run(context.Background()))) },
+		"carawaystile": func() { os.Exit(int(Run(context.Background()))) },
 	})
 }
 
@@ -25,7 +25,7 @@
 // group has that one member and whose first declarations are those of
 // examples/ashanti.
 func TestScripts(t *testing.T) {
-	examples, err := filepath.Abs("../../examples")
+	examples, err := filepath.Abs("../examples")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/carawaystiled/main.go
+++ b/cmd/carawaystiled/main.go
@@ -9,9 +9,11 @@
 	"github.com/google/subcommands"
 )
 
-func main() {
+func main() { os.Exit(int(run(context.Background()))) }
+
+func run(ctx context.Context) subcommands.ExitStatus {
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(&serveCommand{}, "")
 	flag.Parse()
-	os.Exit(int(subcommands.Execute(context.Background())))
+	return subcommands.Execute(ctx)
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -34,13 +34,13 @@
 		assert.NilError(t, err)
 		assert.Equal(t, len(c.Organisations), 8)
 	}
-	files, err := filepath.Glob("../examples/*-instance.yaml")
+	files, err := filepath.Glob("../examples/instances/*.yaml")
 	assert.NilError(t, err)
-	assert.Equal(t, len(files), 2)
+	assert.Equal(t, len(files), 4)
 	for _, file := range files {
 		p, err := ReadProcess(file)
 		assert.NilError(t, err)
-		assert.Assert(t, filepath.Dir(p.Data) == "../examples", "data folder %s", p.Data)
+		assert.Assert(t, strings.HasPrefix(p.Data, "../examples/instances/data/"), "data folder %s", p.Data)
 	}
 }
 
@@ -113,7 +113,7 @@
 }
 
 func TestProcessMistakes(t *testing.T) {
-	text, err := os.ReadFile("../examples/ashanti-instance.yaml")
+	text, err := os.ReadFile("../examples/instances/accra-a-1.yaml")
 	assert.NilError(t, err)
 	tests := []struct{ name, old, new, wrong string }{
 		{"size without unit", "body: 8MiB", "body: 8", "does not fit"},
