Make the folders above a data folder, and shorten failed connections

Cause: following the book from a fresh clone, the instances did not start since the parent of their data folder was missing, and the command's message buried the reason. Change: missing parents are made and synced; a failed connection is told in the operating system's words.

--- a/cli/remote.go
+++ b/cli/remote.go
@@ -5,9 +5,11 @@
 	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"flag"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -62,6 +64,25 @@
 // Error names the flag.
 func (e *badFlag) Error() string { return fmt.Sprintf("-%s: %s", e.Flag, e.Reason) }
 
+// unanswered is why one instance gave no answer.
+type unanswered struct {
+	At    netip.AddrPort
+	Cause error
+}
+
+// Error names the instance. Of a failed connection it tells what the operating
+// system said; the layers above it repeat the address and the path.
+func (e *unanswered) Error() string {
+	var connection *net.OpError
+	if errors.As(e.Cause, &connection) {
+		return fmt.Sprintf("%s: %v", e.At, connection.Err)
+	}
+	return fmt.Sprintf("%s: %v", e.At, e.Cause)
+}
+
+// Unwrap gives the cause.
+func (e *unanswered) Unwrap() error { return e.Cause }
+
 // unreachable means that no instance gave an answer.
 type unreachable struct{ Causes []error }
 
@@ -110,7 +131,7 @@
 		if final(err) {
 			return none, trace.Wrap(err)
 		}
-		failed.Causes = append(failed.Causes, trace.Wrap(err, "%s", at))
+		failed.Causes = append(failed.Causes, &unanswered{At: at, Cause: err})
 	}
 	return none, failed
 }
--- a/cli/status.go
+++ b/cli/status.go
@@ -145,7 +145,7 @@
 		code, err := c.get(ctx, at, path, &explanation)
 		switch {
 		case err != nil:
-			failed.Causes = append(failed.Causes, trace.Wrap(err, "%s", at))
+			failed.Causes = append(failed.Causes, &unanswered{At: at, Cause: err})
 		case code == http.StatusOK:
 			return c.print(explanation)
 		}
--- a/store/folder.go
+++ b/store/folder.go
@@ -17,8 +17,8 @@
 	fs   files
 }
 
-// OpenFolder locks a data folder and creates it if needed; its parent has to
-// exist. It fails with *Locked if another process, or another Folder of this
+// OpenFolder locks a data folder and creates it, and the folders above it, if
+// needed. It fails with *Locked if another process, or another Folder of this
 // one, has it: two processes that append to one log would overwrite each other.
 func OpenFolder(dir string) (*Folder, error) {
 	f, err := openFolder(osFiles{}, dir)
@@ -45,8 +45,16 @@
 	return nil, failed(OpLock, path, err)
 }
 
+// makeDir makes a directory and those above it, and syncs each one that got a
+// new entry: a power failure could take the whole folder away otherwise.
 func makeDir(fs files, dir string) error {
 	err := os.Mkdir(dir, dirPerm)
+	if os.IsNotExist(err) {
+		if err := makeDir(fs, filepath.Dir(dir)); err != nil {
+			return err
+		}
+		err = os.Mkdir(dir, dirPerm)
+	}
 	if os.IsExist(err) {
 		return nil
 	}
