Bound the open requests of one organisation per instance

Cause: the setting requests_of_one_organisation was read and had no effect; one organisation could take every place of an instance. Change: open requests are counted by organisation before the body is read. Conclusion: the limit is per instance; limits over all instances stay with the fairness system.

--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -17,6 +17,7 @@
 	limits := entry.DefaultLimits()
 	limits.MaxBody = p.Limits.BodyBytes
 	limits.MaxOpen = p.Limits.Requests
+	limits.MaxOpenOrganisation = p.Limits.OrganisationRequests
 	limits.DrainServe = p.Drain.Announce
 	server, err := entry.New(entry.Options{
 		Instance: p.Instance,
--- a/entry/options.go
+++ b/entry/options.go
@@ -83,8 +83,10 @@
 	MaxBody int64
 	// MaxHeld is how many bytes of request bodies are held at once.
 	MaxHeld int64
-	// MaxOpen is how many requests are open at once.
-	MaxOpen int
+	// MaxOpen is how many requests are open at once, MaxOpenOrganisation how
+	// many of one organisation.
+	MaxOpen             int
+	MaxOpenOrganisation int
 	// MaxAnswer is the largest answer that is held in memory, in bytes: answers
 	// of plain services, answers that are not streamed, and the part of a stream
 	// that a resume would have to repeat.
@@ -111,17 +113,18 @@
 // DefaultLimits are the limits used for fields that are zero.
 func DefaultLimits() Limits {
 	return Limits{
-		MaxBody:          8 << 20,
-		MaxHeld:          64 << 20,
-		MaxOpen:          4096,
-		MaxAnswer:        4 << 20,
-		DefaultMaxTokens: 256,
-		TokenStall:       10 * time.Second,
-		WriteStall:       30 * time.Second,
-		ReadStall:        30 * time.Second,
-		CancelWait:       2 * time.Second,
-		ClaimWait:        2 * time.Second,
-		DrainServe:       5 * time.Second,
+		MaxBody:             8 << 20,
+		MaxHeld:             64 << 20,
+		MaxOpen:             4096,
+		MaxOpenOrganisation: 1024,
+		MaxAnswer:           4 << 20,
+		DefaultMaxTokens:    256,
+		TokenStall:          10 * time.Second,
+		WriteStall:          30 * time.Second,
+		ReadStall:           30 * time.Second,
+		CancelWait:          2 * time.Second,
+		ClaimWait:           2 * time.Second,
+		DrainServe:          5 * time.Second,
 	}
 }
 
--- a/entry/outer.go
+++ b/entry/outer.go
@@ -46,6 +46,13 @@
 			return
 		}
 		defer s.leave()
+		leave, failure := s.admitOrganisation(r)
+		if failure != nil {
+			s.noteFailure("", failure)
+			writeFailure(w, failure)
+			return
+		}
+		defer leave()
 		if !s.gate.current().Ready() {
 			// Connections that the balancer keeps open would bring further
 			// requests to an instance that is about to end.
--- /dev/null
+++ b/entry/quota_test.go
@@ -0,0 +1,34 @@
+package entry
+
+import (
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// One organisation's client opens requests without end. Its further requests
+// must be refused at once as not run, while there is room for other
+// organisations, and it must be served again as soon as one has ended.
+func TestOneOrganisationCannotTakeAllPlaces(t *testing.T) {
+	r := newRig(t, func(o *Options) { o.Limits.MaxOpenOrganisation = 1 })
+	r.client.generate = []script{r.client.says([]string{"a"}, nil)}
+	id := testConfiguration().Organisations[0].ID
+	assert.Assert(t, r.server.quota.enter(id))
+	assert.Assert(t, r.server.quota.enter("another"))
+
+	resp := r.post(t, t.Context(), "/v1/completions", `{"prompt":"p","max_tokens":1}`)
+	failure := failureIn(t, read(t, resp))
+	assert.Equal(t, resp.StatusCode, http.StatusTooManyRequests)
+	assert.Equal(t, tables.Code(failure.Code), tables.CodeOrganisationRate)
+	assert.Equal(t, string(failure.Outcome), string(tables.NotRun))
+	assert.Equal(t, len(r.client.seen()), 0)
+
+	r.server.quota.leave(id)
+	resp = r.post(t, t.Context(), "/v1/completions", `{"prompt":"p","max_tokens":1}`)
+	assert.Equal(t, resp.StatusCode, http.StatusOK, read(t, resp))
+	r.server.quota.leave("another")
+	assert.Equal(t, len(r.server.quota.open), 0)
+}
--- a/entry/server.go
+++ b/entry/server.go
@@ -41,8 +41,9 @@
 	directory atomic.Pointer[directory]
 	requests  atomic.Uint64
 	// held counts the bytes of request bodies.
-	held atomic.Int64
-	gate gate
+	held  atomic.Int64
+	gate  gate
+	quota *quota
 }
 
 // New returns a Server that runs until Close. It answers requests once it has
@@ -62,6 +63,7 @@
 		stopped:  make(chan struct{}),
 	}
 	s.gate.idle = make(chan struct{}, 1)
+	s.quota = newQuota(s.limits.MaxOpenOrganisation)
 	s.gate.machine.Serve = s.limits.DrainServe
 	if s.metrics == nil {
 		s.metrics = NoMetrics{}
@@ -149,6 +151,7 @@
 	fill(&l.MaxBody, d.MaxBody)
 	fill(&l.MaxHeld, d.MaxHeld)
 	fill(&l.MaxOpen, d.MaxOpen)
+	fill(&l.MaxOpenOrganisation, d.MaxOpenOrganisation)
 	fill(&l.MaxAnswer, d.MaxAnswer)
 	fill(&l.DefaultMaxTokens, d.DefaultMaxTokens)
 	fill(&l.TokenStall, d.TokenStall)
