--- a/control/measure_test.go
+++ b/control/measure_test.go
@@ -113,27 +113,87 @@
 	assert.Check(b, claims.MarkDispatched(context.Background(), grant))
 }
 
-// BenchmarkNewLeader measures the time from the stop of the leader until the
-// group decides again.
+// BenchmarkNewLeader measures the time from the loss of the leader until the
+// group decides again: cut off without a word, or closed as for a restart.
 func BenchmarkNewLeader(b *testing.B) {
-	var times []time.Duration
-	for b.Loop() {
-		c := newCluster(b, 3, 0)
-		c.apply(0, "r", 0, time.Second)
-		leader := 0
-		for i, in := range c.instances {
-			if in.server.Status().Leads {
-				leader = i
+	for _, planned := range []bool{false, true} {
+		b.Run(fmt.Sprint("planned=", planned), func(b *testing.B) {
+			var times []time.Duration
+			for b.Loop() {
+				c := newCluster(b, 3, 0)
+				c.apply(0, "r", 0, time.Second)
+				leader := c.leader()
+				start := time.Now()
+				if planned {
+					c.instances[leader].server.Close()
+				} else {
+					c.isolate(leader)
+				}
+				assert.NilError(b, c.instances[(leader+1)%3].server.Barrier(c.long()))
+				times = append(times, time.Since(start))
 			}
+			reportTimes(b, "new_leader", times)
+		})
+	}
+}
+
+func (c *cluster) leader() int {
+	for i, in := range c.instances {
+		if in.server != nil && in.server.Status().Leads {
+			return i
 		}
-		in := c.instances[leader]
+	}
+	return 0
+}
+
+// isolate cuts an instance off from all others.
+func (c *cluster) isolate(i int) {
+	for j, other := range c.instances {
+		if j != i {
+			other.cut.set(c.instances[i].address, true)
+			c.instances[i].cut.set(other.address, true)
+		}
+	}
+}
+
+// BenchmarkFullSnapshot measures how long a replica is held up by a snapshot
+// when it keeps as many claims as it may, an eighth of them with answers.
+func BenchmarkFullSnapshot(b *testing.B) {
+	limits := state.DefaultLimits()
+	s := state.New(limits)
+	index := uint64(0)
+	run := func(command *rpc.Command) *rpc.Result {
+		index++
+		return s.Execute(index, command)
+	}
+	for n := range limits.Claims {
+		command := claimRow(n)
+		grant := run(command).GetClaim()
+		claim := command.GetClaim()
+		if n%8 == 0 {
+			run(&rpc.Command{Action: &rpc.Command_MarkDispatched{MarkDispatched: &rpc.MarkDispatched{
+				Organisation: claim.Organisation, Key: claim.Key, Fence: grant.GetFence(), Token: "t",
+			}}})
+			run(&rpc.Command{Action: &rpc.Command_FinishClaim{FinishClaim: &rpc.FinishClaim{
+				Organisation: claim.Organisation, Key: claim.Key, Fence: grant.GetFence(),
+				Answer: &rpc.StoredAnswer{Status: 200, Body: make([]byte, 2048)},
+			}}})
+		}
+	}
+	assert.Equal(b, s.Claims(), limits.Claims)
+	var encoded []byte
+	var err error
+	b.ResetTimer()
+	var held time.Duration
+	for b.Loop() {
 		start := time.Now()
-		_ = in.http.Close()
-		in.server.Close()
-		assert.NilError(b, c.instances[(leader+1)%3].server.Barrier(c.long()))
-		times = append(times, time.Since(start))
+		snapshot := s.Save()
+		held += time.Since(start)
+		encoded, err = state.EncodeSnapshot(snapshot)
+		assert.NilError(b, err)
 	}
-	reportTimes(b, "new_leader", times)
+	b.ReportMetric(float64(len(encoded)), "snapshot_bytes")
+	b.ReportMetric(float64(held.Milliseconds())/float64(b.N), "held_up_ms")
 }
 
 // BenchmarkRestart measures how long a control instance needs to read its disk
@@ -319,52 +379,81 @@
 	return n, err
 }
 
-// BenchmarkFanOut measures what a change costs when 340 instances follow 3
-// control instances, the followers without disks.
-func BenchmarkFanOut(b *testing.B) {
-	const followers = 340
-	c := newCluster(b, 3, 0)
-	var bytes atomic.Int64
+// BenchmarkIdleFollowers measures what followers cost while nothing changes: 340
+// of them on 3 control instances, over one round of polls.
+func BenchmarkIdleFollowers(b *testing.B) {
+	const followers, seconds = 340, 9
+	f := newFanOut(b, followers)
+	f.change(0)
+	for b.Loop() {
+		start := f.bytes.Load()
+		used := processorTime()
+		time.Sleep(seconds * time.Second)
+		b.ReportMetric(float64(f.bytes.Load()-start)/seconds/3, "bytes/s/control_instance")
+		b.ReportMetric(float64(f.bytes.Load()-start)/seconds/followers, "bytes/s/follower")
+		b.ReportMetric(float64((processorTime()-used).Microseconds())/seconds, "cpu_us/s")
+	}
+}
+
+// fanOut is followers without disks of 3 control instances.
+type fanOut struct {
+	*cluster
+	followers int
+	bytes     atomic.Int64
+	inForce   chan tables.Revision
+}
+
+func newFanOut(b *testing.B, followers int) *fanOut {
+	f := &fanOut{cluster: newCluster(b, 3, 0), followers: followers, inForce: make(chan tables.Revision, followers*4)}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
-		return countingConn{conn, &bytes}, err
+		return countingConn{conn, &f.bytes}, err
 	}
 	client := &http.Client{Transport: &keys.Transport{
-		Ring: c.ring, Base: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: followers},
+		Ring: f.ring, Base: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: followers},
 	}}
 	dialer := transport.NewDialer(client)
-	inForce := make(chan tables.Revision, followers*4)
 	for i := range followers {
-		f := follower.Start(follower.Options{
+		one := follower.Start(follower.Options{
 			Instance:  tables.InstanceID(fmt.Sprintf("instance-%03d", i)),
-			Sources:   func() []follower.Source { return []follower.Source{dialer.Control(c.instances[i%3].address)} },
-			Configure: func(configuration *tables.Configuration) { inForce <- configuration.Revision },
+			Sources:   func() []follower.Source { return []follower.Source{dialer.Control(f.instances[i%3].address)} },
+			Configure: func(configuration *tables.Configuration) { f.inForce <- configuration.Revision },
 		})
-		b.Cleanup(f.Close)
+		b.Cleanup(one.Close)
 	}
-	change := func(revision uint64) {
-		answer := c.apply(0, fmt.Sprint("r", revision), revision, time.Duration(revision+1)*time.Second)
-		assert.Assert(b, answer.GetAccepted() != nil)
-		for range followers {
-			<-inForce
-		}
+	return f
+}
+
+// change applies one revision and waits until it is in force at all followers.
+func (f *fanOut) change(revision uint64) {
+	answer := f.apply(0, fmt.Sprint("r", revision), revision, time.Duration(revision+1)*time.Second)
+	assert.Assert(f.t, answer.GetAccepted() != nil)
+	for range f.followers {
+		<-f.inForce
 	}
-	change(0)
+}
+
+// BenchmarkFanOut measures what a change costs when 340 instances follow 3
+// control instances, the followers without disks.
+func BenchmarkFanOut(b *testing.B) {
+	const followers = 340
+	f := newFanOut(b, followers)
+	f.change(0)
 	var times []time.Duration
-	start := bytes.Load()
+	start := f.bytes.Load()
 	used := processorTime()
 	revision := uint64(1)
 	b.ResetTimer()
 	for b.Loop() {
 		began := time.Now()
-		change(revision)
+		f.change(revision)
 		times = append(times, time.Since(began))
 		revision++
 	}
 	changes := float64(revision - 1)
 	reportTimes(b, "in_force", times)
-	b.ReportMetric(float64(bytes.Load()-start)/changes/3, "bytes/change/control_instance")
-	b.ReportMetric(float64(bytes.Load()-start)/changes/followers, "bytes/change/follower")
+	b.ReportMetric(float64(f.bytes.Load()-start)/changes/3, "bytes/change/control_instance")
+	b.ReportMetric(float64(f.bytes.Load()-start)/changes/followers, "bytes/change/follower")
 	b.ReportMetric(float64(processorTime()-used)/float64(time.Microsecond)/changes, "cpu_us/change")
 }
 
--- a/control/server/loop.go
+++ b/control/server/loop.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/carawaystile/carawaystile/control/state"
 	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/replog"
 	"github.com/carawaystile/carawaystile/rpc"
@@ -59,6 +60,10 @@
 			s.node.ReportUnreachable(replica)
 		case p := <-s.proposals:
 			s.propose(p)
+		case s.handedOver = <-s.closing:
+			s.handOver()
+		case e := <-s.encoded:
+			s.compact(e)
 		case joiner := <-s.joins:
 			s.joiners[replog.ReplicaID(joiner.GetReplica())] = joiner
 		case ready := <-s.saved:
@@ -71,6 +76,29 @@
 	}
 }
 
+// handOver lets the voter lead that is furthest in the log of those that answer.
+func (s *Server) handOver() {
+	status := s.node.Status()
+	best := replog.None
+	for _, voter := range status.Members.Voters() {
+		progress, known := status.Progress[voter]
+		answers := known && voter != status.ID && progress.IdleTicks <= s.options.ElectionTicks
+		if answers && (best == replog.None || progress.Match > status.Progress[best].Match) {
+			best = voter
+		}
+	}
+	if best == replog.None || s.node.TransferLeader(best) != nil {
+		s.noteHandedOver()
+	}
+}
+
+func (s *Server) noteHandedOver() {
+	if s.handedOver != nil {
+		close(s.handedOver)
+		s.handedOver = nil
+	}
+}
+
 // step takes in messages, and all others that have come meanwhile: what they
 // cause is then written together.
 func (s *Server) step(d delivery) {
@@ -170,6 +198,7 @@
 		events.ControlLeads.Log(s.log, zap.Uint64("term", s.node.Status().Term))
 	} else {
 		s.loseProposals(LeadershipLost)
+		s.noteHandedOver()
 	}
 	s.publish(nil)
 }
@@ -222,7 +251,8 @@
 	for i, entry := range ready.Committed {
 		s.decide(entry, results[i])
 	}
-	return s.compact()
+	s.takeSnapshot()
+	return true
 }
 
 // decide answers the proposal at the entry's index. Another term there means
@@ -255,28 +285,46 @@
 	return true
 }
 
-// compact replaces applied entries by a snapshot once they have grown large.
-func (s *Server) compact() bool {
-	if s.appliedBytes < s.options.SnapshotBytes || s.compacting {
-		return true
+// encodedSnapshot is the state after the entry at index.
+type encodedSnapshot struct {
+	index uint64
+	data  []byte
+	err   error
+}
+
+// takeSnapshot copies the state once the applied entries have grown large. The
+// copy is encoded apart: with many claims that takes longer than a heartbeat may
+// be late.
+func (s *Server) takeSnapshot() {
+	if s.appliedBytes < max(s.options.SnapshotBytes, s.snapshotSize) || s.compacting {
+		return
 	}
+	s.compacting = true
+	s.appliedBytes = 0
 	s.mu.RLock()
 	index := s.applied
-	data, err := s.state.Snapshot()
+	snapshot := s.state.Save()
 	s.mu.RUnlock()
-	if err != nil {
-		s.fail(err)
-		return false
+	s.running.Go(func() {
+		data, err := state.EncodeSnapshot(snapshot)
+		s.encoded <- encodedSnapshot{index: index, data: data, err: err}
+	})
+}
+
+// compact replaces entries by a snapshot, unless a newer one of the leader has
+// come in the meantime.
+func (s *Server) compact(e encodedSnapshot) {
+	if e.err != nil {
+		s.fail(e.err)
+		return
 	}
-	snapshot, err := s.node.Compact(index, data)
+	s.snapshotSize = len(e.data)
+	snapshot, err := s.node.Compact(e.index, e.data)
 	if err != nil {
-		s.fail(err)
-		return false
+		s.compacting = false
+		return
 	}
-	s.appliedBytes = 0
-	s.compacting = true
 	s.jobs <- job{snapshot: &snapshot}
-	return true
 }
 
 // write does the jobs of the disk. A disk that fails stops the replica: what it
--- a/control/server/options.go
+++ b/control/server/options.go
@@ -117,6 +117,9 @@
 	retryPause = 25 * time.Millisecond
 	// maxWatch bounds the wait of one Watch.
 	maxWatch = 30 * time.Second
+	// handOverTimeout bounds how long a leader that closes waits until another
+	// replica leads.
+	handOverTimeout = 500 * time.Millisecond
 	// joinPause is the time between two rounds of asking to join.
 	joinPause = 500 * time.Millisecond
 )
--- a/control/server/server.go
+++ b/control/server/server.go
@@ -28,9 +28,13 @@
 	lost      chan replog.ReplicaID
 	proposals chan *proposal
 	joins     chan *rpc.Founder
+	// closing takes a channel to be closed once this replica does not lead.
+	closing chan chan<- struct{}
 	// disk is written by one goroutine; jobs are done in order.
 	jobs  chan job
 	saved chan replog.Ready
+	// encoded are snapshots to compact the log with.
+	encoded chan encodedSnapshot
 
 	stop    context.CancelFunc
 	stopped chan struct{}
@@ -52,8 +56,14 @@
 	waiting      map[uint64]*proposal
 	appliedBytes int
 	compacting   bool
+	// snapshotSize is that of the newest snapshot. The next one is taken after as
+	// many bytes of entries at least, so that a large state is not written over
+	// and over for few changes.
+	snapshotSize int
 	joiners      map[replog.ReplicaID]*rpc.Founder
 	repairTicks  int
+	// handedOver is closed once this replica does not lead, nil before Close.
+	handedOver chan<- struct{}
 }
 
 // view is what other goroutines need to know of the replicated log.
@@ -84,8 +94,10 @@
 		lost:      make(chan replog.ReplicaID, inboxLength),
 		proposals: make(chan *proposal, proposalBatch),
 		joins:     make(chan *rpc.Founder, len(options.Others)+1),
+		closing:   make(chan chan<- struct{}, 1),
 		jobs:      make(chan job, 2),
 		saved:     make(chan replog.Ready, 1),
+		encoded:   make(chan encodedSnapshot, 1),
 		stop:      cancel,
 		stopped:   make(chan struct{}),
 		state:     state.New(options.Limits),
@@ -113,8 +125,24 @@
 	return s, nil
 }
 
-// Close stops the replica and closes its log.
+// Close hands leadership over if this replica leads, stops it and closes its
+// log. Without the hand-over the group would decide nothing until it noticed
+// that its leader is gone, at each planned restart.
 func (s *Server) Close() {
+	timer := time.NewTimer(handOverTimeout)
+	defer timer.Stop()
+	if s.Status().Leads {
+		handedOver := make(chan struct{})
+		select {
+		case s.closing <- handedOver:
+		case <-s.stopped:
+		}
+		select {
+		case <-handedOver:
+		case <-s.stopped:
+		case <-timer.C:
+		}
+	}
 	s.stop()
 	s.running.Wait()
 }
@@ -175,6 +203,7 @@
 		}
 	}
 	s.applied = saved.Snapshot.Index
+	s.snapshotSize = len(saved.Snapshot.Data)
 	s.node, err = replog.NewNode(replog.Config{
 		ID:             replica,
 		Group:          group,
--- a/control/server/server_test.go
+++ b/control/server/server_test.go
@@ -221,3 +221,15 @@
 		g.barrier(other)
 	}
 }
+
+// A control instance that leads is restarted on purpose. The others must lead
+// before it is gone, or callers with work that runs at most once are refused
+// until the group has noticed.
+func TestLeaderHandsOverWhenItCloses(t *testing.T) {
+	g := newGroup(t, 3)
+	leader := g.leader()
+	closing := g.servers[leader]
+	closing.Close()
+	assert.Assert(t, !closing.Status().Leads)
+	g.barrier((leader + 1) % 3)
+}
--- a/control/state/configurations.go
+++ b/control/state/configurations.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
@@ -245,7 +246,7 @@
 func (c *configurations) save(snapshot *rpc.Snapshot) {
 	snapshot.Revision = c.revision
 	snapshot.Items = c.content.Items()
-	snapshot.History = c.history
+	snapshot.History = slices.Clone(c.history)
 	for _, id := range c.order {
 		snapshot.Requests = append(snapshot.Requests, c.requests[id])
 	}
--- a/control/state/state.go
+++ b/control/state/state.go
@@ -131,7 +131,17 @@
 func (s *State) Claims() int { return len(s.claims.rows) }
 
 // Snapshot encodes the state. Equal states give equal bytes.
-func (s *State) Snapshot() ([]byte, error) {
+func (s *State) Snapshot() ([]byte, error) { return EncodeSnapshot(s.Save()) }
+
+// EncodeSnapshot encodes what Save returned.
+func EncodeSnapshot(snapshot *rpc.Snapshot) ([]byte, error) {
+	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(snapshot)
+	return encoded, trace.Wrap(err)
+}
+
+// Save returns a copy of the state. It shares only what is never modified with
+// the state, so it may be encoded while the state goes on.
+func (s *State) Save() *rpc.Snapshot {
 	snapshot := &rpc.Snapshot{
 		Version:  snapshotVersion,
 		Now:      int64(s.now),
@@ -141,8 +151,7 @@
 	s.configuration.save(snapshot)
 	s.claims.save(snapshot)
 	s.leases.save(snapshot)
-	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(snapshot)
-	return encoded, trace.Wrap(err)
+	return snapshot
 }
 
 // Restore replaces the state by a snapshot. After an error the state is as it
