--- a/router/suspects.go
+++ b/router/suspects.go
@@ -22,7 +22,7 @@
 	if q.AnyOwner {
 		verdict = verdict.Relaxed()
 	}
-	return f.suspects.Admits(c.Row.Endpoint.ID, verdict)
+	return f.suspects.Admits(q.Now, c.Row.Endpoint.ID, verdict)
 }
 
 // convicted says whether equal work must not run for now.
--- a/systems/quarantine/fleet_test.go
+++ b/systems/quarantine/fleet_test.go
@@ -168,7 +168,7 @@
 func (f *fleet) pick(s *System, v Verdict) *fakeEndpoint {
 	var best *fakeEndpoint
 	for _, e := range f.endpoints {
-		if f.now < e.downAt || len(e.runs) >= slots || !s.Admits(e.id, v) {
+		if f.now < e.downAt || len(e.runs) >= slots || !s.Admits(f.now, e.id, v) {
 			continue
 		}
 		if best == nil || len(e.runs) < len(best.runs) {
@@ -228,8 +228,8 @@
 		{"one, small fleet, idle", 9, 1, 1, 2},
 		{"one, small fleet, busy", 9, 1, 12, 2},
 		{"one, larger fleet, busy", 18, 1, 25, 2},
-		{"two at once", 9, 2, 12, 10},
-		{"two at once, larger", 18, 2, 25, 10},
+		{"two at once", 9, 2, 12, 8},
+		{"two at once, larger", 18, 2, 25, 8},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			worst, total := 0, 0
--- a/systems/quarantine/incident.go
+++ b/systems/quarantine/incident.go
@@ -172,6 +172,10 @@
 			verdict = max(verdict, s.severity(c, count, now-i.at))
 		}
 	}
+	if count >= convictAlwaysAt {
+		s.convict(now, f)
+		return Refuse
+	}
 	if standing < s.needed(f) {
 		return verdict
 	}
@@ -189,9 +193,13 @@
 	convictAt = 2
 	// convictDoubtfulAt is the number when the incidents point elsewhere.
 	convictDoubtfulAt = 3
+	// convictAlwaysAt is the number that convicts whatever else is known. Two
+	// guilty requests that meet often enough would hide behind each other for
+	// ever; no innocent one is that unlucky.
+	convictAlwaysAt = 5
 	// burstSize is how many crashes beside those of a request, within
-	// Options.Burst of one of them, point elsewhere.
-	burstSize = 4
+	// Options.Burst of one of them, cast doubt on it.
+	burstSize = 1
 	// besideSettles is by how much a conviction waits longer when there were
 	// other crashes.
 	besideSettles = 6
@@ -199,8 +207,8 @@
 
 // needed is the number of incidents that convicts f. It is higher when the
 // crashes did not come at the same point of the request, and when they belong
-// to a burst: when many endpoints crash together, an innocent request can meet
-// two crashes in a row.
+// to a burst: when several endpoints crash together, an innocent request can
+// meet two crashes in a row.
 func (s *System) needed(f tables.Fingerprint) int {
 	if !s.repeats(f) || s.inBurst(f) {
 		return convictDoubtfulAt
@@ -226,6 +234,17 @@
 	return false
 }
 
+// longest is how long f ran at most before a crash.
+func (s *System) longest(f tables.Fingerprint) time.Duration {
+	var longest time.Duration
+	for _, i := range s.incidents {
+		if c := i.find(f); c != nil && !c.cleared {
+			longest = max(longest, c.mark.Ran)
+		}
+	}
+	return longest
+}
+
 // inBurst says whether several endpoints that did not run f crashed at about
 // the time of one that did.
 func (s *System) inBurst(f tables.Fingerprint) bool { return s.beside(f) >= burstSize }
@@ -267,6 +286,8 @@
 // is kept apart.
 func (s *System) severity(c *candidate, count int, age time.Duration) Verdict {
 	switch {
+	case count >= convictAt && age < s.options.Own:
+		return AloneOwn
 	case count >= convictAt:
 		return Alone
 	case !c.mark.Likely:
--- a/systems/quarantine/quarantine.go
+++ b/systems/quarantine/quarantine.go
@@ -38,6 +38,10 @@
 	ApartOwn
 	// Alone: at an endpoint that runs nothing else of this instance.
 	Alone
+	// AloneOwn: as Alone, and only at endpoints that fall to this instance.
+	// Without it suspects of several instances would meet at the endpoint that
+	// has just come back and is empty.
+	AloneOwn
 	// Hold: not yet; whether it is convicted is known within Options.Settle.
 	Hold
 	// Refuse: not at all until the conviction is forgotten.
@@ -66,6 +70,9 @@
 	// Own is how long after an incident its candidates run only at endpoints
 	// that fall to their instance.
 	Own time.Duration
+	// Outlive is how much longer than before a suspect must have run to be no
+	// danger to others.
+	Outlive time.Duration
 	// Forget is how long an incident, and a conviction, is remembered.
 	Forget time.Duration
 	// Burst is the time within which several crashes look like a failure of
@@ -86,6 +93,7 @@
 	DefaultYoung      = 5 * time.Second
 	DefaultSettle     = 500 * time.Millisecond
 	DefaultOwn        = 5 * time.Second
+	DefaultOutlive    = 1500 * time.Millisecond
 	DefaultForget     = 10 * time.Minute
 	DefaultLag        = 2 * time.Second
 	DefaultBurst      = 2 * time.Second
@@ -98,6 +106,7 @@
 	setDefault(&o.Young, DefaultYoung)
 	setDefault(&o.Settle, DefaultSettle)
 	setDefault(&o.Own, DefaultOwn)
+	setDefault(&o.Outlive, DefaultOutlive)
 	setDefault(&o.Forget, DefaultForget)
 	setDefault(&o.Lag, DefaultLag)
 	setDefault(&o.Burst, DefaultBurst)
@@ -142,6 +151,8 @@
 	// Tokens counts those of the attempt, Position those of the whole answer.
 	Tokens   int
 	Position int
+	// Ran is how long ago the attempt's first token was; zero before it.
+	Ran time.Duration
 }
 
 // markSlack is how far two crashes at the same point may lie apart, in tokens:
@@ -163,6 +174,9 @@
 	verdict     Verdict
 	// firstToken is zero until there is one.
 	firstToken tables.Instant
+	// outlives is how long after its first token a suspect has outlived what
+	// it crashed by, and need not be kept apart from others any more.
+	outlives time.Duration
 	// brokenAt is zero while the attempt runs.
 	brokenAt tables.Instant
 	tokens   int
@@ -209,7 +223,11 @@
 
 // Started notes that an attempt was dispatched.
 func (s *System) Started(now tables.Instant, id tables.AttemptID, at Life, f tables.Fingerprint) {
-	s.running[id] = &running{fingerprint: f, life: at, verdict: s.Verdict(now, f)}
+	r := &running{fingerprint: f, life: at, verdict: s.Verdict(now, f)}
+	if r.verdict != Allow {
+		r.outlives = s.longest(f) + s.options.Outlive
+	}
+	s.running[id] = r
 }
 
 // Accepted notes which life of the endpoint runs the attempt.
@@ -281,8 +299,11 @@
 	for _, id := range s.candidatesOf(life) {
 		r := s.running[id]
 		delete(s.running, id)
-		young := r.firstToken == 0 || now-r.firstToken < s.options.Young
-		mark := Mark{Likely: young, Tokens: r.tokens, Position: r.position}
+		mark := Mark{Tokens: r.tokens, Position: r.position}
+		if r.firstToken != 0 {
+			mark.Ran = now - r.firstToken
+		}
+		mark.Likely = mark.Ran < s.options.Young
 		if s.note(now, life, r.fingerprint, mark) {
 			told = append(told, Suspect{Fingerprint: r.fingerprint, Life: life, Mark: mark})
 		}
@@ -336,21 +357,26 @@
 
 // Admits says whether an endpoint may take a request with this verdict, as far
 // as this instance's own attempts are concerned.
-func (s *System) Admits(endpoint tables.EndpointID, v Verdict) bool {
-	if v >= Hold || v == ApartOwn && !s.owns(endpoint) {
+func (s *System) Admits(now tables.Instant, endpoint tables.EndpointID, v Verdict) bool {
+	if v >= Hold || (v == ApartOwn || v == AloneOwn) && !s.owns(endpoint) {
 		return false
 	}
 	for _, r := range s.running {
 		if r.brokenAt != 0 || r.life.Endpoint != endpoint {
 			continue
 		}
-		if v == Alone || r.verdict == Alone || v != Allow && r.verdict != Allow {
+		if v >= Alone || r.verdict >= Alone || v != Allow && r.verdict != Allow && !r.outlived(now) {
 			return false
 		}
 	}
 	return true
 }
 
+// outlived says whether the attempt has run longer than any that crashed.
+func (r *running) outlived(now tables.Instant) bool {
+	return r.firstToken != 0 && now-r.firstToken > r.outlives
+}
+
 // Quiet says that there is nothing to look at: every verdict is Allow and every
 // endpoint admits. It costs no search.
 func (s *System) Quiet() bool { return len(s.incidents) == 0 && len(s.convicted) == 0 }
