Bound the requests tried in vain in one round

Under overload 85% of the time went into trying waiting requests again, up to eight groups of every organisation each 10 ms.

--- a/measure/measure.go
+++ b/measure/measure.go
@@ -230,7 +230,7 @@
 		return newBaseline(name, &oracle{cluster: c, counted: make(map[tables.BlockHash]bool)}), nil
 	case "ours":
 		r := router.New(router.Options{
-			Instance: name, Zone: instanceZone(n), Seed: seed*1000 + uint64(n), CacheRows: 1 << 16, Explanations: 1,
+			Instance: name, Zone: instanceZone(n), Seed: seed*1000 + uint64(n), CacheRows: 1 << 16, Explanations: 512,
 		})
 		r.Observe(0, router.PeersSeen{Share: 1 / float64(instances)})
 		return r, nil
--- a/router/classes.go
+++ b/router/classes.go
@@ -11,6 +11,9 @@
 const (
 	// headsTried is how many groups of one organisation are tried in a round.
 	headsTried = 8
+	// maxFailures bounds the requests of a class that are tried in vain in one
+	// round, for the sake of processor time.
+	maxFailures = 16
 )
 
 // class holds the waiting requests of one priority.
@@ -21,7 +24,7 @@
 	queues  []waiting.Queue
 	backlog []admission.Backlog
 	recent  []tables.BlockHash
-	// blocked is the round in which nothing of an organisation could be placed.
+	// blocked is the round, from 1 up, in which nothing of an organisation could be placed.
 	blocked []uint32
 	// cursor walks through the groups of an organisation, so that one which
 	// cannot be placed does not keep the others from being tried.
@@ -121,14 +124,17 @@
 }
 
 // serve places waiting requests of a class, organisation by organisation in
-// the order of fair shares, until nothing more can be placed.
+// the order of fair shares, until nothing more can be placed or enough have been
+// tried in vain. The round goes on in the next call, so that every organisation
+// is tried in turn however many there are.
 func (r *Router) serve(now tables.Instant, p tables.Priority) {
 	c := &r.classes[p]
-	c.round++
 	blocked := func(f fairness.Flow) bool { return c.blocked[f] == c.round }
-	for {
+	r.failures = 0
+	for r.failures < maxFailures {
 		flow, ok := c.schedule.Next(blocked)
 		if !ok {
+			c.round++
 			return
 		}
 		if !r.serveOne(now, c, flow) {
@@ -140,13 +146,18 @@
 // serveOne places one waiting request of an organisation.
 func (r *Router) serveOne(now tables.Instant, c *class, flow fairness.Flow) bool {
 	if r.organisations.rows[flow].limiter.Full(r.share) {
+		r.failures++
 		return false
 	}
 	r.heads = c.queues[flow].Heads(r.heads[:0], c.recent[flow], c.cursor[flow], headsTried)
 	c.cursor[flow]++
 	for i := range r.heads {
 		row := r.heads[i].Row
-		if row.NotBefore > now || !r.place(now, row, false) {
+		if row.NotBefore > now {
+			continue
+		}
+		if !r.place(now, row, false) {
+			r.failures++
 			continue
 		}
 		c.recent[flow] = row.Group
--- a/router/place.go
+++ b/router/place.go
@@ -81,6 +81,9 @@
 
 // place dispatches an attempt of the request if any endpoint may take it now.
 func (r *Router) place(now tables.Instant, row *tables.RequestRow, hedge bool) bool {
+	if row.Profile.MaxWait > 0 && row.Delivered == 0 && r.pressure.on(now) && !r.pressure.room() {
+		return false
+	}
 	q := r.query(now, row, hedge)
 	candidates := r.candidates(&q)
 	choice := r.picker.Pick(&q, candidates)
@@ -105,11 +108,7 @@
 	if q.Request.Delivered > 0 {
 		return false
 	}
-	held := q.Request.Profile.MaxWait > 0
-	if held && r.pressure.on(q.Now) && !r.pressure.room() {
-		return true
-	}
-	if !held || promoted(q.Now, q.Request) {
+	if q.Request.Profile.MaxWait <= 0 || promoted(q.Now, q.Request) {
 		bound := maxAhead
 		if q.Crowds {
 			bound = crowdAhead
--- a/router/router.go
+++ b/router/router.go
@@ -73,6 +73,7 @@
 	meanUncached float64
 	scratch      []placement.Candidate
 	heads        []heading
+	failures     int
 	actions      []Action
 	spare        []Action
 	explained    ring
@@ -89,7 +90,7 @@
 		options.Explanations = defaultExplanations
 	}
 	suspects := quarantine.New(quarantine.Options{})
-	return &Router{
+	r := &Router{
 		suspects:     suspects,
 		options:      options,
 		profiles:     make(map[tables.ProfileName]*tables.Profile),
@@ -105,6 +106,10 @@
 		explained:    newRing(options.Explanations),
 		share:        1,
 	}
+	for i := range r.classes {
+		r.classes[i].round = 1
+	}
+	return r
 }
 
 // Configure puts a configuration in force. One with a lower revision than the
