Pass new placements on, coalesced, and group prompts by weight of their levels

Instances that did not make a placement found it only by its cache event, 0.4 s later. Router.News gives the shell the blocks that a placement brings anew, each once. Lost: homes of later ranks (no gain), a floor under the trust in homes (no gain), pressure from computed instead of placed blocks (worse), sampling events by block hash (worse than no events, because silence then vouches for nothing). A claim that is not granted no longer counts against the health of an endpoint.

--- a/measure/cluster.go
+++ b/measure/cluster.go
@@ -17,6 +17,7 @@
 	eventPeriod  = 200 * time.Millisecond
 	eventLag     = 400 * time.Millisecond
 	tickPeriod   = 50 * time.Millisecond
+	peerLag      = 20 * time.Millisecond
 	// drainTime is how long a run goes on after the last arrival.
 	drainTime = 5 * time.Minute
 )
@@ -50,6 +51,8 @@
 	random    *rand.Rand
 	knowledge knowledge
 	records   map[tables.RequestID]*record
+	// cut is set while zones do not reach each other.
+	cut bool
 }
 
 // instance is an entry instance with its policy.
@@ -119,6 +122,7 @@
 	c.every(tickPeriod, duration, func() {
 		for _, i := range c.instances {
 			i.tick()
+			c.passOn(i)
 		}
 	})
 	c.time.run(duration + drainTime)
@@ -135,6 +139,23 @@
 	c.time.after(period, again)
 }
 
+// reaches says whether an instance and an engine can talk to each other.
+func (c *cluster) reaches(i *instance, e *engine) bool {
+	return !c.cut || i.zone == e.spec.Zone
+}
+
+// cutZones parts the zones; what runs across their borders breaks.
+func (c *cluster) cutZones() {
+	c.cut = true
+	for _, e := range c.order {
+		for _, j := range e.sorted() {
+			if !c.reaches(j.owner, e) {
+				e.end(j, router.Broken)
+			}
+		}
+	}
+}
+
 // arrive gives a request to an instance, as the balancer would.
 func (c *cluster) arrive(r *tables.Request) {
 	var up []*instance
@@ -157,7 +178,9 @@
 		report := e.report()
 		c.time.after(reportLag, func() {
 			for _, i := range c.instances {
-				i.observe(report)
+				if c.reaches(i, e) {
+					i.observe(report)
+				}
 			}
 		})
 	}
@@ -171,7 +194,7 @@
 		}
 		event = c.sampled(event)
 		for _, i := range c.instances {
-			if c.random.Float64() < c.knowledge.eventLoss {
+			if c.random.Float64() < c.knowledge.eventLoss || !c.reaches(i, e) {
 				continue
 			}
 			c.time.after(eventLag, func() { i.observe(event) })
@@ -236,8 +259,14 @@
 	r.attempts++
 	j := &job{dispatch: a, request: r.request, owner: i}
 	i.flying[a.Attempt] = j
-	c.time.after(hop, func() { c.engines[a.Endpoint.ID].arrive(j) })
-	c.passOn(i, a, r.request)
+	c.time.after(hop, func() {
+		e := c.engines[a.Endpoint.ID]
+		if !c.reaches(i, e) {
+			i.ended(j, router.NeverStarted)
+			return
+		}
+		e.arrive(j)
+	})
 }
 
 func (i *instance) firstToken(j *job) {
@@ -272,22 +301,25 @@
 // boot, packed.
 const peerBytes = 14
 
-// passOn tells the other instances of a placement, as far as the budget goes.
-func (c *cluster) passOn(from *instance, a router.Dispatch, r *tables.Request) {
-	if c.knowledge.peerBytes <= 0 || len(r.Blocks) == 0 {
+// newsSource is a policy that has something to tell the other instances.
+type newsSource interface {
+	News(dst []router.PeerPlacement, limit int) []router.PeerPlacement
+}
+
+// passOn tells the other instances of placements, as far as the budget goes.
+func (c *cluster) passOn(from *instance) {
+	source, ok := from.decider.(newsSource)
+	if !ok || c.knowledge.peerBytes <= 0 {
 		return
 	}
-	allowed := c.knowledge.peerBytes * max(1, c.time.now.Seconds())
-	for level := len(r.Blocks) - 1; level >= 0; level-- {
-		cost := float64(peerBytes * (len(c.instances) - 1))
-		if from.peers.spent+cost > allowed {
-			return
-		}
-		from.peers.spent += cost
-		peer := router.PeerPlacement{Endpoint: a.Endpoint.ID, Boot: a.Boot, Block: r.Blocks[level]}
+	cost := float64(peerBytes * (len(c.instances) - 1))
+	left := c.knowledge.peerBytes*max(1, c.time.now.Seconds()) - from.peers.spent
+	rows := source.News(nil, int(left/max(1, cost)))
+	from.peers.spent += cost * float64(len(rows))
+	for _, row := range rows {
 		for _, other := range c.instances {
-			if other != from {
-				c.time.after(20*time.Millisecond, func() { other.observe(peer) })
+			if other != from && (!c.cut || other.zone == from.zone) {
+				c.time.after(peerLag, func() { other.observe(row) })
 			}
 		}
 	}
--- a/measure/measure.go
+++ b/measure/measure.go
@@ -36,6 +36,8 @@
 	// Burst: the largest organisation sends five times as much for a third of
 	// the run.
 	Burst Fault = "burst"
+	// ZoneCut: for a third of the run no zone reaches another.
+	ZoneCut Fault = "zone-cut"
 )
 
 // Options say what to measure. The zero value measures both sites, all
@@ -55,9 +57,9 @@
 	// Duration is the virtual time in which requests arrive; 0 means 240 s.
 	// Those of the first 120 s fill the caches and are not counted.
 	Duration time.Duration
-	// Events is the part of cache events that instances are told of, and
-	// PeerBytes the bytes a second that each may pass on of its placements.
-	// Blind turns both off.
+	// Events is the part of cached blocks that instances are told of; 0 means
+	// all, and Blind turns the events off. PeerBytes is how many bytes a second
+	// each may pass on of its placements; 0 means 2000, below 0 none.
 	Events    float64
 	PeerBytes float64
 	Blind     bool
@@ -76,6 +78,7 @@
 	defaultLoad      = 0.8
 	defaultInstances = 6
 	defaultDuration  = 240 * time.Second
+	defaultPeerBytes = 2000
 	warmUp           = 120 * time.Second
 )
 
@@ -83,7 +86,7 @@
 var policies = []string{"round-robin", "least-requests", "prefix-hash", "ours", "oracle"}
 
 // faults are all faults.
-var faults = []Fault{None, Crash, EventLoss, Shift, InstanceLoss, Slow, Burst}
+var faults = []Fault{None, Crash, EventLoss, Shift, InstanceLoss, Slow, Burst, ZoneCut}
 
 // check finds names that do not exist before anything is played.
 func (o Options) check() error {
@@ -122,6 +125,9 @@
 	if o.Duration == 0 {
 		o.Duration = defaultDuration
 	}
+	if o.PeerBytes == 0 {
+		o.PeerBytes = defaultPeerBytes
+	}
 	if o.Events == 0 {
 		o.Events = 1
 	}
@@ -187,7 +193,7 @@
 	}
 	k := knowledge{eventSample: options.Events, peerBytes: options.PeerBytes}
 	if options.Blind {
-		k = knowledge{eventLoss: 1}
+		k.eventLoss = 1
 	}
 	switch fault {
 	case Shift:
@@ -249,6 +255,10 @@
 			c.time.at(at, func() { e.crash(5 * time.Second) })
 			n++
 		}
+	case ZoneCut:
+		third := (options.Duration - warmUp) / 3
+		c.time.at(warmUp+third, c.cutZones)
+		c.time.at(warmUp+2*third, func() { c.cut = false })
 	case Slow:
 		c.time.at(middle, func() { c.order[0].slow = 4 })
 	case InstanceLoss:
--- a/measure/report.go
+++ b/measure/report.go
@@ -44,8 +44,10 @@
 	// SmallP99 is that of the five smallest alone.
 	SmallP99 float64 `json:"small_ttft_p99_seconds"`
 	// Busy is the busiest resource's mean use, prefill or slots.
-	Busy    float64 `json:"busy"`
-	Classes []Class `json:"classes"`
+	Busy float64 `json:"busy"`
+	// PeerBytes is what an instance sent to its peers, in bytes a second.
+	PeerBytes float64 `json:"peer_bytes_per_second"`
+	Classes   []Class `json:"classes"`
 }
 
 // Class is the time to first token of one class in seconds.
@@ -62,14 +64,14 @@
 // WriteTable writes the report for people.
 func (r Report) WriteTable(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 2, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "site\tfault\tpolicy\trequests\thit\tcomputed Mtok\trecomputed Mtok\trefused\tfailed\tlate\tgood/s\tsmall/large\tsmall p99\tbusy\tclass\tp50 s\tp95 s\tp99 s\trefused\tlate")
+	fmt.Fprintln(t, "site\tfault\tpolicy\trequests\thit\tcomputed Mtok\trecomputed Mtok\trefused\tfailed\tlate\tgood/s\tsmall/large\tsmall p99\tbusy\tpeer B/s\tclass\tp50 s\tp95 s\tp99 s\trefused\tlate")
 	for _, row := range r.Rows {
-		head := fmt.Sprintf("%s\t%s\t%s\t%d\t%.3f\t%.2f\t%.2f\t%d\t%d\t%d\t%.2f\t%.2f\t%.2f\t%.2f", row.Site, row.Fault, row.Policy, row.Requests,
+		head := fmt.Sprintf("%s\t%s\t%s\t%d\t%.3f\t%.2f\t%.2f\t%d\t%d\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t%.0f", row.Site, row.Fault, row.Policy, row.Requests,
 			row.HitRate, float64(row.ComputedTokens)/1e6, float64(row.RecomputedTokens)/1e6, row.Refused, row.Failed, row.Unanswered,
-			row.GoodPerSecond, row.Fairness, row.SmallP99, row.Busy)
+			row.GoodPerSecond, row.Fairness, row.SmallP99, row.Busy, row.PeerBytes)
 		for _, c := range row.Classes {
 			fmt.Fprintf(t, "%s\t%s\t%.3f\t%.3f\t%.3f\t%d\t%d\n", head, c.Name, c.P50, c.P95, c.P99, c.Refused, c.Late)
-			head = "\t\t\t\t\t\t\t\t\t\t\t\t\t"
+			head = "\t\t\t\t\t\t\t\t\t\t\t\t\t\t"
 		}
 	}
 	return t.Flush()
@@ -94,6 +96,7 @@
 	hits, blockTokens   int
 	seconds, busy, runs float64
 	good                int
+	peerBytes           float64
 	refused, late       map[tables.ProfileName]int
 }
 
@@ -116,6 +119,9 @@
 		t.out.RecomputedTokens += e.recomputed
 	}
 	t.busy += c.busy(duration)
+	for _, i := range c.instances {
+		t.peerBytes += i.peers.spent / duration.Seconds() / float64(len(c.instances))
+	}
 	t.seconds += (duration - warmUp).Seconds()
 	t.runs++
 }
@@ -159,6 +165,7 @@
 	}
 	out.GoodPerSecond = float64(t.good) / t.seconds
 	out.Busy = t.busy / t.runs
+	out.PeerBytes = t.peerBytes / t.runs
 	if large := percentile(t.large, 0.99); large > 0 {
 		out.SmallP99 = percentile(t.small, 0.99)
 		out.Fairness = percentile(t.small, 0.99) / large
--- a/router/candidates.go
+++ b/router/candidates.go
@@ -133,13 +133,22 @@
 	return g.homes.Home(blocks[level-1], 0), level
 }
 
-// sharedLevel is how many outermost blocks several requests have in common. A
-// prompt of which nothing has been seen is taken as shared to its end.
+// sharedLevel is the number of outermost blocks by which a prompt is grouped
+// with others: where the times it was asked for weigh most together with the
+// square of its length. Counts differ between instances, but which of a prompt's
+// levels weighs most hardly does. A prompt of which nothing has been seen is
+// taken as shared to its end.
 func (r *Router) sharedLevel(blocks []tables.BlockHash) int {
-	for level := len(blocks); level > 0; level-- {
-		if r.counter.Count(blocks[level-1]) >= sharedCount {
-			return level
+	best, most := len(blocks), 0.0
+	for i, hash := range blocks {
+		count := r.counter.Count(hash)
+		if count < sharedCount {
+			break
+		}
+		length := float64(i + 1)
+		if weight := count * length * length; weight >= most {
+			best, most = i+1, weight
 		}
 	}
-	return len(blocks)
+	return best
 }
--- a/router/finish.go
+++ b/router/finish.go
@@ -52,8 +52,14 @@
 	case Completed:
 		row.Progress = now
 		health.Succeeded(&row.Health)
-	case Broken, NeverStarted:
+	case Broken:
 		health.Failed(now, &row.Health)
+	case NeverStarted:
+		// Work that runs at most once also ends like this when its claim is not
+		// granted, which says nothing of the endpoint.
+		if a.Request.Profile.Idempotent {
+			health.Failed(now, &row.Health)
+		}
 	case Crashed:
 		r.crashed(now, row, a.Boot)
 	}
--- a/router/place.go
+++ b/router/place.go
@@ -234,6 +234,7 @@
 	r.learnMix(row.Priority, uncached)
 	life := quarantine.Life{Endpoint: endpoint.Endpoint.ID, Boot: endpoint.Boot}
 	r.suspects.Started(q.Now, attempt.ID, life, row.Request.Fingerprint)
+	r.news.placed(endpoint, row.Request.Blocks, &choice.Candidate)
 	r.view.Placed(q.Now, choice.Endpoint, row.Request.Blocks)
 	r.actions = append(r.actions, Dispatch{
 		Request:    row.Request.ID,
--- a/router/router.go
+++ b/router/router.go
@@ -63,6 +63,7 @@
 	picker   placement.Picker
 	view     *cacheview.View
 	matches  cacheview.Matches
+	news     news
 	counter  hotness.Counter
 	// homeTrust is the part of a prefix found at its home when nothing was
 	// known of it.
