--- /dev/null
+++ b/systems/membership/fuzz_test.go
@@ -0,0 +1,42 @@
+package membership
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/carawaystile/carawaystile/rpc"
+)
+
+// A holder of the key with a defect sends anything as a datagram. The instance
+// must not fall over it, and must not answer with more than one datagram's worth
+// to each address.
+func FuzzReceive(f *testing.F) {
+	good, err := proto.Marshal(&rpc.Datagram{Sender: &rpc.InstanceRow{Instance: "b", Zone: "z", Size: 1}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(good)
+	f.Add([]byte{0x0a, 0x00})
+	f.Fuzz(func(t *testing.T, payload []byte) {
+		self := netip.MustParseAddrPort("127.0.0.1:1")
+		m := New(Options{Self: Row{Instance: "a", Zone: "z", Size: 1, Address: self}, Seed: 1})
+		out, err := m.Receive(time.Second, netip.MustParseAddrPort("127.0.0.1:2"), payload)
+		if err != nil && len(out.Datagrams) > 0 {
+			t.Fatal("answered what it could not read")
+		}
+		for i := range 20 {
+			out = m.Tick(time.Duration(i+2) * time.Second)
+			for _, d := range out.Datagrams {
+				if len(d.Payload) > m.config.DatagramBytes {
+					t.Fatalf("a datagram of %d bytes", len(d.Payload))
+				}
+			}
+		}
+		if share := m.Share(); !(share > 0 && share <= 1) {
+			t.Fatalf("share %v", share)
+		}
+	})
+}
