Measure how long the control group takes to decide

Cause: operators could not see how long claims and applies wait for the quorum. Change: server.Options.Observe, a histogram by command and outcome and a gauge of kept claims in the daemon.

--- a/control/server/execute.go
+++ b/control/server/execute.go
@@ -24,6 +24,26 @@
 		ctx, cancel = context.WithTimeout(ctx, executeTimeout)
 		defer cancel()
 	}
+	if command.GetHops() > 0 {
+		return s.execute(ctx, command)
+	}
+	start := s.options.Clock.Now()
+	result, err := s.execute(ctx, command)
+	s.options.Observe(commandName(command), err == nil, s.options.Clock.Now()-start)
+	return result, err
+}
+
+// commandName is the command's name in measurements.
+func commandName(command *rpc.Command) string {
+	m := command.ProtoReflect()
+	field := m.WhichOneof(m.Descriptor().Oneofs().ByName("action"))
+	if field == nil {
+		return "none"
+	}
+	return string(field.Name())
+}
+
+func (s *Server) execute(ctx context.Context, command *rpc.Command) (*rpc.Result, error) {
 	for {
 		result, err := s.try(ctx, command)
 		if err == nil {
--- a/control/server/options.go
+++ b/control/server/options.go
@@ -78,6 +78,9 @@
 	Disk   Disk
 	Clock  Clock
 	Log    *zap.Logger
+	// Observe is told how long each command took that this replica was asked
+	// for, from when it came until it was decided or given up; nil for nobody.
+	Observe func(command string, decided bool, took time.Duration)
 	// Limits of the replicated state, equal at all replicas.
 	Limits state.Limits
 	// SnapshotBytes is how many bytes of entries are applied between two
@@ -133,6 +136,9 @@
 	if o.Log == nil {
 		o.Log = zap.NewNop()
 	}
+	if o.Observe == nil {
+		o.Observe = func(string, bool, time.Duration) {}
+	}
 	if o.Limits == (state.Limits{}) {
 		o.Limits = state.DefaultLimits()
 	}
--- a/control/server/server.go
+++ b/control/server/server.go
@@ -247,6 +247,8 @@
 	Leader  string
 	Voter   bool
 	Applied uint64
+	// Claims is the number of claims kept.
+	Claims  int
 	Members replog.Members
 }
 
@@ -260,6 +262,7 @@
 		Leader:  s.view.leaderAddress,
 		Voter:   s.view.voter,
 		Applied: s.applied,
+		Claims:  s.state.Claims(),
 		Members: s.view.members,
 	}
 }
--- a/control/server/server_test.go
+++ b/control/server/server_test.go
@@ -28,6 +28,11 @@
 	}}}
 }
 
+func TestCommandNames(t *testing.T) {
+	assert.Equal(t, commandName(claimCommand("i", "t")), "claim")
+	assert.Equal(t, commandName(&rpc.Command{}), "none")
+}
+
 func TestApplyReachesAll(t *testing.T) {
 	g := newGroup(t, 3)
 	assert.Equal(t, g.apply(1, "r1", "p"), uint64(1))
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -17,6 +18,7 @@
 	"github.com/carawaystile/carawaystile/control/transport"
 	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/keys"
+	"github.com/carawaystile/carawaystile/metrics"
 	"github.com/carawaystile/carawaystile/rpc"
 	"github.com/carawaystile/carawaystile/settings"
 )
@@ -73,6 +75,12 @@
 		Dialer: d.dialer,
 		Disk:   server.FolderDisk{Folder: d.folder},
 		Log:    d.options.Log,
+		Observe: func(command string, decided bool, took time.Duration) {
+			d.registry.Histogram("carawaystile_control_decision_seconds",
+				"Time until the control group has decided a command, or it was given up.", metrics.Seconds,
+				metrics.Label{Name: "command", Value: command},
+				metrics.Label{Name: "decided", Value: strconv.FormatBool(decided)}).Update(took.Microseconds())
+		},
 	}
 	for _, c := range p.ControlInstances {
 		if c.Name != p.Instance {
--- a/daemon/gauges.go
+++ b/daemon/gauges.go
@@ -25,10 +25,12 @@
 	}
 	d.refreshMembershipGauges(gauge)
 	if d.replica != nil {
+		status := d.replica.Status()
 		leads := 0.0
-		if d.replica.Status().Leads {
+		if status.Leads {
 			leads = 1
 		}
+		gauge("carawaystile_control_claims", "Claims that the control state keeps.", float64(status.Claims))
 		gauge("carawaystile_control_leader", "1 if this instance leads the control group.", leads)
 	}
 }
