Give back claims whose grant was lost on the way

Cause: a claim that is granted while its answer is lost stays with a living owner for two hours; the caller was told not_run, and its resends were told in progress all that time. Change: the client gives such a claim back by its token in the background, and a new claim of the same process takes its place if that has no other one open on the key. Fences still decide who may dispatch.

--- a/control/client/claims.go
+++ b/control/client/claims.go
@@ -57,14 +57,20 @@
 
 	mu   sync.Mutex
 	open map[claimID]bool
+	// active counts claims of each key that are being asked for or are open.
+	active map[claimKey]int
 	// unsent are ends of claims that no quorum has taken yet.
 	unsent []*rpc.Command
 }
 
-type claimID struct {
+type claimKey struct {
 	organisation tables.OrganisationID
 	key          tables.Key
-	fence        tables.Fence
+}
+
+type claimID struct {
+	claimKey
+	fence tables.Fence
 }
 
 // ClaimsFull means that the control state keeps as many claims as it can.
@@ -107,7 +113,7 @@
 		options.Log = zap.NewNop()
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &Claims{options: options, stop: cancel, open: map[claimID]bool{}}
+	c := &Claims{options: options, stop: cancel, open: map[claimID]bool{}, active: map[claimKey]int{}}
 	c.running.Go(func() { c.run(ctx) })
 	return c
 }
@@ -120,15 +126,21 @@
 
 // Claim asks for the right to run the work named by the organisation's key.
 func (c *Claims) Claim(ctx context.Context, organisation tables.OrganisationID, key tables.Key, body tables.BodyHash) (tables.Grant, error) {
-	sent := c.options.Now()
+	at := claimKey{organisation, key}
+	token, sent := c.token(), c.options.Now()
 	result, err := c.options.Executor.Execute(ctx, &rpc.Command{Action: &rpc.Command_Claim{Claim: &rpc.Claim{
 		Organisation: string(organisation),
 		Key:          string(key),
 		Body:         body[:],
 		Owner:        c.owner(),
-		Token:        c.token(),
+		Token:        token,
+		Alone:        c.begin(at),
 	}}})
+	if result.GetClaim().GetState() != rpc.ClaimState_CLAIM_NEW {
+		defer c.finished(at)
+	}
 	if err != nil {
+		c.abandon(at, token)
 		return tables.Grant{}, trace.Wrap(err)
 	}
 	answer := result.GetClaim()
@@ -222,16 +234,52 @@
 	return strconv.FormatUint(c.options.Boot, 36) + "-" + strconv.FormatUint(c.tokens.Add(1), 36)
 }
 
+// begin notes that a key is being claimed, and returns whether no other claim of
+// this process on it is active.
+func (c *Claims) begin(at claimKey) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.active[at]++
+	return c.active[at] == 1
+}
+
+// finished ends what begin noted.
+func (c *Claims) finished(at claimKey) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.active[at]--
+	if c.active[at] <= 0 {
+		delete(c.active, at)
+	}
+}
+
+// abandon gives back a claim that may have been granted though no answer came.
+// As long as this process lives, nobody could take it over, and resends through
+// other instances would be told that it is in progress.
+func (c *Claims) abandon(at claimKey, token string) {
+	c.later(&rpc.Command{Action: &rpc.Command_ReleaseClaim{ReleaseClaim: &rpc.ReleaseClaim{
+		Organisation: string(at.organisation),
+		Key:          string(at.key),
+		Owner:        c.owner(),
+		Token:        token,
+	}}})
+}
+
 func (c *Claims) opened(grant tables.Grant) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.open[claimID{grant.Organisation, grant.Key, grant.Fence}] = true
+	c.open[claimID{claimKey{grant.Organisation, grant.Key}, grant.Fence}] = true
 }
 
 func (c *Claims) closed(grant tables.Grant) {
+	id := claimID{claimKey{grant.Organisation, grant.Key}, grant.Fence}
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.open, claimID{grant.Organisation, grant.Key, grant.Fence})
+	known := c.open[id]
+	delete(c.open, id)
+	c.mu.Unlock()
+	if known {
+		c.finished(id.claimKey)
+	}
 }
 
 // later keeps the end of a claim. Without it, a resend would be told that the
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/carawaystile/carawaystile/control/client"
 	"github.com/carawaystile/carawaystile/control/configuration"
 	"github.com/carawaystile/carawaystile/control/follower"
 	"github.com/carawaystile/carawaystile/control/transport"
@@ -200,3 +202,54 @@
 	_, err := dialer.Control(c.instances[0].address).Execute(c.long(), &rpc.Command{})
 	assert.Assert(t, err != nil && strings.Contains(err.Error(), "401"), "%v", err)
 }
+
+// A claim is granted but its answer is lost, and the caller is told that nothing
+// ran. The instance lives on, so nobody may take its claims over. The caller's
+// resend must still be able to run, through any instance.
+func TestResendAfterALostGrant(t *testing.T) {
+	c := newCluster(t, 1, 0)
+	in := c.instances[0]
+	lossy := &lossyExecutor{Executor: in.dialer.Control(in.address)}
+	claims := client.NewClaims(client.ClaimsOptions{
+		Executor: lossy, Instance: "lossy", Boot: 1, Now: func() tables.Instant { return 0 },
+	})
+	t.Cleanup(claims.Close)
+	for _, key := range []tables.Key{"same", "other"} {
+		lossy.lose.Store(true)
+		_, err := claims.Claim(c.long(), "press", key, tables.BodyHash{1})
+		assert.ErrorContains(t, err, "lost")
+		lossy.lose.Store(false)
+	}
+	again, err := claims.Claim(c.long(), "press", "same", tables.BodyHash{1})
+	assert.NilError(t, err)
+	assert.Equal(t, again.State, tables.GrantNew)
+	second, err := claims.Claim(c.long(), "press", "same", tables.BodyHash{1})
+	assert.NilError(t, err)
+	assert.Equal(t, second.State, tables.GrantInProgress)
+	assert.NilError(t, claims.MarkDispatched(c.long(), again))
+	for {
+		elsewhere, err := in.claims.Claim(c.long(), "press", "other", tables.BodyHash{1})
+		assert.NilError(t, err)
+		if elsewhere.State == tables.GrantNew {
+			return
+		}
+	}
+}
+
+// lossyExecutor loses answers.
+type lossyExecutor struct {
+	client.Executor
+	lose atomic.Bool
+}
+
+func (l *lossyExecutor) Execute(ctx context.Context, command *rpc.Command) (*rpc.Result, error) {
+	result, err := l.Executor.Execute(ctx, command)
+	if l.lose.Load() {
+		return nil, &tables.NoQuorum{Asked: "claim", Cause: &lostAnswer{}}
+	}
+	return result, err
+}
+
+type lostAnswer struct{}
+
+func (*lostAnswer) Error() string { return "answer lost" }
--- a/control/state/claims.go
+++ b/control/state/claims.go
@@ -104,7 +104,7 @@
 	}
 	switch row.stage {
 	case rpc.ClaimStage_STAGE_CLAIMED:
-		return c.claimAgain(index, now, id, row, asker, request.GetToken())
+		return c.claimAgain(index, now, id, row, asker, request)
 	case rpc.ClaimStage_STAGE_DISPATCHED:
 		return c.claimDispatched(now, row)
 	default:
@@ -113,14 +113,18 @@
 }
 
 // claimAgain answers a claim of a row that was not dispatched yet.
-func (c *claims) claimAgain(index uint64, now time.Duration, id claimID, row *claim, asker owner, token string) *rpc.Result {
-	if row.owner == asker && row.token == token {
+func (c *claims) claimAgain(index uint64, now time.Duration, id claimID, row *claim, asker owner, request *rpc.Claim) *rpc.Result {
+	if row.owner == asker && row.token == request.GetToken() {
 		return granted(row)
 	}
-	if wait := c.sessions.lostIn(now, row.owner); wait > 0 {
+	wait := c.sessions.lostIn(now, row.owner)
+	if row.owner == asker && request.GetAlone() {
+		wait = 0
+	}
+	if wait > 0 {
 		return inProgress(wait)
 	}
-	return c.grant(index, now, id, row, asker, token)
+	return c.grant(index, now, id, row, asker, request.GetToken())
 }
 
 // claimDispatched answers a claim of a row whose work has left its owner. It
@@ -199,7 +203,7 @@
 func (c *claims) release(request *rpc.ReleaseClaim) *rpc.Result {
 	id := claimID{request.GetOrganisation(), request.GetKey()}
 	row := c.rows[id]
-	if row == nil || row.fence != request.GetFence() {
+	if row == nil || !row.named(request) {
 		return done()
 	}
 	if row.stage == rpc.ClaimStage_STAGE_DONE {
@@ -209,6 +213,16 @@
 	return done()
 }
 
+// named says whether a release means this row: by its fence, or by the token of
+// a claim that was not dispatched.
+func (r *claim) named(request *rpc.ReleaseClaim) bool {
+	if request.GetFence() != 0 {
+		return r.fence == request.GetFence()
+	}
+	by := owner{request.GetOwner().GetInstance(), request.GetOwner().GetBoot()}
+	return r.stage == rpc.ClaimStage_STAGE_CLAIMED && r.owner == by && r.token == request.GetToken()
+}
+
 // keep lets the row live for the retention from now on.
 func (c *claims) keep(index uint64, now time.Duration, id claimID, row *claim) {
 	row.changed = index
--- a/control/state/claims_test.go
+++ b/control/state/claims_test.go
@@ -32,12 +32,17 @@
 }
 
 func (w *world) claim(key, body, instance string, boot uint64, token string) *rpc.Result {
+	return w.claimAlone(key, body, instance, boot, token, false)
+}
+
+func (w *world) claimAlone(key, body, instance string, boot uint64, token string, alone bool) *rpc.Result {
 	return w.run(&rpc.Command{Action: &rpc.Command_Claim{Claim: &rpc.Claim{
 		Organisation: "press",
 		Key:          key,
 		Body:         []byte(body),
 		Owner:        &rpc.ClaimOwner{Instance: instance, Boot: boot},
 		Token:        token,
+		Alone:        alone,
 	}}})
 }
 
@@ -173,12 +178,12 @@
 
 func (n *claimNetwork) send(message func(answered bool)) { n.inFlight = append(n.inFlight, message) }
 
-func (n *claimNetwork) start(key, instance string, boot uint64) {
+func (n *claimNetwork) start(key, instance string, boot uint64, alone bool) {
 	c := &caller{key: key}
 	token := fmt.Sprint("t", len(n.callers))
 	n.callers = append(n.callers, c)
 	n.send(func(answered bool) {
-		answer := n.claim(key, "body", instance, boot, token).GetClaim()
+		answer := n.claimAlone(key, "body", instance, boot, token, alone).GetClaim()
 		if answered && answer.GetState() == rpc.ClaimState_CLAIM_NEW && c.fence == 0 {
 			c.fence = answer.GetFence()
 			n.send(func(answered bool) { n.dispatch(c, token, answered) })
@@ -222,7 +227,7 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"start": func(t *rapid.T) {
 				instance := rapid.SampledFrom([]string{"i1", "i2", "i3"}).Draw(t, "instance")
-				n.start(rapid.SampledFrom([]string{"k1", "k2"}).Draw(t, "key"), instance, boots[instance])
+				n.start(rapid.SampledFrom([]string{"k1", "k2"}).Draw(t, "key"), instance, boots[instance], rapid.Bool().Draw(t, "alone"))
 			},
 			"restart": func(t *rapid.T) {
 				boots[rapid.SampledFrom([]string{"i1", "i2", "i3"}).Draw(t, "instance")]++
--- a/control/state/naive_test.go
+++ b/control/state/naive_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -74,6 +75,7 @@
 		return "CLAIM_IN_PROGRESS"
 	case row.owner == instance && row.boot == boot && row.token == c.GetToken():
 		return fmt.Sprint("CLAIM_NEW ", row.fence)
+	case row.owner == instance && row.boot == boot && c.GetAlone():
 	case !n.lost(now, row):
 		return "CLAIM_IN_PROGRESS"
 	}
@@ -107,6 +109,23 @@
 	return "done"
 }
 
+func (n *naiveClaims) release(now time.Duration, r *rpc.ReleaseClaim) string {
+	row := n.find(now, r.GetKey())
+	if row == nil {
+		return "done"
+	}
+	byToken := row.stage == "claimed" && row.owner == r.GetOwner().GetInstance() &&
+		row.boot == r.GetOwner().GetBoot() && row.token == r.GetToken()
+	if r.GetFence() != row.fence && (r.GetFence() != 0 || !byToken) {
+		return "done"
+	}
+	if row.stage == "done" {
+		return "REFUSED_CLAIM_LOST"
+	}
+	n.rows = slices.DeleteFunc(n.rows, func(other *naiveRow) bool { return other == row })
+	return "done"
+}
+
 func inWords(r *rpc.Result) string {
 	switch {
 	case r.GetDone() != nil:
@@ -139,6 +158,7 @@
 					Body:  []byte(rapid.SampledFrom([]string{"b", "b", "b", "c"}).Draw(t, "body")),
 					Owner: &rpc.ClaimOwner{Instance: rapid.SampledFrom([]string{"i1", "i2"}).Draw(t, "owner"), Boot: rapid.Uint64Range(1, 3).Draw(t, "boot")},
 					Token: rapid.SampledFrom([]string{"t1", "t2"}).Draw(t, "token"),
+					Alone: rapid.Bool().Draw(t, "alone"),
 				}}}
 				result := w.run(command)
 				assert.Equal(t, inWords(result), n.claim(w.time, w.index, command.GetClaim()))
@@ -159,6 +179,15 @@
 				got := inWords(w.run(&rpc.Command{Action: &rpc.Command_FinishClaim{FinishClaim: f}}))
 				assert.Equal(t, got, n.finish(w.time, f))
 			},
+			"release": func(t *rapid.T) {
+				r := &rpc.ReleaseClaim{Key: key(), Owner: &rpc.ClaimOwner{Instance: "i1", Boot: 2}, Token: "t1"}
+				if rapid.Bool().Draw(t, "by fence") {
+					r = &rpc.ReleaseClaim{}
+					r.Key, r.Fence = grant()
+				}
+				got := inWords(w.run(&rpc.Command{Action: &rpc.Command_ReleaseClaim{ReleaseClaim: r}}))
+				assert.Equal(t, got, n.release(w.time, r))
+			},
 			"time": func(t *rapid.T) {
 				steps := []time.Duration{time.Second, 7 * time.Second, time.Minute, 2 * time.Hour, 24 * time.Hour}
 				w.time += rapid.SampledFrom(steps).Draw(t, "passed")
