--- a/control/server/options.go
+++ b/control/server/options.go
@@ -78,6 +78,9 @@
 	Disk   Disk
 	Clock  Clock
 	Log    *zap.Logger
+	// Observe is told how long each command took that this replica was asked
+	// for, from when it came until it was decided or given up; nil for nobody.
+	Observe func(command string, decided bool, took time.Duration)
 	// Limits of the replicated state, equal at all replicas.
 	Limits state.Limits
 	// SnapshotBytes is how many bytes of entries are applied between two
@@ -109,10 +112,17 @@
 	snapshotTimeout = time.Minute
 	// executeTimeout bounds Execute where the caller set no deadline.
 	executeTimeout = 5 * time.Second
+	// forwardTimeout bounds one try to pass a command on.
+	forwardTimeout = time.Second
+	// maxHops is how often a command is passed on.
+	maxHops = 2
 	// retryPause is the time between two tries of one command.
 	retryPause = 25 * time.Millisecond
 	// maxWatch bounds the wait of one Watch.
 	maxWatch = 30 * time.Second
+	// handOverTimeout bounds how long a leader that closes waits until another
+	// replica leads.
+	handOverTimeout = 500 * time.Millisecond
 	// joinPause is the time between two rounds of asking to join.
 	joinPause = 500 * time.Millisecond
 )
@@ -126,6 +136,9 @@
 	if o.Log == nil {
 		o.Log = zap.NewNop()
 	}
+	if o.Observe == nil {
+		o.Observe = func(string, bool, time.Duration) {}
+	}
 	if o.Limits == (state.Limits{}) {
 		o.Limits = state.DefaultLimits()
 	}
--- a/control/server/server_test.go
+++ b/control/server/server_test.go
@@ -28,6 +28,11 @@
 	}}}
 }
 
+func TestCommandNames(t *testing.T) {
+	assert.Equal(t, commandName(claimCommand("i", "t")), "claim")
+	assert.Equal(t, commandName(&rpc.Command{}), "none")
+}
+
 func TestApplyReachesAll(t *testing.T) {
 	g := newGroup(t, 3)
 	assert.Equal(t, g.apply(1, "r1", "p"), uint64(1))
@@ -199,3 +204,37 @@
 	g.barrier(0)
 	assert.Assert(t, g.disks[0].group == g.disks[1].group)
 }
+
+// Nothing that the leader sends reaches one replica, or nothing of what that
+// replica sends reaches the leader. Those who ask it must still get their claim:
+// all others reach both.
+func TestClaimThroughAReplicaCutOffFromTheLeader(t *testing.T) {
+	g := newGroup(t, 3)
+	for _, fromLeader := range []bool{true, false} {
+		leader := g.leader()
+		other := (leader + 1) % 3
+		from, to := address(other), address(leader)
+		if fromLeader {
+			from, to = to, from
+		}
+		g.network.oneWay(from, to, true)
+		claim := claimCommand("i1", fmt.Sprint(fromLeader))
+		claim.GetClaim().Key = fmt.Sprint(fromLeader)
+		result := g.execute(other, g.long(), claim)
+		assert.Equal(t, result.GetClaim().GetState(), rpc.ClaimState_CLAIM_NEW)
+		g.network.oneWay(from, to, false)
+		g.barrier(other)
+	}
+}
+
+// A control instance that leads is restarted on purpose. The others must lead
+// before it is gone, or callers with work that runs at most once are refused
+// until the group has noticed.
+func TestLeaderHandsOverWhenItCloses(t *testing.T) {
+	g := newGroup(t, 3)
+	leader := g.leader()
+	closing := g.servers[leader]
+	closing.Close()
+	assert.Assert(t, !closing.Status().Leads)
+	g.barrier((leader + 1) % 3)
+}
--- a/control/state/state.go
+++ b/control/state/state.go
@@ -131,7 +131,17 @@
 func (s *State) Claims() int { return len(s.claims.rows) }
 
 // Snapshot encodes the state. Equal states give equal bytes.
-func (s *State) Snapshot() ([]byte, error) {
+func (s *State) Snapshot() ([]byte, error) { return EncodeSnapshot(s.Save()) }
+
+// EncodeSnapshot encodes what Save returned.
+func EncodeSnapshot(snapshot *rpc.Snapshot) ([]byte, error) {
+	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(snapshot)
+	return encoded, trace.Wrap(err)
+}
+
+// Save returns a copy of the state. It shares only what is never modified with
+// the state, so it may be encoded while the state goes on.
+func (s *State) Save() *rpc.Snapshot {
 	snapshot := &rpc.Snapshot{
 		Version:  snapshotVersion,
 		Now:      int64(s.now),
@@ -141,19 +151,15 @@
 	s.configuration.save(snapshot)
 	s.claims.save(snapshot)
 	s.leases.save(snapshot)
-	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(snapshot)
-	return encoded, trace.Wrap(err)
+	return snapshot
 }
 
 // Restore replaces the state by a snapshot. After an error the state is as it
 // was.
 func (s *State) Restore(encoded []byte) error {
-	snapshot := &rpc.Snapshot{}
-	if err := proto.Unmarshal(encoded, snapshot); err != nil {
-		return trace.Wrap(&BadSnapshot{Cause: err})
-	}
-	if snapshot.GetVersion() != snapshotVersion {
-		return trace.Wrap(&BadSnapshot{Version: snapshot.GetVersion()})
+	snapshot, err := decodeSnapshot(encoded)
+	if err != nil {
+		return trace.Wrap(err)
 	}
 	fresh := New(s.limits)
 	fresh.group = snapshot.GetGroup()
@@ -166,6 +172,31 @@
 	return nil
 }
 
+func decodeSnapshot(encoded []byte) (*rpc.Snapshot, error) {
+	snapshot := &rpc.Snapshot{}
+	if err := proto.Unmarshal(encoded, snapshot); err != nil {
+		return nil, &BadSnapshot{Cause: err}
+	}
+	if snapshot.GetVersion() != snapshotVersion {
+		return nil, &BadSnapshot{Version: snapshot.GetVersion()}
+	}
+	last := snapshot.GetRevision()
+	for i, revision := range snapshot.GetHistory() {
+		if revision.GetNumber() != last-uint64(len(snapshot.GetHistory())-1-i) {
+			return nil, &BadSnapshot{Version: snapshotVersion, Cause: &HistoryGap{Revision: revision.GetNumber()}}
+		}
+	}
+	return snapshot, nil
+}
+
+// HistoryGap means that the revisions of a history do not follow each other.
+type HistoryGap struct{ Revision uint64 }
+
+// Error names the first revision out of place.
+func (e *HistoryGap) Error() string {
+	return fmt.Sprintf("revision %d is out of place in the history", e.Revision)
+}
+
 // BadSnapshot means that a snapshot cannot be read by this version.
 type BadSnapshot struct {
 	Version uint32
--- a/entry/server.go
+++ b/entry/server.go
@@ -40,12 +40,10 @@
 
 	directory atomic.Pointer[directory]
 	requests  atomic.Uint64
-	// open counts requests between admission and their last byte, held the
-	// bytes of their bodies.
-	open atomic.Int64
-	held atomic.Int64
-	idle chan struct{}
-	stop drain
+	// held counts the bytes of request bodies.
+	held  atomic.Int64
+	gate  gate
+	quota *quota
 }
 
 // New returns a Server that runs until Close. It answers requests once it has
@@ -63,8 +61,10 @@
 		limits:   o.Limits.withDefaults(),
 		inbox:    make(chan message, inbox),
 		stopped:  make(chan struct{}),
-		idle:     make(chan struct{}, 1),
 	}
+	s.gate.idle = make(chan struct{}, 1)
+	s.quota = newQuota(s.limits.MaxOpenOrganisation)
+	s.gate.machine.Serve = s.limits.DrainServe
 	if s.metrics == nil {
 		s.metrics = NoMetrics{}
 	}
@@ -151,6 +151,7 @@
 	fill(&l.MaxBody, d.MaxBody)
 	fill(&l.MaxHeld, d.MaxHeld)
 	fill(&l.MaxOpen, d.MaxOpen)
+	fill(&l.MaxOpenOrganisation, d.MaxOpenOrganisation)
 	fill(&l.MaxAnswer, d.MaxAnswer)
 	fill(&l.DefaultMaxTokens, d.DefaultMaxTokens)
 	fill(&l.TokenStall, d.TokenStall)
