--- a/store/log.go
+++ b/store/log.go
@@ -34,7 +34,9 @@
 	// seq is the sequence number of the next frame.
 	seq    uint64
 	loaded *replog.Saved
-	buf    []byte
+	// snapshotIndex is the index of the snapshot on the disk.
+	snapshotIndex uint64
+	buf           []byte
 	// failure is the first failed write; nothing is written after it.
 	failure error
 }
@@ -65,6 +67,7 @@
 	}
 	l.loaded = &saved
 	l.hard = saved.HardState
+	l.snapshotIndex = saved.Snapshot.Index
 	if err := l.openLast(); err != nil {
 		return nil, err
 	}
--- a/store/log_test.go
+++ b/store/log_test.go
@@ -293,6 +293,22 @@
 	assert.Equal(t, failure.Op, OpSync)
 }
 
+// A snapshot of the own state is still to be written when a newer one comes from
+// the leader. The old one must not take its place: the entries between would be
+// missing at the next start.
+func TestOlderSnapshotIsNotWritten(t *testing.T) {
+	dir := t.TempDir()
+	l := createAt(t, osFiles{}, dir)
+	rd := write(replog.HardState{Term: 5}, entry(5, 31))
+	rd.Snapshot = &replog.Snapshot{Index: 30, Term: 5, Data: []byte("new")}
+	assert.NilError(t, l.Save(rd))
+	assert.NilError(t, l.Compact(replog.Snapshot{Index: 20, Term: 2, Data: []byte("old")}))
+	assert.NilError(t, l.Close())
+	s := loadAt(t, dir)
+	assert.Equal(t, string(s.Snapshot.Data), "new")
+	assert.Equal(t, len(s.Entries), 1)
+}
+
 // A replica's disk is lost and replaced by an empty one. If it started again
 // under its old identity, it could vote without what it had acknowledged.
 func TestLogIsNeverCreatedOnOpen(t *testing.T) {
--- a/store/write.go
+++ b/store/write.go
@@ -93,6 +93,11 @@
 }
 
 func (l *Log) compact(s replog.Snapshot) error {
+	if s.Index <= l.snapshotIndex {
+		// A received snapshot that is newer was written in the meantime. The older
+		// one in its place would leave a gap before the entries.
+		return nil
+	}
 	if err := l.writeSnapshot(s); err != nil {
 		return err
 	}
@@ -121,6 +126,7 @@
 }
 
 func (l *Log) writeSnapshot(s replog.Snapshot) error {
+	l.snapshotIndex = s.Index
 	return replaceFile(l.fs, filepath.Join(l.dir, snapshotName), encodeAtomic(EncodeSnapshot(s)))
 }
 
