Start without a copy past a silent source; ask for the orders lease less often

Cause: an instance without a disk waited for one source at a time; and each control instance without the orders lease asked for it twice a second, each time an entry of the log. Change: the whole content is asked for at several sources one after the other until one gives it, with times that double; who is refused the lease asks again when it can have ended.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -253,3 +253,33 @@
 type lostAnswer struct{}
 
 func (*lostAnswer) Error() string { return "answer lost" }
+
+// An instance without a copy starts while the first instance that it asks does
+// not answer. It must not wait for that one: until it has a configuration it can
+// serve nobody.
+func TestSilentSourceDoesNotHoldUpTheStart(t *testing.T) {
+	silent := silentSource(make(chan struct{}))
+	items := declare(t, time.Second)
+	answer := &rpc.WatchAnswer{Revision: 3, Full: true, Items: items, Digest: configuration.NewContent(items).Digest()}
+	f := follower.Start(follower.Options{
+		Sources:   func() []follower.Source { return []follower.Source{silent, staleSource{answer}} },
+		Configure: func(*tables.Configuration) {},
+	})
+	defer f.Close()
+	defer close(silent)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	select {
+	case <-f.Ready():
+	case <-ctx.Done():
+		t.Fatal("the silent instance was waited for")
+	}
+}
+
+// silentSource gives no answer before it is closed.
+type silentSource chan struct{}
+
+func (s silentSource) Watch(context.Context, *rpc.WatchRequest) (*rpc.WatchAnswer, error) {
+	<-s
+	return nil, &lostAnswer{}
+}
--- a/control/fanout_test.go
+++ b/control/fanout_test.go
@@ -12,9 +12,11 @@
 	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 
+	"github.com/carawaystile/carawaystile/control/configuration"
 	"github.com/carawaystile/carawaystile/control/follower"
 	"github.com/carawaystile/carawaystile/control/transport"
 	"github.com/carawaystile/carawaystile/keys"
+	"github.com/carawaystile/carawaystile/rpc"
 	"github.com/carawaystile/carawaystile/tables"
 )
 
@@ -62,15 +64,21 @@
 
 func newFanOut(b *testing.B, followers int) *fanOut {
 	f := &fanOut{cluster: newCluster(b, 3, 0), followers: followers, inForce: make(chan tables.Revision, followers*4)}
+	f.follow(b)
+	return f
+}
+
+// follow starts the followers.
+func (f *fanOut) follow(b *testing.B) {
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
 		return countingConn{conn, &f.bytes}, err
 	}
 	client := &http.Client{Transport: &keys.Transport{
-		Ring: f.ring, Base: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: followers},
+		Ring: f.ring, Base: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: f.followers},
 	}}
 	dialer := transport.NewDialer(client)
-	for i := range followers {
+	for i := range f.followers {
 		one := follower.Start(follower.Options{
 			Instance:  tables.InstanceID(fmt.Sprintf("instance-%03d", i)),
 			Sources:   func() []follower.Source { return []follower.Source{dialer.Control(f.instances[i%3].address)} },
@@ -78,7 +86,6 @@
 		})
 		b.Cleanup(one.Close)
 	}
-	return f
 }
 
 // change applies one revision and waits until it is in force at all followers.
@@ -90,6 +97,41 @@
 	}
 }
 
+// BenchmarkHerd measures how long 340 instances without disks need that start at
+// once and take the whole configuration of 8,600 organisations and 1,100
+// endpoints from 3 control instances.
+func BenchmarkHerd(b *testing.B) {
+	const followers = 340
+	for b.Loop() {
+		b.StopTimer()
+		c := newCluster(b, 3, 0)
+		var large tables.Configuration
+		for i := range 8600 {
+			withOrganisation(&large, i)
+		}
+		for i := range 1100 {
+			withEndpoint(&large, i)
+		}
+		items, err := configuration.Encode(large)
+		assert.NilError(b, err)
+		_, err = c.instances[0].service.Apply(c.long(), &rpc.ApplyRequest{Request: "large", Items: items})
+		assert.NilError(b, err)
+		used := processorTime()
+		start := time.Now()
+		b.StartTimer()
+		f := &fanOut{cluster: c, followers: followers, inForce: make(chan tables.Revision, followers)}
+		f.follow(b)
+		var times []time.Duration
+		for range followers {
+			<-f.inForce
+			times = append(times, time.Since(start))
+		}
+		reportTimes(b, "in_force", times)
+		b.ReportMetric(float64(f.bytes.Load())/followers, "bytes/follower")
+		b.ReportMetric((processorTime() - used).Seconds(), "cpu_s")
+	}
+}
+
 // BenchmarkFanOut measures what a change costs when 340 instances follow 3
 // control instances, the followers without disks.
 func BenchmarkFanOut(b *testing.B) {
--- a/control/follower/follower.go
+++ b/control/follower/follower.go
@@ -25,6 +25,13 @@
 	// new. A source that dies silently is noticed after it and pollSlack.
 	pollWait  = 4 * time.Second
 	pollSlack = time.Second
+	// fullSlack is how long the whole content may take on its way. Another source
+	// is asked for it as well after nextSource, and then after twice as long each
+	// time up to maxNextSource: in a herd of restarts all sources are slow, and
+	// asking them all would make them slower.
+	fullSlack     = 20 * time.Second
+	nextSource    = time.Second
+	maxNextSource = 8 * time.Second
 	// minPause and maxPause bound the random time between two tries after a
 	// failure, so that instances that restart together do not ask together.
 	minPause = 50 * time.Millisecond
@@ -165,8 +172,35 @@
 	}
 }
 
+// first asks for the whole content until there is one. A source that does not
+// answer holds nothing up: the next one is asked as well after a short time. An
+// instance that has no copy can serve nobody before this is over.
+func (f *Follower) first(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	wait := nextSource
+	for at := 0; ; at++ {
+		if sources := f.options.Sources(); len(sources) > 0 {
+			source := sources[at%len(sources)]
+			f.running.Go(func() { _ = f.Fetch(ctx, source, 0) })
+		}
+		timer := time.NewTimer(wait + rand.N(wait/2))
+		wait = min(2*wait, maxNextSource)
+		select {
+		case <-f.ready:
+			timer.Stop()
+			return
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+		}
+	}
+}
+
 // run asks one source after the other, staying with one that answers.
 func (f *Follower) run(ctx context.Context) {
+	f.first(ctx)
 	at, failed := 0, 0
 	for ctx.Err() == nil {
 		sources := f.options.Sources()
@@ -207,7 +241,11 @@
 }
 
 func (f *Follower) ask(ctx context.Context, source Source, have uint64, wait time.Duration) (*rpc.WatchAnswer, error) {
-	bounded, cancel := context.WithTimeout(ctx, wait+pollSlack)
+	slack := pollSlack
+	if have == 0 {
+		slack = fullSlack
+	}
+	bounded, cancel := context.WithTimeout(ctx, wait+slack)
 	defer cancel()
 	return source.Watch(bounded, &rpc.WatchRequest{
 		Instance:  string(f.options.Instance),
--- a/control/orders/runner.go
+++ b/control/orders/runner.go
@@ -64,6 +64,8 @@
 	// views and read are used by one step at a time.
 	views map[tables.EndpointID]View
 	read  map[tables.EndpointID]tables.Instant
+	// askAgain is when the lease is worth asking for again.
+	askAgain tables.Instant
 	// lostSince is when an endpoint first did not answer.
 	lostSince map[tables.EndpointID]tables.Instant
 }
@@ -133,10 +135,16 @@
 // hold renews the lease when a good part of it has passed.
 func (r *Runner) hold(ctx context.Context) bool {
 	_, left := r.lease.Held()
-	if left < renewAt {
+	if left < renewAt && r.options.Now() >= r.askAgain {
 		bounded, cancel := context.WithTimeout(ctx, orderTimeout)
 		err := r.lease.Renew(bounded)
 		cancel()
+		// Each question is an entry of the log, so those that do not hold the
+		// lease ask when it can have ended, and not at every step.
+		var held *client.LeaseHeld
+		if errors.As(err, &held) {
+			r.askAgain = r.options.Now() + held.RetryAfter
+		}
 		if err != nil && left > 0 {
 			events.OrdersLeaseNotRenewed.Log(r.options.Log, zap.Error(err))
 		}
