Make the demo's overload an overload

Cause: eight times the rate was still within what the engines carry with their caches, so -fault overload refused nobody. Change: the engines also run five times slower.

--- a/demo/demo.go
+++ b/demo/demo.go
@@ -57,8 +57,10 @@
 const (
 	DefaultRequests = 900
 	DefaultRate     = 60
-	// overloadFactor is how much faster FaultOverload sends.
-	overloadFactor = 8
+	// overloadFactor is how much faster FaultOverload sends, overloadSlowdown
+	// how much slower its engines run.
+	overloadFactor   = 8
+	overloadSlowdown = 5
 	// startTimeout bounds the forming of the control group.
 	startTimeout = 20 * time.Second
 	// settleTimeout bounds the wait for the engines to be idle at the end.
--- a/demo/faults.go
+++ b/demo/faults.go
@@ -22,6 +22,8 @@
 		s.points[items/3] = func() { w.network.Cut(zones[len(zones)-1]) }
 		s.points[items*2/3] = w.network.Heal
 		s.ending = w.network.Heal
+	case FaultOverload:
+		s.points[items/4] = s.slowDown
 	case FaultRestart:
 		s.done = make(chan struct{})
 		s.points[items/4] = func() { go s.restartAll() }
@@ -38,6 +40,14 @@
 
 func (s *faultScript) end() { s.ending() }
 
+// slowDown makes every engine slow, so that together with the faster sending
+// the work arrives several times faster than it can be done.
+func (s *faultScript) slowDown() {
+	for _, e := range s.world.fleet.engines {
+		e.Slow(overloadSlowdown)
+	}
+}
+
 // crash takes an engine down and brings it back later.
 func (s *faultScript) crash(engine int) {
 	w := s.world
