Notice cut-off zones sooner

Cause: in a zone cut off without resets each attempt on a pooled connection waited 2 s to be accepted, and each connection 500 ms. Change: 250 ms to connect, 1 s to accept, heartbeats twice a second; endpoints that were silent get fresh connections until they answer.

--- a/engine/client.go
+++ b/engine/client.go
@@ -38,12 +38,12 @@
 
 // HeartbeatInterval is the longest that an endpoint may let a stream rest
 // without a line.
-const HeartbeatInterval = time.Second
+const HeartbeatInterval = 500 * time.Millisecond
 
 // The defaults of Options.
 const (
-	DefaultConnectTimeout  = 500 * time.Millisecond
-	DefaultAcceptTimeout   = 2 * time.Second
+	DefaultConnectTimeout  = 250 * time.Millisecond
+	DefaultAcceptTimeout   = time.Second
 	DefaultSilenceTimeout  = 3 * HeartbeatInterval
 	DefaultCancelTimeout   = time.Second
 	DefaultIdleTimeout     = 10 * time.Second
@@ -93,6 +93,8 @@
 	pooled *http.Transport
 	single *http.Transport
 
+	doubts doubts
+
 	mismatches atomic.Uint64
 	duplicates atomic.Uint64
 }
--- a/engine/generate.go
+++ b/engine/generate.go
@@ -33,9 +33,10 @@
 	call := newRequest(ctx, http.MethodPost, endpointURL(at, PathGenerate), body)
 	call.Header.Set(headerType, typeJSON)
 	call.Header.Set("Accept", typeEvents)
-	resp, err := c.pooled.RoundTrip(call)
+	resp, err := c.transportTo(at).RoundTrip(call)
 	if err != nil {
 		cause := causeOf(ctx, err)
+		c.doubts.failed(at, cause)
 		s.abandon()
 		return nil, startFailure(req.Attempt, body, cause)
 	}
@@ -45,9 +46,11 @@
 	}
 	s.open(resp.Body)
 	if err := s.accept(req); err != nil {
+		c.doubts.failed(at, err)
 		_ = s.Close()
 		return nil, err
 	}
+	c.doubts.answered(at)
 	return s, nil
 }
 
--- a/engine/misbehaving_test.go
+++ b/engine/misbehaving_test.go
@@ -277,6 +277,60 @@
 	assert.Equal(t, bodies.Load(), int64(2))
 }
 
+// A zone is cut off without resets while several connections into it are idle.
+// The first attempt waits in vain on one of them. The next one must not wait on
+// another, but open a connection, which fails sooner and proves that nothing
+// ran.
+func TestSilentEndpointGetsAFreshConnection(t *testing.T) {
+	var opened atomic.Int64
+	var hanging atomic.Bool
+	both := make(chan struct{})
+	release := make(chan struct{})
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if hanging.Load() {
+			<-release
+			return
+		}
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, accepted)
+		w.(http.Flusher).Flush()
+		<-both
+		_, _ = io.WriteString(w, event(engine.EventDone, `{"attempt":"a1","tokens":0}`))
+	}))
+	s.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			opened.Add(1)
+		}
+	}
+	s.Start()
+	t.Cleanup(s.Close)
+	t.Cleanup(func() { close(release) })
+	at := s.Listener.Addr().(*net.TCPAddr).AddrPort()
+	c := engine.NewHTTPClient(engine.Options{AcceptTimeout: 500 * time.Millisecond})
+
+	var streams []engine.Stream
+	for range 2 {
+		stream, err := c.Generate(t.Context(), at, request("a1", "p", 1))
+		assert.NilError(t, err)
+		streams = append(streams, stream)
+	}
+	close(both)
+	for _, stream := range streams {
+		assert.Equal(t, readAll(t, stream), "")
+		assert.NilError(t, stream.Close())
+	}
+	assert.Equal(t, opened.Load(), int64(2))
+
+	hanging.Store(true)
+	for range 2 {
+		_, err := c.Generate(t.Context(), at, request("a1", "p", 1))
+		var silent *engine.Silent
+		assert.Assert(t, errors.As(err, &silent), "%v", err)
+	}
+	assert.Equal(t, opened.Load(), int64(3))
+}
+
 // A service sends an answer without end. The instance gives up at its limit
 // instead of running out of memory.
 func TestEndlessAnswerIsBounded(t *testing.T) {
