Begin the next attempt without a silent endpoint's word (entry's folder)

Cause: a broken attempt was reported only after its endpoint confirmed the cancel or 2 to 4 s had passed. An endpoint that hangs or is cut off confirms nothing, so its callers sat through these timeouts before the next attempt. Change: the end is reported after 200 ms at the latest; the cancel goes on in the background. An attempt that nobody wants still waits, so that its slot stays accounted. The slot of a broken attempt is not accounted while its cancel is unconfirmed; the endpoint's health covers for it.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -15,8 +15,14 @@
 	"github.com/carawaystile/carawaystile/router"
 )
 
-// cancelPause is the time between two questions whether an attempt has ended.
-const cancelPause = 100 * time.Millisecond
+const (
+	// cancelPause is the time between two questions whether an attempt has
+	// ended.
+	cancelPause = 100 * time.Millisecond
+	// cancelGrace is how long a caller waits for an endpoint's word on the end
+	// of a broken attempt before the next one. A crash shows within it.
+	cancelGrace = 200 * time.Millisecond
+)
 
 // run takes the attempt to its first token, or to a plain service's whole
 // answer, and hands it to the goroutine that serves the caller.
@@ -120,14 +126,14 @@
 // abandon closes a stream, which cancels the attempt at the endpoint, and
 // reports its end.
 func (a *attempt) abandon(stream engine.Stream, err error, tokens int) {
-	a.broken(err, tokens, stream.Close())
+	a.broken(err, tokens, stream.Close)
 }
 
 // fail reports the end of an attempt that gave no stream.
 func (a *attempt) fail(err error) {
 	proof, ok := outcome.ProofOf(err)
 	if !ok {
-		a.broken(err, 0, a.cancelAtEndpoint())
+		a.broken(err, 0, a.cancelAtEndpoint)
 		return
 	}
 	end := router.NeverStarted
@@ -138,21 +144,16 @@
 	a.tell(router.AttemptEnded{End: end}, &proof)
 }
 
-// broken reports the end of an attempt that may have run. unconfirmed is the
-// failure to cancel it at the endpoint, if that failed: a port that refuses
-// connections is how a crash shows first; otherwise the slot stays accounted
-// for a while, because the endpoint may still be busy with it.
-func (a *attempt) broken(err error, tokens int, unconfirmed error) {
+// broken reports the end of an attempt that may have run, after cancel has
+// ended it at the endpoint as far as that can be done in time.
+func (a *attempt) broken(err error, tokens int, cancel func() error) {
 	s := a.flight.server
 	var mismatch *engine.Mismatch
 	if errors.As(err, &mismatch) {
 		s.metrics.CountDropped(DroppedMismatch)
 		events.AnswerMismatch.Log(s.log, a.fields(zap.String("field", mismatch.Field))...)
 	}
-	crashed := errors.Is(unconfirmed, syscall.ECONNREFUSED)
-	if unconfirmed != nil && !crashed {
-		crashed = a.confirmCancel()
-	}
+	crashed := a.crashes(cancel)
 	end := router.Broken
 	switch {
 	case a.unwanted():
@@ -166,6 +167,38 @@
 	a.tell(router.AttemptEnded{End: end, Tokens: tokens}, nil)
 }
 
+// crashes cancels the attempt at its endpoint and says whether the endpoint's
+// process is gone. An attempt that nobody wants any more waits for the
+// endpoint's word, so that its slot stays accounted until then. One whose
+// caller waits for another try does not wait long: an endpoint that hangs, or
+// is cut off, does not answer a cancel either, and the caller would sit through
+// every timeout before the next attempt begins.
+func (a *attempt) crashes(cancel func() error) bool {
+	crashed := make(chan bool, 1)
+	go func() { crashed <- a.settle(cancel) }()
+	if a.unwanted() {
+		return <-crashed
+	}
+	grace := time.NewTimer(cancelGrace)
+	defer grace.Stop()
+	select {
+	case gone := <-crashed:
+		return gone
+	case <-grace.C:
+		return false
+	}
+}
+
+// settle cancels until the endpoint confirms or is known to be gone. A port
+// that refuses connections is how a crash shows first.
+func (a *attempt) settle(cancel func() error) bool {
+	err := cancel()
+	if err == nil {
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED) || a.confirmCancel()
+}
+
 // confirmCancel asks the endpoint again to cancel the attempt until it confirms
 // or CancelWait has passed. It says whether the port refuses connections.
 func (a *attempt) confirmCancel() bool {
