Cut membership's datagrams too (control, daemon and scenario folders)

Cause: the demo and the scenarios cut TCP between zones, while membership went on over UDP, so that no side ever saw the other as dead. Change: gossip and daemon take a function that says which addresses datagrams reach; partition.Network gives one. Conclusion: a cut is now whole.

--- a/control/gossip/gossip.go
+++ b/control/gossip/gossip.go
@@ -41,6 +41,9 @@
 	// Suspect and Placed hand out hints of other instances.
 	Suspect func(membership.CrashSuspect)
 	Placed  func(membership.Placement)
+	// Reaches says whether datagrams to an address arrive; nil means that all
+	// do. Tests cut availability zones off here.
+	Reaches func(to netip.AddrPort) bool
 }
 
 // Traffic counts what was sent and received.
@@ -177,6 +180,9 @@
 }
 
 func (g *Gossip) send(d membership.Datagram) {
+	if g.options.Reaches != nil && !g.options.Reaches(d.To) {
+		return
+	}
 	sealed := g.options.Ring.Seal(d.Payload)
 	if _, err := g.conn.WriteToUDPAddrPort(sealed, d.To); err != nil {
 		g.dropped.Add(1)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -44,6 +44,9 @@
 	// Dial opens connections to other instances and to endpoints; nil means
 	// TCP. Tests cut availability zones off here.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Reaches says whether membership's datagrams to an address arrive; nil
+	// means that all do. Like Dial it is for tests that cut zones off.
+	Reaches func(to netip.AddrPort) bool
 	// Listen opens the instance's TCP listeners; nil means TCP. Tests hand in
 	// listeners that they hold already, so that no other process takes the
 	// port.
--- a/daemon/membership.go
+++ b/daemon/membership.go
@@ -38,6 +38,7 @@
 		Changed: d.membersChanged,
 		Newer:   d.fetchFrom,
 		Placed:  d.placedElsewhere,
+		Reaches: d.options.Reaches,
 	})
 	if err != nil {
 		return trace.Wrap(err)
--- a/internal/partition/partition.go
+++ b/internal/partition/partition.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"sync"
 
 	"github.com/carawaystile/carawaystile/tables"
@@ -63,6 +64,16 @@
 	return n.healed
 }
 
+// Reaches says whether datagrams sent from a zone arrive at an address.
+func (n *Network) Reaches(from tables.Zone) func(to netip.AddrPort) bool {
+	return func(to netip.AddrPort) bool {
+		n.mu.Lock()
+		zone := n.zones[to.String()]
+		n.mu.Unlock()
+		return n.blocked(from, zone) == nil
+	}
+}
+
 // Dialer opens connections from a zone.
 func (n *Network) Dialer(from tables.Zone) func(ctx context.Context, network, address string) (net.Conn, error) {
 	return func(ctx context.Context, protocol, address string) (net.Conn, error) {
--- /dev/null
+++ b/internal/partition/partition_test.go
@@ -0,0 +1,54 @@
+package partition
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Packets between two zones are lost for a while, in both directions and
+// without a word. Inside each zone everything goes on.
+func TestCutIsSilentAndEnds(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = l.Close() }()
+	at := netip.MustParseAddrPort(l.Addr().String())
+	n := New()
+	n.Place(at.String(), "far")
+	arrived := make(chan byte, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		var b [1]byte
+		if _, err := c.Read(b[:]); err == nil {
+			arrived <- b[0]
+		}
+	}()
+	c, err := n.Dialer("near")(t.Context(), "tcp", at.String())
+	assert.NilError(t, err)
+	defer func() { _ = c.Close() }()
+
+	n.Cut("far")
+	written, err := c.Write([]byte("lost"))
+	assert.NilError(t, err)
+	assert.Equal(t, written, len("lost"))
+	assert.Assert(t, !n.Reaches("near")(at))
+	assert.Assert(t, n.Reaches("far")(at))
+	ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+	defer cancel()
+	_, err = n.Dialer("near")(ctx, "tcp", at.String())
+	assert.Assert(t, err != nil)
+	assert.Equal(t, len(arrived), 0)
+
+	n.Heal()
+	assert.Assert(t, n.Reaches("near")(at))
+	_, err = c.Write([]byte{'x'})
+	assert.NilError(t, err)
+	assert.Equal(t, <-arrived, byte('x'))
+}
--- a/scenario/world.go
+++ b/scenario/world.go
@@ -189,6 +189,7 @@
 		},
 		Declarations: c,
 		Dial:         w.network.Dialer(zone),
+		Reaches:      w.network.Reaches(zone),
 		Listen:       i.ports.Listen,
 	}
 	return i, nil
