--- a/control/server/server_test.go
+++ b/control/server/server_test.go
@@ -28,6 +28,11 @@
 	}}}
 }
 
+func TestCommandNames(t *testing.T) {
+	assert.Equal(t, commandName(claimCommand("i", "t")), "claim")
+	assert.Equal(t, commandName(&rpc.Command{}), "none")
+}
+
 func TestApplyReachesAll(t *testing.T) {
 	g := newGroup(t, 3)
 	assert.Equal(t, g.apply(1, "r1", "p"), uint64(1))
@@ -221,3 +226,15 @@
 		g.barrier(other)
 	}
 }
+
+// A control instance that leads is restarted on purpose. The others must lead
+// before it is gone, or callers with work that runs at most once are refused
+// until the group has noticed.
+func TestLeaderHandsOverWhenItCloses(t *testing.T) {
+	g := newGroup(t, 3)
+	leader := g.leader()
+	closing := g.servers[leader]
+	closing.Close()
+	assert.Assert(t, !closing.Status().Leads)
+	g.barrier((leader + 1) % 3)
+}
