Reset connections that lost bytes in a cut

Cause: after a cut a connection went on with a hole in its bytes, which TCP never does; requests on it could hang or be garbled for no real reason. Change: a write after such a loss fails, and the reader is woken when the cut ends. The test that held the opposite was mine and wrong: it now asks for a reset and a fresh connection, which is stricter.

--- a/internal/partition/partition.go
+++ b/internal/partition/partition.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 
 	"github.com/carawaystile/carawaystile/tables"
 )
@@ -103,6 +104,9 @@
 	from, to tables.Zone
 	closing  sync.Once
 	closed   chan struct{}
+	losing   sync.Once
+	// lost is set once something was sent into a cut.
+	lost atomic.Bool
 }
 
 // Read gives nothing while the zones are cut off from each other.
@@ -120,14 +124,32 @@
 	}
 }
 
-// Write loses what is sent into a cut.
+// Write loses what is sent into a cut. A connection never goes on with a hole
+// in it, which TCP would not allow either.
 func (c *cuttable) Write(p []byte) (int, error) {
-	if c.network.blocked(c.from, c.to) != nil {
+	if healed := c.network.blocked(c.from, c.to); healed != nil {
+		c.losing.Do(func() {
+			c.lost.Store(true)
+			go c.resetAfter(healed)
+		})
 		return len(p), nil
 	}
+	if c.lost.Load() {
+		return 0, &net.OpError{Op: "write", Net: "tcp", Err: net.ErrClosed}
+	}
 	return c.Conn.Write(p)
 }
 
+// resetAfter ends the connection when the cut is over, so that its reader does
+// not wait for an answer to what was lost.
+func (c *cuttable) resetAfter(healed <-chan struct{}) {
+	select {
+	case <-healed:
+		_ = c.Conn.Close()
+	case <-c.closed:
+	}
+}
+
 // Close ends the connection.
 func (c *cuttable) Close() error {
 	c.closing.Do(func() { close(c.closed) })
--- a/internal/partition/partition_test.go
+++ b/internal/partition/partition_test.go
@@ -21,13 +21,16 @@
 	n.Place(at.String(), "far")
 	arrived := make(chan byte, 1)
 	go func() {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		var b [1]byte
-		if _, err := c.Read(b[:]); err == nil {
-			arrived <- b[0]
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			var b [1]byte
+			if _, err := c.Read(b[:]); err == nil {
+				arrived <- b[0]
+			}
+			_ = c.Close()
 		}
 	}()
 	c, err := n.Dialer("near")(t.Context(), "tcp", at.String())
@@ -49,6 +52,13 @@
 	n.Heal()
 	assert.Assert(t, n.Reaches("near")(at))
 	_, err = c.Write([]byte{'x'})
+	assert.Assert(t, err != nil, "a connection went on with a hole in it")
+	_, err = c.Read(make([]byte, 1))
+	assert.Assert(t, err != nil)
+	again, err := n.Dialer("near")(t.Context(), "tcp", at.String())
+	assert.NilError(t, err)
+	defer func() { _ = again.Close() }()
+	_, err = again.Write([]byte{'y'})
 	assert.NilError(t, err)
-	assert.Equal(t, <-arrived, byte('x'))
+	assert.Equal(t, <-arrived, byte('y'))
 }
