--- a/engine/client.go
+++ b/engine/client.go
@@ -8,6 +8,8 @@
 	"net/url"
 	"sync/atomic"
 	"time"
+
+	"github.com/carawaystile/carawaystile/internal/defaults"
 )
 
 // Options bound what an endpoint can cost a client in time and memory. Zero
@@ -53,27 +55,20 @@
 )
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.ConnectTimeout, DefaultConnectTimeout)
-	setDefault(&o.AcceptTimeout, DefaultAcceptTimeout)
-	setDefault(&o.SilenceTimeout, DefaultSilenceTimeout)
-	setDefault(&o.CancelTimeout, DefaultCancelTimeout)
-	setDefault(&o.IdleTimeout, DefaultIdleTimeout)
-	setDefault(&o.IdleConnections, DefaultIdleConnections)
-	setDefault(&o.EventBytes, DefaultEventBytes)
-	setDefault(&o.AnswerBytes, DefaultAnswerBytes)
+	defaults.Set(&o.ConnectTimeout, DefaultConnectTimeout)
+	defaults.Set(&o.AcceptTimeout, DefaultAcceptTimeout)
+	defaults.Set(&o.SilenceTimeout, DefaultSilenceTimeout)
+	defaults.Set(&o.CancelTimeout, DefaultCancelTimeout)
+	defaults.Set(&o.IdleTimeout, DefaultIdleTimeout)
+	defaults.Set(&o.IdleConnections, DefaultIdleConnections)
+	defaults.Set(&o.EventBytes, DefaultEventBytes)
+	defaults.Set(&o.AnswerBytes, DefaultAnswerBytes)
 	if o.Dial == nil {
 		o.Dial = newDialer().DialContext
 	}
 	return o
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Counters are what a client dropped so far.
 type Counters struct {
 	// Mismatches are answers that named another attempt, boot or version.
--- a/engine/feed/feed.go
+++ b/engine/feed/feed.go
@@ -13,6 +13,7 @@
 
 	"github.com/carawaystile/carawaystile/engine"
 	"github.com/carawaystile/carawaystile/events"
+	"github.com/carawaystile/carawaystile/internal/defaults"
 	"github.com/carawaystile/carawaystile/router"
 	"github.com/carawaystile/carawaystile/tables"
 )
@@ -60,11 +61,11 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.Period, DefaultPeriod)
-	setDefault(&o.EventWait, DefaultEventWait)
-	setDefault(&o.EventPause, DefaultEventPause)
-	setDefault(&o.MaxBackOff, DefaultMaxBackOff)
-	setDefault(&o.SilentAt, DefaultSilentAt)
+	defaults.Set(&o.Period, DefaultPeriod)
+	defaults.Set(&o.EventWait, DefaultEventWait)
+	defaults.Set(&o.EventPause, DefaultEventPause)
+	defaults.Set(&o.MaxBackOff, DefaultMaxBackOff)
+	defaults.Set(&o.SilentAt, DefaultSilentAt)
 	if o.Sleep == nil {
 		o.Sleep = sleep
 	}
@@ -80,13 +81,6 @@
 	return o
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 func sleep(ctx context.Context, d time.Duration) error {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/carawaystile/carawaystile/engine"
+	"github.com/carawaystile/carawaystile/internal/defaults"
 	"github.com/carawaystile/carawaystile/tables"
 )
 
@@ -71,13 +72,13 @@
 )
 
 func (o EngineOptions) withDefaults() EngineOptions {
-	setDefault(&o.Slots, DefaultSlots)
-	setDefault(&o.MaxQueue, DefaultMaxQueue)
-	setDefault(&o.PrefillRate, DefaultPrefillRate)
-	setDefault(&o.DecodeRate, DefaultDecodeRate)
-	setDefault(&o.StepTime, DefaultStepTime)
-	setDefault(&o.CacheBlocks, DefaultCacheBlocks)
-	setDefault(&o.Speedup, 1)
+	defaults.Set(&o.Slots, DefaultSlots)
+	defaults.Set(&o.MaxQueue, DefaultMaxQueue)
+	defaults.Set(&o.PrefillRate, DefaultPrefillRate)
+	defaults.Set(&o.DecodeRate, DefaultDecodeRate)
+	defaults.Set(&o.StepTime, DefaultStepTime)
+	defaults.Set(&o.CacheBlocks, DefaultCacheBlocks)
+	defaults.Set(&o.Speedup, 1)
 	if o.Owner == nil {
 		o.Owner = func(string) string { return "" }
 	}
@@ -87,13 +88,6 @@
 	return o
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Engine is a stand-in for a model engine.
 type Engine struct {
 	options EngineOptions
--- a/standin/service.go
+++ b/standin/service.go
@@ -14,6 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/carawaystile/carawaystile/engine"
+	"github.com/carawaystile/carawaystile/internal/defaults"
 	"github.com/carawaystile/carawaystile/tables"
 )
 
@@ -120,8 +121,8 @@
 
 // StartService starts a service that listens on loopback.
 func StartService(options ServiceOptions) (*Service, error) {
-	setDefault(&options.Slots, DefaultServiceSlots)
-	setDefault(&options.Speedup, 1)
+	defaults.Set(&options.Slots, DefaultServiceSlots)
+	defaults.Set(&options.Speedup, 1)
 	if options.Records == nil {
 		options.Records = &ServiceRecords{}
 	}
