--- a/router/observe.go
+++ b/router/observe.go
@@ -67,8 +67,8 @@
 	r.learnBusy(now, row, in.QueuedTokens > 0)
 	row.Load.Reported = true
 	row.Load.ReportedAt = now
-	row.Load.Others = max(0, total-own)
-	row.Load.OtherTokens = min(othersTokens(in, own, total), int(r.meanUncached*otherMargin)*row.Load.Others)
+	others := max(0, total-own)
+	row.Load.Others.Report(now, others, min(othersTokens(in, own, total), int(r.meanUncached*otherMargin)*others))
 	if in.CacheBlocks > 0 {
 		row.CacheBlocks = in.CacheBlocks
 		r.view.SetEndpoint(row.Index, in.CacheBlocks)
--- a/router/watch.go
+++ b/router/watch.go
@@ -24,7 +24,9 @@
 func (r *Router) watch(now tables.Instant) {
 	r.view.Sweep(now, sweepBuckets)
 	for i := range r.endpoints.Len() {
-		health.Renew(now, &r.endpoints.Row(tables.EndpointIndex(i)).Health)
+		row := r.endpoints.Row(tables.EndpointIndex(i))
+		health.Renew(now, &row.Health)
+		row.Load.Others.Age(now)
 	}
 	for p := range r.classes {
 		r.classes[p].usage.Prune(now)
--- a/tables/endpoints.go
+++ b/tables/endpoints.go
@@ -16,15 +16,12 @@
 	Reported bool
 	// ReportedAt is when the last report arrived.
 	ReportedAt Instant
-	// Others counts attempts of other instances in the last report, queued
-	// ones included.
-	Others int
+	// Others is what other instances have at the endpoint.
+	Others Others
 	// ReportedTotal and ReportedTokens are the attempts and the prefill work of
 	// the last report.
 	ReportedTotal  int
 	ReportedTokens int
-	// OtherTokens is the prefill work of other instances in the last report.
-	OtherTokens int
 	// Busy is the part of recent load reports in which there was prefill work,
 	// 0 to 1.
 	Busy float64
@@ -38,7 +35,7 @@
 }
 
 // Active is the estimate of attempts at the endpoint, queued ones included.
-func (l *Load) Active() int { return l.Others + l.Own }
+func (l *Load) Active() int { return int(l.Others.Attempts+0.5) + l.Own }
 
 // Ahead is the prefill work, in tokens, that an endpoint does before that of a
 // new request: all of the same or a more urgent priority. The part of others'
@@ -51,12 +48,12 @@
 		ahead += float64(l.OwnTokens[i])
 		part += mix[i]
 	}
-	return ahead + part*float64(l.OtherTokens)
+	return ahead + part*l.Others.Tokens
 }
 
 // Backlog is all prefill work at the endpoint in tokens.
 func (l *Load) Backlog() int {
-	sum := l.OtherTokens
+	sum := int(l.Others.Tokens)
 	for _, tokens := range l.OwnTokens {
 		sum += tokens
 	}
@@ -205,8 +202,7 @@
 	e.Weights = nil
 	e.WeightsKnown = false
 	e.Load.Reported = false
-	e.Load.Others = 0
-	e.Load.OtherTokens = 0
+	e.Load.Others = Others{}
 }
 
 // Endpoints is the table of endpoints, addressed by dense index.
