Break the tie of two replicas that ask for the same election

Cause: of three replicas, the two that are left ask at the same tick once in ten times, both vote for themselves, and callers wait for another timeout. Change: within one tick and with equal logs, the pre-vote goes to the higher ID.

--- a/replog/election.go
+++ b/replog/election.go
@@ -123,11 +123,21 @@
 
 func (n *Node) mayVote(m Message) bool {
 	if m.Type == MessagePreVote && m.Term > n.term {
-		return true
+		return !n.precedes(m)
 	}
 	return n.vote == m.From || n.vote == None && n.leader == None
 }
 
+// precedes reports whether this replica asks for the same election within the
+// same tick and has the higher ID. If both were granted, both would vote for
+// themselves, none would win, and callers would wait for one more election
+// timeout. It ends with the tick, so that a replica that nobody hears doesn't
+// hold the others up.
+func (n *Node) precedes(m Message) bool {
+	return n.role == PreCandidate && n.electionElapsed == 0 && n.cfg.ID > m.From &&
+		m.Index == n.log.lastIndex() && m.LogTerm == n.log.lastTerm()
+}
+
 func (n *Node) handleVoteResponse(m Message) {
 	waiting := m.Type == MessageVoteResponse && n.role == Candidate ||
 		m.Type == MessagePreVoteResponse && n.role == PreCandidate
