--- a/control/fanout_test.go
+++ b/control/fanout_test.go
@@ -135,7 +135,12 @@
 // BenchmarkFanOut measures what a change costs when 340 instances follow 3
 // control instances, the followers without disks.
 func BenchmarkFanOut(b *testing.B) {
-	const followers = 340
+	for _, followers := range []int{20, 100, 340} {
+		b.Run(fmt.Sprint("followers=", followers), func(b *testing.B) { benchmarkFanOut(b, followers) })
+	}
+}
+
+func benchmarkFanOut(b *testing.B, followers int) {
 	f := newFanOut(b, followers)
 	f.change(0)
 	var times []time.Duration
@@ -152,7 +157,7 @@
 	changes := float64(revision - 1)
 	reportTimes(b, "in_force", times)
 	b.ReportMetric(float64(f.bytes.Load()-start)/changes/3, "bytes/change/control_instance")
-	b.ReportMetric(float64(f.bytes.Load()-start)/changes/followers, "bytes/change/follower")
+	b.ReportMetric(float64(f.bytes.Load()-start)/changes/float64(followers), "bytes/change/follower")
 	b.ReportMetric(float64(processorTime()-used)/float64(time.Microsecond)/changes, "cpu_us/change")
 }
 
--- a/control/measure_test.go
+++ b/control/measure_test.go
@@ -193,7 +193,7 @@
 // BenchmarkRestart measures how long a control instance needs to read its disk
 // after many changes, and how large its folder is then.
 func BenchmarkRestart(b *testing.B) {
-	for _, changes := range []int{1400, 140_000} {
+	for _, changes := range []int{1400, 14_000, 140_000} {
 		b.Run(fmt.Sprint("changes=", changes), func(b *testing.B) {
 			dir := filepath.Join(b.TempDir(), "data")
 			fill(b, dir, changes)
--- a/systems/membership/membership_bench_test.go
+++ b/systems/membership/membership_bench_test.go
@@ -29,7 +29,7 @@
 
 // BenchmarkDetection reports how long it takes until all know of a death.
 func BenchmarkDetection(b *testing.B) {
-	for _, n := range []int{9, 100} {
+	for _, n := range []int{9, 30, 100} {
 		b.Run(fmt.Sprint("instances=", n), func(b *testing.B) {
 			var total time.Duration
 			for i := range b.N {
