Count who else goes unanswered when one request crashes engines

Cause: the goal is that no innocent request suffers, and the table mixed the crashing request with the others. Change: a line in the table and a field in the report.

--- a/demo/report.go
+++ b/demo/report.go
@@ -53,11 +53,14 @@
 	DuplicatesRun int `json:"duplicates_run"`
 	// PoisonCrashes is how many engines the request that crashes engines took
 	// down.
-	PoisonCrashes int            `json:"poison_crashes"`
-	Classes       []ClassReport  `json:"classes"`
-	Codes         map[string]int `json:"codes,omitempty"`
-	StandIns      standin.Totals `json:"stand_ins"`
-	Broken        []Promise      `json:"broken_promises"`
+	PoisonCrashes int `json:"poison_crashes"`
+	// InnocentUnanswered is how many requests that may be repeated got no
+	// answer, the one that crashes engines aside.
+	InnocentUnanswered int            `json:"innocent_unanswered"`
+	Classes            []ClassReport  `json:"classes"`
+	Codes              map[string]int `json:"codes,omitempty"`
+	StandIns           standin.Totals `json:"stand_ins"`
+	Broken             []Promise      `json:"broken_promises"`
 }
 
 func (r *Report) broken(format string, args ...any) {
@@ -111,6 +114,9 @@
 	if got.code != 0 {
 		r.Codes[fmt.Sprint(got.code)]++
 	}
+	if got.ending != complete && got.ending != left && !got.item.poisoned && got.item.key == "" {
+		r.InnocentUnanswered++
+	}
 	switch got.ending {
 	case complete:
 		class.Complete++
@@ -160,7 +166,8 @@
 	fmt.Fprintf(out, "attempts %d: completed %d, cancelled %d, cut %d, declined %d; engine crashes %d\n",
 		s.Attempts, s.Completed, s.Cancelled, s.Cut, s.Declined, s.Crashes)
 	if r.Fault == FaultCrash {
-		fmt.Fprintf(out, "engines lost to the request that crashes engines: %d\n", r.PoisonCrashes)
+		fmt.Fprintf(out, "engines lost to the request that crashes engines: %d; other repeatable requests without an answer: %d\n",
+			r.PoisonCrashes, r.InnocentUnanswered)
 	}
 	fmt.Fprintf(out, "duplicates run %d\n", r.DuplicatesRun)
 	if len(r.Broken) == 0 {
