--- a/replog/config.go
+++ b/replog/config.go
@@ -28,9 +28,11 @@
 	// MaxInflight bounds the messages with entries that are sent to a replica
 	// and not acknowledged. Default 64.
 	MaxInflight int
-	// TrailingEntries is how many entries are kept in memory before a snapshot,
-	// for replicas that are only a little behind. Default 1000.
+	// TrailingEntries and TrailingBytes bound the entries that are kept in memory
+	// before a snapshot, for replicas that are only a little behind. Defaults
+	// 1000 and 4 MiB.
 	TrailingEntries uint64
+	TrailingBytes   int
 	// Seed determines the election timeouts. Replicas need different seeds or
 	// IDs.
 	Seed uint64
@@ -45,6 +47,7 @@
 	defaultMaxUncommittedBytes = 32 << 20
 	defaultMaxInflight         = 64
 	defaultTrailingEntries     = 1000
+	defaultTrailingBytes       = 4 << 20
 )
 
 func (c *Config) setDefaults() {
@@ -55,6 +58,7 @@
 	setDefault(&c.MaxEntryBytes, defaultMaxEntryBytes)
 	setDefault(&c.MaxUncommittedBytes, defaultMaxUncommittedBytes)
 	setDefault(&c.MaxInflight, defaultMaxInflight)
+	setDefault(&c.TrailingBytes, defaultTrailingBytes)
 	if c.TrailingEntries == 0 {
 		c.TrailingEntries = defaultTrailingEntries
 	}
--- a/replog/follower.go
+++ b/replog/follower.go
@@ -109,9 +109,6 @@
 }
 
 func (n *Node) handleSnapshot(m Message) error {
-	if m.Snapshot == nil {
-		return &BadMessage{Type: m.Type, From: m.From, To: m.To, Group: m.Group}
-	}
 	if n.refuseAsFresh(m) {
 		return nil
 	}
--- a/replog/log.go
+++ b/replog/log.go
@@ -172,15 +172,28 @@
 }
 
 // compact takes over a snapshot of the applied state and frees the entries
-// before it but for the last trailing ones.
-func (l *entryLog) compact(s Snapshot, trailing uint64) {
+// before it but for the last ones within the bounds.
+func (l *entryLog) compact(s Snapshot, maxEntries uint64, maxBytes int) {
 	l.snapshot = s
-	if s.Index <= l.base.Index+trailing {
+	index := l.trailing(s.Index, maxEntries, maxBytes)
+	if index == l.base.Index {
 		return
 	}
-	index := s.Index - trailing
 	term, _ := l.term(index)
 	kept := l.slice(index, l.lastIndex())
 	l.entries = append(make([]Entry, 0, len(kept)), kept...)
 	l.base = Position{Term: term, Index: index}
 }
+
+// trailing returns the index after which entries before a snapshot are kept.
+func (l *entryLog) trailing(snapshot, maxEntries uint64, maxBytes int) uint64 {
+	index := snapshot
+	for index > l.base.Index && snapshot-index < maxEntries {
+		maxBytes -= l.entries[index-l.base.Index-1].size()
+		if maxBytes < 0 {
+			break
+		}
+		index--
+	}
+	return index
+}
--- a/replog/message.go
+++ b/replog/message.go
@@ -83,6 +83,23 @@
 	Snapshot *Snapshot
 }
 
+// wellFormed reports whether the fields fit the type. A log with a gap would be
+// saved as it came, and the replica couldn't start from it again.
+func (m *Message) wellFormed() bool {
+	if m.Type == 0 || m.Type > lastMessageType || m.Type == MessageSnapshot && m.Snapshot == nil {
+		return false
+	}
+	term := m.LogTerm
+	for i := range m.Entries {
+		e := &m.Entries[i]
+		if e.Index != m.Index+1+uint64(i) || e.Term < term || e.Term > m.Term {
+			return false
+		}
+		term = e.Term
+	}
+	return true
+}
+
 // promises reports whether the message may leave only once all that this
 // replica has in memory is durable.
 func (m *Message) promises() bool {
--- a/replog/node.go
+++ b/replog/node.go
@@ -214,7 +214,7 @@
 	}
 	term, _ := n.log.term(index)
 	s := Snapshot{Index: index, Term: term, Members: n.members.at(index), Data: data}
-	n.log.compact(s, n.cfg.TrailingEntries)
+	n.log.compact(s, n.cfg.TrailingEntries, n.cfg.TrailingBytes)
 	n.members.compact(index)
 	return s, nil
 }
--- a/replog/node_test.go
+++ b/replog/node_test.go
@@ -234,12 +234,66 @@
 		{Type: MessageVote, To: 1, Term: 9},
 		{Type: lastMessageType + 1, From: 2, To: 1, Term: 9},
 		{From: 2, To: 1, Term: 9},
+		{Type: MessageSnapshot, From: 2, To: 1, Term: 9},
+		{Type: MessageAppend, From: 2, To: 1, Term: 9, Index: 1, LogTerm: 1, Entries: []Entry{{Term: 9, Index: 3}}},
+		{Type: MessageAppend, From: 2, To: 1, Term: 9, Index: 1, LogTerm: 1, Entries: []Entry{{Term: 10, Index: 2}}},
 	} {
 		assert.Assert(t, errors.As(n.Step(m), &bad))
 		assert.Equal(t, n.Status().Term, uint64(1))
 	}
 }
 
+// Entries carry answers of up to 64 KiB. A thousand of them kept for replicas that
+// are a little behind would take a quarter of the memory that control may use.
+func TestTrailingEntriesAreBoundedInBytes(t *testing.T) {
+	n := single(t)
+	assert.NilError(t, n.Step(appendFrom(2, 2, 1, 1, 9, 2, 2, 2, 2, 2, 2, 2, 2)))
+	saveAll(n)
+	n.cfg.TrailingEntries = 100
+	n.cfg.TrailingBytes = 3 * n.log.entries[0].size()
+	_, err := n.Compact(8, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, n.log.base.Index, uint64(5))
+	assert.Equal(t, n.Status().LastIndex, uint64(9))
+}
+
+// FuzzStep checks that no sequence of messages makes a replica panic, and that
+// its commit index and its term never fall.
+func FuzzStep(f *testing.F) {
+	f.Add([]byte{5, 2, 2, 1, 1, 1, 2, 0, 7, 2, 2, 0, 0, 2, 0, 0})
+	f.Add([]byte{2, 2, 1, 9, 9, 0, 0, 0, 4, 2, 2, 0, 0, 0, 0, 0, 6, 2, 2, 2, 0, 0, 0, 0})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		n := single(t, 1, 1)
+		for len(b) >= 8 {
+			before := n.Status()
+			_ = n.Step(fuzzMessage(b))
+			n.Tick()
+			saveAll(n)
+			after := n.Status()
+			assert.Assert(t, after.Commit >= before.Commit && after.Term >= before.Term)
+			b = b[8:]
+		}
+	})
+}
+
+// fuzzMessage makes a message of eight bytes.
+func fuzzMessage(b []byte) Message {
+	m := Message{
+		Type: MessageType(b[0] % 12), From: ReplicaID(b[1] % 5), To: 1, Term: uint64(b[2] % 8),
+		Index: uint64(b[3] % 10), LogTerm: uint64(b[4] % 8), Commit: uint64(b[5] % 10),
+		RejectIndex: uint64(b[3] % 10), HintIndex: uint64(b[5] % 10), HintTerm: uint64(b[6] % 8),
+		Round: uint64(b[5]), Reject: b[7]&1 != 0, Force: b[7]&2 != 0, ToLearner: b[7]&4 != 0, Fresh: b[7]&8 != 0,
+	}
+	for i := range uint64(b[6] % 4) {
+		kind := EntryKind(b[7] >> 4 % 3)
+		m.Entries = append(m.Entries, Entry{Term: m.Term, Index: m.Index + 1 + i, Kind: kind})
+	}
+	if m.Type == MessageSnapshot && b[6]&4 == 0 {
+		m.Snapshot = &Snapshot{Index: m.Index, Term: m.LogTerm, Members: Members{{Replica: 1}, {Replica: 2}}}
+	}
+	return m
+}
+
 // FuzzMembers checks that a membership which decodes means the same when it is
 // encoded again.
 func FuzzMembers(f *testing.F) {
--- a/replog/step.go
+++ b/replog/step.go
@@ -1,11 +1,10 @@
 package replog
 
-// Step takes in a message. It fails with *BadMessage if the message is not for
-// this replica, and with *Inconsistent if the group has broken its promises and
+// Step takes in a message. It fails with *BadMessage or *BadEncoding if the
+// message is not for this replica or not well formed, and with *Inconsistent if the group has broken its promises and
 // this replica must be stopped.
 func (n *Node) Step(m Message) error {
-	if m.To != n.cfg.ID || m.Group != n.cfg.Group || m.From == None || m.From == n.cfg.ID ||
-		m.Type == 0 || m.Type > lastMessageType {
+	if !n.addressed(m) || !m.wellFormed() {
 		return &BadMessage{Type: m.Type, From: m.From, To: m.To, Group: m.Group}
 	}
 	if n.ignores(m) {
@@ -21,6 +20,10 @@
 	return n.handle(m)
 }
 
+func (n *Node) addressed(m Message) bool {
+	return m.To == n.cfg.ID && m.Group == n.cfg.Group && m.From != None && m.From != n.cfg.ID
+}
+
 // ignores reports whether a message must have no effect, also when its term is
 // newer.
 func (n *Node) ignores(m Message) bool {
