--- a/router/bench_test.go
+++ b/router/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -10,7 +11,8 @@
 	"github.com/carawaystile/carawaystile/tables"
 )
 
-// BenchmarkDecision is one request from Submit to its end, at fleets of several
+// BenchmarkDecision is one request from Submit to its end, and the tail of the part from Submit to
+// the action, at fleets of several
 // sizes with views of several sizes. Prompts have ten blocks, of which the
 // outer ones are held by several endpoints.
 func BenchmarkDecision(b *testing.B) {
@@ -41,6 +43,7 @@
 	fill(r, c, blocks, random)
 	now := time.Second
 	b.ReportAllocs()
+	var took []time.Duration
 	for n := 0; b.Loop(); n++ {
 		now += time.Millisecond
 		request := &tables.Request{
@@ -51,14 +54,24 @@
 		for level := range 10 {
 			request.Blocks = append(request.Blocks, tables.BlockHash(subject*10+level+1)*0x9e3779b97f4a7c15)
 		}
+		begin := time.Now()
 		r.Submit(now, request)
-		for _, action := range r.Tick(now) {
+		actions := r.Tick(now)
+		took = append(took, time.Since(begin))
+		for _, action := range actions {
 			if d, ok := action.(router.Dispatch); ok {
 				r.Observe(now, router.FirstToken{Attempt: d.Attempt})
 				r.Observe(now, router.AttemptEnded{Attempt: d.Attempt, End: router.Completed})
 			}
 		}
 	}
+	reportTail(b, took)
+}
+
+// reportTail reports the time from Submit to the action at the 99th percentile.
+func reportTail(b *testing.B, took []time.Duration) {
+	slices.Sort(took)
+	b.ReportMetric(float64(took[len(took)*99/100]), "p99-ns/decision")
 }
 
 // fill makes blocks known, each at one endpoint.
--- a/router/candidates.go
+++ b/router/candidates.go
@@ -20,6 +20,9 @@
 	homes   *homes.Table
 	// capacity is the slots of all members.
 	capacity int
+	// turnovers are the turnovers of the members' caches in seconds.
+	turnovers    []float64
+	meanTurnover float64
 }
 
 func keyOf(p *tables.Profile) groupKey {
@@ -46,7 +49,7 @@
 
 // configureGroups works out the endpoints of each profile. A table of homes is
 // filled anew only when its members have changed, because that is costly.
-func (r *Router) configureGroups() {
+func (r *Router) configureGroups(now tables.Instant) {
 	groups := make(map[groupKey]*group)
 	for i := range r.config.Profiles {
 		key := keyOf(&r.config.Profiles[i])
@@ -59,6 +62,20 @@
 		row := r.endpoints.Row(tables.EndpointIndex(i))
 		r.view.SetEndpoint(row.Index, row.CacheBlocks)
 	}
+	for _, g := range groups {
+		r.learnTurnovers(now, g)
+	}
+}
+
+// learnTurnovers works out the turnovers of a group's caches.
+func (r *Router) learnTurnovers(now tables.Instant, g *group) {
+	g.turnovers = g.turnovers[:0]
+	g.meanTurnover = 0
+	for _, index := range g.members {
+		turnover := r.view.Turnover(now, index).Seconds()
+		g.turnovers = append(g.turnovers, turnover)
+		g.meanTurnover += turnover / float64(len(g.members))
+	}
 }
 
 func (r *Router) newGroup(key groupKey) *group {
@@ -104,20 +121,19 @@
 	if len(blocks) > 0 {
 		r.view.Match(q.Now, blocks, &r.matches)
 	}
-	q.MeanTurnover = 0
+	q.MeanTurnover = g.meanTurnover
 	home, level := r.home(g, blocks)
-	for _, index := range g.members {
+	for i, index := range g.members {
 		c := placement.Candidate{Row: r.endpoints.Row(index)}
 		if len(blocks) > 0 {
 			c.KnownTokens = r.matches.Blocks(index) * prefix.PieceTokens
-			c.Turnover = r.view.Turnover(q.Now, index).Seconds()
+			c.Turnover = g.turnovers[i]
 		}
 		c.CachedTokens = c.KnownTokens
 		if index == home {
 			c.HomeTokens = float64(level * prefix.PieceTokens)
 			c.CachedTokens = max(c.KnownTokens, r.homeTrust*c.HomeTokens)
 		}
-		q.MeanTurnover += c.Turnover / float64(len(g.members))
 		r.scratch = append(r.scratch, c)
 	}
 	return r.scratch
--- a/router/place.go
+++ b/router/place.go
@@ -70,9 +70,9 @@
 			suspectFilter{suspects: suspects},
 		},
 		Scorers: []placement.Weighted{
-			{Scorer: queue.Scorer{}, Weights: [placement.Preferences]float64{1, 1, 1}},
-			{Scorer: compute.Scorer{}, Weights: [placement.Preferences]float64{1, 1, 1}},
 			{Scorer: recompute.Scorer{}, Weights: recomputePrice},
+			{Scorer: compute.Scorer{}, Weights: [placement.Preferences]float64{1, 1, 1}},
+			{Scorer: queue.Scorer{}, Weights: [placement.Preferences]float64{1, 1, 1}},
 			{Scorer: eviction.Scorer{}, Weights: [placement.Preferences]float64{0.5, 0, 1}},
 			{Scorer: zone.Scorer{}, Weights: [placement.Preferences]float64{1, 1, 1}},
 		},
--- a/router/router.go
+++ b/router/router.go
@@ -115,7 +115,7 @@
 
 // Configure puts a configuration in force. One with a lower revision than the
 // present one is ignored, so that a late message cannot revert it.
-func (r *Router) Configure(_ tables.Instant, c *tables.Configuration) {
+func (r *Router) Configure(now tables.Instant, c *tables.Configuration) {
 	if r.config != nil && c.Revision < r.config.Revision {
 		return
 	}
@@ -129,7 +129,7 @@
 		r.weights[c.Models[i].Name] = c.Models[i].Weights
 	}
 	r.endpoints.Configure(c)
-	r.configureGroups()
+	r.configureGroups(now)
 	r.configureOrganisations()
 }
 
--- a/router/watch.go
+++ b/router/watch.go
@@ -26,6 +26,9 @@
 	for i := range r.endpoints.Len() {
 		health.Renew(now, &r.endpoints.Row(tables.EndpointIndex(i)).Health)
 	}
+	for _, g := range r.groups {
+		r.learnTurnovers(now, g)
+	}
 	for p := range r.classes {
 		r.classes[p].usage.Prune(now)
 	}
--- a/systems/placement/explain.go
+++ b/systems/placement/explain.go
@@ -69,14 +69,14 @@
 
 func (p *Picker) describe(r *Report, q *Query, c *Candidate) {
 	*r = Report{Endpoint: c.Row.Endpoint.ID, CachedTokens: int(c.CachedTokens), Parts: r.Parts[:0]}
-	if c.dropped != 0 {
+	if c.dropped = p.drop(q, c); c.dropped != 0 {
 		r.Dropped = p.Filters[c.dropped-1].Name()
 		return
 	}
-	r.Seconds = c.Score
 	for i := range p.Scorers {
 		s := &p.Scorers[i]
 		seconds := s.Weights[q.Request.Profile.Prefer] * s.Scorer.Score(q, c)
+		r.Seconds += seconds
 		r.Parts = append(r.Parts, Part{Name: s.Scorer.Name(), Seconds: seconds})
 	}
 }
--- a/systems/placement/placement.go
+++ b/systems/placement/placement.go
@@ -5,6 +5,8 @@
 package placement
 
 import (
+	"math"
+
 	"github.com/carawaystile/carawaystile/tables"
 )
 
@@ -53,8 +55,9 @@
 	// Turnover is the time in which the endpoint's cache is filled once over, in
 	// seconds.
 	Turnover float64
-	// Score is the cost that Pick found, or dropped the position of the filter
-	// that dropped the candidate, plus 1.
+	// Score is the cost, or as much of it as was needed to see that another is
+	// better; dropped is the position, plus 1, of the filter that dropped the
+	// candidate.
 	Score   float64
 	dropped int
 }
@@ -106,7 +109,8 @@
 	Candidate
 }
 
-// Picker runs the filters and scorers.
+// Picker runs the filters and scorers. The scorers that tell candidates apart
+// most should come first.
 type Picker struct {
 	Filters []Filter
 	Scorers []Weighted
@@ -115,22 +119,42 @@
 // Pick returns the cheapest candidate, or tables.NoEndpoint in the choice when
 // the filters dropped all of them. Candidates whose costs are within a small
 // band of the cheapest are told apart by the query's spread.
+//
+// Most candidates of a large fleet hold nothing of the prompt and cannot win
+// once one that does has been looked at. So those that hold something come
+// first, costs are summed up only until they exceed the best, and filters are
+// asked only about a candidate that would be the best.
 func (p *Picker) Pick(q *Query, candidates []Candidate) Choice {
 	best := Choice{Endpoint: tables.NoEndpoint}
 	for i := range candidates {
-		c := &candidates[i]
-		c.dropped = p.drop(q, c)
-		if c.dropped != 0 {
-			continue
+		if candidates[i].CachedTokens > 0 {
+			p.consider(q, &candidates[i], &best)
 		}
-		c.Score = p.Cost(q, c) + spread(q, c)
-		if best.Endpoint == tables.NoEndpoint || c.Score < best.Score {
-			best = Choice{Endpoint: c.Row.Index, Candidate: *c}
+	}
+	for i := range candidates {
+		if candidates[i].CachedTokens <= 0 {
+			p.consider(q, &candidates[i], &best)
 		}
 	}
 	return best
 }
 
+func (p *Picker) consider(q *Query, c *Candidate, best *Choice) {
+	limit := math.Inf(1)
+	if best.Endpoint != tables.NoEndpoint {
+		limit = best.Score
+	}
+	c.dropped = 0
+	c.Score = p.cost(q, c, limit)
+	if c.Score >= limit {
+		return
+	}
+	c.dropped = p.drop(q, c)
+	if c.dropped == 0 {
+		*best = Choice{Endpoint: c.Row.Index, Candidate: *c}
+	}
+}
+
 // drop is the position, plus 1, of the first filter that drops the candidate.
 func (p *Picker) drop(q *Query, c *Candidate) int {
 	for i, f := range p.Filters {
@@ -141,15 +165,19 @@
 	return 0
 }
 
-// Cost is the weighted sum of all scorers.
-func (p *Picker) Cost(q *Query, c *Candidate) float64 {
+// cost is the weighted sum of all scorers and the spread, or any number that is
+// at least limit when the sum is. Scores are never negative.
+func (p *Picker) cost(q *Query, c *Candidate, limit float64) float64 {
 	prefer := q.Request.Profile.Prefer
-	var sum float64
+	sum := spread(q, c)
 	for i := range p.Scorers {
 		s := &p.Scorers[i]
 		if weight := s.Weights[prefer]; weight != 0 {
 			sum += weight * s.Scorer.Score(q, c)
 		}
+		if sum >= limit {
+			return sum
+		}
 	}
 	return sum
 }
