--- a/router/place.go
+++ b/router/place.go
@@ -112,7 +112,7 @@
 	if q.Request.Delivered > 0 {
 		return false
 	}
-	if q.Request.Profile.MaxWait <= 0 || promoted(q.Now, q.Request) {
+	if q.Request.Profile.MaxWait <= 0 || q.Promoted {
 		bound := maxAhead
 		if q.Crowds {
 			bound = crowdAhead
@@ -159,7 +159,7 @@
 // others: a burst fills the queues of the endpoints before any instance can hold
 // it back, and there only the priority lets a small organisation overtake.
 func priority(q *placement.Query) tables.Priority {
-	if q.Crowds || promoted(q.Now, q.Request) {
+	if q.Crowds || q.Promoted {
 		return tables.Normal
 	}
 	return q.Request.Priority
@@ -199,6 +199,7 @@
 		Mix:     r.mix,
 
 		WaitWeight: waitWeight(row.Profile),
+		Promoted:   promoted(now, row),
 		Crowds:     row.Priority == tables.Urgent && r.crowds(now, row),
 	}
 	if row.Delivered > 0 {
--- a/router/router.go
+++ b/router/router.go
@@ -221,6 +221,9 @@
 	}
 	if now >= r.serveAt {
 		r.serveAt = now + servePeriod
+		if r.pressure.on(now) && r.pressure.room() {
+			r.serve(now, tables.Background)
+		}
 		for p := range r.classes {
 			r.serve(now, tables.Priority(p))
 		}
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"gotest.tools/v3/assert"
 
 	"github.com/carawaystile/carawaystile/router"
@@ -48,6 +49,7 @@
 func request(id, profile string, now time.Duration) *tables.Request {
 	return &tables.Request{
 		ID: tables.RequestID(id), Organisation: "acme", Profile: tables.ProfileName(profile),
+		Fingerprint:  tables.Fingerprint(xxhash.Sum64String(id)),
 		PromptTokens: 1000, MaxTokens: 100, Arrived: now, Deadline: now + time.Minute,
 	}
 }
--- a/systems/placement/filter/capacity/capacity.go
+++ b/systems/placement/filter/capacity/capacity.go
@@ -29,6 +29,9 @@
 // Keep compares the estimated attempts with the limit of the priority.
 func (Filter) Keep(q *placement.Query, c *placement.Candidate) bool {
 	part := Limits[q.Request.Priority]
+	if q.Promoted {
+		part = Limits[tables.Urgent]
+	}
 	if q.Crowds {
 		part = min(part, CrowdLimit)
 	}
--- a/systems/placement/placement.go
+++ b/systems/placement/placement.go
@@ -30,6 +30,9 @@
 	WaitWeight float64
 	// MeanTurnover is the mean of the candidates' turnovers, in seconds.
 	MeanTurnover float64
+	// Promoted is set for held work that has waited so long that it no longer
+	// yields.
+	Promoted bool
 	// Crowds is set for a request of an organisation that uses more than its
 	// share while more of its requests wait.
 	Crowds bool
