Let a stream that met two different crashes go on at once

Change: only a request that met two crashes at the same point waits for an endpoint to itself. Conclusion: crash-twice guards this.

--- a/systems/quarantine/incident.go
+++ b/systems/quarantine/incident.go
@@ -283,12 +283,14 @@
 }
 
 // severity is how far an unconvicted candidate of an incident of the given age
-// is kept apart.
+// is kept apart. Only one that met two crashes at the same point has to wait
+// for an endpoint to itself: others that met two are more likely unlucky, and
+// their callers' streams would end for want of such an endpoint.
 func (s *System) severity(c *candidate, count int, age time.Duration) Verdict {
 	switch {
-	case count >= convictAt && age < s.options.Own:
+	case count >= convictAt && s.repeats(c.fingerprint) && age < s.options.Own:
 		return AloneOwn
-	case count >= convictAt:
+	case count >= convictAt && s.repeats(c.fingerprint):
 		return Alone
 	case !c.mark.Likely:
 		return Allow
