--- a/router/router.go
+++ b/router/router.go
@@ -115,7 +115,7 @@
 
 // Configure puts a configuration in force. One with a lower revision than the
 // present one is ignored, so that a late message cannot revert it.
-func (r *Router) Configure(_ tables.Instant, c *tables.Configuration) {
+func (r *Router) Configure(now tables.Instant, c *tables.Configuration) {
 	if r.config != nil && c.Revision < r.config.Revision {
 		return
 	}
@@ -129,7 +129,7 @@
 		r.weights[c.Models[i].Name] = c.Models[i].Weights
 	}
 	r.endpoints.Configure(c)
-	r.configureGroups()
+	r.configureGroups(now)
 	r.configureOrganisations()
 }
 
@@ -221,6 +221,9 @@
 	}
 	if now >= r.serveAt {
 		r.serveAt = now + servePeriod
+		if r.pressure.on(now) && r.pressure.room() {
+			r.serve(now, tables.Background)
+		}
 		for p := range r.classes {
 			r.serve(now, tables.Priority(p))
 		}
