--- a/router/watch.go
+++ b/router/watch.go
@@ -28,6 +28,9 @@
 		health.Renew(now, &row.Health)
 		row.Load.Others.Age(now)
 	}
+	for _, g := range r.groups {
+		r.learnTurnovers(now, g)
+	}
 	for p := range r.classes {
 		r.classes[p].usage.Prune(now)
 	}
