Bound what an endpoint's endless answer and a caller who does not read can take

Cause: Limits.MaxAnswer was declared and not applied; nothing tested a caller who does not read. Change: a completion beyond MaxAnswer ends with 5020; two tests. Conclusion: both are bounded.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -22,6 +22,14 @@
 // Error says which token came instead of which.
 func (e *gap) Error() string { return fmt.Sprintf("token %d came in place of %d", e.got, e.want) }
 
+// tooLong means that an endpoint gave more text than an answer may have. The
+// text is kept for a resume, so without a bound one endpoint could take all of
+// the instance's memory.
+type tooLong struct{ limit int }
+
+// Error gives the limit.
+func (e *tooLong) Error() string { return fmt.Sprintf("answer longer than %d bytes", e.limit) }
+
 // gone means that the caller went away; nobody reads the answer.
 type gone struct{ cause error }
 
@@ -60,7 +68,12 @@
 			r.lose(err)
 			continue
 		}
-		if text, fresh := r.accept(token); fresh {
+		text, fresh := r.accept(token)
+		if fresh && r.flight.size > r.flight.server.limits.MaxAnswer {
+			r.lose(&tooLong{limit: r.flight.server.limits.MaxAnswer})
+			return "", elsewhere(r.flight.row.ID, tables.CodeEndpointFailed, 0)
+		}
+		if fresh {
 			return text, nil
 		}
 	}
--- a/entry/attempt_test.go
+++ b/entry/attempt_test.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -106,6 +108,47 @@
 	assert.Equal(t, attempt, r.client.seen()[0].Attempt)
 }
 
+// A caller opens a stream and stops reading. The engine must not go on for it
+// without end, and the instance must not hold what it produces: the stream stops
+// and after a while the caller is cut off.
+func TestCallerWhoDoesNotReadIsBounded(t *testing.T) {
+	r := newRig(t, func(o *Options) {
+		o.Limits.WriteStall = 200 * time.Millisecond
+		o.Limits.MaxAnswer = 1 << 30
+	})
+	text := strings.Repeat("w", 32<<10)
+	var produced atomic.Int64
+	r.client.generate = []script{func(ctx context.Context, req engine.GenerateRequest) (engine.Stream, error) {
+		tokens := make(chan engine.Token)
+		go func() {
+			for i := 0; ; i++ {
+				select {
+				case tokens <- engine.Token{Index: i, Text: text}:
+					produced.Add(1)
+				case <-ctx.Done():
+					return
+				}
+			}
+		}()
+		return r.client.stream(ctx, req, tokens, nil), nil
+	}}
+	resp := r.post(t, t.Context(), "/v1/completions", `{"prompt":"p","stream":true}`)
+	assert.Equal(t, resp.StatusCode, 200)
+	<-r.client.cancelled
+	assert.Assert(t, produced.Load() < 4096, "%d events for a caller who reads none", produced.Load())
+}
+
+// An engine answers without end. The instance gives the request up before the
+// text takes its memory.
+func TestEndlessAnswerIsBounded(t *testing.T) {
+	r := newRig(t, func(o *Options) { o.Limits.MaxAnswer = 10 })
+	r.client.generate = []script{r.client.says(strings.Split(strings.Repeat("word,", 10), ","), nil)}
+	got := read(t, r.post(t, t.Context(), "/v1/completions", `{"prompt":"p","stream":true}`))
+	assert.DeepEqual(t, texts(t, got), []string{"word", "word"})
+	assert.Assert(t, strings.Contains(got, `"code":5020`), got)
+	assert.Assert(t, !strings.Contains(got, "[DONE]"), got)
+}
+
 // All engines break off, each after a few tokens. The caller must not take what
 // it has for a whole answer: it gets an error event and no end mark.
 func TestStreamThatCannotBeCompletedSaysSo(t *testing.T) {
--- a/entry/flight.go
+++ b/entry/flight.go
@@ -44,6 +44,8 @@
 	mu        sync.Mutex
 	emitted   strings.Builder
 	delivered int
+	// size is the length of emitted in bytes.
+	size int
 
 	// won holds the attempt that the caller is being answered from.
 	won atomic.Pointer[attempt]
@@ -79,6 +81,7 @@
 func (f *flight) advance(text string) {
 	f.mu.Lock()
 	f.delivered++
+	f.size += len(text)
 	f.emitted.WriteString(text)
 	f.mu.Unlock()
 }
--- a/entry/options.go
+++ b/entry/options.go
@@ -87,9 +87,8 @@
 	// many of one organisation.
 	MaxOpen             int
 	MaxOpenOrganisation int
-	// MaxAnswer is the largest answer that is held in memory, in bytes: answers
-	// of plain services, answers that are not streamed, and the part of a stream
-	// that a resume would have to repeat.
+	// MaxAnswer is the largest completion in bytes of text. It is held in memory
+	// until the request ends, because a resume has to repeat it.
 	MaxAnswer int
 	// DefaultMaxTokens is used when a caller names no limit.
 	DefaultMaxTokens int
