--- a/scenario/commands.go
+++ b/scenario/commands.go
@@ -25,10 +25,11 @@
 //	send NAME INSTANCE stream|whole|publish [tokens=N] [key=K] [text=T] [poison] [patient]
 //	await NAME N                  wait until the caller has N tokens
 //	hangup NAME                   the caller goes away
-//	expect NAME whole|code N|outcome O|broken|failed
+//	expect NAME whole|code N|outcome O|broken|failed|ended
 //	crash ENGINE|SERVICE|@NAME    @NAME is the engine that runs the request
 //	restart ENGINE|SERVICE        bring it back, empty
 //	hang / resume ENGINE|SERVICE  stop without closing anything
+//	halfopen ENGINE|@NAME         keep connections up and lose what arrives; ended by resume
 //	slow / fast                   all engines
 //	cut ZONE / heal
 //	leave ENDPOINT INSTANCE       an operator tells it to the instance
@@ -43,7 +44,7 @@
 	return map[string]command{
 		"start": start, "stop": stop, "drain": drain, "drained": drained,
 		"send": send, "await": await, "hangup": hangup, "expect": expect,
-		"crash": crash, "restart": restart, "hang": hang, "resume": resume,
+		"crash": crash, "restart": restart, "hang": hang, "resume": resume, "halfopen": halfOpen,
 		"slow": slow, "fast": fast, "cut": cut, "heal": heal,
 		"leave": leave, "idle": idle, "calls": calls, "ran": ran, "crashes": crashes,
 		"quiet": quiet, "revision": revision, "promises": promises,
@@ -177,6 +178,8 @@
 	switch args[0] {
 	case "whole":
 		return described == "whole"
+	case "ended":
+		return true
 	case "failed":
 		return r.failure != nil
 	case "broken":
@@ -246,6 +249,15 @@
 	}
 }
 
+func halfOpen(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 1)
+	e, ok := standinOf(ts, args[0]).(*standin.Engine)
+	if !ok {
+		ts.Fatalf("%s is no engine", args[0])
+	}
+	e.HalfOpen()
+}
+
 func slow(ts *testscript.TestScript, _ bool, _ []string) { setSpeed(ts, slowdown) }
 func fast(ts *testscript.TestScript, _ bool, _ []string) { setSpeed(ts, 1) }
 
--- a/scenario/measure_test.go
+++ b/scenario/measure_test.go
@@ -216,3 +216,47 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 }
+
+// BenchmarkOverload sends twice as many requests as the engines can run and
+// counts the attempts that the engines saw for each request.
+func BenchmarkOverload(b *testing.B) {
+	const (
+		tokens   = 20
+		seconds  = 10
+		capacity = enginesPerZone * 3 * standin.DefaultSlots * int(time.Second) / (tokens * slowdown * int(stepTime))
+		rate     = 2 * capacity
+	)
+	w := startedWorld(b)
+	for _, e := range w.engines {
+		e.Slow(slowdown)
+	}
+	for range b.N {
+		before := w.records.Totals()
+		var all sync.WaitGroup
+		var whole, notRun, other atomic.Int64
+		tick := time.NewTicker(time.Second / time.Duration(rate))
+		for n := range rate * seconds {
+			<-tick.C
+			all.Go(func() {
+				r := newRequest("x", fmt.Sprint("overload ", n), tokens)
+				r.run(context.Background(), w.address(n), true, false)
+				switch {
+				case r.describe() == "whole":
+					whole.Add(1)
+				case r.failure != nil && r.failure.Outcome == "not_run":
+					notRun.Add(1)
+				default:
+					other.Add(1)
+				}
+			})
+		}
+		all.Wait()
+		tick.Stop()
+		after := w.records.Totals()
+		sent := float64(rate * seconds)
+		b.ReportMetric(float64(after.Attempts+after.Declined-before.Attempts-before.Declined)/float64(whole.Load()+other.Load()), "attempts/dispatched")
+		b.ReportMetric(float64(whole.Load())/sent, "whole")
+		b.ReportMetric(float64(notRun.Load())/sent, "not-run")
+		b.ReportMetric(float64(other.Load())/sent, "other")
+	}
+}
