Tell placements to the other instances directly

Cause: the router collects placements that others should hear of, and nothing sent them; the hints that ride on pings carry a few a second, one to several seconds late, and crash suspects already go over TCP. Change: placements go in datagrams of their own to living entry instances, every 100 ms, within 10 KB a second; riding hints and the second kind of suspect are removed.

--- a/control/gossip/gossip.go
+++ b/control/gossip/gossip.go
@@ -38,9 +38,8 @@
 	// Newer is called with the control address of an instance that has a newer
 	// revision in force.
 	Newer func(netip.AddrPort)
-	// Suspect and Placed hand out hints of other instances.
-	Suspect func(membership.CrashSuspect)
-	Placed  func(membership.Placement)
+	// Placed hands out placements of other instances.
+	Placed func(membership.Placement)
 	// Reaches says whether datagrams to an address arrive; nil means that all
 	// do. Tests cut availability zones off here.
 	Reaches func(to netip.AddrPort) bool
@@ -129,18 +128,11 @@
 	})
 }
 
-// ShareSuspect lets the others know of a request that crashes endpoints.
-func (g *Gossip) ShareSuspect(s membership.CrashSuspect) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.membership.ShareSuspect(g.now(), s)
-}
-
-// SharePlacement lets the others know where a prefix was placed.
-func (g *Gossip) SharePlacement(p membership.Placement) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.membership.SharePlacement(p)
+// TellPlacements lets the others know where prefixes were placed.
+func (g *Gossip) TellPlacements(placements []membership.Placement) {
+	g.run(func(m *membership.Membership, now tables.Instant) membership.Output {
+		return m.TellPlacements(now, placements)
+	})
 }
 
 // PlatformList takes the platform's list as a hint.
@@ -201,11 +193,6 @@
 	if out.Newer.IsValid() && g.options.Newer != nil {
 		g.options.Newer(out.Newer)
 	}
-	for _, s := range out.Suspects {
-		if g.options.Suspect != nil {
-			g.options.Suspect(s)
-		}
-	}
 	for _, p := range out.Placements {
 		if g.options.Placed != nil {
 			g.options.Placed(p)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -137,6 +137,9 @@
 	if d.replica != nil {
 		d.startOrders()
 	}
+	if d.entry != nil {
+		d.background.Go(func() { d.tellPlacements(d.stopping) })
+	}
 	if d.entry != nil && d.options.Process.PlatformList.IsValid() {
 		d.background.Go(func() { d.watchPlatform(d.stopping) })
 	}
--- a/daemon/membership.go
+++ b/daemon/membership.go
@@ -99,6 +99,56 @@
 	}
 }
 
+const (
+	// placementPeriod is the time between two tellings of placements.
+	placementPeriod = 100 * time.Millisecond
+	// placementBytesPerSecond bounds what this instance sends of them, over all
+	// receivers: a third of what control may cost at the target. Measured need
+	// is below 1 KB a second at six instances.
+	placementBytesPerSecond = 10_000
+	// placementBytes is about what one placement takes in a datagram.
+	placementBytes = 40
+	// placementBurst is for how long an unused budget is kept.
+	placementBurst = 2 * time.Second
+)
+
+// tellPlacements passes on what the router placed anew, within a budget of
+// bytes.
+func (d *Daemon) tellPlacements(ctx context.Context) {
+	ticker := time.NewTicker(placementPeriod)
+	defer ticker.Stop()
+	budget := 0.0
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		budget = min(budget+placementBytesPerSecond*placementPeriod.Seconds(), placementBytesPerSecond*placementBurst.Seconds())
+		each := placementBytes * max(1, len(d.entryPeers()))
+		limit := int(budget) / each
+		if limit == 0 {
+			continue
+		}
+		news := d.takeNews(limit)
+		if len(news) > 0 {
+			budget -= float64(len(news) * each)
+			d.members.Load().TellPlacements(news)
+		}
+	}
+}
+
+// takeNews takes placements that the other instances do not know of yet.
+func (d *Daemon) takeNews(limit int) []membership.Placement {
+	var rows []router.PeerPlacement
+	d.entry.Inspect(func() { rows = d.router.News(nil, limit) })
+	news := make([]membership.Placement, len(rows))
+	for i, row := range rows {
+		news[i] = membership.Placement{Endpoint: row.Endpoint, Boot: row.Boot, Block: row.Block}
+	}
+	return news
+}
+
 // alive lists the other living instances.
 func (d *Daemon) alive() []membership.Member {
 	joined := d.members.Load()
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -89,8 +89,8 @@
 	return &rpc.SuspectAnswer{}, nil
 }
 
-func encodeSuspect(s quarantine.Suspect) *rpc.PeerSuspect {
-	return &rpc.PeerSuspect{
+func encodeSuspect(s quarantine.Suspect) *rpc.CrashSuspect {
+	return &rpc.CrashSuspect{
 		Fingerprint: uint64(s.Fingerprint),
 		Endpoint:    string(s.Life.Endpoint),
 		Boot:        string(s.Life.Boot),
@@ -102,7 +102,7 @@
 	}
 }
 
-func decodeSuspect(s *rpc.PeerSuspect) quarantine.Suspect {
+func decodeSuspect(s *rpc.CrashSuspect) quarantine.Suspect {
 	return quarantine.Suspect{
 		Fingerprint: tables.Fingerprint(s.GetFingerprint()),
 		Life: quarantine.Life{
--- a/systems/membership/membership.go
+++ b/systems/membership/membership.go
@@ -93,9 +93,8 @@
 	// Forget is how long dead instances are kept and tried again, so that zones
 	// find each other after they were cut off.
 	Forget time.Duration
-	// DatagramBytes bounds one datagram, ItemBytes the hints in it.
+	// DatagramBytes bounds one datagram.
 	DatagramBytes int
-	ItemBytes     int
 	// SyncBytesPerSecond bounds what is sent to joining instances; herds of them
 	// are served in turn.
 	SyncBytesPerSecond int
@@ -107,7 +106,6 @@
 	defaultHelpers       = 3
 	defaultForget        = time.Hour
 	defaultDatagramBytes = 1180
-	defaultItemBytes     = 360
 	defaultSyncBytes     = 6000
 	// syncBurst is how many seconds of SyncBytesPerSecond can be saved up.
 	syncBurst = 4
@@ -135,7 +133,6 @@
 	c.Helpers = cmp.Or(c.Helpers, defaultHelpers)
 	c.Forget = cmp.Or(c.Forget, defaultForget)
 	c.DatagramBytes = cmp.Or(c.DatagramBytes, defaultDatagramBytes)
-	c.ItemBytes = cmp.Or(c.ItemBytes, defaultItemBytes)
 	c.SyncBytesPerSecond = cmp.Or(c.SyncBytesPerSecond, defaultSyncBytes)
 }
 
@@ -158,8 +155,7 @@
 // Output is what came of one call.
 type Output struct {
 	Datagrams []Datagram
-	// Suspects and Placements are hints that were new.
-	Suspects   []CrashSuspect
+	// Placements are hints of other instances.
 	Placements []Placement
 	// Newer is set to the control address of an instance that has a newer
 	// revision in force than this one.
@@ -177,7 +173,6 @@
 	version uint64
 
 	probes  probes
-	gossip  gossip
 	gone    map[netip.AddrPort]bool
 	leaving map[netip.AddrPort]bool
 	out     Output
@@ -201,7 +196,6 @@
 		random: rand.New(rand.NewPCG(options.Seed, options.Self.Boot)),
 		rows:   map[tables.InstanceID]*member{options.Self.Instance: self},
 		probes: newProbes(),
-		gossip: newGossip(),
 	}
 }
 
--- a/systems/membership/receive.go
+++ b/systems/membership/receive.go
@@ -44,7 +44,7 @@
 	}
 	m.now = now
 	m.takeSender(now, from, in)
-	m.gossip.take(now, &m.out, in)
+	m.takePlacements(in)
 	m.answer(now, from, in)
 	return m.take(), nil
 }
--- a/systems/membership/send.go
+++ b/systems/membership/send.go
@@ -18,6 +18,7 @@
 	datagramAck         = rpc.DatagramKind_DATAGRAM_ACK
 	datagramPingRequest = rpc.DatagramKind_DATAGRAM_PING_REQUEST
 	datagramRows        = rpc.DatagramKind_DATAGRAM_ROWS
+	datagramHints       = rpc.DatagramKind_DATAGRAM_HINTS
 	// fieldOverhead is what an embedded message costs besides its content.
 	fieldOverhead = 3
 )
@@ -74,8 +75,6 @@
 		added = m.addRows(d, rows, &room)
 	} else {
 		m.addNews(d, &room)
-		m.gossip.add(m.now, d, min(room, m.config.ItemBytes), m.spread())
-		room = m.config.DatagramBytes - proto.Size(d)
 		m.addBackground(d, &room)
 	}
 	payload, err := proto.Marshal(d)
