Begin answers that nobody has seen again under new weights

Cause: an answer that is not streamed and breaks while newer weights come into force failed with 5021, although its caller had seen nothing of it. Bodies whose announced length is too large were read up to the bound before being refused. Change: such an answer begins again once; announced lengths are refused at once. Conclusion: a test with both kinds of caller holds it.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -202,15 +202,15 @@
 }
 
 // text collects the whole answer; it is for callers who do not stream.
-func (r *reader) text() (string, error) {
+func (r *reader) text() (string, int, error) {
 	for {
 		_, err := r.next()
 		if err == io.EOF {
-			_, text := r.flight.progress()
-			return text, nil
+			tokens, text := r.flight.progress()
+			return text, tokens, nil
 		}
 		if err != nil {
-			return "", err
+			return "", 0, err
 		}
 	}
 }
--- a/entry/api.go
+++ b/entry/api.go
@@ -42,7 +42,7 @@
 func (a *api) CreateCompletion(ctx context.Context, req *oas.CompletionRequest, p oas.CreateCompletionParams) (oas.CreateCompletionRes, error) {
 	ask := completionAsk{
 		profile: p.XProfile.Or(""), model: req.Model.Or(""), key: p.IdempotencyKey.Or(""),
-		prompt: req.Prompt, maxTokens: req.MaxTokens.Or(a.server.limits.DefaultMaxTokens),
+		prompt: req.Prompt, maxTokens: req.MaxTokens.Or(a.server.limits.DefaultMaxTokens), stream: req.Stream.Or(false),
 	}
 	source, f, err := a.server.complete(ctx, ask)
 	if err != nil {
@@ -57,14 +57,14 @@
 		return &oas.CreateCompletionOKTextEventStream{Data: stream}, nil
 	}
 	defer source.close()
-	text, usage, err := collect(source, f)
+	text, tokens, err := source.text()
 	if err != nil {
 		return nil, err
 	}
 	return &oas.Completion{
 		ID: string(f.row.ID), Object: "text_completion", Created: created, Model: modelName(f.profile),
 		Choices: []oas.CompletionChoicesItem{{Text: text, FinishReason: source.finishReason()}},
-		Usage:   usage,
+		Usage:   usageOf(f, tokens),
 	}, nil
 }
 
@@ -72,7 +72,7 @@
 func (a *api) CreateChatCompletion(ctx context.Context, req *oas.ChatRequest, p oas.CreateChatCompletionParams) (oas.CreateChatCompletionRes, error) {
 	ask := completionAsk{
 		profile: p.XProfile.Or(""), model: req.Model.Or(""), key: p.IdempotencyKey.Or(""),
-		prompt: chatPrompt(req.Messages), maxTokens: req.MaxTokens.Or(a.server.limits.DefaultMaxTokens),
+		prompt: chatPrompt(req.Messages), maxTokens: req.MaxTokens.Or(a.server.limits.DefaultMaxTokens), stream: req.Stream.Or(false),
 	}
 	source, f, err := a.server.complete(ctx, ask)
 	if err != nil {
@@ -87,7 +87,7 @@
 		return &oas.CreateChatCompletionOKTextEventStream{Data: stream}, nil
 	}
 	defer source.close()
-	text, usage, err := collect(source, f)
+	text, tokens, err := source.text()
 	if err != nil {
 		return nil, err
 	}
@@ -95,7 +95,7 @@
 	return &oas.ChatCompletion{
 		ID: string(f.row.ID), Object: "chat.completion", Created: created, Model: modelName(f.profile),
 		Choices: []oas.ChatCompletionChoicesItem{{Message: message, FinishReason: source.finishReason()}},
-		Usage:   usage,
+		Usage:   usageOf(f, tokens),
 	}, nil
 }
 
@@ -216,24 +216,11 @@
 	return stream, nil
 }
 
-// collect gives a completion's whole text.
-func collect(source source, f *flight) (string, oas.Usage, error) {
-	var text bytes.Buffer
-	tokens := 0
-	for {
-		piece, err := source.next()
-		if err == io.EOF {
-			break
-		}
-		if err != nil {
-			return "", oas.Usage{}, err
-		}
-		text.WriteString(piece)
-		tokens++
-	}
-	return text.String(), oas.Usage{
+// usageOf counts a completion's tokens.
+func usageOf(f *flight, tokens int) oas.Usage {
+	return oas.Usage{
 		PromptTokens:     f.row.PromptTokens,
 		CompletionTokens: tokens,
 		TotalTokens:      f.row.PromptTokens + tokens,
-	}, nil
+	}
 }
--- a/entry/attempt_test.go
+++ b/entry/attempt_test.go
@@ -161,6 +161,33 @@
 	assert.Assert(t, !strings.Contains(got, "[DONE]"), got)
 }
 
+// An engine dies with half an answer, and meanwhile newer weights were put in
+// force everywhere, so nobody can go on with the old ones. A caller who waits for
+// the whole answer has seen nothing: it gets one of the new weights alone. A
+// caller who streams has seen the beginning, and is told that it broke.
+func TestAnswerBeginsAgainUnderNewWeights(t *testing.T) {
+	for _, stream := range []bool{false, true} {
+		r := newRig(t, func(o *Options) { o.Router = newAgain(1) })
+		newer := testConfiguration()
+		newer.Revision, newer.Models[0].Weights = 2, "v2"
+		r.client.generate = []script{
+			func(ctx context.Context, req engine.GenerateRequest) (engine.Stream, error) {
+				r.server.Configure(newer)
+				return r.client.says([]string{"old"}, &engine.Interrupted{Cause: context.DeadlineExceeded})(ctx, req)
+			},
+			r.client.says([]string{"new", "er"}, nil),
+		}
+		got := read(t, r.post(t, t.Context(), "/v1/completions", fmt.Sprintf(`{"prompt":"p","stream":%t}`, stream)))
+		if stream {
+			assert.DeepEqual(t, texts(t, got), []string{"old"})
+			assert.Equal(t, len(r.client.seen()), 1)
+			continue
+		}
+		assert.Assert(t, strings.Contains(got, `"text":"newer"`), got)
+		assert.Equal(t, r.client.seen()[1].ResumeFrom, 0)
+	}
+}
+
 // Every engine refuses before it begins; then nothing has run and the caller is
 // told so.
 func TestProvenNotStartedIsNotRun(t *testing.T) {
@@ -178,13 +205,18 @@
 	assert.Equal(t, string(failureIn(t, got).Outcome), string(tables.Unknown))
 }
 
-// again is a Decider without judgement: it retries at once, a few times.
+// again is a Decider without judgement: it retries at once, up to most attempts.
 type again struct {
+	most    int
 	waiting []router.Action
 	tries   map[tables.RequestID]int
 	of      map[tables.AttemptID]tables.RequestID
 }
 
+func newAgain(most int) *again {
+	return &again{most: most, tries: map[tables.RequestID]int{}, of: map[tables.AttemptID]tables.RequestID{}}
+}
+
 func (d *again) Configure(tables.Instant, *tables.Configuration) {}
 func (d *again) Cancel(tables.Instant, tables.RequestID)         {}
 func (d *again) NextTick(now tables.Instant) tables.Instant      { return now + testWait }
@@ -204,7 +236,7 @@
 		return
 	}
 	id := d.of[ended.Attempt]
-	if d.tries[id] < 4 {
+	if d.tries[id] < d.most {
 		d.dispatch(id, ended.Delivered)
 		return
 	}
@@ -223,7 +255,7 @@
 func TestCallersSeeOnlyTheTrueAnswer(t *testing.T) {
 	truth := strings.Split("abcdefghij", "")
 	r := newRig(t, func(o *Options) {
-		o.Router = &again{tries: map[tables.RequestID]int{}, of: map[tables.AttemptID]tables.RequestID{}}
+		o.Router = newAgain(4)
 	})
 	var mu sync.Mutex
 	var plans [][]engine.Token
--- a/entry/complete.go
+++ b/entry/complete.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"errors"
 	"io"
 	"strconv"
 	"strings"
@@ -33,6 +34,7 @@
 	profile, model, key string
 	prompt              string
 	maxTokens           int
+	stream              bool
 }
 
 // serviceAsk is a call to a plain service as a caller asked for it.
@@ -41,9 +43,11 @@
 	body                        []byte
 }
 
-// source gives the text of an answer in pieces.
+// source gives the text of an answer, in pieces or whole.
 type source interface {
 	next() (string, error)
+	// text gives the whole text and the number of its tokens.
+	text() (string, int, error)
 	finishReason() string
 	close()
 }
@@ -57,18 +61,12 @@
 	if code != 0 {
 		return nil, nil, notRun("", code, 0)
 	}
-	f := s.newFlight(org, p)
-	f.prompt = ask.prompt
-	f.row.PromptTokens = prefix.Tokens(len(ask.prompt))
-	f.row.MaxTokens = ask.maxTokens
-	scope := prefix.Scope{Organisation: org.ID, Model: p.Model, Adapter: p.Adapter}
-	if m := d.models[p.Model]; m != nil {
-		scope.Weights = m.Weights
+	f := s.newCompletion(d, org, p, ask)
+	if p.Idempotent && ask.stream {
+		return s.launch(ctx, f), f, nil
 	}
-	f.row.Blocks = prefix.Blocks(nil, scope.Root(), ask.prompt)
-	f.row.Fingerprint = fingerprint(org.ID, p.Name, ask.prompt)
 	if p.Idempotent {
-		return s.launch(ctx, f), f, nil
+		return &restartable{reader: s.launch(ctx, f), ctx: ctx, ask: ask}, f, nil
 	}
 	body := bodyHash(string(p.Name), strconv.Itoa(ask.maxTokens), ask.prompt)
 	answer, err := s.once(ctx, f, ask.key, body)
@@ -78,6 +76,53 @@
 	return &stored{answer: answer, limit: ask.maxTokens}, f, nil
 }
 
+// newCompletion makes the flight of a completion under the weights that are
+// wanted now.
+func (s *Server) newCompletion(d *directory, org *tables.Organisation, p *tables.Profile, ask completionAsk) *flight {
+	f := s.newFlight(org, p)
+	f.prompt = ask.prompt
+	f.row.PromptTokens = prefix.Tokens(len(ask.prompt))
+	f.row.MaxTokens = ask.maxTokens
+	f.weights = d.weights(p.Model)
+	scope := prefix.Scope{Organisation: org.ID, Model: p.Model, Adapter: p.Adapter, Weights: f.weights}
+	f.row.Blocks = prefix.Blocks(nil, scope.Root(), ask.prompt)
+	f.row.Fingerprint = fingerprint(org.ID, p.Name, ask.prompt)
+	return f
+}
+
+// restartable gives the text of an answer that is not streamed. When the answer
+// cannot be completed because its weights are not in force any more, it begins
+// again under the new ones: the caller has seen nothing of the old answer.
+type restartable struct {
+	*reader
+	ctx context.Context
+	ask completionAsk
+}
+
+// text gives the whole answer and the number of its tokens.
+func (r *restartable) text() (string, int, error) {
+	text, tokens, err := r.reader.text()
+	if err == nil || !r.outdated(err) {
+		return text, tokens, err
+	}
+	old := r.flight
+	r.reader.close()
+	fresh := old.server.newCompletion(old.server.directory.Load(), old.org, old.profile, r.ask)
+	fresh.row.Arrived, fresh.row.Deadline = old.row.Arrived, old.row.Deadline
+	r.reader = old.server.launch(r.ctx, fresh)
+	return r.reader.text()
+}
+
+// outdated says whether a stream broke and other weights are wanted by now.
+func (r *restartable) outdated(err error) bool {
+	var failure *outcome.Failure
+	if !errors.As(err, &failure) || failure.Code != tables.CodeStreamBroken {
+		return false
+	}
+	f := r.flight
+	return f.weights != f.server.directory.Load().weights(f.profile.Model)
+}
+
 // callService runs a call to a plain service to its end.
 func (s *Server) callService(ctx context.Context, ask serviceAsk) (tables.Answer, error) {
 	org := organisationOf(ctx)
@@ -141,11 +186,11 @@
 	if r.flight.call != nil {
 		return r.whole()
 	}
-	text, err := r.text()
+	text, tokens, err := r.text()
 	if err != nil {
 		return tables.Answer{}, err
 	}
-	return tables.Answer{Type: typeText, Body: []byte(text), Tokens: r.flight.delivered}, nil
+	return tables.Answer{Type: typeText, Body: []byte(text), Tokens: tokens}, nil
 }
 
 // unfinished ends work that must run once and gave no answer.
@@ -173,6 +218,8 @@
 	return string(s.answer.Body), nil
 }
 
+func (s *stored) text() (string, int, error) { return string(s.answer.Body), s.answer.Tokens, nil }
+
 func (s *stored) finishReason() string {
 	if s.answer.Tokens >= s.limit {
 		return finishLength
--- a/entry/directory.go
+++ b/entry/directory.go
@@ -40,6 +40,15 @@
 	return d
 }
 
+// weights gives the version that is wanted for a model, empty if it is not
+// known.
+func (d *directory) weights(name tables.ModelName) tables.WeightsVersion {
+	if m := d.models[name]; m != nil {
+		return m.Weights
+	}
+	return ""
+}
+
 // organisation finds the holder of a bearer token. The lookup is by hash, so
 // that the time it takes tells nothing about tokens that exist.
 func (d *directory) organisation(token string) *tables.Organisation {
--- a/entry/flight.go
+++ b/entry/flight.go
@@ -19,6 +19,8 @@
 	row     tables.Request
 	org     *tables.Organisation
 	profile *tables.Profile
+	// weights is the version that was wanted when the request came.
+	weights tables.WeightsVersion
 	// prompt is what engines get; call is what plain services get.
 	prompt string
 	call   *engine.CallRequest
--- a/entry/outer.go
+++ b/entry/outer.go
@@ -59,7 +59,7 @@
 			w.Header().Set("Connection", "close")
 		}
 		control := http.NewResponseController(w)
-		body := &boundedBody{server: s, body: r.Body, left: s.limits.MaxBody, control: control}
+		body := &boundedBody{server: s, body: r.Body, left: s.limits.MaxBody, declared: r.ContentLength, control: control}
 		defer body.release()
 		_ = control.SetReadDeadline(time.Now().Add(s.limits.ReadStall))
 		r.Body = body
@@ -82,12 +82,17 @@
 	body    io.ReadCloser
 	control *http.ResponseController
 	left    int64
-	held    int64
-	ended   bool
+	// declared is the length that the caller announced, -1 if none.
+	declared int64
+	held     int64
+	ended    bool
 }
 
 // Read fails with *http.MaxBytesError or *heldFull beyond the bounds.
 func (b *boundedBody) Read(p []byte) (int, error) {
+	if b.declared > b.server.limits.MaxBody {
+		return 0, &http.MaxBytesError{Limit: b.server.limits.MaxBody}
+	}
 	n, err := b.body.Read(p)
 	b.left -= int64(n)
 	b.held += int64(n)
