Let a leader whose disk hangs step down

Cause: a leader's heartbeats don't need its disk. With a disk that hangs it stayed leader, committed with the others and applied nothing: callers waited without an end, and no other replica was elected. Change: a leader steps down when one write has taken StallTicks (2 election timeouts), and a replica in that state neither asks for elections nor grants pre-votes.

--- a/replog/config.go
+++ b/replog/config.go
@@ -14,6 +14,9 @@
 	ElectionTicks int
 	// HeartbeatTicks is the time between two heartbeats. Default 1.
 	HeartbeatTicks int
+	// StallTicks is the time that one write of the leader may take before it steps
+	// down. Default 2 times ElectionTicks.
+	StallTicks int
 	// SnapshotTicks is the time without an answer after which a snapshot is sent
 	// again. Default 20 times ElectionTicks.
 	SnapshotTicks int
@@ -41,6 +44,7 @@
 const (
 	defaultElectionTicks       = 10
 	defaultHeartbeatTicks      = 1
+	defaultStallFactor         = 2
 	defaultSnapshotFactor      = 20
 	defaultMaxBatchBytes       = 256 << 10
 	defaultMaxEntryBytes       = 4 << 20
@@ -53,6 +57,7 @@
 func (c *Config) setDefaults() {
 	setDefault(&c.ElectionTicks, defaultElectionTicks)
 	setDefault(&c.HeartbeatTicks, defaultHeartbeatTicks)
+	setDefault(&c.StallTicks, defaultStallFactor*c.ElectionTicks)
 	setDefault(&c.SnapshotTicks, defaultSnapshotFactor*c.ElectionTicks)
 	setDefault(&c.MaxBatchBytes, defaultMaxBatchBytes)
 	setDefault(&c.MaxEntryBytes, defaultMaxEntryBytes)
--- a/replog/election.go
+++ b/replog/election.go
@@ -122,6 +122,10 @@
 }
 
 func (n *Node) mayVote(m Message) bool {
+	if m.Type == MessagePreVote && n.stalled() {
+		// The vote itself would wait for the disk.
+		return false
+	}
 	if m.Type == MessagePreVote && m.Term > n.term {
 		return !n.precedes(m)
 	}
--- a/replog/group_test.go
+++ b/replog/group_test.go
@@ -30,6 +30,8 @@
 	reads   []ReadState
 	soft    SoftState
 	up      bool
+	// hangs keeps writes of this replica outstanding.
+	hangs bool
 }
 
 func testConfig(id ReplicaID, seed uint64) Config {
@@ -83,7 +85,7 @@
 		if rd.MustSync {
 			r.pending = append(r.pending, rd)
 		}
-		if !g.delay {
+		if !g.delay && !r.hangs {
 			g.save(id)
 		}
 	}
--- a/replog/node.go
+++ b/replog/node.go
@@ -23,6 +23,8 @@
 	electionElapsed  int
 	heartbeatElapsed int
 	electionTimeout  int
+	// writeElapsed counts ticks since the outstanding write was handed out.
+	writeElapsed int
 
 	// votes are the answers to the current election by replica.
 	votes map[ReplicaID]bool
@@ -113,11 +115,12 @@
 // Tick tells the Node that one tick has passed.
 func (n *Node) Tick() {
 	n.electionElapsed++
+	n.writeElapsed++
 	if n.role == Leader {
 		n.tickLeader()
 		return
 	}
-	if n.electionElapsed < n.electionTimeout || !n.isVoter() {
+	if n.electionElapsed < n.electionTimeout || !n.isVoter() || n.stalled() {
 		return
 	}
 	n.electionElapsed = 0
@@ -136,6 +139,10 @@
 		n.becomeFollower(n.term, None)
 		return
 	}
+	if n.stalled() {
+		n.becomeFollower(n.term, None)
+		return
+	}
 	if n.electionElapsed >= n.cfg.ElectionTicks {
 		n.electionElapsed = 0
 		n.transferee = None
@@ -145,6 +152,12 @@
 	}
 }
 
+// stalled reports whether the disk hangs. Its heartbeats would keep this replica
+// the leader, while it applies nothing and callers wait. It doesn't ask for
+// elections either: it would only raise the term, since its requests for votes
+// wait for the write.
+func (n *Node) stalled() bool { return n.writing && n.writeElapsed >= n.cfg.StallTicks }
+
 // active reports whether a replica answered within the election timeout.
 func (n *Node) active(id ReplicaID) bool {
 	if id == n.cfg.ID {
--- a/replog/ready.go
+++ b/replog/ready.go
@@ -42,6 +42,7 @@
 func (n *Node) handOutWrites(rd *Ready) {
 	n.seq++
 	n.writing = true
+	n.writeElapsed = 0
 	rd.seq = n.seq
 	rd.MustSync = true
 	rd.HardState = &HardState{Term: n.term, Vote: n.vote, Commit: n.log.commit}
--- a/replog/script_test.go
+++ b/replog/script_test.go
@@ -27,6 +27,7 @@
 //	isolate 1, join 1 cut a replica off in both directions, or join it again
 //	deaf 1            drop what others send to the replica
 //	mute 1            drop what the replica sends
+//	hang 1, resume 1  leave the replica's writes unfinished, or finish them
 //	crash 1, start 1  stop a replica and start it from its disk
 //	forget 1          start a replica with an empty disk under its old identity
 //	compact 1         replace all applied entries by a snapshot
@@ -112,6 +113,8 @@
 	"join":     {1, func(s *script, a []string) string { s.group.isolate(id(s.t, a[0]), false); return "" }},
 	"deaf":     {1, (*script).deaf},
 	"mute":     {1, (*script).mute},
+	"hang":     {1, func(s *script, a []string) string { s.of(a[0]).hangs = true; return "" }},
+	"resume":   {1, func(s *script, a []string) string { s.of(a[0]).hangs = false; s.save(id(s.t, a[0])); return "" }},
 	"crash":    {1, func(s *script, a []string) string { s.of(a[0]).up = false; return "" }},
 	"start":    {1, func(s *script, a []string) string { s.group.restart(id(s.t, a[0])); return "" }},
 	"forget":   {1, (*script).forget},
