--- a/internal/partition/partition.go
+++ b/internal/partition/partition.go
@@ -5,7 +5,9 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"sync"
+	"sync/atomic"
 
 	"github.com/carawaystile/carawaystile/tables"
 )
@@ -63,6 +65,16 @@
 	return n.healed
 }
 
+// Reaches says whether datagrams sent from a zone arrive at an address.
+func (n *Network) Reaches(from tables.Zone) func(to netip.AddrPort) bool {
+	return func(to netip.AddrPort) bool {
+		n.mu.Lock()
+		zone := n.zones[to.String()]
+		n.mu.Unlock()
+		return n.blocked(from, zone) == nil
+	}
+}
+
 // Dialer opens connections from a zone.
 func (n *Network) Dialer(from tables.Zone) func(ctx context.Context, network, address string) (net.Conn, error) {
 	return func(ctx context.Context, protocol, address string) (net.Conn, error) {
@@ -92,6 +104,9 @@
 	from, to tables.Zone
 	closing  sync.Once
 	closed   chan struct{}
+	losing   sync.Once
+	// lost is set once something was sent into a cut.
+	lost atomic.Bool
 }
 
 // Read gives nothing while the zones are cut off from each other.
@@ -109,14 +124,32 @@
 	}
 }
 
-// Write loses what is sent into a cut.
+// Write loses what is sent into a cut. A connection never goes on with a hole
+// in it, which TCP would not allow either.
 func (c *cuttable) Write(p []byte) (int, error) {
-	if c.network.blocked(c.from, c.to) != nil {
+	if healed := c.network.blocked(c.from, c.to); healed != nil {
+		c.losing.Do(func() {
+			c.lost.Store(true)
+			go c.resetAfter(healed)
+		})
 		return len(p), nil
 	}
+	if c.lost.Load() {
+		return 0, &net.OpError{Op: "write", Net: "tcp", Err: net.ErrClosed}
+	}
 	return c.Conn.Write(p)
 }
 
+// resetAfter ends the connection when the cut is over, so that its reader does
+// not wait for an answer to what was lost.
+func (c *cuttable) resetAfter(healed <-chan struct{}) {
+	select {
+	case <-healed:
+		_ = c.Conn.Close()
+	case <-c.closed:
+	}
+}
+
 // Close ends the connection.
 func (c *cuttable) Close() error {
 	c.closing.Do(func() { close(c.closed) })
