Fetch a newer revision from one instance at a time

Change: Follower.FetchNewer asks one at a time and only with a copy to start from; the daemon calls it. Conclusion: found by reading.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -283,3 +283,36 @@
 	<-s
 	return nil, &lostAnswer{}
 }
+
+// Hundreds of instances tell of a revision at the same moment. Asking each of
+// them would bring the same content as many times.
+func TestNewerRevisionIsFetchedOnce(t *testing.T) {
+	c := newCluster(t, 1, 0)
+	counting := &blockingSource{asked: make(chan struct{}, 8), answer: make(chan struct{})}
+	f := c.instances[0].follower
+	assert.NilError(t, f.FetchNewer(c.long(), counting))
+	assert.Equal(t, len(counting.asked), 0)
+	c.apply(0, "r1", 0, time.Second)
+	<-f.Ready()
+	first := make(chan error)
+	go func() { first <- f.FetchNewer(c.long(), counting) }()
+	<-counting.asked
+	assert.NilError(t, f.FetchNewer(c.long(), counting))
+	assert.Equal(t, len(counting.asked), 0)
+	close(counting.answer)
+	assert.NilError(t, <-first)
+	assert.NilError(t, f.FetchNewer(c.long(), counting))
+	assert.Equal(t, len(counting.asked), 1)
+}
+
+// blockingSource has nothing new, and says so once answer is closed.
+type blockingSource struct {
+	asked  chan struct{}
+	answer chan struct{}
+}
+
+func (s *blockingSource) Watch(_ context.Context, r *rpc.WatchRequest) (*rpc.WatchAnswer, error) {
+	s.asked <- struct{}{}
+	<-s.answer
+	return &rpc.WatchAnswer{Revision: r.GetRevision()}, nil
+}
--- a/control/follower/follower.go
+++ b/control/follower/follower.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -78,6 +79,8 @@
 	running sync.WaitGroup
 	ready   chan struct{}
 
+	// fetching is set while FetchNewer asks.
+	fetching atomic.Bool
 	// takes is held while a newer configuration is saved and put in force.
 	takes sync.Mutex
 
@@ -222,8 +225,20 @@
 	}
 }
 
+// FetchNewer asks an instance that was seen to have a newer revision. It does
+// nothing while an earlier call still asks, or while this instance has no copy
+// yet: many instances tell of a revision at once, and each answer could be the
+// whole content.
+func (f *Follower) FetchNewer(ctx context.Context, source Source) error {
+	if revision, _ := f.InForce(); revision == 0 || !f.fetching.CompareAndSwap(false, true) {
+		return nil
+	}
+	defer f.fetching.Store(false)
+	return f.Fetch(ctx, source, 0)
+}
+
 // Fetch asks one source, which may wait for something new, and takes what it
-// has. It is also called when another instance is seen to have a newer revision.
+// has.
 func (f *Follower) Fetch(ctx context.Context, source Source, wait time.Duration) error {
 	have, _ := f.InForce()
 	answer, err := f.ask(ctx, source, uint64(have), wait)
--- a/daemon/membership.go
+++ b/daemon/membership.go
@@ -88,7 +88,7 @@
 	d.background.Go(func() {
 		ctx, cancel := context.WithTimeout(d.stopping, fetchTimeout)
 		defer cancel()
-		_ = d.follower.Fetch(ctx, d.dialer.Control(at.String()), 0)
+		_ = d.follower.FetchNewer(ctx, d.dialer.Control(at.String()))
 	})
 }
 
