Script a change of weights under open requests

Cause: no script had weights that change while a stream runs, nor two operators who apply over the same revision. Change: weights-change, the command weights and the expectation from VERSION; operators' commands stand in their own file. Conclusion: answers never mix versions, new requests get the new one.

--- a/scenario/commands.go
+++ b/scenario/commands.go
@@ -2,16 +2,14 @@
 
 import (
 	"context"
-	"fmt"
-	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 
-	"github.com/carawaystile/carawaystile/rpc"
 	"github.com/carawaystile/carawaystile/standin"
+	"github.com/carawaystile/carawaystile/tables"
 )
 
 type command = func(ts *testscript.TestScript, neg bool, args []string)
@@ -25,7 +23,7 @@
 //	send NAME INSTANCE stream|whole|publish [tokens=N] [key=K] [text=T] [poison] [patient]
 //	await NAME N                  wait until the caller has N tokens
 //	hangup NAME                   the caller goes away
-//	expect NAME whole|code N|outcome O|broken|failed|ended
+//	expect NAME whole|from VERSION|code N|outcome O|broken|failed|ended
 //	crash ENGINE|SERVICE|@NAME    @NAME is the engine that runs the request
 //	restart ENGINE|SERVICE        bring it back, empty
 //	hang / resume ENGINE|SERVICE  stop without closing anything
@@ -33,6 +31,7 @@
 //	slow / fast                   all engines
 //	cut ZONE / heal
 //	leave ENDPOINT INSTANCE       an operator tells it to the instance
+//	weights VERSION INSTANCE BASE an operator applies other weights over a revision
 //	idle ENDPOINT                 note what it has got so far; with !, it must not have got more since
 //	quiet                         wait until no engine runs anything
 //	revision INSTANCE N           wait until the instance has the revision, or a later one
@@ -46,7 +45,7 @@
 		"send": send, "await": await, "hangup": hangup, "expect": expect,
 		"crash": crash, "restart": restart, "hang": hang, "resume": resume, "halfopen": halfOpen,
 		"slow": slow, "fast": fast, "cut": cut, "heal": heal,
-		"leave": leave, "idle": idle, "calls": calls, "ran": ran, "crashes": crashes,
+		"leave": leave, "weights": newWeights, "idle": idle, "calls": calls, "ran": ran, "crashes": crashes,
 		"quiet": quiet, "revision": revision, "promises": promises,
 	}
 }
@@ -178,6 +177,9 @@
 	switch args[0] {
 	case "whole":
 		return described == "whole"
+	case "from":
+		text := standin.NewText(model, "", tables.WeightsVersion(args[1]), r.prompt)
+		return r.marked && r.got.String() == text.First(r.tokens)
 	case "ended":
 		return true
 	case "failed":
@@ -280,28 +282,6 @@
 
 func heal(ts *testscript.TestScript, _ bool, _ []string) { worldOf(ts).network.Heal() }
 
-// operator sends an operator's command with its key.
-type operator struct{}
-
-func (operator) Do(req *http.Request) (*http.Response, error) {
-	req.Header.Set("Authorization", "Bearer "+strings.Repeat("k", 40))
-	return http.DefaultClient.Do(req)
-}
-
-func operatorOf(ts *testscript.TestScript, name string) rpc.Operator {
-	at := instanceOf(ts, name).options.Process.Listen.Instances
-	return rpc.NewOperatorProtobufClient("http://"+at.String(), operator{})
-}
-
-func revision(ts *testscript.TestScript, _ bool, args []string) {
-	need(ts, args, 2)
-	client, want := operatorOf(ts, args[0]), uint64(number(ts, args[1]))
-	until(ts, args[0]+" has not the revision", func() bool {
-		answer, err := client.Status(context.Background(), &rpc.StatusRequest{})
-		return err == nil && answer.GetRevision() >= want
-	})
-}
-
 // until polls a condition that no event announces.
 func until(ts *testscript.TestScript, what string, met func() bool) {
 	for deadline := time.Now().Add(wait); !met(); {
@@ -323,19 +303,6 @@
 	})
 }
 
-func leave(ts *testscript.TestScript, neg bool, args []string) {
-	need(ts, args, 2)
-	client := operatorOf(ts, args[1])
-	ctx, cancel := context.WithTimeout(context.Background(), wait)
-	defer cancel()
-	answer, err := client.EndpointLeave(ctx, &rpc.EndpointRequest{
-		Operator: "o", Request: fmt.Sprint("leave-", args[0]), Endpoint: args[0], Life: 1,
-	})
-	if accepted := err == nil && answer.GetAccepted() != nil; accepted == neg {
-		ts.Fatalf("leave %s at %s: %v %v", args[0], args[1], answer, err)
-	}
-}
-
 // idle notes the work of an endpoint; the negated form fails if it got more
 // since.
 func idle(ts *testscript.TestScript, neg bool, args []string) {
--- a/scenario/request.go
+++ b/scenario/request.go
@@ -43,12 +43,15 @@
 	return &request{name: name, prompt: prompt, tokens: tokens, done: make(chan struct{}), grown: make(chan struct{})}
 }
 
-// want is what a whole answer looks like.
-func (r *request) want() string {
+// right says whether a whole answer is one that an endpoint gives. A completion
+// may be that of the weights in force at the start or of newer ones, but not a
+// mixture.
+func (r *request) right(got string) bool {
 	if r.key != "" {
-		return standin.ServiceAnswer("send", []byte(r.text))
+		return got == standin.ServiceAnswer("send", []byte(r.text))
 	}
-	return standin.NewText(model, "", weights, r.prompt).First(r.tokens)
+	return got == standin.NewText(model, "", weights, r.prompt).First(r.tokens) ||
+		got == standin.NewText(model, "", newerWeights, r.prompt).First(r.tokens)
 }
 
 func (r *request) change(do func()) {
@@ -225,7 +228,7 @@
 		return "code " + jsonOf(r.failure)
 	case r.broken != nil:
 		return "broken: " + r.broken.Error()
-	case r.marked && r.got.String() == r.want():
+	case r.marked && r.right(r.got.String()):
 		return "whole"
 	case r.marked:
 		return "end mark after a wrong answer: " + r.got.String()
--- a/scenario/world.go
+++ b/scenario/world.go
@@ -34,7 +34,9 @@
 
 	model   = "m"
 	weights = "w1"
-	token   = "press-token"
+	// newerWeights are those that scripts put in force.
+	newerWeights = "w2"
+	token        = "press-token"
 
 	enginesPerZone = 2
 	serviceSlots   = 8
