Form groups and find the first configuration sooner

Cause: at a first start an instance waited a second for another source after one that had answered that there is nothing yet, and half a second between two rounds of forming the group. Change: an answer without content is followed by a short random pause; forming asks every 100 ms; tests use shorter ticks, measures do not.

--- a/control/cluster_test.go
+++ b/control/cluster_test.go
@@ -141,6 +141,11 @@
 		Dialer: in.dialer,
 		Disk:   server.FolderDisk{Folder: in.folder},
 	}
+	// Tests start a group each, and most of their time would be its first
+	// election. Measures use the default.
+	if _, test := c.t.(*testing.T); test {
+		options.TickInterval = 20 * time.Millisecond
+	}
 	for j := range c.controls {
 		if j != i {
 			other := c.instances[j]
--- a/control/follower/follower.go
+++ b/control/follower/follower.go
@@ -183,20 +183,26 @@
 	defer cancel()
 	wait := nextSource
 	for at := 0; ; at++ {
+		answered := make(chan struct{})
 		if sources := f.options.Sources(); len(sources) > 0 {
 			source := sources[at%len(sources)]
-			f.running.Go(func() { _ = f.Fetch(ctx, source, 0) })
+			f.running.Go(func() {
+				defer close(answered)
+				_ = f.Fetch(ctx, source, 0)
+			})
 		}
 		timer := time.NewTimer(wait + rand.N(wait/2))
-		wait = min(2*wait, maxNextSource)
 		select {
 		case <-f.ready:
-			timer.Stop()
-			return
 		case <-ctx.Done():
-			timer.Stop()
-			return
+		case <-answered:
+			pause(ctx)
 		case <-timer.C:
+			wait = min(2*wait, maxNextSource)
+		}
+		timer.Stop()
+		if revision, _ := f.InForce(); revision > 0 || ctx.Err() != nil {
+			return
 		}
 	}
 }
--- a/control/server/form.go
+++ b/control/server/form.go
@@ -43,7 +43,7 @@
 			s.willHaveLog()
 			return s.found(append(s.asFounders(answers), self))
 		}
-		s.pause(ctx, joinPause)
+		s.pause(ctx, formPause)
 		if ctx.Err() != nil {
 			return nil, trace.Wrap(ctx.Err())
 		}
@@ -70,7 +70,7 @@
 	answers := make([]*rpc.JoinAnswer, len(s.options.Others))
 	all := true
 	for i, other := range s.options.Others {
-		asking, cancel := context.WithTimeout(ctx, joinPause)
+		asking, cancel := context.WithTimeout(ctx, joinTimeout)
 		answer, err := s.options.Dialer.Control(other.Address).Join(asking, &rpc.JoinRequest{Replica: self})
 		cancel()
 		if err != nil {
@@ -189,7 +189,7 @@
 	}
 	if !status.Members.IsVoter(status.ID) {
 		self := s.founder()
-		ctx, cancel := context.WithTimeout(context.Background(), joinPause*time.Duration(len(s.options.Others)+1))
+		ctx, cancel := context.WithTimeout(context.Background(), joinTimeout*time.Duration(len(s.options.Others)+1))
 		s.running.Go(func() {
 			defer cancel()
 			s.askToJoin(ctx, self)
--- a/control/server/options.go
+++ b/control/server/options.go
@@ -123,8 +123,10 @@
 	// handOverTimeout bounds how long a leader that closes waits until another
 	// replica leads.
 	handOverTimeout = 500 * time.Millisecond
-	// joinPause is the time between two rounds of asking to join.
-	joinPause = 500 * time.Millisecond
+	// joinTimeout bounds the answer of one instance that is asked to join, and
+	// formPause is the time between two rounds of asking before there is a group.
+	joinTimeout = 500 * time.Millisecond
+	formPause   = 100 * time.Millisecond
 )
 
 func (o *Options) setDefaults() {
--- a/control/server/server_test.go
+++ b/control/server/server_test.go
@@ -195,7 +195,7 @@
 	}
 	g.disks[0] = &memoryDisk{}
 	g.start(0)
-	short, cancel := context.WithTimeout(context.Background(), 4*joinPause)
+	short, cancel := context.WithTimeout(context.Background(), 10*formPause)
 	defer cancel()
 	assert.Assert(t, g.execute(0, short, claimCommand("i1", "t1")) == nil)
 	assert.Assert(t, !g.servers[0].Status().Formed)
