--- a/replog/node_test.go
+++ b/replog/node_test.go
@@ -191,6 +191,8 @@
 	assert.Equal(t, n.Status().Role, Leader)
 }
 
+// Callers send more than the group can commit, or one entry that no message can
+// carry. Without a bound the leader would run out of memory and all would wait.
 func TestProposalsAreBounded(t *testing.T) {
 	n := single(t)
 	_, err := n.Propose(nil)
@@ -225,6 +227,9 @@
 	assert.Assert(t, errors.As(err, &inconsistent))
 }
 
+// A message comes from another group on the same addresses, for another replica,
+// or damaged on its way. It must change nothing: with a gap in its entries, the
+// replica could never start again from what it saved.
 func TestForeignMessagesAreRefused(t *testing.T) {
 	n := single(t)
 	var bad *BadMessage
--- a/store/atomic_test.go
+++ b/store/atomic_test.go
@@ -25,6 +25,8 @@
 	d.check(OpSync, d.root)
 }
 
+// A disk returns other bytes than were written, or less of them. An instance that
+// starts from them would work by a configuration that nobody accepted.
 func TestAtomicFileReportsEveryDamagedByte(t *testing.T) {
 	dir := t.TempDir()
 	assert.NilError(t, WriteAtomic(dir, "config", []byte("content")))
