Leave unreachable endpoints at once (router and entry folders)

Cause: in a zone that is cut off, six of nine endpoints take no connection. Each needed three failures to be ejected, and each failure cost a request one of its four tries and the fleet's retry budget, so requests were refused with 5030 and 4292 though three endpoints of the own zone were idle. Change: a new end of attempts, Unreachable: nothing ran, the endpoint is ejected at once, and the next try counts neither against the request nor the budget; at most 16 endpoints a request.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -138,8 +138,13 @@
 	}
 	end := router.NeverStarted
 	var not *engine.NotStarted
-	if errors.As(err, &not) && not.Declined {
-		end = router.Refused
+	if errors.As(err, &not) {
+		switch {
+		case not.Declined:
+			end = router.Refused
+		case not.Unreachable:
+			end = router.Unreachable
+		}
 	}
 	a.tell(router.AttemptEnded{End: end}, &proof)
 }
--- a/router/contract.go
+++ b/router/contract.go
@@ -80,6 +80,9 @@
 	Crashed
 	// Cancelled: ended by us.
 	Cancelled
+	// Unreachable: provably nothing ran, because the endpoint's address took no
+	// connection.
+	Unreachable
 )
 
 // AttemptEnded ends an attempt. Delivered is the number of tokens that have
--- a/router/finish.go
+++ b/router/finish.go
@@ -23,7 +23,7 @@
 	r.judge(now, a, in.End)
 	r.suspectEnd(now, a, in)
 	row := a.Request
-	if in.End != NeverStarted && in.End != Refused {
+	if !in.End.provesNotRun() {
 		row.MayHaveRun = true
 	}
 	if in.Delivered > row.Delivered {
@@ -60,11 +60,18 @@
 		if a.Request.Profile.Idempotent {
 			health.Failed(now, &row.Health)
 		}
+	case Unreachable:
+		health.Eject(now, &row.Health)
 	case Crashed:
 		r.crashed(now, row, a.Boot)
 	}
 }
 
+// provesNotRun says whether the attempt cannot have run.
+func (e AttemptEnd) provesNotRun() bool {
+	return e == NeverStarted || e == Refused || e == Unreachable
+}
+
 // crashed ends a life of an endpoint: its cache is gone.
 func (r *Router) crashed(now tables.Instant, row *tables.EndpointRow, boot tables.BootID) {
 	if boot != row.Boot {
@@ -102,21 +109,36 @@
 		r.fail(row, tables.CodeSuspect, 0)
 	case !retry.Allowed(row):
 		r.fail(row, tables.CodeOutcomeUnknown, 0)
+	case in.End == Unreachable && len(row.Tried) < maxUnreachable:
+		// Nothing reached an endpoint, so trying another adds no load to the
+		// fleet. When a zone is cut off, two thirds of the endpoints are gone at
+		// once: counted like other retries, these would use up the request's
+		// tries and the budget of all, and requests would be refused though the
+		// own zone's endpoints are idle.
+		r.again(now, row)
 	case row.Retries+1 >= retry.MaxAttempts:
 		r.fail(row, failureCode(row), retryAfter)
 	case !r.budget.Spend():
 		r.fail(row, r.budgetCode(row), retryAfter)
 	default:
 		row.Retries++
-		row.NotBefore = now + retry.Delay(row.Retries)
-		row.StartBy = now + admission.Patience(row.Profile)
-		if row.Request.Deadline > 0 {
-			row.StartBy = min(row.StartBy, row.Request.Deadline)
-		}
-		r.enqueue(now, row, ownGroup(row))
+		r.again(now, row)
 	}
 }
 
+// again lets a request wait for its next attempt.
+func (r *Router) again(now tables.Instant, row *tables.RequestRow) {
+	row.NotBefore = now + retry.Delay(max(row.Retries, 1))
+	row.StartBy = now + admission.Patience(row.Profile)
+	if row.Request.Deadline > 0 {
+		row.StartBy = min(row.StartBy, row.Request.Deadline)
+	}
+	r.enqueue(now, row, ownGroup(row))
+}
+
+// maxUnreachable bounds the endpoints that one request finds unreachable.
+const maxUnreachable = 16
+
 // budgetCode is the code of a request that was not tried again for want of
 // budget. A stream that broke is called that, whatever the reason.
 func (r *Router) budgetCode(row *tables.RequestRow) tables.Code {
