--- a/router/place.go
+++ b/router/place.go
@@ -24,7 +24,7 @@
 	// waitReuse and waitHeld are how much a second of waiting counts for work
 	// that favours reuse, and for work that can be held.
 	waitReuse = 0.3
-	waitHeld  = 0.1
+	waitHeld  = 0.03
 	// maxAhead is the longest queue of prefill, in weighted seconds, that work
 	// which cannot be held is added to. What would wait longer waits here, where
 	// its turn can pass to another organisation and where it can still be
