Count attempts that never started for less

When zones are cut off many endpoints become unreachable at once, and a request used up its four attempts before the instance knew. An attempt that never started now costs a quarter, and two of them eject an endpoint.

--- a/router/finish.go
+++ b/router/finish.go
@@ -58,7 +58,7 @@
 		// Work that runs at most once also ends like this when its claim is not
 		// granted, which says nothing of the endpoint.
 		if a.Request.Profile.Idempotent {
-			health.Failed(now, &row.Health)
+			health.Unreachable(now, &row.Health)
 		}
 	case Crashed:
 		r.crashed(now, row, a.Boot)
@@ -94,6 +94,7 @@
 // afterFailure retries a request whose last attempt failed, or fails it.
 func (r *Router) afterFailure(now tables.Instant, a *tables.AttemptRow, in AttemptEnded) {
 	row := a.Request
+	cost := retry.Cost(in.End != NeverStarted)
 	switch {
 	case in.End == Cancelled && !a.Aborted:
 		// The shell gave the request up itself and tells its caller.
@@ -102,12 +103,13 @@
 		r.fail(row, tables.CodeSuspect, 0)
 	case !retry.Allowed(row):
 		r.fail(row, tables.CodeOutcomeUnknown, 0)
-	case row.Retries+1 >= retry.MaxAttempts:
+	case row.RetryCost+cost > retry.MaxCost:
 		r.fail(row, failureCode(row), retryAfter)
-	case !r.budget.Spend():
+	case !r.budget.Spend(cost):
 		r.fail(row, r.budgetCode(row), retryAfter)
 	default:
 		row.Retries++
+		row.RetryCost += cost
 		row.NotBefore = now + retry.Delay(row.Retries)
 		row.StartBy = now + admission.Patience(row.Profile)
 		if row.Request.Deadline > 0 {
--- a/router/watch.go
+++ b/router/watch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/carawaystile/carawaystile/systems/health"
+	"github.com/carawaystile/carawaystile/systems/retry"
 	"github.com/carawaystile/carawaystile/systems/waiting"
 	"github.com/carawaystile/carawaystile/tables"
 )
@@ -101,7 +102,7 @@
 			r.abort(now, a)
 			continue
 		}
-		if r.wantsHedge(now, row, a) && r.budget.Spend() {
+		if r.wantsHedge(now, row, a) && r.budget.Spend(retry.Cost(true)) {
 			r.place(now, row, true)
 			return
 		}
--- a/systems/health/health.go
+++ b/systems/health/health.go
@@ -45,6 +45,15 @@
 	}
 }
 
+// Unreachable takes in an attempt that could not be started. It counts twice:
+// nothing else is learnt by trying again.
+func Unreachable(now tables.Instant, h *tables.Health) {
+	Failed(now, h)
+	if h.State != tables.Ejected {
+		Failed(now, h)
+	}
+}
+
 // Eject takes an endpoint out at once, as after a crash.
 func Eject(now tables.Instant, h *tables.Health) {
 	if h.State == tables.Ejected && h.Until > now {
--- a/systems/retry/retry.go
+++ b/systems/retry/retry.go
@@ -15,8 +15,13 @@
 	// made before any was earned.
 	ratio   = 0.2
 	reserve = 20
-	// MaxAttempts bounds the attempts of one request.
-	MaxAttempts = 4
+	// MaxCost bounds the retries of one request by their cost. An attempt that
+	// may have run costs costRan; one that never started cost its endpoint
+	// nothing and counts for less, so that a request outlasts the moments in
+	// which several endpoints have become unreachable at once.
+	MaxCost          = 12
+	costRan          = 4
+	costNeverStarted = 1
 	// firstDelay is the wait before the first retry; it doubles with each.
 	firstDelay = 5 * time.Millisecond
 )
@@ -28,12 +33,21 @@
 // Earn counts a request.
 func (b *Budget) Earn() { b.spent = max(0, b.spent-ratio) }
 
-// Spend takes one retry if there is budget for it.
-func (b *Budget) Spend() bool {
-	if b.spent+1 > reserve {
+// Cost is what a retry after an attempt costs its request.
+func Cost(mayHaveRun bool) int {
+	if mayHaveRun {
+		return costRan
+	}
+	return costNeverStarted
+}
+
+// Spend takes one retry of the given cost if there is budget for it.
+func (b *Budget) Spend(cost int) bool {
+	part := float64(cost) / costRan
+	if b.spent+part > reserve {
 		return false
 	}
-	b.spent++
+	b.spent += part
 	return true
 }
 
--- a/tables/requests.go
+++ b/tables/requests.go
@@ -35,6 +35,8 @@
 	Tried []EndpointIndex
 	// Retries counts attempts after the first one, hedges not included.
 	Retries int
+	// RetryCost sums up what they cost; those that never started cost less.
+	RetryCost int
 	// Delivered and Weights describe a stream that is being resumed: tokens
 	// that the caller has, and the weights that made them.
 	Delivered int
