--- a/replog/config.go
+++ b/replog/config.go
@@ -14,6 +14,9 @@
 	ElectionTicks int
 	// HeartbeatTicks is the time between two heartbeats. Default 1.
 	HeartbeatTicks int
+	// StallTicks is the time that one write of the leader may take before it steps
+	// down. Default 2 times ElectionTicks.
+	StallTicks int
 	// SnapshotTicks is the time without an answer after which a snapshot is sent
 	// again. Default 20 times ElectionTicks.
 	SnapshotTicks int
@@ -28,9 +31,11 @@
 	// MaxInflight bounds the messages with entries that are sent to a replica
 	// and not acknowledged. Default 64.
 	MaxInflight int
-	// TrailingEntries is how many entries are kept in memory before a snapshot,
-	// for replicas that are only a little behind. Default 1000.
+	// TrailingEntries and TrailingBytes bound the entries that are kept in memory
+	// before a snapshot, for replicas that are only a little behind. Defaults
+	// 1000 and 4 MiB.
 	TrailingEntries uint64
+	TrailingBytes   int
 	// Seed determines the election timeouts. Replicas need different seeds or
 	// IDs.
 	Seed uint64
@@ -39,22 +44,26 @@
 const (
 	defaultElectionTicks       = 10
 	defaultHeartbeatTicks      = 1
+	defaultStallFactor         = 2
 	defaultSnapshotFactor      = 20
 	defaultMaxBatchBytes       = 256 << 10
 	defaultMaxEntryBytes       = 4 << 20
 	defaultMaxUncommittedBytes = 32 << 20
 	defaultMaxInflight         = 64
 	defaultTrailingEntries     = 1000
+	defaultTrailingBytes       = 4 << 20
 )
 
 func (c *Config) setDefaults() {
 	setDefault(&c.ElectionTicks, defaultElectionTicks)
 	setDefault(&c.HeartbeatTicks, defaultHeartbeatTicks)
+	setDefault(&c.StallTicks, defaultStallFactor*c.ElectionTicks)
 	setDefault(&c.SnapshotTicks, defaultSnapshotFactor*c.ElectionTicks)
 	setDefault(&c.MaxBatchBytes, defaultMaxBatchBytes)
 	setDefault(&c.MaxEntryBytes, defaultMaxEntryBytes)
 	setDefault(&c.MaxUncommittedBytes, defaultMaxUncommittedBytes)
 	setDefault(&c.MaxInflight, defaultMaxInflight)
+	setDefault(&c.TrailingBytes, defaultTrailingBytes)
 	if c.TrailingEntries == 0 {
 		c.TrailingEntries = defaultTrailingEntries
 	}
--- a/router/finish.go
+++ b/router/finish.go
@@ -23,7 +23,7 @@
 	r.judge(now, a, in.End)
 	r.suspectEnd(now, a, in)
 	row := a.Request
-	if in.End != NeverStarted && in.End != Refused {
+	if !in.End.provesNotRun() {
 		row.MayHaveRun = true
 	}
 	if in.Delivered > row.Delivered {
@@ -58,13 +58,20 @@
 		// Work that runs at most once also ends like this when its claim is not
 		// granted, which says nothing of the endpoint.
 		if a.Request.Profile.Idempotent {
-			health.Unreachable(now, &row.Health)
+			health.Failed(now, &row.Health)
 		}
+	case Unreachable:
+		health.Eject(now, &row.Health)
 	case Crashed:
 		r.crashed(now, row, a.Boot)
 	}
 }
 
+// provesNotRun says whether the attempt cannot have run.
+func (e AttemptEnd) provesNotRun() bool {
+	return e == NeverStarted || e == Refused || e == Unreachable
+}
+
 // crashed ends a life of an endpoint: its cache is gone.
 func (r *Router) crashed(now tables.Instant, row *tables.EndpointRow, boot tables.BootID) {
 	if boot != row.Boot {
@@ -94,7 +101,6 @@
 // afterFailure retries a request whose last attempt failed, or fails it.
 func (r *Router) afterFailure(now tables.Instant, a *tables.AttemptRow, in AttemptEnded) {
 	row := a.Request
-	cost := retry.Cost(in.End != NeverStarted)
 	switch {
 	case in.End == Cancelled && !a.Aborted:
 		// The shell gave the request up itself and tells its caller.
@@ -103,22 +109,36 @@
 		r.fail(row, tables.CodeSuspect, 0)
 	case !retry.Allowed(row):
 		r.fail(row, tables.CodeOutcomeUnknown, 0)
-	case row.RetryCost+cost > retry.MaxCost:
+	case in.End == Unreachable && len(row.Tried) < maxUnreachable:
+		// Nothing reached an endpoint, so trying another adds no load to the
+		// fleet. When a zone is cut off, two thirds of the endpoints are gone at
+		// once: counted like other retries, these would use up the request's
+		// tries and the budget of all, and requests would be refused though the
+		// own zone's endpoints are idle.
+		r.again(now, row)
+	case row.Retries+1 >= retry.MaxAttempts:
 		r.fail(row, failureCode(row), retryAfter)
-	case !r.budget.Spend(cost):
+	case !r.budget.Spend():
 		r.fail(row, r.budgetCode(row), retryAfter)
 	default:
 		row.Retries++
-		row.RetryCost += cost
-		row.NotBefore = now + retry.Delay(row.Retries)
-		row.StartBy = now + admission.Patience(row.Profile)
-		if row.Request.Deadline > 0 {
-			row.StartBy = min(row.StartBy, row.Request.Deadline)
-		}
-		r.enqueue(now, row, ownGroup(row))
+		r.again(now, row)
 	}
 }
 
+// again lets a request wait for its next attempt.
+func (r *Router) again(now tables.Instant, row *tables.RequestRow) {
+	row.NotBefore = now + retry.Delay(max(row.Retries, 1))
+	row.StartBy = now + admission.Patience(row.Profile)
+	if row.Request.Deadline > 0 {
+		row.StartBy = min(row.StartBy, row.Request.Deadline)
+	}
+	r.enqueue(now, row, ownGroup(row))
+}
+
+// maxUnreachable bounds the endpoints that one request finds unreachable.
+const maxUnreachable = 16
+
 // budgetCode is the code of a request that was not tried again for want of
 // budget. A stream that broke is called that, whatever the reason.
 func (r *Router) budgetCode(row *tables.RequestRow) tables.Code {
