--- a/control/follower/follower.go
+++ b/control/follower/follower.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -78,6 +79,8 @@
 	running sync.WaitGroup
 	ready   chan struct{}
 
+	// fetching is set while FetchNewer asks.
+	fetching atomic.Bool
 	// takes is held while a newer configuration is saved and put in force.
 	takes sync.Mutex
 
@@ -180,20 +183,26 @@
 	defer cancel()
 	wait := nextSource
 	for at := 0; ; at++ {
+		answered := make(chan struct{})
 		if sources := f.options.Sources(); len(sources) > 0 {
 			source := sources[at%len(sources)]
-			f.running.Go(func() { _ = f.Fetch(ctx, source, 0) })
+			f.running.Go(func() {
+				defer close(answered)
+				_ = f.Fetch(ctx, source, 0)
+			})
 		}
 		timer := time.NewTimer(wait + rand.N(wait/2))
-		wait = min(2*wait, maxNextSource)
 		select {
 		case <-f.ready:
-			timer.Stop()
-			return
 		case <-ctx.Done():
-			timer.Stop()
-			return
+		case <-answered:
+			pause(ctx)
 		case <-timer.C:
+			wait = min(2*wait, maxNextSource)
+		}
+		timer.Stop()
+		if revision, _ := f.InForce(); revision > 0 || ctx.Err() != nil {
+			return
 		}
 	}
 }
@@ -222,8 +231,20 @@
 	}
 }
 
+// FetchNewer asks an instance that was seen to have a newer revision. It does
+// nothing while an earlier call still asks, or while this instance has no copy
+// yet: many instances tell of a revision at once, and each answer could be the
+// whole content.
+func (f *Follower) FetchNewer(ctx context.Context, source Source) error {
+	if revision, _ := f.InForce(); revision == 0 || !f.fetching.CompareAndSwap(false, true) {
+		return nil
+	}
+	defer f.fetching.Store(false)
+	return f.Fetch(ctx, source, 0)
+}
+
 // Fetch asks one source, which may wait for something new, and takes what it
-// has. It is also called when another instance is seen to have a newer revision.
+// has.
 func (f *Follower) Fetch(ctx context.Context, source Source, wait time.Duration) error {
 	have, _ := f.InForce()
 	answer, err := f.ask(ctx, source, uint64(have), wait)
--- a/measure/cluster.go
+++ b/measure/cluster.go
@@ -262,7 +262,7 @@
 	c.time.after(hop, func() {
 		e := c.engines[a.Endpoint.ID]
 		if !c.reaches(i, e) {
-			i.ended(j, router.NeverStarted)
+			i.ended(j, router.Unreachable)
 			return
 		}
 		e.arrive(j)
