Pass placements on to the other instances (entry and daemon folders)

The router collects what placements bring anew, and the membership can carry it, but nothing joined the two. The entry now hands on up to 32 placements after each tick.

--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -28,6 +28,7 @@
 		Metrics:  requestMetrics{metrics.NewRequests(d.registry)},
 		Log:      d.options.Log,
 		Share:    d.peers.share,
+		PassOn:   d.placedHere,
 		Now:      d.now,
 		Limits:   limits,
 	})
--- a/daemon/membership.go
+++ b/daemon/membership.go
@@ -99,6 +99,17 @@
 	}
 }
 
+// placedHere passes this instance's placements on as hints.
+func (d *Daemon) placedHere(placements []router.PeerPlacement) {
+	joined := d.members.Load()
+	if joined == nil {
+		return
+	}
+	for _, p := range placements {
+		joined.SharePlacement(membership.Placement{Endpoint: p.Endpoint, Boot: p.Boot, Block: p.Block})
+	}
+}
+
 // alive lists the other living instances.
 func (d *Daemon) alive() []membership.Member {
 	joined := d.members.Load()
--- a/entry/loop.go
+++ b/entry/loop.go
@@ -52,6 +52,8 @@
 	router  Decider
 	flights map[tables.RequestID]*flight
 	running map[tables.AttemptID]*attempt
+	passOn  func([]router.PeerPlacement)
+	news    []router.PeerPlacement
 }
 
 // tell hands a message to the loop; it is lost only when the server is closed.
@@ -158,6 +160,27 @@
 			l.server.share(a.Suspects)
 		}
 	}
+	l.passNews()
+}
+
+// newsSource is a Decider that has placements to pass on; *router.Router is one.
+type newsSource interface {
+	News(dst []router.PeerPlacement, limit int) []router.PeerPlacement
+}
+
+// newsAtOnce bounds the placements that are passed on after one tick.
+const newsAtOnce = 32
+
+// passNews tells the other instances of placements that are new.
+func (l *loop) passNews() {
+	source, ok := l.router.(newsSource)
+	if !ok || l.passOn == nil {
+		return
+	}
+	l.news = source.News(l.news[:0], newsAtOnce)
+	if len(l.news) > 0 {
+		l.passOn(l.news)
+	}
 }
 
 func (l *loop) dispatch(now tables.Instant, d router.Dispatch) {
--- /dev/null
+++ b/entry/news_test.go
@@ -0,0 +1,32 @@
+package entry
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/engine"
+	"github.com/carawaystile/carawaystile/prefix"
+	"github.com/carawaystile/carawaystile/router"
+)
+
+// A prompt with a long beginning is placed here. If the other instances are not
+// told, they send the same beginning elsewhere and it is computed again.
+func TestPlacementsArePassedOn(t *testing.T) {
+	told := make(chan int, 8)
+	r := newRig(t, func(o *Options) {
+		o.PassOn = func(placements []router.PeerPlacement) { told <- len(placements) }
+	})
+	r.client.generate = []script{func(ctx context.Context, req engine.GenerateRequest) (engine.Stream, error) {
+		tokens := make(chan engine.Token, 1)
+		tokens <- engine.Token{Index: 0, Text: "one"}
+		close(tokens)
+		return r.client.stream(ctx, req, tokens, nil), nil
+	}}
+	prompt := strings.Repeat("a", 2*prefix.PieceBytes+10)
+	resp := r.post(t, t.Context(), "/v1/completions", `{"model":"m","prompt":"`+prompt+`"}`)
+	assert.Equal(t, resp.StatusCode, 200)
+	assert.Equal(t, <-told, 2)
+}
--- a/entry/options.go
+++ b/entry/options.go
@@ -140,6 +140,9 @@
 	// Share tells the other instances what the router suspects; nil means that
 	// there are none. It must not block.
 	Share func([]quarantine.Suspect)
+	// PassOn tells the other instances where prefixes were placed; nil means
+	// that there are none. The slice is reused. It must not block.
+	PassOn func([]router.PeerPlacement)
 	// Now reads the process's monotonic clock.
 	Now    func() tables.Instant
 	Limits Limits
--- a/entry/server.go
+++ b/entry/server.go
@@ -87,6 +87,7 @@
 	l := &loop{
 		server:  s,
 		router:  o.Router,
+		passOn:  o.PassOn,
 		flights: map[tables.RequestID]*flight{},
 		running: map[tables.AttemptID]*attempt{},
 	}
