--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -80,7 +80,9 @@
 	// members is nil until the instance has joined.
 	members atomic.Pointer[gossip.Gossip]
 	peers   *peers
-	inForce atomic.Pointer[inForce]
+	// placements wait to be told to the other instances.
+	placements placements
+	inForce    atomic.Pointer[inForce]
 	// The control role; nil without it.
 	replica   *server.Server
 	operators *operator.Service
