Wait for each instance in the script of processes

Change: a command that waits for an instance's own readiness. Conclusion: the check is stricter, since readiness itself is now looked at.

--- a/cmd/carawaystiled/process_test.go
+++ b/cmd/carawaystiled/process_test.go
@@ -38,7 +38,8 @@
 //	start NAME         start its process
 //	crash NAME         kill it
 //	drain NAME         tell it to end, and wait until it has
-//	until REGEXP CMD   run a carawaystile command until its output matches
+//	ready NAME...      wait until the balancer may send callers there
+//	until TEXT CMD     run a carawaystile command until its output has the text
 //	send NAME PATH KEY BODY   post to its callers' side, output in stdout
 //
 // Waiting has no limit of its own: a script that never gets there is ended by
@@ -56,6 +57,7 @@
 			"start":    processes.start,
 			"crash":    processes.crash,
 			"drain":    processes.drain,
+			"ready":    processes.ready,
 			"until":    until,
 			"send":     processes.send,
 		},
@@ -166,6 +168,24 @@
 	ts.Check(err)
 }
 
+func (p *processes) ready(ts *testscript.TestScript, _ bool, args []string) {
+	for _, name := range args {
+		url := "http://" + p.address(name) + ":8080/readyz"
+		for !isReady(url) {
+			time.Sleep(pause)
+		}
+	}
+}
+
+func isReady(url string) bool {
+	resp, err := http.Get(url)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode < http.StatusMultipleChoices
+}
+
 const pause = 50 * time.Millisecond
 
 func until(ts *testscript.TestScript, _ bool, args []string) {
