--- a/router/property_test.go
+++ b/router/property_test.go
@@ -165,7 +165,7 @@
 		return
 	}
 	w.end(i, rapid.SampledFrom([]router.AttemptEnd{
-		router.Completed, router.NeverStarted, router.Refused, router.Broken, router.Crashed,
+		router.Completed, router.NeverStarted, router.Refused, router.Unreachable, router.Broken, router.Crashed,
 	}).Draw(w.t, "end"))
 }
 
@@ -175,10 +175,10 @@
 	a := w.attempts[id]
 	s := w.requests[a.request]
 	s.live--
-	if a.sent > 0 && (end == router.NeverStarted || end == router.Refused) {
+	if a.sent > 0 && provesNotRun(end) {
 		end = router.Broken
 	}
-	s.mayHaveRun = s.mayHaveRun || (end != router.NeverStarted && end != router.Refused)
+	s.mayHaveRun = s.mayHaveRun || !provesNotRun(end)
 	if end == router.Completed && s.final == "" {
 		s.final = "completed"
 	}
@@ -191,6 +191,10 @@
 	w.observe(router.AttemptEnded{Attempt: id, End: end, Tokens: a.sent, Delivered: a.sent})
 }
 
+func provesNotRun(end router.AttemptEnd) bool {
+	return end == router.NeverStarted || end == router.Refused || end == router.Unreachable
+}
+
 func (w *world) tick() {
 	w.now += time.Duration(rapid.IntRange(1, 400).Draw(w.t, "ms")) * ms
 	actions := w.r.Tick(w.now)
