Crash engines with two requests at once in the demo

Cause: two such requests at the same time are the harder case, and the demo had only one. Change: one of each user; the lost engines are counted from the stand-ins' crashes less those that the fault itself caused.

--- a/demo/load.go
+++ b/demo/load.go
@@ -119,7 +119,9 @@
 		items[n].due = time.Duration(due * float64(time.Second))
 	}
 	if o.Fault == FaultCrash {
-		l.poison(&items[len(items)/2])
+		for n := range poisonedRequests {
+			l.poison(&items[len(items)/2+n], &l.users[n])
+		}
 	}
 	return items
 }
@@ -192,8 +194,11 @@
 	}
 }
 
-func (l *load) poison(i *item) {
-	u := &l.users[0]
+// poisonedRequests is how many requests crash engines, one of each user, at the
+// same time.
+const poisonedRequests = 2
+
+func (l *load) poison(i *item, u *user) {
 	*i = item{number: i.number, due: i.due, org: u.organisations[0], profile: u.quick, stream: true, poisoned: true}
 	l.complete(i, u)
 	i.prompt = standin.PoisonMark + i.prompt
--- a/demo/report.go
+++ b/demo/report.go
@@ -51,11 +51,11 @@
 	RecomputedTokens int     `json:"recomputed_tokens"`
 	// DuplicatesRun counts runs of once-only work beyond the first.
 	DuplicatesRun int `json:"duplicates_run"`
-	// PoisonCrashes is how many engines the request that crashes engines took
-	// down.
+	// PoisonCrashes is how many engines the two requests that crash engines
+	// took down together.
 	PoisonCrashes int `json:"poison_crashes"`
 	// InnocentUnanswered is how many requests that may be repeated got no
-	// answer, the one that crashes engines aside.
+	// answer, those that crash engines aside.
 	InnocentUnanswered int            `json:"innocent_unanswered"`
 	Classes            []ClassReport  `json:"classes"`
 	Codes              map[string]int `json:"codes,omitempty"`
@@ -70,9 +70,10 @@
 func (w *world) report(results []result, took time.Duration) Report {
 	r := Report{
 		Seed: w.options.Seed, Fault: w.options.Fault, Seconds: took.Seconds(), Speedup: speedup,
-		StandIns: w.fleet.records.Totals(), PoisonCrashes: int(w.poisonCrashes.Load()),
-		Codes: make(map[string]int), Broken: []Promise{},
+		StandIns: w.fleet.records.Totals(),
+		Codes:    make(map[string]int), Broken: []Promise{},
 	}
+	r.PoisonCrashes = r.StandIns.Crashes - int(w.chosenCrashes.Load())
 	r.count(results)
 	r.RecomputedTokens = r.StandIns.RecomputedTokens
 	if prompt := r.StandIns.CachedTokens + r.StandIns.ComputedTokens; prompt > 0 {
@@ -166,7 +167,7 @@
 	fmt.Fprintf(out, "attempts %d: completed %d, cancelled %d, cut %d, declined %d; engine crashes %d\n",
 		s.Attempts, s.Completed, s.Cancelled, s.Cut, s.Declined, s.Crashes)
 	if r.Fault == FaultCrash {
-		fmt.Fprintf(out, "engines lost to the request that crashes engines: %d; other repeatable requests without an answer: %d\n",
+		fmt.Fprintf(out, "engines lost to two requests that crash engines: %d; other repeatable requests without an answer: %d\n",
 			r.PoisonCrashes, r.InnocentUnanswered)
 	}
 	fmt.Fprintf(out, "duplicates run %d\n", r.DuplicatesRun)
--- a/demo/world.go
+++ b/demo/world.go
@@ -29,8 +29,7 @@
 	results []result
 	// notes are promises that broke outside of requests.
 	notes []string
-	// poisonCrashes is how many engines the poisoned request took down.
-	poisonCrashes atomic.Int64
+	// chosenCrashes counts the crashes that no request caused.
 	chosenCrashes atomic.Int64
 }
 
@@ -138,11 +137,10 @@
 func (w *world) call(ctx context.Context, i *item) {
 	defer w.done.Add(1)
 	first := w.balancer.pick()
-	before := w.fleet.records.Totals().Crashes
 	w.keep(w.caller.send(ctx, i, first.address))
 	switch {
 	case i.poisoned:
-		w.resendPoisoned(ctx, i, before)
+		w.resendPoisoned(ctx, i)
 	case i.resend:
 		w.resend(ctx, i)
 	}
@@ -165,15 +163,12 @@
 
 // resendPoisoned sends the request that crashes engines through every
 // instance.
-func (w *world) resendPoisoned(ctx context.Context, i *item, before int) {
-	chosen := w.chosenCrashes.Load()
+func (w *world) resendPoisoned(ctx context.Context, i *item) {
 	for range 2 * len(zones) {
 		r := w.caller.send(ctx, i, w.balancer.pick().address)
 		r.resent = true
 		w.keep(r)
 	}
-	crashes := int64(w.fleet.records.Totals().Crashes - before)
-	w.poisonCrashes.Store(crashes - (w.chosenCrashes.Load() - chosen))
 }
 
 func (w *world) note(text string) {
