--- a/measure/cluster.go
+++ b/measure/cluster.go
@@ -53,6 +53,8 @@
 	records   map[tables.RequestID]*record
 	// cut is set while zones do not reach each other.
 	cut bool
+	// uneven is set when instances are of different sizes.
+	uneven bool
 }
 
 // instance is an entry instance with its policy.
@@ -139,6 +141,34 @@
 	c.time.after(period, again)
 }
 
+// balance chooses an instance by its size.
+func (c *cluster) balance() *instance {
+	weights := make([]float64, len(c.instances))
+	for n, i := range c.instances {
+		if i.up {
+			weights[n] = c.size(n)
+		}
+	}
+	return c.instances[pick(c.random, weights)]
+}
+
+// size is an instance's part of the traffic against others.
+func (c *cluster) size(n int) float64 {
+	if !c.uneven {
+		return 1
+	}
+	return float64(1 + n%3)
+}
+
+// sizes is the sum of the sizes of so many instances.
+func (c *cluster) sizes(instances int) float64 {
+	sum := 0.0
+	for n := range instances {
+		sum += c.size(n)
+	}
+	return sum
+}
+
 // reaches says whether an instance and an engine can talk to each other.
 func (c *cluster) reaches(i *instance, e *engine) bool {
 	return !c.cut || i.zone == e.spec.Zone
@@ -158,13 +188,7 @@
 
 // arrive gives a request to an instance, as the balancer would.
 func (c *cluster) arrive(r *tables.Request) {
-	var up []*instance
-	for _, i := range c.instances {
-		if i.up {
-			up = append(up, i)
-		}
-	}
-	i := up[c.random.IntN(len(up))]
+	i := c.balance()
 	c.records[r.ID].at = i
 	i.decider.Submit(c.time.now, r)
 	i.tick()
--- a/measure/measure.go
+++ b/measure/measure.go
@@ -38,6 +38,9 @@
 	Burst Fault = "burst"
 	// ZoneCut: for a third of the run no zone reaches another.
 	ZoneCut Fault = "zone-cut"
+	// Uneven: entry instances are of three sizes, which get one, two and three
+	// parts of the traffic.
+	Uneven Fault = "uneven"
 )
 
 // Options say what to measure. The zero value measures both sites, all
@@ -86,7 +89,7 @@
 var policies = []string{"round-robin", "least-requests", "prefix-hash", "ours", "oracle"}
 
 // faults are all faults.
-var faults = []Fault{None, Crash, EventLoss, Shift, InstanceLoss, Slow, Burst, ZoneCut}
+var faults = []Fault{None, Crash, EventLoss, Shift, InstanceLoss, Slow, Burst, ZoneCut, Uneven}
 
 // check finds names that do not exist before anything is played.
 func (o Options) check() error {
@@ -205,6 +208,7 @@
 	}
 	requests := t.draw()
 	c := newCluster(&s, seed, k)
+	c.uneven = fault == Uneven
 	for n := range options.Instances {
 		d, err := c.newDecider(policy, n, seed, options.Instances)
 		if err != nil {
@@ -238,7 +242,7 @@
 		r := router.New(router.Options{
 			Instance: name, Zone: instanceZone(n), Seed: seed*1000 + uint64(n), CacheRows: 1 << 16, Explanations: 512,
 		})
-		r.Observe(0, router.PeersSeen{Share: 1 / float64(instances)})
+		r.Observe(0, router.PeersSeen{Share: c.size(n) / c.sizes(instances)})
 		return r, nil
 	}
 	return nil, trace.Wrap(&UnknownNameError{Kind: "policy", Name: policy})
