--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -80,7 +80,9 @@
 	// members is nil until the instance has joined.
 	members atomic.Pointer[gossip.Gossip]
 	peers   *peers
-	inForce atomic.Pointer[inForce]
+	// placements wait to be told to the other instances.
+	placements placements
+	inForce    atomic.Pointer[inForce]
 	// The control role; nil without it.
 	replica   *server.Server
 	operators *operator.Service
@@ -137,6 +139,9 @@
 	if d.replica != nil {
 		d.startOrders()
 	}
+	if d.entry != nil {
+		d.background.Go(func() { d.tellPlacements(d.stopping) })
+	}
 	if d.entry != nil && d.options.Process.PlatformList.IsValid() {
 		d.background.Go(func() { d.watchPlatform(d.stopping) })
 	}
