Send how long a suspect had run

Cause: quarantine got a new field that the message between instances lacked, so remote suspects counted as harmless 1.5 s after their first token. Change: the field is sent; a test fails when any field of a suspect is left out. Conclusion: all instances judge by the same facts.

--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -99,6 +99,7 @@
 		Position:    int64(s.Mark.Position),
 		Convicted:   s.Convicted,
 		AgeNanos:    int64(s.Age),
+		RanNanos:    int64(s.Mark.Ran),
 	}
 }
 
@@ -109,7 +110,12 @@
 			Endpoint: tables.EndpointID(s.GetEndpoint()),
 			Boot:     tables.BootID(s.GetBoot()),
 		},
-		Mark:      quarantine.Mark{Likely: s.GetLikely(), Tokens: int(s.GetTokens()), Position: int(s.GetPosition())},
+		Mark: quarantine.Mark{
+			Likely:   s.GetLikely(),
+			Tokens:   int(s.GetTokens()),
+			Position: int(s.GetPosition()),
+			Ran:      time.Duration(max(s.GetRanNanos(), 0)),
+		},
 		Convicted: s.GetConvicted(),
 		Age:       time.Duration(max(s.GetAgeNanos(), 0)),
 	}
--- /dev/null
+++ b/daemon/peers_test.go
@@ -0,0 +1,31 @@
+package daemon
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/systems/quarantine"
+)
+
+// A field of a suspect that is not sent makes the other instances judge the
+// crash by less than this one knows: one was once forgotten, and a request that
+// crashes endpoints late looked harmless elsewhere.
+func TestSuspectsAreSentWhole(t *testing.T) {
+	s := quarantine.Suspect{
+		Fingerprint: 7,
+		Life:        quarantine.Life{Endpoint: "e", Boot: "b"},
+		Mark:        quarantine.Mark{Likely: true, Tokens: 3, Position: 9, Ran: time.Second},
+		Convicted:   true,
+		Age:         time.Minute,
+	}
+	for _, part := range []any{s, s.Life, s.Mark} {
+		fields := reflect.ValueOf(part)
+		for i := range fields.NumField() {
+			assert.Assert(t, !fields.Field(i).IsZero(), "the test leaves %s empty", fields.Type().Field(i).Name)
+		}
+	}
+	assert.Equal(t, decodeSuspect(encodeSuspect(s)), s)
+}
