--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -48,3 +48,23 @@
 	assert.Assert(t, errors.As(err, &few))
 	assert.Equal(t, few.Sizes, 1)
 }
+
+// A benchmark over two sizes gives a line for each of them, and the sizes of one
+// must not be taken for those of the other.
+func TestSizeIsReadByItsKey(t *testing.T) {
+	line := Line{Benchmark: "Decision", Key: "endpoints", Match: "/blocks=10000/"}
+	for _, test := range []struct {
+		name string
+		size float64
+		ok   bool
+	}{
+		{"Decision/endpoints=138/blocks=10000-12", 138, true},
+		{"Decision/endpoints=138/blocks=1000000-12", 0, false},
+		{"Decision/blocks=10000-12", 0, false},
+		{"Other/endpoints=138/blocks=10000-12", 0, false},
+	} {
+		size, ok := line.size(test.name)
+		assert.Equal(t, ok, test.ok, test.name)
+		assert.Equal(t, size, test.size, test.name)
+	}
+}
--- a/capacity/draw.go
+++ b/capacity/draw.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"image/color"
 	"io"
+	"strings"
 
 	"github.com/gravitational/trace"
 	"gonum.org/v1/plot"
@@ -128,7 +129,7 @@
 
 // quantity writes a cost with its unit, in a size that reads well.
 func quantity(v float64, unit string) string {
-	if unit == "sec/op" {
+	if strings.Contains(unit, "sec/") {
 		switch {
 		case v >= 1 || v <= -1:
 			return fmt.Sprintf("%.3g s", v)
--- a/capacity/line.go
+++ b/capacity/line.go
@@ -22,9 +22,11 @@
 type Line struct {
 	// Title says what is measured, for a heading.
 	Title string
-	// Benchmark is the name before the first slash, without "Benchmark"; the
-	// size is the first number in the last part of the full name.
+	// Benchmark is the name before the first slash, without "Benchmark".
 	Benchmark string
+	// Key is the part of the full name that holds the size, as in key=9; empty
+	// means the last part, which then starts with the size or key=.
+	Key string
 	// Match must stand in the full name; empty matches all.
 	Match string
 	// Unit is the benchmark's unit, such as sec/op or B/endpoint.
@@ -143,24 +145,30 @@
 
 // size reads the size out of a benchmark's full name if it belongs to the line.
 func (l Line) size(name string) (float64, bool) {
+	if i := strings.LastIndexByte(name, '-'); i >= 0 {
+		name = name[:i] // the number of processors
+	}
 	parts := strings.Split(name, "/")
-	if parts[0] != l.Benchmark || len(parts) < 2 || !strings.Contains(name, l.Match) {
+	if parts[0] != l.Benchmark || len(parts) < 2 || !strings.Contains(name+"/", l.Match) {
 		return 0, false
 	}
-	last := parts[len(parts)-1]
-	if i := strings.LastIndexByte(last, '-'); i >= 0 {
-		last = last[:i] // the number of processors
+	for _, part := range parts[1:] {
+		key, value, keyed := strings.Cut(part, "=")
+		if l.Key != "" && keyed && key == l.Key {
+			return number(value)
+		}
 	}
-	digits := strings.IndexFunc(last, isDigit)
-	if digits < 0 {
+	if l.Key != "" {
 		return 0, false
 	}
-	last = last[digits:]
-	if end := strings.IndexFunc(last, func(r rune) bool { return !isDigit(r) }); end >= 0 {
-		last = last[:end]
+	last := parts[len(parts)-1]
+	if _, value, keyed := strings.Cut(last, "="); keyed {
+		return number(value)
 	}
-	size, err := strconv.ParseFloat(last, 64)
-	return size, err == nil
+	return number(last)
 }
 
-func isDigit(r rune) bool { return r >= '0' && r <= '9' }
+func number(text string) (float64, bool) {
+	v, err := strconv.ParseFloat(text, 64)
+	return v, err == nil
+}
