--- a/router/classes.go
+++ b/router/classes.go
@@ -19,7 +19,6 @@
 // class holds the waiting requests of one priority.
 type class struct {
 	schedule fairness.Scheduler
-	usage    fairness.Usage
 	// The following are by organisation; recent is the group served last.
 	queues  []waiting.Queue
 	backlog []admission.Backlog
@@ -37,7 +36,6 @@
 
 func (c *class) configure(flow fairness.Flow, weight float64) {
 	c.schedule.SetWeight(flow, weight)
-	c.usage.SetWeight(flow, weight)
 	for int(flow) >= len(c.queues) {
 		c.queues = append(c.queues, waiting.Queue{})
 		c.backlog = append(c.backlog, admission.Backlog{})
@@ -174,7 +172,6 @@
 	c.backlog[row.Organisation].Started(now)
 	cost := r.costOf(row)
 	c.schedule.Charge(row.Organisation, cost)
-	c.usage.Add(now, row.Organisation, cost)
 	r.pressure.work(now, cost, row.Profile.MaxWait > 0)
 	if !row.Counted {
 		row.Counted = true
@@ -197,15 +194,4 @@
 	}
 }
 
-// crowds says whether a request belongs to an organisation that has more waiting
-// than it can get started while it already uses more than its share.
-func (r *Router) crowds(now tables.Instant, row *tables.RequestRow) bool {
-	c := &r.classes[row.Priority]
-	return c.queues[row.Organisation].Len() >= crowdWaiting && c.usage.Over(now, row.Organisation)
-}
-
-const (
-	answerCost = 4
-	// crowdWaiting is how many waiting requests make a crowd.
-	crowdWaiting = 1
-)
+const answerCost = 4
--- a/router/place.go
+++ b/router/place.go
@@ -34,8 +34,6 @@
 	// against its being started. It keeps prompts that are nowhere cached from
 	// overloaded endpoints, where each would take the place of many that are.
 	delayWeight = 0.1
-	// crowdAhead is the same for an organisation that crowds its class.
-	crowdAhead = 1.0
 	// maxBacklog is the same for work that can be held, in seconds. It is small,
 	// so that held work uses the time that is left without filling queues.
 	maxBacklog = 1.5
@@ -113,12 +111,8 @@
 		return false
 	}
 	if q.Request.Profile.MaxWait <= 0 || q.Promoted {
-		bound := maxAhead
-		if q.Crowds {
-			bound = crowdAhead
-		}
 		ahead := choice.Row.Load.Ahead(priority(q), &q.Mix) / choice.PrefillRate()
-		return q.WaitWeight*(ahead+delayWeight*compute.Delay(q, &choice.Candidate)) > bound
+		return q.WaitWeight*(ahead+delayWeight*compute.Delay(q, &choice.Candidate)) > maxAhead
 	}
 	if r.gathers(q, choice) {
 		return true
@@ -155,12 +149,9 @@
 }
 
 // priority is the urgency with which the endpoint is asked to run the request.
-// Urgent work of an organisation that crowds the class goes behind that of the
-// others: a burst fills the queues of the endpoints before any instance can hold
-// it back, and there only the priority lets a small organisation overtake.
 func priority(q *placement.Query) tables.Priority {
-	if q.Crowds || q.Promoted {
-		return tables.Normal
+	if q.Promoted {
+		return min(q.Request.Priority, tables.Normal)
 	}
 	return q.Request.Priority
 }
@@ -200,7 +191,6 @@
 
 		WaitWeight: waitWeight(row.Profile),
 		Promoted:   promoted(now, row),
-		Crowds:     row.Priority == tables.Urgent && r.crowds(now, row),
 	}
 	if row.Delivered > 0 {
 		q.Weights = row.Weights
--- a/router/watch.go
+++ b/router/watch.go
@@ -31,9 +31,6 @@
 	for _, g := range r.groups {
 		r.learnTurnovers(now, g)
 	}
-	for p := range r.classes {
-		r.classes[p].usage.Prune(now)
-	}
 	if r.classes[tables.Urgent].schedule.Waiting() >= pressureWaiting {
 		r.pressure.sign(now)
 	}
--- a/systems/placement/filter/capacity/capacity.go
+++ b/systems/placement/filter/capacity/capacity.go
@@ -16,10 +16,6 @@
 	tables.Background: 0.75,
 }
 
-// CrowdLimit is the limit, as a multiple of the slots, for an organisation that
-// crowds its class; it leaves room for the others.
-const CrowdLimit = 0.75
-
 // Filter keeps endpoints with room.
 type Filter struct{}
 
@@ -32,9 +28,6 @@
 	if q.Promoted {
 		part = Limits[tables.Urgent]
 	}
-	if q.Crowds {
-		part = min(part, CrowdLimit)
-	}
 	limit := part * float64(c.Row.Slots())
 	return float64(c.Row.Load.Active()) < max(1, limit)
 }
--- a/systems/placement/placement.go
+++ b/systems/placement/placement.go
@@ -33,9 +33,6 @@
 	// Promoted is set for held work that has waited so long that it no longer
 	// yields.
 	Promoted bool
-	// Crowds is set for a request of an organisation that uses more than its
-	// share while more of its requests wait.
-	Crowds bool
 	// LastChance is set for a request that has waited almost as long as it may.
 	LastChance bool
 	// AnyOwner is set when no endpoint can be had among those that fall to this
