--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -89,8 +89,8 @@
 	return &rpc.SuspectAnswer{}, nil
 }
 
-func encodeSuspect(s quarantine.Suspect) *rpc.PeerSuspect {
-	return &rpc.PeerSuspect{
+func encodeSuspect(s quarantine.Suspect) *rpc.CrashSuspect {
+	return &rpc.CrashSuspect{
 		Fingerprint: uint64(s.Fingerprint),
 		Endpoint:    string(s.Life.Endpoint),
 		Boot:        string(s.Life.Boot),
@@ -99,17 +99,23 @@
 		Position:    int64(s.Mark.Position),
 		Convicted:   s.Convicted,
 		AgeNanos:    int64(s.Age),
+		RanNanos:    int64(s.Mark.Ran),
 	}
 }
 
-func decodeSuspect(s *rpc.PeerSuspect) quarantine.Suspect {
+func decodeSuspect(s *rpc.CrashSuspect) quarantine.Suspect {
 	return quarantine.Suspect{
 		Fingerprint: tables.Fingerprint(s.GetFingerprint()),
 		Life: quarantine.Life{
 			Endpoint: tables.EndpointID(s.GetEndpoint()),
 			Boot:     tables.BootID(s.GetBoot()),
 		},
-		Mark:      quarantine.Mark{Likely: s.GetLikely(), Tokens: int(s.GetTokens()), Position: int(s.GetPosition())},
+		Mark: quarantine.Mark{
+			Likely:   s.GetLikely(),
+			Tokens:   int(s.GetTokens()),
+			Position: int(s.GetPosition()),
+			Ran:      time.Duration(max(s.GetRanNanos(), 0)),
+		},
 		Convicted: s.GetConvicted(),
 		Age:       time.Duration(max(s.GetAgeNanos(), 0)),
 	}
--- a/measure/engine.go
+++ b/measure/engine.go
@@ -79,7 +79,7 @@
 
 func (e *engine) arrive(j *job) {
 	if !e.up {
-		j.owner.ended(j, router.NeverStarted)
+		j.owner.ended(j, router.Unreachable)
 		return
 	}
 	e.arrivals++
