--- a/cli/difference.go
+++ b/cli/difference.go
@@ -30,7 +30,7 @@
 	if errBefore != nil || errAfter != nil {
 		return []string{c.String()}
 	}
-	title := kindTitles[c.Name.Kind] + " " + c.Name.Name
+	title := configuration.KindWord(c.Name.Kind) + " " + c.Name.Name
 	switch {
 	case c.Before == "":
 		return []string{"+ " + title + ": " + joined(after)}
@@ -77,15 +77,6 @@
 	return strings.Join(texts, ", ")
 }
 
-var kindTitles = map[rpc.ItemKind]string{
-	rpc.ItemKind_ITEM_SETTINGS:     "settings",
-	rpc.ItemKind_ITEM_PROFILE:      "profile",
-	rpc.ItemKind_ITEM_ORGANISATION: "organisation",
-	rpc.ItemKind_ITEM_MODEL:        "model",
-	rpc.ItemKind_ITEM_ENDPOINT:     "endpoint",
-	rpc.ItemKind_ITEM_LIFE:         "life",
-}
-
 // unreadableItem means that an item has a kind or body this version does not
 // know.
 type unreadableItem struct{ Kind rpc.ItemKind }
--- a/control/configuration/diff.go
+++ b/control/configuration/diff.go
@@ -21,11 +21,11 @@
 func (c Change) String() string {
 	switch {
 	case c.Before == "":
-		return fmt.Sprintf("+ %s %s %s", kindWord(c.Name.Kind), c.Name.Name, c.After)
+		return fmt.Sprintf("+ %s %s %s", KindWord(c.Name.Kind), c.Name.Name, c.After)
 	case c.After == "":
-		return fmt.Sprintf("- %s %s %s", kindWord(c.Name.Kind), c.Name.Name, c.Before)
+		return fmt.Sprintf("- %s %s %s", KindWord(c.Name.Kind), c.Name.Name, c.Before)
 	default:
-		return fmt.Sprintf("~ %s %s %s -> %s", kindWord(c.Name.Kind), c.Name.Name, c.Before, c.After)
+		return fmt.Sprintf("~ %s %s %s -> %s", KindWord(c.Name.Kind), c.Name.Name, c.Before, c.After)
 	}
 }
 
@@ -38,7 +38,8 @@
 	rpc.ItemKind_ITEM_LIFE:         "life",
 }
 
-func kindWord(kind rpc.ItemKind) string { return kindWords[kind] }
+// KindWord is the word that operators know a kind of item by.
+func KindWord(kind rpc.ItemKind) string { return kindWords[kind] }
 
 // Diff returns the items that differ between two configurations, ordered by
 // kind and name. Lives of endpoints are not declared and not compared.
--- /dev/null
+++ b/router/main_test.go
@@ -0,0 +1,9 @@
+package router_test
+
+import (
+	"testing"
+
+	"github.com/carawaystile/carawaystile/internal/fixedseed"
+)
+
+func TestMain(m *testing.M) { fixedseed.Main(m) }
