--- a/router/router.go
+++ b/router/router.go
@@ -82,6 +82,7 @@
 	lastID       uint64
 	watchAt      tables.Instant
 	serveAt      tables.Instant
+	turnoverAt   tables.Instant
 }
 
 // New returns a router without a configuration, which refuses all requests
--- a/router/watch.go
+++ b/router/watch.go
@@ -15,6 +15,8 @@
 	// the expected time to first token.
 	hedgeFactor = 2
 	hedgeMargin = 300 * time.Millisecond
+	// turnoverPeriod is how often the turnovers of caches are worked out.
+	turnoverPeriod = time.Second
 	// abortGrace is how long an aborted attempt may stay without an end before
 	// its endpoint is freed of it.
 	abortGrace = 30 * time.Second
@@ -28,8 +30,11 @@
 		health.Renew(now, &row.Health)
 		row.Load.Others.Age(now)
 	}
-	for _, g := range r.groups {
-		r.learnTurnovers(now, g)
+	if now >= r.turnoverAt {
+		r.turnoverAt = now + turnoverPeriod
+		for _, g := range r.groups {
+			r.learnTurnovers(now, g)
+		}
 	}
 	if r.classes[tables.Urgent].schedule.Waiting() >= pressureWaiting {
 		r.pressure.sign(now)
