Send prefixes to agreed homes while nothing is heard of others

Cause: an instance that hears neither cache events nor peers counts too little of one prefix to tell how much of a prompt is shared. Each grouped the same prompt by another level, took another home and followed its own placements.

Change: such an instance groups by the level that prompts of the profile are usually shared to, a running mean that hardly differs between instances, and supposes the home to hold all of that part. One that hears anything decides as before. `measure` gets the flags -blind and -peer-bytes.

--- a/cli/measure.go
+++ b/cli/measure.go
@@ -29,7 +29,7 @@
 func (*measureCommand) Synopsis() string { return "compare placement policies in virtual time" }
 
 func (*measureCommand) Usage() string {
-	return `measure [-sites LIST] [-policies LIST] [-faults LIST] [-seeds LIST] [-load X] [-json]
+	return `measure [-sites LIST] [-policies LIST] [-faults LIST] [-seeds LIST] [-load X] [-blind] [-peer-bytes X] [-json]
   Plays the same traffic to each policy, with small fakes of engines in virtual
   time, and compares what callers would see. Lists are separated by commas;
   docs/design/placement.md names their words.
@@ -44,6 +44,9 @@
 	f.Float64Var(&c.options.Load, "load", 0, "offered load as a part of capacity; 0 means 0.8")
 	f.IntVar(&c.options.Instances, "count", 0, "number of entry instances; 0 means 6")
 	f.DurationVar(&c.options.Duration, "duration", time.Duration(0), "virtual time; 0 means 240s")
+	f.BoolVar(&c.options.Blind, "blind", false, "instances hear no cache events")
+	f.Float64Var(&c.options.PeerBytes, "peer-bytes", 0,
+		"bytes a second that an instance passes on of its placements; 0 means 2000, below 0 none")
 	f.BoolVar(&c.asJSON, "json", false, "print the result as one JSON object")
 }
 
--- a/measure/measure_test.go
+++ b/measure/measure_test.go
@@ -53,6 +53,15 @@
 	assert.Assert(t, good(4) > 0.9*full, "4 times: %v, at capacity %v", good(4), full)
 }
 
+// Instances hear neither cache events nor each other, so each knows only its own
+// placements. If each follows those, every prefix is computed at several
+// endpoints, and callers wait and are refused.
+func TestBlindInstancesAgreeOnHomes(t *testing.T) {
+	report := run(t, measure.Options{Policies: []string{"ours"}, Blind: true, PeerBytes: -1})
+	assert.Assert(t, row(t, report, "ashanti", measure.None, "ours").HitRate > 0.86)
+	assert.Assert(t, row(t, report, "tawe", measure.None, "ours").HitRate > 0.79)
+}
+
 func TestSameSeedSameReport(t *testing.T) {
 	options := measure.Options{Sites: []string{"tawe"}, Policies: []string{"ours"}, Faults: []measure.Fault{measure.Crash}, Duration: 140 * time.Second}
 	first, err := json.Marshal(run(t, options))
--- a/router/candidates.go
+++ b/router/candidates.go
@@ -122,7 +122,7 @@
 		r.view.Match(q.Now, blocks, &r.matches)
 	}
 	q.MeanTurnover = g.meanTurnover
-	home, level := r.home(g, blocks)
+	home, level, trust := r.home(q, g)
 	for i, index := range g.members {
 		c := placement.Candidate{Row: r.endpoints.Row(index)}
 		if len(blocks) > 0 {
@@ -132,21 +132,29 @@
 		c.CachedTokens = c.KnownTokens
 		if index == home {
 			c.HomeTokens = float64(level * prefix.PieceTokens)
-			c.CachedTokens = max(c.KnownTokens, r.homeTrust*c.HomeTokens)
+			c.CachedTokens = max(c.KnownTokens, trust*c.HomeTokens)
 		}
 		r.scratch = append(r.scratch, c)
 	}
 	return r.scratch
 }
 
-// home is the endpoint that the shared part of a prompt belongs to, and the
-// number of blocks of that part.
-func (r *Router) home(g *group, blocks []tables.BlockHash) (tables.EndpointIndex, int) {
-	level := r.sharedLevel(blocks)
-	if level == 0 {
-		return tables.NoEndpoint, 0
-	}
-	return g.homes.Home(blocks[level-1], 0), level
+// home is the endpoint that the shared part of a prompt belongs to, the number
+// of blocks of that part, and the part of it that is supposed to be there. An
+// instance that hears nothing of others' placements supposes all of it: the
+// others send the prefix there too, or will once they meet it.
+func (r *Router) home(q *placement.Query, g *group) (tables.EndpointIndex, int, float64) {
+	blocks := q.Request.Request.Blocks
+	if len(blocks) == 0 {
+		return tables.NoEndpoint, 0, 0
+	}
+	level, trust := 0, r.homeTrust
+	if r.uninformed(q.Now) {
+		level, trust = r.levels[q.Request.Profile.Name].usual(len(blocks)), 1
+	} else {
+		level = r.sharedLevel(blocks)
+	}
+	return g.homes.Home(blocks[level-1], 0), level, trust
 }
 
 // sharedLevel is the number of outermost blocks by which a prompt is grouped
--- a/router/observe.go
+++ b/router/observe.go
@@ -117,6 +117,7 @@
 	if row == nil || r.seeBoot(now, row, in.Boot) == tables.BootOld {
 		return
 	}
+	r.heardAt = now
 	r.view.Event(now, row.Index, cacheview.Event{Sequence: in.Sequence, Stored: in.Stored, Evicted: in.Evicted})
 }
 
@@ -128,6 +129,7 @@
 	if row == nil || (in.Boot != "" && row.Boot != "" && in.Boot != row.Boot) {
 		return
 	}
+	r.heardAt = now
 	r.view.Peer(now, row.Index, in.Block)
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -68,6 +68,10 @@
 	// homeTrust is the part of a prefix found at its home when nothing was
 	// known of it.
 	homeTrust float64
+	// levels holds how prompts of each profile are usually shared; heardAt is
+	// when an endpoint or a peer last told of cached blocks.
+	levels  map[tables.ProfileName]*levels
+	heardAt tables.Instant
 	// mix is the part of each priority in recent prefill work, meanUncached
 	// the mean prefill work of an attempt in tokens.
 	mix          [tables.Priorities]float64
@@ -104,6 +108,7 @@
 		picker:       standardPicker(suspects),
 		view:         cacheview.New(cacheview.Options{Rows: options.CacheRows}),
 		homeTrust:    initialHomeTrust,
+		levels:       make(map[tables.ProfileName]*levels),
 		meanUncached: prefix.PieceTokens,
 		explained:    newRing(options.Explanations),
 		share:        1,
@@ -125,6 +130,7 @@
 	for i := range c.Profiles {
 		r.profiles[c.Profiles[i].Name] = &c.Profiles[i]
 	}
+	r.forgetLevels()
 	clear(r.weights)
 	for i := range c.Models {
 		r.weights[c.Models[i].Name] = c.Models[i].Weights
@@ -161,6 +167,7 @@
 	}
 	r.requests[request.ID] = row
 	r.counter.Seen(now, request.Blocks)
+	r.learnLevels(request)
 	r.budget.Earn()
 	r.fresh = append(r.fresh, row)
 }
