Script lost answers, false loads, pauses, races and repairs

Cause: scripts lacked lost answers of services, load reports that lie, the platform's list, a pause between claim and call, operators who race over a cut, a second loss after a repair, and restarts after hundreds of changes. The stand-ins can lose answers and lie on demand. The gauge carawaystile_control_voter tells when a repair is complete.

--- a/daemon/gauges.go
+++ b/daemon/gauges.go
@@ -26,15 +26,20 @@
 	d.refreshMembershipGauges(gauge)
 	if d.replica != nil {
 		status := d.replica.Status()
-		leads := 0.0
-		if status.Leads {
-			leads = 1
-		}
 		gauge("carawaystile_control_claims", "Claims that the control state keeps.", float64(status.Claims))
-		gauge("carawaystile_control_leader", "1 if this instance leads the control group.", leads)
+		gauge("carawaystile_control_leader", "1 if this instance leads the control group.", indicator(status.Leads))
+		gauge("carawaystile_control_voter", "1 if this instance votes in the control group; 0 during a repair.", indicator(status.Voter))
 	}
 }
 
+// indicator is the gauge value of a condition.
+func indicator(met bool) float64 {
+	if met {
+		return 1
+	}
+	return 0
+}
+
 func (d *Daemon) refreshMembershipGauges(gauge func(string, string, float64, ...metrics.Label)) {
 	joined := d.members.Load()
 	if joined == nil {
--- a/scenario/commands.go
+++ b/scenario/commands.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -20,7 +21,7 @@
 //	stop INSTANCE                 end it as a crash does
 //	drain INSTANCE                begin a graceful shutdown
 //	drained INSTANCE              wait until it has ended without cutting anyone
-//	send NAME INSTANCE stream|whole|publish [tokens=N] [key=K] [text=T] [poison] [patient]
+//	send NAME INSTANCE stream|whole|publish|lookup [tokens=N] [key=K] [text=T] [poison] [patient]
 //	await NAME N                  wait until the caller has N tokens
 //	hangup NAME                   the caller goes away
 //	expect NAME whole|from VERSION|code N|outcome O|broken|failed|ended
@@ -28,16 +29,33 @@
 //	restart ENGINE|SERVICE        bring it back, empty
 //	hang / resume ENGINE|SERVICE  stop without closing anything
 //	halfopen ENGINE|@NAME         keep connections up and lose what arrives; ended by resume
-//	slow / fast                   all engines
+//	slow / fast [ENGINE]          one engine, or all
 //	cut ZONE / heal
 //	leave ENDPOINT INSTANCE       an operator tells it to the instance
 //	weights VERSION INSTANCE BASE an operator applies other weights over a revision
-//	idle ENDPOINT                 note what it has got so far; with !, it must not have got more since
+//	idle ENDPOINT [N]             note what it has got so far; with !, it must not have got more since,
+//	                              or at most N
 //	quiet                         wait until no engine runs anything
 //	revision INSTANCE N           wait until the instance has the revision, or a later one
 //	calls N                       wait until the services have begun N calls
 //	ran KEY N                     how often the work under a key ran
 //	crashes N                     at most so many engines crashed
+//	lose N                        services lose every Nth answer after the call ran; 0 ends it
+//	lie ENGINE idle|full|no       what its load reports say
+//	many NAME N                   send whole requests NAME-1 to NAME-N through all instances in turn
+//	running N                     wait until engines have taken in N requests since the start
+//	all NAME                      each of many must get its whole answer
+//	platform ENDPOINT leaving|forgotten
+//	                              what the platform's lists say; waits until each instance has read it
+//	join ENDPOINT INSTANCE        an operator lets its next life join
+//	pause INSTANCE                hold its calls of services back before they leave
+//	held INSTANCE                 wait until it holds one
+//	wake INSTANCE                 let them go
+//	race BASE VERSION@INSTANCE... operators apply over one revision at the same time, and resend
+//	winner N                      exactly one of the N was accepted, in force everywhere, and no revision went down
+//	applies N INSTANCE            apply N changes, one over the other
+//	wipe INSTANCE                 lose the disk of a stopped instance
+//	voter INSTANCE                wait until it votes in the control group
 //	promises                      what the stand-ins' own records must never show
 func Commands() map[string]command {
 	return map[string]command{
@@ -47,6 +65,9 @@
 		"slow": slow, "fast": fast, "cut": cut, "heal": heal,
 		"leave": leave, "weights": newWeights, "idle": idle, "calls": calls, "ran": ran, "crashes": crashes,
 		"quiet": quiet, "revision": revision, "promises": promises,
+		"lose": lose, "lie": lie, "many": many, "running": running, "all": all, "platform": platform, "join": join,
+		"pause": pauseCalls, "held": held, "wake": wake, "race": raceOperators, "winner": winner,
+		"applies": applies, "wipe": wipe, "voter": voter,
 	}
 }
 
@@ -147,6 +168,12 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	r.cancel = cancel
 	w.requests[args[0]] = r
+	switch args[2] {
+	case "publish":
+		r.call = callPublish
+	case "lookup":
+		r.call = callLookup
+	}
 	address := instanceOf(ts, args[1]).options.Process.Listen.Callers.String()
 	go r.run(ctx, address, args[2] == "stream", patient)
 }
@@ -260,12 +287,14 @@
 	e.HalfOpen()
 }
 
-func slow(ts *testscript.TestScript, _ bool, _ []string) { setSpeed(ts, slowdown) }
-func fast(ts *testscript.TestScript, _ bool, _ []string) { setSpeed(ts, 1) }
+func slow(ts *testscript.TestScript, _ bool, args []string) { setSpeed(ts, args, slowdown) }
+func fast(ts *testscript.TestScript, _ bool, args []string) { setSpeed(ts, args, 1) }
 
-func setSpeed(ts *testscript.TestScript, times int) {
-	for _, e := range worldOf(ts).engines {
-		e.Slow(times)
+func setSpeed(ts *testscript.TestScript, names []string, times int) {
+	for name, e := range worldOf(ts).engines {
+		if len(names) == 0 || slices.Contains(names, name) {
+			e.Slow(times)
+		}
 	}
 }
 
@@ -319,8 +348,12 @@
 		ts.Setenv(name, strconv.Itoa(n))
 		return
 	}
-	if before := ts.Getenv(name); before != strconv.Itoa(n) {
-		ts.Fatalf("%s had %s attempts, has %d", args[0], before, n)
+	most := 0
+	if len(args) > 1 {
+		most = number(ts, args[1])
+	}
+	if before := number(ts, ts.Getenv(name)); n-before > most {
+		ts.Fatalf("%s had %d attempts, has %d", args[0], before, n)
 	}
 }
 
--- a/scenario/operator.go
+++ b/scenario/operator.go
@@ -8,9 +8,7 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
-	"github.com/carawaystile/carawaystile/control/configuration"
 	"github.com/carawaystile/carawaystile/rpc"
-	"github.com/carawaystile/carawaystile/tables"
 )
 
 // operator sends an operator's command with its key.
@@ -37,28 +35,33 @@
 
 func leave(ts *testscript.TestScript, neg bool, args []string) {
 	need(ts, args, 2)
-	client := operatorOf(ts, args[1])
+	changeLife(ts, neg, operatorOf(ts, args[1]).EndpointLeave, "leave", args)
+}
+
+func join(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, args, 2)
+	changeLife(ts, neg, operatorOf(ts, args[1]).EndpointJoin, "join", args)
+}
+
+type lifeChange = func(ctx context.Context, request *rpc.EndpointRequest) (*rpc.ChangeAnswer, error)
+
+func changeLife(ts *testscript.TestScript, neg bool, change lifeChange, what string, args []string) {
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
-	answer, err := client.EndpointLeave(ctx, &rpc.EndpointRequest{
-		Operator: "o", Request: fmt.Sprint("leave-", args[0]), Endpoint: args[0], Life: 1,
+	answer, err := change(ctx, &rpc.EndpointRequest{
+		Operator: "o", Request: fmt.Sprint(what, "-", args[0]), Endpoint: args[0], Life: 1,
 	})
 	if accepted := err == nil && answer.GetAccepted() != nil; accepted == neg {
-		ts.Fatalf("leave %s at %s: %v %v", args[0], args[1], answer, err)
+		ts.Fatalf("%s %s at %s: %v %v", what, args[0], args[1], answer, err)
 	}
 }
 
 func newWeights(ts *testscript.TestScript, neg bool, args []string) {
 	need(ts, args, 3)
-	c := *worldOf(ts).instances[args[1]].options.Declarations
-	c.Models = []tables.Model{{Name: model, Weights: tables.WeightsVersion(args[0])}}
-	items, err := configuration.Encode(c)
-	check(ts, err)
+	request := weightsChange(ts, args[0], args[1], uint64(number(ts, args[2])))
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
-	answer, err := operatorOf(ts, args[1]).Apply(ctx, &rpc.ApplyRequest{
-		Operator: "o", Request: "weights-" + args[0], Base: uint64(number(ts, args[2])), Items: items,
-	})
+	answer, err := operatorOf(ts, args[1]).Apply(ctx, request)
 	if accepted := err == nil && answer.GetAccepted() != nil; accepted == neg {
 		ts.Fatalf("weights %s at %s: %v %v", args[0], args[1], answer, err)
 	}
--- a/scenario/request.go
+++ b/scenario/request.go
@@ -22,6 +22,8 @@
 	prompt string
 	key    string
 	text   string
+	// call is that of a plain service; empty means a completion.
+	call   string
 	tokens int
 	cancel context.CancelFunc
 	done   chan struct{}
@@ -39,6 +41,15 @@
 	tries  int
 }
 
+// The calls of the publishing service.
+const (
+	callPublish = "send"
+	callLookup  = "find"
+)
+
+// callProfiles are the profiles that calls are sent under.
+var callProfiles = map[string]string{callPublish: "publishing", callLookup: "lookups"}
+
 func newRequest(name string, prompt string, tokens int) *request {
 	return &request{name: name, prompt: prompt, tokens: tokens, done: make(chan struct{}), grown: make(chan struct{})}
 }
@@ -47,8 +58,8 @@
 // may be that of the weights in force at the start or of newer ones, but not a
 // mixture.
 func (r *request) right(got string) bool {
-	if r.key != "" {
-		return got == standin.ServiceAnswer("send", []byte(r.text))
+	if r.call != "" {
+		return got == standin.ServiceAnswer(r.call, []byte(r.text))
 	}
 	return got == standin.NewText(model, "", weights, r.prompt).First(r.tokens) ||
 		got == standin.NewText(model, "", newerWeights, r.prompt).First(r.tokens)
@@ -65,8 +76,8 @@
 // build makes the HTTP request of one try.
 func (r *request) build(ctx context.Context, address string, stream bool) (*http.Request, error) {
 	path, kind, body := "/v1/completions", "application/json", []byte(nil)
-	if r.key != "" {
-		path, kind, body = "/v1/services/press/send", "application/octet-stream", []byte(r.text)
+	if r.call != "" {
+		path, kind, body = "/v1/services/press/"+r.call, "application/octet-stream", []byte(r.text)
 	} else {
 		body, _ = json.Marshal(map[string]any{"prompt": r.prompt, "max_tokens": r.tokens, "stream": stream})
 	}
@@ -76,6 +87,9 @@
 	}
 	req.Header.Set("Authorization", "Bearer "+token)
 	req.Header.Set("Content-Type", kind)
+	if r.call != "" {
+		req.Header.Set("X-Profile", callProfiles[r.call])
+	}
 	if r.key != "" {
 		req.Header.Set("Idempotency-Key", r.key)
 	}
@@ -136,7 +150,7 @@
 		return r.fail(content)
 	}
 	text := string(content)
-	if r.key == "" {
+	if r.call == "" {
 		var whole oas.Completion
 		if err := json.Unmarshal(content, &whole); err != nil {
 			return err
--- a/scenario/world.go
+++ b/scenario/world.go
@@ -9,6 +9,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
@@ -39,6 +40,7 @@
 	token        = "press-token"
 
 	enginesPerZone = 2
+	platformLag    = 100 * time.Millisecond
 	serviceSlots   = 8
 )
 
@@ -55,6 +57,8 @@
 	services  map[string]*standin.Service
 	instances map[string]*instance
 	requests  map[string]*request
+	// race is the race of operators that runs, if any.
+	race *race
 }
 
 // instance is one instance over its lives.
@@ -62,6 +66,10 @@
 	options daemon.Options
 	ports   loopback.Ports
 	daemon  *daemon.Daemon
+	// pause holds calls back before they leave.
+	pause *pause
+	// platform is the zone's copy of the platform's list.
+	platform *standin.Platform
 	// drained is closed when a graceful shutdown has ended, with its failure.
 	drained  chan struct{}
 	drainErr error
@@ -100,6 +108,7 @@
 		Profiles: []tables.Profile{
 			{Name: "drafting", Kind: tables.Engine, Model: model, Idempotent: true, Timeout: 50 * time.Second},
 			{Name: "publishing", Kind: tables.PlainService, Service: "press", Timeout: 10 * time.Second},
+			{Name: "lookups", Kind: tables.PlainService, Service: "press", Idempotent: true, Timeout: 10 * time.Second},
 		},
 		Organisations: []tables.Organisation{{ID: "press", Share: 1, TokenHashes: []string{hex.EncodeToString(sum[:])}}},
 	}
@@ -174,6 +183,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if i.platform, err = standin.StartPlatform(netip.AddrPort{}, platformLag); err != nil {
+		return nil, err
+	}
+	w.network.Place(i.platform.Address().String(), zone)
+	i.pause = newPause(w.network.Dialer(zone))
 	name := "entry-" + string(zone)
 	data := filepath.Join(w.folder, name)
 	if err := os.Mkdir(data, 0o700); err != nil {
@@ -182,15 +196,16 @@
 	i.options = daemon.Options{
 		Process: &settings.Process{
 			Instance: tables.InstanceID(name), Zone: zone, Data: data, Entry: true, Control: true, Size: 1,
-			Listen: settings.Listen{Callers: callers, Instances: instances, Membership: instances},
-			Keys:   settings.Keys{Instances: key, Operators: key},
+			Listen:       settings.Listen{Callers: callers, Instances: instances, Membership: instances},
+			PlatformList: i.platform.Address(),
+			Keys:         settings.Keys{Instances: key, Operators: key},
 			Limits: settings.Limits{
 				BodyBytes: 1 << 20, HeaderBytes: 1 << 15, Connections: 1024, Requests: 1024, OrganisationRequests: 1024,
 			},
 			Drain: settings.Drain{Announce: 100 * time.Millisecond, Timeout: wait},
 		},
 		Declarations: c,
-		Dial:         w.network.Dialer(zone),
+		Dial:         i.pause.dial,
 		Reaches:      w.network.Reaches(zone),
 		Listen:       i.ports.Listen,
 	}
@@ -234,11 +249,16 @@
 	for _, r := range w.requests {
 		r.cancel()
 	}
+	if w.race != nil {
+		w.race.stop()
+	}
 	for _, i := range w.instances {
+		i.pause.end()
 		if i.daemon != nil {
 			i.daemon.Stop()
 		}
 		i.ports.Close()
+		i.platform.Close()
 	}
 	for _, e := range w.engines {
 		e.Close()
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -95,6 +95,8 @@
 	// slowdown is how many times slower than declared the engine runs.
 	slowdown atomic.Int64
 	hang     gate
+	// lie changes load reports; nil means that they are true.
+	lie atomic.Pointer[func(load *engine.Load)]
 
 	mu      sync.Mutex
 	boots   int
@@ -218,6 +220,15 @@
 // Accept ends Refuse.
 func (e *Engine) Accept() error { return e.server.up() }
 
+// Lie has every load report changed before it is sent; nil ends it.
+func (e *Engine) Lie(change func(load *engine.Load)) {
+	if change == nil {
+		e.lie.Store(nil)
+		return
+	}
+	e.lie.Store(&change)
+}
+
 // Slow makes the engine run so many times slower than declared; 1 ends it.
 func (e *Engine) Slow(times int) { e.slowdown.Store(int64(max(times, 1))) }
 
--- a/standin/handlers.go
+++ b/standin/handlers.go
@@ -166,6 +166,9 @@
 	l.mu.Lock()
 	load := l.loads.lagging(l.report, time.Now())
 	l.mu.Unlock()
+	if lie := e.lie.Load(); lie != nil {
+		(*lie)(&load)
+	}
 	answerJSON(w, http.StatusOK, load)
 }
 
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/carawaystile/carawaystile/engine"
@@ -24,6 +25,7 @@
 type Platform struct {
 	lag    time.Duration
 	server *server
+	reads  atomic.Int64
 
 	mu        sync.Mutex
 	instances map[tables.EndpointID]engine.PlatformInstance
@@ -50,6 +52,9 @@
 // Close stops serving.
 func (p *Platform) Close() { p.server.cut() }
 
+// Reads counts how often the list was read.
+func (p *Platform) Reads() int64 { return p.reads.Load() }
+
 // Set adds an instance or changes what is said of it.
 func (p *Platform) Set(instance engine.PlatformInstance) {
 	p.change(func() { p.instances[instance.ID] = instance })
@@ -73,6 +78,7 @@
 
 func (p *Platform) serveList(w http.ResponseWriter, _ *http.Request) {
 	answerJSON(w, http.StatusOK, p.lagging(time.Now()))
+	p.reads.Add(1)
 }
 
 func (p *Platform) lagging(now time.Time) engine.PlatformList {
--- a/standin/service.go
+++ b/standin/service.go
@@ -117,6 +117,8 @@
 	boots   atomic.Int64
 	slots   chan struct{}
 	answers atomic.Int64
+	// loss is the present ServiceOptions.AnswerLoss.
+	loss atomic.Int64
 }
 
 // StartService starts a service that listens on loopback.
@@ -129,6 +131,7 @@
 	s := &Service{options: options, slots: make(chan struct{}, options.Slots)}
 	s.hang.init()
 	s.boots.Store(1)
+	s.loss.Store(int64(options.AnswerLoss))
 	mux := http.NewServeMux()
 	mux.HandleFunc(engine.PathCall+"{call...}", s.serveCall)
 	mux.HandleFunc("GET "+engine.PathLoad, s.serveLoad)
@@ -170,6 +173,9 @@
 // Resume ends Hang.
 func (s *Service) Resume() { s.hang.open() }
 
+// LoseAnswers replaces ServiceOptions.AnswerLoss.
+func (s *Service) LoseAnswers(every int) { s.loss.Store(int64(every)) }
+
 // Close ends the service for good.
 func (s *Service) Close() {
 	s.Resume()
@@ -220,7 +226,8 @@
 		panic(http.ErrAbortHandler)
 	}
 	time.Sleep(time.Duration(float64(s.options.CallTime) / s.options.Speedup))
-	if n := s.answers.Add(1); s.options.AnswerLoss > 0 && n%int64(s.options.AnswerLoss) == 0 {
+	n, loss := s.answers.Add(1), s.loss.Load()
+	if loss > 0 && n%loss == 0 {
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Content-Type", "text/plain")
