Wait for the revision in force in scripts, and lose the next answers

Cause: in one of three runs cut-during-apply failed: revision waited for the replica's revision, and a request came before the entry had it in force. Every second answer lost per service could also lose three in a row, which a caller is truthfully told as unknown. Change: revision waits for both the replica and what is in force; the watch of the race checks both. lose N takes the next N answers over all services, and answer-lost counts the calls, so that a lookup must have been retried. Conclusion: both faults were those of the scripts.

--- a/scenario/commands.go
+++ b/scenario/commands.go
@@ -13,6 +13,9 @@
 	"github.com/carawaystile/carawaystile/tables"
 )
 
+// longLines make a prompt of some ten thousand tokens.
+const longLines = 1500
+
 type command = func(ts *testscript.TestScript, neg bool, args []string)
 
 // Commands are the words of the language:
@@ -21,7 +24,7 @@
 //	stop INSTANCE                 end it as a crash does
 //	drain INSTANCE                begin a graceful shutdown
 //	drained INSTANCE              wait until it has ended without cutting anyone
-//	send NAME INSTANCE stream|whole|publish|lookup [tokens=N] [key=K] [text=T] [poison] [patient]
+//	send NAME INSTANCE stream|whole|publish|lookup [tokens=N] [key=K] [text=T] [poison] [long] [patient]
 //	await NAME N                  wait until the caller has N tokens
 //	hangup NAME                   the caller goes away
 //	expect NAME whole|from VERSION|code N|outcome O|broken|failed|ended
@@ -29,18 +32,19 @@
 //	restart ENGINE|SERVICE        bring it back, empty
 //	hang / resume ENGINE|SERVICE  stop without closing anything
 //	halfopen ENGINE|@NAME         keep connections up and lose what arrives; ended by resume
-//	slow / fast [ENGINE]          one engine, or all
+//	slow / fast [times=N] [ENGINE...]
+//	                              these engines, or all
 //	cut ZONE / heal
 //	leave ENDPOINT INSTANCE       an operator tells it to the instance
 //	weights VERSION INSTANCE BASE an operator applies other weights over a revision
 //	idle ENDPOINT [N]             note what it has got so far; with !, it must not have got more since,
 //	                              or at most N
 //	quiet                         wait until no engine runs anything
-//	revision INSTANCE N           wait until the instance has the revision, or a later one
+//	revision INSTANCE N           wait until the instance has the revision in force, or a later one
 //	calls N                       wait until the services have begun N calls
 //	ran KEY N                     how often the work under a key ran
 //	crashes N                     at most so many engines crashed
-//	lose N                        services lose every Nth answer after the call ran; 0 ends it
+//	lose N                        the services' next N answers get lost after the calls ran
 //	lie ENGINE idle|full|no       what its load reports say
 //	many NAME N                   send whole requests NAME-1 to NAME-N through all instances in turn
 //	running N                     wait until engines have taken in N requests since the start
@@ -159,6 +163,8 @@
 			r.prompt = value
 		case "poison":
 			r.prompt = "the same each time " + standin.PoisonMark
+		case "long":
+			r.prompt += strings.Repeat(" and a line of a style book", longLines)
 		case "patient":
 			patient = true
 		default:
@@ -290,7 +296,12 @@
 func slow(ts *testscript.TestScript, _ bool, args []string) { setSpeed(ts, args, slowdown) }
 func fast(ts *testscript.TestScript, _ bool, args []string) { setSpeed(ts, args, 1) }
 
+// setSpeed takes names of engines, and times=N for another slowdown.
 func setSpeed(ts *testscript.TestScript, names []string, times int) {
+	if len(names) > 0 && strings.HasPrefix(names[0], "times=") {
+		times = number(ts, strings.TrimPrefix(names[0], "times="))
+		names = names[1:]
+	}
 	for name, e := range worldOf(ts).engines {
 		if len(names) == 0 || slices.Contains(names, name) {
 			e.Slow(times)
--- a/scenario/faults.go
+++ b/scenario/faults.go
@@ -19,11 +19,12 @@
 
 func lose(ts *testscript.TestScript, _ bool, args []string) {
 	need(ts, args, 1)
-	for _, s := range worldOf(ts).services {
-		s.LoseAnswers(number(ts, args[0]))
-	}
+	worldOf(ts).answersToLose.Store(int64(number(ts, args[0])))
 }
 
+// losesAnswer uses one of the answers to lose up.
+func (w *world) losesAnswer() bool { return w.answersToLose.Add(-1) >= 0 }
+
 // falseQueue is the queue that an engine invents when it lies to be full.
 const falseQueue = 64
 
--- a/scenario/operator.go
+++ b/scenario/operator.go
@@ -29,10 +29,22 @@
 	client, want := operatorOf(ts, args[0]), uint64(number(ts, args[1]))
 	until(ts, args[0]+" has not the revision", func() bool {
 		answer, err := client.Status(context.Background(), &rpc.StatusRequest{})
-		return err == nil && answer.GetRevision() >= want
+		return err == nil && answer.GetRevision() >= want && inForce(answer) >= want
 	})
 }
 
+// inForce is the revision that the asked instance routes by. It comes some time
+// after the replica beside it has the same revision: who sends a request in
+// between finds the older one in force.
+func inForce(answer *rpc.StatusAnswer) uint64 {
+	for _, i := range answer.GetInstances() {
+		if i.GetInstance() == answer.GetInstance() {
+			return i.GetRevision()
+		}
+	}
+	return 0
+}
+
 func leave(ts *testscript.TestScript, neg bool, args []string) {
 	need(ts, args, 2)
 	changeLife(ts, neg, operatorOf(ts, args[1]).EndpointLeave, "leave", args)
--- a/scenario/race.go
+++ b/scenario/race.go
@@ -27,7 +27,7 @@
 	mu       sync.Mutex
 	accepted []string
 	refused  []string
-	// newest is the highest revision that each instance has reported.
+	// newest is the last revision that each instance has reported.
 	newest  map[string]uint64
 	lowered []string
 }
@@ -97,10 +97,15 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if answer.GetRevision() < r.newest[name] {
-		r.lowered = append(r.lowered, fmt.Sprint(name, ": ", r.newest[name], " to ", answer.GetRevision()))
+	r.note(name+" replica", answer.GetRevision())
+	r.note(name+" in force", inForce(answer))
+}
+
+func (r *race) note(what string, revision uint64) {
+	if revision < r.newest[what] {
+		r.lowered = append(r.lowered, fmt.Sprint(what, ": ", r.newest[what], " to ", revision))
 	}
-	r.newest[name] = answer.GetRevision()
+	r.newest[what] = revision
 }
 
 func winner(ts *testscript.TestScript, _ bool, args []string) {
--- a/scenario/world.go
+++ b/scenario/world.go
@@ -13,6 +13,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -57,6 +58,8 @@
 	services  map[string]*standin.Service
 	instances map[string]*instance
 	requests  map[string]*request
+	// answersToLose counts the services' next answers that get lost.
+	answersToLose atomic.Int64
 	// race is the race of operators that runs, if any.
 	race *race
 }
@@ -137,6 +140,7 @@
 	if err != nil {
 		return err
 	}
+	s.LoseAnswers(w.losesAnswer)
 	w.services[name] = s
 	w.network.Place(s.Address().String(), zone)
 	c.Endpoints = append(c.Endpoints, tables.Endpoint{
--- a/standin/service.go
+++ b/standin/service.go
@@ -117,8 +117,9 @@
 	boots   atomic.Int64
 	slots   chan struct{}
 	answers atomic.Int64
-	// loss is the present ServiceOptions.AnswerLoss.
-	loss atomic.Int64
+	// loses is asked before each answer whether it gets lost; nil means by
+	// ServiceOptions.AnswerLoss alone.
+	loses atomic.Pointer[func() bool]
 }
 
 // StartService starts a service that listens on loopback.
@@ -131,7 +132,6 @@
 	s := &Service{options: options, slots: make(chan struct{}, options.Slots)}
 	s.hang.init()
 	s.boots.Store(1)
-	s.loss.Store(int64(options.AnswerLoss))
 	mux := http.NewServeMux()
 	mux.HandleFunc(engine.PathCall+"{call...}", s.serveCall)
 	mux.HandleFunc("GET "+engine.PathLoad, s.serveLoad)
@@ -173,8 +173,18 @@
 // Resume ends Hang.
 func (s *Service) Resume() { s.hang.open() }
 
-// LoseAnswers replaces ServiceOptions.AnswerLoss.
-func (s *Service) LoseAnswers(every int) { s.loss.Store(int64(every)) }
+// LoseAnswers has the connection cut in place of each answer for which decide
+// reports true.
+func (s *Service) LoseAnswers(decide func() bool) { s.loses.Store(&decide) }
+
+func (s *Service) losesAnswer() bool {
+	n, every := s.answers.Add(1), int64(s.options.AnswerLoss)
+	if every > 0 && n%every == 0 {
+		return true
+	}
+	decide := s.loses.Load()
+	return decide != nil && (*decide)()
+}
 
 // Close ends the service for good.
 func (s *Service) Close() {
@@ -226,8 +236,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	time.Sleep(time.Duration(float64(s.options.CallTime) / s.options.Speedup))
-	n, loss := s.answers.Add(1), s.loss.Load()
-	if loss > 0 && n%loss == 0 {
+	if s.losesAnswer() {
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Content-Type", "text/plain")
