--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -20,7 +20,7 @@
 // pages lists the README and all pages below this folder.
 func pages(t *testing.T) []string {
 	t.Helper()
-	all := []string{"../README.md", "../CHANGELOG.md"}
+	all := []string{"../README.md", "../CHANGELOG.md", "../DEVELOPERS.md"}
 	err := filepath.WalkDir(".", func(path string, _ fs.DirEntry, err error) error {
 		if strings.HasSuffix(path, ".md") {
 			all = append(all, path)
