Take the system's own instances from the platform's list

Cause: membership could use the list and nobody gave it one; addresses of earlier lists would also have piled up as seeds. Change: a line of the list may say where an instance takes datagrams; the daemon hands these on, and never an empty list. Figures: two instances without peers in their settings find each other in the test. Conclusion: with the list, peers need not be written into settings.

--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -16,6 +16,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/carawaystile/carawaystile/engine"
 	"github.com/carawaystile/carawaystile/settings"
 	"github.com/carawaystile/carawaystile/standin"
 	"github.com/carawaystile/carawaystile/tables"
@@ -194,3 +195,37 @@
 		assert.Equal(t, a.Weights, tables.WeightsVersion("w1"), "attempt %s", a.Attempt)
 	}
 }
+
+// Two instances name no peers in their settings. The platform's list is all that
+// tells them of one another; without it each would take the whole of every limit
+// for itself.
+func TestInstancesFindEachOtherByThePlatformsList(t *testing.T) {
+	platform, err := standin.StartPlatform(netip.AddrPort{}, 0)
+	assert.NilError(t, err)
+	defer platform.Close()
+	first := testOptions(t, testDeclarations())
+	second := testOptions(t, nil)
+	second.Process.Instance = "i2"
+	second.Process.Control = false
+	second.Process.ControlInstances = first.Process.ControlInstances
+	var started []*Daemon
+	for _, options := range []Options{first, second} {
+		options.Process.PlatformList = platform.Address()
+		d, err := Start(options)
+		assert.NilError(t, err)
+		defer d.Stop()
+		started = append(started, d)
+		platform.Set(engine.PlatformInstance{
+			ID:         tables.EndpointID(options.Process.Instance),
+			State:      engine.PlatformLive,
+			Membership: d.members.Load().Address(),
+		})
+	}
+	for deadline := time.Now().Add(30 * time.Second); time.Now().Before(deadline); {
+		if len(started[0].entryPeers()) == 1 && len(started[1].entryPeers()) == 1 {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("they did not find each other")
+}
--- a/daemon/orders.go
+++ b/daemon/orders.go
@@ -10,6 +10,7 @@
 	"github.com/carawaystile/carawaystile/engine"
 	"github.com/carawaystile/carawaystile/router"
 	"github.com/carawaystile/carawaystile/rpc"
+	"github.com/carawaystile/carawaystile/systems/membership"
 	"github.com/carawaystile/carawaystile/tables"
 )
 
@@ -53,7 +54,8 @@
 
 // watchPlatform looks at the platform's list and stops new work to endpoints
 // that leave. Only leaving is taken from it: the list lags, so that an endpoint
-// it still shows as live may be one that an operator let leave.
+// it still shows as live may be one that an operator let leave. The system's own
+// instances in it are hints for failure detection.
 func (d *Daemon) watchPlatform(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -76,9 +78,19 @@
 	if err != nil {
 		return
 	}
+	var own []membership.PlatformInstance
 	for _, i := range list.Instances {
-		if i.State == engine.PlatformLeaving {
+		leaving := i.State == engine.PlatformLeaving
+		switch {
+		case i.Membership.IsValid():
+			own = append(own, membership.PlatformInstance{Address: i.Membership, Leaving: leaving})
+		case leaving:
 			d.entry.Observe(router.EndpointGone{Endpoint: i.ID, Life: i.Life})
 		}
 	}
+	// A list without the system's own instances says nothing of them. Taken as
+	// it stands it would say that all of them are gone.
+	if joined := d.members.Load(); joined != nil && len(own) > 0 {
+		joined.PlatformList(own)
+	}
 }
--- a/engine/platform.go
+++ b/engine/platform.go
@@ -25,6 +25,9 @@
 	State PlatformState     `json:"state"`
 	// Life grows each time the instance joins again.
 	Life uint64 `json:"life"`
+	// Membership is where an instance of the system takes the datagrams of
+	// failure detection; it is left out for endpoints.
+	Membership netip.AddrPort `json:"membership,omitzero"`
 }
 
 // PlatformList is the platform's list. It lags behind the truth.
--- a/systems/membership/membership.go
+++ b/systems/membership/membership.go
@@ -166,9 +166,11 @@
 type Membership struct {
 	config Config
 	self   *member
-	seeds  []netip.AddrPort
-	random *rand.Rand
-	rows   map[tables.InstanceID]*member
+	// configured are the seeds of the options, seeds those and the listed ones.
+	configured []netip.AddrPort
+	seeds      []netip.AddrPort
+	random     *rand.Rand
+	rows       map[tables.InstanceID]*member
 	// version grows whenever a state changes or a member comes or goes.
 	version uint64
 
@@ -190,12 +192,13 @@
 	options.Config.setDefaults()
 	self := &member{Member: Member{Row: options.Self, Incarnation: 1}}
 	return &Membership{
-		config: options.Config,
-		self:   self,
-		seeds:  options.Seeds,
-		random: rand.New(rand.NewPCG(options.Seed, options.Self.Boot)),
-		rows:   map[tables.InstanceID]*member{options.Self.Instance: self},
-		probes: newProbes(),
+		config:     options.Config,
+		self:       self,
+		configured: options.Seeds,
+		seeds:      options.Seeds,
+		random:     rand.New(rand.NewPCG(options.Seed, options.Self.Boot)),
+		rows:       map[tables.InstanceID]*member{options.Self.Instance: self},
+		probes:     newProbes(),
 	}
 }
 
@@ -263,11 +266,14 @@
 // not have, or has as leaving, is held for dead without further waiting.
 func (m *Membership) PlatformList(list []PlatformInstance) {
 	m.gone, m.leaving = map[netip.AddrPort]bool{}, map[netip.AddrPort]bool{}
+	// Seeds of earlier lists are dropped: instances are replaced every day, and
+	// their former addresses would pile up.
+	m.seeds = slices.Clone(m.configured)
 	listed := map[netip.AddrPort]bool{}
 	for _, line := range list {
 		listed[line.Address] = true
 		m.leaving[line.Address] = line.Leaving
-		if !line.Leaving && !slices.Contains(m.seeds, line.Address) {
+		if !slices.Contains(m.seeds, line.Address) {
 			m.seeds = append(m.seeds, line.Address)
 		}
 	}
