engine, feed, standin: load reports over one stream

Cause: every instance asks each endpoint for its load four times a second, and a report costs most of its bytes in headers and in attempts that have not changed. Change: an endpoint may answer GET /v1/load with server-sent events that carry what changed. The feed reads the stream, polls endpoints that answer with one report or refuse, and reopens a stream that breaks or is silent for three intervals, with the back-off of polls.

--- a/engine/feed/feed.go
+++ b/engine/feed/feed.go
@@ -114,30 +114,6 @@
 	return time.Duration(float64(d) * (1 - jitter/2 + jitter*f.Random()))
 }
 
-// readLoads delivers load reports until the context ends.
-func (f *feed) readLoads(ctx context.Context) {
-	var boot tables.BootID
-	failures := 0
-	wait := time.Duration(f.Random() * float64(f.Period))
-	for f.Sleep(ctx, wait) == nil {
-		load, err := f.Reporter.Load(ctx, f.at)
-		if err != nil || load.Boot == "" {
-			failures++
-			f.noteSilence(failures, err)
-			wait = f.backOff(f.Period, failures)
-			continue
-		}
-		f.noteAnswer(failures)
-		failures = 0
-		if boot != "" && load.Boot != boot {
-			events.EndpointRebooted.Log(f.Log, f.named())
-		}
-		boot = load.Boot
-		f.Deliver(f.report(load))
-		wait = f.spread(f.Period)
-	}
-}
-
 func (f *feed) named() zap.Field { return zap.String("endpoint", string(f.id)) }
 
 func (f *feed) noteSilence(failures int, err error) {
--- a/engine/feed/feed_bench_test.go
+++ b/engine/feed/feed_bench_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -30,23 +29,6 @@
 	}.withDefaults()}, len(content)
 }
 
-// BenchmarkLoadReport gives the cost of one load report of an endpoint with 32
-// attempts, the endpoint's side included.
-func BenchmarkLoadReport(b *testing.B) {
-	load := engine.Load{Boot: "b", Running: 24, Queued: 8}
-	for i := range 32 {
-		load.Attempts = append(load.Attempts, tables.AttemptID(fmt.Sprintf("entry-zone-a-kx1f-%d", i)))
-	}
-	f, size := endpointSaying(b, load)
-	b.ReportAllocs()
-	defer func() { b.ReportMetric(float64(size), "wire_B/report") }()
-	for range b.N {
-		got, err := f.Reporter.Load(b.Context(), f.at)
-		assert.NilError(b, err)
-		f.Deliver(f.report(got))
-	}
-}
-
 // BenchmarkCacheEvents gives the cost of one cache event, read in batches of
 // 256 events that each store two blocks and evict one.
 func BenchmarkCacheEvents(b *testing.B) {
--- /dev/null
+++ b/engine/feed/loads_test.go
@@ -0,0 +1,164 @@
+package feed
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/engine"
+	"github.com/carawaystile/carawaystile/router"
+	"github.com/carawaystile/carawaystile/standin"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// streamScript is a script whose every step opens a stream or fails to. A
+// stream gives one report and fails.
+type streamScript struct{ *script }
+
+func (s streamScript) LoadStream(ctx context.Context, at netip.AddrPort, _ time.Duration) (engine.LoadStream, error) {
+	load, err := s.Load(ctx, at)
+	if err != nil {
+		return nil, err
+	}
+	return &oneReport{load: load}, nil
+}
+
+type oneReport struct {
+	load engine.Load
+	over bool
+}
+
+func (s *oneReport) Next() (engine.Load, error) {
+	if s.over {
+		return engine.Load{}, &engine.Silent{}
+	}
+	s.over = true
+	return s.load, nil
+}
+
+func (s *oneReport) Close() {}
+
+// A stream of load reports breaks and the endpoint is away for a while. Each
+// break counts as a failed report, the stream is opened less and less often,
+// and the silence and its end are told once each.
+func TestBrokenStreamIsReopenedLessOften(t *testing.T) {
+	down := errors.New("refused")
+	s := &script{
+		errs:  []error{nil, down, down, down, nil},
+		loads: []engine.Load{{Boot: "b1", Running: 1}, {Boot: "b2"}},
+	}
+	r := newRig(t, s)
+	r.Reporter = streamScript{s}
+	r.readLoads(r.ctx)
+	p := r.Period
+	assert.DeepEqual(t, r.waits[1:7], []time.Duration{p / 2, p, 2 * p, 4 * p, 8 * p, p / 2})
+	assert.DeepEqual(t, r.silent, []bool{true, false})
+	assert.DeepEqual(t, r.inputs, []router.Input{
+		router.LoadReport{Endpoint: "e", Boot: "b1", Running: 1},
+		router.LoadReport{Endpoint: "e", Boot: "b2"},
+	})
+}
+
+// An endpoint of an older version knows no streams and answers with one report.
+// It must be read as before, one report for each question, and be tried for a
+// stream only now and then.
+func TestOldEndpointIsPolled(t *testing.T) {
+	const questions = pollsPerTry + 10
+	s := &script{}
+	r := newRig(t, s)
+	var streams []int
+	asked := 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if _, stream := engine.WantsLoadStream(q); stream {
+			streams = append(streams, asked)
+		}
+		asked++
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(engine.Load{Boot: "b1", Running: asked})
+	}))
+	defer server.Close()
+	r.at = server.Listener.Addr().(*net.TCPAddr).AddrPort()
+	r.Reporter = engine.NewHTTPClient(engine.Options{})
+	r.Deliver = func(in router.Input) {
+		r.inputs = append(r.inputs, in)
+		if len(r.inputs) == questions {
+			s.end()
+		}
+	}
+	r.readLoads(r.ctx)
+	assert.DeepEqual(t, streams, []int{0, pollsPerTry + 1})
+	assert.Equal(t, asked, questions)
+	for i, in := range r.inputs {
+		assert.Equal(t, in.(router.LoadReport).Running, i+1)
+	}
+}
+
+// streamsOnly fails single questions, so that reports can only come by stream.
+type streamsOnly struct{ *engine.HTTPClient }
+
+func (s streamsOnly) Load(context.Context, netip.AddrPort) (engine.Load, error) {
+	return engine.Load{}, errors.New("asked for a single report")
+}
+
+// An engine hangs while its stream is open: the connection stays up and nothing
+// comes. Then it goes on, and later it restarts under the same address. The
+// silence must be noticed, and each time the stream must come back by itself,
+// with the boot identity of the life that speaks.
+func TestStreamComesBackAfterHangAndRestart(t *testing.T) {
+	e, err := standin.StartEngine(standin.EngineOptions{
+		ID: "e1", Speedup: -1, Weights: map[tables.ModelName]tables.WeightsVersion{"m": "v1"},
+	})
+	assert.NilError(t, err)
+	defer e.Close()
+	loads := make(chan router.LoadReport)
+	silent := make(chan bool, 1024)
+	ctx, cancel := context.WithCancel(t.Context())
+	f := &feed{id: "e1", at: e.Address(), Options: Options{
+		Reporter: streamsOnly{engine.NewHTTPClient(engine.Options{AcceptTimeout: 50 * time.Millisecond, SilenceTimeout: 150 * time.Millisecond})},
+		Deliver: func(in router.Input) {
+			select {
+			case loads <- in.(router.LoadReport):
+			case <-ctx.Done():
+			}
+		},
+		Silent:     func(_ tables.EndpointID, is bool) { silent <- is },
+		Period:     time.Millisecond,
+		MaxBackOff: 5 * time.Millisecond,
+	}.withDefaults()}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.readLoads(ctx)
+	}()
+	defer func() {
+		cancel()
+		<-done
+	}()
+
+	first := <-loads
+	assert.Equal(t, first.Boot, e.Boot())
+	assert.DeepEqual(t, first.Weights, map[tables.ModelName]tables.WeightsVersion{"m": "v1"})
+	e.Hang()
+	for noticed := false; !noticed; {
+		select {
+		case <-loads:
+		case noticed = <-silent:
+		}
+	}
+	e.Resume()
+	assert.Equal(t, (<-loads).Boot, e.Boot())
+	e.Crash()
+	assert.NilError(t, e.Restart())
+	boot := e.Boot()
+	assert.Assert(t, boot != first.Boot)
+	for (<-loads).Boot != boot {
+	}
+}
--- a/engine/wire.go
+++ b/engine/wire.go
@@ -37,6 +37,7 @@
 	HeaderKey = "Idempotency-Key"
 
 	headerType   = "Content-Type"
+	headerAccept = "Accept"
 	typeJSON     = "application/json"
 	typeEvents   = "text/event-stream"
 	maxHeader    = 64 << 10
--- a/standin/handlers.go
+++ b/standin/handlers.go
@@ -161,12 +161,13 @@
 	answerJSON(w, http.StatusOK, engine.CancelAnswer{Attempt: req.Attempt, Boot: l.boot, Found: found})
 }
 
-func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
+func (e *Engine) serveLoad(w http.ResponseWriter, r *http.Request) {
 	l := e.current()
-	l.mu.Lock()
-	load := l.loads.lagging(l.report, time.Now())
-	l.mu.Unlock()
-	answerJSON(w, http.StatusOK, load)
+	serveLoads(w, r, loadSource{hang: &e.hang, ended: l.ctx.Done(), report: func() engine.Load {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return l.loads.lagging(l.report, time.Now())
+	}})
 }
 
 // report describes the life as it is; its lock must be held.
--- a/standin/reports.go
+++ b/standin/reports.go
@@ -1,6 +1,8 @@
 package standin
 
 import (
+	"encoding/json"
+	"net/http"
 	"sync"
 	"time"
 
@@ -113,3 +115,48 @@
 	chosen.AgeMillis = now.Sub(chosen.at).Milliseconds()
 	return chosen.Load
 }
+
+// loadSource is where the load reports of a stand-in come from.
+type loadSource struct {
+	hang *gate
+	// ended is closed when the stand-in's life ends; nil means never.
+	ended  <-chan struct{}
+	report func() engine.Load
+}
+
+// serveLoads answers with one report, or with a stream of them if asked to.
+func serveLoads(w http.ResponseWriter, r *http.Request, from loadSource) {
+	interval, stream := engine.WantsLoadStream(r)
+	if !stream {
+		answerJSON(w, http.StatusOK, from.report())
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	out := &eventWriter{w: w, flusher: w.(http.Flusher)}
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	var last engine.Load
+	for {
+		select {
+		case <-from.hang.opened():
+		case <-from.ended:
+			panic(http.ErrAbortHandler)
+		case <-r.Context().Done():
+			panic(http.ErrAbortHandler)
+		}
+		load := from.report()
+		data, err := json.Marshal(engine.NewLoadDelta(last, load))
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		out.text("data: " + string(data) + "\n\n")
+		last = load
+		select {
+		case <-ticker.C:
+		case <-from.ended:
+			panic(http.ErrAbortHandler)
+		case <-r.Context().Done():
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
--- a/standin/service.go
+++ b/standin/service.go
@@ -176,8 +176,10 @@
 	s.server.cut()
 }
 
-func (s *Service) serveLoad(w http.ResponseWriter, _ *http.Request) {
-	answerJSON(w, http.StatusOK, engine.Load{Boot: s.Boot(), Running: len(s.slots)})
+func (s *Service) serveLoad(w http.ResponseWriter, r *http.Request) {
+	serveLoads(w, r, loadSource{hang: &s.hang, report: func() engine.Load {
+		return engine.Load{Boot: s.Boot(), Running: len(s.slots)}
+	}})
 }
 
 func (s *Service) serveCall(w http.ResponseWriter, r *http.Request) {
