--- a/standin/service.go
+++ b/standin/service.go
@@ -117,6 +117,9 @@
 	boots   atomic.Int64
 	slots   chan struct{}
 	answers atomic.Int64
+	// loses is asked before each answer whether it gets lost; nil means by
+	// ServiceOptions.AnswerLoss alone.
+	loses atomic.Pointer[func() bool]
 }
 
 // StartService starts a service that listens on loopback.
@@ -170,14 +173,29 @@
 // Resume ends Hang.
 func (s *Service) Resume() { s.hang.open() }
 
+// LoseAnswers has the connection cut in place of each answer for which decide
+// reports true.
+func (s *Service) LoseAnswers(decide func() bool) { s.loses.Store(&decide) }
+
+func (s *Service) losesAnswer() bool {
+	n, every := s.answers.Add(1), int64(s.options.AnswerLoss)
+	if every > 0 && n%every == 0 {
+		return true
+	}
+	decide := s.loses.Load()
+	return decide != nil && (*decide)()
+}
+
 // Close ends the service for good.
 func (s *Service) Close() {
 	s.Resume()
 	s.server.cut()
 }
 
-func (s *Service) serveLoad(w http.ResponseWriter, _ *http.Request) {
-	answerJSON(w, http.StatusOK, engine.Load{Boot: s.Boot(), Running: len(s.slots)})
+func (s *Service) serveLoad(w http.ResponseWriter, r *http.Request) {
+	serveLoads(w, r, loadSource{hang: &s.hang, report: func() engine.Load {
+		return engine.Load{Boot: s.Boot(), Running: len(s.slots)}
+	}})
 }
 
 func (s *Service) serveCall(w http.ResponseWriter, r *http.Request) {
@@ -220,7 +238,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	time.Sleep(time.Duration(float64(s.options.CallTime) / s.options.Speedup))
-	if n := s.answers.Add(1); s.options.AnswerLoss > 0 && n%int64(s.options.AnswerLoss) == 0 {
+	if s.losesAnswer() {
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Content-Type", "text/plain")
