Hand over an answer that crosses its attempt's abort

Cause: a whole answer of a plain service was dropped when the router aborted the attempt at that moment, and its end was reported as completed; nobody ended the request, and its caller waited for ever. Seen in two of four demos run at once under -race on an overloaded machine: a lookup open for ten minutes with a timeout of ten seconds. Ruled out: the router; it had been told that the request was complete. Change: a whole answer is handed over as long as the request is open; and a request that is open 5 s after its timeout is ended, with event 1009 and what is known of its outcome.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -87,14 +87,20 @@
 		return failure
 	default:
 	}
-	select {
-	case o := <-f.opened:
-		r.take(o)
-		return nil
-	case failure := <-f.failed:
-		return failure
-	case <-f.ctx.Done():
-		return &gone{cause: f.ctx.Err()}
+	lost := time.NewTimer(f.lostAfter())
+	defer lost.Stop()
+	for {
+		select {
+		case o := <-f.opened:
+			r.take(o)
+			return nil
+		case failure := <-f.failed:
+			return failure
+		case <-f.ctx.Done():
+			return &gone{cause: f.ctx.Err()}
+		case <-lost.C:
+			f.server.tell(overdue{flight: f})
+		}
 	}
 }
 
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -109,20 +109,36 @@
 
 // offer hands the attempt over, unless another has won or the caller is gone.
 func (a *attempt) offer(o *opened) {
+	if o.stream == nil {
+		a.offerAnswer(o)
+		return
+	}
 	select {
 	case a.flight.opened <- o:
 	case <-a.ctx.Done():
 		if a.flight.won.Load() != nil {
 			a.flight.server.metrics.CountDropped(DroppedLate)
 		}
-		if o.stream == nil {
-			a.tell(router.AttemptEnded{End: router.Completed}, nil)
-			return
-		}
 		a.abandon(o.stream, context.Cause(a.ctx), 0)
 	}
 }
 
+// offerAnswer hands over a plain service's answer, which is whole, even if the
+// attempt was aborted meanwhile. The router takes the end of the attempt for
+// that of the request: were the answer dropped because it crossed an abort, the
+// router would give no other, and the caller would wait for ever.
+func (a *attempt) offerAnswer(o *opened) {
+	f := a.flight
+	select {
+	case f.opened <- o:
+	case <-f.ctx.Done():
+		if f.won.Load() != nil {
+			f.server.metrics.CountDropped(DroppedLate)
+		}
+		a.tell(router.AttemptEnded{End: router.Completed}, nil)
+	}
+}
+
 // abandon closes a stream, which cancels the attempt at the endpoint, and
 // reports its end.
 func (a *attempt) abandon(stream engine.Stream, err error, tokens int) {
--- a/entry/flight.go
+++ b/entry/flight.go
@@ -79,6 +79,14 @@
 	return f.delivered, f.emitted.String()
 }
 
+// lostAfter is how long from now the router has to end the flight. Its timeout
+// ends every request; this is for the case that the router and the flight
+// disagree on whether the request is open. A caller would notice it by a request
+// that never ends, also past its timeout.
+func (f *flight) lostAfter() time.Duration {
+	return f.row.Deadline - f.server.now() + f.server.limits.LostAfter
+}
+
 // advance records a token that is about to be given to the caller.
 func (f *flight) advance(text string) {
 	f.mu.Lock()
--- a/entry/loop.go
+++ b/entry/loop.go
@@ -29,6 +29,8 @@
 	closed     struct{ flight *flight }
 	configured struct{ configuration *tables.Configuration }
 	observed   struct{ input router.Input }
+	// overdue: the router let the flight's timeout pass without an end.
+	overdue struct{ flight *flight }
 	// ended is the end of an attempt, with a proof if it never began.
 	ended struct {
 		attempt *attempt
@@ -41,6 +43,7 @@
 )
 
 func (submitted) message()  {}
+func (overdue) message()    {}
 func (closed) message()     {}
 func (configured) message() {}
 func (observed) message()   {}
@@ -110,6 +113,8 @@
 		l.router.Observe(now, m.input)
 	case ended:
 		l.end(now, m)
+	case overdue:
+		l.endOverdue(now, m.flight)
 	case inspection:
 		m.look()
 		close(m.done)
@@ -124,6 +129,16 @@
 	l.router.Cancel(now, f.row.ID)
 }
 
+// endOverdue ends a flight that the router has lost sight of.
+func (l *loop) endOverdue(now tables.Instant, f *flight) {
+	if f.ended {
+		return
+	}
+	events.RequestOverdue.Log(l.server.log, zap.String("request", string(f.row.ID)))
+	l.router.Cancel(now, f.row.ID)
+	l.fail(router.Fail{Request: f.row.ID, Code: tables.CodeTimeout})
+}
+
 func (l *loop) end(now tables.Instant, m ended) {
 	id := m.attempt.dispatch.Attempt
 	if _, known := l.running[id]; !known {
--- /dev/null
+++ b/entry/lost_test.go
@@ -0,0 +1,105 @@
+package entry
+
+import (
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/engine"
+	"github.com/carawaystile/carawaystile/router"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// scripted is a Decider that does what the test tells it, once for each tick.
+type scripted struct {
+	mu        sync.Mutex
+	actions   []router.Action
+	submitted []tables.RequestID
+	decide    func(*scripted, *tables.Request)
+}
+
+func (s *scripted) Configure(tables.Instant, *tables.Configuration) {}
+func (s *scripted) Observe(tables.Instant, router.Input)            {}
+func (s *scripted) Cancel(tables.Instant, tables.RequestID)         {}
+
+func (s *scripted) Submit(_ tables.Instant, r *tables.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.submitted = append(s.submitted, r.ID)
+	s.decide(s, r)
+}
+
+func (s *scripted) Tick(tables.Instant) []router.Action {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	actions := s.actions
+	s.actions = nil
+	return actions
+}
+
+func (s *scripted) NextTick(now tables.Instant) tables.Instant { return now + time.Hour }
+
+func (s *scripted) then(a router.Action) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.actions = append(s.actions, a)
+}
+
+// A plain service is slow, the router gives the attempt up, and its whole answer
+// arrives at that moment. The answer was dropped and the attempt reported as
+// completed, so that nobody ended the request: its caller waited for ever. Found
+// by four demos at once on a busy machine.
+func TestAnswerThatCrossesItsAbortReachesTheCaller(t *testing.T) {
+	for range 20 {
+		s := &scripted{decide: func(s *scripted, r *tables.Request) {
+			s.actions = append(s.actions, router.Dispatch{Request: r.ID, Attempt: "a1"})
+		}}
+		r := newRig(t, func(o *Options) { o.Router = s })
+		called, release := make(chan struct{}), make(chan struct{})
+		r.client.call = []func(engine.CallRequest) (engine.CallAnswer, error){
+			func(req engine.CallRequest) (engine.CallAnswer, error) {
+				close(called)
+				<-release
+				return engine.CallAnswer{Attempt: req.Attempt, Status: http.StatusOK, Body: []byte("found")}, nil
+			},
+		}
+		got := make(chan string, 1)
+		go func() {
+			resp := r.post(t, t.Context(), "/v1/services/notes/find", "x", "Content-Type", "application/octet-stream")
+			got <- read(t, resp)
+		}()
+		<-called
+		s.then(router.Abort{Attempt: "a1"})
+		assert.Assert(t, r.server.Inspect(func() {}))
+		assert.Assert(t, r.server.Inspect(func() {}), "the tick after the first is over")
+		close(release)
+		select {
+		case answer := <-got:
+			assert.Equal(t, answer, "found")
+		case <-time.After(testWait):
+			t.Fatal("the caller waits for ever")
+		}
+	}
+}
+
+// The router and the entry disagree on whether a request is open. Whatever the
+// cause, the caller must be told after the timeout, and truthfully.
+func TestRequestThatTheRouterLosesIsEnded(t *testing.T) {
+	s := &scripted{decide: func(*scripted, *tables.Request) {}}
+	r := newRig(t, func(o *Options) {
+		o.Router = s
+		o.Limits.LostAfter = time.Nanosecond
+	})
+	c := testConfiguration()
+	for i := range c.Profiles {
+		c.Profiles[i].Timeout = time.Millisecond
+	}
+	r.server.Configure(c)
+	resp := r.post(t, t.Context(), "/v1/completions", `{"prompt":"p","max_tokens":1}`)
+	failure := failureIn(t, read(t, resp))
+	assert.Equal(t, tables.Code(failure.Code), tables.CodeTimeout)
+	assert.Equal(t, string(failure.Outcome), string(tables.NotRun))
+}
--- a/entry/options.go
+++ b/entry/options.go
@@ -104,6 +104,9 @@
 	CancelWait time.Duration
 	// ClaimWait bounds each question to the control state.
 	ClaimWait time.Duration
+	// LostAfter is how long after its timeout a request is ended that the
+	// router did not end.
+	LostAfter time.Duration
 	// DrainServe is how long new requests are still served after the balancer
 	// is told that the instance is not ready.
 	DrainServe time.Duration
@@ -123,6 +126,7 @@
 		ReadStall:           30 * time.Second,
 		CancelWait:          2 * time.Second,
 		ClaimWait:           2 * time.Second,
+		LostAfter:           5 * time.Second,
 		DrainServe:          5 * time.Second,
 	}
 }
--- a/entry/server.go
+++ b/entry/server.go
@@ -160,6 +160,7 @@
 	fill(&l.ReadStall, d.ReadStall)
 	fill(&l.CancelWait, d.CancelWait)
 	fill(&l.ClaimWait, d.ClaimWait)
+	fill(&l.LostAfter, d.LostAfter)
 	fill(&l.DrainServe, d.DrainServe)
 	return l
 }
--- a/events/entry.go
+++ b/events/entry.go
@@ -13,4 +13,5 @@
 	DrainStarted         = define(1006, zapcore.InfoLevel, "The instance takes itself out of service.")
 	DrainEnded           = define(1007, zapcore.InfoLevel, "Every request of the draining instance has ended.")
 	DrainCut             = define(1008, zapcore.WarnLevel, "The drain was ended while requests were open.")
+	RequestOverdue       = define(1009, zapcore.ErrorLevel, "A request was open after its timeout and was ended.")
 )
