--- a/systems/quarantine/incident.go
+++ b/systems/quarantine/incident.go
@@ -176,16 +176,10 @@
 		s.convict(now, f)
 		return Refuse
 	}
-	settling := now-latest < s.settle(f)
-	switch {
-	case standing < s.needed(f) && !s.paired(f):
-		// The third run would take one endpoint more while the other crashes
-		// about may yet turn out to be those of a second guilty request.
-		if settling && s.inBurst(f) && s.gaveAway(f) {
-			return Hold
-		}
+	if standing < s.needed(f) {
 		return verdict
-	case settling:
+	}
+	if now-latest < s.settle(f) {
 		return Hold
 	}
 	s.convict(now, f)
@@ -257,7 +251,15 @@
 
 // beside counts the endpoints that crashed at about the time of one that ran f
 // and did not run it themselves.
-func (s *System) beside(f tables.Fingerprint) int { return len(s.incidentsBeside(f)) }
+func (s *System) beside(f tables.Fingerprint) int {
+	beside := 0
+	for _, other := range s.incidents {
+		if other.find(f) == nil && s.near(other, f) {
+			beside++
+		}
+	}
+	return beside
+}
 
 // settle is how long a conviction of f waits. With other crashes about there
 // may be a second request that crashes endpoints, and f merely have met both;
