Average the first samples of an undeclared speed

Cause: TestSlowEngine was red: a sample weighed a tenth against a default of 20,000 tokens a second, and with peers much faster than that the slow engine looked like them for dozens of prompts. Change: where no speed is declared the first ten samples are averaged.

--- a/router/learn.go
+++ b/router/learn.go
@@ -57,10 +57,22 @@
 		rate = placement.DefaultPrefillRate
 	}
 	seconds := took.Seconds() / float64(tokens)
-	speed.Prefill = 1 / (1/rate + learnSpeed*(seconds-1/rate))
+	speed.Prefill = 1 / (1/rate + sampleWeight(row)*(seconds-1/rate))
 	speed.Samples++
 }
 
+// sampleWeight is the weight of the next sample of an endpoint's speed. A
+// declared speed is a good first guess and gives way slowly. Where none is
+// declared the first samples are averaged: the default in its place can be far
+// off for all endpoints alike, and a slow one among them would look like the
+// others until the default is forgotten, with callers waiting at it meanwhile.
+func sampleWeight(row *tables.EndpointRow) float64 {
+	if row.Endpoint.PrefillRate > 0 {
+		return learnSpeed
+	}
+	return max(learnSpeed, 1/float64(row.Speed.Samples+1))
+}
+
 // learnEnd takes in what the end of an attempt shows.
 func (r *Router) learnEnd(now tables.Instant, a *tables.AttemptRow, in AttemptEnded) {
 	row := r.endpoints.Row(a.Endpoint)
