--- a/demo/load.go
+++ b/demo/load.go
@@ -66,7 +66,7 @@
 func users() []user {
 	return []user{
 		{
-			model: "draft-12b", style: "house style of the press",
+			model: "draft-12b", style: "style rules of the press",
 			organisations: []string{"volta-systems", "kente-cloud", "osei-software", "adinkra-labs"},
 			quick:         "drafting", slow: "style-check", once: "publishing",
 			service: "publish", onceCall: "publish-note", lookup: "past-notes",
--- a/entry/stream_test.go
+++ b/entry/stream_test.go
@@ -55,7 +55,7 @@
 	assert.Assert(t, strings.HasSuffix(rest.String(), endMark), rest)
 }
 
-// An engine's process dies while a writer's note is being streamed. The writer
+// An engine's process dies while a caller's answer is being streamed. The caller
 // sees a pause and then the rest, without a gap or a repeated word.
 func TestStreamGoesOnElsewhereAfterCrash(t *testing.T) {
 	r := newRig(t, nil)
--- a/measure/workload.go
+++ b/measure/workload.go
@@ -87,7 +87,7 @@
 		house: 3, subject: 8, book: 10, document: 1, subjects: 24, documentUses: 4,
 		classes: []class{
 			{part: 0.5, document: true, tail: span{200, 1500}, answer: span{40, 200},
-				profile: tables.Profile{Name: "clerk", Model: modelName, Idempotent: true, Priority: tables.Urgent,
+				profile: tables.Profile{Name: "enquiry", Model: modelName, Idempotent: true, Priority: tables.Urgent,
 					Prefer: tables.PreferReuse, Timeout: time.Minute}},
 			{part: 0.3, long: true, tail: span{200, 1500}, answer: span{5, 20},
 				profile: tables.Profile{Name: "ruling", Model: modelName, Idempotent: true, Priority: tables.Background,
