Test that logs hold no texts

Cause: the rule that no line holds a prompt, an answer's token or a key was kept by care only. Change: a test at the most talkative level, through a crash. Conclusion: it holds for completions.

--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -14,6 +15,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 	"gotest.tools/v3/assert"
 
 	"github.com/carawaystile/carawaystile/engine"
@@ -229,3 +232,31 @@
 	}
 	t.Fatal("they did not find each other")
 }
+
+// Logs are read by more people than prompts are meant for. At the most talkative
+// level, and through failures, no line may hold a prompt, a token of an answer or
+// a credential.
+func TestLogsHoldNoTexts(t *testing.T) {
+	e := startTestEngine(t, "e1", "w1")
+	var lines bytes.Buffer
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.Lock(zapcore.AddSync(&lines)), zapcore.DebugLevel)
+	options := testOptions(t, testDeclarations(e))
+	options.Log = zap.New(core)
+	d, err := Start(options)
+	assert.NilError(t, err)
+	<-d.Configured()
+	const prompt = "confidential-prompt"
+	at := options.Process.Listen.Callers
+	status, answer := complete(t, at, `{"prompt": "`+prompt+`", "max_tokens": 3}`)
+	assert.Equal(t, status, http.StatusOK, answer)
+	e.Crash()
+	_, _ = complete(t, at, `{"prompt": "`+prompt+`", "max_tokens": 3}`)
+	d.Stop()
+	var whole struct{ Choices []struct{ Text string } }
+	assert.NilError(t, json.Unmarshal([]byte(answer), &whole))
+	log := lines.String()
+	assert.Assert(t, strings.Contains(log, `"event":1005`), "the failure is logged: %s", log)
+	for _, text := range []string{prompt, strings.TrimSpace(whole.Choices[0].Text), testToken + `"`, operatorKey} {
+		assert.Assert(t, !strings.Contains(log, text), "the log holds %q: %s", text, log)
+	}
+}
