Ask for load reports one by one where streams are held back

Cause: a stream that opens and gives nothing, as behind a proxy that holds streams back, made a working endpoint look silent for good. Change: after such a stream one question is asked; if it is answered the endpoint is polled, and tried for a stream after a minute. One that hangs answers neither and is treated as before.

--- a/engine/feed/loads.go
+++ b/engine/feed/loads.go
@@ -65,8 +65,11 @@
 		return r.take(engine.Load{}, err)
 	}
 	defer s.Close()
-	for {
+	for first := true; ; first = false {
 		load, err := s.Next()
+		if first && isSilent(err) {
+			return r.askInstead(ctx, err)
+		}
 		wait := r.take(load, err)
 		if err != nil || load.Boot == "" || r.Sleep(ctx, r.Period/2) != nil {
 			return wait
@@ -74,6 +77,24 @@
 	}
 }
 
+func isSilent(err error) bool {
+	var silent *engine.Silent
+	return errors.As(err, &silent)
+}
+
+// askInstead asks one by one after a stream that opened and gave nothing. A
+// proxy between may hold streams back until they end: the endpoint works, and
+// would look silent for good. One that hangs does not answer the question
+// either, and its stream is opened again.
+func (r *loadReader) askInstead(ctx context.Context, silent error) time.Duration {
+	load, err := r.Reporter.Load(ctx, r.at)
+	if err != nil || load.Boot == "" {
+		return r.take(engine.Load{}, silent)
+	}
+	r.polls = pollsPerTry
+	return r.take(load, nil)
+}
+
 // take delivers a report or notes a failure, and returns the wait after it.
 func (r *loadReader) take(load engine.Load, err error) time.Duration {
 	if err != nil || load.Boot == "" {
--- a/engine/feed/loads_test.go
+++ b/engine/feed/loads_test.go
@@ -101,6 +101,40 @@
 	}
 }
 
+// heldBack opens streams that give nothing, as through a proxy that waits for
+// their end. Single questions are answered.
+type heldBack struct {
+	*script
+	opened *int
+}
+
+func (h heldBack) LoadStream(context.Context, netip.AddrPort, time.Duration) (engine.LoadStream, error) {
+	*h.opened++
+	return nothing{}, nil
+}
+
+type nothing struct{}
+
+func (nothing) Next() (engine.Load, error) { return engine.Load{}, &engine.Silent{} }
+func (nothing) Close()                     {}
+
+// A proxy between an instance and an endpoint holds streams back. The endpoint
+// works; it must not be taken for silent, and must be asked one by one.
+func TestEndpointBehindAProxyThatHoldsStreamsBackIsPolled(t *testing.T) {
+	s := &script{
+		errs:  []error{nil, nil, nil},
+		loads: []engine.Load{{Boot: "b1", Running: 1}, {Boot: "b1", Running: 2}, {Boot: "b1", Running: 3}},
+	}
+	r := newRig(t, s)
+	opened := 0
+	r.Reporter = heldBack{script: s, opened: &opened}
+	r.readLoads(r.ctx)
+	assert.Equal(t, opened, 1)
+	assert.Equal(t, len(r.silent), 0)
+	assert.Assert(t, len(r.inputs) >= 3)
+	assert.Equal(t, r.inputs[2].(router.LoadReport).Running, 3)
+}
+
 // streamsOnly fails single questions, so that reports can only come by stream.
 type streamsOnly struct{ *engine.HTTPClient }
 
