Hold work that can wait when all its tries prove that it did not run

Cause: four tries are over within 35 ms, so that a crash of a few endpoints refused work which had an hour to wait. Change: such work is held and tried again every 2 s until 0.7 of its wait is over.

--- a/router/finish.go
+++ b/router/finish.go
@@ -116,6 +116,10 @@
 		// tries and the budget of all, and requests would be refused though the
 		// own zone's endpoints are idle.
 		r.again(now, row)
+	case row.Retries+1 >= retry.MaxAttempts && holdable(now, row):
+		row.Tried = row.Tried[:0]
+		r.again(now, row)
+		row.NotBefore = now + heldRetryPause
 	case row.Retries+1 >= retry.MaxAttempts:
 		r.fail(row, failureCode(row), retryAfter)
 	case !r.budget.Spend():
@@ -126,6 +130,17 @@
 	}
 }
 
+// heldRetryPause is the wait of work that can be held before it is tried again
+// after all its tries. It is about as long as an endpoint that crashed is away.
+const heldRetryPause = 2 * time.Second
+
+// holdable says whether a request that proved unable to start can be held
+// longer. Its tries are over within a tenth of a second. Were it refused then, a
+// crash of a few endpoints would refuse work that had an hour to wait for them.
+func holdable(now tables.Instant, row *tables.RequestRow) bool {
+	return !row.MayHaveRun && float64(now-row.Submitted) < promoteAfter*float64(row.Profile.MaxWait)
+}
+
 // again lets a request wait for its next attempt.
 func (r *Router) again(now tables.Instant, row *tables.RequestRow) {
 	row.NotBefore = now + retry.Delay(max(row.Retries, 1))
--- /dev/null
+++ b/router/held_retry_test.go
@@ -0,0 +1,43 @@
+package router_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/router"
+)
+
+// A few engines crash at once while a check that can wait an hour is tried at
+// them. Nothing ran; all its tries were over within a tenth of a second, and its
+// caller was refused with the hour hardly begun.
+func TestHeldWorkOutlivesACrashOfAllItsTries(t *testing.T) {
+	r := newRouter(9)
+	now := ms
+	req := request("r1", "check", now)
+	req.Deadline = 2 * time.Hour
+	r.Submit(now, req)
+	tried := 0
+	for now < time.Hour/2 && tried < 12 {
+		now += 50 * ms
+		for _, action := range r.Tick(now) {
+			d, ok := action.(router.Dispatch)
+			assert.Assert(t, ok, "%T after %d tries", action, tried)
+			tried++
+			r.Observe(now, router.AttemptEnded{Attempt: d.Attempt, End: router.NeverStarted})
+		}
+	}
+	assert.Equal(t, tried, 12)
+	for range 2000 {
+		now += 50 * ms
+		for _, action := range r.Tick(now) {
+			if d, ok := action.(router.Dispatch); ok {
+				r.Observe(now, router.FirstToken{Attempt: d.Attempt})
+				r.Observe(now, router.AttemptEnded{Attempt: d.Attempt, End: router.Completed})
+				return
+			}
+		}
+	}
+	t.Fatal("it was never tried again")
+}
