Keep what an instance said last while it does not answer the demo's balancer

When no instance answered within the balancer's patience, all looked not ready, and callers were sent to the first of the list, which drained. Change: a question that times out changes nothing. The check stays as strict.

--- a/demo/instance.go
+++ b/demo/instance.go
@@ -4,6 +4,8 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"errors"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -29,8 +31,7 @@
 	drainAnnounce  = time.Second
 	drainTimeout   = 20 * time.Second
 	balancerPeriod = 20 * time.Millisecond
-	// balancerPatience is after how long without an answer the balancer takes an
-	// instance for not ready.
+	// balancerPatience is how long the balancer waits for one answer.
 	balancerPatience = 250 * time.Millisecond
 	keyBytes         = 32
 	keyFile          = "key"
@@ -211,16 +212,24 @@
 func (b *balancer) ask(client *http.Client) {
 	var asked sync.WaitGroup
 	for _, i := range b.instances {
-		asked.Go(func() { i.ready.Store(isReady(client, i.address)) })
+		asked.Go(func() { i.ask(client) })
 	}
 	asked.Wait()
 }
 
-func isReady(client *http.Client, address string) bool {
-	resp, err := client.Get("http://" + address + "/readyz")
+// ask asks the instance whether it is ready. What it said last stays true while
+// it does not answer in time: on a busy machine all instances would look not
+// ready at once otherwise, and callers would be sent to one that drains.
+func (i *instance) ask(client *http.Client) {
+	resp, err := client.Get("http://" + i.address + "/readyz")
+	var slow net.Error
+	if errors.As(err, &slow) && slow.Timeout() {
+		return
+	}
 	if err != nil {
-		return false
+		i.ready.Store(false)
+		return
 	}
 	_ = resp.Body.Close()
-	return resp.StatusCode < http.StatusMultipleChoices
+	i.ready.Store(resp.StatusCode < http.StatusMultipleChoices)
 }
