--- /dev/null
+++ b/cmd/carawaystiled/forward.go
@@ -0,0 +1,133 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+	"go.uber.org/zap"
+
+	"github.com/carawaystile/carawaystile/control/deployment"
+	"github.com/carawaystile/carawaystile/events"
+	"github.com/carawaystile/carawaystile/logs"
+	"github.com/carawaystile/carawaystile/node"
+	"github.com/carawaystile/carawaystile/platform"
+	"github.com/carawaystile/carawaystile/settings"
+)
+
+// settingsVariable names the settings file where the command line does not.
+const settingsVariable = "CARAWAYSTILE_CONFIG"
+
+// forwardCommand runs an instance of a forwarding deployment until it is told
+// to end.
+type forwardCommand struct{ path string }
+
+func (*forwardCommand) Name() string { return "forward" }
+func (*forwardCommand) Synopsis() string {
+	return "run one instance of a forwarding deployment"
+}
+
+func (*forwardCommand) Usage() string {
+	return `forward [-settings FILE]
+  Runs one instance that passes requests on unchanged. Routes come from
+  operators, endpoints from the platform's list. Without -settings the file is
+  that of the variable ` + settingsVariable + `. The first SIGTERM or SIGINT
+  drains the instance, a second one ends it at once; SIGHUP reads the settings
+  again.
+  Exit codes: 0 ended, 1 failure, 2 usage, 3 a file has faults.
+`
+}
+
+func (c *forwardCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.path, "settings", os.Getenv(settingsVariable), "settings file of this instance")
+}
+
+func (c *forwardCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.path == "" || f.NArg() > 0 {
+		f.Usage()
+		return subcommands.ExitUsageError
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	read, err := settings.ReadForwarding(c.path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitInvalid
+	}
+	writer := logs.NewWriter(os.Stdout)
+	defer writer.Close()
+	log := logs.New(writer, read.LogLevel)
+	n, err := node.Start(node.Options{Settings: read, Platform: onPlatform(), Log: log})
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	return c.supervise(ctx, n, log, signals)
+}
+
+// supervise runs the instance until a signal ends it.
+func (c *forwardCommand) supervise(ctx context.Context, n *node.Node, log *zap.Logger, signals <-chan os.Signal) subcommands.ExitStatus {
+	defer n.Stop()
+	for {
+		select {
+		case <-n.Failed():
+			return subcommands.ExitFailure
+		case s := <-signals:
+			if s == syscall.SIGHUP {
+				c.reload(n, log)
+				continue
+			}
+			c.drain(ctx, n, signals)
+			return subcommands.ExitSuccess
+		}
+	}
+}
+
+func (c *forwardCommand) reload(n *node.Node, log *zap.Logger) {
+	read, err := settings.ReadForwarding(c.path)
+	if err != nil {
+		events.SettingsUnreadable.Log(log, zap.Error(err))
+		return
+	}
+	n.Reload(read)
+}
+
+// drain ends the open requests, unless a second signal to end comes or the time
+// is over.
+func (c *forwardCommand) drain(ctx context.Context, n *node.Node, signals <-chan os.Signal) {
+	ctx, cancel := context.WithTimeout(ctx, n.DrainTimeout())
+	defer cancel()
+	go func() {
+		for {
+			select {
+			case s := <-signals:
+				if s != syscall.SIGHUP {
+					cancel()
+					return
+				}
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	n.Drain(ctx)
+}
+
+// onPlatform is the users' platform.
+func onPlatform() node.Platform {
+	return node.Platform{
+		Headers:       platform.Headers(),
+		Configuration: platform.Configuration,
+		List:          func(at netip.AddrPort) node.Lister { return platform.NewList(at) },
+		Engines:       platform.NewEngines(),
+		Operators: func(documents *deployment.Service, log *zap.Logger) http.Handler {
+			return (&platform.Operator{Documents: documents, Log: log}).Handler()
+		},
+	}
+}
--- a/cmd/carawaystiled/main.go
+++ b/cmd/carawaystiled/main.go
@@ -14,6 +14,7 @@
 func run(ctx context.Context) subcommands.ExitStatus {
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(&serveCommand{}, "")
+	subcommands.Register(&forwardCommand{}, "")
 	flag.Parse()
 	return subcommands.Execute(ctx)
 }
--- /dev/null
+++ b/control/deployment/client.go
@@ -0,0 +1,151 @@
+package deployment
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/carawaystile/carawaystile/events"
+	"github.com/carawaystile/carawaystile/fleet"
+	"github.com/carawaystile/carawaystile/rpc"
+)
+
+const (
+	// followWait is how long a source is asked to wait for news, and
+	// followTimeout how long it may take to answer. A source that falls silent
+	// is given up before a change would be late.
+	followWait    = time.Second
+	followTimeout = 1400 * time.Millisecond
+	// pauseAfterFailure is the wait before the next source is asked.
+	pauseAfterFailure = 30 * time.Millisecond
+	// backToFirst is after how long a client that has moved on tries its first
+	// source again, which is the nearest.
+	backToFirst = 3 * time.Second
+)
+
+// Source is a control instance that can be followed.
+type Source struct {
+	// Name tells sources apart in logs.
+	Name string
+	rpc.Deployment
+}
+
+// ClientOptions set a Client up. The functions are called by one goroutine.
+type ClientOptions struct {
+	Instance string
+	// Sources lists whom to follow, nearest first. It is asked again each time.
+	Sources func() []Source
+	// Document takes a document that is newer than the last of its name.
+	Document func(*rpc.Document)
+	// Fleet takes the endpoints whenever they have changed.
+	Fleet func(*fleet.Copy)
+	// Answered is told of each answer; nil for nobody.
+	Answered func(from Source, answer *rpc.FollowAnswer)
+	Log      *zap.Logger
+}
+
+// Client follows control instances, one at a time.
+type Client struct {
+	options ClientOptions
+	have    map[string]uint64
+	fleet   *fleet.Copy
+	from    string
+	at      int
+	movedAt time.Time
+}
+
+// NewClient returns a client that has nothing yet.
+func NewClient(options ClientOptions) *Client {
+	return &Client{options: options, have: map[string]uint64{}, fleet: fleet.NewCopy()}
+}
+
+// Run follows until the context ends.
+func (c *Client) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !c.step(ctx) {
+			pause(ctx, pauseAfterFailure)
+		}
+	}
+}
+
+// step asks one source once, and says whether to stay with it.
+func (c *Client) step(ctx context.Context) bool {
+	sources := c.options.Sources()
+	if len(sources) == 0 {
+		return false
+	}
+	if c.at != 0 && time.Since(c.movedAt) > backToFirst {
+		c.at = 0
+	}
+	source := sources[c.at%len(sources)]
+	answer, err := c.ask(ctx, source)
+	if err != nil {
+		c.move(ctx, source, err)
+		return false
+	}
+	c.take(source, answer)
+	if answer.GetBehind() && len(sources) > 1 {
+		// It is cut off from its group: others may have newer documents.
+		c.move(ctx, source, nil)
+		return false
+	}
+	return !answer.GetBehind()
+}
+
+func (c *Client) ask(ctx context.Context, source Source) (*rpc.FollowAnswer, error) {
+	bounded, cancel := context.WithTimeout(ctx, followTimeout)
+	defer cancel()
+	if c.from != source.Name {
+		c.from = source.Name
+		c.fleet.Restart()
+	}
+	request := &rpc.FollowRequest{
+		Instance:  c.options.Instance,
+		Documents: c.have,
+		WaitNanos: int64(followWait),
+	}
+	request.FleetSource, request.FleetVersion = c.fleet.Position()
+	return source.Follow(bounded, request)
+}
+
+// move goes on to the next source.
+func (c *Client) move(ctx context.Context, from Source, err error) {
+	if c.at == 0 {
+		c.movedAt = time.Now()
+	}
+	c.at++
+	if ctx.Err() == nil {
+		events.SourceLost.Log(c.options.Log, zap.String("source", from.Name), zap.Error(err))
+	}
+}
+
+// take hands out what is new. A document never goes back, whichever source
+// told of it.
+func (c *Client) take(source Source, answer *rpc.FollowAnswer) {
+	for _, document := range answer.GetDocuments() {
+		if have, known := c.have[document.GetName()]; known && document.GetNumber() <= have {
+			continue
+		}
+		c.have[document.GetName()] = document.GetNumber()
+		c.options.Document(document)
+	}
+	if answer.GetFleet() != nil {
+		if err := c.fleet.Take(answer.GetFleet()); err != nil {
+			events.EndpointUnreadable.Log(c.options.Log, zap.String("source", source.Name), zap.Error(err))
+		}
+		c.options.Fleet(c.fleet)
+	}
+	if c.options.Answered != nil {
+		c.options.Answered(source, answer)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/control/deployment/service.go
@@ -0,0 +1,119 @@
+// Package deployment keeps what all instances of a forwarding deployment have
+// to know: the operators' documents, which the control group agrees on, and the
+// table of endpoints, which each control instance has of its own.
+package deployment
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/carawaystile/carawaystile/control/server"
+	"github.com/carawaystile/carawaystile/control/state"
+	"github.com/carawaystile/carawaystile/fleet"
+	"github.com/carawaystile/carawaystile/rpc"
+)
+
+const (
+	// ConfigurationName is the document with the configuration.
+	ConfigurationName = "configuration"
+	weightsPrefix     = "weights/"
+	// maxWait bounds the wait of one Follow.
+	maxWait = 10 * time.Second
+)
+
+// WeightsName is the document whose number is the version that a model should
+// be served with.
+func WeightsName(model string) string { return weightsPrefix + model }
+
+// ModelOf returns the model that a document names weights of.
+func ModelOf(document string) (string, bool) { return strings.CutPrefix(document, weightsPrefix) }
+
+// Service is the deployment's part of a control instance. It implements
+// rpc.Deployment and is safe for concurrent use.
+type Service struct {
+	replica *server.Server
+	fleet   *fleet.Table
+	// givesOrders says whether this instance gives orders now.
+	givesOrders func() bool
+}
+
+// NewService returns the service over a replica and the instance's table.
+func NewService(replica *server.Server, table *fleet.Table, givesOrders func() bool) *Service {
+	return &Service{replica: replica, fleet: table, givesOrders: givesOrders}
+}
+
+// Refused means that the control group would not take a document.
+type Refused struct{ Reason rpc.RefusalReason }
+
+// Error gives the reason.
+func (e *Refused) Error() string { return "document refused: " + e.Reason.String() }
+
+// Put has the group agree on a document. It returns once a quorum holds it on
+// disk, or one with a higher number.
+func (s *Service) Put(ctx context.Context, name string, number uint64, content []byte) error {
+	result, err := s.replica.Execute(ctx, &rpc.Command{Action: &rpc.Command_PutDocument{PutDocument: &rpc.PutDocument{
+		Document: &rpc.Document{Name: name, Number: number, Content: content},
+	}}})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if refusal := result.GetRefusal(); refusal != nil {
+		return &Refused{Reason: refusal.GetReason()}
+	}
+	return nil
+}
+
+// Newest returns the newest content that the group had agreed on when it was
+// called, nil if there is none. Without a quorum it fails: a replica that is cut
+// off cannot know whether it is behind.
+func (s *Service) Newest(ctx context.Context, name string) ([]byte, error) {
+	if err := s.replica.Barrier(ctx); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	var content []byte
+	s.replica.View(func(st *state.State) { content = st.Document(name).GetContent() })
+	return content, nil
+}
+
+// Follow answers when there is something new to the caller.
+func (s *Service) Follow(ctx context.Context, request *rpc.FollowRequest) (*rpc.FollowAnswer, error) {
+	timer := time.NewTimer(min(max(0, time.Duration(request.GetWaitNanos())), maxWait))
+	defer timer.Stop()
+	for {
+		changed := s.replica.Changed()
+		answer, listed := s.news(request)
+		if len(answer.GetDocuments()) > 0 || answer.GetFleet() != nil || answer.GetBehind() {
+			return answer, nil
+		}
+		select {
+		case <-changed:
+		case <-listed:
+		case <-timer.C:
+			return answer, nil
+		case <-ctx.Done():
+			return answer, nil
+		}
+	}
+}
+
+// news is what the caller does not have, and a channel that is closed when the
+// endpoints change.
+func (s *Service) news(request *rpc.FollowRequest) (*rpc.FollowAnswer, <-chan struct{}) {
+	told, listed := s.fleet.Since(request.GetFleetSource(), request.GetFleetVersion())
+	answer := &rpc.FollowAnswer{
+		Fleet:       told,
+		Behind:      s.replica.Status().Leader == "",
+		OrdersGiven: s.givesOrders(),
+	}
+	s.replica.View(func(st *state.State) {
+		for _, document := range st.Documents() {
+			if have, known := request.GetDocuments()[document.GetName()]; !known || document.GetNumber() > have {
+				answer.Documents = append(answer.Documents, document)
+			}
+		}
+	})
+	return answer, listed
+}
--- /dev/null
+++ b/control/rollout/runner.go
@@ -0,0 +1,245 @@
+package rollout
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/carawaystile/carawaystile/control/client"
+	"github.com/carawaystile/carawaystile/events"
+	"github.com/carawaystile/carawaystile/fleet"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+const (
+	// LeaseName is the lease under which orders to engines are given.
+	LeaseName = "engine orders"
+	// stepPeriod is the time between two looks at what is due.
+	stepPeriod = 50 * time.Millisecond
+	// callTimeout bounds one order or question.
+	callTimeout = 800 * time.Millisecond
+	// renewTimeout bounds one question to the control group.
+	renewTimeout = 800 * time.Millisecond
+	// renewPart is the part of the lease after which it is renewed.
+	renewPart = 3
+)
+
+// Engines speaks with engines.
+type Engines interface {
+	Report(ctx context.Context, to fleet.Endpoint) (Report, error)
+	Order(ctx context.Context, to fleet.Endpoint, order Order) (Taken, error)
+}
+
+// Options set a Runner up.
+type Options struct {
+	Engines Engines
+	// Executor has the control group agree on the lease.
+	Executor client.Executor
+	// Leads says whether this instance leads the control group. Only the leader
+	// asks for the lease, so that instances do not contend for it.
+	Leads    func() bool
+	Fleet    *fleet.Table
+	Wanted   func() map[string]uint64
+	Instance tables.InstanceID
+	Boot     uint64
+	// LeaseFor is the length of the lease. Engines that check fencing numbers
+	// stop an earlier holder by themselves; where Fenced is not set a new holder
+	// waits for another lease before it gives its first order, so that the
+	// orders of two holders never mix.
+	LeaseFor time.Duration
+	Fenced   bool
+	Strategy Strategy
+	// Now must go on while the machine is suspended.
+	Now func() tables.Instant
+	Log *zap.Logger
+}
+
+// Runner carries a Plan out while it holds the lease.
+type Runner struct {
+	options Options
+	lease   *client.Lease
+	plan    *Plan
+	results chan func()
+	holds   atomic.Bool
+	renewed chan error
+	// renewing is set while the group is asked.
+	renewing bool
+	askAgain tables.Instant
+	// quietUntil is when a new holder may give its first order.
+	quietUntil tables.Instant
+}
+
+// NewRunner returns a runner that holds nothing.
+func NewRunner(options Options) *Runner {
+	return &Runner{
+		options: options,
+		plan:    NewPlan(),
+		results: make(chan func(), 64),
+		renewed: make(chan error, 1),
+		lease: client.NewLease(client.LeaseOptions{
+			Executor: options.Executor, Name: LeaseName, Instance: options.Instance, Boot: options.Boot,
+			Duration: options.LeaseFor, Now: options.Now,
+		}),
+	}
+}
+
+// Holds says whether this instance gives orders now.
+func (r *Runner) Holds() bool { return r.holds.Load() }
+
+// Run steps until the context ends, and then gives the lease up.
+func (r *Runner) Run(ctx context.Context) {
+	ticker := time.NewTicker(stepPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			r.release()
+			return
+		case <-ticker.C:
+			r.step(ctx)
+		case err := <-r.renewed:
+			r.takeRenewal(err)
+		case result := <-r.results:
+			result()
+		}
+	}
+}
+
+func (r *Runner) release() {
+	if _, left := r.lease.Held(); left <= 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), renewTimeout)
+	defer cancel()
+	if err := r.lease.Release(ctx); err != nil {
+		events.OrdersLeaseNotRenewed.Log(r.options.Log, zap.Error(err))
+	}
+}
+
+// step renews the lease where needed and does what is due.
+func (r *Runner) step(ctx context.Context) {
+	r.renew(ctx)
+	_, left := r.lease.Held()
+	if held := left > 0; held != r.holds.Swap(held) {
+		r.plan = NewPlan()
+		if !held {
+			r.options.Fleet.NoOrders()
+		}
+	}
+	if left < callTimeout || r.options.Now() < r.quietUntil {
+		return
+	}
+	for model, version := range r.options.Wanted() {
+		r.plan.Want(model, version)
+	}
+	r.plan.Endpoints(r.options.Fleet.Endpoints())
+	for _, action := range r.plan.Next(r.options.Now()) {
+		r.start(ctx, action)
+	}
+}
+
+// renew asks for the lease, or for more time, beside everything else: orders go
+// on while the group decides.
+func (r *Runner) renew(ctx context.Context) {
+	_, left := r.lease.Held()
+	due := left < r.options.LeaseFor*(renewPart-1)/renewPart
+	if !due || r.renewing || r.options.Now() < r.askAgain || !r.options.Leads() {
+		return
+	}
+	r.renewing = true
+	go func() {
+		bounded, cancel := context.WithTimeout(ctx, renewTimeout)
+		defer cancel()
+		r.renewed <- r.lease.Renew(bounded)
+	}()
+}
+
+func (r *Runner) takeRenewal(err error) {
+	r.renewing = false
+	var held *client.LeaseHeld
+	switch {
+	case errors.As(err, &held):
+		r.askAgain = r.options.Now() + held.RetryAfter
+		if !r.options.Fenced {
+			r.quietUntil = r.askAgain + r.options.LeaseFor
+		}
+	case err != nil:
+		events.OrdersLeaseNotRenewed.Log(r.options.Log, zap.Error(err))
+	}
+}
+
+// start carries an action out beside the loop.
+func (r *Runner) start(ctx context.Context, action Action) {
+	plan := r.plan
+	if action.Version == 0 {
+		go r.ask(ctx, plan, action)
+		return
+	}
+	fence, _ := r.lease.Held()
+	order := Order{
+		Model: action.Model, Version: action.Version, Strategy: r.options.Strategy,
+		Holder: string(r.options.Instance), Fence: fence, Sequence: action.Sequence,
+	}
+	r.options.Fleet.Loading(action.Endpoint.ID, true)
+	events.RolloutOrdered.Log(r.options.Log, zap.String("endpoint", string(action.Endpoint.ID)),
+		zap.String("model", order.Model), zap.Uint64("weights", order.Version),
+		zap.Uint64("fence", uint64(fence)), zap.Uint64("sequence", order.Sequence))
+	go r.order(ctx, plan, action, order)
+}
+
+func (r *Runner) ask(ctx context.Context, plan *Plan, action Action) {
+	bounded, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	report, err := r.options.Engines.Report(bounded, action.Endpoint)
+	r.hand(ctx, plan, func(now tables.Instant) {
+		id := action.Endpoint.ID
+		if err != nil {
+			events.RolloutUnanswered.Log(r.options.Log, zap.String("endpoint", string(id)), zap.Error(err))
+			plan.Reported(now, id, nil)
+			return
+		}
+		done := plan.Reported(now, id, &report)
+		for model, version := range report.Weights {
+			r.options.Fleet.Weights(id, model, version)
+		}
+		if done {
+			events.RolloutDone.Log(r.options.Log, zap.String("endpoint", string(id)), zap.Any("weights", report.Weights))
+		}
+		r.options.Fleet.Loading(id, plan.Loading(id))
+	})
+}
+
+func (r *Runner) order(ctx context.Context, plan *Plan, action Action, order Order) {
+	bounded, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	taken, err := r.options.Engines.Order(bounded, action.Endpoint, order)
+	r.hand(ctx, plan, func(now tables.Instant) {
+		id := action.Endpoint.ID
+		plan.Ordered(now, id, taken)
+		switch {
+		case taken == Fenced:
+			// A later call under the same fence could undo what a newer holder
+			// has done. The next lease has a higher one.
+			events.RolloutFenced.Log(r.options.Log, zap.String("endpoint", string(id)), zap.Uint64("fence", uint64(order.Fence)))
+			r.release()
+		case taken == 0:
+			events.RolloutUnanswered.Log(r.options.Log, zap.String("endpoint", string(id)), zap.Error(err))
+		}
+		r.options.Fleet.Loading(id, plan.Loading(id))
+	})
+}
+
+// hand gives a result to the loop, unless its plan is of an earlier lease.
+func (r *Runner) hand(ctx context.Context, plan *Plan, f func(tables.Instant)) {
+	select {
+	case r.results <- func() {
+		if plan == r.plan {
+			f(r.options.Now())
+		}
+	}:
+	case <-ctx.Done():
+	}
+}
--- a/control/server/form.go
+++ b/control/server/form.go
@@ -39,7 +39,7 @@
 				return s.follow(answer, self)
 			}
 		}
-		if all && s.first() {
+		if all && !s.options.JoinOnly && s.first() {
 			s.willHaveLog()
 			return s.found(append(s.asFounders(answers), self))
 		}
@@ -208,22 +208,49 @@
 			delete(s.joiners, id)
 			continue
 		}
-		change := replog.Change{Kind: replog.AddLearner, Replica: id, Address: joiner.GetAddress()}
-		if found {
-			progress := status.Progress[id]
-			if progress.Match < status.Commit {
-				continue
-			}
-			change = replog.Change{Kind: replog.Promote, Replica: id}
-			if old, ok := replaced(status.Members, id, joiner.GetAddress()); ok {
-				change = replog.Change{Kind: replog.Remove, Replica: old}
-			}
+		change, due := s.changeFor(status, id, joiner.GetAddress(), found)
+		if !due {
+			continue
 		}
 		s.proposeChange(change)
 		return
 	}
 }
 
+// changeFor is the next change for a joiner that is not a voter.
+func (s *Server) changeFor(status replog.Status, id replog.ReplicaID, address string, member bool) (replog.Change, bool) {
+	if !member {
+		return replog.Change{Kind: replog.AddLearner, Replica: id, Address: address}, true
+	}
+	if status.Progress[id].Match < status.Commit {
+		return replog.Change{}, false
+	}
+	if old, ok := replaced(status.Members, id, address); ok {
+		return replog.Change{Kind: replog.Remove, Replica: old}, true
+	}
+	if s.options.Voters == 0 || len(status.Members.Voters()) < s.options.Voters {
+		return replog.Change{Kind: replog.Promote, Replica: id}, true
+	}
+	old, ok := s.longGone(status)
+	if ok {
+		events.ControlReplicaRemoved.Log(s.log, zap.Uint64("replica", uint64(old)))
+	}
+	return replog.Change{Kind: replog.Remove, Replica: old}, ok
+}
+
+// longGone finds a voter that has been silent for so long that its machine must
+// be taken for lost.
+func (s *Server) longGone(status replog.Status) (replog.ReplicaID, bool) {
+	ticks := int(goneAfter / s.options.TickInterval)
+	for _, voter := range status.Members.Voters() {
+		progress, known := status.Progress[voter]
+		if known && voter != status.ID && progress.IdleTicks > ticks {
+			return voter, true
+		}
+	}
+	return replog.None, false
+}
+
 func (s *Server) proposeChange(change replog.Change) {
 	fields := []zap.Field{
 		zap.Uint8("kind", uint8(change.Kind)),
@@ -236,9 +263,9 @@
 	events.ControlReplicaAdded.Log(s.log, fields...)
 }
 
-// known says whether the address is that of a control instance of the settings.
+// known says whether a replica at the address may join.
 func (s *Server) known(address string) bool {
-	return address == s.options.Self.Address || slices.ContainsFunc(s.options.Others, func(other Instance) bool {
+	return s.options.Open || address == s.options.Self.Address || slices.ContainsFunc(s.options.Others, func(other Instance) bool {
 		return other.Address == address
 	})
 }
--- a/control/server/options.go
+++ b/control/server/options.go
@@ -74,6 +74,14 @@
 	// Others are the other control instances of the settings. They are asked
 	// when the group is formed or this replica has to join it.
 	Others []Instance
+	// JoinOnly is set for an instance that must not found a group: its disk is
+	// empty though the deployment is not new, or others are to found it.
+	JoinOnly bool
+	// Open lets instances join that the settings do not name. Voters is then how
+	// many replicas vote; further ones stand by as learners and take the place
+	// of a voter that is gone. Zero means that all vote.
+	Open   bool
+	Voters int
 	Dialer Dialer
 	Disk   Disk
 	Clock  Clock
@@ -127,6 +135,10 @@
 	// formPause is the time between two rounds of asking before there is a group.
 	joinTimeout = 500 * time.Millisecond
 	formPause   = 100 * time.Millisecond
+	// goneAfter is how long a voter must be silent before a learner takes its
+	// place. It is longer than a restart or a short partition takes, because a
+	// voter that is only away comes back with its log.
+	goneAfter = 8 * time.Second
 )
 
 func (o *Options) setDefaults() {
--- a/control/server/server.go
+++ b/control/server/server.go
@@ -240,6 +240,14 @@
 	f(s.state)
 }
 
+// Changed returns a channel that is closed when the state, or what this replica
+// knows of its group, has changed.
+func (s *Server) Changed() <-chan struct{} {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.changed
+}
+
 // Status is a replica's view of its group.
 type Status struct {
 	Formed  bool
--- a/control/state/state.go
+++ b/control/state/state.go
@@ -1,6 +1,6 @@
 // Package state is the replicated state machine of the control instances: the
-// configuration, the claims for work that runs at most once, and the leases for
-// orders to endpoints.
+// configuration, the claims for work that runs at most once, the leases for
+// orders to endpoints, and the documents of operators.
 //
 // It is pure. Equal commands in equal order give equal states and results at
 // every replica, so nothing here reads a clock, a random source or the order of
@@ -37,6 +37,7 @@
 	configuration configurations
 	claims        claims
 	leases        leases
+	documents     documents
 }
 
 // New returns an empty state. All replicas must be given equal limits.
@@ -46,6 +47,7 @@
 		configuration: newConfigurations(limits),
 		claims:        newClaims(limits),
 		leases:        newLeases(),
+		documents:     newDocuments(),
 	}
 }
 
@@ -99,6 +101,8 @@
 		return s.leases.startLoad(s.now, s.configuration.content.WeightLoads(), action.StartLoad)
 	case *rpc.Command_EndLoad:
 		return s.leases.endLoad(s.now, action.EndLoad)
+	case *rpc.Command_PutDocument:
+		return s.documents.put(action.PutDocument)
 	case *rpc.Command_PassTime:
 		return done()
 	default:
@@ -151,6 +155,7 @@
 	s.configuration.save(snapshot)
 	s.claims.save(snapshot)
 	s.leases.save(snapshot)
+	snapshot.Documents = s.documents.sorted()
 	return snapshot
 }
 
@@ -168,6 +173,7 @@
 	fresh.configuration.load(snapshot)
 	fresh.claims.load(snapshot)
 	fresh.leases.load(snapshot)
+	fresh.documents.load(snapshot)
 	*s = *fresh
 	return nil
 }
--- a/daemon/listen.go
+++ b/daemon/listen.go
@@ -14,7 +14,10 @@
 
 	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/keys"
+	suspectpeers "github.com/carawaystile/carawaystile/peers"
+	"github.com/carawaystile/carawaystile/router"
 	"github.com/carawaystile/carawaystile/rpc"
+	"github.com/carawaystile/carawaystile/systems/quarantine"
 )
 
 // Bounds of the listeners.
@@ -97,10 +100,15 @@
 	}
 	mux := http.NewServeMux()
 	if d.entry != nil {
-		peer := rpc.NewPeerServer(peerService{observe: d.entry.Observe})
+		peer := rpc.NewPeerServer(suspectpeers.Service{Take: d.takeSuspect})
 		mux.Handle(rpc.PeerPathPrefix, keys.Require(d.instanceKeys, peer))
 	}
 	mux.Handle("/", keys.Require(d.operatorKeys, operators))
 	mux.Handle(rpc.ControlPathPrefix, keys.Require(d.instanceKeys, d.controlHandler()))
 	return mux
 }
+
+// takeSuspect hands the router what another instance found out about a crash.
+func (d *Daemon) takeSuspect(told quarantine.Suspect) {
+	d.entry.Observe(router.SuspectSeen{Suspect: told})
+}
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -7,11 +7,10 @@
 	"time"
 
 	"github.com/carawaystile/carawaystile/keys"
-	"github.com/carawaystile/carawaystile/router"
+	suspectpeers "github.com/carawaystile/carawaystile/peers"
 	"github.com/carawaystile/carawaystile/rpc"
 	"github.com/carawaystile/carawaystile/systems/membership"
 	"github.com/carawaystile/carawaystile/systems/quarantine"
-	"github.com/carawaystile/carawaystile/tables"
 )
 
 const (
@@ -19,8 +18,6 @@
 	suspectTimeout = 2 * time.Second
 	// suspectQueue bounds crashes that wait to be told.
 	suspectQueue = 64
-	// maxSuspects bounds what one report may hold.
-	maxSuspects = 4096
 )
 
 // peers tells the other entry instances what was running when an endpoint
@@ -47,12 +44,8 @@
 // share queues a report. It does not block: when crashes come faster than they
 // can be told, the newest are left out, which costs a further endpoint at most.
 func (p *peers) share(suspects []quarantine.Suspect) {
-	report := &rpc.SuspectReport{}
-	for _, s := range suspects {
-		report.Suspects = append(report.Suspects, encodeSuspect(s))
-	}
 	select {
-	case p.reports <- report:
+	case p.reports <- suspectpeers.Report(suspects):
 	default:
 	}
 }
@@ -74,49 +67,3 @@
 func (p *peers) tell(ctx context.Context, at netip.AddrPort, report *rpc.SuspectReport) {
 	_, _ = rpc.NewPeerProtobufClient("http://"+at.String(), p.client).Suspect(ctx, report)
 }
-
-// peerService takes the reports of other instances.
-type peerService struct{ observe func(router.Input) }
-
-// Suspect takes what another instance found out about a crash.
-func (s peerService) Suspect(_ context.Context, report *rpc.SuspectReport) (*rpc.SuspectAnswer, error) {
-	for i, suspect := range report.GetSuspects() {
-		if i == maxSuspects {
-			break
-		}
-		s.observe(router.SuspectSeen{Suspect: decodeSuspect(suspect)})
-	}
-	return &rpc.SuspectAnswer{}, nil
-}
-
-func encodeSuspect(s quarantine.Suspect) *rpc.CrashSuspect {
-	return &rpc.CrashSuspect{
-		Fingerprint: uint64(s.Fingerprint),
-		Endpoint:    string(s.Life.Endpoint),
-		Boot:        string(s.Life.Boot),
-		Likely:      s.Mark.Likely,
-		Tokens:      int64(s.Mark.Tokens),
-		Position:    int64(s.Mark.Position),
-		Convicted:   s.Convicted,
-		AgeNanos:    int64(s.Age),
-		RanNanos:    int64(s.Mark.Ran),
-	}
-}
-
-func decodeSuspect(s *rpc.CrashSuspect) quarantine.Suspect {
-	return quarantine.Suspect{
-		Fingerprint: tables.Fingerprint(s.GetFingerprint()),
-		Life: quarantine.Life{
-			Endpoint: tables.EndpointID(s.GetEndpoint()),
-			Boot:     tables.BootID(s.GetBoot()),
-		},
-		Mark: quarantine.Mark{
-			Likely:   s.GetLikely(),
-			Tokens:   int(s.GetTokens()),
-			Position: int(s.GetPosition()),
-			Ran:      time.Duration(max(s.GetRanNanos(), 0)),
-		},
-		Convicted: s.GetConvicted(),
-		Age:       time.Duration(max(s.GetAgeNanos(), 0)),
-	}
-}
--- /dev/null
+++ b/dialect/dialect.go
@@ -0,0 +1,94 @@
+// Package dialect holds the names that a forwarding deployment's callers and
+// endpoints use on the wire. The product decides by what the fields below mean;
+// which words stand for them is the platform's, and package platform fills them
+// in.
+package dialect
+
+import "net/http"
+
+// Headers names the headers of requests and answers.
+type Headers struct {
+	// Request carries the caller's identity of one request. Endpoints echo it.
+	Request string
+	// Deadline carries how many milliseconds the sender will still wait.
+	Deadline string
+	// Organisation tells endpoints on whose behalf a request runs.
+	Organisation string
+	// ExpectEndpoint names the only endpoint process that may run the request,
+	// and ExpectWeights the only weights version.
+	ExpectEndpoint string
+	ExpectWeights  string
+	// Seal is on every answer that an endpoint's work produced.
+	Seal string
+	// NotRun is on answers that say the request did not run and will not.
+	NotRun string
+	// Load carries "running,waiting,slots" of the endpoint that answers.
+	Load string
+	// Weights carries the version that produced an answer.
+	Weights string
+	// Model, Tokens ("prompt,most output") and Prefix ("part:tokens,...")
+	// describe a generation. The endpoint must get them as the caller sent them.
+	Model  string
+	Tokens string
+	Prefix string
+	// CacheSalt keeps cached prompts apart, and CacheSource names the address
+	// from which missing parts are fetched.
+	CacheSalt   string
+	CacheSource string
+	CacheTarget string
+	// Priority is the urgency at the endpoint, from 0 (first) to 9.
+	Priority string
+	// LastEvent names the last event that the caller has of a stream.
+	LastEvent string
+	// Reserved are further headers that only the system may send to endpoints.
+	Reserved []string
+	// KeyScheme precedes a caller's key in Authorization.
+	KeyScheme string
+}
+
+// hopByHop headers concern one connection only.
+var hopByHop = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+	"Content-Length", "Expect",
+}
+
+// ToEndpoint returns the caller's headers without those that concern only the
+// caller's connection, the key, and those that only the system may set. Were
+// one of the latter passed on, a caller could name another organisation or the
+// memory of another request.
+func (h *Headers) ToEndpoint(from http.Header) http.Header {
+	to := from.Clone()
+	for _, name := range connectionNames(from) {
+		to.Del(name)
+	}
+	for _, name := range hopByHop {
+		to.Del(name)
+	}
+	to.Del("Authorization")
+	for _, name := range h.systemOnly() {
+		to.Del(name)
+	}
+	return to
+}
+
+// ToCaller copies an answer's headers without those of the endpoint's
+// connection.
+func (h *Headers) ToCaller(to, from http.Header) {
+	for name, values := range from {
+		to[name] = append([]string(nil), values...)
+	}
+	for _, name := range connectionNames(from) {
+		to.Del(name)
+	}
+	for _, name := range hopByHop {
+		to.Del(name)
+	}
+}
+
+func (h *Headers) systemOnly() []string {
+	own := []string{
+		h.Deadline, h.Organisation, h.ExpectEndpoint, h.ExpectWeights,
+		h.CacheSalt, h.CacheSource, h.CacheTarget, h.Priority, h.LastEvent,
+	}
+	return append(own, h.Reserved...)
+}
--- /dev/null
+++ b/dialect/tokens.go
@@ -0,0 +1,75 @@
+package dialect
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+)
+
+// connectionNames lists the headers that Connection names as its own.
+func connectionNames(header http.Header) []string {
+	var names []string
+	for _, line := range header["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			if name = strings.TrimSpace(name); name != "" {
+				names = append(names, name)
+			}
+		}
+	}
+	return names
+}
+
+// Part is a piece of a prompt that the caller names, so that requests with the
+// same pieces in the same order can share cached work.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// ParseParts reads "id:tokens,id:tokens". Parts after one that cannot be read
+// are left out: what stands before them is still shared.
+func ParseParts(text string) []Part {
+	if text == "" {
+		return nil
+	}
+	var parts []Part
+	for item := range strings.SplitSeq(text, ",") {
+		id, count, found := strings.Cut(strings.TrimSpace(item), ":")
+		tokens, err := strconv.Atoi(count)
+		if !found || err != nil || tokens < 0 {
+			return parts
+		}
+		parts = append(parts, Part{ID: id, Tokens: tokens})
+	}
+	return parts
+}
+
+// ParseTokens reads "prompt,most output"; zeros where it cannot be read.
+func ParseTokens(text string) (prompt, output int) {
+	first, second, _ := strings.Cut(text, ",")
+	prompt, _ = strconv.Atoi(strings.TrimSpace(first))
+	output, _ = strconv.Atoi(strings.TrimSpace(second))
+	return max(prompt, 0), max(output, 0)
+}
+
+// EndpointLoad is what an endpoint says of itself in an answer.
+type EndpointLoad struct {
+	Running, Waiting, Slots int
+}
+
+// ParseLoad reads "running,waiting,slots" and says whether it could.
+func ParseLoad(text string) (EndpointLoad, bool) {
+	fields := strings.Split(text, ",")
+	if len(fields) != 3 {
+		return EndpointLoad{}, false
+	}
+	var numbers [3]int
+	for i, field := range fields {
+		n, err := strconv.Atoi(strings.TrimSpace(field))
+		if err != nil || n < 0 {
+			return EndpointLoad{}, false
+		}
+		numbers[i] = n
+	}
+	return EndpointLoad{Running: numbers[0], Waiting: numbers[1], Slots: numbers[2]}, true
+}
--- /dev/null
+++ b/dispatch/budget.go
@@ -0,0 +1,87 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// RetryLimits bound the sends beyond the first of each request that a service
+// gets from all instances together within a sliding window: Ratio of the
+// requests for it and Extra beyond that. Without a bound every failure of an
+// overloaded or broken fleet adds load to it.
+type RetryLimits struct {
+	Ratio  float64
+	Extra  int
+	Window time.Duration
+}
+
+const (
+	// firstPeers is the number of instances that share a budget until the real
+	// one is known; too high a number only makes an instance careful.
+	firstPeers = 12
+	// extraPart is the part of the common allowance that is given out. The rest
+	// is for instances that have not heard of a newcomer yet.
+	extraPart = 0.8
+	// budgetSlices is how finely the window slides.
+	budgetSlices = 20
+)
+
+// budget counts one service's requests and repeated sends of this instance.
+type budget struct {
+	slice    int64
+	requests [budgetSlices + 1]int
+	repeats  [budgetSlices + 1]int
+}
+
+// Peers notes how many instances share the budgets. The number of instances
+// that are known shrinks when zones are cut off from each other, while all of
+// them go on; so callers hand in the most that was known of late.
+func (d *Dispatcher) Peers(n int) { d.peers = max(n, 1) }
+
+// Arrived counts a caller's request for a service.
+func (d *Dispatcher) Arrived(now tables.Instant, service string) {
+	b := d.budget(now, service)
+	b.requests[b.at()]++
+}
+
+// Repeat takes one repeated send from the budget if there is room for it.
+//
+// Each instance holds to its own part: its own requests times the ratio, and an
+// equal part of the extra sends. The sum over all then keeps the common bound
+// whatever the instances know of each other, as long as the number of peers is
+// not too low.
+func (d *Dispatcher) Repeat(now tables.Instant, service string) bool {
+	b := d.budget(now, service)
+	requests, repeats := 0, 0
+	for i := range b.requests {
+		requests += b.requests[i]
+		repeats += b.repeats[i]
+	}
+	limits := &d.options.Retry
+	allowed := limits.Ratio*float64(requests) + extraPart*float64(limits.Extra)/float64(d.peers)
+	if float64(repeats+1) > allowed {
+		return false
+	}
+	b.repeats[b.at()]++
+	return true
+}
+
+func (b *budget) at() int { return int(b.slice % int64(len(b.requests))) }
+
+// budget returns the counts of a service with the slices up to now.
+func (d *Dispatcher) budget(now tables.Instant, service string) *budget {
+	b := d.budgets[service]
+	if b == nil {
+		b = &budget{}
+		d.budgets[service] = b
+	}
+	width := max(d.options.Retry.Window/budgetSlices, time.Millisecond)
+	slice := int64(now / width)
+	for steps := 0; b.slice < slice && steps < len(b.requests); steps++ {
+		b.slice++
+		b.requests[b.at()], b.repeats[b.at()] = 0, 0
+	}
+	b.slice = max(b.slice, slice)
+	return b
+}
--- /dev/null
+++ b/dispatch/dispatch.go
@@ -0,0 +1,204 @@
+// Package dispatch decides where each request of a forwarding deployment runs,
+// and whether it may be tried again. It is pure: calls carry readings of one
+// monotonic clock, and the same calls give the same choices. A Dispatcher is
+// used by one goroutine at a time.
+//
+// It stands beside package router, which decides for the product's own
+// interface. There prompts come as text, are cut into pieces of thousands of
+// tokens and may wait for seconds; here callers name parts of any size, content
+// callers wait for tenths of a second, and nothing is known of an endpoint's
+// cache but where requests were sent. docs/design/platform.md tells what was
+// weighed.
+package dispatch
+
+import (
+	"time"
+
+	"github.com/carawaystile/carawaystile/dialect"
+	"github.com/carawaystile/carawaystile/fleet"
+	"github.com/carawaystile/carawaystile/routes"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// Options set a Dispatcher up.
+type Options struct {
+	// Zone is where this instance stands.
+	Zone tables.Zone
+	// Seed makes instances choose differently among equals.
+	Seed  uint64
+	Retry RetryLimits
+	// WeightsTimeout is how long after a newer version was named a request may
+	// still begin on an older one; zero means any time.
+	WeightsTimeout time.Duration
+}
+
+// Request is what a choice is made for.
+type Request struct {
+	Service *routes.Service
+	Route   *routes.Route
+	// Priority is the rank of the request; 0 comes first.
+	Priority int
+	Model    string
+	// PromptTokens and OutputTokens bound the work of a generation. The first
+	// SharedTokens of the prompt are shared with other requests that have the
+	// same SharedKey, which names the cache scope too but for the weights.
+	PromptTokens int
+	OutputTokens int
+	SharedTokens int
+	SharedKey    uint64
+	Deadline     tables.Instant
+	// Tried holds endpoints that have failed this request.
+	Tried []tables.EndpointID
+}
+
+func (r *Request) tried(id tables.EndpointID) bool {
+	for _, t := range r.Tried {
+		if t == id {
+			return true
+		}
+	}
+	return false
+}
+
+// tokens is the memory that the request takes at its end.
+func (r *Request) tokens() int { return r.PromptTokens + r.OutputTokens }
+
+// Attempt is one try at an endpoint. It counts as load there until End.
+type Attempt struct {
+	Endpoint fleet.Endpoint
+	// Weights is the version that must run the attempt; 0 for plain services.
+	Weights uint64
+	// Source is an endpoint that most likely holds the shared part of the
+	// prompt when the chosen one does not; it may be invalid.
+	Source fleet.Endpoint
+	// Expected is the time to the first event, or to the answer.
+	Expected time.Duration
+
+	row       *row
+	began     tables.Instant
+	tokens    int
+	prefill   float64
+	ahead     float64
+	first     bool
+	ended     bool
+	generates bool
+}
+
+// HasSource says whether Source is set.
+func (a *Attempt) HasSource() bool { return a.Source.Address.IsValid() }
+
+// End says how an attempt ended.
+type End uint8
+
+// The ends of an attempt.
+const (
+	// Completed: the endpoint's whole answer arrived, whatever its status.
+	Completed End = iota
+	// Declined: the endpoint said that it did not run the request.
+	Declined
+	// Unreachable: the endpoint took no connection.
+	Unreachable
+	// Broken: the connection broke or what came was no answer.
+	Broken
+	// Hung: nothing came for longer than is to be expected.
+	Hung
+	// Cancelled: ended on this side for no fault of the endpoint.
+	Cancelled
+)
+
+// String gives the end's name in logs.
+func (e End) String() string {
+	return [...]string{"completed", "declined", "unreachable", "broken", "hung", "cancelled"}[e]
+}
+
+// Reason says why a request cannot be placed now.
+type Reason string
+
+// The reasons.
+const (
+	// NoEndpoint: none of the service is up.
+	NoEndpoint Reason = "no endpoint"
+	// Full: all that are up have as much work as they can bear.
+	Full Reason = "full"
+	// TooLate: none could answer before the caller gives up.
+	TooLate Reason = "too late"
+	// TooLarge: no endpoint could ever hold it.
+	TooLarge Reason = "too large"
+)
+
+// wanted is the version that a model should be served with, and since when that
+// is known here.
+type wanted struct {
+	version uint64
+	since   tables.Instant
+}
+
+// Dispatcher holds what is known of endpoints and of this instance's attempts.
+type Dispatcher struct {
+	options Options
+	rows    map[tables.EndpointID]*row
+	// services lists the rows of each service in a fixed order.
+	services map[string][]*row
+	wanted   map[string]wanted
+	budgets  map[string]*budget
+	peers    int
+	picks    uint64
+
+	homeScratch []homes
+}
+
+// New returns a Dispatcher that knows of no endpoint.
+func New(options Options) *Dispatcher {
+	return &Dispatcher{
+		options:  options,
+		rows:     map[tables.EndpointID]*row{},
+		services: map[string][]*row{},
+		wanted:   map[string]wanted{},
+		budgets:  map[string]*budget{},
+		peers:    firstPeers,
+	}
+}
+
+// Want notes the version that a model should be served with. It only grows.
+func (d *Dispatcher) Want(now tables.Instant, model string, version uint64) {
+	if version > d.wanted[model].version {
+		d.wanted[model] = wanted{version: version, since: now}
+	}
+}
+
+// Began notes that an attempt's endpoint has answered or begun its stream.
+func (d *Dispatcher) Began(now tables.Instant, a *Attempt) {
+	if a.first || a.ended {
+		return
+	}
+	a.first = true
+	a.row.prefill -= a.prefill
+	a.row.learn(a, now-a.began)
+}
+
+// Ended notes the end of an attempt. Later calls change nothing.
+func (d *Dispatcher) Ended(now tables.Instant, a *Attempt, end End) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	if !a.first {
+		a.row.prefill -= a.prefill
+	}
+	a.row.own--
+	a.row.tokens -= a.tokens
+	a.row.judge(now, end)
+}
+
+// Heard notes what an endpoint said of its load in an answer.
+func (d *Dispatcher) Heard(now tables.Instant, a *Attempt, load dialect.EndpointLoad) {
+	a.row.heard(now, load)
+}
+
+// Serves notes which version of a model an endpoint has shown to serve.
+func (d *Dispatcher) Serves(a *Attempt, model string, version uint64) {
+	if version > a.row.Weights[model] {
+		a.row.Endpoint = a.row.Endpoint.Clone()
+		a.row.Weights[model] = version
+	}
+}
--- /dev/null
+++ b/dispatch/endpoints.go
@@ -0,0 +1,157 @@
+package dispatch
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/carawaystile/carawaystile/dialect"
+	"github.com/carawaystile/carawaystile/fleet"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+const (
+	// firstRate is the prefill speed assumed of an engine before any was
+	// measured, in tokens a millisecond; the users' engines are declared with 31
+	// to 38 and run at 0.6 to 1.6 times that.
+	firstRate = 30.0
+	// firstService is the time of a plain call before any was measured, in
+	// milliseconds.
+	firstService = 50.0
+	// learnPart is the weight of one measurement.
+	learnPart = 0.15
+	// minLearnTokens is the least prefill that says something of speed.
+	minLearnTokens = 400
+	// baseFirst is the part of the time to a first event that is not prefill, in
+	// milliseconds: network, the step that is running and the first token.
+	baseFirst = 15.0
+	// loadKeep is the time constant with which what an endpoint said of its
+	// load loses its worth. Requests last for about a second.
+	loadKeep = time.Second
+	// doubtKeep is the time constant with which failures are forgotten.
+	doubtKeep = 3 * time.Second
+	// maxDoubt bounds the failures that count, so that a long outage is
+	// forgotten as soon as a short one.
+	maxDoubt = 6.0
+	// avoidDeclined is how long an endpoint gets nothing after it has declined a
+	// request: it is full, or changes its weights.
+	avoidDeclined = 100 * time.Millisecond
+	// avoidUnreachable is the same after it took no connection. Endpoints that
+	// crash are back after seconds.
+	avoidUnreachable = 500 * time.Millisecond
+)
+
+// row is what this instance knows of an endpoint.
+type row struct {
+	fleet.Endpoint
+	// hash is that of the identity, for the choice of homes.
+	hash uint64
+	// own counts attempts that have not ended, tokens their memory, prefill the
+	// prompt tokens of those without a first event.
+	own     int
+	tokens  int
+	prefill float64
+	// others is what other instances had at the endpoint at othersAt.
+	others   float64
+	waiting  float64
+	othersAt tables.Instant
+	// rate is the prefill speed in tokens a millisecond, service the mean time
+	// of a plain call in milliseconds.
+	rate    float64
+	service float64
+	// doubt counts recent failures, as of doubtAt.
+	doubt   float64
+	doubtAt tables.Instant
+	// avoidUntil is when the endpoint may be chosen again.
+	avoidUntil tables.Instant
+}
+
+// Fleet takes over the endpoints that are known now.
+func (d *Dispatcher) Fleet(endpoints map[tables.EndpointID]fleet.Endpoint) {
+	for id := range d.rows {
+		if _, present := endpoints[id]; !present {
+			delete(d.rows, id)
+		}
+	}
+	for id, e := range endpoints {
+		d.enter(id, e)
+	}
+	clear(d.services)
+	for _, r := range d.rows {
+		d.services[r.Service] = append(d.services[r.Service], r)
+	}
+	for _, rows := range d.services {
+		slices.SortFunc(rows, func(a, b *row) int { return cmp.Compare(a.ID, b.ID) })
+	}
+}
+
+func (d *Dispatcher) enter(id tables.EndpointID, e fleet.Endpoint) {
+	known := d.rows[id]
+	if known == nil || known.Born != e.Born || known.Address != e.Address {
+		d.rows[id] = &row{
+			Endpoint: e, hash: xxhash.Sum64String(string(id)), rate: firstRate, service: firstService,
+		}
+		return
+	}
+	// What an answer has shown is newer than what was told.
+	shown := known.Weights
+	known.Endpoint = e.Clone()
+	for model, version := range shown {
+		known.Weights[model] = max(known.Weights[model], version)
+	}
+}
+
+func (r *row) heard(now tables.Instant, load dialect.EndpointLoad) {
+	r.others = float64(max(0, load.Running+load.Waiting-r.own))
+	r.waiting = float64(load.Waiting)
+	r.othersAt = now
+}
+
+// othersNow is the estimate of other instances' attempts.
+func (r *row) othersNow(now tables.Instant) float64 {
+	return r.others * decay(now-r.othersAt, loadKeep)
+}
+
+func (r *row) doubtNow(now tables.Instant) float64 {
+	return r.doubt * decay(now-r.doubtAt, doubtKeep)
+}
+
+func decay(age, constant time.Duration) float64 {
+	return math.Exp(-float64(age) / float64(constant))
+}
+
+// judge takes the end of an attempt into the trust in the endpoint. Health
+// answers can be false either way, so trust comes from traffic alone.
+func (r *row) judge(now tables.Instant, end End) {
+	doubt := r.doubtNow(now)
+	switch end {
+	case Completed:
+		doubt /= 2
+	case Broken, Hung:
+		doubt++
+	case Unreachable:
+		doubt++
+		r.avoidUntil = now + avoidUnreachable
+	case Declined:
+		r.avoidUntil = now + avoidDeclined
+	}
+	r.doubt, r.doubtAt = min(doubt, maxDoubt), now
+}
+
+// learn takes in the time to a first event or answer.
+func (r *row) learn(a *Attempt, took time.Duration) {
+	ms := float64(took) / float64(time.Millisecond)
+	if !a.generates {
+		r.service += learnPart * (ms - r.service)
+		return
+	}
+	work := a.prefill + a.ahead
+	if work < minLearnTokens {
+		return
+	}
+	perToken := max(ms-baseFirst, 1) / work
+	r.rate = 1 / (1/r.rate + learnPart*(perToken-1/r.rate))
+}
--- a/engine/dial.go
+++ b/engine/dial.go
@@ -1,7 +1,9 @@
 package engine
 
 import (
+	"context"
 	"net"
+	"net/netip"
 	"time"
 )
 
@@ -22,3 +24,9 @@
 		Control:         boundUnacknowledged,
 	}
 }
+
+// DialTCP opens a connection to an endpoint that notices when the endpoint's
+// machine is gone.
+func DialTCP(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+	return newDialer().DialContext(ctx, "tcp", to.String())
+}
--- /dev/null
+++ b/entry/gate/gate.go
@@ -0,0 +1,102 @@
+// Package gate counts requests in and out of an entry instance and takes it out
+// of service without cutting one, in the steps of package drain.
+package gate
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/carawaystile/carawaystile/systems/drain"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// Gate is safe for concurrent use.
+type Gate struct {
+	mu      sync.Mutex
+	machine drain.Machine
+	// state is machine's, for reading without the lock.
+	state atomic.Uint32
+	open  atomic.Int64
+	// idle is signalled when the last open request ends.
+	idle chan struct{}
+}
+
+// New returns an open gate. Serve is how long new requests are still served
+// after a drain has begun.
+func New(serve time.Duration) *Gate {
+	return &Gate{machine: drain.Machine{Serve: serve}, idle: make(chan struct{}, 1)}
+}
+
+// Enter counts a request in and returns how many are open. The count comes
+// before the look at the state: a drain that sees no open request can then be
+// sure that none slips in. Whatever it returns, Leave must follow.
+func (g *Gate) Enter() (open int64, admitted bool) {
+	open = g.open.Add(1)
+	return open, g.State().Admits()
+}
+
+// Leave counts a request out.
+func (g *Gate) Leave() {
+	if g.open.Add(-1) == 0 {
+		select {
+		case g.idle <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// State is how far the drain has come.
+func (g *Gate) State() drain.State { return drain.State(g.state.Load()) }
+
+// Open is the number of open requests.
+func (g *Gate) Open() int64 { return g.open.Load() }
+
+// Drain stops the gate being ready, goes on admitting for a while until the
+// balancer has noticed, then admits nothing and returns when every open request
+// has ended. When the context ends first it gives up and returns its failure.
+func (g *Gate) Drain(ctx context.Context, now func() tables.Instant) error {
+	g.change(func(m *drain.Machine) { m.Begin(now()) })
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		if g.tick(now()) == drain.Ended {
+			return nil
+		}
+		if wait := g.wait(now()); wait > 0 {
+			timer.Reset(wait)
+		}
+		select {
+		case <-timer.C:
+		case <-g.idle:
+		case <-ctx.Done():
+			g.change((*drain.Machine).Abandon)
+			g.tick(now())
+			return trace.Wrap(ctx.Err())
+		}
+	}
+}
+
+func (g *Gate) change(f func(*drain.Machine)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	f(&g.machine)
+}
+
+// tick moves the drain on.
+func (g *Gate) tick(now tables.Instant) drain.State {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	state := g.machine.Tick(now, int(g.open.Load()))
+	g.state.Store(uint32(state))
+	return state
+}
+
+func (g *Gate) wait(now tables.Instant) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.machine.Wait(now)
+}
--- a/entry/outer.go
+++ b/entry/outer.go
@@ -45,7 +45,7 @@
 			writeFailure(w, failure)
 			return
 		}
-		defer s.leave()
+		defer s.gate.Leave()
 		leave, failure := s.admitOrganisation(r)
 		if failure != nil {
 			s.noteFailure("", failure)
@@ -53,7 +53,7 @@
 			return
 		}
 		defer leave()
-		if !s.gate.current().Ready() {
+		if !s.gate.State().Ready() {
 			// Connections that the balancer keeps open would bring further
 			// requests to an instance that is about to end.
 			w.Header().Set("Connection", "close")
--- a/entry/server.go
+++ b/entry/server.go
@@ -13,6 +13,7 @@
 
 	"github.com/carawaystile/carawaystile/api/oas"
 	"github.com/carawaystile/carawaystile/engine"
+	"github.com/carawaystile/carawaystile/entry/gate"
 	"github.com/carawaystile/carawaystile/entry/outcome"
 	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/router"
@@ -42,7 +43,7 @@
 	requests  atomic.Uint64
 	// held counts the bytes of request bodies.
 	held  atomic.Int64
-	gate  gate
+	gate  *gate.Gate
 	quota *quota
 }
 
@@ -62,9 +63,8 @@
 		inbox:    make(chan message, inbox),
 		stopped:  make(chan struct{}),
 	}
-	s.gate.idle = make(chan struct{}, 1)
+	s.gate = gate.New(s.limits.DrainServe)
 	s.quota = newQuota(s.limits.MaxOpenOrganisation)
-	s.gate.machine.Serve = s.limits.DrainServe
 	if s.metrics == nil {
 		s.metrics = NoMetrics{}
 	}
--- /dev/null
+++ b/fleet/copy.go
@@ -0,0 +1,64 @@
+package fleet
+
+import (
+	"errors"
+	"maps"
+
+	"github.com/carawaystile/carawaystile/rpc"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// Copy is an instance's copy of a Table. It is not safe for concurrent use.
+type Copy struct {
+	source, version uint64
+	rows            map[tables.EndpointID]Endpoint
+}
+
+// NewCopy returns a copy that has nothing yet.
+func NewCopy() *Copy { return &Copy{rows: map[tables.EndpointID]Endpoint{}} }
+
+// Position is what the source has to be told to get the next difference.
+func (c *Copy) Position() (source, version uint64) { return c.source, c.version }
+
+// Restart asks the next source for all endpoints.
+func (c *Copy) Restart() { c.source = 0 }
+
+// Take brings the copy up to date. Endpoints that cannot be read are left out
+// and reported; the others hold.
+//
+// A full answer may come from another control instance whose list is older.
+// What was known of an endpoint's draining and weights stays, so that a change
+// of source sends no work to an endpoint that is already known to leave.
+func (c *Copy) Take(told *rpc.Fleet) error {
+	if told == nil {
+		return nil
+	}
+	known := c.rows
+	if told.GetFull() {
+		c.rows = make(map[tables.EndpointID]Endpoint, len(told.GetEndpoints()))
+	}
+	var bad []error
+	for _, in := range told.GetEndpoints() {
+		e, err := decode(in)
+		if err != nil {
+			bad = append(bad, err)
+			continue
+		}
+		if before, ok := known[e.ID]; ok && before.Born == e.Born {
+			e.Draining = e.Draining || before.Draining
+			for model, version := range before.Weights {
+				e.Weights[model] = max(e.Weights[model], version)
+			}
+		}
+		c.rows[e.ID] = e
+	}
+	for _, id := range told.GetRemoved() {
+		delete(c.rows, tables.EndpointID(id))
+	}
+	c.source, c.version = told.GetSource(), told.GetVersion()
+	return errors.Join(bad...)
+}
+
+// Endpoints returns the endpoints; the caller may keep the map but not change
+// the endpoints' weights.
+func (c *Copy) Endpoints() map[tables.EndpointID]Endpoint { return maps.Clone(c.rows) }
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,90 @@
+package fleet
+
+import (
+	"net/netip"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+func engine(id string, version uint64) Endpoint {
+	return Endpoint{
+		ID: tables.EndpointID(id), Service: "models", Address: netip.MustParseAddrPort("127.0.0.1:80"),
+		Zone: "a", Slots: 8, Weights: map[string]uint64{"m": version}, Born: 1,
+	}
+}
+
+func follow(t *testing.T, c *Copy, from *Table) {
+	t.Helper()
+	told, _ := from.Since(c.Position())
+	assert.NilError(t, c.Take(told))
+}
+
+func TestACopyFollowsByDifferences(t *testing.T) {
+	table, c := NewTable(1), NewCopy()
+	table.List([]Endpoint{engine("a", 1), engine("b", 1)})
+	follow(t, c, table)
+	assert.Equal(t, len(c.Endpoints()), 2)
+	table.Loading("a", true)
+	told, _ := table.Since(c.Position())
+	assert.Equal(t, told.GetFull(), false)
+	assert.Equal(t, len(told.GetEndpoints()), 1)
+	assert.NilError(t, c.Take(told))
+	assert.Equal(t, c.Endpoints()["a"].Loading, true)
+	table.List([]Endpoint{engine("b", 1)})
+	follow(t, c, table)
+	assert.Equal(t, len(c.Endpoints()), 1)
+	nothing, _ := table.Since(c.Position())
+	assert.Assert(t, nothing == nil)
+}
+
+// The platform's list lags, and two control instances read different states of
+// it. An instance that moves from one to the other would send work to an
+// endpoint that it already knew to leave, and callers there would be cut off.
+func TestAnOlderListBringsNoEndpointBack(t *testing.T) {
+	newer, older, c := NewTable(1), NewTable(2), NewCopy()
+	leaving := engine("a", 2)
+	leaving.Draining = true
+	newer.List([]Endpoint{leaving})
+	older.List([]Endpoint{engine("a", 1)})
+	follow(t, c, newer)
+	follow(t, c, older)
+	got := c.Endpoints()["a"]
+	assert.Equal(t, got.Draining, true)
+	assert.Equal(t, got.Weights["m"], uint64(2))
+	newer.List([]Endpoint{engine("a", 1)})
+	follow(t, c, newer)
+	assert.Equal(t, c.Endpoints()["a"].Draining, true)
+}
+
+// An endpoint restarts under its identity with older weights. Were the former
+// life's version held for true, each request for the newer weights would be
+// sent there and declined.
+func TestANewLifeStartsFromTheList(t *testing.T) {
+	table := NewTable(1)
+	table.List([]Endpoint{engine("a", 1)})
+	table.Weights("a", "m", 3)
+	assert.Equal(t, table.Endpoints()[0].Weights["m"], uint64(3))
+	reborn := engine("a", 2)
+	reborn.Born = 2
+	table.List([]Endpoint{reborn})
+	assert.Equal(t, table.Endpoints()[0].Weights["m"], uint64(2))
+}
+
+// A copy lags behind by more removals than are remembered. Without a full
+// answer it would keep endpoints that are long gone.
+func TestACopyFarBehindGetsAllEndpoints(t *testing.T) {
+	table, c := NewTable(1), NewCopy()
+	table.List([]Endpoint{engine("first", 1)})
+	follow(t, c, table)
+	for range maxRemoved + 1 {
+		table.List([]Endpoint{engine("other", 1)})
+		table.List(nil)
+	}
+	told, _ := table.Since(c.Position())
+	assert.Equal(t, told.GetFull(), true)
+	assert.NilError(t, c.Take(told))
+	assert.Equal(t, len(c.Endpoints()), 0)
+}
--- /dev/null
+++ b/forward/failure.go
@@ -0,0 +1,124 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/carawaystile/carawaystile/entry/outcome"
+	"github.com/carawaystile/carawaystile/events"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+const (
+	// retryElsewhere is when another instance will get the request.
+	retryElsewhere = 100 * time.Millisecond
+	// retryFull is when there may be room again; requests take about a second.
+	retryFull = 500 * time.Millisecond
+	// retrySpread is the part by which times to come back differ, so that
+	// callers that were refused together do not come back together.
+	retrySpread = 0.5
+)
+
+// giveUp ends the request with what is certain about its work.
+func (j *job) giveUp(code tables.Code) {
+	if j.r.Context().Err() != nil {
+		j.gone(j.r.Context().Err())
+		return
+	}
+	if j.started {
+		j.cut()
+		return
+	}
+	switch state := j.state.(type) {
+	case *outcome.Undispatched:
+		j.answer(state.Refuse(tables.Refusal{Code: code, RetryAfter: retryFull}))
+	case *outcome.Dispatched:
+		j.answer(state.Fail(code, outcome.MayHaveRun, 0))
+	}
+}
+
+// refuse ends a request that was never dispatched.
+func (j *job) refuse(code tables.Code, after time.Duration) {
+	j.answer(outcome.New(tables.RequestID(j.id)).Refuse(tables.Refusal{Code: code, RetryAfter: after}))
+}
+
+// answer tells the caller of a failure. Only work that did not run is answered
+// with a status that says so.
+func (j *job) answer(f *outcome.Failure) {
+	status := http.StatusBadGateway
+	switch {
+	case f.Outcome() == tables.NotRun:
+		status = http.StatusServiceUnavailable
+	case j.ctx != nil && errors.Is(j.ctx.Err(), context.DeadlineExceeded):
+		status = http.StatusGatewayTimeout
+	}
+	if f.Outcome() == tables.NotRun && f.RetryAfter > 0 {
+		after := f.RetryAfter.Seconds() * (1 + retrySpread*rand.Float64())
+		j.w.Header().Set("Retry-After", strconv.FormatFloat(after, 'f', 3, 64))
+	}
+	j.fail(status, f.Code, f.Outcome())
+}
+
+// reject ends a request that must not be sent again as it is.
+func (j *job) reject(status int, code tables.Code) { j.fail(status, code, tables.NotRun) }
+
+func (j *job) fail(status int, code tables.Code, result tables.Outcome) {
+	header := j.w.Header()
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	header.Set("X-Content-Type-Options", "nosniff")
+	j.w.WriteHeader(status)
+	_, _ = j.w.Write([]byte(strconv.Itoa(int(code)) + " " + string(result) + "\n"))
+	j.finished = true
+	j.server.metrics.failed(j, code, result)
+	events.RequestFailed.Log(j.server.log, append(j.fields(),
+		zap.Int("status", status), zap.Uint16("code", uint16(code)), zap.String("outcome", string(result)),
+		zap.NamedError("cause", j.failed))...)
+}
+
+// done notes a request that got an endpoint's answer.
+func (j *job) done(status int, endpoint string) {
+	j.finished = true
+	j.server.metrics.answered(j, status)
+	events.RequestAnswered.Log(j.server.log, append(j.fields(), zap.Int("status", status), zap.String("endpoint", endpoint))...)
+}
+
+// cut breaks off a stream that cannot be completed. The connection ends without
+// the mark that an answer is whole.
+func (j *job) cut() {
+	j.finished = true
+	j.server.metrics.failed(j, tables.CodeStreamBroken, tables.Unknown)
+	events.StreamCut.Log(j.server.log, append(j.fields(), zap.NamedError("cause", j.failed))...)
+	panic(http.ErrAbortHandler)
+}
+
+// gone ends a request whose caller has left.
+func (j *job) gone(err error) {
+	j.finished = true
+	events.CallerGone.Log(j.server.log, append(j.fields(), zap.Error(err))...)
+	panic(http.ErrAbortHandler)
+}
+
+func (j *job) fields() []zap.Field {
+	fields := []zap.Field{
+		zap.String("request", j.id),
+		zap.Duration("took", j.now()-j.arrived),
+		zap.Int("sends", j.sends),
+		zap.String("last_event", j.lastEvent),
+	}
+	if j.route != nil {
+		fields = append(fields, zap.String("route", j.route.Name), zap.Uint64("revision", j.table.Number))
+	}
+	if j.service != nil {
+		fields = append(fields, zap.String("service", j.service.Name))
+	}
+	if j.org != nil {
+		fields = append(fields, zap.String("organisation", string(j.org.ID)))
+	}
+	return fields
+}
--- /dev/null
+++ b/forward/job.go
@@ -0,0 +1,237 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/carawaystile/carawaystile/dialect"
+	"github.com/carawaystile/carawaystile/dispatch"
+	"github.com/carawaystile/carawaystile/entry/outcome"
+	"github.com/carawaystile/carawaystile/routes"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// job is one caller's request from its arrival until its answer.
+type job struct {
+	server  *Server
+	w       http.ResponseWriter
+	r       *http.Request
+	id      string
+	arrived tables.Instant
+
+	table   *routes.Table
+	route   *routes.Route
+	org     *routes.Organisation
+	service *routes.Service
+	body    []byte
+	held    int64
+	header  http.Header
+
+	deadline tables.Instant
+	ctx      context.Context
+	cancel   context.CancelFunc
+
+	ask         dispatch.Request
+	fingerprint tables.Fingerprint
+	state       outcome.State
+	// sends counts the endpoints that the request was handed to.
+	sends int
+	// failed is the last failure of an attempt, for the log.
+	failed error
+
+	// started is set once the caller has got a part of the answer, lastEvent is
+	// the number of the last event it has.
+	started   bool
+	lastEvent string
+	lastID    int64
+	hasLast   bool
+	finished  bool
+}
+
+// defaultTarget is used for routes that name no target.
+const defaultTarget = time.Second
+
+// read takes in the caller's request and looks up what is configured for it. It
+// returns false after it has answered.
+func (j *job) read() bool {
+	s := j.server
+	j.state = outcome.New(tables.RequestID(j.id))
+	j.table = s.routes.Load()
+	if j.table == nil || !s.hasFleet.Load() {
+		j.refuse(tables.CodeNotReady, retryElsewhere)
+		return false
+	}
+	path, _, _ := strings.Cut(j.r.RequestURI, "?")
+	if j.route = j.table.Match(j.r.Host, path); j.route == nil {
+		j.reject(http.StatusNotFound, tables.CodeUnknownRoute)
+		return false
+	}
+	if !j.authenticate() {
+		j.reject(http.StatusUnauthorized, tables.CodeUnauthorised)
+		return false
+	}
+	if !j.readBody() {
+		return false
+	}
+	j.service = j.table.ServiceOf(j.route, j.id)
+	j.header = s.headers.ToEndpoint(j.r.Header)
+	j.bound()
+	j.describe()
+	return true
+}
+
+// authenticate finds the organisation of the caller's key.
+func (j *job) authenticate() bool {
+	scheme, key, _ := strings.Cut(j.r.Header.Get("Authorization"), " ")
+	if strings.EqualFold(scheme, j.server.headers.KeyScheme) {
+		j.org = j.table.Organisation(strings.TrimSpace(key))
+	}
+	return j.org != nil || j.route.Public || !j.table.HasOrganisations()
+}
+
+// readBody holds the whole body: an attempt that provably did not run is made
+// again elsewhere.
+func (j *job) readBody() bool {
+	limit := j.table.Limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	if j.r.ContentLength > limit {
+		j.w.Header().Set("Connection", "close")
+		j.reject(http.StatusRequestEntityTooLarge, tables.CodeTooLarge)
+		return false
+	}
+	j.held = max(j.r.ContentLength, 0)
+	if j.server.held.Add(j.held) > j.server.options.MaxHeld {
+		j.w.Header().Set("Connection", "close")
+		j.refuse(tables.CodeOverloaded, retryFull)
+		return false
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(j.w, j.r.Body, limit))
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		j.reject(http.StatusRequestEntityTooLarge, tables.CodeTooLarge)
+		return false
+	case err != nil:
+		// The caller broke off or sent no proper body; nothing has run.
+		j.w.Header().Set("Connection", "close")
+		j.reject(http.StatusBadRequest, tables.CodeMalformed)
+		return false
+	}
+	j.body = body
+	more := int64(len(body)) - j.held
+	j.held += more
+	j.server.held.Add(more)
+	return true
+}
+
+// defaultBodyBytes bounds a body where the configuration names no limit.
+const defaultBodyBytes = 4 << 20
+
+// bound sets the deadline: the caller's or the route's, whichever comes first.
+func (j *job) bound() {
+	left := j.route.Timeout
+	if ms, err := strconv.ParseFloat(j.r.Header.Get(j.server.headers.Deadline), 64); err == nil && ms > 0 {
+		left = min(left, time.Duration(ms*float64(time.Millisecond)))
+	}
+	j.deadline = j.arrived + left
+	j.ctx, j.cancel = context.WithTimeout(j.r.Context(), j.deadline-j.server.options.Now())
+}
+
+// describe works out what decisions need to know of the request.
+func (j *job) describe() {
+	h := j.server.headers
+	j.ask = dispatch.Request{
+		Service:  j.service,
+		Route:    j.route,
+		Priority: j.route.Priority,
+		Deadline: j.deadline,
+	}
+	organisation := ""
+	if j.org != nil {
+		organisation = string(j.org.ID)
+		if j.org.HasPriority {
+			j.ask.Priority = j.org.Priority
+		}
+	}
+	if j.service.Slots > 0 {
+		j.ask.Model = j.r.Header.Get(h.Model)
+		j.ask.PromptTokens, j.ask.OutputTokens = dialect.ParseTokens(j.r.Header.Get(h.Tokens))
+		j.share(dialect.ParseParts(j.r.Header.Get(h.Prefix)), j.isolation())
+	}
+	j.fingerprint = fingerprintOf(j.r.Method, j.r.RequestURI, organisation, j.body)
+	if last := j.r.Header.Get(h.LastEvent); last != "" && j.route.Resumable {
+		j.seen(last)
+	}
+}
+
+// isolation names whom cached work may be shared with.
+func (j *job) isolation() string {
+	if j.org != nil && j.org.Isolated {
+		return string(j.org.ID)
+	}
+	return ""
+}
+
+// share notes the part of the prompt that other requests have too: all parts
+// but the last, which is the request's or its session's own.
+func (j *job) share(parts []dialect.Part, scope string) {
+	if len(parts) < 2 {
+		return
+	}
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(scope)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(j.ask.Model)
+	for _, part := range parts[:len(parts)-1] {
+		_, _ = d.Write([]byte{0})
+		_, _ = d.WriteString(part.ID)
+		j.ask.SharedTokens += part.Tokens
+	}
+	j.ask.SharedTokens = min(j.ask.SharedTokens, j.ask.PromptTokens)
+	j.ask.SharedKey = d.Sum64()
+}
+
+func fingerprintOf(method, target, organisation string, body []byte) tables.Fingerprint {
+	var d xxhash.Digest
+	d.Reset()
+	for _, text := range []string{method, target, organisation} {
+		_, _ = d.WriteString(text)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(body)
+	return tables.Fingerprint(d.Sum64())
+}
+
+// seen notes the last event that the caller has.
+func (j *job) seen(last string) {
+	j.lastEvent = last
+	id, err := strconv.ParseInt(last, 10, 64)
+	j.lastID, j.hasLast = id, err == nil
+}
+
+// close gives back what the request held.
+func (j *job) close() {
+	j.server.held.Add(-j.held)
+	if j.cancel != nil {
+		j.cancel()
+	}
+}
+
+func (j *job) now() tables.Instant { return j.server.options.Now() }
+
+func (j *job) target() time.Duration {
+	if j.route.Target > 0 {
+		return j.route.Target
+	}
+	return defaultTarget
+}
--- /dev/null
+++ b/forward/server.go
@@ -0,0 +1,189 @@
+// Package forward is the callers' side of a forwarding deployment: requests
+// pass unchanged to the endpoints that package dispatch chooses, answers come
+// back byte for byte, streams go on elsewhere when an endpoint fails, and what
+// is refused as not run has not run.
+package forward
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/carawaystile/carawaystile/dialect"
+	"github.com/carawaystile/carawaystile/dispatch"
+	"github.com/carawaystile/carawaystile/engine/exchange"
+	"github.com/carawaystile/carawaystile/entry/gate"
+	"github.com/carawaystile/carawaystile/events"
+	"github.com/carawaystile/carawaystile/fleet"
+	"github.com/carawaystile/carawaystile/metrics"
+	"github.com/carawaystile/carawaystile/routes"
+	"github.com/carawaystile/carawaystile/systems/quarantine"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// Options are what a Server is made of.
+type Options struct {
+	Headers  *dialect.Headers
+	Client   *exchange.Client
+	Dispatch dispatch.Options
+	Registry *metrics.Registry
+	Log      *zap.Logger
+	// Now reads the process's monotonic clock.
+	Now func() tables.Instant
+	// Boot tells this life of the instance from others in attempt identities.
+	Boot string
+	// DrainServe is how long new requests are still served after the balancer
+	// is told that the instance is not ready.
+	DrainServe time.Duration
+	// MaxHeld bounds the bytes of request bodies that are held at once.
+	MaxHeld int64
+	// Share tells the other instances which requests were running when an
+	// endpoint crashed; nil means that there are none. It must not block.
+	Share func([]quarantine.Suspect)
+}
+
+// defaultMaxHeld is for instances of 120 MB, a third of it.
+const defaultMaxHeld = 40 << 20
+
+// Server serves callers. It is safe for concurrent use.
+type Server struct {
+	options  Options
+	headers  *dialect.Headers
+	log      *zap.Logger
+	gate     *gate.Gate
+	metrics  *measurements
+	held     atomic.Int64
+	attempts atomic.Uint64
+
+	routes atomic.Pointer[routes.Table]
+
+	// mu guards the decisions.
+	mu       sync.Mutex
+	dispatch *dispatch.Dispatcher
+	suspects *quarantine.System
+	hasFleet atomic.Bool
+}
+
+// New returns a Server that refuses all requests until it has a configuration.
+func New(o Options) *Server {
+	if o.Log == nil {
+		o.Log = zap.NewNop()
+	}
+	if o.MaxHeld == 0 {
+		o.MaxHeld = defaultMaxHeld
+	}
+	if o.Share == nil {
+		o.Share = func([]quarantine.Suspect) {}
+	}
+	return &Server{
+		options:  o,
+		headers:  o.Headers,
+		log:      o.Log,
+		gate:     gate.New(o.DrainServe),
+		metrics:  newMeasurements(o.Registry),
+		dispatch: dispatch.New(o.Dispatch),
+		suspects: quarantine.New(quarantine.Options{}),
+	}
+}
+
+// Configure puts a configuration in force, unless one with a higher number is.
+// Requests that have begun go on under the one they began with.
+func (s *Server) Configure(t *routes.Table) {
+	for {
+		current := s.routes.Load()
+		if current != nil && current.Number >= t.Number {
+			return
+		}
+		if s.routes.CompareAndSwap(current, t) {
+			events.ConfigurationServed.Log(s.log, zap.Uint64("revision", t.Number))
+			return
+		}
+	}
+}
+
+// Configuration returns what is in force, nil for nothing yet.
+func (s *Server) Configuration() *routes.Table { return s.routes.Load() }
+
+// Want notes the weights version that a model should be served with.
+func (s *Server) Want(model string, version uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dispatch.Want(s.options.Now(), model, version)
+}
+
+// Fleet takes over the endpoints that are known now.
+func (s *Server) Fleet(endpoints map[tables.EndpointID]fleet.Endpoint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dispatch.Fleet(endpoints)
+	s.hasFleet.Store(true)
+}
+
+// Peers notes how many entry instances share limits with this one, and which of
+// them it is.
+func (s *Server) Peers(rank, of int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dispatch.Peers(of)
+	s.suspects.SetRank(rank, of)
+}
+
+// Suspect takes what another instance found out about a crash.
+func (s *Server) Suspect(told quarantine.Suspect) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.suspects.Merge(s.options.Now(), told)
+}
+
+// Ready says whether the balancer should send callers here.
+func (s *Server) Ready() bool {
+	return s.gate.State().Ready() && s.routes.Load() != nil && s.hasFleet.Load()
+}
+
+// Drain takes the instance out of service without cutting a request. It returns
+// early when the context ends.
+func (s *Server) Drain(ctx context.Context) error {
+	events.DrainStarted.Log(s.log, zap.Int64("open", s.gate.Open()))
+	if err := s.gate.Drain(ctx, s.options.Now); err != nil {
+		events.DrainCut.Log(s.log, zap.Int64("open", s.gate.Open()))
+		return err
+	}
+	events.DrainEnded.Log(s.log)
+	return nil
+}
+
+// ServeReady answers the balancer's checks.
+func (s *Server) ServeReady(w http.ResponseWriter, _ *http.Request) {
+	if s.Ready() {
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// ServeHTTP serves one caller's request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := s.options.Now()
+	_, admitted := s.gate.Enter()
+	defer s.gate.Leave()
+	// A chunked request may carry a length too, which net/http drops; what
+	// another reader would take for a second request then follows it. The
+	// connection ends with the answer, so that nothing that follows is read.
+	if !s.gate.State().Ready() || len(r.TransferEncoding) > 0 {
+		w.Header().Set("Connection", "close")
+	}
+	j := &job{server: s, w: w, r: r, arrived: arrived, id: r.Header.Get(s.headers.Request)}
+	defer j.close()
+	if !admitted {
+		j.refuse(tables.CodeDraining, retryElsewhere)
+		return
+	}
+	if !j.read() {
+		return
+	}
+	j.run()
+}
--- a/keys/keys.go
+++ b/keys/keys.go
@@ -54,6 +54,11 @@
 	return r, err
 }
 
+// Of returns a ring of one key that does not come from a file.
+func Of(key string) *Ring {
+	return &Ring{send: key, sums: [][sha256.Size]byte{sha256.Sum256([]byte(key))}}
+}
+
 // Reload reads the file again and says whether it changed. After a failure the
 // keys stay as they were: a half-written file must not lock everyone out.
 func (r *Ring) Reload() (bool, error) {
--- /dev/null
+++ b/node/control.go
@@ -0,0 +1,169 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+
+	"github.com/carawaystile/carawaystile/control/deployment"
+	"github.com/carawaystile/carawaystile/control/rollout"
+	"github.com/carawaystile/carawaystile/control/server"
+	"github.com/carawaystile/carawaystile/control/state"
+	"github.com/carawaystile/carawaystile/events"
+	"github.com/carawaystile/carawaystile/fleet"
+	"github.com/carawaystile/carawaystile/internal/boottime"
+	"github.com/carawaystile/carawaystile/rpc"
+	"github.com/carawaystile/carawaystile/store"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+const (
+	// listPeriod is the time between two looks at the platform's list, which
+	// lags by itself; an endpoint that leaves gets no new work within seconds of
+	// being listed so.
+	listPeriod = 500 * time.Millisecond
+	// followGrace is how long an instance that follows the one that gives orders
+	// believes its endpoints before it looks at the list itself.
+	followGrace = 1500 * time.Millisecond
+	// snapshotBytes is small because disks are; a snapshot holds two documents.
+	snapshotBytes = 4 << 20
+)
+
+// startControl starts this instance's replica of the control state and what
+// hangs on it.
+func (n *Node) startControl() error {
+	s := n.options.Settings
+	folder, err := store.OpenFolder(s.Data)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	n.folder = folder
+	self := s.Listen.Instances.String()
+	options := server.Options{
+		Self:          server.Instance{Name: tables.InstanceID(self), Address: self},
+		JoinOnly:      true,
+		Open:          true,
+		Voters:        2*s.Tolerate + 1,
+		Dialer:        n.dialer,
+		Disk:          server.FolderDisk{Folder: folder},
+		Log:           n.log,
+		SnapshotBytes: snapshotBytes,
+	}
+	for _, seed := range n.seedInstances() {
+		if seed == s.Listen.Instances {
+			options.JoinOnly = !s.New
+			continue
+		}
+		options.Others = append(options.Others, server.Instance{Name: tables.InstanceID(seed.String()), Address: seed.String()})
+	}
+	if n.replica, err = server.Start(options); err != nil {
+		return trace.Wrap(err)
+	}
+	n.fleet = fleet.NewTable(n.boot)
+	n.runner = rollout.NewRunner(rollout.Options{
+		Engines:  n.options.Platform.Engines,
+		Executor: n.replica,
+		Leads:    func() bool { return n.replica.Status().Leads },
+		Fleet:    n.fleet,
+		Wanted:   n.wantedWeights,
+		Instance: s.Instance,
+		Boot:     n.boot,
+		LeaseFor: s.Orders.Lease,
+		Fenced:   s.Orders.Fenced,
+		Now:      boottime.Now,
+		Log:      n.log,
+	})
+	n.deployment = deployment.NewService(n.replica, n.fleet, n.runner.Holds)
+	n.background.Go(func() { n.runner.Run(n.stopping) })
+	n.background.Go(func() { n.followLeader(n.stopping) })
+	if s.List.IsValid() {
+		n.background.Go(func() { n.readList(n.stopping) })
+	}
+	operators := n.options.Platform.Operators(n.deployment, n.log)
+	return n.serve(&http.Server{Handler: operators}, s.Listen.Operators)
+}
+
+// seedInstances are the addresses at which the seeds answer other instances.
+func (n *Node) seedInstances() []netip.AddrPort {
+	port := n.options.Settings.Listen.Instances.Port()
+	var all []netip.AddrPort
+	for _, seed := range n.settings.Load().Seeds {
+		all = append(all, netip.AddrPortFrom(seed.Addr(), port))
+	}
+	return all
+}
+
+// wantedWeights lists the version that each model should be served with.
+func (n *Node) wantedWeights() map[string]uint64 {
+	wanted := map[string]uint64{}
+	n.replica.View(func(st *state.State) {
+		for _, document := range st.Documents() {
+			if model, ok := deployment.ModelOf(document.GetName()); ok {
+				wanted[model] = document.GetNumber()
+			}
+		}
+	})
+	return wanted
+}
+
+// readList keeps the table of endpoints. The list bounds the calls of all
+// instances together, so one instance reads it and the others follow it, unless
+// they cannot reach it.
+func (n *Node) readList(ctx context.Context) {
+	list := n.options.Platform.List(n.options.Settings.List)
+	ticker := time.NewTicker(listPeriod)
+	defer ticker.Stop()
+	for {
+		if n.readsList() {
+			endpoints, err := list.Endpoints(ctx)
+			if err == nil {
+				n.fleet.List(endpoints)
+			} else if ctx.Err() == nil {
+				events.ListUnread.Log(n.log, zap.Error(err))
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (n *Node) readsList() bool {
+	if n.replica.Status().Leads {
+		return true
+	}
+	heard := n.followed.Load()
+	return heard == 0 || n.now()-time.Duration(heard) > followGrace
+}
+
+// followLeader takes over what the leader of the group knows of endpoints.
+func (n *Node) followLeader(ctx context.Context) {
+	client := deployment.NewClient(deployment.ClientOptions{
+		Instance: string(n.options.Settings.Instance),
+		Sources:  n.leaderSource,
+		Document: func(*rpc.Document) {}, // the replica has them
+		Fleet:    func(c *fleet.Copy) { n.fleet.Mirror(c.Endpoints()) },
+		Answered: func(_ deployment.Source, answer *rpc.FollowAnswer) {
+			if !answer.GetBehind() {
+				n.followed.Store(int64(n.now()))
+			}
+		},
+		Log: n.log,
+	})
+	client.Run(ctx)
+}
+
+// leaderSource is the leader, unless that is this instance.
+func (n *Node) leaderSource() []deployment.Source {
+	status := n.replica.Status()
+	if status.Leads || status.Leader == "" {
+		return nil
+	}
+	return []deployment.Source{n.sources.source(status.Leader, n.client)}
+}
--- /dev/null
+++ b/node/listen.go
@@ -0,0 +1,80 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+
+	"github.com/carawaystile/carawaystile/control/transport"
+	"github.com/carawaystile/carawaystile/events"
+	"github.com/carawaystile/carawaystile/peers"
+	"github.com/carawaystile/carawaystile/rpc"
+	"github.com/carawaystile/carawaystile/systems/quarantine"
+)
+
+const (
+	// headerTimeout bounds the time for a header, and idleTimeout that between
+	// two requests of a connection; it is above what operators allow callers.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = time.Minute
+)
+
+// serve opens a listener and serves it until the instance stops.
+func (n *Node) serve(server *http.Server, at netip.AddrPort) error {
+	listener, err := net.Listen("tcp", at.String())
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	server.ReadHeaderTimeout = headerTimeout
+	server.IdleTimeout = idleTimeout
+	server.ErrorLog = zap.NewStdLog(n.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel)))
+	n.mu.Lock()
+	n.servers = append(n.servers, server)
+	n.mu.Unlock()
+	n.background.Go(func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			events.ListenerFailed.Log(n.log, zap.Stringer("address", at), zap.Error(err))
+		}
+	})
+	return nil
+}
+
+// listenInstances serves the other instances, and scrapers of metrics.
+func (n *Node) listenInstances() error {
+	s := n.options.Settings
+	mux := http.NewServeMux()
+	if n.replica != nil {
+		mux.Handle(rpc.ControlPathPrefix, transport.NewHandler(n.replica))
+		mux.Handle(rpc.DeploymentPathPrefix, rpc.NewDeploymentServer(n.deployment))
+	}
+	if n.entry != nil {
+		mux.Handle(rpc.PeerPathPrefix, rpc.NewPeerServer(peers.Service{Take: n.entry.Suspect}))
+	}
+	if err := n.serve(&http.Server{Handler: mux}, s.Listen.Instances); err != nil {
+		return err
+	}
+	if !s.Listen.Metrics.IsValid() {
+		return nil
+	}
+	metrics := http.NewServeMux()
+	metrics.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+		_ = n.registry.WriteText(w)
+	})
+	return n.serve(&http.Server{Handler: metrics}, s.Listen.Metrics)
+}
+
+// shareSuspects tells the other entry instances what was running when an
+// endpoint crashed. Losing a message costs no more than a further endpoint.
+func (n *Node) shareSuspects(suspects []quarantine.Suspect) {
+	report := peers.Report(suspects)
+	n.tellPeers(func(ctx context.Context, at string) {
+		_, _ = rpc.NewPeerProtobufClient(at, n.client).Suspect(ctx, report)
+	})
+}
--- /dev/null
+++ b/node/members.go
@@ -0,0 +1,180 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/carawaystile/carawaystile/control/deployment"
+	"github.com/carawaystile/carawaystile/control/gossip"
+	"github.com/carawaystile/carawaystile/keys"
+	"github.com/carawaystile/carawaystile/rpc"
+	"github.com/carawaystile/carawaystile/systems/membership"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// datagramKey marks the datagrams of forwarding deployments. The network keeps
+// strangers out; this only drops what is not meant for the system.
+const datagramKey = "carawaystile forwarding deployment"
+
+// startMembership joins the other instances.
+func (n *Node) startMembership() error {
+	s := n.options.Settings
+	var seeds []netip.AddrPort
+	for _, seed := range s.Seeds {
+		if at := netip.AddrPortFrom(seed.Addr(), s.Listen.Membership.Port()); at != s.Listen.Membership {
+			seeds = append(seeds, at)
+		}
+	}
+	joined, err := gossip.Start(gossip.Options{
+		Membership: membership.Options{
+			Self: membership.Row{
+				Instance: s.Instance, Zone: s.Zone, Roles: n.roles(), Size: 1,
+				Address: s.Listen.Membership, Control: s.Listen.Instances, Boot: n.boot,
+			},
+			Seeds: seeds,
+			Seed:  n.seed(),
+		},
+		Ring:    keys.Of(datagramKey),
+		Log:     n.log,
+		Changed: n.membersChanged,
+	})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	n.members.Store(joined)
+	return nil
+}
+
+func (n *Node) roles() membership.Role {
+	var roles membership.Role
+	if n.options.Settings.Entry {
+		roles |= membership.RoleEntry
+	}
+	if n.options.Settings.Control {
+		roles |= membership.RoleControl
+	}
+	return roles
+}
+
+// membersChanged tells the entry how many share limits with it.
+func (n *Node) membersChanged(members []membership.Member) {
+	if n.entry == nil {
+		return
+	}
+	rank, of := 0, 0
+	for _, m := range members {
+		if m.Roles&membership.RoleEntry == 0 || m.State >= membership.Dead {
+			continue
+		}
+		of++
+		if m.Instance < n.options.Settings.Instance {
+			rank++
+		}
+	}
+	n.entry.Peers(rank, n.peerCount.most(n.now(), of))
+}
+
+// peerMemory is for how long the highest number of peers counts.
+const peerMemory = time.Minute
+
+// peerCount remembers the most entry instances that were known of late. Those
+// that are cut off are not known and go on all the same.
+type peerCount struct {
+	mu    sync.Mutex
+	of    int
+	since tables.Instant
+}
+
+func (p *peerCount) most(now tables.Instant, of int) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if of >= p.of || now-p.since > peerMemory {
+		p.of, p.since = of, now
+	}
+	return p.of
+}
+
+// sourceCache keeps one client for each control instance. It is safe for
+// concurrent use.
+type sourceCache struct {
+	mu      sync.Mutex
+	clients map[string]rpc.Deployment
+}
+
+func (c *sourceCache) source(address string, client *http.Client) deployment.Source {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known := c.clients[address]
+	if known == nil {
+		if c.clients == nil {
+			c.clients = map[string]rpc.Deployment{}
+		}
+		known = rpc.NewDeploymentProtobufClient("http://"+address, client)
+		c.clients[address] = known
+	}
+	return deployment.Source{Name: address, Deployment: known}
+}
+
+// controlSources lists the control instances, those of the own zone first:
+// they are reached when the zone is cut off. Seeds come after those that
+// membership knows of.
+func (n *Node) controlSources() []deployment.Source {
+	var near, far []netip.AddrPort
+	if joined := n.members.Load(); joined != nil {
+		for _, m := range joined.Members() {
+			switch {
+			case m.Roles&membership.RoleControl == 0 || m.State >= membership.Dead:
+			case m.Zone == n.options.Settings.Zone:
+				near = append(near, m.Control)
+			default:
+				far = append(far, m.Control)
+			}
+		}
+	}
+	all := append(near, far...)
+	for _, seed := range n.seedInstances() {
+		if !slices.Contains(all, seed) {
+			all = append(all, seed)
+		}
+	}
+	sources := make([]deployment.Source, 0, len(all))
+	for _, at := range all {
+		sources = append(sources, n.sources.source(at.String(), n.client))
+	}
+	return sources
+}
+
+// entryPeers lists where the other living entry instances answer.
+func (n *Node) entryPeers() []netip.AddrPort {
+	joined := n.members.Load()
+	if joined == nil {
+		return nil
+	}
+	var all []netip.AddrPort
+	for _, m := range joined.Members() {
+		if m.Roles&membership.RoleEntry != 0 && m.State < membership.Dead && m.Instance != n.options.Settings.Instance {
+			all = append(all, m.Control)
+		}
+	}
+	return all
+}
+
+// tellPeers calls every other living entry instance.
+func (n *Node) tellPeers(call func(ctx context.Context, at string)) {
+	for _, at := range n.entryPeers() {
+		go func() {
+			ctx, cancel := context.WithTimeout(n.stopping, tellTimeout)
+			defer cancel()
+			call(ctx, "http://"+at.String())
+		}()
+	}
+}
+
+// tellTimeout bounds telling one instance of a crash.
+const tellTimeout = time.Second
--- /dev/null
+++ b/peers/peers.go
@@ -0,0 +1,72 @@
+// Package peers carries what entry instances tell one another of requests that
+// crash endpoints.
+package peers
+
+import (
+	"context"
+	"time"
+
+	"github.com/carawaystile/carawaystile/rpc"
+	"github.com/carawaystile/carawaystile/systems/quarantine"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// maxSuspects bounds what one report may hold.
+const maxSuspects = 4096
+
+// Report encodes suspects.
+func Report(suspects []quarantine.Suspect) *rpc.SuspectReport {
+	report := &rpc.SuspectReport{}
+	for _, s := range suspects {
+		report.Suspects = append(report.Suspects, encodeSuspect(s))
+	}
+	return report
+}
+
+// Service takes the reports of other instances. It implements rpc.Peer.
+type Service struct {
+	Take func(quarantine.Suspect)
+}
+
+// Suspect takes what another instance found out about a crash.
+func (s Service) Suspect(_ context.Context, report *rpc.SuspectReport) (*rpc.SuspectAnswer, error) {
+	for i, suspect := range report.GetSuspects() {
+		if i == maxSuspects {
+			break
+		}
+		s.Take(decodeSuspect(suspect))
+	}
+	return &rpc.SuspectAnswer{}, nil
+}
+
+func encodeSuspect(s quarantine.Suspect) *rpc.CrashSuspect {
+	return &rpc.CrashSuspect{
+		Fingerprint: uint64(s.Fingerprint),
+		Endpoint:    string(s.Life.Endpoint),
+		Boot:        string(s.Life.Boot),
+		Likely:      s.Mark.Likely,
+		Tokens:      int64(s.Mark.Tokens),
+		Position:    int64(s.Mark.Position),
+		Convicted:   s.Convicted,
+		AgeNanos:    int64(s.Age),
+		RanNanos:    int64(s.Mark.Ran),
+	}
+}
+
+func decodeSuspect(s *rpc.CrashSuspect) quarantine.Suspect {
+	return quarantine.Suspect{
+		Fingerprint: tables.Fingerprint(s.GetFingerprint()),
+		Life: quarantine.Life{
+			Endpoint: tables.EndpointID(s.GetEndpoint()),
+			Boot:     tables.BootID(s.GetBoot()),
+		},
+		Mark: quarantine.Mark{
+			Likely:   s.GetLikely(),
+			Tokens:   int(s.GetTokens()),
+			Position: int(s.GetPosition()),
+			Ran:      time.Duration(max(s.GetRanNanos(), 0)),
+		},
+		Convicted: s.GetConvicted(),
+		Age:       time.Duration(max(s.GetAgeNanos(), 0)),
+	}
+}
--- a/daemon/peers_test.go
+++ b/peers/peers_test.go
@@ -1,4 +1,4 @@
-package daemon
+package peers
 
 import (
 	"reflect"
--- /dev/null
+++ b/routes/routes_test.go
@@ -0,0 +1,71 @@
+package routes
+
+import (
+	"errors"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func route(host, prefix string) Route {
+	return Route{
+		Name: host + prefix, Host: host, Prefix: prefix, Timeout: time.Second,
+		Splits: []Split{{Service: "desk", Weight: 1}},
+	}
+}
+
+func services() []Service { return []Service{{Name: "desk"}, {Name: "models"}} }
+
+func TestTheLongestPrefixOfTheHostTakesTheRequest(t *testing.T) {
+	table, err := NewTable(Configuration{
+		Services: services(),
+		Routes:   []Route{route("a.example", "/x/"), route("a.example", "/x/y/"), route("b.example", "/")},
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, table.Match("A.example:8080", "/x/y/z").Prefix, "/x/y/")
+	assert.Equal(t, table.Match("a.example", "/x/z").Prefix, "/x/")
+	assert.Assert(t, table.Match("a.example", "/x") == nil)
+	assert.Assert(t, table.Match("c.example", "/x/") == nil)
+}
+
+// An operator sends a configuration that contradicts itself. Put in force, a
+// part of the callers would be sent nowhere or answered for somebody else.
+func TestInvalidConfigurationsAreRefused(t *testing.T) {
+	noService := route("a.example", "/")
+	noService.Splits[0].Service = "nobody"
+	noWeight := route("a.example", "/")
+	noWeight.Splits[0].Weight = 0
+	noTimeout := route("a.example", "/")
+	noTimeout.Timeout = 0
+	cases := map[Reason]Configuration{
+		UnknownService: {Services: services(), Routes: []Route{noService}},
+		NoWeight:       {Services: services(), Routes: []Route{noWeight}},
+		NoTimeout:      {Services: services(), Routes: []Route{noTimeout}},
+		SamePlace:      {Services: services(), Routes: []Route{route("a.example", "/x/"), route("A.example", "/x/")}},
+		BadPrefix:      {Services: services(), Routes: []Route{route("a.example", "/x")}},
+		SharedKey:      {Organisations: []Organisation{{ID: "a", Keys: []string{"k"}}, {ID: "b", Keys: []string{"k"}}}},
+	}
+	for reason, c := range cases {
+		_, err := NewTable(c)
+		var invalid *Invalid
+		assert.Assert(t, errors.As(err, &invalid), "%s", reason)
+		assert.Equal(t, invalid.Reason, reason)
+	}
+}
+
+func TestWeightsDivideRequestsAndEachRequestKeepsItsService(t *testing.T) {
+	split := route("a.example", "/")
+	split.Splits = []Split{{Service: "desk", Weight: 90}, {Service: "models", Weight: 10}}
+	table, err := NewTable(Configuration{Services: services(), Routes: []Route{split}})
+	assert.NilError(t, err)
+	count := map[string]int{}
+	for i := range 10_000 {
+		id := strconv.Itoa(i)
+		service := table.ServiceOf(&table.Routes[0], id)
+		assert.Equal(t, service, table.ServiceOf(&table.Routes[0], id))
+		count[service.Name]++
+	}
+	assert.Assert(t, count["models"] > 900 && count["models"] < 1100, "%v", count)
+}
--- /dev/null
+++ b/settings/forwarding.go
@@ -0,0 +1,204 @@
+package settings
+
+import (
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// Forwarding is the settings of one instance of a forwarding deployment, in
+// which routes and endpoints come from the platform and requests pass unchanged.
+type Forwarding struct {
+	Instance tables.InstanceID
+	Zone     tables.Zone
+	Entry    bool
+	Control  bool
+	// Data is the folder of a control instance; an entry instance has none.
+	Data   string
+	Listen ForwardingListen
+	// Seeds are operator addresses of some control instances, the only others
+	// that an instance is told of. The control instances among them listen for
+	// instances at the same IP number and the ports of this instance.
+	Seeds []netip.AddrPort
+	// New is set when the whole deployment starts for the first time, with empty
+	// disks; only then may the seeds found a control group.
+	New bool
+	// Tolerate is how many control instances may be lost at once.
+	Tolerate int
+	// MemoryMB is what the instance may use.
+	MemoryMB int
+	// List serves the platform's list of endpoints.
+	List    netip.AddrPort
+	Orders  ForwardingOrders
+	Retries ForwardingRetries
+	Drain   Drain
+	// LogLevel is the least level that is written.
+	LogLevel zapcore.Level
+}
+
+// ForwardingListen holds the addresses an instance listens on.
+type ForwardingListen struct {
+	// Callers takes requests and Ready the balancer's checks; both are for entry
+	// instances. Operators is for control instances.
+	Callers   netip.AddrPort
+	Ready     netip.AddrPort
+	Operators netip.AddrPort
+	// Instances serves other instances over TCP, Membership over UDP.
+	Instances  netip.AddrPort
+	Membership netip.AddrPort
+	// Metrics serves counters and histograms; invalid for none.
+	Metrics netip.AddrPort
+}
+
+// ForwardingOrders bounds orders to engines.
+type ForwardingOrders struct {
+	// Lease is how long an instance gives orders without hearing from the
+	// control group.
+	Lease time.Duration
+	// Fenced says that engines refuse orders with an old fencing number.
+	Fenced bool
+	// WeightsTimeout is how long after newer weights were named a request may
+	// begin on older ones.
+	WeightsTimeout time.Duration
+}
+
+// ForwardingRetries bounds repeated sends to a service, over all instances.
+type ForwardingRetries struct {
+	Ratio  float64
+	Extra  int
+	Window time.Duration
+}
+
+// Defaults of the forwarding settings.
+const (
+	defaultTolerate     = 1
+	defaultMemoryMB     = 256
+	defaultOrdersLease  = 3 * time.Second
+	defaultRetryRatio   = 0.2
+	defaultRetryExtra   = 20
+	defaultRetryWindow  = 10 * time.Second
+	defaultForwardDrain = 7 * time.Second
+	// defaultForwardAnnounce is above the time in which a balancer that asks
+	// once a second and forgives one miss stops sending callers.
+	defaultForwardAnnounce = 3 * time.Second
+)
+
+// ReadForwarding reads and checks a settings file. Its failure is *Invalid when
+// the file could be read but has faults.
+func ReadForwarding(path string) (*Forwarding, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	return ParseForwarding(path, text)
+}
+
+// ParseForwarding is ReadForwarding over a text already in memory.
+func ParseForwarding(file string, text []byte) (*Forwarding, error) {
+	var out collector
+	f := &Forwarding{
+		Tolerate: defaultTolerate,
+		MemoryMB: defaultMemoryMB,
+		Orders:   ForwardingOrders{Lease: defaultOrdersLease},
+		Retries:  ForwardingRetries{Ratio: defaultRetryRatio, Extra: defaultRetryExtra, Window: defaultRetryWindow},
+		Drain:    Drain{Announce: defaultForwardAnnounce, Timeout: defaultForwardDrain},
+		LogLevel: zapcore.InfoLevel,
+	}
+	if root, ok := parse(file, text, &out); ok {
+		f.read(root)
+		f.check(root)
+	}
+	if err := out.err(); err != nil {
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Forwarding) read(root node) {
+	root.object(
+		field{key: "instance", required: true, read: name(&f.Instance)},
+		field{key: "zone", required: true, read: name(&f.Zone)},
+		field{key: "roles", required: true, read: f.readRoles},
+		field{key: "data", read: func(n node) { n.text(&f.Data) }},
+		field{key: "listen", required: true, read: f.Listen.read},
+		field{key: "seeds", read: f.readSeeds},
+		field{key: "new_deployment", read: boolean(&f.New)},
+		field{key: "tolerate_instances", read: integer(&f.Tolerate, 0, 4)},
+		field{key: "memory_mb", read: integer(&f.MemoryMB, 16, 1<<20)},
+		field{key: "platform_list", read: address(&f.List)},
+		field{key: "orders", read: f.Orders.read},
+		field{key: "retries", read: f.Retries.read},
+		field{key: "drain", read: f.Drain.read},
+		field{key: "log_level", read: choice(&f.LogLevel, levelWords, levels)},
+	)
+}
+
+func (f *Forwarding) readRoles(n node) {
+	roles := map[string]*bool{"entry": &f.Entry, "control": &f.Control}
+	n.list(func(item node) {
+		var role *bool
+		choice(&role, []string{"entry", "control"}, roles)(item)
+		if role != nil {
+			*role = true
+		}
+	})
+	if !f.Entry && !f.Control {
+		n.problem("the instance has no role", "[entry], [control] or [entry, control]")
+	}
+}
+
+func (f *Forwarding) readSeeds(n node) {
+	n.list(func(item node) {
+		var at netip.AddrPort
+		address(&at)(item)
+		f.Seeds = append(f.Seeds, at)
+	})
+}
+
+func (l *ForwardingListen) read(n node) {
+	n.object(
+		field{key: "callers", read: address(&l.Callers)},
+		field{key: "ready", read: address(&l.Ready)},
+		field{key: "operators", read: address(&l.Operators)},
+		field{key: "instances", required: true, read: address(&l.Instances)},
+		field{key: "membership", required: true, read: address(&l.Membership)},
+		field{key: "metrics", read: address(&l.Metrics)},
+	)
+}
+
+func (o *ForwardingOrders) read(n node) {
+	n.object(
+		field{key: "lease", read: duration(&o.Lease, time.Second, time.Minute)},
+		field{key: "fenced", read: boolean(&o.Fenced)},
+		field{key: "weights_timeout", read: duration(&o.WeightsTimeout, 0, time.Hour)},
+	)
+}
+
+func (r *ForwardingRetries) read(n node) {
+	n.object(
+		field{key: "ratio", read: number(&r.Ratio, 0, 10)},
+		field{key: "extra", read: integer(&r.Extra, 0, 1_000_000)},
+		field{key: "window", read: duration(&r.Window, time.Second, time.Hour)},
+	)
+}
+
+// check reports settings that contradict one another.
+func (f *Forwarding) check(root node) {
+	if f.Entry && (!f.Listen.Callers.IsValid() || !f.Listen.Ready.IsValid()) {
+		root.problem("an entry instance has no address for callers or for the balancer's checks", "listen: with callers: and ready:")
+	}
+	if f.Control && !f.Listen.Operators.IsValid() {
+		root.problem("a control instance has no address for operators", "listen: with operators:")
+	}
+	if f.Control && f.Data == "" {
+		root.problem("a control instance has no data folder", "a line with data:")
+	}
+	if !f.Control && len(f.Seeds) == 0 {
+		root.problem("the instance knows no control instance", "a list of seeds:")
+	}
+}
