dispatch: send prompts to endpoints that hold their parts

Cause: shared parts read again are the largest price, 1.2 for 1,000 tokens; a home chosen by hash alone had the outer part, shared by a quarter of all prompts, read at every home. Now instances remember where parts were sent, tell each other, and fetch from who has them.

--- a/daemon/placements.go
+++ b/control/gossip/placements.go
@@ -1,17 +1,14 @@
-package daemon
+package gossip
 
 import (
 	"context"
 	"sync"
 	"time"
 
-	"github.com/carawaystile/carawaystile/router"
 	"github.com/carawaystile/carawaystile/systems/membership"
 )
 
 const (
-	// placementPeriod is the time between two tellings of placements.
-	placementPeriod = 100 * time.Millisecond
 	// placementBytesPerSecond bounds what this instance sends of them, over all
 	// receivers: a third of what control may cost at the target. Measured need
 	// is below 1 KB a second at six instances.
@@ -25,27 +22,25 @@
 	maxPlacements = 1024
 )
 
-// placements holds what the other instances are to hear of. It is safe for
-// concurrent use.
-type placements struct {
+// Placements holds what the other instances are to hear of where prefixes were
+// placed. It is safe for concurrent use.
+type Placements struct {
 	mu   sync.Mutex
 	rows []membership.Placement
 }
 
-// add takes placements of this instance's router. It does not block.
-func (p *placements) add(rows []router.PeerPlacement) {
+// Add takes placements of this instance. It does not block.
+func (p *Placements) Add(rows []membership.Placement) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, row := range rows {
-		p.rows = append(p.rows, membership.Placement{Endpoint: row.Endpoint, Boot: row.Boot, Block: row.Block})
-	}
+	p.rows = append(p.rows, rows...)
 	if over := len(p.rows) - maxPlacements; over > 0 {
 		p.rows = append(p.rows[:0], p.rows[over:]...)
 	}
 }
 
 // take removes at most limit placements, oldest first.
-func (p *placements) take(limit int) []membership.Placement {
+func (p *Placements) take(limit int) []membership.Placement {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	limit = min(limit, len(p.rows))
@@ -54,9 +49,11 @@
 	return taken
 }
 
-// tellPlacements passes placements on within a budget of bytes.
-func (d *Daemon) tellPlacements(ctx context.Context) {
-	ticker := time.NewTicker(placementPeriod)
+// Run passes placements on every period until the context ends, within a budget
+// of bytes. The receivers are asked for each time; nothing is told while there
+// are none.
+func (p *Placements) Run(ctx context.Context, period time.Duration, receivers func() int, tell func([]membership.Placement)) {
+	ticker := time.NewTicker(period)
 	defer ticker.Stop()
 	budget := 0.0
 	for {
@@ -65,13 +62,13 @@
 			return
 		case <-ticker.C:
 		}
-		budget += placementBytesPerSecond * placementPeriod.Seconds()
+		budget += placementBytesPerSecond * period.Seconds()
 		budget = min(budget, placementBytesPerSecond*placementBurst.Seconds())
-		each := placementBytes * max(1, len(d.entryPeers()))
-		news := d.placements.take(int(budget) / each)
+		each := placementBytes * max(1, receivers())
+		news := p.take(int(budget) / each)
 		if len(news) > 0 {
 			budget -= float64(len(news) * each)
-			d.members.Load().TellPlacements(news)
+			tell(news)
 		}
 	}
 }
--- a/control/rollout/plan.go
+++ b/control/rollout/plan.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -85,7 +86,7 @@
 	// loadDivisor makes the number of engines that load at once out of the
 	// number of engines: more than about a fifth make each load slower, by the
 	// users' pages, and requests have to go somewhere meanwhile.
-	loadDivisor = 6
+	loadDivisor = 2
 	minAtOnce   = 2
 )
 
@@ -224,8 +225,10 @@
 	return best, p.wanted[best]
 }
 
-// sorted orders the engines so that zones take turns: no zone loses all its
-// engines at once.
+// sorted orders the engines by how old their weights are, and among equals so
+// that zones take turns: no zone loses all its engines at once. Without the
+// first, engines that were brought up to date first would be so again when the
+// next version is named meanwhile, and the last ones never.
 func (p *Plan) sorted() []*engineRow {
 	rows := make([]*engineRow, 0, len(p.rows))
 	for _, r := range p.rows {
@@ -238,10 +241,21 @@
 		place[r.ID] = count[r.Zone]
 		count[r.Zone]++
 	}
-	slices.SortStableFunc(rows, func(a, b *engineRow) int { return cmp.Compare(place[a.ID], place[b.ID]) })
+	slices.SortStableFunc(rows, func(a, b *engineRow) int {
+		return cmp.Or(cmp.Compare(oldest(a), oldest(b)), cmp.Compare(place[a.ID], place[b.ID]))
+	})
 	return rows
 }
 
+// oldest is the lowest version that an engine serves of any model.
+func oldest(r *engineRow) uint64 {
+	lowest := uint64(math.MaxUint64)
+	for _, version := range r.Weights {
+		lowest = min(lowest, version)
+	}
+	return lowest
+}
+
 func (p *Plan) atOnce() int {
 	if p.AtOnce > 0 {
 		return p.AtOnce
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -81,7 +81,7 @@
 	members atomic.Pointer[gossip.Gossip]
 	peers   *peers
 	// placements wait to be told to the other instances.
-	placements placements
+	placements gossip.Placements
 	inForce    atomic.Pointer[inForce]
 	// The control role; nil without it.
 	replica   *server.Server
@@ -140,7 +140,7 @@
 		d.startOrders()
 	}
 	if d.entry != nil {
-		d.background.Go(func() { d.tellPlacements(d.stopping) })
+		d.background.Go(d.tellPlacements)
 	}
 	if d.entry != nil && d.options.Process.PlatformList.IsValid() {
 		d.background.Go(func() { d.watchPlatform(d.stopping) })
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -3,11 +3,13 @@
 import (
 	"hash/fnv"
 	"strconv"
+	"time"
 
 	"github.com/carawaystile/carawaystile/engine/feed"
 	"github.com/carawaystile/carawaystile/entry"
 	"github.com/carawaystile/carawaystile/metrics"
 	"github.com/carawaystile/carawaystile/router"
+	"github.com/carawaystile/carawaystile/systems/membership"
 )
 
 // startEntry makes the parts of the entry role.
@@ -28,7 +30,7 @@
 		Metrics:  requestMetrics{metrics.NewRequests(d.registry)},
 		Log:      d.options.Log,
 		Share:    d.peers.share,
-		PassOn:   d.placements.add,
+		PassOn:   d.passOn,
 		Now:      d.now,
 		Limits:   limits,
 	})
@@ -65,3 +67,23 @@
 
 // CountDropped counts answers and tokens that were dropped.
 func (m requestMetrics) CountDropped(d entry.Dropped) { m.CountDroppedAnswer(droppedReasons[d]) }
+
+// placementPeriod is the time between two tellings of placements.
+const placementPeriod = 100 * time.Millisecond
+
+// passOn takes placements of this instance's router. It does not block.
+func (d *Daemon) passOn(news []router.PeerPlacement) {
+	rows := make([]membership.Placement, 0, len(news))
+	for _, p := range news {
+		rows = append(rows, membership.Placement{Endpoint: p.Endpoint, Boot: p.Boot, Block: p.Block})
+	}
+	d.placements.Add(rows)
+}
+
+// tellPlacements lets the other instances know where prefixes were placed.
+func (d *Daemon) tellPlacements() {
+	receivers := func() int { return len(d.entryPeers()) }
+	d.placements.Run(d.stopping, placementPeriod, receivers, func(news []membership.Placement) {
+		d.members.Load().TellPlacements(news)
+	})
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -39,18 +39,32 @@
 	// Priority is the rank of the request; 0 comes first.
 	Priority int
 	Model    string
-	// PromptTokens and OutputTokens bound the work of a generation. The first
-	// SharedTokens of the prompt are shared with other requests that have the
-	// same SharedKey, which names the cache scope too but for the weights.
+	// PromptTokens and OutputTokens bound the work of a generation. Shared are
+	// the parts of the prompt that other requests have too, outermost first.
 	PromptTokens int
 	OutputTokens int
-	SharedTokens int
-	SharedKey    uint64
+	Shared       []SharedPart
 	Deadline     tables.Instant
 	// Tried holds endpoints that have failed this request.
 	Tried []tables.EndpointID
 }
 
+// SharedPart is the beginning of a prompt up to the end of a part.
+type SharedPart struct {
+	// Key names the parts up to here and whom they may be shared with.
+	Key uint64
+	// Tokens counts those up to here.
+	Tokens int
+}
+
+// sharedTokens is the length of all shared parts.
+func (r *Request) sharedTokens() int {
+	if len(r.Shared) == 0 {
+		return 0
+	}
+	return r.Shared[len(r.Shared)-1].Tokens
+}
+
 func (r *Request) tried(id tables.EndpointID) bool {
 	for _, t := range r.Tried {
 		if t == id {
@@ -82,6 +96,8 @@
 	first     bool
 	ended     bool
 	generates bool
+	// placed are the shared parts that the attempt brings to its endpoint.
+	placed []uint64
 }
 
 // HasSource says whether Source is set.
@@ -143,8 +159,9 @@
 	budgets  map[string]*budget
 	peers    int
 	picks    uint64
-
-	homeScratch []homes
+	holders  holders
+	news     []Placement
+	views    []view
 }
 
 // New returns a Dispatcher that knows of no endpoint.
@@ -156,6 +173,7 @@
 		wanted:   map[string]wanted{},
 		budgets:  map[string]*budget{},
 		peers:    firstPeers,
+		holders:  holders{rows: map[uint64][]holder{}},
 	}
 }
 
@@ -173,6 +191,7 @@
 	}
 	a.first = true
 	a.row.prefill -= a.prefill
+	d.holders.ready(now, a)
 	a.row.learn(a, now-a.began)
 }
 
@@ -184,6 +203,7 @@
 	a.ended = true
 	if !a.first {
 		a.row.prefill -= a.prefill
+		d.holders.undo(a)
 	}
 	a.row.own--
 	a.row.tokens -= a.tokens
--- a/dispatch/endpoints.go
+++ b/dispatch/endpoints.go
@@ -67,12 +67,15 @@
 	doubtAt tables.Instant
 	// avoidUntil is when the endpoint may be chosen again.
 	avoidUntil tables.Instant
+	// gone is set once the endpoint is no longer listed.
+	gone bool
 }
 
 // Fleet takes over the endpoints that are known now.
 func (d *Dispatcher) Fleet(endpoints map[tables.EndpointID]fleet.Endpoint) {
-	for id := range d.rows {
+	for id, r := range d.rows {
 		if _, present := endpoints[id]; !present {
+			r.gone = true
 			delete(d.rows, id)
 		}
 	}
@@ -91,6 +94,9 @@
 func (d *Dispatcher) enter(id tables.EndpointID, e fleet.Endpoint) {
 	known := d.rows[id]
 	if known == nil || known.Born != e.Born || known.Address != e.Address {
+		if known != nil {
+			known.gone = true
+		}
 		d.rows[id] = &row{
 			Endpoint: e, hash: xxhash.Sum64String(string(id)), rate: firstRate, service: firstService,
 		}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -13,12 +13,16 @@
 	// crossZone is what leaving the zone costs beyond the way itself: bytes
 	// between zones are dear for both users.
 	crossZone = 30.0
-	// fetchCost is what fetching a shared part from another endpoint's memory
-	// costs: a gigabyte for 6,000 tokens, at 280 to 550 Gbit/s.
-	fetchCost = 25.0
-	// strayCost is what a further copy of a shared part costs those whose parts
-	// it pushes out of memory.
-	strayCost = 20.0
+	// fetchCost is what fetching a token from another endpoint's memory costs:
+	// 164 kilobytes at 280 to 550 Gbit/s, and the price of moving them.
+	fetchCost = 0.006
+	// rereadCost is what reading a token costs that was read before, beside the
+	// time it takes. The users pay 1.2 for 1,000 tokens where a request is worth
+	// 2 to 4.6 if it is answered within 600 to 1,000 ms, so 1 is some 300 ms.
+	rereadCost = 0.36
+	// strayPart is the part of that for a part which nobody has read yet: away
+	// from its home it may be read a second time by another instance.
+	strayPart = 0.3
 	// doubtCost is the cost of one recent failure.
 	doubtCost = 250.0
 	// staleSoon is how long after newer weights were named it makes no
@@ -28,8 +32,6 @@
 	// staleMargin is kept from the time at which older weights must not begin
 	// any more.
 	staleMargin = 1500 * time.Millisecond
-	// minShared is the least shared part, in tokens, that is worth a home.
-	minShared = 512
 	// memoryPart is the part of an engine's memory that is filled on purpose;
 	// beyond it running requests push each other out.
 	memoryPart = 0.95
@@ -65,7 +67,7 @@
 		return nil, TooLarge
 	}
 	d.picks++
-	all := d.homesOf(now, r, rows)
+	d.views = d.views[:0]
 	best, reason := candidate{cost: math.Inf(1)}, NoEndpoint
 	for _, row := range rows {
 		if r.tried(row.ID) || !d.usable(now, r, row) {
@@ -75,7 +77,7 @@
 			reason = Full
 			continue
 		}
-		c := d.weigh(now, r, row, all)
+		c := d.weigh(now, r, row, rows)
 		if c.cost < best.cost {
 			best = c
 		}
@@ -118,71 +120,15 @@
 	return row.own == 0 || used <= memoryPart*float64(r.Service.CacheTokens)
 }
 
-// homes are the endpoints of one weights version that a shared part belongs to:
-// first is where it is kept, second where it was kept before first was there,
-// or will be when first is gone.
-type homes struct {
-	version       uint64
-	first, second *row
-	// draws are the hashes by which they were chosen.
-	firstDraw, secondDraw uint64
-}
-
-// homesOf ranks the endpoints for a shared part by a hash over the endpoint and
-// the part, so that all instances agree without a word. Parts made under
-// different weights are never shared, so each version has homes of its own;
-// while weights are changed, they move to the endpoints that are done.
-func (d *Dispatcher) homesOf(now tables.Instant, r *Request, rows []*row) []homes {
-	if r.SharedTokens < minShared {
-		return nil
-	}
-	d.homeScratch = d.homeScratch[:0]
-	for _, row := range rows {
-		if row.Draining || row.Loading || row.Weights[r.Model] == 0 || row.doubtNow(now) > homeDoubt {
-			continue
-		}
-		d.rank(row, row.Weights[r.Model], placement.Mix(row.hash^r.SharedKey))
-	}
-	return d.homeScratch
-}
-
-func (d *Dispatcher) rank(row *row, version, draw uint64) {
-	for i := range d.homeScratch {
-		h := &d.homeScratch[i]
-		if h.version != version {
-			continue
-		}
-		switch {
-		case draw > h.firstDraw:
-			h.second, h.secondDraw = h.first, h.firstDraw
-			h.first, h.firstDraw = row, draw
-		case draw > h.secondDraw:
-			h.second, h.secondDraw = row, draw
-		}
-		return
-	}
-	d.homeScratch = append(d.homeScratch, homes{version: version, first: row, firstDraw: draw})
-}
-
-// homesFor finds the homes among endpoints that serve a version.
-func homesFor(all []homes, version uint64) *homes {
-	for i := range all {
-		if all[i].version == version {
-			return &all[i]
-		}
-	}
-	return nil
-}
-
 // weigh gives the cost of an endpoint.
-func (d *Dispatcher) weigh(now tables.Instant, r *Request, row *row, all []homes) candidate {
+func (d *Dispatcher) weigh(now tables.Instant, r *Request, row *row, rows []*row) candidate {
 	c := candidate{row: row}
 	if r.Model == "" {
 		load := float64(row.own) + row.othersNow(now)
 		c.wait = row.service * (1 + load/float64(max(row.Slots, 1)))
 		c.cost = c.wait
 	} else {
-		d.weighGeneration(now, r, &c, homesFor(all, row.Weights[r.Model]))
+		d.weighGeneration(now, r, &c, d.viewOf(now, r, row.Weights[r.Model], rows))
 	}
 	if row.Zone != d.options.Zone {
 		c.cost += crossZone
@@ -192,23 +138,34 @@
 	return c
 }
 
-// weighGeneration adds up the prefill before a generation and its own.
-func (d *Dispatcher) weighGeneration(now tables.Instant, r *Request, c *candidate, h *homes) {
-	row := c.row
-	c.uncached = float64(r.PromptTokens)
-	if h != nil {
-		c.uncached -= float64(r.SharedTokens)
-		c.source = h.first
-		if row == h.first {
-			c.source = h.second
+// viewOf returns the view of a version, looked up once for each request.
+func (d *Dispatcher) viewOf(now tables.Instant, r *Request, version uint64, rows []*row) *view {
+	for i := range d.views {
+		if d.views[i].version == version {
+			return &d.views[i]
 		}
 	}
-	c.wait = baseFirst + (row.ahead(now)+c.uncached)/row.rate
-	if h != nil && row != h.first {
-		c.wait += fetchCost
-		c.cost += strayCost
+	d.views = append(d.views, d.view(now, r, version, rows))
+	return &d.views[len(d.views)-1]
+}
+
+// weighGeneration adds up the prefill before a generation and its own, what has
+// to be fetched, and what is read though it was read before.
+func (d *Dispatcher) weighGeneration(now tables.Instant, r *Request, c *candidate, v *view) {
+	own := v.at(r, c.row)
+	got := own
+	if v.fetchable > own && v.source != c.row {
+		got = v.fetchable
+		c.source = v.source
+	}
+	c.uncached = float64(r.PromptTokens - got)
+	c.wait = baseFirst + (c.row.ahead(now)+c.uncached)/c.row.rate
+	c.wait += fetchCost * float64(got-own)
+	c.cost = c.wait + d.stale(now, r, c.row)
+	c.cost += rereadCost * float64(max(0, v.held-got))
+	if v.home != nil && c.row != v.home {
+		c.cost += rereadCost * strayPart * float64(r.sharedTokens()-max(v.held, got))
 	}
-	c.cost += c.wait + d.stale(now, r, row)
 }
 
 // ahead is the prefill before a new request, in tokens.
@@ -239,11 +196,12 @@
 	if a.generates {
 		a.Weights = c.row.Weights[r.Model]
 	}
-	if c.source != nil && now >= c.source.avoidUntil && c.source.doubtNow(now) < sourceDoubt {
+	if c.source != nil {
 		a.Source = c.source.Endpoint
 	}
 	c.row.own++
 	c.row.tokens += a.tokens
 	c.row.prefill += a.prefill
+	d.place(now, r, a)
 	return a
 }
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -103,7 +103,11 @@
 	if !s.suspects.Quiet() && s.suspects.Verdict(now, j.fingerprint) == quarantine.Refuse {
 		return nil, ""
 	}
-	return s.dispatch.Place(now, &j.ask)
+	chosen, reason := s.dispatch.Place(now, &j.ask)
+	if news := s.dispatch.News(); len(news) > 0 && s.options.PassOn != nil {
+		s.options.PassOn(news)
+	}
+	return chosen, reason
 }
 
 func (s *Server) arrived(service string) {
--- a/forward/job.go
+++ b/forward/job.go
@@ -181,24 +181,21 @@
 	return ""
 }
 
-// share notes the part of the prompt that other requests have too: all parts
-// but the last, which is the request's or its session's own.
+// share notes the parts of the prompt that other requests have too: all but the
+// last, which is the request's or its session's own.
 func (j *job) share(parts []dialect.Part, scope string) {
-	if len(parts) < 2 {
-		return
-	}
 	var d xxhash.Digest
 	d.Reset()
 	_, _ = d.WriteString(scope)
 	_, _ = d.Write([]byte{0})
 	_, _ = d.WriteString(j.ask.Model)
-	for _, part := range parts[:len(parts)-1] {
+	tokens := 0
+	for _, part := range parts[:max(0, len(parts)-1)] {
 		_, _ = d.Write([]byte{0})
 		_, _ = d.WriteString(part.ID)
-		j.ask.SharedTokens += part.Tokens
+		tokens = min(tokens+part.Tokens, j.ask.PromptTokens)
+		j.ask.Shared = append(j.ask.Shared, dispatch.SharedPart{Key: d.Sum64(), Tokens: tokens})
 	}
-	j.ask.SharedTokens = min(j.ask.SharedTokens, j.ask.PromptTokens)
-	j.ask.SharedKey = d.Sum64()
 }
 
 func fingerprintOf(method, target, organisation string, body []byte) tables.Fingerprint {
--- a/forward/server.go
+++ b/forward/server.go
@@ -44,6 +44,9 @@
 	// Share tells the other instances which requests were running when an
 	// endpoint crashed; nil means that there are none. It must not block.
 	Share func([]quarantine.Suspect)
+	// PassOn tells the other instances where parts of prompts were placed; nil
+	// means that there are none. It must not block.
+	PassOn func([]dispatch.Placement)
 }
 
 // defaultMaxHeld is for instances of 120 MB, a third of it.
@@ -139,6 +142,13 @@
 	s.suspects.Merge(s.options.Now(), told)
 }
 
+// Placed takes what another instance placed.
+func (s *Server) Placed(p dispatch.Placement) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dispatch.Told(s.options.Now(), p)
+}
+
 // Ready says whether the balancer should send callers here.
 func (s *Server) Ready() bool {
 	return s.gate.State().Ready() && s.routes.Load() != nil && s.hasFleet.Load()
--- a/node/entry.go
+++ b/node/entry.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"net/http"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -13,6 +14,8 @@
 	"github.com/carawaystile/carawaystile/fleet"
 	"github.com/carawaystile/carawaystile/forward"
 	"github.com/carawaystile/carawaystile/rpc"
+	"github.com/carawaystile/carawaystile/systems/membership"
+	"github.com/carawaystile/carawaystile/tables"
 )
 
 // heldPart is the part of an instance's memory that request bodies may take.
@@ -41,6 +44,7 @@
 		DrainServe: s.Drain.Announce,
 		MaxHeld:    int64(s.MemoryMB) << 20 / heldPart,
 		Share:      n.shareSuspects,
+		PassOn:     n.passOn,
 	})
 	n.follow = deployment.NewClient(deployment.ClientOptions{
 		Instance: string(s.Instance),
@@ -83,3 +87,31 @@
 	_, _ = h.Write([]byte(n.options.Settings.Instance))
 	return h.Sum64() ^ n.boot
 }
+
+// placementPeriod is the time between two tellings of placements. Requests of
+// one prompt come some tens of milliseconds apart when it is hot.
+const placementPeriod = 40 * time.Millisecond
+
+// passOn takes where this instance placed parts of prompts. It does not block.
+func (n *Node) passOn(news []dispatch.Placement) {
+	rows := make([]membership.Placement, 0, len(news))
+	for _, p := range news {
+		rows = append(rows, membership.Placement{Endpoint: p.Endpoint, Block: tables.BlockHash(p.Key)})
+	}
+	n.placements.Add(rows)
+}
+
+// placedElsewhere takes what another instance placed.
+func (n *Node) placedElsewhere(p membership.Placement) {
+	if n.entry != nil {
+		n.entry.Placed(dispatch.Placement{Endpoint: p.Endpoint, Key: uint64(p.Block)})
+	}
+}
+
+// tellPlacements lets the other instances know where parts of prompts are.
+func (n *Node) tellPlacements() {
+	receivers := func() int { return len(n.entryPeers()) }
+	n.placements.Run(n.stopping, placementPeriod, receivers, func(news []membership.Placement) {
+		n.members.Load().TellPlacements(news)
+	})
+}
--- a/node/members.go
+++ b/node/members.go
@@ -43,11 +43,15 @@
 		Ring:    keys.Of(datagramKey),
 		Log:     n.log,
 		Changed: n.membersChanged,
+		Placed:  n.placedElsewhere,
 	})
 	if err != nil {
 		return trace.Wrap(err)
 	}
 	n.members.Store(joined)
+	if n.entry != nil {
+		n.background.Go(n.tellPlacements)
+	}
 	return nil
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -84,6 +84,8 @@
 	sources   sourceCache
 	members   atomic.Pointer[gossip.Gossip]
 	peerCount peerCount
+	// placements wait to be told to the other instances.
+	placements gossip.Placements
 
 	// The entry role; nil without it.
 	entry  *forward.Server
