forward: end no answer for an endpoint's silence unless it can go on elsewhere

Ruled out: the drain (it waits for open requests). Now a stream is taken away only where attempts and the retry budget allow another one.

--- a/dispatch/budget.go
+++ b/dispatch/budget.go
@@ -52,6 +52,16 @@
 // whatever the instances know of each other, as long as the number of peers is
 // not too low.
 func (d *Dispatcher) Repeat(now tables.Instant, service string) bool {
+	if !d.CanRepeat(now, service) {
+		return false
+	}
+	b := d.budget(now, service)
+	b.repeats[b.at()]++
+	return true
+}
+
+// CanRepeat says whether Repeat would.
+func (d *Dispatcher) CanRepeat(now tables.Instant, service string) bool {
 	b := d.budget(now, service)
 	requests, repeats := 0, 0
 	for i := range b.requests {
@@ -60,11 +70,7 @@
 	}
 	limits := &d.options.Retry
 	allowed := limits.Ratio*float64(requests) + extraPart*float64(limits.Extra)/float64(d.peers)
-	if float64(repeats+1) > allowed {
-		return false
-	}
-	b.repeats[b.at()]++
-	return true
+	return float64(repeats+1) <= allowed
 }
 
 func (b *budget) at() int { return int(b.slice % int64(len(b.requests))) }
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -48,7 +49,7 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	hang    *time.Timer
-	hung    bool
+	hung    atomic.Bool
 	arrived tables.Instant
 }
 
@@ -221,24 +222,44 @@
 	return max(minHang, t.job.target(), hangFactor*t.chosen.Expected)
 }
 
-// watch ends the attempt when nothing comes for that long.
+// watch takes the request away from the endpoint when nothing comes for that
+// long, if it can go on elsewhere. An endpoint's silence alone is no reason to
+// end an answer: one that is only slow still brings it.
 func (t *try) watch(limit time.Duration) {
-	if limit <= 0 {
+	if limit <= 0 || !t.job.hasAttempts() {
 		return
 	}
-	if t.hang == nil {
-		t.hang = time.AfterFunc(limit, t.cancel)
+	if t.hang != nil {
+		t.hang.Reset(limit)
 		return
 	}
-	t.hang.Reset(limit)
+	t.hang = time.AfterFunc(limit, func() {
+		if !t.job.canMove() {
+			t.hang.Reset(limit)
+			return
+		}
+		t.hung.Store(true)
+		t.cancel()
+	})
 }
 
 // unwatch stops the watch and says whether it has struck.
 func (t *try) unwatch() bool {
-	if t.hang != nil && !t.hang.Stop() && t.ctx.Err() != nil && t.job.ctx.Err() == nil {
-		t.hung = true
+	if t.hang != nil {
+		t.hang.Stop()
 	}
-	return t.hung
+	return t.hung.Load()
+}
+
+// hasAttempts says whether the request may be handed to a further endpoint.
+func (j *job) hasAttempts() bool { return j.sends < max(1, j.route.MaxAttempts) }
+
+// canMove says whether a further endpoint could take the request now.
+func (j *job) canMove() bool {
+	s := j.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dispatch.CanRepeat(s.options.Now(), j.service.Name)
 }
 
 // heard takes what an answer's header says of the endpoint.
@@ -351,7 +372,7 @@
 		j.sends--
 		return 0
 	}
-	if how != dispatch.Declined && j.sends >= max(1, j.route.MaxAttempts) {
+	if how != dispatch.Declined && !j.hasAttempts() {
 		return tables.CodeEndpointFailed
 	}
 	if how == dispatch.Declined {
