--- a/node/control.go
+++ b/node/control.go
@@ -74,6 +74,7 @@
 		Boot:     n.boot,
 		LeaseFor: s.Orders.Lease,
 		Fenced:   s.Orders.Fenced,
+		Strategy: rollout.KeepRuns,
 		Now:      boottime.Now,
 		Log:      n.log,
 	})
