--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -44,6 +44,8 @@
 	PromptTokens int
 	OutputTokens int
 	Shared       []SharedPart
+	// Store is the service that keeps cached prompts; empty for none.
+	Store string
 	// HoldUntil is until when the request may wait for parts of its prompt that
 	// are being read.
 	HoldUntil tables.Instant
@@ -88,6 +90,9 @@
 	// Source is an endpoint that most likely holds the shared part of the
 	// prompt when the chosen one does not; it may be invalid.
 	Source fleet.Endpoint
+	// Store is where the endpoint sends the parts that it reads; it may be
+	// invalid.
+	Store fleet.Endpoint
 	// Expected is the time to the first event, or to the answer.
 	Expected time.Duration
 
@@ -106,6 +111,9 @@
 // HasSource says whether Source is set.
 func (a *Attempt) HasSource() bool { return a.Source.Address.IsValid() }
 
+// HasStore says whether Store is set.
+func (a *Attempt) HasStore() bool { return a.Store.Address.IsValid() }
+
 // End says how an attempt ended.
 type End uint8
 
--- a/dispatch/endpoints.go
+++ b/dispatch/endpoints.go
@@ -69,6 +69,8 @@
 	avoidUntil tables.Instant
 	// gone is set once the endpoint is no longer listed.
 	gone bool
+	// store is set for a store of cached prompts, which takes no requests.
+	store bool
 }
 
 // Fleet takes over the endpoints that are known now.
@@ -98,7 +100,7 @@
 			known.gone = true
 		}
 		d.rows[id] = &row{
-			Endpoint: e, hash: xxhash.Sum64String(string(id)), rate: firstRate, service: firstService,
+			Endpoint: e, store: e.Store, hash: xxhash.Sum64String(string(id)), rate: firstRate, service: firstService,
 		}
 		return
 	}
--- a/dispatch/holders.go
+++ b/dispatch/holders.go
@@ -18,6 +18,12 @@
 	// from the endpoint that used it last, which is the least likely to have
 	// dropped it.
 	tellAgain = 4 * time.Second
+	// storeRank is how long ago an engine must have used a part for the store to
+	// be the better source.
+	storeRank = 4 * time.Second
+	// storeReady is how long after the first event of the request that read a
+	// part it has reached the store.
+	storeReady = 400 * time.Millisecond
 	// holdFor is how long a placement is believed in after its last use.
 	// Engines drop what was not used for the longest time; with the users'
 	// loads that is well above this.
@@ -158,6 +164,25 @@
 	}
 }
 
+// keep has an attempt's endpoint send the parts that it reads to the store, if
+// there is one that can take them. Parts that were had from elsewhere are there
+// already, or are not worth the way.
+func (d *Dispatcher) keep(now tables.Instant, r *Request, a *Attempt, got int) {
+	rows := d.services[r.Store]
+	if len(rows) == 0 || rows[0].Draining || r.sharedTokens() <= got {
+		return
+	}
+	a.Store = rows[0].Endpoint
+	for _, part := range r.Shared {
+		key := keyOf(part.Key, a.Weights)
+		one, fresh := d.holders.note(now, now+a.Expected+storeReady, key, rows[0])
+		if fresh {
+			one.told = now
+			d.news = append(d.news, Placement{Endpoint: rows[0].ID, Key: key})
+		}
+	}
+}
+
 // view is what is known of a request's shared parts under one weights version.
 type view struct {
 	version uint64
@@ -236,8 +261,11 @@
 		var source *row
 		var used tables.Instant
 		for _, one := range v.levels[i] {
-			if one.row != but && one.ready <= now && one.row.sound(now) && (source == nil || one.used > used) {
-				source, used = one.row, one.used
+			if one.row == but || one.ready > now || !one.row.sound(now) {
+				continue
+			}
+			if at := one.lastUse(now); source == nil || at > used {
+				source, used = one.row, at
 			}
 		}
 		if source != nil {
@@ -247,6 +275,17 @@
 	return nil, 0
 }
 
+// lastUse is when a part was last used, for the choice of a source. A store
+// keeps parts longer than engines do, which drop them for the prompts of other
+// requests, but its link is slower; so it comes after engines that have used a
+// part lately.
+func (h *holder) lastUse(now tables.Instant) tables.Instant {
+	if h.row.store {
+		return now - storeRank
+	}
+	return h.used
+}
+
 // sound says whether something may be fetched from the endpoint.
 func (r *row) sound(now tables.Instant) bool {
 	return !r.gone && now >= r.avoidUntil && r.doubtNow(now) < sourceDoubt
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -221,5 +221,6 @@
 	c.row.tokens += a.tokens
 	c.row.prefill += a.prefill
 	d.place(now, r, a)
+	d.keep(now, r, a, r.PromptTokens-int(c.uncached))
 	return a
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -32,6 +32,9 @@
 	// An endpoint may start again under its identity, and has forgotten
 	// everything then.
 	Born int64
+	// Store is set for a store of cached prompts, which is not on the list: it
+	// is there while it takes connections.
+	Store bool
 }
 
 // Clone returns a copy that shares nothing.
@@ -42,7 +45,7 @@
 
 func (e *Endpoint) equal(other *Endpoint) bool {
 	return e.ID == other.ID && e.Service == other.Service && e.Address == other.Address && e.Zone == other.Zone &&
-		e.Slots == other.Slots && e.Draining == other.Draining && e.Loading == other.Loading && e.Born == other.Born &&
+		e.Slots == other.Slots && e.Draining == other.Draining && e.Loading == other.Loading && e.Born == other.Born && e.Store == other.Store &&
 		maps.Equal(e.Weights, other.Weights)
 }
 
@@ -56,6 +59,7 @@
 		Draining: e.Draining,
 		Loading:  e.Loading,
 		Born:     e.Born,
+		Store:    e.Store,
 	}
 	for _, model := range slices.Sorted(maps.Keys(e.Weights)) {
 		out.Weights = append(out.Weights, &rpc.ModelWeights{Model: model, Version: e.Weights[model]})
@@ -78,6 +82,7 @@
 		Draining: in.GetDraining(),
 		Loading:  in.GetLoading(),
 		Born:     in.GetBorn(),
+		Store:    in.GetStore(),
 		Weights:  map[string]uint64{},
 	}
 	for _, weights := range in.GetWeights() {
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -215,6 +215,9 @@
 	if t.chosen.HasSource() {
 		header.Set(h.CacheSource, t.chosen.Source.Address.String())
 	}
+	if t.chosen.HasStore() {
+		header.Set(h.CacheTarget, t.chosen.Store.Address.String())
+	}
 }
 
 // firstWait is how long the endpoint may say nothing; zero means any time. Only
--- a/node/control.go
+++ b/node/control.go
@@ -83,6 +83,7 @@
 	n.background.Go(func() { n.followLeader(n.stopping) })
 	if s.List.IsValid() {
 		n.background.Go(func() { n.readList(n.stopping) })
+		n.background.Go(func() { n.watchStore(n.stopping) })
 	}
 	operators := n.options.Platform.Operators(n.deployment, n.log)
 	return n.serve(&http.Server{Handler: operators}, s.Listen.Operators)
@@ -122,7 +123,7 @@
 		if n.readsList() {
 			endpoints, err := list.Endpoints(ctx)
 			if err == nil {
-				n.fleet.List(endpoints)
+				n.fleet.List(append(endpoints, n.stores.reachable()...))
 			} else if ctx.Err() == nil {
 				events.ListUnread.Log(n.log, zap.Error(err))
 			}
--- a/node/node.go
+++ b/node/node.go
@@ -97,6 +97,7 @@
 	fleet      *fleet.Table
 	deployment *deployment.Service
 	runner     *rollout.Runner
+	stores     stores
 	// followed is when the instance that gives orders was last heard of.
 	followed atomic.Int64
 
