--- a/control/rollout/plan.go
+++ b/control/rollout/plan.go
@@ -86,7 +86,7 @@
 	// loadDivisor makes the number of engines that load at once out of the
 	// number of engines: more than about a fifth make each load slower, by the
 	// users' pages, and requests have to go somewhere meanwhile.
-	loadDivisor = 2
+	loadDivisor = 5
 	minAtOnce   = 2
 )
 
