--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -95,6 +95,8 @@
 	Store fleet.Endpoint
 	// Expected is the time to the first event, or to the answer.
 	Expected time.Duration
+	// Uncached counts the prompt tokens that the endpoint has to read.
+	Uncached int
 
 	row       *row
 	began     tables.Instant
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -204,6 +204,7 @@
 	a := &Attempt{
 		Endpoint:  c.row.Endpoint,
 		Expected:  time.Duration(c.wait * float64(time.Millisecond)),
+		Uncached:  int(c.uncached),
 		row:       c.row,
 		began:     now,
 		tokens:    r.tokens(),
--- a/forward/failure.go
+++ b/forward/failure.go
@@ -82,10 +82,14 @@
 }
 
 // done notes a request that got an endpoint's answer.
-func (j *job) done(status int, endpoint string) {
+func (j *job) done(status int, t *try) {
 	j.finished = true
 	j.server.metrics.answered(j, status)
-	events.RequestAnswered.Log(j.server.log, append(j.fields(), zap.Int("status", status), zap.String("endpoint", endpoint))...)
+	events.RequestAnswered.Log(j.server.log, append(j.fields(),
+		zap.Int("status", status), zap.Duration("first", j.first), zap.Duration("placed", t.arrived-j.arrived),
+		zap.String("endpoint", string(t.chosen.Endpoint.ID)), zap.Uint64("weights", t.chosen.Weights),
+		zap.Duration("expected", t.chosen.Expected), zap.Int("to_read", t.chosen.Uncached),
+		zap.String("source", string(t.chosen.Source.ID)))...)
 }
 
 // cut breaks off a stream that cannot be completed. The connection ends without
--- a/forward/job.go
+++ b/forward/job.go
@@ -48,7 +48,9 @@
 
 	// started is set once the caller has got a part of the answer, lastEvent is
 	// the number of the last event it has.
-	started   bool
+	started bool
+	// first is how long the first event took.
+	first     time.Duration
 	lastEvent string
 	lastID    int64
 	hasLast   bool
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -59,7 +59,7 @@
 	j.plainHeader(answer.Header)
 	j.w.WriteHeader(answer.Status)
 	_, _ = j.w.Write(body)
-	j.done(answer.Status, string(t.chosen.Endpoint.ID))
+	j.done(answer.Status, t)
 }
 
 // failedAtEndpoint tries a repeatable request again after an endpoint's own
@@ -135,6 +135,7 @@
 		j.started = true
 		j.server.headers.ToCaller(j.w.Header(), answer.Header)
 		j.w.WriteHeader(answer.Status)
+		j.first = j.now() - j.arrived
 		j.server.metrics.first(j)
 	}
 	_ = control.SetWriteDeadline(time.Now().Add(writeStall))
@@ -159,5 +160,5 @@
 		j.server.headers.ToCaller(j.w.Header(), answer.Header)
 		j.w.WriteHeader(answer.Status)
 	}
-	j.done(answer.Status, string(t.chosen.Endpoint.ID))
+	j.done(answer.Status, t)
 }
