--- a/control/rollout/plan.go
+++ b/control/rollout/plan.go
@@ -80,6 +80,9 @@
 	// reportLag is how old a report may be. One that shows nothing of an
 	// accepted order says that it is over only if it is younger.
 	reportLag = 700 * time.Millisecond
+	// closeFor is how long an engine gets no new requests before its order comes.
+	// What waits there when it comes is declined and has to begin anew elsewhere.
+	closeFor = 150 * time.Millisecond
 	// settleFor is how long an order is believed in that was accepted and does
 	// not show. Engines finish running requests first.
 	settleFor = 6 * time.Second
@@ -96,6 +99,9 @@
 const (
 	// idle: nothing is known to go on.
 	idle phase = iota
+	// closing: the other instances send nothing new, so that what waits there is
+	// read before the order comes.
+	closing
 	// ordering: an order was sent and not answered yet.
 	ordering
 	// loading: an order was accepted, or may have been.
@@ -178,9 +184,12 @@
 func (p *Plan) Next(now tables.Instant) []Action {
 	rows := p.sorted()
 	var actions []Action
-	busy := 0
+	busy, closed := 0, 0
 	for _, r := range rows {
-		if r.phase != idle {
+		switch r.phase {
+		case closing:
+			closed++
+		case ordering, loading:
 			busy++
 		}
 		if p.wantsAsk(now, r) {
@@ -190,18 +199,31 @@
 	}
 	room := p.atOnce() - busy
 	for _, r := range rows {
-		model, version := p.missing(r)
-		if room <= 0 || version == 0 || r.phase != idle || !r.known || r.asking || r.Draining {
+		if r.phase == closing && room > 0 && now-r.since >= closeFor {
+			room--
+			closed--
+			actions = append(actions, p.order(now, r))
+		}
+	}
+	for _, r := range rows {
+		_, version := p.missing(r)
+		if closed >= p.atOnce()/2 || version == 0 || r.phase != idle || !r.known || r.asking || r.Draining {
 			continue
 		}
-		room--
-		r.phase, r.model, r.version, r.since = ordering, model, version, now
-		r.ordered = r.sequence + 1
-		actions = append(actions, Action{Endpoint: r.Endpoint, Model: model, Version: version, Sequence: r.sequence})
+		closed++
+		r.phase, r.since = closing, now
 	}
 	return actions
 }
 
+// order gives an engine the order that is due now.
+func (p *Plan) order(now tables.Instant, r *engineRow) Action {
+	model, version := p.missing(r)
+	r.phase, r.model, r.version, r.since = ordering, model, version, now
+	r.ordered = r.sequence + 1
+	return Action{Endpoint: r.Endpoint, Model: model, Version: version, Sequence: r.sequence}
+}
+
 func (p *Plan) wantsAsk(now tables.Instant, r *engineRow) bool {
 	if r.asking || now < r.askAt {
 		return false
@@ -340,3 +362,15 @@
 	r := p.rows[id]
 	return r != nil && r.phase != idle
 }
+
+// Closing lists the engines that get an order soon.
+func (p *Plan) Closing() []tables.EndpointID {
+	var ids []tables.EndpointID
+	for id, r := range p.rows {
+		if r.phase == closing {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
--- a/control/rollout/runner.go
+++ b/control/rollout/runner.go
@@ -139,6 +139,9 @@
 	for _, action := range r.plan.Next(r.options.Now()) {
 		r.start(ctx, action)
 	}
+	for _, id := range r.plan.Closing() {
+		r.options.Fleet.Loading(id, true)
+	}
 }
 
 // renew asks for the lease, or for more time, beside everything else: orders go
