control: wait a full disk out, and take newcomers in

Now the replica closes its log, waits and goes on from what it has; only a failed write for want of room is waited out, after a failed sync the log is not trusted. Instances that the settings do not name may join and stand by, and take the place of a voter that is silent for 8 s.

--- a/control/server/form.go
+++ b/control/server/form.go
@@ -241,7 +241,7 @@
 // longGone finds a voter that has been silent for so long that its machine must
 // be taken for lost.
 func (s *Server) longGone(status replog.Status) (replog.ReplicaID, bool) {
-	ticks := int(goneAfter / s.options.TickInterval)
+	ticks := int(s.options.GoneAfter / s.options.TickInterval)
 	for _, voter := range status.Members.Voters() {
 		progress, known := status.Progress[voter]
 		if known && voter != status.ID && progress.IdleTicks > ticks {
--- a/control/server/loop.go
+++ b/control/server/loop.go
@@ -119,7 +119,7 @@
 
 func (s *Server) stepFailed(err error) {
 	if _, broken := err.(*replog.Inconsistent); broken {
-		s.fail(err)
+		s.broken(err)
 		return
 	}
 	events.ControlMessageDropped.Log(s.log, zap.Error(err))
@@ -278,7 +278,7 @@
 		}
 	})
 	if err != nil {
-		s.fail(err)
+		s.broken(err)
 		return false
 	}
 	events.ControlSnapshotTaken.Log(s.log, zap.Uint64("index", snapshot.Index))
@@ -305,9 +305,10 @@
 	index := s.applied
 	snapshot := s.state.Save()
 	s.mu.RUnlock()
+	encoded := s.encoded
 	s.running.Go(func() {
 		data, err := state.EncodeSnapshot(snapshot)
-		s.encoded <- encodedSnapshot{index: index, data: data, err: err}
+		encoded <- encodedSnapshot{index: index, data: data, err: err}
 	})
 }
 
@@ -315,7 +316,7 @@
 // come in the meantime.
 func (s *Server) compact(e encodedSnapshot) {
 	if e.err != nil {
-		s.fail(e.err)
+		s.broken(e.err)
 		return
 	}
 	s.snapshotSize = len(e.data)
@@ -344,7 +345,7 @@
 			err = log.Save(j.ready)
 		}
 		if err != nil {
-			s.fail(err)
+			s.broken(err)
 			return
 		}
 		select {
--- a/control/server/network_test.go
+++ b/control/server/network_test.go
@@ -168,6 +168,8 @@
 	servers []*Server
 	// snapshotBytes is given to servers that start from now on.
 	snapshotBytes int
+	// change, if set, changes the options of servers that start from now on.
+	change func(i int, o *Options)
 }
 
 func address(i int) string { return fmt.Sprint("control-", i) }
@@ -208,6 +210,9 @@
 			options.Others = append(options.Others, Instance{Name: tables.InstanceID(address(j)), Address: address(j)})
 		}
 	}
+	if g.change != nil {
+		g.change(i, &options)
+	}
 	server, err := Start(options)
 	assert.NilError(g.t, err)
 	g.servers[i] = server
--- /dev/null
+++ b/control/server/open_test.go
@@ -0,0 +1,61 @@
+package server
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// openGroup is three instances of a deployment whose instances join without
+// being named in the settings, and a fourth one that stands by.
+func openGroup(t *testing.T) *group {
+	g := newGroup(t, 3)
+	g.change = func(i int, o *Options) {
+		o.Open, o.Voters, o.GoneAfter = true, 3, 300*time.Millisecond
+		o.JoinOnly = i >= 3
+	}
+	for i := range 3 {
+		g.restart(i)
+	}
+	g.apply(0, "r1", "p1")
+	g.disks = append(g.disks, &memoryDisk{})
+	g.servers = append(g.servers, nil)
+	g.start(3)
+	return g
+}
+
+// A control instance is gone for good and another one comes at an address that
+// nobody knows. Until it votes, the next loss stops every change.
+func TestANewcomerTakesThePlaceOfAVoterThatIsGone(t *testing.T) {
+	g := openGroup(t)
+	newcomer := g.servers[3]
+	assert.NilError(t, newcomer.until(g.long(), func() bool { return newcomer.state.Revision() == 1 }))
+	assert.Assert(t, !newcomer.Status().Voter)
+	leader := g.leader()
+	g.stop((leader + 1) % 3)
+	assert.NilError(t, newcomer.until(g.long(), func() bool { return newcomer.view.voter }))
+	g.stop((leader + 2) % 3)
+	g.apply(leader, "r2", "p2")
+	g.barrier(3)
+}
+
+// Every disk of a deployment is lost. Instances that may only join must not
+// found a group with an empty configuration: an operator would find its
+// acknowledged changes gone without a word.
+func TestInstancesThatMayOnlyJoinFoundNothing(t *testing.T) {
+	g := newGroup(t, 3)
+	g.change = func(_ int, o *Options) { o.JoinOnly = true }
+	for i := range 3 {
+		g.stop(i)
+		g.disks[i] = &memoryDisk{}
+	}
+	for i := range 3 {
+		g.start(i)
+	}
+	short, cancel := context.WithTimeout(context.Background(), 10*formPause)
+	defer cancel()
+	assert.Assert(t, g.execute(0, short, claimCommand("i1", "t1")) == nil)
+	assert.Assert(t, !g.servers[0].Status().Formed)
+}
--- a/control/server/options.go
+++ b/control/server/options.go
@@ -82,10 +82,14 @@
 	// of a voter that is gone. Zero means that all vote.
 	Open   bool
 	Voters int
-	Dialer Dialer
-	Disk   Disk
-	Clock  Clock
-	Log    *zap.Logger
+	// GoneAfter is how long a voter must be silent before a learner takes its
+	// place. Default 8 s: longer than a restart or a short partition takes,
+	// because a voter that is only away comes back with its log.
+	GoneAfter time.Duration
+	Dialer    Dialer
+	Disk      Disk
+	Clock     Clock
+	Log       *zap.Logger
 	// Observe is told how long each command took that this replica was asked
 	// for, from when it came until it was decided or given up; nil for nobody.
 	Observe func(command string, decided bool, took time.Duration)
@@ -135,10 +139,9 @@
 	// formPause is the time between two rounds of asking before there is a group.
 	joinTimeout = 500 * time.Millisecond
 	formPause   = 100 * time.Millisecond
-	// goneAfter is how long a voter must be silent before a learner takes its
-	// place. It is longer than a restart or a short partition takes, because a
-	// voter that is only away comes back with its log.
-	goneAfter = 8 * time.Second
+	// fullPause is the time between two looks whether a full disk has room.
+	fullPause        = 500 * time.Millisecond
+	defaultGoneAfter = 8 * time.Second
 )
 
 func (o *Options) setDefaults() {
@@ -159,6 +162,9 @@
 	if o.SnapshotBytes == 0 {
 		o.SnapshotBytes = defaultSnapshotBytes
 	}
+	if o.GoneAfter == 0 {
+		o.GoneAfter = defaultGoneAfter
+	}
 	if o.TickInterval == 0 {
 		o.TickInterval = defaultTickInterval
 	}
--- a/control/server/server.go
+++ b/control/server/server.go
@@ -12,6 +12,7 @@
 	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/replog"
 	"github.com/carawaystile/carawaystile/rpc"
+	"github.com/carawaystile/carawaystile/store"
 	"github.com/carawaystile/carawaystile/tables"
 )
 
@@ -62,6 +63,8 @@
 	snapshotSize int
 	joiners      map[replog.ReplicaID]*rpc.Founder
 	repairTicks  int
+	// broken ends the present run with its cause.
+	broken func(error)
 	// handedOver is closed once this replica does not lead, nil before Close.
 	handedOver chan<- struct{}
 }
@@ -165,7 +168,8 @@
 	s.stop()
 }
 
-// run forms or joins the group where needed and then runs the loop.
+// run forms or joins the group where needed and then runs the loop, anew after
+// each time that the disk was full.
 func (s *Server) run(ctx context.Context, log Log) {
 	if log == nil {
 		var err error
@@ -176,16 +180,78 @@
 			return
 		}
 	}
+	for {
+		err := s.serve(ctx, log)
+		if ctx.Err() != nil {
+			return
+		}
+		if !store.IsFull(err) {
+			s.fail(err)
+			return
+		}
+		if log = s.reopen(ctx, err); log == nil {
+			return
+		}
+	}
+}
+
+// serve takes part in the group until the context ends or something fails.
+func (s *Server) serve(ctx context.Context, log Log) error {
 	defer func() { _ = log.Close() }()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	s.broken = func(err error) { cancel(err) }
 	if err := s.open(log); err != nil {
-		s.fail(err)
-		return
+		return err
 	}
 	writer := sync.WaitGroup{}
 	writer.Go(func() { s.write(ctx, log) })
 	s.loop(ctx)
-	s.stop()
+	cancel(nil)
 	writer.Wait()
+	return context.Cause(ctx)
+}
+
+// reopen waits until the log can be read again after a write found the disk
+// full, and returns nil when the server is closed.
+//
+// What could not be written was never acknowledged, so the replica goes on from
+// what it has, like after a restart. Were it to end instead, its process would
+// be started again and again until there is room, and the instance would serve
+// no operator meanwhile.
+func (s *Server) reopen(ctx context.Context, cause error) Log {
+	events.ControlDiskFull.Log(s.log, zap.Error(cause))
+	s.mu.Lock()
+	s.view.formed, s.view.leads, s.view.leader, s.view.leaderAddress = false, false, replog.None, ""
+	s.wake()
+	s.mu.Unlock()
+	for {
+		s.pause(ctx, fullPause)
+		if ctx.Err() != nil {
+			return nil
+		}
+		log, err := s.options.Disk.Open()
+		if err == nil && log != nil {
+			s.forgetLife()
+			return log
+		}
+		if err != nil && !store.IsFull(err) {
+			s.fail(err)
+			return nil
+		}
+	}
+}
+
+// forgetLife clears what belonged to the replica's run before the disk was full.
+func (s *Server) forgetLife() {
+	s.mu.Lock()
+	s.state = state.New(s.options.Limits)
+	s.applied = 0
+	s.mu.Unlock()
+	s.appliedBytes, s.compacting = 0, false
+	s.jobs = make(chan job, cap(s.jobs))
+	s.saved = make(chan replog.Ready, cap(s.saved))
+	s.encoded = make(chan encodedSnapshot, cap(s.encoded))
 }
 
 // open restores the state from the log.
--- /dev/null
+++ b/dispatch/budget_test.go
@@ -0,0 +1,59 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Every first attempt fails, at all instances at once. If each instance could
+// use the whole allowance, the sum over all of them would multiply the load just
+// when the fleet is weakest.
+func TestInstancesTogetherKeepTheRetryBound(t *testing.T) {
+	const instances, perInstance = 9, 300
+	limits := RetryLimits{Ratio: 0.2, Extra: 58, Window: 10 * time.Second}
+	requests, repeats := 0, 0
+	for range instances {
+		d := New(Options{Retry: limits})
+		d.Peers(instances)
+		for i := range perInstance {
+			now := time.Duration(i) * limits.Window / perInstance
+			d.Arrived(now, "models")
+			requests++
+			if d.Repeat(now, "models") {
+				repeats++
+			}
+		}
+	}
+	bound := limits.Ratio*float64(requests) + float64(limits.Extra)
+	assert.Assert(t, float64(repeats) <= bound, "%d repeats, bound %.0f", repeats, bound)
+	assert.Assert(t, float64(repeats) > bound/2, "%d repeats, bound %.0f", repeats, bound)
+}
+
+// A burst of repeats is followed by a second one before the window has passed.
+// With a window that starts anew at fixed times, both together would exceed the
+// bound.
+func TestTheRetryWindowSlides(t *testing.T) {
+	d := New(Options{Retry: RetryLimits{Ratio: 0, Extra: 100, Window: 10 * time.Second}})
+	d.Peers(1)
+	count := func(now time.Duration) int {
+		n := 0
+		for d.Repeat(now, "models") {
+			n++
+		}
+		return n
+	}
+	assert.Equal(t, count(9*time.Second), 80)
+	assert.Equal(t, count(11*time.Second), 0)
+	assert.Equal(t, count(18*time.Second), 0)
+	assert.Equal(t, count(20*time.Second), 80)
+}
+
+func TestServicesHaveBudgetsOfTheirOwn(t *testing.T) {
+	d := New(Options{Retry: RetryLimits{Extra: 2, Window: time.Second}})
+	d.Peers(1)
+	assert.Equal(t, d.Repeat(0, "a"), true)
+	assert.Equal(t, d.Repeat(0, "a"), false)
+	assert.Equal(t, d.Repeat(0, "b"), true)
+}
--- a/events/control.go
+++ b/events/control.go
@@ -31,4 +31,5 @@
 	RolloutUnanswered     = define(3024, zapcore.WarnLevel, "An endpoint gave no answer to an order or to a question about it.")
 	RolloutFenced         = define(3025, zapcore.WarnLevel, "An endpoint has seen a newer fencing number; the lease is given up.")
 	ControlReplicaRemoved = define(3026, zapcore.WarnLevel, "A control replica that is gone is removed to make room for a new one.")
+	ControlDiskFull       = define(3027, zapcore.ErrorLevel, "The disk of a control replica is full. The replica does not take part in the group until there is room.")
 )
--- /dev/null
+++ b/forward/standin_test.go
@@ -0,0 +1,204 @@
+package forward
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/dialect"
+	"github.com/carawaystile/carawaystile/dispatch"
+	"github.com/carawaystile/carawaystile/engine/exchange"
+	"github.com/carawaystile/carawaystile/fleet"
+	"github.com/carawaystile/carawaystile/routes"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+var names = &dialect.Headers{
+	Request: "X-Request", Deadline: "X-Deadline", Organisation: "X-Organisation",
+	ExpectEndpoint: "X-Endpoint", ExpectWeights: "X-Expect-Weights", Seal: "X-Seal", NotRun: "X-Not-Run",
+	Load: "X-Load", Weights: "X-Weights", Model: "X-Model", Tokens: "X-Tokens", Prefix: "X-Prefix",
+	CacheSalt: "X-Salt", CacheSource: "X-Source", CacheTarget: "X-Target", Priority: "X-Priority",
+	LastEvent: "Last-Event-Id", Reserved: []string{"X-Hold"}, KeyScheme: "Bearer",
+}
+
+// standin is an endpoint that serves requests by a script and notes them.
+type standin struct {
+	id    string
+	serve http.HandlerFunc
+
+	mu   sync.Mutex
+	seen []*http.Request
+}
+
+func (s *standin) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.seen = append(s.seen, r)
+	s.mu.Unlock()
+	w.Header().Set("X-Request", r.Header.Get("X-Request"))
+	s.serve(w, r)
+}
+
+func (s *standin) requests() []*http.Request {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]*http.Request(nil), s.seen...)
+}
+
+// says answers with the endpoint's work.
+func says(status int, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Seal", "s")
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, body)
+	}
+}
+
+func declines(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("X-Not-Run", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func breaks(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+// streams sends events from the one after the last that the caller has, and
+// breaks off after the event until, unless that is the last one.
+func streams(until, last int) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+		w.Header().Set("X-Seal", "s"+strconv.Itoa(from))
+		w.Header().Set("Content-Type", "text/event-stream")
+		for i := from + 1; i <= until; i++ {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: t%d\n\n", i, i)
+			_ = http.NewResponseController(w).Flush()
+		}
+		if until < last {
+			_, _ = io.WriteString(w, "id: 99\ndata: cu")
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// rig is a Server before stand-ins.
+type rig struct {
+	server   *Server
+	url      string
+	standins []*standin
+}
+
+const configured = 1
+
+func newRig(t *testing.T, scripts ...http.HandlerFunc) *rig {
+	t.Helper()
+	started := time.Now()
+	r := &rig{server: New(Options{
+		Headers:  names,
+		Client:   exchange.NewClient(exchange.Options{Headers: names}),
+		Dispatch: dispatch.Options{Zone: "a", Retry: dispatch.RetryLimits{Ratio: 1, Extra: 100, Window: time.Minute}},
+		Now:      func() tables.Instant { return time.Since(started) },
+		Boot:     "b",
+	})}
+	all := map[tables.EndpointID]fleet.Endpoint{}
+	for i, serve := range scripts {
+		s := &standin{id: fmt.Sprintf("e%d", i), serve: serve}
+		served := httptest.NewServer(s)
+		t.Cleanup(served.Close)
+		r.standins = append(r.standins, s)
+		at := netip.MustParseAddrPort(strings.TrimPrefix(served.URL, "http://"))
+		id := tables.EndpointID(s.id)
+		for _, service := range []string{"desk", "models"} {
+			all[id+tables.EndpointID(service)] = fleet.Endpoint{
+				ID: id + tables.EndpointID(service), Service: service, Address: at, Zone: "a", Slots: 8,
+				Weights: map[string]uint64{"m": 3},
+			}
+		}
+	}
+	r.server.Fleet(all)
+	r.configure(t, configured, nil)
+	served := httptest.NewServer(r.server)
+	t.Cleanup(served.Close)
+	r.url = served.URL
+	return r
+}
+
+func (r *rig) configure(t *testing.T, number uint64, change func(*routes.Configuration)) {
+	t.Helper()
+	route := func(prefix string, kind routes.Kind, service string) routes.Route {
+		return routes.Route{
+			Name: prefix, Host: "h.example", Prefix: prefix, Kind: kind, Timeout: 5 * time.Second,
+			Target: 500 * time.Millisecond, MaxAttempts: 2, Splits: []routes.Split{{Service: service, Weight: 1}},
+		}
+	}
+	resumable := route("/resume/", routes.Stream, "models")
+	resumable.Resumable = true
+	public := route("/public/", routes.Idempotent, "desk")
+	public.Public = true
+	c := routes.Configuration{
+		Number: number,
+		Routes: []routes.Route{
+			route("/once/", routes.Once, "desk"), route("/read/", routes.Idempotent, "desk"),
+			route("/stream/", routes.Stream, "models"), resumable, public,
+		},
+		Services: []routes.Service{
+			{Name: "desk"}, {Name: "models", Slots: 8, CacheTokens: 100_000, Models: []string{"m"}},
+		},
+		Organisations: []routes.Organisation{
+			{ID: "org", Keys: []string{"key"}}, {ID: "walled", Keys: []string{"secret"}, Isolated: true},
+		},
+		Limits: routes.Limits{BodyBytes: 1000},
+	}
+	if change != nil {
+		change(&c)
+	}
+	table, err := routes.NewTable(c)
+	assert.NilError(t, err)
+	r.server.Configure(table)
+}
+
+// ask sends a request; pairs of header names and values may follow.
+func (r *rig) ask(t *testing.T, method, path, body string, header ...string) *http.Response {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), method, r.url+path, strings.NewReader(body))
+	assert.NilError(t, err)
+	request.Host = "h.example"
+	request.Header.Set("X-Request", "r-"+path)
+	request.Header.Set("Authorization", "Bearer key")
+	for i := 0; i+1 < len(header); i += 2 {
+		request.Header.Set(header[i], header[i+1])
+	}
+	resp, err := http.DefaultClient.Do(request)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = resp.Body.Close() })
+	return resp
+}
+
+func (r *rig) sent() int {
+	n := 0
+	for _, s := range r.standins {
+		n += len(s.requests())
+	}
+	return n
+}
+
+func text(t *testing.T, resp *http.Response) string {
+	t.Helper()
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	return string(body)
+}
+
+func newRecorder() *httptest.ResponseRecorder { return httptest.NewRecorder() }
+
+func mustRequest(t *testing.T) *http.Request {
+	t.Helper()
+	return httptest.NewRequestWithContext(t.Context(), http.MethodGet, "http://h.example/read/x", nil)
+}
--- a/store/errors.go
+++ b/store/errors.go
@@ -1,6 +1,10 @@
 package store
 
-import "fmt"
+import (
+	"errors"
+	"fmt"
+	"syscall"
+)
 
 // Damaged means that a file doesn't hold what was written and synced. The
 // replica must not be used again; it is to be replaced by one with a new
@@ -117,6 +121,14 @@
 // Unwrap gives the cause.
 func (e *IOFailed) Unwrap() error { return e.Cause }
 
+// IsFull says whether a failure shows that the disk had no room for a write. The
+// log can then be opened again: what was written of the frame is cut off. After
+// a failed sync it cannot be trusted like that, also for want of room.
+func IsFull(err error) bool {
+	var failure *IOFailed
+	return errors.As(err, &failure) && failure.Op != OpSync && errors.Is(failure.Cause, syscall.ENOSPC)
+}
+
 // AlreadyLoaded means that Load was called again, or after a write.
 type AlreadyLoaded struct {
 	Dir string
