--- a/engine/exchange/send.go
+++ b/engine/exchange/send.go
@@ -31,17 +31,14 @@
 		return nil, err
 	}
 	answer, err := c.sendOn(ctx, conn, r)
-	if unsent, ok := err.(*nothingWritten); ok {
-		// The kept connection was gone before a byte of the request left.
-		if conn, err = c.fresh(ctx, to, r); err != nil {
-			return nil, err
-		}
-		answer, err = c.sendOn(ctx, conn, r)
-		if unsent, ok = err.(*nothingWritten); ok {
-			return nil, &engine.NotStarted{Attempt: r.Attempt, Reason: "nothing was written", Cause: unsent.cause}
-		}
+	if _, gone := err.(*nothingWritten); !gone {
+		return answer, err
+	}
+	// The kept connection was gone before a byte of the request left.
+	if conn, err = c.fresh(ctx, to, r); err != nil {
+		return nil, err
 	}
-	return answer, err
+	return c.sendOn(ctx, conn, r)
 }
 
 // nothingWritten means that no byte of a request left.
