--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -127,6 +127,9 @@
 	Declined
 	// Unreachable: the endpoint took no connection.
 	Unreachable
+	// Lost: no connection was opened in time. The way to the endpoint is cut, or
+	// its machine is gone.
+	Lost
 	// Broken: the connection broke or what came was no answer.
 	Broken
 	// Hung: nothing came for longer than is to be expected.
@@ -137,7 +140,7 @@
 
 // String gives the end's name in logs.
 func (e End) String() string {
-	return [...]string{"completed", "declined", "unreachable", "broken", "hung", "cancelled"}[e]
+	return [...]string{"completed", "declined", "unreachable", "lost", "broken", "hung", "cancelled"}[e]
 }
 
 // Reason says why a request cannot be placed now.
@@ -223,6 +226,23 @@
 	a.row.own--
 	a.row.tokens -= a.tokens
 	a.row.judge(now, end)
+	if end == Lost {
+		d.doubtZone(now, a.row)
+	}
+}
+
+// doubtZone makes the other endpoints of a zone doubtful when one of them cannot
+// be reached. When a zone is cut off, each instance would lose requests at every
+// one of its endpoints before it noticed.
+func (d *Dispatcher) doubtZone(now tables.Instant, lost *row) {
+	if lost.Zone == d.options.Zone {
+		return
+	}
+	for _, r := range d.rows {
+		if r != lost && r.Zone == lost.Zone {
+			r.doubt, r.doubtAt = min(r.doubtNow(now)+zoneDoubt, maxDoubt), now
+		}
+	}
 }
 
 // Heard notes what an endpoint said of its load in an answer.
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -247,3 +247,24 @@
 	b := mustPlace(t, d, time.Second, other)
 	assert.Assert(t, b.Endpoint.ID != a.Endpoint.ID)
 }
+
+// A zone is cut off and takes no connections. An instance that had to find out
+// at each endpoint of the zone would lose a request at every one of them.
+func TestALostEndpointCastsDoubtOnItsZone(t *testing.T) {
+	d, _ := world(8)
+	lost := 0
+	for i := range 200 {
+		now := time.Second + time.Duration(i)*5*time.Millisecond
+		r := ask(0)
+		r.PromptTokens, r.Shared = 100, nil
+		a := mustPlace(t, d, now, r)
+		if a.Endpoint.Zone == "b" {
+			lost++
+			d.Ended(now, a, Lost)
+			continue
+		}
+		d.Began(now, a)
+		d.Ended(now, a, Completed)
+	}
+	assert.Assert(t, lost <= 2, "%d requests were lost", lost)
+}
--- a/dispatch/endpoints.go
+++ b/dispatch/endpoints.go
@@ -36,6 +36,9 @@
 	// maxDoubt bounds the failures that count, so that a long outage is
 	// forgotten as soon as a short one.
 	maxDoubt = 6.0
+	// zoneDoubt is the doubt that one lost endpoint casts on the others of its
+	// zone.
+	zoneDoubt = 0.8
 	// avoidDeclined is how long an endpoint gets nothing after it has declined a
 	// request: it is full, or changes its weights.
 	avoidDeclined = 100 * time.Millisecond
@@ -140,7 +143,7 @@
 		doubt /= 2
 	case Broken, Hung:
 		doubt++
-	case Unreachable:
+	case Unreachable, Lost:
 		doubt++
 		r.avoidUntil = now + avoidUnreachable
 	case Declined:
--- a/engine/exchange/client.go
+++ b/engine/exchange/client.go
@@ -33,7 +33,7 @@
 }
 
 const (
-	defaultConnectTimeout = 400 * time.Millisecond
+	defaultConnectTimeout = 200 * time.Millisecond
 	defaultAnswerBytes    = 8 << 20
 	// sweepPeriod is how often connections are closed whose time is over.
 	sweepPeriod = time.Second
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -360,8 +360,10 @@
 		return dispatch.Cancelled
 	case hung:
 		return dispatch.Hung
-	case errors.As(err, &not):
+	case errors.As(err, &not) && not.Unreachable:
 		return dispatch.Unreachable
+	case errors.As(err, &not):
+		return dispatch.Lost
 	default:
 		return dispatch.Broken
 	}
@@ -374,7 +376,7 @@
 	if !unrun && !j.route.Repeatable() {
 		return tables.CodeOutcomeUnknown
 	}
-	if how == dispatch.Unreachable {
+	if how == dispatch.Unreachable || how == dispatch.Lost {
 		// Nothing arrived anywhere: another endpoint adds no load.
 		j.sends--
 		return 0
