--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -13,9 +13,13 @@
 	// crossZone is what leaving the zone costs beyond the way itself: bytes
 	// between zones are dear for both users.
 	crossZone = 30.0
-	// fetchCost is what fetching a token from another endpoint's memory costs:
-	// 164 kilobytes at 280 to 550 Gbit/s, and the price of moving them.
-	fetchCost = 0.006
+	// fetchTime is how long it takes to fetch a token from another endpoint's
+	// memory: 164 kilobytes at 280 to 550 Gbit/s.
+	fetchTime = 0.006
+	// copyCost is what another copy of a token costs. It pushes out what others
+	// will ask for, which is then read again within the 10 s in which the users
+	// pay for that. Without it every engine gets a copy of every prompt.
+	copyCost = 0.08
 	// rereadCost is what reading a token costs that was read before, beside the
 	// time it takes. The users pay 1.2 for 1,000 tokens where a request is worth
 	// 2 to 4.6 if it is answered within 600 to 1,000 ms, so 1 is some 300 ms.
@@ -175,8 +179,8 @@
 	got := max(own, there)
 	c.source = source
 	c.uncached = float64(r.PromptTokens - got)
-	c.wait = baseFirst + (c.row.ahead(now)+c.uncached)/c.row.rate + fetchCost*float64(got-own)
-	c.cost = c.wait + d.stale(now, r, c.row)
+	c.wait = baseFirst + (c.row.ahead(now)+c.uncached)/c.row.rate + fetchTime*float64(got-own)
+	c.cost = c.wait + copyCost*float64(got-own) + d.stale(now, r, c.row)
 	if again := max(0, v.held-got); again > 0 {
 		c.again, c.readyAt = again, v.readyAt
 		c.cost += rereadCost * float64(again)
