--- a/dispatch/holders.go
+++ b/dispatch/holders.go
@@ -24,10 +24,10 @@
 	// storeReady is how long after the first event of the request that read a
 	// part it has reached the store.
 	storeReady = 400 * time.Millisecond
-	// holdFor is how long a placement is believed in after its last use.
-	// Engines drop what was not used for the longest time; with the users'
-	// loads that is well above this.
-	holdFor = 20 * time.Second
+	// holdFor is how long a placement is believed in after its last use. Engines
+	// drop what was not used for the longest time; believing too long costs a
+	// fetch that finds nothing, too short another reading.
+	holdFor = 40 * time.Second
 	// maxHeld bounds the parts that are remembered, at some 100 bytes each.
 	maxHeld = 50_000
 )
