--- a/daemon/membership.go
+++ b/daemon/membership.go
@@ -26,7 +26,7 @@
 	joined, err := gossip.Start(gossip.Options{
 		Membership: membership.Options{
 			Self: membership.Row{
-				Instance: p.Instance, Zone: p.Zone, Roles: d.roles(), Size: p.Size,
+				Instance: p.Instance, Zone: p.Zone, Roles: membership.Roles(p.Entry, p.Control), Size: p.Size,
 				Address: p.Listen.Membership, Control: p.Listen.Instances,
 				Boot: d.boot,
 			},
@@ -48,17 +48,6 @@
 	return nil
 }
 
-func (d *Daemon) roles() membership.Role {
-	var roles membership.Role
-	if d.options.Process.Entry {
-		roles |= membership.RoleEntry
-	}
-	if d.options.Process.Control {
-		roles |= membership.RoleControl
-	}
-	return roles
-}
-
 // membersChanged tells the router which part of the load is this instance's.
 func (d *Daemon) membersChanged(members []membership.Member) {
 	if d.entry == nil {
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"strconv"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -22,28 +20,6 @@
 	"github.com/carawaystile/carawaystile/tables"
 )
 
-const (
-	// placePause is the time between two looks for room.
-	placePause = 10 * time.Millisecond
-	// patiencePart is the part of the target for which a request is held when
-	// nothing has room. A caller that is refused within it loses next to nothing
-	// by coming back; one that is held longer would have been better off told.
-	patiencePart = 8
-	// againPart is the same for a request that an endpoint has declined: its
-	// other endpoints are only a moment away.
-	againPart = 3
-	// holdPart is the part of the target for which a request may wait for a part
-	// of its prompt that another one is reading. Half leaves time for the rest.
-	holdPart = 2
-	// minHang is the least time after which a repeatable request is taken away
-	// from an endpoint that says nothing, and hangFactor how many times longer
-	// than expected it must be.
-	minHang    = 800 * time.Millisecond
-	hangFactor = 4
-	// probeTimeout bounds the look at an endpoint whose connection broke.
-	probeTimeout = 200 * time.Millisecond
-)
-
 // try is one attempt of a job.
 type try struct {
 	job     *job
@@ -70,68 +46,6 @@
 	}
 }
 
-// place finds an endpoint, waiting a moment for room.
-func (j *job) place() (*dispatch.Attempt, tables.Code) {
-	s := j.server
-	patience := j.target() / patiencePart
-	if j.sends > 0 || len(j.ask.Tried) > 0 {
-		patience = j.target() / againPart
-	}
-	until := s.options.Now() + patience
-	for {
-		chosen, reason := s.place(j)
-		if chosen != nil {
-			return chosen, 0
-		}
-		code := codeOf(reason)
-		if reason == "" {
-			return nil, tables.CodeSuspect
-		}
-		final := reason == dispatch.TooLarge || reason == dispatch.TooLate
-		if final || reason != dispatch.Pending && s.options.Now() >= until {
-			return nil, code
-		}
-		select {
-		case <-j.ctx.Done():
-			return nil, code
-		case <-time.After(placePause):
-		}
-	}
-}
-
-// place asks the decisions; the empty reason means that the request is
-// suspected of crashing endpoints.
-func (s *Server) place(j *job) (*dispatch.Attempt, dispatch.Reason) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.options.Now()
-	if !s.suspects.Quiet() && s.suspects.Verdict(now, j.fingerprint) == quarantine.Refuse {
-		return nil, ""
-	}
-	chosen, reason := s.dispatch.Place(now, &j.ask)
-	if news := s.dispatch.News(); len(news) > 0 && s.options.PassOn != nil {
-		s.options.PassOn(news)
-	}
-	return chosen, reason
-}
-
-func (s *Server) arrived(service string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.dispatch.Arrived(s.options.Now(), service)
-}
-
-func codeOf(reason dispatch.Reason) tables.Code {
-	switch reason {
-	case dispatch.TooLarge:
-		return tables.CodeTooLarge
-	case dispatch.NoEndpoint:
-		return tables.CodeNoEndpoint
-	default:
-		return tables.CodeOverloaded
-	}
-}
-
 func (j *job) newTry(chosen *dispatch.Attempt) *try {
 	s := j.server
 	t := &try{
@@ -220,55 +134,6 @@
 	}
 }
 
-// firstWait is how long the endpoint may say nothing; zero means any time. Only
-// repeatable requests are taken away: of others nobody knows whether they run.
-func (t *try) firstWait() time.Duration {
-	if !t.job.route.Repeatable() {
-		return 0
-	}
-	return max(minHang, t.job.target(), hangFactor*t.chosen.Expected)
-}
-
-// watch takes the request away from the endpoint when nothing comes for that
-// long, if it can go on elsewhere. An endpoint's silence alone is no reason to
-// end an answer: one that is only slow still brings it.
-func (t *try) watch(limit time.Duration) {
-	if limit <= 0 || !t.job.hasAttempts() {
-		return
-	}
-	if t.hang != nil {
-		t.hang.Reset(limit)
-		return
-	}
-	t.hang = time.AfterFunc(limit, func() {
-		if !t.job.canMove() {
-			t.hang.Reset(limit)
-			return
-		}
-		t.hung.Store(true)
-		t.cancel()
-	})
-}
-
-// unwatch stops the watch and says whether it has struck.
-func (t *try) unwatch() bool {
-	if t.hang != nil {
-		t.hang.Stop()
-	}
-	return t.hung.Load()
-}
-
-// hasAttempts says whether the request may be handed to a further endpoint.
-func (j *job) hasAttempts() bool { return j.sends < max(1, j.route.MaxAttempts) }
-
-// canMove says whether a further endpoint could take the request now.
-func (j *job) canMove() bool {
-	s := j.server
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.dispatch.CanRepeat(s.options.Now(), j.service.Name)
-}
-
 // heard takes what an answer's header says of the endpoint.
 func (t *try) heard(header http.Header) {
 	s, h := t.job.server, t.job.server.headers
@@ -369,58 +234,6 @@
 	}
 }
 
-// mayTryAgain returns 0 if the request may go to another endpoint, and else the
-// reason why not.
-func (j *job) mayTryAgain(how dispatch.End) tables.Code {
-	_, unrun := j.state.(*outcome.Undispatched)
-	if !unrun && !j.route.Repeatable() {
-		return tables.CodeOutcomeUnknown
-	}
-	if how == dispatch.Unreachable || how == dispatch.Lost {
-		// Nothing arrived anywhere: another endpoint adds no load.
-		j.sends--
-		return 0
-	}
-	if how != dispatch.Declined && !j.hasAttempts() {
-		return tables.CodeEndpointFailed
-	}
-	if how == dispatch.Declined {
-		j.sends--
-	}
-	s := j.server
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.dispatch.Repeat(s.options.Now(), j.service.Name) {
-		return tables.CodeRetryBudget
-	}
-	return 0
-}
-
-// probe looks whether the endpoint of a broken connection is gone. A request
-// that crashes endpoints shows by what was running when they went.
-func (t *try) probe() {
-	s, endpoint := t.job.server, t.chosen.Endpoint
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-		defer cancel()
-		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", endpoint.Address.String())
-		if err == nil {
-			_ = conn.Close()
-			return
-		}
-		if !errors.Is(err, syscall.ECONNREFUSED) {
-			return
-		}
-		s.mu.Lock()
-		told := s.suspects.Crashed(s.options.Now(), quarantine.Life{Endpoint: endpoint.ID})
-		s.mu.Unlock()
-		events.EndpointCrashed.Log(s.log, zap.String("endpoint", string(endpoint.ID)), zap.Int("suspects", len(told)))
-		if len(told) > 0 {
-			s.options.Share(told)
-		}
-	}()
-}
-
 func (t *try) fields() []zap.Field {
 	return []zap.Field{
 		zap.String("request", t.job.id),
--- /dev/null
+++ b/forward/place.go
@@ -0,0 +1,114 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/carawaystile/carawaystile/dispatch"
+	"github.com/carawaystile/carawaystile/entry/outcome"
+	"github.com/carawaystile/carawaystile/systems/quarantine"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+const (
+	// placePause is the time between two looks for room.
+	placePause = 10 * time.Millisecond
+	// patiencePart is the part of the target for which a request is held when
+	// nothing has room. A caller that is refused within it loses next to nothing
+	// by coming back; one that is held longer would have been better off told.
+	patiencePart = 8
+	// againPart is the same for a request that an endpoint has declined: its
+	// other endpoints are only a moment away.
+	againPart = 3
+	// holdPart is the part of the target for which a request may wait for a part
+	// of its prompt that another one is reading. Half leaves time for the rest.
+	holdPart = 2
+)
+
+// place finds an endpoint, waiting a moment for room.
+func (j *job) place() (*dispatch.Attempt, tables.Code) {
+	s := j.server
+	patience := j.target() / patiencePart
+	if j.sends > 0 || len(j.ask.Tried) > 0 {
+		patience = j.target() / againPart
+	}
+	until := s.options.Now() + patience
+	for {
+		chosen, reason := s.place(j)
+		if chosen != nil {
+			return chosen, 0
+		}
+		code := codeOf(reason)
+		if reason == "" {
+			return nil, tables.CodeSuspect
+		}
+		final := reason == dispatch.TooLarge || reason == dispatch.TooLate
+		if final || reason != dispatch.Pending && s.options.Now() >= until {
+			return nil, code
+		}
+		select {
+		case <-j.ctx.Done():
+			return nil, code
+		case <-time.After(placePause):
+		}
+	}
+}
+
+// place asks the decisions; the empty reason means that the request is
+// suspected of crashing endpoints.
+func (s *Server) place(j *job) (*dispatch.Attempt, dispatch.Reason) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.options.Now()
+	if !s.suspects.Quiet() && s.suspects.Verdict(now, j.fingerprint) == quarantine.Refuse {
+		return nil, ""
+	}
+	chosen, reason := s.dispatch.Place(now, &j.ask)
+	if news := s.dispatch.News(); len(news) > 0 && s.options.PassOn != nil {
+		s.options.PassOn(news)
+	}
+	return chosen, reason
+}
+
+func (s *Server) arrived(service string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dispatch.Arrived(s.options.Now(), service)
+}
+
+func codeOf(reason dispatch.Reason) tables.Code {
+	switch reason {
+	case dispatch.TooLarge:
+		return tables.CodeTooLarge
+	case dispatch.NoEndpoint:
+		return tables.CodeNoEndpoint
+	default:
+		return tables.CodeOverloaded
+	}
+}
+
+// mayTryAgain returns 0 if the request may go to another endpoint, and else the
+// reason why not.
+func (j *job) mayTryAgain(how dispatch.End) tables.Code {
+	_, unrun := j.state.(*outcome.Undispatched)
+	if !unrun && !j.route.Repeatable() {
+		return tables.CodeOutcomeUnknown
+	}
+	if how == dispatch.Unreachable || how == dispatch.Lost {
+		// Nothing arrived anywhere: another endpoint adds no load.
+		j.sends--
+		return 0
+	}
+	if how != dispatch.Declined && !j.hasAttempts() {
+		return tables.CodeEndpointFailed
+	}
+	if how == dispatch.Declined {
+		j.sends--
+	}
+	s := j.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.dispatch.Repeat(s.options.Now(), j.service.Name) {
+		return tables.CodeRetryBudget
+	}
+	return 0
+}
--- a/node/members.go
+++ b/node/members.go
@@ -34,7 +34,7 @@
 	joined, err := gossip.Start(gossip.Options{
 		Membership: membership.Options{
 			Self: membership.Row{
-				Instance: s.Instance, Zone: s.Zone, Roles: n.roles(), Size: 1,
+				Instance: s.Instance, Zone: s.Zone, Roles: membership.Roles(s.Entry, s.Control), Size: 1,
 				Address: s.Listen.Membership, Control: s.Listen.Instances, Boot: n.boot,
 			},
 			Seeds: seeds,
@@ -55,17 +55,6 @@
 	return nil
 }
 
-func (n *Node) roles() membership.Role {
-	var roles membership.Role
-	if n.options.Settings.Entry {
-		roles |= membership.RoleEntry
-	}
-	if n.options.Settings.Control {
-		roles |= membership.RoleControl
-	}
-	return roles
-}
-
 // membersChanged tells the entry how many share limits with it.
 func (n *Node) membersChanged(members []membership.Member) {
 	if n.entry == nil {
--- a/systems/membership/membership.go
+++ b/systems/membership/membership.go
@@ -28,6 +28,18 @@
 	RoleControl
 )
 
+// Roles adds up the roles of an instance.
+func Roles(entry, control bool) Role {
+	var roles Role
+	if entry {
+		roles |= RoleEntry
+	}
+	if control {
+		roles |= RoleControl
+	}
+	return roles
+}
+
 // Row describes an instance, as it says itself.
 type Row struct {
 	Instance tables.InstanceID
