rollout: without fencing numbers a new holder waits for a lease before its first order

The wait was only made where the lease was seen to be held by another; one that had ended unseen was followed at once.

--- /dev/null
+++ b/control/deployment/client_test.go
@@ -0,0 +1,109 @@
+package deployment
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"testing"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/fleet"
+	"github.com/carawaystile/carawaystile/rpc"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// scriptedSource answers as the test says.
+type scriptedSource struct {
+	answer func(*rpc.FollowRequest) (*rpc.FollowAnswer, error)
+
+	mu    sync.Mutex
+	asked int
+}
+
+func (s *scriptedSource) Follow(_ context.Context, request *rpc.FollowRequest) (*rpc.FollowAnswer, error) {
+	s.mu.Lock()
+	s.asked++
+	s.mu.Unlock()
+	return s.answer(request)
+}
+
+type gone struct{}
+
+func (*gone) Error() string { return "gone" }
+
+func documents(number uint64, behind bool) func(*rpc.FollowRequest) (*rpc.FollowAnswer, error) {
+	return func(request *rpc.FollowRequest) (*rpc.FollowAnswer, error) {
+		answer := &rpc.FollowAnswer{Behind: behind}
+		if have, known := request.GetDocuments()["d"]; !known || number > have {
+			answer.Documents = []*rpc.Document{{Name: "d", Number: number}}
+		}
+		return answer, nil
+	}
+}
+
+// follower is a client whose documents are noted.
+func follower(sources ...*scriptedSource) (*Client, *[]uint64) {
+	taken := &[]uint64{}
+	return NewClient(ClientOptions{
+		Sources: func() []Source {
+			var all []Source
+			for i, s := range sources {
+				all = append(all, Source{Name: string(rune('a' + i)), Deployment: s})
+			}
+			return all
+		},
+		Document: func(d *rpc.Document) { *taken = append(*taken, d.GetNumber()) },
+		Fleet:    func(*fleet.Copy) {},
+		Log:      zap.NewNop(),
+	}), taken
+}
+
+// The control instance of the own zone is cut off from its group and does not
+// know of the newest configuration. An instance that stayed with it would go on
+// under one that operators have replaced.
+func TestASourceThatIsBehindIsLeft(t *testing.T) {
+	c, taken := follower(&scriptedSource{answer: documents(5, true)}, &scriptedSource{answer: documents(7, false)})
+	for range 3 {
+		c.step(t.Context())
+	}
+	assert.DeepEqual(t, *taken, []uint64{5, 7})
+}
+
+// A source has an older document than one that was followed before. Put in
+// force, callers would be treated by what was replaced.
+func TestADocumentNeverGoesBack(t *testing.T) {
+	stale := func(*rpc.FollowRequest) (*rpc.FollowAnswer, error) {
+		return &rpc.FollowAnswer{Documents: []*rpc.Document{{Name: "d", Number: 5}}}, nil
+	}
+	failing := func(*rpc.FollowRequest) (*rpc.FollowAnswer, error) { return nil, &gone{} }
+	first := &scriptedSource{answer: documents(7, false)}
+	c, taken := follower(first, &scriptedSource{answer: stale})
+	c.step(t.Context())
+	first.answer = failing
+	c.step(t.Context())
+	c.step(t.Context())
+	assert.DeepEqual(t, *taken, []uint64{7})
+}
+
+// Two control instances number the states of their endpoints each for itself.
+// After a change of source a difference by the old number would leave endpoints
+// out for good.
+func TestAChangeOfSourceAsksForAllEndpoints(t *testing.T) {
+	table := fleet.NewTable(9)
+	table.List([]fleet.Endpoint{{ID: "e", Address: netip.MustParseAddrPort("127.0.0.1:1"), Weights: map[string]uint64{}}})
+	serve := func(request *rpc.FollowRequest) (*rpc.FollowAnswer, error) {
+		told, _ := table.Since(request.GetFleetSource(), request.GetFleetVersion())
+		return &rpc.FollowAnswer{Fleet: told}, nil
+	}
+	failing := &scriptedSource{answer: func(*rpc.FollowRequest) (*rpc.FollowAnswer, error) { return nil, &gone{} }}
+	c, _ := follower(failing, &scriptedSource{answer: serve})
+	var known map[tables.EndpointID]fleet.Endpoint
+	c.options.Fleet = func(copied *fleet.Copy) { known = copied.Endpoints() }
+	c.step(t.Context())
+	c.step(t.Context())
+	assert.Equal(t, len(known), 1)
+	source, _ := c.fleet.Position()
+	assert.Equal(t, source, uint64(9))
+}
--- a/control/rollout/runner.go
+++ b/control/rollout/runner.go
@@ -125,8 +125,11 @@
 	_, left := r.lease.Held()
 	if held := left > 0; held != r.holds.Swap(held) {
 		r.plan = NewPlan()
-		if !held {
+		switch {
+		case !held:
 			r.options.Fleet.NoOrders()
+		case !r.options.Fenced:
+			r.quietUntil = r.options.Now() + r.options.LeaseFor
 		}
 	}
 	if left < callTimeout || r.options.Now() < r.quietUntil {
@@ -166,9 +169,6 @@
 	switch {
 	case errors.As(err, &held):
 		r.askAgain = r.options.Now() + held.RetryAfter
-		if !r.options.Fenced {
-			r.quietUntil = r.askAgain + r.options.LeaseFor
-		}
 	case err != nil:
 		events.OrdersLeaseNotRenewed.Log(r.options.Log, zap.Error(err))
 	}
--- /dev/null
+++ b/control/rollout/runner_test.go
@@ -0,0 +1,114 @@
+package rollout
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/fleet"
+	"github.com/carawaystile/carawaystile/rpc"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// leaseGroup grants the lease to whoever asks, with a higher fence each time
+// that it was released.
+type leaseGroup struct {
+	mu    sync.Mutex
+	fence uint64
+	held  bool
+}
+
+func (g *leaseGroup) Execute(_ context.Context, command *rpc.Command) (*rpc.Result, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if command.GetReleaseLease() != nil {
+		g.held = false
+		return &rpc.Result{Answer: &rpc.Result_Done{Done: &rpc.Done{}}}, nil
+	}
+	if !g.held {
+		g.held = true
+		g.fence++
+	}
+	return &rpc.Result{Answer: &rpc.Result_Lease{Lease: &rpc.LeaseAnswer{Granted: true, Fence: g.fence}}}, nil
+}
+
+// engineStub takes orders from one fence on.
+type engineStub struct {
+	mu     sync.Mutex
+	least  tables.Fence
+	orders []Order
+	at     []tables.Instant
+	now    func() tables.Instant
+	report Report
+}
+
+func (e *engineStub) Report(context.Context, fleet.Endpoint) (Report, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.report, nil
+}
+
+func (e *engineStub) Order(_ context.Context, _ fleet.Endpoint, order Order) (Taken, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.orders = append(e.orders, order)
+	e.at = append(e.at, e.now())
+	if order.Fence < e.least {
+		return Fenced, nil
+	}
+	e.report.Sequence++
+	e.report.Weights = map[string]uint64{order.Model: order.Version}
+	return Accepted, nil
+}
+
+// runUntil runs a runner until the engine has the wanted weights.
+func runUntil(t *testing.T, engine *engineStub, fenced bool) {
+	t.Helper()
+	started := time.Now()
+	engine.now = func() tables.Instant { return time.Since(started) }
+	engine.report.Weights = map[string]uint64{"m": 1}
+	table := fleet.NewTable(1)
+	table.List([]fleet.Endpoint{{ID: "e", Zone: "z", Born: 1, Weights: map[string]uint64{"m": 1}}})
+	r := NewRunner(Options{
+		Engines: engine, Executor: &leaseGroup{}, Leads: func() bool { return true }, Fleet: table,
+		Wanted:   func() map[string]uint64 { return map[string]uint64{"m": 2} },
+		Instance: "c", Boot: 1, LeaseFor: 1200 * time.Millisecond, Fenced: fenced, Now: engine.now, Log: zap.NewNop(),
+	})
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		r.Run(ctx)
+		close(done)
+	}()
+	defer func() { <-done }()
+	defer stop()
+	deadline := time.Now().Add(30 * time.Second)
+	for table.Endpoints()[0].Weights["m"] != 2 {
+		assert.Assert(t, time.Now().Before(deadline), "no weights after 30 s")
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// An engine has seen orders of a holder with a higher fencing number. Called
+// again under the lower one, it could undo what the other holder has done.
+func TestAFencedHolderTakesANewNumber(t *testing.T) {
+	engine := &engineStub{least: 2}
+	runUntil(t, engine, true)
+	assert.Equal(t, engine.orders[0].Fence, tables.Fence(1))
+	for _, order := range engine.orders[1:] {
+		assert.Assert(t, order.Fence >= 2, "fence %d after a refusal", order.Fence)
+	}
+}
+
+// Engines do not check fencing numbers, and an earlier holder may have given an
+// order just before its lease ended. The next holder's first order must not mix
+// with it.
+func TestWithoutFencesANewHolderWaits(t *testing.T) {
+	engine := &engineStub{}
+	runUntil(t, engine, false)
+	assert.Assert(t, engine.at[0] >= 1200*time.Millisecond, "first order after %v", engine.at[0])
+}
