--- a/control/deployment/client.go
+++ b/control/deployment/client.go
@@ -51,8 +51,10 @@
 	have    map[string]uint64
 	fleet   *fleet.Copy
 	from    string
-	at      int
-	movedAt time.Time
+	// followed is the source that answered last.
+	followed string
+	at       int
+	movedAt  time.Time
 }
 
 // NewClient returns a client that has nothing yet.
@@ -84,6 +86,10 @@
 		c.move(ctx, source, err)
 		return false
 	}
+	if c.followed != source.Name {
+		c.followed = source.Name
+		events.SourceFollowed.Log(c.options.Log, zap.String("source", source.Name), zap.Bool("behind", answer.GetBehind()))
+	}
 	c.take(source, answer)
 	if answer.GetBehind() && len(sources) > 1 {
 		// It is cut off from its group: others may have newer documents.
--- a/node/control.go
+++ b/node/control.go
@@ -119,14 +119,15 @@
 	list := n.options.Platform.List(n.options.Settings.List)
 	ticker := time.NewTicker(listPeriod)
 	defer ticker.Stop()
+	unread := false
 	for {
 		if n.readsList() {
 			endpoints, err := list.Endpoints(ctx)
 			if err == nil {
 				n.fleet.List(append(endpoints, n.stores.reachable()...))
-			} else if ctx.Err() == nil {
-				events.ListUnread.Log(n.log, zap.Error(err))
 			}
+			n.noteList(ctx, unread, err)
+			unread = err != nil
 		}
 		select {
 		case <-ctx.Done():
@@ -136,6 +137,16 @@
 	}
 }
 
+// noteList logs when the list is lost and when it is there again.
+func (n *Node) noteList(ctx context.Context, unread bool, err error) {
+	switch {
+	case err != nil && !unread && ctx.Err() == nil:
+		events.ListUnread.Log(n.log, zap.Error(err))
+	case err == nil && unread:
+		events.ListRead.Log(n.log)
+	}
+}
+
 func (n *Node) readsList() bool {
 	if n.replica.Status().Leads {
 		return true
