--- a/forward/place.go
+++ b/forward/place.go
@@ -59,8 +59,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.options.Now()
-	if !s.suspects.Quiet() && s.suspects.Verdict(now, j.fingerprint) == quarantine.Refuse {
-		return nil, ""
+	if !s.suspects.Quiet() {
+		switch s.suspects.Verdict(now, j.fingerprint) {
+		case quarantine.Refuse:
+			return nil, ""
+		case quarantine.Hold:
+			// Whether it crashes endpoints is known in a moment.
+			return nil, dispatch.Pending
+		}
 	}
 	chosen, reason := s.dispatch.Place(now, &j.ask)
 	if news := s.dispatch.News(); len(news) > 0 && s.options.PassOn != nil {
--- a/forward/standin_test.go
+++ b/forward/standin_test.go
@@ -93,6 +93,7 @@
 	server   *Server
 	url      string
 	standins []*standin
+	servers  []*httptest.Server
 }
 
 const configured = 1
@@ -113,6 +114,7 @@
 		served := httptest.NewServer(s)
 		t.Cleanup(served.Close)
 		r.standins = append(r.standins, s)
+		r.servers = append(r.servers, served)
 		at := netip.MustParseAddrPort(strings.TrimPrefix(served.URL, "http://"))
 		id := tables.EndpointID(s.id)
 		for _, service := range []string{"desk", "models"} {
