--- a/control/rollout/plan.go
+++ b/control/rollout/plan.go
@@ -343,7 +343,9 @@
 	case Conflict, Refused, Fenced:
 		r.phase, r.known, r.askAt = idle, false, now+askPeriod
 	default:
-		r.phase, r.since, r.askAt = loading, now, now+askPeriod
+		// The time counts from when the order was sent: a report that is younger
+		// and shows nothing of it says that it was lost, or waits.
+		r.phase, r.askAt = loading, now+askPeriod
 	}
 }
 
--- a/control/rollout/runner.go
+++ b/control/rollout/runner.go
@@ -19,8 +19,11 @@
 	LeaseName = "engine orders"
 	// stepPeriod is the time between two looks at what is due.
 	stepPeriod = 50 * time.Millisecond
-	// callTimeout bounds one order or question.
-	callTimeout = 800 * time.Millisecond
+	// callTimeout bounds a question, and orderTimeout an order. Engines answer
+	// within milliseconds or not at all, and one that is believed to load gets no
+	// requests meanwhile.
+	callTimeout  = 800 * time.Millisecond
+	orderTimeout = 300 * time.Millisecond
 	// renewTimeout bounds one question to the control group.
 	renewTimeout = 800 * time.Millisecond
 	// renewPart is the part of the lease after which it is renewed.
@@ -216,7 +219,7 @@
 }
 
 func (r *Runner) order(ctx context.Context, plan *Plan, action Action, order Order) {
-	bounded, cancel := context.WithTimeout(ctx, callTimeout)
+	bounded, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	taken, err := r.options.Engines.Order(bounded, action.Endpoint, order)
 	r.hand(ctx, plan, func(now tables.Instant) {
