forward: keep an endpoint's failing answer until another one is better

Cause: found in reading the change: a repeatable request whose first endpoint answered with a failure was tried again, and when the second try broke the caller got a 502 of this instance in place of the answer that was there. The test fails without the change (502 in place of 500).

--- a/forward/failure.go
+++ b/forward/failure.go
@@ -37,6 +37,10 @@
 		j.cut()
 		return
 	}
+	if j.kept != nil {
+		j.deliver(j.kept)
+		return
+	}
 	switch state := j.state.(type) {
 	case *outcome.Undispatched:
 		j.answer(state.Refuse(tables.Refusal{Code: code, RetryAfter: retryFull}))
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -95,6 +95,26 @@
 	assert.Equal(t, r.sent(), 2)
 }
 
+// An endpoint answers that its work failed, and the next one breaks. The caller
+// gets the answer that there is, not a failure of the instance in its place.
+func TestAnEndpointsFailureIsDeliveredIfNobodyDoesBetter(t *testing.T) {
+	calls := 0
+	script := func(w http.ResponseWriter, r *http.Request) {
+		calls++
+		if calls == 1 {
+			says(500, "failed")(w, r)
+			return
+		}
+		panic(http.ErrAbortHandler)
+	}
+	r := newRig(t, script, script)
+	resp := r.ask(t, "GET", "/read/x", "")
+	assert.Equal(t, resp.StatusCode, 500)
+	assert.Equal(t, resp.Header.Get("X-Signature"), "s")
+	assert.Equal(t, text(t, resp), "failed")
+	assert.Equal(t, r.sent(), 2)
+}
+
 // An endpoint breaks off in the middle of an event of a stream that may be
 // resumed. The caller reads one stream, with each event once and in order.
 func TestAStreamGoesOnElsewhere(t *testing.T) {
--- a/forward/job.go
+++ b/forward/job.go
@@ -43,6 +43,9 @@
 	state       outcome.State
 	// sends counts the endpoints that the request was handed to.
 	sends int
+	// kept is an endpoint's failing answer, for the case that no other endpoint
+	// gives one.
+	kept *whole
 	// failed is the last failure of an attempt, for the log.
 	failed error
 
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -45,7 +45,8 @@
 	}
 	t.unwatch()
 	t.began()
-	if answer.Status >= http.StatusInternalServerError && t.failedAtEndpoint(answer) {
+	got := &whole{status: answer.Status, header: answer.Header, body: body, from: t}
+	if answer.Status >= http.StatusInternalServerError && t.failedAtEndpoint(got) {
 		return
 	}
 	t.end(dispatch.Completed)
@@ -54,17 +55,31 @@
 		j.cut()
 		return
 	}
-	j.server.headers.ToCaller(j.w.Header(), answer.Header)
-	j.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	j.plainHeader(answer.Header)
-	j.w.WriteHeader(answer.Status)
-	_, _ = j.w.Write(body)
-	j.done(answer.Status, t)
+	j.deliver(got)
+}
+
+// whole is an endpoint's whole answer that is not a stream.
+type whole struct {
+	status int
+	header http.Header
+	body   []byte
+	from   *try
+}
+
+// deliver gives a whole answer to the caller as the endpoint made it.
+func (j *job) deliver(got *whole) {
+	j.server.headers.ToCaller(j.w.Header(), got.header)
+	j.w.Header().Set("Content-Length", strconv.Itoa(len(got.body)))
+	j.plainHeader(got.header)
+	j.w.WriteHeader(got.status)
+	_, _ = j.w.Write(got.body)
+	j.done(got.status, got.from)
 }
 
 // failedAtEndpoint tries a repeatable request again after an endpoint's own
-// failure, and says whether it will.
-func (t *try) failedAtEndpoint(answer *exchange.Answer) bool {
+// failure, and says whether it will. The answer is kept: if no other endpoint
+// gives one, the caller gets it and not a failure of this instance in its place.
+func (t *try) failedAtEndpoint(got *whole) bool {
 	j := t.job
 	if !j.route.Repeatable() || j.ctx.Err() != nil || j.started {
 		return false
@@ -73,8 +88,9 @@
 		return false
 	}
 	t.end(dispatch.Completed)
+	j.kept = got
 	j.ask.Tried = append(j.ask.Tried, t.chosen.Endpoint.ID)
-	events.AttemptEnded.Log(j.server.log, append(t.fields(), zap.Int("status", answer.Status))...)
+	events.AttemptEnded.Log(j.server.log, append(t.fields(), zap.Int("status", got.status))...)
 	return true
 }
 
