dialect: keep what concerns the caller's own connection

An endpoint's answer took the Connection header of this instance with it, so that a chunked request left the connection open for what was hidden behind it, and a draining instance's successful answers did not tell callers to leave. Ruled out: net/http, which closes when the header is there. Now only the endpoint's own headers are left out.

--- a/dialect/dialect.go
+++ b/dialect/dialect.go
@@ -72,16 +72,19 @@
 }
 
 // ToCaller copies an answer's headers without those of the endpoint's
-// connection.
+// connection. Headers that concern the caller's own connection are in place
+// already and stay: without them a draining instance could not tell callers to
+// leave their connections.
 func (h *Headers) ToCaller(to, from http.Header) {
-	for name, values := range from {
-		to[name] = append([]string(nil), values...)
-	}
+	passed := from.Clone()
 	for _, name := range connectionNames(from) {
-		to.Del(name)
+		passed.Del(name)
 	}
 	for _, name := range hopByHop {
-		to.Del(name)
+		passed.Del(name)
+	}
+	for name, values := range passed {
+		to[name] = values
 	}
 }
 
