Soak: whole deployments as separate processes under faults from outside

Cause: the users ask for a randomized soak of the real programs as separate processes, with faults from outside. Tests so far ran forwarding instances within one process and had no stand-ins that speak the platform's dialect.

Change: platform/platformtest speaks the dialect (endpoints with engines, caches, orders and troubles; the list; callers; operators). soak/ puts a proxy before each process, signals and restarts them, wipes and tears logs, and checks what callers, operators and endpoints see. For the proxies to know both ends, an instance can advertise other addresses than it listens on, and start connections from a given IP number (settings advertise and source).

Ruled out: telling instances apart by their ports only (connections of one machine all come from one IP number on loopback, so single pairs cannot be cut).

An unfinished write leaves zeros or its first bytes; the fault does that now.

The checks are tested by one broken promise each.

--- a/cmd/carawaystiled/forward.go
+++ b/cmd/carawaystiled/forward.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/carawaystile/carawaystile/control/deployment"
+	"github.com/carawaystile/carawaystile/engine"
 	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/logs"
 	"github.com/carawaystile/carawaystile/node"
@@ -63,7 +64,7 @@
 	writer := logs.NewWriter(os.Stdout)
 	defer writer.Close()
 	log := logs.New(writer, read.LogLevel)
-	n, err := node.Start(node.Options{Settings: read, Platform: onPlatform(), Log: log})
+	n, err := node.Start(node.Options{Settings: read, Platform: onPlatform(read), Log: log})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitFailure
@@ -120,12 +121,13 @@
 }
 
 // onPlatform is the users' platform.
-func onPlatform() node.Platform {
+func onPlatform(s *settings.Forwarding) node.Platform {
+	dial := engine.DialFrom(s.Source)
 	return node.Platform{
 		Headers:       platform.Headers(),
 		Configuration: platform.Configuration,
-		List:          func(at netip.AddrPort) node.Lister { return platform.NewList(at) },
-		Engines:       platform.NewEngines(),
+		List:          func(at netip.AddrPort) node.Lister { return platform.NewList(at, dial) },
+		Engines:       platform.NewEngines(dial),
 		Operators: func(documents *deployment.Service, log *zap.Logger) http.Handler {
 			return (&platform.Operator{Documents: documents, Log: log}).Handler()
 		},
--- /dev/null
+++ b/cmd/soak/main.go
@@ -0,0 +1,72 @@
+// Command soak runs forwarding deployments through random faults; see package
+// soak.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/carawaystile/carawaystile/soak"
+)
+
+func main() { os.Exit(run()) }
+
+// run plays the seeds one after the other. It returns 0 if no promise was
+// broken, 1 if one was, 2 for wrong usage or a run that could not be made.
+func run() int {
+	daemon := flag.String("daemon", "target/carawaystiled", "binary of an instance")
+	seeds := flag.String("seeds", "1-5", "seeds to play, as FROM-TO or one number")
+	length := flag.Duration("for", 30*time.Second, "how long faults come in each run")
+	controls := flag.Int("controls", 3, "control instances")
+	entries := flag.Int("entries", 6, "entry instances")
+	folder := flag.String("folder", filepath.Join(os.TempDir(), "soak"), "folder for settings, state and logs")
+	faults := flag.String("faults", "", "comma-separated kinds of faults; all if empty")
+	verbose := flag.Bool("v", false, "print each fault")
+	flag.Parse()
+	first, last, ok := bounds(*seeds)
+	if !ok || flag.NArg() > 0 {
+		flag.Usage()
+		return 2
+	}
+	code := 0
+	for seed := first; seed <= last; seed++ {
+		o := soak.Options{
+			Daemon: *daemon, Folder: filepath.Join(*folder, strconv.FormatUint(seed, 10)), Seed: seed, For: *length,
+			Controls: *controls, Entries: *entries,
+		}
+		if *faults != "" {
+			o.Faults = strings.Split(*faults, ",")
+		}
+		if *verbose {
+			o.Progress = func(line string) { fmt.Println(line) }
+		}
+		outcome, err := soak.Run(o)
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "seed %d: %v\n", seed, err)
+			return 2
+		}
+		fmt.Printf("seed %d: %s\n%s", seed, outcome, outcome.Report(o.Folder))
+		if len(outcome.Breaches) > 0 {
+			code = 1
+		} else if err := os.RemoveAll(o.Folder); err != nil {
+			fmt.Fprintf(os.Stderr, "seed %d: %v\n", seed, err)
+		}
+	}
+	return code
+}
+
+// bounds reads "FROM-TO" or one number.
+func bounds(text string) (first, last uint64, ok bool) {
+	from, to, found := strings.Cut(text, "-")
+	if !found {
+		to = from
+	}
+	first, err := strconv.ParseUint(from, 10, 64)
+	last, err2 := strconv.ParseUint(to, 10, 64)
+	return first, last, err == nil && err2 == nil && first <= last
+}
--- a/control/gossip/gossip.go
+++ b/control/gossip/gossip.go
@@ -27,9 +27,11 @@
 // Options sets a Gossip up. The functions are called by one goroutine at a time
 // and must not call the Gossip's Close; nil ones are not called.
 type Options struct {
-	// Membership says who this instance is and whom to join through. Its Self
-	// address is listened on.
+	// Membership says who this instance is and whom to join through.
 	Membership membership.Options
+	// Listen is where datagrams are taken; invalid means at the address of
+	// Membership's Self.
+	Listen netip.AddrPort
 	// Ring holds the key that datagrams are sealed with.
 	Ring *keys.Ring
 	Log  *zap.Logger
@@ -77,13 +79,18 @@
 	if options.Log == nil {
 		options.Log = zap.NewNop()
 	}
-	address := net.UDPAddrFromAddrPort(options.Membership.Self.Address)
-	conn, err := net.ListenUDP("udp", address)
+	advertised := options.Listen.IsValid()
+	if !advertised {
+		options.Listen = options.Membership.Self.Address
+	}
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(options.Listen))
 	if err != nil {
 		return nil, trace.ConvertSystemError(err)
 	}
-	// Tests listen on any port; the others must learn the real one.
-	options.Membership.Self.Address = conn.LocalAddr().(*net.UDPAddr).AddrPort()
+	if !advertised {
+		// Tests listen on any port; the others must learn the real one.
+		options.Membership.Self.Address = conn.LocalAddr().(*net.UDPAddr).AddrPort()
+	}
 	g := &Gossip{
 		options:    options,
 		conn:       conn,
--- a/engine/client.go
+++ b/engine/client.go
@@ -64,7 +64,7 @@
 	defaults.Set(&o.EventBytes, DefaultEventBytes)
 	defaults.Set(&o.AnswerBytes, DefaultAnswerBytes)
 	if o.Dial == nil {
-		o.Dial = newDialer().DialContext
+		o.Dial = newDialer(netip.Addr{}).DialContext
 	}
 	return o
 }
--- a/engine/dial_linux_test.go
+++ b/engine/dial_linux_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/netip"
 	"testing"
 
 	"golang.org/x/sys/unix"
@@ -15,7 +16,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	defer func() { _ = l.Close() }()
-	c, err := newDialer().DialContext(t.Context(), "tcp", l.Addr().String())
+	c, err := newDialer(netip.Addr{}).DialContext(t.Context(), "tcp", l.Addr().String())
 	assert.NilError(t, err)
 	defer func() { _ = c.Close() }()
 	raw, err := c.(*net.TCPConn).SyscallConn()
--- a/engine/exchange/client.go
+++ b/engine/exchange/client.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"net/netip"
 	"syscall"
@@ -23,7 +22,7 @@
 type Options struct {
 	Headers *dialect.Headers
 	// Dial opens connections; nil means TCP.
-	Dial func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
+	Dial engine.Dial
 	// ConnectTimeout bounds the opening of a connection. A packet that opens one
 	// is sent again after a second when an endpoint's queue is full, so a longer
 	// wait only helps the caller in the rarest case.
--- a/engine/exchange/connection.go
+++ b/engine/exchange/connection.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/carawaystile/carawaystile/engine"
 )
 
 // connection is one TCP connection to an endpoint. It carries one request at a
@@ -44,7 +46,7 @@
 // pool keeps connections that are between requests. It is safe for concurrent
 // use.
 type pool struct {
-	dial func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
+	dial engine.Dial
 	mu   sync.Mutex
 	idle map[netip.AddrPort][]*connection
 }
--- a/node/control.go
+++ b/node/control.go
@@ -42,7 +42,7 @@
 		return trace.Wrap(err)
 	}
 	n.folder = folder
-	self := s.Listen.Instances.String()
+	self := s.Advertise.Instances.String()
 	options := server.Options{
 		Self:          server.Instance{Name: tables.InstanceID(self), Address: self},
 		JoinOnly:      true,
@@ -54,7 +54,7 @@
 		SnapshotBytes: snapshotBytes,
 	}
 	for _, seed := range n.seedInstances() {
-		if seed == s.Listen.Instances {
+		if seed == s.Advertise.Instances {
 			options.JoinOnly = !s.New
 			continue
 		}
@@ -91,7 +91,7 @@
 
 // seedInstances are the addresses at which the seeds answer other instances.
 func (n *Node) seedInstances() []netip.AddrPort {
-	port := n.options.Settings.Listen.Instances.Port()
+	port := n.options.Settings.Advertise.Instances.Port()
 	var all []netip.AddrPort
 	for _, seed := range n.settings.Load().Seeds {
 		all = append(all, netip.AddrPortFrom(seed.Addr(), port))
--- a/node/entry.go
+++ b/node/entry.go
@@ -24,7 +24,7 @@
 // startEntry starts the entry role.
 func (n *Node) startEntry() error {
 	s, p := n.options.Settings, n.options.Platform
-	client := exchange.NewClient(exchange.Options{Headers: p.Headers})
+	client := exchange.NewClient(exchange.Options{Headers: p.Headers, Dial: n.dial})
 	n.background.Go(func() { client.Run(n.stopping) })
 	n.entry = forward.New(forward.Options{
 		Headers: p.Headers,
--- a/node/members.go
+++ b/node/members.go
@@ -27,7 +27,7 @@
 	s := n.options.Settings
 	var seeds []netip.AddrPort
 	for _, seed := range s.Seeds {
-		if at := netip.AddrPortFrom(seed.Addr(), s.Listen.Membership.Port()); at != s.Listen.Membership {
+		if at := netip.AddrPortFrom(seed.Addr(), s.Advertise.Membership.Port()); at != s.Advertise.Membership {
 			seeds = append(seeds, at)
 		}
 	}
@@ -35,11 +35,12 @@
 		Membership: membership.Options{
 			Self: membership.Row{
 				Instance: s.Instance, Zone: s.Zone, Roles: membership.Roles(s.Entry, s.Control), Size: 1,
-				Address: s.Listen.Membership, Control: s.Listen.Instances, Boot: n.boot,
+				Address: s.Advertise.Membership, Control: s.Advertise.Instances, Boot: n.boot,
 			},
 			Seeds: seeds,
 			Seed:  n.seed(),
 		},
+		Listen:  s.Listen.Membership,
 		Ring:    keys.Of(datagramKey),
 		Log:     n.log,
 		Changed: n.membersChanged,
--- a/node/node.go
+++ b/node/node.go
@@ -79,7 +79,9 @@
 	boot     uint64
 	registry *metrics.Registry
 
-	client    *http.Client
+	client *http.Client
+	// dial opens connections to endpoints and instances.
+	dial      engine.Dial
 	dialer    *transport.Dialer
 	sources   sourceCache
 	members   atomic.Pointer[gossip.Gossip]
@@ -119,7 +121,8 @@
 	n.boot = uint64(n.started.UnixNano())
 	n.stopping, n.stop = context.WithCancel(context.Background())
 	debug.SetMemoryLimit(int64(memoryPart * float64(o.Settings.MemoryMB) * (1 << 20)))
-	n.client = &http.Client{Transport: &http.Transport{DialContext: dialInstance, IdleConnTimeout: idleInstance}}
+	n.dial = engine.DialFrom(o.Settings.Source)
+	n.client = &http.Client{Transport: &http.Transport{DialContext: n.dialInstance, IdleConnTimeout: idleInstance}}
 	n.dialer = transport.NewDialer(n.client)
 	if err := n.start(); err != nil {
 		n.Stop()
@@ -131,14 +134,14 @@
 	return n, nil
 }
 
-func dialInstance(ctx context.Context, _, address string) (net.Conn, error) {
+func (n *Node) dialInstance(ctx context.Context, _, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	to, err := netip.ParseAddrPort(address)
 	if err != nil {
 		return nil, err
 	}
-	return engine.DialTCP(ctx, to)
+	return n.dial(ctx, to)
 }
 
 // start starts the parts, each after those it uses.
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -138,11 +138,12 @@
 		at := netip.AddrPortFrom(netip.MustParseAddr(ip), internal)
 		return &settings.Forwarding{
 			Instance: tables.InstanceID(name), Zone: "z", New: true, Tolerate: 1, MemoryMB: 100, Seeds: seeds,
-			List:    freePort(t, "127.0.0.1"),
-			Listen:  settings.ForwardingListen{Instances: at, Membership: at},
-			Orders:  settings.ForwardingOrders{Lease: time.Second, Fenced: true},
-			Retries: settings.ForwardingRetries{Ratio: 0.2, Extra: 50, Window: 10 * time.Second},
-			Drain:   settings.Drain{Announce: 10 * time.Millisecond, Timeout: 5 * time.Second},
+			List:      freePort(t, "127.0.0.1"),
+			Listen:    settings.ForwardingListen{Instances: at, Membership: at},
+			Advertise: settings.ForwardingAdvertise{Instances: at, Membership: at},
+			Orders:    settings.ForwardingOrders{Lease: time.Second, Fenced: true},
+			Retries:   settings.ForwardingRetries{Ratio: 0.2, Extra: 50, Window: 10 * time.Second},
+			Drain:     settings.Drain{Announce: 10 * time.Millisecond, Timeout: 5 * time.Second},
 		}
 	}
 	for i, seed := range seeds {
--- a/node/store.go
+++ b/node/store.go
@@ -62,7 +62,7 @@
 			n.stores.set(nil)
 			continue
 		}
-		n.stores.set(lookAt(ctx, table.Store()))
+		n.stores.set(lookAt(ctx, n.dial, table.Store()))
 	}
 }
 
@@ -87,10 +87,10 @@
 }
 
 // lookAt returns the store as an endpoint if it takes a connection.
-func lookAt(ctx context.Context, store *routes.Service) []fleet.Endpoint {
+func lookAt(ctx context.Context, dial engine.Dial, store *routes.Service) []fleet.Endpoint {
 	bounded, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	conn, err := engine.DialTCP(bounded, store.Store)
+	conn, err := dial(bounded, store.Store)
 	if err != nil {
 		return nil
 	}
--- a/settings/forwarding.go
+++ b/settings/forwarding.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"os"
+	"strconv"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -21,6 +22,12 @@
 	// Data is the folder of a control instance; an entry instance has none.
 	Data   string
 	Listen ForwardingListen
+	// Advertise holds the addresses at which others reach Listen's, where these
+	// differ: behind a forwarder or another network's edge.
+	Advertise ForwardingAdvertise
+	// Source is the IP number that connections to others start from; invalid
+	// leaves the choice to the machine.
+	Source netip.Addr
 	// Seeds are operator addresses of some control instances, the only others
 	// that an instance is told of. The control instances among them listen for
 	// instances at the same IP number and the ports of this instance.
@@ -55,6 +62,13 @@
 	Metrics netip.AddrPort
 }
 
+// ForwardingAdvertise holds addresses that are told to other instances. What the
+// settings do not name is that of ForwardingListen.
+type ForwardingAdvertise struct {
+	Instances  netip.AddrPort
+	Membership netip.AddrPort
+}
+
 // ForwardingOrders bounds orders to engines.
 type ForwardingOrders struct {
 	// Lease is how long an instance gives orders without hearing from the
@@ -111,6 +125,7 @@
 	}
 	if root, ok := parse(file, text, &out); ok {
 		f.read(root)
+		f.complete()
 		f.check(root)
 	}
 	if err := out.err(); err != nil {
@@ -126,6 +141,8 @@
 		field{key: "roles", required: true, read: f.readRoles},
 		field{key: "data", read: func(n node) { n.text(&f.Data) }},
 		field{key: "listen", required: true, read: f.Listen.read},
+		field{key: "advertise", read: f.Advertise.read},
+		field{key: "source", read: f.readSource},
 		field{key: "seeds", read: f.readSeeds},
 		field{key: "new_deployment", read: boolean(&f.New)},
 		field{key: "tolerate_instances", read: integer(&f.Tolerate, 0, 4)},
@@ -171,6 +188,37 @@
 	)
 }
 
+func (a *ForwardingAdvertise) read(n node) {
+	n.object(
+		field{key: "instances", read: address(&a.Instances)},
+		field{key: "membership", read: address(&a.Membership)},
+	)
+}
+
+func (f *Forwarding) readSource(n node) {
+	const right = "an IP number of this machine, such as 10.0.1.5"
+	s, ok := n.scalar(right)
+	if !ok {
+		return
+	}
+	at, err := netip.ParseAddr(s)
+	if err != nil {
+		n.problem(strconv.Quote(s)+" is no IP number", right)
+		return
+	}
+	f.Source = at
+}
+
+// complete fills in what follows from other settings.
+func (f *Forwarding) complete() {
+	if !f.Advertise.Instances.IsValid() {
+		f.Advertise.Instances = f.Listen.Instances
+	}
+	if !f.Advertise.Membership.IsValid() {
+		f.Advertise.Membership = f.Listen.Membership
+	}
+}
+
 func (o *ForwardingOrders) read(n node) {
 	n.object(
 		field{key: "lease", read: duration(&o.Lease, time.Second, time.Minute)},
--- a/settings/forwarding_test.go
+++ b/settings/forwarding_test.go
@@ -42,6 +42,8 @@
 	assert.Equal(t, f.Retries.Extra, 58)
 	assert.Equal(t, f.Drain.Announce, defaultForwardAnnounce)
 	assert.Equal(t, len(f.Seeds), 1)
+	assert.Equal(t, f.Advertise.Membership, f.Listen.Membership)
+	assert.Assert(t, !f.Source.IsValid())
 }
 
 // A settings file names no data folder for a control instance. Started, the
@@ -53,6 +55,7 @@
 		"no callers":      strings.Replace(forwarding, "  callers: \"127.0.0.1:8782\"\n", "", 1),
 		"unknown key":     forwarding + "colour: red\n",
 		"no unit of time": strings.Replace(forwarding, "10s", "10", 1),
+		"no IP number":    forwarding + "source: edge-1\n",
 		"a host name":     strings.Replace(forwarding, "127.0.0.2", "control.example", 1),
 	} {
 		_, err := ParseForwarding("f.yaml", []byte(text))
--- /dev/null
+++ b/soak/check_test.go
@@ -0,0 +1,189 @@
+package soak
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/platform/platformtest"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+var noon = time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
+
+// at is a moment of the made-up runs below, in seconds.
+func at(seconds float64) time.Time { return noon.Add(time.Duration(seconds * float64(time.Second))) }
+
+// sound is a request that was served as it should be.
+func sound(id string, k *kind) *request {
+	r := &request{
+		kind: k, entry: &instance{Process: &Process{Name: "entry-0"}}, life: 1, lifeEnd: 1, sent: at(10), done: at(11),
+		Ask:    platformtest.Ask{ID: id, Host: host, Path: k.route.Prefix + id, Key: keyCommon, Body: []byte(id), Tokens: k.tokens},
+		result: platformtest.Result{Status: http.StatusOK, Whole: true},
+	}
+	r.runs = []platformtest.Run{run(r, "i-1", 10.2)}
+	r.arrivals = []time.Time{at(10.1)}
+	return r
+}
+
+// run is a run of a request as an endpoint should see it.
+func run(r *request, endpoint tables.EndpointID, seconds float64) platformtest.Run {
+	return platformtest.Run{
+		At: at(seconds), Request: r.ID, Method: http.MethodPost, Target: r.Path, Host: r.Host, Tokens: r.Tokens,
+		Body: platformtest.Digest(r.Body), Organisation: common, Service: r.kind.service, Endpoint: endpoint,
+	}
+}
+
+// judged returns the promises that are found broken.
+func judged(change func(l *ledger)) []string {
+	l := newLedger()
+	change(l)
+	l.judge()
+	var broken []string
+	for _, b := range l.breaches {
+		broken = append(broken, b.Promise)
+	}
+	return broken
+}
+
+// A check that finds nothing is worth nothing: each promise is broken once here,
+// and the soak has to say which.
+func TestEachBrokenPromiseIsFound(t *testing.T) {
+	once, safe, check, draft := kinds[0], kinds[1], kinds[2], kinds[3]
+	one := func(k *kind, change func(r *request)) func(l *ledger) {
+		return func(l *ledger) {
+			r := sound("r1", k)
+			change(r)
+			l.requests[r.ID] = r
+		}
+	}
+	for name, c := range map[string]struct {
+		promise string
+		change  func(l *ledger)
+	}{
+		"an answer of another request": {"answers are an endpoint's own", one(safe, func(r *request) { r.result.Wrong = "x" })},
+		"a proper request denied":      {"proper requests are allowed", one(safe, func(r *request) { r.result.Status = 404 })},
+		"work run twice":               {"work runs at most once", one(once, func(r *request) { r.runs = append(r.runs, run(r, "i-2", 10.5)) })},
+		"a stream begun twice":         {"work runs at most once", one(check, func(r *request) { r.runs = append(r.runs, run(r, "i-2", 10.5)) })},
+		"refused and run": {"what is refused has not run", one(once, func(r *request) {
+			r.result = platformtest.Result{Status: http.StatusServiceUnavailable}
+		})},
+		"a third attempt": {"attempts are bounded", one(draft, func(r *request) {
+			r.runs = append(r.runs, run(r, "i-2", 10.5), run(r, "i-3", 10.7))
+		})},
+		"another body":         {"requests run as they were sent", one(safe, func(r *request) { r.runs[0].Body++ })},
+		"another prompt":       {"requests run as they were sent", one(draft, func(r *request) { r.runs[0].Prefix = "x:1" })},
+		"the key passed on":    {"requests run as they were sent", one(safe, func(r *request) { r.runs[0].Key = "Bearer k" })},
+		"a forged header":      {"requests run as they were sent", one(safe, func(r *request) { r.runs[0].Reserved = []string{"X"} })},
+		"another organisation": {"requests run as they were sent", one(safe, func(r *request) { r.runs[0].Organisation = alone })},
+		"another service":      {"requests run as they were sent", one(safe, func(r *request) { r.runs[0].Service = serviceModels })},
+		"cached under other weights": {"requests run as they were sent", one(draft, func(r *request) {
+			r.runs[0].Strange = true
+		})},
+		"cached for the isolated": {"requests run as they were sent", one(draft, func(r *request) {
+			r.runs[0].Foreign = []string{alone}
+		})},
+		"an answer cut by a drain": {"a drain cuts nothing", func(l *ledger) {
+			r := sound("r1", safe)
+			r.result, r.lifeEnd = platformtest.Result{Err: io.ErrUnexpectedEOF}, 2
+			l.requests[r.ID] = r
+			l.disruptions = []disruption{{what: "restart an entry", planned: true, from: at(9), to: at(12)}}
+		}},
+		"an older configuration again": {"configurations do not go back", func(l *ledger) {
+			before, after := sound("r1", safe), sound("r2", safe)
+			after.entry = before.entry
+			before.Key, after.Key = keyProbe, keyProbe
+			before.runs[0].Organisation, after.runs[0].Organisation = organisationOf(7), organisationOf(6)
+			after.sent = at(12)
+			l.requests["r1"], l.requests["r2"] = before, after
+		}},
+		"too many repeats": {"repeats are bounded", func(l *ledger) {
+			for n := range 200 {
+				r := sound(organisationOf(uint64(n)), draft)
+				r.arrivals = append(r.arrivals, at(10.4))
+				l.requests[r.ID] = r
+			}
+		}},
+		"crashes go on": {"what crashes endpoints is kept off", func(l *ledger) {
+			r := sound("p1", safe)
+			r.Path = poisonPath
+			r.runs = nil
+			for n := range 8 {
+				r.runs = append(r.runs, run(r, "i-1", 10+float64(n)*2))
+			}
+			l.requests[r.ID] = r
+		}},
+		"two give orders": {"one holder orders at a time", func(l *ledger) {
+			l.orders = []platformtest.Order{
+				{Fence: 4, From: netip.MustParseAddr("127.0.0.1")}, {Fence: 4, From: netip.MustParseAddr("127.0.0.2")},
+			}
+		}},
+	} {
+		broken := judged(c.change)
+		assert.Assert(t, len(broken) > 0 && contains(broken, c.promise), "%s: found %v", name, broken)
+	}
+}
+
+func contains(all []string, one string) bool {
+	for _, s := range all {
+		if s == one {
+			return true
+		}
+	}
+	return false
+}
+
+// What is allowed must not be reported, or nobody reads the reports.
+func TestWhatIsAllowedIsNotReported(t *testing.T) {
+	broken := judged(func(l *ledger) {
+		for n, k := range kinds {
+			r := sound(organisationOf(uint64(n)), k)
+			l.requests[r.ID] = r
+		}
+		resumed := sound("resumed", kinds[3])
+		resumed.runs = append(resumed.runs, run(resumed, "i-2", 10.5))
+		resumed.arrivals = append(resumed.arrivals, at(10.5))
+		l.requests[resumed.ID] = resumed
+		killed := sound("killed", kinds[1])
+		killed.result, killed.lifeEnd = platformtest.Result{Err: errors.New("reset")}, 2
+		l.requests[killed.ID] = killed
+		l.disruptions = []disruption{
+			{what: "restart an entry", planned: true, from: at(9), to: at(12)},
+			{what: "kill an entry", from: at(9), to: at(12)},
+		}
+	})
+	assert.Equal(t, len(broken), 0, "%v", broken)
+}
+
+// Operators read back what is in force; an older or an invalid document there
+// means that something acknowledged is lost.
+func TestWhatIsReadBackIsHeldAgainstWhatWasSent(t *testing.T) {
+	l := newLedger()
+	l.sendingDocument(&document{number: 3, content: []byte("three"), acked: at(1)})
+	l.sendingDocument(&document{number: 5, content: []byte("five"), invalid: true})
+	l.read("control-0", l.newestAcked(), 3, []byte("three"))
+	assert.Equal(t, len(l.breaches), 0)
+	l.read("control-0", 4, 3, []byte("three"))
+	l.read("control-0", 3, 3, []byte("other"))
+	l.read("control-0", 3, 4, []byte("four"))
+	l.read("control-0", 3, 5, []byte("five"))
+	assert.Equal(t, len(l.breaches), 4)
+}
+
+// The same seed has to give the same faults, or a seed that failed could not be
+// played again.
+func TestThePlanFollowsFromTheSeed(t *testing.T) {
+	assert.DeepEqual(t, Plan(7, 30*time.Second, FaultNames()), Plan(7, 30*time.Second, FaultNames()))
+	kinds := map[string]bool{}
+	for seed := range uint64(40) {
+		for _, event := range Plan(seed, 30*time.Second, FaultNames()) {
+			kinds[event.Fault] = true
+		}
+	}
+	assert.Equal(t, len(kinds), len(FaultNames()))
+}
--- /dev/null
+++ b/soak/faults.go
@@ -0,0 +1,325 @@
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/carawaystile/carawaystile/platform/platformtest"
+)
+
+// strike is what a fault has at hand.
+type strike struct {
+	*world
+	rng  *rand.Rand
+	long time.Duration
+}
+
+// faultKind is a kind of fault. It returns when the fault is over.
+type faultKind struct {
+	name string
+	// planned faults are work of operators, during which no answer may be lost.
+	planned bool
+	do      func(s *strike)
+}
+
+// faultKinds are all kinds of faults.
+var faultKinds = []faultKind{
+	{name: "kill an entry", do: func(s *strike) { s.kill(s.entry()) }},
+	{name: "kill a control instance", do: func(s *strike) { s.kill(s.control()) }},
+	{name: "kill half of all", do: func(s *strike) { s.killTogether(half(s.rng, s.d.instances())) }},
+	{name: "kill the control group", do: func(s *strike) { s.killTogether(s.d.controls) }},
+	{name: "pause an entry", do: func(s *strike) { s.pause(s.entry()) }},
+	{name: "pause a control instance", do: func(s *strike) { s.pause(s.control()) }},
+	{name: "restart an entry", planned: true, do: func(s *strike) { s.restart(s.entry()) }},
+	{name: "restart a control instance", planned: true, do: func(s *strike) { s.restart(s.control()) }},
+	{name: "reload settings", planned: true, do: reloadAll},
+	{name: "wipe a control instance", do: wipe},
+	{name: "tear a control instance's log", do: tear},
+	{name: "cut a zone", do: cutZone},
+	{name: "cut an instance one way", do: cutOneWay},
+	{name: "split the control group", do: splitControl},
+	{name: "mute open connections", do: func(s *strike) { s.disrupted(func() { s.d.network.Mute(s.oneAddress()) }) }},
+	{name: "reset open connections", do: func(s *strike) { s.disrupted(func() { s.d.network.Reset(s.oneAddress()) }) }},
+	{name: "delay a link", do: func(s *strike) {
+		s.impose(Condition{Delay: time.Duration(20+s.rng.IntN(200)) * time.Millisecond}, s.oneAddress())
+	}},
+	{name: "lose datagrams", do: func(s *strike) { s.impose(Condition{Loss: 0.05 + s.rng.Float64()*0.5}, everybody) }},
+	{name: "crash an endpoint", do: crashEndpoint},
+	{name: "an endpoint refuses", do: func(s *strike) { s.trouble(platformtest.Shedding, 0.7) }},
+	{name: "an endpoint hangs", do: func(s *strike) { s.trouble(platformtest.Hanging, 0.4) }},
+	{name: "an endpoint fails", do: func(s *strike) { s.trouble(platformtest.Failing, 0.5) }},
+	{name: "answers are lost", do: func(s *strike) { s.trouble(platformtest.Losing, 0.3) }},
+	{name: "answers are cut short", do: func(s *strike) { s.trouble(platformtest.Truncating, 0.3) }},
+	{name: "answers are garbled", do: func(s *strike) { s.trouble(platformtest.Garbling, 0.3) }},
+	{name: "answers come twice", do: func(s *strike) { s.trouble(platformtest.Repeating, 0.3) }},
+	{name: "replace an endpoint", planned: true, do: func(s *strike) { replaceEndpoint(s, false) }},
+	{name: "use an address again", planned: true, do: func(s *strike) { replaceEndpoint(s, true) }},
+	{name: "orders are carried out late", do: lateOrders},
+	{name: "the list is busy", do: func(s *strike) { s.list(platformtest.ListBusy) }},
+	{name: "the list is down", do: func(s *strike) { s.list(platformtest.ListDown) }},
+	{name: "the list has strange entries", do: func(s *strike) { s.list(platformtest.ListStrange) }},
+	{name: "the store forgets", do: func(s *strike) { s.d.fleet.EmptyStores() }},
+	{name: "a new configuration", planned: true, do: func(s *strike) { s.operators.configure(0) }},
+	{name: "a large configuration", planned: true, do: func(s *strike) { s.operators.configure(300) }},
+	{name: "many configurations", planned: true, do: manyConfigurations},
+	{name: "two operators at once", planned: true, do: twoOperators},
+	{name: "an invalid configuration", planned: true, do: func(s *strike) { s.operators.configureWrongly() }},
+	{name: "answers to operators are lost", do: func(s *strike) { s.operators.lose(0.6); s.wait(); s.operators.lose(0) }},
+	{name: "new weights", planned: true, do: func(s *strike) { s.operators.nameWeights() }},
+	{name: "a request that crashes endpoints", do: poison},
+}
+
+// FaultNames lists all kinds of faults.
+func FaultNames() []string {
+	var names []string
+	for _, k := range faultKinds {
+		names = append(names, k.name)
+	}
+	return names
+}
+
+func (s *strike) wait() { time.Sleep(s.long) }
+
+func (s *strike) entry() *instance   { return s.d.entries[s.rng.IntN(len(s.d.entries))] }
+func (s *strike) control() *instance { return s.d.controls[s.rng.IntN(len(s.d.controls))] }
+
+// half draws half of a list.
+func half(rng *rand.Rand, all []*instance) []*instance {
+	drawn := slices.Clone(all)
+	rng.Shuffle(len(drawn), func(i, j int) { drawn[i], drawn[j] = drawn[j], drawn[i] })
+	return drawn[:(len(drawn)+1)/2]
+}
+
+// disrupted does something that lasts no time of its own; what it harms lasts
+// for some.
+func (s *strike) disrupted(do func()) {
+	do()
+	s.wait()
+}
+
+// up starts an instance again.
+func (s *strike) up(i *instance) {
+	if err := s.d.start(i); err != nil {
+		s.d.ledger.breach("the soak works", "", "%s does not start: %v", i.Name, err)
+	}
+}
+
+func (s *strike) kill(i *instance) {
+	i.Kill()
+	s.wait()
+	s.up(i)
+}
+
+func (s *strike) killTogether(all []*instance) {
+	for _, i := range all {
+		i.Kill()
+	}
+	time.Sleep(s.long / 4)
+	for _, i := range all {
+		s.up(i)
+	}
+}
+
+func (s *strike) pause(i *instance) {
+	i.Pause()
+	s.wait()
+	i.Resume()
+}
+
+func (s *strike) restart(i *instance) {
+	if !i.Terminate(grace) {
+		s.d.ledger.breach("a drain ends", "", "%s still ran %v after it was told to end", i.Name, grace)
+	}
+	s.up(i)
+}
+
+func reloadAll(s *strike) {
+	for _, i := range s.d.instances() {
+		if err := s.d.writeSettings(i, false); err != nil {
+			s.d.ledger.breach("the soak works", "", "settings of %s: %v", i.Name, err)
+		}
+		i.Reload()
+	}
+}
+
+// catchUp is how long a control instance that lost its disk may take before
+// another may lose its own.
+const catchUp = 8 * time.Second
+
+// wipe takes the disk of a control instance. No more disks are lost at once than
+// the deployment has to bear.
+func wipe(s *strike) {
+	s.disks.Lock()
+	defer s.disks.Unlock()
+	i := s.control()
+	i.Kill()
+	if err := i.Wipe(); err != nil {
+		s.d.ledger.breach("the soak works", "", "wipe %s: %v", i.Name, err)
+	}
+	s.up(i)
+	time.Sleep(catchUp)
+}
+
+// tear ends a control instance in the middle of a write.
+func tear(s *strike) {
+	i := s.control()
+	i.Kill()
+	if err := i.Tear(s.unfinished()); err != nil {
+		s.d.ledger.breach("the soak works", "", "tear %s: %v", i.Name, err)
+	}
+	s.wait()
+	s.up(i)
+}
+
+// unfinished is what is left of a write that was not synced: sectors that read
+// as zeros, or its first bytes. Longer ones that make no sense would be damage,
+// at which a replica rightly ends.
+func (s *strike) unfinished() []byte {
+	const sectors, firstBytes = 4096, 8
+	if s.rng.IntN(2) == 0 {
+		return make([]byte, 1+s.rng.IntN(sectors))
+	}
+	first := make([]byte, 1+s.rng.IntN(firstBytes))
+	for n := range first {
+		first[n] = byte(s.rng.Uint32())
+	}
+	return first
+}
+
+// impose puts a condition on links for the length of the fault.
+func (s *strike) impose(c Condition, matches func(from, to netip.Addr) bool) {
+	lift := s.d.network.Impose(c, matches)
+	s.wait()
+	lift()
+}
+
+func everybody(netip.Addr, netip.Addr) bool { return true }
+
+// oneAddress matches what goes to or from one instance.
+func (s *strike) oneAddress() func(from, to netip.Addr) bool {
+	all := s.d.instances()
+	one := all[s.rng.IntN(len(all))].ip
+	return func(from, to netip.Addr) bool { return from == one || to == one }
+}
+
+func cutZone(s *strike) {
+	zone := s.rng.IntN(zones)
+	s.impose(Condition{Silent: true}, func(from, to netip.Addr) bool {
+		a, known := s.d.zoneOf[from]
+		b, also := s.d.zoneOf[to]
+		return known && also && (a == zone) != (b == zone)
+	})
+}
+
+func cutOneWay(s *strike) {
+	all := s.d.instances()
+	one, outwards := all[s.rng.IntN(len(all))].ip, s.rng.IntN(2) == 0
+	s.impose(Condition{Silent: true}, func(from, to netip.Addr) bool {
+		if outwards {
+			return from == one
+		}
+		return to == one
+	})
+}
+
+func splitControl(s *strike) {
+	side := map[netip.Addr]bool{}
+	for _, i := range half(s.rng, s.d.controls) {
+		side[i.ip] = true
+	}
+	controls := map[netip.Addr]bool{}
+	for _, i := range s.d.controls {
+		controls[i.ip] = true
+	}
+	s.impose(Condition{Silent: true}, func(from, to netip.Addr) bool {
+		return controls[from] && controls[to] && side[from] != side[to]
+	})
+}
+
+func (s *strike) place() int { return s.rng.IntN(modelEndpoints + deskEndpoints) }
+
+func crashEndpoint(s *strike) {
+	if err := s.d.places.crash(s.place(), s.long); err != nil {
+		s.d.ledger.breach("the soak works", "", "endpoint: %v", err)
+	}
+}
+
+func (s *strike) trouble(t platformtest.Trouble, share float64) {
+	e := s.d.places.endpoint(s.place())
+	lift := s.d.places.trouble(e.ID, troubled{kind: t, share: share})
+	s.wait()
+	lift()
+}
+
+// leaveFor is how long an endpoint serves on after the list shows that it
+// leaves, and restFor how long its address rests.
+const (
+	leaveFor = 5 * time.Second
+	restFor  = 2500 * time.Millisecond
+)
+
+// replaceEndpoint has an endpoint leave and another come in its place, of
+// another service if the address is to change hands. A service keeps half of
+// its endpoints.
+func replaceEndpoint(s *strike, change bool) {
+	n := s.place()
+	s.replacing.Lock()
+	defer s.replacing.Unlock()
+	service := s.d.places.endpoint(n).Service
+	rest := restFor
+	if change {
+		service = s.d.places.smaller()
+	} else {
+		rest = 0
+	}
+	if err := s.d.places.replace(n, service, leaveFor, rest); err != nil {
+		s.d.ledger.breach("the soak works", "", "endpoint: %v", err)
+	}
+}
+
+func lateOrders(s *strike) {
+	var mu sync.Mutex
+	s.d.fleet.DelayOrders(func() time.Duration {
+		mu.Lock()
+		defer mu.Unlock()
+		if s.rng.IntN(2) == 0 {
+			return 0
+		}
+		return time.Duration(500+s.rng.IntN(3500)) * time.Millisecond
+	})
+	s.wait()
+	s.d.fleet.DelayOrders(nil)
+}
+
+func (s *strike) list(state platformtest.ListState) {
+	s.d.fleet.SetList(state)
+	s.wait()
+	s.d.fleet.SetList(platformtest.ListSound)
+}
+
+func manyConfigurations(s *strike) {
+	for range 3 + s.rng.IntN(8) {
+		s.operators.configure(0)
+	}
+}
+
+func twoOperators(s *strike) {
+	var both sync.WaitGroup
+	both.Go(func() { s.operators.configure(0) })
+	both.Go(func() { s.operators.configure(20) })
+	both.Wait()
+}
+
+// poison sends a request again and again that crashes whatever runs it.
+func poison(s *strike) {
+	for range 4 + s.rng.IntN(5) {
+		ctx, cancel := context.WithTimeout(context.Background(), callerWait)
+		s.load.poison(ctx, s.entry())
+		cancel()
+		time.Sleep(300 * time.Millisecond)
+	}
+}
--- /dev/null
+++ b/soak/ledger.go
@@ -0,0 +1,201 @@
+package soak
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/carawaystile/carawaystile/platform/platformtest"
+)
+
+// request is one request with all that callers and endpoints saw of it.
+type request struct {
+	platformtest.Ask
+	kind  *kind
+	entry *instance
+	// life is that of the entry's process when the request was sent, and lifeEnd
+	// when it had ended.
+	life, lifeEnd int
+	sent, done    time.Time
+	// cancelled is set where the caller left early.
+	cancelled bool
+	result    platformtest.Result
+	runs      []platformtest.Run
+	// arrivals is how often the request reached an endpoint.
+	arrivals []time.Time
+}
+
+// document is a configuration that an operator has sent.
+type document struct {
+	number  uint64
+	content []byte
+	sent    time.Time
+	// acked is zero while nobody has acknowledged it.
+	acked   time.Time
+	invalid bool
+}
+
+// ledger keeps what callers, operators and endpoints see. It is safe for
+// concurrent use.
+type ledger struct {
+	mu        sync.Mutex
+	requests  map[string]*request
+	documents map[uint64]*document
+	// weights and weightsAcked are the newest version named and acknowledged.
+	weights, weightsAcked uint64
+	orders                []platformtest.Order
+	disruptions           []disruption
+	breaches              []Breach
+}
+
+// disruption is a time in which something was wrong on purpose.
+type disruption struct {
+	what     string
+	planned  bool
+	from, to time.Time
+}
+
+// Breach is a broken promise.
+type Breach struct {
+	// Promise is a short name of what was promised.
+	Promise string
+	// Request is the identity of the request that shows it; empty for none.
+	Request string
+	Text    string
+}
+
+func (b Breach) String() string {
+	if b.Request == "" {
+		return b.Promise + ": " + b.Text
+	}
+	return b.Promise + ": request " + b.Request + " " + b.Text
+}
+
+func newLedger() *ledger {
+	return &ledger{requests: map[string]*request{}, documents: map[uint64]*document{}, weights: 1, weightsAcked: 1}
+}
+
+func (l *ledger) breach(promise, request, format string, values ...any) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.breachLocked(promise, request, format, values...)
+}
+
+func (l *ledger) breachLocked(promise, request, format string, values ...any) {
+	l.breaches = append(l.breaches, Breach{Promise: promise, Request: request, Text: fmt.Sprintf(format, values...)})
+}
+
+func (l *ledger) sending(r *request) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.requests[r.ID] = r
+}
+
+func (l *ledger) ended(r *request, result platformtest.Result, cancelled bool) {
+	life, _ := r.entry.Life()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r.result, r.cancelled, r.done, r.lifeEnd = result, cancelled, time.Now(), life
+}
+
+// began notes that an endpoint began to work on a request.
+func (l *ledger) began(run platformtest.Run) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.requests[run.Request]
+	if r == nil {
+		l.breachLocked("nothing unasked", run.Request, "runs at %s, but no caller sent it", run.Endpoint)
+		return
+	}
+	r.runs = append(r.runs, run)
+}
+
+// arrived notes that a request reached an endpoint.
+func (l *ledger) arrived(id, _ string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r := l.requests[id]; r != nil {
+		r.arrivals = append(r.arrivals, time.Now())
+	}
+}
+
+func (l *ledger) ordered(o platformtest.Order) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.orders = append(l.orders, o)
+}
+
+func (l *ledger) sendingDocument(d *document) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.documents[d.number] = d
+}
+
+func (l *ledger) ackedDocument(d *document) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	d.acked = time.Now()
+}
+
+// newestAcked is the highest number that is acknowledged; zero for none.
+func (l *ledger) newestAcked() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var newest uint64
+	for number, d := range l.documents {
+		if !d.acked.IsZero() {
+			newest = max(newest, number)
+		}
+	}
+	return newest
+}
+
+// read notes what a control instance gave as the newest configuration, where
+// acked was acknowledged before it was asked.
+func (l *ledger) read(from string, acked, number uint64, content []byte) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	sent := l.documents[number]
+	switch {
+	case number < acked:
+		l.breachLocked("no older configuration is read", "", "%s gave %d after %d was acknowledged", from, number, acked)
+	case sent == nil:
+		l.breachLocked("configurations are those sent", "", "%s gave %d, which nobody sent", from, number)
+	case sent.invalid:
+		l.breachLocked("nothing invalid is in force", "", "%s gave the invalid %d", from, number)
+	case string(sent.content) != string(content):
+		l.breachLocked("configurations are those sent", "", "%s gave other content under %d", from, number)
+	}
+}
+
+func (l *ledger) newestWeights() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.weights
+}
+
+func (l *ledger) nameWeights() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.weights++
+	return l.weights
+}
+
+func (l *ledger) ackedWeights(version uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.weightsAcked = max(l.weightsAcked, version)
+}
+
+// disrupt notes a disruption; the returned function notes its end.
+func (l *ledger) disrupt(what string, planned bool) (over func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := len(l.disruptions)
+	l.disruptions = append(l.disruptions, disruption{what: what, planned: planned, from: time.Now()})
+	return func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.disruptions[n].to = time.Now()
+	}
+}
--- /dev/null
+++ b/soak/process.go
@@ -0,0 +1,191 @@
+package soak
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// restartAfter is the time after which a process that ended by itself is started
+// again.
+const restartAfter = 300 * time.Millisecond
+
+// Process is one instance of the system, as a process of its own. It is safe
+// for concurrent use.
+type Process struct {
+	Name string
+	// binary is the daemon, settings its settings file, and output the file that
+	// takes what it writes.
+	binary, settings, output string
+	// data is the folder of its state; empty for none.
+	data string
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	ended   chan struct{}
+	// wanted is set while the process should be running.
+	wanted bool
+	// asked is set while it has been told to end.
+	asked bool
+	life  int
+	exits int
+}
+
+// Start starts the process, unless it runs.
+func (p *Process) Start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.wanted = true
+	if p.command != nil {
+		return nil
+	}
+	output, err := os.OpenFile(p.output, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	command := exec.Command(p.binary, "forward", "-settings", p.settings)
+	command.Stdout, command.Stderr = output, output
+	if err := command.Start(); err != nil {
+		_ = output.Close()
+		return err
+	}
+	p.command, p.asked = command, false
+	p.ended = make(chan struct{})
+	p.life++
+	go p.await(command, output, p.ended)
+	return nil
+}
+
+// await notes the end of the process, and starts it again if nobody asked for
+// that end.
+func (p *Process) await(command *exec.Cmd, output *os.File, ended chan struct{}) {
+	_ = command.Wait()
+	_ = output.Close()
+	p.mu.Lock()
+	p.command = nil
+	again := p.wanted && !p.asked
+	if again {
+		p.exits++
+	}
+	p.mu.Unlock()
+	close(ended)
+	if again {
+		time.Sleep(restartAfter)
+		p.mu.Lock()
+		again = p.wanted
+		p.mu.Unlock()
+		if again {
+			_ = p.Start()
+		}
+	}
+}
+
+// signal sends a signal to the process, if it runs.
+func (p *Process) signal(s syscall.Signal) {
+	if p.command != nil {
+		_ = p.command.Process.Signal(s)
+	}
+}
+
+// Kill ends the process at once and waits until it has ended.
+func (p *Process) Kill() {
+	p.mu.Lock()
+	p.wanted, p.asked = false, true
+	p.signal(syscall.SIGKILL)
+	running, ended := p.command != nil, p.ended
+	p.mu.Unlock()
+	if running {
+		<-ended
+	}
+}
+
+// Terminate asks the process to end, waits until it has, and kills it when that
+// takes too long. It says whether the process ended by itself.
+func (p *Process) Terminate(grace time.Duration) bool {
+	p.mu.Lock()
+	p.wanted, p.asked = false, true
+	p.signal(syscall.SIGTERM)
+	running, ended := p.command != nil, p.ended
+	p.mu.Unlock()
+	if !running {
+		return true
+	}
+	select {
+	case <-ended:
+		return true
+	case <-time.After(grace):
+		p.Kill()
+		return false
+	}
+}
+
+// Pause stops the process from running, and Resume lets it go on.
+func (p *Process) Pause() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.signal(syscall.SIGSTOP)
+}
+
+// Resume lets a paused process go on.
+func (p *Process) Resume() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.signal(syscall.SIGCONT)
+}
+
+// Reload tells the process that its settings file has changed.
+func (p *Process) Reload() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.signal(syscall.SIGHUP)
+}
+
+// Wipe removes the state of a process that does not run.
+func (p *Process) Wipe() error {
+	if err := os.RemoveAll(p.data); err != nil {
+		return err
+	}
+	return os.MkdirAll(p.data, 0o700)
+}
+
+// Tear adds bytes to the end of the newest file of a process that does not run,
+// as a write leaves them that power loss cut off before it was synced.
+func (p *Process) Tear(bytes []byte) error {
+	var newest string
+	var at time.Time
+	err := filepath.Walk(p.data, func(path string, info os.FileInfo, err error) error {
+		if err == nil && info.Mode().IsRegular() && filepath.Ext(path) == logSuffix && info.ModTime().After(at) {
+			newest, at = path, info.ModTime()
+		}
+		return err
+	})
+	if err != nil || newest == "" {
+		return err
+	}
+	file, err := os.OpenFile(newest, os.O_APPEND|os.O_WRONLY, 0)
+	if err != nil {
+		return err
+	}
+	_, err = file.Write(bytes)
+	if closed := file.Close(); err == nil {
+		err = closed
+	}
+	return err
+}
+
+// Life counts the starts of the process; running says whether it runs now.
+func (p *Process) Life() (life int, running bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.life, p.command != nil && !p.asked
+}
+
+// Exits is how often the process ended though nobody asked it to.
+func (p *Process) Exits() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.exits
+}
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,94 @@
+package soak
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// build builds the daemon that the runs start.
+func build(t *testing.T) string {
+	t.Helper()
+	daemon := filepath.Join(t.TempDir(), "carawaystiled")
+	command := exec.Command("go", "build", "-o", daemon, "../cmd/carawaystiled")
+	output, err := command.CombinedOutput()
+	assert.NilError(t, err, "%s", output)
+	return daemon
+}
+
+// play runs a deployment and reports what was broken.
+func play(t *testing.T, o Options) *Outcome {
+	t.Helper()
+	o.Folder = t.TempDir()
+	o.Progress = func(line string) { t.Log(line) }
+	outcome, err := Run(o)
+	assert.NilError(t, err)
+	t.Log(outcome)
+	if len(outcome.Breaches) > 0 {
+		t.Errorf("seed %d:\n%s%s", o.Seed, outcome.Report(o.Folder), tails(o.Folder))
+	}
+	return outcome
+}
+
+// tails gives the last lines of each process's log: the folder goes with the
+// test.
+func tails(folder string) string {
+	const last = 3000
+	logs, _ := filepath.Glob(filepath.Join(folder, "*.log"))
+	var b strings.Builder
+	for _, log := range logs {
+		text, err := os.ReadFile(log)
+		if err != nil {
+			continue
+		}
+		b.WriteString("-- " + filepath.Base(log) + "\n")
+		b.Write(text[max(0, len(text)-last):])
+	}
+	return b.String()
+}
+
+// A whole deployment as separate processes: three control and three entry
+// instances, with endpoints, the list, the store, operators and callers around
+// them. In calm, everything that is sent is served.
+func TestACalmDeploymentServesEverything(t *testing.T) {
+	outcome := play(t, Options{
+		Daemon: build(t), Seed: 1, For: 8 * time.Second, Controls: 3, Entries: 3,
+		Faults: []string{"a new configuration", "new weights", "reload settings"},
+	})
+	assert.Assert(t, outcome.Served > 0)
+	assert.Equal(t, outcome.Exits, 0)
+}
+
+// The same under faults of every kind. The seed draws which.
+func TestFaultsBreakNoPromise(t *testing.T) {
+	outcome := play(t, Options{Daemon: build(t), Seed: 20, For: 12 * time.Second, Controls: 3, Entries: 3})
+	assert.Assert(t, outcome.Served > 0)
+}
+
+// Seeds that once broke a promise stay here, each with its cause.
+func TestSeedsThatOnceFailed(t *testing.T) {
+	text, err := os.ReadFile("testdata/seeds.txt")
+	assert.NilError(t, err)
+	daemon := build(t)
+	for line := range strings.Lines(string(text)) {
+		fields := strings.Fields(line)
+		if len(fields) < 5 || strings.HasPrefix(line, "#") {
+			continue
+		}
+		seed, err := strconv.ParseUint(fields[0], 10, 64)
+		assert.NilError(t, err)
+		length, err := time.ParseDuration(fields[1])
+		assert.NilError(t, err)
+		controls, err := strconv.Atoi(fields[2])
+		assert.NilError(t, err)
+		entries, err := strconv.Atoi(fields[3])
+		assert.NilError(t, err)
+		play(t, Options{Daemon: daemon, Seed: seed, For: length, Controls: controls, Entries: entries})
+	}
+}
