Explain a request from collected logs; say in each decision what it rested on

Cause: on-call engineers have logs and metrics only. Lines of a request named its endpoint but not why it was chosen, nor how old what was known was; nothing put the lines of several processes together; and failures were sampled like answers.

Change: carawaystile explain ID LOGFILE... tells a request's life in order, what happened at its endpoints and in its processes around it, and which control instances' logs are missing. Lines 1010, 1011 and 1005 have the rule, the load believed and its age, how long ago a control instance answered, and for refusals a count of the endpoints by why they could not take it. Every line names its instance. Metrics: attempts, repeats, placements by rule, waits before placing and between events, ages of what is believed, numbers of what is decided. validate checks settings of forwarding instances and operators' documents.

Found by it in the first log read: event 3019 came 30 times a second from every instance while no control instance answered. It comes once for each loss now.

Ruled out: zap's own sampler for all lines alike (it drops failures first when a flood of answers shares no text with them, but nobody could see how many).

--- a/cli/status.go
+++ b/cli/status.go
@@ -122,15 +122,24 @@
 
 func (*explainCommand) Usage() string {
 	return `explain [-json] REQUEST
-  Shows the last decision on a request: the candidates, what each scored, and
-  the choice. REQUEST is the id of the answer. Only the entry instance that
-  served the request knows it, for a while; name all of them in -instances.
+explain REQUEST LOGFILE...
+  Without log files, shows the last decision on a request: the candidates, what
+  each scored, and the choice. REQUEST is the id of the answer. Only the entry
+  instance that served the request knows it, for a while; name all of them in
+  -instances.
+  With log files, tells the life of a request of a forwarding deployment from
+  the collected logs of its processes, in order: what was decided and on what,
+  how it ended, and what happened around it. - reads standard input. Talks to no
+  instance.
 ` + remoteUsage
 }
 
 func (c *explainCommand) SetFlags(f *flag.FlagSet) { c.setFlags(f) }
 
 func (c *explainCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() > 1 {
+		return explainLogs(f.Arg(0), f.Args()[1:])
+	}
 	if f.NArg() != 1 {
 		f.Usage()
 		return exitUsage
--- /dev/null
+++ b/cli/trail.go
@@ -0,0 +1,43 @@
+package cli
+
+import (
+	"errors"
+	"os"
+
+	"github.com/google/subcommands"
+	"github.com/gravitational/trace"
+
+	"github.com/carawaystile/carawaystile/logs/trail"
+)
+
+// explainLogs tells the life of a request from log files; - is standard input.
+func explainLogs(request string, paths []string) subcommands.ExitStatus {
+	reader := trail.NewReader(request)
+	for _, path := range paths {
+		if err := readLog(reader, path); err != nil {
+			return fail(exitFailure, err)
+		}
+	}
+	found, err := reader.Trail()
+	var missing *trail.NotFound
+	if err != nil && !errors.As(err, &missing) {
+		return fail(exitFailure, err)
+	}
+	found.Write(os.Stdout)
+	if missing != nil {
+		return fail(exitFailure, missing)
+	}
+	return exitOK
+}
+
+func readLog(reader *trail.Reader, path string) error {
+	if path == "-" {
+		return trace.Wrap(reader.Read("standard input", os.Stdin))
+	}
+	file, err := os.Open(path)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	defer func() { _ = file.Close() }()
+	return trace.Wrap(reader.Read(path, file))
+}
--- a/cli/validate.go
+++ b/cli/validate.go
@@ -10,28 +10,35 @@
 	"github.com/google/subcommands"
 	"github.com/gravitational/trace"
 
+	"github.com/carawaystile/carawaystile/platform"
 	"github.com/carawaystile/carawaystile/settings"
 )
 
 // validateCommand checks files without talking to any instance.
 type validateCommand struct {
-	asJSON  bool
-	process bool
+	asJSON     bool
+	process    bool
+	forwarding bool
+	document   bool
 }
 
 func (*validateCommand) Name() string     { return "validate" }
 func (*validateCommand) Synopsis() string { return "check declarations or settings files" }
 
 func (*validateCommand) Usage() string {
-	return `validate [-settings] [-json] PATH
-  Checks the declarations in a file or folder, or with -settings the settings
-  file of one instance. Talks to no instance. Exit code 3 if there are faults.
+	return `validate [-settings | -forwarding | -document] [-json] PATH
+  Checks the declarations in a file or folder; with -settings the settings file
+  of one instance, with -forwarding that of one instance of a forwarding
+  deployment, with -document an operator's document for such a deployment.
+  Talks to no instance. Exit code 3 if there are faults.
 `
 }
 
 func (c *validateCommand) SetFlags(f *flag.FlagSet) {
 	f.BoolVar(&c.asJSON, "json", false, "print the result as one JSON object")
 	f.BoolVar(&c.process, "settings", false, "PATH is the settings file of one instance")
+	f.BoolVar(&c.forwarding, "forwarding", false, "PATH is the settings file of one instance of a forwarding deployment")
+	f.BoolVar(&c.document, "document", false, "PATH is an operator's document for a forwarding deployment")
 }
 
 // validateResult is what -json prints.
@@ -80,13 +87,40 @@
 
 // check reads the path and sums up what it holds.
 func (c *validateCommand) check(path string) (string, error) {
-	if c.process {
+	switch {
+	case c.forwarding:
+		s, err := settings.ReadForwarding(path)
+		if err != nil {
+			return "", err
+		}
+		return fmt.Sprintf("instance %s in zone %s", s.Instance, s.Zone), nil
+	case c.document:
+		return checkDocument(path)
+	case c.process:
 		p, err := settings.ReadProcess(path)
 		if err != nil {
 			return "", err
 		}
 		return fmt.Sprintf("instance %s in zone %s", p.Instance, p.Zone), nil
 	}
+	return checkDeclarations(path)
+}
+
+// checkDocument reads an operator's document as control instances do.
+func checkDocument(path string) (string, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return "", trace.ConvertSystemError(err)
+	}
+	table, err := platform.Configuration(text)
+	if err != nil {
+		return "", &settings.Invalid{Problems: []settings.Problem{{File: path, Wrong: err.Error(), Right: "a document that an operator can send"}}}
+	}
+	return fmt.Sprintf("number %d with %d routes, %d services, %d organisations",
+		table.Number, len(table.Routes), len(table.Services), len(table.Organisations)), nil
+}
+
+func checkDeclarations(path string) (string, error) {
 	d, err := settings.ReadDeclarations(path)
 	if err != nil {
 		return "", err
--- a/cmd/carawaystiled/forward.go
+++ b/cmd/carawaystiled/forward.go
@@ -63,7 +63,7 @@
 	}
 	writer := logs.NewWriter(os.Stdout)
 	defer writer.Close()
-	log := logs.New(writer, read.LogLevel)
+	log := logs.New(writer, read.LogLevel, zap.String("instance", string(read.Instance)))
 	n, err := node.Start(node.Options{Settings: read, Platform: onPlatform(read), Log: log})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/control/deployment/client.go
+++ b/control/deployment/client.go
@@ -51,15 +51,17 @@
 	have    map[string]uint64
 	fleet   *fleet.Copy
 	from    string
-	// followed is the source that answered last.
+	// followed is the source that answered last, and lost are those of which was
+	// logged that they do not answer or are cut off.
 	followed string
+	lost     map[string]bool
 	at       int
 	movedAt  time.Time
 }
 
 // NewClient returns a client that has nothing yet.
 func NewClient(options ClientOptions) *Client {
-	return &Client{options: options, have: map[string]uint64{}, fleet: fleet.NewCopy()}
+	return &Client{options: options, have: map[string]uint64{}, lost: map[string]bool{}, fleet: fleet.NewCopy()}
 }
 
 // Run follows until the context ends.
@@ -86,11 +88,10 @@
 		c.move(ctx, source, err)
 		return false
 	}
-	if c.followed != source.Name {
-		c.followed = source.Name
-		events.SourceFollowed.Log(c.options.Log, zap.String("source", source.Name), zap.Bool("behind", answer.GetBehind()))
-	}
 	c.take(source, answer)
+	if !answer.GetBehind() {
+		c.noteFollowed(source)
+	}
 	if answer.GetBehind() && len(sources) > 1 {
 		// It is cut off from its group: others may have newer documents.
 		c.move(ctx, source, nil)
@@ -121,9 +122,22 @@
 		c.movedAt = time.Now()
 	}
 	c.at++
-	if ctx.Err() == nil {
-		events.SourceLost.Log(c.options.Log, zap.String("source", from.Name), zap.Error(err))
+	if ctx.Err() == nil && !c.lost[from.Name] {
+		c.lost[from.Name] = true
+		events.SourceLost.Log(c.options.Log, zap.String("source", from.Name), zap.Bool("behind", err == nil), zap.Error(err))
+	}
+}
+
+// noteFollowed logs when another source than before is followed, or one that was
+// lost is back. While no source answers, each is logged once: all are asked some
+// thirty times a second, and the log of that would push out what explains it.
+func (c *Client) noteFollowed(source Source) {
+	if c.followed == source.Name && !c.lost[source.Name] {
+		return
 	}
+	c.followed = source.Name
+	delete(c.lost, source.Name)
+	events.SourceFollowed.Log(c.options.Log, zap.String("source", source.Name))
 }
 
 // take hands out what is new. A document never goes back, whichever source
--- a/control/deployment/client_test.go
+++ b/control/deployment/client_test.go
@@ -7,8 +7,10 @@
 	"testing"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
 
+	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/fleet"
 	"github.com/carawaystile/carawaystile/rpc"
 	"github.com/carawaystile/carawaystile/tables"
@@ -107,3 +109,24 @@
 	source, _ := c.fleet.Position()
 	assert.Equal(t, source, uint64(9))
 }
+
+// All control instances are out of reach for seconds and asked some thirty times
+// a second meanwhile. The log must say so once for each, and once that they are
+// back, or it holds nothing else when the engineer on call looks.
+func TestALossIsLoggedOnce(t *testing.T) {
+	failing := func(*rpc.FollowRequest) (*rpc.FollowAnswer, error) { return nil, &gone{} }
+	first, second := &scriptedSource{answer: failing}, &scriptedSource{answer: documents(5, true)}
+	c, _ := follower(first, second)
+	core, logged := observer.New(zap.InfoLevel)
+	c.options.Log = zap.New(core)
+	for range 20 {
+		c.step(t.Context())
+	}
+	assert.Equal(t, logged.FilterMessage(events.SourceLost.Text).Len(), 2)
+	first.answer = documents(7, false)
+	for range 4 {
+		c.step(t.Context())
+	}
+	assert.Equal(t, logged.FilterMessage(events.SourceFollowed.Text).Len(), 1)
+	assert.Equal(t, logged.FilterMessage(events.SourceLost.Text).Len(), 2)
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -97,6 +97,8 @@
 	Expected time.Duration
 	// Uncached counts the prompt tokens that the endpoint has to read.
 	Uncached int
+	// Known is what the choice rested on.
+	Known Known
 
 	row       *endpointRow
 	began     tables.Instant
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -62,6 +62,10 @@
 	uncached float64
 	// source most likely holds shared parts that the endpoint does not.
 	source *endpointRow
+	// fetched counts the tokens to be had from there, and home is set for the
+	// home of a part that nobody has read.
+	fetched int
+	home    bool
 	// again counts tokens that would be read though another request is reading
 	// them just now, and readyAt is when they can be had.
 	again   int
@@ -185,7 +189,7 @@
 	own := v.at(now, r, c.row)
 	source, there := v.sourceFor(now, r, c.row)
 	got := max(own, there)
-	c.source = source
+	c.source, c.fetched, c.home = source, got-own, v.home == c.row
 	c.uncached = float64(r.PromptTokens - got)
 	c.wait = baseFirst + (c.row.ahead(now)+c.uncached)/c.row.rate + fetchTime*float64(got-own)
 	c.cost = c.wait + copyCost*float64(got-own) + d.stale(now, r, c.row)
@@ -217,6 +221,7 @@
 		Endpoint:  c.row.Endpoint,
 		Expected:  time.Duration(c.wait * float64(time.Millisecond)),
 		Uncached:  int(c.uncached),
+		Known:     known(now, r, &c),
 		row:       c.row,
 		began:     now,
 		tokens:    r.tokens(),
--- a/events/control.go
+++ b/events/control.go
@@ -32,6 +32,6 @@
 	RolloutFenced         = define(3025, zapcore.WarnLevel, "An endpoint has seen a newer fencing number; the lease is given up.")
 	ControlReplicaRemoved = define(3026, zapcore.WarnLevel, "A control replica that is gone is removed to make room for a new one.")
 	ControlDiskFull       = define(3027, zapcore.ErrorLevel, "The disk of a control replica is full. The replica does not take part in the group until there is room.")
-	SourceFollowed        = define(3028, zapcore.InfoLevel, "Another control instance than before is followed.")
+	SourceFollowed        = define(3028, zapcore.InfoLevel, "A control instance is followed that was not before, or was lost.")
 	ListRead              = define(3029, zapcore.InfoLevel, "The platform's list can be read again.")
 )
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -55,6 +55,7 @@
 		arrived: s.options.Now(),
 	}
 	t.ctx, t.cancel = context.WithCancel(j.ctx)
+	s.metrics.placed(j, chosen.Known.Rule)
 	s.mu.Lock()
 	life := quarantine.Life{Endpoint: chosen.Endpoint.ID}
 	s.suspects.Started(t.arrived, t.id, life, j.fingerprint)
@@ -166,6 +167,7 @@
 	defer s.mu.Unlock()
 	now := s.options.Now()
 	s.dispatch.Ended(now, t.chosen, how)
+	s.metrics.attempted(t.job, how)
 	switch how {
 	case dispatch.Completed:
 		s.suspects.Completed(t.id)
@@ -242,5 +244,10 @@
 		zap.Uint64("weights", t.chosen.Weights),
 		zap.Duration("expected", t.chosen.Expected),
 		zap.Duration("took", t.job.now()-t.arrived),
+		zap.String("rule", string(t.chosen.Known.Rule)),
+		zap.Int("own", t.chosen.Known.Own),
+		zap.Int("others", t.chosen.Known.Others),
+		zap.Duration("load_age", t.chosen.Known.Age),
+		zap.Float64("doubt", t.chosen.Known.Doubt),
 	}
 }
--- a/forward/failure.go
+++ b/forward/failure.go
@@ -84,7 +84,7 @@
 	j.server.metrics.failed(j, code, result)
 	events.RequestFailed.Log(j.server.log, append(j.fields(),
 		zap.Int("status", status), zap.Uint16("code", uint16(code)), zap.String("outcome", string(result)),
-		zap.NamedError("cause", j.failed))...)
+		zap.String("endpoints", j.census()), zap.NamedError("cause", j.failed))...)
 }
 
 // done notes a request that got an endpoint's answer.
@@ -95,7 +95,9 @@
 		zap.Int("status", status), zap.Duration("first", j.first), zap.Duration("placed", t.arrived-j.arrived),
 		zap.String("endpoint", string(t.chosen.Endpoint.ID)), zap.Uint64("weights", t.chosen.Weights),
 		zap.Duration("expected", t.chosen.Expected), zap.Int("to_read", t.chosen.Uncached),
-		zap.String("source", string(t.chosen.Source.ID)))...)
+		zap.String("source", string(t.chosen.Source.ID)), zap.String("rule", string(t.chosen.Known.Rule)),
+		zap.Int("own", t.chosen.Known.Own), zap.Int("others", t.chosen.Known.Others),
+		zap.Duration("load_age", t.chosen.Known.Age))...)
 }
 
 // cut breaks off a stream that cannot be completed. The connection ends without
@@ -130,5 +132,17 @@
 	if j.org != nil {
 		fields = append(fields, zap.String("organisation", string(j.org.ID)))
 	}
-	return fields
+	return append(fields, zap.Duration("control_heard", j.server.sinceControl()))
+}
+
+// census is what stood in the way of a request at the endpoints of its service;
+// empty where it was not matched to one.
+func (j *job) census() string {
+	if j.service == nil {
+		return ""
+	}
+	s := j.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dispatch.Census(j.now(), &j.ask).String()
 }
--- a/forward/job.go
+++ b/forward/job.go
@@ -53,7 +53,9 @@
 	// the number of the last event it has.
 	started bool
 	// first is how long the first event took.
-	first     time.Duration
+	first time.Duration
+	// eventAt is when the last event went to the caller.
+	eventAt   tables.Instant
 	lastEvent string
 	lastID    int64
 	hasLast   bool
--- a/forward/measure.go
+++ b/forward/measure.go
@@ -2,13 +2,15 @@
 
 import (
 	"strconv"
+	"time"
 
+	"github.com/carawaystile/carawaystile/dispatch"
 	"github.com/carawaystile/carawaystile/metrics"
 	"github.com/carawaystile/carawaystile/tables"
 )
 
-// measurements counts requests and the time until they are answered. The nil
-// value measures nothing.
+// measurements counts requests, attempts and placements, and measures the times
+// that callers wait. The nil value measures nothing.
 type measurements struct {
 	registry *metrics.Registry
 	requests *metrics.Requests
@@ -21,13 +23,54 @@
 	return &measurements{registry: registry, requests: metrics.NewRequests(registry)}
 }
 
+// class is a request's rank among the classes that are measured.
+func (j *job) class() tables.Priority {
+	return tables.Priority(min(max(j.ask.Priority, 0), int(tables.Priorities)-1))
+}
+
 // first takes the time to a stream's first event.
 func (m *measurements) first(j *job) {
+	if m != nil {
+		m.requests.ObserveTTFT(j.organisation(), "", j.class(), j.now()-j.arrived)
+	}
+}
+
+// gap takes the time between two events of a stream.
+func (m *measurements) gap(j *job, took time.Duration) {
+	if m != nil {
+		m.requests.ObserveTokenGap(j.organisation(), j.class(), took)
+	}
+}
+
+// placed takes the time until a request was first placed, and by which rule an
+// endpoint was chosen.
+func (m *measurements) placed(j *job, rule dispatch.Rule) {
+	if m == nil {
+		return
+	}
+	if j.sends == 0 {
+		m.requests.ObserveQueueWait(j.organisation(), j.class(), j.now()-j.arrived)
+	}
+	m.registry.Counter("carawaystile_placements_total", "Attempts, by the rule that chose the endpoint.",
+		metrics.Label{Name: "rule", Value: string(rule)}).Inc(1)
+}
+
+// attempted takes the end of an attempt.
+func (m *measurements) attempted(j *job, how dispatch.End) {
+	if m == nil {
+		return
+	}
+	m.registry.Counter("carawaystile_attempts_total", "Attempts at endpoints, by how they ended.",
+		metrics.Label{Name: "service", Value: j.service.Name}, metrics.Label{Name: "end", Value: how.String()}).Inc(1)
+}
+
+// repeated takes a request that goes to a further endpoint.
+func (m *measurements) repeated(j *job) {
 	if m == nil {
 		return
 	}
-	priority := tables.Priority(min(max(j.ask.Priority, 0), int(tables.Priorities)-1))
-	m.requests.ObserveTTFT(j.organisation(), "", priority, j.now()-j.arrived)
+	m.registry.Counter("carawaystile_repeats_total", "Requests that went to a further endpoint.",
+		metrics.Label{Name: "service", Value: j.service.Name}).Inc(1)
 }
 
 // answered takes a request that got an endpoint's answer.
@@ -43,10 +86,30 @@
 
 // failed takes a request that got none.
 func (m *measurements) failed(j *job, code tables.Code, result tables.Outcome) {
-	if m == nil {
+	if m != nil {
+		m.requests.CountRefused(j.organisation(), code, result)
+	}
+}
+
+// ages publishes how old what this instance believes is, whenever somebody reads
+// the measurements.
+func (s *Server) ages(registry *metrics.Registry) {
+	if registry == nil {
 		return
 	}
-	m.requests.CountRefused(j.organisation(), code, result)
+	heard := registry.Gauge("carawaystile_control_heard_seconds", "Time since a control instance last answered this instance.")
+	number := registry.Gauge("carawaystile_configuration_number", "Number of the configuration in force on this instance.")
+	ready := registry.Gauge("carawaystile_ready", "1 if the balancer may send callers here.")
+	registry.BeforeWrite(func() {
+		heard.Update(s.sinceControl().Seconds())
+		if table := s.Configuration(); table != nil {
+			number.Update(float64(table.Number))
+		}
+		ready.Update(0)
+		if s.Ready() {
+			ready.Update(1)
+		}
+	})
 }
 
 func (j *job) organisation() tables.OrganisationID {
--- a/forward/place.go
+++ b/forward/place.go
@@ -116,5 +116,6 @@
 	if !s.dispatch.Repeat(s.options.Now(), j.service.Name) {
 		return tables.CodeRetryBudget
 	}
+	s.metrics.repeated(j)
 	return 0
 }
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -153,7 +153,10 @@
 		j.w.WriteHeader(answer.Status)
 		j.first = j.now() - j.arrived
 		j.server.metrics.first(j)
+	} else {
+		j.server.metrics.gap(j, j.now()-j.eventAt)
 	}
+	j.eventAt = j.now()
 	_ = control.SetWriteDeadline(time.Now().Add(writeStall))
 	if _, err := j.w.Write(event.Raw); err != nil {
 		return err
--- a/forward/server.go
+++ b/forward/server.go
@@ -54,12 +54,15 @@
 
 // Server serves callers. It is safe for concurrent use.
 type Server struct {
-	options  Options
-	headers  *dialect.Headers
-	log      *zap.Logger
-	gate     *gate.Gate
-	metrics  *measurements
-	held     atomic.Int64
+	options Options
+	headers *dialect.Headers
+	log     *zap.Logger
+	gate    *gate.Gate
+	metrics *measurements
+	held    atomic.Int64
+	// heard is when a control instance last answered this one, in nanoseconds
+	// of the process's clock; 0 for never.
+	heard    atomic.Int64
 	attempts atomic.Uint64
 
 	routes atomic.Pointer[routes.Table]
@@ -85,7 +88,7 @@
 	if o.Share == nil {
 		o.Share = func([]quarantine.Suspect) {}
 	}
-	return &Server{
+	s := &Server{
 		options:  o,
 		headers:  o.Headers,
 		log:      o.Log,
@@ -95,6 +98,8 @@
 		suspects: quarantine.New(quarantine.Options{}),
 		known:    make(chan struct{}),
 	}
+	s.ages(o.Registry)
+	return s
 }
 
 // noteKnown lets requests that wait for the first configuration and endpoints
@@ -163,6 +168,15 @@
 	s.dispatch.Told(s.options.Now(), p)
 }
 
+// HeardControl notes that a control instance has answered: what is in force here
+// is no older than that.
+func (s *Server) HeardControl() { s.heard.Store(int64(s.options.Now())) }
+
+// sinceControl is how long ago a control instance last answered.
+func (s *Server) sinceControl() time.Duration {
+	return s.options.Now() - tables.Instant(s.heard.Load())
+}
+
 // Ready says whether the balancer should send callers here.
 func (s *Server) Ready() bool {
 	return s.gate.State().Ready() && s.routes.Load() != nil && s.hasFleet.Load()
--- /dev/null
+++ b/logs/trail/story.go
@@ -0,0 +1,129 @@
+package trail
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/carawaystile/carawaystile/events"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// meanings of the codes that refusals and failures carry.
+var meanings = map[tables.Code]string{
+	tables.CodeUnknownRoute:   "no route has this host and path",
+	tables.CodeUnauthorised:   "its key is not known",
+	tables.CodeTooLarge:       "it is larger than the limits or than any endpoint allows",
+	tables.CodeMalformed:      "its body was not proper, or not sent whole",
+	tables.CodeSuspect:        "it is suspected of crashing endpoints",
+	tables.CodeOverloaded:     "every endpoint had as much as it can bear",
+	tables.CodeRetryBudget:    "the budget for second sends was used up",
+	tables.CodeNoEndpoint:     "no endpoint could be used",
+	tables.CodeDraining:       "the instance was leaving",
+	tables.CodeNotReady:       "the instance had just started and knew no configuration or no endpoints",
+	tables.CodeEndpointFailed: "the last endpoint that it may be sent to failed",
+	tables.CodeStreamBroken:   "its stream broke and no endpoint could go on with it",
+	tables.CodeTimeout:        "its time was up",
+	tables.CodeOutcomeUnknown: "an endpoint failed that may have run it, and it must not run again",
+}
+
+// meaningOf explains a code; empty for one that is not known.
+func meaningOf(code string) string {
+	n, err := strconv.ParseUint(code, 10, 16)
+	if err != nil {
+		return ""
+	}
+	return meanings[tables.Code(n)]
+}
+
+// Write tells the trail in order, then what happened around it.
+func (t *Trail) Write(w io.Writer) {
+	fmt.Fprintf(w, "request %s: %s\n", t.Request, t.verdict())
+	for i := range t.Lines {
+		t.writeLine(w, &t.Lines[i])
+	}
+	if len(t.Around) > 0 {
+		fmt.Fprintf(w, "around it, at its endpoints and in its processes:\n")
+	}
+	for i := range t.Around {
+		t.writeLine(w, &t.Around[i])
+	}
+	fmt.Fprintf(w, "logs read of: %s\n", strings.Join(t.Instances, ", "))
+	if len(t.Missing) > 0 {
+		fmt.Fprintf(w, "logs missing of the control instances at: %s\n", strings.Join(t.Missing, ", "))
+	}
+	if t.LeftOut > 0 {
+		fmt.Fprintf(w, "processes left lines out of their logs near this time: see event %d\n", events.LinesDropped.Number)
+	}
+}
+
+// verdict is how the request ended.
+func (t *Trail) verdict() string {
+	for _, line := range slices.Backward(t.Lines) {
+		switch line.Event {
+		case events.RequestAnswered.Number:
+			return "answered with " + line.Field("status") + " by " + line.Field("endpoint") + " after " + line.Field("took")
+		case events.RequestFailed.Number:
+			text := "answered with " + line.Field("status") + " after " + line.Field("took")
+			if meaning := meaningOf(line.Field("code")); meaning != "" {
+				text += ": " + meaning
+			}
+			if line.Field("outcome") == "not_run" {
+				return text + "; it has not run"
+			}
+			return text + "; whether it has run is not known"
+		case events.StreamCut.Number:
+			return "its stream was broken off after event " + line.Field("last_event")
+		case events.CallerGone.Number:
+			return "its caller left after " + line.Field("took")
+		}
+	}
+	return "its end is in none of the logs"
+}
+
+// leading are the fields that are told first, in this order.
+var leading = []string{
+	"endpoint", "end", "status", "code", "outcome", "rule", "took", "placed", "first", "expected", "own", "others",
+	"load_age", "doubt", "endpoints", "revision", "control_heard", "weights",
+}
+
+func (t *Trail) writeLine(w io.Writer, line *Line) {
+	fmt.Fprintf(w, "  %s %-10s %d %s\n", line.At.Format("15:04:05.000"), line.Instance, line.Event, line.Text)
+	var parts []string
+	tell := func(name string) {
+		if text := line.Field(name); text != "" && name != "request" {
+			parts = append(parts, name+"="+shorten(text))
+		}
+	}
+	for _, name := range leading {
+		tell(name)
+	}
+	rest := make([]string, 0, len(line.Fields))
+	for name := range line.Fields {
+		if !slices.Contains(leading, name) {
+			rest = append(rest, name)
+		}
+	}
+	slices.Sort(rest)
+	for _, name := range rest {
+		tell(name)
+	}
+	if len(parts) > 0 {
+		fmt.Fprintf(w, "      %s\n", strings.Join(parts, "  "))
+	}
+}
+
+// shorten takes digits off durations that nobody reads.
+func shorten(text string) string {
+	d, err := time.ParseDuration(text)
+	if err != nil || !strings.HasSuffix(text, "s") {
+		return text
+	}
+	if d >= time.Second {
+		return d.Round(time.Millisecond).String()
+	}
+	return d.Round(10 * time.Microsecond).String()
+}
--- a/logs/writer.go
+++ b/logs/writer.go
@@ -3,12 +3,8 @@
 
 import (
 	"io"
-	"strconv"
 	"sync"
 	"time"
-
-	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 )
 
 const (
@@ -25,6 +21,8 @@
 // output is stuck it drops lines: a request must not wait for a log.
 type Writer struct {
 	out io.Writer
+	// left counts lines that sampling left out.
+	left leftOut
 
 	mu      sync.Mutex
 	pending []byte
@@ -36,7 +34,7 @@
 
 // NewWriter returns a writer to out that runs until Close.
 func NewWriter(out io.Writer) *Writer {
-	w := &Writer{out: out, full: make(chan struct{}, 1), done: make(chan struct{})}
+	w := &Writer{out: out, left: leftOut{counts: map[string]int{}}, full: make(chan struct{}, 1), done: make(chan struct{})}
 	go w.run()
 	return w
 }
@@ -79,6 +77,7 @@
 	ticker := time.NewTicker(flushPeriod)
 	defer ticker.Stop()
 	var spare []byte
+	var told time.Time
 	for open := true; open; {
 		select {
 		case <-ticker.C:
@@ -90,8 +89,11 @@
 		dropped := w.dropped
 		w.dropped = 0
 		w.mu.Unlock()
-		if dropped > 0 {
-			lines = append(lines, droppedLine(dropped)...)
+		if now := time.Now(); dropped > 0 || !open || now.Sub(told) >= samplePeriod {
+			if left := w.left.take(); dropped > 0 || left != nil {
+				lines = append(lines, missingLine(now, dropped, left)...)
+			}
+			told = now
 		}
 		if len(lines) > 0 {
 			// A failed write leaves nobody to tell.
@@ -100,24 +102,3 @@
 		spare = lines
 	}
 }
-
-// droppedLine says how many lines are missing.
-func droppedLine(n int) string {
-	return `{"level":"warn","msg":"Log lines were dropped.","lines":` + strconv.Itoa(n) + ",\"event\":6010}\n"
-}
-
-// Sampling bounds the volume under load: of lines with the same text the first
-// ones of each second are written, and then one in some.
-const (
-	sampleFirst = 200
-	sampleThen  = 50
-)
-
-// New returns a logger of one JSON object a line.
-func New(w *Writer, level zapcore.Level) *zap.Logger {
-	config := zap.NewProductionEncoderConfig()
-	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	config.EncodeDuration = zapcore.StringDurationEncoder
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), w, level)
-	return zap.New(zapcore.NewSamplerWithOptions(core, time.Second, sampleFirst, sampleThen))
-}
--- a/logs/writer_test.go
+++ b/logs/writer_test.go
@@ -9,6 +9,8 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/events"
 )
 
 // output is a reader of logs that can be held up.
@@ -62,3 +64,56 @@
 	assert.Assert(t, strings.Contains(lines[0], `"request":"r-1"`))
 	assert.Assert(t, strings.Contains(lines[1], `"msg":"two"`))
 }
+
+// A flood of good answers must not push out what explains a failure, and the log
+// has to say what it leaves out.
+func TestFailuresAreKeptWhenAnswersAreLeftOut(t *testing.T) {
+	o := &output{hold: make(chan struct{})}
+	close(o.hold)
+	w := NewWriter(o)
+	log := New(w, zapcore.InfoLevel, zap.String("instance", "edge-1"))
+	const answers, failures = 900, 300
+	for range answers {
+		events.RequestAnswered.Log(log)
+	}
+	for range failures {
+		events.RequestFailed.Log(log)
+	}
+	w.Close()
+	assert.Equal(t, strings.Count(o.String(), events.RequestFailed.Text), failures)
+	written := strings.Count(o.String(), `"msg":"`+events.RequestAnswered.Text)
+	// A second may end in the middle of the flood: then the first ones of two.
+	assert.Assert(t, written >= routineFirst && written < answers, "%d", written)
+	assert.Assert(t, strings.Contains(o.String(), `"`+events.RequestAnswered.Text+`":`))
+	assert.Assert(t, strings.Contains(o.String(), `"instance":"edge-1"`))
+}
+
+// BenchmarkLine gives the cost of a line that is written, and of one that is
+// left out, beside a log that takes nothing.
+func BenchmarkLine(b *testing.B) {
+	o := &output{hold: make(chan struct{})}
+	close(o.hold)
+	fields := []zap.Field{
+		zap.String("request", "9c41d07be2a35f68"), zap.Duration("took", 12345678), zap.Int("sends", 1),
+		zap.String("route", "r-7eya6u6"), zap.Uint64("revision", 7), zap.String("organisation", "sese880"),
+	}
+	for _, c := range []struct {
+		name string
+		log  func(*Writer) *zap.Logger
+	}{
+		{"nothing", func(*Writer) *zap.Logger { return zap.NewNop() }},
+		{"left out", func(w *Writer) *zap.Logger { return New(w, zapcore.InfoLevel) }},
+		{"written", func(w *Writer) *zap.Logger {
+			return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), w, zapcore.InfoLevel))
+		}},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			w := NewWriter(o)
+			defer w.Close()
+			log := c.log(w)
+			for b.Loop() {
+				events.RequestAnswered.Log(log, fields...)
+			}
+		})
+	}
+}
--- a/metrics/registry.go
+++ b/metrics/registry.go
@@ -22,6 +22,7 @@
 
 	mu       sync.RWMutex
 	families map[string]string // family to help text
+	before   []func()
 }
 
 // NewRegistry returns an empty registry.
@@ -111,8 +112,22 @@
 	return all
 }
 
+// BeforeWrite has a function called each time before measurements are written,
+// to update those that are ages.
+func (r *Registry) BeforeWrite(update func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.before = append(r.before, update)
+}
+
 // WriteText writes all measurements in the text exposition format.
 func (r *Registry) WriteText(w io.Writer) error {
+	r.mu.RLock()
+	before := r.before
+	r.mu.RUnlock()
+	for _, update := range before {
+		update()
+	}
 	out := bufio.NewWriter(w)
 	family := ""
 	for _, s := range r.sorted() {
--- a/node/control.go
+++ b/node/control.go
@@ -79,6 +79,7 @@
 		Log:      n.log,
 	})
 	n.deployment = deployment.NewService(n.replica, n.fleet, n.runner.Holds)
+	n.measureControl()
 	n.background.Go(func() { n.runner.Run(n.stopping) })
 	n.background.Go(func() { n.followLeader(n.stopping) })
 	if s.List.IsValid() {
@@ -125,6 +126,7 @@
 			endpoints, err := list.Endpoints(ctx)
 			if err == nil {
 				n.fleet.List(append(endpoints, n.stores.reachable()...))
+				n.listRead.Store(int64(n.now()))
 			}
 			n.noteList(ctx, unread, err)
 			unread = err != nil
--- a/node/entry.go
+++ b/node/entry.go
@@ -51,7 +51,12 @@
 		Sources:  n.controlSources,
 		Document: n.takeDocument,
 		Fleet:    func(c *fleet.Copy) { n.entry.Fleet(c.Endpoints()) },
-		Log:      n.log,
+		Answered: func(_ deployment.Source, answer *rpc.FollowAnswer) {
+			if !answer.GetBehind() {
+				n.entry.HeardControl()
+			}
+		},
+		Log: n.log,
 	})
 	n.background.Go(func() { n.follow.Run(n.stopping) })
 	if err := n.serve(&http.Server{Handler: n.entry}, s.Listen.Callers); err != nil {
--- /dev/null
+++ b/node/measure.go
@@ -0,0 +1,38 @@
+package node
+
+import (
+	"time"
+
+	"github.com/carawaystile/carawaystile/control/state"
+	"github.com/carawaystile/carawaystile/metrics"
+)
+
+// measureControl publishes what this control instance is and knows, and how old
+// that is, whenever somebody reads the measurements.
+func (n *Node) measureControl() {
+	leads := n.registry.Gauge("carawaystile_leads", "1 if this control replica leads the group.")
+	voter := n.registry.Gauge("carawaystile_votes", "1 if this control replica votes.")
+	orders := n.registry.Gauge("carawaystile_orders_lease_held", "1 if this instance gives orders to endpoints.")
+	listed := n.registry.Gauge("carawaystile_list_age_seconds", "Time since this instance last read the platform's list, or heard it from the leader.")
+	n.registry.BeforeWrite(func() {
+		status := n.replica.Status()
+		leads.Update(flag(status.Leads))
+		voter.Update(flag(status.Voter))
+		orders.Update(flag(n.runner.Holds()))
+		latest := max(n.listRead.Load(), n.followed.Load())
+		listed.Update((n.now() - time.Duration(latest)).Seconds())
+		n.replica.View(func(st *state.State) {
+			for _, document := range st.Documents() {
+				n.registry.Gauge("carawaystile_document_number", "Number of the newest decided document.",
+					metrics.Label{Name: "document", Value: document.GetName()}).Update(float64(document.GetNumber()))
+			}
+		})
+	})
+}
+
+func flag(set bool) float64 {
+	if set {
+		return 1
+	}
+	return 0
+}
--- a/node/node.go
+++ b/node/node.go
@@ -102,6 +102,8 @@
 	stores     stores
 	// followed is when the instance that gives orders was last heard of.
 	followed atomic.Int64
+	// listRead is when the platform's list was last read.
+	listRead atomic.Int64
 
 	mu         sync.Mutex
 	servers    []*http.Server
@@ -129,7 +131,7 @@
 		return nil, trace.Wrap(err)
 	}
 	s := o.Settings
-	events.DaemonStarted.Log(n.log, zap.String("instance", string(s.Instance)), zap.String("zone", string(s.Zone)),
+	events.DaemonStarted.Log(n.log, zap.Stringer("address", s.Advertise.Instances), zap.String("zone", string(s.Zone)),
 		zap.Bool("entry", s.Entry), zap.Bool("control", s.Control), zap.Uint64("boot", n.boot))
 	return n, nil
 }
