--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -59,3 +59,53 @@
 		}
 	}
 }
+
+var testPattern = regexp.MustCompile("`(Test[A-Za-z0-9]+)`")
+
+// A page says that a test shows a promise. The test was renamed or is gone, and
+// nobody notices that the promise is no longer shown.
+func TestNamedTestsExist(t *testing.T) {
+	defined := map[string]bool{}
+	definition := regexp.MustCompile(`(?m)^func (Test[A-Za-z0-9]+)\(`)
+	err := filepath.WalkDir("..", func(path string, _ fs.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		text, err := os.ReadFile(path)
+		for _, found := range definition.FindAllStringSubmatch(string(text), -1) {
+			defined[found[1]] = true
+		}
+		return err
+	})
+	assert.NilError(t, err)
+	for _, page := range pages(t) {
+		text, err := os.ReadFile(page)
+		assert.NilError(t, err)
+		for _, named := range testPattern.FindAllStringSubmatch(string(text), -1) {
+			assert.Assert(t, defined[named[1]], "%s names %s", page, named[1])
+		}
+	}
+}
+
+// Another package speaks a word of the users' platform. The next change of the
+// platform's names would then have to be made in two places, and one is missed.
+func TestOnlyTheAdapterKnowsThePlatform(t *testing.T) {
+	words := regexp.MustCompile(`X-Carawaystile-|Kv-From|"/version-put"|"/kv-[a-z]+"|fencing_token|kv_store_addr|path_prefix|traffic_split|api_keys`)
+	err := filepath.WalkDir("..", func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() && (entry.Name() == "platform" || entry.Name() == "journal" || entry.Name() == ".git") {
+			if err == nil {
+				return filepath.SkipDir
+			}
+			return err
+		}
+		if !strings.HasSuffix(path, ".go") || path == filepath.Join("..", "docs", "docs_test.go") {
+			return nil
+		}
+		text, err := os.ReadFile(path)
+		if found := words.Find(text); found != nil {
+			t.Errorf("%s speaks of %s", path, found)
+		}
+		return err
+	})
+	assert.NilError(t, err)
+}
--- a/forward/failure.go
+++ b/forward/failure.go
@@ -123,8 +123,11 @@
 		zap.Int("sends", j.sends),
 		zap.String("last_event", j.lastEvent),
 	}
+	if j.table != nil {
+		fields = append(fields, zap.Uint64("revision", j.table.Number))
+	}
 	if j.route != nil {
-		fields = append(fields, zap.String("route", j.route.Name), zap.Uint64("revision", j.table.Number))
+		fields = append(fields, zap.String("route", j.route.Name))
 	}
 	if j.service != nil {
 		fields = append(fields, zap.String("service", j.service.Name))
--- a/systems/membership/hints.go
+++ b/systems/membership/hints.go
@@ -1,7 +1,10 @@
 package membership
 
 import (
+	"cmp"
+	"maps"
 	"net/netip"
+	"slices"
 
 	"google.golang.org/protobuf/proto"
 
@@ -39,34 +42,93 @@
 // each zone.
 const wideGroup = 24
 
+// relayStart spreads which instance of another zone is told first.
+const relayStart = 1 << 16
+
 // TellHints sends hints to other living entry instances, directly and once.
 // Prefixes are hot for seconds and queues last for less, so that hints which ride
 // on the pings of a second each would come too late to save anything. The caller
 // keeps the budget.
 func (m *Membership) TellHints(now tables.Instant, hints Hints) Output {
 	m.now = now
-	peers := m.hintPeers()
-	if len(peers) == 0 {
-		return m.take()
+	m.relayAbroad(hints.Placements)
+	m.tellNear(hints)
+	return m.take()
+}
+
+// relayAbroad tells one instance of each other zone of placements, which passes
+// them on there. A prompt that one zone has read is fetched by the others then
+// and not read once more in each; and of what crosses zones there is little.
+func (m *Membership) relayAbroad(placements []Placement) {
+	relays := m.relays()
+	for len(relays) > 0 && len(placements) > 0 {
+		d := m.hints()
+		d.Relay = true
+		room := m.config.DatagramBytes - proto.Size(d)
+		added := addPlacements(d, placements, &room)
+		if added == 0 || !m.sendHints(d, relays) {
+			return
+		}
+		placements = placements[added:]
+	}
+}
+
+// relays picks an entry instance of each zone that is told through one, another
+// one each time.
+func (m *Membership) relays() []netip.AddrPort {
+	zones := map[tables.Zone][]*member{}
+	all := 0
+	for _, row := range m.rows {
+		if row.Instance == m.self.Instance || row.State > Suspect || row.Roles&RoleEntry == 0 {
+			continue
+		}
+		all++
+		if row.Zone != m.self.Zone {
+			zones[row.Zone] = append(zones[row.Zone], row)
+		}
 	}
-	for len(hints.Placements)+len(hints.Loads) > 0 {
-		d := &rpc.Datagram{Kind: datagramHints, Sender: &rpc.InstanceRow{Instance: string(m.self.Instance)}}
+	if all < wideGroup {
+		return nil
+	}
+	m.relayed++
+	var picked []netip.AddrPort
+	for _, name := range slices.Sorted(maps.Keys(zones)) {
+		rows := zones[name]
+		slices.SortFunc(rows, func(a, b *member) int { return cmp.Compare(a.Instance, b.Instance) })
+		picked = append(picked, rows[m.relayed%len(rows)].Address)
+	}
+	return picked
+}
+
+func (m *Membership) hints() *rpc.Datagram {
+	return &rpc.Datagram{Kind: datagramHints, Sender: &rpc.InstanceRow{Instance: string(m.self.Instance)}}
+}
+
+// sendHints sends one datagram to several, and says whether it could.
+func (m *Membership) sendHints(d *rpc.Datagram, to []netip.AddrPort) bool {
+	payload, err := proto.Marshal(d)
+	if err != nil {
+		return false
+	}
+	for _, at := range to {
+		m.out.Datagrams = append(m.out.Datagrams, Datagram{To: at, Payload: payload})
+	}
+	return true
+}
+
+// tellNear sends hints to those that are told directly.
+func (m *Membership) tellNear(hints Hints) {
+	peers := m.hintPeers()
+	for len(peers) > 0 && len(hints.Placements)+len(hints.Loads) > 0 {
+		d := m.hints()
 		room := m.config.DatagramBytes - proto.Size(d)
 		loads := addLoads(d, hints.Loads, &room)
 		placements := addPlacements(d, hints.Placements, &room)
-		if loads+placements == 0 {
-			break
+		if loads+placements == 0 || !m.sendHints(d, peers) {
+			return
 		}
 		hints.Loads, hints.Placements = hints.Loads[loads:], hints.Placements[placements:]
-		payload, err := proto.Marshal(d)
-		if err != nil {
-			break
-		}
-		for _, to := range peers {
-			m.out.Datagrams = append(m.out.Datagrams, Datagram{To: to, Payload: payload})
-		}
 	}
-	return m.take()
 }
 
 // HintReceivers is how many instances hints are told to.
@@ -129,6 +191,9 @@
 			Block:    tables.BlockHash(encoded.GetBlock()),
 		})
 	}
+	if in.GetRelay() {
+		m.tellNear(Hints{Placements: m.out.Hints.Placements})
+	}
 	for _, encoded := range in.GetLoads() {
 		m.out.Hints.Loads = append(m.out.Hints.Loads, Load{
 			Instance: tables.InstanceID(in.GetSender().GetInstance()),
--- a/systems/membership/membership.go
+++ b/systems/membership/membership.go
@@ -193,8 +193,11 @@
 
 	// background is where the turn of rows stands.
 	background int
-	syncBytes  float64
-	lastTick   tables.Instant
+	// relayed counts the tellings to other zones; it starts differently at each
+	// instance.
+	relayed   int
+	syncBytes float64
+	lastTick  tables.Instant
 	// now is the time of the newest call.
 	now tables.Instant
 }
@@ -211,6 +214,7 @@
 		random:     rand.New(rand.NewPCG(options.Seed, options.Self.Boot)),
 		rows:       map[tables.InstanceID]*member{options.Self.Instance: self},
 		probes:     newProbes(),
+		relayed:    int(options.Seed % relayStart),
 	}
 }
 
--- a/systems/membership/membership_test.go
+++ b/systems/membership/membership_test.go
@@ -179,6 +179,23 @@
 	}
 }
 
+// A zone reads a prompt. Beyond wideGroup instances the others are not told one by
+// one; were they not told at all, each zone would read every prompt once more.
+// One instance of each other zone passes the placement on, once.
+func TestPlacementsReachOtherZones(t *testing.T) {
+	w := newZones(t, 3*wideGroup, 3)
+	w.until(2*time.Minute, "find each other", w.allAlive)
+	w.send(w.nodes[2], w.nodes[2].TellHints(w.now, Hints{
+		Placements: []Placement{{Endpoint: "e1", Block: 7}}, Loads: []Load{{Endpoint: "e1", Running: 1}},
+	}))
+	w.run(time.Second)
+	for i, node := range w.nodes {
+		if i != 2 {
+			assert.Equal(t, len(node.placements), 1, "instance %d", i)
+		}
+	}
+}
+
 // The limit for all control traffic of an instance is 29 KB a second at 340
 // instances. Failure detection must stay far below it, whatever the size.
 func TestBytesDoNotGrowWithSize(t *testing.T) {
--- a/systems/membership/network_test.go
+++ b/systems/membership/network_test.go
@@ -18,6 +18,7 @@
 
 // world runs many memberships in virtual time.
 type world struct {
+	zones   int
 	t       testing.TB
 	now     time.Duration
 	nodes   []*node
@@ -46,8 +47,12 @@
 }
 
 // newWorld starts n instances; all but the first join through it.
-func newWorld(t testing.TB, n int) *world {
-	w := &world{t: t, at: map[netip.AddrPort]*node{}, lost: func(int, int) bool { return false }}
+// newWorld has all instances in one availability zone.
+func newWorld(t testing.TB, n int) *world { return newZones(t, n, 1) }
+
+// newZones spreads the instances over zones in turn.
+func newZones(t testing.TB, n, zones int) *world {
+	w := &world{t: t, zones: zones, at: map[netip.AddrPort]*node{}, lost: func(int, int) bool { return false }}
 	for i := range n {
 		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 8082)
 		node := &node{index: i, address: address}
@@ -66,7 +71,7 @@
 	node.Membership = New(Options{
 		Self: Row{
 			Instance: tables.InstanceID(fmt.Sprintf("accra-a-%03d", i)),
-			Zone:     "accra-a",
+			Zone:     tables.Zone("accra-" + string(rune('a'+i%w.zones))),
 			Roles:    RoleEntry,
 			Size:     4,
 			Address:  node.address,
