Soak: a second disk is taken only after the first was replaced

Trace: control-1 lost its disk at 4.2 s and was added as a learner at 38.61 (log time) by control-0; from then on a zone was cut off or a control instance paused, so two of the three voters never had a quorum to promote it; at 45.13, 8 s after the first, control-0 lost its disk too. Two disks of three voters are more than the deployment has to bear.

Ruled out: a fault of the group's repair (no quorum was up between the two losses, so nobody could decide anything).

Change: a disk is taken only if no other is lost, which lasts until nothing was wrong with the system itself for 8 s. Settings files are written one at a time.

--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/carawaystile/carawaystile/platform/platformtest"
@@ -72,6 +73,9 @@
 	ledger  *ledger
 
 	controls, entries []*instance
+	// writing is held while a settings file is written: faults that restart and
+	// that reload may strike the same instance.
+	writing sync.Mutex
 	// places numbers the endpoints' IP numbers; rng draws for endpoints.
 	places *places
 	zoneOf map[netip.Addr]int
@@ -177,6 +181,8 @@
 // found the control group.
 func (d *deployment) writeSettings(i *instance, first bool) error {
 	var b strings.Builder
+	d.writing.Lock()
+	defer d.writing.Unlock()
 	role, listen := "entry", fmt.Sprintf("  callers: %q\n  ready: %q\n", i.at(portCallers), i.at(portReady))
 	if i.control {
 		role = "control"
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"sync"
 	"time"
 
@@ -52,6 +53,7 @@
 type disruption struct {
 	what     string
 	planned  bool
+	outside  bool
 	from, to time.Time
 }
 
@@ -188,14 +190,32 @@
 }
 
 // disrupt notes a disruption; the returned function notes its end.
-func (l *ledger) disrupt(what string, planned bool) (over func()) {
+func (l *ledger) disrupt(k faultKind) (over func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	n := len(l.disruptions)
-	l.disruptions = append(l.disruptions, disruption{what: what, planned: planned, from: time.Now()})
+	l.disruptions = append(l.disruptions, disruption{what: k.name, planned: k.planned, outside: k.outside, from: time.Now()})
 	return func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		l.disruptions[n].to = time.Now()
 	}
 }
+
+// calm is for how long nothing unplanned has been wrong with the system itself;
+// zero while something is.
+func (l *ledger) calm() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	calm := time.Duration(math.MaxInt64)
+	for _, d := range l.disruptions {
+		switch {
+		case d.planned || d.outside:
+		case d.to.IsZero():
+			return 0
+		default:
+			calm = min(calm, time.Since(d.to))
+		}
+	}
+	return calm
+}
