--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -28,6 +28,10 @@
 	// strayPart is the part of that for a part which nobody has read yet: away
 	// from its home it may be read a second time by another instance.
 	strayPart = 0.3
+	// lateCost is the cost of each millisecond of a wait beyond latePart of the
+	// caller's target.
+	lateCost = 3.0
+	latePart = 0.9
 	// doubtCost is the cost of one recent failure.
 	doubtCost = 250.0
 	// staleSoon is how long after newer weights were named it makes no
@@ -192,7 +196,7 @@
 	c.source, c.fetched, c.home = source, got-own, v.home == c.row
 	c.uncached = float64(r.PromptTokens - got)
 	c.wait = baseFirst + (c.row.ahead(now)+c.uncached)/c.row.rate + fetchTime*float64(got-own)
-	c.cost = c.wait + copyCost*float64(got-own) + d.stale(now, r, c.row)
+	c.cost = c.wait + r.lateness(c.wait) + copyCost*float64(got-own) + d.stale(now, r, c.row)
 	if again := max(0, v.held-got); again > 0 {
 		c.again, c.readyAt = again, v.readyAt
 		c.cost += rereadCost * float64(again)
@@ -202,6 +206,16 @@
 	}
 }
 
+// lateness is what a wait costs beyond itself where the answer comes too late to
+// be worth much to its caller.
+func (r *Request) lateness(wait float64) float64 {
+	target := float64(r.Route.Target) / float64(time.Millisecond)
+	if target <= 0 {
+		return 0
+	}
+	return lateCost * max(0, wait-latePart*target)
+}
+
 // ahead is the prefill before a new request, in tokens.
 func (r *endpointRow) ahead(now tables.Instant) float64 {
 	return r.prefill + float64(r.told.prefill) + r.waiting*decay(now-r.othersAt, loadKeep)*waitingTokens
