Hints cost less with many receivers

Taking datagrams in is what costs: some 400 a second at each instance for loads and placements of its zone, and 600 more for those of other zones.

Change: the time between two tellings grows with the receivers, 15 ms for 9, 100 ms for 29. Placements go to other zones every 250 ms, and who takes them lets them ride on its own hints instead of passing each on at once.

TestHintsKeepTheirBudget has 9 receivers in place of 50, for which the pause and not the budget would decide; the pause has a test of its own.

--- a/control/gossip/gossip.go
+++ b/control/gossip/gossip.go
@@ -42,6 +42,8 @@
 	Newer func(netip.AddrPort)
 	// Placed hands out placements of other instances.
 	Placed func(membership.Placement)
+	// Relay takes placements of another zone that are to be told in this one.
+	Relay func([]membership.Placement)
 	// Loaded hands out what other instances have at endpoints.
 	Loaded func(membership.Load)
 	// Reaches says whether datagrams to an address arrive; nil means that all
@@ -144,6 +146,13 @@
 	})
 }
 
+// TellAbroad lets zones that TellHints leaves out know of placements.
+func (g *Gossip) TellAbroad(placements []membership.Placement) {
+	g.run(func(m *membership.Membership, now tables.Instant) membership.Output {
+		return m.TellAbroad(now, placements)
+	})
+}
+
 // HintReceivers is how many instances hints are told to.
 func (g *Gossip) HintReceivers() int {
 	g.mu.Lock()
@@ -223,6 +232,9 @@
 			g.options.Placed(p)
 		}
 	}
+	if g.options.Relay != nil && out.Hints.Relay {
+		g.options.Relay(out.Hints.Placements)
+	}
 	if g.options.Loaded != nil {
 		for _, l := range out.Hints.Loads {
 			g.options.Loaded(l)
--- a/control/gossip/hints.go
+++ b/control/gossip/hints.go
@@ -81,7 +81,7 @@
 
 // HintOptions say how hints are told.
 type HintOptions struct {
-	// Period is the time between two tellings.
+	// Period is the least time between two tellings.
 	Period time.Duration
 	// BytesPerSecond bounds what is sent over all receivers.
 	BytesPerSecond int
@@ -100,7 +100,7 @@
 func (h *Hints) Run(ctx context.Context, o HintOptions) {
 	ticker := time.NewTicker(o.Period)
 	defer ticker.Stop()
-	budget := 0.0
+	budget, waits := 0.0, 0*time.Second
 	for {
 		select {
 		case <-ctx.Done():
@@ -112,16 +112,35 @@
 		}
 		budget += float64(o.BytesPerSecond) * o.Period.Seconds()
 		budget = min(budget, float64(o.BytesPerSecond)*hintBurst.Seconds())
+		waits += o.Period
 		if h.waiting() == 0 {
 			continue
 		}
 		receivers := max(1, o.Receivers())
+		if waits < pause(receivers) {
+			continue
+		}
 		limit := (int(budget)/receivers - hintHead) / hintBytes
 		if limit <= 0 {
 			continue
 		}
 		news := h.take(limit)
 		budget -= float64(receivers * (hintHead + hintBytes*(len(news.Placements)+len(news.Loads))))
+		waits = 0
 		o.Tell(news)
 	}
 }
+
+const (
+	// fewReceivers hear of hints in every period; each further one makes the time
+	// between two tellings longer by pauseFor. What an instance receives in a second
+	// grows with the group otherwise: at 30 receivers and 15 ms, taking datagrams in
+	// cost an entry instance more than serving callers.
+	fewReceivers = 9
+	pauseFor     = 5 * time.Millisecond
+)
+
+// pause is the least time between two tellings to so many receivers.
+func pause(receivers int) time.Duration {
+	return time.Duration(max(0, receivers-fewReceivers)) * pauseFor
+}
--- a/control/gossip/hints_test.go
+++ b/control/gossip/hints_test.go
@@ -32,7 +32,7 @@
 func TestHintsKeepTheirBudget(t *testing.T) {
 	var h Hints
 	ctx, cancel := context.WithCancel(t.Context())
-	const receivers, bytes, period = 50, 100_000, time.Millisecond
+	const receivers, bytes, period = fewReceivers, 100_000, time.Millisecond
 	ticks, sent := 0, 0
 	h.Run(ctx, HintOptions{
 		Period: period, BytesPerSecond: bytes,
@@ -50,3 +50,26 @@
 	most := int(float64(ticks) * period.Seconds() * bytes)
 	assert.Assert(t, sent <= most && sent > most/2, "%d bytes of %d", sent, most)
 }
+
+// Thirty instances of a zone hear of every change of each other. Were they told
+// in every period, taking datagrams in would cost them more than their callers.
+func TestManyReceiversAreToldLessOften(t *testing.T) {
+	var h Hints
+	ctx, cancel := context.WithCancel(t.Context())
+	const receivers, period = 29, 10 * time.Millisecond
+	ticks, tellings, told := 0, 0, 0
+	h.Run(ctx, HintOptions{
+		Period: period, BytesPerSecond: 10_000_000,
+		Collect: func() membership.Hints {
+			if ticks++; ticks == 60 {
+				cancel()
+			}
+			return membership.Hints{Placements: []membership.Placement{{Endpoint: "e", Block: tables.BlockHash(ticks)}}}
+		},
+		Receivers: func() int { return receivers },
+		Tell:      func(news membership.Hints) { tellings++; told += len(news.Placements) },
+	})
+	assert.Equal(t, pause(receivers), 100*time.Millisecond)
+	assert.Equal(t, tellings, 6)
+	assert.Equal(t, told, 60)
+}
--- a/node/entry.go
+++ b/node/entry.go
@@ -102,6 +102,10 @@
 	// of 10 requests a second need some 50 KB/s.
 	hintPart     = 0.05
 	maxHintBytes = 400_000
+	// abroadPeriod is the time between two tellings to other zones, and abroadPart
+	// what of the budget they may take: bytes between zones are dear.
+	abroadPeriod = 250 * time.Millisecond
+	abroadPart   = 0.2
 )
 
 // hintBytes is what this instance may send of hints in a second.
@@ -123,6 +127,7 @@
 			Endpoint: l.Endpoint, Running: l.Running, Tokens: l.Tokens, Prefill: l.Prefill,
 		})
 	}
+	n.abroad.Add(membership.Hints{Placements: hints.Placements})
 	return hints
 }
 
@@ -150,3 +155,13 @@
 		Tell:           func(news membership.Hints) { n.members.Load().TellHints(news) },
 	})
 }
+
+// tellAbroad lets other zones know where this instance placed parts of prompts.
+func (n *Node) tellAbroad() {
+	n.abroad.Run(n.stopping, gossip.HintOptions{
+		Period:         abroadPeriod,
+		BytesPerSecond: int(abroadPart * float64(n.hintBytes())),
+		Receivers:      func() int { return 1 },
+		Tell:           func(news membership.Hints) { n.members.Load().TellAbroad(news.Placements) },
+	})
+}
--- a/node/members.go
+++ b/node/members.go
@@ -46,6 +46,9 @@
 		Changed: n.membersChanged,
 		Placed:  n.placedElsewhere,
 		Loaded:  n.loadedElsewhere,
+		Relay: func(placements []membership.Placement) {
+			n.hints.Add(membership.Hints{Placements: placements})
+		},
 	})
 	if err != nil {
 		return trace.Wrap(err)
@@ -53,6 +56,7 @@
 	n.members.Store(joined)
 	if n.entry != nil {
 		n.background.Go(n.tellHints)
+		n.background.Go(n.tellAbroad)
 	}
 	return nil
 }
--- a/node/node.go
+++ b/node/node.go
@@ -88,6 +88,8 @@
 	peerCount peerCount
 	// hints wait to be told to the other instances.
 	hints gossip.Hints
+	// abroad waits to be told to other zones.
+	abroad gossip.Hints
 
 	// The entry role; nil without it.
 	entry  *forward.Server
--- a/systems/membership/hints.go
+++ b/systems/membership/hints.go
@@ -34,6 +34,9 @@
 type Hints struct {
 	Placements []Placement
 	Loads      []Load
+	// Relay is set in what an instance of another zone tells: the placements are
+	// to be told in the own zone.
+	Relay bool
 }
 
 // wideGroup is how many living entry instances are told of hints wherever they
@@ -51,15 +54,26 @@
 // keeps the budget.
 func (m *Membership) TellHints(now tables.Instant, hints Hints) Output {
 	m.now = now
-	m.relayAbroad(hints.Placements)
-	m.tellNear(hints)
+	peers := m.hintPeers()
+	for len(peers) > 0 && len(hints.Placements)+len(hints.Loads) > 0 {
+		d := m.hints()
+		room := m.config.DatagramBytes - proto.Size(d)
+		loads := addLoads(d, hints.Loads, &room)
+		placements := addPlacements(d, hints.Placements, &room)
+		if loads+placements == 0 || !m.sendHints(d, peers) {
+			break
+		}
+		hints.Loads, hints.Placements = hints.Loads[loads:], hints.Placements[placements:]
+	}
 	return m.take()
 }
 
-// relayAbroad tells one instance of each other zone of placements, which passes
-// them on there. A prompt that one zone has read is fetched by the others then
-// and not read once more in each; and of what crosses zones there is little.
-func (m *Membership) relayAbroad(placements []Placement) {
+// TellAbroad tells one instance of each zone that TellHints leaves out of
+// placements; it is to pass them on there. A prompt that one zone has read is
+// fetched by the others then and not read once more in each, and little crosses
+// zones.
+func (m *Membership) TellAbroad(now tables.Instant, placements []Placement) Output {
+	m.now = now
 	relays := m.relays()
 	for len(relays) > 0 && len(placements) > 0 {
 		d := m.hints()
@@ -67,10 +81,11 @@
 		room := m.config.DatagramBytes - proto.Size(d)
 		added := addPlacements(d, placements, &room)
 		if added == 0 || !m.sendHints(d, relays) {
-			return
+			break
 		}
 		placements = placements[added:]
 	}
+	return m.take()
 }
 
 // relays picks an entry instance of each zone that is told through one, another
@@ -116,21 +131,6 @@
 	return true
 }
 
-// tellNear sends hints to those that are told directly.
-func (m *Membership) tellNear(hints Hints) {
-	peers := m.hintPeers()
-	for len(peers) > 0 && len(hints.Placements)+len(hints.Loads) > 0 {
-		d := m.hints()
-		room := m.config.DatagramBytes - proto.Size(d)
-		loads := addLoads(d, hints.Loads, &room)
-		placements := addPlacements(d, hints.Placements, &room)
-		if loads+placements == 0 || !m.sendHints(d, peers) {
-			return
-		}
-		hints.Loads, hints.Placements = hints.Loads[loads:], hints.Placements[placements:]
-	}
-}
-
 // HintReceivers is how many instances hints are told to.
 func (m *Membership) HintReceivers() int { return len(m.hintPeers()) }
 
@@ -191,9 +191,7 @@
 			Block:    tables.BlockHash(encoded.GetBlock()),
 		})
 	}
-	if in.GetRelay() {
-		m.tellNear(Hints{Placements: m.out.Hints.Placements})
-	}
+	m.out.Hints.Relay = in.GetRelay()
 	for _, encoded := range in.GetLoads() {
 		m.out.Hints.Loads = append(m.out.Hints.Loads, Load{
 			Instance: tables.InstanceID(in.GetSender().GetInstance()),
--- a/systems/membership/membership_test.go
+++ b/systems/membership/membership_test.go
@@ -185,9 +185,19 @@
 func TestPlacementsReachOtherZones(t *testing.T) {
 	w := newZones(t, 3*wideGroup, 3)
 	w.until(2*time.Minute, "find each other", w.allAlive)
-	w.send(w.nodes[2], w.nodes[2].TellHints(w.now, Hints{
-		Placements: []Placement{{Endpoint: "e1", Block: 7}}, Loads: []Load{{Endpoint: "e1", Running: 1}},
-	}))
+	placements := []Placement{{Endpoint: "e1", Block: 7}}
+	w.send(w.nodes[2], w.nodes[2].TellHints(w.now, Hints{Placements: placements}))
+	w.send(w.nodes[2], w.nodes[2].TellAbroad(w.now, placements))
+	w.run(time.Second)
+	relays := 0
+	for _, node := range w.nodes {
+		if !node.relay {
+			continue
+		}
+		relays++
+		w.send(node, node.TellHints(w.now, Hints{Placements: node.placements}))
+	}
+	assert.Equal(t, relays, 2)
 	w.run(time.Second)
 	for i, node := range w.nodes {
 		if i != 2 {
--- a/systems/membership/network_test.go
+++ b/systems/membership/network_test.go
@@ -36,6 +36,7 @@
 	address    netip.AddrPort
 	down       bool
 	placements []Placement
+	relay      bool
 	newer      netip.AddrPort
 }
 
@@ -85,6 +86,7 @@
 
 func (w *world) send(from *node, out Output) {
 	from.placements = append(from.placements, out.Hints.Placements...)
+	from.relay = from.relay || out.Hints.Relay
 	if out.Newer.IsValid() {
 		from.newer = out.Newer
 	}
