--- a/logs/trail/trail.go
+++ b/logs/trail/trail.go
@@ -56,7 +56,6 @@
 	instances map[string]string
 	// sources are addresses of control instances that others followed.
 	sources map[string]bool
-	left    int
 }
 
 // NewReader returns a reader that looks for a request.
