--- a/control/gossip/hints.go
+++ b/control/gossip/hints.go
@@ -137,7 +137,7 @@
 	// grows with the group otherwise: at 30 receivers and 15 ms, taking datagrams in
 	// cost an entry instance more than serving callers.
 	fewReceivers = 9
-	pauseFor     = 5 * time.Millisecond
+	pauseFor     = 10 * time.Millisecond
 )
 
 // pause is the least time between two tellings to so many receivers.
