control: the test waits until a follower has taken note of a revision

Traced: a follower calls Configure just before it stores the revision, and the test went on from that call. If it asked the lossy source before the store, the follower still had revision 0 and asked for everything at once.

Ruled out: a fault of the follower; Fetch in between takes the whole content, which is right.

Change: awaitRevision also waits until the follower says that it has the revision. No check is weaker.

Conclusion: stays.

--- a/control/cluster_test.go
+++ b/control/cluster_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -232,4 +233,11 @@
 			c.t.Fatalf("instance %d has revision %d, want %d", i, last, want)
 		}
 	}
+	// The follower hands a revision out just before it takes note of it.
+	for noted := tables.Revision(0); noted < want; noted, _ = c.instances[i].follower.InForce() {
+		if ctx.Err() != nil {
+			c.t.Fatalf("instance %d does not take note of revision %d", i, want)
+		}
+		runtime.Gosched()
+	}
 }
