Orders to engines are announced to the group, so that a new holder need not wait for all

Cause: where engines check no fencing numbers, a new holder of the lease waited 3 s for the old lease to end and 3 s more before its first order, since the old holder might just have given one to any engine.

The lease itself was not the whole of it: with 1.5 s alone the second wait stays.

Change: each order is noted in the replicated log before it leaves, with the holder that gives it; a grant of the lease tells of those of other holders. A new holder lets just these engines rest. The lease for orders is 1.5 s. An order that could not be noted, or whose lease is over, does not leave.

--- a/control/client/executor.go
+++ b/control/client/executor.go
@@ -92,6 +92,8 @@
 		return "release claim"
 	case *rpc.Command_AcquireLease:
 		return "acquire lease"
+	case *rpc.Command_AnnounceOrders:
+		return "announce orders"
 	case *rpc.Command_StartLoad:
 		return "start weight load"
 	default:
--- a/control/client/lease.go
+++ b/control/client/lease.go
@@ -34,6 +34,8 @@
 	mu    sync.Mutex
 	fence tables.Fence
 	until tables.Instant
+	// announced are the orders of other holders, by when they were announced.
+	announced map[tables.EndpointID]tables.Instant
 }
 
 // NewLease returns a lease that is not held.
@@ -76,11 +78,51 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.fence = tables.Fence(answer.GetFence())
+	if fence := tables.Fence(answer.GetFence()); fence != l.fence {
+		l.fence = fence
+		l.announced = announcedAt(answer, l.options.Now())
+	}
 	l.until = sent + safe(l.options.Duration)
 	return nil
 }
 
+// announcedAt is when orders were announced, by the own clock. Log time goes no
+// faster than real time, so none was announced later.
+func announcedAt(answer *rpc.LeaseAnswer, now tables.Instant) map[tables.EndpointID]tables.Instant {
+	at := map[tables.EndpointID]tables.Instant{}
+	for _, order := range answer.GetAnnounced() {
+		at[tables.EndpointID(order.GetEndpoint())] = now - time.Duration(order.GetAgeNanos())
+	}
+	return at
+}
+
+// Announced lists the endpoints that other holders may have given orders, and
+// when each was announced.
+func (l *Lease) Announced() map[tables.EndpointID]tables.Instant {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.announced
+}
+
+// Announce has the group note that orders are about to leave for endpoints. Only
+// after it has returned without a failure may they. Its errors are
+// *tables.NoQuorum and *Unexpected.
+func (l *Lease) Announce(ctx context.Context, endpoints []tables.EndpointID) error {
+	fence, _ := l.Held()
+	request := &rpc.AnnounceOrders{Lease: l.options.Name, Fence: uint64(fence)}
+	for _, id := range endpoints {
+		request.Endpoints = append(request.Endpoints, string(id))
+	}
+	result, err := l.options.Executor.Execute(ctx, &rpc.Command{Action: &rpc.Command_AnnounceOrders{AnnounceOrders: request}})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if result.GetDone() == nil {
+		return trace.Wrap(&Unexpected{Asked: "announce orders", Reason: result.GetRefusal().GetReason()})
+	}
+	return nil
+}
+
 // Held returns the fencing number and how much longer the lease is held, by the
 // own clock alone. It is not held if that is not above zero. An instance that
 // is cut off needs no message to know that it must stop.
--- a/control/rollout/plan.go
+++ b/control/rollout/plan.go
@@ -130,15 +130,22 @@
 type Plan struct {
 	rows   map[tables.EndpointID]*engineRow
 	wanted map[string]uint64
+	// quiet is until when endpoints must get no orders.
+	quiet map[tables.EndpointID]tables.Instant
 	// AtOnce overrides how many engines load at once; zero means by their number.
 	AtOnce int
 }
 
 // NewPlan returns a plan that knows of no engine.
 func NewPlan() *Plan {
-	return &Plan{rows: map[tables.EndpointID]*engineRow{}, wanted: map[string]uint64{}}
+	return &Plan{
+		rows: map[tables.EndpointID]*engineRow{}, wanted: map[string]uint64{}, quiet: map[tables.EndpointID]tables.Instant{},
+	}
 }
 
+// Quiet keeps an endpoint from orders for a time.
+func (p *Plan) Quiet(id tables.EndpointID, until tables.Instant) { p.quiet[id] = until }
+
 // Want notes the version that a model should be served with. It only grows.
 func (p *Plan) Want(model string, version uint64) {
 	p.wanted[model] = max(p.wanted[model], version)
@@ -207,7 +214,7 @@
 	}
 	for _, r := range rows {
 		_, version := p.missing(r)
-		if closed >= p.atOnce()/2 || version == 0 || r.phase != idle || !r.known || r.asking || r.Draining {
+		if closed >= p.atOnce()/2 || version == 0 || r.phase != idle || !r.known || r.asking || r.Draining || now < p.quiet[r.ID] {
 			continue
 		}
 		closed++
--- a/control/rollout/plan_test.go
+++ b/control/rollout/plan_test.go
@@ -181,3 +181,22 @@
 	assert.Equal(t, len(p.Next(time.Second)), 0)
 	assert.Equal(t, p.Settled(), true)
 }
+
+// Another holder has just given an engine an order. It has to rest, and the
+// others must not wait for it: requests would begin on old weights meanwhile.
+func TestAnEngineThatRestsDoesNotHoldUpTheOthers(t *testing.T) {
+	s := newFleetSim(4)
+	s.plan.Quiet("e00", 3*time.Second)
+	s.plan.Want("m", 2)
+	for s.now < 2500*time.Millisecond {
+		s.step()
+	}
+	assert.Equal(t, s.engines["e00"].sequence, uint64(0))
+	for _, id := range []tables.EndpointID{"e01", "e02", "e03"} {
+		assert.Equal(t, s.engines[id].version, uint64(2), "%s", id)
+	}
+	for s.now < 5*time.Second {
+		s.step()
+	}
+	assert.Equal(t, s.engines["e00"].version, uint64(2))
+}
--- a/control/rollout/runner.go
+++ b/control/rollout/runner.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
 	"github.com/carawaystile/carawaystile/control/client"
@@ -24,6 +25,15 @@
 	// requests meanwhile.
 	callTimeout  = 800 * time.Millisecond
 	orderTimeout = 300 * time.Millisecond
+	// announceTimeout bounds an announcement, so that an order leaves soon after it
+	// or not at all. It takes two syncs of a disk and a round trip.
+	announceTimeout = 300 * time.Millisecond
+	// orderMargin is how much longer the lease must be held for an order to be
+	// prepared; it leaves time for the announcement and the order.
+	orderMargin = announceTimeout + orderTimeout
+	// leaveWithin is how long after its announcement an order may still arrive, by
+	// either machine's clock.
+	leaveWithin = announceTimeout + orderTimeout + 100*time.Millisecond
 	// renewTimeout bounds one question to the control group.
 	renewTimeout = 800 * time.Millisecond
 	// renewPart is the part of the lease after which it is renewed.
@@ -48,11 +58,13 @@
 	Wanted   func() map[string]uint64
 	Instance tables.InstanceID
 	Boot     uint64
-	// LeaseFor is the length of the lease. Engines that check fencing numbers
-	// stop an earlier holder by themselves; where Fenced is not set a new holder
-	// waits for another lease before it gives its first order, so that the
-	// orders of two holders never mix.
+	// LeaseFor is the length of the lease.
 	LeaseFor time.Duration
+	// TurnFor is the least time between two holders' orders to one engine. Engines
+	// that check fencing numbers stop an earlier holder by themselves; where Fenced
+	// is not set each order is announced to the group before it leaves, and a new
+	// holder lets the engines rest that an earlier one may just have given one.
+	TurnFor  time.Duration
 	Fenced   bool
 	Strategy Strategy
 	// Now must go on while the machine is suspended.
@@ -71,8 +83,6 @@
 	// renewing is set while the group is asked.
 	renewing bool
 	askAgain tables.Instant
-	// quietUntil is when a new holder may give its first order.
-	quietUntil tables.Instant
 }
 
 // NewRunner returns a runner that holds nothing.
@@ -128,14 +138,13 @@
 	_, left := r.lease.Held()
 	if held := left > 0; held != r.holds.Swap(held) {
 		r.plan = NewPlan()
-		switch {
-		case !held:
+		if held {
+			r.rest()
+		} else {
 			r.options.Fleet.NoOrders()
-		case !r.options.Fenced:
-			r.quietUntil = r.options.Now() + r.options.LeaseFor
 		}
 	}
-	if left < callTimeout || r.options.Now() < r.quietUntil {
+	if left < orderMargin {
 		return
 	}
 	for model, version := range r.options.Wanted() {
@@ -150,6 +159,19 @@
 	}
 }
 
+// rest keeps orders from the engines that another holder may just have given one.
+// Without the announcements a new holder would have to leave all engines alone for
+// a lease: where the holder froze right after new weights were named, the others
+// went on with weights that were replaced for 7 s, and then with few engines.
+func (r *Runner) rest() {
+	if r.options.Fenced {
+		return
+	}
+	for id, at := range r.lease.Announced() {
+		r.plan.Quiet(id, at+r.options.TurnFor+leaveWithin)
+	}
+}
+
 // renew asks for the lease, or for more time, beside everything else: orders go
 // on while the group decides.
 func (r *Runner) renew(ctx context.Context) {
@@ -218,10 +240,26 @@
 	})
 }
 
-func (r *Runner) order(ctx context.Context, plan *Plan, action Action, order Order) {
+// send announces an order and gives it. One that could not be announced, or whose
+// lease is over by then, does not leave.
+func (r *Runner) send(ctx context.Context, action Action, order Order) (Taken, error) {
+	if !r.options.Fenced {
+		bounded, cancel := context.WithTimeout(ctx, announceTimeout)
+		defer cancel()
+		if err := r.lease.Announce(bounded, []tables.EndpointID{action.Endpoint.ID}); err != nil {
+			return Refused, trace.Wrap(err)
+		}
+		if fence, left := r.lease.Held(); left <= 0 || fence != order.Fence {
+			return Refused, nil
+		}
+	}
 	bounded, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	taken, err := r.options.Engines.Order(bounded, action.Endpoint, order)
+	return r.options.Engines.Order(bounded, action.Endpoint, order)
+}
+
+func (r *Runner) order(ctx context.Context, plan *Plan, action Action, order Order) {
+	taken, err := r.send(ctx, action, order)
 	r.hand(ctx, plan, func(now tables.Instant) {
 		id := action.Endpoint.ID
 		plan.Ordered(now, id, taken)
@@ -231,6 +269,8 @@
 			// has done. The next lease has a higher one.
 			events.RolloutFenced.Log(r.options.Log, zap.String("endpoint", string(id)), zap.Uint64("fence", uint64(order.Fence)))
 			r.release()
+		case taken == Refused && err != nil:
+			events.OrderNotAnnounced.Log(r.options.Log, zap.String("endpoint", string(id)), zap.Error(err))
 		case taken == 0:
 			events.RolloutUnanswered.Log(r.options.Log, zap.String("endpoint", string(id)), zap.Error(err))
 		}
--- a/control/state/leases.go
+++ b/control/state/leases.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/carawaystile/carawaystile/rpc"
 )
 
@@ -21,6 +23,9 @@
 	holder  owner
 	fence   uint64
 	expires time.Duration
+	// announced are the newest orders that may have been given to each endpoint
+	// under this lease and those before it.
+	announced map[string]*rpc.AnnouncedOrder
 }
 
 func newLeases() leases {
@@ -41,17 +46,51 @@
 	asker := owner{request.GetHolder().GetInstance(), request.GetHolder().GetBoot()}
 	row := l.rows[request.GetName()]
 	if row != nil && now < row.expires && row.holder != asker {
-		return l.answer(row, false, row.expires-now)
+		return l.answer(now, row, false, row.expires-now)
 	}
 	if row == nil || now >= row.expires {
-		row = &lease{holder: asker, fence: index}
+		next := &lease{holder: asker, fence: index, announced: map[string]*rpc.AnnouncedOrder{}}
+		if row != nil {
+			next.announced = row.announced
+		}
+		row = next
 		l.rows[request.GetName()] = row
 	}
 	row.expires = now + duration
-	return l.answer(row, true, 0)
+	row.forget(now)
+	return l.answer(now, row, true, 0)
+}
+
+// forget drops announced orders that are older than any lease can be.
+func (row *lease) forget(now time.Duration) {
+	maps.DeleteFunc(row.announced, func(_ string, order *rpc.AnnouncedOrder) bool {
+		return now-time.Duration(order.GetAnnounced()) > maxLease
+	})
+}
+
+// announce notes that orders may leave for endpoints. A holder that has lost the
+// lease meanwhile is refused, so that its successor knows of every endpoint that
+// may just have got an order.
+func (l *leases) announce(now time.Duration, request *rpc.AnnounceOrders) *rpc.Result {
+	if len(request.GetEndpoints()) > maxAnnounced {
+		return refused(rpc.RefusalReason_REFUSED_MALFORMED)
+	}
+	if !l.holds(now, request.GetLease(), request.GetFence()) {
+		return refused(rpc.RefusalReason_REFUSED_LEASE_LOST)
+	}
+	row := l.rows[request.GetLease()]
+	for _, endpoint := range request.GetEndpoints() {
+		if len(endpoint) > maxNameBytes {
+			return refused(rpc.RefusalReason_REFUSED_MALFORMED)
+		}
+		row.announced[endpoint] = &rpc.AnnouncedOrder{
+			Endpoint: endpoint, Instance: row.holder.instance, Announced: int64(now),
+		}
+	}
+	return done()
 }
 
-func (l *leases) answer(row *lease, granted bool, retryAfter time.Duration) *rpc.Result {
+func (l *leases) answer(now time.Duration, row *lease, granted bool, retryAfter time.Duration) *rpc.Result {
 	answer := &rpc.LeaseAnswer{
 		Granted:         granted,
 		Fence:           row.fence,
@@ -60,6 +99,13 @@
 	}
 	if granted {
 		answer.Loads = l.sortedLoads()
+		for _, order := range row.sortedOrders() {
+			if order.GetInstance() != row.holder.instance {
+				order = proto.CloneOf(order)
+				order.AgeNanos = int64(now) - order.GetAnnounced()
+				answer.Announced = append(answer.Announced, order)
+			}
+		}
 	}
 	return &rpc.Result{Answer: &rpc.Result_Lease{Lease: answer}}
 }
@@ -68,7 +114,7 @@
 // order has been answered.
 func (l *leases) release(request *rpc.ReleaseLease) *rpc.Result {
 	if row := l.rows[request.GetName()]; row != nil && row.fence == request.GetFence() {
-		delete(l.rows, request.GetName())
+		row.expires = 0
 	}
 	return done()
 }
@@ -116,6 +162,14 @@
 	return loads
 }
 
+func (row *lease) sortedOrders() []*rpc.AnnouncedOrder {
+	orders := make([]*rpc.AnnouncedOrder, 0, len(row.announced))
+	for _, endpoint := range slices.Sorted(maps.Keys(row.announced)) {
+		orders = append(orders, row.announced[endpoint])
+	}
+	return orders
+}
+
 func (l *leases) save(snapshot *rpc.Snapshot) {
 	for _, name := range slices.Sorted(maps.Keys(l.rows)) {
 		row := l.rows[name]
@@ -123,7 +177,7 @@
 			Name:    name,
 			Holder:  &rpc.ClaimOwner{Instance: row.holder.instance, Boot: row.holder.boot},
 			Fence:   row.fence,
-			Expires: int64(row.expires),
+			Expires: int64(row.expires), Announced: row.sortedOrders(),
 		})
 	}
 	snapshot.Loads = l.sortedLoads()
@@ -131,11 +185,16 @@
 
 func (l *leases) load(snapshot *rpc.Snapshot) {
 	for _, saved := range snapshot.GetLeases() {
-		l.rows[saved.GetName()] = &lease{
-			holder:  owner{saved.GetHolder().GetInstance(), saved.GetHolder().GetBoot()},
-			fence:   saved.GetFence(),
-			expires: time.Duration(saved.GetExpires()),
+		row := &lease{
+			holder:    owner{saved.GetHolder().GetInstance(), saved.GetHolder().GetBoot()},
+			fence:     saved.GetFence(),
+			expires:   time.Duration(saved.GetExpires()),
+			announced: map[string]*rpc.AnnouncedOrder{},
+		}
+		for _, order := range saved.GetAnnounced() {
+			row.announced[order.GetEndpoint()] = order
 		}
+		l.rows[saved.GetName()] = row
 	}
 	for _, load := range snapshot.GetLoads() {
 		l.loads[load.GetEndpoint()] = load
--- a/control/state/leases_test.go
+++ b/control/state/leases_test.go
@@ -78,3 +78,43 @@
 	w.acquire("i2", 1)
 	assert.Equal(t, w.Now(), time.Minute)
 }
+
+func (w *world) announce(fence uint64, endpoints ...string) *rpc.Result {
+	return w.run(&rpc.Command{Action: &rpc.Command_AnnounceOrders{AnnounceOrders: &rpc.AnnounceOrders{
+		Lease: "orders", Fence: fence, Endpoints: endpoints,
+	}}})
+}
+
+// A holder freezes after it has announced orders. Its successor has to know of
+// them, also after all replicas have restarted from a snapshot, or it would give
+// an endpoint an order that mixes with the first.
+func TestSuccessorKnowsOfAnnouncedOrders(t *testing.T) {
+	w := newWorld()
+	first := w.acquire("i1", 1)
+	assert.Assert(t, w.announce(first.GetFence(), "e2", "e1").GetDone() != nil)
+	w.time += 3 * time.Second
+	assert.Assert(t, w.announce(first.GetFence(), "e1").GetDone() != nil)
+	w.time += 10 * time.Second
+	saved, err := w.Snapshot()
+	assert.NilError(t, err)
+	w.State = New(DefaultLimits())
+	assert.NilError(t, w.Restore(saved))
+	second := w.acquire("i2", 1)
+	assert.Equal(t, len(second.GetAnnounced()), 2)
+	for i, want := range []time.Duration{10 * time.Second, 13 * time.Second} {
+		order := second.GetAnnounced()[i]
+		assert.Equal(t, order.GetEndpoint(), []string{"e1", "e2"}[i])
+		assert.Equal(t, time.Duration(order.GetAgeNanos()), want)
+	}
+	assert.Equal(t, reason(w.announce(first.GetFence(), "e3")), rpc.RefusalReason_REFUSED_LEASE_LOST)
+}
+
+// A holder lost its lease for a moment and has it again. Its own earlier orders
+// are no other holder's.
+func TestOwnAnnouncedOrdersAreNoOthers(t *testing.T) {
+	w := newWorld()
+	first := w.acquire("i1", 1)
+	assert.Assert(t, w.announce(first.GetFence(), "e1").GetDone() != nil)
+	w.time += 11 * time.Second
+	assert.Equal(t, len(w.acquire("i1", 1).GetAnnounced()), 0)
+}
--- a/control/state/limits.go
+++ b/control/state/limits.go
@@ -58,6 +58,8 @@
 	// minLease and maxLease bound the duration of a lease.
 	minLease = time.Second
 	maxLease = time.Minute
+	// maxAnnounced bounds the orders that are announced at once.
+	maxAnnounced = 1024
 	// manySessions is how many instances are remembered before old ones are
 	// looked for and forgotten.
 	manySessions = 1024
--- a/control/state/state.go
+++ b/control/state/state.go
@@ -101,6 +101,8 @@
 		return s.leases.startLoad(s.now, s.configuration.content.WeightLoads(), action.StartLoad)
 	case *rpc.Command_EndLoad:
 		return s.leases.endLoad(s.now, action.EndLoad)
+	case *rpc.Command_AnnounceOrders:
+		return s.leases.announce(s.now, action.AnnounceOrders)
 	case *rpc.Command_PutDocument:
 		return s.documents.put(action.PutDocument)
 	case *rpc.Command_PassTime:
--- a/events/control.go
+++ b/events/control.go
@@ -33,5 +33,6 @@
 	ControlReplicaRemoved = define(3026, zapcore.WarnLevel, "A control replica that is gone is removed to make room for a new one.")
 	ControlDiskFull       = define(3027, zapcore.ErrorLevel, "The disk of a control replica is full. The replica does not take part in the group until there is room.")
 	SourceFollowed        = define(3028, zapcore.InfoLevel, "A control instance is followed that was not before, or was lost.")
+	OrderNotAnnounced     = define(3030, zapcore.WarnLevel, "An order was not given since the control group has not noted it in time.")
 	ListRead              = define(3029, zapcore.InfoLevel, "The platform's list can be read again.")
 )
--- a/node/control.go
+++ b/node/control.go
@@ -25,6 +25,10 @@
 	// lags by itself; an endpoint that leaves gets no new work within seconds of
 	// being listed so.
 	listPeriod = 500 * time.Millisecond
+	// ordersLease is how long an instance gives orders without hearing from the
+	// group. The next one begins that much after it has frozen or was cut off; it
+	// covers a few slow syncs of a disk.
+	ordersLease = 1500 * time.Millisecond
 	// followGrace is how long an instance that follows the one that gives orders
 	// believes its endpoints before it looks at the list itself.
 	followGrace = 1500 * time.Millisecond
@@ -71,7 +75,8 @@
 		Wanted:   func() map[string]uint64 { return n.deployment.Wanted() },
 		Instance: s.Instance,
 		Boot:     n.boot,
-		LeaseFor: s.Orders.Lease,
+		LeaseFor: min(s.Orders.Lease, ordersLease),
+		TurnFor:  s.Orders.Lease,
 		Fenced:   s.Orders.Fenced,
 		Strategy: rollout.KeepRuns,
 		Now:      boottime.Now,
