What engines say that they keep corrects where prompts are believed to be

Cause: an entry instance knew where prompts are only by requests, its own and those that others told of.

Ruled out: fetches that find nothing (expected and actual readings agree within 1 %); the names in lists and in requests differ (all 648 parts of a sample match).

Change: each engine and store is read by one entry instance of its zone, chosen by rendezvous, first by a list and then by long polls. What it finds goes to the others: all of the list at once, later changes with the hints. An instance that starts asks others what they know. The readers reuse engine/feed.

--- a/cmd/carawaystiled/forward.go
+++ b/cmd/carawaystiled/forward.go
@@ -128,6 +128,7 @@
 		Configuration: platform.Configuration,
 		List:          func(at netip.AddrPort) node.Lister { return platform.NewList(at, dial) },
 		Engines:       platform.NewEngines(dial),
+		Caches:        platform.NewCaches(dial),
 		Operators: func(documents *deployment.Service, log *zap.Logger) http.Handler {
 			return (&platform.Operator{Documents: documents, Log: log}).Handler()
 		},
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -16,6 +16,7 @@
 
 	"github.com/carawaystile/carawaystile/dialect"
 	"github.com/carawaystile/carawaystile/fleet"
+	"github.com/carawaystile/carawaystile/parts"
 	"github.com/carawaystile/carawaystile/routes"
 	"github.com/carawaystile/carawaystile/tables"
 	"github.com/carawaystile/carawaystile/weights"
@@ -53,20 +54,22 @@
 	Tried []tables.EndpointID
 }
 
-// SharedPart is the beginning of a prompt up to the end of a part.
+// SharedPart is a part of a prompt.
 type SharedPart struct {
-	// Key names the parts up to here and whom they may be shared with.
-	Key uint64
-	// Tokens counts those up to here.
+	Name parts.Name
+	// Tokens counts those of the prompt up to the end of the part.
 	Tokens int
 }
 
 // sharedTokens is the length of all shared parts.
-func (r *Request) sharedTokens() int {
-	if len(r.Shared) == 0 {
+func (r *Request) sharedTokens() int { return r.sharedUntil(len(r.Shared)) }
+
+// sharedUntil is the length of the first so many shared parts.
+func (r *Request) sharedUntil(n int) int {
+	if n == 0 {
 		return 0
 	}
-	return r.Shared[len(r.Shared)-1].Tokens
+	return r.Shared[n-1].Tokens
 }
 
 func (r *Request) tried(id tables.EndpointID) bool {
@@ -108,7 +111,7 @@
 	ended     bool
 	generates bool
 	// placed are the shared parts that the attempt brings to its endpoint.
-	placed []uint64
+	placed []parts.Key
 }
 
 // HasSource says whether Source is set.
@@ -175,7 +178,9 @@
 	picks   uint64
 	holders holders
 	news    []Placement
-	views   []view
+	// corrected counts what endpoints' words have changed.
+	corrected Corrections
+	views     []view
 	// dirty are the rows whose own load the others have not heard of.
 	dirty      []*endpointRow
 	sweptLoads tables.Instant
@@ -189,7 +194,7 @@
 		services: map[string][]*endpointRow{},
 		budgets:  map[string]*budget{},
 		peers:    firstPeers,
-		holders:  holders{rows: map[uint64][]holder{}},
+		holders:  holders{rows: map[parts.Key][]holder{}},
 	}
 }
 
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/carawaystile/carawaystile/dialect"
 	"github.com/carawaystile/carawaystile/fleet"
+	"github.com/carawaystile/carawaystile/parts"
 	"github.com/carawaystile/carawaystile/routes"
 	"github.com/carawaystile/carawaystile/tables"
 	"github.com/carawaystile/carawaystile/weights"
@@ -39,7 +40,7 @@
 func ask(part uint64) *Request {
 	return &Request{
 		Service: models, Route: &routes.Route{}, Model: "m", PromptTokens: 5000, OutputTokens: 50,
-		Shared:   []SharedPart{{Key: 1, Tokens: 2000}, {Key: part, Tokens: 4000}},
+		Shared:   []SharedPart{{Name: 1, Tokens: 2000}, {Name: parts.Name(part), Tokens: 4000}},
 		Deadline: time.Hour, HoldUntil: time.Hour,
 	}
 }
--- a/dispatch/holders.go
+++ b/dispatch/holders.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/carawaystile/carawaystile/parts"
 	"github.com/carawaystile/carawaystile/systems/placement"
 	"github.com/carawaystile/carawaystile/tables"
 )
@@ -33,10 +34,11 @@
 )
 
 // Placement says that a part of a prompt was brought to an endpoint's memory.
-// The key holds the weights version.
 type Placement struct {
 	Endpoint tables.EndpointID
-	Key      uint64
+	Key      parts.Key
+	// Dropped is set for a part that the endpoint has no longer.
+	Dropped bool
 }
 
 // holder is an endpoint that has a part in its memory, or will.
@@ -47,25 +49,22 @@
 	used  tables.Instant
 	// told is when the others last heard of it from here.
 	told tables.Instant
+	// placed is when a request that was to bring it was last known of.
+	placed tables.Instant
 }
 
 // holders is where shared parts of prompts lie, as far as this instance knows
-// by its own attempts and by what others tell. Engines publish what they hold
-// too late and with gaps; a request that was sent there is the earlier news.
+// by its own attempts, by what others tell and by what engines say. A request
+// that was sent somewhere is the earliest news; what engines publish comes late
+// and with gaps, and corrects it.
 type holders struct {
-	rows map[uint64][]holder
+	rows map[parts.Key][]holder
 	// sweptAt is when parts that were not used for long were last dropped.
 	sweptAt tables.Instant
 }
 
-// keyOf names a part under a weights version: what was made under another one
-// must not be used.
-func keyOf(part uint64, version uint64) uint64 {
-	return placement.Mix(part ^ version*0x9e3779b97f4a7c15)
-}
-
 // of lists the endpoints that hold a part, those that still serve it.
-func (h *holders) of(now tables.Instant, key uint64) []holder {
+func (h *holders) of(now tables.Instant, key parts.Key) []holder {
 	known := h.rows[key]
 	kept := known[:0]
 	for _, one := range known {
@@ -80,16 +79,16 @@
 }
 
 // note records that a part comes to an endpoint, or is used there.
-func (h *holders) note(now, ready tables.Instant, key uint64, r *endpointRow) (one *holder, fresh bool) {
+func (h *holders) note(now, ready tables.Instant, key parts.Key, r *endpointRow) (one *holder, fresh bool) {
 	h.sweep(now)
 	known := h.of(now, key)
 	for i := range known {
 		if known[i].row == r {
-			known[i].used = now
+			known[i].used, known[i].placed = now, now
 			return &known[i], false
 		}
 	}
-	known = append(known, holder{row: r, ready: ready, used: now})
+	known = append(known, holder{row: r, ready: ready, used: now, placed: now})
 	h.rows[key] = known
 	return &known[len(known)-1], true
 }
@@ -108,14 +107,21 @@
 // undo takes back what an attempt would have brought that never began.
 func (h *holders) undo(a *Attempt) {
 	for _, key := range a.placed {
-		known := h.rows[key]
-		for i, one := range known {
-			if one.row == a.row {
-				h.rows[key] = append(known[:i:i], known[i+1:]...)
-				break
-			}
+		h.drop(key, a.row)
+	}
+}
+
+// drop removes an endpoint from a part's holders and returns what was known of
+// it there; false if it was none.
+func (h *holders) drop(key parts.Key, r *endpointRow) (holder, bool) {
+	known := h.rows[key]
+	for i, one := range known {
+		if one.row == r {
+			h.rows[key] = append(known[:i:i], known[i+1:]...)
+			return one, true
 		}
 	}
+	return holder{}, false
 }
 
 // sweep drops parts that nobody uses any more.
@@ -136,8 +142,13 @@
 
 // Told takes what another instance placed.
 func (d *Dispatcher) Told(now tables.Instant, p Placement) {
-	if r := d.rows[p.Endpoint]; r != nil {
-		_, _ = d.holders.note(now, now+peerReady, p.Key, r)
+	r := d.rows[p.Endpoint]
+	switch {
+	case r == nil:
+	case p.Dropped:
+		d.holders.drop(p.Key, r)
+	default:
+		d.holders.note(now, now+peerReady, p.Key, r)
 	}
 }
 
@@ -152,7 +163,7 @@
 // uses there.
 func (d *Dispatcher) place(now tables.Instant, r *Request, a *Attempt) {
 	for _, part := range r.Shared {
-		key := keyOf(part.Key, a.Weights)
+		key := part.Name.Under(a.Weights)
 		one, fresh := d.holders.note(now, now+a.Expected+ownReady, key, a.row)
 		if fresh {
 			a.placed = append(a.placed, key)
@@ -177,7 +188,7 @@
 	}
 	a.Store = store.Endpoint
 	for _, part := range r.Shared {
-		key := keyOf(part.Key, a.Weights)
+		key := part.Name.Under(a.Weights)
 		one, fresh := d.holders.note(now, now+a.Expected+storeReady, key, store)
 		if fresh {
 			one.told = now
@@ -193,7 +204,7 @@
 	if len(r.Shared) == 0 {
 		return nil
 	}
-	last := r.Shared[len(r.Shared)-1].Key
+	last := uint64(r.Shared[len(r.Shared)-1].Name)
 	var best *endpointRow
 	for _, row := range d.stores {
 		if row.Draining {
@@ -206,98 +217,6 @@
 	return best
 }
 
-// view is what is known of a request's shared parts under one weights version.
-type view struct {
-	version uint64
-	// levels are the holders of each shared part.
-	levels [][]holder
-	// held is the longest beginning that some endpoint has or will have, and
-	// readyAt when all of it can be used by others.
-	held    int
-	readyAt tables.Instant
-	// home is where the first part that nobody holds belongs.
-	home     *endpointRow
-	homeDraw uint64
-}
-
-// view looks up what is known for a version.
-func (d *Dispatcher) view(now tables.Instant, r *Request, version uint64, rows []*endpointRow) view {
-	v := view{version: version}
-	cold := uint64(0)
-	for _, part := range r.Shared {
-		holding := d.holders.of(now, keyOf(part.Key, version))
-		v.levels = append(v.levels, holding)
-		if len(holding) == 0 {
-			if cold == 0 {
-				cold = part.Key
-			}
-			continue
-		}
-		v.held = part.Tokens
-		v.readyAt = max(v.readyAt, earliest(holding))
-	}
-	if cold != 0 {
-		v.chooseHome(now, r, cold, rows)
-	}
-	return v
-}
-
-func earliest(holding []holder) tables.Instant {
-	first := holding[0].ready
-	for _, one := range holding[1:] {
-		first = min(first, one.ready)
-	}
-	return first
-}
-
-// chooseHome picks the endpoint that a part which nobody holds belongs to: the
-// one with the highest draw of a hash over the endpoint and the part. Instances
-// that meet a new part at the same moment send it to one place without a word.
-func (v *view) chooseHome(now tables.Instant, r *Request, part uint64, rows []*endpointRow) {
-	for _, row := range rows {
-		if row.Draining || row.Loading || row.Weights[r.Model] != v.version || row.doubtNow(now) > homeDoubt {
-			continue
-		}
-		if draw := placement.Mix(row.hash ^ part); v.home == nil || draw > v.homeDraw {
-			v.home, v.homeDraw = row, draw
-		}
-	}
-}
-
-// at is the longest beginning that an endpoint has read. What another request
-// is still reading there is read once more.
-func (v *view) at(now tables.Instant, r *Request, row *endpointRow) int {
-	for i := len(v.levels) - 1; i >= 0; i-- {
-		for _, one := range v.levels[i] {
-			if one.row == row && one.ready <= now {
-				return r.Shared[i].Tokens
-			}
-		}
-	}
-	return 0
-}
-
-// sourceFor is the endpoint other than the given one that has the longest
-// beginning, of several the one that used it last, and its length.
-func (v *view) sourceFor(now tables.Instant, r *Request, but *endpointRow) (*endpointRow, int) {
-	for i := len(v.levels) - 1; i >= 0; i-- {
-		var source *endpointRow
-		var used tables.Instant
-		for _, one := range v.levels[i] {
-			if one.row == but || one.ready > now || !one.row.sound(now) {
-				continue
-			}
-			if at := one.lastUse(now); source == nil || at > used {
-				source, used = one.row, at
-			}
-		}
-		if source != nil {
-			return source, r.Shared[i].Tokens
-		}
-	}
-	return nil, 0
-}
-
 // lastUse is when a part was last used, for the choice of a source. A store
 // keeps parts longer than engines do, which drop them for the prompts of other
 // requests, but its link is slower; so it comes after engines that have used a
--- /dev/null
+++ b/dispatch/kept.go
@@ -0,0 +1,102 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/carawaystile/carawaystile/parts"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// dropGrace is how long after a request was sent to bring or use a part an
+// endpoint's word that it has dropped the part is taken to be older than the
+// request. Such words come some 100 ms late.
+const dropGrace = 500 * time.Millisecond
+
+// Kept takes what an endpoint says that it keeps and has dropped of late. Belief
+// by placement alone counts on parts that were pushed out meanwhile, and each
+// request that follows it reads its whole prompt again.
+//
+// Parts that nobody has asked for here are passed over, unless all is set: they
+// are mostly the requests' own. A reader that begins with an endpoint cannot know
+// which are shared, and takes all.
+func (d *Dispatcher) Kept(now tables.Instant, endpoint tables.EndpointID, kept, dropped []parts.Key, all bool) {
+	row := d.rows[endpoint]
+	if row == nil {
+		return
+	}
+	for _, key := range kept {
+		d.keptOne(now, row, key, all)
+	}
+	for _, key := range dropped {
+		d.droppedOne(now, row, key)
+	}
+}
+
+func (d *Dispatcher) keptOne(now tables.Instant, row *endpointRow, key parts.Key, all bool) {
+	known := d.holders.rows[key]
+	if len(known) == 0 && !all {
+		return
+	}
+	for i := range known {
+		if known[i].row == row {
+			known[i].ready = min(known[i].ready, now)
+			return
+		}
+	}
+	d.holders.rows[key] = append(known, holder{row: row, ready: now, used: now, told: now})
+	d.corrected.Added++
+	if len(known) > 0 {
+		d.news = append(d.news, Placement{Endpoint: row.ID, Key: key})
+	}
+}
+
+func (d *Dispatcher) droppedOne(now tables.Instant, row *endpointRow, key parts.Key) {
+	for _, one := range d.holders.rows[key] {
+		if one.row == row && now-one.placed < dropGrace {
+			return
+		}
+	}
+	if _, believed := d.holders.drop(key, row); believed {
+		d.corrected.Dropped++
+		d.news = append(d.news, Placement{Endpoint: row.ID, Key: key, Dropped: true})
+	}
+}
+
+// Corrections count what endpoints' words have changed of the belief in where
+// parts are.
+type Corrections struct {
+	// Added counts parts that were found where nobody was known to have brought
+	// them, Dropped those that were believed to be where they are no longer.
+	Added, Dropped int
+}
+
+// Corrections returns the counts since the start.
+func (d *Dispatcher) Corrections() Corrections { return d.corrected }
+
+// Holding is what one endpoint keeps.
+type Holding struct {
+	Endpoint tables.EndpointID
+	Keys     []parts.Key
+}
+
+// Holdings lists what endpoints are believed to keep, by endpoint, for an
+// instance that has just started.
+func (d *Dispatcher) Holdings(now tables.Instant) []Holding {
+	by := map[tables.EndpointID][]parts.Key{}
+	for key := range d.holders.rows {
+		for _, one := range d.holders.of(now, key) {
+			if one.ready <= now {
+				by[one.row.ID] = append(by[one.row.ID], key)
+			}
+		}
+	}
+	all := make([]Holding, 0, len(by))
+	for id, keys := range by {
+		slices.Sort(keys)
+		all = append(all, Holding{Endpoint: id, Keys: keys})
+	}
+	slices.SortFunc(all, func(a, b Holding) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
+	return all
+}
--- /dev/null
+++ b/dispatch/kept_test.go
@@ -0,0 +1,115 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/parts"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// keysOf are the keys of a request's shared parts under the first weights.
+func keysOf(r *Request) []parts.Key {
+	var keys []parts.Key
+	for _, part := range r.Shared {
+		keys = append(keys, part.Name.Under(1))
+	}
+	return keys
+}
+
+// readBy has an engine read a prompt, and returns the engine.
+func readBy(t *testing.T, d *Dispatcher, now tables.Instant, r *Request) tables.EndpointID {
+	t.Helper()
+	a := mustPlace(t, d, now, r)
+	d.Began(now+100*time.Millisecond, a)
+	d.Ended(now+200*time.Millisecond, a, Completed)
+	return a.Endpoint.ID
+}
+
+// An engine pushes a prompt out for others. Instances that go on believing in it
+// send requests there, which wait for a prompt to be read that an engine beside
+// may still have.
+func TestDroppedPartsAreNotCountedOn(t *testing.T) {
+	d, _ := world(4)
+	id := readBy(t, d, time.Second, ask(7))
+	assert.Equal(t, mustPlace(t, d, 2*time.Second, ask(7)).Uncached, 1000)
+	d.Kept(5*time.Second, id, nil, keysOf(ask(7)), false)
+	again := mustPlace(t, d, 6*time.Second, ask(7))
+	assert.Equal(t, again.Uncached, 5000)
+	assert.Equal(t, again.HasSource(), false)
+	assert.Equal(t, d.Corrections().Dropped, 2)
+}
+
+// Engines tell what they dropped some 100 ms late. A request has been sent to
+// bring the part again meanwhile; were the older word believed, the next one would
+// have it read a second time elsewhere.
+func TestAnOlderWordDoesNotUndoAPlacement(t *testing.T) {
+	d, _ := world(4)
+	a := mustPlace(t, d, time.Second, ask(7))
+	d.Kept(time.Second+100*time.Millisecond, a.Endpoint.ID, nil, keysOf(ask(7)), false)
+	d.Began(time.Second+150*time.Millisecond, a)
+	assert.Equal(t, mustPlace(t, d, time.Second+200*time.Millisecond, ask(7)).Uncached, 1000)
+}
+
+// An instance has restarted and knows of no placement. Its callers would wait for
+// prompts to be read that the engines have.
+func TestANewcomerLearnsFromAnEnginesFirstWord(t *testing.T) {
+	d, _ := world(4)
+	d.Kept(time.Second, "e2", keysOf(ask(7)), nil, true)
+	a := mustPlace(t, d, 2*time.Second, ask(7))
+	assert.Equal(t, a.Uncached, 1000)
+	assert.Equal(t, len(d.News()), 0)
+	holdings := d.Holdings(2 * time.Second)
+	assert.Equal(t, len(holdings), 1)
+	assert.Equal(t, holdings[0].Endpoint, tables.EndpointID("e2"))
+	assert.Equal(t, len(holdings[0].Keys), 2)
+}
+
+// Most of what an engine tells are requests' own parts. Kept by every instance they
+// would fill its memory and its hints.
+func TestPartsThatNobodyAskedForArePassedOver(t *testing.T) {
+	d, _ := world(4)
+	d.Kept(time.Second, "e2", keysOf(ask(7)), nil, false)
+	assert.Equal(t, len(d.holders.rows), 0)
+	assert.Equal(t, len(d.News()), 0)
+}
+
+// One instance reads an engine for all. The others must hear of what it finds, or
+// they go on sending requests where the prompt is not.
+func TestOthersHearOfCorrections(t *testing.T) {
+	reader, all := world(4)
+	other := New(Options{Zone: "b", Seed: 99})
+	other.Fleet(all)
+	id := readBy(t, reader, time.Second, ask(7))
+	for _, p := range reader.News() {
+		other.Told(time.Second, p)
+	}
+	reader.Kept(5*time.Second, id, nil, keysOf(ask(7)), false)
+	for _, p := range reader.News() {
+		assert.Equal(t, p.Dropped, true)
+		other.Told(5*time.Second, p)
+	}
+	assert.Equal(t, mustPlace(t, other, 6*time.Second, ask(7)).Uncached, 5000)
+
+	found := tables.EndpointID("e0")
+	if id == found {
+		found = "e1"
+	}
+	readBy(t, reader, 7*time.Second, ask(7))
+	_ = reader.News()
+	reader.Kept(8*time.Second, found, keysOf(ask(7)), nil, false)
+	news := reader.News()
+	assert.Equal(t, len(news), 2)
+	assert.Equal(t, news[0].Endpoint, found)
+}
+
+// An engine has dropped the outer part of a prompt and kept the inner one, which is
+// of no use without it.
+func TestAnInnerPartAloneIsNothing(t *testing.T) {
+	d, _ := world(1)
+	id := readBy(t, d, time.Second, ask(7))
+	d.Kept(5*time.Second, id, nil, keysOf(ask(7))[:1], false)
+	assert.Equal(t, mustPlace(t, d, 6*time.Second, ask(7)).Uncached, 5000)
+}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -192,9 +192,9 @@
 // weighGeneration adds up the prefill before a generation and its own, what has
 // to be fetched, and what is read though it was read before.
 func (d *Dispatcher) weighGeneration(now tables.Instant, r *Request, c *candidate, v *view) {
-	own := v.at(now, r, c.row)
-	source, there := v.sourceFor(now, r, c.row)
-	got := max(own, there)
+	has := v.at(now, c.row)
+	source, until := v.sourceFor(now, c.row, has)
+	own, got := r.sharedUntil(has), r.sharedUntil(until)
 	c.source, c.fetched, c.home = source, got-own, v.home == c.row
 	c.uncached = float64(r.PromptTokens - got)
 	c.wait = baseFirst + (c.row.ahead(now)+c.uncached)/c.row.rate + fetchTime*float64(got-own)
--- a/engine/feed/feed.go
+++ b/engine/feed/feed.go
@@ -36,6 +36,9 @@
 	Reporter engine.Reporter
 	// Deliver takes the inputs. It is called by many goroutines.
 	Deliver func(router.Input)
+	// Batch takes the changes of caches instead of Deliver, an answer at a time,
+	// where it is set; load reports are not read then.
+	Batch func(Batch)
 	// Silent is told when an endpoint stops answering and when it answers
 	// again; nil means nobody.
 	Silent func(id tables.EndpointID, silent bool)
@@ -92,6 +95,15 @@
 	}
 }
 
+// Batch is the changes of an endpoint's cache that came with one answer.
+type Batch struct {
+	Endpoint tables.EndpointID
+	Boot     tables.BootID
+	// First is set for the first answer of a boot.
+	First   bool
+	Changes []engine.CacheChange
+}
+
 // feed reads one endpoint.
 type feed struct {
 	Options
@@ -157,14 +169,34 @@
 			continue
 		}
 		failures = 0
-		if changes.Boot != boot {
+		first := changes.Boot != boot
+		if first {
 			boot, after = changes.Boot, 0
 		}
-		after = f.deliverChanges(boot, after, changes.Changes)
+		if f.Batch != nil {
+			after = f.deliverBatch(Batch{Endpoint: f.id, Boot: boot, First: first}, after, changes.Changes)
+		} else {
+			after = f.deliverChanges(boot, after, changes.Changes)
+		}
 		wait = f.spread(f.EventPause)
 	}
 }
 
+// deliverBatch hands on what is new of an answer, and returns the last sequence
+// number.
+func (f *feed) deliverBatch(b Batch, after uint64, changes []engine.CacheChange) uint64 {
+	for _, change := range changes {
+		if change.Sequence > after || b.First {
+			after = max(after, change.Sequence)
+			b.Changes = append(b.Changes, change)
+		}
+	}
+	if b.First || len(b.Changes) > 0 {
+		f.Batch(b)
+	}
+	return after
+}
+
 // deliverChanges hands on what is new, in order, and returns the last sequence
 // number. A gap is left to the router, which sees the jump itself.
 func (f *feed) deliverChanges(boot tables.BootID, after uint64, changes []engine.CacheChange) uint64 {
--- a/engine/feed/feed_test.go
+++ b/engine/feed/feed_test.go
@@ -164,3 +164,27 @@
 		}
 	}
 }
+
+// A reader of caches alone gets whole answers, the first of each boot marked: what
+// an endpoint tells first is all that it keeps. Its numbers may be the same again.
+func TestBatchesAreHandedOnWhole(t *testing.T) {
+	s := &script{
+		errs: []error{nil, nil, nil, nil},
+		changes: []engine.CacheChanges{
+			{Boot: "b1"},
+			{Boot: "b1", Changes: []engine.CacheChange{{Sequence: 1}, {Sequence: 2}}},
+			{Boot: "b1", Changes: []engine.CacheChange{{Sequence: 2}}},
+			{Boot: "b2", Changes: []engine.CacheChange{{Sequence: 0}}},
+		},
+	}
+	r := newRig(t, s)
+	var batches []Batch
+	r.Batch = func(b Batch) { batches = append(batches, b) }
+	r.readChanges(r.ctx)
+	assert.DeepEqual(t, s.asked, []uint64{0, 0, 2, 2, 0})
+	assert.DeepEqual(t, batches, []Batch{
+		{Endpoint: "e", Boot: "b1", First: true},
+		{Endpoint: "e", Boot: "b1", Changes: []engine.CacheChange{{Sequence: 1}, {Sequence: 2}}},
+		{Endpoint: "e", Boot: "b2", First: true, Changes: []engine.CacheChange{{Sequence: 0}}},
+	})
+}
--- a/engine/feed/group.go
+++ b/engine/feed/group.go
@@ -76,7 +76,9 @@
 	ctx, cancel := context.WithCancel(g.ctx)
 	g.feeds[id] = running{target: t, stop: cancel}
 	f := &feed{Options: g.options, id: id, at: t.at}
-	g.loops.Go(func() { f.readLoads(ctx) })
+	if g.options.Batch == nil {
+		g.loops.Go(func() { f.readLoads(ctx) })
+	}
 	if t.kind == tables.Engine {
 		g.loops.Go(func() { f.readChanges(ctx) })
 	}
--- a/events/endpoints.go
+++ b/events/endpoints.go
@@ -8,4 +8,7 @@
 	EndpointAnswers  = define(5001, zapcore.InfoLevel, "An endpoint answers its load report again.")
 	EndpointRebooted = define(5002, zapcore.WarnLevel, "An endpoint came back with a new boot identity.")
 	CacheEventGap    = define(5003, zapcore.DebugLevel, "Cache events of an endpoint are missing.")
+	CacheRead        = define(5004, zapcore.InfoLevel, "This instance reads what an endpoint keeps of prompts.")
+	CacheLearned     = define(5005, zapcore.InfoLevel, "Another instance told what endpoints keep of prompts.")
+	CacheNotShared   = define(5006, zapcore.InfoLevel, "Another instance could not be told, or did not tell, what endpoints keep of prompts.")
 )
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -16,6 +16,7 @@
 	"github.com/carawaystile/carawaystile/engine/exchange"
 	"github.com/carawaystile/carawaystile/entry/outcome"
 	"github.com/carawaystile/carawaystile/events"
+	"github.com/carawaystile/carawaystile/parts"
 	"github.com/carawaystile/carawaystile/systems/quarantine"
 	"github.com/carawaystile/carawaystile/tables"
 )
@@ -118,14 +119,12 @@
 // maxPriority is the least urgent priority that endpoints know.
 const maxPriority = 9
 
-// describeGeneration sets what keeps cached prompts apart. The version is part
-// of the salt: endpoints and stores do not say under which version a part was
-// made, and an answer from parts of other weights would be wrong.
+// describeGeneration sets what keeps cached prompts apart, and where the
+// endpoint gets parts from and sends them.
 func (t *try) describeGeneration(header http.Header) {
 	j, h := t.job, t.job.server.headers
-	version := strconv.FormatUint(t.chosen.Weights, 10)
-	header.Set(h.ExpectWeights, version)
-	header.Set(h.CacheSalt, "w"+version+"/"+j.isolation())
+	header.Set(h.ExpectWeights, strconv.FormatUint(t.chosen.Weights, 10))
+	header.Set(h.CacheSalt, parts.Salt(t.chosen.Weights, j.isolation()))
 	header.Set(h.Priority, strconv.Itoa(min(max(j.ask.Priority, 0), maxPriority)))
 	if t.chosen.HasSource() {
 		header.Set(h.CacheSource, t.chosen.Source.Address.String())
--- a/forward/job.go
+++ b/forward/job.go
@@ -14,6 +14,7 @@
 	"github.com/carawaystile/carawaystile/dialect"
 	"github.com/carawaystile/carawaystile/dispatch"
 	"github.com/carawaystile/carawaystile/entry/outcome"
+	"github.com/carawaystile/carawaystile/parts"
 	"github.com/carawaystile/carawaystile/routes"
 	"github.com/carawaystile/carawaystile/tables"
 )
@@ -216,18 +217,13 @@
 
 // share notes the parts of the prompt that other requests have too: all but the
 // last, which is the request's or its session's own.
-func (j *job) share(parts []dialect.Part, scope string) {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(scope)
-	_, _ = d.Write([]byte{0})
-	_, _ = d.WriteString(j.ask.Model)
+func (j *job) share(prompt []dialect.Part, scope string) {
 	tokens := 0
-	for _, part := range parts[:max(0, len(parts)-1)] {
-		_, _ = d.Write([]byte{0})
-		_, _ = d.WriteString(part.ID)
+	for _, part := range prompt[:max(0, len(prompt)-1)] {
 		tokens = min(tokens+part.Tokens, j.ask.PromptTokens)
-		j.ask.Shared = append(j.ask.Shared, dispatch.SharedPart{Key: d.Sum64(), Tokens: tokens})
+		j.ask.Shared = append(j.ask.Shared, dispatch.SharedPart{
+			Name: parts.NameOf(j.ask.Model, scope, part.ID), Tokens: tokens,
+		})
 	}
 }
 
--- a/forward/measure.go
+++ b/forward/measure.go
@@ -100,7 +100,14 @@
 	heard := registry.Gauge("carawaystile_control_heard_seconds", "Time since a control instance last answered this instance.")
 	number := registry.Gauge("carawaystile_configuration_number", "Number of the configuration in force on this instance.")
 	ready := registry.Gauge("carawaystile_ready", "1 if the balancer may send callers here.")
+	added := registry.Gauge("carawaystile_cache_parts_found", "Parts of prompts that engines were found to keep though no request was known to have brought them, since the start.")
+	dropped := registry.Gauge("carawaystile_cache_parts_gone", "Parts of prompts that were believed to be kept and were not, since the start.")
 	registry.BeforeWrite(func() {
+		s.mu.Lock()
+		corrected := s.dispatch.Corrections()
+		s.mu.Unlock()
+		added.Update(float64(corrected.Added))
+		dropped.Update(float64(corrected.Dropped))
 		heard.Update(s.sinceControl().Seconds())
 		if table := s.Configuration(); table != nil {
 			number.Update(float64(table.Number))
--- a/forward/server.go
+++ b/forward/server.go
@@ -20,6 +20,7 @@
 	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/fleet"
 	"github.com/carawaystile/carawaystile/metrics"
+	"github.com/carawaystile/carawaystile/parts"
 	"github.com/carawaystile/carawaystile/routes"
 	"github.com/carawaystile/carawaystile/systems/quarantine"
 	"github.com/carawaystile/carawaystile/tables"
@@ -72,7 +73,8 @@
 	mu       sync.Mutex
 	dispatch *dispatch.Dispatcher
 	suspects *quarantine.System
-	hasFleet atomic.Bool
+	// endpoints are those that were last taken over; nil for none yet.
+	endpoints atomic.Pointer[map[tables.EndpointID]fleet.Endpoint]
 }
 
 // New returns a Server that refuses all requests until it has a configuration.
@@ -103,7 +105,7 @@
 // noteKnown lets requests that wait for the first configuration and endpoints
 // go on once both are there.
 func (s *Server) noteKnown() {
-	if s.routes.Load() != nil && s.hasFleet.Load() {
+	if s.routes.Load() != nil && s.hasFleet() {
 		s.knownOnce.Do(func() { close(s.known) })
 	}
 }
@@ -135,15 +137,52 @@
 	s.dispatch.Named(weights.Naming{Model: model, Version: version, At: s.options.Now() - max(ago, 0)})
 }
 
-// Fleet takes over the endpoints that are known now.
+// Fleet takes over the endpoints that are known now. The map must not change
+// later.
 func (s *Server) Fleet(endpoints map[tables.EndpointID]fleet.Endpoint) {
 	s.mu.Lock()
 	s.dispatch.Fleet(endpoints)
 	s.mu.Unlock()
-	s.hasFleet.Store(true)
+	s.endpoints.Store(&endpoints)
 	s.noteKnown()
 }
 
+// Endpoints returns the endpoints that are known now; they must not be changed.
+func (s *Server) Endpoints() map[tables.EndpointID]fleet.Endpoint {
+	if known := s.endpoints.Load(); known != nil {
+		return *known
+	}
+	return nil
+}
+
+func (s *Server) hasFleet() bool { return s.endpoints.Load() != nil }
+
+// AwaitKnown waits until there are a configuration and endpoints; false if the
+// context ended before.
+func (s *Server) AwaitKnown(ctx context.Context) bool {
+	select {
+	case <-s.known:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Kept takes what an endpoint says that it keeps and has dropped of late; all is
+// set for the first word of an endpoint.
+func (s *Server) Kept(endpoint tables.EndpointID, kept, dropped []parts.Key, all bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dispatch.Kept(s.options.Now(), endpoint, kept, dropped, all)
+}
+
+// Holdings lists what endpoints are believed to keep.
+func (s *Server) Holdings() []dispatch.Holding {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dispatch.Holdings(s.options.Now())
+}
+
 // Peers notes how many entry instances share limits with this one, and which of
 // them it is.
 func (s *Server) Peers(rank, of int) {
@@ -193,7 +232,7 @@
 
 // Ready says whether the balancer should send callers here.
 func (s *Server) Ready() bool {
-	return s.gate.State().Ready() && s.routes.Load() != nil && s.hasFleet.Load()
+	return s.gate.State().Ready() && s.routes.Load() != nil && s.hasFleet()
 }
 
 // Drain takes the instance out of service without cutting a request. It returns
--- /dev/null
+++ b/node/caches.go
@@ -0,0 +1,266 @@
+package node
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"github.com/carawaystile/carawaystile/dispatch"
+	"github.com/carawaystile/carawaystile/engine/feed"
+	"github.com/carawaystile/carawaystile/events"
+	"github.com/carawaystile/carawaystile/parts"
+	"github.com/carawaystile/carawaystile/rpc"
+	"github.com/carawaystile/carawaystile/systems/membership"
+	"github.com/carawaystile/carawaystile/systems/placement"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+const (
+	// cachePause is the least time between two questions for what an engine has
+	// kept and dropped: its news come some 100 ms late anyway, and each answer
+	// costs processor time.
+	cachePause = 200 * time.Millisecond
+	// cacheWait is how long an engine may hold such a question back.
+	cacheWait = time.Second
+	// cacheBackOff bounds the wait between questions that fail.
+	cacheBackOff = 2 * time.Second
+	// cacheSettle is how long an instance that has just started waits before it
+	// reads the engines of its zone, and cacheAbroad before it reads those of zones
+	// without an entry instance: until it knows of the others it would take all for
+	// its own.
+	cacheSettle = 100 * time.Millisecond
+	cacheAbroad = 3 * time.Second
+	// cacheAssign is the time between two looks at which engines to read.
+	cacheAssign = 500 * time.Millisecond
+	// holdingsTries is how often an instance that has just started asks others for
+	// what engines keep, and holdingsPause the time between two tries. After a
+	// restart of all instances none of them knows at first.
+	holdingsTries = 8
+	holdingsPause = 150 * time.Millisecond
+	// holdingsTimeout bounds telling or asking one instance.
+	holdingsTimeout = 500 * time.Millisecond
+	// maxHoldings bounds the parts of one endpoint that others are told of: 8 KB.
+	maxHoldings = 1024
+)
+
+// caches reads what engines and stores keep of prompts. Each is read by one entry
+// instance of its zone, which lets the others know: an engine takes few readers.
+//
+// Without it an instance knows where prompts are only by the requests that it has
+// seen. After a restart of all entry instances every prompt was read once more,
+// though the engines still had it, and callers of long prompts waited for that.
+type caches struct {
+	node    *Node
+	readers *feed.Group
+}
+
+// startCaches begins to read what engines keep.
+func (n *Node) startCaches() {
+	if n.options.Platform.Caches == nil {
+		return
+	}
+	c := &caches{node: n}
+	c.readers = feed.NewGroup(feed.Options{
+		Reporter:   n.options.Platform.Caches,
+		Batch:      c.take,
+		EventWait:  cacheWait,
+		EventPause: cachePause,
+		MaxBackOff: cacheBackOff,
+		Log:        n.log,
+	})
+	n.background.Go(func() {
+		defer c.readers.Close()
+		c.run(n.stopping)
+	})
+}
+
+// run learns what others know and then reads this instance's share of engines.
+func (c *caches) run(ctx context.Context) {
+	if !c.node.entry.AwaitKnown(ctx) {
+		return
+	}
+	c.node.background.Go(func() { c.ask(ctx) })
+	wait := time.NewTimer(cacheSettle)
+	defer wait.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-wait.C:
+		}
+		c.assign()
+		wait.Reset(cacheAssign)
+	}
+}
+
+// assign reads the engines and stores that this instance has to read now.
+func (c *caches) assign() {
+	entries := c.node.entryMembers()
+	var mine tables.Configuration
+	abroad := c.node.now() > cacheAbroad
+	for id, e := range c.node.entry.Endpoints() {
+		if len(e.Weights) == 0 && !e.Store {
+			continue // a plain service
+		}
+		if e.Zone != c.node.options.Settings.Zone && !abroad {
+			continue
+		}
+		if readerOf(id, e.Zone, entries) == c.node.options.Settings.Instance {
+			mine.Endpoints = append(mine.Endpoints, tables.Endpoint{ID: id, Address: e.Address, Life: uint64(e.Born), Kind: tables.Engine})
+		}
+	}
+	c.readers.Configure(&mine)
+}
+
+// readerOf picks the instance that reads an endpoint: of those in its zone, or of
+// all where the zone has none, the one with the highest draw of a hash over both.
+func readerOf(id tables.EndpointID, zone tables.Zone, entries []membership.Member) tables.InstanceID {
+	var reader tables.InstanceID
+	var best uint64
+	near := false
+	for _, m := range entries {
+		inZone := m.Zone == zone
+		if near && !inZone {
+			continue
+		}
+		draw := placement.Mix(xxhash.Sum64String(string(id)) ^ xxhash.Sum64String(string(m.Instance)))
+		if reader == "" || inZone && !near || draw > best {
+			reader, best, near = m.Instance, draw, inZone
+		}
+	}
+	return reader
+}
+
+// take takes an endpoint's news. What is told first of a life is everything it
+// keeps, and goes to the others at once.
+func (c *caches) take(b feed.Batch) {
+	kept, dropped := netOf(b)
+	c.node.entry.Kept(b.Endpoint, kept, dropped, b.First)
+	if !b.First {
+		return
+	}
+	events.CacheRead.Log(c.node.log, zap.String("endpoint", string(b.Endpoint)), zap.String("boot", string(b.Boot)),
+		zap.Int("changes", len(b.Changes)), zap.Int("kept", len(kept)))
+	if len(kept) > 0 {
+		c.share(b.Endpoint, kept[max(0, len(kept)-maxHoldings):])
+	}
+}
+
+// netOf is what a batch comes to: a part that was kept and dropped within it is
+// dropped.
+func netOf(b feed.Batch) (kept, dropped []parts.Key) {
+	last := map[parts.Key]bool{}
+	var order []parts.Key
+	note := func(blocks []tables.BlockHash, stored bool) {
+		for _, block := range blocks {
+			key := parts.Key(block)
+			if _, known := last[key]; !known {
+				order = append(order, key)
+			}
+			last[key] = stored
+		}
+	}
+	for _, change := range b.Changes {
+		note(change.Stored, true)
+		note(change.Evicted, false)
+	}
+	for _, key := range order {
+		if last[key] {
+			kept = append(kept, key)
+		} else {
+			dropped = append(dropped, key)
+		}
+	}
+	return kept, dropped
+}
+
+// share tells the others what an endpoint keeps.
+func (c *caches) share(id tables.EndpointID, kept []parts.Key) {
+	told := &rpc.Holdings{Holdings: []*rpc.Holding{encodeHolding(dispatch.Holding{Endpoint: id, Keys: kept})}}
+	for _, at := range c.node.cachePeers() {
+		c.node.background.Go(func() {
+			ctx, cancel := context.WithTimeout(c.node.stopping, holdingsTimeout)
+			defer cancel()
+			_, err := c.client(at).Hold(ctx, told)
+			if err != nil {
+				events.CacheNotShared.Log(c.node.log, zap.String("endpoint", string(id)), zap.Stringer("with", at), zap.Error(err))
+			}
+		})
+	}
+}
+
+// ask learns from another instance where parts are. It asks several times: right
+// after a start the others are not known yet, or have just started too.
+func (c *caches) ask(ctx context.Context) {
+	for try := range holdingsTries {
+		if peers := c.node.cachePeers(); len(peers) > 0 {
+			at := peers[(int(c.node.boot)+try)%len(peers)]
+			if c.askOne(ctx, at) {
+				return
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(holdingsPause):
+		}
+	}
+}
+
+// askOne asks one instance and says whether it knew anything.
+func (c *caches) askOne(ctx context.Context, at netip.AddrPort) bool {
+	bounded, cancel := context.WithTimeout(ctx, holdingsTimeout)
+	defer cancel()
+	told, err := c.client(at).TellHoldings(bounded, &rpc.HoldingsRequest{})
+	if err != nil {
+		events.CacheNotShared.Log(c.node.log, zap.Stringer("with", at), zap.Error(err))
+		return false
+	}
+	c.node.hold(told)
+	events.CacheLearned.Log(c.node.log, zap.Stringer("from", at), zap.Int("endpoints", len(told.GetHoldings())))
+	return len(told.GetHoldings()) > 0
+}
+
+func (c *caches) client(at netip.AddrPort) rpc.CacheKnowledge {
+	return rpc.NewCacheKnowledgeProtobufClient("http://"+at.String(), c.node.client)
+}
+
+// hold takes over what another instance knows.
+func (n *Node) hold(told *rpc.Holdings) {
+	for _, h := range told.GetHoldings() {
+		keys := make([]parts.Key, 0, len(h.GetParts()))
+		for _, key := range h.GetParts() {
+			keys = append(keys, parts.Key(key))
+		}
+		n.entry.Kept(tables.EndpointID(h.GetEndpoint()), keys, nil, true)
+	}
+}
+
+func encodeHolding(h dispatch.Holding) *rpc.Holding {
+	told := &rpc.Holding{Endpoint: string(h.Endpoint)}
+	for _, key := range h.Keys {
+		told.Parts = append(told.Parts, uint64(key))
+	}
+	return told
+}
+
+// cacheService serves what this instance knows. It implements rpc.CacheKnowledge.
+type cacheService struct{ node *Node }
+
+// Hold takes what another instance has read of an endpoint.
+func (s cacheService) Hold(_ context.Context, told *rpc.Holdings) (*rpc.HoldAnswer, error) {
+	s.node.hold(told)
+	return &rpc.HoldAnswer{}, nil
+}
+
+// TellHoldings tells all that is believed.
+func (s cacheService) TellHoldings(context.Context, *rpc.HoldingsRequest) (*rpc.Holdings, error) {
+	told := &rpc.Holdings{}
+	for _, h := range s.node.entry.Holdings() {
+		told.Holdings = append(told.Holdings, encodeHolding(h))
+	}
+	return told, nil
+}
--- /dev/null
+++ b/node/caches_test.go
@@ -0,0 +1,75 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/engine"
+	"github.com/carawaystile/carawaystile/engine/feed"
+	"github.com/carawaystile/carawaystile/parts"
+	"github.com/carawaystile/carawaystile/systems/membership"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+func entries(perZone int, zones ...tables.Zone) []membership.Member {
+	var all []membership.Member
+	for _, zone := range zones {
+		for i := range perZone {
+			all = append(all, membership.Member{Row: membership.Row{
+				Instance: tables.InstanceID(fmt.Sprintf("%s-%d", zone, i)), Zone: zone,
+			}})
+		}
+	}
+	return all
+}
+
+// Engines take few readers, and bytes between zones are dear.
+func TestAnEngineIsReadByOneInstanceOfItsZone(t *testing.T) {
+	all := entries(3, "a", "b")
+	count := map[tables.InstanceID]int{}
+	for i := range 60 {
+		id := tables.EndpointID(fmt.Sprintf("e%d", i))
+		reader := readerOf(id, "b", all)
+		assert.Equal(t, reader[0], byte('b'))
+		assert.Equal(t, readerOf(id, "b", all), reader)
+		count[reader]++
+	}
+	for id, n := range count {
+		assert.Assert(t, n > 5, "%s reads %d of 60", id, n)
+	}
+	assert.Assert(t, readerOf("e1", "c", all) != "", "a zone without entry instances is read from others")
+}
+
+// A reader ends. Another one takes its engines over, and the others' readers stay:
+// each change costs an engine a list of all that it keeps.
+func TestOtherReadersStayWhenOneEnds(t *testing.T) {
+	all := entries(4, "a")
+	for i := range 40 {
+		id := tables.EndpointID(fmt.Sprintf("e%d", i))
+		before := readerOf(id, "a", all)
+		after := readerOf(id, "a", all[1:])
+		if before != all[0].Instance {
+			assert.Equal(t, after, before)
+		}
+	}
+}
+
+// A part is stored, dropped and stored again within one answer. Taken in any other
+// order, the reader would tell the others of a part that is gone, or miss one.
+func TestABatchComesToItsLastWord(t *testing.T) {
+	one := func(stored, evicted tables.BlockHash) engine.CacheChange {
+		var c engine.CacheChange
+		if stored != 0 {
+			c.Stored = []tables.BlockHash{stored}
+		}
+		if evicted != 0 {
+			c.Evicted = []tables.BlockHash{evicted}
+		}
+		return c
+	}
+	kept, dropped := netOf(feed.Batch{Changes: []engine.CacheChange{one(1, 0), one(2, 0), one(0, 1), one(0, 3), one(1, 0), one(0, 2)}})
+	assert.DeepEqual(t, kept, []parts.Key{1})
+	assert.DeepEqual(t, dropped, []parts.Key{2, 3})
+}
--- a/node/entry.go
+++ b/node/entry.go
@@ -14,6 +14,7 @@
 	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/fleet"
 	"github.com/carawaystile/carawaystile/forward"
+	"github.com/carawaystile/carawaystile/parts"
 	"github.com/carawaystile/carawaystile/rpc"
 	"github.com/carawaystile/carawaystile/systems/membership"
 	"github.com/carawaystile/carawaystile/tables"
@@ -62,6 +63,7 @@
 		Log: n.log,
 	})
 	n.background.Go(func() { n.follow.Run(n.stopping) })
+	n.startCaches()
 	if err := n.serve(&http.Server{Handler: n.entry}, s.Listen.Callers); err != nil {
 		return err
 	}
@@ -123,7 +125,7 @@
 	placements, loads := n.entry.News()
 	var hints membership.Hints
 	for _, p := range placements {
-		hints.Placements = append(hints.Placements, membership.Placement{Endpoint: p.Endpoint, Block: tables.BlockHash(p.Key)})
+		hints.Placements = append(hints.Placements, membership.Placement{Endpoint: p.Endpoint, Block: tables.BlockHash(p.Key), Dropped: p.Dropped})
 	}
 	for _, l := range loads {
 		hints.Loads = append(hints.Loads, membership.Load{
@@ -137,7 +139,7 @@
 // placedElsewhere takes what another instance placed.
 func (n *Node) placedElsewhere(p membership.Placement) {
 	if n.entry != nil {
-		n.entry.Placed(dispatch.Placement{Endpoint: p.Endpoint, Key: uint64(p.Block)})
+		n.entry.Placed(dispatch.Placement{Endpoint: p.Endpoint, Key: parts.Key(p.Block), Dropped: p.Dropped})
 	}
 }
 
--- a/node/listen.go
+++ b/node/listen.go
@@ -54,6 +54,7 @@
 		mux.Handle(rpc.DeploymentPathPrefix, rpc.NewDeploymentServer(n.deployment))
 	}
 	if n.entry != nil {
+		mux.Handle(rpc.CacheKnowledgePathPrefix, rpc.NewCacheKnowledgeServer(cacheService{n}))
 		mux.Handle(rpc.PeerPathPrefix, rpc.NewPeerServer(peers.Service{Take: n.entry.Suspect}))
 	}
 	if err := n.serve(&http.Server{Handler: mux}, s.Listen.Instances); err != nil {
--- a/node/members.go
+++ b/node/members.go
@@ -149,15 +149,40 @@
 	return sources
 }
 
-// entryPeers lists where the other living entry instances answer.
-func (n *Node) entryPeers() []netip.AddrPort {
+// entryMembers lists the living entry instances, this one among them.
+func (n *Node) entryMembers() []membership.Member {
 	joined := n.members.Load()
 	if joined == nil {
 		return nil
 	}
-	var all []netip.AddrPort
+	var all []membership.Member
 	for _, m := range joined.Members() {
-		if m.Roles&membership.RoleEntry != 0 && m.State < membership.Dead && m.Instance != n.options.Settings.Instance {
+		if m.Roles&membership.RoleEntry != 0 && m.State < membership.Dead {
+			all = append(all, m)
+		}
+	}
+	return all
+}
+
+// entryPeers lists where the other living entry instances answer.
+func (n *Node) entryPeers() []netip.AddrPort {
+	var all []netip.AddrPort
+	for _, m := range n.entryMembers() {
+		if m.Instance != n.options.Settings.Instance {
+			all = append(all, m.Control)
+		}
+	}
+	return all
+}
+
+// cachePeers lists where the entry instances answer that are told what endpoints
+// keep: those that hear of hints.
+func (n *Node) cachePeers() []netip.AddrPort {
+	entries := n.entryMembers()
+	wide := len(entries) > membership.WideGroup
+	var all []netip.AddrPort
+	for _, m := range entries {
+		if m.Instance != n.options.Settings.Instance && (!wide || m.Zone == n.options.Settings.Zone) {
 			all = append(all, m.Control)
 		}
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -43,6 +43,9 @@
 	List func(at netip.AddrPort) Lister
 	// Engines speaks with engines about their weights.
 	Engines rollout.Engines
+	// Caches asks engines and stores what they keep of prompts; nil where they do
+	// not tell.
+	Caches engine.Reporter
 	// Operators serves operators' calls.
 	Operators func(documents *deployment.Service, log *zap.Logger) http.Handler
 }
--- a/systems/membership/hints.go
+++ b/systems/membership/hints.go
@@ -17,6 +17,8 @@
 	Endpoint tables.EndpointID
 	Boot     tables.BootID
 	Block    tables.BlockHash
+	// Dropped is set for a prefix that the endpoint has no longer.
+	Dropped bool
 }
 
 // Load is what one instance has at an endpoint.
@@ -39,11 +41,11 @@
 	Relay bool
 }
 
-// wideGroup is how many living entry instances are told of hints wherever they
+// WideGroup is how many living entry instances are told of hints wherever they
 // are. With more, only those of the own availability zone are: what is told
 // grows with the square of the group otherwise, and prefixes have their homes in
 // each zone.
-const wideGroup = 24
+const WideGroup = 24
 
 // relayStart spreads which instance of another zone is told first.
 const relayStart = 1 << 16
@@ -102,7 +104,7 @@
 			zones[row.Zone] = append(zones[row.Zone], row)
 		}
 	}
-	if all < wideGroup {
+	if all < WideGroup {
 		return nil
 	}
 	m.relayed++
@@ -146,7 +148,7 @@
 			near = append(near, row.Address)
 		}
 	}
-	if len(all) < wideGroup {
+	if len(all) < WideGroup {
 		return all
 	}
 	return near
@@ -155,7 +157,7 @@
 // addPlacements adds placements while they fit, and returns how many did.
 func addPlacements(d *rpc.Datagram, placements []Placement, room *int) int {
 	for i, p := range placements {
-		encoded := &rpc.CachePlacement{Endpoint: string(p.Endpoint), Boot: string(p.Boot), Block: uint64(p.Block)}
+		encoded := &rpc.CachePlacement{Endpoint: string(p.Endpoint), Boot: string(p.Boot), Block: uint64(p.Block), Dropped: p.Dropped}
 		size := proto.Size(encoded) + fieldOverhead
 		if size > *room {
 			return i
@@ -189,6 +191,7 @@
 			Endpoint: tables.EndpointID(encoded.GetEndpoint()),
 			Boot:     tables.BootID(encoded.GetBoot()),
 			Block:    tables.BlockHash(encoded.GetBlock()),
+			Dropped:  encoded.GetDropped(),
 		})
 	}
 	m.out.Hints.Relay = in.GetRelay()
--- a/systems/membership/membership_test.go
+++ b/systems/membership/membership_test.go
@@ -179,11 +179,11 @@
 	}
 }
 
-// A zone reads a prompt. Beyond wideGroup instances the others are not told one by
+// A zone reads a prompt. Beyond WideGroup instances the others are not told one by
 // one; were they not told at all, each zone would read every prompt once more.
 // One instance of each other zone passes the placement on, once.
 func TestPlacementsReachOtherZones(t *testing.T) {
-	w := newZones(t, 3*wideGroup, 3)
+	w := newZones(t, 3*WideGroup, 3)
 	w.until(2*time.Minute, "find each other", w.allAlive)
 	placements := []Placement{{Endpoint: "e1", Block: 7}}
 	w.send(w.nodes[2], w.nodes[2].TellHints(w.now, Hints{Placements: placements}))
