Endpoints that take no connections are found by looking, and get no requests

Cause: an engine that vanished without a word was tried again by requests each half second at each instance.

Change: an endpoint of which nothing is heard for 100 ms, or twice what was expected, is looked at by opening a connection. While it takes none it gets no requests, and those that wait there and may be repeated go elsewhere at once. A loss casts doubt on a zone only if nothing was heard from there for 300 ms.

--- a/dispatch/census.go
+++ b/dispatch/census.go
@@ -63,7 +63,7 @@
 			c.Tried++
 		case row.Draining:
 			c.Leaving++
-		case now < row.avoidUntil:
+		case row.unreachable, now < row.avoidUntil:
 			c.Avoided++
 		case r.Model != "" && row.Loading:
 			c.Loading++
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -182,19 +182,22 @@
 	corrected Corrections
 	views     []view
 	// dirty are the rows whose own load the others have not heard of.
-	dirty      []*endpointRow
+	dirty []*endpointRow
+	// zoneHeard is when an endpoint of each zone last answered.
+	zoneHeard  map[tables.Zone]tables.Instant
 	sweptLoads tables.Instant
 }
 
 // New returns a Dispatcher that knows of no endpoint.
 func New(options Options) *Dispatcher {
 	return &Dispatcher{
-		options:  options,
-		rows:     map[tables.EndpointID]*endpointRow{},
-		services: map[string][]*endpointRow{},
-		budgets:  map[string]*budget{},
-		peers:    firstPeers,
-		holders:  holders{rows: map[parts.Key][]holder{}},
+		options:   options,
+		rows:      map[tables.EndpointID]*endpointRow{},
+		services:  map[string][]*endpointRow{},
+		budgets:   map[string]*budget{},
+		peers:     firstPeers,
+		zoneHeard: map[tables.Zone]tables.Instant{},
+		holders:   holders{rows: map[parts.Key][]holder{}},
 	}
 }
 
@@ -208,6 +211,7 @@
 		return
 	}
 	a.first = true
+	d.zoneHeard[a.row.Zone] = now
 	a.row.prefill -= a.prefill
 	d.changed(a.row)
 	d.holders.ready(now, a)
@@ -233,11 +237,30 @@
 	}
 }
 
+// Reachable notes whether an endpoint takes connections. One that does not gets
+// nothing until it does.
+func (d *Dispatcher) Reachable(now tables.Instant, id tables.EndpointID, taken bool) {
+	row := d.rows[id]
+	if row == nil {
+		return
+	}
+	row.unreachable = !taken
+	if taken {
+		row.avoidUntil = now
+		row.doubt, row.doubtAt = 0, now
+	}
+}
+
+// zoneSilence is how long nothing may have come from a zone for the loss of one of
+// its endpoints to cast doubt on the others. An instance hears of each zone several
+// times in that time.
+const zoneSilence = 300 * time.Millisecond
+
 // doubtZone makes the other endpoints of a zone doubtful when one of them cannot
-// be reached. When a zone is cut off, each instance would lose requests at every
-// one of its endpoints before it noticed.
+// be reached and nothing comes from the zone. When a zone is cut off, each instance
+// would lose requests at every one of its endpoints before it noticed.
 func (d *Dispatcher) doubtZone(now tables.Instant, lost *endpointRow) {
-	if lost.Zone == d.options.Zone {
+	if lost.Zone == d.options.Zone || now-d.zoneHeard[lost.Zone] < zoneSilence {
 		return
 	}
 	for _, r := range d.rows {
--- a/dispatch/endpoints.go
+++ b/dispatch/endpoints.go
@@ -76,6 +76,8 @@
 	doubtAt tables.Instant
 	// avoidUntil is when the endpoint may be chosen again.
 	avoidUntil tables.Instant
+	// unreachable is set while the endpoint takes no connections.
+	unreachable bool
 	// gone is set once the endpoint is no longer listed.
 	gone bool
 	// store is set for a store of cached prompts, which takes no requests.
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -126,7 +126,7 @@
 
 // usable says whether the endpoint may get the request at all.
 func (d *Dispatcher) usable(now tables.Instant, r *Request, row *endpointRow) bool {
-	if row.Draining || now < row.avoidUntil {
+	if row.Draining || row.unreachable || now < row.avoidUntil {
 		return false
 	}
 	if r.Model == "" {
--- a/engine/exchange/client.go
+++ b/engine/exchange/client.go
@@ -125,3 +125,17 @@
 		Cause:       err,
 	}
 }
+
+// Reach says whether an endpoint takes a connection; kept ones are of no use if it
+// does not, and are closed.
+func (c *Client) Reach(ctx context.Context, to netip.AddrPort) error {
+	bounded, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	conn, err := c.pool.open(bounded, to)
+	if err != nil {
+		c.pool.forget(to)
+		return err
+	}
+	_ = conn.Close()
+	return nil
+}
--- a/engine/exchange/connection.go
+++ b/engine/exchange/connection.go
@@ -101,6 +101,16 @@
 	p.idle[c.to] = append(p.idle[c.to], c)
 }
 
+// forget closes the connections that are kept to an endpoint.
+func (p *pool) forget(to netip.AddrPort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[to] {
+		_ = c.Close()
+	}
+	delete(p.idle, to)
+}
+
 // sweep closes the connections whose time is over.
 func (p *pool) sweep(now time.Time) {
 	p.mu.Lock()
--- a/events/entry.go
+++ b/events/entry.go
@@ -18,5 +18,7 @@
 	AttemptEnded         = define(1011, zapcore.InfoLevel, "An attempt ended without an answer for the caller.")
 	StreamCut            = define(1012, zapcore.WarnLevel, "A stream was broken off because no endpoint could go on with it.")
 	CallerGone           = define(1013, zapcore.InfoLevel, "A caller left before its answer was whole.")
+	EndpointUnreachable  = define(1015, zapcore.WarnLevel, "An endpoint takes no connections; it gets no requests until it does.")
+	EndpointReached      = define(1016, zapcore.InfoLevel, "An endpoint takes connections again.")
 	EndpointCrashed      = define(1014, zapcore.WarnLevel, "An endpoint broke its connections off and takes none any more.")
 )
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -31,6 +31,8 @@
 	hang    *time.Timer
 	hung    atomic.Bool
 	arrived tables.Instant
+	// heardFirst is called once the endpoint has said something.
+	heardFirst func()
 }
 
 // run makes attempts until the request is answered.
@@ -71,11 +73,15 @@
 	j.state = j.state.Dispatch(t.id)
 	j.sends++
 	t.watch(t.firstWait())
+	t.heardFirst = j.server.reach.await(t)
+	defer t.heardFirst()
 	answer, err := j.server.options.Client.Send(t.ctx, t.chosen.Endpoint.Address, t.request())
 	if err != nil {
 		t.fail(err)
 		return
 	}
+	t.heardFirst()
+	j.server.reach.answered(t.chosen.Endpoint.ID)
 	t.heard(answer.Header)
 	if !t.sound(answer) {
 		answer.Close()
@@ -200,8 +206,11 @@
 		}
 	}
 	events.AttemptEnded.Log(j.server.log, append(t.fields(), zap.Stringer("end", how), zap.Error(err))...)
-	if how == dispatch.Broken {
+	switch how {
+	case dispatch.Broken:
 		t.probe()
+	case dispatch.Unreachable, dispatch.Lost, dispatch.Hung:
+		j.server.reach.look(t.chosen.Endpoint)
 	}
 	if how == dispatch.Cancelled {
 		j.giveUp(tables.CodeTimeout)
--- a/forward/server.go
+++ b/forward/server.go
@@ -73,6 +73,8 @@
 	mu       sync.Mutex
 	dispatch *dispatch.Dispatcher
 	suspects *quarantine.System
+
+	reach *reach
 	// endpoints are those that were last taken over; nil for none yet.
 	endpoints atomic.Pointer[map[tables.EndpointID]fleet.Endpoint]
 }
@@ -98,6 +100,7 @@
 		suspects: quarantine.New(quarantine.Options{}),
 		known:    make(chan struct{}),
 	}
+	s.reach = newReach(s)
 	s.ages(o.Registry)
 	return s
 }
@@ -144,6 +147,7 @@
 	s.dispatch.Fleet(endpoints)
 	s.mu.Unlock()
 	s.endpoints.Store(&endpoints)
+	s.reach.keep(endpoints)
 	s.noteKnown()
 }
 
