A prompt's home binds by how often the prompt is asked for

Cause: a part that nobody has read was drawn to its home by a fixed 0.3 of the price of another reading, 2.4 s of waiting for 13,300 tokens, however slow or busy the home was. The guard is against two instances that meet a part in the same moment; on this site a part is asked for every four seconds or more.

Change: each instance counts what it is asked for, and takes the probability that another one places the part within 40 ms for that 0.3.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -52,6 +52,8 @@
 	Deadline  tables.Instant
 	// Tried holds endpoints that have failed this request.
 	Tried []tables.EndpointID
+	// counted is set once the request counts as demand for its parts.
+	counted bool
 }
 
 // SharedPart is a part of a prompt.
@@ -177,6 +179,7 @@
 	peers   int
 	picks   uint64
 	holders holders
+	demand  demand
 	news    []Placement
 	// corrected counts what endpoints' words have changed.
 	corrected Corrections
@@ -196,6 +199,7 @@
 		services:  map[string][]*endpointRow{},
 		budgets:   map[string]*budget{},
 		peers:     firstPeers,
+		demand:    demand{rows: map[parts.Name]demandRow{}},
 		zoneHeard: map[tables.Zone]tables.Instant{},
 		holders:   holders{rows: map[parts.Key][]holder{}},
 	}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -25,9 +25,6 @@
 	// 2 to 4.6 if it is answered within 600 to 1,000 ms, so 1 is some 300 ms and
 	// a token 0.36 ms; a little more was best where it was measured.
 	rereadCost = 0.6
-	// strayPart is the part of that for a part which nobody has read yet: away
-	// from its home it may be read a second time by another instance.
-	strayPart = 0.3
 	// lateCost is the cost of each millisecond of a wait beyond latePart of the
 	// caller's target: an answer that is late earns a tenth to a third. Mean worth
 	// of twelve days 0.648 without and 0.659 with it; from six tenths on it spreads
@@ -86,6 +83,7 @@
 		return nil, TooLarge
 	}
 	d.picks++
+	d.demand.noteOnce(now, r)
 	d.views = d.views[:0]
 	best, reason := candidate{cost: math.Inf(1)}, NoEndpoint
 	for _, row := range rows {
@@ -204,7 +202,7 @@
 		c.cost += rereadCost * float64(again)
 	}
 	if v.home != nil && c.row != v.home {
-		c.cost += rereadCost * strayPart * float64(r.sharedTokens()-max(v.held, got))
+		c.cost += rereadCost * v.stray * float64(r.sharedTokens()-max(v.held, got))
 	}
 }
 
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -25,6 +25,9 @@
 	// home is where the first part that nobody holds belongs.
 	home     *endpointRow
 	homeDraw uint64
+	// stray is the probability that the part is read twice if it is not read at its
+	// home.
+	stray float64
 }
 
 // source is an endpoint that holds some parts of a prompt.
@@ -57,6 +60,7 @@
 	}
 	if found {
 		v.chooseHome(now, r, cold, rows)
+		v.stray = d.collision(now, cold)
 	}
 	return v
 }
