--- a/dispatch/late_test.go
+++ b/dispatch/late_test.go
@@ -36,8 +36,9 @@
 	r := ask(7)
 	r.Route.Target = 600 * time.Millisecond
 	first := mustPlace(t, d, time.Second, r)
-	d.Began(2*time.Second, first)
-	d.Ended(2*time.Second, first, Completed)
+	read := first.Expected // as fast as was expected, so that nothing is learned
+	d.Began(time.Second+read, first)
+	d.Ended(time.Second+read, first, Completed)
 	for id, queue := range map[bool]int{true: 120_000, false: 60_000} {
 		for _, row := range d.rows {
 			if (row.ID == first.Endpoint.ID) == id {
