carawaystile losses: from logs, which answers came late or not at all, and why

The table counts each request once, by route, reason and what had happened just before, and sums up to what was asked. Answers log their target and the length of their prompt for it.

Tests: reasons and moments on a log of its own, sums over the table, the command with and without -json.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -33,6 +33,7 @@
 	commander.Register(&endpointCommand{}, "instances")
 	commander.Register(&statusCommand{}, "instances")
 	commander.Register(&explainCommand{}, "instances")
+	commander.Register(&lossesCommand{}, "instances")
 	commander.Register(&backupCommand{}, "instances")
 	commander.Register(&restoreCommand{}, "instances")
 	commander.Register(&demoCommand{}, "trials")
--- a/cli/trail.go
+++ b/cli/trail.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"os"
 
 	"github.com/google/subcommands"
@@ -30,7 +31,13 @@
 	return exitOK
 }
 
-func readLog(reader *trail.Reader, path string) error {
+// logReader takes logs in.
+type logReader interface {
+	Read(file string, log io.Reader) error
+}
+
+// readLog reads a file; - is standard input.
+func readLog(reader logReader, path string) error {
 	if path == "-" {
 		return trace.Wrap(reader.Read("standard input", os.Stdin))
 	}
--- a/forward/failure.go
+++ b/forward/failure.go
@@ -94,7 +94,8 @@
 	events.RequestAnswered.Log(j.server.log, append(j.fields(),
 		zap.Int("status", status), zap.Duration("first", j.first), zap.Duration("placed", t.arrived-j.arrived),
 		zap.String("endpoint", string(t.chosen.Endpoint.ID)), zap.Uint64("weights", t.chosen.Weights),
-		zap.Duration("expected", t.chosen.Expected), zap.Int("to_read", t.chosen.Uncached),
+		zap.Duration("target", j.target()), zap.Duration("expected", t.chosen.Expected),
+		zap.Int("prompt", j.ask.PromptTokens), zap.Int("to_read", t.chosen.Uncached),
 		zap.String("source", string(t.chosen.Source.ID)), zap.String("rule", string(t.chosen.Known.Rule)),
 		zap.Int("own", t.chosen.Known.Own), zap.Int("others", t.chosen.Known.Others),
 		zap.Duration("load_age", t.chosen.Known.Age))...)
--- a/logs/trail/trail.go
+++ b/logs/trail/trail.go
@@ -46,6 +46,24 @@
 	}
 }
 
+// Duration returns a field as a duration; 0 if it is none.
+func (l *Line) Duration(name string) time.Duration {
+	d, err := time.ParseDuration(l.Field(name))
+	if err != nil {
+		return 0
+	}
+	return d
+}
+
+// Int returns a field as a number; 0 if it is none.
+func (l *Line) Int(name string) int {
+	n, err := strconv.Atoi(l.Field(name))
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
 // Reader collects the lines that may matter for one request.
 type Reader struct {
 	request string
@@ -67,12 +85,16 @@
 const maxLine = 1 << 20
 
 // Read reads a log. The file names it in what is found.
-func (r *Reader) Read(file string, log io.Reader) error {
+func (r *Reader) Read(file string, log io.Reader) error { return Scan(file, log, r.take) }
+
+// Scan hands out the lines of a log that are this system's, in order. The file names
+// the log in them.
+func Scan(file string, log io.Reader, take func(Line)) error {
 	scanner := bufio.NewScanner(log)
 	scanner.Buffer(make([]byte, 0, 64<<10), maxLine)
 	for scanner.Scan() {
 		if line, ok := parse(file, scanner.Bytes()); ok {
-			r.take(line)
+			take(line)
 		}
 	}
 	return scanner.Err()
