An engine's link is a queue, and its speed the declared one

Cause: a fetch was taken to cost 0.006 ms a token, as the first two sites declare, and no wait. The new site's links are slower (0.010), transfers between zones take twice as long, and an engine's transfers run one after another.

Change: the time for a token follows from the configuration; each instance counts fetches and what goes to the store on the receiving or sending engine's link, and tells the others with its load how long the link is busy.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -112,6 +112,10 @@
 	first     bool
 	ended     bool
 	generates bool
+	// store takes what is read, which holds the endpoint's link for sending
+	// milliseconds once it is.
+	store   *endpointRow
+	sending float64
 	// placed are the shared parts that the attempt brings to its endpoint.
 	placed []parts.Key
 }
@@ -219,6 +223,9 @@
 	a.row.prefill -= a.prefill
 	d.changed(a.row)
 	d.holders.ready(now, a)
+	if a.store != nil {
+		d.transfer(now, a.row, a.sending)
+	}
 	a.row.learn(a, now-a.began)
 }
 
--- a/dispatch/endpoints.go
+++ b/dispatch/endpoints.go
@@ -78,6 +78,8 @@
 	avoidUntil tables.Instant
 	// unreachable is set while the endpoint takes no connections.
 	unreachable bool
+	// linkFree is when the transfers that are known of have ended.
+	linkFree tables.Instant
 	// gone is set once the endpoint is no longer listed.
 	gone bool
 	// store is set for a store of cached prompts, which takes no requests.
--- a/dispatch/holders.go
+++ b/dispatch/holders.go
@@ -186,7 +186,8 @@
 	if store == nil {
 		return
 	}
-	a.Store = store.Endpoint
+	a.Store, a.store = store.Endpoint, store
+	a.sending = r.transferTime(a.row, store) * float64(r.PromptTokens)
 	for _, part := range r.Shared {
 		key := part.Name.Under(a.Weights)
 		one, fresh := d.holders.note(now, now+a.Expected+storeReady, key, store)
--- a/dispatch/loads.go
+++ b/dispatch/loads.go
@@ -12,6 +12,8 @@
 	// Running counts attempts that have not ended, Tokens their memory, and
 	// Prefill the prompt tokens of those without a first event.
 	Running, Tokens, Prefill int
+	// Link is for how long the endpoint's link is busy with transfers.
+	Link time.Duration
 }
 
 const (
@@ -79,6 +81,7 @@
 func (d *Dispatcher) Loaded(now tables.Instant, by tables.InstanceID, l Load) {
 	if row := d.rows[l.Endpoint]; row != nil {
 		row.told.set(now, by, l)
+		row.linkFree = max(row.linkFree, now+l.Link)
 	}
 }
 
@@ -99,7 +102,7 @@
 		row.dirty = false
 		row.loadTold = now
 		if !row.gone {
-			loads = append(loads, Load{Endpoint: row.ID, Running: row.own, Tokens: row.tokens, Prefill: int(row.prefill)})
+			loads = append(loads, Load{Endpoint: row.ID, Running: row.own, Tokens: row.tokens, Prefill: int(row.prefill), Link: row.linkBusy(now)})
 		}
 	}
 	d.dirty = d.dirty[:0]
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -13,9 +13,6 @@
 	// crossZone is what leaving the zone costs beyond the way itself: bytes
 	// between zones are dear for both users.
 	crossZone = 30.0
-	// fetchTime is how long it takes to fetch a token from another endpoint's
-	// memory: 164 kilobytes at 280 to 550 Gbit/s.
-	fetchTime = 0.006
 	// copyCost is what another copy of a token costs: it pushes out what others will
 	// ask for, which is then read again, two times in five. At 0.08, with a copy of
 	// each prompt where it was convenient, the price of prompts read again was 0.106
@@ -76,6 +73,8 @@
 	// home of a part that nobody has read.
 	fetched int
 	home    bool
+	// transfer is how long the fetch holds the endpoint's link, in milliseconds.
+	transfer float64
 	// again counts tokens that would be read though another request is reading
 	// them just now, and readyAt is when they can be had.
 	again   int
@@ -201,8 +200,12 @@
 	source, until := v.sourceFor(now, c.row, has)
 	own, got := r.sharedUntil(has), r.sharedUntil(until)
 	c.source, c.fetched, c.home = source, got-own, v.home == c.row
+	if source != nil {
+		c.transfer = r.transferTime(source, c.row) * float64(c.fetched)
+		c.wait = milliseconds(c.row.linkBusy(now)) + c.transfer
+	}
 	c.uncached = float64(r.PromptTokens - got)
-	c.wait = baseFirst + (c.row.ahead(now)+c.uncached)/c.row.rate + fetchTime*float64(got-own)
+	c.wait += baseFirst + (c.row.ahead(now)+c.uncached)/c.row.rate
 	c.cost = r.lateness(c.wait) + copyCost*float64(got-own) + d.stale(now, r, c.row)
 	if again := max(0, v.held-got); again > 0 {
 		c.again, c.readyAt = again, v.readyAt
@@ -222,7 +225,7 @@
 // target, mean worth of the five days with trouble of the newest site was 0.405 and
 // not 0.387 (at half this lateCost, three seeds a day).
 func (r *Request) lateness(wait float64) float64 {
-	target := float64(r.Route.Target) / float64(time.Millisecond)
+	target := milliseconds(r.Route.Target)
 	if target <= 0 {
 		return wait
 	}
@@ -262,6 +265,7 @@
 	}
 	if c.source != nil {
 		a.Source = c.source.Endpoint
+		d.transfer(now, c.row, c.transfer)
 	}
 	d.changed(c.row)
 	c.row.own++
--- a/node/entry.go
+++ b/node/entry.go
@@ -129,7 +129,7 @@
 	}
 	for _, l := range loads {
 		hints.Loads = append(hints.Loads, membership.Load{
-			Endpoint: l.Endpoint, Running: l.Running, Tokens: l.Tokens, Prefill: l.Prefill,
+			Endpoint: l.Endpoint, Running: l.Running, Tokens: l.Tokens, Prefill: l.Prefill, Link: l.Link,
 		})
 	}
 	n.abroad.Add(membership.Hints{Placements: hints.Placements})
@@ -146,7 +146,9 @@
 // loadedElsewhere takes what another instance has at an endpoint.
 func (n *Node) loadedElsewhere(l membership.Load) {
 	if n.entry != nil {
-		n.entry.Loaded(l.Instance, dispatch.Load{Endpoint: l.Endpoint, Running: l.Running, Tokens: l.Tokens, Prefill: l.Prefill})
+		n.entry.Loaded(l.Instance, dispatch.Load{
+			Endpoint: l.Endpoint, Running: l.Running, Tokens: l.Tokens, Prefill: l.Prefill, Link: l.Link,
+		})
 	}
 }
 
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -79,6 +79,9 @@
 	// for a plain service.
 	Slots       int
 	CacheTokens int
+	// TransferTime is how long an engine's link is busy with one cached token that
+	// another endpoint of its zone sends, as declared; 0 where it is not.
+	TransferTime time.Duration
 	// Models are those that the engines serve.
 	Models []string
 	// Store is the address of a store of cached prompts, and StoreZone where it
--- a/systems/membership/hints.go
+++ b/systems/membership/hints.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net/netip"
 	"slices"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -29,6 +30,9 @@
 	// Running counts requests that have not ended, Tokens their memory, and
 	// Prefill the prompt tokens of those without a first event.
 	Running, Tokens, Prefill int
+	// Link is for how long the endpoint's link is busy with transfers that the
+	// instance knows of.
+	Link time.Duration
 }
 
 // Hints are what an instance lets the others know of its requests. What is lost
@@ -173,6 +177,7 @@
 	for i, l := range loads {
 		encoded := &rpc.EndpointLoad{
 			Endpoint: string(l.Endpoint), Running: uint32(l.Running), Tokens: uint32(l.Tokens), Prefill: uint32(l.Prefill),
+			LinkMs: uint32(l.Link.Milliseconds()),
 		}
 		size := proto.Size(encoded) + fieldOverhead
 		if size > *room {
@@ -200,6 +205,7 @@
 			Instance: tables.InstanceID(in.GetSender().GetInstance()),
 			Endpoint: tables.EndpointID(encoded.GetEndpoint()),
 			Running:  int(encoded.GetRunning()), Tokens: int(encoded.GetTokens()), Prefill: int(encoded.GetPrefill()),
+			Link: time.Duration(encoded.GetLinkMs()) * time.Millisecond,
 		})
 	}
 }
