--- a/logs/losses/losses.go
+++ b/logs/losses/losses.go
@@ -6,8 +6,8 @@
 import (
 	"cmp"
 	"io"
-	"net/http"
 	"maps"
+	"net/http"
 	"slices"
 	"time"
 
