--- a/node/node.go
+++ b/node/node.go
@@ -66,10 +66,12 @@
 // processor time on keeping it small.
 const memoryPart = 0.6
 
-// dialTimeout bounds the opening of a connection to another instance, and
-// idleInstance how long one is kept.
+// dialTimeout bounds the opening of a connection to another instance: twice a round
+// trip between regions. After all machines lost power, entry instances start while the
+// control instances' machines are still dark, and each attempt lasts that long before
+// the next finds them up. idleInstance is how long a connection is kept.
 const (
-	dialTimeout  = 500 * time.Millisecond
+	dialTimeout  = 250 * time.Millisecond
 	idleInstance = 20 * time.Second
 )
 
