--- a/node/caches.go
+++ b/node/caches.go
@@ -30,8 +30,9 @@
 	// cacheSettle is how long an instance that has just started waits before it
 	// reads the engines of its zone, and cacheAbroad before it reads those of zones
 	// without an entry instance: until it knows of the others it would take all for
-	// its own.
-	cacheSettle = 100 * time.Millisecond
+	// its own, and each list of what an engine keeps holds up the engine's work. The
+	// others are known some 0.3 s after a start.
+	cacheSettle = 400 * time.Millisecond
 	cacheAbroad = 3 * time.Second
 	// cacheAssign is the time between two looks at which engines to read.
 	cacheAssign = 500 * time.Millisecond
