--- a/control/deployment/client.go
+++ b/control/deployment/client.go
@@ -8,6 +8,7 @@
 
 	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/fleet"
+	"github.com/carawaystile/carawaystile/internal/wait"
 	"github.com/carawaystile/carawaystile/rpc"
 )
 
@@ -71,7 +72,7 @@
 func (c *Client) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !c.step(ctx) {
-			pause(ctx, pauseAfterFailure)
+			_ = wait.For(ctx, pauseAfterFailure) // the loop looks at the context
 		}
 	}
 }
@@ -168,12 +169,3 @@
 		c.options.Answered(source, answer)
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/engine/feed/feed.go
+++ b/engine/feed/feed.go
@@ -14,6 +14,7 @@
 	"github.com/carawaystile/carawaystile/engine"
 	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/internal/defaults"
+	"github.com/carawaystile/carawaystile/internal/wait"
 	"github.com/carawaystile/carawaystile/router"
 	"github.com/carawaystile/carawaystile/tables"
 )
@@ -70,7 +71,7 @@
 	defaults.Set(&o.MaxBackOff, DefaultMaxBackOff)
 	defaults.Set(&o.SilentAt, DefaultSilentAt)
 	if o.Sleep == nil {
-		o.Sleep = sleep
+		o.Sleep = wait.For
 	}
 	if o.Random == nil {
 		o.Random = rand.Float64
@@ -84,17 +85,6 @@
 	return o
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // Batch is the changes of an endpoint's cache that came with one answer.
 type Batch struct {
 	Endpoint tables.EndpointID
--- a/forward/reach.go
+++ b/forward/reach.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"context"
 	"maps"
 	"sync"
 	"time"
@@ -10,6 +9,7 @@
 
 	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/fleet"
+	"github.com/carawaystile/carawaystile/internal/wait"
 	"github.com/carawaystile/carawaystile/tables"
 )
 
@@ -119,9 +119,10 @@
 }
 
 func (r *reach) lookUntilTaken(e fleet.Endpoint) {
+	life := r.server.options.Life
 	lost := false
 	for range maxLooks {
-		err := r.server.options.Client.Reach(context.Background(), e.Address)
+		err := r.server.options.Client.Reach(life, e.Address)
 		if err == nil {
 			break
 		}
@@ -131,7 +132,9 @@
 			r.server.reachable(e.ID, false)
 			r.move(e.ID)
 		}
-		time.Sleep(reachPeriod)
+		if wait.For(life, reachPeriod) != nil {
+			return
+		}
 		if now, listed := r.server.Endpoints()[e.ID]; !listed || now.Address != e.Address {
 			return
 		}
--- a/forward/server.go
+++ b/forward/server.go
@@ -46,6 +46,8 @@
 	// Share tells the other instances which requests were running when an
 	// endpoint crashed; nil means that there are none. It must not block.
 	Share func([]quarantine.Suspect)
+	// Life ends when the instance does; nil for never. Looks at endpoints end with it.
+	Life context.Context
 }
 
 // defaultMaxHeld is for instances of 120 MB, a third of it.
@@ -90,6 +92,9 @@
 	if o.Share == nil {
 		o.Share = func([]quarantine.Suspect) {}
 	}
+	if o.Life == nil {
+		o.Life = context.Background()
+	}
 	s := &Server{
 		options:  o,
 		headers:  o.Headers,
--- a/node/caches.go
+++ b/node/caches.go
@@ -11,6 +11,7 @@
 	"github.com/carawaystile/carawaystile/dispatch"
 	"github.com/carawaystile/carawaystile/engine/feed"
 	"github.com/carawaystile/carawaystile/events"
+	"github.com/carawaystile/carawaystile/internal/wait"
 	"github.com/carawaystile/carawaystile/parts"
 	"github.com/carawaystile/carawaystile/rpc"
 	"github.com/carawaystile/carawaystile/systems/membership"
@@ -84,16 +85,8 @@
 		return
 	}
 	c.node.background.Go(func() { c.ask(ctx) })
-	wait := time.NewTimer(cacheSettle)
-	defer wait.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-wait.C:
-		}
+	for pause := cacheSettle; wait.For(ctx, pause) == nil; pause = cacheAssign {
 		c.assign()
-		wait.Reset(cacheAssign)
 	}
 }
 
@@ -203,10 +196,8 @@
 				return
 			}
 		}
-		select {
-		case <-ctx.Done():
+		if wait.For(ctx, holdingsPause) != nil {
 			return
-		case <-time.After(holdingsPause):
 		}
 	}
 }
--- a/node/entry.go
+++ b/node/entry.go
@@ -46,6 +46,7 @@
 		DrainServe: s.Drain.Announce,
 		MaxHeld:    int64(s.MemoryMB) << 20 / heldPart,
 		Share:      n.shareSuspects,
+		Life:       n.stopping,
 	})
 	n.follow = deployment.NewClient(deployment.ClientOptions{
 		Instance: string(s.Instance),
--- a/settings/forwarding.go
+++ b/settings/forwarding.go
@@ -73,8 +73,8 @@
 
 // ForwardingOrders bounds orders to engines.
 type ForwardingOrders struct {
-	// Lease is how long an instance gives orders without hearing from the
-	// control group.
+	// Lease is the least time between two instances' orders to one engine, and
+	// bounds how long an instance gives orders without hearing from the group.
 	Lease time.Duration
 	// Fenced says that engines refuse orders with an old fencing number.
 	Fenced bool
