--- a/dispatch/census.go
+++ b/dispatch/census.go
@@ -22,6 +22,8 @@
 	RuleFetched Rule = "fetched"
 	// RuleHome: it is the home of a part that nobody has read.
 	RuleHome Rule = "home"
+	// RuleAway: it reads a part that nobody has read, away from the part's home.
+	RuleAway Rule = "away from home"
 	// RuleReread: it reads what others have, since that costs less than waiting
 	// for them.
 	RuleReread Rule = "read again"
@@ -42,6 +44,8 @@
 		return RuleFetched
 	case c.home:
 		return RuleHome
+	case int(c.uncached) > r.PromptTokens-r.sharedTokens():
+		return RuleAway
 	}
 	return RuleHeld
 }
