--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -5,10 +5,9 @@
 //
 // It stands beside package router, which decides for the product's own
 // interface. There prompts come as text, are cut into pieces of thousands of
-// tokens and may wait for seconds; here callers name parts of any size, content
-// callers wait for tenths of a second, and nothing is known of an endpoint's
-// cache but where requests were sent. docs/design/platform.md tells what was
-// weighed.
+// tokens and may wait for seconds; here callers name parts of any size and are
+// content with tenths of a second, and endpoints tell by the same names what they
+// keep. docs/design/platform.md and docs/design/worth.md tell what was weighed.
 package dispatch
 
 import (
