Joining control instances reach a leader that they do not know

Cause: an instance with an empty disk asks the seeds to be taken in, and only a leader takes it.

Change: an instance that does not lead passes the request on to the leader, once.

The test fails without the change (no vote within a minute) and passes three times with it.

--- a/control/server/form.go
+++ b/control/server/form.go
@@ -154,11 +154,14 @@
 	s.mu.RLock()
 	seen := s.view
 	s.mu.RUnlock()
-	if seen.leads {
+	switch {
+	case seen.leads:
 		select {
 		case s.joins <- request.GetReplica():
 		default:
 		}
+	case seen.leaderAddress != "" && !request.GetRelayed():
+		s.relayJoin(seen.leaderAddress, request.GetReplica())
 	}
 	knows := seen.formed && len(seen.founders) > 0
 	if seen.hasLog && !knows {
@@ -172,6 +175,18 @@
 	}, nil
 }
 
+// relayJoin passes a joining replica on to the leader, beside everything else. The
+// joiner knows some of the instances only, and the leader need not be one of them: it
+// would never be taken in, and the next lost disks could take the quorum along.
+func (s *Server) relayJoin(leader string, replica *rpc.Founder) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), joinTimeout)
+		defer cancel()
+		// The joiner asks again: a relayed request that is lost costs half a second.
+		_, _ = s.options.Dialer.Control(leader).Join(ctx, &rpc.JoinRequest{Replica: replica, Relayed: true})
+	}()
+}
+
 // repairEvery is the number of ticks between two looks at who wants to join.
 const repairEvery = 10
 
--- a/control/server/open_test.go
+++ b/control/server/open_test.go
@@ -59,3 +59,25 @@
 	assert.Assert(t, g.execute(0, short, claimCommand("i1", "t1")) == nil)
 	assert.Assert(t, !g.servers[0].Status().Formed)
 }
+
+// A control instance with an empty disk knows the seeds and no others, and the leader is
+// none of them. It is never taken in, and when further disks are lost, as many as are to
+// be borne, no quorum is left and operators' changes stay undecided for good.
+func TestAJoinerIsTakenInByALeaderThatItDoesNotKnow(t *testing.T) {
+	g := openGroup(t)
+	leader := g.leader()
+	seed := (leader + 1) % 3
+	g.stop(3)
+	g.disks[3] = &memoryDisk{}
+	change := g.change
+	g.change = func(i int, o *Options) {
+		change(i, o)
+		if i == 3 {
+			o.Others = []Instance{{Name: o.Others[seed].Name, Address: o.Others[seed].Address}}
+		}
+	}
+	g.start(3)
+	newcomer := g.servers[3]
+	g.stop((leader + 2) % 3)
+	assert.NilError(t, newcomer.until(g.long(), func() bool { return newcomer.view.voter }))
+}
