Sight: replicas know how old their state is, and logs tell a lagging source from a silent one

replog: a replica keeps how long ago its applied state was known to be the newest that the group had committed. Heartbeats carry the leader's commit index once an entry of its own term is committed; a leader counts from when a quorum last answered it. SoftState has Current. control: events 3031 and 3032 with what tells a replica that hears nothing from one that cannot write, metric carawaystile_replica_lag_seconds, the lag in each answer to followers; control_heard is as old as the state behind it; event 3033 with source, bytes and time on the way; 3019 with how long was waited.

--- a/control/deployment/client.go
+++ b/control/deployment/client.go
@@ -87,18 +87,20 @@
 		c.at = 0
 	}
 	source := sources[c.at%len(sources)]
+	asked := time.Now()
 	answer, err := c.ask(ctx, source)
+	took := time.Since(asked)
 	if err != nil {
-		c.move(ctx, source, err)
+		c.move(ctx, source, zap.Duration("took", took), zap.Error(err))
 		return false
 	}
-	c.take(source, answer)
+	c.take(source, answer, took-time.Duration(answer.GetWaitedNanos()))
 	if !answer.GetBehind() {
 		c.noteFollowed(source)
 	}
 	if answer.GetBehind() && len(sources) > 1 {
 		// It is cut off from its group: others may have newer documents.
-		c.move(ctx, source, nil)
+		c.move(ctx, source, zap.Bool("behind", true), zap.Duration("lag", time.Duration(answer.GetLagNanos())))
 		return false
 	}
 	return !answer.GetBehind()
@@ -120,15 +122,15 @@
 	return source.Follow(bounded, request)
 }
 
-// move goes on to the next source.
-func (c *Client) move(ctx context.Context, from Source, err error) {
+// move goes on to the next source; why is logged.
+func (c *Client) move(ctx context.Context, from Source, why ...zap.Field) {
 	if c.at == 0 {
 		c.movedAt = time.Now()
 	}
 	c.at++
 	if ctx.Err() == nil && !c.lost[from.Name] {
 		c.lost[from.Name] = true
-		events.SourceLost.Log(c.options.Log, zap.String("source", from.Name), zap.Bool("behind", err == nil), zap.Error(err))
+		events.SourceLost.Log(c.options.Log, append(why, zap.String("source", from.Name))...)
 	}
 }
 
@@ -145,8 +147,9 @@
 }
 
 // take hands out what is new. A document never goes back, whichever source
-// told of it.
-func (c *Client) take(source Source, answer *rpc.FollowAnswer) {
+// told of it. onWay is the time that the question and its answer took beside the
+// source's wait for news.
+func (c *Client) take(source Source, answer *rpc.FollowAnswer, onWay time.Duration) {
 	if c.options.Weights != nil {
 		for _, named := range answer.GetWeightsNamed() {
 			c.options.Weights(named)
@@ -157,6 +160,10 @@
 			continue
 		}
 		c.have[document.GetName()] = document.GetNumber()
+		events.DocumentTaken.Log(c.options.Log, zap.String("source", source.Name),
+			zap.String("document", document.GetName()), zap.Uint64("number", document.GetNumber()),
+			zap.Int("bytes", len(document.GetContent())), zap.Duration("on_way", onWay),
+			zap.Duration("lag", time.Duration(answer.GetLagNanos())))
 		c.options.Document(document)
 	}
 	if answer.GetFleet() != nil {
--- a/control/deployment/service.go
+++ b/control/deployment/service.go
@@ -149,9 +149,11 @@
 func (s *Service) Follow(ctx context.Context, request *rpc.FollowRequest) (*rpc.FollowAnswer, error) {
 	timer := time.NewTimer(min(max(0, time.Duration(request.GetWaitNanos())), maxWait))
 	defer timer.Stop()
+	asked := s.now()
 	for {
 		changed := s.replica.Changed()
 		answer, listed := s.news(request)
+		answer.WaitedNanos = int64(s.now() - asked)
 		if len(answer.GetDocuments()) > 0 || answer.GetFleet() != nil || answer.GetBehind() {
 			return answer, nil
 		}
@@ -159,21 +161,30 @@
 		case <-changed:
 		case <-listed:
 		case <-timer.C:
-			return answer, nil
+			return s.nothingNew(answer, asked), nil
 		case <-ctx.Done():
 			return answer, nil
 		}
 	}
 }
 
+// nothingNew brings an answer that has waited in vain up to date.
+func (s *Service) nothingNew(answer *rpc.FollowAnswer, asked tables.Instant) *rpc.FollowAnswer {
+	answer.WaitedNanos = int64(s.now() - asked)
+	answer.LagNanos = int64(s.replica.Status().Lag)
+	return answer
+}
+
 // news is what the caller does not have, and a channel that is closed when the
 // endpoints change.
 func (s *Service) news(request *rpc.FollowRequest) (*rpc.FollowAnswer, <-chan struct{}) {
 	told, listed := s.fleet.Since(request.GetFleetSource(), request.GetFleetVersion())
+	status := s.replica.Status()
 	answer := &rpc.FollowAnswer{
 		Fleet:       told,
-		Behind:      s.replica.Status().Leader == "",
+		Behind:      status.Leader == "",
 		OrdersGiven: s.givesOrders(),
+		LagNanos:    int64(status.Lag),
 	}
 	s.replica.View(func(st *state.State) {
 		for _, document := range st.Documents() {
--- a/control/server/loop.go
+++ b/control/server/loop.go
@@ -53,6 +53,7 @@
 			return
 		case <-ticks:
 			s.node.Tick()
+			s.noteFresh()
 			s.repair()
 		case d := <-s.inbox:
 			s.step(d)
@@ -176,7 +177,7 @@
 			}
 		}
 		if ready.SoftState != nil {
-			s.takeRole(*ready.SoftState)
+			s.takeSoftState(*ready.SoftState)
 		}
 		s.peers.send(s.node.Status().Members, ready.Messages)
 		if !s.apply(ready) {
@@ -189,6 +190,45 @@
 	return true
 }
 
+// takeSoftState takes over a new role, leader or freshness of the state.
+func (s *Server) takeSoftState(soft replog.SoftState) {
+	before := s.soft
+	s.soft = soft
+	if soft.Leader != before.Leader || soft.Role != before.Role {
+		s.takeRole(soft)
+	}
+	if soft.Current != before.Current {
+		s.noteCurrent(soft)
+	}
+	s.publish(nil)
+}
+
+// noteCurrent logs that the state is the group's newest, or may not be any more,
+// with what tells apart a replica that does not hear the group from one that cannot
+// write down what it hears.
+func (s *Server) noteCurrent(soft replog.SoftState) {
+	event := events.ControlLags
+	if soft.Current {
+		event = events.ControlCurrent
+	}
+	status := s.node.Status()
+	event.Log(s.log, zap.Uint64("leader", uint64(soft.Leader)), zap.Bool("votes", status.Members.IsVoter(status.ID)),
+		zap.Uint64("applied", status.Applied), zap.Uint64("committed", status.Commit),
+		zap.Uint64("durable", status.StableIndex), zap.Uint64("last", status.LastIndex))
+}
+
+// noteFresh keeps as of when the state is known to be the group's newest.
+func (s *Server) noteFresh() {
+	status := s.node.Status()
+	if !status.Fresh {
+		return
+	}
+	at := s.options.Clock.Now() - time.Duration(status.FreshTicks)*s.options.TickInterval
+	s.mu.Lock()
+	s.freshAt = max(0, at)
+	s.mu.Unlock()
+}
+
 func (s *Server) takeRole(soft replog.SoftState) {
 	if soft.Role == replog.Leader {
 		s.mu.RLock()
@@ -200,7 +240,6 @@
 		s.loseProposals(LeadershipLost)
 		s.noteHandedOver()
 	}
-	s.publish(nil)
 }
 
 // publish renews what other goroutines see of the group.
@@ -213,6 +252,7 @@
 	s.view.leads = status.Role == replog.Leader
 	s.view.leader = status.Leader
 	s.view.leaderAddress = leader.Address
+	s.view.current = s.soft.Current
 	s.view.members = status.Members
 	s.view.voter = self.Replica == status.ID && !self.Learner
 	s.view.group, s.view.founders = s.state.Group()
--- a/control/server/server.go
+++ b/control/server/server.go
@@ -48,6 +48,9 @@
 	applied uint64
 	view    view
 	failure error
+	// freshAt is as of when, by the replica's clock, the state is known to have been
+	// the newest of the group; negative while it never was.
+	freshAt time.Duration
 	// changed is closed and replaced when applied, view or the revision moves.
 	changed chan struct{}
 
@@ -65,6 +68,8 @@
 	repairTicks  int
 	// broken ends the present run with its cause.
 	broken func(error)
+	// soft is the newest state of the node that was looked at.
+	soft replog.SoftState
 	// handedOver is closed once this replica does not lead, nil before Close.
 	handedOver chan<- struct{}
 }
@@ -78,10 +83,12 @@
 	leads         bool
 	leader        replog.ReplicaID
 	leaderAddress string
-	group         uint64
-	founders      []*rpc.Founder
-	voter         bool
-	members       replog.Members
+	// current is set while the state is the newest of the group.
+	current  bool
+	group    uint64
+	founders []*rpc.Founder
+	voter    bool
+	members  replog.Members
 }
 
 // Start opens the disk and runs the replica. A replica without a log first
@@ -105,6 +112,7 @@
 		stopped:   make(chan struct{}),
 		state:     state.New(options.Limits),
 		changed:   make(chan struct{}),
+		freshAt:   neverFresh,
 		waiting:   map[uint64]*proposal{},
 		joiners:   map[replog.ReplicaID]*rpc.Founder{},
 	}
@@ -223,6 +231,7 @@
 	events.ControlDiskFull.Log(s.log, zap.Error(cause))
 	s.mu.Lock()
 	s.view.formed, s.view.leads, s.view.leader, s.view.leaderAddress = false, false, replog.None, ""
+	s.view.current = false
 	s.wake()
 	s.mu.Unlock()
 	for {
@@ -280,6 +289,8 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	s.soft = replog.SoftState{}
+	s.freshAt = neverFresh
 	s.view.formed = true
 	s.view.group, s.view.founders = s.state.Group()
 	s.wake()
@@ -321,6 +332,13 @@
 	Leader  string
 	Voter   bool
 	Applied uint64
+	// Current is set while the state was the newest that the group had decided
+	// within the last ElectionTicks: others may rely on it. A replica that knows a
+	// leader may still lag.
+	Current bool
+	// Lag is how long ago the state is known to have been the newest; negative if
+	// it never was in this life.
+	Lag time.Duration
 	// Claims is the number of claims kept.
 	Claims  int
 	Members replog.Members
@@ -336,11 +354,25 @@
 		Leader:  s.view.leaderAddress,
 		Voter:   s.view.voter,
 		Applied: s.applied,
+		Current: s.view.current,
+		Lag:     s.lag(),
 		Claims:  s.state.Claims(),
 		Members: s.view.members,
 	}
 }
 
+// neverFresh marks that the state was not yet known to be the group's newest.
+const neverFresh = time.Duration(-1)
+
+// lag is how long ago the state is known to have been the group's newest. The caller
+// holds mu.
+func (s *Server) lag() time.Duration {
+	if s.freshAt < 0 {
+		return neverFresh
+	}
+	return s.options.Clock.Now() - s.freshAt
+}
+
 // until waits until ok, which is called with mu held for reading, is true.
 func (s *Server) until(ctx context.Context, ok func() bool) error {
 	for {
--- a/events/control.go
+++ b/events/control.go
@@ -34,5 +34,8 @@
 	ControlDiskFull       = define(3027, zapcore.ErrorLevel, "The disk of a control replica is full. The replica does not take part in the group until there is room.")
 	SourceFollowed        = define(3028, zapcore.InfoLevel, "A control instance is followed that was not before, or was lost.")
 	OrderNotAnnounced     = define(3030, zapcore.WarnLevel, "An order was not given since the control group has not noted it in time.")
+	ControlLags           = define(3031, zapcore.WarnLevel, "The state of this control replica may be older than its group's.")
+	ControlCurrent        = define(3032, zapcore.InfoLevel, "The state of this control replica is the newest of its group.")
+	DocumentTaken         = define(3033, zapcore.InfoLevel, "A newer document was taken from a control instance.")
 	ListRead              = define(3029, zapcore.InfoLevel, "The platform's list can be read again.")
 )
--- /dev/null
+++ b/forward/heard_test.go
@@ -0,0 +1,25 @@
+package forward
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// The log of a refused request says how old the word is that nothing newer was
+// decided. A control instance that lags answers at once all the same: counted from
+// its answer, the log would clear just the source that kept callers under an older
+// configuration.
+func TestTheWordOfASourceIsAsOldAsItsState(t *testing.T) {
+	now := 10 * time.Second
+	s := New(Options{Headers: names, Now: func() time.Duration { return now }})
+	s.HeardControl(4 * time.Second)
+	assert.Equal(t, s.sinceControl(), 4*time.Second)
+	s.HeardControl(6 * time.Second)
+	assert.Equal(t, s.sinceControl(), 4*time.Second)
+	s.HeardControl(-1)
+	assert.Equal(t, s.sinceControl(), 4*time.Second)
+	s.HeardControl(0)
+	assert.Equal(t, s.sinceControl(), time.Duration(0))
+}
--- a/forward/server.go
+++ b/forward/server.go
@@ -230,9 +230,21 @@
 	return s.dispatch.News(), s.dispatch.Loads(s.options.Now())
 }
 
-// HeardControl notes that a control instance has answered: what is in force here
-// is no older than that.
-func (s *Server) HeardControl() { s.heard.Store(int64(s.options.Now())) }
+// HeardControl notes that a control instance has answered whose documents were
+// known to be the newest lag ago: what is in force here is no older than that. A
+// negative lag says that this is not known, and confirms nothing.
+func (s *Server) HeardControl(lag time.Duration) {
+	if lag < 0 {
+		return
+	}
+	at := int64(s.options.Now() - lag)
+	for {
+		heard := s.heard.Load()
+		if at <= heard || s.heard.CompareAndSwap(heard, at) {
+			return
+		}
+	}
+}
 
 // sinceControl is how long ago a control instance last answered.
 func (s *Server) sinceControl() time.Duration {
--- a/node/entry.go
+++ b/node/entry.go
@@ -58,7 +58,7 @@
 		Fleet: func(c *fleet.Copy) { n.entry.Fleet(c.Endpoints()) },
 		Answered: func(_ deployment.Source, answer *rpc.FollowAnswer) {
 			if !answer.GetBehind() {
-				n.entry.HeardControl()
+				n.entry.HeardControl(time.Duration(answer.GetLagNanos()))
 			}
 		},
 		Log: n.log,
--- a/node/measure.go
+++ b/node/measure.go
@@ -13,11 +13,13 @@
 	leads := n.registry.Gauge("carawaystile_leads", "1 if this control replica leads the group.")
 	voter := n.registry.Gauge("carawaystile_votes", "1 if this control replica votes.")
 	orders := n.registry.Gauge("carawaystile_orders_lease_held", "1 if this instance gives orders to endpoints.")
+	lag := n.registry.Gauge("carawaystile_replica_lag_seconds", "How long ago the state of this control replica was known to be the newest of its group; -1 if it never was.")
 	listed := n.registry.Gauge("carawaystile_list_age_seconds", "Time since this instance last read the platform's list, or heard it from the leader.")
 	n.registry.BeforeWrite(func() {
 		status := n.replica.Status()
 		leads.Update(flag(status.Leads))
 		voter.Update(flag(status.Voter))
+		lag.Update(lagSeconds(status.Lag))
 		orders.Update(flag(n.runner.Holds()))
 		latest := max(n.listRead.Load(), n.followed.Load())
 		listed.Update((n.now() - time.Duration(latest)).Seconds())
@@ -30,6 +32,13 @@
 	})
 }
 
+func lagSeconds(lag time.Duration) float64 {
+	if lag < 0 {
+		return -1
+	}
+	return lag.Seconds()
+}
+
 func flag(set bool) float64 {
 	if set {
 		return 1
--- a/replog/follower.go
+++ b/replog/follower.go
@@ -13,6 +13,9 @@
 	switch m.Type {
 	case MessageHeartbeat:
 		n.log.commitTo(m.Commit)
+		if m.Index != 0 {
+			n.freshness.newest(m.Index, 0, n.log.applied)
+		}
 		n.send(Message{Type: MessageHeartbeatResponse, To: m.From, Round: m.Round})
 		return nil
 	case MessageAppend:
--- a/replog/leader.go
+++ b/replog/leader.go
@@ -105,6 +105,7 @@
 		n.send(Message{
 			Type: MessageHeartbeat, To: id,
 			Commit: min(n.log.commit, n.progress[id].Match), Round: n.reads.round,
+			Index: n.confirmedCommit(),
 		})
 	}
 }
--- a/replog/message.go
+++ b/replog/message.go
@@ -21,7 +21,9 @@
 	// MessageAppendResponse acknowledges all entries up to Index as durable, or
 	// has Reject, RejectIndex, HintIndex and HintTerm.
 	MessageAppendResponse
-	// MessageHeartbeat carries Commit and Round.
+	// MessageHeartbeat carries Round, Commit as far as the receiver has the
+	// entries, and in Index the leader's commit index: 0 until that is known to be
+	// the group's.
 	MessageHeartbeat
 	// MessageHeartbeatResponse echoes Round.
 	MessageHeartbeatResponse
--- a/replog/node.go
+++ b/replog/node.go
@@ -25,6 +25,7 @@
 	electionTimeout  int
 	// writeElapsed counts ticks since the outstanding write was handed out.
 	writeElapsed int
+	freshness    freshness
 
 	// votes are the answers to the current election by replica.
 	votes map[ReplicaID]bool
@@ -116,6 +117,7 @@
 func (n *Node) Tick() {
 	n.electionElapsed++
 	n.writeElapsed++
+	n.freshness.tick()
 	if n.role == Leader {
 		n.tickLeader()
 		return
@@ -147,6 +149,7 @@
 		n.electionElapsed = 0
 		n.transferee = None
 	}
+	n.noteNewest()
 	if n.heartbeatElapsed >= n.cfg.HeartbeatTicks {
 		n.broadcastHeartbeat()
 	}
@@ -251,6 +254,10 @@
 	MembersIndex uint64
 	// Transferee is set while leadership is being transferred.
 	Transferee ReplicaID
+	// Fresh is set once the applied state was known to be the newest that the group
+	// had committed, and FreshTicks is the time since.
+	Fresh      bool
+	FreshTicks int
 	// Progress has an entry per member on the leader and is empty elsewhere.
 	Progress map[ReplicaID]Progress
 }
@@ -265,6 +272,8 @@
 		Members:       slices.Clone(n.members.current()),
 		MembersIndex:  n.members.lastIndex(),
 		Transferee:    n.transferee,
+		Fresh:         n.freshness.known,
+		FreshTicks:    n.freshness.age,
 	}
 	if n.role != Leader {
 		return s
--- a/replog/ready.go
+++ b/replog/ready.go
@@ -6,7 +6,9 @@
 	return n.term != n.handedTerm || n.vote != n.handedVote || n.log.hasUnsaved()
 }
 
-func (n *Node) softState() SoftState { return SoftState{Leader: n.leader, Role: n.role} }
+func (n *Node) softState() SoftState {
+	return SoftState{Leader: n.leader, Role: n.role, Current: n.freshness.current(n.cfg.ElectionTicks)}
+}
 
 // HasReady reports whether Ready would return something to do.
 func (n *Node) HasReady() bool {
@@ -35,6 +37,7 @@
 	if hi := n.log.applicable(); hi > n.log.applied {
 		rd.Committed = n.log.slice(n.log.applied, hi)
 		n.log.applied = hi
+		n.freshness.applied(hi)
 	}
 	return rd
 }
--- a/replog/types.go
+++ b/replog/types.go
@@ -87,6 +87,10 @@
 type SoftState struct {
 	Leader ReplicaID
 	Role   Role
+	// Current is set while the applied state was the newest that the group had
+	// committed within the last ElectionTicks. Unlike a known leader it says that
+	// others may rely on this replica's state.
+	Current bool
 }
 
 // ReadState answers one ReadIndex call.
@@ -103,7 +107,7 @@
 // Ready is what the owner of a Node has to do. See the package comment for the
 // order.
 type Ready struct {
-	// SoftState is set when the leader or the role has changed.
+	// SoftState is set when it has changed.
 	SoftState *SoftState
 	// HardState, Entries and Snapshot are to be saved in one write, the snapshot
 	// first. Entries replace all saved entries from Entries[0].Index on. A
