A source is probed before it is followed, and one that failed is tried last

What callers would see: service under a replaced configuration for longer than the bound, when two control instances in a row are silent and their machines still take connections (frozen processes, kept connections that fell silent).

Cause: a silent source was waited for 1.4 s, the next one again 1.4 s, together 2.8 s where a change has to be in force within 2.0 s on small and 2.5 s on grown sites; 3 s after the first failure the silent one was tried first once more, at 1.4 s each time.

Change: a source answers a probe at once with whether its documents are the newest; a client follows the nearest that does, trusts it until it fails or is behind, and tries what failed within 3 s last. Two silent sources cost 1.4 + 0.4 s. Where none knows its documents to be the newest, one is asked in turn, with 150 ms between rounds instead of 30: each such answer carries the whole table of endpoints over a link of 10 Mbit/s. An instance that knows nothing yet takes what the first one has, as before.

Also in this commit: the choice is a file of its own, its clock is injected.

--- /dev/null
+++ b/control/deployment/choice.go
@@ -0,0 +1,135 @@
+package deployment
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/carawaystile/carawaystile/rpc"
+)
+
+const (
+	// probeTimeout is how long a source may take to say whether it knows its
+	// documents to be the newest. Two silent sources in a row then cost a client
+	// followTimeout + probeTimeout, less than a change may take to be in force;
+	// asked with a wait for news, they would cost twice the former.
+	probeTimeout = 400 * time.Millisecond
+	// backToNearer is after how long a source that failed is tried before others
+	// again, and the time between two looks whether a nearer one is back.
+	backToNearer = 3 * time.Second
+)
+
+// Source is a control instance that can be followed.
+type Source struct {
+	// Name tells sources apart in logs.
+	Name string
+	rpc.Deployment
+}
+
+// choice is what a client remembers for the choice of its source.
+type choice struct {
+	// following is the source that answered last and knew its documents to be the
+	// newest, empty for none.
+	following string
+	// failed is when sources were last found silent or behind, by the client's clock.
+	failed map[string]time.Duration
+	// looked is when nearer sources were last looked at.
+	looked time.Duration
+	// rounds counts those in which no source knew its documents to be the newest.
+	rounds int
+}
+
+// leave remembers that a source does not serve.
+func (h *choice) leave(source Source, now time.Duration) {
+	h.failed[source.Name] = now
+	if h.following == source.Name {
+		h.following = ""
+	}
+}
+
+// order lists the sources in the order in which to try them: nearest first, those
+// that failed of late last.
+func (h *choice) order(sources []Source, now time.Duration) []Source {
+	var good, doubted []Source
+	for _, source := range sources {
+		if at, failed := h.failed[source.Name]; failed && now-at < backToNearer {
+			doubted = append(doubted, source)
+		} else {
+			good = append(good, source)
+		}
+	}
+	return append(good, doubted...)
+}
+
+// forget drops what is remembered of sources that are gone.
+func (h *choice) forget(sources []Source) {
+	listed := func(name string) bool {
+		return slices.ContainsFunc(sources, func(s Source) bool { return s.Name == name })
+	}
+	for name := range h.failed {
+		if !listed(name) {
+			delete(h.failed, name)
+		}
+	}
+	if !listed(h.following) {
+		h.following = ""
+	}
+}
+
+// choose returns the source to follow: the nearest that knows its documents to be
+// the newest. The one followed so far is trusted until it fails. If no source knows
+// that, the round still ends with one to ask: without a quorum none does, and the
+// table of endpoints has to be followed all the same.
+func (c *Client) choose(ctx context.Context) (Source, bool) {
+	sources := c.options.Sources()
+	if len(sources) == 0 {
+		return Source{}, false
+	}
+	c.choice.forget(sources)
+	now := c.options.Now()
+	if len(c.have) == 0 {
+		// Anything is better than nothing: an instance that has just started takes
+		// what the next source has, at once.
+		c.choice.rounds++
+		return sources[(c.choice.rounds-1)%len(sources)], true
+	}
+	looksAround := c.choice.following == "" || now-c.choice.looked >= backToNearer
+	if looksAround {
+		c.choice.looked = now
+	}
+	var answering []Source
+	for _, source := range c.choice.order(sources, now) {
+		if source.Name == c.choice.following {
+			return source, true
+		}
+		if !looksAround {
+			continue
+		}
+		asked := c.options.Now()
+		answer, err := c.probe(ctx, source)
+		switch {
+		case err != nil:
+			c.choice.leave(source, c.options.Now())
+			c.noteLost(ctx, source, zap.Duration("took", c.options.Now()-asked), zap.Error(err))
+		case answer.GetBehind():
+			c.choice.leave(source, c.options.Now())
+			c.noteBehind(ctx, source, answer)
+			answering = append(answering, source)
+		default:
+			return source, true
+		}
+	}
+	c.choice.rounds++
+	if len(answering) == 0 {
+		answering = sources
+	}
+	return answering[c.choice.rounds%len(answering)], true
+}
+
+func (c *Client) probe(ctx context.Context, source Source) (*rpc.FollowAnswer, error) {
+	bounded, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	return source.Follow(bounded, &rpc.FollowRequest{Instance: c.options.Instance, Probe: true})
+}
--- a/control/deployment/client.go
+++ b/control/deployment/client.go
@@ -20,18 +20,12 @@
 	followTimeout = 1400 * time.Millisecond
 	// pauseAfterFailure is the wait before the next source is asked.
 	pauseAfterFailure = 30 * time.Millisecond
-	// backToFirst is after how long a client that has moved on tries its first
-	// source again, which is the nearest.
-	backToFirst = 3 * time.Second
+	// pauseWhileBehind is the wait before the next round when no source knows its
+	// documents to be the newest: asked without a pause, each would send all
+	// endpoints some thirty times a second over the caller's slow link.
+	pauseWhileBehind = 150 * time.Millisecond
 )
 
-// Source is a control instance that can be followed.
-type Source struct {
-	// Name tells sources apart in logs.
-	Name string
-	rpc.Deployment
-}
-
 // ClientOptions set a Client up. The functions are called by one goroutine.
 type ClientOptions struct {
 	Instance string
@@ -46,7 +40,9 @@
 	Fleet func(*fleet.Copy)
 	// Answered is told of each answer; nil for nobody.
 	Answered func(from Source, answer *rpc.FollowAnswer)
-	Log      *zap.Logger
+	// Now is a monotonic clock; nil for that of the process.
+	Now func() time.Duration
+	Log *zap.Logger
 }
 
 // Client follows control instances, one at a time.
@@ -54,63 +50,68 @@
 	options ClientOptions
 	have    map[string]uint64
 	fleet   *fleet.Copy
-	from    string
+	// fleetFrom is the source that the endpoints are from.
+	fleetFrom string
+	choice    choice
 	// followed is the source that answered last, and lost are those of which was
-	// logged that they do not answer or are cut off.
+	// logged that they do not answer or may be behind.
 	followed string
 	lost     map[string]bool
-	at       int
-	movedAt  time.Time
 }
 
 // NewClient returns a client that has nothing yet.
 func NewClient(options ClientOptions) *Client {
-	return &Client{options: options, have: map[string]uint64{}, lost: map[string]bool{}, fleet: fleet.NewCopy()}
+	if options.Now == nil {
+		started := time.Now()
+		options.Now = func() time.Duration { return time.Since(started) }
+	}
+	return &Client{
+		options: options, have: map[string]uint64{}, lost: map[string]bool{}, fleet: fleet.NewCopy(),
+		choice: choice{failed: map[string]time.Duration{}},
+	}
 }
 
 // Run follows until the context ends.
 func (c *Client) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !c.step(ctx) {
-			_ = wait.For(ctx, pauseAfterFailure) // the loop looks at the context
+		if pause := c.step(ctx); pause > 0 {
+			_ = wait.For(ctx, pause) // the loop looks at the context
 		}
 	}
 }
 
-// step asks one source once, and says whether to stay with it.
-func (c *Client) step(ctx context.Context) bool {
-	sources := c.options.Sources()
-	if len(sources) == 0 {
-		return false
-	}
-	if c.at != 0 && time.Since(c.movedAt) > backToFirst {
-		c.at = 0
+// step chooses a source, asks it once, and returns how long to wait before the
+// next step.
+func (c *Client) step(ctx context.Context) time.Duration {
+	source, found := c.choose(ctx)
+	if !found {
+		return pauseAfterFailure
 	}
-	source := sources[c.at%len(sources)]
-	asked := time.Now()
+	asked := c.options.Now()
 	answer, err := c.ask(ctx, source)
-	took := time.Since(asked)
+	took := c.options.Now() - asked
 	if err != nil {
-		c.move(ctx, source, zap.Duration("took", took), zap.Error(err))
-		return false
+		c.choice.leave(source, c.options.Now())
+		c.noteLost(ctx, source, zap.Duration("took", took), zap.Error(err))
+		return pauseAfterFailure
 	}
 	c.take(source, answer, took-time.Duration(answer.GetWaitedNanos()))
-	if !answer.GetBehind() {
-		c.noteFollowed(source)
+	if answer.GetBehind() {
+		// Others may have newer documents.
+		c.choice.leave(source, c.options.Now())
+		c.noteBehind(ctx, source, answer)
+		return pauseWhileBehind
 	}
-	if answer.GetBehind() && len(sources) > 1 {
-		// It is cut off from its group: others may have newer documents.
-		c.move(ctx, source, zap.Bool("behind", true), zap.Duration("lag", time.Duration(answer.GetLagNanos())))
-		return false
-	}
-	return !answer.GetBehind()
+	c.choice.following = source.Name
+	c.noteFollowed(source)
+	return 0
 }
 
 func (c *Client) ask(ctx context.Context, source Source) (*rpc.FollowAnswer, error) {
 	bounded, cancel := context.WithTimeout(ctx, followTimeout)
 	defer cancel()
-	if c.from != source.Name {
-		c.from = source.Name
+	if c.fleetFrom != source.Name {
+		c.fleetFrom = source.Name
 		c.fleet.Restart()
 	}
 	request := &rpc.FollowRequest{
@@ -122,21 +123,23 @@
 	return source.Follow(bounded, request)
 }
 
-// move goes on to the next source; why is logged.
-func (c *Client) move(ctx context.Context, from Source, why ...zap.Field) {
-	if c.at == 0 {
-		c.movedAt = time.Now()
-	}
-	c.at++
-	if ctx.Err() == nil && !c.lost[from.Name] {
-		c.lost[from.Name] = true
-		events.SourceLost.Log(c.options.Log, append(why, zap.String("source", from.Name))...)
+// noteLost logs that a source is left, once until it is followed again. While no
+// source answers, each is logged once: all are asked many times a second, and the
+// log of that would push out what explains it.
+func (c *Client) noteLost(ctx context.Context, source Source, why ...zap.Field) {
+	if ctx.Err() != nil || c.lost[source.Name] {
+		return
 	}
+	c.lost[source.Name] = true
+	events.SourceLost.Log(c.options.Log, append(why, zap.String("source", source.Name))...)
+}
+
+func (c *Client) noteBehind(ctx context.Context, source Source, answer *rpc.FollowAnswer) {
+	c.noteLost(ctx, source, zap.Bool("behind", true), zap.Duration("lag", time.Duration(answer.GetLagNanos())))
 }
 
 // noteFollowed logs when another source than before is followed, or one that was
-// lost is back. While no source answers, each is logged once: all are asked some
-// thirty times a second, and the log of that would push out what explains it.
+// lost is back.
 func (c *Client) noteFollowed(source Source) {
 	if c.followed == source.Name && !c.lost[source.Name] {
 		return
--- a/control/deployment/client_test.go
+++ b/control/deployment/client_test.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"sync"
 	"testing"
+	"time"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
@@ -20,15 +21,25 @@
 type scriptedSource struct {
 	answer func(*rpc.FollowRequest) (*rpc.FollowAnswer, error)
 
-	mu    sync.Mutex
-	asked int
+	mu sync.Mutex
+	// probes says of each question whether it was a probe, and patience adds up how
+	// long the callers would have waited.
+	probes   []bool
+	patience time.Duration
 }
 
-func (s *scriptedSource) Follow(_ context.Context, request *rpc.FollowRequest) (*rpc.FollowAnswer, error) {
+func (s *scriptedSource) Follow(ctx context.Context, request *rpc.FollowRequest) (*rpc.FollowAnswer, error) {
 	s.mu.Lock()
-	s.asked++
+	s.probes = append(s.probes, request.GetProbe())
+	if until, bounded := ctx.Deadline(); bounded {
+		s.patience += time.Until(until)
+	}
 	s.mu.Unlock()
-	return s.answer(request)
+	answer, err := s.answer(request)
+	if err == nil && request.GetProbe() {
+		return &rpc.FollowAnswer{Behind: answer.GetBehind()}, nil
+	}
+	return answer, err
 }
 
 type gone struct{}
@@ -73,6 +84,20 @@
 	assert.DeepEqual(t, *taken, []uint64{5, 7})
 }
 
+// The control instance of the own zone falls behind while it is followed. What it
+// has is not put in force once another one knows of something newer.
+func TestASourceThatFallsBehindIsLeft(t *testing.T) {
+	first, second := &scriptedSource{answer: documents(5, false)}, &scriptedSource{answer: documents(7, false)}
+	c, taken := follower(first, second)
+	c.step(t.Context())
+	first.answer = documents(6, true)
+	c.step(t.Context())
+	c.step(t.Context())
+	assert.DeepEqual(t, *taken, []uint64{5, 6, 7})
+	c.step(t.Context())
+	assert.DeepEqual(t, second.probes, []bool{true, false, false})
+}
+
 // A source has an older document than one that was followed before. Put in
 // force, callers would be treated by what was replaced.
 func TestADocumentNeverGoesBack(t *testing.T) {
--- a/control/deployment/service.go
+++ b/control/deployment/service.go
@@ -145,8 +145,12 @@
 	return content, nil
 }
 
-// Follow answers when there is something new to the caller.
+// Follow answers when there is something new to the caller, and a probe at once.
 func (s *Service) Follow(ctx context.Context, request *rpc.FollowRequest) (*rpc.FollowAnswer, error) {
+	if request.GetProbe() {
+		status := s.replica.Status()
+		return &rpc.FollowAnswer{Behind: !status.Current, LagNanos: int64(status.Lag)}, nil
+	}
 	timer := time.NewTimer(min(max(0, time.Duration(request.GetWaitNanos())), maxWait))
 	defer timer.Stop()
 	asked := s.now()
@@ -181,7 +185,7 @@
 	told, listed := s.fleet.Since(request.GetFleetSource(), request.GetFleetVersion())
 	status := s.replica.Status()
 	answer := &rpc.FollowAnswer{
-		Fleet:       told,
+		Fleet: told,
 		// A replica that knows its leader may still lag: its disk may hang, or it
 		// was sent nothing for a while. Those that stay with it would treat callers
 		// by a configuration that operators have replaced.
