A control replica that was replaced while it was cut off comes back as the standby

Cause: a voter that is silent for 8 s is removed and the standby takes its place. The entry that says so never reaches it; it holds itself for a voter, asks for elections that the others ignore since they hear a leader, and only a non-voter asked to be taken in. A restart did not help, since its log says the same. So each long cut took a replica from the group for good, and the next lost voter found no standby.

Change: a replica whose state is not current asks to join as well; the leader passes over those that vote and adds one that it does not know as a learner. The identity is the old one, which is safe with the old disk: the log's random test under faults does the same (a replica that is no member is added again).

--- a/control/server/form.go
+++ b/control/server/form.go
@@ -192,6 +192,11 @@
 
 // repair is run at every tick. A replica that is not a voter asks to join; the
 // leader takes in those that asked, one step at a time.
+//
+// One that does not keep up asks too: it may have been replaced while it was cut
+// off. Nobody sends it the entry that says so, and no voter answers it, so that it
+// would hold itself for a voter for ever and be lost to the group. The leader passes
+// over those that do vote.
 func (s *Server) repair() {
 	s.repairTicks++
 	if s.repairTicks%repairEvery != 0 {
@@ -202,7 +207,7 @@
 		s.repairGroup(status)
 		return
 	}
-	if !status.Members.IsVoter(status.ID) {
+	if !status.Members.IsVoter(status.ID) || !s.soft.Current {
 		self := s.founder()
 		ctx, cancel := context.WithTimeout(context.Background(), joinTimeout*time.Duration(len(s.options.Others)+1))
 		s.running.Go(func() {
--- a/control/server/network_test.go
+++ b/control/server/network_test.go
@@ -244,6 +244,13 @@
 	return ctx
 }
 
+// short bounds what has to happen soon, so that a test that fails ends.
+func (g *group) short() context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
+	g.t.Cleanup(cancel)
+	return ctx
+}
+
 func (g *group) barrier(i int) {
 	assert.NilError(g.t, g.servers[i].Barrier(g.long()))
 }
--- a/control/server/open_test.go
+++ b/control/server/open_test.go
@@ -81,3 +81,28 @@
 	g.stop((leader + 2) % 3)
 	assert.NilError(t, newcomer.until(g.long(), func() bool { return newcomer.view.voter }))
 }
+
+// A control instance is cut off for so long that the standby takes its place in the
+// group. It never hears of that, holds itself for a voter and asks for elections that
+// nobody answers. Operators who call it get no clear answer for ever after, also once
+// it is restarted, and the group has lost its standby for good.
+func TestAVoterThatWasReplacedWhileCutOffComesBack(t *testing.T) {
+	g := openGroup(t)
+	newcomer := g.servers[3]
+	leader := g.leader()
+	cut := (leader + 1) % 3
+	g.network.isolate(g, cut, true)
+	assert.NilError(t, newcomer.until(g.long(), func() bool { return newcomer.view.voter }))
+	g.apply(leader, "r2", "p2")
+	g.network.isolate(g, cut, false)
+	returned := g.servers[cut]
+	assert.NilError(t, returned.until(g.short(), func() bool { return returned.view.current }))
+	g.barrier(cut)
+	assert.Equal(t, returned.Revision(), newcomer.Revision())
+	assert.Assert(t, !returned.Status().Voter)
+
+	// It is the standby now: it takes the place of the next voter that is gone.
+	g.stop((leader + 2) % 3)
+	assert.NilError(t, returned.until(g.long(), func() bool { return returned.view.voter }))
+	g.apply(leader, "r3", "p3")
+}
--- a/replog/change.go
+++ b/replog/change.go
@@ -10,8 +10,8 @@
 	// Promote makes a learner a voter. It is refused until the learner has
 	// acknowledged all committed entries as durable.
 	Promote
-	// Remove takes a replica out of the group. Its identity must not be used
-	// again.
+	// Remove takes a replica out of the group. It may come back as a learner under
+	// its identity only with the disk that it had.
 	Remove
 	// SetAddress changes the address of a member.
 	SetAddress
