The word of requests that crash endpoints is told again if it is lost

Looked for the cause of TestScenarios/poison, seen once: a stream that has to be whole ended with 5021 after three crashing requests.

So an instance that does not know of the crash takes the request again, two more endpoints go down, and the stream uses up its tries.

Cause in the code: each instance was told once, and a failure was dropped without a log line. Change: three tries of 0.7 s, and event 1017 if all fail.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -51,7 +51,7 @@
 	base := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: idleInstanceConnections}
 	d.peerTransport = base
 	d.dialer = transport.NewDialer(&http.Client{Transport: &keys.Transport{Ring: d.instanceKeys, Base: base}})
-	d.peers = newPeers(d.instanceKeys, base, d.entryPeers)
+	d.peers = newPeers(d.instanceKeys, base, d.entryPeers, d.options.Log)
 	if d.options.Process.Control {
 		if err := d.startReplica(); err != nil {
 			return err
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -6,6 +6,9 @@
 	"net/netip"
 	"time"
 
+	"go.uber.org/zap"
+
+	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/keys"
 	suspectpeers "github.com/carawaystile/carawaystile/peers"
 	"github.com/carawaystile/carawaystile/rpc"
@@ -31,13 +34,15 @@
 	reports chan *rpc.SuspectReport
 	// members returns the living instances to tell.
 	members func() []membership.Member
+	log     *zap.Logger
 }
 
-func newPeers(ring *keys.Ring, base http.RoundTripper, members func() []membership.Member) *peers {
+func newPeers(ring *keys.Ring, base http.RoundTripper, members func() []membership.Member, log *zap.Logger) *peers {
 	return &peers{
 		client:  &http.Client{Transport: &keys.Transport{Ring: ring, Base: base}, Timeout: suspectTimeout},
 		reports: make(chan *rpc.SuspectReport, suspectQueue),
 		members: members,
+		log:     log,
 	}
 }
 
@@ -65,5 +70,8 @@
 }
 
 func (p *peers) tell(ctx context.Context, at netip.AddrPort, report *rpc.SuspectReport) {
-	_, _ = rpc.NewPeerProtobufClient("http://"+at.String(), p.client).Suspect(ctx, report)
+	err := suspectpeers.Tell(ctx, rpc.NewPeerProtobufClient("http://"+at.String(), p.client), report)
+	if err != nil {
+		events.SuspectsNotTold.Log(p.log, zap.Stringer("instance_address", at), zap.Error(err))
+	}
 }
--- a/events/entry.go
+++ b/events/entry.go
@@ -20,5 +20,6 @@
 	CallerGone           = define(1013, zapcore.InfoLevel, "A caller left before its answer was whole.")
 	EndpointUnreachable  = define(1015, zapcore.WarnLevel, "An endpoint takes no connections; it gets no requests until it does.")
 	EndpointReached      = define(1016, zapcore.InfoLevel, "An endpoint takes connections again.")
+	SuspectsNotTold      = define(1017, zapcore.WarnLevel, "Another instance could not be told which requests may crash endpoints.")
 	EndpointCrashed      = define(1014, zapcore.WarnLevel, "An endpoint broke its connections off and takes none any more.")
 )
--- a/node/listen.go
+++ b/node/listen.go
@@ -72,10 +72,12 @@
 }
 
 // shareSuspects tells the other entry instances what was running when an
-// endpoint crashed. Losing a message costs no more than a further endpoint.
+// endpoint crashed.
 func (n *Node) shareSuspects(suspects []quarantine.Suspect) {
 	report := peers.Report(suspects)
 	n.tellPeers(func(ctx context.Context, at string) {
-		_, _ = rpc.NewPeerProtobufClient(at, n.client).Suspect(ctx, report)
+		if err := peers.Tell(ctx, rpc.NewPeerProtobufClient(at, n.client), report); err != nil {
+			events.SuspectsNotTold.Log(n.log, zap.String("instance_address", at), zap.Error(err))
+		}
 	})
 }
--- a/node/members.go
+++ b/node/members.go
@@ -200,5 +200,5 @@
 	}
 }
 
-// tellTimeout bounds telling one instance of a crash.
-const tellTimeout = time.Second
+// tellTimeout bounds telling one instance of a crash, with all tries.
+const tellTimeout = 2500 * time.Millisecond
--- /dev/null
+++ b/peers/tell.go
@@ -0,0 +1,43 @@
+package peers
+
+import (
+	"context"
+	"time"
+
+	"github.com/carawaystile/carawaystile/internal/wait"
+	"github.com/carawaystile/carawaystile/rpc"
+)
+
+const (
+	// tellTries is how often a report is told to one instance, tellTimeout bounds
+	// each try, and tellPause is the wait before the next.
+	tellTries   = 3
+	tellTimeout = 700 * time.Millisecond
+	tellPause   = 50 * time.Millisecond
+)
+
+// Tell passes a report on to one instance.
+//
+// A report that is lost is told again. The caller of a request that crashes
+// endpoints sends it again at once, most likely through another instance; one that
+// was never told runs it at two further endpoints and takes down what else runs
+// there. A kept connection that the other side has just closed is enough for a loss.
+func Tell(ctx context.Context, to rpc.Peer, report *rpc.SuspectReport) error {
+	var err error
+	for try := range tellTries {
+		if try > 0 && wait.For(ctx, tellPause) != nil {
+			return err
+		}
+		if err = tellOnce(ctx, to, report); err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
+func tellOnce(ctx context.Context, to rpc.Peer, report *rpc.SuspectReport) error {
+	bounded, cancel := context.WithTimeout(ctx, tellTimeout)
+	defer cancel()
+	_, err := to.Suspect(bounded, report)
+	return err
+}
