Soak: a control instance misses changes, and how long a change takes to be in force

Why the soak missed the incident: nothing in it held how long after its acknowledgement a configuration was in force, its usual three control instances have no standby, and its cuts between control instances last 5 s at most.

By hand, -in-force checks it: 3 s after the ack, 9 s while control instances were kept from one another, where nothing else was wrong.

--- a/soak/check.go
+++ b/soak/check.go
@@ -27,6 +27,9 @@
 		l.judgeDrain(r)
 	}
 	l.judgeNumbers(all)
+	if l.timed {
+		l.judgeInForce(all)
+	}
 	l.judgeRepeats(all)
 	l.judgePoison(all)
 	l.judgeOrders()
@@ -110,7 +113,7 @@
 // unplanned says whether anything unplanned was wrong in a span of time.
 func (l *ledger) unplanned(from, to time.Time) bool {
 	for _, d := range l.disruptions {
-		if !d.planned && d.from.Before(to) && (d.to.IsZero() || d.to.After(from)) {
+		if !d.planned && d.overlaps(from, to) {
 			return true
 		}
 	}
@@ -156,6 +159,67 @@
 	}
 }
 
+const (
+	// inForceWithin is how long after its acknowledgement a configuration may not
+	// be in force yet, and settling how much longer while control instances were
+	// kept from one another.
+	inForceWithin = 3 * time.Second
+	settling      = 6 * time.Second
+	// calmBefore is how long before an acknowledgement nothing else may have been
+	// wrong for the bound to hold.
+	calmBefore = 4 * time.Second
+)
+
+// judgeInForce checks that no request is handled under a configuration that was
+// replaced long before, also while some control instances miss changes.
+func (l *ledger) judgeInForce(all []*request) {
+	for _, r := range all {
+		for _, run := range r.runs {
+			number := numberOf(run.Organisation)
+			newer := l.replacedBy(number, r.sent)
+			if number == 0 || newer == nil || l.troubled(newer.acked.Add(-calmBefore), r.sent) {
+				continue
+			}
+			bound := inForceWithin
+			if l.unplanned(newer.acked.Add(-calmBefore), r.sent) {
+				bound += settling
+			}
+			if late := r.sent.Sub(newer.acked); late > bound {
+				l.breachLocked("changes are in force in time", r.ID, "to %s was handled under %d, %v after %d was acknowledged",
+					r.entry.Name, number, late, newer.number)
+			}
+		}
+	}
+}
+
+// replacedBy is the acknowledged configuration with a higher number that was
+// acknowledged first, nil if there was none before the given time.
+func (l *ledger) replacedBy(number uint64, before time.Time) *document {
+	var first *document
+	for _, d := range l.documents {
+		if d.number <= number || d.acked.IsZero() || d.acked.After(before) {
+			continue
+		}
+		if first == nil || d.acked.Before(first.acked) {
+			first = d
+		}
+	}
+	return first
+}
+
+// troubled says whether in a span of time anything unplanned was wrong with the
+// system beyond control instances kept from one another.
+func (l *ledger) troubled(from, to time.Time) bool {
+	return slices.ContainsFunc(l.disruptions, func(d disruption) bool {
+		return !d.planned && !d.outside && !d.control && d.overlaps(from, to)
+	})
+}
+
+// overlaps says whether the disruption lasted at any time of a span.
+func (d disruption) overlaps(from, to time.Time) bool {
+	return d.from.Before(to) && (d.to.IsZero() || d.to.After(from))
+}
+
 // judgeRepeats checks the bound on second sends that all instances share.
 func (l *ledger) judgeRepeats(all []*request) {
 	for _, service := range []string{serviceModels, serviceDesk} {
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -42,6 +42,7 @@
 // judged returns the promises that are found broken.
 func judged(change func(l *ledger)) []string {
 	l := newLedger()
+	l.timed = true
 	change(l)
 	l.judge()
 	var broken []string
@@ -118,6 +119,19 @@
 			}
 			l.requests[r.ID] = r
 		}},
+		"a change comes late": {"changes are in force in time", func(l *ledger) {
+			l.documents = map[uint64]*document{3: {number: 3, acked: at(1)}, 4: {number: 4, acked: at(2)}}
+			r := sound("r1", safe)
+			r.runs[0].Organisation = organisationOf(3)
+			l.requests[r.ID] = r
+		}},
+		"a change comes late beside a cut of the control group": {"changes are in force in time", func(l *ledger) {
+			l.documents = map[uint64]*document{3: {number: 3, acked: at(0)}, 4: {number: 4, acked: at(0.5)}}
+			l.disruptions = []disruption{{what: "a control instance misses changes", control: true, from: at(0), to: at(12)}}
+			r := sound("r1", safe)
+			r.runs[0].Organisation = organisationOf(3)
+			l.requests[r.ID] = r
+		}},
 		"two give orders": {"one holder orders at a time", func(l *ledger) {
 			l.orders = []platformtest.Order{
 				{Fence: 4, From: netip.MustParseAddr("127.0.0.1")}, {Fence: 4, From: netip.MustParseAddr("127.0.0.2")},
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -25,7 +25,12 @@
 	planned bool
 	// outside faults concern what stands around the system only.
 	outside bool
-	do      func(s *strike)
+	// control faults only keep control instances from one another.
+	control bool
+	// named faults come only in runs that name them: they last long, and a run of
+	// all kinds would hardly ever have the calm around them that their check needs.
+	named bool
+	do    func(s *strike)
 }
 
 // faultKinds are all kinds of faults.
@@ -43,7 +48,7 @@
 	{name: "tear a control instance's log", do: tear},
 	{name: "cut a zone", do: cutZone},
 	{name: "cut an instance one way", do: cutOneWay},
-	{name: "split the control group", do: splitControl},
+	{name: "split the control group", control: true, do: splitControl},
 	{name: "mute open connections", do: func(s *strike) { s.disrupted(func() { s.d.network.Mute(s.oneAddress()) }) }},
 	{name: "reset open connections", do: func(s *strike) { s.disrupted(func() { s.d.network.Reset(s.oneAddress()) }) }},
 	{name: "delay a link", do: func(s *strike) {
@@ -73,13 +78,16 @@
 	{name: "answers to operators are lost", outside: true, do: func(s *strike) { s.operators.lose(0.6); s.wait(); s.operators.lose(0) }},
 	{name: "new weights", planned: true, do: func(s *strike) { s.operators.nameWeights() }},
 	{name: "a request that crashes endpoints", outside: true, do: poison},
+	{name: "a control instance misses changes", control: true, named: true, do: missChanges},
 }
 
-// FaultNames lists all kinds of faults.
+// FaultNames lists the kinds of faults that come in every run.
 func FaultNames() []string {
 	var names []string
 	for _, k := range faultKinds {
-		names = append(names, k.name)
+		if !k.named {
+			names = append(names, k.name)
+		}
 	}
 	return names
 }
@@ -255,6 +263,31 @@
 	})
 }
 
+// missFor is how long a control instance misses changes: longer than a change may
+// take to be in force while the group is disturbed.
+const missFor = 14 * time.Second
+
+// missChanges cuts a control instance off from the others for long, so that entry
+// instances go on reaching all of them, and changes the configuration meanwhile.
+func missChanges(s *strike) {
+	if !s.missing.TryLock() {
+		return
+	}
+	defer s.missing.Unlock()
+	one := s.control().ip
+	controls := map[netip.Addr]bool{}
+	for _, i := range s.d.controls {
+		controls[i.ip] = true
+	}
+	lift := s.d.network.Impose(Condition{Silent: true}, func(from, to netip.Addr) bool {
+		return controls[from] && controls[to] && (from == one) != (to == one)
+	})
+	defer lift()
+	time.Sleep(time.Second)
+	s.operators.configure(0)
+	time.Sleep(missFor - time.Second)
+}
+
 func (s *strike) place() int { return s.rng.IntN(modelEndpoints + deskEndpoints) }
 
 func crashEndpoint(s *strike) {
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -39,6 +39,8 @@
 // ledger keeps what callers, operators and endpoints see. It is safe for
 // concurrent use.
 type ledger struct {
+	// timed is set if times are judged.
+	timed     bool
 	mu        sync.Mutex
 	requests  map[string]*request
 	documents map[uint64]*document
@@ -54,6 +56,7 @@
 	what     string
 	planned  bool
 	outside  bool
+	control  bool
 	from, to time.Time
 }
 
@@ -194,7 +197,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	n := len(l.disruptions)
-	l.disruptions = append(l.disruptions, disruption{what: k.name, planned: k.planned, outside: k.outside, from: time.Now()})
+	l.disruptions = append(l.disruptions, disruption{what: k.name, planned: k.planned, outside: k.outside, control: k.control, from: time.Now()})
 	return func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -33,6 +33,9 @@
 	Controls, Entries int
 	// Faults are the kinds to draw from; nil means all.
 	Faults []string
+	// InForce checks how long changes take to be in force. That depends on the
+	// machine too, so it is for runs by hand.
+	InForce bool
 	// Progress is told of each fault; nil for nobody.
 	Progress func(string)
 }
@@ -60,6 +63,9 @@
 	operators *operators
 	// disks is held while a disk is lost, replacing while an endpoint leaves.
 	disks, replacing sync.Mutex
+	// missing is held while a control instance misses changes: two at once would take
+	// the quorum, which is another fault.
+	missing sync.Mutex
 }
 
 const (
@@ -86,6 +92,7 @@
 		return nil, err
 	}
 	defer d.close()
+	d.ledger.timed = o.InForce
 	w := &world{d: d, operators: newOperators(d)}
 	for _, i := range d.instances() {
 		if err := d.start(i); err != nil {
