Choice of a source in short functions; a request to join that cannot be passed on is logged

The choice was one function of 45 lines. relayJoin dropped an error without a log line: event 3034 now.

--- a/control/deployment/choice.go
+++ b/control/deployment/choice.go
@@ -79,57 +79,67 @@
 }
 
 // choose returns the source to follow: the nearest that knows its documents to be
-// the newest. The one followed so far is trusted until it fails. If no source knows
-// that, the round still ends with one to ask: without a quorum none does, and the
-// table of endpoints has to be followed all the same.
+// the newest. The one followed so far is trusted until it fails.
 func (c *Client) choose(ctx context.Context) (Source, bool) {
 	sources := c.options.Sources()
 	if len(sources) == 0 {
 		return Source{}, false
 	}
-	c.choice.forget(sources)
-	now := c.options.Now()
 	if len(c.have) == 0 {
 		// Anything is better than nothing: an instance that has just started takes
 		// what the next source has, at once.
 		c.choice.rounds++
 		return sources[(c.choice.rounds-1)%len(sources)], true
 	}
-	looksAround := c.choice.following == "" || now-c.choice.looked >= backToNearer
-	if looksAround {
-		c.choice.looked = now
+	c.choice.forget(sources)
+	now := c.options.Now()
+	if c.choice.following != "" && now-c.choice.looked < backToNearer {
+		n := slices.IndexFunc(sources, func(s Source) bool { return s.Name == c.choice.following })
+		return sources[n], true
 	}
-	var answering []Source
-	for _, source := range c.choice.order(sources, now) {
+	c.choice.looked = now
+	return c.lookAround(ctx, sources), true
+}
+
+// lookAround probes the sources in order until one serves. If none does, the round
+// still ends with one to ask: without a quorum no source knows its documents to be
+// the newest, and the table of endpoints has to be followed all the same.
+func (c *Client) lookAround(ctx context.Context, sources []Source) Source {
+	answering := sources
+	var behind []Source
+	for _, source := range c.choice.order(sources, c.options.Now()) {
 		if source.Name == c.choice.following {
-			return source, true
+			return source
 		}
-		if !looksAround {
-			continue
-		}
-		asked := c.options.Now()
 		answer, err := c.probe(ctx, source)
-		switch {
-		case err != nil:
-			c.choice.leave(source, c.options.Now())
-			c.noteLost(ctx, source, zap.Duration("took", c.options.Now()-asked), zap.Error(err))
-		case answer.GetBehind():
-			c.choice.leave(source, c.options.Now())
-			c.noteBehind(ctx, source, answer)
-			answering = append(answering, source)
-		default:
-			return source, true
+		if err == nil && !answer.GetBehind() {
+			return source
+		}
+		if err == nil {
+			behind = append(behind, source)
 		}
 	}
-	c.choice.rounds++
-	if len(answering) == 0 {
-		answering = sources
+	if len(behind) > 0 {
+		answering = behind
 	}
-	return answering[c.choice.rounds%len(answering)], true
+	c.choice.rounds++
+	return answering[c.choice.rounds%len(answering)]
 }
 
+// probe asks a source whether it knows its documents to be the newest, and notes if
+// it does not serve.
 func (c *Client) probe(ctx context.Context, source Source) (*rpc.FollowAnswer, error) {
 	bounded, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	return source.Follow(bounded, &rpc.FollowRequest{Instance: c.options.Instance, Probe: true})
+	asked := c.options.Now()
+	answer, err := source.Follow(bounded, &rpc.FollowRequest{Instance: c.options.Instance, Probe: true})
+	switch {
+	case err != nil:
+		c.choice.leave(source, c.options.Now())
+		c.noteLost(ctx, source, zap.Duration("took", c.options.Now()-asked), zap.Error(err))
+	case answer.GetBehind():
+		c.choice.leave(source, c.options.Now())
+		c.noteBehind(ctx, source, answer)
+	}
+	return answer, err
 }
--- a/control/server/form.go
+++ b/control/server/form.go
@@ -182,8 +182,11 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), joinTimeout)
 		defer cancel()
-		// The joiner asks again: a relayed request that is lost costs half a second.
-		_, _ = s.options.Dialer.Control(leader).Join(ctx, &rpc.JoinRequest{Replica: replica, Relayed: true})
+		_, err := s.options.Dialer.Control(leader).Join(ctx, &rpc.JoinRequest{Replica: replica, Relayed: true})
+		if err != nil {
+			// The joiner asks again: a lost request costs half a second.
+			events.ControlJoinNotRelayed.Log(s.log, zap.String("leader", leader), zap.Error(err))
+		}
 	}()
 }
 
--- a/events/control.go
+++ b/events/control.go
@@ -37,5 +37,6 @@
 	ControlLags           = define(3031, zapcore.WarnLevel, "The state of this control replica may be older than its group's.")
 	ControlCurrent        = define(3032, zapcore.InfoLevel, "The state of this control replica is the newest of its group.")
 	DocumentTaken         = define(3033, zapcore.InfoLevel, "A newer document was taken from a control instance.")
+	ControlJoinNotRelayed = define(3034, zapcore.InfoLevel, "The request of a control replica to join could not be passed on to the leader.")
 	ListRead              = define(3029, zapcore.InfoLevel, "The platform's list can be read again.")
 )
