An instance that has drained writes its last answers before it ends

What callers saw: a closed connection in place of the answer to the last request of an instance that restarts, though the work was done.

Cause: a drain ends when the handlers of all requests have returned. net/http writes the rest of a small answer after that, and the server was closed in between. It strikes answers that were held for seconds, which are the last to end.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"github.com/carawaystile/carawaystile/engine/feed"
 	"github.com/carawaystile/carawaystile/entry"
 	"github.com/carawaystile/carawaystile/events"
+	"github.com/carawaystile/carawaystile/internal/shutdown"
 	"github.com/carawaystile/carawaystile/keys"
 	"github.com/carawaystile/carawaystile/metrics"
 	"github.com/carawaystile/carawaystile/router"
@@ -72,6 +73,8 @@
 	router *router.Router
 	entry  *entry.Server
 	feeds  *feed.Group
+	// callers serves the entry.
+	callers *http.Server
 
 	peerTransport *http.Transport
 	dialer        *transport.Dialer
@@ -187,11 +190,12 @@
 	if d.entry == nil {
 		return nil
 	}
-	err := d.entry.Drain(ctx)
-	if err != nil {
+	if err := d.entry.Drain(ctx); err != nil {
 		events.DaemonDrainCut.Log(d.options.Log, zap.Error(err))
+		return trace.Wrap(err)
 	}
-	return trace.Wrap(err)
+	shutdown.Flush(ctx, d.callers)
+	return nil
 }
 
 // Stop ends the instance at once; open requests are cut.
--- a/daemon/listen.go
+++ b/daemon/listen.go
@@ -39,8 +39,8 @@
 func (d *Daemon) listen() error {
 	p := d.options.Process
 	if d.entry != nil {
-		server := &http.Server{Handler: d.entry.Handler(), MaxHeaderBytes: int(p.Limits.HeaderBytes)}
-		if err := d.serve(server, p.Listen.Callers, p.Limits.Connections); err != nil {
+		d.callers = &http.Server{Handler: d.entry.Handler(), MaxHeaderBytes: int(p.Limits.HeaderBytes)}
+		if err := d.serve(d.callers, p.Listen.Callers, p.Limits.Connections); err != nil {
 			return err
 		}
 	}
--- a/node/entry.go
+++ b/node/entry.go
@@ -65,7 +65,8 @@
 	})
 	n.background.Go(func() { n.follow.Run(n.stopping) })
 	n.startCaches()
-	if err := n.serve(&http.Server{Handler: n.entry}, s.Listen.Callers); err != nil {
+	n.callers = &http.Server{Handler: n.entry}
+	if err := n.serve(n.callers, s.Listen.Callers); err != nil {
 		return err
 	}
 	ready := http.NewServeMux()
--- a/node/node.go
+++ b/node/node.go
@@ -27,6 +27,7 @@
 	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/fleet"
 	"github.com/carawaystile/carawaystile/forward"
+	"github.com/carawaystile/carawaystile/internal/shutdown"
 	"github.com/carawaystile/carawaystile/metrics"
 	"github.com/carawaystile/carawaystile/routes"
 	"github.com/carawaystile/carawaystile/settings"
@@ -99,6 +100,8 @@
 	// The entry role; nil without it.
 	entry  *forward.Server
 	follow *deployment.Client
+	// callers serves the entry.
+	callers *http.Server
 
 	// The control role; nil without it.
 	folder     *store.Folder
@@ -192,7 +195,9 @@
 	}
 	if err := n.entry.Drain(ctx); err != nil {
 		events.DaemonDrainCut.Log(n.log, zap.Error(err))
+		return
 	}
+	shutdown.Flush(ctx, n.callers)
 }
 
 // Failed is closed when the control replica has stopped by itself; nil without
