Rounds without a current source come 30 ms apart again

While the group has no leader, endpoints come and go all the same, and news of them came up to 150 ms later. The pause had been chosen for bytes on slow links, which nobody measured.

--- a/control/deployment/client.go
+++ b/control/deployment/client.go
@@ -21,9 +21,9 @@
 	// pauseAfterFailure is the wait before the next source is asked.
 	pauseAfterFailure = 30 * time.Millisecond
 	// pauseWhileBehind is the wait before the next round when no source knows its
-	// documents to be the newest: asked without a pause, each would send all
-	// endpoints some thirty times a second over the caller's slow link.
-	pauseWhileBehind = 150 * time.Millisecond
+	// documents to be the newest. Endpoints come and go meanwhile, and callers are
+	// sent to those that have left until the next round tells of them.
+	pauseWhileBehind = 30 * time.Millisecond
 )
 
 // ClientOptions set a Client up. The functions are called by one goroutine.
