An odd quantity in the settings keeps no instance from running

Cause: quantities that the users' platform fills in were read as strictly as an instance's own name.

Ruled out: rounding in the template, which has no arithmetic; taking every fault at a start, since a wrong address or a lost data folder must keep the instance from starting.

Change: repeated sends are a number that may be a fraction. Quantities with a default (memory, link, orders, retries, drain, losses to tolerate) no longer end a process: out of bounds counts as the nearest bound, unreadable or absent as the default, and event 6014 names it. validate -forwarding still reports each as a fault.

--- a/cmd/carawaystiled/forward.go
+++ b/cmd/carawaystiled/forward.go
@@ -56,7 +56,7 @@
 	}
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
-	read, err := settings.ReadForwarding(c.path)
+	read, replaced, err := settings.ReadForwardingToRun(c.path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitInvalid
@@ -64,6 +64,7 @@
 	writer := logs.NewWriter(os.Stdout)
 	defer writer.Close()
 	log := logs.New(writer, read.LogLevel, zap.String("instance", string(read.Instance)))
+	logReplaced(log, replaced)
 	n, err := node.Start(node.Options{Settings: read, Platform: onPlatform(read), Log: log})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -91,14 +92,21 @@
 }
 
 func (c *forwardCommand) reload(n *node.Node, log *zap.Logger) {
-	read, err := settings.ReadForwarding(c.path)
+	read, replaced, err := settings.ReadForwardingToRun(c.path)
 	if err != nil {
 		events.SettingsUnreadable.Log(log, zap.Error(err))
 		return
 	}
+	logReplaced(log, replaced)
 	n.Reload(read)
 }
 
+func logReplaced(log *zap.Logger, replaced []settings.Problem) {
+	for _, p := range replaced {
+		events.SettingReplaced.Log(log, zap.Stringer("setting", p))
+	}
+}
+
 // drain ends the open requests, unless a second signal to end comes or the time
 // is over.
 func (c *forwardCommand) drain(ctx context.Context, n *node.Node, signals <-chan os.Signal) {
--- a/dispatch/budget.go
+++ b/dispatch/budget.go
@@ -12,7 +12,7 @@
 // overloaded or broken fleet adds load to it.
 type RetryLimits struct {
 	Ratio  float64
-	Extra  int
+	Extra  float64
 	Window time.Duration
 }
 
@@ -71,7 +71,7 @@
 		}
 	}
 	limits := &d.options.Retry
-	allowed := limits.Ratio*float64(requests) + extraPart*float64(limits.Extra)/float64(d.peers)
+	allowed := limits.Ratio*float64(requests) + extraPart*limits.Extra/float64(d.peers)
 	return float64(repeats+1) <= allowed
 }
 
--- a/events/daemon.go
+++ b/events/daemon.go
@@ -16,6 +16,7 @@
 	SettingsReread          = define(6009, zapcore.InfoLevel, "The settings were read again.")
 	LinesDropped            = define(6010, zapcore.WarnLevel, "Log lines were dropped.")
 	SettingsUnreadable      = define(6011, zapcore.ErrorLevel, "The settings cannot be read again. The last good ones stay in use.")
+	SettingReplaced         = define(6014, zapcore.ErrorLevel, "A quantity in the settings does not fit. Its default or the nearest bound is used.")
 	WeightsWanted           = define(6012, zapcore.InfoLevel, "Newer weights of a model are wanted.")
 	ConfigurationUnreadable = define(6013, zapcore.ErrorLevel, "A decided configuration cannot be read by this instance; the last one stays in force.")
 )
--- a/settings/forwarding.go
+++ b/settings/forwarding.go
@@ -85,8 +85,10 @@
 
 // ForwardingRetries bounds repeated sends to a service, over all instances.
 type ForwardingRetries struct {
-	Ratio  float64
-	Extra  int
+	Ratio float64
+	// Extra is a number of sends in a window; a share of a larger deployment's may
+	// be a fraction.
+	Extra  float64
 	Window time.Duration
 }
 
@@ -96,7 +98,7 @@
 	defaultMemoryMB     = 256
 	defaultOrdersLease  = 3 * time.Second
 	defaultRetryRatio   = 0.2
-	defaultRetryExtra   = 20
+	defaultRetryExtra   = 20.0
 	defaultRetryWindow  = 10 * time.Second
 	defaultForwardDrain = 7 * time.Second
 	// defaultForwardAnnounce is above the time in which a balancer that asks
@@ -116,8 +118,31 @@
 
 // ParseForwarding is ReadForwarding over a text already in memory.
 func ParseForwarding(file string, text []byte) (*Forwarding, error) {
+	f, replaced, err := parseForwarding(file, text)
+	if err == nil && len(replaced) > 0 {
+		err = &Invalid{Problems: replaced}
+	}
+	if err != nil {
+		return nil, err
+	}
+	return f, nil
+}
+
+// ReadForwardingToRun is ReadForwarding for an instance that is to run: faults of
+// quantities that have a default do not keep it from it. They are returned in
+// replaced, each with a default or the nearest bound in its place. The same file
+// comes to all instances, so that one odd quantity would end them all at once.
+func ReadForwardingToRun(path string) (f *Forwarding, replaced []Problem, err error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, nil, trace.ConvertSystemError(err)
+	}
+	return parseForwarding(path, text)
+}
+
+func parseForwarding(file string, text []byte) (f *Forwarding, replaced []Problem, err error) {
 	var out collector
-	f := &Forwarding{
+	f = &Forwarding{
 		Tolerate: defaultTolerate,
 		MemoryMB: defaultMemoryMB,
 		Orders:   ForwardingOrders{Lease: defaultOrdersLease},
@@ -131,9 +156,10 @@
 		f.check(root)
 	}
 	if err := out.err(); err != nil {
-		return nil, err
+		out.problems = append(out.problems, out.replaced...)
+		return nil, nil, out.err()
 	}
-	return f, nil
+	return f, out.replaced, nil
 }
 
 func (f *Forwarding) read(root node) {
@@ -147,13 +173,13 @@
 		field{key: "source", read: f.readSource},
 		field{key: "seeds", read: f.readSeeds},
 		field{key: "new_deployment", read: boolean(&f.New)},
-		field{key: "tolerate_instances", read: integer(&f.Tolerate, 0, 4)},
-		field{key: "memory_mb", read: integer(&f.MemoryMB, 16, 1<<20)},
-		field{key: "link_mbps", read: number(&f.LinkMbps, 0, 1_000_000)},
+		field{key: "tolerate_instances", read: whole(&f.Tolerate, 0, 4)},
+		field{key: "memory_mb", read: whole(&f.MemoryMB, 16, 1<<20)},
+		field{key: "link_mbps", read: quantity(&f.LinkMbps, 0, 1_000_000)},
 		field{key: "platform_list", read: address(&f.List)},
 		field{key: "orders", read: f.Orders.read},
 		field{key: "retries", read: f.Retries.read},
-		field{key: "drain", read: f.Drain.read},
+		field{key: "drain", read: f.readDrain},
 		field{key: "log_level", read: choice(&f.LogLevel, levelWords, levels)},
 	)
 }
@@ -224,17 +250,24 @@
 
 func (o *ForwardingOrders) read(n node) {
 	n.object(
-		field{key: "lease", read: duration(&o.Lease, time.Second, time.Minute)},
+		field{key: "lease", read: period(&o.Lease, time.Second, time.Minute)},
 		field{key: "fenced", read: boolean(&o.Fenced)},
-		field{key: "weights_timeout", read: duration(&o.WeightsTimeout, 0, time.Hour)},
+		field{key: "weights_timeout", read: period(&o.WeightsTimeout, 0, time.Hour)},
 	)
 }
 
 func (r *ForwardingRetries) read(n node) {
 	n.object(
-		field{key: "ratio", read: number(&r.Ratio, 0, 10)},
-		field{key: "extra", read: integer(&r.Extra, 0, 1_000_000)},
-		field{key: "window", read: duration(&r.Window, time.Second, time.Hour)},
+		field{key: "ratio", read: quantity(&r.Ratio, 0, 10)},
+		field{key: "extra", read: quantity(&r.Extra, 0, 1_000_000)},
+		field{key: "window", read: period(&r.Window, time.Second, time.Hour)},
+	)
+}
+
+func (f *Forwarding) readDrain(n node) {
+	n.object(
+		field{key: "announce", read: period(&f.Drain.Announce, 0, 10*time.Minute)},
+		field{key: "timeout", read: period(&f.Drain.Timeout, 0, maxTimeout)},
 	)
 }
 
--- a/settings/problem.go
+++ b/settings/problem.go
@@ -56,6 +56,8 @@
 // collector gathers problems over one or several files.
 type collector struct {
 	problems []Problem
+	// replaced are problems of values that something else stands in for.
+	replaced []Problem
 }
 
 func (c *collector) add(p Problem) { c.problems = append(c.problems, p) }
--- a/settings/reader.go
+++ b/settings/reader.go
@@ -149,8 +149,16 @@
 
 // scalar gives the text of a plain value.
 func (n node) scalar(right string) (string, bool) {
-	if n.Kind != yaml.ScalarNode || n.Tag == "!!null" {
+	s, plain := n.plain()
+	if !plain {
 		n.problem("this is "+n.describe(), right)
+	}
+	return s, plain
+}
+
+// plain gives the text of a plain value, if there is one.
+func (n node) plain() (string, bool) {
+	if n.Kind != yaml.ScalarNode || n.Tag == "!!null" {
 		return "", false
 	}
 	return n.Value, true
