--- a/control/gossip/gossip.go
+++ b/control/gossip/gossip.go
@@ -14,6 +14,7 @@
 
 	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/keys"
+	"github.com/carawaystile/carawaystile/rpc"
 	"github.com/carawaystile/carawaystile/systems/membership"
 	"github.com/carawaystile/carawaystile/tables"
 )
@@ -46,6 +47,9 @@
 	Relay func([]membership.Placement)
 	// Loaded hands out what other instances have at endpoints.
 	Loaded func(membership.Load)
+	// Schedule takes a message between an entry instance and a scheduler. It must not
+	// block for long.
+	Schedule func(from membership.Sender, message *rpc.ScheduleMessage)
 	// Reaches says whether datagrams to an address arrive; nil means that all
 	// do. Tests cut availability zones off here.
 	Reaches func(to netip.AddrPort) bool
@@ -153,6 +157,21 @@
 	})
 }
 
+// Schedulers lists the schedulers of the own zone, the best first.
+func (g *Gossip) Schedulers() []membership.Scheduler {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.membership.Schedulers()
+}
+
+// SendSchedule sends a message between an entry instance and a scheduler.
+func (g *Gossip) SendSchedule(to netip.AddrPort, message *rpc.ScheduleMessage) {
+	g.mu.Lock()
+	out := g.membership.Schedule(to, message)
+	g.mu.Unlock()
+	g.sendAll(out.Datagrams)
+}
+
 // HintReceivers is how many instances hints are told to.
 func (g *Gossip) HintReceivers() int {
 	g.mu.Lock()
@@ -219,6 +238,12 @@
 }
 
 func (g *Gossip) tell(out membership.Output, changed []membership.Member) {
+	if out.Schedule != nil {
+		if g.options.Schedule != nil {
+			g.options.Schedule(out.From, out.Schedule)
+		}
+		return
+	}
 	g.calls.Lock()
 	defer g.calls.Unlock()
 	if changed != nil {
--- /dev/null
+++ b/dispatch/adopt_test.go
@@ -0,0 +1,68 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/parts"
+)
+
+// TestAdoptedAttemptIsToldByItsChooserOnly guards against requests that count twice, at
+// the instance that chose their endpoint and at the one that sends them.
+func TestAdoptedAttemptIsToldByItsChooserOnly(t *testing.T) {
+	chooser, _ := world(4)
+	sender, _ := world(4)
+	r := ask(7)
+	chosen, reason := chooser.Place(0, r)
+	assert.Equal(t, reason, Reason(""))
+	adopted := sender.Adopt(0, ask(7), chosen.Choice())
+	assert.Assert(t, adopted != nil)
+	assert.Equal(t, adopted.Endpoint.ID, chosen.Endpoint.ID)
+	assert.Equal(t, len(chooser.Loads(0)), 1)
+	assert.Equal(t, len(sender.Loads(0)), 0)
+	assert.Equal(t, len(sender.News()), 0)
+	assert.Equal(t, len(sender.Loads(2*time.Second)), 0, "nor is it told again")
+	sender.Began(time.Second, adopted)
+	sender.Ended(time.Second, adopted, Completed)
+	row := sender.rows[adopted.Endpoint.ID]
+	assert.Equal(t, row.own, 0)
+	assert.Equal(t, row.prefill, 0.0)
+	assert.DeepEqual(t, row.adopted.own, 0)
+	assert.Equal(t, row.adopted.prefill, 0.0)
+}
+
+// TestChoiceThatIsKnownToBeWrongIsNotAdopted guards against requests that are sent where
+// this instance knows that they must not go.
+func TestChoiceThatIsKnownToBeWrongIsNotAdopted(t *testing.T) {
+	chooser, _ := world(4)
+	sender, _ := world(4)
+	chosen, _ := chooser.Place(0, ask(7))
+	sender.Reachable(0, chosen.Endpoint.ID, false)
+	assert.Assert(t, sender.Adopt(0, ask(7), chosen.Choice()) == nil)
+	sender.Reachable(0, chosen.Endpoint.ID, true)
+	newer := sender.rows[chosen.Endpoint.ID]
+	older := chosen.Choice()
+	newer.Weights["m"] = older.Weights + 1
+	assert.Assert(t, sender.Adopt(0, ask(7), older) == nil, "its weights are newer")
+	gone := chosen.Choice()
+	gone.Endpoint = "gone"
+	assert.Assert(t, sender.Adopt(0, ask(7), gone) == nil)
+}
+
+// TestReportedPartsChangeBeliefsOnly guards against a scheduler that goes on sending
+// prompts to an endpoint which has dropped them, and against one that remembers every
+// part that no request shares.
+func TestReportedPartsChangeBeliefsOnly(t *testing.T) {
+	d, _ := world(4)
+	r := ask(7)
+	chosen, _ := d.Place(0, r)
+	key := r.Shared[0].Name.Under(chosen.Weights)
+	report := Placement{Endpoint: chosen.Endpoint.ID, Key: key, Dropped: true}
+	assert.Assert(t, !d.Reported(dropGrace/2, report), "the word is older than the placement")
+	assert.Assert(t, d.Reported(time.Second, report))
+	assert.Equal(t, len(d.holders.of(time.Second, key)), 0)
+	assert.Assert(t, !d.Reported(time.Second, Placement{Endpoint: chosen.Endpoint.ID, Key: parts.Key(99)}))
+	assert.Equal(t, len(d.holders.rows[parts.Key(99)]), 0)
+}
--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -19,6 +19,8 @@
 	// tellDelay is how long it takes until other instances know of a placement:
 	// the pause between two hints, and their way.
 	tellDelay = 40 * time.Millisecond
+	// abroadDelay is the same for instances of zones that are told through one.
+	abroadDelay = 200 * time.Millisecond
 )
 
 // demand counts requests for parts of prompts at this instance, as a sum that
@@ -70,17 +72,13 @@
 }
 
 // collision is the probability that another instance places the part elsewhere
-// before it hears of a placement made now. Instances see equal shares of the
-// requests.
+// before it hears of a placement made now. Instances that place see equal shares of
+// the requests.
 //
 // A part that nobody has read has a home, so that instances which meet it at the
 // same moment read it once. Where a part is asked for every few seconds that is
-// not to be feared, and holding to a home that is slow or busy makes answers late:
-// by this estimate instead of a fixed 0.3, mean worth of a quiet day of the newest
-// site was 0.719 and not 0.645 (three seeds), with 9.5 and not 16.7 % of the long
-// prompts late; days with trouble stayed within their spread.
+// not to be feared, and holding to a home that is slow or busy makes answers late.
 func (d *Dispatcher) collision(now tables.Instant, part parts.Name) float64 {
 	own := (d.demand.count(now, part) + demandFirst) / demandKeep.Seconds()
-	others := own * float64(d.peers-1)
-	return 1 - math.Exp(-others*tellDelay.Seconds())
+	return 1 - math.Exp(-own*(d.placers*tellDelay.Seconds()+d.placersAbroad*abroadDelay.Seconds()))
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -65,6 +65,13 @@
 	Tokens int
 }
 
+// Counted says whether the request counts as demand for its parts already, and
+// SetCounted that it does, by another instance's word.
+func (r *Request) Counted() bool { return r.counted }
+
+// SetCounted see Counted.
+func (r *Request) SetCounted() { r.counted = true }
+
 // sharedTokens is the length of all shared parts.
 func (r *Request) sharedTokens() int { return r.sharedUntil(len(r.Shared)) }
 
@@ -114,6 +121,8 @@
 	first     bool
 	ended     bool
 	generates bool
+	// adopted is set if another instance chose the endpoint.
+	adopted bool
 	// store takes what is read, which holds the endpoint's link for sending
 	// milliseconds once it is.
 	store   *endpointRow
@@ -183,8 +192,11 @@
 	weights weights.History
 	budgets map[string]*budget
 	peers   int
-	picks   uint64
-	holders holders
+	// placers is how many other instances choose endpoints, and placersAbroad those of
+	// zones that hear of choices later.
+	placers, placersAbroad float64
+	picks                  uint64
+	holders                holders
 	// averages are by service.
 	averages map[string]*averages
 	demand   demand
@@ -209,6 +221,7 @@
 		services:  map[string][]*endpointRow{},
 		budgets:   map[string]*budget{},
 		peers:     firstPeers,
+		placers:   firstPeers - 1,
 		averages:  map[string]*averages{},
 		demand:    demand{rows: map[parts.Name]demandRow{}},
 		zoneHeard: map[tables.Zone]tables.Instant{},
@@ -228,12 +241,18 @@
 	a.first = true
 	d.zoneHeard[a.row.Zone] = now
 	a.row.prefill -= a.prefill
-	d.changed(a.row)
+	if a.adopted {
+		a.row.adopted.prefill -= a.prefill
+	} else {
+		d.changed(a.row)
+	}
 	d.holders.ready(now, a)
 	if a.store != nil {
 		d.transfer(now, a.row, a.sending)
 	}
-	a.row.learn(a, now-a.began)
+	if !a.adopted {
+		a.row.learn(a, now-a.began)
+	}
 }
 
 // Ended notes the end of an attempt. Later calls change nothing.
@@ -246,7 +265,11 @@
 		a.row.prefill -= a.prefill
 		d.holders.undo(a)
 	}
-	d.changed(a.row)
+	if a.adopted {
+		a.row.adopted.end(a)
+	} else {
+		d.changed(a.row)
+	}
 	a.row.own--
 	a.row.tokens -= a.tokens
 	a.row.judge(now, end)
--- a/dispatch/endpoints.go
+++ b/dispatch/endpoints.go
@@ -53,6 +53,8 @@
 	own     int
 	tokens  int
 	prefill float64
+	// adopted is the part of own that other instances have chosen and tell of.
+	adopted adopted
 	// told is what other instances say that they have here, and loadTold when
 	// they last heard of this one's own; dirty is set while they have not.
 	told     told
--- a/dispatch/kept.go
+++ b/dispatch/kept.go
@@ -35,33 +35,61 @@
 }
 
 func (d *Dispatcher) keptOne(now tables.Instant, row *endpointRow, key parts.Key, all bool) {
-	known := d.holders.rows[key]
-	if len(known) == 0 && !all {
+	shared := len(d.holders.rows[key]) > 0
+	if !shared && !all {
 		return
 	}
+	if d.addHolder(now, row, key) && shared {
+		d.news = append(d.news, Placement{Endpoint: row.ID, Key: key})
+	}
+}
+
+func (d *Dispatcher) droppedOne(now tables.Instant, row *endpointRow, key parts.Key) {
+	if d.dropHolder(now, row, key) {
+		d.news = append(d.news, Placement{Endpoint: row.ID, Key: key, Dropped: true})
+	}
+}
+
+// Reported takes an endpoint's word that another instance has read, and says whether
+// it changed the belief. Parts that nobody has asked for here are passed over.
+func (d *Dispatcher) Reported(now tables.Instant, p Placement) (changed bool) {
+	row := d.rows[p.Endpoint]
+	switch {
+	case row == nil || len(d.holders.rows[p.Key]) == 0:
+		return false
+	case p.Dropped:
+		return d.dropHolder(now, row, p.Key)
+	}
+	return d.addHolder(now, row, p.Key)
+}
+
+// addHolder believes that an endpoint keeps a part, and says whether that is new.
+func (d *Dispatcher) addHolder(now tables.Instant, row *endpointRow, key parts.Key) bool {
+	known := d.holders.rows[key]
 	for i := range known {
 		if known[i].row == row {
 			known[i].ready = min(known[i].ready, now)
-			return
+			return false
 		}
 	}
 	d.holders.rows[key] = append(known, holder{row: row, ready: now, used: now, told: now})
 	d.corrected.Added++
-	if len(known) > 0 {
-		d.news = append(d.news, Placement{Endpoint: row.ID, Key: key})
-	}
+	return true
 }
 
-func (d *Dispatcher) droppedOne(now tables.Instant, row *endpointRow, key parts.Key) {
+// dropHolder believes that an endpoint keeps a part no longer, and says whether that is
+// new.
+func (d *Dispatcher) dropHolder(now tables.Instant, row *endpointRow, key parts.Key) bool {
 	for _, one := range d.holders.rows[key] {
 		if one.row == row && now-one.placed < dropGrace {
-			return
+			return false
 		}
 	}
-	if _, believed := d.holders.drop(key, row); believed {
+	_, believed := d.holders.drop(key, row)
+	if believed {
 		d.corrected.Dropped++
-		d.news = append(d.news, Placement{Endpoint: row.ID, Key: key, Dropped: true})
 	}
+	return believed
 }
 
 // Corrections count what endpoints' words have changed of the belief in where
--- a/dispatch/loads.go
+++ b/dispatch/loads.go
@@ -92,7 +92,7 @@
 		d.sweptLoads = now
 		for _, row := range d.rows {
 			row.told.sweep(now)
-			if row.own > 0 && now-row.loadTold > loadAgain {
+			if row.own > row.adopted.own && now-row.loadTold > loadAgain {
 				d.changed(row)
 			}
 		}
@@ -102,7 +102,10 @@
 		row.dirty = false
 		row.loadTold = now
 		if !row.gone {
-			loads = append(loads, Load{Endpoint: row.ID, Running: row.own, Tokens: row.tokens, Prefill: int(row.prefill), Link: row.linkBusy(now)})
+			loads = append(loads, Load{
+				Endpoint: row.ID, Running: row.own - row.adopted.own, Tokens: row.tokens - row.adopted.tokens,
+				Prefill: int(row.prefill - row.adopted.prefill), Link: row.linkBusy(now),
+			})
 		}
 	}
 	d.dirty = d.dirty[:0]
--- a/events/endpoints.go
+++ b/events/endpoints.go
@@ -10,5 +10,6 @@
 	CacheEventGap    = define(5003, zapcore.DebugLevel, "Cache events of an endpoint are missing.")
 	CacheRead        = define(5004, zapcore.InfoLevel, "This instance reads what an endpoint keeps of prompts.")
 	CacheLearned     = define(5005, zapcore.InfoLevel, "Another instance told what endpoints keep of prompts.")
+	SchedulerSilent  = define(5007, zapcore.InfoLevel, "A scheduler did not choose an endpoint in time. It is not asked for a moment.")
 	CacheNotShared   = define(5006, zapcore.InfoLevel, "Another instance could not be told, or did not tell, what endpoints keep of prompts.")
 )
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -17,20 +17,23 @@
 	"github.com/carawaystile/carawaystile/entry/outcome"
 	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/parts"
+	"github.com/carawaystile/carawaystile/schedule"
 	"github.com/carawaystile/carawaystile/systems/quarantine"
 	"github.com/carawaystile/carawaystile/tables"
 )
 
 // try is one attempt of a job.
 type try struct {
-	job     *job
-	id      tables.AttemptID
-	chosen  *dispatch.Attempt
-	ctx     context.Context
-	cancel  context.CancelFunc
-	hang    *time.Timer
-	hung    atomic.Bool
-	arrived tables.Instant
+	job    *job
+	id     tables.AttemptID
+	chosen *dispatch.Attempt
+	// assignment is told how the attempt goes on; nil if this instance chose.
+	assignment *schedule.Assignment
+	ctx        context.Context
+	cancel     context.CancelFunc
+	hang       *time.Timer
+	hung       atomic.Bool
+	arrived    tables.Instant
 	// heardFirst is called once the endpoint has said something.
 	heardFirst func()
 }
@@ -57,6 +60,7 @@
 		chosen:  chosen,
 		arrived: s.options.Now(),
 	}
+	t.assignment, j.assignment = j.assignment, nil
 	t.ctx, t.cancel = context.WithCancel(j.ctx)
 	s.metrics.placed(j, chosen.Known.Rule)
 	s.mu.Lock()
@@ -167,6 +171,7 @@
 
 // end tells the decisions how the attempt ended.
 func (t *try) end(how dispatch.End) {
+	t.assignment.Ended(how)
 	s := t.job.server
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -185,6 +190,7 @@
 
 // began tells the decisions that the endpoint works on the request.
 func (t *try) began() {
+	t.assignment.Began()
 	s := t.job.server
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/forward/job.go
+++ b/forward/job.go
@@ -16,6 +16,7 @@
 	"github.com/carawaystile/carawaystile/entry/outcome"
 	"github.com/carawaystile/carawaystile/parts"
 	"github.com/carawaystile/carawaystile/routes"
+	"github.com/carawaystile/carawaystile/schedule"
 	"github.com/carawaystile/carawaystile/tables"
 )
 
@@ -39,7 +40,9 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 
-	ask         dispatch.Request
+	ask dispatch.Request
+	// assignment is a scheduler's choice for the next attempt, if one chose.
+	assignment  *schedule.Assignment
 	fingerprint tables.Fingerprint
 	state       outcome.State
 	// sends counts the endpoints that the request was handed to.
--- a/forward/place.go
+++ b/forward/place.go
@@ -56,19 +56,26 @@
 // place asks the decisions; the empty reason means that the request is
 // suspected of crashing endpoints.
 func (s *Server) place(j *job) (*dispatch.Attempt, dispatch.Reason) {
+	switch s.verdict(j) {
+	case quarantine.Refuse:
+		return nil, ""
+	case quarantine.Hold:
+		// Whether it crashes endpoints is known in a moment.
+		return nil, dispatch.Pending
+	}
+	if chosen, reason, decided := s.placeByScheduler(j); decided {
+		return chosen, reason
+	}
+	return s.PlaceFor(&j.ask)
+}
+
+func (s *Server) verdict(j *job) quarantine.Verdict {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.options.Now()
-	if !s.suspects.Quiet() {
-		switch s.suspects.Verdict(now, j.fingerprint) {
-		case quarantine.Refuse:
-			return nil, ""
-		case quarantine.Hold:
-			// Whether it crashes endpoints is known in a moment.
-			return nil, dispatch.Pending
-		}
+	if s.suspects.Quiet() {
+		return quarantine.Allow
 	}
-	return s.dispatch.Place(now, &j.ask)
+	return s.suspects.Verdict(s.options.Now(), j.fingerprint)
 }
 
 func (s *Server) arrived(service string) {
--- /dev/null
+++ b/forward/scheduled.go
@@ -0,0 +1,101 @@
+package forward
+
+import (
+	"context"
+	"slices"
+
+	"github.com/carawaystile/carawaystile/dispatch"
+	"github.com/carawaystile/carawaystile/routes"
+	"github.com/carawaystile/carawaystile/schedule"
+)
+
+// Scheduler has other instances choose endpoints. Ask returns nil if this instance
+// has to choose by itself.
+type Scheduler interface {
+	Ask(ctx context.Context, r *dispatch.Request) *schedule.Assignment
+}
+
+// scheduleTries is how often a scheduler is asked for one choice: it may choose an
+// endpoint of which this instance knows that it must not get the request.
+const scheduleTries = 2
+
+// placeByScheduler has a scheduler choose for a generation. It says whether that
+// decided about the request.
+func (s *Server) placeByScheduler(j *job) (chosen *dispatch.Attempt, reason dispatch.Reason, decided bool) {
+	if s.options.Scheduler == nil || j.ask.Model == "" {
+		return nil, "", false
+	}
+	ask := j.ask
+	for range scheduleTries {
+		assignment := s.options.Scheduler.Ask(j.ctx, &ask)
+		if assignment == nil {
+			return nil, "", false
+		}
+		j.ask.SetCounted()
+		if assignment.Reason != "" {
+			return nil, assignment.Reason, true
+		}
+		if chosen = s.adopt(&ask, assignment.Choice); chosen != nil {
+			j.assignment = assignment
+			return chosen, "", true
+		}
+		assignment.Ended(dispatch.Cancelled)
+		ask.Tried = append(slices.Clone(ask.Tried), assignment.Choice.Endpoint)
+	}
+	return nil, "", false
+}
+
+func (s *Server) adopt(r *dispatch.Request, chosen dispatch.Choice) *dispatch.Attempt {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dispatch.Adopt(s.options.Now(), r, chosen)
+}
+
+// The methods below choose for other instances. They make Server a schedule.Placer.
+
+// Service returns a service of the configuration in force, nil if there is none of
+// that name.
+func (s *Server) Service(name string) *routes.Service {
+	if table := s.routes.Load(); table != nil {
+		return table.Service(name)
+	}
+	return nil
+}
+
+// PlaceFor chooses an endpoint and counts the attempt there. It returns nil and the
+// reason if there is none now.
+func (s *Server) PlaceFor(r *dispatch.Request) (*dispatch.Attempt, dispatch.Reason) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dispatch.Place(s.options.Now(), r)
+}
+
+// BeganFor notes that an attempt's endpoint works on the request.
+func (s *Server) BeganFor(a *dispatch.Attempt) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dispatch.Began(s.options.Now(), a)
+}
+
+// EndedFor notes the end of an attempt.
+func (s *Server) EndedFor(a *dispatch.Attempt, how dispatch.End) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dispatch.Ended(s.options.Now(), a, how)
+}
+
+// Placers notes how many other instances choose endpoints, and how many of zones that
+// hear of choices later.
+func (s *Server) Placers(near, abroad int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dispatch.Placers(near, abroad)
+}
+
+// Reported takes an endpoint's word that another instance has read, and says whether
+// it changed what is believed here.
+func (s *Server) Reported(p dispatch.Placement) (changed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dispatch.Reported(s.options.Now(), p)
+}
--- a/node/caches.go
+++ b/node/caches.go
@@ -13,6 +13,7 @@
 	"github.com/carawaystile/carawaystile/internal/wait"
 	"github.com/carawaystile/carawaystile/parts"
 	"github.com/carawaystile/carawaystile/rpc"
+	"github.com/carawaystile/carawaystile/systems/membership"
 	"github.com/carawaystile/carawaystile/tables"
 )
 
@@ -111,6 +112,10 @@
 // keeps, and goes to the others at once.
 func (c *caches) take(b feed.Batch) {
 	kept, dropped := netOf(b)
+	if !b.First && !c.node.choosesItself() {
+		c.report(b.Endpoint, kept, dropped)
+		return
+	}
 	c.node.entry.Kept(b.Endpoint, kept, dropped, b.First)
 	if !b.First {
 		return
@@ -122,6 +127,19 @@
 	}
 }
 
+// report passes an endpoint's word on to those that choose. This instance hears of no
+// placements, so it cannot tell which parts are shared.
+func (c *caches) report(id tables.EndpointID, kept, dropped []parts.Key) {
+	var hints membership.Hints
+	for _, key := range kept {
+		hints.Placements = append(hints.Placements, membership.Placement{Endpoint: id, Block: tables.BlockHash(key), Reported: true})
+	}
+	for _, key := range dropped {
+		hints.Placements = append(hints.Placements, membership.Placement{Endpoint: id, Block: tables.BlockHash(key), Dropped: true, Reported: true})
+	}
+	c.node.hints.Add(hints)
+}
+
 // netOf is what a batch comes to: a part that was kept and dropped within it is
 // dropped.
 func netOf(b feed.Batch) (kept, dropped []parts.Key) {
--- a/node/entry.go
+++ b/node/entry.go
@@ -16,6 +16,7 @@
 	"github.com/carawaystile/carawaystile/forward"
 	"github.com/carawaystile/carawaystile/parts"
 	"github.com/carawaystile/carawaystile/rpc"
+	"github.com/carawaystile/carawaystile/schedule"
 	"github.com/carawaystile/carawaystile/systems/membership"
 	"github.com/carawaystile/carawaystile/tables"
 )
@@ -46,8 +47,10 @@
 		DrainServe: s.Drain.Announce,
 		MaxHeld:    int64(s.MemoryMB) << 20 / heldPart,
 		Share:      n.shareSuspects,
+		Scheduler:  n.startScheduling(),
 		Life:       n.stopping,
 	})
+	n.schedules = schedule.NewServer(n.entry, n.now)
 	n.follow = deployment.NewClient(deployment.ClientOptions{
 		Instance: string(s.Instance),
 		Sources:  n.controlSources,
@@ -64,6 +67,11 @@
 		Log: n.log,
 	})
 	n.background.Go(func() { n.follow.Run(n.stopping) })
+	n.background.Go(func() {
+		if n.entry.AwaitKnown(n.stopping) {
+			n.knownAt.Store(int64(n.now()))
+		}
+	})
 	n.startCaches()
 	n.callers = &http.Server{Handler: n.entry}
 	if err := n.serve(n.callers, s.Listen.Callers); err != nil {
@@ -140,8 +148,18 @@
 
 // placedElsewhere takes what another instance placed.
 func (n *Node) placedElsewhere(p membership.Placement) {
-	if n.entry != nil {
-		n.entry.Placed(dispatch.Placement{Endpoint: p.Endpoint, Key: parts.Key(p.Block), Dropped: p.Dropped})
+	if n.entry == nil {
+		return
+	}
+	placed := dispatch.Placement{Endpoint: p.Endpoint, Key: parts.Key(p.Block), Dropped: p.Dropped}
+	if !p.Reported {
+		n.entry.Placed(placed)
+		return
+	}
+	// All schedulers of the zone hear of it; one tells the other zones.
+	if n.entry.Reported(placed) && n.leadsSchedulers() {
+		p.Reported = false
+		n.abroad.Add(membership.Hints{Placements: []membership.Placement{p}})
 	}
 }
 
--- a/node/members.go
+++ b/node/members.go
@@ -34,18 +34,19 @@
 	joined, err := gossip.Start(gossip.Options{
 		Membership: membership.Options{
 			Self: membership.Row{
-				Instance: s.Instance, Zone: s.Zone, Roles: membership.Roles(s.Entry, s.Control), Size: 1,
+				Instance: s.Instance, Zone: s.Zone, Roles: membership.Roles(s.Entry, s.Control), Size: sizeOf(s.Processors),
 				Address: s.Advertise.Membership, Control: s.Advertise.Instances, Boot: n.boot,
 			},
 			Seeds: seeds,
 			Seed:  n.seed(),
 		},
-		Listen:  s.Listen.Membership,
-		Ring:    keys.Of(datagramKey),
-		Log:     n.log,
-		Changed: n.membersChanged,
-		Placed:  n.placedElsewhere,
-		Loaded:  n.loadedElsewhere,
+		Listen:   s.Listen.Membership,
+		Ring:     keys.Of(datagramKey),
+		Log:      n.log,
+		Changed:  n.membersChanged,
+		Placed:   n.placedElsewhere,
+		Loaded:   n.loadedElsewhere,
+		Schedule: n.scheduleMessage,
 		Relay: func(placements []membership.Placement) {
 			n.hints.Add(membership.Hints{Placements: placements})
 		},
@@ -77,6 +78,7 @@
 		}
 	}
 	n.entry.Peers(rank, n.peerCount.most(n.now(), of))
+	n.entry.Placers(membership.Placers(members, n.options.Settings.Zone))
 }
 
 // peerMemory is for how long the highest number of peers counts.
@@ -176,14 +178,16 @@
 }
 
 // cachePeers lists where the entry instances answer that are told what endpoints
-// keep: those that hear of hints.
+// keep: those that choose.
 func (n *Node) cachePeers() []netip.AddrPort {
-	entries := n.entryMembers()
-	wide := len(entries) > membership.WideGroup
+	schedulers := n.schedulers()
+	if len(schedulers) == 0 {
+		return n.entryPeers()
+	}
 	var all []netip.AddrPort
-	for _, m := range entries {
-		if m.Instance != n.options.Settings.Instance && (!wide || m.Zone == n.options.Settings.Zone) {
-			all = append(all, m.Control)
+	for _, s := range schedulers {
+		if s.Instance != n.options.Settings.Instance {
+			all = append(all, s.Control)
 		}
 	}
 	return all
--- a/node/node.go
+++ b/node/node.go
@@ -30,6 +30,7 @@
 	"github.com/carawaystile/carawaystile/internal/shutdown"
 	"github.com/carawaystile/carawaystile/metrics"
 	"github.com/carawaystile/carawaystile/routes"
+	"github.com/carawaystile/carawaystile/schedule"
 	"github.com/carawaystile/carawaystile/settings"
 	"github.com/carawaystile/carawaystile/store"
 	"github.com/carawaystile/carawaystile/tables"
@@ -100,6 +101,9 @@
 	// The entry role; nil without it.
 	entry  *forward.Server
 	follow *deployment.Client
+	// scheduling asks schedulers to choose, schedules chooses for other instances.
+	scheduling *schedule.Client
+	schedules  *schedule.Server
 	// callers serves the entry.
 	callers *http.Server
 
@@ -110,6 +114,8 @@
 	deployment *deployment.Service
 	runner     *rollout.Runner
 	stores     stores
+	// knownAt is when the entry first had a configuration and endpoints; 0 for never.
+	knownAt atomic.Int64
 	// followed is when the instance that gives orders was last heard of.
 	followed atomic.Int64
 	// listRead is when the platform's list was last read.
--- /dev/null
+++ b/schedule/client.go
@@ -0,0 +1,212 @@
+package schedule
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"github.com/carawaystile/carawaystile/dispatch"
+	"github.com/carawaystile/carawaystile/events"
+	"github.com/carawaystile/carawaystile/rpc"
+	"github.com/carawaystile/carawaystile/systems/membership"
+	"github.com/carawaystile/carawaystile/systems/placement"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+const (
+	// answerTimeout is how long a scheduler may take: a round trip within a zone and
+	// the time in which a slow machine gets to run. silentPause is how long one that
+	// did not answer is not asked, and unreadyPause one that knows too little.
+	answerTimeout = 40 * time.Millisecond
+	silentPause   = 500 * time.Millisecond
+	unreadyPause  = 200 * time.Millisecond
+	// maxAsked is how many schedulers are asked for one request.
+	maxAsked = 2
+	// maxParts and maxTried keep a question within a datagram.
+	maxParts = 40
+	maxTried = 8
+)
+
+// ClientOptions set a Client up.
+type ClientOptions struct {
+	Self tables.InstanceID
+	// Boot tells lives of the instance apart.
+	Boot uint64
+	// Schedulers lists those of the zone; none where each instance chooses for itself.
+	Schedulers func() []membership.Scheduler
+	Send       func(to netip.AddrPort, message *rpc.ScheduleMessage)
+	// Now is a monotonic clock.
+	Now func() tables.Instant
+	Log *zap.Logger
+}
+
+// Client asks schedulers. It is safe for concurrent use.
+type Client struct {
+	options ClientOptions
+
+	mu      sync.Mutex
+	number  uint64
+	waiting map[uint64]chan *rpc.ScheduleAnswer
+	// silent are schedulers that are not asked until then.
+	silent map[tables.InstanceID]tables.Instant
+}
+
+// NewClient returns a client.
+func NewClient(o ClientOptions) *Client {
+	return &Client{
+		options: o, number: o.Boot,
+		waiting: map[uint64]chan *rpc.ScheduleAnswer{}, silent: map[tables.InstanceID]tables.Instant{},
+	}
+}
+
+// Assignment is what a scheduler has decided about one attempt. Its methods tell the
+// scheduler how the attempt goes on; the nil value tells nobody. It is used by one
+// goroutine at a time.
+type Assignment struct {
+	// Choice is set if Reason is empty.
+	Choice dispatch.Choice
+	// Reason says why there is no endpoint now.
+	Reason dispatch.Reason
+
+	client *Client
+	at     netip.AddrPort
+	number uint64
+	begun  bool
+}
+
+// Ask has a scheduler choose an endpoint. It returns nil if the instance has to choose
+// by itself: it is the scheduler of the request, or none has answered in time.
+func (c *Client) Ask(ctx context.Context, r *dispatch.Request) *Assignment {
+	if len(r.Shared) > maxParts || len(r.Tried) > maxTried {
+		return nil
+	}
+	for range maxAsked {
+		scheduler, found := c.pick(keyOf(r))
+		if !found || scheduler.Instance == c.options.Self {
+			return nil
+		}
+		answer, number := c.askOne(ctx, scheduler, r)
+		if answer.GetReady() {
+			return &Assignment{
+				Choice: decodeChoice(answer), Reason: dispatch.Reason(answer.GetReason()),
+				client: c, at: scheduler.Address, number: number,
+			}
+		}
+		if ctx.Err() != nil {
+			return nil
+		}
+		c.leave(scheduler, answer == nil)
+	}
+	return nil
+}
+
+// keyOf draws the scheduler of a request: requests that share their whole beginning
+// have the same one.
+func keyOf(r *dispatch.Request) uint64 {
+	if len(r.Shared) == 0 {
+		return uint64(r.Arrived)
+	}
+	return uint64(r.Shared[len(r.Shared)-1].Name)
+}
+
+// pick returns the scheduler with the highest draw of those that answer.
+func (c *Client) pick(key uint64) (best membership.Scheduler, found bool) {
+	now := c.options.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var highest uint64
+	for _, s := range c.options.Schedulers() {
+		if now < c.silent[s.Instance] {
+			continue
+		}
+		draw := placement.Mix(placement.Mix(xxhash.Sum64String(string(s.Instance))) ^ key)
+		if !found || draw > highest {
+			best, highest, found = s, draw, true
+		}
+	}
+	return best, found
+}
+
+// askOne asks one scheduler; a nil answer means that none came in time.
+func (c *Client) askOne(ctx context.Context, s membership.Scheduler, r *dispatch.Request) (*rpc.ScheduleAnswer, uint64) {
+	answered := make(chan *rpc.ScheduleAnswer, 1)
+	c.mu.Lock()
+	c.number++
+	number := c.number
+	c.waiting[number] = answered
+	c.mu.Unlock()
+	defer func() {
+		c.mu.Lock()
+		delete(c.waiting, number)
+		c.mu.Unlock()
+	}()
+	c.options.Send(s.Address, &rpc.ScheduleMessage{Number: number, Question: question(c.options.Now(), r)})
+	timer := time.NewTimer(answerTimeout)
+	defer timer.Stop()
+	select {
+	case answer := <-answered:
+		return answer, number
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return nil, number
+}
+
+// leave asks others for a while.
+func (c *Client) leave(s membership.Scheduler, silent bool) {
+	pause := unreadyPause
+	if silent {
+		pause = silentPause
+		events.SchedulerSilent.Log(c.options.Log, zap.String("scheduler", string(s.Instance)))
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.silent[s.Instance] = c.options.Now() + pause
+	for id, until := range c.silent {
+		if c.options.Now() >= until {
+			delete(c.silent, id)
+		}
+	}
+}
+
+// Answered takes an answer. One that comes too late is given back: the scheduler must
+// not go on counting an attempt that is not made.
+func (c *Client) Answered(from netip.AddrPort, number uint64, answer *rpc.ScheduleAnswer) {
+	c.mu.Lock()
+	waiting := c.waiting[number]
+	delete(c.waiting, number)
+	c.mu.Unlock()
+	if waiting != nil {
+		waiting <- answer
+		return
+	}
+	if answer.GetEndpoint() != "" {
+		late := &Assignment{client: c, at: from, number: number}
+		late.Ended(dispatch.Cancelled)
+	}
+}
+
+// Began tells the scheduler that the endpoint works on the request. Later calls do
+// nothing.
+func (a *Assignment) Began() {
+	if a == nil || a.begun {
+		return
+	}
+	a.begun = true
+	a.tell(&rpc.AttemptProgress{Began: true})
+}
+
+// Ended tells the scheduler how the attempt ended.
+func (a *Assignment) Ended(end dispatch.End) {
+	a.tell(&rpc.AttemptProgress{Ended: true, End: uint32(end)})
+}
+
+func (a *Assignment) tell(progress *rpc.AttemptProgress) {
+	if a != nil {
+		a.client.options.Send(a.at, &rpc.ScheduleMessage{Number: a.number, Progress: progress})
+	}
+}
--- /dev/null
+++ b/schedule/schedule.go
@@ -0,0 +1,86 @@
+// Package schedule lets a few entry instances of a zone, its schedulers, choose
+// endpoints for the others. Instances that each choose for themselves and tell each
+// other afterwards know too late: the telling grows with the square of their number,
+// and where it is slowed down, many choose the same endpoint at the same moment. A
+// scheduler knows of all choices that it has made and hears of those of the few others
+// within milliseconds.
+//
+// An instance that gets no answer in time chooses by itself. So no request depends on
+// a scheduler, and what schedulers know is never needed for correctness.
+package schedule
+
+import (
+	"time"
+
+	"github.com/carawaystile/carawaystile/dispatch"
+	"github.com/carawaystile/carawaystile/parts"
+	"github.com/carawaystile/carawaystile/routes"
+	"github.com/carawaystile/carawaystile/rpc"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// question describes a request to a scheduler.
+func question(now tables.Instant, r *dispatch.Request) *rpc.ScheduleQuestion {
+	q := &rpc.ScheduleQuestion{
+		Service:      r.Service.Name,
+		Model:        r.Model,
+		Priority:     int32(r.Priority),
+		TargetMs:     inMilliseconds(r.Route.Target),
+		PromptTokens: uint32(r.PromptTokens),
+		OutputTokens: uint32(r.OutputTokens),
+		WaitedMs:     inMilliseconds(now - r.Arrived),
+		LeftMs:       inMilliseconds(r.Deadline - now),
+		HoldMs:       inMilliseconds(r.HoldUntil - now),
+		Counted:      r.Counted(),
+	}
+	for _, part := range r.Shared {
+		q.Shared = append(q.Shared, &rpc.PromptPart{Name: uint64(part.Name), Tokens: uint32(part.Tokens)})
+	}
+	for _, id := range r.Tried {
+		q.Tried = append(q.Tried, string(id))
+	}
+	return q
+}
+
+// request is what a scheduler chooses for.
+func request(now tables.Instant, q *rpc.ScheduleQuestion, service *routes.Service) *dispatch.Request {
+	r := &dispatch.Request{
+		Service:      service,
+		Route:        &routes.Route{Target: fromMilliseconds(q.GetTargetMs())},
+		Priority:     int(q.GetPriority()),
+		Model:        q.GetModel(),
+		PromptTokens: int(q.GetPromptTokens()),
+		OutputTokens: int(q.GetOutputTokens()),
+		Arrived:      now - fromMilliseconds(q.GetWaitedMs()),
+		Deadline:     now + fromMilliseconds(q.GetLeftMs()),
+		HoldUntil:    now + fromMilliseconds(q.GetHoldMs()),
+	}
+	for _, part := range q.GetShared() {
+		r.Shared = append(r.Shared, dispatch.SharedPart{Name: parts.Name(part.GetName()), Tokens: int(part.GetTokens())})
+	}
+	for _, id := range q.GetTried() {
+		r.Tried = append(r.Tried, tables.EndpointID(id))
+	}
+	if q.GetCounted() {
+		r.SetCounted()
+	}
+	return r
+}
+
+func encodeChoice(c dispatch.Choice) *rpc.ScheduleAnswer {
+	return &rpc.ScheduleAnswer{
+		Ready: true, Endpoint: string(c.Endpoint), Source: string(c.Source), Store: string(c.Store),
+		Weights: c.Weights, ExpectedMs: inMilliseconds(c.Expected), Uncached: uint32(c.Uncached), Rule: string(c.Rule),
+	}
+}
+
+func decodeChoice(a *rpc.ScheduleAnswer) dispatch.Choice {
+	return dispatch.Choice{
+		Endpoint: tables.EndpointID(a.GetEndpoint()), Source: tables.EndpointID(a.GetSource()), Store: tables.EndpointID(a.GetStore()),
+		Weights: a.GetWeights(), Expected: fromMilliseconds(a.GetExpectedMs()), Uncached: int(a.GetUncached()), Rule: dispatch.Rule(a.GetRule()),
+	}
+}
+
+func inMilliseconds(d time.Duration) uint32 { return uint32(max(0, d.Milliseconds())) }
+
+func fromMilliseconds(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
--- /dev/null
+++ b/schedule/schedule_test.go
@@ -0,0 +1,289 @@
+package schedule
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/dispatch"
+	"github.com/carawaystile/carawaystile/fleet"
+	"github.com/carawaystile/carawaystile/parts"
+	"github.com/carawaystile/carawaystile/routes"
+	"github.com/carawaystile/carawaystile/rpc"
+	"github.com/carawaystile/carawaystile/systems/membership"
+	"github.com/carawaystile/carawaystile/tables"
+	"github.com/carawaystile/carawaystile/weights"
+)
+
+const model = "m"
+
+// placer chooses with a real dispatcher.
+type placer struct {
+	dispatch *dispatch.Dispatcher
+	service  *routes.Service
+	now      tables.Instant
+}
+
+func newPlacer(endpoints int) *placer {
+	p := &placer{
+		dispatch: dispatch.New(dispatch.Options{Zone: "a", Retry: dispatch.RetryLimits{Window: time.Second}}),
+		service:  &routes.Service{Name: "s", Slots: 4, CacheTokens: 100_000},
+		now:      time.Second,
+	}
+	known := map[tables.EndpointID]fleet.Endpoint{}
+	for i := range endpoints {
+		id := tables.EndpointID(rune('A' + i))
+		known[id] = fleet.Endpoint{
+			ID: id, Zone: "a", Service: "s", Slots: 4, Weights: map[string]uint64{model: 1},
+			Address: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(1000+i)),
+		}
+	}
+	p.dispatch.Fleet(known)
+	p.dispatch.Named(weightsNamed())
+	return p
+}
+
+func (p *placer) Service(name string) *routes.Service {
+	if name != p.service.Name {
+		return nil
+	}
+	return p.service
+}
+
+func (p *placer) PlaceFor(r *dispatch.Request) (*dispatch.Attempt, dispatch.Reason) {
+	return p.dispatch.Place(p.now, r)
+}
+
+func (p *placer) BeganFor(a *dispatch.Attempt) { p.dispatch.Began(p.now, a) }
+
+func (p *placer) EndedFor(a *dispatch.Attempt, how dispatch.End) { p.dispatch.Ended(p.now, a, how) }
+
+func (p *placer) running() int {
+	running := 0
+	for _, load := range p.dispatch.Loads(p.now) {
+		running += load.Running
+	}
+	return running
+}
+
+// zone is an asking instance and two schedulers. Messages go through the wire's form.
+type zone struct {
+	client  *Client
+	servers map[netip.AddrPort]*Server
+	// silent are schedulers that get no message.
+	silent map[netip.AddrPort]bool
+	// lost says whether a message to a scheduler is lost.
+	lost  func(*rpc.ScheduleMessage) bool
+	asked []netip.AddrPort
+}
+
+func address(n uint16) netip.AddrPort {
+	return netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), n)
+}
+
+func newZone(now func() tables.Instant, placers ...*placer) *zone {
+	z := &zone{servers: map[netip.AddrPort]*Server{}, silent: map[netip.AddrPort]bool{}, lost: func(*rpc.ScheduleMessage) bool { return false }}
+	var schedulers []membership.Scheduler
+	for i, p := range placers {
+		at := address(uint16(1 + i))
+		schedulers = append(schedulers, membership.Scheduler{Instance: tables.InstanceID(rune('x' + i)), Address: at})
+		z.servers[at] = NewServer(p, now)
+	}
+	z.client = NewClient(ClientOptions{
+		Self: "asker", Boot: 100, Now: now, Log: zap.NewNop(),
+		Schedulers: func() []membership.Scheduler { return schedulers },
+		Send:       z.send,
+	})
+	return z
+}
+
+func (z *zone) send(to netip.AddrPort, message *rpc.ScheduleMessage) {
+	wire, err := proto.Marshal(message)
+	if err != nil {
+		panic(err)
+	}
+	in := &rpc.ScheduleMessage{}
+	if err := proto.Unmarshal(wire, in); err != nil {
+		panic(err)
+	}
+	if in.GetQuestion() != nil {
+		z.asked = append(z.asked, to)
+	}
+	if z.silent[to] || z.lost(in) {
+		return
+	}
+	switch {
+	case in.GetQuestion() != nil:
+		z.client.Answered(to, in.GetNumber(), z.servers[to].Choose("asker", in.GetNumber(), in.GetQuestion()))
+	case in.GetProgress() != nil:
+		z.servers[to].Progress("asker", in.GetNumber(), in.GetProgress())
+	}
+}
+
+func generation(p *placer, prompt parts.Name) *dispatch.Request {
+	return &dispatch.Request{
+		Service: p.service, Route: &routes.Route{Target: time.Second}, Model: model,
+		PromptTokens: 1000, OutputTokens: 10, Arrived: p.now, Deadline: p.now + 5*time.Second, HoldUntil: p.now,
+		Shared: []dispatch.SharedPart{{Name: prompt, Tokens: 800}},
+	}
+}
+
+// TestAttemptCountsAtItsScheduler guards against schedulers that do not know what they
+// have sent where, or that go on counting what has ended.
+func TestAttemptCountsAtItsScheduler(t *testing.T) {
+	p := newPlacer(3)
+	z := newZone(func() tables.Instant { return p.now }, p)
+	var open []*Assignment
+	for i := range 6 {
+		assignment := z.client.Ask(t.Context(), generation(p, parts.Name(i)))
+		assert.Equal(t, assignment.Reason, dispatch.Reason(""))
+		open = append(open, assignment)
+	}
+	assert.Equal(t, p.running(), 6)
+	for _, assignment := range open {
+		assignment.Began()
+		assignment.Ended(dispatch.Completed)
+	}
+	assert.Equal(t, p.running(), 0)
+}
+
+// TestRequestsOfOnePromptHaveOneScheduler guards against a prompt that is read at
+// several endpoints since several instances chose for it at the same moment.
+func TestRequestsOfOnePromptHaveOneScheduler(t *testing.T) {
+	first, second := newPlacer(3), newPlacer(3)
+	z := newZone(func() tables.Instant { return first.now }, first, second)
+	at := map[parts.Name]netip.AddrPort{}
+	used := map[netip.AddrPort]bool{}
+	for i := range 40 {
+		prompt := parts.Name(i % 20)
+		assert.Assert(t, z.client.Ask(t.Context(), generation(first, prompt)) != nil)
+		asked := z.asked[len(z.asked)-1]
+		if before, known := at[prompt]; known {
+			assert.Equal(t, asked, before)
+		}
+		at[prompt], used[asked] = asked, true
+	}
+	assert.Equal(t, len(used), 2)
+}
+
+// TestSilentSchedulerIsLeft guards against callers that wait for a frozen scheduler
+// one after the other.
+func TestSilentSchedulerIsLeft(t *testing.T) {
+	first, second := newPlacer(3), newPlacer(3)
+	z := newZone(func() tables.Instant { return first.now }, first, second)
+	z.silent[address(1)] = true
+	for i := range 20 {
+		assert.Assert(t, z.client.Ask(t.Context(), generation(first, parts.Name(i))) != nil, "the other one chooses")
+	}
+	asked := 0
+	for _, at := range z.asked {
+		if at == address(1) {
+			asked++
+		}
+	}
+	assert.Equal(t, asked, 1)
+	z.silent[address(1)] = false
+	first.now += silentPause
+	for i := range 20 {
+		z.client.Ask(t.Context(), generation(first, parts.Name(i)))
+	}
+	assert.Assert(t, len(z.asked) > 41-20)
+	assert.Assert(t, first.running() > 0, "it is asked again")
+}
+
+// TestWithoutSchedulersAnInstanceChoosesItself guards against requests that fail since
+// no scheduler answers.
+func TestWithoutSchedulersAnInstanceChoosesItself(t *testing.T) {
+	p := newPlacer(3)
+	z := newZone(func() tables.Instant { return p.now }, p)
+	z.silent[address(1)] = true
+	assert.Assert(t, z.client.Ask(t.Context(), generation(p, 1)) == nil)
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.Assert(t, z.client.Ask(ended, generation(p, 1)) == nil)
+}
+
+// TestLostEndIsNoticed guards against endpoints that count as full for ever since the
+// word that attempts have ended was lost.
+func TestLostEndIsNoticed(t *testing.T) {
+	p := newPlacer(1)
+	z := newZone(func() tables.Instant { return p.now }, p)
+	z.lost = func(m *rpc.ScheduleMessage) bool { return m.GetProgress() != nil }
+	for i := range 4 {
+		z.client.Ask(t.Context(), generation(p, parts.Name(i))).Ended(dispatch.Completed)
+	}
+	assert.Equal(t, z.client.Ask(t.Context(), generation(p, 9)).Reason, dispatch.Full)
+	p.now += 5*time.Second + endMargin
+	assert.Equal(t, z.client.Ask(t.Context(), generation(p, 9)).Reason, dispatch.Reason(""))
+	assert.Equal(t, p.running(), 1)
+}
+
+// TestAnswerThatComesTooLateIsGivenBack guards against attempts that a scheduler counts
+// and nobody makes.
+func TestAnswerThatComesTooLateIsGivenBack(t *testing.T) {
+	p := newPlacer(3)
+	z := newZone(func() tables.Instant { return p.now }, p)
+	q := question(p.now, generation(p, 1))
+	answer := z.servers[address(1)].Choose("asker", 7, q)
+	assert.Equal(t, p.running(), 1)
+	z.client.Answered(address(1), 7, answer)
+	assert.Equal(t, p.running(), 0)
+}
+
+// TestRepeatedQuestionCountsOnce guards against an attempt that counts twice since its
+// datagram came twice.
+func TestRepeatedQuestionCountsOnce(t *testing.T) {
+	p := newPlacer(3)
+	z := newZone(func() tables.Instant { return p.now }, p)
+	q := question(p.now, generation(p, 1))
+	first := z.servers[address(1)].Choose("asker", 7, q)
+	again := z.servers[address(1)].Choose("asker", 7, q)
+	assert.Equal(t, first.GetEndpoint(), again.GetEndpoint())
+	assert.Equal(t, p.running(), 1)
+}
+
+// TestSchedulerSeesTheRequestAsItIs guards against choices for another request than the
+// caller's: a part, a bound or a failed endpoint that is lost on the way.
+func TestSchedulerSeesTheRequestAsItIs(t *testing.T) {
+	p := newPlacer(3)
+	r := generation(p, 5)
+	r.Priority, r.Tried = 3, []tables.EndpointID{"A", "B"}
+	r.Arrived = p.now - 200*time.Millisecond
+	got := request(p.now, question(p.now, r), p.service)
+	assert.Equal(t, got.Priority, 3)
+	assert.DeepEqual(t, got.Tried, r.Tried)
+	assert.DeepEqual(t, got.Shared, r.Shared)
+	assert.Equal(t, got.Arrived, r.Arrived)
+	assert.Equal(t, got.Deadline, r.Deadline)
+	assert.Equal(t, got.PromptTokens, r.PromptTokens)
+	assert.Equal(t, got.OutputTokens, r.OutputTokens)
+	assert.Equal(t, got.Model, r.Model)
+	assert.Equal(t, got.Route.Target, r.Route.Target)
+}
+
+func weightsNamed() weights.Naming { return weights.Naming{Model: model, Version: 1} }
+
+// TestBurstOfOnePromptFillsNoEndpointBeyondItsPlaces guards against a crowd of instances
+// that send a prompt which has become popular to the one endpoint that holds it, where
+// most wait or are rejected while other endpoints rest.
+func TestBurstOfOnePromptFillsNoEndpointBeyondItsPlaces(t *testing.T) {
+	p := newPlacer(8)
+	z := newZone(func() tables.Instant { return p.now }, p)
+	z.client.Ask(t.Context(), generation(p, 1)).Began()
+	p.now += time.Second
+	placed := map[tables.EndpointID]int{}
+	for range 30 {
+		assignment := z.client.Ask(t.Context(), generation(p, 1))
+		assert.Equal(t, assignment.Reason, dispatch.Reason(""))
+		placed[assignment.Choice.Endpoint]++
+	}
+	for id, n := range placed {
+		assert.Assert(t, n <= p.service.Slots, "%s has %d of %d", id, n, p.service.Slots)
+	}
+	assert.Assert(t, len(placed) >= 7, "30 requests at %d endpoints of 4 places", len(placed))
+}
--- /dev/null
+++ b/schedule/server.go
@@ -0,0 +1,110 @@
+package schedule
+
+import (
+	"sync"
+	"time"
+
+	"github.com/carawaystile/carawaystile/dispatch"
+	"github.com/carawaystile/carawaystile/routes"
+	"github.com/carawaystile/carawaystile/rpc"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// Placer chooses endpoints. It is safe for concurrent use.
+type Placer interface {
+	// Service returns a service of the configuration in force, nil if there is none
+	// of that name.
+	Service(name string) *routes.Service
+	PlaceFor(r *dispatch.Request) (*dispatch.Attempt, dispatch.Reason)
+	BeganFor(a *dispatch.Attempt)
+	EndedFor(a *dispatch.Attempt, how dispatch.End)
+}
+
+const (
+	// sweepEvery is the time between two looks for attempts whose end was not heard
+	// of, and endMargin how long after its caller's deadline one counts as ended.
+	sweepEvery = 500 * time.Millisecond
+	endMargin  = 500 * time.Millisecond
+)
+
+// attemptKey names an attempt of an instance that asked.
+type attemptKey struct {
+	instance tables.InstanceID
+	number   uint64
+}
+
+// assigned is an attempt that this instance has chosen for another.
+type assigned struct {
+	attempt *dispatch.Attempt
+	until   tables.Instant
+}
+
+// Server chooses for other instances. It is safe for concurrent use.
+type Server struct {
+	placer Placer
+	now    func() tables.Instant
+
+	mu      sync.Mutex
+	open    map[attemptKey]assigned
+	sweptAt tables.Instant
+}
+
+// NewServer returns a server; now reads a monotonic clock.
+func NewServer(placer Placer, now func() tables.Instant) *Server {
+	return &Server{placer: placer, now: now, open: map[attemptKey]assigned{}}
+}
+
+// Choose chooses an endpoint for an attempt of another instance.
+func (s *Server) Choose(by tables.InstanceID, number uint64, q *rpc.ScheduleQuestion) *rpc.ScheduleAnswer {
+	key, now := attemptKey{instance: by, number: number}, s.now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sweep(now)
+	if known, repeated := s.open[key]; repeated {
+		return encodeChoice(known.attempt.Choice())
+	}
+	service := s.placer.Service(q.GetService())
+	if service == nil {
+		return &rpc.ScheduleAnswer{}
+	}
+	r := request(now, q, service)
+	chosen, reason := s.placer.PlaceFor(r)
+	if chosen == nil {
+		return &rpc.ScheduleAnswer{Ready: true, Reason: string(reason)}
+	}
+	s.open[key] = assigned{attempt: chosen, until: r.Deadline + endMargin}
+	return encodeChoice(chosen.Choice())
+}
+
+// Progress takes how an attempt of another instance goes on.
+func (s *Server) Progress(by tables.InstanceID, number uint64, p *rpc.AttemptProgress) {
+	key := attemptKey{instance: by, number: number}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known, open := s.open[key]
+	if !open {
+		return
+	}
+	if p.GetBegan() {
+		s.placer.BeganFor(known.attempt)
+	}
+	if p.GetEnded() {
+		delete(s.open, key)
+		s.placer.EndedFor(known.attempt, dispatch.End(min(p.GetEnd(), uint32(dispatch.Cancelled))))
+	}
+}
+
+// sweep ends attempts of which nothing was heard in time: the word was lost, or its
+// instance is gone.
+func (s *Server) sweep(now tables.Instant) {
+	if now-s.sweptAt < sweepEvery {
+		return
+	}
+	s.sweptAt = now
+	for key, one := range s.open {
+		if now >= one.until {
+			delete(s.open, key)
+			s.placer.EndedFor(one.attempt, dispatch.Cancelled)
+		}
+	}
+}
--- a/settings/forwarding.go
+++ b/settings/forwarding.go
@@ -41,6 +41,9 @@
 	// if that is not known.
 	MemoryMB int
 	LinkMbps float64
+	// Processors is how many processors the instance has, which may be a part of one;
+	// 0 if that is not known.
+	Processors float64
 	// List serves the platform's list of endpoints.
 	List    netip.AddrPort
 	Orders  ForwardingOrders
@@ -176,6 +179,7 @@
 		field{key: "tolerate_instances", read: whole(&f.Tolerate, 0, 4)},
 		field{key: "memory_mb", read: whole(&f.MemoryMB, 16, 1<<20)},
 		field{key: "link_mbps", read: quantity(&f.LinkMbps, 0, 1_000_000)},
+		field{key: "processors", read: quantity(&f.Processors, 0, 1024)},
 		field{key: "platform_list", read: address(&f.List)},
 		field{key: "orders", read: f.Orders.read},
 		field{key: "retries", read: f.Retries.read},
--- a/systems/membership/hints.go
+++ b/systems/membership/hints.go
@@ -1,9 +1,7 @@
 package membership
 
 import (
-	"maps"
 	"net/netip"
-	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -19,6 +17,9 @@
 	Block    tables.BlockHash
 	// Dropped is set for a prefix that the endpoint has no longer.
 	Dropped bool
+	// Reported is set for the endpoint's own word, which is about prefixes that no
+	// request shares too.
+	Reported bool
 }
 
 // Load is what one instance has at an endpoint.
@@ -45,7 +46,7 @@
 }
 
 // WideGroup is how many living entry instances are told of hints wherever they
-// are. With more, only those of the own availability zone are: what is told
+// are. With more, only the schedulers of the own availability zone are: what is told
 // grows with the square of the group otherwise, and prefixes have their homes in
 // each zone.
 const WideGroup = 24
@@ -94,28 +95,14 @@
 	return m.take()
 }
 
-// relays picks an entry instance of each zone that is told through one, another
-// one each time.
+// relays picks a scheduler of each zone that TellHints leaves out, another one each
+// time.
 func (m *Membership) relays() []netip.AddrPort {
-	zones := map[tables.Zone][]*member{}
-	all := 0
-	for _, row := range m.roster.order {
-		if row.Instance == m.self.Instance || row.State > Suspect || row.Roles&RoleEntry == 0 {
-			continue
-		}
-		all++
-		if row.Zone != m.self.Zone {
-			zones[row.Zone] = append(zones[row.Zone], row)
-		}
-	}
-	if all < WideGroup {
-		return nil
-	}
+	m.count()
 	m.relayed++
 	var picked []netip.AddrPort
-	for _, name := range slices.Sorted(maps.Keys(zones)) {
-		rows := zones[name]
-		picked = append(picked, rows[m.relayed%len(rows)].Address)
+	for _, schedulers := range m.roster.abroad {
+		picked = append(picked, schedulers[m.relayed%len(schedulers)].Address)
 	}
 	return picked
 }
@@ -142,28 +129,10 @@
 	return len(m.roster.told)
 }
 
-// hintPeers lists the addresses that hints are told to.
-func (m *Membership) hintPeers() []netip.AddrPort {
-	var all, near []netip.AddrPort
-	for _, row := range m.roster.order {
-		if row.Instance == m.self.Instance || row.State > Suspect || row.Roles&RoleEntry == 0 {
-			continue
-		}
-		all = append(all, row.Address)
-		if row.Zone == m.self.Zone {
-			near = append(near, row.Address)
-		}
-	}
-	if len(all) < WideGroup {
-		return all
-	}
-	return near
-}
-
 // addPlacements adds placements while they fit, and returns how many did.
 func addPlacements(d *rpc.Datagram, placements []Placement, room *int) int {
 	for i, p := range placements {
-		encoded := &rpc.CachePlacement{Endpoint: string(p.Endpoint), Boot: string(p.Boot), Block: uint64(p.Block), Dropped: p.Dropped}
+		encoded := &rpc.CachePlacement{Endpoint: string(p.Endpoint), Boot: string(p.Boot), Block: uint64(p.Block), Dropped: p.Dropped, Reported: p.Reported}
 		size := proto.Size(encoded) + fieldOverhead
 		if size > *room {
 			return i
@@ -199,6 +168,7 @@
 			Boot:     tables.BootID(encoded.GetBoot()),
 			Block:    tables.BlockHash(encoded.GetBlock()),
 			Dropped:  encoded.GetDropped(),
+			Reported: encoded.GetReported(),
 		})
 	}
 	m.out.Hints.Relay = in.GetRelay()
--- a/systems/membership/membership.go
+++ b/systems/membership/membership.go
@@ -16,6 +16,7 @@
 	"slices"
 	"time"
 
+	"github.com/carawaystile/carawaystile/rpc"
 	"github.com/carawaystile/carawaystile/tables"
 )
 
@@ -88,6 +89,8 @@
 	changed tables.Instant
 	// unsent is how many more datagrams the row rides on.
 	unsent int
+	// hash is that of the instance, for the choice among equals.
+	hash uint64
 	// private rows are doubts of an instance that doubts itself; they are told
 	// to nobody but the member itself.
 	private bool
@@ -169,11 +172,21 @@
 	Datagrams []Datagram
 	// Hints are what another instance lets this one know.
 	Hints Hints
+	// Schedule is a message between an entry instance and a scheduler, and From who
+	// sent it.
+	Schedule *rpc.ScheduleMessage
+	From     Sender
 	// Newer is set to the control address of an instance that has a newer
 	// revision in force than this one.
 	Newer netip.AddrPort
 }
 
+// Sender is who sent a datagram.
+type Sender struct {
+	Instance tables.InstanceID
+	Address  netip.AddrPort
+}
+
 // Membership is one instance's view of all.
 type Membership struct {
 	config Config
@@ -205,7 +218,7 @@
 // New returns the view of an instance that knows of nobody yet.
 func New(options Options) *Membership {
 	options.Config.setDefaults()
-	self := &member{Member: Member{Row: options.Self, Incarnation: 1}}
+	self := &member{Member: Member{Row: options.Self, Incarnation: 1}, hash: hashOf(options.Self.Instance)}
 	return &Membership{
 		config:     options.Config,
 		self:       self,
--- a/systems/membership/receive.go
+++ b/systems/membership/receive.go
@@ -48,6 +48,10 @@
 		m.takeHints(in)
 		return m.take(), nil
 	}
+	if in.GetKind() == datagramSchedule {
+		sender := Sender{Instance: tables.InstanceID(in.GetSender().GetInstance()), Address: from}
+		return Output{Schedule: in.GetSchedule(), From: sender}, nil
+	}
 	m.takeSender(now, from, in)
 	m.answer(now, from, in)
 	return m.take(), nil
@@ -140,7 +144,7 @@
 		return
 	}
 	if known == nil {
-		known = &member{Member: row}
+		known = &member{Member: row, hash: hashOf(row.Instance)}
 		m.roster.add(known)
 		m.insert(row.Instance)
 		m.setState(now, known, row.State)
--- a/systems/membership/roster.go
+++ b/systems/membership/roster.go
@@ -15,10 +15,15 @@
 	byID map[tables.InstanceID]*member
 	// order is sorted by instance.
 	order []*member
-	// counted says that living and told are up to date.
+	// counted says that what follows is up to date.
 	counted bool
-	// living counts members that are not dead or left.
-	living int
+	// living counts members that are not dead or left, entries those of them with the
+	// entry role.
+	living, entries int
+	// schedulers are those of the own zone, and abroad those of each other zone; none
+	// where each entry instance chooses for itself.
+	schedulers []Scheduler
+	abroad     [][]*member
 	// told are the addresses that hints go to.
 	told []netip.AddrPort
 }
@@ -48,7 +53,7 @@
 	})
 }
 
-// count brings living and told up to date.
+// count brings what is kept between changes up to date.
 func (m *Membership) count() {
 	if m.roster.counted {
 		return
@@ -60,7 +65,7 @@
 			m.roster.living++
 		}
 	}
-	m.roster.told = m.hintPeers()
+	m.countEntries()
 }
 
 // living counts members that are not dead or left.
--- /dev/null
+++ b/systems/membership/schedulers_test.go
@@ -0,0 +1,82 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// schedules says whether an instance holds itself for a scheduler.
+func (n *node) schedules() bool {
+	for _, s := range n.Schedulers() {
+		if s.Instance == n.self.Instance {
+			return true
+		}
+	}
+	return false
+}
+
+// TestInstancesOfAZoneAgreeOnTheirSchedulers guards against choices that are spread
+// over instances which do not know of each other's.
+func TestInstancesOfAZoneAgreeOnTheirSchedulers(t *testing.T) {
+	w := newZones(t, 4*WideGroup, 3)
+	w.until(2*time.Minute, "find each other", w.allAlive)
+	byZone := map[tables.Zone][]Scheduler{}
+	for _, node := range w.nodes {
+		zone := node.self.Zone
+		if byZone[zone] == nil {
+			byZone[zone] = node.Schedulers()
+		}
+		assert.Assert(t, len(byZone[zone]) == 2, "32 instances of a zone have %d", len(byZone[zone]))
+		assert.DeepEqual(t, node.Schedulers()[0].Instance, byZone[zone][0].Instance)
+		assert.DeepEqual(t, node.Schedulers()[1].Instance, byZone[zone][1].Instance)
+	}
+	assert.Equal(t, len(byZone), 3)
+}
+
+// TestASmallGroupHasNoSchedulers guards against a detour where each instance hears of
+// all others' choices anyway.
+func TestASmallGroupHasNoSchedulers(t *testing.T) {
+	w := newZones(t, WideGroup, 3)
+	w.until(2*time.Minute, "find each other", w.allAlive)
+	for _, node := range w.nodes {
+		assert.Equal(t, len(node.Schedulers()), 0)
+		assert.Equal(t, node.HintReceivers(), WideGroup-1)
+	}
+}
+
+// TestADeadSchedulerIsReplaced guards against a zone that goes on asking an instance
+// that is gone.
+func TestADeadSchedulerIsReplaced(t *testing.T) {
+	w := newZones(t, 4*WideGroup, 3)
+	w.until(2*time.Minute, "find each other", w.allAlive)
+	gone := w.nodes[0].Schedulers()[0].Instance
+	for i, node := range w.nodes {
+		if node.self.Instance == gone {
+			node.down = true
+			w.until(time.Minute, "find the dead", func() bool { return w.seen(i, Dead) })
+		}
+	}
+	for _, node := range w.nodes {
+		for _, s := range node.Schedulers() {
+			assert.Assert(t, node.down || s.Instance != gone)
+		}
+	}
+}
+
+// TestLargerInstancesSchedule guards against schedulers on the smallest machines, where
+// all wait for their choices.
+func TestLargerInstancesSchedule(t *testing.T) {
+	var entries []*member
+	for i, size := range []int{1, 1, 3, 1, 3, 1} {
+		id := tables.InstanceID(rune('a' + i))
+		entries = append(entries, &member{Member: Member{Row: Row{Instance: id, Size: size}}, hash: hashOf(id)})
+	}
+	picked := schedulersOf(entries)
+	assert.Equal(t, len(picked), 2)
+	assert.Equal(t, picked[0].Size, 3)
+	assert.Equal(t, picked[1].Size, 3)
+}
--- a/systems/membership/send.go
+++ b/systems/membership/send.go
@@ -18,6 +18,7 @@
 	datagramPingRequest = rpc.DatagramKind_DATAGRAM_PING_REQUEST
 	datagramRows        = rpc.DatagramKind_DATAGRAM_ROWS
 	datagramHints       = rpc.DatagramKind_DATAGRAM_HINTS
+	datagramSchedule    = rpc.DatagramKind_DATAGRAM_SCHEDULE
 	// fieldOverhead is what an embedded message costs besides its content.
 	fieldOverhead = 3
 )
