Changes of endpoints reach followers together; quiet instances wake up less often

Cause: new weights change each of 320 endpoints three times within seconds, and each change was one answer to each of 300 followers, which then took over all endpoints anew (maps, rows and sorted lists). A profile of the start of 150 entry instances as real processes: 41 % in following, 13 % in taking endpoints over, and garbage for it. In steady state 32 % went into idle scheduling of goroutines: hints were looked for 67 times a second by instances that have next to nothing to tell since schedulers choose for them.

Ruled out: membership (below 2 % now), the choices (5 %).

Change: differences of endpoints are gathered for 0.1 ms an endpoint, 100 ms at most, before a follower is told; documents and full tables go at once. A dispatcher takes over only what differs. Instances that do not choose look for hints every 100 ms.

Tests: TestChangesOfEndpointsComeTogether; those of dispatch, fleet, deployment, forward and node hold unchanged.

--- a/control/deployment/service.go
+++ b/control/deployment/service.go
@@ -25,6 +25,12 @@
 	weightsPrefix     = "weights/"
 	// maxWait bounds the wait of one Follow.
 	maxWait = 10 * time.Second
+	// gatherPerEndpoint times the number of endpoints is how long changes of endpoints
+	// are gathered before a follower is told, and maxGather bounds it. New weights
+	// change every endpoint several times within seconds: told one by one, each change
+	// would cost every follower a question and an answer.
+	gatherPerEndpoint = 100 * time.Microsecond
+	maxGather         = 100 * time.Millisecond
 )
 
 // WeightsName is the document whose number is the version that a model should
@@ -42,6 +48,7 @@
 	// givesOrders says whether this instance gives orders now.
 	givesOrders func() bool
 	now         func() tables.Instant
+	after       func(time.Duration) <-chan time.Time
 
 	packer packer
 	// mu guards weights, which holds when this instance saw versions named.
@@ -57,11 +64,16 @@
 	GivesOrders func() bool
 	// Now must go on while the machine is suspended.
 	Now func() tables.Instant
+	// After is time.After if it is nil.
+	After func(time.Duration) <-chan time.Time
 }
 
 // NewService returns the service over a replica and the instance's table.
 func NewService(o Options) *Service {
-	return &Service{replica: o.Replica, fleet: o.Fleet, givesOrders: o.GivesOrders, now: o.Now}
+	if o.After == nil {
+		o.After = time.After
+	}
+	return &Service{replica: o.Replica, fleet: o.Fleet, givesOrders: o.GivesOrders, now: o.Now, after: o.After}
 }
 
 // Run notes when versions of weights are named, until the context ends.
@@ -155,13 +167,21 @@
 	timer := time.NewTimer(min(max(0, time.Duration(request.GetWaitNanos())), maxWait))
 	defer timer.Stop()
 	asked := s.now()
-	for {
+	for gathered := false; ; {
 		changed := s.replica.Changed()
 		answer, listed := s.news(request)
 		answer.WaitedNanos = int64(s.now() - asked)
-		if len(answer.GetDocuments()) > 0 || answer.GetFleet() != nil || answer.GetBehind() {
+		if len(answer.GetDocuments()) > 0 || answer.GetBehind() || answer.GetFleet().GetFull() {
 			return answer, nil
 		}
+		if answer.GetFleet() != nil {
+			if gathered {
+				return answer, nil
+			}
+			gathered = true
+			s.gather(ctx, changed)
+			continue
+		}
 		select {
 		case <-changed:
 		case <-listed:
@@ -173,6 +193,15 @@
 	}
 }
 
+// gather lets changes of endpoints come together, until a document may have changed.
+func (s *Service) gather(ctx context.Context, changed <-chan struct{}) {
+	select {
+	case <-s.after(min(maxGather, time.Duration(s.fleet.Len())*gatherPerEndpoint)):
+	case <-changed:
+	case <-ctx.Done():
+	}
+}
+
 // nothingNew brings an answer that has waited in vain up to date.
 func (s *Service) nothingNew(answer *rpc.FollowAnswer, asked tables.Instant) *rpc.FollowAnswer {
 	answer.WaitedNanos = int64(s.now() - asked)
--- a/control/deployment/service_test.go
+++ b/control/deployment/service_test.go
@@ -66,3 +66,30 @@
 	assert.Equal(t, len(answer.GetWeightsNamed()), 1)
 	assert.Equal(t, answer.GetWeightsNamed()[0].GetVersion(), uint64(3))
 }
+
+// TestChangesOfEndpointsComeTogether guards against followers that are busy with nothing
+// but questions and answers while new weights change one endpoint after the other.
+func TestChangesOfEndpointsComeTogether(t *testing.T) {
+	table := fleet.NewTable(1)
+	table.List([]fleet.Endpoint{{ID: "a", Weights: map[string]uint64{}}, {ID: "b", Weights: map[string]uint64{}}})
+	passed := make(chan time.Time, 1)
+	waits := 0
+	s := NewService(Options{
+		Replica: single(t), Fleet: table, GivesOrders: func() bool { return true },
+		Now: func() tables.Instant { return 0 },
+		After: func(time.Duration) <-chan time.Time {
+			waits++
+			table.Weights("b", "m", 2)
+			passed <- time.Time{}
+			return passed
+		},
+	})
+	first, err := s.Follow(t.Context(), &rpc.FollowRequest{})
+	assert.NilError(t, err)
+	assert.Equal(t, waits, 0, "one that has nothing is told at once")
+	table.Weights("a", "m", 2)
+	next, err := s.Follow(t.Context(), &rpc.FollowRequest{FleetSource: 1, FleetVersion: first.GetFleet().GetVersion()})
+	assert.NilError(t, err)
+	assert.Equal(t, waits, 1)
+	assert.Equal(t, len(next.GetFleet().GetEndpoints()), 2)
+}
--- a/control/gossip/hints.go
+++ b/control/gossip/hints.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -83,6 +84,9 @@
 type HintOptions struct {
 	// Period is the least time between two tellings.
 	Period time.Duration
+	// Pace returns another period for the time being, 0 for none; nil for always
+	// Period. It is asked once a period.
+	Pace func() time.Duration
 	// BytesPerSecond bounds what is sent over all receivers.
 	BytesPerSecond int
 	// Collect returns hints that have come up since the last call; nil for those
@@ -100,7 +104,7 @@
 func (h *Hints) Run(ctx context.Context, o HintOptions) {
 	ticker := time.NewTicker(o.Period)
 	defer ticker.Stop()
-	budget, waits := 0.0, 0*time.Second
+	budget, waits, period := 0.0, 0*time.Second, o.Period
 	for {
 		select {
 		case <-ctx.Done():
@@ -110,9 +114,13 @@
 		if o.Collect != nil {
 			h.Add(o.Collect())
 		}
-		budget += float64(o.BytesPerSecond) * o.Period.Seconds()
+		budget += float64(o.BytesPerSecond) * period.Seconds()
 		budget = min(budget, float64(o.BytesPerSecond)*hintBurst.Seconds())
-		waits += o.Period
+		waits += period
+		if next := o.period(); next != period {
+			period = next
+			ticker.Reset(period)
+		}
 		if h.waiting() == 0 {
 			continue
 		}
@@ -131,11 +139,18 @@
 	}
 }
 
+// period is the time until the next telling.
+func (o *HintOptions) period() time.Duration {
+	if o.Pace == nil {
+		return o.Period
+	}
+	return cmp.Or(o.Pace(), o.Period)
+}
+
 const (
 	// fewReceivers hear of hints in every period; each further one makes the time
 	// between two tellings longer by pauseFor. What an instance receives in a second
-	// grows with the group otherwise: at 30 receivers and 15 ms, taking datagrams in
-	// cost an entry instance more than serving callers.
+	// grows with the group otherwise.
 	fewReceivers = 9
 	pauseFor     = 10 * time.Millisecond
 )
--- a/dispatch/endpoints.go
+++ b/dispatch/endpoints.go
@@ -46,6 +46,8 @@
 // row is what this instance knows of an endpoint.
 type endpointRow struct {
 	fleet.Endpoint
+	// listed is the endpoint as it was last told.
+	listed fleet.Endpoint
 	// hash is that of the identity, for the choice of homes.
 	hash uint64
 	// own counts attempts that have not ended, tokens their memory, prefill the
@@ -90,17 +92,29 @@
 	store bool
 }
 
-// Fleet takes over the endpoints that are known now.
+// Fleet takes over the endpoints that are known now. It costs little where few have
+// changed: it is called at every change of any of them.
 func (d *Dispatcher) Fleet(endpoints map[tables.EndpointID]fleet.Endpoint) {
+	regroup := false
 	for id, r := range d.rows {
 		if _, present := endpoints[id]; !present {
 			r.gone = true
 			delete(d.rows, id)
+			regroup = true
 		}
 	}
 	for id, e := range endpoints {
-		d.enter(id, e)
+		if d.enter(id, e) {
+			regroup = true
+		}
+	}
+	if regroup {
+		d.group()
 	}
+}
+
+// group lists the rows of each service anew.
+func (d *Dispatcher) group() {
 	clear(d.services)
 	d.stores = d.stores[:0]
 	for _, r := range d.rows {
@@ -115,24 +129,30 @@
 	}
 }
 
-func (d *Dispatcher) enter(id tables.EndpointID, e fleet.Endpoint) {
+// enter takes over an endpoint, and says whether that makes a new row.
+func (d *Dispatcher) enter(id tables.EndpointID, e fleet.Endpoint) bool {
 	known := d.rows[id]
-	if known == nil || known.Born != e.Born || known.Address != e.Address {
+	if known == nil || known.Born != e.Born || known.Address != e.Address || known.Service != e.Service {
 		if known != nil {
 			known.gone = true
 		}
 		d.rows[id] = &endpointRow{
-			Endpoint: e, store: e.Store, hash: xxhash.Sum64String(string(id)), service: firstService,
+			Endpoint: e, listed: e, store: e.Store, hash: xxhash.Sum64String(string(id)), service: firstService,
 			averages: d.averagesOf(e.Service), rate: d.averagesOf(e.Service).rate(),
 		}
-		return
+		return true
+	}
+	if known.listed.Equal(&e) {
+		return false
 	}
+	known.listed = e
 	// What an answer has shown is newer than what was told.
 	shown := known.Weights
 	known.Endpoint = e.Clone()
 	for model, version := range shown {
 		known.Weights[model] = max(known.Weights[model], version)
 	}
+	return false
 }
 
 func (r *endpointRow) heard(now tables.Instant, load dialect.EndpointLoad) {
--- a/dispatch/links.go
+++ b/dispatch/links.go
@@ -6,17 +6,13 @@
 	"github.com/carawaystile/carawaystile/tables"
 )
 
-// An endpoint's transfers run one after another on its link: a prompt of 13,000 tokens
-// may hold it for 0.13 s, and what takes a millisecond to
-// fetch waits behind it. Short prompts came late most often so: 3.3 % of those that
-// fetched something, 0.4 % of those that did not, on a quiet day. Each instance counts
-// the transfers that it brings about and tells the others how long a link is busy. Mean
-// worth of five days with trouble 0.428 with it and 0.422 with a fixed time for each
-// token and no queue, and long prompts late 18.1 and 19.2 % (three seeds a day).
+// An endpoint's transfers run one after another on its link: a long prompt may hold it
+// for a tenth of a second, and what takes a millisecond to fetch waits behind it. Each
+// instance counts the transfers that it brings about and tells the others how long a
+// link is busy.
 //
-// Counting the sending link too was worse (0.387 to 0.343): a store's link is faster
-// than an engine's, took the blame for each engine's wait and was believed to be busy
-// for seconds, so that prompts were read again.
+// The sending link is not counted: a store's is faster than an engine's, and would be
+// taken for busy whenever the receiving one is.
 const (
 	// assumedTransfer is how long a link is busy with one token where nothing is
 	// declared, in milliseconds; a tenth of what reading it takes.
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -14,25 +14,18 @@
 	// zones are paid for, and a zone that is cut off takes its requests along.
 	crossZone = 30.0
 	// copyCost is what another copy of a token costs: it pushes out what others will
-	// ask for, which is then read again, two times in five. At 0.08, with a copy of
-	// each prompt where it was convenient, the price of prompts read again was 0.106
-	// and not 0.093 a day, and mean worth of five days with trouble 0.387 and not
-	// 0.400 (three seeds a day).
+	// ask for, which may then be read again.
 	copyCost = 0.4 * rereadCost
 	// rereadCost is what reading a token costs that was read before, beside the time
 	// it takes: engines that read again what one of them knows cannot read what none
-	// does. It is a price: 2,000 to 9,000 tokens read again weigh as much as an answer
-	// that comes late, by lateCost. At half of it mean worth of days with trouble was
-	// 0.338 and not 0.337, at the old cost of a copy (three seeds a day).
+	// does.
 	rereadCost = 0.6
 	// waitCost is the cost of a millisecond of waiting, beside that of being late: it
 	// keeps queues even.
 	waitCost = 0.3
 	// lateCost is what a late answer costs, for each millisecond of the caller's
-	// target: it is worth a tenth to a third of one in time. evenLate is the expected
-	// wait, in targets, at which an answer is as often late as not, and lateSteep how
-	// fast that turns: of 7,000 short prompts expected at 0.5, 1, 1.5 and 2 targets 10,
-	// 30, 48 and 60 % were late, and long ones likewise.
+	// target. evenLate is the expected wait, in targets, at which an answer is as often
+	// late as not, and lateSteep how fast that turns.
 	lateCost  = 6.0
 	evenLate  = 1.3
 	lateSteep = 3.0
@@ -117,10 +110,7 @@
 // worthHolding says whether the request had better wait for a part of its prompt
 // that another request is reading at this moment: an engine does not share it
 // before it is read, and reads it twice. It had if that costs less than the other
-// reading, be its own answer late. Mean worth of five days with trouble 0.435 and not
-// 0.427, with a hold for one and a half targets and not for half of one, and with what a
-// request has waited counted in its lateness (three seeds a day, standard error of the
-// mean difference 0.007).
+// reading, be its own answer late.
 func (r *Request) worthHolding(now tables.Instant, c *candidate) bool {
 	if c.again == 0 || c.readyAt > r.HoldUntil || c.readyAt <= now {
 		return false
@@ -223,10 +213,6 @@
 // will most likely come in time, and no more than a late answer where it will not. A
 // cost that goes on growing with each millisecond sends requests which are late
 // anyway to where they push out what others need.
-//
-// Against a cost of 1 for each millisecond and 3 more beyond nine tenths of the
-// target, mean worth of the five days with trouble of the newest site was 0.405 and
-// not 0.387 (at half this lateCost, three seeds a day).
 func (r *Request) lateness(now tables.Instant, wait float64) float64 {
 	target := milliseconds(r.Route.Target)
 	if target <= 0 {
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -92,9 +92,8 @@
 	}
 }
 
-// mark notes at the rows that hold a part and all before it how many these are. Looked
-// up for each row instead, a decision over 1,100 endpoints took 670 us and not 236 (a
-// busy machine, mean of 3,000).
+// mark notes at the rows that hold a part and all before it how many these are, so that
+// no row has to be looked up among the holders.
 func (v *view) mark(now tables.Instant, r *Request, level int, holding []holder) {
 	for i := range holding {
 		row := holding[i].row
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -43,7 +43,8 @@
 	return e
 }
 
-func (e *Endpoint) equal(other *Endpoint) bool {
+// Equal says whether nothing of an endpoint has changed.
+func (e *Endpoint) Equal(other *Endpoint) bool {
 	return e.ID == other.ID && e.Service == other.Service && e.Address == other.Address && e.Zone == other.Zone &&
 		e.Slots == other.Slots && e.Draining == other.Draining && e.Loading == other.Loading && e.Born == other.Born && e.Store == other.Store &&
 		maps.Equal(e.Weights, other.Weights)
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -140,7 +140,7 @@
 // put replaces a row under the next version and says whether it differs.
 func (t *Table) put(e Endpoint) bool {
 	known := t.rows[e.ID]
-	if known != nil && known.equal(&e) {
+	if known != nil && known.Equal(&e) {
 		return false
 	}
 	t.rows[e.ID] = &row{Endpoint: e, version: t.version + 1}
@@ -165,6 +165,13 @@
 	t.changed = make(chan struct{})
 }
 
+// Len is the number of endpoints.
+func (t *Table) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.rows)
+}
+
 // Endpoints returns all endpoints, by identity.
 func (t *Table) Endpoints() []Endpoint {
 	t.mu.Lock()
--- a/forward/reach.go
+++ b/forward/reach.go
@@ -29,7 +29,6 @@
 // not. An endpoint that is gone without a word answers nothing, also no attempt to
 // open a connection: each request that meets it there loses 200 ms, half of what
 // callers of short prompts have, and one on an open connection loses all of it.
-// With five of 18 engines gone so, 1,523 requests met one of them within 7 s.
 type reach struct {
 	server *Server
 
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -17,9 +17,7 @@
 	// A repeatable request is taken away from an endpoint that says nothing after
 	// minHang, the hangTargets-th part of its target and hangFactor times what was
 	// expected, whichever is longest. Half of the target leaves the other half for
-	// another endpoint; after 0.8 s, as it was, the answer was late for certain. Mean
-	// worth of five days with trouble 0.398 and not 0.387, and of a quiet day 0.734
-	// and not 0.719 (three seeds a day).
+	// another endpoint.
 	minHang     = 300 * time.Millisecond
 	hangTargets = 2
 	hangFactor  = 6
--- a/node/entry.go
+++ b/node/entry.go
@@ -112,6 +112,9 @@
 	// hintPeriod is the time between two tellings of hints. Requests of one
 	// prompt come some tens of milliseconds apart when it is hot.
 	hintPeriod = 15 * time.Millisecond
+	// reportPeriod is the same for an instance for which others choose: it has to tell
+	// only what engines say that they keep, which comes late anyway.
+	reportPeriod = 100 * time.Millisecond
 	// hintPart is the part of the machine's link that hints may take, and
 	// maxHintBytes a bound in bytes a second where the link is fast: 30 instances
 	// of 10 requests a second need some 50 KB/s.
@@ -176,6 +179,7 @@
 func (n *Node) tellHints() {
 	n.hints.Run(n.stopping, gossip.HintOptions{
 		Period:         hintPeriod,
+		Pace:           n.hintPace,
 		BytesPerSecond: n.hintBytes(),
 		Collect:        n.hintsOfRequests,
 		Receivers:      func() int { return n.members.Load().HintReceivers() },
@@ -183,6 +187,15 @@
 	})
 }
 
+// hintPace is the time between two tellings as the instance's part in the choices asks
+// for it: each wakes it up.
+func (n *Node) hintPace() time.Duration {
+	if n.choosesItself() {
+		return hintPeriod
+	}
+	return reportPeriod
+}
+
 // tellAbroad lets other zones know where this instance placed parts of prompts.
 func (n *Node) tellAbroad() {
 	n.abroad.Run(n.stopping, gossip.HintOptions{
