An instance leaves it to the scheduler whether an endpoint loads weights

Cause: with endpoints' changes gathered, an instance and its scheduler hear of the end of a load at different moments.

Ruled out: the slower look for hints of instances that do not choose (it was left as it is here).

Change: adopting checks whether the endpoint is there and its weights are in time, not whether it loads.

Test: TestChoiceThatIsKnownToBeWrongIsNotAdopted, its new case.

--- a/dispatch/adopt.go
+++ b/dispatch/adopt.go
@@ -51,7 +51,9 @@
 	if row.Weights[r.Model] < chosen.Weights {
 		d.Serves(&Attempt{row: row}, r.Model, chosen.Weights)
 	}
-	if !d.usable(now, r, row) {
+	// Whether the endpoint loads weights at this moment is left to the chooser: the
+	// two hear of it at different moments.
+	if !row.takes(now) || !d.inTime(now, r.Model, chosen.Weights) {
 		return nil
 	}
 	a := &Attempt{
--- a/dispatch/adopt_test.go
+++ b/dispatch/adopt_test.go
@@ -46,6 +46,9 @@
 	older := chosen.Choice()
 	newer.Weights["m"] = older.Weights + 1
 	assert.Assert(t, sender.Adopt(0, ask(7), older) == nil, "its weights are newer")
+	newer.Weights["m"] = older.Weights
+	newer.Loading = true
+	assert.Assert(t, sender.Adopt(0, ask(7), older) != nil, "it heard late that loading has ended")
 	gone := chosen.Choice()
 	gone.Endpoint = "gone"
 	assert.Assert(t, sender.Adopt(0, ask(7), gone) == nil)
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -123,17 +123,24 @@
 
 // usable says whether the endpoint may get the request at all.
 func (d *Dispatcher) usable(now tables.Instant, r *Request, row *endpointRow) bool {
-	if row.Draining || row.unreachable || now < row.avoidUntil {
+	if !row.takes(now) {
 		return false
 	}
 	if r.Model == "" {
 		return true
 	}
 	version, serves := row.Weights[r.Model]
-	if !serves || row.Loading {
-		return false
-	}
-	since, outdated := d.weights.OutdatedSince(r.Model, version)
+	return serves && !row.Loading && d.inTime(now, r.Model, version)
+}
+
+// takes says whether the endpoint is there for new requests.
+func (r *endpointRow) takes(now tables.Instant) bool {
+	return !r.Draining && !r.unreachable && now >= r.avoidUntil
+}
+
+// inTime says whether requests may still begin on a version of a model.
+func (d *Dispatcher) inTime(now tables.Instant, model string, version uint64) bool {
+	since, outdated := d.weights.OutdatedSince(model, version)
 	limit := d.options.WeightsTimeout
 	return !outdated || limit == 0 || now-since < limit-staleMargin
 }
