--- a/systems/membership/hints.go
+++ b/systems/membership/hints.go
@@ -46,9 +46,9 @@
 }
 
 // WideGroup is how many living entry instances are told of hints wherever they
-// are. With more, only the schedulers of the own availability zone are: what is told
-// grows with the square of the group otherwise, and prefixes have their homes in
-// each zone.
+// are. With more, only those of the own availability zone are, or its schedulers: what
+// is told grows with the square of the group otherwise, and prefixes have their homes
+// in each zone.
 const WideGroup = 24
 
 // relayStart spreads which instance of another zone is told first.
@@ -95,14 +95,14 @@
 	return m.take()
 }
 
-// relays picks a scheduler of each zone that TellHints leaves out, another one each
+// relays picks an instance of each zone that TellHints leaves out, another one each
 // time.
 func (m *Membership) relays() []netip.AddrPort {
 	m.count()
 	m.relayed++
 	var picked []netip.AddrPort
-	for _, schedulers := range m.roster.abroad {
-		picked = append(picked, schedulers[m.relayed%len(schedulers)].Address)
+	for _, entries := range m.roster.abroad {
+		picked = append(picked, entries[m.relayed%len(entries)].Address)
 	}
 	return picked
 }
--- a/systems/membership/membership.go
+++ b/systems/membership/membership.go
@@ -159,6 +159,8 @@
 	// not those of living members.
 	Seeds []netip.AddrPort
 	Seed  uint64
+	// Schedule lets schedulers choose endpoints in groups beyond WideGroup.
+	Schedule bool
 }
 
 // Datagram is one to be sent.
@@ -196,6 +198,7 @@
 	seeds      []netip.AddrPort
 	random     *rand.Rand
 	roster     roster
+	schedule   bool
 	// version grows whenever a state changes or a member comes or goes.
 	version uint64
 
@@ -226,6 +229,7 @@
 		seeds:      options.Seeds,
 		random:     rand.New(rand.NewPCG(options.Seed, options.Self.Boot)),
 		roster:     newRoster(self),
+		schedule:   options.Schedule,
 		probes:     newProbes(),
 		relayed:    int(options.Seed % relayStart),
 	}
--- a/systems/membership/membership_test.go
+++ b/systems/membership/membership_test.go
@@ -179,9 +179,9 @@
 	}
 }
 
-// TestPlacementsReachOtherZones guards against a prompt that each zone reads once more
-// since those that choose there were not told of it. Beyond WideGroup instances only
-// schedulers choose, and one of each other zone passes the placement on, once.
+// A zone reads a prompt. Beyond WideGroup instances the others are not told one by
+// one; were they not told at all, each zone would read every prompt once more.
+// One instance of each other zone passes the placement on, once.
 func TestPlacementsReachOtherZones(t *testing.T) {
 	w := newZones(t, 3*WideGroup, 3)
 	w.until(2*time.Minute, "find each other", w.allAlive)
@@ -200,11 +200,9 @@
 	assert.Equal(t, relays, 2)
 	w.run(time.Second)
 	for i, node := range w.nodes {
-		want := 0
-		if i != 2 && node.schedules() {
-			want = 1
+		if i != 2 {
+			assert.Equal(t, len(node.placements), 1, "instance %d", i)
 		}
-		assert.Equal(t, len(node.placements), want, "instance %d", i)
 	}
 }
 
--- a/systems/membership/network_test.go
+++ b/systems/membership/network_test.go
@@ -28,6 +28,8 @@
 	lost    func(from, to int) bool
 	sent    int
 	packets int
+	// schedule is Options.Schedule of all instances.
+	schedule bool
 }
 
 type node struct {
@@ -52,8 +54,11 @@
 func newWorld(t testing.TB, n int) *world { return newZones(t, n, 1) }
 
 // newZones spreads the instances over zones in turn.
-func newZones(t testing.TB, n, zones int) *world {
-	w := &world{t: t, zones: zones, at: map[netip.AddrPort]*node{}, lost: func(int, int) bool { return false }}
+func newZones(t testing.TB, n, zones int) *world { return newGroup(t, n, zones, false) }
+
+// newGroup says too whether schedulers choose in a large group.
+func newGroup(t testing.TB, n, zones int, schedule bool) *world {
+	w := &world{t: t, zones: zones, schedule: schedule, at: map[netip.AddrPort]*node{}, lost: func(int, int) bool { return false }}
 	for i := range n {
 		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 8082)
 		node := &node{index: i, address: address}
@@ -70,6 +75,7 @@
 	node := w.nodes[i]
 	node.down = false
 	node.Membership = New(Options{
+		Schedule: w.schedule,
 		Self: Row{
 			Instance: tables.InstanceID(fmt.Sprintf("accra-a-%03d", i)),
 			Zone:     tables.Zone("accra-" + string(rune('a'+i%w.zones))),
--- a/systems/membership/roster.go
+++ b/systems/membership/roster.go
@@ -20,10 +20,11 @@
 	// living counts members that are not dead or left, entries those of them with the
 	// entry role.
 	living, entries int
-	// schedulers are those of the own zone, and abroad those of each other zone; none
-	// where each entry instance chooses for itself.
+	// schedulers are those of the own zone; none where each entry instance chooses for
+	// itself.
 	schedulers []Scheduler
-	abroad     [][]*member
+	// abroad are the entry instances of each other zone, one of which passes hints on.
+	abroad [][]*member
 	// told are the addresses that hints go to.
 	told []netip.AddrPort
 }
--- a/systems/membership/schedulers.go
+++ b/systems/membership/schedulers.go
@@ -13,9 +13,9 @@
 )
 
 // In a group with more than WideGroup entry instances a few of each availability
-// zone, its schedulers, choose endpoints for all of them. Only they hear of hints.
-// What an instance is told then does not grow with the group, and those that choose
-// know of each other's choices within milliseconds.
+// zone, its schedulers, choose endpoints for all of them, where Options say so. Only
+// they hear of hints. What an instance is told then does not grow with the group, and
+// those that choose know of each other's choices within milliseconds.
 
 const (
 	// entriesPerScheduler is how many entry instances of a zone share a scheduler.
@@ -76,9 +76,10 @@
 		r.entries += len(entries)
 	}
 	wide := r.entries > WideGroup
+	schedule := wide && m.schedule
 	for zone, entries := range zones {
 		near := zone == m.self.Zone
-		if wide {
+		if schedule {
 			entries = schedulersOf(entries)
 		}
 		if wide && !near {
@@ -86,7 +87,7 @@
 			continue
 		}
 		for _, row := range entries {
-			if wide {
+			if schedule {
 				r.schedulers = append(r.schedulers, Scheduler{Instance: row.Instance, Address: row.Address, Control: row.Control})
 			}
 			if row != m.self {
--- a/systems/membership/schedulers_test.go
+++ b/systems/membership/schedulers_test.go
@@ -22,7 +22,7 @@
 // TestInstancesOfAZoneAgreeOnTheirSchedulers guards against choices that are spread
 // over instances which do not know of each other's.
 func TestInstancesOfAZoneAgreeOnTheirSchedulers(t *testing.T) {
-	w := newZones(t, 4*WideGroup, 3)
+	w := newGroup(t, 4*WideGroup, 3, true)
 	w.until(2*time.Minute, "find each other", w.allAlive)
 	byZone := map[tables.Zone][]Scheduler{}
 	for _, node := range w.nodes {
@@ -40,7 +40,7 @@
 // TestASmallGroupHasNoSchedulers guards against a detour where each instance hears of
 // all others' choices anyway.
 func TestASmallGroupHasNoSchedulers(t *testing.T) {
-	w := newZones(t, WideGroup, 3)
+	w := newGroup(t, WideGroup, 3, true)
 	w.until(2*time.Minute, "find each other", w.allAlive)
 	for _, node := range w.nodes {
 		assert.Equal(t, len(node.Schedulers()), 0)
@@ -51,7 +51,7 @@
 // TestADeadSchedulerIsReplaced guards against a zone that goes on asking an instance
 // that is gone.
 func TestADeadSchedulerIsReplaced(t *testing.T) {
-	w := newZones(t, 4*WideGroup, 3)
+	w := newGroup(t, 4*WideGroup, 3, true)
 	w.until(2*time.Minute, "find each other", w.allAlive)
 	gone := w.nodes[0].Schedulers()[0].Instance
 	for i, node := range w.nodes {
@@ -67,6 +67,35 @@
 	}
 }
 
+// TestSchedulersOfOtherZonesHearOfPlacements guards against a prompt that each zone reads
+// once more since those that choose there were not told of it, and against instances
+// that are told though they do not choose.
+func TestSchedulersOfOtherZonesHearOfPlacements(t *testing.T) {
+	w := newGroup(t, 3*WideGroup, 3, true)
+	w.until(2*time.Minute, "find each other", w.allAlive)
+	placements := []Placement{{Endpoint: "e1", Block: 7}}
+	w.send(w.nodes[2], w.nodes[2].TellHints(w.now, Hints{Placements: placements}))
+	w.send(w.nodes[2], w.nodes[2].TellAbroad(w.now, placements))
+	w.run(time.Second)
+	relays := 0
+	for _, node := range w.nodes {
+		if node.relay {
+			relays++
+			assert.Assert(t, node.schedules())
+			w.send(node, node.TellHints(w.now, Hints{Placements: node.placements}))
+		}
+	}
+	assert.Equal(t, relays, 2)
+	w.run(time.Second)
+	for i, node := range w.nodes {
+		want := 0
+		if i != 2 && node.schedules() {
+			want = 1
+		}
+		assert.Equal(t, len(node.placements), want, "instance %d", i)
+	}
+}
+
 // TestLargerInstancesSchedule guards against schedulers on the smallest machines, where
 // all wait for their choices.
 func TestLargerInstancesSchedule(t *testing.T) {
