Schedulers of all zones hear of loads, and readers tell new schedulers what is kept

Prompts have their homes in all zones, and a zone's schedulers knew nothing of what those of four other zones had sent to the same engines. After a restart of all instances caches were read before it was known who chooses, and the lists went to instances that do not.

Ruled out: the budget of hints (38 of 156 KB/s used by a scheduler), and asking others for what is kept, which finds nothing where all have restarted.

Change: schedulers tell those of other zones their loads every 100 ms, within half of the budget of hints. A reader remembers what its endpoints keep (at most 1,024 parts each are told), and tells all of it to each instance that begins to choose, in all zones.

--- a/control/gossip/gossip.go
+++ b/control/gossip/gossip.go
@@ -157,6 +157,20 @@
 	})
 }
 
+// TellLoadsAbroad lets the schedulers of other zones know of loads.
+func (g *Gossip) TellLoadsAbroad(loads []membership.Load) {
+	g.run(func(m *membership.Membership, now tables.Instant) membership.Output {
+		return m.TellLoadsAbroad(now, loads)
+	})
+}
+
+// SchedulersAbroad counts the schedulers of other zones.
+func (g *Gossip) SchedulersAbroad() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.membership.SchedulersAbroad()
+}
+
 // Schedulers lists the schedulers of the own zone, the best first.
 func (g *Gossip) Schedulers() []membership.Scheduler {
 	g.mu.Lock()
@@ -164,6 +178,13 @@
 	return g.membership.Schedulers()
 }
 
+// AllSchedulers lists the schedulers of all zones.
+func (g *Gossip) AllSchedulers() []membership.Scheduler {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.membership.AllSchedulers()
+}
+
 // SendSchedule sends a message between an entry instance and a scheduler.
 func (g *Gossip) SendSchedule(to netip.AddrPort, message *rpc.ScheduleMessage) {
 	g.mu.Lock()
--- a/node/caches.go
+++ b/node/caches.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -55,6 +57,11 @@
 type caches struct {
 	node    *Node
 	readers *feed.Group
+
+	mu   sync.Mutex
+	kept kept
+	// told are the instances that know of kept, where schedulers choose.
+	told map[netip.AddrPort]bool
 }
 
 // startCaches begins to read what engines keep.
@@ -106,12 +113,43 @@
 		}
 	}
 	c.readers.Configure(&mine)
+	c.mu.Lock()
+	c.kept.only(func(id tables.EndpointID) bool {
+		return slices.ContainsFunc(mine.Endpoints, func(e tables.Endpoint) bool { return e.ID == id })
+	})
+	c.mu.Unlock()
+	c.tellNew()
+}
+
+// tellNew tells what endpoints keep to instances that choose now and did not before.
+func (c *caches) tellNew() {
+	if len(c.node.schedulers()) == 0 {
+		return
+	}
+	peers := c.node.cachePeers()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	told := map[netip.AddrPort]bool{}
+	var holdings []dispatch.Holding
+	for _, at := range peers {
+		told[at] = true
+		if !c.told[at] {
+			if holdings == nil {
+				holdings = c.kept.holdings()
+			}
+			c.tell(at, holdings)
+		}
+	}
+	c.told = told
 }
 
 // take takes an endpoint's news. What is told first of a life is everything it
 // keeps, and goes to the others at once.
 func (c *caches) take(b feed.Batch) {
 	kept, dropped := netOf(b)
+	c.mu.Lock()
+	c.kept.take(b.Endpoint, kept, dropped, b.First)
+	c.mu.Unlock()
 	if !b.First && !c.node.choosesItself() {
 		c.report(b.Endpoint, kept, dropped)
 		return
@@ -122,8 +160,12 @@
 	}
 	events.CacheRead.Log(c.node.log, zap.String("endpoint", string(b.Endpoint)), zap.String("boot", string(b.Boot)),
 		zap.Int("changes", len(b.Changes)), zap.Int("kept", len(kept)))
-	if len(kept) > 0 {
-		c.share(b.Endpoint, kept[max(0, len(kept)-maxHoldings):])
+	if len(kept) == 0 {
+		return
+	}
+	held := []dispatch.Holding{{Endpoint: b.Endpoint, Keys: kept[max(0, len(kept)-maxHoldings):]}}
+	for _, at := range c.node.cachePeers() {
+		c.tell(at, held)
 	}
 }
 
@@ -168,19 +210,26 @@
 	return kept, dropped
 }
 
-// share tells the others what an endpoint keeps.
-func (c *caches) share(id tables.EndpointID, kept []parts.Key) {
-	told := &rpc.Holdings{Holdings: []*rpc.Holding{encodeHolding(dispatch.Holding{Endpoint: id, Keys: kept})}}
-	for _, at := range c.node.cachePeers() {
-		c.node.background.Go(func() {
-			ctx, cancel := context.WithTimeout(c.node.stopping, holdingsTimeout)
-			defer cancel()
-			_, err := c.client(at).Hold(ctx, told)
-			if err != nil {
-				events.CacheNotShared.Log(c.node.log, zap.String("endpoint", string(id)), zap.Stringer("with", at), zap.Error(err))
-			}
-		})
+// tell tells another instance what endpoints keep. It does not wait for it. One that
+// could not be told hears of everything at the next look.
+func (c *caches) tell(at netip.AddrPort, holdings []dispatch.Holding) {
+	if len(holdings) == 0 {
+		return
 	}
+	told := &rpc.Holdings{}
+	for _, one := range holdings {
+		told.Holdings = append(told.Holdings, encodeHolding(one))
+	}
+	c.node.background.Go(func() {
+		ctx, cancel := context.WithTimeout(c.node.stopping, holdingsTimeout)
+		defer cancel()
+		if _, err := c.client(at).Hold(ctx, told); err != nil {
+			events.CacheNotShared.Log(c.node.log, zap.Stringer("with", at), zap.Int("endpoints", len(holdings)), zap.Error(err))
+			c.mu.Lock()
+			delete(c.told, at)
+			c.mu.Unlock()
+		}
+	})
 }
 
 // ask learns from another instance where parts are. It asks several times: right
--- a/node/entry.go
+++ b/node/entry.go
@@ -124,6 +124,10 @@
 	// what of the budget they may take: bytes between zones are dear.
 	abroadPeriod = 250 * time.Millisecond
 	abroadPart   = 0.2
+	// loadsAbroadPeriod and loadsAbroadPart are the same for loads, which schedulers of
+	// other zones hear of.
+	loadsAbroadPeriod = 100 * time.Millisecond
+	loadsAbroadPart   = 0.5
 )
 
 // hintBytes is what this instance may send of hints in a second.
@@ -146,6 +150,9 @@
 		})
 	}
 	n.abroad.Add(membership.Hints{Placements: hints.Placements})
+	if len(hints.Loads) > 0 && len(n.schedulers()) > 0 {
+		n.loadsAbroad.Add(membership.Hints{Loads: hints.Loads})
+	}
 	return hints
 }
 
@@ -205,3 +212,23 @@
 		Tell:           func(news membership.Hints) { n.members.Load().TellAbroad(news.Placements) },
 	})
 }
+
+// loadsAbroadPace lets an instance that does not choose sleep.
+func (n *Node) loadsAbroadPace() time.Duration {
+	if n.choosesItself() {
+		return loadsAbroadPeriod
+	}
+	return time.Second
+}
+
+// tellLoadsAbroad lets the schedulers of other zones know what this instance has at
+// endpoints.
+func (n *Node) tellLoadsAbroad() {
+	n.loadsAbroad.Run(n.stopping, gossip.HintOptions{
+		Period:         loadsAbroadPeriod,
+		Pace:           n.loadsAbroadPace,
+		BytesPerSecond: int(loadsAbroadPart * float64(n.hintBytes())),
+		Receivers:      func() int { return n.members.Load().SchedulersAbroad() },
+		Tell:           func(news membership.Hints) { n.members.Load().TellLoadsAbroad(news.Loads) },
+	})
+}
--- a/node/members.go
+++ b/node/members.go
@@ -59,6 +59,7 @@
 	if n.entry != nil {
 		n.background.Go(n.tellHints)
 		n.background.Go(n.tellAbroad)
+		n.background.Go(n.tellLoadsAbroad)
 	}
 	return nil
 }
@@ -179,9 +180,13 @@
 }
 
 // cachePeers lists where the entry instances answer that are told what endpoints
-// keep: those that choose.
+// keep: those that choose, in all zones.
 func (n *Node) cachePeers() []netip.AddrPort {
-	schedulers := n.schedulers()
+	joined := n.members.Load()
+	if joined == nil {
+		return nil
+	}
+	schedulers := joined.AllSchedulers()
 	if len(schedulers) == 0 {
 		return n.entryPeers()
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -97,6 +97,8 @@
 	hints gossip.Hints
 	// abroad waits to be told to other zones.
 	abroad gossip.Hints
+	// loadsAbroad waits to be told to the schedulers of other zones.
+	loadsAbroad gossip.Hints
 
 	// The entry role; nil without it.
 	entry  *forward.Server
--- a/systems/membership/hints.go
+++ b/systems/membership/hints.go
@@ -95,6 +95,40 @@
 	return m.take()
 }
 
+// TellLoadsAbroad tells the schedulers of other zones what this instance has at
+// endpoints. They too choose endpoints of this zone, and of any third.
+func (m *Membership) TellLoadsAbroad(now tables.Instant, loads []Load) Output {
+	m.now = now
+	receivers := m.schedulersAbroad()
+	for len(receivers) > 0 && len(loads) > 0 {
+		d := m.hints()
+		room := m.config.DatagramBytes - proto.Size(d)
+		added := addLoads(d, loads, &room)
+		if added == 0 || !m.sendHints(d, receivers) {
+			break
+		}
+		loads = loads[added:]
+	}
+	return m.take()
+}
+
+// SchedulersAbroad counts the schedulers of other zones.
+func (m *Membership) SchedulersAbroad() int { return len(m.schedulersAbroad()) }
+
+func (m *Membership) schedulersAbroad() []netip.AddrPort {
+	m.count()
+	if !m.schedule {
+		return nil
+	}
+	var all []netip.AddrPort
+	for _, schedulers := range m.roster.abroad {
+		for _, row := range schedulers {
+			all = append(all, row.Address)
+		}
+	}
+	return all
+}
+
 // relays picks an instance of each zone that TellHints leaves out, another one each
 // time.
 func (m *Membership) relays() []netip.AddrPort {
--- a/systems/membership/schedulers.go
+++ b/systems/membership/schedulers.go
@@ -56,6 +56,26 @@
 	return m.roster.schedulers
 }
 
+// AllSchedulers lists those of all zones; none where each entry instance chooses for
+// itself.
+func (m *Membership) AllSchedulers() []Scheduler {
+	m.count()
+	all := slices.Clone(m.roster.schedulers)
+	if len(all) == 0 {
+		return nil
+	}
+	for _, schedulers := range m.roster.abroad {
+		for _, row := range schedulers {
+			all = append(all, schedulerOf(row))
+		}
+	}
+	return all
+}
+
+func schedulerOf(row *member) Scheduler {
+	return Scheduler{Instance: row.Instance, Address: row.Address, Control: row.Control}
+}
+
 // zones lists the living entry instances of each zone.
 func (m *Membership) zones() map[tables.Zone][]*member {
 	zones := map[tables.Zone][]*member{}
@@ -88,7 +108,7 @@
 		}
 		for _, row := range entries {
 			if schedule {
-				r.schedulers = append(r.schedulers, Scheduler{Instance: row.Instance, Address: row.Address, Control: row.Control})
+				r.schedulers = append(r.schedulers, schedulerOf(row))
 			}
 			if row != m.self {
 				r.told = append(r.told, row.Address)
