--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -65,11 +65,10 @@
 	Tokens int
 }
 
-// Counted says whether the request counts as demand for its parts already, and
-// SetCounted that it does, by another instance's word.
+// Counted says whether the request counts as demand for its parts already.
 func (r *Request) Counted() bool { return r.counted }
 
-// SetCounted see Counted.
+// SetCounted notes so, by another instance's word.
 func (r *Request) SetCounted() { r.counted = true }
 
 // sharedTokens is the length of all shared parts.
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -62,7 +62,7 @@
 	}
 	t.assignment, j.assignment = j.assignment, nil
 	t.ctx, t.cancel = context.WithCancel(j.ctx)
-	s.metrics.placed(j, chosen.Known.Rule)
+	s.metrics.placed(j, chosen.Known.Rule, t.assignment != nil)
 	s.mu.Lock()
 	life := quarantine.Life{Endpoint: chosen.Endpoint.ID}
 	s.suspects.Started(t.arrived, t.id, life, j.fingerprint)
--- a/forward/measure.go
+++ b/forward/measure.go
@@ -42,17 +42,21 @@
 	}
 }
 
-// placed takes the time until a request was first placed, and by which rule an
-// endpoint was chosen.
-func (m *measurements) placed(j *job, rule dispatch.Rule) {
+// placed takes the time until a request was first placed, and by whom and by which
+// rule an endpoint was chosen.
+func (m *measurements) placed(j *job, rule dispatch.Rule, scheduled bool) {
 	if m == nil {
 		return
 	}
 	if j.sends == 0 {
 		m.requests.ObserveQueueWait(j.organisation(), j.class(), j.now()-j.arrived)
 	}
-	m.registry.Counter("carawaystile_placements_total", "Attempts, by the rule that chose the endpoint.",
-		metrics.Label{Name: "rule", Value: string(rule)}).Inc(1)
+	by := "instance"
+	if scheduled {
+		by = "scheduler"
+	}
+	m.registry.Counter("carawaystile_placements_total", "Attempts, by the rule that chose the endpoint, and whether a scheduler or this instance did.",
+		metrics.Label{Name: "rule", Value: string(rule)}, metrics.Label{Name: "by", Value: by}).Inc(1)
 }
 
 // attempted takes the end of an attempt.
--- a/node/entry.go
+++ b/node/entry.go
@@ -139,6 +139,7 @@
 // hintsOfRequests is what has changed since the last call of where this
 // instance placed parts of prompts and of what it has at endpoints.
 func (n *Node) hintsOfRequests() membership.Hints {
+	n.schedules.Sweep()
 	placements, loads := n.entry.News()
 	var hints membership.Hints
 	for _, p := range placements {
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -219,6 +219,8 @@
 	}
 	assert.Equal(t, z.client.Ask(t.Context(), generation(p, 9)).Reason, dispatch.Full)
 	p.now += 5*time.Second + endMargin
+	z.servers[address(1)].Sweep()
+	assert.Equal(t, p.running(), 0, "also if nobody asks any more")
 	assert.Equal(t, z.client.Ask(t.Context(), generation(p, 9)).Reason, dispatch.Reason(""))
 	assert.Equal(t, p.running(), 1)
 }
--- a/schedule/server.go
+++ b/schedule/server.go
@@ -59,7 +59,6 @@
 	key, now := attemptKey{instance: by, number: number}, s.now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.sweep(now)
 	if known, repeated := s.open[key]; repeated {
 		return encodeChoice(known.attempt.Choice())
 	}
@@ -94,9 +93,13 @@
 	}
 }
 
-// sweep ends attempts of which nothing was heard in time: the word was lost, or its
-// instance is gone.
-func (s *Server) sweep(now tables.Instant) {
+// Sweep ends attempts of which nothing was heard in time: the word was lost, or its
+// instance is gone. It is called all the while, also by an instance that nobody asks any
+// more: what it goes on counting would keep others away from endpoints that are free.
+func (s *Server) Sweep() {
+	now := s.now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if now-s.sweptAt < sweepEvery {
 		return
 	}
