--- a/control/deployment/service.go
+++ b/control/deployment/service.go
@@ -167,28 +167,44 @@
 	timer := time.NewTimer(min(max(0, time.Duration(request.GetWaitNanos())), maxWait))
 	defer timer.Stop()
 	asked := s.now()
+	answer, waited := s.awaitNews(ctx, timer.C, func() news { return s.news(request) })
+	answer.WaitedNanos = int64(s.now() - asked)
+	if waited {
+		// It has waited in vain, and is brought up to date.
+		answer.LagNanos = int64(s.replica.Status().Lag)
+	}
+	return answer, nil
+}
+
+// news is what a follower does not have.
+type news struct {
+	answer *rpc.FollowAnswer
+	// changed is closed when documents may have changed, listed when endpoints have.
+	changed, listed <-chan struct{}
+}
+
+// awaitNews waits until there is something new, and says whether it has waited in vain.
+func (s *Service) awaitNews(ctx context.Context, enough <-chan time.Time, look func() news) (answer *rpc.FollowAnswer, inVain bool) {
 	for gathered := false; ; {
-		changed := s.replica.Changed()
-		answer, listed := s.news(request)
-		answer.WaitedNanos = int64(s.now() - asked)
-		if len(answer.GetDocuments()) > 0 || answer.GetBehind() || answer.GetFleet().GetFull() {
-			return answer, nil
+		n := look()
+		if len(n.answer.GetDocuments()) > 0 || n.answer.GetBehind() || n.answer.GetFleet().GetFull() {
+			return n.answer, false
 		}
-		if answer.GetFleet() != nil {
+		if n.answer.GetFleet() != nil {
 			if gathered {
-				return answer, nil
+				return n.answer, false
 			}
 			gathered = true
-			s.gather(ctx, changed)
+			s.gather(ctx, n.changed)
 			continue
 		}
 		select {
-		case <-changed:
-		case <-listed:
-		case <-timer.C:
-			return s.nothingNew(answer, asked), nil
+		case <-n.changed:
+		case <-n.listed:
+		case <-enough:
+			return n.answer, true
 		case <-ctx.Done():
-			return answer, nil
+			return n.answer, false
 		}
 	}
 }
@@ -202,16 +218,9 @@
 	}
 }
 
-// nothingNew brings an answer that has waited in vain up to date.
-func (s *Service) nothingNew(answer *rpc.FollowAnswer, asked tables.Instant) *rpc.FollowAnswer {
-	answer.WaitedNanos = int64(s.now() - asked)
-	answer.LagNanos = int64(s.replica.Status().Lag)
-	return answer
-}
-
-// news is what the caller does not have, and a channel that is closed when the
-// endpoints change.
-func (s *Service) news(request *rpc.FollowRequest) (*rpc.FollowAnswer, <-chan struct{}) {
+// news looks up what the caller does not have.
+func (s *Service) news(request *rpc.FollowRequest) news {
+	changed := s.replica.Changed()
 	told, listed := s.fleet.Since(request.GetFleetSource(), request.GetFleetVersion())
 	status := s.replica.Status()
 	answer := &rpc.FollowAnswer{
@@ -238,5 +247,5 @@
 	for _, document := range newer {
 		s.packer.add(answer, document)
 	}
-	return answer, listed
+	return news{answer: answer, changed: changed, listed: listed}
 }
