Few endpoints' changes go at once, and only schedulers look for loads to tell abroad

Change: below 50 endpoints nothing is gathered. Instances without schedulers look once a second, not ten times, whether there are loads to tell other zones.

--- a/control/deployment/service.go
+++ b/control/deployment/service.go
@@ -31,6 +31,9 @@
 	// would cost every follower a question and an answer.
 	gatherPerEndpoint = 100 * time.Microsecond
 	maxGather         = 100 * time.Millisecond
+	// gatherFrom is the number of endpoints below which nothing is gathered: their
+	// changes are few, and each is worth knowing at once.
+	gatherFrom = 50
 )
 
 // WeightsName is the document whose number is the version that a model should
@@ -191,7 +194,7 @@
 			return n.answer, false
 		}
 		if n.answer.GetFleet() != nil {
-			if gathered {
+			if gathered || s.fleet.Len() < gatherFrom {
 				return n.answer, false
 			}
 			gathered = true
--- a/node/entry.go
+++ b/node/entry.go
@@ -214,9 +214,9 @@
 	})
 }
 
-// loadsAbroadPace lets an instance that does not choose sleep.
+// loadsAbroadPace lets an instance sleep that is no scheduler.
 func (n *Node) loadsAbroadPace() time.Duration {
-	if n.choosesItself() {
+	if len(n.schedulers()) > 0 && n.choosesItself() {
 		return loadsAbroadPeriod
 	}
 	return time.Second
