A failing answer waits until the other instances know of the crash

Cause: a request that crashes endpoints was answered at once with its failure, and the report to the other instances went out afterwards. Its caller sends it again at once; an instance that the report had not reached yet ran it at two further endpoints.

Change: the channel that sharing a report returns closes when all living instances have taken it, or after 2.5 s. The failure of a request that crashed an endpoint is given to its caller after that.

--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -17,8 +18,10 @@
 )
 
 const (
-	// suspectTimeout bounds telling one instance of a crash.
+	// suspectTimeout bounds one call that notifies an instance of a crash, and
+	// notifyTimeout all calls to it: the failing answer of the request waits so long.
 	suspectTimeout = 2 * time.Second
+	notifyTimeout  = 2500 * time.Millisecond
 	// suspectQueue bounds crashes that wait to be told.
 	suspectQueue = 64
 )
@@ -31,44 +34,64 @@
 // are few, so that this costs little also with hundreds of instances.
 type peers struct {
 	client  *http.Client
-	reports chan *rpc.SuspectReport
+	reports chan suspectReport
 	// members returns the living instances to tell.
 	members func() []membership.Member
 	log     *zap.Logger
 }
 
+// suspectReport is a report that waits to be sent; notified is closed after it was.
+type suspectReport struct {
+	report   *rpc.SuspectReport
+	notified chan struct{}
+}
+
 func newPeers(ring *keys.Ring, base http.RoundTripper, members func() []membership.Member, log *zap.Logger) *peers {
 	return &peers{
 		client:  &http.Client{Transport: &keys.Transport{Ring: ring, Base: base}, Timeout: suspectTimeout},
-		reports: make(chan *rpc.SuspectReport, suspectQueue),
+		reports: make(chan suspectReport, suspectQueue),
 		members: members,
 		log:     log,
 	}
 }
 
-// share queues a report. It does not block: when crashes come faster than they
-// can be told, the newest are left out, which costs a further endpoint at most.
-func (p *peers) share(suspects []quarantine.Suspect) {
+// share queues a report, and returns a channel that is closed once the living instances
+// were notified, or notifyTimeout has passed. It does not block: when crashes come faster
+// than reports go out, the newest are left out, which costs a further endpoint at most.
+func (p *peers) share(suspects []quarantine.Suspect) <-chan struct{} {
+	queued := suspectReport{report: suspectpeers.Report(suspects), notified: make(chan struct{})}
 	select {
-	case p.reports <- suspectpeers.Report(suspects):
+	case p.reports <- queued:
 	default:
+		close(queued.notified)
 	}
+	return queued.notified
 }
 
-// run tells reports until the context ends.
+// run sends reports until the context ends.
 func (p *peers) run(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case report := <-p.reports:
-			for _, m := range p.members() {
-				go p.tell(ctx, m.Control, report)
-			}
+		case queued := <-p.reports:
+			go p.notifyAll(ctx, queued)
 		}
 	}
 }
 
+// notifyAll sends a report to all living instances.
+func (p *peers) notifyAll(ctx context.Context, queued suspectReport) {
+	defer close(queued.notified)
+	bounded, cancel := context.WithTimeout(ctx, notifyTimeout)
+	defer cancel()
+	var sent sync.WaitGroup
+	for _, m := range p.members() {
+		sent.Go(func() { p.tell(bounded, m.Control, queued.report) })
+	}
+	sent.Wait()
+}
+
 func (p *peers) tell(ctx context.Context, at netip.AddrPort, report *rpc.SuspectReport) {
 	err := suspectpeers.Tell(ctx, rpc.NewPeerProtobufClient("http://"+at.String(), p.client), report)
 	if err != nil {
--- /dev/null
+++ b/entry/crash_notice_test.go
@@ -0,0 +1,52 @@
+package entry
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/entry/outcome"
+	"github.com/carawaystile/carawaystile/router"
+	"github.com/carawaystile/carawaystile/systems/quarantine"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// failAfter has an attempt of one request end, a crash reported, and the request fail. It
+// returns where the failure arrives.
+func failAfter(end router.AttemptEnd, notified <-chan struct{}) chan *outcome.Failure {
+	const id, attemptID = tables.RequestID("r1"), tables.AttemptID("a1")
+	s := &Server{share: func([]quarantine.Suspect) <-chan struct{} { return notified }}
+	decider := &scripted{}
+	f := &flight{
+		server: s, row: tables.Request{ID: id}, failed: make(chan *outcome.Failure, 1),
+		state: outcome.New(id).Dispatch(attemptID),
+	}
+	a := &attempt{flight: f, dispatch: router.Dispatch{Request: id, Attempt: attemptID}}
+	f.attempts = []*attempt{a}
+	l := &loop{
+		server: s, router: decider,
+		flights: map[tables.RequestID]*flight{id: f},
+		running: map[tables.AttemptID]*attempt{attemptID: a},
+	}
+	decider.then(router.Suspected{Suspects: []quarantine.Suspect{{Fingerprint: 1}}})
+	decider.then(router.Fail{Request: id, Code: tables.CodeEndpointFailed})
+	l.end(0, ended{attempt: a, how: router.AttemptEnded{Attempt: attemptID, End: end}})
+	l.tick(0)
+	return f.failed
+}
+
+// Guards against a request that crashes endpoints being sent again by its caller to an
+// instance that was not notified of the crash yet.
+func TestAFailingAnswerWaitsUntilOthersAreNotifiedOfTheCrash(t *testing.T) {
+	notified := make(chan struct{})
+	failed := failAfter(router.Crashed, notified)
+	assert.Equal(t, len(failed), 0, "answered before the other instances were notified")
+	close(notified)
+	assert.Equal(t, (<-failed).Code, tables.CodeEndpointFailed)
+}
+
+// Guards against requests that crashed nothing waiting for reports of other crashes.
+func TestOtherFailingAnswersDoNotWaitForReports(t *testing.T) {
+	failed := failAfter(router.Broken, make(chan struct{}))
+	assert.Equal(t, len(failed), 1)
+}
--- a/entry/flight.go
+++ b/entry/flight.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -38,6 +39,8 @@
 	attempts []*attempt
 	queued   bool
 	ended    bool
+	// crashed is set once an attempt has ended with a crash of its endpoint.
+	crashed bool
 
 	// claim is set for work that must run at most once.
 	claim *claim
@@ -96,15 +99,25 @@
 	f.mu.Unlock()
 }
 
-// fail hands the final failure to the goroutine that serves the caller. Only
-// the loop calls it.
-func (f *flight) fail(failure *outcome.Failure) {
+// fail hands the final failure to the goroutine that serves the caller, once all of
+// the channels are closed. Only the loop calls it.
+func (f *flight) fail(failure *outcome.Failure, after ...<-chan struct{}) {
 	if f.ended {
 		return
 	}
 	f.ended = true
 	failure.Request = f.row.ID
-	f.failed <- failure
+	if len(after) == 0 {
+		f.failed <- failure
+	} else {
+		waits := slices.Clone(after)
+		go func() {
+			for _, closed := range waits {
+				<-closed
+			}
+			f.failed <- failure
+		}()
+	}
 	for _, a := range f.attempts {
 		a.cancel(nil)
 	}
--- a/entry/loop.go
+++ b/entry/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -9,6 +10,7 @@
 	"github.com/carawaystile/carawaystile/entry/outcome"
 	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/router"
+	"github.com/carawaystile/carawaystile/systems/quarantine"
 	"github.com/carawaystile/carawaystile/tables"
 )
 
@@ -57,8 +59,17 @@
 	running map[tables.AttemptID]*attempt
 	passOn  func([]router.PeerPlacement)
 	news    []router.PeerPlacement
+	// notifying are the crash reports on their way to other instances.
+	notifying []<-chan struct{}
 }
 
+// closedChannel stands for a report that nobody waits for.
+var closedChannel = func() <-chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
+
 // tell hands a message to the loop; it is lost only when the server is closed.
 func (s *Server) tell(m message) {
 	select {
@@ -152,6 +163,7 @@
 			f.state = d.NotStarted(*m.proof)
 		}
 	}
+	f.crashed = f.crashed || m.how.End == router.Crashed
 	l.router.Observe(now, m.how)
 	if m.final != nil && !f.ended {
 		l.router.Cancel(now, f.row.ID)
@@ -172,12 +184,30 @@
 		case router.Abort:
 			l.abort(a)
 		case router.Suspected:
-			l.server.share(a.Suspects)
+			l.share(a.Suspects)
 		}
 	}
 	l.passNews()
 }
 
+// share notifies the other instances of a crash, and remembers that it is under way.
+func (l *loop) share(suspects []quarantine.Suspect) {
+	l.notifying = append(l.pending(), l.server.share(suspects))
+}
+
+// pending lists the reports that are still on their way.
+func (l *loop) pending() []<-chan struct{} {
+	l.notifying = slices.DeleteFunc(l.notifying, func(c <-chan struct{}) bool {
+		select {
+		case <-c:
+			return true
+		default:
+			return false
+		}
+	})
+	return l.notifying
+}
+
 // newsSource is a Decider that has placements to pass on; *router.Router is one.
 type newsSource interface {
 	News(dst []router.PeerPlacement, limit int) []router.PeerPlacement
@@ -245,8 +275,19 @@
 	case *outcome.Undispatched:
 		f.fail(state.Refuse(tables.Refusal{Code: a.Code, RetryAfter: a.RetryAfter}))
 	case *outcome.Dispatched:
-		f.fail(state.Fail(a.Code, possible, a.RetryAfter))
+		l.failDispatched(f, state.Fail(a.Code, possible, a.RetryAfter))
+	}
+}
+
+// failDispatched ends a request that may have run. One that has crashed an endpoint is
+// answered only after the other instances were notified: its caller sends it again at
+// once, and an instance that knows nothing of the crash would run it at further endpoints.
+func (l *loop) failDispatched(f *flight, failure *outcome.Failure) {
+	if f.crashed {
+		f.fail(failure, l.pending()...)
+		return
 	}
+	f.fail(failure)
 }
 
 func (l *loop) abort(a router.Abort) {
--- a/entry/options.go
+++ b/entry/options.go
@@ -141,9 +141,10 @@
 	Claimer Claimer
 	Metrics Metrics
 	Log     *zap.Logger
-	// Share tells the other instances what the router suspects; nil means that
-	// there are none. It must not block.
-	Share func([]quarantine.Suspect)
+	// Share notifies the other instances of what the router suspects; nil means
+	// that there are none. It must not block. The channel that it returns is closed
+	// once they are notified, or after a bounded time.
+	Share func([]quarantine.Suspect) (notified <-chan struct{})
 	// PassOn tells the other instances where prefixes were placed; nil means
 	// that there are none. The slice is reused. It must not block.
 	PassOn func([]router.PeerPlacement)
--- a/entry/server.go
+++ b/entry/server.go
@@ -30,7 +30,7 @@
 	metrics  Metrics
 	log      *zap.Logger
 	now      func() tables.Instant
-	share    func([]quarantine.Suspect)
+	share    func([]quarantine.Suspect) (notified <-chan struct{})
 	limits   Limits
 	handler  http.Handler
 
@@ -72,7 +72,7 @@
 		s.log = zap.NewNop()
 	}
 	if s.share == nil {
-		s.share = func([]quarantine.Suspect) {}
+		s.share = func([]quarantine.Suspect) <-chan struct{} { return closedChannel }
 	}
 	if s.now == nil {
 		origin := time.Now()
