Before the first document an instance stays with one source

Cause: a client without documents asked the next source at every step. A source that has no documents either answers a client that it does not know at once, with all endpoints, so nothing ever waited: 1,463 changes of source in 1.3 s were seen in the log of eleven instances.

Ruled out: a source that is behind, or fails; both have their pause.

Change: once a source has answered that it serves, it is followed also while it has no documents, and holds the call.

Figures: the new test asks two empty sources ten times; before, each got five calls, now one gets all ten, of which all but the first wait for news.

Conclusion: a fleet whose operator has not sent a configuration no longer keeps the control instances busy.

--- a/control/deployment/choice.go
+++ b/control/deployment/choice.go
@@ -85,9 +85,10 @@
 	if len(sources) == 0 {
 		return Source{}, false
 	}
-	if len(c.have) == 0 {
+	if len(c.have) == 0 && c.choice.following == "" {
 		// Anything is better than nothing: an instance that has just started takes
-		// what the next source has, at once.
+		// what the next source has, at once. One that serves but has no documents is
+		// followed like any other: it holds the call until an operator sends one.
 		c.choice.rounds++
 		return sources[(c.choice.rounds-1)%len(sources)], true
 	}
--- a/control/deployment/choice_test.go
+++ b/control/deployment/choice_test.go
@@ -84,3 +84,34 @@
 	assert.DeepEqual(t, *taken, []uint64{5})
 	assert.DeepEqual(t, first.probes, []bool{false})
 }
+
+// Guards against instances that change between sources without a pause while no operator
+// has sent a configuration: each source answers one that it does not know at once, with
+// all endpoints.
+func TestBeforeTheFirstDocumentOneSourceIsFollowed(t *testing.T) {
+	empty := func(*rpc.FollowRequest) (*rpc.FollowAnswer, error) { return &rpc.FollowAnswer{}, nil }
+	first, second := &scriptedSource{answer: empty}, &scriptedSource{answer: empty}
+	c, taken := follower(first, second)
+	c.options.Now = func() time.Duration { return 0 }
+	for range 10 {
+		c.step(t.Context())
+	}
+	assert.Equal(t, len(first.probes), 10)
+	assert.Equal(t, len(second.probes), 0)
+	first.answer = documents(5, false)
+	c.step(t.Context())
+	assert.DeepEqual(t, *taken, []uint64{5})
+}
+
+// Guards against an instance that stays with a source that fell silent before there was a
+// document, while another one has one.
+func TestASilentSourceIsLeftBeforeTheFirstDocument(t *testing.T) {
+	empty := func(*rpc.FollowRequest) (*rpc.FollowAnswer, error) { return &rpc.FollowAnswer{}, nil }
+	first, second := &scriptedSource{answer: empty}, &scriptedSource{answer: documents(5, false)}
+	c, taken := follower(first, second)
+	c.step(t.Context())
+	first.answer = silent
+	c.step(t.Context())
+	c.step(t.Context())
+	assert.DeepEqual(t, *taken, []uint64{5})
+}
