Endpoints that are gone from their addresses are known to all who choose

The load in such an answer is that of the process that lives there now; it was taken for the engine's own. In one log 35 requests of 25 instances met one engine within 7 ms of the end of its "loading" state: it was the only one with room, and nobody had load of it.

Ruled out: 421 because of weights. 67 of 73 engines that answered so never answered again under their identity.

Change: the end Misdirected; what attempts say of whether an endpoint can be chosen is one type (availability). An absent endpoint (connection refused, or misdirected) is reported to the other choosers with the loads, for 0.5 to 4 s, and ends when the list tells of other weights. An endpoint that was absent, unreachable, loading, or is new gets one attempt from each chooser until it has answered one. Schedulers look after endpoints that others could not reach.

--- /dev/null
+++ b/dispatch/absent_test.go
@@ -0,0 +1,180 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/fleet"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// choosers are dispatchers that exchange their loads.
+type choosers struct {
+	all    []*Dispatcher
+	toldAt tables.Instant
+}
+
+func newChoosers(n, engines int) *choosers {
+	c := &choosers{}
+	for i := range n {
+		d, _ := world(engines)
+		d.options.Seed = uint64(i)
+		c.all = append(c.all, d)
+	}
+	return c
+}
+
+// exchange passes on loads every 20 ms.
+func (c *choosers) exchange(now tables.Instant) {
+	if now-c.toldAt < 20*time.Millisecond {
+		return
+	}
+	c.toldAt = now
+	for i, from := range c.all {
+		for _, l := range from.Loads(now) {
+			for j, to := range c.all {
+				if i != j {
+					to.Loaded(now, tables.InstanceID(fmt.Sprint(i)), l)
+				}
+			}
+		}
+	}
+}
+
+// Guards against engines that are replaced at their addresses drawing request after
+// request until the platform's list drops them: nobody has load there, so they look idle.
+func TestReplacedEnginesGetFewRequests(t *testing.T) {
+	const (
+		instances, engines = 6, 40
+		gap                = time.Millisecond
+		// busy keeps three of eight slots of the others in use.
+		busy   = 100 * time.Millisecond
+		length = 3 * time.Second
+	)
+	c := newChoosers(instances, engines)
+	replaced := map[tables.EndpointID]int{}
+	for i := range engines / 5 {
+		replaced[tables.EndpointID(fmt.Sprintf("e%d", i*5))] = 0
+	}
+	type running struct {
+		by   *Dispatcher
+		a    *Attempt
+		ends tables.Instant
+	}
+	var open []running
+	sends, misdirected := 0, 0
+	for now := time.Second; now < time.Second+length; now += gap {
+		c.exchange(now)
+		open = keep(open, func(r running) bool {
+			if r.ends > now {
+				return true
+			}
+			r.by.Began(now, r.a)
+			r.by.Ended(now, r.a, Completed)
+			return false
+		})
+		d := c.all[sends%instances]
+		r := ask(uint64(sends % 200))
+		for {
+			a, _ := d.Place(now, r)
+			if a == nil {
+				break
+			}
+			sends++
+			if _, gone := replaced[a.Endpoint.ID]; !gone {
+				open = append(open, running{by: d, a: a, ends: now + busy})
+				break
+			}
+			replaced[a.Endpoint.ID]++
+			misdirected++
+			d.Ended(now, a, Misdirected)
+			r.Tried = append(r.Tried, a.Endpoint.ID)
+		}
+	}
+	t.Logf("%d of %d sends misdirected", misdirected, sends)
+	// One answer is enough for all of the choosers. They learn of it within the pause of the
+	// exchange, and try again after one and three seconds.
+	assert.Assert(t, misdirected <= len(replaced)*instances, "%d for %d engines", misdirected, len(replaced))
+	for id, n := range replaced {
+		assert.Assert(t, n <= 2*instances, "%s: %d", id, n)
+	}
+}
+
+// Guards against an endpoint that was absent for a moment staying out for good, and
+// against all of the load meeting it before it has shown that it is back.
+func TestAnEndpointThatWasAbsentIsTriedByOneRequestFirst(t *testing.T) {
+	d, _ := world(1)
+	now := time.Second
+	a := mustPlace(t, d, now, ask(1))
+	d.Ended(now, a, Misdirected)
+	_, reason := d.Place(now, ask(2))
+	assert.Equal(t, reason, NoEndpoint)
+
+	now += absentMisdirected
+	trial := mustPlace(t, d, now, ask(3))
+	_, reason = d.Place(now, ask(4))
+	assert.Equal(t, reason, NoEndpoint)
+
+	d.Began(now, trial)
+	mustPlace(t, d, now, ask(5))
+	mustPlace(t, d, now, ask(6))
+}
+
+// Guards against an endpoint whose weights have just changed counting as gone after the
+// list has told of the new ones.
+func TestNewWeightsOnTheListEndAnAbsence(t *testing.T) {
+	d, all := world(1)
+	now := time.Second
+	d.Ended(now, mustPlace(t, d, now, ask(1)), Misdirected)
+	listed := all["e0"].Clone()
+	listed.Weights["m"] = 2
+	all["e0"] = listed
+	d.Fleet(all)
+	mustPlace(t, d, now, ask(2))
+}
+
+// Guards against an instance's report keeping an endpoint out for longer than its own
+// observation would.
+func TestARemoteAbsenceIsBounded(t *testing.T) {
+	d, _ := world(1)
+	now := time.Second
+	d.Loaded(now, "i2", Load{Endpoint: "e0", Absent: time.Hour})
+	_, reason := d.Place(now, ask(1))
+	assert.Equal(t, reason, NoEndpoint)
+	mustPlace(t, d, now+maxAbsent, ask(1))
+}
+
+// Guards against all waiting requests meeting at the one endpoint that has just finished
+// loading weights, or is new, before anybody knows that it answers.
+func TestAnEndpointThatBecomesUsableIsTriedByOneRequestFirst(t *testing.T) {
+	d, all := world(1)
+	now := time.Second
+	change := func(f func(*fleet.Endpoint)) {
+		e := all["e0"].Clone()
+		f(&e)
+		all["e0"] = e
+		d.Fleet(all)
+	}
+	unshared := func() *Request {
+		r := ask(1)
+		r.Shared = nil
+		return r
+	}
+	expectTrial := func() {
+		t.Helper()
+		trial := mustPlace(t, d, now, unshared())
+		_, reason := d.Place(now, unshared())
+		assert.Equal(t, reason, NoEndpoint)
+		d.Began(now, trial)
+		mustPlace(t, d, now, unshared())
+	}
+	mustPlace(t, d, now, unshared())
+	change(func(e *fleet.Endpoint) { e.Loading = true })
+	change(func(e *fleet.Endpoint) { e.Loading = false })
+	expectTrial()
+	change(func(e *fleet.Endpoint) { e.Born++ })
+	expectTrial()
+}
--- a/dispatch/census.go
+++ b/dispatch/census.go
@@ -67,7 +67,7 @@
 			c.Tried++
 		case row.Draining:
 			c.Leaving++
-		case row.unreachable, now < row.avoidUntil:
+		case !row.availability.takes(now):
 			c.Avoided++
 		case r.Model != "" && row.Loading:
 			c.Loading++
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -120,6 +120,8 @@
 	first     bool
 	ended     bool
 	generates bool
+	// trial is set while the attempt counts as one of its endpoint's trials.
+	trial bool
 	// adopted is set if another instance chose the endpoint.
 	adopted bool
 	// store takes what is read, which holds the endpoint's link for sending
@@ -156,11 +158,26 @@
 	Hung
 	// Cancelled: ended on this side for no fault of the endpoint.
 	Cancelled
+	// Misdirected: what answered at the endpoint's address did not run the request,
+	// because it is another process or serves other weights.
+	Misdirected
 )
 
+// lastEnd is the end with the highest number.
+const lastEnd = Misdirected
+
+// DecodeEnd reads an end that another instance sent. One that this version does not know
+// counts as Cancelled, which says nothing of the endpoint.
+func DecodeEnd(n uint32) End {
+	if n > uint32(lastEnd) {
+		return Cancelled
+	}
+	return End(n)
+}
+
 // String gives the end's name in logs.
 func (e End) String() string {
-	return [...]string{"completed", "declined", "unreachable", "lost", "broken", "hung", "cancelled"}[e]
+	return [...]string{"completed", "declined", "unreachable", "lost", "broken", "hung", "cancelled", "misdirected"}[e]
 }
 
 // Reason says why a request cannot be placed now.
@@ -186,6 +203,8 @@
 	rows    map[tables.EndpointID]*endpointRow
 	// services lists the rows of each service in a fixed order.
 	services map[string][]*endpointRow
+	// populated is set once endpoints are known: those that come later are new.
+	populated bool
 	// stores lists those that keep cached prompts.
 	stores  []*endpointRow
 	weights weights.History
@@ -238,6 +257,8 @@
 		return
 	}
 	a.first = true
+	a.endTrial()
+	a.row.present()
 	d.zoneHeard[a.row.Zone] = now
 	a.row.prefill -= a.prefill
 	if a.adopted {
@@ -260,6 +281,7 @@
 		return
 	}
 	a.ended = true
+	a.endTrial()
 	if !a.first {
 		a.row.prefill -= a.prefill
 		d.holders.undo(a)
@@ -277,6 +299,13 @@
 	}
 }
 
+func (a *Attempt) endTrial() {
+	if a.trial {
+		a.trial = false
+		a.row.trials--
+	}
+}
+
 // Reachable notes whether an endpoint takes connections. One that does not gets
 // nothing until it does.
 func (d *Dispatcher) Reachable(now tables.Instant, id tables.EndpointID, taken bool) {
@@ -284,10 +313,15 @@
 	if row == nil {
 		return
 	}
-	row.unreachable = !taken
-	if taken {
-		row.avoidUntil = now
-		row.doubt, row.doubtAt = 0, now
+	row.reached(now, taken)
+}
+
+// Absent notes that an endpoint's address refused a connection, and lets the other
+// instances know.
+func (d *Dispatcher) Absent(now tables.Instant, id tables.EndpointID) {
+	if row := d.rows[id]; row != nil {
+		row.absent(now + absentRefused)
+		d.changed(row)
 	}
 }
 
--- a/dispatch/endpoints.go
+++ b/dispatch/endpoints.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -27,20 +28,6 @@
 	// loadKeep is the time constant with which what an endpoint said of its
 	// load loses its worth. Requests last for about a second.
 	loadKeep = time.Second
-	// doubtKeep is the time constant with which failures are forgotten.
-	doubtKeep = 3 * time.Second
-	// maxDoubt bounds the failures that count, so that a long outage is
-	// forgotten as soon as a short one.
-	maxDoubt = 6.0
-	// zoneDoubt is the doubt that one lost endpoint casts on the others of its
-	// zone.
-	zoneDoubt = 0.8
-	// avoidDeclined is how long an endpoint gets nothing after it has declined a
-	// request: it is full, or changes its weights.
-	avoidDeclined = 100 * time.Millisecond
-	// avoidUnreachable is the same after it took no connection. Endpoints that
-	// crash are back after seconds.
-	avoidUnreachable = 500 * time.Millisecond
 )
 
 // row is what this instance knows of an endpoint.
@@ -73,13 +60,7 @@
 	service float64
 	// averages are those of the endpoint's service.
 	averages *averages
-	// doubt counts recent failures, as of doubtAt.
-	doubt   float64
-	doubtAt tables.Instant
-	// avoidUntil is when the endpoint may be chosen again.
-	avoidUntil tables.Instant
-	// unreachable is set while the endpoint takes no connections.
-	unreachable bool
+	availability
 	// linkFree is when the transfers that are known of have ended.
 	linkFree tables.Instant
 	// stamp is that of the last view in which the endpoint held some beginning of the
@@ -111,6 +92,7 @@
 	if regroup {
 		d.group()
 	}
+	d.populated = true
 }
 
 // group lists the rows of each service anew.
@@ -139,6 +121,7 @@
 		d.rows[id] = &endpointRow{
 			Endpoint: e, listed: e, store: e.Store, hash: xxhash.Sum64String(string(id)), service: firstService,
 			averages: d.averagesOf(e.Service), rate: d.averagesOf(e.Service).rate(),
+			availability: availability{probation: d.populated},
 		}
 		return true
 	}
@@ -148,6 +131,10 @@
 	known.listed = e
 	// What an answer has shown is newer than what was told.
 	shown := known.Weights
+	known.probation = known.probation || known.Loading && !e.Loading
+	if !maps.Equal(shown, e.Weights) {
+		known.relisted()
+	}
 	known.Endpoint = e.Clone()
 	for model, version := range shown {
 		known.Weights[model] = max(known.Weights[model], version)
@@ -174,35 +161,10 @@
 	return r.others * decay(now-r.othersAt, loadKeep)
 }
 
-func (r *endpointRow) doubtNow(now tables.Instant) float64 {
-	if r.doubt == 0 {
-		return 0
-	}
-	return r.doubt * decay(now-r.doubtAt, doubtKeep)
-}
-
 func decay(age, constant time.Duration) float64 {
 	return math.Exp(-float64(age) / float64(constant))
 }
 
-// judge takes the end of an attempt into the trust in the endpoint. Health
-// answers can be false either way, so trust comes from traffic alone.
-func (r *endpointRow) judge(now tables.Instant, end End) {
-	doubt := r.doubtNow(now)
-	switch end {
-	case Completed:
-		doubt /= 2
-	case Broken, Hung:
-		doubt++
-	case Unreachable, Lost:
-		doubt++
-		r.avoidUntil = now + avoidUnreachable
-	case Declined:
-		r.avoidUntil = now + avoidDeclined
-	}
-	r.doubt, r.doubtAt = min(doubt, maxDoubt), now
-}
-
 // learn takes in the time to a first event or answer.
 func (r *endpointRow) learn(a *Attempt, took time.Duration) {
 	ms := float64(took) / float64(time.Millisecond)
--- a/dispatch/holders.go
+++ b/dispatch/holders.go
@@ -231,5 +231,5 @@
 
 // sound says whether something may be fetched from the endpoint.
 func (r *endpointRow) sound(now tables.Instant) bool {
-	return !r.gone && !r.unreachable && now >= r.avoidUntil && r.doubtNow(now) < sourceDoubt
+	return !r.gone && r.availability.takes(now) && r.doubtNow(now) < sourceDoubt
 }
--- a/dispatch/loads.go
+++ b/dispatch/loads.go
@@ -14,6 +14,8 @@
 	Running, Tokens, Prefill int
 	// Link is for how long the endpoint's link is busy with transfers.
 	Link time.Duration
+	// Absent is for how long the endpoint counts as absent.
+	Absent time.Duration
 }
 
 const (
@@ -82,6 +84,9 @@
 	if row := d.rows[l.Endpoint]; row != nil {
 		row.told.set(now, by, l)
 		row.linkFree = max(row.linkFree, now+l.Link)
+		if l.Absent > 0 {
+			row.absent(now + min(l.Absent, maxAbsent))
+		}
 	}
 }
 
@@ -104,7 +109,7 @@
 		if !row.gone {
 			loads = append(loads, Load{
 				Endpoint: row.ID, Running: row.own - row.adopted.own, Tokens: row.tokens - row.adopted.tokens,
-				Prefill: int(row.prefill - row.adopted.prefill), Link: row.linkBusy(now),
+				Prefill: int(row.prefill - row.adopted.prefill), Link: row.linkBusy(now), Absent: row.absence(now),
 			})
 		}
 	}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -123,7 +123,7 @@
 
 // usable says whether the endpoint may get the request at all.
 func (d *Dispatcher) usable(now tables.Instant, r *Request, row *endpointRow) bool {
-	if !row.takes(now) {
+	if !row.takes(now) || row.onTrial() {
 		return false
 	}
 	if r.Model == "" {
@@ -135,7 +135,7 @@
 
 // takes says whether the endpoint is there for new requests.
 func (r *endpointRow) takes(now tables.Instant) bool {
-	return !r.Draining && !r.unreachable && now >= r.avoidUntil
+	return !r.Draining && r.availability.takes(now)
 }
 
 // inTime says whether requests may still begin on a version of a model.
@@ -276,6 +276,10 @@
 		a.Source = c.source.Endpoint
 		d.transfer(now, c.row, c.transfer)
 	}
+	if c.row.probation {
+		a.trial = true
+		c.row.trials++
+	}
 	d.changed(c.row)
 	c.row.own++
 	c.row.tokens += a.tokens
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -83,7 +83,7 @@
 // that meet a new part at the same moment send it to one place without a word.
 func (v *view) chooseHome(now tables.Instant, r *Request, part parts.Name, rows []*endpointRow) {
 	for _, row := range rows {
-		if row.Draining || row.Loading || row.Weights[r.Model] != v.version || row.doubtNow(now) > homeDoubt {
+		if row.Draining || row.Loading || row.Weights[r.Model] != v.version || row.doubtNow(now) > homeDoubt || row.absence(now) > 0 {
 			continue
 		}
 		if draw := placement.Mix(row.hash ^ uint64(part)); v.home == nil || draw > v.homeDraw {
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -234,6 +234,9 @@
 	var declined *exchange.Declined
 	var not *engine.NotStarted
 	switch {
+	case errors.As(err, &declined) && declined.Status == http.StatusMisdirectedRequest:
+		// The header speaks of another process, or of one with other weights.
+		return dispatch.Misdirected
 	case errors.As(err, &declined):
 		t.heard(declined.Header)
 		return dispatch.Declined
--- a/forward/place.go
+++ b/forward/place.go
@@ -107,10 +107,11 @@
 		j.sends--
 		return 0
 	}
-	if how != dispatch.Declined && !j.hasAttempts() {
+	rejected := how == dispatch.Declined || how == dispatch.Misdirected
+	if !rejected && !j.hasAttempts() {
 		return tables.CodeEndpointFailed
 	}
-	if how == dispatch.Declined {
+	if rejected {
 		j.sends--
 	}
 	s := j.server
--- a/forward/reach.go
+++ b/forward/reach.go
@@ -1,8 +1,10 @@
 package forward
 
 import (
+	"errors"
 	"maps"
 	"sync"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -125,6 +127,9 @@
 		if err == nil {
 			break
 		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			r.server.absent(e.ID)
+		}
 		if !lost {
 			lost = true
 			events.EndpointUnreachable.Log(r.server.log, zap.String("endpoint", string(e.ID)), zap.Error(err))
@@ -161,6 +166,13 @@
 	}
 }
 
+// absent tells the decisions that nothing listens at an endpoint's address.
+func (s *Server) absent(id tables.EndpointID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dispatch.Absent(s.options.Now(), id)
+}
+
 // reachable tells the decisions whether an endpoint takes connections.
 func (s *Server) reachable(id tables.EndpointID, taken bool) {
 	s.mu.Lock()
--- a/forward/scheduled.go
+++ b/forward/scheduled.go
@@ -77,8 +77,16 @@
 	s.dispatch.Began(s.options.Now(), a)
 }
 
-// EndedFor notes the end of an attempt.
+// EndedFor notes the end of an attempt. An endpoint that the attempt could not reach is
+// looked after here too: this instance goes on choosing for others.
 func (s *Server) EndedFor(a *dispatch.Attempt, how dispatch.End) {
+	s.endedFor(a, how)
+	if how == dispatch.Unreachable || how == dispatch.Lost {
+		s.reach.look(a.Endpoint)
+	}
+}
+
+func (s *Server) endedFor(a *dispatch.Attempt, how dispatch.End) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.dispatch.Ended(s.options.Now(), a, how)
--- a/node/entry.go
+++ b/node/entry.go
@@ -147,7 +147,7 @@
 	}
 	for _, l := range loads {
 		hints.Loads = append(hints.Loads, membership.Load{
-			Endpoint: l.Endpoint, Running: l.Running, Tokens: l.Tokens, Prefill: l.Prefill, Link: l.Link,
+			Endpoint: l.Endpoint, Running: l.Running, Tokens: l.Tokens, Prefill: l.Prefill, Link: l.Link, Absent: l.Absent,
 		})
 	}
 	n.abroad.Add(membership.Hints{Placements: hints.Placements})
@@ -178,7 +178,7 @@
 func (n *Node) loadedElsewhere(l membership.Load) {
 	if n.entry != nil {
 		n.entry.Loaded(l.Instance, dispatch.Load{
-			Endpoint: l.Endpoint, Running: l.Running, Tokens: l.Tokens, Prefill: l.Prefill, Link: l.Link,
+			Endpoint: l.Endpoint, Running: l.Running, Tokens: l.Tokens, Prefill: l.Prefill, Link: l.Link, Absent: l.Absent,
 		})
 	}
 }
--- a/schedule/server.go
+++ b/schedule/server.go
@@ -89,7 +89,7 @@
 	}
 	if p.GetEnded() {
 		delete(s.open, key)
-		s.placer.EndedFor(known.attempt, dispatch.End(min(p.GetEnd(), uint32(dispatch.Cancelled))))
+		s.placer.EndedFor(known.attempt, dispatch.DecodeEnd(p.GetEnd()))
 	}
 }
 
--- a/systems/membership/hints.go
+++ b/systems/membership/hints.go
@@ -33,6 +33,8 @@
 	// Link is for how long the endpoint's link is busy with transfers that the
 	// instance knows of.
 	Link time.Duration
+	// Absent is for how long the instance counts the endpoint as absent from its address.
+	Absent time.Duration
 }
 
 // Hints are what an instance lets the others know of its requests. What is lost
@@ -182,7 +184,7 @@
 	for i, l := range loads {
 		encoded := &rpc.EndpointLoad{
 			Endpoint: string(l.Endpoint), Running: uint32(l.Running), Tokens: uint32(l.Tokens), Prefill: uint32(l.Prefill),
-			LinkMs: uint32(l.Link.Milliseconds()),
+			LinkMs: uint32(l.Link.Milliseconds()), AbsentMs: uint32(l.Absent.Milliseconds()),
 		}
 		size := proto.Size(encoded) + fieldOverhead
 		if size > *room {
@@ -211,7 +213,8 @@
 			Instance: tables.InstanceID(in.GetSender().GetInstance()),
 			Endpoint: tables.EndpointID(encoded.GetEndpoint()),
 			Running:  int(encoded.GetRunning()), Tokens: int(encoded.GetTokens()), Prefill: int(encoded.GetPrefill()),
-			Link: time.Duration(encoded.GetLinkMs()) * time.Millisecond,
+			Link:   time.Duration(encoded.GetLinkMs()) * time.Millisecond,
+			Absent: time.Duration(encoded.GetAbsentMs()) * time.Millisecond,
 		})
 	}
 }
