Usage caps: an accountant for each organisation in each zone

Cause: nothing in the forwarding roles looked at rate_per_s, burst, unit and uncached_tokens.

Ruled out: a share for each instance. At 68 instances an organisation of 90,000 tokens a second has 1,300 of each, where one request costs 9,000.

Change: package usage. In each zone the entry instance that rendezvous hashing draws keeps an organisation's account, a token bucket for the whole deployment. Entry instances ask it before they send a request on; while the level is above half of the burst they hold a lease of a second and report afterwards. Accountants of zones exchange running totals. One that falls silent is taken to use what it used of late and an equal part of what nobody used. What was used before an accountant's start, or before one of its zone was lost, counts as spent. Beyond the cap callers get 429 at once, with the time at which the bucket can serve them, one after the other. Requests that ran nowhere are given back; further runs cost. schedule.Client and usage.Client share how datagrams are answered (internal/datagram).

--- a/control/gossip/gossip.go
+++ b/control/gossip/gossip.go
@@ -50,6 +50,8 @@
 	// Schedule takes a message between an entry instance and a scheduler. It must not
 	// block for long.
 	Schedule func(from membership.Sender, message *rpc.ScheduleMessage)
+	// Usage takes a message about organisations' usage. It must not block.
+	Usage func(from membership.Sender, message *rpc.UsageMessage)
 	// Reaches says whether datagrams to an address arrive; nil means that all
 	// do. Tests cut availability zones off here.
 	Reaches func(to netip.AddrPort) bool
@@ -193,6 +195,21 @@
 	g.sendAll(out.Datagrams)
 }
 
+// SendUsage sends a message about organisations' usage.
+func (g *Gossip) SendUsage(to netip.AddrPort, message *rpc.UsageMessage) {
+	g.mu.Lock()
+	out := g.membership.Usage(to, message)
+	g.mu.Unlock()
+	g.sendAll(out.Datagrams)
+}
+
+// EntriesByZone lists the living entry instances of each zone. It is not to be changed.
+func (g *Gossip) EntriesByZone() map[tables.Zone][]membership.Scheduler {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.membership.EntriesByZone()
+}
+
 // HintReceivers is how many instances hints are told to.
 func (g *Gossip) HintReceivers() int {
 	g.mu.Lock()
@@ -259,6 +276,12 @@
 }
 
 func (g *Gossip) tell(out membership.Output, changed []membership.Member) {
+	if out.Usage != nil {
+		if g.options.Usage != nil {
+			g.options.Usage(out.From, out.Usage)
+		}
+		return
+	}
 	if out.Schedule != nil {
 		if g.options.Schedule != nil {
 			g.options.Schedule(out.From, out.Schedule)
--- a/events/endpoints.go
+++ b/events/endpoints.go
@@ -11,5 +11,6 @@
 	CacheRead        = define(5004, zapcore.InfoLevel, "This instance reads what an endpoint keeps of prompts.")
 	CacheLearned     = define(5005, zapcore.InfoLevel, "Another instance told what endpoints keep of prompts.")
 	SchedulerSilent  = define(5007, zapcore.InfoLevel, "A scheduler did not choose an endpoint in time. It is not asked for a moment.")
+	AccountantSilent = define(5008, zapcore.InfoLevel, "The accountant of an organisation's usage gave no decision in time. It is not asked for a moment.")
 	CacheNotShared   = define(5006, zapcore.InfoLevel, "Another instance could not be told, or did not tell, what endpoints keep of prompts.")
 )
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -75,6 +75,7 @@
 	j := t.job
 	defer t.cancel()
 	j.state = j.state.Dispatch(t.id)
+	j.charge.run()
 	j.sends++
 	t.watch(t.firstWait())
 	t.heardFirst = j.server.reach.await(t)
@@ -210,6 +211,7 @@
 		if d, dispatched := j.state.(*outcome.Dispatched); dispatched {
 			j.state = d.NotStarted(proof)
 		}
+		j.charge.notRun()
 	}
 	events.AttemptEnded.Log(j.server.log, append(t.fields(), zap.Stringer("end", how), zap.Error(err))...)
 	switch how {
--- a/forward/failure.go
+++ b/forward/failure.go
@@ -59,6 +59,8 @@
 func (j *job) answer(f *outcome.Failure) {
 	status := http.StatusBadGateway
 	switch {
+	case f.Code == tables.CodeOrganisationRate:
+		status = http.StatusTooManyRequests
 	case f.Outcome() == tables.NotRun:
 		status = http.StatusServiceUnavailable
 	case j.ctx != nil && errors.Is(j.ctx.Err(), context.DeadlineExceeded):
@@ -136,6 +138,7 @@
 	if j.org != nil {
 		fields = append(fields, zap.String("organisation", string(j.org.ID)))
 	}
+	fields = append(fields, j.charge.fields()...)
 	return append(fields, zap.Duration("control_heard", j.server.sinceControl()))
 }
 
--- a/forward/job.go
+++ b/forward/job.go
@@ -44,6 +44,7 @@
 	// assignment is a scheduler's choice for the next attempt, if one chose.
 	assignment  *schedule.Assignment
 	fingerprint tables.Fingerprint
+	charge      charge
 	state       outcome.State
 	// sends counts the endpoints that the request was handed to.
 	sends int
@@ -95,7 +96,7 @@
 	j.header = s.headers.ToEndpoint(j.r.Header)
 	j.bound()
 	j.describe()
-	return true
+	return j.admitUsage()
 }
 
 // knowledgeWait is how long a request is held at an instance that has just
@@ -211,6 +212,13 @@
 	}
 }
 
+// usageTokens are the prompt tokens and the most output tokens that the caller names.
+func (j *job) usageTokens() (tokens int64, named bool) {
+	text := j.r.Header.Get(j.server.headers.Tokens)
+	prompt, output := dialect.ParseTokens(text)
+	return int64(prompt) + int64(output), text != ""
+}
+
 // isolation names whom cached work may be shared with.
 func (j *job) isolation() string {
 	if j.org != nil && j.org.Isolated {
@@ -251,6 +259,7 @@
 
 // close gives back what the request held.
 func (j *job) close() {
+	j.charge.settle()
 	j.server.held.Add(-j.held)
 	if j.cancel != nil {
 		j.cancel()
--- a/forward/measure.go
+++ b/forward/measure.go
@@ -95,6 +95,20 @@
 	}
 }
 
+// usageDecided takes a decision about an organisation's usage.
+func (m *measurements) usageDecided(j *job) {
+	if m == nil {
+		return
+	}
+	outcome := "admitted"
+	if !j.charge.decision.Admitted {
+		outcome = "refused"
+	}
+	m.registry.Counter("carawaystile_usage_decisions_total", "Requests of organisations with a usage cap, by what was decided and what the decision rested on.",
+		metrics.Label{Name: "organisation", Value: string(j.charge.id)}, metrics.Label{Name: "decision", Value: outcome},
+		metrics.Label{Name: "by", Value: string(j.charge.decision.By)}).Inc(1)
+}
+
 // ages publishes how old what this instance believes is, whenever somebody reads
 // the measurements.
 func (s *Server) ages(registry *metrics.Registry) {
--- a/forward/server.go
+++ b/forward/server.go
@@ -46,6 +46,8 @@
 	// Share tells the other instances which requests were running when an
 	// endpoint crashed; nil means that there are none. It must not block.
 	Share func([]quarantine.Suspect)
+	// Usage enforces organisations' usage caps; nil for none.
+	Usage UsageLimiter
 	// Scheduler has other instances choose endpoints of generations; nil for none.
 	Scheduler Scheduler
 	// Life ends when the instance does; nil for never. Looks at endpoints end with it.
--- /dev/null
+++ b/forward/usage.go
@@ -0,0 +1,102 @@
+package forward
+
+import (
+	"context"
+
+	"go.uber.org/zap"
+
+	"github.com/carawaystile/carawaystile/routes"
+	"github.com/carawaystile/carawaystile/tables"
+	"github.com/carawaystile/carawaystile/usage"
+)
+
+// UsageLimiter decides whether requests are within their organisations' usage caps, over
+// all instances.
+type UsageLimiter interface {
+	// Admit decides about a request, and counts its cost if it is admitted.
+	Admit(ctx context.Context, id tables.OrganisationID, limit usage.Limit, cost int64) usage.Decision
+	// Charge counts use that is not asked about; a negative amount gives back.
+	Charge(id tables.OrganisationID, limit usage.Limit, amount int64)
+}
+
+// charge is what a job has counted against its organisation's usage cap.
+type charge struct {
+	limiter UsageLimiter
+	id      tables.OrganisationID
+	limit   usage.Limit
+	cost    int64
+	// unused is set while what was counted belongs to no run.
+	unused bool
+	// decision is the last one, for the log.
+	decision usage.Decision
+}
+
+// admitUsage counts the request against its organisation's cap, and says whether it is
+// within it. It answers the caller if it is not.
+func (j *job) admitUsage() bool {
+	limiter := j.server.options.Usage
+	if limiter == nil || j.org == nil || !j.org.Usage.Limited() {
+		return true
+	}
+	limit := UsageLimit(j.org)
+	j.charge = charge{limiter: limiter, id: j.org.ID, limit: limit, cost: j.usageCost()}
+	j.charge.decision = limiter.Admit(j.ctx, j.org.ID, limit, j.charge.cost)
+	j.server.metrics.usageDecided(j)
+	if !j.charge.decision.Admitted {
+		j.refuse(tables.CodeOrganisationRate, max(j.charge.decision.RetryAfter, retryElsewhere))
+		return false
+	}
+	j.charge.unused = true
+	return true
+}
+
+// UsageLimit is an organisation's cap as package usage takes it.
+func UsageLimit(o *routes.Organisation) usage.Limit {
+	return usage.Limit{Rate: o.Usage.Rate, Burst: o.Usage.Burst}
+}
+
+// usageCost is what the request costs in the unit of its organisation's cap.
+func (j *job) usageCost() int64 {
+	if j.org.Usage.Unit == routes.UsageInRequests {
+		return 1
+	}
+	tokens, named := j.usageTokens()
+	if !named {
+		return j.org.Usage.PlainTokens
+	}
+	return tokens
+}
+
+// run counts a run of the request. Each beyond the first costs as much again.
+func (c *charge) run() {
+	if c.limiter == nil {
+		return
+	}
+	if !c.unused {
+		c.limiter.Charge(c.id, c.limit, c.cost)
+	}
+	c.unused = false
+}
+
+// notRun notes that a run that was counted did not take place.
+func (c *charge) notRun() { c.unused = c.limiter != nil }
+
+// settle gives back what no run has used.
+func (c *charge) settle() {
+	if c.limiter != nil && c.unused {
+		c.unused = false
+		c.limiter.Charge(c.id, c.limit, -c.cost)
+	}
+}
+
+// fields are what the decision rested on.
+func (c *charge) fields() []zap.Field {
+	if c.limiter == nil || c.decision.Admitted {
+		return nil
+	}
+	return []zap.Field{
+		zap.String("usage_by", string(c.decision.By)), zap.Int64("usage_cost", c.cost),
+		zap.Int64("usage_level", c.decision.Level), zap.Duration("usage_level_age", c.decision.LevelAge),
+		zap.Float64("usage_limit", c.limit.Rate),
+	}
+}
--- /dev/null
+++ b/internal/datagram/calls.go
@@ -0,0 +1,109 @@
+// Package datagram matches questions and answers that go as single datagrams, each of
+// which may be lost, and keeps those who did not answer from being asked again at once.
+package datagram
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/carawaystile/carawaystile/systems/placement"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// Calls are the questions of one life of an instance that wait for their answers. It is
+// safe for concurrent use.
+type Calls[A any] struct {
+	mu      sync.Mutex
+	number  uint64
+	waiting map[uint64]chan A
+}
+
+// NewCalls returns Calls that number questions from after first on.
+func NewCalls[A any](first uint64) *Calls[A] {
+	return &Calls[A]{number: first, waiting: map[uint64]chan A{}}
+}
+
+// Number returns a number for a message that nobody answers.
+func (c *Calls[A]) Number() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.number++
+	return c.number
+}
+
+// Ask sends a question under a new number and waits for its answer; found is false if none
+// came in time.
+func (c *Calls[A]) Ask(ctx context.Context, timeout time.Duration, send func(number uint64)) (answer A, number uint64, found bool) {
+	answered := make(chan A, 1)
+	c.mu.Lock()
+	c.number++
+	number = c.number
+	c.waiting[number] = answered
+	c.mu.Unlock()
+	defer c.forget(number)
+	send(number)
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case answer = <-answered:
+		return answer, number, true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return answer, number, false
+}
+
+func (c *Calls[A]) forget(number uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.waiting, number)
+}
+
+// Answered hands an answer over, and says whether anybody has waited for it.
+func (c *Calls[A]) Answered(number uint64, answer A) bool {
+	c.mu.Lock()
+	waiting := c.waiting[number]
+	delete(c.waiting, number)
+	c.mu.Unlock()
+	if waiting == nil {
+		return false
+	}
+	waiting <- answer
+	return true
+}
+
+// Silent remembers instances that are not asked for a while. It is safe for concurrent use.
+type Silent struct {
+	mu    sync.Mutex
+	until map[tables.InstanceID]tables.Instant
+}
+
+// Leave has an instance not asked until then.
+func (s *Silent) Leave(id tables.InstanceID, now, until tables.Instant) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.until == nil {
+		s.until = map[tables.InstanceID]tables.Instant{}
+	}
+	s.until[id] = until
+	for other, end := range s.until {
+		if now >= end {
+			delete(s.until, other)
+		}
+	}
+}
+
+// Left says whether an instance is not to be asked now.
+func (s *Silent) Left(id tables.InstanceID, now tables.Instant) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now < s.until[id]
+}
+
+// Draw is an instance's draw for a key in rendezvous hashing: the highest is asked.
+func Draw(id tables.InstanceID, key uint64) uint64 {
+	return placement.Mix(placement.Mix(xxhash.Sum64String(string(id))) ^ key)
+}
--- a/node/entry.go
+++ b/node/entry.go
@@ -48,6 +48,7 @@
 		MaxHeld:    int64(s.MemoryMB) << 20 / heldPart,
 		Share:      n.shareSuspects,
 		Scheduler:  n.startScheduling(),
+		Usage:      n.startUsage(),
 		Life:       n.stopping,
 	})
 	n.schedules = schedule.NewServer(n.entry, n.now)
@@ -98,6 +99,7 @@
 		events.ConfigurationUnreadable.Log(n.log, zap.Uint64("revision", document.GetNumber()), zap.Error(err))
 		return
 	}
+	n.accounts.SetLimits(usageLimits(table))
 	n.entry.Configure(table)
 }
 
--- a/node/members.go
+++ b/node/members.go
@@ -48,6 +48,7 @@
 		Placed:   n.placedElsewhere,
 		Loaded:   n.loadedElsewhere,
 		Schedule: n.scheduleMessage,
+		Usage:    n.usageMessage,
 		Relay: func(placements []membership.Placement) {
 			n.hints.Add(membership.Hints{Placements: placements})
 		},
@@ -60,6 +61,7 @@
 		n.background.Go(n.tellHints)
 		n.background.Go(n.tellAbroad)
 		n.background.Go(n.tellLoadsAbroad)
+		n.background.Go(func() { n.accounts.Run(n.stopping) })
 	}
 	return nil
 }
@@ -79,7 +81,10 @@
 			rank++
 		}
 	}
-	n.entry.Peers(rank, n.peerCount.most(n.now(), of))
+	peers := n.peerCount.most(n.now(), of)
+	n.sharing.Store(int64(peers))
+	n.entry.Peers(rank, peers)
+	n.noteLostEntries(members)
 	n.entry.Placers(membership.Placers(members, n.options.Settings.Zone))
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -34,6 +34,7 @@
 	"github.com/carawaystile/carawaystile/settings"
 	"github.com/carawaystile/carawaystile/store"
 	"github.com/carawaystile/carawaystile/tables"
+	"github.com/carawaystile/carawaystile/usage"
 )
 
 // Platform is what speaks to the outside in the platform's words.
@@ -93,6 +94,8 @@
 	sources   sourceCache
 	members   atomic.Pointer[gossip.Gossip]
 	peerCount peerCount
+	// sharing is how many entry instances share limits, as far as was known of late.
+	sharing atomic.Int64
 	// hints wait to be told to the other instances.
 	hints gossip.Hints
 	// abroad waits to be told to other zones.
@@ -106,6 +109,12 @@
 	// scheduling asks schedulers to choose, schedules chooses for other instances.
 	scheduling *schedule.Client
 	schedules  *schedule.Server
+	// accounts keeps accounts of organisations' usage, caps asks those that do.
+	accounts *usage.Server
+	caps     *usage.Client
+	// zoneEntries are the living entry instances of the own zone. Only membersChanged
+	// uses it.
+	zoneEntries map[tables.InstanceID]bool
 	// callers serves the entry.
 	callers *http.Server
 
--- /dev/null
+++ b/node/usage.go
@@ -0,0 +1,74 @@
+package node
+
+import (
+	"net/netip"
+
+	"github.com/carawaystile/carawaystile/forward"
+	"github.com/carawaystile/carawaystile/routes"
+	"github.com/carawaystile/carawaystile/rpc"
+	"github.com/carawaystile/carawaystile/systems/membership"
+	"github.com/carawaystile/carawaystile/tables"
+	"github.com/carawaystile/carawaystile/usage"
+)
+
+// startUsage makes what enforces organisations' usage caps.
+func (n *Node) startUsage() *usage.Client {
+	n.accounts = usage.NewServer(usage.ServerOptions{
+		Self: n.options.Settings.Instance, Life: n.boot, Entries: n.entriesByZone, Send: n.sendUsage, Now: n.now,
+	})
+	n.caps = usage.NewClient(usage.ClientOptions{
+		Self: n.options.Settings.Instance, Zone: n.options.Settings.Zone, Life: n.boot, Server: n.accounts,
+		Entries: n.entriesByZone, Instances: func() int { return int(n.sharing.Load()) },
+		Send: n.sendUsage, Now: n.now, Log: n.log,
+	})
+	return n.caps
+}
+
+// usageLimits are the caps of a configuration.
+func usageLimits(table *routes.Table) map[tables.OrganisationID]usage.Limit {
+	limits := map[tables.OrganisationID]usage.Limit{}
+	for i := range table.Organisations {
+		if o := &table.Organisations[i]; o.Usage.Limited() {
+			limits[o.ID] = forward.UsageLimit(o)
+		}
+	}
+	return limits
+}
+
+func (n *Node) entriesByZone() map[tables.Zone][]membership.Scheduler {
+	if joined := n.members.Load(); joined != nil {
+		return joined.EntriesByZone()
+	}
+	return nil
+}
+
+func (n *Node) sendUsage(to netip.AddrPort, message *rpc.UsageMessage) {
+	if joined := n.members.Load(); joined != nil {
+		joined.SendUsage(to, message)
+	}
+}
+
+// usageMessage takes a message about organisations' usage.
+func (n *Node) usageMessage(from membership.Sender, message *rpc.UsageMessage) {
+	if n.caps != nil {
+		n.caps.Receive(from, message)
+	}
+}
+
+// noteLostEntries has the accounts know when an entry instance of the zone is gone, which
+// may have kept some.
+func (n *Node) noteLostEntries(members []membership.Member) {
+	living := map[tables.InstanceID]bool{}
+	for _, m := range members {
+		if m.Zone == n.options.Settings.Zone && m.Roles&membership.RoleEntry != 0 && m.State <= membership.Suspect {
+			living[m.Instance] = true
+		}
+	}
+	for id := range n.zoneEntries {
+		if !living[id] {
+			n.accounts.EntriesLost()
+			break
+		}
+	}
+	n.zoneEntries = living
+}
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -99,8 +99,33 @@
 	HasPriority bool
 	// Isolated organisations share no cached prompt with any other.
 	Isolated bool
+	// Usage caps what the organisation uses over all instances.
+	Usage UsageCap
 }
 
+// UsageUnit is what a usage cap counts.
+type UsageUnit uint8
+
+// The units.
+const (
+	UsageInRequests UsageUnit = iota
+	// UsageInTokens counts a request's prompt tokens and the most tokens of its output.
+	UsageInTokens
+)
+
+// UsageCap is a limit of use in some unit.
+type UsageCap struct {
+	// Rate is the use a second in the long run, Burst what may be used at once beyond it.
+	// A Rate of 0 means no limit.
+	Rate, Burst float64
+	Unit        UsageUnit
+	// PlainTokens is what a request that names no tokens counts as.
+	PlainTokens int64
+}
+
+// Limited says whether there is a limit.
+func (c UsageCap) Limited() bool { return c.Rate > 0 }
+
 // Limits bound what one caller may send.
 type Limits struct {
 	HeaderBytes int
--- a/schedule/client.go
+++ b/schedule/client.go
@@ -3,17 +3,15 @@
 import (
 	"context"
 	"net/netip"
-	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/carawaystile/carawaystile/dispatch"
 	"github.com/carawaystile/carawaystile/events"
+	"github.com/carawaystile/carawaystile/internal/datagram"
 	"github.com/carawaystile/carawaystile/rpc"
 	"github.com/carawaystile/carawaystile/systems/membership"
-	"github.com/carawaystile/carawaystile/systems/placement"
 	"github.com/carawaystile/carawaystile/tables"
 )
 
@@ -47,20 +45,13 @@
 // Client asks schedulers. It is safe for concurrent use.
 type Client struct {
 	options ClientOptions
-
-	mu      sync.Mutex
-	number  uint64
-	waiting map[uint64]chan *rpc.ScheduleAnswer
-	// silent are schedulers that are not asked until then.
-	silent map[tables.InstanceID]tables.Instant
+	calls   *datagram.Calls[*rpc.ScheduleAnswer]
+	silent  datagram.Silent
 }
 
 // NewClient returns a client.
 func NewClient(o ClientOptions) *Client {
-	return &Client{
-		options: o, number: o.Boot,
-		waiting: map[uint64]chan *rpc.ScheduleAnswer{}, silent: map[tables.InstanceID]tables.Instant{},
-	}
+	return &Client{options: o, calls: datagram.NewCalls[*rpc.ScheduleAnswer](o.Boot)}
 }
 
 // Assignment is what a scheduler has decided about one attempt. Its methods tell the
@@ -116,15 +107,12 @@
 // pick returns the scheduler with the highest draw of those that answer.
 func (c *Client) pick(key uint64) (best membership.Scheduler, found bool) {
 	now := c.options.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	var highest uint64
 	for _, s := range c.options.Schedulers() {
-		if now < c.silent[s.Instance] {
+		if c.silent.Left(s.Instance, now) {
 			continue
 		}
-		draw := placement.Mix(placement.Mix(xxhash.Sum64String(string(s.Instance))) ^ key)
-		if !found || draw > highest {
+		if draw := datagram.Draw(s.Instance, key); !found || draw > highest {
 			best, highest, found = s, draw, true
 		}
 	}
@@ -133,27 +121,10 @@
 
 // askOne asks one scheduler; a nil answer means that none came in time.
 func (c *Client) askOne(ctx context.Context, s membership.Scheduler, r *dispatch.Request) (*rpc.ScheduleAnswer, uint64) {
-	answered := make(chan *rpc.ScheduleAnswer, 1)
-	c.mu.Lock()
-	c.number++
-	number := c.number
-	c.waiting[number] = answered
-	c.mu.Unlock()
-	defer func() {
-		c.mu.Lock()
-		delete(c.waiting, number)
-		c.mu.Unlock()
-	}()
-	c.options.Send(s.Address, &rpc.ScheduleMessage{Number: number, Question: question(c.options.Now(), r)})
-	timer := time.NewTimer(answerTimeout)
-	defer timer.Stop()
-	select {
-	case answer := <-answered:
-		return answer, number
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	return nil, number
+	answer, number, _ := c.calls.Ask(ctx, answerTimeout, func(number uint64) {
+		c.options.Send(s.Address, &rpc.ScheduleMessage{Number: number, Question: question(c.options.Now(), r)})
+	})
+	return answer, number
 }
 
 // leave asks others for a while.
@@ -163,25 +134,14 @@
 		pause = silentPause
 		events.SchedulerSilent.Log(c.options.Log, zap.String("scheduler", string(s.Instance)))
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.silent[s.Instance] = c.options.Now() + pause
-	for id, until := range c.silent {
-		if c.options.Now() >= until {
-			delete(c.silent, id)
-		}
-	}
+	now := c.options.Now()
+	c.silent.Leave(s.Instance, now, now+pause)
 }
 
 // Answered takes an answer. One that comes too late is given back: the scheduler must
 // not go on counting an attempt that is not made.
 func (c *Client) Answered(from netip.AddrPort, number uint64, answer *rpc.ScheduleAnswer) {
-	c.mu.Lock()
-	waiting := c.waiting[number]
-	delete(c.waiting, number)
-	c.mu.Unlock()
-	if waiting != nil {
-		waiting <- answer
+	if c.calls.Answered(number, answer) {
 		return
 	}
 	if answer.GetEndpoint() != "" {
--- a/systems/membership/membership.go
+++ b/systems/membership/membership.go
@@ -177,7 +177,9 @@
 	// Schedule is a message between an entry instance and a scheduler, and From who
 	// sent it.
 	Schedule *rpc.ScheduleMessage
-	From     Sender
+	// Usage is a message about organisations' usage, from the same.
+	Usage *rpc.UsageMessage
+	From  Sender
 	// Newer is set to the control address of an instance that has a newer
 	// revision in force than this one.
 	Newer netip.AddrPort
--- a/systems/membership/receive.go
+++ b/systems/membership/receive.go
@@ -48,9 +48,12 @@
 		m.takeHints(in)
 		return m.take(), nil
 	}
-	if in.GetKind() == datagramSchedule {
-		sender := Sender{Instance: tables.InstanceID(in.GetSender().GetInstance()), Address: from}
+	sender := Sender{Instance: tables.InstanceID(in.GetSender().GetInstance()), Address: from}
+	switch in.GetKind() {
+	case datagramSchedule:
 		return Output{Schedule: in.GetSchedule(), From: sender}, nil
+	case datagramUsage:
+		return Output{Usage: in.GetUsage(), From: sender}, nil
 	}
 	m.takeSender(now, from, in)
 	m.answer(now, from, in)
--- a/systems/membership/roster.go
+++ b/systems/membership/roster.go
@@ -23,6 +23,8 @@
 	// schedulers are those of the own zone; none where each entry instance chooses for
 	// itself.
 	schedulers []Scheduler
+	// byZone lists the living entry instances of each zone; it is made anew at a change.
+	byZone map[tables.Zone][]Scheduler
 	// abroad are the entry instances of each other zone, one of which passes hints on.
 	abroad [][]*member
 	// told are the addresses that hints go to.
--- a/systems/membership/schedulers.go
+++ b/systems/membership/schedulers.go
@@ -92,8 +92,12 @@
 	zones := m.zones()
 	r := &m.roster
 	r.entries, r.schedulers, r.told, r.abroad = 0, nil, nil, nil
-	for _, entries := range zones {
+	r.byZone = make(map[tables.Zone][]Scheduler, len(zones))
+	for zone, entries := range zones {
 		r.entries += len(entries)
+		for _, row := range entries {
+			r.byZone[zone] = append(r.byZone[zone], schedulerOf(row))
+		}
 	}
 	wide := r.entries > WideGroup
 	schedule := wide && m.schedule
@@ -118,11 +122,28 @@
 	slices.SortFunc(r.abroad, func(a, b []*member) int { return cmp.Compare(a[0].Zone, b[0].Zone) })
 }
 
+// EntriesByZone lists the living entry instances of each zone.
+func (m *Membership) EntriesByZone() map[tables.Zone][]Scheduler {
+	m.count()
+	return m.roster.byZone
+}
+
 // Schedule encodes a message between an entry instance and a scheduler. It needs no
 // member and no clock.
 func (m *Membership) Schedule(to netip.AddrPort, message *rpc.ScheduleMessage) Output {
 	d := m.hints()
 	d.Kind, d.Schedule = datagramSchedule, message
+	return encoded(to, d)
+}
+
+// Usage encodes a message about organisations' usage, as Schedule does.
+func (m *Membership) Usage(to netip.AddrPort, message *rpc.UsageMessage) Output {
+	d := m.hints()
+	d.Kind, d.Usage = datagramUsage, message
+	return encoded(to, d)
+}
+
+func encoded(to netip.AddrPort, d *rpc.Datagram) Output {
 	payload, err := proto.Marshal(d)
 	if err != nil {
 		return Output{}
--- a/systems/membership/send.go
+++ b/systems/membership/send.go
@@ -19,6 +19,7 @@
 	datagramRows        = rpc.DatagramKind_DATAGRAM_ROWS
 	datagramHints       = rpc.DatagramKind_DATAGRAM_HINTS
 	datagramSchedule    = rpc.DatagramKind_DATAGRAM_SCHEDULE
+	datagramUsage       = rpc.DatagramKind_DATAGRAM_USAGE
 	// fieldOverhead is what an embedded message costs besides its content.
 	fieldOverhead = 3
 )
--- /dev/null
+++ b/usage/accountant.go
@@ -0,0 +1,340 @@
+package usage
+
+import (
+	"time"
+
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+const (
+	// leaseTime is how long an instance may admit requests without asking, and leasePart
+	// the part of the burst that must be left for it. Within the lease instances may use
+	// more than is left; that part bounds by how much.
+	leaseTime = time.Second
+	leasePart = 0.5
+	// silentAfter is after how long without a report another accountant counts as cut
+	// off. Accountants of accounts in use report several times in it.
+	silentAfter = 1200 * time.Millisecond
+	// reportPeriod is the time between two reports of an account whose level is high,
+	// tightPeriod that of others, and reportPart the part of the burst whose use brings
+	// the next report forward to tightPeriod.
+	reportPeriod = 400 * time.Millisecond
+	tightPeriod  = 50 * time.Millisecond
+	reportPart   = 1.0 / 16
+	// idleAfter is after how long without use an account is forgotten. Its bucket is full
+	// by then: bursts are a few seconds' worth of the rate.
+	idleAfter = 30 * time.Second
+	// remoteForget is after how long a silent accountant no longer counts. Instances of
+	// its zone that live have another accountant by then.
+	remoteForget = 2 * time.Minute
+	// maxReturn bounds the time after which refused callers are asked to come back.
+	maxReturn = 5 * time.Second
+)
+
+// Debit is what an entry instance asks of an accountant: to admit one request, to note use
+// that it has admitted under a lease, or both.
+type Debit struct {
+	Organisation tables.OrganisationID
+	// Cost is that of the request to admit; 0 if there is none.
+	Cost int64
+	// Spent is use that was admitted without asking; negative gives back what was
+	// charged for requests that did not run.
+	Spent int64
+	// Level is what the instance last heard of the account, as of LevelAge ago, if
+	// LevelKnown is set. An accountant that has just taken over learns it so.
+	LevelKnown bool
+	Level      int64
+	LevelAge   time.Duration
+}
+
+// Answer is an accountant's answer to a Debit.
+type Answer struct {
+	// Ready is false if the accountant does not know the organisation or its limit.
+	Ready    bool
+	Admitted bool
+	// RetryAfter is when a refused caller had better come back.
+	RetryAfter time.Duration
+	// Lease is for how long the instance may admit without asking.
+	Lease time.Duration
+	// Level is what is left of the burst, and Demand the demand of all instances a second.
+	Level, Demand int64
+}
+
+// Report is what one accountant lets another know of an account.
+type Report struct {
+	Organisation tables.OrganisationID
+	// Admitted is the running total of what the accountant has admitted in its life,
+	// which Life tells from others.
+	Admitted int64
+	Life     uint64
+	// Demand is what callers ask of the accountant a second.
+	Demand int64
+	// Level is the account's level there.
+	Level int64
+}
+
+// Accountant keeps the accounts of organisations for its zone.
+type Accountant struct {
+	life uint64
+	// unknown is until when use may have been counted elsewhere without this accountant
+	// having been told: its start, or the loss of another one of its zone.
+	unknown tables.Instant
+	limits  map[tables.OrganisationID]Limit
+	// accounts holds those in use.
+	accounts map[tables.OrganisationID]*account
+	sweptAt  tables.Instant
+}
+
+type account struct {
+	bucket
+	admitted int64
+	demand   demand
+	used     tables.Instant
+	// remotes are the accountants of other zones, and others of this zone that were
+	// asked for a while.
+	remotes map[tables.InstanceID]*remote
+	// holders are instances with a lease, until when.
+	holders map[tables.InstanceID]tables.Instant
+	// returnAt is when the next refused caller had better come back.
+	returnAt tables.Instant
+	// reported and reportedAt are the total of the last report and its time.
+	reported   int64
+	reportedAt tables.Instant
+}
+
+// remote is another accountant of the same organisation.
+type remote struct {
+	life     uint64
+	admitted int64
+	demand   float64
+	at       tables.Instant
+	// silent is set while nothing is heard: it is then taken to use part of the limit,
+	// assumed so far.
+	silent  bool
+	part    float64
+	assumed float64
+}
+
+// NewAccountant returns an accountant without accounts. Life tells it from those of the
+// same instance before a restart.
+func NewAccountant(now tables.Instant, life uint64) *Accountant {
+	return &Accountant{life: life, unknown: now, accounts: map[tables.OrganisationID]*account{}}
+}
+
+// SetLimits puts limits in force. What was used under the limit before counts under the
+// next one. A higher burst can be used at once.
+func (a *Accountant) SetLimits(limits map[tables.OrganisationID]Limit) {
+	for id, acc := range a.accounts {
+		acc.level += max(0, limits[id].Burst-a.limits[id].Burst)
+	}
+	a.limits = limits
+}
+
+// Lost notes that another accountant of the zone may be gone, with its accounts.
+func (a *Accountant) Lost(now tables.Instant) { a.unknown = now }
+
+// Debit takes use into an account and decides about a request. Holders lists the instances
+// whose leases end by it: the level has become low.
+func (a *Accountant) Debit(now tables.Instant, by tables.InstanceID, d Debit) (answer Answer, holders []tables.InstanceID) {
+	limit := a.limits[d.Organisation]
+	if !limit.Limited() {
+		return Answer{}, nil
+	}
+	acc := a.account(now, d.Organisation, limit)
+	acc.advance(now, limit)
+	if d.LevelKnown {
+		known := float64(d.Level) + limit.Rate*d.LevelAge.Seconds()
+		acc.level = min(acc.level, max(known, acc.level-limit.Burst))
+	}
+	acc.use(now, d.Spent)
+	acc.demand.add(now, float64(max(0, d.Spent)+d.Cost))
+	answer = Answer{Ready: true, Admitted: d.Cost == 0 || acc.level >= 0}
+	switch {
+	case !answer.Admitted:
+		answer.RetryAfter = acc.returnAfter(now, limit, d.Cost)
+	default:
+		acc.use(now, d.Cost)
+	}
+	holders = acc.lease(now, by, limit, &answer)
+	answer.Level, answer.Demand = int64(acc.level), int64(acc.totalDemand(now))
+	return answer, holders
+}
+
+// account returns an account, opened if there is none.
+//
+// What was used before the accountant's start, or before another one was lost, is not known
+// and counts as spent: the level begins at zero then. So instances may be restarted without
+// the limit of a window that spans the restart being exceeded.
+func (a *Accountant) account(now tables.Instant, id tables.OrganisationID, limit Limit) *account {
+	acc := a.accounts[id]
+	if acc == nil {
+		acc = &account{
+			bucket:  bucket{at: a.unknown},
+			remotes: map[tables.InstanceID]*remote{},
+			holders: map[tables.InstanceID]tables.Instant{},
+		}
+		acc.refill(now, limit, 1)
+		a.accounts[id] = acc
+	}
+	acc.used = now
+	return acc
+}
+
+// use takes an amount from the level.
+func (c *account) use(now tables.Instant, amount int64) {
+	c.admitted += amount
+	c.level -= float64(amount)
+}
+
+// advance brings the level up to date. Accountants that are silent are taken to use their
+// parts.
+func (c *account) advance(now tables.Instant, limit Limit) {
+	c.noteSilent(now, limit)
+	left := 1.0
+	elapsed := max(0, now-c.at).Seconds()
+	for _, r := range c.remotes {
+		if r.silent {
+			left -= r.part
+			r.assumed += r.part * limit.Rate * elapsed
+		}
+	}
+	c.refill(now, limit, max(0, left))
+}
+
+// noteSilent finds accountants that have fallen silent, and sets their parts of the limit
+// and of what is left of the burst aside.
+func (c *account) noteSilent(now tables.Instant, limit Limit) {
+	total := c.totalDemand(now)
+	for id, r := range c.remotes {
+		switch {
+		case now-r.at > remoteForget:
+			delete(c.remotes, id)
+		case !r.silent && now-r.at > silentAfter && r.demand > 0:
+			r.silent = true
+			r.part = partOf(r.demand, total, limit.Rate, len(c.remotes)+1)
+			r.assumed = r.part * max(0, c.level)
+			c.level -= r.assumed
+		}
+	}
+}
+
+// totalDemand is the demand of all zones.
+func (c *account) totalDemand(now tables.Instant) float64 {
+	total := c.demand.now(now)
+	for _, r := range c.remotes {
+		total += r.demand
+	}
+	return total
+}
+
+// lease decides whether the instance may go on without asking. When the level becomes low
+// it returns those that hold a lease.
+func (c *account) lease(now tables.Instant, by tables.InstanceID, limit Limit, answer *Answer) (ended []tables.InstanceID) {
+	if c.level >= leasePart*limit.Burst {
+		c.holders[by] = now + leaseTime
+		answer.Lease = leaseTime
+		return nil
+	}
+	for id, until := range c.holders {
+		if until > now && id != by {
+			ended = append(ended, id)
+		}
+	}
+	clear(c.holders)
+	return ended
+}
+
+// returnAfter is when a refused caller had better come back: one after the other, as the
+// bucket refills.
+func (c *account) returnAfter(now tables.Instant, limit Limit, cost int64) time.Duration {
+	c.returnAt = max(c.returnAt, now+c.fullIn(limit))
+	after := c.returnAt - now
+	c.returnAt = min(c.returnAt+time.Duration(float64(cost)/limit.Rate*float64(time.Second)), now+maxReturn)
+	return after
+}
+
+// Take takes another accountant's report.
+func (a *Accountant) Take(now tables.Instant, from tables.InstanceID, in Report) {
+	limit := a.limits[in.Organisation]
+	if !limit.Limited() {
+		return
+	}
+	_, known := a.accounts[in.Organisation]
+	acc := a.account(now, in.Organisation, limit)
+	acc.advance(now, limit)
+	if !known {
+		acc.level = min(acc.level, float64(in.Level))
+	}
+	r := acc.remotes[from]
+	if r == nil {
+		r = &remote{life: in.Life, admitted: in.Admitted}
+		acc.remotes[from] = r
+	}
+	if r.life != in.Life {
+		r.life, r.admitted = in.Life, 0
+	}
+	if in.Admitted > r.admitted || r.silent {
+		acc.level -= float64(in.Admitted-r.admitted) - r.assumed
+	}
+	r.admitted = max(r.admitted, in.Admitted)
+	r.silent, r.assumed = false, 0
+	r.demand, r.at = float64(in.Demand), now
+}
+
+// Reports lists what the other accountants are to be told now.
+func (a *Accountant) Reports(now tables.Instant) []Report {
+	a.sweep(now)
+	var due []Report
+	for id, acc := range a.accounts {
+		limit := a.limits[id]
+		if !acc.due(now, limit) {
+			continue
+		}
+		acc.advance(now, limit)
+		acc.reported, acc.reportedAt = acc.admitted, now
+		due = append(due, Report{
+			Organisation: id, Admitted: acc.admitted, Life: a.life,
+			Demand: int64(acc.demand.now(now)), Level: int64(acc.level),
+		})
+	}
+	return due
+}
+
+// due says whether the others are to be told of the account.
+func (c *account) due(now tables.Instant, limit Limit) bool {
+	since := now - c.reportedAt
+	if since >= reportPeriod {
+		return c.admitted != c.reported || c.demand.now(now) >= 1
+	}
+	used := float64(c.admitted - c.reported)
+	return since >= tightPeriod && used > reportPart*limit.Burst
+}
+
+// Idle says whether there is nothing to report for now.
+func (a *Accountant) Idle() bool { return len(a.accounts) == 0 }
+
+// Peers lists the accountants that have reported of an account.
+func (a *Accountant) Peers(id tables.OrganisationID) []tables.InstanceID {
+	acc := a.accounts[id]
+	if acc == nil {
+		return nil
+	}
+	var all []tables.InstanceID
+	for peer := range acc.remotes {
+		all = append(all, peer)
+	}
+	return all
+}
+
+// sweep forgets accounts that are not in use.
+func (a *Accountant) sweep(now tables.Instant) {
+	if now-a.sweptAt < time.Second {
+		return
+	}
+	a.sweptAt = now
+	for id, acc := range a.accounts {
+		if now-acc.used > idleAfter || !a.limits[id].Limited() {
+			delete(a.accounts, id)
+		}
+	}
+}
--- /dev/null
+++ b/usage/meter.go
@@ -0,0 +1,126 @@
+package usage
+
+import (
+	"time"
+
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// Step says what an instance does about one request.
+type Step uint8
+
+// The steps.
+const (
+	// Ask: the accountant decides.
+	Ask Step = iota
+	// Admit: the request is within the limit.
+	Admit
+	// Refuse: it is not.
+	Refuse
+)
+
+const (
+	// closedPart is the part of the time until a refused caller's return for which an
+	// instance refuses others without asking, and maxClosed bounds it.
+	closedPart = 0.5
+	maxClosed  = 200 * time.Millisecond
+	// meterIdle is after how long without use a meter is forgotten.
+	meterIdle = 30 * time.Second
+)
+
+// Meter is what an entry instance knows of one organisation's account.
+type Meter struct {
+	leaseUntil  tables.Instant
+	closedUntil tables.Instant
+	// known is set once an accountant has answered, at knownAt, with level and total
+	// demand.
+	known   bool
+	knownAt tables.Instant
+	level   int64
+	total   float64
+	demand  demand
+	// spent is what was admitted without asking and not reported yet.
+	spent int64
+	// alone is the bucket for the instance's own part while no accountant answers.
+	alone   bucket
+	isAlone bool
+	used    tables.Instant
+}
+
+// Decide says what to do about a request.
+func (m *Meter) Decide(now tables.Instant, cost int64) (step Step, retryAfter time.Duration) {
+	m.used = now
+	m.demand.add(now, float64(cost))
+	switch {
+	case now < m.leaseUntil:
+		m.spent += cost
+		return Admit, 0
+	case now < m.closedUntil:
+		return Refuse, m.closedUntil - now
+	}
+	return Ask, 0
+}
+
+// Debit is what the accountant is to be told, and asked for a request of that cost. The
+// instance's unreported use counts as reported from then on, until it is Undone.
+func (m *Meter) Debit(now tables.Instant, id tables.OrganisationID, cost int64) Debit {
+	d := Debit{Organisation: id, Cost: cost, Spent: m.spent}
+	if m.known {
+		d.LevelKnown, d.Level, d.LevelAge = true, m.level, now-m.knownAt
+	}
+	m.spent = 0
+	return d
+}
+
+// Undo takes back that use was reported: no answer came.
+func (m *Meter) Undo(d Debit) { m.spent += d.Spent }
+
+// Answered takes an accountant's answer.
+func (m *Meter) Answered(now tables.Instant, d Debit, a Answer) {
+	m.known, m.knownAt = true, now
+	m.level, m.total = a.Level, float64(a.Demand)
+	m.isAlone = false
+	m.leaseUntil = now + a.Lease
+	m.closedUntil = now
+	if !a.Admitted {
+		m.closedUntil = now + min(maxClosed, time.Duration(closedPart*float64(a.RetryAfter)))
+	}
+}
+
+// LeaseEnded notes that the accountant has ended the lease.
+func (m *Meter) LeaseEnded(now tables.Instant) { m.leaseUntil = min(m.leaseUntil, now) }
+
+// Charge notes use that nobody is asked about: a further run of a request, or, negative, one
+// that did not run.
+func (m *Meter) Charge(now tables.Instant, amount int64) {
+	m.used = now
+	m.spent += amount
+	if m.isAlone {
+		m.alone.level -= float64(amount)
+	}
+}
+
+// DecideAlone decides by the instance's own part of the limit: no accountant answers. The
+// part is what the instance has used of late and an equal part of what nobody did.
+func (m *Meter) DecideAlone(now tables.Instant, limit Limit, instances int, cost int64) (admitted bool, retryAfter time.Duration) {
+	own := m.demand.now(now)
+	part := partOf(own, max(m.total, own), limit.Rate, instances)
+	if !m.isAlone {
+		m.isAlone = true
+		m.alone = bucket{at: now}
+		if m.known {
+			m.alone.level = part * min(float64(m.level), limit.Burst)
+		}
+	}
+	m.alone.refill(now, limit, part)
+	if m.alone.level < 0 {
+		wait := time.Duration(float64(m.alone.fullIn(limit)) / max(part, 1e-3))
+		return false, min(wait, maxReturn)
+	}
+	m.alone.level -= float64(cost)
+	m.spent += cost
+	return true, 0
+}
+
+// Idle says whether the meter can be forgotten.
+func (m *Meter) Idle(now tables.Instant) bool { return now-m.used > meterIdle && m.spent == 0 }
--- /dev/null
+++ b/usage/server.go
@@ -0,0 +1,178 @@
+package usage
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/carawaystile/carawaystile/internal/datagram"
+	"github.com/carawaystile/carawaystile/internal/wait"
+	"github.com/carawaystile/carawaystile/rpc"
+	"github.com/carawaystile/carawaystile/systems/membership"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+const (
+	// reportCheck is the time between two looks for reports that are due, and idleCheck
+	// the same while there are no accounts.
+	reportCheck = 25 * time.Millisecond
+	idleCheck   = 250 * time.Millisecond
+	// maxReports keeps a message within a datagram.
+	maxReports = 12
+)
+
+// ServerOptions set a Server up.
+type ServerOptions struct {
+	Self tables.InstanceID
+	// Life tells lives of the instance apart.
+	Life uint64
+	// Entries lists the living entry instances of each zone.
+	Entries func() map[tables.Zone][]membership.Scheduler
+	Send    func(to netip.AddrPort, message *rpc.UsageMessage)
+	// Now is a monotonic clock.
+	Now func() tables.Instant
+}
+
+// Server keeps accounts for the entry instances of its zone. It is safe for concurrent
+// use.
+type Server struct {
+	options ServerOptions
+
+	mu         sync.Mutex
+	accountant *Accountant
+	// addresses are those of instances that have sent something.
+	addresses map[tables.InstanceID]netip.AddrPort
+}
+
+// NewServer returns a server without accounts.
+func NewServer(o ServerOptions) *Server {
+	return &Server{
+		options: o, accountant: NewAccountant(o.Now(), o.Life),
+		addresses: map[tables.InstanceID]netip.AddrPort{},
+	}
+}
+
+// SetLimits puts limits in force.
+func (s *Server) SetLimits(limits map[tables.OrganisationID]Limit) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.accountant.SetLimits(limits)
+}
+
+// EntriesLost notes that entry instances of the zone are gone.
+func (s *Server) EntriesLost() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.accountant.Lost(s.options.Now())
+}
+
+// Debit answers an entry instance of the zone, and ends the leases of others if little is
+// left.
+func (s *Server) Debit(by membership.Sender, d Debit) Answer {
+	s.mu.Lock()
+	s.addresses[by.Instance] = by.Address
+	answer, ended := s.accountant.Debit(s.options.Now(), by.Instance, d)
+	var notify []netip.AddrPort
+	for _, holder := range ended {
+		notify = append(notify, s.addresses[holder])
+	}
+	s.mu.Unlock()
+	for _, at := range notify {
+		if at.IsValid() {
+			s.options.Send(at, &rpc.UsageMessage{LeaseEnded: string(d.Organisation)})
+		}
+	}
+	return answer
+}
+
+// Take takes another accountant's reports.
+func (s *Server) Take(from membership.Sender, reports []*rpc.UsageReport) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.addresses[from.Instance] = from.Address
+	for _, report := range reports {
+		s.accountant.Take(s.options.Now(), from.Instance, decodeReport(report))
+	}
+}
+
+// Run sends reports to other accountants until the context ends.
+func (s *Server) Run(ctx context.Context) {
+	for {
+		pause := reportCheck
+		if s.report() {
+			pause = idleCheck
+		}
+		if wait.For(ctx, pause) != nil {
+			return
+		}
+	}
+}
+
+// report sends the reports that are due, and says whether there are no accounts.
+func (s *Server) report() (idle bool) {
+	for at, reports := range s.due() {
+		for chunk := range slices.Chunk(reports, maxReports) {
+			s.options.Send(at, &rpc.UsageMessage{Reports: chunk})
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.accountant.Idle()
+}
+
+// due lists the reports that are due, by receiver.
+func (s *Server) due() map[netip.AddrPort][]*rpc.UsageReport {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	reports := s.accountant.Reports(s.options.Now())
+	if len(reports) == 0 {
+		return nil
+	}
+	zones := s.options.Entries()
+	due := map[netip.AddrPort][]*rpc.UsageReport{}
+	for _, report := range reports {
+		for _, at := range s.receivers(report.Organisation, zones) {
+			due[at] = append(due[at], encodeReport(report))
+		}
+	}
+	return due
+}
+
+// receivers are the accountants of an organisation in all zones, and those that have
+// reported of it.
+func (s *Server) receivers(id tables.OrganisationID, zones map[tables.Zone][]membership.Scheduler) []netip.AddrPort {
+	at := map[tables.InstanceID]netip.AddrPort{}
+	for _, entries := range zones {
+		if first, found := draw(id, entries, nil); found {
+			at[first.Instance] = first.Address
+		}
+	}
+	for _, peer := range s.accountant.Peers(id) {
+		if _, named := at[peer]; !named && s.addresses[peer].IsValid() {
+			at[peer] = s.addresses[peer]
+		}
+	}
+	delete(at, s.options.Self)
+	var all []netip.AddrPort
+	for _, address := range at {
+		all = append(all, address)
+	}
+	return all
+}
+
+// draw picks an organisation's accountant among entry instances, without those that are
+// left out.
+func draw(id tables.OrganisationID, entries []membership.Scheduler, left func(tables.InstanceID) bool) (best membership.Scheduler, found bool) {
+	key, highest := keyOf(id), uint64(0)
+	for _, e := range entries {
+		if left != nil && left(e.Instance) {
+			continue
+		}
+		if d := datagram.Draw(e.Instance, key); !found || d > highest {
+			best, highest, found = e, d, true
+		}
+	}
+	return best, found
+}
--- /dev/null
+++ b/usage/usage.go
@@ -0,0 +1,86 @@
+// Package usage enforces usage caps: how many tokens, or requests, an organisation may use
+// a second over all entry instances together.
+//
+// In each availability zone one entry instance keeps the account of an organisation: its
+// accountant, drawn by rendezvous hashing. The account is a token bucket for the whole
+// deployment. Entry instances ask the accountant of their zone before they send a request
+// on; while the bucket is well filled they hold a lease and need not ask. Accountants of
+// different zones exchange how much each has admitted, as running totals, so a lost
+// message is made good by the next.
+//
+// A zone that falls silent is taken to use its part of the limit: what it used of late and
+// an equal part of what nobody used. Each side of a cut computes the same parts from what
+// both knew before it, so that the parts sum up to the limit.
+//
+// Accountant and Meter are pure: calls carry readings of one monotonic clock. They are
+// used by one goroutine at a time. Server and Client are safe for concurrent use and speak
+// in datagrams.
+package usage
+
+import (
+	"math"
+	"time"
+
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// Limit is an organisation's usage cap in tokens or requests.
+type Limit struct {
+	// Rate is the use a second that is allowed in the long run, and Burst what may be
+	// used at once beyond it. A Rate of 0 means no limit.
+	Rate, Burst float64
+}
+
+// Limited says whether there is a limit.
+func (l Limit) Limited() bool { return l.Rate > 0 }
+
+// bucket is a token bucket that may go into debt: a request is admitted while the level
+// is not negative, whatever it costs, so that large requests are not refused for ever.
+type bucket struct {
+	level float64
+	at    tables.Instant
+}
+
+// refill brings the level up to date, at a part of the limit's rate.
+func (b *bucket) refill(now tables.Instant, l Limit, part float64) {
+	if now > b.at {
+		b.level += part * l.Rate * (now - b.at).Seconds()
+		b.at = now
+	}
+	b.level = min(b.level, l.Burst)
+}
+
+// fullIn is how long the bucket needs until its level is no longer negative.
+func (b *bucket) fullIn(l Limit) time.Duration {
+	if b.level >= 0 {
+		return 0
+	}
+	return time.Duration(-b.level / l.Rate * float64(time.Second))
+}
+
+// demandKeep is the time constant of measured demand.
+const demandKeep = 2 * time.Second
+
+// demand is a use a second that is measured with exponential decay.
+type demand struct {
+	perSecond float64
+	at        tables.Instant
+}
+
+func (d *demand) add(now tables.Instant, amount float64) {
+	d.perSecond = max(0, d.now(now)+amount/demandKeep.Seconds())
+	d.at = now
+}
+
+func (d *demand) now(now tables.Instant) float64 {
+	return d.perSecond * math.Exp(-float64(max(0, now-d.at))/float64(demandKeep))
+}
+
+// partOf is the part of a limit that falls to one of n with the given demand, where total
+// is the demand of all. What nobody asks for is divided equally.
+func partOf(own, total, rate float64, n int) float64 {
+	if total >= rate {
+		return own / total
+	}
+	return (own + (rate-total)/float64(max(n, 1))) / rate
+}
--- /dev/null
+++ b/usage/wire.go
@@ -0,0 +1,53 @@
+package usage
+
+import (
+	"time"
+
+	"github.com/carawaystile/carawaystile/rpc"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+func encodeDebit(d Debit) *rpc.UsageDebit {
+	return &rpc.UsageDebit{
+		Organisation: string(d.Organisation), Cost: d.Cost, Spent: d.Spent,
+		LevelKnown: d.LevelKnown, Level: d.Level, LevelAgeMs: inMilliseconds(d.LevelAge),
+	}
+}
+
+func decodeDebit(d *rpc.UsageDebit) Debit {
+	return Debit{
+		Organisation: tables.OrganisationID(d.GetOrganisation()), Cost: max(0, d.GetCost()), Spent: d.GetSpent(),
+		LevelKnown: d.GetLevelKnown(), Level: d.GetLevel(), LevelAge: fromMilliseconds(d.GetLevelAgeMs()),
+	}
+}
+
+func encodeAnswer(a Answer) *rpc.UsageAnswer {
+	return &rpc.UsageAnswer{
+		Ready: a.Ready, Admitted: a.Admitted, RetryAfterMs: inMilliseconds(a.RetryAfter), LeaseMs: inMilliseconds(a.Lease),
+		Level: a.Level, Demand: a.Demand,
+	}
+}
+
+func decodeAnswer(a *rpc.UsageAnswer) Answer {
+	return Answer{
+		Ready: a.GetReady(), Admitted: a.GetAdmitted(), RetryAfter: fromMilliseconds(a.GetRetryAfterMs()),
+		Lease: min(fromMilliseconds(a.GetLeaseMs()), leaseTime), Level: a.GetLevel(), Demand: max(0, a.GetDemand()),
+	}
+}
+
+func encodeReport(r Report) *rpc.UsageReport {
+	return &rpc.UsageReport{
+		Organisation: string(r.Organisation), Admitted: r.Admitted, Life: r.Life, Demand: r.Demand, Level: r.Level,
+	}
+}
+
+func decodeReport(r *rpc.UsageReport) Report {
+	return Report{
+		Organisation: tables.OrganisationID(r.GetOrganisation()), Admitted: r.GetAdmitted(), Life: r.GetLife(),
+		Demand: max(0, r.GetDemand()), Level: r.GetLevel(),
+	}
+}
+
+func inMilliseconds(d time.Duration) uint32 { return uint32(max(0, d.Milliseconds())) }
+
+func fromMilliseconds(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
