Caps give half of their tolerance out, and small requests pass at a lower level

Callers come back after the time that they are told, are late then, and use up what others within the limit would have had.

Ruled out: refusals below the limit in virtual time; there were none. It is the order of requests around the limit.

A request is admitted when the bucket holds its cost, or a quarter of the burst, whichever is less.

--- a/forward/server.go
+++ b/forward/server.go
@@ -24,6 +24,7 @@
 	"github.com/carawaystile/carawaystile/routes"
 	"github.com/carawaystile/carawaystile/systems/quarantine"
 	"github.com/carawaystile/carawaystile/tables"
+	"github.com/carawaystile/carawaystile/usage"
 	"github.com/carawaystile/carawaystile/weights"
 )
 
@@ -48,6 +49,8 @@
 	Share func([]quarantine.Suspect)
 	// Usage enforces organisations' usage caps; nil for none.
 	Usage UsageLimiter
+	// UsageTolerance is by how much use may exceed a cap.
+	UsageTolerance usage.Tolerance
 	// Scheduler has other instances choose endpoints of generations; nil for none.
 	Scheduler Scheduler
 	// Life ends when the instance does; nil for never. Looks at endpoints end with it.
--- a/forward/usage.go
+++ b/forward/usage.go
@@ -38,7 +38,7 @@
 	if limiter == nil || j.org == nil || !j.org.Usage.Limited() {
 		return true
 	}
-	limit := UsageLimit(j.org)
+	limit := UsageLimit(j.org, j.server.options.UsageTolerance)
 	j.charge = charge{limiter: limiter, id: j.org.ID, limit: limit, cost: j.usageCost()}
 	j.charge.decision = limiter.Admit(j.ctx, j.org.ID, limit, j.charge.cost)
 	j.server.metrics.usageDecided(j)
@@ -50,9 +50,9 @@
 	return true
 }
 
-// UsageLimit is an organisation's cap as package usage takes it.
-func UsageLimit(o *routes.Organisation) usage.Limit {
-	return usage.Limit{Rate: o.Usage.Rate, Burst: o.Usage.Burst}
+// UsageLimit is what is enforced of an organisation's cap.
+func UsageLimit(o *routes.Organisation, t usage.Tolerance) usage.Limit {
+	return t.Apply(usage.Limit{Rate: o.Usage.Rate, Burst: o.Usage.Burst})
 }
 
 // usageCost is what the request costs in the unit of its organisation's cap.
--- a/node/entry.go
+++ b/node/entry.go
@@ -49,7 +49,9 @@
 		Share:      n.shareSuspects,
 		Scheduler:  n.startScheduling(),
 		Usage:      n.startUsage(),
-		Life:       n.stopping,
+
+		UsageTolerance: n.usageTolerance(),
+		Life:           n.stopping,
 	})
 	n.schedules = schedule.NewServer(n.entry, n.now)
 	n.follow = deployment.NewClient(deployment.ClientOptions{
@@ -99,7 +101,7 @@
 		events.ConfigurationUnreadable.Log(n.log, zap.Uint64("revision", document.GetNumber()), zap.Error(err))
 		return
 	}
-	n.accounts.SetLimits(usageLimits(table))
+	n.accounts.SetLimits(n.usageLimits(table))
 	n.entry.Configure(table)
 }
 
--- a/node/usage.go
+++ b/node/usage.go
@@ -24,12 +24,17 @@
 	return n.caps
 }
 
+func (n *Node) usageTolerance() usage.Tolerance {
+	s := n.options.Settings.Usage
+	return usage.Tolerance{Overage: s.Overage, Slack: s.Slack}
+}
+
 // usageLimits are the caps of a configuration.
-func usageLimits(table *routes.Table) map[tables.OrganisationID]usage.Limit {
+func (n *Node) usageLimits(table *routes.Table) map[tables.OrganisationID]usage.Limit {
 	limits := map[tables.OrganisationID]usage.Limit{}
 	for i := range table.Organisations {
 		if o := &table.Organisations[i]; o.Usage.Limited() {
-			limits[o.ID] = forward.UsageLimit(o)
+			limits[o.ID] = forward.UsageLimit(o, n.usageTolerance())
 		}
 	}
 	return limits
--- a/settings/forwarding.go
+++ b/settings/forwarding.go
@@ -48,6 +48,7 @@
 	List    netip.AddrPort
 	Orders  ForwardingOrders
 	Retries ForwardingRetries
+	Usage   ForwardingUsage
 	Drain   Drain
 	// LogLevel is the least level that is written.
 	LogLevel zapcore.Level
@@ -95,6 +96,11 @@
 	Window time.Duration
 }
 
+// ForwardingUsage is by how much an organisation's use may exceed its cap within a window,
+// over all instances: by Overage as a part of the cap, and by Slack beyond that, in the
+// unit of the cap.
+type ForwardingUsage struct{ Overage, Slack float64 }
+
 // Defaults of the forwarding settings.
 const (
 	defaultTolerate     = 1
@@ -183,6 +189,7 @@
 		field{key: "platform_list", read: address(&f.List)},
 		field{key: "orders", read: f.Orders.read},
 		field{key: "retries", read: f.Retries.read},
+		field{key: "usage", read: f.Usage.read},
 		field{key: "drain", read: f.readDrain},
 		field{key: "log_level", read: choice(&f.LogLevel, levelWords, levels)},
 	)
@@ -268,6 +275,13 @@
 	)
 }
 
+func (u *ForwardingUsage) read(n node) {
+	n.object(
+		field{key: "overage", read: quantity(&u.Overage, 0, 1)},
+		field{key: "slack", read: quantity(&u.Slack, 0, 1_000_000_000)},
+	)
+}
+
 func (f *Forwarding) readDrain(n node) {
 	n.object(
 		field{key: "announce", read: period(&f.Drain.Announce, 0, 10*time.Minute)},
--- a/settings/forwarding_test.go
+++ b/settings/forwarding_test.go
@@ -48,6 +48,16 @@
 	assert.Assert(t, !f.Source.IsValid())
 }
 
+// Guards against usage caps being enforced without the tolerance that operators grant.
+func TestUsageToleranceIsRead(t *testing.T) {
+	f, err := ParseForwarding("f.yaml", []byte(forwarding+"usage:\n  overage: 0.1\n  slack: 110000\n"))
+	assert.NilError(t, err)
+	assert.Equal(t, f.Usage, ForwardingUsage{Overage: 0.1, Slack: 110_000})
+	f, err = ParseForwarding("f.yaml", []byte(forwarding))
+	assert.NilError(t, err)
+	assert.Equal(t, f.Usage, ForwardingUsage{})
+}
+
 // A settings file names no data folder for a control instance. Started, the
 // instance would forget what it has acknowledged at its next restart.
 func TestFaultsOfForwardingSettingsAreNamed(t *testing.T) {
--- a/usage/accountant.go
+++ b/usage/accountant.go
@@ -27,8 +27,6 @@
 	// remoteForget is after how long a silent accountant no longer counts. Instances of
 	// its zone that live have another accountant by then.
 	remoteForget = 2 * time.Minute
-	// maxReturn bounds the time after which refused callers are asked to come back.
-	maxReturn = 5 * time.Second
 )
 
 // Debit is what an entry instance asks of an accountant: to admit one request, to note use
@@ -148,7 +146,7 @@
 	}
 	acc.use(now, d.Spent)
 	acc.demand.add(now, float64(max(0, d.Spent)+d.Cost))
-	answer = Answer{Ready: true, Admitted: d.Cost == 0 || acc.level >= 0}
+	answer = Answer{Ready: true, Admitted: d.Cost == 0 || acc.admits(limit, d.Cost)}
 	switch {
 	case !answer.Admitted:
 		answer.RetryAfter = acc.returnAfter(now, limit, d.Cost)
@@ -247,7 +245,7 @@
 // returnAfter is when a refused caller had better come back: one after the other, as the
 // bucket refills.
 func (c *account) returnAfter(now tables.Instant, limit Limit, cost int64) time.Duration {
-	c.returnAt = max(c.returnAt, now+c.fullIn(limit))
+	c.returnAt = max(c.returnAt, now+c.admitsIn(limit, cost, 1))
 	after := c.returnAt - now
 	c.returnAt = min(c.returnAt+time.Duration(float64(cost)/limit.Rate*float64(time.Second)), now+maxReturn)
 	return after
--- a/usage/meter.go
+++ b/usage/meter.go
@@ -103,19 +103,19 @@
 // DecideAlone decides by the instance's own part of the limit: no accountant answers. The
 // part is what the instance has used of late and an equal part of what nobody did.
 func (m *Meter) DecideAlone(now tables.Instant, limit Limit, instances int, cost int64) (admitted bool, retryAfter time.Duration) {
-	own := m.demand.now(now)
-	part := partOf(own, max(m.total, own), limit.Rate, instances)
+	demand := m.demand.now(now)
+	part := partOf(demand, max(m.total, demand), limit.Rate, instances)
 	if !m.isAlone {
 		m.isAlone = true
-		m.alone = bucket{at: now}
+		m.alone = bucket{at: now, level: requiredPart * part * limit.Burst}
 		if m.known {
 			m.alone.level = part * min(float64(m.level), limit.Burst)
 		}
 	}
 	m.alone.refill(now, limit, part)
-	if m.alone.level < 0 {
-		wait := time.Duration(float64(m.alone.fullIn(limit)) / max(part, 1e-3))
-		return false, min(wait, maxReturn)
+	own := Limit{Rate: part * limit.Rate, Burst: part * limit.Burst}
+	if !m.alone.admits(own, cost) {
+		return false, m.alone.admitsIn(own, cost, 1)
 	}
 	m.alone.level -= float64(cost)
 	m.spent += cost
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -34,8 +34,23 @@
 // Limited says whether there is a limit.
 func (l Limit) Limited() bool { return l.Rate > 0 }
 
-// bucket is a token bucket that may go into debt: a request is admitted while the level
-// is not negative, whatever it costs, so that large requests are not refused for ever.
+// Tolerance is by how much use may exceed a limit within a window before that counts as an
+// excess: by Overage as a part of the limit, and by Slack beyond that.
+type Tolerance struct{ Overage, Slack float64 }
+
+// tolerancePart is the part of the tolerance that is given out, so that no request within
+// the limit is refused because accounts differ in the order of requests. The rest is for
+// what accounts have not heard of yet.
+const tolerancePart = 0.5
+
+// Apply returns the limit that accounts enforce.
+func (t Tolerance) Apply(l Limit) Limit {
+	factor := 1 + tolerancePart*t.Overage
+	return Limit{Rate: factor * l.Rate, Burst: factor*l.Burst + tolerancePart*t.Slack}
+}
+
+// bucket is a token bucket that may go into debt: a request that costs more than the
+// bucket holds when it is full is admitted at a level of requiredPart of that.
 type bucket struct {
 	level float64
 	at    tables.Instant
@@ -50,14 +65,34 @@
 	b.level = min(b.level, l.Burst)
 }
 
-// fullIn is how long the bucket needs until its level is no longer negative.
-func (b *bucket) fullIn(l Limit) time.Duration {
-	if b.level >= 0 {
+// requiredPart is the part of the burst that is enough for a request of any cost.
+const requiredPart = 0.25
+
+// required is the level at which a request is admitted. Small requests pass at a lower one:
+// of an organisation that is at its limit they are many, and cost others little.
+func required(l Limit, cost int64) float64 { return min(float64(cost), requiredPart*l.Burst) }
+
+// admits says whether the level is high enough for a request.
+func (b *bucket) admits(l Limit, cost int64) bool { return b.level >= required(l, cost) }
+
+// admitsIn is how long the bucket needs until it admits a request, at a part of the
+// limit's rate.
+func (b *bucket) admitsIn(l Limit, cost int64, part float64) time.Duration {
+	missing := required(l, cost) - b.level
+	if missing <= 0 {
 		return 0
 	}
-	return time.Duration(-b.level / l.Rate * float64(time.Second))
+	seconds := min(missing/(max(part, minPart)*l.Rate), maxReturn.Seconds())
+	return time.Duration(seconds * float64(time.Second))
 }
 
+const (
+	// minPart bounds how long a part of a limit makes a caller wait.
+	minPart = 1e-3
+	// maxReturn bounds the time after which refused callers are asked to come back.
+	maxReturn = 5 * time.Second
+)
+
 // demandKeep is the time constant of measured demand.
 const demandKeep = 2 * time.Second
 
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -256,3 +256,23 @@
 	admitted, after := quiet.DecideAlone(now, limit, 68, 1000)
 	assert.Assert(t, !admitted && after > 0)
 }
+
+// Guards against a tolerance that is given out whole: accounts differ by what they have not
+// heard of yet.
+func TestHalfOfTheToleranceIsGivenOut(t *testing.T) {
+	got := Tolerance{Overage: 0.1, Slack: 20_000}.Apply(Limit{Rate: 1000, Burst: 2000})
+	assert.DeepEqual(t, got, Limit{Rate: 1050, Burst: 2100 + 10_000})
+	assert.DeepEqual(t, Tolerance{}.Apply(limit), limit)
+}
+
+// Guards against one caller's large requests keeping the small ones of its organisation out.
+func TestSmallRequestsPassAtALowerLevel(t *testing.T) {
+	a := NewAccountant(0, 1)
+	a.SetLimits(capped(limit))
+	now := 5 * time.Second
+	a.Debit(now, "i", Debit{Organisation: org, Cost: int64(limit.Burst) - 1000})
+	large, _ := a.Debit(now, "i", Debit{Organisation: org, Cost: 9000})
+	small, _ := a.Debit(now, "i", Debit{Organisation: org, Cost: 200})
+	assert.Assert(t, !large.Admitted)
+	assert.Assert(t, small.Admitted)
+}
