Names in the field's terms: remote, reported, answered

Cause: told, heard, word and abroad stood for what the field calls reports, answers and remote zones.

Conclusion: what is left of the old wording stands in comments of node, control and systems/membership.

--- a/control/gossip/gossip.go
+++ b/control/gossip/gossip.go
@@ -145,32 +145,32 @@
 	})
 }
 
-// TellHints lets the others know of this instance's requests.
-func (g *Gossip) TellHints(hints membership.Hints) {
+// SendHints lets the others know of this instance's requests.
+func (g *Gossip) SendHints(hints membership.Hints) {
 	g.run(func(m *membership.Membership, now tables.Instant) membership.Output {
-		return m.TellHints(now, hints)
+		return m.SendHints(now, hints)
 	})
 }
 
-// TellAbroad lets zones that TellHints leaves out know of placements.
-func (g *Gossip) TellAbroad(placements []membership.Placement) {
+// SendToOtherZones lets zones that SendHints leaves out know of placements.
+func (g *Gossip) SendToOtherZones(placements []membership.Placement) {
 	g.run(func(m *membership.Membership, now tables.Instant) membership.Output {
-		return m.TellAbroad(now, placements)
+		return m.SendToOtherZones(now, placements)
 	})
 }
 
-// TellLoadsAbroad lets the schedulers of other zones know of loads.
-func (g *Gossip) TellLoadsAbroad(loads []membership.Load) {
+// SendLoadsToOtherZones lets the schedulers of other zones know of loads.
+func (g *Gossip) SendLoadsToOtherZones(loads []membership.Load) {
 	g.run(func(m *membership.Membership, now tables.Instant) membership.Output {
-		return m.TellLoadsAbroad(now, loads)
+		return m.SendLoadsToOtherZones(now, loads)
 	})
 }
 
-// SchedulersAbroad counts the schedulers of other zones.
-func (g *Gossip) SchedulersAbroad() int {
+// RemoteSchedulers counts the schedulers of other zones.
+func (g *Gossip) RemoteSchedulers() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.membership.SchedulersAbroad()
+	return g.membership.RemoteSchedulers()
 }
 
 // Schedulers lists the schedulers of the own zone, the best first.
--- a/control/gossip/gossip_test.go
+++ b/control/gossip/gossip_test.go
@@ -62,7 +62,7 @@
 	for len(second.Members()) < 2 {
 		<-newer
 	}
-	second.TellHints(membership.Hints{Placements: []membership.Placement{{Endpoint: "e", Boot: "b", Block: 1}}})
+	second.SendHints(membership.Hints{Placements: []membership.Placement{{Endpoint: "e", Boot: "b", Block: 1}}})
 	assert.Equal(t, (<-placed).Block, tables.BlockHash(1))
 	assert.Equal(t, (<-newer).Port(), uint16(1))
 	assert.Equal(t, first.Share(), 0.5)
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -87,6 +87,6 @@
 		Period:         placementPeriod,
 		BytesPerSecond: gossip.HintBytesPerSecond,
 		Receivers:      func() int { return d.members.Load().HintReceivers() },
-		Tell:           func(news membership.Hints) { d.members.Load().TellHints(news) },
+		Tell:           func(news membership.Hints) { d.members.Load().SendHints(news) },
 	})
 }
--- a/dispatch/adopt.go
+++ b/dispatch/adopt.go
@@ -93,6 +93,6 @@
 // Placers notes how many other instances choose endpoints at the same time, each for
 // an equal share of the requests: those that hear of a choice at once, and those of
 // other zones that hear of it later.
-func (d *Dispatcher) Placers(near, abroad int) {
-	d.placers, d.placersAbroad = float64(max(near, 0)), float64(max(abroad, 0))
+func (d *Dispatcher) Placers(near, remote int) {
+	d.placers, d.remotePlacers = float64(max(near, 0)), float64(max(remote, 0))
 }
--- a/dispatch/averages_test.go
+++ b/dispatch/averages_test.go
@@ -46,7 +46,7 @@
 		}
 		now := 300 * 10 * time.Second
 		first := mustPlace(t, d, now, ask(0))
-		d.Heard(now, first, dialect.EndpointLoad{Running: 7, Slots: 8})
+		d.LoadAnswered(now, first, dialect.EndpointLoad{Running: 7, Slots: 8})
 		_, reason := d.Place(now, ask(8))
 		assert.Equal(t, reason != Full, c.room, "prompts of %d tokens: %s", c.prompt, reason)
 	}
--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -19,8 +19,8 @@
 	// tellDelay is how long it takes until other instances know of a placement:
 	// the pause between two hints, and their way.
 	tellDelay = 40 * time.Millisecond
-	// abroadDelay is the same for instances of zones that are told through one.
-	abroadDelay = 200 * time.Millisecond
+	// remoteDelay is the same for instances of zones that are told through one.
+	remoteDelay = 200 * time.Millisecond
 )
 
 // demand counts requests for parts of prompts at this instance, as a sum that
@@ -80,5 +80,5 @@
 // not to be feared, and holding to a home that is slow or busy makes answers late.
 func (d *Dispatcher) collision(now tables.Instant, part parts.Name) float64 {
 	own := (d.demand.count(now, part) + demandFirst) / demandKeep.Seconds()
-	return 1 - math.Exp(-own*(d.placers*tellDelay.Seconds()+d.placersAbroad*abroadDelay.Seconds()))
+	return 1 - math.Exp(-own*(d.placers*tellDelay.Seconds()+d.remotePlacers*remoteDelay.Seconds()))
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -68,7 +68,7 @@
 // Counted says whether the request counts as demand for its parts already.
 func (r *Request) Counted() bool { return r.counted }
 
-// SetCounted notes so, by another instance's word.
+// SetCounted notes so, by another instance's report.
 func (r *Request) SetCounted() { r.counted = true }
 
 // sharedTokens is the length of all shared parts.
@@ -210,9 +210,9 @@
 	weights weights.History
 	budgets map[string]*budget
 	peers   int
-	// placers is how many other instances choose endpoints, and placersAbroad those of
+	// placers is how many other instances choose endpoints, and remotePlacers those of
 	// zones that hear of choices later.
-	placers, placersAbroad float64
+	placers, remotePlacers float64
 	picks                  uint64
 	holders                holders
 	// averages are by service.
@@ -224,26 +224,26 @@
 	views     []view
 	// viewed counts the views that were made.
 	viewed uint64
-	// dirty are the rows whose own load the others have not heard of.
+	// dirty are the rows whose own load is to be reported.
 	dirty []*endpointRow
-	// zoneHeard is when an endpoint of each zone last answered.
-	zoneHeard  map[tables.Zone]tables.Instant
-	sweptLoads tables.Instant
+	// zoneAnsweredAt is when an endpoint of each zone last answered.
+	zoneAnsweredAt map[tables.Zone]tables.Instant
+	sweptLoads     tables.Instant
 }
 
 // New returns a Dispatcher that knows of no endpoint.
 func New(options Options) *Dispatcher {
 	return &Dispatcher{
-		options:   options,
-		rows:      map[tables.EndpointID]*endpointRow{},
-		services:  map[string][]*endpointRow{},
-		budgets:   map[string]*budget{},
-		peers:     firstPeers,
-		placers:   firstPeers - 1,
-		averages:  map[string]*averages{},
-		demand:    demand{rows: map[parts.Name]demandRow{}},
-		zoneHeard: map[tables.Zone]tables.Instant{},
-		holders:   holders{rows: map[parts.Key][]holder{}},
+		options:        options,
+		rows:           map[tables.EndpointID]*endpointRow{},
+		services:       map[string][]*endpointRow{},
+		budgets:        map[string]*budget{},
+		peers:          firstPeers,
+		placers:        firstPeers - 1,
+		averages:       map[string]*averages{},
+		demand:         demand{rows: map[parts.Name]demandRow{}},
+		zoneAnsweredAt: map[tables.Zone]tables.Instant{},
+		holders:        holders{rows: map[parts.Key][]holder{}},
 	}
 }
 
@@ -259,7 +259,7 @@
 	a.first = true
 	a.endTrial()
 	a.row.present()
-	d.zoneHeard[a.row.Zone] = now
+	d.zoneAnsweredAt[a.row.Zone] = now
 	a.row.prefill -= a.prefill
 	if a.adopted {
 		a.row.adopted.prefill -= a.prefill
@@ -334,7 +334,7 @@
 // be reached and nothing comes from the zone. When a zone is cut off, each instance
 // would lose requests at every one of its endpoints before it noticed.
 func (d *Dispatcher) doubtZone(now tables.Instant, lost *endpointRow) {
-	if lost.Zone == d.options.Zone || now-d.zoneHeard[lost.Zone] < zoneSilence {
+	if lost.Zone == d.options.Zone || now-d.zoneAnsweredAt[lost.Zone] < zoneSilence {
 		return
 	}
 	for _, r := range d.rows {
@@ -344,9 +344,9 @@
 	}
 }
 
-// Heard notes what an endpoint said of its load in an answer.
-func (d *Dispatcher) Heard(now tables.Instant, a *Attempt, load dialect.EndpointLoad) {
-	a.row.heard(now, load)
+// LoadAnswered notes what an endpoint said of its load in an answer.
+func (d *Dispatcher) LoadAnswered(now tables.Instant, a *Attempt, load dialect.EndpointLoad) {
+	a.row.loadAnswered(now, load)
 }
 
 // Serves notes which version of a model an endpoint has shown to serve.
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -261,7 +261,7 @@
 func TestLoadOfOthersIsHeard(t *testing.T) {
 	d, _ := world(2)
 	a := mustPlace(t, d, time.Second, ask(7))
-	d.Heard(time.Second, a, dialect.EndpointLoad{Running: 8, Waiting: 4, Slots: 8})
+	d.LoadAnswered(time.Second, a, dialect.EndpointLoad{Running: 8, Waiting: 4, Slots: 8})
 	other := ask(8)
 	other.Shared = nil
 	b := mustPlace(t, d, time.Second, other)
--- a/dispatch/endpoints.go
+++ b/dispatch/endpoints.go
@@ -33,7 +33,7 @@
 // row is what this instance knows of an endpoint.
 type endpointRow struct {
 	fleet.Endpoint
-	// listed is the endpoint as it was last told.
+	// listed is the endpoint as the fleet's table had it last.
 	listed fleet.Endpoint
 	// hash is that of the identity, for the choice of homes.
 	hash uint64
@@ -42,15 +42,15 @@
 	own     int
 	tokens  int
 	prefill float64
-	// adopted is the part of own that other instances have chosen and tell of.
+	// adopted is the part of own that other instances have chosen and report.
 	adopted adopted
-	// told is what other instances say that they have here, and loadTold when
-	// they last heard of this one's own; dirty is set while they have not.
-	told     told
-	loadTold tables.Instant
-	dirty    bool
-	// others is what instances that tell nothing had at the endpoint at othersAt,
-	// by its own word, and waiting how many of it had not begun.
+	// reported is what other instances have here, and loadReportedAt when this one's own
+	// load was last reported; dirty is set while a change is to be.
+	reported       reported
+	loadReportedAt tables.Instant
+	dirty          bool
+	// others is what instances that report nothing had at the endpoint at othersAt, by
+	// the endpoint's answers, and waiting how many of it had not begun.
 	others   float64
 	waiting  float64
 	othersAt tables.Instant
@@ -129,7 +129,7 @@
 		return false
 	}
 	known.listed = e
-	// What an answer has shown is newer than what was told.
+	// What an answer has shown is newer than what the table says.
 	shown := known.Weights
 	known.probation = known.probation || known.Loading && !e.Loading
 	if !maps.Equal(shown, e.Weights) {
@@ -142,19 +142,19 @@
 	return false
 }
 
-func (r *endpointRow) heard(now tables.Instant, load dialect.EndpointLoad) {
-	r.others = float64(max(0, load.Running+load.Waiting-r.own-r.told.running))
+func (r *endpointRow) loadAnswered(now tables.Instant, load dialect.EndpointLoad) {
+	r.others = float64(max(0, load.Running+load.Waiting-r.own-r.reported.running))
 	r.waiting = min(float64(load.Waiting), r.others)
 	r.othersAt = now
 }
 
 // othersNow is the estimate of other instances' attempts.
 func (r *endpointRow) othersNow(now tables.Instant) float64 {
-	return float64(r.told.running) + r.untoldNow(now)
+	return float64(r.reported.running) + r.unreportedNow(now)
 }
 
-// untoldNow is the estimate of those of which nobody tells.
-func (r *endpointRow) untoldNow(now tables.Instant) float64 {
+// unreportedNow is the estimate of those that nobody reports.
+func (r *endpointRow) unreportedNow(now tables.Instant) float64 {
 	if r.others == 0 {
 		return 0
 	}
--- a/dispatch/links.go
+++ b/dispatch/links.go
@@ -17,9 +17,9 @@
 	// assumedTransfer is how long a link is busy with one token where nothing is
 	// declared, in milliseconds; a tenth of what reading it takes.
 	assumedTransfer = 0.0066
-	// abroadTransfer is how many times longer a transfer between zones takes, as the
+	// remoteTransfer is how many times longer a transfer between zones takes, as the
 	// platform says.
-	abroadTransfer = 2.0
+	remoteTransfer = 2.0
 )
 
 // transferTime is how long a token is on the way from one endpoint to another, in
@@ -30,7 +30,7 @@
 		perToken = milliseconds(r.Service.TransferTime)
 	}
 	if from.Zone != to.Zone {
-		perToken *= abroadTransfer
+		perToken *= remoteTransfer
 	}
 	return perToken
 }
--- a/dispatch/loads.go
+++ b/dispatch/loads.go
@@ -19,59 +19,59 @@
 }
 
 const (
-	// loadAgain is after how long a load that has not changed is told again: a
+	// loadAgain is after how long a load that has not changed is reported again: a
 	// datagram may be lost.
 	loadAgain = time.Second
-	// loadGone is after how long a load that is not told again counts no more:
+	// loadGone is after how long a load that is not reported again counts no more:
 	// its instance is gone or cut off.
 	loadGone = 2500 * time.Millisecond
 	// sweepLoads is the time between two looks for loads that are gone.
 	sweepLoads = 500 * time.Millisecond
 )
 
-// told is what other instances say that they have at an endpoint.
-type told struct {
-	by map[tables.InstanceID]toldLoad
+// reported is what other instances have at an endpoint, by their reports.
+type reported struct {
+	by map[tables.InstanceID]reportedLoad
 	// running, tokens and prefill are the sums.
 	running, tokens, prefill int
 }
 
-type toldLoad struct {
+type reportedLoad struct {
 	Load
 	at tables.Instant
 }
 
-// set takes the newest word of an instance.
-func (t *told) set(now tables.Instant, by tables.InstanceID, l Load) {
-	t.drop(by)
+// set takes the newest report of an instance.
+func (r *reported) set(now tables.Instant, by tables.InstanceID, l Load) {
+	r.drop(by)
 	if l.Running == 0 {
 		return
 	}
-	if t.by == nil {
-		t.by = map[tables.InstanceID]toldLoad{}
+	if r.by == nil {
+		r.by = map[tables.InstanceID]reportedLoad{}
 	}
-	t.by[by] = toldLoad{Load: l, at: now}
-	t.running += l.Running
-	t.tokens += l.Tokens
-	t.prefill += l.Prefill
+	r.by[by] = reportedLoad{Load: l, at: now}
+	r.running += l.Running
+	r.tokens += l.Tokens
+	r.prefill += l.Prefill
 }
 
-func (t *told) drop(by tables.InstanceID) {
-	before, known := t.by[by]
+func (r *reported) drop(by tables.InstanceID) {
+	before, known := r.by[by]
 	if !known {
 		return
 	}
-	delete(t.by, by)
-	t.running -= before.Running
-	t.tokens -= before.Tokens
-	t.prefill -= before.Prefill
+	delete(r.by, by)
+	r.running -= before.Running
+	r.tokens -= before.Tokens
+	r.prefill -= before.Prefill
 }
 
 // sweep forgets instances that are silent.
-func (t *told) sweep(now tables.Instant) {
-	for by, l := range t.by {
+func (r *reported) sweep(now tables.Instant) {
+	for by, l := range r.by {
 		if now-l.at > loadGone {
-			t.drop(by)
+			r.drop(by)
 		}
 	}
 }
@@ -82,7 +82,7 @@
 // some while others rest.
 func (d *Dispatcher) Loaded(now tables.Instant, by tables.InstanceID, l Load) {
 	if row := d.rows[l.Endpoint]; row != nil {
-		row.told.set(now, by, l)
+		row.reported.set(now, by, l)
 		row.linkFree = max(row.linkFree, now+l.Link)
 		if l.Absent > 0 {
 			row.absent(now + min(l.Absent, maxAbsent))
@@ -91,13 +91,13 @@
 }
 
 // Loads returns what has changed of this instance's own load since the last
-// call, and what has to be told again.
+// call, and what has to be reported again.
 func (d *Dispatcher) Loads(now tables.Instant) []Load {
 	if now-d.sweptLoads > sweepLoads {
 		d.sweptLoads = now
 		for _, row := range d.rows {
-			row.told.sweep(now)
-			if row.own > row.adopted.own && now-row.loadTold > loadAgain {
+			row.reported.sweep(now)
+			if row.own > row.adopted.own && now-row.loadReportedAt > loadAgain {
 				d.changed(row)
 			}
 		}
@@ -105,7 +105,7 @@
 	var loads []Load
 	for _, row := range d.dirty {
 		row.dirty = false
-		row.loadTold = now
+		row.loadReportedAt = now
 		if !row.gone {
 			loads = append(loads, Load{
 				Endpoint: row.ID, Running: row.own - row.adopted.own, Tokens: row.tokens - row.adopted.tokens,
@@ -117,7 +117,7 @@
 	return loads
 }
 
-// changed notes that this instance's load of an endpoint is to be told.
+// changed notes that this instance's load of an endpoint is to be reported.
 func (d *Dispatcher) changed(row *endpointRow) {
 	if !row.dirty {
 		row.dirty = true
--- a/dispatch/loads_test.go
+++ b/dispatch/loads_test.go
@@ -130,7 +130,7 @@
 	for range 2 {
 		to.Loaded(time.Second, "from", loads[0])
 	}
-	assert.Equal(t, to.rows["e0"].told.running, 2)
+	assert.Equal(t, to.rows["e0"].reported.running, 2)
 	assert.Equal(t, len(from.Loads(time.Second)), 0)
 	assert.Equal(t, len(from.Loads(time.Second+2*loadAgain)), 1)
 	from.Ended(3*time.Second, a, Completed)
@@ -138,8 +138,8 @@
 	for _, l := range from.Loads(3 * time.Second) {
 		to.Loaded(3*time.Second, "from", l)
 	}
-	assert.Equal(t, to.rows["e0"].told.running, 0)
-	assert.Equal(t, to.rows["e0"].told.prefill, 0)
+	assert.Equal(t, to.rows["e0"].reported.running, 0)
+	assert.Equal(t, to.rows["e0"].reported.prefill, 0)
 }
 
 // Each zone has a store. Were all prompts sent to the first, it would drop them
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -153,7 +153,7 @@
 	if float64(row.own)+others >= float64(r.Service.Slots) {
 		return false
 	}
-	used := float64(row.tokens+row.told.tokens) + row.untoldNow(now)*row.averages.tokens + float64(r.tokens())
+	used := float64(row.tokens+row.reported.tokens) + row.unreportedNow(now)*row.averages.tokens + float64(r.tokens())
 	return row.own == 0 || used <= memoryPart*float64(r.Service.CacheTokens)
 }
 
@@ -239,7 +239,7 @@
 
 // ahead is the prefill before a new request, in tokens.
 func (r *endpointRow) ahead(now tables.Instant) float64 {
-	known := r.prefill + float64(r.told.prefill)
+	known := r.prefill + float64(r.reported.prefill)
 	if r.waiting == 0 {
 		return known
 	}
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -27,15 +27,15 @@
 	job    *job
 	id     tables.AttemptID
 	chosen *dispatch.Attempt
-	// assignment is told how the attempt goes on; nil if this instance chose.
+	// assignment reports how the attempt goes on; nil if this instance chose.
 	assignment *schedule.Assignment
 	ctx        context.Context
 	cancel     context.CancelFunc
 	hang       *time.Timer
 	hung       atomic.Bool
 	arrived    tables.Instant
-	// heardFirst is called once the endpoint has said something.
-	heardFirst func()
+	// answeredFirst is called once the endpoint has said something.
+	answeredFirst func()
 }
 
 // run makes attempts until the request is answered.
@@ -78,16 +78,16 @@
 	j.charge.run()
 	j.sends++
 	t.watch(t.firstWait())
-	t.heardFirst = j.server.reach.await(t)
-	defer t.heardFirst()
+	t.answeredFirst = j.server.reach.await(t)
+	defer t.answeredFirst()
 	answer, err := j.server.options.Client.Send(t.ctx, t.chosen.Endpoint.Address, t.request())
 	if err != nil {
 		t.fail(err)
 		return
 	}
-	t.heardFirst()
+	t.answeredFirst()
 	j.server.reach.answered(t.chosen.Endpoint.ID)
-	t.heard(answer.Header)
+	t.noteHeader(answer.Header)
 	if !t.sound(answer) {
 		answer.Close()
 		t.fail(&engine.Interrupted{Attempt: t.id, Cause: &engine.Garbled{What: "answer"}})
@@ -145,14 +145,14 @@
 	}
 }
 
-// heard takes what an answer's header says of the endpoint.
-func (t *try) heard(header http.Header) {
+// noteHeader takes what an answer's header says of the endpoint.
+func (t *try) noteHeader(header http.Header) {
 	s, h := t.job.server, t.job.server.headers
 	now := s.options.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if load, ok := dialect.ParseLoad(header.Get(h.Load)); ok {
-		s.dispatch.Heard(now, t.chosen, load)
+		s.dispatch.LoadAnswered(now, t.chosen, load)
 	}
 	if version, err := strconv.ParseUint(header.Get(h.Weights), 10, 64); err == nil && t.job.ask.Model != "" {
 		s.dispatch.Serves(t.chosen, t.job.ask.Model, version)
@@ -170,7 +170,7 @@
 
 func isSuccess(status int) bool { return status >= 200 && status < 300 }
 
-// end tells the decisions how the attempt ended.
+// end notes in the decisions how the attempt ended.
 func (t *try) end(how dispatch.End) {
 	t.assignment.Ended(how)
 	s := t.job.server
@@ -189,7 +189,7 @@
 	}
 }
 
-// began tells the decisions that the endpoint works on the request.
+// began notes in the decisions that the endpoint works on the request.
 func (t *try) began() {
 	t.assignment.Began()
 	s := t.job.server
@@ -240,7 +240,7 @@
 		// The header speaks of another process, or of one with other weights.
 		return dispatch.Misdirected
 	case errors.As(err, &declined):
-		t.heard(declined.Header)
+		t.noteHeader(declined.Header)
 		return dispatch.Declined
 	case t.job.ctx.Err() != nil:
 		return dispatch.Cancelled
--- a/forward/reach.go
+++ b/forward/reach.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	// minSilence is the least time without a word from an endpoint after which it
+	// minSilence is the least time without an answer from an endpoint after which it
 	// is looked at whether it takes connections, and silenceFactor how many times
 	// longer than expected a request must be silent. Looking costs a connection.
 	minSilence    = 100 * time.Millisecond
@@ -28,7 +28,7 @@
 )
 
 // reach finds out which endpoints take connections, so that callers' requests need
-// not. An endpoint that is gone without a word answers nothing, also no attempt to
+// not. An endpoint that is gone without notice answers nothing, also no attempt to
 // open a connection: each request that meets it there loses 200 ms, half of what
 // callers of short prompts have, and one on an open connection loses all of it.
 type reach struct {
@@ -37,25 +37,25 @@
 	mu sync.Mutex
 	// looking holds the endpoints that are looked at now.
 	looking map[tables.EndpointID]bool
-	// heard is when an endpoint last answered something.
-	heard map[tables.EndpointID]tables.Instant
-	// waiting are the attempts at each endpoint that have heard nothing yet.
+	// answeredAt is when an endpoint last answered something.
+	answeredAt map[tables.EndpointID]tables.Instant
+	// waiting are the attempts at each endpoint that have no answer yet.
 	waiting map[tables.EndpointID]map[*try]struct{}
 }
 
 func newReach(s *Server) *reach {
 	return &reach{
-		server:  s,
-		looking: map[tables.EndpointID]bool{},
-		heard:   map[tables.EndpointID]tables.Instant{},
-		waiting: map[tables.EndpointID]map[*try]struct{}{},
+		server:     s,
+		looking:    map[tables.EndpointID]bool{},
+		answeredAt: map[tables.EndpointID]tables.Instant{},
+		waiting:    map[tables.EndpointID]map[*try]struct{}{},
 	}
 }
 
-// await notes an attempt that waits for its endpoint's first word, and has the
+// await notes an attempt that waits for its endpoint's first answer, and has the
 // endpoint looked at if none comes from there. The function that it returns ends
 // that.
-func (r *reach) await(t *try) (heard func()) {
+func (r *reach) await(t *try) (answered func()) {
 	id := t.chosen.Endpoint.ID
 	r.mu.Lock()
 	if r.waiting[id] == nil {
@@ -65,7 +65,7 @@
 	r.mu.Unlock()
 	silence := max(minSilence, silenceFactor*t.chosen.Expected)
 	timer := time.AfterFunc(silence, func() {
-		if !r.heardSince(id, r.server.options.Now()-silence) {
+		if !r.answeredSince(id, r.server.options.Now()-silence) {
 			r.look(t.chosen.Endpoint)
 		}
 	})
@@ -84,23 +84,23 @@
 func (r *reach) answered(id tables.EndpointID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.heard[id] = r.server.options.Now()
+	r.answeredAt[id] = r.server.options.Now()
 }
 
-// keep forgets what was heard of endpoints that are gone.
+// keep forgets endpoints that are gone.
 func (r *reach) keep(endpoints map[tables.EndpointID]fleet.Endpoint) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	maps.DeleteFunc(r.heard, func(id tables.EndpointID, _ tables.Instant) bool {
+	maps.DeleteFunc(r.answeredAt, func(id tables.EndpointID, _ tables.Instant) bool {
 		_, listed := endpoints[id]
 		return !listed
 	})
 }
 
-func (r *reach) heardSince(id tables.EndpointID, at tables.Instant) bool {
+func (r *reach) answeredSince(id tables.EndpointID, at tables.Instant) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.heard[id] >= at
+	return r.answeredAt[id] >= at
 }
 
 // look opens a connection to an endpoint, and goes on until it takes one.
--- a/forward/scheduled.go
+++ b/forward/scheduled.go
@@ -94,10 +94,10 @@
 
 // Placers notes how many other instances choose endpoints, and how many of zones that
 // hear of choices later.
-func (s *Server) Placers(near, abroad int) {
+func (s *Server) Placers(near, remote int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.dispatch.Placers(near, abroad)
+	s.dispatch.Placers(near, remote)
 }
 
 // Reported takes an endpoint's word that another instance has read, and says whether
--- a/forward/server.go
+++ b/forward/server.go
@@ -237,10 +237,10 @@
 	return s.dispatch.News(), s.dispatch.Loads(s.options.Now())
 }
 
-// HeardControl notes that a control instance has answered whose documents were
+// ControlCurrent notes that a control instance has answered whose documents were
 // known to be the newest lag ago: what is in force here is no older than that. A
 // negative lag says that this is not known, and confirms nothing.
-func (s *Server) HeardControl(lag time.Duration) {
+func (s *Server) ControlCurrent(lag time.Duration) {
 	if lag < 0 {
 		return
 	}
--- a/node/caches.go
+++ b/node/caches.go
@@ -29,12 +29,12 @@
 	// cacheBackOff bounds the wait between questions that fail.
 	cacheBackOff = 2 * time.Second
 	// cacheSettle is how long an instance that has just started waits before it
-	// reads the engines of its zone, and cacheAbroad before it reads those of zones
+	// reads the engines of its zone, and remoteCache before it reads those of zones
 	// without an entry instance: until it knows of the others it would take all for
 	// its own, and each list of what an engine keeps holds up the engine's work. The
 	// others are known some 0.3 s after a start.
 	cacheSettle = 400 * time.Millisecond
-	cacheAbroad = 3 * time.Second
+	remoteCache = 3 * time.Second
 	// cacheAssign is the time between two looks at which engines to read.
 	cacheAssign = 500 * time.Millisecond
 	// holdingsTries is how often an instance that has just started asks others for
@@ -42,9 +42,9 @@
 	// restart of all instances none of them knows at first.
 	holdingsTries = 8
 	holdingsPause = 150 * time.Millisecond
-	// holdingsTimeout bounds telling or asking one instance.
+	// holdingsTimeout bounds one call to another instance.
 	holdingsTimeout = 500 * time.Millisecond
-	// maxHoldings bounds the parts of one endpoint that others are told of: 8 KB.
+	// maxHoldings bounds the parts of one endpoint in a report to others: 8 KB.
 	maxHoldings = 1024
 )
 
@@ -60,8 +60,8 @@
 
 	mu   sync.Mutex
 	kept kept
-	// told are the instances that know of kept, where schedulers choose.
-	told map[netip.AddrPort]bool
+	// informed are the instances that know of kept, where schedulers choose.
+	informed map[netip.AddrPort]bool
 }
 
 // startCaches begins to read what engines keep.
@@ -100,12 +100,12 @@
 	own := c.node.options.Settings
 	readers := newReaders(c.node.entryMembers())
 	var mine tables.Configuration
-	abroad := c.node.now() > cacheAbroad
+	remote := c.node.now() > remoteCache
 	for id, e := range c.node.entry.Endpoints() {
 		if len(e.Weights) == 0 && !e.Store {
 			continue // a plain service
 		}
-		if e.Zone != own.Zone && (!abroad || readers.in(e.Zone)) {
+		if e.Zone != own.Zone && (!remote || readers.in(e.Zone)) {
 			continue
 		}
 		if readers.of(id, e.Zone) == own.Instance {
@@ -118,11 +118,11 @@
 		return slices.ContainsFunc(mine.Endpoints, func(e tables.Endpoint) bool { return e.ID == id })
 	})
 	c.mu.Unlock()
-	c.tellNew()
+	c.informNew()
 }
 
-// tellNew tells what endpoints keep to instances that choose now and did not before.
-func (c *caches) tellNew() {
+// informNew sends what endpoints keep to instances that choose now and did not before.
+func (c *caches) informNew() {
 	if len(c.node.schedulers()) == 0 {
 		return
 	}
@@ -133,14 +133,14 @@
 	var holdings []dispatch.Holding
 	for _, at := range peers {
 		told[at] = true
-		if !c.told[at] {
+		if !c.informed[at] {
 			if holdings == nil {
 				holdings = c.kept.holdings()
 			}
-			c.tell(at, holdings)
+			c.send(at, holdings)
 		}
 	}
-	c.told = told
+	c.informed = told
 }
 
 // take takes an endpoint's news. What is told first of a life is everything it
@@ -165,7 +165,7 @@
 	}
 	held := []dispatch.Holding{{Endpoint: b.Endpoint, Keys: kept[max(0, len(kept)-maxHoldings):]}}
 	for _, at := range c.node.cachePeers() {
-		c.tell(at, held)
+		c.send(at, held)
 	}
 }
 
@@ -210,9 +210,9 @@
 	return kept, dropped
 }
 
-// tell tells another instance what endpoints keep. It does not wait for it. One that
-// could not be told hears of everything at the next look.
-func (c *caches) tell(at netip.AddrPort, holdings []dispatch.Holding) {
+// send lets another instance know what endpoints keep. It does not wait for it. One that
+// could not be reached gets everything at the next look.
+func (c *caches) send(at netip.AddrPort, holdings []dispatch.Holding) {
 	if len(holdings) == 0 {
 		return
 	}
@@ -226,7 +226,7 @@
 		if _, err := c.client(at).Hold(ctx, told); err != nil {
 			events.CacheNotShared.Log(c.node.log, zap.Stringer("with", at), zap.Int("endpoints", len(holdings)), zap.Error(err))
 			c.mu.Lock()
-			delete(c.told, at)
+			delete(c.informed, at)
 			c.mu.Unlock()
 		}
 	})
@@ -294,7 +294,7 @@
 	return &rpc.HoldAnswer{}, nil
 }
 
-// TellHoldings tells all that is believed.
+// TellHoldings returns all that is believed.
 func (s cacheService) TellHoldings(context.Context, *rpc.HoldingsRequest) (*rpc.Holdings, error) {
 	told := &rpc.Holdings{}
 	for _, h := range s.node.entry.Holdings() {
--- a/node/entry.go
+++ b/node/entry.go
@@ -64,7 +64,7 @@
 		Fleet: func(c *fleet.Copy) { n.entry.Fleet(c.Endpoints()) },
 		Answered: func(_ deployment.Source, answer *rpc.FollowAnswer) {
 			if !answer.GetBehind() {
-				n.entry.HeardControl(time.Duration(answer.GetLagNanos()))
+				n.entry.ControlCurrent(time.Duration(answer.GetLagNanos()))
 			}
 		},
 		Log: n.log,
@@ -113,10 +113,10 @@
 }
 
 const (
-	// hintPeriod is the time between two tellings of hints. Requests of one
+	// hintPeriod is the time between two sendings of hints. Requests of one
 	// prompt come some tens of milliseconds apart when it is hot.
 	hintPeriod = 15 * time.Millisecond
-	// reportPeriod is the same for an instance for which others choose: it has to tell
+	// reportPeriod is the same for an instance for which others choose: it has to report
 	// only what engines say that they keep, which comes late anyway.
 	reportPeriod = 100 * time.Millisecond
 	// hintPart is the part of the machine's link that hints may take, and
@@ -124,14 +124,14 @@
 	// of 10 requests a second need some 50 KB/s.
 	hintPart     = 0.05
 	maxHintBytes = 400_000
-	// abroadPeriod is the time between two tellings to other zones, and abroadPart
+	// remotePeriod is the time between two sendings to other zones, and remotePart
 	// what of the budget they may take: bytes between zones are dear.
-	abroadPeriod = 250 * time.Millisecond
-	abroadPart   = 0.2
-	// loadsAbroadPeriod and loadsAbroadPart are the same for loads, which schedulers of
+	remotePeriod = 250 * time.Millisecond
+	remotePart   = 0.2
+	// remoteLoadsPeriod and remoteLoadsPart are the same for loads, which schedulers of
 	// other zones hear of.
-	loadsAbroadPeriod = 100 * time.Millisecond
-	loadsAbroadPart   = 0.5
+	remoteLoadsPeriod = 100 * time.Millisecond
+	remoteLoadsPart   = 0.5
 )
 
 // hintBytes is what this instance may send of hints in a second.
@@ -154,9 +154,9 @@
 			Endpoint: l.Endpoint, Running: l.Running, Tokens: l.Tokens, Prefill: l.Prefill, Link: l.Link, Absent: l.Absent,
 		})
 	}
-	n.abroad.Add(membership.Hints{Placements: hints.Placements})
+	n.remote.Add(membership.Hints{Placements: hints.Placements})
 	if len(hints.Loads) > 0 && len(n.schedulers()) > 0 {
-		n.loadsAbroad.Add(membership.Hints{Loads: hints.Loads})
+		n.remoteLoads.Add(membership.Hints{Loads: hints.Loads})
 	}
 	return hints
 }
@@ -171,10 +171,10 @@
 		n.entry.Placed(placed)
 		return
 	}
-	// All schedulers of the zone hear of it; one tells the other zones.
+	// All schedulers of the zone get it; one reports to the other zones.
 	if n.entry.Reported(placed) && n.leadsSchedulers() {
 		p.Reported = false
-		n.abroad.Add(membership.Hints{Placements: []membership.Placement{p}})
+		n.remote.Add(membership.Hints{Placements: []membership.Placement{p}})
 	}
 }
 
@@ -187,19 +187,19 @@
 	}
 }
 
-// tellHints lets the other instances know of this one's requests.
-func (n *Node) tellHints() {
+// sendHints lets the other instances know of this one's requests.
+func (n *Node) sendHints() {
 	n.hints.Run(n.stopping, gossip.HintOptions{
 		Period:         hintPeriod,
 		Pace:           n.hintPace,
 		BytesPerSecond: n.hintBytes(),
 		Collect:        n.hintsOfRequests,
 		Receivers:      func() int { return n.members.Load().HintReceivers() },
-		Tell:           func(news membership.Hints) { n.members.Load().TellHints(news) },
+		Tell:           func(news membership.Hints) { n.members.Load().SendHints(news) },
 	})
 }
 
-// hintPace is the time between two tellings as the instance's part in the choices asks
+// hintPace is the time between two sendings as the instance's part in the choices asks
 // for it: each wakes it up.
 func (n *Node) hintPace() time.Duration {
 	if n.choosesItself() {
@@ -208,32 +208,32 @@
 	return reportPeriod
 }
 
-// tellAbroad lets other zones know where this instance placed parts of prompts.
-func (n *Node) tellAbroad() {
-	n.abroad.Run(n.stopping, gossip.HintOptions{
-		Period:         abroadPeriod,
-		BytesPerSecond: int(abroadPart * float64(n.hintBytes())),
+// sendRemotePlacements lets other zones know where this instance placed parts of prompts.
+func (n *Node) sendRemotePlacements() {
+	n.remote.Run(n.stopping, gossip.HintOptions{
+		Period:         remotePeriod,
+		BytesPerSecond: int(remotePart * float64(n.hintBytes())),
 		Receivers:      func() int { return 1 },
-		Tell:           func(news membership.Hints) { n.members.Load().TellAbroad(news.Placements) },
+		Tell:           func(news membership.Hints) { n.members.Load().SendToOtherZones(news.Placements) },
 	})
 }
 
-// loadsAbroadPace lets an instance sleep that is no scheduler.
-func (n *Node) loadsAbroadPace() time.Duration {
+// remoteLoadsPace lets an instance sleep that is no scheduler.
+func (n *Node) remoteLoadsPace() time.Duration {
 	if len(n.schedulers()) > 0 && n.choosesItself() {
-		return loadsAbroadPeriod
+		return remoteLoadsPeriod
 	}
 	return time.Second
 }
 
-// tellLoadsAbroad lets the schedulers of other zones know what this instance has at
+// sendRemoteLoads lets the schedulers of other zones know what this instance has at
 // endpoints.
-func (n *Node) tellLoadsAbroad() {
-	n.loadsAbroad.Run(n.stopping, gossip.HintOptions{
-		Period:         loadsAbroadPeriod,
-		Pace:           n.loadsAbroadPace,
-		BytesPerSecond: int(loadsAbroadPart * float64(n.hintBytes())),
-		Receivers:      func() int { return n.members.Load().SchedulersAbroad() },
-		Tell:           func(news membership.Hints) { n.members.Load().TellLoadsAbroad(news.Loads) },
+func (n *Node) sendRemoteLoads() {
+	n.remoteLoads.Run(n.stopping, gossip.HintOptions{
+		Period:         remoteLoadsPeriod,
+		Pace:           n.remoteLoadsPace,
+		BytesPerSecond: int(remoteLoadsPart * float64(n.hintBytes())),
+		Receivers:      func() int { return n.members.Load().RemoteSchedulers() },
+		Tell:           func(news membership.Hints) { n.members.Load().SendLoadsToOtherZones(news.Loads) },
 	})
 }
--- a/node/kept.go
+++ b/node/kept.go
@@ -9,8 +9,8 @@
 	"github.com/carawaystile/carawaystile/tables"
 )
 
-// kept is what the endpoints keep that this instance reads, by their own word. It is
-// told to every instance that begins to choose: after a restart of all instances the
+// kept is what the endpoints keep that this instance reads, by their own reports. It is
+// sent to every instance that begins to choose: after a restart of all instances the
 // readers know of caches before they know who chooses.
 type kept struct {
 	endpoints map[tables.EndpointID]*keptParts
@@ -22,7 +22,7 @@
 	order []parts.Key
 }
 
-// take takes an endpoint's word; all is set if it is about everything that it keeps.
+// take takes an endpoint's report; all is set if it is about everything that it keeps.
 func (k *kept) take(id tables.EndpointID, stored, dropped []parts.Key, all bool) {
 	if k.endpoints == nil {
 		k.endpoints = map[tables.EndpointID]*keptParts{}
--- a/node/listen.go
+++ b/node/listen.go
@@ -75,7 +75,7 @@
 // endpoint crashed.
 func (n *Node) shareSuspects(suspects []quarantine.Suspect) {
 	report := peers.Report(suspects)
-	n.tellPeers(func(ctx context.Context, at string) {
+	n.callPeers(func(ctx context.Context, at string) {
 		if err := peers.Tell(ctx, rpc.NewPeerProtobufClient(at, n.client), report); err != nil {
 			events.SuspectsNotTold.Log(n.log, zap.String("instance_address", at), zap.Error(err))
 		}
--- a/node/members.go
+++ b/node/members.go
@@ -58,15 +58,15 @@
 	}
 	n.members.Store(joined)
 	if n.entry != nil {
-		n.background.Go(n.tellHints)
-		n.background.Go(n.tellAbroad)
-		n.background.Go(n.tellLoadsAbroad)
+		n.background.Go(n.sendHints)
+		n.background.Go(n.sendRemotePlacements)
+		n.background.Go(n.sendRemoteLoads)
 		n.background.Go(func() { n.accounts.Run(n.stopping) })
 	}
 	return nil
 }
 
-// membersChanged tells the entry how many share limits with it.
+// membersChanged lets the entry know how many share limits with it.
 func (n *Node) membersChanged(members []membership.Member) {
 	if n.entry == nil {
 		return
@@ -184,7 +184,7 @@
 	return all
 }
 
-// cachePeers lists where the entry instances answer that are told what endpoints
+// cachePeers lists where the entry instances answer that get reports of what endpoints
 // keep: those that choose, in all zones.
 func (n *Node) cachePeers() []netip.AddrPort {
 	joined := n.members.Load()
@@ -204,16 +204,16 @@
 	return all
 }
 
-// tellPeers calls every other living entry instance.
-func (n *Node) tellPeers(call func(ctx context.Context, at string)) {
+// callPeers calls every other living entry instance.
+func (n *Node) callPeers(call func(ctx context.Context, at string)) {
 	for _, at := range n.entryPeers() {
 		go func() {
-			ctx, cancel := context.WithTimeout(n.stopping, tellTimeout)
+			ctx, cancel := context.WithTimeout(n.stopping, notifyTimeout)
 			defer cancel()
 			call(ctx, "http://"+at.String())
 		}()
 	}
 }
 
-// tellTimeout bounds telling one instance of a crash, with all tries.
-const tellTimeout = 2500 * time.Millisecond
+// notifyTimeout bounds notifying one instance of a crash, with all tries.
+const notifyTimeout = 2500 * time.Millisecond
--- a/node/node.go
+++ b/node/node.go
@@ -96,12 +96,12 @@
 	peerCount peerCount
 	// sharing is how many entry instances share limits, as far as was known of late.
 	sharing atomic.Int64
-	// hints wait to be told to the other instances.
+	// hints wait to be sent to the other instances.
 	hints gossip.Hints
-	// abroad waits to be told to other zones.
-	abroad gossip.Hints
-	// loadsAbroad waits to be told to the schedulers of other zones.
-	loadsAbroad gossip.Hints
+	// remote waits to be sent to other zones.
+	remote gossip.Hints
+	// remoteLoads waits to be sent to the schedulers of other zones.
+	remoteLoads gossip.Hints
 
 	// The entry role; nil without it.
 	entry  *forward.Server
--- a/systems/membership/hints.go
+++ b/systems/membership/hints.go
@@ -56,11 +56,11 @@
 // relayStart spreads which instance of another zone is told first.
 const relayStart = 1 << 16
 
-// TellHints sends hints to other living entry instances, directly and once.
+// SendHints sends hints to other living entry instances, directly and once.
 // Prefixes are hot for seconds and queues last for less, so that hints which ride
 // on the pings of a second each would come too late to save anything. The caller
 // keeps the budget.
-func (m *Membership) TellHints(now tables.Instant, hints Hints) Output {
+func (m *Membership) SendHints(now tables.Instant, hints Hints) Output {
 	m.now = now
 	m.count()
 	peers := m.roster.told
@@ -77,11 +77,11 @@
 	return m.take()
 }
 
-// TellAbroad tells one instance of each zone that TellHints leaves out of
+// SendToOtherZones tells one instance of each zone that SendHints leaves out of
 // placements; it is to pass them on there. A prompt that one zone has read is
 // fetched by the others then and not read once more in each, and little crosses
 // zones.
-func (m *Membership) TellAbroad(now tables.Instant, placements []Placement) Output {
+func (m *Membership) SendToOtherZones(now tables.Instant, placements []Placement) Output {
 	m.now = now
 	relays := m.relays()
 	for len(relays) > 0 && len(placements) > 0 {
@@ -97,11 +97,11 @@
 	return m.take()
 }
 
-// TellLoadsAbroad tells the schedulers of other zones what this instance has at
+// SendLoadsToOtherZones tells the schedulers of other zones what this instance has at
 // endpoints. They too choose endpoints of this zone, and of any third.
-func (m *Membership) TellLoadsAbroad(now tables.Instant, loads []Load) Output {
+func (m *Membership) SendLoadsToOtherZones(now tables.Instant, loads []Load) Output {
 	m.now = now
-	receivers := m.schedulersAbroad()
+	receivers := m.remoteSchedulers()
 	for len(receivers) > 0 && len(loads) > 0 {
 		d := m.hints()
 		room := m.config.DatagramBytes - proto.Size(d)
@@ -114,16 +114,16 @@
 	return m.take()
 }
 
-// SchedulersAbroad counts the schedulers of other zones.
-func (m *Membership) SchedulersAbroad() int { return len(m.schedulersAbroad()) }
+// RemoteSchedulers counts the schedulers of other zones.
+func (m *Membership) RemoteSchedulers() int { return len(m.remoteSchedulers()) }
 
-func (m *Membership) schedulersAbroad() []netip.AddrPort {
+func (m *Membership) remoteSchedulers() []netip.AddrPort {
 	m.count()
 	if !m.schedule {
 		return nil
 	}
 	var all []netip.AddrPort
-	for _, schedulers := range m.roster.abroad {
+	for _, schedulers := range m.roster.remote {
 		for _, row := range schedulers {
 			all = append(all, row.Address)
 		}
@@ -131,13 +131,13 @@
 	return all
 }
 
-// relays picks an instance of each zone that TellHints leaves out, another one each
+// relays picks an instance of each zone that SendHints leaves out, another one each
 // time.
 func (m *Membership) relays() []netip.AddrPort {
 	m.count()
 	m.relayed++
 	var picked []netip.AddrPort
-	for _, entries := range m.roster.abroad {
+	for _, entries := range m.roster.remote {
 		picked = append(picked, entries[m.relayed%len(entries)].Address)
 	}
 	return picked
--- a/systems/membership/membership_test.go
+++ b/systems/membership/membership_test.go
@@ -168,7 +168,7 @@
 	}
 	w.nodes[4].down = true
 	w.until(time.Minute, "find the dead", func() bool { return w.seen(4, Dead) })
-	w.send(w.nodes[2], w.nodes[2].TellHints(w.now, Hints{Placements: placements}))
+	w.send(w.nodes[2], w.nodes[2].SendHints(w.now, Hints{Placements: placements}))
 	w.run(time.Second)
 	for i, node := range w.nodes {
 		want := 100
@@ -186,8 +186,8 @@
 	w := newZones(t, 3*WideGroup, 3)
 	w.until(2*time.Minute, "find each other", w.allAlive)
 	placements := []Placement{{Endpoint: "e1", Block: 7}}
-	w.send(w.nodes[2], w.nodes[2].TellHints(w.now, Hints{Placements: placements}))
-	w.send(w.nodes[2], w.nodes[2].TellAbroad(w.now, placements))
+	w.send(w.nodes[2], w.nodes[2].SendHints(w.now, Hints{Placements: placements}))
+	w.send(w.nodes[2], w.nodes[2].SendToOtherZones(w.now, placements))
 	w.run(time.Second)
 	relays := 0
 	for _, node := range w.nodes {
@@ -195,7 +195,7 @@
 			continue
 		}
 		relays++
-		w.send(node, node.TellHints(w.now, Hints{Placements: node.placements}))
+		w.send(node, node.SendHints(w.now, Hints{Placements: node.placements}))
 	}
 	assert.Equal(t, relays, 2)
 	w.run(time.Second)
--- a/systems/membership/roster.go
+++ b/systems/membership/roster.go
@@ -26,7 +26,7 @@
 	// byZone lists the living entry instances of each zone; it is made anew at a change.
 	byZone map[tables.Zone][]Scheduler
 	// abroad are the entry instances of each other zone, one of which passes hints on.
-	abroad [][]*member
+	remote [][]*member
 	// told are the addresses that hints go to.
 	told []netip.AddrPort
 }
--- a/systems/membership/schedulers.go
+++ b/systems/membership/schedulers.go
@@ -64,7 +64,7 @@
 	if len(all) == 0 {
 		return nil
 	}
-	for _, schedulers := range m.roster.abroad {
+	for _, schedulers := range m.roster.remote {
 		for _, row := range schedulers {
 			all = append(all, schedulerOf(row))
 		}
@@ -91,7 +91,7 @@
 func (m *Membership) countEntries() {
 	zones := m.zones()
 	r := &m.roster
-	r.entries, r.schedulers, r.told, r.abroad = 0, nil, nil, nil
+	r.entries, r.schedulers, r.told, r.remote = 0, nil, nil, nil
 	r.byZone = make(map[tables.Zone][]Scheduler, len(zones))
 	for zone, entries := range zones {
 		r.entries += len(entries)
@@ -107,7 +107,7 @@
 			entries = schedulersOf(entries)
 		}
 		if wide && !near {
-			r.abroad = append(r.abroad, entries)
+			r.remote = append(r.remote, entries)
 			continue
 		}
 		for _, row := range entries {
@@ -119,7 +119,7 @@
 			}
 		}
 	}
-	slices.SortFunc(r.abroad, func(a, b []*member) int { return cmp.Compare(a[0].Zone, b[0].Zone) })
+	slices.SortFunc(r.remote, func(a, b []*member) int { return cmp.Compare(a[0].Zone, b[0].Zone) })
 }
 
 // EntriesByZone lists the living entry instances of each zone.
@@ -153,7 +153,7 @@
 
 // Placers counts the instances that choose endpoints beside one of a zone: those that
 // it tells of each choice, and those that hear of it through others.
-func Placers(members []Member, zone tables.Zone) (near, abroad int) {
+func Placers(members []Member, zone tables.Zone) (near, remote int) {
 	zones, entries := map[tables.Zone]int{}, 0
 	for _, m := range members {
 		if m.State <= Suspect && m.Roles&RoleEntry != 0 {
@@ -168,10 +168,10 @@
 		if name == zone {
 			near = schedulerCount(n) - 1
 		} else {
-			abroad += schedulerCount(n)
+			remote += schedulerCount(n)
 		}
 	}
-	return near, abroad
+	return near, remote
 }
 
 // schedulerCount is how many schedulers a zone with so many entry instances has.
--- a/systems/membership/schedulers_test.go
+++ b/systems/membership/schedulers_test.go
@@ -74,15 +74,15 @@
 	w := newGroup(t, 3*WideGroup, 3, true)
 	w.until(2*time.Minute, "find each other", w.allAlive)
 	placements := []Placement{{Endpoint: "e1", Block: 7}}
-	w.send(w.nodes[2], w.nodes[2].TellHints(w.now, Hints{Placements: placements}))
-	w.send(w.nodes[2], w.nodes[2].TellAbroad(w.now, placements))
+	w.send(w.nodes[2], w.nodes[2].SendHints(w.now, Hints{Placements: placements}))
+	w.send(w.nodes[2], w.nodes[2].SendToOtherZones(w.now, placements))
 	w.run(time.Second)
 	relays := 0
 	for _, node := range w.nodes {
 		if node.relay {
 			relays++
 			assert.Assert(t, node.schedules())
-			w.send(node, node.TellHints(w.now, Hints{Placements: node.placements}))
+			w.send(node, node.SendHints(w.now, Hints{Placements: node.placements}))
 		}
 	}
 	assert.Equal(t, relays, 2)
