--- a/soak/check.go
+++ b/soak/check.go
@@ -31,6 +31,7 @@
 		l.judgeInForce(all)
 	}
 	l.judgeRepeats(all)
+	l.judgeUsage(all)
 	l.judgePoison(all)
 	l.judgeOrders()
 }
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -103,6 +103,14 @@
 			after.sent = at(12)
 			l.requests["r1"], l.requests["r2"] = before, after
 		}},
+		"too much use": {"usage caps hold", func(l *ledger) {
+			l.capped = true
+			for n := range 1000 {
+				r := sound(organisationOf(uint64(n)), draft)
+				r.runs[0].At = at(10 + float64(n)*0.007)
+				l.requests[r.ID] = r
+			}
+		}},
 		"too many repeats": {"repeats are bounded", func(l *ledger) {
 			for n := range 200 {
 				r := sound(organisationOf(uint64(n)), draft)
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -201,6 +201,7 @@
 		(d.options.Controls-1)/2, netip.AddrPortFrom(d.ip(hostList), portEndpoint))
 	b.WriteString("orders:\n  lease: 3s\n  fenced: true\n  weights_timeout: 8s\n")
 	fmt.Fprintf(&b, "retries:\n  ratio: %v\n  extra: %d\n  window: %v\n", retryRatio, retryExtra, retryWindow)
+	fmt.Fprintf(&b, "usage:\n  overage: %v\n  slack: %d\n", usageOverage, usageSlack)
 	b.WriteString("drain:\n  announce: 1s\n  timeout: 8s\n")
 	// A settings file is replaced whole: a process may read it at any moment.
 	temp := i.settings + ".new"
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -71,6 +71,14 @@
 	assert.Assert(t, outcome.Served > 0)
 }
 
+// Guards against a usage cap that is exceeded while instances are killed, cut off and
+// restarted.
+func TestFaultsBreakNoUsageCap(t *testing.T) {
+	outcome := play(t, Options{Daemon: build(t), Seed: 21, For: 12 * time.Second, Controls: 3, Entries: 6, Caps: true})
+	assert.Assert(t, outcome.Served > 0)
+	assert.Assert(t, outcome.Refused > 0)
+}
+
 // Seeds that once broke a promise stay here, each with its cause.
 func TestSeedsThatOnceFailed(t *testing.T) {
 	text, err := os.ReadFile("testdata/seeds.txt")
