Nothing of a cap is set aside for accountants that are idle or replaced

Cause: found by reading. An accountant that falls silent is taken to use a part of the limit. One whose callers had left reported a demand of one token last and fell silent then; one that was gone for good stayed silent although another served its zone. For two minutes a third of the limit was kept for nobody. And an instance's old knowledge of a level was applied at each debit, so what was given back, or what a raised limit added, could be undone.

Change: demand below a hundredth of the rate counts as none, and is reported as none once. A silent accountant is dropped when another one of its zone reports; reports name the zone. Levels that instances pass on count for a second after an account was opened.

Only deployments with usage caps run this code.

--- a/node/usage.go
+++ b/node/usage.go
@@ -14,7 +14,7 @@
 // startUsage makes what enforces organisations' usage caps.
 func (n *Node) startUsage() *usage.Client {
 	n.accounts = usage.NewServer(usage.ServerOptions{
-		Self: n.options.Settings.Instance, Life: n.boot, Entries: n.entriesByZone, Send: n.sendUsage, Now: n.now,
+		Self: n.options.Settings.Instance, Zone: n.options.Settings.Zone, Life: n.boot, Entries: n.entriesByZone, Send: n.sendUsage, Now: n.now,
 	})
 	n.caps = usage.NewClient(usage.ClientOptions{
 		Self: n.options.Settings.Instance, Zone: n.options.Settings.Zone, Life: n.boot, Server: n.accounts,
--- a/usage/accountant.go
+++ b/usage/accountant.go
@@ -21,6 +21,11 @@
 	reportPeriod = 400 * time.Millisecond
 	tightPeriod  = 50 * time.Millisecond
 	reportPart   = 1.0 / 16
+	// idlePart is the part of the limit's rate below which a demand counts as none.
+	idlePart = 0.01
+	// learnFor is how long after it was opened an account takes over levels that instances
+	// have from the accountant before.
+	learnFor = time.Second
 	// idleAfter is after how long without use an account is forgotten. Its bucket is full
 	// by then: bursts are a few seconds' worth of the rate.
 	idleAfter = 30 * time.Second
@@ -39,7 +44,7 @@
 	// charged for requests that did not run.
 	Spent int64
 	// Level is what the instance last heard of the account, as of LevelAge ago, if
-	// LevelKnown is set. An accountant that has just taken over learns it so.
+	// LevelKnown is set. An accountant that has just taken over learns it from there.
 	LevelKnown bool
 	Level      int64
 	LevelAge   time.Duration
@@ -61,6 +66,8 @@
 // Report is what one accountant lets another know of an account.
 type Report struct {
 	Organisation tables.OrganisationID
+	// Zone is the accountant's.
+	Zone tables.Zone
 	// Admitted is the running total of what the accountant has admitted in its life,
 	// which Life tells from others.
 	Admitted int64
@@ -74,6 +81,7 @@
 // Accountant keeps the accounts of organisations for its zone.
 type Accountant struct {
 	life uint64
+	zone tables.Zone
 	// unknown is until when use may have been counted elsewhere without this accountant
 	// having been told: its start, or the loss of another one of its zone.
 	unknown tables.Instant
@@ -85,8 +93,10 @@
 
 type account struct {
 	bucket
+	zone     tables.Zone
 	admitted int64
 	demand   demand
+	opened   tables.Instant
 	used     tables.Instant
 	// remotes are the accountants of other zones, and others of this zone that were
 	// asked for a while.
@@ -95,13 +105,15 @@
 	holders map[tables.InstanceID]tables.Instant
 	// returnAt is when the next refused caller had better come back.
 	returnAt tables.Instant
-	// reported and reportedAt are the total of the last report and its time.
-	reported   int64
-	reportedAt tables.Instant
+	// reported, reportedDemand and reportedAt are those of the last report.
+	reported       int64
+	reportedDemand float64
+	reportedAt     tables.Instant
 }
 
 // remote is another accountant of the same organisation.
 type remote struct {
+	zone     tables.Zone
 	life     uint64
 	admitted int64
 	demand   float64
@@ -115,8 +127,8 @@
 
 // NewAccountant returns an accountant without accounts. Life tells it from those of the
 // same instance before a restart.
-func NewAccountant(now tables.Instant, life uint64) *Accountant {
-	return &Accountant{life: life, unknown: now, accounts: map[tables.OrganisationID]*account{}}
+func NewAccountant(now tables.Instant, zone tables.Zone, life uint64) *Accountant {
+	return &Accountant{life: life, zone: zone, unknown: now, accounts: map[tables.OrganisationID]*account{}}
 }
 
 // SetLimits puts limits in force. What was used under the limit before counts under the
@@ -140,9 +152,8 @@
 	}
 	acc := a.account(now, d.Organisation, limit)
 	acc.advance(now, limit)
-	if d.LevelKnown {
-		known := float64(d.Level) + limit.Rate*d.LevelAge.Seconds()
-		acc.level = min(acc.level, max(known, acc.level-limit.Burst))
+	if d.LevelKnown && now-acc.opened <= learnFor {
+		acc.level = min(acc.level, float64(d.Level)+limit.Rate*d.LevelAge.Seconds())
 	}
 	acc.use(now, d.Spent)
 	acc.demand.add(now, float64(max(0, d.Spent)+d.Cost))
@@ -168,6 +179,8 @@
 	if acc == nil {
 		acc = &account{
 			bucket:  bucket{at: a.unknown},
+			zone:    a.zone,
+			opened:  now,
 			remotes: map[tables.InstanceID]*remote{},
 			holders: map[tables.InstanceID]tables.Instant{},
 		}
@@ -187,6 +200,7 @@
 // advance brings the level up to date. Accountants that are silent are taken to use their
 // parts.
 func (c *account) advance(now tables.Instant, limit Limit) {
+	c.forgetReplaced(now)
 	c.noteSilent(now, limit)
 	left := 1.0
 	elapsed := max(0, now-c.at).Seconds()
@@ -199,6 +213,23 @@
 	c.refill(now, limit, max(0, left))
 }
 
+// forgetReplaced drops silent accountants whose zone has another one now: nothing is to be
+// set aside for them.
+func (c *account) forgetReplaced(now tables.Instant) {
+	for id, r := range c.remotes {
+		if r.zone == c.zone && now-r.at > silentAfter {
+			delete(c.remotes, id)
+			continue
+		}
+		for _, other := range c.remotes {
+			if other.zone == r.zone && other.at > r.at+silentAfter {
+				delete(c.remotes, id)
+				break
+			}
+		}
+	}
+}
+
 // noteSilent finds accountants that have fallen silent, and sets their parts of the limit
 // and of what is left of the burst aside.
 func (c *account) noteSilent(now tables.Instant, limit Limit) {
@@ -216,6 +247,16 @@
 	}
 }
 
+// activeDemand is what callers ask of this accountant, without what is next to nothing: a
+// part of the limit is set aside for accountants with demand when they fall silent.
+func (c *account) activeDemand(now tables.Instant, limit Limit) float64 {
+	own := c.demand.now(now)
+	if own < idlePart*limit.Rate {
+		return 0
+	}
+	return own
+}
+
 // totalDemand is the demand of all zones.
 func (c *account) totalDemand(now tables.Instant) float64 {
 	total := c.demand.now(now)
@@ -265,7 +306,7 @@
 	}
 	r := acc.remotes[from]
 	if r == nil {
-		r = &remote{life: in.Life, admitted: in.Admitted}
+		r = &remote{zone: in.Zone, life: in.Life, admitted: in.Admitted}
 		acc.remotes[from] = r
 	}
 	if r.life != in.Life {
@@ -289,10 +330,10 @@
 			continue
 		}
 		acc.advance(now, limit)
-		acc.reported, acc.reportedAt = acc.admitted, now
+		acc.reported, acc.reportedDemand, acc.reportedAt = acc.admitted, acc.activeDemand(now, limit), now
 		due = append(due, Report{
-			Organisation: id, Admitted: acc.admitted, Life: a.life,
-			Demand: int64(acc.demand.now(now)), Level: int64(acc.level),
+			Organisation: id, Zone: a.zone, Admitted: acc.admitted, Life: a.life,
+			Demand: int64(acc.reportedDemand), Level: int64(acc.level),
 		})
 	}
 	return due
@@ -302,7 +343,7 @@
 func (c *account) due(now tables.Instant, limit Limit) bool {
 	since := now - c.reportedAt
 	if since >= reportPeriod {
-		return c.admitted != c.reported || c.demand.now(now) >= 1
+		return c.admitted != c.reported || c.reportedDemand > 0 || c.activeDemand(now, limit) > 0
 	}
 	used := float64(c.admitted - c.reported)
 	return since >= tightPeriod && used > reportPart*limit.Burst
--- a/usage/bench_test.go
+++ b/usage/bench_test.go
@@ -50,7 +50,7 @@
 		limits[id] = limit
 		ids = append(ids, id)
 	}
-	a := NewAccountant(0, 1)
+	a := NewAccountant(0, "z", 1)
 	a.SetLimits(limits)
 	return a, ids
 }
--- a/usage/server.go
+++ b/usage/server.go
@@ -26,6 +26,7 @@
 // ServerOptions set a Server up.
 type ServerOptions struct {
 	Self tables.InstanceID
+	Zone tables.Zone
 	// Life tells lives of the instance apart.
 	Life uint64
 	// Entries lists the living entry instances of each zone.
@@ -49,7 +50,7 @@
 // NewServer returns a server without accounts.
 func NewServer(o ServerOptions) *Server {
 	return &Server{
-		options: o, accountant: NewAccountant(o.Now(), o.Life),
+		options: o, accountant: NewAccountant(o.Now(), o.Zone, o.Life),
 		addresses: map[tables.InstanceID]netip.AddrPort{},
 	}
 }
--- a/usage/sim_test.go
+++ b/usage/sim_test.go
@@ -64,7 +64,7 @@
 // start gives an instance a new life.
 func (s *sim) start(m *simInstance) {
 	m.life++
-	m.accountant = NewAccountant(s.now, m.life)
+	m.accountant = NewAccountant(s.now, tables.Zone(m.zone), m.life)
 	m.accountant.SetLimits(s.limits)
 	m.meters = map[tables.OrganisationID]*Meter{}
 	m.down = false
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -164,7 +164,7 @@
 
 // Guards against an instance that wakes with an old lease using it on and on.
 func TestAnOldLeaseEndsWithItsFirstReport(t *testing.T) {
-	a := NewAccountant(0, 1)
+	a := NewAccountant(0, "z", 1)
 	a.SetLimits(capped(limit))
 	now := 5 * time.Second
 	m := &Meter{}
@@ -187,7 +187,7 @@
 
 // Guards against requests that did not run counting for good.
 func TestWhatDidNotRunIsGivenBack(t *testing.T) {
-	a := NewAccountant(0, 1)
+	a := NewAccountant(0, "z", 1)
 	a.SetLimits(capped(limit))
 	now := 5 * time.Second
 	m := &Meter{}
@@ -205,7 +205,7 @@
 
 // Guards against refused callers coming back all at the same moment.
 func TestRefusedCallersComeBackOneAfterTheOther(t *testing.T) {
-	a := NewAccountant(0, 1)
+	a := NewAccountant(0, "z", 1)
 	a.SetLimits(capped(limit))
 	now := 5 * time.Second
 	a.Debit(now, "i", Debit{Organisation: org, Cost: 2 * int64(limit.Burst)})
@@ -225,7 +225,7 @@
 	for i := range 8600 {
 		limits[tables.OrganisationID(fmt.Sprint(i))] = limit
 	}
-	a := NewAccountant(0, 1)
+	a := NewAccountant(0, "z", 1)
 	a.SetLimits(limits)
 	now := time.Second
 	for id := range limits {
@@ -267,7 +267,7 @@
 
 // Guards against one caller's large requests keeping the small ones of its organisation out.
 func TestSmallRequestsPassAtALowerLevel(t *testing.T) {
-	a := NewAccountant(0, 1)
+	a := NewAccountant(0, "z", 1)
 	a.SetLimits(capped(limit))
 	now := 5 * time.Second
 	a.Debit(now, "i", Debit{Organisation: org, Cost: int64(limit.Burst) - 1000})
@@ -276,3 +276,55 @@
 	assert.Assert(t, !large.Admitted)
 	assert.Assert(t, small.Admitted)
 }
+
+// Guards against an instance's old knowledge of the level undoing what was given back since.
+func TestOldLevelsCountOnlyForANewAccount(t *testing.T) {
+	a := NewAccountant(0, "z", 1)
+	a.SetLimits(capped(limit))
+	now := 5 * time.Second
+	cost := int64(limit.Burst)
+	stale := Debit{Organisation: org, LevelKnown: true, Level: 0}
+	a.Debit(now, "i", Debit{Organisation: org, Cost: cost})
+	now += learnFor + time.Second
+	a.Debit(now, "i", Debit{Organisation: org, Spent: -cost})
+	a.Debit(now, "j", stale)
+	answer, _ := a.Debit(now, "i", Debit{Organisation: org})
+	assert.Equal(t, answer.Level, cost)
+
+	successor := NewAccountant(0, "z", 1)
+	successor.SetLimits(capped(limit))
+	answer, _ = successor.Debit(now, "j", stale)
+	assert.Equal(t, answer.Level, int64(0))
+}
+
+// Guards against a part of the limit being kept for a zone whose callers have left.
+func TestNothingIsSetAsideForAZoneWithoutCallers(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		s := newSim(68, capped(limit))
+		s.run(settle)
+		s.load(org, 0.3*limit.Rate, 6000, settle+4*time.Second, "a")
+		s.run(settle + 14*time.Second)
+		if lost {
+			s.cut = func(a, b string) bool { return a == "a" || b == "a" }
+		}
+		s.load(org, 0.8*limit.Rate, 1000, settle+34*time.Second, "b")
+		s.run(settle + 35*time.Second)
+		assert.Equal(t, s.refused[org], 0, "zone a is cut off: %v", lost)
+	}
+}
+
+// Guards against a part of the limit being kept for an accountant that is gone, though
+// another one serves its zone.
+func TestNothingIsSetAsideForAnAccountantThatWasReplaced(t *testing.T) {
+	for _, zone := range []string{"a", "b", "c"} {
+		s := newSim(68, capped(limit))
+		s.run(settle)
+		s.load(org, 0.85*limit.Rate, 1000, settle+30*time.Second, "a", "b", "c")
+		s.run(settle + 5*time.Second)
+		s.lose(s.accountantOf(zone, org))
+		s.run(settle + 8*time.Second)
+		before := s.refused[org]
+		s.run(settle + 31*time.Second)
+		assert.Equal(t, s.refused[org], before, "zone %s", zone)
+	}
+}
--- a/usage/wire.go
+++ b/usage/wire.go
@@ -37,13 +37,13 @@
 
 func encodeReport(r Report) *rpc.UsageReport {
 	return &rpc.UsageReport{
-		Organisation: string(r.Organisation), Admitted: r.Admitted, Life: r.Life, Demand: r.Demand, Level: r.Level,
+		Organisation: string(r.Organisation), Zone: string(r.Zone), Admitted: r.Admitted, Life: r.Life, Demand: r.Demand, Level: r.Level,
 	}
 }
 
 func decodeReport(r *rpc.UsageReport) Report {
 	return Report{
-		Organisation: tables.OrganisationID(r.GetOrganisation()), Admitted: r.GetAdmitted(), Life: r.GetLife(),
+		Organisation: tables.OrganisationID(r.GetOrganisation()), Zone: tables.Zone(r.GetZone()), Admitted: r.GetAdmitted(), Life: r.GetLife(),
 		Demand: max(0, r.GetDemand()), Level: r.GetLevel(),
 	}
 }
