membership.Entry: an entry instance and where it is reached

Cause: the type was named Scheduler and stood for any entry instance since accountants are drawn among all of them. Change: renamed. Conclusion: no change of behaviour.

--- a/control/gossip/gossip.go
+++ b/control/gossip/gossip.go
@@ -174,14 +174,14 @@
 }
 
 // Schedulers lists the schedulers of the own zone, the best first.
-func (g *Gossip) Schedulers() []membership.Scheduler {
+func (g *Gossip) Schedulers() []membership.Entry {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.membership.Schedulers()
 }
 
 // AllSchedulers lists the schedulers of all zones.
-func (g *Gossip) AllSchedulers() []membership.Scheduler {
+func (g *Gossip) AllSchedulers() []membership.Entry {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.membership.AllSchedulers()
@@ -204,7 +204,7 @@
 }
 
 // EntriesByZone lists the living entry instances of each zone. It is not to be changed.
-func (g *Gossip) EntriesByZone() map[tables.Zone][]membership.Scheduler {
+func (g *Gossip) EntriesByZone() map[tables.Zone][]membership.Entry {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.membership.EntriesByZone()
--- a/node/usage.go
+++ b/node/usage.go
@@ -40,7 +40,7 @@
 	return limits
 }
 
-func (n *Node) entriesByZone() map[tables.Zone][]membership.Scheduler {
+func (n *Node) entriesByZone() map[tables.Zone][]membership.Entry {
 	if joined := n.members.Load(); joined != nil {
 		return joined.EntriesByZone()
 	}
--- a/schedule/client.go
+++ b/schedule/client.go
@@ -35,7 +35,7 @@
 	// Boot tells lives of the instance apart.
 	Boot uint64
 	// Schedulers lists those of the zone; none where each instance chooses for itself.
-	Schedulers func() []membership.Scheduler
+	Schedulers func() []membership.Entry
 	Send       func(to netip.AddrPort, message *rpc.ScheduleMessage)
 	// Now is a monotonic clock.
 	Now func() tables.Instant
@@ -105,7 +105,7 @@
 }
 
 // pick returns the scheduler with the highest draw of those that answer.
-func (c *Client) pick(key uint64) (best membership.Scheduler, found bool) {
+func (c *Client) pick(key uint64) (best membership.Entry, found bool) {
 	now := c.options.Now()
 	var highest uint64
 	for _, s := range c.options.Schedulers() {
@@ -120,7 +120,7 @@
 }
 
 // askOne asks one scheduler; a nil answer means that none came in time.
-func (c *Client) askOne(ctx context.Context, s membership.Scheduler, r *dispatch.Request) (*rpc.ScheduleAnswer, uint64) {
+func (c *Client) askOne(ctx context.Context, s membership.Entry, r *dispatch.Request) (*rpc.ScheduleAnswer, uint64) {
 	answer, number, _ := c.calls.Ask(ctx, answerTimeout, func(number uint64) {
 		c.options.Send(s.Address, &rpc.ScheduleMessage{Number: number, Question: question(c.options.Now(), r)})
 	})
@@ -128,7 +128,7 @@
 }
 
 // leave asks others for a while.
-func (c *Client) leave(s membership.Scheduler, silent bool) {
+func (c *Client) leave(s membership.Entry, silent bool) {
 	pause := unreadyPause
 	if silent {
 		pause = silentPause
--- a/systems/membership/schedulers.go
+++ b/systems/membership/schedulers.go
@@ -41,8 +41,8 @@
 	return h.Sum64()
 }
 
-// Scheduler is an instance that chooses endpoints for others.
-type Scheduler struct {
+// Entry is an entry instance and where it is reached.
+type Entry struct {
 	Instance tables.InstanceID
 	// Address takes datagrams; Control serves the other instances over TCP.
 	Address netip.AddrPort
@@ -51,14 +51,14 @@
 
 // Schedulers lists those of the own zone, the best first; none where each entry
 // instance chooses for itself.
-func (m *Membership) Schedulers() []Scheduler {
+func (m *Membership) Schedulers() []Entry {
 	m.count()
 	return m.roster.schedulers
 }
 
 // AllSchedulers lists those of all zones; none where each entry instance chooses for
 // itself.
-func (m *Membership) AllSchedulers() []Scheduler {
+func (m *Membership) AllSchedulers() []Entry {
 	m.count()
 	all := slices.Clone(m.roster.schedulers)
 	if len(all) == 0 {
@@ -66,14 +66,14 @@
 	}
 	for _, schedulers := range m.roster.remote {
 		for _, row := range schedulers {
-			all = append(all, schedulerOf(row))
+			all = append(all, entryOf(row))
 		}
 	}
 	return all
 }
 
-func schedulerOf(row *member) Scheduler {
-	return Scheduler{Instance: row.Instance, Address: row.Address, Control: row.Control}
+func entryOf(row *member) Entry {
+	return Entry{Instance: row.Instance, Address: row.Address, Control: row.Control}
 }
 
 // zones lists the living entry instances of each zone.
@@ -92,11 +92,11 @@
 	zones := m.zones()
 	r := &m.roster
 	r.entries, r.schedulers, r.told, r.remote = 0, nil, nil, nil
-	r.byZone = make(map[tables.Zone][]Scheduler, len(zones))
+	r.byZone = make(map[tables.Zone][]Entry, len(zones))
 	for zone, entries := range zones {
 		r.entries += len(entries)
 		for _, row := range entries {
-			r.byZone[zone] = append(r.byZone[zone], schedulerOf(row))
+			r.byZone[zone] = append(r.byZone[zone], entryOf(row))
 		}
 	}
 	wide := r.entries > WideGroup
@@ -112,7 +112,7 @@
 		}
 		for _, row := range entries {
 			if schedule {
-				r.schedulers = append(r.schedulers, schedulerOf(row))
+				r.schedulers = append(r.schedulers, entryOf(row))
 			}
 			if row != m.self {
 				r.told = append(r.told, row.Address)
@@ -123,7 +123,7 @@
 }
 
 // EntriesByZone lists the living entry instances of each zone.
-func (m *Membership) EntriesByZone() map[tables.Zone][]Scheduler {
+func (m *Membership) EntriesByZone() map[tables.Zone][]Entry {
 	m.count()
 	return m.roster.byZone
 }
--- a/systems/membership/schedulers_test.go
+++ b/systems/membership/schedulers_test.go
@@ -24,7 +24,7 @@
 func TestInstancesOfAZoneAgreeOnTheirSchedulers(t *testing.T) {
 	w := newGroup(t, 4*WideGroup, 3, true)
 	w.until(2*time.Minute, "find each other", w.allAlive)
-	byZone := map[tables.Zone][]Scheduler{}
+	byZone := map[tables.Zone][]Entry{}
 	for _, node := range w.nodes {
 		zone := node.self.Zone
 		if byZone[zone] == nil {
--- a/usage/client.go
+++ b/usage/client.go
@@ -64,7 +64,7 @@
 	Server *Server
 	// Entries lists the living entry instances of each zone, and Instances says how many
 	// of them share limits, those that are cut off included.
-	Entries   func() map[tables.Zone][]membership.Scheduler
+	Entries   func() map[tables.Zone][]membership.Entry
 	Instances func() int
 	Send      func(to netip.AddrPort, message *rpc.UsageMessage)
 	// Now is a monotonic clock.
@@ -223,7 +223,7 @@
 }
 
 // pick returns the accountant of the own zone that is to be asked.
-func (c *Client) pick(id tables.OrganisationID) (membership.Scheduler, bool) {
+func (c *Client) pick(id tables.OrganisationID) (membership.Entry, bool) {
 	now := c.options.Now()
 	return draw(id, c.options.Entries()[c.options.Zone], func(other tables.InstanceID) bool { return c.silent.Left(other, now) })
 }
--- a/usage/server.go
+++ b/usage/server.go
@@ -30,7 +30,7 @@
 	// Life tells lives of the instance apart.
 	Life uint64
 	// Entries lists the living entry instances of each zone.
-	Entries func() map[tables.Zone][]membership.Scheduler
+	Entries func() map[tables.Zone][]membership.Entry
 	Send    func(to netip.AddrPort, message *rpc.UsageMessage)
 	// Now is a monotonic clock.
 	Now func() tables.Instant
@@ -143,7 +143,7 @@
 
 // receivers are the accountants of an organisation in all zones, and those that have
 // reported of it.
-func (s *Server) receivers(id tables.OrganisationID, zones map[tables.Zone][]membership.Scheduler) []netip.AddrPort {
+func (s *Server) receivers(id tables.OrganisationID, zones map[tables.Zone][]membership.Entry) []netip.AddrPort {
 	at := map[tables.InstanceID]netip.AddrPort{}
 	for _, entries := range zones {
 		if first, found := draw(id, entries, nil); found {
@@ -165,7 +165,7 @@
 
 // draw picks an organisation's accountant among entry instances, without those that are
 // left out.
-func draw(id tables.OrganisationID, entries []membership.Scheduler, left func(tables.InstanceID) bool) (best membership.Scheduler, found bool) {
+func draw(id tables.OrganisationID, entries []membership.Entry, left func(tables.InstanceID) bool) (best membership.Entry, found bool) {
 	key, highest := keyOf(id), uint64(0)
 	for _, e := range entries {
 		if left != nil && left(e.Instance) {
--- a/usage/sim_test.go
+++ b/usage/sim_test.go
@@ -118,11 +118,11 @@
 	})
 }
 
-func (s *sim) entries(zone string) []membership.Scheduler {
-	var all []membership.Scheduler
+func (s *sim) entries(zone string) []membership.Entry {
+	var all []membership.Entry
 	for _, m := range s.members {
 		if m.zone == zone && !m.down {
-			all = append(all, membership.Scheduler{Instance: m.name})
+			all = append(all, membership.Entry{Instance: m.name})
 		}
 	}
 	return all
