A crash that shows late still reaches the other instances before the failing answer

Cause: when an attempt breaks off, the entry cancels it at its endpoint; a refused connection says that the endpoint has crashed. On a busy machine the answer came later, the attempt counted as broken and not as crashed, nobody blamed the request, and its caller's resend took down further endpoints.

Change: what is not known in time is passed on when it is (router.AttemptCrashed), and the failing answer waits for it and for the reports, for a second at most.

The new test fails on the code before.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -174,7 +174,7 @@
 		s.metrics.CountDropped(DroppedMismatch)
 		events.AnswerMismatch.Log(s.log, a.fields(zap.String("field", mismatch.Field))...)
 	}
-	crashed := a.crashes(cancel)
+	crashed, settling := a.crashes(cancel)
 	end := router.Broken
 	switch {
 	case a.unwanted():
@@ -185,7 +185,7 @@
 	if end != router.Cancelled {
 		events.AttemptBroken.Log(s.log, a.fields(zap.Bool("crashed", crashed), zap.Error(err))...)
 	}
-	a.tell(router.AttemptEnded{End: end, Tokens: tokens}, nil)
+	a.report(ended{how: router.AttemptEnded{End: end, Tokens: tokens}, settling: settling})
 }
 
 // crashes cancels the attempt at its endpoint and says whether the endpoint's
@@ -193,20 +193,21 @@
 // endpoint's word, so that its slot stays accounted until then. One whose
 // caller waits for another try does not wait long: an endpoint that hangs, or
 // is cut off, does not answer a cancel either, and the caller would sit through
-// every timeout before the next attempt begins.
-func (a *attempt) crashes(cancel func() error) bool {
+// every timeout before the next attempt begins. What is not known by then comes on
+// the channel.
+func (a *attempt) crashes(cancel func() error) (gone bool, settling <-chan bool) {
 	crashed := make(chan bool, 1)
 	go func() { crashed <- a.settle(cancel) }()
 	if a.unwanted() {
-		return <-crashed
+		return <-crashed, nil
 	}
 	grace := time.NewTimer(cancelGrace)
 	defer grace.Stop()
 	select {
 	case gone := <-crashed:
-		return gone
+		return gone, nil
 	case <-grace.C:
-		return false
+		return false, crashed
 	}
 }
 
@@ -263,10 +264,15 @@
 
 // tell reports the end of the attempt to the loop.
 func (a *attempt) tell(how router.AttemptEnded, proof *outcome.Proof) {
+	a.report(ended{how: how, proof: proof})
+}
+
+func (a *attempt) report(end ended) {
 	a.cancel(nil)
-	how.Attempt = a.dispatch.Attempt
-	how.Delivered, _ = a.flight.progress()
-	a.flight.server.tell(ended{attempt: a, how: how, proof: proof})
+	end.attempt = a
+	end.how.Attempt = a.dispatch.Attempt
+	end.how.Delivered, _ = a.flight.progress()
+	a.flight.server.tell(end)
 }
 
 func (a *attempt) fields(more ...zap.Field) []zap.Field {
--- a/entry/crash_notice_test.go
+++ b/entry/crash_notice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -50,3 +51,51 @@
 	failed := failAfter(router.Broken, make(chan struct{}))
 	assert.Equal(t, len(failed), 1)
 }
+
+// lateCrash is a Decider that reports a crash that showed late to the others.
+type lateCrash struct{ scripted }
+
+func (c *lateCrash) Observe(_ tables.Instant, in router.Input) {
+	if _, late := in.(router.AttemptCrashed); late {
+		c.then(router.Suspected{Suspects: []quarantine.Suspect{{Fingerprint: 1}}})
+	}
+}
+
+// Guards against a failing answer that goes out before it is known that the endpoint has
+// crashed: on a busy machine that may take longer than the next attempt.
+func TestAFailingAnswerWaitsUntilACrashIsKnown(t *testing.T) {
+	const id, attemptID = tables.RequestID("r1"), tables.AttemptID("a1")
+	notified, shared := make(chan struct{}), make(chan struct{}, 1)
+	s := &Server{
+		inbox: make(chan message, 8), stopped: make(chan struct{}), limits: Limits{SettleWait: time.Hour},
+		now: func() tables.Instant { return 0 },
+		share: func([]quarantine.Suspect) <-chan struct{} {
+			shared <- struct{}{}
+			return notified
+		},
+	}
+	decider := &lateCrash{}
+	f := &flight{
+		server: s, row: tables.Request{ID: id}, failed: make(chan *outcome.Failure, 1),
+		state: outcome.New(id).Dispatch(attemptID),
+	}
+	a := &attempt{flight: f, dispatch: router.Dispatch{Request: id, Attempt: attemptID}}
+	l := &loop{
+		server: s, router: decider,
+		flights: map[tables.RequestID]*flight{id: f},
+		running: map[tables.AttemptID]*attempt{attemptID: a},
+	}
+	settling := make(chan bool, 1)
+	l.end(0, ended{attempt: a, how: router.AttemptEnded{Attempt: attemptID, End: router.Broken}, settling: settling})
+	decider.then(router.Fail{Request: id, Code: tables.CodeEndpointFailed})
+	l.tick(0)
+	assert.Equal(t, len(f.failed), 0, "answered before it was known whether the endpoint has crashed")
+
+	settling <- true
+	l.take(<-s.inbox)
+	l.tick(0)
+	<-shared
+	assert.Equal(t, len(f.failed), 0, "answered before the other instances were notified")
+	close(notified)
+	assert.Equal(t, (<-f.failed).Code, tables.CodeEndpointFailed)
+}
--- a/entry/flight.go
+++ b/entry/flight.go
@@ -41,6 +41,9 @@
 	ended    bool
 	// crashed is set once an attempt has ended with a crash of its endpoint.
 	crashed bool
+	// settling are closed once it is known of broken attempts whether their endpoints have
+	// crashed.
+	settling []<-chan struct{}
 
 	// claim is set for work that must run at most once.
 	claim *claim
--- a/entry/loop.go
+++ b/entry/loop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -41,6 +42,15 @@
 		// final ends the whole request with this failure; set when the control
 		// state did not let the attempt go.
 		final *outcome.Failure
+		// settling yields whether the endpoint of a broken attempt has crashed, where
+		// that was not known in time; else it is nil.
+		settling <-chan bool
+	}
+	// crashed: the endpoint of an attempt that ended earlier turned out to be gone.
+	// release is called once the other instances are notified.
+	crashed struct {
+		attempt *attempt
+		release func()
 	}
 )
 
@@ -50,6 +60,7 @@
 func (configured) message() {}
 func (observed) message()   {}
 func (ended) message()      {}
+func (crashed) message()    {}
 
 // loop owns the router and the flights.
 type loop struct {
@@ -61,6 +72,8 @@
 	news    []router.PeerPlacement
 	// notifying are the crash reports on their way to other instances.
 	notifying []<-chan struct{}
+	// releases are called once those that the next tick adds have arrived.
+	releases []func()
 }
 
 // closedChannel stands for a report that nobody waits for.
@@ -124,6 +137,10 @@
 		l.router.Observe(now, m.input)
 	case ended:
 		l.end(now, m)
+	case crashed:
+		m.attempt.flight.crashed = true
+		l.router.Observe(now, router.AttemptCrashed{Attempt: m.attempt.dispatch.Attempt})
+		l.releases = append(l.releases, m.release)
 	case overdue:
 		l.endOverdue(now, m.flight)
 	case inspection:
@@ -165,6 +182,9 @@
 	}
 	f.crashed = f.crashed || m.how.End == router.Crashed
 	l.router.Observe(now, m.how)
+	if m.settling != nil {
+		f.settling = append(f.settling, l.server.settled(m.attempt, m.settling))
+	}
 	if m.final != nil && !f.ended {
 		l.router.Cancel(now, f.row.ID)
 		f.fail(m.final)
@@ -187,9 +207,44 @@
 			l.share(a.Suspects)
 		}
 	}
+	l.release()
 	l.passNews()
 }
 
+// release lets go on what waits for reports of crashes that came late.
+func (l *loop) release() {
+	if len(l.releases) == 0 {
+		return
+	}
+	reports, releases := slices.Clone(l.pending()), l.releases
+	l.releases = nil
+	go func() {
+		for _, notified := range reports {
+			<-notified
+		}
+		for _, release := range releases {
+			release()
+		}
+	}()
+}
+
+// settled returns a channel that is closed once it is known whether the endpoint of a
+// broken attempt has crashed, and the other instances are notified if it has, or
+// Limits.SettleWait has passed.
+func (s *Server) settled(a *attempt, settling <-chan bool) <-chan struct{} {
+	done := make(chan struct{})
+	release := sync.OnceFunc(func() { close(done) })
+	time.AfterFunc(s.limits.SettleWait, release)
+	go func() {
+		if <-settling {
+			s.tell(crashed{attempt: a, release: release})
+			return
+		}
+		release()
+	}()
+	return done
+}
+
 // share notifies the other instances of a crash, and remembers that it is under way.
 func (l *loop) share(suspects []quarantine.Suspect) {
 	l.notifying = append(l.pending(), l.server.share(suspects))
@@ -283,11 +338,11 @@
 // answered only after the other instances were notified: its caller sends it again at
 // once, and an instance that knows nothing of the crash would run it at further endpoints.
 func (l *loop) failDispatched(f *flight, failure *outcome.Failure) {
+	waits := slices.Clone(f.settling)
 	if f.crashed {
-		f.fail(failure, l.pending()...)
-		return
+		waits = append(waits, l.pending()...)
 	}
-	f.fail(failure)
+	f.fail(failure, waits...)
 }
 
 func (l *loop) abort(a router.Abort) {
--- a/entry/options.go
+++ b/entry/options.go
@@ -102,6 +102,9 @@
 	// CancelWait bounds how long a cancelled attempt's slot stays accounted
 	// when the endpoint does not confirm.
 	CancelWait time.Duration
+	// SettleWait bounds how long a failing answer waits until it is known whether an
+	// endpoint has crashed: one that hangs, or is cut off, answers nothing.
+	SettleWait time.Duration
 	// ClaimWait bounds each question to the control state.
 	ClaimWait time.Duration
 	// LostAfter is how long after its timeout a request is ended that the
@@ -125,6 +128,7 @@
 		WriteStall:          30 * time.Second,
 		ReadStall:           30 * time.Second,
 		CancelWait:          2 * time.Second,
+		SettleWait:          time.Second,
 		ClaimWait:           2 * time.Second,
 		LostAfter:           5 * time.Second,
 		DrainServe:          5 * time.Second,
--- a/entry/server.go
+++ b/entry/server.go
@@ -159,6 +159,7 @@
 	fill(&l.WriteStall, d.WriteStall)
 	fill(&l.ReadStall, d.ReadStall)
 	fill(&l.CancelWait, d.CancelWait)
+	fill(&l.SettleWait, d.SettleWait)
 	fill(&l.ClaimWait, d.ClaimWait)
 	fill(&l.LostAfter, d.LostAfter)
 	fill(&l.DrainServe, d.DrainServe)
--- a/router/contract.go
+++ b/router/contract.go
@@ -94,6 +94,12 @@
 	Delivered int
 }
 
+// AttemptCrashed says that the endpoint of an attempt that has ended with Broken turned out
+// to have crashed.
+type AttemptCrashed struct {
+	Attempt tables.AttemptID
+}
+
 // EndpointGone says that an endpoint leaves according to a source other than
 // the configuration (the platform's list), for the given life and before.
 type EndpointGone struct {
@@ -123,6 +129,7 @@
 func (AttemptStarted) input() {}
 func (FirstToken) input()     {}
 func (AttemptEnded) input()   {}
+func (AttemptCrashed) input() {}
 func (EndpointGone) input()   {}
 func (PeersSeen) input()      {}
 func (SuspectSeen) input()    {}
--- a/router/observe.go
+++ b/router/observe.go
@@ -24,6 +24,8 @@
 		r.firstToken(now, in)
 	case AttemptEnded:
 		r.attemptEnded(now, in)
+	case AttemptCrashed:
+		r.attemptCrashed(now, in)
 	case EndpointGone:
 		r.endpointGone(in)
 	case PeersSeen:
--- a/router/suspects.go
+++ b/router/suspects.go
@@ -45,6 +45,18 @@
 	}
 }
 
+// attemptCrashed takes in a crash that showed only after its attempt had ended.
+func (r *Router) attemptCrashed(now tables.Instant, in AttemptCrashed) {
+	life, known := r.suspects.LifeOf(in.Attempt)
+	if !known {
+		return
+	}
+	if row := r.find(life.Endpoint); row != nil {
+		r.crashed(now, row, life.Boot)
+	}
+	r.suspectCrash(now, life)
+}
+
 // suspectCrash blames what a life of an endpoint was running for its end, and
 // asks the shell to tell the other instances.
 func (r *Router) suspectCrash(now tables.Instant, life quarantine.Life) {
--- a/systems/quarantine/quarantine.go
+++ b/systems/quarantine/quarantine.go
@@ -311,6 +311,16 @@
 	return told
 }
 
+// LifeOf returns the life that an attempt ran at. It is known while the attempt runs, and
+// for Options.Lag after it broke off.
+func (s *System) LifeOf(id tables.AttemptID) (life Life, known bool) {
+	r, known := s.running[id]
+	if !known {
+		return Life{}, false
+	}
+	return r.life, true
+}
+
 // candidatesOf gives the attempts that the life ran, in a fixed order. An
 // attempt that the endpoint had not yet answered has no boot identity.
 func (s *System) candidatesOf(life Life) []tables.AttemptID {
