--- a/forward/reach.go
+++ b/forward/reach.go
@@ -166,14 +166,14 @@
 	}
 }
 
-// absent tells the decisions that nothing listens at an endpoint's address.
+// absent notes in the decisions that nothing listens at an endpoint's address.
 func (s *Server) absent(id tables.EndpointID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.dispatch.Absent(s.options.Now(), id)
 }
 
-// reachable tells the decisions whether an endpoint takes connections.
+// reachable notes in the decisions whether an endpoint takes connections.
 func (s *Server) reachable(id tables.EndpointID, taken bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/systems/membership/hints.go
+++ b/systems/membership/hints.go
@@ -77,8 +77,8 @@
 	return m.take()
 }
 
-// SendToOtherZones tells one instance of each zone that SendHints leaves out of
-// placements; it is to pass them on there. A prompt that one zone has read is
+// SendToOtherZones sends placements to one instance of each zone that SendHints leaves
+// out; it is to pass them on there. A prompt that one zone has read is
 // fetched by the others then and not read once more in each, and little crosses
 // zones.
 func (m *Membership) SendToOtherZones(now tables.Instant, placements []Placement) Output {
@@ -97,7 +97,7 @@
 	return m.take()
 }
 
-// SendLoadsToOtherZones tells the schedulers of other zones what this instance has at
+// SendLoadsToOtherZones sends the schedulers of other zones what this instance has at
 // endpoints. They too choose endpoints of this zone, and of any third.
 func (m *Membership) SendLoadsToOtherZones(now tables.Instant, loads []Load) Output {
 	m.now = now
--- a/usage/account.go
+++ b/usage/account.go
@@ -35,7 +35,7 @@
 	admitted int64
 	demand   float64
 	at       tables.Instant
-	// silent is set while nothing is heard: it is then taken to use part of the limit,
+	// silent is set while no report comes: it is then taken to use part of the limit,
 	// assumed so far.
 	silent  bool
 	part    float64
@@ -143,7 +143,7 @@
 	return after
 }
 
-// due says whether the others are to be told of the account.
+// due says whether a report of the account is to be sent now.
 func (c *account) due(now tables.Instant, limit Limit) bool {
 	since := now - c.reportedAt
 	if since >= reportPeriod {
--- a/usage/accountant.go
+++ b/usage/accountant.go
@@ -43,7 +43,7 @@
 	// Spent is use that was admitted without asking; negative gives back what was
 	// charged for requests that did not run.
 	Spent int64
-	// Level is what the instance last heard of the account, as of LevelAge ago, if
+	// Level is the account's in the last answer, as of LevelAge ago, if
 	// LevelKnown is set. An accountant that has just taken over learns it from there.
 	LevelKnown bool
 	Level      int64
@@ -63,7 +63,7 @@
 	Level, Demand int64
 }
 
-// Report is what one accountant lets another know of an account.
+// Report is what one accountant sends another of an account.
 type Report struct {
 	Organisation tables.OrganisationID
 	// Zone is the accountant's.
@@ -82,8 +82,8 @@
 type Accountant struct {
 	life uint64
 	zone tables.Zone
-	// unknown is until when use may have been counted elsewhere without this accountant
-	// having been told: its start, or the loss of another one of its zone.
+	// unknown is until when use may have been counted elsewhere without a report to this
+	// accountant: its start, or the loss of another one of its zone.
 	unknown tables.Instant
 	limits  map[tables.OrganisationID]Limit
 	// accounts holds those in use.
@@ -185,7 +185,7 @@
 	r.demand, r.at = float64(in.Demand), now
 }
 
-// Reports lists what the other accountants are to be told now.
+// Reports lists what is to be sent to the other accountants now.
 func (a *Accountant) Reports(now tables.Instant) []Report {
 	a.sweep(now)
 	var due []Report
--- a/usage/meter.go
+++ b/usage/meter.go
@@ -61,7 +61,7 @@
 	return Ask, 0
 }
 
-// Debit is what the accountant is to be told, and asked for a request of that cost. The
+// Debit reports use to the accountant and asks it to admit a request of that cost. The
 // instance's unreported use counts as reported from then on, until it is Undone.
 func (m *Meter) Debit(now tables.Instant, id tables.OrganisationID, cost int64) Debit {
 	d := Debit{Organisation: id, Cost: cost, Spent: m.spent}
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -40,7 +40,7 @@
 
 // tolerancePart is the part of the tolerance that is given out, so that no request within
 // the limit is refused because accounts differ in the order of requests. The rest is for
-// what accounts have not heard of yet.
+// what no report has brought to the accounts yet.
 const tolerancePart = 0.5
 
 // Apply returns the limit that accounts enforce.
