A control instance says nothing of endpoints before it knows any

All instances start again after 1.9 s without power; 125 requests of one zone were refused with code 5030, "listed 0", in the half second after their instances had got their configuration. A control instance that has just started sent its empty table as all there is. An instance took that for known endpoints and told the balancer that it was ready. One that runs on and turns to such a control instance would drop all endpoints, and what it has learned of them.

Ruled out: the list being empty; the endpoints are there 0.3 s later, and events 6004 and 5030 of the same instances lie 0.05 to 0.25 s apart.

Change: fleet.Table says nothing until it was filled from the list or by another instance.

Figures: the new test fails before.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -88,3 +88,22 @@
 	assert.NilError(t, c.Take(told))
 	assert.Equal(t, len(c.Endpoints()), 0)
 }
+
+// Guards against instances losing all their endpoints when they turn to a control instance
+// that has just started and has not read the list yet.
+func TestATableThatWasNotFilledSaysNothing(t *testing.T) {
+	for name, fill := range map[string]func(*Table, Endpoint){
+		"by the list":       func(table *Table, e Endpoint) { table.List([]Endpoint{e}) },
+		"by another":        func(table *Table, e Endpoint) { table.Mirror(map[tables.EndpointID]Endpoint{e.ID: e}) },
+		"by an empty list":  func(table *Table, _ Endpoint) { table.List(nil) },
+		"by an empty table": func(table *Table, _ Endpoint) { table.Mirror(nil) },
+	} {
+		table := NewTable(1)
+		told, changed := table.Since(0, 0)
+		assert.Assert(t, told == nil, name)
+		fill(table, Endpoint{ID: "e", Address: netip.MustParseAddrPort("127.0.0.1:1"), Weights: map[string]uint64{}})
+		<-changed
+		told, _ = table.Since(0, 0)
+		assert.Assert(t, told != nil && told.GetFull(), name)
+	}
+}
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -19,7 +19,9 @@
 type Table struct {
 	source uint64
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// filled is set once the table was taken over from the list or from another instance.
+	filled  bool
 	version uint64
 	rows    map[tables.EndpointID]*row
 	removed []removal
@@ -51,7 +53,7 @@
 func (t *Table) List(listed []Endpoint) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	changed := false
+	changed := t.fill()
 	seen := make(map[tables.EndpointID]bool, len(listed))
 	for _, e := range listed {
 		seen[e.ID] = true
@@ -66,6 +68,13 @@
 	t.announce(changed)
 }
 
+// fill notes that the table holds what others know, and says whether it did not before.
+func (t *Table) fill() (first bool) {
+	first = !t.filled
+	t.filled = true
+	return first
+}
+
 func (t *Table) merged(listed Endpoint) Endpoint {
 	e := listed.Clone()
 	known := t.rows[e.ID]
@@ -95,7 +104,7 @@
 func (t *Table) Mirror(told map[tables.EndpointID]Endpoint) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	changed := false
+	changed := t.fill()
 	for _, id := range slices.Sorted(maps.Keys(told)) {
 		e := t.merged(told[id])
 		e.Loading = told[id].Loading
@@ -185,10 +194,14 @@
 }
 
 // Since returns what brings a copy at the given version of the given source up
-// to date, nil if it is, and a channel that is closed at the next change.
+// to date, nil if it is, and a channel that is closed at the next change. A table that was
+// not filled yet says nothing: a copy that took it over would lose all endpoints.
 func (t *Table) Since(source, version uint64) (*rpc.Fleet, <-chan struct{}) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if !t.filled {
+		return nil, t.changed
+	}
 	full := source != t.source || version > t.version || version < t.reaches
 	if !full && version == t.version {
 		return nil, t.changed
