--- a/dispatch/availability.go
+++ b/dispatch/availability.go
@@ -27,6 +27,8 @@
 	// doubles with each such answer in a row, up to maxAbsent.
 	absentMisdirected = time.Second
 	maxAbsent         = 4 * time.Second
+	// maxDoublings bounds how often it doubles.
+	maxDoublings = 4
 )
 
 // availability is what attempts, and other instances' reports of theirs, say of whether an
@@ -137,6 +139,6 @@
 	if now < a.absentUntil {
 		return
 	}
-	a.absent(now + min(absentMisdirected<<min(a.misdirected, 8), maxAbsent))
-	a.misdirected++
+	a.absent(now + min(absentMisdirected<<a.misdirected, maxAbsent))
+	a.misdirected = min(a.misdirected+1, maxDoublings)
 }
