--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -27,7 +27,7 @@
 	folder := flag.String("folder", filepath.Join(os.TempDir(), "soak"), "folder for settings, state and logs")
 	faults := flag.String("faults", "", "comma-separated kinds of faults; all if empty")
 	inForce := flag.Bool("in-force", false, "check how long changes take to be in force; the machine should be quiet")
-	caps := flag.Bool("caps", false, "cap the use of one organisation, and check the cap")
+	limitUse := flag.Bool("limit-use", false, "limit the rate of one organisation, and check the limit")
 	verbose := flag.Bool("v", false, "print each fault")
 	flag.Parse()
 	first, last, ok := bounds(*seeds)
@@ -39,7 +39,7 @@
 	for seed := first; seed <= last; seed++ {
 		o := soak.Options{
 			Daemon: *daemon, Folder: filepath.Join(*folder, strconv.FormatUint(seed, 10)), Seed: seed, For: *length,
-			Controls: *controls, Entries: *entries, InForce: *inForce, Caps: *caps,
+			Controls: *controls, Entries: *entries, InForce: *inForce, LimitUse: *limitUse,
 		}
 		if *faults != "" {
 			o.Faults = strings.Split(*faults, ",")
--- a/dispatch/adopt.go
+++ b/dispatch/adopt.go
@@ -52,7 +52,7 @@
 		d.Serves(&Attempt{row: row}, r.Model, chosen.Weights)
 	}
 	// Whether the endpoint loads weights at this moment is left to the chooser: the
-	// two hear of it at different moments.
+	// two learn of it at different moments.
 	if !row.takes(now) || !d.inTime(now, r.Model, chosen.Weights) {
 		return nil
 	}
@@ -91,8 +91,8 @@
 }
 
 // Placers notes how many other instances choose endpoints at the same time, each for
-// an equal share of the requests: those that hear of a choice at once, and those of
-// other zones that hear of it later.
+// an equal share of the requests: those that receive a choice at once, and those of
+// other zones that receive it later.
 func (d *Dispatcher) Placers(near, remote int) {
 	d.placers, d.remotePlacers = float64(max(near, 0)), float64(max(remote, 0))
 }
--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -19,7 +19,7 @@
 	// tellDelay is how long it takes until other instances know of a placement:
 	// the pause between two hints, and their way.
 	tellDelay = 40 * time.Millisecond
-	// remoteDelay is the same for instances of zones that are told through one.
+	// remoteDelay is the same for instances of zones that are reached through one.
 	remoteDelay = 200 * time.Millisecond
 )
 
@@ -72,7 +72,7 @@
 }
 
 // collision is the probability that another instance places the part elsewhere
-// before it hears of a placement made now. Instances that place see equal shares of
+// before it receives a placement made now. Instances that place see equal shares of
 // the requests.
 //
 // A part that nobody has read has a home, so that instances which meet it at the
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -211,7 +211,7 @@
 	budgets map[string]*budget
 	peers   int
 	// placers is how many other instances choose endpoints, and remotePlacers those of
-	// zones that hear of choices later.
+	// zones that receive choices later.
 	placers, remotePlacers float64
 	picks                  uint64
 	holders                holders
--- a/forward/measure.go
+++ b/forward/measure.go
@@ -104,7 +104,7 @@
 	if !j.charge.decision.Admitted {
 		outcome = "refused"
 	}
-	m.registry.Counter("carawaystile_usage_decisions_total", "Requests of organisations with a usage cap, by what was decided and what the decision rested on.",
+	m.registry.Counter("carawaystile_usage_decisions_total", "Requests of organisations with a rate limit, by what was decided and what the decision rested on.",
 		metrics.Label{Name: "organisation", Value: string(j.charge.id)}, metrics.Label{Name: "decision", Value: outcome},
 		metrics.Label{Name: "by", Value: string(j.charge.decision.By)}).Inc(1)
 }
--- a/forward/scheduled.go
+++ b/forward/scheduled.go
@@ -10,7 +10,7 @@
 )
 
 // Scheduler has other instances choose endpoints. Ask returns nil if this instance
-// has to choose by itself.
+// has to choose locally.
 type Scheduler interface {
 	Ask(ctx context.Context, r *dispatch.Request) *schedule.Assignment
 }
@@ -93,7 +93,7 @@
 }
 
 // Placers notes how many other instances choose endpoints, and how many of zones that
-// hear of choices later.
+// receive choices later.
 func (s *Server) Placers(near, remote int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/forward/server.go
+++ b/forward/server.go
@@ -47,9 +47,9 @@
 	// Share tells the other instances which requests were running when an
 	// endpoint crashed; nil means that there are none. It must not block.
 	Share func([]quarantine.Suspect)
-	// Usage enforces organisations' usage caps; nil for none.
+	// Usage enforces organisations' rate limits; nil for none.
 	Usage UsageLimiter
-	// UsageTolerance is by how much use may exceed a cap.
+	// UsageTolerance is by how much use may exceed a limit.
 	UsageTolerance usage.Tolerance
 	// Scheduler has other instances choose endpoints of generations; nil for none.
 	Scheduler Scheduler
--- a/forward/usage.go
+++ b/forward/usage.go
@@ -10,7 +10,7 @@
 	"github.com/carawaystile/carawaystile/usage"
 )
 
-// UsageLimiter decides whether requests are within their organisations' usage caps, over
+// UsageLimiter decides whether requests are within their organisations' rate limits, over
 // all instances.
 type UsageLimiter interface {
 	// Admit decides about a request, and counts its cost if it is admitted.
@@ -19,7 +19,7 @@
 	Charge(id tables.OrganisationID, limit usage.Limit, amount int64)
 }
 
-// charge is what a job has counted against its organisation's usage cap.
+// charge is what a job has counted against its organisation's rate limit.
 type charge struct {
 	limiter UsageLimiter
 	id      tables.OrganisationID
@@ -31,7 +31,7 @@
 	decision usage.Decision
 }
 
-// admitUsage counts the request against its organisation's cap, and says whether it is
+// admitUsage counts the request against its organisation's limit, and says whether it is
 // within it. It answers the caller if it is not.
 func (j *job) admitUsage() bool {
 	limiter := j.server.options.Usage
@@ -50,12 +50,12 @@
 	return true
 }
 
-// UsageLimit is what is enforced of an organisation's cap.
+// UsageLimit is what is enforced of an organisation's limit.
 func UsageLimit(o *routes.Organisation, t usage.Tolerance) usage.Limit {
 	return t.Apply(usage.Limit{Rate: o.Usage.Rate, Burst: o.Usage.Burst})
 }
 
-// usageCost is what the request costs in the unit of its organisation's cap.
+// usageCost is what the request costs in the unit of its organisation's limit.
 func (j *job) usageCost() int64 {
 	if j.org.Usage.Unit == routes.UsageInRequests {
 		return 1
--- a/forward/usage_test.go
+++ b/forward/usage_test.go
@@ -56,22 +56,22 @@
 	t.Fatalf("%d left, not %d", l.remaining(), want)
 }
 
-// capped gives the rig's organisation a usage cap in tokens.
-func (r *rig) capped(t *testing.T, left int64) *ledger {
+// limited gives the rig's organisation a rate limit in tokens.
+func (r *rig) limited(t *testing.T, left int64) *ledger {
 	t.Helper()
 	l := &ledger{left: left}
 	r.server.options.Usage = l
 	r.configure(t, configured+1, func(c *routes.Configuration) {
-		c.Organisations[0].Usage = routes.UsageCap{Rate: 1000, Burst: 1000, Unit: routes.UsageInTokens, PlainTokens: 200}
+		c.Organisations[0].Usage = routes.RateLimit{Rate: 1000, Burst: 1000, Unit: routes.UsageInTokens, PlainTokens: 200}
 	})
 	return l
 }
 
 // Guards against work beyond an organisation's limit running, and against its callers being
 // told nothing of when to come back.
-func TestBeyondTheUsageCapNothingRuns(t *testing.T) {
+func TestBeyondTheRateLimitNothingRuns(t *testing.T) {
 	r := newRig(t, says(200, "ok"))
-	l := r.capped(t, 250)
+	l := r.limited(t, 250)
 	assert.Equal(t, text(t, r.ask(t, "GET", "/read/x", "")), "ok")
 	refused := r.ask(t, "GET", "/read/x", "")
 	assert.Equal(t, refused.StatusCode, 429)
@@ -86,7 +86,7 @@
 // Guards against generations counting as plain requests.
 func TestGenerationsCostTheTokensThatTheyName(t *testing.T) {
 	r := newRig(t, streams(3, 3))
-	l := r.capped(t, 10_000)
+	l := r.limited(t, 10_000)
 	text(t, r.ask(t, "POST", "/stream/x", "", "X-Model", "m", "X-Tokens", "900,50"))
 	text(t, r.ask(t, "POST", "/stream/x", "", "X-Model", "m"))
 	assert.DeepEqual(t, l.asked, []int64{950, 200})
@@ -96,7 +96,7 @@
 // Guards against requests that ran nowhere using the limit up.
 func TestWhatRanNowhereIsGivenBack(t *testing.T) {
 	r := newRig(t, declines)
-	l := r.capped(t, 1000)
+	l := r.limited(t, 1000)
 	assert.Equal(t, r.ask(t, "GET", "/read/x", "").StatusCode, 503)
 	l.awaitLeft(t, 1000)
 }
@@ -105,7 +105,7 @@
 // organisation.
 func TestEachRunCosts(t *testing.T) {
 	r := newRig(t, breaks, breaks)
-	l := r.capped(t, 1000)
+	l := r.limited(t, 1000)
 	text(t, r.ask(t, "GET", "/read/x", ""))
 	assert.Equal(t, r.sent(), 2)
 	l.awaitLeft(t, 600)
--- a/node/node.go
+++ b/node/node.go
@@ -109,9 +109,9 @@
 	// scheduling asks schedulers to choose, schedules chooses for other instances.
 	scheduling *schedule.Client
 	schedules  *schedule.Server
-	// accounts keeps accounts of organisations' usage, caps asks those that do.
+	// accounts keeps accounts of organisations' usage, limiter asks those that do.
 	accounts *usage.Server
-	caps     *usage.Client
+	limiter  *usage.Client
 	// zoneEntries are the living entry instances of the own zone. Only membersChanged
 	// uses it.
 	zoneEntries map[tables.InstanceID]bool
--- a/node/scheduling.go
+++ b/node/scheduling.go
@@ -12,7 +12,7 @@
 )
 
 // scheduleSettle is how long an instance that has just started does not choose for
-// others: it hears of all loads once a second.
+// others: it receives all loads once a second.
 const scheduleSettle = 1200 * time.Millisecond
 
 // startScheduling makes the client that asks schedulers.
--- a/node/usage.go
+++ b/node/usage.go
@@ -11,17 +11,17 @@
 	"github.com/carawaystile/carawaystile/usage"
 )
 
-// startUsage makes what enforces organisations' usage caps.
+// startUsage makes what enforces organisations' rate limits.
 func (n *Node) startUsage() *usage.Client {
 	n.accounts = usage.NewServer(usage.ServerOptions{
 		Self: n.options.Settings.Instance, Zone: n.options.Settings.Zone, Life: n.boot, Entries: n.entriesByZone, Send: n.sendUsage, Now: n.now,
 	})
-	n.caps = usage.NewClient(usage.ClientOptions{
+	n.limiter = usage.NewClient(usage.ClientOptions{
 		Self: n.options.Settings.Instance, Zone: n.options.Settings.Zone, Life: n.boot, Server: n.accounts,
 		Entries: n.entriesByZone, Instances: func() int { return int(n.sharing.Load()) },
 		Send: n.sendUsage, Now: n.now, Log: n.log,
 	})
-	return n.caps
+	return n.limiter
 }
 
 func (n *Node) usageTolerance() usage.Tolerance {
@@ -29,7 +29,7 @@
 	return usage.Tolerance{Overage: s.Overage, Slack: s.Slack}
 }
 
-// usageLimits are the caps of a configuration.
+// usageLimits are the limits of a configuration.
 func (n *Node) usageLimits(table *routes.Table) map[tables.OrganisationID]usage.Limit {
 	limits := map[tables.OrganisationID]usage.Limit{}
 	for i := range table.Organisations {
@@ -55,8 +55,8 @@
 
 // usageMessage takes a message about organisations' usage.
 func (n *Node) usageMessage(from membership.Sender, message *rpc.UsageMessage) {
-	if n.caps != nil {
-		n.caps.Receive(from, message)
+	if n.limiter != nil {
+		n.limiter.Receive(from, message)
 	}
 }
 
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -99,11 +99,11 @@
 	HasPriority bool
 	// Isolated organisations share no cached prompt with any other.
 	Isolated bool
-	// Usage caps what the organisation uses over all instances.
-	Usage UsageCap
+	// Usage limits what the organisation uses over all instances.
+	Usage RateLimit
 }
 
-// UsageUnit is what a usage cap counts.
+// UsageUnit is what a rate limit counts.
 type UsageUnit uint8
 
 // The units.
@@ -113,8 +113,8 @@
 	UsageInTokens
 )
 
-// UsageCap is a limit of use in some unit.
-type UsageCap struct {
+// RateLimit is a limit of use in some unit.
+type RateLimit struct {
 	// Rate is the use a second in the long run, Burst what may be used at once beyond it.
 	// A Rate of 0 means no limit.
 	Rate, Burst float64
@@ -124,7 +124,7 @@
 }
 
 // Limited says whether there is a limit.
-func (c UsageCap) Limited() bool { return c.Rate > 0 }
+func (c RateLimit) Limited() bool { return c.Rate > 0 }
 
 // Limits bound what one caller may send.
 type Limits struct {
--- a/schedule/client.go
+++ b/schedule/client.go
@@ -70,7 +70,7 @@
 }
 
 // Ask has a scheduler choose an endpoint. It returns nil if the instance has to choose
-// by itself: it is the scheduler of the request, or none has answered in time.
+// locally: it is the scheduler of the request, or none has answered in time.
 func (c *Client) Ask(ctx context.Context, r *dispatch.Request) *Assignment {
 	if len(r.Shared) > maxParts || len(r.Tried) > maxTried {
 		return nil
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -2,10 +2,10 @@
 // endpoints for the others. Instances that each choose for themselves and tell each
 // other afterwards know too late: the telling grows with the square of their number,
 // and where it is slowed down, many choose the same endpoint at the same moment. A
-// scheduler knows of all choices that it has made and hears of those of the few others
+// scheduler knows of all choices that it has made and receives those of the few others
 // within milliseconds.
 //
-// An instance that gets no answer in time chooses by itself. So no request depends on
+// An instance that gets no answer in time chooses locally. So no request depends on
 // a scheduler, and what schedulers know is never needed for correctness.
 package schedule
 
--- a/settings/forwarding.go
+++ b/settings/forwarding.go
@@ -96,9 +96,9 @@
 	Window time.Duration
 }
 
-// ForwardingUsage is by how much an organisation's use may exceed its cap within a window,
-// over all instances: by Overage as a part of the cap, and by Slack beyond that, in the
-// unit of the cap.
+// ForwardingUsage is by how much an organisation's use may exceed its limit within a window,
+// over all instances: by Overage as a part of the limit, and by Slack beyond that, in the
+// unit of the limit.
 type ForwardingUsage struct{ Overage, Slack float64 }
 
 // Defaults of the forwarding settings.
--- a/settings/forwarding_test.go
+++ b/settings/forwarding_test.go
@@ -48,7 +48,7 @@
 	assert.Assert(t, !f.Source.IsValid())
 }
 
-// Guards against usage caps being enforced without the tolerance that operators grant.
+// Guards against rate limits being enforced without the tolerance that operators grant.
 func TestUsageToleranceIsRead(t *testing.T) {
 	f, err := ParseForwarding("f.yaml", []byte(forwarding+"usage:\n  overage: 0.1\n  slack: 110000\n"))
 	assert.NilError(t, err)
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -103,8 +103,8 @@
 			after.sent = at(12)
 			l.requests["r1"], l.requests["r2"] = before, after
 		}},
-		"too much use": {"usage caps hold", func(l *ledger) {
-			l.capped = true
+		"too much use": {"rate limits hold", func(l *ledger) {
+			l.limited = true
 			for n := range 1000 {
 				r := sound(organisationOf(uint64(n)), draft)
 				r.runs[0].At = at(10 + float64(n)*0.007)
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -39,9 +39,9 @@
 // ledger keeps what callers, operators and endpoints see. It is safe for
 // concurrent use.
 type ledger struct {
-	// timed is set if times are judged, capped if there is a usage cap.
+	// timed is set if times are judged, limited if there is a rate limit.
 	timed     bool
-	capped    bool
+	limited   bool
 	mu        sync.Mutex
 	requests  map[string]*request
 	documents map[uint64]*document
--- a/soak/operators.go
+++ b/soak/operators.go
@@ -55,7 +55,7 @@
 		Organisations: []routes.Organisation{
 			{ID: tables.OrganisationID(organisationOf(number)), Keys: []string{keyProbe}},
 			{ID: alone, Keys: []string{keyAlone}, Isolated: true},
-			{ID: common, Keys: []string{keyCommon}, Usage: o.usageCap()},
+			{ID: common, Keys: []string{keyCommon}, Usage: o.rateLimit()},
 		},
 		Limits: routes.Limits{HeaderBytes: 16 << 10, BodyBytes: 4 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -36,8 +36,8 @@
 	// InForce checks how long changes take to be in force. That depends on the
 	// machine too, so it is for runs by hand.
 	InForce bool
-	// Caps gives one organisation a usage cap below what its callers ask for.
-	Caps bool
+	// LimitUse gives one organisation a rate limit below what its callers ask for.
+	LimitUse bool
 	// Progress is told of each fault; nil for nobody.
 	Progress func(string)
 }
@@ -94,7 +94,7 @@
 		return nil, err
 	}
 	defer d.close()
-	d.ledger.timed, d.ledger.capped = o.InForce, o.Caps
+	d.ledger.timed, d.ledger.limited = o.InForce, o.LimitUse
 	w := &world{d: d, operators: newOperators(d)}
 	for _, i := range d.instances() {
 		if err := d.start(i); err != nil {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -71,10 +71,10 @@
 	assert.Assert(t, outcome.Served > 0)
 }
 
-// Guards against a usage cap that is exceeded while instances are killed, cut off and
+// Guards against a rate limit that is exceeded while instances are killed, cut off and
 // restarted.
-func TestFaultsBreakNoUsageCap(t *testing.T) {
-	outcome := play(t, Options{Daemon: build(t), Seed: 21, For: 12 * time.Second, Controls: 3, Entries: 6, Caps: true})
+func TestFaultsBreakNoRateLimit(t *testing.T) {
+	outcome := play(t, Options{Daemon: build(t), Seed: 21, For: 12 * time.Second, Controls: 3, Entries: 6, LimitUse: true})
 	assert.Assert(t, outcome.Served > 0)
 	assert.Assert(t, outcome.Refused > 0)
 }
--- a/soak/usage.go
+++ b/soak/usage.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// usageRate and usageBurst cap the organisation common in tokens, well below what its
+	// usageRate and usageBurst limit the organisation common in tokens, well below what its
 	// callers ask for. usageOverage and usageSlack are by how much its use may exceed the
-	// cap within usageWindow.
+	// limit within usageWindow.
 	usageRate    = 30_000
 	usageBurst   = 30_000
 	usageOverage = 0.1
@@ -22,12 +22,12 @@
 	usagePlain = 200
 )
 
-// usageCap is that of the organisation common, if there is one.
-func (o *operators) usageCap() routes.UsageCap {
-	if !o.d.options.Caps {
-		return routes.UsageCap{}
+// rateLimit is that of the organisation common, if there is one.
+func (o *operators) rateLimit() routes.RateLimit {
+	if !o.d.options.LimitUse {
+		return routes.RateLimit{}
 	}
-	return routes.UsageCap{Rate: usageRate, Burst: usageBurst, Unit: routes.UsageInTokens, PlainTokens: usagePlain}
+	return routes.RateLimit{Rate: usageRate, Burst: usageBurst, Unit: routes.UsageInTokens, PlainTokens: usagePlain}
 }
 
 // usageRun is a run with what it costs.
@@ -36,9 +36,9 @@
 	cost int
 }
 
-// judgeUsage checks the usage cap that all instances share.
+// judgeUsage checks the rate limit that all instances share.
 func (l *ledger) judgeUsage(all []*request) {
-	if !l.capped {
+	if !l.limited {
 		return
 	}
 	var runs []usageRun
@@ -60,7 +60,7 @@
 			first++
 		}
 		if used > allowed {
-			l.breachLocked("usage caps hold", "", "%d tokens ran within %v up to %v, %d are allowed", used, usageWindow, run.at, allowed)
+			l.breachLocked("rate limits hold", "", "%d tokens ran within %v up to %v, %d are allowed", used, usageWindow, run.at, allowed)
 			return
 		}
 	}
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -1,4 +1,4 @@
-// Package usage enforces usage caps: how many tokens, or requests, an organisation may use
+// Package usage enforces rate limits: how many tokens, or requests, an organisation may use
 // a second over all entry instances together.
 //
 // In each availability zone one entry instance keeps the account of an organisation: its
@@ -24,7 +24,7 @@
 	"github.com/carawaystile/carawaystile/tables"
 )
 
-// Limit is an organisation's usage cap in tokens or requests.
+// Limit is an organisation's rate limit in tokens or requests.
 type Limit struct {
 	// Rate is the use a second that is allowed in the long run, and Burst what may be
 	// used at once beyond it. A Rate of 0 means no limit.
@@ -93,10 +93,10 @@
 	maxReturn = 5 * time.Second
 )
 
-// demandKeep is the time constant of measured demand.
+// demandKeep is the time constant with which demand is averaged.
 const demandKeep = 2 * time.Second
 
-// demand is a use a second that is measured with exponential decay.
+// demand is a use a second that is averaged with exponential decay.
 type demand struct {
 	perSecond float64
 	at        tables.Instant
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -21,7 +21,7 @@
 
 var limit = Limit{Rate: 90_000, Burst: 90_000}
 
-func capped(l Limit) map[tables.OrganisationID]Limit { return map[tables.OrganisationID]Limit{org: l} }
+func limited(l Limit) map[tables.OrganisationID]Limit { return map[tables.OrganisationID]Limit{org: l} }
 
 // allowed is the most use that a window may hold under a limit.
 func allowed(l Limit) int64 { return int64((l.Rate*window.Seconds() + l.Burst) * (1 + overage)) }
@@ -40,7 +40,7 @@
 	for _, demand := range []float64{1.2, 2, 5} {
 		t.Run(fmt.Sprint(demand), func(t *testing.T) {
 			atSizes(t, func(t *testing.T, n int) {
-				s := newSim(n, capped(limit))
+				s := newSim(n, limited(limit))
 				s.run(settle)
 				s.load(org, demand*limit.Rate, 6000, settle+20*time.Second, "a", "b", "c")
 				s.run(settle + 21*time.Second)
@@ -72,7 +72,7 @@
 // Guards against an organisation being refused because its callers turn to another zone.
 func TestDemandMayMoveBetweenZonesAtOnce(t *testing.T) {
 	atSizes(t, func(t *testing.T, n int) {
-		s := newSim(n, capped(limit))
+		s := newSim(n, limited(limit))
 		s.run(settle)
 		for i, zone := range []string{"a", "b", "c", "a", "b"} {
 			from := settle + time.Duration(i)*3*time.Second
@@ -90,7 +90,7 @@
 	for _, demand := range []float64{0.6, 1.5} {
 		t.Run(fmt.Sprint(demand), func(t *testing.T) {
 			atSizes(t, func(t *testing.T, n int) {
-				s := newSim(n, capped(limit))
+				s := newSim(n, limited(limit))
 				s.run(settle)
 				end := settle + 30*time.Second
 				s.load(org, 0.6*demand*limit.Rate, 6000, end, "a")
@@ -115,7 +115,7 @@
 // the restart.
 func TestARestartOfAllGivesNoSecondBurst(t *testing.T) {
 	atSizes(t, func(t *testing.T, n int) {
-		s := newSim(n, capped(limit))
+		s := newSim(n, limited(limit))
 		s.run(settle)
 		s.load(org, 3*limit.Rate, 6000, settle+20*time.Second, "a", "b", "c")
 		for at := settle + 5*time.Second; at < settle+9*time.Second; at += time.Second {
@@ -132,7 +132,7 @@
 // Guards against a new accountant that knows nothing of what was used under the one before.
 func TestALostAccountantGivesNoSecondBurst(t *testing.T) {
 	atSizes(t, func(t *testing.T, n int) {
-		s := newSim(n, capped(limit))
+		s := newSim(n, limited(limit))
 		s.run(settle)
 		s.load(org, 2*limit.Rate, 6000, settle+20*time.Second, "a", "b", "c")
 		for i, zone := range s.zones {
@@ -148,15 +148,15 @@
 // force at once.
 func TestLimitsChangeAtOnce(t *testing.T) {
 	low := Limit{Rate: 30_000, Burst: 30_000}
-	s := newSim(68, capped(limit))
+	s := newSim(68, limited(limit))
 	s.run(settle)
 	s.load(org, 0.6*limit.Rate, 6000, settle+30*time.Second, "a", "b", "c")
 	s.run(settle + 5*time.Second)
 	assert.Equal(t, s.refused[org], 0)
-	s.setLimits(capped(low))
+	s.setLimits(limited(low))
 	s.run(settle + 15*time.Second)
 	assert.Assert(t, s.used(org, settle+7*time.Second) <= allowed(low))
-	s.setLimits(capped(limit))
+	s.setLimits(limited(limit))
 	before := s.refused[org]
 	s.run(settle + 30*time.Second)
 	assert.Equal(t, s.refused[org], before)
@@ -165,7 +165,7 @@
 // Guards against an instance that wakes with an old lease using it on and on.
 func TestAnOldLeaseEndsWithItsFirstReport(t *testing.T) {
 	a := NewAccountant(0, "z", 1)
-	a.SetLimits(capped(limit))
+	a.SetLimits(limited(limit))
 	now := 5 * time.Second
 	m := &Meter{}
 	d := m.Debit(now, org, 1000)
@@ -188,7 +188,7 @@
 // Guards against requests that did not run counting for good.
 func TestWhatDidNotRunIsGivenBack(t *testing.T) {
 	a := NewAccountant(0, "z", 1)
-	a.SetLimits(capped(limit))
+	a.SetLimits(limited(limit))
 	now := 5 * time.Second
 	m := &Meter{}
 	for range 3 {
@@ -206,7 +206,7 @@
 // Guards against refused callers coming back all at the same moment.
 func TestRefusedCallersComeBackOneAfterTheOther(t *testing.T) {
 	a := NewAccountant(0, "z", 1)
-	a.SetLimits(capped(limit))
+	a.SetLimits(limited(limit))
 	now := 5 * time.Second
 	a.Debit(now, "i", Debit{Organisation: org, Cost: 2 * int64(limit.Burst)})
 	last := time.Duration(0)
@@ -258,7 +258,7 @@
 }
 
 // Guards against a tolerance that is given out whole: accounts differ by what they have not
-// heard of yet.
+// received yet.
 func TestHalfOfTheToleranceIsGivenOut(t *testing.T) {
 	got := Tolerance{Overage: 0.1, Slack: 20_000}.Apply(Limit{Rate: 1000, Burst: 2000})
 	assert.DeepEqual(t, got, Limit{Rate: 1050, Burst: 2100 + 10_000})
@@ -268,7 +268,7 @@
 // Guards against one caller's large requests keeping the small ones of its organisation out.
 func TestSmallRequestsPassAtALowerLevel(t *testing.T) {
 	a := NewAccountant(0, "z", 1)
-	a.SetLimits(capped(limit))
+	a.SetLimits(limited(limit))
 	now := 5 * time.Second
 	a.Debit(now, "i", Debit{Organisation: org, Cost: int64(limit.Burst) - 1000})
 	large, _ := a.Debit(now, "i", Debit{Organisation: org, Cost: 9000})
@@ -280,7 +280,7 @@
 // Guards against an instance's old knowledge of the level undoing what was given back since.
 func TestOldLevelsCountOnlyForANewAccount(t *testing.T) {
 	a := NewAccountant(0, "z", 1)
-	a.SetLimits(capped(limit))
+	a.SetLimits(limited(limit))
 	now := 5 * time.Second
 	cost := int64(limit.Burst)
 	stale := Debit{Organisation: org, LevelKnown: true, Level: 0}
@@ -292,7 +292,7 @@
 	assert.Equal(t, answer.Level, cost)
 
 	successor := NewAccountant(0, "z", 1)
-	successor.SetLimits(capped(limit))
+	successor.SetLimits(limited(limit))
 	answer, _ = successor.Debit(now, "j", stale)
 	assert.Equal(t, answer.Level, int64(0))
 }
@@ -300,7 +300,7 @@
 // Guards against a part of the limit being kept for a zone whose callers have left.
 func TestNothingIsSetAsideForAZoneWithoutCallers(t *testing.T) {
 	for _, lost := range []bool{false, true} {
-		s := newSim(68, capped(limit))
+		s := newSim(68, limited(limit))
 		s.run(settle)
 		s.load(org, 0.3*limit.Rate, 6000, settle+4*time.Second, "a")
 		s.run(settle + 14*time.Second)
@@ -317,7 +317,7 @@
 // another one serves its zone.
 func TestNothingIsSetAsideForAnAccountantThatWasReplaced(t *testing.T) {
 	for _, zone := range []string{"a", "b", "c"} {
-		s := newSim(68, capped(limit))
+		s := newSim(68, limited(limit))
 		s.run(settle)
 		s.load(org, 0.85*limit.Rate, 1000, settle+30*time.Second, "a", "b", "c")
 		s.run(settle + 5*time.Second)
