--- a/dispatch/adopt.go
+++ b/dispatch/adopt.go
@@ -61,7 +61,7 @@
 		Weights:   chosen.Weights,
 		Expected:  chosen.Expected,
 		Uncached:  chosen.Uncached,
-		Known:     Known{Rule: chosen.Rule, Own: row.own, Others: int(row.othersNow(now) + 0.5), Doubt: row.doubtNow(now)},
+		Known:     Known{Rule: chosen.Rule, Own: row.own, Others: int(row.othersNow(now) + 0.5), Doubt: row.doubtNow(now), SinceAnswer: row.sinceAnswer(now)},
 		row:       row,
 		began:     now,
 		tokens:    r.tokens(),
--- a/dispatch/availability.go
+++ b/dispatch/availability.go
@@ -45,6 +45,10 @@
 	absentUntil tables.Instant
 	// misdirected counts answers of other processes in a row.
 	misdirected int
+	// answeredAt is when the endpoint last answered as itself, and hasAnswered is set once
+	// it has.
+	answeredAt  tables.Instant
+	hasAnswered bool
 	// unreachable is set while the endpoint takes no connections from here.
 	unreachable bool
 	// probation is set for an endpoint that was absent, unreachable or loading weights, or
@@ -75,8 +79,22 @@
 	return max(0, a.absentUntil-now)
 }
 
-// present notes that the endpoint answered as itself.
-func (a *availability) present() {
+// answered notes that the endpoint answered as itself, whatever it said.
+func (a *availability) answered(now tables.Instant) {
+	a.answeredAt, a.hasAnswered = now, true
+}
+
+// sinceAnswer is how long ago that was; negative if it never did.
+func (a *availability) sinceAnswer(now tables.Instant) time.Duration {
+	if !a.hasAnswered {
+		return -1
+	}
+	return now - a.answeredAt
+}
+
+// present notes that the endpoint works on requests.
+func (a *availability) present(now tables.Instant) {
+	a.answered(now)
 	a.misdirected = 0
 	a.probation = false
 	a.absentUntil = 0
@@ -116,7 +134,7 @@
 	switch end {
 	case Completed:
 		doubt /= 2
-		a.present()
+		a.present(now)
 	case Broken, Hung:
 		doubt++
 	case Unreachable:
@@ -126,6 +144,7 @@
 		doubt++
 		a.avoidUntil = now + avoidLost
 	case Declined:
+		a.answered(now)
 		a.avoidUntil = now + avoidDeclined
 	case Misdirected:
 		a.misdirect(now)
--- a/dispatch/census.go
+++ b/dispatch/census.go
@@ -109,12 +109,15 @@
 	Age         time.Duration
 	// Doubt is the weight of the endpoint's recent failures.
 	Doubt float64
+	// SinceAnswer is how long ago the endpoint last answered this instance as itself;
+	// negative if it never did.
+	SinceAnswer time.Duration
 }
 
 // known notes what the choice of a candidate rests on.
 func known(now tables.Instant, r *Request, c *candidate) Known {
 	row := c.row
-	k := Known{Rule: ruleOf(r, c), Own: row.own, Others: int(row.othersNow(now) + 0.5), Doubt: row.doubtNow(now)}
+	k := Known{Rule: ruleOf(r, c), Own: row.own, Others: int(row.othersNow(now) + 0.5), Doubt: row.doubtNow(now), SinceAnswer: row.sinceAnswer(now)}
 	if row.othersAt > 0 {
 		k.Age = now - row.othersAt
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -54,6 +54,9 @@
 	Deadline  tables.Instant
 	// Tried holds endpoints that have failed this request.
 	Tried []tables.EndpointID
+	// Arrivals counts the earlier attempts that may have reached whatever process is at
+	// their endpoints' addresses.
+	Arrivals int
 	// counted is set once the request counts as demand for its parts.
 	counted bool
 }
@@ -258,7 +261,7 @@
 	}
 	a.first = true
 	a.endTrial()
-	a.row.present()
+	a.row.present(now)
 	d.zoneAnsweredAt[a.row.Zone] = now
 	a.row.prefill -= a.prefill
 	if a.adopted {
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -173,6 +173,9 @@
 // end notes in the decisions how the attempt ended.
 func (t *try) end(how dispatch.End) {
 	t.assignment.Ended(how)
+	if how != dispatch.Unreachable && how != dispatch.Lost {
+		t.job.ask.Arrivals++
+	}
 	s := t.job.server
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -268,5 +271,7 @@
 		zap.Int("others", t.chosen.Known.Others),
 		zap.Duration("load_age", t.chosen.Known.Age),
 		zap.Float64("doubt", t.chosen.Known.Doubt),
+		zap.Duration("since_answer", t.chosen.Known.SinceAnswer),
+		zap.Int("arrivals", t.job.ask.Arrivals),
 	}
 }
