--- /dev/null
+++ b/dispatch/reused_test.go
@@ -0,0 +1,197 @@
+package dispatch
+
+import (
+	"container/heap"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/fleet"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// reusedFleet is a fleet whose engines end in waves; some time after its end an engine's
+// address belongs to a server of another service, which declines what is for the engine.
+type reusedFleet struct {
+	now     tables.Instant
+	ends    map[tables.EndpointID]tables.Instant
+	listed  map[tables.EndpointID]fleet.Endpoint
+	created int
+	pending actions
+}
+
+const (
+	// reusedAfter is how long an address is kept free, listLag how long a lost engine
+	// stays on the list.
+	reusedAfter = 2 * time.Second
+	listLag     = 4 * time.Second
+	// answerIn keeps most of the slots of living engines in use.
+	answerIn = 400 * time.Millisecond
+)
+
+// action is something that happens at a time.
+type action struct {
+	at tables.Instant
+	do func()
+}
+
+type actions []action
+
+func (a actions) Len() int           { return len(a) }
+func (a actions) Less(i, j int) bool { return a[i].at < a[j].at }
+func (a actions) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
+func (a *actions) Push(x any)        { *a = append(*a, x.(action)) }
+func (a *actions) Pop() any {
+	last := (*a)[len(*a)-1]
+	*a = (*a)[:len(*a)-1]
+	return last
+}
+
+func (f *reusedFleet) after(d time.Duration, do func()) { heap.Push(&f.pending, action{f.now + d, do}) }
+
+func (f *reusedFleet) run(until tables.Instant) {
+	for len(f.pending) > 0 && f.pending[0].at <= until {
+		next := heap.Pop(&f.pending).(action)
+		f.now = next.at
+		next.do()
+	}
+	f.now = until
+}
+
+// add lists a new engine.
+func (f *reusedFleet) add() {
+	_, all := world(1)
+	e := all["e0"].Clone()
+	e.ID = tables.EndpointID(fmt.Sprintf("e%d", f.created))
+	e.Zone = tables.Zone([]string{"a", "b"}[f.created%2])
+	f.created++
+	f.listed[e.ID] = e
+}
+
+// end ends an engine; its successor is listed at once.
+func (f *reusedFleet) end(id tables.EndpointID, choosers []*Dispatcher) {
+	f.ends[id] = f.now
+	f.add()
+	f.list(choosers)
+	f.after(listLag, func() {
+		delete(f.listed, id)
+		f.list(choosers)
+	})
+}
+
+func (f *reusedFleet) list(choosers []*Dispatcher) {
+	for _, d := range choosers {
+		d.Fleet(f.listed)
+	}
+}
+
+// meets says how an attempt ends that arrives now, and after how long.
+func (f *reusedFleet) meets(id tables.EndpointID) (End, time.Duration) {
+	ended, gone := f.ends[id]
+	switch {
+	case !gone:
+		return Completed, answerIn
+	case f.now-ended < reusedAfter:
+		return Lost, 50 * time.Millisecond
+	default:
+		return Misdirected, time.Millisecond
+	}
+}
+
+// look has an instance find out when the address takes connections again.
+func (f *reusedFleet) look(d *Dispatcher, id tables.EndpointID) {
+	d.Reachable(f.now, id, false)
+	f.after(f.ends[id]+reusedAfter-f.now, func() { d.Reachable(f.now, id, true) })
+}
+
+// Guards against repeats that are bounded at the service that was asked for, and arrive at
+// another one which has taken over the addresses of engines.
+func TestRepeatsAtReusedAddressesStayWithinTheBudgetOfWhoeverIsThere(t *testing.T) {
+	const (
+		instances, engines, wave = 9, 18, 11
+		gap                      = 4 * time.Millisecond
+	)
+	c := newChoosers(instances, 0)
+	f := &reusedFleet{now: time.Second, ends: map[tables.EndpointID]tables.Instant{}, listed: map[tables.EndpointID]fleet.Endpoint{}}
+	for range engines {
+		f.add()
+	}
+	f.list(c.all)
+	for _, d := range c.all {
+		d.Peers(instances)
+	}
+	for at := 3 * time.Second; at <= 11*time.Second; at += 2 * time.Second {
+		f.after(at, func() {
+			left := wave
+			for i := 0; i < f.created && left > 0; i++ {
+				id := tables.EndpointID(fmt.Sprintf("e%d", i))
+				if _, ended := f.ends[id]; !ended {
+					f.end(id, c.all)
+					left--
+				}
+			}
+		})
+	}
+	var repeats []tables.Instant
+	served := 0
+	var try func(d *Dispatcher, r *Request)
+	try = func(d *Dispatcher, r *Request) {
+		a, _ := d.Place(f.now, r)
+		if a == nil {
+			return
+		}
+		end, took := f.meets(a.Endpoint.ID)
+		if end == Misdirected && r.Arrivals > 0 {
+			repeats = append(repeats, f.now)
+		}
+		f.after(took, func() {
+			if end == Completed {
+				served++
+				d.Began(f.now, a)
+				d.Ended(f.now, a, end)
+				return
+			}
+			d.Ended(f.now, a, end)
+			r.Tried = append(r.Tried, a.Endpoint.ID)
+			if end == Lost {
+				f.look(d, a.Endpoint.ID)
+			}
+			if end == Misdirected {
+				r.Arrivals++
+				if !d.Repeat(f.now, "models") {
+					return
+				}
+			}
+			try(d, r)
+		})
+	}
+	asked := 0
+	for now := f.now; now < 20*time.Second; now += gap {
+		f.run(now)
+		c.exchange(now)
+		d := c.all[asked%instances]
+		r := ask(uint64(asked % 200))
+		r.Shared = nil
+		r.Arrived = now
+		asked++
+		d.Arrived(now, "models")
+		try(d, r)
+	}
+	extra, window := c.all[0].options.Retry.Extra, c.all[0].options.Retry.Window
+	most := 0
+	for i, from := range repeats {
+		n := 0
+		for _, at := range repeats[i:] {
+			if at < from+window {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	t.Logf("%d of %d served, %d repeats at reused addresses, %d in a window", served, asked, len(repeats), most)
+	// No route leads to the other service, so no request raises what it may get.
+	assert.Assert(t, float64(most) <= extra, "%d repeats within %v, allowed %.0f", most, window, extra)
+	assert.Assert(t, served > asked*4/5, "%d of %d served", served, asked)
+}
