Repeats go to endpoints whose addresses cannot be another service's yet

What callers saw: within the last seconds of an engine's entry on the list, requests met one taken-over address after the other, five within 20 ms, before an engine got them; the operators' rule on repeats (BUDGET) was broken at a service to which no route leads.

Cause: a repeat was taken from the budget of the service that was asked for. It counts at the service whose process is at the address, which may have no requests of its own.

Change: a request that may have reached a process goes on only to endpoints that answered as themselves within that time, less 500 ms for the ways of answer and repeat. Where none of those is usable, others get it out of a count of their own (`dispatch/strays.go`): it shares the extra repeats with all services, and is given back when the attempt proves to have met its endpoint, or nothing. Schedulers are asked likewise. `retries.address_reuse` (2 s) is new in the settings.

Ruled out: asking the platform's list who is at an address; it lags by seconds. Bounding repeats only by count: callers would be refused while engines that answer are free.

--- a/dispatch/adopt.go
+++ b/dispatch/adopt.go
@@ -75,6 +75,10 @@
 	if store := d.rows[chosen.Store]; store != nil && !store.Draining {
 		a.Store = store.Endpoint
 	}
+	// Where only a confirmed endpoint was asked for, the chooser has heard from this one.
+	if r.Arrivals > 0 && !r.OnlyConfirmed && !d.confirmed(now, row) {
+		d.stray(now, a)
+	}
 	row.own++
 	row.tokens += a.tokens
 	row.prefill += a.prefill
--- a/dispatch/budget.go
+++ b/dispatch/budget.go
@@ -62,25 +62,38 @@
 
 // CanRepeat says whether Repeat would.
 func (d *Dispatcher) CanRepeat(now tables.Instant, service string) bool {
-	b := d.budget(now, service)
-	requests, repeats := 0, 0
+	requests, repeats := d.budget(now, service).sums()
+	allowed := d.options.Retry.Ratio*float64(requests) + d.extraShare()
+	return float64(repeats+1+d.straysIn(now)) <= allowed
+}
+
+// extraShare is this instance's part of the sends that do not depend on requests.
+func (d *Dispatcher) extraShare() float64 {
+	return extraPart * d.options.Retry.Extra / float64(d.peers)
+}
+
+// sums are the requests and the repeats of the window.
+func (b *budget) sums() (requests, repeats int) {
 	for i := range b.requests {
 		repeats += b.repeats[i]
 		if i != b.oldest() {
 			requests += b.requests[i]
 		}
 	}
-	limits := &d.options.Retry
-	allowed := limits.Ratio*float64(requests) + extraPart*limits.Extra/float64(d.peers)
-	return float64(repeats+1) <= allowed
+	return requests, repeats
 }
 
 // oldest is the slice that may lie outside the window. Its repeats count and its
 // requests do not: over all of the slices, half a second more than the window,
 // requests would allow for a twentieth more repeats than the window bears.
-func (b *budget) oldest() int { return int((b.slice + 1) % int64(len(b.requests))) }
+func (b *budget) oldest() int { return b.index(b.slice + 1) }
+
+func (b *budget) at() int { return b.index(b.slice) }
 
-func (b *budget) at() int { return int(b.slice % int64(len(b.requests))) }
+func (b *budget) index(slice int64) int { return int(slice % int64(len(b.requests))) }
+
+// holds says whether the counts of a slice are still kept.
+func (b *budget) holds(slice int64) bool { return b.slice-slice < int64(len(b.requests)) }
 
 // budget returns the counts of a service with the slices up to now.
 func (d *Dispatcher) budget(now tables.Instant, service string) *budget {
@@ -89,6 +102,12 @@
 		b = &budget{}
 		d.budgets[service] = b
 	}
+	d.slide(b, now)
+	return b
+}
+
+// slide moves the window on to now.
+func (d *Dispatcher) slide(b *budget, now tables.Instant) {
 	width := max(d.options.Retry.Window/budgetSlices, time.Millisecond)
 	slice := int64(now / width)
 	for steps := 0; b.slice < slice && steps < len(b.requests); steps++ {
@@ -96,5 +115,4 @@
 		b.requests[b.at()], b.repeats[b.at()] = 0, 0
 	}
 	b.slice = max(b.slice, slice)
-	return b
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -28,6 +28,9 @@
 	// Seed makes instances choose differently among equals.
 	Seed  uint64
 	Retry RetryLimits
+	// AddressReuse is for how long after an endpoint's end no other process is at its
+	// address; zero if nothing is known of that.
+	AddressReuse time.Duration
 	// WeightsTimeout is how long after a newer version was named a request may
 	// still begin on an older one; zero means any time.
 	WeightsTimeout time.Duration
@@ -57,6 +60,11 @@
 	// Arrivals counts the earlier attempts that may have reached whatever process is at
 	// their endpoints' addresses.
 	Arrivals int
+	// OnlyConfirmed is set if the request must not go to an endpoint whose address may be
+	// another process's by now.
+	OnlyConfirmed bool
+	// Remote is set for a request of another instance, which counts its repeats itself.
+	Remote bool
 	// counted is set once the request counts as demand for its parts.
 	counted bool
 }
@@ -127,6 +135,10 @@
 	trial bool
 	// adopted is set if another instance chose the endpoint.
 	adopted bool
+	// stray is set while the attempt counts as a repeat that may have arrived at another
+	// service, in the slice straySlice.
+	stray      bool
+	straySlice int64
 	// store takes what is read, which holds the endpoint's link for sending
 	// milliseconds once it is.
 	store   *endpointRow
@@ -212,7 +224,10 @@
 	stores  []*endpointRow
 	weights weights.History
 	budgets map[string]*budget
-	peers   int
+	// strays counts the repeats that may have arrived at another service than the one
+	// that was asked for.
+	strays budget
+	peers  int
 	// placers is how many other instances choose endpoints, and remotePlacers those of
 	// zones that receive choices later.
 	placers, remotePlacers float64
@@ -261,6 +276,7 @@
 	}
 	a.first = true
 	a.endTrial()
+	d.settleStray(now, a)
 	a.row.present(now)
 	d.zoneAnsweredAt[a.row.Zone] = now
 	a.row.prefill -= a.prefill
@@ -297,6 +313,10 @@
 	a.row.own--
 	a.row.tokens -= a.tokens
 	a.row.judge(now, end)
+	switch end {
+	case Completed, Declined, Unreachable, Lost:
+		d.settleStray(now, a)
+	}
 	if end == Lost {
 		d.doubtZone(now, a.row)
 	}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -21,7 +21,7 @@
 // world gives a dispatcher some engines, as many in each of two zones.
 func world(engines int) (*Dispatcher, map[tables.EndpointID]fleet.Endpoint) {
 	d := New(Options{
-		Zone: "a", Seed: 1, WeightsTimeout: 8 * time.Second,
+		Zone: "a", Seed: 1, WeightsTimeout: 8 * time.Second, AddressReuse: 2 * time.Second,
 		Retry: RetryLimits{Ratio: 0.2, Extra: 60, Window: 10 * time.Second},
 	})
 	all := map[tables.EndpointID]fleet.Endpoint{}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -81,9 +81,28 @@
 	d.picks++
 	d.demand.noteOnce(now, r)
 	d.views = d.views[:0]
+	best, reason := d.best(now, r, rows, r.Arrivals > 0)
+	if best.row == nil && r.Arrivals > 0 && d.straysAllowed(now, r) {
+		best, reason = d.best(now, r, rows, false)
+	}
+	if best.row == nil {
+		return nil, reason
+	}
+	if r.worthHolding(now, &best) {
+		return nil, Pending
+	}
+	if left := float64(r.Deadline-now) / float64(time.Millisecond); best.wait > left {
+		return nil, TooLate
+	}
+	return d.begin(now, r, best), ""
+}
+
+// best is the endpoint that costs least, of those that are confirmed if only these may be
+// chosen.
+func (d *Dispatcher) best(now tables.Instant, r *Request, rows []*endpointRow, onlyConfirmed bool) (candidate, Reason) {
 	best, reason := candidate{cost: math.Inf(1)}, NoEndpoint
 	for _, row := range rows {
-		if r.tried(row.ID) || !d.usable(now, r, row) {
+		if r.tried(row.ID) || !d.usable(now, r, row) || onlyConfirmed && !d.confirmed(now, row) {
 			continue
 		}
 		if !d.hasRoom(now, r, row) {
@@ -95,16 +114,7 @@
 			best = c
 		}
 	}
-	if best.row == nil {
-		return nil, reason
-	}
-	if r.worthHolding(now, &best) {
-		return nil, Pending
-	}
-	if left := float64(r.Deadline-now) / float64(time.Millisecond); best.wait > left {
-		return nil, TooLate
-	}
-	return d.begin(now, r, best), ""
+	return best, reason
 }
 
 // worthHolding says whether the request had better wait for a part of its prompt
@@ -280,6 +290,9 @@
 		a.trial = true
 		c.row.trials++
 	}
+	if r.Arrivals > 0 && !r.Remote && !d.confirmed(now, c.row) {
+		d.stray(now, a)
+	}
 	d.changed(c.row)
 	c.row.own++
 	c.row.tokens += a.tokens
--- a/forward/scheduled.go
+++ b/forward/scheduled.go
@@ -26,6 +26,7 @@
 		return nil, "", false
 	}
 	ask := j.ask
+	ask.OnlyConfirmed = ask.Arrivals > 0 && !s.mayStray()
 	for range scheduleTries {
 		assignment := s.options.Scheduler.Ask(j.ctx, &ask)
 		if assignment == nil {
@@ -45,6 +46,14 @@
 	return nil, "", false
 }
 
+// mayStray says whether a repeat may be sent to an endpoint that may be gone from its
+// address.
+func (s *Server) mayStray() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dispatch.MayStray(s.options.Now())
+}
+
 func (s *Server) adopt(r *dispatch.Request, chosen dispatch.Choice) *dispatch.Attempt {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/node/entry.go
+++ b/node/entry.go
@@ -38,6 +38,7 @@
 			Retry: dispatch.RetryLimits{
 				Ratio: s.Retries.Ratio, Extra: s.Retries.Extra, Window: s.Retries.Window,
 			},
+			AddressReuse:   s.Retries.AddressReuse,
 			WeightsTimeout: s.Orders.WeightsTimeout,
 		},
 		Registry:       n.registry,
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -22,16 +22,18 @@
 // question describes a request to a scheduler.
 func question(now tables.Instant, r *dispatch.Request) *rpc.ScheduleQuestion {
 	q := &rpc.ScheduleQuestion{
-		Service:      r.Service.Name,
-		Model:        r.Model,
-		Priority:     int32(r.Priority),
-		TargetMs:     inMilliseconds(r.Route.Target),
-		PromptTokens: uint32(r.PromptTokens),
-		OutputTokens: uint32(r.OutputTokens),
-		WaitedMs:     inMilliseconds(now - r.Arrived),
-		LeftMs:       inMilliseconds(r.Deadline - now),
-		HoldMs:       inMilliseconds(r.HoldUntil - now),
-		Counted:      r.Counted(),
+		Service:       r.Service.Name,
+		Model:         r.Model,
+		Priority:      int32(r.Priority),
+		TargetMs:      inMilliseconds(r.Route.Target),
+		PromptTokens:  uint32(r.PromptTokens),
+		OutputTokens:  uint32(r.OutputTokens),
+		WaitedMs:      inMilliseconds(now - r.Arrived),
+		LeftMs:        inMilliseconds(r.Deadline - now),
+		HoldMs:        inMilliseconds(r.HoldUntil - now),
+		Counted:       r.Counted(),
+		Arrivals:      uint32(r.Arrivals),
+		OnlyConfirmed: r.OnlyConfirmed,
 	}
 	for _, part := range r.Shared {
 		q.Shared = append(q.Shared, &rpc.PromptPart{Name: uint64(part.Name), Tokens: uint32(part.Tokens)})
@@ -45,15 +47,18 @@
 // request is what a scheduler chooses for.
 func request(now tables.Instant, q *rpc.ScheduleQuestion, service *routes.Service) *dispatch.Request {
 	r := &dispatch.Request{
-		Service:      service,
-		Route:        &routes.Route{Target: fromMilliseconds(q.GetTargetMs())},
-		Priority:     int(q.GetPriority()),
-		Model:        q.GetModel(),
-		PromptTokens: int(q.GetPromptTokens()),
-		OutputTokens: int(q.GetOutputTokens()),
-		Arrived:      now - fromMilliseconds(q.GetWaitedMs()),
-		Deadline:     now + fromMilliseconds(q.GetLeftMs()),
-		HoldUntil:    now + fromMilliseconds(q.GetHoldMs()),
+		Service:       service,
+		Route:         &routes.Route{Target: fromMilliseconds(q.GetTargetMs())},
+		Priority:      int(q.GetPriority()),
+		Model:         q.GetModel(),
+		PromptTokens:  int(q.GetPromptTokens()),
+		OutputTokens:  int(q.GetOutputTokens()),
+		Arrived:       now - fromMilliseconds(q.GetWaitedMs()),
+		Deadline:      now + fromMilliseconds(q.GetLeftMs()),
+		HoldUntil:     now + fromMilliseconds(q.GetHoldMs()),
+		Arrivals:      int(q.GetArrivals()),
+		OnlyConfirmed: q.GetOnlyConfirmed(),
+		Remote:        true,
 	}
 	for _, part := range q.GetShared() {
 		r.Shared = append(r.Shared, dispatch.SharedPart{Name: parts.Name(part.GetName()), Tokens: int(part.GetTokens())})
--- a/settings/forwarding.go
+++ b/settings/forwarding.go
@@ -94,6 +94,9 @@
 	// be a fraction.
 	Extra  float64
 	Window time.Duration
+	// AddressReuse is for how long after an endpoint's end the platform gives its
+	// address to no other process.
+	AddressReuse time.Duration
 }
 
 // ForwardingUsage is by how much an organisation's use may exceed its limit within a window,
@@ -109,6 +112,7 @@
 	defaultRetryRatio   = 0.2
 	defaultRetryExtra   = 20.0
 	defaultRetryWindow  = 10 * time.Second
+	defaultAddressReuse = 2 * time.Second
 	defaultForwardDrain = 7 * time.Second
 	// defaultForwardAnnounce is above the time in which a balancer that asks
 	// once a second and forgives one miss stops sending callers.
@@ -155,7 +159,9 @@
 		Tolerate: defaultTolerate,
 		MemoryMB: defaultMemoryMB,
 		Orders:   ForwardingOrders{Lease: defaultOrdersLease},
-		Retries:  ForwardingRetries{Ratio: defaultRetryRatio, Extra: defaultRetryExtra, Window: defaultRetryWindow},
+		Retries: ForwardingRetries{
+			Ratio: defaultRetryRatio, Extra: defaultRetryExtra, Window: defaultRetryWindow, AddressReuse: defaultAddressReuse,
+		},
 		Drain:    Drain{Announce: defaultForwardAnnounce, Timeout: defaultForwardDrain},
 		LogLevel: zapcore.InfoLevel,
 	}
@@ -272,6 +278,7 @@
 		field{key: "ratio", read: quantity(&r.Ratio, 0, 10)},
 		field{key: "extra", read: quantity(&r.Extra, 0, 1_000_000)},
 		field{key: "window", read: period(&r.Window, time.Second, time.Hour)},
+		field{key: "address_reuse", read: period(&r.AddressReuse, 0, time.Hour)},
 	)
 }
 
--- a/settings/forwarding_test.go
+++ b/settings/forwarding_test.go
@@ -58,6 +58,18 @@
 	assert.Equal(t, f.Usage, ForwardingUsage{})
 }
 
+// Guards against repeats that go to addresses which the platform gives to others sooner than
+// the instance believes.
+func TestAddressReuseIsRead(t *testing.T) {
+	text := strings.Replace(forwarding, "window: 10s", "window: 10s\n  address_reuse: 1.5s", 1)
+	f, err := ParseForwarding("f.yaml", []byte(text))
+	assert.NilError(t, err)
+	assert.Equal(t, f.Retries.AddressReuse, 1500*time.Millisecond)
+	f, err = ParseForwarding("f.yaml", []byte(forwarding))
+	assert.NilError(t, err)
+	assert.Equal(t, f.Retries.AddressReuse, defaultAddressReuse)
+}
+
 // A settings file names no data folder for a control instance. Started, the
 // instance would forget what it has acknowledged at its next restart.
 func TestFaultsOfForwardingSettingsAreNamed(t *testing.T) {
