--- a/dialect/dialect.go
+++ b/dialect/dialect.go
@@ -24,6 +24,9 @@
 	NotRun string
 	// Load carries "running,waiting,slots" of the endpoint that answers.
 	Load string
+	// RateLimit carries the requests a second that the endpoint takes from all instances
+	// together. An answer without it says that there is no such limit.
+	RateLimit string
 	// Weights carries the version that produced an answer.
 	Weights string
 	// Model, Tokens ("prompt,most output") and Prefix ("part:tokens,...")
--- a/dialect/tokens.go
+++ b/dialect/tokens.go
@@ -1,6 +1,7 @@
 package dialect
 
 import (
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -73,3 +74,13 @@
 	}
 	return EndpointLoad{Running: numbers[0], Waiting: numbers[1], Slots: numbers[2]}, true
 }
+
+// ParseRate reads a rate limit in requests a second; limited is false if the text holds none
+// that can be read.
+func ParseRate(text string) (perSecond float64, limited bool) {
+	rate, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil || rate < 0 || math.IsNaN(rate) || math.IsInf(rate, 0) {
+		return 0, false
+	}
+	return rate, true
+}
--- a/events/entry.go
+++ b/events/entry.go
@@ -22,4 +22,5 @@
 	EndpointReached      = define(1016, zapcore.InfoLevel, "An endpoint takes connections again.")
 	SuspectsNotTold      = define(1017, zapcore.WarnLevel, "Another instance could not be told which requests may crash endpoints.")
 	EndpointCrashed      = define(1014, zapcore.WarnLevel, "An endpoint broke its connections off and takes none any more.")
+	EndpointLimited      = define(1018, zapcore.InfoLevel, "An endpoint named a rate limit, or names none any more.")
 )
--- a/forward/standin_test.go
+++ b/forward/standin_test.go
@@ -25,7 +25,7 @@
 var names = &dialect.Headers{
 	Request: "X-Request", Deadline: "X-Deadline", Organisation: "X-Organisation",
 	ExpectEndpoint: "X-Endpoint", ExpectWeights: "X-Expect-Weights", Signature: "X-Signature", NotRun: "X-Not-Run",
-	Load: "X-Load", Weights: "X-Weights", Model: "X-Model", Tokens: "X-Tokens", Prefix: "X-Prefix",
+	Load: "X-Load", RateLimit: "X-Rate-Limit", Weights: "X-Weights", Model: "X-Model", Tokens: "X-Tokens", Prefix: "X-Prefix",
 	CacheSalt: "X-Salt", CacheSource: "X-Source", CacheTarget: "X-Target", Priority: "X-Priority",
 	LastEvent: "Last-Event-Id", Reserved: []string{"X-Hold"}, KeyScheme: "Bearer",
 }
