--- /dev/null
+++ b/forward/limit_test.go
@@ -0,0 +1,97 @@
+package forward
+
+import (
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// limitedRigs are instances before the same endpoints, under a clock that only step moves.
+type limitedRigs struct {
+	all       []*rig
+	endpoints standins
+	clock     atomic.Int64
+	asked     int
+}
+
+func newLimitedRigs(t *testing.T, instances int, scripts ...http.HandlerFunc) *limitedRigs {
+	t.Helper()
+	l := &limitedRigs{endpoints: newStandins(t, scripts...)}
+	l.clock.Store(int64(time.Second))
+	for range instances {
+		l.all = append(l.all, newRigAt(t, l.now, l.endpoints))
+	}
+	return l
+}
+
+func (l *limitedRigs) now() tables.Instant { return tables.Instant(l.clock.Load()) }
+
+func (l *limitedRigs) step(d time.Duration) { l.clock.Add(int64(d)) }
+
+// ask sends a request to the next instance.
+func (l *limitedRigs) ask(t *testing.T) int {
+	t.Helper()
+	r := l.all[l.asked%len(l.all)]
+	l.asked++
+	return r.ask(t, "GET", "/read/x", "").StatusCode
+}
+
+// names answers with the endpoint's work, and names a rate limit while there is one.
+func namesLimit(limit *atomic.Pointer[string]) http.HandlerFunc {
+	answer := says(200, "ok")
+	return func(w http.ResponseWriter, r *http.Request) {
+		if text := limit.Load(); text != nil {
+			w.Header().Set("X-Rate-Limit", *text)
+		}
+		answer(w, r)
+	}
+}
+
+// mostWithin is the highest number of times that lie within a window.
+func mostWithin(times []tables.Instant, window time.Duration) int {
+	most := 0
+	for i, from := range times {
+		n := 0
+		for _, at := range times[i:] {
+			if at < from+window {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+// Guards against an endpoint that names a rate limit getting requests from each instance as
+// if there were no limit, or as if the limit were that instance's own.
+func TestAllInstancesTogetherKeepAnEndpointsRateLimit(t *testing.T) {
+	const (
+		perSecond = 1.0
+		noticed   = 3 * time.Second
+		window    = 4 * time.Second
+		allowed   = 1.5*perSecond*4 + 5
+		tick      = 100 * time.Millisecond
+	)
+	var limit atomic.Pointer[string]
+	text := "1.0"
+	limit.Store(&text)
+	l := newLimitedRigs(t, 6, namesLimit(&limit), says(200, "ok"))
+	var arrivals []tables.Instant
+	for from := l.now(); l.now() < from+12*time.Second; l.step(tick) {
+		for range 4 {
+			before := len(l.endpoints.all[0].requests())
+			assert.Equal(t, l.ask(t), 200)
+			if got := len(l.endpoints.all[0].requests()); got > before && l.now() >= from+noticed {
+				arrivals = append(arrivals, l.now())
+			}
+		}
+	}
+	most := mostWithin(arrivals, window)
+	assert.Assert(t, float64(most) <= allowed, "%d requests within %v, allowed %.0f", most, window, allowed)
+	assert.Assert(t, len(arrivals) > 0, "the endpoint is not used at all")
+}
--- a/forward/standin_test.go
+++ b/forward/standin_test.go
@@ -101,20 +101,41 @@
 func newRig(t *testing.T, scripts ...http.HandlerFunc) *rig {
 	t.Helper()
 	started := time.Now()
-	r := &rig{server: New(Options{
+	return newRigAt(t, func() tables.Instant { return time.Since(started) }, newStandins(t, scripts...))
+}
+
+// standins are the endpoints of one or several rigs.
+type standins struct {
+	all    []*standin
+	served []*httptest.Server
+}
+
+func newStandins(t *testing.T, scripts ...http.HandlerFunc) standins {
+	t.Helper()
+	var made standins
+	for i, serve := range scripts {
+		s := &standin{id: fmt.Sprintf("e%d", i), serve: serve}
+		served := httptest.NewServer(s)
+		t.Cleanup(served.Close)
+		made.all = append(made.all, s)
+		made.served = append(made.served, served)
+	}
+	return made
+}
+
+// newRigAt is newRig with a clock and endpoints that others may share.
+func newRigAt(t *testing.T, now func() tables.Instant, endpoints standins) *rig {
+	t.Helper()
+	r := &rig{standins: endpoints.all, servers: endpoints.served, server: New(Options{
 		Headers:  names,
 		Client:   exchange.NewClient(exchange.Options{Headers: names}),
 		Dispatch: dispatch.Options{Zone: "a", Retry: dispatch.RetryLimits{Ratio: 1, Extra: 100, Window: time.Minute}},
-		Now:      func() tables.Instant { return time.Since(started) },
+		Now:      now,
 		Boot:     "b",
 	})}
 	all := map[tables.EndpointID]fleet.Endpoint{}
-	for i, serve := range scripts {
-		s := &standin{id: fmt.Sprintf("e%d", i), serve: serve}
-		served := httptest.NewServer(s)
-		t.Cleanup(served.Close)
-		r.standins = append(r.standins, s)
-		r.servers = append(r.servers, served)
+	for i, s := range endpoints.all {
+		served := endpoints.served[i]
 		at := netip.MustParseAddrPort(strings.TrimPrefix(served.URL, "http://"))
 		id := tables.EndpointID(s.id)
 		for _, service := range []string{"desk", "models"} {
