--- a/dispatch/adopt.go
+++ b/dispatch/adopt.go
@@ -15,13 +15,15 @@
 	Expected      time.Duration
 	Uncached      int
 	Rule          Rule
+	// Limit is what is known of the endpoint's rate limit; nil for nothing.
+	Limit *LimitReport
 }
 
-// Choice is the attempt as another instance needs it.
-func (a *Attempt) Choice() Choice {
+// Choice is the attempt as another instance needs it now.
+func (a *Attempt) Choice(now tables.Instant) Choice {
 	return Choice{
 		Endpoint: a.Endpoint.ID, Source: a.Source.ID, Store: a.Store.ID, Weights: a.Weights,
-		Expected: a.Expected, Uncached: a.Uncached, Rule: a.Known.Rule,
+		Expected: a.Expected, Uncached: a.Uncached, Rule: a.Known.Rule, Limit: a.row.limit.report(now),
 	}
 }
 
@@ -45,6 +47,9 @@
 // other one counts the attempt too and tells of it, so this one does not.
 func (d *Dispatcher) Adopt(now tables.Instant, r *Request, chosen Choice) *Attempt {
 	row := d.rows[chosen.Endpoint]
+	if row != nil {
+		row.limit.take(now, chosen.Limit)
+	}
 	if row == nil || r.tried(row.ID) || row.Weights[r.Model] > chosen.Weights {
 		return nil
 	}
@@ -53,7 +58,7 @@
 	}
 	// Whether the endpoint loads weights at this moment is left to the chooser: the
 	// two learn of it at different moments.
-	if !row.takes(now) || !d.inTime(now, r.Model, chosen.Weights) {
+	if !row.takes(now) || row.limit.full(now) || !d.inTime(now, r.Model, chosen.Weights) {
 		return nil
 	}
 	a := &Attempt{
--- a/dispatch/census.go
+++ b/dispatch/census.go
@@ -53,7 +53,7 @@
 // Census counts the endpoints of a service by why a request cannot run there
 // now.
 type Census struct {
-	Listed, Tried, Leaving, Avoided, Loading, OtherWeights, Full, Free int
+	Listed, Tried, Leaving, Avoided, Loading, OtherWeights, Limited, Full, Free int
 }
 
 // Census takes stock for a request.
@@ -73,6 +73,8 @@
 			c.Loading++
 		case r.Model != "" && !serves, !d.usable(now, r, row):
 			c.OtherWeights++
+		case row.limit.full(now):
+			c.Limited++
 		case !d.hasRoom(now, r, row):
 			c.Full++
 		default:
@@ -90,7 +92,7 @@
 		n    int
 	}{
 		{"tried", c.Tried}, {"leaving", c.Leaving}, {"avoided", c.Avoided}, {"loading", c.Loading},
-		{"other weights", c.OtherWeights}, {"full", c.Full}, {"free", c.Free},
+		{"other weights", c.OtherWeights}, {"limited", c.Limited}, {"full", c.Full}, {"free", c.Free},
 	} {
 		if part.n > 0 {
 			text += ", " + part.name + " " + strconv.Itoa(part.n)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -176,10 +176,12 @@
 	// Misdirected: what answered at the endpoint's address did not run the request,
 	// because it is another process or serves other weights.
 	Misdirected
+	// Limited: the endpoint's rate limit left no room; nothing was sent.
+	Limited
 )
 
 // lastEnd is the end with the highest number.
-const lastEnd = Misdirected
+const lastEnd = Limited
 
 // DecodeEnd reads an end that another instance sent. One that this version does not know
 // counts as Cancelled, which says nothing of the endpoint.
@@ -192,7 +194,7 @@
 
 // String gives the end's name in logs.
 func (e End) String() string {
-	return [...]string{"completed", "declined", "unreachable", "lost", "broken", "hung", "cancelled", "misdirected"}[e]
+	return [...]string{"completed", "declined", "unreachable", "lost", "broken", "hung", "cancelled", "misdirected", "limited"}[e]
 }
 
 // Reason says why a request cannot be placed now.
@@ -316,6 +318,9 @@
 	switch end {
 	case Completed, Declined, Unreachable, Lost:
 		d.settleStray(now, a)
+	case Limited:
+		d.settleStray(now, a)
+		a.row.limit.fill(now, limitPause)
 	}
 	if end == Lost {
 		d.doubtZone(now, a.row)
--- a/dispatch/endpoints.go
+++ b/dispatch/endpoints.go
@@ -61,7 +61,7 @@
 	// averages are those of the endpoint's service.
 	averages *averages
 	availability
-	limit namedLimit
+	limit limit
 	// linkFree is when the transfers that are known of have ended.
 	linkFree tables.Instant
 	// stamp is that of the last view in which the endpoint held some beginning of the
--- a/dispatch/limits.go
+++ b/dispatch/limits.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"time"
+
 	"github.com/carawaystile/carawaystile/tables"
 )
 
@@ -11,17 +13,86 @@
 	Limited bool
 }
 
-// namedLimit is what an endpoint last said, and when; the zero value says that it names no
-// limit.
-type namedLimit struct {
+// LimitReport is what one instance knows of an endpoint's limit, by an answer of Age ago.
+type LimitReport struct {
 	RateLimit
-	at tables.Instant
+	Age time.Duration
+}
+
+const (
+	// limitPause is how long an endpoint whose limit leaves no room gets nothing, where
+	// nobody has said when it will. minLimitPause and maxLimitPause bound it.
+	limitPause    = 200 * time.Millisecond
+	minLimitPause = 20 * time.Millisecond
+	maxLimitPause = time.Second
+)
+
+// limit is what an endpoint last said of a limit, and when; known is false if it never
+// answered.
+type limit struct {
+	RateLimit
+	known bool
+	at    tables.Instant
+	// fullUntil is until when the limit leaves no room.
+	fullUntil tables.Instant
+}
+
+// note takes what an endpoint said at that time, and says whether that is news.
+func (l *limit) note(at tables.Instant, named RateLimit) (changed bool) {
+	if l.known && at < l.at {
+		return false
+	}
+	changed = l.RateLimit != named
+	l.RateLimit, l.known, l.at = named, true, at
+	if !named.Limited {
+		l.fullUntil = 0
+	}
+	return changed
+}
+
+// report is what others need to know; nil if the endpoint has never named a limit.
+func (l *limit) report(now tables.Instant) *LimitReport {
+	if !l.known {
+		return nil
+	}
+	return &LimitReport{RateLimit: l.RateLimit, Age: now - l.at}
+}
+
+// take takes another instance's report.
+func (l *limit) take(now tables.Instant, r *LimitReport) {
+	if r != nil {
+		l.note(now-max(0, r.Age), r.RateLimit)
+	}
+}
+
+// fill notes that the limit leaves no room for a while.
+func (l *limit) fill(now tables.Instant, pause time.Duration) {
+	l.fullUntil = now + min(max(pause, minLimitPause), maxLimitPause)
 }
 
+// full says whether the limit leaves no room now.
+func (l *limit) full(now tables.Instant) bool { return now < l.fullUntil }
+
 // LimitNamed notes what an endpoint's answer says of a limit, and returns what was known
 // before.
-func (d *Dispatcher) LimitNamed(now tables.Instant, a *Attempt, limit RateLimit) (before RateLimit) {
-	before = a.row.limit.RateLimit
-	a.row.limit = namedLimit{RateLimit: limit, at: now}
+func (d *Dispatcher) LimitNamed(now tables.Instant, a *Attempt, named RateLimit) (before RateLimit) {
+	row := a.row
+	before = row.limit.RateLimit
+	if !named.Limited && !row.limit.known {
+		return before
+	}
+	if row.limit.note(now, named) {
+		d.changed(row)
+	}
 	return before
 }
+
+// Limit is that of the attempt's endpoint.
+func (d *Dispatcher) Limit(a *Attempt) RateLimit { return a.row.limit.RateLimit }
+
+// LimitReached ends an attempt that was not sent, since its endpoint's limit leaves no room
+// for it; pause is when it may.
+func (d *Dispatcher) LimitReached(now tables.Instant, a *Attempt, pause time.Duration) {
+	d.Ended(now, a, Limited)
+	a.row.limit.fill(now, pause)
+}
--- /dev/null
+++ b/dispatch/limits_test.go
@@ -0,0 +1,120 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func plain() *Request {
+	r := ask(1)
+	r.Shared = nil
+	return r
+}
+
+func perSecond(rate float64) RateLimit { return RateLimit{PerSecond: rate, Limited: true} }
+
+// Guards against an endpoint whose limit leaves no room being chosen again and again while
+// others are free.
+func TestAnEndpointWhoseLimitIsReachedIsLeftAlone(t *testing.T) {
+	d, _ := world(2)
+	now := time.Second
+	first := mustPlace(t, d, now, plain())
+	d.LimitNamed(now, first, perSecond(1))
+	d.LimitReached(now, first, 300*time.Millisecond)
+	for range 3 {
+		other := mustPlace(t, d, now, plain())
+		assert.Assert(t, other.Endpoint.ID != first.Endpoint.ID)
+	}
+	r := plain()
+	for id := range d.rows {
+		if id != first.Endpoint.ID {
+			r.Tried = append(r.Tried, id)
+		}
+	}
+	_, reason := d.Place(now, r)
+	assert.Equal(t, reason, Full)
+	assert.Equal(t, d.Census(now, r).Limited, 1)
+	assert.Equal(t, mustPlace(t, d, now+300*time.Millisecond, r).Endpoint.ID, first.Endpoint.ID)
+}
+
+// Guards against an endpoint that is closed for long after it has lifted its limit.
+func TestALiftedLimitOpensAnEndpointAtOnce(t *testing.T) {
+	d, _ := world(1)
+	now := time.Second
+	running := mustPlace(t, d, now, plain())
+	d.LimitNamed(now, running, perSecond(1))
+	d.LimitReached(now, mustPlace(t, d, now, plain()), time.Second)
+	_, reason := d.Place(now, plain())
+	assert.Equal(t, reason, Full)
+	before := d.LimitNamed(now, running, RateLimit{})
+	assert.Equal(t, before, perSecond(1))
+	assert.Equal(t, d.Limit(mustPlace(t, d, now, plain())), RateLimit{})
+}
+
+// Guards against instances that have had no answer yet sending as if there were no limit, and
+// against an older report undoing a newer answer.
+func TestLimitsReachTheOtherInstances(t *testing.T) {
+	c := newChoosers(3, 1)
+	now := time.Second
+	a := mustPlace(t, c.all[0], now, plain())
+	c.all[0].LimitNamed(now, a, perSecond(2))
+	c.exchange(now)
+	for _, d := range c.all {
+		assert.Equal(t, d.Limit(mustPlace(t, d, now, plain())), perSecond(2))
+	}
+
+	now += time.Second
+	b := mustPlace(t, c.all[1], now, plain())
+	c.all[1].LimitNamed(now, b, RateLimit{})
+	c.all[1].Loaded(now, "late", Load{Endpoint: "e0", Limit: &LimitReport{RateLimit: perSecond(2), Age: 500 * time.Millisecond}})
+	assert.Equal(t, c.all[1].Limit(b), RateLimit{})
+	c.exchange(now)
+	assert.Equal(t, c.all[2].Limit(mustPlace(t, c.all[2], now, plain())), RateLimit{})
+}
+
+// Guards against a report that was lost leaving an instance without knowledge of a limit.
+func TestALimitIsReportedAgainWhileItIsInForce(t *testing.T) {
+	d, _ := world(1)
+	now := time.Second
+	a := mustPlace(t, d, now, plain())
+	d.LimitNamed(now, a, perSecond(2))
+	d.Ended(now, a, Completed)
+	assert.Equal(t, len(d.Loads(now)), 1)
+	assert.Equal(t, len(d.Loads(now+loadAgain)), 0)
+	again := d.Loads(now + 2*loadAgain)
+	assert.Equal(t, len(again), 1)
+	assert.Equal(t, again[0].Limit.RateLimit, perSecond(2))
+	assert.Equal(t, again[0].Limit.Age, 2*loadAgain)
+}
+
+// Guards against an instance that a scheduler chooses for sending without counting, and
+// against the scheduler offering an endpoint that has just been found full.
+func TestALimitGoesWithASchedulersChoice(t *testing.T) {
+	scheduler, _ := world(2)
+	asking, _ := world(2)
+	now := time.Second
+	chosen := mustPlace(t, scheduler, now, plain())
+	scheduler.LimitNamed(now, chosen, perSecond(3))
+	adopted := asking.Adopt(now, plain(), chosen.Choice(now))
+	assert.Equal(t, asking.Limit(adopted), perSecond(3))
+
+	asking.LimitReached(now, adopted, time.Second)
+	assert.Assert(t, asking.Adopt(now, plain(), chosen.Choice(now)) == nil)
+	scheduler.Ended(now, chosen, DecodeEnd(uint32(Limited)))
+	assert.Assert(t, mustPlace(t, scheduler, now, plain()).Endpoint.ID != chosen.Endpoint.ID)
+}
+
+// Guards against a new process at an endpoint's address that is held to the limit of the one
+// before.
+func TestANewProcessHasNoLimitYet(t *testing.T) {
+	d, all := world(1)
+	now := time.Second
+	d.LimitNamed(now, mustPlace(t, d, now, plain()), perSecond(1))
+	e := all["e0"].Clone()
+	e.Born++
+	all["e0"] = e
+	d.Fleet(all)
+	assert.Equal(t, d.Limit(mustPlace(t, d, now, plain())), RateLimit{})
+}
--- a/dispatch/loads.go
+++ b/dispatch/loads.go
@@ -16,6 +16,8 @@
 	Link time.Duration
 	// Absent is for how long the endpoint counts as absent.
 	Absent time.Duration
+	// Limit is what is known of the endpoint's rate limit; nil for nothing.
+	Limit *LimitReport
 }
 
 const (
@@ -87,6 +89,7 @@
 		if l.Absent > 0 {
 			row.absent(now + min(l.Absent, maxAbsent))
 		}
+		row.limit.take(now, l.Limit)
 	}
 }
 
@@ -97,7 +100,7 @@
 		d.sweptLoads = now
 		for _, row := range d.rows {
 			row.reported.sweep(now)
-			if row.own > row.adopted.own && now-row.loadReportedAt > loadAgain {
+			if (row.own > row.adopted.own || row.limit.Limited) && now-row.loadReportedAt > loadAgain {
 				d.changed(row)
 			}
 		}
@@ -110,6 +113,7 @@
 			loads = append(loads, Load{
 				Endpoint: row.ID, Running: row.own - row.adopted.own, Tokens: row.tokens - row.adopted.tokens,
 				Prefill: int(row.prefill - row.adopted.prefill), Link: row.linkBusy(now), Absent: row.absence(now),
+				Limit: row.limit.report(now),
 			})
 		}
 	}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -156,6 +156,9 @@
 }
 
 func (d *Dispatcher) hasRoom(now tables.Instant, r *Request, row *endpointRow) bool {
+	if row.limit.full(now) {
+		return false
+	}
 	if r.Service.Slots == 0 {
 		return true
 	}
--- a/forward/failure.go
+++ b/forward/failure.go
@@ -124,6 +124,7 @@
 		zap.String("request", j.id),
 		zap.Duration("took", j.now()-j.arrived),
 		zap.Int("sends", j.sends),
+		zap.Int("limited", j.limited),
 		zap.String("last_event", j.lastEvent),
 	}
 	if j.table != nil {
--- a/forward/job.go
+++ b/forward/job.go
@@ -48,6 +48,8 @@
 	state       outcome.State
 	// sends counts the endpoints that the request was handed to.
 	sends int
+	// limited counts the endpoints whose rate limits left no room for it.
+	limited int
 	// kept is an endpoint's failing answer, for the case that no other endpoint
 	// gives one.
 	kept *whole
--- a/forward/limit.go
+++ b/forward/limit.go
@@ -7,8 +7,52 @@
 	"github.com/carawaystile/carawaystile/dispatch"
 	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/tables"
+	"github.com/carawaystile/carawaystile/usage"
 )
 
+// maxLimited bounds how many endpoints whose limits leave no room are met in one look for
+// an endpoint. Each look closes those that it met.
+const maxLimited = 8
+
+// placeWithinLimits is place for endpoints that take so many requests a second from all
+// instances together: what an endpoint's accountant does not admit goes to another endpoint.
+func (s *Server) placeWithinLimits(j *job) (*dispatch.Attempt, dispatch.Reason) {
+	for range maxLimited {
+		chosen, reason := s.place(j)
+		if chosen == nil || s.withinLimit(j, chosen) {
+			return chosen, reason
+		}
+		j.assignment.Ended(dispatch.Limited)
+		j.assignment = nil
+		j.limited++
+	}
+	return nil, dispatch.Full
+}
+
+// withinLimit counts an attempt against its endpoint's limit, and says whether it is within
+// it. If it is not, the attempt has ended.
+func (s *Server) withinLimit(j *job, chosen *dispatch.Attempt) bool {
+	limit := s.endpointLimit(chosen)
+	if !limit.Limited || s.options.Usage == nil {
+		return true
+	}
+	decision := s.options.Usage.Admit(j.ctx, usage.EndpointSubject(chosen.Endpoint.ID), usage.EndpointLimit(limit.PerSecond), 1)
+	s.metrics.limitDecided(j, decision)
+	if decision.Admitted {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dispatch.LimitReached(s.options.Now(), chosen, decision.RetryAfter)
+	return false
+}
+
+func (s *Server) endpointLimit(chosen *dispatch.Attempt) dispatch.RateLimit {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dispatch.Limit(chosen)
+}
+
 // noteLimit takes the rate limit that an answer names, or its absence. It is called with the
 // server's mu held.
 func (t *try) noteLimit(now tables.Instant, text string) {
--- a/forward/measure.go
+++ b/forward/measure.go
@@ -7,6 +7,7 @@
 	"github.com/carawaystile/carawaystile/dispatch"
 	"github.com/carawaystile/carawaystile/metrics"
 	"github.com/carawaystile/carawaystile/tables"
+	"github.com/carawaystile/carawaystile/usage"
 )
 
 // measurements counts requests, attempts and placements, and measures the times
@@ -143,3 +144,17 @@
 	}
 	return j.org.ID
 }
+
+// limitDecided takes a decision about an attempt at an endpoint that names a rate limit.
+func (m *measurements) limitDecided(j *job, decision usage.Decision) {
+	if m == nil {
+		return
+	}
+	outcome := "admitted"
+	if !decision.Admitted {
+		outcome = "refused"
+	}
+	m.registry.Counter("carawaystile_endpoint_limit_decisions_total", "Attempts at endpoints that name a rate limit, by what was decided and what the decision rested on.",
+		metrics.Label{Name: "service", Value: j.service.Name}, metrics.Label{Name: "decision", Value: outcome},
+		metrics.Label{Name: "by", Value: string(decision.By)}).Inc(1)
+}
--- a/forward/place.go
+++ b/forward/place.go
@@ -33,7 +33,7 @@
 	}
 	until := s.options.Now() + patience
 	for {
-		chosen, reason := s.place(j)
+		chosen, reason := s.placeWithinLimits(j)
 		if chosen != nil {
 			return chosen, 0
 		}
--- a/forward/usage.go
+++ b/forward/usage.go
@@ -10,19 +10,20 @@
 	"github.com/carawaystile/carawaystile/usage"
 )
 
-// UsageLimiter decides whether requests are within their organisations' rate limits, over
-// all instances.
+// UsageLimiter decides whether requests are within the rate limits of organisations and of
+// endpoints, over all instances.
 type UsageLimiter interface {
 	// Admit decides about a request, and counts its cost if it is admitted.
-	Admit(ctx context.Context, id tables.OrganisationID, limit usage.Limit, cost int64) usage.Decision
+	Admit(ctx context.Context, subject usage.Subject, limit usage.Limit, cost int64) usage.Decision
 	// Charge counts use that is not asked about; a negative amount gives back.
-	Charge(id tables.OrganisationID, limit usage.Limit, amount int64)
+	Charge(subject usage.Subject, limit usage.Limit, amount int64)
 }
 
 // charge is what a job has counted against its organisation's rate limit.
 type charge struct {
 	limiter UsageLimiter
 	id      tables.OrganisationID
+	subject usage.Subject
 	limit   usage.Limit
 	cost    int64
 	// unused is set while what was counted belongs to no run.
@@ -39,8 +40,8 @@
 		return true
 	}
 	limit := UsageLimit(j.org, j.server.options.UsageTolerance)
-	j.charge = charge{limiter: limiter, id: j.org.ID, limit: limit, cost: j.usageCost()}
-	j.charge.decision = limiter.Admit(j.ctx, j.org.ID, limit, j.charge.cost)
+	j.charge = charge{limiter: limiter, id: j.org.ID, subject: usage.OrganisationSubject(j.org.ID), limit: limit, cost: j.usageCost()}
+	j.charge.decision = limiter.Admit(j.ctx, j.charge.subject, limit, j.charge.cost)
 	j.server.metrics.usageDecided(j)
 	if !j.charge.decision.Admitted {
 		j.refuse(tables.CodeOrganisationRate, max(j.charge.decision.RetryAfter, retryElsewhere))
@@ -73,7 +74,7 @@
 		return
 	}
 	if !c.unused {
-		c.limiter.Charge(c.id, c.limit, c.cost)
+		c.limiter.Charge(c.subject, c.limit, c.cost)
 	}
 	c.unused = false
 }
@@ -85,7 +86,7 @@
 func (c *charge) settle() {
 	if c.limiter != nil && c.unused {
 		c.unused = false
-		c.limiter.Charge(c.id, c.limit, -c.cost)
+		c.limiter.Charge(c.subject, c.limit, -c.cost)
 	}
 }
 
--- a/node/entry.go
+++ b/node/entry.go
@@ -152,6 +152,7 @@
 	for _, l := range loads {
 		hints.Loads = append(hints.Loads, membership.Load{
 			Endpoint: l.Endpoint, Running: l.Running, Tokens: l.Tokens, Prefill: l.Prefill, Link: l.Link, Absent: l.Absent,
+			Limit: reportedLimit(l.Limit),
 		})
 	}
 	n.remote.Add(membership.Hints{Placements: hints.Placements})
@@ -183,10 +184,25 @@
 	if n.entry != nil {
 		n.entry.Loaded(l.Instance, dispatch.Load{
 			Endpoint: l.Endpoint, Running: l.Running, Tokens: l.Tokens, Prefill: l.Prefill, Link: l.Link, Absent: l.Absent,
+			Limit: receivedLimit(l.Limit),
 		})
 	}
 }
 
+func reportedLimit(l *dispatch.LimitReport) *membership.RateLimit {
+	if l == nil {
+		return nil
+	}
+	return &membership.RateLimit{Limited: l.Limited, PerSecond: l.PerSecond, Age: l.Age}
+}
+
+func receivedLimit(l *membership.RateLimit) *dispatch.LimitReport {
+	if l == nil {
+		return nil
+	}
+	return &dispatch.LimitReport{RateLimit: dispatch.RateLimit{Limited: l.Limited, PerSecond: l.PerSecond}, Age: l.Age}
+}
+
 // sendHints lets the other instances know of this one's requests.
 func (n *Node) sendHints() {
 	n.hints.Run(n.stopping, gossip.HintOptions{
--- a/node/usage.go
+++ b/node/usage.go
@@ -11,7 +11,7 @@
 	"github.com/carawaystile/carawaystile/usage"
 )
 
-// startUsage makes what enforces organisations' rate limits.
+// startUsage makes what enforces rate limits over all instances.
 func (n *Node) startUsage() *usage.Client {
 	n.accounts = usage.NewServer(usage.ServerOptions{
 		Self: n.options.Settings.Instance, Zone: n.options.Settings.Zone, Life: n.boot, Entries: n.entriesByZone, Send: n.sendUsage, Now: n.now,
@@ -29,12 +29,12 @@
 	return usage.Tolerance{Overage: s.Overage, Slack: s.Slack}
 }
 
-// usageLimits are the limits of a configuration.
-func (n *Node) usageLimits(table *routes.Table) map[tables.OrganisationID]usage.Limit {
-	limits := map[tables.OrganisationID]usage.Limit{}
+// usageLimits are the organisations' limits of a configuration.
+func (n *Node) usageLimits(table *routes.Table) map[usage.Subject]usage.Limit {
+	limits := map[usage.Subject]usage.Limit{}
 	for i := range table.Organisations {
 		if o := &table.Organisations[i]; o.Usage.Limited() {
-			limits[o.ID] = forward.UsageLimit(o, n.usageTolerance())
+			limits[usage.OrganisationSubject(o.ID)] = forward.UsageLimit(o, n.usageTolerance())
 		}
 	}
 	return limits
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -76,6 +76,7 @@
 	return &rpc.ScheduleAnswer{
 		Ready: true, Endpoint: string(c.Endpoint), Source: string(c.Source), Store: string(c.Store),
 		Weights: c.Weights, ExpectedMs: inMilliseconds(c.Expected), Uncached: uint32(c.Uncached), Rule: string(c.Rule),
+		Limit: encodeLimit(c.Limit),
 	}
 }
 
@@ -83,6 +84,23 @@
 	return dispatch.Choice{
 		Endpoint: tables.EndpointID(a.GetEndpoint()), Source: tables.EndpointID(a.GetSource()), Store: tables.EndpointID(a.GetStore()),
 		Weights: a.GetWeights(), Expected: fromMilliseconds(a.GetExpectedMs()), Uncached: int(a.GetUncached()), Rule: dispatch.Rule(a.GetRule()),
+		Limit: decodeLimit(a.GetLimit()),
+	}
+}
+
+func encodeLimit(l *dispatch.LimitReport) *rpc.EndpointRateLimit {
+	if l == nil {
+		return nil
+	}
+	return &rpc.EndpointRateLimit{Limited: l.Limited, PerSecond: l.PerSecond, AgeMs: inMilliseconds(l.Age)}
+}
+
+func decodeLimit(l *rpc.EndpointRateLimit) *dispatch.LimitReport {
+	if l == nil {
+		return nil
+	}
+	return &dispatch.LimitReport{
+		RateLimit: dispatch.RateLimit{Limited: l.GetLimited(), PerSecond: l.GetPerSecond()}, Age: fromMilliseconds(l.GetAgeMs()),
 	}
 }
 
--- a/schedule/server.go
+++ b/schedule/server.go
@@ -60,7 +60,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if known, repeated := s.open[key]; repeated {
-		return encodeChoice(known.attempt.Choice())
+		return encodeChoice(known.attempt.Choice(now))
 	}
 	service := s.placer.Service(q.GetService())
 	if service == nil {
@@ -72,7 +72,7 @@
 		return &rpc.ScheduleAnswer{Ready: true, Reason: string(reason)}
 	}
 	s.open[key] = assigned{attempt: chosen, until: r.Deadline + endMargin}
-	return encodeChoice(chosen.Choice())
+	return encodeChoice(chosen.Choice(now))
 }
 
 // Progress takes how an attempt of another instance goes on.
--- a/systems/membership/hints.go
+++ b/systems/membership/hints.go
@@ -35,6 +35,16 @@
 	Link time.Duration
 	// Absent is for how long the instance counts the endpoint as absent from its address.
 	Absent time.Duration
+	// Limit is what the instance knows of the endpoint's rate limit; nil for nothing.
+	Limit *RateLimit
+}
+
+// RateLimit is how many requests a second an endpoint takes from all instances together, by
+// an answer of Age ago. Limited is false if the answer named no limit.
+type RateLimit struct {
+	Limited   bool
+	PerSecond float64
+	Age       time.Duration
 }
 
 // Hints are what an instance lets the others know of its requests. What is lost
@@ -185,6 +195,7 @@
 		encoded := &rpc.EndpointLoad{
 			Endpoint: string(l.Endpoint), Running: uint32(l.Running), Tokens: uint32(l.Tokens), Prefill: uint32(l.Prefill),
 			LinkMs: uint32(l.Link.Milliseconds()), AbsentMs: uint32(l.Absent.Milliseconds()),
+			Limit: encodeRateLimit(l.Limit),
 		}
 		size := proto.Size(encoded) + fieldOverhead
 		if size > *room {
@@ -215,6 +226,21 @@
 			Running:  int(encoded.GetRunning()), Tokens: int(encoded.GetTokens()), Prefill: int(encoded.GetPrefill()),
 			Link:   time.Duration(encoded.GetLinkMs()) * time.Millisecond,
 			Absent: time.Duration(encoded.GetAbsentMs()) * time.Millisecond,
+			Limit:  decodeRateLimit(encoded.GetLimit()),
 		})
 	}
 }
+
+func encodeRateLimit(l *RateLimit) *rpc.EndpointRateLimit {
+	if l == nil {
+		return nil
+	}
+	return &rpc.EndpointRateLimit{Limited: l.Limited, PerSecond: l.PerSecond, AgeMs: uint32(l.Age.Milliseconds())}
+}
+
+func decodeRateLimit(l *rpc.EndpointRateLimit) *RateLimit {
+	if l == nil {
+		return nil
+	}
+	return &RateLimit{Limited: l.GetLimited(), PerSecond: l.GetPerSecond(), Age: time.Duration(l.GetAgeMs()) * time.Millisecond}
+}
--- a/usage/account.go
+++ b/usage/account.go
@@ -6,11 +6,14 @@
 	"github.com/carawaystile/carawaystile/tables"
 )
 
-// account is an organisation's token bucket for the whole deployment, as one accountant
+// account is a subject's token bucket for the whole deployment, as one accountant
 // knows it.
 type account struct {
 	bucket
-	zone     tables.Zone
+	zone tables.Zone
+	// named is the limit that debits and reports carry, for subjects that the configuration
+	// has none for.
+	named    Limit
 	admitted int64
 	demand   demand
 	opened   tables.Instant
@@ -28,7 +31,7 @@
 	reportedAt     tables.Instant
 }
 
-// remote is another accountant of the same organisation.
+// remote is another accountant of the same subject.
 type remote struct {
 	zone     tables.Zone
 	life     uint64
@@ -89,7 +92,7 @@
 		switch {
 		case now-r.at > remoteForget:
 			delete(c.remotes, id)
-		case !r.silent && now-r.at > silentAfter && r.demand > 0:
+		case !r.silent && now-r.at > limit.silentAfter() && r.demand > 0:
 			r.silent = true
 			r.part = partOf(r.demand, total, limit.Rate, len(c.remotes)+1)
 			r.assumed = r.part * max(0, c.level)
@@ -120,6 +123,9 @@
 // lease decides whether the instance may go on without asking. When the level becomes low
 // it returns those that hold a lease.
 func (c *account) lease(now tables.Instant, by tables.InstanceID, limit Limit, answer *Answer) (ended []tables.InstanceID) {
+	if limit.Strict {
+		return nil
+	}
 	if c.level >= leasePart*limit.Burst {
 		c.holders[by] = now + leaseTime
 		answer.Lease = leaseTime
@@ -135,8 +141,12 @@
 }
 
 // returnAfter is when a refused caller had better come back: one after the other, as the
-// bucket refills.
+// bucket refills. Under a strict limit the request goes elsewhere and nobody comes back for it,
+// so it is when the next one may be admitted.
 func (c *account) returnAfter(now tables.Instant, limit Limit, cost int64) time.Duration {
+	if limit.Strict {
+		return c.admitsIn(limit, cost, 1)
+	}
 	c.returnAt = max(c.returnAt, now+c.admitsIn(limit, cost, 1))
 	after := c.returnAt - now
 	c.returnAt = min(c.returnAt+time.Duration(float64(cost)/limit.Rate*float64(time.Second)), now+maxReturn)
--- a/usage/accountant.go
+++ b/usage/accountant.go
@@ -1,6 +1,7 @@
 package usage
 
 import (
+	"math"
 	"time"
 
 	"github.com/carawaystile/carawaystile/tables"
@@ -15,6 +16,9 @@
 	// silentAfter is after how long without a report another accountant counts as cut
 	// off. Accountants of accounts in use report several times in it.
 	silentAfter = 1200 * time.Millisecond
+	// strictSilentAfter is the same for strict limits: until then each side of a cut uses
+	// the whole limit, and a false alarm only leaves some of it unused.
+	strictSilentAfter = 600 * time.Millisecond
 	// reportPeriod is the time between two reports of an account whose level is high,
 	// tightPeriod that of others, and reportPart the part of the burst whose use brings
 	// the next report forward to tightPeriod.
@@ -37,7 +41,9 @@
 // Debit is what an entry instance asks of an accountant: to admit one request, to note use
 // that it has admitted under a lease, or both.
 type Debit struct {
-	Organisation tables.OrganisationID
+	Subject Subject
+	// Limit is the subject's as the instance knows it, if the configuration names none.
+	Limit Limit
 	// Cost is that of the request to admit; 0 if there is none.
 	Cost int64
 	// Spent is use that was admitted without asking; negative gives back what was
@@ -52,7 +58,7 @@
 
 // Answer is an accountant's answer to a Debit.
 type Answer struct {
-	// Ready is false if the accountant does not know the organisation or its limit.
+	// Ready is false if the accountant does not know the subject or its limit.
 	Ready    bool
 	Admitted bool
 	// RetryAfter is when a refused caller had better come back.
@@ -65,7 +71,9 @@
 
 // Report is what one accountant sends another of an account.
 type Report struct {
-	Organisation tables.OrganisationID
+	Subject Subject
+	// Limit is the subject's, if the configuration names none.
+	Limit Limit
 	// Zone is the accountant's.
 	Zone tables.Zone
 	// Admitted is the running total of what the accountant has admitted in its life,
@@ -78,28 +86,28 @@
 	Level int64
 }
 
-// Accountant keeps the accounts of organisations for its zone.
+// Accountant keeps the accounts of subjects for its zone.
 type Accountant struct {
 	life uint64
 	zone tables.Zone
 	// unknown is until when use may have been counted elsewhere without a report to this
 	// accountant: its start, or the loss of another one of its zone.
 	unknown tables.Instant
-	limits  map[tables.OrganisationID]Limit
+	limits  map[Subject]Limit
 	// accounts holds those in use.
-	accounts map[tables.OrganisationID]*account
+	accounts map[Subject]*account
 	sweptAt  tables.Instant
 }
 
 // NewAccountant returns an accountant without accounts. Life tells it from those of the
 // same instance before a restart.
 func NewAccountant(now tables.Instant, zone tables.Zone, life uint64) *Accountant {
-	return &Accountant{life: life, zone: zone, unknown: now, accounts: map[tables.OrganisationID]*account{}}
+	return &Accountant{life: life, zone: zone, unknown: now, accounts: map[Subject]*account{}}
 }
 
 // SetLimits puts limits in force. What was used under the limit before counts under the
 // next one. A higher burst can be used at once.
-func (a *Accountant) SetLimits(limits map[tables.OrganisationID]Limit) {
+func (a *Accountant) SetLimits(limits map[Subject]Limit) {
 	for id, acc := range a.accounts {
 		acc.level += max(0, limits[id].Burst-a.limits[id].Burst)
 	}
@@ -112,11 +120,14 @@
 // Debit takes use into an account and decides about a request. Holders lists the instances
 // whose leases end by it: the level has become low.
 func (a *Accountant) Debit(now tables.Instant, by tables.InstanceID, d Debit) (answer Answer, holders []tables.InstanceID) {
-	limit := a.limits[d.Organisation]
+	limit := a.limitOf(d.Subject, d.Limit)
 	if !limit.Limited() {
 		return Answer{}, nil
 	}
-	acc := a.account(now, d.Organisation, limit)
+	acc := a.account(now, d.Subject, limit)
+	if d.Limit.Limited() {
+		acc.named = d.Limit
+	}
 	acc.advance(now, limit)
 	if d.LevelKnown && now-acc.opened <= learnFor {
 		acc.level = min(acc.level, float64(d.Level)+limit.Rate*d.LevelAge.Seconds())
@@ -131,16 +142,30 @@
 		acc.use(now, d.Cost)
 	}
 	holders = acc.lease(now, by, limit, &answer)
-	answer.Level, answer.Demand = int64(acc.level), int64(acc.totalDemand(now))
+	answer.Level, answer.Demand = wholeLevel(acc.level), int64(acc.totalDemand(now))
 	return answer, holders
 }
 
+// limitOf is a subject's limit: the configuration's, or else the one that is named.
+func (a *Accountant) limitOf(id Subject, named Limit) Limit {
+	if limit, configured := a.limits[id]; configured {
+		return limit
+	}
+	if acc := a.accounts[id]; acc != nil && !named.Limited() {
+		return acc.named
+	}
+	return named
+}
+
+// wholeLevel rounds down: what is passed on of a level must not add to it.
+func wholeLevel(level float64) int64 { return int64(math.Floor(level)) }
+
 // account returns an account, opened if there is none.
 //
 // What was used before the accountant's start, or before another one was lost, is not known
 // and counts as spent: the level begins at zero then. So instances may be restarted without
 // the limit of a window that spans the restart being exceeded.
-func (a *Accountant) account(now tables.Instant, id tables.OrganisationID, limit Limit) *account {
+func (a *Accountant) account(now tables.Instant, id Subject, limit Limit) *account {
 	acc := a.accounts[id]
 	if acc == nil {
 		acc = &account{
@@ -159,15 +184,16 @@
 
 // Take takes another accountant's report.
 func (a *Accountant) Take(now tables.Instant, from tables.InstanceID, in Report) {
-	limit := a.limits[in.Organisation]
+	limit := a.limitOf(in.Subject, in.Limit)
 	if !limit.Limited() {
 		return
 	}
-	_, known := a.accounts[in.Organisation]
-	acc := a.account(now, in.Organisation, limit)
+	_, known := a.accounts[in.Subject]
+	acc := a.account(now, in.Subject, limit)
 	acc.advance(now, limit)
 	if !known {
 		acc.level = min(acc.level, float64(in.Level))
+		acc.named = in.Limit
 	}
 	r := acc.remotes[from]
 	if r == nil {
@@ -190,15 +216,15 @@
 	a.sweep(now)
 	var due []Report
 	for id, acc := range a.accounts {
-		limit := a.limits[id]
+		limit := a.limitOf(id, acc.named)
 		if !acc.due(now, limit) {
 			continue
 		}
 		acc.advance(now, limit)
 		acc.reported, acc.reportedDemand, acc.reportedAt = acc.admitted, acc.activeDemand(now, limit), now
 		due = append(due, Report{
-			Organisation: id, Zone: a.zone, Admitted: acc.admitted, Life: a.life,
-			Demand: int64(acc.reportedDemand), Level: int64(acc.level),
+			Subject: id, Limit: acc.named, Zone: a.zone, Admitted: acc.admitted, Life: a.life,
+			Demand: int64(acc.reportedDemand), Level: wholeLevel(acc.level),
 		})
 	}
 	return due
@@ -208,7 +234,7 @@
 func (a *Accountant) Idle() bool { return len(a.accounts) == 0 }
 
 // Peers lists the accountants that have reported of an account.
-func (a *Accountant) Peers(id tables.OrganisationID) []tables.InstanceID {
+func (a *Accountant) Peers(id Subject) []tables.InstanceID {
 	acc := a.accounts[id]
 	if acc == nil {
 		return nil
@@ -227,7 +253,7 @@
 	}
 	a.sweptAt = now
 	for id, acc := range a.accounts {
-		if now-acc.used > idleAfter || !a.limits[id].Limited() {
+		if now-acc.used > idleAfter || !a.limitOf(id, acc.named).Limited() {
 			delete(a.accounts, id)
 		}
 	}
--- a/usage/client.go
+++ b/usage/client.go
@@ -39,7 +39,9 @@
 	ByRefusal By = "refusal"
 	// ByShare: no accountant answers, and the instance keeps to its own part.
 	ByShare By = "own share"
-	// ByNoLimit: the organisation has none.
+	// ByNobody: no accountant answers, and the limit is strict.
+	ByNobody By = "nobody"
+	// ByNoLimit: the subject has none.
 	ByNoLimit By = "no limit"
 )
 
@@ -72,7 +74,7 @@
 	Log *zap.Logger
 }
 
-// Client decides whether callers' requests are within their organisations' limits. It is
+// Client decides whether requests are within the limits of their subjects. It is
 // safe for concurrent use.
 type Client struct {
 	options ClientOptions
@@ -80,21 +82,21 @@
 	silent  datagram.Silent
 
 	mu        sync.Mutex
-	meters    map[tables.OrganisationID]*Meter
+	meters    map[Subject]*Meter
 	forgotten tables.Instant
 }
 
 // NewClient returns a client.
 func NewClient(o ClientOptions) *Client {
 	return &Client{
-		options: o, calls: datagram.NewCalls[*rpc.UsageAnswer](o.Life), meters: map[tables.OrganisationID]*Meter{},
+		options: o, calls: datagram.NewCalls[*rpc.UsageAnswer](o.Life), meters: map[Subject]*Meter{},
 	}
 }
 
-func keyOf(id tables.OrganisationID) uint64 { return xxhash.Sum64String(string(id)) }
+func keyOf(id Subject) uint64 { return xxhash.Sum64String(string(id)) }
 
 // Admit decides about a request of the given cost, and counts it if it is admitted.
-func (c *Client) Admit(ctx context.Context, id tables.OrganisationID, limit Limit, cost int64) Decision {
+func (c *Client) Admit(ctx context.Context, id Subject, limit Limit, cost int64) Decision {
 	if !limit.Limited() {
 		return Decision{Admitted: true, By: ByNoLimit}
 	}
@@ -106,7 +108,7 @@
 		return c.decision(id, Decision{RetryAfter: retryAfter, By: ByRefusal})
 	}
 	for range maxAsked {
-		answer, answered := c.ask(ctx, id, cost)
+		answer, answered := c.ask(ctx, id, limit, cost)
 		if answered {
 			return c.decision(id, Decision{Admitted: answer.Admitted, RetryAfter: answer.RetryAfter, By: ByAccountant})
 		}
@@ -114,12 +116,15 @@
 			break
 		}
 	}
+	if limit.Strict {
+		return c.decision(id, Decision{RetryAfter: silentPause, By: ByNobody})
+	}
 	return c.decideAlone(id, limit, cost)
 }
 
 // Charge counts use that nobody is asked about: a further run of a request, or, negative,
 // one that did not run.
-func (c *Client) Charge(id tables.OrganisationID, limit Limit, amount int64) {
+func (c *Client) Charge(id Subject, limit Limit, amount int64) {
 	if !limit.Limited() || amount == 0 {
 		return
 	}
@@ -130,7 +135,7 @@
 }
 
 // meter returns an organisation's meter. It is called with mu held.
-func (c *Client) meter(id tables.OrganisationID) *Meter {
+func (c *Client) meter(id Subject) *Meter {
 	now := c.options.Now()
 	if now-c.forgotten > forgetPeriod {
 		c.forgotten = now
@@ -148,13 +153,13 @@
 	return m
 }
 
-func (c *Client) decide(id tables.OrganisationID, cost int64) (Step, time.Duration) {
+func (c *Client) decide(id Subject, cost int64) (Step, time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.meter(id).Decide(c.options.Now(), cost)
 }
 
-func (c *Client) decideAlone(id tables.OrganisationID, limit Limit, cost int64) Decision {
+func (c *Client) decideAlone(id Subject, limit Limit, cost int64) Decision {
 	c.mu.Lock()
 	admitted, after := c.meter(id).DecideAlone(c.options.Now(), limit, c.options.Instances(), cost)
 	c.mu.Unlock()
@@ -162,7 +167,7 @@
 }
 
 // decision adds what is known of the account.
-func (c *Client) decision(id tables.OrganisationID, d Decision) Decision {
+func (c *Client) decision(id Subject, d Decision) Decision {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if m := c.meter(id); m.known {
@@ -172,12 +177,15 @@
 }
 
 // ask has an accountant decide about a request; answered is false if none did.
-func (c *Client) ask(ctx context.Context, id tables.OrganisationID, cost int64) (answer Answer, answered bool) {
+func (c *Client) ask(ctx context.Context, id Subject, limit Limit, cost int64) (answer Answer, answered bool) {
 	accountant, found := c.pick(id)
 	if !found {
 		return Answer{}, false
 	}
 	d := c.debit(id, cost)
+	if limit.Strict {
+		d.Limit = limit
+	}
 	if accountant.Instance == c.options.Self {
 		answer = c.options.Server.Debit(membership.Sender{Instance: c.options.Self, Address: accountant.Address}, d)
 		return c.took(d, answer)
@@ -199,7 +207,7 @@
 
 // report sends what was used without asking to the accountant, and takes its answer when
 // it comes. Nobody waits for it: what is lost goes with the next.
-func (c *Client) report(id tables.OrganisationID) {
+func (c *Client) report(id Subject) {
 	accountant, found := c.pick(id)
 	if !found {
 		return
@@ -223,12 +231,12 @@
 }
 
 // pick returns the accountant of the own zone that is to be asked.
-func (c *Client) pick(id tables.OrganisationID) (membership.Entry, bool) {
+func (c *Client) pick(id Subject) (membership.Entry, bool) {
 	now := c.options.Now()
 	return draw(id, c.options.Entries()[c.options.Zone], func(other tables.InstanceID) bool { return c.silent.Left(other, now) })
 }
 
-func (c *Client) debit(id tables.OrganisationID, cost int64) Debit {
+func (c *Client) debit(id Subject, cost int64) Debit {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.meter(id).Debit(c.options.Now(), id, cost)
@@ -237,17 +245,17 @@
 func (c *Client) undo(d Debit) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.meter(d.Organisation).Undo(d)
+	c.meter(d.Subject).Undo(d)
 }
 
 func (c *Client) took(d Debit, a Answer) (Answer, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !a.Ready {
-		c.meter(d.Organisation).Undo(d)
+		c.meter(d.Subject).Undo(d)
 		return a, false
 	}
-	c.meter(d.Organisation).Answered(c.options.Now(), d, a)
+	c.meter(d.Subject).Answered(c.options.Now(), d, a)
 	return a, true
 }
 
@@ -255,7 +263,7 @@
 func (c *Client) Answered(number uint64, answer *rpc.UsageAnswer) { c.calls.Answered(number, answer) }
 
 // LeaseEnded notes that an accountant has ended a lease.
-func (c *Client) LeaseEnded(id tables.OrganisationID) {
+func (c *Client) LeaseEnded(id Subject) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if m := c.meters[id]; m != nil {
@@ -272,7 +280,7 @@
 		answer := c.options.Server.Debit(from, decodeDebit(message.GetDebit()))
 		c.options.Send(from.Address, &rpc.UsageMessage{Number: message.GetNumber(), Answer: encodeAnswer(answer)})
 	case message.GetLeaseEnded() != "":
-		c.LeaseEnded(tables.OrganisationID(message.GetLeaseEnded()))
+		c.LeaseEnded(Subject(message.GetLeaseEnded()))
 	default:
 		c.options.Server.Take(from, message.GetReports())
 	}
--- /dev/null
+++ b/usage/endpoints_test.go
@@ -0,0 +1,107 @@
+package usage
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/rpc"
+	"github.com/carawaystile/carawaystile/systems/membership"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+var engine = EndpointSubject("engine")
+
+const endpointWindow = 4 * time.Second
+
+// endpointAllowed is how many requests an endpoint that takes so many a second bears within
+// endpointWindow.
+func endpointAllowed(perSecond float64) int64 {
+	return int64(1.5*perSecond*endpointWindow.Seconds() + 5)
+}
+
+// atRates runs a deployment whose instances want to send an endpoint twenty times what it takes.
+func atRates(t *testing.T, f func(s *sim), check func(t *testing.T, s *sim, perSecond float64)) {
+	for _, perSecond := range []float64{0.05, 1, 1.2, 5, 40} {
+		atSizes(t, func(t *testing.T, n int) {
+			s := newSim(n, nil)
+			s.named = map[Subject]Limit{engine: EndpointLimit(perSecond)}
+			s.run(settle)
+			s.loadOnes(engine, 20*max(perSecond, 1), settle+30*time.Second)
+			f(s)
+			s.run(settle + 31*time.Second)
+			most := s.most(engine, endpointWindow)
+			t.Logf("%v a second: %d within the window of %d, %d in all", perSecond, most, endpointAllowed(perSecond), s.used(engine, 0))
+			assert.Assert(t, most <= endpointAllowed(perSecond), "%v a second: %d, allowed %d", perSecond, most, endpointAllowed(perSecond))
+			check(t, s, perSecond)
+		})
+	}
+}
+
+// Guards against an endpoint getting more than it takes from many instances that each know
+// its limit, and against most of the limit being of no use.
+func TestInstancesTogetherKeepAnEndpointsLimit(t *testing.T) {
+	atRates(t, func(*sim) {}, func(t *testing.T, s *sim, perSecond float64) {
+		usable := float64(s.used(engine, settle)) / (max(perSecond, minEndpointRate) * 30)
+		assert.Assert(t, usable >= 0.75, "%.3f", usable)
+	})
+}
+
+// Guards against an endpoint's limit being exceeded when zones are cut off from each other:
+// each zone's accountant goes on.
+func TestAnEndpointsLimitHoldsAcrossACut(t *testing.T) {
+	atRates(t, func(s *sim) {
+		s.after(5*time.Second, func() { s.cut = func(a, b string) bool { return a != b } })
+		s.after(15*time.Second, func() { s.cut = func(string, string) bool { return false } })
+	}, func(t *testing.T, s *sim, _ float64) {
+		assert.Assert(t, s.used(engine, settle+7*time.Second) > 0)
+	})
+}
+
+// Guards against an endpoint's limit being given out anew by each accountant that starts.
+func TestAnEndpointsLimitHoldsAcrossRestarts(t *testing.T) {
+	atRates(t, func(s *sim) {
+		for i := range 8 {
+			s.after(time.Duration(i+2)*2*time.Second, func() {
+				lost := s.accountantOf(s.zones[i%len(s.zones)], engine)
+				s.lose(lost)
+				s.after(time.Second, func() { s.start(lost) })
+			})
+		}
+	}, func(*testing.T, *sim, float64) {})
+}
+
+// Guards against requests at an endpoint that names a limit while nobody counts them.
+func TestNothingIsSentToALimitedEndpointWhileNobodyCounts(t *testing.T) {
+	now := func() tables.Instant { return time.Second }
+	self := membership.Entry{Instance: "i1", Address: netip.MustParseAddrPort("127.0.0.1:1")}
+	other := membership.Entry{Instance: "i2", Address: netip.MustParseAddrPort("127.0.0.1:2")}
+	c := NewClient(ClientOptions{
+		Self: self.Instance, Zone: "a", Now: now, Log: zap.NewNop(), Instances: func() int { return 2 },
+		Entries: func() map[tables.Zone][]membership.Entry { return map[tables.Zone][]membership.Entry{"a": {other}} },
+		Send:    func(netip.AddrPort, *rpc.UsageMessage) {},
+	})
+	decision := c.Admit(context.Background(), engine, EndpointLimit(5), 1)
+	assert.Equal(t, decision.By, ByNobody)
+	assert.Assert(t, !decision.Admitted)
+	assert.Assert(t, decision.RetryAfter > 0)
+}
+
+// Guards against a limit that another zone knows being lost on the way between accountants.
+func TestLimitsOfEndpointsGoWithDebitsAndReports(t *testing.T) {
+	limit := EndpointLimit(1.2)
+	assert.Equal(t, decodeDebit(encodeDebit(Debit{Subject: engine, Limit: limit})).Limit, limit)
+	assert.Equal(t, decodeReport(encodeReport(Report{Subject: engine, Limit: limit})).Limit, limit)
+	assert.Equal(t, decodeDebit(encodeDebit(Debit{Subject: org})).Limit, Limit{})
+
+	a := NewAccountant(time.Second, "a", 1)
+	a.Take(2*time.Second, "i2", Report{Subject: engine, Limit: limit, Zone: "b", Admitted: 1, Life: 1, Demand: 1})
+	answer, _ := a.Debit(2*time.Second, "i1", Debit{Subject: engine})
+	assert.Assert(t, answer.Ready)
+	unknown, _ := a.Debit(2*time.Second, "i1", Debit{Subject: EndpointSubject("unknown")})
+	assert.Assert(t, !unknown.Ready)
+}
--- a/usage/meter.go
+++ b/usage/meter.go
@@ -28,7 +28,7 @@
 	meterIdle = 30 * time.Second
 )
 
-// Meter is what an entry instance knows of one organisation's account.
+// Meter is what an entry instance knows of one subject's account.
 type Meter struct {
 	leaseUntil  tables.Instant
 	closedUntil tables.Instant
@@ -63,8 +63,8 @@
 
 // Debit reports use to the accountant and asks it to admit a request of that cost. The
 // instance's unreported use counts as reported from then on, until it is Undone.
-func (m *Meter) Debit(now tables.Instant, id tables.OrganisationID, cost int64) Debit {
-	d := Debit{Organisation: id, Cost: cost, Spent: m.spent}
+func (m *Meter) Debit(now tables.Instant, id Subject, cost int64) Debit {
+	d := Debit{Subject: id, Cost: cost, Spent: m.spent}
 	if m.known {
 		d.LevelKnown, d.Level, d.LevelAge = true, m.level, now-m.knownAt
 	}
--- a/usage/server.go
+++ b/usage/server.go
@@ -56,7 +56,7 @@
 }
 
 // SetLimits puts limits in force.
-func (s *Server) SetLimits(limits map[tables.OrganisationID]Limit) {
+func (s *Server) SetLimits(limits map[Subject]Limit) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.accountant.SetLimits(limits)
@@ -82,7 +82,7 @@
 	s.mu.Unlock()
 	for _, at := range notify {
 		if at.IsValid() {
-			s.options.Send(at, &rpc.UsageMessage{LeaseEnded: string(d.Organisation)})
+			s.options.Send(at, &rpc.UsageMessage{LeaseEnded: string(d.Subject)})
 		}
 	}
 	return answer
@@ -134,16 +134,16 @@
 	zones := s.options.Entries()
 	due := map[netip.AddrPort][]*rpc.UsageReport{}
 	for _, report := range reports {
-		for _, at := range s.receivers(report.Organisation, zones) {
+		for _, at := range s.receivers(report.Subject, zones) {
 			due[at] = append(due[at], encodeReport(report))
 		}
 	}
 	return due
 }
 
-// receivers are the accountants of an organisation in all zones, and those that have
+// receivers are the accountants of a subject in all zones, and those that have
 // reported of it.
-func (s *Server) receivers(id tables.OrganisationID, zones map[tables.Zone][]membership.Entry) []netip.AddrPort {
+func (s *Server) receivers(id Subject, zones map[tables.Zone][]membership.Entry) []netip.AddrPort {
 	at := map[tables.InstanceID]netip.AddrPort{}
 	for _, entries := range zones {
 		if first, found := draw(id, entries, nil); found {
@@ -163,9 +163,9 @@
 	return all
 }
 
-// draw picks an organisation's accountant among entry instances, without those that are
+// draw picks a subject's accountant among entry instances, without those that are
 // left out.
-func draw(id tables.OrganisationID, entries []membership.Entry, left func(tables.InstanceID) bool) (best membership.Entry, found bool) {
+func draw(id Subject, entries []membership.Entry, left func(tables.InstanceID) bool) (best membership.Entry, found bool) {
 	key, highest := keyOf(id), uint64(0)
 	for _, e := range entries {
 		if left != nil && left(e.Instance) {
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -1,9 +1,9 @@
-// Package usage enforces rate limits: how many tokens, or requests, an organisation may use
-// a second over all entry instances together.
+// Package usage enforces rate limits over all entry instances together: how many tokens, or
+// requests, an organisation may use a second, and how many requests an endpoint takes.
 //
-// In each availability zone one entry instance keeps the account of an organisation: its
-// accountant, drawn by rendezvous hashing. The account is a token bucket for the whole
-// deployment. Entry instances ask the accountant of their zone before they send a request
+// In each availability zone one entry instance keeps the account of a subject, an organisation
+// or an endpoint: its accountant, drawn by rendezvous hashing. The account is a token bucket
+// for the whole deployment. Entry instances ask the accountant of their zone before they send a request
 // on; while the bucket is well filled they hold a lease and need not ask. Accountants of
 // different zones exchange how much each has admitted, as running totals, so a lost
 // message is made good by the next.
@@ -24,16 +24,48 @@
 	"github.com/carawaystile/carawaystile/tables"
 )
 
-// Limit is an organisation's rate limit in tokens or requests.
+// Subject is what a limit is for.
+type Subject string
+
+// OrganisationSubject is that of an organisation's limit, which the configuration names.
+func OrganisationSubject(id tables.OrganisationID) Subject { return "organisation/" + Subject(id) }
+
+// EndpointSubject is that of an endpoint's limit, which the endpoint names in its answers.
+func EndpointSubject(id tables.EndpointID) Subject { return "endpoint/" + Subject(id) }
+
+// Limit is a rate limit in tokens or requests.
 type Limit struct {
 	// Rate is the use a second that is allowed in the long run, and Burst what may be
 	// used at once beyond it. A Rate of 0 means no limit.
 	Rate, Burst float64
+	// Strict is set for a limit that must hold also if that leaves some of it unused: each
+	// request is asked about, and none is admitted while no accountant answers.
+	Strict bool
+}
+
+const (
+	// minEndpointRate is the least rate of an endpoint's limit that is enforced, in requests
+	// a second: only by its answers an endpoint can lift a limit.
+	minEndpointRate = 0.25
+	// endpointBurst is the number of requests that an endpoint may get at once.
+	endpointBurst = 1
+)
+
+// EndpointLimit is what is enforced where an endpoint takes so many requests a second.
+func EndpointLimit(perSecond float64) Limit {
+	return Limit{Rate: max(perSecond, minEndpointRate), Burst: endpointBurst, Strict: true}
 }
 
 // Limited says whether there is a limit.
 func (l Limit) Limited() bool { return l.Rate > 0 }
 
+func (l Limit) silentAfter() time.Duration {
+	if l.Strict {
+		return strictSilentAfter
+	}
+	return silentAfter
+}
+
 // Tolerance is by how much use may exceed a limit within a window before that counts as an
 // excess: by Overage as a part of the limit, and by Slack beyond that.
 type Tolerance struct{ Overage, Slack float64 }
--- a/usage/wire.go
+++ b/usage/wire.go
@@ -7,16 +7,27 @@
 	"github.com/carawaystile/carawaystile/tables"
 )
 
+func encodeLimit(l Limit) *rpc.UsageLimit {
+	if !l.Limited() {
+		return nil
+	}
+	return &rpc.UsageLimit{Rate: l.Rate, Burst: l.Burst, Strict: l.Strict}
+}
+
+func decodeLimit(l *rpc.UsageLimit) Limit {
+	return Limit{Rate: l.GetRate(), Burst: l.GetBurst(), Strict: l.GetStrict()}
+}
+
 func encodeDebit(d Debit) *rpc.UsageDebit {
 	return &rpc.UsageDebit{
-		Organisation: string(d.Organisation), Cost: d.Cost, Spent: d.Spent,
+		Subject: string(d.Subject), Limit: encodeLimit(d.Limit), Cost: d.Cost, Spent: d.Spent,
 		LevelKnown: d.LevelKnown, Level: d.Level, LevelAgeMs: inMilliseconds(d.LevelAge),
 	}
 }
 
 func decodeDebit(d *rpc.UsageDebit) Debit {
 	return Debit{
-		Organisation: tables.OrganisationID(d.GetOrganisation()), Cost: max(0, d.GetCost()), Spent: d.GetSpent(),
+		Subject: Subject(d.GetSubject()), Limit: decodeLimit(d.GetLimit()), Cost: max(0, d.GetCost()), Spent: d.GetSpent(),
 		LevelKnown: d.GetLevelKnown(), Level: d.GetLevel(), LevelAge: fromMilliseconds(d.GetLevelAgeMs()),
 	}
 }
@@ -37,13 +48,13 @@
 
 func encodeReport(r Report) *rpc.UsageReport {
 	return &rpc.UsageReport{
-		Organisation: string(r.Organisation), Zone: string(r.Zone), Admitted: r.Admitted, Life: r.Life, Demand: r.Demand, Level: r.Level,
+		Subject: string(r.Subject), Limit: encodeLimit(r.Limit), Zone: string(r.Zone), Admitted: r.Admitted, Life: r.Life, Demand: r.Demand, Level: r.Level,
 	}
 }
 
 func decodeReport(r *rpc.UsageReport) Report {
 	return Report{
-		Organisation: tables.OrganisationID(r.GetOrganisation()), Zone: tables.Zone(r.GetZone()), Admitted: r.GetAdmitted(), Life: r.GetLife(),
+		Subject: Subject(r.GetSubject()), Limit: decodeLimit(r.GetLimit()), Zone: tables.Zone(r.GetZone()), Admitted: r.GetAdmitted(), Life: r.GetLife(),
 		Demand: max(0, r.GetDemand()), Level: r.GetLevel(),
 	}
 }
