The soak counts a repeat at the service whose process it reached

Change: arrivals name process, service and sender, also where the process declines what is for another; repeats count there. The check is stricter: nothing that was counted is left out.

--- a/soak/check.go
+++ b/soak/check.go
@@ -221,17 +221,19 @@
 	return d.from.Before(to) && (d.to.IsZero() || d.to.After(from))
 }
 
-// judgeRepeats checks the bound on second sends that all instances share.
+// judgeRepeats checks the bound on second sends that all instances share. A send counts at the
+// service whose process it reached.
 func (l *ledger) judgeRepeats(all []*request) {
 	for _, service := range []string{serviceModels, serviceDesk} {
 		var asked, repeated []time.Time
 		for _, r := range all {
-			if r.kind.service != service {
-				continue
+			if r.kind.service == service {
+				asked = append(asked, r.sent)
 			}
-			asked = append(asked, r.sent)
-			if len(r.arrivals) > 1 {
-				repeated = append(repeated, r.arrivals[1:]...)
+			for i, a := range r.arrivals {
+				if i > 0 && a.Service == service {
+					repeated = append(repeated, a.At)
+				}
 			}
 		}
 		slices.SortFunc(repeated, time.Time.Compare)
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -27,10 +27,15 @@
 		result: platformtest.Result{Status: http.StatusOK, Whole: true},
 	}
 	r.runs = []platformtest.Run{run(r, "i-1", 10.2)}
-	r.arrivals = []time.Time{at(10.1)}
+	r.arrivals = []platformtest.Arrival{arrival(r, 10.1)}
 	return r
 }
 
+// arrival is one at an endpoint of the service that the request is for.
+func arrival(r *request, seconds float64) platformtest.Arrival {
+	return platformtest.Arrival{At: at(seconds), Request: r.ID, Service: r.kind.service, Endpoint: "i-1"}
+}
+
 // run is a run of a request as an endpoint should see it.
 func run(r *request, endpoint tables.EndpointID, seconds float64) platformtest.Run {
 	return platformtest.Run{
@@ -114,7 +119,16 @@
 		"too many repeats": {"repeats are bounded", func(l *ledger) {
 			for n := range 200 {
 				r := sound(organisationOf(uint64(n)), draft)
-				r.arrivals = append(r.arrivals, at(10.4))
+				r.arrivals = append(r.arrivals, arrival(r, 10.4))
+				l.requests[r.ID] = r
+			}
+		}},
+		"too many repeats at addresses of another service": {"repeats are bounded", func(l *ledger) {
+			for n := range 200 {
+				r := sound(organisationOf(uint64(n)), draft)
+				elsewhere := arrival(r, 10.4)
+				elsewhere.Service = serviceDesk
+				r.arrivals = append(r.arrivals, elsewhere)
 				l.requests[r.ID] = r
 			}
 		}},
@@ -169,7 +183,7 @@
 		}
 		resumed := sound("resumed", kinds[3])
 		resumed.runs = append(resumed.runs, run(resumed, "i-2", 10.5))
-		resumed.arrivals = append(resumed.arrivals, at(10.5))
+		resumed.arrivals = append(resumed.arrivals, arrival(resumed, 10.5))
 		l.requests[resumed.ID] = resumed
 		killed := sound("killed", kinds[1])
 		killed.result, killed.lifeEnd = platformtest.Result{Err: errors.New("reset")}, 2
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -22,8 +22,8 @@
 	cancelled bool
 	result    platformtest.Result
 	runs      []platformtest.Run
-	// arrivals is how often the request reached an endpoint.
-	arrivals []time.Time
+	// arrivals are those at endpoints, also at processes that it was not meant for.
+	arrivals []platformtest.Arrival
 }
 
 // document is a configuration that an operator has sent.
@@ -117,11 +117,11 @@
 }
 
 // arrived notes that a request reached an endpoint.
-func (l *ledger) arrived(id, _ string) {
+func (l *ledger) arrived(a platformtest.Arrival) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if r := l.requests[id]; r != nil {
-		r.arrivals = append(r.arrivals, time.Now())
+	if r := l.requests[a.Request]; r != nil {
+		r.arrivals = append(r.arrivals, a)
 	}
 }
 
