A limit ends only with an answer that is the endpoint's own work

Cause: an answer without the header lifted the limit, also one that a fault on the way had made or that only says the request did not run. Then all would have sent as before until the next answer.

Change: an unsigned answer sets a limit and lifts none. Test: TestOnlyAnEndpointsOwnAnswerLiftsItsLimit; run without the condition it fails at the first refusal.

--- a/dispatch/limits.go
+++ b/dispatch/limits.go
@@ -87,8 +87,13 @@
 	return before
 }
 
-// Limit is that of the attempt's endpoint.
-func (d *Dispatcher) Limit(a *Attempt) RateLimit { return a.row.limit.RateLimit }
+// Limit is what is known of an endpoint's limit.
+func (d *Dispatcher) Limit(id tables.EndpointID) RateLimit {
+	if row := d.rows[id]; row != nil {
+		return row.limit.RateLimit
+	}
+	return RateLimit{}
+}
 
 // LimitReached ends an attempt that was not sent, since its endpoint's limit leaves no room
 // for it; pause is when it may.
--- a/dispatch/limits_test.go
+++ b/dispatch/limits_test.go
@@ -50,7 +50,7 @@
 	assert.Equal(t, reason, Full)
 	before := d.LimitNamed(now, running, RateLimit{})
 	assert.Equal(t, before, perSecond(1))
-	assert.Equal(t, d.Limit(mustPlace(t, d, now, plain())), RateLimit{})
+	assert.Equal(t, d.Limit(mustPlace(t, d, now, plain()).Endpoint.ID), RateLimit{})
 }
 
 // Guards against instances that have had no answer yet sending as if there were no limit, and
@@ -62,16 +62,16 @@
 	c.all[0].LimitNamed(now, a, perSecond(2))
 	c.exchange(now)
 	for _, d := range c.all {
-		assert.Equal(t, d.Limit(mustPlace(t, d, now, plain())), perSecond(2))
+		assert.Equal(t, d.Limit(mustPlace(t, d, now, plain()).Endpoint.ID), perSecond(2))
 	}
 
 	now += time.Second
 	b := mustPlace(t, c.all[1], now, plain())
 	c.all[1].LimitNamed(now, b, RateLimit{})
 	c.all[1].Loaded(now, "late", Load{Endpoint: "e0", Limit: &LimitReport{RateLimit: perSecond(2), Age: 500 * time.Millisecond}})
-	assert.Equal(t, c.all[1].Limit(b), RateLimit{})
+	assert.Equal(t, c.all[1].Limit(b.Endpoint.ID), RateLimit{})
 	c.exchange(now)
-	assert.Equal(t, c.all[2].Limit(mustPlace(t, c.all[2], now, plain())), RateLimit{})
+	assert.Equal(t, c.all[2].Limit(mustPlace(t, c.all[2], now, plain()).Endpoint.ID), RateLimit{})
 }
 
 // Guards against a report that was lost leaving an instance without knowledge of a limit.
@@ -98,7 +98,7 @@
 	chosen := mustPlace(t, scheduler, now, plain())
 	scheduler.LimitNamed(now, chosen, perSecond(3))
 	adopted := asking.Adopt(now, plain(), chosen.Choice(now))
-	assert.Equal(t, asking.Limit(adopted), perSecond(3))
+	assert.Equal(t, asking.Limit(adopted.Endpoint.ID), perSecond(3))
 
 	asking.LimitReached(now, adopted, time.Second)
 	assert.Assert(t, asking.Adopt(now, plain(), chosen.Choice(now)) == nil)
@@ -116,5 +116,5 @@
 	e.Born++
 	all["e0"] = e
 	d.Fleet(all)
-	assert.Equal(t, d.Limit(mustPlace(t, d, now, plain())), RateLimit{})
+	assert.Equal(t, d.Limit(mustPlace(t, d, now, plain()).Endpoint.ID), RateLimit{})
 }
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -154,7 +154,7 @@
 	if load, ok := dialect.ParseLoad(header.Get(h.Load)); ok {
 		s.dispatch.LoadAnswered(now, t.chosen, load)
 	}
-	t.noteLimit(now, header.Get(h.RateLimit))
+	t.noteLimit(now, header)
 	if version, err := strconv.ParseUint(header.Get(h.Weights), 10, 64); err == nil && t.job.ask.Model != "" {
 		s.dispatch.Serves(t.chosen, t.job.ask.Model, version)
 	}
--- a/forward/limit.go
+++ b/forward/limit.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"net/http"
+
 	"go.uber.org/zap"
 
 	"github.com/carawaystile/carawaystile/dialect"
@@ -50,14 +52,18 @@
 func (s *Server) endpointLimit(chosen *dispatch.Attempt) dispatch.RateLimit {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.dispatch.Limit(chosen)
+	return s.dispatch.Limit(chosen.Endpoint.ID)
 }
 
-// noteLimit takes the rate limit that an answer names, or its absence. It is called with the
-// server's mu held.
-func (t *try) noteLimit(now tables.Instant, text string) {
+// noteLimit takes the rate limit that an answer names, or its absence. Only the endpoint's own
+// work lifts a limit: other answers may come from something else on the way. It is called with
+// the server's mu held.
+func (t *try) noteLimit(now tables.Instant, header http.Header) {
 	s := t.job.server
-	perSecond, limited := dialect.ParseRate(text)
+	perSecond, limited := dialect.ParseRate(header.Get(s.headers.RateLimit))
+	if !limited && header.Get(s.headers.Signature) == "" {
+		return
+	}
 	limit := dispatch.RateLimit{PerSecond: perSecond, Limited: limited}
 	before := s.dispatch.LimitNamed(now, t.chosen, limit)
 	if before == limit {
--- a/forward/limit_test.go
+++ b/forward/limit_test.go
@@ -11,6 +11,8 @@
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
+	"github.com/carawaystile/carawaystile/dispatch"
+	"github.com/carawaystile/carawaystile/routes"
 	"github.com/carawaystile/carawaystile/rpc"
 	"github.com/carawaystile/carawaystile/systems/membership"
 	"github.com/carawaystile/carawaystile/tables"
@@ -124,6 +126,29 @@
 	assert.Assert(t, float64(most) <= allowed, "%d requests within %v, allowed %.0f", most, window, allowed)
 }
 
+// Guards against a limit that ends with an answer which is not the endpoint's work.
+func TestOnlyAnEndpointsOwnAnswerLiftsItsLimit(t *testing.T) {
+	r := newRig(t, says(200, "ok"))
+	chosen, reason := r.server.PlaceFor(&dispatch.Request{
+		Service: r.server.Service("desk"), Route: &routes.Route{}, Deadline: time.Hour,
+	})
+	assert.Assert(t, chosen != nil, reason)
+	attempt := &try{job: &job{server: r.server}, chosen: chosen}
+	limited := func(names ...string) bool {
+		header := http.Header{}
+		for _, name := range names {
+			header.Set(name, "1.0")
+		}
+		attempt.noteHeader(header)
+		return r.server.endpointLimit(chosen).Limited
+	}
+	assert.Assert(t, limited("X-Rate-Limit", "X-Signature"))
+	assert.Assert(t, limited("X-Not-Run"))
+	assert.Assert(t, limited())
+	assert.Assert(t, !limited("X-Signature"))
+	assert.Assert(t, limited("X-Rate-Limit", "X-Not-Run"))
+}
+
 // Guards against an endpoint that is held to a limit which it has stopped naming, and against
 // callers who notice of a limit while other endpoints have room.
 func TestALimitEndsWithTheFirstAnswerThatNamesNone(t *testing.T) {
