The soak has endpoints that name a rate limit, and holds the limit

Change: the fault "an endpoint names a rate limit", 12 s of 0.5 to 5 requests a second, comes where it is named; the check counts arrivals within 4 s from instances that got such an answer half a second before, and excuses nobody.

--- a/soak/check.go
+++ b/soak/check.go
@@ -32,6 +32,7 @@
 	}
 	l.judgeRepeats(all)
 	l.judgeUsage(all)
+	l.judgeLimits(all)
 	l.judgePoison(all)
 	l.judgeOrders()
 }
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -132,6 +132,21 @@
 				l.requests[r.ID] = r
 			}
 		}},
+		"an endpoint gets more than it takes": {"endpoints' limits hold", func(l *ledger) {
+			l.spans = []limitSpan{{endpoint: "i-1", perSecond: 1, from: at(5), to: at(17)}}
+			for n := range 14 {
+				r := sound(organisationOf(uint64(n)), safe)
+				r.runs = []platformtest.Run{run(r, "i-1", 7+0.25*float64(n))}
+				r.arrivals = []platformtest.Arrival{arrival(r, 7+0.25*float64(n))}
+				l.requests[r.ID] = r
+			}
+			for n := range 14 {
+				r := sound(organisationOf(uint64(100+n)), safe)
+				r.runs = nil
+				r.arrivals = []platformtest.Arrival{arrival(r, 11+0.1*float64(n))}
+				l.requests[r.ID] = r
+			}
+		}},
 		"crashes go on": {"what crashes endpoints is kept off", func(l *ledger) {
 			r := sound("p1", safe)
 			r.Path = poisonPath
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -78,6 +78,7 @@
 	{name: "answers to operators are lost", outside: true, do: func(s *strike) { s.operators.lose(0.6); s.wait(); s.operators.lose(0) }},
 	{name: "new weights", planned: true, do: func(s *strike) { s.operators.nameWeights() }},
 	{name: "a request that crashes endpoints", outside: true, do: poison},
+	{name: "an endpoint names a rate limit", outside: true, named: true, do: nameLimit},
 	{name: "a control instance misses changes", control: true, named: true, do: missChanges},
 }
 
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -49,6 +49,7 @@
 	weights, weightsAcked uint64
 	orders                []platformtest.Order
 	disruptions           []disruption
+	spans                 []limitSpan
 	breaches              []Breach
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -79,6 +79,16 @@
 	assert.Assert(t, outcome.Refused > 0)
 }
 
+// Guards against an endpoint that names a rate limit getting more than that while instances are
+// killed, paused and restarted.
+func TestFaultsBreakNoEndpointsLimit(t *testing.T) {
+	outcome := play(t, Options{
+		Daemon: build(t), Seed: 28, For: 14 * time.Second, Controls: 3, Entries: 6,
+		Faults: []string{"an endpoint names a rate limit", "kill an entry", "pause an entry", "restart an entry", "lose datagrams"},
+	})
+	assert.Assert(t, outcome.Served > 0)
+}
+
 // Seeds that once broke a promise stay here, each with its cause.
 func TestSeedsThatOnceFailed(t *testing.T) {
 	text, err := os.ReadFile("testdata/seeds.txt")
