The soak's check of endpoints' limits asks the process that gets a request whether it names one

Trace: no instance's log has event 1018 for it; the fault struck an endpoint that had crashed, or that crashed meanwhile, and the process that then served under its identity names no limit.

Change: an arrival carries the limit that the process names at that moment; those at processes that name one are counted, all others are not.

--- a/soak/limits.go
+++ b/soak/limits.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/carawaystile/carawaystile/platform/platformtest"
 	"github.com/carawaystile/carawaystile/tables"
 )
 
@@ -68,29 +69,29 @@
 }
 
 // toldArrivals are the arrivals that count against a limit: they come while it binds, from
-// instances that know of it.
+// instances that know of it. A process that starts anew under the endpoint's identity names
+// no limit.
 func toldArrivals(span limitSpan, all []*request) []time.Time {
-	told := map[netip.Addr]time.Time{}
+	var limited []platformtest.Arrival
 	for _, r := range all {
-		for _, run := range r.runs {
-			if run.Endpoint != span.endpoint || run.At.Before(span.from) {
-				continue
-			}
-			if first, known := told[run.From]; !known || run.At.Before(first) {
-				told[run.From] = run.At
+		for _, a := range r.arrivals {
+			if a.Endpoint == span.endpoint && a.Limit > 0 && a.At.After(span.from) && a.At.Before(span.to) {
+				limited = append(limited, a)
 			}
 		}
 	}
+	slices.SortFunc(limited, func(a, b platformtest.Arrival) int { return a.At.Compare(b.At) })
+	told := map[netip.Addr]time.Time{}
 	var times []time.Time
-	for _, r := range all {
-		for _, a := range r.arrivals {
-			first, known := told[a.From]
-			if a.Endpoint == span.endpoint && known && a.At.After(first.Add(limitTold)) &&
-				a.At.After(span.from.Add(limitKnown)) && a.At.Before(span.to) {
-				times = append(times, a.At)
-			}
+	for _, a := range limited {
+		first, known := told[a.From]
+		if !known {
+			told[a.From] = a.At
+			continue
+		}
+		if a.At.After(first.Add(limitTold)) && a.At.After(span.from.Add(limitKnown)) {
+			times = append(times, a.At)
 		}
 	}
-	slices.SortFunc(times, time.Time.Compare)
 	return times
 }
