--- a/soak/soak.go
+++ b/soak/soak.go
@@ -80,6 +80,10 @@
 // Run runs a deployment through a plan. An error means that the run itself
 // could not be made.
 func Run(o Options) (*Outcome, error) {
+	// State of an earlier run in the folder would belong to another deployment.
+	if err := os.RemoveAll(o.Folder); err != nil {
+		return nil, err
+	}
 	if err := os.MkdirAll(o.Folder, 0o700); err != nil {
 		return nil, err
 	}
