--- a/dispatch/limits.go
+++ b/dispatch/limits.go
@@ -27,8 +27,8 @@
 	maxLimitPause = time.Second
 )
 
-// limit is what an endpoint last said of a limit, and when; known is false if it never
-// answered.
+// limit is what an endpoint last said of a limit, and when; known is false if it has never
+// named one.
 type limit struct {
 	RateLimit
 	known bool
