One place where an instance is picked by rendezvous hashing

Cause: schedulers and accountants each chose the highest draw among those that are not silent, with code of their own. Change: datagram.Pick; no behaviour changes.

--- a/internal/datagram/calls.go
+++ b/internal/datagram/calls.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/carawaystile/carawaystile/systems/membership"
 	"github.com/carawaystile/carawaystile/systems/placement"
 	"github.com/carawaystile/carawaystile/tables"
 )
@@ -103,7 +104,21 @@
 	return now < s.until[id]
 }
 
-// Draw is an instance's draw for a key in rendezvous hashing: the highest is asked.
-func Draw(id tables.InstanceID, key uint64) uint64 {
+// Pick chooses one of several instances by rendezvous hashing: the one with the highest draw
+// for the key of those that are not left out.
+func Pick(key uint64, entries []membership.Entry, left func(tables.InstanceID) bool) (best membership.Entry, found bool) {
+	var highest uint64
+	for _, e := range entries {
+		if left(e.Instance) {
+			continue
+		}
+		if drawn := draw(e.Instance, key); !found || drawn > highest {
+			best, highest, found = e, drawn, true
+		}
+	}
+	return best, found
+}
+
+func draw(id tables.InstanceID, key uint64) uint64 {
 	return placement.Mix(placement.Mix(xxhash.Sum64String(string(id))) ^ key)
 }
--- a/schedule/client.go
+++ b/schedule/client.go
@@ -104,19 +104,10 @@
 	return uint64(r.Shared[len(r.Shared)-1].Name)
 }
 
-// pick returns the scheduler with the highest draw of those that answer.
-func (c *Client) pick(key uint64) (best membership.Entry, found bool) {
+// pick returns the scheduler of a request of those that answer.
+func (c *Client) pick(key uint64) (membership.Entry, bool) {
 	now := c.options.Now()
-	var highest uint64
-	for _, s := range c.options.Schedulers() {
-		if c.silent.Left(s.Instance, now) {
-			continue
-		}
-		if draw := datagram.Draw(s.Instance, key); !found || draw > highest {
-			best, highest, found = s, draw, true
-		}
-	}
-	return best, found
+	return datagram.Pick(key, c.options.Schedulers(), func(id tables.InstanceID) bool { return c.silent.Left(id, now) })
 }
 
 // askOne asks one scheduler; a nil answer means that none came in time.
--- a/usage/client.go
+++ b/usage/client.go
@@ -233,7 +233,9 @@
 // pick returns the accountant of the own zone that is to be asked.
 func (c *Client) pick(id Subject) (membership.Entry, bool) {
 	now := c.options.Now()
-	return draw(id, c.options.Entries()[c.options.Zone], func(other tables.InstanceID) bool { return c.silent.Left(other, now) })
+	return datagram.Pick(keyOf(id), c.options.Entries()[c.options.Zone], func(other tables.InstanceID) bool {
+		return c.silent.Left(other, now)
+	})
 }
 
 func (c *Client) debit(id Subject, cost int64) Debit {
--- a/usage/server.go
+++ b/usage/server.go
@@ -146,7 +146,7 @@
 func (s *Server) receivers(id Subject, zones map[tables.Zone][]membership.Entry) []netip.AddrPort {
 	at := map[tables.InstanceID]netip.AddrPort{}
 	for _, entries := range zones {
-		if first, found := draw(id, entries, nil); found {
+		if first, found := draw(id, entries); found {
 			at[first.Instance] = first.Address
 		}
 	}
@@ -163,17 +163,7 @@
 	return all
 }
 
-// draw picks a subject's accountant among entry instances, without those that are
-// left out.
-func draw(id Subject, entries []membership.Entry, left func(tables.InstanceID) bool) (best membership.Entry, found bool) {
-	key, highest := keyOf(id), uint64(0)
-	for _, e := range entries {
-		if left != nil && left(e.Instance) {
-			continue
-		}
-		if d := datagram.Draw(e.Instance, key); !found || d > highest {
-			best, highest, found = e, d, true
-		}
-	}
-	return best, found
+// draw picks a subject's accountant among entry instances.
+func draw(id Subject, entries []membership.Entry) (membership.Entry, bool) {
+	return datagram.Pick(keyOf(id), entries, func(tables.InstanceID) bool { return false })
 }
--- a/usage/sim_test.go
+++ b/usage/sim_test.go
@@ -140,7 +140,7 @@
 }
 
 func (s *sim) accountantOf(zone string, org Subject) *simInstance {
-	first, found := draw(org, s.entries(zone), nil)
+	first, found := draw(org, s.entries(zone))
 	if !found {
 		return nil
 	}
