Names of the field in fleet, schedule, holders, caches and the control service

Reports, updates, notified and received in place of told, heard and word; Dispatcher.Placed takes what another instance placed, as the interfaces beside it say. No behaviour changes.

--- a/control/deployment/service.go
+++ b/control/deployment/service.go
@@ -26,8 +26,8 @@
 	// maxWait bounds the wait of one Follow.
 	maxWait = 10 * time.Second
 	// gatherPerEndpoint times the number of endpoints is how long changes of endpoints
-	// are gathered before a follower is told, and maxGather bounds it. New weights
-	// change every endpoint several times within seconds: told one by one, each change
+	// are gathered before a follower is notified, and maxGather bounds it. New weights
+	// change every endpoint several times within seconds: sent one by one, each change
 	// would cost every follower a question and an answer.
 	gatherPerEndpoint = 100 * time.Microsecond
 	maxGather         = 100 * time.Millisecond
@@ -116,7 +116,7 @@
 	return wanted
 }
 
-// named tells when the versions of a model were named that the caller does not
+// named says when the versions of a model were named that the caller does not
 // have.
 func (s *Service) named(model string, have uint64) []*rpc.WeightsNamed {
 	s.mu.Lock()
@@ -224,10 +224,10 @@
 // news looks up what the caller does not have.
 func (s *Service) news(request *rpc.FollowRequest) news {
 	changed := s.replica.Changed()
-	told, listed := s.fleet.Since(request.GetFleetSource(), request.GetFleetVersion())
+	update, listed := s.fleet.Since(request.GetFleetSource(), request.GetFleetVersion())
 	status := s.replica.Status()
 	answer := &rpc.FollowAnswer{
-		Fleet: told,
+		Fleet: update,
 		// A replica that knows its leader may still lag: its disk may hang, or it
 		// was sent nothing for a while. Those that stay with it would treat callers
 		// by a configuration that operators have replaced.
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -98,7 +98,7 @@
 	other.Fleet(all)
 	placed := mustPlace(t, one, time.Second, ask(7))
 	for _, p := range one.News() {
-		other.Told(time.Second, p)
+		other.Placed(time.Second, p)
 	}
 	busy := other.rows[placed.Endpoint.ID]
 	busy.own = models.Slots // no room there
--- a/dispatch/holders.go
+++ b/dispatch/holders.go
@@ -9,16 +9,16 @@
 )
 
 const (
-	// peerReady is how long after another instance told of a placement the part
+	// peerReady is how long after another instance reported a placement the part
 	// is taken to be in the endpoint's memory: the request was just sent, and
 	// its prompt has to be read.
 	peerReady = 250 * time.Millisecond
 	// ownReady is added to the expected time of an own attempt's first event.
 	ownReady = 50 * time.Millisecond
-	// tellAgain is after how long a use of a part is told again: others fetch
+	// reportAgain is after how long a use of a part is reported again: others fetch
 	// from the endpoint that used it last, which is the least likely to have
 	// dropped it.
-	tellAgain = 4 * time.Second
+	reportAgain = 4 * time.Second
 	// storeRank is how long ago an engine must have used a part for the store to
 	// be the better source.
 	storeRank = 4 * time.Second
@@ -47,14 +47,14 @@
 	// ready is when the part can be used by others, used when it last was.
 	ready tables.Instant
 	used  tables.Instant
-	// told is when the others last heard of it from here.
-	told tables.Instant
+	// reportedAt is when this instance last reported it to the others.
+	reportedAt tables.Instant
 	// placed is when a request that was to bring it was last known of.
 	placed tables.Instant
 }
 
 // holders is where shared parts of prompts lie, as far as this instance knows
-// by its own attempts, by what others tell and by what engines say. A request
+// by its own attempts, by what others report and by what engines say. A request
 // that was sent somewhere is the earliest news; what engines publish comes late
 // and with gaps, and corrects it.
 type holders struct {
@@ -140,8 +140,8 @@
 	}
 }
 
-// Told takes what another instance placed.
-func (d *Dispatcher) Told(now tables.Instant, p Placement) {
+// Placed takes what another instance placed.
+func (d *Dispatcher) Placed(now tables.Instant, p Placement) {
 	r := d.rows[p.Endpoint]
 	switch {
 	case r == nil:
@@ -168,8 +168,8 @@
 		if fresh {
 			a.placed = append(a.placed, key)
 		}
-		if fresh || now-one.told > tellAgain {
-			one.told = now
+		if fresh || now-one.reportedAt > reportAgain {
+			one.reportedAt = now
 			d.news = append(d.news, Placement{Endpoint: a.Endpoint.ID, Key: key})
 		}
 	}
@@ -192,7 +192,7 @@
 		key := part.Name.Under(a.Weights)
 		one, fresh := d.holders.note(now, now+a.Expected+storeReady, key, store)
 		if fresh {
-			one.told = now
+			one.reportedAt = now
 			d.news = append(d.news, Placement{Endpoint: store.ID, Key: key})
 		}
 	}
--- a/dispatch/kept.go
+++ b/dispatch/kept.go
@@ -72,7 +72,7 @@
 			return false
 		}
 	}
-	d.holders.rows[key] = append(known, holder{row: row, ready: now, used: now, told: now})
+	d.holders.rows[key] = append(known, holder{row: row, ready: now, used: now, reportedAt: now})
 	d.corrected.Added++
 	return true
 }
--- a/dispatch/kept_test.go
+++ b/dispatch/kept_test.go
@@ -84,12 +84,12 @@
 	other.Fleet(all)
 	id := readBy(t, reader, time.Second, ask(7))
 	for _, p := range reader.News() {
-		other.Told(time.Second, p)
+		other.Placed(time.Second, p)
 	}
 	reader.Kept(5*time.Second, id, nil, keysOf(ask(7)), false)
 	for _, p := range reader.News() {
 		assert.Equal(t, p.Dropped, true)
-		other.Told(5*time.Second, p)
+		other.Placed(5*time.Second, p)
 	}
 	assert.Equal(t, mustPlace(t, other, 6*time.Second, ask(7)).Uncached, 5000)
 
--- a/fleet/copy.go
+++ b/fleet/copy.go
@@ -17,7 +17,7 @@
 // NewCopy returns a copy that has nothing yet.
 func NewCopy() *Copy { return &Copy{rows: map[tables.EndpointID]Endpoint{}} }
 
-// Position is what the source has to be told to get the next difference.
+// Position is what the source needs to know to send the next difference.
 func (c *Copy) Position() (source, version uint64) { return c.source, c.version }
 
 // Restart asks the next source for all endpoints.
@@ -29,16 +29,16 @@
 // A full answer may come from another control instance whose list is older.
 // What was known of an endpoint's draining and weights stays, so that a change
 // of source sends no work to an endpoint that is already known to leave.
-func (c *Copy) Take(told *rpc.Fleet) error {
-	if told == nil {
+func (c *Copy) Take(update *rpc.Fleet) error {
+	if update == nil {
 		return nil
 	}
 	known := c.rows
-	if told.GetFull() {
-		c.rows = make(map[tables.EndpointID]Endpoint, len(told.GetEndpoints()))
+	if update.GetFull() {
+		c.rows = make(map[tables.EndpointID]Endpoint, len(update.GetEndpoints()))
 	}
 	var bad []error
-	for _, in := range told.GetEndpoints() {
+	for _, in := range update.GetEndpoints() {
 		e, err := decode(in)
 		if err != nil {
 			bad = append(bad, err)
@@ -52,10 +52,10 @@
 		}
 		c.rows[e.ID] = e
 	}
-	for _, id := range told.GetRemoved() {
+	for _, id := range update.GetRemoved() {
 		delete(c.rows, tables.EndpointID(id))
 	}
-	c.source, c.version = told.GetSource(), told.GetVersion()
+	c.source, c.version = update.GetSource(), update.GetVersion()
 	return errors.Join(bad...)
 }
 
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -101,17 +101,17 @@
 
 // Mirror takes over the endpoints of the instance that gives orders, what it
 // says of orders included.
-func (t *Table) Mirror(told map[tables.EndpointID]Endpoint) {
+func (t *Table) Mirror(others map[tables.EndpointID]Endpoint) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	changed := t.fill()
-	for _, id := range slices.Sorted(maps.Keys(told)) {
-		e := t.merged(told[id])
-		e.Loading = told[id].Loading
+	for _, id := range slices.Sorted(maps.Keys(others)) {
+		e := t.merged(others[id])
+		e.Loading = others[id].Loading
 		changed = t.put(e) || changed
 	}
 	for _, id := range slices.Sorted(maps.Keys(t.rows)) {
-		if _, present := told[id]; !present {
+		if _, present := others[id]; !present {
 			t.remove(id)
 			changed = true
 		}
@@ -206,16 +206,16 @@
 	if !full && version == t.version {
 		return nil, t.changed
 	}
-	told := &rpc.Fleet{Source: t.source, Version: t.version, Full: full}
+	update := &rpc.Fleet{Source: t.source, Version: t.version, Full: full}
 	for _, id := range slices.Sorted(maps.Keys(t.rows)) {
 		if r := t.rows[id]; full || r.version > version {
-			told.Endpoints = append(told.Endpoints, encode(&r.Endpoint))
+			update.Endpoints = append(update.Endpoints, encode(&r.Endpoint))
 		}
 	}
 	for _, gone := range t.removed {
 		if !full && gone.version > version && t.rows[gone.id] == nil {
-			told.Removed = append(told.Removed, string(gone.id))
+			update.Removed = append(update.Removed, string(gone.id))
 		}
 	}
-	return told, t.changed
+	return update, t.changed
 }
--- a/forward/server.go
+++ b/forward/server.go
@@ -37,14 +37,14 @@
 	Log      *zap.Logger
 	// Now reads the process's monotonic clock.
 	Now func() tables.Instant
-	// Boot tells this life of the instance from others in attempt identities.
+	// Boot marks this life of the instance in attempt identities.
 	Boot string
 	// DrainServe is how long new requests are still served after the balancer
-	// is told that the instance is not ready.
+	// is notified that the instance is not ready.
 	DrainServe time.Duration
 	// MaxHeld bounds the bytes of request bodies that are held at once.
 	MaxHeld int64
-	// Share tells the other instances which requests were running when an
+	// Share notifies the other instances of which requests were running when an
 	// endpoint crashed; nil means that there are none. It must not block.
 	Share func([]quarantine.Suspect)
 	// Usage enforces organisations' rate limits; nil for none.
@@ -68,10 +68,10 @@
 	gate    *gate.Gate
 	metrics *measurements
 	held    atomic.Int64
-	// heard is when a control instance last answered this one, in nanoseconds
+	// controlAt is when a control instance last answered this one, in nanoseconds
 	// of the process's clock; 0 for never.
-	heard    atomic.Int64
-	attempts atomic.Uint64
+	controlAt atomic.Int64
+	attempts  atomic.Uint64
 
 	routes atomic.Pointer[routes.Table]
 	// known is closed once there are a configuration and endpoints.
@@ -185,7 +185,7 @@
 }
 
 // Kept takes what an endpoint says that it keeps and has dropped of late; all is
-// set for the first word of an endpoint.
+// set for the first report of an endpoint.
 func (s *Server) Kept(endpoint tables.EndpointID, kept, dropped []parts.Key, all bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -209,17 +209,17 @@
 }
 
 // Suspect takes what another instance found out about a crash.
-func (s *Server) Suspect(told quarantine.Suspect) {
+func (s *Server) Suspect(reported quarantine.Suspect) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.suspects.Merge(s.options.Now(), told)
+	s.suspects.Merge(s.options.Now(), reported)
 }
 
 // Placed takes what another instance placed.
 func (s *Server) Placed(p dispatch.Placement) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.dispatch.Told(s.options.Now(), p)
+	s.dispatch.Placed(s.options.Now(), p)
 }
 
 // Loaded takes what another instance has at an endpoint.
@@ -229,7 +229,7 @@
 	s.dispatch.Loaded(s.options.Now(), by, l)
 }
 
-// News returns what the other instances should hear of since the last call:
+// News returns what the other instances should know of since the last call:
 // where parts of prompts were placed, and what this instance has at endpoints.
 func (s *Server) News() ([]dispatch.Placement, []dispatch.Load) {
 	s.mu.Lock()
@@ -246,8 +246,8 @@
 	}
 	at := int64(s.options.Now() - lag)
 	for {
-		heard := s.heard.Load()
-		if at <= heard || s.heard.CompareAndSwap(heard, at) {
+		last := s.controlAt.Load()
+		if at <= last || s.controlAt.CompareAndSwap(last, at) {
 			return
 		}
 	}
@@ -255,7 +255,7 @@
 
 // sinceControl is how long ago a control instance last answered.
 func (s *Server) sinceControl() time.Duration {
-	return s.options.Now() - tables.Instant(s.heard.Load())
+	return s.options.Now() - tables.Instant(s.controlAt.Load())
 }
 
 // Ready says whether the balancer should send callers here.
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -90,11 +90,11 @@
 			return
 		}
 		s.mu.Lock()
-		told := s.suspects.Crashed(s.options.Now(), quarantine.Life{Endpoint: endpoint.ID})
+		suspects := s.suspects.Crashed(s.options.Now(), quarantine.Life{Endpoint: endpoint.ID})
 		s.mu.Unlock()
-		events.EndpointCrashed.Log(s.log, zap.String("endpoint", string(endpoint.ID)), zap.Int("suspects", len(told)))
-		if len(told) > 0 {
-			s.options.Share(told)
+		events.EndpointCrashed.Log(s.log, zap.String("endpoint", string(endpoint.ID)), zap.Int("suspects", len(suspects)))
+		if len(suspects) > 0 {
+			s.options.Share(suspects)
 		}
 	}()
 }
--- a/node/caches.go
+++ b/node/caches.go
@@ -129,10 +129,10 @@
 	peers := c.node.cachePeers()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	told := map[netip.AddrPort]bool{}
+	informed := map[netip.AddrPort]bool{}
 	var holdings []dispatch.Holding
 	for _, at := range peers {
-		told[at] = true
+		informed[at] = true
 		if !c.informed[at] {
 			if holdings == nil {
 				holdings = c.kept.holdings()
@@ -140,10 +140,10 @@
 			c.send(at, holdings)
 		}
 	}
-	c.informed = told
+	c.informed = informed
 }
 
-// take takes an endpoint's news. What is told first of a life is everything it
+// take takes an endpoint's news. What is reported first of a life is everything it
 // keeps, and goes to the others at once.
 func (c *caches) take(b feed.Batch) {
 	kept, dropped := netOf(b)
@@ -169,8 +169,8 @@
 	}
 }
 
-// report passes an endpoint's word on to those that choose. This instance hears of no
-// placements, so it cannot tell which parts are shared.
+// report passes what an endpoint says on to those that choose. This instance receives no
+// placements, so it does not know which parts are shared.
 func (c *caches) report(id tables.EndpointID, kept, dropped []parts.Key) {
 	var hints membership.Hints
 	for _, key := range kept {
@@ -216,14 +216,14 @@
 	if len(holdings) == 0 {
 		return
 	}
-	told := &rpc.Holdings{}
+	message := &rpc.Holdings{}
 	for _, one := range holdings {
-		told.Holdings = append(told.Holdings, encodeHolding(one))
+		message.Holdings = append(message.Holdings, encodeHolding(one))
 	}
 	c.node.background.Go(func() {
 		ctx, cancel := context.WithTimeout(c.node.stopping, holdingsTimeout)
 		defer cancel()
-		if _, err := c.client(at).Hold(ctx, told); err != nil {
+		if _, err := c.client(at).Hold(ctx, message); err != nil {
 			events.CacheNotShared.Log(c.node.log, zap.Stringer("with", at), zap.Int("endpoints", len(holdings)), zap.Error(err))
 			c.mu.Lock()
 			delete(c.informed, at)
@@ -252,14 +252,14 @@
 func (c *caches) askOne(ctx context.Context, at netip.AddrPort) bool {
 	bounded, cancel := context.WithTimeout(ctx, holdingsTimeout)
 	defer cancel()
-	told, err := c.client(at).TellHoldings(bounded, &rpc.HoldingsRequest{})
+	holdings, err := c.client(at).TellHoldings(bounded, &rpc.HoldingsRequest{})
 	if err != nil {
 		events.CacheNotShared.Log(c.node.log, zap.Stringer("with", at), zap.Error(err))
 		return false
 	}
-	c.node.hold(told)
-	events.CacheLearned.Log(c.node.log, zap.Stringer("from", at), zap.Int("endpoints", len(told.GetHoldings())))
-	return len(told.GetHoldings()) > 0
+	c.node.hold(holdings)
+	events.CacheLearned.Log(c.node.log, zap.Stringer("from", at), zap.Int("endpoints", len(holdings.GetHoldings())))
+	return len(holdings.GetHoldings()) > 0
 }
 
 func (c *caches) client(at netip.AddrPort) rpc.CacheKnowledge {
@@ -267,8 +267,8 @@
 }
 
 // hold takes over what another instance knows.
-func (n *Node) hold(told *rpc.Holdings) {
-	for _, h := range told.GetHoldings() {
+func (n *Node) hold(holdings *rpc.Holdings) {
+	for _, h := range holdings.GetHoldings() {
 		keys := make([]parts.Key, 0, len(h.GetParts()))
 		for _, key := range h.GetParts() {
 			keys = append(keys, parts.Key(key))
@@ -278,27 +278,27 @@
 }
 
 func encodeHolding(h dispatch.Holding) *rpc.Holding {
-	told := &rpc.Holding{Endpoint: string(h.Endpoint)}
+	holding := &rpc.Holding{Endpoint: string(h.Endpoint)}
 	for _, key := range h.Keys {
-		told.Parts = append(told.Parts, uint64(key))
+		holding.Parts = append(holding.Parts, uint64(key))
 	}
-	return told
+	return holding
 }
 
 // cacheService serves what this instance knows. It implements rpc.CacheKnowledge.
 type cacheService struct{ node *Node }
 
 // Hold takes what another instance has read of an endpoint.
-func (s cacheService) Hold(_ context.Context, told *rpc.Holdings) (*rpc.HoldAnswer, error) {
-	s.node.hold(told)
+func (s cacheService) Hold(_ context.Context, holdings *rpc.Holdings) (*rpc.HoldAnswer, error) {
+	s.node.hold(holdings)
 	return &rpc.HoldAnswer{}, nil
 }
 
 // TellHoldings returns all that is believed.
 func (s cacheService) TellHoldings(context.Context, *rpc.HoldingsRequest) (*rpc.Holdings, error) {
-	told := &rpc.Holdings{}
+	holdings := &rpc.Holdings{}
 	for _, h := range s.node.entry.Holdings() {
-		told.Holdings = append(told.Holdings, encodeHolding(h))
+		holdings.Holdings = append(holdings.Holdings, encodeHolding(h))
 	}
-	return told, nil
+	return holdings, nil
 }
--- a/schedule/client.go
+++ b/schedule/client.go
@@ -32,7 +32,7 @@
 // ClientOptions set a Client up.
 type ClientOptions struct {
 	Self tables.InstanceID
-	// Boot tells lives of the instance apart.
+	// Boot differs between lives of the instance.
 	Boot uint64
 	// Schedulers lists those of the zone; none where each instance chooses for itself.
 	Schedulers func() []membership.Entry
@@ -54,8 +54,8 @@
 	return &Client{options: o, calls: datagram.NewCalls[*rpc.ScheduleAnswer](o.Boot)}
 }
 
-// Assignment is what a scheduler has decided about one attempt. Its methods tell the
-// scheduler how the attempt goes on; the nil value tells nobody. It is used by one
+// Assignment is what a scheduler has decided about one attempt. Its methods notify the
+// scheduler of how the attempt goes on; the nil value notifies nobody. It is used by one
 // goroutine at a time.
 type Assignment struct {
 	// Choice is set if Reason is empty.
@@ -141,22 +141,22 @@
 	}
 }
 
-// Began tells the scheduler that the endpoint works on the request. Later calls do
+// Began notifies the scheduler that the endpoint works on the request. Later calls do
 // nothing.
 func (a *Assignment) Began() {
 	if a == nil || a.begun {
 		return
 	}
 	a.begun = true
-	a.tell(&rpc.AttemptProgress{Began: true})
+	a.notify(&rpc.AttemptProgress{Began: true})
 }
 
-// Ended tells the scheduler how the attempt ended.
+// Ended notifies the scheduler of how the attempt ended.
 func (a *Assignment) Ended(end dispatch.End) {
-	a.tell(&rpc.AttemptProgress{Ended: true, End: uint32(end)})
+	a.notify(&rpc.AttemptProgress{Ended: true, End: uint32(end)})
 }
 
-func (a *Assignment) tell(progress *rpc.AttemptProgress) {
+func (a *Assignment) notify(progress *rpc.AttemptProgress) {
 	if a != nil {
 		a.client.options.Send(a.at, &rpc.ScheduleMessage{Number: a.number, Progress: progress})
 	}
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -1,6 +1,6 @@
 // Package schedule lets a few entry instances of a zone, its schedulers, choose
-// endpoints for the others. Instances that each choose for themselves and tell each
-// other afterwards know too late: the telling grows with the square of their number,
+// endpoints for the others. Instances that each choose for themselves and report to each
+// other afterwards know too late: the reports grow with the square of their number,
 // and where it is slowed down, many choose the same endpoint at the same moment. A
 // scheduler knows of all choices that it has made and receives those of the few others
 // within milliseconds.
--- a/schedule/server.go
+++ b/schedule/server.go
@@ -21,8 +21,8 @@
 }
 
 const (
-	// sweepEvery is the time between two looks for attempts whose end was not heard
-	// of, and endMargin how long after its caller's deadline one counts as ended.
+	// sweepEvery is the time between two looks for attempts whose end was not reported,
+	// and endMargin how long after its caller's deadline one counts as ended.
 	sweepEvery = 500 * time.Millisecond
 	endMargin  = 500 * time.Millisecond
 )
@@ -93,7 +93,7 @@
 	}
 }
 
-// Sweep ends attempts of which nothing was heard in time: the word was lost, or its
+// Sweep ends attempts whose end was not reported in time: the message was lost, or its
 // instance is gone. It is called all the while, also by an instance that nobody asks any
 // more: what it goes on counting would keep others away from endpoints that are free.
 func (s *Server) Sweep() {
--- a/soak/limits.go
+++ b/soak/limits.go
@@ -13,11 +13,11 @@
 	// limitFor is how long an endpoint names a rate limit.
 	limitFor = 12 * time.Second
 	// limitKnown is how long after an endpoint first named a limit it binds, limitWindow the
-	// window in which arrivals are counted, and limitTold how long before an arrival its
+	// window in which arrivals are counted, and limitNoticed how long before an arrival its
 	// instance must have got an answer that named the limit.
-	limitKnown  = 3 * time.Second
-	limitWindow = 4 * time.Second
-	limitTold   = 500 * time.Millisecond
+	limitKnown   = 3 * time.Second
+	limitWindow  = 4 * time.Second
+	limitNoticed = 500 * time.Millisecond
 	// limitFactor and limitExtra bound the arrivals within a window: so many times the
 	// limit, and so many more.
 	limitFactor = 1.5
@@ -56,7 +56,7 @@
 // judgeLimits checks the rate limits that endpoints name.
 func (l *ledger) judgeLimits(all []*request) {
 	for _, span := range l.spans {
-		times := toldArrivals(span, all)
+		times := countedArrivals(span, all)
 		allowed := limitFactor*span.perSecond*limitWindow.Seconds() + limitExtra
 		for _, from := range times {
 			if n := within(times, from, from.Add(limitWindow)); float64(n) > allowed {
@@ -68,10 +68,10 @@
 	}
 }
 
-// toldArrivals are the arrivals that count against a limit: they come while it binds, from
+// countedArrivals are the arrivals that count against a limit: they come while it binds, from
 // instances that know of it. A process that starts anew under the endpoint's identity names
 // no limit.
-func toldArrivals(span limitSpan, all []*request) []time.Time {
+func countedArrivals(span limitSpan, all []*request) []time.Time {
 	var limited []platformtest.Arrival
 	for _, r := range all {
 		for _, a := range r.arrivals {
@@ -81,15 +81,15 @@
 		}
 	}
 	slices.SortFunc(limited, func(a, b platformtest.Arrival) int { return a.At.Compare(b.At) })
-	told := map[netip.Addr]time.Time{}
+	noticed := map[netip.Addr]time.Time{}
 	var times []time.Time
 	for _, a := range limited {
-		first, known := told[a.From]
+		first, known := noticed[a.From]
 		if !known {
-			told[a.From] = a.At
+			noticed[a.From] = a.At
 			continue
 		}
-		if a.At.After(first.Add(limitTold)) && a.At.After(span.from.Add(limitKnown)) {
+		if a.At.After(first.Add(limitNoticed)) && a.At.After(span.from.Add(limitKnown)) {
 			times = append(times, a.At)
 		}
 	}
