Updates of the table of endpoints are made once for all followers, from a list of changes

Cause: a control instance made each follower's update anew, by sorting and walking all endpoints, also for a change of one.

Change: rows are listed by the version of their change, an update from a version and the one with all endpoints are kept until the next change, and followers share them.

--- /dev/null
+++ b/fleet/bench_test.go
@@ -0,0 +1,51 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+)
+
+// BenchmarkUpdates is what one change of an endpoint costs a control instance that 100
+// instances follow, and what it costs to send all endpoints to that many that have started.
+func BenchmarkUpdates(b *testing.B) {
+	const followers = 100
+	for _, endpoints := range []int{100, 1_000, 3_000} {
+		table := NewTable(1)
+		var all []Endpoint
+		for i := range endpoints {
+			all = append(all, engine(fmt.Sprintf("i-%08x", uint32(i)*2654435761), 1))
+		}
+		table.List(all)
+		weights := uint64(1)
+		b.Run(fmt.Sprintf("change/endpoints=%d", endpoints), func(b *testing.B) {
+			for i := range b.N {
+				_, before := position(table)
+				weights++
+				table.Weights(all[i%endpoints].ID, "m", weights)
+				for range followers {
+					update, _ := table.Since(1, before)
+					if len(update.GetEndpoints()) != 1 {
+						b.Fatal(len(update.GetEndpoints()))
+					}
+				}
+			}
+		})
+		b.Run(fmt.Sprintf("all/endpoints=%d", endpoints), func(b *testing.B) {
+			for range b.N {
+				for range followers {
+					update, _ := table.Since(0, 0)
+					if len(update.GetEndpoints()) != endpoints {
+						b.Fatal(len(update.GetEndpoints()))
+					}
+				}
+			}
+		})
+	}
+}
+
+// position is that of a copy which has everything.
+func position(t *Table) (source, version uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.source, t.version
+}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"testing"
 
@@ -107,3 +109,50 @@
 		assert.Assert(t, told != nil && told.GetFull(), name)
 	}
 }
+
+// Guards against followers that miss a change, or get one that is over, whatever changes come
+// between their questions.
+func TestCopiesThatLagEndUpAlike(t *testing.T) {
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		table := NewTable(1)
+		copies := make([]*Copy, 5)
+		for i := range copies {
+			copies[i] = NewCopy()
+		}
+		listed, lives := map[int]bool{0: true}, map[int]int64{}
+		for range 400 {
+			id := rng.IntN(30)
+			switch rng.IntN(4) {
+			case 0:
+				listed[id] = !listed[id]
+				lives[id]++
+				var all []Endpoint
+				for n, present := range listed {
+					if present {
+						e := engine(fmt.Sprint(n), 1)
+						e.Born += lives[n]
+						all = append(all, e)
+					}
+				}
+				table.List(all)
+			case 1:
+				table.Weights(tables.EndpointID(fmt.Sprint(id)), "m", 1+rng.Uint64N(50))
+			case 2:
+				table.Loading(tables.EndpointID(fmt.Sprint(id)), rng.IntN(2) == 0)
+			default:
+				follow(t, copies[rng.IntN(len(copies))], table)
+			}
+		}
+		for _, c := range copies {
+			follow(t, c, table)
+			got := c.Endpoints()
+			want := table.Endpoints()
+			assert.Equal(t, len(got), len(want), "seed %d", seed)
+			for _, e := range want {
+				one := got[e.ID]
+				assert.Assert(t, one.Equal(&e), "seed %d: %v, not %v", seed, one, e)
+			}
+		}
+	}
+}
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -24,10 +24,18 @@
 	filled  bool
 	version uint64
 	rows    map[tables.EndpointID]*row
+	// changes lists rows by the version of their change. Those that have changed again since
+	// stand there more than once, and only the last one counts.
+	changes []change
 	removed []removal
 	// reaches is the oldest version that differences can start from.
 	reaches uint64
 	changed chan struct{}
+	// updates are those that were asked for since the last change, by the version that they
+	// start from, and full is the one with all endpoints. Followers share them: most ask for
+	// the same.
+	updates map[uint64]*rpc.Fleet
+	full    *rpc.Fleet
 }
 
 type row struct {
@@ -36,6 +44,11 @@
 	version uint64
 }
 
+type change struct {
+	id      tables.EndpointID
+	version uint64
+}
+
 type removal struct {
 	id      tables.EndpointID
 	version uint64
@@ -44,7 +57,9 @@
 // NewTable returns an empty table. The source must differ between any two lives
 // of control instances: versions of two tables cannot be compared.
 func NewTable(source uint64) *Table {
-	return &Table{source: source, rows: map[tables.EndpointID]*row{}, changed: make(chan struct{})}
+	return &Table{
+		source: source, rows: map[tables.EndpointID]*row{}, changed: make(chan struct{}), updates: map[uint64]*rpc.Fleet{},
+	}
 }
 
 // List takes over what the platform's list says, which lags behind. An endpoint
@@ -152,10 +167,30 @@
 	if known != nil && known.Equal(&e) {
 		return false
 	}
+	if known == nil || known.version != t.version+1 {
+		t.noteChange(e.ID)
+	}
 	t.rows[e.ID] = &row{Endpoint: e, version: t.version + 1}
 	return true
 }
 
+// sparedChanges is how many outdated entries of changes are kept at least.
+const sparedChanges = 64
+
+// noteChange lists a row as changed in the next version.
+func (t *Table) noteChange(id tables.EndpointID) {
+	if len(t.changes) > 2*len(t.rows)+sparedChanges {
+		t.changes = slices.DeleteFunc(t.changes, func(c change) bool { return !t.isLast(c) })
+	}
+	t.changes = append(t.changes, change{id: id, version: t.version + 1})
+}
+
+// isLast says whether a change is the last one of a row that is still there.
+func (t *Table) isLast(c change) bool {
+	r := t.rows[c.id]
+	return r != nil && r.version == c.version
+}
+
 func (t *Table) remove(id tables.EndpointID) {
 	delete(t.rows, id)
 	t.removed = append(t.removed, removal{id: id, version: t.version + 1})
@@ -170,6 +205,8 @@
 		return
 	}
 	t.version++
+	clear(t.updates)
+	t.full = nil
 	close(t.changed)
 	t.changed = make(chan struct{})
 }
@@ -193,9 +230,10 @@
 	return all
 }
 
-// Since returns what brings a copy at the given version of the given source up
-// to date, nil if it is, and a channel that is closed at the next change. A table that was
-// not filled yet says nothing: a copy that took it over would lose all endpoints.
+// Since returns what brings a copy at the given version of the given source up to date, nil
+// if it is, and a channel that is closed at the next change. Callers share the update and must
+// not change it. A table that was not filled yet returns none: a copy that took it over would
+// lose all endpoints.
 func (t *Table) Since(source, version uint64) (*rpc.Fleet, <-chan struct{}) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -206,16 +244,41 @@
 	if !full && version == t.version {
 		return nil, t.changed
 	}
-	update := &rpc.Fleet{Source: t.source, Version: t.version, Full: full}
+	if full {
+		return t.all(), t.changed
+	}
+	return t.difference(version), t.changed
+}
+
+// all is the update with all endpoints.
+func (t *Table) all() *rpc.Fleet {
+	if t.full != nil {
+		return t.full
+	}
+	t.full = &rpc.Fleet{Source: t.source, Version: t.version, Full: true}
 	for _, id := range slices.Sorted(maps.Keys(t.rows)) {
-		if r := t.rows[id]; full || r.version > version {
-			update.Endpoints = append(update.Endpoints, encode(&r.Endpoint))
+		t.full.Endpoints = append(t.full.Endpoints, encode(&t.rows[id].Endpoint))
+	}
+	return t.full
+}
+
+// difference is the update that starts from a version.
+func (t *Table) difference(version uint64) *rpc.Fleet {
+	if known := t.updates[version]; known != nil {
+		return known
+	}
+	update := &rpc.Fleet{Source: t.source, Version: t.version}
+	for i := len(t.changes) - 1; i >= 0 && t.changes[i].version > version; i-- {
+		if t.isLast(t.changes[i]) {
+			update.Endpoints = append(update.Endpoints, encode(&t.rows[t.changes[i].id].Endpoint))
 		}
 	}
+	slices.SortFunc(update.Endpoints, func(a, b *rpc.FleetEndpoint) int { return cmp.Compare(a.GetId(), b.GetId()) })
 	for _, gone := range t.removed {
-		if !full && gone.version > version && t.rows[gone.id] == nil {
+		if gone.version > version && t.rows[gone.id] == nil {
 			update.Removed = append(update.Removed, string(gone.id))
 		}
 	}
-	return update, t.changed
+	t.updates[version] = update
+	return update
 }
