The instance that gives orders looks at engines only when something has changed or is due

Cause: every 50 ms it cloned and sorted the whole table of endpoints and sorted all engines twice, also where every engine served what is wanted.

--- /dev/null
+++ b/control/rollout/bench_test.go
@@ -0,0 +1,32 @@
+package rollout
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/carawaystile/carawaystile/fleet"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// BenchmarkNextOfASettledFleet is what a look costs where all engines serve what is wanted.
+func BenchmarkNextOfASettledFleet(b *testing.B) {
+	for _, engines := range []int{100, 1_000, 3_000} {
+		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
+			p := NewPlan()
+			p.Want("m", 2)
+			var all []fleet.Endpoint
+			for i := range engines {
+				all = append(all, fleet.Endpoint{
+					ID: tables.EndpointID(fmt.Sprintf("i-%08x", uint32(i)*2654435761)), Zone: tables.Zone([]string{"a", "b", "c"}[i%3]),
+					Born: 1, Weights: map[string]uint64{"m": 2},
+				})
+			}
+			p.Endpoints(all)
+			for b.Loop() {
+				if actions := p.Next(1); len(actions) > 0 {
+					b.Fatal(actions)
+				}
+			}
+		})
+	}
+}
--- a/control/rollout/plan.go
+++ b/control/rollout/plan.go
@@ -193,6 +193,9 @@
 // Next returns what to do now. Each action's end must be handed in by Reported
 // or Ordered.
 func (p *Plan) Next(now tables.Instant) []Action {
+	if p.Settled() {
+		return nil
+	}
 	rows := p.sorted()
 	var actions []Action
 	busy, closed := 0, 0
--- a/control/rollout/runner.go
+++ b/control/rollout/runner.go
@@ -77,6 +77,8 @@
 	options Options
 	lease   *client.Lease
 	plan    *Plan
+	// planned is the version of the table of endpoints that the plan has.
+	planned uint64
 	results chan func()
 	holds   atomic.Bool
 	renewed chan error
@@ -137,7 +139,7 @@
 	r.renew(ctx)
 	_, left := r.lease.Held()
 	if held := left > 0; held != r.holds.Swap(held) {
-		r.plan = NewPlan()
+		r.plan, r.planned = NewPlan(), 0
 		if held {
 			r.rest()
 		} else {
@@ -150,7 +152,10 @@
 	for model, version := range r.options.Wanted() {
 		r.plan.Want(model, version)
 	}
-	r.plan.Endpoints(r.options.Fleet.Endpoints())
+	if version := r.options.Fleet.Version(); version != r.planned {
+		r.plan.Endpoints(r.options.Fleet.Endpoints())
+		r.planned = version
+	}
 	for _, action := range r.plan.Next(r.options.Now()) {
 		r.start(ctx, action)
 	}
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -218,6 +218,13 @@
 	return len(t.rows)
 }
 
+// Version changes with the table; it is 0 while the table is empty as at its start.
+func (t *Table) Version() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.version
+}
+
 // Endpoints returns all endpoints, by identity.
 func (t *Table) Endpoints() []Endpoint {
 	t.mu.Lock()
