--- a/soak/limits.go
+++ b/soak/limits.go
@@ -14,7 +14,7 @@
 	limitFor = 12 * time.Second
 	// limitKnown is how long after an endpoint first named a limit it binds, limitWindow the
 	// window in which arrivals are counted, and limitNoticed how long before an arrival its
-	// instance must have got an answer that named the limit.
+	// instance must have sent another request there, whose answer names the limit.
 	limitKnown   = 3 * time.Second
 	limitWindow  = 4 * time.Second
 	limitNoticed = 500 * time.Millisecond
