--- a/dispatch/absent_test.go
+++ b/dispatch/absent_test.go
@@ -124,7 +124,7 @@
 }
 
 // Guards against an endpoint whose weights have just changed counting as gone after the
-// list has told of the new ones.
+// list has reported the new ones.
 func TestNewWeightsOnTheListEndAnAbsence(t *testing.T) {
 	d, all := world(1)
 	now := time.Second
