Log and count what endpoints announce: Retry-After with a 503, and draining

Cause: the logs of the incident cannot tell its hypotheses apart. No line said whether an answer carried a pause, for how long, nor who placed an attempt.

Events 1019 to 1021, carawaystile_endpoint_announcements_total, and on a 1011 line `by` (a scheduler or the instance) and `retry_after`. Nothing is decided by them yet.

With these lines: hypothesis 1 (nobody reads the pause) is a 1011 line with a retry_after followed by another one of the same instance and endpoint within that time, hypothesis 2 (lost again) the same with a 1010 line or a change of the list between them, hypothesis 3 (a way round the choice) `by` scheduler, or an arrival without a line.

--- a/dialect/parse.go
+++ b/dialect/parse.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // connectionHeaders returns the headers that the Connection header lists as hop-by-hop.
@@ -85,3 +86,29 @@
 	}
 	return rate, true
 }
+
+// ParseRetryAfter parses a time in seconds, which may have a fraction. It reports ok as
+// false if the text is not a finite number of at least zero; dates are not accepted, since
+// the clocks of sender and receiver may differ.
+func ParseRetryAfter(text string) (after time.Duration, ok bool) {
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil || seconds < 0 || math.IsNaN(seconds) || math.IsInf(seconds, 0) {
+		return 0, false
+	}
+	if seconds >= math.MaxInt64/float64(time.Second) {
+		return math.MaxInt64, true
+	}
+	return time.Duration(seconds * float64(time.Second)), true
+}
+
+// ParseDraining parses the value by which an endpoint says whether it is about to stop: "1",
+// or "0" or nothing if it is not. It reports ok as false for any other text.
+func ParseDraining(text string) (draining, ok bool) {
+	switch strings.TrimSpace(text) {
+	case "1":
+		return true, true
+	case "", "0":
+		return false, true
+	}
+	return false, false
+}
--- a/dialect/parse_test.go
+++ b/dialect/parse_test.go
@@ -1,7 +1,9 @@
 package dialect
 
 import (
+	"math"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -19,3 +21,31 @@
 		assert.Assert(t, !limited, text)
 	}
 }
+
+// A malformed Retry-After must not keep requests away from an endpoint.
+func TestMalformedRetryAfterIsIgnored(t *testing.T) {
+	for text, want := range map[string]time.Duration{
+		"3": 3 * time.Second, " 0.25 ": 250 * time.Millisecond, "0": 0, "1e300": math.MaxInt64, "99999999999": math.MaxInt64,
+	} {
+		after, ok := ParseRetryAfter(text)
+		assert.Assert(t, ok, text)
+		assert.Equal(t, after, want, text)
+	}
+	for _, text := range []string{"", "-1", "NaN", "Inf", "1e400", "3 s", "soon", "3, 5", "Wed, 21 Oct 2026 07:28:00 GMT"} {
+		_, ok := ParseRetryAfter(text)
+		assert.Assert(t, !ok, text)
+	}
+}
+
+// An unknown value must not take an endpoint out of service.
+func TestUnknownDrainingValueIsIgnored(t *testing.T) {
+	for text, want := range map[string]bool{"1": true, " 1 ": true, "0": false, "": false} {
+		draining, ok := ParseDraining(text)
+		assert.Assert(t, ok, text)
+		assert.Equal(t, draining, want, text)
+	}
+	for _, text := range []string{"true", "2", "-1", "leaving"} {
+		draining, ok := ParseDraining(text)
+		assert.Assert(t, !draining && !ok, text)
+	}
+}
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -42,6 +42,8 @@
 	// endWait ends the health checker's tracking of the attempt. It is called once the
 	// response header has arrived.
 	endWait func()
+	// retryAfter is the Retry-After header of a response with status 503, for the log.
+	retryAfter string
 }
 
 // forward makes attempts until the request is finished.
@@ -69,7 +71,7 @@
 	}
 	a.assignment, c.assignment = c.assignment, nil
 	a.ctx, a.cancel = context.WithCancel(c.ctx)
-	s.metrics.countPlacement(c, placement.Rationale.Rule, a.assignment != nil)
+	s.metrics.countPlacement(c, placement.Rationale.Rule, a.placedBy())
 	s.mu.Lock()
 	incarnation := quarantine.Incarnation{Endpoint: placement.Endpoint.ID}
 	s.crashDetector.Started(a.startedAt, a.id, incarnation, c.fingerprint)
@@ -94,7 +96,7 @@
 	}
 	a.endWait()
 	c.server.healthChecker.recordResponse(a.placement.Endpoint.ID)
-	a.recordResponseHeader(response.Header)
+	a.recordResponseHeader(response.Status, response.Header)
 	if !a.isValidResponse(response) {
 		response.Close()
 		a.handleFailure(&engine.InterruptedError{Attempt: a.id, Cause: &engine.ProtocolError{What: "answer"}})
@@ -154,8 +156,9 @@
 }
 
 // recordResponseHeader records what a response header tells of the endpoint: its load, its
-// rate limit and the version of its weights.
-func (a *attempt) recordResponseHeader(header http.Header) {
+// rate limit, the version of its weights, and whether it asks for a time without requests or
+// is draining.
+func (a *attempt) recordResponseHeader(status int, header http.Header) {
 	s, h := a.request.server, a.request.server.headers
 	now := s.options.Now()
 	s.mu.Lock()
@@ -164,6 +167,8 @@
 		s.dispatch.RecordEndpointLoad(now, a.placement, load)
 	}
 	a.recordRateLimit(now, header)
+	a.recordPushback(status, header)
+	a.recordDraining(header)
 	if version, err := strconv.ParseUint(header.Get(h.Weights), 10, 64); err == nil && a.request.dispatchRequest.Model != "" {
 		s.dispatch.RecordServedVersion(a.placement, a.request.dispatchRequest.Model, version)
 	}
@@ -258,7 +263,7 @@
 		// does not describe the endpoint and is not recorded.
 		return dispatch.Misdirected
 	case errors.As(err, &declined):
-		a.recordResponseHeader(declined.Header)
+		a.recordResponseHeader(declined.Status, declined.Header)
 		return dispatch.Declined
 	case a.request.ctx.Err() != nil:
 		return dispatch.Cancelled
@@ -276,7 +281,7 @@
 // logFields returns the fields that identify the attempt in the log and explain its
 // placement.
 func (a *attempt) logFields() []zap.Field {
-	return []zap.Field{
+	fields := []zap.Field{
 		zap.String("request", a.request.id),
 		zap.String("attempt", string(a.id)),
 		zap.String("endpoint", string(a.placement.Endpoint.ID)),
@@ -290,5 +295,18 @@
 		zap.Float64("doubt", a.placement.Rationale.FailureScore),
 		zap.Duration("since_answer", a.placement.Rationale.SinceResponse),
 		zap.Int("arrivals", a.request.dispatchRequest.DeliveredAttempts),
+		zap.String("by", a.placedBy()),
 	}
+	if a.retryAfter != "" {
+		fields = append(fields, zap.String("retry_after", a.retryAfter))
+	}
+	return fields
+}
+
+// placedBy returns what placed the attempt, for logs and metrics.
+func (a *attempt) placedBy() string {
+	if a.assignment != nil {
+		return "scheduler"
+	}
+	return "instance"
 }
--- a/forward/endpointlimit_test.go
+++ b/forward/endpointlimit_test.go
@@ -147,7 +147,7 @@
 		for _, name := range headers {
 			header.Set(name, "1.0")
 		}
-		a.recordResponseHeader(header)
+		a.recordResponseHeader(http.StatusOK, header)
 		return h.server.endpointLimit(placement).Limited
 	}
 	assert.Assert(t, limited("X-Rate-Limit", "X-Signature"))
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -26,7 +26,7 @@
 var headerNames = &dialect.Headers{
 	RequestID: "X-Request", Deadline: "X-Deadline", Organisation: "X-Organisation",
 	ExpectEndpoint: "X-Endpoint", ExpectWeights: "X-Expect-Weights", Signature: "X-Signature", NotExecuted: "X-Not-Run",
-	Load: "X-Load", RateLimit: "X-Rate-Limit", Weights: "X-Weights", Model: "X-Model", TokenCounts: "X-Tokens", PromptParts: "X-Prefix",
+	Load: "X-Load", RateLimit: "X-Rate-Limit", RetryAfter: "Retry-After", Draining: "X-Draining", Weights: "X-Weights", Model: "X-Model", TokenCounts: "X-Tokens", PromptParts: "X-Prefix",
 	CacheSalt: "X-Salt", CacheSource: "X-Source", CacheStore: "X-Target", Priority: "X-Priority",
 	LastEventID: "Last-Event-Id", Reserved: []string{"X-Hold"}, AuthScheme: "Bearer",
 }
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -47,17 +47,13 @@
 
 // countPlacement counts a placement by its rule, and by whether a scheduler or this
 // instance made it. While the request has used no attempt, it also observes the queue wait.
-func (m *requestMetrics) countPlacement(c *clientRequest, rule dispatch.PlacementRule, scheduled bool) {
+func (m *requestMetrics) countPlacement(c *clientRequest, rule dispatch.PlacementRule, by string) {
 	if m == nil {
 		return
 	}
 	if c.attemptsUsed == 0 {
 		m.requests.ObserveQueueWait(c.organisationID(), c.priorityClass(), c.now()-c.arrivedAt)
 	}
-	by := "instance"
-	if scheduled {
-		by = "scheduler"
-	}
 	m.registry.Counter("carawaystile_placements_total", "Attempts, by the rule that chose the endpoint, and whether a scheduler or this instance did.",
 		metrics.Label{Name: "rule", Value: string(rule)}, metrics.Label{Name: "by", Value: by}).Inc(1)
 }
@@ -164,3 +160,12 @@
 		metrics.Label{Name: "service", Value: c.service.Name}, metrics.Label{Name: "decision", Value: label},
 		metrics.Label{Name: "by", Value: string(decision.Basis)}).Inc(1)
 }
+
+// countAnnouncement counts what an endpoint of a service announced in a response.
+func (m *requestMetrics) countAnnouncement(service, kind string) {
+	if m == nil {
+		return
+	}
+	m.registry.Counter("carawaystile_endpoint_announcements_total", "Responses in which endpoints asked for a time without requests, announced that they are draining, or had an unusable header.",
+		metrics.Label{Name: "service", Value: service}, metrics.Label{Name: "kind", Value: kind}).Inc(1)
+}
--- /dev/null
+++ b/forward/pushback.go
@@ -0,0 +1,71 @@
+package forward
+
+import (
+	"net/http"
+
+	"go.uber.org/zap"
+
+	"github.com/carawaystile/carawaystile/dialect"
+	"github.com/carawaystile/carawaystile/events"
+)
+
+// Kinds of announcements of endpoints, in metrics.
+const (
+	announcedPushback = "pushback"
+	announcedDraining = "draining"
+	announcedUnusable = "unusable"
+)
+
+// recordPushback records that the endpoint asks this instance for a time without requests.
+func (a *attempt) recordPushback(status int, header http.Header) {
+	s := a.request.server
+	text := header.Get(s.headers.RetryAfter)
+	if status != http.StatusServiceUnavailable || text == "" {
+		return
+	}
+	a.retryAfter = text
+	after, ok := dialect.ParseRetryAfter(text)
+	if !ok {
+		a.reportUnusableHeader(s.headers.RetryAfter, text, "")
+		return
+	}
+	s.metrics.countAnnouncement(a.placement.Endpoint.Service, announcedPushback)
+	events.EndpointPushedBack.Log(s.log, append(a.announcementFields(), zap.Duration("retry_after", after))...)
+}
+
+// recordDraining records that the endpoint announces that it is draining.
+func (a *attempt) recordDraining(header http.Header) {
+	s := a.request.server
+	text := header.Get(s.headers.Draining)
+	draining, ok := dialect.ParseDraining(text)
+	if !ok {
+		a.reportUnusableHeader(s.headers.Draining, text, "")
+	}
+	if !draining {
+		return
+	}
+	s.metrics.countAnnouncement(a.placement.Endpoint.Service, announcedDraining)
+	events.EndpointDraining.Log(s.log, a.announcementFields()...)
+}
+
+// maxLoggedValueBytes bounds a header value in the log.
+const maxLoggedValueBytes = 64
+
+// reportUnusableHeader logs a header value that is not used as it is; used tells what was
+// made of it.
+func (a *attempt) reportUnusableHeader(name, value, used string) {
+	s := a.request.server
+	s.metrics.countAnnouncement(a.placement.Endpoint.Service, announcedUnusable)
+	events.HeaderUnusable.Log(s.log, append(a.announcementFields(), zap.String("header", name),
+		zap.String("value", value[:min(len(value), maxLoggedValueBytes)]), zap.String("used", used))...)
+}
+
+// announcementFields returns the fields of an event that concerns the attempt's endpoint. The
+// attempt's request is under a name of its own: the event matters to other requests too.
+func (a *attempt) announcementFields() []zap.Field {
+	return []zap.Field{
+		zap.String("endpoint", string(a.placement.Endpoint.ID)),
+		zap.String("service", a.placement.Endpoint.Service),
+		zap.String("by_request", a.request.id),
+	}
+}
