Endpoints that push back get no requests until their time is over

What callers saw: requests that went to engines which had just asked for 3 s without requests, a 503 more and a millisecond or two, and repeats taken from the retry budget for nothing.

Cause: Retry-After of an endpoint's 503 was read by nobody. After a rejection an endpoint got no request for 100 ms, whatever it asked for. What it turns away does not run there, so it looked idle and was chosen by every rule.

Change: - dispatch keeps what a process has said of itself apart from its row, so that neither a success of an earlier request, nor a list that misses the endpoint or its start time, ends a pushback. A new process is free of it. - The choice leaves the endpoint out, here and where a scheduler chooses: the question names the endpoints that push the asker back, and the asker checks the answer. An attempt that waited for a rate limit is checked again. - All of a service pushing back: rejected at once, Retry-After is when the first time ends. The random part of a Retry-After is half a second at most. - The end: each instance adds up to a tenth, and until an endpoint has answered it has a sixteenth of its slots there. - Values that are no number of seconds are logged and ignored; times beyond ten minutes are logged and bounded. - explain names the endpoints that were left out and shows what they asked for.

Weighed: what instances share. The endpoint asks one instance, and may go on to take requests of others, so its word binds that one alone. Binding for all, an endpoint that throttles one instance would get no requests at all. So instances tell each other with their load reports, and the others prefer other endpoints, by the cost of one recent failure.

--- a/dispatch/availability.go
+++ b/dispatch/availability.go
@@ -69,10 +69,6 @@
 	return !a.unreachable && now >= a.backoffUntil && now >= a.absentUntil
 }
 
-// isBeingProbed reports whether the endpoint is half-open and its single probe is in
-// flight.
-func (a *availability) isBeingProbed() bool { return a.halfOpen && a.probes > 0 }
-
 // markAbsent records that the endpoint does not own its address until the given time.
 func (a *availability) markAbsent(until tables.Instant) {
 	if until > a.absentUntil {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/carawaystile/carawaystile/dialect"
@@ -51,6 +52,9 @@
 	Deadline tables.Instant
 	// Tried holds the endpoints at which this request has failed.
 	Tried []tables.EndpointID
+	// Avoided holds, for a request of another instance, the endpoints that have pushed that
+	// instance back.
+	Avoided []tables.EndpointID
 	// DeliveredAttempts counts the earlier attempts that may have been delivered to
 	// whatever process is at their endpoints' addresses.
 	DeliveredAttempts int
@@ -92,12 +96,12 @@
 
 // hasTried reports whether the request has failed at the endpoint.
 func (r *Request) hasTried(id tables.EndpointID) bool {
-	for _, t := range r.Tried {
-		if t == id {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(r.Tried, id)
+}
+
+// excludes reports whether the request must not be placed at the endpoint.
+func (r *Request) excludes(id tables.EndpointID) bool {
+	return r.hasTried(id) || slices.Contains(r.Avoided, id)
 }
 
 // memoryTokens returns the engine memory in tokens that the request occupies at its end.
@@ -158,50 +162,6 @@
 // HasCacheStore reports whether CacheStore is set.
 func (a *Attempt) HasCacheStore() bool { return a.CacheStore.Address.IsValid() }
 
-// Outcome is the result of an attempt.
-type Outcome uint8
-
-// The outcomes of an attempt.
-const (
-	// Completed: the endpoint's whole answer arrived, whatever its status.
-	Completed Outcome = iota
-	// Declined: the endpoint answered that it did not run the request.
-	Declined
-	// ConnectionRefused: the endpoint's address refused the connection.
-	ConnectionRefused
-	// ConnectTimeout: no connection was established in time. The endpoint is partitioned
-	// away or its machine is down.
-	ConnectTimeout
-	// Broken: the connection broke, or the response was malformed.
-	Broken
-	// ResponseTimeout: nothing was received for longer than expected.
-	ResponseTimeout
-	// Cancelled: ended on this side, for a reason other than a fault of the endpoint.
-	Cancelled
-	// Misdirected: what answered at the endpoint's address did not run the request,
-	// because it is another process or serves other weights.
-	Misdirected
-	// RateLimited: the endpoint's rate limit was exhausted; nothing was sent.
-	RateLimited
-)
-
-// lastOutcome is the outcome with the highest number.
-const lastOutcome = RateLimited
-
-// DecodeOutcome decodes an outcome that another instance sent. A number that this release
-// does not know decodes to Cancelled, which has no effect on the endpoint's health.
-func DecodeOutcome(n uint32) Outcome {
-	if n > uint32(lastOutcome) {
-		return Cancelled
-	}
-	return Outcome(n)
-}
-
-// String returns the outcome's name in logs and metrics.
-func (e Outcome) String() string {
-	return [...]string{"completed", "declined", "unreachable", "lost", "broken", "hung", "cancelled", "misdirected", "limited"}[e]
-}
-
 // RejectReason is why a request cannot be placed now.
 type RejectReason string
 
@@ -225,6 +185,9 @@
 type Dispatcher struct {
 	options   Options
 	endpoints map[tables.EndpointID]*endpointRow
+	// announcements holds those of the endpoints' processes, also of some that are no longer
+	// listed.
+	announcements map[tables.EndpointID]*announcements
 	// services lists the rows of each service in a fixed order.
 	services map[string][]*endpointRow
 	// populated is set once the first endpoint list has arrived; endpoints that are
@@ -264,6 +227,7 @@
 	return &Dispatcher{
 		options:         options,
 		endpoints:       map[tables.EndpointID]*endpointRow{},
+		announcements:   map[tables.EndpointID]*announcements{},
 		services:        map[string][]*endpointRow{},
 		retryWindows:    map[string]*retryWindow{},
 		instances:       defaultInstances,
@@ -289,6 +253,7 @@
 	a.endProbe()
 	d.releaseUnconfirmed(now, a)
 	a.row.markHealthy(now)
+	a.row.announced.recordAnswered(a.startedAt)
 	d.zoneRespondedAt[a.row.Zone] = now
 	a.row.prefillTokens -= a.prefillTokens
 	if a.remotelyPlaced {
--- a/dispatch/endpoints.go
+++ b/dispatch/endpoints.go
@@ -68,6 +68,8 @@
 	averages *serviceAverages
 	availability
 	limit rateLimitState
+	// announced is what the endpoint has said of itself in responses.
+	announced *announcements
 	// linkFreeAt is when the known transfers on the endpoint's link have ended.
 	linkFreeAt tables.Instant
 	// viewID identifies the last prompt view in which the endpoint held a prefix of the
@@ -126,7 +128,7 @@
 			known.removed = true
 		}
 		d.endpoints[id] = &endpointRow{
-			Endpoint: e, listed: e, isStore: e.IsKVStore, hash: xxhash.Sum64String(string(id)), serviceTime: defaultServiceTime,
+			Endpoint: e, listed: e, announced: d.announcementsOf(&e), isStore: e.IsKVStore, hash: xxhash.Sum64String(string(id)), serviceTime: defaultServiceTime,
 			averages: d.averagesOf(e.Service), prefillRate: d.averagesOf(e.Service).prefillRate(),
 			availability: availability{halfOpen: d.populated},
 		}
--- a/dispatch/load_reports.go
+++ b/dispatch/load_reports.go
@@ -19,6 +19,8 @@
 	AbsentFor time.Duration
 	// Limit is what is known of the endpoint's rate limit; nil if nothing is.
 	Limit *RateLimitReport
+	// Notice is what the endpoint has announced to this instance; nil for nothing.
+	Notice *Notice
 }
 
 const (
@@ -93,6 +95,7 @@
 			row.markAbsent(now + min(l.AbsentFor, maxAbsence))
 		}
 		row.limit.merge(now, l.Limit)
+		d.applyNotice(now, row, l.Notice)
 	}
 }
 
@@ -101,9 +104,10 @@
 func (d *Dispatcher) TakeLoadReports(now tables.Instant) []LoadReport {
 	if now-d.loadsSweptAt > loadSweepInterval {
 		d.loadsSweptAt = now
+		d.dropOldAnnouncements(now)
 		for _, row := range d.endpoints {
 			row.reported.removeExpired(now)
-			if (row.attempts > row.remotelyPlaced.attempts || row.limit.Limited) && now-row.loadReportedAt > loadReportInterval {
+			if (row.attempts > row.remotelyPlaced.attempts || row.limit.Limited || row.announced.notice(now) != nil) && now-row.loadReportedAt > loadReportInterval {
 				d.markDirty(row)
 			}
 		}
@@ -116,7 +120,7 @@
 			loads = append(loads, LoadReport{
 				Endpoint: row.ID, Running: row.attempts - row.remotelyPlaced.attempts, MemoryTokens: row.memoryTokens - row.remotelyPlaced.memoryTokens,
 				PrefillTokens: int(row.prefillTokens - row.remotelyPlaced.prefillTokens), LinkBusy: row.linkBusyFor(now), AbsentFor: row.absentFor(now),
-				Limit: row.limit.report(now),
+				Limit: row.limit.report(now), Notice: row.announced.notice(now),
 			})
 		}
 	}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -105,7 +105,7 @@
 func (d *Dispatcher) cheapest(now tables.Instant, r *Request, rows []*endpointRow, onlyConfirmed bool) (candidate, RejectReason) {
 	best, reason := candidate{cost: math.Inf(1)}, NoEndpoint
 	for _, row := range rows {
-		if r.hasTried(row.ID) || !d.isEligible(now, r, row) || onlyConfirmed && !d.addressConfirmed(now, row) {
+		if r.excludes(row.ID) || !d.isEligible(now, r, row) || onlyConfirmed && !d.addressConfirmed(now, row) {
 			continue
 		}
 		if !d.hasCapacity(now, r, row) {
@@ -140,6 +140,10 @@
 	if !row.acceptsRequests(now) || row.isBeingProbed() {
 		return false
 	}
+	// A request of another instance names the endpoints that have pushed that instance back.
+	if row.announced.pushedBack(now) && !r.Remote {
+		return false
+	}
 	if r.Model == "" {
 		return true
 	}
@@ -149,7 +153,16 @@
 
 // acceptsRequests reports whether the endpoint is neither draining nor unavailable.
 func (r *endpointRow) acceptsRequests(now tables.Instant) bool {
-	return !r.Draining && r.availability.available(now)
+	return !r.isLeaving() && r.availability.available(now)
+}
+
+// isLeaving reports whether the endpoint is about to stop.
+func (r *endpointRow) isLeaving() bool { return r.Draining }
+
+// isBeingProbed reports whether the endpoint has as many attempts as it may have until it has
+// answered one: a single one if it is half-open, a fraction of its slots after a pushback.
+func (r *endpointRow) isBeingProbed() bool {
+	return r.halfOpen && r.probes > 0 || r.announced.unproven && r.probes >= max(1, r.Slots/probeSlotsDivisor)
 }
 
 // versionAllowed reports whether requests may still begin on a version of a model's
@@ -191,6 +204,9 @@
 		c.cost += crossZoneCost
 	}
 	c.cost += failureCost * row.currentFailureScore(now)
+	if row.announced.pushedBackAny(now) {
+		c.cost += peerPushbackCost
+	}
 	c.cost += d.tieBreaker(row)
 	return c
 }
@@ -291,6 +307,9 @@
 		queuedPrefill:   c.row.queuedPrefill(now),
 		isGeneration:    r.Model != "",
 	}
+	if !r.Remote {
+		a.Rationale.PushingBack = d.PushingBack(now, c.row.Service, MaxNamedEndpoints)
+	}
 	if a.isGeneration {
 		c.row.averages.addRequest(a.memoryTokens, a.prefillTokens)
 		a.WeightsVersion = c.row.Weights[r.Model]
@@ -299,7 +318,7 @@
 		a.CacheSource = c.source.Endpoint
 		d.reserveLink(now, c.row, c.transfer)
 	}
-	if c.row.halfOpen {
+	if c.row.halfOpen || c.row.announced.unproven {
 		a.isProbe = true
 		c.row.probes++
 	}
--- /dev/null
+++ b/dispatch/pushback.go
@@ -0,0 +1,130 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/carawaystile/carawaystile/systems/placement"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// Server pushback: an endpoint that rejects a request may ask the sender for a time without
+// requests. An endpoint asks each instance by itself, and may go on to accept requests of
+// others. So the pushback binds the instance that was asked; other instances take it as a
+// sign of overload and prefer other endpoints.
+
+const (
+	// maxPushback bounds a pushback, so that an absurd value does not take an endpoint out of
+	// service for good.
+	maxPushback = 10 * time.Minute
+	// pushbackJitter is the largest random extension of a pushback, as a fraction of it, and
+	// maxPushbackJitter its limit. Instances that were pushed back together return spread out.
+	pushbackJitter    = 0.1
+	maxPushbackJitter = 500 * time.Millisecond
+	// minPeerExtension is by how much a report must extend the pushback of other instances to
+	// count as a new one instead of as a repetition.
+	minPeerExtension = 250 * time.Millisecond
+	// probeSlotsDivisor divides an endpoint's slots into the number of requests that an
+	// instance may have there at once after a pushback, until the endpoint has answered one.
+	probeSlotsDivisor = 16
+	// peerPushbackCost is the cost of an endpoint that has pushed back another instance, in
+	// milliseconds.
+	peerPushbackCost = failureCost
+	// MaxAvoidedEndpoints bounds the endpoints that a request to a scheduler names as pushing
+	// back.
+	MaxAvoidedEndpoints = 24
+	// MaxNamedEndpoints bounds the endpoints that a Rationale names, for logs.
+	MaxNamedEndpoints = 8
+)
+
+// pushback is the pushback of one endpoint.
+type pushback struct {
+	// until is when the endpoint accepts requests of this instance again.
+	until tables.Instant
+	// peersUntil is until when it accepts none of some other instance.
+	peersUntil tables.Instant
+	// unproven is set from a pushback on until the endpoint has answered an attempt that
+	// began after it, at learnedAt or later.
+	unproven  bool
+	learnedAt tables.Instant
+}
+
+// pushedBack reports whether the endpoint wants no requests from this instance.
+func (p *pushback) pushedBack(now tables.Instant) bool { return now < p.until }
+
+// pushedBackAny reports whether the endpoint wants no requests from some instance.
+func (p *pushback) pushedBackAny(now tables.Instant) bool {
+	return now < max(p.until, p.peersUntil)
+}
+
+func (p *pushback) recordPeerPushback(now tables.Instant, d time.Duration) {
+	if now+d > p.peersUntil+minPeerExtension {
+		p.unproven, p.learnedAt = true, now
+	}
+	p.peersUntil = max(p.peersUntil, now+d)
+}
+
+// recordAnswered records that the endpoint runs an attempt that began at the given time.
+func (p *pushback) recordAnswered(startedAt tables.Instant) {
+	if startedAt >= p.learnedAt {
+		p.unproven = false
+	}
+}
+
+// RecordPushback records that the attempt's endpoint wants no requests from this instance for
+// the given time. It returns the time that applies, which is bounded, and whether the endpoint
+// accepted requests before.
+func (d *Dispatcher) RecordPushback(now tables.Instant, a *Attempt, after time.Duration) (applied time.Duration, began bool) {
+	row := a.row
+	applied = min(after, maxPushback)
+	if applied <= 0 {
+		return 0, false
+	}
+	began = !row.announced.pushedBack(now)
+	row.announced.until = max(row.announced.until, now+applied+d.pushbackJitter(row, applied))
+	row.announced.unproven, row.announced.learnedAt = true, now
+	d.markDirty(row)
+	return applied, began
+}
+
+// pushbackJitter returns the pseudorandom extension of a pushback, which differs between
+// instances and endpoints.
+func (d *Dispatcher) pushbackJitter(row *endpointRow, after time.Duration) time.Duration {
+	hash := placement.Mix64(row.hash ^ d.options.Seed)
+	longest := min(time.Duration(pushbackJitter*float64(after)), maxPushbackJitter)
+	return time.Duration(float64(longest) * float64(hash>>40) / (1 << 24))
+}
+
+// PushedBackFor returns for how long no endpoint of the request's service accepts requests
+// of this instance, if all that may run the request have pushed it back. Endpoints that are
+// leaving or are known to be gone do not count.
+func (d *Dispatcher) PushedBackFor(now tables.Instant, r *Request) (left time.Duration, all bool) {
+	earliest := tables.Instant(0)
+	for _, row := range d.services[r.Service.Name] {
+		_, serves := row.Weights[r.Model]
+		switch {
+		case row.isLeaving() || row.unreachable || row.absentFor(now) > 0 || r.Model != "" && !serves:
+		case !row.announced.pushedBack(now):
+			return 0, false
+		case earliest == 0 || row.announced.until < earliest:
+			earliest = row.announced.until
+		}
+	}
+	return earliest - now, earliest > 0
+}
+
+// PushingBack returns the endpoints of a service that want no requests from this instance, at
+// most limit of them.
+func (d *Dispatcher) PushingBack(now tables.Instant, service string, limit int) []tables.EndpointID {
+	var ids []tables.EndpointID
+	for _, row := range d.services[service] {
+		if row.announced.pushedBack(now) && len(ids) < limit {
+			ids = append(ids, row.ID)
+		}
+	}
+	return ids
+}
+
+// AcceptsAttempt reports whether an attempt that was placed but not sent may still be sent.
+func (d *Dispatcher) AcceptsAttempt(now tables.Instant, a *Attempt) bool {
+	return a.row.acceptsRequests(now) && !a.row.announced.pushedBack(now)
+}
--- a/dispatch/rationale.go
+++ b/dispatch/rationale.go
@@ -55,12 +55,12 @@
 }
 
 // EndpointCounts breaks the endpoints of a service down by the first reason for which a
-// request cannot run there now: already tried by the request, draining, unavailable by
-// the passive health check, loading weights, serving other weights, rate limited, or at
+// request cannot run there now: already tried by the request, draining, pushing this
+// instance back, unavailable by the passive health check, loading weights, serving other weights, rate limited, or at
 // capacity. Listed is the total, Available the rest. OtherWeights includes half-open
 // endpoints whose probe is in flight.
 type EndpointCounts struct {
-	Listed, Tried, Draining, Unavailable, Loading, OtherWeights, RateLimited, AtCapacity, Available int
+	Listed, Tried, Draining, PushingBack, Unavailable, Loading, OtherWeights, RateLimited, AtCapacity, Available int
 }
 
 // CountEndpoints classifies the endpoints of the request's service.
@@ -72,8 +72,10 @@
 		switch {
 		case r.hasTried(row.ID):
 			c.Tried++
-		case row.Draining:
+		case row.isLeaving():
 			c.Draining++
+		case row.announced.pushedBack(now):
+			c.PushingBack++
 		case !row.availability.available(now):
 			c.Unavailable++
 		case r.Model != "" && row.Loading:
@@ -98,7 +100,7 @@
 		name string
 		n    int
 	}{
-		{"tried", c.Tried}, {"leaving", c.Draining}, {"avoided", c.Unavailable}, {"loading", c.Loading},
+		{"tried", c.Tried}, {"leaving", c.Draining}, {"pushing back", c.PushingBack}, {"avoided", c.Unavailable}, {"loading", c.Loading},
 		{"other weights", c.OtherWeights}, {"limited", c.RateLimited}, {"full", c.AtCapacity}, {"free", c.Available},
 	} {
 		if part.n > 0 {
@@ -122,6 +124,9 @@
 	// SinceResponse is the time since the endpoint last responded to this instance under
 	// its own identity; negative if it never did.
 	SinceResponse time.Duration
+	// PushingBack names endpoints of the service that were left out because they had pushed
+	// this instance back.
+	PushingBack []tables.EndpointID
 }
 
 // rationaleOf returns the state on which the choice of a candidate is based.
--- a/dispatch/remote.go
+++ b/dispatch/remote.go
@@ -58,7 +58,7 @@
 	if row != nil {
 		row.limit.merge(now, chosen.Limit)
 	}
-	if row == nil || r.hasTried(row.ID) || row.Weights[r.Model] > chosen.WeightsVersion {
+	if row == nil || r.excludes(row.ID) || row.announced.pushedBack(now) || row.Weights[r.Model] > chosen.WeightsVersion {
 		return nil
 	}
 	if row.Weights[r.Model] < chosen.WeightsVersion {
@@ -83,6 +83,7 @@
 		isGeneration:    true,
 		remotelyPlaced:  true,
 	}
+	a.Rationale.PushingBack = d.PushingBack(now, row.Service, MaxNamedEndpoints)
 	if source := d.endpoints[chosen.CacheSource]; source != nil && source.canServeFetch(now) {
 		a.CacheSource = source.Endpoint
 	}
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -167,7 +167,7 @@
 		s.dispatch.RecordEndpointLoad(now, a.placement, load)
 	}
 	a.recordRateLimit(now, header)
-	a.recordPushback(status, header)
+	a.recordPushback(now, status, header)
 	a.recordDraining(header)
 	if version, err := strconv.ParseUint(header.Get(h.Weights), 10, 64); err == nil && a.request.dispatchRequest.Model != "" {
 		s.dispatch.RecordServedVersion(a.placement, a.request.dispatchRequest.Model, version)
@@ -300,7 +300,7 @@
 	if a.retryAfter != "" {
 		fields = append(fields, zap.String("retry_after", a.retryAfter))
 	}
-	return fields
+	return append(fields, avoidedFields(&a.placement.Rationale)...)
 }
 
 // placedBy returns what placed the attempt, for logs and metrics.
--- a/forward/endpointlimit.go
+++ b/forward/endpointlimit.go
@@ -23,10 +23,14 @@
 func (s *Server) placeWithinLimits(c *clientRequest) (*dispatch.Attempt, dispatch.RejectReason) {
 	for range maxRateLimitedPlacements {
 		placement, reason := s.placeOnce(c)
-		if placement == nil || s.admitAtEndpoint(c, placement) {
-			return placement, reason
+		if placement == nil {
+			return nil, reason
 		}
-		c.assignment.NotifyEnded(dispatch.RateLimited)
+		refusal, admitted := s.admitAtEndpoint(c, placement)
+		if admitted {
+			return placement, ""
+		}
+		c.assignment.NotifyEnded(refusal)
 		c.assignment = nil
 		c.rateLimitedPlacements++
 	}
@@ -34,21 +38,26 @@
 }
 
 // admitAtEndpoint counts an attempt against its endpoint's rate limit, and reports whether
-// the limit admits it. If not, the attempt has ended.
-func (s *Server) admitAtEndpoint(c *clientRequest, placement *dispatch.Attempt) bool {
+// the limit admits it. If not, the attempt has ended with the returned outcome.
+func (s *Server) admitAtEndpoint(c *clientRequest, placement *dispatch.Attempt) (refusal dispatch.Outcome, admitted bool) {
 	limit := s.endpointLimit(placement)
 	if !limit.Limited || s.options.RateLimiter == nil {
-		return true
+		return 0, true
 	}
 	decision := s.options.RateLimiter.Admit(c.ctx, usage.EndpointSubject(placement.Endpoint.ID), usage.EndpointLimit(limit.PerSecond), 1)
 	s.metrics.countLimitDecision(c, decision)
-	if decision.Admitted {
-		return true
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.dispatch.RecordRateLimited(s.options.Now(), placement, decision.RetryAfter)
-	return false
+	if !decision.Admitted {
+		s.dispatch.RecordRateLimited(s.options.Now(), placement, decision.RetryAfter)
+		return dispatch.RateLimited, false
+	}
+	// The endpoint may have pushed back another request while the limiter decided.
+	if !s.dispatch.AcceptsAttempt(s.options.Now(), placement) {
+		s.dispatch.RecordOutcome(s.options.Now(), placement, dispatch.Cancelled)
+		return dispatch.Cancelled, false
+	}
+	return 0, true
 }
 
 // endpointLimit returns the known rate limit of the attempt's endpoint.
--- a/forward/failure.go
+++ b/forward/failure.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -26,8 +27,10 @@
 	// second.
 	retryAfterOverload = 500 * time.Millisecond
 	// retryAfterJitter is the maximum random increase of a delay, as a fraction of it. It
-	// keeps clients that were rejected together from retrying together.
-	retryAfterJitter = 0.5
+	// keeps clients that were rejected together from retrying together. maxRetryAfterJitter
+	// bounds the increase.
+	retryAfterJitter    = 0.5
+	maxRetryAfterJitter = 500 * time.Millisecond
 )
 
 // finishFailed ends a request that cannot be retried. The client receives a fallback
@@ -47,7 +50,7 @@
 	}
 	switch state := c.state.(type) {
 	case *outcome.Undispatched:
-		c.respondFailure(state.Refuse(tables.Refusal{Code: code, RetryAfter: retryAfterOverload}))
+		c.respondFailure(state.Refuse(tables.Refusal{Code: code, RetryAfter: cmp.Or(c.retryAfter, retryAfterOverload)}))
 	case *outcome.Dispatched:
 		c.respondFailure(state.Fail(code, outcome.MayHaveRun, 0))
 	}
@@ -72,8 +75,9 @@
 		status = http.StatusGatewayTimeout
 	}
 	if f.Outcome() == tables.OutcomeNotRun && f.RetryAfter > 0 {
-		retryAfter := f.RetryAfter.Seconds() * (1 + retryAfterJitter*rand.Float64())
-		c.w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter, 'f', 3, 64))
+		jitter := min(time.Duration(retryAfterJitter*float64(f.RetryAfter)), maxRetryAfterJitter)
+		retryAfter := f.RetryAfter + time.Duration(rand.Float64()*float64(jitter))
+		c.w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
 	c.writeFailure(status, f.Code, f.Outcome())
 }
@@ -92,16 +96,18 @@
 	_, _ = c.w.Write([]byte(strconv.Itoa(int(code)) + " " + string(result) + "\n"))
 	c.finished = true
 	c.server.metrics.countFailed(c, code, result)
-	events.RequestFailed.Log(c.server.log, append(c.logFields(),
+	events.RequestFailed.Log(c.server.log, append(append(c.logFields(), c.avoidedFields()...),
 		zap.Int("status", status), zap.Uint16("code", uint16(code)), zap.String("outcome", string(result)),
-		zap.String("endpoints", c.endpointCounts()), zap.NamedError("cause", c.lastErr))...)
+		zap.String("endpoints", c.endpointCounts()), zap.String("retry_after", header.Get("Retry-After")),
+		zap.NamedError("cause", c.lastErr))...)
 }
 
 // finishAnswered ends a request whose client has received an endpoint's response.
 func (c *clientRequest) finishAnswered(status int, a *attempt) {
 	c.finished = true
 	c.server.metrics.observeAnswered(c, status)
-	events.RequestAnswered.Log(c.server.log, append(c.logFields(),
+	fields := append(c.logFields(), avoidedFields(&a.placement.Rationale)...)
+	events.RequestAnswered.Log(c.server.log, append(fields,
 		zap.Int("status", status), zap.Duration("first", c.timeToFirstEvent), zap.Duration("placed", a.startedAt-c.arrivedAt),
 		zap.String("endpoint", string(a.placement.Endpoint.ID)), zap.Uint64("weights", a.placement.WeightsVersion),
 		zap.Duration("target", c.latencyTarget()), zap.Duration("expected", a.placement.ExpectedLatency),
--- a/forward/place.go
+++ b/forward/place.go
@@ -36,6 +36,10 @@
 	}
 	waitUntil := s.options.Now() + maxWait
 	for {
+		if pause, all := s.pushedBackFor(c); all && s.options.Now()+pause > waitUntil {
+			c.retryAfter = pause
+			return nil, tables.CodeOverloaded
+		}
 		placement, reason := s.placeWithinLimits(c)
 		if placement != nil {
 			return placement, 0
@@ -56,6 +60,14 @@
 	}
 }
 
+// pushedBackFor returns for how long no endpoint accepts the request from this instance, if
+// all of them have pushed it back.
+func (s *Server) pushedBackFor(c *clientRequest) (pause time.Duration, all bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dispatch.PushedBackFor(s.options.Now(), &c.dispatchRequest)
+}
+
 // placeOnce places the next attempt through a scheduler or, if none decides, locally. An
 // empty reason means that the request is quarantined because it crashes endpoints.
 func (s *Server) placeOnce(c *clientRequest) (*dispatch.Attempt, dispatch.RejectReason) {
--- a/forward/pushback.go
+++ b/forward/pushback.go
@@ -6,7 +6,9 @@
 	"go.uber.org/zap"
 
 	"github.com/carawaystile/carawaystile/dialect"
+	"github.com/carawaystile/carawaystile/dispatch"
 	"github.com/carawaystile/carawaystile/events"
+	"github.com/carawaystile/carawaystile/tables"
 )
 
 // Kinds of announcements of endpoints, in metrics.
@@ -17,7 +19,8 @@
 )
 
 // recordPushback records that the endpoint asks this instance for a time without requests.
-func (a *attempt) recordPushback(status int, header http.Header) {
+// The caller holds the server's mu.
+func (a *attempt) recordPushback(now tables.Instant, status int, header http.Header) {
 	s := a.request.server
 	text := header.Get(s.headers.RetryAfter)
 	if status != http.StatusServiceUnavailable || text == "" {
@@ -29,8 +32,14 @@
 		a.reportUnusableHeader(s.headers.RetryAfter, text, "")
 		return
 	}
+	applied, began := s.dispatch.RecordPushback(now, a.placement, after)
+	if applied < after {
+		a.reportUnusableHeader(s.headers.RetryAfter, text, applied.String())
+	}
 	s.metrics.countAnnouncement(a.placement.Endpoint.Service, announcedPushback)
-	events.EndpointPushedBack.Log(s.log, append(a.announcementFields(), zap.Duration("retry_after", after))...)
+	if began {
+		events.EndpointPushedBack.Log(s.log, append(a.announcementFields(), zap.Duration("retry_after", applied))...)
+	}
 }
 
 // recordDraining records that the endpoint announces that it is draining.
@@ -69,3 +78,28 @@
 		zap.String("by_request", a.request.id),
 	}
 }
+
+// avoidedFields returns the fields that name the endpoints which a placement left out for
+// what they had announced.
+func avoidedFields(r *dispatch.Rationale) []zap.Field {
+	if len(r.PushingBack) == 0 {
+		return nil
+	}
+	return []zap.Field{zap.Strings("pushing_back", endpointNames(r.PushingBack))}
+}
+
+// avoidedFields returns the same for a request that no placement was found for.
+func (c *clientRequest) avoidedFields() []zap.Field {
+	if c.service == nil {
+		return nil
+	}
+	return avoidedFields(&dispatch.Rationale{PushingBack: c.server.pushingBack(c.service.Name, dispatch.MaxNamedEndpoints)})
+}
+
+func endpointNames(ids []tables.EndpointID) []string {
+	names := make([]string, len(ids))
+	for i, id := range ids {
+		names[i] = string(id)
+	}
+	return names
+}
--- a/forward/pushback_test.go
+++ b/forward/pushback_test.go
@@ -2,12 +2,18 @@
 
 import (
 	"net/http"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
 
+	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/tables"
 )
 
@@ -59,6 +65,19 @@
 	return arrivals
 }
 
+// sendUntilDelivered sends requests, all of which must succeed, until the endpoint gets one.
+func (c *cluster) sendUntilDelivered(t *testing.T, endpoint *fakeEndpoint) {
+	t.Helper()
+	before := len(endpoint.requests())
+	for range 50 {
+		assert.Equal(t, c.send(t), 200)
+		if len(endpoint.requests()) > before {
+			return
+		}
+	}
+	t.Fatalf("no request has reached %s", endpoint.id)
+}
+
 // countBetween returns how many times lie after from and before to.
 func countBetween(times []tables.Instant, from, to tables.Instant) int {
 	count := 0
@@ -90,6 +109,80 @@
 	}
 }
 
+// Guards against requests that wait, or that go to endpoints, while every endpoint has asked
+// for a time without requests, and against clients that are told to return too early.
+func TestRequestIsRejectedAtOnceWhileAllEndpointsPushBack(t *testing.T) {
+	var overloaded atomic.Bool
+	overloaded.Store(true)
+	c := newCluster(t, 1, whileSet(&overloaded, pushBack("3")), whileSet(&overloaded, pushBack("2.5")))
+	for left := 2500 * time.Millisecond; left > 0; left -= 500 * time.Millisecond {
+		resp := c.instances[0].send(t, "POST", "/once/x", "")
+		assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+		seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+		assert.NilError(t, err)
+		assert.Assert(t, seconds >= left.Seconds() && seconds < left.Seconds()+1, "%v s to go, Retry-After %v", left, seconds)
+		c.advance(500 * time.Millisecond)
+	}
+	assert.Equal(t, c.instances[0].deliveredCount(), 2)
+	overloaded.Store(false)
+	c.advance(time.Second)
+	assert.Equal(t, c.send(t), 200)
+}
+
+// Guards against a pushback of less than a second that is rounded away.
+func TestPushbackMayHaveAFraction(t *testing.T) {
+	c := newCluster(t, 1, pushBack("0.4"))
+	for range 4 {
+		assert.Equal(t, c.send(t), http.StatusServiceUnavailable)
+		c.advance(100 * time.Millisecond)
+	}
+	assert.Equal(t, c.instances[0].deliveredCount(), 1)
+	c.advance(100 * time.Millisecond)
+	c.send(t)
+	assert.Equal(t, c.instances[0].deliveredCount(), 2)
+}
+
+// Guards against a malformed or absurd Retry-After that takes an endpoint out of service, or
+// that nobody hears of.
+func TestUnusableRetryAfterIsLogged(t *testing.T) {
+	for _, value := range []string{"-1", "soon", "NaN", "1e400", "Wed, 21 Oct 2026 07:28:00 GMT", strings.Repeat("9", 1000) + "x", "1e12"} {
+		var overloaded atomic.Bool
+		c := newCluster(t, 1, whileSet(&overloaded, pushBack(value)), respond(200, "ok"))
+		c.arrivalTimes(t, c.endpoints.all[0], time.Second, 50*time.Millisecond)
+		overloaded.Store(true)
+		core, logged := observer.New(zapcore.WarnLevel)
+		c.instances[0].server.log = zap.New(core)
+		c.sendUntilDelivered(t, c.endpoints.all[0])
+		lines := logged.FilterField(zap.Uint16("event", uint16(events.HeaderUnusable.Number))).All()
+		assert.Equal(t, len(lines), 1, value)
+		overloaded.Store(false)
+		c.advance(time.Hour)
+		c.sendUntilDelivered(t, c.endpoints.all[0])
+	}
+}
+
+// Guards against a stream that is resumed at an endpoint which has asked for a time without
+// requests.
+func TestStreamIsNotResumedWhereItWasPushedBack(t *testing.T) {
+	pushed, breaking := atomic.Int32{}, atomic.Int32{}
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case pushed.Add(1) == 1:
+			pushBack("60")(w, r)
+		case breaking.Add(1) == 1:
+			streamEvents(2, 5)(w, r)
+		default:
+			streamEvents(5, 5)(w, r)
+		}
+	}
+	h := newHarness(t, handler, handler, handler)
+	resp := h.send(t, "POST", "/resume/x", "", "X-Model", "m", "X-Tokens", "100,10", "X-Prefix", "a:50,b:50")
+	assert.Assert(t, strings.HasSuffix(readBody(t, resp), "id: 5\ndata: t5\n\n"))
+	for _, endpoint := range h.endpoints {
+		assert.Equal(t, len(endpoint.requests()), 1, endpoint.id)
+	}
+}
+
 // Guards against requests to an endpoint that has announced in a response that it is
 // draining, while the platform's list does not show it yet.
 func TestEndpointThatAnnouncesDrainingGetsNoRequests(t *testing.T) {
--- a/forward/request.go
+++ b/forward/request.go
@@ -56,6 +56,9 @@
 	attemptsUsed int
 	// rateLimitedPlacements counts the placements that endpoints' rate limits did not admit.
 	rateLimitedPlacements int
+	// retryAfter is the time after which a client that is rejected should retry; 0 for the
+	// default.
+	retryAfter time.Duration
 	// fallbackResponse is a server error (5xx) of an endpoint. The client receives it if no
 	// retry produces a response.
 	fallbackResponse *bufferedResponse
--- a/forward/scheduled.go
+++ b/forward/scheduled.go
@@ -7,6 +7,7 @@
 	"github.com/carawaystile/carawaystile/dispatch"
 	"github.com/carawaystile/carawaystile/routes"
 	"github.com/carawaystile/carawaystile/schedule"
+	"github.com/carawaystile/carawaystile/tables"
 )
 
 // Scheduler delegates placements to other instances, the schedulers.
@@ -27,6 +28,7 @@
 		return nil, "", false
 	}
 	request := c.dispatchRequest
+	request.Avoided = s.pushingBack(c.service.Name, dispatch.MaxAvoidedEndpoints)
 	request.ConfirmedOnly = request.DeliveredAttempts > 0 && !s.canRetryUnconfirmed()
 	for range maxScheduleAttempts {
 		assignment := s.options.Scheduler.Ask(c.ctx, &request)
@@ -47,6 +49,14 @@
 	return nil, "", false
 }
 
+// pushingBack returns the endpoints of a service that have pushed this instance back, at most
+// limit of them.
+func (s *Server) pushingBack(service string, limit int) []tables.EndpointID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dispatch.PushingBack(s.options.Now(), service, limit)
+}
+
 // canRetryUnconfirmed reports whether a retry may be sent to an endpoint whose address may
 // belong to another process by now.
 func (s *Server) canRetryUnconfirmed() bool {
--- a/logs/trail/trail.go
+++ b/logs/trail/trail.go
@@ -200,15 +200,50 @@
 	return t, nil
 }
 
+// fieldsOfAvoided are the fields that name endpoints which were left out for what they had
+// announced, with the event of that announcement.
+var fieldsOfAvoided = map[string]events.Number{
+	"pushing_back": events.EndpointPushedBack.Number,
+}
+
+// announcement identifies the announcement of an endpoint to an instance.
+type announcement struct {
+	endpoint, instance string
+	event              events.Number
+}
+
+// avoided returns the announcements for which endpoints were left out.
+func (t *Trace) avoided() map[announcement]bool {
+	found := map[announcement]bool{}
+	for i := range t.Lines {
+		for field, event := range fieldsOfAvoided {
+			names, _ := t.Lines[i].Fields[field].([]any)
+			for _, name := range names {
+				if endpoint, ok := name.(string); ok {
+					found[announcement{endpoint: endpoint, instance: t.Lines[i].Instance, event: event}] = true
+				}
+			}
+		}
+	}
+	return found
+}
+
 // selectContext keeps the lines of a time span that concern the request's endpoints or
-// instances.
+// instances, and the last announcements for which endpoints were left out, however old.
 func (t *Trace) selectContext(around []Line, from, to time.Time) {
 	endpoints, instances := map[string]bool{}, map[string]bool{}
 	for i := range t.Lines {
 		endpoints[t.Lines[i].Field("endpoint")] = true
 		instances[t.Lines[i].Instance] = true
 	}
+	avoided, latest := t.avoided(), map[announcement]Line{}
 	for _, line := range around {
+		if key := (announcement{line.Field("endpoint"), line.Instance, line.Event}); avoided[key] && !line.At.After(to) {
+			if !line.At.Before(latest[key].At) {
+				latest[key] = line
+			}
+			continue
+		}
 		if line.At.Before(from) || line.At.After(to) {
 			continue
 		}
@@ -220,6 +255,9 @@
 			t.Context = append(t.Context, line)
 		}
 	}
+	for _, line := range latest {
+		t.Context = append(t.Context, line)
+	}
 }
 
 // missing returns the addresses of control instances that other instances followed or lost,
--- a/node/entry.go
+++ b/node/entry.go
@@ -156,7 +156,7 @@
 	for _, l := range loads {
 		hints.Loads = append(hints.Loads, membership.Load{
 			Endpoint: l.Endpoint, Running: l.Running, CacheTokens: l.MemoryTokens, PrefillTokens: l.PrefillTokens, LinkBusy: l.LinkBusy, AbsentFor: l.AbsentFor,
-			Limit: membershipRateLimit(l.Limit),
+			Limit: membershipRateLimit(l.Limit), Notice: (*membership.EndpointNotice)(l.Notice),
 		})
 	}
 	n.remotePlacements.Add(membership.Hints{Placements: hints.Placements})
@@ -188,7 +188,7 @@
 	if n.entry != nil {
 		n.entry.ApplyLoadReport(l.Instance, dispatch.LoadReport{
 			Endpoint: l.Endpoint, Running: l.Running, MemoryTokens: l.CacheTokens, PrefillTokens: l.PrefillTokens, LinkBusy: l.LinkBusy, AbsentFor: l.AbsentFor,
-			Limit: dispatchRateLimit(l.Limit),
+			Limit: dispatchRateLimit(l.Limit), Notice: (*dispatch.Notice)(l.Notice),
 		})
 	}
 }
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -46,6 +46,9 @@
 	for _, id := range r.Tried {
 		q.Tried = append(q.Tried, string(id))
 	}
+	for _, id := range r.Avoided {
+		q.Avoided = append(q.Avoided, string(id))
+	}
 	return q
 }
 
@@ -72,6 +75,9 @@
 	for _, id := range q.GetTried() {
 		r.Tried = append(r.Tried, tables.EndpointID(id))
 	}
+	for _, id := range q.GetAvoided() {
+		r.Avoided = append(r.Avoided, tables.EndpointID(id))
+	}
 	if q.GetCounted() {
 		r.MarkDemandCounted()
 	}
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -258,11 +258,12 @@
 func TestQuestionRoundTripKeepsRequest(t *testing.T) {
 	p := newDispatcherPlacer(3)
 	r := generationRequest(p, 5)
-	r.Priority, r.Tried = 3, []tables.EndpointID{"A", "B"}
+	r.Priority, r.Tried, r.Avoided = 3, []tables.EndpointID{"A", "B"}, []tables.EndpointID{"C", "D"}
 	r.ArrivedAt = p.now - 200*time.Millisecond
 	got := decodeQuestion(p.now, encodeQuestion(p.now, r), p.service)
 	assert.Equal(t, got.Priority, 3)
 	assert.DeepEqual(t, got.Tried, r.Tried)
+	assert.DeepEqual(t, got.Avoided, r.Avoided)
 	assert.DeepEqual(t, got.SharedParts, r.SharedParts)
 	assert.Equal(t, got.ArrivedAt, r.ArrivedAt)
 	assert.Equal(t, got.Deadline, r.Deadline)
--- a/systems/membership/hints.go
+++ b/systems/membership/hints.go
@@ -40,6 +40,16 @@
 	// Limit is the endpoint's rate limit as known to the instance; nil if it is
 	// unknown.
 	Limit *RateLimit
+	// Notice is what the endpoint has announced to the instance; nil for nothing.
+	Notice *EndpointNotice
+}
+
+// EndpointNotice is what an endpoint has announced to an instance in a response.
+type EndpointNotice struct {
+	// StartUnixMilli identifies the endpoint's process; zero if its start is not known.
+	StartUnixMilli int64
+	// PushbackFor is for how much longer the endpoint wants no requests from the instance.
+	PushbackFor time.Duration
 }
 
 // RateLimit is how many requests per second an endpoint accepts from all instances
@@ -204,7 +214,7 @@
 		encoded := &rpc.EndpointLoad{
 			Endpoint: string(l.Endpoint), Running: uint32(l.Running), Tokens: uint32(l.CacheTokens), Prefill: uint32(l.PrefillTokens),
 			LinkMs: uint32(l.LinkBusy.Milliseconds()), AbsentMs: uint32(l.AbsentFor.Milliseconds()),
-			Limit: encodeRateLimit(l.Limit),
+			Limit: encodeRateLimit(l.Limit), Notice: encodeNotice(l.Notice),
 		}
 		size := proto.Size(encoded) + fieldOverhead
 		if size > *room {
@@ -236,6 +246,7 @@
 			LinkBusy:  time.Duration(encoded.GetLinkMs()) * time.Millisecond,
 			AbsentFor: time.Duration(encoded.GetAbsentMs()) * time.Millisecond,
 			Limit:     decodeRateLimit(encoded.GetLimit()),
+			Notice:    decodeNotice(encoded.GetNotice()),
 		})
 	}
 }
@@ -255,3 +266,19 @@
 	}
 	return &RateLimit{Limited: l.GetLimited(), PerSecond: l.GetPerSecond(), Age: time.Duration(l.GetAgeMs()) * time.Millisecond}
 }
+
+// encodeNotice returns the wire format of an endpoint's notice, nil if there is none.
+func encodeNotice(n *EndpointNotice) *rpc.EndpointNotice {
+	if n == nil {
+		return nil
+	}
+	return &rpc.EndpointNotice{Start: n.StartUnixMilli, PushbackMs: uint32(n.PushbackFor.Milliseconds())}
+}
+
+// decodeNotice decodes an endpoint's notice, nil if there is none.
+func decodeNotice(n *rpc.EndpointNotice) *EndpointNotice {
+	if n == nil {
+		return nil
+	}
+	return &EndpointNotice{StartUnixMilli: n.GetStart(), PushbackFor: time.Duration(n.GetPushbackMs()) * time.Millisecond}
+}
