Endpoints that announce their end get no more requests

What callers saw: nothing was reported. Requests went on to endpoints that had said in every answer that they are about to stop, until the platform's list showed it (it lags by 0.8 s and is polled each 0.5 s); streams begun there are cut when the endpoint ends.

Change: an announcement counts as the list's word does, at once and for as long as the process lives; a list without the endpoint or without its start time does not end it, a process with another start time does.

Shared: yes, and binding for all. Unlike a pushback it is a fact about the process, not a request to one instance, and it is never withdrawn. Only instances that were told pass it on, with their load reports each second, until the list shows it; a notice names the start of the process.

--- a/dispatch/announcements.go
+++ b/dispatch/announcements.go
@@ -14,6 +14,9 @@
 type announcements struct {
 	address        netip.AddrPort
 	startUnixMilli int64
+	// draining is set once the process is known to be about to stop, and toldDraining if it
+	// has told this instance. A process that is about to stop does not change its mind.
+	draining, toldDraining bool
 	pushback
 	// unlistedSince is when the endpoint was first seen to have no row; zero while it has one.
 	unlistedSince tables.Instant
@@ -63,16 +66,24 @@
 type Notice struct {
 	// StartUnixMilli identifies the process; zero if its start is not known.
 	StartUnixMilli int64
+	// Draining is set if the process is about to stop.
+	Draining bool
 	// PushbackFor is for how much longer the endpoint wants no requests from the sender.
 	PushbackFor time.Duration
 }
 
-// notice returns what other instances need to know; nil for nothing.
-func (a *announcements) notice(now tables.Instant) *Notice {
-	if !a.pushedBack(now) {
+// notice returns what other instances need to know; nil for nothing. They need not be told
+// that an endpoint is draining once the platform's list says so.
+func (r *endpointRow) notice(now tables.Instant) *Notice {
+	n := Notice{
+		StartUnixMilli: r.announced.startUnixMilli,
+		Draining:       r.announced.toldDraining && !r.Draining,
+		PushbackFor:    max(0, r.announced.until-now),
+	}
+	if !n.Draining && n.PushbackFor == 0 {
 		return nil
 	}
-	return &Notice{StartUnixMilli: a.startUnixMilli, PushbackFor: a.until - now}
+	return &n
 }
 
 // applyNotice applies another instance's notice unless it concerns another process.
@@ -80,7 +91,32 @@
 	if n == nil || !row.announced.isOfStart(n.StartUnixMilli) {
 		return
 	}
+	row.announced.draining = row.announced.draining || n.Draining
 	if n.PushbackFor > 0 {
 		row.announced.recordPeerPushback(now, min(n.PushbackFor, maxPushback)+d.pushbackJitter(row, n.PushbackFor))
 	}
 }
+
+// RecordDraining records that the attempt's endpoint has announced that it is about to stop,
+// and reports whether this instance was not told before.
+func (d *Dispatcher) RecordDraining(a *Attempt) (first bool) {
+	announced := a.row.announced
+	first = !announced.toldDraining
+	announced.draining, announced.toldDraining = true, true
+	if first {
+		d.markDirty(a.row)
+	}
+	return first
+}
+
+// AnnouncedDraining returns the endpoints of a service that are known to be about to stop
+// though the platform's list does not say so, at most limit of them.
+func (d *Dispatcher) AnnouncedDraining(service string, limit int) []tables.EndpointID {
+	var ids []tables.EndpointID
+	for _, row := range d.services[service] {
+		if row.announced.draining && !row.Draining && len(ids) < limit {
+			ids = append(ids, row.ID)
+		}
+	}
+	return ids
+}
--- a/dispatch/load_reports.go
+++ b/dispatch/load_reports.go
@@ -107,7 +107,7 @@
 		d.dropOldAnnouncements(now)
 		for _, row := range d.endpoints {
 			row.reported.removeExpired(now)
-			if (row.attempts > row.remotelyPlaced.attempts || row.limit.Limited || row.announced.notice(now) != nil) && now-row.loadReportedAt > loadReportInterval {
+			if (row.attempts > row.remotelyPlaced.attempts || row.limit.Limited || row.notice(now) != nil) && now-row.loadReportedAt > loadReportInterval {
 				d.markDirty(row)
 			}
 		}
@@ -120,7 +120,7 @@
 			loads = append(loads, LoadReport{
 				Endpoint: row.ID, Running: row.attempts - row.remotelyPlaced.attempts, MemoryTokens: row.memoryTokens - row.remotelyPlaced.memoryTokens,
 				PrefillTokens: int(row.prefillTokens - row.remotelyPlaced.prefillTokens), LinkBusy: row.linkBusyFor(now), AbsentFor: row.absentFor(now),
-				Limit: row.limit.report(now), Notice: row.announced.notice(now),
+				Limit: row.limit.report(now), Notice: row.notice(now),
 			})
 		}
 	}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -156,8 +156,9 @@
 	return !r.isLeaving() && r.availability.available(now)
 }
 
-// isLeaving reports whether the endpoint is about to stop.
-func (r *endpointRow) isLeaving() bool { return r.Draining }
+// isLeaving reports whether the endpoint is about to stop, by the platform's list or by its
+// own word, which comes earlier.
+func (r *endpointRow) isLeaving() bool { return r.Draining || r.announced.draining }
 
 // isBeingProbed reports whether the endpoint has as many attempts as it may have until it has
 // answered one: a single one if it is half-open, a fraction of its slots after a pushback.
@@ -308,7 +309,7 @@
 		isGeneration:    r.Model != "",
 	}
 	if !r.Remote {
-		a.Rationale.PushingBack = d.PushingBack(now, c.row.Service, MaxNamedEndpoints)
+		d.nameAvoided(now, &a.Rationale, c.row.Service)
 	}
 	if a.isGeneration {
 		c.row.averages.addRequest(a.memoryTokens, a.prefillTokens)
--- a/dispatch/rationale.go
+++ b/dispatch/rationale.go
@@ -127,6 +127,23 @@
 	// PushingBack names endpoints of the service that were left out because they had pushed
 	// this instance back.
 	PushingBack []tables.EndpointID
+	// Draining names endpoints of the service that were left out because they had announced
+	// that they are about to stop.
+	Draining []tables.EndpointID
+}
+
+// Avoided returns a Rationale with only the endpoints of a service that are left out for what
+// they have announced.
+func (d *Dispatcher) Avoided(now tables.Instant, service string) *Rationale {
+	var r Rationale
+	d.nameAvoided(now, &r, service)
+	return &r
+}
+
+// nameAvoided sets the endpoints of a service that are left out for what they have announced.
+func (d *Dispatcher) nameAvoided(now tables.Instant, r *Rationale, service string) {
+	r.PushingBack = d.PushingBack(now, service, MaxNamedEndpoints)
+	r.Draining = d.AnnouncedDraining(service, MaxNamedEndpoints)
 }
 
 // rationaleOf returns the state on which the choice of a candidate is based.
--- a/dispatch/remote.go
+++ b/dispatch/remote.go
@@ -83,7 +83,7 @@
 		isGeneration:    true,
 		remotelyPlaced:  true,
 	}
-	a.Rationale.PushingBack = d.PushingBack(now, row.Service, MaxNamedEndpoints)
+	d.nameAvoided(now, &a.Rationale, row.Service)
 	if source := d.endpoints[chosen.CacheSource]; source != nil && source.canServeFetch(now) {
 		a.CacheSource = source.Endpoint
 	}
--- a/forward/pushback.go
+++ b/forward/pushback.go
@@ -42,7 +42,8 @@
 	}
 }
 
-// recordDraining records that the endpoint announces that it is draining.
+// recordDraining records that the endpoint announces that it is draining. The caller holds
+// the server's mu.
 func (a *attempt) recordDraining(header http.Header) {
 	s := a.request.server
 	text := header.Get(s.headers.Draining)
@@ -54,7 +55,9 @@
 		return
 	}
 	s.metrics.countAnnouncement(a.placement.Endpoint.Service, announcedDraining)
-	events.EndpointDraining.Log(s.log, a.announcementFields()...)
+	if s.dispatch.RecordDraining(a.placement) {
+		events.EndpointDraining.Log(s.log, a.announcementFields()...)
+	}
 }
 
 // maxLoggedValueBytes bounds a header value in the log.
@@ -82,10 +85,14 @@
 // avoidedFields returns the fields that name the endpoints which a placement left out for
 // what they had announced.
 func avoidedFields(r *dispatch.Rationale) []zap.Field {
-	if len(r.PushingBack) == 0 {
-		return nil
+	var fields []zap.Field
+	if len(r.PushingBack) > 0 {
+		fields = append(fields, zap.Strings("pushing_back", endpointNames(r.PushingBack)))
+	}
+	if len(r.Draining) > 0 {
+		fields = append(fields, zap.Strings("draining", endpointNames(r.Draining)))
 	}
-	return []zap.Field{zap.Strings("pushing_back", endpointNames(r.PushingBack))}
+	return fields
 }
 
 // avoidedFields returns the same for a request that no placement was found for.
@@ -93,7 +100,10 @@
 	if c.service == nil {
 		return nil
 	}
-	return avoidedFields(&dispatch.Rationale{PushingBack: c.server.pushingBack(c.service.Name, dispatch.MaxNamedEndpoints)})
+	s := c.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return avoidedFields(s.dispatch.Avoided(s.options.Now(), c.service.Name))
 }
 
 func endpointNames(ids []tables.EndpointID) []string {
--- a/forward/scheduled.go
+++ b/forward/scheduled.go
@@ -28,7 +28,7 @@
 		return nil, "", false
 	}
 	request := c.dispatchRequest
-	request.Avoided = s.pushingBack(c.service.Name, dispatch.MaxAvoidedEndpoints)
+	request.Avoided = s.pushingBack(c.service.Name)
 	request.ConfirmedOnly = request.DeliveredAttempts > 0 && !s.canRetryUnconfirmed()
 	for range maxScheduleAttempts {
 		assignment := s.options.Scheduler.Ask(c.ctx, &request)
@@ -49,12 +49,12 @@
 	return nil, "", false
 }
 
-// pushingBack returns the endpoints of a service that have pushed this instance back, at most
-// limit of them.
-func (s *Server) pushingBack(service string, limit int) []tables.EndpointID {
+// pushingBack returns the endpoints of a service that have pushed this instance back, as far
+// as a question to a scheduler may name them.
+func (s *Server) pushingBack(service string) []tables.EndpointID {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.dispatch.PushingBack(s.options.Now(), service, limit)
+	return s.dispatch.PushingBack(s.options.Now(), service, dispatch.MaxAvoidedEndpoints)
 }
 
 // canRetryUnconfirmed reports whether a retry may be sent to an endpoint whose address may
--- a/logs/trail/story.go
+++ b/logs/trail/story.go
@@ -87,7 +87,7 @@
 // leadingFields are the fields that are printed first, in this order.
 var leadingFields = []string{
 	"endpoint", "end", "status", "code", "outcome", "rule", "took", "placed", "first", "expected", "own", "others",
-	"load_age", "doubt", "retry_after", "pushing_back", "endpoints", "revision", "control_heard", "weights",
+	"load_age", "doubt", "retry_after", "pushing_back", "draining", "endpoints", "revision", "control_heard", "weights",
 }
 
 func (t *Trace) writeLine(w io.Writer, line *Line) {
--- a/logs/trail/trail.go
+++ b/logs/trail/trail.go
@@ -204,6 +204,7 @@
 // announced, with the event of that announcement.
 var fieldsOfAvoided = map[string]events.Number{
 	"pushing_back": events.EndpointPushedBack.Number,
+	"draining":     events.EndpointDraining.Number,
 }
 
 // announcement identifies the announcement of an endpoint to an instance.
--- a/systems/membership/hints.go
+++ b/systems/membership/hints.go
@@ -48,6 +48,8 @@
 type EndpointNotice struct {
 	// StartUnixMilli identifies the endpoint's process; zero if its start is not known.
 	StartUnixMilli int64
+	// Draining is set if the process is about to stop.
+	Draining bool
 	// PushbackFor is for how much longer the endpoint wants no requests from the instance.
 	PushbackFor time.Duration
 }
@@ -272,7 +274,7 @@
 	if n == nil {
 		return nil
 	}
-	return &rpc.EndpointNotice{Start: n.StartUnixMilli, PushbackMs: uint32(n.PushbackFor.Milliseconds())}
+	return &rpc.EndpointNotice{Start: n.StartUnixMilli, Draining: n.Draining, PushbackMs: uint32(n.PushbackFor.Milliseconds())}
 }
 
 // decodeNotice decodes an endpoint's notice, nil if there is none.
@@ -280,5 +282,5 @@
 	if n == nil {
 		return nil
 	}
-	return &EndpointNotice{StartUnixMilli: n.GetStart(), PushbackFor: time.Duration(n.GetPushbackMs()) * time.Millisecond}
+	return &EndpointNotice{StartUnixMilli: n.GetStart(), Draining: n.GetDraining(), PushbackFor: time.Duration(n.GetPushbackMs()) * time.Millisecond}
 }
