Calls to endpoints other than requests keep pushbacks and hear of draining

Cause: the same facts come in answers to the reports and orders of a rollout and to the reads of cache events. An instance that keeps them for requests alone goes on calling an endpoint that wants nothing from it, and orders new weights at one that is about to stop.

Change: the platform's client returns *engine.PushbackError for a 503 with a time, and tells whether the answer announces draining. The rollout delays polls and orders for that time, by process, and does not count the engine as loading meanwhile; an engine that announces its end gets no orders, and the table of endpoints tells all instances. The reader of cache events waits, also when a request was pushed back, and tells the choice of endpoints what it was answered.

Left as they are: probes after failures open a connection and send nothing; fetches of cached prompts are calls between endpoints, which the rule does not bind and which take no slot.

--- /dev/null
+++ b/control/rollout/announcements.go
@@ -0,0 +1,29 @@
+package rollout
+
+import (
+	"time"
+
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// HandlePushback delays all calls to an engine that wants none for the given time. Whether it
+// executes an order is not asked meanwhile, so the other instances may send it requests again:
+// it declines them itself while it loads.
+func (p *Planner) HandlePushback(now tables.Instant, id tables.EndpointID, d time.Duration) {
+	r := p.engineStates[id]
+	if r == nil {
+		return
+	}
+	r.polling = false
+	r.pausedUntil = max(r.pausedUntil, now+d)
+	if r.phase == updating {
+		r.unconfirmed = true
+	}
+}
+
+// HandleDraining records that an engine announces that it is about to stop. It gets no orders.
+func (p *Planner) HandleDraining(id tables.EndpointID) {
+	if r := p.engineStates[id]; r != nil {
+		r.Draining = true
+	}
+}
--- a/control/rollout/controller.go
+++ b/control/rollout/controller.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/carawaystile/carawaystile/control/client"
+	"github.com/carawaystile/carawaystile/engine"
 	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/fleet"
 	"github.com/carawaystile/carawaystile/tables"
@@ -239,6 +240,9 @@
 	report, err := r.options.Engines.Report(bounded, action.Endpoint)
 	r.post(ctx, planner, func(now tables.Instant) {
 		id := action.Endpoint.ID
+		if r.handlePushback(now, planner, id, err) {
+			return
+		}
 		if err != nil {
 			events.RolloutUnanswered.Log(r.options.Log, zap.String("endpoint", string(id)), zap.Error(err))
 			planner.HandleReport(now, id, nil)
@@ -248,6 +252,10 @@
 		for model, version := range report.Weights {
 			r.options.Fleet.RecordWeights(id, model, version)
 		}
+		if report.Draining {
+			planner.HandleDraining(id)
+			r.options.Fleet.SetDraining(id, report.Born)
+		}
 		if done {
 			events.RolloutDone.Log(r.options.Log, zap.String("endpoint", string(id)), zap.Any("weights", report.Weights))
 		}
@@ -255,6 +263,19 @@
 	})
 }
 
+// handlePushback delays the calls to an engine that has asked for a time without any, and
+// reports whether the error says so.
+func (r *Controller) handlePushback(now tables.Instant, planner *Planner, id tables.EndpointID, err error) bool {
+	var pushback *engine.PushbackError
+	if !errors.As(err, &pushback) {
+		return false
+	}
+	events.EndpointPushedBack.Log(r.options.Log, zap.String("endpoint", string(id)), zap.Duration("retry_after", pushback.RetryAfter))
+	planner.HandlePushback(now, id, pushback.RetryAfter)
+	r.options.Fleet.SetLoading(id, planner.Updating(id))
+	return true
+}
+
 // announceAndSend announces an order to the control group and sends it. The
 // order is not sent if the announcement fails or the lease has ended by then.
 func (r *Controller) announceAndSend(ctx context.Context, action Action, order Order) (OrderResult, error) {
@@ -280,6 +301,7 @@
 		id := action.Endpoint.ID
 		planner.HandleOrderResult(now, id, result)
 		switch {
+		case r.handlePushback(now, planner, id, err):
 		case result == Fenced:
 			// Further orders under the same fencing token could undo the
 			// changes of a newer holder. The next lease has a higher token.
--- a/control/rollout/planner.go
+++ b/control/rollout/planner.go
@@ -38,6 +38,8 @@
 	Running  int
 	Queued   int
 	Born     int64
+	// Draining is set if the engine announces that it is about to stop.
+	Draining bool
 }
 
 // Order tells an engine to load a version of a model's weights.
@@ -128,6 +130,8 @@
 	// such orders are lost, or wait for seconds. The engine then still serves its old weights, and
 	// if it does not, it declines requests itself.
 	unconfirmed bool
+	// pausedUntil is until when the engine wants no calls.
+	pausedUntil tables.Instant
 }
 
 // Planner decides which engines to poll and which to update, as a state machine per engine. It
@@ -225,7 +229,7 @@
 	}
 	for _, r := range engines {
 		_, version := p.pendingUpdate(r)
-		if cordonedCount >= p.maxConcurrent()/2 || version == 0 || r.phase != idle || !r.sequenceKnown || r.polling || r.Draining || now < p.notBefore[r.ID] {
+		if cordonedCount >= p.maxConcurrent()/2 || version == 0 || r.phase != idle || !r.sequenceKnown || r.polling || r.Draining || now < max(r.pausedUntil, p.notBefore[r.ID]) {
 			continue
 		}
 		cordonedCount++
@@ -243,7 +247,7 @@
 }
 
 func (p *Planner) shouldPoll(now tables.Instant, r *engineState) bool {
-	if r.polling || now < r.nextPollAt {
+	if r.polling || now < max(r.nextPollAt, r.pausedUntil) {
 		return false
 	}
 	if r.phase == updating {
--- a/dispatch/announcements.go
+++ b/dispatch/announcements.go
@@ -99,12 +99,21 @@
 
 // RecordDraining records that the attempt's endpoint has announced that it is about to stop,
 // and reports whether this instance was not told before.
-func (d *Dispatcher) RecordDraining(a *Attempt) (first bool) {
-	announced := a.row.announced
+func (d *Dispatcher) RecordDraining(a *Attempt) (first bool) { return d.recordDraining(a.row) }
+
+// RecordCallDraining is RecordDraining for an endpoint that has answered a call other than an
+// attempt.
+func (d *Dispatcher) RecordCallDraining(id tables.EndpointID) (first bool) {
+	row := d.endpoints[id]
+	return row != nil && d.recordDraining(row)
+}
+
+func (d *Dispatcher) recordDraining(row *endpointRow) (first bool) {
+	announced := row.announced
 	first = !announced.toldDraining
 	announced.draining, announced.toldDraining = true, true
 	if first {
-		d.markDirty(a.row)
+		d.markDirty(row)
 	}
 	return first
 }
--- a/dispatch/pushback.go
+++ b/dispatch/pushback.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/carawaystile/carawaystile/dialect"
 	"github.com/carawaystile/carawaystile/systems/placement"
 	"github.com/carawaystile/carawaystile/tables"
 )
@@ -13,9 +14,7 @@
 // sign of overload and prefer other endpoints.
 
 const (
-	// maxPushback bounds a pushback, so that an absurd value does not take an endpoint out of
-	// service for good.
-	maxPushback = 10 * time.Minute
+	maxPushback = dialect.MaxRetryAfter
 	// pushbackJitter is the largest random extension of a pushback, as a fraction of it, and
 	// maxPushbackJitter its limit. Instances that were pushed back together return spread out.
 	pushbackJitter    = 0.1
@@ -74,7 +73,27 @@
 // the given time. It returns the time that applies, which is bounded, and whether the endpoint
 // accepted requests before.
 func (d *Dispatcher) RecordPushback(now tables.Instant, a *Attempt, after time.Duration) (applied time.Duration, began bool) {
-	row := a.row
+	return d.recordPushback(now, a.row, after)
+}
+
+// RecordCallPushback is RecordPushback for an endpoint that has rejected a call other than an
+// attempt.
+func (d *Dispatcher) RecordCallPushback(now tables.Instant, id tables.EndpointID, after time.Duration) (began bool) {
+	if row := d.endpoints[id]; row != nil {
+		_, began = d.recordPushback(now, row, after)
+	}
+	return began
+}
+
+// PausedFor returns for how much longer an endpoint wants nothing from this instance.
+func (d *Dispatcher) PausedFor(now tables.Instant, id tables.EndpointID) time.Duration {
+	if row := d.endpoints[id]; row != nil {
+		return max(0, row.announced.until-now)
+	}
+	return 0
+}
+
+func (d *Dispatcher) recordPushback(now tables.Instant, row *endpointRow, after time.Duration) (applied time.Duration, began bool) {
 	applied = min(after, maxPushback)
 	if applied <= 0 {
 		return 0, false
--- a/dispatch/pushback_test.go
+++ b/dispatch/pushback_test.go
@@ -186,3 +186,15 @@
 	assert.Assert(t, left >= testPause-time.Second && left < testPause, "%v", left)
 	assert.Equal(t, d.CountEndpoints(now, requestWithoutParts()).PushingBack, 2)
 }
+
+// Guards against requests to an endpoint that has asked for a time without any in answer to a
+// call that is not a request.
+func TestPushbackOfACallBindsRequests(t *testing.T) {
+	d, _ := newTestDispatcher(1)
+	now := time.Second
+	assert.Assert(t, d.RecordCallPushback(now, "e0", testPause))
+	assert.Assert(t, !d.RecordCallPushback(now, "unknown", testPause))
+	assertPushedBack(t, d, now, true)
+	assert.Assert(t, d.PausedFor(now, "e0") >= testPause)
+	assert.Equal(t, d.PausedFor(now+time.Minute, "e0"), time.Duration(0))
+}
--- a/engine/errors.go
+++ b/engine/errors.go
@@ -21,6 +21,21 @@
 	return fmt.Sprintf("unexpected response with status %d and content type %q", e.Status, e.ContentType)
 }
 
+// PushbackError means that an endpoint rejected a call and wants no calls of this process for
+// RetryAfter.
+type PushbackError struct {
+	RetryAfter time.Duration
+	Cause      error
+}
+
+// Error returns the time and the cause.
+func (e *PushbackError) Error() string {
+	return fmt.Sprintf("pushed back for %v: %v", e.RetryAfter, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *PushbackError) Unwrap() error { return e.Cause }
+
 // ReadTimeoutError means that an endpoint sent nothing, not even a heartbeat, for After.
 type ReadTimeoutError struct{ After time.Duration }
 
--- a/engine/feed/poller.go
+++ b/engine/feed/poller.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/netip"
 	"time"
@@ -45,6 +46,13 @@
 	// OnUnresponsive is called with true when an endpoint stops responding and with false
 	// when it responds again; nil means no callback.
 	OnUnresponsive func(id tables.EndpointID, unresponsive bool)
+	// OnPushback is called when an endpoint rejects a request and wants none for a time, and
+	// OnDraining when it announces that it is about to stop; nil means no callback.
+	OnPushback func(id tables.EndpointID, retryAfter time.Duration)
+	OnDraining func(id tables.EndpointID)
+	// PausedFor returns for how much longer an endpoint wants no requests, as known from
+	// elsewhere; nil means that nothing is known.
+	PausedFor func(id tables.EndpointID) time.Duration
 	// ShouldPoll selects the endpoints that this instance polls; nil means all. With many
 	// instances and endpoints each instance polls its share only.
 	ShouldPoll func(id tables.EndpointID) bool
@@ -85,6 +93,15 @@
 	if o.OnUnresponsive == nil {
 		o.OnUnresponsive = func(tables.EndpointID, bool) {}
 	}
+	if o.OnPushback == nil {
+		o.OnPushback = func(tables.EndpointID, time.Duration) {}
+	}
+	if o.OnDraining == nil {
+		o.OnDraining = func(tables.EndpointID) {}
+	}
+	if o.PausedFor == nil {
+		o.PausedFor = func(tables.EndpointID) time.Duration { return 0 }
+	}
 	return o
 }
 
@@ -161,13 +178,20 @@
 	failures := 0
 	wait := p.withJitter(p.MinEventInterval)
 	for p.Sleep(ctx, wait) == nil {
+		if pause := p.PausedFor(p.id); pause > 0 {
+			wait = p.withJitter(p.MinEventInterval) + pause
+			continue
+		}
 		changes, err := p.Reporter.CacheChanges(ctx, p.at, boot, after, p.LongPollTimeout)
 		if err != nil || changes.Boot == "" {
 			failures++
-			wait = p.backoff(p.LoadInterval, failures)
+			wait = max(p.backoff(p.LoadInterval, failures), p.pushback(err))
 			continue
 		}
 		failures = 0
+		if changes.Draining {
+			p.OnDraining(p.id)
+		}
 		first := changes.Boot != boot
 		if first {
 			boot, after = changes.Boot, 0
@@ -181,6 +205,16 @@
 	}
 }
 
+// pushback returns for how long an endpoint wants no requests, by the error of the last one.
+func (p *poller) pushback(err error) time.Duration {
+	var pushback *engine.PushbackError
+	if !errors.As(err, &pushback) {
+		return 0
+	}
+	p.OnPushback(p.id, pushback.RetryAfter)
+	return pushback.RetryAfter
+}
+
 // deliverBatch delivers the new changes of a response and returns the last sequence
 // number.
 func (p *poller) deliverBatch(b CacheBatch, after uint64, changes []engine.CacheChange) uint64 {
--- a/engine/feed/poller_test.go
+++ b/engine/feed/poller_test.go
@@ -190,3 +190,29 @@
 		{Endpoint: "e", Boot: "b2", FirstOfBoot: true, Changes: []engine.CacheChange{{Sequence: 0}}},
 	})
 }
+
+// Guards against polls of an endpoint that has asked for a time without requests, in answer to
+// a poll or to something else.
+func TestCachePollerWaitsWhileTheEndpointPushesBack(t *testing.T) {
+	s := &scriptedReader{
+		errs:    []error{&engine.PushbackError{RetryAfter: time.Minute}, nil},
+		changes: []engine.CacheChanges{{Boot: "b", Draining: true}},
+	}
+	r := newFixture(t, s)
+	var pushedBack time.Duration
+	var draining []tables.EndpointID
+	pauses := []time.Duration{0, time.Hour, 0, 0}
+	r.OnPushback = func(_ tables.EndpointID, after time.Duration) { pushedBack = after }
+	r.OnDraining = func(id tables.EndpointID) { draining = append(draining, id) }
+	r.PausedFor = func(tables.EndpointID) time.Duration {
+		pause := pauses[0]
+		pauses = pauses[1:]
+		return pause
+	}
+	r.pollCacheChanges(r.ctx)
+	assert.Equal(t, pushedBack, time.Minute)
+	assert.Equal(t, r.waits[1], time.Minute)
+	assert.Assert(t, r.waits[2] >= time.Hour)
+	assert.Equal(t, len(s.requestedAfter), 3)
+	assert.DeepEqual(t, draining, []tables.EndpointID{"e"})
+}
--- a/engine/reports.go
+++ b/engine/reports.go
@@ -44,6 +44,8 @@
 type CacheChanges struct {
 	Boot    tables.BootID `json:"boot"`
 	Changes []CacheChange `json:"changes,omitempty"`
+	// Draining is set if the endpoint has announced that it is about to stop.
+	Draining bool `json:"-"`
 }
 
 // OrderKind is the kind of an order.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -23,7 +23,8 @@
 	Zone    tables.Zone
 	// Slots is the maximum number of requests that the endpoint runs concurrently.
 	Slots int
-	// Draining is set once the platform's list has shown the endpoint as leaving.
+	// Draining is set once the platform's list has shown the endpoint as leaving, or the
+	// endpoint has announced it.
 	Draining bool
 	// Loading is set while the endpoint executes an order to load other weights.
 	// Until the load is done, the endpoint declines requests that have not started.
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -120,6 +120,16 @@
 	t.mutate(id, func(e *Endpoint) { e.Loading = loading })
 }
 
+// SetDraining records that an endpoint has announced that it is about to stop, unless the row
+// is of a process with another start time than the given one. Zero is unknown.
+func (t *Table) SetDraining(id tables.EndpointID, startUnixMilli int64) {
+	t.mutate(id, func(e *Endpoint) {
+		if e.StartUnixMilli == startUnixMilli || e.StartUnixMilli == 0 || startUnixMilli == 0 {
+			e.Draining = true
+		}
+	})
+}
+
 // Mirror replaces the rows by those of the leader, which sends the orders. Unlike
 // ApplyList, it takes Loading from them.
 func (t *Table) Mirror(leaderEndpoints map[tables.EndpointID]Endpoint) {
--- a/forward/pushback.go
+++ b/forward/pushback.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -113,3 +114,32 @@
 	}
 	return names
 }
+
+// RecordCallPushback records that an endpoint has rejected a call other than an attempt, and
+// wants nothing from this instance for the given time.
+func (s *Server) RecordCallPushback(id tables.EndpointID, after time.Duration) {
+	s.mu.Lock()
+	began := s.dispatch.RecordCallPushback(s.options.Now(), id, after)
+	s.mu.Unlock()
+	if began {
+		events.EndpointPushedBack.Log(s.log, zap.String("endpoint", string(id)), zap.Duration("retry_after", after))
+	}
+}
+
+// RecordCallDraining records that an endpoint has announced that it is draining, in a response
+// to a call other than an attempt.
+func (s *Server) RecordCallDraining(id tables.EndpointID) {
+	s.mu.Lock()
+	first := s.dispatch.RecordCallDraining(id)
+	s.mu.Unlock()
+	if first {
+		events.EndpointDraining.Log(s.log, zap.String("endpoint", string(id)))
+	}
+}
+
+// PausedFor returns for how much longer an endpoint wants nothing from this instance.
+func (s *Server) PausedFor(id tables.EndpointID) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dispatch.PausedFor(s.options.Now(), id)
+}
--- a/node/cachesync.go
+++ b/node/cachesync.go
@@ -79,6 +79,9 @@
 		LongPollTimeout:  cacheLongPollTimeout,
 		MinEventInterval: cachePollInterval,
 		MaxBackoff:       cacheMaxBackOff,
+		OnPushback:       n.entry.RecordCallPushback,
+		OnDraining:       n.entry.RecordCallDraining,
+		PausedFor:        n.entry.PausedFor,
 		Log:              n.log,
 	})
 	n.background.Go(func() {
