Soak: endpoints that push back, and that announce their end

The soak had no endpoint that asks for anything. Two checks hold arrivals against the users' rules, for each instance and process of an endpoint.

A completed attempt also ends the probing after a pushback: the word that an attempt has begun may be lost on its way to a scheduler.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -289,6 +289,9 @@
 	a.row.attempts--
 	a.row.memoryTokens -= a.memoryTokens
 	a.row.recordOutcome(now, outcome)
+	if outcome == Completed {
+		a.row.announced.recordAnswered(a.startedAt)
+	}
 	switch outcome {
 	case Completed, Declined, ConnectionRefused, ConnectTimeout:
 		d.releaseUnconfirmed(now, a)
--- a/soak/check.go
+++ b/soak/check.go
@@ -33,6 +33,8 @@
 	l.judgeRepeats(all)
 	l.judgeUsage(all)
 	l.judgeLimits(all)
+	l.judgePushbacks(all)
+	l.judgeAnnouncedDrains(all)
 	l.judgePoison(all)
 	l.judgeOrders()
 }
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -164,6 +164,20 @@
 			r.runs[0].Organisation = organisationOf(3)
 			l.requests[r.ID] = r
 		}},
+		"requests in a pushback": {"pushbacks are kept", func(l *ledger) {
+			for n := range 4 {
+				r := sound(organisationOf(uint64(n)), safe)
+				r.arrivals[0].At = at(10 + 0.7*float64(n))
+				r.arrivals[0].RetryAfter = 3 * time.Second
+				l.requests[r.ID] = r
+			}
+		}},
+		"a request after an announced end": {"announced drains are kept", func(l *ledger) {
+			before, after := sound("r1", safe), sound("r2", safe)
+			before.arrivals[0].Draining, after.arrivals[0].Draining = true, true
+			after.sent = at(14.1)
+			l.requests["r1"], l.requests["r2"] = before, after
+		}},
 		"two give orders": {"one holder orders at a time", func(l *ledger) {
 			l.orders = []platformtest.Order{
 				{Fence: 4, From: netip.MustParseAddr("127.0.0.1")}, {Fence: 4, From: netip.MustParseAddr("127.0.0.2")},
@@ -212,6 +226,32 @@
 	assert.Equal(t, len(broken), 0, "%v", broken)
 }
 
+// Requests on their way at a pushback, of a process before or of an instance that was restarted
+// since are allowed.
+func TestAllowedArrivalsAreNoPushbackBreach(t *testing.T) {
+	broken := judged(func(l *ledger) {
+		for n := range 12 {
+			r := sound(organisationOf(uint64(n)), kinds[1])
+			r.arrivals[0].At = at(10 + 0.04*float64(n))
+			r.arrivals[0].RetryAfter = time.Second
+			l.requests[r.ID] = r
+		}
+		for n := range 3 {
+			restarted := sound(organisationOf(uint64(100+n)), kinds[1])
+			restarted.arrivals[0].At, restarted.arrivals[0].Start = at(10.7), 2
+			l.requests[restarted.ID] = restarted
+		}
+		for n := range 6 {
+			r := sound(organisationOf(uint64(200+n)), kinds[1])
+			r.sent, r.done = at(20), at(21)
+			r.arrivals[0].At, r.arrivals[0].RetryAfter, r.arrivals[0].Draining = at(20+float64(n)), 4*time.Second, n == 0
+			l.requests[r.ID] = r
+		}
+		l.disruptions = []disruption{{what: "pause an entry", from: at(22), to: at(23)}}
+	})
+	assert.Equal(t, len(broken), 0, "%v", broken)
+}
+
 // Operators read back what is in force; an older or an invalid document there
 // means that something acknowledged is lost.
 func TestWhatIsReadBackIsHeldAgainstWhatWasSent(t *testing.T) {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -79,6 +79,7 @@
 	{name: "new weights", planned: true, do: func(s *strike) { s.operators.nameWeights() }},
 	{name: "a request that crashes endpoints", outside: true, do: poison},
 	{name: "an endpoint names a rate limit", outside: true, named: true, do: nameLimit},
+	{name: "an endpoint pushes back", outside: true, named: true, do: pushBack},
 	{name: "a control instance misses changes", control: true, named: true, do: missChanges},
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -89,6 +89,18 @@
 	assert.Assert(t, outcome.Served > 0)
 }
 
+// Guards against requests to endpoints that push back or announce their end while the list is
+// down and instances are killed, paused and restarted.
+func TestFaultsBreakNoPushback(t *testing.T) {
+	outcome := play(t, Options{
+		Daemon: build(t), Seed: 43, For: 14 * time.Second, Controls: 3, Entries: 6,
+		Faults: []string{
+			"an endpoint pushes back", "replace an endpoint", "the list is down", "kill an entry", "pause an entry", "lose datagrams",
+		},
+	})
+	assert.Assert(t, outcome.Served > 0)
+}
+
 // Seeds that once broke a promise stay here, each with its cause.
 func TestSeedsThatOnceFailed(t *testing.T) {
 	text, err := os.ReadFile("testdata/seeds.txt")
