--- a/dispatch/pushback.go
+++ b/dispatch/pushback.go
@@ -15,10 +15,10 @@
 
 const (
 	maxPushback = dialect.MaxRetryAfter
-	// pushbackJitter is the largest random extension of a pushback, as a fraction of it, and
+	// pushbackJitterFraction is the largest random extension of a pushback, as a fraction of it, and
 	// maxPushbackJitter its limit. Instances that were pushed back together return spread out.
-	pushbackJitter    = 0.1
-	maxPushbackJitter = 500 * time.Millisecond
+	pushbackJitterFraction = 0.1
+	maxPushbackJitter      = 500 * time.Millisecond
 	// minPeerExtension is by how much a report must extend the pushback of other instances to
 	// count as a new one instead of as a repetition.
 	minPeerExtension = 250 * time.Millisecond
@@ -109,7 +109,7 @@
 // instances and endpoints.
 func (d *Dispatcher) pushbackJitter(row *endpointRow, after time.Duration) time.Duration {
 	hash := placement.Mix64(row.hash ^ d.options.Seed)
-	longest := min(time.Duration(pushbackJitter*float64(after)), maxPushbackJitter)
+	longest := min(time.Duration(pushbackJitterFraction*float64(after)), maxPushbackJitter)
 	return time.Duration(float64(longest) * float64(hash>>40) / (1 << 24))
 }
 
