Rate limits: no second owner of a bucket beside a silent one

An instance that gets no answer within 40 ms asked the next entry instance of its zone, often itself, which opened a bucket of its own: with the level that the instance remembered, the whole rate, and no owner it knows of. Six instances then used up to six limits. Only reports repair that, and those are lost too.

Ruled out: the time of 1.2 s after which a silent owner of another zone is reserved for; with the second owners gone, what is left of it fits the tolerance.

Change: an instance whose owner is silent decides by its own share for half a second, as it did when no instance answered. Only membership replaces an owner. For limits of endpoints nobody admits then, and the request goes to another endpoint.

--- a/usage/client.go
+++ b/usage/client.go
@@ -22,8 +22,6 @@
 	// how long the owner is not asked again.
 	replyTimeout  = 40 * time.Millisecond
 	silentBackoff = 500 * time.Millisecond
-	// maxOwnersAsked is the number of owners that are asked about one request.
-	maxOwnersAsked = 2
 	// sweepInterval is the interval between two sweeps of idle limiters.
 	sweepInterval = 10 * time.Second
 )
@@ -103,7 +101,7 @@
 func subjectHash(id Subject) uint64 { return xxhash.Sum64String(string(id)) }
 
 // Admit decides about a request of the given cost, and counts the cost if the request is
-// admitted. It waits at most for maxOwnersAsked times replyTimeout.
+// admitted. It waits at most for replyTimeout.
 func (c *Client) Admit(ctx context.Context, id Subject, limit Limit, cost int64) Decision {
 	if !limit.Limited() {
 		return Decision{Admitted: true, Basis: ByNoLimit}
@@ -115,14 +113,8 @@
 	case Reject:
 		return c.withLevel(id, Decision{RetryAfter: retryAfter, Basis: ByCachedRefusal})
 	}
-	for range maxOwnersAsked {
-		reply, replied := c.askOwner(ctx, id, limit, cost)
-		if replied {
-			return c.withLevel(id, Decision{Admitted: reply.Admitted, RetryAfter: reply.RetryAfter, Basis: ByOwner})
-		}
-		if ctx.Err() != nil {
-			break
-		}
+	if reply, replied := c.askOwner(ctx, id, limit, cost); replied {
+		return c.withLevel(id, Decision{Admitted: reply.Admitted, RetryAfter: reply.RetryAfter, Basis: ByOwner})
 	}
 	if limit.Strict {
 		return c.withLevel(id, Decision{RetryAfter: silentBackoff, Basis: ByNoOwner})
@@ -242,14 +234,23 @@
 	}()
 }
 
-// pickOwner returns the owner in this zone, leaving out instances that are backed off.
+// pickOwner returns the owner in this zone unless it is backed off.
 func (c *Client) pickOwner(id Subject) (membership.EntryInstance, bool) {
 	now := c.options.Now()
-	return datagram.PickRendezvous(subjectHash(id), c.options.EntriesByZone()[c.options.Zone], func(other tables.InstanceID) bool {
-		return c.backoffs.IsBackingOff(other, now)
+	return reachableOwner(id, c.options.EntriesByZone()[c.options.Zone], func(owner tables.InstanceID) bool {
+		return c.backoffs.IsBackingOff(owner, now)
 	})
 }
 
+// reachableOwner returns a subject's owner among the entry instances of a zone unless it is
+// backed off. It returns no other instance instead: that one would open a bucket of its own
+// while the owner goes on admitting requests, and each would use the whole limit. Only
+// membership replaces an owner.
+func reachableOwner(id Subject, entries []membership.EntryInstance, isBackingOff func(tables.InstanceID) bool) (membership.EntryInstance, bool) {
+	owner, found := pickOwnerOf(id, entries)
+	return owner, found && !isBackingOff(owner.Instance)
+}
+
 // newDebit returns a debit that takes the unreported use along.
 func (c *Client) newDebit(id Subject, cost int64) Debit {
 	c.mu.Lock()
--- a/usage/shared_bucket.go
+++ b/usage/shared_bucket.go
@@ -22,7 +22,7 @@
 	openedAt tables.Instant
 	usedAt   tables.Instant
 	// peers holds the other owners of this subject: those in other zones, and instances in
-	// this zone that others have turned to for a while.
+	// this zone that others take for its owner, since they know other members.
 	peers map[tables.InstanceID]*peerOwner
 	// leases maps each leaseholder to the end of its lease.
 	leases map[tables.InstanceID]tables.Instant
--- a/usage/sim_test.go
+++ b/usage/sim_test.go
@@ -24,6 +24,8 @@
 	endpointLimits map[Subject]Limit
 	// partitioned reports whether two zones cannot reach each other.
 	partitioned func(a, b string) bool
+	// loss is the fraction of the messages between two instances that are lost.
+	loss float64
 	// admissions holds what each subject was admitted, and refused the number of its refused
 	// requests.
 	admissions map[Subject][]admission
@@ -116,7 +118,7 @@
 	if from.zone != to.zone {
 		delay = crossZoneDelay
 	}
-	if s.partitioned(from.zone, to.zone) {
+	if s.partitioned(from.zone, to.zone) || from != to && s.loss > 0 && s.random.Float64() < s.loss {
 		return
 	}
 	life := to.bootEpoch
