Rate limits: shares of the limit from demand that both sides count alike

Cause: an instance whose owner is silent uses its share of the limit, its own demand over that of all. Its own counted every request, the owner's only those that it was asked about: an instance rejects most of what is above the limit by itself, from a cached refusal. At eight times the limit's demand the shares of six instances added up to several limits. It was also computed anew at each request, from the own demand of now and the others' of the last reply.

Change: both count what owners are asked for; a debit without reply is taken back. The share is computed once, when the owner falls silent.

--- a/usage/client.go
+++ b/usage/client.go
@@ -262,7 +262,7 @@
 func (c *Client) rollBack(d Debit) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.limiter(d.Subject).RollBack(d)
+	c.limiter(d.Subject).RollBack(c.options.Now(), d)
 }
 
 // applyReply applies a reply to its limiter, or rolls the debit back if the owner was not
@@ -271,7 +271,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !reply.Ready {
-		c.limiter(d.Subject).RollBack(d)
+		c.limiter(d.Subject).RollBack(c.options.Now(), d)
 		return reply, false
 	}
 	c.limiter(d.Subject).ApplyReply(c.options.Now(), d, reply)
--- a/usage/local_limiter.go
+++ b/usage/local_limiter.go
@@ -42,23 +42,25 @@
 	repliedAt   tables.Instant
 	level       int64
 	totalDemand float64
-	// demand is the use per second that callers ask this instance for.
+	// demand is the use per second that this instance has asked its owners for. It leaves out
+	// what a cached refusal rejects, as the owners' totalDemand does: a share of the limit is
+	// the ratio of the two.
 	demand averagedRate
 	// unreported is the use that was admitted without asking and that no debit has reported
 	// yet.
 	unreported int64
 	// fallback is the token bucket of the instance's own share, in use while inFallback is
 	// set because no owner replies.
-	fallback   tokenBucket
-	inFallback bool
-	usedAt     tables.Instant
+	fallback      tokenBucket
+	fallbackShare float64
+	inFallback    bool
+	usedAt        tables.Instant
 }
 
 // Check decides about a request if a lease or a cached refusal allows it. retryAfter is set
 // for Reject.
 func (l *LocalLimiter) Check(now tables.Instant, cost int64) (verdict Verdict, retryAfter time.Duration) {
 	l.usedAt = now
-	l.demand.add(now, float64(cost))
 	switch {
 	case now < l.leaseUntil:
 		l.unreported += cost
@@ -78,12 +80,16 @@
 		d.LevelKnown, d.Level, d.LevelAge = true, l.level, now-l.repliedAt
 	}
 	l.unreported = 0
+	l.demand.add(now, d.demand())
 	return d
 }
 
 // RollBack returns a debit's reported use to the unreported use, after a debit without
 // reply.
-func (l *LocalLimiter) RollBack(d Debit) { l.unreported += d.Spent }
+func (l *LocalLimiter) RollBack(now tables.Instant, d Debit) {
+	l.unreported += d.Spent
+	l.demand.add(now, -d.demand())
+}
 
 // ApplyReply takes over an owner's reply to d: the level, the lease and, for a refusal, the
 // time to reject further requests.
@@ -113,17 +119,13 @@
 
 // AdmitFromShare decides about a request when no owner replies, with a fallback bucket for
 // the instance's own share of the limit. The share is the instance's recent use and an equal
-// part, among the given number of instances, of the unused rate.
+// part, among the given number of instances, of the unused rate, as of the last reply: only
+// shares of one moment add up to the limit.
 func (l *LocalLimiter) AdmitFromShare(now tables.Instant, limit Limit, instances int, cost int64) (admitted bool, retryAfter time.Duration) {
-	demand := l.demand.value(now)
-	share := limitShare(demand, max(l.totalDemand, demand), limit.Rate, instances)
 	if !l.inFallback {
-		l.inFallback = true
-		l.fallback = tokenBucket{updatedAt: now, level: requiredFraction * share * limit.Burst}
-		if l.replied {
-			l.fallback.level = share * min(float64(l.level), limit.Burst)
-		}
+		l.enterFallback(now, limit, instances)
 	}
+	share := l.fallbackShare
 	l.fallback.refill(now, limit, share)
 	own := Limit{Rate: share * limit.Rate, Burst: share * limit.Burst}
 	if !l.fallback.admits(own, cost) {
@@ -134,6 +136,17 @@
 	return true, 0
 }
 
+// enterFallback computes the instance's share of the limit and of the tokens that are left.
+func (l *LocalLimiter) enterFallback(now tables.Instant, limit Limit, instances int) {
+	l.inFallback = true
+	demand := l.demand.value(now)
+	l.fallbackShare = limitShare(demand, max(l.totalDemand, demand), limit.Rate, instances)
+	l.fallback = tokenBucket{updatedAt: now, level: requiredFraction * l.fallbackShare * limit.Burst}
+	if l.replied {
+		l.fallback.level = l.fallbackShare * min(float64(l.level), limit.Burst)
+	}
+}
+
 // Idle reports whether the limiter is unused and has no unreported use.
 func (l *LocalLimiter) Idle(now tables.Instant) bool {
 	return now-l.usedAt > limiterIdleTimeout && l.unreported == 0
--- a/usage/loss_test.go
+++ b/usage/loss_test.go
@@ -78,7 +78,7 @@
 		if replied {
 			return
 		}
-		c.limiter(id).RollBack(d)
+		c.limiter(id).RollBack(s.now, d)
 		if cost > 0 {
 			c.backoffs[to.name] = s.now + silentBackoff
 			c.admitFromShare(id, cost)
@@ -122,7 +122,7 @@
 	tolerance := Tolerance{Overage: maxOverage, Slack: 120_000}
 	configured := Limit{Rate: 30_000, Burst: 30_000}
 	allowed := maxUse(configured) + int64(tolerance.Slack)
-	for _, demand := range []float64{1.5, 4} {
+	for _, demand := range []float64{1.5, 4, 8} {
 		for _, loss := range []float64{0.6, 0.9, 1} {
 			for seed := range uint64(3) {
 				s := newSimulation(6, limitsOf(tolerance.Relax(configured)))
--- a/usage/owner.go
+++ b/usage/owner.go
@@ -59,6 +59,9 @@
 	LevelAge   time.Duration
 }
 
+// demand returns the use that the debit asks for, admitted or not.
+func (d *Debit) demand() float64 { return float64(max(0, d.Spent) + d.Cost) }
+
 // DebitReply is an owner's reply to a Debit.
 type DebitReply struct {
 	// Ready is false if the owner does not know the subject's limit.
@@ -139,7 +142,7 @@
 		bucket.level = min(bucket.level, float64(d.Level)+limit.Rate*d.LevelAge.Seconds())
 	}
 	bucket.consume(now, d.Spent)
-	bucket.demand.add(now, float64(max(0, d.Spent)+d.Cost))
+	bucket.demand.add(now, d.demand())
 	reply = DebitReply{Ready: true, Admitted: d.Cost == 0 || bucket.admits(limit, d.Cost)}
 	switch {
 	case !reply.Admitted:
