--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -108,7 +108,7 @@
 	daemon := build(t)
 	for line := range strings.Lines(string(text)) {
 		fields := strings.Fields(line)
-		if len(fields) < 5 || strings.HasPrefix(line, "#") {
+		if len(fields) < 6 || strings.HasPrefix(line, "#") {
 			continue
 		}
 		seed, err := strconv.ParseUint(fields[0], 10, 64)
@@ -119,6 +119,6 @@
 		assert.NilError(t, err)
 		entries, err := strconv.Atoi(fields[3])
 		assert.NilError(t, err)
-		play(t, Options{Daemon: daemon, Seed: seed, For: length, Controls: controls, Entries: entries})
+		play(t, Options{Daemon: daemon, Seed: seed, For: length, Controls: controls, Entries: entries, LimitUse: fields[4] == "limit-use"})
 	}
 }
