Requests that have tried what does not push back are rejected at once

Only a service that pushes back as a whole was rejected at once.

Change: whether the request can be placed is asked without the endpoints that it has tried, when a new one can with them: its client is told to come back after the usual time if one of those takes requests.

TestRequestIsPushedBackIfTheOthersWereTried fails without it. Paths without a pushback are unchanged.

--- a/dispatch/pushback.go
+++ b/dispatch/pushback.go
@@ -113,22 +113,33 @@
 	return time.Duration(float64(longest) * float64(hash>>40) / (1 << 24))
 }
 
-// PushedBackFor returns for how long no endpoint of the request's service accepts requests
-// of this instance, if all that may run the request have pushed it back. Endpoints that are
-// leaving or are known to be gone do not count.
-func (d *Dispatcher) PushedBackFor(now tables.Instant, r *Request) (left time.Duration, all bool) {
-	earliest := tables.Instant(0)
+// PushedBack describes a service all of whose endpoints have pushed this instance back, as
+// seen by one request.
+type PushedBack struct {
+	// Request is for how long no endpoint accepts the request itself, which may not return to
+	// those that it has tried, and Service for how long none accepts any request.
+	Request, Service time.Duration
+}
+
+// PushedBack returns for how long the request cannot be placed, and false if that is not
+// certain or if no pushback is the cause. Endpoints that are leaving or are known to be gone
+// do not count.
+func (d *Dispatcher) PushedBack(now tables.Instant, r *Request) (PushedBack, bool) {
+	left := PushedBack{Request: maxPushback + maxPushbackJitter, Service: maxPushback + maxPushbackJitter}
+	any := false
 	for _, row := range d.services[r.Service.Name] {
 		_, serves := row.Weights[r.Model]
-		switch {
-		case row.isLeaving() || row.unreachable || row.absentFor(now) > 0 || r.Model != "" && !serves:
-		case !row.announced.pushedBack(now):
-			return 0, false
-		case earliest == 0 || row.announced.until < earliest:
-			earliest = row.announced.until
+		if row.isLeaving() || row.unreachable || row.absentFor(now) > 0 || r.Model != "" && !serves {
+			continue
+		}
+		pause := max(0, row.announced.until-now)
+		any = any || pause > 0
+		left.Service = min(left.Service, pause)
+		if !r.hasTried(row.ID) {
+			left.Request = min(left.Request, pause)
 		}
 	}
-	return earliest - now, earliest > 0
+	return left, any && left.Request > 0
 }
 
 // PushingBack returns the endpoints of a service that want no requests from this instance, at
--- a/dispatch/pushback_test.go
+++ b/dispatch/pushback_test.go
@@ -26,7 +26,7 @@
 // assertPushedBack checks whether the only endpoint of a dispatcher accepts requests.
 func assertPushedBack(t *testing.T, d *Dispatcher, now tables.Instant, pushedBack bool) {
 	t.Helper()
-	_, all := d.PushedBackFor(now, requestWithoutParts())
+	_, all := d.PushedBack(now, requestWithoutParts())
 	assert.Equal(t, all, pushedBack)
 	a, _ := d.Place(now, requestWithoutParts())
 	assert.Equal(t, a == nil, pushedBack)
@@ -154,9 +154,9 @@
 	ends := map[tables.Instant]bool{}
 	for _, d := range c.dispatchers {
 		pushBackFrom(t, d, time.Second)
-		left, all := d.PushedBackFor(time.Second, requestWithoutParts())
-		assert.Assert(t, all && left >= testPause && left <= testPause+maxPushbackJitter, "%v", left)
-		ends[left] = true
+		left, all := d.PushedBack(time.Second, requestWithoutParts())
+		assert.Assert(t, all && left.Service >= testPause && left.Service <= testPause+maxPushbackJitter, "%v", left)
+		ends[left.Service] = true
 	}
 	assert.Assert(t, len(ends) > 4, "%d different ends", len(ends))
 }
@@ -167,13 +167,13 @@
 	d, all := newTestDispatcher(3)
 	now := time.Second
 	first, second := pushBackFrom(t, d, now), pushBackFrom(t, d, now)
-	_, pushedBack := d.PushedBackFor(now, requestWithoutParts())
+	_, pushedBack := d.PushedBack(now, requestWithoutParts())
 	assert.Assert(t, !pushedBack)
 	last := mustPlace(t, d, now, requestWithoutParts()).Endpoint.ID
 	assert.Assert(t, last != first.Endpoint.ID && last != second.Endpoint.ID)
 
 	d.SetReachable(now, last, false)
-	_, pushedBack = d.PushedBackFor(now, requestWithoutParts())
+	_, pushedBack = d.PushedBack(now, requestWithoutParts())
 	assert.Assert(t, pushedBack, "the last endpoint is unreachable")
 	d.SetReachable(now, last, true)
 
@@ -181,9 +181,9 @@
 	leaving.Draining = true
 	all[last] = leaving
 	d.SetEndpoints(all)
-	left, pushedBack := d.PushedBackFor(now+time.Second, requestWithoutParts())
+	left, pushedBack := d.PushedBack(now+time.Second, requestWithoutParts())
 	assert.Assert(t, pushedBack, "the last endpoint is leaving")
-	assert.Assert(t, left >= testPause-time.Second && left < testPause, "%v", left)
+	assert.Assert(t, left.Service >= testPause-time.Second && left.Service < testPause, "%v", left)
 	assert.Equal(t, d.CountEndpoints(now, requestWithoutParts()).PushingBack, 2)
 }
 
@@ -198,3 +198,21 @@
 	assert.Assert(t, d.PausedFor(now, "e0") >= testPause)
 	assert.Equal(t, d.PausedFor(now+time.Minute, "e0"), time.Duration(0))
 }
+
+// Guards against a request that waits for an endpoint it has tried while the others push back,
+// and against its client being told to stay away as long as these do.
+func TestRequestIsPushedBackIfTheOthersWereTried(t *testing.T) {
+	d, _ := newTestDispatcher(3)
+	now := time.Second
+	pushBackFrom(t, d, now)
+	pushBackFrom(t, d, now)
+	r := requestWithoutParts()
+	tried := mustPlace(t, d, now, r)
+	d.RecordOutcome(now, tried, Broken)
+	_, pushedBack := d.PushedBack(now, r)
+	assert.Assert(t, !pushedBack)
+	r.Tried = append(r.Tried, tried.Endpoint.ID)
+	left, pushedBack := d.PushedBack(now, r)
+	assert.Assert(t, pushedBack && left.Request >= testPause, "%v", left)
+	assert.Equal(t, left.Service, time.Duration(0))
+}
--- a/forward/place.go
+++ b/forward/place.go
@@ -36,8 +36,8 @@
 	}
 	waitUntil := s.options.Now() + maxWait
 	for {
-		if pause, all := s.pushedBackFor(c); all && s.options.Now()+pause > waitUntil {
-			c.retryAfter = pause
+		if left, pushedBack := s.pushedBack(c); pushedBack && s.options.Now()+left.Request > waitUntil {
+			c.retryAfter = left.Service
 			return nil, tables.CodeOverloaded
 		}
 		placement, reason := s.placeWithinLimits(c)
@@ -60,12 +60,12 @@
 	}
 }
 
-// pushedBackFor returns for how long no endpoint accepts the request from this instance, if
-// all of them have pushed it back.
-func (s *Server) pushedBackFor(c *clientRequest) (pause time.Duration, all bool) {
+// pushedBack returns for how long no endpoint accepts the request from this instance, if that
+// is because endpoints have pushed it back.
+func (s *Server) pushedBack(c *clientRequest) (dispatch.PushedBack, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.dispatch.PushedBackFor(s.options.Now(), &c.dispatchRequest)
+	return s.dispatch.PushedBack(s.options.Now(), &c.dispatchRequest)
 }
 
 // placeOnce places the next attempt through a scheduler or, if none decides, locally. An
