Wording: back-off, timeout and locally; tests for wiring that had none

Cause: a newcomer's read of the diff. New comments and texts said "a time without requests", "wants nothing", "told", "heard of" and "by itself", where the field says back-off, announced, received and locally; four comments said "time limit" for a timeout; two on clocks read as if a value had been measured. Four pieces of wiring had no test that fails without them.

Change: comments, the text of event 1019 and the help of a counter; one field is observedDraining.

--- a/cli/operator_client.go
+++ b/cli/operator_client.go
@@ -29,7 +29,7 @@
 	keyVariable       = "CARAWAYSTILE_KEY"
 )
 
-// defaultCallTimeout is the default time limit of a call to one instance.
+// defaultCallTimeout is the default timeout of a call to one instance.
 const defaultCallTimeout = 10 * time.Second
 
 // maxResponseBytes limits how much getJSON reads of one response body.
--- a/control/client/lease.go
+++ b/control/client/lease.go
@@ -126,10 +126,10 @@
 	return nil
 }
 
-// TokenAndTTL returns the fencing token and the remaining validity of the lease,
-// measured on the clock of this process alone. The lease is held only while the
-// remaining validity is above zero. A partitioned instance therefore needs no
-// message to know that it must stop.
+// TokenAndTTL returns the fencing token and the remaining validity of the lease, by the
+// clock of this process alone. The lease is held only while the remaining validity is
+// above zero. A partitioned instance therefore needs no message to know that it must
+// stop.
 func (l *Lease) TokenAndTTL() (tables.FencingToken, time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/control/deployment/service_test.go
+++ b/control/deployment/service_test.go
@@ -36,9 +36,9 @@
 	return replica
 }
 
-// Guards against a restarted entry instance that is told of the newest version of
-// weights only. It would count the age of outdated versions from its own start and
-// send requests to weights that were replaced long before.
+// Guards against a restarted entry instance that receives the newest version of weights
+// only. It would count the age of outdated versions from its own start and send requests
+// to weights that were replaced long before.
 func TestNewFollowerGetsVersionAges(t *testing.T) {
 	replica := startSingleReplica(t)
 	now := tables.Instant(0)
--- a/control/rollout/announcements.go
+++ b/control/rollout/announcements.go
@@ -6,9 +6,9 @@
 	"github.com/carawaystile/carawaystile/tables"
 )
 
-// HandlePushback delays all calls to an engine that wants none for the given time. Whether it
-// executes an order is not asked meanwhile, so the other instances may send it requests again:
-// it declines them itself while it loads.
+// HandlePushback delays all calls to an engine that has requested a back-off. Meanwhile
+// its reports cannot show whether it executes an order, so other instances may send it
+// requests: it declines them while it loads.
 func (p *Planner) HandlePushback(now tables.Instant, id tables.EndpointID, d time.Duration) {
 	r := p.engineStates[id]
 	if r == nil {
--- a/control/rollout/announcements_test.go
+++ b/control/rollout/announcements_test.go
@@ -1,12 +1,16 @@
 package rollout
 
 import (
+	"context"
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
+	"github.com/carawaystile/carawaystile/engine"
 	"github.com/carawaystile/carawaystile/fleet"
+	"github.com/carawaystile/carawaystile/tables"
 )
 
 // outdatedEngine returns an engine that serves an older version than the target.
@@ -14,8 +18,8 @@
 	return []fleet.Endpoint{{ID: "e", StartUnixMilli: start, Weights: map[string]uint64{"m": 1}}}
 }
 
-// Guards against orders and polls to an engine that has asked for a time without calls, and
-// against a pause that outlives the process.
+// Guards against orders and polls to an engine that has requested a back-off, and against
+// a pause that outlives the process.
 func TestEngineThatPushesBackGetsNoCalls(t *testing.T) {
 	p := NewPlanner()
 	p.SetTarget("m", 2)
@@ -33,8 +37,8 @@
 	assert.Equal(t, len(p.NextActions(now)), 1, "another process")
 }
 
-// Guards against an engine that gets no requests for as long as it wants no calls, because an
-// order is believed to be under way there.
+// Guards against an engine that gets no requests during the back-off of a control
+// instance, because an order is believed to be under way there.
 func TestEngineThatPushesBackIsNotTakenForLoading(t *testing.T) {
 	p := NewPlanner()
 	p.SetTarget("m", 2)
@@ -74,3 +78,49 @@
 	table.ApplyList(outdatedEngine(5))
 	assert.Assert(t, table.Endpoints()[0].Draining)
 }
+
+// announcingEngine answers a status query with a report or an error.
+type announcingEngine struct {
+	report Report
+	err    error
+}
+
+func (e announcingEngine) Report(context.Context, fleet.Endpoint) (Report, error) {
+	return e.report, e.err
+}
+
+func (e announcingEngine) Order(context.Context, fleet.Endpoint, Order) (OrderResult, error) {
+	return Rejected, e.err
+}
+
+// pollOnce has a controller poll the outdated engine and handle the result.
+func pollOnce(t *testing.T, engine announcingEngine) (*Controller, *fleet.Table) {
+	t.Helper()
+	table := fleet.NewTable(1)
+	table.ApplyList(outdatedEngine(1))
+	r := NewController(Options{
+		Engines: engine, Executor: &fakeControlGroup{}, Instance: "c", Boot: 1, LeaseDuration: time.Minute, EnginesCheckFence: true,
+		Now: func() tables.Instant { return time.Second }, Log: zap.NewNop(), Fleet: table,
+	})
+	r.planner.SetTarget("m", 2)
+	r.planner.UpdateEndpoints(table.Endpoints())
+	actions := r.planner.NextActions(time.Second)
+	assert.Equal(t, len(actions), 1)
+	r.poll(t.Context(), r.planner, actions[0])
+	(<-r.results)()
+	return r, table
+}
+
+// Guards against a controller that takes a pushback for a missing answer and asks again soon.
+func TestControllerKeepsThePushbackOfAnEngine(t *testing.T) {
+	r, _ := pollOnce(t, announcingEngine{err: &engine.PushbackError{RetryAfter: time.Minute, Cause: context.Canceled}})
+	assert.Equal(t, len(r.planner.NextActions(time.Second+pollRetryDelay)), 0)
+	assert.Equal(t, len(r.planner.NextActions(time.Second+time.Minute)), 1)
+}
+
+// Guards against a control instance that does not pass on that an engine has announced its end.
+func TestControllerPassesOnThatAnEngineIsDraining(t *testing.T) {
+	r, table := pollOnce(t, announcingEngine{report: Report{Draining: true, Born: 1, Weights: map[string]uint64{"m": 1}}})
+	assert.Assert(t, table.Endpoints()[0].Draining)
+	assert.Assert(t, r.planner.Converged())
+}
--- a/control/rollout/controller.go
+++ b/control/rollout/controller.go
@@ -64,12 +64,11 @@
 	Boot     uint64
 	// LeaseDuration is the duration of the lease.
 	LeaseDuration time.Duration
-	// HandoverDelay is the minimum time between orders of two lease holders to
-	// one engine. It applies unless EnginesCheckFence is set. Engines that
-	// check fencing tokens reject an earlier holder by themselves. For other
-	// engines each order is announced to the control group before it is sent,
-	// and a new holder delays its orders to the engines that an earlier holder
-	// has announced.
+	// HandoverDelay is the minimum time between orders of two lease holders to one
+	// engine. It applies unless EnginesCheckFence is set. Engines that check fencing
+	// tokens reject an earlier holder themselves. For other engines each order is
+	// announced to the control group before it is sent, and a new holder delays its
+	// orders to the engines that an earlier holder has announced.
 	HandoverDelay     time.Duration
 	EnginesCheckFence bool
 	Strategy          Strategy
@@ -263,8 +262,8 @@
 	})
 }
 
-// handlePushback delays the calls to an engine that has asked for a time without any, and
-// reports whether the error says so.
+// handlePushback delays the calls to an engine that has requested a back-off, and reports
+// whether the error is one.
 func (r *Controller) handlePushback(now tables.Instant, planner *Planner, id tables.EndpointID, err error) bool {
 	var pushback *engine.PushbackError
 	if !errors.As(err, &pushback) {
--- a/control/rollout/planner.go
+++ b/control/rollout/planner.go
@@ -130,7 +130,7 @@
 	// such orders are lost, or wait for seconds. The engine then still serves its old weights, and
 	// if it does not, it declines requests itself.
 	unconfirmed bool
-	// pausedUntil is until when the engine wants no calls.
+	// pausedUntil is when the back-off that the engine has requested ends.
 	pausedUntil tables.Instant
 }
 
--- a/control/stale_source_test.go
+++ b/control/stale_source_test.go
@@ -236,11 +236,11 @@
 // from the others, but the zone's entry instances still reached them and followed
 // the standby. A change was committed without it.
 //
-// A source used to report itself as stale only while it knew no leader. A standby
-// never starts an election, and so it kept the leader that it had last heard of. As
-// observed, requests in that zone only were rejected under the old revision 23 to
-// 157 ms after the source had confirmed it, and the client of this test, which has
-// an up-to-date source as well, was never notified of the change.
+// A source used to report itself as stale only while it knew no leader. A standby never
+// starts an election, and so it kept the leader that it last knew. As observed, requests
+// in that zone only were rejected under the old revision 23 to 157 ms after the source
+// had confirmed it, and the client of this test, which has an up-to-date source as well,
+// was never notified of the change.
 func TestFollowerLeavesPartitionedStandby(t *testing.T) {
 	g := newReplicaGroup(t)
 	notified := g.follow(standbyIndex, 0)
--- a/dialect/dialect.go
+++ b/dialect/dialect.go
@@ -28,8 +28,8 @@
 	// RateLimit carries the number of requests per second that the endpoint accepts from
 	// all instances together. A response without it states that there is no such limit.
 	RateLimit string
-	// RetryAfter is present on a response with status 503 by which an endpoint asks the
-	// sender for a time without requests: a decimal number of seconds.
+	// RetryAfter is present on a response with status 503 by which an endpoint requests a
+	// back-off from the sender: a decimal number of seconds.
 	RetryAfter string
 	// Draining is present, with value 1, on every response of an endpoint that is about to
 	// stop.
--- a/dialect/parse.go
+++ b/dialect/parse.go
@@ -87,8 +87,8 @@
 	return rate, true
 }
 
-// MaxRetryAfter is the longest time without requests that is granted to an endpoint. A longer
-// one is most likely a mistake, which must not take an endpoint out of service for good.
+// MaxRetryAfter is the longest back-off that is granted to an endpoint. A longer one is
+// most likely a mistake, which must not take an endpoint out of service for good.
 const MaxRetryAfter = 10 * time.Minute
 
 // ParseRetryAfter parses a time in seconds, which may have a fraction. It reports ok as
--- a/dispatch/announcements.go
+++ b/dispatch/announcements.go
@@ -8,15 +8,16 @@
 	"github.com/carawaystile/carawaystile/tables"
 )
 
-// announcements holds what one process of an endpoint has said of itself in its responses.
-// It outlives the endpoint's row, since an endpoint may be missing from one list and be back
+// announcements holds what one process of an endpoint has announced in its responses. It
+// outlives the endpoint's row, since an endpoint may be missing from one list and be back
 // in the next one while the same process runs.
 type announcements struct {
 	address        netip.AddrPort
 	startUnixMilli int64
-	// draining is set once the process is known to be about to stop, and toldDraining if it
-	// has told this instance. A process that is about to stop does not change its mind.
-	draining, toldDraining bool
+	// draining is set once the process is known to be about to stop, and observedDraining
+	// if this instance has received the announcement itself. Processes do not withdraw
+	// it.
+	draining, observedDraining bool
 	pushback
 	// unlistedSince is when the endpoint was first seen to have no row; zero while it has one.
 	unlistedSince tables.Instant
@@ -68,16 +69,16 @@
 	StartUnixMilli int64
 	// Draining is set if the process is about to stop.
 	Draining bool
-	// PushbackFor is for how much longer the endpoint wants no requests from the sender.
+	// PushbackFor is the remaining back-off of the sender.
 	PushbackFor time.Duration
 }
 
-// notice returns what other instances need to know; nil for nothing. They need not be told
-// that an endpoint is draining once the platform's list says so.
+// notice returns what other instances need to know; nil for nothing. It leaves out that
+// an endpoint is draining once the platform's list shows it.
 func (r *endpointRow) notice(now tables.Instant) *Notice {
 	n := Notice{
 		StartUnixMilli: r.announced.startUnixMilli,
-		Draining:       r.announced.toldDraining && !r.Draining,
+		Draining:       r.announced.observedDraining && !r.Draining,
 		PushbackFor:    max(0, r.announced.until-now),
 	}
 	if !n.Draining && n.PushbackFor == 0 {
@@ -97,8 +98,8 @@
 	}
 }
 
-// RecordDraining records that the attempt's endpoint has announced that it is about to stop,
-// and reports whether this instance was not told before.
+// RecordDraining records that the attempt's endpoint has announced that it is about to
+// stop, and reports whether that is new to this instance.
 func (d *Dispatcher) RecordDraining(a *Attempt) (first bool) { return d.recordDraining(a.row) }
 
 // RecordCallDraining is RecordDraining for an endpoint that has answered a call other than an
@@ -110,8 +111,8 @@
 
 func (d *Dispatcher) recordDraining(row *endpointRow) (first bool) {
 	announced := row.announced
-	first = !announced.toldDraining
-	announced.draining, announced.toldDraining = true, true
+	first = !announced.observedDraining
+	announced.draining, announced.observedDraining = true, true
 	if first {
 		d.markDirty(row)
 	}
--- a/dispatch/announcements_test.go
+++ b/dispatch/announcements_test.go
@@ -64,7 +64,7 @@
 		for range 4 {
 			assert.Assert(t, mustPlace(t, d, now, requestWithoutParts()).Endpoint.ID != leaving.Endpoint.ID)
 		}
-		assert.Assert(t, d.endpoints[leaving.Endpoint.ID].notice(now) == nil, "passed on by an instance that was not told")
+		assert.Assert(t, d.endpoints[leaving.Endpoint.ID].notice(now) == nil, "passed on by an instance without an announcement of its own")
 	}
 	repeated := 0
 	for _, l := range c.dispatchers[0].TakeLoadReports(now + 2*time.Second) {
@@ -75,13 +75,14 @@
 	assert.Equal(t, repeated, 1, "a report may be lost")
 }
 
-// Guards against a draining endpoint that a scheduler chooses because it has not heard yet.
+// Guards against a draining endpoint that a scheduler chooses because it does not know of
+// the announcement yet.
 func TestChoiceOfADrainingEndpointIsNotAccepted(t *testing.T) {
 	scheduler, _ := newTestDispatcher(1)
 	sender, _ := newTestDispatcher(1)
 	now := time.Second
-	told := mustPlace(t, sender, now, requestWithoutParts())
+	announced := mustPlace(t, sender, now, requestWithoutParts())
 	chosen := mustPlace(t, scheduler, now, requestWithoutParts())
-	sender.RecordDraining(told)
+	sender.RecordDraining(announced)
 	assert.Assert(t, sender.AcceptDecision(now, requestWithoutParts(), chosen.Decision(now)) == nil)
 }
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -154,7 +154,7 @@
 	assert.Equal(t, reason, NoEndpoint)
 }
 
-// Guards against a request beginning on old weights after the time limit that callers are
+// Guards against a request beginning on old weights after the timeout that callers are
 // promised.
 func TestStaleWeightsAreNotUsedAfterTheTimeout(t *testing.T) {
 	d, _ := newTestDispatcher(2)
@@ -169,7 +169,7 @@
 	d.RecordWeightsVersion(weights.TargetVersion{Model: "m", Version: version, SetAt: at})
 }
 
-// Guards against the time limit of old weights counting from the newest version. Versions
+// Guards against the timeout of old weights counting from the newest version. Versions
 // are announced every three seconds while an engine stays at the first, and callers would
 // be answered from weights that were replaced long before.
 func TestNewerVersionsDoNotExtendTheTimeoutOfStaleWeights(t *testing.T) {
--- a/dispatch/endpoints.go
+++ b/dispatch/endpoints.go
@@ -68,7 +68,7 @@
 	averages *serviceAverages
 	availability
 	limit rateLimitState
-	// announced is what the endpoint has said of itself in responses.
+	// announced is what the endpoint has announced in responses.
 	announced *announcements
 	// linkFreeAt is when the known transfers on the endpoint's link have ended.
 	linkFreeAt tables.Instant
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -156,8 +156,8 @@
 	return !r.isLeaving() && r.availability.available(now)
 }
 
-// isLeaving reports whether the endpoint is about to stop, by the platform's list or by its
-// own word, which comes earlier.
+// isLeaving reports whether the endpoint is about to stop, by the platform's list or by
+// its own announcement, which comes earlier.
 func (r *endpointRow) isLeaving() bool { return r.Draining || r.announced.draining }
 
 // isBeingProbed reports whether the endpoint has as many attempts as it may have until it has
--- a/dispatch/pushback.go
+++ b/dispatch/pushback.go
@@ -8,8 +8,8 @@
 	"github.com/carawaystile/carawaystile/tables"
 )
 
-// Server pushback: an endpoint that rejects a request may ask the sender for a time without
-// requests. An endpoint asks each instance by itself, and may go on to accept requests of
+// Server pushback: an endpoint that rejects a request may request a back-off from the
+// sender. An endpoint requests it of a single instance and may still accept requests of
 // others. So the pushback binds the instance that was asked; other instances take it as a
 // sign of overload and prefer other endpoints.
 
@@ -37,9 +37,9 @@
 
 // pushback is the pushback of one endpoint.
 type pushback struct {
-	// until is when the endpoint accepts requests of this instance again.
+	// until is when the back-off of this instance ends.
 	until tables.Instant
-	// peersUntil is until when it accepts none of some other instance.
+	// peersUntil is when the last back-off of the other instances ends, by their reports.
 	peersUntil tables.Instant
 	// unproven is set from a pushback on until the endpoint has answered an attempt that
 	// began after it, at learnedAt or later.
@@ -47,10 +47,10 @@
 	learnedAt tables.Instant
 }
 
-// pushedBack reports whether the endpoint wants no requests from this instance.
+// pushedBack reports whether this instance must not send requests to the endpoint.
 func (p *pushback) pushedBack(now tables.Instant) bool { return now < p.until }
 
-// pushedBackAny reports whether the endpoint wants no requests from some instance.
+// pushedBackAny reports whether some instance must not send requests to the endpoint.
 func (p *pushback) pushedBackAny(now tables.Instant) bool {
 	return now < max(p.until, p.peersUntil)
 }
@@ -69,8 +69,8 @@
 	}
 }
 
-// RecordPushback records that the attempt's endpoint wants no requests from this instance for
-// the given time. It returns the time that applies, which is bounded, and whether the endpoint
+// RecordPushback records that the attempt's endpoint has requested a back-off from this
+// instance. It returns the time that applies, which is bounded, and whether the endpoint
 // accepted requests before.
 func (d *Dispatcher) RecordPushback(now tables.Instant, a *Attempt, after time.Duration) (applied time.Duration, began bool) {
 	return d.recordPushback(now, a.row, after)
@@ -85,7 +85,7 @@
 	return began
 }
 
-// PausedFor returns for how much longer an endpoint wants nothing from this instance.
+// PausedFor returns the remaining back-off of an endpoint.
 func (d *Dispatcher) PausedFor(now tables.Instant, id tables.EndpointID) time.Duration {
 	if row := d.endpoints[id]; row != nil {
 		return max(0, row.announced.until-now)
--- a/dispatch/pushback_test.go
+++ b/dispatch/pushback_test.go
@@ -187,7 +187,7 @@
 	assert.Equal(t, d.CountEndpoints(now, requestWithoutParts()).PushingBack, 2)
 }
 
-// Guards against requests to an endpoint that has asked for a time without any in answer to a
+// Guards against requests to an endpoint that has requested a back-off in answer to a
 // call that is not a request.
 func TestPushbackOfACallBindsRequests(t *testing.T) {
 	d, _ := newTestDispatcher(1)
@@ -199,8 +199,8 @@
 	assert.Equal(t, d.PausedFor(now+time.Minute, "e0"), time.Duration(0))
 }
 
-// Guards against a request that waits for an endpoint it has tried while the others push back,
-// and against its client being told to stay away as long as these do.
+// Guards against a request that waits for an endpoint it has tried while the others push
+// back, and against a Retry-After for its client that is as long as theirs.
 func TestRequestIsPushedBackIfTheOthersWereTried(t *testing.T) {
 	d, _ := newTestDispatcher(3)
 	now := time.Second
--- a/dispatch/retry_budget.go
+++ b/dispatch/retry_budget.go
@@ -22,8 +22,8 @@
 	// real number is known. Too high a number only makes an instance cautious.
 	defaultInstances = 12
 	// extraUsableFraction is the fraction of Extra that the instances divide among
-	// themselves. The rest is headroom for a new instance that the others have not yet
-	// heard of.
+	// themselves. The rest is headroom for a new instance that the others do not know
+	// yet.
 	extraUsableFraction = 0.8
 	// windowSlices is the number of slices by which the window slides.
 	windowSlices = 20
--- a/engine/client.go
+++ b/engine/client.go
@@ -141,11 +141,11 @@
 	return &url.URL{Scheme: "http", Host: at.String(), Path: path}
 }
 
-// newRequest builds a request that net/http cannot retry by itself once a byte of its
-// body was read. net/http retries a request on a new connection when a reused one breaks,
-// if the request carries an Idempotency-Key and GetBody can provide its body again. Such
-// a hidden retry would break at-most-once execution, so GetBody stays nil. net/http then
-// only retries requests of which nothing was written, which is harmless.
+// newRequest builds a request that net/http cannot retry once a byte of its body was read.
+// net/http retries a request on a new connection when a reused one breaks, if the request
+// carries an Idempotency-Key and GetBody can provide its body again. Such a hidden retry
+// would break at-most-once execution, so GetBody stays nil. net/http then only retries
+// requests of which nothing was written, which is harmless.
 func newRequest(ctx context.Context, method string, to *url.URL, body *trackedBody) *http.Request {
 	req := &http.Request{
 		Method:     method,
--- a/engine/errors.go
+++ b/engine/errors.go
@@ -21,8 +21,8 @@
 	return fmt.Sprintf("unexpected response with status %d and content type %q", e.Status, e.ContentType)
 }
 
-// PushbackError means that an endpoint rejected a call and wants no calls of this process for
-// RetryAfter.
+// PushbackError means that an endpoint rejected a call and requested a back-off of
+// RetryAfter from this process.
 type PushbackError struct {
 	RetryAfter time.Duration
 	Cause      error
--- a/engine/feed/poller.go
+++ b/engine/feed/poller.go
@@ -46,12 +46,12 @@
 	// OnUnresponsive is called with true when an endpoint stops responding and with false
 	// when it responds again; nil means no callback.
 	OnUnresponsive func(id tables.EndpointID, unresponsive bool)
-	// OnPushback is called when an endpoint rejects a request and wants none for a time, and
+	// OnPushback is called when an endpoint rejects a request and requests a back-off, and
 	// OnDraining when it announces that it is about to stop; nil means no callback.
 	OnPushback func(id tables.EndpointID, retryAfter time.Duration)
 	OnDraining func(id tables.EndpointID)
-	// PausedFor returns for how much longer an endpoint wants no requests, as known from
-	// elsewhere; nil means that nothing is known.
+	// PausedFor returns the remaining back-off that an endpoint has requested in other
+	// responses; nil means none.
 	PausedFor func(id tables.EndpointID) time.Duration
 	// ShouldPoll selects the endpoints that this instance polls; nil means all. With many
 	// instances and endpoints each instance polls its share only.
@@ -205,7 +205,8 @@
 	}
 }
 
-// pushback returns for how long an endpoint wants no requests, by the error of the last one.
+// pushback returns the back-off that an endpoint requests by rejecting a request; 0 for
+// none.
 func (p *poller) pushback(err error) time.Duration {
 	var pushback *engine.PushbackError
 	if !errors.As(err, &pushback) {
--- a/engine/feed/poller_test.go
+++ b/engine/feed/poller_test.go
@@ -191,8 +191,8 @@
 	})
 }
 
-// Guards against polls of an endpoint that has asked for a time without requests, in answer to
-// a poll or to something else.
+// Guards against polls of an endpoint that has requested a back-off, in answer to a poll or
+// to something else.
 func TestCachePollerWaitsWhileTheEndpointPushesBack(t *testing.T) {
 	s := &scriptedReader{
 		errs:    []error{&engine.PushbackError{RetryAfter: time.Minute}, nil},
--- a/entry/responsereader.go
+++ b/entry/responsereader.go
@@ -10,11 +10,11 @@
 	"github.com/carawaystile/carawaystile/tables"
 )
 
-// tokenTimeoutError reports that an endpoint sent no token within the time
-// limit of a stream.
+// tokenTimeoutError reports that an endpoint sent no token within the timeout of a
+// stream.
 type tokenTimeoutError struct{ after time.Duration }
 
-// Error names the time limit.
+// Error names the timeout.
 func (e *tokenTimeoutError) Error() string { return fmt.Sprintf("no token for %v", e.after) }
 
 // tokenGapError reports that an endpoint skipped at least one token.
--- a/events/entry.go
+++ b/events/entry.go
@@ -23,7 +23,7 @@
 	SuspectReportFailed  = define(1017, zapcore.WarnLevel, "Another instance could not be notified of requests that may crash endpoints.")
 	EndpointCrashed      = define(1014, zapcore.WarnLevel, "An endpoint broke off its connections and accepts no new ones.")
 	EndpointLimited      = define(1018, zapcore.InfoLevel, "An endpoint announced a rate limit, or withdrew one.")
-	EndpointPushedBack   = define(1019, zapcore.InfoLevel, "An endpoint asked this instance for a time without requests.")
+	EndpointPushedBack   = define(1019, zapcore.InfoLevel, "An endpoint requested a back-off from this instance.")
 	EndpointDraining     = define(1020, zapcore.InfoLevel, "An endpoint announced in a response that it is draining.")
 	HeaderUnusable       = define(1021, zapcore.WarnLevel, "A response header of an endpoint has a value that cannot be used as it is.")
 )
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -156,8 +156,8 @@
 }
 
 // recordResponseHeader records what a response header tells of the endpoint: its load, its
-// rate limit, the version of its weights, and whether it asks for a time without requests or
-// is draining.
+// rate limit, the version of its weights, and whether it requests a back-off or is
+// draining.
 func (a *attempt) recordResponseHeader(status int, header http.Header) {
 	s, h := a.request.server, a.request.server.headers
 	now := s.options.Now()
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -166,6 +166,6 @@
 	if m == nil {
 		return
 	}
-	m.registry.Counter("carawaystile_endpoint_announcements_total", "Responses in which endpoints asked for a time without requests, announced that they are draining, or had an unusable header.",
+	m.registry.Counter("carawaystile_endpoint_announcements_total", "Responses in which endpoints requested a back-off, announced that they are draining, or had an unusable header.",
 		metrics.Label{Name: "service", Value: service}, metrics.Label{Name: "kind", Value: kind}).Inc(1)
 }
--- a/forward/pushback.go
+++ b/forward/pushback.go
@@ -19,8 +19,8 @@
 	announcedUnusable = "unusable"
 )
 
-// recordPushback records that the endpoint asks this instance for a time without requests.
-// The caller holds the server's mu.
+// recordPushback records that the endpoint requests a back-off from this instance. The
+// caller holds the server's mu.
 func (a *attempt) recordPushback(now tables.Instant, status int, header http.Header) {
 	s := a.request.server
 	text := header.Get(s.headers.RetryAfter)
@@ -115,8 +115,8 @@
 	return names
 }
 
-// RecordCallPushback records that an endpoint has rejected a call other than an attempt, and
-// wants nothing from this instance for the given time.
+// RecordCallPushback records that an endpoint has rejected a call other than an attempt,
+// and has requested a back-off from this instance.
 func (s *Server) RecordCallPushback(id tables.EndpointID, after time.Duration) {
 	s.mu.Lock()
 	began := s.dispatch.RecordCallPushback(s.options.Now(), id, after)
@@ -137,7 +137,7 @@
 	}
 }
 
-// PausedFor returns for how much longer an endpoint wants nothing from this instance.
+// PausedFor returns the remaining back-off of an endpoint.
 func (s *Server) PausedFor(id tables.EndpointID) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/forward/pushback_test.go
+++ b/forward/pushback_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"strings"
@@ -15,9 +16,10 @@
 
 	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/tables"
+	"github.com/carawaystile/carawaystile/usage"
 )
 
-// pushBack returns a handler that rejects requests and asks for a time without requests.
+// pushBack returns a handler that rejects requests and requests a back-off.
 func pushBack(retryAfter string) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Retry-After", retryAfter)
@@ -89,8 +91,7 @@
 	return count
 }
 
-// Guards against requests to an endpoint that has answered 503 and asked for a time without
-// requests.
+// Guards against requests to an endpoint that has answered 503 and requested a back-off.
 func TestEndpointThatPushesBackGetsNoRequestsMeanwhile(t *testing.T) {
 	const (
 		pause   = 3 * time.Second
@@ -109,8 +110,9 @@
 	}
 }
 
-// Guards against requests that wait, or that go to endpoints, while every endpoint has asked
-// for a time without requests, and against clients that are told to return too early.
+// Guards against requests that wait, or that go to endpoints, while every endpoint has
+// requested a back-off, and against clients that retry too early because of a wrong
+// Retry-After.
 func TestRequestIsRejectedAtOnceWhileAllEndpointsPushBack(t *testing.T) {
 	var overloaded atomic.Bool
 	overloaded.Store(true)
@@ -142,8 +144,8 @@
 	assert.Equal(t, c.instances[0].deliveredCount(), 2)
 }
 
-// Guards against a malformed or absurd Retry-After that takes an endpoint out of service, or
-// that nobody hears of.
+// Guards against a malformed or absurd Retry-After that takes an endpoint out of service,
+// or that is not logged.
 func TestUnusableRetryAfterIsLogged(t *testing.T) {
 	for _, value := range []string{"-1", "soon", "NaN", "1e400", "Wed, 21 Oct 2026 07:28:00 GMT", strings.Repeat("9", 1000) + "x", "1e12"} {
 		var overloaded atomic.Bool
@@ -161,8 +163,7 @@
 	}
 }
 
-// Guards against a stream that is resumed at an endpoint which has asked for a time without
-// requests.
+// Guards against a stream that is resumed at an endpoint which has requested a back-off.
 func TestStreamIsNotResumedWhereItWasPushedBack(t *testing.T) {
 	pushed, breaking := atomic.Int32{}, atomic.Int32{}
 	handler := func(w http.ResponseWriter, r *http.Request) {
@@ -196,3 +197,37 @@
 		assert.Equal(t, count, 0, "instance %d", i)
 	}
 }
+
+// pushBackWhileDeciding is a rate limiter that admits everything. The subject's endpoint pushes
+// the instance back while the limiter decides.
+type pushBackWhileDeciding struct{ server *Server }
+
+func (l pushBackWhileDeciding) Admit(_ context.Context, subject usage.Subject, _ usage.Limit, _ int64) usage.Decision {
+	for id := range l.server.Endpoints() {
+		if usage.EndpointSubject(id) == subject {
+			l.server.RecordCallPushback(id, time.Minute)
+		}
+	}
+	return usage.Decision{Admitted: true}
+}
+
+func (pushBackWhileDeciding) Charge(usage.Subject, usage.Limit, int64) {}
+
+// Guards against a request to an endpoint that pushes back while the request waits for the
+// endpoint's rate limit.
+func TestAttemptThatWaitedForARateLimitIsNotSentAfterAPushback(t *testing.T) {
+	limited := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Rate-Limit", "100")
+		respond(200, "ok")(w, r)
+	}
+	c := newCluster(t, 1, limited, respond(200, "ok"))
+	c.sendUntilDelivered(t, c.endpoints.all[0])
+	server := c.instances[0].server
+	server.options.RateLimiter = pushBackWhileDeciding{server: server}
+	before := len(c.endpoints.all[0].requests())
+	for range 20 {
+		c.advance(50 * time.Millisecond)
+		assert.Equal(t, c.send(t), 200)
+	}
+	assert.Equal(t, len(c.endpoints.all[0].requests()), before)
+}
--- a/internal/boottime/boottime.go
+++ b/internal/boottime/boottime.go
@@ -1,6 +1,6 @@
 // Package boottime reads CLOCK_BOOTTIME, which keeps running while the machine is
-// suspended. The monotonic clock of package time stops during a suspension: a lease
-// measured on it would look valid after a suspension that outlasted it.
+// suspended. The monotonic clock of package time stops during a suspension: a lease timed
+// by it would look valid after a suspension that outlasted it.
 package boottime
 
 import (
--- a/logs/trail/trail_test.go
+++ b/logs/trail/trail_test.go
@@ -56,15 +56,15 @@
 	}
 }
 
-const pushbackLog = `{"level":"info","ts":"2026-01-02T10:00:01Z","msg":"An endpoint asked this instance for a time without requests.","instance":"edge-1","endpoint":"i-7","by_request":"r-0","retry_after":"30s","event":1019}
-{"level":"info","ts":"2026-01-02T10:00:02Z","msg":"An endpoint asked this instance for a time without requests.","instance":"edge-1","endpoint":"i-7","by_request":"r-1","retry_after":"60s","event":1019}
-{"level":"info","ts":"2026-01-02T10:00:03Z","msg":"An endpoint asked this instance for a time without requests.","instance":"edge-2","endpoint":"i-7","by_request":"r-2","retry_after":"90s","event":1019}
+const pushbackLog = `{"level":"info","ts":"2026-01-02T10:00:01Z","msg":"An endpoint requested a back-off from this instance.","instance":"edge-1","endpoint":"i-7","by_request":"r-0","retry_after":"30s","event":1019}
+{"level":"info","ts":"2026-01-02T10:00:02Z","msg":"An endpoint requested a back-off from this instance.","instance":"edge-1","endpoint":"i-7","by_request":"r-1","retry_after":"60s","event":1019}
+{"level":"info","ts":"2026-01-02T10:00:03Z","msg":"An endpoint requested a back-off from this instance.","instance":"edge-2","endpoint":"i-7","by_request":"r-2","retry_after":"90s","event":1019}
 {"level":"info","ts":"2026-01-02T10:00:40Z","msg":"A request got an endpoint's response.","instance":"edge-1","request":"r-3","took":"50ms","status":200,"endpoint":"i-1","pushing_back":["i-7"],"draining":["i-8"],"event":1010}
 {"level":"info","ts":"2026-01-02T10:00:05Z","msg":"An endpoint announced in a response that it is draining.","instance":"edge-1","endpoint":"i-8","by_request":"r-2","event":1020}
 `
 
-// Guards against a trace that does not show why an endpoint was left out: it had asked the
-// instance for a time without requests, or announced that it stops, long before the request.
+// Guards against a trace that does not show why an endpoint was left out: it had requested
+// a back-off from the instance, or announced that it stops, long before the request.
 func TestTraceTellsWhyEndpointsWereLeftOut(t *testing.T) {
 	r := NewReader("r-3")
 	assert.NilError(t, r.Read("entry.log", strings.NewReader(pushbackLog)))
--- a/node/scheduling.go
+++ b/node/scheduling.go
@@ -36,7 +36,7 @@
 }
 
 // schedulers returns the schedulers of this instance's zone, best first. There are none if
-// each instance selects endpoints by itself.
+// each instance selects endpoints locally.
 func (n *Node) schedulers() []membership.EntryInstance {
 	if joined := n.gossip.Load(); joined != nil {
 		return joined.Schedulers()
@@ -44,8 +44,8 @@
 	return nil
 }
 
-// selectsEndpoints reports whether this instance selects endpoints: either it is a scheduler,
-// or there are no schedulers and each instance selects by itself.
+// selectsEndpoints reports whether this instance selects endpoints: either it is a
+// scheduler, or there are no schedulers and each instance selects locally.
 func (n *Node) selectsEndpoints() bool {
 	schedulers := n.schedulers()
 	return len(schedulers) == 0 || slices.ContainsFunc(schedulers, func(s membership.EntryInstance) bool {
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -2,12 +2,13 @@
 // the schedulers. It is the client and the server of this scheduling protocol over
 // datagrams.
 //
-// If each instance chose endpoints by itself and reported the choice to the others, their
-// load information would be stale: the number of reports grows with the square of the number
-// of instances, and while reports are delayed, many instances choose the same endpoint at
-// the same moment. A scheduler knows all of its own choices and receives those of the few
-// other schedulers within milliseconds. Rendezvous hashing on the prompt prefix selects the
-// scheduler of a request, so that one scheduler places all requests with the same prefix.
+// If each instance chose endpoints locally and reported the choice to the others, their
+// load information would be stale: the number of reports grows with the square of the
+// number of instances, and while reports are delayed, many instances choose the same
+// endpoint at the same moment. A scheduler knows all of its own choices and receives those
+// of the few other schedulers within milliseconds. Rendezvous hashing on the prompt prefix
+// selects the scheduler of a request, so that one scheduler places all requests with the
+// same prefix.
 //
 // An instance that gets no answer in time chooses an endpoint locally. No request therefore
 // depends on a scheduler, and correctness never depends on a scheduler's state.
--- a/settings/process.go
+++ b/settings/process.go
@@ -81,7 +81,7 @@
 // Drain configures graceful shutdown.
 type Drain struct {
 	// Announce is how long new connections are still served after the load balancer was
-	// told of the shutdown.
+	// notified of the shutdown.
 	Announce time.Duration
 	// Timeout ends the drain even if requests are still running.
 	Timeout time.Duration
--- a/soak/announcements.go
+++ b/soak/announcements.go
@@ -21,7 +21,7 @@
 	drainBound = 3 * time.Second
 )
 
-// pushbackTimes are the times without requests that endpoints ask for.
+// pushbackTimes are the back-offs that endpoints request.
 var pushbackTimes = []time.Duration{700 * time.Millisecond, 1500 * time.Millisecond, 3 * time.Second}
 
 // pushBack has an endpoint reject all requests for a while.
@@ -76,8 +76,8 @@
 	return found
 }
 
-// judgePushbacks checks that an endpoint gets no requests from an instance that it has asked
-// for a time without any.
+// judgePushbacks checks that an endpoint gets no requests from an instance that it has
+// requested a back-off.
 func (l *ledger) judgePushbacks(all []*request) {
 	for key, arrivals := range arrivalsByPair(all) {
 		for _, pushback := range arrivals {
--- a/systems/membership/hints.go
+++ b/systems/membership/hints.go
@@ -50,7 +50,7 @@
 	StartUnixMilli int64
 	// Draining is set if the process is about to stop.
 	Draining bool
-	// PushbackFor is for how much longer the endpoint wants no requests from the instance.
+	// PushbackFor is the remaining back-off of the instance.
 	PushbackFor time.Duration
 }
 
--- a/systems/membership/membership_test.go
+++ b/systems/membership/membership_test.go
@@ -245,3 +245,19 @@
 	_, err = sim.nodes[0].Receive(0, sim.nodes[1].address, nil)
 	assert.ErrorContains(t, err, "no sender")
 }
+
+// Guards against a field of a load, such as an endpoint's announcement, that other instances do
+// not receive.
+func TestLoadsArriveWhole(t *testing.T) {
+	sim := newSimulation(t, 2)
+	sim.runUntil(time.Minute, "discover each other", sim.allAlive)
+	load := Load{
+		Endpoint: "e1", Running: 1, CacheTokens: 2, PrefillTokens: 3, LinkBusy: 4 * time.Millisecond, AbsentFor: 5 * time.Millisecond,
+		Limit:  &RateLimit{Limited: true, PerSecond: 6, Age: 7 * time.Millisecond},
+		Notice: &EndpointNotice{StartUnixMilli: 8, Draining: true, PushbackFor: 9 * time.Millisecond},
+	}
+	sim.send(sim.nodes[0], sim.nodes[0].SendHints(sim.now, Hints{Loads: []Load{load}}))
+	sim.run(time.Second)
+	load.Instance = sim.nodes[0].self.Instance
+	assert.DeepEqual(t, sim.nodes[1].loads, []Load{load})
+}
--- a/systems/membership/receive.go
+++ b/systems/membership/receive.go
@@ -147,8 +147,8 @@
 	}
 	known := m.members.byID[row.Instance]
 	if known == nil && row.State >= Dead {
-		// If unknown dead members were added, their rows would circulate for ever:
-		// each instance would keep them for a while from the time it heard of them.
+		// If unknown dead members were added, their rows would circulate for ever: each
+		// instance would keep them for a while from the time it learned of them.
 		return
 	}
 	if known == nil {
--- a/systems/membership/schedulers_test.go
+++ b/systems/membership/schedulers_test.go
@@ -38,8 +38,8 @@
 	assert.Equal(t, len(byZone), 3)
 }
 
-// TestSmallGroupHasNoSchedulers guards against the extra hop to a scheduler in
-// groups where each instance hears of all choices anyway.
+// TestSmallGroupHasNoSchedulers guards against the extra hop to a scheduler in groups where
+// each instance receives all choices anyway.
 func TestSmallGroupHasNoSchedulers(t *testing.T) {
 	sim := newSimulationWithSchedulers(t, FullMeshLimit, 3, true)
 	sim.runUntil(2*time.Minute, "discover each other", sim.allAlive)
--- a/systems/membership/simulation_test.go
+++ b/systems/membership/simulation_test.go
@@ -39,6 +39,7 @@
 	address    netip.AddrPort
 	down       bool
 	placements []Placement
+	loads      []Load
 	relay      bool
 	newer      netip.AddrPort
 }
@@ -99,6 +100,7 @@
 // send collects the events of an output and puts its datagrams on the network.
 func (s *simulation) send(from *node, out Output) {
 	from.placements = append(from.placements, out.Hints.Placements...)
+	from.loads = append(from.loads, out.Hints.Loads...)
 	from.relay = from.relay || out.Hints.Relay
 	if out.NewerRevisionAt.IsValid() {
 		from.newer = out.NewerRevisionAt
--- a/usage/loss_test.go
+++ b/usage/loss_test.go
@@ -116,8 +116,8 @@
 	s.after(0, next)
 }
 
-// Guards against a limit that is exceeded while most datagrams are lost for some seconds, so
-// that owners hear little of each other and instances little of their owner.
+// Guards against a limit that is exceeded while most datagrams are lost for some seconds,
+// so that few reports reach the owners and few replies the instances.
 func TestLimitHoldsWhileDatagramsAreLost(t *testing.T) {
 	tolerance := Tolerance{Overage: maxOverage, Slack: 120_000}
 	configured := Limit{Rate: 30_000, Burst: 30_000}
