--- a/dispatch/availability.go
+++ b/dispatch/availability.go
@@ -48,6 +48,9 @@
 	// address: the address refused a connection, or another process answered there.
 	// Unlike backoffUntil it is shared with all instances.
 	absentUntil tables.Instant
+	// absenceReported is set if absentUntil comes from another instance's report instead of
+	// an observation of this instance.
+	absenceReported bool
 	// misdirectedStreak counts consecutive answers from other processes at the address.
 	misdirectedStreak int
 	// respondedAt is when the endpoint last responded under its own identity; it is valid
@@ -70,9 +73,10 @@
 }
 
 // markAbsent records that the endpoint does not own its address until the given time.
-func (a *availability) markAbsent(until tables.Instant) {
+// reported is set if another instance has observed it.
+func (a *availability) markAbsent(until tables.Instant, reported bool) {
 	if until > a.absentUntil {
-		a.absentUntil = until
+		a.absentUntil, a.absenceReported = until, reported
 		a.halfOpen = true
 	}
 }
@@ -147,7 +151,7 @@
 		score++
 	case ConnectionRefused:
 		score++
-		a.markAbsent(now + refusedAbsence)
+		a.markAbsent(now+refusedAbsence, false)
 	case ConnectTimeout:
 		score++
 		a.backoffUntil = now + connectTimeoutBackoff
@@ -166,6 +170,6 @@
 	if now < a.absentUntil {
 		return
 	}
-	a.markAbsent(now + min(misdirectedAbsence<<a.misdirectedStreak, maxAbsence))
+	a.markAbsent(now+min(misdirectedAbsence<<a.misdirectedStreak, maxAbsence), false)
 	a.misdirectedStreak = min(a.misdirectedStreak+1, maxDoublings)
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -326,7 +326,7 @@
 // schedules a report of it to the other instances.
 func (d *Dispatcher) RecordConnectionRefused(now tables.Instant, id tables.EndpointID) {
 	if row := d.endpoints[id]; row != nil {
-		row.markAbsent(now + refusedAbsence)
+		row.markAbsent(now+refusedAbsence, false)
 		d.markDirty(row)
 	}
 }
--- a/dispatch/load_reports.go
+++ b/dispatch/load_reports.go
@@ -92,7 +92,7 @@
 		row.reported.set(now, by, l)
 		row.linkFreeAt = max(row.linkFreeAt, now+l.LinkBusy)
 		if l.AbsentFor > 0 {
-			row.markAbsent(now + min(l.AbsentFor, maxAbsence))
+			row.markAbsent(now+min(l.AbsentFor, maxAbsence), true)
 		}
 		row.limit.merge(now, l.Limit)
 		d.applyNotice(now, row, l.Notice)
--- a/dispatch/rationale.go
+++ b/dispatch/rationale.go
@@ -56,11 +56,12 @@
 
 // EndpointCounts breaks the endpoints of a service down by the first reason for which a
 // request cannot run there now: already tried by the request, draining, pushing this
-// instance back, unavailable by the passive health check, loading weights, serving other weights, rate limited, or at
-// capacity. Listed is the total, Available the rest. OtherWeights includes half-open
-// endpoints whose probe is in flight.
+// instance back, accepting no connections from it, absent by another instance's report,
+// unavailable after an observation of its own, loading weights, serving other weights,
+// rate limited, or at capacity. Listed is the total, Available the rest. OtherWeights
+// includes half-open endpoints whose probe is in flight.
 type EndpointCounts struct {
-	Listed, Tried, Draining, PushingBack, Unavailable, Loading, OtherWeights, RateLimited, AtCapacity, Available int
+	Listed, Tried, Draining, PushingBack, Unreachable, ReportedAbsent, Unavailable, Loading, OtherWeights, RateLimited, AtCapacity, Available int
 }
 
 // CountEndpoints classifies the endpoints of the request's service.
@@ -76,6 +77,10 @@
 			c.Draining++
 		case row.announced.pushedBack(now):
 			c.PushingBack++
+		case row.unreachable:
+			c.Unreachable++
+		case row.absentFor(now) > 0 && row.absenceReported:
+			c.ReportedAbsent++
 		case !row.availability.available(now):
 			c.Unavailable++
 		case r.Model != "" && row.Loading:
@@ -93,6 +98,24 @@
 	return c
 }
 
+// CountUnavailable counts the endpoints of all services that accept no connections from this
+// instance, and those that are absent by another instance's report.
+func (d *Dispatcher) CountUnavailable(now tables.Instant) EndpointCounts {
+	var c EndpointCounts
+	for _, row := range d.endpoints {
+		switch {
+		case row.isStore:
+			continue
+		case row.unreachable:
+			c.Unreachable++
+		case row.absentFor(now) > 0 && row.absenceReported:
+			c.ReportedAbsent++
+		}
+		c.Listed++
+	}
+	return c
+}
+
 // String formats the counts for a log line, leaving out those that are zero.
 func (c EndpointCounts) String() string {
 	text := "listed " + strconv.Itoa(c.Listed)
@@ -100,7 +123,7 @@
 		name string
 		n    int
 	}{
-		{"tried", c.Tried}, {"leaving", c.Draining}, {"pushing back", c.PushingBack}, {"avoided", c.Unavailable}, {"loading", c.Loading},
+		{"tried", c.Tried}, {"leaving", c.Draining}, {"pushing back", c.PushingBack}, {"unreachable", c.Unreachable}, {"reported absent", c.ReportedAbsent}, {"avoided", c.Unavailable}, {"loading", c.Loading},
 		{"other weights", c.OtherWeights}, {"limited", c.RateLimited}, {"full", c.AtCapacity}, {"free", c.Available},
 	} {
 		if part.n > 0 {
--- a/forward/healthcheck_test.go
+++ b/forward/healthcheck_test.go
@@ -82,7 +82,7 @@
 	unavailable := func() int {
 		h.server.mu.Lock()
 		defer h.server.mu.Unlock()
-		return h.server.dispatch.CountEndpoints(h.server.options.Now(), &dispatch.Request{Service: &routes.Service{Name: "desk"}, Route: &routes.Route{}}).Unavailable
+		return h.server.dispatch.CountEndpoints(h.server.options.Now(), &dispatch.Request{Service: &routes.Service{Name: "desk"}, Route: &routes.Route{}}).Unreachable
 	}
 	blackholed.Store(true)
 	h.server.healthChecker.startProbe(h.server.Endpoints()["e0desk"])
