--- a/node/node.go
+++ b/node/node.go
@@ -67,6 +67,9 @@
 	Platform Platform
 	// Log receives the log; nil discards it.
 	Log *zap.Logger
+	// Dial opens connections to endpoints and instances; nil means TCP. Tests use it to
+	// partition instances.
+	Dial engine.DialFunc
 }
 
 // memoryLimitFraction is the soft memory limit of the Go runtime as a fraction of the
@@ -166,7 +169,10 @@
 	n.boot = uint64(n.started.UnixNano())
 	n.lifetime, n.stop = context.WithCancel(context.Background())
 	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(o.Settings.MemoryMB) * (1 << 20)))
-	n.dial = engine.DialFrom(o.Settings.Source)
+	n.dial = o.Dial
+	if n.dial == nil {
+		n.dial = engine.DialFrom(o.Settings.Source)
+	}
 	n.client = &http.Client{Transport: &http.Transport{DialContext: n.dialInstance, IdleConnTimeout: idleConnTimeout}}
 	n.dialer = transport.NewDialer(n.client)
 	if err := n.start(); err != nil {
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -137,37 +137,67 @@
 func newCluster(t *testing.T) *cluster {
 	t.Helper()
 	c := &cluster{t: t, platform: newFakePlatform(t)}
-	internalPort := freePort(t, "127.0.0.1").Port()
-	var seeds []netip.AddrPort
+	d := newTestDeployment(t)
+	c.settings = d.controlSettings()
+	for _, s := range c.settings {
+		c.controls = append(c.controls, c.start(s))
+	}
+	s := d.entrySettings("entry-0", "127.31.9.1", "z")
+	c.callers = s.Listen.Callers
+	c.entry = c.start(s)
+	return c
+}
+
+// testDeployment makes the settings of instances of one deployment.
+type testDeployment struct {
+	t *testing.T
+	// internalPort is the port at which all instances serve each other.
+	internalPort uint16
+	seeds        []netip.AddrPort
+	list         netip.AddrPort
+}
+
+func newTestDeployment(t *testing.T) *testDeployment {
+	t.Helper()
+	d := &testDeployment{t: t, internalPort: freePort(t, "127.0.0.1").Port(), list: freePort(t, "127.0.0.1")}
 	for i := range 3 {
-		seeds = append(seeds, freePort(t, fmt.Sprintf("127.31.%d.1", i+1)))
+		d.seeds = append(d.seeds, freePort(t, fmt.Sprintf("127.31.%d.1", i+1)))
 	}
-	newSettings := func(name, ip string) *settings.Forwarding {
-		at := netip.AddrPortFrom(netip.MustParseAddr(ip), internalPort)
-		return &settings.Forwarding{
-			Instance: tables.InstanceID(name), Zone: "z", New: true, Tolerate: 1, MemoryMB: 100, Seeds: seeds,
-			List:      freePort(t, "127.0.0.1"),
-			Listen:    settings.ForwardingListen{Instances: at, Membership: at},
-			Advertise: settings.ForwardingAdvertise{Instances: at, Membership: at},
-			Orders:    settings.ForwardingOrders{Lease: time.Second, Fenced: true},
-			Retries:   settings.ForwardingRetries{Ratio: 0.2, Extra: 50, Window: 10 * time.Second},
-			Drain:     settings.Drain{Announce: 10 * time.Millisecond, Timeout: 5 * time.Second},
-		}
+	return d
+}
+
+func (d *testDeployment) newSettings(name, ip string, zone tables.Zone) *settings.Forwarding {
+	at := netip.AddrPortFrom(netip.MustParseAddr(ip), d.internalPort)
+	return &settings.Forwarding{
+		Instance: tables.InstanceID(name), Zone: zone, New: true, Tolerate: 1, MemoryMB: 100, Seeds: d.seeds,
+		List:      d.list,
+		Listen:    settings.ForwardingListen{Instances: at, Membership: at},
+		Advertise: settings.ForwardingAdvertise{Instances: at, Membership: at},
+		Orders:    settings.ForwardingOrders{Lease: time.Second, Fenced: true},
+		Retries:   settings.ForwardingRetries{Ratio: 0.2, Extra: 50, Window: 10 * time.Second},
+		Drain:     settings.Drain{Announce: 10 * time.Millisecond, Timeout: 5 * time.Second},
 	}
-	for i, seed := range seeds {
-		s := newSettings(fmt.Sprintf("control-%d", i), seed.Addr().String())
-		s.Control, s.Data = true, t.TempDir()
+}
+
+// controlSettings returns the settings of the control instances.
+func (d *testDeployment) controlSettings() []*settings.Forwarding {
+	var all []*settings.Forwarding
+	for i, seed := range d.seeds {
+		s := d.newSettings(fmt.Sprintf("control-%d", i), seed.Addr().String(), "z")
+		s.Control, s.Data = true, d.t.TempDir()
 		s.Listen.Operators = seed
-		c.settings = append(c.settings, s)
-		c.controls = append(c.controls, c.start(s))
+		all = append(all, s)
 	}
-	s := newSettings("entry-0", "127.31.9.1")
+	return all
+}
+
+// entrySettings returns the settings of an entry instance.
+func (d *testDeployment) entrySettings(name, ip string, zone tables.Zone) *settings.Forwarding {
+	s := d.newSettings(name, ip, zone)
 	s.Entry = true
-	s.Listen.Callers = freePort(t, "127.31.9.1")
-	s.Listen.Ready = freePort(t, "127.31.9.1")
-	c.callers = s.Listen.Callers
-	c.entry = c.start(s)
-	return c
+	s.Listen.Callers = freePort(d.t, ip)
+	s.Listen.Ready = freePort(d.t, ip)
+	return s
 }
 
 // start starts an instance that stops at the end of the test.
--- /dev/null
+++ b/node/partition_test.go
@@ -0,0 +1,250 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest"
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/control/deployment"
+	"github.com/carawaystile/carawaystile/fleet"
+	"github.com/carawaystile/carawaystile/routes"
+	"github.com/carawaystile/carawaystile/settings"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// manyEndpoints is a platform with several endpoints of two services. It counts how often
+// each request ran, and how many requests came from each IP address.
+type manyEndpoints struct {
+	*fakePlatform
+	all  []fleet.Endpoint
+	mu   sync.Mutex
+	runs map[string]int
+	from map[netip.Addr]int
+}
+
+func newManyEndpoints(t *testing.T) *manyEndpoints {
+	t.Helper()
+	p := &manyEndpoints{fakePlatform: newFakePlatform(t), runs: map[string]int{}, from: map[netip.Addr]int{}}
+	for i := range 6 {
+		server := httptest.NewServer(p)
+		t.Cleanup(server.Close)
+		e := fleet.Endpoint{
+			ID: tables.EndpointID(fmt.Sprintf("e%d", i)), Service: "models", Address: netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")),
+			Zone: tables.Zone(fmt.Sprintf("z%d", i%3)), Slots: 16, StartUnixMilli: 1, Weights: map[string]uint64{"m": 1},
+		}
+		if i >= 3 {
+			e.Service, e.Weights = "desk", nil
+		}
+		p.all = append(p.all, e)
+	}
+	return p
+}
+
+// ServeHTTP runs a request: a stream of three events on /stream/, or else a plain response.
+func (p *manyEndpoints) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	p.runs[r.Header.Get("X-Request")]++
+	p.from[netip.MustParseAddrPort(r.RemoteAddr).Addr()]++
+	p.mu.Unlock()
+	w.Header().Set("X-Request", r.Header.Get("X-Request"))
+	w.Header().Set("X-Signature", "s")
+	if !strings.HasPrefix(r.URL.Path, "/stream/") {
+		_, _ = io.WriteString(w, "done")
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	for i := range 3 {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: t\n\n", i+1)
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
+// Endpoints returns the endpoints as the platform's list shows them.
+func (p *manyEndpoints) Endpoints(context.Context) ([]fleet.Endpoint, error) { return p.all, nil }
+
+func (p *manyEndpoints) isEndpoint(at netip.AddrPort) bool {
+	for _, e := range p.all {
+		if e.Address == at {
+			return true
+		}
+	}
+	return false
+}
+
+// receivedFrom returns how many requests came from an IP address.
+func (p *manyEndpoints) receivedFrom(ip netip.Addr) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.from[ip]
+}
+
+// parseRoutes returns a routing table with a route of each kind.
+func parseRoutes(document []byte) (*routes.Table, error) {
+	route := func(prefix string, kind routes.Kind, service string) routes.Route {
+		return routes.Route{
+			Name: prefix, Host: "h.example", Prefix: prefix, Kind: kind, Timeout: 5 * time.Second, TargetLatency: 500 * time.Millisecond,
+			MaxAttempts: 2, TrafficSplit: []routes.WeightedService{{Service: service, Weight: 1}},
+		}
+	}
+	return routes.NewTable(routes.Configuration{
+		Revision: uint64(len(document)),
+		Routes:   []routes.Route{route("/once/", routes.AtMostOnce, "desk"), route("/read/", routes.Idempotent, "desk"), route("/stream/", routes.Stream, "models")},
+		Services: []routes.Service{{Name: "models", Slots: 16, KVCapacityTokens: 100_000, Models: []string{"m"}}, {Name: "desk"}},
+	})
+}
+
+// partitionCluster is a deployment of nine entry instances in three zones, the links of which
+// to the endpoints can be cut.
+type partitionCluster struct {
+	t         *testing.T
+	endpoints *manyEndpoints
+	entries   []*settings.Forwarding
+	links     []*endpointLinks
+	sent      int
+	statuses  map[string]int
+}
+
+func newPartitionCluster(t *testing.T) *partitionCluster {
+	t.Helper()
+	c := &partitionCluster{t: t, endpoints: newManyEndpoints(t)}
+	d := newTestDeployment(t)
+	var controls []*Node
+	for _, s := range d.controlSettings() {
+		controls = append(controls, c.start(s, nil))
+	}
+	for i := range 9 {
+		ip := fmt.Sprintf("127.31.%d.1", 20+i)
+		s := d.entrySettings(fmt.Sprintf("entry-%d", i), ip, tables.Zone(fmt.Sprintf("z%d", i%3)))
+		s.Source = netip.MustParseAddr(ip)
+		l := newEndpointLinks(s.Source, c.endpoints.isEndpoint)
+		c.entries, c.links = append(c.entries, s), append(c.links, l)
+		c.start(s, l)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	assert.NilError(t, controls[0].deployment.Put(ctx, deployment.ConfigurationDocument, 1, []byte("1")))
+	c.waitServed(c.all())
+	return c
+}
+
+// start starts an instance that stops at the end of the test.
+func (c *partitionCluster) start(s *settings.Forwarding, l *endpointLinks) *Node {
+	c.t.Helper()
+	platform := c.endpoints.platform()
+	platform.ParseConfiguration = parseRoutes
+	platform.NewLister = func(netip.AddrPort) EndpointLister { return c.endpoints }
+	o := Options{Settings: s, Platform: platform, Log: zaptest.NewLogger(c.t, zaptest.Level(zap.ErrorLevel))}
+	if l != nil {
+		o.Dial = l.Dial
+	}
+	n, err := Start(o)
+	assert.NilError(c.t, err)
+	c.t.Cleanup(n.Stop)
+	return n
+}
+
+// all returns the numbers of all entry instances.
+func (c *partitionCluster) all() []int {
+	numbers := make([]int, len(c.entries))
+	for i := range numbers {
+		numbers[i] = i
+	}
+	return numbers
+}
+
+// send sends one request to an entry instance. It returns the status, 0 for an incomplete
+// response, and the ID of the request.
+func (c *partitionCluster) send(entry int, method, path string) (int, string) {
+	c.t.Helper()
+	c.sent++
+	id := fmt.Sprintf("r%d", c.sent)
+	request, err := http.NewRequestWithContext(c.t.Context(), method, "http://"+c.entries[entry].Listen.Callers.String()+path, nil)
+	assert.NilError(c.t, err)
+	request.Host = "h.example"
+	request.Header.Set("X-Request", id)
+	if path == "/stream/x" {
+		request.Header.Set("X-Model", "m")
+		request.Header.Set("X-Tokens", "100,3")
+	}
+	resp, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, id
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil || resp.StatusCode == http.StatusOK && path == "/stream/x" && strings.Count(string(body), "id: ") != 3 {
+		return 0, id
+	}
+	return resp.StatusCode, id
+}
+
+// kinds are requests of each kind of route.
+var kinds = []struct{ method, path string }{{"GET", "/read/x"}, {"POST", "/once/x"}, {"POST", "/stream/x"}}
+
+// serves reports whether an entry instance serves one request of each kind.
+func (c *partitionCluster) serves(entry int) bool {
+	for _, k := range kinds {
+		if status, _ := c.send(entry, k.method, k.path); status != http.StatusOK {
+			return false
+		}
+	}
+	return true
+}
+
+// errNotServed means that an instance has not served its clients in time.
+var errNotServed = errors.New("not served")
+
+// waitServed waits until each of the entry instances serves requests of all kinds.
+func (c *partitionCluster) waitServed(entries []int) {
+	c.t.Helper()
+	assert.NilError(c.t, c.tryServed(entries))
+}
+
+func (c *partitionCluster) tryServed(entries []int) error {
+	deadline := time.Now().Add(10 * time.Second)
+	for _, i := range entries {
+		for !c.serves(i) {
+			if time.Now().After(deadline) {
+				return errNotServed
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// Guards against instances that are partitioned from all endpoints failing their clients
+// though other instances reach the endpoints, and against their partition harming these.
+func TestPartitionedInstancesServeThroughOthers(t *testing.T) {
+	c := newPartitionCluster(t)
+	for _, cut := range []struct {
+		name        string
+		partitioned []int
+	}{{"one of nine", []int{4}}, {"six of nine", []int{0, 1, 3, 4, 5, 6}}, {"all of a zone", []int{0, 3, 6}}} {
+		for _, mode := range []partitionMode{hanging, resetting, refusingNew} {
+			t.Run(cut.name+" "+mode.String(), func(t *testing.T) {
+				c.t = t
+				for _, i := range cut.partitioned {
+					c.links[i].setMode(mode)
+				}
+				served := c.tryServed(c.all())
+				for _, i := range cut.partitioned {
+					c.links[i].setMode(connected)
+				}
+				assert.NilError(t, served, "cut %v", cut.partitioned)
+			})
+		}
+	}
+}
