Failed connections are facts about a link, not about the endpoint

Cause: an instance whose connection was refused took the endpoint for absent from its address and its load reports said so to all (absent_ms); its probes renewed that four times a second, for as long as its own link was cut.

Now only an observation of the endpoint itself is shared: another process answered at its address. Refusals and connect timeouts hold back this instance alone. The same fact took another way where schedulers place requests: the instance that asked reported its failed connection, and the scheduler excluded the endpoint for everyone. It probes over its own link instead, as it did before too.

--- a/dispatch/availability.go
+++ b/dispatch/availability.go
@@ -18,12 +18,9 @@
 	// declinedBackoff is how long an endpoint receives no requests after it has declined
 	// one: it is full or is changing its weights.
 	declinedBackoff = 100 * time.Millisecond
-	// connectTimeoutBackoff is how long an endpoint receives no requests after a
-	// connection to it timed out.
-	connectTimeoutBackoff = 500 * time.Millisecond
-	// refusedAbsence is how long an endpoint counts as absent after its address refused a
-	// connection.
-	refusedAbsence = 500 * time.Millisecond
+	// connectBackoff is how long an endpoint receives no requests after a connection to it
+	// timed out or was refused.
+	connectBackoff = 500 * time.Millisecond
 	// misdirectedAbsence is how long an endpoint counts as absent after another process
 	// answered at its address. It doubles with each consecutive answer of this kind, up
 	// to maxAbsence.
@@ -42,11 +39,12 @@
 	// failureScoreTime.
 	failureScore     float64
 	failureScoreTime tables.Instant
-	// backoffUntil is when this instance may choose the endpoint again.
-	backoffUntil tables.Instant
+	// backoffUntil is when this instance may choose the endpoint again, and connectAfter
+	// when it may connect to it again after a connection has failed.
+	backoffUntil, connectAfter tables.Instant
 	// absentUntil is the time until which the endpoint is taken to be absent from its
-	// address: the address refused a connection, or another process answered there.
-	// Unlike backoffUntil it is shared with all instances.
+	// address, because another process answered there. It is shared with all instances.
+	// Failed connections are not shared: they may be due to this instance's own link.
 	absentUntil tables.Instant
 	// absenceReported is set if absentUntil comes from another instance's report instead of
 	// an observation of this instance.
@@ -69,7 +67,19 @@
 
 // available reports whether the endpoint may receive requests.
 func (a *availability) available(now tables.Instant) bool {
-	return !a.unreachable && now >= a.backoffUntil && now >= a.absentUntil
+	return a.connectable(now) && now >= a.backoffUntil && now >= a.absentUntil
+}
+
+// connectable reports whether nothing speaks against a connection from this instance to the
+// endpoint.
+func (a *availability) connectable(now tables.Instant) bool {
+	return !a.unreachable && now >= a.connectAfter
+}
+
+// markRefused records that the endpoint's address refused a connection of this instance.
+func (a *availability) markRefused(now tables.Instant) {
+	a.connectAfter = max(a.connectAfter, now+connectBackoff)
+	a.halfOpen = true
 }
 
 // markAbsent records that the endpoint does not own its address until the given time.
@@ -107,7 +117,7 @@
 	a.markResponded(now)
 	a.misdirectedStreak = 0
 	a.halfOpen = false
-	a.absentUntil = 0
+	a.absentUntil, a.connectAfter = 0, 0
 }
 
 // clearAbsence ends an absence when the platform's list reports new weights for the
@@ -125,7 +135,7 @@
 		return
 	}
 	a.halfOpen = true
-	a.backoffUntil = now
+	a.backoffUntil, a.connectAfter = now, now
 	a.failureScore, a.failureScoreTime = 0, now
 	if a.misdirectedStreak == 0 {
 		a.absentUntil = 0
@@ -151,10 +161,10 @@
 		score++
 	case ConnectionRefused:
 		score++
-		a.markAbsent(now+refusedAbsence, false)
+		a.markRefused(now)
 	case ConnectTimeout:
 		score++
-		a.backoffUntil = now + connectTimeoutBackoff
+		a.connectAfter = now + connectBackoff
 	case Declined:
 		a.markResponded(now)
 		a.backoffUntil = now + declinedBackoff
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -142,8 +142,9 @@
 	isGeneration    bool
 	// isProbe is set while the attempt counts as the probe of a half-open endpoint.
 	isProbe bool
-	// remotelyPlaced is set if a remote scheduler chose the endpoint.
-	remotelyPlaced bool
+	// remotelyPlaced is set if a remote scheduler chose the endpoint, and isRemote if this
+	// instance chose it for another one, over whose link the attempt goes.
+	remotelyPlaced, isRemote bool
 	// unconfirmed is set while the attempt counts as a retry that may have reached
 	// another service, in the slice unconfirmedSlice of the window.
 	unconfirmed      bool
@@ -288,7 +289,10 @@
 	}
 	a.row.attempts--
 	a.row.memoryTokens -= a.memoryTokens
-	a.row.recordOutcome(now, outcome)
+	connectFailed := outcome == ConnectionRefused || outcome == ConnectTimeout
+	if !connectFailed || !a.isRemote {
+		a.row.recordOutcome(now, outcome)
+	}
 	if outcome == Completed {
 		a.row.announced.recordAnswered(a.startedAt)
 	}
@@ -299,7 +303,7 @@
 		d.releaseUnconfirmed(now, a)
 		a.row.limit.markExhausted(now, defaultLimitBackoff)
 	}
-	if outcome == ConnectTimeout {
+	if outcome == ConnectTimeout && !a.isRemote {
 		d.penalizeZone(now, a.row)
 	}
 }
@@ -322,12 +326,11 @@
 	row.setReachable(now, reachable)
 }
 
-// RecordConnectionRefused records that an endpoint's address refused a connection, and
-// schedules a report of it to the other instances.
+// RecordConnectionRefused records that an endpoint's address refused a connection of this
+// instance.
 func (d *Dispatcher) RecordConnectionRefused(now tables.Instant, id tables.EndpointID) {
 	if row := d.endpoints[id]; row != nil {
-		row.markAbsent(now+refusedAbsence, false)
-		d.markDirty(row)
+		row.markRefused(now)
 	}
 }
 
--- a/dispatch/load_reports.go
+++ b/dispatch/load_reports.go
@@ -15,7 +15,8 @@
 	Running, MemoryTokens, PrefillTokens int
 	// LinkBusy is for how long the endpoint's link is busy with transfers.
 	LinkBusy time.Duration
-	// AbsentFor is for how long the endpoint counts as absent from its address.
+	// AbsentFor is for how long the endpoint counts as absent from its address, where another
+	// process answered.
 	AbsentFor time.Duration
 	// Limit is what is known of the endpoint's rate limit; nil if nothing is.
 	Limit *RateLimitReport
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -307,6 +307,7 @@
 		prefillTokens:   c.uncachedTokens,
 		queuedPrefill:   c.row.queuedPrefill(now),
 		isGeneration:    r.Model != "",
+		isRemote:        r.Remote,
 	}
 	if !r.Remote {
 		d.nameAvoided(now, &a.Rationale, c.row.Service)
--- a/dispatch/pushback.go
+++ b/dispatch/pushback.go
@@ -129,7 +129,7 @@
 	any := false
 	for _, row := range d.services[r.Service.Name] {
 		_, serves := row.Weights[r.Model]
-		if row.isLeaving() || row.unreachable || row.absentFor(now) > 0 || r.Model != "" && !serves {
+		if row.isLeaving() || !row.connectable(now) || row.absentFor(now) > 0 || r.Model != "" && !serves {
 			continue
 		}
 		pause := max(0, row.announced.until-now)
--- a/forward/scheduled.go
+++ b/forward/scheduled.go
@@ -100,8 +100,8 @@
 }
 
 // AttemptEnded records the end of an attempt. If the attempt could not connect to its
-// endpoint, this instance probes the endpoint too, since it continues to place requests of
-// other instances.
+// endpoint, this instance probes the endpoint over its own link, since it continues to place
+// requests of other instances.
 func (s *Server) AttemptEnded(a *dispatch.Attempt, result dispatch.Outcome) {
 	s.recordOutcome(a, result)
 	if result == dispatch.ConnectionRefused || result == dispatch.ConnectTimeout {
