Instances relay connections for those that have lost their links to endpoints

It knew no path but its own link.

Weighed: (1) reporting not ready alone: open connections of callers stay, and with most of a zone partitioned the balancer uses all instances again. (2) Handing the whole request to a neighbour: it would authenticate, count limits and retries, and route by its own configuration, which may be older or newer; each promise would need a second proof on that way. (3) Carrying only the connection: the instance that took the request decides as before, and another one opens the connection and copies one exchange. (3) is what stands here.

A drain waits for relayed exchanges. - dispatch detects that all links are lost (four endpoints, or all, accept no connection and none responds in between; the health checker probes further endpoints while that is open) and relays where no endpoint can take the request directly, or most are unreachable and the rest full. - A failed connection no longer excludes an endpoint from the rest of the request: another path may reach it. Schedulers ignore their own links while these are lost, and are told which endpoints the asking instance cannot reach. - An endpoint counts as crashed only if others are refused too. - Probes that are used up no longer report the endpoint as reached.

TestPartitionedInstancesServeThroughOthers: one of nine, six of nine, all of a zone, each with links that hang, are reset or refuse new connections. Failed in all nine cases before; passes, with each request that must run at most once checked at the endpoints.

--- a/dispatch/availability.go
+++ b/dispatch/availability.go
@@ -42,6 +42,9 @@
 	// backoffUntil is when this instance may choose the endpoint again, and connectAfter
 	// when it may connect to it again after a connection has failed.
 	backoffUntil, connectAfter tables.Instant
+	// relayAfter is when attempts may be relayed to the endpoint again after a relay could not
+	// connect to it.
+	relayAfter tables.Instant
 	// absentUntil is the time until which the endpoint is taken to be absent from its
 	// address, because another process answered there. It is shared with all instances.
 	// Failed connections are not shared: they may be due to this instance's own link.
@@ -65,9 +68,9 @@
 	probes   int
 }
 
-// available reports whether the endpoint may receive requests.
-func (a *availability) available(now tables.Instant) bool {
-	return a.connectable(now) && now >= a.backoffUntil && now >= a.absentUntil
+// accepting reports whether the endpoint may receive requests, apart from the path to it.
+func (a *availability) accepting(now tables.Instant) bool {
+	return now >= a.backoffUntil && now >= a.absentUntil
 }
 
 // connectable reports whether nothing speaks against a connection from this instance to the
@@ -117,7 +120,7 @@
 	a.markResponded(now)
 	a.misdirectedStreak = 0
 	a.halfOpen = false
-	a.absentUntil, a.connectAfter = 0, 0
+	a.absentUntil = 0
 }
 
 // clearAbsence ends an absence when the platform's list reports new weights for the
@@ -135,7 +138,7 @@
 		return
 	}
 	a.halfOpen = true
-	a.backoffUntil, a.connectAfter = now, now
+	a.backoffUntil, a.connectAfter, a.relayAfter = now, now, now
 	a.failureScore, a.failureScoreTime = 0, now
 	if a.misdirectedStreak == 0 {
 		a.absentUntil = 0
--- a/dispatch/cache_directory.go
+++ b/dispatch/cache_directory.go
@@ -238,5 +238,5 @@
 
 // canServeFetch reports whether other endpoints may fetch parts from this one.
 func (r *endpointRow) canServeFetch(now tables.Instant) bool {
-	return !r.removed && r.availability.available(now) && r.currentFailureScore(now) < maxSourceFailureScore
+	return !r.removed && r.accepting(now) && r.presumedUp(now) && r.currentFailureScore(now) < maxSourceFailureScore
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -126,6 +126,8 @@
 	ExpectedLatency time.Duration
 	// UncachedTokens counts the prompt tokens that the endpoint has to compute.
 	UncachedTokens int
+	// Relayed is set if the attempt must go through another instance.
+	Relayed bool
 	// Rationale is the state on which the placement was based.
 	Rationale Rationale
 
@@ -218,7 +220,9 @@
 	lastViewID uint64
 	// dirty lists the rows whose load has to be reported.
 	dirty []*endpointRow
-	// zoneRespondedAt is when an endpoint of each zone last responded.
+	// links are the state of this instance's links to endpoints. zoneRespondedAt is when an
+	// endpoint of each zone last responded over them.
+	links           linkMonitor
 	zoneRespondedAt map[tables.Zone]tables.Instant
 	loadsSweptAt    tables.Instant
 }
@@ -235,6 +239,7 @@
 		schedulers:      defaultInstances - 1,
 		averages:        map[string]*serviceAverages{},
 		demand:          demandCounter{counts: map[parts.ID]decayedCount{}},
+		links:           linkMonitor{failed: map[tables.EndpointID]struct{}{}},
 		zoneRespondedAt: map[tables.Zone]tables.Instant{},
 		cache:           cacheDirectory{holders: map[parts.Key][]holder{}},
 	}
@@ -255,7 +260,7 @@
 	d.releaseUnconfirmed(now, a)
 	a.row.markHealthy(now)
 	a.row.announced.recordAnswered(a.startedAt)
-	d.zoneRespondedAt[a.row.Zone] = now
+	d.recordReached(now, a)
 	a.row.prefillTokens -= a.prefillTokens
 	if a.remotelyPlaced {
 		a.row.remotelyPlaced.prefillTokens -= a.prefillTokens
@@ -289,23 +294,56 @@
 	}
 	a.row.attempts--
 	a.row.memoryTokens -= a.memoryTokens
-	connectFailed := outcome == ConnectionRefused || outcome == ConnectTimeout
-	if !connectFailed || !a.isRemote {
-		a.row.recordOutcome(now, outcome)
-	}
+	d.recordHealth(now, a, outcome)
 	if outcome == Completed {
 		a.row.announced.recordAnswered(a.startedAt)
 	}
 	switch outcome {
 	case Completed, Declined, ConnectionRefused, ConnectTimeout:
 		d.releaseUnconfirmed(now, a)
+	case RelayUnavailable:
+		d.releaseUnconfirmed(now, a)
+		if a.Relayed {
+			d.links.relayAfter = now + relayBackoff
+		}
 	case RateLimited:
 		d.releaseUnconfirmed(now, a)
 		a.row.limit.markExhausted(now, defaultLimitBackoff)
 	}
-	if outcome == ConnectTimeout && !a.isRemote {
-		d.penalizeZone(now, a.row)
+}
+
+// recordHealth updates the health of the endpoint, or of the path to it, with the outcome of an
+// attempt.
+func (d *Dispatcher) recordHealth(now tables.Instant, a *Attempt, outcome Outcome) {
+	connectFailed := outcome == ConnectionRefused || outcome == ConnectTimeout
+	switch {
+	case connectFailed && a.isRemote:
+		// The link that failed is another instance's.
+	case connectFailed && a.Relayed:
+		a.row.relayAfter = now + connectBackoff
+	case connectFailed:
+		a.row.recordOutcome(now, outcome)
+		d.recordLinkFailure(a.row)
+		if outcome == ConnectTimeout {
+			d.penalizeZone(now, a.row)
+		}
+	default:
+		a.row.recordOutcome(now, outcome)
+		if outcome == Completed || outcome == Declined || outcome == Misdirected {
+			d.recordReached(now, a)
+		}
+	}
+}
+
+// recordReached records that an endpoint has responded to an attempt, which shows that the
+// link of this instance works if the attempt went over it.
+func (d *Dispatcher) recordReached(now tables.Instant, a *Attempt) {
+	if a.Relayed || a.isRemote {
+		return
 	}
+	a.row.connectAfter = 0
+	d.zoneRespondedAt[a.row.Zone] = now
+	d.links.recordResponse()
 }
 
 // endProbe stops counting the attempt as a probe of its endpoint.
@@ -324,6 +362,11 @@
 		return
 	}
 	row.setReachable(now, reachable)
+	if reachable {
+		d.links.recordResponse()
+		return
+	}
+	d.recordLinkFailure(row)
 }
 
 // RecordConnectionRefused records that an endpoint's address refused a connection of this
--- a/dispatch/endpoints.go
+++ b/dispatch/endpoints.go
@@ -67,6 +67,8 @@
 	// averages are those of the endpoint's service.
 	averages *serviceAverages
 	availability
+	// links are the state of this instance's links to all endpoints.
+	links *linkMonitor
 	limit rateLimitState
 	// announced is what the endpoint has announced in responses.
 	announced *announcements
@@ -130,7 +132,7 @@
 		d.endpoints[id] = &endpointRow{
 			Endpoint: e, listed: e, announced: d.announcementsOf(&e), isStore: e.IsKVStore, hash: xxhash.Sum64String(string(id)), serviceTime: defaultServiceTime,
 			averages: d.averagesOf(e.Service), prefillRate: d.averagesOf(e.Service).prefillRate(),
-			availability: availability{halfOpen: d.populated},
+			availability: availability{halfOpen: d.populated}, links: &d.links,
 		}
 		return true
 	}
--- a/dispatch/outcome.go
+++ b/dispatch/outcome.go
@@ -25,10 +25,12 @@
 	Misdirected
 	// RateLimited: the endpoint's rate limit was exhausted; nothing was sent.
 	RateLimited
+	// RelayUnavailable: no other instance could relay the attempt; nothing was sent.
+	RelayUnavailable
 )
 
 // lastOutcome is the outcome with the highest number.
-const lastOutcome = RateLimited
+const lastOutcome = RelayUnavailable
 
 // DecodeOutcome decodes an outcome that another instance sent. A number that this release
 // does not know decodes to Cancelled, which has no effect on the endpoint's health.
@@ -41,5 +43,5 @@
 
 // String returns the outcome's name in logs and metrics.
 func (e Outcome) String() string {
-	return [...]string{"completed", "declined", "unreachable", "lost", "broken", "hung", "cancelled", "misdirected", "limited"}[e]
+	return [...]string{"completed", "declined", "unreachable", "lost", "broken", "hung", "cancelled", "misdirected", "limited", "not relayed"}[e]
 }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -55,6 +55,7 @@
 // candidate is an endpoint with the estimated cost of running a request there.
 type candidate struct {
 	row  *endpointRow
+	path path
 	cost float64
 	// wait is the expected time to the first event, in milliseconds.
 	wait           float64
@@ -84,9 +85,9 @@
 	d.decisions++
 	d.demand.recordOnce(now, r)
 	d.views = d.views[:0]
-	best, reason := d.cheapest(now, r, rows, r.DeliveredAttempts > 0)
-	if best.row == nil && r.DeliveredAttempts > 0 && d.mayRetryUnconfirmed(now, r) {
-		best, reason = d.cheapest(now, r, rows, false)
+	best, reason := d.cheapest(now, r, rows, r.ownPath())
+	if best.row == nil && d.shouldRelay(now, r, rows, reason) {
+		best, reason = d.cheapest(now, r, rows, relayed)
 	}
 	if best.row == nil {
 		return nil, reason
@@ -100,12 +101,30 @@
 	return d.startAttempt(now, r, best), ""
 }
 
-// cheapest returns the eligible endpoint with the lowest cost, among confirmed endpoints
-// only if onlyConfirmed is set.
-func (d *Dispatcher) cheapest(now tables.Instant, r *Request, rows []*endpointRow, onlyConfirmed bool) (candidate, RejectReason) {
-	best, reason := candidate{cost: math.Inf(1)}, NoEndpoint
+// ownPath returns the path of the request without relays.
+func (r *Request) ownPath() path {
+	if r.Remote {
+		return remote
+	}
+	return direct
+}
+
+// cheapest returns the endpoint with the lowest cost that is eligible over the path. A retry
+// goes to a confirmed endpoint if it can.
+func (d *Dispatcher) cheapest(now tables.Instant, r *Request, rows []*endpointRow, p path) (candidate, RejectReason) {
+	best, reason := d.cheapestAmong(now, r, rows, p, r.DeliveredAttempts > 0)
+	if best.row == nil && r.DeliveredAttempts > 0 && d.mayRetryUnconfirmed(now, r) {
+		best, reason = d.cheapestAmong(now, r, rows, p, false)
+	}
+	return best, reason
+}
+
+// cheapestAmong returns the cheapest endpoint, among confirmed endpoints only if onlyConfirmed
+// is set.
+func (d *Dispatcher) cheapestAmong(now tables.Instant, r *Request, rows []*endpointRow, p path, onlyConfirmed bool) (candidate, RejectReason) {
+	best, reason := candidate{cost: math.Inf(1), path: p}, NoEndpoint
 	for _, row := range rows {
-		if r.excludes(row.ID) || !d.isEligible(now, r, row) || onlyConfirmed && !d.addressConfirmed(now, row) {
+		if r.excludes(row.ID) || !d.isEligible(now, r, row, p) || onlyConfirmed && !d.addressConfirmed(now, row) {
 			continue
 		}
 		if !d.hasCapacity(now, r, row) {
@@ -115,6 +134,7 @@
 		c := d.evaluate(now, r, row, rows)
 		if c.cost < best.cost {
 			best = c
+			best.path = p
 		}
 	}
 	return best, reason
@@ -135,9 +155,10 @@
 	return addedLateness < recomputeCost*float64(c.recomputedTokens)
 }
 
-// isEligible reports whether the endpoint may run the request, apart from its capacity.
-func (d *Dispatcher) isEligible(now tables.Instant, r *Request, row *endpointRow) bool {
-	if !row.acceptsRequests(now) || row.isBeingProbed() {
+// isEligible reports whether the endpoint may run the request that comes over a path, apart from
+// its capacity.
+func (d *Dispatcher) isEligible(now tables.Instant, r *Request, row *endpointRow, p path) bool {
+	if !row.acceptsRequests(now) || !row.reachableOver(now, p) || row.isBeingProbed() {
 		return false
 	}
 	// A request of another instance names the endpoints that have pushed that instance back.
@@ -151,9 +172,10 @@
 	return serves && !row.Loading && d.versionAllowed(now, r.Model, version)
 }
 
-// acceptsRequests reports whether the endpoint is neither draining nor unavailable.
+// acceptsRequests reports whether the endpoint is neither draining nor unavailable, apart from
+// the path to it.
 func (r *endpointRow) acceptsRequests(now tables.Instant) bool {
-	return !r.isLeaving() && r.availability.available(now)
+	return !r.isLeaving() && r.accepting(now)
 }
 
 // isLeaving reports whether the endpoint is about to stop, by the platform's list or by
@@ -307,6 +329,7 @@
 		prefillTokens:   c.uncachedTokens,
 		queuedPrefill:   c.row.queuedPrefill(now),
 		isGeneration:    r.Model != "",
+		Relayed:         c.path == relayed,
 		isRemote:        r.Remote,
 	}
 	if !r.Remote {
--- a/dispatch/prompt_view.go
+++ b/dispatch/prompt_view.go
@@ -86,7 +86,7 @@
 // concurrently send it to the same endpoint without coordination.
 func (v *promptView) chooseHome(now tables.Instant, r *Request, part parts.ID, rows []*endpointRow) {
 	for _, row := range rows {
-		if row.isLeaving() || row.Loading || row.Weights[r.Model] != v.version || row.currentFailureScore(now) > maxHomeFailureScore || row.absentFor(now) > 0 || !row.connectable(now) || row.announced.pushedBackAny(now) {
+		if row.isLeaving() || row.Loading || row.Weights[r.Model] != v.version || row.currentFailureScore(now) > maxHomeFailureScore || row.absentFor(now) > 0 || !row.presumedUp(now) || row.announced.pushedBackAny(now) {
 			continue
 		}
 		if hash := placement.Mix64(row.hash ^ uint64(part)); v.home == nil || hash > v.homeHash {
--- a/dispatch/pushback.go
+++ b/dispatch/pushback.go
@@ -129,7 +129,7 @@
 	any := false
 	for _, row := range d.services[r.Service.Name] {
 		_, serves := row.Weights[r.Model]
-		if row.isLeaving() || !row.connectable(now) || row.absentFor(now) > 0 || r.Model != "" && !serves {
+		if row.isLeaving() || !row.hasPath(now) || row.absentFor(now) > 0 || r.Model != "" && !serves {
 			continue
 		}
 		pause := max(0, row.announced.until-now)
@@ -156,5 +156,9 @@
 
 // AcceptsAttempt reports whether an attempt that was placed but not sent may still be sent.
 func (d *Dispatcher) AcceptsAttempt(now tables.Instant, a *Attempt) bool {
-	return a.row.acceptsRequests(now) && !a.row.announced.pushedBack(now)
+	p := direct
+	if a.Relayed {
+		p = relayed
+	}
+	return a.row.acceptsRequests(now) && a.row.reachableOver(now, p) && !a.row.announced.pushedBack(now)
 }
--- a/dispatch/rationale.go
+++ b/dispatch/rationale.go
@@ -77,15 +77,15 @@
 			c.Draining++
 		case row.announced.pushedBack(now):
 			c.PushingBack++
-		case row.unreachable:
-			c.Unreachable++
 		case row.absentFor(now) > 0 && row.absenceReported:
 			c.ReportedAbsent++
-		case !row.availability.available(now):
+		case !row.hasPath(now) && (row.unreachable || row.links.lost):
+			c.Unreachable++
+		case !row.accepting(now) || !row.hasPath(now):
 			c.Unavailable++
 		case r.Model != "" && row.Loading:
 			c.Loading++
-		case r.Model != "" && !serves, !d.isEligible(now, r, row):
+		case r.Model != "" && !serves, !d.isEligible(now, r, row, r.ownPath()) && !d.isEligible(now, r, row, relayed):
 			c.OtherWeights++
 		case row.limit.exhausted(now):
 			c.RateLimited++
@@ -106,7 +106,7 @@
 		switch {
 		case row.isStore:
 			continue
-		case row.unreachable:
+		case row.unreachable || row.links.lost:
 			c.Unreachable++
 		case row.absentFor(now) > 0 && row.absenceReported:
 			c.ReportedAbsent++
--- a/engine/exchange/client.go
+++ b/engine/exchange/client.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"net/netip"
 	"syscall"
@@ -99,10 +100,16 @@
 	Body   []byte
 	// AtMostOnce is set for work that must not run twice.
 	AtMostOnce bool
+	// Dial opens the connection for this request alone, and bounds the time itself; nil means
+	// that of the client, which pools connections.
+	Dial engine.DialFunc
 }
 
 // connect returns a pooled connection for a request, or else a new one.
 func (c *Client) connect(ctx context.Context, to netip.AddrPort, r *Request) (*connection, error) {
+	if r.Dial != nil {
+		return c.openConnection(ctx, to, r)
+	}
 	maxIdle := time.Duration(0)
 	if r.AtMostOnce {
 		maxIdle = maxIdleAtMostOnce
@@ -115,11 +122,11 @@
 
 // openConnection opens a new connection. It fails with *engine.NotStartedError.
 func (c *Client) openConnection(ctx context.Context, to netip.AddrPort, r *Request) (*connection, error) {
-	dialCtx, cancel := context.WithTimeout(ctx, c.connectTimeout)
-	defer cancel()
-	conn, err := c.pool.open(dialCtx, to)
+	conn, err := c.dial(ctx, to, r)
 	if err == nil {
-		return conn, nil
+		opened := newConnection(conn, to)
+		opened.unpooled = r.Dial != nil
+		return opened, nil
 	}
 	return nil, &engine.NotStartedError{
 		Attempt:     r.Attempt,
@@ -129,12 +136,22 @@
 	}
 }
 
+// dial opens the transport connection for a request.
+func (c *Client) dial(ctx context.Context, to netip.AddrPort, r *Request) (net.Conn, error) {
+	if r.Dial != nil {
+		return r.Dial(ctx, to)
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.connectTimeout)
+	defer cancel()
+	return c.pool.dial(ctx, to)
+}
+
 // CheckReachable opens and closes a connection to an endpoint. If that fails it also
 // closes the pooled connections to the endpoint, which are of no use then.
 func (c *Client) CheckReachable(ctx context.Context, to netip.AddrPort) error {
 	dialCtx, cancel := context.WithTimeout(ctx, c.connectTimeout)
 	defer cancel()
-	conn, err := c.pool.open(dialCtx, to)
+	conn, err := c.pool.dial(dialCtx, to)
 	if err != nil {
 		c.pool.closeAll(to)
 		return err
--- a/engine/exchange/connection.go
+++ b/engine/exchange/connection.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"net"
 	"net/http"
 	"net/netip"
@@ -23,8 +22,9 @@
 	net.Conn
 	to     netip.AddrPort
 	reader *bufio.Reader
-	// reused is set once the connection has carried a request.
-	reused bool
+	// reused is set once the connection has carried a request, and unpooled if it carries only
+	// one.
+	reused, unpooled bool
 	// idleUntil is when the endpoint may close the idle connection, and idleSince when it
 	// became idle.
 	idleUntil time.Time
@@ -135,12 +135,8 @@
 	}
 }
 
-func (p *pool) open(ctx context.Context, to netip.AddrPort) (*connection, error) {
-	conn, err := p.dial(ctx, to)
-	if err != nil {
-		return nil, err
-	}
-	return &connection{Conn: conn, to: to, reader: bufio.NewReaderSize(conn, readBufferBytes)}, nil
+func newConnection(conn net.Conn, to netip.AddrPort) *connection {
+	return &connection{Conn: conn, to: to, reader: bufio.NewReaderSize(conn, readBufferBytes)}
 }
 
 // isReusable reports whether the connection is open and nothing has arrived on it since
--- a/engine/exchange/response.go
+++ b/engine/exchange/response.go
@@ -59,7 +59,7 @@
 		return
 	}
 	res.finished = true
-	clean := res.stopCancellation() && !res.resp.Close && res.conn.reader.Buffered() == 0 && res.requestSent()
+	clean := res.stopCancellation() && !res.resp.Close && !res.conn.unpooled && res.conn.reader.Buffered() == 0 && res.requestSent()
 	if !clean {
 		_ = res.conn.Close()
 		return
--- a/events/entry.go
+++ b/events/entry.go
@@ -25,5 +25,7 @@
 	EndpointLimited      = define(1018, zapcore.InfoLevel, "An endpoint announced a rate limit, or withdrew one.")
 	EndpointPushedBack   = define(1019, zapcore.InfoLevel, "An endpoint requested a back-off from this instance.")
 	EndpointDraining     = define(1020, zapcore.InfoLevel, "An endpoint announced in a response that it is draining.")
+	LinksLost            = define(1022, zapcore.WarnLevel, "This instance reaches no endpoint; its requests go through other instances.")
+	LinksRestored        = define(1023, zapcore.InfoLevel, "This instance reaches endpoints again.")
 	HeaderUnusable       = define(1021, zapcore.WarnLevel, "A response header of an endpoint has a value that cannot be used as it is.")
 )
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -17,6 +17,7 @@
 	"github.com/carawaystile/carawaystile/entry/outcome"
 	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/parts"
+	"github.com/carawaystile/carawaystile/relay"
 	"github.com/carawaystile/carawaystile/schedule"
 	"github.com/carawaystile/carawaystile/systems/quarantine"
 	"github.com/carawaystile/carawaystile/tables"
@@ -42,6 +43,8 @@
 	// endWait ends the health checker's tracking of the attempt. It is called once the
 	// response header has arrived.
 	endWait func()
+	// via is the instance through which a relayed attempt has gone; empty otherwise.
+	via tables.InstanceID
 	// retryAfter is the Retry-After header of a response with status 503, for the log.
 	retryAfter string
 }
@@ -87,7 +90,7 @@
 	c.reservation.chargeAttempt()
 	c.attemptsUsed++
 	a.armResponseTimer(a.firstResponseTimeout())
-	a.endWait = c.server.healthChecker.trackPending(a)
+	a.endWait = a.trackPending()
 	defer a.endWait()
 	response, err := c.server.options.Client.Send(a.ctx, a.placement.Endpoint.Address, a.endpointRequest())
 	if err != nil {
@@ -95,7 +98,9 @@
 		return
 	}
 	a.endWait()
-	c.server.healthChecker.recordResponse(a.placement.Endpoint.ID)
+	if !a.placement.Relayed {
+		c.server.healthChecker.recordResponse(a.placement.Endpoint.ID)
+	}
 	a.recordResponseHeader(response.Status, response.Header)
 	if !a.isValidResponse(response) {
 		response.Close()
@@ -125,6 +130,7 @@
 		header.Set(h.LastEventID, c.lastEventID)
 	}
 	return &exchange.Request{
+		Dial:       a.relayDial(),
 		Attempt:    a.id,
 		ID:         c.id,
 		Method:     c.r.Method,
@@ -191,7 +197,7 @@
 // the crash detector.
 func (a *attempt) recordOutcome(result dispatch.Outcome) {
 	a.assignment.NotifyEnded(result)
-	if result != dispatch.ConnectionRefused && result != dispatch.ConnectTimeout {
+	if !notDelivered(result) {
 		a.request.dispatchRequest.DeliveredAttempts++
 	}
 	s := a.request.server
@@ -210,6 +216,11 @@
 	}
 }
 
+// notDelivered reports whether an attempt with this outcome has reached no process.
+func notDelivered(result dispatch.Outcome) bool {
+	return result == dispatch.ConnectionRefused || result == dispatch.ConnectTimeout || result == dispatch.RelayUnavailable
+}
+
 // recordResponseStart records that the endpoint has responded, with the scheduler, the load
 // balancer and the crash detector.
 func (a *attempt) recordResponseStart() {
@@ -240,13 +251,17 @@
 	case dispatch.Broken:
 		a.probeForCrash()
 	case dispatch.ConnectionRefused, dispatch.ConnectTimeout, dispatch.ResponseTimeout:
-		c.server.healthChecker.startProbe(a.placement.Endpoint)
+		if !a.placement.Relayed {
+			c.server.healthChecker.startProbe(a.placement.Endpoint)
+		}
 	}
 	if result == dispatch.Cancelled {
 		c.finishFailed(tables.CodeTimeout)
 		return
 	}
-	c.dispatchRequest.Tried = append(c.dispatchRequest.Tried, a.placement.Endpoint.ID)
+	if !notDelivered(result) {
+		c.dispatchRequest.Tried = append(c.dispatchRequest.Tried, a.placement.Endpoint.ID)
+	}
 	if code := c.admitRetry(result); code != 0 {
 		c.finishFailed(code)
 	}
@@ -257,6 +272,7 @@
 	timedOut := a.stopResponseTimer()
 	var declined *exchange.RejectedError
 	var notStarted *engine.NotStartedError
+	var noRelay *relay.NoRelayError
 	switch {
 	case errors.As(err, &declined) && declined.Status == http.StatusMisdirectedRequest:
 		// The response comes from another process, or from one with other weights. Its header
@@ -269,6 +285,8 @@
 		return dispatch.Cancelled
 	case timedOut:
 		return dispatch.ResponseTimeout
+	case errors.As(err, &noRelay):
+		return dispatch.RelayUnavailable
 	case errors.As(err, &notStarted) && notStarted.Unreachable:
 		return dispatch.ConnectionRefused
 	case errors.As(err, &notStarted):
@@ -297,6 +315,9 @@
 		zap.Int("arrivals", a.request.dispatchRequest.DeliveredAttempts),
 		zap.String("by", a.placedBy()),
 	}
+	if a.via != "" {
+		fields = append(fields, zap.String("via", string(a.via)))
+	}
 	if a.retryAfter != "" {
 		fields = append(fields, zap.String("retry_after", a.retryAfter))
 	}
--- a/forward/failure.go
+++ b/forward/failure.go
@@ -114,7 +114,7 @@
 		zap.Int("prompt", c.dispatchRequest.PromptTokens), zap.Int("to_read", a.placement.UncachedTokens),
 		zap.String("source", string(a.placement.CacheSource.ID)), zap.String("rule", string(a.placement.Rationale.Rule)),
 		zap.Int("own", a.placement.Rationale.OwnAttempts), zap.Int("others", a.placement.Rationale.OtherAttempts),
-		zap.Duration("load_age", a.placement.Rationale.LoadAge))...)
+		zap.Duration("load_age", a.placement.Rationale.LoadAge), zap.String("via", string(a.via)))...)
 }
 
 // abortStream aborts a response that has started and cannot be completed. It closes the
--- a/forward/healthcheck.go
+++ b/forward/healthcheck.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"errors"
 	"maps"
 	"sync"
@@ -46,6 +47,8 @@
 	lastResponseAt map[tables.EndpointID]tables.Instant
 	// pending holds the attempts at each endpoint that have no response yet.
 	pending map[tables.EndpointID]map[*attempt]struct{}
+	// watching is set while watchLinks runs.
+	watching bool
 }
 
 // newHealthChecker returns a health checker that probes no endpoint yet.
@@ -128,16 +131,20 @@
 }
 
 // probeUntilReachable probes an endpoint until it accepts a connection, is removed or has
-// another address, or the probes are used up. An endpoint that fails a probe receives no
-// requests meanwhile.
+// another address, or the probes are used up while other endpoints are reachable. An endpoint
+// that fails a probe receives no requests meanwhile.
 func (h *healthChecker) probeUntilReachable(e fleet.Endpoint) {
 	ctx := h.server.options.Context
 	unreachable := false
-	for range maxProbes {
+	for probe := 1; ; probe++ {
 		err := h.server.options.Client.CheckReachable(ctx, e.Address)
 		if err == nil {
 			break
 		}
+		if probe >= maxProbes && !h.server.LinksLost() {
+			h.server.endProbes(e.ID)
+			return
+		}
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			h.server.recordConnectionRefused(e.ID)
 		}
@@ -145,6 +152,7 @@
 			unreachable = true
 			events.EndpointUnreachable.Log(h.server.log, zap.String("endpoint", string(e.ID)), zap.Error(err))
 			h.server.setReachable(e.ID, false)
+			h.startLinkWatch()
 			h.reroutePending(e.ID)
 		}
 		if wait.For(ctx, probeInterval) != nil {
@@ -177,6 +185,89 @@
 	}
 }
 
+const (
+	// suspectedProbes and lostProbes are how many further endpoints are probed in each
+	// probeInterval while all links may be lost, and while they are.
+	suspectedProbes = 3
+	lostProbes      = 2
+)
+
+// startLinkWatch starts watchLinks unless it runs already.
+func (h *healthChecker) startLinkWatch() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.watching {
+		return
+	}
+	h.watching = true
+	go h.watchLinks()
+}
+
+// watchLinks finds out whether this instance has lost its links to all endpoints, and when they
+// are back. Requests alone would take long to show it: each reaches one of hundreds of
+// endpoints, and once the links count as lost none is sent over them. It ends when an endpoint
+// responds.
+func (h *healthChecker) watchLinks() {
+	s, ctx := h.server, h.server.options.Context
+	lostAt := tables.Instant(-1)
+	for {
+		suspected, lost, endpoints := s.linkProbes()
+		switch {
+		case lost && lostAt < 0:
+			lostAt = s.options.Now()
+			events.LinksLost.Log(s.log)
+		case !lost && lostAt >= 0:
+			events.LinksRestored.Log(s.log, zap.Duration("took", s.options.Now()-lostAt))
+			lostAt = -1
+		}
+		if !suspected && !lost {
+			h.mu.Lock()
+			h.watching = false
+			h.mu.Unlock()
+			return
+		}
+		var probes sync.WaitGroup
+		for _, e := range endpoints {
+			probes.Go(func() { h.probeLink(ctx, e, !lost) })
+		}
+		if wait.For(ctx, probeInterval) != nil {
+			return
+		}
+		probes.Wait()
+	}
+}
+
+// linkProbes returns the state of this instance's links, and the endpoints to probe next.
+func (s *Server) linkProbes() (suspected, lost bool, endpoints []fleet.Endpoint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lost = s.dispatch.LinksLost()
+	count := suspectedProbes
+	if lost {
+		count = lostProbes
+	}
+	return s.dispatch.LinksSuspected(), lost, s.dispatch.LinkProbes(count)
+}
+
+// probeLink connects to an endpoint once. If it fails and repeat is set, the endpoint is probed
+// until it accepts a connection.
+func (h *healthChecker) probeLink(ctx context.Context, e fleet.Endpoint, repeat bool) {
+	err := h.server.options.Client.CheckReachable(ctx, e.Address)
+	switch {
+	case err == nil:
+		h.server.recordLinkResponse()
+	case repeat && ctx.Err() == nil:
+		h.startProbe(e)
+	}
+}
+
+// recordLinkResponse records with the load balancer that an endpoint has accepted a connection.
+func (s *Server) recordLinkResponse() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dispatch.RecordLinkResponse()
+}
+
 // recordConnectionRefused records with the load balancer that an endpoint's address refused
 // a connection, so no process listens there.
 func (s *Server) recordConnectionRefused(id tables.EndpointID) {
@@ -185,6 +276,13 @@
 	s.dispatch.RecordConnectionRefused(s.options.Now(), id)
 }
 
+// endProbes records with the load balancer that an endpoint is no longer probed.
+func (s *Server) endProbes(id tables.EndpointID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dispatch.EndProbes(s.options.Now(), id)
+}
+
 // setReachable records with the load balancer whether an endpoint accepts connections.
 func (s *Server) setReachable(id tables.EndpointID, reachable bool) {
 	s.mu.Lock()
--- a/forward/place.go
+++ b/forward/place.go
@@ -122,7 +122,7 @@
 	if !undispatched && !c.route.SafeToRetry() {
 		return tables.CodeOutcomeUnknown
 	}
-	if result == dispatch.ConnectionRefused || result == dispatch.ConnectTimeout {
+	if notDelivered(result) {
 		// No endpoint received the request, so the retry adds no load and takes none of the
 		// budget.
 		c.attemptsUsed--
--- a/forward/scheduled.go
+++ b/forward/scheduled.go
@@ -28,7 +28,7 @@
 		return nil, "", false
 	}
 	request := c.dispatchRequest
-	request.Avoided = s.pushingBack(c.service.Name)
+	request.Avoided = s.avoidedEndpoints(c.service.Name)
 	request.ConfirmedOnly = request.DeliveredAttempts > 0 && !s.canRetryUnconfirmed()
 	for range maxScheduleAttempts {
 		assignment := s.options.Scheduler.Ask(c.ctx, &request)
@@ -37,7 +37,9 @@
 		}
 		c.dispatchRequest.MarkDemandCounted()
 		if assignment.Reason != "" {
-			return nil, assignment.Reason, true
+			// Among the endpoints that the scheduler was told to avoid may be some that this
+			// instance can use after all, through another instance.
+			return nil, assignment.Reason, assignment.Reason != dispatch.NoEndpoint || !s.mayRelay()
 		}
 		if placement = s.acceptDecision(&request, assignment.Choice); placement != nil {
 			c.assignment = assignment
@@ -49,12 +51,19 @@
 	return nil, "", false
 }
 
-// pushingBack returns the endpoints of a service that have pushed this instance back, as far
-// as a question to a scheduler may name them.
-func (s *Server) pushingBack(service string) []tables.EndpointID {
+// avoidedEndpoints returns the endpoints of a service that this instance cannot use, as far as a
+// question to a scheduler may name them.
+func (s *Server) avoidedEndpoints(service string) []tables.EndpointID {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.dispatch.PushingBack(s.options.Now(), service, dispatch.MaxAvoidedEndpoints)
+	return s.dispatch.UnusableEndpoints(s.options.Now(), service, dispatch.MaxAvoidedEndpoints)
+}
+
+// mayRelay reports whether other instances may relay attempts now.
+func (s *Server) mayRelay() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dispatch.MayRelay(s.options.Now())
 }
 
 // canRetryUnconfirmed reports whether a retry may be sent to an endpoint whose address may
--- a/forward/server.go
+++ b/forward/server.go
@@ -70,6 +70,8 @@
 	UsageTolerance usage.Tolerance
 	// Scheduler delegates the placement of generations to other instances; nil for none.
 	Scheduler Scheduler
+	// Relay opens connections to endpoints through other instances; nil if there are none.
+	Relay Relay
 	// Context ends when the instance stops; nil for never. Health checks end with it.
 	Context context.Context
 }
--- a/forward/timeout.go
+++ b/forward/timeout.go
@@ -77,7 +77,7 @@
 }
 
 // probeForCrash tests whether the process of an endpoint whose connection broke has ended:
-// a refused connection means that it has. The crash detector then records the requests that
+// a connection that is refused to this instance and to others means that it has. The crash detector then records the requests that
 // were running there as suspects, and the other instances are notified of them.
 func (a *attempt) probeForCrash() {
 	s, endpoint := a.request.server, a.placement.Endpoint
@@ -89,7 +89,7 @@
 			_ = conn.Close()
 			return
 		}
-		if !errors.Is(err, syscall.ECONNREFUSED) {
+		if !errors.Is(err, syscall.ECONNREFUSED) || !s.refusesAll(s.options.Context, &endpoint) {
 			return
 		}
 		s.mu.Lock()
--- a/node/entry.go
+++ b/node/entry.go
@@ -31,6 +31,7 @@
 	s, p := n.options.Settings, n.options.Platform
 	client := exchange.NewClient(exchange.Options{Headers: p.Headers, Dial: n.dial})
 	n.background.Go(func() { client.Run(n.lifetime) })
+	n.startRelayClient()
 	n.entry = forward.New(forward.Options{
 		Headers: p.Headers,
 		Client:  client,
@@ -53,8 +54,10 @@
 		Scheduler:        n.newScheduleClient(),
 		RateLimiter:      n.newUsageClient(),
 		UsageTolerance:   n.usageTolerance(),
+		Relay:            n.relayDialer,
 		Context:          n.lifetime,
 	})
+	n.startRelayServer()
 	n.scheduleServer = schedule.NewServer(n.entry, n.now)
 	n.deploymentClient = deployment.NewClient(deployment.ClientOptions{
 		Instance:   string(s.Instance),
--- a/node/listen.go
+++ b/node/listen.go
@@ -14,6 +14,7 @@
 	"github.com/carawaystile/carawaystile/control/transport"
 	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/peers"
+	"github.com/carawaystile/carawaystile/relay"
 	"github.com/carawaystile/carawaystile/rpc"
 	"github.com/carawaystile/carawaystile/systems/quarantine"
 )
@@ -56,6 +57,7 @@
 	}
 	if n.entry != nil {
 		mux.Handle(rpc.CacheKnowledgePathPrefix, rpc.NewCacheKnowledgeServer(cacheKnowledgeServer{n}))
+		mux.Handle(relay.Path, n.relayServer)
 		mux.Handle(rpc.PeerPathPrefix, rpc.NewPeerServer(peers.Service{Receive: n.entry.MergeSuspect}))
 	}
 	if err := n.serve(&http.Server{Handler: mux}, s.Listen.Instances); err != nil {
--- a/node/members.go
+++ b/node/members.go
@@ -88,6 +88,8 @@
 	n.limitSharers.Store(int64(peers))
 	n.entry.SetInstanceRank(rank, peers)
 	n.detectLostEntries(members)
+	n.entry.SetRelayAvailable(count > 1)
+	n.relayDialer.Forget(isGone(members))
 	n.entry.SetSchedulerCounts(membership.CountSchedulers(members, n.options.Settings.Zone))
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -30,6 +30,7 @@
 	"github.com/carawaystile/carawaystile/forward"
 	"github.com/carawaystile/carawaystile/internal/shutdown"
 	"github.com/carawaystile/carawaystile/metrics"
+	"github.com/carawaystile/carawaystile/relay"
 	"github.com/carawaystile/carawaystile/routes"
 	"github.com/carawaystile/carawaystile/schedule"
 	"github.com/carawaystile/carawaystile/settings"
@@ -120,6 +121,10 @@
 	// The following fields belong to the entry role and are nil without it.
 	entry            *forward.Server
 	deploymentClient *deployment.Client
+	// relayDialer opens connections to endpoints through other instances, and relayServer for
+	// them.
+	relayDialer *relay.Dialer
+	relayServer *relay.Server
 	// scheduleClient asks schedulers to select endpoints, and scheduleServer selects endpoints
 	// for other instances.
 	scheduleClient *schedule.Client
@@ -238,6 +243,10 @@
 		events.DaemonDrainAborted.Log(n.log, zap.Error(err))
 		return
 	}
+	if err := n.relayServer.Drain(ctx); err != nil {
+		events.DaemonDrainAborted.Log(n.log, zap.Error(err))
+		return
+	}
 	shutdown.Flush(ctx, n.callerServer)
 }
 
@@ -265,6 +274,9 @@
 	for _, s := range servers {
 		_ = s.Close()
 	}
+	if n.relayServer != nil {
+		n.relayServer.Close()
+	}
 	n.background.Wait()
 	if n.replica != nil {
 		n.replica.Close()
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -137,7 +137,7 @@
 func newCluster(t *testing.T) *cluster {
 	t.Helper()
 	c := &cluster{t: t, platform: newFakePlatform(t)}
-	d := newTestDeployment(t)
+	d := newTestDeployment(t, "127.31.9.1")
 	c.settings = d.controlSettings()
 	for _, s := range c.settings {
 		c.controls = append(c.controls, c.start(s))
@@ -151,23 +151,64 @@
 // testDeployment makes the settings of instances of one deployment.
 type testDeployment struct {
 	t *testing.T
-	// internalPort is the port at which all instances serve each other.
-	internalPort uint16
-	seeds        []netip.AddrPort
-	list         netip.AddrPort
+	// firstPort is the port at which all instances serve each other. The ports after it are
+	// those for operators, for callers and for readiness probes.
+	firstPort uint16
+	seeds     []netip.AddrPort
+	list      netip.AddrPort
 }
 
-func newTestDeployment(t *testing.T) *testDeployment {
+// Offsets to the first port.
+const (
+	operatorsPort = iota + 1
+	callersPort
+	readyPort
+	portCount
+)
+
+// newTestDeployment finds ports that are free on all IP addresses of a deployment with the given
+// entry instances.
+func newTestDeployment(t *testing.T, entries ...string) *testDeployment {
 	t.Helper()
-	d := &testDeployment{t: t, internalPort: freePort(t, "127.0.0.1").Port(), list: freePort(t, "127.0.0.1")}
-	for i := range 3 {
-		d.seeds = append(d.seeds, freePort(t, fmt.Sprintf("127.31.%d.1", i+1)))
+	d := &testDeployment{t: t, list: freePort(t, "127.0.0.1")}
+	controls := []string{"127.31.1.1", "127.31.2.1", "127.31.3.1"}
+	d.firstPort = freePorts(t, append(controls, entries...))
+	for _, ip := range controls {
+		d.seeds = append(d.seeds, netip.AddrPortFrom(netip.MustParseAddr(ip), d.firstPort+operatorsPort))
 	}
 	return d
 }
 
+// freePorts returns the first of portCount consecutive ports that are free on all IP addresses.
+// They lie below the kernel's range for connections: those of an instance that has ended, which
+// were bound to its IP address, block their ports for a minute.
+func freePorts(t *testing.T, ips []string) uint16 {
+	t.Helper()
+	const first, last = 20_000, 30_000
+	for port := uint16(first); port < last; port += portCount {
+		if arePortsFree(ips, port) {
+			return port
+		}
+	}
+	t.Fatal("no free ports")
+	return 0
+}
+
+func arePortsFree(ips []string, first uint16) bool {
+	for _, ip := range ips {
+		for port := first; port < first+portCount; port++ {
+			l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port))
+			if err != nil {
+				return false
+			}
+			_ = l.Close()
+		}
+	}
+	return true
+}
+
 func (d *testDeployment) newSettings(name, ip string, zone tables.Zone) *settings.Forwarding {
-	at := netip.AddrPortFrom(netip.MustParseAddr(ip), d.internalPort)
+	at := netip.AddrPortFrom(netip.MustParseAddr(ip), d.firstPort)
 	return &settings.Forwarding{
 		Instance: tables.InstanceID(name), Zone: zone, New: true, Tolerate: 1, MemoryMB: 100, Seeds: d.seeds,
 		List:      d.list,
@@ -195,8 +236,8 @@
 func (d *testDeployment) entrySettings(name, ip string, zone tables.Zone) *settings.Forwarding {
 	s := d.newSettings(name, ip, zone)
 	s.Entry = true
-	s.Listen.Callers = freePort(d.t, ip)
-	s.Listen.Ready = freePort(d.t, ip)
+	s.Listen.Callers = netip.AddrPortFrom(netip.MustParseAddr(ip), d.firstPort+callersPort)
+	s.Listen.Ready = netip.AddrPortFrom(netip.MustParseAddr(ip), d.firstPort+readyPort)
 	return s
 }
 
--- a/node/partition_test.go
+++ b/node/partition_test.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -90,6 +90,20 @@
 	return p.from[ip]
 }
 
+// runsOf returns how often a request ran.
+func (p *manyEndpoints) runsOf(request string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.runs[request]
+}
+
+// allRuns returns how often each request ran.
+func (p *manyEndpoints) allRuns() map[string]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return maps.Clone(p.runs)
+}
+
 // parseRoutes returns a routing table with a route of each kind.
 func parseRoutes(document []byte) (*routes.Table, error) {
 	route := func(prefix string, kind routes.Kind, service string) routes.Route {
@@ -113,19 +127,23 @@
 	entries   []*settings.Forwarding
 	links     []*endpointLinks
 	sent      int
-	statuses  map[string]int
+	// paths holds the path of each request by its ID.
+	paths map[string]string
 }
 
 func newPartitionCluster(t *testing.T) *partitionCluster {
 	t.Helper()
-	c := &partitionCluster{t: t, endpoints: newManyEndpoints(t)}
-	d := newTestDeployment(t)
+	c := &partitionCluster{t: t, endpoints: newManyEndpoints(t), paths: map[string]string{}}
+	var ips []string
+	for i := range 9 {
+		ips = append(ips, fmt.Sprintf("127.31.%d.1", 20+i))
+	}
+	d := newTestDeployment(t, ips...)
 	var controls []*Node
 	for _, s := range d.controlSettings() {
 		controls = append(controls, c.start(s, nil))
 	}
-	for i := range 9 {
-		ip := fmt.Sprintf("127.31.%d.1", 20+i)
+	for i, ip := range ips {
 		s := d.entrySettings(fmt.Sprintf("entry-%d", i), ip, tables.Zone(fmt.Sprintf("z%d", i%3)))
 		s.Source = netip.MustParseAddr(ip)
 		l := newEndpointLinks(s.Source, c.endpoints.isEndpoint)
@@ -170,6 +188,7 @@
 	c.t.Helper()
 	c.sent++
 	id := fmt.Sprintf("r%d", c.sent)
+	c.paths[id] = path
 	request, err := http.NewRequestWithContext(c.t.Context(), method, "http://"+c.entries[entry].Listen.Callers.String()+path, nil)
 	assert.NilError(c.t, err)
 	request.Host = "h.example"
@@ -203,26 +222,43 @@
 	return true
 }
 
-// errNotServed means that an instance has not served its clients in time.
-var errNotServed = errors.New("not served")
-
 // waitServed waits until each of the entry instances serves requests of all kinds.
 func (c *partitionCluster) waitServed(entries []int) {
 	c.t.Helper()
-	assert.NilError(c.t, c.tryServed(entries))
-}
-
-func (c *partitionCluster) tryServed(entries []int) error {
 	deadline := time.Now().Add(10 * time.Second)
 	for _, i := range entries {
 		for !c.serves(i) {
-			if time.Now().After(deadline) {
-				return errNotServed
-			}
+			assert.Assert(c.t, time.Now().Before(deadline), "entry-%d does not serve its clients", i)
 			time.Sleep(10 * time.Millisecond)
 		}
 	}
-	return nil
+}
+
+// expectServed sends requests of all kinds to each of the entry instances and expects each to
+// be served and to run once.
+func (c *partitionCluster) expectServed(entries []int) {
+	c.t.Helper()
+	const rounds = 5
+	for range rounds {
+		for _, i := range entries {
+			for _, k := range kinds {
+				status, id := c.send(i, k.method, k.path)
+				assert.Equal(c.t, status, http.StatusOK, "%s %s at entry-%d", k.method, k.path, i)
+				assert.Equal(c.t, c.endpoints.runsOf(id), 1, "%s %s at entry-%d", k.method, k.path, i)
+			}
+		}
+	}
+}
+
+// waitDirect waits until requests of an entry instance go to the endpoints from itself.
+func (c *partitionCluster) waitDirect(entry int) {
+	c.t.Helper()
+	ip := c.entries[entry].Source
+	deadline := time.Now().Add(10 * time.Second)
+	for before := c.endpoints.receivedFrom(ip); c.endpoints.receivedFrom(ip) < before+len(kinds); {
+		assert.Assert(c.t, time.Now().Before(deadline), "entry-%d does not use its own links", entry)
+		c.serves(entry)
+	}
 }
 
 // Guards against instances that are partitioned from all endpoints failing their clients
@@ -236,15 +272,26 @@
 		for _, mode := range []partitionMode{hanging, resetting, refusingNew} {
 			t.Run(cut.name+" "+mode.String(), func(t *testing.T) {
 				c.t = t
+				c.setMode(cut.partitioned, mode)
+				defer c.setMode(cut.partitioned, connected)
+				c.waitServed(c.all())
+				c.expectServed(c.all())
+				c.setMode(cut.partitioned, connected)
 				for _, i := range cut.partitioned {
-					c.links[i].setMode(mode)
-				}
-				served := c.tryServed(c.all())
-				for _, i := range cut.partitioned {
-					c.links[i].setMode(connected)
+					c.waitDirect(i)
 				}
-				assert.NilError(t, served, "cut %v", cut.partitioned)
+				c.expectServed(c.all())
 			})
 		}
 	}
+	for id, runs := range c.endpoints.allRuns() {
+		assert.Assert(t, c.paths[id] != "/once/x" || runs <= 1, "request %s ran %d times", id, runs)
+	}
+}
+
+// setMode changes the links of entry instances to all endpoints.
+func (c *partitionCluster) setMode(entries []int, mode partitionMode) {
+	for _, i := range entries {
+		c.links[i].setMode(mode)
+	}
 }
