--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -39,7 +39,9 @@
 	// attempt.
 	responseTimer *time.Timer
 	timedOut      atomic.Bool
-	startedAt     tables.Instant
+	// mayRepeat is set if the route permits another attempt after this one.
+	mayRepeat bool
+	startedAt tables.Instant
 	// endWait ends the health checker's tracking of the attempt. It is called once the
 	// response header has arrived.
 	endWait func()
@@ -89,6 +91,7 @@
 	c.state = c.state.Dispatch(a.id)
 	c.reservation.chargeAttempt()
 	c.attemptsUsed++
+	a.mayRepeat = c.hasAttemptsLeft()
 	a.armResponseTimer(a.firstResponseTimeout())
 	a.endWait = a.trackPending()
 	defer a.endWait()
--- a/forward/healthcheck.go
+++ b/forward/healthcheck.go
@@ -178,7 +178,7 @@
 	}
 	h.mu.Unlock()
 	for _, a := range attempts {
-		if a.request.route.SafeToRetry() && a.request.hasAttemptsLeft() && a.request.canRetry() {
+		if a.request.route.SafeToRetry() && a.mayRepeat && a.request.canRetry() {
 			a.timedOut.Store(true)
 			a.cancel()
 		}
--- a/forward/timeout.go
+++ b/forward/timeout.go
@@ -40,7 +40,7 @@
 // cannot be retried, it keeps waiting, since an endpoint that is merely slow still sends
 // its response.
 func (a *attempt) armResponseTimer(limit time.Duration) {
-	if limit <= 0 || !a.request.hasAttemptsLeft() {
+	if limit <= 0 || !a.mayRepeat {
 		return
 	}
 	if a.responseTimer != nil {
