One place sets keep-alive probes and TCP_USER_TIMEOUT, for clients and listeners

Read through all clients and listeners: the dialer to endpoints set 4 probes a second apart after one second beside 4 s, 5 s by the one and 4 s by the other; all listeners, the daemon's client of control instances, the CLI and the crash probe had the defaults of net (15 s, 9 probes, no TCP_USER_TIMEOUT: a write to a peer that is gone is retransmitted for a quarter of an hour). No library here sets one by itself.

Package keepalive sets both from one value: 4 s between instances and to endpoints, 30 s for callers, who may come back from a partition. An endpoint that is silent for a second or two stays. The crash probe uses the client of the endpoints, and so the instance's own source address.

--- a/cli/operator_client.go
+++ b/cli/operator_client.go
@@ -19,6 +19,7 @@
 	"github.com/gravitational/trace"
 	"github.com/twitchtv/twirp"
 
+	"github.com/carawaystile/carawaystile/internal/keepalive"
 	"github.com/carawaystile/carawaystile/keys"
 	"github.com/carawaystile/carawaystile/rpc"
 )
@@ -125,7 +126,9 @@
 	if err != nil {
 		return err
 	}
-	c.httpClient = &http.Client{Transport: &keys.Transport{Ring: ring, Base: http.DefaultTransport}, Timeout: c.timeout}
+	base := http.DefaultTransport.(*http.Transport).Clone()
+	base.DialContext = keepalive.Peers.Dialer(netip.Addr{}).DialContext
+	c.httpClient = &http.Client{Transport: &keys.Transport{Ring: ring, Base: base}, Timeout: c.timeout}
 	return nil
 }
 
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"time"
 
@@ -17,6 +17,7 @@
 	"github.com/carawaystile/carawaystile/control/server"
 	"github.com/carawaystile/carawaystile/control/transport"
 	"github.com/carawaystile/carawaystile/events"
+	"github.com/carawaystile/carawaystile/internal/keepalive"
 	"github.com/carawaystile/carawaystile/keys"
 	"github.com/carawaystile/carawaystile/metrics"
 	"github.com/carawaystile/carawaystile/rpc"
@@ -47,7 +48,9 @@
 func (d *Daemon) startControlClients() error {
 	dial := d.options.Dial
 	if dial == nil {
-		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+		dialer := keepalive.Peers.Dialer(netip.Addr{})
+		dialer.Timeout = dialTimeout
+		dial = dialer.DialContext
 	}
 	base := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxIdlePeerConnections}
 	d.peerTransport = base
--- a/daemon/listen.go
+++ b/daemon/listen.go
@@ -13,6 +13,7 @@
 	"golang.org/x/net/netutil"
 
 	"github.com/carawaystile/carawaystile/events"
+	"github.com/carawaystile/carawaystile/internal/keepalive"
 	"github.com/carawaystile/carawaystile/keys"
 	suspectpeers "github.com/carawaystile/carawaystile/peers"
 	"github.com/carawaystile/carawaystile/router"
@@ -78,7 +79,7 @@
 
 // listenTCP is the default of Options.Listen.
 func listenTCP(address netip.AddrPort) (net.Listener, error) {
-	return net.Listen("tcp", address.String())
+	return keepalive.Clients.Listen(address)
 }
 
 // close closes all listeners and their connections.
--- a/engine/client.go
+++ b/engine/client.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/carawaystile/carawaystile/internal/defaults"
+	"github.com/carawaystile/carawaystile/internal/keepalive"
 )
 
 // Options limit the time and memory that an endpoint can cost a client. Zero fields take
@@ -66,7 +67,7 @@
 	defaults.Set(&o.MaxEventBytes, DefaultMaxEventBytes)
 	defaults.Set(&o.MaxResponseBytes, DefaultMaxResponseBytes)
 	if o.Dial == nil {
-		o.Dial = newDialer(netip.Addr{}).DialContext
+		o.Dial = keepalive.Peers.Dialer(netip.Addr{}).DialContext
 	}
 	return o
 }
--- a/forward/timeout.go
+++ b/forward/timeout.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"syscall"
 	"time"
 
@@ -84,11 +83,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
 		defer cancel()
-		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", endpoint.Address.String())
-		if err == nil {
-			_ = conn.Close()
-			return
-		}
+		err := s.options.Client.CheckReachable(ctx, endpoint.Address)
 		if !errors.Is(err, syscall.ECONNREFUSED) || !s.refusesAll(s.options.Context, &endpoint) {
 			return
 		}
--- a/node/control.go
+++ b/node/control.go
@@ -15,6 +15,7 @@
 	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/fleet"
 	"github.com/carawaystile/carawaystile/internal/boottime"
+	"github.com/carawaystile/carawaystile/internal/keepalive"
 	"github.com/carawaystile/carawaystile/rpc"
 	"github.com/carawaystile/carawaystile/store"
 	"github.com/carawaystile/carawaystile/tables"
@@ -95,7 +96,7 @@
 		n.background.Go(func() { n.probeKVStores(n.lifetime) })
 	}
 	handler := n.options.Platform.OperatorHandler(n.deployment, n.log)
-	return n.serve(&http.Server{Handler: handler}, s.Listen.Operators)
+	return n.serve(&http.Server{Handler: handler}, s.Listen.Operators, keepalive.Clients)
 }
 
 // seedInstances returns the addresses at which the seeds serve other instances.
--- a/node/entry.go
+++ b/node/entry.go
@@ -14,6 +14,7 @@
 	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/fleet"
 	"github.com/carawaystile/carawaystile/forward"
+	"github.com/carawaystile/carawaystile/internal/keepalive"
 	"github.com/carawaystile/carawaystile/parts"
 	"github.com/carawaystile/carawaystile/rpc"
 	"github.com/carawaystile/carawaystile/schedule"
@@ -83,12 +84,12 @@
 	})
 	n.startCacheSync()
 	n.callerServer = &http.Server{Handler: n.entry}
-	if err := n.serve(n.callerServer, s.Listen.Callers); err != nil {
+	if err := n.serve(n.callerServer, s.Listen.Callers, keepalive.Clients); err != nil {
 		return err
 	}
 	ready := http.NewServeMux()
 	ready.HandleFunc("/", n.entry.ServeReady)
-	return n.serve(&http.Server{Handler: ready}, s.Listen.Ready)
+	return n.serve(&http.Server{Handler: ready}, s.Listen.Ready, keepalive.Clients)
 }
 
 // applyDocument applies a newer document of operators: a configuration or the target version
--- a/node/listen.go
+++ b/node/listen.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"net/netip"
 	"time"
@@ -13,6 +12,7 @@
 
 	"github.com/carawaystile/carawaystile/control/transport"
 	"github.com/carawaystile/carawaystile/events"
+	"github.com/carawaystile/carawaystile/internal/keepalive"
 	"github.com/carawaystile/carawaystile/peers"
 	"github.com/carawaystile/carawaystile/relay"
 	"github.com/carawaystile/carawaystile/rpc"
@@ -26,9 +26,10 @@
 	idleTimeout   = time.Minute
 )
 
-// serve opens a listener and serves it in the background until the instance stops.
-func (n *Node) serve(server *http.Server, at netip.AddrPort) error {
-	listener, err := net.Listen("tcp", at.String())
+// serve opens a listener and serves it in the background until the instance stops. peer is how
+// it detects that a peer is gone.
+func (n *Node) serve(server *http.Server, at netip.AddrPort, peer keepalive.Config) error {
+	listener, err := peer.Listen(at)
 	if err != nil {
 		return trace.ConvertSystemError(err)
 	}
@@ -60,7 +61,7 @@
 		mux.Handle(relay.Path, n.relayServer)
 		mux.Handle(rpc.PeerPathPrefix, rpc.NewPeerServer(peers.Service{Receive: n.entry.MergeSuspect}))
 	}
-	if err := n.serve(&http.Server{Handler: mux}, s.Listen.Instances); err != nil {
+	if err := n.serve(&http.Server{Handler: mux}, s.Listen.Instances, keepalive.Peers); err != nil {
 		return err
 	}
 	if !s.Listen.Metrics.IsValid() {
@@ -71,7 +72,7 @@
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
 		_ = n.registry.WriteText(w)
 	})
-	return n.serve(&http.Server{Handler: metrics}, s.Listen.Metrics)
+	return n.serve(&http.Server{Handler: metrics}, s.Listen.Metrics, keepalive.Clients)
 }
 
 // broadcastSuspects reports the requests that were running when an endpoint crashed to all
