--- a/dispatch/reachability.go
+++ b/dispatch/reachability.go
@@ -139,14 +139,14 @@
 // since.
 func (d *Dispatcher) LinksSuspected() bool { return len(d.links.failed) > 0 }
 
-// LinkProbes returns up to n endpoints, chosen pseudorandomly, that have not failed to accept a
-// connection since an endpoint last responded. A connection to one of them shows whether this
-// instance has lost its links or the endpoints that failed are down.
+// LinkProbes returns up to n endpoints, chosen pseudorandomly, that are not probed yet. A
+// connection to one of them shows whether this instance has lost its links or the endpoints that
+// accept no connection are down.
 func (d *Dispatcher) LinkProbes(n int) []fleet.Endpoint {
 	var all []*endpointRow
 	for _, rows := range d.services {
 		for _, row := range rows {
-			if _, failed := d.links.failed[row.ID]; !failed && !row.isLeaving() {
+			if !row.unreachable && !row.isLeaving() {
 				all = append(all, row)
 			}
 		}
