--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -324,9 +324,7 @@
 		zap.Int("arrivals", a.request.dispatchRequest.DeliveredAttempts),
 		zap.String("by", a.placedBy()),
 	}
-	if a.via != "" {
-		fields = append(fields, zap.String("via", string(a.via)))
-	}
+	fields = append(fields, a.viaFields()...)
 	if a.retryAfter != "" {
 		fields = append(fields, zap.String("retry_after", a.retryAfter))
 	}
--- a/forward/failure.go
+++ b/forward/failure.go
@@ -106,7 +106,7 @@
 func (c *clientRequest) finishAnswered(status int, a *attempt) {
 	c.finished = true
 	c.server.metrics.observeAnswered(c, status)
-	fields := append(c.logFields(), avoidedFields(&a.placement.Rationale)...)
+	fields := append(append(c.logFields(), a.viaFields()...), avoidedFields(&a.placement.Rationale)...)
 	events.RequestAnswered.Log(c.server.log, append(fields,
 		zap.Int("status", status), zap.Duration("first", c.timeToFirstEvent), zap.Duration("placed", a.startedAt-c.arrivedAt),
 		zap.String("endpoint", string(a.placement.Endpoint.ID)), zap.Uint64("weights", a.placement.WeightsVersion),
@@ -114,7 +114,7 @@
 		zap.Int("prompt", c.dispatchRequest.PromptTokens), zap.Int("to_read", a.placement.UncachedTokens),
 		zap.String("source", string(a.placement.CacheSource.ID)), zap.String("rule", string(a.placement.Rationale.Rule)),
 		zap.Int("own", a.placement.Rationale.OwnAttempts), zap.Int("others", a.placement.Rationale.OtherAttempts),
-		zap.Duration("load_age", a.placement.Rationale.LoadAge), zap.String("via", string(a.via)))...)
+		zap.Duration("load_age", a.placement.Rationale.LoadAge))...)
 }
 
 // abortStream aborts a response that has started and cannot be completed. It closes the
--- a/forward/relayed.go
+++ b/forward/relayed.go
@@ -9,6 +9,8 @@
 	"syscall"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/carawaystile/carawaystile/dialect"
 	"github.com/carawaystile/carawaystile/dispatch"
 	"github.com/carawaystile/carawaystile/engine"
@@ -37,6 +39,14 @@
 	}
 }
 
+// viaFields returns the field that names the instance through which the attempt has gone, if any.
+func (a *attempt) viaFields() []zap.Field {
+	if a.via == "" {
+		return nil
+	}
+	return []zap.Field{zap.String("via", string(a.via))}
+}
+
 // trackPending has the health checker probe the endpoint if it does not respond in time. The
 // probes go over this instance's own link, so they say nothing of a relayed attempt.
 func (a *attempt) trackPending() (endWait func()) {
--- a/logs/trail/story.go
+++ b/logs/trail/story.go
@@ -65,7 +65,11 @@
 	for _, line := range slices.Backward(t.Lines) {
 		switch line.Event {
 		case events.RequestAnswered.Number:
-			return "answered with " + line.Field("status") + " by " + line.Field("endpoint") + " after " + line.Field("took")
+			by := line.Field("endpoint")
+			if via := line.Field("via"); via != "" {
+				by += " through " + via
+			}
+			return "answered with " + line.Field("status") + " by " + by + " after " + line.Field("took")
 		case events.RequestFailed.Number:
 			text := "answered with " + line.Field("status") + " after " + line.Field("took")
 			if meaning := meaningOf(line.Field("code")); meaning != "" {
@@ -86,7 +90,7 @@
 
 // leadingFields are the fields that are printed first, in this order.
 var leadingFields = []string{
-	"endpoint", "end", "status", "code", "outcome", "rule", "took", "placed", "first", "expected", "own", "others",
+	"endpoint", "via", "end", "status", "code", "outcome", "rule", "took", "placed", "first", "expected", "own", "others",
 	"load_age", "doubt", "retry_after", "pushing_back", "draining", "endpoints", "revision", "control_heard", "weights",
 }
 
--- a/logs/trail/trail.go
+++ b/logs/trail/trail.go
@@ -207,13 +207,15 @@
 	"draining":     events.EndpointDraining.Number,
 }
 
-// announcement identifies the announcement of an endpoint to an instance.
+// announcement identifies the announcement of an endpoint to an instance, or without an endpoint
+// an observation of the instance.
 type announcement struct {
 	endpoint, instance string
 	event              events.Number
 }
 
-// avoided returns the announcements for which endpoints were left out.
+// avoided returns the announcements for which endpoints were left out, and the loss of all links
+// for which the request went through another instance.
 func (t *Trace) avoided() map[announcement]bool {
 	found := map[announcement]bool{}
 	for i := range t.Lines {
@@ -225,6 +227,9 @@
 				}
 			}
 		}
+		if t.Lines[i].Field("via") != "" {
+			found[announcement{instance: t.Lines[i].Instance, event: events.LinksLost.Number}] = true
+		}
 	}
 	return found
 }
--- a/logs/trail/trail_test.go
+++ b/logs/trail/trail_test.go
@@ -78,6 +78,23 @@
 	}
 }
 
+const relayLog = `{"level":"warn","ts":"2026-01-02T10:00:01Z","msg":"This instance reaches no endpoint; its requests go through other instances.","instance":"edge-1","event":1022}
+{"level":"info","ts":"2026-01-02T10:01:00Z","msg":"A request got an endpoint's response.","instance":"edge-1","request":"r-3","took":"50ms","status":200,"endpoint":"i-1","via":"edge-2","event":1010}
+`
+
+// Guards against a trace that does not tell through which instance a request went, and since when
+// the links of its own were lost.
+func TestTraceTellsTheWayOfARelayedRequest(t *testing.T) {
+	r := NewReader("r-3")
+	assert.NilError(t, r.Read("entry.log", strings.NewReader(relayLog)))
+	trail, err := r.Trace()
+	assert.NilError(t, err)
+	var b strings.Builder
+	trail.Write(&b)
+	assert.Assert(t, strings.Contains(b.String(), "answered with 200 by i-1 through edge-2 after 50ms"), b.String())
+	assert.Assert(t, strings.Contains(b.String(), "10:00:01.000 edge-1     1022"), b.String())
+}
+
 func TestUnknownRequestIsNotFound(t *testing.T) {
 	_, err := read(t, "r-9")
 	var missing *NotFoundError
