--- a/dispatch/retry_window_test.go
+++ b/dispatch/retry_window_test.go
@@ -32,7 +32,7 @@
 	requests, retries = make([]int, bins), make([]int, bins)
 	dispatchers := make([]*Dispatcher, instances)
 	start := func(i int) {
-		dispatchers[i] = New(Options{RetryBudget: limits})
+		dispatchers[i] = New(Options{RetryBudget: limits, Seed: uint64(i + 1)})
 		dispatchers[i].SetInstanceCount(instances)
 	}
 	for i := range dispatchers {
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -82,6 +82,10 @@
 	a.ctx, a.cancel = context.WithCancel(c.ctx)
 	s.metrics.countPlacement(c, placement.Rationale.Rule, a.placedBy())
 	s.mu.Lock()
+	if c.retryTakenAt > 0 {
+		s.dispatch.RedateRetry(a.startedAt, c.retryTakenAt, c.service.Name)
+		c.retryTakenAt = 0
+	}
 	incarnation := quarantine.Incarnation{Endpoint: placement.Endpoint.ID}
 	s.crashDetector.Started(a.startedAt, a.id, incarnation, c.fingerprint)
 	s.mu.Unlock()
--- a/forward/place.go
+++ b/forward/place.go
@@ -138,9 +138,11 @@
 	s := c.server
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.dispatch.TakeRetry(s.options.Now(), c.service.Name) {
+	now := s.options.Now()
+	if !s.dispatch.TakeRetry(now, c.service.Name) {
 		return tables.CodeRetryBudget
 	}
+	c.retryTakenAt = now
 	s.metrics.countRetry(c)
 	return 0
 }
--- a/forward/request.go
+++ b/forward/request.go
@@ -57,6 +57,8 @@
 	// attemptsUsed counts the attempts that count towards the route's MaxAttempts. Attempts
 	// that certainly did not run are not included.
 	attemptsUsed int
+	// retryTakenAt is when the next attempt was taken from the retry budget; 0 for none.
+	retryTakenAt tables.Instant
 	// rateLimitedPlacements counts the placements that endpoints' rate limits did not admit.
 	rateLimitedPlacements int
 	// retryAfter is the time after which a client that is rejected should retry; 0 for the
