--- a/dispatch/brittleness.go
+++ b/dispatch/brittleness.go
@@ -120,7 +120,7 @@
 	if row == nil {
 		return 0, 0, false
 	}
-	return row.Slots, row.attempts - row.awaitingPermit + row.reported.running, true
+	return row.Slots, row.reportedAttempts() + row.reported.running, true
 }
 
 // spareSlotsDivisor divides a brittle endpoint's slots into those up to which an instance may go by
--- a/dispatch/reachability.go
+++ b/dispatch/reachability.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/carawaystile/carawaystile/fleet"
@@ -151,6 +153,7 @@
 			}
 		}
 	}
+	slices.SortFunc(all, func(a, b *endpointRow) int { return cmp.Compare(a.ID, b.ID) })
 	var chosen []fleet.Endpoint
 	for len(chosen) < n && len(all) > 0 {
 		d.decisions++
--- a/relay/server.go
+++ b/relay/server.go
@@ -86,7 +86,7 @@
 		return
 	}
 	defer s.close(instance)
-	s.count101()
+	s.countRelayed()
 	s.carry(instance, buffered, endpoint, to.ID)
 }
 
@@ -146,7 +146,7 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
-func (s *Server) count101() {
+func (s *Server) countRelayed() {
 	if s.options.Registry != nil {
 		s.options.Registry.Counter("carawaystile_relays_total", "Connections that this instance relayed to endpoints for other instances.").Inc(1)
 	}
