--- a/forward/healthcheck.go
+++ b/forward/healthcheck.go
@@ -220,10 +220,7 @@
 			events.LinksRestored.Log(s.log, zap.Duration("took", s.options.Now()-lostAt))
 			lostAt = -1
 		}
-		if !suspected && !lost {
-			h.mu.Lock()
-			h.watching = false
-			h.mu.Unlock()
+		if !suspected && !lost && h.endLinkWatch() {
 			return
 		}
 		var probes sync.WaitGroup
@@ -237,6 +234,15 @@
 	}
 }
 
+// endLinkWatch records that watchLinks ends, unless an endpoint has failed since it looked.
+func (h *healthChecker) endLinkWatch() (ended bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	suspected, lost, _ := h.server.linkProbes()
+	h.watching = suspected || lost
+	return !h.watching
+}
+
 // linkProbes returns the state of this instance's links, and the endpoints to probe next.
 func (s *Server) linkProbes() (suspected, lost bool, endpoints []fleet.Endpoint) {
 	s.mu.Lock()
--- a/relay/doc.go
+++ b/relay/doc.go
@@ -45,6 +45,8 @@
 	Draining Reason = "draining"
 	// Silent: the relay did not respond in time, or not as a relay.
 	Silent Reason = "silent"
+	// lost: the connection of the instance that asked broke.
+	lost Reason = "connection lost"
 )
 
 // aboutEndpoint reports whether the reason is an observation of the endpoint, which another
--- a/relay/server.go
+++ b/relay/server.go
@@ -80,6 +80,7 @@
 	defer s.close(endpoint)
 	instance, buffered, err := hijack(w)
 	if err != nil {
+		s.countRejected(lost)
 		return
 	}
 	if !s.track(instance) {
@@ -137,13 +138,17 @@
 
 // reject answers that this instance does not relay the connection.
 func (s *Server) reject(w http.ResponseWriter, reason Reason) {
+	s.countRejected(reason)
+	w.Header().Set(headerReason, string(reason))
+	w.Header().Set("Connection", "close")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func (s *Server) countRejected(reason Reason) {
 	if s.options.Registry != nil {
 		s.options.Registry.Counter("carawaystile_relays_rejected_total", "Connections that this instance did not relay for another one, by reason.",
 			metrics.Label{Name: "reason", Value: string(reason)}).Inc(1)
 	}
-	w.Header().Set(headerReason, string(reason))
-	w.Header().Set("Connection", "close")
-	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
 func (s *Server) countRelayed() {
