--- a/systems/membership/membership_test.go
+++ b/systems/membership/membership_test.go
@@ -253,7 +253,7 @@
 	sim.runUntil(time.Minute, "discover each other", sim.allAlive)
 	load := Load{
 		Endpoint: "e1", Running: 1, CacheTokens: 2, PrefillTokens: 3, LinkBusy: 4 * time.Millisecond, AbsentFor: 5 * time.Millisecond,
-		Limit:  &RateLimit{Limited: true, PerSecond: 6, Age: 7 * time.Millisecond},
+		Limit: &RateLimit{Limited: true, PerSecond: 6, Age: 7 * time.Millisecond},
 		Notice: &EndpointNotice{
 			StartUnixMilli: 8, Draining: true, PushbackFor: 9 * time.Millisecond,
 			Brittleness: &EndpointBrittleness{Brittle: true, Rejections: 10, Age: 11 * time.Millisecond},
