Wording of the new code: outage, unresponsive, timeout

'silent' of owners and relays is unresponsive or an outage, 'in place of' instead, 'gone' dead, 'told' said. Some older lines of the same files are reworded too.

--- a/dispatch/announcements.go
+++ b/dispatch/announcements.go
@@ -65,7 +65,7 @@
 	}
 }
 
-// Notice is what an instance tells the others of an endpoint's announcements.
+// Notice is what an instance reports to the others of an endpoint's announcements.
 type Notice struct {
 	// StartUnixMilli identifies the process; zero if its start is not known.
 	StartUnixMilli int64
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -69,7 +69,7 @@
 const zoneSilence = 300 * time.Millisecond
 
 // penalizeZone raises the failure score of the other endpoints of a zone when a
-// connection to one of them timed out and the zone is silent. Without it, each instance
+// connection to one of them timed out and none in the zone has responded. Without it, each instance
 // would lose requests at every endpoint of a partitioned zone before it noticed the
 // partition.
 func (d *Dispatcher) penalizeZone(now tables.Instant, lost *endpointRow) {
--- a/dispatch/retry_window_test.go
+++ b/dispatch/retry_window_test.go
@@ -15,7 +15,7 @@
 	// failing reports whether each attempt at a time fails, so that as many retries are made as
 	// the budget permits.
 	failing func(at time.Duration) bool
-	// restarts is when one instance after the other starts anew; zero for never.
+	// restarts is when the instances begin to restart, one after the other; zero for never.
 	restarts time.Duration
 }
 
--- a/forward/healthcheck.go
+++ b/forward/healthcheck.go
@@ -132,7 +132,7 @@
 
 // probeUntilReachable probes an endpoint until it accepts a connection, is removed or has
 // another address, or the probes are used up while other endpoints are reachable. An endpoint
-// that fails a probe receives no requests meanwhile.
+// that fails a probe receives no requests until then.
 func (h *healthChecker) probeUntilReachable(e fleet.Endpoint) {
 	ctx := h.server.options.Context
 	unreachable := false
--- a/forward/pushback.go
+++ b/forward/pushback.go
@@ -65,7 +65,7 @@
 // maxLoggedValueBytes bounds a header value in the log.
 const maxLoggedValueBytes = 64
 
-// reportUnusableHeader logs a header value that is not used as it is; used tells what was
+// reportUnusableHeader logs a header value that is not used as it is; used says what was
 // made of it.
 func (a *attempt) reportUnusableHeader(name, value, used string) {
 	s := a.request.server
--- a/forward/relaypath_test.go
+++ b/forward/relaypath_test.go
@@ -101,7 +101,7 @@
 }
 
 // Guards against a request that must run at most once being sent again after its relay has ended,
-// and against its client being told that it did not run.
+// and against a response which says that it did not run.
 func TestRequestThatMayHaveRunIsNotRepeatedAfterItsRelayEnds(t *testing.T) {
 	running, release := make(chan struct{}, 2), make(chan struct{})
 	defer close(release)
--- a/forward/request.go
+++ b/forward/request.go
@@ -52,7 +52,7 @@
 	permit      *permits.Permit
 	fingerprint tables.Fingerprint
 	reservation reservation
-	// state tells whether any endpoint may have run the request.
+	// state says whether any endpoint may have run the request.
 	state outcome.State
 	// attemptsUsed counts the attempts that count towards the route's MaxAttempts. Attempts
 	// that certainly did not run are not included.
--- a/forward/scheduled.go
+++ b/forward/scheduled.go
@@ -37,7 +37,7 @@
 		}
 		c.dispatchRequest.MarkDemandCounted()
 		if assignment.Reason != "" {
-			// Among the endpoints that the scheduler was told to avoid may be some that this
+			// Among the endpoints that the scheduler had to avoid may be some that this
 			// instance can use after all, through another instance.
 			return nil, assignment.Reason, assignment.Reason != dispatch.NoEndpoint || !s.mayRelay()
 		}
@@ -94,7 +94,7 @@
 }
 
 // PlaceRequest chooses an endpoint and counts an attempt there. If no endpoint is
-// available, the attempt is nil and the reason tells why.
+// available, the attempt is nil and the reason says why.
 func (s *Server) PlaceRequest(r *dispatch.Request) (*dispatch.Attempt, dispatch.RejectReason) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/keepalive/keepalive.go
+++ b/internal/keepalive/keepalive.go
@@ -1,5 +1,5 @@
-// Package keepalive opens TCP connections and listeners that detect a peer which is gone: its
-// machine has lost power, or is partitioned away. Without it a half-open connection blocks its
+// Package keepalive opens TCP connections and listeners that detect a dead peer: its machine
+// has lost power, or is partitioned away. Without it a half-open connection blocks its
 // reader for good and its writer for a quarter of an hour.
 //
 // The keep-alive probes and TCP_USER_TIMEOUT are set together. Where a TCP_USER_TIMEOUT is set,
@@ -13,7 +13,7 @@
 	"time"
 )
 
-// Config is how a connection detects that its peer is gone.
+// Config is how a connection detects a dead peer.
 type Config struct {
 	// Idle is the time without data until the first probe, Interval that between probes, and
 	// Probes the number of unanswered ones after which the connection ends.
--- a/internal/keepalive/keepalive_linux_test.go
+++ b/internal/keepalive/keepalive_linux_test.go
@@ -43,7 +43,7 @@
 	}
 }
 
-// Guards against an endpoint that is silent for a second counting as gone.
+// Guards against an endpoint that pauses for a second counting as dead.
 func TestPeersMayBeSilentForSeconds(t *testing.T) {
 	assert.Assert(t, Peers.Timeout() >= 3*time.Second)
 }
--- a/logs/trail/trail_test.go
+++ b/logs/trail/trail_test.go
@@ -82,7 +82,7 @@
 {"level":"info","ts":"2026-01-02T10:01:00Z","msg":"A request got an endpoint's response.","instance":"edge-1","request":"r-3","took":"50ms","status":200,"endpoint":"i-1","via":"edge-2","event":1010}
 `
 
-// Guards against a trace that does not tell through which instance a request went, and since when
+// Guards against a trace that does not show through which instance a request went, and since when
 // the links of its own were lost.
 func TestTraceTellsTheWayOfARelayedRequest(t *testing.T) {
 	r := NewReader("r-3")
--- a/node/brittle_test.go
+++ b/node/brittle_test.go
@@ -70,7 +70,7 @@
 }
 
 // Guards against instances that together make an endpoint reject more requests in a second than it
-// stands, because each of them takes a free slot to be free for itself.
+// stands, because each of them claims the same free slot.
 func TestBrittleEndpointsRejectFewRequestsUnderOverload(t *testing.T) {
 	const (
 		standsPerSecond = 5
--- a/node/listen.go
+++ b/node/listen.go
@@ -27,7 +27,7 @@
 )
 
 // serve opens a listener and serves it in the background until the instance stops. peer is how
-// it detects that a peer is gone.
+// it detects a dead peer.
 func (n *Node) serve(server *http.Server, at netip.AddrPort, peer keepalive.Config) error {
 	listener, err := peer.Listen(at)
 	if err != nil {
--- a/permits/client.go
+++ b/permits/client.go
@@ -42,7 +42,7 @@
 // ClientOptions configure a Client.
 type ClientOptions struct {
 	Self tables.InstanceID
-	// BootEpoch tells apart the lives of the instance before and after a restart.
+	// BootEpoch distinguishes the process from those before a restart.
 	BootEpoch uint64
 	// Server holds the permits of the endpoints that this instance owns itself.
 	Server *Server
@@ -91,7 +91,7 @@
 	case answer.GetReady():
 		c.owners.recordAnswer(owner.Instance)
 	case ctx.Err() == nil:
-		c.owners.recordSilence(owner.Instance, c.options.Now())
+		c.owners.recordTimeout(owner.Instance, c.options.Now())
 	}
 	if !answer.GetGranted() {
 		return nil, Denied
@@ -99,8 +99,8 @@
 	return &Permit{client: c, owner: owner, number: number, endpoint: endpoint}, Granted
 }
 
-// owner returns the owner of an endpoint, or the instance that is asked in its place if the owner
-// has been silent for long. otherOwner is set if another instance may have granted permits lately.
+// owner returns the owner of an endpoint, or the instance that is asked instead after a long outage of
+// the owner. otherOwner is set if another instance may have granted permits recently.
 func (c *Client) owner(endpoint tables.EndpointID) (owner membership.EntryInstance, otherOwner, found bool) {
 	now := c.options.Now()
 	owner, found = datagram.PickRendezvous(xxhash.Sum64String(string(endpoint)), c.options.Entries(), func(id tables.InstanceID) bool {
--- a/permits/owners.go
+++ b/permits/owners.go
@@ -8,84 +8,85 @@
 )
 
 const (
-	// silentPause is how long an owner that did not answer is not asked again.
-	silentPause = 100 * time.Millisecond
-	// takeoverAfter is how long an owner must have been silent before the next instance by the
-	// hash is asked in its place. A slow owner goes on granting permits, and the load reports
-	// that show them may be as late as its answers.
+	// timeoutBackoff is how long an owner that did not answer is not asked again.
+	timeoutBackoff = 100 * time.Millisecond
+	// takeoverAfter is how long an owner must have been unresponsive before the next instance by
+	// the hash is asked instead. A slow owner still grants permits, and the load reports that show
+	// them may be as late as its answers.
 	takeoverAfter = time.Second
 	// retryOwnerAfter is how often an owner that was replaced is asked again.
 	retryOwnerAfter = time.Second
-	// silenceMemory is how long a silence counts without another one.
-	silenceMemory = 5 * time.Second
+	// outageMemory is how long an outage counts without another timeout.
+	outageMemory = 5 * time.Second
 )
 
-// ownerStates is what a client knows of the owners that did not answer. The zero value knows of
-// none. It is safe for concurrent use.
+// ownerStates holds the outages of owners, as seen by one client. The zero value holds none. It is
+// safe for concurrent use.
 type ownerStates struct {
-	mu     sync.Mutex
-	silent map[tables.InstanceID]silence
+	mu      sync.Mutex
+	outages map[tables.InstanceID]outage
 }
 
-// silence is a time in which an owner has answered nothing.
-type silence struct {
+// outage is a period in which an owner has answered nothing.
+type outage struct {
+	// since and last are the first and the last timeout.
 	since, last tables.Instant
 	// askAfter is when the owner may be asked again.
 	askAfter tables.Instant
 }
 
-// lasted reports whether the silence is long enough for another instance to be asked.
-func (s silence) lasted() bool { return s.last-s.since >= takeoverAfter }
+// causesTakeover reports whether the outage is long enough for another instance to be asked.
+func (o outage) causesTakeover() bool { return o.last-o.since >= takeoverAfter }
 
-// isReplaced reports whether another instance is asked in the owner's place.
-func (o *ownerStates) isReplaced(id tables.InstanceID, now tables.Instant) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	s := o.silent[id]
-	return s.lasted() && now < s.askAfter
+// isReplaced reports whether another instance is asked instead of the owner.
+func (s *ownerStates) isReplaced(id tables.InstanceID, now tables.Instant) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o := s.outages[id]
+	return o.causesTakeover() && now < o.askAfter
 }
 
-// wasReplaced reports whether another instance was asked in the owner's place lately.
-func (o *ownerStates) wasReplaced(id tables.InstanceID, now tables.Instant) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	s := o.silent[id]
-	return s.lasted() && now-s.last < silenceMemory
+// wasReplaced reports whether another instance was asked instead of the owner recently.
+func (s *ownerStates) wasReplaced(id tables.InstanceID, now tables.Instant) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o := s.outages[id]
+	return o.causesTakeover() && now-o.last < outageMemory
 }
 
 // mayAsk reports whether the owner may be asked now.
-func (o *ownerStates) mayAsk(id tables.InstanceID, now tables.Instant) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return now >= o.silent[id].askAfter
+func (s *ownerStates) mayAsk(id tables.InstanceID, now tables.Instant) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now >= s.outages[id].askAfter
 }
 
 // recordAnswer records that the owner has answered.
-func (o *ownerStates) recordAnswer(id tables.InstanceID) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	delete(o.silent, id)
+func (s *ownerStates) recordAnswer(id tables.InstanceID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.outages, id)
 }
 
-// recordSilence records that the owner has not answered in time.
-func (o *ownerStates) recordSilence(id tables.InstanceID, now tables.Instant) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.silent == nil {
-		o.silent = map[tables.InstanceID]silence{}
+// recordTimeout records that the owner has not answered in time.
+func (s *ownerStates) recordTimeout(id tables.InstanceID, now tables.Instant) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.outages == nil {
+		s.outages = map[tables.InstanceID]outage{}
 	}
-	for other, s := range o.silent {
-		if now-s.last > silenceMemory {
-			delete(o.silent, other)
+	for other, o := range s.outages {
+		if now-o.last > outageMemory {
+			delete(s.outages, other)
 		}
 	}
-	s, known := o.silent[id]
+	o, known := s.outages[id]
 	if !known {
-		s.since = now
+		o.since = now
 	}
-	s.last, s.askAfter = now, now+silentPause
-	if s.lasted() {
-		s.askAfter = now + retryOwnerAfter
+	o.last, o.askAfter = now, now+timeoutBackoff
+	if o.causesTakeover() {
+		o.askAfter = now + retryOwnerAfter
 	}
-	o.silent[id] = s
+	s.outages[id] = o
 }
--- a/permits/permits_test.go
+++ b/permits/permits_test.go
@@ -106,16 +106,16 @@
 	assert.Assert(t, !answer.GetReady())
 }
 
-// testNetwork delivers the messages of clients to their owners, unless an owner is silent.
+// testNetwork delivers the messages of clients to their owners, unless an owner is unresponsive.
 type testNetwork struct {
 	now     tables.Instant
 	owners  map[netip.AddrPort]*testOwner
-	silent  map[netip.AddrPort]bool
+	down    map[netip.AddrPort]bool
 	entries []membership.EntryInstance
 }
 
 func newTestNetwork(instances int) *testNetwork {
-	n := &testNetwork{now: time.Hour, owners: map[netip.AddrPort]*testOwner{}, silent: map[netip.AddrPort]bool{}}
+	n := &testNetwork{now: time.Hour, owners: map[netip.AddrPort]*testOwner{}, down: map[netip.AddrPort]bool{}}
 	for i := range instances {
 		at := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(1000+i))
 		n.owners[at] = newTestOwner(2)
@@ -130,7 +130,7 @@
 	c = NewClient(ClientOptions{
 		Self: self, Entries: func() []membership.EntryInstance { return n.entries }, Now: func() tables.Instant { return n.now },
 		Send: func(to netip.AddrPort, m *rpc.ScheduleMessage) {
-			if n.silent[to] {
+			if n.down[to] {
 				return
 			}
 			if r := m.GetPermitRequest(); r != nil {
@@ -164,27 +164,27 @@
 	none.Release(true)
 }
 
-// Guards against the attempts of a silent owner's endpoint being admitted by two owners at once,
+// Guards against the attempts at an unresponsive owner's endpoint being admitted by two owners at once,
 // or by none for good.
-func TestNextOwnerDecidesAfterASilentOne(t *testing.T) {
+func TestNextOwnerDecidesAfterAnOutage(t *testing.T) {
 	n := newTestNetwork(9)
 	c := n.client("client")
 	first, _, _ := c.owner("e")
-	n.silent[first.Address] = true
-	for end := n.now + takeoverAfter; n.now <= end; n.now += silentPause {
+	n.down[first.Address] = true
+	for end := n.now + takeoverAfter; n.now <= end; n.now += timeoutBackoff {
 		_, verdict := c.Acquire(t.Context(), "e", time.Second)
 		assert.Equal(t, verdict, Denied)
 	}
 	p, verdict := c.Acquire(t.Context(), "e", time.Second)
 	assert.Equal(t, verdict, Granted)
 	assert.Assert(t, p.owner.Instance != first.Instance)
-	n.silent[first.Address] = false
+	n.down[first.Address] = false
 	n.now += retryOwnerAfter
 	p, _ = c.Acquire(t.Context(), "e", time.Second)
 	assert.Equal(t, p.owner.Instance, first.Instance)
 }
 
-// Guards against a late answer leaving a permit that nobody returns.
+// Guards against a late answer leaving a permit that is never released.
 func TestLatePermitIsReturned(t *testing.T) {
 	n := newTestNetwork(1)
 	c := n.client("client")
--- a/permits/server.go
+++ b/permits/server.go
@@ -20,7 +20,7 @@
 	settleTime   = 250 * time.Millisecond
 	reportedTime = 2 * time.Second
 	// soleAskerTime is after which time without a request of another instance the owner takes
-	// itself to be cut off from the others, which then ask another owner.
+	// itself to be partitioned from the others, which then ask another owner.
 	soleAskerTime = 300 * time.Millisecond
 	// rejectionMemory is how long a rejection by an endpoint lowers its limit by one: it has less
 	// room than it announced.
@@ -60,7 +60,7 @@
 type semaphore struct {
 	// settledAt and knownAt are the ends of settleTime and of reportedTime.
 	settledAt, knownAt tables.Instant
-	// sharedUntil is until when a silent owner may grant permits too.
+	// sharedUntil is until when an unresponsive owner may grant permits too.
 	sharedUntil tables.Instant
 	// askedByOtherAt is when an instance other than the owner asked last.
 	askedByOtherAt tables.Instant
@@ -125,8 +125,8 @@
 	e.knownAt = max(e.knownAt, until+reportedTime)
 }
 
-// hasRoom reports whether there may be another permit. An owner that is cut off from the others
-// and the one that they ask in its place have half of the slots each.
+// hasRoom reports whether there may be another permit. An owner that is partitioned from the other
+// instances, and the one that they ask instead, have half of the slots each.
 func (e *semaphore) hasRoom(now tables.Instant, room Occupancy) bool {
 	if room.Slots == 0 {
 		return true
--- a/relay/dialer.go
+++ b/relay/dialer.go
@@ -166,7 +166,7 @@
 // maxDoublings caps the exponent of the back-off.
 const maxDoublings = 4
 
-// Forget drops the back-offs of instances that are gone.
+// Forget drops the back-offs of instances that are no members any more.
 func (d *Dialer) Forget(isGone func(tables.InstanceID) bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -183,7 +183,7 @@
 	defer cancel()
 	raw, err := d.options.Dial(ctx, relay.Address)
 	if err != nil {
-		return nil, &RejectedError{Relay: relay.ID, Reason: Silent, Cause: err}
+		return nil, &RejectedError{Relay: relay.ID, Reason: Unresponsive, Cause: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = raw.SetDeadline(time.Unix(1, 0)) })
 	conn, reason, err := handshake(raw, relay.Address, to)
@@ -193,7 +193,7 @@
 	_ = raw.Close()
 	if err == nil && conn != nil {
 		err = ctx.Err()
-		reason = Silent
+		reason = Unresponsive
 	}
 	return nil, &RejectedError{Relay: relay.ID, Reason: reason, Cause: err}
 }
@@ -202,19 +202,19 @@
 func handshake(raw net.Conn, relay netip.AddrPort, to *fleet.Endpoint) (net.Conn, Reason, error) {
 	request, err := http.NewRequest(http.MethodPost, "http://"+relay.String()+Path, nil)
 	if err != nil {
-		return nil, Silent, err
+		return nil, Unresponsive, err
 	}
 	request.Header.Set("Connection", "Upgrade")
 	request.Header.Set("Upgrade", protocol)
 	request.Header.Set(headerEndpoint, string(to.ID))
 	request.Header.Set(headerAddress, to.Address.String())
 	if err := request.Write(raw); err != nil {
-		return nil, Silent, err
+		return nil, Unresponsive, err
 	}
 	reader := bufio.NewReaderSize(raw, bufferBytes)
 	response, err := http.ReadResponse(reader, request)
 	if err != nil {
-		return nil, Silent, err
+		return nil, Unresponsive, err
 	}
 	defer response.Body.Close()
 	if response.StatusCode == http.StatusSwitchingProtocols {
@@ -223,7 +223,7 @@
 	if reason := Reason(response.Header.Get(headerReason)); reason != "" {
 		return nil, reason, nil
 	}
-	return nil, Silent, &unexpectedStatusError{Status: response.Status}
+	return nil, Unresponsive, &unexpectedStatusError{Status: response.Status}
 }
 
 // unexpectedStatusError means that what answered is not a relay.
--- a/relay/doc.go
+++ b/relay/doc.go
@@ -43,8 +43,8 @@
 	Busy Reason = "busy"
 	// Draining: the relay is about to stop.
 	Draining Reason = "draining"
-	// Silent: the relay did not respond in time, or not as a relay.
-	Silent Reason = "silent"
+	// Unresponsive: the relay did not respond in time, or not as a relay.
+	Unresponsive Reason = "unresponsive"
 	// lost: the connection of the instance that asked broke.
 	lost Reason = "connection lost"
 )
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -176,7 +176,7 @@
 	}
 }
 
-// Guards against an endpoint that goes on with a request after its client has left.
+// Guards against an endpoint that continues a request after its client has disconnected.
 func TestEndOfTheRequestReachesTheEndpoint(t *testing.T) {
 	ended := make(chan struct{})
 	e := startEndpoint(t, func(conn net.Conn) {
@@ -308,19 +308,19 @@
 }
 
 // Guards against an instance of an older version, which does not relay, taking the request for
-// something else, and against waiting for one that is silent.
+// something else, and against waiting for one that does not respond.
 func TestInstanceThatDoesNotRelayIsNotUsed(t *testing.T) {
 	old := httptest.NewServer(http.NotFoundHandler())
 	t.Cleanup(old.Close)
-	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	blackhole, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	t.Cleanup(func() { _ = silent.Close() })
-	for _, at := range []string{strings.TrimPrefix(old.URL, "http://"), silent.Addr().String()} {
+	t.Cleanup(func() { _ = blackhole.Close() })
+	for _, at := range []string{strings.TrimPrefix(old.URL, "http://"), blackhole.Addr().String()} {
 		d := newTestDialer(Instance{ID: "r", Zone: "a", Address: netip.MustParseAddrPort(at)})
 		_, _, err := d.Dial(t.Context(), &fleet.Endpoint{ID: "e", Address: netip.MustParseAddrPort("127.0.0.1:1")})
 		var none *NoRelayError
 		assert.Assert(t, errors.As(err, &none), "%v", err)
-		assert.Equal(t, none.Last.Reason, Silent)
+		assert.Equal(t, none.Last.Reason, Unresponsive)
 	}
 }
 
--- a/schedule/client.go
+++ b/schedule/client.go
@@ -63,7 +63,7 @@
 type Assignment struct {
 	// Choice is the chosen endpoint; it is set if Reason is empty.
 	Choice dispatch.Decision
-	// Reason tells why no endpoint is available now.
+	// Reason says why no endpoint is available now.
 	Reason dispatch.RejectReason
 
 	client    *Client
@@ -122,11 +122,11 @@
 	return answer, number
 }
 
-// backOff stops asking a scheduler for a while, longer if it was silent than if it was not
+// backOff stops asking a scheduler for a while, longer after a timeout than if it was not
 // ready.
-func (c *Client) backOff(s membership.EntryInstance, silent bool) {
+func (c *Client) backOff(s membership.EntryInstance, timedOut bool) {
 	pause := unreadyBackoff
-	if silent {
+	if timedOut {
 		pause = silentBackoff
 		events.SchedulerTimedOut.Log(c.options.Log, zap.String("scheduler", string(s.Instance)))
 	}
--- a/schedule/server.go
+++ b/schedule/server.go
@@ -16,7 +16,7 @@
 	// is none.
 	Service(name string) *routes.Service
 	// PlaceRequest chooses an endpoint and counts an attempt there. If no endpoint is
-	// available, the attempt is nil and the reason tells why.
+	// available, the attempt is nil and the reason says why.
 	PlaceRequest(r *dispatch.Request) (*dispatch.Attempt, dispatch.RejectReason)
 	// AttemptStarted notes that the endpoint has started to process the attempt.
 	AttemptStarted(a *dispatch.Attempt)
