Interfaces of the capacity decisions: switches, messages, stubs

`auto` is on for services whose endpoints report their slowdown, and where the platform's terms say that callers compete. In all earlier deployments neither holds, so nothing is decided differently; a question to a scheduler carries the route's target gap, which nobody reads yet.

--- a/cmd/carawaystiled/forward.go
+++ b/cmd/carawaystiled/forward.go
@@ -142,6 +142,7 @@
 		NewLister:          func(at netip.AddrPort) node.EndpointLister { return platform.NewEndpointListClient(at, dial) },
 		EngineClient:       platform.NewEngineClient(dial),
 		CacheReporter:      platform.NewCacheEventClient(dial),
+		Contended:          platform.Contended(forwarding.PlatformTerms),
 		OperatorHandler: func(documents *deployment.Service, log *zap.Logger) http.Handler {
 			return (&platform.OperatorAPI{Documents: documents, Log: log}).Handler()
 		},
--- a/dialect/dialect.go
+++ b/dialect/dialect.go
@@ -50,6 +50,11 @@
 	CacheSalt   string
 	CacheSource string
 	CacheStore  string
+	// CacheBackup carries the address of the endpoint to which the memory of the running
+	// request is copied, and ResumeFrom the address and the request ID of a copy from which
+	// the request continues.
+	CacheBackup string
+	ResumeFrom  string
 	// Priority is the priority class at the endpoint, from 0 (highest) to 9.
 	Priority string
 	// LastEventID is the ID of the last event of a stream that the client has received.
@@ -107,5 +112,10 @@
 		h.Deadline, h.Organisation, h.ExpectEndpoint, h.ExpectWeights,
 		h.CacheSalt, h.CacheSource, h.CacheStore, h.Priority, h.LastEventID,
 	}
+	for _, name := range []string{h.CacheBackup, h.ResumeFrom} {
+		if name != "" {
+			own = append(own, name)
+		}
+	}
 	return append(own, h.Reserved...)
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -26,6 +26,10 @@
 	// StaleWeightsTimeout is how long after a newer version of the weights was announced
 	// a request may still begin on an older one; zero means without limit.
 	StaleWeightsTimeout time.Duration
+	// Capacity configures the decisions for contended services.
+	Capacity CapacityOptions
+	// StartedAt is when the process started.
+	StartedAt tables.Instant
 }
 
 // Request is a request to be placed on an endpoint.
@@ -61,6 +65,11 @@
 	// ConfirmedOnly restricts the request to confirmed endpoints: those whose address
 	// cannot belong to another process yet.
 	ConfirmedOnly bool
+	// UrgentTarget is the shortest latency target of the routes to the service; 0 if unknown.
+	// It is set while admission is enabled.
+	UrgentTarget time.Duration
+	// WantsBackup is set if the request's memory should be backed up at another endpoint.
+	WantsBackup bool
 	// Remote is set for a request that this instance places for another one, which counts
 	// the retries itself.
 	Remote bool
@@ -121,6 +130,9 @@
 	// CacheStore is the store to which the endpoint copies the parts that it computes. It
 	// is invalid if there is none.
 	CacheStore fleet.Endpoint
+	// Backup is the endpoint at which the request's memory is backed up. It is invalid if
+	// there is none.
+	Backup fleet.Endpoint
 	// ExpectedLatency is the expected time to the first event of a stream, or to the
 	// answer.
 	ExpectedLatency time.Duration
@@ -181,6 +193,8 @@
 	PrefillPending RejectReason = "prompt is being read"
 	// DeadlineTooSoon: the cheapest endpoint would answer after the deadline.
 	DeadlineTooSoon RejectReason = "too late"
+	// Saturated: the queues of all eligible endpoints are longer than the request may wait.
+	Saturated RejectReason = "saturated"
 	// TooLarge: the request exceeds the memory of any endpoint.
 	TooLarge RejectReason = "too large"
 )
--- a/node/entry.go
+++ b/node/entry.go
@@ -18,6 +18,7 @@
 	"github.com/carawaystile/carawaystile/parts"
 	"github.com/carawaystile/carawaystile/rpc"
 	"github.com/carawaystile/carawaystile/schedule"
+	"github.com/carawaystile/carawaystile/settings"
 	"github.com/carawaystile/carawaystile/systems/membership"
 	"github.com/carawaystile/carawaystile/tables"
 )
@@ -44,6 +45,7 @@
 			},
 			AddressReuseDelay:   s.Retries.AddressReuse,
 			StaleWeightsTimeout: s.Orders.WeightsTimeout,
+			Capacity:            n.capacityOptions(),
 		},
 		Registry:         n.registry,
 		Log:              n.log,
@@ -92,6 +94,19 @@
 	return n.serve(&http.Server{Handler: ready}, s.Listen.Ready, keepalive.Clients)
 }
 
+// capacityOptions returns the configured decisions for contended services.
+func (n *Node) capacityOptions() dispatch.CapacityOptions {
+	s := n.options.Settings.Capacity
+	return dispatch.CapacityOptions{
+		Admission: capacitySwitches[s.Admission], StreamPauses: capacitySwitches[s.StreamPauses], Backups: capacitySwitches[s.Backups],
+		Contended: n.options.Platform.Contended,
+	}
+}
+
+var capacitySwitches = map[settings.CapacitySwitch]dispatch.Switch{
+	settings.CapacityOff: dispatch.Off, settings.CapacityAuto: dispatch.Auto, settings.CapacityOn: dispatch.On,
+}
+
 // applyDocument applies a newer document of operators: a configuration or the target version
 // of a model's weights.
 func (n *Node) applyDocument(document *rpc.Document) {
--- a/node/node.go
+++ b/node/node.go
@@ -53,6 +53,8 @@
 	// CacheReporter reads the cache events of engines and KV cache stores; nil if they report
 	// none.
 	CacheReporter engine.ReportReader
+	// Contended states that callers compete for the capacity of all services.
+	Contended bool
 	// OperatorHandler returns the HTTP handler for operators' calls.
 	OperatorHandler func(documents *deployment.Service, log *zap.Logger) http.Handler
 }
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -86,6 +86,15 @@
 	// TransferTimePerToken is the declared time for which an engine's link is busy with
 	// the transfer of one cached token from another endpoint of its zone; 0 if not declared.
 	TransferTimePerToken time.Duration
+	// EventStride is the number of output tokens in one event of an engine's stream, and
+	// PrefillChunk the number of prompt tokens that an engine computes in one step; 0 if not
+	// declared.
+	EventStride  int
+	PrefillChunk int
+	// Backups is set if engines can back the memory of a running request up at another
+	// engine. BackupTTL is how long a copy is kept after its last part.
+	Backups   bool
+	BackupTTL time.Duration
 	// Models lists the models that the engines serve.
 	Models []string
 	// KVStoreAddress is the address of an external KV cache store, and KVStoreZone its
@@ -157,6 +166,8 @@
 	byHost   map[string][]*Route
 	byKey    map[string]*Organisation
 	services map[string]*Service
+	// urgentTargets holds the result of UrgentTarget by service.
+	urgentTargets map[string]time.Duration
 }
 
 // NewTable validates a configuration and indexes it. Its error is a *ConfigurationError.
@@ -166,6 +177,7 @@
 		byHost:        make(map[string][]*Route),
 		byKey:         make(map[string]*Organisation),
 		services:      make(map[string]*Service, len(c.Services)),
+		urgentTargets: make(map[string]time.Duration),
 	}
 	for i := range t.Services {
 		t.services[t.Services[i].Name] = &t.Services[i]
@@ -203,6 +215,7 @@
 			return &ConfigurationError{Reason: InvalidWeights, Name: r.Name}
 		}
 		total += split.Weight
+		t.addTarget(split, r.TargetLatency)
 	}
 	if total == 0 {
 		return &ConfigurationError{Reason: InvalidWeights, Name: r.Name}
@@ -217,6 +230,18 @@
 	return nil
 }
 
+// addTarget merges a route's latency target into the shortest one of a service.
+func (t *Table) addTarget(split WeightedService, target time.Duration) {
+	shortest, known := t.urgentTargets[split.Service]
+	if split.Weight > 0 && target > 0 && (!known || target < shortest) {
+		t.urgentTargets[split.Service] = target
+	}
+}
+
+// UrgentTarget returns the shortest latency target of the routes to a service; 0 if none has a
+// target.
+func (t *Table) UrgentTarget(service string) time.Duration { return t.urgentTargets[service] }
+
 // addOrganisation adds an organisation to the index by key.
 func (t *Table) addOrganisation(o *Organisation) error {
 	for _, key := range o.Keys {
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -40,6 +40,9 @@
 		Counted:       r.DemandCounted(),
 		Arrivals:      uint32(r.DeliveredAttempts),
 		OnlyConfirmed: r.ConfirmedOnly,
+		GapMs:         toMilliseconds(r.Route.TargetEventGap),
+		UrgencyMs:     toMilliseconds(r.UrgentTarget),
+		Backup:        r.WantsBackup,
 	}
 	for _, part := range r.SharedParts {
 		q.Shared = append(q.Shared, &rpc.PromptPart{Name: uint64(part.ID), Tokens: uint32(part.EndTokens)})
@@ -58,7 +61,9 @@
 func decodeQuestion(now tables.Instant, q *rpc.ScheduleQuestion, service *routes.Service) *dispatch.Request {
 	r := &dispatch.Request{
 		Service:           service,
-		Route:             &routes.Route{TargetLatency: fromMilliseconds(q.GetTargetMs())},
+		Route:             &routes.Route{TargetLatency: fromMilliseconds(q.GetTargetMs()), TargetEventGap: fromMilliseconds(q.GetGapMs())},
+		UrgentTarget:      fromMilliseconds(q.GetUrgencyMs()),
+		WantsBackup:       q.GetBackup(),
 		Priority:          int(q.GetPriority()),
 		Model:             q.GetModel(),
 		PromptTokens:      int(q.GetPromptTokens()),
--- a/settings/forwarding.go
+++ b/settings/forwarding.go
@@ -49,7 +49,12 @@
 	Orders  ForwardingOrders
 	Retries ForwardingRetries
 	Usage   ForwardingUsage
-	Drain   Drain
+	// Capacity turns the decisions for contended services on and off.
+	Capacity ForwardingCapacity
+	// PlatformTerms names the terms of the platform that apply to the deployment. The adapter
+	// to the platform interprets them.
+	PlatformTerms []string
+	Drain         Drain
 	// LogLevel is the lowest level that is logged.
 	LogLevel zapcore.Level
 }
@@ -196,6 +201,8 @@
 		field{key: "orders", read: f.Orders.read},
 		field{key: "retries", read: f.Retries.read},
 		field{key: "usage", read: f.Usage.read},
+		field{key: "capacity", read: f.Capacity.read},
+		field{key: "platform_terms", read: f.readPlatformTerms},
 		field{key: "drain", read: f.readDrain},
 		field{key: "log_level", read: choice(&f.LogLevel, levelWords, levels)},
 	)
