Failing test: a limit is exceeded while restarted instances discover each other

Ruled out: leases alone, shares without an owner.

The simulation lets instances discover each other as slowly as observed, and reports go to the receivers that Server picks.

--- a/usage/sim_test.go
+++ b/usage/sim_test.go
@@ -4,8 +4,11 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/carawaystile/carawaystile/systems/membership"
 	"github.com/carawaystile/carawaystile/tables"
 )
@@ -26,6 +29,9 @@
 	partitioned func(a, b string) bool
 	// loss is the fraction of the messages between two instances that are lost.
 	loss float64
+	// knownFraction is the fraction of the other instances that one knows at an age of its
+	// process; nil for all of them.
+	knownFraction func(age time.Duration) float64
 	// admissions holds what each subject was admitted, and refused the number of its refused
 	// requests.
 	admissions map[Subject][]admission
@@ -47,6 +53,7 @@
 	limiters  map[Subject]*LocalLimiter
 	down      bool
 	bootEpoch uint64
+	startedAt tables.Instant
 }
 
 const (
@@ -75,7 +82,7 @@
 	m.owner = NewBucketOwner(s.now, tables.Zone(m.zone), m.bootEpoch)
 	m.owner.SetLimits(s.limits)
 	m.limiters = map[Subject]*LocalLimiter{}
-	m.down = false
+	m.down, m.startedAt = false, s.now
 }
 
 // crash ends an instance for good. The other instances in its zone notice.
@@ -139,6 +146,30 @@
 	return all
 }
 
+// knows reports whether an instance knows another one.
+func (s *simulation) knows(m, other *simInstance) bool {
+	if m == other || s.knownFraction == nil {
+		return true
+	}
+	pair := xxhash.Sum64String(fmt.Sprint(m.name, other.name, m.bootEpoch))
+	return float64(pair>>11)/(1<<53) < s.knownFraction(s.now-m.startedAt)
+}
+
+// ownerSeenBy returns the owner of a subject in a zone among the instances that one knows.
+func (s *simulation) ownerSeenBy(m *simInstance, zone string, org Subject) *simInstance {
+	var known []membership.EntryInstance
+	for _, e := range s.entries(zone) {
+		if s.knows(m, s.find(e.Instance)) {
+			known = append(known, e)
+		}
+	}
+	first, found := pickOwnerOf(org, known)
+	if !found {
+		return nil
+	}
+	return s.find(first.Instance)
+}
+
 func (s *simulation) find(name tables.InstanceID) *simInstance {
 	for _, m := range s.members {
 		if m.name == name {
@@ -188,7 +219,7 @@
 func (s *simulation) debit(m *simInstance, org Subject, cost int64) {
 	d := m.limiter(org).NewDebit(s.now, org, cost)
 	d.Limit = s.endpointLimits[org]
-	to := s.ownerOf(m.zone, org)
+	to := s.ownerSeenBy(m, m.zone, org)
 	if to == nil {
 		return
 	}
@@ -218,16 +249,31 @@
 			continue
 		}
 		for _, r := range m.owner.DueReports(s.now) {
-			for _, zone := range s.zones {
-				if to := s.ownerOf(zone, r.Subject); to != nil && to != m {
-					s.send(m, to, func() { to.owner.ApplyReport(s.now, m.name, r) })
-				}
+			for _, to := range s.reportReceivers(m, r.Subject) {
+				s.send(m, to, func() { to.owner.ApplyReport(s.now, m.name, r) })
 			}
 		}
 	}
 	s.after(reportPollInterval, s.sendReports)
 }
 
+// reportReceivers returns the instances to which an owner reports a subject, as Server does.
+func (s *simulation) reportReceivers(m *simInstance, id Subject) []*simInstance {
+	var all []*simInstance
+	add := func(to *simInstance) {
+		if to != nil && to != m && !to.down && !slices.Contains(all, to) {
+			all = append(all, to)
+		}
+	}
+	for _, zone := range s.zones {
+		add(s.ownerSeenBy(m, zone, id))
+	}
+	for _, peer := range m.owner.Peers(id) {
+		add(s.find(peer))
+	}
+	return all
+}
+
 // generateLoad simulates an organisation's callers at the instances of some zones until the
 // given time: perSecond units in total, with Poisson arrivals and the given mean cost per
 // request.
