--- a/dispatch/retry_budget.go
+++ b/dispatch/retry_budget.go
@@ -131,7 +131,7 @@
 	if now < d.options.RetriesKnownFrom {
 		return 0
 	}
-	return extraUsableFraction*d.options.RetryBudget.Extra/float64(d.instances)
+	return extraUsableFraction * d.options.RetryBudget.Extra / float64(d.instances)
 }
 
 // totals returns the requests and the retries of the window. The retries of the slice that may
--- a/node/size.go
+++ b/node/size.go
@@ -109,4 +109,3 @@
 		}
 	}
 }
-
