Load reports carry the slowdown of an endpoint and the streams there

Instances that share endpoints need each other's view of how slow an endpoint is and how many streams run there. The fields of rpc.EndpointLoad exist; membership.Load and dispatch.LoadReport get them with their encoding. A field of zero is not encoded, so that reports of instances which know neither are the same bytes as before.

Ruled out: an age without a value; the age counts only with a value.

Result: TestLoadsArriveWhole covers the three fields; package membership passes.

--- a/dispatch/load_reports.go
+++ b/dispatch/load_reports.go
@@ -22,6 +22,13 @@
 	Limit *RateLimitReport
 	// Notice is what the endpoint has announced to this instance; nil for nothing.
 	Notice *Notice
+	// SlowdownPercent is how long work took on the endpoint's machine SlowdownAge ago, 100 as
+	// usual; zero if the sender does not know.
+	SlowdownPercent int
+	SlowdownAge     time.Duration
+	// Streams counts the sender's streams at the endpoint that have sent an event and have not
+	// ended; zero if the sender does not report them.
+	Streams int
 }
 
 const (
--- a/node/entry.go
+++ b/node/entry.go
@@ -177,6 +177,7 @@
 		hints.Loads = append(hints.Loads, membership.Load{
 			Endpoint: l.Endpoint, Running: l.Running, CacheTokens: l.MemoryTokens, PrefillTokens: l.PrefillTokens, LinkBusy: l.LinkBusy, AbsentFor: l.AbsentFor,
 			Limit: membershipRateLimit(l.Limit), Notice: membershipNotice(l.Notice),
+			SlowdownPercent: l.SlowdownPercent, SlowdownAge: l.SlowdownAge, Streams: l.Streams,
 		})
 	}
 	n.remotePlacements.Add(membership.Hints{Placements: hints.Placements})
@@ -209,6 +210,7 @@
 		n.entry.ApplyLoadReport(l.Instance, dispatch.LoadReport{
 			Endpoint: l.Endpoint, Running: l.Running, MemoryTokens: l.CacheTokens, PrefillTokens: l.PrefillTokens, LinkBusy: l.LinkBusy, AbsentFor: l.AbsentFor,
 			Limit: dispatchRateLimit(l.Limit), Notice: dispatchNotice(l.Notice),
+			SlowdownPercent: l.SlowdownPercent, SlowdownAge: l.SlowdownAge, Streams: l.Streams,
 		})
 	}
 }
--- a/systems/membership/hints.go
+++ b/systems/membership/hints.go
@@ -42,6 +42,13 @@
 	Limit *RateLimit
 	// Notice is what the endpoint has announced to the instance; nil for nothing.
 	Notice *EndpointNotice
+	// SlowdownPercent is how long work took on the endpoint's machine SlowdownAge ago, 100
+	// as usual; zero if the instance does not know.
+	SlowdownPercent int
+	SlowdownAge     time.Duration
+	// Streams counts the instance's streams at the endpoint that have sent an event and
+	// have not ended.
+	Streams int
 }
 
 // EndpointNotice is what an endpoint has announced to an instance in a response.
@@ -227,6 +234,7 @@
 			Endpoint: string(l.Endpoint), Running: uint32(l.Running), Tokens: uint32(l.CacheTokens), Prefill: uint32(l.PrefillTokens),
 			LinkMs: uint32(l.LinkBusy.Milliseconds()), AbsentMs: uint32(l.AbsentFor.Milliseconds()),
 			Limit: encodeRateLimit(l.Limit), Notice: encodeNotice(l.Notice),
+			SlowdownPercent: uint32(l.SlowdownPercent), SlowdownAgeMs: uint32(l.SlowdownAge.Milliseconds()), Streams: uint32(l.Streams),
 		}
 		size := proto.Size(encoded) + fieldOverhead
 		if size > *room {
@@ -259,6 +267,10 @@
 			AbsentFor: time.Duration(encoded.GetAbsentMs()) * time.Millisecond,
 			Limit:     decodeRateLimit(encoded.GetLimit()),
 			Notice:    decodeNotice(encoded.GetNotice()),
+
+			SlowdownPercent: int(encoded.GetSlowdownPercent()),
+			SlowdownAge:     time.Duration(encoded.GetSlowdownAgeMs()) * time.Millisecond,
+			Streams:         int(encoded.GetStreams()),
 		})
 	}
 }
--- a/systems/membership/membership_test.go
+++ b/systems/membership/membership_test.go
@@ -258,6 +258,7 @@
 			StartUnixMilli: 8, Draining: true, PushbackFor: 9 * time.Millisecond,
 			Brittleness: &EndpointBrittleness{Brittle: true, Rejections: 10, Age: 11 * time.Millisecond},
 		},
+		SlowdownPercent: 12, SlowdownAge: 13 * time.Millisecond, Streams: 14,
 	}
 	sim.send(sim.nodes[0], sim.nodes[0].SendHints(sim.now, Hints{Loads: []Load{load}}))
 	sim.run(time.Second)
