The slowdown that endpoints report decides where requests go

The load header has a fourth value, how long work takes on the endpoint's machine at this moment; headers with four values were dropped entirely. dialect.ParseLoad reads both forms; an unusable fourth value leaves the others valid and is event 1025, at most once a second. Each endpoint keeps its latest slowdown, whose effect decays with 0.35 s, ends at 0.6 s and is bounded to a factor of 4. Placement uses the current rate and service time, and samples of the moving averages are divided by the slowdown in force. Schedulers get the load in AttemptProgress.load and report the slowdown.

Ruled out: - Passing on a slowdown that another instance has reported: ages do not include the time on the way, so a value that instances pass to and fro did not expire (TestLaterObservationOfASlowdownWins fails). - The load in the message that the response has begun: the message has no age, and a first event can come later than the header by more than the value is worth. - Dividing a sample by the mean slowdown expected over its interval.

--- a/dialect/dialect.go
+++ b/dialect/dialect.go
@@ -23,7 +23,9 @@
 	// NotExecuted is present on responses which state that the request did not run and
 	// will not run.
 	NotExecuted string
-	// Load carries "running,waiting,slots" of the responding endpoint.
+	// Load carries "running,waiting,slots" of the responding endpoint, or
+	// "running,waiting,slots,slowdown" if it also reports how long work takes on its machine,
+	// in percent of the usual time.
 	Load string
 	// RateLimit carries the number of requests per second that the endpoint accepts from
 	// all instances together. A response without it states that there is no such limit.
--- a/dialect/parse.go
+++ b/dialect/parse.go
@@ -55,26 +55,47 @@
 	return max(prompt, 0), max(output, 0)
 }
 
+// MaxSlowdown is the largest slowdown in percent that is accepted. A larger one is most likely a
+// mistake.
+const MaxSlowdown = 10_000
+
+// ValidSlowdown reports whether a slowdown in percent is in the accepted range.
+func ValidSlowdown(percent int) bool { return percent > 0 && percent <= MaxSlowdown }
+
 // EndpointLoad is the load that an endpoint reports in a response.
 type EndpointLoad struct {
 	Running, Waiting, Slots int
+	// SlowdownPercent is how long work takes on the endpoint's machine at this moment, 100 as
+	// usual; 0 if the endpoint names no usable value.
+	SlowdownPercent int
+	// SlowdownUnusable is set if the endpoint names a slowdown that is malformed or out of
+	// range.
+	SlowdownUnusable bool
 }
 
-// ParseLoad parses "running,waiting,slots" and reports whether the text is well-formed.
+// ParseLoad parses "running,waiting,slots" or "running,waiting,slots,slowdown" and reports
+// whether the text is well-formed. A slowdown that is not usable leaves the other values valid.
 func ParseLoad(text string) (EndpointLoad, bool) {
 	fields := strings.Split(text, ",")
-	if len(fields) != 3 {
+	if len(fields) != 3 && len(fields) != 4 {
 		return EndpointLoad{}, false
 	}
 	var numbers [3]int
-	for i, field := range fields {
+	for i, field := range fields[:3] {
 		n, err := strconv.Atoi(strings.TrimSpace(field))
 		if err != nil || n < 0 {
 			return EndpointLoad{}, false
 		}
 		numbers[i] = n
 	}
-	return EndpointLoad{Running: numbers[0], Waiting: numbers[1], Slots: numbers[2]}, true
+	load := EndpointLoad{Running: numbers[0], Waiting: numbers[1], Slots: numbers[2]}
+	if len(fields) == 4 {
+		slowdown, err := strconv.Atoi(strings.TrimSpace(fields[3]))
+		if load.SlowdownUnusable = err != nil || !ValidSlowdown(slowdown); !load.SlowdownUnusable {
+			load.SlowdownPercent = slowdown
+		}
+	}
+	return load, true
 }
 
 // ParseRateLimit parses a rate limit in requests per second. It returns limited as false
--- a/dispatch/capacity.go
+++ b/dispatch/capacity.go
@@ -37,4 +37,7 @@
 
 // reportsSlowdown reports whether an endpoint of the service has reported its slowdown, which
 // shows that it shares its machine with others.
-func (d *Dispatcher) reportsSlowdown(string) bool { return false }
+func (d *Dispatcher) reportsSlowdown(service string) bool {
+	_, reports := d.slowdownKnown[service]
+	return reports
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -241,6 +241,8 @@
 	links           linkMonitor
 	zoneRespondedAt map[tables.Zone]tables.Instant
 	loadsSweptAt    tables.Instant
+	// slowdownKnown holds the services of which an endpoint has reported its slowdown.
+	slowdownKnown map[string]struct{}
 }
 
 // New returns a Dispatcher without endpoints.
@@ -257,6 +259,7 @@
 		demand:          demandCounter{counts: map[parts.ID]decayedCount{}},
 		links:           linkMonitor{failed: map[tables.EndpointID]struct{}{}},
 		zoneRespondedAt: map[tables.Zone]tables.Instant{},
+		slowdownKnown:   map[string]struct{}{},
 		cache:           cacheDirectory{holders: map[parts.Key][]holder{}},
 	}
 }
@@ -348,6 +351,7 @@
 // RecordEndpointLoad records the load that an endpoint reported in an answer.
 func (d *Dispatcher) RecordEndpointLoad(now tables.Instant, a *Attempt, load dialect.EndpointLoad) {
 	a.row.recordLoad(now, load)
+	d.recordSlowdown(now, a.row, load.SlowdownPercent)
 }
 
 // RecordServedVersion records that an endpoint has shown to serve a version of a model's
--- a/dispatch/endpoint_speed.go
+++ b/dispatch/endpoint_speed.go
@@ -1,6 +1,114 @@
 package dispatch
 
-import "github.com/carawaystile/carawaystile/tables"
+import (
+	"time"
+
+	"github.com/carawaystile/carawaystile/dialect"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+const (
+	// slowdownDecay is the time constant with which the effect of a slowdown decays, and
+	// slowdownTTL the age from which it counts as absent. On engines whose slowdown changes
+	// about every 600 ms, the correlation with the next value was 0.6 at an age of 0.2 s, 0.4
+	// at 0.35 s, 0.14 at 0.5 s, and none from 0.6 s on.
+	slowdownDecay = 350 * time.Millisecond
+	slowdownTTL   = 600 * time.Millisecond
+	// usualSlowdown is the value in percent of a machine at its usual speed, and
+	// slowedThreshold the one above which an endpoint counts as slowed in the metrics.
+	usualSlowdown   = 100
+	slowedThreshold = 150
+	// maxSlowdownEffect bounds the factor by which a slowdown changes the expected speed, so
+	// that a wrong value does not exclude an endpoint.
+	maxSlowdownEffect = 4.0
+)
+
+// slowdown is the latest known slowdown of an endpoint's machine, a last-writer-wins register
+// that instances exchange. percent is how long work took at the given time, 100 as usual; 0 if
+// no value is known. firstHand is set for a value of a response to an attempt that this
+// instance made or placed.
+type slowdown struct {
+	percent   int
+	at        tables.Instant
+	firstHand bool
+}
+
+// effect returns the factor by which work takes longer than usual at the observed time.
+func (s *slowdown) effect() float64 {
+	return min(max(float64(s.percent)/usualSlowdown, 1/maxSlowdownEffect), maxSlowdownEffect)
+}
+
+// isCurrent reports whether the value is known and says something about the speed now.
+func (s *slowdown) isCurrent(now tables.Instant) bool {
+	return s.percent > 0 && now-s.at < slowdownTTL
+}
+
+// factor returns by how much work that begins now takes longer than usual; 1 if no current
+// value is known.
+func (s *slowdown) factor(now tables.Instant) float64 {
+	if !s.isCurrent(now) {
+		return 1
+	}
+	return 1 + (s.effect()-1)*decay(max(0, now-s.at), slowdownDecay)
+}
 
 // currentPrefillRate returns the prefill speed now, in tokens a millisecond.
-func (r *endpointRow) currentPrefillRate(tables.Instant) float64 { return r.prefillRate }
+func (r *endpointRow) currentPrefillRate(now tables.Instant) float64 {
+	if r.slowdown.percent == 0 {
+		return r.prefillRate
+	}
+	return r.prefillRate / r.slowdown.factor(now)
+}
+
+// currentServiceTime returns the mean time of a plain call now, in milliseconds.
+func (r *endpointRow) currentServiceTime(now tables.Instant) float64 {
+	return r.serviceTime * r.slowdown.factor(now)
+}
+
+// recordSlowdown records the slowdown in percent that an endpoint named in a response. Values
+// that are not valid are ignored.
+func (d *Dispatcher) recordSlowdown(now tables.Instant, row *endpointRow, percent int) {
+	if d.noteSlowdown(row.Service, percent) {
+		row.slowdown = slowdown{percent: percent, at: now, firstHand: true}
+	}
+}
+
+// mergeSlowdown applies the slowdown that another instance has reported; the later observation
+// wins.
+func (d *Dispatcher) mergeSlowdown(now tables.Instant, row *endpointRow, l *LoadReport) {
+	if at := now - l.SlowdownAge; d.noteSlowdown(row.Service, l.SlowdownPercent) && (row.slowdown.percent == 0 || at > row.slowdown.at) {
+		row.slowdown = slowdown{percent: l.SlowdownPercent, at: at}
+	}
+}
+
+// noteSlowdown reports whether a slowdown is valid, and if so records that endpoints of the
+// service report it.
+func (d *Dispatcher) noteSlowdown(service string, percent int) bool {
+	if !dialect.ValidSlowdown(percent) {
+		return false
+	}
+	if !d.reportsSlowdown(service) {
+		d.slowdownKnown[service] = struct{}{}
+	}
+	return true
+}
+
+// addSlowdown adds to a load report what this instance has itself observed. Observations that
+// others have reported are not passed on: their age does not include the time that reports
+// take, so a value that instances pass to and fro would never expire.
+func (r *endpointRow) addSlowdown(now tables.Instant, l *LoadReport) {
+	if r.slowdown.firstHand && r.slowdown.isCurrent(now) {
+		l.SlowdownPercent, l.SlowdownAge = r.slowdown.percent, now-r.slowdown.at
+	}
+}
+
+// CountSlowed returns the number of endpoints that are known to be slowed down now.
+func (d *Dispatcher) CountSlowed(now tables.Instant) int {
+	count := 0
+	for _, row := range d.endpoints {
+		if row.slowdown.isCurrent(now) && row.slowdown.percent > slowedThreshold {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/dispatch/endpoint_speed_test.go
@@ -0,0 +1,128 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/dialect"
+	"github.com/carawaystile/carawaystile/routes"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// slowdownOf returns a load answer with only a slowdown.
+func slowdownOf(percent int) dialect.EndpointLoad {
+	return dialect.EndpointLoad{Slots: 8, SlowdownPercent: percent}
+}
+
+// Guards against a wrong value, here a constant 10,000, that excludes an endpoint for good, and
+// against an old value that still counts.
+func TestEffectOfASlowdownIsBoundedAndExpires(t *testing.T) {
+	d, _ := newTestDispatcher(1)
+	a := mustPlace(t, d, time.Second, newTestRequest(7))
+	row := a.row
+	steady, steadyTime := row.prefillRate, row.serviceTime
+	d.RecordEndpointLoad(time.Second, a, slowdownOf(10_000))
+	assert.Equal(t, row.currentPrefillRate(time.Second), steady/maxSlowdownEffect)
+	assert.Equal(t, row.currentServiceTime(time.Second), steadyTime*maxSlowdownEffect)
+	aged := row.currentPrefillRate(time.Second + slowdownDecay)
+	assert.Assert(t, aged > steady/maxSlowdownEffect && aged < steady)
+	assert.Equal(t, d.CountSlowed(time.Second+slowdownTTL-1), 1)
+	assert.Equal(t, d.CountSlowed(time.Second+slowdownTTL), 0)
+	assert.Equal(t, row.currentPrefillRate(time.Second+slowdownTTL), steady)
+	for _, invalid := range []int{0, -1, 10_001} {
+		d.RecordEndpointLoad(2*time.Second, a, slowdownOf(invalid))
+		assert.Equal(t, row.slowdown.at, time.Second, "%d", invalid)
+	}
+}
+
+// Guards against new work at an endpoint that has just said that it is slowed down, and against
+// endpoints that are left out once the slowdown has ended.
+func TestSlowedEndpointIsAvoidedWhileTheValueCounts(t *testing.T) {
+	plain := &Request{Service: &routes.Service{Name: "models"}, Route: &routes.Route{}, Deadline: time.Hour}
+	generation := newTestRequest(7)
+	generation.SharedParts, generation.Route.TargetLatency = nil, 600*time.Millisecond
+	for name, r := range map[string]*Request{"plain": plain, "generation": generation} {
+		d, _ := newTestDispatcher(3) // e0 and e2 are in the instance's zone
+		count := func(now tables.Instant) map[tables.EndpointID]int {
+			at := map[tables.EndpointID]int{}
+			for range 40 {
+				a := mustPlace(t, d, now, r)
+				at[a.Endpoint.ID]++
+				d.RecordOutcome(now, a, Cancelled)
+			}
+			return at
+		}
+		d.recordSlowdown(time.Second, d.endpoints["e0"], 400)
+		assert.Equal(t, count(time.Second)["e0"], 0, name)
+		later := count(time.Second + slowdownTTL)
+		assert.Assert(t, later["e0"] > 8, "%s: %v", name, later)
+	}
+}
+
+// Guards against a momentary slowdown that looks like a slow endpoint, and against a slow
+// endpoint that no longer does. The load: one call at a time, of 100 ms, at an endpoint of 20
+// tokens a millisecond that is slowed down to 250 in a random ninth of the periods of 600 ms.
+func TestAveragesHoldTheSteadySpeed(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	d, _ := newTestDispatcher(1)
+	r := newTestRequest(0)
+	r.SharedParts, r.PromptTokens = nil, 2000
+	now, percent, changesAt := time.Second, 100, time.Second
+	lowest, highest := 1000.0, 0.0
+	for i := range 2000 {
+		for now >= changesAt {
+			changesAt += 600 * time.Millisecond
+			if percent = 100; random.IntN(9) == 0 {
+				percent = 250
+			}
+		}
+		a := mustPlace(t, d, now, r)
+		now += time.Duration((baseFirstEventTime + 2000/20.0*float64(percent)/100) * float64(time.Millisecond))
+		d.RecordEndpointLoad(now, a, slowdownOf(percent))
+		d.RecordResponseStart(now, a)
+		d.RecordOutcome(now, a, Completed)
+		if i > 100 {
+			lowest, highest = min(lowest, a.row.prefillRate), max(highest, a.row.prefillRate)
+		}
+	}
+	assert.Assert(t, lowest > 15 && highest < 22, "from %.1f to %.1f tokens/ms", lowest, highest)
+}
+
+// Guards against a value that outlives its time because instances pass it to and fro, or that an
+// older observation, a lost report or a report of an earlier version replaces.
+func TestLaterObservationOfASlowdownWins(t *testing.T) {
+	one, _ := newTestDispatcher(1)
+	two, _ := newTestDispatcher(1)
+	exchange := func(now tables.Instant, from, to *Dispatcher) {
+		r := newTestRequest(0)
+		r.SharedParts = nil
+		from.RecordOutcome(now, mustPlace(t, from, now, r), Cancelled)
+		for _, l := range from.TakeLoadReports(now) {
+			to.ApplyLoadReport(now+20*time.Millisecond, "other", l)
+		}
+	}
+	assert.Assert(t, !two.reportsSlowdown("models"))
+	one.recordSlowdown(time.Second, one.endpoints["e0"], 250)
+	now := time.Second + 100*time.Millisecond
+	exchange(now, one, two)
+	known := two.endpoints["e0"].slowdown
+	assert.Equal(t, known.percent, 250)
+	assert.Equal(t, known.at, time.Second+20*time.Millisecond)
+	assert.Assert(t, two.reportsSlowdown("models") && !two.reportsSlowdown("other"))
+	for range 6 {
+		now += 40 * time.Millisecond
+		exchange(now, two, one)
+		exchange(now, one, two)
+	}
+	assert.Assert(t, two.endpoints["e0"].slowdown.isCurrent(time.Second+400*time.Millisecond))
+	assert.Assert(t, !two.endpoints["e0"].slowdown.isCurrent(time.Second+slowdownTTL+20*time.Millisecond))
+
+	two.ApplyLoadReport(now, "late", LoadReport{Endpoint: "e0", SlowdownPercent: 100, SlowdownAge: 500 * time.Millisecond})
+	two.ApplyLoadReport(now, "earlier version", LoadReport{Endpoint: "e0", Running: 1})
+	assert.Equal(t, two.endpoints["e0"].slowdown.percent, 250)
+	two.ApplyLoadReport(now, "later", LoadReport{Endpoint: "e0", SlowdownPercent: 100, SlowdownAge: 10 * time.Millisecond})
+	assert.Equal(t, two.endpoints["e0"].slowdown.percent, 100)
+}
--- a/dispatch/endpoints.go
+++ b/dispatch/endpoints.go
@@ -73,6 +73,8 @@
 	// links are the state of this instance's links to all endpoints.
 	links *linkMonitor
 	limit rateLimitState
+	// slowdown is that of the endpoint's machine.
+	slowdown slowdown
 	// announced is what the endpoint has announced in responses.
 	announced *announcements
 	// linkFreeAt is when the known transfers on the endpoint's link have ended.
@@ -183,18 +185,20 @@
 	return math.Exp(-float64(age) / float64(constant))
 }
 
-// recordLatency updates the moving averages with the time to a first event or an answer.
+// recordLatency updates the moving averages with the time to a first event or an answer. A
+// momentary slowdown of the machine does not count.
 func (r *endpointRow) recordLatency(a *Attempt, took time.Duration) {
 	ms := float64(took) / float64(time.Millisecond)
+	slowed := r.slowdown.factor(a.startedAt + took)
 	if !a.isGeneration {
-		r.serviceTime += sampleWeight * (ms - r.serviceTime)
+		r.serviceTime += sampleWeight * (ms/slowed - r.serviceTime)
 		return
 	}
 	work := a.prefillTokens + a.queuedPrefill
 	if work < minSampleTokens {
 		return
 	}
-	perToken := max(ms-baseFirstEventTime, 1) / work
+	perToken := max(ms-baseFirstEventTime, 1) / work / slowed
 	r.prefillRate = 1 / (1/r.prefillRate + sampleWeight*(perToken-1/r.prefillRate))
 	r.averages.addPrefillTime(perToken)
 }
--- a/dispatch/load_reports.go
+++ b/dispatch/load_reports.go
@@ -104,6 +104,7 @@
 		}
 		row.limit.merge(now, l.Limit)
 		d.applyNotice(now, row, l.Notice)
+		d.mergeSlowdown(now, row, &l)
 	}
 }
 
@@ -130,6 +131,7 @@
 				PrefillTokens: int(row.prefillTokens - row.remotelyPlaced.prefillTokens), LinkBusy: row.linkBusyFor(now), AbsentFor: row.absentFor(now),
 				Limit: row.limit.report(now), Notice: row.notice(now),
 			})
+			row.addSlowdown(now, &loads[len(loads)-1])
 		}
 	}
 	d.dirty = d.dirty[:0]
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -218,7 +218,7 @@
 	c := candidate{row: row}
 	if r.Model == "" {
 		load := float64(row.attempts) + row.otherAttempts(now)
-		c.wait = row.serviceTime * (1 + load/float64(max(row.Slots, 1)))
+		c.wait = row.currentServiceTime(now) * (1 + load/float64(max(row.Slots, 1)))
 		c.cost = c.wait
 	} else {
 		d.evaluateGeneration(now, r, &c, d.viewOf(now, r, row.Weights[r.Model], rows))
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -10,7 +10,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/carawaystile/carawaystile/dialect"
 	"github.com/carawaystile/carawaystile/dispatch"
 	"github.com/carawaystile/carawaystile/engine"
 	"github.com/carawaystile/carawaystile/engine/exchange"
@@ -176,13 +175,11 @@
 // rate limit, the version of its weights, and whether it requests a back-off or is
 // draining.
 func (a *attempt) recordResponseHeader(status int, header http.Header) {
+	a.recordLoad(header)
 	s, h := a.request.server, a.request.server.headers
 	now := s.options.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if load, ok := dialect.ParseLoad(header.Get(h.Load)); ok {
-		s.dispatch.RecordEndpointLoad(now, a.placement, load)
-	}
 	a.recordRateLimit(now, header)
 	a.recordPushback(now, status, header)
 	a.recordDraining(header)
--- /dev/null
+++ b/forward/endpointload_test.go
@@ -0,0 +1,66 @@
+package forward
+
+import (
+	"bytes"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/events"
+	"github.com/carawaystile/carawaystile/metrics"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// respondWithLoad returns a handler that responds with a success and the load header that load
+// returns.
+func respondWithLoad(load func() string) http.HandlerFunc {
+	ok := respond(200, "ok")
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Load", load())
+		ok(w, r)
+	}
+}
+
+// Guards against a log line for each response of an endpoint whose slowdown is unusable, against
+// a load that is dropped because of it, and against a metric that misses slowed endpoints.
+func TestUnusableSlowdownIsLoggedOnceASecond(t *testing.T) {
+	load, now := "8,4,8,", 5*time.Second
+	h := newHarnessWith(t, func() tables.Instant { return now }, newFakeEndpoints(t, respondWithLoad(func() string { return load })))
+	core, logged := observer.New(zapcore.DebugLevel)
+	h.server.log = zap.New(core)
+	registry := metrics.NewRegistry()
+	h.server.metrics = newRequestMetrics(registry)
+	h.server.registerSlowdownGauge(registry)
+	send := func(n int) {
+		for range n {
+			assert.Equal(t, h.send(t, "GET", "/read/x", "").StatusCode, 200)
+		}
+	}
+	unusable := func() int {
+		return logged.FilterField(zap.Uint16("event", uint16(events.SlowdownUnusable.Number))).Len()
+	}
+	exported := func(line string) bool {
+		var out bytes.Buffer
+		assert.NilError(t, registry.WriteText(&out))
+		return strings.Contains(out.String(), line+"\n")
+	}
+	send(5)
+	assert.Equal(t, unusable(), 1)
+	now += unusableSlowdownInterval
+	send(5)
+	assert.Equal(t, unusable(), 2)
+	assert.Assert(t, exported(`carawaystile_endpoint_slowdown_unusable_total{service="desk"} 10`))
+	assert.Assert(t, exported(`carawaystile_endpoints_slowed 0`))
+	load = "8,4,8,250"
+	send(1)
+	assert.Equal(t, unusable(), 2)
+	assert.Assert(t, exported(`carawaystile_endpoints_slowed 1`))
+	now += time.Second
+	assert.Assert(t, exported(`carawaystile_endpoints_slowed 0`))
+}
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -117,6 +117,7 @@
 	if registry == nil {
 		return
 	}
+	s.registerSlowdownGauge(registry)
 	staleness := registry.Gauge("carawaystile_control_heard_seconds", "Time since a control instance last answered this instance.")
 	revision := registry.Gauge("carawaystile_configuration_number", "Number of the configuration in force on this instance.")
 	ready := registry.Gauge("carawaystile_ready", "1 if the balancer may send callers here.")
--- a/forward/server.go
+++ b/forward/server.go
@@ -95,6 +95,8 @@
 	// controlSyncedAt is the latest time at which the configuration in force is known to have
 	// been current, in nanoseconds of the process's monotonic clock; 0 for never.
 	controlSyncedAt atomic.Int64
+	// unusableSlowdowns limits the log lines about unusable slowdowns of endpoints.
+	unusableSlowdowns logLimiter
 	// attemptCount numbers the attempts for their IDs.
 	attemptCount atomic.Uint64
 
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
+	"github.com/carawaystile/carawaystile/dialect"
 	"github.com/carawaystile/carawaystile/dispatch"
 	"github.com/carawaystile/carawaystile/fleet"
 	"github.com/carawaystile/carawaystile/parts"
@@ -63,6 +64,10 @@
 	p.dispatch.RecordResponseStart(p.now, a)
 }
 
+func (p *dispatcherPlacer) AttemptLoadReported(a *dispatch.Attempt, load dialect.EndpointLoad) {
+	p.dispatch.RecordEndpointLoad(p.now, a, load)
+}
+
 func (p *dispatcherPlacer) AttemptEnded(a *dispatch.Attempt, how dispatch.Outcome) {
 	p.dispatch.RecordOutcome(p.now, a, how)
 }
--- a/schedule/server.go
+++ b/schedule/server.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/carawaystile/carawaystile/dialect"
 	"github.com/carawaystile/carawaystile/dispatch"
 	"github.com/carawaystile/carawaystile/routes"
 	"github.com/carawaystile/carawaystile/rpc"
@@ -20,6 +21,9 @@
 	PlaceRequest(r *dispatch.Request) (*dispatch.Attempt, dispatch.RejectReason)
 	// AttemptStarted notes that the endpoint has started to process the attempt.
 	AttemptStarted(a *dispatch.Attempt)
+	// AttemptLoadReported records the load that the endpoint named in its response to the
+	// attempt.
+	AttemptLoadReported(a *dispatch.Attempt, load dialect.EndpointLoad)
 	// AttemptEnded stops counting the attempt.
 	AttemptEnded(a *dispatch.Attempt, how dispatch.Outcome)
 }
@@ -92,6 +96,10 @@
 	if !found {
 		return
 	}
+	// The load comes first, since the slowdown corrects the sample of the latency.
+	if load := p.GetLoad(); load != nil {
+		s.placer.AttemptLoadReported(tracked.attempt, decodeLoad(load))
+	}
 	if p.GetBegan() {
 		s.placer.AttemptStarted(tracked.attempt)
 	}
