--- a/forward/endpointload_test.go
+++ b/forward/endpointload_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net/http"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -14,6 +15,9 @@
 
 	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/metrics"
+	"github.com/carawaystile/carawaystile/rpc"
+	"github.com/carawaystile/carawaystile/schedule"
+	"github.com/carawaystile/carawaystile/systems/membership"
 	"github.com/carawaystile/carawaystile/tables"
 )
 
@@ -64,3 +68,35 @@
 	now += time.Second
 	assert.Assert(t, exported(`carawaystile_endpoints_slowed 0`))
 }
+
+// Guards against an instance that keeps the slowdown of an endpoint to itself, so that the
+// scheduler, which gets no responses, places on without it.
+func TestSchedulerLearnsTheSlowdownOfAResponse(t *testing.T) {
+	now := func() tables.Instant { return 5 * time.Second }
+	stream := streamEvents(2, 2)
+	endpoints := newFakeEndpoints(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Load", "1,0,8,250")
+		stream(w, r)
+	})
+	asker, scheduler := newHarnessWith(t, now, endpoints), newHarnessWith(t, now, endpoints)
+	server := schedule.NewServer(scheduler.server, now)
+	var client *schedule.Client
+	client = schedule.NewClient(schedule.ClientOptions{
+		Self: "asker", Now: now, Log: zap.NewNop(),
+		Schedulers: func() []membership.EntryInstance { return []membership.EntryInstance{{Instance: "scheduler"}} },
+		Send: func(to netip.AddrPort, m *rpc.ScheduleMessage) {
+			if q := m.GetQuestion(); q != nil {
+				client.HandleAnswer(to, m.GetNumber(), server.Choose("asker", m.GetNumber(), q))
+				return
+			}
+			server.HandleProgress("asker", m.GetNumber(), m.GetProgress())
+		},
+	})
+	asker.server.options.Scheduler = client
+	resp := asker.send(t, "GET", "/stream/x", "", "X-Model", "m", "X-Tokens", "1000,10")
+	assert.Equal(t, resp.StatusCode, 200)
+	readBody(t, resp)
+	_, reports := scheduler.server.TakeUpdates()
+	assert.Equal(t, len(reports), 1)
+	assert.Equal(t, reports[0].SlowdownPercent, 250)
+}
