--- a/dispatch/load_reports.go
+++ b/dispatch/load_reports.go
@@ -22,6 +22,13 @@
 	Limit *RateLimitReport
 	// Notice is what the endpoint has announced to this instance; nil for nothing.
 	Notice *Notice
+	// SlowdownPercent is how long work took on the endpoint's machine SlowdownAge ago, 100 as
+	// usual; zero if the sender does not know.
+	SlowdownPercent int
+	SlowdownAge     time.Duration
+	// Streams counts the sender's streams at the endpoint that have sent an event and have not
+	// ended; zero if the sender does not report them.
+	Streams int
 }
 
 const (
@@ -97,6 +104,7 @@
 		}
 		row.limit.merge(now, l.Limit)
 		d.applyNotice(now, row, l.Notice)
+		d.mergeSlowdown(now, row, &l)
 	}
 }
 
@@ -123,6 +131,7 @@
 				PrefillTokens: int(row.prefillTokens - row.remotelyPlaced.prefillTokens), LinkBusy: row.linkBusyFor(now), AbsentFor: row.absentFor(now),
 				Limit: row.limit.report(now), Notice: row.notice(now),
 			})
+			row.addSlowdown(now, &loads[len(loads)-1])
 		}
 	}
 	d.dirty = d.dirty[:0]
