Streams' longest pause is recorded

Cause: a stream is late if one pause between its events is longer than the route's target gap, and nothing recorded pauses, nor what ran beside a stream.

Ruled out: the times between writes to the client, which contain the time for which a client that reads slowly blocks the write.

Change: the longest pause of each stream in carawaystile_stream_longest_pause_seconds by class and by organisation, and in event 1010 with the number of the event and the prompt tokens queued at the endpoint; event 1026 for a pause beyond the target gap, at most once a second for an endpoint.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -48,6 +48,9 @@
 	// endWait ends the health checker's tracking of the attempt. It is called once the
 	// response header has arrived.
 	endWait func()
+	// queuedPrefill counts the prompt tokens at the endpoint that had no first event when its
+	// last event arrived.
+	queuedPrefill int
 	// via is the instance through which a relayed attempt has gone; empty otherwise.
 	via tables.InstanceID
 	// retryAfter is the Retry-After header of a response with status 503, for the log.
@@ -243,6 +246,7 @@
 	defer s.mu.Unlock()
 	now := s.options.Now()
 	s.dispatch.RecordResponseStart(now, a.placement)
+	a.queuedPrefill = s.dispatch.QueuedPrefill(now, a.placement)
 	s.crashDetector.FirstToken(now, a.id)
 }
 
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -126,12 +126,14 @@
 		if event.HasID && c.hasLastEventNumber && event.ID <= c.lastEventNumber {
 			continue // the client has received it
 		}
+		c.endPause()
 		if err := c.writeEvent(response, event); err != nil {
 			response.Close()
 			a.recordOutcome(dispatch.Cancelled)
 			c.abortDisconnected(err)
 			return
 		}
+		a.beginPause()
 		a.armResponseTimer(a.eventGapTimeout())
 	}
 }
--- a/forward/request.go
+++ b/forward/request.go
@@ -76,6 +76,8 @@
 	timeToFirstEvent time.Duration
 	// lastEventAt is when the last event was sent to the client.
 	lastEventAt tables.Instant
+	// pauses measures the pauses between the events of a stream.
+	pauses streamPauses
 	// lastEventID is the ID of the last event that the client has received. lastEventNumber is
 	// its numeric value, valid if hasLastEventNumber is set.
 	lastEventID        string
@@ -286,6 +288,7 @@
 // body and its context.
 func (c *clientRequest) release() {
 	c.reservation.refundUnused()
+	c.observeLongestPause()
 	c.server.bufferedBytes.Add(-c.bufferedBytes)
 	if c.cancel != nil {
 		c.cancel()
--- a/forward/server.go
+++ b/forward/server.go
@@ -110,6 +110,8 @@
 	crashDetector *quarantine.Detector
 
 	healthChecker *healthChecker
+	// pauseReports limits the rate of log lines on pauses of streams.
+	pauseReports pauseReports
 	// endpoints are the known endpoints; nil if none were set yet. The map is immutable.
 	endpoints atomic.Pointer[map[tables.EndpointID]fleet.Endpoint]
 }
--- a/metrics/requests.go
+++ b/metrics/requests.go
@@ -22,6 +22,7 @@
 const (
 	familyTTFT         = "carawaystile_time_to_first_token_seconds"
 	familyGap          = "carawaystile_time_between_tokens_seconds"
+	familyPause        = "carawaystile_stream_longest_pause_seconds"
 	familyWait         = "carawaystile_queue_wait_seconds"
 	familyHit          = "carawaystile_prefix_hit_ratio"
 	familyFailed       = "carawaystile_requests_failed_total"
@@ -35,7 +36,7 @@
 
 // histograms are the histograms of one priority class or organisation.
 type histograms struct {
-	ttft, timeBetweenTokens, queueWait, prefixHitRatio gometrics.Histogram
+	ttft, timeBetweenTokens, longestPause, queueWait, prefixHitRatio gometrics.Histogram
 }
 
 // Requests records request metrics per priority class and per organisation. It is safe
@@ -67,6 +68,7 @@
 	return &histograms{
 		ttft:              r.registry.Histogram(name(familyTTFT), "Time from arrival to the first token.", SecondsBounds, label),
 		timeBetweenTokens: r.registry.Histogram(name(familyGap), "Time between two tokens of one answer.", SecondsBounds, label),
+		longestPause:      r.registry.Histogram(name(familyPause), "Longest pause between two events of a stream.", SecondsBounds, label),
 		queueWait:         r.registry.Histogram(name(familyWait), "Time from arrival to the first dispatch.", SecondsBounds, label),
 		prefixHitRatio:    r.registry.Histogram(name(familyHit), "Share of the prompt that came from an endpoint's cache.", RatioBounds, label),
 	}
@@ -114,6 +116,12 @@
 	r.organisation(org).timeBetweenTokens.Update(d.Microseconds())
 }
 
+// ObserveLongestPause records the longest pause between two events of a stream.
+func (r *Requests) ObserveLongestPause(org tables.OrganisationID, p tables.Priority, d time.Duration) {
+	r.class(p).longestPause.Update(d.Microseconds())
+	r.organisation(org).longestPause.Update(d.Microseconds())
+}
+
 // ObserveQueueWait records the time from arrival to the first dispatch.
 func (r *Requests) ObserveQueueWait(org tables.OrganisationID, p tables.Priority, d time.Duration) {
 	r.class(p).queueWait.Update(d.Microseconds())
