--- a/dispatch/stream_counts_test.go
+++ b/dispatch/stream_counts_test.go
@@ -15,10 +15,10 @@
 	d, _ := newTestDispatcher(1)
 	d.options.Capacity.StreamPauses = pauses
 	row := d.endpoints["e0"]
-	row.averages.streams.observe(0, streamRequest(0))
+	row.averages.streams.observe(0, newPromptRequest(0, streamRoute, 260))
 	d.ApplyLoadReport(0, "other", LoadReport{Endpoint: "e0", Running: 8, Streams: streams, PrefillTokens: backlog})
 	d.decisions++
-	return d.pauseCost(0, promptRequest(0, prompt), &candidate{row: row, uncachedTokens: float64(prompt)})
+	return d.pauseCost(0, newPromptRequest(0, promptRoute, prompt), &candidate{row: row, uncachedTokens: float64(prompt)})
 }
 
 // Guards against a pause that is charged to a prompt which does not cause it: a short one, one
@@ -31,7 +31,7 @@
 	assert.Equal(t, costBeside(On, 0, 0, 14_000), 0.0)
 	assert.Equal(t, costBeside(Off, 8, 0, 14_000), 0.0)
 	assert.Equal(t, costBeside(On, 8, 0, 100_000), long, "a pause lasts for one event")
-	r := streamRequest(0)
+	r := newPromptRequest(0, streamRoute, 260)
 	assert.Assert(t, r.latenessCost(0, 700)-waitCost*700-lateCost*400*lateProbability(700/(lateMidpoint*400)) < 1e-6, "the curve of latenessCost")
 }
 
@@ -41,7 +41,7 @@
 func TestStreamsAreCountedOnceAndExpire(t *testing.T) {
 	scheduler, _ := newTestDispatcher(1)
 	sender, _ := newTestDispatcher(1)
-	r := streamRequest(0)
+	r := newPromptRequest(0, streamRoute, 260)
 	placed := *r
 	placed.Remote, placed.Route = true, &routes.Route{TargetEventGap: r.Route.TargetEventGap}
 	chosen := mustPlace(t, scheduler, 0, &placed)
@@ -64,7 +64,7 @@
 	assert.Equal(t, row.streams, streamCounts{})
 	sender.TakeLoadReports(2*time.Second + loadReportTTL)
 	assert.Equal(t, row.runningStreams(), 0)
-	unstarted := mustPlace(t, scheduler, 3*time.Second, streamRequest(3*time.Second))
+	unstarted := mustPlace(t, scheduler, 3*time.Second, newPromptRequest(3*time.Second, streamRoute, 260))
 	scheduler.RecordOutcome(4*time.Second, unstarted, ConnectionRefused)
 	scheduler.RecordOutcome(4*time.Second, chosen, Cancelled)
 	assert.Equal(t, scheduler.endpoints["e0"].streams, streamCounts{}, "an attempt without a response is no stream")
@@ -73,7 +73,7 @@
 // Guards against a target gap that outlives the streams of a route which is no longer used.
 func TestSmallestTargetGapIsForgottenWithItsStreams(t *testing.T) {
 	var targets streamTargets
-	strict, lax := streamRequest(0), streamRequest(0)
+	strict, lax := newPromptRequest(0, streamRoute, 260), newPromptRequest(0, streamRoute, 260)
 	lax.Route = &routes.Route{Kind: routes.Stream, TargetEventGap: time.Second}
 	targets.observe(0, strict)
 	targets.observe(strict.Deadline, lax)
