--- a/events/entry.go
+++ b/events/entry.go
@@ -29,5 +29,6 @@
 	LinksRestored        = define(1023, zapcore.InfoLevel, "This instance reaches endpoints again.")
 	EndpointBrittle      = define(1024, zapcore.InfoLevel, "An endpoint announced that it fails if it rejects many requests, or no longer announces it.")
 	SlowdownUnusable     = define(1025, zapcore.WarnLevel, "An endpoint reported a slowdown that cannot be used.")
+	StreamPaused         = define(1026, zapcore.InfoLevel, "A stream paused for longer than its target gap.")
 	HeaderUnusable       = define(1021, zapcore.WarnLevel, "A response header of an endpoint has a value that cannot be used as it is.")
 )
