Queues of endpoints are bounded while admission is enabled

Requests that compete for insufficient capacity fill the engines' queues until all are late. Place now returns the reason Saturated where the queue of every eligible endpoint with free capacity is longer than the request may join, and Request.SaturatedFor names the time until one is short enough; a scheduler passes it on in wait_ms. The limit is 0.8 of the target, less the own prefill and the time waited, for the most urgent work and for other work whose share of the placed prefill tokens is below a quarter, and 0.4 of the shortest target for the rest and as a floor.

Without UrgentTarget nothing changes.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -68,6 +68,9 @@
 	// UrgentTarget is the shortest latency target of the routes to the service; 0 if unknown.
 	// It is set while admission is enabled.
 	UrgentTarget time.Duration
+	// SaturatedFor is set by Place with the reason Saturated: the time until the queue of an
+	// endpoint is short enough.
+	SaturatedFor time.Duration
 	// WantsBackup is set if the request's memory should be backed up at another endpoint.
 	WantsBackup bool
 	// Remote is set for a request that this instance places for another one, which counts
@@ -241,6 +244,8 @@
 	links           linkMonitor
 	zoneRespondedAt map[tables.Zone]tables.Instant
 	loadsSweptAt    tables.Instant
+	// placedShares holds the shares of urgent and of other work by service.
+	placedShares map[string]*placedShare
 }
 
 // New returns a Dispatcher without endpoints.
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -85,6 +85,9 @@
 	d.decisions++
 	d.demand.recordOnce(now, r)
 	d.views = d.views[:0]
+	if d.saturated(now, r, rows, r.ownPath()) {
+		return nil, Saturated
+	}
 	best, reason := d.cheapest(now, r, rows, r.ownPath())
 	if best.row == nil && d.shouldRelay(now, r, rows, reason) {
 		best, reason = d.cheapest(now, r, rows, relayed)
@@ -355,6 +358,7 @@
 	c.row.memoryTokens += a.memoryTokens
 	c.row.prefillTokens += a.prefillTokens
 	d.recordPlacement(now, r, a)
+	d.recordAdmitted(now, r, a)
 	d.assignStore(now, r, a, r.PromptTokens-int(c.uncachedTokens))
 	return a
 }
--- a/forward/scheduled.go
+++ b/forward/scheduled.go
@@ -37,6 +37,7 @@
 		}
 		c.dispatchRequest.MarkDemandCounted()
 		if assignment.Reason != "" {
+			c.dispatchRequest.SaturatedFor = assignment.Wait
 			// Among the endpoints that the scheduler had to avoid may be some that this
 			// instance can use after all, through another instance.
 			return nil, assignment.Reason, assignment.Reason != dispatch.NoEndpoint || !s.mayRelay()
--- a/schedule/client.go
+++ b/schedule/client.go
@@ -65,6 +65,9 @@
 	Choice dispatch.Decision
 	// Reason says why no endpoint is available now.
 	Reason dispatch.RejectReason
+	// Wait is the time until the endpoints' queues are short enough, with the reason
+	// dispatch.Saturated; 0 if the scheduler has not specified it.
+	Wait time.Duration
 
 	client    *Client
 	scheduler netip.AddrPort
@@ -87,7 +90,7 @@
 		answer, number := c.askScheduler(ctx, scheduler, r)
 		if answer.GetReady() {
 			return &Assignment{
-				Choice: decodeDecision(answer), Reason: dispatch.RejectReason(answer.GetReason()),
+				Choice: decodeDecision(answer), Reason: dispatch.RejectReason(answer.GetReason()), Wait: fromMilliseconds(answer.GetWaitMs()),
 				client: c, scheduler: scheduler.Address, number: number,
 			}
 		}
--- a/schedule/server.go
+++ b/schedule/server.go
@@ -77,7 +77,7 @@
 	r := decodeQuestion(now, q, service)
 	attempt, reason := s.placer.PlaceRequest(r)
 	if attempt == nil {
-		return &rpc.ScheduleAnswer{Ready: true, Reason: string(reason)}
+		return &rpc.ScheduleAnswer{Ready: true, Reason: string(reason), WaitMs: toMilliseconds(r.SaturatedFor)}
 	}
 	s.attempts[key] = remoteAttempt{attempt: attempt, expiresAt: r.Deadline + expiryGrace}
 	return encodeDecision(attempt.Decision(now))
