Requests that find no capacity wait in a queue by class, organisation and urgency

Without admission a request that finds no capacity polls every 10 ms, so capacity goes to the first one that asks. With it, requests wait in a queue of the instance for their service: one at a time is placed again, in the order of priority, organisation (start-time fair queueing), size, and least time left. Those behind one that failed ask only if they are smaller or more urgent. What cannot start in time is rejected on arrival or while it waits, with the predicted wait.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -58,7 +58,7 @@
 func (c *clientRequest) forward() {
 	c.server.recordRequest(c.service.Name)
 	for !c.finished {
-		placement, code := c.awaitPlacement()
+		placement, code := c.awaitAdmission()
 		if placement == nil {
 			c.finishFailed(code)
 			return
--- a/forward/failure.go
+++ b/forward/failure.go
@@ -156,6 +156,7 @@
 	if c.org != nil {
 		fields = append(fields, zap.String("organisation", string(c.org.ID)))
 	}
+	fields = append(fields, c.admissionFields()...)
 	fields = append(fields, c.reservation.logFields()...)
 	return append(fields, zap.Duration("control_heard", c.server.controlStaleness()))
 }
--- a/forward/request.go
+++ b/forward/request.go
@@ -64,6 +64,10 @@
 	// retryAfter is the time after which a client that is rejected should retry; 0 for the
 	// default.
 	retryAfter time.Duration
+	// waitedInQueue is how long the request has waited for capacity, waitPredicted the wait that
+	// was predicted, and waitVerdict how the wait ended if the request was not placed.
+	waitedInQueue, waitPredicted time.Duration
+	waitVerdict                  waitVerdict
 	// fallbackResponse is a server error (5xx) of an endpoint. The client receives it if no
 	// retry produces a response.
 	fallbackResponse *bufferedResponse
@@ -226,6 +230,7 @@
 		c.dispatchRequest.PromptTokens, c.dispatchRequest.OutputTokens = dialect.ParseTokenCounts(c.r.Header.Get(h.TokenCounts))
 		c.addSharedParts(dialect.ParsePromptParts(c.r.Header.Get(h.PromptParts)), c.cacheScope())
 	}
+	c.setUrgentTarget()
 	c.fingerprint = fingerprintOf(c.r.Method, c.r.RequestURI, organisation, c.body)
 	if last := c.r.Header.Get(h.LastEventID); last != "" && c.route.Resumable {
 		c.setLastEvent(last)
--- a/forward/server.go
+++ b/forward/server.go
@@ -109,6 +109,7 @@
 	dispatch      *dispatch.Dispatcher
 	crashDetector *quarantine.Detector
 
+	admission     *admissionControl
 	healthChecker *healthChecker
 	// endpoints are the known endpoints; nil if none were set yet. The map is immutable.
 	endpoints atomic.Pointer[map[tables.EndpointID]fleet.Endpoint]
@@ -138,9 +139,11 @@
 		dispatch:      dispatch.New(o.Dispatch),
 		crashDetector: quarantine.New(quarantine.Options{}),
 		initialized:   make(chan struct{}),
+		admission:     newAdmissionControl(&o),
 	}
 	s.healthChecker = newHealthChecker(s)
 	s.registerGauges(o.Registry)
+	s.registerAdmissionGauges(o.Registry)
 	return s
 }
 
--- /dev/null
+++ b/forward/simulation_test.go
@@ -0,0 +1,197 @@
+package forward
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/carawaystile/carawaystile/dispatch"
+	"github.com/carawaystile/carawaystile/fleet"
+	"github.com/carawaystile/carawaystile/routes"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+const (
+	simulatedRate   = 32.0
+	simulatedDecode = 300 * time.Millisecond
+	simulatedStep   = time.Millisecond
+)
+
+// workload is one kind of requests of one organisation in a simulated load.
+type workload struct {
+	organisation string
+	priority     int
+	prompt       int
+	target       time.Duration
+	perSecond    float64
+	// from and until bound the time of arrivals.
+	from, until tables.Instant
+}
+
+// simulatedRequest is a request in a simulation; its times are 0 if they did not come.
+type simulatedRequest struct {
+	waiter                                       waiter
+	dispatch                                     dispatch.Request
+	attempt                                      *dispatch.Attempt
+	startedAt, firstEventAt, endsAt              tables.Instant
+	rejectedAt                                   tables.Instant
+	retryAfter                                   time.Duration
+	rejectedOnArrival, started, answered, joined bool
+}
+
+// simulatedEngine computes prompts one after the other.
+type simulatedEngine struct {
+	queue []*simulatedRequest
+	left  float64
+	busy  time.Duration
+	runs  []*simulatedRequest
+}
+
+// simulation plays a load against the decisions of one instance, in virtual time and without a
+// network.
+type simulation struct {
+	now      tables.Instant
+	dispatch *dispatch.Dispatcher
+	queue    *waitQueue
+	service  *routes.Service
+	urgent   time.Duration
+	engines  map[tables.EndpointID]*simulatedEngine
+	requests []*simulatedRequest
+	random   *rand.Rand
+	// asking is the request that asks, and answerAt when it gets the answer.
+	asking   *simulatedRequest
+	answerAt tables.Instant
+}
+
+func newSimulation(engines int) *simulation {
+	s := &simulation{
+		now: time.Second, queue: newWaitQueue(), urgent: 400 * time.Millisecond, random: rand.New(rand.NewPCG(1, 2)),
+		service:  &routes.Service{Name: "models", Slots: 64, KVCapacityTokens: 400_000, Models: []string{"m"}},
+		dispatch: dispatch.New(dispatch.Options{Zone: "a", Seed: 1}), engines: map[tables.EndpointID]*simulatedEngine{},
+	}
+	listed := map[tables.EndpointID]fleet.Endpoint{}
+	for i := range engines {
+		id := tables.EndpointID(fmt.Sprintf("e%d", i))
+		s.engines[id] = &simulatedEngine{}
+		listed[id] = fleet.Endpoint{ID: id, Service: "models", Zone: "a", Slots: 64, Weights: map[string]uint64{"m": 1},
+			Address: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(1000+i))}
+	}
+	s.dispatch.SetEndpoints(listed)
+	return s
+}
+
+// run plays the workloads until the end.
+func (s *simulation) run(until tables.Instant, load ...workload) {
+	for s.now < until {
+		s.now += simulatedStep
+		s.stepEngines()
+		for _, w := range load {
+			if s.now >= w.from && s.now < w.until && s.random.Float64() < w.perSecond*simulatedStep.Seconds() {
+				s.arrive(w)
+			}
+		}
+		s.stepQueue()
+	}
+}
+
+func (s *simulation) arrive(w workload) {
+	r := &simulatedRequest{waiter: waiter{
+		organisation: w.organisation, priority: w.priority, prompt: w.prompt, output: 50, target: w.target, arrivedAt: s.now,
+	}}
+	r.dispatch = dispatch.Request{
+		Service: s.service, Route: &routes.Route{TargetLatency: w.target}, Model: "m", PromptTokens: w.prompt, OutputTokens: 50,
+		ArrivedAt: s.now, Deadline: s.now + 30*time.Second, UrgentTarget: s.urgent,
+	}
+	r.waiter.setLimits(s.now, s.dispatch.LeastPrefillTime(&r.dispatch), false)
+	s.requests = append(s.requests, r)
+	if s.queue.len() == 0 {
+		if s.place(r) {
+			s.queue.charge(s.now, &r.waiter)
+			return
+		}
+		s.queue.full(s.now, &r.waiter, r.dispatch.SaturatedFor)
+	}
+	predicted, ok := s.queue.join(s.now, &r.waiter)
+	if !ok {
+		r.rejectedAt, r.retryAfter, r.rejectedOnArrival = s.now, predicted, true
+		return
+	}
+	r.joined = true
+}
+
+// place places a request and sends it to its engine.
+func (s *simulation) place(r *simulatedRequest) bool {
+	r.attempt, _ = s.dispatch.Place(s.now, &r.dispatch)
+	if r.attempt == nil {
+		return false
+	}
+	r.started, r.startedAt = true, s.now
+	engine := s.engines[r.attempt.Endpoint.ID]
+	engine.queue = append(engine.queue, r)
+	return true
+}
+
+// stepQueue rejects what cannot start in time and lets the next request ask.
+func (s *simulation) stepQueue() {
+	for _, r := range s.requests {
+		if r.joined && !r.started && r.rejectedAt == 0 && r != s.asking && s.now >= r.waiter.rejectAt() {
+			r.rejectedAt = s.now
+			s.queue.leave(s.now, &r.waiter)
+			r.retryAfter = s.queue.retryAfter(s.now, &r.waiter)
+		}
+	}
+	for {
+		if s.asking != nil {
+			if s.now < s.answerAt {
+				return
+			}
+			r := s.asking
+			s.asking = nil
+			if s.place(r) {
+				s.queue.placed(s.now, &r.waiter)
+			} else {
+				s.queue.full(s.now, &r.waiter, r.dispatch.SaturatedFor)
+			}
+		}
+		next, _ := s.queue.next(s.now)
+		if next == nil {
+			return
+		}
+		for _, r := range s.requests {
+			if &r.waiter == next {
+				s.asking, s.answerAt = r, s.now+simulatedStep
+			}
+		}
+	}
+}
+
+func (s *simulation) stepEngines() {
+	for _, e := range s.engines {
+		budget := simulatedRate * float64(simulatedStep/time.Millisecond)
+		if len(e.queue) > 0 {
+			e.busy += simulatedStep
+		}
+		for len(e.queue) > 0 && budget > 0 {
+			r := e.queue[0]
+			if e.left == 0 {
+				e.left = float64(r.waiter.prompt)
+			}
+			done := min(budget, e.left)
+			budget, e.left = budget-done, e.left-done
+			if e.left == 0 {
+				e.queue = e.queue[1:]
+				r.answered, r.firstEventAt, r.endsAt = true, s.now, s.now+simulatedDecode
+				s.dispatch.RecordResponseStart(s.now, r.attempt)
+				e.runs = append(e.runs, r)
+			}
+		}
+		e.runs = slices.DeleteFunc(e.runs, func(r *simulatedRequest) bool {
+			if s.now >= r.endsAt {
+				s.dispatch.RecordOutcome(s.now, r.attempt, dispatch.Completed)
+			}
+			return s.now >= r.endsAt
+		})
+	}
+}
--- /dev/null
+++ b/forward/waitclass.go
@@ -0,0 +1,201 @@
+package forward
+
+import (
+	"math"
+	"time"
+
+	"github.com/carawaystile/carawaystile/systems/admission"
+	"github.com/carawaystile/carawaystile/systems/fairness"
+	"github.com/carawaystile/carawaystile/systems/waiting"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+const (
+	// minLowerShare is the share of the started cost below which the classes below a class are
+	// served before it, so that none is starved. It equals the minimum share of less urgent work
+	// in placement.
+	minLowerShare = 0.25
+	// classShareDecay is the time constant of the decaying cost that was started of a class.
+	classShareDecay = 3 * time.Second
+)
+
+// waitClass holds the waiting requests of one priority class.
+type waitClass struct {
+	scheduler fairness.Scheduler
+	// organisations is indexed by flow; it holds nil where no request waits.
+	organisations []*organisationQueue
+	// demand is indexed by flow: the decaying cost of the requests that were to join the queue,
+	// with the rejected ones.
+	demand []decayingCost
+	// rate measures the cost that leaves the queue. Requests that are rejected while they wait
+	// count: those behind them do not wait for them any longer.
+	rate admission.Throughput
+	// placed is the decaying cost that was started.
+	placed decayingCost
+}
+
+// organisationQueue holds the waiting requests of an organisation in one class. Sizes get equal
+// shares of what the organisation gets, so that a small request does not wait behind many large
+// ones. Within a size, the request with the least time left to its target is first.
+type organisationQueue struct {
+	queue waiting.Queue
+	// sizes schedules the sizes, which are numbered by waiter.size.
+	sizes fairness.Scheduler
+	// cost is the sum of the costs of the waiting requests, and costs that of each size.
+	cost  float64
+	costs [maxSize + 1]float64
+}
+
+// decayingCost is a sum that decays exponentially, as of a point in time.
+type decayingCost struct {
+	sum float64
+	at  tables.Instant
+}
+
+// value returns the sum at a time, given the time constant.
+func (d *decayingCost) value(now tables.Instant, constant time.Duration) float64 {
+	if d.sum == 0 {
+		return 0
+	}
+	return d.sum * math.Exp(-float64(now-d.at)/float64(constant))
+}
+
+func (d *decayingCost) add(now tables.Instant, constant time.Duration, cost float64) {
+	d.sum, d.at = d.value(now, constant)+cost, now
+}
+
+// addFlow declares an organisation, with the same weight as all others.
+func (c *waitClass) addFlow(f fairness.Flow) {
+	for int(f) >= len(c.organisations) {
+		c.scheduler.SetWeight(fairness.Flow(len(c.organisations)), 1)
+		c.organisations = append(c.organisations, nil)
+		c.demand = append(c.demand, decayingCost{})
+	}
+}
+
+func (c *waitClass) add(now tables.Instant, w *waiter) {
+	o := c.organisations[w.flow]
+	if o == nil {
+		o = &organisationQueue{}
+		c.organisations[w.flow] = o
+	}
+	o.sizes.SetWeight(w.size(), 1)
+	o.queue.Add(waiting.Item{Row: &w.row, GroupKey: tables.BlockHash(w.size()), StartBy: w.arrivedAt + w.target})
+	o.sizes.Enqueue(w.size())
+	o.cost += w.cost()
+	o.costs[w.size()] += w.cost()
+	c.scheduler.Enqueue(w.flow)
+	c.rate.SetQueued(now, true)
+}
+
+func (c *waitClass) remove(now tables.Instant, w *waiter) {
+	o := c.organisations[w.flow]
+	if o == nil || !o.queue.Remove(&w.row, tables.BlockHash(w.size())) {
+		return
+	}
+	o.sizes.Dequeue(w.size())
+	o.cost -= w.cost()
+	o.costs[w.size()] -= w.cost()
+	c.scheduler.Dequeue(w.flow)
+	if o.queue.Len() == 0 {
+		c.organisations[w.flow] = nil
+	}
+	c.rate.SetQueued(now, c.scheduler.QueueLength() > 0)
+}
+
+// charge counts a started request towards the shares of its organisation, its size and the
+// class.
+func (c *waitClass) charge(now tables.Instant, w *waiter) {
+	c.scheduler.Charge(w.flow, w.cost())
+	c.placed.add(now, classShareDecay, w.cost())
+	if o := c.organisations[w.flow]; o != nil && o.costs[w.size()] > 0 {
+		o.sizes.Charge(w.size(), w.cost())
+	}
+}
+
+// ahead returns the cost that is expected to start before a request that joins now and waits for
+// the given time. An organisation is expected to queue at the rate at which it has of late.
+func (c *waitClass) ahead(now tables.Instant, w *waiter, wait time.Duration) float64 {
+	own := func(fairness.Flow) float64 { return c.organisations[w.flow].ahead(w) }
+	share := float64(wait) / float64(rateWindow)
+	return c.scheduler.Ahead(w.flow, own, func(f fairness.Flow) float64 {
+		expected := share * c.demand[f].value(now, rateWindow)
+		if o := c.organisations[f]; o != nil {
+			expected += o.cost
+		}
+		return expected
+	})
+}
+
+// ahead returns the cost of the organisation's waiting requests that start before a new one.
+func (o *organisationQueue) ahead(w *waiter) float64 {
+	if o == nil {
+		return 0
+	}
+	o.sizes.SetWeight(w.size(), 1)
+	queued := func(size fairness.Flow) float64 { return o.costs[size] }
+	return o.sizes.Ahead(w.size(), queued, queued)
+}
+
+// addDemand records that a request is to join the queue.
+func (c *waitClass) addDemand(now tables.Instant, w *waiter) {
+	c.demand[w.flow].add(now, rateWindow, w.cost())
+}
+
+// candidates returns the requests that may ask first, in order: of each organisation the first
+// request of each size.
+func (c *waitClass) candidates(waiters map[*tables.RequestRow]*waiter) []*waiter {
+	var found []*waiter
+	seen := map[fairness.Flow]bool{}
+	for range maxFlowsExamined {
+		flow, more := c.scheduler.Next(func(f fairness.Flow) bool { return seen[f] })
+		if !more {
+			break
+		}
+		seen[flow] = true
+		found = c.organisations[flow].appendCandidates(found, waiters)
+	}
+	return found
+}
+
+// appendCandidates appends the first request of each size, in the order of the sizes.
+func (o *organisationQueue) appendCandidates(found []*waiter, waiters map[*tables.RequestRow]*waiter) []*waiter {
+	seen := [maxSize + 1]bool{}
+	for range maxSizesExamined {
+		size, more := o.sizes.Next(func(f fairness.Flow) bool { return seen[f] })
+		if !more {
+			break
+		}
+		seen[size] = true
+		for _, item := range o.queue.Candidates(nil, tables.BlockHash(size), 0, 1) {
+			found = append(found, waiters[item.Row])
+		}
+	}
+	return found
+}
+
+// order returns the classes with waiting requests in the order in which they are served: by
+// priority, except that a class gives way while those below it have had less than their minimum
+// share.
+func (q *waitQueue) order(now tables.Instant) []*waitClass {
+	var waitingClasses []*waitClass
+	for i := range q.classes {
+		if q.classes[i].scheduler.QueueLength() > 0 {
+			waitingClasses = append(waitingClasses, &q.classes[i])
+		}
+	}
+	for first := range waitingClasses {
+		below := 0.0
+		for _, class := range waitingClasses[first+1:] {
+			below += class.placed.value(now, classShareDecay)
+		}
+		isLast := first == len(waitingClasses)-1
+		if isLast || below >= minLowerShare*(below+waitingClasses[first].placed.value(now, classShareDecay)) {
+			chosen := waitingClasses[first]
+			copy(waitingClasses[1:first+1], waitingClasses[:first])
+			waitingClasses[0] = chosen
+			break
+		}
+	}
+	return waitingClasses
+}
--- /dev/null
+++ b/forward/waitqueue.go
@@ -0,0 +1,269 @@
+package forward
+
+import (
+	"math/bits"
+	"time"
+
+	"github.com/carawaystile/carawaystile/systems/admission"
+	"github.com/carawaystile/carawaystile/systems/fairness"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+const (
+	// minAskInterval and maxAskInterval bound the time after which a request asks again that was
+	// named a wait. The upper bound is needed because a queue shortens by a whole prompt at once
+	// when its first event arrives, and because endpoints join.
+	minAskInterval = 2 * time.Millisecond
+	maxAskInterval = 50 * time.Millisecond
+	// maxRefusalsPerRound bounds the placements that fail in a row before the queue pauses. It
+	// bounds the questions to schedulers.
+	maxRefusalsPerRound = 3
+	// maxFlowsExamined and maxSizesExamined bound the candidates for the next question: the
+	// organisations of a class, and the sizes of requests in each. maxSize is the largest size.
+	maxFlowsExamined = 16
+	maxSizesExamined = 4
+	maxSize          = 32
+	// admittedMaxWaitTargetDivisor divides the latency target into the time for which a request
+	// waits in the queue.
+	admittedMaxWaitTargetDivisor = 2
+	// rateWindow is the time constant with which the queue's rate is measured. It covers dozens
+	// of requests of an instance that places ten a second.
+	rateWindow = 5 * time.Second
+	// predictionSteps is the number of steps in which a predicted wait is refined. The work that
+	// arrives meanwhile and starts earlier depends on the wait itself.
+	predictionSteps = 2
+)
+
+// waiter is a request in a waitQueue.
+type waiter struct {
+	// row identifies the request in the queues of package waiting.
+	row tables.RequestRow
+	// organisation, priority, prompt and output describe the request, and target its target
+	// latency; prompt and output are in tokens.
+	organisation   string
+	priority       int
+	prompt, output int
+	target         time.Duration
+	arrivedAt      tables.Instant
+	// startBy is the latest time at which the request may start, and rejectFrom the earliest at
+	// which it may be rejected after it has joined the queue.
+	startBy, rejectFrom tables.Instant
+	// joinedAt is when the request joined the queue, and predicted the wait that was predicted
+	// then; 0 if the queue's rate was not known.
+	joinedAt  tables.Instant
+	predicted time.Duration
+	// earliest is the earliest start by the last answer, and notBefore the earliest time of the
+	// next question.
+	earliest, notBefore tables.Instant
+	// pending is set while the request waits for another one to compute a part of its prompt.
+	pending bool
+	flow    fairness.Flow
+	// turn receives a value when the request may ask.
+	turn chan struct{}
+}
+
+// cost is the request's cost in fair queueing, in tokens.
+func (w *waiter) cost() float64 { return float64(max(1, w.prompt+w.output)) }
+
+// size groups requests of about the same cost: it is the number of bits of the cost.
+func (w *waiter) size() fairness.Flow {
+	return fairness.Flow(min(bits.Len(uint(max(1, w.prompt+w.output))), maxSize))
+}
+
+// rejectAt returns when the request is rejected unless it has started: at startBy, or once no
+// endpoint can start it by then.
+func (w *waiter) rejectAt() tables.Instant {
+	at := w.startBy
+	if w.earliest > w.startBy {
+		at = min(at, w.rejectFrom)
+	}
+	if w.pending {
+		at = max(at, w.notBefore+2*placementRetryInterval)
+	}
+	return at
+}
+
+// waitsBehind reports whether the request needs no less than one that could not be placed: it
+// has no smaller prompt, no smaller need of memory and no shorter target.
+func (w *waiter) waitsBehind(refused *waiter) bool {
+	return w.prompt >= refused.prompt && w.prompt+w.output >= refused.prompt+refused.output && w.target >= refused.target
+}
+
+// waitQueue holds the requests for one service that wait for capacity at this instance. It
+// decides which of them may ask for an endpoint next, and which are rejected. Requests are
+// ordered by priority class, by organisation (start-time fair queueing) and by the least time
+// left to their target. A waitQueue has no clock and no goroutines and is not safe for
+// concurrent use.
+type waitQueue struct {
+	classes [lowestPriority + 1]waitClass
+	// flows numbers the organisations.
+	flows   map[string]fairness.Flow
+	waiters map[*tables.RequestRow]*waiter
+	// asking is the request that is asking; nil for none.
+	asking *waiter
+	// refused are the requests that could not be placed in this round, which ends at resumeAt.
+	refused  []*waiter
+	resumeAt tables.Instant
+}
+
+func newWaitQueue() *waitQueue {
+	q := &waitQueue{flows: map[string]fairness.Flow{}, waiters: map[*tables.RequestRow]*waiter{}}
+	for i := range q.classes {
+		q.classes[i].rate = admission.NewThroughput(rateWindow)
+	}
+	return q
+}
+
+// len returns the number of waiting requests.
+func (q *waitQueue) len() int { return len(q.waiters) }
+
+// classOf returns the class of a request and numbers its organisation.
+func (q *waitQueue) classOf(w *waiter) *waitClass {
+	flow, known := q.flows[w.organisation]
+	if !known {
+		flow = fairness.Flow(len(q.flows))
+		q.flows[w.organisation] = flow
+	}
+	w.flow = flow
+	class := &q.classes[min(max(w.priority, 0), lowestPriority)]
+	class.addFlow(flow)
+	return class
+}
+
+// predict returns the wait of a request that joins now, and whether the queue's rate is known.
+func (q *waitQueue) predict(now tables.Instant, w *waiter) (time.Duration, bool) {
+	class := q.classOf(w)
+	predicted, measured := time.Duration(0), false
+	for range predictionSteps {
+		predicted, measured = class.rate.PredictedWait(now, class.ahead(now, w, predicted)+w.cost())
+	}
+	return predicted, measured
+}
+
+// join adds a request unless its predicted wait exceeds what its target leaves. If it does, or
+// if the queue is full, join returns false and the predicted wait.
+func (q *waitQueue) join(now tables.Instant, w *waiter) (time.Duration, bool) {
+	predicted, measured := q.predict(now, w)
+	q.classOf(w).addDemand(now, w)
+	if measured && now+predicted > w.startBy || q.len() >= admission.MaxQueued {
+		return predicted, false
+	}
+	w.joinedAt, w.predicted = now, predicted
+	q.waiters[&w.row] = w
+	q.classOf(w).add(now, w)
+	return predicted, true
+}
+
+// leave removes a request that was rejected or has lost its caller.
+func (q *waitQueue) leave(now tables.Instant, w *waiter) {
+	if q.waiters[&w.row] == nil {
+		return
+	}
+	delete(q.waiters, &w.row)
+	q.classOf(w).rate.Departed(now, w.cost())
+	q.classOf(w).remove(now, w)
+	if q.asking == w {
+		q.asking = nil
+	}
+}
+
+// placed removes the request that was asking and has started, and charges its organisation.
+func (q *waitQueue) placed(now tables.Instant, w *waiter) {
+	q.charge(now, w)
+	q.leave(now, w)
+}
+
+// charge counts a started request, whether it has waited or not, towards the shares of its
+// organisation and its class.
+func (q *waitQueue) charge(now tables.Instant, w *waiter) { q.classOf(w).charge(now, w) }
+
+// full records that the request that was asking found no capacity. wait is the time until there
+// is some; 0 if unknown.
+func (q *waitQueue) full(now tables.Instant, w *waiter, wait time.Duration) {
+	w.pending, w.earliest = false, now+wait
+	if q.asking == w {
+		q.asking = nil
+	}
+	interval := placementRetryInterval
+	if wait > 0 {
+		interval = min(max(wait, minAskInterval), maxAskInterval)
+	}
+	if len(q.refused) == 0 {
+		q.resumeAt = now + interval
+	}
+	q.resumeAt = min(q.resumeAt, now+interval)
+	q.refused = append(q.refused, w)
+}
+
+// deferred records that the request that was asking waits for another one to compute a part of
+// its prompt. It does not hold back others.
+func (q *waitQueue) deferred(now tables.Instant, w *waiter) {
+	w.pending, w.notBefore = true, now+placementRetryInterval
+	if q.asking == w {
+		q.asking = nil
+	}
+}
+
+// next returns the request that may ask now. If there is none it returns when to call next
+// again; 0 for not before the next change.
+func (q *waitQueue) next(now tables.Instant) (*waiter, tables.Instant) {
+	if q.asking != nil || q.len() == 0 {
+		return nil, 0
+	}
+	if now >= q.resumeAt {
+		q.refused = q.refused[:0]
+	}
+	if len(q.refused) >= maxRefusalsPerRound {
+		return nil, q.resumeAt
+	}
+	again := tables.Instant(0)
+	if len(q.refused) > 0 {
+		again = q.resumeAt
+	}
+	for _, class := range q.order(now) {
+		for _, w := range class.candidates(q.waiters) {
+			if q.waitsBehindRefused(w) {
+				continue
+			}
+			if w.notBefore <= now {
+				q.asking = w
+				return w, 0
+			}
+			if again == 0 || w.notBefore < again {
+				again = w.notBefore
+			}
+		}
+	}
+	return nil, again
+}
+
+// waitsBehindRefused reports whether the request waits behind one that could not be placed in
+// this round.
+func (q *waitQueue) waitsBehindRefused(w *waiter) bool {
+	for _, refused := range q.refused {
+		if w == refused || w.waitsBehind(refused) {
+			return true
+		}
+	}
+	return false
+}
+
+// setLimits sets when the request must start and when it may be rejected. leastPrefill is the
+// least time that its own prompt takes.
+func (w *waiter) setLimits(now tables.Instant, leastPrefill time.Duration, isRetry bool) {
+	if isRetry {
+		w.startBy = now + w.target/retryMaxWaitTargetDivisor
+		w.rejectFrom = w.startBy
+		return
+	}
+	patience := min(w.target/admittedMaxWaitTargetDivisor, w.target-leastPrefill)
+	w.rejectFrom = w.arrivedAt + w.target/maxWaitTargetDivisor
+	w.startBy = max(w.rejectFrom, w.arrivedAt+patience)
+}
+
+// retryAfter returns the time after which a request like the rejected one finds capacity: the
+// wait of a request that joins now, or the one that the last answer named.
+func (q *waitQueue) retryAfter(now tables.Instant, w *waiter) time.Duration {
+	predicted, _ := q.predict(now, w)
+	return max(predicted, w.earliest-now)
+}
--- a/logs/trail/story.go
+++ b/logs/trail/story.go
@@ -69,9 +69,9 @@
 			if via := line.Field("via"); via != "" {
 				by += " through " + via
 			}
-			return "answered with " + line.Field("status") + " by " + by + " after " + line.Field("took")
+			return "answered with " + line.Field("status") + " by " + by + " after " + line.Field("took") + line.waitForCapacity()
 		case events.RequestFailed.Number:
-			text := "answered with " + line.Field("status") + " after " + line.Field("took")
+			text := "answered with " + line.Field("status") + " after " + line.Field("took") + line.waitForCapacity()
 			if meaning := meaningOf(line.Field("code")); meaning != "" {
 				text += ": " + meaning
 			}
@@ -88,9 +88,23 @@
 	return "its end is in none of the logs"
 }
 
+// waitForCapacity describes how the request waited for capacity; empty if it did not.
+func (l *Line) waitForCapacity() string {
+	waited, predicted := l.Field("queue_wait"), l.Field("predicted_wait")
+	switch {
+	case l.Field("wait_ended") == "arrival":
+		return ", rejected on arrival since its wait for capacity would have been " + roundDuration(predicted)
+	case waited == "" || l.Duration("queue_wait") == 0:
+		return ""
+	case l.Duration("predicted_wait") == 0:
+		return ", of which it waited " + roundDuration(waited) + " for capacity"
+	}
+	return ", of which it waited " + roundDuration(waited) + " for capacity (predicted: " + roundDuration(predicted) + ")"
+}
+
 // leadingFields are the fields that are printed first, in this order.
 var leadingFields = []string{
-	"endpoint", "via", "end", "status", "code", "outcome", "rule", "took", "placed", "first", "expected", "own", "others",
+	"endpoint", "via", "end", "status", "code", "outcome", "rule", "took", "placed", "queue_wait", "predicted_wait", "wait_ended", "first", "expected", "own", "others",
 	"load_age", "doubt", "retry_after", "pushing_back", "draining", "endpoints", "revision", "control_heard", "weights",
 }
 
