--- a/forward/overload_test.go
+++ b/forward/overload_test.go
@@ -76,7 +76,7 @@
 // Guards against overload in which all are late: at twice the capacity the engines stay busy,
 // urgent requests are answered in time, and neither class nor any organisation is starved.
 func TestOverloadIsSharedBetweenClassesAndOrganisations(t *testing.T) {
-	s := newSimulation(4)
+	s := newSimulation(4, 1)
 	s.run(41*time.Second, overload(2, time.Second, 41*time.Second)...)
 	used := s.utilisation(40 * time.Second)
 	urgent, long := s.tally(3*time.Second, 37*time.Second, isUrgent), s.tally(3*time.Second, 37*time.Second, isLong)
@@ -95,7 +95,7 @@
 // Guards against capacity that is reserved for organisations without requests, and against an
 // organisation that has to wait until what others have borrowed is paid back.
 func TestIdleOrganisationsLendTheirShares(t *testing.T) {
-	s := newSimulation(4)
+	s := newSimulation(4, 1)
 	greedy := workload{organisation: "greedy", priority: 1, prompt: 4000, target: 2 * time.Second, perSecond: 64, from: time.Second, until: 21 * time.Second}
 	back := greedy
 	back.organisation, back.from = "back", 11*time.Second
@@ -178,7 +178,7 @@
 // Guards against a Retry-After that says nothing about when there is capacity.
 func TestNamedWaitsAreTrue(t *testing.T) {
 	for _, multiple := range []float64{1.5, 2, 4} {
-		s := newSimulation(4)
+		s := newSimulation(4, 1)
 		s.run(31*time.Second, overload(multiple, time.Second, 31*time.Second)...)
 		quotients := s.waitTruths(6*time.Second, 25*time.Second)
 		within := 0
@@ -205,7 +205,7 @@
 		_, joined := q.join(now, w)
 		assert.Assert(t, joined, "request %d", i)
 	}
-	s := newSimulation(2)
+	s := newSimulation(2, 1)
 	s.arrive(workload{organisation: "org", prompt: 500, target: 400 * time.Millisecond})
 	assert.Assert(t, s.requests[0].started)
 }
--- a/forward/simulation_test.go
+++ b/forward/simulation_test.go
@@ -32,13 +32,13 @@
 
 // simulatedRequest is a request in a simulation; its times are 0 if they did not come.
 type simulatedRequest struct {
-	waiter                                       waiter
-	dispatch                                     dispatch.Request
-	attempt                                      *dispatch.Attempt
-	startedAt, firstEventAt, endsAt              tables.Instant
-	rejectedAt                                   tables.Instant
-	retryAfter                                   time.Duration
-	rejectedOnArrival, started, answered, joined bool
+	waiter                               waiter
+	dispatch                             dispatch.Request
+	attempt                              *dispatch.Attempt
+	startedAt, firstEventAt, endsAt      tables.Instant
+	rejectedAt                           tables.Instant
+	retryAfter                           time.Duration
+	rejectedOnArrival, started, answered bool
 }
 
 // simulatedEngine computes prompts one after the other.
@@ -49,28 +49,38 @@
 	runs  []*simulatedRequest
 }
 
-// simulation plays a load against the decisions of one instance, in virtual time and without a
+// simulation plays a load against the decisions of some instances, in virtual time and without a
 // network.
 type simulation struct {
 	now      tables.Instant
 	dispatch *dispatch.Dispatcher
-	queue    *waitQueue
 	service  *routes.Service
 	urgent   time.Duration
 	engines  map[tables.EndpointID]*simulatedEngine
 	requests []*simulatedRequest
 	random   *rand.Rand
+	// instances receive the requests in turn. One of them, or a scheduler, places all of them.
+	instances []*simulatedInstance
+}
+
+// simulatedInstance is an instance with its waiting queue.
+type simulatedInstance struct {
+	queue   *waitQueue
+	waiting map[*waiter]*simulatedRequest
 	// asking is the request that asks, and answerAt when it gets the answer.
 	asking   *simulatedRequest
 	answerAt tables.Instant
 }
 
-func newSimulation(engines int) *simulation {
+func newSimulation(engines, instances int) *simulation {
 	s := &simulation{
-		now: time.Second, queue: newWaitQueue(), urgent: 400 * time.Millisecond, random: rand.New(rand.NewPCG(1, 2)),
+		now: time.Second, urgent: 400 * time.Millisecond, random: rand.New(rand.NewPCG(1, 2)),
 		service:  &routes.Service{Name: "models", Slots: 64, KVCapacityTokens: 400_000, Models: []string{"m"}},
 		dispatch: dispatch.New(dispatch.Options{Zone: "a", Seed: 1}), engines: map[tables.EndpointID]*simulatedEngine{},
 	}
+	for range instances {
+		s.instances = append(s.instances, &simulatedInstance{queue: newWaitQueue(), waiting: map[*waiter]*simulatedRequest{}})
+	}
 	listed := map[tables.EndpointID]fleet.Endpoint{}
 	for i := range engines {
 		id := tables.EndpointID(fmt.Sprintf("e%d", i))
@@ -92,7 +102,9 @@
 				s.arrive(w)
 			}
 		}
-		s.stepQueue()
+		for _, instance := range s.instances {
+			s.stepQueue(instance)
+		}
 	}
 }
 
@@ -106,19 +118,20 @@
 	}
 	r.waiter.setLimits(s.now, s.dispatch.LeastPrefillTime(&r.dispatch), false)
 	s.requests = append(s.requests, r)
-	if s.queue.len() == 0 {
+	instance := s.instances[len(s.requests)%len(s.instances)]
+	if instance.queue.len() == 0 {
 		if s.place(r) {
-			s.queue.charge(s.now, &r.waiter)
+			instance.queue.charge(s.now, &r.waiter)
 			return
 		}
-		s.queue.full(s.now, &r.waiter, r.dispatch.SaturatedFor)
+		instance.queue.full(s.now, &r.waiter, r.dispatch.SaturatedFor)
 	}
-	predicted, ok := s.queue.join(s.now, &r.waiter)
+	predicted, ok := instance.queue.join(s.now, &r.waiter)
 	if !ok {
 		r.rejectedAt, r.retryAfter, r.rejectedOnArrival = s.now, predicted, true
 		return
 	}
-	r.joined = true
+	instance.waiting[&r.waiter] = r
 }
 
 // place places a request and sends it to its engine.
@@ -134,36 +147,32 @@
 }
 
 // stepQueue rejects what cannot start in time and lets the next request ask.
-func (s *simulation) stepQueue() {
-	for _, r := range s.requests {
-		if r.joined && !r.started && r.rejectedAt == 0 && r != s.asking && s.now >= r.waiter.rejectAt() {
-			r.rejectedAt = s.now
-			s.queue.leave(s.now, &r.waiter)
-			r.retryAfter = s.queue.retryAfter(s.now, &r.waiter)
+func (s *simulation) stepQueue(i *simulatedInstance) {
+	for w, r := range i.waiting {
+		if r != i.asking && s.now >= w.rejectAt() {
+			delete(i.waiting, w)
+			i.queue.leave(s.now, w)
+			r.rejectedAt, r.retryAfter = s.now, i.queue.retryAfter(s.now, w)
 		}
 	}
 	for {
-		if s.asking != nil {
-			if s.now < s.answerAt {
+		if r := i.asking; r != nil {
+			if s.now < i.answerAt {
 				return
 			}
-			r := s.asking
-			s.asking = nil
+			i.asking = nil
 			if s.place(r) {
-				s.queue.placed(s.now, &r.waiter)
+				delete(i.waiting, &r.waiter)
+				i.queue.placed(s.now, &r.waiter)
 			} else {
-				s.queue.full(s.now, &r.waiter, r.dispatch.SaturatedFor)
+				i.queue.full(s.now, &r.waiter, r.dispatch.SaturatedFor)
 			}
 		}
-		next, _ := s.queue.next(s.now)
+		next, _ := i.queue.next(s.now)
 		if next == nil {
 			return
 		}
-		for _, r := range s.requests {
-			if &r.waiter == next {
-				s.asking, s.answerAt = r, s.now+simulatedStep
-			}
-		}
+		i.asking, i.answerAt = i.waiting[next], s.now+simulatedStep
 	}
 }
 
