--- a/dispatch/saturation.go
+++ b/dispatch/saturation.go
@@ -95,8 +95,11 @@
 }
 
 // saturated reports whether the queue of every eligible endpoint with free capacity is longer
-// than the request may join, and sets SaturatedFor. It is false if there is no such endpoint. It
-// passes over the endpoints at most once and stops at the first that is not saturated.
+// than the request may join, and sets SaturatedFor. It is false if there is no such endpoint.
+//
+// It passes over the endpoints once and ends at the first that is not saturated. Of an endpoint
+// whose queue is longer than another one's, no more is looked at than the queue: whether an
+// endpoint is eligible, and which parts of a prompt it lacks, takes most of the time.
 func (d *Dispatcher) saturated(now tables.Instant, r *Request, rows []*endpointRow, p path) bool {
 	r.SaturatedFor = 0
 	if r.UrgentTarget <= 0 || r.Model == "" {
@@ -105,13 +108,12 @@
 	limit := d.queueLimit(now, r)
 	least := math.Inf(1)
 	for _, row := range rows {
-		if r.excludes(row.ID) || !d.isEligible(now, r, row, p) || !d.hasCapacity(now, r, row) {
+		excess := limit.excess(row.queuedPrefill(now)/row.currentPrefillRate(now), r.unsharedTokens()/row.currentPrefillRate(now))
+		if excess >= least || !d.canTake(now, r, row, p) {
 			continue
 		}
-		queue := row.queuedPrefill(now) / row.currentPrefillRate(now)
-		excess := queue - limit.floor
-		if excess > 0 && limit.budget > limit.floor {
-			excess = min(excess, queue-limit.budget+d.ownPrefill(now, r, row, rows))
+		if len(r.SharedParts) > 0 && limit.budget > limit.floor {
+			excess = limit.excess(row.queuedPrefill(now)/row.currentPrefillRate(now), d.ownPrefill(now, r, row, rows))
 		}
 		if excess <= 0 {
 			return false
@@ -125,10 +127,20 @@
 	return true
 }
 
+// canTake reports whether the endpoint is eligible and has free capacity.
+func (d *Dispatcher) canTake(now tables.Instant, r *Request, row *endpointRow, p path) bool {
+	return !r.excludes(row.ID) && d.isEligible(now, r, row, p) && d.hasCapacity(now, r, row)
+}
+
 // queueLimit is the queue that a request may join, in milliseconds: floor, or budget less the
 // request's own prefill if that is more. A budget of 0 means that floor applies.
 type queueLimit struct{ floor, budget float64 }
 
+// excess returns by how much a queue is longer than the limit, in milliseconds.
+func (l queueLimit) excess(queue, ownPrefill float64) float64 {
+	return min(queue-l.floor, queue-l.budget+ownPrefill)
+}
+
 // queueLimit returns the request's limit. The time that the request has waited counts against
 // its target. A request that can no longer meet its target has the limit of less urgent work, so
 // that it is not held back more than that.
@@ -143,15 +155,14 @@
 // ownPrefill returns the time that an endpoint takes to compute the parts of the prompt that it
 // neither holds nor can fetch, in milliseconds.
 func (d *Dispatcher) ownPrefill(now tables.Instant, r *Request, row *endpointRow, rows []*endpointRow) float64 {
-	tokens := r.PromptTokens
-	if len(r.SharedParts) > 0 {
-		v := d.viewOf(now, r, row.Weights[r.Model], rows)
-		_, endPart := v.sourceFor(now, row, v.cachedParts(row))
-		tokens -= r.sharedPrefixTokens(endPart)
-	}
-	return float64(tokens) / row.currentPrefillRate(now)
+	v := d.viewOf(now, r, row.Weights[r.Model], rows)
+	_, endPart := v.sourceFor(now, row, v.cachedParts(row))
+	return float64(r.PromptTokens-r.sharedPrefixTokens(endPart)) / row.currentPrefillRate(now)
 }
 
+// unsharedTokens returns the length of the prompt without the parts that other requests share.
+func (r *Request) unsharedTokens() float64 { return float64(max(0, r.PromptTokens-r.sharedTokens())) }
+
 // LeastPrefillTime returns the time that an engine of the request's service usually takes to
 // compute the part of the prompt that no other request shares. The whole prefill takes at least
 // as long.
@@ -159,6 +170,5 @@
 	if r.Model == "" {
 		return 0
 	}
-	tokens := float64(max(0, r.PromptTokens-r.sharedTokens()))
-	return time.Duration(tokens / d.averagesOf(r.Service.Name).prefillRate() * float64(time.Millisecond))
+	return time.Duration(r.unsharedTokens() / d.averagesOf(r.Service.Name).prefillRate() * float64(time.Millisecond))
 }
--- a/forward/simulation_test.go
+++ b/forward/simulation_test.go
@@ -33,6 +33,7 @@
 // simulatedRequest is a request in a simulation; its times are 0 if they did not come.
 type simulatedRequest struct {
 	waiter                               waiter
+	instance                             *simulatedInstance
 	dispatch                             dispatch.Request
 	attempt                              *dispatch.Attempt
 	startedAt, firstEventAt, endsAt      tables.Instant
@@ -119,6 +120,7 @@
 	r.waiter.setLimits(s.now, s.dispatch.LeastPrefillTime(&r.dispatch), false)
 	s.requests = append(s.requests, r)
 	instance := s.instances[len(s.requests)%len(s.instances)]
+	r.instance = instance
 	if instance.queue.len() == 0 {
 		if s.place(r) {
 			instance.queue.charge(s.now, &r.waiter)
--- a/forward/waitqueue.go
+++ b/forward/waitqueue.go
@@ -52,8 +52,9 @@
 	// then; 0 if the queue's rate was not known.
 	joinedAt  tables.Instant
 	predicted time.Duration
-	// earliest is the earliest start by the last answer, and notBefore the earliest time of the
-	// next question.
+	// earliest is the earliest start by all answers, and notBefore the earliest time of the next
+	// question. An answer overestimates the wait by what an engine has computed of a prompt, since
+	// a prompt counts in whole until its first event.
 	earliest, notBefore tables.Instant
 	// pending is set while the request waits for another one to compute a part of its prompt.
 	pending bool
@@ -180,7 +181,10 @@
 // full records that the request that was asking found no capacity. wait is the time until there
 // is some; 0 if unknown.
 func (q *waitQueue) full(now tables.Instant, w *waiter, wait time.Duration) {
-	w.pending, w.earliest = false, now+wait
+	w.pending = false
+	if w.earliest == 0 || now+wait < w.earliest {
+		w.earliest = now + wait
+	}
 	if q.asking == w {
 		q.asking = nil
 	}
