Admission: predicted waits where an instance has few waiting requests

The wait of a request was predicted with its own cost over the rate of the queue. Where many instances wait for the same endpoints that rate says how often this instance gets a place, not how many tokens, so a large request would be rejected at an empty queue. The request itself now takes one departure.

--- a/forward/admission.go
+++ b/forward/admission.go
@@ -189,6 +189,7 @@
 		}
 		answer := c.ask(w)
 		if answer.code != 0 {
+			a.update(service, func(_ *serviceQueue, now tables.Instant) { c.endWait(now, w, notPlaceable) })
 			return nil, answer.code
 		}
 		a.update(service, func(q *serviceQueue, now tables.Instant) {
@@ -222,7 +223,7 @@
 		c.waitPredicted = predicted
 		if !joined {
 			q.rejected++
-			c.retryAfter = namedWait(max(predicted, w.earliest-now))
+			c.retryAfter = namedWait(q.retryAfter(now, w))
 			c.endWait(now, w, rejectedOnArrival)
 		}
 	})
--- a/forward/admissionmetrics.go
+++ b/forward/admissionmetrics.go
@@ -19,6 +19,8 @@
 	rejectedOnArrival waitVerdict = "arrival"
 	// rejectedWhileWaiting: the request could no longer be answered within its target.
 	rejectedWhileWaiting waitVerdict = "waiting"
+	// notPlaceable: the request must not be tried again for another reason than capacity.
+	notPlaceable waitVerdict = "failed"
 	// abandoned: the caller left, or its deadline passed.
 	abandoned waitVerdict = "abandoned"
 )
--- a/forward/waitclass.go
+++ b/forward/waitclass.go
@@ -27,9 +27,9 @@
 	// demand is indexed by flow: the decaying cost of the requests that were to join the queue,
 	// with the rejected ones.
 	demand []decayingCost
-	// rate measures the cost that leaves the queue. Requests that are rejected while they wait
+	// rate measures the cost that leaves the queue, and departures the requests. Those that are rejected while they wait
 	// count: those behind them do not wait for them any longer.
-	rate admission.Throughput
+	rate, departures admission.Throughput
 	// placed is the decaying cost that was started.
 	placed decayingCost
 }
@@ -85,7 +85,7 @@
 	o.cost += w.cost()
 	o.costs[w.size()] += w.cost()
 	c.scheduler.Enqueue(w.flow)
-	c.rate.SetQueued(now, true)
+	c.setQueued(now, true)
 }
 
 func (c *waitClass) remove(now tables.Instant, w *waiter) {
@@ -100,7 +100,14 @@
 	if o.queue.Len() == 0 {
 		c.organisations[w.flow] = nil
 	}
-	c.rate.SetQueued(now, c.scheduler.QueueLength() > 0)
+	c.rate.Departed(now, w.cost())
+	c.departures.Departed(now, 1)
+	c.setQueued(now, c.scheduler.QueueLength() > 0)
+}
+
+func (c *waitClass) setQueued(now tables.Instant, queued bool) {
+	c.rate.SetQueued(now, queued)
+	c.departures.SetQueued(now, queued)
 }
 
 // charge counts a started request towards the shares of its organisation, its size and the
--- a/forward/waitqueue.go
+++ b/forward/waitqueue.go
@@ -110,7 +110,7 @@
 func newWaitQueue() *waitQueue {
 	q := &waitQueue{flows: map[string]fairness.Flow{}, waiters: map[*tables.RequestRow]*waiter{}}
 	for i := range q.classes {
-		q.classes[i].rate = admission.NewThroughput(rateWindow)
+		q.classes[i].rate, q.classes[i].departures = admission.NewThroughput(rateWindow), admission.NewThroughput(rateWindow)
 	}
 	return q
 }
@@ -134,9 +134,13 @@
 // predict returns the wait of a request that joins now, and whether the queue's rate is known.
 func (q *waitQueue) predict(now tables.Instant, w *waiter) (time.Duration, bool) {
 	class := q.classOf(w)
-	predicted, measured := time.Duration(0), false
+	// The request itself takes the time between two departures, whatever its size: where many
+	// instances wait for the same endpoints, the rate of this queue is no rate of tokens.
+	own, measured := class.departures.PredictedWait(now, 1)
+	predicted := own
 	for range predictionSteps {
-		predicted, measured = class.rate.PredictedWait(now, class.ahead(now, w, predicted)+w.cost())
+		ahead, _ := class.rate.PredictedWait(now, class.ahead(now, w, predicted))
+		predicted = ahead + own
 	}
 	return predicted, measured
 }
@@ -161,7 +165,6 @@
 		return
 	}
 	delete(q.waiters, &w.row)
-	q.classOf(w).rate.Departed(now, w.cost())
 	q.classOf(w).remove(now, w)
 	if q.asking == w {
 		q.asking = nil
@@ -188,6 +191,9 @@
 	if q.asking == w {
 		q.asking = nil
 	}
+	if now >= q.resumeAt {
+		q.refused = q.refused[:0]
+	}
 	interval := placementRetryInterval
 	if wait > 0 {
 		interval = min(max(wait, minAskInterval), maxAskInterval)
@@ -266,8 +272,11 @@
 }
 
 // retryAfter returns the time after which a request like the rejected one finds capacity: the
-// wait of a request that joins now, or the one that the last answer named.
+// wait of a request that joins now, or else the one that the answers have named.
 func (q *waitQueue) retryAfter(now tables.Instant, w *waiter) time.Duration {
-	predicted, _ := q.predict(now, w)
+	predicted, measured := q.predict(now, w)
+	if !measured {
+		predicted = retryAfterOverload
+	}
 	return max(predicted, w.earliest-now)
 }
