--- a/events/entry.go
+++ b/events/entry.go
@@ -30,5 +30,7 @@
 	EndpointBrittle      = define(1024, zapcore.InfoLevel, "An endpoint announced that it fails if it rejects many requests, or no longer announces it.")
 	SlowdownUnusable     = define(1025, zapcore.WarnLevel, "An endpoint reported a slowdown that cannot be used.")
 	StreamPaused         = define(1026, zapcore.InfoLevel, "A stream paused for longer than its target gap.")
+	ServiceSaturated     = define(1040, zapcore.InfoLevel, "Requests for a service wait for capacity.")
+	ServiceDesaturated   = define(1041, zapcore.InfoLevel, "No request for a service waits for capacity any more.")
 	HeaderUnusable       = define(1021, zapcore.WarnLevel, "A response header of an endpoint has a value that cannot be used as it is.")
 )
--- a/forward/server.go
+++ b/forward/server.go
@@ -111,6 +111,7 @@
 	dispatch      *dispatch.Dispatcher
 	crashDetector *quarantine.Detector
 
+	admission     *admissionControl
 	healthChecker *healthChecker
 	// pauseReports limits the rate of log lines on pauses of streams.
 	pauseReports pauseReports
@@ -142,9 +143,11 @@
 		dispatch:      dispatch.New(o.Dispatch),
 		crashDetector: quarantine.New(quarantine.Options{}),
 		initialized:   make(chan struct{}),
+		admission:     newAdmissionControl(&o),
 	}
 	s.healthChecker = newHealthChecker(s)
 	s.registerGauges(o.Registry)
+	s.registerAdmissionGauges(o.Registry)
 	return s
 }
 
