No latency samples under slowdowns beyond the bounds of their effect

Samples were divided by the bounded factor even if the raw value was outside 25 to 400 percent. The test against a constant 10,000 took no sample and could not fail; a new one sends 100 responses of each kind with 10,000, 401, 24, 1, 400 and 100. The rates and the mean time stay within 1 %.

--- a/dispatch/endpoint_speed.go
+++ b/dispatch/endpoint_speed.go
@@ -65,6 +65,12 @@
 	return 1 + s.excess*slowdownWeights[max(0, now-s.at)/time.Millisecond]
 }
 
+// exceedsEffect reports whether the value in force is outside the bounds of its effect, so that
+// dividing a time by the factor does not give the usual time.
+func (s *slowdown) exceedsEffect(now tables.Instant) bool {
+	return s.isCurrent(now) && (s.percent < usualSlowdown/maxSlowdownEffect || s.percent > usualSlowdown*maxSlowdownEffect)
+}
+
 // currentPrefillRate returns the prefill speed now, in tokens a millisecond.
 func (r *endpointRow) currentPrefillRate(now tables.Instant) float64 {
 	return r.prefillRate / r.slowdown.factor(now)
--- a/dispatch/endpoint_speed_test.go
+++ b/dispatch/endpoint_speed_test.go
@@ -16,8 +16,8 @@
 	return dialect.EndpointLoad{Slots: 8, SlowdownPercent: percent}
 }
 
-// Guards against a wrong value, here a constant 10,000, that excludes an endpoint for good, and
-// against an old value that still counts.
+// Guards against a wrong value that excludes an endpoint, and against an old value that still
+// counts.
 func TestEffectOfASlowdownIsBoundedAndExpires(t *testing.T) {
 	d, _ := newTestDispatcher(1)
 	a := mustPlace(t, d, time.Second, newTestRequest(7))
@@ -37,6 +37,45 @@
 	}
 }
 
+// Guards against a constant wrong value, outside the bounds of its effect, that changes the steady
+// averages and so remains once it has expired. The service also runs at its usual speed.
+func TestConstantWrongSlowdownLeavesTheSteadySpeed(t *testing.T) {
+	generation := newTestRequest(0)
+	generation.SharedParts, generation.Deadline = nil, time.Hour
+	plain := &Request{Service: generation.Service, Route: &routes.Route{}, Deadline: time.Hour}
+	for _, percent := range []int{10_000, 401, 24, 1, 400, 100} {
+		d, _ := newTestDispatcher(1)
+		row := d.endpoints["e0"]
+		steady, steadyTime := row.prefillRate, row.serviceTime
+		// With 400 the answers take 4 times as long, so the samples are those of the usual speed.
+		scale := 1.0
+		if percent == 400 {
+			scale = 4
+		}
+		now := time.Second
+		for range 100 {
+			for _, r := range []*Request{generation, plain} {
+				a := mustPlace(t, d, now, r)
+				took := steadyTime * scale
+				if a.isGeneration {
+					assert.Assert(t, a.prefillTokens >= minSampleTokens, "the attempt must give a sample")
+					took = baseFirstEventTime + a.prefillTokens/steady*scale
+				}
+				now += time.Duration(took * float64(time.Millisecond))
+				d.RecordEndpointLoad(now, a, slowdownOf(percent))
+				d.RecordResponseStart(now, a)
+				d.RecordOutcome(now, a, Completed)
+			}
+		}
+		now += slowdownTTL
+		for name, ratio := range map[string]float64{
+			"rate": row.currentPrefillRate(now) / steady, "time": row.currentServiceTime(now) / steadyTime, "average": row.averages.prefillRate() / steady,
+		} {
+			assert.Assert(t, ratio > 0.99 && ratio < 1.01, "%d: %s %v", percent, name, ratio)
+		}
+	}
+}
+
 // Guards against new work at an endpoint that has just said that it is slowed down, and against
 // endpoints that are left out once the slowdown has ended.
 func TestSlowedEndpointIsAvoidedWhileTheValueCounts(t *testing.T) {
--- a/dispatch/endpoints.go
+++ b/dispatch/endpoints.go
@@ -188,8 +188,12 @@
 }
 
 // recordLatency updates the moving averages with the time to a first event or an answer. A
-// momentary slowdown of the machine does not count.
+// momentary slowdown of the machine does not count. No sample is taken while a slowdown is in force
+// that exceeds the bounds of its effect: a constant wrong value would give a wrong steady rate.
 func (r *endpointRow) recordLatency(a *Attempt, took time.Duration) {
+	if r.slowdown.exceedsEffect(a.startedAt + took) {
+		return
+	}
 	ms := float64(took) / float64(time.Millisecond)
 	slowed := r.slowdown.factor(a.startedAt + took)
 	if !a.isGeneration {
