A slowdown applies to the first 0.6 s of a prefill

The momentary slowdown multiplied the whole prefill time, also of prompts that take far longer than a value is valid: a prompt of 150,000 tokens with 10 s left was rejected for good as too late because of a fresh 250 (that part of the new test without the fix: not placed, too late). endpointRow.prefillTime uses the current rate for the first 0.6 s and the steady rate for the rest. Without a slowdown the quotient is the same, bit for bit (test with 29.7 tokens/ms).

--- a/dispatch/endpoint_speed.go
+++ b/dispatch/endpoint_speed.go
@@ -14,6 +14,7 @@
 	// at 0.35 s, 0.14 at 0.5 s, and none from 0.6 s on.
 	slowdownDecay = 350 * time.Millisecond
 	slowdownTTL   = 600 * time.Millisecond
+	slowdownTTLMs = float64(slowdownTTL / time.Millisecond)
 	// usualSlowdown is the value in percent of a machine at its usual speed, and
 	// slowedThreshold the one above which an endpoint counts as slowed in the metrics.
 	usualSlowdown   = 100
@@ -76,6 +77,19 @@
 	return r.prefillRate / r.slowdown.factor(now)
 }
 
+// prefillTime returns how long the prefill of a number of tokens takes that begins now, in
+// milliseconds: at the current speed while a slowdown says something, and at the steady one after
+// that. A long prompt would otherwise be rejected as too late because of a slowdown that lasts for
+// a small part of its prefill.
+func (r *endpointRow) prefillTime(now tables.Instant, tokens float64) float64 {
+	current := r.currentPrefillRate(now)
+	took := tokens / current
+	if current == r.prefillRate || took <= slowdownTTLMs {
+		return took
+	}
+	return slowdownTTLMs + (tokens-slowdownTTLMs*current)/r.prefillRate
+}
+
 // currentServiceTime returns the mean time of a plain call now, in milliseconds.
 func (r *endpointRow) currentServiceTime(now tables.Instant) float64 {
 	return r.serviceTime * r.slowdown.factor(now)
--- a/dispatch/endpoint_speed_test.go
+++ b/dispatch/endpoint_speed_test.go
@@ -76,6 +76,29 @@
 	}
 }
 
+// Guards against a long prompt that is rejected as too late because of a slowdown that ends long
+// before its prefill does, and against expected times that change without a slowdown.
+func TestSlowdownAppliesToAPrefillOnlyWhileItCounts(t *testing.T) {
+	d, _ := newTestDispatcher(1)
+	row := d.endpoints["e0"]
+	row.prefillRate = 29.7 // a rate with which products and quotients are rounded
+	for _, tokens := range []float64{0, 1, 333, 150_000} {
+		assert.Equal(t, row.prefillTime(time.Second, tokens), tokens/row.prefillRate)
+	}
+	for _, percent := range []int{250, 50} {
+		d.recordSlowdown(time.Second, row, percent)
+		current := row.currentPrefillRate(time.Second)
+		assert.Equal(t, row.prefillTime(time.Second, 300*current), 300*current/current)
+		assert.Equal(t, row.prefillTime(time.Second, 600*current+1000*row.prefillRate), 1600.0)
+	}
+	long := newTestRequest(0)
+	long.Service = &routes.Service{Name: "models", Slots: 8, KVCapacityTokens: 400_000}
+	long.SharedParts, long.PromptTokens, long.Deadline = nil, 150_000, 11*time.Second
+	d.recordSlowdown(time.Second, row, 250)
+	a := mustPlace(t, d, time.Second, long)
+	assert.Assert(t, a.ExpectedLatency > 5*time.Second && a.ExpectedLatency < 6*time.Second, "%v", a.ExpectedLatency)
+}
+
 // Guards against new work at an endpoint that has just said that it is slowed down, and against
 // endpoints that are left out once the slowdown has ended.
 func TestSlowedEndpointIsAvoidedWhileTheValueCounts(t *testing.T) {
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -150,7 +150,7 @@
 		return false
 	}
 	delay := milliseconds(c.readyAt - now)
-	prefill := float64(c.recomputedTokens) / c.row.currentPrefillRate(now)
+	prefill := c.row.prefillTime(now, float64(c.recomputedTokens))
 	addedLateness := r.latenessCost(now, delay+max(0, c.wait-prefill)) - r.latenessCost(now, c.wait)
 	return addedLateness < recomputeCost*float64(c.recomputedTokens)
 }
@@ -265,7 +265,7 @@
 		c.wait = milliseconds(c.row.linkBusyFor(now)) + c.transfer
 	}
 	c.uncachedTokens = float64(r.PromptTokens - availableTokens)
-	c.wait += baseFirstEventTime + (c.row.queuedPrefill(now)+c.uncachedTokens)/c.row.currentPrefillRate(now)
+	c.wait += baseFirstEventTime + c.row.prefillTime(now, c.row.queuedPrefill(now)+c.uncachedTokens)
 	c.cost = r.latenessCost(now, c.wait) + copyCost*float64(availableTokens-cachedTokens) + d.staleWeightsCost(now, r, c.row) + d.pauseCost(now, r, c)
 	if recomputed := max(0, v.heldTokens-availableTokens); recomputed > 0 {
 		c.recomputedTokens, c.readyAt = recomputed, v.readyAt
