A slowdown is reported without another change at the endpoint

recordSlowdown did not mark the row dirty, so a scheduler reported a value only if something else changed there while the value was valid. A usable value now marks the row unless a remote scheduler has placed the attempt, which reports it. New test, without the fix: no report. slowdown.firstHand is renamed to ownAttempt, since it also covers values that an asking instance passes on.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -359,7 +359,7 @@
 // RecordEndpointLoad records the load that an endpoint reported in an answer.
 func (d *Dispatcher) RecordEndpointLoad(now tables.Instant, a *Attempt, load dialect.EndpointLoad) {
 	a.row.recordLoad(now, load)
-	d.recordSlowdown(now, a.row, load.SlowdownPercent)
+	d.RecordSlowdown(now, a, load.SlowdownPercent)
 }
 
 // RecordServedVersion records that an endpoint has shown to serve a version of a model's
--- a/dispatch/endpoint_speed.go
+++ b/dispatch/endpoint_speed.go
@@ -37,13 +37,13 @@
 // slowdown is the latest known slowdown of an endpoint's machine, a last-writer-wins register
 // that instances exchange. percent is how long work took at the given time, 100 as usual; 0 if
 // no value is known. excess is how much longer work took, as a fraction of the usual time, within
-// the bounds of its effect. firstHand is set for a value of a response to an attempt that this
-// instance made or placed.
+// the bounds of its effect. ownAttempt is set for a value of a response to an attempt that this
+// instance made, or placed for another instance which has passed the value on.
 type slowdown struct {
-	percent   int
-	excess    float64
-	at        tables.Instant
-	firstHand bool
+	percent    int
+	excess     float64
+	at         tables.Instant
+	ownAttempt bool
 }
 
 // newSlowdown returns the slowdown that was observed at the given time.
@@ -95,13 +95,23 @@
 	return r.serviceTime * r.slowdown.factor(now)
 }
 
-// recordSlowdown records the slowdown in percent that an endpoint named in a response. Values
-// that are not valid are ignored.
-func (d *Dispatcher) recordSlowdown(now tables.Instant, row *endpointRow, percent int) {
-	if d.noteSlowdown(row.Service, percent) {
+// RecordSlowdown records the slowdown in percent that an endpoint named in its response to an
+// attempt. Values that are not valid are ignored. A change is reported unless a remote scheduler
+// has placed the attempt, which reports it itself.
+func (d *Dispatcher) RecordSlowdown(now tables.Instant, a *Attempt, percent int) {
+	if d.recordSlowdown(now, a.row, percent) && !a.remotelyPlaced {
+		d.markDirty(a.row)
+	}
+}
+
+// recordSlowdown records the slowdown that an endpoint named, and reports whether it is valid.
+func (d *Dispatcher) recordSlowdown(now tables.Instant, row *endpointRow, percent int) bool {
+	valid := d.noteSlowdown(row.Service, percent)
+	if valid {
 		row.slowdown = newSlowdown(percent, now)
-		row.slowdown.firstHand = true
+		row.slowdown.ownAttempt = true
 	}
+	return valid
 }
 
 // mergeSlowdown applies the slowdown that another instance has reported; the later observation
@@ -124,11 +134,11 @@
 	return true
 }
 
-// addSlowdown adds to a load report what this instance has itself observed. Observations that
-// others have reported are not passed on: their age does not include the time that reports
+// addSlowdown adds to a load report the slowdown that a response to an attempt of this instance
+// named. Slowdowns of others' load reports are not passed on: their age does not include the time that reports
 // take, so a value that instances pass to and fro would never expire.
 func (r *endpointRow) addSlowdown(now tables.Instant, l *LoadReport) {
-	if r.slowdown.firstHand && r.slowdown.isCurrent(now) {
+	if r.slowdown.ownAttempt && r.slowdown.isCurrent(now) {
 		l.SlowdownPercent, l.SlowdownAge = r.slowdown.percent, now-r.slowdown.at
 	}
 }
--- a/dispatch/endpoint_speed_test.go
+++ b/dispatch/endpoint_speed_test.go
@@ -158,3 +158,23 @@
 	two.ApplyLoadReport(now, "later", LoadReport{Endpoint: "e0", SlowdownPercent: 100, SlowdownAge: 10 * time.Millisecond})
 	assert.Equal(t, two.endpoints["e0"].slowdown.percent, 100)
 }
+
+// Guards against a slowdown that is not reported because nothing else changes at the endpoint, and
+// against one that the scheduler and the instance which it has placed for both report.
+func TestSlowdownIsReportedByTheInstanceThatPlaced(t *testing.T) {
+	scheduler, _ := newTestDispatcher(1)
+	sender, _ := newTestDispatcher(1)
+	placed := mustPlace(t, scheduler, time.Second, newTestRequest(0))
+	accepted := sender.AcceptDecision(time.Second, newTestRequest(0), placed.Decision(time.Second))
+	scheduler.TakeLoadReports(time.Second)
+	sender.TakeLoadReports(time.Second)
+	now := time.Second + 10*time.Millisecond
+	scheduler.RecordSlowdown(now, placed, 10_001)
+	assert.Equal(t, len(scheduler.TakeLoadReports(now)), 0, "an unusable value is no change")
+	scheduler.RecordSlowdown(now, placed, 250)
+	sender.RecordEndpointLoad(now, accepted, slowdownOf(250))
+	reports := scheduler.TakeLoadReports(now)
+	assert.Equal(t, len(reports), 1)
+	assert.Equal(t, reports[0].SlowdownPercent, 250)
+	assert.Equal(t, len(sender.TakeLoadReports(now)), 0)
+}
