Schedulers apply only the slowdown of a reported load

A scheduler that got AttemptProgress.load also applied running and waiting. Deployments whose endpoints report three values send it nothing, so its estimate of unreported requests depended on whether a slowdown is named. The method of schedule.Placer is now AttemptSlowdownReported(a, percent). The extended test fails with the earlier behaviour: the second request finds the endpoint full.

--- a/forward/endpointload.go
+++ b/forward/endpointload.go
@@ -23,19 +23,21 @@
 	if !ok {
 		return
 	}
-	s.AttemptLoadReported(a.placement, load)
+	s.mu.Lock()
+	s.dispatch.RecordEndpointLoad(s.options.Now(), a.placement, load)
+	s.mu.Unlock()
 	a.assignment.NotifyLoad(load)
 	if load.SlowdownUnusable {
 		a.reportUnusableSlowdown(text)
 	}
 }
 
-// AttemptLoadReported records the load that an endpoint named in its response to an attempt. It
-// implements schedule.Placer.
-func (s *Server) AttemptLoadReported(a *dispatch.Attempt, load dialect.EndpointLoad) {
+// AttemptSlowdownReported records the slowdown that an endpoint named in its response to an attempt
+// of another instance. It implements schedule.Placer.
+func (s *Server) AttemptSlowdownReported(a *dispatch.Attempt, percent int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.dispatch.RecordEndpointLoad(s.options.Now(), a, load)
+	s.dispatch.RecordSlowdown(s.options.Now(), a, percent)
 }
 
 // unusableSlowdownInterval is the minimum time between two log lines about unusable slowdowns.
--- a/schedule/load.go
+++ b/schedule/load.go
@@ -20,9 +20,3 @@
 		Running: uint32(l.Running), Waiting: uint32(l.Waiting), Slots: uint32(l.Slots), SlowdownPercent: uint32(l.SlowdownPercent),
 	}
 }
-
-func decodeLoad(l *rpc.EndpointLoadAnswer) dialect.EndpointLoad {
-	return dialect.EndpointLoad{
-		Running: int(l.GetRunning()), Waiting: int(l.GetWaiting()), Slots: int(l.GetSlots()), SlowdownPercent: int(l.GetSlowdownPercent()),
-	}
-}
--- a/schedule/load_test.go
+++ b/schedule/load_test.go
@@ -13,10 +13,11 @@
 )
 
 // Guards against a scheduler that does not know the slowdown of the endpoints at which it has
-// placed attempts for others, against a lost message that changes anything else, and against
+// placed attempts for others, against one whose estimate of unreported requests depends on whether
+// endpoints name a slowdown, against a lost message that changes anything else, and against
 // messages about loads without a slowdown.
 func TestSchedulerReportsTheSlowdownOfItsAttempts(t *testing.T) {
-	load := dialect.EndpointLoad{Running: 2, Waiting: 1, Slots: 4}
+	load := dialect.EndpointLoad{Running: 3, Waiting: 2, Slots: 4}
 	for _, lost := range []bool{false, true} {
 		p := newDispatcherPlacer(1)
 		z := newTestZone(func() tables.Instant { return p.now }, p)
@@ -43,5 +44,14 @@
 		assert.Equal(t, report.Running, 1)
 		assert.Equal(t, report.SlowdownPercent, want.SlowdownPercent, "lost: %t", lost)
 		assert.Equal(t, report.SlowdownAge, want.SlowdownAge, "lost: %t", lost)
+		second, reason := p.dispatch.Place(p.now, generationRequest(p, 2))
+		assert.Assert(t, second != nil, "%s", reason)
+		assert.Equal(t, second.Rationale.OtherAttempts, 0, "lost: %t", lost)
+	}
+}
+
+func decodeLoad(l *rpc.EndpointLoadAnswer) dialect.EndpointLoad {
+	return dialect.EndpointLoad{
+		Running: int(l.GetRunning()), Waiting: int(l.GetWaiting()), Slots: int(l.GetSlots()), SlowdownPercent: int(l.GetSlowdownPercent()),
 	}
 }
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -10,7 +10,6 @@
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
-	"github.com/carawaystile/carawaystile/dialect"
 	"github.com/carawaystile/carawaystile/dispatch"
 	"github.com/carawaystile/carawaystile/fleet"
 	"github.com/carawaystile/carawaystile/parts"
@@ -64,8 +63,8 @@
 	p.dispatch.RecordResponseStart(p.now, a)
 }
 
-func (p *dispatcherPlacer) AttemptLoadReported(a *dispatch.Attempt, load dialect.EndpointLoad) {
-	p.dispatch.RecordEndpointLoad(p.now, a, load)
+func (p *dispatcherPlacer) AttemptSlowdownReported(a *dispatch.Attempt, percent int) {
+	p.dispatch.RecordSlowdown(p.now, a, percent)
 }
 
 func (p *dispatcherPlacer) AttemptEnded(a *dispatch.Attempt, how dispatch.Outcome) {
--- a/schedule/server.go
+++ b/schedule/server.go
@@ -4,7 +4,6 @@
 	"sync"
 	"time"
 
-	"github.com/carawaystile/carawaystile/dialect"
 	"github.com/carawaystile/carawaystile/dispatch"
 	"github.com/carawaystile/carawaystile/routes"
 	"github.com/carawaystile/carawaystile/rpc"
@@ -21,9 +20,9 @@
 	PlaceRequest(r *dispatch.Request) (*dispatch.Attempt, dispatch.RejectReason)
 	// AttemptStarted notes that the endpoint has started to process the attempt.
 	AttemptStarted(a *dispatch.Attempt)
-	// AttemptLoadReported records the load that the endpoint named in its response to the
-	// attempt.
-	AttemptLoadReported(a *dispatch.Attempt, load dialect.EndpointLoad)
+	// AttemptSlowdownReported records the slowdown in percent, 100 as usual, that the endpoint
+	// named in its response to the attempt. Values that are not valid are ignored.
+	AttemptSlowdownReported(a *dispatch.Attempt, percent int)
 	// AttemptEnded stops counting the attempt.
 	AttemptEnded(a *dispatch.Attempt, how dispatch.Outcome)
 }
@@ -96,9 +95,11 @@
 	if !found {
 		return
 	}
-	// The load comes first, since the slowdown corrects the sample of the latency.
+	// The slowdown comes first, since it corrects the sample of the latency. The other values
+	// of the load are not used: endpoints without a slowdown report nothing here, and the
+	// estimate of unreported requests must not depend on whether one is named.
 	if load := p.GetLoad(); load != nil {
-		s.placer.AttemptLoadReported(tracked.attempt, decodeLoad(load))
+		s.placer.AttemptSlowdownReported(tracked.attempt, int(load.GetSlowdownPercent()))
 	}
 	if p.GetBegan() {
 		s.placer.AttemptStarted(tracked.attempt)
