The pause before a stream's abort is recorded

Pauses were recorded only when the next event arrived, so the worst ones, which end in an abort, were in neither the histogram nor event 1026. The pause now ends before the end of the stream is logged: when the stream is aborted, its deadline passes, or its client leaves while the instance waits for an event. A write that fails ends no pause, since the client caused it. New test, without the fix: no event 1026 in any of the cases tried (it stops at the first).

--- a/forward/failure.go
+++ b/forward/failure.go
@@ -37,6 +37,7 @@
 // response if there is one, or else an error that says whether the work may have run.
 func (c *clientRequest) finishFailed(code tables.ErrorCode) {
 	if c.r.Context().Err() != nil {
+		c.endPause()
 		c.abortDisconnected(c.r.Context().Err())
 		return
 	}
@@ -122,6 +123,7 @@
 // response for a complete one.
 func (c *clientRequest) abortStream() {
 	c.finished = true
+	c.endPause()
 	c.server.metrics.countFailed(c, tables.CodeStreamBroken, tables.OutcomeUnknown)
 	events.StreamAborted.Log(c.server.log, append(c.logFields(), zap.NamedError("cause", c.lastErr))...)
 	panic(http.ErrAbortHandler)
--- a/forward/streampauses.go
+++ b/forward/streampauses.go
@@ -27,7 +27,8 @@
 // pause is a pause between two events of a stream.
 type pause struct {
 	duration time.Duration
-	// event is the number of the event that ended the pause, counted from 1 in the response.
+	// event is the number of the event that ended the pause, counted from 1 in the response, or
+	// of the missing event if the stream has ended without it.
 	event int
 	// beside counts the prompt tokens that were placed at the endpoint and had no first event
 	// when the pause began, as far as known.
@@ -41,7 +42,7 @@
 	p.beganAt, p.endpoint, p.queued = a.request.now(), a.placement.Endpoint.ID, a.queuedPrefill
 }
 
-// endPause notes that the event after a pause has arrived.
+// endPause notes that the event after a pause has arrived, or that the stream ends without it.
 func (c *clientRequest) endPause() {
 	p := &c.pauses
 	if p.events == 0 {
--- a/forward/streampauses_test.go
+++ b/forward/streampauses_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -59,6 +60,56 @@
 	}
 }
 
+// Guards against the worst pauses missing in the record: those that no event ends, because the
+// engine crashes, the deadline passes or the client leaves.
+func TestPauseBeforeAnAbortIsRecorded(t *testing.T) {
+	for name, crash := range map[string]bool{"crash": true, "deadline": false, "client": false} {
+		h := newHarness(t, func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("X-Signature", "s")
+			w.Header().Set("Content-Type", "text/event-stream")
+			for range 2 {
+				_, _ = io.WriteString(w, "data: t\n\n")
+				_ = http.NewResponseController(w).Flush()
+			}
+			if crash {
+				time.Sleep(200 * time.Millisecond)
+				panic(http.ErrAbortHandler)
+			}
+			<-r.Context().Done()
+		})
+		registry := metrics.NewRegistry()
+		core, logged := observer.New(zapcore.InfoLevel)
+		h.server.metrics, h.server.log = newRequestMetrics(registry), zap.New(core)
+		h.configure(t, initialRevision+1, func(c *routes.Configuration) {
+			for i := range c.Routes {
+				c.Routes[i].TargetEventGap = 100 * time.Millisecond
+			}
+		})
+		deadline := "5000"
+		if name == "deadline" {
+			deadline = "300"
+		}
+		resp := h.send(t, "POST", "/stream/x", "", "X-Model", "m", "X-Tokens", "100,10", "X-Deadline", deadline)
+		if name == "client" {
+			time.Sleep(200 * time.Millisecond)
+			_ = resp.Body.Close()
+		} else {
+			_, err := io.ReadAll(resp.Body)
+			assert.Assert(t, err != nil, name)
+		}
+		assert.NilError(t, h.server.Drain(t.Context()))
+		paused := logged.FilterField(zap.Uint16("event", uint16(events.StreamPaused.Number))).All()
+		assert.Equal(t, len(paused), 1, name)
+		assert.Equal(t, paused[0].ContextMap()["pause_at"], int64(3), name)
+		var text strings.Builder
+		assert.NilError(t, registry.WriteText(&text))
+		_, after, _ := strings.Cut(text.String(), `carawaystile_stream_longest_pause_seconds_sum{class="urgent"} `)
+		value, _, _ := strings.Cut(after, "\n")
+		longest, err := strconv.ParseFloat(value, 64)
+		assert.Assert(t, err == nil && longest > 0.1, "%s: %s", name, value)
+	}
+}
+
 // Guards against pauses at one endpoint that hide those at another, and against lost counts of
 // the pauses that were not logged.
 func TestPausesAreLoggedOnceASecondForEachEndpoint(t *testing.T) {
