The byte limit of hints counts loads with a slowdown and streams

bytesPerHint was 32. The largest usual load takes 38 bytes with the fields slowdown_percent, slowdown_age_ms and streams (proto.Size, in the test, which fails with 32).

--- a/control/gossip/hint_queue.go
+++ b/control/gossip/hint_queue.go
@@ -17,9 +17,12 @@
 	// instance sends, summed over all receivers. It is a third of what control
 	// traffic may cost at the target size of a deployment.
 	DefaultHintBytesPerSecond = 10_000
-	// bytesPerHint is the approximate encoded size of one hint, and
-	// datagramOverheadBytes that of a datagram without hints.
-	bytesPerHint          = 32
+	// bytesPerHint is the encoded size of the largest usual hint: the load of an
+	// endpoint with an identity of 13 bytes, a prompt queue of 150,000 tokens, a busy
+	// link and a slowdown. A smaller figure would let instances exceed the byte limit
+	// when endpoints are busy. A rate limit, notice or absence is rare and adds to it.
+	bytesPerHint = 38
+	// datagramOverheadBytes is the approximate encoded size of a datagram without hints.
 	datagramOverheadBytes = 80
 	// burstWindow is the capacity of the token bucket, as the time in which it
 	// fills at the configured rate.
--- a/control/gossip/hint_queue_test.go
+++ b/control/gossip/hint_queue_test.go
@@ -5,8 +5,10 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
+	"github.com/carawaystile/carawaystile/rpc"
 	"github.com/carawaystile/carawaystile/systems/membership"
 	"github.com/carawaystile/carawaystile/tables"
 )
@@ -52,6 +54,17 @@
 	assert.Assert(t, sent <= maxBytes && sent > maxBytes/2, "sent %d bytes, the limit is %d", sent, maxBytes)
 }
 
+// Guards against loads that take more bytes than the byte limit counts, for example after a field
+// is added.
+func TestLargestUsualLoadFitsTheCountedSize(t *testing.T) {
+	load := &rpc.EndpointLoad{
+		Endpoint: "engine-b-1100", Running: 64, Tokens: 400_000, Prefill: 150_000, LinkMs: 400,
+		SlowdownPercent: 10_000, SlowdownAgeMs: 599, Streams: 64,
+	}
+	size := proto.Size(&rpc.Datagram{Loads: []*rpc.EndpointLoad{load}})
+	assert.Assert(t, size <= bytesPerHint && size > bytesPerHint*9/10, "%d bytes, counted as %d", size, bytesPerHint)
+}
+
 // Guards against hint traffic that grows with the size of the group. With 30
 // instances in a zone and a send in every interval, receiving datagrams would cost
 // them more than serving requests.
