The cost of pauses counts scheduled prompts once

pauseCost used queuedPrefill, in which a prompt that a scheduler has placed for this instance counts twice, in the own row and in the scheduler's report. It uses the corrected backlog of QueuedPrefill now; queuedPrefill is as it was. New test, without the fix: the cost of a long prompt is 0. Renamed: pauseTerms.lateCost, which has the name of a constant, and the local twice.

--- a/dispatch/stream_counts_test.go
+++ b/dispatch/stream_counts_test.go
@@ -35,6 +35,25 @@
 	assert.Assert(t, r.latenessCost(0, 700)-waitCost*700-lateCost*400*lateProbability(700/(lateMidpoint*400)) < 1e-6, "the curve of latenessCost")
 }
 
+// Guards against a prompt that a scheduler has placed for this instance and that counts as two: the
+// pause of the streams there would seem to last for a whole event already, and a long prompt would
+// cost nothing.
+func TestPauseCostCountsAScheduledPromptOnce(t *testing.T) {
+	const backlog = 6_000 // above half of the tokens between two events
+	d, _ := newTestDispatcher(1)
+	d.options.Capacity.StreamPauses = On
+	row := d.endpoints["e0"]
+	row.averages.streams.observe(0, newPromptRequest(0, streamRoute, 260))
+	long := newPromptRequest(0, promptRoute, backlog)
+	assert.Assert(t, d.AcceptDecision(0, long, Decision{Endpoint: "e0", WeightsVersion: 1, UncachedTokens: backlog}) != nil)
+	d.ApplyLoadReport(0, "scheduler", LoadReport{Endpoint: "e0", Running: 9, Streams: 8, PrefillTokens: backlog})
+	d.decisions++
+	cost := d.pauseCost(0, long, &candidate{row: row, uncachedTokens: 14_000})
+	assert.Equal(t, cost, costBeside(On, 8, backlog, 14_000))
+	assert.Assert(t, cost > 0)
+	assert.Equal(t, row.queuedPrefill(0), 2.0*backlog, "other decisions are as before")
+}
+
 // Guards against streams that count twice, at the scheduler and at the sender, and against
 // streams that stay counted: after their end, a lost report, a scheduler that was killed or cut
 // off, or one that froze and reports an earlier state again.
--- a/dispatch/stream_pauses.go
+++ b/dispatch/stream_pauses.go
@@ -94,10 +94,14 @@
 // QueuedPrefill returns the prompt tokens that were placed at the attempt's endpoint and have
 // no first event yet, as far as known.
 func (d *Dispatcher) QueuedPrefill(now tables.Instant, a *Attempt) int {
-	r := a.row
-	// The schedulers' reports contain what they have placed for this instance.
-	twice := min(r.remotelyPlaced.prefillTokens, float64(r.reported.prefillTokens))
-	return int(max(0, r.queuedPrefill(now)-twice))
+	return int(a.row.deduplicatedPrefill(now))
+}
+
+// deduplicatedPrefill returns the prefill queue without the prompts that queuedPrefill counts
+// twice: schedulers' reports contain what they have placed for this instance.
+func (r *endpointRow) deduplicatedPrefill(now tables.Instant) float64 {
+	duplicates := min(r.remotelyPlaced.prefillTokens, float64(r.reported.prefillTokens))
+	return max(0, r.queuedPrefill(now)-duplicates)
 }
 
 // pauseTerms are the terms of pauseCost that are equal for all candidates of a placement.
@@ -105,9 +109,9 @@
 	// decision is the placement for which the terms hold.
 	decision uint64
 	enabled  bool
-	// lateCost is the cost of one late stream, and midpoint the pause at which a stream is
+	// lateStreamCost is the cost of one late stream, and midpoint the pause at which a stream is
 	// late with probability one half, both in milliseconds.
-	lateCost, midpoint float64
+	lateStreamCost, midpoint float64
 	// eventTokens is the largest number of prompt tokens that are computed between two events.
 	eventTokens float64
 }
@@ -123,7 +127,7 @@
 		return terms
 	}
 	terms.enabled = true
-	terms.lateCost = lateCost * milliseconds(cmp.Or(targets.latency, targets.gap))
+	terms.lateStreamCost = lateCost * milliseconds(cmp.Or(targets.latency, targets.gap))
 	terms.midpoint = lateMidpoint * milliseconds(targets.gap)
 	terms.eventTokens = float64(cmp.Or(r.Service.EventStride, defaultEventStride) * cmp.Or(r.Service.PrefillChunk, defaultPrefillChunk))
 	return terms
@@ -148,14 +152,14 @@
 	if !terms.enabled {
 		return 0
 	}
-	backlog := c.row.queuedPrefill(now)
+	backlog := c.row.deduplicatedPrefill(now)
 	if backlog >= terms.eventTokens {
 		return 0
 	}
 	scale := 1 / (c.row.currentPrefillRate(now) * terms.midpoint)
 	before := lateProbability(backlog * scale)
 	after := lateProbability(min(backlog+c.uncachedTokens, terms.eventTokens) * scale)
-	return float64(streams) * terms.lateCost * (after - before)
+	return float64(streams) * terms.lateStreamCost * (after - before)
 }
 
 // lateProbability returns the probability that a wait makes a response late, by the curve of
