Streams without a target gap do not count as running streams

They counted if they were placed locally but not at a scheduler. A pause cannot make them late, so a target gap is required in both cases. New test, without the fix: 1 instead of 0 where the stream is placed locally.

--- a/dispatch/stream_counts_test.go
+++ b/dispatch/stream_counts_test.go
@@ -100,3 +100,18 @@
 	targets.observe(strict.Deadline+1, lax)
 	assert.Equal(t, targets.gap, time.Second)
 }
+
+// Guards against streams without a target gap, which no pause makes late, that count where they are
+// placed locally and so keep long prompts away.
+func TestStreamsWithoutATargetGapDoNotCount(t *testing.T) {
+	for _, remote := range []bool{false, true} {
+		for gap, want := range map[time.Duration]int{0: 0, time.Second: 1} {
+			d, _ := newTestDispatcher(1)
+			r := newPromptRequest(0, &routes.Route{Kind: routes.Stream, TargetEventGap: gap}, 260)
+			r.Remote = remote
+			d.RecordResponseStart(time.Second, mustPlace(t, d, 0, r))
+			assert.Equal(t, d.endpoints["e0"].runningStreams(), want, "remote: %t, gap: %v", remote, gap)
+			assert.Equal(t, d.TakeLoadReports(time.Second)[0].Streams, want)
+		}
+	}
+}
--- a/dispatch/stream_pauses.go
+++ b/dispatch/stream_pauses.go
@@ -20,8 +20,8 @@
 	defaultPrefillChunk = 2048
 )
 
-// streamCounts counts the streams of this instance's attempts at an endpoint that have sent an
-// event and have not ended. remotelyPlaced is the part that remote schedulers have placed and
+// streamCounts counts the streams with a target gap of this instance's attempts at an endpoint that
+// have sent an event and have not ended. remotelyPlaced is the part that remote schedulers have placed and
 // report.
 type streamCounts struct {
 	own, remotelyPlaced int
@@ -37,10 +37,11 @@
 	return max(r.streams.own, r.streams.reportedStreams()+r.reported.streams)
 }
 
-// isStream reports whether the response is a stream. A request of another instance does not
-// name the kind of its route, and streams without a target gap cannot be told apart there.
+// isStream reports whether the response is a stream with a target gap. Other streams do not count,
+// since a pause cannot make them late. A request of another instance does not name the kind of its
+// route.
 func (r *Request) isStream() bool {
-	return r.Model != "" && (r.Route.Kind == routes.Stream || r.Remote && r.Route.TargetEventGap > 0)
+	return r.Model != "" && r.Route.TargetEventGap > 0 && (r.Remote || r.Route.Kind == routes.Stream)
 }
 
 // streamTargets are the targets of the streams of a service with the smallest known target gap.
