The prompts beside a stream do not contain its own

From the first event of a scheduled stream until the next report of its scheduler, the prompt was no longer in the own count but still in the report, so beside contained it. Decision.Scheduler, which the asking instance sets, names the instance whose report is meant; the tokens are subtracted if that report arrived between the placement and the first event. Ruled out: searching the reports for one that is large enough, which takes those of others for the scheduler's. New test, without the fix: 14,900 instead of 14,000.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -154,8 +154,12 @@
 	prefillTokens   float64
 	queuedPrefill   float64
 	responseStarted bool
-	ended           bool
-	isGeneration    bool
+	// respondedAt is when the response started, and scheduler the remote scheduler that placed
+	// the attempt; empty for none.
+	respondedAt  tables.Instant
+	scheduler    tables.InstanceID
+	ended        bool
+	isGeneration bool
 	// isStream is set if the response is a stream of events.
 	isStream bool
 	// isProbe is set while the attempt counts as the probe of a half-open endpoint.
@@ -280,7 +284,7 @@
 	if a.responseStarted || a.ended {
 		return
 	}
-	a.responseStarted = true
+	a.responseStarted, a.respondedAt = true, now
 	a.countStream()
 	a.endProbe()
 	d.releaseUnconfirmed(now, a)
--- a/dispatch/remote.go
+++ b/dispatch/remote.go
@@ -21,6 +21,9 @@
 	// Limit is the scheduler's knowledge of the endpoint's rate limit; nil if it has
 	// none.
 	Limit *RateLimitReport
+	// Scheduler is the instance that has made the placement. It is not part of an answer; the
+	// instance that asked sets it.
+	Scheduler tables.InstanceID
 }
 
 // Decision returns the attempt in the form that is sent to the instance that received the
@@ -83,6 +86,7 @@
 		Relayed:         !row.reachableOver(now, direct),
 		isGeneration:    true,
 		remotelyPlaced:  true,
+		scheduler:       chosen.Scheduler,
 	}
 	a.markStream(now, r)
 	d.nameAvoided(now, &a.Rationale, row.Service)
--- a/dispatch/stream_counts_test.go
+++ b/dispatch/stream_counts_test.go
@@ -115,3 +115,26 @@
 		}
 	}
 }
+
+// Guards against a stream's own prompt among those beside it, because the report of the scheduler that
+// placed the stream contains the prompt until the next one.
+func TestOwnPromptIsNotQueuedBesideItsStream(t *testing.T) {
+	sender, _ := newTestDispatcher(1)
+	stream := newPromptRequest(0, streamRoute, 900)
+	chosen := Decision{Endpoint: "e0", WeightsVersion: 1, UncachedTokens: 900, Scheduler: "s"}
+	sender.ApplyLoadReport(time.Second, "other", LoadReport{Endpoint: "e0", Running: 1, PrefillTokens: 14_000})
+	a := sender.AcceptDecision(time.Second, stream, chosen)
+	now := time.Second + 20*time.Millisecond
+	sender.ApplyLoadReport(now, "s", LoadReport{Endpoint: "e0", Running: 1, PrefillTokens: 900})
+	assert.Equal(t, sender.QueuedPrefill(now, a), 14_900)
+	now += 50 * time.Millisecond
+	sender.RecordResponseStart(now, a)
+	assert.Equal(t, sender.QueuedPrefill(now, a), 14_000, "the report contains the prompt")
+	now += 20 * time.Millisecond
+	sender.ApplyLoadReport(now, "s", LoadReport{Endpoint: "e0", Running: 2, PrefillTokens: 700})
+	assert.Equal(t, sender.QueuedPrefill(now, a), 14_700, "the report contains another prompt")
+
+	missing := sender.AcceptDecision(now+1, stream, chosen)
+	sender.RecordResponseStart(now+2, missing)
+	assert.Equal(t, sender.QueuedPrefill(now+2, missing), 14_700, "the report with the prompt is lost")
+}
--- a/dispatch/stream_pauses.go
+++ b/dispatch/stream_pauses.go
@@ -95,7 +95,20 @@
 // QueuedPrefill returns the prompt tokens that were placed at the attempt's endpoint and have
 // no first event yet, as far as known.
 func (d *Dispatcher) QueuedPrefill(now tables.Instant, a *Attempt) int {
-	return int(a.row.deduplicatedPrefill(now))
+	return int(max(0, a.row.deduplicatedPrefill(now)-a.reportedPrefill()))
+}
+
+// reportedPrefill returns the attempt's own prompt tokens if its response has started and the
+// latest report of the scheduler that placed it still contains them; zero otherwise.
+func (a *Attempt) reportedPrefill() float64 {
+	if !a.remotelyPlaced || !a.responseStarted {
+		return 0
+	}
+	report, known := a.row.reported.byInstance[a.scheduler]
+	if !known || report.receivedAt < a.startedAt || report.receivedAt > a.respondedAt {
+		return 0
+	}
+	return min(a.prefillTokens, float64(report.PrefillTokens))
 }
 
 // deduplicatedPrefill returns the prefill queue without the prompts that queuedPrefill counts
--- a/schedule/client.go
+++ b/schedule/client.go
@@ -86,8 +86,10 @@
 		}
 		answer, number := c.askScheduler(ctx, scheduler, r)
 		if answer.GetReady() {
+			choice := decodeDecision(answer)
+			choice.Scheduler = scheduler.Instance
 			return &Assignment{
-				Choice: decodeDecision(answer), Reason: dispatch.RejectReason(answer.GetReason()),
+				Choice: choice, Reason: dispatch.RejectReason(answer.GetReason()),
 				client: c, scheduler: scheduler.Address, number: number,
 			}
 		}
--- a/schedule/load_test.go
+++ b/schedule/load_test.go
@@ -22,6 +22,7 @@
 		p := newDispatcherPlacer(1)
 		z := newTestZone(func() tables.Instant { return p.now }, p)
 		assignment := z.client.Ask(t.Context(), generationRequest(p, 1))
+		assert.Equal(t, assignment.Choice.Scheduler, tables.InstanceID("x"))
 		var sent []dialect.EndpointLoad
 		z.lost = func(m *rpc.ScheduleMessage) bool {
 			sent = append(sent, decodeLoad(m.GetProgress().GetLoad()))
