--- a/dispatch/load_reports.go
+++ b/dispatch/load_reports.go
@@ -13,7 +13,9 @@
 	// Running counts attempts in flight, MemoryTokens the engine memory that they occupy,
 	// and PrefillTokens the uncached prompt tokens of those without a first event.
 	Running, MemoryTokens, PrefillTokens int
-	// Streams counts the streams in flight that have sent an event.
+	// Streams counts the running streams that the sender has placed and reports: those that have
+	// sent an event and have not ended. A scheduler that placed one of the sender's own attempts
+	// reports that attempt instead.
 	Streams int
 	// LinkBusy is for how long the endpoint's link is busy with transfers.
 	LinkBusy time.Duration
