--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -157,8 +157,12 @@
 	prefillTokens   float64
 	queuedPrefill   float64
 	responseStarted bool
-	ended           bool
-	isGeneration    bool
+	// respondedAt is when the response started, and scheduler the remote scheduler that placed
+	// the attempt; empty for none.
+	respondedAt  tables.Instant
+	scheduler    tables.InstanceID
+	ended        bool
+	isGeneration bool
 	// isStream is set if the response is a stream of events.
 	isStream bool
 	// isProbe is set while the attempt counts as the probe of a half-open endpoint.
@@ -285,7 +289,7 @@
 	if a.responseStarted || a.ended {
 		return
 	}
-	a.responseStarted = true
+	a.responseStarted, a.respondedAt = true, now
 	a.countStream()
 	a.endProbe()
 	d.releaseUnconfirmed(now, a)
@@ -364,7 +368,7 @@
 // RecordEndpointLoad records the load that an endpoint reported in an answer.
 func (d *Dispatcher) RecordEndpointLoad(now tables.Instant, a *Attempt, load dialect.EndpointLoad) {
 	a.row.recordLoad(now, load)
-	d.recordSlowdown(now, a.row, load.SlowdownPercent)
+	d.RecordSlowdown(now, a, load.SlowdownPercent)
 }
 
 // RecordServedVersion records that an endpoint has shown to serve a version of a model's
--- a/dispatch/stream_counts_test.go
+++ b/dispatch/stream_counts_test.go
@@ -35,6 +35,25 @@
 	assert.Assert(t, r.latenessCost(0, 700)-waitCost*700-lateCost*400*lateProbability(700/(lateMidpoint*400)) < 1e-6, "the curve of latenessCost")
 }
 
+// Guards against a prompt that a scheduler has placed for this instance and that counts as two: the
+// pause of the streams there would seem to last for a whole event already, and a long prompt would
+// cost nothing.
+func TestPauseCostCountsAScheduledPromptOnce(t *testing.T) {
+	const backlog = 6_000 // above half of the tokens between two events
+	d, _ := newTestDispatcher(1)
+	d.options.Capacity.StreamPauses = On
+	row := d.endpoints["e0"]
+	row.averages.streams.observe(0, newPromptRequest(0, streamRoute, 260))
+	long := newPromptRequest(0, promptRoute, backlog)
+	assert.Assert(t, d.AcceptDecision(0, long, Decision{Endpoint: "e0", WeightsVersion: 1, UncachedTokens: backlog}) != nil)
+	d.ApplyLoadReport(0, "scheduler", LoadReport{Endpoint: "e0", Running: 9, Streams: 8, PrefillTokens: backlog})
+	d.decisions++
+	cost := d.pauseCost(0, long, &candidate{row: row, uncachedTokens: 14_000})
+	assert.Equal(t, cost, costBeside(On, 8, backlog, 14_000))
+	assert.Assert(t, cost > 0)
+	assert.Equal(t, row.queuedPrefill(0), 2.0*backlog, "other decisions are as before")
+}
+
 // Guards against streams that count twice, at the scheduler and at the sender, and against
 // streams that stay counted: after their end, a lost report, a scheduler that was killed or cut
 // off, or one that froze and reports an earlier state again.
@@ -81,3 +100,41 @@
 	targets.observe(strict.Deadline+1, lax)
 	assert.Equal(t, targets.gap, time.Second)
 }
+
+// Guards against streams without a target gap, which no pause makes late, that count where they are
+// placed locally and so keep long prompts away.
+func TestStreamsWithoutATargetGapDoNotCount(t *testing.T) {
+	for _, remote := range []bool{false, true} {
+		for gap, want := range map[time.Duration]int{0: 0, time.Second: 1} {
+			d, _ := newTestDispatcher(1)
+			r := newPromptRequest(0, &routes.Route{Kind: routes.Stream, TargetEventGap: gap}, 260)
+			r.Remote = remote
+			d.RecordResponseStart(time.Second, mustPlace(t, d, 0, r))
+			assert.Equal(t, d.endpoints["e0"].runningStreams(), want, "remote: %t, gap: %v", remote, gap)
+			assert.Equal(t, d.TakeLoadReports(time.Second)[0].Streams, want)
+		}
+	}
+}
+
+// Guards against a stream's own prompt among those beside it, because the report of the scheduler that
+// placed the stream contains the prompt until the next one.
+func TestOwnPromptIsNotQueuedBesideItsStream(t *testing.T) {
+	sender, _ := newTestDispatcher(1)
+	stream := newPromptRequest(0, streamRoute, 900)
+	chosen := Decision{Endpoint: "e0", WeightsVersion: 1, UncachedTokens: 900, Scheduler: "s"}
+	sender.ApplyLoadReport(time.Second, "other", LoadReport{Endpoint: "e0", Running: 1, PrefillTokens: 14_000})
+	a := sender.AcceptDecision(time.Second, stream, chosen)
+	now := time.Second + 20*time.Millisecond
+	sender.ApplyLoadReport(now, "s", LoadReport{Endpoint: "e0", Running: 1, PrefillTokens: 900})
+	assert.Equal(t, sender.QueuedPrefill(now, a), 14_900)
+	now += 50 * time.Millisecond
+	sender.RecordResponseStart(now, a)
+	assert.Equal(t, sender.QueuedPrefill(now, a), 14_000, "the report contains the prompt")
+	now += 20 * time.Millisecond
+	sender.ApplyLoadReport(now, "s", LoadReport{Endpoint: "e0", Running: 2, PrefillTokens: 700})
+	assert.Equal(t, sender.QueuedPrefill(now, a), 14_700, "the report contains another prompt")
+
+	missing := sender.AcceptDecision(now+1, stream, chosen)
+	sender.RecordResponseStart(now+2, missing)
+	assert.Equal(t, sender.QueuedPrefill(now+2, missing), 14_700, "the report with the prompt is lost")
+}
--- a/dispatch/stream_pauses.go
+++ b/dispatch/stream_pauses.go
@@ -20,8 +20,8 @@
 	defaultPrefillChunk = 2048
 )
 
-// streamCounts counts the streams of this instance's attempts at an endpoint that have sent an
-// event and have not ended. remotelyPlaced is the part that remote schedulers have placed and
+// streamCounts counts the streams with a target gap of this instance's attempts at an endpoint that
+// have sent an event and have not ended. remotelyPlaced is the part that remote schedulers have placed and
 // report.
 type streamCounts struct {
 	own, remotelyPlaced int
@@ -37,10 +37,11 @@
 	return max(r.streams.own, r.streams.reportedStreams()+r.reported.streams)
 }
 
-// isStream reports whether the response is a stream. A request of another instance does not
-// name the kind of its route, and streams without a target gap cannot be told apart there.
+// isStream reports whether the response is a stream with a target gap. Other streams do not count,
+// since a pause cannot make them late. A request of another instance does not name the kind of its
+// route.
 func (r *Request) isStream() bool {
-	return r.Model != "" && (r.Route.Kind == routes.Stream || r.Remote && r.Route.TargetEventGap > 0)
+	return r.Model != "" && r.Route.TargetEventGap > 0 && (r.Remote || r.Route.Kind == routes.Stream)
 }
 
 // streamTargets are the targets of the streams of a service with the smallest known target gap.
@@ -94,10 +95,27 @@
 // QueuedPrefill returns the prompt tokens that were placed at the attempt's endpoint and have
 // no first event yet, as far as known.
 func (d *Dispatcher) QueuedPrefill(now tables.Instant, a *Attempt) int {
-	r := a.row
-	// The schedulers' reports contain what they have placed for this instance.
-	twice := min(r.remotelyPlaced.prefillTokens, float64(r.reported.prefillTokens))
-	return int(max(0, r.queuedPrefill(now)-twice))
+	return int(max(0, a.row.deduplicatedPrefill(now)-a.reportedPrefill()))
+}
+
+// reportedPrefill returns the attempt's own prompt tokens if its response has started and the
+// latest report of the scheduler that placed it still contains them; zero otherwise.
+func (a *Attempt) reportedPrefill() float64 {
+	if !a.remotelyPlaced || !a.responseStarted {
+		return 0
+	}
+	report, known := a.row.reported.byInstance[a.scheduler]
+	if !known || report.receivedAt < a.startedAt || report.receivedAt > a.respondedAt {
+		return 0
+	}
+	return min(a.prefillTokens, float64(report.PrefillTokens))
+}
+
+// deduplicatedPrefill returns the prefill queue without the prompts that queuedPrefill counts
+// twice: schedulers' reports contain what they have placed for this instance.
+func (r *endpointRow) deduplicatedPrefill(now tables.Instant) float64 {
+	duplicates := min(r.remotelyPlaced.prefillTokens, float64(r.reported.prefillTokens))
+	return max(0, r.queuedPrefill(now)-duplicates)
 }
 
 // pauseTerms are the terms of pauseCost that are equal for all candidates of a placement.
@@ -105,9 +123,9 @@
 	// decision is the placement for which the terms hold.
 	decision uint64
 	enabled  bool
-	// lateCost is the cost of one late stream, and midpoint the pause at which a stream is
+	// lateStreamCost is the cost of one late stream, and midpoint the pause at which a stream is
 	// late with probability one half, both in milliseconds.
-	lateCost, midpoint float64
+	lateStreamCost, midpoint float64
 	// eventTokens is the largest number of prompt tokens that are computed between two events.
 	eventTokens float64
 }
@@ -123,7 +141,7 @@
 		return terms
 	}
 	terms.enabled = true
-	terms.lateCost = lateCost * milliseconds(cmp.Or(targets.latency, targets.gap))
+	terms.lateStreamCost = lateCost * milliseconds(cmp.Or(targets.latency, targets.gap))
 	terms.midpoint = lateMidpoint * milliseconds(targets.gap)
 	terms.eventTokens = float64(cmp.Or(r.Service.EventStride, defaultEventStride) * cmp.Or(r.Service.PrefillChunk, defaultPrefillChunk))
 	return terms
@@ -148,14 +166,14 @@
 	if !terms.enabled {
 		return 0
 	}
-	backlog := c.row.queuedPrefill(now)
+	backlog := c.row.deduplicatedPrefill(now)
 	if backlog >= terms.eventTokens {
 		return 0
 	}
 	scale := 1 / (c.row.currentPrefillRate(now) * terms.midpoint)
 	before := lateProbability(backlog * scale)
 	after := lateProbability(min(backlog+c.uncachedTokens, terms.eventTokens) * scale)
-	return float64(streams) * terms.lateCost * (after - before)
+	return float64(streams) * terms.lateStreamCost * (after - before)
 }
 
 // lateProbability returns the probability that a wait makes a response late, by the curve of
