--- a/dispatch/averages.go
+++ b/dispatch/averages.go
@@ -23,13 +23,15 @@
 	memoryTokens, prefillTokens float64
 	// prefillTime is the prefill time of one token, in milliseconds.
 	prefillTime float64
-	// streams are the targets of the service's streams.
-	streams streamTargets
+	// streams are the targets of the service's streams, and streamTime the time of a stream from
+	// its first event to its end for each output token that it may have, in milliseconds.
+	streams    streamTargets
+	streamTime float64
 }
 
 // newAverages returns averages that start with the defaults.
 func newAverages() *serviceAverages {
-	return &serviceAverages{memoryTokens: defaultMemoryTokens, prefillTokens: defaultPrefillTokens, prefillTime: 1 / defaultPrefillRate}
+	return &serviceAverages{memoryTokens: defaultMemoryTokens, prefillTokens: defaultPrefillTokens, prefillTime: 1 / defaultPrefillRate, streamTime: defaultStreamTime}
 }
 
 // addRequest adds the sample of a placed request.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -157,6 +157,8 @@
 	prefillTokens   float64
 	queuedPrefill   float64
 	responseStarted bool
+	// outputTokens is the number of output tokens that a stream may have.
+	outputTokens int
 	// respondedAt is when the response started, and scheduler the remote scheduler that placed
 	// the attempt; empty for none.
 	respondedAt  tables.Instant
@@ -334,6 +336,9 @@
 	d.recordHealth(now, a, outcome)
 	if outcome == Completed {
 		a.row.announced.recordAnswered(a.startedAt)
+		if a.isStream && a.responseStarted {
+			a.row.averages.recordStreamTime(a.outputTokens, now-a.respondedAt)
+		}
 	}
 	switch outcome {
 	case Completed, Declined, ConnectionRefused, ConnectTimeout:
--- a/dispatch/endpoints.go
+++ b/dispatch/endpoints.go
@@ -51,6 +51,8 @@
 	// remotelyPlaced is the part of attempts that remote schedulers have placed and
 	// report.
 	remotelyPlaced remoteAttempts
+	// pauses is the rate of prompts that pause streams at the endpoint.
+	pauses pauseRate
 	// streams counts the running streams of this instance's attempts.
 	streams streamCounts
 	// reported is the load of other instances by their reports, and loadReportedAt when
--- a/dispatch/load_reports.go
+++ b/dispatch/load_reports.go
@@ -101,6 +101,7 @@
 // engines while others are idle.
 func (d *Dispatcher) ApplyLoadReport(now tables.Instant, by tables.InstanceID, l LoadReport) {
 	if row := d.endpoints[l.Endpoint]; row != nil {
+		row.recordReportedPrompts(now, by, &l)
 		row.reported.set(now, by, l)
 		row.linkFreeAt = max(row.linkFreeAt, now+l.LinkBusy)
 		if l.AbsentFor > 0 {
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -339,6 +339,7 @@
 		d.nameAvoided(now, &a.Rationale, c.row.Service)
 	}
 	a.markStream(now, r)
+	c.row.recordPrompt(now, a.prefillTokens)
 	if a.isGeneration {
 		c.row.averages.addRequest(a.memoryTokens, a.prefillTokens)
 		a.WeightsVersion = c.row.Weights[r.Model]
--- a/dispatch/stream_pauses.go
+++ b/dispatch/stream_pauses.go
@@ -47,6 +47,8 @@
 // streamTargets are the targets of the streams of a service with the smallest known target gap.
 type streamTargets struct {
 	gap, latency time.Duration
+	// eventTokens is the largest number of prompt tokens that are computed between two events.
+	eventTokens float64
 	// validUntil is the latest deadline of these streams. Afterwards none of them runs, and
 	// another gap replaces this one.
 	validUntil tables.Instant
@@ -58,7 +60,7 @@
 	switch {
 	case gap <= 0:
 	case t.gap == 0 || gap < t.gap || now > t.validUntil:
-		*t = streamTargets{gap: gap, latency: r.Route.TargetLatency, validUntil: r.Deadline}
+		*t = streamTargets{gap: gap, latency: r.Route.TargetLatency, eventTokens: eventTokens(r.Service), validUntil: r.Deadline}
 	case gap == t.gap:
 		t.validUntil = max(t.validUntil, r.Deadline)
 	}
@@ -68,6 +70,7 @@
 func (a *Attempt) markStream(now tables.Instant, r *Request) {
 	if a.isStream = r.isStream(); a.isStream {
 		a.row.averages.streams.observe(now, r)
+		a.outputTokens = r.OutputTokens
 	}
 }
 
@@ -143,12 +146,19 @@
 	terms.enabled = true
 	terms.lateStreamCost = lateCost * milliseconds(cmp.Or(targets.latency, targets.gap))
 	terms.midpoint = lateMidpoint * milliseconds(targets.gap)
-	terms.eventTokens = float64(cmp.Or(r.Service.EventStride, defaultEventStride) * cmp.Or(r.Service.PrefillChunk, defaultPrefillChunk))
+	terms.eventTokens = targets.eventTokens
 	return terms
 }
 
+// eventTokens returns the largest number of prompt tokens that an engine of the service computes
+// between two events of a stream.
+func eventTokens(s *routes.Service) float64 {
+	return float64(cmp.Or(s.EventStride, defaultEventStride) * cmp.Or(s.PrefillChunk, defaultPrefillChunk))
+}
+
 // pauseCost returns the cost of the pauses that a request's prompt causes in the streams that
-// run at a candidate, in milliseconds of a client's wait. It is the number of streams times the
+// run at a candidate, and of those that its own stream has to expect there, in milliseconds of a
+// client's wait. The former is the number of streams times the
 // cost of a late one times the increase of the probability that a pause makes it late. A
 // backlog that pauses the streams for the time of a whole event already is not made worse.
 func (d *Dispatcher) pauseCost(now tables.Instant, r *Request, c *candidate) float64 {
@@ -156,7 +166,7 @@
 		return 0
 	}
 	streams := c.row.runningStreams()
-	if streams == 0 {
+	if streams == 0 && c.row.pauses.sum == 0 {
 		return 0
 	}
 	if d.pauses.decision != d.decisions {
@@ -166,14 +176,15 @@
 	if !terms.enabled {
 		return 0
 	}
+	risk := d.pauseRiskCost(now, r, c.row, terms.lateStreamCost)
 	backlog := c.row.deduplicatedPrefill(now)
-	if backlog >= terms.eventTokens {
-		return 0
+	if streams == 0 || backlog >= terms.eventTokens {
+		return risk
 	}
 	scale := 1 / (c.row.currentPrefillRate(now) * terms.midpoint)
 	before := lateProbability(backlog * scale)
 	after := lateProbability(min(backlog+c.uncachedTokens, terms.eventTokens) * scale)
-	return float64(streams) * terms.lateStreamCost * (after - before)
+	return risk + float64(streams)*terms.lateStreamCost*(after-before)
 }
 
 // lateProbability returns the probability that a wait makes a response late, by the curve of
