Backups of streams that may not be resumed: choice, header, continuation

A stream on a route that is not resumable fails when its engine crashes. Engines can copy a run to another engine, which continues it. The load balancer chooses the backup when it places the attempt, and counts the copy as memory there. After the response has broken off and the process of the endpoint is known to have ended, the run continues once at the backup.

With the switch off no backup is requested.

--- /dev/null
+++ b/dispatch/backups.go
@@ -0,0 +1,210 @@
+package dispatch
+
+import (
+	"math"
+
+	"github.com/carawaystile/carawaystile/systems/placement"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// An engine can copy the memory of a running request to another engine of its service, the
+// backup, which can continue the run if the first engine crashes. The copy occupies memory at
+// the backup until the run ends.
+
+// maxCopyFraction is the fraction of an engine's memory that copies of other engines' runs may
+// occupy: an engine evicts cached prompts for them.
+const maxCopyFraction = 0.1
+
+// copyLoad is the part of an endpoint's memory that copies of other endpoints' runs occupy, in
+// tokens: all copies that this instance knows, and those of them that remote schedulers have
+// placed and report.
+type copyLoad struct {
+	tokens, remotelyPlaced int
+}
+
+// placedHere returns the copies that this instance has placed and reports, in tokens.
+func (l copyLoad) placedHere() int { return l.tokens - l.remotelyPlaced }
+
+// HasBackup reports whether Backup is set.
+func (a *Attempt) HasBackup() bool { return a.Backup.Address.IsValid() }
+
+// BackupsEnabled reports whether engines of the service should back up runs.
+func (d *Dispatcher) BackupsEnabled(service string) bool {
+	return d.enabled(d.options.Capacity.Backups, service)
+}
+
+// assignBackup chooses the endpoint that backs a new attempt up, if the request wants one, and
+// counts the copy there.
+func (d *Dispatcher) assignBackup(now tables.Instant, r *Request, a *Attempt) {
+	if !r.WantsBackup || !r.Service.Backups || !a.isGeneration {
+		return
+	}
+	if row := d.chooseBackup(now, r, a); row != nil {
+		d.countCopy(a, row)
+		d.markDirty(row)
+	}
+}
+
+// chooseBackup returns the endpoint with the most free memory among those that can hold a copy
+// of the run and continue it, or nil if there is none. Endpoints in the zone of the attempt go
+// first, since traffic between zones is billed.
+func (d *Dispatcher) chooseBackup(now tables.Instant, r *Request, a *Attempt) *endpointRow {
+	var best *endpointRow
+	bestFree, bestNear := math.Inf(-1), false
+	for _, row := range d.services[r.Service.Name] {
+		near := row.Zone == a.row.Zone
+		if row == a.row || bestNear && !near || row.Weights[r.Model] != a.WeightsVersion {
+			continue
+		}
+		free := d.freeMemory(now, r, row)
+		if near == bestNear && free <= bestFree || !d.mayHoldCopy(now, r, row, a.memoryTokens) {
+			continue
+		}
+		best, bestFree, bestNear = row, free, near
+	}
+	return best
+}
+
+// mayHoldCopy reports whether an endpoint may receive a copy of the given size in tokens.
+//
+// Load reports do not tell copies from other memory, so an instance keeps its own copies at an
+// endpoint within its share of the limit, except for a single copy.
+func (d *Dispatcher) mayHoldCopy(now tables.Instant, r *Request, row *endpointRow, tokens int) bool {
+	if r.excludes(row.ID) || row.Loading || row.halfOpen || row.isLeaving() || row.announced.pushedBack(now) || !row.canServeFetch(now) {
+		return false
+	}
+	limit := maxCopyFraction * float64(r.Service.KVCapacityTokens)
+	own := row.copies.placedHere()
+	if float64(row.copies.tokens+tokens) > limit || own > 0 && float64(own+tokens)*d.placers() > limit {
+		return false
+	}
+	return d.usedMemory(now, row)+float64(tokens) <= maxMemoryFraction*float64(r.Service.KVCapacityTokens)
+}
+
+// placers returns how many instances place requests.
+func (d *Dispatcher) placers() float64 { return 1 + d.schedulers + d.remoteSchedulers }
+
+// usedMemory estimates the memory of an engine that requests and copies occupy, in tokens.
+func (d *Dispatcher) usedMemory(now tables.Instant, row *endpointRow) float64 {
+	return float64(row.memoryTokens+row.reported.memoryTokens) + row.unreportedAttempts(now)*row.averages.memoryTokens
+}
+
+// freeMemory returns the free memory of an engine in tokens, for comparison with others. If
+// several instances place requests, it is reduced by a pseudorandom amount of up to
+// maxCopyFraction of the memory, so that they do not all choose the same engine before they
+// learn of each other's choices.
+func (d *Dispatcher) freeMemory(now tables.Instant, r *Request, row *endpointRow) float64 {
+	free := float64(r.Service.KVCapacityTokens) - d.usedMemory(now, row)
+	if d.placers() == 1 {
+		return free
+	}
+	hash := placement.Mix64(row.hash ^ d.options.Seed ^ d.decisions*0x9e3779b97f4a7c15)
+	return free - maxCopyFraction*float64(r.Service.KVCapacityTokens)*float64(hash>>40)/(1<<24)
+}
+
+// countCopy counts the copy of an attempt's memory as memory of its backup endpoint.
+func (d *Dispatcher) countCopy(a *Attempt, row *endpointRow) {
+	a.Backup, a.backupRow = row.Endpoint, row
+	row.memoryTokens += a.memoryTokens
+	row.copies.tokens += a.memoryTokens
+	if a.remotelyPlaced {
+		row.remotelyPlaced.memoryTokens += a.memoryTokens
+		row.copies.remotelyPlaced += a.memoryTokens
+	}
+}
+
+// releaseCopy stops counting the copy of an attempt that has ended.
+func (d *Dispatcher) releaseCopy(a *Attempt) {
+	row := a.backupRow
+	if row == nil {
+		return
+	}
+	row.memoryTokens -= a.memoryTokens
+	row.copies.tokens -= a.memoryTokens
+	if a.remotelyPlaced {
+		row.remotelyPlaced.memoryTokens -= a.memoryTokens
+		row.copies.remotelyPlaced -= a.memoryTokens
+		return
+	}
+	d.markDirty(row)
+}
+
+// acceptBackup counts the copy at the backup endpoint that a remote scheduler has chosen, unless
+// this instance knows that the endpoint cannot continue the run.
+func (d *Dispatcher) acceptBackup(now tables.Instant, r *Request, a *Attempt, backup tables.EndpointID) {
+	row := d.endpoints[backup]
+	if row == nil || !r.WantsBackup || row == a.row || row.Service != r.Service.Name || row.isLeaving() ||
+		!row.canServeFetch(now) || row.Weights[r.Model] > a.WeightsVersion {
+		return
+	}
+	d.countCopy(a, row)
+}
+
+// copiesOnly reduces the load report of an instance without attempts at the endpoint to the
+// memory of its copies there, or to nothing while backups are disabled.
+func (d *Dispatcher) copiesOnly(l LoadReport, service string) LoadReport {
+	if l.Running > 0 {
+		return l
+	}
+	l.PrefillTokens = 0
+	if !d.BackupsEnabled(service) {
+		l.MemoryTokens = 0
+	}
+	return l
+}
+
+// ContinuationRefusal is why a run is not continued at its backup endpoint. Its text appears in
+// logs and metrics.
+type ContinuationRefusal string
+
+// The reasons for which the load balancer does not continue a run.
+const (
+	// BackupUnavailable: the backup endpoint is known not to accept the run any more.
+	BackupUnavailable ContinuationRefusal = "backup unavailable"
+	// RetryBudgetUsedUp: the retry budget permits no retry now.
+	RetryBudgetUsedUp ContinuationRefusal = "retry budget"
+)
+
+// Continue counts an attempt that continues the run of an ended attempt at its backup endpoint,
+// and takes it from the retry budget. If the run cannot be continued the attempt is nil and the
+// refusal says why. The caller has verified that the process of the first endpoint has ended.
+func (d *Dispatcher) Continue(now tables.Instant, r *Request, ended *Attempt) (*Attempt, ContinuationRefusal) {
+	row := ended.backupRow
+	if row == nil || !d.mayContinueAt(now, r, row, ended.WeightsVersion) {
+		return nil, BackupUnavailable
+	}
+	if !d.TakeRetry(now, r.Service.Name) {
+		return nil, RetryBudgetUsedUp
+	}
+	confirmed := d.addressConfirmed(now, row)
+	if !confirmed && !d.CanRetryUnconfirmed(now) {
+		return nil, RetryBudgetUsedUp
+	}
+	a := &Attempt{
+		Endpoint:       row.Endpoint,
+		WeightsVersion: ended.WeightsVersion,
+		Relayed:        !row.reachableOver(now, direct),
+		Rationale:      rationaleOf(now, r, &candidate{row: row}),
+		row:            row,
+		startedAt:      now,
+		memoryTokens:   ended.memoryTokens,
+		isGeneration:   true,
+	}
+	a.Rationale.Rule = RuleContinued
+	if !confirmed {
+		d.countUnconfirmed(now, a)
+	}
+	row.attempts++
+	row.memoryTokens += a.memoryTokens
+	d.markDirty(row)
+	return a, ""
+}
+
+// mayContinueAt reports whether a run on a version of the weights may be sent to an endpoint
+// that holds a copy of it. Whether the endpoint is at capacity is left to it.
+func (d *Dispatcher) mayContinueAt(now tables.Instant, r *Request, row *endpointRow, version uint64) bool {
+	if row.removed || row.isLeaving() || row.absentFor(now) > 0 || !row.hasPath(now) {
+		return false
+	}
+	return !row.announced.pushedBack(now) && !row.limit.exhausted(now) && row.Weights[r.Model] <= version
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -171,6 +171,8 @@
 	storeTransfer float64
 	// addedParts are the shared parts that the attempt adds to its endpoint's cache.
 	addedParts []parts.Key
+	// backupRow is the row of Backup, where memoryTokens are counted a second time.
+	backupRow *endpointRow
 }
 
 // HasCacheSource reports whether CacheSource is set.
@@ -311,6 +313,7 @@
 	a.row.attempts--
 	a.endPermitWait()
 	a.row.memoryTokens -= a.memoryTokens
+	d.releaseCopy(a)
 	d.recordHealth(now, a, outcome)
 	if outcome == Completed {
 		a.row.announced.recordAnswered(a.startedAt)
--- a/dispatch/endpoints.go
+++ b/dispatch/endpoints.go
@@ -48,6 +48,8 @@
 	awaitingPermit int
 	memoryTokens   int
 	prefillTokens  float64
+	// copies is the part of memoryTokens that copies of other endpoints' runs occupy.
+	copies copyLoad
 	// remotelyPlaced is the part of attempts that remote schedulers have placed and
 	// report.
 	remotelyPlaced remoteAttempts
--- a/dispatch/load_reports.go
+++ b/dispatch/load_reports.go
@@ -10,8 +10,8 @@
 // instead of a delta, so a lost report is repaired by the next one.
 type LoadReport struct {
 	Endpoint tables.EndpointID
-	// Running counts attempts in flight, MemoryTokens the engine memory that they occupy,
-	// and PrefillTokens the uncached prompt tokens of those without a first event.
+	// Running counts attempts in flight, MemoryTokens the engine memory that they and copies of
+	// other endpoints' runs occupy, and PrefillTokens the uncached prompt tokens of those without a first event.
 	Running, MemoryTokens, PrefillTokens int
 	// LinkBusy is for how long the endpoint's link is busy with transfers.
 	LinkBusy time.Duration
@@ -51,7 +51,7 @@
 // set replaces an instance's report.
 func (r *reportedLoads) set(now tables.Instant, by tables.InstanceID, l LoadReport) {
 	r.remove(by)
-	if l.Running == 0 {
+	if l.Running == 0 && l.MemoryTokens == 0 {
 		return
 	}
 	if r.byInstance == nil {
@@ -90,7 +90,7 @@
 // engines while others are idle.
 func (d *Dispatcher) ApplyLoadReport(now tables.Instant, by tables.InstanceID, l LoadReport) {
 	if row := d.endpoints[l.Endpoint]; row != nil {
-		row.reported.set(now, by, l)
+		row.reported.set(now, by, d.copiesOnly(l, row.Service))
 		row.linkFreeAt = max(row.linkFreeAt, now+l.LinkBusy)
 		if l.AbsentFor > 0 {
 			row.markAbsent(now+min(l.AbsentFor, maxAbsence), true)
@@ -108,7 +108,7 @@
 		d.dropOldAnnouncements(now)
 		for _, row := range d.endpoints {
 			row.reported.removeExpired(now)
-			if (row.reportedAttempts() > 0 || row.limit.Limited || row.notice(now) != nil) && now-row.loadReportedAt > loadReportInterval {
+			if (row.reportedAttempts() > 0 || row.copies.placedHere() > 0 || row.limit.Limited || row.notice(now) != nil) && now-row.loadReportedAt > loadReportInterval {
 				d.markDirty(row)
 			}
 		}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -356,5 +356,6 @@
 	c.row.prefillTokens += a.prefillTokens
 	d.recordPlacement(now, r, a)
 	d.assignStore(now, r, a, r.PromptTokens-int(c.uncachedTokens))
+	d.assignBackup(now, r, a)
 	return a
 }
--- a/dispatch/rationale.go
+++ b/dispatch/rationale.go
@@ -33,6 +33,8 @@
 	RuleRecompute PlacementRule = "read again"
 	// RuleNoSharedParts: the prompt has no parts that other requests share.
 	RuleNoSharedParts PlacementRule = "nothing shared"
+	// RuleContinued: the endpoint holds a copy of the run that it continues.
+	RuleContinued PlacementRule = "continued"
 )
 
 // placementRule returns the rule under which a candidate was the cheapest.
--- a/dispatch/remote.go
+++ b/dispatch/remote.go
@@ -13,6 +13,8 @@
 	Endpoint tables.EndpointID
 	// CacheSource and CacheStore are those of the attempt; empty if the attempt has none.
 	CacheSource, CacheStore tables.EndpointID
+	// Backup is that of the attempt; empty if the attempt has none.
+	Backup tables.EndpointID
 	// WeightsVersion, ExpectedLatency, UncachedTokens and Rule are those of the attempt.
 	WeightsVersion  uint64
 	ExpectedLatency time.Duration
@@ -27,7 +29,7 @@
 // request.
 func (a *Attempt) Decision(now tables.Instant) Decision {
 	return Decision{
-		Endpoint: a.Endpoint.ID, CacheSource: a.CacheSource.ID, CacheStore: a.CacheStore.ID, WeightsVersion: a.WeightsVersion,
+		Endpoint: a.Endpoint.ID, CacheSource: a.CacheSource.ID, CacheStore: a.CacheStore.ID, Backup: a.Backup.ID, WeightsVersion: a.WeightsVersion,
 		ExpectedLatency: a.ExpectedLatency, UncachedTokens: a.UncachedTokens, Rule: a.Rationale.Rule, Limit: a.row.limit.report(now),
 	}
 }
@@ -96,6 +98,7 @@
 	if r.DeliveredAttempts > 0 && !r.ConfirmedOnly && !d.addressConfirmed(now, row) {
 		d.countUnconfirmed(now, a)
 	}
+	d.acceptBackup(now, r, a, chosen.Backup)
 	row.attempts++
 	row.memoryTokens += a.memoryTokens
 	row.prefillTokens += a.prefillTokens
--- a/events/entry.go
+++ b/events/entry.go
@@ -28,5 +28,7 @@
 	LinksLost            = define(1022, zapcore.WarnLevel, "This instance reaches no endpoint; its requests go through other instances.")
 	LinksRestored        = define(1023, zapcore.InfoLevel, "This instance reaches endpoints again.")
 	EndpointBrittle      = define(1024, zapcore.InfoLevel, "An endpoint announced that it fails if it rejects many requests, or no longer announces it.")
+	StreamContinued      = define(1034, zapcore.InfoLevel, "A stream whose endpoint has ended continues at its backup endpoint.")
+	StreamNotContinued   = define(1035, zapcore.InfoLevel, "A broken stream was not continued at its backup endpoint.")
 	HeaderUnusable       = define(1021, zapcore.WarnLevel, "A response header of an endpoint has a value that cannot be used as it is.")
 )
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -52,11 +52,16 @@
 	via tables.InstanceID
 	// retryAfter is the Retry-After header of a response with status 503, for the log.
 	retryAfter string
+	// isContinuation is set if the attempt continues the run of an ended one.
+	// continuationOutcome is its outcome for the metrics if that of the attempt does not say it.
+	isContinuation      bool
+	continuationOutcome string
 }
 
 // forward makes attempts until the request is finished.
 func (c *clientRequest) forward() {
 	c.server.recordRequest(c.service.Name)
+	c.dispatchRequest.WantsBackup = c.wantsBackup()
 	for !c.finished {
 		placement, code := c.awaitPlacement()
 		if placement == nil {
@@ -81,6 +86,7 @@
 	a.permit, c.permit = c.permit, nil
 	a.ctx, a.cancel = context.WithCancel(c.ctx)
 	s.metrics.countPlacement(c, placement.Rationale.Rule, a.placedBy())
+	s.metrics.countBackup(c, placement)
 	s.mu.Lock()
 	if c.retryTakenAt > 0 {
 		s.dispatch.RedateRetry(a.startedAt, c.retryTakenAt, c.service.Name)
@@ -97,7 +103,9 @@
 	c := a.request
 	defer a.cancel()
 	c.state = c.state.Dispatch(a.id)
-	c.reservation.chargeAttempt()
+	if !a.isContinuation {
+		c.reservation.chargeAttempt()
+	}
 	c.attemptsUsed++
 	a.mayRepeat = c.hasAttemptsLeft()
 	a.armResponseTimer(a.firstResponseTimeout())
@@ -113,7 +121,7 @@
 		c.server.healthChecker.recordResponse(a.placement.Endpoint.ID)
 	}
 	a.recordResponseHeader(response.Status, response.Header)
-	if !a.isValidResponse(response) {
+	if !a.isValidResponse(response) || !a.isExpectedVersion(response) {
 		response.Close()
 		a.handleFailure(&engine.InterruptedError{Attempt: a.id, Cause: &engine.ProtocolError{What: "answer"}})
 		return
@@ -122,6 +130,10 @@
 		a.relayStream(response)
 		return
 	}
+	if a.isContinuation {
+		a.rejectContinuation(response)
+		return
+	}
 	a.relayBuffered(response)
 }
 
@@ -170,6 +182,7 @@
 	if a.placement.HasCacheStore() {
 		header.Set(h.CacheStore, a.placement.CacheStore.Address.String())
 	}
+	a.setBackupHeaders(header)
 }
 
 // recordResponseHeader records what a response header tells of the endpoint: its load, its
@@ -219,6 +232,7 @@
 	now := s.options.Now()
 	s.dispatch.RecordOutcome(now, a.placement, result)
 	s.metrics.countAttempt(a.request, result)
+	a.recordContinuationEnd(result)
 	switch result {
 	case dispatch.Completed:
 		s.crashDetector.Completed(a.id)
@@ -253,16 +267,17 @@
 	result := a.classifyError(err)
 	a.recordOutcome(result)
 	c.lastErr = err
-	if proof, ok := outcome.ProofFromError(err); ok {
+	if proof, ok := outcome.ProofFromError(err); ok && !a.isContinuation {
 		if state, dispatched := c.state.(*outcome.Dispatched); dispatched {
 			c.state = state.NotStarted(proof)
 		}
 		c.reservation.markUnused()
 	}
 	events.AttemptEnded.Log(c.server.log, append(a.logFields(), zap.Stringer("end", result), zap.Error(err))...)
+	var crashed <-chan bool
 	switch result {
 	case dispatch.Broken:
-		a.probeForCrash()
+		crashed = a.probeForCrash()
 	case dispatch.ConnectionRefused, dispatch.ConnectTimeout, dispatch.ResponseTimeout:
 		if !a.placement.Relayed {
 			c.server.healthChecker.startProbe(a.placement.Endpoint)
@@ -272,6 +287,13 @@
 		c.finishFailed(tables.CodeTimeout)
 		return
 	}
+	if a.isContinuation {
+		c.finishFailed(tables.CodeStreamBroken)
+		return
+	}
+	if result == dispatch.Broken && a.continueStream(crashed) {
+		return
+	}
 	if !notDelivered(result) {
 		c.dispatchRequest.Tried = append(c.dispatchRequest.Tried, a.placement.Endpoint.ID)
 	}
@@ -328,7 +350,7 @@
 		zap.Int("arrivals", a.request.dispatchRequest.DeliveredAttempts),
 		zap.String("by", a.placedBy()),
 	}
-	fields = append(fields, a.viaFields()...)
+	fields = append(append(fields, a.viaFields()...), a.backupFields()...)
 	if a.retryAfter != "" {
 		fields = append(fields, zap.String("retry_after", a.retryAfter))
 	}
--- /dev/null
+++ b/forward/continuation.go
@@ -0,0 +1,214 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/carawaystile/carawaystile/dispatch"
+	"github.com/carawaystile/carawaystile/engine/exchange"
+	"github.com/carawaystile/carawaystile/events"
+	"github.com/carawaystile/carawaystile/fleet"
+	"github.com/carawaystile/carawaystile/routes"
+	"github.com/carawaystile/carawaystile/systems/quarantine"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// A stream on a route that is not resumable must not run a second time. If its engine crashes,
+// the engine at which the run is backed up can continue the same run. The first engine must
+// have ended by then: a run must never go on at two engines.
+
+const (
+	// endProbes is how often an endpoint is tested again after a first test that did not show
+	// its end, with endProbeInterval in between: a process that is being killed may close its
+	// connections before its listening socket.
+	endProbes        = 2
+	endProbeInterval = 50 * time.Millisecond
+)
+
+// Reasons for which a stream with a backup is not continued, beside those of package dispatch.
+const (
+	refusedNotNumbered dispatch.ContinuationRefusal = "last event not numbered"
+	refusedNotEnded    dispatch.ContinuationRefusal = "endpoint not ended"
+	refusedQuarantined dispatch.ContinuationRefusal = "quarantined"
+	refusedByLimit     dispatch.ContinuationRefusal = "endpoint limit"
+)
+
+// continuationNoStream is the outcome of a continuation whose response is not a stream.
+const continuationNoStream = "no stream"
+
+// wantsBackup reports whether the request's run should be backed up: it is a generation on a
+// stream route that is not resumable, and backups are enabled for the service. A copy is named
+// by the request ID.
+func (c *clientRequest) wantsBackup() bool {
+	s := c.server
+	if c.route.Kind != routes.Stream || c.route.Resumable || !c.service.Backups || c.dispatchRequest.Model == "" ||
+		c.id == "" || s.headers.CacheBackup == "" || s.headers.ResumeFrom == "" {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dispatch.BackupsEnabled(c.service.Name)
+}
+
+// setBackupHeaders sets the header that has the endpoint back the run up, or for a
+// continuation the one that names the copy.
+func (a *attempt) setBackupHeaders(header http.Header) {
+	c, h := a.request, a.request.server.headers
+	if a.placement.HasBackup() {
+		header.Set(h.CacheBackup, a.placement.Backup.Address.String())
+	}
+	if a.isContinuation {
+		header.Set(h.ResumeFrom, a.placement.Endpoint.Address.String()+"/"+c.id)
+	}
+}
+
+// backupFields returns the field that names the backup endpoint, if any.
+func (a *attempt) backupFields() []zap.Field {
+	if !a.placement.HasBackup() {
+		return nil
+	}
+	return []zap.Field{zap.String("backup", string(a.placement.Backup.ID))}
+}
+
+// continueStream continues the run of a broken stream at its backup endpoint, and reports
+// whether it has done so; the request is finished then. crashed receives the result of
+// probeForCrash.
+func (a *attempt) continueStream(crashed <-chan bool) bool {
+	c := a.request
+	if !a.placement.HasBackup() || !c.responseStarted {
+		return false
+	}
+	fields := append(c.logFields(), zap.String("endpoint", string(a.placement.Endpoint.ID)), zap.String("backup", string(a.placement.Backup.ID)))
+	placement, refusal := a.placeContinuation(crashed)
+	fields = append(fields, zap.Duration("since_event", c.now()-c.lastEventAt))
+	if placement == nil {
+		c.server.metrics.countContinuation(c, string(refusal))
+		events.StreamNotContinued.Log(c.server.log, append(fields, zap.String("reason", string(refusal)))...)
+		return false
+	}
+	events.StreamContinued.Log(c.server.log, fields...)
+	next := c.newAttempt(placement)
+	next.isContinuation = true
+	next.run()
+	return true
+}
+
+// placeContinuation returns the attempt that continues the run at the backup endpoint, or nil
+// and the reason.
+func (a *attempt) placeContinuation(crashed <-chan bool) (*dispatch.Attempt, dispatch.ContinuationRefusal) {
+	c, s := a.request, a.request.server
+	if !c.lastEventNumbered {
+		return nil, refusedNotNumbered
+	}
+	if !a.endpointEnded(crashed) {
+		return nil, refusedNotEnded
+	}
+	if s.quarantineVerdict(c) != quarantine.Allow {
+		return nil, refusedQuarantined
+	}
+	placement, refusal := s.takeContinuation(c, a.placement)
+	if placement == nil {
+		return nil, refusal
+	}
+	if _, admitted := s.admitAtEndpoint(c, placement); !admitted {
+		return nil, refusedByLimit
+	}
+	return placement, ""
+}
+
+// takeContinuation places the continuation of an ended attempt and takes it from the retry
+// budget.
+func (s *Server) takeContinuation(c *clientRequest, ended *dispatch.Attempt) (*dispatch.Attempt, dispatch.ContinuationRefusal) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.options.Now()
+	placement, refusal := s.dispatch.Continue(now, &c.dispatchRequest, ended)
+	if placement != nil {
+		c.retryTakenAt = now
+		s.metrics.countRetry(c)
+	}
+	return placement, refusal
+}
+
+// endpointEnded reports whether the process of the attempt's endpoint is known to have ended.
+// It waits for the test of probeForCrash first, which informs the crash detector.
+func (a *attempt) endpointEnded(crashed <-chan bool) bool {
+	ctx := a.request.ctx
+	select {
+	case ended := <-crashed:
+		if ended {
+			return true
+		}
+	case <-ctx.Done():
+		return false
+	}
+	for range endProbes {
+		if a.request.server.processEnded(ctx, &a.placement.Endpoint) {
+			return true
+		}
+		select {
+		case <-time.After(endProbeInterval):
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return false
+}
+
+// processEnded tests whether an endpoint refuses connections of this instance and of others. If
+// this instance cannot reach the endpoint's machine, only the test of another instance counts.
+func (s *Server) processEnded(ctx context.Context, endpoint *fleet.Endpoint) bool {
+	probeCtx, cancel := context.WithTimeout(ctx, crashProbeTimeout)
+	defer cancel()
+	err := s.options.Client.CheckReachable(probeCtx, endpoint.Address)
+	switch {
+	case err == nil:
+		return false
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return s.refusesAll(ctx, endpoint)
+	default:
+		return s.options.Relay != nil && s.mayRelay() && s.refusesAll(ctx, endpoint)
+	}
+}
+
+// isExpectedVersion reports whether the response to a continuation comes from the version of
+// the weights that began the stream, as far as it names one.
+func (a *attempt) isExpectedVersion(response *exchange.Response) bool {
+	if !a.isContinuation {
+		return true
+	}
+	version, err := strconv.ParseUint(response.Header.Get(a.request.server.headers.Weights), 10, 64)
+	return err != nil || version == a.placement.WeightsVersion
+}
+
+// rejectContinuation ends a request whose continuation got a response that is not a stream, and
+// so does not continue the one that the client has received a part of.
+func (a *attempt) rejectContinuation(response *exchange.Response) {
+	c := a.request
+	a.continuationOutcome = continuationNoStream
+	if _, err := response.ReadAll(); err != nil {
+		a.handleFailure(err)
+		return
+	}
+	a.recordResponseStart()
+	a.recordOutcome(dispatch.Completed)
+	c.finishFailed(tables.CodeStreamBroken)
+}
+
+// recordContinuationEnd counts the end of a continuation by its outcome.
+func (a *attempt) recordContinuationEnd(result dispatch.Outcome) {
+	if !a.isContinuation {
+		return
+	}
+	outcome := a.continuationOutcome
+	if outcome == "" {
+		outcome = result.String()
+	}
+	a.request.server.metrics.countContinuation(a.request, outcome)
+}
--- a/forward/failure.go
+++ b/forward/failure.go
@@ -106,7 +106,7 @@
 func (c *clientRequest) finishAnswered(status int, a *attempt) {
 	c.finished = true
 	c.server.metrics.observeAnswered(c, status)
-	fields := append(append(c.logFields(), a.viaFields()...), avoidedFields(&a.placement.Rationale)...)
+	fields := append(append(append(c.logFields(), a.viaFields()...), a.backupFields()...), avoidedFields(&a.placement.Rationale)...)
 	events.RequestAnswered.Log(c.server.log, append(fields,
 		zap.Int("status", status), zap.Duration("first", c.timeToFirstEvent), zap.Duration("placed", a.startedAt-c.arrivedAt),
 		zap.String("endpoint", string(a.placement.Endpoint.ID)), zap.Uint64("weights", a.placement.WeightsVersion),
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -187,3 +187,21 @@
 	m.registry.Counter("carawaystile_endpoint_announcements_total", "Responses in which endpoints requested a back-off, announced that they are draining or whether they are brittle, or had an unusable header.",
 		metrics.Label{Name: "service", Value: service}, metrics.Label{Name: "kind", Value: kind}).Inc(1)
 }
+
+// countBackup counts an attempt whose run is backed up.
+func (m *requestMetrics) countBackup(c *clientRequest, placement *dispatch.Attempt) {
+	if m == nil || !placement.HasBackup() {
+		return
+	}
+	m.registry.Counter("carawaystile_stream_backups_total", "Attempts at streams that may not be resumed whose run another engine backs up.",
+		metrics.Label{Name: "service", Value: c.service.Name}).Inc(1)
+}
+
+// countContinuation counts a broken stream with a backup by what became of its continuation.
+func (m *requestMetrics) countContinuation(c *clientRequest, outcome string) {
+	if m == nil {
+		return
+	}
+	m.registry.Counter("carawaystile_stream_continuations_total", "Broken streams with a backup, by how their continuation ended or why there was none.",
+		metrics.Label{Name: "service", Value: c.service.Name}, metrics.Label{Name: "outcome", Value: outcome}).Inc(1)
+}
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -171,6 +171,7 @@
 		c.lastEventID = strconv.FormatInt(event.ID, 10)
 		c.lastEventNumber, c.hasLastEventNumber = event.ID, true
 	}
+	c.lastEventNumbered = event.HasID
 	return control.Flush()
 }
 
--- a/forward/request.go
+++ b/forward/request.go
@@ -81,6 +81,9 @@
 	lastEventID        string
 	lastEventNumber    int64
 	hasLastEventNumber bool
+	// lastEventNumbered is set if the last event that this instance sent to the client has a
+	// numeric ID.
+	lastEventNumbered bool
 	// finished is set once the request has its final response or is aborted.
 	finished bool
 }
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -92,7 +92,7 @@
 
 func encodeDecision(c dispatch.Decision) *rpc.ScheduleAnswer {
 	return &rpc.ScheduleAnswer{
-		Ready: true, Endpoint: string(c.Endpoint), Source: string(c.CacheSource), Store: string(c.CacheStore),
+		Ready: true, Endpoint: string(c.Endpoint), Source: string(c.CacheSource), Store: string(c.CacheStore), Backup: string(c.Backup),
 		Weights: c.WeightsVersion, ExpectedMs: toMilliseconds(c.ExpectedLatency), Uncached: uint32(c.UncachedTokens), Rule: string(c.Rule),
 		Limit: encodeLimit(c.Limit),
 	}
@@ -100,7 +100,7 @@
 
 func decodeDecision(a *rpc.ScheduleAnswer) dispatch.Decision {
 	return dispatch.Decision{
-		Endpoint: tables.EndpointID(a.GetEndpoint()), CacheSource: tables.EndpointID(a.GetSource()), CacheStore: tables.EndpointID(a.GetStore()),
+		Endpoint: tables.EndpointID(a.GetEndpoint()), CacheSource: tables.EndpointID(a.GetSource()), CacheStore: tables.EndpointID(a.GetStore()), Backup: tables.EndpointID(a.GetBackup()),
 		WeightsVersion: a.GetWeights(), ExpectedLatency: fromMilliseconds(a.GetExpectedMs()), UncachedTokens: int(a.GetUncached()), Rule: dispatch.PlacementRule(a.GetRule()),
 		Limit: decodeLimit(a.GetLimit()),
 	}
