Backups: tests, metrics, explain; the end of an endpoint needs another instance's word

A refusal may be due to this instance's own link, also while relays are backed off, so a continuation requires that another instance is refused too wherever there is one.

--- a/dispatch/backups.go
+++ b/dispatch/backups.go
@@ -53,11 +53,12 @@
 	bestFree, bestNear := math.Inf(-1), false
 	for _, row := range d.services[r.Service.Name] {
 		near := row.Zone == a.row.Zone
-		if row == a.row || bestNear && !near || row.Weights[r.Model] != a.WeightsVersion {
+		if row == a.row || bestNear && !near {
 			continue
 		}
+		// The checks come last, since few rows have more free memory than the best before them.
 		free := d.freeMemory(now, r, row)
-		if near == bestNear && free <= bestFree || !d.mayHoldCopy(now, r, row, a.memoryTokens) {
+		if near == bestNear && free <= bestFree || row.Weights[r.Model] != a.WeightsVersion || !d.mayHoldCopy(now, r, row, a.memoryTokens) {
 			continue
 		}
 		best, bestFree, bestNear = row, free, near
@@ -208,3 +209,7 @@
 	}
 	return !row.announced.pushedBack(now) && !row.limit.exhausted(now) && row.Weights[r.Model] <= version
 }
+
+// HasRelays reports whether there are other instances that relay attempts, now or after a
+// back-off.
+func (d *Dispatcher) HasRelays() bool { return d.links.relayAvailable }
--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -15,40 +15,51 @@
 // is over single placements.
 func BenchmarkPlace(b *testing.B) {
 	for _, n := range []int{9, 18, 140, 1100} {
-		b.Run(fmt.Sprintf("endpoints=%d", n), func(b *testing.B) {
-			d, _ := newTestDispatcher(n)
-			d.SetInstanceCount(n / 2)
-			const prompts = 200
-			for i := range n {
-				id := tables.EndpointID(fmt.Sprintf("e%d", i))
-				var keys []parts.Key
-				if i%3 == 0 {
-					keys = append(keys, parts.ID(1).KeyAt(1))
-				}
-				for p := range prompts {
-					if (p+i)%n < 3 {
-						keys = append(keys, parts.ID(100+p).KeyAt(1))
-					}
-				}
-				d.RecordCacheEvents(time.Second, id, keys, nil, true)
-			}
-			times := make([]time.Duration, 0, b.N)
-			b.ReportAllocs()
-			now := 2 * time.Second
-			for i := range b.N {
-				r := newTestRequest(uint64(100 + i%prompts))
-				now += time.Millisecond
-				began := time.Now()
-				a, _ := d.Place(now, r)
-				times = append(times, time.Since(began))
-				if a != nil {
-					d.RecordOutcome(now, a, Completed)
-				}
-				_ = d.TakeCacheUpdates()
-				_ = d.TakeLoadReports(now)
+		b.Run(fmt.Sprintf("endpoints=%d", n), func(b *testing.B) { benchmarkPlace(b, n, newTestRequest) })
+	}
+}
+
+// BenchmarkPlaceWithBackup measures the same with the choice of a backup.
+func BenchmarkPlaceWithBackup(b *testing.B) {
+	benchmarkPlace(b, 1100, func(part uint64) *Request {
+		r := newTestRequest(part)
+		r.Service, r.WantsBackup = backedModels, true
+		return r
+	})
+}
+
+func benchmarkPlace(b *testing.B, n int, newRequest func(part uint64) *Request) {
+	d, _ := newTestDispatcher(n)
+	d.SetInstanceCount(n / 2)
+	const prompts = 200
+	for i := range n {
+		id := tables.EndpointID(fmt.Sprintf("e%d", i))
+		var keys []parts.Key
+		if i%3 == 0 {
+			keys = append(keys, parts.ID(1).KeyAt(1))
+		}
+		for p := range prompts {
+			if (p+i)%n < 3 {
+				keys = append(keys, parts.ID(100+p).KeyAt(1))
 			}
-			slices.Sort(times)
-			b.ReportMetric(float64(times[len(times)*99/100].Microseconds()), "p99-us")
-		})
+		}
+		d.RecordCacheEvents(time.Second, id, keys, nil, true)
+	}
+	times := make([]time.Duration, 0, b.N)
+	b.ReportAllocs()
+	now := 2 * time.Second
+	for i := range b.N {
+		r := newRequest(uint64(100 + i%prompts))
+		now += time.Millisecond
+		began := time.Now()
+		a, _ := d.Place(now, r)
+		times = append(times, time.Since(began))
+		if a != nil {
+			d.RecordOutcome(now, a, Completed)
+		}
+		_ = d.TakeCacheUpdates()
+		_ = d.TakeLoadReports(now)
 	}
+	slices.Sort(times)
+	b.ReportMetric(float64(times[len(times)*99/100].Microseconds()), "p99-us")
 }
--- a/forward/continuation.go
+++ b/forward/continuation.go
@@ -24,10 +24,9 @@
 // have ended by then: a run must never go on at two engines.
 
 const (
-	// endProbes is how often an endpoint is tested again after a first test that did not show
-	// its end, with endProbeInterval in between: a process that is being killed may close its
-	// connections before its listening socket.
-	endProbes        = 2
+	// endProbes is how often an endpoint is tested at most, with endProbeInterval in between: a
+	// process that is being killed may close its connections before its listening socket.
+	endProbes        = 3
 	endProbeInterval = 50 * time.Millisecond
 )
 
@@ -109,7 +108,7 @@
 	if !a.endpointEnded(crashed) {
 		return nil, refusedNotEnded
 	}
-	if s.quarantineVerdict(c) != quarantine.Allow {
+	if s.quarantineVerdict(c) >= quarantine.Defer {
 		return nil, refusedQuarantined
 	}
 	placement, refusal := s.takeContinuation(c, a.placement)
@@ -137,21 +136,21 @@
 }
 
 // endpointEnded reports whether the process of the attempt's endpoint is known to have ended.
-// It waits for the test of probeForCrash first, which informs the crash detector.
+// It waits for probeForCrash first, which informs the crash detector.
 func (a *attempt) endpointEnded(crashed <-chan bool) bool {
 	ctx := a.request.ctx
 	select {
-	case ended := <-crashed:
-		if ended {
-			return true
-		}
+	case <-crashed:
 	case <-ctx.Done():
 		return false
 	}
-	for range endProbes {
+	for probe := range endProbes {
 		if a.request.server.processEnded(ctx, &a.placement.Endpoint) {
 			return true
 		}
+		if probe+1 == endProbes {
+			break
+		}
 		select {
 		case <-time.After(endProbeInterval):
 		case <-ctx.Done():
@@ -161,20 +160,29 @@
 	return false
 }
 
-// processEnded tests whether an endpoint refuses connections of this instance and of others. If
-// this instance cannot reach the endpoint's machine, only the test of another instance counts.
+// processEnded tests whether an endpoint refuses connections. Where there are other instances,
+// one of them must confirm it: a refusal, like a timeout, may be due to this instance's own link.
 func (s *Server) processEnded(ctx context.Context, endpoint *fleet.Endpoint) bool {
 	probeCtx, cancel := context.WithTimeout(ctx, crashProbeTimeout)
 	defer cancel()
 	err := s.options.Client.CheckReachable(probeCtx, endpoint.Address)
-	switch {
-	case err == nil:
+	if err == nil {
+		return false
+	}
+	if !s.hasRelays() {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	return s.refusesRelay(ctx, endpoint)
+}
+
+// hasRelays reports whether there are other instances that relay, now or after a back-off.
+func (s *Server) hasRelays() bool {
+	if s.options.Relay == nil {
 		return false
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return s.refusesAll(ctx, endpoint)
-	default:
-		return s.options.Relay != nil && s.mayRelay() && s.refusesAll(ctx, endpoint)
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dispatch.HasRelays()
 }
 
 // isExpectedVersion reports whether the response to a continuation comes from the version of
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -27,7 +27,7 @@
 	RequestID: "X-Request", Deadline: "X-Deadline", Organisation: "X-Organisation",
 	ExpectEndpoint: "X-Endpoint", ExpectWeights: "X-Expect-Weights", Signature: "X-Signature", NotExecuted: "X-Not-Run",
 	Load: "X-Load", RateLimit: "X-Rate-Limit", RetryAfter: "Retry-After", Draining: "X-Draining", Weights: "X-Weights", Model: "X-Model", TokenCounts: "X-Tokens", PromptParts: "X-Prefix",
-	CacheSalt: "X-Salt", CacheSource: "X-Source", CacheStore: "X-Target", Priority: "X-Priority",
+	CacheSalt: "X-Salt", CacheSource: "X-Source", CacheStore: "X-Target", CacheBackup: "X-Backup", ResumeFrom: "X-From", Priority: "X-Priority",
 	LastEventID: "Last-Event-Id", Reserved: []string{"X-Hold"}, AuthScheme: "Bearer",
 }
 
@@ -131,16 +131,20 @@
 }
 
 // newHarnessWith returns a harness with the given clock and endpoints, which several
-// harnesses may share.
-func newHarnessWith(t *testing.T, now func() tables.Instant, endpoints fakeEndpoints) *harness {
+// harnesses may share. Each change modifies the options.
+func newHarnessWith(t *testing.T, now func() tables.Instant, endpoints fakeEndpoints, changes ...func(*Options)) *harness {
 	t.Helper()
-	h := &harness{endpoints: endpoints.all, endpointServers: endpoints.servers, server: New(Options{
+	options := Options{
 		Headers:  headerNames,
 		Client:   exchange.NewClient(exchange.Options{Headers: headerNames}),
 		Dispatch: dispatch.Options{Zone: "a", RetryBudget: dispatch.RetryBudget{Ratio: 1, Extra: 100, Window: time.Minute}},
 		Now:      now,
 		BootID:   "b",
-	})}
+	}
+	for _, change := range changes {
+		change(&options)
+	}
+	h := &harness{endpoints: endpoints.all, endpointServers: endpoints.servers, server: New(options)}
 	all := map[tables.EndpointID]fleet.Endpoint{}
 	for i, s := range endpoints.all {
 		endpointServer := endpoints.servers[i]
--- a/forward/relaypath.go
+++ b/forward/relaypath.go
@@ -120,6 +120,11 @@
 	if s.options.Relay == nil || !s.mayRelay() {
 		return true
 	}
+	return s.refusesRelay(ctx, endpoint)
+}
+
+// refusesRelay reports whether an endpoint refuses a connection of another instance.
+func (s *Server) refusesRelay(ctx context.Context, endpoint *fleet.Endpoint) bool {
 	ctx, cancel := context.WithTimeout(ctx, refusalCheckTimeout)
 	defer cancel()
 	conn, _, err := s.options.Relay.Dial(ctx, endpoint)
--- a/forward/relaypath_test.go
+++ b/forward/relaypath_test.go
@@ -44,9 +44,15 @@
 
 func newRelayHarness(t *testing.T, handlers ...http.HandlerFunc) *relayHarness {
 	t.Helper()
-	endpoints := newFakeEndpoints(t, handlers...)
+	return newRelayHarnessWith(t, newFakeEndpoints(t, handlers...))
+}
+
+// newRelayHarnessWith returns a relay harness for the given endpoints. Each change modifies the
+// options of the instance.
+func newRelayHarnessWith(t *testing.T, endpoints fakeEndpoints, changes ...func(*Options)) *relayHarness {
+	t.Helper()
 	now := func() tables.Instant { return time.Since(testStart) }
-	h := &relayHarness{harness: newHarnessWith(t, now, endpoints), relay: newHarnessWith(t, now, endpoints)}
+	h := &relayHarness{harness: newHarnessWith(t, now, endpoints, changes...), relay: newHarnessWith(t, now, endpoints)}
 	h.server.options.Client = exchange.NewClient(exchange.Options{Headers: headerNames, Dial: refusable(&h.partitioned)})
 	h.server.options.ShareSuspects = func(s []quarantine.Suspect) { h.suspects.Add(int64(len(s))) }
 	h.relayServer = relay.NewServer(relay.ServerOptions{
--- a/logs/trail/story.go
+++ b/logs/trail/story.go
@@ -69,7 +69,7 @@
 			if via := line.Field("via"); via != "" {
 				by += " through " + via
 			}
-			return "answered with " + line.Field("status") + " by " + by + " after " + line.Field("took")
+			return "answered with " + line.Field("status") + " by " + by + " after " + line.Field("took") + t.continuation()
 		case events.RequestFailed.Number:
 			text := "answered with " + line.Field("status") + " after " + line.Field("took")
 			if meaning := meaningOf(line.Field("code")); meaning != "" {
@@ -80,7 +80,7 @@
 			}
 			return text + "; whether it has run is not known"
 		case events.StreamAborted.Number:
-			return "its stream was broken off after event " + line.Field("last_event")
+			return "its stream was broken off after event " + line.Field("last_event") + t.continuation()
 		case events.ClientDisconnected.Number:
 			return "its caller left after " + line.Field("took")
 		}
@@ -90,7 +90,7 @@
 
 // leadingFields are the fields that are printed first, in this order.
 var leadingFields = []string{
-	"endpoint", "via", "end", "status", "code", "outcome", "rule", "took", "placed", "first", "expected", "own", "others",
+	"endpoint", "via", "backup", "end", "status", "code", "outcome", "rule", "took", "placed", "first", "expected", "own", "others",
 	"load_age", "doubt", "retry_after", "pushing_back", "draining", "endpoints", "revision", "control_heard", "weights",
 }
 
