Backups: instances of the endpoint's zone confirm its end

The first check used the connection that a relay opens. After a crash the other instances have been refused themselves and answer 'unreachable' without a new test, which proves nothing, so hardly any stream of a fleet would have been continued. Two refused relays of the own zone, on the other hand, prove nothing while zones are partitioned. A relay request may now ask for a test: the relay tests the address anew, and relays of the endpoint's zone decide.

go test ./relay ./forward passes.

--- a/forward/continuation.go
+++ b/forward/continuation.go
@@ -160,8 +160,8 @@
 	return false
 }
 
-// processEnded tests whether an endpoint refuses connections. Where there are other instances,
-// one of them must confirm it: a refusal, like a timeout, may be due to this instance's own link.
+// processEnded tests whether an endpoint refuses connections. Where there are other instances
+// they must confirm it: a refusal, like a timeout, may be due to this instance's own link.
 func (s *Server) processEnded(ctx context.Context, endpoint *fleet.Endpoint) bool {
 	probeCtx, cancel := context.WithTimeout(ctx, crashProbeTimeout)
 	defer cancel()
@@ -172,7 +172,9 @@
 	if !s.hasRelays() {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
-	return s.refusesRelay(ctx, endpoint)
+	confirmCtx, cancelConfirm := context.WithTimeout(ctx, refusalCheckTimeout)
+	defer cancelConfirm()
+	return s.options.Relay.ConfirmEnded(confirmCtx, endpoint)
 }
 
 // hasRelays reports whether there are other instances that relay, now or after a back-off.
--- a/forward/relaypath.go
+++ b/forward/relaypath.go
@@ -24,6 +24,9 @@
 	// Dial opens a connection to an endpoint and returns the instance that relays it. The
 	// errors are those of relay.Dialer.
 	Dial(ctx context.Context, to *fleet.Endpoint) (net.Conn, tables.InstanceID, error)
+	// ConfirmEnded reports whether other instances find that no process listens at the
+	// endpoint's address any more.
+	ConfirmEnded(ctx context.Context, to *fleet.Endpoint) bool
 }
 
 // relayDial returns the function that opens the connection of a relayed attempt, or nil for an
@@ -120,11 +123,6 @@
 	if s.options.Relay == nil || !s.mayRelay() {
 		return true
 	}
-	return s.refusesRelay(ctx, endpoint)
-}
-
-// refusesRelay reports whether an endpoint refuses a connection of another instance.
-func (s *Server) refusesRelay(ctx context.Context, endpoint *fleet.Endpoint) bool {
 	ctx, cancel := context.WithTimeout(ctx, refusalCheckTimeout)
 	defer cancel()
 	conn, _, err := s.options.Relay.Dial(ctx, endpoint)
--- /dev/null
+++ b/relay/confirm_test.go
@@ -0,0 +1,48 @@
+package relay
+
+import (
+	"net"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/engine"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// Guards against a run that goes on at two engines because an endpoint that listens is taken for
+// ended, and against an ended one that is not noticed because instances answer by what they
+// observed before.
+func TestEndOfAnEndpointIsConfirmedInItsZone(t *testing.T) {
+	listening := startEndpoint(t, func(conn net.Conn) { _ = conn.Close() }) // in zone b
+	in := func(zone string, dial engine.DialFunc, reason Reason) func() Instance {
+		return func() Instance {
+			r := newTestRelay(t, dial)
+			r.reject(reason)
+			return Instance{Zone: tables.Zone(zone), Address: r.address()}
+		}
+	}
+	for name, c := range map[string]struct {
+		instances []func() Instance
+		ended     bool
+	}{
+		"refused in its zone":                   {[]func() Instance{in("b", refuse, ""), in("b", refuse, "")}, true},
+		"by earlier observations too":           {[]func() Instance{in("b", refuse, Unreachable), in("b", refuse, Leaving)}, true},
+		"the only instance of its zone":         {[]func() Instance{in("b", refuse, ""), in("a", engine.DialTCP, "")}, true},
+		"no instance in its zone":               {[]func() Instance{in("a", refuse, ""), in("c", refuse, "")}, true},
+		"other zones are partitioned":           {[]func() Instance{in("a", refuse, ""), in("a", refuse, ""), in("b", engine.DialTCP, "")}, false},
+		"one is accepted":                       {[]func() Instance{in("b", engine.DialTCP, ""), in("b", engine.DialTCP, Unreachable)}, false},
+		"the only witness has lost its links":   {[]func() Instance{in("b", refuse, Partitioned), in("a", refuse, "")}, false},
+		"the only witness does not know it":     {[]func() Instance{in("b", refuse, UnknownEndpoint)}, false},
+		"one of two witnesses cannot tell":      {[]func() Instance{in("b", refuse, Partitioned), in("b", refuse, "")}, false},
+		"no instance":                           {nil, false},
+		"two refusals among three, one unknown": {[]func() Instance{in("b", refuse, ""), in("b", refuse, ""), in("b", refuse, Draining)}, true},
+	} {
+		var instances []Instance
+		for _, instance := range c.instances {
+			instances = append(instances, instance())
+		}
+		d := newTestDialer(instances...)
+		assert.Equal(t, d.ConfirmEnded(t.Context(), listening), c.ended, name)
+	}
+}
--- a/relay/dialer.go
+++ b/relay/dialer.go
@@ -82,7 +82,7 @@
 	var last, verdict *RejectedError
 	asked, verdicts := 0, 0
 	for _, relay := range d.candidates(to.Zone) {
-		conn, rejected := d.ask(ctx, relay, to)
+		conn, rejected := d.ask(ctx, relay, to, false)
 		if rejected == nil {
 			d.recordSuccess(relay.ID)
 			return conn, relay.ID, nil
@@ -177,8 +177,8 @@
 	}
 }
 
-// ask asks one instance for a connection.
-func (d *Dialer) ask(ctx context.Context, relay Instance, to *fleet.Endpoint) (net.Conn, *RejectedError) {
+// ask asks one instance for a connection, or with probe for a test of the endpoint.
+func (d *Dialer) ask(ctx context.Context, relay Instance, to *fleet.Endpoint, probe bool) (net.Conn, *RejectedError) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	raw, err := d.options.Dial(ctx, relay.Address)
@@ -186,7 +186,7 @@
 		return nil, &RejectedError{Relay: relay.ID, Reason: Unresponsive, Cause: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = raw.SetDeadline(time.Unix(1, 0)) })
-	conn, reason, err := handshake(raw, relay.Address, to)
+	conn, reason, err := handshake(raw, relay.Address, to, probe)
 	if conn != nil && stop() {
 		return conn, nil
 	}
@@ -199,7 +199,7 @@
 }
 
 // handshake requests the connection and reads the response.
-func handshake(raw net.Conn, relay netip.AddrPort, to *fleet.Endpoint) (net.Conn, Reason, error) {
+func handshake(raw net.Conn, relay netip.AddrPort, to *fleet.Endpoint, probe bool) (net.Conn, Reason, error) {
 	request, err := http.NewRequest(http.MethodPost, "http://"+relay.String()+Path, nil)
 	if err != nil {
 		return nil, Unresponsive, err
@@ -208,6 +208,9 @@
 	request.Header.Set("Upgrade", protocol)
 	request.Header.Set(headerEndpoint, string(to.ID))
 	request.Header.Set(headerAddress, to.Address.String())
+	if probe {
+		request.Header.Set(headerProbe, "1")
+	}
 	if err := request.Write(raw); err != nil {
 		return nil, Unresponsive, err
 	}
--- a/relay/server.go
+++ b/relay/server.go
@@ -67,6 +67,10 @@
 		return
 	}
 	to := &fleet.Endpoint{ID: tables.EndpointID(r.Header.Get(headerEndpoint)), Address: address}
+	if r.Header.Get(headerProbe) != "" {
+		s.serveProbe(w, r, to)
+		return
+	}
 	if reason := s.reserve(to); reason != "" {
 		s.reject(w, reason)
 		return
