--- a/forward/continuation_test.go
+++ b/forward/continuation_test.go
@@ -1,9 +1,12 @@
 package forward
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -11,6 +14,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/carawaystile/carawaystile/dispatch"
+	"github.com/carawaystile/carawaystile/engine"
+	"github.com/carawaystile/carawaystile/engine/exchange"
 	"github.com/carawaystile/carawaystile/fleet"
 	"github.com/carawaystile/carawaystile/routes"
 	"github.com/carawaystile/carawaystile/rpc"
@@ -294,3 +299,49 @@
 		})
 	}
 }
+
+// Guards against a run that goes on at two engines, or a stream that ends early, while its engine
+// is frozen, or cut off from this instance so that connections time out.
+func TestStreamOfAFrozenOrCutOffEngineIsNotContinued(t *testing.T) {
+	t.Run("frozen", func(t *testing.T) {
+		engines := newBackupEngines(t, 3)
+		engines.failRun = func(int, http.ResponseWriter) { time.Sleep(600 * time.Millisecond) }
+		h := newBackupHarness(t, engines, withBackups)
+		received, complete := h.streamOf(t, "X-Deadline", "400")
+		assert.DeepEqual(t, received, wantEvents(3))
+		assert.Assert(t, !complete)
+		assert.Equal(t, h.deliveredCount(), 1)
+	})
+	t.Run("cut off", func(t *testing.T) {
+		engines := newBackupEngines(t, 3)
+		var cut atomic.Bool
+		engines.failRun, engines.whileRunning = engines.crash, func() { cut.Store(true) }
+		h := newBackupHarness(t, engines, withBackups, func(o *Options) {
+			o.Client = exchange.NewClient(exchange.Options{Headers: headerNames, Dial: func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+				if cut.Load() {
+					return nil, context.DeadlineExceeded
+				}
+				return engine.DialTCP(ctx, to)
+			}})
+		})
+		received, complete := h.streamOf(t)
+		assert.DeepEqual(t, received, wantEvents(3))
+		assert.Assert(t, !complete)
+		assert.Equal(t, h.continuations("endpoint not ended"), int64(1))
+	})
+}
+
+// Guards against events that a caller could receive twice or out of order, since the last one it
+// has received cannot be named.
+func TestStreamWithoutEventNumbersIsNotContinued(t *testing.T) {
+	engines := newBackupEngines(t, 3)
+	engines.failRun = func(i int, w http.ResponseWriter) {
+		_, _ = w.Write([]byte("data: no number\n\n"))
+		engines.crash(i, w)
+	}
+	h := newBackupHarness(t, engines, withBackups)
+	received, complete := h.streamOf(t)
+	assert.DeepEqual(t, received, append(wantEvents(3), "data: no number"))
+	assert.Assert(t, !complete)
+	assert.Equal(t, h.continuations("last event not numbered"), int64(1))
+}
