--- a/forward/continuation_test.go
+++ b/forward/continuation_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -17,6 +19,7 @@
 	"github.com/carawaystile/carawaystile/engine"
 	"github.com/carawaystile/carawaystile/engine/exchange"
 	"github.com/carawaystile/carawaystile/fleet"
+	"github.com/carawaystile/carawaystile/metrics"
 	"github.com/carawaystile/carawaystile/routes"
 	"github.com/carawaystile/carawaystile/rpc"
 	"github.com/carawaystile/carawaystile/schedule"
@@ -46,6 +49,8 @@
 		assert.Equal(t, handles, 1)
 		assert.Equal(t, h.deliveredCount(), 2)
 		assert.Equal(t, h.continuations("completed"), int64(1))
+		backups := h.server.options.Registry.Counter("carawaystile_stream_backups_total", "", metrics.Label{Name: "service", Value: "models"})
+		assert.Equal(t, backups.Count(), int64(1))
 		limiter.awaitRemaining(t, 850)
 	}
 }
@@ -345,3 +350,26 @@
 	assert.Assert(t, !complete)
 	assert.Equal(t, h.continuations("last event not numbered"), int64(1))
 }
+
+// Guards against a request that crashes its engines and is continued without end: each of its runs
+// may take down the engine and the backup, until the crash detector convicts it.
+func TestRequestThatCrashesEnginesIsNotContinuedForEver(t *testing.T) {
+	const count = 10
+	engines := newBackupEngines(t, count)
+	var crashes atomic.Int32
+	crash := func(i int, w http.ResponseWriter) {
+		crashes.Add(1)
+		engines.crash(i, w)
+	}
+	engines.failRun, engines.continueUntil, engines.failContinuation = crash, 4, crash
+	h := newBackupHarness(t, engines, withBackups)
+	rejected := false
+	for i := range 2 * count {
+		resp := h.send(t, "POST", "/stream/poison", "the same each time", "X-Request", strconv.Itoa(i), "X-Model", "m", "X-Tokens", "100,50")
+		rejected = rejected || resp.StatusCode == http.StatusServiceUnavailable
+		_, _ = io.ReadAll(resp.Body)
+		time.Sleep(50 * time.Millisecond) // the crash detector's delay before it convicts
+	}
+	assert.Assert(t, crashes.Load() <= 4, "%d of %d engines crashed", crashes.Load(), count)
+	assert.Assert(t, rejected)
+}
