Backups: a continuation without a stream does not clear the request

Cause: any complete response to a continuation that is not a stream was recorded as Completed, which clears the request at the crash detector although the run has not gone on. A request that crashes engines was then never rejected if its backup had no copy and the 503 lacked the header "not run".

Change: Declined is recorded, and no start of a response. The test of a request that crashes engines also runs with backups that have no copy.

Result: with Completed the case "no copy, by another 503" fails; it passes now.

--- a/forward/continuation.go
+++ b/forward/continuation.go
@@ -209,8 +209,8 @@
 		a.handleFailure(err)
 		return
 	}
-	a.recordResponseStart()
-	a.recordOutcome(dispatch.Completed)
+	// The run has not gone on. Completed would clear the request at the crash detector.
+	a.recordOutcome(dispatch.Declined)
 	c.finishFailed(tables.CodeStreamBroken)
 }
 
--- a/forward/continuation_test.go
+++ b/forward/continuation_test.go
@@ -352,24 +352,32 @@
 }
 
 // Guards against a request that crashes its engines and is continued without end: each of its runs
-// may take down the engine and the backup, until the crash detector convicts it.
+// may take down the engine and the backup, until the crash detector rejects it. The response of a
+// backup without a copy must not clear the request.
 func TestRequestThatCrashesEnginesIsNotContinuedForEver(t *testing.T) {
-	const count = 10
-	engines := newBackupEngines(t, count)
-	var crashes atomic.Int32
-	crash := func(i int, w http.ResponseWriter) {
-		crashes.Add(1)
-		engines.crash(i, w)
-	}
-	engines.failRun, engines.continueUntil, engines.failContinuation = crash, 4, crash
-	h := newBackupHarness(t, engines, withBackups)
-	rejected := false
-	for i := range 2 * count {
-		resp := h.send(t, "POST", "/stream/poison", "the same each time", "X-Request", strconv.Itoa(i), "X-Model", "m", "X-Tokens", "100,50")
-		rejected = rejected || resp.StatusCode == http.StatusServiceUnavailable
-		_, _ = io.ReadAll(resp.Body)
-		time.Sleep(50 * time.Millisecond) // the crash detector's delay before it convicts
+	for name, answer := range map[string]http.HandlerFunc{
+		"copy": nil, "no copy": decline, "no copy, by another 503": respond(503, "no copy"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			const count = 10
+			engines := newBackupEngines(t, count)
+			engines.answerContinuation = answer
+			var crashes atomic.Int32
+			crash := func(i int, w http.ResponseWriter) {
+				crashes.Add(1)
+				engines.crash(i, w)
+			}
+			engines.failRun, engines.continueUntil, engines.failContinuation = crash, 4, crash
+			h := newBackupHarness(t, engines, withBackups)
+			rejected := false
+			for i := range 2 * count {
+				resp := h.send(t, "POST", "/stream/poison", "the same each time", "X-Request", strconv.Itoa(i), "X-Model", "m", "X-Tokens", "100,50")
+				rejected = rejected || resp.StatusCode == http.StatusServiceUnavailable
+				_, _ = io.ReadAll(resp.Body)
+				time.Sleep(50 * time.Millisecond) // the crash detector's delay before it rejects a request
+			}
+			assert.Assert(t, crashes.Load() <= 4, "%d of %d engines crashed", crashes.Load(), count)
+			assert.Assert(t, rejected)
+		})
 	}
-	assert.Assert(t, crashes.Load() <= 4, "%d of %d engines crashed", crashes.Load(), count)
-	assert.Assert(t, rejected)
 }
