Backups: a continuation takes its retry when it is sent

Cause: the retry was taken first. When the budget of retries to unconfirmed addresses, a permit or the rate limit of the backup refused afterwards, it was spent without a request.

Change: Continue checks both budgets and takes nothing. TakeContinuation checks again after permit and rate limit have admitted the continuation, and takes the retry. If the budget has been used up in between, permit and placement are released.

Ruled out: giving a taken retry back. The windows of the budget cannot take a retry back, and the file belongs to another part.

Result: the new tests fail if the retry is taken before the other checks, and pass now. TestContinuationTakesARetry asserts in addition that nothing is taken before the continuation is sent.

--- a/dispatch/backups.go
+++ b/dispatch/backups.go
@@ -166,19 +166,16 @@
 	RetryBudgetUsedUp ContinuationRefusal = "retry budget"
 )
 
-// Continue counts an attempt that continues the run of an ended attempt at its backup endpoint,
-// and takes it from the retry budget. If the run cannot be continued the attempt is nil and the
-// refusal says why. The caller has verified that the process of the first endpoint has ended.
+// Continue counts an attempt that continues the run of an ended attempt at its backup endpoint.
+// If the run cannot be continued the attempt is nil and the refusal gives the reason. The caller
+// has verified that the process of the first endpoint has ended, and calls TakeContinuation
+// before it sends the attempt.
 func (d *Dispatcher) Continue(now tables.Instant, r *Request, ended *Attempt) (*Attempt, ContinuationRefusal) {
 	row := ended.backupRow
 	if row == nil || !d.mayContinueAt(now, r, row, ended.WeightsVersion) {
 		return nil, BackupUnavailable
 	}
-	if !d.TakeRetry(now, r.Service.Name) {
-		return nil, RetryBudgetUsedUp
-	}
-	confirmed := d.addressConfirmed(now, row)
-	if !confirmed && !d.CanRetryUnconfirmed(now) {
+	if !d.canRetryAt(now, r, row) {
 		return nil, RetryBudgetUsedUp
 	}
 	a := &Attempt{
@@ -192,15 +189,29 @@
 		isGeneration:   true,
 	}
 	a.Rationale.Rule = RuleContinued
-	if !confirmed {
-		d.countUnconfirmed(now, a)
-	}
 	row.attempts++
 	row.memoryTokens += a.memoryTokens
 	d.markDirty(row)
 	return a, ""
 }
 
+// TakeContinuation takes a placed continuation that is about to be sent from the retry budget. If
+// the budget does not permit it, it returns false and takes nothing.
+func (d *Dispatcher) TakeContinuation(now tables.Instant, r *Request, a *Attempt) bool {
+	if !d.canRetryAt(now, r, a.row) || !d.TakeRetry(now, r.Service.Name) {
+		return false
+	}
+	if !d.addressConfirmed(now, a.row) {
+		d.countUnconfirmed(now, a)
+	}
+	return true
+}
+
+// canRetryAt reports whether the retry budget permits a retry at the endpoint.
+func (d *Dispatcher) canRetryAt(now tables.Instant, r *Request, row *endpointRow) bool {
+	return d.CanRetry(now, r.Service.Name) && (d.addressConfirmed(now, row) || d.CanRetryUnconfirmed(now))
+}
+
 // mayContinueAt reports whether a run on a version of the weights may be sent to an endpoint
 // that holds a copy of it. Whether the endpoint is at capacity is left to it.
 func (d *Dispatcher) mayContinueAt(now tables.Instant, r *Request, row *endpointRow, version uint64) bool {
--- a/dispatch/backups_test.go
+++ b/dispatch/backups_test.go
@@ -172,6 +172,9 @@
 	assert.Equal(t, next.Endpoint.ID, a.Backup.ID)
 	assert.Equal(t, next.WeightsVersion, a.WeightsVersion)
 	_, retries := d.retryWindow(0, "models").totals()
+	assert.Equal(t, retries, 0, "not sent yet")
+	assert.Assert(t, d.TakeContinuation(0, r, next))
+	_, retries = d.retryWindow(0, "models").totals()
 	assert.Equal(t, retries, 1)
 	d.RecordResponseStart(0, next)
 	d.RecordOutcome(0, next, Completed)
@@ -183,6 +186,22 @@
 	assert.Equal(t, refusal, BackupUnavailable, "at most once")
 }
 
+// Guards against a retry that is taken from the budget of the service although the budget of
+// retries to unconfirmed addresses refuses it.
+func TestRefusedContinuationTakesNoRetry(t *testing.T) {
+	d, _ := newBackupDispatcher(4)
+	r := newBackedRequest()
+	a := mustPlace(t, d, 0, r)
+	d.RecordOutcome(0, a, Broken)
+	for range int(d.extraRetries()) {
+		assert.Assert(t, d.TakeRetry(0, "other"))
+	}
+	_, refusal := d.Continue(0, r, a)
+	assert.Equal(t, refusal, RetryBudgetUsedUp)
+	_, retries := d.retryWindow(0, "models").totals()
+	assert.Equal(t, retries, 0)
+}
+
 // Guards against instances that all choose the same engine before they learn of each other's
 // choices: 30 instances place one run each at the same moment on 24 engines.
 func TestInstancesSpreadTheirCopies(t *testing.T) {
--- a/forward/backup_engines_test.go
+++ b/forward/backup_engines_test.go
@@ -180,6 +180,11 @@
 	return events
 }
 
+// retries returns the metric of retries.
+func (h *harness) retries() int64 {
+	return h.server.options.Registry.Counter("carawaystile_repeats_total", "", metrics.Label{Name: "service", Value: "models"}).Count()
+}
+
 // continuations returns the metric of continuations with the given outcome.
 func (h *harness) continuations(outcome string) int64 {
 	return h.server.options.Registry.Counter("carawaystile_stream_continuations_total", "",
--- a/forward/continuation.go
+++ b/forward/continuation.go
@@ -120,28 +120,39 @@
 	if s.quarantineVerdict(c) >= quarantine.Defer {
 		return nil, refusedQuarantined
 	}
-	placement, refusal := s.takeContinuation(c, a.placement)
+	placement, refusal := s.assignContinuation(c, a.placement)
 	if placement == nil {
 		return nil, refusal
 	}
 	if _, admitted := s.admitAtEndpoint(c, placement); !admitted {
 		return nil, refusedByLimit
 	}
+	if !s.takeContinuation(c, placement) {
+		return nil, dispatch.RetryBudgetUsedUp
+	}
 	return placement, ""
 }
 
-// takeContinuation places the continuation of an ended attempt and takes it from the retry
-// budget.
-func (s *Server) takeContinuation(c *clientRequest, ended *dispatch.Attempt) (*dispatch.Attempt, dispatch.ContinuationRefusal) {
+// assignContinuation places the continuation of an ended attempt.
+func (s *Server) assignContinuation(c *clientRequest, ended *dispatch.Attempt) (*dispatch.Attempt, dispatch.ContinuationRefusal) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dispatch.Continue(s.options.Now(), &c.dispatchRequest, ended)
+}
+
+// takeContinuation takes a continuation that is about to be sent from the retry budget, which
+// may have been used up since it was placed. The attempt has ended then.
+func (s *Server) takeContinuation(c *clientRequest, placement *dispatch.Attempt) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.options.Now()
-	placement, refusal := s.dispatch.Continue(now, &c.dispatchRequest, ended)
-	if placement != nil {
-		c.retryTakenAt = now
-		s.metrics.countRetry(c)
+	if !s.dispatch.TakeContinuation(now, &c.dispatchRequest, placement) {
+		c.releasePermit()
+		s.dispatch.RecordOutcome(now, placement, dispatch.Cancelled)
+		return false
 	}
-	return placement, refusal
+	s.metrics.countRetry(c)
+	return true
 }
 
 // endpointEnded reports whether the process of the attempt's endpoint is known to have ended.
--- a/forward/continuation_test.go
+++ b/forward/continuation_test.go
@@ -51,6 +51,7 @@
 		assert.Equal(t, h.continuations("completed"), int64(1))
 		backups := h.server.options.Registry.Counter("carawaystile_stream_backups_total", "", metrics.Label{Name: "service", Value: "models"})
 		assert.Equal(t, backups.Count(), int64(1))
+		assert.Equal(t, h.retries(), int64(1))
 		limiter.awaitRemaining(t, 850)
 	}
 }
@@ -151,6 +152,27 @@
 		assert.Equal(t, h.deliveredCount(), 1)
 		assert.Equal(t, h.continuations("retry budget"), int64(1))
 	})
+	t.Run("endpoint limit, which takes no retry", func(t *testing.T) {
+		engines := newBackupEngines(t, 2)
+		for _, e := range engines.all {
+			serve := e.handler
+			e.handler = func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("X-Rate-Limit", "100")
+				serve(w, r)
+			}
+		}
+		limiter := &fakeRateLimiter{budget: 1000}
+		h := newBackupHarness(t, engines, withBackups, func(o *Options) { o.RateLimiter = limiter })
+		engines.runUntil = engines.length
+		for len(engines.all[0].requests()) == 0 || len(engines.all[1].requests()) == 0 {
+			h.streamOf(t) // until the limits of both are known
+		}
+		engines.runUntil, limiter.budget = 3, 1
+		_, complete := h.streamOf(t)
+		assert.Assert(t, !complete)
+		assert.Equal(t, h.continuations("endpoint limit"), int64(1))
+		assert.Equal(t, h.retries(), int64(0))
+	})
 	t.Run("backup unavailable", func(t *testing.T) {
 		engines := newBackupEngines(t, 2)
 		h := newBackupHarness(t, engines, withBackups)
