Backups: the first copy of many placers needs free memory

Cause: with many placers each may place one copy beyond its share of the tenth, so the sum can exceed it by a copy each, also at an engine that is nearly full. docs/OPERATING.md said that copies stay below a tenth.

Change: a first copy beyond the share is admitted only while the known memory use, reports and the copy included, stays below 0.8 of the memory.

Result: the new test fails without the condition and passes now.

--- a/dispatch/backups.go
+++ b/dispatch/backups.go
@@ -15,6 +15,11 @@
 // occupy: an engine evicts cached prompts for them.
 const maxCopyFraction = 0.1
 
+// maxFirstCopyMemoryFraction is the fraction of an engine's memory below which the known use must
+// stay if an instance's first copy there exceeds its share: the instances together may exceed
+// maxCopyFraction by a copy each.
+const maxFirstCopyMemoryFraction = 0.8
+
 // copyLoad is the part of an endpoint's memory that copies of other endpoints' runs occupy, in
 // tokens: all copies that this instance knows, and those of them that remote schedulers have
 // placed and report.
@@ -69,17 +74,22 @@
 // mayHoldCopy reports whether an endpoint may receive a copy of the given size in tokens.
 //
 // Load reports do not tell copies from other memory, so an instance keeps its own copies at an
-// endpoint within its share of the limit, except for a single copy.
+// endpoint within its share of the limit. Where many place, the share is smaller than a copy, so
+// the first one may exceed it if memory use stays below maxFirstCopyMemoryFraction.
 func (d *Dispatcher) mayHoldCopy(now tables.Instant, r *Request, row *endpointRow, tokens int) bool {
 	if r.excludes(row.ID) || row.Loading || row.halfOpen || row.isLeaving() || row.announced.pushedBack(now) || !row.canServeFetch(now) {
 		return false
 	}
-	limit := maxCopyFraction * float64(r.Service.KVCapacityTokens)
-	own := row.copies.placedHere()
-	if float64(row.copies.tokens+tokens) > limit || own > 0 && float64(own+tokens)*d.placers() > limit {
+	capacity := float64(r.Service.KVCapacityTokens)
+	limit := maxCopyFraction * capacity
+	if float64(row.copies.tokens+tokens) > limit {
+		return false
+	}
+	used, own := d.usedMemory(now, row)+float64(tokens), row.copies.placedHere()
+	if float64(own+tokens)*d.placers() > limit && (own > 0 || used >= maxFirstCopyMemoryFraction*capacity) {
 		return false
 	}
-	return d.usedMemory(now, row)+float64(tokens) <= maxMemoryFraction*float64(r.Service.KVCapacityTokens)
+	return used <= maxMemoryFraction*capacity
 }
 
 // placers returns how many instances place requests.
--- a/dispatch/backups_test.go
+++ b/dispatch/backups_test.go
@@ -98,6 +98,18 @@
 	}
 }
 
+// Guards against copies that exceed a tenth of the memory of an engine that is nearly full, since
+// each of many instances that place may place a first copy there.
+func TestFirstCopyBeyondTheShareNeedsFreeMemory(t *testing.T) {
+	for reported, admitted := range map[int]bool{70_000: true, 80_000: false} {
+		d, _ := newBackupDispatcher(2)
+		d.ApplyLoadReport(time.Second, "other", LoadReport{Endpoint: "e1", Running: 1, MemoryTokens: reported})
+		assert.Assert(t, d.mayHoldCopy(time.Second, newBackedRequest(), d.endpoints["e1"], 5000), "within the share of a single placer")
+		d.SetSchedulerCounts(29, 0)
+		assert.Equal(t, d.mayHoldCopy(time.Second, newBackedRequest(), d.endpoints["e1"], 5000), admitted)
+	}
+}
+
 // Guards against copies that other instances do not know of, and against ones that count after
 // their end, or at the scheduler and at the sender alike.
 func TestCopiesCountInLoadReports(t *testing.T) {
