--- a/dispatch/backups.go
+++ b/dispatch/backups.go
@@ -27,8 +27,8 @@
 	tokens, remotelyPlaced int
 }
 
-// placedHere returns the copies that this instance has placed and reports, in tokens.
-func (l copyLoad) placedHere() int { return l.tokens - l.remotelyPlaced }
+// locallyPlaced returns the copies that this instance has placed and reports, in tokens.
+func (l copyLoad) locallyPlaced() int { return l.tokens - l.remotelyPlaced }
 
 // HasBackup reports whether Backup is set.
 func (a *Attempt) HasBackup() bool { return a.Backup.Address.IsValid() }
@@ -55,18 +55,18 @@
 // first, since traffic between zones is billed.
 func (d *Dispatcher) chooseBackup(now tables.Instant, r *Request, a *Attempt) *endpointRow {
 	var best *endpointRow
-	bestFree, bestNear := math.Inf(-1), false
+	bestFree, bestInZone := math.Inf(-1), false
 	for _, row := range d.services[r.Service.Name] {
-		near := row.Zone == a.row.Zone
-		if row == a.row || bestNear && !near {
+		sameZone := row.Zone == a.row.Zone
+		if row == a.row || bestInZone && !sameZone {
 			continue
 		}
 		// The checks come last, since few rows have more free memory than the best before them.
 		free := d.freeMemory(now, r, row)
-		if near == bestNear && free <= bestFree || row.Weights[r.Model] != a.WeightsVersion || !d.mayHoldCopy(now, r, row, a.memoryTokens) {
+		if sameZone == bestInZone && free <= bestFree || row.Weights[r.Model] != a.WeightsVersion || !d.mayHoldCopy(now, r, row, a.memoryTokens) {
 			continue
 		}
-		best, bestFree, bestNear = row, free, near
+		best, bestFree, bestInZone = row, free, sameZone
 	}
 	return best
 }
@@ -85,7 +85,7 @@
 	if float64(row.copies.tokens+tokens) > limit {
 		return false
 	}
-	used, own := d.usedMemory(now, row)+float64(tokens), row.copies.placedHere()
+	used, own := d.usedMemory(now, row)+float64(tokens), row.copies.locallyPlaced()
 	if float64(own+tokens)*d.placers() > limit && (own > 0 || used >= maxFirstCopyMemoryFraction*capacity) {
 		return false
 	}
@@ -140,9 +140,9 @@
 	d.markDirty(row)
 }
 
-// acceptBackup counts the copy at the backup endpoint that a remote scheduler has chosen, unless
-// this instance knows that the endpoint cannot continue the run.
-func (d *Dispatcher) acceptBackup(now tables.Instant, r *Request, a *Attempt, backup tables.EndpointID) {
+// countChosenBackup counts the copy at the backup endpoint that a remote scheduler has chosen,
+// unless this instance knows that the endpoint cannot continue the run.
+func (d *Dispatcher) countChosenBackup(now tables.Instant, r *Request, a *Attempt, backup tables.EndpointID) {
 	row := d.endpoints[backup]
 	if row == nil || !r.WantsBackup || row == a.row || row.Service != r.Service.Name || row.isLeaving() ||
 		!row.canServeFetch(now) || row.Weights[r.Model] > a.WeightsVersion {
--- a/dispatch/load_reports.go
+++ b/dispatch/load_reports.go
@@ -108,7 +108,7 @@
 		d.dropOldAnnouncements(now)
 		for _, row := range d.endpoints {
 			row.reported.removeExpired(now)
-			if (row.reportedAttempts() > 0 || row.copies.placedHere() > 0 || row.limit.Limited || row.notice(now) != nil) && now-row.loadReportedAt > loadReportInterval {
+			if (row.reportedAttempts() > 0 || row.copies.locallyPlaced() > 0 || row.limit.Limited || row.notice(now) != nil) && now-row.loadReportedAt > loadReportInterval {
 				d.markDirty(row)
 			}
 		}
--- a/dispatch/remote.go
+++ b/dispatch/remote.go
@@ -98,7 +98,7 @@
 	if r.DeliveredAttempts > 0 && !r.ConfirmedOnly && !d.addressConfirmed(now, row) {
 		d.countUnconfirmed(now, a)
 	}
-	d.acceptBackup(now, r, a, chosen.Backup)
+	d.countChosenBackup(now, r, a, chosen.Backup)
 	row.attempts++
 	row.memoryTokens += a.memoryTokens
 	row.prefillTokens += a.prefillTokens
