Backups: no continuation while other instances may only be cut off

Cause: an instance counted as alone when its current list of members held no other living entry instance, also directly after its start and during a partition, and then trusted its own refused connection. When a zone was partitioned until its members counted as dead, instances of other zones confirmed the end of its engines. Both can let a run go on at two engines. Apart from that the wait until a broken stream was given up could reach 2.2 s, since instances were asked in turn, in three tests of 500 ms each.

Change: node/recent_peers.go keeps how many other entry instances were known at once within the last minute, in all and by zone. An instance is alone only if there was none in that time. In the first 5 s of the process, and until a member has been heard from if seeds are configured, there is no continuation. In a zone that had members recently its instances decide: two, or one if there was only one. If this instance is the only one of the zone, it must be refused too. Up to five instances are asked at once, one bound of 500 ms covers all tests and the crash detector's, and whether there are peers is decided once. HasRelays is replaced by Peers of relay.Dialer.

Ruled out: the maximum of peerCountMax. It is observed only when members change, so in a group without changes for a minute the first change after a partition replaces it at once. The callback for changed members is not called at all for an instance that never meets another, hence the seeds.

Tests: the case "no instance in its zone" asserted that instances of other zones decide whenever none of the zone is known, which is the fault. It is kept for a zone that had none recently, and TestMissingInstancesDoNotLeaveTheDecisionToOthers asserts the rest: recent members of the zone or of others that are missing prevent the confirmation.

--- a/dispatch/backups.go
+++ b/dispatch/backups.go
@@ -230,7 +230,3 @@
 	}
 	return !row.announced.pushedBack(now) && !row.limit.exhausted(now) && row.Weights[r.Model] <= version
 }
-
-// HasRelays reports whether there are other instances that relay attempts, now or after a
-// back-off.
-func (d *Dispatcher) HasRelays() bool { return d.links.relayAvailable }
--- a/forward/continuation.go
+++ b/forward/continuation.go
@@ -14,6 +14,7 @@
 	"github.com/carawaystile/carawaystile/engine/exchange"
 	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/fleet"
+	"github.com/carawaystile/carawaystile/relay"
 	"github.com/carawaystile/carawaystile/routes"
 	"github.com/carawaystile/carawaystile/systems/quarantine"
 	"github.com/carawaystile/carawaystile/tables"
@@ -28,6 +29,10 @@
 	// process that is being killed may close its connections before its listening socket.
 	endProbes        = 3
 	endProbeInterval = 50 * time.Millisecond
+	// confirmTimeout bounds the time in which the end of an endpoint must be confirmed: the
+	// caller waits for it. It exceeds the timeout of an own connection and that of a
+	// question to another instance together.
+	confirmTimeout = 500 * time.Millisecond
 )
 
 // Reasons for which a stream with a backup is not continued, beside those of package dispatch.
@@ -106,11 +111,7 @@
 	if !c.lastEventNumbered {
 		return nil, refusedNotNumbered
 	}
-	ended := a.endpointEnded()
-	select {
-	case <-probed: // the crash detector knows of the crash, if there was one
-	case <-c.ctx.Done():
-	}
+	ended := a.confirmEnded(probed)
 	switch {
 	case c.ctx.Err() != nil:
 		return nil, refusedCancelled
@@ -155,50 +156,66 @@
 	return true
 }
 
-// endpointEnded reports whether the process of the attempt's endpoint is known to have ended.
-func (a *attempt) endpointEnded() bool {
-	ctx := a.request.ctx
+// confirmEnded reports whether the process of the attempt's endpoint is known to have ended, and
+// the crash detector has learned of it, which it has once probed is closed.
+func (a *attempt) confirmEnded(probed <-chan struct{}) bool {
+	ctx, cancel := context.WithTimeout(a.request.ctx, confirmTimeout)
+	defer cancel()
+	if !a.endpointEnded(ctx) {
+		return false
+	}
+	select {
+	case <-probed:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// endpointEnded tests repeatedly whether the process of the attempt's endpoint has ended.
+func (a *attempt) endpointEnded(ctx context.Context) bool {
+	s := a.request.server
+	peers := s.peers()
+	if peers == relay.PeersUnknown {
+		return false
+	}
 	for probe := range endProbes {
-		if a.request.server.processEnded(ctx, &a.placement.Endpoint) {
-			return true
-		}
-		if probe+1 == endProbes {
-			break
+		if probe > 0 {
+			select {
+			case <-time.After(endProbeInterval):
+			case <-ctx.Done():
+				return false
+			}
 		}
-		select {
-		case <-time.After(endProbeInterval):
-		case <-ctx.Done():
-			return false
+		if s.processEnded(ctx, &a.placement.Endpoint, peers == relay.HasPeers) {
+			return true
 		}
 	}
 	return false
 }
 
-// processEnded tests whether an endpoint refuses connections. Where there are other instances
-// they must confirm it: a refusal, like a timeout, may be due to this instance's own link.
-func (s *Server) processEnded(ctx context.Context, endpoint *fleet.Endpoint) bool {
+// processEnded tests whether an endpoint refuses connections. If there are other instances they
+// must confirm it: a refusal, like a timeout, may be due to this instance's own link.
+func (s *Server) processEnded(ctx context.Context, endpoint *fleet.Endpoint, hasPeers bool) bool {
 	probeCtx, cancel := context.WithTimeout(ctx, crashProbeTimeout)
 	defer cancel()
 	err := s.options.Client.CheckReachable(probeCtx, endpoint.Address)
 	if err == nil {
 		return false
 	}
-	if !s.hasRelays() {
-		return errors.Is(err, syscall.ECONNREFUSED)
+	refused := errors.Is(err, syscall.ECONNREFUSED)
+	if !hasPeers {
+		return refused
 	}
-	confirmCtx, cancelConfirm := context.WithTimeout(ctx, refusalCheckTimeout)
-	defer cancelConfirm()
-	return s.options.Relay.ConfirmEnded(confirmCtx, endpoint)
+	return s.options.Relay.ConfirmEnded(ctx, endpoint, refused)
 }
 
-// hasRelays reports whether there are other instances that relay, now or after a back-off.
-func (s *Server) hasRelays() bool {
+// peers reports whether there are other instances.
+func (s *Server) peers() relay.Peers {
 	if s.options.Relay == nil {
-		return false
+		return relay.NoPeers
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.dispatch.HasRelays()
+	return s.options.Relay.Peers()
 }
 
 // isExpectedVersion reports whether the response to a continuation comes from the version of
--- a/forward/relaypath.go
+++ b/forward/relaypath.go
@@ -24,9 +24,12 @@
 	// Dial opens a connection to an endpoint and returns the instance that relays it. The
 	// errors are those of relay.Dialer.
 	Dial(ctx context.Context, to *fleet.Endpoint) (net.Conn, tables.InstanceID, error)
+	// Peers reports whether there are other instances.
+	Peers() relay.Peers
 	// ConfirmEnded reports whether other instances find that no process listens at the
-	// endpoint's address any more.
-	ConfirmEnded(ctx context.Context, to *fleet.Endpoint) bool
+	// endpoint's address any more. refused is set if it has refused a connection of this
+	// instance.
+	ConfirmEnded(ctx context.Context, to *fleet.Endpoint, refused bool) bool
 }
 
 // relayDial returns the function that opens the connection of a relayed attempt, or nil for an
--- a/node/members.go
+++ b/node/members.go
@@ -84,6 +84,7 @@
 			rank++
 		}
 	}
+	n.recentPeers.observe(n.now(), n.options.Settings.Instance, members)
 	peers := n.peerCount.observe(n.now(), count)
 	n.limitSharers.Store(int64(peers))
 	n.entry.SetInstanceRank(rank, peers)
--- a/node/node.go
+++ b/node/node.go
@@ -111,6 +111,8 @@
 	gossip         atomic.Pointer[gossip.Gossip]
 	// peerCount is the number of entry instances including this one.
 	peerCount peerCountMax
+	// recentPeers is the recent number of other entry instances, by zone.
+	recentPeers recentPeers
 	// limitSharers is the recent maximum number of entry instances that share rate limits.
 	limitSharers atomic.Int64
 	// zoneHints queues hints for the instances that receive them directly, mainly those of the
--- a/node/relay.go
+++ b/node/relay.go
@@ -18,6 +18,8 @@
 func (n *Node) startRelayClient() {
 	n.relayDialer = relay.NewDialer(relay.DialerOptions{
 		Zone: n.options.Settings.Zone, Instances: n.relayInstances, Dial: n.dial, Now: n.now,
+		Peers:       n.peers,
+		RecentPeers: func(zone tables.Zone) (all, inZone int) { return n.recentPeers.counts(n.now(), zone) },
 	})
 }
 
--- a/relay/dialer.go
+++ b/relay/dialer.go
@@ -30,6 +30,11 @@
 	Zone tables.Zone
 	// Instances lists the other instances that live and serve clients.
 	Instances func() []Instance
+	// Peers reports whether there are other instances; nil if there always are.
+	Peers func() Peers
+	// RecentPeers returns how many other instances have been known at once recently, in all zones
+	// and in the given one; nil counts only those of Instances.
+	RecentPeers func(zone tables.Zone) (all, inZone int)
 	// Dial opens connections to them.
 	Dial engine.DialFunc
 	// Now reads a monotonic clock.
