--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -362,5 +362,6 @@
 	d.recordPlacement(now, r, a)
 	d.recordAdmitted(now, r, a)
 	d.assignStore(now, r, a, r.PromptTokens-int(c.uncachedTokens))
+	d.assignBackup(now, r, a)
 	return a
 }
--- a/events/entry.go
+++ b/events/entry.go
@@ -32,5 +32,7 @@
 	StreamPaused         = define(1026, zapcore.InfoLevel, "A stream paused for longer than its target gap.")
 	ServiceSaturated     = define(1040, zapcore.InfoLevel, "Requests for a service wait for capacity.")
 	ServiceDesaturated   = define(1041, zapcore.InfoLevel, "No request for a service waits for capacity any more.")
+	StreamContinued      = define(1034, zapcore.InfoLevel, "A stream whose endpoint has ended continues at its backup endpoint.")
+	StreamNotContinued   = define(1035, zapcore.InfoLevel, "A broken stream was not continued at its backup endpoint.")
 	HeaderUnusable       = define(1021, zapcore.WarnLevel, "A response header of an endpoint has a value that cannot be used as it is.")
 )
--- a/forward/timeout.go
+++ b/forward/timeout.go
@@ -76,11 +76,14 @@
 }
 
 // probeForCrash tests whether the process of an endpoint whose connection broke has ended:
-// a connection that is refused to this instance and to others means that it has. The crash detector then records the requests that
-// were running there as suspects, and the other instances are notified of them.
-func (a *attempt) probeForCrash() {
+// a connection that is refused to this instance and to others means that it has. The crash
+// detector then records the requests that were running there as suspects, and the other instances
+// are notified of them. The returned channel is closed after that.
+func (a *attempt) probeForCrash() <-chan struct{} {
 	s, endpoint := a.request.server, a.placement.Endpoint
+	probed := make(chan struct{})
 	go func() {
+		defer close(probed)
 		ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
 		defer cancel()
 		err := s.options.Client.CheckReachable(ctx, endpoint.Address)
@@ -95,4 +98,5 @@
 			s.options.ShareSuspects(suspects)
 		}
 	}()
+	return probed
 }
--- a/logs/trail/story.go
+++ b/logs/trail/story.go
@@ -69,7 +69,7 @@
 			if via := line.Field("via"); via != "" {
 				by += " through " + via
 			}
-			return "answered with " + line.Field("status") + " by " + by + " after " + line.Field("took") + line.waitForCapacity()
+			return "answered with " + line.Field("status") + " by " + by + " after " + line.Field("took") + line.waitForCapacity() + t.continuation()
 		case events.RequestFailed.Number:
 			text := "answered with " + line.Field("status") + " after " + line.Field("took") + line.waitForCapacity()
 			if meaning := meaningOf(line.Field("code")); meaning != "" {
@@ -80,7 +80,7 @@
 			}
 			return text + "; whether it has run is not known"
 		case events.StreamAborted.Number:
-			return "its stream was broken off after event " + line.Field("last_event")
+			return "its stream was broken off after event " + line.Field("last_event") + t.continuation()
 		case events.ClientDisconnected.Number:
 			return "its caller left after " + line.Field("took")
 		}
@@ -104,7 +104,7 @@
 
 // leadingFields are the fields that are printed first, in this order.
 var leadingFields = []string{
-	"endpoint", "via", "end", "status", "code", "outcome", "rule", "took", "placed", "queue_wait", "predicted_wait", "wait_ended", "first", "expected", "own", "others",
+	"endpoint", "via", "backup", "end", "status", "code", "outcome", "rule", "took", "placed", "queue_wait", "predicted_wait", "wait_ended", "first", "expected", "own", "others",
 	"load_age", "doubt", "retry_after", "pushing_back", "draining", "endpoints", "revision", "control_heard", "weights",
 }
 
--- a/node/members.go
+++ b/node/members.go
@@ -85,6 +85,7 @@
 			rank++
 		}
 	}
+	n.recentPeers.observe(n.now(), n.options.Settings.Instance, members)
 	n.limitSharers.Store(int64(n.peerCount.observe(n.now(), count)))
 	n.knownEntries.Store(int64(count))
 	n.entryRank.Store(int64(rank))
