A slow attempt is given up only if another endpoint can take the request

Change: the timer asks whether an endpoint could take the retry now (dispatch.HasAlternative), else it waits on. A stream that continues is not subject to the limit of queues.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -298,6 +298,10 @@
 	if !notDelivered(result) {
 		c.dispatchRequest.Tried = append(c.dispatchRequest.Tried, a.placement.Endpoint.ID)
 	}
+	if c.responseStarted {
+		// The client has a part of the response, which no limit of queues should cost it.
+		c.dispatchRequest.UrgentTarget = 0
+	}
 	if code := c.admitRetry(result); code != 0 {
 		c.finishFailed(code)
 	}
--- a/forward/timeout.go
+++ b/forward/timeout.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"syscall"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/carawaystile/carawaystile/dispatch"
 	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/systems/quarantine"
 )
@@ -36,8 +38,8 @@
 
 // armResponseTimer cancels the attempt when the endpoint has sent nothing for the given
 // time, if the request can be retried then; a limit of zero means never. If the request
-// cannot be retried, it keeps waiting, since an endpoint that is merely slow still sends
-// its response.
+// cannot be retried, or no other endpoint could take it, it keeps waiting, since an endpoint
+// that is merely slow still sends its response.
 func (a *attempt) armResponseTimer(limit time.Duration) {
 	if limit <= 0 || !a.mayRepeat {
 		return
@@ -46,8 +48,9 @@
 		a.responseTimer.Reset(limit)
 		return
 	}
+	retry := a.retryRequest()
 	a.responseTimer = time.AfterFunc(limit, func() {
-		if !a.request.canRetry() {
+		if !a.request.server.canRetryElsewhere(&retry) {
 			a.responseTimer.Reset(limit)
 			return
 		}
@@ -75,6 +78,24 @@
 	return s.dispatch.CanRetry(s.options.Now(), c.service.Name)
 }
 
+// retryRequest returns the placement request of a retry of this attempt. It is a copy: the timer
+// reads it beside the goroutine that serves the client.
+func (a *attempt) retryRequest() dispatch.Request {
+	r := a.request.dispatchRequest
+	r.Tried = append(slices.Clone(r.Tried), a.placement.Endpoint.ID)
+	r.DeliveredAttempts++
+	return r
+}
+
+// canRetryElsewhere reports whether the retry budget permits a retry now and another endpoint
+// could take it.
+func (s *Server) canRetryElsewhere(r *dispatch.Request) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.options.Now()
+	return s.dispatch.CanRetry(now, r.Service.Name) && s.dispatch.HasAlternative(now, r)
+}
+
 // probeForCrash tests whether the process of an endpoint whose connection broke has ended:
 // a connection that is refused to this instance and to others means that it has. The crash
 // detector then records the requests that were running there as suspects, and the other instances
