--- a/dispatch/stream_pauses.go
+++ b/dispatch/stream_pauses.go
@@ -18,6 +18,11 @@
 	// step, where the configuration does not say.
 	defaultEventStride  = 4
 	defaultPrefillChunk = 2048
+	// lateStreamWeight is the weight of a running stream that a prompt may make late, against a
+	// late first event. The stream has only a part of its time left, and may be paused as long by
+	// another prompt. At full weight long prompts gathered at the few endpoints without streams
+	// and were late there.
+	lateStreamWeight = 0.3
 )
 
 // streamCounts counts the streams with a target gap of this instance's attempts at an endpoint that
@@ -184,7 +189,7 @@
 	scale := 1 / (c.row.currentPrefillRate(now) * terms.midpoint)
 	before := lateProbability(backlog * scale)
 	after := lateProbability(min(backlog+c.uncachedTokens, terms.eventTokens) * scale)
-	return risk + float64(streams)*terms.lateStreamCost*(after-before)
+	return risk + lateStreamWeight*float64(streams)*terms.lateStreamCost*(after-before)
 }
 
 // lateProbability returns the probability that a wait makes a response late, by the curve of
