--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -105,7 +105,7 @@
 const initialRevision = 1
 
 // newHarness returns a harness with a fake endpoint for each handler.
-func newHarness(t *testing.T, handlers ...http.HandlerFunc) *harness {
+func newHarness(t testing.TB, handlers ...http.HandlerFunc) *harness {
 	t.Helper()
 	started := time.Now()
 	return newHarnessWith(t, func() tables.Instant { return time.Since(started) }, newFakeEndpoints(t, handlers...))
@@ -117,7 +117,7 @@
 	servers []*httptest.Server
 }
 
-func newFakeEndpoints(t *testing.T, handlers ...http.HandlerFunc) fakeEndpoints {
+func newFakeEndpoints(t testing.TB, handlers ...http.HandlerFunc) fakeEndpoints {
 	t.Helper()
 	var endpoints fakeEndpoints
 	for i, handler := range handlers {
@@ -132,7 +132,7 @@
 
 // newHarnessWith returns a harness with the given clock and endpoints, which several
 // harnesses may share.
-func newHarnessWith(t *testing.T, now func() tables.Instant, endpoints fakeEndpoints) *harness {
+func newHarnessWith(t testing.TB, now func() tables.Instant, endpoints fakeEndpoints) *harness {
 	t.Helper()
 	h := &harness{endpoints: endpoints.all, endpointServers: endpoints.servers, server: New(Options{
 		Headers:  headerNames,
@@ -163,7 +163,7 @@
 
 // configure puts a configuration with the given revision in force, after change has
 // modified it.
-func (h *harness) configure(t *testing.T, revision uint64, change func(*routes.Configuration)) {
+func (h *harness) configure(t testing.TB, revision uint64, change func(*routes.Configuration)) {
 	t.Helper()
 	route := func(prefix string, kind routes.Kind, service string) routes.Route {
 		return routes.Route{
@@ -198,7 +198,7 @@
 }
 
 // send sends a request to the proxy; headers holds pairs of names and values.
-func (h *harness) send(t *testing.T, method, path, body string, headers ...string) *http.Response {
+func (h *harness) send(t testing.TB, method, path, body string, headers ...string) *http.Response {
 	t.Helper()
 	request, err := http.NewRequestWithContext(t.Context(), method, h.url+path, strings.NewReader(body))
 	assert.NilError(t, err)
