One budget for request bodies, responses and streams of callers that read slowly

The counter of buffered bytes saw request bodies only, and a caller that does not read stopped the reading of its endpoint, which cuts off a response that is unread for some seconds. Package bufferbudget counts all of it by organisation. A socket's free space was ruled out as the sign of a slow caller: it is not available behind a wrapped connection.

--- /dev/null
+++ b/bufferbudget/budget.go
@@ -0,0 +1,172 @@
+// Package bufferbudget accounts for the bytes that an instance holds for callers and endpoints
+// that read slowly. One budget covers all kinds of bytes and is divided into accounts, one for
+// each organisation. A reservation beyond the budget fails or waits; to make room, the reader
+// that has made no progress for the longest is chosen from the account with the most bytes.
+//
+// The package only counts: it starts no goroutine and reads no clock.
+package bufferbudget
+
+import (
+	"sync"
+	"time"
+
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// Kind says what bytes are held for.
+type Kind int
+
+// The kinds of bytes.
+const (
+	RequestBody Kind = iota
+	Response
+	Stream
+	Relay
+	kindCount
+)
+
+// Kinds returns all kinds.
+func Kinds() []Kind { return []Kind{RequestBody, Response, Stream, Relay} }
+
+func (k Kind) String() string {
+	return [kindCount]string{"request", "response", "stream", "relay"}[k]
+}
+
+// minStall is how long a reader must have made no progress before it is evicted. A caller that
+// reads at normal speed makes progress within a round trip, or within a second if a packet is
+// sent again. Endpoints cut off a response that is unread for some seconds, which is longer.
+const minStall = time.Second
+
+// Budget is a number of bytes that holders share. It is safe for concurrent use.
+type Budget struct {
+	limit int64
+
+	mu       sync.Mutex
+	used     int64
+	byKind   [kindCount]int64
+	accounts map[string]*account
+	// evicting counts the bytes of evicted holders that are not closed yet.
+	evicting int64
+	// waiters are served in order of arrival.
+	waiters []*Waiter
+	// overdraft is the response that may exceed the budget; nil for none.
+	overdraft *Holder
+}
+
+// account is the share of one organisation. bytes does not include evicted holders.
+type account struct {
+	name    string
+	bytes   int64
+	holders map[*Holder]struct{}
+}
+
+// New returns an unused budget of so many bytes.
+func New(limit int64) *Budget {
+	return &Budget{limit: limit, accounts: map[string]*account{}}
+}
+
+// Limit returns the size of the budget in bytes.
+func (b *Budget) Limit() int64 { return b.limit }
+
+// Used returns the bytes that all holders have reserved.
+func (b *Budget) Used() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.used
+}
+
+// UsedBy returns the bytes of one kind.
+func (b *Budget) UsedBy(k Kind) int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.byKind[k]
+}
+
+// Shortage returns by how many bytes the budget is too small for the first waiter, at least 0.
+// It is 0 if nothing waits.
+func (b *Budget) Shortage() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.waiters) == 0 {
+		return 0
+	}
+	return max(0, b.used+b.waiters[0].bytes-b.limit)
+}
+
+// Open returns a holder without bytes that belongs to the account. It must be closed.
+func (b *Budget) Open(name string, kind Kind) *Holder {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.accounts[name]
+	if a == nil {
+		a = &account{name: name, holders: map[*Holder]struct{}{}}
+		b.accounts[name] = a
+	}
+	h := &Holder{budget: b, account: a, kind: kind}
+	a.holders[h] = struct{}{}
+	return h
+}
+
+// Victim is an evicted reader.
+type Victim struct {
+	Account string
+	Kind    Kind
+	// Bytes is what the reader held.
+	Bytes int64
+	// Stalled is how long it had made no progress.
+	Stalled time.Duration
+	// Disconnect is the function that was given to Evictable.
+	Disconnect func()
+}
+
+// Evict chooses readers whose end makes room for so many bytes, given those that were evicted
+// before and have not been closed yet. It returns fewer if there are no more stalled readers. The caller
+// must call Disconnect of each one.
+func (b *Budget) Evict(now tables.Instant, bytes int64) []Victim {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var victims []Victim
+	for b.used-b.evicting+bytes > b.limit {
+		h := b.nextVictim(now)
+		if h == nil {
+			break
+		}
+		h.evicted = true
+		h.account.bytes -= h.bytes
+		b.evicting += h.bytes
+		victims = append(victims, Victim{
+			Account: h.account.name, Kind: h.kind, Bytes: h.bytes, Stalled: now - h.progressAt, Disconnect: h.disconnect,
+		})
+	}
+	return victims
+}
+
+// nextVictim returns the longest stalled reader of the account with the most bytes that has one,
+// or nil.
+func (b *Budget) nextVictim(now tables.Instant) *Holder {
+	var victim *Holder
+	for _, a := range b.accounts {
+		if victim != nil && a.bytes <= victim.account.bytes {
+			continue
+		}
+		if h := a.longestStalled(now); h != nil {
+			victim = h
+		}
+	}
+	return victim
+}
+
+// longestStalled returns the account's reader that has made no progress for the longest, and for
+// at least minStall, or nil.
+func (a *account) longestStalled(now tables.Instant) *Holder {
+	var longest *Holder
+	for h := range a.holders {
+		if h.disconnect == nil || h.evicted || h.bytes == 0 || now-h.progressAt < minStall {
+			continue
+		}
+		if longest == nil || h.progressAt < longest.progressAt {
+			longest = h
+		}
+	}
+	return longest
+}
--- a/engine/exchange/response.go
+++ b/engine/exchange/response.go
@@ -30,7 +30,14 @@
 // ReadAll returns the whole body, or *engine.InterruptedError if the body is truncated or
 // exceeds the client's limit.
 func (res *Response) ReadAll() ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(res.resp.Body, res.client.maxResponseBytes+1))
+	return res.ReadAllMetered(func(int) error { return nil })
+}
+
+// ReadAllMetered is ReadAll with a function that is called with the number of bytes after each
+// read. It may block, and the endpoint is not read meanwhile. Its error ends the response.
+func (res *Response) ReadAllMetered(meter func(bytes int) error) ([]byte, error) {
+	limited := io.LimitReader(res.resp.Body, res.client.maxResponseBytes+1)
+	body, err := io.ReadAll(&meteredReader{Reader: limited, meter: meter})
 	if err == nil && int64(len(body)) > res.client.maxResponseBytes {
 		err = &engine.TooLargeError{What: "response", Limit: res.client.maxResponseBytes}
 	}
@@ -42,6 +49,22 @@
 	return body, nil
 }
 
+// meteredReader calls a function after each read.
+type meteredReader struct {
+	io.Reader
+	meter func(bytes int) error
+}
+
+func (r *meteredReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if n > 0 {
+		if failed := r.meter(n); failed != nil {
+			return n, failed
+		}
+	}
+	return n, err
+}
+
 // Read reads from the body of a stream. io.EOF means that the response is complete.
 func (res *Response) Read(p []byte) (int, error) {
 	n, err := res.resp.Body.Read(p)
--- a/events/entry.go
+++ b/events/entry.go
@@ -28,5 +28,6 @@
 	LinksLost            = define(1022, zapcore.WarnLevel, "This instance reaches no endpoint; its requests go through other instances.")
 	LinksRestored        = define(1023, zapcore.InfoLevel, "This instance reaches endpoints again.")
 	EndpointBrittle      = define(1024, zapcore.InfoLevel, "An endpoint announced that it fails if it rejects many requests, or no longer announces it.")
+	ReaderEvicted        = define(1050, zapcore.WarnLevel, "A caller that did not read was disconnected because the budget for buffers was used up.")
 	HeaderUnusable       = define(1021, zapcore.WarnLevel, "A response header of an endpoint has a value that cannot be used as it is.")
 )
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -103,6 +103,7 @@
 	a.armResponseTimer(a.firstResponseTimeout())
 	a.endWait = a.trackPending()
 	defer a.endWait()
+	defer c.server.unanswered.add(a.placement.Endpoint.ID, len(c.body))()
 	response, err := c.server.options.Client.Send(a.ctx, a.placement.Endpoint.Address, a.endpointRequest())
 	if err != nil {
 		a.handleFailure(err)
@@ -248,7 +249,11 @@
 
 // handleFailure ends an attempt without a complete response. It also ends the request if
 // the request cannot be retried.
-func (a *attempt) handleFailure(err error) {
+func (a *attempt) handleFailure(err error) { a.continueAfterFailure(a.recordFailure(err)) }
+
+// recordFailure records the end of an attempt without a complete response, and returns its
+// outcome. The client need not have received all events of the attempt yet.
+func (a *attempt) recordFailure(err error) dispatch.Outcome {
 	c := a.request
 	result := a.classifyError(err)
 	a.recordOutcome(result)
@@ -268,6 +273,13 @@
 			c.server.healthChecker.startProbe(a.placement.Endpoint)
 		}
 	}
+	return result
+}
+
+// continueAfterFailure prepares a retry after an attempt without a complete response, or ends
+// the request if it cannot be retried.
+func (a *attempt) continueAfterFailure(result dispatch.Outcome) {
+	c := a.request
 	if result == dispatch.Cancelled {
 		c.finishFailed(tables.CodeTimeout)
 		return
--- /dev/null
+++ b/forward/buffers.go
@@ -0,0 +1,220 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/carawaystile/carawaystile/bufferbudget"
+	"github.com/carawaystile/carawaystile/events"
+	"github.com/carawaystile/carawaystile/metrics"
+)
+
+const (
+	// evictionInterval is the time between two searches for stalled readers while reservations
+	// wait. It is a tenth of the time after which a reader counts as stalled.
+	evictionInterval = 100 * time.Millisecond
+	// maxPieceBytes is the size of the pieces in which a long response is written. A client that
+	// reads slowly makes progress with each piece.
+	maxPieceBytes = 16 << 10
+)
+
+// buffers holds the server's budget of bytes for clients and endpoints that read slowly.
+type buffers struct {
+	budget *bufferbudget.Budget
+	// checkArmed is set while a search for stalled readers is scheduled.
+	checkArmed atomic.Bool
+	// waitingStreams counts the streams that are not read because of their queue or the budget.
+	waitingStreams atomic.Int64
+}
+
+// openBuffer returns a holder of bytes for the request's organisation. The bytes are given back
+// at the end of the request if they were not before.
+func (c *clientRequest) openBuffer(kind bufferbudget.Kind) *bufferbudget.Holder {
+	holder := c.server.buffers.budget.Open(string(c.organisationID()), kind)
+	c.holders = append(c.holders, holder)
+	return holder
+}
+
+// releaseBuffers gives back all bytes that the request holds. The client is not disconnected
+// any more after it, since its connection may carry the next request by then.
+func (c *clientRequest) releaseBuffers() {
+	c.disconnectMu.Lock()
+	c.released = true
+	c.disconnectMu.Unlock()
+	for _, holder := range c.holders {
+		holder.Close()
+	}
+}
+
+// disconnect ends the writes to an evicted client. Any goroutine may call it.
+func (c *clientRequest) disconnect() {
+	c.disconnectMu.Lock()
+	defer c.disconnectMu.Unlock()
+	if c.released {
+		return
+	}
+	c.evicted.Store(true)
+	_ = http.NewResponseController(c.w).SetWriteDeadline(time.Unix(1, 0))
+}
+
+// evictedError means that a client was disconnected to make room in the budget.
+type evictedError struct{}
+
+func (*evictedError) Error() string { return "evicted: the buffer budget is used up" }
+
+// extendWriteDeadline sets the time until which the client must accept the next piece.
+func (c *clientRequest) extendWriteDeadline(control *http.ResponseController) error {
+	_ = control.SetWriteDeadline(time.Now().Add(eventWriteTimeout))
+	// disconnect sets the mark before the deadline, so the mark is seen here if this call has
+	// replaced that deadline.
+	if c.evicted.Load() {
+		return &evictedError{}
+	}
+	return nil
+}
+
+// writePieces writes data to a client that may read slowly.
+func (c *clientRequest) writePieces(holder *bufferbudget.Holder, data []byte) error {
+	control := http.NewResponseController(c.w)
+	for len(data) > 0 {
+		piece := data[:min(len(data), maxPieceBytes)]
+		if err := c.extendWriteDeadline(control); err != nil {
+			return err
+		}
+		if _, err := c.w.Write(piece); err != nil {
+			return err
+		}
+		holder.Progress(c.now())
+		data = data[len(piece):]
+	}
+	return nil
+}
+
+// bodyReader reads a request body of unknown length and reserves the bytes that it reads.
+type bodyReader struct {
+	io.ReadCloser
+	server *Server
+	holder *bufferbudget.Holder
+}
+
+// budgetError means that a request body does not fit into the budget.
+type budgetError struct{}
+
+func (*budgetError) Error() string { return "the buffer budget is used up" }
+
+func (r *bodyReader) Read(p []byte) (int, error) {
+	n, err := r.ReadCloser.Read(p)
+	if !r.server.reserveBody(r.holder, int64(n)) {
+		return 0, &budgetError{}
+	}
+	return n, err
+}
+
+// reserveBody reserves bytes for a request body. If they do not fit, it makes room for later
+// requests.
+func (s *Server) reserveBody(holder *bufferbudget.Holder, bytes int64) bool {
+	if bytes == 0 || holder.Reserve(bytes) {
+		return true
+	}
+	s.evict(bytes)
+	return false
+}
+
+// awaitRoom reserves bytes as soon as they fit. It returns the context's error if that ends
+// first.
+func (s *Server) awaitRoom(ctx context.Context, holder *bufferbudget.Holder, bytes int64) error {
+	waiter := holder.Wait(bytes)
+	s.armEviction()
+	select {
+	case <-waiter.Granted():
+		return nil
+	case <-ctx.Done():
+		waiter.Cancel()
+		return ctx.Err()
+	}
+}
+
+// reserveResponse reserves bytes of a response that is buffered. While they do not fit, the
+// endpoint is not read, and the attempt's response timer is stopped.
+func (a *attempt) reserveResponse(holder *bufferbudget.Holder, bytes int64) error {
+	if holder.Reserve(bytes) {
+		return nil
+	}
+	a.stopResponseTimer()
+	return a.request.server.awaitRoom(a.ctx, holder, bytes)
+}
+
+// armEviction searches for stalled readers for as long as reservations wait.
+func (s *Server) armEviction() {
+	if !s.buffers.checkArmed.CompareAndSwap(false, true) {
+		return
+	}
+	s.evictForWaiter()
+	time.AfterFunc(evictionInterval, func() {
+		s.buffers.checkArmed.Store(false)
+		if s.buffers.budget.Shortage() > 0 {
+			s.armEviction()
+		}
+	})
+}
+
+// evictForWaiter makes room for the first reservation that waits.
+func (s *Server) evictForWaiter() {
+	if shortage := s.buffers.budget.Shortage(); shortage > 0 {
+		s.evict(shortage - s.buffers.budget.Used() + s.buffers.budget.Limit())
+	}
+}
+
+// evict disconnects stalled readers so that so many bytes fit into the budget.
+func (s *Server) evict(bytes int64) {
+	for _, victim := range s.buffers.budget.Evict(s.options.Now(), bytes) {
+		events.ReaderEvicted.Log(s.log, zap.String("organisation", victim.Account), zap.Stringer("kind", victim.Kind),
+			zap.Int64("bytes", victim.Bytes), zap.Duration("stalled", victim.Stalled), zap.Int64("budget", s.buffers.budget.Limit()))
+		s.metrics.countEvicted(victim.Kind)
+		victim.Disconnect()
+	}
+}
+
+// ReserveRelay reserves the memory of a relayed connection, in bytes. It returns false if the
+// budget is used up. The caller must call release at the end of the connection.
+func (s *Server) ReserveRelay(bytes int64) (release func(), ok bool) {
+	holder := s.buffers.budget.Open("", bufferbudget.Relay)
+	if !s.reserveBody(holder, bytes) {
+		holder.Close()
+		return nil, false
+	}
+	return holder.Close, true
+}
+
+// countEvicted counts an evicted reader.
+func (m *requestMetrics) countEvicted(kind bufferbudget.Kind) {
+	if m == nil {
+		return
+	}
+	m.registry.Counter("carawaystile_readers_evicted_total", "Callers that were disconnected because they did not read and the budget for buffers was used up.",
+		metrics.Label{Name: "kind", Value: kind.String()}).Inc(1)
+}
+
+// registerBufferGauges registers gauges of the bytes that are held, by kind, of the streams in
+// backpressure, and of the unanswered request bodies, by endpoint.
+func (s *Server) registerBufferGauges(registry *metrics.Registry) {
+	if registry == nil {
+		return
+	}
+	limit := registry.Gauge("carawaystile_buffer_budget_bytes", "Bytes that request bodies, responses, streams and relayed connections may occupy together.")
+	waiting := registry.Gauge("carawaystile_streams_backpressured", "Streams that are not read from the endpoint because the caller reads slowly.")
+	limit.Update(float64(s.buffers.budget.Limit()))
+	registry.BeforeWrite(func() {
+		for _, kind := range bufferbudget.Kinds() {
+			registry.Gauge("carawaystile_buffered_bytes", "Bytes held for callers and endpoints, by what they are.",
+				metrics.Label{Name: "kind", Value: kind.String()}).Update(float64(s.buffers.budget.UsedBy(kind)))
+		}
+		waiting.Update(float64(s.buffers.waitingStreams.Load()))
+		s.unanswered.report(registry)
+	})
+}
--- a/forward/place.go
+++ b/forward/place.go
@@ -79,10 +79,7 @@
 		// limit of its maximum wait.
 		return nil, dispatch.PrefillPending
 	}
-	if placement, reason, decided := s.placeByScheduler(c); decided {
-		return placement, reason
-	}
-	return s.PlaceRequest(&c.dispatchRequest)
+	return s.placeAvoidingFull(c)
 }
 
 // quarantineVerdict returns whether the crash detector allows the request to run now.
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"io"
 	"mime"
 	"net/http"
 	"strconv"
@@ -9,8 +8,8 @@
 
 	"go.uber.org/zap"
 
+	"github.com/carawaystile/carawaystile/bufferbudget"
 	"github.com/carawaystile/carawaystile/dispatch"
-	"github.com/carawaystile/carawaystile/engine"
 	"github.com/carawaystile/carawaystile/engine/exchange"
 	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/routes"
@@ -40,14 +39,16 @@
 // first, so that a broken one can be retried and no client receives a part of it.
 func (a *attempt) relayBuffered(response *exchange.Response) {
 	c := a.request
-	body, err := response.ReadAll()
+	holder := c.openBuffer(bufferbudget.Response)
+	body, err := response.ReadAllMetered(func(bytes int) error { return a.reserveResponse(holder, int64(bytes)) })
 	if err != nil {
+		holder.Close()
 		a.handleFailure(err)
 		return
 	}
 	a.stopResponseTimer()
 	a.recordResponseStart()
-	buffered := &bufferedResponse{status: response.Status, header: response.Header, body: body, attempt: a}
+	buffered := &bufferedResponse{status: response.Status, header: response.Header, body: body, holder: holder, attempt: a}
 	if response.Status >= http.StatusInternalServerError && a.retryServerError(buffered) {
 		return
 	}
@@ -66,6 +67,7 @@
 	status  int
 	header  http.Header
 	body    []byte
+	holder  *bufferbudget.Holder
 	attempt *attempt
 }
 
@@ -75,7 +77,10 @@
 	c.w.Header().Set("Content-Length", strconv.Itoa(len(buffered.body)))
 	c.suppressContentTypeSniffing(buffered.header)
 	c.w.WriteHeader(buffered.status)
-	_, _ = c.w.Write(buffered.body)
+	buffered.holder.Evictable(c.now(), c.disconnect)
+	if err := c.writePieces(buffered.holder, buffered.body); err != nil {
+		c.abortDisconnected(err)
+	}
 	c.finishAnswered(buffered.status, buffered.attempt)
 }
 
@@ -108,32 +113,19 @@
 // relayStream relays events as they arrive. The client receives only complete events, each
 // once and in order, also if several endpoints have produced them.
 func (a *attempt) relayStream(response *exchange.Response) {
-	c := a.request
-	stream := exchange.NewEventReader(response)
-	for {
-		event, err := stream.Next()
-		if err == io.EOF {
-			a.finishStream(response)
-			return
-		}
-		if err != nil {
-			response.Close()
-			a.handleFailure(&engine.InterruptedError{Attempt: a.id, Cause: err})
-			return
-		}
-		a.stopResponseTimer()
-		a.recordResponseStart()
-		if event.HasID && c.hasLastEventNumber && event.ID <= c.lastEventNumber {
-			continue // the client has received it
-		}
-		if err := c.writeEvent(response, event); err != nil {
-			response.Close()
-			a.recordOutcome(dispatch.Cancelled)
-			c.abortDisconnected(err)
-			return
-		}
-		a.armResponseTimer(a.eventGapTimeout())
+	relay := newStreamRelay(a, response)
+	defer relay.stop()
+	end, err := relay.run()
+	if err != nil {
+		relay.stop()
+		relay.cancel()
+		a.request.abortDisconnected(err)
+	}
+	if end.complete {
+		a.finishStream(response)
+		return
 	}
+	a.continueAfterFailure(end.outcome)
 }
 
 // eventGapTimeout returns the timeout between two events; zero for none. Only resumable
@@ -149,10 +141,9 @@
 	return gapTimeoutFactor * gap
 }
 
-// writeEvent sends one event to the client. Before the first event it sends the header of
-// the response that contains it.
-func (c *clientRequest) writeEvent(response *exchange.Response, event exchange.Event) error {
-	control := http.NewResponseController(c.w)
+// observeEvent records an event that the client will receive. Before the first event it sets
+// the header of the response that contains it.
+func (c *clientRequest) observeEvent(response *exchange.Response, event exchange.Event) {
 	if !c.responseStarted {
 		c.responseStarted = true
 		c.server.headers.CopyResponseHeaders(c.w.Header(), response.Header)
@@ -163,23 +154,25 @@
 		c.server.metrics.observeEventGap(c, c.now()-c.lastEventAt)
 	}
 	c.lastEventAt = c.now()
-	_ = control.SetWriteDeadline(time.Now().Add(eventWriteTimeout))
-	if _, err := c.w.Write(event.Raw); err != nil {
-		return err
-	}
 	if event.HasID {
 		c.lastEventID = strconv.FormatInt(event.ID, 10)
 		c.lastEventNumber, c.hasLastEventNumber = event.ID, true
 	}
+}
+
+// writeEvent sends one event to the client.
+func (c *clientRequest) writeEvent(event exchange.Event) error {
+	control := http.NewResponseController(c.w)
+	_ = control.SetWriteDeadline(time.Now().Add(eventWriteTimeout))
+	if _, err := c.w.Write(event.Raw); err != nil {
+		return err
+	}
 	return control.Flush()
 }
 
 // finishStream ends a stream that is complete.
 func (a *attempt) finishStream(response *exchange.Response) {
 	c := a.request
-	a.stopResponseTimer()
-	a.recordResponseStart()
-	a.recordOutcome(dispatch.Completed)
 	if !c.responseStarted {
 		c.responseStarted = true
 		c.server.headers.CopyResponseHeaders(c.w.Header(), response.Header)
--- a/forward/relaypath.go
+++ b/forward/relaypath.go
@@ -77,7 +77,7 @@
 		return relay.Draining
 	}
 	// The memory for bodies of this instance's own clients goes first.
-	if 2*s.bufferedBytes.Load() > s.options.MaxBufferedBytes {
+	if 2*s.buffers.budget.Used() > s.buffers.budget.Limit() {
 		return relay.Busy
 	}
 	s.mu.Lock()
--- a/forward/relaypath_test.go
+++ b/forward/relaypath_test.go
@@ -14,6 +14,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/carawaystile/carawaystile/bufferbudget"
 	"github.com/carawaystile/carawaystile/engine"
 	"github.com/carawaystile/carawaystile/engine/exchange"
 	"github.com/carawaystile/carawaystile/relay"
@@ -196,7 +197,7 @@
 		h.relay.server.setReachable(id, false)
 	}
 	assert.Equal(t, h.relay.server.AdmitRelay(&e), relay.Partitioned)
-	h.server.bufferedBytes.Store(h.server.options.MaxBufferedBytes)
+	assert.Assert(t, h.server.buffers.budget.Open("", bufferbudget.RequestBody).Reserve(h.server.options.MaxBufferedBytes))
 	assert.Equal(t, h.server.AdmitRelay(&e), relay.Busy)
 	assert.NilError(t, h.relay.server.Drain(t.Context()))
 	assert.Equal(t, h.relay.server.AdmitRelay(&e), relay.Draining)
--- a/forward/request.go
+++ b/forward/request.go
@@ -7,10 +7,13 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/carawaystile/carawaystile/bufferbudget"
 	"github.com/carawaystile/carawaystile/dialect"
 	"github.com/carawaystile/carawaystile/dispatch"
 	"github.com/carawaystile/carawaystile/entry/outcome"
@@ -35,8 +38,13 @@
 	org     *routes.Organisation
 	service *routes.Service
 	body    []byte
-	// bufferedBytes is the request's part of Server.bufferedBytes.
-	bufferedBytes int64
+	// holders hold the request's part of the buffer budget.
+	holders []*bufferbudget.Holder
+	// evicted is set once the client is disconnected to make room in the budget. disconnectMu
+	// guards released, which is set once the response must not be used any more.
+	evicted      atomic.Bool
+	disconnectMu sync.Mutex
+	released     bool
 	// endpointHeader is the client's header without the fields that are not forwarded.
 	endpointHeader http.Header
 
@@ -164,15 +172,22 @@
 		c.rejectPermanently(http.StatusRequestEntityTooLarge, tables.CodeTooLarge)
 		return false
 	}
-	c.bufferedBytes = max(c.r.ContentLength, 0)
-	if c.server.bufferedBytes.Add(c.bufferedBytes) > c.server.options.MaxBufferedBytes {
-		c.w.Header().Set("Connection", "close")
-		c.rejectRetryable(tables.CodeOverloaded, retryAfterOverload)
+	holder := c.openBuffer(bufferbudget.RequestBody)
+	if !c.server.reserveBody(holder, max(c.r.ContentLength, 0)) {
+		c.rejectBody()
 		return false
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	reader := http.MaxBytesReader(c.w, c.r.Body, limit)
+	if c.r.ContentLength < 0 {
+		reader = &bodyReader{ReadCloser: reader, server: c.server, holder: holder}
+	}
+	body, err := io.ReadAll(reader)
 	var tooLarge *http.MaxBytesError
+	var usedUp *budgetError
 	switch {
+	case errors.As(err, &usedUp):
+		c.rejectBody()
+		return false
 	case errors.As(err, &tooLarge):
 		c.rejectPermanently(http.StatusRequestEntityTooLarge, tables.CodeTooLarge)
 		return false
@@ -183,12 +198,15 @@
 		return false
 	}
 	c.body = body
-	growth := int64(len(body)) - c.bufferedBytes
-	c.bufferedBytes += growth
-	c.server.bufferedBytes.Add(growth)
 	return true
 }
 
+// rejectBody rejects a request whose body does not fit into the buffer budget.
+func (c *clientRequest) rejectBody() {
+	c.w.Header().Set("Connection", "close")
+	c.rejectRetryable(tables.CodeOverloaded, retryAfterOverload)
+}
+
 // defaultMaxBodyBytes bounds a body if the configuration sets no limit.
 const defaultMaxBodyBytes = 4 << 20
 
@@ -282,11 +300,11 @@
 	c.lastEventNumber, c.hasLastEventNumber = number, err == nil
 }
 
-// release frees what the request holds: the unused reservation, the memory budget of its
-// body and its context.
+// release frees what the request holds: the unused reservation, its part of the buffer budget
+// and its context.
 func (c *clientRequest) release() {
 	c.reservation.refundUnused()
-	c.server.bufferedBytes.Add(-c.bufferedBytes)
+	c.releaseBuffers()
 	if c.cancel != nil {
 		c.cancel()
 	}
--- a/forward/server.go
+++ b/forward/server.go
@@ -23,6 +23,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/carawaystile/carawaystile/bufferbudget"
 	"github.com/carawaystile/carawaystile/dialect"
 	"github.com/carawaystile/carawaystile/dispatch"
 	"github.com/carawaystile/carawaystile/engine/exchange"
@@ -58,8 +59,8 @@
 	// DrainDelay is how long the instance still accepts new requests after it has begun to
 	// report to the external load balancer that it is not ready.
 	DrainDelay time.Duration
-	// MaxBufferedBytes bounds the memory of buffered request bodies, in bytes; 0 for the
-	// default.
+	// MaxBufferedBytes bounds the memory of request bodies, buffered responses, queues of
+	// streams and relayed connections together, in bytes; 0 for the default.
 	MaxBufferedBytes int64
 	// ShareSuspects notifies the other instances of the requests that were running when an
 	// endpoint crashed; nil if there are no other instances. It must not block.
@@ -90,8 +91,10 @@
 	log     *zap.Logger
 	gate    *gate.Gate
 	metrics *requestMetrics
-	// bufferedBytes counts the bytes of request bodies in memory.
-	bufferedBytes atomic.Int64
+	// buffers counts the bytes that are held for clients and endpoints, and unanswered those of
+	// request bodies by endpoint.
+	buffers    buffers
+	unanswered unansweredBodies
 	// controlSyncedAt is the latest time at which the configuration in force is known to have
 	// been current, in nanoseconds of the process's monotonic clock; 0 for never.
 	controlSyncedAt atomic.Int64
@@ -138,9 +141,11 @@
 		dispatch:      dispatch.New(o.Dispatch),
 		crashDetector: quarantine.New(quarantine.Options{}),
 		initialized:   make(chan struct{}),
+		buffers:       buffers{budget: bufferbudget.New(o.MaxBufferedBytes)},
 	}
 	s.healthChecker = newHealthChecker(s)
 	s.registerGauges(o.Registry)
+	s.registerBufferGauges(o.Registry)
 	return s
 }
 
