--- a/bufferbudget/budget.go
+++ b/bufferbudget/budget.go
@@ -82,15 +82,14 @@
 	return b.byKind[k]
 }
 
-// Shortage returns by how many bytes the budget is too small for the first waiter, at least 0.
-// It is 0 if nothing waits.
-func (b *Budget) Shortage() int64 {
+// FirstWaiting returns the bytes of the first reservation that waits; 0 for none.
+func (b *Budget) FirstWaiting() int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if len(b.waiters) == 0 {
 		return 0
 	}
-	return max(0, b.used+b.waiters[0].bytes-b.limit)
+	return b.waiters[0].bytes
 }
 
 // Open returns a holder without bytes that belongs to the account. It must be closed.
@@ -120,12 +119,15 @@
 }
 
 // Evict chooses readers whose end makes room for so many bytes, given those that were evicted
-// before and have not been closed yet. It returns fewer if there are no more stalled readers. The caller
-// must call Disconnect of each one.
+// before and have not been closed yet. It returns fewer if there are no more stalled readers, and
+// none for more bytes than the whole budget. The caller must call Disconnect of each one.
 func (b *Budget) Evict(now tables.Instant, bytes int64) []Victim {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var victims []Victim
+	if bytes > b.limit {
+		return nil
+	}
 	for b.used-b.evicting+bytes > b.limit {
 		h := b.nextVictim(now)
 		if h == nil {
--- /dev/null
+++ b/bufferbudget/budget_test.go
@@ -0,0 +1,114 @@
+package bufferbudget
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// reader opens an evictable holder with so many bytes that made progress at the given time.
+func reader(b *Budget, account string, bytes int64, progressAt time.Duration, evicted *[]string, name string) *Holder {
+	h := b.Open(account, Stream)
+	h.Reserve(bytes)
+	h.Evictable(progressAt, func() { *evicted = append(*evicted, name) })
+	return h
+}
+
+func disconnect(victims []Victim) {
+	for _, v := range victims {
+		v.Disconnect()
+	}
+}
+
+// Guards against an instance that holds more than its budget, or that loses bytes when holders
+// are closed twice or released late.
+func TestReservationsStayWithinBudget(t *testing.T) {
+	b := New(100)
+	body, stream := b.Open("a", RequestBody), b.Open("b", Stream)
+	assert.Assert(t, body.Reserve(60))
+	assert.Assert(t, !stream.Reserve(41))
+	assert.Assert(t, stream.Reserve(40))
+	assert.Equal(t, b.Used(), int64(100))
+	assert.Equal(t, b.UsedBy(Stream), int64(40))
+	stream.Close()
+	stream.Close()
+	stream.Release(40)
+	assert.Assert(t, !stream.Reserve(1))
+	body.Close()
+	assert.Equal(t, b.Used(), int64(0))
+	assert.Equal(t, len(b.accounts), 0)
+}
+
+// Guards against the eviction of a small organisation's reader for the bytes of a large one, and
+// of a reader that makes progress.
+func TestLongestStalledReaderOfLargestAccountIsEvictedFirst(t *testing.T) {
+	b := New(100)
+	var evicted []string
+	reader(b, "small", 20, 0, &evicted, "small")
+	late := reader(b, "large", 30, time.Second, &evicted, "late")
+	early := reader(b, "large", 30, 500*time.Millisecond, &evicted, "early")
+	moving := reader(b, "large", 20, 0, &evicted, "moving")
+	moving.Progress(9 * time.Second)
+	disconnect(b.Evict(9*time.Second+500*time.Millisecond, 10))
+	assert.DeepEqual(t, evicted, []string{"early"})
+	// What is being evicted makes room for the same bytes only once.
+	disconnect(b.Evict(9*time.Second+500*time.Millisecond, 30))
+	assert.DeepEqual(t, evicted, []string{"early"})
+	disconnect(b.Evict(9*time.Second+500*time.Millisecond, 31))
+	assert.DeepEqual(t, evicted, []string{"early", "late"})
+	early.Close()
+	late.Close()
+	assert.Equal(t, b.Used(), int64(40))
+	// The largest account has no stalled reader left, so that the next one's is evicted.
+	disconnect(b.Evict(9*time.Second+500*time.Millisecond, 70))
+	assert.DeepEqual(t, evicted, []string{"early", "late", "small"})
+}
+
+// Guards against the eviction of readers that are merely slow for a moment, and of all readers
+// for a reservation that can never fit.
+func TestReadersAreNotEvictedInVain(t *testing.T) {
+	b := New(100)
+	var evicted []string
+	reader(b, "a", 100, 0, &evicted, "a")
+	assert.Equal(t, len(b.Evict(minStall-1, 10)), 0)
+	assert.Equal(t, len(b.Evict(time.Minute, 101)), 0)
+	assert.Equal(t, len(b.Evict(minStall, 10)), 1)
+}
+
+// Guards against waiting reservations that are overtaken forever, or that keep their bytes after
+// they were cancelled.
+func TestWaitingReservationsAreServedInOrder(t *testing.T) {
+	b := New(100)
+	first, second, third := b.Open("a", Stream), b.Open("b", Stream), b.Open("c", RequestBody)
+	assert.Assert(t, first.Reserve(90))
+	large, small := second.Wait(50), first.Wait(10)
+	assert.Assert(t, !large.IsGranted() && !small.IsGranted())
+	assert.Assert(t, !third.Reserve(1))
+	first.Release(60)
+	assert.Assert(t, large.IsGranted() && small.IsGranted())
+	large.Cancel()
+	assert.Equal(t, second.Bytes(), int64(0))
+	waiting := third.Wait(70)
+	third.Close()
+	assert.Equal(t, b.FirstWaiting(), int64(0))
+	waiting.Cancel()
+	first.Close()
+	second.Close()
+	assert.Equal(t, b.Used(), int64(0))
+}
+
+// Guards against responses that hold parts of the budget and wait for each other forever.
+func TestOneResponseMayExceedTheBudget(t *testing.T) {
+	b := New(100)
+	first, second := b.Open("a", Response), b.Open("b", Response)
+	assert.Assert(t, first.Reserve(50) && second.Reserve(50))
+	assert.Assert(t, first.Wait(30).IsGranted())
+	assert.Assert(t, first.Reserve(30))
+	waiting := second.Wait(30)
+	assert.Assert(t, !waiting.IsGranted())
+	first.Close()
+	assert.Assert(t, waiting.IsGranted())
+	second.Close()
+	assert.Equal(t, b.Used(), int64(0))
+}
--- a/engine/exchange/send.go
+++ b/engine/exchange/send.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -69,29 +70,37 @@
 // write writes the request. It writes a long request in the background while the response
 // is read.
 func (res *Response) write(r *Request) error {
-	message := encodeRequest(r)
-	if len(message) <= maxSyncWriteBytes {
-		n, err := res.conn.Write(message)
-		switch {
-		case err == nil:
-			return nil
-		case n == 0 && res.conn.reused:
-			return &nothingWrittenError{cause: err}
-		}
-		return &engine.InterruptedError{Attempt: r.Attempt, Cause: err}
+	header := encodeHeader(r)
+	if len(header)+len(r.Body) > maxSyncWriteBytes {
+		res.writeInBackground(header, r.Body)
+		return nil
 	}
+	n, err := res.conn.Write(append(header, r.Body...))
+	switch {
+	case err == nil:
+		return nil
+	case n == 0 && res.conn.reused:
+		return &nothingWrittenError{cause: err}
+	}
+	return &engine.InterruptedError{Attempt: r.Attempt, Cause: err}
+}
+
+// writeInBackground writes a long request. It does not copy the body, so that attempts at an
+// endpoint that reads slowly take no memory beside it.
+func (res *Response) writeInBackground(header, body []byte) {
+	message := net.Buffers{header, body}
 	res.writeResult = make(chan error, 1)
 	go func() {
-		_, err := res.conn.Write(message)
+		_, err := message.WriteTo(res.conn.Conn)
 		res.writeResult <- err
 	}()
-	return nil
 }
 
-// encodeRequest returns the request in HTTP/1.1 wire format, with a Content-Length.
-func encodeRequest(r *Request) []byte {
+// encodeHeader returns the request without its body in HTTP/1.1 wire format, with a
+// Content-Length.
+func encodeHeader(r *Request) []byte {
 	var b bytes.Buffer
-	b.Grow(512 + len(r.Body))
+	b.Grow(1024)
 	b.WriteString(r.Method)
 	b.WriteByte(' ')
 	b.WriteString(r.Target)
@@ -105,7 +114,6 @@
 		b.WriteString("\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
 	return b.Bytes()
 }
 
--- a/forward/buffers.go
+++ b/forward/buffers.go
@@ -154,22 +154,17 @@
 	if !s.buffers.checkArmed.CompareAndSwap(false, true) {
 		return
 	}
-	s.evictForWaiter()
+	if bytes := s.buffers.budget.FirstWaiting(); bytes > 0 {
+		s.evict(bytes)
+	}
 	time.AfterFunc(evictionInterval, func() {
 		s.buffers.checkArmed.Store(false)
-		if s.buffers.budget.Shortage() > 0 {
+		if s.buffers.budget.FirstWaiting() > 0 {
 			s.armEviction()
 		}
 	})
 }
 
-// evictForWaiter makes room for the first reservation that waits.
-func (s *Server) evictForWaiter() {
-	if shortage := s.buffers.budget.Shortage(); shortage > 0 {
-		s.evict(shortage - s.buffers.budget.Used() + s.buffers.budget.Limit())
-	}
-}
-
 // evict disconnects stalled readers so that so many bytes fit into the budget.
 func (s *Server) evict(bytes int64) {
 	for _, victim := range s.buffers.budget.Evict(s.options.Now(), bytes) {
--- a/forward/streamwriter.go
+++ b/forward/streamwriter.go
@@ -37,8 +37,13 @@
 	response *exchange.Response
 	events   *exchange.EventReader
 	phase    atomic.Int32
-	// watchdog starts the read-ahead goroutine when a direct write blocks.
+	// watchdog calls checkWrite; nil before the first write. armed is set while it runs. It is
+	// not set again for each event, since setting and stopping a timer costs a sixth of what
+	// the event costs.
 	watchdog *time.Timer
+	armed    atomic.Bool
+	// writeStartedAt is when the last direct write began, in nanoseconds of the server's clock.
+	writeStartedAt atomic.Int64
 	// holder counts the bytes of the queue; nil until the first write has blocked.
 	holder *bufferbudget.Holder
 
@@ -154,14 +159,10 @@
 // goroutine reads meanwhile, and the client gets what that has read.
 func (r *streamRelay) writeDirectly(event exchange.Event) error {
 	c := r.attempt.request
+	r.writeStartedAt.Store(int64(c.lastEventAt))
 	r.phase.Store(writingDirectly)
-	if r.watchdog == nil {
-		r.watchdog = time.AfterFunc(blockedWriteDelay, r.readAhead)
-	} else {
-		r.watchdog.Reset(blockedWriteDelay)
-	}
+	r.armWatchdog()
 	err := c.writeEvent(event)
-	r.watchdog.Stop()
 	if r.phase.CompareAndSwap(writingDirectly, readyToWrite) {
 		if err == nil {
 			r.attempt.armResponseTimer(r.attempt.eventGapTimeout())
@@ -174,6 +175,35 @@
 	return r.writeQueue()
 }
 
+// armWatchdog makes the watchdog run if it does not.
+func (r *streamRelay) armWatchdog() {
+	if r.armed.Load() {
+		return
+	}
+	if r.watchdog == nil {
+		// It must not run before the field is set.
+		r.watchdog = time.AfterFunc(time.Hour, r.checkWrite)
+	}
+	r.armed.Store(true)
+	r.watchdog.Reset(blockedWriteDelay)
+}
+
+// checkWrite reads ahead if a direct write has been blocked for blockedWriteDelay. Otherwise the
+// watchdog runs again for the rest of that time, or stops if no write is in progress.
+func (r *streamRelay) checkWrite() {
+	r.armed.Store(false)
+	if r.phase.Load() != writingDirectly {
+		return
+	}
+	blocked := r.attempt.request.now() - time.Duration(r.writeStartedAt.Load())
+	if blocked >= blockedWriteDelay {
+		r.readAhead()
+		return
+	}
+	r.armed.Store(true)
+	r.watchdog.Reset(blockedWriteDelay - blocked)
+}
+
 // writeQueue writes what the read-ahead goroutine reads until that has ended.
 func (r *streamRelay) writeQueue() error {
 	c := r.attempt.request
--- a/node/entry.go
+++ b/node/entry.go
@@ -23,9 +23,9 @@
 	"github.com/carawaystile/carawaystile/tables"
 )
 
-// requestBodyMemoryDivisor is the inverse of the fraction of an instance's memory that
-// buffered request bodies may occupy.
-const requestBodyMemoryDivisor = 4
+// bufferMemoryDivisor is the inverse of the fraction of an instance's memory that request
+// bodies, responses, streams and relayed connections may occupy together.
+const bufferMemoryDivisor = 4
 
 // startEntry starts the entry role: the proxy with its scheduler and rate limiter, the client
 // that follows control instances, and the listeners for callers and readiness probes.
@@ -52,7 +52,7 @@
 		Now:              n.now,
 		BootID:           n.bootID(),
 		DrainDelay:       s.Drain.Announce,
-		MaxBufferedBytes: int64(s.MemoryMB) << 20 / requestBodyMemoryDivisor,
+		MaxBufferedBytes: int64(s.MemoryMB) << 20 / bufferMemoryDivisor,
 		ShareSuspects:    n.broadcastSuspects,
 		Scheduler:        n.newScheduleClient(),
 		RateLimiter:      n.newUsageClient(),
--- a/node/relay.go
+++ b/node/relay.go
@@ -25,7 +25,7 @@
 // role must have started.
 func (n *Node) startRelayServer() {
 	n.relayServer = relay.NewServer(relay.ServerOptions{
-		Admit: n.entry.AdmitRelay, Dial: n.dial, ObserveResponse: n.entry.ObserveRelayedResponse,
+		Admit: n.entry.AdmitRelay, Reserve: n.entry.ReserveRelay, Dial: n.dial, ObserveResponse: n.entry.ObserveRelayedResponse,
 		MaxConnections: n.options.Settings.MemoryMB << 20 / relayMemoryDivisor / relayConnectionBytes, Registry: n.registry,
 	})
 }
--- a/relay/server.go
+++ b/relay/server.go
@@ -28,6 +28,9 @@
 	ObserveResponse func(from tables.EndpointID, status int, header http.Header)
 	// MaxConnections bounds the relayed connections that are open at once.
 	MaxConnections int
+	// Reserve reserves the memory of a relayed connection, in bytes, and returns the function that
+	// gives it back; ok is false if there is none left. Nil means that memory is not counted.
+	Reserve func(bytes int64) (release func(), ok bool)
 	// Registry receives the metrics; nil for none.
 	Registry *metrics.Registry
 }
@@ -35,6 +38,14 @@
 // bufferBytes is the size of the buffers of a relayed connection, one for each direction.
 const bufferBytes = 8 << 10
 
+// connectionBytes is the most that a relayed connection holds: the two copy buffers, the writer
+// towards the instance, the reader and writer of its HTTP connection, and the header of a
+// response until that is complete.
+const connectionBytes = 3*bufferBytes + 2*httpBufferBytes + maxHeaderBytes
+
+// httpBufferBytes is the size of the buffers of net/http, one for each direction.
+const httpBufferBytes = 4 << 10
+
 // Server relays connections of other instances to endpoints. It is an http.Handler and safe for
 // concurrent use.
 type Server struct {
@@ -72,6 +83,12 @@
 		return
 	}
 	defer s.release()
+	giveBack, ok := s.reserveMemory()
+	if !ok {
+		s.reject(w, Busy)
+		return
+	}
+	defer giveBack()
 	endpoint, reason := s.connect(r.Context(), to)
 	if reason != "" {
 		s.reject(w, reason)
@@ -108,6 +125,14 @@
 	return ""
 }
 
+// reserveMemory reserves the memory of a connection.
+func (s *Server) reserveMemory() (release func(), ok bool) {
+	if s.options.Reserve == nil {
+		return func() {}, true
+	}
+	return s.options.Reserve(connectionBytes)
+}
+
 func (s *Server) release() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
