--- a/forward/buffers.go
+++ b/forward/buffers.go
@@ -109,15 +109,15 @@
 
 func (r *bodyReader) Read(p []byte) (int, error) {
 	n, err := r.ReadCloser.Read(p)
-	if !r.server.reserveBody(r.holder, int64(n)) {
+	if !r.server.reserveNow(r.holder, int64(n)) {
 		return 0, &budgetError{}
 	}
 	return n, err
 }
 
-// reserveBody reserves bytes for a request body. If they do not fit, it makes room for later
-// requests.
-func (s *Server) reserveBody(holder *bufferbudget.Holder, bytes int64) bool {
+// reserveNow reserves bytes and reports whether they fit. If they do not, it makes room for later
+// reservations.
+func (s *Server) reserveNow(holder *bufferbudget.Holder, bytes int64) bool {
 	if bytes == 0 || holder.Reserve(bytes) {
 		return true
 	}
@@ -179,7 +179,7 @@
 // budget is used up. The caller must call release at the end of the connection.
 func (s *Server) ReserveRelay(bytes int64) (release func(), ok bool) {
 	holder := s.buffers.budget.Open("", bufferbudget.Relay)
-	if !s.reserveBody(holder, bytes) {
+	if !s.reserveNow(holder, bytes) {
 		holder.Close()
 		return nil, false
 	}
--- a/forward/readahead.go
+++ b/forward/readahead.go
@@ -5,8 +5,8 @@
 	"github.com/carawaystile/carawaystile/engine/exchange"
 )
 
-// readAhead reads events into the queue while the client's goroutine is blocked in a write. The
-// watchdog runs it in a goroutine of its own. Until it sets readDone, it alone uses the response
+// readAhead reads events into the queue while the client's goroutine is blocked in a write; if
+// that is not, it does nothing. It runs in a goroutine of its own. Until it sets readDone, it alone uses the response
 // and the state of the attempt.
 func (r *streamRelay) readAhead() {
 	c := r.attempt.request
--- a/forward/request.go
+++ b/forward/request.go
@@ -173,7 +173,7 @@
 		return false
 	}
 	holder := c.openBuffer(bufferbudget.RequestBody)
-	if !c.server.reserveBody(holder, max(c.r.ContentLength, 0)) {
+	if !c.server.reserveNow(holder, max(c.r.ContentLength, 0)) {
 		c.rejectBody()
 		return false
 	}
--- a/forward/server.go
+++ b/forward/server.go
@@ -95,6 +95,8 @@
 	// request bodies by endpoint.
 	buffers    buffers
 	unanswered unansweredBodies
+	// blockedWrites finds the streams whose clients read slowly.
+	blockedWrites blockedWrites
 	// controlSyncedAt is the latest time at which the configuration in force is known to have
 	// been current, in nanoseconds of the process's monotonic clock; 0 for never.
 	controlSyncedAt atomic.Int64
@@ -143,6 +145,7 @@
 		initialized:   make(chan struct{}),
 		buffers:       buffers{budget: bufferbudget.New(o.MaxBufferedBytes)},
 	}
+	s.blockedWrites = blockedWrites{server: s, streams: map[*streamRelay]struct{}{}}
 	s.healthChecker = newHealthChecker(s)
 	s.registerGauges(o.Registry)
 	s.registerBufferGauges(o.Registry)
--- a/forward/streamwriter.go
+++ b/forward/streamwriter.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/carawaystile/carawaystile/bufferbudget"
 	"github.com/carawaystile/carawaystile/dispatch"
@@ -14,10 +13,6 @@
 )
 
 const (
-	// blockedWriteDelay is how long a write may block before another goroutine continues to read
-	// the stream. It exceeds usual scheduling delays, and endpoints do not notice that they are
-	// not read for so long.
-	blockedWriteDelay = 20 * time.Millisecond
 	// maxQueueBytes bounds the queue of one stream. Beyond it the endpoint is not read.
 	maxQueueBytes = 256 << 10
 )
@@ -37,11 +32,6 @@
 	response *exchange.Response
 	events   *exchange.EventReader
 	phase    atomic.Int32
-	// watchdog calls checkWrite; nil before the first write. armed is set while it runs. It is
-	// not set again for each event, since setting and stopping a timer costs a sixth of what
-	// the event costs.
-	watchdog *time.Timer
-	armed    atomic.Bool
 	// writeStartedAt is when the last direct write began, in nanoseconds of the server's clock.
 	writeStartedAt atomic.Int64
 	// holder counts the bytes of the queue; nil until the first write has blocked.
@@ -81,9 +71,11 @@
 	outcome  dispatch.Outcome
 }
 
+// newStreamRelay returns a relay that must be stopped.
 func newStreamRelay(a *attempt, response *exchange.Response) *streamRelay {
 	r := &streamRelay{attempt: a, response: response, events: exchange.NewEventReader(response), room: make(chan struct{}, 1)}
 	r.changed.L = &r.mu
+	a.request.server.blockedWrites.add(r)
 	return r
 }
 
@@ -161,7 +153,6 @@
 	c := r.attempt.request
 	r.writeStartedAt.Store(int64(c.lastEventAt))
 	r.phase.Store(writingDirectly)
-	r.armWatchdog()
 	err := c.writeEvent(event)
 	if r.phase.CompareAndSwap(writingDirectly, readyToWrite) {
 		if err == nil {
@@ -175,35 +166,6 @@
 	return r.writeQueue()
 }
 
-// armWatchdog makes the watchdog run if it does not.
-func (r *streamRelay) armWatchdog() {
-	if r.armed.Load() {
-		return
-	}
-	if r.watchdog == nil {
-		// It must not run before the field is set.
-		r.watchdog = time.AfterFunc(time.Hour, r.checkWrite)
-	}
-	r.armed.Store(true)
-	r.watchdog.Reset(blockedWriteDelay)
-}
-
-// checkWrite reads ahead if a direct write has been blocked for blockedWriteDelay. Otherwise the
-// watchdog runs again for the rest of that time, or stops if no write is in progress.
-func (r *streamRelay) checkWrite() {
-	r.armed.Store(false)
-	if r.phase.Load() != writingDirectly {
-		return
-	}
-	blocked := r.attempt.request.now() - time.Duration(r.writeStartedAt.Load())
-	if blocked >= blockedWriteDelay {
-		r.readAhead()
-		return
-	}
-	r.armed.Store(true)
-	r.watchdog.Reset(blockedWriteDelay - blocked)
-}
-
 // writeQueue writes what the read-ahead goroutine reads until that has ended.
 func (r *streamRelay) writeQueue() error {
 	c := r.attempt.request
@@ -274,9 +236,7 @@
 
 // stop ends the read-ahead goroutine, if there is one, and waits for it.
 func (r *streamRelay) stop() {
-	if r.watchdog != nil {
-		r.watchdog.Stop()
-	}
+	r.attempt.request.server.blockedWrites.remove(r)
 	if r.phase.CompareAndSwap(writingDirectly, readyToWrite) || r.phase.Load() == readyToWrite {
 		return
 	}
