Slow readers leave room for request bodies and for other organisations

In a trial 1,000 callers of one organisation that read one byte a second used the whole budget of 28 MB, and request bodies of all organisations would have been rejected for as long as they stayed. Queues and buffered responses may now occupy three quarters of the budget, and a reservation that waits is served first for the account with the fewest bytes. Serving in order of arrival was ruled out: another organisation's stream would have waited behind 800 others.

--- a/bufferbudget/budget.go
+++ b/bufferbudget/budget.go
@@ -37,9 +37,14 @@
 // sent again. Endpoints cut off a response that is unread for some seconds, which is longer.
 const minStall = time.Second
 
+// maxQueueShare is the share of the budget that buffered responses and queues of streams may
+// occupy. The rest is for request bodies and relayed connections: otherwise one organisation's
+// slow readers would have the requests of all organisations rejected.
+const maxQueueShare = 0.75
+
 // Budget is a number of bytes that holders share. It is safe for concurrent use.
 type Budget struct {
-	limit int64
+	limit, queueLimit int64
 
 	mu       sync.Mutex
 	used     int64
@@ -47,7 +52,7 @@
 	accounts map[string]*account
 	// evicting counts the bytes of evicted holders that are not closed yet.
 	evicting int64
-	// waiters are served in order of arrival.
+	// waiters are in order of arrival.
 	waiters []*Waiter
 	// overdraft is the response that may exceed the budget; nil for none.
 	overdraft *Holder
@@ -62,7 +67,7 @@
 
 // New returns an unused budget of so many bytes.
 func New(limit int64) *Budget {
-	return &Budget{limit: limit, accounts: map[string]*account{}}
+	return &Budget{limit: limit, queueLimit: int64(maxQueueShare * float64(limit)), accounts: map[string]*account{}}
 }
 
 // Limit returns the size of the budget in bytes.
@@ -82,14 +87,27 @@
 	return b.byKind[k]
 }
 
-// FirstWaiting returns the bytes of the first reservation that waits; 0 for none.
+// waits reports whether reservations of this kind may wait: the bytes are those of an endpoint
+// that is not read meanwhile.
+func (k Kind) waits() bool { return k == Response || k == Stream }
+
+// fits reports whether there is room for so many bytes, given that others are given back soon.
+// The caller holds the mutex.
+func (b *Budget) fits(kind Kind, bytes, givenBack int64) bool {
+	if kind.waits() && b.byKind[Response]+b.byKind[Stream]-givenBack+bytes > b.queueLimit {
+		return false
+	}
+	return b.used-givenBack+bytes <= b.limit
+}
+
+// FirstWaiting returns the bytes of the reservation that is served next; 0 for none.
 func (b *Budget) FirstWaiting() int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if len(b.waiters) == 0 {
 		return 0
 	}
-	return b.waiters[0].bytes
+	return b.waiters[b.nextWaiter()].bytes
 }
 
 // Open returns a holder without bytes that belongs to the account. It must be closed.
@@ -118,17 +136,17 @@
 	Disconnect func()
 }
 
-// Evict chooses readers whose end makes room for so many bytes, given those that were evicted
+// Evict chooses readers whose end makes room for so many bytes of a kind, given those that were evicted
 // before and have not been closed yet. It returns fewer if there are no more stalled readers, and
 // none for more bytes than the whole budget. The caller must call Disconnect of each one.
-func (b *Budget) Evict(now tables.Instant, bytes int64) []Victim {
+func (b *Budget) Evict(now tables.Instant, kind Kind, bytes int64) []Victim {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var victims []Victim
-	if bytes > b.limit {
+	if bytes > b.limit || kind.waits() && bytes > b.queueLimit {
 		return nil
 	}
-	for b.used-b.evicting+bytes > b.limit {
+	for !b.fits(kind, bytes, b.evicting) {
 		h := b.nextVictim(now)
 		if h == nil {
 			break
--- a/bufferbudget/holder.go
+++ b/bufferbudget/holder.go
@@ -22,6 +22,9 @@
 	progressAt tables.Instant
 }
 
+// Kind returns what the bytes are held for.
+func (h *Holder) Kind() Kind { return h.kind }
+
 // Evictable makes the holder evictable: its bytes wait for a reader that disconnect ends.
 func (h *Holder) Evictable(now tables.Instant, disconnect func()) {
 	h.budget.mu.Lock()
@@ -43,8 +46,9 @@
 	return h.bytes
 }
 
-// Reserve reserves bytes and reports whether they fit into the budget. It also fails while other
-// holders wait, so that these are not overtaken, and if the holder is closed or evicted.
+// Reserve reserves bytes and reports whether they fit into the budget. It also fails if the holder
+// is closed or evicted, and for bytes that may wait while others do, so that these are not
+// overtaken.
 func (h *Holder) Reserve(bytes int64) bool {
 	b := h.budget
 	b.mu.Lock()
@@ -52,7 +56,8 @@
 	if h.closed || h.evicted {
 		return false
 	}
-	if h != b.overdraft && (len(b.waiters) > 0 || b.used+bytes > b.limit) {
+	overtakes := h.kind.waits() && len(b.waiters) > 0
+	if h != b.overdraft && (overtakes || !b.fits(h.kind, bytes, 0)) {
 		return false
 	}
 	h.add(bytes)
@@ -111,7 +116,8 @@
 	granted chan struct{}
 }
 
-// Wait reserves bytes as soon as they fit, after those that wait already. One response at a time
+// Wait reserves bytes as soon as they fit. Reservations of the account with the fewest bytes are
+// served first, so that one organisation's slow readers do not hold up the others. One response at a time
 // may exceed the budget and does not wait: responses that each hold a part of the budget would
 // otherwise wait for each other forever.
 func (h *Holder) Wait(bytes int64) *Waiter {
@@ -158,8 +164,12 @@
 
 // grant serves waiters for whom there is room. The caller holds the mutex.
 func (b *Budget) grant() {
-	for len(b.waiters) > 0 && b.used+b.waiters[0].bytes <= b.limit {
-		b.serve(0)
+	for len(b.waiters) > 0 {
+		i := b.nextWaiter()
+		if !b.fits(b.waiters[i].holder.kind, b.waiters[i].bytes, 0) {
+			break
+		}
+		b.serve(i)
 	}
 	if b.overdraft != nil {
 		return
@@ -171,6 +181,18 @@
 	}
 }
 
+// nextWaiter returns the index of the first waiter of the account with the fewest bytes among
+// those that wait. There must be one.
+func (b *Budget) nextWaiter() int {
+	next := 0
+	for i, w := range b.waiters {
+		if w.holder.account.bytes < b.waiters[next].holder.account.bytes {
+			next = i
+		}
+	}
+	return next
+}
+
 // serve reserves the bytes of a waiter.
 func (b *Budget) serve(i int) {
 	w := b.waiters[i]
--- a/forward/buffers.go
+++ b/forward/buffers.go
@@ -121,7 +121,7 @@
 	if bytes == 0 || holder.Reserve(bytes) {
 		return true
 	}
-	s.evict(bytes)
+	s.evict(holder.Kind(), bytes)
 	return false
 }
 
@@ -155,7 +155,7 @@
 		return
 	}
 	if bytes := s.buffers.budget.FirstWaiting(); bytes > 0 {
-		s.evict(bytes)
+		s.evict(bufferbudget.Stream, bytes)
 	}
 	time.AfterFunc(evictionInterval, func() {
 		s.buffers.checkArmed.Store(false)
@@ -165,9 +165,9 @@
 	})
 }
 
-// evict disconnects stalled readers so that so many bytes fit into the budget.
-func (s *Server) evict(bytes int64) {
-	for _, victim := range s.buffers.budget.Evict(s.options.Now(), bytes) {
+// evict disconnects stalled readers so that so many bytes of a kind fit into the budget.
+func (s *Server) evict(kind bufferbudget.Kind, bytes int64) {
+	for _, victim := range s.buffers.budget.Evict(s.options.Now(), kind, bytes) {
 		events.ReaderEvicted.Log(s.log, zap.String("organisation", victim.Account), zap.Stringer("kind", victim.Kind),
 			zap.Int64("bytes", victim.Bytes), zap.Duration("stalled", victim.Stalled), zap.Int64("budget", s.buffers.budget.Limit()))
 		s.metrics.countEvicted(victim.Kind)
