--- a/forward/relaypath_test.go
+++ b/forward/relaypath_test.go
@@ -197,7 +197,12 @@
 		h.relay.server.setReachable(id, false)
 	}
 	assert.Equal(t, h.relay.server.AdmitRelay(&e), relay.Partitioned)
+	giveBack, ok := h.server.ReserveRelay(1000)
+	assert.Assert(t, ok && h.server.buffers.budget.Used() == 1000)
+	giveBack()
 	assert.Assert(t, h.server.buffers.budget.Open("", bufferbudget.RequestBody).Reserve(h.server.options.MaxBufferedBytes))
+	_, ok = h.server.ReserveRelay(1000)
+	assert.Assert(t, !ok)
 	assert.Equal(t, h.server.AdmitRelay(&e), relay.Busy)
 	assert.NilError(t, h.relay.server.Drain(t.Context()))
 	assert.Equal(t, h.relay.server.AdmitRelay(&e), relay.Draining)
--- a/forward/slowreader_test.go
+++ b/forward/slowreader_test.go
@@ -355,6 +355,10 @@
 		assert.Equal(t, h.send(t, "POST", "/once/x", body).StatusCode, 200)
 	}
 	assert.Equal(t, len(h.endpoints[0].requests()), 0)
+	h.server.registerBufferGauges(h.registry)
+	var text strings.Builder
+	assert.NilError(t, h.registry.WriteText(&text))
+	assert.Assert(t, strings.Contains(text.String(), `carawaystile_unanswered_body_bytes{endpoint="e0desk"} `), text.String())
 	defer h.server.unanswered.add("e1desk", maxUnansweredBytes+1)()
 	assert.Equal(t, h.send(t, "POST", "/once/x", body).StatusCode, 200)
 	remove()
