Slow callers: an event that waits for room is not lost when the attempt ends

The reader records an event as the request's last one before it waits for room. When the attempt ended meanwhile, the event was dropped, and a resumption began after it. The event now goes to the queue without a reservation unless the client is gone.

--- a/forward/readahead.go
+++ b/forward/readahead.go
@@ -73,6 +73,7 @@
 		case <-granted:
 		case <-r.attempt.ctx.Done():
 			waiter.Cancel()
+			r.enqueueBeyondLimits(event)
 			r.finishReading(r.recordEnd(r.attempt.ctx.Err()))
 			return true
 		}
@@ -81,6 +82,21 @@
 	return result == returned
 }
 
+// enqueueBeyondLimits appends the event that was read last when the attempt ends, without a
+// reservation. A resumption continues after that event, so that the client would never get it
+// otherwise. It does nothing if the client is gone.
+func (r *streamRelay) enqueueBeyondLimits(event exchange.Event) {
+	if r.attempt.request.r.Context().Err() != nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.aborted {
+		r.queue = append(r.queue, queuedEvent{raw: event.Raw})
+		r.changed.Broadcast()
+	}
+}
+
 // offerResult says what has become of an event.
 type offerResult int
 
--- /dev/null
+++ b/forward/slowcaller_test.go
@@ -0,0 +1,35 @@
+package forward
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/events"
+	"github.com/carawaystile/carawaystile/routes"
+)
+
+// Guards against an event that is lost when the attempt ends while the event waits for room: the
+// request counts it as its last one, so that a resumption would skip it.
+func TestAttemptThatEndsWhileAnEventWaitsForRoom(t *testing.T) {
+	h := newSlowHarness(t, 1<<20, longStream(400, 1000))
+	h.configure(t, initialRevision+2, func(c *routes.Configuration) {
+		for i := range c.Routes {
+			c.Routes[i].Timeout = time.Second
+		}
+	})
+	conn := h.call(t, "/stream/x", "key")
+	eventually(t, time.Second, "the stream is not in backpressure", func() bool { return h.server.buffers.waitingStreams.Load() == 1 })
+	eventually(t, 2*time.Second, "the end of the attempt was not recorded", func() bool {
+		return h.logs.FilterMessage(events.AttemptEnded.Text).Len() == 1
+	})
+	ids, err := readStream(conn)
+	assert.Assert(t, err != nil)
+	assert.DeepEqual(t, ids, sequence(len(ids)))
+	aborted := func() int { return h.logs.FilterMessage(events.StreamAborted.Text).Len() }
+	eventually(t, time.Second, "the stream was not aborted", func() bool { return aborted() == 1 })
+	last := h.logs.FilterMessage(events.StreamAborted.Text).All()[0].ContextMap()["last_event"]
+	assert.Equal(t, strconv.Itoa(len(ids)), last)
+}
