Slow callers: a retry does not wait for the bytes of its own fallback response

A fallback response (5xx) was the one that may exceed the budget and kept that until the end of the request, so that the retry waited until the deadline. All attempts of a request now use one holder, and a later response replaces the fallback's bytes. The right to exceed also ends once the budget fits again; it stayed with a response whose caller reads slowly. The names overLimit and mayWait replace overdraft and waits.

--- a/bufferbudget/budget.go
+++ b/bufferbudget/budget.go
@@ -54,8 +54,8 @@
 	evicting int64
 	// waiters are in order of arrival.
 	waiters []*Waiter
-	// overdraft is the response that may exceed the budget; nil for none.
-	overdraft *Holder
+	// overLimit is the response that may exceed the budget; nil for none.
+	overLimit *Holder
 }
 
 // account is the share of one organisation. bytes does not include evicted holders.
@@ -87,14 +87,14 @@
 	return b.byKind[k]
 }
 
-// waits reports whether reservations of this kind may wait: the bytes are those of an endpoint
+// mayWait reports whether reservations of this kind may wait: the bytes are those of an endpoint
 // that is not read meanwhile.
-func (k Kind) waits() bool { return k == Response || k == Stream }
+func (k Kind) mayWait() bool { return k == Response || k == Stream }
 
 // fits reports whether there is room for so many bytes, given that others are given back soon.
 // The caller holds the mutex.
 func (b *Budget) fits(kind Kind, bytes, givenBack int64) bool {
-	if kind.waits() && b.byKind[Response]+b.byKind[Stream]-givenBack+bytes > b.queueLimit {
+	if kind.mayWait() && b.byKind[Response]+b.byKind[Stream]-givenBack+bytes > b.queueLimit {
 		return false
 	}
 	return b.used-givenBack+bytes <= b.limit
@@ -143,7 +143,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var victims []Victim
-	if bytes > b.limit || kind.waits() && bytes > b.queueLimit {
+	if bytes > b.limit || kind.mayWait() && bytes > b.queueLimit {
 		return nil
 	}
 	for !b.fits(kind, bytes, b.evicting) {
--- a/bufferbudget/budget_test.go
+++ b/bufferbudget/budget_test.go
@@ -125,3 +125,23 @@
 	second.Close()
 	assert.Equal(t, b.Used(), int64(0))
 }
+
+// Guards against a response that keeps the others from exceeding the budget for as long as its
+// caller reads, although the budget fits again.
+func TestAnotherResponseMayExceedOnceTheBudgetFits(t *testing.T) {
+	b := New(134)
+	first, second, third := b.Open("a", Response), b.Open("b", Response), b.Open("c", Response)
+	assert.Assert(t, first.Reserve(40) && second.Reserve(50) && third.Reserve(10))
+	assert.Assert(t, first.Wait(20).IsGranted())
+	waiting := second.Wait(60)
+	assert.Assert(t, !waiting.IsGranted())
+	third.Release(10)
+	assert.Assert(t, !waiting.IsGranted())
+	first.Release(10)
+	assert.Assert(t, waiting.IsGranted())
+	assert.Assert(t, !first.Reserve(1))
+	first.Close()
+	second.Close()
+	third.Close()
+	assert.Equal(t, b.Used(), int64(0))
+}
--- a/bufferbudget/holder.go
+++ b/bufferbudget/holder.go
@@ -56,8 +56,8 @@
 	if h.closed || h.evicted {
 		return false
 	}
-	overtakes := h.kind.waits() && len(b.waiters) > 0
-	if h != b.overdraft && (overtakes || !b.fits(h.kind, bytes, 0)) {
+	overtakes := h.kind.mayWait() && len(b.waiters) > 0
+	if h != b.overLimit && (overtakes || !b.fits(h.kind, bytes, 0)) {
 		return false
 	}
 	h.add(bytes)
@@ -90,8 +90,8 @@
 	if len(h.account.holders) == 0 {
 		delete(b.accounts, h.account.name)
 	}
-	if b.overdraft == h {
-		b.overdraft = nil
+	if b.overLimit == h {
+		b.overLimit = nil
 	}
 	b.waiters = slices.DeleteFunc(b.waiters, func(w *Waiter) bool { return w.holder == h })
 	b.grant()
@@ -119,7 +119,7 @@
 // Wait reserves bytes as soon as they fit. Reservations of the account with the fewest bytes are
 // served first, so that one organisation's slow readers do not hold up the others. One response at a time
 // may exceed the budget and does not wait: responses that each hold a part of the budget would
-// otherwise wait for each other forever.
+// otherwise wait for each other forever. Once the budget fits again, this is another response's turn.
 func (h *Holder) Wait(bytes int64) *Waiter {
 	b := h.budget
 	b.mu.Lock()
@@ -164,6 +164,9 @@
 
 // grant serves waiters for whom there is room. The caller holds the mutex.
 func (b *Budget) grant() {
+	if b.fits(Response, 0, 0) {
+		b.overLimit = nil
+	}
 	for len(b.waiters) > 0 {
 		i := b.nextWaiter()
 		if !b.fits(b.waiters[i].holder.kind, b.waiters[i].bytes, 0) {
@@ -171,12 +174,12 @@
 		}
 		b.serve(i)
 	}
-	if b.overdraft != nil {
+	if b.overLimit != nil {
 		return
 	}
 	i := slices.IndexFunc(b.waiters, func(w *Waiter) bool { return w.holder.kind == Response })
 	if i >= 0 {
-		b.overdraft = b.waiters[i].holder
+		b.overLimit = b.waiters[i].holder
 		b.serve(i)
 	}
 }
--- a/forward/buffers.go
+++ b/forward/buffers.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/carawaystile/carawaystile/bufferbudget"
+	"github.com/carawaystile/carawaystile/engine/exchange"
 	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/metrics"
 )
@@ -139,6 +140,36 @@
 	}
 }
 
+// readBuffered reads a whole response and reserves its bytes. All attempts of a request use one
+// holder: a retry that waited for the bytes of the fallback response would wait for its own
+// request.
+func (a *attempt) readBuffered(response *exchange.Response) ([]byte, error) {
+	c := a.request
+	if c.responseHolder == nil {
+		c.responseHolder = c.openBuffer(bufferbudget.Response)
+	}
+	reserved := int64(0)
+	body, err := response.ReadAllMetered(func(bytes int) error {
+		if err := a.reserveResponse(c.responseHolder, int64(bytes)); err != nil {
+			return err
+		}
+		reserved += int64(bytes)
+		return nil
+	})
+	if err != nil {
+		c.responseHolder.Release(reserved)
+	}
+	return body, err
+}
+
+// dropFallback gives back the bytes of the fallback response, which a later response replaces.
+func (c *clientRequest) dropFallback() {
+	if c.fallbackResponse != nil {
+		c.responseHolder.Release(int64(len(c.fallbackResponse.body)))
+		c.fallbackResponse = nil
+	}
+}
+
 // reserveResponse reserves bytes of a response that is buffered. While they do not fit, the
 // endpoint is not read, and the attempt's response timer is stopped.
 func (a *attempt) reserveResponse(holder *bufferbudget.Holder, bytes int64) error {
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -8,7 +8,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/carawaystile/carawaystile/bufferbudget"
 	"github.com/carawaystile/carawaystile/dispatch"
 	"github.com/carawaystile/carawaystile/engine/exchange"
 	"github.com/carawaystile/carawaystile/events"
@@ -39,16 +38,15 @@
 // first, so that a broken one can be retried and no client receives a part of it.
 func (a *attempt) relayBuffered(response *exchange.Response) {
 	c := a.request
-	holder := c.openBuffer(bufferbudget.Response)
-	body, err := response.ReadAllMetered(func(bytes int) error { return a.reserveResponse(holder, int64(bytes)) })
+	body, err := a.readBuffered(response)
 	if err != nil {
-		holder.Close()
 		a.handleFailure(err)
 		return
 	}
+	c.dropFallback()
 	a.stopResponseTimer()
 	a.recordResponseStart()
-	buffered := &bufferedResponse{status: response.Status, header: response.Header, body: body, holder: holder, attempt: a}
+	buffered := &bufferedResponse{status: response.Status, header: response.Header, body: body, attempt: a}
 	if response.Status >= http.StatusInternalServerError && a.retryServerError(buffered) {
 		return
 	}
@@ -67,7 +65,6 @@
 	status  int
 	header  http.Header
 	body    []byte
-	holder  *bufferbudget.Holder
 	attempt *attempt
 }
 
@@ -77,8 +74,8 @@
 	c.w.Header().Set("Content-Length", strconv.Itoa(len(buffered.body)))
 	c.suppressContentTypeSniffing(buffered.header)
 	c.w.WriteHeader(buffered.status)
-	buffered.holder.Evictable(c.now(), c.disconnect)
-	if err := c.writePieces(buffered.holder, buffered.body); err != nil {
+	c.responseHolder.Evictable(c.now(), c.disconnect)
+	if err := c.writePieces(c.responseHolder, buffered.body); err != nil {
 		c.abortDisconnected(err)
 	}
 	c.finishAnswered(buffered.status, buffered.attempt)
@@ -146,6 +143,7 @@
 func (c *clientRequest) observeEvent(response *exchange.Response, event exchange.Event) {
 	if !c.responseStarted {
 		c.responseStarted = true
+		c.dropFallback()
 		c.server.headers.CopyResponseHeaders(c.w.Header(), response.Header)
 		c.w.WriteHeader(response.Status)
 		c.timeToFirstEvent = c.now() - c.arrivedAt
--- a/forward/request.go
+++ b/forward/request.go
@@ -40,6 +40,8 @@
 	body    []byte
 	// holders hold the request's part of the buffer budget.
 	holders []*bufferbudget.Holder
+	// responseHolder is the one for buffered responses of all attempts; nil before the first.
+	responseHolder *bufferbudget.Holder
 	// evicted is set once the client is disconnected to make room in the budget. disconnectMu
 	// guards released, which is set once the response must not be used any more.
 	evicted      atomic.Bool
--- a/forward/slowcaller_test.go
+++ b/forward/slowcaller_test.go
@@ -1,7 +1,10 @@
 package forward
 
 import (
+	"net/http"
 	"strconv"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,3 +36,24 @@
 	last := h.logs.FilterMessage(events.StreamAborted.Text).All()[0].ContextMap()["last_event"]
 	assert.Equal(t, strconv.Itoa(len(ids)), last)
 }
+
+// Guards against a retry that waits until the deadline for the bytes of its own request's fallback
+// response.
+func TestRetryAfterServerErrorBeyondTheBudget(t *testing.T) {
+	first := atomic.Bool{}
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		status := 200
+		if first.CompareAndSwap(false, true) {
+			status = 500
+		}
+		respond(status, strings.Repeat("b", 100<<10))(w, r)
+	}
+	h := newSlowHarness(t, 10<<10, handler, handler)
+	h.url = "http://" + h.address
+	started := time.Now()
+	resp := h.send(t, "GET", "/read/x", "")
+	assert.Equal(t, resp.StatusCode, 200)
+	assert.Equal(t, len(readBody(t, resp)), 100<<10)
+	assert.Assert(t, time.Since(started) < 5*time.Second)
+	eventually(t, time.Second, "bytes were not given back", func() bool { return h.used() == 0 })
+}
