Unanswered bodies: the count ends with the endpoint's complete response

It ended when the caller had read everything, so that an endpoint in front of slow callers got no long bodies although it held none. recordOutcome ends the count now, and the deferred call covers attempts without a recorded outcome. The new test fails without the change.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -48,6 +48,9 @@
 	// endWait ends the health checker's tracking of the attempt. It is called once the
 	// response header has arrived.
 	endWait func()
+	// endUnanswered ends the count of the request body as unanswered. It may be called more than
+	// once.
+	endUnanswered func()
 	// via is the instance through which a relayed attempt has gone; empty otherwise.
 	via tables.InstanceID
 	// retryAfter is the Retry-After header of a response with status 503, for the log.
@@ -103,7 +106,8 @@
 	a.armResponseTimer(a.firstResponseTimeout())
 	a.endWait = a.trackPending()
 	defer a.endWait()
-	defer c.server.unanswered.add(a.placement.Endpoint.ID, len(c.body))()
+	a.endUnanswered = c.server.unanswered.add(a.placement.Endpoint.ID, len(c.body))
+	defer a.endUnanswered()
 	response, err := c.server.options.Client.Send(a.ctx, a.placement.Endpoint.Address, a.endpointRequest())
 	if err != nil {
 		a.handleFailure(err)
@@ -209,6 +213,7 @@
 // recordOutcome records the end of the attempt with the scheduler, the load balancer and
 // the crash detector.
 func (a *attempt) recordOutcome(result dispatch.Outcome) {
+	a.endUnanswered()
 	a.assignment.NotifyEnded(result)
 	a.permit.Release(result == dispatch.Declined && a.retryAfter == "")
 	if !notDelivered(result) {
--- a/forward/slowcaller_test.go
+++ b/forward/slowcaller_test.go
@@ -57,3 +57,35 @@
 	assert.Assert(t, time.Since(started) < 5*time.Second)
 	eventually(t, time.Second, "bytes were not given back", func() bool { return h.used() == 0 })
 }
+
+// Guards against a body that counts as unanswered until a slow caller has read the response, so
+// that its endpoint gets no long bodies although it holds none.
+func TestBodyIsAnsweredBeforeASlowCallerHasReadTheResponse(t *testing.T) {
+	received := make(chan struct{})
+	proceed := make(chan struct{})
+	h := newSlowHarness(t, 1<<20, func(w http.ResponseWriter, r *http.Request) {
+		received <- struct{}{}
+		<-proceed
+		if strings.HasPrefix(r.URL.Path, "/stream/") {
+			sendLongEvents(w, r, 100, 1000)
+			return
+		}
+		respond(200, strings.Repeat("b", 100<<10))(w, r)
+	})
+	unanswered := func() int {
+		h.server.unanswered.mu.Lock()
+		defer h.server.unanswered.mu.Unlock()
+		return len(h.server.unanswered.bytes)
+	}
+	for _, path := range []string{"/once/x", "/stream/x"} {
+		conn := h.callWithBody(t, path, "key", "body")
+		<-received
+		assert.Equal(t, unanswered(), 1)
+		proceed <- struct{}{}
+		eventually(t, 2*time.Second, "the body counts as unanswered", func() bool { return unanswered() == 0 })
+		assert.Assert(t, h.used() > 0)
+		_ = conn.Close()
+		eventually(t, 2*time.Second, "bytes were not given back", func() bool { return h.used() == 0 })
+		assert.Equal(t, unanswered(), 0)
+	}
+}
--- a/forward/slowreader_test.go
+++ b/forward/slowreader_test.go
@@ -65,6 +65,12 @@
 
 // call sends a request and returns its connection, from which nothing was read.
 func (h *slowHarness) call(t *testing.T, path, key string) net.Conn {
+	t.Helper()
+	return h.callWithBody(t, path, key, "")
+}
+
+// callWithBody is call with a request body.
+func (h *slowHarness) callWithBody(t *testing.T, path, key, body string) net.Conn {
 	t.Helper()
 	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
 		return raw.Control(func(fd uintptr) {
@@ -74,7 +80,7 @@
 	conn, err := dialer.DialContext(t.Context(), "tcp", h.address)
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = conn.Close() })
-	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h.example\r\nX-Request: r\r\nAuthorization: Bearer %s\r\nContent-Length: 0\r\n\r\n", path, key)
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h.example\r\nX-Request: r\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", path, key, len(body), body)
 	assert.NilError(t, err)
 	return conn
 }
--- a/forward/unanswered.go
+++ b/forward/unanswered.go
@@ -17,8 +17,8 @@
 	maxUnansweredBytes = 16 << 20
 )
 
-// unansweredBodies counts, by endpoint, the bytes of request bodies in attempts that have not
-// ended. It is safe for concurrent use.
+// unansweredBodies counts, by endpoint, the bytes of request bodies in attempts that the endpoint
+// has not answered completely. It is safe for concurrent use.
 type unansweredBodies struct {
 	mu    sync.Mutex
 	bytes map[tables.EndpointID]int64
@@ -26,13 +26,14 @@
 	reported map[tables.EndpointID]struct{}
 }
 
-// add counts a body of so many bytes and returns the function that ends the count.
+// add counts a body of so many bytes and returns the function that ends the count, which may be
+// called more than once.
 func (u *unansweredBodies) add(id tables.EndpointID, bytes int) (remove func()) {
 	if bytes == 0 {
 		return func() {}
 	}
 	u.change(id, int64(bytes))
-	return func() { u.change(id, -int64(bytes)) }
+	return sync.OnceFunc(func() { u.change(id, -int64(bytes)) })
 }
 
 func (u *unansweredBodies) change(id tables.EndpointID, bytes int64) {
