Buffered responses: a caller that accepts data slowly is not disconnected

The write deadline held for a piece of 16 KB, for which a caller of 1 KB/s takes longer than the 10 s. Pieces have 4 KB now, the size of the write buffer of net/http. What counts as progress against eviction stays 16 KB. The new test fails with pieces of 16 KB (unexpected EOF), and takes 4 s.

--- a/forward/buffers.go
+++ b/forward/buffers.go
@@ -19,9 +19,14 @@
 	// evictionInterval is the time between two searches for stalled readers while reservations
 	// wait. It is a tenth of the time after which a reader counts as stalled.
 	evictionInterval = 100 * time.Millisecond
-	// maxPieceBytes is the size of the pieces in which a long response is written. A client that
-	// reads slowly makes progress with each piece.
-	maxPieceBytes = 16 << 10
+	// maxPieceBytes is the size of the pieces in which a long response is written, each with a
+	// write deadline of its own: a client that reads 1 KB/s took 16 s for a piece of 16 KB and was
+	// disconnected. It is the size of the write buffer of net/http, below which smaller pieces
+	// have no effect.
+	maxPieceBytes = 4 << 10
+	// progressBytes is what a client must have accepted of a response or event to count as a
+	// reader that makes progress, and is not evicted then.
+	progressBytes = 16 << 10
 )
 
 // buffers holds the server's budget of bytes for clients and endpoints that read slowly.
@@ -31,6 +36,8 @@
 	checkArmed atomic.Bool
 	// waitingStreams counts the streams that are not read because of their queue or the budget.
 	waitingStreams atomic.Int64
+	// writeTimeout bounds how long a client may accept no data.
+	writeTimeout time.Duration
 }
 
 // openBuffer returns a holder of bytes for the request's organisation. The bytes are given back
@@ -70,7 +77,7 @@
 
 // extendWriteDeadline sets the time until which the client must accept the next piece.
 func (c *clientRequest) extendWriteDeadline(control *http.ResponseController) error {
-	_ = control.SetWriteDeadline(time.Now().Add(eventWriteTimeout))
+	_ = control.SetWriteDeadline(time.Now().Add(c.server.buffers.writeTimeout))
 	// disconnect sets the mark before the deadline, so the mark is seen here if this call has
 	// replaced that deadline.
 	if c.evicted.Load() {
@@ -82,6 +89,7 @@
 // writePieces writes data to a client that may read slowly.
 func (c *clientRequest) writePieces(holder *bufferbudget.Holder, data []byte) error {
 	control := http.NewResponseController(c.w)
+	accepted := 0
 	for len(data) > 0 {
 		piece := data[:min(len(data), maxPieceBytes)]
 		if err := c.extendWriteDeadline(control); err != nil {
@@ -90,8 +98,10 @@
 		if _, err := c.w.Write(piece); err != nil {
 			return err
 		}
-		holder.Progress(c.now())
 		data = data[len(piece):]
+		if accepted += len(piece); accepted%progressBytes == 0 || len(data) == 0 {
+			holder.Progress(c.now())
+		}
 	}
 	return nil
 }
--- a/forward/server.go
+++ b/forward/server.go
@@ -143,7 +143,7 @@
 		dispatch:      dispatch.New(o.Dispatch),
 		crashDetector: quarantine.New(quarantine.Options{}),
 		initialized:   make(chan struct{}),
-		buffers:       buffers{budget: bufferbudget.New(o.MaxBufferedBytes)},
+		buffers:       buffers{budget: bufferbudget.New(o.MaxBufferedBytes), writeTimeout: eventWriteTimeout},
 	}
 	s.blockedWrites = blockedWrites{server: s, streams: map[*streamRelay]struct{}{}}
 	s.healthChecker = newHealthChecker(s)
--- a/forward/slowcaller_test.go
+++ b/forward/slowcaller_test.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"bufio"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -89,3 +91,29 @@
 		assert.Equal(t, unanswered(), 0)
 	}
 }
+
+// Guards against a caller that is disconnected although it accepts data, because it takes longer
+// than the write timeout for a piece of a buffered response, and against one that accepts nothing
+// and is not disconnected.
+func TestCallerThatReadsABufferedResponseSlowly(t *testing.T) {
+	const bytes = 44 << 10
+	h := newSlowHarness(t, 1<<20, respond(200, strings.Repeat("b", bytes)))
+	// Rate and timeout are those of a caller of 1 KB/s in ten times the time.
+	h.server.buffers.writeTimeout = eventWriteTimeout / 10
+	stalled, conn := h.call(t, "/read/x", "key"), h.call(t, "/read/x", "key")
+	resp, err := http.ReadResponse(bufio.NewReaderSize(conn, 512), nil)
+	assert.NilError(t, err)
+	read, part := 0, make([]byte, 512)
+	for err == nil {
+		var n int
+		n, err = resp.Body.Read(part)
+		read += n
+		time.Sleep(time.Duration(n) * time.Second / (10 << 10))
+	}
+	assert.Equal(t, err, io.EOF)
+	assert.Equal(t, read, bytes)
+	assert.Equal(t, h.logs.FilterMessage(events.ClientDisconnected.Text).Len(), 1)
+	_, err = readStream(stalled)
+	assert.Assert(t, err != nil)
+	eventually(t, time.Second, "bytes were not given back", func() bool { return h.used() == 0 })
+}
