Streams: an event does not replace the write deadline of an evicted client

writeEvent set a new deadline without a check of the eviction that may have come since the last event. It uses the function that checks. The new test fails without the change.

--- a/forward/relay.go
+++ b/forward/relay.go
@@ -161,7 +161,9 @@
 // writeEvent sends one event to the client.
 func (c *clientRequest) writeEvent(event exchange.Event) error {
 	control := http.NewResponseController(c.w)
-	_ = control.SetWriteDeadline(time.Now().Add(eventWriteTimeout))
+	if err := c.extendWriteDeadline(control); err != nil {
+		return err
+	}
 	if _, err := c.w.Write(event.Raw); err != nil {
 		return err
 	}
--- a/forward/slowcaller_test.go
+++ b/forward/slowcaller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -12,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/carawaystile/carawaystile/engine/exchange"
 	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/routes"
 )
@@ -117,3 +119,14 @@
 	assert.Assert(t, err != nil)
 	eventually(t, time.Second, "bytes were not given back", func() bool { return h.used() == 0 })
 }
+
+// Guards against an evicted client that gets a new write deadline with the next event, and so
+// keeps its bytes.
+func TestEvictedClientGetsNoFurtherEvent(t *testing.T) {
+	h := newHarness(t)
+	c := &clientRequest{server: h.server, w: newRecorder(), r: newRequest(t)}
+	assert.NilError(t, c.writeEvent(exchange.Event{Raw: []byte("data: 1\n\n")}))
+	c.disconnect()
+	var evicted *evictedError
+	assert.Assert(t, errors.As(c.writeEvent(exchange.Event{Raw: []byte("data: 2\n\n")}), &evicted))
+}
