Relays: slow callers alone do not make an instance reject all relays

Admission compared all bytes of the budget with half of it, and responses and streams may occupy three quarters. It compares those of request bodies again, as before the common budget. The extended test fails without the change.

--- a/forward/relaypath.go
+++ b/forward/relaypath.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/carawaystile/carawaystile/bufferbudget"
 	"github.com/carawaystile/carawaystile/dialect"
 	"github.com/carawaystile/carawaystile/dispatch"
 	"github.com/carawaystile/carawaystile/engine"
@@ -76,8 +77,9 @@
 	if !s.gate.State().Ready() {
 		return relay.Draining
 	}
-	// The memory for bodies of this instance's own clients goes first.
-	if 2*s.buffers.budget.Used() > s.buffers.budget.Limit() {
+	// The memory for bodies of this instance's own clients goes first. Responses and streams do not
+	// count: they occupy most of the budget when callers read slowly, and leave a part of it free.
+	if 2*s.buffers.budget.UsedBy(bufferbudget.RequestBody) > s.buffers.budget.Limit() {
 		return relay.Busy
 	}
 	s.mu.Lock()
--- a/forward/relaypath_test.go
+++ b/forward/relaypath_test.go
@@ -187,8 +187,9 @@
 	assert.Equal(t, h.suspects.Load(), int64(0))
 }
 
-// Guards against an instance that relays for others although it is about to stop, or although it
-// has lost its own links.
+// Guards against an instance that relays for others although it is about to stop, has lost its
+// own links, or needs the memory for request bodies; and against one that rejects all relays
+// because its callers read slowly.
 func TestAdmissionOfRelayedConnections(t *testing.T) {
 	h := newRelayHarness(t, respond(200, "ok"))
 	e := h.server.Endpoints()["e0desk"]
@@ -200,6 +201,10 @@
 	giveBack, ok := h.server.ReserveRelay(1000)
 	assert.Assert(t, ok && h.server.buffers.budget.Used() == 1000)
 	giveBack()
+	slowReaders := h.server.buffers.budget.Open("", bufferbudget.Stream)
+	assert.Assert(t, slowReaders.Reserve(h.server.options.MaxBufferedBytes*3/4))
+	assert.Equal(t, h.server.AdmitRelay(&e), relay.Reason(""))
+	slowReaders.Close()
 	assert.Assert(t, h.server.buffers.budget.Open("", bufferbudget.RequestBody).Reserve(h.server.options.MaxBufferedBytes))
 	_, ok = h.server.ReserveRelay(1000)
 	assert.Assert(t, !ok)
