--- a/forward/slowcaller_test.go
+++ b/forward/slowcaller_test.go
@@ -130,3 +130,25 @@
 	var evicted *evictedError
 	assert.Assert(t, errors.As(c.writeEvent(exchange.Event{Raw: []byte("data: 2\n\n")}), &evicted))
 }
+
+// Guards against a request that is held until its deadline because its endpoint stops in the
+// middle of a response that has waited for room.
+func TestEndpointThatStopsAfterAWaitForRoom(t *testing.T) {
+	var first atomic.Bool
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		if !first.CompareAndSwap(false, true) {
+			respond(200, "ok")(w, r)
+			return
+		}
+		respond(200, strings.Repeat("b", 100<<10))(w, r)
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	}
+	h := newSlowHarness(t, 10<<10, handler, handler)
+	h.url = "http://" + h.address
+	started := time.Now()
+	resp := h.send(t, "GET", "/read/x", "")
+	assert.Equal(t, resp.StatusCode, 200)
+	assert.Equal(t, readBody(t, resp), "ok")
+	assert.Assert(t, time.Since(started) < 5*time.Second)
+}
