Buffered responses: a caller that hangs up ends with event 1010 as before

Since responses are written in pieces, its write error ended the request as a disconnection (panic, event 1013 instead of 1010, no answer in the metrics). Only an evicted caller, or one that has timed out, ends so. The new test fails without the change.

--- a/forward/relay.go
+++ b/forward/relay.go
@@ -1,8 +1,10 @@
 package forward
 
 import (
+	"errors"
 	"mime"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -75,9 +77,11 @@
 	c.suppressContentTypeSniffing(buffered.header)
 	c.w.WriteHeader(buffered.status)
 	c.responseHolder.Evictable(c.now(), c.disconnect)
-	if err := c.writePieces(c.responseHolder, buffered.body); err != nil {
+	err := c.writePieces(c.responseHolder, buffered.body)
+	if err != nil && (c.evicted.Load() || errors.Is(err, os.ErrDeadlineExceeded)) {
 		c.abortDisconnected(err)
 	}
+	// A request whose client hangs up counts as answered: the endpoint has answered it completely.
 	c.finishAnswered(buffered.status, buffered.attempt)
 }
 
--- a/forward/slowcaller_test.go
+++ b/forward/slowcaller_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -13,6 +14,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/carawaystile/carawaystile/bufferbudget"
 	"github.com/carawaystile/carawaystile/engine/exchange"
 	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/routes"
@@ -152,3 +154,35 @@
 	assert.Equal(t, readBody(t, resp), "ok")
 	assert.Assert(t, time.Since(started) < 5*time.Second)
 }
+
+// Guards against a buffered response that is logged as a disconnection because its caller hangs
+// up, which it was not before responses were written in pieces, and against an evicted caller or
+// one that has timed out that is logged as answered.
+func TestEndOfABufferedResponseWhoseCallerDoesNotRead(t *testing.T) {
+	ends := map[string]struct {
+		end      func(*slowHarness, net.Conn)
+		answered int
+	}{
+		"hangs up":  {answered: 1, end: func(_ *slowHarness, conn net.Conn) { _ = conn.Close() }},
+		"timed out": {end: func(*slowHarness, net.Conn) {}},
+		"evicted": {end: func(h *slowHarness, _ net.Conn) {
+			time.Sleep(1100 * time.Millisecond) // a reader counts as stalled after a second
+			h.server.evict(bufferbudget.RequestBody, 1<<20)
+		}},
+	}
+	for name, test := range ends {
+		t.Run(name, func(t *testing.T) {
+			h := newSlowHarness(t, 1<<20, respond(200, strings.Repeat("b", 100<<10)))
+			if name == "timed out" {
+				h.server.buffers.writeTimeout = 200 * time.Millisecond
+			}
+			conn := h.call(t, "/read/x", "key")
+			eventually(t, time.Second, "the response was not read", func() bool { return h.used() == 100<<10 })
+			time.Sleep(50 * time.Millisecond)
+			test.end(h, conn)
+			eventually(t, 2*time.Second, "bytes were not given back", func() bool { return h.used() == 0 })
+			assert.Equal(t, h.logs.FilterMessage(events.RequestAnswered.Text).Len(), test.answered)
+			assert.Equal(t, h.logs.FilterMessage(events.ClientDisconnected.Text).Len(), 1-test.answered)
+		})
+	}
+}
