--- a/engine/exchange/exchange_test.go
+++ b/engine/exchange/exchange_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -314,3 +315,29 @@
 		}
 	})
 }
+
+// Guards against rejections with long bodies that take memory outside the instance's budget.
+func TestBodyOfARejectionIsNotKept(t *testing.T) {
+	const bytes = 4 << 20
+	body := make([]byte, bytes)
+	var connections atomic.Int32
+	to := startEndpoint(t, func(_ int, conn net.Conn) {
+		connections.Add(1)
+		r := bufio.NewReader(conn)
+		for id := readRequestID(r); id != ""; id = readRequestID(r) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 503 Busy\r\nX-Request: "+id+"\r\nX-Not-Run: 1\r\nContent-Length: "+strconv.Itoa(bytes)+"\r\n\r\n")
+			_, _ = conn.Write(body)
+		}
+	})
+	c := NewClient(Options{Headers: headers()})
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for _, id := range []string{"r-1", "r-2"} {
+		_, err := send(t, c, to, request(id))
+		var rejected *RejectedError
+		assert.Assert(t, errors.As(err, &rejected), err)
+	}
+	runtime.ReadMemStats(&after)
+	assert.Assert(t, after.TotalAlloc-before.TotalAlloc < bytes, "%d bytes were allocated", after.TotalAlloc-before.TotalAlloc)
+	assert.Equal(t, connections.Load(), int32(1))
+}
--- a/engine/exchange/response.go
+++ b/engine/exchange/response.go
@@ -49,6 +49,16 @@
 	return body, nil
 }
 
+// discard reads the body without keeping it, and ends the response.
+func (res *Response) discard() {
+	n, err := io.Copy(io.Discard, io.LimitReader(res.resp.Body, res.client.maxResponseBytes+1))
+	if err != nil || n > res.client.maxResponseBytes {
+		res.Close()
+		return
+	}
+	res.finish()
+}
+
 // meteredReader calls a function after each read.
 type meteredReader struct {
 	io.Reader
--- a/engine/exchange/send.go
+++ b/engine/exchange/send.go
@@ -163,9 +163,7 @@
 		Status:          res.Status,
 		Header:          res.Header,
 	}
-	if _, err := res.ReadAll(); err != nil {
-		res.Close()
-	}
+	res.discard()
 	return failure
 }
 
