Unanswered bodies: endpoints that are gone have no gauge

The gauges and the map behind them grew with each endpoint that had ever held a body. A scrape removes those of endpoints that are neither known nor hold unanswered bytes; metrics.Registry.Remove is new for it. The new test fails without the change.

--- a/forward/buffers.go
+++ b/forward/buffers.go
@@ -257,6 +257,6 @@
 				metrics.Label{Name: "kind", Value: kind.String()}).Update(float64(s.buffers.budget.UsedBy(kind)))
 		}
 		waiting.Update(float64(s.buffers.waitingStreams.Load()))
-		s.unanswered.report(registry)
+		s.unanswered.report(registry, s.Endpoints())
 	})
 }
--- a/forward/slowcaller_test.go
+++ b/forward/slowcaller_test.go
@@ -186,3 +186,22 @@
 		})
 	}
 }
+
+// Guards against gauges of unanswered bodies that grow with each endpoint that has ever existed.
+func TestEndpointThatIsGoneHasNoGaugeOfUnansweredBodies(t *testing.T) {
+	h := newSlowHarness(t, 1<<20, respond(200, "ok"))
+	h.server.registerBufferGauges(h.registry)
+	gauges := func() int {
+		var text strings.Builder
+		assert.NilError(t, h.registry.WriteText(&text))
+		return strings.Count(text.String(), "carawaystile_unanswered_body_bytes{")
+	}
+	endKnown := h.server.unanswered.add("e0desk", 1)
+	endGone := h.server.unanswered.add("gone", 1)
+	assert.Equal(t, gauges(), 2)
+	endKnown()
+	assert.Equal(t, gauges(), 2)
+	endGone()
+	assert.Equal(t, gauges(), 1)
+	assert.Equal(t, len(h.server.unanswered.reported), 1)
+}
--- a/forward/unanswered.go
+++ b/forward/unanswered.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"github.com/carawaystile/carawaystile/dispatch"
+	"github.com/carawaystile/carawaystile/fleet"
 	"github.com/carawaystile/carawaystile/metrics"
 	"github.com/carawaystile/carawaystile/tables"
 )
@@ -60,8 +61,12 @@
 	return all
 }
 
-// report updates the gauges. An endpoint has one once a scrape has found unanswered bytes there.
-func (u *unansweredBodies) report(registry *metrics.Registry) {
+// unansweredGauge is the metric family of the gauges.
+const unansweredGauge = "carawaystile_unanswered_body_bytes"
+
+// report updates the gauges. An endpoint has one once a scrape has found unanswered bytes there,
+// until it is gone.
+func (u *unansweredBodies) report(registry *metrics.Registry, known map[tables.EndpointID]fleet.Endpoint) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.reported == nil {
@@ -71,8 +76,13 @@
 		u.reported[id] = struct{}{}
 	}
 	for id := range u.reported {
-		registry.Gauge("carawaystile_unanswered_body_bytes", "Bytes of request bodies that this instance has sent to an endpoint and that are not answered.",
-			metrics.Label{Name: "endpoint", Value: string(id)}).Update(float64(u.bytes[id]))
+		label := metrics.Label{Name: "endpoint", Value: string(id)}
+		if _, exists := known[id]; !exists && u.bytes[id] == 0 {
+			delete(u.reported, id)
+			registry.Remove(unansweredGauge, label)
+			continue
+		}
+		registry.Gauge(unansweredGauge, "Bytes of request bodies that this instance has sent to an endpoint and that are not answered.", label).Update(float64(u.bytes[id]))
 	}
 }
 
--- a/metrics/registry.go
+++ b/metrics/registry.go
@@ -58,6 +58,11 @@
 	return r.registry.GetOrRegister(name, gometrics.NewGaugeFloat64).(gometrics.GaugeFloat64)
 }
 
+// Remove removes the time series of a family with these labels, if there is one.
+func (r *Registry) Remove(family string, labels ...Label) {
+	r.registry.Unregister(seriesName(family, labels))
+}
+
 // Histogram returns the histogram of a family with these labels and creates it on first
 // use. It takes values in millionths of the family's unit.
 func (r *Registry) Histogram(family, help string, bounds Bounds, labels ...Label) gometrics.Histogram {
