Slow callers: names and comments say what the code does

register and unregister replace add and remove. lastEventID, lastEventAt and responseStarted are set when an event is read; the client may not have it yet.

--- a/forward/blockedwrites.go
+++ b/forward/blockedwrites.go
@@ -20,16 +20,16 @@
 	armed   bool
 }
 
-// add starts to look after a stream.
-func (b *blockedWrites) add(r *streamRelay) {
+// register includes a stream in the checks.
+func (b *blockedWrites) register(r *streamRelay) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.streams[r] = struct{}{}
 	b.arm()
 }
 
-// remove ends that.
-func (b *blockedWrites) remove(r *streamRelay) {
+// unregister excludes a stream from the checks.
+func (b *blockedWrites) unregister(r *streamRelay) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	delete(b.streams, r)
--- a/forward/failure.go
+++ b/forward/failure.go
@@ -102,7 +102,8 @@
 		zap.NamedError("cause", c.lastErr))...)
 }
 
-// finishAnswered ends a request whose client has received an endpoint's response.
+// finishAnswered ends a request whose complete response was sent to the client, also if the client
+// has hung up meanwhile.
 func (c *clientRequest) finishAnswered(status int, a *attempt) {
 	c.finished = true
 	c.server.metrics.observeAnswered(c, status)
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -54,8 +54,8 @@
 	}
 	a.recordOutcome(dispatch.Completed)
 	if c.responseStarted {
-		// The client has received a part of a stream from another endpoint, which this response
-		// cannot continue.
+		// The response to the client has begun with a stream from another endpoint, which this
+		// response cannot continue.
 		c.abortStream()
 		return
 	}
--- a/forward/request.go
+++ b/forward/request.go
@@ -80,14 +80,17 @@
 	// lastErr is the error of the last failed attempt, for the log.
 	lastErr error
 
-	// responseStarted is set once the client has received a part of the response.
+	// responseStarted is set once the first event of a stream was read from an endpoint, or a stream
+	// has ended without one. No other response can replace the stream then.
 	responseStarted bool
 	// timeToFirstEvent is the time from arrival to the first event of a stream.
 	timeToFirstEvent time.Duration
-	// lastEventAt is when the last event was sent to the client.
+	// lastEventAt is when the last event was read from an endpoint. It may still be queued for the
+	// client.
 	lastEventAt tables.Instant
-	// lastEventID is the ID of the last event that the client has received. lastEventNumber is
-	// its numeric value, valid if hasLastEventNumber is set.
+	// lastEventID is the ID of the last event that was read from an endpoint, or that the client has
+	// named in its request. The client gets all events up to it before any from another endpoint.
+	// lastEventNumber is its numeric value, valid if hasLastEventNumber is set.
 	lastEventID        string
 	lastEventNumber    int64
 	hasLastEventNumber bool
--- a/forward/streamwriter.go
+++ b/forward/streamwriter.go
@@ -75,7 +75,7 @@
 func newStreamRelay(a *attempt, response *exchange.Response) *streamRelay {
 	r := &streamRelay{attempt: a, response: response, events: exchange.NewEventReader(response), room: make(chan struct{}, 1)}
 	r.changed.L = &r.mu
-	a.request.server.blockedWrites.add(r)
+	a.request.server.blockedWrites.register(r)
 	return r
 }
 
@@ -104,7 +104,8 @@
 	return r.next()
 }
 
-// next reads the next event that the client has not received, or returns how the response has ended.
+// next reads the next event that no earlier attempt has contributed, or returns how the response
+// has ended.
 func (r *streamRelay) next() (exchange.Event, *streamEnd) {
 	a, c := r.attempt, r.attempt.request
 	for {
@@ -115,7 +116,7 @@
 		a.stopResponseTimer()
 		a.recordResponseStart()
 		if event.HasID && c.hasLastEventNumber && event.ID <= c.lastEventNumber {
-			continue // the client has received it
+			continue // an earlier attempt has contributed it
 		}
 		c.observeEvent(r.response, event)
 		return event, nil
@@ -236,7 +237,7 @@
 
 // stop ends the read-ahead goroutine, if there is one, and waits for it.
 func (r *streamRelay) stop() {
-	r.attempt.request.server.blockedWrites.remove(r)
+	r.attempt.request.server.blockedWrites.unregister(r)
 	if r.phase.CompareAndSwap(writingDirectly, readyToWrite) || r.phase.Load() == readyToWrite {
 		return
 	}
