Buffered responses: the kernel holds little beyond the caller's receive window

Smaller pieces do not suffice: Linux reports room for a blocked write only once a third of the send buffer is free. The server of callers passes the connection in the context, and a response of more than 4 KB sets TCP_NOTSENT_LOWAT while it is written. The new test fails without the bound. Streams keep the whole send buffer.

--- a/forward/relay.go
+++ b/forward/relay.go
@@ -77,6 +77,9 @@
 	c.suppressContentTypeSniffing(buffered.header)
 	c.w.WriteHeader(buffered.status)
 	c.responseHolder.Evictable(c.now(), c.disconnect)
+	if len(buffered.body) > maxUnsentBytes {
+		defer c.limitUnsent()()
+	}
 	err := c.writePieces(c.responseHolder, buffered.body)
 	if err != nil && (c.evicted.Load() || errors.Is(err, os.ErrDeadlineExceeded)) {
 		c.abortDisconnected(err)
--- a/forward/slowcaller_test.go
+++ b/forward/slowcaller_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -122,6 +124,29 @@
 	eventually(t, time.Second, "bytes were not given back", func() bool { return h.used() == 0 })
 }
 
+// Guards against a caller that is disconnected although it accepts data, because the kernel
+// reports no room in a send buffer of the usual size for longer than the write timeout.
+func TestCallerThatReadsSlowlyFromASendBufferOfUsualSize(t *testing.T) {
+	h := newSlowHarness(t, 4<<20, respond(200, strings.Repeat("b", 1<<20)))
+	h.server.buffers.writeTimeout = eventWriteTimeout / 10
+	server := httptest.NewUnstartedServer(h.server)
+	server.Config.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		_ = conn.(*net.TCPConn).SetWriteBuffer(44 << 10) // the kernel doubles it
+		return WithConn(ctx, conn)
+	}
+	server.Start()
+	t.Cleanup(server.Close)
+	h.address = strings.TrimPrefix(server.URL, "http://")
+	conn := h.call(t, "/read/x", "key")
+	part := make([]byte, 512)
+	for started := time.Now(); time.Since(started) < 3*h.server.buffers.writeTimeout; time.Sleep(50 * time.Millisecond) {
+		_, err := conn.Read(part)
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, h.logs.FilterMessage(events.ClientDisconnected.Text).Len(), 0)
+	assert.Equal(t, h.used(), int64(1<<20))
+}
+
 // Guards against an evicted client that gets a new write deadline with the next event, and so
 // keeps its bytes.
 func TestEvictedClientGetsNoFurtherEvent(t *testing.T) {
--- a/node/entry.go
+++ b/node/entry.go
@@ -85,7 +85,7 @@
 		}
 	})
 	n.startCacheSync()
-	n.callerServer = &http.Server{Handler: n.entry}
+	n.callerServer = &http.Server{Handler: n.entry, ConnContext: forward.WithConn}
 	if err := n.serve(n.callerServer, s.Listen.Callers, keepalive.Clients); err != nil {
 		return err
 	}
