--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -50,6 +50,12 @@
 	// queuedPrefill counts the prompt tokens at the endpoint that had no first event when its
 	// last event arrived.
 	queuedPrefill int
+	// crashProbed is closed once it is known whether the process of the endpoint, whose connection
+	// broke, has ended; nil if the attempt did not end that way.
+	crashProbed <-chan struct{}
+	// endUnanswered ends the count of the request body as unanswered. It may be called more than
+	// once.
+	endUnanswered func()
 	// via is the instance through which a relayed attempt has gone; empty otherwise.
 	via tables.InstanceID
 	// retryAfter is the Retry-After header of a response with status 503, for the log.
@@ -113,6 +119,8 @@
 	a.armResponseTimer(a.firstResponseTimeout())
 	a.endWait = a.trackPending()
 	defer a.endWait()
+	a.endUnanswered = c.server.unanswered.add(a.placement.Endpoint.ID, len(c.body))
+	defer a.endUnanswered()
 	response, err := c.server.options.Client.Send(a.ctx, a.placement.Endpoint.Address, a.endpointRequest())
 	if err != nil {
 		a.handleFailure(err)
@@ -221,6 +229,7 @@
 // recordOutcome records the end of the attempt with the scheduler, the load balancer and
 // the crash detector.
 func (a *attempt) recordOutcome(result dispatch.Outcome) {
+	a.endUnanswered()
 	a.assignment.NotifyEnded(result)
 	a.permit.Release(result == dispatch.Declined && a.retryAfter == "")
 	if !notDelivered(result) {
@@ -263,7 +272,11 @@
 
 // handleFailure ends an attempt without a complete response. It also ends the request if
 // the request cannot be retried.
-func (a *attempt) handleFailure(err error) {
+func (a *attempt) handleFailure(err error) { a.continueAfterFailure(a.recordFailure(err)) }
+
+// recordFailure records the end of an attempt without a complete response, and returns its
+// outcome. The client need not have received all events of the attempt yet.
+func (a *attempt) recordFailure(err error) dispatch.Outcome {
 	c := a.request
 	result := a.classifyError(err)
 	a.recordOutcome(result)
@@ -275,15 +288,21 @@
 		c.reservation.markUnused()
 	}
 	events.AttemptEnded.Log(c.server.log, append(a.logFields(), zap.Stringer("end", result), zap.Error(err))...)
-	var probed <-chan struct{}
 	switch result {
 	case dispatch.Broken:
-		probed = a.probeForCrash()
+		a.crashProbed = a.probeForCrash()
 	case dispatch.ConnectionRefused, dispatch.ConnectTimeout, dispatch.ResponseTimeout:
 		if !a.placement.Relayed {
 			c.server.healthChecker.startProbe(a.placement.Endpoint)
 		}
 	}
+	return result
+}
+
+// continueAfterFailure prepares a retry after an attempt without a complete response, or ends
+// the request if it cannot be retried.
+func (a *attempt) continueAfterFailure(result dispatch.Outcome) {
+	c := a.request
 	if result == dispatch.Cancelled {
 		c.finishFailed(tables.CodeTimeout)
 		return
@@ -292,7 +311,7 @@
 		c.finishFailed(tables.CodeStreamBroken)
 		return
 	}
-	if result == dispatch.Broken && a.continueStream(probed) {
+	if result == dispatch.Broken && a.continueStream(a.crashProbed) {
 		return
 	}
 	if !notDelivered(result) {
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -1,16 +1,16 @@
 package forward
 
 import (
-	"io"
+	"errors"
 	"mime"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/carawaystile/carawaystile/dispatch"
-	"github.com/carawaystile/carawaystile/engine"
 	"github.com/carawaystile/carawaystile/engine/exchange"
 	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/routes"
@@ -40,11 +40,12 @@
 // first, so that a broken one can be retried and no client receives a part of it.
 func (a *attempt) relayBuffered(response *exchange.Response) {
 	c := a.request
-	body, err := response.ReadAll()
+	body, err := a.readBuffered(response)
 	if err != nil {
 		a.handleFailure(err)
 		return
 	}
+	c.dropFallback()
 	a.stopResponseTimer()
 	a.recordResponseStart()
 	buffered := &bufferedResponse{status: response.Status, header: response.Header, body: body, attempt: a}
@@ -53,8 +54,8 @@
 	}
 	a.recordOutcome(dispatch.Completed)
 	if c.responseStarted {
-		// The client has received a part of a stream from another endpoint, which this response
-		// cannot continue.
+		// The response to the client has begun with a stream from another endpoint, which this
+		// response cannot continue.
 		c.abortStream()
 		return
 	}
@@ -75,7 +76,15 @@
 	c.w.Header().Set("Content-Length", strconv.Itoa(len(buffered.body)))
 	c.suppressContentTypeSniffing(buffered.header)
 	c.w.WriteHeader(buffered.status)
-	_, _ = c.w.Write(buffered.body)
+	c.responseHolder.Evictable(c.now(), c.disconnect)
+	if len(buffered.body) > maxUnsentBytes {
+		defer c.limitUnsent()()
+	}
+	err := c.writePieces(c.responseHolder, buffered.body)
+	if err != nil && (c.evicted.Load() || errors.Is(err, os.ErrDeadlineExceeded)) {
+		c.abortDisconnected(err)
+	}
+	// A request whose client hangs up counts as answered: the endpoint has answered it completely.
 	c.finishAnswered(buffered.status, buffered.attempt)
 }
 
@@ -108,34 +117,19 @@
 // relayStream relays events as they arrive. The client receives only complete events, each
 // once and in order, also if several endpoints have produced them.
 func (a *attempt) relayStream(response *exchange.Response) {
-	c := a.request
-	stream := exchange.NewEventReader(response)
-	for {
-		event, err := stream.Next()
-		if err == io.EOF {
-			a.finishStream(response)
-			return
-		}
-		if err != nil {
-			response.Close()
-			a.handleFailure(&engine.InterruptedError{Attempt: a.id, Cause: err})
-			return
-		}
-		a.stopResponseTimer()
-		a.recordResponseStart()
-		if event.HasID && c.hasLastEventNumber && event.ID <= c.lastEventNumber {
-			continue // the client has received it
-		}
-		c.endPause()
-		if err := c.writeEvent(response, event); err != nil {
-			response.Close()
-			a.recordOutcome(dispatch.Cancelled)
-			c.abortDisconnected(err)
-			return
-		}
-		a.beginPause()
-		a.armResponseTimer(a.eventGapTimeout())
+	relay := newStreamRelay(a, response)
+	defer relay.stop()
+	end, err := relay.run()
+	if err != nil {
+		relay.stop()
+		relay.cancel()
+		a.request.abortDisconnected(err)
+	}
+	if end.complete {
+		a.finishStream(response)
+		return
 	}
+	a.continueAfterFailure(end.outcome)
 }
 
 // eventGapTimeout returns the timeout between two events; zero for none. Only resumable
@@ -151,12 +145,12 @@
 	return gapTimeoutFactor * gap
 }
 
-// writeEvent sends one event to the client. Before the first event it sends the header of
-// the response that contains it.
-func (c *clientRequest) writeEvent(response *exchange.Response, event exchange.Event) error {
-	control := http.NewResponseController(c.w)
+// observeEvent records an event that the client will receive. Before the first event it sets
+// the header of the response that contains it.
+func (c *clientRequest) observeEvent(response *exchange.Response, event exchange.Event) {
 	if !c.responseStarted {
 		c.responseStarted = true
+		c.dropFallback()
 		c.server.headers.CopyResponseHeaders(c.w.Header(), response.Header)
 		c.w.WriteHeader(response.Status)
 		c.timeToFirstEvent = c.now() - c.arrivedAt
@@ -165,24 +159,28 @@
 		c.server.metrics.observeEventGap(c, c.now()-c.lastEventAt)
 	}
 	c.lastEventAt = c.now()
-	_ = control.SetWriteDeadline(time.Now().Add(eventWriteTimeout))
-	if _, err := c.w.Write(event.Raw); err != nil {
-		return err
-	}
 	if event.HasID {
 		c.lastEventID = strconv.FormatInt(event.ID, 10)
 		c.lastEventNumber, c.hasLastEventNumber = event.ID, true
 	}
 	c.lastEventNumbered = event.HasID
+}
+
+// writeEvent sends one event to the client.
+func (c *clientRequest) writeEvent(event exchange.Event) error {
+	control := http.NewResponseController(c.w)
+	if err := c.extendWriteDeadline(control); err != nil {
+		return err
+	}
+	if _, err := c.w.Write(event.Raw); err != nil {
+		return err
+	}
 	return control.Flush()
 }
 
 // finishStream ends a stream that is complete.
 func (a *attempt) finishStream(response *exchange.Response) {
 	c := a.request
-	a.stopResponseTimer()
-	a.recordResponseStart()
-	a.recordOutcome(dispatch.Completed)
 	if !c.responseStarted {
 		c.responseStarted = true
 		c.server.headers.CopyResponseHeaders(c.w.Header(), response.Header)
--- a/forward/request.go
+++ b/forward/request.go
@@ -7,10 +7,13 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/carawaystile/carawaystile/bufferbudget"
 	"github.com/carawaystile/carawaystile/dialect"
 	"github.com/carawaystile/carawaystile/dispatch"
 	"github.com/carawaystile/carawaystile/entry/outcome"
@@ -35,8 +38,15 @@
 	org     *routes.Organisation
 	service *routes.Service
 	body    []byte
-	// bufferedBytes is the request's part of Server.bufferedBytes.
-	bufferedBytes int64
+	// holders hold the request's part of the buffer budget.
+	holders []*bufferbudget.Holder
+	// responseHolder is the one for buffered responses of all attempts; nil before the first.
+	responseHolder *bufferbudget.Holder
+	// evicted is set once the client is disconnected to make room in the budget. disconnectMu
+	// guards released, which is set once the response must not be used any more.
+	evicted      atomic.Bool
+	disconnectMu sync.Mutex
+	released     bool
 	// endpointHeader is the client's header without the fields that are not forwarded.
 	endpointHeader http.Header
 
@@ -74,16 +84,19 @@
 	// lastErr is the error of the last failed attempt, for the log.
 	lastErr error
 
-	// responseStarted is set once the client has received a part of the response.
+	// responseStarted is set once the first event of a stream was read from an endpoint, or a stream
+	// has ended without one. No other response can replace the stream then.
 	responseStarted bool
 	// timeToFirstEvent is the time from arrival to the first event of a stream.
 	timeToFirstEvent time.Duration
-	// lastEventAt is when the last event was sent to the client.
+	// lastEventAt is when the last event was read from an endpoint. It may still be queued for the
+	// client.
 	lastEventAt tables.Instant
 	// pauses measures the pauses between the events of a stream.
 	pauses streamPauses
-	// lastEventID is the ID of the last event that the client has received. lastEventNumber is
-	// its numeric value, valid if hasLastEventNumber is set.
+	// lastEventID is the ID of the last event that was read from an endpoint, or that the client has
+	// named in its request. The client gets all events up to it before any from another endpoint.
+	// lastEventNumber is its numeric value, valid if hasLastEventNumber is set.
 	lastEventID        string
 	lastEventNumber    int64
 	hasLastEventNumber bool
@@ -173,15 +186,22 @@
 		c.rejectPermanently(http.StatusRequestEntityTooLarge, tables.CodeTooLarge)
 		return false
 	}
-	c.bufferedBytes = max(c.r.ContentLength, 0)
-	if c.server.bufferedBytes.Add(c.bufferedBytes) > c.server.options.MaxBufferedBytes {
-		c.w.Header().Set("Connection", "close")
-		c.rejectRetryable(tables.CodeOverloaded, retryAfterOverload)
+	holder := c.openBuffer(bufferbudget.RequestBody)
+	if !c.server.reserveNow(holder, max(c.r.ContentLength, 0)) {
+		c.rejectBody()
 		return false
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	reader := http.MaxBytesReader(c.w, c.r.Body, limit)
+	if c.r.ContentLength < 0 {
+		reader = &bodyReader{ReadCloser: reader, server: c.server, holder: holder}
+	}
+	body, err := io.ReadAll(reader)
 	var tooLarge *http.MaxBytesError
+	var usedUp *budgetError
 	switch {
+	case errors.As(err, &usedUp):
+		c.rejectBody()
+		return false
 	case errors.As(err, &tooLarge):
 		c.rejectPermanently(http.StatusRequestEntityTooLarge, tables.CodeTooLarge)
 		return false
@@ -192,12 +212,15 @@
 		return false
 	}
 	c.body = body
-	growth := int64(len(body)) - c.bufferedBytes
-	c.bufferedBytes += growth
-	c.server.bufferedBytes.Add(growth)
 	return true
 }
 
+// rejectBody rejects a request whose body does not fit into the buffer budget.
+func (c *clientRequest) rejectBody() {
+	c.w.Header().Set("Connection", "close")
+	c.rejectRetryable(tables.CodeOverloaded, retryAfterOverload)
+}
+
 // defaultMaxBodyBytes bounds a body if the configuration sets no limit.
 const defaultMaxBodyBytes = 4 << 20
 
@@ -292,12 +315,12 @@
 	c.lastEventNumber, c.hasLastEventNumber = number, err == nil
 }
 
-// release frees what the request holds: the unused reservation, the memory budget of its
-// body and its context.
+// release frees what the request holds: the unused reservation, its part of the buffer budget
+// and its context.
 func (c *clientRequest) release() {
 	c.reservation.refundUnused()
 	c.observeLongestPause()
-	c.server.bufferedBytes.Add(-c.bufferedBytes)
+	c.releaseBuffers()
 	if c.cancel != nil {
 		c.cancel()
 	}
--- a/node/entry.go
+++ b/node/entry.go
@@ -23,9 +23,9 @@
 	"github.com/carawaystile/carawaystile/tables"
 )
 
-// requestBodyMemoryDivisor is the inverse of the fraction of an instance's memory that
-// buffered request bodies may occupy.
-const requestBodyMemoryDivisor = 4
+// bufferMemoryDivisor is the inverse of the fraction of an instance's memory that request
+// bodies, responses, streams and relayed connections may occupy together.
+const bufferMemoryDivisor = 4
 
 // startEntry starts the entry role: the proxy with its scheduler and rate limiter, the client
 // that follows control instances, and the listeners for callers and readiness probes.
@@ -53,7 +53,7 @@
 		Now:              n.now,
 		BootID:           n.bootID(),
 		DrainDelay:       s.Drain.Announce,
-		MaxBufferedBytes: int64(s.MemoryMB) << 20 / requestBodyMemoryDivisor,
+		MaxBufferedBytes: int64(s.MemoryMB) << 20 / bufferMemoryDivisor,
 		ShareSuspects:    n.broadcastSuspects,
 		Scheduler:        n.newScheduleClient(),
 		RateLimiter:      n.newUsageClient(),
@@ -86,7 +86,7 @@
 		}
 	})
 	n.startCacheSync()
-	n.callerServer = &http.Server{Handler: n.entry}
+	n.callerServer = &http.Server{Handler: n.entry, ConnContext: forward.WithConn}
 	if err := n.serve(n.callerServer, s.Listen.Callers, keepalive.Clients); err != nil {
 		return err
 	}
