Waiting queue: requests that may not ask hide no others

The candidates were the first request of at most 4 sizes of at most 16 organisations. Requests behind a refused one used up these places, so a small request of a 21st organisation was never asked for, and a request with a pending prefill at the head of its size blocked those behind it. A larger limit was ruled out, since it only moves the number. The queue now takes the first request that may ask, in the same order; fairness.Next calls skip only for flows that may win.

A refused retry, which may not go to some endpoints, and a request for another model hold back nobody any more. At most three placements of a model fail in a round.

--- a/forward/admission.go
+++ b/forward/admission.go
@@ -126,6 +126,7 @@
 func (c *clientRequest) newWaiter() *waiter {
 	w := &waiter{
 		priority: c.dispatchRequest.Priority, organisation: string(c.organisationID()),
+		model: c.dispatchRequest.Model, restricted: len(c.dispatchRequest.Tried) > 0 || c.dispatchRequest.DeliveredAttempts > 0,
 		prompt: c.dispatchRequest.PromptTokens, output: c.dispatchRequest.OutputTokens,
 		target: c.latencyTarget(), arrivedAt: c.arrivedAt, turn: make(chan struct{}, 1),
 	}
--- a/forward/waitclass.go
+++ b/forward/waitclass.go
@@ -149,36 +149,34 @@
 	c.demand[w.flow].add(now, rateWindow, w.cost())
 }
 
-// candidates returns the requests that may ask first, in order: of each organisation the first
-// request of each size.
-func (c *waitClass) candidates(waiters map[*tables.RequestRow]*waiter) []*waiter {
-	var found []*waiter
-	seen := map[fairness.Flow]bool{}
-	for range maxFlowsExamined {
-		flow, more := c.scheduler.Next(func(f fairness.Flow) bool { return seen[f] })
-		if !more {
-			break
-		}
-		seen[flow] = true
-		found = c.organisations[flow].appendCandidates(found, waiters)
+// first returns the first request that is accepted: of the first organisation with such a request,
+// the first one of the first size; nil if there is none. Requests that are not accepted use up
+// no limit, or a few organisations with large requests would hide all others.
+func (c *waitClass) first(accept func(*tables.RequestRow) bool) *tables.RequestRow {
+	found := map[fairness.Flow]*tables.RequestRow{}
+	flow, any := c.scheduler.Next(func(f fairness.Flow) bool {
+		found[f] = c.organisations[f].first(accept)
+		return found[f] == nil
+	})
+	if !any {
+		return nil
 	}
-	return found
+	return found[flow]
 }
 
-// appendCandidates appends the first request of each size, in the order of the sizes.
-func (o *organisationQueue) appendCandidates(found []*waiter, waiters map[*tables.RequestRow]*waiter) []*waiter {
-	seen := [maxSize + 1]bool{}
-	for range maxSizesExamined {
-		size, more := o.sizes.Next(func(f fairness.Flow) bool { return seen[f] })
-		if !more {
-			break
-		}
-		seen[size] = true
-		for _, item := range o.queue.Candidates(nil, tables.BlockHash(size), 0, 1) {
-			found = append(found, waiters[item.Row])
-		}
+// first returns the first request that is accepted, in the order of the sizes; nil if there is
+// none.
+func (o *organisationQueue) first(accept func(*tables.RequestRow) bool) *tables.RequestRow {
+	var found [maxSize + 1]*tables.RequestRow
+	size, any := o.sizes.Next(func(size fairness.Flow) bool {
+		item, accepted := o.queue.First(tables.BlockHash(size), accept)
+		found[size] = item.Row
+		return !accepted
+	})
+	if !any {
+		return nil
 	}
-	return found
+	return found[size]
 }
 
 // order returns the classes with waiting requests in the order in which they are served: by
--- a/forward/waitqueue.go
+++ b/forward/waitqueue.go
@@ -15,14 +15,11 @@
 	// when its first event arrives, and because endpoints join.
 	minAskInterval = 2 * time.Millisecond
 	maxAskInterval = 50 * time.Millisecond
-	// maxRefusalsPerRound bounds the placements that fail in a row before the queue pauses. It
-	// bounds the questions to schedulers.
+	// maxRefusalsPerRound bounds the placements of a model that fail in a row before its requests
+	// pause. It bounds the questions to schedulers.
 	maxRefusalsPerRound = 3
-	// maxFlowsExamined and maxSizesExamined bound the candidates for the next question: the
-	// organisations of a class, and the sizes of requests in each. maxSize is the largest size.
-	maxFlowsExamined = 16
-	maxSizesExamined = 4
-	maxSize          = 32
+	// maxSize is the largest size of requests.
+	maxSize = 32
 	// admittedMaxWaitTargetDivisor divides the latency target into the time for which a request
 	// waits in the queue.
 	admittedMaxWaitTargetDivisor = 2
@@ -44,7 +41,12 @@
 	priority       int
 	prompt, output int
 	target         time.Duration
-	arrivedAt      tables.Instant
+	// model is the model that the request names. restricted is set if the request may not go to
+	// some endpoints, since it was sent to others before. That it finds no capacity says nothing
+	// of other requests.
+	model      string
+	restricted bool
+	arrivedAt  tables.Instant
 	// startBy is the latest time at which the request may start, and rejectFrom the earliest at
 	// which it may be rejected after it has joined the queue.
 	startBy, rejectFrom tables.Instant
@@ -85,9 +87,9 @@
 }
 
 // waitsBehind reports whether the request needs no less than one that could not be placed: it
-// has no smaller prompt, no smaller need of memory and no shorter target.
+// names the same model and has no smaller prompt, no smaller need of memory and no shorter target.
 func (w *waiter) waitsBehind(refused *waiter) bool {
-	return w.prompt >= refused.prompt && w.prompt+w.output >= refused.prompt+refused.output && w.target >= refused.target
+	return w.model == refused.model && w.prompt >= refused.prompt && w.prompt+w.output >= refused.prompt+refused.output && w.target >= refused.target
 }
 
 // waitQueue holds the requests for one service that wait for capacity at this instance. It
@@ -198,6 +200,10 @@
 	if wait > 0 {
 		interval = min(max(wait, minAskInterval), maxAskInterval)
 	}
+	if w.restricted {
+		w.notBefore = now + interval
+		return
+	}
 	if len(q.refused) == 0 {
 		q.resumeAt = now + interval
 	}
@@ -223,39 +229,42 @@
 	if now >= q.resumeAt {
 		q.refused = q.refused[:0]
 	}
-	if len(q.refused) >= maxRefusalsPerRound {
-		return nil, q.resumeAt
-	}
 	again := tables.Instant(0)
 	if len(q.refused) > 0 {
 		again = q.resumeAt
 	}
 	for _, class := range q.order(now) {
-		for _, w := range class.candidates(q.waiters) {
+		row := class.first(func(row *tables.RequestRow) bool {
+			w := q.waiters[row]
 			if q.waitsBehindRefused(w) {
-				continue
+				return false
 			}
-			if w.notBefore <= now {
-				q.asking = w
-				return w, 0
-			}
-			if again == 0 || w.notBefore < again {
+			if w.notBefore > now && (again == 0 || w.notBefore < again) {
 				again = w.notBefore
 			}
+			return w.notBefore <= now
+		})
+		if row != nil {
+			q.asking = q.waiters[row]
+			return q.asking, 0
 		}
 	}
 	return nil, again
 }
 
 // waitsBehindRefused reports whether the request waits behind one that could not be placed in
-// this round.
+// this round, or behind as many of its model as may fail in a round.
 func (q *waitQueue) waitsBehindRefused(w *waiter) bool {
+	sameModel := 0
 	for _, refused := range q.refused {
 		if w == refused || w.waitsBehind(refused) {
 			return true
 		}
+		if w.model == refused.model {
+			sameModel++
+		}
 	}
-	return false
+	return sameModel >= maxRefusalsPerRound
 }
 
 // setLimits sets when the request must start and when it may be rejected. leastPrefill is the
--- /dev/null
+++ b/forward/waitqueue_test.go
@@ -0,0 +1,75 @@
+package forward
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// joinQueue adds a request that may wait for a minute.
+func joinQueue(t *testing.T, q *waitQueue, now tables.Instant, w waiter) *waiter {
+	t.Helper()
+	w.target, w.arrivedAt = time.Minute, now
+	w.setLimits(now, 0, false)
+	_, joined := q.join(now, &w)
+	assert.Assert(t, joined)
+	return &w
+}
+
+// Guards against small requests that are never asked for because the requests of many
+// organisations, or many sizes, wait behind a refused one.
+func TestRequestsBehindRefusedOnesDoNotHideOthers(t *testing.T) {
+	q, now := newWaitQueue(), time.Second
+	for i := range 20 {
+		joinQueue(t, q, now, waiter{organisation: fmt.Sprintf("org%d", i), prompt: 6000})
+	}
+	for size := 6000; size < 6000<<8; size *= 2 {
+		joinQueue(t, q, now, waiter{organisation: "sizes", prompt: size})
+	}
+	refused, _ := q.next(now)
+	q.full(now, refused, 30*time.Millisecond)
+	// Start tags are equal, so those of the first organisations come first.
+	small := joinQueue(t, q, now, waiter{organisation: "small", prompt: 500})
+	next, _ := q.next(now)
+	assert.Equal(t, next, small)
+	q.full(now, small, 30*time.Millisecond)
+	sameOrganisation := joinQueue(t, q, now, waiter{organisation: "sizes", prompt: 100})
+	next, _ = q.next(now)
+	assert.Equal(t, next, sameOrganisation)
+}
+
+// Guards against a request that waits for another one's result and blocks those of the same
+// organisation and size behind it.
+func TestDeferredRequestDoesNotBlockItsSize(t *testing.T) {
+	q, now := newWaitQueue(), time.Second
+	joinQueue(t, q, now, waiter{organisation: "org", prompt: 500})
+	second := joinQueue(t, q, now, waiter{organisation: "org", prompt: 500})
+	first, _ := q.next(now)
+	q.deferred(now, first)
+	next, _ := q.next(now)
+	assert.Equal(t, next, second)
+}
+
+// Guards against a retry, which may not go to some endpoints, and a request for another model
+// holding back requests for which there is capacity.
+func TestRefusalHoldsBackOnlyRequestsThatNeedTheSame(t *testing.T) {
+	q, now := newWaitQueue(), time.Second
+	retry := joinQueue(t, q, now, waiter{organisation: "a", model: "m", prompt: 500, restricted: true})
+	large := joinQueue(t, q, now, waiter{organisation: "b", model: "m", prompt: 500})
+	first, _ := q.next(now)
+	assert.Equal(t, first, retry)
+	q.full(now, retry, 30*time.Millisecond)
+	next, _ := q.next(now)
+	assert.Equal(t, next, large, "the refused retry held back a first attempt")
+	q.full(now, large, 30*time.Millisecond)
+	next, again := q.next(now)
+	assert.Assert(t, next == nil)
+	assert.Equal(t, again, now+30*time.Millisecond, "a retry asks again after the named wait")
+	other := joinQueue(t, q, now, waiter{organisation: "c", model: "other", prompt: 500})
+	next, _ = q.next(now)
+	assert.Equal(t, next, other, "a refusal for one model held back another model")
+}
--- a/systems/fairness/fairness.go
+++ b/systems/fairness/fairness.go
@@ -91,14 +91,12 @@
 }
 
 // Next returns the active flow that is served next and whether there is one. It
-// ignores flows for which skip returns true.
+// ignores flows for which skip returns true. It calls skip only for flows that
+// precede all others for which skip has returned false so far.
 func (s *Scheduler) Next(skip func(Flow) bool) (Flow, bool) {
 	best, found := Flow(0), false
 	for _, f := range s.active {
-		if skip(f) {
-			continue
-		}
-		if !found || s.servedBefore(f, best) {
+		if (!found || s.servedBefore(f, best)) && !skip(f) {
 			best, found = f, true
 		}
 	}
--- a/systems/waiting/waiting.go
+++ b/systems/waiting/waiting.go
@@ -131,6 +131,20 @@
 	return dst
 }
 
+// First returns the first request of a group that is accepted, in order of start-by time, and
+// whether there is one.
+func (q *Queue) First(key tables.BlockHash, accept func(*tables.RequestRow) bool) (Item, bool) {
+	g := q.groups[key]
+	if g == nil {
+		return Item{}, false
+	}
+	at := slices.IndexFunc(g.items, func(i Item) bool { return accept(i.Row) })
+	if at < 0 {
+		return Item{}, false
+	}
+	return g.items[at], true
+}
+
 // Remove removes a request with the given group key and reports whether it was
 // queued.
 func (q *Queue) Remove(row *tables.RequestRow, key tables.BlockHash) bool {
