Admission: limits of retries, pushback, pending requests and named waits

- No wait is predicted before something has left the queue; before, two minutes were predicted and 239 s named.
- Any placement but the first is a retry. attemptsUsed and Tried do not count attempts that reached no process, so after a refused connection the time of a first attempt was already up.
- The minimum of an eighth of the target counts from the first placement, since a body may arrive late.
- While all endpoints push back for longer than a request waits without admission, it is rejected at once with the true wait, also if others wait.
- A request with a pending prefill or verdict is rejected only after another answer, or at its deadline.
NoEndpoint no longer counts as pending.

Ruled out: a cap inside Throughput, which other queues use.

--- a/forward/admission.go
+++ b/forward/admission.go
@@ -122,8 +122,11 @@
 	}
 }
 
-// newWaiter returns the request in the form in which it waits for its next attempt.
+// newWaiter returns the request in the form in which it waits for its next attempt. Any attempt
+// but the first is a retry, also after one that reached no process and does not count.
 func (c *clientRequest) newWaiter() *waiter {
+	now, isRetry := c.now(), c.admissionAsked
+	c.admissionAsked = true
 	w := &waiter{
 		priority: c.dispatchRequest.Priority, organisation: string(c.organisationID()),
 		model: c.dispatchRequest.Model, restricted: len(c.dispatchRequest.Tried) > 0 || c.dispatchRequest.DeliveredAttempts > 0,
@@ -134,8 +137,8 @@
 	s.mu.Lock()
 	prefill := s.dispatch.LeastPrefillTime(&c.dispatchRequest)
 	s.mu.Unlock()
-	w.setLimits(c.now(), prefill, c.attemptsUsed > 0 || len(c.dispatchRequest.Tried) > 0)
-	w.startBy = min(w.startBy, c.deadline)
+	w.setLimits(now, prefill, isRetry)
+	w.startBy, w.deadline = min(w.startBy, c.deadline), c.deadline
 	return w
 }
 
@@ -146,10 +149,14 @@
 		return c.awaitPlacement()
 	}
 	a, w := c.server.admission, c.newWaiter()
+	if c.rejectPushedBack(w) {
+		return nil, tables.CodeOverloaded
+	}
 	// A request that reuses a prompt which another one computes needs the endpoint of that one
-	// and not the capacity for which others wait.
-	for pending := false; pending || !a.hasWaiting(c.service.Name); pending = true {
+	// and not the capacity for which others wait. One whose verdict is pending needs none yet.
+	for deferred := false; deferred || !a.hasWaiting(c.service.Name); {
 		answer := c.ask(w)
+		deferred = answer.reason == dispatch.PrefillPending
 		switch {
 		case answer.placement != nil:
 			a.update(c.service.Name, func(q *serviceQueue, now tables.Instant) { q.chargeIfSaturated(now, w) })
@@ -201,7 +208,7 @@
 			case answer.full():
 				a.recordFull(q, now, w, answer)
 			default:
-				q.deferred(now, w)
+				q.postpone(now, w, answer.reason == dispatch.PrefillPending)
 			}
 		})
 		if answer.placement != nil {
@@ -224,7 +231,7 @@
 		c.waitPredicted = predicted
 		if !joined {
 			q.rejected++
-			c.retryAfter = namedWait(q.retryAfter(now, w))
+			c.retryAfter = saturatedRetryAfter(q.retryAfter(now, w))
 			c.endWait(now, w, rejectedOnArrival)
 		}
 	})
@@ -253,7 +260,7 @@
 			if rejected = q.asking != w && now >= w.rejectAt(); rejected {
 				q.leave(now, w)
 				q.rejected++
-				c.retryAfter = namedWait(q.retryAfter(now, w))
+				c.retryAfter = saturatedRetryAfter(q.retryAfter(now, w))
 				c.endWait(now, w, rejectedWhileWaiting)
 			}
 		})
--- a/forward/admissionanswer.go
+++ b/forward/admissionanswer.go
@@ -29,8 +29,7 @@
 // ask tries once to place the next attempt.
 func (c *clientRequest) ask(w *waiter) placementAnswer {
 	s := c.server
-	if left, pushedBack := s.pushedBack(c); pushedBack && s.options.Now()+left.Request > w.startBy {
-		c.retryAfter = left.Service
+	if c.rejectPushedBack(w) {
 		return placementAnswer{code: tables.CodeOverloaded}
 	}
 	c.dispatchRequest.SaturatedFor = 0
@@ -46,12 +45,28 @@
 	return answer
 }
 
-// namedWait returns the delay that is passed to respondFailure for a predicted wait. The jitter
-// is added there; here half of its maximum is subtracted, so that callers are told the predicted
-// wait on average.
-func namedWait(predicted time.Duration) time.Duration {
+// rejectPushedBack reports whether all endpoints push the request back for longer than it may wait
+// for any of them, and sets the delay that the client is told. The limit is the one that applies
+// without admission: endpoints that push back name the time, and no queue shortens it.
+func (c *clientRequest) rejectPushedBack(w *waiter) bool {
+	left, pushedBack := c.server.pushedBack(c)
+	if !pushedBack || c.now()+left.Request <= w.rejectFrom {
+		return false
+	}
+	c.retryAfter = left.Service
+	return true
+}
+
+// maxSaturatedRetryAfter is the longest Retry-After for saturation. It is the time constant of the
+// measured rates, beyond which these predict little.
+const maxSaturatedRetryAfter = rateWindow
+
+// saturatedRetryAfter returns the delay that is passed to respondFailure for a predicted wait. The
+// jitter is added there; here half of its maximum is subtracted, so that callers are told the
+// predicted wait on average, and maxSaturatedRetryAfter at most.
+func saturatedRetryAfter(predicted time.Duration) time.Duration {
 	jitter := min(time.Duration(retryAfterJitter/(1+retryAfterJitter/2)*float64(predicted)), maxRetryAfterJitter)
-	return max(minRetryAfter, predicted-jitter/2)
+	return min(max(minRetryAfter, predicted-jitter/2), maxSaturatedRetryAfter-maxRetryAfterJitter)
 }
 
 // endWait records, for the log and the metrics, how the request's wait ended; verdict is empty if
--- a/forward/overload_test.go
+++ b/forward/overload_test.go
@@ -143,11 +143,11 @@
 	}
 }
 
-// waitTruths returns, for the requests that were rejected on arrival, the quotient of the time
+// waitQuotients returns, for the requests that were rejected on arrival, the quotient of the time
 // after which the organisation got capacity for such a request and the wait that was named. The
 // request would have started as the one after those of its organisation and class that were
 // waiting already, at the same instance.
-func (s *simulation) waitTruths(from, until tables.Instant) []float64 {
+func (s *simulation) waitQuotients(from, until tables.Instant) []float64 {
 	var quotients []float64
 	for _, r := range s.requests {
 		if !r.rejectedOnArrival || r.rejectedAt < from || r.rejectedAt >= until {
@@ -174,7 +174,7 @@
 
 // headerWait returns the Retry-After that a caller is told for a predicted wait.
 func headerWait(random *rand.Rand, predicted time.Duration) time.Duration {
-	named := namedWait(predicted)
+	named := saturatedRetryAfter(predicted)
 	return named + time.Duration(random.Float64()*float64(min(time.Duration(retryAfterJitter*float64(named)), maxRetryAfterJitter)))
 }
 
@@ -183,7 +183,7 @@
 	for _, multiple := range []float64{1.5, 2, 4} {
 		s := newSimulation(4, 1)
 		s.run(31*time.Second, overload(multiple, time.Second, 31*time.Second)...)
-		quotients := s.waitTruths(6*time.Second, 25*time.Second)
+		quotients := s.waitQuotients(6*time.Second, 25*time.Second)
 		within := 0
 		for _, q := range quotients {
 			if q >= 0.5 && q <= 2 {
@@ -214,7 +214,8 @@
 }
 
 // Guards against a request that waits although it can no longer be answered in time, and against
-// one that is rejected sooner than an eighth of its target after it arrived.
+// one that is rejected sooner than an eighth of its target after it arrived, or after it was first
+// to be placed if its body was slow.
 func TestWaitingRequestIsRejectedOnceItIsLate(t *testing.T) {
 	w := &waiter{target: 800 * time.Millisecond, arrivedAt: time.Second}
 	w.setLimits(time.Second, 0, false)
@@ -222,10 +223,17 @@
 	q := newWaitQueue()
 	q.full(time.Second, w, 600*time.Millisecond)
 	assert.Equal(t, w.rejectAt(), 1100*time.Millisecond)
+	slow := &waiter{target: 800 * time.Millisecond, arrivedAt: time.Second}
+	slow.setLimits(3*time.Second, 0, false)
+	assert.Equal(t, slow.rejectFrom, 3100*time.Millisecond)
+	assert.Equal(t, slow.rejectAt(), 3100*time.Millisecond)
 	w.setLimits(time.Second, 500*time.Millisecond, false)
 	w.earliest = 0
 	assert.Equal(t, w.rejectAt(), 1300*time.Millisecond, "its own prompt takes 500 ms")
-	q.deferred(2*time.Second, w)
-	assert.Assert(t, w.rejectAt() > 2*time.Second, "a request that waits for another one's prompt stays")
+	w.deadline = time.Minute
+	q.postpone(2*time.Second, w, true)
+	assert.Equal(t, w.rejectAt(), time.Minute, "a request that waits for another one's prompt stays until its deadline")
+	q.full(3*time.Second, w, 10*time.Millisecond)
+	assert.Assert(t, w.rejectAt() <= 3*time.Second, "it has found no capacity after that")
 	assert.Equal(t, (&placementAnswer{reason: dispatch.PrefillPending}).full(), false)
 }
--- a/forward/request.go
+++ b/forward/request.go
@@ -57,6 +57,8 @@
 	// attemptsUsed counts the attempts that count towards the route's MaxAttempts. Attempts
 	// that certainly did not run are not included.
 	attemptsUsed int
+	// admissionAsked is set once an attempt was to be placed while admission was enabled.
+	admissionAsked bool
 	// retryTakenAt is when the next attempt was taken from the retry budget; 0 for none.
 	retryTakenAt tables.Instant
 	// rateLimitedPlacements counts the placements that endpoints' rate limits did not admit.
--- a/forward/waitqueue.go
+++ b/forward/waitqueue.go
@@ -58,9 +58,12 @@
 	// question. An answer overestimates the wait by what an engine has computed of a prompt, since
 	// a prompt counts in whole until its first event.
 	earliest, notBefore tables.Instant
-	// pending is set while the request waits for another one to compute a part of its prompt.
-	pending bool
-	flow    fairness.Flow
+	// deferred is set while the last answer was PrefillPending: the request waits for another one
+	// to compute a part of its prompt, or for the verdict whether it crashes endpoints.
+	deferred bool
+	// deadline is the latest end of the request.
+	deadline tables.Instant
+	flow     fairness.Flow
 	// turn receives a value when the request may ask.
 	turn chan struct{}
 }
@@ -74,14 +77,14 @@
 }
 
 // rejectAt returns when the request is rejected unless it has started: at startBy, or once no
-// endpoint can start it by then.
+// endpoint can start it by then. A deferred request waits until its deadline.
 func (w *waiter) rejectAt() tables.Instant {
 	at := w.startBy
 	if w.earliest > w.startBy {
 		at = min(at, w.rejectFrom)
 	}
-	if w.pending {
-		at = max(at, w.notBefore+2*placementRetryInterval)
+	if w.deferred {
+		at = w.deadline
 	}
 	return at
 }
@@ -186,7 +189,7 @@
 // full records that the request that was asking found no capacity. wait is the time until there
 // is some; 0 if unknown.
 func (q *waitQueue) full(now tables.Instant, w *waiter, wait time.Duration) {
-	w.pending = false
+	w.deferred = false
 	if w.earliest == 0 || now+wait < w.earliest {
 		w.earliest = now + wait
 	}
@@ -211,10 +214,10 @@
 	q.refused = append(q.refused, w)
 }
 
-// deferred records that the request that was asking waits for another one to compute a part of
-// its prompt. It does not hold back others.
-func (q *waitQueue) deferred(now tables.Instant, w *waiter) {
-	w.pending, w.notBefore = true, now+placementRetryInterval
+// postpone records that the request that was asking got no endpoint for a reason that does not
+// concern others. deferred is set if the reason is PrefillPending.
+func (q *waitQueue) postpone(now tables.Instant, w *waiter, deferred bool) {
+	w.deferred, w.notBefore = deferred, now+placementRetryInterval
 	if q.asking == w {
 		q.asking = nil
 	}
@@ -268,7 +271,9 @@
 }
 
 // setLimits sets when the request must start and when it may be rejected. leastPrefill is the
-// least time that its own prompt takes.
+// least time that its own prompt takes, and now the time of the request's first placement. The
+// minimum of an eighth of the target counts from then, since it is the time in which an endpoint
+// may become free, and a request's body may take long to arrive.
 func (w *waiter) setLimits(now tables.Instant, leastPrefill time.Duration, isRetry bool) {
 	if isRetry {
 		w.startBy = now + w.target/retryMaxWaitTargetDivisor
@@ -276,7 +281,7 @@
 		return
 	}
 	patience := min(w.target/admittedMaxWaitTargetDivisor, w.target-leastPrefill)
-	w.rejectFrom = w.arrivedAt + w.target/maxWaitTargetDivisor
+	w.rejectFrom = max(w.arrivedAt, now) + w.target/maxWaitTargetDivisor
 	w.startBy = max(w.rejectFrom, w.arrivedAt+patience)
 }
 
--- a/forward/waitqueue_test.go
+++ b/forward/waitqueue_test.go
@@ -49,7 +49,7 @@
 	joinQueue(t, q, now, waiter{organisation: "org", prompt: 500})
 	second := joinQueue(t, q, now, waiter{organisation: "org", prompt: 500})
 	first, _ := q.next(now)
-	q.deferred(now, first)
+	q.postpone(now, first, true)
 	next, _ := q.next(now)
 	assert.Equal(t, next, second)
 }
--- a/systems/admission/throughput.go
+++ b/systems/admission/throughput.go
@@ -51,14 +51,11 @@
 }
 
 // PredictedWait returns the time in which the given amount of queued work leaves. It returns
-// false while too little was measured.
+// false while too little was measured: the work was queued only briefly, or none has left yet.
 func (t *Throughput) PredictedWait(now tables.Instant, work float64) (time.Duration, bool) {
 	t.advance(now)
-	if t.busy < t.window/minBusyDivisor {
+	if t.busy < t.window/minBusyDivisor || t.work <= 0 {
 		return 0, false
 	}
-	if t.work <= 0 {
-		return maxRetryAfter, true
-	}
 	return min(maxRetryAfter, time.Duration(work/t.work*float64(t.busy))), true
 }
--- a/systems/admission/throughput_test.go
+++ b/systems/admission/throughput_test.go
@@ -29,3 +29,15 @@
 	assert.Assert(t, measured)
 	assert.Assert(t, wait > 180*time.Millisecond && wait < 220*time.Millisecond, "1,000 units at 5,000 a second: %s", wait)
 }
+
+// Guards against a wait of two minutes that is predicted while nothing has left the queue, which
+// says that the queue is young and not how long it is.
+func TestNoWaitIsPredictedBeforeTheFirstDeparture(t *testing.T) {
+	rate := admission.NewThroughput(2 * time.Second)
+	rate.SetQueued(time.Second, true)
+	_, measured := rate.PredictedWait(10*time.Second, 100)
+	assert.Assert(t, !measured)
+	rate.Departed(10*time.Second, 50)
+	_, measured = rate.PredictedWait(10*time.Second, 100)
+	assert.Assert(t, measured)
+}
