Placement: the limit on queues restricts the choice

The check ran before the choice and over other endpoints: over all of them for a retry, which goes to confirmed ones, and over the direct path where links are lost. And once one endpoint was within the limit, any other one could be chosen, so long prompts piled up where their parts were held. The limit is now applied in the pass that chooses, so both see the same endpoints. A saturated confirmed endpoint does not make a retry go to an unconfirmed one, since a wait is safer than the address of another process.

A separate pass with a set of admitted endpoints was ruled out for its cost.

--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -85,15 +85,13 @@
 	d.decisions++
 	d.demand.recordOnce(now, r)
 	d.views = d.views[:0]
-	if d.saturated(now, r, rows, r.ownPath()) {
-		return nil, Saturated
-	}
+	r.SaturatedFor = 0
 	best, reason := d.cheapest(now, r, rows, r.ownPath())
 	if best.row == nil && d.shouldRelay(now, r, rows, reason) {
 		best, reason = d.cheapest(now, r, rows, relayed)
 	}
 	if best.row == nil {
-		return nil, reason
+		return nil, r.orSaturated(reason)
 	}
 	if r.shouldAwaitPrefill(now, &best) {
 		return nil, PrefillPending
@@ -113,20 +111,24 @@
 }
 
 // cheapest returns the endpoint with the lowest cost that is eligible over the path. A retry
-// goes to a confirmed endpoint if it can.
+// goes to a confirmed endpoint if it can, and waits for the queue of one.
 func (d *Dispatcher) cheapest(now tables.Instant, r *Request, rows []*endpointRow, p path) (candidate, RejectReason) {
 	best, reason := d.cheapestAmong(now, r, rows, p, r.DeliveredAttempts > 0)
-	if best.row == nil && r.DeliveredAttempts > 0 && d.mayRetryUnconfirmed(now, r) {
+	if best.row == nil && r.DeliveredAttempts > 0 && reason != Saturated && d.mayRetryUnconfirmed(now, r) {
 		best, reason = d.cheapestAmong(now, r, rows, p, false)
 	}
 	return best, reason
 }
 
 // cheapestAmong returns the cheapest endpoint, among confirmed endpoints only if onlyConfirmed
-// is set.
+// is set, and among those whose queue the request may join.
 func (d *Dispatcher) cheapestAmong(now tables.Instant, r *Request, rows []*endpointRow, p path, onlyConfirmed bool) (candidate, RejectReason) {
 	best, reason := candidate{cost: math.Inf(1), path: p}, NoEndpoint
+	limit := d.queueLimit(now, r)
 	for _, row := range rows {
+		if limit.passesOver(now, row) {
+			continue
+		}
 		if r.excludes(row.ID) || !d.isEligible(now, r, row, p) || onlyConfirmed && !d.addressConfirmed(now, row) {
 			continue
 		}
@@ -135,12 +137,12 @@
 			continue
 		}
 		c := d.evaluate(now, r, row, rows)
-		if c.cost < best.cost {
+		if limit.admits(now, &c) && c.cost < best.cost {
 			best = c
 			best.path = p
 		}
 	}
-	return best, reason
+	return best, limit.reason(r, &best, reason)
 }
 
 // shouldAwaitPrefill reports whether the request should be held back until a part of its
--- a/dispatch/saturation.go
+++ b/dispatch/saturation.go
@@ -46,8 +46,8 @@
 	}
 }
 
-// owesOther reports whether less urgent work has had less than its minimum share.
-func (s *placedShare) owesOther(now tables.Instant) bool {
+// belowMinimumShare reports whether less urgent work has had less than its minimum share.
+func (s *placedShare) belowMinimumShare(now tables.Instant) bool {
 	if s == nil {
 		return true
 	}
@@ -94,72 +94,93 @@
 	share.add(now, r, a.prefillTokens)
 }
 
-// saturated reports whether the queue of every eligible endpoint with free capacity is longer
-// than the request may join, and sets SaturatedFor. It is false if there is no such endpoint.
+// queueLimit is the queue that a request may join, in milliseconds: floor, or budget less the
+// request's own prefill if that is more. A budget of 0 means that floor applies. It also holds
+// the least excess of the endpoints that were passed over for their queues. The zero value
+// limits nothing.
 //
-// It passes over the endpoints once and ends at the first that is not saturated. Of an endpoint
-// whose queue is longer than another one's, no more is looked at than the queue: whether an
-// endpoint is eligible, and which parts of a prompt it lacks, takes most of the time.
-func (d *Dispatcher) saturated(now tables.Instant, r *Request, rows []*endpointRow, p path) bool {
-	r.SaturatedFor = 0
-	if r.UrgentTarget <= 0 || r.Model == "" {
+// The limit is applied in the pass over the endpoints that chooses one, so it applies to exactly
+// the endpoints that are eligible there. Without it there, long prompts pile up at an endpoint
+// that is cheap for another reason, such as one that holds parts of the prompt.
+type queueLimit struct {
+	floor, budget float64
+	enabled       bool
+	leastExcess   float64
+	// leastTokens is the length of the prompt without the parts that other requests share.
+	leastTokens float64
+}
+
+// excess returns by how much a queue is longer than the limit, in milliseconds.
+func (l *queueLimit) excess(queue, ownPrefill float64) float64 {
+	return min(queue-l.floor, queue-l.budget+ownPrefill)
+}
+
+// passesOver reports whether the endpoint cannot be chosen for its queue, nor shorten the named
+// wait. It looks at nothing else of the endpoint: whether that is eligible, and which parts of a
+// prompt it lacks, takes most of the time.
+func (l *queueLimit) passesOver(now tables.Instant, row *endpointRow) bool {
+	if !l.enabled {
 		return false
 	}
-	limit := d.queueLimit(now, r)
-	least := math.Inf(1)
-	for _, row := range rows {
-		excess := limit.excess(row.queuedPrefill(now)/row.currentPrefillRate(now), r.unsharedTokens()/row.currentPrefillRate(now))
-		if excess >= least || !d.canTake(now, r, row, p) {
-			continue
-		}
-		if len(r.SharedParts) > 0 && limit.budget > limit.floor {
-			excess = limit.excess(row.queuedPrefill(now)/row.currentPrefillRate(now), d.ownPrefill(now, r, row, rows))
-		}
-		if excess <= 0 {
-			return false
-		}
-		least = min(least, excess)
-	}
-	if math.IsInf(least, 1) {
+	queue := row.queuedPrefill(now)
+	if queue == 0 {
 		return false
 	}
-	r.SaturatedFor = time.Duration(least * float64(time.Millisecond))
-	return true
+	rate := row.currentPrefillRate(now)
+	least := l.excess(queue/rate, l.leastTokens/rate)
+	return least > 0 && least >= l.leastExcess
 }
 
-// canTake reports whether the endpoint is eligible and has free capacity.
-func (d *Dispatcher) canTake(now tables.Instant, r *Request, row *endpointRow, p path) bool {
-	return !r.excludes(row.ID) && d.isEligible(now, r, row, p) && d.hasCapacity(now, r, row)
+// admits reports whether the request may join the queue of an evaluated candidate, and records
+// the excess if not.
+func (l *queueLimit) admits(now tables.Instant, c *candidate) bool {
+	if !l.enabled || c.wait <= l.floor {
+		return true
+	}
+	rate := c.row.currentPrefillRate(now)
+	excess := l.excess(c.row.queuedPrefill(now)/rate, c.uncachedTokens/rate)
+	if excess > 0 {
+		l.leastExcess = min(l.leastExcess, excess)
+	}
+	return excess <= 0
 }
 
-// queueLimit is the queue that a request may join, in milliseconds: floor, or budget less the
-// request's own prefill if that is more. A budget of 0 means that floor applies.
-type queueLimit struct{ floor, budget float64 }
+// reason returns the reason for which a pass has found no candidate: Saturated if an endpoint has
+// free capacity beyond a queue that is too long. It sets SaturatedFor then.
+func (l *queueLimit) reason(r *Request, best *candidate, other RejectReason) RejectReason {
+	if best.row != nil || !l.enabled || math.IsInf(l.leastExcess, 1) {
+		return other
+	}
+	wait := time.Duration(l.leastExcess * float64(time.Millisecond))
+	if r.SaturatedFor == 0 || wait < r.SaturatedFor {
+		r.SaturatedFor = wait
+	}
+	return Saturated
+}
 
-// excess returns by how much a queue is longer than the limit, in milliseconds.
-func (l queueLimit) excess(queue, ownPrefill float64) float64 {
-	return min(queue-l.floor, queue-l.budget+ownPrefill)
+// orSaturated returns Saturated if any pass over the endpoints has found them saturated, and else
+// the reason of the last one.
+func (r *Request) orSaturated(reason RejectReason) RejectReason {
+	if r.SaturatedFor > 0 {
+		return Saturated
+	}
+	return reason
 }
 
 // queueLimit returns the request's limit. The time that the request has waited counts against
 // its target. A request that can no longer meet its target has the limit of less urgent work, so
 // that it is not held back more than that.
 func (d *Dispatcher) queueLimit(now tables.Instant, r *Request) queueLimit {
-	limit := queueLimit{floor: standingQueueFraction * milliseconds(r.UrgentTarget)}
-	if r.isMostUrgent() || d.placedShares[r.Service.Name].owesOther(now) {
+	if r.UrgentTarget <= 0 || r.Model == "" {
+		return queueLimit{}
+	}
+	limit := queueLimit{floor: standingQueueFraction * milliseconds(r.UrgentTarget), enabled: true, leastExcess: math.Inf(1), leastTokens: r.unsharedTokens()}
+	if r.isMostUrgent() || d.placedShares[r.Service.Name].belowMinimumShare(now) {
 		limit.budget = urgentQueueFraction*milliseconds(r.target()) - r.waited(now)
 	}
 	return limit
 }
 
-// ownPrefill returns the time that an endpoint takes to compute the parts of the prompt that it
-// neither holds nor can fetch, in milliseconds.
-func (d *Dispatcher) ownPrefill(now tables.Instant, r *Request, row *endpointRow, rows []*endpointRow) float64 {
-	v := d.viewOf(now, r, row.Weights[r.Model], rows)
-	_, endPart := v.sourceFor(now, row, v.cachedParts(row))
-	return float64(r.PromptTokens-r.sharedPrefixTokens(endPart)) / row.currentPrefillRate(now)
-}
-
 // unsharedTokens returns the length of the prompt without the parts that other requests share.
 func (r *Request) unsharedTokens() float64 { return float64(max(0, r.PromptTokens-r.sharedTokens())) }
 
--- a/dispatch/saturation_test.go
+++ b/dispatch/saturation_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -130,10 +131,10 @@
 }
 
 // BenchmarkPlaceWithAdmission measures a placement as BenchmarkPlace does, with a limit on
-// queues: without one, where all queues are short, where all but the
+// queues: without one, where all queues are short or within the limit, where all but the
 // last one are too long, and where all are.
 func BenchmarkPlaceWithAdmission(b *testing.B) {
-	for _, load := range []string{"no limit", "short queues", "all but one saturated", "saturated"} {
+	for _, load := range []string{"no limit", "short queues", "no limit, 100 ms", "queues of 100 ms", "all but one saturated", "saturated"} {
 		for _, n := range []int{140, 1100} {
 			b.Run(fmt.Sprintf("%s/endpoints=%d", load, n), func(b *testing.B) {
 				d, _ := newTestDispatcher(n)
@@ -148,13 +149,16 @@
 					if load == "saturated" || load == "all but one saturated" && i < n-1 {
 						row.prefillTokens = 1000 * row.prefillRate
 					}
+					if strings.HasSuffix(load, "100 ms") {
+						row.prefillTokens = 100 * row.prefillRate
+					}
 				}
 				times := make([]time.Duration, 0, b.N)
 				b.ReportAllocs()
 				for i := range b.N {
 					r := newTestRequest(uint64(100 + i%200))
 					r.Route = &routes.Route{TargetLatency: 400 * time.Millisecond}
-					if load != "no limit" {
+					if !strings.HasPrefix(load, "no limit") {
 						r.UrgentTarget = r.Route.TargetLatency
 					}
 					now := 2*time.Second + time.Duration(i)*time.Millisecond
--- a/forward/admissionanswer_test.go
+++ b/forward/admissionanswer_test.go
@@ -43,7 +43,7 @@
 // for longer than a request waits without admission.
 func TestPushbackOfAllEndpointsRejectsAtOnce(t *testing.T) {
 	h := newAdmissionHarness(t, 0)
-	h.setTarget(t, 4*time.Second)
+	h.setTarget(t, 8*time.Second)
 	h.server.RecordCallPushback("e0models", 1500*time.Millisecond)
 	began := time.Now()
 	resp := h.send(t, http.MethodPost, "/stream/x", "", "X-Model", "m", "X-Tokens", "300,10")
