Waiting queue: bounded questions, scans and memory

Questions that place a request do not count: they are bounded by the capacity, and a limit would leave it unused where few instances carry the load. - The queue looks at the requests only after something has changed by which one may ask. - Organisations with nothing queued, decayed demand and no more than their share are forgotten every 5 s. - MaxQueued counts for an organisation and class, as its name says.

--- a/forward/admission.go
+++ b/forward/admission.go
@@ -25,10 +25,16 @@
 
 	mu     sync.Mutex
 	queues map[string]*serviceQueue
+	// limit bounds the questions of all queues; nil if there are no schedulers to ask.
+	limit *questionLimit
 }
 
 func newAdmissionControl(o *Options) *admissionControl {
-	return &admissionControl{now: o.Now, log: o.Log, metrics: newAdmissionMetrics(o.Registry), queues: map[string]*serviceQueue{}}
+	a := &admissionControl{now: o.Now, log: o.Log, metrics: newAdmissionMetrics(o.Registry), queues: map[string]*serviceQueue{}}
+	if o.Scheduler != nil {
+		a.limit = newQuestionLimit()
+	}
+	return a
 }
 
 // serviceQueue is the waiting queue of one service. The admissionControl's mu guards it.
@@ -48,6 +54,7 @@
 	q := a.queues[service]
 	if q == nil {
 		q = &serviceQueue{waitQueue: newWaitQueue(), service: service}
+		q.limit = a.limit
 		q.timer = time.AfterFunc(time.Hour, func() { a.update(service, func(*serviceQueue, tables.Instant) {}) })
 		q.timer.Stop()
 		a.queues[service] = q
@@ -63,11 +70,11 @@
 	change(q, now)
 	next, again := q.next(now)
 	if next != nil {
-		next.turn <- struct{}{}
+		next.granted <- struct{}{}
 	}
 	if q.saturatedSince > 0 && q.len() == 0 {
 		if again = q.lastFullAt + saturationQuiet; now >= again {
-			a.logDesaturated(q, now)
+			a.endSaturation(q, now)
 			again = 0
 		}
 	}
@@ -83,6 +90,14 @@
 	return a.queue(service).len() > 0
 }
 
+// takeQuestion counts a question of a request that is not in a queue, and reports whether it may be
+// asked.
+func (a *admissionControl) takeQuestion(w *waiter) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.limit.take(a.now(), w.questionKind())
+}
+
 // logSaturated records that a request found no capacity. The caller holds mu.
 func (a *admissionControl) logSaturated(q *serviceQueue, now tables.Instant, reason dispatch.RejectReason, wait time.Duration) {
 	q.lastFullAt = now
@@ -93,10 +108,11 @@
 	events.ServiceSaturated.Log(a.log, zap.String("service", q.service), zap.String("reason", string(reason)), zap.Duration("wait", wait))
 }
 
-// logDesaturated records that no request waits any more. The caller holds mu.
-func (a *admissionControl) logDesaturated(q *serviceQueue, now tables.Instant) {
+// endSaturation records that no request waits any more, and forgets the rates and shares. The caller holds mu.
+func (a *admissionControl) endSaturation(q *serviceQueue, now tables.Instant) {
 	events.ServiceDesaturated.Log(a.log, zap.String("service", q.service), zap.Duration("took", now-q.saturatedSince), zap.Int("rejected", q.rejected))
 	q.saturatedSince, q.waitQueue = 0, newWaitQueue()
+	q.limit = a.limit
 }
 
 // chargeIfSaturated counts a request that was placed without waiting towards the shares of its
@@ -131,7 +147,7 @@
 		priority: c.dispatchRequest.Priority, organisation: string(c.organisationID()),
 		model: c.dispatchRequest.Model, restricted: len(c.dispatchRequest.Tried) > 0 || c.dispatchRequest.DeliveredAttempts > 0,
 		prompt: c.dispatchRequest.PromptTokens, output: c.dispatchRequest.OutputTokens,
-		target: c.latencyTarget(), arrivedAt: c.arrivedAt, turn: make(chan struct{}, 1),
+		target: c.latencyTarget(), arrivedAt: c.arrivedAt, granted: make(chan struct{}, 1),
 	}
 	s := c.server
 	s.mu.Lock()
@@ -154,23 +170,32 @@
 	}
 	// A request that reuses a prompt which another one computes needs the endpoint of that one
 	// and not the capacity for which others wait. One whose verdict is pending needs none yet.
-	for deferred := false; deferred || !a.hasWaiting(c.service.Name); {
-		answer := c.ask(w)
-		deferred = answer.reason == dispatch.PrefillPending
+	for w.deferred || !a.hasWaiting(c.service.Name) {
+		if !a.takeQuestion(w) {
+			if w.deferred && c.pause() {
+				continue
+			}
+			break
+		}
+		kind, answer := w.questionKind(), c.ask(w)
+		w.deferred = answer.reason == dispatch.PrefillPending
 		switch {
 		case answer.placement != nil:
-			a.update(c.service.Name, func(q *serviceQueue, now tables.Instant) { q.chargeIfSaturated(now, w) })
+			a.update(c.service.Name, func(q *serviceQueue, now tables.Instant) {
+				a.limit.giveBack(kind)
+				q.chargeIfSaturated(now, w)
+			})
 			return answer.placement, 0
 		case answer.code != 0:
 			return nil, answer.code
 		case answer.full():
 			a.update(c.service.Name, func(q *serviceQueue, now tables.Instant) { a.recordFull(q, now, w, answer) })
-			return c.awaitTurn(w)
+			return c.awaitInQueue(w)
 		case !c.pause():
 			return nil, rejectCode(answer.reason)
 		}
 	}
-	return c.awaitTurn(w)
+	return c.awaitInQueue(w)
 }
 
 // pause waits for the interval between two placements. It returns false if the request has ended
@@ -184,15 +209,15 @@
 	}
 }
 
-// awaitTurn waits in the service's queue until the request is placed or rejected.
-func (c *clientRequest) awaitTurn(w *waiter) (*dispatch.Attempt, tables.ErrorCode) {
+// awaitInQueue waits in the service's queue until the request is placed or rejected.
+func (c *clientRequest) awaitInQueue(w *waiter) (*dispatch.Attempt, tables.ErrorCode) {
 	a, service := c.server.admission, c.service.Name
 	if !c.join(w) {
 		return nil, tables.CodeOverloaded
 	}
 	defer a.update(service, func(q *serviceQueue, now tables.Instant) { q.leave(now, w) })
 	for {
-		if !c.awaitTurnOrEnd(w) {
+		if !c.awaitGrant(w) {
 			return nil, tables.CodeOverloaded
 		}
 		answer := c.ask(w)
@@ -238,14 +263,14 @@
 	return joined
 }
 
-// awaitTurnOrEnd waits until the request may ask. It returns false if the request is rejected
+// awaitGrant waits until the request may ask. It returns false if the request is rejected
 // first, or has ended.
-func (c *clientRequest) awaitTurnOrEnd(w *waiter) bool {
+func (c *clientRequest) awaitGrant(w *waiter) bool {
 	a, service := c.server.admission, c.service.Name
 	for {
 		timer := time.NewTimer(max(0, c.rejectAt(w)-c.now()))
 		select {
-		case <-w.turn:
+		case <-w.granted:
 			timer.Stop()
 			return true
 		case <-c.ctx.Done():
@@ -257,7 +282,7 @@
 		rejected := false
 		a.update(service, func(q *serviceQueue, now tables.Instant) {
 			// The turn may have come at the same moment.
-			if rejected = q.asking != w && now >= w.rejectAt(); rejected {
+			if rejected = q.placing != w && now >= w.rejectAt(); rejected {
 				q.leave(now, w)
 				q.rejected++
 				c.retryAfter = saturatedRetryAfter(q.retryAfter(now, w))
--- a/forward/admission_test.go
+++ b/forward/admission_test.go
@@ -121,12 +121,12 @@
 // Guards against a queue that stalls when the caller of the request that may ask next leaves.
 func TestAbandonedWaitFreesTheQueue(t *testing.T) {
 	a := newAdmissionControl(&Options{Now: func() tables.Instant { return time.Second }, Log: zap.NewNop()})
-	leaving, next := &waiter{turn: make(chan struct{}, 1), prompt: 10, startBy: time.Minute}, &waiter{turn: make(chan struct{}, 1), prompt: 20, startBy: time.Minute}
+	leaving, next := &waiter{granted: make(chan struct{}, 1), prompt: 10, startBy: time.Minute}, &waiter{granted: make(chan struct{}, 1), prompt: 20, startBy: time.Minute}
 	a.update("s", func(q *serviceQueue, now tables.Instant) { q.join(now, leaving) })
 	a.update("s", func(q *serviceQueue, now tables.Instant) { q.join(now, next) })
-	assert.Equal(t, len(leaving.turn), 1)
+	assert.Equal(t, len(leaving.granted), 1)
 	a.update("s", func(q *serviceQueue, now tables.Instant) { q.leave(now, leaving) })
-	assert.Equal(t, len(next.turn), 1)
+	assert.Equal(t, len(next.granted), 1)
 }
 
 // Guards against operators who do not see that a service is saturated, or see it in a line for
@@ -137,7 +137,7 @@
 	registry := metrics.NewRegistry()
 	a := newAdmissionControl(&Options{Now: func() tables.Instant { return now }, Log: zap.New(core), Registry: registry})
 	for range 3 {
-		w := &waiter{turn: make(chan struct{}, 1), prompt: 10, priority: 2, startBy: time.Minute}
+		w := &waiter{granted: make(chan struct{}, 1), prompt: 10, priority: 2, startBy: time.Minute}
 		a.update("s", func(q *serviceQueue, now tables.Instant) {
 			a.recordFull(q, now, w, placementAnswer{reason: dispatch.Saturated, wait: 20 * time.Millisecond})
 			q.join(now, w)
@@ -221,6 +221,7 @@
 		},
 	})
 	h.server.options.Scheduler = client
+	h.server.admission.limit = newQuestionLimit()
 	return scheduler
 }
 
--- a/forward/simulation_test.go
+++ b/forward/simulation_test.go
@@ -68,8 +68,8 @@
 type simulatedInstance struct {
 	queue   *waitQueue
 	waiting map[*waiter]*simulatedRequest
-	// asking is the request that asks, and answerAt when it gets the answer.
-	asking   *simulatedRequest
+	// placing is the request that asks, and answerAt when it gets the answer.
+	placing  *simulatedRequest
 	answerAt tables.Instant
 }
 
@@ -151,18 +151,18 @@
 // stepQueue rejects what cannot start in time and lets the next request ask.
 func (s *simulation) stepQueue(i *simulatedInstance) {
 	for w, r := range i.waiting {
-		if r != i.asking && s.now >= w.rejectAt() {
+		if r != i.placing && s.now >= w.rejectAt() {
 			delete(i.waiting, w)
 			i.queue.leave(s.now, w)
 			r.rejectedAt, r.retryAfter = s.now, i.queue.retryAfter(s.now, w)
 		}
 	}
 	for {
-		if r := i.asking; r != nil {
+		if r := i.placing; r != nil {
 			if s.now < i.answerAt {
 				return
 			}
-			i.asking = nil
+			i.placing = nil
 			if s.place(r) {
 				delete(i.waiting, &r.waiter)
 				i.queue.placed(s.now, &r.waiter)
@@ -174,7 +174,7 @@
 		if next == nil {
 			return
 		}
-		i.asking, i.answerAt = i.waiting[next], s.now+simulatedStep
+		i.placing, i.answerAt = i.waiting[next], s.now+simulatedStep
 	}
 }
 
--- a/forward/waitclass.go
+++ b/forward/waitclass.go
@@ -73,6 +73,25 @@
 	}
 }
 
+// minDemand is the cost below which an organisation's decayed demand counts as none.
+const minDemand = 1
+
+// isIdle reports whether an organisation has nothing queued, no demand, and no more than its share.
+func (c *waitClass) isIdle(now tables.Instant, f fairness.Flow) bool {
+	if int(f) >= len(c.organisations) {
+		return true
+	}
+	return c.organisations[f] == nil && c.demand[f].value(now, rateWindow) < minDemand && c.scheduler.IsIdle(f)
+}
+
+// queued returns the number of requests that an organisation has in the class.
+func (c *waitClass) queued(f fairness.Flow) int {
+	if o := c.organisations[f]; o != nil {
+		return o.queue.Len()
+	}
+	return 0
+}
+
 func (c *waitClass) add(now tables.Instant, w *waiter) {
 	o := c.organisations[w.flow]
 	if o == nil {
--- a/forward/waitqueue.go
+++ b/forward/waitqueue.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"math"
 	"math/bits"
 	"time"
 
@@ -64,8 +65,8 @@
 	// deadline is the latest end of the request.
 	deadline tables.Instant
 	flow     fairness.Flow
-	// turn receives a value when the request may ask.
-	turn chan struct{}
+	// granted receives a value when the request may ask.
+	granted chan struct{}
 }
 
 // cost is the request's cost in fair queueing, in tokens.
@@ -95,6 +96,14 @@
 	return w.model == refused.model && w.prompt >= refused.prompt && w.prompt+w.output >= refused.prompt+refused.output && w.target >= refused.target
 }
 
+// questionKind returns for what the request's next question is.
+func (w *waiter) questionKind() questionKind {
+	if w.deferred {
+		return forPrefill
+	}
+	return forCapacity
+}
+
 // waitQueue holds the requests for one service that wait for capacity at this instance. It
 // decides which of them may ask for an endpoint next, and which are rejected. Requests are
 // ordered by priority class, by organisation (start-time fair queueing) and by the least time
@@ -102,16 +111,27 @@
 // concurrent use.
 type waitQueue struct {
 	classes [lowestPriority + 1]waitClass
-	// flows numbers the organisations.
-	flows   map[string]fairness.Flow
-	waiters map[*tables.RequestRow]*waiter
-	// asking is the request that is asking; nil for none.
-	asking *waiter
+	// flows numbers the organisations. freeFlows are numbers of organisations that were dropped at
+	// the last sweep, at sweptAt, or before, and flowCount is the lowest number that was not used.
+	flows     map[string]fairness.Flow
+	freeFlows []fairness.Flow
+	flowCount fairness.Flow
+	sweptAt   tables.Instant
+	waiters   map[*tables.RequestRow]*waiter
+	// placing is the request that is asking for an endpoint; nil for none.
+	placing *waiter
 	// refused are the requests that could not be placed in this round, which ends at resumeAt.
 	refused  []*waiter
 	resumeAt tables.Instant
+	// noneUntil is set if no request may ask: until that time, or, if it is forever, until a change.
+	noneUntil tables.Instant
+	// limit bounds the questions; nil for no bound.
+	limit *questionLimit
 }
 
+// forever is later than any other time.
+const forever = tables.Instant(math.MaxInt64)
+
 func newWaitQueue() *waitQueue {
 	q := &waitQueue{flows: map[string]fairness.Flow{}, waiters: map[*tables.RequestRow]*waiter{}}
 	for i := range q.classes {
@@ -127,7 +147,7 @@
 func (q *waitQueue) classOf(w *waiter) *waitClass {
 	flow, known := q.flows[w.organisation]
 	if !known {
-		flow = fairness.Flow(len(q.flows))
+		flow = q.newFlow()
 		q.flows[w.organisation] = flow
 	}
 	w.flow = flow
@@ -136,6 +156,36 @@
 	return class
 }
 
+// newFlow returns an unused number for an organisation.
+func (q *waitQueue) newFlow() fairness.Flow {
+	if last := len(q.freeFlows) - 1; last >= 0 {
+		flow := q.freeFlows[last]
+		q.freeFlows = q.freeFlows[:last]
+		return flow
+	}
+	q.flowCount++
+	return q.flowCount - 1
+}
+
+// dropIdleFlows forgets the organisations of which nothing is remembered that matters. In a
+// service that stays saturated each organisation would otherwise cost memory for good.
+func (q *waitQueue) dropIdleFlows(now tables.Instant) {
+	if now-q.sweptAt < rateWindow {
+		return
+	}
+	q.sweptAt = now
+	for name, flow := range q.flows {
+		idle := true
+		for i := range q.classes {
+			idle = idle && q.classes[i].isIdle(now, flow)
+		}
+		if idle {
+			delete(q.flows, name)
+			q.freeFlows = append(q.freeFlows, flow)
+		}
+	}
+}
+
 // predict returns the wait of a request that joins now, and whether the queue's rate is known.
 func (q *waitQueue) predict(now tables.Instant, w *waiter) (time.Duration, bool) {
 	class := q.classOf(w)
@@ -151,16 +201,21 @@
 }
 
 // join adds a request unless its predicted wait exceeds what its target leaves. If it does, or
-// if the queue is full, join returns false and the predicted wait.
+// if its organisation's queue is full, join returns false and the predicted wait.
 func (q *waitQueue) join(now tables.Instant, w *waiter) (time.Duration, bool) {
+	q.dropIdleFlows(now)
 	predicted, measured := q.predict(now, w)
-	q.classOf(w).addDemand(now, w)
-	if measured && now+predicted > w.startBy || q.len() >= admission.MaxQueued {
+	class := q.classOf(w)
+	class.addDemand(now, w)
+	if measured && now+predicted > w.startBy || class.queued(w.flow) >= admission.MaxQueued {
 		return predicted, false
 	}
 	w.joinedAt, w.predicted = now, predicted
 	q.waiters[&w.row] = w
-	q.classOf(w).add(now, w)
+	class.add(now, w)
+	if !q.waitsBehindRefused(w) {
+		q.noneUntil = 0
+	}
 	return predicted, true
 }
 
@@ -171,13 +226,14 @@
 	}
 	delete(q.waiters, &w.row)
 	q.classOf(w).remove(now, w)
-	if q.asking == w {
-		q.asking = nil
+	if q.placing == w {
+		q.placing, q.noneUntil = nil, 0
 	}
 }
 
 // placed removes the request that was asking and has started, and charges its organisation.
 func (q *waitQueue) placed(now tables.Instant, w *waiter) {
+	q.limit.giveBack(w.questionKind())
 	q.charge(now, w)
 	q.leave(now, w)
 }
@@ -189,12 +245,12 @@
 // full records that the request that was asking found no capacity. wait is the time until there
 // is some; 0 if unknown.
 func (q *waitQueue) full(now tables.Instant, w *waiter, wait time.Duration) {
-	w.deferred = false
+	w.deferred, q.noneUntil = false, 0
 	if w.earliest == 0 || now+wait < w.earliest {
 		w.earliest = now + wait
 	}
-	if q.asking == w {
-		q.asking = nil
+	if q.placing == w {
+		q.placing = nil
 	}
 	if now >= q.resumeAt {
 		q.refused = q.refused[:0]
@@ -217,18 +273,22 @@
 // postpone records that the request that was asking got no endpoint for a reason that does not
 // concern others. deferred is set if the reason is PrefillPending.
 func (q *waitQueue) postpone(now tables.Instant, w *waiter, deferred bool) {
-	w.deferred, w.notBefore = deferred, now+placementRetryInterval
-	if q.asking == w {
-		q.asking = nil
+	w.deferred, w.notBefore, q.noneUntil = deferred, now+placementRetryInterval, 0
+	if q.placing == w {
+		q.placing = nil
 	}
 }
 
 // next returns the request that may ask now. If there is none it returns when to call next
-// again; 0 for not before the next change.
+// again; 0 for not before the next change. It looks at the requests only if one may have become
+// able to ask since it last found none.
 func (q *waitQueue) next(now tables.Instant) (*waiter, tables.Instant) {
-	if q.asking != nil || q.len() == 0 {
+	if q.placing != nil || q.len() == 0 || q.noneUntil == forever {
 		return nil, 0
 	}
+	if now < q.noneUntil {
+		return nil, q.noneUntil
+	}
 	if now >= q.resumeAt {
 		q.refused = q.refused[:0]
 	}
@@ -242,16 +302,22 @@
 			if q.waitsBehindRefused(w) {
 				return false
 			}
-			if w.notBefore > now && (again == 0 || w.notBefore < again) {
-				again = w.notBefore
+			at := max(w.notBefore, q.limit.allowedAt(now, w.questionKind()))
+			if at > now && (again == 0 || at < again) {
+				again = at
 			}
-			return w.notBefore <= now
+			return at <= now
 		})
 		if row != nil {
-			q.asking = q.waiters[row]
-			return q.asking, 0
+			q.placing = q.waiters[row]
+			q.limit.take(now, q.placing.questionKind())
+			return q.placing, 0
 		}
 	}
+	q.noneUntil = again
+	if again == 0 {
+		q.noneUntil = forever
+	}
 	return nil, again
 }
 
--- a/forward/waitqueue_test.go
+++ b/forward/waitqueue_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/carawaystile/carawaystile/systems/admission"
 	"github.com/carawaystile/carawaystile/tables"
 )
 
@@ -73,3 +74,57 @@
 	next, _ = q.next(now)
 	assert.Equal(t, next, other, "a refusal for one model held back another model")
 }
+
+// Guards against a scan of all waiting requests for each one that arrives, which costs most when
+// the service is saturated.
+func TestNothingIsScannedUntilARequestMayAsk(t *testing.T) {
+	q, now := newWaitQueue(), time.Second
+	first := joinQueue(t, q, now, waiter{organisation: "org", prompt: 500})
+	q.next(now)
+	q.full(now, first, 30*time.Millisecond)
+	_, again := q.next(now)
+	assert.Equal(t, again, now+30*time.Millisecond)
+	joinQueue(t, q, now, waiter{organisation: "org", prompt: 600})
+	assert.Equal(t, testing.AllocsPerRun(100, func() { q.next(now) }), 0.0, "a scan allocates")
+	small := joinQueue(t, q, now, waiter{organisation: "org", prompt: 300})
+	next, _ := q.next(now)
+	assert.Equal(t, next, small)
+	q.placed(now, small)
+	next, _ = q.next(now + 30*time.Millisecond)
+	assert.Assert(t, next != nil, "the round has ended")
+}
+
+// Guards against memory that grows with the organisations that were ever seen, and against one
+// that has had more than its share getting it again because it was forgotten.
+func TestIdleOrganisationsAreForgotten(t *testing.T) {
+	q, now := newWaitQueue(), time.Second
+	served := func(name string) {
+		w := joinQueue(t, q, now, waiter{organisation: name, prompt: 500})
+		q.next(now)
+		q.placed(now, w)
+	}
+	for i := range 2000 {
+		now += 100 * time.Millisecond
+		served(fmt.Sprintf("org%d", i))
+		// Shares are due while requests wait.
+		served("steady")
+	}
+	assert.Assert(t, len(q.flows) < 1000, "%d organisations", len(q.flows))
+	assert.Assert(t, q.flowCount < 1000, "%d numbers", q.flowCount)
+	_, known := q.flows["steady"]
+	assert.Assert(t, known)
+}
+
+// Guards against an organisation that fills the queue for all others.
+func TestMaximumLengthIsThatOfAnOrganisation(t *testing.T) {
+	q, now := newWaitQueue(), time.Second
+	for range admission.MaxQueued {
+		joinQueue(t, q, now, waiter{organisation: "greedy", prompt: 500})
+	}
+	more := &waiter{organisation: "greedy", prompt: 500, target: time.Minute, arrivedAt: now}
+	more.setLimits(now, 0, false)
+	_, joined := q.join(now, more)
+	assert.Assert(t, !joined)
+	joinQueue(t, q, now, waiter{organisation: "greedy", priority: 1, prompt: 500})
+	joinQueue(t, q, now, waiter{organisation: "other", prompt: 500})
+}
--- a/systems/fairness/fairness.go
+++ b/systems/fairness/fairness.go
@@ -112,6 +112,12 @@
 	return a < b
 }
 
+// IsIdle reports whether a flow has no queued requests and has not had more than its share, so that
+// it may be forgotten. Flows that were not declared are idle.
+func (s *Scheduler) IsIdle(f Flow) bool {
+	return int(f) >= len(s.flows) || s.flows[f].queued == 0 && s.flows[f].startTag <= s.virtualTime
+}
+
 // QueueLength returns the number of queued requests of all flows.
 func (s *Scheduler) QueueLength() int { return s.queued }
 
