Admission: attempts that did not run give back their share

An attempt that reached no process kept its prefill tokens in the placed share of its class and its cost in the shares of its organisation, and the retry was counted again. The same held for attempts that a scheduler placed and the asking instance cancelled, because the answer came too late. Both are taken back, as far as they have not decayed. A cancelled attempt counts as not run until its response has started. An organisation gains no credit: its start tag does not fall below the virtual time.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -176,6 +176,10 @@
 	// endpoint's link for storeTransfer milliseconds once they are computed.
 	storeRow      *endpointRow
 	storeTransfer float64
+	// countedShare is the share that counts the attempt, among the most urgent work if
+	// countedUrgent is set; nil if none does.
+	countedShare  *placedShare
+	countedUrgent bool
 	// addedParts are the shared parts that the attempt adds to its endpoint's cache.
 	addedParts []parts.Key
 }
@@ -314,6 +318,7 @@
 	}
 	a.ended = true
 	a.endStream()
+	a.releaseAdmitted(now, outcome)
 	a.endProbe()
 	if !a.responseStarted {
 		a.row.prefillTokens -= a.prefillTokens
--- a/dispatch/queue_limit_test.go
+++ b/dispatch/queue_limit_test.go
@@ -54,3 +54,24 @@
 	_, reason := d.Place(now, admissionRequest(400*time.Millisecond, 300))
 	assert.Equal(t, reason, Saturated)
 }
+
+// Guards against shares that count attempts which reached no process, and attempts of schedulers
+// whose answers came too late: less urgent work would lose its minimum share.
+func TestAttemptsThatDidNotRunGiveBackTheirShare(t *testing.T) {
+	now := 10 * time.Second
+	for outcome, counted := range map[Outcome]bool{ConnectionRefused: false, ConnectTimeout: false, RelayUnavailable: false, RateLimited: false, Cancelled: false, Completed: true, Broken: true} {
+		d, _ := newTestDispatcher(4)
+		urgent := mustPlace(t, d, now, admissionRequest(400*time.Millisecond, 1000))
+		other := mustPlace(t, d, now, admissionRequest(3*time.Second, 1000))
+		d.RecordOutcome(now+time.Second, urgent, outcome)
+		d.RecordOutcome(now+time.Second, other, outcome)
+		share := d.placedShares["models"]
+		assert.Equal(t, share.urgent > 1, counted, "outcome %v: %f", outcome, share.urgent)
+		assert.Equal(t, share.other > 1, counted, "outcome %v: %f", outcome, share.other)
+	}
+	d, _ := newTestDispatcher(4)
+	a := mustPlace(t, d, now, admissionRequest(400*time.Millisecond, 1000))
+	d.RecordResponseStart(now, a)
+	d.RecordOutcome(now, a, Cancelled)
+	assert.Assert(t, d.placedShares["models"].urgent > 1, "its prompt was computed")
+}
--- a/dispatch/saturation.go
+++ b/dispatch/saturation.go
@@ -56,13 +56,25 @@
 }
 
 // add adds the prefill tokens of a placed request.
-func (s *placedShare) add(now tables.Instant, r *Request, tokens float64) {
+func (s *placedShare) add(now tables.Instant, tokens float64, urgent bool) {
 	s.decayTo(now)
-	if r.isMostUrgent() {
-		s.urgent += tokens
-		return
+	sum := s.sum(urgent)
+	*sum += tokens
+}
+
+// release subtracts the decayed tokens of a request that did not run.
+func (s *placedShare) release(now tables.Instant, tokens float64, urgent bool) {
+	s.decayTo(now)
+	sum := s.sum(urgent)
+	*sum = max(0, *sum-tokens)
+}
+
+// sum returns the sum for the most urgent work or for other work.
+func (s *placedShare) sum(urgent bool) *float64 {
+	if urgent {
+		return &s.urgent
 	}
-	s.other += tokens
+	return &s.other
 }
 
 // isMostUrgent reports whether no route to the request's service has a shorter target.
@@ -91,7 +103,22 @@
 		}
 		d.placedShares[r.Service.Name] = share
 	}
-	share.add(now, r, a.prefillTokens)
+	share.add(now, a.prefillTokens, r.isMostUrgent())
+	a.countedShare, a.countedUrgent = share, r.isMostUrgent()
+}
+
+// releaseAdmitted takes back what recordAdmitted has counted, as far as it has not decayed, if the
+// attempt has ended before its endpoint can have computed any of it: it reached no process, or the
+// asking instance has cancelled it since the answer came too late.
+func (a *Attempt) releaseAdmitted(now tables.Instant, outcome Outcome) {
+	if a.countedShare == nil || a.responseStarted {
+		return
+	}
+	switch outcome {
+	case ConnectionRefused, ConnectTimeout, RelayUnavailable, RateLimited, Cancelled:
+		a.countedShare.release(now, a.prefillTokens*decay(now-a.startedAt, shareDecay), a.countedUrgent)
+	}
+	a.countedShare = nil
 }
 
 // queueLimit is the queue that a request may join, in milliseconds: floor, or budget less the
--- a/forward/admission.go
+++ b/forward/admission.go
@@ -165,6 +165,7 @@
 		return c.awaitPlacement()
 	}
 	a, w := c.server.admission, c.newWaiter()
+	c.admitted = w
 	if c.rejectPushedBack(w) {
 		return nil, tables.CodeOverloaded
 	}
@@ -198,6 +199,20 @@
 	return c.awaitInQueue(w)
 }
 
+// refundAdmission takes back what the attempt that has ended was charged, if it has reached no
+// process.
+func (c *clientRequest) refundAdmission(result dispatch.Outcome) {
+	if c.admitted == nil || !notDelivered(result) {
+		return
+	}
+	c.server.admission.update(c.service.Name, func(q *serviceQueue, now tables.Instant) {
+		// The charge is gone if the service has not been saturated meanwhile.
+		if q.saturatedSince > 0 && q.saturatedSince <= c.admitted.chargedAt {
+			q.refund(now, c.admitted)
+		}
+	})
+}
+
 // pause waits for the interval between two placements. It returns false if the request has ended
 // meanwhile.
 func (c *clientRequest) pause() bool {
--- a/forward/admissionanswer_test.go
+++ b/forward/admissionanswer_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/carawaystile/carawaystile/dispatch"
 	"github.com/carawaystile/carawaystile/tables"
 )
 
@@ -53,3 +54,26 @@
 	seconds, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
 	assert.Assert(t, seconds >= 1.4 && seconds < 4, "%f", seconds)
 }
+
+// Guards against charges for attempts that reached no process, after which the retry is charged
+// again.
+func TestUndeliveredAttemptIsNotCharged(t *testing.T) {
+	for result, want := range map[dispatch.Outcome]float64{dispatch.ConnectionRefused: 0, dispatch.Broken: 310} {
+		h := newAdmissionHarness(t, 0)
+		c := &clientRequest{server: h.server, deadline: time.Minute, table: h.server.routes.Load()}
+		c.route, c.service = &c.table.Routes[2], c.table.ServiceByName("models")
+		c.dispatchRequest.Service = c.service
+		w := &waiter{organisation: "org", prompt: 300, output: 10}
+		c.admitted = w
+		a := h.server.admission
+		a.update("models", func(q *serviceQueue, now tables.Instant) {
+			a.logSaturated(q, now, dispatch.Saturated, 0)
+			q.chargeIfSaturated(now, w)
+		})
+		c.refundAdmission(result)
+		a.update("models", func(q *serviceQueue, now tables.Instant) {
+			placed := q.classes[0].placed.value(now, classShareDecay)
+			assert.Assert(t, placed >= 0.9*want && placed <= want, "%v: %f", result, placed)
+		})
+	}
+}
--- a/forward/request.go
+++ b/forward/request.go
@@ -59,6 +59,9 @@
 	attemptsUsed int
 	// admissionAsked is set once an attempt was to be placed while admission was enabled.
 	admissionAsked bool
+	// admitted is the form in which the current attempt waited; nil if it was placed without
+	// admission.
+	admitted *waiter
 	// retryTakenAt is when the next attempt was taken from the retry budget; 0 for none.
 	retryTakenAt tables.Instant
 	// rateLimitedPlacements counts the placements that endpoints' rate limits did not admit.
--- a/forward/waitclass.go
+++ b/forward/waitclass.go
@@ -139,6 +139,16 @@
 	}
 }
 
+// refund takes back what charge has counted at the given time, as far as it has not decayed.
+func (c *waitClass) refund(now, chargedAt tables.Instant, w *waiter) {
+	c.scheduler.Refund(w.flow, w.cost())
+	charged := decayingCost{sum: w.cost(), at: chargedAt}
+	c.placed.add(now, classShareDecay, -min(charged.value(now, classShareDecay), c.placed.value(now, classShareDecay)))
+	if o := c.organisations[w.flow]; o != nil && o.costs[w.size()] > 0 {
+		o.sizes.Refund(w.size(), w.cost())
+	}
+}
+
 // ahead returns the cost that is expected to start before a request that joins now and waits for
 // the given time. An organisation is expected to queue at the rate at which it has of late.
 func (c *waitClass) ahead(now tables.Instant, w *waiter, wait time.Duration) float64 {
--- a/forward/waitqueue.go
+++ b/forward/waitqueue.go
@@ -65,6 +65,8 @@
 	// deadline is the latest end of the request.
 	deadline tables.Instant
 	flow     fairness.Flow
+	// chargedAt is when the request was charged for its last placement; 0 if it was not.
+	chargedAt tables.Instant
 	// granted receives a value when the request may ask.
 	granted chan struct{}
 }
@@ -240,7 +242,18 @@
 
 // charge counts a started request, whether it has waited or not, towards the shares of its
 // organisation and its class.
-func (q *waitQueue) charge(now tables.Instant, w *waiter) { q.classOf(w).charge(now, w) }
+func (q *waitQueue) charge(now tables.Instant, w *waiter) {
+	q.classOf(w).charge(now, w)
+	w.chargedAt = now
+}
+
+// refund takes back the charge for a request whose attempt has reached no process.
+func (q *waitQueue) refund(now tables.Instant, w *waiter) {
+	if w.chargedAt > 0 {
+		q.classOf(w).refund(now, w.chargedAt, w)
+		w.chargedAt = 0
+	}
+}
 
 // full records that the request that was asking found no capacity. wait is the time until there
 // is some; 0 if unknown.
--- a/forward/waitqueue_test.go
+++ b/forward/waitqueue_test.go
@@ -128,3 +128,22 @@
 	joinQueue(t, q, now, waiter{organisation: "greedy", priority: 1, prompt: 500})
 	joinQueue(t, q, now, waiter{organisation: "other", prompt: 500})
 }
+
+// Guards against an organisation that loses its turns by attempts that reached no process.
+func TestRefundRestoresTheOrder(t *testing.T) {
+	q, now := newWaitQueue(), time.Second
+	failed := joinQueue(t, q, now, waiter{organisation: "a", prompt: 5000})
+	joinQueue(t, q, now, waiter{organisation: "a", prompt: 500})
+	other := joinQueue(t, q, now, waiter{organisation: "b", prompt: 500})
+	q.placed(now, failed)
+	next, _ := q.next(now)
+	assert.Equal(t, next, other)
+	q.placed(now, other)
+	q.refund(now, failed)
+	assert.Equal(t, q.classes[0].placed.value(now, classShareDecay), 500.0)
+	third := joinQueue(t, q, now, waiter{organisation: "b", prompt: 500})
+	next, _ = q.next(now)
+	assert.Assert(t, next != third)
+	q.refund(now, failed)
+	assert.Equal(t, q.classes[0].placed.value(now, classShareDecay), 500.0, "refunded twice")
+}
--- a/systems/fairness/fairness.go
+++ b/systems/fairness/fairness.go
@@ -80,6 +80,13 @@
 	state.startTag = start + cost/state.weight
 }
 
+// Refund takes back a charge for a request that did not run after all. The flow gains no credit by
+// it: its start tag does not fall below the virtual time.
+func (s *Scheduler) Refund(f Flow, cost float64) {
+	state := &s.flows[f]
+	state.startTag = max(state.startTag-cost/state.weight, min(state.startTag, s.virtualTime))
+}
+
 // minStartTag returns the smallest start tag of the active flows, or upperBound
 // if that is smaller or no flow is active.
 func (s *Scheduler) minStartTag(upperBound float64) float64 {
