--- a/forward/admission.go
+++ b/forward/admission.go
@@ -62,7 +62,7 @@
 	return q
 }
 
-// update changes a queue, then gives the turn to the request that may ask next.
+// update changes a queue, then grants a question to the request that may ask next.
 func (a *admissionControl) update(service string, change func(q *serviceQueue, now tables.Instant)) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -296,7 +296,7 @@
 		}
 		rejected := false
 		a.update(service, func(q *serviceQueue, now tables.Instant) {
-			// The turn may have come at the same moment.
+			// The question may have been granted at the same moment.
 			if rejected = q.placing != w && now >= w.rejectAt(); rejected {
 				q.leave(now, w)
 				q.rejected++
--- a/forward/simulation_test.go
+++ b/forward/simulation_test.go
@@ -60,7 +60,7 @@
 	engines  map[tables.EndpointID]*simulatedEngine
 	requests []*simulatedRequest
 	random   *rand.Rand
-	// instances receive the requests in turn. One of them, or a scheduler, places all of them.
+	// instances receive the requests round-robin. One of them, or a scheduler, places all of them.
 	instances []*simulatedInstance
 }
 
