--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -182,6 +182,10 @@
 	// endpoint's link for storeTransfer milliseconds once they are computed.
 	storeRow      *endpointRow
 	storeTransfer float64
+	// countedShare is the share that counts the attempt, among the most urgent work if
+	// countedUrgent is set; nil if none does.
+	countedShare  *placedShare
+	countedUrgent bool
 	// addedParts are the shared parts that the attempt adds to its endpoint's cache.
 	addedParts []parts.Key
 	// backupRow is the row of Backup, where memoryTokens are counted a second time.
@@ -322,6 +326,7 @@
 	}
 	a.ended = true
 	a.endStream()
+	a.releaseAdmitted(now, outcome)
 	a.endProbe()
 	if !a.responseStarted {
 		a.row.prefillTokens -= a.prefillTokens
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -231,6 +231,7 @@
 func (a *attempt) recordOutcome(result dispatch.Outcome) {
 	a.endUnanswered()
 	a.assignment.NotifyEnded(result)
+	a.request.refundAdmission(result)
 	a.permit.Release(result == dispatch.Declined && a.retryAfter == "")
 	if !notDelivered(result) {
 		a.request.dispatchRequest.DeliveredAttempts++
--- a/forward/waitqueue.go
+++ b/forward/waitqueue.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"math"
 	"math/bits"
 	"time"
 
@@ -15,14 +16,11 @@
 	// when its first event arrives, and because endpoints join.
 	minAskInterval = 2 * time.Millisecond
 	maxAskInterval = 50 * time.Millisecond
-	// maxRefusalsPerRound bounds the placements that fail in a row before the queue pauses. It
-	// bounds the questions to schedulers.
+	// maxRefusalsPerRound bounds the placements of a model that fail in a row before its requests
+	// pause. It bounds the questions to schedulers.
 	maxRefusalsPerRound = 3
-	// maxFlowsExamined and maxSizesExamined bound the candidates for the next question: the
-	// organisations of a class, and the sizes of requests in each. maxSize is the largest size.
-	maxFlowsExamined = 16
-	maxSizesExamined = 4
-	maxSize          = 32
+	// maxSize is the largest size of requests.
+	maxSize = 32
 	// admittedMaxWaitTargetDivisor divides the latency target into the time for which a request
 	// waits in the queue.
 	admittedMaxWaitTargetDivisor = 2
@@ -44,7 +42,12 @@
 	priority       int
 	prompt, output int
 	target         time.Duration
-	arrivedAt      tables.Instant
+	// model is the model that the request names. restricted is set if the request may not go to
+	// some endpoints, since it was sent to others before. That it finds no capacity says nothing
+	// of other requests.
+	model      string
+	restricted bool
+	arrivedAt  tables.Instant
 	// startBy is the latest time at which the request may start, and rejectFrom the earliest at
 	// which it may be rejected after it has joined the queue.
 	startBy, rejectFrom tables.Instant
@@ -56,11 +59,16 @@
 	// question. An answer overestimates the wait by what an engine has computed of a prompt, since
 	// a prompt counts in whole until its first event.
 	earliest, notBefore tables.Instant
-	// pending is set while the request waits for another one to compute a part of its prompt.
-	pending bool
-	flow    fairness.Flow
-	// turn receives a value when the request may ask.
-	turn chan struct{}
+	// deferred is set while the last answer was PrefillPending: the request waits for another one
+	// to compute a part of its prompt, or for the verdict whether it crashes endpoints.
+	deferred bool
+	// deadline is the latest end of the request.
+	deadline tables.Instant
+	flow     fairness.Flow
+	// chargedAt is when the request was charged for its last placement; 0 if it was not.
+	chargedAt tables.Instant
+	// granted receives a value when the request may ask.
+	granted chan struct{}
 }
 
 // cost is the request's cost in fair queueing, in tokens.
@@ -72,22 +80,30 @@
 }
 
 // rejectAt returns when the request is rejected unless it has started: at startBy, or once no
-// endpoint can start it by then.
+// endpoint can start it by then. A deferred request waits until its deadline.
 func (w *waiter) rejectAt() tables.Instant {
 	at := w.startBy
 	if w.earliest > w.startBy {
 		at = min(at, w.rejectFrom)
 	}
-	if w.pending {
-		at = max(at, w.notBefore+2*placementRetryInterval)
+	if w.deferred {
+		at = w.deadline
 	}
 	return at
 }
 
 // waitsBehind reports whether the request needs no less than one that could not be placed: it
-// has no smaller prompt, no smaller need of memory and no shorter target.
+// names the same model and has no smaller prompt, no smaller need of memory and no shorter target.
 func (w *waiter) waitsBehind(refused *waiter) bool {
-	return w.prompt >= refused.prompt && w.prompt+w.output >= refused.prompt+refused.output && w.target >= refused.target
+	return w.model == refused.model && w.prompt >= refused.prompt && w.prompt+w.output >= refused.prompt+refused.output && w.target >= refused.target
+}
+
+// questionKind returns for what the request's next question is.
+func (w *waiter) questionKind() questionKind {
+	if w.deferred {
+		return forPrefill
+	}
+	return forCapacity
 }
 
 // waitQueue holds the requests for one service that wait for capacity at this instance. It
@@ -97,16 +113,27 @@
 // concurrent use.
 type waitQueue struct {
 	classes [lowestPriority + 1]waitClass
-	// flows numbers the organisations.
-	flows   map[string]fairness.Flow
-	waiters map[*tables.RequestRow]*waiter
-	// asking is the request that is asking; nil for none.
-	asking *waiter
+	// flows numbers the organisations. freeFlows are numbers of organisations that were dropped at
+	// the last sweep, at sweptAt, or before, and flowCount is the lowest number that was not used.
+	flows     map[string]fairness.Flow
+	freeFlows []fairness.Flow
+	flowCount fairness.Flow
+	sweptAt   tables.Instant
+	waiters   map[*tables.RequestRow]*waiter
+	// placing is the request that is asking for an endpoint; nil for none.
+	placing *waiter
 	// refused are the requests that could not be placed in this round, which ends at resumeAt.
 	refused  []*waiter
 	resumeAt tables.Instant
+	// noneUntil is set if no request may ask: until that time, or, if it is forever, until a change.
+	noneUntil tables.Instant
+	// limit bounds the questions; nil for no bound.
+	limit *questionLimit
 }
 
+// forever is later than any other time.
+const forever = tables.Instant(math.MaxInt64)
+
 func newWaitQueue() *waitQueue {
 	q := &waitQueue{flows: map[string]fairness.Flow{}, waiters: map[*tables.RequestRow]*waiter{}}
 	for i := range q.classes {
@@ -122,7 +149,7 @@
 func (q *waitQueue) classOf(w *waiter) *waitClass {
 	flow, known := q.flows[w.organisation]
 	if !known {
-		flow = fairness.Flow(len(q.flows))
+		flow = q.newFlow()
 		q.flows[w.organisation] = flow
 	}
 	w.flow = flow
@@ -131,6 +158,36 @@
 	return class
 }
 
+// newFlow returns an unused number for an organisation.
+func (q *waitQueue) newFlow() fairness.Flow {
+	if last := len(q.freeFlows) - 1; last >= 0 {
+		flow := q.freeFlows[last]
+		q.freeFlows = q.freeFlows[:last]
+		return flow
+	}
+	q.flowCount++
+	return q.flowCount - 1
+}
+
+// dropIdleFlows forgets the organisations of which nothing is remembered that matters. In a
+// service that stays saturated each organisation would otherwise cost memory for good.
+func (q *waitQueue) dropIdleFlows(now tables.Instant) {
+	if now-q.sweptAt < rateWindow {
+		return
+	}
+	q.sweptAt = now
+	for name, flow := range q.flows {
+		idle := true
+		for i := range q.classes {
+			idle = idle && q.classes[i].isIdle(now, flow)
+		}
+		if idle {
+			delete(q.flows, name)
+			q.freeFlows = append(q.freeFlows, flow)
+		}
+	}
+}
+
 // predict returns the wait of a request that joins now, and whether the queue's rate is known.
 func (q *waitQueue) predict(now tables.Instant, w *waiter) (time.Duration, bool) {
 	class := q.classOf(w)
@@ -146,16 +203,21 @@
 }
 
 // join adds a request unless its predicted wait exceeds what its target leaves. If it does, or
-// if the queue is full, join returns false and the predicted wait.
+// if its organisation's queue is full, join returns false and the predicted wait.
 func (q *waitQueue) join(now tables.Instant, w *waiter) (time.Duration, bool) {
+	q.dropIdleFlows(now)
 	predicted, measured := q.predict(now, w)
-	q.classOf(w).addDemand(now, w)
-	if measured && now+predicted > w.startBy || q.len() >= admission.MaxQueued {
+	class := q.classOf(w)
+	class.addDemand(now, w)
+	if measured && now+predicted > w.startBy || class.queued(w.flow) >= admission.MaxQueued {
 		return predicted, false
 	}
 	w.joinedAt, w.predicted = now, predicted
 	q.waiters[&w.row] = w
-	q.classOf(w).add(now, w)
+	class.add(now, w)
+	if !q.waitsBehindRefused(w) {
+		q.noneUntil = 0
+	}
 	return predicted, true
 }
 
@@ -166,30 +228,42 @@
 	}
 	delete(q.waiters, &w.row)
 	q.classOf(w).remove(now, w)
-	if q.asking == w {
-		q.asking = nil
+	if q.placing == w {
+		q.placing, q.noneUntil = nil, 0
 	}
 }
 
 // placed removes the request that was asking and has started, and charges its organisation.
 func (q *waitQueue) placed(now tables.Instant, w *waiter) {
+	q.limit.giveBack(w.questionKind())
 	q.charge(now, w)
 	q.leave(now, w)
 }
 
 // charge counts a started request, whether it has waited or not, towards the shares of its
 // organisation and its class.
-func (q *waitQueue) charge(now tables.Instant, w *waiter) { q.classOf(w).charge(now, w) }
+func (q *waitQueue) charge(now tables.Instant, w *waiter) {
+	q.classOf(w).charge(now, w)
+	w.chargedAt = now
+}
+
+// refund takes back the charge for a request whose attempt has reached no process.
+func (q *waitQueue) refund(now tables.Instant, w *waiter) {
+	if w.chargedAt > 0 {
+		q.classOf(w).refund(now, w.chargedAt, w)
+		w.chargedAt = 0
+	}
+}
 
 // full records that the request that was asking found no capacity. wait is the time until there
 // is some; 0 if unknown.
 func (q *waitQueue) full(now tables.Instant, w *waiter, wait time.Duration) {
-	w.pending = false
+	w.deferred, q.noneUntil = false, 0
 	if w.earliest == 0 || now+wait < w.earliest {
 		w.earliest = now + wait
 	}
-	if q.asking == w {
-		q.asking = nil
+	if q.placing == w {
+		q.placing = nil
 	}
 	if now >= q.resumeAt {
 		q.refused = q.refused[:0]
@@ -198,6 +272,10 @@
 	if wait > 0 {
 		interval = min(max(wait, minAskInterval), maxAskInterval)
 	}
+	if w.restricted {
+		w.notBefore = now + interval
+		return
+	}
 	if len(q.refused) == 0 {
 		q.resumeAt = now + interval
 	}
@@ -205,61 +283,76 @@
 	q.refused = append(q.refused, w)
 }
 
-// deferred records that the request that was asking waits for another one to compute a part of
-// its prompt. It does not hold back others.
-func (q *waitQueue) deferred(now tables.Instant, w *waiter) {
-	w.pending, w.notBefore = true, now+placementRetryInterval
-	if q.asking == w {
-		q.asking = nil
+// postpone records that the request that was asking got no endpoint for a reason that does not
+// concern others. deferred is set if the reason is PrefillPending.
+func (q *waitQueue) postpone(now tables.Instant, w *waiter, deferred bool) {
+	w.deferred, w.notBefore, q.noneUntil = deferred, now+placementRetryInterval, 0
+	if q.placing == w {
+		q.placing = nil
 	}
 }
 
 // next returns the request that may ask now. If there is none it returns when to call next
-// again; 0 for not before the next change.
+// again; 0 for not before the next change. It looks at the requests only if one may have become
+// able to ask since it last found none.
 func (q *waitQueue) next(now tables.Instant) (*waiter, tables.Instant) {
-	if q.asking != nil || q.len() == 0 {
+	if q.placing != nil || q.len() == 0 || q.noneUntil == forever {
 		return nil, 0
 	}
+	if now < q.noneUntil {
+		return nil, q.noneUntil
+	}
 	if now >= q.resumeAt {
 		q.refused = q.refused[:0]
 	}
-	if len(q.refused) >= maxRefusalsPerRound {
-		return nil, q.resumeAt
-	}
 	again := tables.Instant(0)
 	if len(q.refused) > 0 {
 		again = q.resumeAt
 	}
 	for _, class := range q.order(now) {
-		for _, w := range class.candidates(q.waiters) {
+		row := class.first(func(row *tables.RequestRow) bool {
+			w := q.waiters[row]
 			if q.waitsBehindRefused(w) {
-				continue
+				return false
 			}
-			if w.notBefore <= now {
-				q.asking = w
-				return w, 0
-			}
-			if again == 0 || w.notBefore < again {
-				again = w.notBefore
+			at := max(w.notBefore, q.limit.allowedAt(now, w.questionKind()))
+			if at > now && (again == 0 || at < again) {
+				again = at
 			}
+			return at <= now
+		})
+		if row != nil {
+			q.placing = q.waiters[row]
+			q.limit.take(now, q.placing.questionKind())
+			return q.placing, 0
 		}
 	}
+	q.noneUntil = again
+	if again == 0 {
+		q.noneUntil = forever
+	}
 	return nil, again
 }
 
 // waitsBehindRefused reports whether the request waits behind one that could not be placed in
-// this round.
+// this round, or behind as many of its model as may fail in a round.
 func (q *waitQueue) waitsBehindRefused(w *waiter) bool {
+	sameModel := 0
 	for _, refused := range q.refused {
 		if w == refused || w.waitsBehind(refused) {
 			return true
 		}
+		if w.model == refused.model {
+			sameModel++
+		}
 	}
-	return false
+	return sameModel >= maxRefusalsPerRound
 }
 
 // setLimits sets when the request must start and when it may be rejected. leastPrefill is the
-// least time that its own prompt takes.
+// least time that its own prompt takes, and now the time of the request's first placement. The
+// minimum of an eighth of the target counts from then, since it is the time in which an endpoint
+// may become free, and a request's body may take long to arrive.
 func (w *waiter) setLimits(now tables.Instant, leastPrefill time.Duration, isRetry bool) {
 	if isRetry {
 		w.startBy = now + w.target/retryMaxWaitTargetDivisor
@@ -267,7 +360,7 @@
 		return
 	}
 	patience := min(w.target/admittedMaxWaitTargetDivisor, w.target-leastPrefill)
-	w.rejectFrom = w.arrivedAt + w.target/maxWaitTargetDivisor
+	w.rejectFrom = max(w.arrivedAt, now) + w.target/maxWaitTargetDivisor
 	w.startBy = max(w.rejectFrom, w.arrivedAt+patience)
 }
 
--- a/systems/fairness/fairness.go
+++ b/systems/fairness/fairness.go
@@ -80,6 +80,13 @@
 	state.startTag = start + cost/state.weight
 }
 
+// Refund takes back a charge for a request that did not run after all. The flow gains no credit by
+// it: its start tag does not fall below the virtual time.
+func (s *Scheduler) Refund(f Flow, cost float64) {
+	state := &s.flows[f]
+	state.startTag = max(state.startTag-cost/state.weight, min(state.startTag, s.virtualTime))
+}
+
 // minStartTag returns the smallest start tag of the active flows, or upperBound
 // if that is smaller or no flow is active.
 func (s *Scheduler) minStartTag(upperBound float64) float64 {
@@ -91,14 +98,12 @@
 }
 
 // Next returns the active flow that is served next and whether there is one. It
-// ignores flows for which skip returns true.
+// ignores flows for which skip returns true. It calls skip only for flows that
+// precede all others for which skip has returned false so far.
 func (s *Scheduler) Next(skip func(Flow) bool) (Flow, bool) {
 	best, found := Flow(0), false
 	for _, f := range s.active {
-		if skip(f) {
-			continue
-		}
-		if !found || s.servedBefore(f, best) {
+		if (!found || s.servedBefore(f, best)) && !skip(f) {
 			best, found = f, true
 		}
 	}
@@ -114,6 +119,12 @@
 	return a < b
 }
 
+// IsIdle reports whether a flow has no queued requests and has not had more than its share, so that
+// it may be forgotten. Flows that were not declared are idle.
+func (s *Scheduler) IsIdle(f Flow) bool {
+	return int(f) >= len(s.flows) || s.flows[f].queued == 0 && s.flows[f].startTag <= s.virtualTime
+}
+
 // QueueLength returns the number of queued requests of all flows.
 func (s *Scheduler) QueueLength() int { return s.queued }
 
