Admission: urgent work has a class of its own

Where an organisation's priority replaces that of the route, urgent and other work share a class, and the rate at which requests leave it, on which the prediction rests, is that of the long prompts.

Ruled out: the limit of queues (the urgent ones that asked were placed); rate limits (38 of them).

Change: each priority has two classes, for work with the shortest target of the service and for other work; the share of a quarter for classes below holds between them too. The gauge by priority is the sum of both.

--- a/dispatch/alternative.go
+++ b/dispatch/alternative.go
@@ -12,7 +12,8 @@
 		if r.excludes(row.ID) || !unconfirmed && !d.addressConfirmed(now, row) {
 			continue
 		}
-		if d.canTake(now, r, row, direct) || relays && d.canTake(now, r, row, relayed) {
+		eligible := d.isEligible(now, r, row, direct) || relays && d.isEligible(now, r, row, relayed)
+		if eligible && d.hasCapacity(now, r, row) {
 			return true
 		}
 	}
--- a/forward/admission.go
+++ b/forward/admission.go
@@ -144,7 +144,7 @@
 	now, isRetry := c.now(), c.admissionAsked
 	c.admissionAsked = true
 	w := &waiter{
-		priority: c.dispatchRequest.Priority, organisation: string(c.organisationID()),
+		priority: c.dispatchRequest.Priority, lessUrgent: c.latencyTarget() > c.dispatchRequest.UrgentTarget, organisation: string(c.organisationID()),
 		model: c.dispatchRequest.Model, restricted: len(c.dispatchRequest.Tried) > 0 || c.dispatchRequest.DeliveredAttempts > 0,
 		prompt: c.dispatchRequest.PromptTokens, output: c.dispatchRequest.OutputTokens,
 		target: c.latencyTarget(), arrivedAt: c.arrivedAt, granted: make(chan struct{}, 1),
--- a/forward/admissionmetrics.go
+++ b/forward/admissionmetrics.go
@@ -83,8 +83,8 @@
 		if q.saturatedSince > 0 {
 			saturated++
 		}
-		for priority := range q.classes {
-			waiting[priority] += q.classes[priority].scheduler.QueueLength()
+		for class := range q.classes {
+			waiting[class/classesPerPriority] += q.classes[class].scheduler.QueueLength()
 		}
 	}
 	return saturated, waiting
--- a/forward/waitclass.go
+++ b/forward/waitclass.go
@@ -19,7 +19,8 @@
 	classShareDecay = 3 * time.Second
 )
 
-// waitClass holds the waiting requests of one priority class.
+// waitClass holds the waiting requests of one priority that are of the most urgent work, or those
+// that are not.
 type waitClass struct {
 	scheduler fairness.Scheduler
 	// organisations is indexed by flow; it holds nil where no request waits.
--- a/forward/waitqueue.go
+++ b/forward/waitqueue.go
@@ -38,8 +38,10 @@
 	row tables.RequestRow
 	// organisation, priority, prompt and output describe the request, and target its target
 	// latency; prompt and output are in tokens.
-	organisation   string
-	priority       int
+	organisation string
+	priority     int
+	// lessUrgent is set if another route to the service has a shorter target.
+	lessUrgent     bool
 	prompt, output int
 	target         time.Duration
 	// model is the model that the request names. restricted is set if the request may not go to
@@ -74,6 +76,20 @@
 // cost is the request's cost in fair queueing, in tokens.
 func (w *waiter) cost() float64 { return float64(max(1, w.prompt+w.output)) }
 
+// classesPerPriority is the number of classes of a priority: that of the most urgent work and that
+// of other work. Urgent work waits little where it has a class of its own: its queue is short, and
+// its predicted wait does not count the long prompts of the others.
+const classesPerPriority = 2
+
+// class returns the index of the request's class.
+func (w *waiter) class() int {
+	index := classesPerPriority * min(max(w.priority, 0), lowestPriority)
+	if w.lessUrgent {
+		index++
+	}
+	return index
+}
+
 // size groups requests of about the same cost: it is the number of bits of the cost.
 func (w *waiter) size() fairness.Flow {
 	return fairness.Flow(min(bits.Len(uint(max(1, w.prompt+w.output))), maxSize))
@@ -108,11 +124,11 @@
 
 // waitQueue holds the requests for one service that wait for capacity at this instance. It
 // decides which of them may ask for an endpoint next, and which are rejected. Requests are
-// ordered by priority class, by organisation (start-time fair queueing) and by the least time
+// ordered by priority and urgency, by organisation (start-time fair queueing) and by the least time
 // left to their target. A waitQueue has no clock and no goroutines and is not safe for
 // concurrent use.
 type waitQueue struct {
-	classes [lowestPriority + 1]waitClass
+	classes [classesPerPriority * (lowestPriority + 1)]waitClass
 	// flows numbers the organisations. freeFlows are numbers of organisations that were dropped at
 	// the last sweep, at sweptAt, or before, and flowCount is the lowest number that was not used.
 	flows     map[string]fairness.Flow
@@ -153,7 +169,7 @@
 		q.flows[w.organisation] = flow
 	}
 	w.flow = flow
-	class := &q.classes[min(max(w.priority, 0), lowestPriority)]
+	class := &q.classes[w.class()]
 	class.addFlow(flow)
 	return class
 }
