--- a/dispatch/pause_risk.go
+++ b/dispatch/pause_risk.go
@@ -57,11 +57,11 @@
 
 // recordStreamTime records the time from the first event of a stream to its end, by the number of
 // output tokens that it may have.
-func (s *serviceAverages) recordStreamTime(outputTokens int, took time.Duration) {
+func (a *serviceAverages) recordStreamTime(outputTokens int, took time.Duration) {
 	if outputTokens <= 0 {
 		return
 	}
-	s.streamTime += averageWeight * (milliseconds(took)/float64(outputTokens) - s.streamTime)
+	a.streamTime += averageWeight * (milliseconds(took)/float64(outputTokens) - a.streamTime)
 }
 
 // pauseRiskCost returns the cost of the pauses that a stream has to expect at a candidate from
