Requests wait while an instance is settling; members are found in half the time

Cause: after an outage of all instances, callers whose request is refused while an instance is settling have used up their retries.

Change: such requests wait until an owner can be asked, about a second at most. Members are asked every 100 ms instead of 200, until none is learned of for a second; discovery has a random source of its own.

--- a/systems/membership/membership.go
+++ b/systems/membership/membership.go
@@ -146,9 +146,10 @@
 	// dead member.
 	deadProbeInterval = 5
 	// discoveryPeriod is the time after the start during which an instance asks a member for
-	// its rows every discoveryInterval.
+	// its rows every discoveryInterval, until it has learned of none for discoveryQuiet.
 	discoveryPeriod   = 3 * time.Second
-	discoveryInterval = 200 * time.Millisecond
+	discoveryInterval = 100 * time.Millisecond
+	discoveryQuiet    = time.Second
 	// retransmitMultiplier times the binary logarithm of the group size is how many
 	// datagrams of each instance carry an update.
 	retransmitMultiplier = 3
@@ -237,7 +238,12 @@
 	syncTokens float64
 	// nextDiscovery is when a member is asked for its rows next.
 	nextDiscovery tables.Instant
-	lastTick      tables.Instant
+	// lastDiscovered is when a member was learned of last.
+	lastDiscovered tables.Instant
+	// discoveryRandom chooses these members. A source of its own leaves the sequence of probes
+	// as it is without discovery.
+	discoveryRandom *rand.Rand
+	lastTick        tables.Instant
 	// now is the time of the most recent call.
 	now tables.Instant
 }
@@ -252,6 +258,7 @@
 		configuredSeeds: options.Seeds,
 		seeds:           options.Seeds,
 		random:          rand.New(rand.NewPCG(options.RandomSeed, options.Self.Boot)),
+		discoveryRandom: rand.New(rand.NewPCG(options.Self.Boot, options.RandomSeed)),
 		members:         newMemberTable(self),
 		useSchedulers:   options.UseSchedulers,
 		detector:        newFailureDetector(),
--- a/systems/membership/probe.go
+++ b/systems/membership/probe.go
@@ -67,13 +67,19 @@
 // failure of all instances nobody knows the group, and one exchange a second takes longer than
 // five seconds to spread 65 rows. Meanwhile instances choose different owners of shared state.
 func (m *Membership) discover(now tables.Instant) {
-	if now >= discoveryPeriod || now < m.nextDiscovery {
+	if now >= discoveryPeriod || now < m.nextDiscovery || now-m.lastDiscovered > discoveryQuiet {
 		return
 	}
 	m.nextDiscovery = now + discoveryInterval
-	for _, row := range m.randomLiveMembers(1, m.self.Instance) {
+	var live []*member
+	for _, row := range m.members.sorted {
+		if row != m.self && row.State <= Suspect {
+			live = append(live, row)
+		}
+	}
+	if len(live) > 0 {
 		m.detector.sequence++
-		m.sendJoinPing(row.Address, m.detector.sequence)
+		m.sendJoinPing(live[m.discoveryRandom.IntN(len(live))].Address, m.detector.sequence)
 	}
 }
 
--- a/systems/membership/receive.go
+++ b/systems/membership/receive.go
@@ -154,6 +154,7 @@
 	if known == nil {
 		known = &member{Member: row, hash: hashOf(row.Instance)}
 		m.members.add(known)
+		m.lastDiscovered = now
 		m.insertProbeTarget(row.Instance)
 		m.setState(now, known, row.State)
 		return
--- a/usage/client.go
+++ b/usage/client.go
@@ -11,6 +11,7 @@
 
 	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/internal/datagram"
+	"github.com/carawaystile/carawaystile/internal/wait"
 	"github.com/carawaystile/carawaystile/rpc"
 	"github.com/carawaystile/carawaystile/systems/membership"
 	"github.com/carawaystile/carawaystile/systems/placement"
@@ -25,6 +26,9 @@
 	silentBackoff = 500 * time.Millisecond
 	// sweepInterval is the interval between two sweeps of idle limiters.
 	sweepInterval = 10 * time.Second
+	// settlingInterval is the interval at which a request that waits while the instance is settling
+	// is decided about again.
+	settlingInterval = 20 * time.Millisecond
 )
 
 // Basis is what a decision is based on. Its values are written to logs and metrics.
@@ -114,8 +118,10 @@
 	if !limit.Limited() {
 		return Decision{Admitted: true, Basis: ByNoLimit}
 	}
-	if !limit.Strict && c.options.Settling() {
-		return c.admitWhileSettling(id, limit, cost)
+	if !limit.Strict {
+		if decision := c.admitWhileSettling(ctx, id, limit, cost); decision.Admitted {
+			return decision
+		}
 	}
 	switch verdict, retryAfter := c.check(id, cost); verdict {
 	case Admit:
@@ -133,14 +139,22 @@
 	return c.admitWithoutOwner(id, limit, cost)
 }
 
-// admitWhileSettling decides without an owner, and reports the use to the instance that seems to
-// be the owner: the owners of other zones learn of it that way.
-func (c *Client) admitWhileSettling(id Subject, limit Limit, cost int64) Decision {
-	decision := c.admitWithoutOwner(id, limit, cost)
-	if decision.Admitted {
-		c.reportUse(id)
+// admitWhileSettling decides without an owner while the instance is settling, and reports the use
+// to the instance that seems to be the owner: the owners of other zones learn of it that way. A
+// request that the instance's part does not cover waits: after a restart of all instances most
+// callers have used up their retries, and settling ends within a second. It returns a decision
+// that does not admit the request once an owner can be asked.
+func (c *Client) admitWhileSettling(ctx context.Context, id Subject, limit Limit, cost int64) Decision {
+	for c.options.Settling() {
+		if decision := c.admitWithoutOwner(id, limit, cost); decision.Admitted {
+			c.reportUse(id)
+			return decision
+		}
+		if wait.For(ctx, settlingInterval) != nil {
+			break
+		}
 	}
-	return decision
+	return Decision{}
 }
 
 // ReportSettlingUse reports what was admitted while the instance was settling and no owner has
--- a/usage/owner.go
+++ b/usage/owner.go
@@ -127,12 +127,14 @@
 }
 
 // EndSettling records that the instance knows the others now. What the level of a bucket
-// accounts for until then is incomplete, so tokens that seem to be left count as spent.
+// accounts for until then is incomplete, so tokens beyond those that the next request needs
+// count as spent.
 func (o *BucketOwner) EndSettling(now tables.Instant) {
 	o.unaccountedUntil = now
 	for id, bucket := range o.buckets {
-		bucket.advanceTo(now, o.limitOf(id, bucket.carriedLimit))
-		bucket.level = min(bucket.level, 0)
+		limit := o.limitOf(id, bucket.carriedLimit)
+		bucket.advanceTo(now, limit)
+		bucket.level = min(bucket.level, requiredFraction*limit.Burst)
 	}
 }
 
