A refused connection of a cancelled attempt is no delivery

Cause: an attempt whose connection was refused while the health checker cancelled it (reroutePending, since a link probe of the same endpoint had failed) ended as a response timeout. classifyError tested the timeout before the refusal, which proves that the endpoint has not received the request. The endpoint then counted as tried, and the retry took one from the retry budget. With the other endpoint pushing back, the caller got 503 although a relay reached the first one.

This made TestPushbackOfRelayedRequestBindsTheRelay fail: the log of each failing run shows the second direct attempt with the end "hung" and the error "not started: no connection", and then "listed 2, tried 2". Ruled out: the quarantine of the endpoints, the back-off of the relay and the retry budget.

Change: classifyError tests for a refused connection first. The order of the other cases is as before. The new test forces the cancellation during the dial.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -343,12 +343,13 @@
 		return dispatch.Declined
 	case a.request.ctx.Err() != nil:
 		return dispatch.Cancelled
+	case errors.As(err, &notStarted) && notStarted.Unreachable:
+		// Also if the attempt has been cancelled meanwhile: the endpoint has not received it.
+		return dispatch.ConnectionRefused
 	case timedOut:
 		return dispatch.ResponseTimeout
 	case errors.As(err, &noRelay):
 		return dispatch.RelayUnavailable
-	case errors.As(err, &notStarted) && notStarted.Unreachable:
-		return dispatch.ConnectionRefused
 	case errors.As(err, &notStarted):
 		return dispatch.ConnectTimeout
 	default:
--- a/forward/relaypath_test.go
+++ b/forward/relaypath_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -193,6 +194,31 @@
 	assert.Equal(t, h.suspects.Load(), int64(0))
 }
 
+// Guards against an endpoint that counts as having received a request, and is not tried again
+// through a relay, because the health checker cancels the attempt whose connection it refuses.
+func TestRefusedConnectionOfACancelledAttemptIsNoDelivery(t *testing.T) {
+	h := newRelayHarness(t, respond(200, "ok"))
+	e := h.server.Endpoints()["e0desk"]
+	var dials, cancelled atomic.Int32
+	refuse := func(ctx context.Context, _ netip.AddrPort) (net.Conn, error) {
+		if dials.Add(1) == 1 {
+			h.server.healthChecker.startProbe(e)
+			select {
+			case <-ctx.Done():
+			case <-t.Context().Done():
+			}
+			if errors.Is(ctx.Err(), context.Canceled) {
+				cancelled.Add(1)
+			}
+		}
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
+	}
+	h.server.options.Client = exchange.NewClient(exchange.Options{Headers: headerNames, Dial: refuse})
+	assert.Equal(t, h.send(t, "GET", "/read/x", "").StatusCode, 200)
+	assert.Equal(t, cancelled.Load(), int32(1))
+	assert.Equal(t, h.deliveredCount(), 1)
+}
+
 // Guards against an instance that relays for others although it is about to stop, has lost its
 // own links, or needs the memory for request bodies; and against one that rejects all relays
 // because its callers read slowly.
