TestLostLinksAreNoCrashOfTheEndpoint waits for the crash probe

Cause: the test partitioned the relay while the probe that the broken request had started was still running in the background. The probe then met refused connections everywhere, rightly took that for a crash and shared one suspect. The code is correct; the test relied on the probe being faster.

Change: the test waits until the relay has connected to the endpoint, which settles the verdict of that probe. It then runs a probe to its end and expects no suspect, and after the relay is partitioned too it expects exactly one, which shows that the first result did not come from a missing record.

--- a/forward/relaypath_test.go
+++ b/forward/relaypath_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/carawaystile/carawaystile/bufferbudget"
+	"github.com/carawaystile/carawaystile/dispatch"
 	"github.com/carawaystile/carawaystile/engine"
 	"github.com/carawaystile/carawaystile/engine/exchange"
 	"github.com/carawaystile/carawaystile/relay"
@@ -32,6 +33,8 @@
 	partitioned, relayPartitioned atomic.Bool
 	relayServer                   *relay.Server
 	suspects                      atomic.Int64
+	// relayDials counts the connections that the relay has opened to endpoints.
+	relayDials atomic.Int64
 }
 
 // refusable returns a dial function that is refused while the flag is set.
@@ -44,6 +47,17 @@
 	}
 }
 
+// counted returns a dial function that counts the connections which dial has opened.
+func counted(count *atomic.Int64, dial engine.DialFunc) engine.DialFunc {
+	return func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+		conn, err := dial(ctx, to)
+		if err == nil {
+			count.Add(1)
+		}
+		return conn, err
+	}
+}
+
 func newRelayHarness(t *testing.T, handlers ...http.HandlerFunc) *relayHarness {
 	t.Helper()
 	return newRelayHarnessWith(t, newFakeEndpoints(t, handlers...))
@@ -58,7 +72,7 @@
 	h.server.options.Client = exchange.NewClient(exchange.Options{Headers: headerNames, Dial: refusable(&h.partitioned)})
 	h.server.options.ShareSuspects = func(s []quarantine.Suspect) { h.suspects.Add(int64(len(s))) }
 	h.relayServer = relay.NewServer(relay.ServerOptions{
-		Admit: h.relay.server.AdmitRelay, Dial: refusable(&h.relayPartitioned), ObserveResponse: h.relay.server.ObserveRelayedResponse, MaxConnections: 100,
+		Admit: h.relay.server.AdmitRelay, Dial: counted(&h.relayDials, refusable(&h.relayPartitioned)), ObserveResponse: h.relay.server.ObserveRelayedResponse, MaxConnections: 100,
 	})
 	mux := http.NewServeMux()
 	mux.Handle(relay.Path, h.relayServer)
@@ -187,11 +201,17 @@
 	h.partitioned.Store(true)
 	close(release)
 	assert.Equal(t, <-status, http.StatusBadGateway)
+	// The probe of the request itself has its verdict once the relay has reached the endpoint.
+	eventually(t, 5*time.Second, "the request's probe did not reach the endpoint through the relay", func() bool { return h.relayDials.Load() > 0 })
 	e := h.server.Endpoints()["e0desk"]
 	assert.Assert(t, !h.server.refusesAll(t.Context(), &e))
+	probe := &attempt{request: &clientRequest{server: h.server}, placement: &dispatch.Attempt{Endpoint: e}}
+	<-probe.probeForCrash()
+	assert.Equal(t, h.suspects.Load(), int64(0))
 	h.relayPartitioned.Store(true)
 	assert.Assert(t, h.server.refusesAll(t.Context(), &e))
-	assert.Equal(t, h.suspects.Load(), int64(0))
+	<-probe.probeForCrash()
+	assert.Equal(t, h.suspects.Load(), int64(1))
 }
 
 // Guards against an endpoint that counts as having received a request, and is not tried again
