Revert "A scheduler learns of broken connections only over a working link"

With it `go test ./node` did not end within ten minutes (the recovered test holds requests at an endpoint while links break); without it the package takes 50 s. Which of the two, the change or the test, is at fault is not traced.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -230,7 +230,7 @@
 // the crash detector.
 func (a *attempt) recordOutcome(result dispatch.Outcome) {
 	a.endUnanswered()
-	a.notifyScheduler(result)
+	a.assignment.NotifyEnded(result)
 	a.request.refundAdmission(result)
 	a.permit.Release(result == dispatch.Declined && a.retryAfter == "")
 	if !notDelivered(result) {
--- a/forward/scheduled.go
+++ b/forward/scheduled.go
@@ -83,29 +83,6 @@
 	return s.dispatch.AcceptDecision(s.options.Now(), r, decision)
 }
 
-// notifyScheduler notifies the scheduler, if there is one, of the attempt's outcome.
-//
-// The scheduler takes a broken connection or a timeout for an observation of the endpoint. So it
-// is reported only if the endpoint accepts connections of this instance; otherwise the link may
-// have failed, and the scheduler probes the endpoint over its own.
-func (a *attempt) notifyScheduler(result dispatch.Outcome) {
-	if a.assignment == nil || result != dispatch.Broken && result != dispatch.ResponseTimeout {
-		a.assignment.NotifyEnded(result)
-		return
-	}
-	if a.placement.Relayed {
-		a.assignment.NotifyEnded(dispatch.ConnectTimeout)
-		return
-	}
-	go func() {
-		s := a.request.server
-		if s.options.Client.CheckReachable(s.options.Context, a.placement.Endpoint.Address) != nil {
-			result = dispatch.ConnectTimeout
-		}
-		a.assignment.NotifyEnded(result)
-	}()
-}
-
 // The methods below place requests of other instances. They implement schedule.Placer.
 
 // Service returns the service of that name in the current configuration, or nil if there is
