Costs of pauses: auto is on only where endpoints report their slowdown

Its engines are twice as fast and share no machines, so pauses rarely reach the target gap there, and streams that gather wait for each other.

Change: where callers only compete for capacity, `auto` leaves the cost of pauses off; `on` is as before.

--- a/dispatch/stream_pauses.go
+++ b/dispatch/stream_pauses.go
@@ -145,7 +145,7 @@
 	if r.isStream() {
 		targets.observe(now, r)
 	}
-	if targets.gap <= 0 || !d.enabled(d.options.Capacity.StreamPauses, r.Service.Name) {
+	if targets.gap <= 0 || !d.options.Capacity.StreamPauses.Enabled(d.reportsSlowdown(r.Service.Name)) {
 		return terms
 	}
 	terms.enabled = true
