--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -66,6 +66,19 @@
 	r.reason = reason
 }
 
+// awaitNoConnections waits until the relay has released the connections that were closed.
+func (r *testRelay) awaitNoConnections(t *testing.T) {
+	t.Helper()
+	open := func() int {
+		r.server.mu.Lock()
+		defer r.server.mu.Unlock()
+		return r.server.count
+	}
+	for deadline := time.Now().Add(20 * time.Second); open() > 0; time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(deadline))
+	}
+}
+
 func (r *testRelay) timesAsked() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -296,6 +309,7 @@
 		assert.NilError(t, err)
 		assert.Equal(t, via, tables.InstanceID("far"))
 		_ = conn.Close()
+		far.awaitNoConnections(t)
 	}
 	assert.Equal(t, asked(), len(relays))
 	relays[0].reject("")
