--- a/usage/client.go
+++ b/usage/client.go
@@ -158,7 +158,7 @@
 }
 
 // ReportSettlingUse reports what was admitted while the instance was settling and no owner has
-// been told of. It returns false if nothing is left to report.
+// received yet. It returns false if nothing is left to report.
 func (c *Client) ReportSettlingUse() (left bool) {
 	c.mu.Lock()
 	var subjects []Subject
--- a/usage/sim_test.go
+++ b/usage/sim_test.go
@@ -281,7 +281,7 @@
 	return Settling(s.now-m.startedAt, s.knownCount(m), len(s.members))
 }
 
-// admitWithoutOwner has an instance decide by itself, as Client does.
+// admitWithoutOwner decides at an instance from its share, as Client does.
 func (s *simulation) admitWithoutOwner(m *simInstance, org Subject, cost int64) {
 	if cost == 0 {
 		return
