A relay is found where most instances are partitioned

A dialer asked five instances at most. With six of nine partitioned, all five were partitioned in one of twenty dials; nothing was relayed for the next 250 ms, longer than a request without capacity waits (an eighth of its target, 62.5 ms), so the request was rejected with 503. The logs show "not relayed" after 1.7 ms.

Ruled out: time-outs (the attempt ended after 1.7 ms), a stalled machine.

Change: instances that reject a connection for a state of their own, which they do at once, no longer count towards the five; up to 16 of them are asked.

Result: the new relay test fails on the former code.

--- a/relay/dialer.go
+++ b/relay/dialer.go
@@ -46,6 +46,9 @@
 	// those of one zone while there are others: a whole zone may be partitioned.
 	maxAsked       = 5
 	maxAskedInZone = 2
+	// maxRejections bounds the instances that reject a connection for a state of their own.
+	// They answer at once and do not count towards maxAsked: most instances may be partitioned.
+	maxRejections = 16
 	// verdictsNeeded is how many instances must have failed to reach an endpoint before it
 	// counts as unreachable for all.
 	verdictsNeeded = 2
@@ -85,8 +88,11 @@
 // has tried to. The connection carries one HTTP exchange.
 func (d *Dialer) Dial(ctx context.Context, to *fleet.Endpoint) (net.Conn, tables.InstanceID, error) {
 	var last, verdict *RejectedError
-	asked, verdicts := 0, 0
+	asked, verdicts, rejections := 0, 0, 0
 	for _, relay := range d.candidates(to.Zone) {
+		if asked-rejections == maxAsked || rejections == maxRejections {
+			break
+		}
 		conn, rejected := d.ask(ctx, relay, to, false)
 		if rejected == nil {
 			d.recordSuccess(relay.ID)
@@ -103,6 +109,8 @@
 			if verdicts++; verdicts == verdictsNeeded {
 				break
 			}
+		} else if rejected.Reason != Unresponsive {
+			rejections++
 		}
 	}
 	if verdict != nil {
@@ -136,8 +144,7 @@
 	add(func(one Instance) bool { return one.Zone == own })
 	add(func(one Instance) bool { return one.Zone == endpointZone && one.Zone != own })
 	add(func(one Instance) bool { return one.Zone != endpointZone && one.Zone != own })
-	chosen = append(chosen, spare...)
-	return chosen[:min(len(chosen), maxAsked)]
+	return append(chosen, spare...)
 }
 
 func (d *Dialer) backingOff(id tables.InstanceID, now tables.Instant) bool {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -321,6 +321,21 @@
 	assert.Equal(t, len(d.backoffs), 0)
 }
 
+// Guards against giving up after a few partitioned instances where most are partitioned.
+func TestRelayIsFoundAmongManyPartitionedInstances(t *testing.T) {
+	e := startEndpoint(t, func(conn net.Conn) { _ = conn.Close() })
+	partitioned, connected := newTestRelay(t, engine.DialTCP), newTestRelay(t, engine.DialTCP)
+	partitioned.reject(Partitioned)
+	instances := []Instance{{ID: "connected", Zone: "c", Address: connected.address()}}
+	for i := range maxRejections - 1 {
+		instances = append(instances, Instance{ID: tables.InstanceID(rune('a' + i)), Zone: "c", Address: partitioned.address()})
+	}
+	conn, via, err := newTestDialer(instances...).Dial(t.Context(), e)
+	assert.NilError(t, err)
+	assert.Equal(t, via, tables.InstanceID("connected"))
+	_ = conn.Close()
+}
+
 // Guards against an instance of an older version, which does not relay, taking the request for
 // something else, and against waiting for one that does not respond.
 func TestInstanceThatDoesNotRelayIsNotUsed(t *testing.T) {
