Name the queued prefill in the log of a stream's pause

Cause: the field beside said nothing to a reader. Change: it is queued_prefill in events 1010 and 1026, and in the code. Result: tests of pauses pass.

--- a/forward/streampauses.go
+++ b/forward/streampauses.go
@@ -17,11 +17,11 @@
 	// events counts the events that were sent to the client.
 	events int
 	// beganAt is when the current pause began, and endpoint the endpoint that had sent the last
-	// event. queued is the prompt tokens without a first event that were known there then.
-	beganAt  tables.Instant
-	endpoint tables.EndpointID
-	queued   int
-	longest  pause
+	// event. queuedPrefill is the prompt tokens without a first event that were known there then.
+	beganAt       tables.Instant
+	endpoint      tables.EndpointID
+	queuedPrefill int
+	longest       pause
 }
 
 // pause is a pause between two events of a stream.
@@ -30,16 +30,16 @@
 	// event is the number of the event that ended the pause, counted from 1 in the response, or
 	// of the missing event if the stream has ended without it.
 	event int
-	// beside counts the prompt tokens that were placed at the endpoint and had no first event
+	// queuedPrefill counts the prompt tokens that were placed at the endpoint and had no first event
 	// when the pause began, as far as known.
-	beside int
+	queuedPrefill int
 }
 
 // beginPause notes that an event was sent to the client and that the next one is awaited.
 func (a *attempt) beginPause() {
 	p := &a.request.pauses
 	p.events++
-	p.beganAt, p.endpoint, p.queued = a.request.now(), a.placement.Endpoint.ID, a.queuedPrefill
+	p.beganAt, p.endpoint, p.queuedPrefill = a.request.now(), a.placement.Endpoint.ID, a.queuedPrefill
 }
 
 // endPause notes that the event after a pause has arrived, or that the stream ends without it.
@@ -48,7 +48,7 @@
 	if p.events == 0 {
 		return
 	}
-	ended := pause{duration: c.now() - p.beganAt, event: p.events + 1, beside: p.queued}
+	ended := pause{duration: c.now() - p.beganAt, event: p.events + 1, queuedPrefill: p.queuedPrefill}
 	if p.longest.event == 0 || ended.duration > p.longest.duration {
 		p.longest = ended
 	}
@@ -71,7 +71,7 @@
 
 // logFields returns the fields that describe the pause in the log.
 func (p pause) logFields() []zap.Field {
-	return []zap.Field{zap.Duration("pause", p.duration), zap.Int("pause_at", p.event), zap.Int("beside", p.beside)}
+	return []zap.Field{zap.Duration("pause", p.duration), zap.Int("pause_at", p.event), zap.Int("queued_prefill", p.queuedPrefill)}
 }
 
 // pauseFields returns the fields of the stream's longest pause for the log; none for a response
--- a/forward/streampauses_test.go
+++ b/forward/streampauses_test.go
@@ -51,7 +51,7 @@
 	longest := fields["pause"].(time.Duration)
 	assert.Assert(t, longest > 150*time.Millisecond && longest < 2*time.Second, "%v", longest)
 	assert.Equal(t, fields["pause_at"], int64(5))
-	assert.Equal(t, fields["beside"], int64(14_000))
+	assert.Equal(t, fields["queued_prefill"], int64(14_000))
 	assert.Equal(t, logged.FilterField(zap.Uint16("event", uint16(events.StreamPaused.Number))).Len(), 1, "one line a second")
 	var text strings.Builder
 	assert.NilError(t, registry.WriteText(&text))
