Divide common work by the sizes of instances

Cause: owners of limits and readers of cache events were chosen by rendezvous hashing and relays at random, without regard to size, so that a small instance did as much common work as a large one.

Ruled out: weights that follow the load of an owner, since the new owner of an account lacks its state; one threshold on sizes in usage and permits each, since the size in EntryInstance suffices.

Change: package rendezvous has the weighted score, which homes, owners and readers use. Relays are tried in a random order weighted by size. An instance near a limit says so in its row (package selfload) and relays nothing. Settings key capacity.sizes, off by default. During an upgrade, owners also report to those that are chosen without sizes.

--- a/forward/buffers.go
+++ b/forward/buffers.go
@@ -242,6 +242,11 @@
 		metrics.Label{Name: "kind", Value: kind.String()}).Inc(1)
 }
 
+// BufferUse returns how many bytes the buffers hold, and their budget.
+func (s *Server) BufferUse() (used, limit int64) {
+	return s.buffers.budget.Used(), s.buffers.budget.Limit()
+}
+
 // registerBufferGauges registers gauges of the bytes that are held, by kind, of the streams in
 // backpressure, and of the unanswered request bodies, by endpoint.
 func (s *Server) registerBufferGauges(registry *metrics.Registry) {
--- a/internal/datagram/correlator.go
+++ b/internal/datagram/correlator.go
@@ -12,6 +12,7 @@
 
 	"github.com/carawaystile/carawaystile/systems/membership"
 	"github.com/carawaystile/carawaystile/systems/placement"
+	"github.com/carawaystile/carawaystile/systems/placement/rendezvous"
 	"github.com/carawaystile/carawaystile/tables"
 )
 
@@ -109,20 +110,28 @@
 }
 
 // PickRendezvous chooses an instance by rendezvous (highest random weight) hashing: of
-// the instances that are not excluded, the one with the highest score for the key.
+// the instances that are not excluded, the one with the highest score for the key. The
+// sizes of the instances do not count.
 func PickRendezvous(key uint64, entries []membership.EntryInstance, excluded func(tables.InstanceID) bool) (best membership.EntryInstance, found bool) {
-	var highest uint64
-	for _, e := range entries {
-		if excluded(e.Instance) {
-			continue
-		}
-		if score := rendezvousScore(e.Instance, key); !found || score > highest {
-			best, highest, found = e, score, true
-		}
+	return pick(key, entries, func(*membership.EntryInstance) int { return 1 }, excluded)
+}
+
+// PickWeighted chooses like PickRendezvous, in proportion to the sizes of the instances. If
+// all sizes are equal, it chooses the same instance.
+func PickWeighted(key uint64, entries []membership.EntryInstance, excluded func(tables.InstanceID) bool) (best membership.EntryInstance, found bool) {
+	return pick(key, entries, func(e *membership.EntryInstance) int { return rendezvous.Weight(e.Size) }, excluded)
+}
+
+func pick(key uint64, entries []membership.EntryInstance, weight func(*membership.EntryInstance) int, excluded func(tables.InstanceID) bool) (membership.EntryInstance, bool) {
+	best := rendezvous.Pick(entries, weight,
+		func(e *membership.EntryInstance) uint64 { return rendezvousHash(e.Instance, key) },
+		func(e *membership.EntryInstance) bool { return excluded(e.Instance) })
+	if best < 0 {
+		return membership.EntryInstance{}, false
 	}
-	return best, found
+	return entries[best], true
 }
 
-func rendezvousScore(id tables.InstanceID, key uint64) uint64 {
+func rendezvousHash(id tables.InstanceID, key uint64) uint64 {
 	return placement.Mix64(placement.Mix64(xxhash.Sum64String(string(id))) ^ key)
 }
--- a/node/cachesync.go
+++ b/node/cachesync.go
@@ -65,6 +65,8 @@
 	// informedPeers holds the schedulers of all zones that have been sent the inventory. It is
 	// used only while this instance's zone has schedulers.
 	informedPeers map[netip.AddrPort]bool
+	// weights is used by the goroutine that assigns readers only.
+	weights readerWeights
 }
 
 // startCacheSync starts to follow the caches of engines, if the platform reports them.
@@ -106,7 +108,7 @@
 // at present.
 func (c *cacheSync) assignReaders() {
 	own := c.node.options.Settings
-	selector := newReaderSelector(c.node.liveEntryMembers())
+	selector, reads := c.readerSelection()
 	var assigned tables.Configuration
 	remote := c.node.now() > remoteZoneSyncDelay
 	for id, e := range c.node.entry.Endpoints() {
@@ -116,10 +118,11 @@
 		if e.Zone != own.Zone && (!remote || selector.hasZone(e.Zone)) {
 			continue
 		}
-		if selector.readerOf(id, e.Zone) == own.Instance {
+		if reads(id, e.Zone) {
 			assigned.Endpoints = append(assigned.Endpoints, tables.Endpoint{ID: id, Address: e.Address, Life: uint64(e.StartUnixMilli), Kind: tables.Engine})
 		}
 	}
+	c.node.sizes.readEndpoints.Store(int64(len(assigned.Endpoints)))
 	c.feeds.Reconcile(&assigned)
 	c.mu.Lock()
 	c.inventory.retain(func(id tables.EndpointID) bool {
--- a/node/entry.go
+++ b/node/entry.go
@@ -63,6 +63,7 @@
 		Context:          n.lifetime,
 	})
 	n.startRelayServer()
+	n.registerSizeGauges()
 	n.scheduleServer = schedule.NewServer(n.entry, n.now)
 	n.deploymentClient = deployment.NewClient(deployment.ClientOptions{
 		Instance:   string(s.Instance),
--- a/node/listen.go
+++ b/node/listen.go
@@ -33,6 +33,9 @@
 	if err != nil {
 		return trace.ConvertSystemError(err)
 	}
+	if n.sizes.enabled {
+		listener = &countedListener{Listener: listener, counter: &n.sizes.link}
+	}
 	server.ReadHeaderTimeout = headerTimeout
 	server.IdleTimeout = idleTimeout
 	server.ErrorLog = zap.NewStdLog(n.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel)))
--- a/node/members.go
+++ b/node/members.go
@@ -41,6 +41,7 @@
 			Seeds:         seeds,
 			RandomSeed:    n.randomSeed(),
 			UseSchedulers: true,
+			UseSizes:      n.sizes.enabled,
 		},
 		ListenAddress:    s.Listen.Membership,
 		Ring:             keys.NewRing(datagramKey),
@@ -64,6 +65,9 @@
 		n.background.Go(n.sendRemoteLoads)
 		n.background.Go(func() { n.usageServer.Run(n.lifetime) })
 		n.background.Go(n.awaitSettled)
+		if n.sizes.enabled {
+			n.background.Go(n.watchLoad)
+		}
 	}
 	return nil
 }
@@ -85,6 +89,7 @@
 			rank++
 		}
 	}
+	n.sizes.observeMembers(n.boot, members)
 	n.recentPeers.observe(n.now(), n.options.Settings.Instance, members)
 	n.limitSharers.Store(int64(n.peerCount.observe(n.now(), count)))
 	n.knownEntries.Store(int64(count))
--- a/node/node.go
+++ b/node/node.go
@@ -109,6 +109,8 @@
 	dialer         *transport.Dialer
 	controlClients controlClientCache
 	gossip         atomic.Pointer[gossip.Gossip]
+	// sizes is the state of the division of common work by size.
+	sizes instanceSizes
 	// peerCount is the number of entry instances including this one.
 	peerCount peerCountMax
 	// recentPeers is the recent number of other entry instances, by zone.
@@ -191,6 +193,10 @@
 	if n.dial == nil {
 		n.dial = engine.DialFrom(o.Settings.Source)
 	}
+	n.sizes.enabled = capacitySwitches[o.Settings.Capacity.Sizes].Enabled(o.Platform.Contended)
+	if n.sizes.enabled {
+		n.dial = n.sizes.link.dial(n.dial)
+	}
 	n.client = &http.Client{Transport: &http.Transport{DialContext: n.dialInstance, IdleConnTimeout: idleConnTimeout}}
 	n.dialer = transport.NewDialer(n.client)
 	if err := n.start(); err != nil {
--- a/node/readerselection.go
+++ b/node/readerselection.go
@@ -5,28 +5,36 @@
 
 	"github.com/carawaystile/carawaystile/systems/membership"
 	"github.com/carawaystile/carawaystile/systems/placement"
+	"github.com/carawaystile/carawaystile/systems/placement/rendezvous"
 	"github.com/carawaystile/carawaystile/tables"
 )
 
-// readerCandidate is an entry instance with its hash for rendezvous hashing.
+// readerCandidate is an entry instance with its hash and weight for rendezvous hashing.
 type readerCandidate struct {
 	instance tables.InstanceID
 	hash     uint64
+	weight   int
 }
 
 // readerSelector assigns each endpoint to the entry instance that reads its cache events, by
-// rendezvous hashing. When an instance joins or leaves, only the endpoints that it gains or
-// loses move.
+// weighted rendezvous hashing. When an instance joins or leaves, only the endpoints that it
+// gains or loses move.
 type readerSelector struct {
 	all    []readerCandidate
 	byZone map[tables.Zone][]readerCandidate
 }
 
-// newReaderSelector returns a selector over the given entry instances.
+// newReaderSelector returns a selector over the given entry instances, which have equal weights.
 func newReaderSelector(entries []membership.Member) *readerSelector {
+	return newWeightedReaderSelector(entries, func(*membership.Member) int { return 1 })
+}
+
+// newWeightedReaderSelector returns a selector over the given entry instances. weight returns
+// their weights, above 0.
+func newWeightedReaderSelector(entries []membership.Member, weight func(*membership.Member) int) *readerSelector {
 	r := &readerSelector{byZone: map[tables.Zone][]readerCandidate{}}
 	for _, m := range entries {
-		candidate := readerCandidate{instance: m.Instance, hash: xxhash.Sum64String(string(m.Instance))}
+		candidate := readerCandidate{instance: m.Instance, hash: xxhash.Sum64String(string(m.Instance)), weight: weight(&m)}
 		r.all = append(r.all, candidate)
 		r.byZone[m.Zone] = append(r.byZone[m.Zone], candidate)
 	}
@@ -36,21 +44,21 @@
 // hasZone reports whether a zone has entry instances.
 func (r *readerSelector) hasZone(zone tables.Zone) bool { return len(r.byZone[zone]) > 0 }
 
-// readerOf returns the instance that reads an endpoint: the one with the highest hash of both
-// among those in the endpoint's zone, or among all if the zone has none. It is empty if there
-// is no instance.
+// readerOf returns the instance that reads an endpoint: the one with the highest weighted score
+// of both hashes among those in the endpoint's zone, or among all if the zone has none. It is
+// empty if there is no instance.
 func (r *readerSelector) readerOf(id tables.EndpointID, zone tables.Zone) tables.InstanceID {
 	candidates := r.byZone[zone]
 	if len(candidates) == 0 {
 		candidates = r.all
 	}
 	hash := xxhash.Sum64String(string(id))
-	var reader tables.InstanceID
-	var bestScore uint64
-	for _, candidate := range candidates {
-		if score := placement.Mix64(hash ^ candidate.hash); reader == "" || score > bestScore {
-			reader, bestScore = candidate.instance, score
-		}
+	best := rendezvous.Pick(candidates,
+		func(c *readerCandidate) int { return c.weight },
+		func(c *readerCandidate) uint64 { return placement.Mix64(hash ^ c.hash) },
+		func(*readerCandidate) bool { return false })
+	if best < 0 {
+		return ""
 	}
-	return reader
+	return candidates[best].instance
 }
--- a/node/relay.go
+++ b/node/relay.go
@@ -28,6 +28,7 @@
 func (n *Node) startRelayServer() {
 	n.relayServer = relay.NewServer(relay.ServerOptions{
 		Admit: n.entry.AdmitRelay, Reserve: n.entry.ReserveRelay, Dial: n.dial, ObserveResponse: n.entry.ObserveRelayedResponse,
+		Loaded:         n.sizes.isLoaded,
 		MaxConnections: n.options.Settings.MemoryMB << 20 / relayMemoryDivisor / relayConnectionBytes, Registry: n.registry,
 	})
 }
@@ -37,7 +38,11 @@
 	var all []relay.Instance
 	for _, m := range n.liveEntryMembers() {
 		if m.Instance != n.options.Settings.Instance {
-			all = append(all, relay.Instance{ID: m.Instance, Zone: m.Zone, Address: m.Control})
+			one := relay.Instance{ID: m.Instance, Zone: m.Zone, Address: m.Control}
+			if n.sizes.enabled {
+				one.Size, one.Loaded = m.Size, m.Loaded
+			}
+			all = append(all, one)
 		}
 	}
 	return all
--- /dev/null
+++ b/node/sizes.go
@@ -0,0 +1,122 @@
+package node
+
+import (
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
+
+	"github.com/carawaystile/carawaystile/events"
+	"github.com/carawaystile/carawaystile/internal/wait"
+	"github.com/carawaystile/carawaystile/systems/membership"
+	"github.com/carawaystile/carawaystile/systems/selfload"
+)
+
+const (
+	// loadSampleInterval is the time between two samples of what this instance uses.
+	loadSampleInterval = 250 * time.Millisecond
+	// maxUpgradeTime bounds the time after its start for which an instance takes those that have
+	// started before it for instances without the switch. Within it, 340 instances restart one
+	// after the other, each with a drain of 10 s.
+	maxUpgradeTime = time.Hour
+)
+
+// instanceSizes is the state of the division of common work by size. It is safe for concurrent
+// use once enabled is set.
+type instanceSizes struct {
+	// enabled is the value of the switch. It does not change after the start.
+	enabled bool
+	// link counts the bytes of connections while enabled is set.
+	link linkCounter
+	// loaded is set while this instance is near one of its limits.
+	loaded atomic.Bool
+	// olderEntries is set while another entry instance has started before this one.
+	olderEntries atomic.Bool
+	// readEndpoints is how many endpoints' cache events this instance reads.
+	readEndpoints atomic.Int64
+}
+
+// isLoaded reports whether this instance is near one of its limits.
+func (s *instanceSizes) isLoaded() bool { return s.loaded.Load() }
+
+// observeMembers records whether an entry instance has started before this one.
+func (s *instanceSizes) observeMembers(boot uint64, members []membership.Member) {
+	older := false
+	for _, m := range members {
+		older = older || m.Roles&membership.RoleEntry != 0 && m.State < membership.Dead && m.Boot < boot
+	}
+	s.olderEntries.Store(older)
+}
+
+// isUpgrading reports whether some entry instances may not have the switch yet. They get it with a
+// restart, so those that have started after this instance have it.
+func (n *Node) isUpgrading() bool {
+	return n.sizes.enabled && n.sizes.olderEntries.Load() && n.now() < maxUpgradeTime
+}
+
+// watchLoad publishes whether this instance is near the limit of its processor, link or memory,
+// until it stops.
+func (n *Node) watchLoad() {
+	s := n.options.Settings
+	_, bufferLimit := n.entry.BufferUse()
+	detector := selfload.NewDetector(selfload.Limits{
+		Processors: s.Processors, LinkBytesPerSecond: s.LinkMbps * 1e6 / 8, BufferBytes: bufferLimit,
+	})
+	failed := false
+	for wait.For(n.lifetime, loadSampleInterval) == nil {
+		sample, err := n.sampleLoad()
+		if err != nil && !failed {
+			events.LoadNotMeasured.Log(n.log, zap.Error(err))
+		}
+		failed = err != nil
+		if !failed && detector.Observe(n.now(), sample) {
+			n.publishLoad(detector)
+		}
+	}
+}
+
+// sampleLoad returns what this process has used so far.
+func (n *Node) sampleLoad() (selfload.Sample, error) {
+	var usage unix.Rusage
+	if err := unix.Getrusage(unix.RUSAGE_SELF, &usage); err != nil {
+		return selfload.Sample{}, err
+	}
+	buffered, _ := n.entry.BufferUse()
+	gossiped := n.gossip.Load().Traffic()
+	return selfload.Sample{
+		Processor:     time.Duration(usage.Utime.Nano() + usage.Stime.Nano()),
+		SentBytes:     n.sizes.link.sent.Load() + gossiped.SentBytes,
+		ReceivedBytes: n.sizes.link.received.Load() + gossiped.ReceivedBytes,
+		Buffered:      buffered,
+	}, nil
+}
+
+// publishLoad announces a change to the other instances and to operators.
+func (n *Node) publishLoad(detector *selfload.Detector) {
+	loaded, use := detector.Loaded(), detector.Use()
+	n.sizes.loaded.Store(loaded)
+	n.gossip.Load().SetLoaded(loaded)
+	reason, _ := use.Highest()
+	fields := []zap.Field{
+		zap.String("reason", string(reason)), zap.Float64("processor", use.Processor), zap.Float64("sent", use.Sent),
+		zap.Float64("received", use.Received), zap.Float64("buffers", use.Buffers),
+	}
+	if loaded {
+		events.InstanceLoaded.Log(n.log, fields...)
+	} else {
+		events.InstanceNotLoaded.Log(n.log, fields...)
+	}
+}
+
+// registerSizeGauges registers gauges of the common work and of the load of this instance.
+func (n *Node) registerSizeGauges() {
+	loaded := n.registry.Gauge("carawaystile_instance_loaded", "1 while the instance is near the limit of its processor, link or memory.")
+	limits := n.registry.Gauge("carawaystile_owned_limits", "Common limits in use that this instance owns in its zone.")
+	endpoints := n.registry.Gauge("carawaystile_read_endpoints", "Endpoints whose cache events this instance reads.")
+	n.registry.BeforeWrite(func() {
+		loaded.Update(boolToFloat(n.sizes.isLoaded()))
+		limits.Update(float64(n.usageServer.OwnedLimits()))
+		endpoints.Update(float64(n.sizes.readEndpoints.Load()))
+	})
+}
--- a/permits/client.go
+++ b/permits/client.go
@@ -103,7 +103,7 @@
 // the owner. otherOwner is set if another instance may have granted permits recently.
 func (c *Client) owner(endpoint tables.EndpointID) (owner membership.EntryInstance, otherOwner, found bool) {
 	now := c.options.Now()
-	owner, found = datagram.PickRendezvous(xxhash.Sum64String(string(endpoint)), c.options.Entries(), func(id tables.InstanceID) bool {
+	owner, found = datagram.PickWeighted(xxhash.Sum64String(string(endpoint)), c.options.Entries(), func(id tables.InstanceID) bool {
 		replaced := c.owners.isReplaced(id, now)
 		otherOwner = otherOwner || replaced
 		return replaced
--- a/relay/dialer.go
+++ b/relay/dialer.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httputil"
@@ -13,6 +12,7 @@
 
 	"github.com/carawaystile/carawaystile/engine"
 	"github.com/carawaystile/carawaystile/fleet"
+	"github.com/carawaystile/carawaystile/systems/placement/rendezvous"
 	"github.com/carawaystile/carawaystile/tables"
 )
 
@@ -22,6 +22,10 @@
 	Zone tables.Zone
 	// Address is where it serves other instances.
 	Address netip.AddrPort
+	// Size is its weight relative to others, and Loaded is set while it is near the limit of its
+	// processor, link or memory. If both are zero for all instances, they are equal.
+	Size   int
+	Loaded bool
 }
 
 // DialerOptions configure a Dialer.
@@ -113,18 +117,22 @@
 
 // candidates returns the instances to ask, in order: those of this instance's zone, since bytes
 // between zones are expensive, then those of the endpoint's, then all others. Within a zone the
-// order is random, so that the load is spread.
+// order is random and weighted by size, so that the load is spread. Loaded instances come last.
 func (d *Dialer) candidates(endpointZone tables.Zone) []Instance {
 	all := d.options.Instances()
-	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	rendezvous.Shuffle(all, func(one *Instance) int { return rendezvous.Weight(one.Size) })
 	now := d.options.Now()
-	var chosen, spare []Instance
+	var chosen, spare, loaded []Instance
 	add := func(wanted func(Instance) bool) {
 		count := 0
 		for _, one := range all {
 			if !wanted(one) || d.backingOff(one.ID, now) {
 				continue
 			}
+			if one.Loaded {
+				loaded = append(loaded, one)
+				continue
+			}
 			if count++; count <= maxAskedInZone {
 				chosen = append(chosen, one)
 			} else {
@@ -136,7 +144,7 @@
 	add(func(one Instance) bool { return one.Zone == own })
 	add(func(one Instance) bool { return one.Zone == endpointZone && one.Zone != own })
 	add(func(one Instance) bool { return one.Zone != endpointZone && one.Zone != own })
-	chosen = append(chosen, spare...)
+	chosen = append(append(chosen, spare...), loaded...)
 	return chosen[:min(len(chosen), maxAsked)]
 }
 
--- a/settings/capacity.go
+++ b/settings/capacity.go
@@ -26,6 +26,9 @@
 	StreamPauses CapacitySwitch
 	// Backups has engines back up streams that may not be resumed.
 	Backups CapacitySwitch
+	// Sizes divides the common work of instances by their sizes, and spares instances near their
+	// limits.
+	Sizes CapacitySwitch
 }
 
 func (c *ForwardingCapacity) read(n node) {
@@ -33,6 +36,7 @@
 		field{key: "admission", read: choice(&c.Admission, capacityWords, capacitySwitches)},
 		field{key: "stream_pauses", read: choice(&c.StreamPauses, capacityWords, capacitySwitches)},
 		field{key: "backups", read: choice(&c.Backups, capacityWords, capacitySwitches)},
+		field{key: "sizes", read: choice(&c.Sizes, capacityWords, capacitySwitches)},
 	)
 }
 
--- a/systems/membership/membership.go
+++ b/systems/membership/membership.go
@@ -58,6 +58,8 @@
 	// time from which it has been.
 	Revision tables.Revision
 	Since    time.Time
+	// Loaded is set while the instance is near the limit of its processor, link or memory.
+	Loaded bool
 }
 
 // State is the liveness state of a member.
@@ -177,6 +179,8 @@
 	// UseSchedulers lets schedulers choose endpoints in groups of more than
 	// FullMeshLimit entry instances.
 	UseSchedulers bool
+	// UseSizes includes the size and load of entry instances in EntryInstance.
+	UseSizes bool
 }
 
 // Datagram is a datagram for the caller to send.
@@ -218,6 +222,7 @@
 	random          *rand.Rand
 	members         memberTable
 	useSchedulers   bool
+	useSizes        bool
 	// version increases whenever a state changes or a member is added or removed.
 	version uint64
 
@@ -261,6 +266,7 @@
 		discoveryRandom: rand.New(rand.NewPCG(options.Self.Boot, options.RandomSeed)),
 		members:         newMemberTable(self),
 		useSchedulers:   options.UseSchedulers,
+		useSizes:        options.UseSizes,
 		detector:        newFailureDetector(),
 		relayCursor:     int(options.RandomSeed % relayCursorRange),
 	}
--- a/systems/membership/receive.go
+++ b/systems/membership/receive.go
@@ -166,8 +166,12 @@
 		return
 	}
 	changed := row.State != known.State || row.Boot != known.Boot
+	loadChanged := row.Loaded != known.Loaded
 	known.Member = row
 	m.members.derivedValid = false
+	if loadChanged {
+		known.sendsLeft = m.retransmitLimit()
+	}
 	if changed {
 		m.setState(now, known, row.State)
 	}
--- a/systems/membership/schedulers.go
+++ b/systems/membership/schedulers.go
@@ -50,6 +50,10 @@
 	// Address receives datagrams; Control serves the other instances over TCP.
 	Address netip.AddrPort
 	Control netip.AddrPort
+	// Size is the weight of the instance relative to others, and Loaded is set while it is near
+	// the limit of its processor, link or memory. Both are zero unless Options.UseSizes is set.
+	Size   int
+	Loaded bool
 }
 
 // Schedulers returns the schedulers of this instance's zone in order of preference;
@@ -69,15 +73,19 @@
 	}
 	for _, schedulers := range m.members.remoteGroups {
 		for _, row := range schedulers {
-			all = append(all, entryOf(row))
+			all = append(all, m.entryOf(row))
 		}
 	}
 	return all
 }
 
-// entryOf returns the instance and addresses of a member.
-func entryOf(row *member) EntryInstance {
-	return EntryInstance{Instance: row.Instance, Address: row.Address, Control: row.Control}
+// entryOf returns the instance, addresses and size of a member.
+func (m *Membership) entryOf(row *member) EntryInstance {
+	entry := EntryInstance{Instance: row.Instance, Address: row.Address, Control: row.Control}
+	if m.useSizes {
+		entry.Size, entry.Loaded = row.Size, row.Loaded
+	}
+	return entry
 }
 
 // liveEntriesByZone returns the living entry instances of each zone.
@@ -101,7 +109,7 @@
 	for zone, entries := range zones {
 		t.entryCount += len(entries)
 		for _, row := range entries {
-			t.entriesByZone[zone] = append(t.entriesByZone[zone], entryOf(row))
+			t.entriesByZone[zone] = append(t.entriesByZone[zone], m.entryOf(row))
 		}
 	}
 	beyondFullMesh := t.entryCount > FullMeshLimit
@@ -117,7 +125,7 @@
 		}
 		for _, row := range entries {
 			if schedule {
-				t.schedulers = append(t.schedulers, entryOf(row))
+				t.schedulers = append(t.schedulers, m.entryOf(row))
 			}
 			if row != m.self {
 				t.hintReceivers = append(t.hintReceivers, row.Address)
--- a/systems/membership/send.go
+++ b/systems/membership/send.go
@@ -151,6 +151,7 @@
 		Incarnation: row.Incarnation,
 		State:       rpc.MemberState(row.State),
 		Revision:    uint64(row.Revision),
+		Loaded:      row.Loaded,
 	}
 	if !row.Since.IsZero() {
 		encoded.Since = row.Since.UnixNano()
@@ -168,6 +169,7 @@
 			Size:     int(encoded.GetSize()),
 			Boot:     encoded.GetBoot(),
 			Revision: tables.Revision(encoded.GetRevision()),
+			Loaded:   encoded.GetLoaded(),
 		},
 		Incarnation: encoded.GetIncarnation(),
 		State:       min(State(encoded.GetState()), Left),
--- a/systems/placement/homes/homes.go
+++ b/systems/placement/homes/homes.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/carawaystile/carawaystile/systems/placement"
+	"github.com/carawaystile/carawaystile/systems/placement/rendezvous"
 	"github.com/carawaystile/carawaystile/tables"
 )
 
@@ -67,7 +68,7 @@
 func (t *Table) claimSlots(m Member, best []float64) {
 	seed := xxhash.Sum64String(string(m.ID))
 	for slot := range t.slots {
-		score := rendezvousScore(placement.Mix64(seed+uint64(slot)*0x9e3779b97f4a7c15), m.Weight)
+		score := rendezvous.Score(placement.Mix64(seed+uint64(slot)*0x9e3779b97f4a7c15), m.Weight)
 		if score > best[slot] {
 			best[slot] = score
 			t.slots[slot] = m.Index
@@ -75,14 +76,6 @@
 	}
 }
 
-// rendezvousScore returns a weighted rendezvous hashing score: the logarithm of
-// a uniform number divided by the weight. The probability that a member has the
-// highest score is its fraction of the sum of all weights.
-func rendezvousScore(hash uint64, weight float64) float64 {
-	uniform := (float64(hash>>11) + 0.5) / (1 << 53)
-	return math.Log(uniform) / weight
-}
-
 // Home returns the member of the given rank for a prefix. Rank 0 is the home of
 // the prefix, rank 1 the first overflow target, and so on. Two ranks may give
 // the same member. Home returns tables.NoEndpoint if the table has no members.
--- a/usage/owner.go
+++ b/usage/owner.go
@@ -1,7 +1,9 @@
 package usage
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/carawaystile/carawaystile/tables"
@@ -265,6 +267,9 @@
 // Empty reports whether the owner has no buckets, and so nothing to report.
 func (o *BucketOwner) Empty() bool { return len(o.buckets) == 0 }
 
+// Subjects returns the subjects that have a bucket, in no order.
+func (o *BucketOwner) Subjects() []Subject { return slices.Collect(maps.Keys(o.buckets)) }
+
 // Peers returns the owners that have reported the given subject.
 func (o *BucketOwner) Peers(id Subject) []tables.InstanceID {
 	bucket := o.buckets[id]
--- a/usage/server.go
+++ b/usage/server.go
@@ -35,6 +35,9 @@
 	Send func(to netip.AddrPort, message *rpc.UsageMessage)
 	// Settling reports whether the instance knows too few others to own buckets; nil for never.
 	Settling func() bool
+	// Upgrading reports whether some instances may choose owners without regard to size; nil for
+	// never.
+	Upgrading func() bool
 	// Now reads a monotonic clock.
 	Now func() tables.Instant
 }
@@ -55,6 +58,9 @@
 	if o.Settling == nil {
 		o.Settling = func() bool { return false }
 	}
+	if o.Upgrading == nil {
+		o.Upgrading = func() bool { return false }
+	}
 	return &Server{
 		options: o, owner: NewBucketOwner(o.Now(), o.Zone, o.BootEpoch),
 		addresses: map[tables.InstanceID]netip.AddrPort{},
@@ -160,13 +166,22 @@
 }
 
 // receivers returns the addresses of a subject's owners in all zones, and of the instances
-// that have reported the subject to this one.
+// that have reported the subject to this one. During an upgrade, they include the owners that
+// instances choose which do not regard sizes: two owners of a subject would not learn of each
+// other otherwise, and each would admit the whole limit.
 func (s *Server) receivers(id Subject, zones map[tables.Zone][]membership.EntryInstance) []netip.AddrPort {
 	at := map[tables.InstanceID]netip.AddrPort{}
+	upgrading := s.options.Upgrading()
 	for _, entries := range zones {
 		if first, found := pickOwnerOf(id, entries); found {
 			at[first.Instance] = first.Address
 		}
+		if !upgrading {
+			continue
+		}
+		if first, found := datagram.PickRendezvous(subjectHash(id), entries, notExcluded); found {
+			at[first.Instance] = first.Address
+		}
 	}
 	for _, peer := range s.owner.Peers(id) {
 		if _, named := at[peer]; !named && s.addresses[peer].IsValid() {
@@ -182,7 +197,23 @@
 }
 
 // pickOwnerOf returns a subject's owner among the entry instances of a zone, by rendezvous
-// hashing.
+// hashing in proportion to their sizes.
 func pickOwnerOf(id Subject, entries []membership.EntryInstance) (membership.EntryInstance, bool) {
-	return datagram.PickRendezvous(subjectHash(id), entries, func(tables.InstanceID) bool { return false })
+	return datagram.PickWeighted(subjectHash(id), entries, notExcluded)
+}
+
+func notExcluded(tables.InstanceID) bool { return false }
+
+// OwnedLimits returns the number of limits in use that this instance owns in its zone.
+func (s *Server) OwnedLimits() int {
+	entries := s.options.EntriesByZone()[s.options.Zone]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count := 0
+	for _, id := range s.owner.Subjects() {
+		if owner, found := pickOwnerOf(id, entries); found && owner.Instance == s.options.Self {
+			count++
+		}
+	}
+	return count
 }
