Sizes count once all entry instances use them

Ruled out: a time after the start in which others count as not upgraded, since in a large deployment some instance has always started recently.

Change: an instance with the switch publishes RoleSizes. Sizes count once all live entry instances have it. For 30 s around such a change, owners report to the owners of both choices, new limits and permits start as after the loss of an instance.

--- a/events/daemon.go
+++ b/events/daemon.go
@@ -21,6 +21,7 @@
 	SizeNotRecorded         = define(6016, zapcore.WarnLevel, "The number of entry instances could not be recorded.")
 	InstanceLoaded          = define(6020, zapcore.WarnLevel, "The instance is near the limit of its processor, link or memory.")
 	InstanceNotLoaded       = define(6021, zapcore.InfoLevel, "The instance is no longer near a limit.")
+	SizesInUse              = define(6023, zapcore.InfoLevel, "The division of common work by the sizes of instances has changed.")
 	LoadNotMeasured         = define(6022, zapcore.WarnLevel, "The use of processor time cannot be measured.")
 	WeightsWanted           = define(6012, zapcore.InfoLevel, "Newer weights of a model are wanted.")
 	ConfigurationUnreadable = define(6013, zapcore.ErrorLevel, "A committed configuration cannot be read by this instance; the last one stays in force.")
--- a/internal/datagram/correlator.go
+++ b/internal/datagram/correlator.go
@@ -116,9 +116,15 @@
 	return pick(key, entries, func(*membership.EntryInstance) int { return 1 }, excluded)
 }
 
-// PickWeighted chooses like PickRendezvous, in proportion to the sizes of the instances. If
-// all sizes are equal, it chooses the same instance.
+// PickWeighted chooses like PickRendezvous, in proportion to the weights of the instances. If
+// all weights are equal, it chooses the same instance.
 func PickWeighted(key uint64, entries []membership.EntryInstance, excluded func(tables.InstanceID) bool) (best membership.EntryInstance, found bool) {
+	return pick(key, entries, func(e *membership.EntryInstance) int { return rendezvous.Weight(e.Weight) }, excluded)
+}
+
+// PickBySize chooses like PickWeighted, by the sizes of the instances: it returns the choice of
+// those that weigh instances by size already.
+func PickBySize(key uint64, entries []membership.EntryInstance, excluded func(tables.InstanceID) bool) (best membership.EntryInstance, found bool) {
 	return pick(key, entries, func(e *membership.EntryInstance) int { return rendezvous.Weight(e.Size) }, excluded)
 }
 
--- a/internal/datagram/sizes_test.go
+++ b/internal/datagram/sizes_test.go
@@ -14,7 +14,7 @@
 func entriesOfSizes(sizes ...int) []membership.EntryInstance {
 	var all []membership.EntryInstance
 	for i := range 59 {
-		all = append(all, membership.EntryInstance{Instance: tables.InstanceID(fmt.Sprintf("i%d", i)), Size: sizes[i%len(sizes)]})
+		all = append(all, membership.EntryInstance{Instance: tables.InstanceID(fmt.Sprintf("i%d", i)), Size: sizes[i%len(sizes)], Weight: sizes[i%len(sizes)]})
 	}
 	return all
 }
@@ -27,7 +27,7 @@
 	want := []string{"i16", "i58", "i52", "i47", "i8", "i48", "i19", "i7", "i51", "i9", "i18", "i53"}
 	for _, size := range []int{0, 1, 48, 1 << 31} {
 		for i, id := range want {
-			for _, choose := range []func(uint64, []membership.EntryInstance, func(tables.InstanceID) bool) (membership.EntryInstance, bool){PickRendezvous, PickWeighted} {
+			for _, choose := range []func(uint64, []membership.EntryInstance, func(tables.InstanceID) bool) (membership.EntryInstance, bool){PickRendezvous, PickWeighted, PickBySize} {
 				got, found := choose(uint64(i+1), entriesOfSizes(size), none)
 				assert.Assert(t, found)
 				assert.Equal(t, string(got.Instance), id, "size %d", size)
@@ -43,7 +43,7 @@
 	entries := entriesOfSizes(14, 48)
 	total := 0
 	for _, e := range entries {
-		total += e.Size
+		total += e.Weight
 	}
 	owned := map[tables.InstanceID]int{}
 	moved := 0
--- a/node/cachesync.go
+++ b/node/cachesync.go
@@ -108,7 +108,7 @@
 // at present.
 func (c *cacheSync) assignReaders() {
 	own := c.node.options.Settings
-	selector, reads := c.readerSelection()
+	selector := c.readerSelection()
 	var assigned tables.Configuration
 	remote := c.node.now() > remoteZoneSyncDelay
 	for id, e := range c.node.entry.Endpoints() {
@@ -118,7 +118,7 @@
 		if e.Zone != own.Zone && (!remote || selector.hasZone(e.Zone)) {
 			continue
 		}
-		if reads(id, e.Zone) {
+		if selector.readerOf(id, e.Zone) == own.Instance {
 			assigned.Endpoints = append(assigned.Endpoints, tables.Endpoint{ID: id, Address: e.Address, Life: uint64(e.StartUnixMilli), Kind: tables.Engine})
 		}
 	}
--- a/node/members.go
+++ b/node/members.go
@@ -89,7 +89,7 @@
 			rank++
 		}
 	}
-	n.sizes.observeMembers(n.boot, members)
+	n.observeSizes(members)
 	n.recentPeers.observe(n.now(), n.options.Settings.Instance, members)
 	n.limitSharers.Store(int64(n.peerCount.observe(n.now(), count)))
 	n.knownEntries.Store(int64(count))
--- a/node/readerweights.go
+++ b/node/readerweights.go
@@ -51,21 +51,17 @@
 	w.states = states
 }
 
-// readerSelection returns the selection of readers, and a function that reports whether this
-// instance reads an endpoint. During an upgrade it also reads those that it would without regard
-// to sizes: other instances may not regard them, and an endpoint would have no reader.
-func (c *cacheSync) readerSelection() (selector *readerSelector, reads func(tables.EndpointID, tables.Zone) bool) {
-	entries, self := c.node.liveEntryMembers(), c.node.options.Settings.Instance
-	equal := newReaderSelector(entries)
-	readsEqual := func(id tables.EndpointID, zone tables.Zone) bool { return equal.readerOf(id, zone) == self }
+// readerSelection returns the selection of readers among the live entry instances.
+func (c *cacheSync) readerSelection() *readerSelector {
+	entries := c.node.liveEntryMembers()
 	if !c.node.sizes.enabled {
-		return equal, readsEqual
+		return newReaderSelector(entries)
 	}
 	c.weights.observe(c.node.now(), entries)
-	weighted, upgrading := newWeightedReaderSelector(entries, c.weights.weight), c.node.isUpgrading()
-	return weighted, func(id tables.EndpointID, zone tables.Zone) bool {
-		return weighted.readerOf(id, zone) == self || upgrading && readsEqual(id, zone)
+	if !membership.SizesInUse(entries) {
+		return newReaderSelector(entries)
 	}
+	return newWeightedReaderSelector(entries, c.weights.weight)
 }
 
 // weight returns the weight of an instance, at least 1.
--- a/node/sizes.go
+++ b/node/sizes.go
@@ -16,10 +16,10 @@
 const (
 	// loadSampleInterval is the time between two samples of what this instance uses.
 	loadSampleInterval = 250 * time.Millisecond
-	// maxUpgradeTime bounds the time after its start for which an instance takes those that have
-	// started before it for instances without the switch. Within it, 340 instances restart one
-	// after the other, each with a drain of 10 s.
-	maxUpgradeTime = time.Hour
+	// sizeChangeTime is how long after this instance has begun to weigh instances by size others
+	// may not do so yet. Gossip takes some seconds to reach all, and a member that was not known to
+	// have the switch takes the time of its failure detection.
+	sizeChangeTime = 30 * time.Second
 )
 
 // instanceSizes is the state of the division of common work by size. It is safe for concurrent
@@ -31,8 +31,10 @@
 	link linkCounter
 	// loaded is set while this instance is near one of its limits.
 	loaded atomic.Bool
-	// olderEntries is set while another entry instance has started before this one.
-	olderEntries atomic.Bool
+	// inUse is set while all entry instances have the switch, and changedAt is when that last
+	// changed.
+	inUse     atomic.Bool
+	changedAt atomic.Int64
 	// readEndpoints is how many endpoints' cache events this instance reads.
 	readEndpoints atomic.Int64
 }
@@ -40,19 +42,29 @@
 // isLoaded reports whether this instance is near one of its limits.
 func (s *instanceSizes) isLoaded() bool { return s.loaded.Load() }
 
-// observeMembers records whether an entry instance has started before this one.
-func (s *instanceSizes) observeMembers(boot uint64, members []membership.Member) {
-	older := false
-	for _, m := range members {
-		older = older || m.Roles&membership.RoleEntry != 0 && m.State < membership.Dead && m.Boot < boot
+// observeSizes records whether all entry instances have the switch. If that changes, limits and
+// endpoints get other owners, as when instances are lost.
+func (n *Node) observeSizes(members []membership.Member) {
+	if !n.sizes.enabled {
+		return
 	}
-	s.olderEntries.Store(older)
+	inUse := membership.SizesInUse(members)
+	if n.sizes.inUse.Swap(inUse) == inUse {
+		return
+	}
+	n.sizes.changedAt.Store(int64(n.now()))
+	n.usageServer.NoteEntriesLost()
+	n.permitServer.NoteOwnersChanged()
+	events.SizesInUse.Log(n.log, zap.Bool("in_use", inUse), zap.Int("instances", len(entryIDs(members))))
 }
 
-// isUpgrading reports whether some entry instances may not have the switch yet. They get it with a
-// restart, so those that have started after this instance have it.
-func (n *Node) isUpgrading() bool {
-	return n.sizes.enabled && n.sizes.olderEntries.Load() && n.now() < maxUpgradeTime
+// areSizesChanging reports whether some entry instances may weigh the others by size while others
+// do not.
+func (n *Node) areSizesChanging() bool {
+	if !n.sizes.enabled {
+		return false
+	}
+	return !n.sizes.inUse.Load() || n.now()-time.Duration(n.sizes.changedAt.Load()) < sizeChangeTime
 }
 
 // watchLoad publishes whether this instance is near the limit of its processor, link or memory,
--- a/node/usage.go
+++ b/node/usage.go
@@ -16,7 +16,7 @@
 func (n *Node) newUsageClient() *usage.Client {
 	n.usageServer = usage.NewServer(usage.ServerOptions{
 		Self: n.options.Settings.Instance, Zone: n.options.Settings.Zone, BootEpoch: n.boot, EntriesByZone: n.entriesByZone, Send: n.sendUsage, Now: n.now,
-		Settling: n.isSettling, Upgrading: n.isUpgrading,
+		Settling: n.isSettling, SizesChanging: n.areSizesChanging,
 	})
 	n.usageClient = usage.NewClient(usage.ClientOptions{
 		Self: n.options.Settings.Instance, Zone: n.options.Settings.Zone, BootEpoch: n.boot, Server: n.usageServer,
--- a/permits/server.go
+++ b/permits/server.go
@@ -85,6 +85,14 @@
 	s.members, s.membersChangedAt = slices.Clone(members), s.now()
 }
 
+// NoteOwnersChanged records that endpoints have got other owners though the entry instances are the
+// same.
+func (s *Server) NoteOwnersChanged() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.membersChangedAt = s.now()
+}
+
 // Request decides about a permit. A request that arrives twice gets the same permit.
 func (s *Server) Request(by tables.InstanceID, number uint64, in *rpc.PermitRequest) *rpc.PermitAnswer {
 	id := tables.EndpointID(in.GetEndpoint())
--- a/systems/membership/member_table.go
+++ b/systems/membership/member_table.go
@@ -26,6 +26,8 @@
 	// entriesByZone lists the living entry instances of each zone. A change creates
 	// a new map.
 	entriesByZone map[tables.Zone][]EntryInstance
+	// sizesInUse is set while entry instances are weighed by their sizes.
+	sizesInUse bool
 	// remoteGroups holds, for each other zone, the instances that can relay hints:
 	// its schedulers, or all its living entry instances if it has none.
 	remoteGroups [][]*member
--- a/systems/membership/membership.go
+++ b/systems/membership/membership.go
@@ -28,6 +28,9 @@
 const (
 	RoleEntry Role = 1 << iota
 	RoleControl
+	// RoleSizes marks an entry instance that divides common work by size. Sizes count once all
+	// live entry instances have it.
+	RoleSizes
 )
 
 // Roles returns the bit set of an instance's roles.
@@ -179,7 +182,8 @@
 	// UseSchedulers lets schedulers choose endpoints in groups of more than
 	// FullMeshLimit entry instances.
 	UseSchedulers bool
-	// UseSizes includes the size and load of entry instances in EntryInstance.
+	// UseSizes divides common work by size: this instance publishes RoleSizes, and weighs
+	// entry instances by their sizes once all of them publish it.
 	UseSizes bool
 }
 
@@ -256,6 +260,9 @@
 // New returns the view of an instance that knows no other instance yet.
 func New(options Options) *Membership {
 	options.Config.setDefaults()
+	if options.UseSizes {
+		options.Self.Roles |= RoleSizes
+	}
 	self := &member{Member: Member{InstanceInfo: options.Self, Incarnation: 1}, hash: hashOf(options.Self.Instance)}
 	return &Membership{
 		config:          options.Config,
--- a/systems/membership/schedulers.go
+++ b/systems/membership/schedulers.go
@@ -50,10 +50,12 @@
 	// Address receives datagrams; Control serves the other instances over TCP.
 	Address netip.AddrPort
 	Control netip.AddrPort
-	// Size is the weight of the instance relative to others, and Loaded is set while it is near
-	// the limit of its processor, link or memory. Both are zero unless Options.UseSizes is set.
+	// Size is the weight that the instance has published, and Loaded is set while it is near the
+	// limit of its processor, link or memory.
 	Size   int
 	Loaded bool
+	// Weight is Size while all entry instances divide common work by size, and 0 otherwise.
+	Weight int
 }
 
 // Schedulers returns the schedulers of this instance's zone in order of preference;
@@ -81,9 +83,9 @@
 
 // entryOf returns the instance, addresses and size of a member.
 func (m *Membership) entryOf(row *member) EntryInstance {
-	entry := EntryInstance{Instance: row.Instance, Address: row.Address, Control: row.Control}
-	if m.useSizes {
-		entry.Size, entry.Loaded = row.Size, row.Loaded
+	entry := EntryInstance{Instance: row.Instance, Address: row.Address, Control: row.Control, Size: row.Size, Loaded: row.Loaded}
+	if m.members.sizesInUse {
+		entry.Weight = row.Size
 	}
 	return entry
 }
@@ -105,6 +107,7 @@
 	zones := m.liveEntriesByZone()
 	t := &m.members
 	t.entryCount, t.schedulers, t.hintReceivers, t.remoteGroups = 0, nil, nil, nil
+	t.sizesInUse = m.useSizes && allUseSizes(zones)
 	t.entriesByZone = make(map[tables.Zone][]EntryInstance, len(zones))
 	for zone, entries := range zones {
 		t.entryCount += len(entries)
--- a/systems/membership/loaded.go
+++ b/systems/membership/sizes.go
@@ -19,3 +19,26 @@
 	}
 	return m.takeOutput()
 }
+
+// allUseSizes reports whether all of the given entry instances divide common work by size.
+func allUseSizes(zones map[tables.Zone][]*member) bool {
+	for _, entries := range zones {
+		for _, row := range entries {
+			if row.Roles&RoleSizes == 0 {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// SizesInUse reports whether all living entry instances among the members divide common work by
+// size.
+func SizesInUse(members []Member) bool {
+	for i := range members {
+		if m := &members[i]; m.State <= Suspect && m.Roles&RoleEntry != 0 && m.Roles&RoleSizes == 0 {
+			return false
+		}
+	}
+	return true
+}
--- a/systems/membership/loaded_test.go
+++ b/systems/membership/sizes_test.go
@@ -1,10 +1,13 @@
 package membership
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/tables"
 )
 
 // countLoaded returns how many instances take the first one for loaded.
@@ -32,13 +35,19 @@
 	}
 }
 
-// Guards against sizes that count at an instance where they are switched off.
-func TestEntriesHaveSizesOnlyWithTheSwitch(t *testing.T) {
-	for _, on := range []bool{false, true} {
-		m := New(Options{UseSizes: on, Self: InstanceInfo{Instance: "i", Zone: "a", Roles: RoleEntry, Size: 48}})
-		m.SetLoaded(0, true)
-		entry := m.EntriesByZone()["a"][0]
-		assert.Equal(t, entry.Size, map[bool]int{true: 48}[on])
-		assert.Equal(t, entry.Loaded, on)
+// Guards against instances that choose by size while others, where that is switched off, do not.
+func TestSizesCountOnceAllInstancesUseThem(t *testing.T) {
+	options := func(id tables.InstanceID, use bool) Options {
+		return Options{UseSizes: use, Self: InstanceInfo{Instance: id, Zone: "a", Roles: RoleEntry, Size: 48, Boot: 1, Address: netip.MustParseAddrPort("10.0.0.1:1")}}
+	}
+	for _, one := range []struct{ use, otherUses bool }{{false, false}, {false, true}, {true, false}, {true, true}} {
+		m, other := New(options("i", one.use)), New(options("j", one.otherUses))
+		m.merge(0, decodeRow(encodeRow(other.self)))
+		inUse := one.use && one.otherUses
+		assert.Equal(t, SizesInUse(m.Members()), inUse)
+		for _, entry := range m.EntriesByZone()["a"] {
+			assert.Equal(t, entry.Size, 48)
+			assert.Equal(t, entry.Weight, map[bool]int{true: 48}[inUse])
+		}
 	}
 }
--- a/usage/server.go
+++ b/usage/server.go
@@ -35,9 +35,9 @@
 	Send func(to netip.AddrPort, message *rpc.UsageMessage)
 	// Settling reports whether the instance knows too few others to own buckets; nil for never.
 	Settling func() bool
-	// Upgrading reports whether some instances may choose owners without regard to size; nil for
-	// never.
-	Upgrading func() bool
+	// SizesChanging reports whether some instances may choose owners by size while others do not;
+	// nil for never.
+	SizesChanging func() bool
 	// Now reads a monotonic clock.
 	Now func() tables.Instant
 }
@@ -58,8 +58,8 @@
 	if o.Settling == nil {
 		o.Settling = func() bool { return false }
 	}
-	if o.Upgrading == nil {
-		o.Upgrading = func() bool { return false }
+	if o.SizesChanging == nil {
+		o.SizesChanging = func() bool { return false }
 	}
 	return &Server{
 		options: o, owner: NewBucketOwner(o.Now(), o.Zone, o.BootEpoch),
@@ -166,22 +166,25 @@
 }
 
 // receivers returns the addresses of a subject's owners in all zones, and of the instances
-// that have reported the subject to this one. During an upgrade, they include the owners that
-// instances choose which do not regard sizes: two owners of a subject would not learn of each
-// other otherwise, and each would admit the whole limit.
+// that have reported the subject to this one. While some instances may choose owners by size and
+// others do not, they include both owners of each zone: these would not learn of each other
+// otherwise, and each would admit the whole limit.
 func (s *Server) receivers(id Subject, zones map[tables.Zone][]membership.EntryInstance) []netip.AddrPort {
 	at := map[tables.InstanceID]netip.AddrPort{}
-	upgrading := s.options.Upgrading()
+	changing := s.options.SizesChanging()
 	for _, entries := range zones {
 		if first, found := pickOwnerOf(id, entries); found {
 			at[first.Instance] = first.Address
 		}
-		if !upgrading {
+		if !changing {
 			continue
 		}
 		if first, found := datagram.PickRendezvous(subjectHash(id), entries, notExcluded); found {
 			at[first.Instance] = first.Address
 		}
+		if first, found := datagram.PickBySize(subjectHash(id), entries, notExcluded); found {
+			at[first.Instance] = first.Address
+		}
 	}
 	for _, peer := range s.owner.Peers(id) {
 		if _, named := at[peer]; !named && s.addresses[peer].IsValid() {
@@ -197,7 +200,7 @@
 }
 
 // pickOwnerOf returns a subject's owner among the entry instances of a zone, by rendezvous
-// hashing in proportion to their sizes.
+// hashing in proportion to their weights.
 func pickOwnerOf(id Subject, entries []membership.EntryInstance) (membership.EntryInstance, bool) {
 	return datagram.PickWeighted(subjectHash(id), entries, notExcluded)
 }
