Status shows the size and load of instances

rpc.InstanceStatus has no fields for them, so instances serve them as JSON: daemons at /operator/instances, forwarding instances, which have no service for status, at /instances of the address for metrics (status -forwarding ADDRESS).

--- a/cli/status.go
+++ b/cli/status.go
@@ -21,19 +21,30 @@
 // statusCommand shows the cluster's instances, the configuration revision that each
 // one uses, the leader of the control group, and the histograms of the first
 // instance that returns them.
-type statusCommand struct{ operatorClient }
+type statusCommand struct {
+	operatorClient
+	// forwarding is the address for metrics of a forwarding instance; empty for none.
+	forwarding string
+}
 
 func (*statusCommand) Name() string     { return "status" }
 func (*statusCommand) Synopsis() string { return "show instances, revisions and measurements" }
 
 func (*statusCommand) Usage() string {
 	return `status [-json]
+status [-json] -forwarding ADDRESS
   Shows which instance has which revision in force and since when, the leader
   of the control group, and the histograms of the first instance that answers.
+  With -forwarding, shows the instances of a forwarding deployment with their
+  size and load instead, as the instance with this address for metrics knows
+  them.
 ` + operatorClientUsage
 }
 
-func (c *statusCommand) SetFlags(f *flag.FlagSet) { c.setFlags(f) }
+func (c *statusCommand) SetFlags(f *flag.FlagSet) {
+	c.setFlags(f)
+	f.StringVar(&c.forwarding, "forwarding", "", "the address for metrics of a forwarding instance")
+}
 
 // statusResult is the JSON output of status. Instance, Zone and Revision are those
 // of the instance that answered; Revision is the last one that the control group
@@ -56,6 +67,10 @@
 	State    string `json:"state"`
 	Revision uint64 `json:"revision"`
 	Since    string `json:"since"`
+	// Size is the weight of the instance relative to others, 0 if it is not known. Loaded is set
+	// while it is near the limit of its processor, link or memory.
+	Size   int  `json:"size"`
+	Loaded bool `json:"loaded"`
 }
 
 func (c *statusCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
@@ -63,6 +78,9 @@
 		f.Usage()
 		return exitUsage
 	}
+	if c.forwarding != "" {
+		return c.showForwarding(ctx)
+	}
 	if err := c.configure(); err != nil {
 		return fail(exitUsage, err)
 	}
@@ -73,6 +91,7 @@
 		return failCall(err, "")
 	}
 	result := newStatusResult(answer)
+	c.addSizes(ctx, result.Instances)
 	for _, address := range c.addresses {
 		if code, err := c.getJSON(ctx, address, daemon.MeasurementsPath, &result.Measurements); err == nil && code == http.StatusOK {
 			break
@@ -107,9 +126,9 @@
 		r.Instance, r.Zone, r.Revision, r.Leader)
 	out := newTable()
 	defer out.Flush()
-	fmt.Fprintln(out, "instance\tzone\trole\tstate\trevision\tsince")
+	fmt.Fprintln(out, "instance\tzone\trole\tstate\tsize\tload\trevision\tsince")
 	for _, i := range r.Instances {
-		fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%d\t%s\n", i.Instance, i.Zone, i.Role, i.State, i.Revision, i.Since)
+		fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%d\t%s\t%d\t%s\n", i.Instance, i.Zone, i.Role, i.State, i.Size, loadWord(i.Loaded), i.Revision, i.Since)
 	}
 	fmt.Fprintln(out, "\nmeasurement\tof\tcount\tp50\tp95\tp99")
 	for _, m := range r.Measurements {
--- a/daemon/diagnostics.go
+++ b/daemon/diagnostics.go
@@ -19,6 +19,7 @@
 const (
 	MeasurementsPath = "/operator/measurements"
 	ExplainPath      = "/operator/explain"
+	InstancesPath    = "/operator/instances"
 )
 
 // Explain returns the latest routing decision of this instance on a request, while
@@ -54,6 +55,16 @@
 	writeJSON(w, d.Measurements())
 }
 
+// serveInstances writes the sizes and loads of the known instances as JSON.
+func (d *Daemon) serveInstances(w http.ResponseWriter, _ *http.Request) {
+	joined := d.members.Load()
+	if joined == nil {
+		http.Error(w, "this instance has not joined the others yet", http.StatusServiceUnavailable)
+		return
+	}
+	writeJSON(w, joined.Sizes())
+}
+
 // writeJSON writes a value as a JSON response.
 func writeJSON(w http.ResponseWriter, value any) {
 	w.Header().Set("Content-Type", "application/json")
--- a/daemon/listen.go
+++ b/daemon/listen.go
@@ -101,6 +101,7 @@
 	operators.HandleFunc("GET /metrics", d.serveMetrics)
 	operators.HandleFunc("GET "+MeasurementsPath, d.serveMeasurements)
 	operators.HandleFunc("GET "+ExplainPath, d.serveExplain)
+	operators.HandleFunc("GET "+InstancesPath, d.serveInstances)
 	if d.operatorService != nil {
 		operators.Handle(rpc.OperatorPathPrefix, rpc.NewOperatorServer(d.operatorService))
 	}
--- a/node/listen.go
+++ b/node/listen.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"net/http"
 	"net/netip"
@@ -10,6 +11,7 @@
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
+	"github.com/carawaystile/carawaystile/control/gossip"
 	"github.com/carawaystile/carawaystile/control/transport"
 	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/internal/keepalive"
@@ -75,9 +77,21 @@
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
 		_ = n.registry.WriteText(w)
 	})
+	metrics.HandleFunc("GET "+gossip.SizesPath, n.listInstances)
 	return n.serve(&http.Server{Handler: metrics}, s.Listen.Metrics, keepalive.Clients)
 }
 
+// listInstances writes the sizes and loads of the known instances as JSON.
+func (n *Node) listInstances(w http.ResponseWriter, _ *http.Request) {
+	joined := n.gossip.Load()
+	if joined == nil {
+		http.Error(w, "this instance has not joined the others yet", http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(joined.Sizes())
+}
+
 // broadcastSuspects reports the requests that were running when an endpoint crashed to all
 // other entry instances.
 func (n *Node) broadcastSuspects(suspects []quarantine.Suspect) {
