--- a/internal/datagram/correlator.go
+++ b/internal/datagram/correlator.go
@@ -113,7 +113,7 @@
 // the instances that are not excluded, the one with the highest score for the key. The
 // sizes of the instances do not count.
 func PickRendezvous(key uint64, entries []membership.EntryInstance, excluded func(tables.InstanceID) bool) (best membership.EntryInstance, found bool) {
-	return pick(key, entries, func(*membership.EntryInstance) int { return 1 }, excluded)
+	return pick(key, entries, nil, excluded)
 }
 
 // PickWeighted chooses like PickRendezvous, in proportion to the weights of the instances. If
@@ -128,14 +128,24 @@
 	return pick(key, entries, func(e *membership.EntryInstance) int { return rendezvous.Weight(e.Size) }, excluded)
 }
 
+// pick chooses an instance; if weight is nil, all weights are equal.
 func pick(key uint64, entries []membership.EntryInstance, weight func(*membership.EntryInstance) int, excluded func(tables.InstanceID) bool) (membership.EntryInstance, bool) {
-	best := rendezvous.Pick(entries, weight,
-		func(e *membership.EntryInstance) uint64 { return rendezvousHash(e.Instance, key) },
-		func(e *membership.EntryInstance) bool { return excluded(e.Instance) })
-	if best < 0 {
-		return membership.EntryInstance{}, false
+	choice := rendezvous.Choice{Weighted: weight != nil && !rendezvous.EqualWeights(entries, weight)}
+	for i := range entries {
+		e := &entries[i]
+		if excluded(e.Instance) {
+			continue
+		}
+		weightOfEntry := 1
+		if choice.Weighted {
+			weightOfEntry = weight(e)
+		}
+		choice.Offer(i, rendezvousHash(e.Instance, key), weightOfEntry)
+	}
+	if best := choice.Best(); best >= 0 {
+		return entries[best], true
 	}
-	return entries[best], true
+	return membership.EntryInstance{}, false
 }
 
 func rendezvousHash(id tables.InstanceID, key uint64) uint64 {
--- a/node/readerselection.go
+++ b/node/readerselection.go
@@ -22,6 +22,8 @@
 type readerSelector struct {
 	all    []readerCandidate
 	byZone map[tables.Zone][]readerCandidate
+	// weighted is set if the weights differ.
+	weighted bool
 }
 
 // newReaderSelector returns a selector over the given entry instances, which have equal weights.
@@ -38,6 +40,7 @@
 		r.all = append(r.all, candidate)
 		r.byZone[m.Zone] = append(r.byZone[m.Zone], candidate)
 	}
+	r.weighted = !rendezvous.EqualWeights(r.all, func(c *readerCandidate) int { return c.weight })
 	return r
 }
 
@@ -53,10 +56,11 @@
 		candidates = r.all
 	}
 	hash := xxhash.Sum64String(string(id))
-	best := rendezvous.Pick(candidates,
-		func(c *readerCandidate) int { return c.weight },
-		func(c *readerCandidate) uint64 { return placement.Mix64(hash ^ c.hash) },
-		func(*readerCandidate) bool { return false })
+	choice := rendezvous.Choice{Weighted: r.weighted}
+	for i := range candidates {
+		choice.Offer(i, placement.Mix64(hash^candidates[i].hash), candidates[i].weight)
+	}
+	best := choice.Best()
 	if best < 0 {
 		return ""
 	}
--- a/systems/placement/rendezvous/rendezvous.go
+++ b/systems/placement/rendezvous/rendezvous.go
@@ -25,33 +25,42 @@
 	return math.Log(uniform) / weight
 }
 
-// Pick returns the index of the candidate with the highest score, or -1 if all are excluded. If
-// all weights are equal it is the candidate with the highest hash. Of equal scores the higher
-// hash wins, so that the order of the candidates matters only for equal hashes.
-//
-// The weights of excluded candidates count for whether all are equal: which candidates are
-// excluded differs between instances, and they should agree on the order of the others.
-func Pick[T any](candidates []T, weight func(*T) int, hash func(*T) uint64, excluded func(*T) bool) int {
-	weighted := !equalWeights(candidates, weight)
-	best, bestScore, bestHash := -1, 0.0, uint64(0)
-	for i := range candidates {
-		c := &candidates[i]
-		if excluded(c) {
-			continue
-		}
-		h, score := hash(c), 0.0
-		if weighted {
-			score = Score(h, float64(weight(c)))
-		}
-		if best < 0 || score > bestScore || score == bestScore && h > bestHash {
-			best, bestScore, bestHash = i, score, h
-		}
+// Choice finds the candidate with the highest score among those that are offered. If Weighted is
+// not set, which is meant for equal weights, it is the candidate with the highest hash. Of equal
+// scores the higher hash wins, so that the order of the candidates matters only for equal hashes.
+// The zero value has been offered none.
+type Choice struct {
+	Weighted bool
+
+	found bool
+	index int
+	score float64
+	hash  uint64
+}
+
+// Offer adds a candidate with its hash for the key and its weight, which must be above 0.
+func (c *Choice) Offer(index int, hash uint64, weight int) {
+	score := 0.0
+	if c.Weighted {
+		score = Score(hash, float64(weight))
+	}
+	if !c.found || score > c.score || score == c.score && hash > c.hash {
+		c.found, c.index, c.score, c.hash = true, index, score, hash
+	}
+}
+
+// Best returns the index of the chosen candidate, or -1 if none was offered.
+func (c *Choice) Best() int {
+	if !c.found {
+		return -1
 	}
-	return best
+	return c.index
 }
 
-// equalWeights reports whether all candidates have the same weight.
-func equalWeights[T any](candidates []T, weight func(*T) int) bool {
+// EqualWeights reports whether all candidates have the same weight. Those that are excluded from a
+// choice must be among them: which they are differs between instances, and these should agree on
+// the order of the others.
+func EqualWeights[T any](candidates []T, weight func(*T) int) bool {
 	for i := range candidates {
 		if weight(&candidates[i]) != weight(&candidates[0]) {
 			return false
@@ -64,7 +73,7 @@
 // fraction of their weights. With equal weights it draws the same random numbers as
 // rand.Shuffle.
 func Shuffle[T any](items []T, weight func(*T) int) {
-	if equalWeights(items, weight) {
+	if EqualWeights(items, weight) {
 		rand.Shuffle(len(items), func(i, j int) { items[i], items[j] = items[j], items[i] })
 		return
 	}
--- a/systems/placement/rendezvous/rendezvous_test.go
+++ b/systems/placement/rendezvous/rendezvous_test.go
@@ -15,8 +15,11 @@
 }
 
 func pick(candidates []candidate) int {
-	return rendezvous.Pick(candidates, func(c *candidate) int { return c.weight },
-		func(c *candidate) uint64 { return c.hash }, func(*candidate) bool { return false })
+	choice := rendezvous.Choice{Weighted: !rendezvous.EqualWeights(candidates, func(c *candidate) int { return c.weight })}
+	for i, c := range candidates {
+		choice.Offer(i, c.hash, c.weight)
+	}
+	return choice.Best()
 }
 
 // Guards against instances that disagree on an owner because they list the candidates in another
