Count bytes that net.Buffers sends

A connection that embeds *net.TCPConn also has its unexported method for several buffers, which the exchange with endpoints uses for long requests, so their bytes were not counted. Long writes are made in pieces of 64 KB, so that they count while they last. The test sends through net.Buffers too.

--- a/node/linkcounter.go
+++ b/node/linkcounter.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/netip"
 	"sync/atomic"
+	"syscall"
 
 	"github.com/carawaystile/carawaystile/engine"
 )
@@ -28,7 +28,7 @@
 // is.
 func (c *linkCounter) count(conn net.Conn) net.Conn {
 	if tcp, ok := conn.(*net.TCPConn); ok {
-		return &countedConn{TCPConn: tcp, counter: c}
+		return &countedConn{Conn: tcp, tcp: tcp, counter: c}
 	}
 	return conn
 }
@@ -47,29 +47,38 @@
 	return l.counter.count(conn), nil
 }
 
-// countedConn is a TCP connection whose bytes are counted. ReadFrom and WriteTo copy through
-// Write and Read, so that the bytes of a long copy are counted while it lasts.
+// maxCountedWrite is the size of the pieces in which a long write is made, in bytes. A body that
+// takes seconds to send would count as sent at its end otherwise.
+const maxCountedWrite = 64 << 10
+
+// countedConn is a TCP connection whose bytes are counted. It embeds an interface, because the
+// methods of *net.TCPConn include ways to send and receive past Write and Read, also those that
+// net.Buffers uses.
 type countedConn struct {
-	*net.TCPConn
+	net.Conn
+	tcp     *net.TCPConn
 	counter *linkCounter
 }
 
+// SyscallConn gives access to the socket.
+func (c *countedConn) SyscallConn() (syscall.RawConn, error) { return c.tcp.SyscallConn() }
+
+// CloseWrite ends the sending direction, as http.Server does before it closes a connection.
+func (c *countedConn) CloseWrite() error { return c.tcp.CloseWrite() }
+
 func (c *countedConn) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
+	n, err := c.Conn.Read(p)
 	c.counter.received.Add(uint64(n))
 	return n, err
 }
 
-func (c *countedConn) Write(p []byte) (int, error) {
-	n, err := c.TCPConn.Write(p)
-	c.counter.sent.Add(uint64(n))
-	return n, err
-}
-
-func (c *countedConn) ReadFrom(r io.Reader) (int64, error) {
-	return io.Copy(struct{ io.Writer }{c}, r)
-}
-
-func (c *countedConn) WriteTo(w io.Writer) (int64, error) {
-	return io.Copy(w, struct{ io.Reader }{c})
+func (c *countedConn) Write(p []byte) (written int, err error) {
+	for {
+		n, err := c.Conn.Write(p[written:min(len(p), written+maxCountedWrite)])
+		c.counter.sent.Add(uint64(n))
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
 }
--- a/node/sizes_test.go
+++ b/node/sizes_test.go
@@ -79,13 +79,20 @@
 	defer conn.Close()
 	_, hasSocket := conn.(syscall.Conn)
 	assert.Assert(t, hasSocket)
+	echoed := make(chan error, 1)
+	go func() {
+		_, err := io.Copy(io.Discard, conn)
+		echoed <- err
+	}()
 	_, err = io.Copy(conn, io.LimitReader(zeros{}, 100_000))
 	assert.NilError(t, err)
-	assert.NilError(t, conn.(interface{ CloseWrite() error }).CloseWrite())
-	_, err = io.Copy(io.Discard, conn)
+	buffers := net.Buffers{make([]byte, 100_000), make([]byte, 100_000)}
+	_, err = buffers.WriteTo(conn)
 	assert.NilError(t, err)
-	assert.Equal(t, counter.sent.Load(), uint64(100_000))
-	assert.Equal(t, counter.received.Load(), uint64(100_000))
+	assert.NilError(t, conn.(interface{ CloseWrite() error }).CloseWrite())
+	assert.NilError(t, <-echoed)
+	assert.Equal(t, counter.sent.Load(), uint64(300_000))
+	assert.Equal(t, counter.received.Load(), uint64(300_000))
 }
 
 // zeros is an endless reader.
