--- a/usage/server.go
+++ b/usage/server.go
@@ -211,9 +211,10 @@
 func (s *Server) OwnedLimits() int {
 	entries := s.options.EntriesByZone()[s.options.Zone]
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	subjects := s.owner.Subjects()
+	s.mu.Unlock()
 	count := 0
-	for _, id := range s.owner.Subjects() {
+	for _, id := range subjects {
 		if owner, found := pickOwnerOf(id, entries); found && owner.Instance == s.options.Self {
 			count++
 		}
