--- a/internal/datagram/correlator.go
+++ b/internal/datagram/correlator.go
@@ -12,6 +12,7 @@
 
 	"github.com/carawaystile/carawaystile/systems/membership"
 	"github.com/carawaystile/carawaystile/systems/placement"
+	"github.com/carawaystile/carawaystile/systems/placement/rendezvous"
 	"github.com/carawaystile/carawaystile/tables"
 )
 
@@ -109,20 +110,44 @@
 }
 
 // PickRendezvous chooses an instance by rendezvous (highest random weight) hashing: of
-// the instances that are not excluded, the one with the highest score for the key.
+// the instances that are not excluded, the one with the highest score for the key. The
+// sizes of the instances do not count.
 func PickRendezvous(key uint64, entries []membership.EntryInstance, excluded func(tables.InstanceID) bool) (best membership.EntryInstance, found bool) {
-	var highest uint64
-	for _, e := range entries {
+	return pick(key, entries, nil, excluded)
+}
+
+// PickWeighted chooses like PickRendezvous, in proportion to the weights of the instances. If
+// all weights are equal, it chooses the same instance.
+func PickWeighted(key uint64, entries []membership.EntryInstance, excluded func(tables.InstanceID) bool) (best membership.EntryInstance, found bool) {
+	return pick(key, entries, func(e *membership.EntryInstance) int { return rendezvous.Weight(e.Weight) }, excluded)
+}
+
+// PickBySize chooses like PickWeighted, by the sizes of the instances: it returns the choice of
+// those that weigh instances by size already.
+func PickBySize(key uint64, entries []membership.EntryInstance, excluded func(tables.InstanceID) bool) (best membership.EntryInstance, found bool) {
+	return pick(key, entries, func(e *membership.EntryInstance) int { return rendezvous.Weight(e.Size) }, excluded)
+}
+
+// pick chooses an instance; if weight is nil, all weights are equal.
+func pick(key uint64, entries []membership.EntryInstance, weight func(*membership.EntryInstance) int, excluded func(tables.InstanceID) bool) (membership.EntryInstance, bool) {
+	choice := rendezvous.Choice{Weighted: weight != nil && !rendezvous.EqualWeights(entries, weight)}
+	for i := range entries {
+		e := &entries[i]
 		if excluded(e.Instance) {
 			continue
 		}
-		if score := rendezvousScore(e.Instance, key); !found || score > highest {
-			best, highest, found = e, score, true
+		weightOfEntry := 1
+		if choice.Weighted {
+			weightOfEntry = weight(e)
 		}
+		choice.Offer(i, rendezvousHash(e.Instance, key), weightOfEntry)
+	}
+	if best := choice.Best(); best >= 0 {
+		return entries[best], true
 	}
-	return best, found
+	return membership.EntryInstance{}, false
 }
 
-func rendezvousScore(id tables.InstanceID, key uint64) uint64 {
+func rendezvousHash(id tables.InstanceID, key uint64) uint64 {
 	return placement.Mix64(placement.Mix64(xxhash.Sum64String(string(id))) ^ key)
 }
--- a/node/cachesync.go
+++ b/node/cachesync.go
@@ -65,6 +65,8 @@
 	// informedPeers holds the schedulers of all zones that have been sent the inventory. It is
 	// used only while this instance's zone has schedulers.
 	informedPeers map[netip.AddrPort]bool
+	// weights is used by the goroutine that assigns readers only.
+	weights readerWeights
 }
 
 // startCacheSync starts to follow the caches of engines, if the platform reports them.
@@ -106,7 +108,7 @@
 // at present.
 func (c *cacheSync) assignReaders() {
 	own := c.node.options.Settings
-	selector := newReaderSelector(c.node.liveEntryMembers())
+	selector := c.readerSelection()
 	var assigned tables.Configuration
 	remote := c.node.now() > remoteZoneSyncDelay
 	for id, e := range c.node.entry.Endpoints() {
@@ -120,6 +122,7 @@
 			assigned.Endpoints = append(assigned.Endpoints, tables.Endpoint{ID: id, Address: e.Address, Life: uint64(e.StartUnixMilli), Kind: tables.Engine})
 		}
 	}
+	c.node.sizes.readEndpoints.Store(int64(len(assigned.Endpoints)))
 	c.feeds.Reconcile(&assigned)
 	c.mu.Lock()
 	c.inventory.retain(func(id tables.EndpointID) bool {
--- a/systems/membership/membership.go
+++ b/systems/membership/membership.go
@@ -28,6 +28,9 @@
 const (
 	RoleEntry Role = 1 << iota
 	RoleControl
+	// RoleSizes marks an entry instance that divides common work by size. Sizes count once all
+	// live entry instances have it.
+	RoleSizes
 )
 
 // Roles returns the bit set of an instance's roles.
@@ -58,6 +61,8 @@
 	// time from which it has been.
 	Revision tables.Revision
 	Since    time.Time
+	// Loaded is set while the instance is near the limit of its processor, link or memory.
+	Loaded bool
 }
 
 // State is the liveness state of a member.
@@ -177,6 +182,9 @@
 	// UseSchedulers lets schedulers choose endpoints in groups of more than
 	// FullMeshLimit entry instances.
 	UseSchedulers bool
+	// UseSizes divides common work by size: this instance publishes RoleSizes, and weighs
+	// entry instances by their sizes once all of them publish it.
+	UseSizes bool
 }
 
 // Datagram is a datagram for the caller to send.
@@ -218,6 +226,7 @@
 	random          *rand.Rand
 	members         memberTable
 	useSchedulers   bool
+	useSizes        bool
 	// version increases whenever a state changes or a member is added or removed.
 	version uint64
 
@@ -251,6 +260,9 @@
 // New returns the view of an instance that knows no other instance yet.
 func New(options Options) *Membership {
 	options.Config.setDefaults()
+	if options.UseSizes {
+		options.Self.Roles |= RoleSizes
+	}
 	self := &member{Member: Member{InstanceInfo: options.Self, Incarnation: 1}, hash: hashOf(options.Self.Instance)}
 	return &Membership{
 		config:          options.Config,
@@ -261,6 +273,7 @@
 		discoveryRandom: rand.New(rand.NewPCG(options.Self.Boot, options.RandomSeed)),
 		members:         newMemberTable(self),
 		useSchedulers:   options.UseSchedulers,
+		useSizes:        options.UseSizes,
 		detector:        newFailureDetector(),
 		relayCursor:     int(options.RandomSeed % relayCursorRange),
 	}
