Account for repeated computation of shared prompt parts by reason

For each generation, the dispatcher classifies the shared parts that the endpoint computes: evicted, unknown, busy, concurrent, lost, failed, or first if nothing is known of them. Reports that arrive while the attempt runs correct the reasons. Event 1010 gets the fields shared, again and again_reason; the counter is carawaystile_shared_tokens_computed_total.

Ruled out: fields in the directory's entries for late reports. They enlarge the entries that each placement reads; the record of removals holds them.

--- a/dispatch/cache_directory.go
+++ b/dispatch/cache_directory.go
@@ -62,6 +62,8 @@
 // arrive late and with gaps, and serve as corrections. Entries expire after holderTTL.
 type cacheDirectory struct {
 	holders map[parts.Key][]holder
+	// removals remembers the parts that have no holder any more, by the service of the last one.
+	removals map[string]*removedParts
 	// sweptAt is when expired entries were last removed.
 	sweptAt tables.Instant
 }
@@ -76,6 +78,9 @@
 		}
 	}
 	if len(valid) != len(known) {
+		if len(valid) == 0 {
+			h.recordInvalid(now, key, known)
+		}
 		h.holders[key] = valid
 	}
 	return valid
@@ -141,6 +146,9 @@
 		}
 	}
 	if len(h.holders) >= maxParts {
+		for key, known := range h.holders {
+			h.recordInvalid(now, key, known)
+		}
 		clear(h.holders)
 	}
 }
@@ -151,9 +159,13 @@
 	switch {
 	case r == nil:
 	case p.Evicted:
-		d.cache.remove(p.Key, r)
+		if one, removed := d.cache.remove(p.Key, r); removed {
+			d.cache.recordEvicted(now, p.Key, one)
+		}
 	default:
-		d.cache.record(now, now+remoteReadyDelay, p.Key, r)
+		if _, fresh := d.cache.record(now, now+remoteReadyDelay, p.Key, r); fresh {
+			d.cache.recordElsewhere(now, p.Key, r, d.updateDelayOf(r), placedElsewhere)
+		}
 	}
 }
 
--- a/dispatch/cache_events.go
+++ b/dispatch/cache_events.go
@@ -14,6 +14,9 @@
 // evictions some 100 ms late.
 const evictionGrace = 500 * time.Millisecond
 
+// cacheEventDelay is how late engines' events of stored parts usually arrive.
+const cacheEventDelay = 80 * time.Millisecond
+
 // RecordCacheEvents applies an engine's cache events: the parts that it holds and those
 // that it has evicted of late. A directory fed by placements alone contains parts that
 // were evicted meanwhile, and each request placed by such an entry recomputes its whole
@@ -61,7 +64,12 @@
 func (d *Dispatcher) ApplyCacheEvent(now tables.Instant, p CacheUpdate) (changed bool) {
 	row := d.endpoints[p.Endpoint]
 	switch {
-	case row == nil || len(d.cache.holders[p.Key]) == 0:
+	case row == nil:
+		return false
+	case len(d.cache.holders[p.Key]) == 0:
+		if p.Evicted {
+			d.cache.recordLateEviction(now, p.Key, row)
+		}
 		return false
 	case p.Evicted:
 		return d.removeHolder(now, row, p.Key)
@@ -79,6 +87,7 @@
 			return false
 		}
 	}
+	d.cache.recordElsewhere(now, key, row, cacheEventDelay, storedElsewhere)
 	d.cache.holders[key] = append(known, holder{row: row, readyAt: now, usedAt: now, reportedAt: now})
 	d.corrections.Added++
 	return true
@@ -89,14 +98,18 @@
 func (d *Dispatcher) removeHolder(now tables.Instant, row *endpointRow, key parts.Key) bool {
 	for _, one := range d.cache.holders[key] {
 		if one.row == row && now-one.placedAt < evictionGrace {
+			d.cache.removalsOf(row).add(now, evictedBeforeKey(key, row), evictedBefore)
 			return false
 		}
 	}
-	_, removed := d.cache.remove(key, row)
-	if removed {
-		d.corrections.Evicted++
+	one, removed := d.cache.remove(key, row)
+	if !removed {
+		d.cache.recordLateEviction(now, key, row)
+		return false
 	}
-	return removed
+	d.corrections.Evicted++
+	d.cache.recordEvicted(now, key, one)
+	return true
 }
 
 // CacheCorrections counts the changes that engines' cache events have made to the
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -188,6 +188,8 @@
 	countedUrgent bool
 	// addedParts are the shared parts that the attempt adds to its endpoint's cache.
 	addedParts []parts.Key
+	// shared is the account of the prompt's shared parts.
+	shared sharedAccount
 	// backupRow is the row of Backup, where memoryTokens are counted a second time.
 	backupRow *endpointRow
 }
@@ -283,7 +285,7 @@
 		links:           linkMonitor{failed: map[tables.EndpointID]struct{}{}},
 		zoneRespondedAt: map[tables.Zone]tables.Instant{},
 		slowdownKnown:   map[string]struct{}{},
-		cache:           cacheDirectory{holders: map[parts.Key][]holder{}},
+		cache:           cacheDirectory{holders: map[parts.Key][]holder{}, removals: map[string]*removedParts{}},
 	}
 }
 
@@ -304,6 +306,7 @@
 	a.row.markHealthy(now)
 	a.row.announced.recordAnswered(a.startedAt)
 	d.recordReached(now, a)
+	d.checkFetch(now, a)
 	a.row.prefillTokens -= a.prefillTokens
 	if a.remotelyPlaced {
 		a.row.remotelyPlaced.prefillTokens -= a.prefillTokens
@@ -325,6 +328,7 @@
 		return
 	}
 	a.ended = true
+	d.accountRecomputed(now, a)
 	a.endStream()
 	a.releaseAdmitted(now, outcome)
 	a.endProbe()
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -361,6 +361,7 @@
 	c.row.attempts++
 	c.row.memoryTokens += a.memoryTokens
 	c.row.prefillTokens += a.prefillTokens
+	d.classifyParts(now, r, a)
 	d.recordPlacement(now, r, a)
 	d.recordAdmitted(now, r, a)
 	d.assignStore(now, r, a, r.PromptTokens-int(c.uncachedTokens))
--- a/dispatch/remote.go
+++ b/dispatch/remote.go
@@ -110,6 +110,7 @@
 	row.remotelyPlaced.attempts++
 	row.remotelyPlaced.memoryTokens += a.memoryTokens
 	row.remotelyPlaced.prefillTokens += a.prefillTokens
+	d.classifyParts(now, r, a)
 	for _, part := range r.SharedParts {
 		key := part.ID.KeyAt(a.WeightsVersion)
 		if _, fresh := d.cache.record(now, now+a.ExpectedLatency+readyMargin, key, row); fresh {
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -242,6 +242,7 @@
 	now := s.options.Now()
 	s.dispatch.RecordOutcome(now, a.placement, result)
 	s.metrics.countAttempt(a.request, result)
+	s.metrics.countRecomputed(a.request, a.placement)
 	a.recordContinuationEnd(result)
 	switch result {
 	case dispatch.Completed:
--- a/forward/failure.go
+++ b/forward/failure.go
@@ -109,7 +109,7 @@
 	c.finished = true
 	c.server.metrics.observeAnswered(c, status)
 	fields := append(append(append(c.logFields(), c.pauseFields()...), a.viaFields()...), a.backupFields()...)
-	fields = append(fields, avoidedFields(&a.placement.Rationale)...)
+	fields = append(append(fields, avoidedFields(&a.placement.Rationale)...), a.recomputedFields()...)
 	events.RequestAnswered.Log(c.server.log, append(fields,
 		zap.Int("status", status), zap.Duration("first", c.timeToFirstEvent), zap.Duration("placed", a.startedAt-c.arrivedAt),
 		zap.String("endpoint", string(a.placement.Endpoint.ID)), zap.Uint64("weights", a.placement.WeightsVersion),
@@ -120,6 +120,21 @@
 		zap.Duration("load_age", a.placement.Rationale.LoadAge))...)
 }
 
+// recomputedFields returns the tokens in shared parts of the prompt, and how many of them were
+// computed again and mainly why; none for a prompt without shared parts.
+func (a *attempt) recomputedFields() []zap.Field {
+	account := a.placement.Recomputed()
+	if account.SharedTokens == 0 {
+		return nil
+	}
+	tokens, reason := account.Again()
+	fields := []zap.Field{zap.Int("shared", account.SharedTokens), zap.Int("again", tokens)}
+	if tokens > 0 {
+		fields = append(fields, zap.String("again_reason", string(reason)))
+	}
+	return fields
+}
+
 // abortStream aborts a response that has started and cannot be completed. It closes the
 // connection before the end of the body is marked, so that the client cannot take the
 // response for a complete one.
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -68,6 +68,18 @@
 		metrics.Label{Name: "service", Value: c.service.Name}, metrics.Label{Name: "end", Value: result.String()}).Inc(1)
 }
 
+// countRecomputed counts the tokens of shared parts that the endpoint of an ended attempt
+// computed.
+func (m *requestMetrics) countRecomputed(c *clientRequest, placement *dispatch.Attempt) {
+	if m == nil {
+		return
+	}
+	for _, one := range placement.Recomputed().ByReason {
+		m.registry.Counter("carawaystile_shared_tokens_computed_total", "Tokens in shared parts of prompts that endpoints computed, by priority class and by why: first, or why again.",
+			metrics.Label{Name: "class", Value: metrics.PriorityName(c.priorityClass())}, metrics.Label{Name: "reason", Value: string(one.Reason)}).Inc(int64(one.Tokens))
+	}
+}
+
 // countRetry counts a retry.
 func (m *requestMetrics) countRetry(c *clientRequest) {
 	if m == nil {
--- a/metrics/requests.go
+++ b/metrics/requests.go
@@ -34,6 +34,10 @@
 // priorityNames are the values of the label class.
 var priorityNames = [tables.PriorityCount]string{"urgent", "normal", "background"}
 
+// PriorityName returns the value of the label class for a priority; an out-of-range priority
+// counts as the least urgent one.
+func PriorityName(p tables.Priority) string { return priorityNames[min(p, tables.Background)] }
+
 // histograms are the histograms of one priority class or organisation.
 type histograms struct {
 	ttft, timeBetweenTokens, longestPause, queueWait, prefixHitRatio gometrics.Histogram
