Count the expected cost of evictions in placement

With capacity.eviction on, a placement whose new tokens exceed the free memory of an endpoint is charged the expected time to compute again what it evicts.

First version: rates of requests are those of this instance, scaled by the number of placing instances.

--- a/dispatch/cache_directory.go
+++ b/dispatch/cache_directory.go
@@ -64,10 +64,17 @@
 	holders map[parts.Key][]holder
 	// removals remembers the parts that have no holder any more, by the service of the last one.
 	removals map[string]*removedParts
+	// tracksEvictions is set if the parts of each endpoint are tracked for evictionOrder.
+	tracksEvictions bool
 	// sweptAt is when expired entries were last removed.
 	sweptAt tables.Instant
 }
 
+// newCacheDirectory returns an empty directory.
+func newCacheDirectory(tracksEvictions bool) cacheDirectory {
+	return cacheDirectory{holders: map[parts.Key][]holder{}, removals: map[string]*removedParts{}, tracksEvictions: tracksEvictions}
+}
+
 // holdersOf returns the valid holders of a part.
 func (h *cacheDirectory) holdersOf(now tables.Instant, key parts.Key) []holder {
 	known := h.holders[key]
@@ -99,6 +106,7 @@
 	}
 	known = append(known, holder{row: r, readyAt: ready, usedAt: now, placedAt: now})
 	h.holders[key] = known
+	h.track(now, key, r)
 	return &known[len(known)-1], true
 }
 
@@ -127,6 +135,7 @@
 	for i, one := range known {
 		if one.row == r {
 			h.holders[key] = append(known[:i:i], known[i+1:]...)
+			r.evictions.validUntil = 0
 			return one, true
 		}
 	}
--- a/dispatch/cache_events.go
+++ b/dispatch/cache_events.go
@@ -89,6 +89,7 @@
 	}
 	d.cache.recordElsewhere(now, key, row, cacheEventDelay, storedElsewhere)
 	d.cache.holders[key] = append(known, holder{row: row, readyAt: now, usedAt: now, reportedAt: now})
+	d.cache.track(now, key, row)
 	d.corrections.Added++
 	return true
 }
--- a/dispatch/capacity.go
+++ b/dispatch/capacity.go
@@ -28,6 +28,9 @@
 	StreamPauses Switch
 	// Backups has engines back up streams that may not be resumed.
 	Backups Switch
+	// Eviction counts, in placement, the expected time to compute again what a prompt evicts from
+	// an engine's memory.
+	Eviction Switch
 	// Contended states that callers compete for the capacity of all services.
 	Contended bool
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -247,9 +247,10 @@
 	decisions                    uint64
 	cache                        cacheDirectory
 	// averages are keyed by service.
-	averages     map[string]*serviceAverages
-	demand       demandCounter
-	cacheUpdates []CacheUpdate
+	averages       map[string]*serviceAverages
+	demand         demandCounter
+	evictionDemand evictionDemand
+	cacheUpdates   []CacheUpdate
 	// corrections counts the changes made by the engines' cache events.
 	corrections CacheCorrections
 	views       []promptView
@@ -285,7 +286,7 @@
 		links:           linkMonitor{failed: map[tables.EndpointID]struct{}{}},
 		zoneRespondedAt: map[tables.Zone]tables.Instant{},
 		slowdownKnown:   map[string]struct{}{},
-		cache:           cacheDirectory{holders: map[parts.Key][]holder{}, removals: map[string]*removedParts{}},
+		cache:           newCacheDirectory(options.Capacity.Eviction != Off),
 	}
 }
 
--- a/dispatch/endpoints.go
+++ b/dispatch/endpoints.go
@@ -89,6 +89,8 @@
 	// prompt, and cachedParts counts the parts of that prefix.
 	viewID      uint64
 	cachedParts int
+	// evictions is the order in which the endpoint evicts parts.
+	evictions evictionOrder
 	// removed is set once the endpoint is no longer listed.
 	removed bool
 	// isStore is set for a store of cached prompts, which receives no requests.
--- /dev/null
+++ b/dispatch/eviction.go
@@ -0,0 +1,226 @@
+package dispatch
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/carawaystile/carawaystile/parts"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+const (
+	// evictionHorizon is the time within which an evicted part that is requested again has to be
+	// computed again, and from which a part without a request costs nothing. It is the time
+	// constant of the counts of requests, so that the count of a part, over all instances, is the
+	// expected number of requests in this time.
+	evictionHorizon = demandDecay
+	// evictionOrderTTL is how long the order in which an endpoint evicts its parts is used before
+	// it is determined anew. The rates of requests change by a fifth in this time.
+	evictionOrderTTL = 2 * time.Second
+	// minTrackedKeys is the number of keys of an endpoint up to which keys of parts that it no
+	// longer holds are not sought.
+	minTrackedKeys = 64
+)
+
+// partDemand is the decaying count of this instance's requests for a part, under one version of
+// the weights.
+type partDemand struct {
+	decayedCount
+	// tokens is the length of the part.
+	tokens int
+}
+
+// evictionDemand holds what the expected cost of evictions depends on, apart from the directory.
+type evictionDemand struct {
+	parts   map[parts.Key]partDemand
+	sweptAt tables.Instant
+}
+
+// record counts a request for a part.
+func (e *evictionDemand) record(now tables.Instant, key parts.Key, tokens int) {
+	if e.parts == nil {
+		e.parts = map[parts.Key]partDemand{}
+	}
+	if now-e.sweptAt > demandTTL || len(e.parts) > maxParts {
+		e.sweep(now)
+	}
+	e.parts[key] = partDemand{decayedCount{e.parts[key].decayed(now) + 1, now}, tokens}
+}
+
+// sweep removes expired counts, and all counts if there are still too many.
+func (e *evictionDemand) sweep(now tables.Instant) {
+	e.sweptAt = now
+	for key, one := range e.parts {
+		if now-one.at > demandTTL {
+			delete(e.parts, key)
+		}
+	}
+	if len(e.parts) > maxParts {
+		clear(e.parts)
+	}
+}
+
+// decayed returns the count at a time.
+func (c decayedCount) decayed(now tables.Instant) float64 {
+	if c.count == 0 {
+		return 0
+	}
+	return c.count * decay(now-c.at, demandDecay)
+}
+
+// evictionOrder is the order in which an endpoint is expected to evict the shared parts that it
+// holds: the least recently used first. Engines keep the other tokens of a request in the same
+// order.
+type evictionOrder struct {
+	// keys are the parts that the endpoint may hold, some of them more than once.
+	keys []parts.Key
+	// unshared is the decaying sum of the tokens of this instance's requests at the endpoint that
+	// are not in shared parts.
+	unshared decayedCount
+	// steps are the parts in order and occupied the tokens of all of them, with the unshared ones;
+	// valid until validUntil.
+	steps      []evictionStep
+	occupied   float64
+	validUntil tables.Instant
+}
+
+// evictionStep is a shared part in an evictionOrder.
+type evictionStep struct {
+	key    parts.Key
+	usedAt tables.Instant
+	tokens float64
+	// recomputed is the expected number of tokens that are computed again within evictionHorizon
+	// if the part is evicted.
+	recomputed float64
+	// unshared is the expected number of other tokens that are evicted after this part and before
+	// the next one.
+	unshared float64
+}
+
+// track adds a part to those that an endpoint may hold.
+func (h *cacheDirectory) track(now tables.Instant, key parts.Key, row *endpointRow) {
+	if !h.tracksEvictions || row.isStore {
+		return
+	}
+	order := &row.evictions
+	if len(order.keys) >= minTrackedKeys && len(order.keys) >= 2*len(order.steps) {
+		h.sortKeys(now, row)
+	}
+	order.keys = append(order.keys, key)
+	order.validUntil = 0
+}
+
+// sortKeys sets the steps to the parts that an endpoint holds, the least recently used first, and
+// the keys to theirs.
+func (h *cacheDirectory) sortKeys(now tables.Instant, row *endpointRow) {
+	order := &row.evictions
+	slices.Sort(order.keys)
+	order.steps = order.steps[:0]
+	for _, key := range slices.Compact(order.keys) {
+		for _, one := range h.holders[key] {
+			if one.row == row && now-one.usedAt < holderTTL {
+				order.steps = append(order.steps, evictionStep{key: key, usedAt: one.usedAt})
+				break
+			}
+		}
+	}
+	order.keys = order.keys[:0]
+	slices.SortFunc(order.steps, func(a, b evictionStep) int { return cmp.Compare(a.usedAt, b.usedAt) })
+	for i := range order.steps {
+		order.keys = append(order.keys, order.steps[i].key)
+	}
+}
+
+// soleHolder reports whether no other endpoint and no store holds a part.
+func (h *cacheDirectory) soleHolder(now tables.Instant, key parts.Key, row *endpointRow) bool {
+	for _, one := range h.holders[key] {
+		if one.row != row && now-one.usedAt < holderTTL && !one.row.removed {
+			return false
+		}
+	}
+	return true
+}
+
+// evictionOrderOf returns the order of an endpoint. Parts that this instance has placed no
+// request for are left out: their length is not known, and nor is a rate of requests.
+func (d *Dispatcher) evictionOrderOf(now tables.Instant, row *endpointRow) *evictionOrder {
+	order := &row.evictions
+	if now < order.validUntil {
+		return order
+	}
+	d.cache.sortKeys(now, row)
+	order.validUntil, order.occupied = now+evictionOrderTTL, 0
+	instances := 1 + d.schedulers + d.remoteSchedulers
+	unshared := order.unshared.decayed(now) * instances / demandDecay.Seconds()
+	for i := range order.steps {
+		step, until := &order.steps[i], now
+		if i+1 < len(order.steps) {
+			until = order.steps[i+1].usedAt
+		}
+		step.unshared = unshared * max(0, until-step.usedAt).Seconds()
+		demand := d.evictionDemand.parts[step.key]
+		step.tokens = float64(demand.tokens)
+		if now-demand.at < evictionHorizon && d.cache.soleHolder(now, step.key, row) {
+			step.recomputed = step.tokens * (1 - math.Exp(-demand.decayed(now)*instances))
+		}
+		order.occupied += step.tokens + step.unshared
+	}
+	return order
+}
+
+// recordEvictionDemand counts a placed request towards the demand for its parts and the memory
+// that its other tokens take at the endpoint.
+func (d *Dispatcher) recordEvictionDemand(now tables.Instant, r *Request, a *Attempt) {
+	if !d.cache.tracksEvictions || !a.isGeneration {
+		return
+	}
+	begin := 0
+	for _, part := range r.SharedParts {
+		d.evictionDemand.record(now, part.ID.KeyAt(a.WeightsVersion), part.EndTokens-begin)
+		begin = part.EndTokens
+	}
+	order := &a.row.evictions
+	order.unshared = decayedCount{order.unshared.decayed(now) + float64(r.memoryTokens()-begin), now}
+	order.validUntil = 0
+}
+
+// countsEvictions reports whether the placement of a request includes the cost of evictions.
+func (d *Dispatcher) countsEvictions(r *Request) bool {
+	return d.cache.tracksEvictions && r.Model != "" && r.Service.KVCapacityTokens > 0 && d.enabled(d.options.Capacity.Eviction, r.Service.Name)
+}
+
+// evictionCost returns the expected time, in milliseconds, to compute again what an endpoint has
+// to evict for the request, given how many of the request's parts it holds. It is zero while the
+// endpoint has enough free memory, and counts only parts that no other endpoint and no store
+// holds.
+func (d *Dispatcher) evictionCost(now tables.Instant, r *Request, row *endpointRow, cachedParts int) float64 {
+	order := d.evictionOrderOf(now, row)
+	capacity := float64(r.Service.KVCapacityTokens)
+	free := max(0, capacity-order.occupied-float64(row.copies.tokens))
+	excess := float64(r.memoryTokens()-r.sharedPrefixTokens(cachedParts)) - free
+	recomputed := 0.0
+	for i := range order.steps {
+		if excess <= 0 {
+			break
+		}
+		step := &order.steps[i]
+		if step.tokens > 0 && !r.usesPart(step.key, row.Weights[r.Model], cachedParts) {
+			recomputed += step.recomputed * min(1, excess/step.tokens)
+			excess -= step.tokens
+		}
+		excess -= step.unshared
+	}
+	return recomputed / row.currentPrefillRate(now)
+}
+
+// usesPart reports whether a key is that of one of the request's first n shared parts.
+func (r *Request) usesPart(key parts.Key, version uint64, n int) bool {
+	for _, part := range r.SharedParts[:n] {
+		if part.ID.KeyAt(version) == key {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/dispatch/eviction_test.go
@@ -0,0 +1,223 @@
+package dispatch
+
+import (
+	"cmp"
+	"container/heap"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/carawaystile/carawaystile/parts"
+	"github.com/carawaystile/carawaystile/routes"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// cacheSimulation runs engines with LRU caches behind some instances in virtual time. Engines
+// compute one prompt after the other. Their cache events arrive 80 ms late, and the instances'
+// reports to each other 30 ms late.
+type cacheSimulation struct {
+	all     []*Dispatcher
+	random  *rand.Rand
+	now     tables.Instant
+	timers  timerHeap
+	engines map[tables.EndpointID]*simulatedEngine
+	// again counts the tokens of shared parts that were computed before, by the engines' own
+	// count, and accounted those by the dispatcher's. rejected counts requests without a placement.
+	computed                   map[parts.Key]bool
+	again, accounted, rejected int
+	waits                      []time.Duration
+}
+
+type timer struct {
+	at  tables.Instant
+	run func()
+}
+
+type timerHeap []timer
+
+func (h timerHeap) Len() int           { return len(h) }
+func (h timerHeap) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h timerHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *timerHeap) Push(x any)        { *h = append(*h, x.(timer)) }
+func (h *timerHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+// simulatedEngine holds cached parts, the least recently used first, and is busy until freeAt.
+type simulatedEngine struct {
+	cached []simulatedPart
+	freeAt tables.Instant
+}
+
+type simulatedPart struct {
+	key    parts.Key
+	tokens int
+}
+
+const simulatedPrefillRate = 30.0 // tokens a millisecond
+
+func (s *cacheSimulation) after(delay time.Duration, run func()) {
+	heap.Push(&s.timers, timer{s.now + delay, run})
+}
+
+// use makes a part the most recently used one, and returns false if it was not cached. Beyond
+// the capacity the oldest parts are evicted.
+func (s *cacheSimulation) use(id tables.EndpointID, part simulatedPart) bool {
+	e := s.engines[id]
+	at := slices.Index(e.cached, part)
+	if at >= 0 {
+		e.cached = slices.Delete(e.cached, at, at+1)
+	}
+	e.cached = append(e.cached, part)
+	var evicted []parts.Key
+	total := 0
+	for i := len(e.cached) - 1; i >= 0; i-- {
+		if total += e.cached[i].tokens; total > evictionModels.KVCapacityTokens {
+			evicted = append(evicted, e.cached[i].key)
+			e.cached = slices.Delete(e.cached, i, i+1)
+		}
+	}
+	s.after(80*time.Millisecond, func() {
+		for _, d := range s.all {
+			d.RecordCacheEvents(s.now, id, []parts.Key{part.key}, evicted, false)
+		}
+	})
+	return at >= 0
+}
+
+// report sends the reports of an instance to the others.
+func (s *cacheSimulation) report(from *Dispatcher) {
+	updates, loads := from.TakeCacheUpdates(), from.TakeLoadReports(s.now)
+	s.after(30*time.Millisecond, func() {
+		for _, d := range s.all {
+			for at := 0; d != from && at < max(len(updates), len(loads)); at++ {
+				if at < len(updates) {
+					d.ApplyCacheUpdate(s.now, updates[at])
+				}
+				if at < len(loads) {
+					d.ApplyLoadReport(s.now, tables.InstanceID(rune('a'+slices.Index(s.all, from))), loads[at])
+				}
+			}
+		}
+	})
+}
+
+// place places a request, again after 10 ms if that is not possible, and runs it.
+func (s *cacheSimulation) place(d *Dispatcher, r *Request) {
+	a, _ := d.Place(s.now, r)
+	s.report(d)
+	if a == nil {
+		if s.now < r.ArrivedAt+3*time.Second {
+			s.after(10*time.Millisecond, func() { s.place(d, r) })
+		} else {
+			s.rejected++
+		}
+		return
+	}
+	e := s.engines[a.Endpoint.ID]
+	uncached, begin := r.PromptTokens, 0
+	for _, part := range r.SharedParts {
+		one := simulatedPart{part.ID.KeyAt(1), part.EndTokens - begin}
+		begin = part.EndTokens
+		source := s.engines[a.CacheSource.ID]
+		fetched := source != nil && slices.Contains(source.cached, one)
+		if s.use(a.Endpoint.ID, one) || fetched {
+			uncached -= one.tokens
+		} else if s.computed[one.key] {
+			s.again += one.tokens
+		}
+		s.computed[one.key] = true
+	}
+	s.use(a.Endpoint.ID, simulatedPart{parts.Key(s.random.Uint64()), r.memoryTokens() - begin})
+	e.freeAt = max(e.freeAt, s.now) + time.Duration(float64(uncached)/simulatedPrefillRate*float64(time.Millisecond))
+	s.after(e.freeAt-s.now+15*time.Millisecond, func() {
+		s.waits = append(s.waits, s.now-r.ArrivedAt)
+		d.RecordResponseStart(s.now, a)
+		s.report(d)
+		s.after(time.Second, func() {
+			d.RecordOutcome(s.now, a, Completed)
+			s.report(d)
+			tokens, _ := a.Recomputed().Again()
+			s.accounted += tokens
+		})
+	})
+}
+
+var evictionModels = &routes.Service{Name: "models", Slots: 24, KVCapacityTokens: 62_129, Models: []string{"m"}}
+
+// evictionLoad is a load of requests with one of several shared parts, by Zipf's law, and of
+// requests with long prompts of their own, for eight engines.
+type evictionLoad struct {
+	perSecond, longFraction float64
+	shared, sharedTokens    int
+}
+
+// runEvictions simulates two minutes of a load.
+func runEvictions(seed uint64, load evictionLoad, instances int, eviction Switch) *cacheSimulation {
+	s := &cacheSimulation{random: rand.New(rand.NewPCG(seed, 1)), computed: map[parts.Key]bool{}, engines: map[tables.EndpointID]*simulatedEngine{}}
+	_, all := newTestDispatcher(8)
+	for i := range instances {
+		s.all = append(s.all, New(Options{Zone: "a", Seed: seed + uint64(i)<<32, Capacity: CapacityOptions{Eviction: eviction}}))
+		s.all[i].SetSchedulerCounts(instances-1, 0)
+	}
+	for id, e := range all {
+		s.engines[id], e.Slots, e.Zone = &simulatedEngine{}, 24, "a"
+		all[id] = e
+	}
+	for _, d := range s.all {
+		d.SetEndpoints(all)
+	}
+	zipf := rand.NewZipf(s.random, 1.1, 4, uint64(load.shared-1))
+	var arrive func()
+	arrive = func() {
+		r := &Request{Service: evictionModels, Route: &routes.Route{TargetLatency: time.Second}, Model: "m", PromptTokens: 9000, OutputTokens: 300, ArrivedAt: s.now, Deadline: s.now + 10*time.Second, PrefillWaitUntil: s.now + 1500*time.Millisecond}
+		if s.random.Float64() >= load.longFraction {
+			r.PromptTokens = load.sharedTokens + 400
+			r.SharedParts = []SharedPart{{ID: parts.ID(1 + zipf.Uint64()), EndTokens: load.sharedTokens}}
+		}
+		s.place(s.all[s.random.IntN(instances)], r)
+		s.after(time.Duration(s.random.ExpFloat64()/load.perSecond*float64(time.Second)), arrive)
+	}
+	s.after(time.Second, arrive)
+	for s.now < 2*time.Minute {
+		next := heap.Pop(&s.timers).(timer)
+		s.now = next.at
+		next.run()
+	}
+	slices.Sort(s.waits)
+	return s
+}
+
+// late returns the fraction of requests without a first event within a second, and the mean wait.
+func (s *cacheSimulation) late() (fraction float64, mean time.Duration) {
+	at, _ := slices.BinarySearch(s.waits, time.Second)
+	sum := time.Duration(0)
+	for _, wait := range s.waits {
+		sum += wait
+	}
+	return float64(len(s.waits)-at+s.rejected) / float64(len(s.waits)+s.rejected), sum / time.Duration(cmp.Or(len(s.waits), 1))
+}
+
+func TestEvictionTrial(t *testing.T) {
+	for _, n := range []int{1, 4, 16} {
+		for _, load := range []evictionLoad{
+			{30, 0.1, 40, 6000}, {30, 0.2, 40, 6000}, {15, 0.1, 40, 9000}, {40, 0.1, 60, 6000}, {40, 0.2, 120, 3000}, {45, 0.1, 40, 6000}, {80, 0.2, 120, 3000},
+		} {
+			for _, sw := range []Switch{Off, On} {
+				again, acc, lateSum, mean := 0, 0, 0.0, time.Duration(0)
+				for seed := range uint64(5) {
+					s := runEvictions(seed, load, n, sw)
+					l, m := s.late()
+					again += s.again
+					acc += s.accounted
+					lateSum += l
+					mean += m
+				}
+				t.Logf("n=%d %v %v again %d accounted %d late %.4f mean %v", n, load, sw, again/5, acc/5, lateSum/5, mean/5)
+			}
+		}
+	}
+}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -125,6 +125,7 @@
 func (d *Dispatcher) cheapestAmong(now tables.Instant, r *Request, rows []*endpointRow, p path, onlyConfirmed bool) (candidate, RejectReason) {
 	best, reason := candidate{cost: math.Inf(1), path: p}, NoEndpoint
 	limit := d.queueLimit(now, r)
+	evictions := d.countsEvictions(r)
 	for _, row := range rows {
 		if limit.passesOver(now, row) {
 			continue
@@ -137,7 +138,14 @@
 			continue
 		}
 		c := d.evaluate(now, r, row, rows)
-		if limit.admits(now, &c) && c.cost < best.cost {
+		if !limit.admits(now, &c) || c.cost >= best.cost {
+			continue
+		}
+		if evictions {
+			// It only adds to the cost, so an endpoint that is not the cheapest without it is left.
+			c.cost += d.evictionCost(now, r, row, d.viewOf(now, r, row.Weights[r.Model], rows).cachedParts(row))
+		}
+		if c.cost < best.cost {
 			best = c
 			best.path = p
 		}
@@ -363,6 +371,7 @@
 	c.row.prefillTokens += a.prefillTokens
 	d.classifyParts(now, r, a)
 	d.recordPlacement(now, r, a)
+	d.recordEvictionDemand(now, r, a)
 	d.recordAdmitted(now, r, a)
 	d.assignStore(now, r, a, r.PromptTokens-int(c.uncachedTokens))
 	d.assignBackup(now, r, a)
--- a/node/entry.go
+++ b/node/entry.go
@@ -100,6 +100,7 @@
 	s := n.options.Settings.Capacity
 	return dispatch.CapacityOptions{
 		Admission: capacitySwitches[s.Admission], StreamPauses: capacitySwitches[s.StreamPauses], Backups: capacitySwitches[s.Backups],
+		Eviction:  capacitySwitches[s.Eviction],
 		Contended: n.options.Platform.Contended,
 	}
 }
