Take rates of requests for parts from other instances' reports too

An instance that sees few of the requests knows neither their rate nor the length of the parts. Uses that others report now count towards the demand, and parts of unknown length have the mean length.

--- a/dispatch/cache_directory.go
+++ b/dispatch/cache_directory.go
@@ -172,6 +172,9 @@
 			d.cache.recordEvicted(now, p.Key, one)
 		}
 	default:
+		if d.cache.tracksEvictions && !r.isStore {
+			d.evictionDemand.record(now, p.Key, 0)
+		}
 		if _, fresh := d.cache.record(now, now+remoteReadyDelay, p.Key, r); fresh {
 			d.cache.recordElsewhere(now, p.Key, r, d.updateDelayOf(r), placedElsewhere)
 		}
--- a/dispatch/eviction.go
+++ b/dispatch/eviction.go
@@ -24,11 +24,13 @@
 	minTrackedKeys = 64
 )
 
-// partDemand is the decaying count of this instance's requests for a part, under one version of
-// the weights.
+// partDemand is the decaying count of the requests for a part, under one version of the weights:
+// those that this instance has placed and those that others report. An instance reports its
+// requests for a part at an endpoint once in useReportInterval, so that the count falls short only
+// of parts that are almost certain to be requested again.
 type partDemand struct {
 	decayedCount
-	// tokens is the length of the part.
+	// tokens is the length of the part; 0 if this instance has placed no request for it.
 	tokens int
 }
 
@@ -36,9 +38,11 @@
 type evictionDemand struct {
 	parts   map[parts.Key]partDemand
 	sweptAt tables.Instant
+	// meanTokens is the moving average of the length of requested parts.
+	meanTokens float64
 }
 
-// record counts a request for a part.
+// record counts a request for a part of a length; 0 if the length is not known.
 func (e *evictionDemand) record(now tables.Instant, key parts.Key, tokens int) {
 	if e.parts == nil {
 		e.parts = map[parts.Key]partDemand{}
@@ -46,7 +50,16 @@
 	if now-e.sweptAt > demandTTL || len(e.parts) > maxParts {
 		e.sweep(now)
 	}
-	e.parts[key] = partDemand{decayedCount{e.parts[key].decayed(now) + 1, now}, tokens}
+	known := e.parts[key]
+	if tokens > 0 {
+		known.tokens = tokens
+		if e.meanTokens == 0 {
+			e.meanTokens = float64(tokens)
+		}
+		e.meanTokens += averageWeight * (float64(tokens) - e.meanTokens)
+	}
+	known.decayedCount = decayedCount{known.decayed(now) + 1, now}
+	e.parts[key] = known
 }
 
 // sweep removes expired counts, and all counts if there are still too many.
@@ -143,8 +156,8 @@
 	return true
 }
 
-// evictionOrderOf returns the order of an endpoint. Parts that this instance has placed no
-// request for are left out: their length is not known, and nor is a rate of requests.
+// evictionOrderOf returns the order of an endpoint. Parts of which no request is known cost
+// nothing, and parts that this instance has placed no request for count with the mean length.
 func (d *Dispatcher) evictionOrderOf(now tables.Instant, row *endpointRow) *evictionOrder {
 	order := &row.evictions
 	if now < order.validUntil {
@@ -161,9 +174,11 @@
 		}
 		step.unshared = unshared * max(0, until-step.usedAt).Seconds()
 		demand := d.evictionDemand.parts[step.key]
-		step.tokens = float64(demand.tokens)
+		if step.tokens = float64(demand.tokens); step.tokens == 0 {
+			step.tokens = d.evictionDemand.meanTokens
+		}
 		if now-demand.at < evictionHorizon && d.cache.soleHolder(now, step.key, row) {
-			step.recomputed = step.tokens * (1 - math.Exp(-demand.decayed(now)*instances))
+			step.recomputed = step.tokens * (1 - math.Exp(-demand.decayed(now)))
 		}
 		order.occupied += step.tokens + step.unshared
 	}
