--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -89,6 +89,15 @@
 	}
 }
 
+// BenchmarkRemovedParts measures the cost of one removal and one look-up in a full record.
+func BenchmarkRemovedParts(b *testing.B) {
+	var p removedParts
+	for i := range b.N {
+		p.add(time.Duration(i), parts.ID(i).KeyAt(1), removedEvicted)
+		_, _ = p.lookup(time.Duration(i), parts.ID(i/2).KeyAt(1))
+	}
+}
+
 // BenchmarkPlaceBesideStreams measures the cost of one placement where streams run at all
 // endpoints, with the cost of their pauses off and on. The request has a target gap.
 func BenchmarkPlaceBesideStreams(b *testing.B) {
--- a/dispatch/cache_directory.go
+++ b/dispatch/cache_directory.go
@@ -114,9 +114,13 @@
 func (h *cacheDirectory) markReady(now tables.Instant, a *Attempt) {
 	for _, key := range a.addedParts {
 		for i, one := range h.holders[key] {
-			if one.row == a.row {
-				h.holders[key][i].readyAt = min(one.readyAt, now)
+			if one.row != a.row {
+				continue
 			}
+			if one.readyAt < now && one.placedAt > a.startedAt {
+				h.removalsOf(a.row).add(now, readyLateKey(key, a.row), readyLate)
+			}
+			h.holders[key][i].readyAt = min(one.readyAt, now)
 		}
 	}
 }
--- a/dispatch/recomputed.go
+++ b/dispatch/recomputed.go
@@ -221,6 +221,8 @@
 		switch {
 		case use.reason == RecomputeFirst:
 			use.reason = d.laterReason(now, a, use.key)
+		case use.computed == 0 && d.readyAfterPlacement(now, a, use):
+			use.computed, use.reason = use.tokens, RecomputeConcurrent
 		case use.computed == 0 && use.source == nil && d.evictedBeforePlacement(now, a, use.key):
 			use.computed, use.reason = use.tokens, RecomputeEvicted
 			if len(d.cache.holders[use.key]) > 1 {
@@ -248,6 +250,17 @@
 	return RecomputeFirst
 }
 
+// readyAfterPlacement reports whether the endpoint that was to provide a part has shown to have
+// computed it only after the attempt was placed. Engines do not share what they are computing.
+func (d *Dispatcher) readyAfterPlacement(now tables.Instant, a *Attempt, use *sharedPartUse) bool {
+	row := a.row
+	if use.source != nil {
+		row = use.source
+	}
+	cause, at := d.cache.removals[row.Service].lookup(now, readyLateKey(use.key, row))
+	return cause == readyLate && at > a.startedAt
+}
+
 // evictedBeforePlacement reports whether the attempt's endpoint has shown to have evicted a part
 // before the attempt was placed there.
 func (d *Dispatcher) evictedBeforePlacement(now tables.Instant, a *Attempt, key parts.Key) bool {
--- a/dispatch/recomputed_test.go
+++ b/dispatch/recomputed_test.go
@@ -101,6 +101,14 @@
 			r.PrefillWaitUntil = 0
 			return placeElsewhere(t, d, 5*second, r, busy.Endpoint.ID)
 		}, 2000, RecomputeConcurrent},
+		{"computed later than expected", func(t *testing.T, d *Dispatcher, first *Attempt) *Attempt {
+			slow := mustPlace(t, d, 5*second, newTestRequest(8))
+			at := 5*second + slow.ExpectedLatency + readyMargin
+			a := mustPlace(t, d, at, newTestRequest(8))
+			assert.Equal(t, a.Endpoint.ID, slow.Endpoint.ID)
+			d.RecordResponseStart(at+50*time.Millisecond, slow)
+			return a
+		}, 2000, RecomputeConcurrent},
 		{"holder stopped", func(t *testing.T, d *Dispatcher, first *Attempt) *Attempt {
 			_, all := newTestDispatcher(2)
 			delete(all, first.Endpoint.ID)
--- a/dispatch/removed_parts.go
+++ b/dispatch/removed_parts.go
@@ -39,6 +39,9 @@
 	// request that it happened before. The key is that of elsewhereKey.
 	placedElsewhere
 	storedElsewhere
+	// readyLate: an endpoint had not computed it when a request was placed that was to use it, since
+	// the computation took longer than expected. The key is that of readyLateKey.
+	readyLate
 )
 
 // evictedBeforeKey is the key of the cause evictedBefore for an endpoint.
@@ -46,6 +49,11 @@
 	return parts.Key(placement.Mix64(uint64(key) ^ row.hash))
 }
 
+// readyLateKey is the key of the cause readyLate for an endpoint.
+func readyLateKey(key parts.Key, row *endpointRow) parts.Key {
+	return parts.Key(placement.Mix64(^uint64(key) ^ row.hash))
+}
+
 // elsewhereKey is the key of the causes placedElsewhere and storedElsewhere.
 func elsewhereKey(key parts.Key) parts.Key { return parts.Key(placement.Mix64(^uint64(key))) }
 
