Merge the account of repeated computation and the cost of evictions

Change: tokens by reason in a counter and in event 1010; behind capacity.eviction, placement counts what a prompt evicts. Result: tests of dispatch, forward, settings, metrics and docs pass.

--- a/dispatch/cache_directory.go
+++ b/dispatch/cache_directory.go
@@ -62,10 +62,19 @@
 // arrive late and with gaps, and serve as corrections. Entries expire after holderTTL.
 type cacheDirectory struct {
 	holders map[parts.Key][]holder
+	// removals remembers the parts that have no holder any more, by the service of the last one.
+	removals map[string]*removedParts
+	// tracksEvictions is set if the parts of each endpoint are tracked for evictionOrder.
+	tracksEvictions bool
 	// sweptAt is when expired entries were last removed.
 	sweptAt tables.Instant
 }
 
+// newCacheDirectory returns an empty directory.
+func newCacheDirectory(tracksEvictions bool) cacheDirectory {
+	return cacheDirectory{holders: map[parts.Key][]holder{}, removals: map[string]*removedParts{}, tracksEvictions: tracksEvictions}
+}
+
 // holdersOf returns the valid holders of a part.
 func (h *cacheDirectory) holdersOf(now tables.Instant, key parts.Key) []holder {
 	known := h.holders[key]
@@ -76,6 +85,9 @@
 		}
 	}
 	if len(valid) != len(known) {
+		if len(valid) == 0 {
+			h.recordInvalid(now, key, known)
+		}
 		h.holders[key] = valid
 	}
 	return valid
@@ -94,6 +106,7 @@
 	}
 	known = append(known, holder{row: r, readyAt: ready, usedAt: now, placedAt: now})
 	h.holders[key] = known
+	h.track(now, key, r)
 	return &known[len(known)-1], true
 }
 
@@ -101,9 +114,13 @@
 func (h *cacheDirectory) markReady(now tables.Instant, a *Attempt) {
 	for _, key := range a.addedParts {
 		for i, one := range h.holders[key] {
-			if one.row == a.row {
-				h.holders[key][i].readyAt = min(one.readyAt, now)
+			if one.row != a.row {
+				continue
+			}
+			if one.readyAt < now && one.placedAt > a.startedAt {
+				h.removalsOf(a.row).add(now, readyLateKey(key, a.row), readyLate)
 			}
+			h.holders[key][i].readyAt = min(one.readyAt, now)
 		}
 	}
 }
@@ -122,6 +139,7 @@
 	for i, one := range known {
 		if one.row == r {
 			h.holders[key] = append(known[:i:i], known[i+1:]...)
+			r.evictions.validUntil = 0
 			return one, true
 		}
 	}
@@ -141,6 +159,9 @@
 		}
 	}
 	if len(h.holders) >= maxParts {
+		for key, known := range h.holders {
+			h.recordInvalid(now, key, known)
+		}
 		clear(h.holders)
 	}
 }
@@ -151,9 +172,16 @@
 	switch {
 	case r == nil:
 	case p.Evicted:
-		d.cache.remove(p.Key, r)
+		if one, removed := d.cache.remove(p.Key, r); removed {
+			d.cache.recordEvicted(now, p.Key, one)
+		}
 	default:
-		d.cache.record(now, now+remoteReadyDelay, p.Key, r)
+		if d.cache.tracksEvictions && !r.isStore {
+			d.evictionDemand.record(now, p.Key, 0)
+		}
+		if _, fresh := d.cache.record(now, now+remoteReadyDelay, p.Key, r); fresh {
+			d.cache.recordElsewhere(now, p.Key, r, d.updateDelayOf(r), placedElsewhere)
+		}
 	}
 }
 
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -188,6 +188,8 @@
 	countedUrgent bool
 	// addedParts are the shared parts that the attempt adds to its endpoint's cache.
 	addedParts []parts.Key
+	// shared is the account of the prompt's shared parts.
+	shared sharedAccount
 	// backupRow is the row of Backup, where memoryTokens are counted a second time.
 	backupRow *endpointRow
 }
@@ -245,9 +247,10 @@
 	decisions                    uint64
 	cache                        cacheDirectory
 	// averages are keyed by service.
-	averages     map[string]*serviceAverages
-	demand       demandCounter
-	cacheUpdates []CacheUpdate
+	averages       map[string]*serviceAverages
+	demand         demandCounter
+	evictionDemand evictionDemand
+	cacheUpdates   []CacheUpdate
 	// corrections counts the changes made by the engines' cache events.
 	corrections CacheCorrections
 	views       []promptView
@@ -283,7 +286,7 @@
 		links:           linkMonitor{failed: map[tables.EndpointID]struct{}{}},
 		zoneRespondedAt: map[tables.Zone]tables.Instant{},
 		slowdownKnown:   map[string]struct{}{},
-		cache:           cacheDirectory{holders: map[parts.Key][]holder{}},
+		cache:           newCacheDirectory(options.Capacity.Eviction != Off),
 	}
 }
 
@@ -304,6 +307,7 @@
 	a.row.markHealthy(now)
 	a.row.announced.recordAnswered(a.startedAt)
 	d.recordReached(now, a)
+	d.checkFetch(now, a)
 	a.row.prefillTokens -= a.prefillTokens
 	if a.remotelyPlaced {
 		a.row.remotelyPlaced.prefillTokens -= a.prefillTokens
@@ -325,6 +329,7 @@
 		return
 	}
 	a.ended = true
+	d.accountRecomputed(now, a)
 	a.endStream()
 	a.releaseAdmitted(now, outcome)
 	a.endProbe()
--- a/settings/capacity.go
+++ b/settings/capacity.go
@@ -29,6 +29,8 @@
 	// Sizes divides the common work of instances by their sizes, and spares instances near their
 	// limits.
 	Sizes CapacitySwitch
+	// Eviction counts, in placement, what a prompt evicts from an engine's memory.
+	Eviction CapacitySwitch
 }
 
 func (c *ForwardingCapacity) read(n node) {
@@ -37,6 +39,7 @@
 		field{key: "stream_pauses", read: choice(&c.StreamPauses, capacityWords, capacitySwitches)},
 		field{key: "backups", read: choice(&c.Backups, capacityWords, capacitySwitches)},
 		field{key: "sizes", read: choice(&c.Sizes, capacityWords, capacitySwitches)},
+		field{key: "eviction", read: choice(&c.Eviction, capacityWords, capacitySwitches)},
 	)
 }
 
