Requests wait for the first configuration, at most 64 for 500 ms each

Requests waited for up to 300 ms, without a bound on their number.

Change: with capacity.startup (off, auto for where callers compete for capacity, on), at most 64 requests wait for up to 500 ms with unread bodies. The wait ends when the client disconnects or the instance stops, and by the client's deadline. net/http does not detect a disconnect before it has read the body, so the state of the TCP connection is checked every 25 ms.

Ruled out: reading bodies meanwhile, which would need a budget before the limits are known; waiting for as long as the client allows, since its retry may reach an instance that has a configuration.

--- a/forward/request.go
+++ b/forward/request.go
@@ -158,6 +158,9 @@
 		return true
 	default:
 	}
+	if c.server.options.StartupWait {
+		return c.waitStartup()
+	}
 	timer := time.NewTimer(initializationTimeout)
 	defer timer.Stop()
 	select {
@@ -232,8 +235,8 @@
 // setDeadline sets the deadline to the client's or the route's, whichever is earlier.
 func (c *clientRequest) setDeadline() {
 	timeout := c.route.Timeout
-	if milliseconds, err := strconv.ParseFloat(c.r.Header.Get(c.server.headers.Deadline), 64); err == nil && milliseconds > 0 {
-		timeout = min(timeout, time.Duration(milliseconds*float64(time.Millisecond)))
+	if clientTimeout, set := c.clientTimeout(); set {
+		timeout = min(timeout, clientTimeout)
 	}
 	c.deadline = c.arrivedAt + timeout
 	c.ctx, c.cancel = context.WithTimeout(c.r.Context(), c.deadline-c.server.options.Now())
--- a/forward/server.go
+++ b/forward/server.go
@@ -76,6 +76,9 @@
 	Permits Permits
 	// Relay opens connections to endpoints through other instances; nil if there are none.
 	Relay Relay
+	// StartupWait has at most 64 requests wait up to 500 ms each for the first configuration and
+	// endpoints. Without it, any number of requests wait up to 300 ms each.
+	StartupWait bool
 	// Context ends when the instance stops; nil for never. Health checks end with it.
 	Context context.Context
 }
@@ -110,6 +113,8 @@
 	// initialized is closed once there are a configuration and endpoints.
 	initialized     chan struct{}
 	initializedOnce sync.Once
+	// startupWaits is the number of requests in waitStartup.
+	startupWaits atomic.Int64
 
 	// mu guards the load balancer and the crash detector.
 	mu            sync.Mutex
--- a/node/entry.go
+++ b/node/entry.go
@@ -60,6 +60,7 @@
 		UsageTolerance:   n.usageTolerance(),
 		Permits:          n.newPermitClient(),
 		Relay:            n.relayDialer,
+		StartupWait:      n.startsFast(),
 		Context:          n.lifetime,
 	})
 	n.startRelayServer()
@@ -104,6 +105,12 @@
 	}
 }
 
+// startsFast reports whether settings.ForwardingCapacity.Startup is on. Unlike the other decisions it does
+// not depend on what endpoints report, which an instance that starts does not know.
+func (n *Node) startsFast() bool {
+	return capacitySwitches[n.options.Settings.Capacity.Startup].Enabled(n.options.Platform.Contended)
+}
+
 var capacitySwitches = map[settings.CapacitySwitch]dispatch.Switch{
 	settings.CapacityOff: dispatch.Off, settings.CapacityAuto: dispatch.Auto, settings.CapacityOn: dispatch.On,
 }
--- a/settings/capacity.go
+++ b/settings/capacity.go
@@ -26,6 +26,8 @@
 	StreamPauses CapacitySwitch
 	// Backups has engines back up streams that may not be resumed.
 	Backups CapacitySwitch
+	// Startup shortens the time in which instances that start together can serve.
+	Startup CapacitySwitch
 }
 
 func (c *ForwardingCapacity) read(n node) {
@@ -33,6 +35,7 @@
 		field{key: "admission", read: choice(&c.Admission, capacityWords, capacitySwitches)},
 		field{key: "stream_pauses", read: choice(&c.StreamPauses, capacityWords, capacitySwitches)},
 		field{key: "backups", read: choice(&c.Backups, capacityWords, capacitySwitches)},
+		field{key: "startup", read: choice(&c.Startup, capacityWords, capacitySwitches)},
 	)
 }
 
