Readers of cache events are assigned once most members are known

Cause: after a power loss the first cache state arrived 0.9 to 2.8 s after the start (59 and 82 instances). An instance waits 400 ms after it has a configuration before it reads caches, since with few members known it would assign all engines to itself.

Change: with capacity.startup, the wait ends as soon as 0.9 of the recorded entry instances are known. Fetching the holdings of others already starts at once when one is known, so only faster discovery makes it earlier.

Ruled out: delaying the fetch until the members are known, which would be later than before in a deployment that has shrunk.

Result: the test of the wait passes. go test ./node failed once, with a load average of 26 on 8 cores, in TestPartitionedInstancesServeThroughOthers/six_of_nine_hanging (503 at entry-3), with the switch off; the subtest alone then passed 6 of 6 times. Whether the unchanged code fails too is not known. No deployment of processes was started with the switch.

--- a/node/cachesync.go
+++ b/node/cachesync.go
@@ -97,7 +97,7 @@
 		return
 	}
 	c.node.background.Go(func() { c.fetchHoldings(ctx) })
-	for pause := cacheSyncDelay; wait.For(ctx, pause) == nil; pause = readerAssignInterval {
+	for err := c.node.awaitMembers(ctx, cacheSyncDelay); err == nil; err = wait.For(ctx, readerAssignInterval) {
 		c.assignReaders()
 	}
 }
--- a/node/size.go
+++ b/node/size.go
@@ -27,6 +27,8 @@
 	sizeTolerance = 0.1
 	// settleInterval is the interval at which an instance checks whether it has settled.
 	settleInterval = 50 * time.Millisecond
+	// membersCheckInterval is the interval at which awaitMembers checks the number of members.
+	membersCheckInterval = 10 * time.Millisecond
 )
 
 // recordSize records the number of entry instances while this instance leads the control group.
@@ -91,6 +93,27 @@
 	return usage.Settling(n.now(), int(n.knownEntries.Load()), int(n.recordedEntries.Load()))
 }
 
+// awaitMembers waits for the given time or, with settings.ForwardingCapacity.Startup, until this
+// instance knows most of the recorded entry instances. It returns the error of a context that ends.
+func (n *Node) awaitMembers(ctx context.Context, timeout time.Duration) error {
+	if !n.startsFast() {
+		return wait.For(ctx, timeout)
+	}
+	for end := n.now() + timeout; n.now() < end && !n.knowsMembers(); {
+		if err := wait.For(ctx, membersCheckInterval); err != nil {
+			return err
+		}
+	}
+	return ctx.Err()
+}
+
+// knowsMembers reports whether this instance knows as many of the recorded entry instances as it
+// needs to settle. Without a recorded number it does not know.
+func (n *Node) knowsMembers() bool {
+	recorded := int(n.recordedEntries.Load())
+	return recorded > 0 && !usage.Settling(0, int(n.knownEntries.Load()), recorded)
+}
+
 // awaitSettled waits until this instance has settled, and has the limits that it owns start with
 // what is known then.
 func (n *Node) awaitSettled() {
