--- a/settings/forwarding_test.go
+++ b/settings/forwarding_test.go
@@ -129,3 +129,12 @@
 		assert.Assert(t, errors.As(err, &invalid), "%s: strict validation does not report it: %v", name, err)
 	}
 }
+
+// Guards against a switch that is read under another key, or is on by default.
+func TestStartupSwitchIsRead(t *testing.T) {
+	for text, want := range map[string]CapacitySwitch{"": CapacityOff, "capacity: {startup: auto}\n": CapacityAuto, "capacity: {startup: on}\n": CapacityOn} {
+		f, err := ParseForwarding("f.yaml", []byte(forwarding+text))
+		assert.NilError(t, err)
+		assert.Equal(t, f.Capacity.Startup, want)
+	}
+}
