--- a/node/members.go
+++ b/node/members.go
@@ -42,6 +42,7 @@
 			RandomSeed:    n.randomSeed(),
 			UseSchedulers: true,
 			UseSizes:      n.sizes.enabled,
+			FastDiscovery: n.startsFast(),
 		},
 		ListenAddress:    s.Listen.Membership,
 		Ring:             keys.NewRing(datagramKey),
--- a/settings/capacity.go
+++ b/settings/capacity.go
@@ -31,6 +31,8 @@
 	Sizes CapacitySwitch
 	// Eviction counts, in placement, what a prompt evicts from an engine's memory.
 	Eviction CapacitySwitch
+	// Startup shortens the time in which instances that start together can serve.
+	Startup CapacitySwitch
 }
 
 func (c *ForwardingCapacity) read(n node) {
@@ -40,6 +42,7 @@
 		field{key: "backups", read: choice(&c.Backups, capacityWords, capacitySwitches)},
 		field{key: "sizes", read: choice(&c.Sizes, capacityWords, capacitySwitches)},
 		field{key: "eviction", read: choice(&c.Eviction, capacityWords, capacitySwitches)},
+		field{key: "startup", read: choice(&c.Startup, capacityWords, capacitySwitches)},
 	)
 }
 
--- a/systems/membership/membership.go
+++ b/systems/membership/membership.go
@@ -100,6 +100,8 @@
 	// hash is the hash of the instance ID. It breaks ties in the election of
 	// schedulers.
 	hash uint64
+	// discoverySends is how many datagrams of fast discovery have carried the row.
+	discoverySends int
 	// withheld marks a suspicion raised while this instance is likely isolated. It
 	// is sent to no instance but the suspected one.
 	withheld bool
@@ -185,6 +187,9 @@
 	// UseSizes divides common work by size: this instance publishes RoleSizes, and weighs
 	// entry instances by their sizes once all of them publish it.
 	UseSizes bool
+	// FastDiscovery shortens the time in which instances that start at once learn of each other.
+	// The caller calls Discover then.
+	FastDiscovery bool
 }
 
 // Datagram is a datagram for the caller to send.
@@ -252,6 +257,7 @@
 	// discoveryRandom chooses these members. A source of its own leaves the sequence of probes
 	// as it is without discovery.
 	discoveryRandom *rand.Rand
+	fast            fastDiscovery
 	lastTick        tables.Instant
 	// now is the time of the most recent call.
 	now tables.Instant
@@ -274,6 +280,7 @@
 		members:         newMemberTable(self),
 		useSchedulers:   options.UseSchedulers,
 		useSizes:        options.UseSizes,
+		fast:            fastDiscovery{enabled: options.FastDiscovery},
 		detector:        newFailureDetector(),
 		relayCursor:     int(options.RandomSeed % relayCursorRange),
 	}
