Soak: mode with the capacity decisions enabled

Instances run with admission, stream pauses and backups on; endpoints report their slowdown, make copies of runs and have too few slots.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -28,10 +29,11 @@
 	faults := flag.String("faults", "", "comma-separated kinds of faults; all if empty")
 	inForce := flag.Bool("in-force", false, "check how long changes take to be in force; the machine should be quiet")
 	limitUse := flag.Bool("limit-use", false, "limit the rate of one organisation, and check the limit")
+	capacity := flag.String("capacity", "auto", "capacity decisions of instances: on, off, or auto for a quarter of the seeds")
 	verbose := flag.Bool("v", false, "print each fault")
 	flag.Parse()
 	first, last, ok := parseSeedRange(*seeds)
-	if !ok || flag.NArg() > 0 {
+	if !ok || flag.NArg() > 0 || !slices.Contains([]string{"auto", "on", "off"}, *capacity) {
 		flag.Usage()
 		return 2
 	}
@@ -40,6 +42,7 @@
 		o := soak.Options{
 			Daemon: *daemon, Folder: filepath.Join(*folder, strconv.FormatUint(seed, 10)), Seed: seed, For: *faultDuration,
 			Controls: *controlCount, Entries: *entryCount, InForce: *inForce, LimitUse: *limitUse,
+			Capacity: *capacity == "on" || *capacity == "auto" && *faults == "" && soak.DrawsCapacity(seed),
 		}
 		if *faults != "" {
 			o.Faults = strings.Split(*faults, ",")
@@ -52,7 +55,11 @@
 			fmt.Fprintf(os.Stderr, "seed %d: %v\n", seed, err)
 			return 2
 		}
-		fmt.Printf("seed %d: %s\n%s", seed, outcome, outcome.Report(o.Folder))
+		mode := ""
+		if o.Capacity {
+			mode = " (capacity)"
+		}
+		fmt.Printf("seed %d%s: %s\n%s", seed, mode, outcome, outcome.Report(o.Folder))
 		if len(outcome.Breaches) > 0 {
 			code = 1
 		} else if err := os.RemoveAll(o.Folder); err != nil {
--- /dev/null
+++ b/soak/capacity.go
@@ -0,0 +1,171 @@
+package soak
+
+import (
+	"context"
+	_ "embed"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/carawaystile/carawaystile/platform/platformtest"
+	"github.com/carawaystile/carawaystile/routes"
+)
+
+// Names of the faults that concern the capacity decisions.
+const (
+	endpointsSlowedDown = "endpoints are slowed down"
+	callersReadSlowly   = "callers read slowly"
+)
+
+const (
+	// capacityFaultWeight is how often the names of the capacity faults are in the list that a
+	// plan draws from. They are about a quarter of the faults then.
+	capacityFaultWeight = 8
+	// capacityShare is one in how many seeds without a stored plan enables the decisions.
+	capacityShare = 4
+
+	// Slots and times of endpoints, and the memory of an engine in tokens. The callers of six
+	// entry instances need more slots than there are. A tenth of the memory, which copies may
+	// occupy, holds several of the longest requests.
+	contendedSlots       = 3
+	contendedServiceTime = 60 * time.Millisecond
+	contendedTokens      = 400_000
+	copyTTL              = 3 * time.Second
+	// contendedTimeout is the time within which a request must be answered. It is below
+	// callerWait, so that callers see whether a request outlives it.
+	contendedTimeout = 2 * time.Second
+
+	// Slowdowns in percent, and how many endpoints are slowed down at once at most.
+	leastSlowdown, mostSlowdown = 250, 1000
+	mostSlowed                  = 4
+
+	// A caller that reads slowly reads slowReadBytes each slowReadInterval. Its stream has
+	// slowReaderTokens events, more than fits into the buffers of a connection.
+	slowReaders      = 8
+	slowReaderTokens = "800,40"
+	slowReadBytes    = 4 << 10
+	slowReadInterval = 100 * time.Millisecond
+	receiveBuffer    = 8 << 10
+)
+
+// capacityFaults lists the faults that runs with capacity decisions draw beside those of every
+// run, each with its weight.
+func capacityFaults() []string {
+	return slices.Repeat([]string{endpointsSlowedDown, callersReadSlowly}, capacityFaultWeight)
+}
+
+//go:embed testdata/seeds.txt
+var storedSeeds string
+
+// DrawsCapacity reports whether a run of the seed enables the capacity decisions if nothing else
+// is asked for. Runs of stored seeds don't.
+func DrawsCapacity(seed uint64) bool {
+	for line := range strings.Lines(storedSeeds) {
+		if strings.HasPrefix(line, strconv.FormatUint(seed, 10)+" ") {
+			return false
+		}
+	}
+	return rand.New(rand.NewPCG(seed, 6)).IntN(capacityShare) == 0
+}
+
+// requestTimeout is the time that callers give a request.
+func (d *deployment) requestTimeout() time.Duration {
+	if d.options.Capacity {
+		return contendedTimeout
+	}
+	return callerWait
+}
+
+// competeForCapacity changes the options of an endpoint so that requests wait for it, and that
+// it reports its slowdown and makes copies of runs.
+func competeForCapacity(o *platformtest.Options) {
+	o.ReportsSlowdown = true
+	if o.Model != "" {
+		o.Slots, o.ServiceTime, o.BackupTTL = contendedSlots, contendedServiceTime, copyTTL
+	}
+}
+
+// declareBackups configures a service whose engines compete for capacity and back runs up.
+func declareBackups(s *routes.Service) {
+	s.Slots, s.KVCapacityTokens = contendedSlots, contendedTokens
+	s.Backups, s.BackupTTL = true, copyTTL
+}
+
+// slowDownEndpoints slows some endpoints down, each by an amount of its own.
+func slowDownEndpoints(s *strike) {
+	for range 1 + s.rng.IntN(mostSlowed) {
+		e := s.d.places.endpoint(s.place())
+		e.SetSlowdown(leastSlowdown + s.rng.IntN(mostSlowdown-leastSlowdown+1))
+		defer e.SetSlowdown(0)
+	}
+	s.wait()
+}
+
+// readSlowly adds callers at one instance that read long streams slowly.
+func readSlowly(s *strike) {
+	entry, until := s.entry(), time.Now().Add(s.long)
+	var readers sync.WaitGroup
+	for range slowReaders {
+		rng := rand.New(rand.NewPCG(s.rng.Uint64(), 7))
+		readers.Go(func() { s.load.readSlowly(rng, entry, until) })
+	}
+	readers.Wait()
+}
+
+// readSlowly sends a request for a wide stream and reads it slowly until a moment.
+func (l *load) readSlowly(rng *rand.Rand, entry *instance, until time.Time) {
+	r := l.ask(rng, entry)
+	for !r.kind.route.Inference {
+		r = l.ask(rng, entry)
+	}
+	r.ID, r.Tokens = platformtest.WidePrefix+r.ID, slowReaderTokens
+	ctx, cancel := context.WithTimeout(context.Background(), callerWait)
+	defer cancel()
+	client := &http.Client{Transport: slowTransport{newSlowTransport(), until}}
+	l.exchange(ctx, client, r, false)
+	client.CloseIdleConnections()
+}
+
+// slowTransport makes the bodies of responses slow to read until a moment.
+type slowTransport struct {
+	*http.Transport
+	until time.Time
+}
+
+func newSlowTransport() *http.Transport {
+	dialer := &net.Dialer{}
+	return &http.Transport{DisableCompression: true, DialContext: func(ctx context.Context, network, to string) (net.Conn, error) {
+		c, err := dialer.DialContext(ctx, network, to)
+		if tcp, ok := c.(*net.TCPConn); ok {
+			err = tcp.SetReadBuffer(receiveBuffer)
+		}
+		return c, err
+	}}
+}
+
+func (t slowTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := t.Transport.RoundTrip(r)
+	if err == nil {
+		resp.Body = slowBody{resp.Body, t.until}
+	}
+	return resp, err
+}
+
+type slowBody struct {
+	io.ReadCloser
+	until time.Time
+}
+
+func (b slowBody) Read(p []byte) (int, error) {
+	if time.Now().Before(b.until) {
+		time.Sleep(slowReadInterval)
+		p = p[:min(len(p), slowReadBytes)]
+	}
+	return b.ReadCloser.Read(p)
+}
--- /dev/null
+++ b/soak/capacitycheck.go
@@ -0,0 +1,173 @@
+package soak
+
+import (
+	"bufio"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/carawaystile/carawaystile/platform/platformtest"
+)
+
+const (
+	// memoryLook is the time between two looks at the memory of instances.
+	memoryLook = 250 * time.Millisecond
+	// timeoutSlack is how long after its deadline a request may still be open or start to run on
+	// a busy machine.
+	timeoutSlack = 1800 * time.Millisecond
+	// shareWindow is a time in which an organisation that sends shareLeast generations or more
+	// gets some if another one gets shareLeast.
+	shareWindow = 5 * time.Second
+	shareLeast  = 60
+)
+
+// leftGauges are the metrics of an instance that are zero once no request is open.
+var leftGauges = []string{"carawaystile_admission_waiting", "carawaystile_buffered_bytes", "carawaystile_streams_backpressured", "carawaystile_unanswered_body_bytes"}
+
+// begunRuns returns the runs that continue no other one.
+func (r *request) begunRuns() []platformtest.Run {
+	return slices.DeleteFunc(slices.Clone(r.runs), func(run platformtest.Run) bool { return run.Continued })
+}
+
+// judgeCapacity checks what is promised of the capacity decisions beyond what is promised
+// anyway.
+func (l *ledger) judgeCapacity(all []*request) {
+	for _, r := range all {
+		l.judgeContinuations(r)
+		l.judgeWait(r)
+	}
+	if !l.limited {
+		l.judgeShares(all)
+	}
+}
+
+// judgeContinuations checks that a run goes on at one endpoint at a time, and is continued once.
+func (l *ledger) judgeContinuations(r *request) {
+	continued := 0
+	for _, run := range r.runs {
+		if !run.Continued {
+			continue
+		}
+		continued++
+		if run.SourceActive {
+			l.breachLocked("a run goes on at one endpoint", r.ID, "was continued at %s while its first endpoint ran it", run.Endpoint)
+		}
+	}
+	if continued > 1 || continued > 0 && len(r.begunRuns()) == 0 {
+		l.breachLocked("a run is continued once", r.ID, "was continued %d times after %d runs", continued, len(r.begunRuns()))
+	}
+}
+
+// judgeWait checks that a request doesn't wait for capacity beyond its deadline.
+func (l *ledger) judgeWait(r *request) {
+	late := r.sent.Add(r.Timeout + timeoutSlack)
+	if r.cancelled || r.life != r.lifeEnd || l.troubled(r.sent.Add(-disruptedFor), r.done) {
+		return
+	}
+	if len(r.runs) == 0 && r.done.After(late) {
+		l.breachLocked("nothing waits beyond its deadline", r.ID, "to %s had no answer %v after it was sent", r.entry.Name, r.done.Sub(r.sent))
+	}
+	for _, run := range r.runs {
+		if run.At.After(late) {
+			l.breachLocked("nothing waits beyond its deadline", r.ID, "to %s ran %v after it was sent", r.entry.Name, run.At.Sub(r.sent))
+		}
+	}
+}
+
+// judgeShares checks that no organisation is starved while another one is served.
+func (l *ledger) judgeShares(all []*request) {
+	type count struct{ sent, served int }
+	windows := map[int64]map[string]count{}
+	for _, r := range all {
+		if r.kind.service != serviceModels || r.cancelled {
+			continue
+		}
+		n := r.sent.UnixNano() / int64(shareWindow)
+		if windows[n] == nil {
+			windows[n] = map[string]count{}
+		}
+		c := windows[n][r.Key]
+		c.sent++
+		if r.result.Complete {
+			c.served++
+		}
+		windows[n][r.Key] = c
+	}
+	for _, byKey := range windows {
+		most := 0
+		for _, c := range byKey {
+			most = max(most, c.served)
+		}
+		for key, c := range byKey {
+			if c.sent >= shareLeast && c.served == 0 && most >= shareLeast {
+				l.breachLocked("no organisation is starved", "", "%s got none of %d generations within %v, another one got %d", key, c.sent, shareWindow, most)
+			}
+		}
+	}
+}
+
+// watchMemory checks the memory of instances until it is stopped.
+func (w *world) watchMemory(stop <-chan struct{}) {
+	ticker := time.NewTicker(memoryLook)
+	defer ticker.Stop()
+	exceeded := map[*instance]bool{}
+	for {
+		select {
+		case <-stop:
+			return
+		case <-ticker.C:
+		}
+		for _, i := range w.d.instances() {
+			if peak := i.peakMemory(); peak > memoryMB<<20 && !exceeded[i] {
+				exceeded[i] = true
+				w.d.ledger.breach("memory stays within its limit", "", "%s used %d MB of %d", i.Name, peak>>20, memoryMB)
+			}
+		}
+	}
+}
+
+// checkNothingIsLeft checks that no endpoint runs and no instance holds anything once all
+// callers have gone. An endpoint that hangs may not learn that its caller has gone if its
+// connection carries nothing any more.
+func (w *world) checkNothingIsLeft() {
+	l := w.d.ledger
+	l.mu.Lock()
+	hung := l.excused(time.Time{}, time.Now(), "an endpoint hangs")
+	l.mu.Unlock()
+	if !hung && !until(func() bool { return w.d.fleet.Executing() == 0 }) {
+		l.breach("no run is left over", "", "endpoints still execute %d requests", w.d.fleet.Executing())
+	}
+	for _, i := range w.d.entries {
+		var left []string
+		if !until(func() bool { left = held(i); return len(left) == 0 }) {
+			l.breach("nothing is held for nobody", "", "%s has %s", i.Name, strings.Join(left, ", "))
+		}
+	}
+}
+
+// held returns the metrics of an instance that say that it holds something for requests, or the
+// error that hides them.
+func held(i *instance) (left []string) {
+	resp, err := checks.Get("http://" + i.at(portMetrics).String() + "/metrics")
+	if err != nil {
+		return []string{err.Error()}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return []string{resp.Status}
+	}
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		name, text, _ := strings.Cut(lines.Text(), " ")
+		family, _, _ := strings.Cut(name, "{")
+		if value, err := strconv.ParseFloat(text, 64); slices.Contains(leftGauges, family) && (err != nil || value != 0) {
+			left = append(left, lines.Text())
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return []string{err.Error()}
+	}
+	return left
+}
--- a/soak/check.go
+++ b/soak/check.go
@@ -36,6 +36,9 @@
 	l.judgePushbacks(all)
 	l.judgeAnnouncedDrains(all)
 	l.judgePoison(all)
+	if l.capacity {
+		l.judgeCapacity(all)
+	}
 	l.judgeOrders()
 }
 
@@ -51,14 +54,15 @@
 		}
 	}
 	once := r.kind.route.Kind == routes.AtMostOnce || r.kind.route.Kind == routes.Stream && !r.kind.route.Resumable
-	if once && len(r.runs) > 1 {
-		l.breachLocked("work runs at most once", r.ID, "ran at %s and at %s", r.runs[0].Endpoint, r.runs[1].Endpoint)
+	begun := r.begunRuns()
+	if once && len(begun) > 1 {
+		l.breachLocked("work runs at most once", r.ID, "ran at %s and at %s", begun[0].Endpoint, begun[1].Endpoint)
 	}
 	if once && r.result.NotExecuted() && !r.result.Forwarded && len(r.runs) > 0 {
 		l.breachLocked("what is refused has not run", r.ID, "was answered %d and ran at %s", r.result.Status, r.runs[0].Endpoint)
 	}
-	if len(r.runs) > r.kind.route.MaxAttempts {
-		l.breachLocked("attempts are bounded", r.ID, "ran %d times", len(r.runs))
+	if len(begun) > r.kind.route.MaxAttempts {
+		l.breachLocked("attempts are bounded", r.ID, "ran %d times", len(begun))
 	}
 }
 
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -46,6 +46,8 @@
 	// grace is how long a process may take to end when it is told to.
 	grace = 12 * time.Second
 	model = "m"
+	// memoryMB is the memory of an instance in MB.
+	memoryMB = 120
 	// What is allowed to be sent a second time, over all instances, in any
 	// retryWindow: a part of the requests, and retryExtra.
 	retryRatio  = 0.2
@@ -197,11 +199,14 @@
 	for n := range min(d.options.Controls, 3) {
 		fmt.Fprintf(&b, "  - %q\n", netip.AddrPortFrom(d.ip(hostInstances+n), portOperators))
 	}
-	fmt.Fprintf(&b, "tolerate_instances: %d\nmemory_mb: 120\nplatform_list: %q\n",
-		(d.options.Controls-1)/2, netip.AddrPortFrom(d.ip(hostList), portEndpoint))
+	fmt.Fprintf(&b, "tolerate_instances: %d\nmemory_mb: %d\nplatform_list: %q\n",
+		(d.options.Controls-1)/2, memoryMB, netip.AddrPortFrom(d.ip(hostList), portEndpoint))
 	b.WriteString("orders:\n  lease: 3s\n  fenced: true\n  weights_timeout: 8s\n")
 	fmt.Fprintf(&b, "retries:\n  ratio: %v\n  extra: %d\n  window: %v\n", retryRatio, retryExtra, retryWindow)
 	fmt.Fprintf(&b, "usage:\n  overage: %v\n  slack: %d\n", usageOverage, usageSlack)
+	if d.options.Capacity {
+		b.WriteString("capacity: {admission: on, stream_pauses: on, backups: on}\n")
+	}
 	b.WriteString("drain:\n  announce: 1s\n  timeout: 8s\n")
 	// A settings file is replaced whole: a process may read it at any moment.
 	temp := i.settings + ".new"
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -80,6 +80,8 @@
 	{name: "a request that crashes endpoints", outside: true, do: poison},
 	{name: "an endpoint names a rate limit", outside: true, named: true, do: nameLimit},
 	{name: "an endpoint pushes back", outside: true, named: true, do: pushBack},
+	{name: endpointsSlowedDown, outside: true, named: true, do: slowDownEndpoints},
+	{name: callersReadSlowly, outside: true, named: true, do: readSlowly},
 	{name: "a control instance misses changes", control: true, named: true, do: missChanges},
 }
 
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -39,9 +39,11 @@
 // ledger keeps what callers, operators and endpoints see. It is safe for
 // concurrent use.
 type ledger struct {
-	// timed is set if times are judged, limited if there is a rate limit.
+	// timed is set if times are judged, limited if there is a rate limit, and capacity if the
+	// capacity decisions are enabled.
 	timed     bool
 	limited   bool
+	capacity  bool
 	mu        sync.Mutex
 	requests  map[string]*request
 	documents map[uint64]*document
--- a/soak/load.go
+++ b/soak/load.go
@@ -180,7 +180,7 @@
 		ID:   fmt.Sprintf("r%x-%x", l.d.options.Seed, serial),
 		Host: host, Path: fmt.Sprintf("%s%d", k.route.Prefix, serial),
 		Body:    []byte(fmt.Sprintf("body %d %0*d", serial, rng.IntN(400), 0)),
-		Timeout: callerWait, Tokens: k.tokens,
+		Timeout: l.d.requestTimeout(), Tokens: k.tokens,
 	}}
 	r.Key = []string{keyProbe, keyProbe, keyAlone, keyCommon}[rng.IntN(4)]
 	if k.route.Inference {
--- a/soak/operators.go
+++ b/soak/operators.go
@@ -59,6 +59,9 @@
 		},
 		Limits: routes.ClientLimits{HeaderBytes: 16 << 10, BodyBytes: 4 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
 	}
+	if o.d.options.Capacity {
+		declareBackups(&c.Services[0])
+	}
 	for _, k := range kinds {
 		r := k.route
 		r.Name, r.Host = "r-"+k.name, host
--- a/soak/places.go
+++ b/soak/places.go
@@ -99,6 +99,9 @@
 	if service == serviceModels {
 		o.Slots, o.Model, o.Weights, o.EventInterval = modelSlots, model, p.d.ledger.newestWeights(), 8*time.Millisecond
 	}
+	if p.d.options.Capacity {
+		competeForCapacity(&o)
+	}
 	e, err := p.d.fleet.Start(o)
 	if err != nil {
 		return err
--- a/soak/process.go
+++ b/soak/process.go
@@ -4,6 +4,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -183,6 +185,27 @@
 	return p.life, p.command != nil && !p.asked
 }
 
+// peakMemory is the largest resident memory of the running process so far, in bytes; 0 if it is
+// not known.
+func (p *Process) peakMemory() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command == nil {
+		return 0
+	}
+	status, err := os.ReadFile("/proc/" + strconv.Itoa(p.command.Process.Pid) + "/status")
+	if err != nil {
+		return 0 // it has just ended
+	}
+	_, text, _ := strings.Cut(string(status), "VmHWM:")
+	text, _, _ = strings.Cut(text, " kB")
+	kilobytes, err := strconv.Atoi(strings.TrimSpace(text))
+	if err != nil {
+		return 0 // a process that has ended has no memory
+	}
+	return kilobytes << 10
+}
+
 // Exits is how often the process ended though nobody asked it to.
 func (p *Process) Exits() int {
 	p.mu.Lock()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -38,6 +38,9 @@
 	InForce bool
 	// LimitUse gives one organisation a rate limit below what its callers ask for.
 	LimitUse bool
+	// Capacity enables the capacity decisions of instances, has endpoints run out of slots, and
+	// adds the faults that concern these decisions if Faults is nil.
+	Capacity bool
 	// Progress is told of each fault; nil for nobody.
 	Progress func(string)
 }
@@ -49,13 +52,15 @@
 	Served, Refused, Failed, Broken int
 	// Faults is how many struck, Exits how often a process ended by itself.
 	Faults, Exits int
+	// Continued is how many runs were continued at another endpoint.
+	Continued int
 	// Acked is how many configurations were acknowledged.
 	Acked int
 }
 
 func (o *Outcome) String() string {
-	return fmt.Sprintf("%d served, %d refused, %d failed, %d broken off; %d faults, %d configurations acknowledged, %d own exits, %d breaches",
-		o.Served, o.Refused, o.Failed, o.Broken, o.Faults, o.Acked, o.Exits, len(o.Breaches))
+	return fmt.Sprintf("%d served, %d refused, %d failed, %d broken off, %d continued; %d faults, %d configurations acknowledged, %d own exits, %d breaches",
+		o.Served, o.Refused, o.Failed, o.Broken, o.Continued, o.Faults, o.Acked, o.Exits, len(o.Breaches))
 }
 
 // world is a run.
@@ -89,6 +94,9 @@
 	}
 	if o.Faults == nil {
 		o.Faults = FaultNames()
+		if o.Capacity {
+			o.Faults = append(o.Faults, capacityFaults()...)
+		}
 	}
 	if o.Progress == nil {
 		o.Progress = func(string) {}
@@ -99,6 +107,7 @@
 	}
 	defer d.close()
 	d.ledger.timed, d.ledger.limited = o.InForce, o.LimitUse
+	d.ledger.capacity = o.Capacity
 	w := &world{d: d, operators: newOperators(d)}
 	for _, i := range d.instances() {
 		if err := d.start(i); err != nil {
@@ -114,9 +123,15 @@
 	w.operators.readBack()
 	stop := make(chan struct{})
 	go d.places.revive(stop, func(err error) { d.ledger.breach("the soak works", "", "endpoint: %v", err) })
+	if o.Capacity {
+		go w.watchMemory(stop)
+	}
 	struck := w.follow(Plan(o.Seed, o.For, o.Faults))
 	w.recover()
 	w.load.end()
+	if o.Capacity {
+		w.checkNothingIsLeft()
+	}
 	w.operators.end()
 	close(stop)
 	d.ledger.judge()
@@ -247,6 +262,7 @@
 	defer l.mu.Unlock()
 	o := &Outcome{Breaches: l.breaches, Faults: faults}
 	for _, r := range l.requests {
+		o.Continued += len(r.runs) - len(r.begunRuns())
 		switch {
 		case r.cancelled:
 		case r.result.Complete:
