Soak: endpoints that refuse connections after their end, slow readers of wide streams

A proxy that accepts connections for a crashed endpoint hides its end, so that no run was continued. In the capacity mode each endpoint process has a proxy of its own, which refuses connections once the process has ended.

--- a/soak/capacity.go
+++ b/soak/capacity.go
@@ -26,17 +26,21 @@
 const (
 	// capacityFaultWeight is how often the names of the capacity faults are in the list that a
 	// plan draws from. They are about a quarter of the faults then.
-	capacityFaultWeight = 8
+	capacityFaultWeight = 5
 	// capacityShare is one in how many seeds without a stored plan enables the decisions.
 	capacityShare = 4
 
-	// Slots and times of endpoints, and the memory of an engine in tokens. The callers of six
-	// entry instances need more slots than there are. A tenth of the memory, which copies may
-	// occupy, holds several of the longest requests.
-	contendedSlots       = 3
-	contendedServiceTime = 60 * time.Millisecond
-	contendedTokens      = 400_000
-	copyTTL              = 3 * time.Second
+	// Callers of an entry instance, slots and times of engines, and their memory in tokens. The
+	// callers need more slots than there are once engines are slowed down, have crashed or serve
+	// slow readers. With 10 slots, where they do all the time, more attempts were declined than
+	// completed, which used up the retry budget, so that no run was continued. A tenth of the
+	// memory, which copies may occupy, holds several of the longest requests.
+	contendedCallers       = 12
+	contendedSlots         = 16
+	contendedServiceTime   = 60 * time.Millisecond
+	contendedEventInterval = 60 * time.Millisecond
+	contendedTokens        = 400_000
+	copyTTL                = 3 * time.Second
 	// contendedTimeout is the time within which a request must be answered. It is below
 	// callerWait, so that callers see whether a request outlives it.
 	contendedTimeout = 2 * time.Second
@@ -48,16 +52,16 @@
 	// A caller that reads slowly reads slowReadBytes each slowReadInterval. Its stream has
 	// slowReaderTokens events, more than fits into the buffers of a connection.
 	slowReaders      = 8
-	slowReaderTokens = "800,40"
+	slowReaderTokens = "800,24"
 	slowReadBytes    = 4 << 10
 	slowReadInterval = 100 * time.Millisecond
 	receiveBuffer    = 8 << 10
 )
 
 // capacityFaults lists the faults that runs with capacity decisions draw beside those of every
-// run, each with its weight.
+// run, each with its weight. Runs are continued only after endpoints have crashed.
 func capacityFaults() []string {
-	return slices.Repeat([]string{endpointsSlowedDown, callersReadSlowly}, capacityFaultWeight)
+	return slices.Repeat([]string{endpointsSlowedDown, callersReadSlowly, "crash an endpoint"}, capacityFaultWeight)
 }
 
 //go:embed testdata/seeds.txt
@@ -82,13 +86,25 @@
 	return callerWait
 }
 
+// callersPerEntry is how many callers each entry instance has.
+func (d *deployment) callersPerEntry() int {
+	if d.options.Capacity {
+		return contendedCallers
+	}
+	return usualCallers
+}
+
 // competeForCapacity changes the options of an endpoint so that requests wait for it, and that
-// it reports its slowdown and makes copies of runs.
-func competeForCapacity(o *platformtest.Options) {
+// it reports its slowdown and makes copies of runs. Its proxy refuses connections once the process
+// has ended, which is the only evidence of its end.
+func (d *deployment) competeForCapacity(o *platformtest.Options) (err error) {
 	o.ReportsSlowdown = true
 	if o.Model != "" {
-		o.Slots, o.ServiceTime, o.BackupTTL = contendedSlots, contendedServiceTime, copyTTL
+		o.Slots, o.BackupTTL = contendedSlots, copyTTL
+		o.ServiceTime, o.EventInterval = contendedServiceTime, contendedEventInterval
 	}
+	o.OnExit, err = d.network.CarryUntil(o.Address, o.Listen)
+	return err
 }
 
 // declareBackups configures a service whose engines compete for capacity and back runs up.
--- a/soak/load.go
+++ b/soak/load.go
@@ -20,8 +20,8 @@
 	callerWait = 4 * time.Second
 	// callerPause is between two requests of one caller.
 	callerPause = 15 * time.Millisecond
-	// callersPerEntry keeps an instance at some 100 requests a second.
-	callersPerEntry = 5
+	// usualCallers of an entry instance keep it at some 100 requests a second.
+	usualCallers = 5
 	// leaves is one in how many callers goes before the answer is there.
 	leaves     = 25
 	poisonPath = "/safe/poison"
@@ -78,7 +78,7 @@
 // that its balancer gave it, and keeps its connection, until that breaks.
 func startLoad(d *deployment) *load {
 	l := &load{d: d, stop: make(chan struct{})}
-	for n := range len(d.entries) * callersPerEntry {
+	for n := range len(d.entries) * d.callersPerEntry() {
 		rng := rand.New(rand.NewPCG(d.options.Seed, 100+uint64(n)))
 		l.running.Go(func() { l.call(rng) })
 	}
--- a/soak/network.go
+++ b/soak/network.go
@@ -8,6 +8,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"github.com/carawaystile/carawaystile/platform/platformtest"
 )
 
 // Condition is what happens to the bytes from one address to another.
@@ -144,9 +146,16 @@
 // Carry takes connections at an advertised address and opens one to the real
 // address for each.
 func (n *Network) Carry(advertised, real netip.AddrPort) error {
-	listener, err := net.Listen("tcp", advertised.String())
+	_, err := n.CarryUntil(advertised, real)
+	return err
+}
+
+// CarryUntil does the same until the returned function is called. From then on connections to
+// the advertised address are refused.
+func (n *Network) CarryUntil(advertised, real netip.AddrPort) (refuse func(), err error) {
+	listener, err := platformtest.Listen(advertised)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	n.mu.Lock()
 	n.closers = append(n.closers, listener)
@@ -160,7 +169,7 @@
 			go n.carry(caller, advertised.Addr(), real)
 		}
 	}()
-	return nil
+	return func() { _ = listener.Close() }, nil
 }
 
 func (n *Network) carry(caller net.Conn, to netip.Addr, real netip.AddrPort) {
--- a/soak/places.go
+++ b/soak/places.go
@@ -59,8 +59,10 @@
 			service = serviceDesk
 		}
 		advertised := netip.AddrPortFrom(p.d.ip(hostEndpoints+n), portEndpoint)
-		if err := p.d.network.Carry(advertised, netip.AddrPortFrom(advertised.Addr(), portBehind)); err != nil {
-			return err
+		if !p.d.options.Capacity { // otherwise each process has a proxy of its own
+			if err := p.d.network.Carry(advertised, netip.AddrPortFrom(advertised.Addr(), portBehind)); err != nil {
+				return err
+			}
 		}
 		p.d.zoneOf[advertised.Addr()] = n % zones
 		p.at = append(p.at, nil)
@@ -100,7 +102,9 @@
 		o.Slots, o.Model, o.Weights, o.EventInterval = modelSlots, model, p.d.ledger.newestWeights(), 8*time.Millisecond
 	}
 	if p.d.options.Capacity {
-		competeForCapacity(&o)
+		if err := p.d.competeForCapacity(&o); err != nil {
+			return err
+		}
 	}
 	e, err := p.d.fleet.Start(o)
 	if err != nil {
