Failure tests of backups, slowdowns and stream pauses; checks of the capacity mode

The plans of the stored seeds are compared with their hashes from before the capacity faults were added.

--- a/forward/admission_test.go
+++ b/forward/admission_test.go
@@ -192,6 +192,11 @@
 	t.Helper()
 	other := newHarnessWith(t, h.server.options.Now, fakeEndpoints{all: h.endpoints, servers: h.endpointServers})
 	other.enableAdmission()
+	return attachScheduler(h, other)
+}
+
+// attachScheduler has another harness's server place the harness's requests.
+func attachScheduler(h, other *harness) *testScheduler {
 	scheduler := &testScheduler{server: schedule.NewServer(other.server, h.server.options.Now)}
 	address := netip.MustParseAddrPort("127.0.0.1:1")
 	var client *schedule.Client
--- /dev/null
+++ b/soak/capacity_test.go
@@ -0,0 +1,97 @@
+package soak
+
+import (
+	"fmt"
+	"hash/fnv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/platform/platformtest"
+)
+
+// Guards against checks of the capacity decisions that find nothing, or that report what is
+// allowed.
+func TestEachBrokenCapacityPromiseIsFound(t *testing.T) {
+	check, draft := kinds[2], kinds[3]
+	continued := func(change func(r *request)) func(l *ledger) {
+		return func(l *ledger) {
+			r := sound("r1", check)
+			next := run(r, "i-2", 10.5)
+			next.Continued = true
+			r.runs = append(r.runs, next)
+			change(r)
+			l.requests[r.ID] = r
+		}
+	}
+	for name, c := range map[string]struct {
+		promise string
+		change  func(l *ledger)
+	}{
+		"a continued run": {"", continued(func(*request) {})},
+		"a run at two endpoints": {"a run goes on at one endpoint", continued(func(r *request) {
+			r.runs[1].SourceActive = true
+		})},
+		"a run continued twice": {"a run is continued once", continued(func(r *request) { r.runs = append(r.runs, r.runs[1]) })},
+		"a run begun twice":     {"work runs at most once", continued(func(r *request) { r.runs[1].Continued = false })},
+		"a request without an answer": {"nothing waits beyond its deadline", func(l *ledger) {
+			r := sound("r1", check)
+			r.runs, r.Timeout, r.done = nil, contendedTimeout, at(14)
+			r.result = platformtest.Result{}
+			l.requests[r.ID] = r
+		}},
+		"a late start": {"nothing waits beyond its deadline", func(l *ledger) {
+			r := sound("r1", draft)
+			r.runs[0].At = r.sent.Add(contendedTimeout + timeoutSlack)
+			l.requests[r.ID] = r
+		}},
+		"an organisation without a share": {"no organisation is starved", func(l *ledger) {
+			for n := range 2 * shareLeast {
+				r := sound(fmt.Sprintf("r%d", n), draft)
+				if n%2 == 0 {
+					r.Key, r.runs, r.result = keyAlone, nil, platformtest.Result{Status: 503}
+				}
+				l.requests[r.ID] = r
+			}
+		}},
+	} {
+		broken := judged(func(l *ledger) {
+			l.capacity = true
+			c.change(l)
+		})
+		if c.promise == "" {
+			assert.Equal(t, len(broken), 0, "%s: found %v", name, broken)
+			continue
+		}
+		assert.Assert(t, contains(broken, c.promise), "%s: found %v", name, broken)
+	}
+}
+
+// Guards against new kinds of faults that change the plans of the seeds that are kept.
+func TestPlansOfStoredSeedsDoNotChange(t *testing.T) {
+	for seed, want := range map[uint64]uint64{310: 0xef6980ba0d0f193f, 9301: 0xec9e8412cda586b} {
+		h := fnv.New64a()
+		_, _ = fmt.Fprint(h, Plan(seed, 30*time.Second, FaultNames()))
+		assert.Equal(t, h.Sum64(), want, "seed %d", seed)
+		assert.Assert(t, !DrawsCapacity(seed))
+	}
+	drawn := 0
+	for seed := range uint64(400) {
+		if DrawsCapacity(seed) {
+			drawn++
+		}
+	}
+	assert.Assert(t, drawn > 70 && drawn < 130, "%d", drawn)
+}
+
+// Guards against promises broken by admission, backups or pauses while instances and endpoints
+// are killed, paused and slowed down.
+func TestCapacityDecisionsBreakNoPromise(t *testing.T) {
+	outcome := play(t, Options{
+		Daemon: build(t), Seed: 50, For: 14 * time.Second, Controls: 3, Entries: 6, Capacity: true,
+		Faults: append([]string{"kill an entry", "pause an entry", "cut a zone", "lose datagrams"}, capacityFaults()...),
+	})
+	assert.Assert(t, outcome.Served > 0)
+	assert.Assert(t, outcome.Refused > 0)
+}
