--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -55,11 +55,7 @@
 			fmt.Fprintf(os.Stderr, "seed %d: %v\n", seed, err)
 			return 2
 		}
-		mode := ""
-		if o.Capacity {
-			mode = " (capacity)"
-		}
-		fmt.Printf("seed %d%s: %s\n%s", seed, mode, outcome, outcome.Report(o.Folder))
+		fmt.Printf("seed %d, capacity %t: %s\n%s", seed, o.Capacity, outcome, outcome.Report(o.Folder))
 		if len(outcome.Breaches) > 0 {
 			code = 1
 		} else if err := os.RemoveAll(o.Folder); err != nil {
--- a/soak/capacity.go
+++ b/soak/capacity.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	_ "embed"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -32,9 +31,9 @@
 
 	// Callers of an entry instance, slots and times of engines, and their memory in tokens. The
 	// callers need more slots than there are once engines are slowed down, have crashed or serve
-	// slow readers. With 10 slots, where they do all the time, more attempts were declined than
-	// completed, which used up the retry budget, so that no run was continued. A tenth of the
-	// memory, which copies may occupy, holds several of the longest requests.
+	// slow readers. With 10 slots they do all the time, and more attempts were declined than
+	// completed, whose retries left nothing of the retry budget. A tenth of the memory, which
+	// copies may occupy, holds several of the longest requests.
 	contendedCallers       = 12
 	contendedSlots         = 16
 	contendedServiceTime   = 60 * time.Millisecond
@@ -78,20 +77,12 @@
 	return rand.New(rand.NewPCG(seed, 6)).IntN(capacityShare) == 0
 }
 
-// requestTimeout is the time that callers give a request.
-func (d *deployment) requestTimeout() time.Duration {
-	if d.options.Capacity {
-		return contendedTimeout
+// byMode returns the value for runs with or without capacity decisions.
+func byMode[T any](capacity bool, contended, usual T) T {
+	if capacity {
+		return contended
 	}
-	return callerWait
-}
-
-// callersPerEntry is how many callers each entry instance has.
-func (d *deployment) callersPerEntry() int {
-	if d.options.Capacity {
-		return contendedCallers
-	}
-	return usualCallers
+	return usual
 }
 
 // competeForCapacity changes the options of an endpoint so that requests wait for it, and that
@@ -128,60 +119,43 @@
 	entry, until := s.entry(), time.Now().Add(s.long)
 	var readers sync.WaitGroup
 	for range slowReaders {
-		rng := rand.New(rand.NewPCG(s.rng.Uint64(), 7))
-		readers.Go(func() { s.load.readSlowly(rng, entry, until) })
+		r := s.load.ask(s.rng, entry)
+		for !r.kind.route.Inference {
+			r = s.load.ask(s.rng, entry)
+		}
+		r.ID, r.Tokens = platformtest.WidePrefix+r.ID, slowReaderTokens
+		readers.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), callerWait)
+			defer cancel()
+			client := &http.Client{Transport: &http.Transport{DisableCompression: true, DialContext: dialSlow(until)}}
+			s.load.exchange(ctx, client, r, false)
+			client.CloseIdleConnections()
+		})
 	}
 	readers.Wait()
 }
 
-// readSlowly sends a request for a wide stream and reads it slowly until a moment.
-func (l *load) readSlowly(rng *rand.Rand, entry *instance, until time.Time) {
-	r := l.ask(rng, entry)
-	for !r.kind.route.Inference {
-		r = l.ask(rng, entry)
-	}
-	r.ID, r.Tokens = platformtest.WidePrefix+r.ID, slowReaderTokens
-	ctx, cancel := context.WithTimeout(context.Background(), callerWait)
-	defer cancel()
-	client := &http.Client{Transport: slowTransport{newSlowTransport(), until}}
-	l.exchange(ctx, client, r, false)
-	client.CloseIdleConnections()
-}
-
-// slowTransport makes the bodies of responses slow to read until a moment.
-type slowTransport struct {
-	*http.Transport
+// slowConn is a connection that is read slowly until a moment.
+type slowConn struct {
+	*net.TCPConn
 	until time.Time
 }
 
-func newSlowTransport() *http.Transport {
-	dialer := &net.Dialer{}
-	return &http.Transport{DisableCompression: true, DialContext: func(ctx context.Context, network, to string) (net.Conn, error) {
-		c, err := dialer.DialContext(ctx, network, to)
-		if tcp, ok := c.(*net.TCPConn); ok {
-			err = tcp.SetReadBuffer(receiveBuffer)
+func dialSlow(until time.Time) func(ctx context.Context, network, to string) (net.Conn, error) {
+	return func(ctx context.Context, network, to string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, to)
+		if err != nil {
+			return nil, err
 		}
-		return c, err
-	}}
-}
-
-func (t slowTransport) RoundTrip(r *http.Request) (*http.Response, error) {
-	resp, err := t.Transport.RoundTrip(r)
-	if err == nil {
-		resp.Body = slowBody{resp.Body, t.until}
+		c := slowConn{conn.(*net.TCPConn), until}
+		return c, c.SetReadBuffer(receiveBuffer)
 	}
-	return resp, err
-}
-
-type slowBody struct {
-	io.ReadCloser
-	until time.Time
 }
 
-func (b slowBody) Read(p []byte) (int, error) {
-	if time.Now().Before(b.until) {
+func (c slowConn) Read(p []byte) (int, error) {
+	if time.Now().Before(c.until) {
 		time.Sleep(slowReadInterval)
 		p = p[:min(len(p), slowReadBytes)]
 	}
-	return b.ReadCloser.Read(p)
+	return c.TCPConn.Read(p)
 }
--- a/soak/capacitycheck.go
+++ b/soak/capacitycheck.go
@@ -66,44 +66,34 @@
 	if r.cancelled || r.life != r.lifeEnd || l.troubled(r.sent.Add(-disruptedFor), r.done) {
 		return
 	}
-	if len(r.runs) == 0 && r.done.After(late) {
-		l.breachLocked("nothing waits beyond its deadline", r.ID, "to %s had no answer %v after it was sent", r.entry.Name, r.done.Sub(r.sent))
-	}
-	for _, run := range r.runs {
-		if run.At.After(late) {
-			l.breachLocked("nothing waits beyond its deadline", r.ID, "to %s ran %v after it was sent", r.entry.Name, run.At.Sub(r.sent))
-		}
+	ranLate := slices.ContainsFunc(r.runs, func(run platformtest.Run) bool { return !run.At.Before(late) })
+	if ranLate || len(r.runs) == 0 && r.done.After(late) {
+		l.breachLocked("nothing waits beyond its deadline", r.ID, "to %s began to run or had no answer %v after it was sent", r.entry.Name, late.Sub(r.sent))
 	}
 }
 
 // judgeShares checks that no organisation is starved while another one is served.
 func (l *ledger) judgeShares(all []*request) {
-	type count struct{ sent, served int }
-	windows := map[int64]map[string]count{}
+	type slot struct {
+		window int64
+		key    string
+	}
+	sent, served, most := map[slot]int{}, map[slot]int{}, map[int64]int{}
 	for _, r := range all {
 		if r.kind.service != serviceModels || r.cancelled {
 			continue
 		}
-		n := r.sent.UnixNano() / int64(shareWindow)
-		if windows[n] == nil {
-			windows[n] = map[string]count{}
-		}
-		c := windows[n][r.Key]
-		c.sent++
+		at := slot{r.sent.UnixNano() / int64(shareWindow), r.Key}
+		sent[at]++
 		if r.result.Complete {
-			c.served++
+			served[at]++
+			most[at.window] = max(most[at.window], served[at])
 		}
-		windows[n][r.Key] = c
 	}
-	for _, byKey := range windows {
-		most := 0
-		for _, c := range byKey {
-			most = max(most, c.served)
-		}
-		for key, c := range byKey {
-			if c.sent >= shareLeast && c.served == 0 && most >= shareLeast {
-				l.breachLocked("no organisation is starved", "", "%s got none of %d generations within %v, another one got %d", key, c.sent, shareWindow, most)
-			}
+	for at, n := range sent {
+		if n >= shareLeast && served[at] == 0 && most[at.window] >= shareLeast {
+			l.breachLocked("no organisation is starved", "", "%s got none of %d generations within %v, another one got %d",
+				at.key, n, shareWindow, most[at.window])
 		}
 	}
 }
--- a/soak/load.go
+++ b/soak/load.go
@@ -78,7 +78,7 @@
 // that its balancer gave it, and keeps its connection, until that breaks.
 func startLoad(d *deployment) *load {
 	l := &load{d: d, stop: make(chan struct{})}
-	for n := range len(d.entries) * d.callersPerEntry() {
+	for n := range len(d.entries) * byMode(d.options.Capacity, contendedCallers, usualCallers) {
 		rng := rand.New(rand.NewPCG(d.options.Seed, 100+uint64(n)))
 		l.running.Go(func() { l.call(rng) })
 	}
@@ -180,7 +180,7 @@
 		ID:   fmt.Sprintf("r%x-%x", l.d.options.Seed, serial),
 		Host: host, Path: fmt.Sprintf("%s%d", k.route.Prefix, serial),
 		Body:    []byte(fmt.Sprintf("body %d %0*d", serial, rng.IntN(400), 0)),
-		Timeout: l.d.requestTimeout(), Tokens: k.tokens,
+		Timeout: byMode(l.d.options.Capacity, contendedTimeout, callerWait), Tokens: k.tokens,
 	}}
 	r.Key = []string{keyProbe, keyProbe, keyAlone, keyCommon}[rng.IntN(4)]
 	if k.route.Inference {
