Soak: connections that break at the instance only, longer streams that may not be resumed

The check that a run goes on at one endpoint found nothing: streams ended within the 400 ms for which the first run may go on, and a reset connection ended the run at the endpoint too. A rejection with 503 or 429 of any kind of request now counts as broken promise if it has run.

--- a/soak/capacity.go
+++ b/soak/capacity.go
@@ -20,11 +20,12 @@
 const (
 	endpointsSlowedDown = "endpoints are slowed down"
 	callersReadSlowly   = "callers read slowly"
+	callersReset        = "connections are reset at one end"
 )
 
 const (
 	// capacityFaultWeight is how often the names of the capacity faults are in the list that a
-	// plan draws from. They are about a quarter of the faults then.
+	// plan draws from. They are about a third of the faults then.
 	capacityFaultWeight = 5
 	// capacityShare is one in how many seeds without a stored plan enables the decisions.
 	capacityShare = 4
@@ -40,6 +41,9 @@
 	contendedEventInterval = 60 * time.Millisecond
 	contendedTokens        = 400_000
 	copyTTL                = 3 * time.Second
+	// contendedOnceTokens are those of streams that may not be resumed. They run long enough to
+	// show that a run goes on for 400 ms after it was continued elsewhere.
+	contendedOnceTokens = "9000,16"
 	// contendedTimeout is the time within which a request must be answered. It is below
 	// callerWait, so that callers see whether a request outlives it.
 	contendedTimeout = 2 * time.Second
@@ -58,9 +62,10 @@
 )
 
 // capacityFaults lists the faults that runs with capacity decisions draw beside those of every
-// run, each with its weight. Runs are continued only after endpoints have crashed.
+// run, each with its weight. Runs are continued only after endpoints have crashed, and must not be
+// after a connection has broken at the instance while the endpoint goes on.
 func capacityFaults() []string {
-	return slices.Repeat([]string{endpointsSlowedDown, callersReadSlowly, "crash an endpoint"}, capacityFaultWeight)
+	return slices.Repeat([]string{endpointsSlowedDown, callersReadSlowly, callersReset, "crash an endpoint"}, capacityFaultWeight)
 }
 
 //go:embed testdata/seeds.txt
--- a/soak/capacitycheck.go
+++ b/soak/capacitycheck.go
@@ -37,6 +37,10 @@
 	for _, r := range all {
 		l.judgeContinuations(r)
 		l.judgeWait(r)
+		refused := r.result.Status == http.StatusServiceUnavailable || r.result.Status == http.StatusTooManyRequests
+		if refused && !r.result.Forwarded && len(r.runs) > 0 {
+			l.breachLocked("what is refused has not run", r.ID, "was answered %d and ran at %s", r.result.Status, r.runs[0].Endpoint)
+		}
 	}
 	if !l.limited {
 		l.judgeShares(all)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -81,6 +81,7 @@
 	{name: "an endpoint names a rate limit", outside: true, named: true, do: nameLimit},
 	{name: "an endpoint pushes back", outside: true, named: true, do: pushBack},
 	{name: endpointsSlowedDown, outside: true, named: true, do: slowDownEndpoints},
+	{name: callersReset, named: true, do: func(s *strike) { s.disrupted(func() { s.d.network.ResetCallers(s.oneAddress()) }) }},
 	{name: callersReadSlowly, outside: true, named: true, do: readSlowly},
 	{name: "a control instance misses changes", control: true, named: true, do: missChanges},
 }
--- a/soak/load.go
+++ b/soak/load.go
@@ -184,6 +184,9 @@
 	}}
 	r.Key = []string{keyProbe, keyProbe, keyAlone, keyCommon}[rng.IntN(4)]
 	if k.route.Inference {
+		if l.d.options.Capacity && !k.route.Resumable {
+			r.Tokens = contendedOnceTokens
+		}
 		r.Model = model
 		r.Prefix = fmt.Sprintf("b%d:2000,c%d:600,u%d:40", rng.IntN(2), rng.IntN(8), serial)
 	}
--- a/soak/network.go
+++ b/soak/network.go
@@ -136,6 +136,13 @@
 	n.each(matches, func(c *carried) { c.once.Do(func() { close(c.muted) }) })
 }
 
+// ResetCallers breaks the open connections of the pairs that match for those who opened them only.
+// The other ends go on as if everything arrived.
+func (n *Network) ResetCallers(matches func(from, to netip.Addr) bool) {
+	n.Mute(matches)
+	n.each(matches, func(c *carried) { reset(c.caller) })
+}
+
 func reset(c net.Conn) {
 	if tcp, ok := c.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
