--- a/soak/capacity.go
+++ b/soak/capacity.go
@@ -16,13 +16,6 @@
 	"github.com/carawaystile/carawaystile/routes"
 )
 
-// Names of the faults that concern the capacity decisions.
-const (
-	endpointsSlowedDown = "endpoints are slowed down"
-	callersReadSlowly   = "callers read slowly"
-	callersReset        = "connections are reset at one end"
-)
-
 const (
 	// capacityFaultWeight is how often the names of the capacity faults are in the list that a
 	// plan draws from. They are about a third of the faults then.
@@ -35,12 +28,11 @@
 	// slow readers. With 10 slots they do all the time, and more attempts were declined than
 	// completed, whose retries left nothing of the retry budget. A tenth of the memory, which
 	// copies may occupy, holds several of the longest requests.
-	contendedCallers       = 12
-	contendedSlots         = 16
-	contendedServiceTime   = 60 * time.Millisecond
-	contendedEventInterval = 60 * time.Millisecond
-	contendedTokens        = 400_000
-	copyTTL                = 3 * time.Second
+	contendedCallers = 12
+	contendedSlots   = 16
+	contendedTime    = 60 * time.Millisecond // to the first event, and between two events
+	contendedTokens  = 400_000
+	copyTTL          = 3 * time.Second
 	// contendedOnceTokens are those of streams that may not be resumed. They run long enough to
 	// show that a run goes on for 400 ms after it was continued elsewhere.
 	contendedOnceTokens = "9000,16"
@@ -65,7 +57,8 @@
 // run, each with its weight. Runs are continued only after endpoints have crashed, and must not be
 // after a connection has broken at the instance while the endpoint goes on.
 func capacityFaults() []string {
-	return slices.Repeat([]string{endpointsSlowedDown, callersReadSlowly, callersReset, "crash an endpoint"}, capacityFaultWeight)
+	names := []string{"endpoints are slowed down", "callers read slowly", "connections are reset at one end", "crash an endpoint"}
+	return slices.Repeat(names, capacityFaultWeight)
 }
 
 //go:embed testdata/seeds.txt
@@ -74,20 +67,8 @@
 // DrawsCapacity reports whether a run of the seed enables the capacity decisions if nothing else
 // is asked for. Runs of stored seeds don't.
 func DrawsCapacity(seed uint64) bool {
-	for line := range strings.Lines(storedSeeds) {
-		if strings.HasPrefix(line, strconv.FormatUint(seed, 10)+" ") {
-			return false
-		}
-	}
-	return rand.New(rand.NewPCG(seed, 6)).IntN(capacityShare) == 0
-}
-
-// byMode returns the value for runs with or without capacity decisions.
-func byMode[T any](capacity bool, contended, usual T) T {
-	if capacity {
-		return contended
-	}
-	return usual
+	stored := strings.Contains("\n"+storedSeeds, "\n"+strconv.FormatUint(seed, 10)+" ")
+	return !stored && rand.New(rand.NewPCG(seed, 6)).IntN(capacityShare) == 0
 }
 
 // competeForCapacity changes the options of an endpoint so that requests wait for it, and that
@@ -96,8 +77,7 @@
 func (d *deployment) competeForCapacity(o *platformtest.Options) (err error) {
 	o.ReportsSlowdown = true
 	if o.Model != "" {
-		o.Slots, o.BackupTTL = contendedSlots, copyTTL
-		o.ServiceTime, o.EventInterval = contendedServiceTime, contendedEventInterval
+		o.Slots, o.BackupTTL, o.ServiceTime, o.EventInterval = contendedSlots, copyTTL, contendedTime, contendedTime
 	}
 	o.OnExit, err = d.network.CarryUntil(o.Address, o.Listen)
 	return err
@@ -132,7 +112,8 @@
 		readers.Go(func() {
 			ctx, cancel := context.WithTimeout(context.Background(), callerWait)
 			defer cancel()
-			client := &http.Client{Transport: &http.Transport{DisableCompression: true, DialContext: dialSlow(until)}}
+			client := newCaller()
+			client.Transport.(*http.Transport).DialContext = dialSlow(until)
 			s.load.exchange(ctx, client, r, false)
 			client.CloseIdleConnections()
 		})
--- a/soak/capacitycheck.go
+++ b/soak/capacitycheck.go
@@ -102,11 +102,10 @@
 	}
 }
 
-// watchMemory checks the memory of instances until it is stopped.
+// watchMemory checks the memory of instances until one exceeds its limit or it is stopped.
 func (w *world) watchMemory(stop <-chan struct{}) {
 	ticker := time.NewTicker(memoryLook)
 	defer ticker.Stop()
-	exceeded := map[*instance]bool{}
 	for {
 		select {
 		case <-stop:
@@ -114,9 +113,9 @@
 		case <-ticker.C:
 		}
 		for _, i := range w.d.instances() {
-			if peak := i.peakMemory(); peak > memoryMB<<20 && !exceeded[i] {
-				exceeded[i] = true
+			if peak := i.peakMemory(); peak > memoryMB<<20 {
 				w.d.ledger.breach("memory stays within its limit", "", "%s used %d MB of %d", i.Name, peak>>20, memoryMB)
+				return
 			}
 		}
 	}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -80,9 +80,9 @@
 	{name: "a request that crashes endpoints", outside: true, do: poison},
 	{name: "an endpoint names a rate limit", outside: true, named: true, do: nameLimit},
 	{name: "an endpoint pushes back", outside: true, named: true, do: pushBack},
-	{name: endpointsSlowedDown, outside: true, named: true, do: slowDownEndpoints},
-	{name: callersReset, named: true, do: func(s *strike) { s.disrupted(func() { s.d.network.ResetCallers(s.oneAddress()) }) }},
-	{name: callersReadSlowly, outside: true, named: true, do: readSlowly},
+	{name: "endpoints are slowed down", outside: true, named: true, do: slowDownEndpoints},
+	{name: "connections are reset at one end", named: true, do: func(s *strike) { s.disrupted(func() { s.d.network.ResetCallers(s.oneAddress()) }) }},
+	{name: "callers read slowly", outside: true, named: true, do: readSlowly},
 	{name: "a control instance misses changes", control: true, named: true, do: missChanges},
 }
 
--- a/soak/load.go
+++ b/soak/load.go
@@ -78,7 +78,11 @@
 // that its balancer gave it, and keeps its connection, until that breaks.
 func startLoad(d *deployment) *load {
 	l := &load{d: d, stop: make(chan struct{})}
-	for n := range len(d.entries) * byMode(d.options.Capacity, contendedCallers, usualCallers) {
+	callers := usualCallers
+	if d.options.Capacity {
+		callers = contendedCallers
+	}
+	for n := range len(d.entries) * callers {
 		rng := rand.New(rand.NewPCG(d.options.Seed, 100+uint64(n)))
 		l.running.Go(func() { l.call(rng) })
 	}
@@ -180,13 +184,16 @@
 		ID:   fmt.Sprintf("r%x-%x", l.d.options.Seed, serial),
 		Host: host, Path: fmt.Sprintf("%s%d", k.route.Prefix, serial),
 		Body:    []byte(fmt.Sprintf("body %d %0*d", serial, rng.IntN(400), 0)),
-		Timeout: byMode(l.d.options.Capacity, contendedTimeout, callerWait), Tokens: k.tokens,
+		Timeout: callerWait, Tokens: k.tokens,
 	}}
 	r.Key = []string{keyProbe, keyProbe, keyAlone, keyCommon}[rng.IntN(4)]
-	if k.route.Inference {
-		if l.d.options.Capacity && !k.route.Resumable {
+	if l.d.options.Capacity {
+		r.Timeout = contendedTimeout
+		if k.route.Inference && !k.route.Resumable {
 			r.Tokens = contendedOnceTokens
 		}
+	}
+	if k.route.Inference {
 		r.Model = model
 		r.Prefix = fmt.Sprintf("b%d:2000,c%d:600,u%d:40", rng.IntN(2), rng.IntN(8), serial)
 	}
--- a/soak/process.go
+++ b/soak/process.go
@@ -194,15 +194,11 @@
 		return 0
 	}
 	status, err := os.ReadFile("/proc/" + strconv.Itoa(p.command.Process.Pid) + "/status")
-	if err != nil {
+	_, text, found := strings.Cut(string(status), "VmHWM:")
+	if err != nil || !found {
 		return 0 // it has just ended
 	}
-	_, text, _ := strings.Cut(string(status), "VmHWM:")
-	text, _, _ = strings.Cut(text, " kB")
-	kilobytes, err := strconv.Atoi(strings.TrimSpace(text))
-	if err != nil {
-		return 0 // a process that has ended has no memory
-	}
+	kilobytes, _ := strconv.Atoi(strings.Fields(text)[0])
 	return kilobytes << 10
 }
 
