--- a/soak/capacity.go
+++ b/soak/capacity.go
@@ -41,16 +41,14 @@
 	contendedTimeout = 2 * time.Second
 
 	// Slowdowns in percent, and how many endpoints are slowed down at once at most.
-	leastSlowdown, mostSlowdown = 250, 1000
-	mostSlowed                  = 4
+	leastSlowdown, mostSlowdown, mostSlowed = 250, 1000, 4
 
 	// A caller that reads slowly reads slowReadBytes each slowReadInterval. Its stream has
 	// slowReaderTokens events, more than fits into the buffers of a connection.
-	slowReaders      = 8
-	slowReaderTokens = "800,24"
-	slowReadBytes    = 4 << 10
-	slowReadInterval = 100 * time.Millisecond
-	receiveBuffer    = 8 << 10
+	slowReaders                  = 8
+	slowReaderTokens             = "800,24"
+	slowReadBytes, receiveBuffer = 4 << 10, 8 << 10
+	slowReadInterval             = 100 * time.Millisecond
 )
 
 // capacityFaults lists the faults that runs with capacity decisions draw beside those of every
