Merge the capacity mode of the soak and the failure tests of the capacity parts

Cause: the soak ran no deployment with the capacity decisions on, and backups, slowdowns and pauses had no tests with an instance killed, frozen or cut off.

--- a/soak/load.go
+++ b/soak/load.go
@@ -20,8 +20,8 @@
 	callerWait = 4 * time.Second
 	// callerPause is between two requests of one caller.
 	callerPause = 15 * time.Millisecond
-	// callersPerEntry keeps an instance at some 100 requests a second.
-	callersPerEntry = 5
+	// usualCallers of an entry instance keep it at some 100 requests a second.
+	usualCallers = 5
 	// leaves is one in how many callers goes before the answer is there.
 	leaves     = 25
 	poisonPath = "/safe/poison"
@@ -78,7 +78,11 @@
 // that its balancer gave it, and keeps its connection, until that breaks.
 func startLoad(d *deployment) *load {
 	l := &load{d: d, stop: make(chan struct{})}
-	for n := range len(d.entries) * callersPerEntry {
+	callers := usualCallers
+	if d.options.Capacity {
+		callers = contendedCallers
+	}
+	for n := range len(d.entries) * callers {
 		rng := rand.New(rand.NewPCG(d.options.Seed, 100+uint64(n)))
 		l.running.Go(func() { l.call(rng) })
 	}
@@ -183,6 +187,12 @@
 		Timeout: callerWait, Tokens: k.tokens,
 	}}
 	r.Key = []string{keyProbe, keyProbe, keyAlone, keyCommon}[rng.IntN(4)]
+	if l.d.options.Capacity {
+		r.Timeout = contendedTimeout
+		if k.route.Inference && !k.route.Resumable {
+			r.Tokens = contendedOnceTokens
+		}
+	}
 	if k.route.Inference {
 		r.Model = model
 		r.Prefix = fmt.Sprintf("b%d:2000,c%d:600,u%d:40", rng.IntN(2), rng.IntN(8), serial)
--- a/soak/network.go
+++ b/soak/network.go
@@ -8,6 +8,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"github.com/carawaystile/carawaystile/platform/platformtest"
 )
 
 // Condition is what happens to the bytes from one address to another.
@@ -134,6 +136,13 @@
 	n.each(matches, func(c *carried) { c.once.Do(func() { close(c.muted) }) })
 }
 
+// ResetCallers breaks the open connections of the pairs that match for those who opened them only.
+// The other ends go on as if everything arrived.
+func (n *Network) ResetCallers(matches func(from, to netip.Addr) bool) {
+	n.Mute(matches)
+	n.each(matches, func(c *carried) { reset(c.caller) })
+}
+
 func reset(c net.Conn) {
 	if tcp, ok := c.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
@@ -144,9 +153,16 @@
 // Carry takes connections at an advertised address and opens one to the real
 // address for each.
 func (n *Network) Carry(advertised, real netip.AddrPort) error {
-	listener, err := net.Listen("tcp", advertised.String())
+	_, err := n.CarryUntil(advertised, real)
+	return err
+}
+
+// CarryUntil does the same until the returned function is called. From then on connections to
+// the advertised address are refused.
+func (n *Network) CarryUntil(advertised, real netip.AddrPort) (refuse func(), err error) {
+	listener, err := platformtest.Listen(advertised)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	n.mu.Lock()
 	n.closers = append(n.closers, listener)
@@ -160,7 +176,7 @@
 			go n.carry(caller, advertised.Addr(), real)
 		}
 	}()
-	return nil
+	return func() { _ = listener.Close() }, nil
 }
 
 func (n *Network) carry(caller net.Conn, to netip.Addr, real netip.AddrPort) {
--- a/soak/process.go
+++ b/soak/process.go
@@ -4,6 +4,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -183,6 +185,23 @@
 	return p.life, p.command != nil && !p.asked
 }
 
+// peakMemory is the largest resident memory of the running process so far, in bytes; 0 if it is
+// not known.
+func (p *Process) peakMemory() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command == nil {
+		return 0
+	}
+	status, err := os.ReadFile("/proc/" + strconv.Itoa(p.command.Process.Pid) + "/status")
+	_, text, found := strings.Cut(string(status), "VmHWM:")
+	if err != nil || !found {
+		return 0 // it has just ended
+	}
+	kilobytes, _ := strconv.Atoi(strings.Fields(text)[0])
+	return kilobytes << 10
+}
+
 // Exits is how often the process ended though nobody asked it to.
 func (p *Process) Exits() int {
 	p.mu.Lock()
