Share capacity among organisations over all instances

Cause: an instance orders organisations by what it has started itself.

Change: package shares adds up the running totals of instances, placers and zones (Totals) and computes what to charge (Charges). Questions, answers and datagrams carry the totals while requests wait. A placer also holds back requests of organisations that have had more while requests of others wait: charges order only what waits at one instance, and most instances have few waiting requests.

Ruled out: charges alone (with few waiting requests an instance has nothing to order); shorter queues for organisations that lead (a queue shortens by a whole prompt at once, so the limits do not tell them apart).

--- a/control/gossip/gossip.go
+++ b/control/gossip/gossip.go
@@ -53,6 +53,9 @@
 	OnRelay func([]membership.Placement)
 	// OnLoad is called with each load that another instance announced.
 	OnLoad func(membership.Load)
+	// OnOrganisationCost is called with each total of an organisation's cost that another instance
+	// has sent.
+	OnOrganisationCost func(membership.OrganisationCost)
 	// OnSchedule is called with a message between an entry instance and a
 	// scheduler. It runs on the goroutine that reads the socket, so it must not
 	// block for long.
@@ -184,6 +187,20 @@
 	})
 }
 
+// SendOrganisationCosts sends totals of this instance to the instances that receive its hints.
+func (g *Gossip) SendOrganisationCosts(costs []membership.OrganisationCost) {
+	g.update(func(m *membership.Membership, now tables.Instant) membership.Output {
+		return m.SendOrganisationCosts(now, costs)
+	})
+}
+
+// SendOrganisationCostsToOtherZones sends totals of this zone to the schedulers of the others.
+func (g *Gossip) SendOrganisationCostsToOtherZones(costs []membership.OrganisationCost) {
+	g.update(func(m *membership.Membership, now tables.Instant) membership.Output {
+		return m.SendOrganisationCostsToOtherZones(now, costs)
+	})
+}
+
 // RemoteSchedulerCount returns the number of schedulers in other zones.
 func (g *Gossip) RemoteSchedulerCount() int {
 	g.mu.Lock()
@@ -333,6 +350,11 @@
 			g.options.OnLoad(l)
 		}
 	}
+	if g.options.OnOrganisationCost != nil {
+		for _, c := range out.Hints.Costs {
+			g.options.OnOrganisationCost(c)
+		}
+	}
 }
 
 func (g *Gossip) tickLoop() {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -73,6 +73,15 @@
 	// SaturatedFor is set by Place with the reason Saturated: the time until the queue of an
 	// endpoint is short enough.
 	SaturatedFor time.Duration
+	// Organisation is the caller's organisation, and OrganisationCost the running total of the cost
+	// that the instance Asker has started for it, in prompt and output tokens. They are set only
+	// while requests wait for capacity.
+	Organisation     string
+	OrganisationCost uint64
+	Asker            tables.InstanceID
+	// OthersCost is set by the instance that places the request: the running total of the cost that
+	// all instances except the asking one have started for the organisation; 0 if unknown.
+	OthersCost uint64
 	// WantsBackup is set if the request's memory should be backed up at another endpoint.
 	WantsBackup bool
 	// Remote is set for a request that this instance places for another one, which counts
--- a/dispatch/saturation.go
+++ b/dispatch/saturation.go
@@ -211,6 +211,13 @@
 // unsharedTokens returns the length of the prompt without the parts that other requests share.
 func (r *Request) unsharedTokens() float64 { return float64(max(0, r.PromptTokens-r.sharedTokens())) }
 
+// PrefillCapacity returns the prompt tokens that the known endpoints of a service compute in a
+// second, by their usual speed.
+func (d *Dispatcher) PrefillCapacity(service string) float64 {
+	const millisecondsPerSecond = 1000
+	return float64(len(d.services[service])) * d.averagesOf(service).prefillRate() * millisecondsPerSecond
+}
+
 // LeastPrefillTime returns the time that an engine of the request's service usually takes to
 // compute the part of the prompt that no other request shares. The whole prefill takes at least
 // as long.
--- a/forward/admission.go
+++ b/forward/admission.go
@@ -27,10 +27,13 @@
 	queues map[string]*serviceQueue
 	// limit bounds the questions of all queues; nil if there are no schedulers to ask.
 	limit *questionLimit
+	// shares exchanges with other instances what was started.
+	shares *sharedCosts
 }
 
 func newAdmissionControl(o *Options) *admissionControl {
 	a := &admissionControl{now: o.Now, log: o.Log, metrics: newAdmissionMetrics(o.Registry), queues: map[string]*serviceQueue{}}
+	a.shares = &sharedCosts{log: o.Log, metrics: a.metrics}
 	if o.Scheduler != nil {
 		a.limit = newQuestionLimit()
 	}
@@ -47,13 +50,14 @@
 	// request last found no capacity, and rejected counts the rejections since saturatedSince.
 	saturatedSince, lastFullAt tables.Instant
 	rejected                   int
+	shares                     *sharedCosts
 }
 
 // queue returns the queue of a service. The caller holds mu.
 func (a *admissionControl) queue(service string) *serviceQueue {
 	q := a.queues[service]
 	if q == nil {
-		q = &serviceQueue{waitQueue: newWaitQueue(), service: service}
+		q = &serviceQueue{waitQueue: newWaitQueue(), service: service, shares: a.shares}
 		q.limit = a.limit
 		q.timer = time.AfterFunc(time.Hour, func() { a.update(service, func(*serviceQueue, tables.Instant) {}) })
 		q.timer.Stop()
@@ -90,6 +94,13 @@
 	return a.queue(service).len() > 0
 }
 
+// isSaturated reports whether a service is saturated.
+func (a *admissionControl) isSaturated(service string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.queue(service).saturatedSince > 0
+}
+
 // takeQuestion counts a question of a request that is not in a queue, and reports whether it may be
 // asked.
 func (a *admissionControl) takeQuestion(w *waiter) bool {
@@ -121,6 +132,7 @@
 func (q *serviceQueue) chargeIfSaturated(now tables.Instant, w *waiter) {
 	if q.saturatedSince > 0 {
 		q.charge(now, w)
+		q.shares.started(now, q.service, w)
 	}
 }
 
@@ -209,6 +221,7 @@
 		// The charge is gone if the service has not been saturated meanwhile.
 		if q.saturatedSince > 0 && q.saturatedSince <= c.admitted.chargedAt {
 			q.refund(now, c.admitted)
+			c.server.shares.refunded(q.service, c.admitted)
 		}
 	})
 }
@@ -245,6 +258,7 @@
 			case answer.placement != nil:
 				c.endWait(now, w, "")
 				q.placed(now, w)
+				a.shares.started(now, service, w)
 			case answer.full():
 				a.recordFull(q, now, w, answer)
 			default:
--- a/forward/server.go
+++ b/forward/server.go
@@ -117,6 +117,7 @@
 	crashDetector *quarantine.Detector
 
 	admission     *admissionControl
+	shares        *sharedCosts
 	healthChecker *healthChecker
 	// pauseReports limits the rate of log lines on pauses of streams.
 	pauseReports pauseReports
@@ -151,6 +152,7 @@
 		admission:     newAdmissionControl(&o),
 		buffers:       buffers{budget: bufferbudget.New(o.MaxBufferedBytes), writeTimeout: eventWriteTimeout},
 	}
+	s.shares = s.admission.shares
 	s.blockedWrites = blockedWrites{server: s, streams: map[*streamRelay]struct{}{}}
 	s.healthChecker = newHealthChecker(s)
 	s.registerGauges(o.Registry)
--- /dev/null
+++ b/forward/shares.go
@@ -0,0 +1,198 @@
+package forward
+
+import (
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/carawaystile/carawaystile/dispatch"
+	"github.com/carawaystile/carawaystile/events"
+	"github.com/carawaystile/carawaystile/systems/shares"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+const (
+	// yieldRetryInterval is the wait that is named to a request that has to wait for those of
+	// organisations that have had less. It is that of a request that was named none.
+	yieldRetryInterval = placementRetryInterval
+	// maxStartFactor is the greatest cost that is expected to start for each token that engines
+	// compute of prompts. Parts of prompts that engines hold, and output tokens, count as cost too;
+	// with a hit rate of three quarters the factor is four.
+	maxStartFactor = 4
+	// largestLogInterval is the least time between two log lines on the largest organisation of a
+	// service.
+	largestLogInterval = time.Second
+)
+
+// sharedCosts shares capacity among organisations over all instances. It is safe for concurrent
+// use.
+type sharedCosts struct {
+	log     *zap.Logger
+	metrics *admissionMetrics
+
+	mu      sync.Mutex
+	totals  shares.Totals
+	charges shares.Charges
+	// loggedAt is when the largest organisation of a service was last logged.
+	loggedAt map[string]tables.Instant
+}
+
+// shareKey returns under which key a request shares capacity.
+func shareKey(r *dispatch.Request) shares.Key {
+	target := r.Route.TargetLatency
+	if target <= 0 {
+		target = defaultLatencyTarget
+	}
+	w := waiter{priority: r.Priority, lessUrgent: target > r.UrgentTarget}
+	return shares.Key{Service: r.Service.Name, Organisation: r.Organisation, Class: w.class()}
+}
+
+// requestCost returns the cost of a request in tokens.
+func requestCost(r *dispatch.Request) uint64 { return uint64(max(1, r.PromptTokens+r.OutputTokens)) }
+
+// placeShared places a request that names its organisation, unless it has to wait for those of
+// organisations that have had less.
+func (s *Server) placeShared(r *dispatch.Request) (*dispatch.Attempt, dispatch.RejectReason) {
+	c, key, now := s.shares, shareKey(r), s.options.Now()
+	need := shares.Request{Model: r.Model, Tokens: int(requestCost(r))}
+	c.mu.Lock()
+	if r.Asker != "" {
+		c.totals.RecordInstance(now, key, r.Asker, r.OrganisationCost)
+	}
+	yields := c.totals.Yields(now, key, need)
+	c.mu.Unlock()
+	var attempt *dispatch.Attempt
+	reason := dispatch.Saturated
+	if yields {
+		r.SaturatedFor = yieldRetryInterval
+	} else {
+		attempt, reason = s.placeHere(r)
+	}
+	isRetry := len(r.Tried) > 0 || r.DeliveredAttempts > 0
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case attempt != nil:
+		c.totals.Placed(now, key, requestCost(r))
+	case yields || isRetry:
+		// A retry may not go to some endpoints, so its failure says nothing of others.
+	case reason == dispatch.Saturated, reason == dispatch.NoCapacity:
+		c.totals.Refused(now, key, need, reason == dispatch.NoCapacity)
+		c.logLargest(now, key.Service)
+	}
+	r.OthersCost = c.totals.Others(key, r.OrganisationCost)
+	return attempt, reason
+}
+
+// logLargest logs the organisation with the largest share of a saturated service. The caller holds
+// mu.
+func (c *sharedCosts) logLargest(now tables.Instant, service string) {
+	if at, logged := c.loggedAt[service]; logged && now-at < largestLogInterval {
+		return
+	}
+	if c.loggedAt == nil {
+		c.loggedAt = map[string]tables.Instant{}
+	}
+	c.loggedAt[service] = now
+	if key, share, known := c.totals.Largest(now, service); known {
+		events.LargestShare.Log(c.log, zap.String("service", service), zap.String("organisation", key.Organisation),
+			zap.Int("priority", key.Class/classesPerPriority), zap.Float64("share", share))
+	}
+}
+
+// setOrganisation names the organisation in the request's next question if the service is
+// saturated.
+func (c *clientRequest) setOrganisation() {
+	r := &c.dispatchRequest
+	r.Organisation, r.OrganisationCost, r.OthersCost = "", 0, 0
+	if !c.server.admission.isSaturated(c.service.Name) {
+		return
+	}
+	r.Organisation = string(c.organisationID())
+	shared := c.server.shares
+	shared.mu.Lock()
+	defer shared.mu.Unlock()
+	r.OrganisationCost = shared.charges.Own(shareKey(r))
+}
+
+// chargeOthers charges the organisation for what other instances have started for it, by the answer
+// to the request's last question.
+func (c *clientRequest) chargeOthers(w *waiter) {
+	r := &c.dispatchRequest
+	if r.Organisation == "" || r.OthersCost == 0 {
+		return
+	}
+	s := c.server
+	s.mu.Lock()
+	maxRate := maxStartFactor * s.dispatch.PrefillCapacity(c.service.Name)
+	s.mu.Unlock()
+	now, shared := c.now(), s.shares
+	shared.mu.Lock()
+	cost := shared.charges.Answered(now, shareKey(r), r.OthersCost, maxRate)
+	shared.mu.Unlock()
+	if cost > 0 {
+		shared.metrics.countOthers(w, cost)
+		s.admission.update(c.service.Name, func(q *serviceQueue, _ tables.Instant) {
+			if q.saturatedSince > 0 {
+				q.chargeOthers(w, cost)
+			}
+		})
+	}
+}
+
+// started counts a request of a saturated service towards the totals that this instance names. It
+// does nothing on the nil value.
+func (c *sharedCosts) started(now tables.Instant, service string, w *waiter) {
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.charges.Started(now, shares.Key{Service: service, Organisation: w.organisation, Class: w.class()}, uint64(w.cost()))
+}
+
+// refunded takes back what started has counted.
+func (c *sharedCosts) refunded(service string, w *waiter) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.charges.Refunded(shares.Key{Service: service, Organisation: w.organisation, Class: w.class()}, uint64(w.cost()))
+}
+
+// SharesCosts reports whether capacity may be shared among organisations, so that their costs are to
+// be exchanged with other instances.
+func (s *Server) SharesCosts() bool { return s.options.Dispatch.Capacity.Admission != dispatch.Off }
+
+// TakePlacedCosts returns at most limit totals of what was placed here that have changed since the
+// last call, or whose organisations wait, for the other instances that place requests.
+func (s *Server) TakePlacedCosts(limit int) []shares.Cost {
+	s.shares.mu.Lock()
+	defer s.shares.mu.Unlock()
+	return s.shares.totals.TakePlaced(limit)
+}
+
+// TakeZoneCosts returns at most limit totals of the zone that have changed since the last call, for
+// the schedulers of other zones.
+func (s *Server) TakeZoneCosts(limit int) []shares.Cost {
+	s.shares.mu.Lock()
+	defer s.shares.mu.Unlock()
+	return s.shares.totals.TakeZone(limit)
+}
+
+// ApplyPlacedCost applies the total of what another instance has placed.
+func (s *Server) ApplyPlacedCost(by tables.InstanceID, cost shares.Cost) {
+	if s.SharesCosts() {
+		s.shares.mu.Lock()
+		defer s.shares.mu.Unlock()
+		s.shares.totals.RecordPlaced(s.options.Now(), cost.Key, by, cost.Total)
+	}
+}
+
+// ApplyZoneCost applies the total of another zone that one of its schedulers has reported.
+func (s *Server) ApplyZoneCost(by tables.InstanceID, zone tables.Zone, cost shares.Cost) {
+	if s.SharesCosts() {
+		s.shares.mu.Lock()
+		defer s.shares.mu.Unlock()
+		s.shares.totals.RecordZone(s.options.Now(), cost.Key, zone, by, cost.Total)
+	}
+}
--- a/forward/simulation_test.go
+++ b/forward/simulation_test.go
@@ -62,6 +62,8 @@
 	random   *rand.Rand
 	// instances receive the requests round-robin. One of them, or a scheduler, places all of them.
 	instances []*simulatedInstance
+	// shares exchanges what instances have started; nil if each shares capacity by itself.
+	shares *simulatedShares
 }
 
 // simulatedInstance is an instance with its waiting queue.
@@ -71,6 +73,8 @@
 	// placing is the request that asks, and answerAt when it gets the answer.
 	placing  *simulatedRequest
 	answerAt tables.Instant
+	// index numbers the instance.
+	index int
 }
 
 func newSimulation(engines, instances int) *simulation {
@@ -79,8 +83,8 @@
 		service:  &routes.Service{Name: "models", Slots: 64, KVCapacityTokens: 400_000, Models: []string{"m"}},
 		dispatch: dispatch.New(dispatch.Options{Zone: "a", Seed: 1}), engines: map[tables.EndpointID]*simulatedEngine{},
 	}
-	for range instances {
-		s.instances = append(s.instances, &simulatedInstance{queue: newWaitQueue(), waiting: map[*waiter]*simulatedRequest{}})
+	for i := range instances {
+		s.instances = append(s.instances, &simulatedInstance{index: i, queue: newWaitQueue(), waiting: map[*waiter]*simulatedRequest{}})
 	}
 	listed := map[tables.EndpointID]fleet.Endpoint{}
 	for i := range engines {
@@ -99,10 +103,13 @@
 		s.now += simulatedStep
 		s.stepEngines()
 		for _, w := range load {
-			if s.now >= w.from && s.now < w.until && s.random.Float64() < w.perSecond*simulatedStep.Seconds() {
-				s.arrive(w)
+			for expected := w.perSecond * simulatedStep.Seconds(); s.now >= w.from && s.now < w.until && expected > 0; expected-- {
+				if s.random.Float64() < expected {
+					s.arrive(w)
+				}
 			}
 		}
+		s.shares.step(s)
 		for _, instance := range s.instances {
 			s.stepQueue(instance)
 		}
@@ -124,6 +131,7 @@
 	if instance.queue.len() == 0 {
 		if s.place(r) {
 			instance.queue.charge(s.now, &r.waiter)
+			s.shares.started(s, r)
 			return
 		}
 		instance.queue.full(s.now, &r.waiter, r.dispatch.SaturatedFor)
@@ -138,7 +146,11 @@
 
 // place places a request and sends it to its engine.
 func (s *simulation) place(r *simulatedRequest) bool {
-	r.attempt, _ = s.dispatch.Place(s.now, &r.dispatch)
+	yields, answered := s.shares.ask(s, r)
+	if r.attempt, r.dispatch.SaturatedFor = nil, 0; !yields {
+		r.attempt, _ = s.dispatch.Place(s.now, &r.dispatch)
+	}
+	answered(r.attempt != nil)
 	if r.attempt == nil {
 		return false
 	}
@@ -166,6 +178,7 @@
 			if s.place(r) {
 				delete(i.waiting, &r.waiter)
 				i.queue.placed(s.now, &r.waiter)
+				s.shares.started(s, r)
 			} else {
 				i.queue.full(s.now, &r.waiter, r.dispatch.SaturatedFor)
 			}
--- a/forward/waitqueue.go
+++ b/forward/waitqueue.go
@@ -389,3 +389,10 @@
 	}
 	return max(predicted, w.earliest-now)
 }
+
+// chargeOthers charges the organisation of a request for what other instances have started for it.
+func (q *waitQueue) chargeOthers(w *waiter, cost float64) {
+	if cost > 0 {
+		q.classOf(w).scheduler.Charge(w.flow, cost)
+	}
+}
