Hold back organisations that have had more; cheaper search of the waiting queue

Change: an own reason for requests that yield, which holds back only their organisation; six tiers of organisations; placers tell each other who waits. The waiting queue keeps lower bounds of needs, so that requests which all wait are not looked at. The active flows of a fairness.Scheduler are a heap: a charge is O(log n).

Tests of shares, fairness, schedule, membership, dispatch, node, router and events pass. In a run of the whole of forward with a load average of 27, TestThousandCallersThatReadOneByteASecond/112_MB timed out; it passed in two runs by itself and in two earlier runs of the package.

--- a/forward/admission.go
+++ b/forward/admission.go
@@ -201,6 +201,9 @@
 			return answer.placement, 0
 		case answer.code != 0:
 			return nil, answer.code
+		case answer.reason == dispatch.Yields:
+			a.update(c.service.Name, func(q *serviceQueue, now tables.Instant) { q.yielded(now, w) })
+			return c.awaitInQueue(w)
 		case answer.full():
 			a.update(c.service.Name, func(q *serviceQueue, now tables.Instant) { a.recordFull(q, now, w, answer) })
 			return c.awaitInQueue(w)
@@ -261,6 +264,8 @@
 				a.shares.started(now, service, w)
 			case answer.full():
 				a.recordFull(q, now, w, answer)
+			case answer.reason == dispatch.Yields:
+				q.yielded(now, w)
 			default:
 				q.postpone(now, w, answer.reason == dispatch.PrefillPending)
 			}
--- a/forward/shares.go
+++ b/forward/shares.go
@@ -13,9 +13,6 @@
 )
 
 const (
-	// yieldRetryInterval is the wait that is named to a request that has to wait for those of
-	// organisations that have had less. It is that of a request that was named none.
-	yieldRetryInterval = placementRetryInterval
 	// maxStartFactor is the greatest cost that is expected to start for each token that engines
 	// compute of prompts. Parts of prompts that engines hold, and output tokens, count as cost too;
 	// with a hit rate of three quarters the factor is four.
@@ -61,12 +58,12 @@
 		c.totals.RecordInstance(now, key, r.Asker, r.OrganisationCost)
 	}
 	yields := c.totals.Yields(now, key, need)
+	// The request itself is in no total of its instance yet.
+	r.OthersCost = c.totals.Others(key, r.OrganisationCost)
 	c.mu.Unlock()
 	var attempt *dispatch.Attempt
-	reason := dispatch.Saturated
-	if yields {
-		r.SaturatedFor = yieldRetryInterval
-	} else {
+	reason := dispatch.Yields
+	if !yields {
 		attempt, reason = s.placeHere(r)
 	}
 	isRetry := len(r.Tried) > 0 || r.DeliveredAttempts > 0
@@ -75,13 +72,17 @@
 	switch {
 	case attempt != nil:
 		c.totals.Placed(now, key, requestCost(r))
-	case yields || isRetry:
+	case isRetry:
 		// A retry may not go to some endpoints, so its failure says nothing of others.
-	case reason == dispatch.Saturated, reason == dispatch.NoCapacity:
-		c.totals.Refused(now, key, need, reason == dispatch.NoCapacity)
+	case yields:
+		c.totals.Refused(now, key, need, shares.Yielded)
+	case reason == dispatch.Saturated:
+		c.totals.Refused(now, key, need, shares.Saturated)
+		c.logLargest(now, key.Service)
+	case reason == dispatch.NoCapacity:
+		c.totals.Refused(now, key, need, shares.LacksMemory)
 		c.logLargest(now, key.Service)
 	}
-	r.OthersCost = c.totals.Others(key, r.OrganisationCost)
 	return attempt, reason
 }
 
--- /dev/null
+++ b/forward/shares_test.go
@@ -0,0 +1,88 @@
+package forward
+
+import (
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/dispatch"
+	"github.com/carawaystile/carawaystile/events"
+	"github.com/carawaystile/carawaystile/routes"
+	"github.com/carawaystile/carawaystile/systems/shares"
+)
+
+// sharedRequest returns a request of another instance's caller that names its organisation.
+func (h *harness) sharedRequest(organisation string, tokens int) *dispatch.Request {
+	now := h.server.options.Now()
+	return &dispatch.Request{
+		Service: h.server.Service("models"), Route: &routes.Route{TargetLatency: longTarget}, Model: "m", PromptTokens: tokens, OutputTokens: 10,
+		ArrivedAt: now, Deadline: now + time.Minute, UrgentTarget: longTarget, Organisation: organisation, Asker: "i1", Remote: true,
+	}
+}
+
+// Guards against an organisation that takes capacity for which others wait, at this placer or at
+// another one, and against operators who do not see which one has most of it.
+func TestPlacerHoldsBackTheOrganisationThatHasHadMore(t *testing.T) {
+	core, logged := observer.New(zap.InfoLevel)
+	h := newAdmissionHarness(t, 0)
+	h.server.shares.log = zap.New(core)
+	greedy := h.sharedRequest("greedy", longPrompt)
+	attempt, reason := h.server.PlaceRequest(greedy)
+	assert.Assert(t, attempt != nil, "%s", reason)
+	other := h.sharedRequest("other", 300)
+	_, reason = h.server.PlaceRequest(other)
+	assert.Equal(t, reason, dispatch.Saturated)
+	h.server.AttemptEnded(attempt, dispatch.Completed)
+	_, reason = h.server.PlaceRequest(h.sharedRequest("greedy", 300))
+	assert.Equal(t, reason, dispatch.Yields)
+	attempt, reason = h.server.PlaceRequest(other)
+	assert.Assert(t, attempt != nil, "%s", reason)
+	assert.Equal(t, logged.FilterField(zap.Uint16("event", uint16(events.LargestShare.Number))).Len(), 1)
+	asked := h.sharedRequest("other", 300)
+	asked.OrganisationCost = requestCost(other)
+	_, _ = h.server.PlaceRequest(asked)
+	assert.Equal(t, asked.OthersCost, uint64(0), "the asking instance's own cost is not that of others")
+	h.server.ApplyPlacedCost("scheduler2", shares.Cost{Key: shareKey(asked), Total: 500})
+	h.server.ApplyZoneCost("far", "z9", shares.Cost{Key: shareKey(asked), Total: 1000})
+	asked.OrganisationCost = 2 * requestCost(other)
+	_, _ = h.server.PlaceRequest(asked)
+	assert.Equal(t, asked.OthersCost, uint64(1500))
+	assert.Assert(t, len(h.server.TakePlacedCosts(64)) == 2 && len(h.server.TakeZoneCosts(64)) == 2)
+}
+
+// Guards against costs that are exchanged, or requests that are held back, where admission is off.
+func TestNoCostsAreKeptWithAdmissionOff(t *testing.T) {
+	h := newHarness(t, streamEvents(3, 3))
+	r := h.sharedRequest("org", 100)
+	r.UrgentTarget = 0
+	attempt, _ := h.server.PlaceRequest(r)
+	assert.Assert(t, attempt != nil)
+	h.server.ApplyPlacedCost("i2", shares.Cost{Key: shareKey(r), Total: 500})
+	h.server.ApplyZoneCost("far", "z9", shares.Cost{Key: shareKey(r), Total: 500})
+	assert.Assert(t, !h.server.SharesCosts())
+	assert.Equal(t, len(h.server.TakePlacedCosts(64))+len(h.server.TakeZoneCosts(64)), 0)
+	assert.Equal(t, r.OthersCost, uint64(0))
+}
+
+// Guards against a request that is held back for other organisations and hides those behind it, in
+// its instance's queue.
+func TestRequestThatYieldsHoldsBackOnlyItsOrganisation(t *testing.T) {
+	q, now := newWaitQueue(), time.Second
+	greedy := joinQueue(t, q, now, waiter{organisation: "greedy", prompt: 500})
+	joinQueue(t, q, now, waiter{organisation: "greedy", prompt: 500})
+	other := joinQueue(t, q, now, waiter{organisation: "other", prompt: 500})
+	next, _ := q.next(now)
+	assert.Equal(t, next, greedy)
+	q.yielded(now, greedy)
+	next, _ = q.next(now)
+	assert.Equal(t, next, other)
+	q.placed(now, other)
+	next, again := q.next(now)
+	assert.Assert(t, next == nil)
+	assert.Equal(t, again, now+placementRetryInterval)
+	next, _ = q.next(again)
+	assert.Assert(t, next != nil)
+}
--- a/forward/simulation_test.go
+++ b/forward/simulation_test.go
@@ -40,6 +40,8 @@
 	rejectedAt                           tables.Instant
 	retryAfter                           time.Duration
 	rejectedOnArrival, started, answered bool
+	// yields is set if the last answer was that it has to wait for other organisations.
+	yields bool
 }
 
 // simulatedEngine computes prompts one after the other.
@@ -134,7 +136,7 @@
 			s.shares.started(s, r)
 			return
 		}
-		instance.queue.full(s.now, &r.waiter, r.dispatch.SaturatedFor)
+		s.refused(r)
 	}
 	predicted, ok := instance.queue.join(s.now, &r.waiter)
 	if !ok {
@@ -147,7 +149,7 @@
 // place places a request and sends it to its engine.
 func (s *simulation) place(r *simulatedRequest) bool {
 	yields, answered := s.shares.ask(s, r)
-	if r.attempt, r.dispatch.SaturatedFor = nil, 0; !yields {
+	if r.attempt, r.dispatch.SaturatedFor, r.yields = nil, 0, yields; !yields {
 		r.attempt, _ = s.dispatch.Place(s.now, &r.dispatch)
 	}
 	answered(r.attempt != nil)
@@ -160,6 +162,15 @@
 	return true
 }
 
+// refused records that a request was not placed.
+func (s *simulation) refused(r *simulatedRequest) {
+	if r.yields {
+		r.instance.queue.yielded(s.now, &r.waiter)
+		return
+	}
+	r.instance.queue.full(s.now, &r.waiter, r.dispatch.SaturatedFor)
+}
+
 // stepQueue rejects what cannot start in time and lets the next request ask.
 func (s *simulation) stepQueue(i *simulatedInstance) {
 	for w, r := range i.waiting {
@@ -180,7 +191,7 @@
 				i.queue.placed(s.now, &r.waiter)
 				s.shares.started(s, r)
 			} else {
-				i.queue.full(s.now, &r.waiter, r.dispatch.SaturatedFor)
+				s.refused(r)
 			}
 		}
 		next, _ := i.queue.next(s.now)
--- a/forward/waitqueue.go
+++ b/forward/waitqueue.go
@@ -64,6 +64,9 @@
 	// deferred is set while the last answer was PrefillPending: the request waits for another one
 	// to compute a part of its prompt, or for the verdict whether it crashes endpoints.
 	deferred bool
+	// yields is set while the last answer was Yields: the request waits for those of organisations
+	// that have had less.
+	yields bool
 	// deadline is the latest end of the request.
 	deadline tables.Instant
 	flow     fairness.Flow
@@ -110,7 +113,11 @@
 
 // waitsBehind reports whether the request needs no less than one that could not be placed: it
 // names the same model and has no smaller prompt, no smaller need of memory and no shorter target.
+// Behind one that yields wait only those of the same organisation and class.
 func (w *waiter) waitsBehind(refused *waiter) bool {
+	if refused.yields {
+		return w.organisation == refused.organisation && w.class() == refused.class()
+	}
 	return w.model == refused.model && w.prompt >= refused.prompt && w.prompt+w.output >= refused.prompt+refused.output && w.target >= refused.target
 }
 
@@ -274,24 +281,43 @@
 // full records that the request that was asking found no capacity. wait is the time until there
 // is some; 0 if unknown.
 func (q *waitQueue) full(now tables.Instant, w *waiter, wait time.Duration) {
-	w.deferred, q.noneUntil = false, 0
+	w.yields = false
 	if w.earliest == 0 || now+wait < w.earliest {
 		w.earliest = now + wait
 	}
-	if q.placing == w {
-		q.placing = nil
-	}
-	if now >= q.resumeAt {
-		q.refused = q.refused[:0]
-	}
 	interval := placementRetryInterval
 	if wait > 0 {
 		interval = min(max(wait, minAskInterval), maxAskInterval)
 	}
 	if w.restricted {
+		q.endQuestion(now, w)
 		w.notBefore = now + interval
 		return
 	}
+	q.addRefused(now, w, interval)
+}
+
+// yielded records that the request that was asking has to wait for those of organisations that have
+// had less.
+func (q *waitQueue) yielded(now tables.Instant, w *waiter) {
+	w.yields = true
+	q.addRefused(now, w, placementRetryInterval)
+}
+
+// endQuestion records that the question of a request is answered, and ends the round if it is over.
+func (q *waitQueue) endQuestion(now tables.Instant, w *waiter) {
+	w.deferred, q.noneUntil = false, 0
+	if q.placing == w {
+		q.placing = nil
+	}
+	if now >= q.resumeAt {
+		q.refused = q.refused[:0]
+	}
+}
+
+// addRefused adds a request to those that could not be placed in this round.
+func (q *waitQueue) addRefused(now tables.Instant, w *waiter, interval time.Duration) {
+	q.endQuestion(now, w)
 	if len(q.refused) == 0 {
 		q.resumeAt = now + interval
 	}
@@ -321,48 +347,23 @@
 	if now >= q.resumeAt {
 		q.refused = q.refused[:0]
 	}
-	again := tables.Instant(0)
+	s := &scan{queue: q, now: now}
 	if len(q.refused) > 0 {
-		again = q.resumeAt
+		s.again = q.resumeAt
 	}
 	for _, class := range q.order(now) {
-		row := class.first(func(row *tables.RequestRow) bool {
-			w := q.waiters[row]
-			if q.waitsBehindRefused(w) {
-				return false
-			}
-			at := max(w.notBefore, q.limit.allowedAt(now, w.questionKind()))
-			if at > now && (again == 0 || at < again) {
-				again = at
-			}
-			return at <= now
-		})
+		row := class.first(s)
 		if row != nil {
 			q.placing = q.waiters[row]
 			q.limit.take(now, q.placing.questionKind())
 			return q.placing, 0
 		}
 	}
-	q.noneUntil = again
-	if again == 0 {
+	q.noneUntil = s.again
+	if s.again == 0 {
 		q.noneUntil = forever
 	}
-	return nil, again
-}
-
-// waitsBehindRefused reports whether the request waits behind one that could not be placed in
-// this round, or behind as many of its model as may fail in a round.
-func (q *waitQueue) waitsBehindRefused(w *waiter) bool {
-	sameModel := 0
-	for _, refused := range q.refused {
-		if w == refused || w.waitsBehind(refused) {
-			return true
-		}
-		if w.model == refused.model {
-			sameModel++
-		}
-	}
-	return sameModel >= maxRefusalsPerRound
+	return nil, s.again
 }
 
 // setLimits sets when the request must start and when it may be rejected. leastPrefill is the
--- a/forward/waitqueue_test.go
+++ b/forward/waitqueue_test.go
@@ -147,3 +147,53 @@
 	q.refund(now, failed)
 	assert.Equal(t, q.classes[0].placed.value(now, classShareDecay), 500.0, "refunded twice")
 }
+
+// Guards against a scan that looks at each of thousands of requests which all wait behind one that
+// found no capacity, and against bounds that hide a request which needs less, also after the one that
+// set them has left.
+func TestRequestsThatAllWaitAreNotLookedAt(t *testing.T) {
+	q, now := newWaitQueue(), time.Second
+	small := joinQueue(t, q, now, waiter{organisation: "org", model: "m", prompt: 520})
+	for range 1000 {
+		joinQueue(t, q, now, waiter{organisation: "org", model: "m", prompt: 600})
+	}
+	q.leave(now, small)
+	refused, _ := q.next(now)
+	q.full(now, refused, 30*time.Millisecond)
+	next, again := q.next(now)
+	assert.Assert(t, next == nil)
+	assert.Equal(t, again, now+30*time.Millisecond)
+	s := &scan{queue: q, now: now}
+	assert.Assert(t, s.allWait(&q.classes[0].need, false), "bounds are exact after a scan")
+	for _, w := range []waiter{{prompt: 550, model: "m"}, {prompt: 600, model: "other"}} {
+		w.organisation = "org"
+		less := joinQueue(t, q, now, w)
+		next, _ = q.next(now)
+		assert.Equal(t, next, less)
+		q.placed(now, less)
+	}
+}
+
+// BenchmarkScan measures the search for the next of 5,000 waiting requests that all wait behind one
+// that found no capacity.
+func BenchmarkScan(b *testing.B) {
+	for _, organisations := range []int{1, 50, 5000} {
+		b.Run(fmt.Sprint(organisations), func(b *testing.B) { benchmarkScan(b, organisations) })
+	}
+}
+
+func benchmarkScan(b *testing.B, organisations int) {
+	q, now := newWaitQueue(), time.Second
+	for i := range 5000 {
+		w := &waiter{organisation: fmt.Sprint(i % organisations), model: "m", prompt: 600 + i, target: time.Minute, arrivedAt: now}
+		w.setLimits(now, 0, false)
+		q.join(now, w)
+	}
+	q.full(now, &waiter{model: "m", prompt: 100}, time.Hour)
+	for b.Loop() {
+		q.noneUntil = 0
+		if next, _ := q.next(now); next != nil {
+			b.Fatal("a request may ask")
+		}
+	}
+}
--- a/systems/fairness/fairness.go
+++ b/systems/fairness/fairness.go
@@ -18,6 +18,8 @@
 	// startTag is the virtual time at which the flow's next request is served.
 	startTag float64
 	queued   int
+	// at is the flow's position in the heap of active flows while it has queued requests.
+	at int
 }
 
 // Scheduler is a start-time fair queueing scheduler for the organisations of
@@ -27,7 +29,8 @@
 	flows       []flow
 	virtualTime float64
 	queued      int
-	// active lists the flows with queued requests, in no particular order.
+	// active is a binary heap of the flows with queued requests, in the order in which they are
+	// served.
 	active []Flow
 }
 
@@ -47,7 +50,9 @@
 	s.queued++
 	if state.queued == 1 {
 		state.startTag = max(state.startTag, s.virtualTime)
+		state.at = len(s.active)
 		s.active = append(s.active, f)
+		s.up(state.at)
 	}
 }
 
@@ -60,12 +65,12 @@
 	if state.queued > 0 {
 		return
 	}
-	for i, other := range s.active {
-		if other == f {
-			s.active[i] = s.active[len(s.active)-1]
-			s.active = s.active[:len(s.active)-1]
-			return
-		}
+	at, last := state.at, len(s.active)-1
+	s.swap(at, last)
+	s.active = s.active[:last]
+	if at < last {
+		s.down(at)
+		s.up(at)
 	}
 }
 
@@ -78,6 +83,9 @@
 	start := max(state.startTag, s.virtualTime)
 	s.virtualTime = max(s.virtualTime, min(start, s.minStartTag(start)))
 	state.startTag = start + cost/state.weight
+	if state.queued > 0 {
+		s.down(state.at)
+	}
 }
 
 // Refund takes back a charge for a request that did not run after all. The flow gains no credit by
@@ -85,16 +93,18 @@
 func (s *Scheduler) Refund(f Flow, cost float64) {
 	state := &s.flows[f]
 	state.startTag = max(state.startTag-cost/state.weight, min(state.startTag, s.virtualTime))
+	if state.queued > 0 {
+		s.up(state.at)
+	}
 }
 
 // minStartTag returns the smallest start tag of the active flows, or upperBound
 // if that is smaller or no flow is active.
 func (s *Scheduler) minStartTag(upperBound float64) float64 {
-	least := upperBound
-	for _, f := range s.active {
-		least = min(least, s.flows[f].startTag)
+	if len(s.active) == 0 {
+		return upperBound
 	}
-	return least
+	return min(upperBound, s.flows[s.active[0]].startTag)
 }
 
 // Next returns the active flow that is served next and whether there is one. It
@@ -102,12 +112,54 @@
 // precede all others for which skip has returned false so far.
 func (s *Scheduler) Next(skip func(Flow) bool) (Flow, bool) {
 	best, found := Flow(0), false
-	for _, f := range s.active {
-		if (!found || s.servedBefore(f, best)) && !skip(f) {
-			best, found = f, true
+	s.next(0, &best, &found, skip)
+	return best, found
+}
+
+// next searches the part of the heap below a position for a flow that precedes the best one.
+func (s *Scheduler) next(at int, best *Flow, found *bool, skip func(Flow) bool) {
+	if at >= len(s.active) || *found && !s.servedBefore(s.active[at], *best) {
+		return
+	}
+	if !skip(s.active[at]) {
+		*best, *found = s.active[at], true
+		return
+	}
+	s.next(2*at+1, best, found, skip)
+	s.next(2*at+2, best, found, skip)
+}
+
+// up and down restore the order of the heap after the flow at a position has moved forward or back.
+func (s *Scheduler) up(at int) {
+	for at > 0 {
+		parent := (at - 1) / 2
+		if !s.servedBefore(s.active[at], s.active[parent]) {
+			return
 		}
+		s.swap(at, parent)
+		at = parent
 	}
-	return best, found
+}
+
+func (s *Scheduler) down(at int) {
+	for {
+		first := at
+		for child := 2*at + 1; child <= 2*at+2 && child < len(s.active); child++ {
+			if s.servedBefore(s.active[child], s.active[first]) {
+				first = child
+			}
+		}
+		if first == at {
+			return
+		}
+		s.swap(at, first)
+		at = first
+	}
+}
+
+func (s *Scheduler) swap(a, b int) {
+	s.active[a], s.active[b] = s.active[b], s.active[a]
+	s.flows[s.active[a]].at, s.flows[s.active[b]].at = a, b
 }
 
 // servedBefore reports whether flow a precedes flow b: by start tag, with ties
--- a/systems/shares/shares_test.go
+++ b/systems/shares/shares_test.go
@@ -95,12 +95,12 @@
 	small, large := Request{Model: "m", Tokens: 100}, Request{Model: "m", Tokens: 10_000}
 	totals.Placed(now, key("greedy"), 10_000)
 	totals.Placed(now, key("b"), 1000)
-	totals.Refused(now, key("greedy"), small, false)
+	totals.Refused(now, key("greedy"), small, Saturated)
 	assert.Assert(t, !totals.Yields(now, key("greedy"), small), "nobody else waits")
-	totals.Refused(now, key("b"), large, true)
+	totals.Refused(now, key("b"), large, LacksMemory)
 	assert.Assert(t, !totals.Yields(now, key("greedy"), small), "there may be memory for a small one")
 	assert.Assert(t, totals.Yields(now, key("greedy"), large))
-	totals.Refused(now, key("b"), large, false)
+	totals.Refused(now, key("b"), large, Saturated)
 	assert.Assert(t, totals.Yields(now, key("greedy"), small))
 	assert.Assert(t, !totals.Yields(now, key("greedy"), Request{Model: "other"}))
 	assert.Assert(t, !totals.Yields(now, key("b"), small))
@@ -113,8 +113,8 @@
 	now := time.Second
 	r := Request{Model: "m", Tokens: 100}
 	here.Placed(now, key("greedy"), 10_000)
-	here.Refused(now, key("greedy"), r, false)
-	there.Refused(now, key("b"), r, false)
+	here.Refused(now, key("greedy"), r, Saturated)
+	there.Refused(now, key("b"), r, Saturated)
 	for range 2 {
 		for _, cost := range there.TakePlaced(64) {
 			here.RecordPlaced(now, cost.Key, "there", cost.Total)
--- a/systems/shares/totals.go
+++ b/systems/shares/totals.go
@@ -68,9 +68,9 @@
 	at           tables.Instant
 	keys         int
 	// refusals are the latest requests that found no capacity, by model, and elsewhereAt is when
-	// another placer last reported that requests of an organisation that does not lead wait there.
-	refusals    map[string]*refusal
-	elsewhereAt tables.Instant
+	// another placer last reported that requests of an organisation of a tier wait there.
+	refusals    map[string]*refusals
+	elsewhereAt [waitingTiers]tables.Instant
 }
 
 // total is what is known of a key.
--- a/systems/shares/yield.go
+++ b/systems/shares/yield.go
@@ -7,19 +7,37 @@
 )
 
 const (
-	// yieldWindow is the time for which requests of an organisation that leads wait for one of an
-	// organisation that does not. Waiting requests ask again within 50 ms.
+	// yieldWindow is the time for which requests of organisations that have had more wait for those of
+	// one that has had less. Waiting requests ask again within 50 ms.
 	yieldWindow = 60 * time.Millisecond
+	// elsewhereWindow is the same for requests that wait at other placers, which report them every
+	// 50 ms.
+	elsewhereWindow = 110 * time.Millisecond
+	// saturatedWindow is the time for which a model counts as saturated after a request for it has
+	// found no capacity. Each time it ends, a request that would yield is placed if it can be.
+	saturatedWindow = time.Second
 	// maxModels bounds the models of a group whose refusals are remembered.
 	maxModels = 256
 )
 
-// minLead is the lead from which an organisation has had more than others. The only one that has used
-// a group has a lead of 1, less rounding.
-const minLead = 1 - 1e-6
+// tier ranks organisations by their lead: the number of tierBounds that it reaches.
+type tier int
 
-// leads reports whether an organisation has had more than the others of its group.
-func (t *Totals) leads(now tables.Instant, key Key) bool { return t.Lead(now, key) >= minLead }
+// tierBounds are the leads at which tiers begin. The only organisation that has used a group has a
+// lead of 1, less rounding. With bounds of 0.5 and 1 alone, organisations that were just above the
+// mean competed on equal terms with one that had 1.6 times an equal share (9 instances, simulation).
+var tierBounds = [...]float64{0.5, 0.8, 1 - 1e-6, 1.2, 1.5}
+
+// waitingTiers is the number of tiers for whose requests others wait: all but the highest.
+const waitingTiers = len(tierBounds)
+
+func (t *Totals) tier(now tables.Instant, key Key) tier {
+	lead, in := t.Lead(now, key), 0
+	for in < len(tierBounds) && lead >= tierBounds[in] {
+		in++
+	}
+	return tier(in)
+}
 
 // Request is what a request needs.
 type Request struct {
@@ -28,78 +46,103 @@
 	Tokens int
 }
 
-// refusal is what is known of the requests for a model that have found no capacity.
+// refusals are the latest requests for a model that have found no capacity.
+type refusals struct {
+	// at is the time of the latest one of any organisation.
+	at tables.Instant
+	// byTier holds the latest ones of each tier for which others wait.
+	byTier [waitingTiers]refusal
+}
+
+// refusal is the latest time at which a request of a tier has found no capacity.
 type refusal struct {
-	// at is when any request found none, and laggingAt when one of an organisation that does not
-	// lead did.
-	at, laggingAt tables.Instant
-	// need is the least need in tokens of those that do not lead, if they lack memory and do not
-	// wait for shorter queues; 0 if they wait for those.
+	at tables.Instant
+	// need is the least need in tokens of those that lack memory; 0 if one waits for shorter queues.
 	need int
 }
 
-// Yields reports whether a request has to wait for those of organisations that have had less: its
-// organisation leads, and within yieldWindow a request of one that does not lead has found no
-// capacity for the same model. Without this rule capacity goes to whoever asks first where each
-// instance has few waiting requests. A request that lacks memory holds back only those that need no
-// less. For requests that wait at other placers, whose models are not known, a request waits only if
-// its own model had no capacity of late, so capacity is idle for them no longer than yieldWindow.
+// Yields reports whether a request has to wait for those of organisations of lower tiers: within
+// yieldWindow one of these has found no capacity for the same model. Without this rule capacity goes
+// to whoever asks first where each instance has few waiting requests. A request that lacks memory
+// holds back only those that need no less. The models of requests that wait at other placers are not
+// known, so they hold back only requests for a model that has no capacity here either.
 func (t *Totals) Yields(now tables.Instant, key Key, r Request) bool {
 	g := t.groups[groupKey{key.Service, key.Class}]
-	if g == nil || !t.leads(now, key) {
+	if g == nil || g.refusals[r.Model] == nil {
 		return false
 	}
 	refused := g.refusals[r.Model]
-	switch {
-	case refused == nil:
-		return false
-	case isRecent(now, refused.laggingAt) && r.Tokens >= refused.need:
-		return true
+	saturated := isRecent(now, refused.at, saturatedWindow)
+	for lower := range t.tier(now, key) {
+		here := refused.byTier[lower]
+		if isRecent(now, here.at, yieldWindow) && r.Tokens >= here.need || saturated && isRecent(now, g.elsewhereAt[lower], elsewhereWindow) {
+			return true
+		}
 	}
-	return isRecent(now, g.elsewhereAt) && isRecent(now, refused.at)
+	return false
 }
 
-func isRecent(now, at tables.Instant) bool { return at > 0 && now-at < yieldWindow }
+func isRecent(now, at tables.Instant, window time.Duration) bool { return at > 0 && now-at < window }
+
+// Refusal says why a request was not placed.
+type Refusal int
+
+const (
+	// Saturated: the queues are too long, whatever its size.
+	Saturated Refusal = iota
+	// LacksMemory: no endpoint has room for it, which may be due to its size.
+	LacksMemory
+	// Yielded: it waits for those of lower tiers. It still waits before those of higher ones.
+	Yielded
+)
 
-// Refused records that a request found no capacity. lacksMemory is set if that may be due to its
-// size. Otherwise, and if its organisation does not lead, its total is reported to the other placers
-// although it has not changed, so that they know that it waits.
-func (t *Totals) Refused(now tables.Instant, key Key, r Request, lacksMemory bool) {
+// Refused records that a request was not placed. Its organisation's total is then reported to the
+// other placers although it has not changed, so that they know that it waits, unless it lacks memory
+// or is in the highest tier.
+func (t *Totals) Refused(now tables.Instant, key Key, r Request, why Refusal) {
 	known := t.get(now, key)
 	if known == nil {
 		return
 	}
-	g := t.groups[groupKey{key.Service, key.Class}]
-	refused := g.refusals[r.Model]
+	refused := t.groups[groupKey{key.Service, key.Class}].refusalsOf(r.Model)
 	if refused == nil {
-		if len(g.refusals) >= maxModels {
-			return
-		}
-		if g.refusals == nil {
-			g.refusals = map[string]*refusal{}
-		}
-		refused = &refusal{}
-		g.refusals[r.Model] = refused
+		return
 	}
-	refused.at = now
-	if t.leads(now, key) {
+	if why != Yielded {
+		refused.at = now
+	}
+	in := t.tier(now, key)
+	if int(in) >= waitingTiers {
 		return
 	}
-	need := 0
-	if lacksMemory {
+	latest, need := &refused.byTier[in], 0
+	if why == LacksMemory {
 		need = r.Tokens
 	} else {
 		t.markPlaced(key, known)
 	}
-	if isRecent(now, refused.laggingAt) {
-		need = min(need, refused.need)
+	if isRecent(now, latest.at, yieldWindow) {
+		need = min(need, latest.need)
+	}
+	latest.at, latest.need = now, need
+}
+
+// refusalsOf returns the refusals of a model; nil if there is no room for them.
+func (g *group) refusalsOf(model string) *refusals {
+	known := g.refusals[model]
+	if known == nil && len(g.refusals) < maxModels {
+		if g.refusals == nil {
+			g.refusals = map[string]*refusals{}
+		}
+		known = &refusals{}
+		g.refusals[model] = known
 	}
-	refused.laggingAt, refused.need = now, need
+	return known
 }
 
 // recordWaitingElsewhere records that another placer has reported a total that has not changed.
 func (t *Totals) recordWaitingElsewhere(now tables.Instant, key Key) {
-	if !t.leads(now, key) {
-		t.groups[groupKey{key.Service, key.Class}].elsewhereAt = now
+	if in := t.tier(now, key); int(in) < waitingTiers {
+		t.groups[groupKey{key.Service, key.Class}].elsewhereAt[in] = now
 	}
 }
