--- a/forward/waitqueue.go
+++ b/forward/waitqueue.go
@@ -111,16 +111,6 @@
 	return at
 }
 
-// waitsBehind reports whether the request needs no less than one that could not be placed: it
-// names the same model and has no smaller prompt, no smaller need of memory and no shorter target.
-// Behind one that yields wait only those of the same organisation and class.
-func (w *waiter) waitsBehind(refused *waiter) bool {
-	if refused.yields {
-		return w.organisation == refused.organisation && w.class() == refused.class()
-	}
-	return w.model == refused.model && w.prompt >= refused.prompt && w.prompt+w.output >= refused.prompt+refused.output && w.target >= refused.target
-}
-
 // questionKind returns for what the request's next question is.
 func (w *waiter) questionKind() questionKind {
 	if w.deferred {
@@ -232,7 +222,10 @@
 	predicted, measured := q.predict(now, w)
 	class := q.classOf(w)
 	class.addDemand(now, w)
-	if measured && now+predicted > w.startBy || class.queued(w.flow) >= admission.MaxQueued {
+	// Nothing is known to start before a request whose organisation is next. Its wait does not depend
+	// on how rarely requests leave this queue, which says little where a queue is short.
+	late := measured && now+predicted > w.startBy && class.ahead(now, w, predicted) > 0
+	if late || class.queued(w.flow) >= admission.MaxQueued {
 		return predicted, false
 	}
 	w.joinedAt, w.predicted = now, predicted
--- a/forward/waitscan.go
+++ b/forward/waitscan.go
@@ -98,3 +98,13 @@
 	}
 	return sameModel >= maxRefusalsPerRound
 }
+
+// waitsBehind reports whether the request needs no less than one that could not be placed: it
+// names the same model and has no smaller prompt, no smaller need of memory and no shorter target.
+// Behind one that yields wait only those of the same organisation and class.
+func (w *waiter) waitsBehind(refused *waiter) bool {
+	if refused.yields {
+		return w.organisation == refused.organisation && w.class() == refused.class()
+	}
+	return w.model == refused.model && w.prompt >= refused.prompt && w.prompt+w.output >= refused.prompt+refused.output && w.target >= refused.target
+}
