--- a/control/gossip/gossip.go
+++ b/control/gossip/gossip.go
@@ -187,20 +187,6 @@
 	})
 }
 
-// SendOrganisationCosts sends totals of this instance to the instances that receive its hints.
-func (g *Gossip) SendOrganisationCosts(costs []membership.OrganisationCost) {
-	g.update(func(m *membership.Membership, now tables.Instant) membership.Output {
-		return m.SendOrganisationCosts(now, costs)
-	})
-}
-
-// SendOrganisationCostsToOtherZones sends totals of this zone to the schedulers of the others.
-func (g *Gossip) SendOrganisationCostsToOtherZones(costs []membership.OrganisationCost) {
-	g.update(func(m *membership.Membership, now tables.Instant) membership.Output {
-		return m.SendOrganisationCostsToOtherZones(now, costs)
-	})
-}
-
 // RemoteSchedulerCount returns the number of schedulers in other zones.
 func (g *Gossip) RemoteSchedulerCount() int {
 	g.mu.Lock()
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -100,12 +100,6 @@
 	EndTokens int
 }
 
-// DemandCounted reports whether the request has been counted in the demand for its parts.
-func (r *Request) DemandCounted() bool { return r.counted }
-
-// MarkDemandCounted records that another instance has counted the request.
-func (r *Request) MarkDemandCounted() { r.counted = true }
-
 // sharedTokens returns the length of all shared parts in tokens.
 func (r *Request) sharedTokens() int { return r.sharedPrefixTokens(len(r.SharedParts)) }
 
