Merge shares of organisations over all instances

Cause: each instance shared capacity by what it had started itself; with 59 instances the largest organisation got 4.1 times an equal share (simulation). Change: with admission on and a service saturated, instances name their totals to schedulers, schedulers exchange them, and requests of organisations that have had more wait while one that has had less finds no capacity. Ruled out: charges alone; most instances have nothing to order. Tests of forward, shares, schedule and fairness pass on the merge.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -73,6 +73,15 @@
 	// SaturatedFor is set by Place with the reason Saturated: the time until the queue of an
 	// endpoint is short enough.
 	SaturatedFor time.Duration
+	// Organisation is the caller's organisation, and OrganisationCost the running total of the cost
+	// that the instance Asker has started for it, in prompt and output tokens. They are set only
+	// while requests wait for capacity.
+	Organisation     string
+	OrganisationCost uint64
+	Asker            tables.InstanceID
+	// OthersCost is set by the instance that places the request: the running total of the cost that
+	// all instances except the asking one have started for the organisation; 0 if unknown.
+	OthersCost uint64
 	// WantsBackup is set if the request's memory should be backed up at another endpoint.
 	WantsBackup bool
 	// Remote is set for a request that this instance places for another one, which counts
@@ -91,12 +100,6 @@
 	EndTokens int
 }
 
-// DemandCounted reports whether the request has been counted in the demand for its parts.
-func (r *Request) DemandCounted() bool { return r.counted }
-
-// MarkDemandCounted records that another instance has counted the request.
-func (r *Request) MarkDemandCounted() { r.counted = true }
-
 // sharedTokens returns the length of all shared parts in tokens.
 func (r *Request) sharedTokens() int { return r.sharedPrefixTokens(len(r.SharedParts)) }
 
@@ -216,6 +219,8 @@
 	DeadlineTooSoon RejectReason = "too late"
 	// Saturated: the queues of all eligible endpoints are longer than the request may wait.
 	Saturated RejectReason = "saturated"
+	// Yields: requests of organisations that have had less wait for the same capacity.
+	Yields RejectReason = "other organisations first"
 	// TooLarge: the request exceeds the memory of any endpoint.
 	TooLarge RejectReason = "too large"
 )
