Loaded instances relay connections if no other instance does

Change: loaded instances are tried last, as before, and relay. Ruled out: rejecting only while others are free; the relay does not know.

--- a/node/relay.go
+++ b/node/relay.go
@@ -28,7 +28,6 @@
 func (n *Node) startRelayServer() {
 	n.relayServer = relay.NewServer(relay.ServerOptions{
 		Admit: n.entry.AdmitRelay, Reserve: n.entry.ReserveRelay, Dial: n.dial, ObserveResponse: n.entry.ObserveRelayedResponse,
-		Loaded:         n.sizes.isLoaded,
 		MaxConnections: n.options.Settings.MemoryMB << 20 / relayMemoryDivisor / relayConnectionBytes, Registry: n.registry,
 	})
 }
--- a/relay/server.go
+++ b/relay/server.go
@@ -31,9 +31,6 @@
 	// Reserve reserves the memory of a relayed connection, in bytes, and returns the function that
 	// gives it back; ok is false if there is none left. Nil means that memory is not counted.
 	Reserve func(bytes int64) (release func(), ok bool)
-	// Loaded reports whether this instance is near the limit of its processor, link or memory,
-	// and relays no more connections; nil for never. It goes on testing endpoints for others.
-	Loaded func() bool
 	// Registry receives the metrics; nil for none.
 	Registry *metrics.Registry
 }
@@ -120,9 +117,6 @@
 	if reason := s.options.Admit(to); reason != "" {
 		return reason
 	}
-	if s.options.Loaded != nil && s.options.Loaded() {
-		return Busy
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
