A full directory records no removals

Cause: removing all parts of a full directory recorded 50,000 removals while the dispatcher's lock was held, with the switch of the eviction cost off too, and pushed the other entries out of the ring of 65,536.

Change: the directory keeps the instant of the removal instead. Parts without a holder or a recorded removal count as unknown for 60 s after it, also those that are computed for the first time.

--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -126,3 +126,14 @@
 		}
 	}
 }
+
+// BenchmarkFullDirectory measures the record that makes a directory of valid parts remove all.
+func BenchmarkFullDirectory(b *testing.B) {
+	d, _ := newTestDispatcher(2)
+	for range b.N {
+		b.StopTimer()
+		fillDirectory(d, time.Second)
+		b.StartTimer()
+		d.cache.record(time.Second, time.Second, parts.ID(2).KeyAt(1), d.endpoints["e0"])
+	}
+}
--- a/dispatch/cache_directory.go
+++ b/dispatch/cache_directory.go
@@ -68,6 +68,8 @@
 	tracksEvictions bool
 	// sweptAt is when expired entries were last removed.
 	sweptAt tables.Instant
+	// clearedAt is when all parts were last removed because there were too many; 0 for never.
+	clearedAt tables.Instant
 }
 
 // newCacheDirectory returns an empty directory.
@@ -159,9 +161,8 @@
 		}
 	}
 	if len(h.holders) >= maxParts {
-		for key, known := range h.holders {
-			h.recordInvalid(now, key, known)
-		}
+		// Recording each part would fill the record of removals and push out its other entries.
+		h.clearedAt = now
 		clear(h.holders)
 	}
 }
--- a/dispatch/recomputed.go
+++ b/dispatch/recomputed.go
@@ -181,6 +181,9 @@
 	case removedExpired:
 		return RecomputeUnknown
 	}
+	if d.cache.recentlyCleared(now) {
+		return RecomputeUnknown
+	}
 	return RecomputeFirst
 }
 
--- a/dispatch/recomputed_test.go
+++ b/dispatch/recomputed_test.go
@@ -160,3 +160,26 @@
 	p.add(now+removalTTL+1, key(0), removedLost)
 	assert.Equal(t, p.count, 1)
 }
+
+// fillDirectory enters parts until one more makes the directory remove all of them.
+func fillDirectory(d *Dispatcher, now tables.Instant) {
+	for i := len(d.cache.holders); i < maxParts; i++ {
+		d.cache.record(now, now, parts.ID(1_000_000+i).KeyAt(1), d.endpoints["e0"])
+	}
+}
+
+// Guards against a full directory that replaces the record of removals by its own parts, and
+// against counting parts that it has removed as computed for the first time.
+func TestFullDirectoryKeepsRecordedRemovals(t *testing.T) {
+	d, _ := newTestDispatcher(2)
+	row, now := d.endpoints["e0"], 5*time.Second
+	evicted, held := parts.ID(1).KeyAt(1), parts.ID(1_000_001).KeyAt(1)
+	d.cache.removalsOf(row).add(now, evicted, removedEvicted)
+	fillDirectory(d, now)
+	d.cache.record(now, now, parts.ID(2).KeyAt(1), row)
+	assert.Equal(t, len(d.cache.holders), 1)
+	assert.Equal(t, d.cache.removals[row.Service].count, 1)
+	assert.Equal(t, d.removalReason(now, evicted, row), RecomputeEvicted)
+	assert.Equal(t, d.removalReason(now+removalTTL, held, row), RecomputeUnknown)
+	assert.Equal(t, d.removalReason(now+removalTTL+1, held, row), RecomputeFirst)
+}
--- a/dispatch/removed_parts.go
+++ b/dispatch/removed_parts.go
@@ -155,6 +155,12 @@
 	return known
 }
 
+// recentlyCleared reports whether all parts were removed within removalTTL because there were too
+// many. Each part may have been one of them.
+func (h *cacheDirectory) recentlyCleared(now tables.Instant) bool {
+	return h.clearedAt > 0 && now-h.clearedAt <= removalTTL
+}
+
 // recordInvalid remembers why a part has no valid holder any more. The holders are those that
 // were dropped; one that had not computed the part yet counts for nothing.
 func (h *cacheDirectory) recordInvalid(now tables.Instant, key parts.Key, dropped []holder) {
