Expired records of removals are deleted

Cause: a record of up to 1.8 MB stayed for each service name that ever had endpoints, with the switch of the eviction cost off too.

Change: the search for expired entries of the directory deletes records whose newest entry is older than removalTTL.

Measured: go test ./dispatch -run 'FullDirectory|Remov|Reasons' passes.

--- a/dispatch/cache_directory.go
+++ b/dispatch/cache_directory.go
@@ -148,8 +148,8 @@
 	return holder{}, false
 }
 
-// removeExpired removes parts without valid holders, and all parts if there are still too
-// many.
+// removeExpired removes parts without valid holders and expired records of removals, and all parts
+// if there are still too many.
 func (h *cacheDirectory) removeExpired(now tables.Instant) {
 	if now-h.sweptAt < holderTTL && len(h.holders) < maxParts {
 		return
@@ -160,6 +160,7 @@
 			delete(h.holders, key)
 		}
 	}
+	h.removeExpiredRemovals(now)
 	if len(h.holders) >= maxParts {
 		// Recording each part would fill the record of removals and push out its other entries.
 		h.clearedAt = now
--- a/dispatch/recomputed_test.go
+++ b/dispatch/recomputed_test.go
@@ -183,3 +183,22 @@
 	assert.Equal(t, d.removalReason(now+removalTTL, held, row), RecomputeUnknown)
 	assert.Equal(t, d.removalReason(now+removalTTL+1, held, row), RecomputeFirst)
 }
+
+// Guards against keeping a record of up to 1.8 MB for each service that ever had endpoints.
+func TestExpiredRecordsOfRemovalsAreDeleted(t *testing.T) {
+	d, _ := newTestDispatcher(1)
+	row, now := d.endpoints["e0"], 5*time.Second
+	gone := &endpointRow{}
+	gone.Service = "gone"
+	d.cache.removalsOf(gone).add(now, parts.ID(1).KeyAt(1), removedEvicted)
+	d.cache.removalsOf(row).add(now+time.Second, parts.ID(2).KeyAt(1), removedEvicted)
+	d.cache.removeExpired(now + removalTTL)
+	assert.Equal(t, len(d.cache.removals), 2)
+	d.cache.removeExpired(now + removalTTL + holderTTL) // both have expired, and a search is due
+	assert.Equal(t, len(d.cache.removals), 0)
+	d.cache.removalsOf(gone).add(now, parts.ID(1).KeyAt(1), removedEvicted)
+	d.cache.removalsOf(row).add(now+2*removalTTL, parts.ID(2).KeyAt(1), removedEvicted)
+	d.cache.removeExpired(now + 2*removalTTL + holderTTL)
+	assert.Equal(t, len(d.cache.removals), 1)
+	assert.Assert(t, d.cache.removals[row.Service] != nil)
+}
--- a/dispatch/removed_parts.go
+++ b/dispatch/removed_parts.go
@@ -145,6 +145,15 @@
 	return removedNever, 0
 }
 
+// expired reports whether all entries have expired.
+func (p *removedParts) expired(now tables.Instant) bool {
+	if p.count == 0 {
+		return true
+	}
+	newest := (p.first + p.count - 1) & (len(p.entries) - 1)
+	return now-p.entries[newest].at > removalTTL
+}
+
 // removalsOf returns the removals of an endpoint's service.
 func (h *cacheDirectory) removalsOf(row *endpointRow) *removedParts {
 	known := h.removals[row.Service]
@@ -155,6 +164,15 @@
 	return known
 }
 
+// removeExpiredRemovals deletes the records whose newest entry has expired.
+func (h *cacheDirectory) removeExpiredRemovals(now tables.Instant) {
+	for service, known := range h.removals {
+		if known.expired(now) {
+			delete(h.removals, service)
+		}
+	}
+}
+
 // recentlyCleared reports whether all parts were removed within removalTTL because there were too
 // many. Each part may have been one of them.
 func (h *cacheDirectory) recentlyCleared(now tables.Instant) bool {
