Evictions after the response are not charged to a request

Cause: each eviction event within 500 ms after a placement counted as older than the placement, though events are about 80 ms late. A part that a request had used and that was evicted after its response counted as computed again.

The directory's grace stays.

--- a/dispatch/cache_events.go
+++ b/dispatch/cache_events.go
@@ -17,6 +17,10 @@
 // cacheEventDelay is how late engines' events of stored parts usually arrive.
 const cacheEventDelay = 80 * time.Millisecond
 
+// cacheEventMargin is by how much events may exceed cacheEventDelay and still count as older than a
+// placement in the account of repeated computation. It is half of the delay; not measured.
+const cacheEventMargin = 40 * time.Millisecond
+
 // RecordCacheEvents applies an engine's cache events: the parts that it holds and those
 // that it has evicted of late. A directory fed by placements alone contains parts that
 // were evicted meanwhile, and each request placed by such an entry recomputes its whole
--- a/dispatch/recomputed_test.go
+++ b/dispatch/recomputed_test.go
@@ -66,6 +66,27 @@
 			d.RecordCacheEvents(5*second+80*time.Millisecond, first.Endpoint.ID, nil, []parts.Key{inner}, false)
 			return a
 		}, 2000, RecomputeEvicted},
+		{"evicted after the response", func(t *testing.T, d *Dispatcher, first *Attempt) *Attempt {
+			a := mustPlace(t, d, 5*second, newTestRequest(7))
+			d.RecordResponseStart(5*second+60*time.Millisecond, a)
+			d.RecordCacheEvents(5*second+400*time.Millisecond, first.Endpoint.ID, nil, []parts.Key{inner}, false)
+			return a
+		}, 0, ""},
+		{"evicted after the response, and before a later placement", func(t *testing.T, d *Dispatcher, first *Attempt) *Attempt {
+			a := mustPlace(t, d, 5*second, newTestRequest(7))
+			d.RecordResponseStart(5*second+60*time.Millisecond, a)
+			later := mustPlace(t, d, 5*second+300*time.Millisecond, newTestRequest(7))
+			d.RecordCacheEvents(5*second+350*time.Millisecond, first.Endpoint.ID, nil, []parts.Key{inner}, false)
+			tokens, reason := recomputedOf(d, 5*second+500*time.Millisecond, later)
+			assert.Equal(t, tokens, 2000)
+			assert.Equal(t, reason, RecomputeEvicted)
+			return a
+		}, 0, ""},
+		{"evicted while the request waits in the engine", func(t *testing.T, d *Dispatcher, first *Attempt) *Attempt {
+			a := mustPlace(t, d, 5*second, newTestRequest(7))
+			d.RecordCacheEvents(5*second+250*time.Millisecond, first.Endpoint.ID, nil, []parts.Key{inner}, false)
+			return a
+		}, 2000, RecomputeEvicted},
 		{"expired", func(t *testing.T, d *Dispatcher, _ *Attempt) *Attempt {
 			return mustPlace(t, d, second+holderTTL+second, newTestRequest(7))
 		}, 4000, RecomputeUnknown},
