Holders that cannot provide a part do not make its eviction free

Cause: an endpoint was not taken as the last holder of a part if another one held it that was leaving, unreachable or failing, so that the eviction cost nothing.

Change: the cost ignores holders that are leaving or from which nothing can be fetched now.

Measured: two new cases of TestEvictionCostCountsLastHoldersInDemand fail without the change. The figures of TestEvictionCostSavesRepeatedComputation, in which no endpoint leaves or fails, stay the same.

--- a/dispatch/eviction.go
+++ b/dispatch/eviction.go
@@ -143,10 +143,11 @@
 	}
 }
 
-// soleHolder reports whether no other endpoint and no store holds a part.
+// soleHolder reports whether no other endpoint and no store holds a part from which it can be
+// fetched now and after evictions. Holders that are leaving or unreachable do not count.
 func (h *cacheDirectory) soleHolder(now tables.Instant, key parts.Key, row *endpointRow) bool {
 	for _, one := range h.holders[key] {
-		if one.row != row && now-one.usedAt < holderTTL && !one.row.removed {
+		if one.row != row && now-one.usedAt < holderTTL && !one.row.isLeaving() && one.row.canServeFetch(now) {
 			return false
 		}
 	}
--- a/dispatch/eviction_test.go
+++ b/dispatch/eviction_test.go
@@ -254,8 +254,16 @@
 	assert.DeepEqual(t, runEvictions(1, load, 2, Auto).waits, runEvictions(1, load, 2, Off).waits)
 }
 
+// holdElsewhere adds the other one of two endpoints to the holders of two parts, and returns it.
+func holdElsewhere(d *Dispatcher, now tables.Instant, row *endpointRow, inner parts.Key) *endpointRow {
+	other := d.endpoints[map[tables.EndpointID]tables.EndpointID{"e0": "e1", "e1": "e0"}[row.ID]]
+	d.RecordCacheEvents(now, other.ID, []parts.Key{inner, parts.ID(1).KeyAt(1)}, nil, true)
+	return other
+}
+
 // Guards against a cost of evicting what is not requested, what another endpoint or a store holds,
-// or what fits into free memory.
+// or what fits into free memory, and against free evictions because of a holder that cannot provide
+// the parts.
 func TestEvictionCostCountsLastHoldersInDemand(t *testing.T) {
 	const now = 5 * time.Second
 	inner := parts.ID(7).KeyAt(1)
@@ -275,6 +283,13 @@
 				d.RecordCacheEvents(now, id, []parts.Key{inner, parts.ID(1).KeyAt(1)}, nil, true)
 			}
 		}, now, 97_000, false},
+		{"another holder is leaving", func(d *Dispatcher, row *endpointRow) {
+			holdElsewhere(d, now, row, inner).announced.draining = true
+		}, now, 97_000, true},
+		{"another holder fails", func(d *Dispatcher, row *endpointRow) {
+			other := holdElsewhere(d, now, row, inner)
+			other.failureScore, other.failureScoreTime = 2*maxSourceFailureScore, now
+		}, now, 97_000, true},
 		{"no rates known", func(d *Dispatcher, _ *endpointRow) { clear(d.evictionDemand.parts) }, now, 97_000, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
