--- a/dispatch/recomputed.go
+++ b/dispatch/recomputed.go
@@ -265,10 +265,14 @@
 }
 
 // evictedBeforePlacement reports whether the attempt's endpoint has shown to have evicted a part
-// before the attempt was placed there.
+// before it could use it for the attempt: its event was about as late as usual after the placement,
+// or arrived before the response. An engine does not evict parts that it is using.
 func (d *Dispatcher) evictedBeforePlacement(now tables.Instant, a *Attempt, key parts.Key) bool {
 	cause, at := d.cache.removals[a.row.Service].lookup(now, evictedBeforeKey(key, a.row))
-	return cause == evictedBefore && at >= a.startedAt && at-a.startedAt < evictionGrace
+	if cause != evictedBefore || at < a.startedAt || at-a.startedAt >= evictionGrace {
+		return false
+	}
+	return at-a.startedAt <= cacheEventDelay+cacheEventMargin || at <= a.respondedAt
 }
 
 // updateDelayOf returns how late this instance learns of placements at an endpoint, most of which
