Cost of evictions is computed for eight endpoints only

Cause: each endpoint was compared, by its cost without evictions, with the best one by its cost with them. Once engines are full nearly all endpoints pass that, so that a placement computed the cost for nearly all of 1,100. The benchmark did not show it, since each of its parts had three holders or more.

Change: all endpoints are evaluated without the cost, and it is added to the eight cheapest. BenchmarkPlaceWithEvictions gives each endpoint parts of its own with demand. With the switch off the choice is as before.

--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -30,15 +30,7 @@
 }
 
 func benchmarkPlace(b *testing.B, n int, newRequest func(part uint64) *Request) {
-	benchmarkPlaceWith(b, n, CapacityOptions{}, newRequest)
-}
-
-func benchmarkPlaceWith(b *testing.B, n int, capacity CapacityOptions, newRequest func(part uint64) *Request) {
-	d, all := newTestDispatcher(n)
-	options := d.options
-	options.Capacity = capacity
-	d = New(options)
-	d.SetEndpoints(all)
+	d, _ := newTestDispatcher(n)
 	d.SetInstanceCount(n / 2)
 	const prompts = 200
 	for i := range n {
@@ -73,22 +65,54 @@
 	b.ReportMetric(float64(times[len(times)*99/100].Microseconds()), "p99-us")
 }
 
-// BenchmarkPlaceWithEvictions measures the same where the prompt evicts parts at all endpoints that
-// hold some, with the cost of that off and on.
+// BenchmarkPlaceWithEvictions measures the cost of one placement of a prompt that evicts requested
+// parts at each of 1,100 endpoints, with the cost of that off and on. Each endpoint is the only
+// holder of 20 parts that fill its memory. A placement is a millisecond after the one before.
 func BenchmarkPlaceWithEvictions(b *testing.B) {
-	small := *models
-	small.KVCapacityTokens = 6000
+	const n, refreshInterval = 1100, 4 * time.Second
+	service := *models
+	service.KVCapacityTokens = 62_129
 	for _, eviction := range []Switch{Off, On} {
 		b.Run(fmt.Sprintf("eviction=%t", eviction == On), func(b *testing.B) {
-			benchmarkPlaceWith(b, 1100, CapacityOptions{Eviction: eviction}, func(part uint64) *Request {
-				r := newTestRequest(part)
-				r.Service = &small
-				return r
-			})
+			d, all := newTestDispatcher(n)
+			options := d.options
+			options.Capacity.Eviction = eviction
+			d = New(options)
+			d.SetEndpoints(all)
+			d.SetInstanceCount(n / 2)
+			b.ReportAllocs()
+			now, refreshed := 2*time.Second, tables.Instant(0)
+			for i := range b.N {
+				if refreshed == 0 || now-refreshed > refreshInterval {
+					b.StopTimer()
+					fillMemories(d, now)
+					refreshed = now
+					b.StartTimer()
+				}
+				r := newTestRequest(uint64(100 + i%200))
+				r.Service, r.PromptTokens = &service, 9000
+				now += time.Millisecond
+				if a, _ := d.Place(now, r); a != nil {
+					d.RecordOutcome(now, a, Completed)
+				}
+				_ = d.TakeCacheUpdates()
+				_ = d.TakeLoadReports(now)
+			}
 		})
 	}
 }
 
+// fillMemories records 20 requested parts of 3,000 tokens at each endpoint, which no other one holds.
+func fillMemories(d *Dispatcher, now tables.Instant) {
+	for i, row := range d.services["models"] {
+		for part := range 20 {
+			key := parts.ID(1_000_000 + 20*i + part).KeyAt(1)
+			d.cache.record(now, now, key, row)
+			d.evictionDemand.record(now, key, 3000)
+		}
+	}
+}
+
 // BenchmarkRemovedParts measures the cost of one removal and one look-up in a full record.
 func BenchmarkRemovedParts(b *testing.B) {
 	var p removedParts
--- a/dispatch/eviction.go
+++ b/dispatch/eviction.go
@@ -19,6 +19,9 @@
 	// evictionOrderTTL is how long the order in which an endpoint evicts its parts is used before
 	// it is determined anew. The rates of requests change by a fifth in this time.
 	evictionOrderTTL = 2 * time.Second
+	// maxCharged is the number of candidates to whose cost that of evictions is added: those with
+	// the lowest cost without it. The orders of all endpoints would take longer than a placement.
+	maxCharged = 8
 	// minTrackedKeys is the number of keys of an endpoint up to which keys of parts that it no
 	// longer holds are not sought.
 	minTrackedKeys = 64
@@ -205,6 +208,43 @@
 	return d.cache.tracksEvictions && r.Model != "" && r.Service.KVCapacityTokens > 0 && d.enabled(d.options.Capacity.Eviction, r.Service.Name)
 }
 
+// lowestCosts holds the candidates with the lowest costs, in ascending order. The zero value is
+// empty.
+type lowestCosts struct {
+	all   [maxCharged]candidate
+	count int
+}
+
+// add adds a candidate if its cost is among the lowest. Of equal costs the first one added comes
+// first.
+func (l *lowestCosts) add(c *candidate) {
+	if l.count == maxCharged && c.cost >= l.all[maxCharged-1].cost {
+		return
+	}
+	at := min(l.count, maxCharged-1)
+	for ; at > 0 && l.all[at-1].cost > c.cost; at-- {
+		l.all[at] = l.all[at-1]
+	}
+	l.all[at] = *c
+	l.count = min(l.count+1, maxCharged)
+}
+
+// cheapestWithEvictions returns the candidate with the lowest cost including that of evictions.
+func (d *Dispatcher) cheapestWithEvictions(now tables.Instant, r *Request, rows []*endpointRow, lowest *lowestCosts) candidate {
+	best := candidate{cost: math.Inf(1)}
+	for i := range lowest.count {
+		c := &lowest.all[i]
+		if c.cost >= best.cost {
+			break // evictions only add to the cost of this one and the following ones
+		}
+		c.cost += d.evictionCost(now, r, c.row, d.viewOf(now, r, c.row.Weights[r.Model], rows).cachedParts(c.row))
+		if c.cost < best.cost {
+			best = *c
+		}
+	}
+	return best
+}
+
 // evictionCost returns the expected time, in milliseconds, to compute again what an endpoint has
 // to evict for the request, given how many of the request's parts it holds. It is zero while the
 // endpoint has enough free memory, and counts only parts that no other endpoint and no store
--- a/dispatch/eviction_test.go
+++ b/dispatch/eviction_test.go
@@ -308,3 +308,22 @@
 		})
 	}
 }
+
+// Guards against a choice among other candidates than those of the lowest costs, or in another order.
+func TestLowestCostsAreKeptInOrder(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	for n := range 3 * maxCharged {
+		var lowest lowestCosts
+		costs, kept := make([]float64, n), []float64{}
+		for i := range costs {
+			costs[i] = float64(random.IntN(n))
+			lowest.add(&candidate{cost: costs[i], wait: float64(i)})
+		}
+		for i := range lowest.count {
+			kept = append(kept, lowest.all[i].cost)
+			assert.Assert(t, i == 0 || kept[i-1] < kept[i] || lowest.all[i-1].wait < lowest.all[i].wait)
+		}
+		slices.Sort(costs)
+		assert.DeepEqual(t, kept, costs[:min(n, maxCharged)])
+	}
+}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -125,7 +125,7 @@
 func (d *Dispatcher) cheapestAmong(now tables.Instant, r *Request, rows []*endpointRow, p path, onlyConfirmed bool) (candidate, RejectReason) {
 	best, reason := candidate{cost: math.Inf(1), path: p}, NoEndpoint
 	limit := d.queueLimit(now, r)
-	evictions := d.countsEvictions(r)
+	evictions, lowest := d.countsEvictions(r), lowestCosts{}
 	for _, row := range rows {
 		if limit.passesOver(now, row) {
 			continue
@@ -138,18 +138,19 @@
 			continue
 		}
 		c := d.evaluate(now, r, row, rows)
-		if !limit.admits(now, &c) || c.cost >= best.cost {
-			continue
-		}
-		if evictions {
-			// It only adds to the cost, so an endpoint that is not the cheapest without it is left.
-			c.cost += d.evictionCost(now, r, row, d.viewOf(now, r, row.Weights[r.Model], rows).cachedParts(row))
-		}
-		if c.cost < best.cost {
+		switch {
+		case !limit.admits(now, &c):
+		case evictions:
+			lowest.add(&c)
+		case c.cost < best.cost:
 			best = c
 			best.path = p
 		}
 	}
+	if lowest.count > 0 {
+		best = d.cheapestWithEvictions(now, r, rows, &lowest)
+		best.path = p
+	}
 	return best, limit.reason(r, &best, reason)
 }
 
