Late datagrams are no cost, and unused charge allowance is kept for a second

Cause: a lower total of a placer counted as a restart, so that its whole running total entered the recent cost, and a duplicate counted as a waiting organisation. The bound of a charge covered only the time since the last answer, while totals grow by whole reports.

Change: a decrease adds nothing to the recent cost, and an increase counts from the highest total before it. An unchanged total within 10 ms is a duplicate. Unused allowance of charges is kept for up to a second.

--- a/systems/shares/charges.go
+++ b/systems/shares/charges.go
@@ -12,6 +12,9 @@
 	// rebaseAfter is the time after which lower answers count. Totals are reported every 100 ms, so
 	// that answers of schedulers differ for a few hundred milliseconds.
 	rebaseAfter = time.Second
+	// maxUnused is the time for which an unused allowance of charges is kept. Totals grow by whole
+	// reports, which may arrive right after an answer.
+	maxUnused = time.Second
 )
 
 // Charges holds the running totals of what this instance has started, and computes the charges for
@@ -31,7 +34,9 @@
 	// the latest one; 0 for none.
 	others                uint64
 	reachedAt, answeredAt tables.Instant
-	usedAt                tables.Instant
+	// allowance is the cost in tokens that may still be charged.
+	allowance float64
+	usedAt    tables.Instant
 }
 
 // Started counts a cost that this instance has started for an organisation and returns the running
@@ -68,8 +73,9 @@
 // started others in all. Only what exceeds all earlier answers is charged: schedulers know more or
 // less, and when an instance is gone, its total is gone too. After rebaseAfter without an answer
 // that reaches the earlier ones, the next one replaces them. An increase is bounded by what can be
-// started in the time since the last answer at maxRate, in tokens a second, so that a wrong total
-// costs an organisation at most that. Without an earlier answer nothing is charged.
+// started at maxRate, in tokens a second, in the time since the last answer and the part of the time
+// before it, up to maxUnused, for which nothing was charged. So a wrong total costs an organisation
+// at most that. Without an earlier answer nothing is charged.
 func (c *Charges) Answered(now tables.Instant, key Key, others uint64, maxRate float64) float64 {
 	if others == 0 {
 		return 0
@@ -81,6 +87,11 @@
 	last, since := a.others, now-a.answeredAt
 	isFirst := a.answeredAt == 0 || since >= forgetAfter
 	a.answeredAt, a.usedAt = now, now
+	if isFirst {
+		a.allowance = 0
+	} else {
+		a.allowance = min(a.allowance, maxRate*maxUnused.Seconds()) + maxRate*since.Seconds()
+	}
 	if isFirst || others < last && now-a.reachedAt >= rebaseAfter {
 		a.others, a.reachedAt = others, now
 		return 0
@@ -89,7 +100,9 @@
 		return 0
 	}
 	a.others, a.reachedAt = others, now
-	return min(float64(others-last), maxRate*since.Seconds())
+	charge := min(float64(others-last), a.allowance)
+	a.allowance -= charge
+	return charge
 }
 
 func (c *Charges) get(now tables.Instant, key Key) *account {
--- a/systems/shares/totals.go
+++ b/systems/shares/totals.go
@@ -5,7 +5,6 @@
 package shares
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -28,6 +27,9 @@
 	// recentDecay is the time constant of the decaying cost by which organisations are compared.
 	// It covers several requests of an organisation that starts one a second.
 	recentDecay = 5 * time.Second
+	// duplicateWindow is the time within which an unchanged total of a placer is taken for a duplicate
+	// datagram. Placers send at most one every 50 ms.
+	duplicateWindow = 10 * time.Millisecond
 )
 
 // Key names an organisation in a class of requests for a service. Classes are numbered by the
@@ -91,12 +93,6 @@
 	placedChanged, zoneChanged bool
 }
 
-type sender struct {
-	instance tables.InstanceID
-	total    uint64
-	at       tables.Instant
-}
-
 type zoneTotal struct {
 	zone  tables.Zone
 	from  tables.InstanceID
@@ -147,40 +143,18 @@
 	if p == nil {
 		return
 	}
-	increase := cost
-	if cost >= p.total {
-		increase -= p.total
-	}
 	if !isNew {
 		// What was placed before the placer was known is no recent cost.
-		t.addRecent(now, key, known, increase)
+		t.addRecent(now, key, known, p.increase(cost))
 	}
-	if cost == p.total {
+	if cost == p.total && (isNew || now-p.at >= duplicateWindow) {
 		t.recordWaitingElsewhere(now, key)
 	}
 	known.placedSum += cost - p.total
-	p.total, p.at = cost, now
+	p.set(now, cost)
 	t.markZone(key, known)
 }
 
-// sender returns the entry of an instance, and whether it is new; nil if there is no room for it.
-func (t *Totals) sender(in *[]sender, instance tables.InstanceID) (*sender, bool) {
-	at, found := find(*in, instance)
-	if !found {
-		if t.senders >= maxSenders {
-			return nil, false
-		}
-		t.senders++
-		*in = slices.Insert(*in, at, sender{instance: tables.InstanceID(unique.Make(string(instance)).Value())})
-	}
-	return &(*in)[at], !found
-}
-
-// find returns the position of an instance in a list ordered by name.
-func find(in []sender, instance tables.InstanceID) (int, bool) {
-	return slices.BinarySearchFunc(in, instance, func(s sender, id tables.InstanceID) int { return cmp.Compare(s.instance, id) })
-}
-
 // RecordZone stores the total that a scheduler of another zone has reported for that zone, and
 // returns whether it is used. Totals of a zone come from one of its schedulers at a time, since
 // those of two may overlap.
