Requests yield only to other organisations' requests that still wait

Cause: a request that yielded to one lacking memory held back all sizes. Lack of memory of one large request renewed the saturation of its model, so that reports of other placers held back small ones without a bound. A refusal counted for 60 ms after its request was placed, also against its own organisation. Marks of waiting organisations were reported however old they were.

Change: a yield to a request that lacks memory records the need of the one that yields and is not reported. Only Saturated renews the saturation of a model. Refusals name their organisation, four of a tier at most; they are ignored for the same organisation and deleted when a request of it for the same model is placed. Placed takes the request, and TakePlaced the time; it leaves out unchanged totals whose mark is older than 110 ms.

The simulation of the forward package with this change is not measured yet.

--- a/forward/shares.go
+++ b/forward/shares.go
@@ -71,7 +71,7 @@
 	defer c.mu.Unlock()
 	switch {
 	case attempt != nil:
-		c.totals.Placed(now, key, requestCost(r))
+		c.totals.Placed(now, key, need)
 	case isRetry:
 		// A retry may not go to some endpoints, so its failure says nothing of others.
 	case yields:
@@ -169,7 +169,7 @@
 func (s *Server) TakePlacedCosts(limit int) []shares.Cost {
 	s.shares.mu.Lock()
 	defer s.shares.mu.Unlock()
-	return s.shares.totals.TakePlaced(limit)
+	return s.shares.totals.TakePlaced(s.options.Now(), limit)
 }
 
 // TakeZoneCosts returns at most limit totals of the zone that have changed since the last call, for
--- a/forward/simulation_shares_test.go
+++ b/forward/simulation_shares_test.go
@@ -118,7 +118,7 @@
 	}
 	return yields, func(placed bool) {
 		if placed {
-			p.totals.Placed(sim.now, key, uint64(r.waiter.cost()))
+			p.totals.Placed(sim.now, key, need)
 		} else {
 			p.totals.Refused(sim.now, key, need, why)
 		}
@@ -161,7 +161,7 @@
 
 // reportPlaced reports what a placer has placed to others.
 func reportPlaced(now tables.Instant, from *simulatedScheduler, receivers []*simulatedScheduler) {
-	for _, cost := range from.totals.TakePlaced(64) {
+	for _, cost := range from.totals.TakePlaced(now, 64) {
 		for _, to := range receivers {
 			if to != from && to.failure == schedulerRuns {
 				to.totals.RecordPlaced(now, cost.Key, from.name, cost.Total)
--- a/systems/shares/shares_test.go
+++ b/systems/shares/shares_test.go
@@ -21,7 +21,7 @@
 func TestOthersAreAllInstancesExceptTheAskingOne(t *testing.T) {
 	var totals Totals
 	now := time.Second
-	totals.Placed(now, key("a"), 100)
+	totals.Placed(now, key("a"), Request{Model: "m", Tokens: 100})
 	totals.RecordInstance(now, key("a"), "i1", 100)
 	assert.Equal(t, totals.Others(key("a"), 100), uint64(0))
 	assert.Equal(t, totals.Others(key("a"), 0), uint64(100))
@@ -103,7 +103,7 @@
 	assert.Assert(t, recent > 550 && recent <= 600, "%f", recent)
 	assert.Equal(t, totals.Others(key("a"), 0), uint64(100_600))
 	totals.RecordPlaced(now+time.Millisecond, key("a"), "placer", 100_600)
-	assert.Equal(t, totals.groups[groupKey{"s", 0}].elsewhereAt, [waitingTiers]tables.Instant{}, "a duplicate")
+	assert.Equal(t, len(totals.groups[groupKey{"s", 0}].elsewhere[0]), 0, "a duplicate")
 }
 
 // Guards against a total that decreases by a refund, which stands for a restart.
@@ -121,8 +121,8 @@
 	var totals Totals
 	now := time.Second
 	small, large := Request{Model: "m", Tokens: 100}, Request{Model: "m", Tokens: 10_000}
-	totals.Placed(now, key("greedy"), 10_000)
-	totals.Placed(now, key("b"), 1000)
+	totals.Placed(now, key("greedy"), Request{Model: "m", Tokens: 10_000})
+	totals.Placed(now, key("b"), Request{Model: "m", Tokens: 1000})
 	totals.Refused(now, key("greedy"), small, Saturated)
 	assert.Assert(t, !totals.Yields(now, key("greedy"), small), "nobody else waits")
 	totals.Refused(now, key("b"), large, LacksMemory)
@@ -140,16 +140,16 @@
 	var here, there Totals
 	now := time.Second
 	r := Request{Model: "m", Tokens: 100}
-	here.Placed(now, key("greedy"), 10_000)
+	here.Placed(now, key("greedy"), Request{Model: "m", Tokens: 10_000})
 	here.Refused(now, key("greedy"), r, Saturated)
 	there.Refused(now, key("b"), r, Saturated)
 	for range 2 {
-		for _, cost := range there.TakePlaced(64) {
+		for _, cost := range there.TakePlaced(now, 64) {
 			here.RecordPlaced(now, cost.Key, "there", cost.Total)
 		}
 	}
 	assert.Assert(t, here.Yields(now, key("greedy"), r))
-	assert.Equal(t, len(there.TakePlaced(64)), 0, "reported once for each refusal")
+	assert.Equal(t, len(there.TakePlaced(now, 64)), 0, "reported once for each refusal")
 }
 
 // Guards against reports of everything in every datagram, and against changes beyond the limit that
@@ -157,10 +157,10 @@
 func TestOnlyChangesAreReported(t *testing.T) {
 	var totals Totals
 	for i := range 100 {
-		totals.Placed(time.Second, key(fmt.Sprint(i)), 10)
+		totals.Placed(time.Second, key(fmt.Sprint(i)), Request{Model: "m", Tokens: 10})
 	}
 	assert.Equal(t, len(totals.TakeZone(64)), 64)
-	totals.Placed(time.Second, key("0"), 5)
+	totals.Placed(time.Second, key("0"), Request{Model: "m", Tokens: 5})
 	rest := totals.TakeZone(64)
 	assert.Equal(t, len(rest), 37)
 	assert.DeepEqual(t, rest[36], Cost{Key: key("0"), Total: 15})
@@ -181,7 +181,7 @@
 	now := time.Second
 	for i := range 12_000 {
 		k := key(fmt.Sprintf("organisation-%d", i))
-		totals.Placed(now, k, 100)
+		totals.Placed(now, k, Request{Model: "m", Tokens: 100})
 		totals.RecordZone(now, k, "z2", "far", 100)
 		for n := range 6 {
 			totals.RecordInstance(now, k, tables.InstanceID(fmt.Sprintf("instance-%d", (i*7+n)%340)), 100)
@@ -192,7 +192,7 @@
 	assert.Assert(t, used < 4<<20, "%d bytes", used)
 	assert.Equal(t, len(totals.byKey), maxKeys)
 	now += 2 * forgetAfter
-	totals.Placed(now, key("a"), 1)
+	totals.Placed(now, key("a"), Request{Model: "m", Tokens: 1})
 	assert.Equal(t, len(totals.byKey), 1)
 	assert.Equal(t, totals.senders, 0)
 }
--- a/systems/shares/totals.go
+++ b/systems/shares/totals.go
@@ -69,10 +69,10 @@
 	sum, squares float64
 	at           tables.Instant
 	keys         int
-	// refusals are the latest requests that found no capacity, by model, and elsewhereAt is when
-	// another placer last reported that requests of an organisation of a tier wait there.
-	refusals    map[string]*refusals
-	elsewhereAt [waitingTiers]tables.Instant
+	// refusals are the latest requests that found no capacity, by model, and elsewhere holds the
+	// organisations of each tier whose requests wait at another placer, as it has reported.
+	refusals  map[string]*refusals
+	elsewhere [waitingTiers]waiting
 }
 
 // total is what is known of a key.
@@ -84,6 +84,10 @@
 	// sum of all.
 	placed, placedSum uint64
 	peers             []sender
+	// reported is the total placed here that was last reported, and waitsAt when a request of the
+	// organisation was last refused such that the other placers are told.
+	reported uint64
+	waitsAt  tables.Instant
 	// zones are the totals of other zones.
 	zones   []zoneTotal
 	recent  float64
@@ -119,15 +123,18 @@
 	}
 }
 
-// Placed counts a request that is placed here.
-func (t *Totals) Placed(now tables.Instant, key Key, cost uint64) {
+// Placed counts a request that is placed here. Its cost is its tokens. Refusals of the organisation's
+// requests for the same model that need no more hold back nobody from then on.
+func (t *Totals) Placed(now tables.Instant, key Key, r Request) {
 	known := t.get(now, key)
 	if known == nil {
 		return
 	}
+	cost := uint64(max(0, r.Tokens))
 	known.placed += cost
 	known.placedSum += cost
 	t.addRecent(now, key, known, cost)
+	t.clearRefusals(key, r)
 	t.markZone(key, known)
 	t.markPlaced(key, known)
 }
@@ -204,17 +211,28 @@
 func (t *total) zoneTotal() uint64 { return max(t.sum, t.placedSum) }
 
 // TakePlaced returns at most limit totals of what was placed here that have changed since they were
-// last returned, longest unreported first.
-func (t *Totals) TakePlaced(limit int) []Cost {
-	return t.take(&t.placedChanged, limit, func(known *total) (uint64, *bool) { return known.placed, &known.placedChanged })
+// last returned or whose organisations wait, longest unreported first. Those that have not changed
+// are left out once the organisation has not waited for elsewhereWindow.
+func (t *Totals) TakePlaced(now tables.Instant, limit int) []Cost {
+	return t.take(&t.placedChanged, limit, func(known *total) (uint64, bool) {
+		isNews := known.placed != known.reported || isRecent(now, known.waitsAt, elsewhereWindow)
+		known.placedChanged, known.reported = false, known.placed
+		return known.placed, isNews
+	})
 }
 
-// TakeZone does the same for the totals of the own zone.
+// TakeZone returns at most limit totals of the own zone that have changed since they were last
+// returned, longest unreported first.
 func (t *Totals) TakeZone(limit int) []Cost {
-	return t.take(&t.zoneChanged, limit, func(known *total) (uint64, *bool) { return known.zoneTotal(), &known.zoneChanged })
+	return t.take(&t.zoneChanged, limit, func(known *total) (uint64, bool) {
+		known.zoneChanged = false
+		return known.zoneTotal(), true
+	})
 }
 
-func (t *Totals) take(from *[]Key, limit int, value func(*total) (uint64, *bool)) []Cost {
+// take returns the totals of the first keys for which a function returns true, and removes all that
+// it has asked for from the list.
+func (t *Totals) take(from *[]Key, limit int, value func(*total) (uint64, bool)) []Cost {
 	var costs []Cost
 	taken := 0
 	for _, key := range *from {
@@ -223,9 +241,9 @@
 		}
 		taken++
 		if known := t.byKey[key]; known != nil {
-			cost, changed := value(known)
-			*changed = false
-			costs = append(costs, Cost{Key: key, Total: cost})
+			if cost, isNews := value(known); isNews {
+				costs = append(costs, Cost{Key: key, Total: cost})
+			}
 		}
 	}
 	*from = slices.Delete(*from, 0, taken)
--- a/systems/shares/yield.go
+++ b/systems/shares/yield.go
@@ -48,38 +48,48 @@
 
 // refusals are the latest requests for a model that have found no capacity.
 type refusals struct {
-	// at is the time of the latest one of any organisation.
-	at tables.Instant
+	// saturatedAt is when the queues were last too long for one of any organisation.
+	saturatedAt tables.Instant
 	// byTier holds the latest ones of each tier for which others wait.
-	byTier [waitingTiers]refusal
+	byTier [waitingTiers]waiting
 }
 
-// refusal is the latest time at which a request of a tier has found no capacity.
-type refusal struct {
-	at tables.Instant
-	// need is the least need in tokens of those that lack memory; 0 if one waits for shorter queues.
-	need int
-}
+// cause is why a request yields.
+type cause int
+
+const (
+	// noCause: it does not yield.
+	noCause cause = iota
+	// lacksMemory: requests of lower tiers that need no more lack memory.
+	lacksMemory
+	// saturated: requests of lower tiers wait for shorter queues, here or at another placer.
+	saturated
+)
 
-// Yields reports whether a request has to wait for those of organisations of lower tiers: within
-// yieldWindow one of these has found no capacity for the same model. Without this rule capacity goes
-// to whoever asks first where each instance has few waiting requests. A request that lacks memory
-// holds back only those that need no less. The models of requests that wait at other placers are not
-// known, so they hold back only requests for a model that has no capacity here either.
+// Yields reports whether a request has to wait for those of other organisations in lower tiers:
+// within yieldWindow one of these has found no capacity for the same model. Without this rule
+// capacity goes to whoever asks first where each instance has few waiting requests. A request that
+// lacks memory holds back only those that need no less. The models of requests that wait at other
+// placers are not known, so they hold back only requests for a model whose queues are too long here
+// too.
 func (t *Totals) Yields(now tables.Instant, key Key, r Request) bool {
+	return t.cause(now, key, r) != noCause
+}
+
+func (t *Totals) cause(now tables.Instant, key Key, r Request) cause {
 	g := t.groups[groupKey{key.Service, key.Class}]
 	if g == nil || g.refusals[r.Model] == nil {
-		return false
+		return noCause
 	}
-	refused := g.refusals[r.Model]
-	saturated := isRecent(now, refused.at, saturatedWindow)
+	refused, found := g.refusals[r.Model], noCause
+	isSaturated := isRecent(now, refused.saturatedAt, saturatedWindow)
 	for lower := range t.tier(now, key) {
-		here := refused.byTier[lower]
-		if isRecent(now, here.at, yieldWindow) && r.Tokens >= here.need || saturated && isRecent(now, g.elsewhereAt[lower], elsewhereWindow) {
-			return true
+		found = max(found, refused.byTier[lower].holdsBack(now, yieldWindow, key, r))
+		if isSaturated {
+			found = max(found, g.elsewhere[lower].holdsBack(now, elsewhereWindow, key, r))
 		}
 	}
-	return false
+	return found
 }
 
 func isRecent(now, at tables.Instant, window time.Duration) bool { return at > 0 && now-at < window }
@@ -97,8 +107,8 @@
 )
 
 // Refused records that a request was not placed. Its organisation's total is then reported to the
-// other placers although it has not changed, so that they know that it waits, unless it lacks memory
-// or is in the highest tier.
+// other placers although it has not changed, so that they know that it waits, unless it lacks memory,
+// yields to one that does, or is in the highest tier.
 func (t *Totals) Refused(now tables.Instant, key Key, r Request, why Refusal) {
 	known := t.get(now, key)
 	if known == nil {
@@ -108,23 +118,32 @@
 	if refused == nil {
 		return
 	}
-	if why != Yielded {
-		refused.at = now
+	need := 0
+	switch {
+	case why == Saturated:
+		refused.saturatedAt = now
+	case why == LacksMemory, t.cause(now, key, r) != saturated:
+		need = r.Tokens
 	}
 	in := t.tier(now, key)
 	if int(in) >= waitingTiers {
 		return
 	}
-	latest, need := &refused.byTier[in], 0
-	if why == LacksMemory {
-		need = r.Tokens
-	} else {
+	refused.byTier[in].record(now, yieldWindow, key, need)
+	if need == 0 {
+		known.waitsAt = now
 		t.markPlaced(key, known)
 	}
-	if isRecent(now, latest.at, yieldWindow) {
-		need = min(need, latest.need)
+}
+
+// clearRefusals deletes the refusals of an organisation that a placed request makes obsolete. What
+// still waits asks again within 50 ms.
+func (t *Totals) clearRefusals(key Key, r Request) {
+	if refused := t.groups[groupKey{key.Service, key.Class}].refusals[r.Model]; refused != nil {
+		for in := range refused.byTier {
+			refused.byTier[in].clear(key, r)
+		}
 	}
-	latest.at, latest.need = now, need
 }
 
 // refusalsOf returns the refusals of a model; nil if there is no room for them.
@@ -143,6 +162,6 @@
 // recordWaitingElsewhere records that another placer has reported a total that has not changed.
 func (t *Totals) recordWaitingElsewhere(now tables.Instant, key Key) {
 	if in := t.tier(now, key); int(in) < waitingTiers {
-		t.groups[groupKey{key.Service, key.Class}].elsewhereAt[in] = now
+		t.groups[groupKey{key.Service, key.Class}].elsewhere[in].record(now, elsewhereWindow, key, 0)
 	}
 }
