Charges count from the highest answer that lower ones have replaced

Cause: answers more than a second apart that alternate between a high and a low total replaced the high one and charged the difference again each time.

An answer that reaches the replaced one again charges only what exceeds it. Answers by scheduler would need the scheduler's name in each answer and were not chosen.

--- a/systems/shares/shares_test.go
+++ b/systems/shares/shares_test.go
@@ -91,6 +91,32 @@
 	assert.Equal(t, c.Answered(6*time.Second, key("a"), 1_000_000, 1000) <= 6000, true)
 }
 
+// Guards against charges for what nobody has started where schedulers know different totals.
+func TestSchedulersThatKnowLessCauseNoCharge(t *testing.T) {
+	for _, lower := range []int{1, 2, 5} {
+		var c Charges
+		charged := 0.0
+		for i := range 60 {
+			others := uint64(1000)
+			if i%(lower+1) == 0 {
+				others = 1_000_000
+			}
+			charged += c.Answered(time.Second+time.Duration(i)*1100*time.Millisecond, key("a"), others, 1e6)
+		}
+		assert.Equal(t, charged, 0.0, "%d lower answers after each higher one", lower)
+	}
+}
+
+// Guards against increases that are not charged after an instance and its total are gone.
+func TestIncreaseAfterADecreaseIsCharged(t *testing.T) {
+	var c Charges
+	charged := 0.0
+	for i, others := range []uint64{10_000, 500, 500, 500, 500, 600, 700} {
+		charged += c.Answered(time.Second+time.Duration(i)*600*time.Millisecond, key("a"), others, 1e6)
+	}
+	assert.Equal(t, charged, 200.0)
+}
+
 // Guards against an organisation that yields because a datagram arrives late or twice.
 func TestLateDatagramIsNoCost(t *testing.T) {
 	var totals Totals
