Placers have their own places for totals, and dropped totals are logged

Cause: instances and placers shared 10,240 places, which instances fill at the required scale. Totals of further placers were then dropped without a log line.

Change: 4,096 places for totals of instances and 6,144 for those of placers. Lists of senders have no spare capacity. A dropped total adds nothing to the recent cost and marks nothing: without the earlier total an increase and an unchanged total cannot be told apart.

--- a/forward/shares.go
+++ b/forward/shares.go
@@ -20,6 +20,8 @@
 	// largestLogInterval is the least time between two log lines on the largest organisation of a
 	// service.
 	largestLogInterval = time.Second
+	// droppedLogInterval is the least time between two log lines on totals for which there is no room.
+	droppedLogInterval = time.Second
 )
 
 // sharedCosts shares capacity among organisations over all instances. It is safe for concurrent
@@ -33,6 +35,8 @@
 	charges shares.Charges
 	// loggedAt is when the largest organisation of a service was last logged.
 	loggedAt map[string]tables.Instant
+	// droppedAt is when a total for which there is no room was last logged.
+	droppedAt tables.Instant
 }
 
 // shareKey returns under which key a request shares capacity.
@@ -183,9 +187,21 @@
 // ApplyPlacedCost applies the total of what another instance has placed.
 func (s *Server) ApplyPlacedCost(by tables.InstanceID, cost shares.Cost) {
 	if s.SharesCosts() {
-		s.shares.mu.Lock()
-		defer s.shares.mu.Unlock()
-		s.shares.totals.RecordPlaced(s.options.Now(), cost.Key, by, cost.Total)
+		s.shares.recordPlaced(s.options.Now(), by, cost)
+	}
+}
+
+func (c *sharedCosts) recordPlaced(now tables.Instant, by tables.InstanceID, cost shares.Cost) {
+	c.mu.Lock()
+	isStored := c.totals.RecordPlaced(now, cost.Key, by, cost.Total)
+	logs := !isStored && (c.droppedAt == 0 || now-c.droppedAt >= droppedLogInterval)
+	if logs {
+		c.droppedAt = now
+	}
+	c.mu.Unlock()
+	if logs {
+		events.PlacedCostDropped.Log(c.log, zap.String("service", cost.Service), zap.String("organisation", cost.Organisation),
+			zap.String("placer", string(by)))
 	}
 }
 
--- a/forward/shares_test.go
+++ b/forward/shares_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/routes"
 	"github.com/carawaystile/carawaystile/systems/shares"
+	"github.com/carawaystile/carawaystile/tables"
 )
 
 // sharedRequest returns a request of another instance's caller that names its organisation.
@@ -86,3 +88,15 @@
 	next, _ = q.next(again)
 	assert.Assert(t, next != nil)
 }
+
+// Guards against totals that are dropped without a log line, and against a line for each.
+func TestDroppedTotalsAreLoggedOnceASecond(t *testing.T) {
+	core, logged := observer.New(zap.InfoLevel)
+	c := &sharedCosts{log: zap.New(core)}
+	for i := range 20_000 {
+		c.recordPlaced(time.Second, tables.InstanceID(strconv.Itoa(i)), shares.Cost{Key: shares.Key{Service: "s", Organisation: "a"}, Total: 1})
+	}
+	assert.Equal(t, logged.Len(), 1)
+	c.recordPlaced(2*time.Second, "another", shares.Cost{Key: shares.Key{Service: "s", Organisation: "a"}, Total: 1})
+	assert.Equal(t, logged.FilterField(zap.Uint16("event", uint16(events.PlacedCostDropped.Number))).Len(), 2)
+}
--- a/systems/shares/senders.go
+++ b/systems/shares/senders.go
@@ -45,15 +45,18 @@
 	s.total, s.at = total, now
 }
 
-// sender returns the entry of an instance, and whether it is new; nil if there is no room for it.
-func (t *Totals) sender(in *[]sender, instance tables.InstanceID) (*sender, bool) {
+// findOrAdd returns the entry of an instance, and whether it is new; nil if count, the number of
+// entries of all keys, has reached its limit.
+func findOrAdd(in *[]sender, instance tables.InstanceID, count *int, limit int) (*sender, bool) {
 	at, found := find(*in, instance)
 	if !found {
-		if t.senders >= maxSenders {
+		if *count >= limit {
 			return nil, false
 		}
-		t.senders++
-		*in = slices.Insert(*in, at, sender{instance: tables.InstanceID(unique.Make(string(instance)).Value())})
+		*count++
+		added := sender{instance: tables.InstanceID(unique.Make(string(instance)).Value())}
+		// Concat leaves no spare capacity, which would take up to half of the memory.
+		*in = slices.Concat((*in)[:at], []sender{added}, (*in)[at:])
 	}
 	return &(*in)[at], !found
 }
--- a/systems/shares/shares_test.go
+++ b/systems/shares/shares_test.go
@@ -204,7 +204,7 @@
 	}
 	before := heap()
 	var totals Totals
-	now := time.Second
+	now, placers := time.Second, 0
 	for i := range 12_000 {
 		k := key(fmt.Sprintf("organisation-%d", i))
 		totals.Placed(now, k, Request{Model: "m", Tokens: 100})
@@ -212,13 +212,17 @@
 		for n := range 6 {
 			totals.RecordInstance(now, k, tables.InstanceID(fmt.Sprintf("instance-%d", (i*7+n)%340)), 100)
 		}
+		if totals.RecordPlaced(now, k, "placer", 100) {
+			placers++
+		}
 	}
 	used := heap() - before
 	t.Logf("%d bytes", used)
 	assert.Assert(t, used < 4<<20, "%d bytes", used)
 	assert.Equal(t, len(totals.byKey), maxKeys)
+	assert.Equal(t, placers, maxPlacers, "instances leave room for placers")
 	now += 2 * forgetAfter
 	totals.Placed(now, key("a"), Request{Model: "m", Tokens: 1})
 	assert.Equal(t, len(totals.byKey), 1)
-	assert.Equal(t, totals.senders, 0)
+	assert.Equal(t, totals.instances+totals.placers, 0)
 }
--- a/systems/shares/totals.go
+++ b/systems/shares/totals.go
@@ -18,9 +18,13 @@
 	forgetAfter = 10 * time.Second
 	// sweepInterval is the interval between two sweeps for totals to delete.
 	sweepInterval = time.Second
-	// maxKeys and maxSenders bound the memory to less than 4 MB. 8,600 organisations fit.
-	maxKeys    = 9_000
-	maxSenders = 10_240
+	// maxKeys, maxInstances and maxPlacers bound the memory to less than 4 MB. 8,600 organisations fit.
+	// The latter two count the totals of instances and of placers over all keys. Placers have places of
+	// their own, since their totals show who leads and who waits, and contain most of what instances
+	// have started.
+	maxKeys      = 9_000
+	maxInstances = 4_096
+	maxPlacers   = 6_144
 	// zoneSilence is the time without a report after which another scheduler of a zone may
 	// replace the one whose totals are used. Reports come every 100 ms while totals change.
 	zoneSilence = time.Second
@@ -51,8 +55,9 @@
 	byKey   map[Key]*total
 	groups  map[groupKey]*group
 	sources map[tables.Zone]source
-	senders int
-	sweptAt tables.Instant
+	// instances and placers count the totals of instances of the own zone and of placers.
+	instances, placers int
+	sweptAt            tables.Instant
 	// placedChanged and zoneChanged list the keys whose totals, of what was placed here or of the own
 	// zone, have changed since they were reported.
 	placedChanged, zoneChanged []Key
@@ -116,7 +121,7 @@
 	if known == nil {
 		return
 	}
-	if s, _ := t.sender(&known.senders, instance); s != nil {
+	if s, _ := findOrAdd(&known.senders, instance, &t.instances, maxInstances); s != nil {
 		known.sum += cost - s.total
 		s.total, s.at = cost, now
 		t.markZone(key, known)
@@ -140,15 +145,17 @@
 }
 
 // RecordPlaced stores the total of what another placer has placed: another scheduler of the own
-// zone or, without schedulers, another instance. A total lower than the known one replaces it.
-func (t *Totals) RecordPlaced(now tables.Instant, key Key, placer tables.InstanceID, cost uint64) {
+// zone or, without schedulers, another instance. A total lower than the known one replaces it. It
+// returns false if there is no room for it: without the earlier total, neither an increase nor that
+// an organisation waits there can be told.
+func (t *Totals) RecordPlaced(now tables.Instant, key Key, placer tables.InstanceID, cost uint64) bool {
 	known := t.get(now, key)
 	if known == nil {
-		return
+		return false
 	}
-	p, isNew := t.sender(&known.peers, placer)
+	p, isNew := findOrAdd(&known.peers, placer, &t.placers, maxPlacers)
 	if p == nil {
-		return
+		return false
 	}
 	if !isNew {
 		// What was placed before the placer was known is no recent cost.
@@ -160,6 +167,7 @@
 	known.placedSum += cost - p.total
 	p.set(now, cost)
 	t.markZone(key, known)
+	return true
 }
 
 // RecordZone stores the total that a scheduler of another zone has reported for that zone, and
@@ -359,7 +367,7 @@
 			}
 			return gone
 		})
-		t.senders -= before - len(known.senders)
+		t.instances -= before - len(known.senders)
 	}
 	isGone := func(key Key) bool { return t.byKey[key] == nil }
 	t.placedChanged = slices.DeleteFunc(t.placedChanged, isGone)
@@ -368,7 +376,8 @@
 
 func (t *Totals) forget(now tables.Instant, key Key, known *total) {
 	delete(t.byKey, key)
-	t.senders -= len(known.senders) + len(known.peers)
+	t.instances -= len(known.senders)
+	t.placers -= len(known.peers)
 	in := groupKey{key.Service, key.Class}
 	g := t.groups[in]
 	if g.keys--; g.keys == 0 {
