--- a/systems/shares/totals.go
+++ b/systems/shares/totals.go
@@ -5,7 +5,6 @@
 package shares
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -19,15 +18,22 @@
 	forgetAfter = 10 * time.Second
 	// sweepInterval is the interval between two sweeps for totals to delete.
 	sweepInterval = time.Second
-	// maxKeys and maxSenders bound the memory to less than 4 MB. 8,600 organisations fit.
-	maxKeys    = 9_000
-	maxSenders = 10_240
+	// maxKeys, maxInstances and maxPlacers bound the memory to less than 4 MB. 8,600 organisations fit.
+	// The latter two count the totals of instances and of placers over all keys. Placers have places of
+	// their own, since their totals show who leads and who waits, and contain most of what instances
+	// have started.
+	maxKeys      = 9_000
+	maxInstances = 4_096
+	maxPlacers   = 6_144
 	// zoneSilence is the time without a report after which another scheduler of a zone may
 	// replace the one whose totals are used. Reports come every 100 ms while totals change.
 	zoneSilence = time.Second
 	// recentDecay is the time constant of the decaying cost by which organisations are compared.
 	// It covers several requests of an organisation that starts one a second.
 	recentDecay = 5 * time.Second
+	// duplicateWindow is the time within which an unchanged total of a placer is taken for a duplicate
+	// datagram. Placers send at most one every 50 ms.
+	duplicateWindow = 10 * time.Millisecond
 )
 
 // Key names an organisation in a class of requests for a service. Classes are numbered by the
@@ -49,8 +55,9 @@
 	byKey   map[Key]*total
 	groups  map[groupKey]*group
 	sources map[tables.Zone]source
-	senders int
-	sweptAt tables.Instant
+	// instances and placers count the totals of instances of the own zone and of placers.
+	instances, placers int
+	sweptAt            tables.Instant
 	// placedChanged and zoneChanged list the keys whose totals, of what was placed here or of the own
 	// zone, have changed since they were reported.
 	placedChanged, zoneChanged []Key
@@ -67,10 +74,10 @@
 	sum, squares float64
 	at           tables.Instant
 	keys         int
-	// refusals are the latest requests that found no capacity, by model, and elsewhereAt is when
-	// another placer last reported that requests of an organisation of a tier wait there.
-	refusals    map[string]*refusals
-	elsewhereAt [waitingTiers]tables.Instant
+	// refusals are the latest requests that found no capacity, by model, and elsewhere holds the
+	// organisations of each tier whose requests wait at another placer, as it has reported.
+	refusals  map[string]*refusals
+	elsewhere [waitingTiers]waiting
 }
 
 // total is what is known of a key.
@@ -82,6 +89,10 @@
 	// sum of all.
 	placed, placedSum uint64
 	peers             []sender
+	// reported is the total placed here that was last reported, and waitsAt when a request of the
+	// organisation was last refused such that the other placers are told.
+	reported uint64
+	waitsAt  tables.Instant
 	// zones are the totals of other zones.
 	zones   []zoneTotal
 	recent  float64
@@ -91,12 +102,6 @@
 	placedChanged, zoneChanged bool
 }
 
-type sender struct {
-	instance tables.InstanceID
-	total    uint64
-	at       tables.Instant
-}
-
 type zoneTotal struct {
 	zone  tables.Zone
 	from  tables.InstanceID
@@ -116,69 +121,53 @@
 	if known == nil {
 		return
 	}
-	if s, _ := t.sender(&known.senders, instance); s != nil {
+	if s, _ := findOrAdd(&known.senders, instance, &t.instances, maxInstances); s != nil {
 		known.sum += cost - s.total
 		s.total, s.at = cost, now
 		t.markZone(key, known)
 	}
 }
 
-// Placed counts a request that is placed here.
-func (t *Totals) Placed(now tables.Instant, key Key, cost uint64) {
+// Placed counts a request that is placed here. Its cost is its tokens. Refusals of the organisation's
+// requests for the same model that need no more hold back nobody from then on.
+func (t *Totals) Placed(now tables.Instant, key Key, r Request) {
 	known := t.get(now, key)
 	if known == nil {
 		return
 	}
+	cost := uint64(max(0, r.Tokens))
 	known.placed += cost
 	known.placedSum += cost
 	t.addRecent(now, key, known, cost)
+	t.clearRefusals(key, r)
 	t.markZone(key, known)
 	t.markPlaced(key, known)
 }
 
 // RecordPlaced stores the total of what another placer has placed: another scheduler of the own
-// zone or, without schedulers, another instance. A total lower than the known one replaces it.
-func (t *Totals) RecordPlaced(now tables.Instant, key Key, placer tables.InstanceID, cost uint64) {
+// zone or, without schedulers, another instance. A total lower than the known one replaces it. It
+// returns false if there is no room for it: without the earlier total, neither an increase nor that
+// an organisation waits there can be told.
+func (t *Totals) RecordPlaced(now tables.Instant, key Key, placer tables.InstanceID, cost uint64) bool {
 	known := t.get(now, key)
 	if known == nil {
-		return
+		return false
 	}
-	p, isNew := t.sender(&known.peers, placer)
+	p, isNew := findOrAdd(&known.peers, placer, &t.placers, maxPlacers)
 	if p == nil {
-		return
-	}
-	increase := cost
-	if cost >= p.total {
-		increase -= p.total
+		return false
 	}
 	if !isNew {
 		// What was placed before the placer was known is no recent cost.
-		t.addRecent(now, key, known, increase)
+		t.addRecent(now, key, known, p.increase(cost))
 	}
-	if cost == p.total {
+	if cost == p.total && (isNew || now-p.at >= duplicateWindow) {
 		t.recordWaitingElsewhere(now, key)
 	}
 	known.placedSum += cost - p.total
-	p.total, p.at = cost, now
+	p.set(now, cost)
 	t.markZone(key, known)
-}
-
-// sender returns the entry of an instance, and whether it is new; nil if there is no room for it.
-func (t *Totals) sender(in *[]sender, instance tables.InstanceID) (*sender, bool) {
-	at, found := find(*in, instance)
-	if !found {
-		if t.senders >= maxSenders {
-			return nil, false
-		}
-		t.senders++
-		*in = slices.Insert(*in, at, sender{instance: tables.InstanceID(unique.Make(string(instance)).Value())})
-	}
-	return &(*in)[at], !found
-}
-
-// find returns the position of an instance in a list ordered by name.
-func find(in []sender, instance tables.InstanceID) (int, bool) {
-	return slices.BinarySearchFunc(in, instance, func(s sender, id tables.InstanceID) int { return cmp.Compare(s.instance, id) })
+	return true
 }
 
 // RecordZone stores the total that a scheduler of another zone has reported for that zone, and
@@ -230,17 +219,28 @@
 func (t *total) zoneTotal() uint64 { return max(t.sum, t.placedSum) }
 
 // TakePlaced returns at most limit totals of what was placed here that have changed since they were
-// last returned, longest unreported first.
-func (t *Totals) TakePlaced(limit int) []Cost {
-	return t.take(&t.placedChanged, limit, func(known *total) (uint64, *bool) { return known.placed, &known.placedChanged })
+// last returned or whose organisations wait, longest unreported first. Those that have not changed
+// are left out once the organisation has not waited for elsewhereWindow.
+func (t *Totals) TakePlaced(now tables.Instant, limit int) []Cost {
+	return t.take(&t.placedChanged, limit, func(known *total) (uint64, bool) {
+		isNews := known.placed != known.reported || isRecent(now, known.waitsAt, elsewhereWindow)
+		known.placedChanged, known.reported = false, known.placed
+		return known.placed, isNews
+	})
 }
 
-// TakeZone does the same for the totals of the own zone.
+// TakeZone returns at most limit totals of the own zone that have changed since they were last
+// returned, longest unreported first.
 func (t *Totals) TakeZone(limit int) []Cost {
-	return t.take(&t.zoneChanged, limit, func(known *total) (uint64, *bool) { return known.zoneTotal(), &known.zoneChanged })
+	return t.take(&t.zoneChanged, limit, func(known *total) (uint64, bool) {
+		known.zoneChanged = false
+		return known.zoneTotal(), true
+	})
 }
 
-func (t *Totals) take(from *[]Key, limit int, value func(*total) (uint64, *bool)) []Cost {
+// take returns the totals of the first keys for which a function returns true, and removes all that
+// it has asked for from the list.
+func (t *Totals) take(from *[]Key, limit int, value func(*total) (uint64, bool)) []Cost {
 	var costs []Cost
 	taken := 0
 	for _, key := range *from {
@@ -249,9 +249,9 @@
 		}
 		taken++
 		if known := t.byKey[key]; known != nil {
-			cost, changed := value(known)
-			*changed = false
-			costs = append(costs, Cost{Key: key, Total: cost})
+			if cost, isNews := value(known); isNews {
+				costs = append(costs, Cost{Key: key, Total: cost})
+			}
 		}
 	}
 	*from = slices.Delete(*from, 0, taken)
@@ -367,7 +367,7 @@
 			}
 			return gone
 		})
-		t.senders -= before - len(known.senders)
+		t.instances -= before - len(known.senders)
 	}
 	isGone := func(key Key) bool { return t.byKey[key] == nil }
 	t.placedChanged = slices.DeleteFunc(t.placedChanged, isGone)
@@ -376,7 +376,8 @@
 
 func (t *Totals) forget(now tables.Instant, key Key, known *total) {
 	delete(t.byKey, key)
-	t.senders -= len(known.senders) + len(known.peers)
+	t.instances -= len(known.senders)
+	t.placers -= len(known.peers)
 	in := groupKey{key.Service, key.Class}
 	g := t.groups[in]
 	if g.keys--; g.keys == 0 {
