Switch shares over all instances on with capacity.shares

Cause: capacity.admission: auto, which deploy/instance.yaml sets, also switched on the exchange of organisations' costs, yields, and the exception in waitQueue.join for requests that nothing is known to start before.

Change: settings key capacity.shares (off, auto, on; default off), which has no effect without capacity.admission. With it off no organisation is named, no total is kept, exchanged or charged, nothing yields, and join rejects by the predicted wait. deploy/instance.yaml does not set it. Tests of shares now set the key, since admission alone no longer switches shares on; the test of the switched-off state covers each of the two keys.

--- a/dispatch/saturation.go
+++ b/dispatch/saturation.go
@@ -31,6 +31,12 @@
 	return d.enabled(d.options.Capacity.Admission, service)
 }
 
+// SharesEnabled reports whether the capacity of a service is shared among organisations over all
+// instances.
+func (d *Dispatcher) SharesEnabled(service string) bool {
+	return d.AdmissionEnabled(service) && d.enabled(d.options.Capacity.Shares, service)
+}
+
 // placedShare holds the prefill tokens that this instance has placed at a service's endpoints
 // of late, as exponentially decaying sums: those of the most urgent work and those of other work.
 type placedShare struct {
--- a/forward/admission.go
+++ b/forward/admission.go
@@ -164,6 +164,7 @@
 	s := c.server
 	s.mu.Lock()
 	prefill := s.dispatch.LeastPrefillTime(&c.dispatchRequest)
+	w.shared = s.dispatch.SharesEnabled(c.service.Name)
 	s.mu.Unlock()
 	w.setLimits(now, prefill, isRetry)
 	w.startBy, w.deadline = min(w.startBy, c.deadline), c.deadline
--- a/forward/scheduled.go
+++ b/forward/scheduled.go
@@ -98,7 +98,7 @@
 // PlaceRequest chooses an endpoint and counts an attempt there. If no endpoint is
 // available, the attempt is nil and the reason says why.
 func (s *Server) PlaceRequest(r *dispatch.Request) (*dispatch.Attempt, dispatch.RejectReason) {
-	if r.Organisation != "" && s.SharesCosts() {
+	if r.Organisation != "" && s.sharesCostsOf(r.Service.Name) {
 		return s.placeShared(r)
 	}
 	return s.placeHere(r)
--- a/forward/shares.go
+++ b/forward/shares.go
@@ -103,11 +103,11 @@
 }
 
 // setOrganisation names the organisation in the request's next question if the service is
-// saturated.
-func (c *clientRequest) setOrganisation() {
+// saturated and its capacity is shared.
+func (c *clientRequest) setOrganisation(w *waiter) {
 	r := &c.dispatchRequest
 	r.Organisation, r.OrganisationCost, r.OthersCost = "", 0, 0
-	if !c.server.admission.isSaturated(c.service.Name) {
+	if !w.shared || !c.server.admission.isSaturated(c.service.Name) {
 		return
 	}
 	r.Organisation = string(c.organisationID())
@@ -143,9 +143,9 @@
 }
 
 // started counts a request of a saturated service towards the totals that this instance names. It
-// does nothing on the nil value.
+// does nothing on the nil value, and where capacity is not shared.
 func (c *sharedCosts) started(now tables.Instant, service string, w *waiter) {
-	if c == nil {
+	if c == nil || !w.shared {
 		return
 	}
 	c.mu.Lock()
@@ -155,6 +155,9 @@
 
 // refunded takes back what started has counted.
 func (c *sharedCosts) refunded(service string, w *waiter) {
+	if !w.shared {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.charges.Refunded(shares.Key{Service: service, Organisation: w.organisation, Class: w.class()}, uint64(w.cost()))
@@ -162,7 +165,17 @@
 
 // SharesCosts reports whether capacity may be shared among organisations, so that their costs are to
 // be exchanged with other instances.
-func (s *Server) SharesCosts() bool { return s.options.Dispatch.Capacity.Admission != dispatch.Off }
+func (s *Server) SharesCosts() bool {
+	capacity := s.options.Dispatch.Capacity
+	return capacity.Admission != dispatch.Off && capacity.Shares != dispatch.Off
+}
+
+// sharesCostsOf reports whether the capacity of a service is shared over all instances.
+func (s *Server) sharesCostsOf(service string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dispatch.SharesEnabled(service)
+}
 
 // TakePlacedCosts returns at most limit totals of what was placed here that have changed since the
 // last call, or whose organisations wait, for the other instances that place requests.
--- a/forward/shares_test.go
+++ b/forward/shares_test.go
@@ -12,6 +12,7 @@
 	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/routes"
 	"github.com/carawaystile/carawaystile/systems/shares"
+	"github.com/carawaystile/carawaystile/tables"
 )
 
 // sharedRequest returns a request of another instance's caller that names its organisation.
@@ -28,6 +29,7 @@
 func TestPlacerHoldsBackTheOrganisationThatHasHadMore(t *testing.T) {
 	core, logged := observer.New(zap.InfoLevel)
 	h := newAdmissionHarness(t, 0)
+	h.enableCapacity(dispatch.CapacityOptions{Admission: dispatch.On, Shares: dispatch.On})
 	h.server.shares.log = zap.New(core)
 	greedy := h.sharedRequest("greedy", longPrompt)
 	attempt, reason := h.server.PlaceRequest(greedy)
@@ -53,18 +55,59 @@
 	assert.Assert(t, len(h.server.TakePlacedCosts(64)) == 2 && len(h.server.TakeZoneCosts(64)) == 2)
 }
 
-// Guards against costs that are exchanged, or requests that are held back, where admission is off.
-func TestNoCostsAreKeptWithAdmissionOff(t *testing.T) {
-	h := newHarness(t, streamEvents(3, 3))
-	r := h.sharedRequest("org", 100)
-	r.UrgentTarget = 0
-	attempt, _ := h.server.PlaceRequest(r)
-	assert.Assert(t, attempt != nil)
-	h.server.ApplyPlacedCost("i2", shares.Cost{Key: shareKey(r), Total: 500})
-	h.server.ApplyZoneCost("far", "z9", shares.Cost{Key: shareKey(r), Total: 500})
-	assert.Assert(t, !h.server.SharesCosts())
-	assert.Equal(t, len(h.server.TakePlacedCosts(64))+len(h.server.TakeZoneCosts(64)), 0)
-	assert.Equal(t, r.OthersCost, uint64(0))
+// Guards against costs that are exchanged, or requests that are held back, where admission or shares
+// are off.
+func TestNoCostsAreKeptWithASwitchOff(t *testing.T) {
+	for _, capacity := range []dispatch.CapacityOptions{{}, {Shares: dispatch.On}, {Admission: dispatch.On}} {
+		h := newHarness(t, streamEvents(3, 3))
+		h.enableCapacity(capacity)
+		r := h.sharedRequest("org", 100)
+		r.UrgentTarget = 0
+		attempt, _ := h.server.PlaceRequest(r)
+		assert.Assert(t, attempt != nil)
+		h.server.ApplyPlacedCost("i2", shares.Cost{Key: shareKey(r), Total: 500})
+		h.server.ApplyZoneCost("far", "z9", shares.Cost{Key: shareKey(r), Total: 500})
+		assert.Assert(t, !h.server.SharesCosts())
+		assert.Equal(t, len(h.server.TakePlacedCosts(64))+len(h.server.TakeZoneCosts(64)), 0)
+		assert.Equal(t, r.OthersCost, uint64(0))
+	}
+}
+
+// Guards against organisations that are named or charged by an instance where shares are off while
+// its service is saturated, and against names that are missing where they are on.
+func TestOrganisationIsNamedOnlyWithSharesOn(t *testing.T) {
+	for _, on := range []dispatch.Switch{dispatch.Off, dispatch.On} {
+		h := newAdmissionHarness(t, 0)
+		h.enableCapacity(dispatch.CapacityOptions{Admission: dispatch.On, Shares: on})
+		a := h.server.admission
+		a.update("models", func(q *serviceQueue, now tables.Instant) { q.saturatedSince = now })
+		c := &clientRequest{server: h.server, service: h.server.Service("models"), org: &routes.Organisation{ID: "org"}}
+		c.route = &routes.Route{TargetLatency: longTarget}
+		c.dispatchRequest = *h.sharedRequest("", 300)
+		w := c.newWaiter()
+		a.update("models", func(q *serviceQueue, now tables.Instant) { q.chargeIfSaturated(now, w) })
+		c.setOrganisation(w)
+		assert.Equal(t, c.dispatchRequest.Organisation != "", on == dispatch.On)
+		assert.Equal(t, c.dispatchRequest.OrganisationCost > 0, on == dispatch.On)
+	}
+}
+
+// Guards against a queue that, with shares off, takes in a request whose predicted wait is too long.
+func TestRequestThatIsNextIsRejectedWithSharesOff(t *testing.T) {
+	for _, shared := range []bool{false, true} {
+		q, now := newWaitQueue(), time.Second
+		for range 3 {
+			first := joinQueue(t, q, now, waiter{organisation: "org", prompt: 500})
+			now += 20 * time.Second
+			_, _ = q.next(now)
+			q.placed(now, first)
+		}
+		w := &waiter{organisation: "org", prompt: 500, target: time.Second, arrivedAt: now, shared: shared}
+		w.setLimits(now, 0, false)
+		predicted, joined := q.join(now, w)
+		assert.Assert(t, predicted > time.Second, "%v", predicted)
+		assert.Equal(t, joined, shared)
+	}
 }
 
 // Guards against a request that is held back for other organisations and hides those behind it, in
--- a/forward/simulation_test.go
+++ b/forward/simulation_test.go
@@ -120,6 +120,7 @@
 
 func (s *simulation) arrive(w workload) {
 	r := &simulatedRequest{waiter: waiter{
+		shared:       s.shares != nil,
 		organisation: w.organisation, priority: w.priority, prompt: w.prompt, output: 50, target: w.target, arrivedAt: s.now,
 	}}
 	r.dispatch = dispatch.Request{
--- a/forward/waitqueue.go
+++ b/forward/waitqueue.go
@@ -49,7 +49,9 @@
 	// of other requests.
 	model      string
 	restricted bool
-	arrivedAt  tables.Instant
+	// shared is set if the capacity of the service is shared over all instances.
+	shared    bool
+	arrivedAt tables.Instant
 	// startBy is the latest time at which the request may start, and rejectFrom the earliest at
 	// which it may be rejected after it has joined the queue.
 	startBy, rejectFrom tables.Instant
@@ -222,9 +224,12 @@
 	predicted, measured := q.predict(now, w)
 	class := q.classOf(w)
 	class.addDemand(now, w)
-	// Nothing is known to start before a request whose organisation is next. Its wait does not depend
-	// on how rarely requests leave this queue, which says little where a queue is short.
-	late := measured && now+predicted > w.startBy && class.ahead(now, w, predicted) > 0
+	late := measured && now+predicted > w.startBy
+	if w.shared {
+		// Nothing is known to start before a request whose organisation is next. Its wait does not
+		// depend on how rarely requests leave this queue, which says little where a queue is short.
+		late = late && class.ahead(now, w, predicted) > 0
+	}
 	if late || class.queued(w.flow) >= admission.MaxQueued {
 		return predicted, false
 	}
