Organisations that yield wait until the others of their instance have asked

Cause: a yield held back its organisation for 10 ms only, and the end of that pause let all ask again in the same order. With the limit of 100 questions a second, a few organisations that are first in order and yield used up all questions.

Change: heldOrganisations keeps those that yield, and after the first pause those whose requests found no capacity, were postponed or were placed, until a scan finds no other organisation that may ask, or could ask but for the limit. Empty where nothing yields, so the queue decides as before there.

--- a/forward/shares_test.go
+++ b/forward/shares_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -92,6 +93,37 @@
 	}
 }
 
+// Guards against organisations that yield and are first in order, and so use up all questions.
+func TestOrganisationsThatYieldLetOthersAsk(t *testing.T) {
+	for _, limit := range []*questionLimit{nil, newQuestionLimit()} {
+		q, now := newWaitQueue(), time.Second
+		q.limit = limit
+		asked := map[string]int{}
+		for i := range 20 {
+			joinQueue(t, q, now, waiter{organisation: fmt.Sprintf("org%d", i), prompt: 500})
+		}
+		for ; now < 4*time.Second; now += 3 * time.Millisecond {
+			w, _ := q.next(now)
+			switch {
+			case w == nil:
+			case w.organisation == "org19":
+				asked[w.organisation]++
+				q.full(now, w, 0)
+			case w.organisation == "org10":
+				asked[w.organisation]++
+				q.postpone(now, w, true)
+			default:
+				asked[w.organisation]++
+				q.yielded(now, w)
+			}
+		}
+		assert.Equal(t, len(asked), 20, "%v", asked)
+		for organisation, n := range asked {
+			assert.Assert(t, n >= 7, "%s asked %d times", organisation, n)
+		}
+	}
+}
+
 // Guards against a queue that, with shares off, takes in a request whose predicted wait is too long.
 func TestRequestThatIsNextIsRejectedWithSharesOff(t *testing.T) {
 	for _, shared := range []bool{false, true} {
--- a/forward/waitqueue.go
+++ b/forward/waitqueue.go
@@ -66,9 +66,6 @@
 	// deferred is set while the last answer was PrefillPending: the request waits for another one
 	// to compute a part of its prompt, or for the verdict whether it crashes endpoints.
 	deferred bool
-	// yields is set while the last answer was Yields: the request waits for those of organisations
-	// that have had less.
-	yields bool
 	// deadline is the latest end of the request.
 	deadline tables.Instant
 	flow     fairness.Flow
@@ -140,6 +137,7 @@
 	// refused are the requests that could not be placed in this round, which ends at resumeAt.
 	refused  []*waiter
 	resumeAt tables.Instant
+	held     heldOrganisations
 	// noneUntil is set if no request may ask: until that time, or, if it is forever, until a change.
 	noneUntil tables.Instant
 	// limit bounds the questions; nil for no bound.
@@ -259,6 +257,9 @@
 	q.limit.giveBack(w.questionKind())
 	q.charge(now, w)
 	q.leave(now, w)
+	if q.held.late {
+		q.held.add(w)
+	}
 }
 
 // charge counts a started request, whether it has waited or not, towards the shares of its
@@ -276,62 +277,6 @@
 	}
 }
 
-// full records that the request that was asking found no capacity. wait is the time until there
-// is some; 0 if unknown.
-func (q *waitQueue) full(now tables.Instant, w *waiter, wait time.Duration) {
-	w.yields = false
-	if w.earliest == 0 || now+wait < w.earliest {
-		w.earliest = now + wait
-	}
-	interval := placementRetryInterval
-	if wait > 0 {
-		interval = min(max(wait, minAskInterval), maxAskInterval)
-	}
-	if w.restricted {
-		q.endQuestion(now, w)
-		w.notBefore = now + interval
-		return
-	}
-	q.addRefused(now, w, interval)
-}
-
-// yielded records that the request that was asking has to wait for those of organisations that have
-// had less.
-func (q *waitQueue) yielded(now tables.Instant, w *waiter) {
-	w.yields = true
-	q.addRefused(now, w, placementRetryInterval)
-}
-
-// endQuestion records that the question of a request is answered, and ends the round if it is over.
-func (q *waitQueue) endQuestion(now tables.Instant, w *waiter) {
-	w.deferred, q.noneUntil = false, 0
-	if q.placing == w {
-		q.placing = nil
-	}
-	if now >= q.resumeAt {
-		q.refused = q.refused[:0]
-	}
-}
-
-// addRefused adds a request to those that could not be placed in this round.
-func (q *waitQueue) addRefused(now tables.Instant, w *waiter, interval time.Duration) {
-	q.endQuestion(now, w)
-	if len(q.refused) == 0 {
-		q.resumeAt = now + interval
-	}
-	q.resumeAt = min(q.resumeAt, now+interval)
-	q.refused = append(q.refused, w)
-}
-
-// postpone records that the request that was asking got no endpoint for a reason that does not
-// concern others. deferred is set if the reason is PrefillPending.
-func (q *waitQueue) postpone(now tables.Instant, w *waiter, deferred bool) {
-	w.deferred, w.notBefore, q.noneUntil = deferred, now+placementRetryInterval, 0
-	if q.placing == w {
-		q.placing = nil
-	}
-}
-
 // next returns the request that may ask now. If there is none it returns when to call next
 // again; 0 for not before the next change. It looks at the requests only if one may have become
 // able to ask since it last found none.
@@ -342,26 +287,38 @@
 	if now < q.noneUntil {
 		return nil, q.noneUntil
 	}
-	if now >= q.resumeAt {
-		q.refused = q.refused[:0]
+	q.endPause(now)
+	row, again := q.search(now)
+	if row != nil {
+		q.placing = q.waiters[row]
+		q.limit.take(now, q.placing.questionKind())
+		return q.placing, 0
+	}
+	q.noneUntil = again
+	if again == 0 {
+		q.noneUntil = forever
 	}
+	return nil, again
+}
+
+// search returns the request that may ask now, or nil and when to search again; 0 for not before the
+// next change.
+func (q *waitQueue) search(now tables.Instant) (*tables.RequestRow, tables.Instant) {
 	s := &scan{queue: q, now: now}
-	if len(q.refused) > 0 {
+	if now < q.resumeAt && (len(q.refused) > 0 || !q.held.isEmpty()) {
 		s.again = q.resumeAt
 	}
 	for _, class := range q.order(now) {
-		row := class.first(s)
-		if row != nil {
-			q.placing = q.waiters[row]
-			q.limit.take(now, q.placing.questionKind())
-			return q.placing, 0
+		if row := class.first(s); row != nil {
+			return row, 0
 		}
 	}
-	q.noneUntil = s.again
-	if s.again == 0 {
-		q.noneUntil = forever
+	if q.held.isEmpty() || now < q.resumeAt || s.limited {
+		return nil, s.again
 	}
-	return nil, s.again
+	// Each organisation has asked: the next round begins.
+	q.held.clear()
+	return q.search(now)
 }
 
 // setLimits sets when the request must start and when it may be rejected. leastPrefill is the
--- a/forward/waitscan.go
+++ b/forward/waitscan.go
@@ -46,6 +46,8 @@
 	now   tables.Instant
 	// again is the earliest time at which one may ask that may not yet; 0 for none.
 	again tables.Instant
+	// limited is set if one may not ask only because the questions are used up.
+	limited bool
 }
 
 // accepts reports whether a request may ask now.
@@ -54,6 +56,7 @@
 		return false
 	}
 	at := max(w.notBefore, s.queue.limit.allowedAt(s.now, w.questionKind()))
+	s.limited = s.limited || at > s.now && w.notBefore <= s.now
 	if at > s.now && (s.again == 0 || at < s.again) {
 		s.again = at
 	}
@@ -67,13 +70,12 @@
 	if n.sample == nil {
 		return false
 	}
+	if sameOrganisation && s.queue.held.has(n.sample) {
+		return true
+	}
 	sameModel := 0
 	for _, refused := range s.queue.refused {
 		switch {
-		case refused.yields:
-			if sameOrganisation && n.sample.waitsBehind(refused) {
-				return true
-			}
 		case n.mixed || n.sample.model != refused.model:
 		case n.prompt >= refused.prompt && n.total >= refused.prompt+refused.output && n.target >= refused.target:
 			return true
@@ -85,14 +87,17 @@
 }
 
 // waitsBehindRefused reports whether the request waits behind one that could not be placed in
-// this round, or behind as many of its model as may fail in a round.
+// this round, or behind as many of its model as may fail in a round, or is held back.
 func (q *waitQueue) waitsBehindRefused(w *waiter) bool {
+	if q.held.has(w) {
+		return true
+	}
 	sameModel := 0
 	for _, refused := range q.refused {
 		if w == refused || w.waitsBehind(refused) {
 			return true
 		}
-		if w.model == refused.model && !refused.yields {
+		if w.model == refused.model {
 			sameModel++
 		}
 	}
@@ -101,10 +106,6 @@
 
 // waitsBehind reports whether the request needs no less than one that could not be placed: it
 // names the same model and has no smaller prompt, no smaller need of memory and no shorter target.
-// Behind one that yields wait only those of the same organisation and class.
 func (w *waiter) waitsBehind(refused *waiter) bool {
-	if refused.yields {
-		return w.organisation == refused.organisation && w.class() == refused.class()
-	}
 	return w.model == refused.model && w.prompt >= refused.prompt && w.prompt+w.output >= refused.prompt+refused.output && w.target >= refused.target
 }
