Refusals of requests that avoid endpoints hold back nobody

Cause: a placer recorded the refusal of a request whose asker avoids endpoints, or needs confirmed ones, as one of the whole model, so all organisations that have had more yielded to it although there was capacity for them.

Change: such a request counts like a retry, whose failure says nothing of others. TestPlacerHoldsBackTheOrganisationThatHasHadMore uses a fixed clock, since its windows are 60 ms.

--- a/forward/shares.go
+++ b/forward/shares.go
@@ -66,14 +66,15 @@
 	if !yields {
 		attempt, reason = s.placeHere(r)
 	}
-	isRetry := len(r.Tried) > 0 || r.DeliveredAttempts > 0
+	// A retry may not go to some endpoints, nor may a request whose asker avoids some or needs
+	// confirmed ones, so its failure says nothing of others.
+	isRestricted := len(r.Tried) > 0 || r.DeliveredAttempts > 0 || len(r.Avoided) > 0 || r.ConfirmedOnly
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
 	case attempt != nil:
 		c.totals.Placed(now, key, requestCost(r))
-	case isRetry:
-		// A retry may not go to some endpoints, so its failure says nothing of others.
+	case isRestricted:
 	case yields:
 		c.totals.Refused(now, key, need, shares.Yielded)
 	case reason == dispatch.Saturated:
--- a/forward/shares_test.go
+++ b/forward/shares_test.go
@@ -25,12 +25,20 @@
 	}
 }
 
+// newSharesHarness returns a harness with shares over all instances.
+func newSharesHarness(t *testing.T, now func() tables.Instant) *harness {
+	t.Helper()
+	h := newHarnessWith(t, now, newFakeEndpoints(t, streamEvents(3, 3)))
+	h.enableCapacity(dispatch.CapacityOptions{Admission: dispatch.On, Shares: dispatch.On})
+	return h
+}
+
 // Guards against an organisation that takes capacity for which others wait, at this placer or at
 // another one, and against operators who do not see which one has most of it.
 func TestPlacerHoldsBackTheOrganisationThatHasHadMore(t *testing.T) {
 	core, logged := observer.New(zap.InfoLevel)
-	h := newAdmissionHarness(t, 0)
-	h.enableCapacity(dispatch.CapacityOptions{Admission: dispatch.On, Shares: dispatch.On})
+	now := time.Second
+	h := newSharesHarness(t, func() tables.Instant { return now })
 	h.server.shares.log = zap.New(core)
 	greedy := h.sharedRequest("greedy", longPrompt)
 	attempt, reason := h.server.PlaceRequest(greedy)
@@ -56,6 +64,27 @@
 	assert.Assert(t, len(h.server.TakePlacedCosts(64)) == 2 && len(h.server.TakeZoneCosts(64)) == 2)
 }
 
+// Guards against requests that are held back because one could not go to endpoints that only its
+// asker avoids, or to unconfirmed ones.
+func TestRestrictedRequestHoldsBackNobody(t *testing.T) {
+	for _, restrict := range []func(*dispatch.Request){
+		func(r *dispatch.Request) { r.Avoided = []tables.EndpointID{"e0models"} },
+		func(r *dispatch.Request) { r.ConfirmedOnly = true },
+	} {
+		now := time.Second
+		h := newSharesHarness(t, func() tables.Instant { return now })
+		attempt, reason := h.server.PlaceRequest(h.sharedRequest("greedy", longPrompt))
+		assert.Assert(t, attempt != nil, "%s", reason)
+		other := h.sharedRequest("other", 300)
+		restrict(other)
+		refused, _ := h.server.PlaceRequest(other)
+		assert.Assert(t, refused == nil)
+		h.server.AttemptEnded(attempt, dispatch.Completed)
+		attempt, reason = h.server.PlaceRequest(h.sharedRequest("greedy", 300))
+		assert.Assert(t, attempt != nil, "%s", reason)
+	}
+}
+
 // Guards against costs that are exchanged, or requests that are held back, where admission or shares
 // are off.
 func TestNoCostsAreKeptWithASwitchOff(t *testing.T) {
