Largest share is logged without the lock; simulated bound of starts

Cause: the line on the organisation with the largest share was written while the lock of the totals was held, so questions waited for the log. The simulation bounded charges by 1e6 tokens a second, which is far above what its engines start, so it tested no bound.

Change: take the result under the lock and log after it. The simulation uses the bound of chargeOthers: maxStartFactor times the prefill rate of its engines.

Result: TestLargestShareIsLoggedWithoutTheLock fails with the line under the lock and passes without.

--- a/forward/shares.go
+++ b/forward/shares.go
@@ -69,38 +69,55 @@
 	// A retry may not go to some endpoints, nor may a request whose asker avoids some or needs
 	// confirmed ones, so its failure says nothing of others.
 	isRestricted := len(r.Tried) > 0 || r.DeliveredAttempts > 0 || len(r.Avoided) > 0 || r.ConfirmedOnly
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	switch {
 	case attempt != nil:
+		c.mu.Lock()
 		c.totals.Placed(now, key, requestCost(r))
+		c.mu.Unlock()
 	case isRestricted:
 	case yields:
-		c.totals.Refused(now, key, need, shares.Yielded)
+		c.refused(now, key, need, shares.Yielded)
 	case reason == dispatch.Saturated:
-		c.totals.Refused(now, key, need, shares.Saturated)
-		c.logLargest(now, key.Service)
+		c.refused(now, key, need, shares.Saturated)
 	case reason == dispatch.NoCapacity:
-		c.totals.Refused(now, key, need, shares.LacksMemory)
-		c.logLargest(now, key.Service)
+		c.refused(now, key, need, shares.LacksMemory)
 	}
 	return attempt, reason
 }
 
-// logLargest logs the organisation with the largest share of a saturated service. The caller holds
-// mu.
-func (c *sharedCosts) logLargest(now tables.Instant, service string) {
+// refused records that a request was not placed, and logs the organisation with the largest share if
+// its service lacks capacity.
+func (c *sharedCosts) refused(now tables.Instant, key shares.Key, need shares.Request, why shares.Refusal) {
+	c.mu.Lock()
+	c.totals.Refused(now, key, need, why)
+	largest, share, known := shares.Key{}, 0.0, false
+	if why != shares.Yielded {
+		largest, share, known = c.largestToLog(now, key.Service)
+	}
+	c.mu.Unlock()
+	if known {
+		c.logLargest(largest, share)
+	}
+}
+
+// largestToLog returns the organisation with the largest share of a saturated service, and that share;
+// false if none is known or one has been logged within largestLogInterval. The caller holds mu.
+func (c *sharedCosts) largestToLog(now tables.Instant, service string) (shares.Key, float64, bool) {
 	if at, logged := c.loggedAt[service]; logged && now-at < largestLogInterval {
-		return
+		return shares.Key{}, 0, false
 	}
 	if c.loggedAt == nil {
 		c.loggedAt = map[string]tables.Instant{}
 	}
 	c.loggedAt[service] = now
-	if key, share, known := c.totals.Largest(now, service); known {
-		events.LargestShare.Log(c.log, zap.String("service", service), zap.String("organisation", key.Organisation),
-			zap.Int("priority", key.Class/classesPerPriority), zap.Float64("share", share))
-	}
+	return c.totals.Largest(now, service)
+}
+
+// logLargest logs the organisation with the largest share of a saturated service. The caller does not
+// hold mu, since writing may block.
+func (c *sharedCosts) logLargest(key shares.Key, share float64) {
+	events.LargestShare.Log(c.log, zap.String("service", key.Service), zap.String("organisation", key.Organisation),
+		zap.Int("priority", key.Class/classesPerPriority), zap.Float64("share", share))
 }
 
 // setOrganisation names the organisation in the request's next question if the service is
--- a/forward/shares_test.go
+++ b/forward/shares_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
 
@@ -64,6 +65,39 @@
 	assert.Assert(t, len(h.server.TakePlacedCosts(64)) == 2 && len(h.server.TakeZoneCosts(64)) == 2)
 }
 
+// unlockedCore fails if a log line is written while the lock of the totals is held.
+type unlockedCore struct {
+	zapcore.Core
+	shares  *sharedCosts
+	written int
+}
+
+func (c *unlockedCore) Enabled(zapcore.Level) bool { return true }
+
+func (c *unlockedCore) Check(entry zapcore.Entry, checked *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+	return checked.AddCore(entry, c)
+}
+
+func (c *unlockedCore) Write(zapcore.Entry, []zapcore.Field) error {
+	if c.shares.mu.TryLock() {
+		c.shares.mu.Unlock()
+		c.written++
+	}
+	return nil
+}
+
+// Guards against questions that wait until the line on the largest organisation is written.
+func TestLargestShareIsLoggedWithoutTheLock(t *testing.T) {
+	now := time.Second
+	h := newSharesHarness(t, func() tables.Instant { return now })
+	core := &unlockedCore{Core: zapcore.NewNopCore(), shares: h.server.shares}
+	h.server.shares.log = zap.New(core)
+	_, _ = h.server.PlaceRequest(h.sharedRequest("greedy", longPrompt))
+	_, reason := h.server.PlaceRequest(h.sharedRequest("other", 300))
+	assert.Equal(t, reason, dispatch.Saturated)
+	assert.Equal(t, core.written, 1)
+}
+
 // Guards against requests that are held back because one could not go to endpoints that only its
 // asker avoids, or to unconfirmed ones.
 func TestRestrictedRequestHoldsBackNobody(t *testing.T) {
--- a/forward/simulation_shares_test.go
+++ b/forward/simulation_shares_test.go
@@ -15,8 +15,6 @@
 const (
 	simulatedZones          = 3
 	simulatedReportInterval = 50 * time.Millisecond
-	// simulatedMaxRate is far more than the simulated engines can start, in tokens a second.
-	simulatedMaxRate = 1e6
 )
 
 // simulatedScheduler is an instance that places requests, or a zone's scheduler.
@@ -122,7 +120,8 @@
 		} else {
 			p.totals.Refused(sim.now, key, need, why)
 		}
-		charge := s.charges[i].Answered(sim.now, key, others, simulatedMaxRate)
+		maxRate := maxStartFactor * simulatedRate * 1000 * float64(len(sim.engines))
+		charge := s.charges[i].Answered(sim.now, key, others, maxRate)
 		r.instance.queue.chargeOthers(&r.waiter, charge)
 	}
 }
