--- a/forward/shares.go
+++ b/forward/shares.go
@@ -70,48 +70,66 @@
 	if !yields {
 		attempt, reason = s.placeHere(r)
 	}
-	isRetry := len(r.Tried) > 0 || r.DeliveredAttempts > 0
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	// A retry may not go to some endpoints, nor may a request whose asker avoids some or needs
+	// confirmed ones, so its failure says nothing of others.
+	isRestricted := len(r.Tried) > 0 || r.DeliveredAttempts > 0 || len(r.Avoided) > 0 || r.ConfirmedOnly
 	switch {
 	case attempt != nil:
+		c.mu.Lock()
 		c.totals.Placed(now, key, need)
-	case isRetry:
-		// A retry may not go to some endpoints, so its failure says nothing of others.
+		c.mu.Unlock()
+	case isRestricted:
 	case yields:
-		c.totals.Refused(now, key, need, shares.Yielded)
+		c.refused(now, key, need, shares.Yielded)
 	case reason == dispatch.Saturated:
-		c.totals.Refused(now, key, need, shares.Saturated)
-		c.logLargest(now, key.Service)
+		c.refused(now, key, need, shares.Saturated)
 	case reason == dispatch.NoCapacity:
-		c.totals.Refused(now, key, need, shares.LacksMemory)
-		c.logLargest(now, key.Service)
+		c.refused(now, key, need, shares.LacksMemory)
 	}
 	return attempt, reason
 }
 
-// logLargest logs the organisation with the largest share of a saturated service. The caller holds
-// mu.
-func (c *sharedCosts) logLargest(now tables.Instant, service string) {
+// refused records that a request was not placed, and logs the organisation with the largest share if
+// its service lacks capacity.
+func (c *sharedCosts) refused(now tables.Instant, key shares.Key, need shares.Request, why shares.Refusal) {
+	c.mu.Lock()
+	c.totals.Refused(now, key, need, why)
+	largest, share, known := shares.Key{}, 0.0, false
+	if why != shares.Yielded {
+		largest, share, known = c.largestToLog(now, key.Service)
+	}
+	c.mu.Unlock()
+	if known {
+		c.logLargest(largest, share)
+	}
+}
+
+// largestToLog returns the organisation with the largest share of a saturated service, and that share;
+// false if none is known or one has been logged within largestLogInterval. The caller holds mu.
+func (c *sharedCosts) largestToLog(now tables.Instant, service string) (shares.Key, float64, bool) {
 	if at, logged := c.loggedAt[service]; logged && now-at < largestLogInterval {
-		return
+		return shares.Key{}, 0, false
 	}
 	if c.loggedAt == nil {
 		c.loggedAt = map[string]tables.Instant{}
 	}
 	c.loggedAt[service] = now
-	if key, share, known := c.totals.Largest(now, service); known {
-		events.LargestShare.Log(c.log, zap.String("service", service), zap.String("organisation", key.Organisation),
-			zap.Int("priority", key.Class/classesPerPriority), zap.Float64("share", share))
-	}
+	return c.totals.Largest(now, service)
+}
+
+// logLargest logs the organisation with the largest share of a saturated service. The caller does not
+// hold mu, since writing may block.
+func (c *sharedCosts) logLargest(key shares.Key, share float64) {
+	events.LargestShare.Log(c.log, zap.String("service", key.Service), zap.String("organisation", key.Organisation),
+		zap.Int("priority", key.Class/classesPerPriority), zap.Float64("share", share))
 }
 
 // setOrganisation names the organisation in the request's next question if the service is
-// saturated.
-func (c *clientRequest) setOrganisation() {
+// saturated and its capacity is shared.
+func (c *clientRequest) setOrganisation(w *waiter) {
 	r := &c.dispatchRequest
 	r.Organisation, r.OrganisationCost, r.OthersCost = "", 0, 0
-	if !c.server.admission.isSaturated(c.service.Name) {
+	if !w.shared || !c.server.admission.isSaturated(c.service.Name) {
 		return
 	}
 	r.Organisation = string(c.organisationID())
@@ -147,9 +165,9 @@
 }
 
 // started counts a request of a saturated service towards the totals that this instance names. It
-// does nothing on the nil value.
+// does nothing on the nil value, and where capacity is not shared.
 func (c *sharedCosts) started(now tables.Instant, service string, w *waiter) {
-	if c == nil {
+	if c == nil || !w.shared {
 		return
 	}
 	c.mu.Lock()
@@ -159,6 +177,9 @@
 
 // refunded takes back what started has counted.
 func (c *sharedCosts) refunded(service string, w *waiter) {
+	if !w.shared {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.charges.Refunded(shares.Key{Service: service, Organisation: w.organisation, Class: w.class()}, uint64(w.cost()))
@@ -166,7 +187,17 @@
 
 // SharesCosts reports whether capacity may be shared among organisations, so that their costs are to
 // be exchanged with other instances.
-func (s *Server) SharesCosts() bool { return s.options.Dispatch.Capacity.Admission != dispatch.Off }
+func (s *Server) SharesCosts() bool {
+	capacity := s.options.Dispatch.Capacity
+	return capacity.Admission != dispatch.Off && capacity.Shares != dispatch.Off
+}
+
+// sharesCostsOf reports whether the capacity of a service is shared over all instances.
+func (s *Server) sharesCostsOf(service string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dispatch.SharesEnabled(service)
+}
 
 // TakePlacedCosts returns at most limit totals of what was placed here that have changed since the
 // last call, or whose organisations wait, for the other instances that place requests.
