Soak: close the proxy of an endpoint that does not start; report unreadable memory

The listener of an endpoint's proxy stayed open if the endpoint failed to start, so that a later start at the address failed too. peakMemory returned 0 for a value that it could not parse, which passes the memory check; it returns the error now and the run reports it.

--- a/soak/capacity.go
+++ b/soak/capacity.go
@@ -25,9 +25,9 @@
 
 	// Callers of an entry instance, slots and times of engines, and their memory in tokens. The
 	// callers need more slots than there are once engines are slowed down, have crashed or serve
-	// slow readers. With 10 slots they do all the time, and more attempts were declined than
-	// completed, whose retries left nothing of the retry budget. A tenth of the memory, which
-	// copies may occupy, holds several of the longest requests.
+	// slow readers. With 10 slots they do all the time: more attempts were declined than completed,
+	// and the retry budget was used up, whose cause is not established. A tenth of the memory,
+	// which copies may occupy, holds several of the longest requests.
 	contendedCallers = 12
 	contendedSlots   = 16
 	contendedTime    = 60 * time.Millisecond // to the first event, and between two events
--- a/soak/capacitycheck.go
+++ b/soak/capacitycheck.go
@@ -113,7 +113,12 @@
 		case <-ticker.C:
 		}
 		for _, i := range w.d.instances() {
-			if peak := i.peakMemory(); peak > memoryMB<<20 {
+			peak, err := i.peakMemory()
+			if err != nil {
+				w.d.ledger.breach("the soak works", "", "memory of %s: %v", i.Name, err)
+				return
+			}
+			if peak > memoryMB<<20 {
 				w.d.ledger.breach("memory stays within its limit", "", "%s used %d MB of %d", i.Name, peak>>20, memoryMB)
 				return
 			}
--- a/soak/places.go
+++ b/soak/places.go
@@ -108,6 +108,9 @@
 	}
 	e, err := p.d.fleet.Start(o)
 	if err != nil {
+		if o.OnExit != nil {
+			o.OnExit() // no process exists that would close its proxy's listener
+		}
 		return err
 	}
 	p.mu.Lock()
--- a/soak/process.go
+++ b/soak/process.go
@@ -185,21 +185,22 @@
 	return p.life, p.command != nil && !p.asked
 }
 
-// peakMemory is the largest resident memory of the running process so far, in bytes; 0 if it is
-// not known.
-func (p *Process) peakMemory() int {
+// peakMemory is the largest resident memory of the running process so far, in bytes; 0 if the
+// process doesn't run. The error is that of a status whose value is not a number.
+func (p *Process) peakMemory() (int, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.command == nil {
-		return 0
+		return 0, nil
 	}
 	status, err := os.ReadFile("/proc/" + strconv.Itoa(p.command.Process.Pid) + "/status")
 	_, text, found := strings.Cut(string(status), "VmHWM:")
 	if err != nil || !found {
-		return 0 // it has just ended
+		return 0, nil // it has just ended
 	}
-	kilobytes, _ := strconv.Atoi(strings.Fields(text)[0])
-	return kilobytes << 10
+	text, _, _ = strings.Cut(text, "kB")
+	kilobytes, err := strconv.Atoi(strings.TrimSpace(text))
+	return kilobytes << 10, err
 }
 
 // Exits is how often the process ended though nobody asked it to.
