Soak: a missing gauge counts as something that is held

The check that nothing is held at the end reads gauges by name. A gauge that is renamed or no longer registered passed as zero. The gauges of waiting requests, buffered bytes and streams in backpressure must be present; that of unanswered bytes exists for each known endpoint only and stays optional. TestMissingMetricCountsAsHeld passes; it fails for a text without one gauge.

--- a/soak/capacity_test.go
+++ b/soak/capacity_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"strings"
 	"testing"
 	"time"
 
@@ -68,6 +69,19 @@
 	}
 }
 
+// Guards against a metric that is renamed or missing, which would pass as zero.
+func TestMissingMetricCountsAsHeld(t *testing.T) {
+	var all string
+	for _, family := range requiredGauges {
+		all += family + "{kind=\"a\"} 0\n"
+	}
+	assert.Equal(t, len(heldIn(strings.NewReader(all))), 0)
+	for _, family := range requiredGauges {
+		assert.Equal(t, len(heldIn(strings.NewReader(strings.ReplaceAll(all, family, "other")))), 1, family)
+		assert.Equal(t, len(heldIn(strings.NewReader(all+family+" 1\n"))), 1, family)
+	}
+}
+
 // Guards against new kinds of faults that change the plans of the seeds that are kept.
 func TestPlansOfStoredSeedsDoNotChange(t *testing.T) {
 	for seed, want := range map[uint64]uint64{310: 0xef6980ba0d0f193f, 9301: 0xec9e8412cda586b} {
--- a/soak/capacitycheck.go
+++ b/soak/capacitycheck.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -23,8 +24,12 @@
 	shareLeast  = 60
 )
 
-// leftGauges are the metrics of an instance that are zero once no request is open.
-var leftGauges = []string{"carawaystile_admission_waiting", "carawaystile_buffered_bytes", "carawaystile_streams_backpressured", "carawaystile_unanswered_body_bytes"}
+// leftGauges are the metrics of an instance that are zero once no request is open. Those that are
+// required are there at all times; the last one exists only while an endpoint is known.
+var (
+	requiredGauges = []string{"carawaystile_admission_waiting", "carawaystile_buffered_bytes", "carawaystile_streams_backpressured"}
+	leftGauges     = append(slices.Clone(requiredGauges), "carawaystile_unanswered_body_bytes")
+)
 
 // begunRuns returns the runs that continue no other one.
 func (r *request) begunRuns() []platformtest.Run {
@@ -156,10 +161,18 @@
 	if resp.StatusCode != http.StatusOK {
 		return []string{resp.Status}
 	}
-	lines := bufio.NewScanner(resp.Body)
+	return heldIn(resp.Body)
+}
+
+// heldIn does the same for the text of the metrics. A required metric that is missing counts as
+// held: without it, nothing shows that the instance holds nothing.
+func heldIn(text io.Reader) (left []string) {
+	present := map[string]bool{}
+	lines := bufio.NewScanner(text)
 	for lines.Scan() {
 		name, text, _ := strings.Cut(lines.Text(), " ")
 		family, _, _ := strings.Cut(name, "{")
+		present[family] = true
 		if value, err := strconv.ParseFloat(text, 64); slices.Contains(leftGauges, family) && (err != nil || value != 0) {
 			left = append(left, lines.Text())
 		}
@@ -167,5 +180,10 @@
 	if err := lines.Err(); err != nil {
 		return []string{err.Error()}
 	}
+	for _, family := range requiredGauges {
+		if !present[family] {
+			left = append(left, "no metric "+family)
+		}
+	}
 	return left
 }
