Soak: streams of the capacity mode can end while endpoints are slow

A check stream has 16 events at 60 ms. At the least slowdown it takes 2.4 s, and its deadline of 2 s ended it. Shorter intervals were ruled out: a run must go on for 400 ms after it was continued. Streams have 6 s now, their routes too, and callers wait for 4 s beyond the deadline in this mode. Slow streams that are cut were no breach, so no check showed it.

--- a/soak/capacity.go
+++ b/soak/capacity.go
@@ -36,9 +36,12 @@
 	// contendedOnceTokens are those of streams that may not be resumed. They run long enough to
 	// show that a run goes on for 400 ms after it was continued elsewhere.
 	contendedOnceTokens = "9000,16"
-	// contendedTimeout is the time within which a request must be answered. It is below
-	// callerWait, so that callers see whether a request outlives it.
+	// contendedTimeout is the time within which a request must be answered, and streamTimeout that
+	// of a stream, which ends with it. The longest streams take 2.4 s at the least slowdown and
+	// end in time up to about 6 times the usual time. With shorter intervals between events they
+	// would not run for 400 ms after they were continued.
 	contendedTimeout = 2 * time.Second
+	streamTimeout    = 6 * time.Second
 
 	// Slowdowns in percent, and how many endpoints are slowed down at once at most.
 	leastSlowdown, mostSlowdown, mostSlowed = 250, 1000, 4
@@ -87,6 +90,14 @@
 	s.Backups, s.BackupTTL = true, copyTTL
 }
 
+// contendedTimeout is the deadline of requests of a kind in runs with capacity decisions.
+func (k *kind) contendedTimeout() time.Duration {
+	if k.route.Inference {
+		return streamTimeout
+	}
+	return contendedTimeout
+}
+
 // slowDownEndpoints slows some endpoints down, each by an amount of its own.
 func slowDownEndpoints(s *strike) {
 	for range 1 + s.rng.IntN(mostSlowed) {
@@ -108,7 +119,7 @@
 		}
 		r.ID, r.Tokens = platformtest.WidePrefix+r.ID, slowReaderTokens
 		readers.Go(func() {
-			ctx, cancel := context.WithTimeout(context.Background(), callerWait)
+			ctx, cancel := context.WithTimeout(context.Background(), s.load.wait(r))
 			defer cancel()
 			client := newCaller()
 			client.Transport.(*http.Transport).DialContext = dialSlow(until)
--- a/soak/load.go
+++ b/soak/load.go
@@ -144,7 +144,7 @@
 // connection may be used again.
 func (l *load) one(client *http.Client, rng *rand.Rand, entry *instance) bool {
 	r := l.ask(rng, entry)
-	ctx, cancel := context.WithTimeout(context.Background(), callerWait)
+	ctx, cancel := context.WithTimeout(context.Background(), l.wait(r))
 	defer cancel()
 	early := rng.IntN(leaves) == 0
 	if early {
@@ -154,6 +154,15 @@
 	return l.exchange(ctx, client, r, early)
 }
 
+// wait is how long the caller of a request waits. With capacity decisions it waits callerWait
+// beyond the deadline, so that it sees whether the request outlives that.
+func (l *load) wait(r *request) time.Duration {
+	if l.d.options.Capacity {
+		return r.Timeout + callerWait
+	}
+	return callerWait
+}
+
 // exchange sends a request and reads its answer.
 func (l *load) exchange(ctx context.Context, client *http.Client, r *request, early bool) bool {
 	sending, err := r.Request(ctx, r.entry.at(portCallers))
@@ -188,7 +197,7 @@
 	}}
 	r.Key = []string{keyProbe, keyProbe, keyAlone, keyCommon}[rng.IntN(4)]
 	if l.d.options.Capacity {
-		r.Timeout = contendedTimeout
+		r.Timeout = k.contendedTimeout()
 		if k.route.Inference && !k.route.Resumable {
 			r.Tokens = contendedOnceTokens
 		}
--- a/soak/operators.go
+++ b/soak/operators.go
@@ -66,6 +66,9 @@
 		r := k.route
 		r.Name, r.Host = "r-"+k.name, host
 		r.Timeout, r.TargetLatency, r.TargetEventGap = callerWait, 300*time.Millisecond, 300*time.Millisecond
+		if o.d.options.Capacity {
+			r.Timeout = max(callerWait, k.contendedTimeout()) // it bounds what callers ask for
+		}
 		r.TrafficSplit = []routes.WeightedService{{Service: k.service, Weight: 1}}
 		c.Routes = append(c.Routes, r)
 	}
