Soak: the slack of deadlines follows from measured stalls

The check that nothing waits beyond its deadline allowed 1.8 s for a busy machine, which a longer stall exceeded, and which left 0.2 s before callers ended themselves. A ticker measures the longest stall of the run's process; the slack is 300 ms plus that. Stalls that strike single processes of the deployment only are not measured. The cases of the check's own test state their timeouts, which were 0.

--- a/soak/capacity_test.go
+++ b/soak/capacity_test.go
@@ -19,6 +19,7 @@
 	continued := func(change func(r *request)) func(l *ledger) {
 		return func(l *ledger) {
 			r := sound("r1", check)
+			r.Timeout = contendedTimeout
 			next := run(r, "i-2", 10.5)
 			next.Continued = true
 			r.runs = append(r.runs, next)
@@ -44,7 +45,21 @@
 		}},
 		"a late start": {"nothing waits beyond its deadline", func(l *ledger) {
 			r := sound("r1", draft)
-			r.runs[0].At = r.sent.Add(contendedTimeout + timeoutSlack)
+			r.Timeout, r.runs[0].At = contendedTimeout, r.sent.Add(contendedTimeout+timeoutSlack)
+			l.requests[r.ID] = r
+		}},
+		"a start after a stall": {"", func(l *ledger) {
+			r := sound("r1", draft)
+			l.stalled = time.Second
+			r.runs[0].At = r.sent.Add(contendedTimeout + timeoutSlack + l.stalled - time.Millisecond)
+			r.Timeout = contendedTimeout
+			l.requests[r.ID] = r
+		}},
+		"a late start after a stall": {"nothing waits beyond its deadline", func(l *ledger) {
+			r := sound("r1", draft)
+			l.stalled = time.Second
+			r.runs[0].At = r.sent.Add(contendedTimeout + timeoutSlack + l.stalled)
+			r.Timeout = contendedTimeout
 			l.requests[r.ID] = r
 		}},
 		"an organisation without a share": {"no organisation is starved", func(l *ledger) {
--- a/soak/capacitycheck.go
+++ b/soak/capacitycheck.go
@@ -15,9 +15,9 @@
 const (
 	// memoryLook is the time between two looks at the memory of instances.
 	memoryLook = 250 * time.Millisecond
-	// timeoutSlack is how long after its deadline a request may still be open or start to run on
-	// a busy machine.
-	timeoutSlack = 1800 * time.Millisecond
+	// timeoutSlack is how long after its deadline a request may still be open or start to run,
+	// beyond the longest stall of the machine.
+	timeoutSlack = 300 * time.Millisecond
 	// shareWindow is a time in which an organisation that sends shareLeast generations or more
 	// gets some if another one gets shareLeast.
 	shareWindow = 5 * time.Second
@@ -71,7 +71,7 @@
 
 // judgeWait checks that a request doesn't wait for capacity beyond its deadline.
 func (l *ledger) judgeWait(r *request) {
-	late := r.sent.Add(r.Timeout + timeoutSlack)
+	late := r.sent.Add(r.Timeout + timeoutSlack + l.stalled)
 	if r.cancelled || r.life != r.lifeEnd || l.troubled(r.sent.Add(-disruptedFor), r.done) {
 		return
 	}
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -41,9 +41,11 @@
 type ledger struct {
 	// timed is set if times are judged, limited if there is a rate limit, and capacity if the
 	// capacity decisions are enabled.
-	timed     bool
-	limited   bool
-	capacity  bool
+	timed    bool
+	limited  bool
+	capacity bool
+	// stalled is the longest time for which the machine kept this process from running.
+	stalled   time.Duration
 	mu        sync.Mutex
 	requests  map[string]*request
 	documents map[uint64]*document
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -123,6 +123,7 @@
 	w.operators.readBack()
 	stop := make(chan struct{})
 	go d.places.revive(stop, func(err error) { d.ledger.breach("the soak works", "", "endpoint: %v", err) })
+	stalls := watchStalls(stop)
 	if o.Capacity {
 		go w.watchMemory(stop)
 	}
@@ -134,6 +135,8 @@
 	}
 	w.operators.end()
 	close(stop)
+	d.ledger.stalled = <-stalls
+	o.Progress(fmt.Sprintf("the machine stalled for at most %v", d.ledger.stalled))
 	d.ledger.judge()
 	return w.outcome(struck), nil
 }
