Soak: a request is excused only by faults that strike its entry instance

The check that nothing waits beyond its deadline excused every request if anything unplanned struck any instance up to 4 s before. A disruption says now which entry instances it pauses or whose links to callers or endpoints it disturbs; a request is excused if one strikes its instance while the request is open. Lost datagrams and faults of control instances excuse none. Connections that a fault mutes stay mute after it; the excuse ends with the fault.

--- a/soak/capacity_test.go
+++ b/soak/capacity_test.go
@@ -62,6 +62,22 @@
 			r.Timeout = contendedTimeout
 			l.requests[r.ID] = r
 		}},
+		"a late start at a disturbed instance": {"", func(l *ledger) {
+			r := sound("r1", draft)
+			r.Timeout, r.runs[0].At = contendedTimeout, r.sent.Add(contendedTimeout+timeoutSlack)
+			l.requests[r.ID] = r
+			l.disruptions = []disruption{{from: at(10.5), to: at(12), strikes: func(e *instance) bool { return e == r.entry }}}
+		}},
+		"a late start beside a disturbed instance": {"nothing waits beyond its deadline", func(l *ledger) {
+			r := sound("r1", draft)
+			r.Timeout, r.runs[0].At = contendedTimeout, r.sent.Add(contendedTimeout+timeoutSlack)
+			l.requests[r.ID] = r
+			l.disruptions = []disruption{
+				{from: at(10), to: at(12), strikes: func(e *instance) bool { return e != r.entry }},
+				{from: at(7), to: at(9), strikes: func(*instance) bool { return true }},
+				{what: "lose datagrams", from: at(10), to: at(12)},
+			}
+		}},
 		"an organisation without a share": {"no organisation is starved", func(l *ledger) {
 			for n := range 2 * shareLeast {
 				r := sound(fmt.Sprintf("r%d", n), draft)
--- a/soak/capacitycheck.go
+++ b/soak/capacitycheck.go
@@ -72,7 +72,7 @@
 // judgeWait checks that a request doesn't wait for capacity beyond its deadline.
 func (l *ledger) judgeWait(r *request) {
 	late := r.sent.Add(r.Timeout + timeoutSlack + l.stalled)
-	if r.cancelled || r.life != r.lifeEnd || l.troubled(r.sent.Add(-disruptedFor), r.done) {
+	if r.cancelled || r.life != r.lifeEnd || l.disturbed(r) {
 		return
 	}
 	ranLate := slices.ContainsFunc(r.runs, func(run platformtest.Run) bool { return !run.At.Before(late) })
@@ -81,6 +81,14 @@
 	}
 }
 
+// disturbed says whether the entry instance of a request was paused, or its links to callers or
+// endpoints were disturbed, while the request was open.
+func (l *ledger) disturbed(r *request) bool {
+	return slices.ContainsFunc(l.disruptions, func(d disruption) bool {
+		return d.strikes != nil && d.overlaps(r.sent, r.done) && d.strikes(r.entry)
+	})
+}
+
 // judgeShares checks that no organisation is starved while another one is served.
 func (l *ledger) judgeShares(all []*request) {
 	type slot struct {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -14,8 +14,10 @@
 // strike is what a fault has at hand.
 type strike struct {
 	*world
-	rng  *rand.Rand
-	long time.Duration
+	// disruption is the number of the fault in the ledger.
+	disruption int
+	rng        *rand.Rand
+	long       time.Duration
 }
 
 // faultKind is a kind of fault. It returns when the fault is over.
@@ -49,8 +51,8 @@
 	{name: "cut a zone", do: cutZone},
 	{name: "cut an instance one way", do: cutOneWay},
 	{name: "split the control group", control: true, do: splitControl},
-	{name: "mute open connections", do: func(s *strike) { s.disrupted(func() { s.d.network.Mute(s.oneAddress()) }) }},
-	{name: "reset open connections", do: func(s *strike) { s.disrupted(func() { s.d.network.Reset(s.oneAddress()) }) }},
+	{name: "mute open connections", do: func(s *strike) { s.breakLinks(s.d.network.Mute) }},
+	{name: "reset open connections", do: func(s *strike) { s.breakLinks(s.d.network.Reset) }},
 	{name: "delay a link", do: func(s *strike) {
 		s.impose(Condition{Delay: time.Duration(20+s.rng.IntN(200)) * time.Millisecond}, s.oneAddress())
 	}},
@@ -81,7 +83,7 @@
 	{name: "an endpoint names a rate limit", outside: true, named: true, do: nameLimit},
 	{name: "an endpoint pushes back", outside: true, named: true, do: pushBack},
 	{name: "endpoints are slowed down", outside: true, named: true, do: slowDownEndpoints},
-	{name: "connections are reset at one end", named: true, do: func(s *strike) { s.disrupted(func() { s.d.network.ResetCallers(s.oneAddress()) }) }},
+	{name: "connections are reset at one end", named: true, do: func(s *strike) { s.breakLinks(s.d.network.ResetCallers) }},
 	{name: "callers read slowly", outside: true, named: true, do: readSlowly},
 	{name: "a control instance misses changes", control: true, named: true, do: missChanges},
 }
@@ -109,13 +111,28 @@
 	return drawn[:(len(drawn)+1)/2]
 }
 
-// disrupted does something that lasts no time of its own; what it harms lasts
-// for some.
-func (s *strike) disrupted(do func()) {
-	do()
+// breakLinks does something to the open connections of one instance. It lasts no time of its own;
+// what it harms lasts for some.
+func (s *strike) breakLinks(do func(matches func(from, to netip.Addr) bool)) {
+	matches := s.oneAddress()
+	s.disturb(matches)
+	do(matches)
 	s.wait()
 }
 
+// disturb notes the links that the fault strikes.
+func (s *strike) disturb(matches func(from, to netip.Addr) bool) {
+	s.d.ledger.struck(s.disruption, func(entry *instance) bool {
+		for n := range modelEndpoints + deskEndpoints {
+			endpoint := s.d.ip(hostEndpoints + n)
+			if matches(entry.ip, endpoint) || matches(endpoint, entry.ip) {
+				return true
+			}
+		}
+		return false
+	})
+}
+
 // up starts an instance again.
 func (s *strike) up(i *instance) {
 	if err := s.d.start(i); err != nil {
@@ -140,6 +157,7 @@
 }
 
 func (s *strike) pause(i *instance) {
+	s.d.ledger.struck(s.disruption, func(entry *instance) bool { return entry == i })
 	i.Pause()
 	s.wait()
 	i.Resume()
@@ -220,6 +238,9 @@
 
 // impose puts a condition on links for the length of the fault.
 func (s *strike) impose(c Condition, matches func(from, to netip.Addr) bool) {
+	if c.Silent || c.Delay > 0 { // datagrams carry no requests
+		s.disturb(matches)
+	}
 	lift := s.d.network.Impose(c, matches)
 	s.wait()
 	lift()
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -64,6 +64,9 @@
 	outside  bool
 	control  bool
 	from, to time.Time
+	// strikes says whether it pauses an entry instance, or disturbs its links to callers or
+	// endpoints; nil for none.
+	strikes func(entry *instance) bool
 }
 
 // Breach is a broken promise.
@@ -198,19 +201,26 @@
 	l.weightsAcked = max(l.weightsAcked, version)
 }
 
-// disrupt notes a disruption; the returned function notes its end.
-func (l *ledger) disrupt(k faultKind) (over func()) {
+// disrupt notes a disruption and returns its number; the returned function notes its end.
+func (l *ledger) disrupt(k faultKind) (n int, over func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	n := len(l.disruptions)
+	n = len(l.disruptions)
 	l.disruptions = append(l.disruptions, disruption{what: k.name, planned: k.planned, outside: k.outside, control: k.control, from: time.Now()})
-	return func() {
+	return n, func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		l.disruptions[n].to = time.Now()
 	}
 }
 
+// struck notes which entry instances a disruption strikes.
+func (l *ledger) struck(n int, strikes func(entry *instance) bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.disruptions[n].strikes = strikes
+}
+
 // calm is for how long nothing unplanned has been wrong with the system itself;
 // zero while something is.
 func (l *ledger) calm() time.Duration {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -162,9 +162,9 @@
 		kind := faultKinds[n]
 		w.d.options.Progress(fmt.Sprintf("%6.1f s  %s", time.Since(began).Seconds(), kind.name))
 		open.Go(func() {
-			over := w.d.ledger.disrupt(kind)
+			n, over := w.d.ledger.disrupt(kind)
 			defer over()
-			kind.do(&strike{world: w, rng: rand.New(rand.NewPCG(event.Seed, 5)), long: event.For})
+			kind.do(&strike{world: w, disruption: n, rng: rand.New(rand.NewPCG(event.Seed, 5)), long: event.For})
 		})
 	}
 	open.Wait()
