--- a/soak/capacity_test.go
+++ b/soak/capacity_test.go
@@ -131,8 +131,8 @@
 }
 
 // Guards against promises broken by admission, backups or pauses while instances and endpoints
-// are killed, paused, cut off and slowed down. Each kind of fault strikes once; seed 1 strikes the
-// second entry instance, also where it draws a connection.
+// are killed, paused, cut off and slowed down. Each kind of fault strikes once. The
+// connections that are reset at one end are those of the second entry instance.
 func TestCapacityDecisionsBreakNoPromise(t *testing.T) {
 	const second = time.Second
 	outcome := play(t, Options{
