--- a/soak/capacity_test.go
+++ b/soak/capacity_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"strings"
 	"testing"
 	"time"
 
@@ -18,6 +19,7 @@
 	continued := func(change func(r *request)) func(l *ledger) {
 		return func(l *ledger) {
 			r := sound("r1", check)
+			r.Timeout = contendedTimeout
 			next := run(r, "i-2", 10.5)
 			next.Continued = true
 			r.runs = append(r.runs, next)
@@ -43,9 +45,39 @@
 		}},
 		"a late start": {"nothing waits beyond its deadline", func(l *ledger) {
 			r := sound("r1", draft)
-			r.runs[0].At = r.sent.Add(contendedTimeout + timeoutSlack)
+			r.Timeout, r.runs[0].At = contendedTimeout, r.sent.Add(contendedTimeout+timeoutSlack)
 			l.requests[r.ID] = r
 		}},
+		"a start after a stall": {"", func(l *ledger) {
+			r := sound("r1", draft)
+			l.stalled = time.Second
+			r.runs[0].At = r.sent.Add(contendedTimeout + timeoutSlack + l.stalled - time.Millisecond)
+			r.Timeout = contendedTimeout
+			l.requests[r.ID] = r
+		}},
+		"a late start after a stall": {"nothing waits beyond its deadline", func(l *ledger) {
+			r := sound("r1", draft)
+			l.stalled = time.Second
+			r.runs[0].At = r.sent.Add(contendedTimeout + timeoutSlack + l.stalled)
+			r.Timeout = contendedTimeout
+			l.requests[r.ID] = r
+		}},
+		"a late start at a disturbed instance": {"", func(l *ledger) {
+			r := sound("r1", draft)
+			r.Timeout, r.runs[0].At = contendedTimeout, r.sent.Add(contendedTimeout+timeoutSlack)
+			l.requests[r.ID] = r
+			l.disruptions = []disruption{{from: at(10.5), to: at(12), strikes: func(e *instance) bool { return e == r.entry }}}
+		}},
+		"a late start beside a disturbed instance": {"nothing waits beyond its deadline", func(l *ledger) {
+			r := sound("r1", draft)
+			r.Timeout, r.runs[0].At = contendedTimeout, r.sent.Add(contendedTimeout+timeoutSlack)
+			l.requests[r.ID] = r
+			l.disruptions = []disruption{
+				{from: at(10), to: at(12), strikes: func(e *instance) bool { return e != r.entry }},
+				{from: at(7), to: at(9), strikes: func(*instance) bool { return true }},
+				{what: "lose datagrams", from: at(10), to: at(12)},
+			}
+		}},
 		"an organisation without a share": {"no organisation is starved", func(l *ledger) {
 			for n := range 2 * shareLeast {
 				r := sound(fmt.Sprintf("r%d", n), draft)
@@ -68,6 +100,19 @@
 	}
 }
 
+// Guards against a metric that is renamed or missing, which would pass as zero.
+func TestMissingMetricCountsAsHeld(t *testing.T) {
+	var all string
+	for _, family := range requiredGauges {
+		all += family + "{kind=\"a\"} 0\n"
+	}
+	assert.Equal(t, len(heldIn(strings.NewReader(all))), 0)
+	for _, family := range requiredGauges {
+		assert.Equal(t, len(heldIn(strings.NewReader(strings.ReplaceAll(all, family, "other")))), 1, family)
+		assert.Equal(t, len(heldIn(strings.NewReader(all+family+" 1\n"))), 1, family)
+	}
+}
+
 // Guards against new kinds of faults that change the plans of the seeds that are kept.
 func TestPlansOfStoredSeedsDoNotChange(t *testing.T) {
 	for seed, want := range map[uint64]uint64{310: 0xef6980ba0d0f193f, 9301: 0xec9e8412cda586b} {
@@ -86,12 +131,36 @@
 }
 
 // Guards against promises broken by admission, backups or pauses while instances and endpoints
-// are killed, paused and slowed down.
+// are killed, paused, cut off and slowed down. Each kind of fault strikes once. The
+// connections that are reset at one end are those of the second entry instance.
 func TestCapacityDecisionsBreakNoPromise(t *testing.T) {
+	const second = time.Second
 	outcome := play(t, Options{
-		Daemon: build(t), Seed: 50, For: 14 * time.Second, Controls: 3, Entries: 6, Capacity: true,
-		Faults: append([]string{"kill an entry", "pause an entry", "cut a zone", "lose datagrams"}, capacityFaults()...),
+		Daemon: build(t), Seed: 50, Controls: 3, Entries: 6, Capacity: true,
+		Plan: []Event{
+			{At: 2 * second, Fault: "endpoints are slowed down", For: 4 * second, Seed: 1},
+			{At: 3 * second, Fault: "callers read slowly", For: 3 * second, Seed: 2},
+			{At: 4 * second, Fault: "crash an endpoint", For: 2 * second, Seed: 3},
+			{At: 5 * second, Fault: "kill an entry", For: second, Seed: 4},
+			{At: 7 * second, Fault: "pause an entry", For: 2 * second, Seed: 5},
+			{At: 10 * second, Fault: "connections are reset at one end", For: second, Seed: 1},
+			{At: 12 * second, Fault: "lose datagrams", For: 2 * second, Seed: 6},
+			{At: 15 * second, Fault: "cut a zone", For: 2 * second, Seed: 7},
+		},
 	})
 	assert.Assert(t, outcome.Served > 0)
 	assert.Assert(t, outcome.Refused > 0)
 }
+
+// Guards against runs that are continued twice, beside their first endpoint, or not at all after
+// endpoints that generate have crashed. Nothing else strikes, which would delay the evidence of
+// their end. The seeds draw endpoints 1, 2, 3, 4 and 0 of six.
+func TestContinuationsBreakNoPromise(t *testing.T) {
+	var plan []Event
+	for n, seed := range []uint64{2, 3, 17, 16, 19} {
+		plan = append(plan, Event{At: time.Duration(2+3*n) * time.Second, Fault: "crash an endpoint", For: time.Second, Seed: seed})
+	}
+	outcome := play(t, Options{Daemon: build(t), Seed: 51, Controls: 3, Entries: 6, Capacity: true, Plan: plan})
+	assert.Assert(t, outcome.Served > 0)
+	assert.Assert(t, outcome.Continued > 0)
+}
--- a/soak/capacitycheck.go
+++ b/soak/capacitycheck.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -14,17 +15,21 @@
 const (
 	// memoryLook is the time between two looks at the memory of instances.
 	memoryLook = 250 * time.Millisecond
-	// timeoutSlack is how long after its deadline a request may still be open or start to run on
-	// a busy machine.
-	timeoutSlack = 1800 * time.Millisecond
+	// timeoutSlack is how long after its deadline a request may still be open or start to run,
+	// beyond the longest stall of the machine.
+	timeoutSlack = 300 * time.Millisecond
 	// shareWindow is a time in which an organisation that sends shareLeast generations or more
 	// gets some if another one gets shareLeast.
 	shareWindow = 5 * time.Second
 	shareLeast  = 60
 )
 
-// leftGauges are the metrics of an instance that are zero once no request is open.
-var leftGauges = []string{"carawaystile_admission_waiting", "carawaystile_buffered_bytes", "carawaystile_streams_backpressured", "carawaystile_unanswered_body_bytes"}
+// leftGauges are the metrics of an instance that are zero once no request is open. Those that are
+// required are there at all times; the last one exists only while an endpoint is known.
+var (
+	requiredGauges = []string{"carawaystile_admission_waiting", "carawaystile_buffered_bytes", "carawaystile_streams_backpressured"}
+	leftGauges     = append(slices.Clone(requiredGauges), "carawaystile_unanswered_body_bytes")
+)
 
 // begunRuns returns the runs that continue no other one.
 func (r *request) begunRuns() []platformtest.Run {
@@ -66,8 +71,8 @@
 
 // judgeWait checks that a request doesn't wait for capacity beyond its deadline.
 func (l *ledger) judgeWait(r *request) {
-	late := r.sent.Add(r.Timeout + timeoutSlack)
-	if r.cancelled || r.life != r.lifeEnd || l.troubled(r.sent.Add(-disruptedFor), r.done) {
+	late := r.sent.Add(r.Timeout + timeoutSlack + l.stalled)
+	if r.cancelled || r.life != r.lifeEnd || l.disturbed(r) {
 		return
 	}
 	ranLate := slices.ContainsFunc(r.runs, func(run platformtest.Run) bool { return !run.At.Before(late) })
@@ -76,6 +81,14 @@
 	}
 }
 
+// disturbed says whether the entry instance of a request was paused, or its links to callers or
+// endpoints were disturbed, while the request was open.
+func (l *ledger) disturbed(r *request) bool {
+	return slices.ContainsFunc(l.disruptions, func(d disruption) bool {
+		return d.strikes != nil && d.overlaps(r.sent, r.done) && d.strikes(r.entry)
+	})
+}
+
 // judgeShares checks that no organisation is starved while another one is served.
 func (l *ledger) judgeShares(all []*request) {
 	type slot struct {
@@ -113,7 +126,12 @@
 		case <-ticker.C:
 		}
 		for _, i := range w.d.instances() {
-			if peak := i.peakMemory(); peak > memoryMB<<20 {
+			peak, err := i.peakMemory()
+			if err != nil {
+				w.d.ledger.breach("the soak works", "", "memory of %s: %v", i.Name, err)
+				return
+			}
+			if peak > memoryMB<<20 {
 				w.d.ledger.breach("memory stays within its limit", "", "%s used %d MB of %d", i.Name, peak>>20, memoryMB)
 				return
 			}
@@ -151,10 +169,18 @@
 	if resp.StatusCode != http.StatusOK {
 		return []string{resp.Status}
 	}
-	lines := bufio.NewScanner(resp.Body)
+	return heldIn(resp.Body)
+}
+
+// heldIn does the same for the text of the metrics. A required metric that is missing counts as
+// held: without it, nothing shows that the instance holds nothing.
+func heldIn(text io.Reader) (left []string) {
+	present := map[string]bool{}
+	lines := bufio.NewScanner(text)
 	for lines.Scan() {
 		name, text, _ := strings.Cut(lines.Text(), " ")
 		family, _, _ := strings.Cut(name, "{")
+		present[family] = true
 		if value, err := strconv.ParseFloat(text, 64); slices.Contains(leftGauges, family) && (err != nil || value != 0) {
 			left = append(left, lines.Text())
 		}
@@ -162,5 +188,10 @@
 	if err := lines.Err(); err != nil {
 		return []string{err.Error()}
 	}
+	for _, family := range requiredGauges {
+		if !present[family] {
+			left = append(left, "no metric "+family)
+		}
+	}
 	return left
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -33,6 +33,9 @@
 	Controls, Entries int
 	// Faults are the kinds to draw from; nil means all.
 	Faults []string
+	// Plan is played instead of one that is drawn from Seed, For and Faults, unless it is nil. Its
+	// events are in the order of their times.
+	Plan []Event
 	// InForce checks how long changes take to be in force. That depends on the
 	// machine too, so it is for runs by hand.
 	InForce bool
@@ -123,10 +126,14 @@
 	w.operators.readBack()
 	stop := make(chan struct{})
 	go d.places.revive(stop, func(err error) { d.ledger.breach("the soak works", "", "endpoint: %v", err) })
+	stalls := watchStalls(stop)
 	if o.Capacity {
 		go w.watchMemory(stop)
 	}
-	struck := w.follow(Plan(o.Seed, o.For, o.Faults))
+	if o.Plan == nil {
+		o.Plan = Plan(o.Seed, o.For, o.Faults)
+	}
+	struck := w.follow(o.Plan)
 	w.recover()
 	w.load.end()
 	if o.Capacity {
@@ -134,6 +141,8 @@
 	}
 	w.operators.end()
 	close(stop)
+	d.ledger.stalled = <-stalls
+	o.Progress(fmt.Sprintf("the machine stalled for at most %v", d.ledger.stalled))
 	d.ledger.judge()
 	return w.outcome(struck), nil
 }
@@ -153,9 +162,9 @@
 		kind := faultKinds[n]
 		w.d.options.Progress(fmt.Sprintf("%6.1f s  %s", time.Since(began).Seconds(), kind.name))
 		open.Go(func() {
-			over := w.d.ledger.disrupt(kind)
+			n, over := w.d.ledger.disrupt(kind)
 			defer over()
-			kind.do(&strike{world: w, rng: rand.New(rand.NewPCG(event.Seed, 5)), long: event.For})
+			kind.do(&strike{world: w, disruption: n, rng: rand.New(rand.NewPCG(event.Seed, 5)), long: event.For})
 		})
 	}
 	open.Wait()
