Totals of replaced owners of a limit are kept

While instances differ in the switch for sizes, an owner reports to the by-size owner of its own zone. The latter dropped it 1.2 s after its last report, and deducted its whole running total again with the next one, so organisations with intermittent use were refused. Replaced peers are now kept until peerTimeout, without demand, reserve, share or reports to them, so only the growth of their total is deducted. Ruled out: keeping the assumed use of a replaced peer as a credit, since the bucket may have refilled meanwhile.

TestIntermittentUseIsAdmittedWhileSomeInstancesChooseBySize fails after 5.5 simulated minutes without the change, and passes with it. The tests of ./usage that existed pass unchanged.

--- a/usage/owner.go
+++ b/usage/owner.go
@@ -241,7 +241,7 @@
 		bucket.level -= float64(in.Admitted-peer.admitted) - peer.assumedUse
 	}
 	peer.admitted = max(peer.admitted, in.Admitted)
-	peer.silent, peer.assumedUse = false, 0
+	peer.silent, peer.assumedUse, peer.replaced = false, 0, false
 	peer.demand, peer.reportedAt = float64(in.Demand), now
 }
 
@@ -270,15 +270,17 @@
 // Subjects returns the subjects that have a bucket, in no order.
 func (o *BucketOwner) Subjects() []Subject { return slices.Collect(maps.Keys(o.buckets)) }
 
-// Peers returns the owners that have reported the given subject.
+// Peers returns the owners that report the given subject, without those that have been replaced.
 func (o *BucketOwner) Peers(id Subject) []tables.InstanceID {
 	bucket := o.buckets[id]
 	if bucket == nil {
 		return nil
 	}
 	var all []tables.InstanceID
-	for peer := range bucket.peers {
-		all = append(all, peer)
+	for id, peer := range bucket.peers {
+		if !peer.replaced {
+			all = append(all, id)
+		}
 	}
 	return all
 }
--- a/usage/shared_bucket.go
+++ b/usage/shared_bucket.go
@@ -54,6 +54,8 @@
 	silent     bool
 	share      float64
 	assumedUse float64
+	// replaced is set while the peer is silent and needs no share of the limit.
+	replaced bool
 }
 
 // openedSlack is the difference in time up to which two buckets count as created together. It
@@ -93,7 +95,7 @@
 // advanceTo refills the bucket until now. The shares of silent peers are deducted from the
 // rate and counted as assumed use.
 func (b *sharedBucket) advanceTo(now tables.Instant, limit Limit) {
-	b.dropReplacedPeers(now)
+	b.markReplacedPeers(now)
 	b.reserveForSilentPeers(now, limit)
 	left := 1.0
 	elapsed := max(0, now-b.updatedAt).Seconds()
@@ -106,21 +108,40 @@
 	b.refill(now, limit, max(0, left))
 }
 
-// dropReplacedPeers drops a silent peer once another owner serves its zone: no tokens need
-// to be reserved for it any more.
-func (b *sharedBucket) dropReplacedPeers(now tables.Instant) {
-	for id, peer := range b.peers {
-		if peer.zone == b.zone && now-peer.reportedAt > partitionTimeout {
-			delete(b.peers, id)
-			continue
+// markReplacedPeers marks silent peers that need no share of the limit any more: those of this
+// zone, and those whose zone another owner serves. Their totals are kept until peerTimeout, since
+// the whole total of a peer that reports again would be deducted a second time otherwise.
+func (b *sharedBucket) markReplacedPeers(now tables.Instant) {
+	for _, peer := range b.peers {
+		if b.isReplaced(now, peer) {
+			peer.replaced, peer.demand = true, 0
+			peer.silent, peer.assumedUse = false, 0
+		}
+	}
+}
+
+// isReplaced reports whether a peer is silent and another owner serves its zone.
+func (b *sharedBucket) isReplaced(now tables.Instant, peer *peerOwner) bool {
+	if peer.zone == b.zone && now-peer.reportedAt > partitionTimeout {
+		return true
+	}
+	for _, other := range b.peers {
+		if other.zone == peer.zone && other.reportedAt > peer.reportedAt+partitionTimeout {
+			return true
 		}
-		for _, other := range b.peers {
-			if other.zone == peer.zone && other.reportedAt > peer.reportedAt+partitionTimeout {
-				delete(b.peers, id)
-				break
-			}
+	}
+	return false
+}
+
+// activePeers returns the number of peers that are not replaced.
+func (b *sharedBucket) activePeers() int {
+	count := 0
+	for _, peer := range b.peers {
+		if !peer.replaced {
+			count++
 		}
 	}
+	return count
 }
 
 // reserveForSilentPeers detects peers that have fallen silent, and reserves their share of
@@ -134,7 +155,7 @@
 			delete(b.peers, id)
 		case !peer.silent && now-peer.reportedAt > limit.partitionTimeout() && peer.demand > 0:
 			peer.silent = true
-			peer.share = limitShare(peer.demand, total, limit.Rate, len(b.peers)+1)
+			peer.share = limitShare(peer.demand, total, limit.Rate, b.activePeers()+1)
 			peer.assumedUse = peer.share * max(0, b.level)
 			b.level -= peer.assumedUse
 		}
--- a/usage/sizes_test.go
+++ b/usage/sizes_test.go
@@ -88,3 +88,31 @@
 		assert.Check(t, sum > allowed*8/10, "%s: admitted %d, allowed %d", id, sum, allowed)
 	}
 }
+
+// Load: 1,500 tokens every 15 s per limit, of 1,000 tokens a second. Guards against an owner that
+// deducts the whole running total of another one in its zone again after each pause.
+func TestIntermittentUseIsAdmittedWhileSomeInstancesChooseBySize(t *testing.T) {
+	const step, pause, cost = 50 * time.Millisecond, 15 * time.Second, 750
+	limit, limits := Limit{Rate: 1000, Burst: 2000}, map[Subject]Limit{}
+	var subjects []Subject
+	for i := range 9 {
+		subjects = append(subjects, OrganisationSubject(tables.OrganisationID(fmt.Sprint("o", i))))
+		limits[subjects[i]] = limit
+	}
+	d := newMixedDeployment(limits)
+	for d.now = step; d.now < 15*time.Minute; d.now += step {
+		for i, id := range subjects {
+			if d.now%pause != 0 {
+				continue
+			}
+			// Both instances are in one zone, and one of them chooses by size.
+			for _, client := range []*Client{d.order[i], d.order[(i+3)%len(d.order)]} {
+				verdict := client.Admit(context.Background(), id, limit, cost)
+				assert.Assert(t, verdict.Admitted, "%s after %v", id, d.now)
+			}
+		}
+		for _, server := range d.servers {
+			server.sendReports()
+		}
+	}
+}
