Tests of the startup wait do not depend on the speed of the machine

64 connections had to wait at once within the 500 ms of the timeout, and the test looped for ever if they did not. The timeout is a field of the server now, one minute in all tests but the new TestStartupWaitExpires, which checks the expiry of 64 requests with the default. Waits of tests are bounded. What TestStartupWaitsAreBounded checked is checked by the two tests together.

--- a/forward/server.go
+++ b/forward/server.go
@@ -113,8 +113,10 @@
 	// initialized is closed once there are a configuration and endpoints.
 	initialized     chan struct{}
 	initializedOnce sync.Once
-	// startupWaits is the number of requests in waitStartup.
-	startupWaits atomic.Int64
+	// startupWaits is the number of requests in waitStartup, and startupTimeout bounds the wait of
+	// each.
+	startupWaits   atomic.Int64
+	startupTimeout time.Duration
 
 	// mu guards the load balancer and the crash detector.
 	mu            sync.Mutex
@@ -157,6 +159,7 @@
 		admission:     newAdmissionControl(&o),
 		buffers:       buffers{budget: bufferbudget.New(o.MaxBufferedBytes), writeTimeout: eventWriteTimeout},
 	}
+	s.startupTimeout = startupTimeout
 	s.shares = s.admission.shares
 	s.blockedWrites = blockedWrites{server: s, streams: map[*streamRelay]struct{}{}}
 	s.healthChecker = newHealthChecker(s)
--- a/forward/startupwait.go
+++ b/forward/startupwait.go
@@ -37,7 +37,7 @@
 	startupWaitStopping     startupWaitEnd = "stopping"
 )
 
-// waitStartup waits for the first configuration and endpoints, at most startupTimeout and among at
+// waitStartup waits for the first configuration and endpoints, at most Server.startupTimeout and among at
 // most maxStartupWaits requests, and reports whether they have arrived. The body is not read
 // meanwhile.
 func (c *clientRequest) waitStartup() bool {
@@ -81,9 +81,9 @@
 // has set.
 func (c *clientRequest) startupTimeout() time.Duration {
 	if timeout, set := c.clientTimeout(); set {
-		return min(startupTimeout, timeout)
+		return min(c.server.startupTimeout, timeout)
 	}
-	return startupTimeout
+	return c.server.startupTimeout
 }
 
 // clientTimeout returns the time limit that the client has set, and whether it has set one.
--- a/forward/startupwait_test.go
+++ b/forward/startupwait_test.go
@@ -19,6 +19,9 @@
 	"github.com/carawaystile/carawaystile/tables"
 )
 
+// testBound bounds what a test waits for. It is longer than a stall of a busy machine.
+const testBound = time.Minute
+
 // startingServer is a Server with Options.StartupWait that has no configuration yet.
 type startingServer struct {
 	*harness
@@ -37,6 +40,7 @@
 	options.Now = func() tables.Instant { return tables.Instant(s.clock.Load()) }
 	options.Registry, options.StartupWait = s.registry, true
 	s.server = New(options)
+	s.server.startupTimeout = testBound
 	server := httptest.NewUnstartedServer(s.server)
 	server.Config.ConnContext = WithConn
 	server.Start()
@@ -56,10 +60,17 @@
 	return conn
 }
 
-// awaitWaits waits until n requests wait.
-func (s *startingServer) awaitWaits(n int64) {
-	for s.server.startupWaits.Load() != n {
-		time.Sleep(time.Millisecond)
+// awaitWaits waits until at least n requests wait.
+func (s *startingServer) awaitWaits(t *testing.T, n int64) {
+	t.Helper()
+	await(t, func() bool { return s.server.startupWaits.Load() >= n })
+}
+
+// await waits until the condition holds, for at most testBound.
+func await(t *testing.T, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(testBound); !condition(); time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "the condition does not hold after %v", testBound)
 	}
 }
 
@@ -88,7 +99,7 @@
 		t.Run(name, func(t *testing.T) {
 			s := newStartingServer(t)
 			conn := s.open(t, "X-Deadline: 5000\r\n")
-			s.awaitWaits(1)
+			s.awaitWaits(t, 1)
 			s.clock.Store(int64(waited))
 			s.server.SetEndpoints(s.all)
 			s.configure(t, initialRevision, nil)
@@ -99,20 +110,30 @@
 }
 
 // Load: 64 requests while no control instance answers. Guards against a further request that
-// waits too, and against requests that wait for ever.
+// waits too.
 func TestStartupWaitsAreBounded(t *testing.T) {
 	s := newStartingServer(t)
-	var waiting []net.Conn
 	for range maxStartupWaits {
-		waiting = append(waiting, s.open(t, ""))
+		s.open(t, "")
 	}
-	s.awaitWaits(maxStartupWaits)
+	s.awaitWaits(t, maxStartupWaits)
 	assert.Equal(t, statusOf(t, s.open(t, "")), http.StatusServiceUnavailable)
 	assert.Assert(t, s.ended(t, startupWaitFull))
+}
+
+// Load: 64 requests while no control instance answers. Guards against requests that wait for ever.
+func TestStartupWaitExpires(t *testing.T) {
+	s := newStartingServer(t)
+	s.server.startupTimeout = startupTimeout
+	var waiting []net.Conn
+	for range maxStartupWaits {
+		waiting = append(waiting, s.open(t, ""))
+	}
 	for _, conn := range waiting {
 		assert.Equal(t, statusOf(t, conn), http.StatusServiceUnavailable)
 	}
 	assert.Assert(t, s.ended(t, startupWaitTimeout))
+	assert.Assert(t, !s.ended(t, startupWaitFull))
 }
 
 // Guards against requests that occupy a place after their client has left, with an unread body, or
@@ -120,12 +141,10 @@
 func TestStartupWaitEndsEarly(t *testing.T) {
 	s := newStartingServer(t)
 	assert.NilError(t, s.open(t, "").Close())
-	for !s.ended(t, startupWaitDisconnected) {
-		assert.Assert(t, !s.ended(t, startupWaitTimeout))
-		time.Sleep(time.Millisecond)
-	}
+	await(t, func() bool { return s.ended(t, startupWaitDisconnected) })
+	assert.Assert(t, !s.ended(t, startupWaitTimeout))
 	conn := s.open(t, "")
-	s.awaitWaits(1)
+	s.awaitWaits(t, 1)
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	_ = s.server.Drain(ctx)
