An owner of permits that learns late of other owners goes by reported load

When sizes began or ceased to count, an instance that knew of the change asked the new owner before the latter knew of it, and NoteOwnersChanged applied only to endpoints without permits. Old and new owner granted all slots each. Without NoteOwnersChanged nothing differs.

Two tests that fail without the change pass.

--- a/permits/client.go
+++ b/permits/client.go
@@ -108,6 +108,7 @@
 		otherOwner = otherOwner || replaced
 		return replaced
 	})
+	otherOwner = otherOwner || c.options.Server.ownersChangedRecently(now)
 	return owner, otherOwner || c.owners.wasReplaced(owner.Instance, now), found
 }
 
--- a/permits/permits_test.go
+++ b/permits/permits_test.go
@@ -192,3 +192,41 @@
 	c.HandleAnswer(n.entries[0].Address, 7, owner.Request("client", 7, &rpc.PermitRequest{Endpoint: "e", LeftMs: 1000}))
 	assert.Equal(t, len(owner.endpoints["e"].expiries), 0)
 }
+
+// Guards against a new owner that has not learned of a change of owners and grants the slots that
+// attempts occupy under permits of its predecessor.
+func TestOwnerThatLearnsLateOfChangeGoesByReportedLoad(t *testing.T) {
+	n := newTestNetwork(1)
+	owner, asking := n.owners[n.entries[0].Address], newTestOwner(2)
+	c := n.client("client")
+	c.options.Server = asking.Server
+	owner.now += time.Second
+	asking.now = owner.now
+	asking.NoteOwnersChanged()
+	acquire := func() Verdict {
+		n.now, asking.now = owner.now, owner.now
+		_, verdict := c.Acquire(t.Context(), "e", time.Minute)
+		return verdict
+	}
+	assert.Equal(t, acquire(), Denied, "reports are on their way")
+	owner.now += settleTime
+	owner.room.Reported = 2
+	assert.Equal(t, acquire(), Denied)
+	owner.now += reportedTime
+	assert.Equal(t, acquire(), Granted, "reports may be late, and the permits are all known by now")
+}
+
+// Guards against an owner that grants all slots after a change of owners, if it had permits of the
+// endpoint before it learned of the change.
+func TestChangeOfOwnersAppliesToHeldPermits(t *testing.T) {
+	o := newTestOwner(3)
+	o.now += time.Second
+	assert.Assert(t, o.Request("a", 0, &rpc.PermitRequest{Endpoint: "e", LeftMs: 10_000}).GetGranted())
+	o.NoteOwnersChanged()
+	assert.Assert(t, !o.request("a", 1).GetGranted(), "reports are on their way")
+	o.now += settleTime
+	o.room.Reported = 3
+	assert.Assert(t, !o.request("a", 2).GetGranted())
+	o.now += reportedTime
+	assert.Assert(t, o.request("a", 3).GetGranted())
+}
--- a/permits/server.go
+++ b/permits/server.go
@@ -54,6 +54,8 @@
 	// members are the entry instances, one of which owns each endpoint.
 	members          []tables.InstanceID
 	membersChangedAt tables.Instant
+	// ownersChangedAt is when NoteOwnersChanged was called last.
+	ownersChangedAt tables.Instant
 }
 
 // semaphore holds the permits of one endpoint.
@@ -71,7 +73,7 @@
 
 // NewServer returns the server of an instance, without permits; now reads a monotonic clock.
 func NewServer(self tables.InstanceID, occupancy func(tables.EndpointID) (Occupancy, bool), now func() tables.Instant) *Server {
-	return &Server{self: self, membersChangedAt: now() - reportedTime, occupancy: occupancy, now: now, endpoints: map[tables.EndpointID]*semaphore{}}
+	return &Server{self: self, membersChangedAt: now() - reportedTime, ownersChangedAt: now() - reportedTime, occupancy: occupancy, now: now, endpoints: map[tables.EndpointID]*semaphore{}}
 }
 
 // SetMembers sets the entry instances, one of which owns each endpoint. When they change, endpoints
@@ -86,11 +88,26 @@
 }
 
 // NoteOwnersChanged records that endpoints have got other owners though the entry instances are the
-// same.
+// same. Some instances may learn of the change later and ask the owners before until then.
 func (s *Server) NoteOwnersChanged() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.membersChangedAt = s.now()
+	now := s.now()
+	s.membersChangedAt, s.ownersChangedAt = now, now
+	for _, e := range s.endpoints {
+		e.recordOtherOwner(now)
+	}
+}
+
+// ownersChangedRecently reports whether owners before the last NoteOwnersChanged may have granted
+// permits that reports do not show yet. It is false for a nil server.
+func (s *Server) ownersChangedRecently(now tables.Instant) bool {
+	if s == nil {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now-s.ownersChangedAt < reportedTime
 }
 
 // Request decides about a permit. A request that arrives twice gets the same permit.
