--- a/node/sizes.go
+++ b/node/sizes.go
@@ -122,7 +122,11 @@
 }
 
 // registerSizeGauges registers gauges of the common work and of the load of this instance.
+// Without the switch there are none.
 func (n *Node) registerSizeGauges() {
+	if !n.sizes.enabled {
+		return
+	}
 	loaded := n.registry.Gauge("carawaystile_instance_loaded", "1 while the instance is near the limit of its processor, link or memory.")
 	limits := n.registry.Gauge("carawaystile_owned_limits", "Common limits in use that this instance owns in its zone.")
 	endpoints := n.registry.Gauge("carawaystile_read_endpoints", "Endpoints whose cache events this instance reads.")
