A changed size of a known instance counts as a change of owners

An instance that restarted with another value of processors before the others took it for dead moved owners without a note of it, since only the switch was compared. Weights of live entry instances are compared too while sizes are in use. Ruled out: a hash over all instances and weights, since each new or lost instance would count as a change then, start buckets at zero and halve limits of endpoints for 2 s.

TestChangedSizeOfKnownInstanceIsNoted passes; the wiring has no test.

--- a/node/sizes.go
+++ b/node/sizes.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -10,7 +11,9 @@
 	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/internal/wait"
 	"github.com/carawaystile/carawaystile/systems/membership"
+	"github.com/carawaystile/carawaystile/systems/placement/rendezvous"
 	"github.com/carawaystile/carawaystile/systems/selfload"
+	"github.com/carawaystile/carawaystile/tables"
 )
 
 const (
@@ -35,6 +38,7 @@
 	// changed.
 	inUse     atomic.Bool
 	changedAt atomic.Int64
+	weights   entryWeights
 	// readEndpoints is how many endpoints' cache events this instance reads.
 	readEndpoints atomic.Int64
 }
@@ -42,14 +46,15 @@
 // isLoaded reports whether this instance is near one of its limits.
 func (s *instanceSizes) isLoaded() bool { return s.loaded.Load() }
 
-// observeSizes records whether all entry instances have the switch. If that changes, limits and
-// endpoints get other owners, as when instances are lost.
+// observeSizes records whether all entry instances have the switch, and their weights. If either
+// changes, limits and endpoints get other owners, as when instances are lost.
 func (n *Node) observeSizes(members []membership.Member) {
 	if !n.sizes.enabled {
 		return
 	}
 	inUse := membership.SizesInUse(members)
-	if n.sizes.inUse.Swap(inUse) == inUse {
+	weightsChanged := n.sizes.weights.observe(members)
+	if n.sizes.inUse.Swap(inUse) == inUse && !(inUse && weightsChanged) {
 		return
 	}
 	n.sizes.changedAt.Store(int64(n.now()))
@@ -58,6 +63,34 @@
 	events.SizesInUse.Log(n.log, zap.Bool("in_use", inUse), zap.Int("instances", len(entryIDs(members))))
 }
 
+// entryWeights holds the weights of the live entry instances. The zero value has seen none. It is
+// safe for concurrent use.
+type entryWeights struct {
+	mu      sync.Mutex
+	weights map[tables.InstanceID]int
+}
+
+// observe records the weights and reports whether that of a known instance has changed, which
+// restarted with another size before the others took it for dead. New and lost instances are
+// handled as without sizes.
+func (w *entryWeights) observe(members []membership.Member) (changed bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	weights := make(map[tables.InstanceID]int, len(members))
+	for i := range members {
+		m := &members[i]
+		if m.Roles&membership.RoleEntry == 0 || m.State > membership.Suspect {
+			continue
+		}
+		weight := rendezvous.Weight(m.Size)
+		before, known := w.weights[m.Instance]
+		changed = changed || known && before != weight
+		weights[m.Instance] = weight
+	}
+	w.weights = weights
+	return changed
+}
+
 // areSizesChanging reports whether some entry instances may weigh the others by size while others
 // do not.
 func (n *Node) areSizesChanging() bool {
--- a/node/sizes_test.go
+++ b/node/sizes_test.go
@@ -15,6 +15,7 @@
 	"github.com/carawaystile/carawaystile/control/gossip"
 	"github.com/carawaystile/carawaystile/relay"
 	"github.com/carawaystile/carawaystile/settings"
+	"github.com/carawaystile/carawaystile/systems/membership"
 )
 
 // Guards against an instance at its limit that others do not know of or still relay through, and
@@ -50,6 +51,23 @@
 	assert.Equal(t, relays[0], relay.Instance{ID: "entry-2", Zone: "z", Address: small.Advertise.Instances})
 }
 
+// Guards against owners that move unnoticed when an instance returns from a crash with another size,
+// and against a change noted for each new or lost instance.
+func TestChangedSizeOfKnownInstanceIsNoted(t *testing.T) {
+	var weights entryWeights
+	all := entryMembers(3, "a")
+	for i := range all {
+		all[i].Roles = membership.RoleEntry
+	}
+	assert.Assert(t, !weights.observe(all[:2]))
+	assert.Assert(t, !weights.observe(all))
+	all[1].Size = 48
+	assert.Assert(t, weights.observe(all))
+	assert.Assert(t, !weights.observe(all[1:]))
+	all[0].Size = 48
+	assert.Assert(t, !weights.observe(all))
+}
+
 // readSizes reads the list of instances at an instance's address for metrics.
 func readSizes(t *testing.T, s *settings.Forwarding) (sizes []gossip.InstanceSize) {
 	t.Helper()
