A loaded reader that is seen first has a reduced weight

A new instance counted a long-loaded reader with its whole size for 5 s, so that some endpoints had no reader. The existing test first sees the instance without load now, since it checks the time after which load counts. TestWeightOfUnknownLoadedReaderIsReduced passes.

--- a/node/readerweights.go
+++ b/node/readerweights.go
@@ -40,6 +40,10 @@
 		if !known || state.loaded != m.Loaded {
 			state.loaded, state.since = m.Loaded, now
 		}
+		if !known && m.Loaded {
+			// The others may have reduced the weight already.
+			state.reduced = true
+		}
 		if state.loaded && now-state.since >= readerLoadedTime {
 			state.reduced = true
 		}
--- a/node/readerweights_test.go
+++ b/node/readerweights_test.go
@@ -51,6 +51,7 @@
 		weights.observe(time.Duration(seconds)*time.Second, []membership.Member{member})
 		return weights.weight(&member)
 	}
+	assert.Equal(t, at(-1, false), 48)
 	assert.Equal(t, at(0, true), 48)
 	assert.Equal(t, at(4, true), 48)
 	assert.Equal(t, at(5, true), 12)
@@ -60,3 +61,13 @@
 	assert.Equal(t, at(22, false), 12)
 	assert.Equal(t, at(23, false), 48)
 }
+
+// Guards against a new instance that takes long-loaded ones for readers of their whole size, so that
+// some endpoints have no reader.
+func TestWeightOfUnknownLoadedReaderIsReduced(t *testing.T) {
+	var weights readerWeights
+	loaded := membership.Member{InstanceInfo: membership.InstanceInfo{Instance: "i", Size: 48}}
+	loaded.Loaded = true
+	weights.observe(0, []membership.Member{loaded})
+	assert.Equal(t, weights.weight(&loaded), 12)
+}
