--- a/control/gossip/gossip.go
+++ b/control/gossip/gossip.go
@@ -167,13 +167,6 @@
 	})
 }
 
-// SetLoaded announces whether this instance is near the limit of its processor, link or memory.
-func (g *Gossip) SetLoaded(loaded bool) {
-	g.update(func(m *membership.Membership, now tables.Instant) membership.Output {
-		return m.SetLoaded(now, loaded)
-	})
-}
-
 // SendHints sends hints about this instance's requests to the other instances that
 // receive them (see HintReceiverCount).
 func (g *Gossip) SendHints(hints membership.Hints) {
