--- a/control/gossip/gossip.go
+++ b/control/gossip/gossip.go
@@ -53,9 +53,6 @@
 	OnRelay func([]membership.Placement)
 	// OnLoad is called with each load that another instance announced.
 	OnLoad func(membership.Load)
-	// OnOrganisationCost is called with each total of an organisation's cost that another instance
-	// has sent.
-	OnOrganisationCost func(membership.OrganisationCost)
 	// OnSchedule is called with a message between an entry instance and a
 	// scheduler. It runs on the goroutine that reads the socket, so it must not
 	// block for long.
@@ -339,11 +336,6 @@
 			g.options.OnLoad(l)
 		}
 	}
-	if g.options.OnOrganisationCost != nil {
-		for _, c := range out.Hints.Costs {
-			g.options.OnOrganisationCost(c)
-		}
-	}
 }
 
 func (g *Gossip) tickLoop() {
--- a/dispatch/capacity.go
+++ b/dispatch/capacity.go
@@ -22,8 +22,6 @@
 type CapacityOptions struct {
 	// Admission bounds the queues of endpoints and rejects what cannot be served in time.
 	Admission Switch
-	// Shares shares capacity among organisations over all instances where admission is enabled.
-	Shares Switch
 	// StreamPauses counts the pauses that a prompt causes in running streams. Auto is on only
 	// where endpoints share their machines: elsewhere pauses rarely reach the target gap, and
 	// keeping streams and prompts apart costs more than it gains.
--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -89,9 +89,3 @@
 	own := (d.demand.count(now, part) + demandPrior) / demandDecay.Seconds()
 	return 1 - math.Exp(-own*(d.schedulers*updateDelay.Seconds()+d.remoteSchedulers*remoteUpdateDelay.Seconds()))
 }
-
-// DemandCounted reports whether the request has been counted in the demand for its parts.
-func (r *Request) DemandCounted() bool { return r.counted }
-
-// MarkDemandCounted records that another instance has counted the request.
-func (r *Request) MarkDemandCounted() { r.counted = true }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -73,15 +73,6 @@
 	// SaturatedFor is set by Place with the reason Saturated: the time until the queue of an
 	// endpoint is short enough.
 	SaturatedFor time.Duration
-	// Organisation is the caller's organisation, and OrganisationCost the running total of the cost
-	// that the instance Asker has started for it, in prompt and output tokens. They are set only
-	// while requests wait for capacity.
-	Organisation     string
-	OrganisationCost uint64
-	Asker            tables.InstanceID
-	// OthersCost is set by the instance that places the request: the running total of the cost that
-	// all instances except the asking one have started for the organisation; 0 if unknown.
-	OthersCost uint64
 	// WantsBackup is set if the request's memory should be backed up at another endpoint.
 	WantsBackup bool
 	// Remote is set for a request that this instance places for another one, which counts
@@ -100,6 +91,12 @@
 	EndTokens int
 }
 
+// DemandCounted reports whether the request has been counted in the demand for its parts.
+func (r *Request) DemandCounted() bool { return r.counted }
+
+// MarkDemandCounted records that another instance has counted the request.
+func (r *Request) MarkDemandCounted() { r.counted = true }
+
 // sharedTokens returns the length of all shared parts in tokens.
 func (r *Request) sharedTokens() int { return r.sharedPrefixTokens(len(r.SharedParts)) }
 
--- a/dispatch/rejectreason.go
+++ b/dispatch/rejectreason.go
@@ -16,8 +16,6 @@
 	DeadlineTooSoon RejectReason = "too late"
 	// Saturated: the queues of all eligible endpoints are longer than the request may wait.
 	Saturated RejectReason = "saturated"
-	// Yields: requests of organisations that have had less wait for the same capacity.
-	Yields RejectReason = "other organisations first"
 	// TooLarge: the request exceeds the memory of any endpoint.
 	TooLarge RejectReason = "too large"
 )
--- a/dispatch/saturation.go
+++ b/dispatch/saturation.go
@@ -31,12 +31,6 @@
 	return d.enabled(d.options.Capacity.Admission, service)
 }
 
-// SharesEnabled reports whether the capacity of a service is shared among organisations over all
-// instances.
-func (d *Dispatcher) SharesEnabled(service string) bool {
-	return d.AdmissionEnabled(service) && d.enabled(d.options.Capacity.Shares, service)
-}
-
 // placedShare holds the prefill tokens that this instance has placed at a service's endpoints
 // of late, as exponentially decaying sums: those of the most urgent work and those of other work.
 type placedShare struct {
@@ -217,13 +211,6 @@
 // unsharedTokens returns the length of the prompt without the parts that other requests share.
 func (r *Request) unsharedTokens() float64 { return float64(max(0, r.PromptTokens-r.sharedTokens())) }
 
-// PrefillCapacity returns the prompt tokens that the known endpoints of a service compute in a
-// second, by their usual speed.
-func (d *Dispatcher) PrefillCapacity(service string) float64 {
-	const millisecondsPerSecond = 1000
-	return float64(len(d.services[service])) * d.averagesOf(service).prefillRate() * millisecondsPerSecond
-}
-
 // LeastPrefillTime returns the time that an engine of the request's service usually takes to
 // compute the part of the prompt that no other request shares. The whole prefill takes at least
 // as long.
--- a/events/entry.go
+++ b/events/entry.go
@@ -32,8 +32,6 @@
 	StreamPaused         = define(1026, zapcore.InfoLevel, "A stream paused for longer than its target gap.")
 	ServiceSaturated     = define(1040, zapcore.InfoLevel, "Requests for a service wait for capacity.")
 	ServiceDesaturated   = define(1041, zapcore.InfoLevel, "No request for a service waits for capacity any more.")
-	LargestShare         = define(1042, zapcore.InfoLevel, "The organisation with the largest share of a saturated service.")
-	PlacedCostDropped    = define(1047, zapcore.WarnLevel, "There is no room for another placer's total of an organisation.")
 	StreamContinued      = define(1034, zapcore.InfoLevel, "A stream whose endpoint has ended continues at its backup endpoint.")
 	StreamNotContinued   = define(1035, zapcore.InfoLevel, "A broken stream was not continued at its backup endpoint.")
 	ReaderEvicted        = define(1050, zapcore.WarnLevel, "A caller that did not read was disconnected because the budget for buffers was used up.")
--- a/forward/admission.go
+++ b/forward/admission.go
@@ -27,13 +27,10 @@
 	queues map[string]*serviceQueue
 	// limit bounds the questions of all queues; nil if there are no schedulers to ask.
 	limit *questionLimit
-	// shares exchanges with other instances what was started.
-	shares *sharedCosts
 }
 
 func newAdmissionControl(o *Options) *admissionControl {
 	a := &admissionControl{now: o.Now, log: o.Log, metrics: newAdmissionMetrics(o.Registry), queues: map[string]*serviceQueue{}}
-	a.shares = &sharedCosts{log: o.Log, metrics: a.metrics}
 	if o.Scheduler != nil {
 		a.limit = newQuestionLimit()
 	}
@@ -50,14 +47,13 @@
 	// request last found no capacity, and rejected counts the rejections since saturatedSince.
 	saturatedSince, lastFullAt tables.Instant
 	rejected                   int
-	shares                     *sharedCosts
 }
 
 // queue returns the queue of a service. The caller holds mu.
 func (a *admissionControl) queue(service string) *serviceQueue {
 	q := a.queues[service]
 	if q == nil {
-		q = &serviceQueue{waitQueue: newWaitQueue(), service: service, shares: a.shares}
+		q = &serviceQueue{waitQueue: newWaitQueue(), service: service}
 		q.limit = a.limit
 		q.timer = time.AfterFunc(time.Hour, func() { a.update(service, func(*serviceQueue, tables.Instant) {}) })
 		q.timer.Stop()
@@ -94,13 +90,6 @@
 	return a.queue(service).len() > 0
 }
 
-// isSaturated reports whether a service is saturated.
-func (a *admissionControl) isSaturated(service string) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.queue(service).saturatedSince > 0
-}
-
 // takeQuestion counts a question of a request that is not in a queue, and reports whether it may be
 // asked.
 func (a *admissionControl) takeQuestion(w *waiter) bool {
@@ -132,7 +121,6 @@
 func (q *serviceQueue) chargeIfSaturated(now tables.Instant, w *waiter) {
 	if q.saturatedSince > 0 {
 		q.charge(now, w)
-		q.shares.started(now, q.service, w)
 	}
 }
 
@@ -164,7 +152,6 @@
 	s := c.server
 	s.mu.Lock()
 	prefill := s.dispatch.LeastPrefillTime(&c.dispatchRequest)
-	w.shared = s.dispatch.SharesEnabled(c.service.Name)
 	s.mu.Unlock()
 	w.setLimits(now, prefill, isRetry)
 	w.startBy, w.deadline = min(w.startBy, c.deadline), c.deadline
@@ -202,9 +189,6 @@
 			return answer.placement, 0
 		case answer.code != 0:
 			return nil, answer.code
-		case answer.reason == dispatch.Yields:
-			a.update(c.service.Name, func(q *serviceQueue, now tables.Instant) { q.yielded(now, w) })
-			return c.awaitInQueue(w)
 		case answer.full():
 			a.update(c.service.Name, func(q *serviceQueue, now tables.Instant) { a.recordFull(q, now, w, answer) })
 			return c.awaitInQueue(w)
@@ -225,7 +209,6 @@
 		// The charge is gone if the service has not been saturated meanwhile.
 		if q.saturatedSince > 0 && q.saturatedSince <= c.admitted.chargedAt {
 			q.refund(now, c.admitted)
-			c.server.shares.refunded(q.service, c.admitted)
 		}
 	})
 }
@@ -262,11 +245,8 @@
 			case answer.placement != nil:
 				c.endWait(now, w, "")
 				q.placed(now, w)
-				a.shares.started(now, service, w)
 			case answer.full():
 				a.recordFull(q, now, w, answer)
-			case answer.reason == dispatch.Yields:
-				q.yielded(now, w)
 			default:
 				q.postpone(now, w, answer.reason == dispatch.PrefillPending)
 			}
--- a/forward/admission_test.go
+++ b/forward/admission_test.go
@@ -54,12 +54,8 @@
 }
 
 func (h *harness) enableAdmission() {
-	h.enableCapacity(dispatch.CapacityOptions{Admission: dispatch.On})
-}
-
-func (h *harness) enableCapacity(capacity dispatch.CapacityOptions) {
 	s := h.server
-	s.options.Dispatch.Capacity = capacity
+	s.options.Dispatch.Capacity.Admission = dispatch.On
 	s.dispatch = dispatch.New(s.options.Dispatch)
 	s.dispatch.SetEndpoints(s.Endpoints())
 }
--- a/forward/admissionanswer.go
+++ b/forward/admissionanswer.go
@@ -33,9 +33,7 @@
 		return placementAnswer{code: tables.CodeOverloaded}
 	}
 	c.dispatchRequest.SaturatedFor = 0
-	c.setOrganisation(w)
 	placement, reason := s.placeWithinLimits(c)
-	c.chargeOthers(w)
 	answer := placementAnswer{placement: placement, reason: reason, wait: c.dispatchRequest.SaturatedFor}
 	switch {
 	case placement != nil:
--- a/forward/admissionmetrics.go
+++ b/forward/admissionmetrics.go
@@ -54,14 +54,6 @@
 	}
 }
 
-// countOthers counts the cost that other instances have started, charged here.
-func (m *admissionMetrics) countOthers(w *waiter, cost float64) {
-	if m != nil {
-		m.registry.Counter("carawaystile_admission_charged_tokens_total", "Prompt and output tokens that other instances have started and that were charged to organisations here.",
-			metrics.Label{Name: "priority", Value: strconv.Itoa(min(max(w.priority, 0), lowestPriority))}).Inc(int64(cost))
-	}
-}
-
 // registerAdmissionGauges registers the gauges of waiting requests and of saturated services.
 // Each scrape updates them.
 func (s *Server) registerAdmissionGauges(registry *metrics.Registry) {
--- a/forward/scheduled.go
+++ b/forward/scheduled.go
@@ -36,7 +36,6 @@
 			return nil, "", false
 		}
 		c.dispatchRequest.MarkDemandCounted()
-		c.dispatchRequest.OthersCost = assignment.OthersCost
 		if assignment.Reason != "" {
 			c.dispatchRequest.SaturatedFor = assignment.Wait
 			// Among the endpoints that the scheduler had to avoid may be some that this
@@ -98,14 +97,6 @@
 // PlaceRequest chooses an endpoint and counts an attempt there. If no endpoint is
 // available, the attempt is nil and the reason says why.
 func (s *Server) PlaceRequest(r *dispatch.Request) (*dispatch.Attempt, dispatch.RejectReason) {
-	if r.Organisation != "" && s.sharesCostsOf(r.Service.Name) {
-		return s.placeShared(r)
-	}
-	return s.placeHere(r)
-}
-
-// placeHere chooses an endpoint by the state of this instance.
-func (s *Server) placeHere(r *dispatch.Request) (*dispatch.Attempt, dispatch.RejectReason) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.dispatch.Place(s.options.Now(), r)
--- a/forward/server.go
+++ b/forward/server.go
@@ -124,7 +124,6 @@
 	crashDetector *quarantine.Detector
 
 	admission     *admissionControl
-	shares        *sharedCosts
 	healthChecker *healthChecker
 	// pauseReports limits the rate of log lines on pauses of streams.
 	pauseReports pauseReports
@@ -160,7 +159,6 @@
 		buffers:       buffers{budget: bufferbudget.New(o.MaxBufferedBytes), writeTimeout: eventWriteTimeout},
 	}
 	s.startupTimeout = startupTimeout
-	s.shares = s.admission.shares
 	s.blockedWrites = blockedWrites{server: s, streams: map[*streamRelay]struct{}{}}
 	s.healthChecker = newHealthChecker(s)
 	s.registerGauges(o.Registry)
--- a/forward/simulation_test.go
+++ b/forward/simulation_test.go
@@ -40,8 +40,6 @@
 	rejectedAt                           tables.Instant
 	retryAfter                           time.Duration
 	rejectedOnArrival, started, answered bool
-	// yields is set if the last answer was that it has to wait for other organisations.
-	yields bool
 }
 
 // simulatedEngine computes prompts one after the other.
@@ -64,8 +62,6 @@
 	random   *rand.Rand
 	// instances receive the requests round-robin. One of them, or a scheduler, places all of them.
 	instances []*simulatedInstance
-	// shares exchanges what instances have started; nil if each shares capacity by itself.
-	shares *simulatedShares
 }
 
 // simulatedInstance is an instance with its waiting queue.
@@ -75,8 +71,6 @@
 	// placing is the request that asks, and answerAt when it gets the answer.
 	placing  *simulatedRequest
 	answerAt tables.Instant
-	// index numbers the instance.
-	index int
 }
 
 func newSimulation(engines, instances int) *simulation {
@@ -85,8 +79,8 @@
 		service:  &routes.Service{Name: "models", Slots: 64, KVCapacityTokens: 400_000, Models: []string{"m"}},
 		dispatch: dispatch.New(dispatch.Options{Zone: "a", Seed: 1}), engines: map[tables.EndpointID]*simulatedEngine{},
 	}
-	for i := range instances {
-		s.instances = append(s.instances, &simulatedInstance{index: i, queue: newWaitQueue(), waiting: map[*waiter]*simulatedRequest{}})
+	for range instances {
+		s.instances = append(s.instances, &simulatedInstance{queue: newWaitQueue(), waiting: map[*waiter]*simulatedRequest{}})
 	}
 	listed := map[tables.EndpointID]fleet.Endpoint{}
 	for i := range engines {
@@ -105,13 +99,10 @@
 		s.now += simulatedStep
 		s.stepEngines()
 		for _, w := range load {
-			for expected := w.perSecond * simulatedStep.Seconds(); s.now >= w.from && s.now < w.until && expected > 0; expected-- {
-				if s.random.Float64() < expected {
-					s.arrive(w)
-				}
+			if s.now >= w.from && s.now < w.until && s.random.Float64() < w.perSecond*simulatedStep.Seconds() {
+				s.arrive(w)
 			}
 		}
-		s.shares.step(s)
 		for _, instance := range s.instances {
 			s.stepQueue(instance)
 		}
@@ -120,7 +111,6 @@
 
 func (s *simulation) arrive(w workload) {
 	r := &simulatedRequest{waiter: waiter{
-		shared:       s.shares != nil,
 		organisation: w.organisation, priority: w.priority, prompt: w.prompt, output: 50, target: w.target, arrivedAt: s.now,
 	}}
 	r.dispatch = dispatch.Request{
@@ -134,10 +124,9 @@
 	if instance.queue.len() == 0 {
 		if s.place(r) {
 			instance.queue.charge(s.now, &r.waiter)
-			s.shares.started(s, r)
 			return
 		}
-		s.refused(r)
+		instance.queue.full(s.now, &r.waiter, r.dispatch.SaturatedFor)
 	}
 	predicted, ok := instance.queue.join(s.now, &r.waiter)
 	if !ok {
@@ -149,11 +138,7 @@
 
 // place places a request and sends it to its engine.
 func (s *simulation) place(r *simulatedRequest) bool {
-	yields, answered := s.shares.ask(s, r)
-	if r.attempt, r.dispatch.SaturatedFor, r.yields = nil, 0, yields; !yields {
-		r.attempt, _ = s.dispatch.Place(s.now, &r.dispatch)
-	}
-	answered(r.attempt != nil)
+	r.attempt, _ = s.dispatch.Place(s.now, &r.dispatch)
 	if r.attempt == nil {
 		return false
 	}
@@ -163,15 +148,6 @@
 	return true
 }
 
-// refused records that a request was not placed.
-func (s *simulation) refused(r *simulatedRequest) {
-	if r.yields {
-		r.instance.queue.yielded(s.now, &r.waiter)
-		return
-	}
-	r.instance.queue.full(s.now, &r.waiter, r.dispatch.SaturatedFor)
-}
-
 // stepQueue rejects what cannot start in time and lets the next request ask.
 func (s *simulation) stepQueue(i *simulatedInstance) {
 	for w, r := range i.waiting {
@@ -190,9 +166,8 @@
 			if s.place(r) {
 				delete(i.waiting, &r.waiter)
 				i.queue.placed(s.now, &r.waiter)
-				s.shares.started(s, r)
 			} else {
-				s.refused(r)
+				i.queue.full(s.now, &r.waiter, r.dispatch.SaturatedFor)
 			}
 		}
 		next, _ := i.queue.next(s.now)
--- a/forward/waitclass.go
+++ b/forward/waitclass.go
@@ -31,8 +31,6 @@
 	// rate measures the cost that leaves the queue, and departures the requests. Those that are rejected while they wait
 	// count: those behind them do not wait for them any longer.
 	rate, departures admission.Throughput
-	// need holds lower bounds of what the waiting requests need.
-	need need
 	// placed is the decaying cost that was started.
 	placed decayingCost
 }
@@ -47,10 +45,6 @@
 	// cost is the sum of the costs of the waiting requests, and costs that of each size.
 	cost  float64
 	costs [maxSize + 1]float64
-	// needs are lower bounds of what the waiting requests of each size need, nil for none, and need
-	// that of all.
-	needs [maxSize + 1]*need
-	need  need
 }
 
 // decayingCost is a sum that decays exponentially, as of a point in time.
@@ -108,12 +102,6 @@
 	o.sizes.SetWeight(w.size(), 1)
 	o.queue.Add(waiting.Item{Row: &w.row, GroupKey: tables.BlockHash(w.size()), StartBy: w.arrivedAt + w.target})
 	o.sizes.Enqueue(w.size())
-	if o.needs[w.size()] == nil {
-		o.needs[w.size()] = &need{}
-	}
-	o.needs[w.size()].include(w)
-	o.need.include(w)
-	c.need.include(w)
 	o.cost += w.cost()
 	o.costs[w.size()] += w.cost()
 	c.scheduler.Enqueue(w.flow)
@@ -126,10 +114,8 @@
 		return
 	}
 	o.sizes.Dequeue(w.size())
-	if o.costs[w.size()] -= w.cost(); o.costs[w.size()] <= 0 {
-		o.needs[w.size()] = nil
-	}
 	o.cost -= w.cost()
+	o.costs[w.size()] -= w.cost()
 	c.scheduler.Dequeue(w.flow)
 	if o.queue.Len() == 0 {
 		c.organisations[w.flow] = nil
@@ -193,62 +179,34 @@
 	c.demand[w.flow].add(now, rateWindow, w.cost())
 }
 
-// first returns the first request that may ask: of the first organisation with such a request, the
-// first one of the first size; nil if there is none. Requests that may not ask use up no limit, or a
-// few organisations with large requests would hide all others.
-func (c *waitClass) first(s *scan) *tables.RequestRow {
-	if s.allWait(&c.need, false) {
-		return nil
-	}
-	var best *tables.RequestRow
-	exact := need{}
-	c.scheduler.Next(func(f fairness.Flow) bool {
-		// A flow precedes all that were not skipped before it.
-		o := c.organisations[f]
-		row := o.first(s)
-		if row != nil {
-			best = row
-		}
-		exact.merge(&o.need)
-		return row == nil
+// first returns the first request that is accepted: of the first organisation with such a request,
+// the first one of the first size; nil if there is none. Requests that are not accepted use up
+// no limit, or a few organisations with large requests would hide all others.
+func (c *waitClass) first(accept func(*tables.RequestRow) bool) *tables.RequestRow {
+	found := map[fairness.Flow]*tables.RequestRow{}
+	flow, any := c.scheduler.Next(func(f fairness.Flow) bool {
+		found[f] = c.organisations[f].first(accept)
+		return found[f] == nil
 	})
-	if best == nil {
-		c.need = exact
+	if !any {
+		return nil
 	}
-	return best
+	return found[flow]
 }
 
-// first returns the first request that may ask, in the order of the sizes; nil if there is none.
-func (o *organisationQueue) first(s *scan) *tables.RequestRow {
-	if s.allWait(&o.need, true) {
-		return nil
-	}
-	var best *tables.RequestRow
-	all := need{}
-	o.sizes.Next(func(size fairness.Flow) bool {
-		if s.allWait(o.needs[size], true) {
-			all.merge(o.needs[size])
-			return true
-		}
-		// All are looked at if none may ask, so that the bounds become exact.
-		exact := need{}
-		item, accepted := o.queue.First(tables.BlockHash(size), func(row *tables.RequestRow) bool {
-			w := s.queue.waiters[row]
-			exact.include(w)
-			return s.accepts(w)
-		})
-		if accepted {
-			best = item.Row
-		} else {
-			*o.needs[size] = exact
-			all.merge(&exact)
-		}
+// first returns the first request that is accepted, in the order of the sizes; nil if there is
+// none.
+func (o *organisationQueue) first(accept func(*tables.RequestRow) bool) *tables.RequestRow {
+	var found [maxSize + 1]*tables.RequestRow
+	size, any := o.sizes.Next(func(size fairness.Flow) bool {
+		item, accepted := o.queue.First(tables.BlockHash(size), accept)
+		found[size] = item.Row
 		return !accepted
 	})
-	if best == nil {
-		o.need = all
+	if !any {
+		return nil
 	}
-	return best
+	return found[size]
 }
 
 // order returns the classes with waiting requests in the order in which they are served: by
--- a/forward/waitqueue.go
+++ b/forward/waitqueue.go
@@ -49,9 +49,7 @@
 	// of other requests.
 	model      string
 	restricted bool
-	// shared is set if the capacity of the service is shared over all instances.
-	shared    bool
-	arrivedAt tables.Instant
+	arrivedAt  tables.Instant
 	// startBy is the latest time at which the request may start, and rejectFrom the earliest at
 	// which it may be rejected after it has joined the queue.
 	startBy, rejectFrom tables.Instant
@@ -110,6 +108,12 @@
 	return at
 }
 
+// waitsBehind reports whether the request needs no less than one that could not be placed: it
+// names the same model and has no smaller prompt, no smaller need of memory and no shorter target.
+func (w *waiter) waitsBehind(refused *waiter) bool {
+	return w.model == refused.model && w.prompt >= refused.prompt && w.prompt+w.output >= refused.prompt+refused.output && w.target >= refused.target
+}
+
 // questionKind returns for what the request's next question is.
 func (w *waiter) questionKind() questionKind {
 	if w.deferred {
@@ -137,7 +141,6 @@
 	// refused are the requests that could not be placed in this round, which ends at resumeAt.
 	refused  []*waiter
 	resumeAt tables.Instant
-	held     heldOrganisations
 	// noneUntil is set if no request may ask: until that time, or, if it is forever, until a change.
 	noneUntil tables.Instant
 	// limit bounds the questions; nil for no bound.
@@ -222,13 +225,7 @@
 	predicted, measured := q.predict(now, w)
 	class := q.classOf(w)
 	class.addDemand(now, w)
-	late := measured && now+predicted > w.startBy
-	if w.shared {
-		// Nothing is known to start before a request whose organisation is next. Its wait does not
-		// depend on how rarely requests leave this queue, which says little where a queue is short.
-		late = late && class.ahead(now, w, predicted) > 0
-	}
-	if late || class.queued(w.flow) >= admission.MaxQueued {
+	if measured && now+predicted > w.startBy || class.queued(w.flow) >= admission.MaxQueued {
 		return predicted, false
 	}
 	w.joinedAt, w.predicted = now, predicted
@@ -257,9 +254,6 @@
 	q.limit.giveBack(w.questionKind())
 	q.charge(now, w)
 	q.leave(now, w)
-	if q.held.late {
-		q.held.add(w)
-	}
 }
 
 // charge counts a started request, whether it has waited or not, towards the shares of its
@@ -277,6 +271,43 @@
 	}
 }
 
+// full records that the request that was asking found no capacity. wait is the time until there
+// is some; 0 if unknown.
+func (q *waitQueue) full(now tables.Instant, w *waiter, wait time.Duration) {
+	w.deferred, q.noneUntil = false, 0
+	if w.earliest == 0 || now+wait < w.earliest {
+		w.earliest = now + wait
+	}
+	if q.placing == w {
+		q.placing = nil
+	}
+	if now >= q.resumeAt {
+		q.refused = q.refused[:0]
+	}
+	interval := placementRetryInterval
+	if wait > 0 {
+		interval = min(max(wait, minAskInterval), maxAskInterval)
+	}
+	if w.restricted {
+		w.notBefore = now + interval
+		return
+	}
+	if len(q.refused) == 0 {
+		q.resumeAt = now + interval
+	}
+	q.resumeAt = min(q.resumeAt, now+interval)
+	q.refused = append(q.refused, w)
+}
+
+// postpone records that the request that was asking got no endpoint for a reason that does not
+// concern others. deferred is set if the reason is PrefillPending.
+func (q *waitQueue) postpone(now tables.Instant, w *waiter, deferred bool) {
+	w.deferred, w.notBefore, q.noneUntil = deferred, now+placementRetryInterval, 0
+	if q.placing == w {
+		q.placing = nil
+	}
+}
+
 // next returns the request that may ask now. If there is none it returns when to call next
 // again; 0 for not before the next change. It looks at the requests only if one may have become
 // able to ask since it last found none.
@@ -287,12 +318,30 @@
 	if now < q.noneUntil {
 		return nil, q.noneUntil
 	}
-	q.endPause(now)
-	row, again := q.search(now)
-	if row != nil {
-		q.placing = q.waiters[row]
-		q.limit.take(now, q.placing.questionKind())
-		return q.placing, 0
+	if now >= q.resumeAt {
+		q.refused = q.refused[:0]
+	}
+	again := tables.Instant(0)
+	if len(q.refused) > 0 {
+		again = q.resumeAt
+	}
+	for _, class := range q.order(now) {
+		row := class.first(func(row *tables.RequestRow) bool {
+			w := q.waiters[row]
+			if q.waitsBehindRefused(w) {
+				return false
+			}
+			at := max(w.notBefore, q.limit.allowedAt(now, w.questionKind()))
+			if at > now && (again == 0 || at < again) {
+				again = at
+			}
+			return at <= now
+		})
+		if row != nil {
+			q.placing = q.waiters[row]
+			q.limit.take(now, q.placing.questionKind())
+			return q.placing, 0
+		}
 	}
 	q.noneUntil = again
 	if again == 0 {
@@ -301,24 +350,19 @@
 	return nil, again
 }
 
-// search returns the request that may ask now, or nil and when to search again; 0 for not before the
-// next change.
-func (q *waitQueue) search(now tables.Instant) (*tables.RequestRow, tables.Instant) {
-	s := &scan{queue: q, now: now}
-	if now < q.resumeAt && (len(q.refused) > 0 || !q.held.isEmpty()) {
-		s.again = q.resumeAt
-	}
-	for _, class := range q.order(now) {
-		if row := class.first(s); row != nil {
-			return row, 0
+// waitsBehindRefused reports whether the request waits behind one that could not be placed in
+// this round, or behind as many of its model as may fail in a round.
+func (q *waitQueue) waitsBehindRefused(w *waiter) bool {
+	sameModel := 0
+	for _, refused := range q.refused {
+		if w == refused || w.waitsBehind(refused) {
+			return true
+		}
+		if w.model == refused.model {
+			sameModel++
 		}
 	}
-	if q.held.isEmpty() || now < q.resumeAt || s.limited {
-		return nil, s.again
-	}
-	// Each organisation has asked: the next round begins.
-	q.held.clear()
-	return q.search(now)
+	return sameModel >= maxRefusalsPerRound
 }
 
 // setLimits sets when the request must start and when it may be rejected. leastPrefill is the
@@ -345,10 +389,3 @@
 	}
 	return max(predicted, w.earliest-now)
 }
-
-// chargeOthers charges the organisation of a request for what other instances have started for it.
-func (q *waitQueue) chargeOthers(w *waiter, cost float64) {
-	if cost > 0 {
-		q.classOf(w).scheduler.Charge(w.flow, cost)
-	}
-}
--- a/node/entry.go
+++ b/node/entry.go
@@ -101,7 +101,7 @@
 func (n *Node) capacityOptions() dispatch.CapacityOptions {
 	s := n.options.Settings.Capacity
 	return dispatch.CapacityOptions{
-		Admission: capacitySwitches[s.Admission], Shares: capacitySwitches[s.Shares], StreamPauses: capacitySwitches[s.StreamPauses], Backups: capacitySwitches[s.Backups],
+		Admission: capacitySwitches[s.Admission], StreamPauses: capacitySwitches[s.StreamPauses], Backups: capacitySwitches[s.Backups],
 		Eviction:  capacitySwitches[s.Eviction],
 		Contended: n.options.Platform.Contended,
 	}
--- a/node/members.go
+++ b/node/members.go
@@ -44,15 +44,14 @@
 			UseSizes:      n.sizes.enabled,
 			FastDiscovery: n.startsFast(),
 		},
-		ListenAddress:      s.Listen.Membership,
-		Ring:               keys.NewRing(datagramKey),
-		Log:                n.log,
-		OnMembersChanged:   n.handleMembersChanged,
-		OnPlacement:        n.handlePlacement,
-		OnLoad:             n.handleLoad,
-		OnOrganisationCost: n.handleOrganisationCost,
-		OnSchedule:         n.handleScheduleMessage,
-		OnUsage:            n.handleUsageMessage,
+		ListenAddress:    s.Listen.Membership,
+		Ring:             keys.NewRing(datagramKey),
+		Log:              n.log,
+		OnMembersChanged: n.handleMembersChanged,
+		OnPlacement:      n.handlePlacement,
+		OnLoad:           n.handleLoad,
+		OnSchedule:       n.handleScheduleMessage,
+		OnUsage:          n.handleUsageMessage,
 		OnRelay: func(placements []membership.Placement) {
 			n.zoneHints.Add(membership.Hints{Placements: placements})
 		},
@@ -65,7 +64,6 @@
 		n.background.Go(n.sendHints)
 		n.background.Go(n.sendRemotePlacements)
 		n.background.Go(n.sendRemoteLoads)
-		n.startCostExchange()
 		n.background.Go(func() { n.usageServer.Run(n.lifetime) })
 		n.background.Go(n.awaitSettled)
 		if n.sizes.enabled {
--- a/schedule/client.go
+++ b/schedule/client.go
@@ -68,9 +68,6 @@
 	// Wait is the time until the endpoints' queues are short enough, with the reason
 	// dispatch.Saturated; 0 if the scheduler has not specified it.
 	Wait time.Duration
-	// OthersCost is the running total of the cost that all instances except this one have started
-	// for the request's organisation, in tokens; 0 if the scheduler does not know.
-	OthersCost uint64
 
 	client    *Client
 	scheduler netip.AddrPort
@@ -96,8 +93,7 @@
 			choice.Scheduler = scheduler.Instance
 			return &Assignment{
 				Choice: choice, Reason: dispatch.RejectReason(answer.GetReason()), Wait: fromMilliseconds(answer.GetWaitMs()),
-				OthersCost: answer.GetOrganisationCost(),
-				client:     c, scheduler: scheduler.Address, number: number,
+				client: c, scheduler: scheduler.Address, number: number,
 			}
 		}
 		if ctx.Err() != nil {
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -43,9 +43,6 @@
 		GapMs:         toMilliseconds(r.Route.TargetEventGap),
 		UrgencyMs:     toMilliseconds(r.UrgentTarget),
 		Backup:        r.WantsBackup,
-
-		Organisation:     r.Organisation,
-		OrganisationCost: r.OrganisationCost,
 	}
 	for _, part := range r.SharedParts {
 		q.Shared = append(q.Shared, &rpc.PromptPart{Name: uint64(part.ID), Tokens: uint32(part.EndTokens)})
@@ -77,8 +74,6 @@
 		DeliveredAttempts: int(q.GetArrivals()),
 		ConfirmedOnly:     q.GetOnlyConfirmed(),
 		Remote:            true,
-		Organisation:      q.GetOrganisation(),
-		OrganisationCost:  q.GetOrganisationCost(),
 	}
 	for _, part := range q.GetShared() {
 		r.SharedParts = append(r.SharedParts, dispatch.SharedPart{ID: parts.ID(part.GetName()), EndTokens: int(part.GetTokens())})
--- a/schedule/server.go
+++ b/schedule/server.go
@@ -78,15 +78,12 @@
 		return &rpc.ScheduleAnswer{}
 	}
 	r := decodeQuestion(now, q, service)
-	r.Asker = by
 	attempt, reason := s.placer.PlaceRequest(r)
 	if attempt == nil {
-		return &rpc.ScheduleAnswer{Ready: true, Reason: string(reason), WaitMs: toMilliseconds(r.SaturatedFor), OrganisationCost: r.OthersCost}
+		return &rpc.ScheduleAnswer{Ready: true, Reason: string(reason), WaitMs: toMilliseconds(r.SaturatedFor)}
 	}
 	s.attempts[key] = remoteAttempt{attempt: attempt, expiresAt: r.Deadline + expiryGrace}
-	answer := encodeDecision(attempt.Decision(now))
-	answer.OrganisationCost = r.OthersCost
-	return answer
+	return encodeDecision(attempt.Decision(now))
 }
 
 // HandleProgress updates an attempt of another instance. Unknown attempts are ignored.
--- a/settings/capacity.go
+++ b/settings/capacity.go
@@ -22,9 +22,6 @@
 type ForwardingCapacity struct {
 	// Admission bounds the queues of endpoints and rejects what cannot be served in time.
 	Admission CapacitySwitch
-	// Shares shares capacity among organisations over all instances. It has no effect where
-	// Admission is off.
-	Shares CapacitySwitch
 	// StreamPauses counts, in placement, the pauses that a prompt causes in running streams.
 	StreamPauses CapacitySwitch
 	// Backups has engines back up streams that may not be resumed.
@@ -41,7 +38,6 @@
 func (c *ForwardingCapacity) read(n node) {
 	n.object(
 		field{key: "admission", read: choice(&c.Admission, capacityWords, capacitySwitches)},
-		field{key: "shares", read: choice(&c.Shares, capacityWords, capacitySwitches)},
 		field{key: "stream_pauses", read: choice(&c.StreamPauses, capacityWords, capacitySwitches)},
 		field{key: "backups", read: choice(&c.Backups, capacityWords, capacitySwitches)},
 		field{key: "sizes", read: choice(&c.Sizes, capacityWords, capacitySwitches)},
--- a/settings/forwarding_test.go
+++ b/settings/forwarding_test.go
@@ -130,15 +130,6 @@
 	}
 }
 
-// Guards against a switch that is read under another key, or is on by default or with admission.
-func TestSharesSwitchIsRead(t *testing.T) {
-	for text, want := range map[string]CapacitySwitch{"": CapacityOff, "capacity: {admission: on}\n": CapacityOff, "capacity: {shares: auto}\n": CapacityAuto, "capacity: {shares: on}\n": CapacityOn} {
-		f, err := ParseForwarding("f.yaml", []byte(forwarding+text))
-		assert.NilError(t, err)
-		assert.Equal(t, f.Capacity.Shares, want)
-	}
-}
-
 // Guards against a switch that is read under another key, or is on by default.
 func TestStartupSwitchIsRead(t *testing.T) {
 	for text, want := range map[string]CapacitySwitch{"": CapacityOff, "capacity: {startup: auto}\n": CapacityAuto, "capacity: {startup: on}\n": CapacityOn} {
--- a/systems/fairness/fairness.go
+++ b/systems/fairness/fairness.go
@@ -18,8 +18,6 @@
 	// startTag is the virtual time at which the flow's next request is served.
 	startTag float64
 	queued   int
-	// at is the flow's position in the heap of active flows while it has queued requests.
-	at int
 }
 
 // Scheduler is a start-time fair queueing scheduler for the organisations of
@@ -29,8 +27,7 @@
 	flows       []flow
 	virtualTime float64
 	queued      int
-	// active is a binary heap of the flows with queued requests, in the order in which they are
-	// served.
+	// active lists the flows with queued requests, in no particular order.
 	active []Flow
 }
 
@@ -50,9 +47,7 @@
 	s.queued++
 	if state.queued == 1 {
 		state.startTag = max(state.startTag, s.virtualTime)
-		state.at = len(s.active)
 		s.active = append(s.active, f)
-		s.up(state.at)
 	}
 }
 
@@ -65,12 +60,12 @@
 	if state.queued > 0 {
 		return
 	}
-	at, last := state.at, len(s.active)-1
-	s.swap(at, last)
-	s.active = s.active[:last]
-	if at < last {
-		s.down(at)
-		s.up(at)
+	for i, other := range s.active {
+		if other == f {
+			s.active[i] = s.active[len(s.active)-1]
+			s.active = s.active[:len(s.active)-1]
+			return
+		}
 	}
 }
 
@@ -83,9 +78,6 @@
 	start := max(state.startTag, s.virtualTime)
 	s.virtualTime = max(s.virtualTime, min(start, s.minStartTag(start)))
 	state.startTag = start + cost/state.weight
-	if state.queued > 0 {
-		s.down(state.at)
-	}
 }
 
 // Refund takes back a charge for a request that did not run after all. The flow gains no credit by
@@ -93,18 +85,16 @@
 func (s *Scheduler) Refund(f Flow, cost float64) {
 	state := &s.flows[f]
 	state.startTag = max(state.startTag-cost/state.weight, min(state.startTag, s.virtualTime))
-	if state.queued > 0 {
-		s.up(state.at)
-	}
 }
 
 // minStartTag returns the smallest start tag of the active flows, or upperBound
 // if that is smaller or no flow is active.
 func (s *Scheduler) minStartTag(upperBound float64) float64 {
-	if len(s.active) == 0 {
-		return upperBound
+	least := upperBound
+	for _, f := range s.active {
+		least = min(least, s.flows[f].startTag)
 	}
-	return min(upperBound, s.flows[s.active[0]].startTag)
+	return least
 }
 
 // Next returns the active flow that is served next and whether there is one. It
@@ -112,54 +102,12 @@
 // precede all others for which skip has returned false so far.
 func (s *Scheduler) Next(skip func(Flow) bool) (Flow, bool) {
 	best, found := Flow(0), false
-	s.next(0, &best, &found, skip)
-	return best, found
-}
-
-// next searches the part of the heap below a position for a flow that precedes the best one.
-func (s *Scheduler) next(at int, best *Flow, found *bool, skip func(Flow) bool) {
-	if at >= len(s.active) || *found && !s.servedBefore(s.active[at], *best) {
-		return
-	}
-	if !skip(s.active[at]) {
-		*best, *found = s.active[at], true
-		return
-	}
-	s.next(2*at+1, best, found, skip)
-	s.next(2*at+2, best, found, skip)
-}
-
-// up and down restore the order of the heap after the flow at a position has moved forward or back.
-func (s *Scheduler) up(at int) {
-	for at > 0 {
-		parent := (at - 1) / 2
-		if !s.servedBefore(s.active[at], s.active[parent]) {
-			return
-		}
-		s.swap(at, parent)
-		at = parent
-	}
-}
-
-func (s *Scheduler) down(at int) {
-	for {
-		first := at
-		for child := 2*at + 1; child <= 2*at+2 && child < len(s.active); child++ {
-			if s.servedBefore(s.active[child], s.active[first]) {
-				first = child
-			}
-		}
-		if first == at {
-			return
+	for _, f := range s.active {
+		if (!found || s.servedBefore(f, best)) && !skip(f) {
+			best, found = f, true
 		}
-		s.swap(at, first)
-		at = first
 	}
-}
-
-func (s *Scheduler) swap(a, b int) {
-	s.active[a], s.active[b] = s.active[b], s.active[a]
-	s.flows[s.active[a]].at, s.flows[s.active[b]].at = a, b
+	return best, found
 }
 
 // servedBefore reports whether flow a precedes flow b: by start tag, with ties
--- a/systems/membership/hints.go
+++ b/systems/membership/hints.go
@@ -88,9 +88,6 @@
 	// Relay is set in hints from another zone: the receiver forwards the placements
 	// within its own zone.
 	Relay bool
-	// Costs are what instances have started for organisations. They are received only; see
-	// SendOrganisationCosts.
-	Costs []OrganisationCost
 }
 
 // FullMeshLimit is the maximum number of living entry instances that all send hints
@@ -261,7 +258,6 @@
 		})
 	}
 	m.output.Hints.Relay = in.GetRelay()
-	m.receiveOrganisationCosts(in)
 	for _, encoded := range in.GetLoads() {
 		m.output.Hints.Loads = append(m.output.Hints.Loads, Load{
 			Instance: tables.InstanceID(in.GetSender().GetInstance()),
