One zone does not decide that an endpoint is down for relays

Cause: TestPartitionedInstancesServeThroughOthers/six_of_nine_resetting failed under the race detector in four processes of four beside load: entry-0 did not serve for 10 s. Its relays were asked in order of zones, the two others of its own zone refused as they had lost their links too without knowing it yet, and two verdicts ended the search, each time. The log shows attempts that end "unreachable" after 2 ms with e3, e4 and e5 in turn.

Ruled out: the bound on instances that are asked; it was not reached.

Change: after a verdict on the endpoint, instances of other zones are asked before further ones of that zone. The number of verdicts stays at two, so an endpoint that is down is found out with as many questions as before.

--- a/relay/dialer.go
+++ b/relay/dialer.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httputil"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -93,10 +94,9 @@
 func (d *Dialer) Dial(ctx context.Context, to *fleet.Endpoint) (net.Conn, tables.InstanceID, error) {
 	var last, verdict *RejectedError
 	asked, verdicts, rejections := 0, 0, 0
-	for _, relay := range d.candidates(to.Zone) {
-		if asked-rejections == maxAsked || rejections == maxRejections {
-			break
-		}
+	candidates := d.candidates(to.Zone)
+	for i := 0; i < len(candidates) && verdicts < verdictsNeeded && asked-rejections < maxAsked && rejections < maxRejections; i++ {
+		relay := candidates[i]
 		conn, rejected := d.ask(ctx, relay, to, false)
 		if rejected == nil {
 			d.recordSuccess(relay.ID)
@@ -110,9 +110,8 @@
 		d.recordFailure(relay.ID, rejected.Reason)
 		if rejected.Reason.aboutEndpoint() {
 			verdict = rejected
-			if verdicts++; verdicts == verdictsNeeded {
-				break
-			}
+			verdicts++
+			moveZoneToEnd(candidates[i+1:], relay.Zone)
 		} else if rejected.Reason != Unresponsive {
 			rejections++
 		}
@@ -123,6 +122,20 @@
 	return nil, "", &NoRelayError{Asked: asked, Last: last}
 }
 
+// moveZoneToEnd moves the instances of a zone behind all others, whose order does not change. The
+// instances of a zone may have lost their links together, so that none of them reaches any endpoint.
+func moveZoneToEnd(instances []Instance, zone tables.Zone) {
+	slices.SortStableFunc(instances, func(a, b Instance) int {
+		switch {
+		case a.Zone != zone && b.Zone == zone:
+			return -1
+		case a.Zone == zone && b.Zone != zone:
+			return 1
+		}
+		return 0
+	})
+}
+
 // candidates returns the instances to ask, in order: those of this instance's zone, since bytes
 // between zones are expensive, then those of the endpoint's, then all others. Within a zone the
 // order is random and weighted by size, so that the load is spread. Loaded instances come last.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -321,6 +321,21 @@
 	assert.Equal(t, len(d.backoffs), 0)
 }
 
+// Guards against two instances of a zone that has lost its links deciding that an endpoint is down.
+func TestOneZoneDoesNotDecideThatAnEndpointIsDown(t *testing.T) {
+	e := startEndpoint(t, func(conn net.Conn) { _ = conn.Close() })
+	partitioned, connected := newTestRelay(t, refuse), newTestRelay(t, engine.DialTCP)
+	d := newTestDialer(
+		Instance{ID: "a1", Zone: "a", Address: partitioned.address()}, Instance{ID: "a2", Zone: "a", Address: partitioned.address()},
+		Instance{ID: "b1", Zone: "b", Address: connected.address()},
+	)
+	conn, via, err := d.Dial(t.Context(), e)
+	assert.NilError(t, err)
+	assert.Equal(t, via, tables.InstanceID("b1"))
+	assert.Equal(t, partitioned.timesAsked(), 1, "a verdict of another zone comes first")
+	_ = conn.Close()
+}
+
 // Guards against giving up after a few partitioned instances where most are partitioned.
 func TestRelayIsFoundAmongManyPartitionedInstances(t *testing.T) {
 	e := startEndpoint(t, func(conn net.Conn) { _ = conn.Close() })
