A response timer that restarts itself does not outlive its end

Besides, the function restarted the timer without regard to whether it had been stopped meanwhile: a response that had begun could be cut.

Ruled out: a fault of the relay paths; the stack names armResponseTimer only.

Change: a mutex and a flag; once stopped, the timer is not restarted and cancels nothing.

--- a/forward/alternative_test.go
+++ b/forward/alternative_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/carawaystile/carawaystile/dispatch"
 	"github.com/carawaystile/carawaystile/routes"
 )
 
@@ -32,3 +33,20 @@
 	resp := h.send(t, "POST", "/resume/x", "", "X-Model", "m", "X-Tokens", "10,6")
 	assert.Equal(t, readBody(t, resp), "id: 1\ndata: t1\n\nid: 2\ndata: t2\n\nid: 3\ndata: t3\n\nid: 4\ndata: t4\n\n")
 }
+
+// Guards against a response that is cut because its timer expires while it is stopped: with no
+// other endpoint at hand the timer restarts itself.
+func TestStoppedResponseTimerDoesNotCancelTheAttempt(t *testing.T) {
+	h := newHarness(t, respond(200, "ok"))
+	service := h.server.Service("desk")
+	c := &clientRequest{server: h.server, service: service, route: &routes.Route{Kind: routes.Idempotent, MaxAttempts: 3}}
+	c.dispatchRequest = dispatch.Request{Service: service, Route: c.route}
+	for range 500 {
+		a := &attempt{request: c, placement: &dispatch.Attempt{}, mayRepeat: true, cancel: func() {}}
+		a.armResponseTimer(time.Microsecond)
+		time.Sleep(5 * time.Microsecond)
+		wasTimedOut := a.stopResponseTimer()
+		time.Sleep(20 * time.Microsecond)
+		assert.Equal(t, a.timedOut.Load(), wasTimedOut)
+	}
+}
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"strconv"
 	"sync/atomic"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -36,10 +35,9 @@
 	permit *permits.Permit
 	ctx    context.Context
 	cancel context.CancelFunc
-	// responseTimer cancels the attempt if the endpoint sends nothing for too long; nil if it
-	// was never armed. timedOut is set if it fired, or if the health checker cancelled the
-	// attempt.
-	responseTimer *time.Timer
+	// responseTimer cancels the attempt if the endpoint sends nothing for too long. timedOut is
+	// set if it did, or if the health checker cancelled the attempt.
+	responseTimer responseTimer
 	timedOut      atomic.Bool
 	// mayRepeat is set if the route permits another attempt after this one.
 	mayRepeat bool
--- a/forward/timeout.go
+++ b/forward/timeout.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"sync"
 	"syscall"
 	"time"
 
@@ -44,29 +45,49 @@
 	if limit <= 0 || !a.mayRepeat {
 		return
 	}
-	if a.responseTimer != nil {
-		a.responseTimer.Reset(limit)
+	t := &a.responseTimer
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stopped = false
+	if t.timer != nil {
+		t.timer.Reset(limit)
 		return
 	}
 	retry := a.retryRequest()
-	a.responseTimer = time.AfterFunc(limit, func() {
-		if !a.request.server.canRetryElsewhere(&retry) {
-			a.responseTimer.Reset(limit)
-			return
+	t.timer = time.AfterFunc(limit, func() {
+		elsewhere := a.request.server.canRetryElsewhere(&retry)
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		switch {
+		case t.stopped:
+		case !elsewhere:
+			t.timer.Reset(limit)
+		default:
+			a.timedOut.Store(true)
+			a.cancel()
 		}
-		a.timedOut.Store(true)
-		a.cancel()
 	})
 }
 
 // stopResponseTimer stops the timer and reports whether the attempt has timed out.
 func (a *attempt) stopResponseTimer() bool {
-	if a.responseTimer != nil {
-		a.responseTimer.Stop()
+	t := &a.responseTimer
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stopped = true
+	if t.timer != nil {
+		t.timer.Stop()
 	}
 	return a.timedOut.Load()
 }
 
+// responseTimer is a timer that its own function may restart, but not once it is stopped.
+type responseTimer struct {
+	mu      sync.Mutex
+	timer   *time.Timer
+	stopped bool
+}
+
 // hasAttemptsLeft reports whether the route's MaxAttempts permits another attempt.
 func (c *clientRequest) hasAttemptsLeft() bool { return c.attemptsUsed < max(1, c.route.MaxAttempts) }
 
