A failed probe cancels no request that only its endpoint can answer

Callers got 502 for a read that was being served: one of 5,200 runs of TestPushbackOfRelayedRequestBindsTheRelay, four processes at once on five processors, load 18.

Cause: the health checker probes an endpoint that has not responded for 100 ms. A probe whose connection is not accepted in time cancelled all attempts that waited there, if the retry budget allowed a retry, though no other endpoint could take their requests.

Ruled out: the response timer, which asks for an alternative since.

Change: a request that was sent is given up only if another endpoint can take it now; the health checker asks again at each failed probe. One without a connection yet is cancelled as before.

--- a/engine/exchange/client.go
+++ b/engine/exchange/client.go
@@ -103,6 +103,8 @@
 	// Dial opens the connection for this request alone, and bounds the time itself; nil means
 	// that of the client, which pools connections.
 	Dial engine.DialFunc
+	// OnSend is called before the first byte is sent on a connection; nil for nothing.
+	OnSend func()
 }
 
 // connect returns a pooled connection for a request, or else a new one.
--- a/engine/exchange/send.go
+++ b/engine/exchange/send.go
@@ -51,6 +51,9 @@
 
 // sendOn sends a request on a connection and reads the header of its response.
 func (c *Client) sendOn(ctx context.Context, conn *connection, r *Request) (*Response, error) {
+	if r.OnSend != nil {
+		r.OnSend()
+	}
 	res := &Response{client: c, conn: conn, attempt: r.Attempt}
 	res.stopCancellation = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	if err := res.write(r); err != nil {
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -39,6 +39,8 @@
 	// set if it did, or if the health checker cancelled the attempt.
 	responseTimer responseTimer
 	timedOut      atomic.Bool
+	// sent is set once the request is being sent on a connection to the endpoint.
+	sent atomic.Bool
 	// mayRepeat is set if the route permits another attempt after this one.
 	mayRepeat bool
 	startedAt tables.Instant
@@ -162,6 +164,7 @@
 	}
 	return &exchange.Request{
 		Dial:       a.relayDial(),
+		OnSend:     func() { a.sent.Store(true) },
 		Attempt:    a.id,
 		ID:         c.id,
 		Method:     c.r.Method,
--- a/forward/healthcheck.go
+++ b/forward/healthcheck.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/carawaystile/carawaystile/dispatch"
 	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/fleet"
 	"github.com/carawaystile/carawaystile/internal/wait"
@@ -45,8 +46,9 @@
 	probing map[tables.EndpointID]bool
 	// lastResponseAt is when each endpoint last responded.
 	lastResponseAt map[tables.EndpointID]tables.Instant
-	// pending holds the attempts at each endpoint that have no response yet.
-	pending map[tables.EndpointID]map[*attempt]struct{}
+	// pending holds the attempts at each endpoint that have no response yet, with the placement
+	// request of a retry.
+	pending map[tables.EndpointID]map[*attempt]*dispatch.Request
 	// watching is set while watchLinks runs.
 	watching bool
 }
@@ -57,7 +59,7 @@
 		server:         s,
 		probing:        map[tables.EndpointID]bool{},
 		lastResponseAt: map[tables.EndpointID]tables.Instant{},
-		pending:        map[tables.EndpointID]map[*attempt]struct{}{},
+		pending:        map[tables.EndpointID]map[*attempt]*dispatch.Request{},
 	}
 }
 
@@ -66,11 +68,12 @@
 // tracking; it may be called more than once.
 func (h *healthChecker) trackPending(a *attempt) (endWait func()) {
 	id := a.placement.Endpoint.ID
+	retry := a.retryRequest()
 	h.mu.Lock()
 	if h.pending[id] == nil {
-		h.pending[id] = map[*attempt]struct{}{}
+		h.pending[id] = map[*attempt]*dispatch.Request{}
 	}
-	h.pending[id][a] = struct{}{}
+	h.pending[id][a] = &retry
 	h.mu.Unlock()
 	delay := max(minProbeDelay, probeDelayFactor*a.placement.ExpectedLatency)
 	timer := time.AfterFunc(delay, func() {
@@ -153,8 +156,8 @@
 			events.EndpointUnreachable.Log(h.server.log, zap.String("endpoint", string(e.ID)), zap.Error(err))
 			h.server.setReachable(e.ID, false)
 			h.startLinkWatch()
-			h.reroutePending(e.ID)
 		}
+		h.reroutePending(e.ID)
 		if wait.For(ctx, probeInterval) != nil {
 			return
 		}
@@ -168,23 +171,29 @@
 	}
 }
 
-// reroutePending cancels the attempts that wait for a response of an endpoint, if their
-// requests can be retried at another one.
+// reroutePending cancels the attempts that wait for a response of an endpoint, if their requests
+// can be retried at another one. An endpoint that is merely slow to accept connections still sends
+// its response, so a request that it has received keeps waiting while no other endpoint can take it.
 func (h *healthChecker) reroutePending(id tables.EndpointID) {
 	h.mu.Lock()
-	var attempts []*attempt
-	for a := range h.pending[id] {
-		attempts = append(attempts, a)
-	}
+	attempts := maps.Clone(h.pending[id])
 	h.mu.Unlock()
-	for _, a := range attempts {
-		if a.request.route.SafeToRetry() && a.mayRepeat && a.request.canRetry() {
+	for a, retry := range attempts {
+		if a.request.route.SafeToRetry() && a.mayRepeat && h.server.canReroute(a, retry) {
 			a.timedOut.Store(true)
 			a.cancel()
 		}
 	}
 }
 
+// canReroute reports whether a pending attempt may be given up for the given retry.
+func (s *Server) canReroute(a *attempt, retry *dispatch.Request) bool {
+	if !a.sent.Load() {
+		return s.canRetry(retry.Service.Name)
+	}
+	return s.canRetryElsewhere(retry)
+}
+
 const (
 	// suspectedProbes and lostProbes are how many further endpoints are probed in each
 	// probeInterval while all links may be lost, and while they are.
--- a/forward/healthcheck_test.go
+++ b/forward/healthcheck_test.go
@@ -94,3 +94,21 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// Guards against a request that fails because its endpoint is slow to accept the connection of a
+// probe, although no other endpoint can take it and the response still comes.
+func TestPendingRequestWithoutAnAlternativeIsNotCancelledByAProbe(t *testing.T) {
+	received, release := make(chan struct{}), make(chan struct{})
+	h := newHarness(t, func(w http.ResponseWriter, r *http.Request) {
+		close(received)
+		<-release
+		respond(200, "late")(w, r)
+	})
+	answer := make(chan string, 1)
+	go func() { answer <- readBody(t, h.send(t, "GET", "/read/x", "")) }()
+	<-received
+	h.server.setReachable("e0desk", false)
+	h.server.healthChecker.reroutePending("e0desk")
+	close(release)
+	assert.Equal(t, <-answer, "late")
+}
--- a/forward/timeout.go
+++ b/forward/timeout.go
@@ -91,16 +91,15 @@
 // hasAttemptsLeft reports whether the route's MaxAttempts permits another attempt.
 func (c *clientRequest) hasAttemptsLeft() bool { return c.attemptsUsed < max(1, c.route.MaxAttempts) }
 
-// canRetry reports whether the retry budget of the request's service permits a retry now.
-func (c *clientRequest) canRetry() bool {
-	s := c.server
+// canRetry reports whether the retry budget of a service permits a retry now.
+func (s *Server) canRetry(service string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.dispatch.CanRetry(s.options.Now(), c.service.Name)
+	return s.dispatch.CanRetry(s.options.Now(), service)
 }
 
 // retryRequest returns the placement request of a retry of this attempt. It is a copy: the timer
-// reads it beside the goroutine that serves the client.
+// and the health checker read it beside the goroutine that serves the client.
 func (a *attempt) retryRequest() dispatch.Request {
 	r := a.request.dispatchRequest
 	r.Tried = append(slices.Clone(r.Tried), a.placement.Endpoint.ID)
