A request outlasts the backoff of its only relay; a path's backoff is no pushback

Cause: nothing is relayed for 250 ms then, longer than the request waited. An endpoint whose path was backing off was left out when it was decided that all endpoints push the instance back.

Ruled out: a request that runs twice.

Change: a request waits once for the end of the relays' backoff; a path's backoff counts as its end. The harness ends the health checkers of a test with it, since those of earlier repetitions stalled later ones, and does not record calls between instances.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -339,7 +339,7 @@
 	case RelayUnavailable:
 		d.releaseUnconfirmed(now, a)
 		if a.Relayed {
-			d.links.relayAfter = now + relayBackoff
+			d.links.relayAfter = now + RelayBackoff
 		}
 	case RateLimited:
 		d.releaseUnconfirmed(now, a)
--- a/dispatch/pushback.go
+++ b/dispatch/pushback.go
@@ -123,17 +123,18 @@
 
 // PushedBack returns for how long the request cannot be placed, and false if that is not
 // certain or if no pushback is the cause. Endpoints that are leaving or are known to be gone
-// do not count.
+// do not count. One whose path is merely backing off does, from the end of that on.
 func (d *Dispatcher) PushedBack(now tables.Instant, r *Request) (PushedBack, bool) {
 	left := PushedBack{Request: maxPushback + maxPushbackJitter, Service: maxPushback + maxPushbackJitter}
 	any := false
 	for _, row := range d.services[r.Service.Name] {
 		_, serves := row.Weights[r.Model]
-		if row.isLeaving() || !row.hasPath(now) || row.absentFor(now) > 0 || r.Model != "" && !serves {
+		pathDelay, hasPath := row.pathDelay(now)
+		if row.isLeaving() || !hasPath || row.absentFor(now) > 0 || r.Model != "" && !serves {
 			continue
 		}
-		pause := max(0, row.announced.until-now)
-		any = any || pause > 0
+		any = any || row.announced.pushedBack(now)
+		pause := max(pathDelay, row.announced.until-now)
 		left.Service = min(left.Service, pause)
 		if !r.hasTried(row.ID) {
 			left.Request = min(left.Request, pause)
--- a/dispatch/reachability.go
+++ b/dispatch/reachability.go
@@ -18,8 +18,8 @@
 	// minLostLinks is the number of endpoints that must accept no connection, with no response
 	// of any endpoint in between, for all links to count as lost.
 	minLostLinks = 4
-	// relayBackoff is how long nothing is relayed after no other instance could relay.
-	relayBackoff = 250 * time.Millisecond
+	// RelayBackoff is how long nothing is relayed after no other instance could relay.
+	RelayBackoff = 250 * time.Millisecond
 )
 
 // linkMonitor detects that this instance has lost its links to all endpoints, in contrast to
@@ -85,6 +85,22 @@
 	return r.reachableOver(now, direct) || r.links.mayRelay(now) && r.reachableOver(now, relayed)
 }
 
+// pathDelay returns how long it takes until an attempt may go to the endpoint, directly or through
+// another instance, as far as backoffs of the path decide; ok is false if it is not known to have
+// one.
+func (r *endpointRow) pathDelay(now tables.Instant) (delay time.Duration, ok bool) {
+	if !r.unreachable && !(r.links.lost && r.links.relayAvailable) {
+		delay, ok = max(0, r.connectAfter-now), true
+	}
+	if r.links.relayAvailable {
+		relayed := max(0, r.links.relayAfter-now, r.relayAfter-now)
+		if !ok || relayed < delay {
+			delay, ok = relayed, true
+		}
+	}
+	return delay, ok
+}
+
 // shouldRelay reports whether a request that found no place directly, for the given reason,
 // may be relayed.
 func (d *Dispatcher) shouldRelay(now tables.Instant, r *Request, rows []*endpointRow, reason RejectReason) bool {
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -317,6 +317,9 @@
 	if result == dispatch.Broken && a.continueStream(a.crashProbed) {
 		return
 	}
+	if result == dispatch.RelayUnavailable {
+		c.relayFailures++
+	}
 	if !notDelivered(result) {
 		c.dispatchRequest.Tried = append(c.dispatchRequest.Tried, a.placement.Endpoint.ID)
 	}
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -41,6 +41,11 @@
 }
 
 func (s *fakeEndpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get("Twirp-Version") != "" {
+		// A call between instances of another test process, to a port that was one of theirs.
+		http.NotFound(w, r)
+		return
+	}
 	s.mu.Lock()
 	s.received = append(s.received, r)
 	s.mu.Unlock()
@@ -140,6 +145,7 @@
 		Dispatch: dispatch.Options{Zone: "a", RetryBudget: dispatch.RetryBudget{Ratio: 1, Extra: 100, Window: time.Minute}, Predecessor: dispatch.NoPredecessor()},
 		Now:      now,
 		BootID:   "b",
+		Context:  t.Context(),
 	}
 	for _, change := range changes {
 		change(&options)
--- a/forward/place.go
+++ b/forward/place.go
@@ -30,11 +30,7 @@
 // available. If it fails it returns nil and the error code for the client.
 func (c *clientRequest) awaitPlacement() (*dispatch.Attempt, tables.ErrorCode) {
 	s := c.server
-	maxWait := c.latencyTarget() / maxWaitTargetDivisor
-	if c.attemptsUsed > 0 || len(c.dispatchRequest.Tried) > 0 {
-		maxWait = c.latencyTarget() / retryMaxWaitTargetDivisor
-	}
-	waitUntil := s.options.Now() + maxWait
+	waitUntil := s.options.Now() + c.maxPlacementWait()
 	for {
 		if left, pushedBack := s.pushedBack(c); pushedBack && s.options.Now()+left.Request > waitUntil {
 			c.retryAfter = left.Service
@@ -60,6 +56,20 @@
 	}
 }
 
+// maxPlacementWait returns how long the request may wait for an endpoint. After the first time that
+// no other instance could relay it, it waits for the end of that backoff, which is shorter than any
+// time after which its client could retry.
+func (c *clientRequest) maxPlacementWait() time.Duration {
+	wait := c.latencyTarget() / maxWaitTargetDivisor
+	if c.attemptsUsed > 0 || len(c.dispatchRequest.Tried) > 0 {
+		wait = c.latencyTarget() / retryMaxWaitTargetDivisor
+	}
+	if c.relayFailures == 1 {
+		wait = max(wait, dispatch.RelayBackoff+placementRetryInterval)
+	}
+	return wait
+}
+
 // pushedBack returns for how long no endpoint accepts the request from this instance, if that
 // is because endpoints have pushed it back.
 func (s *Server) pushedBack(c *clientRequest) (dispatch.PushedBack, bool) {
--- a/forward/relaypath_test.go
+++ b/forward/relaypath_test.go
@@ -19,6 +19,7 @@
 	"github.com/carawaystile/carawaystile/dispatch"
 	"github.com/carawaystile/carawaystile/engine"
 	"github.com/carawaystile/carawaystile/engine/exchange"
+	"github.com/carawaystile/carawaystile/fleet"
 	"github.com/carawaystile/carawaystile/relay"
 	"github.com/carawaystile/carawaystile/systems/quarantine"
 	"github.com/carawaystile/carawaystile/tables"
@@ -169,6 +170,28 @@
 	assert.Equal(t, len(overloaded.requests()), 1)
 }
 
+// slowFirstRelay is a Relay whose first question gets no answer in time.
+type slowFirstRelay struct {
+	Relay
+	asked atomic.Int32
+}
+
+func (r *slowFirstRelay) Dial(ctx context.Context, to *fleet.Endpoint) (net.Conn, tables.InstanceID, error) {
+	if r.asked.Add(1) == 1 {
+		return nil, "", &relay.NoRelayError{Asked: 1, Last: &relay.RejectedError{Relay: "relay", Reason: relay.Unresponsive}}
+	}
+	return r.Relay.Dial(ctx, to)
+}
+
+// Guards against a client that is sent away, for half a second or for the back-off of another
+// endpoint, because the only relay was slow once.
+func TestRequestOutlastsTheBackoffOfItsOnlyRelay(t *testing.T) {
+	h := newRelayHarness(t, respond(200, "ok"), respond(200, "ok"))
+	h.server.RecordCallPushback("e0desk", 30*time.Second)
+	h.server.options.Relay = &slowFirstRelay{Relay: h.server.options.Relay}
+	assert.Equal(t, h.send(t, "GET", "/read/x", "").StatusCode, 200)
+}
+
 // Guards against requests that wait, or a false answer, where no instance reaches an endpoint, and
 // against a relay that asks another one.
 func TestRequestIsRejectedAtOnceIfNoInstanceReachesAnEndpoint(t *testing.T) {
--- a/forward/request.go
+++ b/forward/request.go
@@ -67,6 +67,8 @@
 	// attemptsUsed counts the attempts that count towards the route's MaxAttempts. Attempts
 	// that certainly did not run are not included.
 	attemptsUsed int
+	// relayFailures counts the attempts that no other instance could relay.
+	relayFailures int
 	// admissionAsked is set once an attempt was to be placed while admission was enabled.
 	admissionAsked bool
 	// admitted is the form in which the current attempt waited; nil if it was placed without
