A request that was interrupted twice waits for the crash checks before its next attempt

Cause: an attempt learns within 200 ms whether its endpoint has crashed, or else ends as interrupted and is retried as if there had been no crash. On a busy machine the check takes longer, and the retry crashes the next engine before the router counts the crash.

Ruled out: another instance that does not know of a crash yet; reports were merged within 2 ms in all traced runs.

Change: after a second interruption the end of the attempt is held back until the crash checks of the request are known, 1 s at most. The first interruption is retried at once as before.

The new test failed before.

--- a/entry/crashbroadcast_test.go
+++ b/entry/crashbroadcast_test.go
@@ -103,3 +103,39 @@
 	close(notified)
 	assert.Equal(t, (<-f.failed).Code, tables.CodeEndpointFailed)
 }
+
+// endRecorder is a Router that records the ends of attempts and the detected crashes.
+type endRecorder struct {
+	scriptedRouter
+	observed []router.Input
+}
+
+func (r *endRecorder) Observe(_ tables.Instant, in router.Input) { r.observed = append(r.observed, in) }
+
+// Guards against a request that crashes a third endpoint because it is retried before it is known
+// that its first two attempts have crashed theirs.
+func TestSecondInterruptionWaitsForCrashChecks(t *testing.T) {
+	s := &Server{
+		inbox: make(chan message, 8), stopped: make(chan struct{}), limits: Limits{CrashCheckTimeout: time.Hour},
+		now:               func() tables.Instant { return 0 },
+		broadcastSuspects: func([]quarantine.Suspect) <-chan struct{} { return closedChannel },
+	}
+	recorder := &endRecorder{}
+	f := &inFlight{server: s, spec: tables.Request{ID: "r1"}, state: outcome.NewUndispatched("r1").Dispatch("a1")}
+	l := &eventLoop{server: s, router: recorder, requests: map[tables.RequestID]*inFlight{"r1": f}, attempts: map[tables.AttemptID]*attempt{}}
+	checks := []chan bool{make(chan bool, 1), make(chan bool, 1)}
+	for i, id := range []tables.AttemptID{"a1", "a2"} {
+		a := &attempt{request: f, dispatch: router.Dispatch{Request: "r1", Attempt: id}}
+		l.attempts[id] = a
+		l.endAttempt(0, attemptEnded{attempt: a, input: router.AttemptEnded{Attempt: id, Result: router.Interrupted}, crashCheck: checks[i]})
+	}
+	assert.Equal(t, len(recorder.observed), 1, "the second end was observed before the crash checks")
+	checks[1] <- true
+	checks[0] <- true
+	l.handle(<-s.inbox)
+	l.tick(0)
+	l.handle(<-s.inbox)
+	assert.Equal(t, len(recorder.observed), 3)
+	assert.Equal(t, recorder.observed[1].(router.CrashDetected).Attempt, tables.AttemptID("a1"))
+	assert.Equal(t, recorder.observed[2].(router.AttemptEnded).Result, router.Crashed)
+}
--- a/entry/eventloop.go
+++ b/entry/eventloop.go
@@ -49,6 +49,8 @@
 		// crashCheck delivers whether the endpoint of an interrupted attempt
 		// has crashed. It is nil if that was known in time.
 		crashCheck <-chan bool
+		// held is set once the end has been held back by holdEnd.
+		held bool
 	}
 	// crashDetected: the endpoint of an attempt that ended earlier turned out
 	// to have crashed. release is called once the other instances are notified.
@@ -185,6 +187,9 @@
 	if _, known := l.attempts[id]; !known {
 		return
 	}
+	if l.holdEnd(m) {
+		return
+	}
 	delete(l.attempts, id)
 	f := m.attempt.request
 	f.removeAttempt(id)
--- a/entry/inflight.go
+++ b/entry/inflight.go
@@ -47,6 +47,8 @@
 	// endpointCrashed is set once an attempt has ended with a crash of its
 	// endpoint.
 	endpointCrashed bool
+	// interrupted is set once an attempt was interrupted.
+	interrupted bool
 	// crashChecks has a channel for each interrupted attempt for which it was
 	// unknown whether its endpoint had crashed. The channel is closed once that
 	// is known.
