Endpoints are divided evenly among the instances for requests suspected of crashes

Callers lost a third engine to one request, or a stream that shared its engines was not completed: TestScenarios/poison in 2 of 100 runs, ten processes at once with GOMAXPROCS=1.

Cause: after a crash each instance retries its suspects at endpoints of its own, so that two suspects do not meet again. The division was by hash: of the six engines of the scenario one instance owned four, one two and one none, which then ignored the division. In the traced runs the two suspects of one crash met again at the next engine in the same millisecond, both became candidates of the second crash, and a third one had to tell them apart.

Ruled out: late reports between instances (merged within 2 ms).

Change: each instance owns an equal part of each group of endpoints that serve the same, by position in the group. An endpoint of no group is assigned by its hash as before.

--- a/router/quarantine.go
+++ b/router/quarantine.go
@@ -1,6 +1,9 @@
 package router
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/carawaystile/carawaystile/systems/placement"
 	"github.com/carawaystile/carawaystile/systems/quarantine"
 	"github.com/carawaystile/carawaystile/tables"
@@ -60,6 +63,23 @@
 	r.recordCrash(now, incarnation)
 }
 
+// setOwnableEndpoints sets the endpoints that instances divide among themselves for requests that
+// are suspected of crashing endpoints.
+func (r *Router) setOwnableEndpoints() {
+	groups := make(map[string][]tables.EndpointID)
+	for i := range r.endpoints.Len() {
+		row := r.endpoints.Row(tables.EndpointIndex(i))
+		if row.Declared {
+			key := string(row.Endpoint.Service)
+			for _, model := range slices.Sorted(slices.Values(row.Endpoint.Models)) {
+				key += "/" + string(model)
+			}
+			groups[key] = append(groups[key], row.Endpoint.ID)
+		}
+	}
+	r.suspects.SetEndpoints(slices.Collect(maps.Values(groups)))
+}
+
 // recordCrash reports the crash of an endpoint's boot to the quarantine, which
 // then suspects the requests that were running there. The resulting suspects
 // are broadcast to the other instances.
--- a/router/router.go
+++ b/router/router.go
@@ -139,6 +139,7 @@
 	}
 	r.endpoints.Configure(c)
 	r.rebuildPools(now)
+	r.setOwnableEndpoints()
 	r.configureOrganisations()
 }
 
--- a/systems/quarantine/quarantine.go
+++ b/systems/quarantine/quarantine.go
@@ -200,9 +200,11 @@
 	convicted   map[tables.Fingerprint]tables.Instant
 	// evidence sums up the incidents of each suspected request.
 	evidence map[tables.Fingerprint]evidence
-	// rank and instances select the endpoints that this instance owns, see SetRank.
+	// rank and instances select the endpoints that this instance owns, see SetRank, by their
+	// positions, see SetEndpoints.
 	rank      int
 	instances int
+	positions map[tables.EndpointID]uint64
 }
 
 // New returns a Detector without suspects.
@@ -213,11 +215,24 @@
 		convicted: make(map[tables.Fingerprint]tables.Instant),
 		evidence:  make(map[tables.Fingerprint]evidence),
 		instances: 1,
+		positions: make(map[tables.EndpointID]uint64),
+	}
+}
+
+// SetEndpoints sets the endpoints that the instances divide among themselves, in groups whose
+// endpoints serve the same requests. Each instance owns an equal part of each group, so that it has
+// an endpoint left when one has crashed. An endpoint of no group is assigned by its hash.
+func (d *Detector) SetEndpoints(groups [][]tables.EndpointID) {
+	clear(d.positions)
+	for _, group := range groups {
+		for position, id := range slices.Sorted(slices.Values(group)) {
+			d.positions[id] = uint64(position)
+		}
 	}
 }
 
 // SetRank sets this instance's rank, with 0 <= rank < instances. For suspects, the
-// endpoints are partitioned among the instances by hash.
+// endpoints are partitioned among the instances.
 func (d *Detector) SetRank(rank, instances int) {
 	if rank >= 0 && rank < instances {
 		d.rank, d.instances = rank, instances
@@ -226,7 +241,11 @@
 
 // owns reports whether the endpoint belongs to this instance's partition.
 func (d *Detector) owns(endpoint tables.EndpointID) bool {
-	return d.instances == 1 || xxhash.Sum64String(string(endpoint))%uint64(d.instances) == uint64(d.rank)
+	position, known := d.positions[endpoint]
+	if !known {
+		position = xxhash.Sum64String(string(endpoint))
+	}
+	return position%uint64(d.instances) == uint64(d.rank)
 }
 
 // Started records the dispatch of an attempt.
