An attempt at a silent engine is given up only with a retry at hand

Cause: an engine that sends nothing for 1 s was given up whatever the retry budget held. On a starved machine that used up the 20 retries in reserve, and the other requests failed with 4292, though their engines were computing the answers. With the end of each attempt in the log, 57 of 73 ended attempts had received nothing for 1 s.

Ruled out: attempts cut by the drain (none), attempts aborted as hung and hedges (none).

Change: the read timer of a stream asks the router, which takes the retry from the budget; without one the attempt waits on, until the deadline. Attempts that count as hung are treated alike. An expired timer that data has overtaken ends nothing.

--- a/engine/faulty_endpoint_test.go
+++ b/engine/faulty_endpoint_test.go
@@ -204,6 +204,39 @@
 	assert.Assert(t, errors.As(s.Close(), &unconfirmed))
 }
 
+// Guards against a response that is lost because its timer expires while no retry is left.
+func TestSilentStreamIsNotGivenUpUnlessAllowed(t *testing.T) {
+	asked := make(chan struct{}, 100)
+	at := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == engine.PathCancel {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		for range 3 {
+			<-asked
+		}
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, accepted)
+		w.(http.Flusher).Flush()
+		for range 3 {
+			<-asked
+		}
+		_, _ = io.WriteString(w, token("a1", 0, "x"))
+	})
+	c := engine.NewHTTPClient(engine.Options{ResponseTimeout: 5 * time.Millisecond, ReadIdleTimeout: 5 * time.Millisecond})
+	r := request("a1", "p", 3)
+	r.MayGiveUp = func() bool {
+		asked <- struct{}{}
+		return false
+	}
+	s, err := c.Generate(context.Background(), at, r)
+	assert.NilError(t, err)
+	defer func() { _ = s.Close() }()
+	got, err := s.Next()
+	assert.NilError(t, err)
+	assert.Equal(t, got.Text, "x")
+}
+
 // startRawEndpoint starts an endpoint that reads and counts each request and then closes
 // the connection without a response. If firstResponse is set it is the response to the
 // first request, so that the connection goes into the client's pool.
--- a/engine/generate.go
+++ b/engine/generate.go
@@ -25,8 +25,9 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	s := &httpStream{client: c, at: at, attempt: req.Attempt, cancel: cancel, ctx: ctx}
 	s.position.next, s.position.limit = req.ResumeFrom, req.MaxTokens
-	s.readTimeoutNanos.Store(int64(c.options.ResponseTimeout))
-	s.readTimer = time.AfterFunc(c.options.ResponseTimeout, s.onReadTimeout)
+	s.readTimer.timeout, s.readTimer.mayGiveUp = c.options.ResponseTimeout, req.MayGiveUp
+	s.readTimer.giveUp = func(after time.Duration) { cancel(&ReadTimeoutError{After: after}) }
+	s.readTimer.start()
 
 	body := newTrackedBody(content)
 	call := newRequest(ctx, http.MethodPost, endpointURL(at, PathGenerate), body)
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -6,8 +6,6 @@
 	"errors"
 	"io"
 	"net/netip"
-	"sync/atomic"
-	"time"
 
 	"github.com/carawaystile/carawaystile/tables"
 )
@@ -29,10 +27,7 @@
 	cancel  context.CancelCauseFunc
 
 	// readTimer cancels the stream when the endpoint sends nothing for the read timeout.
-	// It runs only while Next waits, so that a slow caller is not taken for a hung
-	// endpoint.
-	readTimer        *time.Timer
-	readTimeoutNanos atomic.Int64
+	readTimer readTimer
 
 	body     io.ReadCloser
 	events   *eventReader
@@ -55,16 +50,11 @@
 	s.events = newEventReader(body, s.client.options.MaxEventBytes, s.resetReadTimer)
 }
 
-// onReadTimeout cancels the stream; the read timer calls it.
-func (s *httpStream) onReadTimeout() { s.cancel(&ReadTimeoutError{After: s.readTimeout()}) }
-
-func (s *httpStream) readTimeout() time.Duration { return time.Duration(s.readTimeoutNanos.Load()) }
-
 // resetReadTimer restarts the read timeout after a received line, if no further data is
 // buffered.
 func (s *httpStream) resetReadTimer() {
 	if s.events.r.Buffered() == 0 {
-		s.readTimer.Reset(s.readTimeout())
+		s.readTimer.start()
 	}
 }
 
@@ -92,8 +82,8 @@
 	case req.Weights != "" && got.Weights != req.Weights:
 		return s.client.countMismatch(req.Attempt, "weights", string(req.Weights), string(got.Weights))
 	}
-	s.readTimeoutNanos.Store(int64(s.client.options.ReadIdleTimeout))
-	s.readTimer.Stop()
+	s.readTimer.setTimeout(s.client.options.ReadIdleTimeout)
+	s.readTimer.stop()
 	return nil
 }
 
@@ -105,8 +95,8 @@
 	if s.failure != nil {
 		return Token{}, s.failure
 	}
-	s.readTimer.Reset(s.readTimeout())
-	defer s.readTimer.Stop()
+	s.readTimer.start()
+	defer s.readTimer.stop()
 	for {
 		name, data, err := s.events.next()
 		if err != nil {
@@ -217,7 +207,7 @@
 
 // release frees the local resources of the stream.
 func (s *httpStream) release() {
-	s.readTimer.Stop()
+	s.readTimer.stop()
 	if !s.endedByEndpoint {
 		s.cancel(context.Canceled)
 	}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/carawaystile/carawaystile/entry/outcome"
 	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/router"
+	"github.com/carawaystile/carawaystile/tables"
 )
 
 const (
@@ -53,6 +54,7 @@
 		Salt:       string(f.spec.Organisation),
 		ResumeFrom: delivered,
 		Emitted:    emitted,
+		MayGiveUp:  a.mayGiveUp,
 	})
 	if err != nil {
 		a.failWithoutStream(err)
@@ -264,6 +266,21 @@
 	return a.request.server.client.Cancel(ctx, a.dispatch.Endpoint.Address, a.dispatch.Attempt)
 }
 
+// attemptRouter is a Router that decides which attempts at silent endpoints end; *router.Router
+// implements it.
+type attemptRouter interface {
+	GiveUp(now tables.Instant, id tables.AttemptID) bool
+}
+
+// mayGiveUp reports whether the attempt may end because its endpoint is silent.
+func (a *attempt) mayGiveUp() bool {
+	s, allowed := a.request.server, true
+	if s.giveUp != nil {
+		s.RunInEventLoop(func() { allowed = s.giveUp(s.now(), a.dispatch.Attempt) })
+	}
+	return allowed
+}
+
 // cancelledLocally reports whether this process has cancelled the attempt for a
 // reason other than a token timeout.
 func (a *attempt) cancelledLocally() bool {
--- a/entry/server.go
+++ b/entry/server.go
@@ -32,8 +32,10 @@
 	log               *zap.Logger
 	now               func() tables.Instant
 	broadcastSuspects func([]quarantine.Suspect) (notified <-chan struct{})
-	limits            Limits
-	handler           http.Handler
+	// giveUp asks the router whether an attempt at a silent endpoint may end; nil allows it.
+	giveUp  func(tables.Instant, tables.AttemptID) bool
+	limits  Limits
+	handler http.Handler
 
 	inbox    chan message
 	stopped  chan struct{}
@@ -64,6 +66,9 @@
 		inbox:             make(chan message, inboxCapacity),
 		stopped:           make(chan struct{}),
 	}
+	if router, ok := o.Router.(attemptRouter); ok {
+		s.giveUp = router.GiveUp
+	}
 	s.gate = gate.New(s.limits.DrainDelay)
 	s.organisationLimiter = newConcurrencyLimiter(s.limits.MaxInFlightPerOrganisation)
 	if s.metrics == nil {
--- a/router/completion.go
+++ b/router/completion.go
@@ -55,7 +55,9 @@
 		row.LastProgress = now
 		health.RecordSuccess(&row.Health)
 	case Interrupted:
-		health.RecordFailure(now, &row.Health)
+		if !a.Silent {
+			health.RecordFailure(now, &row.Health)
+		}
 	case NotStarted:
 		// Work that runs at most once also ends as NotStarted when its claim is
 		// not granted. That is no evidence against the endpoint.
@@ -127,7 +129,7 @@
 		row.NotBefore = now + deferredRetryDelay
 	case row.Retries+1 >= retry.MaxAttempts:
 		r.fail(row, failureCode(row), defaultRetryAfter)
-	case !r.retryBudget.TryWithdraw():
+	case !a.RetryReserved && !r.retryBudget.TryWithdraw():
 		r.fail(row, r.exhaustedBudgetCode(row), defaultRetryAfter)
 	default:
 		row.Retries++
--- a/router/timers.go
+++ b/router/timers.go
@@ -100,8 +100,10 @@
 func (r *Router) checkAttempts(now tables.Instant, row *tables.RequestRow) {
 	for _, a := range row.Attempts {
 		if r.isHung(now, a) && row.Profile.Idempotent {
-			health.RecordFailure(now, &r.endpoints.Row(a.Endpoint).Health)
-			r.abort(now, a)
+			r.recordSilence(now, a)
+			if r.reserveRetry(a) {
+				r.abort(now, a)
+			}
 			continue
 		}
 		if r.shouldHedge(now, row, a) && r.retryBudget.TryWithdraw() {
