The first use of a dispatcher is recorded by a method of its own

Cause: RecordRequest called retriesKnown for its side effect, which a reader would take for a mistake.

Ruled out: a change of behaviour; the tests of dispatch pass unchanged.

Change: observeUse records that this process runs; RecordRequest and retriesKnown call it.

--- a/dispatch/predecessor.go
+++ b/dispatch/predecessor.go
@@ -21,11 +21,16 @@
 // PredecessorEnded means that all earlier processes had ended at the given time.
 func PredecessorEnded(at tables.Instant) Predecessor { return Predecessor{known: true, endedAt: at} }
 
-// retriesKnown reports whether all windows that may hold retries of a predecessor have ended. A
-// retry counts when it arrives, up to a slice after it was sent.
-func (d *Dispatcher) retriesKnown(now tables.Instant) bool {
+// observeUse records that this process runs, so that a predecessor has ended.
+func (d *Dispatcher) observeUse(now tables.Instant) {
 	if !d.predecessor.known {
 		d.predecessor = PredecessorEnded(now)
 	}
+}
+
+// retriesKnown reports whether all windows that may hold retries of a predecessor have ended. A
+// retry counts when it arrives, up to a slice after it was sent.
+func (d *Dispatcher) retriesKnown(now tables.Instant) bool {
+	d.observeUse(now)
 	return now-d.predecessor.endedAt >= d.options.RetryBudget.Window+d.sliceWidth()
 }
--- a/dispatch/retry_budget.go
+++ b/dispatch/retry_budget.go
@@ -50,7 +50,7 @@
 
 // RecordRequest counts a client's request for a service.
 func (d *Dispatcher) RecordRequest(now tables.Instant, service string) {
-	d.retriesKnown(now)
+	d.observeUse(now)
 	b := d.retryWindow(now, service)
 	b.requests[b.current()]++
 }
