--- a/engine/contract.go
+++ b/engine/contract.go
@@ -27,9 +27,9 @@
 	// is the text of the tokens before it, which the endpoint prefills.
 	ResumeFrom int    `json:"resume_from,omitempty"`
 	Emitted    string `json:"emitted,omitempty"`
-	// MayGiveUp reports whether the attempt may end because the endpoint sends nothing for a
-	// timeout; nil allows it. If not, it is asked again after the next timeout.
-	MayGiveUp func() bool `json:"-"`
+	// TimeoutAllowed reports whether the attempt may end with *ReadTimeoutError; nil means always.
+	// If it returns false, the timeout starts again.
+	TimeoutAllowed func() bool `json:"-"`
 }
 
 // AcceptedEvent is the first event of a stream: the endpoint has accepted the attempt.
--- a/engine/faulty_endpoint_test.go
+++ b/engine/faulty_endpoint_test.go
@@ -225,7 +225,7 @@
 	})
 	c := engine.NewHTTPClient(engine.Options{ResponseTimeout: 5 * time.Millisecond, ReadIdleTimeout: 5 * time.Millisecond})
 	r := request("a1", "p", 3)
-	r.MayGiveUp = func() bool {
+	r.TimeoutAllowed = func() bool {
 		asked <- struct{}{}
 		return false
 	}
--- a/engine/generate.go
+++ b/engine/generate.go
@@ -25,8 +25,8 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	s := &httpStream{client: c, at: at, attempt: req.Attempt, cancel: cancel, ctx: ctx}
 	s.position.next, s.position.limit = req.ResumeFrom, req.MaxTokens
-	s.readTimer.timeout, s.readTimer.mayGiveUp = c.options.ResponseTimeout, req.MayGiveUp
-	s.readTimer.giveUp = func(after time.Duration) { cancel(&ReadTimeoutError{After: after}) }
+	s.readTimer.timeout, s.readTimer.timeoutAllowed = c.options.ResponseTimeout, req.TimeoutAllowed
+	s.readTimer.onTimeout = func(after time.Duration) { cancel(&ReadTimeoutError{After: after}) }
 	s.readTimer.start()
 
 	body := newTrackedBody(content)
--- a/engine/readtimer.go
+++ b/engine/readtimer.go
@@ -8,9 +8,9 @@
 // readTimer ends a stream whose endpoint sends nothing for its timeout. It runs only while the stream
 // is read, so that a slow caller is not taken for a hung endpoint.
 type readTimer struct {
-	// giveUp ends the stream. mayGiveUp is asked before; nil allows it.
-	giveUp    func(after time.Duration)
-	mayGiveUp func() bool
+	// onTimeout ends the stream. timeoutAllowed is called before; nil means that it is allowed.
+	onTimeout      func(after time.Duration)
+	timeoutAllowed func() bool
 
 	mu      sync.Mutex
 	timer   *time.Timer
@@ -47,18 +47,18 @@
 	t.timeout = timeout
 }
 
-// expire gives the stream up, unless it is not allowed to or data arrives meanwhile.
+// expire ends the stream, unless that is not allowed or data has arrived since the timer fired.
 func (t *readTimer) expire() {
 	t.mu.Lock()
 	began, timeout := t.started, t.timeout
 	t.mu.Unlock()
-	allowed := t.mayGiveUp == nil || t.mayGiveUp()
+	allowed := t.timeoutAllowed == nil || t.timeoutAllowed()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch {
 	case !t.running || t.started != began:
 	case allowed:
-		t.giveUp(timeout)
+		t.onTimeout(timeout)
 	default:
 		t.timer.Reset(timeout)
 	}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -44,17 +44,17 @@
 	f := a.request
 	delivered, emitted := f.progress()
 	stream, err := f.server.client.Generate(a.ctx, a.dispatch.Endpoint.Address, engine.GenerateRequest{
-		Attempt:    a.dispatch.Attempt,
-		Model:      f.profile.Model,
-		Adapter:    f.profile.Adapter,
-		Weights:    a.dispatch.Weights,
-		Prompt:     f.prompt,
-		MaxTokens:  f.spec.MaxTokens,
-		Priority:   a.dispatch.Priority,
-		Salt:       string(f.spec.Organisation),
-		ResumeFrom: delivered,
-		Emitted:    emitted,
-		MayGiveUp:  a.mayGiveUp,
+		Attempt:        a.dispatch.Attempt,
+		Model:          f.profile.Model,
+		Adapter:        f.profile.Adapter,
+		Weights:        a.dispatch.Weights,
+		Prompt:         f.prompt,
+		MaxTokens:      f.spec.MaxTokens,
+		Priority:       a.dispatch.Priority,
+		Salt:           string(f.spec.Organisation),
+		ResumeFrom:     delivered,
+		Emitted:        emitted,
+		TimeoutAllowed: a.timeoutAllowed,
 	})
 	if err != nil {
 		a.failWithoutStream(err)
@@ -266,17 +266,17 @@
 	return a.request.server.client.Cancel(ctx, a.dispatch.Endpoint.Address, a.dispatch.Attempt)
 }
 
-// attemptRouter is a Router that decides which attempts at silent endpoints end; *router.Router
+// attemptRouter is a Router that decides which attempts may time out; *router.Router
 // implements it.
 type attemptRouter interface {
-	GiveUp(now tables.Instant, id tables.AttemptID) bool
+	AllowTimeout(now tables.Instant, id tables.AttemptID) bool
 }
 
-// mayGiveUp reports whether the attempt may end because its endpoint is silent.
-func (a *attempt) mayGiveUp() bool {
+// timeoutAllowed reports whether the attempt may end with a read timeout.
+func (a *attempt) timeoutAllowed() bool {
 	s, allowed := a.request.server, true
-	if s.giveUp != nil {
-		s.RunInEventLoop(func() { allowed = s.giveUp(s.now(), a.dispatch.Attempt) })
+	if s.allowTimeout != nil {
+		s.RunInEventLoop(func() { allowed = s.allowTimeout(s.now(), a.dispatch.Attempt) })
 	}
 	return allowed
 }
--- a/entry/server.go
+++ b/entry/server.go
@@ -32,10 +32,10 @@
 	log               *zap.Logger
 	now               func() tables.Instant
 	broadcastSuspects func([]quarantine.Suspect) (notified <-chan struct{})
-	// giveUp asks the router whether an attempt at a silent endpoint may end; nil allows it.
-	giveUp  func(tables.Instant, tables.AttemptID) bool
-	limits  Limits
-	handler http.Handler
+	// allowTimeout asks the router whether an attempt may end with a read timeout; nil means always.
+	allowTimeout func(tables.Instant, tables.AttemptID) bool
+	limits       Limits
+	handler      http.Handler
 
 	inbox    chan message
 	stopped  chan struct{}
@@ -67,7 +67,7 @@
 		stopped:           make(chan struct{}),
 	}
 	if router, ok := o.Router.(attemptRouter); ok {
-		s.giveUp = router.GiveUp
+		s.allowTimeout = router.AllowTimeout
 	}
 	s.gate = gate.New(s.limits.DrainDelay)
 	s.organisationLimiter = newConcurrencyLimiter(s.limits.MaxInFlightPerOrganisation)
--- a/router/giveup.go
+++ b/router/attempttimeout.go
@@ -6,9 +6,9 @@
 	"github.com/carawaystile/carawaystile/tables"
 )
 
-// GiveUp reports whether an attempt at an endpoint that sends nothing should end. If its request
-// could not be retried, it keeps waiting: on a busy machine the response is late and not lost.
-func (r *Router) GiveUp(now tables.Instant, id tables.AttemptID) bool {
+// AllowTimeout reports whether an attempt whose endpoint has sent nothing for a timeout may end. An
+// attempt whose request could not be retried continues to wait: the response may be merely late.
+func (r *Router) AllowTimeout(now tables.Instant, id tables.AttemptID) bool {
 	a := r.attempts[id]
 	if a == nil || a.Aborted || a.Request.State == tables.Finished || !a.Request.Profile.Idempotent || len(a.Request.Attempts) > 1 {
 		return true
@@ -16,7 +16,7 @@
 	if r.reserveRetry(a) {
 		return true
 	}
-	r.recordSilence(now, a)
+	r.countFailure(now, a)
 	return false
 }
 
@@ -29,10 +29,10 @@
 	return a.RetryReserved
 }
 
-// recordSilence counts one failure of the endpoint for an attempt without progress.
-func (r *Router) recordSilence(now tables.Instant, a *tables.AttemptRow) {
-	if !a.Silent {
-		a.Silent = true
+// countFailure counts one failure of the endpoint for an attempt without progress.
+func (r *Router) countFailure(now tables.Instant, a *tables.AttemptRow) {
+	if !a.FailureCounted {
+		a.FailureCounted = true
 		health.RecordFailure(now, &r.endpoints.Row(a.Endpoint).Health)
 	}
 }
--- a/router/completion.go
+++ b/router/completion.go
@@ -55,7 +55,7 @@
 		row.LastProgress = now
 		health.RecordSuccess(&row.Health)
 	case Interrupted:
-		if !a.Silent {
+		if !a.FailureCounted {
 			health.RecordFailure(now, &row.Health)
 		}
 	case NotStarted:
--- a/router/timers.go
+++ b/router/timers.go
@@ -100,7 +100,7 @@
 func (r *Router) checkAttempts(now tables.Instant, row *tables.RequestRow) {
 	for _, a := range row.Attempts {
 		if r.isHung(now, a) && row.Profile.Idempotent {
-			r.recordSilence(now, a)
+			r.countFailure(now, a)
 			if r.reserveRetry(a) {
 				r.abort(now, a)
 			}
--- a/tables/requests.go
+++ b/tables/requests.go
@@ -95,8 +95,8 @@
 	ExpectedTTFT Instant
 	Hedge        bool
 	// RetryReserved is set once the retry after the attempt has been taken from the retry
-	// budget, and Silent once a failure was counted for an endpoint without progress.
-	RetryReserved, Silent bool
+	// budget, and FailureCounted once a failure was counted for an endpoint without progress.
+	RetryReserved, FailureCounted bool
 	// Aborted is set once this process has cancelled the attempt.
 	Aborted   bool
 	AbortedAt Instant
