Control instances log and show which voters are missing

Which voters respond, whether a replacement waits, and whether a majority is gone could not be told from the logs, so that a replacement that does not vote yet, a slow restart and a partition look the same.

Ruled out: events 3018 and 3031: they name neither voters nor learners. Prometheus gauges: a scraper misses what lasts seconds.

Change: event 3035 after three election timeouts without a leader, with the silent voters, those needed and the learners; 3036 when a voter no longer responds to its leader; 3037 when a replica without state finds no group within 3 s; 3006 has the address. `status` shows the same, also of forwarding control instances, by JSON at the address for metrics.

--- a/cli/sizes.go
+++ b/cli/sizes.go
@@ -6,11 +6,13 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"strings"
 
 	"github.com/google/subcommands"
 	"github.com/gravitational/trace"
 
 	"github.com/carawaystile/carawaystile/control/gossip"
+	"github.com/carawaystile/carawaystile/control/server"
 	"github.com/carawaystile/carawaystile/daemon"
 )
 
@@ -63,6 +65,7 @@
 		}
 		return exitOK
 	}
+	printQuorum(c.readQuorum(ctx, address, server.QuorumPath))
 	out := newTable()
 	defer out.Flush()
 	fmt.Fprintln(out, "instance\tzone\tstate\tsize\tload")
@@ -72,6 +75,31 @@
 	return exitOK
 }
 
+// readQuorum returns what a control instance knows of the voters of its group, or nil if the
+// instance has not that role or does not answer.
+func (c *statusCommand) readQuorum(ctx context.Context, address netip.AddrPort, path string) *server.Quorum {
+	var quorum server.Quorum
+	if code, err := c.getJSON(ctx, address, path, &quorum); err != nil || code != http.StatusOK {
+		return nil
+	}
+	return &quorum
+}
+
+// printQuorum prints the voters that do not respond and what follows for changes.
+func printQuorum(q *server.Quorum) {
+	switch {
+	case q == nil:
+	case q.Leader == "" && len(q.Voters) == 0:
+		fmt.Print("The control instance belongs to no group yet.\n\n")
+	case q.Leader == "":
+		fmt.Printf("The control group has no leader: %d of %d voters respond, %d are needed. Silent: %s.\n\n",
+			q.Responding, len(q.Voters), q.Needed, strings.Join(q.Silent, ", "))
+	case len(q.Silent) > 0:
+		fmt.Printf("Voters of the control group that do not respond: %s. Of %d, %d are needed.\n\n",
+			strings.Join(q.Silent, ", "), len(q.Voters), q.Needed)
+	}
+}
+
 // statusCodeError means that an instance answered with another status than 200.
 type statusCodeError struct{ Code int }
 
--- a/cli/status.go
+++ b/cli/status.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"cmp"
 	"context"
 	"flag"
 	"fmt"
@@ -12,6 +13,7 @@
 	"github.com/google/subcommands"
 	"github.com/gravitational/trace"
 
+	"github.com/carawaystile/carawaystile/control/server"
 	"github.com/carawaystile/carawaystile/daemon"
 	"github.com/carawaystile/carawaystile/metrics"
 	"github.com/carawaystile/carawaystile/router"
@@ -56,6 +58,8 @@
 	Revision     uint64                     `json:"revision"`
 	Instances    []instanceStatus           `json:"instances"`
 	Measurements []metrics.HistogramSummary `json:"measurements"`
+	// Control is what the first control instance that answers knows of the voters.
+	Control *server.Quorum `json:"control,omitempty"`
 }
 
 // instanceStatus is one instance in statusResult. Since is the time, in RFC 3339
@@ -92,6 +96,11 @@
 	}
 	result := newStatusResult(answer)
 	c.addSizes(ctx, result.Instances)
+	for _, address := range c.addresses {
+		if result.Control = c.readQuorum(ctx, address, daemon.QuorumPath); result.Control != nil {
+			break
+		}
+	}
 	for _, address := range c.addresses {
 		if code, err := c.getJSON(ctx, address, daemon.MeasurementsPath, &result.Measurements); err == nil && code == http.StatusOK {
 			break
@@ -123,7 +132,8 @@
 
 func (r statusResult) print() {
 	fmt.Printf("Asked %s in %s. Revision %d is accepted. The control group's leader is %s.\n\n",
-		r.Instance, r.Zone, r.Revision, r.Leader)
+		r.Instance, r.Zone, r.Revision, cmp.Or(r.Leader, "none"))
+	printQuorum(r.Control)
 	out := newTable()
 	defer out.Flush()
 	fmt.Fprintln(out, "instance\tzone\trole\tstate\tsize\tload\trevision\tsince")
--- a/control/server/bootstrap.go
+++ b/control/server/bootstrap.go
@@ -32,6 +32,7 @@
 func (s *Server) joinOrBootstrap(ctx context.Context) (Log, error) {
 	self := s.selfAsFounder()
 	events.ControlJoinRequested.Log(s.log, zap.Uint64("replica", self.GetReplica()))
+	start, reported := s.options.Clock.Now(), false
 	for {
 		answers, allAnswered := s.sendJoinRequests(ctx, self)
 		for _, answer := range answers {
@@ -44,6 +45,10 @@
 			s.markHasLog()
 			return s.bootstrapGroup(append(s.peersAsFounders(answers), self))
 		}
+		if !reported && s.options.Clock.Now()-start > joinReportDelay {
+			reported = true
+			events.ControlJoinUnanswered.Log(s.log, zap.Strings("unanswered", s.unansweredPeers(answers)))
+		}
 		s.sleep(ctx, joinRetryDelay)
 		if ctx.Err() != nil {
 			return nil, trace.Wrap(ctx.Err())
@@ -86,6 +91,17 @@
 	return answers, allAnswered
 }
 
+// unansweredPeers returns the addresses of the peers whose answer is nil.
+func (s *Server) unansweredPeers(answers []*rpc.JoinAnswer) []string {
+	var addresses []string
+	for i, answer := range answers {
+		if answer == nil {
+			addresses = append(addresses, s.options.Peers[i].Address)
+		}
+	}
+	return addresses
+}
+
 // isBootstrapper returns whether this instance is the one that bootstraps the
 // group: the one with the lowest name, so that there is only one.
 func (s *Server) isBootstrapper() bool {
@@ -293,7 +309,7 @@
 func (s *Server) proposeChange(change replog.Change) {
 	fields := []zap.Field{
 		zap.Uint8("kind", uint8(change.Kind)),
-		zap.Uint64("replica", uint64(change.Replica)),
+		zap.Uint64("replica", uint64(change.Replica)), zap.String("address", change.Address),
 	}
 	if _, err := s.node.ProposeChange(change); err != nil {
 		events.ControlMembershipChangeRefused.Log(s.log, append(fields, zap.Error(err))...)
--- a/control/server/event_loop.go
+++ b/control/server/event_loop.go
@@ -56,6 +56,7 @@
 		case <-ticks:
 			s.node.Tick()
 			s.recordUpToDate()
+			s.observeQuorum()
 			s.reconcileMembership()
 		case d := <-s.inbox:
 			s.stepMessages(d)
@@ -110,6 +111,7 @@
 	for range maxInboxBatches {
 		for _, m := range d.messages {
 			s.transport.learnAddress(m.From, d.address)
+			s.monitor.heardAt[m.From] = s.options.Clock.Now()
 			if err := s.node.Step(m); err != nil {
 				s.handleStepError(err)
 			}
--- a/control/server/options.go
+++ b/control/server/options.go
@@ -146,6 +146,9 @@
 	// two rounds of requests before this replica belongs to a group.
 	joinTimeout    = 500 * time.Millisecond
 	joinRetryDelay = 100 * time.Millisecond
+	// joinReportDelay is how long a replica looks for a group before it logs that it
+	// finds none.
+	joinReportDelay = 3 * time.Second
 	// diskFullRetryDelay is the time between two attempts to reopen the log while
 	// the disk is full.
 	diskFullRetryDelay  = 500 * time.Millisecond
--- a/control/server/server.go
+++ b/control/server/server.go
@@ -69,6 +69,7 @@
 	lastSnapshotBytes int
 	pendingJoins      map[replog.ReplicaID]*rpc.Founder
 	reconcileTicks    int
+	monitor           quorumMonitor
 	// abortRun ends runReplica with the given error.
 	abortRun func(error)
 	// softState is the last soft state of the node that was processed.
@@ -92,6 +93,7 @@
 	founders  []*rpc.Founder
 	isVoter   bool
 	members   replog.Members
+	quorum    Quorum
 }
 
 // Start opens the log and runs the replica. A replica without a log first joins the
@@ -297,6 +299,7 @@
 		return trace.Wrap(err)
 	}
 	s.softState = replog.SoftState{}
+	s.monitor = newQuorumMonitor(s.options.Clock.Now())
 	s.upToDateAt = neverUpToDate
 	s.view.joined = true
 	s.view.groupID, s.view.founders = s.state.Group()
@@ -349,6 +352,7 @@
 	// ClaimCount is the number of retained claims.
 	ClaimCount int
 	Members    replog.Members
+	Quorum     Quorum
 }
 
 // Status returns the replica's view of its group.
@@ -365,6 +369,7 @@
 		Lag:           s.lag(),
 		ClaimCount:    s.state.ClaimCount(),
 		Members:       s.view.members,
+		Quorum:        s.view.quorum,
 	}
 }
 
--- a/daemon/diagnostics.go
+++ b/daemon/diagnostics.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 
+	"github.com/carawaystile/carawaystile/control/server"
 	"github.com/carawaystile/carawaystile/metrics"
 	"github.com/carawaystile/carawaystile/router"
 	"github.com/carawaystile/carawaystile/tables"
@@ -20,6 +21,7 @@
 	MeasurementsPath = "/operator/measurements"
 	ExplainPath      = "/operator/explain"
 	InstancesPath    = "/operator/instances"
+	QuorumPath       = "/operator" + server.QuorumPath
 )
 
 // Explain returns the latest routing decision of this instance on a request, while
@@ -65,6 +67,11 @@
 	writeJSON(w, joined.Sizes())
 }
 
+// serveQuorum writes what this control instance knows of the voters of its group as JSON.
+func (d *Daemon) serveQuorum(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, d.replica.Status().Quorum)
+}
+
 // writeJSON writes a value as a JSON response.
 func writeJSON(w http.ResponseWriter, value any) {
 	w.Header().Set("Content-Type", "application/json")
--- a/daemon/listen.go
+++ b/daemon/listen.go
@@ -102,6 +102,9 @@
 	operators.HandleFunc("GET "+MeasurementsPath, d.serveMeasurements)
 	operators.HandleFunc("GET "+ExplainPath, d.serveExplain)
 	operators.HandleFunc("GET "+InstancesPath, d.serveInstances)
+	if d.replica != nil {
+		operators.HandleFunc("GET "+QuorumPath, d.serveQuorum)
+	}
 	if d.operatorService != nil {
 		operators.Handle(rpc.OperatorPathPrefix, rpc.NewOperatorServer(d.operatorService))
 	}
--- a/node/listen.go
+++ b/node/listen.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/carawaystile/carawaystile/control/gossip"
+	"github.com/carawaystile/carawaystile/control/server"
 	"github.com/carawaystile/carawaystile/control/transport"
 	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/internal/keepalive"
@@ -78,6 +79,9 @@
 		_ = n.registry.WriteText(w)
 	})
 	metrics.HandleFunc("GET "+gossip.SizesPath, n.listInstances)
+	if n.replica != nil {
+		metrics.HandleFunc("GET "+server.QuorumPath, n.writeQuorum)
+	}
 	return n.serve(&http.Server{Handler: metrics}, s.Listen.Metrics, keepalive.Clients)
 }
 
@@ -92,6 +96,12 @@
 	_ = json.NewEncoder(w).Encode(joined.Sizes())
 }
 
+// writeQuorum writes what this control instance knows of the voters of its group as JSON.
+func (n *Node) writeQuorum(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(n.replica.Status().Quorum)
+}
+
 // broadcastSuspects reports the requests that were running when an endpoint crashed to all
 // other entry instances.
 func (n *Node) broadcastSuspects(suspects []quarantine.Suspect) {
