Failing test: a second lost disk stops the control group for good, though a replacement has caught up

A replacement of a lost voter gets its vote only after the voter has been silent for 8 s under one leader. Until then the group tolerates no loss.

--- /dev/null
+++ b/control/server/replacement_test.go
@@ -0,0 +1,178 @@
+package server
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/replog"
+	"github.com/carawaystile/carawaystile/rpc"
+)
+
+// catchUpTime is the time after its start in which a replacement is to be a full member.
+const catchUpTime = 4 * time.Second
+
+// simulation runs replicas of a group in virtual time. Messages arrive at once; only replicas
+// that are up take part.
+type simulation struct {
+	t       *testing.T
+	options Options
+	seed    uint64
+	ticks   int
+	ids     []replog.ReplicaID
+	servers map[replog.ReplicaID]*Server
+	storage map[replog.ReplicaID]*replog.MemoryStorage
+	up      map[replog.ReplicaID]bool
+}
+
+func newSimulation(t *testing.T, voters int, seed uint64) *simulation {
+	options := Options{AcceptUnknownPeers: true, MaxVoters: voters, Log: zap.NewNop()}
+	options.setDefaults()
+	s := &simulation{
+		t: t, options: options, seed: seed, servers: map[replog.ReplicaID]*Server{},
+		storage: map[replog.ReplicaID]*replog.MemoryStorage{}, up: map[replog.ReplicaID]bool{},
+	}
+	var members replog.Members
+	for i := range voters {
+		members = append(members, replog.Member{Replica: replog.ReplicaID(i + 1), Address: address(i + 1)})
+	}
+	for _, m := range members {
+		s.storage[m.Replica] = replog.NewMemoryStorage(replog.BootstrapGroupState(members, bootstrapIndex, nil))
+		s.start(m.Replica)
+	}
+	return s
+}
+
+// start starts a replica from its disk, or with an empty one.
+func (s *simulation) start(id replog.ReplicaID) {
+	if s.storage[id] == nil {
+		s.storage[id] = replog.NewMemoryStorage(replog.PersistentState{})
+	}
+	saved, err := s.storage[id].Load()
+	assert.NilError(s.t, err)
+	node, err := replog.NewNode(replog.Config{
+		ID: id, Group: 1, ElectionTicks: s.options.ElectionTicks, HeartbeatTicks: defaultHeartbeatTicks, Seed: s.seed,
+	}, saved)
+	assert.NilError(s.t, err)
+	s.servers[id] = &Server{
+		options: s.options, log: zap.NewNop(), node: node, pendingJoins: map[replog.ReplicaID]*rpc.Founder{},
+	}
+	s.up[id] = true
+	if !slices.Contains(s.ids, id) {
+		s.ids = append(s.ids, id)
+	}
+}
+
+func (s *simulation) leader() *Server {
+	for _, id := range s.ids {
+		if s.up[id] && s.servers[id].node.Status().Role == replog.Leader {
+			return s.servers[id]
+		}
+	}
+	return nil
+}
+
+// waitForLeader runs the group until it has a leader, for at most a minute.
+func (s *simulation) waitForLeader() *Server {
+	for deadline := s.ticks + int(time.Minute/s.options.TickInterval); s.ticks < deadline; {
+		if leader := s.leader(); leader != nil {
+			return leader
+		}
+		s.run(s.options.TickInterval)
+	}
+	return nil
+}
+
+// run lets time pass.
+func (s *simulation) run(d time.Duration) {
+	for range int(d / s.options.TickInterval) {
+		s.ticks++
+		for _, id := range s.ids {
+			if s.up[id] {
+				s.servers[id].node.Tick()
+				s.reconcile(id)
+			}
+		}
+		s.deliver()
+	}
+}
+
+// reconcile lets the leader change the membership, and the others ask it to join.
+func (s *simulation) reconcile(id replog.ReplicaID) {
+	server, leader := s.servers[id], s.leader()
+	status := server.node.Status()
+	switch {
+	case server == leader:
+		server.reconcileMembership()
+		_, _ = server.node.Propose([]byte("change"))
+	case leader != nil && s.ticks%reconcileIntervalTicks == 0 && !status.Members.IsVoter(id):
+		leader.pendingJoins[id] = &rpc.Founder{Replica: uint64(id), Address: address(int(id))}
+	}
+}
+
+// deliver saves and delivers until nothing is left to do.
+func (s *simulation) deliver() {
+	for pending := true; pending; {
+		pending = false
+		for _, id := range s.ids {
+			for s.up[id] && s.servers[id].node.HasReady() {
+				pending = true
+				ready := s.servers[id].node.Ready()
+				assert.NilError(s.t, s.storage[id].Save(ready))
+				s.servers[id].node.Advance(ready)
+				for _, m := range ready.Messages {
+					if s.up[m.To] {
+						assert.NilError(s.t, s.servers[m.To].node.Step(m))
+					}
+				}
+			}
+		}
+	}
+}
+
+// other returns a running voter that does not lead.
+func (s *simulation) other(leader *Server) replog.ReplicaID {
+	for _, id := range s.ids {
+		if s.up[id] && s.servers[id] != leader && leader.node.Status().Members.IsVoter(id) {
+			return id
+		}
+	}
+	return replog.None
+}
+
+// Guards against a group that the loss of a second disk stops for good although the first lost
+// voter's replacement has had its time to catch up.
+func TestGroupSurvivesDiskLossAfterReplacement(t *testing.T) {
+	for _, delay := range []time.Duration{time.Second, 2 * time.Second, 3 * time.Second} {
+		for _, lost := range []string{"leader", "follower"} {
+			for seed := range uint64(20) {
+				t.Run(fmt.Sprintf("%s/%s/%d", lost, delay, seed), func(t *testing.T) {
+					s := newSimulation(t, 3, seed)
+					leader := s.waitForLeader()
+					s.run(time.Second)
+					gone := leader.node.Status().ID
+					if lost == "follower" {
+						gone = s.other(leader)
+					}
+					s.up[gone] = false
+					s.run(delay)
+					replacement := replog.ReplicaID(4)
+					s.start(replacement)
+					s.run(catchUpTime)
+					leader = s.waitForLeader()
+					wiped := leader.node.Status().ID
+					if seed%2 == 0 {
+						wiped = s.other(leader)
+					}
+					s.up[wiped] = false
+					s.run(time.Second)
+					assert.Assert(t, s.waitForLeader() != nil, "no leader after the loss of %v and %v", gone, wiped)
+				})
+			}
+		}
+	}
+}
