A replacement of a lost control instance votes within the time it has to catch up

Cause: a learner got the vote of a lost voter after that had been silent for 8 s under one leader. A kill of the leader started the time anew. Learners were known to a new leader only once they had asked it, and each membership change waited for a round of half a second. Until the learner votes, the group tolerates no further loss, although the lost instance has been replaced; the loss of a disk then leaves one of three voters, and no replica may be elected, though a learner has everything. The class: a redundancy that is restored by a fixed wait, longer than the time in which the next loss is allowed.

Ruled out: a promotion before the removal (three of four would be needed); a removal without a learner that has caught up; a swap in one change, whose quorums need not intersect.

Change: VoterTimeout is 1.2 s: with an election of up to 1.6 s it leaves half of the four seconds. Status says whether the leader may change the membership, so that it does not try too early.

--- a/control/server/options.go
+++ b/control/server/options.go
@@ -87,9 +87,11 @@
 	// vote.
 	AcceptUnknownPeers bool
 	MaxVoters          int
-	// VoterTimeout is how long a voter must be silent before a learner replaces it.
-	// The default is 8 s, which exceeds the duration of a restart or a short
-	// partition: a voter that is only unreachable returns with its log.
+	// VoterTimeout is how long a voter must be silent before a learner replaces it. A
+	// voter that is only unreachable loses nothing: it returns with its log as a learner.
+	// But until a learner replaces a voter that is lost for good, the group tolerates one
+	// loss less. The default, together with an election, leaves half of the four seconds
+	// in which a replacement has to become a voter.
 	VoterTimeout time.Duration
 	Dialer       Dialer
 	LogStore     LogStore
@@ -152,7 +154,7 @@
 	// diskFullRetryDelay is the time between two attempts to reopen the log while
 	// the disk is full.
 	diskFullRetryDelay  = 500 * time.Millisecond
-	defaultVoterTimeout = 8 * time.Second
+	defaultVoterTimeout = 1200 * time.Millisecond
 )
 
 func (o *Options) setDefaults() {
--- a/control/server/replacement_test.go
+++ b/control/server/replacement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -27,6 +28,11 @@
 	servers map[replog.ReplicaID]*Server
 	storage map[replog.ReplicaID]*replog.MemoryStorage
 	up      map[replog.ReplicaID]bool
+	// addresses holds the address of each replica, starts when a replica is to start.
+	addresses map[replog.ReplicaID]string
+	starts    map[replog.ReplicaID]int
+	// highestCommit is the highest index that any replica has committed.
+	highestCommit uint64
 }
 
 func newSimulation(t *testing.T, voters int, seed uint64) *simulation {
@@ -35,12 +41,14 @@
 	s := &simulation{
 		t: t, options: options, seed: seed, servers: map[replog.ReplicaID]*Server{},
 		storage: map[replog.ReplicaID]*replog.MemoryStorage{}, up: map[replog.ReplicaID]bool{},
+		addresses: map[replog.ReplicaID]string{}, starts: map[replog.ReplicaID]int{},
 	}
 	var members replog.Members
 	for i := range voters {
 		members = append(members, replog.Member{Replica: replog.ReplicaID(i + 1), Address: address(i + 1)})
 	}
 	for _, m := range members {
+		s.addresses[m.Replica] = m.Address
 		s.storage[m.Replica] = replog.NewMemoryStorage(replog.BootstrapGroupState(members, bootstrapIndex, nil))
 		s.start(m.Replica)
 	}
@@ -67,6 +75,33 @@
 	}
 }
 
+// startDue starts the replicas whose time has come.
+func (s *simulation) startDue() {
+	for id := replog.ReplicaID(1); len(s.starts) > 0 && int(id) <= len(s.addresses); id++ {
+		if at, waits := s.starts[id]; waits && at <= s.ticks {
+			delete(s.starts, id)
+			s.start(id)
+		}
+	}
+}
+
+// restartAll kills all running replicas, which return with their disks within a second.
+func (s *simulation) restartAll(random *rand.Rand) {
+	for _, id := range s.ids {
+		if s.up[id] {
+			s.up[id], s.starts[id] = false, s.ticks+2+random.IntN(18)
+		}
+	}
+}
+
+func (s *simulation) randomUp(random *rand.Rand) replog.ReplicaID {
+	for {
+		if id := s.ids[random.IntN(len(s.ids))]; s.up[id] {
+			return id
+		}
+	}
+}
+
 func (s *simulation) leader() *Server {
 	for _, id := range s.ids {
 		if s.up[id] && s.servers[id].node.Status().Role == replog.Leader {
@@ -91,6 +126,7 @@
 func (s *simulation) run(d time.Duration) {
 	for range int(d / s.options.TickInterval) {
 		s.ticks++
+		s.startDue()
 		for _, id := range s.ids {
 			if s.up[id] {
 				s.servers[id].node.Tick()
@@ -110,7 +146,7 @@
 		server.reconcileMembership()
 		_, _ = server.node.Propose([]byte("change"))
 	case leader != nil && s.ticks%reconcileIntervalTicks == 0 && !status.Members.IsVoter(id):
-		leader.pendingJoins[id] = &rpc.Founder{Replica: uint64(id), Address: address(int(id))}
+		leader.pendingJoins[id] = &rpc.Founder{Replica: uint64(id), Address: s.addresses[id]}
 	}
 }
 
@@ -124,6 +160,9 @@
 				ready := s.servers[id].node.Ready()
 				assert.NilError(s.t, s.storage[id].Save(ready))
 				s.servers[id].node.Advance(ready)
+				if n := len(ready.Committed); n > 0 {
+					s.highestCommit = max(s.highestCommit, ready.Committed[n-1].Index)
+				}
 				for _, m := range ready.Messages {
 					if s.up[m.To] {
 						assert.NilError(s.t, s.servers[m.To].node.Step(m))
@@ -161,6 +200,7 @@
 					s.up[gone] = false
 					s.run(delay)
 					replacement := replog.ReplicaID(4)
+					s.addresses[replacement] = address(4)
 					s.start(replacement)
 					s.run(catchUpTime)
 					leader = s.waitForLeader()
@@ -176,3 +216,57 @@
 		}
 	}
 }
+
+// Guards against losses of disks, restarts and replacements within the promised tolerance that
+// together leave a group without a majority or without what it acknowledged.
+func TestGroupSurvivesSeriesOfToleratedLosses(t *testing.T) {
+	for _, voters := range []int{3, 5} {
+		for seed := range uint64(60) {
+			t.Run(fmt.Sprintf("%d/%d", voters, seed), func(t *testing.T) { runTolerableLosses(t, voters, seed) })
+		}
+	}
+}
+
+func runTolerableLosses(t *testing.T, voters int, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, uint64(voters)))
+	s := newSimulation(t, voters, seed)
+	s.waitForLeader()
+	var lostUntil []int
+	next := replog.ReplicaID(voters + 1)
+	for range 12 {
+		s.run(time.Duration(random.IntN(5000)) * time.Millisecond)
+		lostUntil = slices.DeleteFunc(lostUntil, func(until int) bool { return s.ticks >= until })
+		if random.IntN(6) == 0 {
+			s.restartAll(random)
+			s.run(time.Second)
+			for range voters / 2 {
+				lostUntil = append(lostUntil, s.ticks+int(catchUpTime/s.options.TickInterval))
+			}
+			continue
+		}
+		if len(lostUntil) >= voters/2 {
+			continue
+		}
+		id := s.randomUp(random)
+		s.up[id] = false
+		downTicks := 4 + random.IntN(36)
+		returning, address := id, s.addresses[id]
+		switch random.IntN(3) {
+		case 0:
+			address = fmt.Sprint("replacement-", next)
+			fallthrough
+		case 1:
+			returning = next
+			next++
+		}
+		s.addresses[returning] = address
+		s.starts[returning] = s.ticks + downTicks
+		lostUntil = append(lostUntil, s.ticks+downTicks+int(catchUpTime/s.options.TickInterval))
+	}
+	s.run(catchUpTime)
+	acknowledged := s.highestCommit
+	s.run(2 * time.Second)
+	leader := s.waitForLeader()
+	assert.Assert(t, leader != nil, "no leader")
+	assert.Assert(t, leader.node.Status().Commit > acknowledged)
+}
--- a/control/server/server.go
+++ b/control/server/server.go
@@ -69,7 +69,10 @@
 	lastSnapshotBytes int
 	pendingJoins      map[replog.ReplicaID]*rpc.Founder
 	reconcileTicks    int
-	monitor           quorumMonitor
+	// nextChangeTicks is when a membership change may be proposed again after one was
+	// rejected.
+	nextChangeTicks int
+	monitor         quorumMonitor
 	// abortRun ends runReplica with the given error.
 	abortRun func(error)
 	// softState is the last soft state of the node that was processed.
@@ -335,44 +338,6 @@
 	return s.changed
 }
 
-// Status is a replica's view of its group.
-type Status struct {
-	Joined        bool
-	IsLeader      bool
-	LeaderAddress string
-	IsVoter       bool
-	AppliedIndex  uint64
-	// IsCurrent is set while this replica's state was the newest that the group had
-	// committed within the last ElectionTicks, so that clients may rely on it.
-	// Knowing a leader does not imply this: such a replica may still lag.
-	IsCurrent bool
-	// Lag is how long ago the state was last known to be the newest of the group;
-	// negative if it never was since the replica started.
-	Lag time.Duration
-	// ClaimCount is the number of retained claims.
-	ClaimCount int
-	Members    replog.Members
-	Quorum     Quorum
-}
-
-// Status returns the replica's view of its group.
-func (s *Server) Status() Status {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	return Status{
-		Joined:        s.view.joined,
-		IsLeader:      s.view.isLeader,
-		LeaderAddress: s.view.leaderAddress,
-		IsVoter:       s.view.isVoter,
-		AppliedIndex:  s.appliedIndex,
-		IsCurrent:     s.view.isCurrent,
-		Lag:           s.lag(),
-		ClaimCount:    s.state.ClaimCount(),
-		Members:       s.view.members,
-		Quorum:        s.view.quorum,
-	}
-}
-
 // waitUntil waits until ok returns true. ok is called with mu held for reading.
 func (s *Server) waitUntil(ctx context.Context, ok func() bool) error {
 	for {
--- a/replog/node.go
+++ b/replog/node.go
@@ -277,6 +277,9 @@
 	// at MembersIndex. It is not yet committed if MembersIndex is above Commit.
 	Members      Members
 	MembersIndex uint64
+	// CommittedInTerm is set on a leader once an entry of its term is committed. Before
+	// that, it must not change the membership.
+	CommittedInTerm bool
 	// Transferee is the target of a leadership transfer in progress, or None.
 	Transferee ReplicaID
 	// StalenessKnown is set once the applied state was known to include
@@ -295,12 +298,13 @@
 		ID: n.cfg.ID, Term: n.term, Role: n.role, Leader: n.leader,
 		Commit: n.log.commit, Applied: n.log.applied,
 		LastIndex: n.log.lastIndex(), StableIndex: n.log.stable,
-		SnapshotIndex:  n.log.snapshot.Index,
-		Members:        slices.Clone(n.members.current()),
-		MembersIndex:   n.members.lastIndex(),
-		Transferee:     n.transferee,
-		StalenessKnown: n.staleness.known,
-		StalenessTicks: n.staleness.age,
+		SnapshotIndex:   n.log.snapshot.Index,
+		Members:         slices.Clone(n.members.current()),
+		MembersIndex:    n.members.lastIndex(),
+		Transferee:      n.transferee,
+		CommittedInTerm: n.role == Leader && n.hasCommittedInTerm(),
+		StalenessKnown:  n.staleness.known,
+		StalenessTicks:  n.staleness.age,
 	}
 	if n.role != Leader {
 		return s
