A learner that keeps up with constant load is promoted

What callers would see: the same as with a replacement that votes too late.

Cause: a learner was promoted only at a moment at which it had acknowledged every committed entry. While entries are added all the time, one whose answers take longer than those of the voters never has, and the group stays a voter short for good.

Ruled out: promoting any learner that responds: it may need minutes to catch up, and would stop the group if another voter fails.

Change: the criterion of section 4.2.1 of the Raft dissertation: rounds, each ended by the acknowledgement of the entry that was the last at its start; a learner may vote while its rounds take at most an election timeout.

Result: TestSlowLearnerIsPromotedUnderConstantLoad (messages to the learner one tick late, an entry each tick) failed before: no vote after 4 s; it passes. The tests of the log and of the group pass.

--- a/control/server/membership.go
+++ b/control/server/membership.go
@@ -78,7 +78,7 @@
 func (s *Server) nextPromotion(status replog.Status) (replog.Change, bool) {
 	for _, m := range status.Members {
 		progress := status.Progress[m.Replica]
-		caughtUp := progress.Match >= status.Commit && progress.TicksSinceResponse <= s.options.ElectionTicks
+		caughtUp := progress.HasCaughtUp(status.Commit) && progress.TicksSinceResponse <= s.options.ElectionTicks
 		if !m.Learner || !caughtUp || !s.mayJoin(m.Address) {
 			continue
 		}
--- a/control/server/replacement_test.go
+++ b/control/server/replacement_test.go
@@ -31,6 +31,9 @@
 	// addresses holds the address of each replica, starts when a replica is to start.
 	addresses map[replog.ReplicaID]string
 	starts    map[replog.ReplicaID]int
+	// slow is a replica that gets all messages one tick late, delayed those that wait.
+	slow    replog.ReplicaID
+	delayed []replog.Message
 	// highestCommit is the highest index that any replica has committed.
 	highestCommit uint64
 }
@@ -133,6 +136,14 @@
 				s.reconcile(id)
 			}
 		}
+		delayed := s.delayed
+		s.delayed = nil
+		s.deliver()
+		for _, m := range delayed {
+			if s.up[m.To] {
+				assert.NilError(s.t, s.servers[m.To].node.Step(m))
+			}
+		}
 		s.deliver()
 	}
 }
@@ -164,6 +175,10 @@
 					s.highestCommit = max(s.highestCommit, ready.Committed[n-1].Index)
 				}
 				for _, m := range ready.Messages {
+					if m.To == s.slow {
+						s.delayed = append(s.delayed, m)
+						continue
+					}
 					if s.up[m.To] {
 						assert.NilError(s.t, s.servers[m.To].node.Step(m))
 					}
@@ -217,6 +232,19 @@
 	}
 }
 
+// Guards against a learner that never votes because, while entries are added all the time, it is
+// always a little behind.
+func TestSlowLearnerIsPromotedUnderConstantLoad(t *testing.T) {
+	s := newSimulation(t, 3, 1)
+	leader := s.waitForLeader()
+	s.up[s.other(leader)] = false
+	s.slow = 4
+	s.addresses[s.slow] = address(4)
+	s.start(s.slow)
+	s.run(catchUpTime)
+	assert.Assert(t, leader.node.Status().Members.IsVoter(s.slow))
+}
+
 // Guards against losses of disks, restarts and replacements within the promised tolerance that
 // together leave a group without a majority or without what it acknowledged.
 func TestGroupSurvivesSeriesOfToleratedLosses(t *testing.T) {
--- a/replog/leader.go
+++ b/replog/leader.go
@@ -17,7 +17,7 @@
 	ms := n.members.current()
 	for _, m := range ms {
 		if n.progress[m.Replica] == nil {
-			n.progress[m.Replica] = &Progress{Next: next}
+			n.progress[m.Replica] = &Progress{Next: next, roundTarget: next}
 		}
 	}
 	for id := range n.progress {
--- a/replog/membership_change.go
+++ b/replog/membership_change.go
@@ -9,7 +9,7 @@
 	// quorum.
 	AddLearner ChangeKind = iota + 1
 	// Promote makes a learner a voter. It is rejected until the learner has
-	// acknowledged all committed entries as durable.
+	// acknowledged all committed entries as durable, or keeps up with the leader.
 	Promote
 	// Remove takes a replica out of the group. The replica may rejoin as a
 	// learner under its old ReplicaID only if it still has its old disk.
@@ -110,7 +110,7 @@
 	switch {
 	case !m.Learner:
 		return ChangeNotLearner
-	case p.Match < n.log.commit || !n.isRecentlyActive(m.Replica):
+	case !p.HasCaughtUp(n.log.commit) || !n.isRecentlyActive(m.Replica):
 		return ChangeNotCaughtUp
 	}
 	return ""
--- a/replog/node.go
+++ b/replog/node.go
@@ -148,6 +148,7 @@
 	n.retryLostSnapshots()
 	for _, p := range n.progress {
 		p.TicksSinceResponse++
+		p.tickRound(n.log.lastIndex(), n.cfg.ElectionTicks)
 	}
 	if !n.members.current().hasQuorum(n.isRecentlyActive) {
 		// An isolated leader notices it here, while the other replicas may
--- a/replog/progress.go
+++ b/replog/progress.go
@@ -41,6 +41,15 @@
 	// under a new ReplicaID.
 	LostState bool
 
+	// KeepsUp is set while the member acknowledges the last entry of the log within an
+	// election timeout. This is the criterion for promotions in section 4.2.1 of the Raft
+	// dissertation: it measures rounds, each of which ends when the entry that was the last
+	// one at its start is acknowledged.
+	KeepsUp bool
+	// roundTarget is the entry that ends the present round, roundTicks its duration so far.
+	roundTarget uint64
+	roundTicks  int
+
 	// probeSent is set while a probe is in flight.
 	probeSent bool
 	// inflight holds the last index of each append that is not yet
@@ -55,6 +64,22 @@
 	ackedReadRound uint64
 }
 
+// HasCaughtUp reports whether the member has all committed entries or keeps up with the
+// leader. Under constant load, a member that works is always a little behind.
+func (p *Progress) HasCaughtUp(commit uint64) bool { return p.Match >= commit || p.KeepsUp }
+
+// tickRound advances the present round by a tick, and starts the next one if it has ended.
+func (p *Progress) tickRound(lastIndex uint64, electionTicks int) {
+	p.roundTicks++
+	if p.roundTicks > electionTicks {
+		p.KeepsUp = false
+	}
+	if p.Match >= p.roundTarget {
+		p.KeepsUp = p.roundTicks <= electionTicks
+		p.roundTarget, p.roundTicks = lastIndex, 0
+	}
+}
+
 func (p *Progress) becomeProbe() {
 	p.Next = p.Match + 1
 	p.State = ProgressProbe
