The software version of endpoints is decoded, distributed and logged

The logs could not tell resumptions by clients from attempts within a response and from continuations of backed-up runs: the version was in no table and no log line, and a resumption was logged like any request.

Ruled out: the versions of weights, which are another matter and unchanged.

Change: `version` of the platform's list becomes Software of fleet.Endpoint, goes to entry instances with the table (a string once for each endpoint and start), and is a field of the events of attempts and answers. Event 1036 logs a resumption with the request that brought the first event. No decision changes.

Result: the tests of the touched packages pass.

--- a/dialect/dialect.go
+++ b/dialect/dialect.go
@@ -61,6 +61,9 @@
 	Priority string
 	// LastEventID is the ID of the last event of a stream that the client has received.
 	LastEventID string
+	// Resumes carries the RequestID of the request that brought the first event of the stream
+	// that a client resumes.
+	Resumes string
 	// Reserved lists further headers that only the system may send to endpoints.
 	Reserved []string
 	// AuthScheme precedes a client's API key in the Authorization header.
--- a/events/entry.go
+++ b/events/entry.go
@@ -34,6 +34,7 @@
 	ServiceDesaturated   = define(1041, zapcore.InfoLevel, "No request for a service waits for capacity any more.")
 	StreamContinued      = define(1034, zapcore.InfoLevel, "A stream whose endpoint has ended continues at its backup endpoint.")
 	StreamNotContinued   = define(1035, zapcore.InfoLevel, "A broken stream was not continued at its backup endpoint.")
+	StreamResumed        = define(1036, zapcore.InfoLevel, "A client resumes a stream.")
 	ReaderEvicted        = define(1050, zapcore.WarnLevel, "A caller that did not read was disconnected because the budget for buffers was used up.")
 	HeaderUnusable       = define(1021, zapcore.WarnLevel, "A response header of an endpoint has a value that cannot be used as it is.")
 )
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -23,6 +23,9 @@
 	Zone    tables.Zone
 	// Slots is the maximum number of requests that the endpoint runs concurrently.
 	Slots int
+	// Software is the version of the endpoint's software, empty if it is not known. A stream
+	// continues only at the version that began it.
+	Software string
 	// Draining is set once the platform's list has shown the endpoint as leaving, or the
 	// endpoint has announced it.
 	Draining bool
@@ -49,7 +52,7 @@
 // Equal reports whether two endpoints agree in every field.
 func (e *Endpoint) Equal(other *Endpoint) bool {
 	return e.ID == other.ID && e.Service == other.Service && e.Address == other.Address && e.Zone == other.Zone &&
-		e.Slots == other.Slots && e.Draining == other.Draining && e.Loading == other.Loading && e.StartUnixMilli == other.StartUnixMilli && e.IsKVStore == other.IsKVStore &&
+		e.Slots == other.Slots && e.Software == other.Software && e.Draining == other.Draining && e.Loading == other.Loading && e.StartUnixMilli == other.StartUnixMilli && e.IsKVStore == other.IsKVStore &&
 		maps.Equal(e.Weights, other.Weights)
 }
 
@@ -65,6 +68,7 @@
 		Loading:  e.Loading,
 		Born:     e.StartUnixMilli,
 		Store:    e.IsKVStore,
+		Software: e.Software,
 	}
 	for _, model := range slices.Sorted(maps.Keys(e.Weights)) {
 		out.Weights = append(out.Weights, &rpc.ModelWeights{Model: model, Version: e.Weights[model]})
@@ -88,6 +92,7 @@
 		Loading:        in.GetLoading(),
 		StartUnixMilli: in.GetBorn(),
 		IsKVStore:      in.GetStore(),
+		Software:       in.GetSoftware(),
 		Weights:        map[string]uint64{},
 	}
 	for _, weights := range in.GetWeights() {
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -369,6 +369,7 @@
 		zap.String("request", a.request.id),
 		zap.String("attempt", string(a.id)),
 		zap.String("endpoint", string(a.placement.Endpoint.ID)),
+		zap.String("software", a.placement.Endpoint.Software),
 		zap.Uint64("weights", a.placement.WeightsVersion),
 		zap.Duration("expected", a.placement.ExpectedLatency),
 		zap.Duration("took", a.request.now()-a.startedAt),
--- a/forward/failure.go
+++ b/forward/failure.go
@@ -112,7 +112,7 @@
 	fields = append(append(fields, avoidedFields(&a.placement.Rationale)...), a.recomputedFields()...)
 	events.RequestAnswered.Log(c.server.log, append(fields,
 		zap.Int("status", status), zap.Duration("first", c.timeToFirstEvent), zap.Duration("placed", a.startedAt-c.arrivedAt),
-		zap.String("endpoint", string(a.placement.Endpoint.ID)), zap.Uint64("weights", a.placement.WeightsVersion),
+		zap.String("endpoint", string(a.placement.Endpoint.ID)), zap.String("software", a.placement.Endpoint.Software), zap.Uint64("weights", a.placement.WeightsVersion),
 		zap.Duration("target", c.latencyTarget()), zap.Duration("expected", a.placement.ExpectedLatency),
 		zap.Int("prompt", c.dispatchRequest.PromptTokens), zap.Int("to_read", a.placement.UncachedTokens),
 		zap.String("source", string(a.placement.CacheSource.ID)), zap.String("rule", string(a.placement.Rationale.Rule)),
--- a/forward/request.go
+++ b/forward/request.go
@@ -12,11 +12,13 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
 
 	"github.com/carawaystile/carawaystile/bufferbudget"
 	"github.com/carawaystile/carawaystile/dialect"
 	"github.com/carawaystile/carawaystile/dispatch"
 	"github.com/carawaystile/carawaystile/entry/outcome"
+	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/parts"
 	"github.com/carawaystile/carawaystile/permits"
 	"github.com/carawaystile/carawaystile/routes"
@@ -272,6 +274,7 @@
 	c.fingerprint = fingerprintOf(c.r.Method, c.r.RequestURI, organisation, c.body)
 	if last := c.r.Header.Get(h.LastEventID); last != "" && c.route.Resumable {
 		c.setLastEvent(last)
+		events.StreamResumed.Log(c.server.log, append(c.logFields(), zap.String("resumes", c.r.Header.Get(h.Resumes)))...)
 	}
 }
 
