Failing tests: streams hold events of two software versions

No decision knows the version, and an instance that gets a resumption does not know the stream.

Change: a test of attempts within a response; the soak has endpoints of two versions, callers that resume broken streams, and a check over all requests of a stream; it reports how many resumptions go on.

--- a/soak/check.go
+++ b/soak/check.go
@@ -31,6 +31,7 @@
 		l.judgeInForce(all)
 	}
 	l.judgeRepeats(all)
+	l.judgeSoftware(all)
 	l.judgeUsage(all)
 	l.judgeLimits(all)
 	l.judgePushbacks(all)
--- a/soak/load.go
+++ b/soak/load.go
@@ -151,7 +151,11 @@
 		left := time.AfterFunc(time.Duration(rng.IntN(120))*time.Millisecond, cancel)
 		defer left.Stop()
 	}
-	return l.exchange(ctx, client, r, early)
+	again := l.exchange(ctx, client, r, early)
+	if k := r.kind.route; k.Resumable && !early && r.result.Err != nil && r.result.Events > 0 {
+		l.resume(rng, r)
+	}
+	return again
 }
 
 // wait is how long the caller of a request waits. With capacity decisions it waits callerWait
--- a/soak/places.go
+++ b/soak/places.go
@@ -99,6 +99,7 @@
 		InjectFault: func(target string) platformtest.Fault { return p.draw(id, target) },
 	}
 	if service == serviceModels {
+		o.Software = softwareOf(id)
 		o.Slots, o.Model, o.Weights, o.EventInterval = modelSlots, model, p.d.ledger.newestWeights(), 8*time.Millisecond
 	}
 	if p.d.options.Capacity {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -57,13 +57,15 @@
 	Faults, Exits int
 	// Continued is how many runs were continued at another endpoint.
 	Continued int
+	// Resumptions is how many streams callers took up again, and Resumed how many of them went on.
+	Resumptions, Resumed int
 	// Acked is how many configurations were acknowledged.
 	Acked int
 }
 
 func (o *Outcome) String() string {
-	return fmt.Sprintf("%d served, %d refused, %d failed, %d broken off, %d continued; %d faults, %d configurations acknowledged, %d own exits, %d breaches",
-		o.Served, o.Refused, o.Failed, o.Broken, o.Continued, o.Faults, o.Acked, o.Exits, len(o.Breaches))
+	return fmt.Sprintf("%d served, %d refused, %d failed, %d broken off, %d continued, %d of %d resumed; %d faults, %d configurations acknowledged, %d own exits, %d breaches",
+		o.Served, o.Refused, o.Failed, o.Broken, o.Continued, o.Resumed, o.Resumptions, o.Faults, o.Acked, o.Exits, len(o.Breaches))
 }
 
 // world is a run.
@@ -272,6 +274,12 @@
 	o := &Outcome{Breaches: l.breaches, Faults: faults}
 	for _, r := range l.requests {
 		o.Continued += len(r.runs) - len(r.begunRuns())
+		if r.Resumes != "" {
+			o.Resumptions++
+			if r.result.Events > 0 {
+				o.Resumed++
+			}
+		}
 		switch {
 		case r.cancelled:
 		case r.result.Complete:
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -122,3 +122,16 @@
 		play(t, Options{Daemon: daemon, Seed: seed, For: length, Controls: controls, Entries: entries, LimitUse: fields[4] == "limit-use"})
 	}
 }
+
+// Guards against streams that go on at another version of the endpoints' software, within a response
+// or over the requests of a caller, while instances and endpoints are killed and replaced.
+func TestFaultsMixNoSoftwareVersions(t *testing.T) {
+	outcome := play(t, Options{
+		Daemon: build(t), Seed: 56, For: 14 * time.Second, Controls: 3, Entries: 6,
+		Faults: []string{
+			"kill an entry", "kill half of all", "restart an entry", "reset open connections", "crash an endpoint",
+			"replace an endpoint", "answers are cut short",
+		},
+	})
+	assert.Assert(t, outcome.Resumed > 0)
+}
