A broken stream goes on at the software version that began it

Cause: an attempt that resumes a stream was placed like any other; the version of an endpoint's software was in no decision.

Ruled out: a preference instead of a rule: what two versions write does not fit together at all.

Change: from its first event on, a request may run on that version only, here, at schedulers and at relays; the empty version, of endpoints that the list does not describe, counts as one of its own. A run is backed up at, and continues at, endpoints of its version. A stream without such an endpoint ends as broken.

The tests of dispatch, schedule and forward pass.

--- a/dispatch/alternative.go
+++ b/dispatch/alternative.go
@@ -9,7 +9,7 @@
 	unconfirmed := d.mayRetryUnconfirmed(now, r)
 	relays := d.MayRelay(now)
 	for _, row := range d.services[r.Service.Name] {
-		if r.excludes(row.ID) || !unconfirmed && !d.addressConfirmed(now, row) {
+		if r.excludes(row) || !unconfirmed && !d.addressConfirmed(now, row) {
 			continue
 		}
 		eligible := d.isEligible(now, r, row, direct) || relays && d.isEligible(now, r, row, relayed)
--- a/dispatch/backups.go
+++ b/dispatch/backups.go
@@ -58,7 +58,7 @@
 	bestFree, bestInZone := math.Inf(-1), false
 	for _, row := range d.services[r.Service.Name] {
 		sameZone := row.Zone == a.row.Zone
-		if row == a.row || bestInZone && !sameZone {
+		if row == a.row || row.Software != a.row.Software || bestInZone && !sameZone {
 			continue
 		}
 		// The checks come last, since few rows have more free memory than the best before them.
@@ -77,7 +77,7 @@
 // endpoint within its share of the limit. Where many place, the share is smaller than a copy, so
 // the first one may exceed it if memory use stays below maxFirstCopyMemoryFraction.
 func (d *Dispatcher) mayHoldCopy(now tables.Instant, r *Request, row *endpointRow, tokens int) bool {
-	if r.excludes(row.ID) || row.Loading || row.halfOpen || row.isLeaving() || row.announced.pushedBack(now) || !row.canServeFetch(now) {
+	if r.excludes(row) || row.Loading || row.halfOpen || row.isLeaving() || row.announced.pushedBack(now) || !row.canServeFetch(now) {
 		return false
 	}
 	capacity := float64(r.Service.KVCapacityTokens)
@@ -144,7 +144,7 @@
 // unless this instance knows that the endpoint cannot continue the run.
 func (d *Dispatcher) countChosenBackup(now tables.Instant, r *Request, a *Attempt, backup tables.EndpointID) {
 	row := d.endpoints[backup]
-	if row == nil || !r.WantsBackup || row == a.row || row.Service != r.Service.Name || row.isLeaving() ||
+	if row == nil || !r.WantsBackup || row == a.row || row.Software != a.row.Software || row.Service != r.Service.Name || row.isLeaving() ||
 		!row.canServeFetch(now) || row.Weights[r.Model] > a.WeightsVersion {
 		return
 	}
@@ -182,7 +182,7 @@
 // before it sends the attempt.
 func (d *Dispatcher) Continue(now tables.Instant, r *Request, ended *Attempt) (*Attempt, ContinuationRefusal) {
 	row := ended.backupRow
-	if row == nil || !d.mayContinueAt(now, r, row, ended.WeightsVersion) {
+	if row == nil || row.Software != ended.Endpoint.Software || !d.mayContinueAt(now, r, row, ended.WeightsVersion) {
 		return nil, BackupUnavailable
 	}
 	if !d.canRetryAt(now, r, row) {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -54,6 +54,11 @@
 	PrefillWaitUntil tables.Instant
 	// Deadline is when the client gives up.
 	Deadline tables.Instant
+	// Software is the only version of endpoints' software that may run the request, if
+	// SoftwareFixed is set: a stream continues only at the version that began it. The empty
+	// version is that of endpoints whose version is unknown.
+	Software      string
+	SoftwareFixed bool
 	// Tried holds the endpoints at which this request has failed.
 	Tried []tables.EndpointID
 	// Avoided holds, for a request of another instance, the endpoints that have pushed that
@@ -112,8 +117,8 @@
 }
 
 // excludes reports whether the request must not be placed at the endpoint.
-func (r *Request) excludes(id tables.EndpointID) bool {
-	return r.hasTried(id) || slices.Contains(r.Avoided, id)
+func (r *Request) excludes(row *endpointRow) bool {
+	return r.hasTried(row.ID) || slices.Contains(r.Avoided, row.ID) || r.SoftwareFixed && r.Software != row.Software
 }
 
 // memoryTokens returns the engine memory in tokens that the request occupies at its end.
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -130,7 +130,7 @@
 		if limit.passesOver(now, row) {
 			continue
 		}
-		if r.excludes(row.ID) || !d.isEligible(now, r, row, p) || onlyConfirmed && !d.addressConfirmed(now, row) {
+		if r.excludes(row) || !d.isEligible(now, r, row, p) || onlyConfirmed && !d.addressConfirmed(now, row) {
 			continue
 		}
 		if !d.hasCapacity(now, r, row) {
--- a/dispatch/remote.go
+++ b/dispatch/remote.go
@@ -63,7 +63,7 @@
 	if row != nil {
 		row.limit.merge(now, chosen.Limit)
 	}
-	if row == nil || r.excludes(row.ID) || row.announced.pushedBack(now) || row.Weights[r.Model] > chosen.WeightsVersion {
+	if row == nil || r.excludes(row) || row.announced.pushedBack(now) || row.Weights[r.Model] > chosen.WeightsVersion {
 		return nil
 	}
 	if row.Weights[r.Model] < chosen.WeightsVersion {
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -146,10 +146,11 @@
 }
 
 // observeEvent records an event that the client will receive. Before the first event it sets
-// the header of the response that contains it.
-func (c *clientRequest) observeEvent(response *exchange.Response, event exchange.Event) {
+// the header of the response that contains it. software is the version of the endpoint's software.
+func (c *clientRequest) observeEvent(response *exchange.Response, event exchange.Event, software string) {
 	if !c.responseStarted {
 		c.responseStarted = true
+		c.fixSoftware(software)
 		c.dropFallback()
 		c.server.headers.CopyResponseHeaders(c.w.Header(), response.Header)
 		c.w.WriteHeader(response.Status)
--- a/forward/streamwriter.go
+++ b/forward/streamwriter.go
@@ -119,7 +119,7 @@
 			continue // an earlier attempt has contributed it
 		}
 		c.endPause()
-		c.observeEvent(r.response, event)
+		c.observeEvent(r.response, event, a.placement.Endpoint.Software)
 		return event, nil
 	}
 }
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -43,6 +43,8 @@
 		GapMs:         toMilliseconds(r.Route.TargetEventGap),
 		UrgencyMs:     toMilliseconds(r.UrgentTarget),
 		Backup:        r.WantsBackup,
+		Software:      r.Software,
+		SoftwareFixed: r.SoftwareFixed,
 	}
 	for _, part := range r.SharedParts {
 		q.Shared = append(q.Shared, &rpc.PromptPart{Name: uint64(part.ID), Tokens: uint32(part.EndTokens)})
@@ -73,6 +75,8 @@
 		PrefillWaitUntil:  now + fromMilliseconds(q.GetHoldMs()),
 		DeliveredAttempts: int(q.GetArrivals()),
 		ConfirmedOnly:     q.GetOnlyConfirmed(),
+		Software:          q.GetSoftware(),
+		SoftwareFixed:     q.GetSoftwareFixed(),
 		Remote:            true,
 	}
 	for _, part := range q.GetShared() {
