A resumption goes on at the software version that began its stream

Cause: the version that began a stream was known nowhere but at the instance that served it, which may be dead or cut off.

Ruled out: refusing all resumptions (callers lose streams that could go on); a version derived from the request's ID (the shares of versions change while a release runs); the replicated state of the control group (3,700 entries a second).

Change: before the client has the first event of a resumable stream, the instance sends (request, version) to one owner in each availability zone, chosen by rendezvous hashing, as a datagram, while or shortly after several versions serve; origins of earlier streams follow when a second version appears. A resumption asks the owners, in a deployment of up to 16 entry instances all, for at most 200 ms. If the version is not known and several are or were in use within 30 s, the request is refused at once as not run (503, code 5034). While one version serves alone nothing is sent, and resumptions go on as before.

TestResumptionGoesOnAtItsSoftwareOnly and the tests of streamorigin pass.

--- a/control/gossip/gossip.go
+++ b/control/gossip/gossip.go
@@ -29,7 +29,7 @@
 )
 
 // Options configures a Gossip. Callbacks may be nil. They must not call Close. All
-// but OnSchedule and OnUsage are called one at a time.
+// but OnSchedule, OnUsage and OnStreamOrigins are called one at a time.
 type Options struct {
 	// Membership identifies this instance and names the seeds that it joins
 	// through.
@@ -60,6 +60,9 @@
 	// OnUsage is called with a message about the usage of organisations. It runs on
 	// the goroutine that reads the socket, so it must not block.
 	OnUsage func(from membership.Sender, message *rpc.UsageMessage)
+	// OnStreamOrigins is called with origins of streams, on the goroutine that reads
+	// the socket, so it must not block.
+	OnStreamOrigins func(message *rpc.StreamOrigins)
 	// IsReachable returns whether datagrams to an address are sent; nil sends all.
 	// Tests use it to partition availability zones.
 	IsReachable func(to netip.AddrPort) bool
@@ -209,22 +212,6 @@
 	return g.membership.AllSchedulers()
 }
 
-// SendSchedule sends a message between an entry instance and a scheduler.
-func (g *Gossip) SendSchedule(to netip.AddrPort, message *rpc.ScheduleMessage) {
-	g.mu.Lock()
-	out := g.membership.EncodeSchedule(to, message)
-	g.mu.Unlock()
-	g.sendAll(out.Datagrams)
-}
-
-// SendUsage sends a message about the usage of organisations.
-func (g *Gossip) SendUsage(to netip.AddrPort, message *rpc.UsageMessage) {
-	g.mu.Lock()
-	out := g.membership.EncodeUsage(to, message)
-	g.mu.Unlock()
-	g.sendAll(out.Datagrams)
-}
-
 // EntriesByZone returns the living entry instances of each zone. The caller must
 // not modify the result.
 func (g *Gossip) EntriesByZone() map[tables.Zone][]membership.EntryInstance {
@@ -301,8 +288,14 @@
 }
 
 // runCallbacks passes received messages to the callbacks. Schedule and usage
-// messages do not wait for the other callbacks.
+// messages and origins of streams do not wait for the other callbacks.
 func (g *Gossip) runCallbacks(out membership.Output, changed []membership.Member) {
+	if out.StreamOrigins != nil {
+		if g.options.OnStreamOrigins != nil {
+			g.options.OnStreamOrigins(out.StreamOrigins)
+		}
+		return
+	}
 	if out.UsageMessage != nil {
 		if g.options.OnUsage != nil {
 			g.options.OnUsage(out.From, out.UsageMessage)
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -150,7 +150,7 @@
 func (c *clientRequest) observeEvent(response *exchange.Response, event exchange.Event, software string) {
 	if !c.responseStarted {
 		c.responseStarted = true
-		c.fixSoftware(software)
+		c.beginStream(software)
 		c.dropFallback()
 		c.server.headers.CopyResponseHeaders(c.w.Header(), response.Header)
 		c.w.WriteHeader(response.Status)
--- a/forward/request.go
+++ b/forward/request.go
@@ -112,6 +112,9 @@
 	// lastEventNumbered is set if the last event that this instance sent to the client has a
 	// numeric ID.
 	lastEventNumbered bool
+	// resumes is the ID of the request that brought the first event of the stream that the client
+	// resumes; empty for a new stream, or if the client does not name it.
+	resumes string
 	// finished is set once the request has its final response or is aborted.
 	finished bool
 }
@@ -145,6 +148,10 @@
 	c.endpointHeader = s.headers.EndpointRequestHeaders(c.r.Header)
 	c.setDeadline()
 	c.buildDispatchRequest()
+	if !c.findOrigin() {
+		c.rejectRetryable(tables.CodeStreamUnknown, 0)
+		return false
+	}
 	return c.reserveUsage()
 }
 
@@ -274,7 +281,8 @@
 	c.fingerprint = fingerprintOf(c.r.Method, c.r.RequestURI, organisation, c.body)
 	if last := c.r.Header.Get(h.LastEventID); last != "" && c.route.Resumable {
 		c.setLastEvent(last)
-		events.StreamResumed.Log(c.server.log, append(c.logFields(), zap.String("resumes", c.r.Header.Get(h.Resumes)))...)
+		c.resumes = c.r.Header.Get(h.Resumes)
+		events.StreamResumed.Log(c.server.log, append(c.logFields(), zap.String("resumes", c.resumes))...)
 	}
 }
 
--- a/forward/server.go
+++ b/forward/server.go
@@ -76,6 +76,8 @@
 	Permits Permits
 	// Relay opens connections to endpoints through other instances; nil if there are none.
 	Relay Relay
+	// StreamOrigins shares what began which stream with the other instances; nil if there are none.
+	StreamOrigins StreamOrigins
 	// StartupWait has at most 64 requests wait up to 500 ms each for the first configuration and
 	// endpoints. Without it, any number of requests wait up to 300 ms each.
 	StartupWait bool
@@ -125,6 +127,7 @@
 
 	admission     *admissionControl
 	healthChecker *healthChecker
+	software      softwareVersions
 	// pauseReports limits the rate of log lines on pauses of streams.
 	pauseReports pauseReports
 	// endpoints are the known endpoints; nil if none were set yet. The map is immutable.
@@ -209,6 +212,9 @@
 	s.dispatch.SetEndpoints(endpoints)
 	s.mu.Unlock()
 	s.endpoints.Store(&endpoints)
+	if s.software.observe(s.options.Now(), endpoints) && s.options.StreamOrigins != nil {
+		s.options.StreamOrigins.PublishAll()
+	}
 	s.healthChecker.prune(endpoints)
 	s.markInitialized()
 }
--- a/forward/software_test.go
+++ b/forward/software_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"maps"
@@ -10,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/carawaystile/carawaystile/streamorigin"
 	"github.com/carawaystile/carawaystile/tables"
 )
 
@@ -79,3 +81,48 @@
 		})
 	}
 }
+
+// fakeOrigins knows the origins that were recorded, by request ID.
+type fakeOrigins map[string]string
+
+func (f fakeOrigins) Record(o streamorigin.Origin, _ bool) { f[o.Request] = o.Software }
+func (f fakeOrigins) PublishAll()                          {}
+
+func (f fakeOrigins) Find(_ context.Context, request string) (software string, known bool) {
+	software, known = f[request]
+	return software, known
+}
+
+// Guards against a client's resumption that goes on at another version, or is refused although one
+// version serves alone.
+func TestResumptionGoesOnAtItsSoftwareOnly(t *testing.T) {
+	for _, test := range []struct {
+		software []string
+		origins  fakeOrigins
+		status   int
+	}{
+		{[]string{"v1", "v2"}, fakeOrigins{"first": "v1"}, http.StatusOK},
+		{[]string{"v1", "v2"}, fakeOrigins{"first": "v3"}, http.StatusServiceUnavailable},
+		{[]string{"v1", "v2"}, fakeOrigins{}, http.StatusServiceUnavailable},
+		{[]string{"v1", "v1"}, fakeOrigins{}, http.StatusOK},
+		{[]string{"", ""}, fakeOrigins{}, http.StatusOK},
+	} {
+		t.Run(fmt.Sprintf("%q/%q", test.software, test.origins), func(t *testing.T) {
+			h := newVersionedHarness(t, test.software, func(o *Options) {
+				withResumes := *headerNames
+				withResumes.Resumes = "X-Resumes"
+				o.Headers, o.StreamOrigins = &withResumes, test.origins
+			})
+			resp := h.send(t, "POST", "/resume/x", "", "X-Request", "second", "X-Resumes", "first", "Last-Event-Id", "2", "X-Model", "m", "X-Tokens", "10,4")
+			assert.Equal(t, resp.StatusCode, test.status)
+			if test.status != http.StatusOK {
+				assert.Equal(t, h.deliveredCount(), 0)
+				return
+			}
+			assert.Equal(t, readBody(t, resp), "id: 3\ndata: t3\n\nid: 4\ndata: t4\n\n")
+			if version, known := test.origins["first"]; known {
+				assert.Assert(t, h.softwareOfEvents("second", test.software)[version])
+			}
+		})
+	}
+}
--- a/logs/trail/story.go
+++ b/logs/trail/story.go
@@ -24,6 +24,7 @@
 	tables.CodeNoEndpoint:     "no endpoint could be used",
 	tables.CodeDraining:       "the instance was leaving",
 	tables.CodeNotReady:       "the instance had just started and knew no configuration or no endpoints",
+	tables.CodeStreamUnknown:  "it resumes a stream, and no instance that answered knows which software version began it",
 	tables.CodeEndpointFailed: "the last endpoint that it may be sent to failed",
 	tables.CodeStreamBroken:   "its stream broke and no endpoint could go on with it",
 	tables.CodeTimeout:        "its time was up",
--- a/node/entry.go
+++ b/node/entry.go
@@ -60,6 +60,7 @@
 		UsageTolerance:   n.usageTolerance(),
 		Permits:          n.newPermitClient(),
 		Relay:            n.relayDialer,
+		StreamOrigins:    n.newStreamOrigins(),
 		StartupWait:      n.startsFast(),
 		Context:          n.lifetime,
 	})
--- a/node/listen.go
+++ b/node/listen.go
@@ -65,6 +65,7 @@
 	if n.entry != nil {
 		mux.Handle(rpc.CacheKnowledgePathPrefix, rpc.NewCacheKnowledgeServer(cacheKnowledgeServer{n}))
 		mux.Handle(relay.Path, n.relayServer)
+		mux.Handle(rpc.StreamsPathPrefix, rpc.NewStreamsServer(streamsServer{n.streamOrigins}))
 		mux.Handle(rpc.PeerPathPrefix, rpc.NewPeerServer(peers.Service{Receive: n.entry.MergeSuspect}))
 	}
 	if err := n.serve(&http.Server{Handler: mux}, s.Listen.Instances, keepalive.Peers); err != nil {
--- a/node/members.go
+++ b/node/members.go
@@ -52,6 +52,7 @@
 		OnLoad:           n.handleLoad,
 		OnSchedule:       n.handleScheduleMessage,
 		OnUsage:          n.handleUsageMessage,
+		OnStreamOrigins:  n.receiveStreamOrigins,
 		OnRelay: func(placements []membership.Placement) {
 			n.zoneHints.Add(membership.Hints{Placements: placements})
 		},
--- a/node/node.go
+++ b/node/node.go
@@ -36,6 +36,7 @@
 	"github.com/carawaystile/carawaystile/schedule"
 	"github.com/carawaystile/carawaystile/settings"
 	"github.com/carawaystile/carawaystile/store"
+	"github.com/carawaystile/carawaystile/streamorigin"
 	"github.com/carawaystile/carawaystile/tables"
 	"github.com/carawaystile/carawaystile/usage"
 )
@@ -144,6 +145,8 @@
 	// for other instances.
 	scheduleClient *schedule.Client
 	scheduleServer *schedule.Server
+	// streamOrigins is shared with the other entry instances; nil without the entry role.
+	streamOrigins *streamorigin.Directory
 	// usageServer holds replicas of the token buckets of organisations, and usageClient admits
 	// requests against them.
 	usageServer *usage.Server
--- a/rpc/peer.twirp.go
+++ b/rpc/peer.twirp.go
@@ -506,7 +506,7 @@
 }
 
 func (s *peerServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor3, 0
+	return twirpFileDescriptor4, 0
 }
 
 func (s *peerServer) ProtocGenTwirpVersion() string {
@@ -520,7 +520,7 @@
 	return baseServicePath(s.pathPrefix, "carawaystile.rpc", "Peer")
 }
 
-var twirpFileDescriptor3 = []byte{
+var twirpFileDescriptor4 = []byte{
 	// 312 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x74, 0x91, 0xcf, 0x4f, 0xc2, 0x30,
 	0x14, 0xc7, 0x33, 0xc0, 0xb1, 0x15, 0x7f, 0xa5, 0x07, 0xd3, 0xa0, 0xd1, 0x85, 0xd3, 0xe2, 0x61,
--- /dev/null
+++ b/streamorigin/directory.go
@@ -0,0 +1,186 @@
+package streamorigin
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/carawaystile/carawaystile/rpc"
+	"github.com/carawaystile/carawaystile/systems/membership"
+	"github.com/carawaystile/carawaystile/systems/placement"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+const (
+	// findTimeout bounds the lookup of an origin: the client of a resumption waits for it.
+	findTimeout = 200 * time.Millisecond
+	// maxAskedInstances is the number of entry instances up to which a lookup asks all of them.
+	// Beyond it, only the owners of the origin are asked.
+	maxAskedInstances = 16
+	// minOwners is the least number of owners, in deployments with fewer availability zones.
+	minOwners = 2
+	// maxOriginsPerMessage bounds a message so that it fits into a datagram.
+	maxOriginsPerMessage = 20
+)
+
+// Options configures a Directory. All fields are required.
+type Options struct {
+	Self tables.InstanceID
+	// EntriesByZone returns the live entry instances of each zone.
+	EntriesByZone func() map[tables.Zone][]membership.EntryInstance
+	// Send sends origins to an instance. They may be lost.
+	Send func(to netip.AddrPort, message *rpc.StreamOrigins)
+	// Ask asks another instance for the origin of a request's stream.
+	Ask func(ctx context.Context, instance membership.EntryInstance, request string) (software string, known bool, err error)
+	Now func() tables.Instant
+}
+
+// Directory shares the origins of streams among entry instances. Each origin is held by the
+// instance that began the stream and by its owners: one instance in each availability zone, so that
+// a zone that is cut off still knows the origins of its streams. It is safe for concurrent use.
+type Directory struct {
+	options Options
+	table   Table
+}
+
+// NewDirectory returns an empty directory.
+func NewDirectory(options Options) *Directory { return &Directory{options: options} }
+
+// Record remembers the origin of a stream, and sends it to its owners if publish is set.
+func (d *Directory) Record(o Origin, publish bool) {
+	d.table.Record(d.options.Now(), o)
+	if publish {
+		d.publish([]Origin{o})
+	}
+}
+
+// PublishAll sends all known origins to their owners.
+func (d *Directory) PublishAll() { d.publish(d.table.All()) }
+
+func (d *Directory) publish(origins []Origin) {
+	byOwner := map[netip.AddrPort][]Origin{}
+	zones := d.options.EntriesByZone()
+	for _, o := range origins {
+		for _, owner := range owners(zones, o.Request) {
+			if owner.Instance != d.options.Self {
+				byOwner[owner.Address] = append(byOwner[owner.Address], o)
+			}
+		}
+	}
+	for to, all := range byOwner {
+		for len(all) > 0 {
+			n := min(len(all), maxOriginsPerMessage)
+			d.options.Send(to, encode(all[:n]))
+			all = all[n:]
+		}
+	}
+}
+
+// Receive records the origins that another instance has sent.
+func (d *Directory) Receive(message *rpc.StreamOrigins) {
+	now := d.options.Now()
+	for _, o := range message.GetOrigins() {
+		d.table.Record(now, Origin{Request: o.GetRequest(), Software: o.GetSoftware()})
+	}
+}
+
+// FindLocally returns the origin of a request's stream if this instance knows it.
+func (d *Directory) FindLocally(request string) (software string, known bool) {
+	return d.table.Find(request)
+}
+
+// Find returns the version that began a request's stream, and whether any instance that could be
+// asked knows it.
+func (d *Directory) Find(ctx context.Context, request string) (software string, known bool) {
+	if software, known = d.table.Find(request); known || request == "" {
+		return software, known
+	}
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	asked := d.instancesToAsk(request)
+	answers := make(chan Origin, len(asked))
+	for _, instance := range asked {
+		go func() {
+			found, foundKnown, err := d.options.Ask(ctx, instance, request)
+			if err != nil || !foundKnown {
+				answers <- Origin{}
+				return
+			}
+			answers <- Origin{Request: request, Software: found}
+		}()
+	}
+	for range asked {
+		if answer := <-answers; answer.Request != "" {
+			d.table.Record(d.options.Now(), answer)
+			return answer.Software, true
+		}
+	}
+	return "", false
+}
+
+// instancesToAsk returns the other instances that may know an origin: its owners, and in a small
+// deployment all, since one of them began the stream.
+func (d *Directory) instancesToAsk(request string) []membership.EntryInstance {
+	zones := d.options.EntriesByZone()
+	count := 0
+	for _, entries := range zones {
+		count += len(entries)
+	}
+	candidates := owners(zones, request)
+	if count <= maxAskedInstances {
+		candidates = nil
+		for _, entries := range zones {
+			candidates = append(candidates, entries...)
+		}
+	}
+	var others []membership.EntryInstance
+	for _, instance := range candidates {
+		if instance.Instance != d.options.Self {
+			others = append(others, instance)
+		}
+	}
+	return others
+}
+
+// owners returns the owners of an origin by rendezvous hashing, at least one in each zone.
+func owners(zones map[tables.Zone][]membership.EntryInstance, request string) []membership.EntryInstance {
+	perZone := 1
+	if len(zones) < minOwners {
+		perZone = minOwners
+	}
+	hash := xxhash.Sum64String(request)
+	var all []membership.EntryInstance
+	for _, entries := range zones {
+		all = append(all, highest(entries, hash, perZone)...)
+	}
+	return all
+}
+
+// highest returns the n instances with the highest hashes.
+func highest(entries []membership.EntryInstance, key uint64, n int) []membership.EntryInstance {
+	score := func(e *membership.EntryInstance) uint64 {
+		return placement.Mix64(key ^ xxhash.Sum64String(string(e.Instance)))
+	}
+	var top []membership.EntryInstance
+	for i := range entries {
+		at := len(top)
+		for at > 0 && score(&entries[i]) > score(&top[at-1]) {
+			at--
+		}
+		if at < n {
+			top = append(top[:at], append([]membership.EntryInstance{entries[i]}, top[at:]...)...)
+			top = top[:min(len(top), n)]
+		}
+	}
+	return top
+}
+
+func encode(origins []Origin) *rpc.StreamOrigins {
+	message := &rpc.StreamOrigins{}
+	for _, o := range origins {
+		message.Origins = append(message.Origins, &rpc.StreamOrigin{Request: o.Request, Software: o.Software})
+	}
+	return message
+}
--- /dev/null
+++ b/streamorigin/directory_test.go
@@ -0,0 +1,114 @@
+package streamorigin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/rpc"
+	"github.com/carawaystile/carawaystile/systems/membership"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// fakeInstances are directories that reach each other unless they are down.
+type fakeInstances struct {
+	zones       map[tables.Zone][]membership.EntryInstance
+	directories map[netip.AddrPort]*Directory
+	down        map[netip.AddrPort]bool
+	sent        int
+}
+
+func newFakeInstances(zones, perZone int) *fakeInstances {
+	f := &fakeInstances{
+		zones: map[tables.Zone][]membership.EntryInstance{}, directories: map[netip.AddrPort]*Directory{}, down: map[netip.AddrPort]bool{},
+	}
+	for z := range zones {
+		for i := range perZone {
+			at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(z), byte(i >> 8), byte(i)}), 1)
+			instance := membership.EntryInstance{Instance: tables.InstanceID(at.String()), Address: at, Control: at}
+			zone := tables.Zone(fmt.Sprint("z", z))
+			f.zones[zone] = append(f.zones[zone], instance)
+			f.directories[at] = f.newDirectory(instance)
+		}
+	}
+	return f
+}
+
+func (f *fakeInstances) newDirectory(self membership.EntryInstance) *Directory {
+	return NewDirectory(Options{
+		Self: self.Instance, Now: func() tables.Instant { return time.Second },
+		EntriesByZone: func() map[tables.Zone][]membership.EntryInstance { return f.zones },
+		Send: func(to netip.AddrPort, message *rpc.StreamOrigins) {
+			f.sent++
+			if !f.down[to] {
+				f.directories[to].Receive(message)
+			}
+		},
+		Ask: func(_ context.Context, instance membership.EntryInstance, request string) (string, bool, error) {
+			if f.down[instance.Control] {
+				return "", false, errors.New("down")
+			}
+			software, known := f.directories[instance.Control].FindLocally(request)
+			return software, known, nil
+		},
+	})
+}
+
+// Guards against a resumption whose origin is lost with the instance and the zone that began it.
+func TestOriginIsKnownInEachZoneAfterItsInstanceIsLost(t *testing.T) {
+	for _, perZone := range []int{3, 85} {
+		f := newFakeInstances(4, perZone)
+		first := f.zones["z0"][0].Control
+		f.directories[first].Record(Origin{Request: "r", Software: "v2"}, true)
+		assert.Assert(t, f.sent <= 4)
+		for _, e := range f.zones["z0"] {
+			f.down[e.Control] = true
+		}
+		for zone, entries := range f.zones {
+			if zone == "z0" {
+				continue
+			}
+			software, known := f.directories[entries[perZone-1].Control].Find(t.Context(), "r")
+			assert.Assert(t, known)
+			assert.Equal(t, software, "v2")
+		}
+		_, known := f.directories[f.zones["z1"][0].Control].Find(t.Context(), "other")
+		assert.Assert(t, !known)
+	}
+}
+
+// Guards against origins of streams that began before a second version appeared being unknown
+// elsewhere.
+func TestEarlierOriginsArePublishedLater(t *testing.T) {
+	f := newFakeInstances(3, 3)
+	first := f.directories[f.zones["z0"][0].Control]
+	for n := range 100 {
+		first.Record(Origin{Request: fmt.Sprint("r", n), Software: "v1"}, false)
+	}
+	assert.Equal(t, f.sent, 0)
+	first.PublishAll()
+	f.down[f.zones["z0"][0].Control] = true
+	for n := range 100 {
+		_, known := f.directories[f.zones["z1"][0].Control].Find(t.Context(), fmt.Sprint("r", n))
+		assert.Assert(t, known)
+	}
+}
+
+// Guards against origins that are forgotten while their streams may be resumed, or kept for ever.
+func TestTableKeepsOriginsForALimitedTime(t *testing.T) {
+	var table Table
+	table.Record(time.Second, Origin{Request: "r", Software: "v1"})
+	table.Record(generationAge, Origin{Request: "s"})
+	_, known := table.Find("r")
+	assert.Assert(t, known)
+	for n := range 3 {
+		table.Record(time.Second+time.Duration(n+1)*generationAge, Origin{Request: "t"})
+	}
+	_, known = table.Find("r")
+	assert.Assert(t, !known)
+}
--- a/systems/membership/membership.go
+++ b/systems/membership/membership.go
@@ -207,7 +207,9 @@
 	ScheduleMessage *rpc.ScheduleMessage
 	// UsageMessage is a message about organisations' usage, sent by From.
 	UsageMessage *rpc.UsageMessage
-	From         Sender
+	// StreamOrigins are origins of streams, sent by From.
+	StreamOrigins *rpc.StreamOrigins
+	From          Sender
 	// NewerRevisionAt is the control address of an instance with a newer revision
 	// in force than at this one; it is invalid if there is none.
 	NewerRevisionAt netip.AddrPort
--- a/systems/membership/receive.go
+++ b/systems/membership/receive.go
@@ -54,6 +54,8 @@
 		return Output{ScheduleMessage: in.GetSchedule(), From: sender}, nil
 	case datagramUsage:
 		return Output{UsageMessage: in.GetUsage(), From: sender}, nil
+	case datagramStreams:
+		return Output{StreamOrigins: in.GetStreams(), From: sender}, nil
 	}
 	m.mergeSender(now, from, in)
 	m.respond(now, from, in)
--- a/systems/membership/schedulers.go
+++ b/systems/membership/schedulers.go
@@ -152,6 +152,14 @@
 	return encodeDatagram(to, d)
 }
 
+// EncodeStreamOrigins encodes origins of streams. Like EncodeSchedule, it depends on
+// neither the members nor the clock.
+func (m *Membership) EncodeStreamOrigins(to netip.AddrPort, message *rpc.StreamOrigins) Output {
+	d := m.newHintDatagram()
+	d.Kind, d.Streams = datagramStreams, message
+	return encodeDatagram(to, d)
+}
+
 // EncodeUsage encodes a message about organisations' usage. Like EncodeSchedule, it
 // depends on neither the members nor the clock.
 func (m *Membership) EncodeUsage(to netip.AddrPort, message *rpc.UsageMessage) Output {
--- a/systems/membership/send.go
+++ b/systems/membership/send.go
@@ -20,6 +20,7 @@
 	datagramHints       = rpc.DatagramKind_DATAGRAM_HINTS
 	datagramSchedule    = rpc.DatagramKind_DATAGRAM_SCHEDULE
 	datagramUsage       = rpc.DatagramKind_DATAGRAM_USAGE
+	datagramStreams     = rpc.DatagramKind_DATAGRAM_STREAMS
 	// fieldOverhead is the size that an embedded message adds to its content, in
 	// bytes.
 	fieldOverhead = 3
--- a/tables/errorcodes.go
+++ b/tables/errorcodes.go
@@ -31,6 +31,7 @@
 	CodeDraining          ErrorCode = 5031
 	CodeNoQuorum          ErrorCode = 5032
 	CodeNotReady          ErrorCode = 5033
+	CodeStreamUnknown     ErrorCode = 5034
 	CodeTimeout           ErrorCode = 5040
 	CodeOutcomeUnknown    ErrorCode = 5041
 )
