A control instance that is stopped lets a standby vote at once

Cause: if the replacement has started before the old instance is stopped, the old one stops counting as lost at once, but kept its vote until it had been silent for 1.2 s. The loss of another disk in between leaves one of three voters.

Ruled out: a removal by connection errors: a process that is killed and restarted refuses connections, too.

Change: a voter that is closed while there is a learner tells the leader, after it has handed over leadership. For an election timeout the leader takes it for lost, so that a learner that has caught up replaces it. If it returns, it is a learner.

--- a/control/server/event_loop.go
+++ b/control/server/event_loop.go
@@ -66,6 +66,11 @@
 			s.proposeBatch(p)
 		case s.transferDone = <-s.transferRequests:
 			s.transferLeadership()
+		case reply := <-s.leaveRequests:
+			if m, due := s.node.LeaveMessage(); due {
+				reply <- m
+			}
+			close(reply)
 		case e := <-s.encodedSnapshots:
 			s.compact(e)
 		case joiner := <-s.joinRequests:
--- a/control/server/membership.go
+++ b/control/server/membership.go
@@ -105,13 +105,13 @@
 	return replog.Change{Kind: replog.Remove, Replica: old}, ok
 }
 
-// findDeadVoter returns a voter that has been silent for longer than VoterTimeout,
-// so that its machine is considered lost.
+// findDeadVoter returns a voter that is about to stop, or has been silent for longer than
+// VoterTimeout, so that its machine is considered lost.
 func (s *Server) findDeadVoter(status replog.Status) (replog.ReplicaID, bool) {
 	ticks := int(s.options.VoterTimeout / s.options.TickInterval)
 	for _, voter := range status.Members.Voters() {
 		progress, known := status.Progress[voter]
-		if known && voter != status.ID && progress.TicksSinceResponse > ticks {
+		if known && voter != status.ID && (progress.Leaving || progress.TicksSinceResponse > ticks) {
 			return voter, true
 		}
 	}
--- a/control/server/replacement_test.go
+++ b/control/server/replacement_test.go
@@ -232,6 +232,28 @@
 	}
 }
 
+// Guards against a planned replacement that leaves the group without a majority if a disk is lost
+// right after it.
+func TestGroupSurvivesDiskLossRightAfterPlannedReplacement(t *testing.T) {
+	for seed := range uint64(20) {
+		s := newSimulation(t, 3, seed)
+		leader := s.waitForLeader()
+		s.addresses[4] = address(4)
+		s.start(4)
+		s.run(catchUpTime)
+		leaving := s.other(leader)
+		m, due := s.servers[leaving].node.LeaveMessage()
+		assert.Assert(t, due)
+		assert.NilError(t, leader.node.Step(m))
+		s.up[leaving] = false
+		s.run(3 * s.options.TickInterval)
+		s.up[s.other(leader)] = false
+		assert.Assert(t, s.waitForLeader() != nil)
+		s.run(2 * time.Second)
+		assert.Assert(t, s.waitForLeader() != nil, "no leader")
+	}
+}
+
 // Guards against a learner that never votes because, while entries are added all the time, it is
 // always a little behind.
 func TestSlowLearnerIsPromotedUnderConstantLoad(t *testing.T) {
--- a/control/server/server.go
+++ b/control/server/server.go
@@ -33,6 +33,9 @@
 	// transferRequests asks the event loop to transfer leadership. The channel in a
 	// request is closed once this replica does not lead.
 	transferRequests chan chan<- struct{}
+	// leaveRequests asks the event loop for the message that announces the end of this
+	// replica; the channel in a request is closed without one if none is due.
+	leaveRequests chan chan<- replog.Message
 	// writeJobs are executed in order by one goroutine, which reports each on
 	// persisted.
 	writeJobs chan writeJob
@@ -113,6 +116,7 @@
 		proposals:        make(chan *proposal, maxProposalBatch),
 		joinRequests:     make(chan *rpc.Founder, len(options.Peers)+1),
 		transferRequests: make(chan chan<- struct{}, 1),
+		leaveRequests:    make(chan chan<- replog.Message, 1),
 		writeJobs:        make(chan writeJob, 2),
 		persisted:        make(chan replog.Ready, 1),
 		encodedSnapshots: make(chan encodedSnapshot, 1),
@@ -144,28 +148,6 @@
 	return s, nil
 }
 
-// Close transfers leadership if this replica leads, stops the replica and closes
-// its log. Without the transfer, the group could commit nothing after each
-// planned restart of its leader until an election timeout has elapsed.
-func (s *Server) Close() {
-	timer := time.NewTimer(leadershipTransferTimeout)
-	defer timer.Stop()
-	if s.Status().IsLeader {
-		transferred := make(chan struct{})
-		select {
-		case s.transferRequests <- transferred:
-		case <-s.stopped:
-		}
-		select {
-		case <-transferred:
-		case <-s.stopped:
-		case <-timer.C:
-		}
-	}
-	s.stop()
-	s.goroutines.Wait()
-}
-
 // Stopped returns a channel that is closed when the replica has stopped, by Close
 // or by a failure.
 func (s *Server) Stopped() <-chan struct{} { return s.stopped }
--- a/replog/message.go
+++ b/replog/message.go
@@ -36,15 +36,17 @@
 	MessageSnapshot
 	// MessageTimeoutNow tells the receiver to start an election at once.
 	MessageTimeoutNow
+	// MessageLeave tells the leader that the sender is about to stop.
+	MessageLeave
 
-	maxMessageType = MessageTimeoutNow
+	maxMessageType = MessageLeave
 )
 
 // String returns the type's name in lower case.
 func (t MessageType) String() string {
 	names := [...]string{
 		"none", "pre-vote", "pre-vote-response", "vote", "vote-response", "append",
-		"append-response", "heartbeat", "heartbeat-response", "snapshot", "timeout-now",
+		"append-response", "heartbeat", "heartbeat-response", "snapshot", "timeout-now", "leave",
 	}
 	if int(t) < len(names) {
 		return names[t]
--- a/replog/node.go
+++ b/replog/node.go
@@ -148,6 +148,7 @@
 	n.retryLostSnapshots()
 	for _, p := range n.progress {
 		p.TicksSinceResponse++
+		p.tickLeave()
 		p.tickRound(n.log.lastIndex(), n.cfg.ElectionTicks)
 	}
 	if !n.members.current().hasQuorum(n.isRecentlyActive) {
--- a/replog/progress.go
+++ b/replog/progress.go
@@ -36,6 +36,11 @@
 	// TicksSinceResponse is the time since the member's last response, or since
 	// this replica became leader.
 	TicksSinceResponse int
+	// Leaving is set for an election timeout after the member has said that it is about to
+	// stop. A learner may replace it at once: it may be gone for good.
+	Leaving bool
+	// leavingTicks is the rest of that time.
+	leavingTicks int
 	// LostState is set if the member is a voter and its last response said that
 	// it has no state. Its disk is lost: it has to be removed and to join again
 	// under a new ReplicaID.
@@ -68,6 +73,12 @@
 // leader. Under constant load, a member that works is always a little behind.
 func (p *Progress) HasCaughtUp(commit uint64) bool { return p.Match >= commit || p.KeepsUp }
 
+// tickLeave ends Leaving in time: a member that was restarted is back by then.
+func (p *Progress) tickLeave() {
+	p.leavingTicks = max(0, p.leavingTicks-1)
+	p.Leaving = p.leavingTicks > 0
+}
+
 // tickRound advances the present round by a tick, and starts the next one if it has ended.
 func (p *Progress) tickRound(lastIndex uint64, electionTicks int) {
 	p.roundTicks++
--- a/replog/step.go
+++ b/replog/step.go
@@ -80,6 +80,8 @@
 		n.handleAppendResponse(m)
 	case MessageHeartbeatResponse:
 		n.handleHeartbeatResponse(m)
+	case MessageLeave:
+		n.handleLeave(m)
 	case MessageTimeoutNow:
 		n.handleTimeoutNow()
 	}
