--- a/dispatch/backups_test.go
+++ b/dispatch/backups_test.go
@@ -228,3 +228,30 @@
 	}
 	assert.Assert(t, most <= 7, "%d of 30 copies at one engine", most)
 }
+
+// Guards against a run that is backed up, or continues, at an engine of another software version.
+func TestBackupHasTheSoftwareOfTheRun(t *testing.T) {
+	d, all := newBackupDispatcher(8)
+	for i, id := range []tables.EndpointID{"e0", "e1", "e2", "e3", "e4", "e5", "e6", "e7"} {
+		e := all[id]
+		e.Software = []string{"v1", "v2", ""}[i%3]
+		all[id] = e
+	}
+	d.SetEndpoints(all)
+	for range 20 {
+		r := newBackedRequest()
+		a := mustPlace(t, d, time.Second, r)
+		assert.Assert(t, a.HasBackup())
+		assert.Equal(t, a.Backup.Software, a.Endpoint.Software)
+		d.RecordOutcome(time.Second, a, Completed)
+	}
+	r := newBackedRequest()
+	a := mustPlace(t, d, time.Second, r)
+	backup := all[a.Backup.ID]
+	backup.Software = "v3"
+	all[backup.ID] = backup
+	d.SetEndpoints(all)
+	d.RecordOutcome(time.Second, a, Broken)
+	_, refusal := d.Continue(time.Second, r, a)
+	assert.Equal(t, refusal, BackupUnavailable)
+}
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -264,6 +264,7 @@
 	r := generationRequest(p, 5)
 	r.Priority, r.Tried, r.Avoided = 3, []tables.EndpointID{"A", "B"}, []tables.EndpointID{"C", "D"}
 	r.ArrivedAt = p.now - 200*time.Millisecond
+	r.Software, r.SoftwareFixed = "v2", true
 	got := decodeQuestion(p.now, encodeQuestion(p.now, r), p.service)
 	assert.Equal(t, got.Priority, 3)
 	assert.DeepEqual(t, got.Tried, r.Tried)
@@ -274,6 +275,8 @@
 	assert.Equal(t, got.PromptTokens, r.PromptTokens)
 	assert.Equal(t, got.OutputTokens, r.OutputTokens)
 	assert.Equal(t, got.Model, r.Model)
+	assert.Equal(t, got.Software, r.Software)
+	assert.Equal(t, got.SoftwareFixed, r.SoftwareFixed)
 	assert.Equal(t, got.Route.TargetLatency, r.Route.TargetLatency)
 }
 
