Resumptions ask other instances only if several versions may be known; the quorum is looked at each quarter of a second

Cause: each resumption asked up to 16 instances, also while one version has served alone for long; and the voters were collected at each tick, 20 times a second, though nothing is logged before seconds have passed.

Ruled out: no lookup at all at an instance that has just started: it does not know which versions served before.

Change: an instance that has known one version for 30 s asks nobody; observeQuorum runs at every fifth tick.

--- a/control/server/quorum.go
+++ b/control/server/quorum.go
@@ -31,6 +31,7 @@
 // quorumMonitor records when the other replicas were last heard from and logs the voters that
 // are missing. It is used by the event loop only.
 type quorumMonitor struct {
+	ticks int
 	// heardAt is the time of the last message by replica.
 	heardAt map[replog.ReplicaID]time.Duration
 	// leaderlessSince is when the replica lost its leader; negative while it has one.
@@ -56,9 +57,16 @@
 	leaderlessReportTimeouts = 3
 )
 
+// quorumIntervalTicks is the number of ticks between two looks at the voters.
+const quorumIntervalTicks = 5
+
 // observeQuorum publishes the state of the voters and logs what is missing. It is called at
 // every tick.
 func (s *Server) observeQuorum() {
+	s.monitor.ticks++
+	if s.monitor.ticks%quorumIntervalTicks != 0 {
+		return
+	}
 	status := s.node.Status()
 	now := s.options.Clock.Now()
 	quorum := s.quorumOf(status, now)
--- a/forward/software.go
+++ b/forward/software.go
@@ -33,6 +33,8 @@
 	// seenAt is when each version was last in use. Zero stands for now.
 	seenAt map[string]map[string]tables.Instant
 	mixed  map[string]bool
+	// observedAt is when the versions were first observed; 0 before that.
+	observedAt tables.Instant
 }
 
 // observe updates the versions, and reports whether a service has several that had one before.
@@ -41,6 +43,7 @@
 	defer v.mu.Unlock()
 	if v.seenAt == nil {
 		v.seenAt, v.mixed = map[string]map[string]tables.Instant{}, map[string]bool{}
+		v.observedAt = now
 	}
 	for _, versions := range v.seenAt {
 		delete(versions, "") // an unknown version may have become known
@@ -71,6 +74,14 @@
 	return v.countLocked(now, service) > 1
 }
 
+// knowsSingle reports whether no stream that may be resumed at a service began at another version
+// than the one that serves.
+func (v *softwareVersions) knowsSingle(now tables.Instant, service string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.seenAt != nil && now-v.observedAt > versionMemory && v.countLocked(now, service) <= 1
+}
+
 // countLocked returns the number of versions that are or were lately in use at a service.
 func (v *softwareVersions) countLocked(now tables.Instant, service string) int {
 	count := 0
@@ -112,7 +123,7 @@
 // not fit those that it has.
 func (c *clientRequest) findOrigin() bool {
 	s := c.server
-	if c.lastEventID == "" {
+	if c.lastEventID == "" || s.software.knowsSingle(s.options.Now(), c.service.Name) {
 		return true
 	}
 	if s.options.StreamOrigins != nil && c.resumes != "" {
