--- a/entry/failure.go
+++ b/entry/failure.go
@@ -41,6 +41,7 @@
 	tables.CodeDraining:          {http.StatusServiceUnavailable, "The instance is going out of service; ask again."},
 	tables.CodeNoQuorum:          {http.StatusServiceUnavailable, "Work that must run once cannot be agreed on now."},
 	tables.CodeNotReady:          {http.StatusServiceUnavailable, "The instance has no configuration yet; ask again."},
+	tables.CodeStreamUnknown:     {http.StatusServiceUnavailable, "The stream cannot be resumed; ask anew."},
 	tables.CodeTimeout:           {http.StatusGatewayTimeout, "The request's time is over."},
 	tables.CodeOutcomeUnknown:    {http.StatusBadGateway, "The work may have run; it will not be run again under this key."},
 }
