Unresponsive voters; streams continue: the field's words in new code

Ruled out: lines that were there before.

Change: names, a field of events 3035 and of the JSON at /control (both new in this work), comments, two tests' names.

The tests of the packages pass.

--- a/cli/sizes.go
+++ b/cli/sizes.go
@@ -92,11 +92,11 @@
 	case q.Leader == "" && len(q.Voters) == 0:
 		fmt.Print("The control instance belongs to no group yet.\n\n")
 	case q.Leader == "":
-		fmt.Printf("The control group has no leader: %d of %d voters respond, %d are needed. Silent: %s.\n\n",
-			q.Responding, len(q.Voters), q.Needed, strings.Join(q.Silent, ", "))
-	case len(q.Silent) > 0:
+		fmt.Printf("The control group has no leader: %d of %d voters respond, %d are needed. Unresponsive: %s.\n\n",
+			q.Responding, len(q.Voters), q.Needed, strings.Join(q.Unresponsive, ", "))
+	case len(q.Unresponsive) > 0:
 		fmt.Printf("Voters of the control group that do not respond: %s. Of %d, %d are needed.\n\n",
-			strings.Join(q.Silent, ", "), len(q.Voters), q.Needed)
+			strings.Join(q.Unresponsive, ", "), len(q.Voters), q.Needed)
 	}
 }
 
--- a/control/server/quorum.go
+++ b/control/server/quorum.go
@@ -22,8 +22,8 @@
 	// follows a leader hears from that leader only and leaves it at 0.
 	Responding int      `json:"responding"`
 	Voters     []string `json:"voters"`
-	// Silent holds the addresses of the voters that do not respond.
-	Silent []string `json:"silent"`
+	// Unresponsive holds the addresses of the voters that do not respond.
+	Unresponsive []string `json:"unresponsive"`
 	// Learners holds the addresses of the replicas that do not vote.
 	Learners []string `json:"learners"`
 }
@@ -38,21 +38,21 @@
 	leaderlessSince time.Duration
 	// reported is set once the present time without a leader was logged.
 	reported bool
-	// silent holds the voters whose silence was logged by this leader.
-	silent map[replog.ReplicaID]bool
+	// unresponsive holds the voters that were logged as such by this leader.
+	unresponsive map[replog.ReplicaID]bool
 }
 
 func newQuorumMonitor(now time.Duration) quorumMonitor {
 	return quorumMonitor{
-		heardAt: map[replog.ReplicaID]time.Duration{}, silent: map[replog.ReplicaID]bool{}, leaderlessSince: now,
+		heardAt: map[replog.ReplicaID]time.Duration{}, unresponsive: map[replog.ReplicaID]bool{}, leaderlessSince: now,
 	}
 }
 
 // Times in election timeouts. Without a leader, a replica that works is heard from within two of
 // them, because it asks for votes.
 const (
-	// silentTimeouts is the time without a message after which a voter counts as silent.
-	silentTimeouts = 2
+	// unresponsiveTimeouts is the time without a message after which a voter counts as unresponsive.
+	unresponsiveTimeouts = 2
 	// leaderlessReportTimeouts is the time without a leader after which it is logged.
 	leaderlessReportTimeouts = 3
 )
@@ -75,7 +75,7 @@
 	s.mu.Unlock()
 	if status.Leader != replog.None {
 		s.monitor.leaderlessSince, s.monitor.reported = -1, false
-		s.logSilentVoters(status)
+		s.logUnresponsiveVoters(status)
 		return
 	}
 	if s.monitor.leaderlessSince < 0 {
@@ -87,7 +87,7 @@
 	s.monitor.reported = true
 	events.ControlNoLeader.Log(s.log, zap.Bool("votes", status.Members.IsVoter(status.ID)),
 		zap.Int("responding", quorum.Responding), zap.Int("needed", quorum.Needed), zap.Strings("voters", quorum.Voters),
-		zap.Strings("silent", quorum.Silent), zap.Strings("learners", quorum.Learners),
+		zap.Strings("unresponsive", quorum.Unresponsive), zap.Strings("learners", quorum.Learners),
 		zap.Uint64("last", status.LastIndex), zap.Uint64("term", status.Term))
 }
 
@@ -108,32 +108,32 @@
 		}
 		q.Voters = append(q.Voters, m.Address)
 		heardAt, heard := s.monitor.heardAt[m.Replica]
-		responds := m.Replica == status.ID || heard && now-heardAt <= silentTimeouts*s.electionTimeout()
+		responds := m.Replica == status.ID || heard && now-heardAt <= unresponsiveTimeouts*s.electionTimeout()
 		switch {
 		case !observes:
 		case responds:
 			q.Responding++
 		default:
-			q.Silent = append(q.Silent, m.Address)
+			q.Unresponsive = append(q.Unresponsive, m.Address)
 		}
 	}
 	return q
 }
 
-// logSilentVoters logs each voter that no longer responds to this leader, and whether a learner
+// logUnresponsiveVoters logs each voter that no longer responds to this leader, and whether a learner
 // could replace it.
-func (s *Server) logSilentVoters(status replog.Status) {
+func (s *Server) logUnresponsiveVoters(status replog.Status) {
 	for _, m := range status.Members {
 		progress, known := status.Progress[m.Replica]
-		isSilent := known && !m.Learner && m.Replica != status.ID && progress.TicksSinceResponse > s.options.ElectionTicks
-		if isSilent && !s.monitor.silent[m.Replica] {
-			events.ControlVoterSilent.Log(s.log, zap.Uint64("replica", uint64(m.Replica)), zap.String("address", m.Address),
+		isUnresponsive := known && !m.Learner && m.Replica != status.ID && progress.TicksSinceResponse > s.options.ElectionTicks
+		if isUnresponsive && !s.monitor.unresponsive[m.Replica] {
+			events.ControlVoterUnresponsive.Log(s.log, zap.Uint64("replica", uint64(m.Replica)), zap.String("address", m.Address),
 				zap.Int("needed", status.Members.Quorum()), zap.Strings("learners", s.view.quorum.Learners))
 		}
-		if isSilent {
-			s.monitor.silent[m.Replica] = true
+		if isUnresponsive {
+			s.monitor.unresponsive[m.Replica] = true
 		} else {
-			delete(s.monitor.silent, m.Replica)
+			delete(s.monitor.unresponsive, m.Replica)
 		}
 	}
 }
--- a/control/server/quorum_test.go
+++ b/control/server/quorum_test.go
@@ -35,24 +35,24 @@
 }
 
 // Guards against an instance that cannot answer operators and does not say which voters it misses.
-func TestReplicaWithoutLeaderNamesSilentVoters(t *testing.T) {
+func TestReplicaWithoutLeaderNamesMissingVoters(t *testing.T) {
 	g, logs := newLoggedGroup(t)
 	g.stop(1)
 	g.stop(2)
-	silent := fmt.Sprint(g.waitForLog(logs, events.ControlNoLeader).ContextMap()["silent"])
-	assert.Assert(t, silent == fmt.Sprint([]string{address(1), address(2)}) || silent == fmt.Sprint([]string{address(2), address(1)}), silent)
+	missing := fmt.Sprint(g.waitForLog(logs, events.ControlNoLeader).ContextMap()["unresponsive"])
+	assert.Assert(t, missing == fmt.Sprint([]string{address(1), address(2)}) || missing == fmt.Sprint([]string{address(2), address(1)}), missing)
 	quorum := g.servers[0].Status().Quorum
 	assert.Equal(t, quorum.Leader, "")
 	assert.Equal(t, quorum.Needed, 2)
 	assert.Equal(t, quorum.Responding, 1)
-	assert.Equal(t, len(quorum.Silent), 2)
+	assert.Equal(t, len(quorum.Unresponsive), 2)
 }
 
-// Guards against a silent voter that is not logged before it is replaced or a second one is lost.
-func TestLeaderLogsSilentVoter(t *testing.T) {
+// Guards against an unresponsive voter that is not logged before it is replaced or a second one is lost.
+func TestLeaderLogsUnresponsiveVoter(t *testing.T) {
 	g, logs := newLoggedGroup(t)
 	lost := (g.leader() + 1) % 3
 	logs.TakeAll()
 	g.stop(lost)
-	assert.Equal(t, g.waitForLog(logs, events.ControlVoterSilent).ContextMap()["address"], address(lost))
+	assert.Equal(t, g.waitForLog(logs, events.ControlVoterUnresponsive).ContextMap()["address"], address(lost))
 }
--- a/events/control.go
+++ b/events/control.go
@@ -39,7 +39,7 @@
 	DocumentTaken                  = define(3033, zapcore.InfoLevel, "A newer document was received from a control instance.")
 	ControlJoinNotRelayed          = define(3034, zapcore.InfoLevel, "The join request of a control replica could not be forwarded to the leader.")
 	ControlNoLeader                = define(3035, zapcore.ErrorLevel, "The control group has no leader, so it neither accepts changes nor answers operators.")
-	ControlVoterSilent             = define(3036, zapcore.WarnLevel, "A voter of the control group does not respond to its leader.")
+	ControlVoterUnresponsive       = define(3036, zapcore.WarnLevel, "A voter of the control group does not respond to its leader.")
 	ControlJoinUnanswered          = define(3037, zapcore.WarnLevel, "This control replica has no state and found no group that it could join.")
 	ControlLeaveNotAnnounced       = define(3038, zapcore.InfoLevel, "A control replica that stops could not tell its leader.")
 	PlatformListReadable           = define(3029, zapcore.InfoLevel, "The platform's list can be read again.")
--- a/forward/software_test.go
+++ b/forward/software_test.go
@@ -58,8 +58,8 @@
 	return versions
 }
 
-// Guards against a stream that breaks and goes on, within one response, at another version.
-func TestBrokenStreamGoesOnAtItsSoftwareOnly(t *testing.T) {
+// Guards against a stream that breaks and continues, within one response, at another version.
+func TestBrokenStreamContinuesAtItsSoftwareOnly(t *testing.T) {
 	for _, test := range []struct {
 		software []string
 		complete bool
@@ -93,9 +93,9 @@
 	return software, known
 }
 
-// Guards against a client's resumption that goes on at another version, or is refused although one
+// Guards against a client's resumption that continues at another version, or is refused although one
 // version serves alone.
-func TestResumptionGoesOnAtItsSoftwareOnly(t *testing.T) {
+func TestResumptionContinuesAtItsSoftwareOnly(t *testing.T) {
 	for _, test := range []struct {
 		software []string
 		origins  fakeOrigins
--- a/soak/resume.go
+++ b/soak/resume.go
@@ -21,7 +21,7 @@
 	return fmt.Sprintf("v%d", 1+n%2)
 }
 
-// resume has the caller of a broken stream go on at another instance.
+// resume has the caller of a broken stream continue at another instance.
 func (l *load) resume(rng *rand.Rand, first *request) {
 	broken := first
 	for n := range maxResumptions {
@@ -62,7 +62,7 @@
 				continue
 			}
 			if run.Software != began.Software {
-				l.breachLocked("a stream keeps its software version", stream, "began at %s (%s) and goes on at %s (%s) after event %d",
+				l.breachLocked("a stream keeps its software version", stream, "began at %s (%s) and continues at %s (%s) after event %d",
 					began.Endpoint, began.Software, run.Endpoint, run.Software, run.After)
 			}
 		}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -123,7 +123,7 @@
 	}
 }
 
-// Guards against streams that go on at another version of the endpoints' software, within a response
+// Guards against streams that continue at another version of the endpoints' software, within a response
 // or over the requests of a caller, while instances and endpoints are killed and replaced.
 func TestFaultsMixNoSoftwareVersions(t *testing.T) {
 	outcome := play(t, Options{
