Broken attempts log the shared parts of their prompts, and whether a response had begun

Event 1011 of a broken attempt names the shared parts and how long before the endpoint had begun its response.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -56,6 +56,8 @@
 	// endUnanswered ends the count of the request body as unanswered. It may be called more than
 	// once.
 	endUnanswered func()
+	// firstResponseAt is when the endpoint began its response; 0 before that.
+	firstResponseAt tables.Instant
 	// via is the instance through which a relayed attempt has gone; empty otherwise.
 	via tables.InstanceID
 	// retryAfter is the Retry-After header of a response with status 503, for the log.
@@ -268,6 +270,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.options.Now()
+	if a.firstResponseAt == 0 {
+		a.firstResponseAt = max(now, 1)
+	}
 	s.dispatch.RecordResponseStart(now, a.placement)
 	a.queuedPrefill = s.dispatch.QueuedPrefill(now, a.placement)
 	s.crashDetector.FirstToken(now, a.id)
@@ -290,7 +295,7 @@
 		}
 		c.reservation.markUnused()
 	}
-	events.AttemptEnded.Log(c.server.log, append(a.logFields(), zap.Stringer("end", result), zap.Error(err))...)
+	events.AttemptEnded.Log(c.server.log, append(append(a.logFields(), a.brokenFields(result)...), zap.Stringer("end", result), zap.Error(err))...)
 	switch result {
 	case dispatch.Broken:
 		a.crashProbed = a.probeForCrash()
@@ -361,38 +366,3 @@
 		return dispatch.Broken
 	}
 }
-
-// logFields returns the fields that identify the attempt in the log and explain its
-// placement.
-func (a *attempt) logFields() []zap.Field {
-	fields := []zap.Field{
-		zap.String("request", a.request.id),
-		zap.String("attempt", string(a.id)),
-		zap.String("endpoint", string(a.placement.Endpoint.ID)),
-		zap.String("software", a.placement.Endpoint.Software),
-		zap.Uint64("weights", a.placement.WeightsVersion),
-		zap.Duration("expected", a.placement.ExpectedLatency),
-		zap.Duration("took", a.request.now()-a.startedAt),
-		zap.String("rule", string(a.placement.Rationale.Rule)),
-		zap.Int("own", a.placement.Rationale.OwnAttempts),
-		zap.Int("others", a.placement.Rationale.OtherAttempts),
-		zap.Duration("load_age", a.placement.Rationale.LoadAge),
-		zap.Float64("doubt", a.placement.Rationale.FailureScore),
-		zap.Duration("since_answer", a.placement.Rationale.SinceResponse),
-		zap.Int("arrivals", a.request.dispatchRequest.DeliveredAttempts),
-		zap.String("by", a.placedBy()),
-	}
-	fields = append(append(fields, a.viaFields()...), a.backupFields()...)
-	if a.retryAfter != "" {
-		fields = append(fields, zap.String("retry_after", a.retryAfter))
-	}
-	return append(fields, avoidedFields(&a.placement.Rationale)...)
-}
-
-// placedBy returns what placed the attempt, for logs and metrics.
-func (a *attempt) placedBy() string {
-	if a.assignment != nil {
-		return "scheduler"
-	}
-	return "instance"
-}
--- a/forward/request.go
+++ b/forward/request.go
@@ -316,6 +316,15 @@
 	}
 }
 
+// sharedPartIDs returns the IDs of the prompt parts that other requests may share, for the log.
+func (c *clientRequest) sharedPartIDs() []string {
+	ids := make([]string, 0, len(c.dispatchRequest.SharedParts))
+	for _, part := range c.dispatchRequest.SharedParts {
+		ids = append(ids, part.ID.String())
+	}
+	return ids
+}
+
 // fingerprintOf returns a hash that is equal for repetitions of the same request.
 func fingerprintOf(method, target, organisation string, body []byte) tables.Fingerprint {
 	var d xxhash.Digest
--- a/parts/parts.go
+++ b/parts/parts.go
@@ -33,6 +33,9 @@
 	return ID(d.Sum64())
 }
 
+// String returns the ID in hexadecimal, as logs name it.
+func (id ID) String() string { return strconv.FormatUint(uint64(id), 16) }
+
 // KeyAt returns the key of the part when computed with the given version of the weights.
 // Parts computed with another version must not be used.
 func (id ID) KeyAt(version uint64) Key {
