--- /dev/null
+++ b/systems/quarantine/report.go
@@ -0,0 +1,54 @@
+package quarantine
+
+import (
+	"time"
+
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// Incarnation is one process of an endpoint. It crashes at most once.
+type Incarnation struct {
+	Endpoint tables.EndpointID
+	Boot     tables.BootID
+}
+
+// Suspect is a report that one instance sends to the others: a request was running
+// when an endpoint crashed, or a request is convicted. It carries an age and no
+// time, because the clocks of two instances cannot be compared.
+type Suspect struct {
+	Fingerprint tables.Fingerprint
+	// Incarnation identifies the incident. It is empty for a conviction.
+	Incarnation Incarnation
+	// CrashPoint is the progress of the attempt at the time of the crash.
+	CrashPoint CrashPoint
+	// Convicted is set for a conviction, in place of Incarnation.
+	Convicted bool
+	// Age is the time since the incident or the conviction.
+	Age time.Duration
+}
+
+// CrashPoint is the progress of an attempt when its endpoint crashed. A poison
+// request crashes endpoints at the same point each time; a request that merely runs
+// beside it is at an arbitrary point.
+type CrashPoint struct {
+	// Likely is set if the attempt was within Options.LikelyWindow.
+	Likely bool
+	// AttemptTokens counts the tokens of the attempt, AnswerTokens those of the
+	// whole answer.
+	AttemptTokens int
+	AnswerTokens  int
+	// SinceFirstToken is the time since the attempt's first token; zero before it.
+	SinceFirstToken time.Duration
+}
+
+// crashPointTolerance is how far apart two crashes at the same point may appear, in
+// tokens: endpoints emit tokens in batches, and a crash loses the last ones.
+const crashPointTolerance = 4
+
+// matches reports whether two crashes happened at the same point of a request.
+func (p CrashPoint) matches(other CrashPoint) bool {
+	return p.Likely && other.Likely &&
+		(distance(p.AttemptTokens, other.AttemptTokens) <= crashPointTolerance || distance(p.AnswerTokens, other.AnswerTokens) <= crashPointTolerance)
+}
+
+func distance(a, b int) int { return max(a-b, b-a) }
