--- a/entry/failure.go
+++ b/entry/failure.go
@@ -30,6 +30,7 @@
 	tables.CodeKeyInProgress:     {http.StatusConflict, "The first request with this Idempotency-Key is still running."},
 	tables.CodeTooLarge:          {http.StatusRequestEntityTooLarge, "The request is too large."},
 	tables.CodeQuarantined:       {http.StatusUnprocessableEntity, "Equal requests have crashed endpoints; this one is not run for a while."},
+	tables.CodeQuarantinedPart:   {http.StatusUnprocessableEntity, "Prompts that begin in the same way have crashed endpoints; this one is not run for a while."},
 	tables.CodeOrganisationLimit: {http.StatusTooManyRequests, "The organisation has reached its limit."},
 	tables.CodeOverloaded:        {http.StatusServiceUnavailable, "The system has too much work of this kind now."},
 	tables.CodeRetryBudget:       {http.StatusServiceUnavailable, "Endpoints fail too often to try again now."},
--- a/events/entry.go
+++ b/events/entry.go
@@ -35,6 +35,8 @@
 	StreamContinued      = define(1034, zapcore.InfoLevel, "A stream whose endpoint has ended continues at its backup endpoint.")
 	StreamNotContinued   = define(1035, zapcore.InfoLevel, "A broken stream was not continued at its backup endpoint.")
 	StreamResumed        = define(1036, zapcore.InfoLevel, "A client resumes a stream.")
+	PartConvicted        = define(1037, zapcore.WarnLevel, "A part of prompts is convicted of crashing endpoints; requests with it are rejected.")
+	PartReleased         = define(1038, zapcore.InfoLevel, "A part of prompts is no longer convicted of crashing endpoints.")
 	ReaderEvicted        = define(1050, zapcore.WarnLevel, "A caller that did not read was disconnected because the budget for buffers was used up.")
 	HeaderUnusable       = define(1021, zapcore.WarnLevel, "A response header of an endpoint has a value that cannot be used as it is.")
 )
--- a/forward/admissionanswer.go
+++ b/forward/admissionanswer.go
@@ -38,7 +38,7 @@
 	switch {
 	case placement != nil:
 	case reason == "":
-		answer.code = tables.CodeQuarantined
+		answer.code = c.quarantineCode()
 	case reason == dispatch.TooLarge, reason == dispatch.DeadlineTooSoon, reason == dispatch.NoEndpoint && s.options.Now() >= w.rejectFrom:
 		answer.code = rejectCode(reason)
 	}
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -18,7 +18,6 @@
 	"github.com/carawaystile/carawaystile/permits"
 	"github.com/carawaystile/carawaystile/relay"
 	"github.com/carawaystile/carawaystile/schedule"
-	"github.com/carawaystile/carawaystile/systems/quarantine"
 	"github.com/carawaystile/carawaystile/tables"
 )
 
@@ -39,6 +38,8 @@
 	// set if it did, or if the health checker cancelled the attempt.
 	responseTimer responseTimer
 	timedOut      atomic.Bool
+	// quarantined is set if the attempt was given up because its request is quarantined.
+	quarantined atomic.Bool
 	// sent is set once the request is being sent on a connection to the endpoint.
 	sent atomic.Bool
 	// mayRepeat is set if the route permits another attempt after this one.
@@ -56,8 +57,10 @@
 	// endUnanswered ends the count of the request body as unanswered. It may be called more than
 	// once.
 	endUnanswered func()
-	// firstResponseAt is when the endpoint began its response; 0 before that.
+	// firstResponseAt is when the endpoint began its response; 0 before that. failed is set if its
+	// complete response is no success.
 	firstResponseAt tables.Instant
+	failed          bool
 	// via is the instance through which a relayed attempt has gone; empty otherwise.
 	via tables.InstanceID
 	// retryAfter is the Retry-After header of a response with status 503, for the log.
@@ -102,8 +105,7 @@
 		s.dispatch.RedateRetry(a.startedAt, c.retryTakenAt, c.service.Name)
 		c.retryTakenAt = 0
 	}
-	incarnation := quarantine.Incarnation{Endpoint: placement.Endpoint.ID}
-	s.crashDetector.Started(a.startedAt, a.id, incarnation, c.fingerprint)
+	s.crashDetector.Started(a.startedAt, a.id, incarnationOf(placement), c.work())
 	s.mu.Unlock()
 	return a
 }
@@ -247,14 +249,7 @@
 	s.metrics.countAttempt(a.request, result)
 	s.metrics.countRecomputed(a.request, a.placement)
 	a.recordContinuationEnd(result)
-	switch result {
-	case dispatch.Completed:
-		s.crashDetector.Completed(a.id)
-	case dispatch.Broken:
-		s.crashDetector.Interrupted(now, a.id, 0, int(a.request.lastEventNumber))
-	default:
-		s.crashDetector.Ended(a.id)
-	}
+	a.recordCrashOutcome(now, result)
 }
 
 // notDelivered reports whether an attempt with this outcome has reached no process.
@@ -312,7 +307,11 @@
 func (a *attempt) continueAfterFailure(result dispatch.Outcome) {
 	c := a.request
 	if result == dispatch.Cancelled {
-		c.finishFailed(tables.CodeTimeout)
+		code := tables.CodeTimeout
+		if a.quarantined.Load() {
+			code = c.quarantineCode()
+		}
+		c.finishFailed(code)
 		return
 	}
 	if a.isContinuation {
@@ -351,7 +350,7 @@
 	case errors.As(err, &declined):
 		a.recordResponseHeader(declined.Status, declined.Header)
 		return dispatch.Declined
-	case a.request.ctx.Err() != nil:
+	case a.request.ctx.Err() != nil, a.quarantined.Load():
 		return dispatch.Cancelled
 	case errors.As(err, &notStarted) && notStarted.Unreachable:
 		// Also if the attempt has been cancelled meanwhile: the endpoint has not received it.
--- a/forward/failure.go
+++ b/forward/failure.go
@@ -97,7 +97,7 @@
 	_, _ = c.w.Write([]byte(strconv.Itoa(int(code)) + " " + string(result) + "\n"))
 	c.finished = true
 	c.server.metrics.countFailed(c, code, result)
-	events.RequestFailed.Log(c.server.log, append(append(c.logFields(), c.avoidedFields()...),
+	events.RequestFailed.Log(c.server.log, append(append(append(c.logFields(), c.avoidedFields()...), c.quarantineFields()...),
 		zap.Int("status", status), zap.Uint16("code", uint16(code)), zap.String("outcome", string(result)),
 		zap.String("endpoints", c.endpointCounts()), zap.String("retry_after", header.Get("Retry-After")),
 		zap.NamedError("cause", c.lastErr))...)
--- a/forward/healthcheck.go
+++ b/forward/healthcheck.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -92,6 +93,17 @@
 	}
 }
 
+// pendingAttempts returns the attempts that wait for a response.
+func (h *healthChecker) pendingAttempts() []*attempt {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var all []*attempt
+	for _, attempts := range h.pending {
+		all = slices.AppendSeq(all, maps.Keys(attempts))
+	}
+	return all
+}
+
 // recordResponse records that an endpoint has responded.
 func (h *healthChecker) recordResponse(id tables.EndpointID) {
 	h.mu.Lock()
--- a/forward/place.go
+++ b/forward/place.go
@@ -42,7 +42,7 @@
 		}
 		code := rejectCode(reason)
 		if reason == "" {
-			return nil, tables.CodeQuarantined
+			return nil, c.quarantineCode()
 		}
 		permanent := reason == dispatch.TooLarge || reason == dispatch.DeadlineTooSoon
 		if permanent || reason != dispatch.PrefillPending && s.options.Now() >= waitUntil {
@@ -92,16 +92,6 @@
 	return s.placeAvoidingFull(c)
 }
 
-// quarantineVerdict returns whether the crash detector allows the request to run now.
-func (s *Server) quarantineVerdict(c *clientRequest) quarantine.Verdict {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.crashDetector.Empty() {
-		return quarantine.Allow
-	}
-	return s.crashDetector.Verdict(s.options.Now(), c.fingerprint)
-}
-
 // recordRequest counts a client's request towards the service's retry budget.
 func (s *Server) recordRequest(service string) {
 	s.mu.Lock()
--- /dev/null
+++ b/forward/quarantine.go
@@ -0,0 +1,185 @@
+package forward
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/carawaystile/carawaystile/dialect"
+	"github.com/carawaystile/carawaystile/dispatch"
+	"github.com/carawaystile/carawaystile/events"
+	"github.com/carawaystile/carawaystile/parts"
+	"github.com/carawaystile/carawaystile/systems/quarantine"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// work returns what identifies the request to the crash detector.
+func (c *clientRequest) work() quarantine.Work {
+	work := quarantine.Work{Request: c.fingerprint}
+	for _, part := range c.dispatchRequest.SharedParts {
+		work.Parts = append(work.Parts, quarantine.Part(part.ID))
+	}
+	return work
+}
+
+// incarnationOf returns the endpoint process of a placement.
+func incarnationOf(placement *dispatch.Attempt) quarantine.Incarnation {
+	return quarantine.Incarnation{Endpoint: placement.Endpoint.ID}
+}
+
+// quarantineVerdict returns whether the crash detector allows the request to run now.
+func (s *Server) quarantineVerdict(c *clientRequest) quarantine.Verdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.crashDetector.Empty() {
+		return quarantine.Allow
+	}
+	verdict := s.crashDetector.Verdict(s.options.Now(), c.work())
+	s.logPartChanges()
+	return verdict
+}
+
+// quarantineCode returns the error code for a request that is quarantined, and sets the delay that
+// the client is told.
+func (c *clientRequest) quarantineCode() tables.ErrorCode {
+	s := c.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	conviction, convicted := s.crashDetector.ConvictedPart(s.options.Now(), c.work())
+	if !convicted {
+		return tables.CodeQuarantined
+	}
+	c.quarantinedPart, c.retryAfter = parts.ID(conviction.Part), conviction.ReleaseIn
+	return tables.CodeQuarantinedPart
+}
+
+// quarantineFields returns the fields that name the part of the prompt because of which the request
+// was rejected: its ID in other log lines, and the hash by which the client names it.
+func (c *clientRequest) quarantineFields() []zap.Field {
+	if c.quarantinedPart == 0 {
+		return nil
+	}
+	fields := []zap.Field{zap.Stringer("part", c.quarantinedPart)}
+	for n, part := range dialect.ParsePromptParts(c.r.Header.Get(c.server.headers.PromptParts)) {
+		if n < len(c.dispatchRequest.SharedParts) && c.dispatchRequest.SharedParts[n].ID == c.quarantinedPart {
+			return append(fields, zap.String("part_hash", part.ID))
+		}
+	}
+	return fields
+}
+
+// recordCrashOutcome records the end of an attempt with the crash detector, and notifies the other
+// instances of what it clears. The caller holds s.mu.
+func (a *attempt) recordCrashOutcome(now tables.Instant, result dispatch.Outcome) {
+	s := a.request.server
+	switch {
+	case result == dispatch.Completed && a.failed:
+		s.crashDetector.Failed(a.id)
+	case result == dispatch.Completed:
+		if cleared := s.crashDetector.Completed(now, a.id); len(cleared) > 0 {
+			s.options.ShareSuspects(cleared)
+		}
+		s.logPartChanges()
+	case result == dispatch.Broken:
+		s.crashDetector.Interrupted(now, a.id, 0, int(a.request.lastEventNumber))
+	default:
+		s.crashDetector.Ended(a.id)
+	}
+}
+
+// recordCrash records the crash of an endpoint with the crash detector, and notifies the other
+// instances of what was running there.
+func (s *Server) recordCrash(incarnation quarantine.Incarnation) {
+	s.mu.Lock()
+	suspects := s.crashDetector.Crashed(s.options.Now(), incarnation)
+	s.logPartChanges()
+	s.mu.Unlock()
+	events.EndpointCrashed.Log(s.log, zap.String("endpoint", string(incarnation.Endpoint)), zap.Int("suspects", len(suspects)))
+	if len(suspects) > 0 {
+		s.options.ShareSuspects(suspects)
+		s.armQuarantineSweep()
+	}
+}
+
+// MergeSuspect merges a suspect that another instance has reported into the crash detector.
+func (s *Server) MergeSuspect(suspect quarantine.Suspect) {
+	s.mu.Lock()
+	s.crashDetector.Merge(s.options.Now(), suspect)
+	s.logPartChanges()
+	s.mu.Unlock()
+	if suspect.Part != 0 && !suspect.Cleared {
+		s.armQuarantineSweep()
+	}
+}
+
+// ConvictionReports returns the latest convictions, at most limit, for an instance that may have
+// missed them.
+func (s *Server) ConvictionReports(limit int) []quarantine.Suspect {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.crashDetector.Empty() {
+		return nil
+	}
+	return s.crashDetector.ConvictionReports(s.options.Now(), limit)
+}
+
+// Convictions returns the parts of prompts that are convicted of crashing endpoints.
+func (s *Server) Convictions() []quarantine.Conviction {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.crashDetector.Convictions(s.options.Now())
+}
+
+// ReleasePart ends the conviction of a part here and at the other instances, and reports whether it
+// was convicted.
+func (s *Server) ReleasePart(part parts.ID) bool {
+	s.mu.Lock()
+	reports := s.crashDetector.ReleasePart(s.options.Now(), quarantine.Part(part))
+	s.logPartChanges()
+	s.mu.Unlock()
+	if len(reports) > 0 {
+		s.options.ShareSuspects(reports)
+	}
+	return len(reports) > 0
+}
+
+// logPartChanges logs the convictions and releases of parts. The caller holds s.mu.
+func (s *Server) logPartChanges() {
+	for _, change := range s.crashDetector.TakePartChanges() {
+		part := zap.Stringer("part", parts.ID(change.Part))
+		if change.Count == 0 {
+			events.PartReleased.Log(s.log, part)
+			continue
+		}
+		endpoints := make([]string, 0, len(change.Endpoints))
+		for _, id := range change.Endpoints {
+			endpoints = append(endpoints, string(id))
+		}
+		events.PartConvicted.Log(s.log, part, zap.Strings("endpoints", endpoints), zap.Duration("length", change.Length), zap.Int("convictions", change.Count))
+	}
+}
+
+// quarantineSweepDelay is the time from the report of a crash to quarantineSweep. The evidence has
+// settled by then.
+const quarantineSweepDelay = quarantine.DefaultSettleDelay + 50*time.Millisecond
+
+// armQuarantineSweep has quarantineSweep run after quarantineSweepDelay, and once for all crashes
+// until then.
+func (s *Server) armQuarantineSweep() {
+	if s.sweepArmed.CompareAndSwap(false, true) {
+		time.AfterFunc(quarantineSweepDelay, s.quarantineSweep)
+	}
+}
+
+// quarantineSweep gives up the attempts that wait for their endpoint's response and whose request
+// has been quarantined since they were sent: an endpoint that has not begun to run one does not
+// crash.
+func (s *Server) quarantineSweep() {
+	s.sweepArmed.Store(false)
+	for _, a := range s.healthChecker.pendingAttempts() {
+		if s.quarantineVerdict(a.request) == quarantine.Reject {
+			a.quarantined.Store(true)
+			a.cancel()
+		}
+	}
+}
--- a/forward/request.go
+++ b/forward/request.go
@@ -63,7 +63,9 @@
 	// permit is for the next attempt if that goes to a brittle endpoint; nil otherwise.
 	permit      *permits.Permit
 	fingerprint tables.Fingerprint
-	reservation reservation
+	// quarantinedPart is the part of the prompt because of which the request was rejected; 0 for none.
+	quarantinedPart parts.ID
+	reservation     reservation
 	// state says whether any endpoint may have run the request.
 	state outcome.State
 	// attemptsUsed counts the attempts that count towards the route's MaxAttempts. Attempts
--- a/forward/server.go
+++ b/forward/server.go
@@ -124,6 +124,8 @@
 	mu            sync.Mutex
 	dispatch      *dispatch.Dispatcher
 	crashDetector *quarantine.Detector
+	// sweepArmed is set while a quarantineSweep is due.
+	sweepArmed atomic.Bool
 
 	admission     *admissionControl
 	healthChecker *healthChecker
@@ -270,13 +272,6 @@
 	s.crashDetector.SetRank(rank, count)
 }
 
-// MergeSuspect merges a suspect that another instance has reported into the crash detector.
-func (s *Server) MergeSuspect(suspect quarantine.Suspect) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.crashDetector.Merge(s.options.Now(), suspect)
-}
-
 // ApplyCacheUpdate applies another instance's update to the directory of cached parts.
 func (s *Server) ApplyCacheUpdate(update dispatch.CacheUpdate) {
 	s.mu.Lock()
--- a/forward/timeout.go
+++ b/forward/timeout.go
@@ -8,11 +8,7 @@
 	"syscall"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/carawaystile/carawaystile/dispatch"
-	"github.com/carawaystile/carawaystile/events"
-	"github.com/carawaystile/carawaystile/systems/quarantine"
 )
 
 const (
@@ -131,13 +127,7 @@
 		if !errors.Is(err, syscall.ECONNREFUSED) || !s.refusesAll(s.options.Context, &endpoint) {
 			return
 		}
-		s.mu.Lock()
-		suspects := s.crashDetector.Crashed(s.options.Now(), quarantine.Incarnation{Endpoint: endpoint.ID})
-		s.mu.Unlock()
-		events.EndpointCrashed.Log(s.log, zap.String("endpoint", string(endpoint.ID)), zap.Int("suspects", len(suspects)))
-		if len(suspects) > 0 {
-			s.options.ShareSuspects(suspects)
-		}
+		s.recordCrash(incarnationOf(a.placement))
 	}()
 	return probed
 }
--- a/logs/trail/story.go
+++ b/logs/trail/story.go
@@ -14,21 +14,22 @@
 
 // codeMeanings explains the error codes of rejected and failed requests.
 var codeMeanings = map[tables.ErrorCode]string{
-	tables.CodeUnknownRoute:   "no route has this host and path",
-	tables.CodeUnauthorised:   "its key is not known",
-	tables.CodeTooLarge:       "it is larger than the limits or than any endpoint allows",
-	tables.CodeMalformed:      "its body was not proper, or not sent whole",
-	tables.CodeQuarantined:    "it is suspected of crashing endpoints",
-	tables.CodeOverloaded:     "every endpoint had as much as it can bear",
-	tables.CodeRetryBudget:    "the budget for second sends was used up",
-	tables.CodeNoEndpoint:     "no endpoint could be used",
-	tables.CodeDraining:       "the instance was leaving",
-	tables.CodeNotReady:       "the instance had just started and knew no configuration or no endpoints",
-	tables.CodeStreamUnknown:  "it resumes a stream, and no instance that answered knows which software version began it",
-	tables.CodeEndpointFailed: "the last endpoint that it may be sent to failed",
-	tables.CodeStreamBroken:   "its stream broke and no endpoint could go on with it",
-	tables.CodeTimeout:        "its time was up",
-	tables.CodeOutcomeUnknown: "an endpoint failed that may have run it, and it must not run again",
+	tables.CodeUnknownRoute:    "no route has this host and path",
+	tables.CodeUnauthorised:    "its key is not known",
+	tables.CodeTooLarge:        "it is larger than the limits or than any endpoint allows",
+	tables.CodeMalformed:       "its body was not proper, or not sent whole",
+	tables.CodeQuarantined:     "it is suspected of crashing endpoints",
+	tables.CodeQuarantinedPart: "a part of its prompt is convicted of crashing endpoints",
+	tables.CodeOverloaded:      "every endpoint had as much as it can bear",
+	tables.CodeRetryBudget:     "the budget for second sends was used up",
+	tables.CodeNoEndpoint:      "no endpoint could be used",
+	tables.CodeDraining:        "the instance was leaving",
+	tables.CodeNotReady:        "the instance had just started and knew no configuration or no endpoints",
+	tables.CodeStreamUnknown:   "it resumes a stream, and no instance that answered knows which software version began it",
+	tables.CodeEndpointFailed:  "the last endpoint that it may be sent to failed",
+	tables.CodeStreamBroken:    "its stream broke and no endpoint could go on with it",
+	tables.CodeTimeout:         "its time was up",
+	tables.CodeOutcomeUnknown:  "an endpoint failed that may have run it, and it must not run again",
 }
 
 // meaningOf explains an error code; empty for an unknown one.
--- a/node/listen.go
+++ b/node/listen.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"context"
 	"encoding/json"
 	"errors"
 	"net/http"
@@ -19,7 +18,6 @@
 	"github.com/carawaystile/carawaystile/peers"
 	"github.com/carawaystile/carawaystile/relay"
 	"github.com/carawaystile/carawaystile/rpc"
-	"github.com/carawaystile/carawaystile/systems/quarantine"
 )
 
 const (
@@ -80,6 +78,10 @@
 		_ = n.registry.WriteText(w)
 	})
 	metrics.HandleFunc("GET "+gossip.SizesPath, n.listInstances)
+	if n.entry != nil {
+		metrics.HandleFunc("GET "+QuarantinePath, n.listConvictions)
+		metrics.HandleFunc("DELETE "+QuarantinePath+"/{part}", n.releasePart)
+	}
 	if n.replica != nil {
 		metrics.HandleFunc("GET "+server.QuorumPath, n.writeQuorum)
 	}
@@ -102,14 +104,3 @@
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(n.replica.Status().Quorum)
 }
-
-// broadcastSuspects reports the requests that were running when an endpoint crashed to all
-// other entry instances.
-func (n *Node) broadcastSuspects(suspects []quarantine.Suspect) {
-	report := peers.EncodeReport(suspects)
-	n.callEntryPeers(func(ctx context.Context, at string) {
-		if err := peers.SendReport(ctx, rpc.NewPeerProtobufClient(at, n.client), report); err != nil {
-			events.SuspectReportFailed.Log(n.log, zap.String("instance_address", at), zap.Error(err))
-		}
-	})
-}
--- /dev/null
+++ b/node/suspects.go
@@ -0,0 +1,111 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/carawaystile/carawaystile/events"
+	"github.com/carawaystile/carawaystile/internal/wait"
+	"github.com/carawaystile/carawaystile/parts"
+	"github.com/carawaystile/carawaystile/peers"
+	"github.com/carawaystile/carawaystile/rpc"
+	"github.com/carawaystile/carawaystile/systems/quarantine"
+)
+
+const (
+	// convictionGossipInterval is the interval at which an instance sends its convictions to
+	// convictionGossipFanout others. Reports of crashes reach all instances at once; this repairs
+	// what instances have missed that have just started or were partitioned.
+	convictionGossipInterval = time.Second
+	convictionGossipFanout   = 2
+	// maxGossipedConvictions bounds the convictions of one message.
+	maxGossipedConvictions = 64
+)
+
+// broadcastSuspects reports the requests that were running when an endpoint crashed, or what has
+// cleared a part of prompts, to all other entry instances.
+func (n *Node) broadcastSuspects(suspects []quarantine.Suspect) {
+	report := peers.EncodeReport(suspects)
+	n.callEntryPeers(func(ctx context.Context, at string) { n.sendSuspects(ctx, at, report) })
+}
+
+func (n *Node) sendSuspects(ctx context.Context, at string, report *rpc.SuspectReport) {
+	if err := peers.SendReport(ctx, rpc.NewPeerProtobufClient(at, n.client), report); err != nil {
+		events.SuspectReportFailed.Log(n.log, zap.String("instance_address", at), zap.Error(err))
+	}
+}
+
+// gossipConvictions sends the convictions in force to some other entry instances, until the instance
+// stops.
+func (n *Node) gossipConvictions() {
+	for wait.For(n.lifetime, convictionGossipInterval) == nil {
+		reports := n.entry.ConvictionReports(maxGossipedConvictions)
+		if len(reports) == 0 {
+			continue
+		}
+		message := peers.EncodeReport(reports)
+		for _, at := range pickAddresses(n.entryPeerAddresses(), convictionGossipFanout) {
+			n.background.Go(func() {
+				ctx, cancel := context.WithTimeout(n.lifetime, suspectNotifyTimeout)
+				defer cancel()
+				n.sendSuspects(ctx, "http://"+at.String(), message)
+			})
+		}
+	}
+}
+
+// pickAddresses returns count random addresses, or all if there are fewer.
+func pickAddresses(all []netip.AddrPort, count int) []netip.AddrPort {
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(count, len(all))]
+}
+
+// QuarantinePath is where forwarding instances serve the convicted parts of prompts, at their
+// address for metrics.
+const QuarantinePath = "/quarantine"
+
+// ConvictedPart is a part of prompts that is convicted of crashing endpoints, as an instance serves
+// it.
+type ConvictedPart struct {
+	Part string `json:"part"`
+	// Endpoints are those that crashed, as far as the instance knows.
+	Endpoints []string `json:"endpoints"`
+	// Convictions counts those in a row.
+	Convictions int `json:"convictions"`
+	// ReleaseSeconds is the time until the instance runs requests with the part again.
+	ReleaseSeconds float64 `json:"release_seconds"`
+}
+
+// listConvictions writes the convicted parts as JSON.
+func (n *Node) listConvictions(w http.ResponseWriter, _ *http.Request) {
+	list := []ConvictedPart{}
+	for _, c := range n.entry.Convictions() {
+		one := ConvictedPart{Part: parts.ID(c.Part).String(), Convictions: c.Count, ReleaseSeconds: c.ReleaseIn.Seconds()}
+		for _, id := range c.Endpoints {
+			one.Endpoints = append(one.Endpoints, string(id))
+		}
+		list = append(list, one)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(list)
+}
+
+// releasePart ends the conviction of a part at all instances.
+func (n *Node) releasePart(w http.ResponseWriter, r *http.Request) {
+	id, err := strconv.ParseUint(r.PathValue("part"), 16, 64)
+	switch {
+	case err != nil:
+		http.Error(w, "a part is named by its hexadecimal ID", http.StatusBadRequest)
+	case !n.entry.ReleasePart(parts.ID(id)):
+		http.Error(w, "this part is not convicted", http.StatusNotFound)
+	default:
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -1,6 +1,6 @@
 // Package peers is the protocol by which entry instances report suspects to one
-// another: requests that were running when an endpoint crashed. The reports let
-// every instance quarantine a request that crashes endpoints.
+// another: requests that were running when an endpoint crashed, and parts of their
+// prompts. The reports let every instance quarantine what crashes endpoints.
 package peers
 
 import (
@@ -53,6 +53,11 @@
 		Convicted:   s.Convicted,
 		AgeNanos:    int64(s.Age),
 		RanNanos:    int64(s.CrashPoint.SinceFirstToken),
+		Part:        uint64(s.Part),
+		Proven:      s.Proven,
+		Cleared:     s.Cleared,
+		Convictions: int64(s.Convictions),
+		Released:    s.Released,
 	}
 }
 
@@ -70,7 +75,12 @@
 			AnswerTokens:    int(s.GetPosition()),
 			SinceFirstToken: time.Duration(max(s.GetRanNanos(), 0)),
 		},
-		Convicted: s.GetConvicted(),
-		Age:       time.Duration(max(s.GetAgeNanos(), 0)),
+		Convicted:   s.GetConvicted(),
+		Age:         time.Duration(max(s.GetAgeNanos(), 0)),
+		Part:        quarantine.Part(s.GetPart()),
+		Proven:      s.GetProven(),
+		Cleared:     s.GetCleared(),
+		Convictions: int(max(s.GetConvictions(), 0)),
+		Released:    s.GetReleased(),
 	}
 }
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -19,6 +19,11 @@
 		Incarnation: quarantine.Incarnation{Endpoint: "e", Boot: "b"},
 		CrashPoint:  quarantine.CrashPoint{Likely: true, AttemptTokens: 3, AnswerTokens: 9, SinceFirstToken: time.Second},
 		Convicted:   true,
+		Part:        8,
+		Proven:      true,
+		Cleared:     true,
+		Convictions: 2,
+		Released:    true,
 		Age:         time.Minute,
 	}
 	for _, part := range []any{s, s.Incarnation, s.CrashPoint} {
--- a/router/completion.go
+++ b/router/completion.go
@@ -106,13 +106,14 @@
 // retryOrFail retries a request whose last attempt failed, or fails it.
 func (r *Router) retryOrFail(now tables.Instant, a *tables.AttemptRow, in AttemptEnded) {
 	row := a.Request
+	quarantineCode := r.quarantineCode(now, row.Request)
 	switch {
 	case in.Result == Cancelled && !a.Aborted:
 		// The caller of Tick cancelled the attempt itself and answers the
 		// request.
 		r.finish(row)
-	case r.isQuarantined(now, row.Request.Fingerprint):
-		r.fail(row, tables.CodeQuarantined, 0)
+	case quarantineCode != 0:
+		r.fail(row, quarantineCode, 0)
 	case !retry.SafeToRetry(row):
 		r.fail(row, tables.CodeOutcomeUnknown, 0)
 	case in.Result == Unreachable && len(row.FailedEndpoints) < maxUnreachableAttempts:
--- a/router/placement.go
+++ b/router/placement.go
@@ -238,7 +238,7 @@
 	load.LocalPrefillTokens[attempt.Priority] += uncached
 	r.updatePriorityMix(row.Priority, uncached)
 	incarnation := quarantine.Incarnation{Endpoint: endpoint.Endpoint.ID, Boot: endpoint.Boot}
-	r.suspects.Started(q.Now, attempt.ID, incarnation, row.Request.Fingerprint)
+	r.suspects.Started(q.Now, attempt.ID, incarnation, workOf(row.Request))
 	r.gossip.add(endpoint, row.Request.Blocks, &choice.Candidate)
 	r.cacheIndex.RecordPlacement(q.Now, choice.Endpoint, row.Request.Blocks)
 	r.actions = append(r.actions, Dispatch{
--- a/router/quarantine.go
+++ b/router/quarantine.go
@@ -22,24 +22,46 @@
 	if f.suspects.Empty() {
 		return true
 	}
-	verdict := f.suspects.Verdict(q.Now, q.Request.Request.Fingerprint)
+	verdict := f.suspects.Verdict(q.Now, workOf(q.Request.Request))
 	if q.IgnoreOwnership {
 		verdict = verdict.WithoutOwnership()
 	}
 	return f.suspects.Admits(q.Now, c.Row.Endpoint.ID, verdict)
 }
 
-// isQuarantined reports whether requests with this fingerprint are refused at
-// present.
-func (r *Router) isQuarantined(now tables.Instant, f tables.Fingerprint) bool {
-	return !r.suspects.Empty() && r.suspects.Verdict(now, f) == quarantine.Reject
+// workOf returns what identifies a request to the quarantine. Its parts are the
+// blocks of its prompt, each of which stands for the prompt up to there.
+func workOf(request *tables.Request) quarantine.Work {
+	work := quarantine.Work{Request: request.Fingerprint}
+	for _, block := range request.Blocks {
+		work.Parts = append(work.Parts, quarantine.Part(block))
+	}
+	return work
+}
+
+// quarantineCode returns the error code for a request that is refused at present
+// since it, or a part of its prompt, crashes endpoints; 0 if it is not refused.
+func (r *Router) quarantineCode(now tables.Instant, request *tables.Request) tables.ErrorCode {
+	if r.suspects.Empty() {
+		return 0
+	}
+	work := workOf(request)
+	if r.suspects.Verdict(now, work) != quarantine.Reject {
+		return 0
+	}
+	if _, convicted := r.suspects.ConvictedPart(now, work); convicted {
+		return tables.CodeQuarantinedPart
+	}
+	return tables.CodeQuarantined
 }
 
 // updateQuarantine reports the end of an attempt to the quarantine.
 func (r *Router) updateQuarantine(now tables.Instant, a *tables.AttemptRow, in AttemptEnded) {
 	switch in.Result {
 	case Completed:
-		r.suspects.Completed(a.ID)
+		if cleared := r.suspects.Completed(now, a.ID); len(cleared) > 0 {
+			r.actions = append(r.actions, BroadcastSuspects{Suspects: cleared})
+		}
 	case Interrupted:
 		r.suspects.Interrupted(now, a.ID, in.GeneratedTokens, in.DeliveredTokens)
 	case Crashed:
@@ -96,13 +118,14 @@
 		return
 	}
 	for _, row := range r.sortedRequests(func(row *tables.RequestRow) bool {
-		return row.State == tables.Pending && r.isQuarantined(now, row.Request.Fingerprint)
+		return row.State == tables.Pending && r.quarantineCode(now, row.Request) != 0
 	}) {
+		code := r.quarantineCode(now, row.Request)
 		if row.Dispatched {
-			r.fail(row, tables.CodeQuarantined, 0)
+			r.fail(row, code, 0)
 			continue
 		}
-		r.refuse(row.Request, tables.Refusal{Code: tables.CodeQuarantined})
+		r.refuse(row.Request, tables.Refusal{Code: code})
 		r.finish(row)
 	}
 }
--- a/router/router.go
+++ b/router/router.go
@@ -187,8 +187,8 @@
 // admit applies the quarantine and the organisation's rate limit to a new
 // request.
 func (r *Router) admit(now tables.Instant, row *tables.RequestRow) (tables.Refusal, bool) {
-	if r.isQuarantined(now, row.Request.Fingerprint) {
-		return tables.Refusal{Code: tables.CodeQuarantined}, false
+	if code := r.quarantineCode(now, row.Request); code != 0 {
+		return tables.Refusal{Code: code}, false
 	}
 	if wait := r.organisations.rows[row.Organisation].limiter.Admit(now, r.trafficShare); wait > 0 {
 		return tables.Refusal{Code: tables.CodeOrganisationLimit, RetryAfter: wait}, false
--- a/systems/quarantine/incident.go
+++ b/systems/quarantine/incident.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"time"
 
 	"github.com/carawaystile/carawaystile/tables"
@@ -126,6 +127,7 @@
 			delete(d.convicted, f)
 		}
 	}
+	d.expireParts(now)
 }
 
 // convict records a conviction, unless a later one is known, and evicts the oldest
@@ -154,34 +156,45 @@
 }
 
 // Verdict returns the restriction under which a request may run now. It convicts
-// the request if the evidence suffices.
-func (d *Detector) Verdict(now tables.Instant, f tables.Fingerprint) Verdict {
+// the request, or parts of its prompt, if the evidence suffices.
+func (d *Detector) Verdict(now tables.Instant, work Work) Verdict {
 	if d.Empty() {
 		return Allow
 	}
 	d.expire(now)
+	verdict := d.requestVerdict(now, work.Request)
+	if len(d.parts) == 0 {
+		return verdict
+	}
+	if slices.ContainsFunc(work.Parts, d.mayBeConvicted) {
+		d.scanParts(now)
+	}
+	for _, part := range work.Parts {
+		verdict = max(verdict, d.partVerdict(now, part))
+	}
+	return verdict
+}
+
+// requestVerdict is Verdict without regard to the parts of the prompt.
+func (d *Detector) requestVerdict(now tables.Instant, f tables.Fingerprint) Verdict {
 	if _, ok := d.convicted[f]; ok {
 		return Reject
 	}
-	count := d.evidence[f].incidents
-	if count == 0 {
+	if d.evidence[f].incidents == 0 {
 		return Allow
 	}
+	incidents := d.incidentsOf(f)
 	verdict, convicting, latest := Allow, 0, tables.Instant(0)
-	for _, i := range d.incidents {
-		c := i.find(f)
-		if c == nil || c.cleared {
-			continue
-		}
+	for _, i := range incidents {
 		if d.standsOut(i, f) {
 			convicting++
 		}
 		latest = max(latest, i.at)
 		if !d.hasConvictedCandidate(i) {
-			verdict = max(verdict, d.isolation(c, count, now-i.at))
+			verdict = max(verdict, d.isolation(i.find(f), len(incidents), now-i.at))
 		}
 	}
-	if count >= unconditionalThreshold {
+	if len(incidents) >= unconditionalThreshold {
 		d.convict(now, f)
 		return Reject
 	}
@@ -195,6 +208,18 @@
 	return Reject
 }
 
+// incidentsOf returns the incidents that speak against a request: it is a candidate that is not
+// cleared, and no convicted part explains them.
+func (d *Detector) incidentsOf(f tables.Fingerprint) []*incident {
+	var incidents []*incident
+	for _, i := range d.incidents {
+		if c := i.find(f); c != nil && !c.cleared && !d.hasConvictedPart(i) {
+			incidents = append(incidents, i)
+		}
+	}
+	return incidents
+}
+
 const (
 	// convictionThreshold is the number of incidents that convicts a request. A
 	// single crash convicts no request: endpoints crash for other reasons too, and
@@ -342,6 +367,17 @@
 	return true
 }
 
+// hasConvictedPart reports whether a convicted part was in question at an incident.
+func (d *Detector) hasConvictedPart(i *incident) bool {
+	crash := partCrash{endpoint: i.incarnation.Endpoint, at: i.at}
+	for _, r := range d.convictedParts {
+		if r.has(&crash) {
+			return true
+		}
+	}
+	return false
+}
+
 // hasConvictedCandidate reports whether one of the candidates is convicted. That
 // explains the incident, so the other candidates need no restriction because of it.
 func (d *Detector) hasConvictedCandidate(i *incident) bool {
--- a/systems/quarantine/options.go
+++ b/systems/quarantine/options.go
@@ -31,6 +31,8 @@
 	MaxIncidents   int
 	MaxCandidates  int
 	MaxConvictions int
+	// MaxParts bounds the parts that were in question at a crash or are convicted.
+	MaxParts int
 }
 
 // Default values of the Options.
@@ -45,6 +47,7 @@
 	DefaultMaxIncidents      = 64
 	DefaultMaxCandidates     = 256
 	DefaultMaxConvictions    = 1024
+	DefaultMaxParts          = 4096
 )
 
 // withDefaults fills in the defaults.
@@ -59,6 +62,7 @@
 	setDefault(&o.MaxIncidents, DefaultMaxIncidents)
 	setDefault(&o.MaxCandidates, DefaultMaxCandidates)
 	setDefault(&o.MaxConvictions, DefaultMaxConvictions)
+	setDefault(&o.MaxParts, DefaultMaxParts)
 	return o
 }
 
--- /dev/null
+++ b/systems/quarantine/parts.go
@@ -0,0 +1,237 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// Part identifies a part of prompts that several requests may share. Zero stands for none.
+type Part uint64
+
+// Work identifies what an attempt runs.
+type Work struct {
+	// Request is equal for repetitions of one request.
+	Request tables.Fingerprint
+	// Parts are those parts of the prompt that other requests may share.
+	Parts []Part
+}
+
+const (
+	// A part is convicted after newPartCrashes crashes, or after provenPartCrashes that span
+	// provenPartSpan if prompts with it were completed lately: a part of many prompts is in
+	// question at most crashes, whatever their cause.
+	newPartCrashes    = 2
+	provenPartCrashes = 4
+	provenPartSpan    = 3 * time.Second
+	// minPartRequests is the number of different requests that must have met these crashes.
+	// Otherwise it is the request that is at fault and not the part.
+	minPartRequests = 2
+	// simultaneousWindow is the time within which crashes count as one: endpoints that share a
+	// host or a rack end together.
+	simultaneousWindow = 250 * time.Millisecond
+	// sameCrashWindow is how far apart two reports of one crash may appear. An endpoint takes
+	// longer to start again.
+	sameCrashWindow = time.Second
+	// answerStartWindow is how long after its first token an attempt may have crashed its
+	// endpoint by beginning its answer.
+	answerStartWindow = 2 * time.Second
+	// maxCrashesOfPart bounds the crashes that are kept for a part. The oldest is dropped first.
+	maxCrashesOfPart = 16
+)
+
+// partCrash is a crash of an endpoint that was about to begin, or had just begun, an answer to a
+// prompt with the part.
+type partCrash struct {
+	endpoint tables.EndpointID
+	at       tables.Instant
+	request  tables.Fingerprint
+	// proven is set if an instance that reported the crash had completed prompts with the part.
+	proven bool
+}
+
+// isSame reports whether two reports are about one crash.
+func (c *partCrash) isSame(other *partCrash) bool {
+	return c.endpoint == other.endpoint && (c.at-other.at).Abs() <= sameCrashWindow
+}
+
+// partRecord is what speaks against a part.
+type partRecord struct {
+	// crashes are ordered by time.
+	crashes    []partCrash
+	conviction conviction
+	// convictable is set while the crashes suffice to convict the part, see Detector.scanParts, and
+	// convictableSince is when that began.
+	convictable      bool
+	convictableSince tables.Instant
+}
+
+// latest returns the time of the latest crash; 0 for none.
+func (r *partRecord) latest() tables.Instant {
+	if len(r.crashes) == 0 {
+		return 0
+	}
+	return r.crashes[len(r.crashes)-1].at
+}
+
+// addPartCrash records that a part was in question at a crash, and reports whether that is new. A
+// completed answer that began after the crash has refuted it already.
+func (d *Detector) addPartCrash(part Part, crash partCrash) (isNew bool) {
+	if begun, proven := d.uses.provenAt(part); proven && crash.at <= begun {
+		return false
+	}
+	r := d.partRecord(part)
+	for n := range r.crashes {
+		if known := &r.crashes[n]; known.isSame(&crash) {
+			isNew = crash.proven && !known.proven
+			known.proven = known.proven || crash.proven
+			return isNew
+		}
+	}
+	r.crashes = append(r.crashes, crash)
+	slices.SortStableFunc(r.crashes, func(a, b partCrash) int { return cmp.Compare(a.at, b.at) })
+	if len(r.crashes) > maxCrashesOfPart {
+		r.crashes = slices.Delete(r.crashes, 0, 1)
+	}
+	d.scanDue = d.scanDue || len(r.crashes) >= newPartCrashes
+	if r.conviction.count > 0 {
+		d.extendConviction(part, r, crash.at)
+	}
+	return true
+}
+
+// partRecord returns the record of a part, and makes one if there is none. At the limit it drops the
+// record with the oldest crash.
+func (d *Detector) partRecord(part Part) *partRecord {
+	if r := d.parts[part]; r != nil {
+		return r
+	}
+	if len(d.parts) >= d.options.MaxParts {
+		d.dropPart(d.oldestPart())
+	}
+	r := &partRecord{}
+	d.parts[part] = r
+	return r
+}
+
+func (d *Detector) dropPart(part Part) {
+	delete(d.parts, part)
+	delete(d.convictedParts, part)
+}
+
+// oldestPart returns the part whose latest crash is the oldest. Parts that are not convicted come
+// first, lower ones among equals.
+func (d *Detector) oldestPart() Part {
+	var oldest Part
+	first := true
+	order := func(a, b Part) int {
+		ra, rb := d.parts[a], d.parts[b]
+		return cmp.Or(cmp.Compare(min(ra.conviction.count, 1), min(rb.conviction.count, 1)), cmp.Compare(ra.latest(), rb.latest()), cmp.Compare(a, b))
+	}
+	for part := range d.parts {
+		if first || order(part, oldest) < 0 {
+			oldest, first = part, false
+		}
+	}
+	return oldest
+}
+
+// clearPart refutes the crashes of a part up to the time at which an answer began that was completed.
+// It reports whether other instances should know: they may be about to convict the part, or have
+// convicted it.
+func (d *Detector) clearPart(part Part, begun tables.Instant) (report bool) {
+	d.uses.prove(part, begun)
+	r := d.parts[part]
+	if r == nil {
+		return false
+	}
+	kept := slices.DeleteFunc(slices.Clone(r.crashes), func(c partCrash) bool { return c.at <= begun })
+	if len(kept) == len(r.crashes) && r.conviction.at > begun {
+		return false
+	}
+	report = r.conviction.count > 0 || len(r.crashes) >= newPartCrashes
+	r.crashes = kept
+	if r.conviction.count > 0 && r.conviction.at <= begun {
+		d.release(part, r)
+	}
+	if len(r.crashes) == 0 && r.conviction.count == 0 {
+		d.dropPart(part)
+	}
+	return report
+}
+
+// partExpiryInterval is the interval between two calls of expireParts that have an effect.
+const partExpiryInterval = time.Second
+
+// expireParts drops what is older than Options.Retention.
+func (d *Detector) expireParts(now tables.Instant) {
+	if now-d.partsExpiredAt < partExpiryInterval {
+		return
+	}
+	d.partsExpiredAt = now
+	for part, r := range d.parts {
+		r.crashes = slices.DeleteFunc(r.crashes, func(c partCrash) bool { return now-c.at > d.options.Retention })
+		if len(r.crashes) == 0 && (r.conviction.count == 0 || now-d.releaseAt(part, r) > d.options.Retention) {
+			d.dropPart(part)
+		}
+	}
+}
+
+// unexplained returns the crashes of a part that no other convicted part and no convicted request
+// explains.
+func (d *Detector) unexplained(part Part, r *partRecord) []partCrash {
+	var crashes []partCrash
+	for n := range r.crashes {
+		if !d.isExplained(part, &r.crashes[n]) {
+			crashes = append(crashes, r.crashes[n])
+		}
+	}
+	return crashes
+}
+
+func (d *Detector) isExplained(part Part, crash *partCrash) bool {
+	for other, r := range d.convictedParts {
+		if other != part && r.has(crash) {
+			return true
+		}
+	}
+	for _, i := range d.incidents {
+		if i.incarnation.Endpoint == crash.endpoint && (i.at-crash.at).Abs() <= sameCrashWindow && d.hasConvictedCandidate(i) {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *partRecord) has(crash *partCrash) bool {
+	return slices.ContainsFunc(r.crashes, func(c partCrash) bool { return c.isSame(crash) })
+}
+
+// isConvictable reports whether the given crashes suffice to convict a part.
+func (d *Detector) isConvictable(part Part, crashes []partCrash) bool {
+	moments, last := 0, tables.Instant(0)
+	requests := map[tables.Fingerprint]bool{}
+	_, proven := d.uses.provenAt(part)
+	for n, c := range crashes {
+		if n == 0 || c.at-last > simultaneousWindow {
+			moments, last = moments+1, c.at
+		}
+		requests[c.request] = true
+		proven = proven || c.proven
+	}
+	if len(requests) < minPartRequests {
+		return false
+	}
+	if proven {
+		return moments >= provenPartCrashes && crashes[len(crashes)-1].at-crashes[0].at >= provenPartSpan
+	}
+	return moments >= newPartCrashes
+}
+
+// mayBeConvicted is isConvictable without regard to other causes. It is cheap.
+func (d *Detector) mayBeConvicted(part Part) bool {
+	r := d.parts[part]
+	return r != nil && r.conviction.count == 0 && len(r.crashes) >= newPartCrashes
+}
--- a/systems/quarantine/quarantine.go
+++ b/systems/quarantine/quarantine.go
@@ -2,6 +2,9 @@
 // requests that crash the endpoints that run them. Without it, one such request,
 // retried and sent again by its caller, would take down one endpoint after another.
 //
+// The cause may also be a part of the prompt that many requests share, no two of them
+// alike, see Part.
+//
 // Each crash of an endpoint process is an incident, and the requests that were
 // running there are its candidates. A request that is a candidate of two incidents,
 // as the only one or with more evidence against it than against the other
@@ -14,6 +17,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -24,7 +28,7 @@
 
 // attempt is running, or was interrupted within Options.CrashDetectionLag.
 type attempt struct {
-	fingerprint tables.Fingerprint
+	work        Work
 	incarnation Incarnation
 	verdict     Verdict
 	// firstToken is the time of the first token; zero before it.
@@ -49,6 +53,16 @@
 	convicted   map[tables.Fingerprint]tables.Instant
 	// evidence sums up the incidents of each suspected request.
 	evidence map[tables.Fingerprint]evidence
+	// parts holds the parts that were in question at a crash or are convicted, uses those of the
+	// prompts that ran of late.
+	parts          map[Part]*partRecord
+	convictedParts map[Part]*partRecord
+	uses           partUses
+	partChanges    []PartChange
+	// partsScannedAt and partsExpiredAt are the times of the last scanParts and expireParts. scanDue
+	// is set if a part may have become convictable since.
+	partsScannedAt, partsExpiredAt tables.Instant
+	scanDue                        bool
 	// rank and instances select the endpoints that this instance owns, see SetRank, by their
 	// positions, see SetEndpoints.
 	rank      int
@@ -63,8 +77,11 @@
 		attempts:  make(map[tables.AttemptID]*attempt),
 		convicted: make(map[tables.Fingerprint]tables.Instant),
 		evidence:  make(map[tables.Fingerprint]evidence),
-		instances: 1,
-		positions: make(map[tables.EndpointID]uint64),
+		parts:     make(map[Part]*partRecord),
+
+		convictedParts: make(map[Part]*partRecord),
+		instances:      1,
+		positions:      make(map[tables.EndpointID]uint64),
 	}
 }
 
@@ -97,12 +114,17 @@
 	return position%uint64(d.instances) == uint64(d.rank)
 }
 
+// maxPartsOfWork bounds the parts of one attempt that are watched.
+const maxPartsOfWork = 64
+
 // Started records the dispatch of an attempt.
-func (d *Detector) Started(now tables.Instant, id tables.AttemptID, incarnation Incarnation, f tables.Fingerprint) {
-	r := &attempt{fingerprint: f, incarnation: incarnation, verdict: d.Verdict(now, f)}
+func (d *Detector) Started(now tables.Instant, id tables.AttemptID, incarnation Incarnation, work Work) {
+	work.Parts = work.Parts[:min(len(work.Parts), maxPartsOfWork)]
+	r := &attempt{work: work, incarnation: incarnation, verdict: d.Verdict(now, work)}
 	if r.verdict != Allow {
-		r.safeAfter = d.longestRun(f) + d.options.OutliveMargin
+		r.safeAfter = d.longestRun(work.Request) + d.options.OutliveMargin
 	}
+	d.uses.start(now, work.Parts)
 	d.attempts[id] = r
 }
 
@@ -113,21 +135,38 @@
 	}
 }
 
-// FirstToken records that an attempt has produced its first token.
+// FirstToken records that an attempt has produced its first token. Later calls have no effect.
 func (d *Detector) FirstToken(now tables.Instant, id tables.AttemptID) {
-	if r := d.attempts[id]; r != nil {
-		r.firstToken = now
+	if r := d.attempts[id]; r != nil && r.firstToken == 0 {
+		r.firstToken = max(now, 1)
 	}
 }
 
-// Completed records that an attempt ran to its end, which clears its request.
-func (d *Detector) Completed(id tables.AttemptID) {
+// Completed records that an attempt ran to its end with success, which clears its request and the
+// parts of its prompt. It returns the reports for the other instances.
+func (d *Detector) Completed(now tables.Instant, id tables.AttemptID) []Suspect {
 	r := d.attempts[id]
 	if r == nil {
-		return
+		return nil
 	}
 	delete(d.attempts, id)
-	d.exonerate(r.fingerprint)
+	d.exonerate(r.work.Request)
+	var reports []Suspect
+	for _, part := range r.work.Parts {
+		if d.clearPart(part, r.firstToken) {
+			reports = append(reports, Suspect{Part: part, Cleared: true, Age: now - r.firstToken})
+		}
+	}
+	return reports
+}
+
+// Failed records that an attempt ran to its end with a failure that the endpoint reported. It
+// clears the request, but no part: the endpoint need not have begun an answer.
+func (d *Detector) Failed(id tables.AttemptID) {
+	if r := d.attempts[id]; r != nil {
+		delete(d.attempts, id)
+		d.exonerate(r.work.Request)
+	}
 }
 
 // Ended records the end of an attempt that says nothing about its request: the
@@ -180,8 +219,31 @@
 			point.SinceFirstToken = now - r.firstToken
 		}
 		point.Likely = point.SinceFirstToken < d.options.LikelyWindow
-		if d.addCandidate(now, incarnation, r.fingerprint, point) {
-			reports = append(reports, Suspect{Fingerprint: r.fingerprint, Incarnation: incarnation, CrashPoint: point})
+		if d.addCandidate(now, incarnation, r.work.Request, point) {
+			reports = append(reports, Suspect{Fingerprint: r.work.Request, Incarnation: incarnation, CrashPoint: point})
+		}
+		reports = append(reports, d.questionParts(now, r)...)
+	}
+	return reports
+}
+
+// questionParts records the crash of an attempt's endpoint against the parts of its prompt, if the
+// attempt was about to begin its answer or had just begun it. It returns the new reports.
+func (d *Detector) questionParts(now tables.Instant, r *attempt) []Suspect {
+	at := now
+	if r.interruptedAt != 0 {
+		at = r.interruptedAt
+	}
+	if r.firstToken != 0 && at-r.firstToken > answerStartWindow {
+		return nil
+	}
+	var reports []Suspect
+	for _, part := range r.work.Parts {
+		_, proven := d.uses.provenAt(part)
+		if d.addPartCrash(part, partCrash{endpoint: r.incarnation.Endpoint, at: at, request: r.work.Request, proven: proven}) {
+			reports = append(reports, Suspect{
+				Part: part, Fingerprint: r.work.Request, Incarnation: r.incarnation, Proven: proven, Age: now - at,
+			})
 		}
 	}
 	return reports
@@ -217,28 +279,46 @@
 	if report.Age > d.options.Retention {
 		return
 	}
-	if report.Convicted {
-		d.convict(now-report.Age, report.Fingerprint)
-		return
+	at := now - report.Age
+	switch {
+	case report.Part != 0:
+		d.mergePart(at, report)
+	case report.Convicted:
+		d.convict(at, report.Fingerprint)
+	default:
+		d.addCandidate(at, report.Incarnation, report.Fingerprint, report.CrashPoint)
 	}
-	d.addCandidate(now-report.Age, report.Incarnation, report.Fingerprint, report.CrashPoint)
 }
 
-// Suspects returns all reports, for an instance that started or missed a report.
-func (d *Detector) Suspects(now tables.Instant) []Suspect {
+// mergePart applies a report about a part.
+func (d *Detector) mergePart(at tables.Instant, report Suspect) {
+	switch {
+	case report.Cleared:
+		d.clearPart(report.Part, at)
+	case report.Convicted:
+		d.mergeConviction(report.Part, conviction{at: at, count: max(report.Convictions, 1), released: report.Released})
+	default:
+		d.addPartCrash(report.Part, partCrash{
+			endpoint: report.Incarnation.Endpoint, at: at, request: report.Fingerprint, proven: report.Proven,
+		})
+	}
+}
+
+// ConvictionReports returns the latest convictions, at most limit, for an instance that may have
+// missed them.
+func (d *Detector) ConvictionReports(now tables.Instant, limit int) []Suspect {
 	d.expire(now)
 	var all []Suspect
-	for _, i := range d.incidents {
-		for _, c := range i.candidates {
-			if !c.cleared {
-				all = append(all, Suspect{Fingerprint: c.fingerprint, Incarnation: i.incarnation, CrashPoint: c.crashPoint, Age: now - i.at})
-			}
-		}
-	}
 	for f, at := range d.convicted {
 		all = append(all, Suspect{Fingerprint: f, Convicted: true, Age: now - at})
 	}
-	return all
+	for part, r := range d.convictedParts {
+		all = append(all, r.conviction.report(now, part))
+	}
+	slices.SortFunc(all, func(a, b Suspect) int {
+		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Part, b.Part), cmp.Compare(a.Fingerprint, b.Fingerprint))
+	})
+	return all[:min(len(all), limit)]
 }
 
 // Admits reports whether an endpoint may take a request, by this instance's attempts.
@@ -264,4 +344,6 @@
 
 // Empty reports whether there is no incident and no conviction, so that every
 // verdict is Allow and every endpoint admits. It takes constant time.
-func (d *Detector) Empty() bool { return len(d.incidents) == 0 && len(d.convicted) == 0 }
+func (d *Detector) Empty() bool {
+	return len(d.incidents) == 0 && len(d.convicted) == 0 && len(d.parts) == 0
+}
--- a/systems/quarantine/report.go
+++ b/systems/quarantine/report.go
@@ -12,18 +12,30 @@
 	Boot     tables.BootID
 }
 
-// Suspect is a report that one instance sends to the others: a request was running
-// when an endpoint crashed, or a request is convicted. It carries an age and no
+// Suspect is a report that one instance sends to the others: a request or a part of its prompt
+// was running when an endpoint crashed, is convicted or is cleared. It carries an age and no
 // time, because the clocks of two instances cannot be compared.
 type Suspect struct {
+	// Fingerprint identifies the request; for a part that was in question at a crash, a request
+	// that has it.
 	Fingerprint tables.Fingerprint
+	// Part is zero if the report is about the request.
+	Part Part
 	// Incarnation identifies the incident. It is empty for a conviction.
 	Incarnation Incarnation
 	// CrashPoint is the progress of the attempt at the time of the crash.
 	CrashPoint CrashPoint
-	// Convicted is set for a conviction, in place of Incarnation.
-	Convicted bool
-	// Age is the time since the incident or the conviction.
+	// Convicted is set for a conviction, in place of Incarnation. Convictions counts those of a
+	// part in a row, and Released is set once an operator has ended the last one.
+	Convicted   bool
+	Convictions int
+	Released    bool
+	// Proven is set if the instance has completed prompts with the part lately.
+	Proven bool
+	// Cleared is set in place of Incarnation if a prompt with the part was completed.
+	Cleared bool
+	// Age is the time since the incident, the conviction, or the beginning of the answer that
+	// clears the part.
 	Age time.Duration
 }
 
--- a/systems/quarantine/simulation_test.go
+++ b/systems/quarantine/simulation_test.go
@@ -43,7 +43,7 @@
 // fakeRequest is a simulated request. A poison request crashes its endpoint after
 // duration, others complete after it.
 type fakeRequest struct {
-	fingerprint  tables.Fingerprint
+	work         Work
 	isPoison     bool
 	instance     int
 	resends      int
@@ -91,7 +91,7 @@
 	for end := f.now + d; f.now < end; f.now += step {
 		if f.rand.Float64() < innocent*step.Seconds() {
 			f.submit(&fakeRequest{
-				fingerprint: tables.Fingerprint(f.rand.Uint64() | 1), instance: f.rand.IntN(3),
+				work: Work{Request: tables.Fingerprint(f.rand.Uint64() | 1)}, instance: f.rand.IntN(3),
 				duration: 500*time.Millisecond + time.Duration(f.rand.Int64N(int64(6*time.Second))),
 			})
 		}
@@ -112,7 +112,7 @@
 // after six rejections.
 func (f *fleet) submitPoison(fingerprint tables.Fingerprint, instance int) {
 	f.submit(&fakeRequest{
-		fingerprint: fingerprint, isPoison: true, instance: instance, resends: 6,
+		work: Work{Request: fingerprint}, isPoison: true, instance: instance, resends: 6,
 		duration: 30*time.Millisecond + time.Duration(f.rand.Int64N(int64(300*time.Millisecond))),
 	})
 }
@@ -125,7 +125,7 @@
 			kept = append(kept, m)
 			continue
 		}
-		m.suspect.Age = gossipDelay
+		m.suspect.Age += gossipDelay
 		f.instances[m.to].Merge(f.now, m.suspect)
 	}
 	f.messages = kept
@@ -141,7 +141,7 @@
 		f.crash(r.endpoint)
 	case f.now-r.started >= r.duration:
 		f.removeFromEndpoint(r)
-		f.instances[r.instance].Completed(r.attempt)
+		f.send(r.instance, f.instances[r.instance].Completed(f.now, r.attempt))
 		r.ended = true
 		f.completed++
 	case f.now-r.started == firstToken:
@@ -153,7 +153,7 @@
 // A rejected request is sent again through the next instance.
 func (f *fleet) place(r *fakeRequest) {
 	d := f.instances[r.instance]
-	verdict := d.Verdict(f.now, r.fingerprint)
+	verdict := d.Verdict(f.now, r.work)
 	if verdict == Reject {
 		f.rejected[r.isPoison]++
 		if r.resends--; r.resends <= 0 {
@@ -175,7 +175,7 @@
 	r.attempt = tables.AttemptID(fmt.Sprint(f.attempts))
 	r.endpoint, r.started = best, f.now
 	best.runs = append(best.runs, r)
-	d.Started(f.now, r.attempt, best.incarnation(), r.fingerprint)
+	d.Started(f.now, r.attempt, best.incarnation(), r.work)
 }
 
 // leastLoaded returns the endpoint with the fewest requests that admits the
@@ -221,11 +221,16 @@
 		r.notBefore = f.now + 5*time.Millisecond
 	}
 	for from, d := range f.instances {
-		for _, report := range d.Crashed(f.now, incarnation) {
-			for to := range f.instances {
-				if to != from {
-					f.messages = append(f.messages, message{to: to, due: f.now + gossipDelay, suspect: report})
-				}
+		f.send(from, d.Crashed(f.now, incarnation))
+	}
+}
+
+// send sends the reports of an instance to the others.
+func (f *fleet) send(from int, reports []Suspect) {
+	for _, report := range reports {
+		for to := range f.instances {
+			if to != from {
+				f.messages = append(f.messages, message{to: to, due: f.now + gossipDelay, suspect: report})
 			}
 		}
 	}
@@ -302,19 +307,19 @@
 	recordCrash := func(endpoint string, f tables.Fingerprint) {
 		id := tables.AttemptID(fmt.Sprint(endpoint, f))
 		incarnation := Incarnation{Endpoint: tables.EndpointID(endpoint), Boot: "1"}
-		d.Started(now, id, incarnation, f)
+		d.Started(now, id, incarnation, Work{Request: f})
 		d.Interrupted(now, id, 0, 0)
 		d.Crashed(now, incarnation)
 	}
 	recordCrash("a", 1)
-	assert.Equal(t, d.Verdict(now, 1), AvoidSuspectsOwned)
+	assert.Equal(t, d.Verdict(now, Work{Request: 1}), AvoidSuspectsOwned)
 	now += DefaultOwnershipWindow
-	assert.Equal(t, d.Verdict(now, 1), AvoidSuspects)
+	assert.Equal(t, d.Verdict(now, Work{Request: 1}), AvoidSuspects)
 	recordCrash("b", 1)
-	assert.Equal(t, d.Verdict(now, 1), Defer)
+	assert.Equal(t, d.Verdict(now, Work{Request: 1}), Defer)
 	now += DefaultSettleDelay
-	assert.Equal(t, d.Verdict(now, 1), Reject)
-	assert.Equal(t, d.Verdict(now, 2), Allow)
+	assert.Equal(t, d.Verdict(now, Work{Request: 1}), Reject)
+	assert.Equal(t, d.Verdict(now, Work{Request: 2}), Allow)
 
 	for i := range 10 {
 		recordCrash(fmt.Sprint("c", i), tables.Fingerprint(100+i))
@@ -325,7 +330,7 @@
 	assert.Equal(t, len(d.convicted), 2)
 
 	now += DefaultRetention + 1
-	assert.Equal(t, d.Verdict(now, 209), Allow)
+	assert.Equal(t, d.Verdict(now, Work{Request: 209}), Allow)
 	assert.Assert(t, d.Empty())
 	assert.Equal(t, len(d.evidence), 0)
 }
@@ -337,9 +342,9 @@
 	incarnation := Incarnation{Endpoint: "a", Boot: "1"}
 	report := Suspect{Fingerprint: 7, Incarnation: incarnation, CrashPoint: CrashPoint{Likely: true}}
 	d.Merge(1, report)
-	assert.Equal(t, d.Verdict(1, 7), AvoidSuspectsOwned)
-	d.Started(1, "x", Incarnation{Endpoint: "b", Boot: "1"}, 7)
-	d.Completed("x")
+	assert.Equal(t, d.Verdict(1, Work{Request: 7}), AvoidSuspectsOwned)
+	d.Started(1, "x", Incarnation{Endpoint: "b", Boot: "1"}, Work{Request: 7})
+	d.Completed(1, "x")
 	d.Merge(2, report)
-	assert.Equal(t, d.Verdict(2, 7), Allow)
+	assert.Equal(t, d.Verdict(2, Work{Request: 7}), Allow)
 }
--- a/tables/errorcodes.go
+++ b/tables/errorcodes.go
@@ -20,6 +20,7 @@
 	CodeKeyInProgress     ErrorCode = 4092
 	CodeTooLarge          ErrorCode = 4130
 	CodeQuarantined       ErrorCode = 4220
+	CodeQuarantinedPart   ErrorCode = 4221
 	CodeOrganisationLimit ErrorCode = 4290
 	CodeOverloaded        ErrorCode = 4291
 	CodeRetryBudget       ErrorCode = 4292
