Convictions are vouched against, repeated and fetched; the soak has parts of prompts that crash endpoints

An instance that has completed prompts with a part says so when another reports the part as unproven: after the second crash all do, after the first about five. After several crashes requests with an unproven part wait and are tried one at a time. Convictions are sent to two instances every second by router deployments too, and an instance that starts fetches them. After two failed trials a part stays convicted until no request with it has come for ten minutes.

The soak's fault is named and comes only in runs that ask for it.

--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -11,6 +11,7 @@
 	"github.com/carawaystile/carawaystile/metrics"
 	"github.com/carawaystile/carawaystile/router"
 	"github.com/carawaystile/carawaystile/systems/membership"
+	"github.com/carawaystile/carawaystile/systems/quarantine"
 )
 
 // startEntry creates the components of the entry role.
@@ -31,6 +32,7 @@
 		Metrics:           requestMetrics{metrics.NewRequests(d.registry)},
 		Log:               d.options.Log,
 		BroadcastSuspects: d.suspectNotifier.enqueue,
+		GossipConvictions: func(convictions []quarantine.Suspect) { d.suspectNotifier.gossip(d.runContext, convictions) },
 		GossipPlacements:  d.queuePlacementHints,
 		Now:               d.now,
 		Limits:            limits,
--- a/daemon/suspect_notifier.go
+++ b/daemon/suspect_notifier.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -97,6 +98,23 @@
 	sent.Wait()
 }
 
+// convictionGossipFanout is the number of instances to which convictions are sent at a time.
+const convictionGossipFanout = 2
+
+// gossip sends convictions to some live instances in the background. Reports of crashes reach all
+// instances; this repairs what instances have missed that have just started or were partitioned.
+func (n *suspectNotifier) gossip(ctx context.Context, convictions []quarantine.Suspect) {
+	report, members := suspectpeers.EncodeReport(convictions), n.members()
+	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	for _, m := range members[:min(len(members), convictionGossipFanout)] {
+		go func() {
+			bounded, cancel := context.WithTimeout(ctx, notifyTimeout)
+			defer cancel()
+			n.sendReport(bounded, m.Control, report)
+		}()
+	}
+}
+
 // sendReport sends a report to one instance, and logs a failure.
 func (n *suspectNotifier) sendReport(ctx context.Context, address netip.AddrPort, report *rpc.SuspectReport) {
 	err := suspectpeers.SendReport(ctx, rpc.NewPeerProtobufClient("http://"+address.String(), n.client), report)
--- a/entry/eventloop.go
+++ b/entry/eventloop.go
@@ -12,6 +12,7 @@
 	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/router"
 	"github.com/carawaystile/carawaystile/systems/quarantine"
+	"github.com/carawaystile/carawaystile/systems/quarantine/quarantinelog"
 	"github.com/carawaystile/carawaystile/tables"
 )
 
@@ -223,6 +224,10 @@
 			l.abort(a)
 		case router.BroadcastSuspects:
 			l.broadcastSuspects(a.Suspects)
+		case router.GossipConvictions:
+			l.server.gossipConvictions(a.Convictions)
+		case router.PartsChanged:
+			quarantinelog.PartChanges(l.server.log, a.Changes)
 		}
 	}
 	l.releaseAfterBroadcasts()
--- a/entry/options.go
+++ b/entry/options.go
@@ -167,6 +167,9 @@
 	// nil means that there are none. It must not block. The returned channel is
 	// closed once the instances are notified, or after a bounded time.
 	BroadcastSuspects func([]quarantine.Suspect) (notified <-chan struct{})
+	// GossipConvictions sends the convictions in force to some other instances;
+	// nil means that there are none. It must not block.
+	GossipConvictions func([]quarantine.Suspect)
 	// GossipPlacements tells the other instances where prefixes were placed;
 	// nil means that there are none. The slice is reused after the call. It
 	// must not block.
--- a/entry/server.go
+++ b/entry/server.go
@@ -32,6 +32,7 @@
 	log               *zap.Logger
 	now               func() tables.Instant
 	broadcastSuspects func([]quarantine.Suspect) (notified <-chan struct{})
+	gossipConvictions func([]quarantine.Suspect)
 	// allowTimeout asks the router whether an attempt may end with a read timeout; nil means always.
 	allowTimeout func(tables.Instant, tables.AttemptID) bool
 	limits       Limits
@@ -62,6 +63,7 @@
 		log:               o.Log,
 		now:               o.Now,
 		broadcastSuspects: o.BroadcastSuspects,
+		gossipConvictions: o.GossipConvictions,
 		limits:            o.Limits.withDefaults(),
 		inbox:             make(chan message, inboxCapacity),
 		stopped:           make(chan struct{}),
@@ -80,6 +82,9 @@
 	if s.broadcastSuspects == nil {
 		s.broadcastSuspects = func([]quarantine.Suspect) <-chan struct{} { return closedChannel }
 	}
+	if s.gossipConvictions == nil {
+		s.gossipConvictions = func([]quarantine.Suspect) {}
+	}
 	if s.now == nil {
 		origin := time.Now()
 		s.now = func() tables.Instant { return time.Since(origin) }
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -10,6 +10,7 @@
 	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/parts"
 	"github.com/carawaystile/carawaystile/systems/quarantine"
+	"github.com/carawaystile/carawaystile/systems/quarantine/quarantinelog"
 	"github.com/carawaystile/carawaystile/tables"
 )
 
@@ -104,9 +105,12 @@
 // MergeSuspect merges a suspect that another instance has reported into the crash detector.
 func (s *Server) MergeSuspect(suspect quarantine.Suspect) {
 	s.mu.Lock()
-	s.crashDetector.Merge(s.options.Now(), suspect)
+	reports := s.crashDetector.Merge(s.options.Now(), suspect)
 	s.logPartChanges()
 	s.mu.Unlock()
+	if len(reports) > 0 {
+		s.options.ShareSuspects(reports)
+	}
 	if suspect.Part != 0 && !suspect.Cleared {
 		s.armQuarantineSweep()
 	}
@@ -145,18 +149,7 @@
 
 // logPartChanges logs the convictions and releases of parts. The caller holds s.mu.
 func (s *Server) logPartChanges() {
-	for _, change := range s.crashDetector.TakePartChanges() {
-		part := zap.Stringer("part", parts.ID(change.Part))
-		if change.Count == 0 {
-			events.PartReleased.Log(s.log, part)
-			continue
-		}
-		endpoints := make([]string, 0, len(change.Endpoints))
-		for _, id := range change.Endpoints {
-			endpoints = append(endpoints, string(id))
-		}
-		events.PartConvicted.Log(s.log, part, zap.Strings("endpoints", endpoints), zap.Duration("length", change.Length), zap.Int("convictions", change.Count))
-	}
+	quarantinelog.PartChanges(s.log, s.crashDetector.TakePartChanges())
 }
 
 // quarantineSweepDelay is the time from the report of a crash to quarantineSweep. The evidence has
--- a/node/listen.go
+++ b/node/listen.go
@@ -15,7 +15,6 @@
 	"github.com/carawaystile/carawaystile/control/transport"
 	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/internal/keepalive"
-	"github.com/carawaystile/carawaystile/peers"
 	"github.com/carawaystile/carawaystile/relay"
 	"github.com/carawaystile/carawaystile/rpc"
 )
@@ -64,7 +63,7 @@
 		mux.Handle(rpc.CacheKnowledgePathPrefix, rpc.NewCacheKnowledgeServer(cacheKnowledgeServer{n}))
 		mux.Handle(relay.Path, n.relayServer)
 		mux.Handle(rpc.StreamsPathPrefix, rpc.NewStreamsServer(streamsServer{n.streamOrigins}))
-		mux.Handle(rpc.PeerPathPrefix, rpc.NewPeerServer(peers.Service{Receive: n.entry.MergeSuspect}))
+		mux.Handle(rpc.PeerPathPrefix, rpc.NewPeerServer(n.peerService()))
 	}
 	if err := n.serve(&http.Server{Handler: mux}, s.Listen.Instances, keepalive.Peers); err != nil {
 		return err
--- a/node/members.go
+++ b/node/members.go
@@ -63,6 +63,7 @@
 	n.gossip.Store(joined)
 	if n.entry != nil {
 		n.background.Go(n.sendHints)
+		n.background.Go(n.fetchConvictions)
 		n.background.Go(n.gossipConvictions)
 		n.background.Go(n.sendRemotePlacements)
 		n.background.Go(n.sendRemoteLoads)
--- a/node/suspects.go
+++ b/node/suspects.go
@@ -42,6 +42,41 @@
 	}
 }
 
+// peerService serves the reports of other instances.
+func (n *Node) peerService() peers.Service {
+	return peers.Service{
+		Receive:     n.entry.MergeSuspect,
+		Convictions: func() []quarantine.Suspect { return n.entry.ConvictionReports(maxGossipedConvictions) },
+	}
+}
+
+const (
+	// convictionFetchAttempts is how often an instance that has started asks another one for its
+	// convictions until one answers, and convictionFetchInterval the time between. Right after a
+	// start the others are unknown or have just started too.
+	convictionFetchAttempts = 50
+	convictionFetchInterval = 50 * time.Millisecond
+)
+
+// fetchConvictions fetches the convictions in force from another instance.
+func (n *Node) fetchConvictions() {
+	for range convictionFetchAttempts {
+		for _, at := range pickAddresses(n.entryPeerAddresses(), 1) {
+			convictions, err := peers.FetchConvictions(n.lifetime, rpc.NewPeerProtobufClient("http://"+at.String(), n.client))
+			if err == nil {
+				for _, conviction := range convictions {
+					n.entry.MergeSuspect(conviction)
+				}
+				return
+			}
+			events.ConvictionsNotFetched.Log(n.log, zap.Stringer("instance_address", at), zap.Error(err))
+		}
+		if wait.For(n.lifetime, convictionFetchInterval) != nil {
+			return
+		}
+	}
+}
+
 // gossipConvictions sends the convictions in force to some other entry instances, until the instance
 // stops.
 func (n *Node) gossipConvictions() {
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -28,6 +28,8 @@
 type Service struct {
 	// Receive is called for each reported suspect, from any goroutine.
 	Receive func(quarantine.Suspect)
+	// Convictions returns the convictions that this instance knows; nil for none.
+	Convictions func() []quarantine.Suspect
 }
 
 // Suspect passes the suspects of a report to Receive, up to maxSuspectsPerReport.
@@ -38,7 +40,11 @@
 		}
 		s.Receive(decodeSuspect(suspect))
 	}
-	return &rpc.SuspectAnswer{}, nil
+	answer := &rpc.SuspectAnswer{}
+	if report.GetFetchConvictions() && s.Convictions != nil {
+		answer.Convictions = EncodeReport(s.Convictions()).GetSuspects()
+	}
+	return answer, nil
 }
 
 // encodeSuspect returns the message for a suspect.
--- a/peers/send.go
+++ b/peers/send.go
@@ -4,8 +4,11 @@
 	"context"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"github.com/carawaystile/carawaystile/internal/wait"
 	"github.com/carawaystile/carawaystile/rpc"
+	"github.com/carawaystile/carawaystile/systems/quarantine"
 )
 
 const (
@@ -35,6 +38,21 @@
 	return err
 }
 
+// FetchConvictions returns the convictions that another instance knows.
+func FetchConvictions(ctx context.Context, from rpc.Peer) ([]quarantine.Suspect, error) {
+	bounded, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	answer, err := from.Suspect(bounded, &rpc.SuspectReport{FetchConvictions: true})
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	var convictions []quarantine.Suspect
+	for _, s := range answer.GetConvictions()[:min(len(answer.GetConvictions()), maxSuspectsPerReport)] {
+		convictions = append(convictions, decodeSuspect(s))
+	}
+	return convictions, nil
+}
+
 // sendOnce makes one attempt to send a report.
 func sendOnce(ctx context.Context, to rpc.Peer, report *rpc.SuspectReport) error {
 	bounded, cancel := context.WithTimeout(ctx, attemptTimeout)
--- a/router/messages.go
+++ b/router/messages.go
@@ -190,8 +190,22 @@
 	Suspects []quarantine.Suspect
 }
 
+// GossipConvictions asks the caller of Tick to send the convictions in force to
+// some other instances, which may have missed them.
+type GossipConvictions struct {
+	Convictions []quarantine.Suspect
+}
+
+// PartsChanged asks the caller of Tick to log the parts of prompts that were
+// convicted or released.
+type PartsChanged struct {
+	Changes []quarantine.PartChange
+}
+
 func (Dispatch) action()          {}
 func (Refuse) action()            {}
 func (Fail) action()              {}
 func (Abort) action()             {}
 func (BroadcastSuspects) action() {}
+func (GossipConvictions) action() {}
+func (PartsChanged) action()      {}
--- a/router/observe.go
+++ b/router/observe.go
@@ -34,7 +34,9 @@
 		}
 		r.suspects.SetRank(in.Rank, in.Count)
 	case PeerSuspect:
-		r.suspects.Merge(now, in.Suspect)
+		if vouched := r.suspects.Merge(now, in.Suspect); len(vouched) > 0 {
+			r.actions = append(r.actions, BroadcastSuspects{Suspects: vouched})
+		}
 	}
 }
 
--- a/router/quarantine.go
+++ b/router/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/carawaystile/carawaystile/systems/placement"
 	"github.com/carawaystile/carawaystile/systems/quarantine"
@@ -111,21 +112,43 @@
 	}
 }
 
+const (
+	// convictionGossipInterval is the interval between two GossipConvictions, which
+	// hold at most maxGossipedConvictions.
+	convictionGossipInterval = time.Second
+	maxGossipedConvictions   = 64
+)
+
+// shareQuarantine adds the actions that log and repeat convictions.
+func (r *Router) shareQuarantine(now tables.Instant) {
+	if changes := r.suspects.TakePartChanges(); len(changes) > 0 {
+		r.actions = append(r.actions, PartsChanged{Changes: changes})
+	}
+	if r.suspects.Empty() || now < r.nextConvictionGossip {
+		return
+	}
+	r.nextConvictionGossip = now + convictionGossipInterval
+	if convictions := r.suspects.ConvictionReports(now, maxGossipedConvictions); len(convictions) > 0 {
+		r.actions = append(r.actions, GossipConvictions{Convictions: convictions})
+	}
+}
+
 // refuseQuarantined ends pending requests that have been quarantined since they
 // were queued.
 func (r *Router) refuseQuarantined(now tables.Instant) {
 	if r.suspects.Empty() {
 		return
 	}
-	for _, row := range r.sortedRequests(func(row *tables.RequestRow) bool {
-		return row.State == tables.Pending && r.quarantineCode(now, row.Request) != 0
-	}) {
+	// A verdict may convict, so the verdicts are asked for in a fixed order.
+	for _, row := range r.sortedRequests(func(row *tables.RequestRow) bool { return row.State == tables.Pending }) {
 		code := r.quarantineCode(now, row.Request)
-		if row.Dispatched {
+		switch {
+		case code == 0:
+		case row.Dispatched:
 			r.fail(row, code, 0)
-			continue
+		default:
+			r.refuse(row.Request, tables.Refusal{Code: code})
+			r.finish(row)
 		}
-		r.refuse(row.Request, tables.Refusal{Code: code})
-		r.finish(row)
 	}
 }
--- a/router/router.go
+++ b/router/router.go
@@ -57,15 +57,17 @@
 	organisations organisations
 	classes       [tables.PriorityCount]priorityClass
 	// newRequests holds submitted requests until the next Tick.
-	newRequests   []*tables.RequestRow
-	retryBudget   retry.Budget
-	overload      overloadState
-	suspects      *quarantine.Detector
-	picker        placement.Picker
-	cacheIndex    *cacheview.Index
-	matches       cacheview.Matches
-	gossip        placementQueue
-	prefixCounter hotness.Sketch
+	newRequests []*tables.RequestRow
+	retryBudget retry.Budget
+	overload    overloadState
+	suspects    *quarantine.Detector
+	// nextConvictionGossip is the time of the next GossipConvictions.
+	nextConvictionGossip tables.Instant
+	picker               placement.Picker
+	cacheIndex           *cacheview.Index
+	matches              cacheview.Matches
+	gossip               placementQueue
+	prefixCounter        hotness.Sketch
 	// homeHitRatio is the moving average of the fraction of a prefix that its
 	// home endpoint had cached although the cache index knew of none of it.
 	homeHitRatio float64
@@ -240,6 +242,7 @@
 			r.serveClass(now, tables.Priority(p))
 		}
 	}
+	r.shareQuarantine(now)
 	out := r.actions
 	r.actions, r.spareActions = r.spareActions[:0], out
 	return out
--- a/soak/check.go
+++ b/soak/check.go
@@ -37,6 +37,7 @@
 	l.judgePushbacks(all)
 	l.judgeAnnouncedDrains(all)
 	l.judgePoison(all)
+	l.judgeBadParts(all)
 	if l.capacity {
 		l.judgeCapacity(all)
 	}
@@ -297,10 +298,10 @@
 	}
 }
 
-// unplannedBut is unplanned, without the crashing request itself.
+// unplannedBut is unplanned, without the crashing requests themselves.
 func (l *ledger) unplannedBut(from, to time.Time) bool {
 	for _, d := range l.disruptions {
-		if !d.planned && d.what != "a request that crashes endpoints" && d.from.Before(to) && (d.to.IsZero() || d.to.After(from)) {
+		if !d.planned && d.what != "a request that crashes endpoints" && d.what != badPartFault && d.from.Before(to) && (d.to.IsZero() || d.to.After(from)) {
 			return true
 		}
 	}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -80,6 +80,7 @@
 	{name: "answers to operators are lost", outside: true, do: func(s *strike) { s.operators.lose(0.6); s.wait(); s.operators.lose(0) }},
 	{name: "new weights", planned: true, do: func(s *strike) { s.operators.nameWeights() }},
 	{name: "a request that crashes endpoints", outside: true, do: poison},
+	{name: badPartFault, outside: true, named: true, do: crashByPart},
 	{name: "an endpoint names a rate limit", outside: true, named: true, do: nameLimit},
 	{name: "an endpoint pushes back", outside: true, named: true, do: pushBack},
 	{name: "endpoints are slowed down", outside: true, named: true, do: slowDownEndpoints},
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -18,6 +18,8 @@
 	// when it had ended.
 	life, lifeEnd int
 	sent, done    time.Time
+	// badPart is the part of the prompt that crashes endpoints; empty for none.
+	badPart string
 	// cancelled is set where the caller left early.
 	cancelled bool
 	result    platformtest.Result
--- a/soak/places.go
+++ b/soak/places.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"strings"
 	"sync"
 	"time"
 
@@ -142,7 +143,7 @@
 
 // draw says what happens to one request.
 func (p *places) draw(id tables.EndpointID, target string) platformtest.Fault {
-	if target == poisonPath {
+	if target == poisonPath || strings.Contains(target, badPartMark) {
 		return platformtest.Crashing
 	}
 	p.mu.Lock()
--- a/systems/quarantine/conviction.go
+++ b/systems/quarantine/conviction.go
@@ -9,9 +9,12 @@
 )
 
 const (
-	// firstSentence is how long the first conviction of a part lasts. Each further one lasts twice
-	// as long as the one before, up to Options.Retention.
-	firstSentence = time.Minute
+	// firstSentence and secondSentence are how long the first two convictions of a part last.
+	// maxTrials is how often a part is tried again after a conviction. Then it stays convicted until
+	// no request with it has come for Options.Retention.
+	firstSentence  = time.Minute
+	secondSentence = 4 * time.Minute
+	maxTrials      = 2
 	// releaseStagger is how much earlier the instance that owns a part tries it again than the
 	// others. If it crashes the endpoint of that one, the others convict it again.
 	releaseStagger = 30 * time.Second
@@ -27,18 +30,21 @@
 	released bool
 }
 
-// length returns how long the conviction lasts.
+// length returns how long the conviction lasts, counted from the last request if isFinal.
 func (c conviction) length(longest time.Duration) time.Duration {
-	length := firstSentence
-	for range c.count - 1 {
-		if length >= longest {
-			break
-		}
-		length *= 2
+	switch {
+	case c.isFinal():
+		return longest
+	case c.count == 1:
+		return min(firstSentence, longest)
+	default:
+		return min(secondSentence, longest)
 	}
-	return min(length, longest)
 }
 
+// isFinal reports whether the part has crashed endpoints in all its trials.
+func (c conviction) isFinal() bool { return c.count > maxTrials }
+
 // PartChange is the conviction or the release of a part.
 type PartChange struct {
 	Part Part
@@ -62,7 +68,11 @@
 	if r.conviction.released {
 		return 0
 	}
-	at := r.conviction.at + r.conviction.length(d.options.Retention)
+	from := r.conviction.at
+	if r.conviction.isFinal() {
+		from = max(from, r.requestedAt)
+	}
+	at := from + r.conviction.length(d.options.Retention)
 	if !d.ownsPart(part) {
 		at += releaseStagger
 	}
@@ -71,7 +81,7 @@
 
 // ownsPart reports whether this instance is the first that tries a convicted part again.
 func (d *Detector) ownsPart(part Part) bool {
-	return uint64(part)%uint64(d.instances) == uint64(d.rank)
+	return d.turn(part) == 0
 }
 
 // partScanInterval is the longest time between two scans while a part may be convicted.
@@ -154,7 +164,7 @@
 // conviction; one before it comes from an attempt that was running already.
 func (d *Detector) extendConviction(part Part, r *partRecord, at tables.Instant) {
 	c := r.conviction
-	inForce := !c.released && at < c.at+c.length(d.options.Retention)
+	inForce := !c.released && (at < c.at+c.length(d.options.Retention) || c.isFinal())
 	c.at, c.released = max(c.at, at), false
 	if inForce {
 		r.conviction = c
@@ -210,27 +220,19 @@
 	case r == nil:
 		return Allow
 	case r.conviction.count > 0:
-		if now < d.releaseAt(part, r) || d.isRunning(part) {
+		rejected := now < d.releaseAt(part, r) || d.isTried(now, part)
+		r.requestedAt = now
+		if rejected {
 			return Reject
 		}
 		return Allow
-	case r.convictable:
+	case r.convictable, d.holds(now, part, r):
 		return Defer
 	default:
 		return Allow
 	}
 }
 
-// isRunning reports whether an attempt with the part is running.
-func (d *Detector) isRunning(part Part) bool {
-	for _, a := range d.attempts {
-		if a.interruptedAt == 0 && slices.Contains(a.work.Parts, part) {
-			return true
-		}
-	}
-	return false
-}
-
 // Conviction is a part that is convicted, for operators and for callers.
 type Conviction struct {
 	PartChange
--- a/systems/quarantine/parts.go
+++ b/systems/quarantine/parts.go
@@ -20,10 +20,12 @@
 }
 
 const (
-	// A part is convicted after newPartCrashes crashes, or after provenPartCrashes that span
-	// provenPartSpan if prompts with it were completed lately: a part of many prompts is in
-	// question at most crashes, whatever their cause.
+	// A part is convicted after newPartCrashes crashes that were not simultaneous, or after
+	// manyPartCrashes. If prompts with it were completed lately it takes provenPartCrashes that
+	// were not simultaneous and span provenPartSpan: a part of many prompts is in question at most
+	// crashes, whatever their cause.
 	newPartCrashes    = 2
+	manyPartCrashes   = 3
 	provenPartCrashes = 4
 	provenPartSpan    = 3 * time.Second
 	// minPartRequests is the number of different requests that must have met these crashes.
@@ -31,7 +33,9 @@
 	minPartRequests = 2
 	// simultaneousWindow is the time within which crashes count as one: endpoints that share a
 	// host or a rack end together.
-	simultaneousWindow = 250 * time.Millisecond
+	simultaneousWindow = 100 * time.Millisecond
+	// maxVouchers is about how many instances report a part as proven after its first crash.
+	maxVouchers = 5
 	// sameCrashWindow is how far apart two reports of one crash may appear. An endpoint takes
 	// longer to start again.
 	sameCrashWindow = time.Second
@@ -62,6 +66,8 @@
 	// crashes are ordered by time.
 	crashes    []partCrash
 	conviction conviction
+	// requestedAt is when a request with the convicted part last came to this instance.
+	requestedAt tables.Instant
 	// convictable is set while the crashes suffice to convict the part, see Detector.scanParts, and
 	// convictableSince is when that began.
 	convictable      bool
@@ -213,21 +219,47 @@
 func (d *Detector) isConvictable(part Part, crashes []partCrash) bool {
 	moments, last := 0, tables.Instant(0)
 	requests := map[tables.Fingerprint]bool{}
-	_, proven := d.uses.provenAt(part)
 	for n, c := range crashes {
 		if n == 0 || c.at-last > simultaneousWindow {
 			moments, last = moments+1, c.at
 		}
 		requests[c.request] = true
-		proven = proven || c.proven
 	}
 	if len(requests) < minPartRequests {
 		return false
 	}
-	if proven {
+	if d.isProven(part, d.parts[part].crashes) {
 		return moments >= provenPartCrashes && crashes[len(crashes)-1].at-crashes[0].at >= provenPartSpan
 	}
-	return moments >= newPartCrashes
+	return moments >= newPartCrashes || len(crashes) >= manyPartCrashes
+}
+
+// isProven reports whether answers to prompts with the part were completed lately, here or at an
+// instance that has said so.
+func (d *Detector) isProven(part Part, crashes []partCrash) bool {
+	_, proven := d.uses.provenAt(part)
+	return proven || slices.ContainsFunc(crashes, func(c partCrash) bool { return c.proven })
+}
+
+// vouch returns the report that the part of a merged crash is proven, if this instance knows that
+// and the others, who may be about to convict the part, do not.
+func (d *Detector) vouch(now tables.Instant, part Part, crash partCrash) []Suspect {
+	r := d.parts[part]
+	if r == nil || slices.ContainsFunc(r.crashes, func(c partCrash) bool { return c.proven }) {
+		return nil
+	}
+	if len(r.crashes) < newPartCrashes && d.turn(part) >= maxVouchers {
+		return nil
+	}
+	if _, proven := d.uses.provenAt(part); !proven {
+		return nil
+	}
+	for n := range r.crashes {
+		r.crashes[n].proven = true
+	}
+	return []Suspect{{
+		Part: part, Fingerprint: crash.request, Incarnation: Incarnation{Endpoint: crash.endpoint}, Proven: true, Age: now - crash.at,
+	}}
 }
 
 // mayBeConvicted is isConvictable without regard to other causes. It is cheap.
--- a/systems/quarantine/quarantine.go
+++ b/systems/quarantine/quarantine.go
@@ -31,6 +31,7 @@
 	work        Work
 	incarnation Incarnation
 	verdict     Verdict
+	startedAt   tables.Instant
 	// firstToken is the time of the first token; zero before it.
 	firstToken tables.Instant
 	// safeAfter is how long after its first token a suspect has outlived its
@@ -120,7 +121,7 @@
 // Started records the dispatch of an attempt.
 func (d *Detector) Started(now tables.Instant, id tables.AttemptID, incarnation Incarnation, work Work) {
 	work.Parts = work.Parts[:min(len(work.Parts), maxPartsOfWork)]
-	r := &attempt{work: work, incarnation: incarnation, verdict: d.Verdict(now, work)}
+	r := &attempt{work: work, incarnation: incarnation, verdict: d.Verdict(now, work), startedAt: now}
 	if r.verdict != Allow {
 		r.safeAfter = d.longestRun(work.Request) + d.options.OutliveMargin
 	}
@@ -273,35 +274,39 @@
 	return ids
 }
 
-// Merge applies a report of another instance.
-func (d *Detector) Merge(now tables.Instant, report Suspect) {
+// Merge applies a report of another instance. It returns the reports that follow from it for the
+// other instances.
+func (d *Detector) Merge(now tables.Instant, report Suspect) []Suspect {
 	d.expire(now)
-	if report.Age > d.options.Retention {
-		return
+	if report.Age > d.options.Retention && !report.Convicted {
+		return nil
 	}
 	at := now - report.Age
 	switch {
 	case report.Part != 0:
-		d.mergePart(at, report)
+		return d.mergePart(now, at, report)
 	case report.Convicted:
 		d.convict(at, report.Fingerprint)
 	default:
 		d.addCandidate(at, report.Incarnation, report.Fingerprint, report.CrashPoint)
 	}
+	return nil
 }
 
 // mergePart applies a report about a part.
-func (d *Detector) mergePart(at tables.Instant, report Suspect) {
+func (d *Detector) mergePart(now, at tables.Instant, report Suspect) []Suspect {
 	switch {
 	case report.Cleared:
 		d.clearPart(report.Part, at)
 	case report.Convicted:
 		d.mergeConviction(report.Part, conviction{at: at, count: max(report.Convictions, 1), released: report.Released})
 	default:
-		d.addPartCrash(report.Part, partCrash{
-			endpoint: report.Incarnation.Endpoint, at: at, request: report.Fingerprint, proven: report.Proven,
-		})
+		crash := partCrash{endpoint: report.Incarnation.Endpoint, at: at, request: report.Fingerprint, proven: report.Proven}
+		if d.addPartCrash(report.Part, crash) {
+			return d.vouch(now, report.Part, crash)
+		}
 	}
+	return nil
 }
 
 // ConvictionReports returns the latest convictions, at most limit, for an instance that may have
--- a/systems/quarantine/simulation_test.go
+++ b/systems/quarantine/simulation_test.go
@@ -11,12 +11,14 @@
 	"github.com/carawaystile/carawaystile/tables"
 )
 
-// fleet simulates three instances and several endpoints in virtual time. The
+// fleet simulates instances and endpoints in virtual time. The
 // callers of poison requests send them again through the next instance.
 type fleet struct {
 	rand      *rand.Rand
 	now       tables.Instant
-	instances [3]*Detector
+	instances []*Detector
+	// startedAt are the times at which the instances started.
+	startedAt []tables.Instant
 	endpoints []*fakeEndpoint
 	requests  []*fakeRequest
 	messages  []message
@@ -25,6 +27,12 @@
 	affected  int
 	rejected  map[bool]int
 	completed int
+	// poisonStarts are the times at which poison requests were dispatched by instances that had
+	// run for noticeTime, crashTimes those of
+	// crashes, and rejections those at which innocent requests were rejected.
+	poisonStarts, crashTimes, rejections []tables.Instant
+	// isLost decides which reports are lost; nil for none.
+	isLost func(from, to int) bool
 }
 
 // fakeEndpoint is a simulated endpoint with the requests that it runs. It is down
@@ -54,6 +62,8 @@
 	answerTokens int
 	notBefore    tables.Instant
 	ended        bool
+	// maxAttempts bounds the attempts; zero for no limit.
+	attempts, maxAttempts int
 }
 
 // message is a report on its way to another instance.
@@ -73,12 +83,14 @@
 	slots        = 8
 )
 
-// newFleet returns a fleet with the given number of endpoints.
-func newFleet(seed uint64, endpoints int) *fleet {
-	f := &fleet{rand: rand.New(rand.NewPCG(seed, 1)), rejected: map[bool]int{}}
+// newFleet returns a fleet with three instances and the given number of endpoints.
+func newFleet(seed uint64, endpoints int) *fleet { return newFleetOf(seed, 3, endpoints) }
+
+// newFleetOf returns a fleet with the given numbers of instances and endpoints.
+func newFleetOf(seed uint64, instances, endpoints int) *fleet {
+	f := &fleet{rand: rand.New(rand.NewPCG(seed, 1)), rejected: map[bool]int{}, instances: make([]*Detector, instances), startedAt: make([]tables.Instant, instances)}
 	for i := range f.instances {
-		f.instances[i] = New(Options{})
-		f.instances[i].SetRank(i, len(f.instances))
+		f.startInstance(i)
 	}
 	for i := range endpoints {
 		f.endpoints = append(f.endpoints, &fakeEndpoint{id: tables.EndpointID(fmt.Sprint("e", i))})
@@ -86,24 +98,36 @@
 	return f
 }
 
+// startInstance starts an instance that knows nothing.
+func (f *fleet) startInstance(i int) {
+	f.instances[i] = New(Options{})
+	f.instances[i].SetRank(i, len(f.instances))
+	f.startedAt[i] = f.now
+}
+
 // run simulates the time d with the given rate of innocent requests per second.
 func (f *fleet) run(d time.Duration, innocent float64) {
 	for end := f.now + d; f.now < end; f.now += step {
 		if f.rand.Float64() < innocent*step.Seconds() {
 			f.submit(&fakeRequest{
-				work: Work{Request: tables.Fingerprint(f.rand.Uint64() | 1)}, instance: f.rand.IntN(3),
+				work: Work{Request: tables.Fingerprint(f.rand.Uint64() | 1)}, instance: f.rand.IntN(len(f.instances)),
 				duration: 500*time.Millisecond + time.Duration(f.rand.Int64N(int64(6*time.Second))),
 			})
 		}
-		f.deliver()
-		open := f.requests[:0]
-		for _, r := range f.requests {
-			if f.advance(r); !r.ended {
-				open = append(open, r)
-			}
+		f.tick()
+	}
+}
+
+// tick delivers reports and moves the requests on by one step.
+func (f *fleet) tick() {
+	f.deliver()
+	open := f.requests[:0]
+	for _, r := range f.requests {
+		if f.advance(r); !r.ended {
+			open = append(open, r)
 		}
-		f.requests = open
 	}
+	f.requests = open
 }
 
 func (f *fleet) submit(r *fakeRequest) { f.requests = append(f.requests, r) }
@@ -119,16 +143,18 @@
 
 // deliver hands over the reports that are due.
 func (f *fleet) deliver() {
-	kept := f.messages[:0]
-	for _, m := range f.messages {
+	var kept []message
+	arrived := f.messages
+	f.messages = nil
+	for _, m := range arrived {
 		if m.due > f.now {
 			kept = append(kept, m)
 			continue
 		}
 		m.suspect.Age += gossipDelay
-		f.instances[m.to].Merge(f.now, m.suspect)
+		f.send(m.to, f.instances[m.to].Merge(f.now, m.suspect))
 	}
-	f.messages = kept
+	f.messages = append(f.messages, kept...)
 }
 
 // advance moves a request on by one step.
@@ -154,13 +180,19 @@
 func (f *fleet) place(r *fakeRequest) {
 	d := f.instances[r.instance]
 	verdict := d.Verdict(f.now, r.work)
+	if verdict == Defer {
+		return
+	}
 	if verdict == Reject {
 		f.rejected[r.isPoison]++
+		if !r.isPoison {
+			f.rejections = append(f.rejections, f.now)
+		}
 		if r.resends--; r.resends <= 0 {
 			r.ended = true
 			return
 		}
-		r.instance = (r.instance + 1) % 3
+		r.instance = (r.instance + 1) % len(f.instances)
 		r.notBefore = f.now + resendDelay
 		return
 	}
@@ -171,6 +203,10 @@
 	if best == nil {
 		return
 	}
+	r.attempts++
+	if r.isPoison && (f.startedAt[r.instance] == 0 || f.now-f.startedAt[r.instance] > noticeTime) {
+		f.poisonStarts = append(f.poisonStarts, f.now)
+	}
 	f.attempts++
 	r.attempt = tables.AttemptID(fmt.Sprint(f.attempts))
 	r.endpoint, r.started = best, f.now
@@ -209,6 +245,7 @@
 // instances.
 func (f *fleet) crash(e *fakeEndpoint) {
 	f.crashes++
+	f.crashTimes = append(f.crashTimes, f.now)
 	incarnation := e.incarnation()
 	e.boot++
 	e.downAt = f.now + restartDelay
@@ -219,6 +256,7 @@
 		r.answerTokens += tokens
 		f.instances[r.instance].Interrupted(f.now, r.attempt, tokens, r.answerTokens)
 		r.notBefore = f.now + 5*time.Millisecond
+		r.ended = r.maxAttempts > 0 && r.attempts >= r.maxAttempts
 	}
 	for from, d := range f.instances {
 		f.send(from, d.Crashed(f.now, incarnation))
@@ -229,7 +267,7 @@
 func (f *fleet) send(from int, reports []Suspect) {
 	for _, report := range reports {
 		for to := range f.instances {
-			if to != from {
+			if to != from && (f.isLost == nil || !f.isLost(from, to)) {
 				f.messages = append(f.messages, message{to: to, due: f.now + gossipDelay, suspect: report})
 			}
 		}
