A stream without a length that ends before its first event has broken off

Callers got an empty response with status 200 if an endpoint ended right after the header of a stream with neither a length nor chunks: only the end of the connection ends such a response, and a crash looks the same. Such a response also cleared the parts of its prompt at the crash detector.

A stream of this kind without any event now counts as broken, and no response of this kind clears a part. Streams that end between two events are whole, as before; those that end inside one, or are reset, are broken off or resumed.

--- a/engine/exchange/response.go
+++ b/engine/exchange/response.go
@@ -75,6 +75,12 @@
 	return n, err
 }
 
+// EndsWithConnection reports whether the body has neither a length nor chunks, so that only the end
+// of the connection ends it. It may be truncated then without an error.
+func (res *Response) EndsWithConnection() bool {
+	return res.resp.ContentLength < 0 && len(res.resp.TransferEncoding) == 0
+}
+
 // Read reads from the body of a stream. io.EOF means that the response is complete.
 func (res *Response) Read(p []byte) (int, error) {
 	n, err := res.resp.Body.Read(p)
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -57,10 +57,11 @@
 	// endUnanswered ends the count of the request body as unanswered. It may be called more than
 	// once.
 	endUnanswered func()
-	// firstResponseAt is when the endpoint began its response; 0 before that. failed is set if its
-	// complete response is no success.
+	// firstResponseAt is when the endpoint began its response; 0 before that. noProof is set if its
+	// complete response does not prove that it could answer the prompt: a failure, or a response
+	// whose end is that of its connection.
 	firstResponseAt tables.Instant
-	failed          bool
+	noProof         bool
 	// via is the instance through which a relayed attempt has gone; empty otherwise.
 	via tables.InstanceID
 	// retryAfter is the Retry-After header of a response with status 503, for the log.
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -74,7 +74,7 @@
 func (a *attempt) recordCrashOutcome(now tables.Instant, result dispatch.Outcome) {
 	s := a.request.server
 	switch {
-	case result == dispatch.Completed && a.failed:
+	case result == dispatch.Completed && a.noProof:
 		s.crashDetector.Failed(a.id)
 	case result == dispatch.Completed:
 		if cleared := s.crashDetector.Completed(now, a.id); len(cleared) > 0 {
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -52,7 +52,7 @@
 	if response.Status >= http.StatusInternalServerError && a.retryServerError(buffered) {
 		return
 	}
-	a.failed = !isSuccess(response.Status)
+	a.noProof = !isSuccess(response.Status) || response.EndsWithConnection()
 	a.recordOutcome(dispatch.Completed)
 	if c.responseStarted {
 		// The response to the client has begun with a stream from another endpoint, which this
@@ -100,7 +100,7 @@
 	if c.admitRetry(dispatch.Completed) != 0 {
 		return false
 	}
-	a.failed = true
+	a.noProof = true
 	a.recordOutcome(dispatch.Completed)
 	c.fallbackResponse = buffered
 	c.dispatchRequest.Tried = append(c.dispatchRequest.Tried, a.placement.Endpoint.ID)
--- a/forward/streamwriter.go
+++ b/forward/streamwriter.go
@@ -127,6 +127,12 @@
 // recordEnd records the end of the response.
 func (r *streamRelay) recordEnd(err error) *streamEnd {
 	a := r.attempt
+	if err == io.EOF && r.response.EndsWithConnection() {
+		a.noProof = true
+		if a.firstResponseAt == 0 {
+			err = io.ErrUnexpectedEOF // no event came, so nothing tells this from a crash
+		}
+	}
 	switch {
 	case err == io.EOF:
 		a.stopResponseTimer()
