--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -18,6 +18,7 @@
 	"github.com/carawaystile/carawaystile/permits"
 	"github.com/carawaystile/carawaystile/relay"
 	"github.com/carawaystile/carawaystile/schedule"
+	"github.com/carawaystile/carawaystile/systems/quarantine"
 	"github.com/carawaystile/carawaystile/tables"
 )
 
@@ -242,6 +243,13 @@
 	if !notDelivered(result) {
 		a.request.dispatchRequest.DeliveredAttempts++
 	}
+	if cleared := a.recordOutcomeLocked(result); len(cleared) > 0 {
+		a.request.server.options.ShareSuspects(cleared)
+	}
+}
+
+// recordOutcomeLocked returns what the other instances must be told.
+func (a *attempt) recordOutcomeLocked(result dispatch.Outcome) (cleared []quarantine.Suspect) {
 	s := a.request.server
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -250,7 +258,7 @@
 	s.metrics.countAttempt(a.request, result)
 	s.metrics.countRecomputed(a.request, a.placement)
 	a.recordContinuationEnd(result)
-	a.recordCrashOutcome(now, result)
+	return a.recordCrashOutcome(now, result)
 }
 
 // notDelivered reports whether an attempt with this outcome has reached no process.
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -69,23 +69,22 @@
 	return fields
 }
 
-// recordCrashOutcome records the end of an attempt with the crash detector, and notifies the other
-// instances of what it clears. The caller holds s.mu.
-func (a *attempt) recordCrashOutcome(now tables.Instant, result dispatch.Outcome) {
+// recordCrashOutcome records the end of an attempt with the crash detector, and returns the reports
+// of what it clears. The caller holds s.mu.
+func (a *attempt) recordCrashOutcome(now tables.Instant, result dispatch.Outcome) (cleared []quarantine.Suspect) {
 	s := a.request.server
 	switch {
 	case result == dispatch.Completed && a.noProof:
 		s.crashDetector.Failed(a.id)
 	case result == dispatch.Completed:
-		if cleared := s.crashDetector.Completed(now, a.id); len(cleared) > 0 {
-			s.options.ShareSuspects(cleared)
-		}
+		cleared = s.crashDetector.Completed(now, a.id)
 		s.logPartChanges()
 	case result == dispatch.Broken:
 		s.crashDetector.Interrupted(now, a.id, 0, int(a.request.lastEventNumber))
 	default:
 		s.crashDetector.Ended(a.id)
 	}
+	return cleared
 }
 
 // recordCrash records the crash of an endpoint with the crash detector, and notifies the other
--- a/node/listen.go
+++ b/node/listen.go
@@ -78,8 +78,7 @@
 	})
 	metrics.HandleFunc("GET "+gossip.SizesPath, n.listInstances)
 	if n.entry != nil {
-		metrics.HandleFunc("GET "+QuarantinePath, n.listConvictions)
-		metrics.HandleFunc("DELETE "+QuarantinePath+"/{part}", n.releasePart)
+		n.handleQuarantine(metrics)
 	}
 	if n.replica != nil {
 		metrics.HandleFunc("GET "+server.QuorumPath, n.writeQuorum)
--- a/node/suspects.go
+++ b/node/suspects.go
@@ -106,6 +106,12 @@
 // address for metrics.
 const QuarantinePath = "/quarantine"
 
+// handleQuarantine adds the handlers of QuarantinePath.
+func (n *Node) handleQuarantine(mux *http.ServeMux) {
+	mux.HandleFunc("GET "+QuarantinePath, n.listConvictions)
+	mux.HandleFunc("DELETE "+QuarantinePath+"/{part}", n.releasePart)
+}
+
 // ConvictedPart is a part of prompts that is convicted of crashing endpoints, as an instance serves
 // it.
 type ConvictedPart struct {
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -151,6 +151,30 @@
 			}
 			l.requests[r.ID] = r
 		}},
+		"a part goes on crashing endpoints": {"parts of prompts that crash endpoints are kept off", func(l *ledger) {
+			for n := range 12 {
+				r := sound(organisationOf(uint64(n)), kinds[3])
+				r.badPart, r.sent = "bad", at(10+float64(n))
+				r.runs[0].At = at(10 + float64(n))
+				l.requests[r.ID] = r
+			}
+		}},
+		"sound requests beside a bad part do not run": {"sound requests are served beside bad ones", func(l *ledger) {
+			for n, id := range []string{"bad-1", "bad-2"} {
+				r := sound(id, kinds[3])
+				r.badPart, r.sent = "bad", at(10+float64(30*n))
+				r.runs = r.runs[:1-n]
+				l.requests[r.ID] = r
+			}
+			for n := range 60 {
+				r := sound(organisationOf(uint64(n)), kinds[3])
+				r.sent, r.done = at(float64(n)), at(float64(n)+0.5)
+				if n > 20 && n < 40 && n%3 > 0 {
+					r.runs = nil
+				}
+				l.requests[r.ID] = r
+			}
+		}},
 		"a change comes late": {"changes are in force in time", func(l *ledger) {
 			l.documents = map[uint64]*document{3: {number: 3, acked: at(1)}, 4: {number: 4, acked: at(2)}}
 			r := sound("r1", safe)
