Two comments: no figure of an instance in a test, and which requests a bad part is in

Found when the diff was read again: the first told how a value was chosen, the second read as if the parts were not alike. Comments only; no code changes.

--- a/forward/manyconnections_test.go
+++ b/forward/manyconnections_test.go
@@ -16,8 +16,7 @@
 )
 
 const (
-	// keptConnections and maxConnectionBytes are how many connections an instance of 120 MB keeps,
-	// and what its limit counts for each.
+	// maxConnectionBytes is what an instance's limit of callers' connections counts for each.
 	keptConnections    = 1700
 	maxConnectionBytes = 24 << 10
 )
--- a/systems/quarantine/quarantine.go
+++ b/systems/quarantine/quarantine.go
@@ -2,8 +2,8 @@
 // requests that crash the endpoints that run them. Without it, one such request,
 // retried and sent again by its caller, would take down one endpoint after another.
 //
-// The cause may also be a part of the prompt that many requests share, no two of them
-// alike, see Part.
+// The cause may also be a part of the prompt, in requests of which no two are alike,
+// see Part.
 //
 // Each crash of an endpoint process is an incident, and the requests that were
 // running there are its candidates. A request that is a candidate of two incidents,
