Requests that wait while their scheduler fails: the test runs on a clock of its own

Cause: the test asserted the pace of the machine: endpoints, callers and timeouts ran in real time, over sockets. A process that stands still for 0.3 s is late by as much, and a question that is not answered within 40 ms makes the client place the requests alone.

Change: the harness can connect its servers by pipes in memory in place of sockets, and the test runs in a synctest bubble. The assertions and their bounds are the same.

--- a/forward/admission_test.go
+++ b/forward/admission_test.go
@@ -9,6 +9,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"go.uber.org/zap"
@@ -29,7 +30,12 @@
 // each stream after the given time.
 func newAdmissionHarness(t *testing.T, after time.Duration) *harness {
 	t.Helper()
-	h := newHarness(t, func(w http.ResponseWriter, r *http.Request) {
+	return newAdmissionHarnessOn(t, nil, after)
+}
+
+func newAdmissionHarnessOn(t *testing.T, memory *memoryNetwork, after time.Duration) *harness {
+	t.Helper()
+	h := newHarnessOn(t, memory, func(w http.ResponseWriter, r *http.Request) {
 		time.Sleep(after)
 		streamEvents(3, 3)(w, r)
 	})
@@ -190,7 +196,7 @@
 // newTestScheduler has another server with the same endpoints place the harness's requests.
 func newTestScheduler(t *testing.T, h *harness) *testScheduler {
 	t.Helper()
-	other := newHarnessWith(t, h.server.options.Now, fakeEndpoints{all: h.endpoints, servers: h.endpointServers})
+	other := newHarnessWith(t, h.server.options.Now, fakeEndpoints{all: h.endpoints, servers: h.endpointServers, memory: h.memory})
 	other.enableAdmission()
 	return attachScheduler(h, other)
 }
@@ -235,22 +241,26 @@
 func TestWaitingRequestsSurviveTheirScheduler(t *testing.T) {
 	for name, mode := range map[string]int32{"alive": alive, "killed": killed, "frozen": frozen, "cut off": cutOff} {
 		t.Run(name, func(t *testing.T) {
-			h := newAdmissionHarness(t, 300*time.Millisecond)
-			h.setTarget(t, longTarget)
-			scheduler := newTestScheduler(t, h)
-			go func() {
-				for scheduler.questions.Load() < 3 {
-					time.Sleep(time.Millisecond)
+			synctest.Test(t, func(t *testing.T) {
+				// Messages of a frozen scheduler are still under way when the test ends.
+				defer time.Sleep(time.Second)
+				h := newAdmissionHarnessOn(t, newMemoryNetwork(), 300*time.Millisecond)
+				h.setTarget(t, longTarget)
+				scheduler := newTestScheduler(t, h)
+				go func() {
+					for scheduler.questions.Load() < 3 {
+						time.Sleep(time.Millisecond)
+					}
+					scheduler.mode.Store(mode)
+				}()
+				answers := h.sendAll(t, longPrompt, 300, 400)
+				assert.Assert(t, scheduler.questions.Load() >= 3)
+				for i, got := range answers {
+					assert.Equal(t, got.status, 200, "request %d", i)
+					assert.Assert(t, got.took < 1200*time.Millisecond, "request %d took %s", i, got.took)
 				}
-				scheduler.mode.Store(mode)
-			}()
-			answers := h.sendAll(t, longPrompt, 300, 400)
-			assert.Assert(t, scheduler.questions.Load() >= 3)
-			for i, got := range answers {
-				assert.Equal(t, got.status, 200, "request %d", i)
-				assert.Assert(t, got.took < 1200*time.Millisecond, "request %d took %s", i, got.took)
-			}
-			assert.Equal(t, len(h.endpoints[0].requests()), 3)
+				assert.Equal(t, len(h.endpoints[0].requests()), 3)
+			})
 		})
 	}
 }
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -102,6 +102,8 @@
 type harness struct {
 	server          *Server
 	url             string
+	callers         *http.Client
+	memory          *memoryNetwork
 	endpoints       []*fakeEndpoint
 	endpointServers []*httptest.Server
 }
@@ -111,26 +113,46 @@
 
 // newHarness returns a harness with a fake endpoint for each handler.
 func newHarness(t testing.TB, handlers ...http.HandlerFunc) *harness {
+	t.Helper()
+	return newHarnessOn(t, nil, handlers...)
+}
+
+func newHarnessOn(t testing.TB, memory *memoryNetwork, handlers ...http.HandlerFunc) *harness {
 	t.Helper()
 	started := time.Now()
-	return newHarnessWith(t, func() tables.Instant { return time.Since(started) }, newFakeEndpoints(t, handlers...))
+	return newHarnessWith(t, func() tables.Instant { return time.Since(started) }, newFakeEndpointsOn(t, memory, handlers...))
 }
 
 // fakeEndpoints are the endpoints of one or several harnesses.
 type fakeEndpoints struct {
 	all     []*fakeEndpoint
 	servers []*httptest.Server
+	// memory connects the endpoints, the harnesses and their callers; nil means loopback.
+	memory *memoryNetwork
+}
+
+// serve starts a server, which ends with the test.
+func (e fakeEndpoints) serve(t testing.TB, handler http.Handler) *httptest.Server {
+	if e.memory != nil {
+		return e.memory.serve(t, handler)
+	}
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return server
 }
 
 func newFakeEndpoints(t testing.TB, handlers ...http.HandlerFunc) fakeEndpoints {
 	t.Helper()
-	var endpoints fakeEndpoints
+	return newFakeEndpointsOn(t, nil, handlers...)
+}
+
+func newFakeEndpointsOn(t testing.TB, memory *memoryNetwork, handlers ...http.HandlerFunc) fakeEndpoints {
+	t.Helper()
+	endpoints := fakeEndpoints{memory: memory}
 	for i, handler := range handlers {
 		endpoint := &fakeEndpoint{id: fmt.Sprintf("e%d", i), handler: handler}
-		server := httptest.NewServer(endpoint)
-		t.Cleanup(server.Close)
 		endpoints.all = append(endpoints.all, endpoint)
-		endpoints.servers = append(endpoints.servers, server)
+		endpoints.servers = append(endpoints.servers, endpoints.serve(t, endpoint))
 	}
 	return endpoints
 }
@@ -147,10 +169,15 @@
 		BootID:   "b",
 		Context:  t.Context(),
 	}
+	callers := http.DefaultClient
+	if endpoints.memory != nil {
+		options.Client = exchange.NewClient(exchange.Options{Headers: headerNames, Dial: endpoints.memory.dial})
+		callers = endpoints.memory.client(t)
+	}
 	for _, change := range changes {
 		change(&options)
 	}
-	h := &harness{endpoints: endpoints.all, endpointServers: endpoints.servers, server: New(options)}
+	h := &harness{callers: callers, memory: endpoints.memory, endpoints: endpoints.all, endpointServers: endpoints.servers, server: New(options)}
 	all := map[tables.EndpointID]fleet.Endpoint{}
 	for i, s := range endpoints.all {
 		endpointServer := endpoints.servers[i]
@@ -165,9 +192,7 @@
 	}
 	h.server.SetEndpoints(all)
 	h.configure(t, initialRevision, nil)
-	endpointServer := httptest.NewServer(h.server)
-	t.Cleanup(endpointServer.Close)
-	h.url = endpointServer.URL
+	h.url = endpoints.serve(t, h.server).URL
 	return h
 }
 
@@ -218,7 +243,7 @@
 	for i := 0; i+1 < len(headers); i += 2 {
 		request.Header.Set(headers[i], headers[i+1])
 	}
-	resp, err := http.DefaultClient.Do(request)
+	resp, err := h.callers.Do(request)
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = resp.Body.Close() })
 	return resp
