A thousand slow callers: the test runs on a clock of its own

Cause, as far as a run shows it: the test allows groups of 50 requests 5 s of real time to reach the endpoint. A process that runs 10 ms in 610 or 1,210 ms (SIGSTOP and SIGCONT in turn) fails at this wait, "requests have not reached the endpoint", in both runs; one that runs 10 ms in 310 passes.

Change: the test runs in a synctest bubble on connections in memory that hold 4 KB each way, as its sockets were told to. Bounds and assertions are the same. A test that hangs fails there at once, since nothing can go on. The test beside it, TestStreamsOfThousandSlowCallersThatFitTheBudget, stays on sockets: they hold more than they are told to, and without that the streams exceed the three quarters of the budget that queues may use (12 readers evicted).

Without the limits of the budget it fails (peak of 37,632,000 bytes in a budget of 7,340,032). It takes 0.3 s in place of 2.

--- a/forward/manyslowcallers_test.go
+++ b/forward/manyslowcallers_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -36,13 +37,15 @@
 // four, and the streams together are about twice as long as the larger one.
 func TestThousandCallersThatReadOneByteASecond(t *testing.T) {
 	for _, megabytes := range []int64{112, 244} {
-		t.Run(fmt.Sprintf("%d MB", megabytes), func(t *testing.T) { testThousandSlowCallers(t, megabytes<<20/4/4) })
+		t.Run(fmt.Sprintf("%d MB", megabytes), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { testThousandSlowCallers(t, megabytes<<20/4/4) })
+		})
 	}
 }
 
 func testThousandSlowCallers(t *testing.T, budget int64) {
 	const callers = 1000
-	h := newSlowHarness(t, budget, func(w http.ResponseWriter, r *http.Request) {
+	h := newSlowHarnessOn(t, newMemoryNetwork(), budget, func(w http.ResponseWriter, r *http.Request) {
 		if strings.HasPrefix(r.URL.Path, "/once/") {
 			respond(200, "ok")(w, r)
 			return
--- a/forward/memorynetwork_test.go
+++ b/forward/memorynetwork_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -58,17 +59,35 @@
 	if l == nil {
 		return nil, syscall.ECONNREFUSED
 	}
-	client, server := net.Pipe()
+	client, server := bufferedPipe()
 	select {
 	case l.accepted <- server:
 		return client, nil
 	case <-l.closed:
+		_ = client.Close()
 		return nil, syscall.ECONNREFUSED
 	case <-ctx.Done():
+		_ = client.Close()
 		return nil, ctx.Err()
 	}
 }
 
+// bufferedPipe returns the two ends of a connection that holds socketBytes each way for a
+// reader, also once the writer has closed its end.
+func bufferedPipe() (client, server net.Conn) {
+	client, clientSide := net.Pipe()
+	serverSide, server := net.Pipe()
+	go transfer(serverSide, clientSide)
+	go transfer(clientSide, serverSide)
+	return client, server
+}
+
+// transfer copies bytes until an end is closed, and closes both.
+func transfer(to, from net.Conn) {
+	defer func() { _, _ = to.Close(), from.Close() }()
+	_, _ = io.CopyBuffer(to, from, make([]byte, socketBytes))
+}
+
 // memoryListener is a net.Listener of a memoryNetwork.
 type memoryListener struct {
 	address  net.Addr
--- a/forward/slowreader_test.go
+++ b/forward/slowreader_test.go
@@ -40,7 +40,12 @@
 
 func newSlowHarness(t *testing.T, budget int64, handlers ...http.HandlerFunc) *slowHarness {
 	t.Helper()
-	h := &slowHarness{harness: newHarness(t, handlers...), registry: metrics.NewRegistry()}
+	return newSlowHarnessOn(t, nil, budget, handlers...)
+}
+
+func newSlowHarnessOn(t *testing.T, memory *memoryNetwork, budget int64, handlers ...http.HandlerFunc) *slowHarness {
+	t.Helper()
+	h := &slowHarness{harness: newHarnessOn(t, memory, handlers...), registry: metrics.NewRegistry()}
 	core, logs := observer.New(zap.InfoLevel)
 	h.logs, h.server.log = logs, zap.New(core)
 	h.server.metrics = newRequestMetrics(h.registry)
@@ -52,6 +57,10 @@
 		c.Services[1].Slots, c.Services[1].KVCapacityTokens = 10_000, 100_000_000
 		c.Limits.BodyBytes = 1 << 20
 	})
+	if memory != nil {
+		h.address = strings.TrimPrefix(h.url, "http://")
+		return h
+	}
 	server := httptest.NewUnstartedServer(h.server)
 	server.Config.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
 		_ = conn.(*net.TCPConn).SetWriteBuffer(socketBytes)
@@ -72,12 +81,7 @@
 // callWithBody is call with a request body.
 func (h *slowHarness) callWithBody(t *testing.T, path, key, body string) net.Conn {
 	t.Helper()
-	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
-		return raw.Control(func(fd uintptr) {
-			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, socketBytes)
-		})
-	}}
-	conn, err := dialer.DialContext(t.Context(), "tcp", h.address)
+	conn, err := h.dial(t)
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = conn.Close() })
 	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h.example\r\nX-Request: r\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", path, key, len(body), body)
@@ -85,6 +89,18 @@
 	return conn
 }
 
+func (h *slowHarness) dial(t *testing.T) (net.Conn, error) {
+	if h.memory != nil {
+		return h.memory.dialAddress(t.Context(), h.address)
+	}
+	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, socketBytes)
+		})
+	}}
+	return dialer.DialContext(t.Context(), "tcp", h.address)
+}
+
 // readStream reads a response to its end and returns the IDs of its events.
 func readStream(conn net.Conn) ([]int, error) {
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
