Soak: a service whose endpoints all reject, and the retry budget meanwhile

The soak checked the bound on second sends in every run, as the rule counts them (arrivals beyond the first of each request, of the present, the previous or the half-way window), but no fault of its kinds made many: one endpoint at a time rejected 70 % of its requests.

The faults that trouble endpoints move to a file of their own.

Ruled out by a trial: a test that begins within the first 10 s. Instances that start leave the extra part of the budget unused for a window, so there were no second sends at all (0 of 7,318 requests), and the check found nothing even with a wrong budget.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -82,6 +82,7 @@
 	{name: "a request that crashes endpoints", outside: true, do: poison},
 	{name: badPartFault, outside: true, named: true, do: crashByPart},
 	{name: "an endpoint names a rate limit", outside: true, named: true, do: nameLimit},
+	{name: shedFault, outside: true, named: true, do: shedService},
 	{name: "an endpoint pushes back", outside: true, named: true, do: pushBack},
 	{name: "endpoints are slowed down", outside: true, named: true, do: slowDownEndpoints},
 	{name: "connections are reset at one end", named: true, do: func(s *strike) { s.breakLinks(s.d.network.ResetCallers) }},
@@ -323,13 +324,6 @@
 	}
 }
 
-func (s *strike) trouble(t platformtest.Fault, share float64) {
-	e := s.d.places.endpoint(s.place())
-	lift := s.d.places.trouble(e.ID, troubled{kind: t, share: share})
-	s.wait()
-	lift()
-}
-
 // leaveFor is how long an endpoint serves on after the list shows that it
 // leaves, and restFor how long its address rests.
 const (
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -101,6 +101,22 @@
 	assert.Assert(t, outcome.Served > 0)
 }
 
+// Guards against second sends beyond the retry budget while all endpoints of a service reject requests and instances are killed, restarted and paused.
+func TestRejectingServicesStayWithinTheRetryBudget(t *testing.T) {
+	const second = time.Second
+	outcome := play(t, Options{
+		Daemon: build(t), Seed: 47, Controls: 3, Entries: 6,
+		Plan: []Event{
+			{At: 13 * second, Fault: shedFault, For: 5 * second, Seed: 1},
+			{At: 14 * second, Fault: "kill half of all", For: second, Seed: 2},
+			{At: 15 * second, Fault: "restart an entry", For: second, Seed: 4},
+			{At: 17 * second, Fault: "kill an entry", For: second, Seed: 6},
+			{At: 19 * second, Fault: shedFault, For: 4 * second, Seed: 6},
+		},
+	})
+	assert.Assert(t, outcome.Served > 0)
+}
+
 // Seeds that once broke a promise stay here, each with its cause.
 func TestSeedsThatOnceFailed(t *testing.T) {
 	text, err := os.ReadFile("testdata/seeds.txt")
--- /dev/null
+++ b/soak/trouble.go
@@ -0,0 +1,25 @@
+package soak
+
+import "github.com/carawaystile/carawaystile/platform/platformtest"
+
+const shedFault = "a service rejects everything"
+
+// trouble has a part of the requests at one endpoint go wrong for a while.
+func (s *strike) trouble(t platformtest.Fault, share float64) {
+	e := s.d.places.endpoint(s.place())
+	lift := s.d.places.trouble(e.ID, troubled{kind: t, share: share})
+	s.wait()
+	lift()
+}
+
+// shedService has all endpoints of one service reject all requests as not run for a while.
+func shedService(s *strike) {
+	service := []string{serviceModels, serviceDesk}[s.rng.IntN(2)]
+	for n := range modelEndpoints + deskEndpoints {
+		if e := s.d.places.endpoint(n); e.Service == service {
+			lift := s.d.places.trouble(e.ID, troubled{kind: platformtest.Shedding, share: 1})
+			defer lift()
+		}
+	}
+	s.wait()
+}
