--- a/node/callerconnections.go
+++ b/node/callerconnections.go
@@ -16,7 +16,7 @@
 
 const (
 	// callerMemoryDivisor is the inverse of the fraction of an instance's memory that callers'
-	// connections may occupy, and callerConnectionBytes what one costs.
+	// connections may occupy, and callerConnectionBytes is the memory of one.
 	callerMemoryDivisor   = 3
 	callerConnectionBytes = 24 << 10
 	// connectionLimitLogInterval is the shortest time between two log lines on evicted connections.
--- a/soak/badpart.go
+++ b/soak/badpart.go
@@ -117,7 +117,7 @@
 }
 
 // judgeSoundBeside compares how many sound requests with the same key as the bad ones began to run
-// in a span with the share at other times. In the trials endpoints crash because of other parts that
+// in a span with the share at other times. While a part is tried again endpoints crash because of other parts that
 // are not known yet.
 func (l *ledger) judgeSoundBeside(all []*request, during span, trials []span) {
 	var beside, otherwise [2]int // begun, sent
