An evicted connection closes although it has just become idle

Callers: an instance at its limit of connections evicts one that stays open, and counts it as evicted, so that it cannot be chosen again until it is used.

Cause: net/http reports a connection as idle and sets the read deadline of the idle time after that. If the connection is evicted in between, its deadline in the past is overwritten. TestNewConnectionsTakeThePlaceOfIdleOnes then waits without end for its close; it needs the server's goroutine to be held up for 20 requests of others.

Change: callers' connections are accepted as callerConn, which keeps the deadline of an eviction until the next request is there. The tests' clients have a deadline, so a connection that stays open fails a test and does not stop it.

--- a/node/callerconnections.go
+++ b/node/callerconnections.go
@@ -26,7 +26,8 @@
 // connectionLimit bounds the connections that callers keep. At the limit a new connection takes the
 // place of the one that has been idle for longest: its caller loses nothing but the connection,
 // while a new one that is refused costs a request its first attempt. A new connection is closed
-// unread if none is idle. It is safe for concurrent use.
+// unread if none is idle. It limits the connections of a callerListener. It is safe for concurrent
+// use.
 type connectionLimit struct {
 	max int
 	log *zap.Logger
@@ -34,7 +35,7 @@
 
 	mu sync.Mutex
 	// open holds all connections, with their place in idle; nil for one that is not idle.
-	open map[net.Conn]*list.Element
+	open map[*callerConn]*list.Element
 	// idle lists the idle connections, the longest idle first.
 	idle     *list.List
 	evicted  int
@@ -51,12 +52,16 @@
 	}
 	return &connectionLimit{
 		max: limit, log: log, now: now,
-		open: map[net.Conn]*list.Element{}, idle: list.New(), loggedAt: -connectionLimitLogInterval,
+		open: map[*callerConn]*list.Element{}, idle: list.New(), loggedAt: -connectionLimitLogInterval,
 	}
 }
 
 // observe is the ConnState hook of an http.Server.
-func (l *connectionLimit) observe(conn net.Conn, state http.ConnState) {
+func (l *connectionLimit) observe(accepted net.Conn, state http.ConnState) {
+	conn, ok := accepted.(*callerConn)
+	if !ok {
+		return
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch state {
@@ -66,6 +71,7 @@
 			l.evict(conn)
 		}
 	case http.StateActive:
+		conn.endEviction()
 		l.endIdle(conn)
 		l.open[conn] = nil
 	case http.StateIdle:
@@ -77,20 +83,19 @@
 	}
 }
 
-func (l *connectionLimit) endIdle(conn net.Conn) {
+func (l *connectionLimit) endIdle(conn *callerConn) {
 	if place := l.open[conn]; place != nil {
 		l.idle.Remove(place)
 	}
 }
 
-// evict makes room for a new connection. A read deadline ends an idle connection only if its next
-// request has not been read.
-func (l *connectionLimit) evict(added net.Conn) {
+// evict makes room for a new connection.
+func (l *connectionLimit) evict(added *callerConn) {
 	l.evicted++
 	if oldest := l.idle.Front(); oldest != nil {
-		conn := l.idle.Remove(oldest).(net.Conn)
+		conn := l.idle.Remove(oldest).(*callerConn)
 		l.open[conn] = nil
-		_ = conn.SetReadDeadline(time.Unix(1, 0))
+		conn.evict()
 	} else {
 		_ = added.Close()
 	}
--- a/node/callerconnections_test.go
+++ b/node/callerconnections_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -16,22 +15,32 @@
 	"github.com/carawaystile/carawaystile/tables"
 )
 
+// callerTimeout ends a test in which a connection is neither served nor closed.
+const callerTimeout = 30 * time.Second
+
 // caller is a connection with one request at a time.
 type caller struct {
 	conn   net.Conn
 	reader *bufio.Reader
 }
 
-func newLimitedServer(t *testing.T, limit int, handler http.HandlerFunc) (address string, l *connectionLimit) {
+// newLimitedServer starts a server with a limit. observed is called after the limit has observed a
+// state of a connection; it may be nil.
+func newLimitedServer(t *testing.T, limit int, handler http.HandlerFunc, observed func(http.ConnState)) (address string, l *connectionLimit) {
 	t.Helper()
 	l = newConnectionLimit(120, zap.NewNop(), func() tables.Instant { return 0 })
 	l.max = limit
-	server := httptest.NewUnstartedServer(handler)
-	server.Config.ConnState = l.observe
-	server.Config.ReadHeaderTimeout = time.Minute
-	server.Start()
-	t.Cleanup(server.Close)
-	return server.Listener.Addr().String(), l
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute, ConnState: func(conn net.Conn, state http.ConnState) {
+		l.observe(conn, state)
+		if observed != nil {
+			observed(state)
+		}
+	}}
+	t.Cleanup(func() { _ = server.Close() })
+	go func() { _ = server.Serve(callerListener{listener}) }()
+	return listener.Addr().String(), l
 }
 
 func connect(t *testing.T, address string) *caller {
@@ -39,6 +48,7 @@
 	conn, err := net.Dial("tcp", address)
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = conn.Close() })
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(callerTimeout)))
 	return &caller{conn: conn, reader: bufio.NewReader(conn)}
 }
 
@@ -59,7 +69,7 @@
 // Guards against an instance whose memory or descriptors are used up by idle connections when most new connections go to it, and against new ones that it does not serve.
 func TestNewConnectionsTakeThePlaceOfIdleOnes(t *testing.T) {
 	const limit = 20
-	address, l := newLimitedServer(t, limit, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "done") })
+	address, l := newLimitedServer(t, limit, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "done") }, nil)
 	var callers []*caller
 	for range 5 * limit {
 		c := connect(t, address)
@@ -82,7 +92,7 @@
 	address, _ := newLimitedServer(t, 2, func(http.ResponseWriter, *http.Request) {
 		arrived <- struct{}{}
 		<-release
-	})
+	}, nil)
 	statuses := make(chan int, 2)
 	for range 2 {
 		c := connect(t, address)
@@ -94,3 +104,26 @@
 	assert.Equal(t, <-statuses, http.StatusOK)
 	assert.Equal(t, <-statuses, http.StatusOK)
 }
+
+// Guards against an evicted connection that stays open because the server sets the deadline of idle connections after the eviction.
+func TestConnectionEvictedAsItBecomesIdleIsClosed(t *testing.T) {
+	idle, evicted := make(chan struct{}), make(chan struct{})
+	connections := 0
+	address, _ := newLimitedServer(t, 1, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "done") }, func(state http.ConnState) {
+		switch state {
+		case http.StateNew:
+			if connections++; connections == 2 {
+				close(evicted)
+			}
+		case http.StateIdle:
+			close(idle)
+			<-evicted
+		}
+	})
+	first := connect(t, address)
+	assert.Equal(t, first.request(), http.StatusOK)
+	<-idle
+	connect(t, address)
+	_, err := first.reader.ReadByte()
+	assert.Equal(t, err, io.EOF)
+}
--- a/node/entry.go
+++ b/node/entry.go
@@ -91,9 +91,11 @@
 	n.startCacheSync()
 	connections := newConnectionLimit(s.MemoryMB, n.log, n.now)
 	n.callerServer = &http.Server{Handler: n.entry, ConnContext: forward.WithConn, ConnState: connections.observe}
-	if err := n.serve(n.callerServer, s.Listen.Callers, keepalive.Clients); err != nil {
+	callers, err := n.listen(s.Listen.Callers, keepalive.Clients)
+	if err != nil {
 		return err
 	}
+	n.serveListener(n.callerServer, callerListener{callers})
 	ready := http.NewServeMux()
 	ready.HandleFunc("/", n.entry.ServeReady)
 	return n.serve(&http.Server{Handler: ready}, s.Listen.Ready, keepalive.Clients)
--- a/node/listen.go
+++ b/node/listen.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"net"
 	"net/http"
 	"net/netip"
 	"time"
@@ -29,13 +30,28 @@
 // serve opens a listener and serves it in the background until the instance stops. peer is how
 // it detects a dead peer.
 func (n *Node) serve(server *http.Server, at netip.AddrPort, peer keepalive.Config) error {
+	listener, err := n.listen(at, peer)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	n.serveListener(server, listener)
+	return nil
+}
+
+// listen opens a listener. Its bytes are counted if the instances are of different sizes.
+func (n *Node) listen(at netip.AddrPort, peer keepalive.Config) (net.Listener, error) {
 	listener, err := peer.Listen(at)
 	if err != nil {
-		return trace.ConvertSystemError(err)
+		return nil, trace.ConvertSystemError(err)
 	}
 	if n.sizes.enabled {
 		listener = &countedListener{Listener: listener, counter: &n.sizes.link}
 	}
+	return listener, nil
+}
+
+// serveListener serves a listener in the background until the instance stops.
+func (n *Node) serveListener(server *http.Server, listener net.Listener) {
 	server.ReadHeaderTimeout = headerTimeout
 	server.IdleTimeout = idleTimeout
 	server.ErrorLog = zap.NewStdLog(n.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel)))
@@ -44,10 +60,9 @@
 	n.mu.Unlock()
 	n.background.Go(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			events.ListenerFailed.Log(n.log, zap.Stringer("address", at), zap.Error(err))
+			events.ListenerFailed.Log(n.log, zap.Stringer("address", listener.Addr()), zap.Error(err))
 		}
 	})
-	return nil
 }
 
 // serveInstances serves the RPCs of other instances, and the metrics if an address for them is
