Suspects are reported in one call at a time to each instance

Cause: a crash brings all parts of the prompts that ran there into question, and each instance that has completed prompts with such a part called all others, once for each part: MergeSuspect took one suspect at a time and shared what followed from it. 59 instances call 58 each, and calls to one that is slow to respond pile up, up to 2.5 s with retries. The class: what is told to everybody has a cost by items, not by time. A completed answer that clears parts calls all instances too, and router deployments share this.

Ruled out: the detector itself.

Change: forward merges a report as a whole and shares once what follows. peers.Broadcaster keeps a queue for each instance: one call at a time, 50 ms between two; a crash is reported at once, what only speaks for parts waits 100 ms for more, below the 500 ms after which parts are convicted. Suspects age while they wait. At most 4,096 wait for one instance. The notifier of router deployments uses the same in place of its own queue; its failure responses wait 2.5 s at most, as before.

Tests: TestReportOfManyPartsIsAnsweredWithOneReport fails on the code before with 4 reports for 4 parts; 500 runs under the race detector pass now. The tests of the Broadcaster run on a clock of their own. TestDroppedReportDoesNotBlock moves to peers with the queue that it is about: before it filled a queue of 64 reports that nothing emptied, now an instance that does not respond.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -55,7 +55,7 @@
 	base := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxIdlePeerConnections}
 	d.peerTransport = base
 	d.dialer = transport.NewDialer(&http.Client{Transport: &keys.Transport{Ring: d.instanceKeys, Base: base}})
-	d.suspectNotifier = newSuspectNotifier(d.instanceKeys, base, d.liveEntryPeers, d.options.Log)
+	d.suspectNotifier = newSuspectNotifier(d.runContext, d.instanceKeys, base, d.liveEntryPeers, d.options.Log)
 	if d.options.Process.Control {
 		if err := d.startReplica(); err != nil {
 			return err
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -141,7 +141,6 @@
 	if err := d.startMembership(); err != nil {
 		return err
 	}
-	d.background.Go(func() { d.suspectNotifier.run(d.runContext) })
 	if d.replica != nil {
 		d.startOrderController()
 	}
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -11,7 +11,6 @@
 	"github.com/carawaystile/carawaystile/metrics"
 	"github.com/carawaystile/carawaystile/router"
 	"github.com/carawaystile/carawaystile/systems/membership"
-	"github.com/carawaystile/carawaystile/systems/quarantine"
 )
 
 // startEntry creates the components of the entry role.
@@ -31,8 +30,8 @@
 		Claims:            d.claims,
 		Metrics:           requestMetrics{metrics.NewRequests(d.registry)},
 		Log:               d.options.Log,
-		BroadcastSuspects: d.suspectNotifier.enqueue,
-		GossipConvictions: func(convictions []quarantine.Suspect) { d.suspectNotifier.gossip(d.runContext, convictions) },
+		BroadcastSuspects: d.suspectNotifier.broadcast,
+		GossipConvictions: d.suspectNotifier.gossip,
 		GossipPlacements:  d.queuePlacementHints,
 		Now:               d.now,
 		Limits:            limits,
--- a/daemon/listen.go
+++ b/daemon/listen.go
@@ -110,7 +110,7 @@
 	}
 	mux := http.NewServeMux()
 	if d.entry != nil {
-		peer := rpc.NewPeerServer(suspectpeers.Service{Receive: d.observePeerSuspect})
+		peer := rpc.NewPeerServer(suspectpeers.Service{Receive: d.observePeerSuspects})
 		mux.Handle(rpc.PeerPathPrefix, keys.Require(d.instanceKeys, peer))
 	}
 	mux.Handle("/", keys.Require(d.operatorKeys, operators))
@@ -118,8 +118,10 @@
 	return mux
 }
 
-// observePeerSuspect passes a peer's report of a request that is suspected of
-// crashing endpoints to the router.
-func (d *Daemon) observePeerSuspect(suspect quarantine.Suspect) {
-	d.entry.Observe(router.PeerSuspect{Suspect: suspect})
+// observePeerSuspects passes a peer's report of what is suspected of crashing
+// endpoints to the router.
+func (d *Daemon) observePeerSuspects(suspects []quarantine.Suspect) {
+	for _, suspect := range suspects {
+		d.entry.Observe(router.PeerSuspect{Suspect: suspect})
+	}
 }
--- a/daemon/suspect_notifier.go
+++ b/daemon/suspect_notifier.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -20,12 +19,10 @@
 
 const (
 	// notifyCallTimeout bounds one call that notifies an instance of a crash, and
-	// notifyTimeout bounds all calls of a report: the failure response of the
-	// request is delayed by up to this time.
+	// notifyTimeout bounds all calls to it: the failure response of the request is
+	// delayed by up to this time.
 	notifyCallTimeout = 2 * time.Second
 	notifyTimeout     = 2500 * time.Millisecond
-	// maxQueuedReports bounds the queue of reports that wait to be sent.
-	maxQueuedReports = 64
 )
 
 // suspectNotifier broadcasts reports of crashed endpoints to the other entry
@@ -33,69 +30,45 @@
 // crash. A caller whose request crashes endpoints retries it immediately, most
 // likely through another instance. A report that was piggybacked on membership
 // pings would arrive too late, and each retry would crash another endpoint. The
-// report is therefore sent to every live entry instance directly. Crashes are rare,
-// so that the cost is low even with hundreds of instances.
+// report is therefore sent to every live entry instance directly.
 type suspectNotifier struct {
-	client  *http.Client
-	reports chan suspectReport
+	ctx         context.Context
+	client      *http.Client
+	broadcaster *suspectpeers.Broadcaster
 	// members returns the live instances to notify.
 	members func() []membership.Member
 	log     *zap.Logger
 }
 
-// suspectReport is a queued report. The channel notified is closed after the report
-// was sent.
-type suspectReport struct {
-	report   *rpc.SuspectReport
-	notified chan struct{}
-}
-
-// newSuspectNotifier returns a notifier; run must be called to send reports.
-func newSuspectNotifier(ring *keys.Ring, base http.RoundTripper, members func() []membership.Member, log *zap.Logger) *suspectNotifier {
-	return &suspectNotifier{
+// newSuspectNotifier returns a notifier that sends reports until the context ends.
+func newSuspectNotifier(ctx context.Context, ring *keys.Ring, base http.RoundTripper, members func() []membership.Member, log *zap.Logger) *suspectNotifier {
+	n := &suspectNotifier{
+		ctx:     ctx,
 		client:  &http.Client{Transport: &keys.Transport{Ring: ring, Base: base}, Timeout: notifyCallTimeout},
-		reports: make(chan suspectReport, maxQueuedReports),
 		members: members,
 		log:     log,
 	}
+	n.broadcaster = suspectpeers.NewBroadcaster(n.sendReport)
+	return n
 }
 
-// enqueue queues a report, and returns a channel that is closed once all live
-// instances have been notified or notifyTimeout has elapsed. It does not block:
-// when the queue is full the report is dropped, which costs at most one further
-// endpoint crash.
-func (n *suspectNotifier) enqueue(suspects []quarantine.Suspect) <-chan struct{} {
-	queued := suspectReport{report: suspectpeers.EncodeReport(suspects), notified: make(chan struct{})}
-	select {
-	case n.reports <- queued:
-	default:
-		close(queued.notified)
+// broadcast reports suspects to all live instances, and returns a channel that is closed
+// once all of them have been notified or notifyTimeout has elapsed. It does not block.
+func (n *suspectNotifier) broadcast(suspects []quarantine.Suspect) <-chan struct{} {
+	var to []netip.AddrPort
+	for _, m := range n.members() {
+		to = append(to, m.Control)
 	}
-	return queued.notified
-}
-
-// run sends queued reports until the context ends.
-func (n *suspectNotifier) run(ctx context.Context) {
-	for {
+	sent := n.broadcaster.Broadcast(to, suspects)
+	notified := make(chan struct{})
+	go func() {
+		defer close(notified)
 		select {
-		case <-ctx.Done():
-			return
-		case queued := <-n.reports:
-			go n.notifyAll(ctx, queued)
+		case <-sent:
+		case <-time.After(notifyTimeout):
 		}
-	}
-}
-
-// notifyAll sends a report to all live instances concurrently.
-func (n *suspectNotifier) notifyAll(ctx context.Context, queued suspectReport) {
-	defer close(queued.notified)
-	bounded, cancel := context.WithTimeout(ctx, notifyTimeout)
-	defer cancel()
-	var sent sync.WaitGroup
-	for _, m := range n.members() {
-		sent.Go(func() { n.sendReport(bounded, m.Control, queued.report) })
-	}
-	sent.Wait()
+	}()
+	return notified
 }
 
 // convictionGossipFanout is the number of instances to which convictions are sent at a time.
@@ -103,20 +76,18 @@
 
 // gossip sends convictions to some live instances in the background. Reports of crashes reach all
 // instances; this repairs what instances have missed that have just started or were partitioned.
-func (n *suspectNotifier) gossip(ctx context.Context, convictions []quarantine.Suspect) {
+func (n *suspectNotifier) gossip(convictions []quarantine.Suspect) {
 	report, members := suspectpeers.EncodeReport(convictions), n.members()
 	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
 	for _, m := range members[:min(len(members), convictionGossipFanout)] {
-		go func() {
-			bounded, cancel := context.WithTimeout(ctx, notifyTimeout)
-			defer cancel()
-			n.sendReport(bounded, m.Control, report)
-		}()
+		go n.sendReport(m.Control, report)
 	}
 }
 
 // sendReport sends a report to one instance, and logs a failure.
-func (n *suspectNotifier) sendReport(ctx context.Context, address netip.AddrPort, report *rpc.SuspectReport) {
+func (n *suspectNotifier) sendReport(address netip.AddrPort, report *rpc.SuspectReport) {
+	ctx, cancel := context.WithTimeout(n.ctx, notifyTimeout)
+	defer cancel()
 	err := suspectpeers.SendReport(ctx, rpc.NewPeerProtobufClient("http://"+address.String(), n.client), report)
 	if err != nil {
 		events.SuspectReportFailed.Log(n.log, zap.Stringer("instance_address", address), zap.Error(err))
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -101,16 +101,22 @@
 	}
 }
 
-// MergeSuspect merges a suspect that another instance has reported into the crash detector.
-func (s *Server) MergeSuspect(suspect quarantine.Suspect) {
+// MergeSuspects merges the suspects of another instance's report into the crash detector.
+func (s *Server) MergeSuspects(suspects []quarantine.Suspect) {
+	var reports []quarantine.Suspect
+	sweep := false
 	s.mu.Lock()
-	reports := s.crashDetector.Merge(s.options.Now(), suspect)
+	now := s.options.Now()
+	for _, suspect := range suspects {
+		reports = append(reports, s.crashDetector.Merge(now, suspect)...)
+		sweep = sweep || suspect.Part != 0 && !suspect.Cleared
+	}
 	s.logPartChanges()
 	s.mu.Unlock()
 	if len(reports) > 0 {
 		s.options.ShareSuspects(reports)
 	}
-	if suspect.Part != 0 && !suspect.Cleared {
+	if sweep {
 		s.armQuarantineSweep()
 	}
 }
--- a/node/entry.go
+++ b/node/entry.go
@@ -16,6 +16,7 @@
 	"github.com/carawaystile/carawaystile/forward"
 	"github.com/carawaystile/carawaystile/internal/keepalive"
 	"github.com/carawaystile/carawaystile/parts"
+	"github.com/carawaystile/carawaystile/peers"
 	"github.com/carawaystile/carawaystile/rpc"
 	"github.com/carawaystile/carawaystile/schedule"
 	"github.com/carawaystile/carawaystile/settings"
@@ -34,6 +35,7 @@
 	client := exchange.NewClient(exchange.Options{Headers: p.Headers, Dial: n.dial})
 	n.background.Go(func() { client.Run(n.lifetime) })
 	n.startRelayClient()
+	n.suspects = peers.NewBroadcaster(n.sendSuspects)
 	n.entry = forward.New(forward.Options{
 		Headers: p.Headers,
 		Client:  client,
--- a/node/members.go
+++ b/node/members.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"context"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -225,17 +224,3 @@
 	}
 	return all
 }
-
-// callEntryPeers calls every other live entry instance, each in its own goroutine.
-func (n *Node) callEntryPeers(call func(ctx context.Context, at string)) {
-	for _, at := range n.entryPeerAddresses() {
-		go func() {
-			ctx, cancel := context.WithTimeout(n.lifetime, suspectNotifyTimeout)
-			defer cancel()
-			call(ctx, "http://"+at.String())
-		}()
-	}
-}
-
-// suspectNotifyTimeout bounds the report of a crash to one instance, including retries.
-const suspectNotifyTimeout = 2500 * time.Millisecond
--- a/node/node.go
+++ b/node/node.go
@@ -30,6 +30,7 @@
 	"github.com/carawaystile/carawaystile/forward"
 	"github.com/carawaystile/carawaystile/internal/shutdown"
 	"github.com/carawaystile/carawaystile/metrics"
+	"github.com/carawaystile/carawaystile/peers"
 	"github.com/carawaystile/carawaystile/permits"
 	"github.com/carawaystile/carawaystile/relay"
 	"github.com/carawaystile/carawaystile/routes"
@@ -131,7 +132,9 @@
 	remoteLoads gossip.HintQueue
 
 	// The following fields belong to the entry role and are nil without it.
-	entry            *forward.Server
+	entry *forward.Server
+	// suspects reports suspects to the other entry instances.
+	suspects         *peers.Broadcaster
 	deploymentClient *deployment.Client
 	// relayDialer opens connections to endpoints through other instances, and relayServer for
 	// them.
--- a/node/suspects.go
+++ b/node/suspects.go
@@ -27,25 +27,29 @@
 	convictionGossipFanout   = 2
 	// maxGossipedConvictions bounds the convictions of one message.
 	maxGossipedConvictions = 64
+	// suspectNotifyTimeout bounds a report to one instance, including retries.
+	suspectNotifyTimeout = 2500 * time.Millisecond
 )
 
 // broadcastSuspects reports the requests that were running when an endpoint crashed, or what has
 // cleared a part of prompts, to all other entry instances.
 func (n *Node) broadcastSuspects(suspects []quarantine.Suspect) {
-	report := peers.EncodeReport(suspects)
-	n.callEntryPeers(func(ctx context.Context, at string) { n.sendSuspects(ctx, at, report) })
+	n.suspects.Broadcast(n.entryPeerAddresses(), suspects)
 }
 
-func (n *Node) sendSuspects(ctx context.Context, at string, report *rpc.SuspectReport) {
-	if err := peers.SendReport(ctx, rpc.NewPeerProtobufClient(at, n.client), report); err != nil {
-		events.SuspectReportFailed.Log(n.log, zap.String("instance_address", at), zap.Error(err))
+// sendSuspects reports suspects to another instance, and logs a failure.
+func (n *Node) sendSuspects(at netip.AddrPort, report *rpc.SuspectReport) {
+	ctx, cancel := context.WithTimeout(n.lifetime, suspectNotifyTimeout)
+	defer cancel()
+	if err := peers.SendReport(ctx, rpc.NewPeerProtobufClient("http://"+at.String(), n.client), report); err != nil {
+		events.SuspectReportFailed.Log(n.log, zap.Stringer("instance_address", at), zap.Error(err))
 	}
 }
 
 // peerService serves the reports of other instances.
 func (n *Node) peerService() peers.Service {
 	return peers.Service{
-		Receive:     n.entry.MergeSuspect,
+		Receive:     n.entry.MergeSuspects,
 		Convictions: func() []quarantine.Suspect { return n.entry.ConvictionReports(maxGossipedConvictions) },
 	}
 }
@@ -64,9 +68,7 @@
 		for _, at := range pickAddresses(n.entryPeerAddresses(), 1) {
 			convictions, err := peers.FetchConvictions(n.lifetime, rpc.NewPeerProtobufClient("http://"+at.String(), n.client))
 			if err == nil {
-				for _, conviction := range convictions {
-					n.entry.MergeSuspect(conviction)
-				}
+				n.entry.MergeSuspects(convictions)
 				return
 			}
 			events.ConvictionsNotFetched.Log(n.log, zap.Stringer("instance_address", at), zap.Error(err))
@@ -87,11 +89,7 @@
 		}
 		message := peers.EncodeReport(reports)
 		for _, at := range pickAddresses(n.entryPeerAddresses(), convictionGossipFanout) {
-			n.background.Go(func() {
-				ctx, cancel := context.WithTimeout(n.lifetime, suspectNotifyTimeout)
-				defer cancel()
-				n.sendSuspects(ctx, "http://"+at.String(), message)
-			})
+			n.background.Go(func() { n.sendSuspects(at, message) })
 		}
 	}
 }
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -26,19 +26,16 @@
 
 // Service receives the reports of other instances. It implements rpc.Peer.
 type Service struct {
-	// Receive is called for each reported suspect, from any goroutine.
-	Receive func(quarantine.Suspect)
+	// Receive is called for the suspects of each report, from any goroutine.
+	Receive func([]quarantine.Suspect)
 	// Convictions returns the convictions that this instance knows; nil for none.
 	Convictions func() []quarantine.Suspect
 }
 
 // Suspect passes the suspects of a report to Receive, up to maxSuspectsPerReport.
 func (s Service) Suspect(_ context.Context, report *rpc.SuspectReport) (*rpc.SuspectAnswer, error) {
-	for i, suspect := range report.GetSuspects() {
-		if i == maxSuspectsPerReport {
-			break
-		}
-		s.Receive(decodeSuspect(suspect))
+	if suspects := decodeSuspects(report.GetSuspects()); len(suspects) > 0 {
+		s.Receive(suspects)
 	}
 	answer := &rpc.SuspectAnswer{}
 	if report.GetFetchConvictions() && s.Convictions != nil {
@@ -67,6 +64,15 @@
 	}
 }
 
+// decodeSuspects is the inverse of encodeSuspect for a list, up to maxSuspectsPerReport.
+func decodeSuspects(list []*rpc.CrashSuspect) []quarantine.Suspect {
+	var suspects []quarantine.Suspect
+	for _, s := range list[:min(len(list), maxSuspectsPerReport)] {
+		suspects = append(suspects, decodeSuspect(s))
+	}
+	return suspects
+}
+
 // decodeSuspect is the inverse of encodeSuspect. Negative durations become 0.
 func decodeSuspect(s *rpc.CrashSuspect) quarantine.Suspect {
 	return quarantine.Suspect{
--- a/peers/send.go
+++ b/peers/send.go
@@ -46,11 +46,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	var convictions []quarantine.Suspect
-	for _, s := range answer.GetConvictions()[:min(len(answer.GetConvictions()), maxSuspectsPerReport)] {
-		convictions = append(convictions, decodeSuspect(s))
-	}
-	return convictions, nil
+	return decodeSuspects(answer.GetConvictions()), nil
 }
 
 // sendOnce makes one attempt to send a report.
