Mass failures count only against parts that are in question at half of them

Cause: each crash counts by itself. A part that is in question at three of thirty endpoints that crash together has three crashes, as many as convict a new part, though the other 27 show that something else is to blame.

Ruled out: vouching and clearing. They come from completed prompts, of which there are hardly any then; the simulation shows the same with reports that all arrive.

Change: the detector remembers the crashes of endpoints, whatever ran there. Where eight or more come within half a second, they count only against a part that was in question at half of them.

--- a/systems/quarantine/incident.go
+++ b/systems/quarantine/incident.go
@@ -69,6 +69,7 @@
 		d.removeEvidence(d.incidents[0])
 		d.incidents = d.incidents[1:]
 	}
+	d.endpointCrashes.add(incarnation.Endpoint, at)
 	i := &incident{incarnation: incarnation, at: at}
 	d.incidents = append(d.incidents, i)
 	return i
--- a/systems/quarantine/part_simulation_test.go
+++ b/systems/quarantine/part_simulation_test.go
@@ -17,13 +17,18 @@
 	lateAllowed    = 3
 	// badInterval is the time between two requests with a bad part.
 	badInterval = 100 * time.Millisecond
-	soundRate   = 25
+	// defaultSoundRate is the number of sound requests in a second, and defaultSoundDuration how long
+	// the longest of them runs.
+	defaultSoundRate     = 25
+	defaultSoundDuration = 2400 * time.Millisecond
 )
 
 // partFleet is a fleet whose requests have parts: one of a few that are common to all requests of an
 // organisation, one of a document, and one of a session.
 type partFleet struct {
 	*fleet
+	soundRate     float64
+	soundDuration time.Duration
 	// bad holds the bad parts, which take turns; empty for none.
 	bad       []Part
 	nextBad   tables.Instant
@@ -33,7 +38,7 @@
 }
 
 func newPartFleet(seed uint64, instances, endpoints int) *partFleet {
-	return &partFleet{fleet: newFleetOf(seed, instances, endpoints), sessionOf: 1000}
+	return &partFleet{fleet: newFleetOf(seed, instances, endpoints), soundRate: defaultSoundRate, soundDuration: defaultSoundDuration, sessionOf: 1000}
 }
 
 // soundParts returns the parts of a sound prompt.
@@ -48,10 +53,10 @@
 // runParts simulates the time d.
 func (f *partFleet) runParts(d time.Duration) {
 	for end := f.now + d; f.now < end; f.now += step {
-		if f.rand.Float64() < soundRate*step.Seconds() {
+		if f.rand.Float64() < f.soundRate*step.Seconds() {
 			f.submit(&fakeRequest{
 				work: Work{Request: tables.Fingerprint(f.rand.Uint64() | 1), Parts: f.soundParts()}, instance: f.rand.IntN(len(f.instances)),
-				duration: 400*time.Millisecond + time.Duration(f.rand.Int64N(int64(2*time.Second))),
+				duration: 400*time.Millisecond + time.Duration(f.rand.Int64N(int64(f.soundDuration-400*time.Millisecond))),
 			})
 		}
 		if len(f.bad) > 0 && f.now >= f.nextBad {
@@ -159,6 +164,12 @@
 			f.isLost = nil
 			f.runParts(10 * time.Second)
 		}},
+		"beside a mass failure": {9, 30, []Part{500}, func(f *partFleet) {
+			for i := range 10 {
+				f.crash(f.endpoints[i])
+			}
+			f.runParts(20 * time.Second)
+		}},
 		"beside crashes of other causes": {9, 18, []Part{500}, func(f *partFleet) {
 			for range 10 {
 				f.crash(f.endpoints[f.rand.IntN(len(f.endpoints))])
@@ -205,3 +216,25 @@
 	t.Logf("rejected %d sound requests, completed %d", rejected, completed)
 	assert.Assert(t, rejected*100 <= completed, "rejected %d, completed %d", rejected, completed)
 }
+
+// Guards against parts that are blamed for waves of crashes of another cause while few prompts are completed.
+func TestPartsSurviveWavesOfUnrelatedCrashes(t *testing.T) {
+	const wave = 10
+	rejected, completed := 0, 0
+	for seed := range uint64(25) {
+		f := newPartFleet(seed, 9, 3*wave)
+		f.soundRate, f.soundDuration = 100, 3*time.Second
+		f.runParts(time.Second)
+		for i := range 3 {
+			for e := range wave {
+				f.crash(f.endpoints[i*wave+e])
+				f.runParts(30 * time.Millisecond)
+			}
+			f.runParts(3 * time.Second)
+		}
+		f.runParts(5 * time.Second)
+		rejected, completed = rejected+f.rejected[false], completed+f.completed
+	}
+	t.Logf("rejected %d sound requests, completed %d", rejected, completed)
+	assert.Assert(t, rejected*100 <= completed, "rejected %d, completed %d", rejected, completed)
+}
--- a/systems/quarantine/parts.go
+++ b/systems/quarantine/parts.go
@@ -96,6 +96,7 @@
 			return isNew
 		}
 	}
+	d.endpointCrashes.add(crash.endpoint, crash.at)
 	r.crashes = append(r.crashes, crash)
 	slices.SortStableFunc(r.crashes, func(a, b partCrash) int { return cmp.Compare(a.at, b.at) })
 	if len(r.crashes) > maxCrashesOfPart {
@@ -185,13 +186,13 @@
 	}
 }
 
-// unexplained returns the crashes of a part that no other convicted part and no convicted request
-// explains.
+// unexplained returns the crashes of a part that no other convicted part, no convicted request and no
+// mass failure explains.
 func (d *Detector) unexplained(part Part, r *partRecord) []partCrash {
 	var crashes []partCrash
 	for n := range r.crashes {
-		if !d.isExplained(part, &r.crashes[n]) {
-			crashes = append(crashes, r.crashes[n])
+		if crash := &r.crashes[n]; !d.isExplained(part, crash) && !d.isMassFailure(r, crash) {
+			crashes = append(crashes, *crash)
 		}
 	}
 	return crashes
--- a/systems/quarantine/quarantine.go
+++ b/systems/quarantine/quarantine.go
@@ -60,6 +60,8 @@
 	convictedParts map[Part]*partRecord
 	uses           partUses
 	partChanges    []PartChange
+	// endpointCrashes holds the crashes by which mass failures are recognised.
+	endpointCrashes endpointCrashes
 	// partsScannedAt and partsExpiredAt are the times of the last scanParts and expireParts. scanDue
 	// is set if a part may have become convictable since.
 	partsScannedAt, partsExpiredAt tables.Instant
