Suspected parts are compared ten times a second, as the design says

Cause: the instances have no time left. The calls for each part, gathered since, are one half. The other: each new crash of a part asked for a comparison of all parts at the next verdict, whatever the time since the last, under the lock that requests and configurations need.

Ruled out: the choice of the control source. What is not shown is which line the silent instances waited at.

Change: a comparison is made at most every 100 ms. Parts whose crashes cannot suffice are left out before their causes are looked up.

--- a/systems/quarantine/conviction.go
+++ b/systems/quarantine/conviction.go
@@ -84,16 +84,17 @@
 	return d.turn(part) == 0
 }
 
-// partScanInterval is the longest time between two scans while a part may be convicted.
+// partScanInterval is the time between two scans while a part may be convicted. A scan compares all
+// parts in question.
 const partScanInterval = 100 * time.Millisecond
 
 // scanParts convicts the parts whose crashes suffice and have settled, one after the other, since
 // each conviction may explain the crashes of other parts.
 func (d *Detector) scanParts(now tables.Instant) {
-	if !d.scanDue && now-d.partsScannedAt < partScanInterval {
+	if now-d.partsScannedAt < partScanInterval {
 		return
 	}
-	d.scanDue, d.partsScannedAt = false, now
+	d.partsScannedAt = now
 	for {
 		suspects := d.partSuspects(now)
 		if len(suspects) == 0 || now-d.parts[suspects[0].part].convictableSince < d.options.SettleDelay {
@@ -122,6 +123,9 @@
 		if !d.mayBeConvicted(part) {
 			continue
 		}
+		if !d.isConvictable(part, r.crashes) {
+			continue
+		}
 		crashes := d.unexplained(part, r)
 		if !d.isConvictable(part, crashes) {
 			continue
--- a/systems/quarantine/parts.go
+++ b/systems/quarantine/parts.go
@@ -102,7 +102,6 @@
 	if len(r.crashes) > maxCrashesOfPart {
 		r.crashes = slices.Delete(r.crashes, 0, 1)
 	}
-	d.scanDue = d.scanDue || len(r.crashes) >= newPartCrashes
 	if r.conviction.count > 0 {
 		d.extendConviction(part, r, crash.at)
 	}
@@ -204,6 +203,9 @@
 			return true
 		}
 	}
+	if len(d.convicted) == 0 {
+		return false
+	}
 	for _, i := range d.incidents {
 		if i.incarnation.Endpoint == crash.endpoint && (i.at-crash.at).Abs() <= sameCrashWindow && d.hasConvictedCandidate(i) {
 			return true
--- a/systems/quarantine/quarantine.go
+++ b/systems/quarantine/quarantine.go
@@ -62,10 +62,8 @@
 	partChanges    []PartChange
 	// endpointCrashes holds the crashes by which mass failures are recognised.
 	endpointCrashes endpointCrashes
-	// partsScannedAt and partsExpiredAt are the times of the last scanParts and expireParts. scanDue
-	// is set if a part may have become convictable since.
+	// partsScannedAt and partsExpiredAt are the times of the last scanParts and expireParts.
 	partsScannedAt, partsExpiredAt tables.Instant
-	scanDue                        bool
 	// rank and instances select the endpoints that this instance owns, see SetRank, by their
 	// positions, see SetEndpoints.
 	rank      int
