Suspects that are dropped because an instance does not respond are logged

Seen: nothing yet. Reading the new Broadcaster: beyond 4,096 suspects that wait for an instance the oldest are dropped, and nobody is told.

Change: QueueFullError with the number of suspects, logged as event 1017 with the instance's address, as a report that failed is. The delay of what only clears parts is named so.

Ruled out: a change of behaviour beside the log. TestDroppedReportDoesNotBlock checks the number; the tests of peers pass under the race detector.

--- a/daemon/suspect_notifier.go
+++ b/daemon/suspect_notifier.go
@@ -48,7 +48,7 @@
 		members: members,
 		log:     log,
 	}
-	n.broadcaster = suspectpeers.NewBroadcaster(n.sendReport)
+	n.broadcaster = suspectpeers.NewBroadcaster(n.sendReport, n.logDropped)
 	return n
 }
 
@@ -84,6 +84,11 @@
 	}
 }
 
+// logDropped logs that suspects were not reported to an instance.
+func (n *suspectNotifier) logDropped(address netip.AddrPort, err *suspectpeers.QueueFullError) {
+	events.SuspectReportFailed.Log(n.log, zap.Stringer("instance_address", address), zap.Error(err))
+}
+
 // sendReport sends a report to one instance, and logs a failure.
 func (n *suspectNotifier) sendReport(address netip.AddrPort, report *rpc.SuspectReport) {
 	ctx, cancel := context.WithTimeout(n.ctx, notifyTimeout)
--- a/node/entry.go
+++ b/node/entry.go
@@ -35,7 +35,7 @@
 	client := exchange.NewClient(exchange.Options{Headers: p.Headers, Dial: n.dial})
 	n.background.Go(func() { client.Run(n.lifetime) })
 	n.startRelayClient()
-	n.suspects = peers.NewBroadcaster(n.sendSuspects)
+	n.suspects = peers.NewBroadcaster(n.sendSuspects, n.suspectsDropped)
 	n.entry = forward.New(forward.Options{
 		Headers: p.Headers,
 		Client:  client,
--- a/node/suspects.go
+++ b/node/suspects.go
@@ -46,6 +46,11 @@
 	}
 }
 
+// suspectsDropped logs that suspects were not reported to an instance.
+func (n *Node) suspectsDropped(at netip.AddrPort, err *peers.QueueFullError) {
+	events.SuspectReportFailed.Log(n.log, zap.Stringer("instance_address", at), zap.Error(err))
+}
+
 // peerService serves the reports of other instances.
 func (n *Node) peerService() peers.Service {
 	return peers.Service{
--- a/peers/broadcaster.go
+++ b/peers/broadcaster.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"fmt"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -13,17 +14,30 @@
 const (
 	// callInterval is the shortest time between the end of a call to an instance and the next one.
 	callInterval = 50 * time.Millisecond
-	// exculpationDelay is how long suspects that only speak for parts wait for others. It is well
+	// clearingDelay is how long suspects that only speak for parts wait for others. It is well
 	// below quarantine.DefaultSettleDelay, after which a part is convicted.
-	exculpationDelay = 100 * time.Millisecond
+	clearingDelay = 100 * time.Millisecond
 )
 
 // Broadcaster reports suspects to other instances, with one call at a time to each. What is added
 // before the next call goes into that call. It is safe for concurrent use.
 type Broadcaster struct {
-	send   func(to netip.AddrPort, report *rpc.SuspectReport)
-	mu     sync.Mutex
-	queues map[netip.AddrPort]*queue
+	send    func(to netip.AddrPort, report *rpc.SuspectReport)
+	dropped func(to netip.AddrPort, err *QueueFullError)
+	mu      sync.Mutex
+	queues  map[netip.AddrPort]*queue
+}
+
+// QueueFullError means that suspects were dropped because an instance does not respond and too many
+// wait for it.
+type QueueFullError struct {
+	// Suspects is the number of suspects that were dropped.
+	Suspects int
+}
+
+// Error tells the number of suspects.
+func (e *QueueFullError) Error() string {
+	return fmt.Sprintf("%d suspects dropped: too many wait to be reported", e.Suspects)
 }
 
 // queue holds the suspects that wait to be reported to one instance.
@@ -66,9 +80,9 @@
 }
 
 // NewBroadcaster returns a Broadcaster. send makes a call to an instance and returns when it has
-// ended.
-func NewBroadcaster(send func(to netip.AddrPort, report *rpc.SuspectReport)) *Broadcaster {
-	return &Broadcaster{send: send, queues: map[netip.AddrPort]*queue{}}
+// ended. dropped is told of suspects that are not reported; it must not block.
+func NewBroadcaster(send func(to netip.AddrPort, report *rpc.SuspectReport), dropped func(to netip.AddrPort, err *QueueFullError)) *Broadcaster {
+	return &Broadcaster{send: send, dropped: dropped, queues: map[netip.AddrPort]*queue{}}
 }
 
 // Broadcast reports suspects to the given instances. It does not block: the returned channel is
@@ -78,8 +92,8 @@
 	now := time.Now()
 	added := addition{suspects: suspects, at: now, delivery: newDelivery(len(to))}
 	due := now
-	if isExculpation(suspects) {
-		due = now.Add(exculpationDelay)
+	if onlyClears(suspects) {
+		due = now.Add(clearingDelay)
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -90,15 +104,17 @@
 			q = &queue{to: at}
 			b.queues[at] = q
 		}
-		q.add(added)
+		if dropped := q.add(added); dropped > 0 {
+			b.dropped(at, &QueueFullError{Suspects: dropped})
+		}
 		b.schedule(q, due)
 	}
 	return added.delivery.done
 }
 
-// isExculpation reports whether the suspects only speak for parts, so that nothing crashes if they
+// onlyClears reports whether the suspects only speak for parts, so that nothing crashes if they
 // are reported a little later.
-func isExculpation(suspects []quarantine.Suspect) bool {
+func onlyClears(suspects []quarantine.Suspect) bool {
 	for _, s := range suspects {
 		if !s.Cleared && !s.Released && (s.Part == 0 || !s.Proven) {
 			return false
@@ -107,18 +123,21 @@
 	return true
 }
 
-// add appends to the queue, and drops the oldest additions beyond the limit.
-func (q *queue) add(added addition) {
+// add appends to the queue, drops the oldest additions beyond the limit, and returns how many
+// suspects these had.
+func (q *queue) add(added addition) (dropped int) {
 	q.waiting = append(q.waiting, added)
 	total := 0
 	for _, a := range q.waiting {
 		total += len(a.suspects)
 	}
 	for total > maxSuspectsPerReport && len(q.waiting) > 1 {
-		total -= len(q.waiting[0].suspects)
+		oldest := len(q.waiting[0].suspects)
+		total, dropped = total-oldest, dropped+oldest
 		q.waiting[0].delivery.end()
 		q.waiting = q.waiting[1:]
 	}
+	return dropped
 }
 
 // schedule has the next call made at the given time, or when the next one may be made, unless it is
--- a/peers/broadcaster_test.go
+++ b/peers/broadcaster_test.go
@@ -24,6 +24,7 @@
 	calling map[netip.AddrPort]int
 	most    int
 	release chan struct{}
+	dropped int
 }
 
 func newRecordingInstances() *recordingInstances {
@@ -44,6 +45,8 @@
 	r.mu.Unlock()
 }
 
+func (r *recordingInstances) drop(_ netip.AddrPort, err *QueueFullError) { r.dropped += err.Suspects }
+
 // received returns how many reports an instance has received, and how many suspects in them.
 func (r *recordingInstances) received(at netip.AddrPort) (reports, suspects int) {
 	r.mu.Lock()
@@ -64,7 +67,7 @@
 func TestManyPartsAreReportedInOneCall(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRecordingInstances()
-		b := NewBroadcaster(r.send)
+		b := NewBroadcaster(r.send, r.drop)
 		for part := range 500 {
 			b.Broadcast(instances, vouched(part))
 			time.Sleep(100 * time.Microsecond)
@@ -82,7 +85,7 @@
 func TestCrashIsReportedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRecordingInstances()
-		b := NewBroadcaster(r.send)
+		b := NewBroadcaster(r.send, r.drop)
 		b.Broadcast(instances, vouched(1))
 		<-b.Broadcast(instances, crash)
 		reports, suspects := r.received(instances[1])
@@ -100,7 +103,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := newRecordingInstances()
 		r.release = make(chan struct{})
-		b := NewBroadcaster(r.send)
+		b := NewBroadcaster(r.send, r.drop)
 		var last <-chan struct{}
 		for range 10 {
 			last = b.Broadcast(instances, crash)
@@ -124,8 +127,8 @@
 		r := newRecordingInstances()
 		suspects := vouched(1)
 		suspects[0].Age = time.Second
-		<-NewBroadcaster(r.send).Broadcast(instances, suspects)
-		assert.Equal(t, decodeSuspect(r.reports[instances[0]][0].GetSuspects()[0]).Age, time.Second+exculpationDelay)
+		<-NewBroadcaster(r.send, r.drop).Broadcast(instances, suspects)
+		assert.Equal(t, decodeSuspect(r.reports[instances[0]][0].GetSuspects()[0]).Age, time.Second+clearingDelay)
 	})
 }
 
@@ -134,7 +137,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := newRecordingInstances()
 		r.release = make(chan struct{})
-		b := NewBroadcaster(r.send)
+		b := NewBroadcaster(r.send, r.drop)
 		b.Broadcast(instances, crash)
 		synctest.Wait()
 		dropped := b.Broadcast(instances[:1], make([]quarantine.Suspect, maxSuspectsPerReport))
@@ -144,6 +147,7 @@
 		<-last
 		_, suspects := r.received(instances[0])
 		assert.Equal(t, suspects, 2)
+		assert.Equal(t, r.dropped, maxSuspectsPerReport)
 		<-b.Broadcast(nil, crash)
 	})
 }
