Soak: a second signal to an entry instance may cut its requests

Trace: entry-4 logs 6002, it drains, at 12:55:19.461, and 1008 and 6003, the drain was aborted with 7 requests open, at 19.907. Two strikes of the plan restart the same instance at once: the first drains it, the second sends SIGTERM again, which ends it at once and cuts its requests, as docs/OPERATING.md says.

Change: the ledger notes a second signal to an instance that still runs. A new case of TestEachBrokenPromiseIsFound checks that a second signal elsewhere, or before the request, excuses nothing. The plan, its strikes and the second signals stay.

--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -100,6 +100,13 @@
 			l.requests[r.ID] = r
 			l.disruptions = []disruption{{what: "restart an entry", planned: true, from: at(9), to: at(12)}}
 		}},
+		"an answer cut by a drain while another instance was stopped at once": {"a drain cuts nothing", func(l *ledger) {
+			r := sound("r1", safe)
+			r.result, r.lifeEnd = platformtest.Result{Err: io.ErrUnexpectedEOF}, 2
+			l.requests[r.ID] = r
+			l.disruptions = []disruption{{what: "restart an entry", planned: true, from: at(9), to: at(12)}}
+			l.stops = []stop{{entry: &instance{}, at: r.sent}, {entry: r.entry, at: r.sent.Add(-time.Millisecond)}}
+		}},
 		"an older configuration again": {"configurations do not go back", func(l *ledger) {
 			before, after := sound("r1", safe), sound("r2", safe)
 			after.entry = before.entry
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -166,7 +166,7 @@
 }
 
 func (s *strike) restart(i *instance) {
-	if !i.Terminate(grace) {
+	if !i.Terminate(grace, func() { s.d.ledger.stoppedAtOnce(i) }) {
 		s.d.ledger.breach("a drain ends", "", "%s still ran %v after it was told to end", i.Name, grace)
 	}
 	s.up(i)
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -55,6 +55,7 @@
 	weights, weightsAcked uint64
 	orders                []platformtest.Order
 	disruptions           []disruption
+	stops                 []stop
 	spans                 []limitSpan
 	breaches              []Breach
 }
@@ -71,6 +72,19 @@
 	strikes func(entry *instance) bool
 }
 
+// stop is a second signal to end an instance, which stops it at once.
+type stop struct {
+	entry *instance
+	at    time.Time
+}
+
+// stoppedAtOnce notes a second signal to end an instance.
+func (l *ledger) stoppedAtOnce(entry *instance) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stops = append(l.stops, stop{entry: entry, at: time.Now()})
+}
+
 // Breach is a broken promise.
 type Breach struct {
 	// Promise is a short name of what was promised.
--- a/soak/process.go
+++ b/soak/process.go
@@ -105,9 +105,13 @@
 }
 
 // Terminate asks the process to end, waits until it has, and kills it when that
-// takes too long. It says whether the process ended by itself.
-func (p *Process) Terminate(grace time.Duration) bool {
+// takes too long. It says whether the process ended by itself. askedAgain is called
+// before the signal if the process has been asked before and still runs.
+func (p *Process) Terminate(grace time.Duration, askedAgain func()) bool {
 	p.mu.Lock()
+	if p.asked && p.command != nil {
+		askedAgain()
+	}
 	p.wanted, p.asked = false, true
 	p.signal(syscall.SIGTERM)
 	running, ended := p.command != nil, p.ended
