--- a/peers/broadcaster.go
+++ b/peers/broadcaster.go
@@ -14,8 +14,8 @@
 const (
 	// callInterval is the shortest time between the end of a call to an instance and the next one.
 	callInterval = 50 * time.Millisecond
-	// clearingDelay is how long suspects that only speak for parts wait for others. It is well
-	// below quarantine.DefaultSettleDelay, after which a part is convicted.
+	// clearingDelay is how long suspects that only speak for parts wait for others. It must be less
+	// than quarantine.DefaultSettleDelay, after which a part is convicted.
 	clearingDelay = 100 * time.Millisecond
 )
 
@@ -80,7 +80,7 @@
 }
 
 // NewBroadcaster returns a Broadcaster. send makes a call to an instance and returns when it has
-// ended. dropped is told of suspects that are not reported; it must not block.
+// ended. dropped is called for suspects that are not reported; it must not block.
 func NewBroadcaster(send func(to netip.AddrPort, report *rpc.SuspectReport), dropped func(to netip.AddrPort, err *QueueFullError)) *Broadcaster {
 	return &Broadcaster{send: send, dropped: dropped, queues: map[netip.AddrPort]*queue{}}
 }
