Review case 3: a run goes on at a backup with older weights than its memory

A script with model servers of its own, which load new weights under retain, name the change in the stream and back runs up. A server that has changed crashes; the run goes on at a backup that still has the older weights, on memory made under the newer ones (STALE).

--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -6,6 +6,7 @@
 package harness
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -14,6 +15,7 @@
 	"net/netip"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -91,6 +93,7 @@
 	Controls  []*Instance
 	Entries   []*Instance
 	Operator  platformtest.OperatorClient
+	options   Options
 	folder    string
 	subnet    string
 	held      net.Listener
@@ -100,13 +103,32 @@
 // Trouble reports whether the case runs with its disruption.
 func Trouble() bool { return os.Getenv("TROUBLE") != "0" }
 
+// Options are what differs between the deployments of the cases.
+type Options struct {
+	// Entries is the number of entry instances.
+	Entries int
+	// List serves the platform's list; nil for that of Deployment.Fleet.
+	List http.Handler
+	// Unfenced is set if servers don't check fencing tokens (enforce_fencing false).
+	Unfenced bool
+	// WeightsMS is version_ms of the site; 0 for that of tawe-clear.
+	WeightsMS int
+	// Terms are the contracts of the site beside the usual ones.
+	Terms []string
+}
+
 // New prepares a deployment with three control instances and the given number of entry instances.
 func New(record *Record, entries int) (*Deployment, error) {
+	return NewWith(record, Options{Entries: entries})
+}
+
+// NewWith prepares a deployment with three control instances.
+func NewWith(record *Record, o Options) (*Deployment, error) {
 	folder, err := os.MkdirTemp("", "carawaystile-review-")
 	if err != nil {
 		return nil, err
 	}
-	d := &Deployment{Record: record, Fleet: platformtest.NewFleet(), folder: folder}
+	d := &Deployment{Record: record, Fleet: platformtest.NewFleet(), folder: folder, options: o}
 	d.Operator = platformtest.OperatorClient{Client: &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
 	for n := range 200 {
 		d.subnet = fmt.Sprintf("127.%d.%d", 100+(os.Getpid()+n)%100, os.Getpid()/100%250)
@@ -117,10 +139,10 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := d.Fleet.ServeList(d.at(hostList, portEndpoint)); err != nil {
+	if err := d.serveList(o.List); err != nil {
 		return nil, err
 	}
-	for n := range 3 + entries {
+	for n := range 3 + o.Entries {
 		i := &Instance{IP: d.ip(hostInstances + n), zone: Zones[n%3], control: n < 3, folder: folder}
 		if i.Name = fmt.Sprintf("edge-%d", n-2); i.control {
 			i.Name = fmt.Sprintf("core-%d", n+1)
@@ -132,6 +154,18 @@
 	return d, nil
 }
 
+func (d *Deployment) serveList(list http.Handler) error {
+	at := d.at(hostList, portEndpoint)
+	if list == nil {
+		return d.Fleet.ServeList(at)
+	}
+	listener, err := net.Listen("tcp", at.String())
+	if err == nil {
+		go func() { _ = http.Serve(listener, list) }()
+	}
+	return err
+}
+
 func (d *Deployment) ip(host int) netip.Addr {
 	return netip.MustParseAddr(fmt.Sprintf("%s.%d", d.subnet, host))
 }
@@ -172,14 +206,26 @@
 	}
 	fmt.Fprintf(&b, "new_deployment: %v\ntolerate_instances: 1\nmemory_mb: 284\nlink_mbps: 1000.0\nprocessors: 0.4\n", first)
 	fmt.Fprintf(&b, "platform_list: %q\n", d.at(hostList, portEndpoint))
-	b.WriteString("orders:\n  lease: 3000ms\n  fenced: true\n  weights_timeout: 8000ms\n")
+	fmt.Fprintf(&b, "orders:\n  lease: 3000ms\n  fenced: %v\n  weights_timeout: %dms\n", !d.options.Unfenced, cmp.Or(d.options.WeightsMS, 8000))
 	b.WriteString("retries:\n  ratio: 0.2\n  extra: 52\n  window: 10s\n  address_reuse: 2s\n")
 	b.WriteString("capacity:\n  admission: auto\n  stream_pauses: auto\n  backups: auto\n  sizes: auto\n  startup: auto\n")
-	b.WriteString("platform_terms: [base, drain, config, cost, retry, recover, kvcache, stream, engine, tenants]\n")
+	terms := append([]string{"base", "drain", "config", "cost", "retry", "recover", "kvcache", "stream", "engine", "tenants"}, d.options.Terms...)
+	fmt.Fprintf(&b, "platform_terms: [%s]\n", strings.Join(terms, ", "))
 	b.WriteString("drain:\n  announce: 3s\n  timeout: 7s\n")
 	return b.String()
 }
 
+// started holds the commands of all processes that were started.
+var started sync.Map
+
+// killStarted ends all processes that still run.
+func killStarted() {
+	started.Range(func(_, command any) bool {
+		_ = command.(*exec.Cmd).Process.Kill()
+		return true
+	})
+}
+
 // Start starts a process with the command of deploy/system.toml.
 func (d *Deployment) Start(i *Instance, first bool) error {
 	path := filepath.Join(i.folder, i.Name+".yaml")
@@ -201,6 +247,7 @@
 	if err := i.command.Start(); err != nil {
 		return err
 	}
+	started.Store(i.command.Process.Pid, i.command)
 	command, ended := i.command, make(chan struct{})
 	i.ended = ended
 	go func() {
@@ -301,6 +348,20 @@
 	return fmt.Errorf("version %d was not acknowledged", c.Revision)
 }
 
+// NameWeights names a version of a model's weights until that is acknowledged.
+func (d *Deployment) NameWeights(model string, version uint64) error {
+	for n := range 60 {
+		to := d.Controls[n%len(d.Controls)]
+		status, err := d.Operator.PutWeights(context.Background(), netip.AddrPortFrom(to.IP, portOperators), model, version)
+		if err == nil && status == http.StatusOK {
+			d.Record.Add("operator: weights %d of %s acknowledged by %s", version, model, to.Name)
+			return nil
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	return fmt.Errorf("weights %d were not acknowledged", version)
+}
+
 // Close ends all processes and stand-ins. It keeps the logs if keep is set.
 func (d *Deployment) Close(keep bool) {
 	for _, i := range d.Instances() {
@@ -328,10 +389,18 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(Unusual)
 	}
-	time.AfterFunc(115*time.Second, func() {
+	time.AfterFunc(100*time.Second, func() {
 		fmt.Fprintln(os.Stderr, "the case took too long")
+		killStarted()
 		os.Exit(Unusual)
 	})
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		killStarted()
+		os.Exit(Unusual)
+	}()
 	record.Add("disruption: %v", Trouble())
 	code, err := run(record)
 	if err != nil {
