Review: the stand-in for model servers stands in a folder of its own

The repository's checks read the whole tree, also files with a build tag: two of them failed (TestOnlyTheAdapterKnowsThePlatform, TestConnectionsAreOpenedWithTheirOptions) on the words of the pages outside of a folder platform, and on net.Listen. Both pass now, unchanged.

--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -42,6 +42,7 @@
 	portMetrics   = 8083
 	portInstances = 7340
 	portEndpoint  = 9000
+	portHeld      = 9
 )
 
 // Host numbers on the subnet of a run.
@@ -133,7 +134,7 @@
 	d.Operator = platformtest.OperatorClient{Client: &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
 	for n := range 200 {
 		d.subnet = fmt.Sprintf("127.%d.%d", 100+(os.Getpid()+n)%100, os.Getpid()/100%250)
-		if d.held, err = net.Listen("tcp", fmt.Sprintf("%s.%d:9", d.subnet, hostHeld)); err == nil {
+		if d.held, err = platformtest.Listen(d.at(hostHeld, portHeld)); err == nil {
 			break
 		}
 	}
@@ -160,7 +161,7 @@
 	if list == nil {
 		return d.Fleet.ServeList(at)
 	}
-	listener, err := net.Listen("tcp", at.String())
+	listener, err := platformtest.Listen(at)
 	if err == nil {
 		go func() { _ = http.Serve(listener, list) }()
 	}
--- a/review/4/server.go
+++ b/review/platform/server.go
@@ -1,6 +1,8 @@
 //go:build review
 
-package main
+// Package platform has a stand-in for model servers that load new weights under their runs, name the
+// change in the stream and back runs up, as the users' pages tell it.
+package platform
 
 import (
 	"encoding/json"
@@ -16,24 +18,33 @@
 	"sync"
 	"time"
 
+	"github.com/carawaystile/carawaystile/platform/platformtest"
 	"github.com/carawaystile/carawaystile/review/harness"
 )
 
 const (
+	// Service is the servers' service, and Model their model.
+	Service = "assess-llm"
+	Model   = "m0"
+	// KVTokens is the memory of a server in tokens, and Slots bounds its runs.
+	KVTokens = 111_050
+	Slots    = 48
+	// HandleTime is handle_s: how long a copy is kept after its last part.
+	HandleTime = 5 * time.Second
+	// ShortPrefix starts the IDs of requests that the record leaves out.
+	ShortPrefix   = "short-"
 	eventInterval = 200 * time.Millisecond
 	// loadTime is how long new weights take a server.
 	loadTime = 830 * time.Millisecond
-	// handleTime is handle_s: how long a copy is kept after its last part.
-	handleTime = 5 * time.Second
-	slots      = 48
-	headerID   = "X-Carawaystile-Attempt-Id"
+	headerID = "X-Carawaystile-Attempt-Id"
 )
 
-// server is a model server as PROTOCOL.md tells it, as far as this case needs one: it streams, loads
+// Server is a model server as PROTOCOL.md tells it, as far as this case needs one: it streams, loads
 // new weights under "retain", and backs running requests up.
-type server struct {
-	pool    *pool
-	id      string
+type Server struct {
+	pool *Pool
+	// ID is the server's name in the list.
+	ID      string
 	zone    string
 	address netip.AddrPort
 	born    int64
@@ -54,7 +65,7 @@
 
 // run is a request that the server works on.
 type run struct {
-	backup *server
+	backup *Server
 	// madeUnder counts the events whose memory was made under each version; the prompt is event 0.
 	madeUnder map[uint64]int
 	// shown is the version that the stream has named last.
@@ -69,37 +80,41 @@
 	timer     *time.Timer
 }
 
-// continuation is a run that went on from a copy.
-type continuation struct {
-	request, source, target string
-	weights                 uint64
-	madeUnder               map[uint64]int
-	after                   int
+// Continuation is a run that went on from a copy.
+type Continuation struct {
+	Request, Source, Target string
+	// Weights is the version that the target runs, and MadeUnder counts the events whose memory was
+	// made under each version.
+	Weights   uint64
+	MadeUnder map[uint64]int
+	after     int
 }
 
-// pool is all servers, and the platform's list.
-type pool struct {
-	record *harness.Record
+// Pool is all servers, and the platform's list.
+type Pool struct {
+	Record *harness.Record
 	mu     sync.Mutex
-	all    []*server
+	all    []*Server
 	// continued lists the runs that went on from a copy.
-	continued []continuation
+	continued []Continuation
 	ran       int
 }
 
-func (p *pool) servers() []*server {
+// Servers returns all servers.
+func (p *Pool) Servers() []*Server {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return slices.Clone(p.all)
 }
 
-func (p *pool) start(id, zone string, at netip.AddrPort) error {
-	listener, err := net.Listen("tcp", at.String())
+// Start starts a server and adds it to the list.
+func (p *Pool) Start(id, zone string, at netip.AddrPort) error {
+	listener, err := platformtest.Listen(at)
 	if err != nil {
 		return err
 	}
-	s := &server{
-		pool: p, id: id, zone: zone, address: at, born: time.Now().UnixMilli(), version: 1,
+	s := &Server{
+		pool: p, ID: id, zone: zone, address: at, born: time.Now().UnixMilli(), version: 1,
 		runs: map[string]*run{}, copies: map[string]*backup{}, conns: map[net.Conn]bool{},
 	}
 	mux := http.NewServeMux()
@@ -122,8 +137,8 @@
 	return nil
 }
 
-// crash ends the server's process: nothing listens any more and its channels are reset.
-func (s *server) crash() {
+// Crash ends the server's process: nothing listens any more and its channels are reset.
+func (s *Server) Crash() {
 	s.mu.Lock()
 	s.ended = true
 	conns := slices.Collect(maps.Keys(s.conns))
@@ -143,32 +158,32 @@
 }
 
 // ServeHTTP serves the platform's list. A server that has crashed stays on it.
-func (p *pool) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+func (p *Pool) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	entries := []any{}
-	for _, s := range p.servers() {
+	for _, s := range p.Servers() {
 		s.mu.Lock()
 		entries = append(entries, map[string]any{
-			"id": s.id, "service": service, "address": s.address.String(), "zone": s.zone, "version": "v1", "slots": slots,
+			"id": s.ID, "service": Service, "address": s.address.String(), "zone": s.zone, "version": "v1", "slots": Slots,
 			"state": "ready", "cold_remaining_ms": 0, "stage": "colocated", "born": s.born,
-			"models": []any{map[string]any{"name": model, "version": s.version, "adapters": []any{}}},
+			"models": []any{map[string]any{"name": Model, "version": s.version, "adapters": []any{}}},
 		})
 		s.mu.Unlock()
 	}
 	writeJSON(w, map[string]any{"instances": entries, "next": nil})
 }
 
-func (s *server) report(w http.ResponseWriter, _ *http.Request) {
+func (s *Server) report(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	writeJSON(w, map[string]any{
-		"stage": "colocated", "models": []any{map[string]any{"name": model, "version": s.version, "adapters": []any{}}},
+		"stage": "colocated", "models": []any{map[string]any{"name": Model, "version": s.version, "adapters": []any{}}},
 		"busy": s.loading, "sequence": s.sequence, "queued": 0, "running": len(s.runs), "kv_used": 700 * len(s.runs),
-		"kv_total": kvTokens, "handles": 0, "born": s.born,
+		"kv_total": KVTokens, "handles": 0, "born": s.born,
 	})
 }
 
 // events tells of no cached parts: each prompt here is used once.
-func (s *server) events(w http.ResponseWriter, r *http.Request) {
+func (s *Server) events(w http.ResponseWriter, r *http.Request) {
 	if wait, err := strconv.Atoi(r.Header.Get("Wait-Ms")); err == nil {
 		select {
 		case <-time.After(time.Duration(min(wait, 1000)) * time.Millisecond):
@@ -179,13 +194,13 @@
 	writeJSON(w, map[string]any{"boot_epoch": s.born, "next": 1, "lost": false, "events": []any{}, "born": s.born})
 }
 
-func (s *server) list(w http.ResponseWriter, _ *http.Request) {
+func (s *Server) list(w http.ResponseWriter, _ *http.Request) {
 	writeJSON(w, map[string]any{"boot_epoch": s.born, "next": 1, "held": []any{}, "born": s.born})
 }
 
 // order takes new weights. Runs go on under them ("retain"); requests that have not started are
 // rejected until they are in force.
-func (s *server) order(w http.ResponseWriter, r *http.Request) {
+func (s *Server) order(w http.ResponseWriter, r *http.Request) {
 	var order struct {
 		Operation    string  `json:"operation"`
 		Version      uint64  `json:"version"`
@@ -201,7 +216,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
-	case r.Header.Get("X-Carawaystile-Expect-Instance") != s.id:
+	case r.Header.Get("X-Carawaystile-Expect-Instance") != s.ID:
 		w.WriteHeader(http.StatusMisdirectedRequest)
 	case s.loading || order.Precondition != nil && *order.Precondition != s.sequence:
 		w.WriteHeader(http.StatusConflict)
@@ -212,12 +227,12 @@
 	default:
 		s.sequence++
 		s.loading = true
-		s.pool.record.Add("order: %s is to load weights %d (%s), with %d runs", s.id, order.Version, order.Strategy, len(s.runs))
+		s.pool.Record.Add("order: %s is to load weights %d (%s), with %d runs", s.ID, order.Version, order.Strategy, len(s.runs))
 		time.AfterFunc(loadTime, func() {
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			s.loading, s.version, s.switchedAt = false, order.Version, time.Now()
-			s.pool.record.Add("weights: %s runs on %d, and so do its %d runs", s.id, s.version, len(s.runs))
+			s.pool.Record.Add("weights: %s runs on %d, and so do its %d runs", s.ID, s.version, len(s.runs))
 		})
 		w.WriteHeader(http.StatusAccepted)
 	}
@@ -229,7 +244,7 @@
 }
 
 // serve runs a request, or goes on with one from the copy of its memory that this server holds.
-func (s *server) serve(w http.ResponseWriter, r *http.Request) {
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(headerID)
 	w.Header().Set(headerID, id)
 	if _, err := io.ReadAll(r.Body); err != nil {
@@ -237,16 +252,16 @@
 	}
 	backupAt := s.pool.at(r.Header.Get("X-Carawaystile-Kv-Backup"))
 	s.mu.Lock()
-	w.Header().Set("X-Carawaystile-Instance-Load", fmt.Sprintf("%d,0,%d,100", len(s.runs), slots))
+	w.Header().Set("X-Carawaystile-Instance-Load", fmt.Sprintf("%d,0,%d,100", len(s.runs), Slots))
 	expected := r.Header.Get("X-Carawaystile-Expect-Version")
 	from := r.Header.Get("Kv-From")
 	copied := s.copies[id]
 	switch {
-	case r.Header.Get("X-Carawaystile-Expect-Instance") != s.id, expected != "" && expected != strconv.FormatUint(s.version, 10):
+	case r.Header.Get("X-Carawaystile-Expect-Instance") != s.ID, expected != "" && expected != strconv.FormatUint(s.version, 10):
 		s.mu.Unlock()
 		reject(w, http.StatusMisdirectedRequest)
 		return
-	case s.loading, len(s.runs) >= slots, from != "" && (copied == nil || from != s.address.String()+"/"+id):
+	case s.loading, len(s.runs) >= Slots, from != "" && (copied == nil || from != s.address.String()+"/"+id):
 		s.mu.Unlock()
 		reject(w, http.StatusServiceUnavailable)
 		return
@@ -256,18 +271,18 @@
 	if from != "" {
 		delete(s.copies, id)
 		this.madeUnder = copied.madeUnder
-		c := continuation{request: id, source: copied.source, target: s.id, weights: s.version, madeUnder: maps.Clone(copied.madeUnder), after: after}
+		c := Continuation{Request: id, Source: copied.source, Target: s.ID, Weights: s.version, MadeUnder: maps.Clone(copied.madeUnder), after: after}
 		s.pool.mu.Lock()
 		s.pool.continued = append(s.pool.continued, c)
 		s.pool.mu.Unlock()
-		s.pool.record.Add("run: %s goes on at %s, weights %d, after event %d, from the copy of %s, whose memory was made under %v (weights: events)",
-			id, s.id, c.weights, after, c.source, c.madeUnder)
+		s.pool.Record.Add("run: %s goes on at %s, weights %d, after event %d, from the copy of %s, whose memory was made under %v (weights: events)",
+			id, s.ID, c.Weights, after, c.Source, c.MadeUnder)
 	} else {
 		s.pool.mu.Lock()
 		s.pool.ran++
 		s.pool.mu.Unlock()
-		if !strings.HasPrefix(id, shortPrefix) {
-			s.pool.record.Add("run: %s at %s, weights %d, backup %s", id, s.id, s.version, name(this.backup))
+		if !strings.HasPrefix(id, ShortPrefix) {
+			s.pool.Record.Add("run: %s at %s, weights %d, backup %s", id, s.ID, s.version, name(this.backup))
 		}
 	}
 	s.runs[id] = this
@@ -284,15 +299,15 @@
 	}
 }
 
-func name(s *server) string {
+func name(s *Server) string {
 	if s == nil {
 		return "none"
 	}
-	return s.id
+	return s.ID
 }
 
 // stream sends the events after the given one. An event at which the version changes says so.
-func (s *server) stream(w http.ResponseWriter, r *http.Request, id string, this *run, after, last int, version uint64) (complete bool) {
+func (s *Server) stream(w http.ResponseWriter, r *http.Request, id string, this *run, after, last int, version uint64) (complete bool) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("X-Carawaystile-Server-Seal", "3e1b."+id)
 	w.Header().Set("X-Carawaystile-Weight-Versions", strconv.FormatUint(version, 10))
@@ -309,7 +324,7 @@
 			return false
 		}
 		if this.backup != nil {
-			this.backup.keep(id, s.id, made, n)
+			this.backup.keep(id, s.ID, made, n)
 		}
 		text := fmt.Sprintf("id: %d\ndata: %s %d\n\n", n, id, n)
 		if changed {
@@ -328,26 +343,26 @@
 }
 
 // keep stores the memory of a run as far as it has been made.
-func (s *server) keep(id, source string, madeUnder map[uint64]int, events int) {
+func (s *Server) keep(id, source string, madeUnder map[uint64]int, events int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if old := s.copies[id]; old != nil {
 		old.timer.Stop()
 	}
 	c := &backup{madeUnder: madeUnder, events: events, source: source}
-	c.timer = time.AfterFunc(handleTime, func() { s.drop(id) })
+	c.timer = time.AfterFunc(HandleTime, func() { s.drop(id) })
 	s.copies[id] = c
 }
 
-func (s *server) drop(id string) {
+func (s *Server) drop(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.copies, id)
 }
 
 // at returns the running server at an address; nil if there is none.
-func (p *pool) at(address string) *server {
-	for _, s := range p.servers() {
+func (p *Pool) at(address string) *Server {
+	for _, s := range p.Servers() {
 		s.mu.Lock()
 		ended := s.ended
 		s.mu.Unlock()
@@ -357,3 +372,36 @@
 	}
 	return nil
 }
+
+// Results returns how many requests ran, and the runs that went on from a copy.
+func (p *Pool) Results() (ran int, continued []Continuation) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ran, slices.Clone(p.continued)
+}
+
+// SwitchedWithOldBackup returns a server that has run on the given weights for a moment, and has a
+// run whose backup still has older ones; nil for none.
+func (p *Pool) SwitchedWithOldBackup(version uint64) *Server {
+	for _, s := range p.Servers() {
+		s.mu.Lock()
+		switched := s.version == version && time.Since(s.switchedAt) > 2*eventInterval
+		var backups []*Server
+		for _, r := range s.runs {
+			backups = append(backups, r.backup)
+		}
+		s.mu.Unlock()
+		for _, b := range backups {
+			if !switched || b == nil {
+				continue
+			}
+			b.mu.Lock()
+			old := b.version < version && !b.loading
+			b.mu.Unlock()
+			if old {
+				return s
+			}
+		}
+	}
+	return nil
+}
