--- a/review/1/main.go
+++ b/review/1/main.go
@@ -96,10 +96,9 @@
 		}
 	}
 	acknowledged := acknowledge(d, record, 2, founders)
-	newest := uint64(2)
+	const newest = uint64(2)
 	if acknowledged == nil {
-		record.Add("operator: version 2 was not acknowledged in time")
-		newest, acknowledged = 1, founders[0]
+		return 0, fmt.Errorf("version 2 was not acknowledged in time")
 	}
 	if harness.Trouble() {
 		record.Add("after_ack_wipe: %s loses its disk", acknowledged.Name)
--- a/review/2/main.go
+++ b/review/2/main.go
@@ -218,9 +218,9 @@
 			w.mu.Lock()
 			ran := w.software[id]
 			w.mu.Unlock()
-			// An attempt that ran at two versions would be mixed within one answer.
-			for _, version := range ran {
-				versions[version] = true
+			// Of an attempt that ran more than once, it isn't known which run brought the events.
+			if len(ran) == 1 {
+				versions[ran[0]] = true
 			}
 		}
 		record.Add("consumer %s: %d events, of attempts %v, of software versions %v", c.name, c.count, c.got, versions)
