forward: event 1036 says what is known of a resumed stream's origin

Cause: from the log it could not be told whether a resumption that went on at another software version had an unknown origin, a wrong one, or was not looked up.

Change: event 1036 is logged after the lookup, with `origin` (known, unknown, single version) and `software`. No behaviour changes.

--- a/forward/request.go
+++ b/forward/request.go
@@ -10,13 +10,11 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"go.uber.org/zap"
 
 	"github.com/carawaystile/carawaystile/bufferbudget"
 	"github.com/carawaystile/carawaystile/dialect"
 	"github.com/carawaystile/carawaystile/dispatch"
 	"github.com/carawaystile/carawaystile/entry/outcome"
-	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/parts"
 	"github.com/carawaystile/carawaystile/permits"
 	"github.com/carawaystile/carawaystile/routes"
@@ -242,7 +240,6 @@
 	if last := c.r.Header.Get(h.LastEventID); last != "" && c.route.Resumable {
 		c.setLastEvent(last)
 		c.resumes = c.r.Header.Get(h.Resumes)
-		events.StreamResumed.Log(c.server.log, append(c.logFields(), zap.String("resumes", c.resumes))...)
 	}
 }
 
--- a/forward/software.go
+++ b/forward/software.go
@@ -5,6 +5,9 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
+	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/fleet"
 	"github.com/carawaystile/carawaystile/streamorigin"
 	"github.com/carawaystile/carawaystile/tables"
@@ -118,19 +121,42 @@
 	s.options.StreamOrigins.Record(streamorigin.Origin{Request: request, Software: version}, s.software.isMixed(s.options.Now(), c.service.Name))
 }
 
+// originKnowledge is what an instance knows about the origin of a stream that a client resumes.
+type originKnowledge string
+
+const (
+	originKnown   originKnowledge = "known"
+	originUnknown originKnowledge = "unknown"
+	// originSingle stands for an origin that was not looked up, because no other version can have begun
+	// the stream.
+	originSingle originKnowledge = "single version"
+)
+
 // findOrigin restricts a resumption to the version that began its stream. It returns false if that
 // version is unknown while there are several: at another one, the client would get events that do
 // not fit those that it has.
 func (c *clientRequest) findOrigin() bool {
-	s := c.server
-	if c.lastEventID == "" || s.software.knowsSingle(s.options.Now(), c.service.Name) {
+	if c.lastEventID == "" {
 		return true
 	}
+	s := c.server
+	origin, version := c.lookUpOrigin()
+	if origin == originKnown {
+		c.fixSoftware(version)
+	}
+	events.StreamResumed.Log(s.log, append(c.logFields(), zap.String("resumes", c.resumes), zap.String("origin", string(origin)), zap.String("software", version))...)
+	return origin != originUnknown || !s.software.isMixed(s.options.Now(), c.service.Name)
+}
+
+func (c *clientRequest) lookUpOrigin() (origin originKnowledge, version string) {
+	s := c.server
+	if s.software.knowsSingle(s.options.Now(), c.service.Name) {
+		return originSingle, ""
+	}
 	if s.options.StreamOrigins != nil && c.resumes != "" {
 		if version, known := s.options.StreamOrigins.Find(c.ctx, c.resumes); known {
-			c.fixSoftware(version)
-			return true
+			return originKnown, version
 		}
 	}
-	return !s.software.isMixed(s.options.Now(), c.service.Name)
+	return originUnknown, ""
 }
