Streams are resumed at their software version after all instances have ended

Callers saw two faults of one kind.

Cause: the versions that began streams lived in the memory of entry instances only. An instance that had just started let an unknown origin pass if one version was listed, and refused it if several were.

Change: entry instances send new origins to all control instances in batches, also while one version serves. An unknown origin is refused unless the instance has seen one version alone for as long as clients may resume.

Why it works: an origin outlives all entry instances, and all processes; what is unknown after a start is no longer taken for the version that is listed.

TestResumptionContinuesAtItsSoftwareOnly: its cases of an instance that has just started, sees one version and does not know the origin asserted that the stream goes on. That is the fault: such an instance cannot know which versions served before. They are replaced by two, refused right after the start and served once it has seen one version for 30 s; four more are new. On the code before, the first of these fails.

--- a/forward/software.go
+++ b/forward/software.go
@@ -78,7 +78,8 @@
 }
 
 // knowsSingle reports whether no stream that may be resumed at a service began at another version
-// than the one that serves.
+// than the one that serves. An instance that has started lately does not know which versions served
+// before.
 func (v *softwareVersions) knowsSingle(now tables.Instant, service string) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -133,8 +134,8 @@
 )
 
 // findOrigin restricts a resumption to the version that began its stream. It returns false if that
-// version is unknown while there are several: at another one, the client would get events that do
-// not fit those that it has.
+// version is unknown and there may have been several: at another one, the client would get events that
+// do not fit those that it has.
 func (c *clientRequest) findOrigin() bool {
 	if c.lastEventID == "" {
 		return true
@@ -145,15 +146,22 @@
 		c.fixSoftware(version)
 	}
 	events.StreamResumed.Log(s.log, append(c.logFields(), zap.String("resumes", c.resumes), zap.String("origin", string(origin)), zap.String("software", version))...)
-	return origin != originUnknown || !s.software.isMixed(s.options.Now(), c.service.Name)
+	return origin != originUnknown
 }
 
 func (c *clientRequest) lookUpOrigin() (origin originKnowledge, version string) {
-	s := c.server
-	if s.software.knowsSingle(s.options.Now(), c.service.Name) {
+	s, service := c.server, c.service.Name
+	if s.software.knowsSingle(s.options.Now(), service) {
 		return originSingle, ""
 	}
-	if s.options.StreamOrigins != nil && c.resumes != "" {
+	if s.options.StreamOrigins == nil {
+		// Without a directory no origins are recorded.
+		if s.software.isMixed(s.options.Now(), service) {
+			return originUnknown, ""
+		}
+		return originSingle, ""
+	}
+	if c.resumes != "" {
 		if version, known := s.options.StreamOrigins.Find(c.ctx, c.resumes); known {
 			return originKnown, version
 		}
--- a/forward/software_test.go
+++ b/forward/software_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"maps"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,12 +26,16 @@
 
 // newVersionedHarness returns a harness whose endpoints have the given software versions.
 func newVersionedHarness(t *testing.T, software []string, changes ...func(*Options)) *harness {
+	started := time.Now()
+	return newVersionedHarnessAt(t, func() tables.Instant { return time.Since(started) }, software, changes...)
+}
+
+func newVersionedHarnessAt(t *testing.T, now func() tables.Instant, software []string, changes ...func(*Options)) *harness {
 	handlers := make([]http.HandlerFunc, len(software))
 	for i := range handlers {
 		handlers[i] = breakNewStreams
 	}
-	started := time.Now()
-	h := newHarnessWith(t, func() tables.Instant { return time.Since(started) }, newFakeEndpoints(t, handlers...), changes...)
+	h := newHarnessWith(t, now, newFakeEndpoints(t, handlers...), changes...)
 	h.setSoftware(software)
 	return h
 }
@@ -93,26 +98,35 @@
 	return software, known
 }
 
-// Guards against a client's resumption that continues at another version, or is refused although one
-// version serves alone.
+// Guards against a client's resumption that continues at another version, also after all instances have
+// started again, or is refused although only one version can have begun the stream.
 func TestResumptionContinuesAtItsSoftwareOnly(t *testing.T) {
+	const justStarted, longStarted = time.Second, versionMemory + 2*time.Second
 	for _, test := range []struct {
 		software []string
 		origins  fakeOrigins
+		up       time.Duration
 		status   int
 	}{
-		{[]string{"v1", "v2"}, fakeOrigins{"first": "v1"}, http.StatusOK},
-		{[]string{"v1", "v2"}, fakeOrigins{"first": "v3"}, http.StatusServiceUnavailable},
-		{[]string{"v1", "v2"}, fakeOrigins{}, http.StatusServiceUnavailable},
-		{[]string{"v1", "v1"}, fakeOrigins{}, http.StatusOK},
-		{[]string{"", ""}, fakeOrigins{}, http.StatusOK},
+		{[]string{"v1", "v2"}, fakeOrigins{"first": "v1"}, justStarted, http.StatusOK},
+		{[]string{"v1", "v2"}, fakeOrigins{"first": "v3"}, justStarted, http.StatusServiceUnavailable},
+		{[]string{"v1", "v2"}, fakeOrigins{}, justStarted, http.StatusServiceUnavailable},
+		{[]string{"v1", "v1"}, fakeOrigins{"first": "v1"}, justStarted, http.StatusOK},
+		{[]string{"v1", "v1"}, fakeOrigins{"first": "v3"}, justStarted, http.StatusServiceUnavailable},
+		{[]string{"v1", "v1"}, fakeOrigins{}, justStarted, http.StatusServiceUnavailable},
+		{[]string{"v1", "v1"}, fakeOrigins{}, longStarted, http.StatusOK},
+		{[]string{"v1", "v2"}, fakeOrigins{}, longStarted, http.StatusServiceUnavailable},
+		{[]string{"", ""}, fakeOrigins{}, longStarted, http.StatusOK},
 	} {
-		t.Run(fmt.Sprintf("%q/%q", test.software, test.origins), func(t *testing.T) {
-			h := newVersionedHarness(t, test.software, func(o *Options) {
+		t.Run(fmt.Sprintf("%q/%q/%v", test.software, test.origins, test.up), func(t *testing.T) {
+			var later atomic.Int64
+			started := time.Now()
+			h := newVersionedHarnessAt(t, func() tables.Instant { return time.Second + time.Since(started) + time.Duration(later.Load()) }, test.software, func(o *Options) {
 				withResumes := *headerNames
 				withResumes.Resumes = "X-Resumes"
 				o.Headers, o.StreamOrigins = &withResumes, test.origins
 			})
+			later.Store(int64(test.up))
 			resp := h.send(t, "POST", "/resume/x", "", "X-Request", "second", "X-Resumes", "first", "Last-Event-Id", "2", "X-Model", "m", "X-Tokens", "10,4")
 			assert.Equal(t, resp.StatusCode, test.status)
 			if test.status != http.StatusOK {
--- a/node/control.go
+++ b/node/control.go
@@ -47,6 +47,7 @@
 		return trace.Wrap(err)
 	}
 	n.folder = folder
+	n.openStreamArchive()
 	self := s.Advertise.Instances.String()
 	options := server.Options{
 		Self:               server.Instance{Name: tables.InstanceID(self), Address: self},
--- a/node/entry.go
+++ b/node/entry.go
@@ -67,6 +67,7 @@
 		StartupWait:      n.startsFast(),
 		Context:          n.lifetime,
 	})
+	n.background.Go(func() { n.streamOrigins.Run(n.lifetime) })
 	n.startRelayServer()
 	n.registerSizeGauges()
 	n.scheduleServer = schedule.NewServer(n.entry, n.now)
--- a/node/listen.go
+++ b/node/listen.go
@@ -73,6 +73,7 @@
 func (n *Node) serveInstances() error {
 	s := n.options.Settings
 	mux := http.NewServeMux()
+	mux.Handle(rpc.StreamsPathPrefix, rpc.NewStreamsServer(streamsServer{n}))
 	if n.replica != nil {
 		mux.Handle(rpc.ControlPathPrefix, transport.NewHandler(n.replica))
 		mux.Handle(rpc.DeploymentPathPrefix, rpc.NewDeploymentServer(n.deployment))
@@ -80,7 +81,6 @@
 	if n.entry != nil {
 		mux.Handle(rpc.CacheKnowledgePathPrefix, rpc.NewCacheKnowledgeServer(cacheKnowledgeServer{n}))
 		mux.Handle(relay.Path, n.relayServer)
-		mux.Handle(rpc.StreamsPathPrefix, rpc.NewStreamsServer(streamsServer{n.streamOrigins}))
 		mux.Handle(rpc.PeerPathPrefix, rpc.NewPeerServer(n.peerService()))
 	}
 	if err := n.serve(&http.Server{Handler: n.limitBodies(mux, n.peerBodyBytes())}, s.Listen.Instances, keepalive.Peers); err != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -170,6 +170,8 @@
 	deployment *deployment.Service
 	rollout    *rollout.Controller
 	kvStores   kvStoreSet
+	// streamArchive keeps the origins of the streams of all entry instances.
+	streamArchive *streamorigin.Archive
 	// initializedAt is when the entry role first had a configuration and endpoints; 0 if it
 	// has not yet.
 	initializedAt atomic.Int64
--- /dev/null
+++ b/node/streamorigins_test.go
@@ -0,0 +1,53 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/streamorigin"
+)
+
+// Guards against the loss of the versions that began streams when all processes end: clients resume
+// the streams at an instance that has just started.
+func TestStreamOriginsOutliveAllProcesses(t *testing.T) {
+	c := newCluster(t)
+	awaitKnown := func(request string) {
+		t.Helper()
+		deadline := time.Now().Add(20 * time.Second)
+		for {
+			software, known := c.entry.streamOrigins.Find(t.Context(), request)
+			if known {
+				assert.Equal(t, software, "v1")
+				return
+			}
+			assert.Assert(t, time.Now().Before(deadline), "the origin is not known")
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	c.entry.streamOrigins.Record(streamorigin.Origin{Request: "r", Software: "v1"}, false)
+	entrySettings := c.entry.options.Settings
+	deadline := time.Now().Add(20 * time.Second)
+	for _, n := range c.controls {
+		for known := false; !known; _, known = n.findStreamOrigin("r") {
+			assert.Assert(t, time.Now().Before(deadline), "a control instance does not get the origin")
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	c.entry.Stop()
+	c.entry = c.start(entrySettings)
+	awaitKnown("r")
+
+	for i, n := range append(c.controls, c.entry) {
+		n.Stop()
+		if i < len(c.controls) {
+			c.settings[i].New = false
+		}
+	}
+	for i, s := range c.settings {
+		c.controls[i] = c.start(s)
+	}
+	c.entry = c.start(entrySettings)
+	awaitKnown("r")
+}
--- a/streamorigin/directory.go
+++ b/streamorigin/directory.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -22,6 +24,11 @@
 	maxSmall = 16
 	// maxOriginsPerMessage bounds a message so that it fits into a datagram.
 	maxOriginsPerMessage = 20
+	// archiveInterval is the interval at which new origins are sent to the archives. An instance that is
+	// killed loses those that it has not sent.
+	archiveInterval = 250 * time.Millisecond
+	// maxUnsent bounds the origins that wait until an archive is known.
+	maxUnsent = 1 << 12
 )
 
 // Options configures a Directory. All fields are required.
@@ -29,6 +36,8 @@
 	Self tables.InstanceID
 	// EntriesByZone returns the live entry instances of each zone.
 	EntriesByZone func() map[tables.Zone][]membership.EntryInstance
+	// Archives returns the live control instances, which keep the origins of all streams.
+	Archives func() []membership.EntryInstance
 	// Send sends origins to an instance. They may be lost.
 	Send func(to netip.AddrPort, message *rpc.StreamOrigins)
 	// Ask asks another instance for the origin of a request's stream.
@@ -37,24 +46,64 @@
 }
 
 // Directory shares the origins of streams among entry instances. Each origin is held by the
-// instance that began the stream and by its owners in each availability zone, so that a zone that is
-// cut off still knows the origins of its streams. It is safe for concurrent use.
+// instance that began the stream, by its owners in each availability zone while several versions
+// serve, so that a zone that is cut off still knows the origins of its streams, and soon by the archives
+// at the control instances, which outlive entry instances. It is safe for concurrent use.
 type Directory struct {
 	options Options
 	table   Table
+
+	mu     sync.Mutex
+	unsent []Origin
 }
 
 // NewDirectory returns an empty directory.
 func NewDirectory(options Options) *Directory { return &Directory{options: options} }
 
-// Record remembers the origin of a stream, and sends it to its owners if publish is set.
+// Record remembers the origin of a stream, and sends it to its owners if publish is set. The archives
+// get it with the next batch.
 func (d *Directory) Record(o Origin, publish bool) {
 	d.table.Record(d.options.Now(), o)
+	d.mu.Lock()
+	if len(d.unsent) < maxUnsent {
+		d.unsent = append(d.unsent, o)
+	}
+	d.mu.Unlock()
 	if publish {
 		d.publish([]Origin{o})
 	}
 }
 
+// Run sends new origins to the archives until the context ends.
+func (d *Directory) Run(ctx context.Context) {
+	ticker := time.NewTicker(archiveInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			d.SendToArchives()
+		}
+	}
+}
+
+// SendToArchives sends the origins that the archives do not have yet. Without an archive they are
+// kept.
+func (d *Directory) SendToArchives() {
+	archives := d.options.Archives()
+	if len(archives) == 0 {
+		return
+	}
+	d.mu.Lock()
+	batch := d.unsent
+	d.unsent = nil
+	d.mu.Unlock()
+	for _, archive := range archives {
+		d.sendAll(archive.Address, batch)
+	}
+}
+
 // PublishAll sends all known origins to their owners.
 func (d *Directory) PublishAll() { d.publish(d.table.All()) }
 
@@ -69,11 +118,13 @@
 		}
 	}
 	for to, all := range byOwner {
-		for len(all) > 0 {
-			n := min(len(all), maxOriginsPerMessage)
-			d.options.Send(to, encode(all[:n]))
-			all = all[n:]
-		}
+		d.sendAll(to, all)
+	}
+}
+
+func (d *Directory) sendAll(to netip.AddrPort, origins []Origin) {
+	for batch := range slices.Chunk(origins, maxOriginsPerMessage) {
+		d.options.Send(to, encode(batch))
 	}
 }
 
@@ -90,15 +141,15 @@
 	return d.table.Find(request)
 }
 
-// Find returns the version that began a request's stream, and whether any instance that could be
-// asked knows it.
+// Find returns the version that began a request's stream, and whether any instance or archive that
+// could be asked knows it.
 func (d *Directory) Find(ctx context.Context, request string) (software string, known bool) {
 	if software, known = d.table.Find(request); known || request == "" {
 		return software, known
 	}
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
-	asked := d.instancesToAsk(request)
+	asked := append(d.instancesToAsk(request), d.options.Archives()...)
 	answers := make(chan Origin, len(asked))
 	for _, instance := range asked {
 		go func() {
--- a/streamorigin/directory_test.go
+++ b/streamorigin/directory_test.go
@@ -20,12 +20,15 @@
 	zones       map[tables.Zone][]membership.EntryInstance
 	directories map[netip.AddrPort]*Directory
 	down        map[netip.AddrPort]bool
+	archives    []membership.EntryInstance
+	archiveAt   map[netip.AddrPort]*Archive
 	sent        int
 }
 
 func newFakeInstances(zones, perZone int) *fakeInstances {
 	f := &fakeInstances{
 		zones: map[tables.Zone][]membership.EntryInstance{}, directories: map[netip.AddrPort]*Directory{}, down: map[netip.AddrPort]bool{},
+		archiveAt: map[netip.AddrPort]*Archive{},
 	}
 	for z := range zones {
 		for i := range perZone {
@@ -43,9 +46,12 @@
 	return NewDirectory(Options{
 		Self: self.Instance, Now: func() tables.Instant { return time.Second },
 		EntriesByZone: func() map[tables.Zone][]membership.EntryInstance { return f.zones },
+		Archives:      func() []membership.EntryInstance { return f.archives },
 		Send: func(to netip.AddrPort, message *rpc.StreamOrigins) {
 			f.sent++
-			if !f.down[to] {
+			if archive := f.archiveAt[to]; archive != nil {
+				archive.Receive(message)
+			} else if !f.down[to] {
 				f.directories[to].Receive(message)
 			}
 		},
@@ -53,6 +59,10 @@
 			if f.down[instance.Control] {
 				return "", false, errors.New("down")
 			}
+			if archive := f.archiveAt[instance.Control]; archive != nil {
+				software, known := archive.Find(request)
+				return software, known, nil
+			}
 			software, known := f.directories[instance.Control].FindLocally(request)
 			return software, known, nil
 		},
--- a/streamorigin/table.go
+++ b/streamorigin/table.go
@@ -3,6 +3,7 @@
 package streamorigin
 
 import (
+	"cmp"
 	"sync"
 	"time"
 
@@ -13,9 +14,9 @@
 	// generationAge is the minimum time for which an origin is kept. It exceeds the duration of a
 	// stream and of the client's pause before it resumes.
 	generationAge = 30 * time.Second
-	// maxGeneration bounds the origins of one generation. Further ones start the next generation
+	// defaultMaxGeneration bounds the origins of one generation. Further ones start the next generation
 	// early.
-	maxGeneration = 1 << 15
+	defaultMaxGeneration = 1 << 15
 )
 
 // Origin is the version of the endpoints' software that began a stream. Request is the ID of the
@@ -32,13 +33,15 @@
 	newer, older    map[string]string
 	newerStartedAt  tables.Instant
 	newerHasStarted bool
+	// maxGeneration replaces defaultMaxGeneration if it is not 0.
+	maxGeneration int
 }
 
 // Record adds an origin or replaces that of the same request.
 func (t *Table) Record(now tables.Instant, o Origin) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.newerHasStarted || now-t.newerStartedAt >= generationAge || len(t.newer) >= maxGeneration {
+	if !t.newerHasStarted || now-t.newerStartedAt >= generationAge || len(t.newer) >= cmp.Or(t.maxGeneration, defaultMaxGeneration) {
 		t.older, t.newer = t.newer, map[string]string{}
 		t.newerStartedAt, t.newerHasStarted = now, true
 	}
