A configuration that isolates an organisation starts another pool of cached prompts

Cause: the salt of the organisations that share depended on the version of the weights only. What one of them had made before it was isolated stayed under the salt that the others go on to use.

Ruled out: an instance with an older configuration (requests of the isolated organisation have a salt of its own after the change), and transfers between endpoints (no source header in the record).

Change: the control group names the pool of cached prompts for each configuration and keeps the pool's members, all organisations that any of its configurations has let share it. A configuration that isolates a member starts another pool. The pool is part of the salt and of the IDs of cached parts, and comes with the configuration's document. Each attempt takes the pool in force then. What the crash detector knows of parts no longer depends on the salt. After a restore of a backup all pools are new.

Why it works: an isolated organisation is never a member of the pool that others use, in any order of changes, and the pool of a configuration is the same at all instances and after any restart.

Lost: the set of isolated organisations in the salt; strict too, but each organisation that is added isolated or stops being isolated empties the caches of all others.

--- a/control/deployment/compression.go
+++ b/control/deployment/compression.go
@@ -46,7 +46,7 @@
 		answer.Documents = append(answer.Documents, document)
 		return
 	}
-	answer.Documents = append(answer.Documents, &rpc.Document{Name: document.GetName(), Number: document.GetNumber()})
+	answer.Documents = append(answer.Documents, &rpc.Document{Name: document.GetName(), Number: document.GetNumber(), CachePool: document.GetCachePool()})
 	if answer.Packed == nil {
 		answer.Packed = map[string][]byte{}
 	}
--- a/control/deployment/service.go
+++ b/control/deployment/service.go
@@ -60,8 +60,10 @@
 	fleet   *fleet.Table
 	// holdsOrderLease returns whether this instance holds the lease for orders.
 	holdsOrderLease func() bool
-	now             func() tables.Instant
-	after           func(time.Duration) <-chan time.Time
+	// cacheOrganisations lists the organisations of a configuration; nil if there are none.
+	cacheOrganisations func(configuration []byte) *rpc.CacheOrganisations
+	now                func() tables.Instant
+	after              func(time.Duration) <-chan time.Time
 
 	compressor documentCompressor
 	// mu guards weightHistory, which records when this instance saw each target
@@ -77,6 +79,9 @@
 	// HoldsOrderLease returns whether this instance holds the lease under which
 	// orders are sent to endpoints.
 	HoldsOrderLease func() bool
+	// CacheOrganisations lists the organisations of a configuration by whether they share cached
+	// prompts; nil if organisations have none.
+	CacheOrganisations func(configuration []byte) *rpc.CacheOrganisations
 	// Now is a monotonic clock that continues while the machine is suspended.
 	Now func() tables.Instant
 	// After defaults to time.After.
@@ -89,7 +94,9 @@
 	if o.After == nil {
 		o.After = time.After
 	}
-	return &Service{replica: o.Replica, fleet: o.Fleet, holdsOrderLease: o.HoldsOrderLease, now: o.Now, after: o.After}
+	return &Service{
+		replica: o.Replica, fleet: o.Fleet, holdsOrderLease: o.HoldsOrderLease, cacheOrganisations: o.CacheOrganisations, now: o.Now, after: o.After,
+	}
 }
 
 // Run records when target versions of weights change, until the context ends.
@@ -152,9 +159,11 @@
 // document with this name and a higher number is in force. The number is the
 // version of the document.
 func (s *Service) Put(ctx context.Context, name string, number uint64, content []byte) error {
-	result, err := s.replica.Execute(ctx, &rpc.Command{Action: &rpc.Command_PutDocument{PutDocument: &rpc.PutDocument{
-		Document: &rpc.Document{Name: name, Number: number, Content: content},
-	}}})
+	put := &rpc.PutDocument{Document: &rpc.Document{Name: name, Number: number, Content: content}}
+	if name == ConfigurationDocument && s.cacheOrganisations != nil {
+		put.Cache = s.cacheOrganisations(content)
+	}
+	result, err := s.replica.Execute(ctx, &rpc.Command{Action: &rpc.Command_PutDocument{PutDocument: put}})
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/control/state/documents.go
+++ b/control/state/documents.go
@@ -19,6 +19,7 @@
 // acknowledged under a number does not change.
 type documentStore struct {
 	rows map[string]*rpc.Document
+	pool cachePool
 }
 
 func newDocumentStore() documentStore { return documentStore{rows: map[string]*rpc.Document{}} }
@@ -32,8 +33,8 @@
 
 // put stores the document if its number is higher than the one in force. A
 // lower number is acknowledged too, since its sender cannot know that a newer
-// one arrived first.
-func (d *documentStore) put(request *rpc.PutDocument) *rpc.Result {
+// one arrived first. The group is that of the replicas.
+func (d *documentStore) put(group uint64, request *rpc.PutDocument) *rpc.Result {
 	document := request.GetDocument()
 	name := document.GetName()
 	if name == "" || len(name) > maxNameBytes || len(document.GetContent()) > maxDocumentBytes {
@@ -45,7 +46,10 @@
 	}
 	stored := !known || document.GetNumber() > current.GetNumber()
 	if stored {
-		d.rows[name] = document
+		d.rows[name] = &rpc.Document{
+			Name: name, Number: document.GetNumber(), Content: document.GetContent(),
+			CachePool: d.pool.update(group, document.GetNumber(), request.GetCache()),
+		}
 	}
 	answer := &rpc.DocumentAnswer{Number: d.rows[name].GetNumber(), Stored: stored}
 	return &rpc.Result{Answer: &rpc.Result_Document{Document: answer}}
@@ -63,6 +67,7 @@
 	for _, document := range snapshot.GetDocuments() {
 		d.rows[document.GetName()] = document
 	}
+	d.pool.restore(snapshot.GetCachePool())
 }
 
 // Document returns the document in force under a name, nil if there is none.
--- a/control/state/recover.go
+++ b/control/state/recover.go
@@ -40,6 +40,7 @@
 		return nil, trace.Wrap(err)
 	}
 	snapshot.Group, snapshot.Founders = r.Group, r.Founders
+	startPools(snapshot, r.Group)
 	snapshot.Revision = max(snapshot.GetRevision(), r.MinRevision) + 1
 	snapshot.History = []*rpc.Revision{{
 		Number:   snapshot.GetRevision(),
--- a/control/state/state.go
+++ b/control/state/state.go
@@ -109,7 +109,7 @@
 	case *rpc.Command_AnnounceOrders:
 		return s.leases.announce(s.now, action.AnnounceOrders)
 	case *rpc.Command_PutDocument:
-		return s.documents.put(action.PutDocument)
+		return s.documents.put(s.group, action.PutDocument)
 	case *rpc.Command_PassTime:
 		return done()
 	default:
@@ -166,6 +166,7 @@
 	s.claims.save(snapshot)
 	s.leases.save(snapshot)
 	snapshot.Documents = s.documents.sorted()
+	snapshot.CachePool = s.documents.pool.save()
 	return snapshot
 }
 
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -199,6 +199,12 @@
 // configure puts a configuration with the given revision in force, after change has
 // modified it.
 func (h *harness) configure(t testing.TB, revision uint64, change func(*routes.Configuration)) {
+	t.Helper()
+	h.configurePool(t, revision, 0, change)
+}
+
+// configurePool is configure with a pool of cached prompts.
+func (h *harness) configurePool(t testing.TB, revision, pool uint64, change func(*routes.Configuration)) {
 	t.Helper()
 	route := func(prefix string, kind routes.Kind, service string) routes.Route {
 		return routes.Route{
@@ -229,6 +235,7 @@
 	}
 	table, err := routes.NewTable(c)
 	assert.NilError(t, err)
+	table.CachePool = pool
 	h.server.Configure(table)
 }
 
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -17,8 +17,8 @@
 // work returns what identifies the request to the crash detector.
 func (c *clientRequest) work() quarantine.Work {
 	work := quarantine.Work{Request: c.fingerprint}
-	for _, part := range c.dispatchRequest.SharedParts {
-		work.Parts = append(work.Parts, quarantine.Part(part.ID))
+	for _, id := range c.contentIDs {
+		work.Parts = append(work.Parts, quarantine.Part(id))
 	}
 	return work
 }
@@ -67,7 +67,7 @@
 	}
 	fields := []zap.Field{zap.Stringer("part", c.quarantinedPart)}
 	for n, part := range dialect.ParsePromptParts(c.r.Header.Get(c.server.headers.PromptParts)) {
-		if n < len(c.dispatchRequest.SharedParts) && c.dispatchRequest.SharedParts[n].ID == c.quarantinedPart {
+		if n < len(c.contentIDs) && c.contentIDs[n] == c.quarantinedPart {
 			return append(fields, zap.String("part_hash", part.ID))
 		}
 	}
--- a/forward/request.go
+++ b/forward/request.go
@@ -53,6 +53,8 @@
 	cancel   context.CancelFunc
 
 	dispatchRequest dispatch.Request
+	// contentIDs are the IDs by which the crash detector knows the shared parts of the prompt.
+	contentIDs []parts.ID
 	// assignment is the scheduler's decision about the next attempt; nil if this instance
 	// places it.
 	assignment *schedule.Assignment
@@ -251,10 +253,20 @@
 	return int64(prompt) + int64(output), header != ""
 }
 
-// cacheScope returns the scope within which the request's cached prompt parts may be
-// shared: an isolated organisation's ID, or the empty string for the scope common to all
-// others.
+// cacheScope returns the scope within which the request's cached prompt parts may be shared now: that
+// of its organisation if that is isolated, or else that of the organisations that share. The
+// configuration may have changed since the request arrived.
 func (c *clientRequest) cacheScope() string {
+	current := c.server.Configuration()
+	if c.org != nil && (c.org.Isolated || current.IsIsolated(c.org.ID)) {
+		return parts.IsolatedScope(string(c.org.ID))
+	}
+	return parts.SharedScope(current.CachePool)
+}
+
+// contentScope returns the scope of the IDs by which the crash detector knows parts of prompts. Unlike
+// cached parts, what it knows stays valid when the pool of cached prompts is replaced.
+func (c *clientRequest) contentScope() string {
 	if c.org != nil && c.org.Isolated {
 		return string(c.org.ID)
 	}
@@ -270,14 +282,15 @@
 		c.dispatchRequest.SharedParts = append(c.dispatchRequest.SharedParts, dispatch.SharedPart{
 			ID: parts.NewID(c.dispatchRequest.Model, scope, part.ID), EndTokens: endTokens,
 		})
+		c.contentIDs = append(c.contentIDs, parts.NewID(c.dispatchRequest.Model, c.contentScope(), part.ID))
 	}
 }
 
 // sharedPartIDs returns the IDs of the prompt parts that other requests may share, for the log.
 func (c *clientRequest) sharedPartIDs() []string {
-	ids := make([]string, 0, len(c.dispatchRequest.SharedParts))
-	for _, part := range c.dispatchRequest.SharedParts {
-		ids = append(ids, part.ID.String())
+	ids := make([]string, 0, len(c.contentIDs))
+	for _, id := range c.contentIDs {
+		ids = append(ids, id.String())
 	}
 	return ids
 }
--- a/node/control.go
+++ b/node/control.go
@@ -86,7 +86,7 @@
 		Log:               n.log,
 	})
 	n.deployment = deployment.NewService(deployment.Options{
-		Replica: n.replica, Fleet: n.fleet, HoldsOrderLease: n.rollout.HoldsLease, Now: boottime.Now,
+		Replica: n.replica, Fleet: n.fleet, HoldsOrderLease: n.rollout.HoldsLease, CacheOrganisations: n.cacheOrganisations, Now: boottime.Now,
 	})
 	n.registerControlMetrics()
 	n.background.Go(func() { n.deployment.Run(n.lifetime) })
--- a/node/entry.go
+++ b/node/entry.go
@@ -146,6 +146,7 @@
 		events.ConfigurationUnreadable.Log(n.log, zap.Uint64("revision", document.GetNumber()), zap.Error(err))
 		return
 	}
+	table.CachePool = document.GetCachePool()
 	n.usageServer.SetLimits(n.usageLimits(table))
 	n.entry.Configure(table)
 }
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -35,6 +35,14 @@
 	sequence uint64
 	fences   []tables.FencingToken
 	draining bool
+	// organisations returns those of a configuration; nil for none.
+	organisations func(revision uint64) []routes.Organisation
+}
+
+func (p *fakePlatform) setOrganisations(of func(revision uint64) []routes.Organisation) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.organisations = of
 }
 
 // newFakePlatform starts an endpoint that responds with the version of the weights that a
@@ -84,9 +92,16 @@
 
 // parseConfiguration returns a routing table with the document as path prefix and its length as
 // revision, so that tests need no document format.
-func parseConfiguration(document []byte) (*routes.Table, error) {
+func (p *fakePlatform) parseConfiguration(document []byte) (*routes.Table, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	revision := uint64(len(document))
+	var organisations []routes.Organisation
+	if p.organisations != nil {
+		organisations = p.organisations(revision)
+	}
 	return routes.NewTable(routes.Configuration{
-		Revision: uint64(len(document)),
+		Revision: revision, Organisations: organisations,
 		Routes: []routes.Route{{
 			Name: "r", Host: "h.example", Prefix: string(document), Kind: routes.Idempotent, Timeout: 5 * time.Second,
 			MaxAttempts: 1, TrafficSplit: []routes.WeightedService{{Service: "models", Weight: 1}},
@@ -103,7 +118,7 @@
 			ExpectWeights: "X-Expect-Weights", Signature: "X-Signature", NotExecuted: "X-Not-Run", Model: "X-Model", TokenCounts: "X-Tokens",
 			PromptParts: "X-Prefix", Brittle: "X-Brittle", CacheSalt: "X-Salt", Priority: "X-Priority", LastEventID: "Last-Event-Id",
 		},
-		ParseConfiguration: parseConfiguration,
+		ParseConfiguration: p.parseConfiguration,
 		NewLister:          func(netip.AddrPort) EndpointLister { return p },
 		EngineClient:       p,
 		OperatorHandler: func(*deployment.Service, *zap.Logger) http.Handler {
--- a/parts/parts.go
+++ b/parts/parts.go
@@ -20,9 +20,15 @@
 // ID identifies a part regardless of the version of the weights.
 type ID uint64
 
-// NewID returns the ID of a model's part. The scope separates parts that must not be shared:
-// it is the organisation's ID if the organisation is isolated, else empty. The hash is the
-// caller's for the part.
+// SharedScope returns the scope of the organisations that share cached parts. The pool is that of the
+// configuration.
+func SharedScope(pool uint64) string { return strconv.FormatUint(pool, 36) }
+
+// IsolatedScope returns the scope of an isolated organisation. It differs from all shared ones.
+func IsolatedScope(organisation string) string { return "=" + organisation }
+
+// NewID returns the ID of a model's part. The scope separates parts that must not be shared. The hash
+// is the caller's for the part.
 func NewID(model, scope, hash string) ID {
 	var d xxhash.Digest
 	d.Reset()
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -160,12 +160,16 @@
 }
 
 // Table is the routing table built from a configuration. It looks up the route and the
-// organisation of a request. It is immutable.
+// organisation of a request. It is immutable once it is in use.
 type Table struct {
 	Configuration
-	byHost   map[string][]*Route
-	byKey    map[string]*Organisation
-	services map[string]*Service
+	// CachePool identifies the cached prompts that organisations share under the configuration. The
+	// control group assigns it.
+	CachePool uint64
+	byHost    map[string][]*Route
+	byKey     map[string]*Organisation
+	isolated  map[tables.OrganisationID]bool
+	services  map[string]*Service
 	// urgentTargets holds the result of UrgentTarget by service.
 	urgentTargets map[string]time.Duration
 }
@@ -176,6 +180,7 @@
 		Configuration: c,
 		byHost:        make(map[string][]*Route),
 		byKey:         make(map[string]*Organisation),
+		isolated:      make(map[tables.OrganisationID]bool),
 		services:      make(map[string]*Service, len(c.Services)),
 		urgentTargets: make(map[string]time.Duration),
 	}
@@ -242,7 +247,7 @@
 // target.
 func (t *Table) UrgentTarget(service string) time.Duration { return t.urgentTargets[service] }
 
-// addOrganisation adds an organisation to the index by key.
+// addOrganisation adds an organisation to the indexes.
 func (t *Table) addOrganisation(o *Organisation) error {
 	for _, key := range o.Keys {
 		if owner := t.byKey[key]; owner != nil && owner != o {
@@ -250,6 +255,9 @@
 		}
 		t.byKey[key] = o
 	}
+	if o.Isolated {
+		t.isolated[o.ID] = true
+	}
 	return nil
 }
 
@@ -268,6 +276,9 @@
 // OrganisationByKey returns the organisation that an API key belongs to, or nil.
 func (t *Table) OrganisationByKey(key string) *Organisation { return t.byKey[key] }
 
+// IsIsolated reports whether an organisation shares no cached prompt with any other.
+func (t *Table) IsIsolated(id tables.OrganisationID) bool { return t.isolated[id] }
+
 // RequiresKey reports whether requests to routes that are not public need an API key.
 // They do as soon as any organisation is declared.
 func (t *Table) RequiresKey() bool { return len(t.Organisations) > 0 }
