A control instance that stops hands its tasks over before it closes anything

Cause: the servers for other instances were closed before the replica ended. A leader then hears no acknowledgement, so that the release of its lease and the transfer of leadership fail, and it knows no other leader to tell that it leaves. Its successor, which had the whole log, did not vote yet when the disk was lost.

Evidence: in the log of the leader there is no notice and no transfer (3013 after 0.8 s, end after 1.3 s); the next leader is elected at 1.58 s and counts the silence anew. Ruled out: a notice that is sent and lapses, and a successor that has not caught up.

Change: the drain hands the replica over while all servers are open: the lease for orders, leadership, and the vote, until the leader answers that another replica votes in its place. The leader promotes the learner before it removes a voter that leaves and responds. A new leader counts the silence of the former one from its last message. The same in the daemon of router deployments.

Why it works: when the instance ends, the group consists of replicas that stay, and at no moment before it are there fewer voters than one loss needs.

MessageLeave is gone; TestGroupSurvivesDiskLossRightAfterPlannedReplacement marks the voter at the leader instead of delivering that message, with the same cases and assertion.

--- a/control/follower/relay.go
+++ b/control/follower/relay.go
@@ -78,6 +78,11 @@
 	return nil, errNoControlRole()
 }
 
+// Leave rejects the request.
+func (Relay) Leave(context.Context, *rpc.LeaveRequest) (*rpc.LeaveAnswer, error) {
+	return nil, errNoControlRole()
+}
+
 // errNoControlRole returns the error of rejected calls.
 func errNoControlRole() error {
 	return twirp.NewError(twirp.Unimplemented, "this instance does not have the control role")
--- a/control/server/close.go
+++ b/control/server/close.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
-	"slices"
+	"time"
 
+	"github.com/gravitational/trace"
+	"github.com/twitchtv/twirp"
 	"go.uber.org/zap"
 
 	"github.com/carawaystile/carawaystile/events"
@@ -11,64 +13,121 @@
 	"github.com/carawaystile/carawaystile/rpc"
 )
 
-// Close transfers leadership if this replica leads, announces its end, stops the replica
-// and closes its log. Without the transfer, the group could commit nothing after each
-// planned restart of its leader until an election timeout has elapsed.
+const (
+	// handOverTimeout bounds how long HandOver waits for a learner to vote in place of this replica.
+	handOverTimeout = 3 * time.Second
+	// leaveWait bounds one Leave request. It is below the time for which the leader remembers that
+	// a replica leaves.
+	leaveWait = 250 * time.Millisecond
+)
+
+// Close transfers leadership if this replica leads, stops the replica and closes its log. Without the
+// transfer, the group could commit nothing after each restart of its leader until an election timeout
+// has elapsed.
 func (s *Server) Close() {
 	ctx, cancel := context.WithTimeout(context.Background(), leadershipTransferTimeout)
 	defer cancel()
-	if s.Status().IsLeader {
-		transferred := make(chan struct{})
-		select {
-		case s.transferRequests <- transferred:
-		case <-s.stopped:
-		}
-		select {
-		case <-transferred:
-		case <-s.stopped:
-		case <-ctx.Done():
-		}
-	}
-	s.announceLeave(ctx)
+	s.handOverLeadership(ctx)
 	s.stop()
 	s.goroutines.Wait()
 }
 
-// announceLeave lets a learner, if there is one, vote in place of this replica at once. The
-// instance may be gone for good, and until the learner votes, the group tolerates one loss
-// less. A replica that returns is a learner then.
-func (s *Server) announceLeave(ctx context.Context) {
-	isLearner := func(m replog.Member) bool { return m.Learner }
-	status := s.Status()
-	if !status.IsVoter || !slices.ContainsFunc(status.Members, isLearner) {
-		return
-	}
-	if s.waitUntil(ctx, func() bool { return s.view.leaderAddress != "" && !s.view.isLeader }) != nil {
+// handOverLeadership transfers leadership if this replica leads.
+func (s *Server) handOverLeadership(ctx context.Context) {
+	if !s.Status().IsLeader {
 		return
 	}
-	reply := make(chan replog.Message, 1)
+	transferred := make(chan struct{})
 	select {
-	case s.leaveRequests <- reply:
+	case s.transferRequests <- transferred:
 	case <-s.stopped:
-		return
+	case <-ctx.Done():
 	}
 	select {
-	case m, due := <-reply:
-		if due {
-			s.sendLeave(ctx, m)
-		}
+	case <-transferred:
+	case <-s.stopped:
 	case <-ctx.Done():
+	}
+}
+
+// HandOver prepares the end of this replica. It is called while the other control instances can still
+// reach it: another replica takes over leadership, and a learner, if there is one, votes in place of
+// this one. The instance may be gone for good, and until the learner votes, the group tolerates one
+// loss less. HandOver returns once that is done, or when that fails in time. A replica that returns is a
+// learner then.
+func (s *Server) HandOver(ctx context.Context) {
+	s.leaving.Store(true)
+	started := s.options.Clock.Now()
+	timeout := leadershipTransferTimeout
+	if s.Status().hasSuccessor(s.options.MaxVoters) {
+		timeout = handOverTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	for s.Status().IsVoter {
+		s.handOverLeadership(ctx)
+		answer, err := s.askToLeave(ctx)
+		switch {
+		case answer.GetReplaced():
+			events.ControlReplaced.Log(s.log, zap.Duration("took", s.options.Clock.Now()-started))
+			return
+		case err == nil && !answer.GetHasSuccessor():
+			return
+		case ctx.Err() != nil || s.isStopped():
+			events.ControlLeaveNotAnnounced.Log(s.log, zap.String("leader", s.Status().LeaderAddress), zap.Error(err))
+			return
+		}
+		s.sleep(ctx, retryDelay)
+	}
+}
+
+func (s *Server) isStopped() bool {
+	select {
 	case <-s.stopped:
+		return true
+	default:
+		return false
 	}
 }
 
-// sendLeave delivers the message directly: the queues of the transport end with the replica.
-func (s *Server) sendLeave(ctx context.Context, m replog.Message) {
-	leader := s.Status().LeaderAddress
-	_, err := s.options.Dialer.Control(leader).Deliver(ctx, &rpc.DeliverRequest{
-		Messages: []*rpc.LogMessage{encodeMessage(m)}, Address: s.options.Self.Address,
+// askToLeave asks the leader once to let a learner vote in place of this replica.
+func (s *Server) askToLeave(ctx context.Context) (*rpc.LeaveAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*leaveWait)
+	defer cancel()
+	var leader string
+	err := s.waitUntil(ctx, func() bool {
+		leader = s.view.leaderAddress
+		return leader != "" && !s.view.isLeader
 	})
 	if err != nil {
-		events.ControlLeaveNotAnnounced.Log(s.log, zap.String("leader", leader), zap.Error(err))
+		return nil, err
+	}
+	answer, err := s.options.Dialer.Control(leader).Leave(ctx, &rpc.LeaveRequest{Replica: uint64(s.replicaID)})
+	return answer, trace.Wrap(err)
+}
+
+// Leave implements rpc.Control.
+func (s *Server) Leave(ctx context.Context, request *rpc.LeaveRequest) (*rpc.LeaveAnswer, error) {
+	leaving := replog.ReplicaID(request.GetReplica())
+	ctx, cancel := context.WithTimeout(ctx, leaveWait)
+	defer cancel()
+	select {
+	case s.leaves <- leaving:
+	case <-ctx.Done():
+	case <-s.stopped:
+	}
+	answer := &rpc.LeaveAnswer{}
+	err := s.waitUntil(ctx, func() bool {
+		status := s.statusLocked()
+		answer.Replaced = s.view.membersCommitted && !status.Members.IsVoter(leaving)
+		answer.HasSuccessor = !answer.Replaced && (!s.view.membersCommitted || status.hasSuccessor(s.options.MaxVoters))
+		return !status.IsLeader || !answer.HasSuccessor
+	})
+	if !s.Status().IsLeader {
+		return nil, twirp.NewError(twirp.Unavailable, string(NoLeader))
+	}
+	if err != nil && ctx.Err() == nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
 	}
+	return answer, nil
 }
--- a/control/server/event_loop.go
+++ b/control/server/event_loop.go
@@ -66,11 +66,8 @@
 			s.proposeBatch(p)
 		case s.transferDone = <-s.transferRequests:
 			s.transferLeadership()
-		case reply := <-s.leaveRequests:
-			if m, due := s.node.LeaveMessage(); due {
-				reply <- m
-			}
-			close(reply)
+		case replica := <-s.leaves:
+			s.node.MarkLeaving(replica)
 		case e := <-s.encodedSnapshots:
 			s.compact(e)
 		case joiner := <-s.joinRequests:
@@ -233,6 +230,7 @@
 	s.view.leaderAddress = leader.Address
 	s.view.isCurrent = s.softState.UpToDate
 	s.view.members = status.Members
+	s.view.membersCommitted = status.MembersIndex <= status.Commit
 	s.view.isVoter = self.Replica == status.ID && !self.Learner
 	s.view.groupID, s.view.founders = s.state.Group()
 	if update != nil {
--- a/control/server/membership.go
+++ b/control/server/membership.go
@@ -29,7 +29,7 @@
 		s.reconcileAsLeader(status)
 		return
 	}
-	if s.reconcileTicks%reconcileIntervalTicks != 0 {
+	if s.reconcileTicks%reconcileIntervalTicks != 0 || s.leaving.Load() {
 		return
 	}
 	if !status.Members.IsVoter(status.ID) || !s.softState.UpToDate {
@@ -42,10 +42,11 @@
 	}
 }
 
-// reconcileAsLeader proposes at most one membership change, the first that is due: add a
-// joining replica as a learner; once a learner has caught up, remove the voter that it
-// replaces; then promote it. Promoting it first would enlarge the group, and with it the
-// quorum, while one voter is lost for good.
+// reconcileAsLeader proposes at most one membership change, the first that is due: remove a lost voter
+// from a group that is too large; add a joining replica as a learner; once a learner has caught up,
+// remove the voter that it replaces; then promote it. Promoting it first would enlarge the group, and
+// with it the quorum, while one voter is lost for good. A voter that only leaves still counts until
+// it has been removed, so there the learner is promoted first.
 //
 // Until the learner votes, the group tolerates one loss less, so the next change follows as
 // soon as the one before it is committed.
@@ -53,7 +54,10 @@
 	if s.reconcileTicks < s.nextChangeTicks || status.MembersIndex > status.Commit || !status.CommittedInTerm {
 		return
 	}
-	change, due := s.nextJoin(status)
+	change, due := s.nextRemoval(status)
+	if !due {
+		change, due = s.nextJoin(status)
+	}
 	if !due {
 		change, due = s.nextPromotion(status)
 	}
@@ -62,6 +66,16 @@
 	}
 }
 
+// nextRemoval returns the removal of a lost or leaving voter from a group that has more voters than it
+// should.
+func (s *Server) nextRemoval(status replog.Status) (replog.Change, bool) {
+	if s.options.MaxVoters == 0 || len(status.Members.Voters()) <= s.options.MaxVoters {
+		return replog.Change{}, false
+	}
+	old, ok := s.findDeadVoter(status)
+	return replog.Change{Kind: replog.Remove, Replica: old}, ok
+}
+
 // nextJoin returns the addition of a replica that asked to join and is no member yet.
 func (s *Server) nextJoin(status replog.Status) (replog.Change, bool) {
 	for id, joiner := range s.pendingJoins {
@@ -99,10 +113,14 @@
 		return replog.Change{Kind: replog.Promote, Replica: learner.Replica}, true
 	}
 	old, ok := s.findDeadVoter(status)
-	if ok {
-		events.ControlReplicaRemoved.Log(s.log, zap.Uint64("replica", uint64(old)))
+	if !ok {
+		return replog.Change{}, false
 	}
-	return replog.Change{Kind: replog.Remove, Replica: old}, ok
+	if len(status.Members.Voters()) == s.options.MaxVoters && status.Progress[old].TicksSinceResponse <= s.options.ElectionTicks {
+		return replog.Change{Kind: replog.Promote, Replica: learner.Replica}, true
+	}
+	events.ControlReplicaRemoved.Log(s.log, zap.Uint64("replica", uint64(old)))
+	return replog.Change{Kind: replog.Remove, Replica: old}, true
 }
 
 // findDeadVoter returns a voter that is about to stop, or has been silent for longer than
--- a/control/server/network_test.go
+++ b/control/server/network_test.go
@@ -77,6 +77,10 @@
 	return call(l, func(c rpc.Control) (*rpc.JoinAnswer, error) { return c.Join(ctx, r) })
 }
 
+func (l link) Leave(ctx context.Context, r *rpc.LeaveRequest) (*rpc.LeaveAnswer, error) {
+	return call(l, func(c rpc.Control) (*rpc.LeaveAnswer, error) { return c.Leave(ctx, r) })
+}
+
 func (l link) Deliver(ctx context.Context, r *rpc.DeliverRequest) (*rpc.DeliverAnswer, error) {
 	return call(l, func(c rpc.Control) (*rpc.DeliverAnswer, error) {
 		if l.network.isDuplicating() {
--- a/control/server/open_membership_test.go
+++ b/control/server/open_membership_test.go
@@ -108,3 +108,23 @@
 	assert.NilError(t, returned.waitUntil(g.longContext(), func() bool { return returned.view.isVoter }))
 	g.apply(leader, "r3", "p3")
 }
+
+// Guards against a planned end of the leader or a follower after which the loss of another disk stops the
+// group, because the learner does not vote yet.
+func TestHandOverLetsLearnerVoteFirst(t *testing.T) {
+	for _, leads := range []bool{true, false} {
+		g := newGroupWithStandby(t)
+		standby := g.servers[3]
+		assert.NilError(t, standby.waitUntil(g.longContext(), func() bool { return standby.state.Revision() == 1 }))
+		leaving := g.leader()
+		if !leads {
+			leaving = (leaving + 1) % 3
+		}
+		g.servers[leaving].HandOver(g.longContext())
+		g.stop(leaving)
+		lost, left := (leaving+1)%3, (leaving+2)%3
+		g.stop(lost)
+		g.apply(left, "r2", "p2")
+		g.barrier(3)
+	}
+}
--- a/control/server/replacement_test.go
+++ b/control/server/replacement_test.go
@@ -196,10 +196,8 @@
 		s.start(s.add(address(4), replog.PersistentState{}))
 		s.run(catchUpTime)
 		leaving := s.follower(leader)
-		m, due := leaving.node.LeaveMessage()
-		assert.Assert(t, due)
+		leader.node.MarkLeaving(leaving.id)
 		leaving.up = false
-		s.deliver([]replog.Message{m})
 		s.run(3 * s.options.TickInterval)
 		s.follower(leader).up = false
 		s.run(2 * time.Second)
@@ -207,6 +205,82 @@
 	}
 }
 
+// handOver models HandOver: the replica hands leadership over, says that it leaves, and ends once it is no
+// voter any more or there is no learner.
+func (s *simulation) handOver(leaving *simulatedReplica) {
+	leader := s.currentLeader()
+	if leader == nil || !leaving.up {
+		return
+	}
+	status := leader.node.Status()
+	hasLearner := slices.ContainsFunc(status.Members, func(m replog.Member) bool { return m.Learner })
+	switch {
+	case leader == leaving:
+		_ = leaving.node.TransferLeadership(s.follower(leaving).id)
+	case status.Members.IsVoter(leaving.id) && (hasLearner || len(status.Members.Voters()) > 3):
+		leader.node.MarkLeaving(leaving.id)
+	case status.MembersIndex <= status.Commit:
+		leaving.up = false
+	}
+}
+
+// Guards against a planned replacement, of the leader or a follower, during which the loss of a disk
+// leaves the group without a majority, whenever it comes.
+func TestGroupSurvivesDiskLossDuringPlannedReplacement(t *testing.T) {
+	for n := range 240 {
+		leads, wipedLeads, lossAfter := n%2 == 0, n/2%2 == 0, n/4
+		t.Run(fmt.Sprintf("%t/%t/%d", leads, wipedLeads, lossAfter), func(t *testing.T) {
+			s := newSimulation(t, 3, uint64(n%7))
+			leaving := s.leader()
+			s.start(s.add(address(4), replog.PersistentState{}))
+			s.run(catchUpTime)
+			if !leads {
+				leaving = s.follower(leaving)
+			}
+			for range lossAfter {
+				s.handOver(leaving)
+				s.run(s.options.TickInterval)
+			}
+			wiped := s.replicaToWipe(leaving, wipedLeads)
+			wiped.up = false
+			for range 100 {
+				s.handOver(leaving)
+				s.run(s.options.TickInterval)
+			}
+			assert.Assert(t, s.leader() != nil, "no leader without %v and %v", leaving.id, wiped.id)
+			assert.Assert(t, !leaving.up)
+		})
+	}
+}
+
+// replicaToWipe returns a running voter other than the one that leaves: the leader, if that is wanted and
+// possible, or else a follower.
+func (s *simulation) replicaToWipe(leaving *simulatedReplica, leads bool) *simulatedReplica {
+	leader := s.leader()
+	if leads && leader != leaving {
+		return leader
+	}
+	members := leader.node.Status().Members
+	return s.find(func(r *simulatedReplica, _ replog.Status) bool {
+		return r != leader && r != leaving && members.IsVoter(r.id)
+	})
+}
+
+// Guards against a lost leader that stays a voter longer than a lost follower, because its successor
+// counts the silence anew.
+func TestLostLeaderIsReplacedWithinVoterTimeout(t *testing.T) {
+	for seed := range uint64(40) {
+		s := newSimulation(t, 3, seed)
+		lost := s.leader()
+		s.start(s.add(address(4), replog.PersistentState{}))
+		s.run(catchUpTime)
+		lost.up = false
+		s.run(s.options.VoterTimeout + 5*s.options.TickInterval)
+		members := s.leader().node.Status().Members
+		assert.Assert(t, !members.IsVoter(lost.id) && members.IsVoter(4))
+	}
+}
+
 // Guards against a learner that never votes because, while entries are added all the time, it is
 // always a little behind.
 func TestSlowLearnerIsPromotedUnderConstantLoad(t *testing.T) {
--- a/control/server/server.go
+++ b/control/server/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -33,9 +34,9 @@
 	// transferRequests asks the event loop to transfer leadership. The channel in a
 	// request is closed once this replica does not lead.
 	transferRequests chan chan<- struct{}
-	// leaveRequests asks the event loop for the message that announces the end of this
-	// replica; the channel in a request is closed without one if none is due.
-	leaveRequests chan chan<- replog.Message
+	// leaves are replicas that are about to stop. leaving is set once this one is.
+	leaves  chan replog.ReplicaID
+	leaving atomic.Bool
 	// writeJobs are executed in order by one goroutine, which reports each on
 	// persisted.
 	writeJobs chan writeJob
@@ -99,7 +100,9 @@
 	founders  []*rpc.Founder
 	isVoter   bool
 	members   replog.Members
-	quorum    Quorum
+	// membersCommitted is set if members is final.
+	membersCommitted bool
+	quorum           Quorum
 }
 
 // Start opens the log and runs the replica. A replica without a log first joins the
@@ -116,7 +119,7 @@
 		proposals:        make(chan *proposal, maxProposalBatch),
 		joinRequests:     make(chan *rpc.Founder, len(options.Peers)+1),
 		transferRequests: make(chan chan<- struct{}, 1),
-		leaveRequests:    make(chan chan<- replog.Message, 1),
+		leaves:           make(chan replog.ReplicaID, 1),
 		writeJobs:        make(chan writeJob, 2),
 		persisted:        make(chan replog.Ready, 1),
 		encodedSnapshots: make(chan encodedSnapshot, 1),
--- a/control/server/status.go
+++ b/control/server/status.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"slices"
 	"time"
 
 	"github.com/carawaystile/carawaystile/replog"
@@ -26,10 +27,21 @@
 	Quorum     Quorum
 }
 
+// hasSuccessor reports whether a learner could vote in place of a voter, or does already.
+func (s Status) hasSuccessor(maxVoters int) bool {
+	isTooLarge := maxVoters > 0 && len(s.Members.Voters()) > maxVoters
+	return isTooLarge || slices.ContainsFunc(s.Members, func(m replog.Member) bool { return m.Learner })
+}
+
 // Status returns the replica's view of its group.
 func (s *Server) Status() Status {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
+	return s.statusLocked()
+}
+
+// statusLocked is Status for a caller that holds mu.
+func (s *Server) statusLocked() Status {
 	return Status{
 		Joined:        s.view.joined,
 		IsLeader:      s.view.isLeader,
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -201,6 +201,11 @@
 // early with an error if the context ends.
 func (d *Daemon) Drain(ctx context.Context) error {
 	events.DaemonDrainStarted.Log(d.options.Log)
+	var control sync.WaitGroup
+	defer control.Wait()
+	if d.replica != nil {
+		control.Go(func() { d.replica.HandOver(ctx) })
+	}
 	if d.entry == nil {
 		return nil
 	}
--- a/events/control.go
+++ b/events/control.go
@@ -42,6 +42,7 @@
 	ControlVoterUnresponsive       = define(3036, zapcore.WarnLevel, "A voter of the control group does not respond to its leader.")
 	ControlJoinUnanswered          = define(3037, zapcore.WarnLevel, "This control replica has no state and found no group that it could join.")
 	ControlLeaveNotAnnounced       = define(3038, zapcore.InfoLevel, "A control replica that stops could not tell its leader.")
+	ControlReplaced                = define(3042, zapcore.InfoLevel, "A learner votes in place of this control replica, which stops.")
 	StreamOriginsUnreadable        = define(3039, zapcore.WarnLevel, "A saved record of the origins of streams cannot be read.")
 	StreamOriginsNotWritten        = define(3040, zapcore.WarnLevel, "The origins of streams cannot be saved; this instance keeps them in memory.")
 	StreamOriginsWritten           = define(3041, zapcore.InfoLevel, "The origins of streams can be saved again.")
--- a/node/control.go
+++ b/node/control.go
@@ -90,7 +90,7 @@
 	})
 	n.registerControlMetrics()
 	n.background.Go(func() { n.deployment.Run(n.lifetime) })
-	n.background.Go(func() { n.rollout.Run(n.lifetime) })
+	n.startRollout()
 	n.background.Go(func() { n.recordSize(n.lifetime) })
 	n.background.Go(func() { n.followLeader(n.lifetime) })
 	if s.List.IsValid() {
@@ -101,6 +101,20 @@
 	return n.serve(&http.Server{Handler: n.limitBodies(handler, operatorBodyBytes)}, s.Listen.Operators, keepalive.Clients)
 }
 
+// startRollout runs the rollout until the instance stops or stopRollout is called.
+func (n *Node) startRollout() {
+	ctx, cancel := context.WithCancel(n.lifetime)
+	ended := make(chan struct{})
+	n.background.Go(func() {
+		defer close(ended)
+		n.rollout.Run(ctx)
+	})
+	n.stopRollout = func() {
+		cancel()
+		<-ended
+	}
+}
+
 // seedInstances returns the addresses at which the seeds serve other instances.
 func (n *Node) seedInstances() []netip.AddrPort {
 	port := n.options.Settings.Advertise.Instances.Port()
--- a/node/node.go
+++ b/node/node.go
@@ -169,7 +169,9 @@
 	fleet      *fleet.Table
 	deployment *deployment.Service
 	rollout    *rollout.Controller
-	kvStores   kvStoreSet
+	// stopRollout ends the rollout, which releases its lease, and returns once it has ended.
+	stopRollout func()
+	kvStores    kvStoreSet
 	// streamArchive keeps the origins of the streams of all entry instances.
 	streamArchive *streamorigin.Archive
 	// initializedAt is when the entry role first had a configuration and endpoints; 0 if it
@@ -261,10 +263,18 @@
 	events.SettingsReloaded.Log(n.log, zap.Int("seeds", len(s.Seeds)))
 }
 
-// Drain takes the instance out of service without aborting a request. It returns early when
-// the context ends.
+// Drain takes the instance out of service without aborting a request, and hands the tasks of its
+// control replica over while the others can still reach it. It returns early when the context ends.
 func (n *Node) Drain(ctx context.Context) {
 	events.DaemonDrainStarted.Log(n.log)
+	var control sync.WaitGroup
+	defer control.Wait()
+	if n.replica != nil {
+		control.Go(func() {
+			n.stopRollout()
+			n.replica.HandOver(ctx)
+		})
+	}
 	if n.entry == nil {
 		return
 	}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -380,3 +381,41 @@
 	c.platform.mu.Unlock()
 	c.waitFor("/a/x", http.StatusServiceUnavailable, "not_run")
 }
+
+// Guards against a planned replacement of the leader after which the loss of another disk stops the
+// control group, because the successor does not vote yet.
+func TestReplacedLeaderLeavesAGroupThatSurvivesADiskLoss(t *testing.T) {
+	d := newTestDeployment(t, "127.31.1.2")
+	c := &cluster{t: t, platform: newFakePlatform(t), settings: d.controlSettings()}
+	for _, s := range c.settings {
+		c.controls = append(c.controls, c.start(s))
+	}
+	c.put(0, deployment.ConfigurationDocument, 3, "/a/")
+	successor := d.newSettings("control-3", "127.31.1.2", "z")
+	successor.Control, successor.New, successor.Data = true, false, t.TempDir()
+	successor.Listen.Operators = netip.AddrPortFrom(netip.MustParseAddr("127.31.1.2"), d.firstPort+operatorsPort)
+	c.controls = append(c.controls, c.start(successor))
+	deadline := time.Now().Add(30 * time.Second)
+	for c.controls[3].replica.Status().AppliedIndex < c.controls[0].replica.Status().AppliedIndex {
+		assert.Assert(t, time.Now().Before(deadline), "the successor has not caught up")
+		time.Sleep(10 * time.Millisecond)
+	}
+	leader := slices.IndexFunc(c.controls, func(n *Node) bool { return n.replica.Status().IsLeader })
+	c.controls[leader].Drain(t.Context())
+	c.controls[leader].Stop()
+	acknowledging, left := (leader+1)%3, (leader+2)%3
+	c.put(acknowledging, deployment.ConfigurationDocument, 4, "/ab/")
+	c.controls[acknowledging].Stop()
+	restarted := *c.settings[acknowledging]
+	restarted.Data, restarted.New = t.TempDir(), false
+	c.controls[acknowledging] = c.start(&restarted)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	content, err := c.controls[left].deployment.Newest(ctx, deployment.ConfigurationDocument)
+	for err != nil && ctx.Err() == nil {
+		time.Sleep(50 * time.Millisecond)
+		content, err = c.controls[left].deployment.Newest(ctx, deployment.ConfigurationDocument)
+	}
+	assert.NilError(t, err)
+	assert.Equal(t, string(content), "/ab/")
+}
--- a/replog/election.go
+++ b/replog/election.go
@@ -101,6 +101,9 @@
 	n.reads = readQueue{}
 	n.progress = make(map[ReplicaID]*Progress)
 	n.syncProgress(n.log.lastIndex() + 1)
+	if former := n.progress[n.lastLeader]; former != nil {
+		former.TicksSinceResponse = n.ticksSinceLastLeader
+	}
 	n.termStart = n.appendEntry(EntryNoOp, nil).Index
 }
 
--- a/replog/follower.go
+++ b/replog/follower.go
@@ -11,6 +11,7 @@
 		n.becomeFollower(n.term, m.From)
 	}
 	n.leader = m.From
+	n.lastLeader, n.ticksSinceLastLeader = m.From, 0
 	n.electionElapsed = 0
 	switch m.Type {
 	case MessageHeartbeat:
--- a/replog/membership_change.go
+++ b/replog/membership_change.go
@@ -48,19 +48,9 @@
 	return at, nil
 }
 
-// LeaveMessage returns the message by which a voter tells the leader that it is about to stop, and
-// false if this replica is no voter or knows no other leader. It is sent outside of Ready, since the
-// replica need not process any further one.
-func (n *Node) LeaveMessage() (Message, bool) {
-	if !n.isVoter() || n.leader == None || n.leader == n.cfg.ID {
-		return Message{}, false
-	}
-	return Message{Type: MessageLeave, From: n.cfg.ID, To: n.leader, Group: n.cfg.Group, Term: n.term}, true
-}
-
-// handleLeave records that a member is about to stop.
-func (n *Node) handleLeave(m Message) {
-	if p := n.progress[m.From]; n.role == Leader && p != nil {
+// MarkLeaving records that a member is about to stop. It has no effect unless this replica leads.
+func (n *Node) MarkLeaving(member ReplicaID) {
+	if p := n.progress[member]; n.role == Leader && p != nil {
 		p.leavingTicks, p.Leaving = n.cfg.ElectionTicks, true
 	}
 }
--- a/replog/message.go
+++ b/replog/message.go
@@ -36,17 +36,15 @@
 	MessageSnapshot
 	// MessageTimeoutNow tells the receiver to start an election at once.
 	MessageTimeoutNow
-	// MessageLeave tells the leader that the sender is about to stop.
-	MessageLeave
 
-	maxMessageType = MessageLeave
+	maxMessageType = MessageTimeoutNow
 )
 
 // String returns the type's name in lower case.
 func (t MessageType) String() string {
 	names := [...]string{
 		"none", "pre-vote", "pre-vote-response", "vote", "vote-response", "append",
-		"append-response", "heartbeat", "heartbeat-response", "snapshot", "timeout-now", "leave",
+		"append-response", "heartbeat", "heartbeat-response", "snapshot", "timeout-now",
 	}
 	if int(t) < len(names) {
 		return names[t]
--- a/replog/node.go
+++ b/replog/node.go
@@ -21,9 +21,13 @@
 
 	// electionElapsed is the number of ticks since this replica heard from a
 	// leader. On the leader, it limits the duration of a leadership transfer.
-	electionElapsed  int
-	heartbeatElapsed int
-	electionTimeout  int
+	electionElapsed int
+	// lastLeader is the other replica that led last, and ticksSinceLastLeader the
+	// time since this replica heard from it.
+	lastLeader           ReplicaID
+	ticksSinceLastLeader int
+	heartbeatElapsed     int
+	electionTimeout      int
 	// writeElapsed is the number of ticks since the outstanding write was
 	// submitted.
 	writeElapsed int
@@ -121,6 +125,7 @@
 // Tick advances the Node's clock by one tick.
 func (n *Node) Tick() {
 	n.electionElapsed++
+	n.ticksSinceLastLeader++
 	n.writeElapsed++
 	n.staleness.tick()
 	if n.role == Leader {
--- a/replog/progress.go
+++ b/replog/progress.go
@@ -34,7 +34,8 @@
 	Next  uint64
 	State ProgressState
 	// TicksSinceResponse is the time since the member's last response, or since
-	// this replica became leader.
+	// this replica became leader. For the former leader it is the time since that
+	// was last heard from.
 	TicksSinceResponse int
 	// Leaving is set for an election timeout after the member has said that it is about to
 	// stop. A learner may replace it at once: it may be gone for good.
--- a/replog/step.go
+++ b/replog/step.go
@@ -8,6 +8,9 @@
 	if !n.isAddressedToSelf(m) || !m.isWellFormed() {
 		return &InvalidMessageError{Type: m.Type, From: m.From, To: m.To, Group: m.Group}
 	}
+	if m.From == n.lastLeader {
+		n.ticksSinceLastLeader = 0
+	}
 	if n.shouldIgnore(m) {
 		return nil
 	}
@@ -80,8 +83,6 @@
 		n.handleAppendResponse(m)
 	case MessageHeartbeatResponse:
 		n.handleHeartbeatResponse(m)
-	case MessageLeave:
-		n.handleLeave(m)
 	case MessageTimeoutNow:
 		n.handleTimeoutNow()
 	}
