A waiting request of a removed organisation shares no cached prompts

Cause: found by reading. An attempt takes the pool in force, but its organisation may have been removed since the request arrived.

Change: a request shares only if its organisation shares under the configuration in force; otherwise it keeps to a scope of its own.

--- a/forward/request.go
+++ b/forward/request.go
@@ -254,11 +254,11 @@
 }
 
 // cacheScope returns the scope within which the request's cached prompt parts may be shared now: that
-// of its organisation if that is isolated, or else that of the organisations that share. The
-// configuration may have changed since the request arrived.
+// of the organisations that share, or else of its organisation alone. The configuration may have
+// changed since the request arrived, and the organisation may have been removed.
 func (c *clientRequest) cacheScope() string {
 	current := c.server.Configuration()
-	if c.org != nil && (c.org.Isolated || current.IsIsolated(c.org.ID)) {
+	if c.org != nil && (c.org.Isolated || !current.SharesCache(c.org.ID)) {
 		return parts.IsolatedScope(string(c.org.ID))
 	}
 	return parts.SharedScope(current.CachePool)
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -168,8 +168,9 @@
 	CachePool uint64
 	byHost    map[string][]*Route
 	byKey     map[string]*Organisation
-	isolated  map[tables.OrganisationID]bool
-	services  map[string]*Service
+	// sharing holds the organisations that share cached prompts.
+	sharing  map[tables.OrganisationID]bool
+	services map[string]*Service
 	// urgentTargets holds the result of UrgentTarget by service.
 	urgentTargets map[string]time.Duration
 }
@@ -180,7 +181,7 @@
 		Configuration: c,
 		byHost:        make(map[string][]*Route),
 		byKey:         make(map[string]*Organisation),
-		isolated:      make(map[tables.OrganisationID]bool),
+		sharing:       make(map[tables.OrganisationID]bool, len(c.Organisations)),
 		services:      make(map[string]*Service, len(c.Services)),
 		urgentTargets: make(map[string]time.Duration),
 	}
@@ -255,8 +256,8 @@
 		}
 		t.byKey[key] = o
 	}
-	if o.Isolated {
-		t.isolated[o.ID] = true
+	if !o.Isolated {
+		t.sharing[o.ID] = true
 	}
 	return nil
 }
@@ -276,8 +277,8 @@
 // OrganisationByKey returns the organisation that an API key belongs to, or nil.
 func (t *Table) OrganisationByKey(key string) *Organisation { return t.byKey[key] }
 
-// IsIsolated reports whether an organisation shares no cached prompt with any other.
-func (t *Table) IsIsolated(id tables.OrganisationID) bool { return t.isolated[id] }
+// SharesCache reports whether an organisation of the configuration shares cached prompts with others.
+func (t *Table) SharesCache(id tables.OrganisationID) bool { return t.sharing[id] }
 
 // RequiresKey reports whether requests to routes that are not public need an API key.
 // They do as soon as any organisation is declared.
