A resumption that names no stream goes on as before while one version is seen

Cause: such a resumption has no origin that could be looked up, and was treated as one whose origin is unknown.

Change: a resumption without a name is refused only if the instance has seen several versions, as before. The strict rule stays for those that name their stream, as the platform's protocol asks.

TestUnnamedResumptionContinuesWhileOneVersionIsSeen fails on the code before (503 in place of 200) and passes.

--- a/forward/software.go
+++ b/forward/software.go
@@ -131,6 +131,9 @@
 	// originSingle stands for an origin that was not looked up, because no other version can have begun
 	// the stream.
 	originSingle originKnowledge = "single version"
+	// originAssumed stands for an origin that cannot be looked up, at an instance that has seen one
+	// version since it started.
+	originAssumed originKnowledge = "assumed"
 )
 
 // findOrigin restricts a resumption to the version that began its stream. It returns false if that
@@ -149,22 +152,23 @@
 	return origin != originUnknown
 }
 
+// lookUpOrigin returns what is known of the origin of the resumed stream. A client that does not name
+// the stream, or a server that records no origins, leaves only the versions that this instance has seen:
+// refusing such resumptions after each start would end streams although one version serves alone.
 func (c *clientRequest) lookUpOrigin() (origin originKnowledge, version string) {
 	s, service := c.server, c.service.Name
-	if s.software.knowsSingle(s.options.Now(), service) {
+	now := s.options.Now()
+	switch {
+	case s.software.knowsSingle(now, service):
 		return originSingle, ""
-	}
-	if s.options.StreamOrigins == nil {
-		// Without a directory no origins are recorded.
-		if s.software.isMixed(s.options.Now(), service) {
+	case s.options.StreamOrigins == nil || c.resumes == "":
+		if s.software.isMixed(now, service) {
 			return originUnknown, ""
 		}
-		return originSingle, ""
+		return originAssumed, ""
 	}
-	if c.resumes != "" {
-		if version, known := s.options.StreamOrigins.Find(c.ctx, c.resumes); known {
-			return originKnown, version
-		}
+	if version, known := s.options.StreamOrigins.Find(c.ctx, c.resumes); known {
+		return originKnown, version
 	}
 	return originUnknown, ""
 }
--- a/forward/software_test.go
+++ b/forward/software_test.go
@@ -98,6 +98,21 @@
 	return software, known
 }
 
+// resume sends a resumption with further headers.
+func (h *harness) resume(t *testing.T, headers ...string) *http.Response {
+	t.Helper()
+	return h.send(t, "POST", "/resume/x", "", append(headers, "X-Request", "second", "Last-Event-Id", "2", "X-Model", "m", "X-Tokens", "10,4")...)
+}
+
+// Guards against streams that end after each restart of an instance because their clients do not name
+// them, although one version serves alone.
+func TestUnnamedResumptionContinuesWhileOneVersionIsSeen(t *testing.T) {
+	for status, software := range map[int][]string{http.StatusOK: {"v1", "v1"}, http.StatusServiceUnavailable: {"v1", "v2"}} {
+		h := newVersionedHarness(t, software, func(o *Options) { o.StreamOrigins = fakeOrigins{} })
+		assert.Equal(t, h.resume(t).StatusCode, status)
+	}
+}
+
 // Guards against a client's resumption that continues at another version, also after all instances have
 // started again, or is refused although only one version can have begun the stream.
 func TestResumptionContinuesAtItsSoftwareOnly(t *testing.T) {
@@ -127,7 +142,7 @@
 				o.Headers, o.StreamOrigins = &withResumes, test.origins
 			})
 			later.Store(int64(test.up))
-			resp := h.send(t, "POST", "/resume/x", "", "X-Request", "second", "X-Resumes", "first", "Last-Event-Id", "2", "X-Model", "m", "X-Tokens", "10,4")
+			resp := h.resume(t, "X-Resumes", "first")
 			assert.Equal(t, resp.StatusCode, test.status)
 			if test.status != http.StatusOK {
 				assert.Equal(t, h.deliveredCount(), 0)
