--- a/store/journal.go
+++ b/store/journal.go
@@ -26,6 +26,9 @@
 	seq  uint64
 	// torn is set after a failed write until what it left is removed.
 	torn bool
+	// named is set once the file's name is durable. Opening a journal waits for no sync, so that a disk
+	// that hangs does not delay the start of an instance.
+	named bool
 }
 
 // OpenJournal opens the journal of that name, or creates it, and returns the records that it has,
@@ -52,7 +55,7 @@
 	if j.file, err = os.OpenFile(j.path, os.O_RDWR|os.O_CREATE|os.O_APPEND, filePerm); err != nil {
 		return nil, nil, wrapIOError(OpOpen, j.path, err)
 	}
-	if err := errors.Join(j.truncate(), j.fs.sync(j.file), j.fs.syncDir(dir)); err != nil {
+	if err := j.truncate(); err != nil {
 		return nil, nil, errors.Join(err, j.Close())
 	}
 	return j, append(records, newer...), nil
@@ -99,6 +102,12 @@
 	if err := j.fs.sync(j.file); err != nil {
 		return err
 	}
+	if !j.named {
+		if err := j.fs.syncDir(filepath.Dir(j.path)); err != nil {
+			return err
+		}
+		j.named = true
+	}
 	j.torn = false
 	j.size, j.seq = j.size+int64(len(frame)), j.seq+1
 	return nil
@@ -126,8 +135,8 @@
 		return errors.Join(wrapIOError(OpOpen, j.path, err), j.fs.rename(j.path+olderSuffix, j.path))
 	}
 	before := j.file
-	j.file, j.size, j.seq, j.torn = file, 0, 0, false
-	return errors.Join(j.fs.sync(file), j.fs.syncDir(filepath.Dir(j.path)), wrapIOError(OpWrite, j.path, before.Close()))
+	j.file, j.size, j.seq, j.torn, j.named = file, 0, 0, false, false
+	return errors.Join(j.fs.sync(file), wrapIOError(OpWrite, j.path, before.Close()))
 }
 
 // Close closes the file. All records that were appended are durable.
