A control instance that becomes known later gets the origins of streams too

An entry instance that has just started knows the control instances one by one, and sent each origin only to those that it knew at that moment. The loss of that one would have lost the origin.

Change: an archive that was not known at the last send gets all origins that the instance has.

--- a/streamorigin/archive_test.go
+++ b/streamorigin/archive_test.go
@@ -82,8 +82,9 @@
 	}
 }
 
-// Guards against origins of streams that begin before any control instance is known being dropped.
-func TestOriginsWaitForAnArchive(t *testing.T) {
+// Guards against origins of streams that begin before any, or before each, control instance is known being
+// unknown there.
+func TestOriginsReachArchivesThatBecomeKnownLater(t *testing.T) {
 	f := newFakeInstances(1, 1)
 	first := f.directories[f.zones["z0"][0].Control]
 	first.Record(Origin{Request: "r", Software: "v1"}, false)
@@ -93,6 +94,14 @@
 	first.SendToArchives()
 	_, known := archive.Find("r")
 	assert.Assert(t, known)
+	second := NewArchive(nil, nil, startOfTime, zap.NewNop())
+	f.addArchive(second)
+	first.SendToArchives()
+	_, known = second.Find("r")
+	assert.Assert(t, known)
+	sent := f.sent
+	first.SendToArchives()
+	assert.Equal(t, f.sent, sent)
 }
 
 // Guards against an archive that forgets origins, or grows without bound, while its disk is full.
--- a/streamorigin/directory.go
+++ b/streamorigin/directory.go
@@ -55,6 +55,8 @@
 
 	mu     sync.Mutex
 	unsent []Origin
+	// sentTo holds the archives that were known at the last send. It is used by SendToArchives only.
+	sentTo map[tables.InstanceID]bool
 }
 
 // NewDirectory returns an empty directory.
@@ -88,8 +90,8 @@
 	}
 }
 
-// SendToArchives sends the origins that the archives do not have yet. Without an archive they are
-// kept.
+// SendToArchives sends the origins that the archives do not have yet; to an archive that was not known
+// before, all. Without an archive they are kept. Calls must not overlap.
 func (d *Directory) SendToArchives() {
 	archives := d.options.Archives()
 	if len(archives) == 0 {
@@ -99,9 +101,16 @@
 	batch := d.unsent
 	d.unsent = nil
 	d.mu.Unlock()
+	sentTo := make(map[tables.InstanceID]bool, len(archives))
 	for _, archive := range archives {
-		d.sendAll(archive.Address, batch)
+		origins := batch
+		if !d.sentTo[archive.Instance] {
+			origins = d.table.All()
+		}
+		d.sendAll(archive.Address, origins)
+		sentTo[archive.Instance] = true
 	}
+	d.sentTo = sentTo
 }
 
 // PublishAll sends all known origins to their owners.
