store: the dropped generation's name is gone before its successor is created

Since the folder was synced only with the first record of the new file. Until then the durable name of the dropped file can refer to the new file's content, if that gets the dropped one's inode.

Change: Rotate, which runs in the background, syncs the folder after the rename. Opening still waits for no sync.

--- a/store/journal.go
+++ b/store/journal.go
@@ -127,12 +127,17 @@
 func (j *Journal) Rotate() error { return trace.Wrap(j.rotate()) }
 
 func (j *Journal) rotate() error {
-	if err := j.fs.rename(j.path, j.path+olderSuffix); err != nil {
+	dir, older := filepath.Dir(j.path), j.path+olderSuffix
+	if err := j.fs.rename(j.path, older); err != nil {
 		return err
 	}
+	// The dropped file's name must be gone for good before a new file can take its place on the disk.
+	if err := j.fs.syncDir(dir); err != nil {
+		return errors.Join(err, j.fs.rename(older, j.path))
+	}
 	file, err := os.OpenFile(j.path, os.O_RDWR|os.O_CREATE|os.O_APPEND, filePerm)
 	if err != nil {
-		return errors.Join(wrapIOError(OpOpen, j.path, err), j.fs.rename(j.path+olderSuffix, j.path))
+		return errors.Join(wrapIOError(OpOpen, j.path, err), j.fs.rename(older, j.path))
 	}
 	before := j.file
 	j.file, j.size, j.seq, j.torn, j.named = file, 0, 0, false, false
