streamorigin: the fake of the tests is locked against lookups that go on

Cause: go test -race, once: a lookup goes on after the first answer and reads maps that the test changes. Change: a mutex in the fake; no check changes.

--- a/streamorigin/archive_test.go
+++ b/streamorigin/archive_test.go
@@ -34,6 +34,8 @@
 
 // addArchive adds a control instance with an archive.
 func (f *fakeInstances) addArchive(a *Archive) {
+	f.asking.Lock()
+	defer f.asking.Unlock()
 	at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 200, 0, byte(len(f.archives))}), 1)
 	f.archives = append(f.archives, membership.EntryInstance{Instance: tables.InstanceID(at.String()), Address: at, Control: at})
 	f.archiveAt[at] = a
@@ -41,6 +43,8 @@
 
 // restartEntries replaces all entry instances by new ones that know nothing.
 func (f *fakeInstances) restartEntries() {
+	f.asking.Lock()
+	defer f.asking.Unlock()
 	for _, entries := range f.zones {
 		for _, e := range entries {
 			f.directories[e.Control] = f.newDirectory(e)
--- a/streamorigin/directory_test.go
+++ b/streamorigin/directory_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"sync"
 	"testing"
 	"time"
 
@@ -23,6 +24,8 @@
 	archives    []membership.EntryInstance
 	archiveAt   map[netip.AddrPort]*Archive
 	sent        int
+	// asking guards the maps against lookups that go on after the first answer.
+	asking sync.Mutex
 }
 
 func newFakeInstances(zones, perZone int) *fakeInstances {
@@ -56,6 +59,8 @@
 			}
 		},
 		Ask: func(_ context.Context, instance membership.EntryInstance, request string) (string, bool, error) {
+			f.asking.Lock()
+			defer f.asking.Unlock()
 			if f.down[instance.Control] {
 				return "", false, errors.New("down")
 			}
