A run is continued at a backup only on the weights that made its memory

Cause: Attempt.WeightsVersion, which is what was asked of the first endpoint at its placement, was taken for the version of the run's memory until its end. The response names changes, in its header and in the first line of an event; nothing read the latter.

Evidence: in the record of the case each broken stream got the line with version 2 before the crash, and the continuation asked for version 1. So it was not the instance's knowledge of the endpoint that came too late. Events 1034 and 1035 could not tell the two apart; they now have the versions of the run, both endpoints and the target.

Change: the event reader compares the versions that a stream names, also in an event that was cut off.

Why it works: an endpoint changes its weights only after an order, orders follow the target, and an instance hears of the target before a load (0.4 s and more) can end. What it does not hear of is covered by the stream itself.

Not taken: to go on at a backup that serves the newer weights too. Its memory is of both versions.

--- a/dispatch/backups.go
+++ b/dispatch/backups.go
@@ -172,16 +172,45 @@
 const (
 	// BackupUnavailable: the backup endpoint is known not to accept the run any more.
 	BackupUnavailable ContinuationRefusal = "backup unavailable"
+	// WeightsChanged: the first endpoint has changed to other weights under the run, or may have.
+	WeightsChanged ContinuationRefusal = "weights changed"
 	// RetryBudgetUsedUp: the retry budget permits no retry now.
 	RetryBudgetUsedUp ContinuationRefusal = "retry budget"
 )
 
+// RunWeights is what this instance knows of the weights of a run with a backup.
+type RunWeights struct {
+	// Run is the version that the run began with, Endpoint and Backup those that the two endpoints were
+	// last known to serve, and Target the newest one that endpoints should serve; 0 if not known.
+	Run, Endpoint, Backup, Target uint64
+	// Loading is set if the endpoint of the run was last known to load other weights.
+	Loading bool
+}
+
+// WeightsOf returns what this instance knows of the weights of an attempt's run.
+func (d *Dispatcher) WeightsOf(r *Request, a *Attempt) RunWeights {
+	known := RunWeights{Run: a.WeightsVersion, Endpoint: a.row.Weights[r.Model], Target: d.weights.Latest(r.Model), Loading: a.row.Loading}
+	if a.backupRow != nil {
+		known.Backup = a.backupRow.Weights[r.Model]
+	}
+	return known
+}
+
+// mayHaveChanged reports whether the endpoint may have made a part of the run's memory by newer weights. It
+// may load the target at any time, and the first event after that may not have arrived.
+func (w RunWeights) mayHaveChanged() bool {
+	return w.Loading || w.Endpoint > w.Run || w.Target > w.Run
+}
+
 // Continue counts an attempt that continues the run of an ended attempt at its backup endpoint.
 // If the run cannot be continued the attempt is nil and the refusal gives the reason. The caller
-// has verified that the process of the first endpoint has ended, and calls TakeContinuation
-// before it sends the attempt.
+// has verified that the process of the first endpoint has ended and that its response has named no
+// other weights, and calls TakeContinuation before it sends the attempt.
 func (d *Dispatcher) Continue(now tables.Instant, r *Request, ended *Attempt) (*Attempt, ContinuationRefusal) {
 	row := ended.backupRow
+	if d.WeightsOf(r, ended).mayHaveChanged() {
+		return nil, WeightsChanged
+	}
 	if row == nil || row.Software != ended.Endpoint.Software || !d.mayContinueAt(now, r, row, ended.WeightsVersion) {
 		return nil, BackupUnavailable
 	}
--- a/engine/exchange/eventreader.go
+++ b/engine/exchange/eventreader.go
@@ -41,8 +41,23 @@
 	// Meter is called with the bytes of an event as they are read, once it has become large. It may
 	// block, and the endpoint is not read meanwhile; its error ends the stream. It is nil for none.
 	Meter func(bytes int) error
+	// weightsField is the lower-case name of the field by which an event names the version of the
+	// weights that made it; empty for none. weightsChanged is set once one has not named weights.
+	weightsField   []byte
+	weights        uint64
+	weightsChanged bool
 }
 
+// ExpectWeights has the reader compare the versions of the weights that events name in a field, whose
+// name is in lower case, with the given one.
+func (e *EventReader) ExpectWeights(field string, version uint64) {
+	e.weightsField, e.weights = []byte(field), version
+}
+
+// WeightsChanged reports whether the stream has named another version of the weights than the expected
+// one, or may have: it ended inside a line that may do so.
+func (e *EventReader) WeightsChanged() bool { return e.weightsChanged }
+
 // NewEventReader returns a reader of the events of a response body.
 func NewEventReader(from io.Reader) *EventReader {
 	return &EventReader{reader: bufio.NewReaderSize(from, readBufferBytes)}
@@ -96,10 +111,11 @@
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
+		line := event.Raw[start:]
+		e.observeWeights(line)
 		if err != nil {
 			return false, err
 		}
-		line := event.Raw[start:]
 		if hasID {
 			event.setID(line)
 		}
@@ -107,6 +123,20 @@
 	}
 }
 
+// observeWeights sets weightsChanged if a line names another version of the weights. The last line of a
+// stream that has broken may be cut.
+func (e *EventReader) observeWeights(line []byte) {
+	switch complete := bytes.HasSuffix(line, []byte{'\n'}); {
+	case len(e.weightsField) == 0 || len(line) == 0:
+	case !complete:
+		e.weightsChanged = e.weightsChanged || isField(line, e.weightsField) || bytes.HasPrefix(e.weightsField, line)
+	case isField(line, e.weightsField):
+		_, number, _ := bytes.Cut(line, []byte{':'})
+		version, err := strconv.ParseUint(string(bytes.TrimSpace(number)), 10, 64)
+		e.weightsChanged = e.weightsChanged || err != nil || version != e.weights
+	}
+}
+
 // setID sets the ID to the value of a line with the field.
 func (e *Event) setID(line []byte) {
 	_, number, _ := bytes.Cut(line, []byte{':'})
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -70,6 +70,9 @@
 	via tables.InstanceID
 	// retryAfter is the Retry-After header of a response with status 503, for the log.
 	retryAfter string
+	// weightsChanged is set if the response has named other weights than those of the placement, or ended
+	// where it may have.
+	weightsChanged bool
 	// isContinuation is set if the attempt continues the run of an ended one.
 	// continuationOutcome is its outcome for the metrics if that of the attempt does not say it.
 	isContinuation      bool
@@ -150,7 +153,8 @@
 		c.server.healthChecker.recordResponse(a.placement.Endpoint.ID)
 	}
 	a.recordResponseHeader(response.Status, response.Header)
-	if !a.isValidResponse(response) || !a.isExpectedVersion(response) {
+	a.weightsChanged = a.namesOtherWeights(response)
+	if !a.isValidResponse(response) || a.isContinuation && a.weightsChanged {
 		response.Close()
 		a.handleFailure(&engine.InterruptedError{Attempt: a.id, Cause: &engine.ProtocolError{What: "answer"}})
 		return
--- a/forward/backup_engines_test.go
+++ b/forward/backup_engines_test.go
@@ -32,6 +32,8 @@
 	replays bool
 	// whileRunning is called before a new run fails.
 	whileRunning func()
+	// weights is the version that the response to a new run names; empty for the usual one.
+	weights string
 
 	mu sync.Mutex
 	// copies holds the handles "address/request" of the copies. runs counts runs by request,
@@ -80,6 +82,9 @@
 		e.copies[backup+"/"+r.Header.Get("X-Request")] = true
 	}
 	e.mu.Unlock()
+	if e.weights != "" {
+		w.Header().Set("X-Weights", e.weights)
+	}
 	sendEvents(w, 1, e.runUntil)
 	if e.runUntil < e.length {
 		e.whileRunning()
@@ -120,7 +125,9 @@
 // sendEvents sends the events of a stream from one number to another.
 func sendEvents(w http.ResponseWriter, from, to int) {
 	w.Header().Set("X-Signature", "s")
-	w.Header().Set("X-Weights", "3")
+	if w.Header().Get("X-Weights") == "" {
+		w.Header().Set("X-Weights", "3")
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	for i := from; i <= to; i++ {
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: t%d\n\n", i, i)
--- a/forward/continuation.go
+++ b/forward/continuation.go
@@ -41,6 +41,7 @@
 	refusedNotEnded    dispatch.ContinuationRefusal = "endpoint not ended"
 	refusedQuarantined dispatch.ContinuationRefusal = "quarantined"
 	refusedByLimit     dispatch.ContinuationRefusal = "endpoint limit"
+	refusedTargetAge   dispatch.ContinuationRefusal = "target weights unknown"
 	refusedCancelled   dispatch.ContinuationRefusal = "cancelled"
 )
 
@@ -91,7 +92,7 @@
 	}
 	fields := append(c.logFields(), zap.String("endpoint", string(a.placement.Endpoint.ID)), zap.String("backup", string(a.placement.Backup.ID)))
 	placement, refusal := a.placeContinuation(probed)
-	fields = append(fields, zap.Duration("since_event", c.now()-c.lastEventAt))
+	fields = append(append(fields, zap.Duration("since_event", c.now()-c.lastEventAt)), a.weightsFields()...)
 	if placement == nil {
 		c.server.metrics.countContinuation(c, string(refusal))
 		events.StreamNotContinued.Log(c.server.log, append(fields, zap.String("reason", string(refusal)))...)
@@ -104,6 +105,18 @@
 	return true
 }
 
+// weightsFields returns the fields that tell which weights may have made the memory of the run.
+func (a *attempt) weightsFields() []zap.Field {
+	s := a.request.server
+	s.mu.Lock()
+	known := s.dispatch.WeightsOf(&a.request.dispatchRequest, a.placement)
+	s.mu.Unlock()
+	return []zap.Field{
+		zap.Uint64("weights", known.Run), zap.Bool("named_others", a.weightsChanged), zap.Uint64("endpoint_weights", known.Endpoint),
+		zap.Bool("loading", known.Loading), zap.Uint64("backup_weights", known.Backup), zap.Uint64("target_weights", known.Target),
+	}
+}
+
 // placeContinuation returns the attempt that continues the run at the backup endpoint, or nil
 // and the reason.
 func (a *attempt) placeContinuation(probed <-chan struct{}) (*dispatch.Attempt, dispatch.ContinuationRefusal) {
@@ -111,6 +124,9 @@
 	if !c.lastEventNumbered {
 		return nil, refusedNotNumbered
 	}
+	if a.weightsChanged {
+		return nil, dispatch.WeightsChanged
+	}
 	ended := a.confirmEnded(probed)
 	switch {
 	case c.ctx.Err() != nil:
@@ -118,6 +134,9 @@
 	case !ended:
 		return nil, refusedNotEnded
 	}
+	if s.options.MaxTargetAge > 0 && s.controlStaleness() > s.options.MaxTargetAge {
+		return nil, refusedTargetAge
+	}
 	if s.quarantineVerdict(c) >= quarantine.Defer {
 		return nil, refusedQuarantined
 	}
@@ -218,14 +237,11 @@
 	return s.options.Relay.Peers()
 }
 
-// isExpectedVersion reports whether the response to a continuation comes from the version of
-// the weights that began the stream, as far as it names one.
-func (a *attempt) isExpectedVersion(response *exchange.Response) bool {
-	if !a.isContinuation {
-		return true
-	}
+// namesOtherWeights reports whether the header of the response names another version of the weights
+// than that of the placement.
+func (a *attempt) namesOtherWeights(response *exchange.Response) bool {
 	version, err := strconv.ParseUint(response.Header.Get(a.request.server.headers.Weights), 10, 64)
-	return err != nil || version == a.placement.WeightsVersion
+	return err == nil && version != a.placement.WeightsVersion
 }
 
 // rejectContinuation ends a request whose continuation got a response that is not a stream, and
--- /dev/null
+++ b/forward/continuationweights_test.go
@@ -0,0 +1,110 @@
+package forward
+
+import (
+	"io"
+	"maps"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/fleet"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// setModels replaces the row of an engine.
+func (h *harness) setModels(engine int, change func(*fleet.Endpoint)) {
+	listed := maps.Clone(*h.server.endpoints.Load())
+	id := tables.EndpointID(h.endpoints[engine].id + "models")
+	row := listed[id]
+	row = row.Clone()
+	change(&row)
+	listed[id] = row
+	h.server.SetEndpoints(listed)
+}
+
+// Guards against a run that goes on at a backup on older weights than those that made a part of its memory.
+func TestRunWithMemoryOfOtherWeightsIsNotContinued(t *testing.T) {
+	write := func(text string) func(*harness, int, http.ResponseWriter) {
+		return func(_ *harness, _ int, w http.ResponseWriter) {
+			_, _ = io.WriteString(w, text)
+			_ = http.NewResponseController(w).Flush()
+		}
+	}
+	const named = "x-weights: 4\nid: 4\ndata: t4\n\n"
+	for name, c := range map[string]struct {
+		weights  string
+		change   func(h *harness, engine int, w http.ResponseWriter)
+		received []string
+		// cut is set if the stream ends with what change has written.
+		cut bool
+	}{
+		"an event names them":             {change: write(named), received: []string{"x-weights: 4\nid: 4\ndata: t4"}},
+		"an earlier event names them":     {change: write(named + "id: 5\ndata: t5\n\n"), received: []string{"x-weights: 4\nid: 4\ndata: t4", "id: 5\ndata: t5"}},
+		"an event that is cut names them": {change: write("x-weights: 4\nid: 4\nda"), cut: true},
+		"the line that names them is cut": {change: write("x-weig"), cut: true},
+		"the version is cut":              {change: write("x-weights: 3"), cut: true},
+		"the response names them":         {weights: "4", change: write("")},
+		"the list shows them at the first engine": {change: func(h *harness, engine int, _ http.ResponseWriter) {
+			h.setModels(engine, func(e *fleet.Endpoint) { e.Weights["m"] = 4 })
+		}},
+		"the first engine is loading": {change: func(h *harness, engine int, _ http.ResponseWriter) {
+			h.setModels(engine, func(e *fleet.Endpoint) { e.Loading = true })
+		}},
+		"they are the target": {change: func(h *harness, _ int, _ http.ResponseWriter) { h.server.RecordWeightsVersion("m", 4, 0) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			engines := newBackupEngines(t, 3)
+			h := newBackupHarness(t, engines, withBackups)
+			engines.weights = c.weights
+			engines.failRun = func(engine int, w http.ResponseWriter) {
+				c.change(h, engine, w)
+				if !c.cut {
+					engines.crash(engine, w)
+				}
+				_ = engines.servers[engine].Listener.Close()
+				panic(http.ErrAbortHandler)
+			}
+			received, complete := h.streamOf(t)
+			assert.DeepEqual(t, received, append(wantEvents(3), c.received...))
+			assert.Assert(t, !complete)
+			assert.Equal(t, h.deliveredCount(), 1)
+			assert.Equal(t, h.continuations("weights changed"), int64(1))
+		})
+	}
+}
+
+// Guards against runs that are given up although all of their memory was made by the weights of the backup.
+func TestRunOnTheTargetWeightsIsContinued(t *testing.T) {
+	engines := newBackupEngines(t, 3)
+	h := newBackupHarness(t, engines, withBackups)
+	h.server.RecordWeightsVersion("m", 3, 0)
+	engines.failRun = func(engine int, w http.ResponseWriter) {
+		_, _ = io.WriteString(w, "x-weights: 3\nid: 4\ndata: t4\n\nx-other: 4\nid: 5\ndata: t5\n\n")
+		engines.crash(engine, w)
+	}
+	received, complete := h.streamOf(t)
+	assert.Equal(t, len(received), 6)
+	assert.Assert(t, complete)
+	assert.Equal(t, h.continuations("completed"), int64(1))
+}
+
+// Guards against a run that goes on although its engine may have got other weights, of which an instance
+// without contact to the control group has not heard.
+func TestRunIsNotContinuedWithoutContactToTheControlGroup(t *testing.T) {
+	for synced, outcome := range map[bool]string{true: "completed", false: "target weights unknown"} {
+		engines := newBackupEngines(t, 3)
+		h := newBackupHarness(t, engines, withBackups, func(o *Options) {
+			now := o.Now
+			o.Now = func() tables.Instant { return time.Hour + now() }
+			o.MaxTargetAge = time.Minute
+		})
+		if synced {
+			h.server.RecordControlSync(0)
+		}
+		_, complete := h.streamOf(t)
+		assert.Equal(t, complete, synced)
+		assert.Equal(t, h.continuations(outcome), int64(1))
+	}
+}
--- a/forward/server.go
+++ b/forward/server.go
@@ -78,6 +78,9 @@
 	Relay Relay
 	// StreamOrigins shares what began which stream with the other instances; nil if there are none.
 	StreamOrigins StreamOrigins
+	// MaxTargetAge is the age of the newest answer of the control group from which on runs are not continued at
+	// backups: their endpoints may have got weights of which this instance has not heard. 0 is no limit.
+	MaxTargetAge time.Duration
 	// StartupWait has at most 64 requests wait up to 500 ms each for the first configuration and
 	// endpoints. Without it, any number of requests wait up to 300 ms each.
 	StartupWait bool
--- a/forward/streamwriter.go
+++ b/forward/streamwriter.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 
@@ -86,6 +87,9 @@
 	r := &streamRelay{attempt: a, response: response, events: exchange.NewEventReader(response), room: make(chan struct{}, 1)}
 	r.changed.L = &r.mu
 	r.events.Meter = r.reserveEvent
+	if a.placement.HasBackup() {
+		r.events.ExpectWeights(strings.ToLower(a.request.server.headers.Weights), a.placement.WeightsVersion)
+	}
 	a.request.server.blockedWrites.register(r)
 	return r
 }
@@ -151,6 +155,7 @@
 // recordEnd records the end of the response.
 func (r *streamRelay) recordEnd(err error) *streamEnd {
 	a := r.attempt
+	a.weightsChanged = a.weightsChanged || r.events.WeightsChanged()
 	if err == io.EOF && r.response.EndsWithConnection() {
 		a.noProof = true
 		if a.firstResponseAt == 0 {
