Parts of prompts are fetched only from where their weights are in force

A request has its salt from the placement's version. If its endpoint loads newer weights under it and preempts it, it is read again under the newer ones, and the parts are stored under the salt of the older ones, at the endpoint and, with a target store, there. A request that begins on older weights at another endpoint during a rollout could fetch them (STALE).

Change: a part is fetched from an endpoint only if that serves the part's version and loads no other, and from a store only while no newer version is the target. The check of a holder's version existed for parts that an endpoint has itself, but not for sources.

Cost: during the seconds of a rollout, requests on older weights compute what only a store or a loading endpoint has. Endpoints that have changed have discarded their parts, so that nothing is lost there.

--- a/dispatch/prompt_view.go
+++ b/dispatch/prompt_view.go
@@ -12,7 +12,10 @@
 // promptView is what the cache directory holds of a request's shared parts under one
 // version of the weights.
 type promptView struct {
+	model   string
 	version uint64
+	// superseded is set if newer weights than version are the target.
+	superseded bool
 	// id identifies the view. Rows of endpoints that hold a prefix of the prompt carry
 	// it, together with the number of parts that they hold.
 	id uint64
@@ -50,7 +53,7 @@
 // newView looks up a request's shared parts under a version of the weights.
 func (d *Dispatcher) newView(now tables.Instant, r *Request, version uint64, rows []*endpointRow) promptView {
 	d.lastViewID++
-	v := promptView{version: version, id: d.lastViewID}
+	v := promptView{model: r.Model, version: version, superseded: d.superseded(r.Model, version), id: d.lastViewID}
 	missing, found := parts.ID(0), false
 	for i, part := range r.SharedParts {
 		holders := d.cache.holdersOf(now, part.ID.KeyAt(version))
@@ -165,13 +168,23 @@
 	return best.row, best.endPart
 }
 
-// sourcesFrom lists the endpoints that hold a part, ordered by how many of the following
+// mayFetchFrom reports whether all parts that a holder has for a version of the weights were made by them. A run
+// keeps its salt when its endpoint changes to newer weights, and stores what it reads again, there and at the store.
+// superseded is set if newer weights are the target.
+func mayFetchFrom(row *endpointRow, model string, version uint64, superseded bool) bool {
+	if row.isStore {
+		return !superseded
+	}
+	return !row.Loading && row.Weights[model] == version
+}
+
+// sourcesFrom lists the endpoints that hold a part from which it may be fetched, ordered by how many of the following
 // parts they hold, then by the most recent use.
 func (v *promptView) sourcesFrom(now tables.Instant, from int) []source {
 	found := make([]source, 0, min(len(v.holders[from]), maxSources))
 	for i := range v.holders[from] {
 		one := &v.holders[from][i]
-		if one.readyAt > now || !one.row.canServeFetch(now) {
+		if one.readyAt > now || !one.row.canServeFetch(now) || !mayFetchFrom(one.row, v.model, v.version, v.superseded) {
 			continue
 		}
 		until := from + 1
