Placement counts no parts whose holder may have made them by newer weights

They still counted as holding the part: a request on older weights could wait for a prefill there that it may not fetch, and the part got no home for the endpoints on its own weights.

Change: the view of a prompt leaves them out altogether. A row that shows older weights than the part's version stays: the news of the part has come before that of the weights.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -279,11 +279,6 @@
 // when. The highest version is the one that endpoints should serve.
 func (d *Dispatcher) RecordWeightsVersion(n weights.TargetVersion) { d.weights.Record(n) }
 
-// superseded reports whether a newer version of a model's weights is the target.
-func (d *Dispatcher) superseded(model string, version uint64) bool {
-	return d.weights.Latest(model) > version
-}
-
 // RecordResponseStart records that the attempt's endpoint has answered or has begun its
 // stream.
 func (d *Dispatcher) RecordResponseStart(now tables.Instant, a *Attempt) {
--- a/dispatch/prompt_view.go
+++ b/dispatch/prompt_view.go
@@ -12,14 +12,11 @@
 // promptView is what the cache directory holds of a request's shared parts under one
 // version of the weights.
 type promptView struct {
-	model   string
 	version uint64
-	// superseded is set if newer weights than version are the target.
-	superseded bool
 	// id identifies the view. Rows of endpoints that hold a prefix of the prompt carry
 	// it, together with the number of parts that they hold.
 	id uint64
-	// holders lists the holders of each shared part.
+	// holders lists the holders of each shared part that were made by the version.
 	holders [][]holder
 	// heldTokens is the length in tokens of the longest prefix of which each part is
 	// held, or being computed, by some endpoint; readyAt is when all of its parts can be
@@ -53,10 +50,10 @@
 // newView looks up a request's shared parts under a version of the weights.
 func (d *Dispatcher) newView(now tables.Instant, r *Request, version uint64, rows []*endpointRow) promptView {
 	d.lastViewID++
-	v := promptView{model: r.Model, version: version, superseded: d.superseded(r.Model, version), id: d.lastViewID}
+	v := promptView{version: version, id: d.lastViewID}
 	missing, found := parts.ID(0), false
 	for i, part := range r.SharedParts {
-		holders := d.cache.holdersOf(now, part.ID.KeyAt(version))
+		holders := d.reliableHolders(d.cache.holdersOf(now, part.ID.KeyAt(version)), r.Model, version)
 		v.holders = append(v.holders, holders)
 		v.markHolders(now, r, i, holders)
 		switch {
@@ -75,6 +72,27 @@
 	return v
 }
 
+// reliableHolders returns the holders of a part that have it as a version of the weights made it. A run keeps its
+// salt when its endpoint loads newer weights, and stores what it reads again under it, there and at the store.
+func (d *Dispatcher) reliableHolders(holders []holder, model string, version uint64) []holder {
+	unreliable := func(h holder) bool {
+		return d.servesNewer(h.row, model, version) || h.row.Loading && h.row.Weights[model] == version
+	}
+	if !slices.ContainsFunc(holders, unreliable) {
+		return holders
+	}
+	return slices.DeleteFunc(slices.Clone(holders), unreliable)
+}
+
+// servesNewer reports whether an endpoint is known to serve newer weights than a version, or one that copies parts to
+// a store may do so.
+func (d *Dispatcher) servesNewer(row *endpointRow, model string, version uint64) bool {
+	if row.isStore {
+		return d.weights.Latest(model) > version
+	}
+	return row.Weights[model] > version
+}
+
 // earliestReady returns when the first of a part's holders can share it.
 func earliestReady(holders []holder) tables.Instant {
 	first := holders[0].readyAt
@@ -168,23 +186,13 @@
 	return best.row, best.endPart
 }
 
-// mayFetchFrom reports whether all parts that a holder has for a version of the weights were made by them. A run
-// keeps its salt when its endpoint changes to newer weights, and stores what it reads again, there and at the store.
-// superseded is set if newer weights are the target.
-func mayFetchFrom(row *endpointRow, model string, version uint64, superseded bool) bool {
-	if row.isStore {
-		return !superseded
-	}
-	return !row.Loading && row.Weights[model] == version
-}
-
-// sourcesFrom lists the endpoints that hold a part from which it may be fetched, ordered by how many of the following
+// sourcesFrom lists the endpoints that hold a part, ordered by how many of the following
 // parts they hold, then by the most recent use.
 func (v *promptView) sourcesFrom(now tables.Instant, from int) []source {
 	found := make([]source, 0, min(len(v.holders[from]), maxSources))
 	for i := range v.holders[from] {
 		one := &v.holders[from][i]
-		if one.readyAt > now || !one.row.canServeFetch(now) || !mayFetchFrom(one.row, v.model, v.version, v.superseded) {
+		if one.readyAt > now || !one.row.canServeFetch(now) {
 			continue
 		}
 		until := from + 1
--- a/engine/exchange/eventreader.go
+++ b/engine/exchange/eventreader.go
@@ -41,21 +41,21 @@
 	// Meter is called with the bytes of an event as they are read, once it has become large. It may
 	// block, and the endpoint is not read meanwhile; its error ends the stream. It is nil for none.
 	Meter func(bytes int) error
-	// weightsField is the lower-case name of the field by which an event names the version of the
-	// weights that made it; empty for none. weightsChanged is set once one has not named weights.
+	// weightsField is the name, in lower case, of the field that tells a change of weights; empty for
+	// none. weights is the expected version, and weightsChanged is set once another one was named.
 	weightsField   []byte
 	weights        uint64
 	weightsChanged bool
 }
 
-// ExpectWeights has the reader compare the versions of the weights that events name in a field, whose
-// name is in lower case, with the given one.
+// ExpectWeights sets the version of the weights that is to make all events. An event from which on another one
+// does names it in a field, whose name is given in lower case.
 func (e *EventReader) ExpectWeights(field string, version uint64) {
 	e.weightsField, e.weights = []byte(field), version
 }
 
-// WeightsChanged reports whether the stream has named another version of the weights than the expected
-// one, or may have: it ended inside a line that may do so.
+// WeightsChanged reports whether the stream has named another version than that of ExpectWeights, or has
+// ended inside a line that may name one.
 func (e *EventReader) WeightsChanged() bool { return e.weightsChanged }
 
 // NewEventReader returns a reader of the events of a response body.
