A store keeps the parts that it had before newer weights were due

Cause: during a rollout the store was left out for requests on older weights altogether, since a run that goes on under newer ones may store parts there under its old salt.

Change: a store keeps a part as it was first made, so that what it had before the first newer version became the target is sound. Only what it has got since is left out. A scheduler's choice of the store is taken: its directory is the better one.

--- a/dispatch/prompt_view.go
+++ b/dispatch/prompt_view.go
@@ -16,7 +16,7 @@
 	// id identifies the view. Rows of endpoints that hold a prefix of the prompt carry
 	// it, together with the number of parts that they hold.
 	id uint64
-	// holders lists the holders of each shared part that were made by the version.
+	// holders lists the reliable holders of each shared part.
 	holders [][]holder
 	// heldTokens is the length in tokens of the longest prefix of which each part is
 	// held, or being computed, by some endpoint; readyAt is when all of its parts can be
@@ -73,10 +73,16 @@
 }
 
 // reliableHolders returns the holders of a part that have it as a version of the weights made it. A run keeps its
-// salt when its endpoint loads newer weights, and stores what it reads again under it, there and at the store.
+// salt when its endpoint loads newer weights, and stores what it reads again under it, there and at the store. A store
+// keeps a part as it was first made.
 func (d *Dispatcher) reliableHolders(holders []holder, model string, version uint64) []holder {
+	outdatedSince, outdated := d.weights.OutdatedSince(model, version)
 	unreliable := func(h holder) bool {
-		return d.servesNewer(h.row, model, version) || h.row.Loading && h.row.Weights[model] == version
+		if h.row.isStore {
+			return outdated && h.readyAt >= outdatedSince
+		}
+		serves := h.row.Weights[model]
+		return serves > version || h.row.Loading && serves == version
 	}
 	if !slices.ContainsFunc(holders, unreliable) {
 		return holders
@@ -84,15 +90,6 @@
 	return slices.DeleteFunc(slices.Clone(holders), unreliable)
 }
 
-// servesNewer reports whether an endpoint is known to serve newer weights than a version, or one that copies parts to
-// a store may do so.
-func (d *Dispatcher) servesNewer(row *endpointRow, model string, version uint64) bool {
-	if row.isStore {
-		return d.weights.Latest(model) > version
-	}
-	return row.Weights[model] > version
-}
-
 // earliestReady returns when the first of a part's holders can share it.
 func earliestReady(holders []holder) tables.Instant {
 	first := holders[0].readyAt
--- a/dispatch/remote.go
+++ b/dispatch/remote.go
@@ -93,7 +93,7 @@
 	a.markStream(now, r)
 	d.nameAvoided(now, &a.Rationale, row.Service)
 	source := d.endpoints[chosen.CacheSource]
-	if source != nil && source.canServeFetch(now) && !d.servesNewer(source, r.Model, a.WeightsVersion) {
+	if source != nil && source.canServeFetch(now) && source.Weights[r.Model] <= a.WeightsVersion {
 		a.CacheSource = source.Endpoint
 	}
 	if store := d.endpoints[chosen.CacheStore]; store != nil && !store.Draining {
--- a/forward/continuationweights_test.go
+++ b/forward/continuationweights_test.go
@@ -90,8 +90,7 @@
 	assert.Equal(t, h.continuations("completed"), int64(1))
 }
 
-// Guards against a run that goes on although its engine may have got other weights, of which an instance
-// without contact to the control group has not heard.
+// Guards against a run that goes on although an instance that hears nothing of the control group may not know of its engine's new weights.
 func TestRunIsNotContinuedWithoutContactToTheControlGroup(t *testing.T) {
 	for synced, outcome := range map[bool]string{true: "completed", false: "target weights unknown"} {
 		engines := newBackupEngines(t, 3)
