Runs continue only after the control group has confirmed their target weights

Cause: the target weights were known, not asked for. Their age was counted from the arrival of an answer and could be 2 s; in the first 2 s of a process without any answer it counted as fresh; an answer after the wait of a long poll paired the documents from before the wait with the age after it; and neither the way of an answer nor a suspended machine is in that age. An endpoint can be ordered to load, load, make memory and crash within 0.8 s.

Change: after the endpoint's end is confirmed, the instance asks control instances for the target by a linearizable read. An order is only sent for a version that is the target, so an answer whose read began after the end holds every version that can have made the memory. No answer within 0.4 s: not continued. Questions share calls and reads (internal/batch). The limit on the age is gone, and its test is replaced by one as strict that also covers a target that moves after the last news.

The fault itself was not seen in a run.

--- a/control/deployment/client_test.go
+++ b/control/deployment/client_test.go
@@ -20,6 +20,8 @@
 // scriptedSource answers each request with a function that the test sets.
 type scriptedSource struct {
 	answer func(*rpc.FollowRequest) (*rpc.FollowAnswer, error)
+	// targets answers questions for target weights; nil for an unreachable source.
+	targets func(context.Context) (*rpc.TargetsAnswer, error)
 
 	mu sync.Mutex
 	// probes holds for each request whether it was a probe. totalTimeout is the sum
@@ -42,6 +44,13 @@
 	return answer, err
 }
 
+func (s *scriptedSource) Targets(ctx context.Context, _ *rpc.TargetsRequest) (*rpc.TargetsAnswer, error) {
+	if s.targets == nil {
+		return nil, &unreachableError{}
+	}
+	return s.targets(ctx)
+}
+
 type unreachableError struct{}
 
 func (*unreachableError) Error() string { return "source is unreachable" }
--- a/control/deployment/service.go
+++ b/control/deployment/service.go
@@ -16,6 +16,7 @@
 	"github.com/carawaystile/carawaystile/control/server"
 	"github.com/carawaystile/carawaystile/control/state"
 	"github.com/carawaystile/carawaystile/fleet"
+	"github.com/carawaystile/carawaystile/internal/batch"
 	"github.com/carawaystile/carawaystile/rpc"
 	"github.com/carawaystile/carawaystile/tables"
 	"github.com/carawaystile/carawaystile/weights"
@@ -66,6 +67,7 @@
 	after              func(time.Duration) <-chan time.Time
 
 	compressor documentCompressor
+	barriers   *batch.Caller[struct{}, struct{}]
 	// mu guards weightHistory, which records when this instance saw each target
 	// version first.
 	mu            sync.Mutex
@@ -94,9 +96,11 @@
 	if o.After == nil {
 		o.After = time.After
 	}
-	return &Service{
+	s := &Service{
 		replica: o.Replica, fleet: o.Fleet, holdsOrderLease: o.HoldsOrderLease, cacheOrganisations: o.CacheOrganisations, now: o.Now, after: o.After,
 	}
+	s.barriers = batch.NewCaller(s.barrier, barrierTimeout, 1)
+	return s
 }
 
 // Run records when target versions of weights change, until the context ends.
@@ -196,12 +200,8 @@
 	timer := time.NewTimer(min(max(0, time.Duration(request.GetWaitNanos())), maxFollowWait))
 	defer timer.Stop()
 	asked := s.now()
-	answer, timedOut := s.awaitUpdate(ctx, timer.C, func() pendingUpdate { return s.pendingUpdate(request) })
+	answer := s.awaitUpdate(ctx, timer.C, func() pendingUpdate { return s.pendingUpdate(request) })
 	answer.WaitedNanos = int64(s.now() - asked)
-	if timedOut {
-		// The answer was built before the wait; its lag is renewed.
-		answer.LagNanos = int64(s.replica.Status().Lag)
-	}
 	return answer, nil
 }
 
@@ -214,17 +214,17 @@
 	documentsChanged, endpointsChanged <-chan struct{}
 }
 
-// awaitUpdate calls look until its answer holds an update, and returns that answer.
-// It returns true if the timeout has elapsed without an update.
-func (s *Service) awaitUpdate(ctx context.Context, timeout <-chan time.Time, poll func() pendingUpdate) (answer *rpc.FollowAnswer, timedOut bool) {
+// awaitUpdate calls poll until its answer holds an update, and returns that answer. After the
+// timeout it returns a new one: the lag must not be newer than the documents.
+func (s *Service) awaitUpdate(ctx context.Context, timeout <-chan time.Time, poll func() pendingUpdate) *rpc.FollowAnswer {
 	for batched := false; ; {
 		update := poll()
 		if len(update.answer.GetDocuments()) > 0 || update.answer.GetBehind() || update.answer.GetFleet().GetFull() {
-			return update.answer, false
+			return update.answer
 		}
 		if update.answer.GetFleet() != nil {
 			if batched || s.fleet.Len() < minBatchedEndpoints {
-				return update.answer, false
+				return update.answer
 			}
 			batched = true
 			s.batchEndpointChanges(ctx, update.documentsChanged)
@@ -234,9 +234,9 @@
 		case <-update.documentsChanged:
 		case <-update.endpointsChanged:
 		case <-timeout:
-			return update.answer, true
+			return poll().answer
 		case <-ctx.Done():
-			return update.answer, false
+			return update.answer
 		}
 	}
 }
--- a/control/deployment/service_test.go
+++ b/control/deployment/service_test.go
@@ -92,7 +92,7 @@
 		return pendingUpdate{answer: &rpc.FollowAnswer{Fleet: update}, endpointsChanged: endpointsChanged}
 	}
 	table.RecordWeights("e1", "m", 2)
-	answer, _ := s.awaitUpdate(t.Context(), nil, poll)
+	answer := s.awaitUpdate(t.Context(), nil, poll)
 	assert.Equal(t, waits, 1)
 	assert.Equal(t, len(answer.GetFleet().GetEndpoints()), 2)
 }
@@ -109,7 +109,7 @@
 		"full table": {Fleet: &rpc.Fleet{Full: true}},
 		"behind":     {Behind: true, Fleet: &rpc.Fleet{}},
 	} {
-		got, _ := s.awaitUpdate(t.Context(), nil, func() pendingUpdate { return pendingUpdate{answer: answer} })
+		got := s.awaitUpdate(t.Context(), nil, func() pendingUpdate { return pendingUpdate{answer: answer} })
 		assert.Equal(t, got, answer, name)
 	}
 }
--- a/dispatch/backups.go
+++ b/dispatch/backups.go
@@ -196,9 +196,9 @@
 	return known
 }
 
-// mayHaveChanged reports whether the endpoint may have made a part of the run's memory by newer weights. It
+// MayHaveChanged reports whether the endpoint may have made a part of the run's memory by newer weights. It
 // may load the target at any time, and the first event after that may not have arrived.
-func (w RunWeights) mayHaveChanged() bool {
+func (w RunWeights) MayHaveChanged() bool {
 	return w.Loading || w.Endpoint > w.Run || w.Target > w.Run
 }
 
@@ -208,7 +208,7 @@
 // other weights, and calls TakeContinuation before it sends the attempt.
 func (d *Dispatcher) Continue(now tables.Instant, r *Request, ended *Attempt) (*Attempt, ContinuationRefusal) {
 	row := ended.backupRow
-	if d.WeightsOf(r, ended).mayHaveChanged() {
+	if d.WeightsOf(r, ended).MayHaveChanged() {
 		return nil, WeightsChanged
 	}
 	if row == nil || row.Software != ended.Endpoint.Software || !d.mayContinueAt(now, r, row, ended.WeightsVersion) {
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -73,6 +73,8 @@
 	// weightsChanged is set if the response has named other weights than those of the placement, or ended
 	// where it may have.
 	weightsChanged bool
+	// targetError is why the target weights could not be read before a continuation.
+	targetError error
 	// isContinuation is set if the attempt continues the run of an ended one.
 	// continuationOutcome is its outcome for the metrics if that of the attempt does not say it.
 	isContinuation      bool
--- a/forward/continuation.go
+++ b/forward/continuation.go
@@ -33,6 +33,8 @@
 	// caller waits for it. It exceeds the timeout of an own connection and that of a
 	// question to another instance together.
 	confirmTimeout = 500 * time.Millisecond
+	// targetTimeout bounds the question for the target weights, for which the caller waits as well.
+	targetTimeout = 400 * time.Millisecond
 )
 
 // Reasons for which a stream with a backup is not continued, beside those of package dispatch.
@@ -41,7 +43,7 @@
 	refusedNotEnded    dispatch.ContinuationRefusal = "endpoint not ended"
 	refusedQuarantined dispatch.ContinuationRefusal = "quarantined"
 	refusedByLimit     dispatch.ContinuationRefusal = "endpoint limit"
-	refusedTargetAge   dispatch.ContinuationRefusal = "target weights unknown"
+	refusedTarget      dispatch.ContinuationRefusal = "target weights unknown"
 	refusedCancelled   dispatch.ContinuationRefusal = "cancelled"
 )
 
@@ -114,6 +116,7 @@
 	return []zap.Field{
 		zap.Uint64("weights", known.Run), zap.Bool("named_others", a.weightsChanged), zap.Uint64("endpoint_weights", known.Endpoint),
 		zap.Bool("loading", known.Loading), zap.Uint64("backup_weights", known.Backup), zap.Uint64("target_weights", known.Target),
+		zap.NamedError("target_error", a.targetError),
 	}
 }
 
@@ -124,7 +127,7 @@
 	if !c.lastEventNumbered {
 		return nil, refusedNotNumbered
 	}
-	if a.weightsChanged {
+	if a.weightsChanged || s.mayHaveChangedWeights(a) {
 		return nil, dispatch.WeightsChanged
 	}
 	ended := a.confirmEnded(probed)
@@ -134,12 +137,12 @@
 	case !ended:
 		return nil, refusedNotEnded
 	}
-	if s.options.MaxTargetAge > 0 && s.controlStaleness() > s.options.MaxTargetAge {
-		return nil, refusedTargetAge
-	}
 	if s.quarantineVerdict(c) >= quarantine.Defer {
 		return nil, refusedQuarantined
 	}
+	if !a.updateTarget() {
+		return nil, refusedTarget
+	}
 	placement, refusal := s.assignContinuation(c, a.placement)
 	if placement == nil {
 		return nil, refusal
@@ -153,6 +156,35 @@
 	return placement, ""
 }
 
+// mayHaveChangedWeights reports whether the endpoint is known to have changed its weights under the run, or
+// may have been told to.
+func (s *Server) mayHaveChangedWeights(a *attempt) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dispatch.WeightsOf(&a.request.dispatchRequest, a.placement).MayHaveChanged()
+}
+
+// updateTarget reads the target weights of the request's model, and reports whether it succeeded. The
+// endpoint has ended: it can have loaded only versions that had become the target before.
+func (a *attempt) updateTarget() bool {
+	c, s := a.request, a.request.server
+	if s.options.TargetWeights == nil {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, targetTimeout)
+	defer cancel()
+	model := c.dispatchRequest.Model
+	version, err := s.options.TargetWeights(ctx, model)
+	if err != nil {
+		a.targetError = err
+		return false
+	}
+	if version > 0 {
+		s.RecordWeightsVersion(model, version, 0)
+	}
+	return true
+}
+
 // assignContinuation places the continuation of an ended attempt.
 func (s *Server) assignContinuation(c *clientRequest, ended *dispatch.Attempt) (*dispatch.Attempt, dispatch.ContinuationRefusal) {
 	s.mu.Lock()
--- a/forward/continuationweights_test.go
+++ b/forward/continuationweights_test.go
@@ -1,11 +1,13 @@
 package forward
 
 import (
+	"context"
+	"errors"
 	"io"
 	"maps"
 	"net/http"
+	"sync/atomic"
 	"testing"
-	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -90,20 +92,34 @@
 	assert.Equal(t, h.continuations("completed"), int64(1))
 }
 
-// Guards against a run that goes on although an instance that hears nothing of the control group may not know of its engine's new weights.
-func TestRunIsNotContinuedWithoutContactToTheControlGroup(t *testing.T) {
-	for synced, outcome := range map[bool]string{true: "completed", false: "target weights unknown"} {
-		engines := newBackupEngines(t, 3)
-		h := newBackupHarness(t, engines, withBackups, func(o *Options) {
-			now := o.Now
-			o.Now = func() tables.Instant { return time.Hour + now() }
-			o.MaxTargetAge = time.Minute
+// Guards against a run that goes on although its engine may have loaded weights that became the target after the
+// instance last heard of the control group.
+func TestRunIsContinuedOnlyAfterItsTargetWeightsAreConfirmed(t *testing.T) {
+	for outcome, answer := range map[string]func() (uint64, error){
+		"completed":              func() (uint64, error) { return 3, nil },
+		"weights changed":        func() (uint64, error) { return 4, nil },
+		"target weights unknown": func() (uint64, error) { return 0, errors.New("no quorum") },
+	} {
+		t.Run(outcome, func(t *testing.T) {
+			engines := newBackupEngines(t, 3)
+			crashed, askedEarly := atomic.Bool{}, atomic.Bool{}
+			h := newBackupHarness(t, engines, withBackups, func(o *Options) {
+				o.TargetWeights = func(_ context.Context, model string) (uint64, error) {
+					askedEarly.Store(!crashed.Load())
+					assert.Check(t, model == "m")
+					return answer()
+				}
+			})
+			h.server.RecordWeightsVersion("m", 3, 0)
+			engines.failRun = func(engine int, w http.ResponseWriter) {
+				h.server.RecordControlSync(0)
+				crashed.Store(true)
+				engines.crash(engine, w)
+			}
+			_, complete := h.streamOf(t)
+			assert.Equal(t, complete, outcome == "completed")
+			assert.Equal(t, h.continuations(outcome), int64(1))
+			assert.Assert(t, !askedEarly.Load())
 		})
-		if synced {
-			h.server.RecordControlSync(0)
-		}
-		_, complete := h.streamOf(t)
-		assert.Equal(t, complete, synced)
-		assert.Equal(t, h.continuations(outcome), int64(1))
 	}
 }
--- a/forward/server.go
+++ b/forward/server.go
@@ -78,9 +78,10 @@
 	Relay Relay
 	// StreamOrigins shares what began which stream with the other instances; nil if there are none.
 	StreamOrigins StreamOrigins
-	// MaxTargetAge is the age of the newest answer of the control group from which on runs are not continued at
-	// backups: their endpoints may have got weights of which this instance has not heard. 0 is no limit.
-	MaxTargetAge time.Duration
+	// TargetWeights reads the target version of a model's weights from the control group: any version that
+	// was the target when the call began, or a newer one. 0 is none. A nil function stands for a deployment
+	// whose weights never change.
+	TargetWeights func(ctx context.Context, model string) (version uint64, err error)
 	// StartupWait has at most 64 requests wait up to 500 ms each for the first configuration and
 	// endpoints. Without it, any number of requests wait up to 300 ms each.
 	StartupWait bool
--- a/node/entry.go
+++ b/node/entry.go
@@ -29,9 +29,6 @@
 // bodies, responses, streams and relayed connections may occupy together.
 const bufferMemoryDivisor = 4
 
-// maxTargetAge exceeds the interval at which a control instance answers without news, and its lag.
-const maxTargetAge = 2 * time.Second
-
 // startEntry starts the entry role: the proxy with its scheduler and rate limiter, the client
 // that follows control instances, and the listeners for callers and readiness probes.
 func (n *Node) startEntry() error {
@@ -67,7 +64,7 @@
 		Permits:          n.newPermitClient(),
 		Relay:            n.relayDialer,
 		StreamOrigins:    n.newStreamOrigins(),
-		MaxTargetAge:     maxTargetAge,
+		TargetWeights:    n.newTargetWeights(),
 		StartupWait:      n.startsFast(),
 		Context:          n.lifetime,
 	})
