A resumed stream's origin is looked up even while one version is known

Cause: an instance that had seen one version alone for 30 s did not ask for origins, whatever the age of what it had seen. It is out of date while the instance is cut off or stopped, and for about a second after each first endpoint of a version.

Ruled out: that the origin is not known where it is asked for; that the endpoints' rows are old (the version of a known origin is right).

Change: each resumption that names its stream is looked up. Those asked also tell the versions of the service that they have seen and whether they vouch for them: they have watched for 30 s and their list is at most 3 s old. An origin that nobody knows goes on only if another instance vouches for one version, which also serves instances that have just started. The age of the list travels with the endpoints. Questions to an instance share calls. The table of waits now has the question for target weights too.

Measured: TestResumptionContinuesAtItsSoftwareOnly with a late instance fails before (200 in place of 503).

--- a/control/deployment/service.go
+++ b/control/deployment/service.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/carawaystile/carawaystile/control/server"
 	"github.com/carawaystile/carawaystile/control/state"
@@ -63,6 +64,7 @@
 	holdsOrderLease func() bool
 	// cacheOrganisations lists the organisations of a configuration; nil if there are none.
 	cacheOrganisations func(configuration []byte) *rpc.CacheOrganisations
+	listAge            func() (time.Duration, bool)
 	now                func() tables.Instant
 	after              func(time.Duration) <-chan time.Time
 
@@ -84,6 +86,9 @@
 	// CacheOrganisations lists the organisations of a configuration by whether they share cached
 	// prompts; nil if organisations have none.
 	CacheOrganisations func(configuration []byte) *rpc.CacheOrganisations
+	// ListAge returns the time since the platform's list was read that Fleet reflects, and false if that is not
+	// known; nil if it never is.
+	ListAge func() (age time.Duration, known bool)
 	// Now is a monotonic clock that continues while the machine is suspended.
 	Now func() tables.Instant
 	// After defaults to time.After.
@@ -96,8 +101,12 @@
 	if o.After == nil {
 		o.After = time.After
 	}
+	if o.ListAge == nil {
+		o.ListAge = func() (time.Duration, bool) { return 0, false }
+	}
 	s := &Service{
-		replica: o.Replica, fleet: o.Fleet, holdsOrderLease: o.HoldsOrderLease, cacheOrganisations: o.CacheOrganisations, now: o.Now, after: o.After,
+		replica: o.Replica, fleet: o.Fleet, holdsOrderLease: o.HoldsOrderLease, cacheOrganisations: o.CacheOrganisations, listAge: o.ListAge,
+		now: o.Now, after: o.After,
 	}
 	s.barriers = batch.NewCaller(s.barrier, barrierTimeout, 1)
 	return s
@@ -254,6 +263,7 @@
 // pendingUpdate returns what the caller lacks at this moment.
 func (s *Service) pendingUpdate(request *rpc.FollowRequest) pendingUpdate {
 	changed := s.replica.Changed()
+	listAge, listRead := s.listAge()
 	update, endpointsChanged := s.fleet.UpdateSince(request.GetFleetSource(), request.GetFleetVersion())
 	status := s.replica.Status()
 	answer := &rpc.FollowAnswer{
@@ -265,6 +275,9 @@
 		OrdersGiven: s.holdsOrderLease(),
 		LagNanos:    int64(status.Lag),
 	}
+	if listRead {
+		answer.ListAgeNanos = proto.Int64(int64(listAge))
+	}
 	var newer []*rpc.Document
 	s.replica.View(func(st *state.State) {
 		for _, document := range st.Documents() {
--- a/forward/server.go
+++ b/forward/server.go
@@ -33,6 +33,7 @@
 	"github.com/carawaystile/carawaystile/metrics"
 	"github.com/carawaystile/carawaystile/parts"
 	"github.com/carawaystile/carawaystile/routes"
+	"github.com/carawaystile/carawaystile/streamorigin"
 	"github.com/carawaystile/carawaystile/systems/quarantine"
 	"github.com/carawaystile/carawaystile/tables"
 	"github.com/carawaystile/carawaystile/usage"
@@ -133,7 +134,7 @@
 
 	admission     *admissionControl
 	healthChecker *healthChecker
-	software      softwareVersions
+	software      streamorigin.Versions
 	// pauseReports limits the rate of log lines on pauses of streams.
 	pauseReports pauseReports
 	// ends counts the requests by how they have ended.
@@ -222,7 +223,7 @@
 	s.dispatch.SetEndpoints(endpoints)
 	s.mu.Unlock()
 	s.endpoints.Store(&endpoints)
-	if s.software.observe(s.options.Now(), endpoints) && s.options.StreamOrigins != nil {
+	if s.software.Observe(s.options.Now(), endpoints) && s.options.StreamOrigins != nil {
 		s.options.StreamOrigins.PublishAll()
 	}
 	s.healthChecker.prune(endpoints)
--- a/forward/software.go
+++ b/forward/software.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/carawaystile/carawaystile/events"
-	"github.com/carawaystile/carawaystile/fleet"
 	"github.com/carawaystile/carawaystile/streamorigin"
-	"github.com/carawaystile/carawaystile/tables"
 )
 
 // StreamOrigins knows which version of the endpoints' software began a stream.
@@ -21,82 +18,9 @@
 	Record(origin streamorigin.Origin, publish bool)
 	// PublishAll sends all known origins to other instances.
 	PublishAll()
-	// Find returns the version that began the stream of a request, here or at another instance.
-	Find(ctx context.Context, request string) (software string, known bool)
-}
-
-// versionMemory is how long a version that no endpoint has any more still counts: clients may
-// resume the streams that it began.
-const versionMemory = 30 * time.Second
-
-// softwareVersions holds the versions of the endpoints' software by service. It is safe for
-// concurrent use.
-type softwareVersions struct {
-	mu sync.Mutex
-	// seenAt is when each version was last in use. Zero stands for now.
-	seenAt map[string]map[string]tables.Instant
-	mixed  map[string]bool
-	// observedAt is when the versions were first observed; 0 before that.
-	observedAt tables.Instant
-}
-
-// observe updates the versions, and reports whether a service has several that had one before.
-func (v *softwareVersions) observe(now tables.Instant, endpoints map[tables.EndpointID]fleet.Endpoint) (becameMixed bool) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if v.seenAt == nil {
-		v.seenAt, v.mixed = map[string]map[string]tables.Instant{}, map[string]bool{}
-		v.observedAt = now
-	}
-	for _, versions := range v.seenAt {
-		delete(versions, "") // an unknown version may have become known
-		for version, at := range versions {
-			if at == 0 {
-				versions[version] = now
-			}
-		}
-	}
-	for _, e := range endpoints {
-		if v.seenAt[e.Service] == nil {
-			v.seenAt[e.Service] = map[string]tables.Instant{}
-		}
-		v.seenAt[e.Service][e.Software] = 0
-	}
-	for service := range v.seenAt {
-		was := v.mixed[service]
-		v.mixed[service] = v.countLocked(now, service) > 1
-		becameMixed = becameMixed || v.mixed[service] && !was
-	}
-	return becameMixed
-}
-
-// isMixed reports whether streams of several versions may be resumed at a service.
-func (v *softwareVersions) isMixed(now tables.Instant, service string) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.countLocked(now, service) > 1
-}
-
-// knowsSingle reports whether no stream that may be resumed at a service began at another version
-// than the one that serves. An instance that has started lately does not know which versions served
-// before.
-func (v *softwareVersions) knowsSingle(now tables.Instant, service string) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.seenAt != nil && now-v.observedAt > versionMemory && v.countLocked(now, service) <= 1
-}
-
-// countLocked returns the number of versions that are or were lately in use at a service.
-func (v *softwareVersions) countLocked(now tables.Instant, service string) int {
-	count := 0
-	for version, at := range v.seenAt[service] {
-		if at != 0 && now-at > versionMemory {
-			delete(v.seenAt[service], version)
-			continue
-		}
-		count++
-	}
-	return count
+	// Find looks up, here and at other instances, which version began the stream of a request of a service.
+	// Without a request it only collects which versions have served.
+	Find(ctx context.Context, request, service string) streamorigin.Finding
 }
 
 // fixSoftware restricts the rest of the request to one version of the endpoints' software. Events
@@ -119,7 +43,7 @@
 	if c.resumes != "" {
 		request = c.resumes
 	}
-	s.options.StreamOrigins.Record(streamorigin.Origin{Request: request, Software: version}, s.software.isMixed(s.options.Now(), c.service.Name))
+	s.options.StreamOrigins.Record(streamorigin.Origin{Request: request, Software: version}, s.software.IsMixed(s.options.Now(), c.service.Name))
 }
 
 // originKnowledge is what an instance knows about the origin of a stream that a client resumes.
@@ -128,11 +52,11 @@
 const (
 	originKnown   originKnowledge = "known"
 	originUnknown originKnowledge = "unknown"
-	// originSingle stands for an origin that was not looked up, because no other version can have begun
-	// the stream.
+	// originSingle stands for an origin that nobody knows although no other version can have begun the
+	// stream.
 	originSingle originKnowledge = "single version"
-	// originAssumed stands for an origin that cannot be looked up, at an instance that has seen one
-	// version since it started.
+	// originAssumed stands for an origin that cannot be looked up, while no instance that could be asked has
+	// seen several versions.
 	originAssumed originKnowledge = "assumed"
 )
 
@@ -152,23 +76,36 @@
 	return origin != originUnknown
 }
 
-// lookUpOrigin returns what is known of the origin of the resumed stream. A client that does not name
-// the stream, or a server that records no origins, leaves only the versions that this instance has seen:
-// refusing such resumptions after each start would end streams although one version serves alone.
+// lookUpOrigin returns what is known of the origin of the resumed stream. What this instance has seen of the
+// versions does not suffice: others may know of endpoints before it does. An instance that is out of
+// touch lets a resumption that does not name its stream go on, since nobody can tell its origin.
 func (c *clientRequest) lookUpOrigin() (origin originKnowledge, version string) {
 	s, service := c.server, c.service.Name
 	now := s.options.Now()
-	switch {
-	case s.software.knowsSingle(now, service):
-		return originSingle, ""
-	case s.options.StreamOrigins == nil || c.resumes == "":
-		if s.software.isMixed(now, service) {
+	seen := s.software.Seen(now, service)
+	if s.options.StreamOrigins != nil && (c.resumes != "" || !seen.Complete && len(seen.Versions) <= 1) {
+		found := s.options.StreamOrigins.Find(c.ctx, c.resumes, service)
+		if found.Known {
+			return originKnown, found.Software
+		}
+		seen = found.Seen
+		if c.resumes != "" && !seen.Complete {
 			return originUnknown, ""
 		}
-		return originAssumed, ""
 	}
-	if version, known := s.options.StreamOrigins.Find(c.ctx, c.resumes); known {
-		return originKnown, version
+	switch {
+	case len(seen.Versions) > 1:
+		return originUnknown, ""
+	case seen.Complete:
+		return originSingle, ""
 	}
-	return originUnknown, ""
+	return originAssumed, ""
+}
+
+// Software returns the versions of the endpoints' software that this instance has seen.
+func (s *Server) Software() *streamorigin.Versions { return &s.software }
+
+// RecordListAge records how long ago the list was read that the endpoints are from.
+func (s *Server) RecordListAge(age time.Duration) {
+	s.software.RecordListRead(s.options.Now() - max(age, 0))
 }
--- a/forward/software_test.go
+++ b/forward/software_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -87,15 +88,18 @@
 	}
 }
 
-// fakeOrigins knows the origins that were recorded, by request ID.
-type fakeOrigins map[string]string
+// fakeOrigins knows the origins that were recorded, by request ID, and what others have seen.
+type fakeOrigins struct {
+	known map[string]string
+	seen  streamorigin.Seen
+}
 
-func (f fakeOrigins) Record(o streamorigin.Origin, _ bool) { f[o.Request] = o.Software }
-func (f fakeOrigins) PublishAll()                          {}
+func (f fakeOrigins) Record(streamorigin.Origin, bool) {}
+func (f fakeOrigins) PublishAll()                      {}
 
-func (f fakeOrigins) Find(_ context.Context, request string) (software string, known bool) {
-	software, known = f[request]
-	return software, known
+func (f fakeOrigins) Find(_ context.Context, request, _ string) streamorigin.Finding {
+	software, known := f.known[request]
+	return streamorigin.Finding{Software: software, Known: known, Seen: f.seen}
 }
 
 // resume sends a resumption with further headers.
@@ -104,44 +108,81 @@
 	return h.send(t, "POST", "/resume/x", "", append(headers, "X-Request", "second", "Last-Event-Id", "2", "X-Model", "m", "X-Tokens", "10,4")...)
 }
 
-// Guards against streams that end after each restart of an instance because their clients do not name
-// them, although one version serves alone.
+// Guards against streams that end because their clients do not name them, although no version but the one
+// that is seen here is known to any instance.
 func TestUnnamedResumptionContinuesWhileOneVersionIsSeen(t *testing.T) {
-	for status, software := range map[int][]string{http.StatusOK: {"v1", "v1"}, http.StatusServiceUnavailable: {"v1", "v2"}} {
-		h := newVersionedHarness(t, software, func(o *Options) { o.StreamOrigins = fakeOrigins{} })
-		assert.Equal(t, h.resume(t).StatusCode, status)
+	both, one := []string{"v1", "v2"}, []string{"v1"}
+	for _, test := range []struct {
+		software []string
+		others   streamorigin.Seen
+		// age is that of the list, and up that of the instance.
+		age, up time.Duration
+		status  int
+	}{
+		{software: []string{"v1", "v1"}, others: streamorigin.Seen{Versions: one}, age: time.Hour, status: http.StatusOK},
+		{software: []string{"v1", "v1"}, others: streamorigin.Seen{Versions: one}, up: time.Second, status: http.StatusOK},
+		{software: both, others: streamorigin.Seen{Versions: one}, up: time.Second, status: http.StatusServiceUnavailable},
+		{software: []string{"v1", "v1"}, others: streamorigin.Seen{Versions: both, Complete: true}, age: 0, status: http.StatusOK},
+		{software: []string{"v1", "v1"}, others: streamorigin.Seen{Versions: both, Complete: true}, age: time.Hour, status: http.StatusServiceUnavailable},
+		{software: both, others: streamorigin.Seen{Versions: one, Complete: true}, age: 0, status: http.StatusServiceUnavailable},
+	} {
+		t.Run(fmt.Sprintf("%q/%v/%v", test.software, test.others, test.age), func(t *testing.T) {
+			h := newResumableHarness(t, test.software, cmp.Or(test.up, longStarted), fakeOrigins{seen: test.others})
+			h.server.RecordListAge(test.age)
+			assert.Equal(t, h.resume(t).StatusCode, test.status)
+		})
 	}
 }
 
+// longStarted is the age of an instance that has watched the versions for long enough.
+const longStarted = streamorigin.VersionMemory + 2*time.Second
+
+// newResumableHarness returns a harness whose instance has been up for some time.
+func newResumableHarness(t *testing.T, software []string, up time.Duration, origins fakeOrigins) *harness {
+	var later atomic.Int64
+	started := time.Now()
+	now := func() tables.Instant { return time.Second + time.Since(started) + time.Duration(later.Load()) }
+	h := newVersionedHarnessAt(t, now, software, func(o *Options) {
+		withResumes := *headerNames
+		withResumes.Resumes = "X-Resumes"
+		o.Headers, o.StreamOrigins = &withResumes, origins
+	})
+	later.Store(int64(up))
+	return h
+}
+
 // Guards against a client's resumption that continues at another version, also after all instances have
-// started again, or is refused although only one version can have begun the stream.
+// started again or at one that has not heard of a version, or is refused although only one can have begun it.
 func TestResumptionContinuesAtItsSoftwareOnly(t *testing.T) {
-	const justStarted, longStarted = time.Second, versionMemory + 2*time.Second
+	const justStarted = time.Second
+	v1, both := []string{"v1", "v1"}, []string{"v1", "v2"}
+	from := func(version string) map[string]string { return map[string]string{"first": version} }
+	vouched := func(versions ...string) streamorigin.Seen {
+		return streamorigin.Seen{Versions: versions, Complete: true}
+	}
 	for _, test := range []struct {
 		software []string
 		origins  fakeOrigins
 		up       time.Duration
 		status   int
 	}{
-		{[]string{"v1", "v2"}, fakeOrigins{"first": "v1"}, justStarted, http.StatusOK},
-		{[]string{"v1", "v2"}, fakeOrigins{"first": "v3"}, justStarted, http.StatusServiceUnavailable},
-		{[]string{"v1", "v2"}, fakeOrigins{}, justStarted, http.StatusServiceUnavailable},
-		{[]string{"v1", "v1"}, fakeOrigins{"first": "v1"}, justStarted, http.StatusOK},
-		{[]string{"v1", "v1"}, fakeOrigins{"first": "v3"}, justStarted, http.StatusServiceUnavailable},
-		{[]string{"v1", "v1"}, fakeOrigins{}, justStarted, http.StatusServiceUnavailable},
-		{[]string{"v1", "v1"}, fakeOrigins{}, longStarted, http.StatusOK},
-		{[]string{"v1", "v2"}, fakeOrigins{}, longStarted, http.StatusServiceUnavailable},
-		{[]string{"", ""}, fakeOrigins{}, longStarted, http.StatusOK},
+		{both, fakeOrigins{known: from("v1")}, justStarted, http.StatusOK},
+		{both, fakeOrigins{known: from("v3")}, justStarted, http.StatusServiceUnavailable},
+		{both, fakeOrigins{seen: vouched("v1", "v2")}, justStarted, http.StatusServiceUnavailable},
+		{v1, fakeOrigins{known: from("v1")}, justStarted, http.StatusOK},
+		{v1, fakeOrigins{known: from("v3")}, justStarted, http.StatusServiceUnavailable},
+		{v1, fakeOrigins{seen: streamorigin.Seen{Versions: []string{"v1"}}}, justStarted, http.StatusServiceUnavailable},
+		{v1, fakeOrigins{seen: vouched("v1")}, justStarted, http.StatusOK},
+		{v1, fakeOrigins{seen: vouched("v1")}, longStarted, http.StatusOK},
+		{v1, fakeOrigins{known: from("v2")}, longStarted, http.StatusServiceUnavailable},
+		{v1, fakeOrigins{seen: vouched("v1", "v2")}, longStarted, http.StatusServiceUnavailable},
+		{v1, fakeOrigins{seen: streamorigin.Seen{Versions: []string{"v1"}}}, longStarted, http.StatusServiceUnavailable},
+		{both, fakeOrigins{seen: vouched("v1", "v2")}, longStarted, http.StatusServiceUnavailable},
+		{[]string{"", ""}, fakeOrigins{seen: vouched("")}, longStarted, http.StatusOK},
 	} {
-		t.Run(fmt.Sprintf("%q/%q/%v", test.software, test.origins, test.up), func(t *testing.T) {
-			var later atomic.Int64
-			started := time.Now()
-			h := newVersionedHarnessAt(t, func() tables.Instant { return time.Second + time.Since(started) + time.Duration(later.Load()) }, test.software, func(o *Options) {
-				withResumes := *headerNames
-				withResumes.Resumes = "X-Resumes"
-				o.Headers, o.StreamOrigins = &withResumes, test.origins
-			})
-			later.Store(int64(test.up))
+		t.Run(fmt.Sprintf("%q/%v/%v", test.software, test.origins, test.up), func(t *testing.T) {
+			h := newResumableHarness(t, test.software, test.up, test.origins)
+			h.server.RecordListAge(0)
 			resp := h.resume(t, "X-Resumes", "first")
 			assert.Equal(t, resp.StatusCode, test.status)
 			if test.status != http.StatusOK {
@@ -149,7 +190,7 @@
 				return
 			}
 			assert.Equal(t, readBody(t, resp), "id: 3\ndata: t3\n\nid: 4\ndata: t4\n\n")
-			if version, known := test.origins["first"]; known {
+			if version, known := test.origins.known["first"]; known {
 				assert.Assert(t, h.softwareOfEvents("second", test.software)[version])
 			}
 		})
--- a/forward/waits_test.go
+++ b/forward/waits_test.go
@@ -68,9 +68,9 @@
 
 func (silentInstances) Record(streamorigin.Origin, bool) {}
 func (silentInstances) PublishAll()                      {}
-func (silentInstances) Find(ctx context.Context, _ string) (string, bool) {
+func (silentInstances) Find(ctx context.Context, _, _ string) streamorigin.Finding {
 	<-ctx.Done()
-	return "", false
+	return streamorigin.Finding{}
 }
 
 // waitTimeout is the timeout of the requests of TestEveryWaitEndsWithAnAnswer.
@@ -176,6 +176,13 @@
 		o.Relay = silentInstances{}
 	}},
 	"continuation": {path: "/stream/x", headers: generationHeaders, status: broken, prepare: crashRuns, options: withBackups},
+	"target weights": {path: "/stream/x", headers: generationHeaders, status: broken, prepare: crashRuns, options: func(o *Options) {
+		withBackups(o)
+		o.TargetWeights = func(ctx context.Context, _ string) (uint64, error) {
+			<-ctx.Done()
+			return 0, ctx.Err()
+		}
+	}},
 	"caller that does not read": {path: "/stream/x", headers: generationHeaders, status: broken, readsLate: true, endpoint: func(w http.ResponseWriter, r *http.Request) {
 		streamEvents(100_000, 100_000)(w, r)
 	}},
--- a/node/control.go
+++ b/node/control.go
@@ -87,6 +87,7 @@
 	})
 	n.deployment = deployment.NewService(deployment.Options{
 		Replica: n.replica, Fleet: n.fleet, HoldsOrderLease: n.rollout.HoldsLease, CacheOrganisations: n.cacheOrganisations, Now: boottime.Now,
+		ListAge: func() (time.Duration, bool) { return n.software.ListAge(n.now()) },
 	})
 	n.registerControlMetrics()
 	n.background.Go(func() { n.deployment.Run(n.lifetime) })
@@ -135,10 +136,12 @@
 	failing := false
 	for {
 		if n.shouldPollList() {
+			readAt := n.now()
 			endpoints, err := list.Endpoints(ctx)
 			if err == nil {
 				n.fleet.ApplyList(append(endpoints, n.kvStores.endpoints()...))
-				n.listReadAt.Store(int64(n.now()))
+				n.listReadAt.Store(int64(readAt))
+				n.observeSoftware(endpoints, readAt)
 			}
 			n.logListTransition(ctx, failing, err)
 			failing = err != nil
@@ -151,6 +154,16 @@
 	}
 }
 
+// observeSoftware records the versions of the endpoints on a list that was read at the given time.
+func (n *Node) observeSoftware(listed []fleet.Endpoint, readAt tables.Instant) {
+	endpoints := make(map[tables.EndpointID]fleet.Endpoint, len(listed))
+	for _, e := range listed {
+		endpoints[e.ID] = e
+	}
+	n.software.Observe(n.now(), endpoints)
+	n.software.RecordListRead(readAt)
+}
+
 // logListTransition logs when polling the list starts to fail and when it succeeds again.
 func (n *Node) logListTransition(ctx context.Context, failing bool, err error) {
 	switch {
@@ -174,14 +187,20 @@
 // followLeader mirrors the leader's endpoint table until the context ends.
 func (n *Node) followLeader(ctx context.Context) {
 	client := deployment.NewClient(deployment.ClientOptions{
-		Instance:    string(n.options.Settings.Instance),
-		Sources:     n.leaderSource,
-		OnDocument:  func(*rpc.Document) {}, // the replica already has the documents
-		OnEndpoints: func(r *fleet.Replica) { n.fleet.Mirror(r.Endpoints()) },
+		Instance:   string(n.options.Settings.Instance),
+		Sources:    n.leaderSource,
+		OnDocument: func(*rpc.Document) {}, // the replica already has the documents
+		OnEndpoints: func(r *fleet.Replica) {
+			n.fleet.Mirror(r.Endpoints())
+			n.software.Observe(n.now(), r.Endpoints())
+		},
 		OnAnswer: func(_ deployment.Source, answer *rpc.FollowAnswer) {
 			if !answer.GetBehind() {
 				n.leaderHeardAt.Store(int64(n.now()))
 			}
+			if answer.ListAgeNanos != nil {
+				n.software.RecordListRead(n.now() - time.Duration(answer.GetListAgeNanos()))
+			}
 		},
 		Log: n.log,
 	})
--- a/node/entry.go
+++ b/node/entry.go
@@ -84,6 +84,9 @@
 			if !answer.GetBehind() {
 				n.entry.RecordControlSync(time.Duration(answer.GetLagNanos()))
 			}
+			if answer.ListAgeNanos != nil {
+				n.entry.RecordListAge(time.Duration(answer.GetListAgeNanos()))
+			}
 		},
 		Log: n.log,
 	})
--- a/node/node.go
+++ b/node/node.go
@@ -174,6 +174,8 @@
 	kvStores    kvStoreSet
 	// streamArchive keeps the origins of the streams of all entry instances.
 	streamArchive *streamorigin.Archive
+	// software is what the control role has seen of the endpoints' software.
+	software streamorigin.Versions
 	// initializedAt is when the entry role first had a configuration and endpoints; 0 if it
 	// has not yet.
 	initializedAt atomic.Int64
--- a/node/streamorigins.go
+++ b/node/streamorigins.go
@@ -16,7 +16,7 @@
 func (n *Node) newStreamOrigins() *streamorigin.Directory {
 	n.streamOrigins = streamorigin.NewDirectory(streamorigin.Options{
 		Self: n.options.Settings.Instance, EntriesByZone: n.entriesByZone, Now: n.now,
-		Archives: n.streamArchives, Send: n.sendStreamOrigins, Ask: n.askStreamOrigin,
+		Archives: n.streamArchives, Send: n.sendStreamOrigins, Ask: n.askStreamOrigins, Seen: n.softwareSeen,
 	})
 	return n.streamOrigins
 }
@@ -63,10 +63,31 @@
 	}
 }
 
-func (n *Node) askStreamOrigin(ctx context.Context, instance membership.EntryInstance, request string) (string, bool, error) {
-	client := rpc.NewStreamsProtobufClient("http://"+instance.Control.String(), n.client)
-	answer, err := client.FindOrigin(ctx, &rpc.FindOriginRequest{Request: request})
-	return answer.GetSoftware(), answer.GetKnown(), err
+func (n *Node) askStreamOrigins(ctx context.Context, instance membership.EntryInstance, requests, services []string) (streamorigin.Answer, error) {
+	question := &rpc.FindOriginRequest{Requests: requests, Services: services}
+	if len(requests) > 0 {
+		question.Request = requests[0]
+	}
+	answer, err := rpc.NewStreamsProtobufClient("http://"+instance.Control.String(), n.client).FindOrigin(ctx, question)
+	if err != nil {
+		return streamorigin.Answer{}, err
+	}
+	found := streamorigin.Answer{Origins: answer.GetOrigins(), Services: map[string]streamorigin.Seen{}}
+	if answer.GetKnown() && found.Origins == nil {
+		found.Origins = map[string]string{question.Request: answer.GetSoftware()}
+	}
+	for _, seen := range answer.GetServices() {
+		found.Services[seen.GetService()] = streamorigin.Seen{Versions: seen.GetVersions(), Complete: seen.GetComplete()}
+	}
+	return found, nil
+}
+
+// softwareSeen returns what this instance has seen of a service's endpoints.
+func (n *Node) softwareSeen(service string) streamorigin.Seen {
+	if n.entry != nil {
+		return n.entry.Software().Seen(n.now(), service)
+	}
+	return n.software.Seen(n.now(), service)
 }
 
 // receiveStreamOrigins handles origins that another instance has sent.
@@ -95,8 +116,18 @@
 // streamsServer implements rpc.Streams.
 type streamsServer struct{ node *Node }
 
-// FindOrigin returns the origin of a stream if this instance knows it.
-func (s streamsServer) FindOrigin(_ context.Context, request *rpc.FindOriginRequest) (*rpc.FindOriginAnswer, error) {
-	software, known := s.node.findStreamOrigin(request.GetRequest())
-	return &rpc.FindOriginAnswer{Known: known, Software: software}, nil
+// FindOrigin returns what this instance knows of the origins of streams, and has seen of services.
+func (s streamsServer) FindOrigin(_ context.Context, question *rpc.FindOriginRequest) (*rpc.FindOriginAnswer, error) {
+	answer := &rpc.FindOriginAnswer{Origins: map[string]string{}}
+	answer.Software, answer.Known = s.node.findStreamOrigin(question.GetRequest())
+	for _, request := range question.GetRequests() {
+		if software, known := s.node.findStreamOrigin(request); known {
+			answer.Origins[request] = software
+		}
+	}
+	for _, service := range question.GetServices() {
+		seen := s.node.softwareSeen(service)
+		answer.Services = append(answer.Services, &rpc.ServiceSoftware{Service: service, Versions: seen.Versions, Complete: seen.Complete})
+	}
+	return answer, nil
 }
--- a/node/streamorigins_test.go
+++ b/node/streamorigins_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/carawaystile/carawaystile/rpc"
 	"github.com/carawaystile/carawaystile/streamorigin"
 )
 
@@ -17,9 +18,8 @@
 		t.Helper()
 		deadline := time.Now().Add(20 * time.Second)
 		for {
-			software, known := c.entry.streamOrigins.Find(t.Context(), request)
-			if known {
-				assert.Equal(t, software, "v1")
+			if found := c.entry.streamOrigins.Find(t.Context(), request, "models"); found.Known {
+				assert.Equal(t, found.Software, "v1")
 				return
 			}
 			assert.Assert(t, time.Now().Before(deadline), "the origin is not known")
@@ -51,3 +51,23 @@
 	c.entry = c.start(entrySettings)
 	awaitKnown("r")
 }
+
+// Guards against instances that never vouch for the versions that they have seen, because the age of the list does not
+// reach them: unknown origins would be refused for ever.
+func TestAgeOfTheListReachesAllInstances(t *testing.T) {
+	c := newCluster(t)
+	deadline := time.Now().Add(20 * time.Second)
+	for _, n := range append(c.controls, c.entry) {
+		seen := &n.software
+		if n == c.entry {
+			seen = n.entry.Software()
+		}
+		for known := false; !known; _, known = seen.ListAge(n.now()) {
+			assert.Assert(t, time.Now().Before(deadline), "%s does not know the age of the list", n.options.Settings.Instance)
+			time.Sleep(10 * time.Millisecond)
+		}
+		found, err := streamsServer{n}.FindOrigin(t.Context(), &rpc.FindOriginRequest{Services: []string{"models"}})
+		assert.NilError(t, err)
+		assert.DeepEqual(t, found.GetServices()[0].GetVersions(), []string{""})
+	}
+}
--- a/streamorigin/archive_test.go
+++ b/streamorigin/archive_test.go
@@ -66,7 +66,7 @@
 		}
 		f.directories[first].SendToArchives()
 		f.restartEntries()
-		software, known := f.directories[other].Find(t.Context(), "r99")
+		software, known := f.find(t, other, "r99")
 		assert.Assert(t, known)
 		assert.Equal(t, software, "v1")
 
@@ -77,10 +77,10 @@
 		}
 		f.restartEntries()
 		f.archives = nil
-		_, known = f.directories[other].Find(t.Context(), "r99")
+		_, known = f.find(t, other, "r99")
 		assert.Assert(t, !known)
 		f.addArchive(NewArchive(file, file.records, startOfTime, zap.NewNop()))
-		software, known = f.directories[other].Find(t.Context(), "r99")
+		software, known = f.find(t, other, "r99")
 		assert.Assert(t, known)
 		assert.Equal(t, software, "v1")
 	}
--- a/streamorigin/directory.go
+++ b/streamorigin/directory.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/carawaystile/carawaystile/internal/batch"
 	"github.com/carawaystile/carawaystile/rpc"
 	"github.com/carawaystile/carawaystile/systems/membership"
 	"github.com/carawaystile/carawaystile/systems/placement"
@@ -16,8 +17,6 @@
 )
 
 const (
-	// findTimeout bounds the lookup of an origin: the client of a resumption waits for it.
-	findTimeout = 200 * time.Millisecond
 	// maxSmall is the number of entry instances up to which a deployment is small: an origin has two
 	// owners in each zone, since half of the instances may fail at once, and a lookup asks all
 	// instances. In larger ones it has one owner in each zone, and a lookup asks the owners.
@@ -40,9 +39,11 @@
 	Archives func() []membership.EntryInstance
 	// Send sends origins to an instance. They may be lost.
 	Send func(to netip.AddrPort, message *rpc.StreamOrigins)
-	// Ask asks another instance for the origin of a request's stream.
-	Ask func(ctx context.Context, instance membership.EntryInstance, request string) (software string, known bool, err error)
-	Now func() tables.Instant
+	// Ask asks another instance for the origins of requests' streams, and what it has seen of services.
+	Ask func(ctx context.Context, instance membership.EntryInstance, requests, services []string) (Answer, error)
+	// Seen returns what this instance has seen of a service.
+	Seen func(service string) Seen
+	Now  func() tables.Instant
 }
 
 // Directory shares the origins of streams among entry instances. Each origin is held by the
@@ -55,6 +56,8 @@
 
 	mu     sync.Mutex
 	unsent []Origin
+	// lookups holds what combines questions to an instance, by its address.
+	lookups map[netip.AddrPort]*batch.Caller[question, lookupAnswer]
 	// sentTo holds the archives that were known at the last send. It is used by SendToArchives only.
 	sentTo map[tables.InstanceID]bool
 }
@@ -150,35 +153,6 @@
 	return d.table.Find(request)
 }
 
-// Find returns the version that began a request's stream, and whether any instance or archive that
-// could be asked knows it.
-func (d *Directory) Find(ctx context.Context, request string) (software string, known bool) {
-	if software, known = d.table.Find(request); known || request == "" {
-		return software, known
-	}
-	ctx, cancel := context.WithTimeout(ctx, findTimeout)
-	defer cancel()
-	asked := append(d.instancesToAsk(request), d.options.Archives()...)
-	answers := make(chan Origin, len(asked))
-	for _, instance := range asked {
-		go func() {
-			found, foundKnown, err := d.options.Ask(ctx, instance, request)
-			if err != nil || !foundKnown {
-				answers <- Origin{}
-				return
-			}
-			answers <- Origin{Request: request, Software: found}
-		}()
-	}
-	for range asked {
-		if answer := <-answers; answer.Request != "" {
-			d.table.Record(d.options.Now(), answer)
-			return answer.Software, true
-		}
-	}
-	return "", false
-}
-
 // instancesToAsk returns the other instances that may know an origin: its owners, and in a small
 // deployment all, since one of them began the stream.
 func (d *Directory) instancesToAsk(request string) []membership.EntryInstance {
--- a/streamorigin/directory_test.go
+++ b/streamorigin/directory_test.go
@@ -24,6 +24,8 @@
 	archives    []membership.EntryInstance
 	archiveAt   map[netip.AddrPort]*Archive
 	sent        int
+	// seen is what each instance has seen of all services.
+	seen map[netip.AddrPort]Seen
 	// asking guards the maps against lookups that go on after the first answer.
 	asking sync.Mutex
 }
@@ -31,7 +33,7 @@
 func newFakeInstances(zones, perZone int) *fakeInstances {
 	f := &fakeInstances{
 		zones: map[tables.Zone][]membership.EntryInstance{}, directories: map[netip.AddrPort]*Directory{}, down: map[netip.AddrPort]bool{},
-		archiveAt: map[netip.AddrPort]*Archive{},
+		archiveAt: map[netip.AddrPort]*Archive{}, seen: map[netip.AddrPort]Seen{},
 	}
 	for z := range zones {
 		for i := range perZone {
@@ -58,22 +60,39 @@
 				f.directories[to].Receive(message)
 			}
 		},
-		Ask: func(_ context.Context, instance membership.EntryInstance, request string) (string, bool, error) {
-			f.asking.Lock()
-			defer f.asking.Unlock()
-			if f.down[instance.Control] {
-				return "", false, errors.New("down")
-			}
-			if archive := f.archiveAt[instance.Control]; archive != nil {
-				software, known := archive.Find(request)
-				return software, known, nil
-			}
-			software, known := f.directories[instance.Control].FindLocally(request)
-			return software, known, nil
-		},
+		Ask:  f.ask,
+		Seen: func(string) Seen { return Seen{Versions: []string{"v1"}, Complete: true} },
 	})
 }
 
+func (f *fakeInstances) ask(_ context.Context, instance membership.EntryInstance, requests, services []string) (Answer, error) {
+	f.asking.Lock()
+	defer f.asking.Unlock()
+	if f.down[instance.Control] {
+		return Answer{}, errors.New("down")
+	}
+	answer := Answer{Origins: map[string]string{}, Services: map[string]Seen{}}
+	for _, request := range requests {
+		find := f.directories[instance.Control].FindLocally
+		if archive := f.archiveAt[instance.Control]; archive != nil {
+			find = archive.Find
+		}
+		if software, known := find(request); known {
+			answer.Origins[request] = software
+		}
+	}
+	for _, service := range services {
+		answer.Services[service] = f.seen[instance.Control]
+	}
+	return answer, nil
+}
+
+// find returns the origin of a request's stream by the directory at an address.
+func (f *fakeInstances) find(t *testing.T, at netip.AddrPort, request string) (software string, known bool) {
+	found := f.directories[at].Find(t.Context(), request, "s")
+	return found.Software, found.Known
+}
+
 // Guards against a resumption whose origin is lost with the instance and the zone that began it.
 func TestOriginIsKnownInEachZoneAfterItsInstanceIsLost(t *testing.T) {
 	for perZone, messages := range map[int]int{3: 8, 85: 4} {
@@ -88,11 +107,11 @@
 			if zone == "z0" {
 				continue
 			}
-			software, known := f.directories[entries[perZone-1].Control].Find(t.Context(), "r")
+			software, known := f.find(t, entries[perZone-1].Control, "r")
 			assert.Assert(t, known)
 			assert.Equal(t, software, "v2")
 		}
-		_, known := f.directories[f.zones["z1"][0].Control].Find(t.Context(), "other")
+		_, known := f.find(t, f.zones["z1"][0].Control, "other")
 		assert.Assert(t, !known)
 	}
 }
@@ -109,7 +128,7 @@
 	first.PublishAll()
 	f.down[f.zones["z0"][0].Control] = true
 	for n := range 100 {
-		_, known := f.directories[f.zones["z1"][0].Control].Find(t.Context(), fmt.Sprint("r", n))
+		_, known := f.find(t, f.zones["z1"][0].Control, fmt.Sprint("r", n))
 		assert.Assert(t, known)
 	}
 }
