One odd entry does not make the list of endpoints unreadable

Entries that nobody can use were kept as endpoints.

Cause: a page was decoded as one document, so that one entry could fail all of it, and the values of an entry were taken as they were.

Ruled out: an entry that ends the process (none of 28 forms did).

An entry with the identity of an endpoint in use does not take its place, and one at an address of an instance is not used. The first odd entry is logged, not each (event 3043).

--- a/cmd/carawaystiled/forward.go
+++ b/cmd/carawaystiled/forward.go
@@ -62,7 +62,7 @@
 	defer writer.Close()
 	log := logs.New(writer, current.LogLevel, zap.String("instance", string(current.Instance)))
 	logReplacedSettings(log, replaced)
-	n, err := node.Start(node.Options{Settings: current, Platform: newPlatform(current), Log: log})
+	n, err := node.Start(node.Options{Settings: current, Platform: newPlatform(current, log), Log: log})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitFailure
@@ -109,12 +109,12 @@
 }
 
 // newPlatform returns the implementation of the users' platform.
-func newPlatform(forwarding *settings.Forwarding) node.Platform {
+func newPlatform(forwarding *settings.Forwarding, log *zap.Logger) node.Platform {
 	dial := engine.DialFrom(forwarding.Source)
 	return node.Platform{
 		Headers:            platform.Headers(),
 		ParseConfiguration: platform.ParseConfiguration,
-		NewLister:          func(at netip.AddrPort) node.EndpointLister { return platform.NewEndpointListClient(at, dial) },
+		NewLister:          func(at netip.AddrPort) node.EndpointLister { return platform.NewEndpointListClient(at, dial, log) },
 		EngineClient:       platform.NewEngineClient(dial),
 		CacheReporter:      platform.NewCacheEventClient(dial),
 		Contended:          platform.Contended(forwarding.PlatformTerms),
--- a/events/control.go
+++ b/events/control.go
@@ -46,5 +46,6 @@
 	StreamOriginsUnreadable        = define(3039, zapcore.WarnLevel, "A saved record of the origins of streams cannot be read.")
 	StreamOriginsNotWritten        = define(3040, zapcore.WarnLevel, "The origins of streams cannot be saved; this instance keeps them in memory.")
 	StreamOriginsWritten           = define(3041, zapcore.InfoLevel, "The origins of streams can be saved again.")
+	ListEntrySkipped               = define(3043, zapcore.WarnLevel, "The platform's list has entries that name no endpoint to use; they are skipped.")
 	PlatformListReadable           = define(3029, zapcore.InfoLevel, "The platform's list can be read again.")
 )
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -73,13 +73,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	changed := t.markSynced()
-	seen := make(map[tables.EndpointID]bool, len(listed))
-	for _, e := range listed {
-		seen[e.ID] = true
-		changed = t.upsert(t.merge(e)) || changed
+	chosen := t.uniqueByID(listed)
+	for i, e := range listed {
+		if chosen[e.ID] == i {
+			changed = t.upsert(t.merge(e)) || changed
+		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(t.rows)) {
-		if !seen[id] {
+		if _, present := chosen[id]; !present {
 			t.remove(id)
 			changed = true
 		}
@@ -87,6 +88,25 @@
 	t.commit(changed)
 }
 
+// uniqueByID returns the index of the entry for each identity. Of several, the one that continues the known
+// row is chosen, or else the first: another must not take the place of an endpoint that is in use.
+func (t *Table) uniqueByID(listed []Endpoint) map[tables.EndpointID]int {
+	chosen := make(map[tables.EndpointID]int, len(listed))
+	for i, e := range listed {
+		before, present := chosen[e.ID]
+		if !present || t.continues(e) && !t.continues(listed[before]) {
+			chosen[e.ID] = i
+		}
+	}
+	return chosen
+}
+
+// continues reports whether a listed endpoint is the process of the known row.
+func (t *Table) continues(e Endpoint) bool {
+	known := t.rows[e.ID]
+	return known != nil && known.Address == e.Address && known.Service == e.Service && known.StartUnixMilli == e.StartUnixMilli
+}
+
 // markSynced sets synced and reports whether it was unset before.
 func (t *Table) markSynced() (first bool) {
 	first = !t.synced
--- a/node/control.go
+++ b/node/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -139,6 +140,7 @@
 			readAt := n.now()
 			endpoints, err := list.Endpoints(ctx)
 			if err == nil {
+				endpoints = slices.DeleteFunc(endpoints, func(e fleet.Endpoint) bool { return n.isOwnAddress(e.Address) })
 				n.fleet.ApplyList(append(endpoints, n.kvStores.endpoints()...))
 				n.listReadAt.Store(int64(readAt))
 				n.observeSoftware(endpoints, readAt)
--- a/node/entry.go
+++ b/node/entry.go
@@ -79,7 +79,7 @@
 		OnWeightVersion: func(named *rpc.WeightsNamed) {
 			n.entry.RecordWeightsVersion(named.GetModel(), named.GetVersion(), time.Duration(named.GetAgeNanos()))
 		},
-		OnEndpoints: func(r *fleet.Replica) { n.entry.SetEndpoints(r.Endpoints()) },
+		OnEndpoints: func(r *fleet.Replica) { n.entry.SetEndpoints(n.usableEndpoints(r)) },
 		OnAnswer: func(_ deployment.Source, answer *rpc.FollowAnswer) {
 			if !answer.GetBehind() {
 				n.entry.RecordControlSync(time.Duration(answer.GetLagNanos()))
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -36,6 +36,8 @@
 	sequence uint64
 	fences   []tables.FencingToken
 	draining bool
+	// odd is on the list beside the endpoint.
+	odd []fleet.Endpoint
 	// organisations returns those of a configuration; nil for none.
 	organisations func(revision uint64) []routes.Organisation
 }
@@ -65,10 +67,10 @@
 func (p *fakePlatform) Endpoints(context.Context) ([]fleet.Endpoint, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return []fleet.Endpoint{{
+	return append([]fleet.Endpoint{{
 		ID: "e", Service: "models", Address: p.address, Zone: "z", Slots: 4, StartUnixMilli: 1, Draining: p.draining,
 		Weights: map[string]uint64{"m": p.version},
-	}}, nil
+	}}, p.odd...), nil
 }
 
 // Report returns the weights that the endpoint serves and the sequence number of its next order.
