A second send of work that may run once is logged before it; warnings outlive a kill

Event 1027 comes before each second send, also that within Send: the proof and the attempt that it is about, status, echoed ID, connection new or reused and for how long idle, bytes of other responses before it. The line is in the output before the request is sent. Event 1028 says that the ID of a request that may run once has arrived at this instance before (the newest 4,096 are remembered). Writer.Sync waits for the output, 10 ms at most and once for each stall of it; lines at warning or above wait for it too. First attempts cost nothing but the entry in the set of IDs.

--- a/engine/exchange/client.go
+++ b/engine/exchange/client.go
@@ -105,6 +105,9 @@
 	Dial engine.DialFunc
 	// OnSend is called before the first byte is sent on a connection; nil for nothing.
 	OnSend func()
+	// OnResend is called before the request is sent on another connection because nothing was written
+	// on the first one; nil for nothing.
+	OnResend func(cause error)
 }
 
 // connect returns a pooled connection for a request, or else a new one.
--- a/engine/exchange/connection.go
+++ b/engine/exchange/connection.go
@@ -141,6 +141,9 @@
 	return &connection{Conn: conn, to: to, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}
 }
 
+// consumed returns how many of the bytes received on the connection were used for responses.
+func (c *connection) consumed() int64 { return c.source.received - int64(c.reader.Buffered()) }
+
 // isReusable reports whether the connection is open and nothing has arrived on it since
 // the last response. It peeks into the receive buffer of the socket without blocking.
 func (c *connection) isReusable() bool {
--- a/engine/exchange/headersource.go
+++ b/engine/exchange/headersource.go
@@ -15,12 +15,16 @@
 	// limited is set while a header is read, and exceeded once it needed more than remaining bytes.
 	limited, exceeded bool
 	remaining         int
+	// received counts the bytes that were read from the connection.
+	received int64
 }
 
 // Read reads from the connection, and fails once a header exceeds its limit.
 func (s *headerSource) Read(p []byte) (int, error) {
 	if !s.limited {
-		return s.Conn.Read(p)
+		n, err := s.Conn.Read(p)
+		s.received += int64(n)
+		return n, err
 	}
 	if s.remaining <= 0 {
 		s.exceeded = true
@@ -28,6 +32,7 @@
 	}
 	n, err := s.Conn.Read(p[:min(len(p), s.remaining)])
 	s.remaining -= n
+	s.received += int64(n)
 	return n, err
 }
 
--- a/engine/exchange/send.go
+++ b/engine/exchange/send.go
@@ -39,6 +39,9 @@
 		return response, err
 	}
 	// The pooled connection was closed before a byte of the request was written.
+	if r.OnResend != nil {
+		r.OnResend(err)
+	}
 	if conn, err = c.openConnection(ctx, to, r); err != nil {
 		return nil, err
 	}
@@ -56,7 +59,8 @@
 	if r.OnSend != nil {
 		r.OnSend()
 	}
-	res := &Response{client: c, conn: conn, attempt: r.Attempt}
+	res := &Response{client: c, conn: conn, attempt: r.Attempt, evidence: newEvidence(conn)}
+	consumed := conn.consumed()
 	res.stopCancellation = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	if err := res.write(r); err != nil {
 		res.closeConnection()
@@ -66,6 +70,7 @@
 		res.closeConnection()
 		return nil, &engine.InterruptedError{Attempt: r.Attempt, Cause: err}
 	}
+	res.evidence.BytesBefore -= consumed
 	if rejected := c.rejection(res, r); rejected != nil {
 		return nil, rejected
 	}
@@ -128,6 +133,7 @@
 func (res *Response) readHeader(r *Request) error {
 	request := &http.Request{Method: r.Method, URL: &url.URL{}}
 	for stale := 0; ; {
+		res.evidence.BytesBefore = res.conn.consumed()
 		resp, err := res.conn.readHeader(request)
 		if err != nil {
 			return err
@@ -135,6 +141,7 @@
 		echoed := resp.Header.Get(res.client.headers.RequestID)
 		if echoed == r.ID || echoed == "" && (!res.conn.reused || res.saysNotExecuted(resp)) {
 			res.resp = resp
+			res.evidence.EchoedID = echoed
 			res.Status, res.Header = resp.StatusCode, resp.Header
 			return nil
 		}
@@ -164,6 +171,7 @@
 		NotStartedError: engine.NotStartedError{Attempt: r.Attempt, Rejected: true, Reason: http.StatusText(res.Status)},
 		Status:          res.Status,
 		Header:          res.Header,
+		Evidence:        res.evidence,
 	}
 	res.Discard()
 	return failure
@@ -175,6 +183,28 @@
 	engine.NotStartedError
 	Status int
 	Header http.Header
+	// Evidence tells how the rejection was attributed to the request.
+	Evidence Evidence
+}
+
+// Evidence is what is known of a response and its connection.
+type Evidence struct {
+	// EchoedID is the request ID in the response.
+	EchoedID string
+	// Reused is set if the connection has carried a request before, and Idle is how long it was idle
+	// since.
+	Reused bool
+	Idle   time.Duration
+	// BytesBefore is how many bytes arrived between the sending of the request and the response: those
+	// of other responses.
+	BytesBefore int64
+}
+
+func newEvidence(conn *connection) Evidence {
+	if !conn.reused {
+		return Evidence{}
+	}
+	return Evidence{Reused: true, Idle: time.Since(conn.idleSince)}
 }
 
 // Unwrap returns the *engine.NotStartedError.
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -144,6 +144,9 @@
 	defer a.endWait()
 	a.endUnanswered = c.server.unanswered.add(a.placement.Endpoint.ID, len(c.body))
 	defer a.endUnanswered()
+	if c.lastErr != nil && !a.isContinuation {
+		a.logResend(c.lastErr)
+	}
 	response, err := c.server.options.Client.Send(a.ctx, a.placement.Endpoint.Address, a.endpointRequest())
 	if err != nil {
 		a.handleFailure(err)
@@ -190,6 +193,7 @@
 	return &exchange.Request{
 		Dial:       a.relayDial(),
 		OnSend:     func() { a.sent.Store(true) },
+		OnResend:   a.logResend,
 		Attempt:    a.id,
 		ID:         c.id,
 		Method:     c.r.Method,
--- a/forward/request.go
+++ b/forward/request.go
@@ -151,6 +151,7 @@
 		c.rejectPermanently(http.StatusUnauthorized, tables.CodeUnauthorised)
 		return false
 	}
+	c.noteID()
 	c.setDeadline()
 	if !c.readBody() {
 		return false
--- a/forward/server.go
+++ b/forward/server.go
@@ -105,6 +105,8 @@
 	// request bodies by endpoint.
 	buffers    buffers
 	unanswered unansweredBodies
+	// recentIDs are the IDs of the newest requests that may run once.
+	recentIDs recentIDs
 	// blockedWrites finds the streams whose clients read slowly.
 	blockedWrites blockedWrites
 	// controlSyncedAt is the latest time at which the configuration in force is known to have
--- a/logs/sampling.go
+++ b/logs/sampling.go
@@ -82,7 +82,30 @@
 	return s.coreFor(entry).Write(entry, fields)
 }
 
-func (s splitCore) Sync() error { return nil }
+// Sync waits until the lines of both cores, which share a writer, are written.
+func (s splitCore) Sync() error { return s.important.Sync() }
+
+// syncedCore is a zapcore.Core that returns from a line at warning level or above once that is written,
+// so that the line outlives a kill of the process.
+type syncedCore struct{ zapcore.Core }
+
+func (s syncedCore) With(fields []zapcore.Field) zapcore.Core { return syncedCore{s.Core.With(fields)} }
+
+func (s syncedCore) Check(entry zapcore.Entry, checked *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+	if s.Enabled(entry.Level) {
+		return checked.AddCore(entry, s)
+	}
+	return checked
+}
+
+func (s syncedCore) Write(entry zapcore.Entry, fields []zapcore.Field) error {
+	err := s.Core.Write(entry, fields)
+	if err == nil && entry.Level >= zapcore.WarnLevel {
+		// A stalled output is reported in the log once it accepts data again, if lines were lost.
+		_ = s.Sync()
+	}
+	return err
+}
 
 // New returns a logger that writes one JSON object per line. The fields are added to every
 // line.
@@ -90,7 +113,7 @@
 	config := zap.NewProductionEncoderConfig()
 	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	config.EncodeDuration = zapcore.StringDurationEncoder
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), w, level)
+	core := syncedCore{zapcore.NewCore(zapcore.NewJSONEncoder(config), w, level)}
 	sampled := func(first int) zapcore.Core {
 		return zapcore.NewSamplerWithOptions(core, samplePeriod, first, sampleThereafter, zapcore.SamplerHook(w.sampledOut.countDropped))
 	}
--- a/logs/writer.go
+++ b/logs/writer.go
@@ -16,6 +16,8 @@
 	// maxPending bounds the bytes buffered while the output is stalled; further lines
 	// are dropped and counted.
 	maxPending = 1 << 20
+	// syncTimeout bounds how long Sync waits for the output.
+	syncTimeout = 10 * time.Millisecond
 )
 
 // Writer is an asynchronous, buffered io.Writer: a background goroutine flushes the buffer
@@ -26,17 +28,25 @@
 	// sampledOut counts the lines that sampling dropped.
 	sampledOut sampledOutCounter
 
-	mu       sync.Mutex
-	pending  []byte
-	dropped  int
-	closed   bool
-	flushNow chan struct{}
-	done     chan struct{}
+	mu      sync.Mutex
+	pending []byte
+	dropped int
+	closed  bool
+	// buffered and written count the bytes of lines since the start. flushed is closed, and replaced,
+	// after each write to the output. stalled is set if one did not end in time.
+	buffered, written uint64
+	flushed           chan struct{}
+	stalled           bool
+	flushNow          chan struct{}
+	done              chan struct{}
 }
 
 // NewWriter returns a writer to out and starts its goroutine, which runs until Close.
 func NewWriter(out io.Writer) *Writer {
-	w := &Writer{out: out, sampledOut: sampledOutCounter{counts: map[string]int{}}, flushNow: make(chan struct{}, 1), done: make(chan struct{})}
+	w := &Writer{
+		out: out, sampledOut: sampledOutCounter{counts: map[string]int{}},
+		flushed: make(chan struct{}), flushNow: make(chan struct{}, 1), done: make(chan struct{}),
+	}
 	go w.run()
 	return w
 }
@@ -51,17 +61,52 @@
 		return len(line), nil
 	}
 	w.pending = append(w.pending, line...)
+	w.buffered += uint64(len(line))
 	if len(w.pending) >= flushBytes {
+		w.requestFlush()
+	}
+	return len(line), nil
+}
+
+// requestFlush has the goroutine write the buffer now. The caller holds mu; the writer is not closed.
+func (w *Writer) requestFlush() {
+	select {
+	case w.flushNow <- struct{}{}:
+	default:
+	}
+}
+
+// Sync waits until the lines buffered before are written to the output, so that they outlive a kill of
+// the process. It fails with *StalledError if the output takes longer than syncTimeout, and at once
+// until the output accepts data again.
+func (w *Writer) Sync() error {
+	timeout := time.NewTimer(syncTimeout)
+	defer timeout.Stop()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for wanted := w.buffered; w.written < wanted && !w.closed; {
+		if w.stalled {
+			return &StalledError{}
+		}
+		w.requestFlush()
+		flushed := w.flushed
+		w.mu.Unlock()
 		select {
-		case w.flushNow <- struct{}{}:
-		default:
+		case <-flushed:
+			w.mu.Lock()
+		case <-timeout.C:
+			w.mu.Lock()
+			w.stalled = w.written < wanted
 		}
 	}
-	return len(line), nil
+	return nil
 }
 
-// Sync does nothing: lines are flushed within flushPeriod.
-func (w *Writer) Sync() error { return nil }
+// StalledError means that the output of a log accepts no data.
+type StalledError struct{}
+
+// Error returns a fixed text.
+func (e *StalledError) Error() string { return "the log output accepts no data" }
 
 // Close flushes the buffer and stops the goroutine. Later writes are dropped.
 func (w *Writer) Close() {
@@ -87,7 +132,7 @@
 		case _, open = <-w.flushNow:
 		}
 		w.mu.Lock()
-		lines := w.pending
+		lines, taken := w.pending, w.buffered
 		w.pending = spare[:0]
 		dropped := w.dropped
 		w.dropped = 0
@@ -102,6 +147,16 @@
 			// A write error is ignored: there is no other place to report it.
 			_, _ = w.out.Write(lines)
 		}
+		w.recordWritten(taken)
 		spare = lines
 	}
 }
+
+// recordWritten records that the first bytes of all lines are written.
+func (w *Writer) recordWritten(bytes uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.written, w.stalled = bytes, false
+	close(w.flushed)
+	w.flushed = make(chan struct{})
+}
--- a/logs/writer_test.go
+++ b/logs/writer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"strings"
 	"sync"
 	"testing"
@@ -117,3 +118,36 @@
 		})
 	}
 }
+
+// Guards against a kill of the process that takes the lines that explain it with it.
+func TestLinesOutliveAKill(t *testing.T) {
+	o := &blockableOutput{hold: make(chan struct{})}
+	close(o.hold)
+	w := NewWriter(o)
+	defer w.Close()
+	log := New(w, zapcore.InfoLevel)
+	for range 100 {
+		log.Info("one")
+		log.Warn("two")
+		assert.Assert(t, strings.Count(o.String(), "one") == strings.Count(o.String(), "two"), o.String())
+		log.Info("three")
+		assert.NilError(t, log.Sync())
+		assert.Assert(t, strings.HasSuffix(o.String(), "\"msg\":\"three\"}\n"), o.String())
+	}
+}
+
+// Guards against requests that wait for a log whose output has stalled.
+func TestStalledOutputHoldsUpOneLine(t *testing.T) {
+	o := &blockableOutput{hold: make(chan struct{})}
+	w := NewWriter(o)
+	log := New(w, zapcore.InfoLevel)
+	var stalled *StalledError
+	log.Warn("first")
+	for range 1000 {
+		assert.Assert(t, errors.As(log.Sync(), &stalled))
+	}
+	close(o.hold)
+	w.Close()
+	assert.Assert(t, strings.Contains(o.String(), "first"))
+	assert.NilError(t, log.Sync())
+}
