A response without the request's ID proves nothing about the request

Callers saw work that may run once run at two endpoints, or got a 503 for work that ran. Cause: a response without an ID that says "not run" (or 421 without the mark, on a new connection) counted as the rejection of the request that waited, although bytes that an endpoint sends late or early belong to no request. Class: a response that was not attributed to its request is taken as proof.

Now only the echoed ID makes a response that denies execution the request's own, by mark or by a status that promises it (408, 421, 429, 503), on kept and new connections, for all kinds of requests: those that may be repeated ran more often than their route permits, and a 503 is a promise for them too. Such a response is skipped like one that names another request. Two more ways of the same cause: a copy of an earlier attempt's rejection names the next attempt too, so an attempt at an address that had the request before gets a connection of its own; and a request without an ID gets a new connection.

Two tests changed: TestRejectionIsNotStarted and TestRejectionWhoseBodyNeverArrivesIsReturned had rejections without an ID, which PROTOCOL does not know ("servers echo the ID"); theirs carry it now, and the forms without one are asserted to be no proof, in more forms than before.

--- a/engine/exchange/client.go
+++ b/engine/exchange/client.go
@@ -100,6 +100,9 @@
 	Body   []byte
 	// AtMostOnce is set for work that must not run twice.
 	AtMostOnce bool
+	// Repeated is set if the request was sent to the same address before. It then gets a connection of
+	// its own, as a copy of the response to the earlier attempt names this one too.
+	Repeated bool
 	// Dial opens the connection for this request alone, and bounds the time itself; nil means
 	// that of the client, which pools connections.
 	Dial engine.DialFunc
@@ -110,9 +113,10 @@
 	OnResend func(cause error)
 }
 
-// connect returns a pooled connection for a request, or else a new one.
+// connect returns a pooled connection for a request, or else a new one. A request without an ID gets a
+// new one, as nothing else tells its response from that to an earlier request.
 func (c *Client) connect(ctx context.Context, to netip.AddrPort, r *Request) (*connection, error) {
-	if r.Dial != nil {
+	if r.Dial != nil || r.Repeated || r.ID == "" {
 		return c.openConnection(ctx, to, r)
 	}
 	maxIdle := time.Duration(0)
--- a/engine/exchange/ended_test.go
+++ b/engine/exchange/ended_test.go
@@ -52,7 +52,7 @@
 	to := startEndpoint(t, func(_ int, conn net.Conn) {
 		r := bufio.NewReader(conn)
 		readRequestID(r)
-		_, _ = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: full\r\nContent-Length: 100\r\n\r\npart")
+		_, _ = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nX-Request: r\r\nX-Not-Run: full\r\nContent-Length: 100\r\n\r\npart")
 		readRequestID(r)
 	})
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
--- a/engine/exchange/exchange_test.go
+++ b/engine/exchange/exchange_test.go
@@ -190,7 +190,7 @@
 
 func TestRejectionIsNotStarted(t *testing.T) {
 	answers := []string{
-		"HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 503 Full\r\nX-Request: r-1\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 421 Misdirected\r\nX-Request: r-1\r\nContent-Length: 0\r\n\r\n",
 	}
 	to := startEndpoint(t, func(n int, conn net.Conn) {
--- a/engine/exchange/foreign_test.go
+++ b/engine/exchange/foreign_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/netip"
@@ -23,41 +24,53 @@
 	"timed out unread": "HTTP/1.1 408 Request Timeout\r\nX-Not-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
 }
 
-// Guards against work that runs twice because the rejection of nobody knows which request is taken
-// as proof that it did not run.
+// Guards against work that runs twice because a rejection of nobody knows which request is taken as
+// proof that it did not run.
 func TestRejectionWithoutIDIsNoProof(t *testing.T) {
 	for name, rejection := range foreignRejections {
-		t.Run(name+" on a kept connection", func(t *testing.T) {
-			to := startEndpoint(t, func(_ int, conn net.Conn) {
-				r := bufio.NewReader(conn)
-				_, _ = io.WriteString(conn, okResponse(readRequestID(r), "own"))
-				second := readRequestID(r)
-				_, _ = io.WriteString(conn, rejection+okResponse(second, "own"))
-				_ = readRequestID(r)
+		for _, atMostOnce := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, at most once %t", name, atMostOnce), func(t *testing.T) {
+				testRejectionWithoutID(t, rejection, func(id string) *Request {
+					r := request(id)
+					r.AtMostOnce = atMostOnce
+					return r
+				})
 			})
-			c := NewClient(Options{Headers: headers()})
-			assertAnswered(t, c, request("r-1"), to)
-			assertAnswered(t, c, request("r-2"), to)
+		}
+	}
+}
+
+func testRejectionWithoutID(t *testing.T, rejection string, request func(id string) *Request) {
+	t.Run("kept connection", func(t *testing.T) {
+		to := startEndpoint(t, func(_ int, conn net.Conn) {
+			r := bufio.NewReader(conn)
+			_, _ = io.WriteString(conn, okResponse(readRequestID(r), "own"))
+			second := readRequestID(r)
+			_, _ = io.WriteString(conn, rejection+okResponse(second, "own"))
+			_ = readRequestID(r)
 		})
-		t.Run(name+" on a new connection", func(t *testing.T) {
-			to := startEndpoint(t, func(_ int, conn net.Conn) {
-				_, _ = io.WriteString(conn, rejection)
-				r := bufio.NewReader(conn)
-				_, _ = io.WriteString(conn, okResponse(readRequestID(r), "own"))
-				_ = readRequestID(r)
-			})
-			assertAnswered(t, NewClient(Options{Headers: headers()}), request("r-1"), to)
+		c := NewClient(Options{Headers: headers()})
+		assertAnswered(t, c, request("r-1"), to)
+		assertAnswered(t, c, request("r-2"), to)
+	})
+	t.Run("new connection", func(t *testing.T) {
+		to := startEndpoint(t, func(_ int, conn net.Conn) {
+			_, _ = io.WriteString(conn, rejection)
+			r := bufio.NewReader(conn)
+			_, _ = io.WriteString(conn, okResponse(readRequestID(r), "own"))
+			_ = readRequestID(r)
 		})
-		t.Run(name+" and nothing else", func(t *testing.T) {
-			to := startEndpoint(t, func(_ int, conn net.Conn) {
-				_ = readRequestID(bufio.NewReader(conn))
-				_, _ = io.WriteString(conn, rejection)
-			})
-			_, err := send(t, NewClient(Options{Headers: headers()}), to, request("r-1"))
-			var notStarted *engine.NotStartedError
-			assert.Assert(t, err != nil && !errors.As(err, &notStarted), "%v", err)
+		assertAnswered(t, NewClient(Options{Headers: headers()}), request("r-1"), to)
+	})
+	t.Run("no other response", func(t *testing.T) {
+		to := startEndpoint(t, func(_ int, conn net.Conn) {
+			_ = readRequestID(bufio.NewReader(conn))
+			_, _ = io.WriteString(conn, rejection)
 		})
-	}
+		_, err := send(t, NewClient(Options{Headers: headers()}), to, request("r-1"))
+		var notStarted *engine.NotStartedError
+		assert.Assert(t, err != nil && !errors.As(err, &notStarted), "%v", err)
+	})
 }
 
 func assertAnswered(t *testing.T, c *Client, r *Request, to netip.AddrPort) {
@@ -90,6 +103,6 @@
 	var rejected *RejectedError
 	assert.Assert(t, errors.As(err, &rejected), "%v", err)
 	again := request("r-1")
-	again.Attempt = "a-2"
+	again.Attempt, again.Repeated = "a-2", true
 	assertAnswered(t, c, again, to)
 }
--- a/engine/exchange/send.go
+++ b/engine/exchange/send.go
@@ -127,8 +127,8 @@
 	return b.Bytes()
 }
 
-// readHeader reads the header of the response to this request. It skips responses that
-// name another request: an endpoint may respond twice to an earlier request of the
+// readHeader reads the header of the response to this request. It skips responses that are
+// not the request's own: an endpoint may respond twice to an earlier request of the
 // connection, and the second copy must not be taken for the response to this one.
 func (res *Response) readHeader(r *Request) error {
 	request := &http.Request{Method: r.Method, URL: &url.URL{}}
@@ -139,7 +139,7 @@
 			return err
 		}
 		echoed := resp.Header.Get(res.client.headers.RequestID)
-		if echoed == r.ID || echoed == "" && (!res.conn.reused || res.saysNotExecuted(resp)) {
+		if res.isOwn(resp, r) {
 			res.resp = resp
 			res.evidence.EchoedID = echoed
 			res.Status, res.Header = resp.StatusCode, resp.Header
@@ -155,8 +155,23 @@
 	}
 }
 
-// saysNotExecuted reports whether a response states that the request did not run.
-func (res *Response) saysNotExecuted(resp *http.Response) bool {
+// isOwn reports whether a response is that to the request. Only the request ID in it proves that. A
+// response without one is taken for the request's own if it can belong to no other of this connection
+// and does not say that the request did not run, which must hold for this very request.
+func (res *Response) isOwn(resp *http.Response, r *Request) bool {
+	if echoed := resp.Header.Get(res.client.headers.RequestID); echoed != "" || r.ID == "" {
+		return echoed == r.ID
+	}
+	return !res.conn.reused && !res.deniesExecution(resp)
+}
+
+// deniesExecution reports whether a response states, or promises to the client by its status, that the
+// request did not run.
+func (res *Response) deniesExecution(resp *http.Response) bool {
+	switch resp.StatusCode {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
 	return resp.Header.Get(res.client.headers.NotExecuted) != ""
 }
 
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 
@@ -148,6 +149,7 @@
 		a.logResend(c.lastErr)
 	}
 	response, err := c.server.options.Client.Send(a.ctx, a.placement.Endpoint.Address, a.endpointRequest())
+	c.sentTo = append(c.sentTo, a.placement.Endpoint.Address)
 	if err != nil {
 		a.handleFailure(err)
 		return
@@ -202,6 +204,7 @@
 		Header:     header,
 		Body:       c.body,
 		AtMostOnce: !c.route.SafeToRetry(),
+		Repeated:   slices.Contains(c.sentTo, a.placement.Endpoint.Address),
 	}
 }
 
--- a/forward/request.go
+++ b/forward/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 	"sync"
@@ -69,6 +70,8 @@
 	// attemptsUsed counts the attempts that count towards the route's MaxAttempts. Attempts
 	// that certainly did not run are not included.
 	attemptsUsed int
+	// sentTo holds the addresses of the attempts.
+	sentTo []netip.AddrPort
 	// relayFailures counts the attempts that no other instance could relay.
 	relayFailures int
 	// admissionAsked is set once an attempt was to be placed while admission was enabled.
--- a/forward/resend_test.go
+++ b/forward/resend_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -12,6 +13,7 @@
 	"go.uber.org/zap/zapcore"
 	"gotest.tools/v3/assert"
 
+	"github.com/carawaystile/carawaystile/fleet"
 	"github.com/carawaystile/carawaystile/logs"
 	"github.com/carawaystile/carawaystile/tables"
 )
@@ -71,3 +73,34 @@
 	assert.Equal(t, h.send(t, http.MethodPost, "/once/x", "").StatusCode, http.StatusOK)
 	assert.Equal(t, strings.Count(output.String(), `"event":1028`), 1)
 }
+
+// Guards against a copy of the first rejection that is taken for that of the retry, at an endpoint
+// that is listed again at the same address.
+func TestRetryAtTheSameAddressIsNotRejectedByACopy(t *testing.T) {
+	var runs atomic.Int32
+	first := make(chan string, 1)
+	h := newHarness(t, func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case first <- r.RemoteAddr:
+			decline(w, r)
+			return
+		default:
+		}
+		runs.Add(1)
+		if r.RemoteAddr == <-first {
+			decline(w, r)
+			return
+		}
+		respond(http.StatusOK, "own")(w, r)
+	})
+	address := netip.MustParseAddrPort(strings.TrimPrefix(h.endpointServers[0].URL, "http://"))
+	listed := map[tables.EndpointID]fleet.Endpoint{}
+	for _, id := range []tables.EndpointID{"old", "new"} {
+		listed[id] = fleet.Endpoint{ID: id, Service: "desk", Address: address, Zone: "a", Slots: 8}
+	}
+	h.server.SetEndpoints(listed)
+	resp := h.send(t, http.MethodPost, "/once/x", "")
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	assert.Equal(t, readBody(t, resp), "own")
+	assert.Equal(t, runs.Load(), int32(1))
+}
