--- a/soak/faults.go
+++ b/soak/faults.go
@@ -85,7 +85,7 @@
 	{name: shedFault, outside: true, named: true, do: shedService},
 	{name: silenceFault, outside: true, planned: true, named: true, do: fallSilent},
 	{name: endlessFault, outside: true, named: true, do: sendWithoutEnd},
-	{name: "rejections name no request", outside: true, named: true, do: func(s *strike) { s.trouble(0.5, platformtest.StrayRejection) }},
+	{name: strayFault, outside: true, named: true, do: func(s *strike) { s.trouble(0.5, platformtest.StrayRejection) }},
 	{name: "an endpoint pushes back", outside: true, named: true, do: pushBack},
 	{name: "endpoints are slowed down", outside: true, named: true, do: slowDownEndpoints},
 	{name: "connections are reset at one end", named: true, do: func(s *strike) { s.breakLinks(s.d.network.ResetCallers) }},
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -139,6 +139,14 @@
 	assert.Assert(t, outcome.Endless > 0)
 }
 
+// Guards against requests that run twice, or are refused while they run, because a rejection that names no request is taken for theirs.
+func TestStrayRejectionsBreakNoPromise(t *testing.T) {
+	outcome := play(t, Options{
+		Daemon: build(t), Seed: 7752, For: 8 * time.Second, Controls: 3, Entries: 3, Faults: []string{strayFault, "kill an entry"},
+	})
+	assert.Assert(t, outcome.Served > 0)
+}
+
 // Seeds that once broke a promise stay here, each with its cause.
 func TestSeedsThatOnceFailed(t *testing.T) {
 	text, err := os.ReadFile("testdata/seeds.txt")
--- a/soak/trouble.go
+++ b/soak/trouble.go
@@ -2,7 +2,10 @@
 
 import "github.com/carawaystile/carawaystile/platform/platformtest"
 
-const shedFault = "a service rejects everything"
+const (
+	shedFault  = "a service rejects everything"
+	strayFault = "rejections name no request"
+)
 
 // trouble has a part of the requests at one endpoint go wrong for a while.
 func (s *strike) trouble(share float64, kinds ...platformtest.Fault) {
