Responses that belong to no waiting request are counted and logged

They are skipped since, so nothing showed an endpoint, or a proxy before it, that sends them: event 1029, at most one line a second, with the status, the ID that the response echoed and its connection, and the counter carawaystile_foreign_responses_total. TestRejectionWithoutIDIsNoProof checks that each skipped response is reported. No decision changes.

--- a/engine/exchange/client.go
+++ b/engine/exchange/client.go
@@ -111,6 +111,9 @@
 	// OnResend is called before the request is sent on another connection because nothing was written
 	// on the first one; nil for nothing.
 	OnResend func(cause error)
+	// OnForeign is called for each response that is skipped since it is not the request's own; nil for
+	// nothing.
+	OnForeign func(status int, evidence Evidence)
 }
 
 // connect returns a pooled connection for a request, or else a new one. A request without an ID gets a
--- a/engine/exchange/foreign_test.go
+++ b/engine/exchange/foreign_test.go
@@ -51,7 +51,10 @@
 		})
 		c := NewClient(Options{Headers: headers()})
 		assertAnswered(t, c, request("r-1"), to)
-		assertAnswered(t, c, request("r-2"), to)
+		second, skipped := request("r-2"), 0
+		second.OnForeign = func(int, Evidence) { skipped++ }
+		assertAnswered(t, c, second, to)
+		assert.Equal(t, skipped, 1)
 	})
 	t.Run("new connection", func(t *testing.T) {
 		to := startEndpoint(t, func(_ int, conn net.Conn) {
--- a/engine/exchange/send.go
+++ b/engine/exchange/send.go
@@ -60,7 +60,6 @@
 		r.OnSend()
 	}
 	res := &Response{client: c, conn: conn, attempt: r.Attempt, evidence: newEvidence(conn)}
-	consumed := conn.consumed()
 	res.stopCancellation = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	if err := res.write(r); err != nil {
 		res.closeConnection()
@@ -70,7 +69,6 @@
 		res.closeConnection()
 		return nil, &engine.InterruptedError{Attempt: r.Attempt, Cause: err}
 	}
-	res.evidence.BytesBefore -= consumed
 	if rejected := c.rejection(res, r); rejected != nil {
 		return nil, rejected
 	}
@@ -132,19 +130,23 @@
 // connection, and the second copy must not be taken for the response to this one.
 func (res *Response) readHeader(r *Request) error {
 	request := &http.Request{Method: r.Method, URL: &url.URL{}}
+	start := res.conn.consumed()
 	for stale := 0; ; {
-		res.evidence.BytesBefore = res.conn.consumed()
+		res.evidence.BytesBefore = res.conn.consumed() - start
 		resp, err := res.conn.readHeader(request)
 		if err != nil {
 			return err
 		}
 		echoed := resp.Header.Get(res.client.headers.RequestID)
+		res.evidence.EchoedID = echoed
 		if res.isOwn(resp, r) {
 			res.resp = resp
-			res.evidence.EchoedID = echoed
 			res.Status, res.Header = resp.StatusCode, resp.Header
 			return nil
 		}
+		if r.OnForeign != nil {
+			r.OnForeign(resp.StatusCode, res.evidence)
+		}
 		stale++
 		if stale > maxStaleResponses || endsWithConnection(resp) {
 			return &engine.MismatchError{Attempt: r.Attempt, Field: "request", Want: r.ID, Got: echoed}
--- a/events/entry.go
+++ b/events/entry.go
@@ -32,6 +32,7 @@
 	StreamPaused             = define(1026, zapcore.InfoLevel, "A stream paused for longer than its target gap.")
 	RequestResent            = define(1027, zapcore.InfoLevel, "A request that may run once is sent again, as its earlier attempt did not run.")
 	RequestIDRepeated        = define(1028, zapcore.WarnLevel, "The ID of a request that may run once has arrived before.")
+	ForeignResponse          = define(1029, zapcore.WarnLevel, "An endpoint sent a response that belongs to no waiting request; it was skipped.")
 	ServiceSaturated         = define(1040, zapcore.InfoLevel, "Requests for a service wait for capacity.")
 	ServiceDesaturated       = define(1041, zapcore.InfoLevel, "No request for a service waits for capacity any more.")
 	StreamContinued          = define(1034, zapcore.InfoLevel, "A stream whose endpoint has ended continues at its backup endpoint.")
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -196,6 +196,7 @@
 		Dial:       a.relayDial(),
 		OnSend:     func() { a.sent.Store(true) },
 		OnResend:   a.logResend,
+		OnForeign:  a.countForeign,
 		Attempt:    a.id,
 		ID:         c.id,
 		Method:     c.r.Method,
--- a/forward/resend.go
+++ b/forward/resend.go
@@ -2,12 +2,14 @@
 
 import (
 	"errors"
+	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/carawaystile/carawaystile/engine"
 	"github.com/carawaystile/carawaystile/engine/exchange"
 	"github.com/carawaystile/carawaystile/events"
+	"github.com/carawaystile/carawaystile/metrics"
 )
 
 // logResend logs that a request that may run once is sent again, and why its earlier attempt cannot
@@ -29,11 +31,42 @@
 	}
 	var rejected *exchange.RejectedError
 	if errors.As(proof, &rejected) {
-		fields = append(fields, zap.Int("status", rejected.Status), zap.String("echoed", rejected.Evidence.EchoedID),
-			zap.Bool("reused", rejected.Evidence.Reused), zap.Duration("idle", rejected.Evidence.Idle),
-			zap.Int64("bytes_before", rejected.Evidence.BytesBefore))
+		fields = append(fields, evidenceFields(rejected.Status, rejected.Evidence)...)
 	}
 	events.RequestResent.Log(c.server.log, fields...)
 	// A stalled log must not hold up the request.
 	_ = c.server.log.Sync()
 }
+
+// evidenceFields returns the fields that tell how a response was attributed to a request.
+func evidenceFields(status int, evidence exchange.Evidence) []zap.Field {
+	return []zap.Field{
+		zap.Int("status", status), zap.String("echoed", evidence.EchoedID),
+		zap.Bool("reused", evidence.Reused), zap.Duration("idle", evidence.Idle),
+		zap.Int64("bytes_before", evidence.BytesBefore),
+	}
+}
+
+// foreignResponseInterval is the shortest time between two log lines about foreign responses.
+const foreignResponseInterval = time.Second
+
+// countForeign counts a response that the endpoint sent before that to the attempt, and logs one a second.
+func (a *attempt) countForeign(status int, evidence exchange.Evidence) {
+	s := a.request.server
+	s.metrics.countForeign(a.request.service.Name)
+	if !s.foreignResponses.allow(s.options.Now(), foreignResponseInterval) {
+		return
+	}
+	events.ForeignResponse.Log(s.log, append(evidenceFields(status, evidence),
+		zap.String("request", a.request.id), zap.String("attempt", string(a.id)),
+		zap.String("endpoint", string(a.placement.Endpoint.ID)))...)
+}
+
+// countForeign counts a response that was skipped.
+func (m *requestMetrics) countForeign(service string) {
+	if m == nil {
+		return
+	}
+	m.registry.Counter("carawaystile_foreign_responses_total", "Responses that were skipped because they belong to no waiting request.",
+		metrics.Label{Name: "service", Value: service}).Inc(1)
+}
--- a/forward/server.go
+++ b/forward/server.go
@@ -114,6 +114,8 @@
 	controlSyncedAt atomic.Int64
 	// unusableSlowdowns limits the log lines about unusable slowdowns of endpoints.
 	unusableSlowdowns logLimiter
+	// foreignResponses limits the log lines about responses that belong to no waiting request.
+	foreignResponses logLimiter
 	// attemptCount numbers the attempts for their IDs.
 	attemptCount atomic.Uint64
 
