soak: a stream's software version is that of the caller's first event

The check took the run from event 0 that started last, that at i-2, for the origin, although nobody read an event of it. So the case is allowed and the check was wrong; the product is unchanged.

--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -319,3 +319,28 @@
 	}
 	assert.Equal(t, len(kinds), len(FaultNames()))
 }
+
+// Guards against a version that is taken from a run whose events no caller got, and against a resumption
+// elsewhere that is not found beside such a run.
+func TestStreamsVersionIsThatOfItsFirstEvent(t *testing.T) {
+	for resumedAt, want := range map[string]int{"v1": 1, "v2": 0} {
+		found := judged(func(l *ledger) {
+			first, resumed := sound("r1", kinds[3]), sound("r1-1", kinds[3])
+			first.result = platformtest.Result{Status: http.StatusOK, Events: 4, Software: "v2", Err: io.ErrUnexpectedEOF}
+			first.runs[0].Software = "v2"
+			late := run(first, "i-6", 10.5)
+			late.Software = "v1"
+			first.runs = append(first.runs, late)
+			resumed.Resumes, resumed.LastEvent, resumed.sent = "r1", 4, at(12)
+			resumed.runs[0].At, resumed.runs[0].After, resumed.runs[0].Software = at(12.1), 4, resumedAt
+			l.requests["r1"], l.requests["r1-1"] = first, resumed
+		})
+		count := 0
+		for _, promise := range found {
+			if promise == "a stream keeps its software version" {
+				count++
+			}
+		}
+		assert.Equal(t, count, want, "resumed at %s: %v", resumedAt, found)
+	}
+}
