--- a/engine/exchange/foreign_test.go
+++ b/engine/exchange/foreign_test.go
@@ -56,14 +56,18 @@
 		assertAnswered(t, c, second, to)
 		assert.Equal(t, skipped, 1)
 	})
-	t.Run("new connection", func(t *testing.T) {
+	t.Run("new and relayed connection", func(t *testing.T) {
 		to := startEndpoint(t, func(_ int, conn net.Conn) {
 			_, _ = io.WriteString(conn, rejection)
 			r := bufio.NewReader(conn)
 			_, _ = io.WriteString(conn, okResponse(readRequestID(r), "own"))
 			_ = readRequestID(r)
 		})
-		assertAnswered(t, NewClient(Options{Headers: headers()}), request("r-1"), to)
+		c := NewClient(Options{Headers: headers()})
+		assertAnswered(t, c, request("r-1"), to)
+		relayed := request("r-2")
+		relayed.Dial = engine.DialTCP
+		assertAnswered(t, c, relayed, to)
 	})
 	t.Run("no other response", func(t *testing.T) {
 		to := startEndpoint(t, func(_ int, conn net.Conn) {
