forward: the newest request IDs are kept as hashes

The IDs that notice a repeated one (event 1028) come from callers and may be as long as a header, so that 4,096 of them could take 64 MB outside the buffer budget. A hash of 8 bytes each bounds them to some 200 KB. Two IDs with one hash give a wrong log line, nothing else.

--- a/forward/recentids.go
+++ b/forward/recentids.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/carawaystile/carawaystile/events"
@@ -11,13 +12,13 @@
 // maxRecentIDs bounds the request IDs that are remembered to notice one that arrives again.
 const maxRecentIDs = 4096
 
-// recentIDs is a bounded set of the IDs of the newest requests that may run once. It is safe for
-// concurrent use.
+// recentIDs is a bounded set of hashes of the IDs of the newest requests that may run once. It is safe
+// for concurrent use.
 type recentIDs struct {
 	mu    sync.Mutex
-	known map[string]struct{}
-	// ring holds the IDs in the order of their arrival; next is the position of the oldest.
-	ring []string
+	known map[uint64]struct{}
+	// ring holds the hashes in the order of their arrival; next is the position of the oldest.
+	ring []uint64
 	next int
 }
 
@@ -25,20 +26,21 @@
 func (r *recentIDs) add(id string) (known bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if _, known = r.known[id]; known {
+	hash := xxhash.Sum64String(id)
+	if _, known = r.known[hash]; known {
 		return true
 	}
 	if r.known == nil {
-		r.known = map[string]struct{}{}
+		r.known = map[uint64]struct{}{}
 	}
 	if len(r.ring) < maxRecentIDs {
-		r.ring = append(r.ring, id)
+		r.ring = append(r.ring, hash)
 	} else {
 		delete(r.known, r.ring[r.next])
-		r.ring[r.next] = id
+		r.ring[r.next] = hash
 		r.next = (r.next + 1) % maxRecentIDs
 	}
-	r.known[id] = struct{}{}
+	r.known[hash] = struct{}{}
 	return false
 }
 
--- a/logs/writer.go
+++ b/logs/writer.go
@@ -152,7 +152,7 @@
 	}
 }
 
-// recordWritten records that the first bytes of all lines are written.
+// recordWritten records that as many bytes of all lines since the start are written.
 func (w *Writer) recordWritten(bytes uint64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
