--- a/engine/exchange/client.go
+++ b/engine/exchange/client.go
@@ -117,7 +117,7 @@
 }
 
 // connect returns a pooled connection for a request, or else a new one. A request without an ID gets a
-// new one, as nothing else tells its response from that to an earlier request.
+// new one, as its response could not be distinguished from one to an earlier request.
 func (c *Client) connect(ctx context.Context, to netip.AddrPort, r *Request) (*connection, error) {
 	if r.Dial != nil || r.Repeated || r.ID == "" {
 		return c.openConnection(ctx, to, r)
--- a/engine/exchange/foreign_test.go
+++ b/engine/exchange/foreign_test.go
@@ -24,8 +24,7 @@
 	"timed out unread": "HTTP/1.1 408 Request Timeout\r\nX-Not-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
 }
 
-// Guards against work that runs twice because a rejection of nobody knows which request is taken as
-// proof that it did not run.
+// Guards against work that runs twice because a rejection that names no request is taken as proof.
 func TestRejectionWithoutIDIsNoProof(t *testing.T) {
 	for name, rejection := range foreignRejections {
 		for _, atMostOnce := range []bool{true, false} {
--- a/engine/exchange/response.go
+++ b/engine/exchange/response.go
@@ -18,7 +18,7 @@
 	conn    *connection
 	attempt tables.AttemptID
 	resp    *http.Response
-	// evidence tells how the response was attributed to the request.
+	// evidence is what attributes the response to the request.
 	evidence Evidence
 	// stopCancellation detaches the connection from the context; false means that the
 	// context has already ended.
--- a/engine/exchange/send.go
+++ b/engine/exchange/send.go
@@ -157,9 +157,9 @@
 	}
 }
 
-// isOwn reports whether a response is that to the request. Only the request ID in it proves that. A
-// response without one is taken for the request's own if it can belong to no other of this connection
-// and does not say that the request did not run, which must hold for this very request.
+// isOwn reports whether a response is that to the request. Only the echoed request ID proves it. A
+// response without an ID is accepted as the first of its connection, unless it denies execution: that
+// must not be believed of the wrong request, which would be sent again while it runs.
 func (res *Response) isOwn(resp *http.Response, r *Request) bool {
 	if echoed := resp.Header.Get(res.client.headers.RequestID); echoed != "" || r.ID == "" {
 		return echoed == r.ID
@@ -200,7 +200,7 @@
 	engine.NotStartedError
 	Status int
 	Header http.Header
-	// Evidence tells how the rejection was attributed to the request.
+	// Evidence is what attributes the rejection to the request.
 	Evidence Evidence
 }
 
--- a/forward/resend.go
+++ b/forward/resend.go
@@ -34,11 +34,11 @@
 		fields = append(fields, evidenceFields(rejected.Status, rejected.Evidence)...)
 	}
 	events.RequestResent.Log(c.server.log, fields...)
-	// A stalled log must not hold up the request.
+	// The request is sent also if the log is stalled.
 	_ = c.server.log.Sync()
 }
 
-// evidenceFields returns the fields that tell how a response was attributed to a request.
+// evidenceFields returns the fields for what attributes a response to a request.
 func evidenceFields(status int, evidence exchange.Evidence) []zap.Field {
 	return []zap.Field{
 		zap.Int("status", status), zap.String("echoed", evidence.EchoedID),
@@ -50,7 +50,8 @@
 // foreignResponseInterval is the shortest time between two log lines about foreign responses.
 const foreignResponseInterval = time.Second
 
-// countForeign counts a response that the endpoint sent before that to the attempt, and logs one a second.
+// countForeign counts a response that was skipped since it is not that to the attempt, and logs one a
+// second.
 func (a *attempt) countForeign(status int, evidence exchange.Evidence) {
 	s := a.request.server
 	s.metrics.countForeign(a.request.service.Name)
