soak: the loss of power at the end of a run excuses forgotten pushbacks

Trace from its logs: i-6 asked entry-5 at 51:59.445 and entry-8 at 52:00.024 for 3 s; all nine processes lost power and started again at 52:01.23 to 52:01.42 (event 6000), entry instances with nothing; only requests after that reached i-6. The check named the kills of a run's plan as excuses, but not the loss of power with which the run ends. TestLossOfPowerExcusesForgottenPushbacks failed before for the loss of power alone. The product is unchanged.

--- a/soak/announcements.go
+++ b/soak/announcements.go
@@ -37,7 +37,7 @@
 // forgetful are the disruptions after which an instance need not know what an endpoint has
 // announced to it, and cutting those that may keep the announcement from it.
 var (
-	forgetful = []string{"kill an entry", "kill half of all", "pause an entry", "restart an entry"}
+	forgetful = []string{"kill an entry", "kill half of all", "pause an entry", "restart an entry", powerLossFault}
 	cutting   = []string{"cut a zone", "cut an instance one way", "mute open connections", "reset open connections"}
 )
 
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -344,3 +345,18 @@
 		assert.Equal(t, count, want, "resumed at %s: %v", resumedAt, found)
 	}
 }
+
+// Guards against a pushback that is held against instances which a loss of power has made forget it.
+func TestLossOfPowerExcusesForgottenPushbacks(t *testing.T) {
+	for _, what := range []string{powerLossFault, "kill an entry", "the list is busy"} {
+		found := judged(func(l *ledger) {
+			for n := range 4 {
+				r := sound(organisationOf(uint64(n)), kinds[1])
+				r.arrivals[0].At, r.arrivals[0].RetryAfter = at(10+0.7*float64(n)), 3*time.Second
+				l.requests[r.ID] = r
+			}
+			l.disruptions = []disruption{{what: what, from: at(10.5), to: at(11)}}
+		})
+		assert.Equal(t, slices.Contains(found, "pushbacks are kept"), what == "the list is busy", what)
+	}
+}
--- a/soak/powerloss.go
+++ b/soak/powerloss.go
@@ -7,6 +7,9 @@
 	"time"
 )
 
+// powerLossFault is the name of the disruption with which a run ends.
+const powerLossFault = "all lose their power, and disks are lost"
+
 const (
 	// The power goes at an acknowledgement, or from earliestLoss to latestLoss after a change was sent.
 	earliestLoss = 5 * time.Millisecond
@@ -23,7 +26,7 @@
 func (w *world) losePower() {
 	w.disks.Lock() // disks that were lost before have been replaced then
 	defer w.disks.Unlock()
-	n, over := w.d.ledger.disrupt(faultKind{name: "all lose their power, and disks are lost"})
+	n, over := w.d.ledger.disrupt(faultKind{name: powerLossFault})
 	defer over()
 	s := &strike{world: w, disruption: n, rng: rand.New(rand.NewPCG(w.d.options.Seed, 6))}
 	changes, acked := s.sendChanges()
