--- a/node/entry.go
+++ b/node/entry.go
@@ -12,7 +12,6 @@
 	"github.com/carawaystile/carawaystile/dispatch"
 	"github.com/carawaystile/carawaystile/engine/exchange"
 	"github.com/carawaystile/carawaystile/events"
-	"github.com/carawaystile/carawaystile/fleet"
 	"github.com/carawaystile/carawaystile/forward"
 	"github.com/carawaystile/carawaystile/internal/callerconn"
 	"github.com/carawaystile/carawaystile/internal/keepalive"
@@ -79,7 +78,7 @@
 		OnWeightVersion: func(named *rpc.WeightsNamed) {
 			n.entry.RecordWeightsVersion(named.GetModel(), named.GetVersion(), time.Duration(named.GetAgeNanos()))
 		},
-		OnEndpoints: func(r *fleet.Replica) { n.entry.SetEndpoints(n.usableEndpoints(r)) },
+		OnEndpoints: n.setEndpoints,
 		OnAnswer: func(_ deployment.Source, answer *rpc.FollowAnswer) {
 			if !answer.GetBehind() {
 				n.entry.RecordControlSync(time.Duration(answer.GetLagNanos()))
--- a/node/members.go
+++ b/node/members.go
@@ -61,6 +61,7 @@
 	}
 	n.gossip.Store(joined)
 	if n.entry != nil {
+		n.reapplyEndpoints()
 		n.background.Go(n.sendHints)
 		n.background.Go(n.fetchConvictions)
 		n.background.Go(n.gossipConvictions)
@@ -92,6 +93,7 @@
 			rank++
 		}
 	}
+	n.reapplyEndpoints()
 	n.observeSizes(members)
 	n.recentPeers.observe(n.now(), n.options.Settings.Instance, members)
 	n.limitSharers.Store(int64(n.peerCount.observe(n.now(), count)))
--- a/node/node.go
+++ b/node/node.go
@@ -136,6 +136,8 @@
 	// suspects reports suspects to the other entry instances.
 	suspects         *peers.Broadcaster
 	deploymentClient *deployment.Client
+	// listed are the endpoints of the platform's list.
+	listed listedEndpoints
 	// relayDialer opens connections to endpoints through other instances, and relayServer for
 	// them.
 	relayDialer *relay.Dialer
