One account of the headers that clients send, at every listener

Callers saw: an instance that ran out of memory, and so lost all of their requests, because some clients sent headers over the limit or without end, or many that are within it.

Cause: net/http reads a header whole before any of our code runs, up to 64 KB for each connection whatever the operators' limit is, and a field costs far more than its bytes. The number of connections bounds the sum only at 24 KB each. Connections in their first header never counted as idle, so that silent ones held all places for 10 s. header_timeout_ms and idle_timeout_ms of the configuration were not in force.

Ruled out: a smaller limit of bytes (15 KB in short fields is within every limit), a bound on fields (16,384 bytes may hold 4,000 of them), a parser of our own before net/http (two readers may disagree where a body ends), and shares for each peer address (callers come through the balancer).

Change: package callerconn, now at every listener of both modes, sees the bytes of a header before net/http does. The states that http.Server reports tell when a header may begin, and the first empty line where it ends; no length of a body is interpreted. Each header reserves what its parsed form costs, twice its bytes and 256 bytes a line, from a quarter of the buffer budget that all listeners share, until its request has ended. If there is no room, an unfinished header that takes over 1 s gives way, then the largest unfinished one if it holds more than the new one, so that ordinary requests go before; else the answer is 503. A header that runs beyond the limit gets 431 while it is read. At the limit of connections one that takes over 1 s for its header is closed first, then the longest idle, then the oldest that has not sent its header. Accept leaves connections to the kernel while too many wait to be closed. Listeners other than that for callers have limits of their own. The operators' header and idle timeouts are in force for the next header; what arrived while the process did not run is still read. Event 1056 and carawaystile_connections_refused_total say what was refused.

--- a/bufferbudget/budget.go
+++ b/bufferbudget/budget.go
@@ -22,14 +22,16 @@
 	Response
 	Stream
 	Relay
+	// Header is what connections hold for the headers of their requests.
+	Header
 	kindCount
 )
 
 // Kinds returns all kinds.
-func Kinds() []Kind { return []Kind{RequestBody, Response, Stream, Relay} }
+func Kinds() []Kind { return []Kind{RequestBody, Response, Stream, Relay, Header} }
 
 func (k Kind) String() string {
-	return [kindCount]string{"request", "response", "stream", "relay"}[k]
+	return [kindCount]string{"request", "response", "stream", "relay", "header"}[k]
 }
 
 // minStall is how long a reader must have made no progress before it is evicted. A caller that
@@ -42,9 +44,13 @@
 // slow readers would have the requests of all organisations rejected.
 const maxQueueShare = 0.75
 
+// headerShareDivisor is the inverse of the share of the budget that headers may occupy. This share is
+// theirs also while the rest of the budget is used up: a request without a body is served then.
+const headerShareDivisor = 4
+
 // Budget is a number of bytes that holders share. It is safe for concurrent use.
 type Budget struct {
-	limit, queueLimit int64
+	limit, queueLimit, headerLimit int64
 
 	mu       sync.Mutex
 	used     int64
@@ -67,7 +73,10 @@
 
 // New returns an unused budget of so many bytes.
 func New(limit int64) *Budget {
-	return &Budget{limit: limit, queueLimit: int64(maxQueueShare * float64(limit)), accounts: map[string]*account{}}
+	return &Budget{
+		limit: limit, queueLimit: int64(maxQueueShare * float64(limit)), headerLimit: limit / headerShareDivisor,
+		accounts: map[string]*account{},
+	}
 }
 
 // Limit returns the size of the budget in bytes.
@@ -94,6 +103,9 @@
 // fits reports whether there is room for so many bytes, given that others are given back soon.
 // The caller holds the mutex.
 func (b *Budget) fits(kind Kind, bytes, givenBack int64) bool {
+	if kind == Header {
+		return b.byKind[Header]+bytes <= b.headerLimit
+	}
 	if kind.mayWait() && b.byKind[Response]+b.byKind[Stream]-givenBack+bytes > b.queueLimit {
 		return false
 	}
--- /dev/null
+++ b/daemon/connections.go
@@ -0,0 +1,39 @@
+package daemon
+
+import (
+	"github.com/carawaystile/carawaystile/bufferbudget"
+	"github.com/carawaystile/carawaystile/entry"
+	"github.com/carawaystile/carawaystile/internal/callerconn"
+)
+
+const (
+	// bufferMemoryDivisor is the inverse of the fraction of an instance's memory that the bodies of callers'
+	// requests may occupy, and also that of the budget of which headers have a part. callerMemoryDivisor is that of
+	// the connections of each listener, and connectionBytes the memory of one without its header.
+	bufferMemoryDivisor = 4
+	callerMemoryDivisor = 3
+	connectionBytes     = 24 << 10
+)
+
+// bufferBytes returns the memory for callers' bodies, and for the budget of headers.
+func (d *Daemon) bufferBytes() int64 {
+	if memory := d.options.Process.Limits.MemoryBytes; memory > 0 {
+		return memory / bufferMemoryDivisor
+	}
+	return entry.DefaultLimits().MaxBufferedBytes
+}
+
+// newConnections returns the connections of a listener. Their headers share a budget with those of the other listener.
+func (d *Daemon) newConnections(name string, limit, headerBytes int) *callerconn.Connections {
+	if memory := d.options.Process.Limits.MemoryBytes; memory > 0 {
+		limit = min(limit, int(memory/callerMemoryDivisor/connectionBytes))
+	}
+	if d.buffers == nil {
+		d.buffers = bufferbudget.New(d.bufferBytes())
+	}
+	return callerconn.New(callerconn.Options{
+		Name: name, Max: limit, Budget: d.buffers,
+		Limits:   func() callerconn.Limits { return callerconn.Limits{HeaderBytes: headerBytes} },
+		Registry: d.registry, Log: d.options.Log, Now: d.now,
+	})
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
+	"github.com/carawaystile/carawaystile/bufferbudget"
 	"github.com/carawaystile/carawaystile/control/client"
 	"github.com/carawaystile/carawaystile/control/follower"
 	"github.com/carawaystile/carawaystile/control/gossip"
@@ -76,6 +77,8 @@
 	router    *router.Router
 	entry     *entry.Server
 	feedGroup *feed.PollerGroup
+	// buffers accounts for the headers that clients send.
+	buffers *bufferbudget.Budget
 	// callerServer is the HTTP server for callers' requests.
 	callerServer *http.Server
 	// callerConnections are those of the callerServer.
--- a/daemon/listen.go
+++ b/daemon/listen.go
@@ -10,7 +10,6 @@
 
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
-	"golang.org/x/net/netutil"
 
 	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/internal/callerconn"
@@ -51,20 +50,19 @@
 func (d *Daemon) listen() error {
 	p := d.options.Process
 	if d.entry != nil {
-		d.callerConnections = callerconn.New(p.Limits.Connections, d.options.Log, d.now)
-		d.callerServer = &http.Server{Handler: d.entry.Handler(), MaxHeaderBytes: int(p.Limits.HeaderBytes), ConnState: d.callerConnections.Observe}
-		if err := d.serve(d.callerServer, p.Listen.Callers, p.Limits.Connections); err != nil {
+		d.callerConnections = d.newConnections("callers", p.Limits.Connections, int(p.Limits.HeaderBytes))
+		d.callerServer = &http.Server{Handler: d.entry.Handler(), MaxHeaderBytes: int(p.Limits.HeaderBytes) + callerconn.MaxReadAhead}
+		if err := d.serve(d.callerServer, p.Listen.Callers, d.callerConnections); err != nil {
 			return err
 		}
 	}
-	server := &http.Server{Handler: d.limitBodies(d.instanceHandler()), MaxHeaderBytes: maxInstanceHeaderBytes}
-	return d.serve(server, p.Listen.Instances, maxInstanceConnections)
+	server := &http.Server{Handler: d.limitBodies(d.instanceHandler()), MaxHeaderBytes: maxInstanceHeaderBytes + callerconn.MaxReadAhead}
+	return d.serve(server, p.Listen.Instances, d.newConnections("instances", maxInstanceConnections, maxInstanceHeaderBytes))
 }
 
-// serve opens a listener and serves it until the instance stops. The number of
-// connections is limited: otherwise a flood of connections would exhaust the file
-// descriptors of the process, which could then no longer connect to endpoints.
-func (d *Daemon) serve(server *http.Server, address netip.AddrPort, connections int) error {
+// serve opens a listener and serves it until the instance stops. Without a limit of its connections a flood of
+// them would exhaust the file descriptors of the process, which could then no longer connect to endpoints.
+func (d *Daemon) serve(server *http.Server, address netip.AddrPort, connections *callerconn.Connections) error {
 	openListener := d.options.Listen
 	if openListener == nil {
 		openListener = listenTCP
@@ -75,13 +73,13 @@
 	}
 	server.ReadHeaderTimeout = readHeaderTimeout
 	server.IdleTimeout = idleTimeout
+	server.ConnState = connections.Observe
 	server.ErrorLog = logs.ServerErrors(d.options.Log)
 	d.listeners.mu.Lock()
 	d.listeners.servers = append(d.listeners.servers, server)
 	d.listeners.mu.Unlock()
-	bounded := netutil.LimitListener(listener, connections)
 	d.listeners.serving.Go(func() {
-		if err := server.Serve(callerconn.Listener{Listener: bounded}); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(connections.Listen(listener)); !errors.Is(err, http.ErrServerClosed) {
 			events.ListenerFailed.Log(d.options.Log, zap.Stringer("address", address), zap.Error(err))
 		}
 	})
--- a/forward/server.go
+++ b/forward/server.go
@@ -60,8 +60,9 @@
 	// DrainDelay is how long the instance still accepts new requests after it has begun to
 	// report to the external load balancer that it is not ready.
 	DrainDelay time.Duration
-	// MaxBufferedBytes bounds the memory of request bodies, buffered responses, queues of
-	// streams and relayed connections together, in bytes; 0 for the default.
+	// Buffers accounts for request bodies, buffered responses, queues of streams and relayed
+	// connections; nil for a budget of MaxBufferedBytes, in bytes, 0 for the default.
+	Buffers          *bufferbudget.Budget
 	MaxBufferedBytes int64
 	// ShareSuspects notifies the other instances of the requests that were running when an
 	// endpoint crashed; nil if there are no other instances. It must not block.
@@ -158,6 +159,9 @@
 	}
 	if o.ShareSuspects == nil {
 		o.ShareSuspects = func([]quarantine.Suspect) {}
+	if o.Buffers == nil {
+		o.Buffers = bufferbudget.New(o.MaxBufferedBytes)
+	}
 	}
 	if o.Context == nil {
 		o.Context = context.Background()
@@ -173,7 +177,7 @@
 		initialized:   make(chan struct{}),
 		ends:          newRequestEnds(o.Registry),
 		admission:     newAdmissionControl(&o),
-		buffers:       buffers{budget: bufferbudget.New(o.MaxBufferedBytes), writeTimeout: eventWriteTimeout},
+		buffers:       buffers{budget: o.Buffers, writeTimeout: eventWriteTimeout},
 	}
 	s.startupTimeout = startupTimeout
 	s.blockedWrites = blockedWrites{server: s, streams: map[*streamRelay]struct{}{}}
--- a/internal/callerconn/limit_test.go
+++ b/internal/callerconn/limit_test.go
@@ -28,7 +28,7 @@
 // state of a connection; it may be nil.
 func newLimitedServer(t *testing.T, limit int, handler http.HandlerFunc, observed func(http.ConnState)) (address string, l *Connections) {
 	t.Helper()
-	l = New(limit, zap.NewNop(), func() tables.Instant { return 0 })
+	l = New(Options{Max: limit, Log: zap.NewNop(), Now: func() tables.Instant { return 0 }})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute, ConnState: func(conn net.Conn, state http.ConnState) {
@@ -38,7 +38,7 @@
 		}
 	}}
 	t.Cleanup(func() { _ = server.Close() })
-	go func() { _ = server.Serve(Listener{listener}) }()
+	go func() { _ = server.Serve(l.Listen(listener)) }()
 	return listener.Addr().String(), l
 }
 
--- a/node/control.go
+++ b/node/control.go
@@ -100,7 +100,8 @@
 		n.background.Go(func() { n.probeKVStores(n.lifetime) })
 	}
 	handler := n.options.Platform.OperatorHandler(n.deployment, n.log)
-	return n.serve(&http.Server{Handler: n.limitBodies(handler, operatorBodyBytes)}, s.Listen.Operators, keepalive.Clients)
+	return n.serve(&http.Server{Handler: n.limitBodies(handler, operatorBodyBytes)}, s.Listen.Operators, keepalive.Clients,
+		n.newConnections("operators", maxServiceConnections, headerLimits))
 }
 
 // startRollout runs the rollout until the instance stops or stopRollout is called.
--- a/node/entry.go
+++ b/node/entry.go
@@ -13,7 +13,6 @@
 	"github.com/carawaystile/carawaystile/engine/exchange"
 	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/forward"
-	"github.com/carawaystile/carawaystile/internal/callerconn"
 	"github.com/carawaystile/carawaystile/internal/keepalive"
 	"github.com/carawaystile/carawaystile/parts"
 	"github.com/carawaystile/carawaystile/peers"
@@ -24,7 +23,7 @@
 	"github.com/carawaystile/carawaystile/tables"
 )
 
-// bufferMemoryDivisor is the inverse of the fraction of an instance's memory that request
+// bufferMemoryDivisor is the inverse of the fraction of an instance's memory that request headers and
 // bodies, responses, streams and relayed connections may occupy together.
 const bufferMemoryDivisor = 4
 
@@ -50,22 +49,22 @@
 			Capacity:            n.capacityOptions(),
 			Predecessor:         dispatch.PredecessorEnded(0),
 		},
-		Registry:         n.registry,
-		Log:              n.log,
-		Now:              n.now,
-		BootID:           n.bootID(),
-		DrainDelay:       s.Drain.Announce,
-		MaxBufferedBytes: int64(s.MemoryMB) << 20 / bufferMemoryDivisor,
-		ShareSuspects:    n.broadcastSuspects,
-		Scheduler:        n.newScheduleClient(),
-		RateLimiter:      n.newUsageClient(),
-		UsageTolerance:   n.usageTolerance(),
-		Permits:          n.newPermitClient(),
-		Relay:            n.relayDialer,
-		StreamOrigins:    n.newStreamOrigins(),
-		TargetWeights:    n.newTargetWeights(),
-		StartupWait:      n.startsFast(),
-		Context:          n.lifetime,
+		Registry:       n.registry,
+		Log:            n.log,
+		Now:            n.now,
+		BootID:         n.bootID(),
+		DrainDelay:     s.Drain.Announce,
+		Buffers:        n.buffers,
+		ShareSuspects:  n.broadcastSuspects,
+		Scheduler:      n.newScheduleClient(),
+		RateLimiter:    n.newUsageClient(),
+		UsageTolerance: n.usageTolerance(),
+		Permits:        n.newPermitClient(),
+		Relay:          n.relayDialer,
+		StreamOrigins:  n.newStreamOrigins(),
+		TargetWeights:  n.newTargetWeights(),
+		StartupWait:    n.startsFast(),
+		Context:        n.lifetime,
 	})
 	n.background.Go(func() { n.streamOrigins.Run(n.lifetime) })
 	n.startRelayServer()
@@ -96,16 +95,17 @@
 		}
 	})
 	n.startCacheSync()
-	n.callerConnections = callerconn.New(maxCallerConnections(s.MemoryMB), n.log, n.now)
-	n.callerServer = &http.Server{Handler: n.entry, ConnContext: forward.WithConn, ConnState: n.callerConnections.Observe}
+	n.callerConnections = n.newConnections("callers", maxConnections(s.MemoryMB, callerMemoryDivisor), n.callerLimits)
+	n.callerServer = &http.Server{Handler: n.entry, ConnContext: forward.WithConn}
 	callers, err := n.listen(s.Listen.Callers, keepalive.Clients)
 	if err != nil {
 		return err
 	}
-	n.serveListener(n.callerServer, callerconn.Listener{Listener: callers})
+	n.serveListener(n.callerServer, callers, n.callerConnections)
 	ready := http.NewServeMux()
 	ready.HandleFunc("/", n.entry.ServeReady)
-	return n.serve(&http.Server{Handler: n.limitBodies(ready, emptyBodyBytes)}, s.Listen.Ready, keepalive.Clients)
+	return n.serve(&http.Server{Handler: n.limitBodies(ready, emptyBodyBytes)}, s.Listen.Ready, keepalive.Clients,
+		n.newConnections("ready", maxServiceConnections, headerLimits))
 }
 
 // capacityOptions returns the configured decisions for contended services.
--- a/node/listen.go
+++ b/node/listen.go
@@ -15,6 +15,7 @@
 	"github.com/carawaystile/carawaystile/control/server"
 	"github.com/carawaystile/carawaystile/control/transport"
 	"github.com/carawaystile/carawaystile/events"
+	"github.com/carawaystile/carawaystile/internal/callerconn"
 	"github.com/carawaystile/carawaystile/internal/keepalive"
 	"github.com/carawaystile/carawaystile/internal/readlimit"
 	"github.com/carawaystile/carawaystile/logs"
@@ -30,13 +31,13 @@
 )
 
 // serve opens a listener and serves it in the background until the instance stops. peer is how
-// it detects a dead peer.
-func (n *Node) serve(server *http.Server, at netip.AddrPort, peer keepalive.Config) error {
+// it detects a dead peer, and connections bounds what clients hold.
+func (n *Node) serve(server *http.Server, at netip.AddrPort, peer keepalive.Config, connections *callerconn.Connections) error {
 	listener, err := n.listen(at, peer)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	n.serveListener(server, listener)
+	n.serveListener(server, listener, connections)
 	return nil
 }
 
@@ -53,16 +54,17 @@
 }
 
 // serveListener serves a listener in the background until the instance stops.
-func (n *Node) serveListener(server *http.Server, listener net.Listener) {
+func (n *Node) serveListener(server *http.Server, listener net.Listener, connections *callerconn.Connections) {
+	server.ConnState = connections.Observe
 	server.ReadHeaderTimeout = headerTimeout
-	server.MaxHeaderBytes = readlimit.HeaderBytes
+	server.MaxHeaderBytes = readlimit.HeaderBytes + callerconn.MaxReadAhead // the connections refuse first
 	server.IdleTimeout = idleTimeout
 	server.ErrorLog = logs.ServerErrors(n.log)
 	n.mu.Lock()
 	n.servers = append(n.servers, server)
 	n.mu.Unlock()
 	n.background.Go(func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(connections.Listen(listener)); !errors.Is(err, http.ErrServerClosed) {
 			events.ListenerFailed.Log(n.log, zap.Stringer("address", listener.Addr()), zap.Error(err))
 		}
 	})
@@ -83,7 +85,8 @@
 		mux.Handle(relay.Path, n.relayServer)
 		mux.Handle(rpc.PeerPathPrefix, rpc.NewPeerServer(n.peerService()))
 	}
-	if err := n.serve(&http.Server{Handler: n.limitBodies(mux, n.peerBodyBytes())}, s.Listen.Instances, keepalive.Peers); err != nil {
+	if err := n.serve(&http.Server{Handler: n.limitBodies(mux, n.peerBodyBytes())}, s.Listen.Instances, keepalive.Peers,
+		n.newConnections("instances", maxConnections(s.MemoryMB, peerConnectionDivisor), headerLimits)); err != nil {
 		return err
 	}
 	if !s.Listen.Metrics.IsValid() {
@@ -101,7 +104,8 @@
 	if n.replica != nil {
 		metrics.HandleFunc("GET "+server.QuorumPath, n.writeQuorum)
 	}
-	return n.serve(&http.Server{Handler: n.limitBodies(metrics, emptyBodyBytes)}, s.Listen.Metrics, keepalive.Clients)
+	return n.serve(&http.Server{Handler: n.limitBodies(metrics, emptyBodyBytes)}, s.Listen.Metrics, keepalive.Clients,
+		n.newConnections("metrics", maxServiceConnections, headerLimits))
 }
 
 // listInstances writes the sizes and loads of the known instances as JSON.
--- a/node/node.go
+++ b/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
+	"github.com/carawaystile/carawaystile/bufferbudget"
 	"github.com/carawaystile/carawaystile/control/deployment"
 	"github.com/carawaystile/carawaystile/control/gossip"
 	"github.com/carawaystile/carawaystile/control/rollout"
@@ -103,6 +104,8 @@
 	// nanoseconds.
 	boot     uint64
 	registry *metrics.Registry
+	// buffers accounts for what clients and endpoints make the instance hold.
+	buffers *bufferbudget.Budget
 
 	// client calls other instances.
 	client *http.Client
@@ -213,6 +216,7 @@
 	if n.sizes.enabled {
 		n.dial = n.sizes.link.dial(n.dial)
 	}
+	n.buffers = bufferbudget.New(int64(o.Settings.MemoryMB) << 20 / bufferMemoryDivisor)
 	n.client = n.newPeerClient()
 	n.dialer = transport.NewDialer(n.client)
 	if err := n.start(); err != nil {
