Bodies count by the buffers that hold them, and one that stops gives way

Callers saw: an instance beyond its memory while clients send chunked bodies without end (75 MB of 64), and 503 for most requests with a body while others declare bodies that they do not send. A router held up to 64 MB of bodies whatever limits.memory says (121 and 129 MB of 64).

Cause: the budget counted the bytes read. io.ReadAll grows its buffer and keeps the old one until the data is copied, which the budget did not see. A reservation of a whole declared body stayed until the request's deadline.

Change: a body of known length is read into one buffer of that length, which is reserved already; others double their buffer, and both count until the data is copied. A body of which nothing has come for a second may be evicted for others: 408, it has not run.

--- a/bufferbudget/holder.go
+++ b/bufferbudget/holder.go
@@ -32,6 +32,13 @@
 	h.disconnect, h.progressAt = disconnect, now
 }
 
+// Unevictable ends what Evictable began.
+func (h *Holder) Unevictable() {
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	h.disconnect = nil
+}
+
 // Progress records that the reader has accepted data.
 func (h *Holder) Progress(now tables.Instant) {
 	h.budget.mu.Lock()
--- a/forward/buffers.go
+++ b/forward/buffers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -106,26 +105,6 @@
 	return nil
 }
 
-// bodyReader reads a request body of unknown length and reserves the bytes that it reads.
-type bodyReader struct {
-	io.ReadCloser
-	server *Server
-	holder *bufferbudget.Holder
-}
-
-// budgetError means that a request body does not fit into the budget.
-type budgetError struct{}
-
-func (*budgetError) Error() string { return "the buffer budget is used up" }
-
-func (r *bodyReader) Read(p []byte) (int, error) {
-	n, err := r.ReadCloser.Read(p)
-	if !r.server.reserveNow(r.holder, int64(n)) {
-		return 0, &budgetError{}
-	}
-	return n, err
-}
-
 // reserveNow reserves bytes and reports whether they fit. If they do not, it makes room for later
 // reservations.
 func (s *Server) reserveNow(holder *bufferbudget.Holder, bytes int64) bool {
--- a/forward/request.go
+++ b/forward/request.go
@@ -46,6 +46,8 @@
 	evicted      atomic.Bool
 	disconnectMu sync.Mutex
 	released     bool
+	// bodyEnded is set once the body is not read on. disconnectMu guards it.
+	bodyEnded bool
 	// endpointHeader is the client's header without the fields that are not forwarded.
 	endpointHeader http.Header
 
--- a/forward/requestbody.go
+++ b/forward/requestbody.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"net/http"
@@ -27,11 +28,7 @@
 		c.rejectBody()
 		return false
 	}
-	reader := http.MaxBytesReader(c.w, c.r.Body, limit)
-	if c.r.ContentLength < 0 {
-		reader = &bodyReader{ReadCloser: reader, server: c.server, holder: holder}
-	}
-	body, err := c.readUntilDeadline(reader)
+	body, err := c.readUntilDeadline(http.MaxBytesReader(c.w, c.r.Body, limit), holder)
 	var tooLarge *http.MaxBytesError
 	var usedUp *budgetError
 	switch {
@@ -41,7 +38,7 @@
 	case errors.As(err, &tooLarge):
 		c.rejectPermanently(http.StatusRequestEntityTooLarge, tables.CodeTooLarge)
 		return false
-	case c.r.ContentLength != 0 && c.now() >= c.deadline:
+	case c.r.ContentLength != 0 && (c.now() >= c.deadline || c.evicted.Load()):
 		// Not every error is that of the deadline: net/http has another one for a trailer, and the
 		// deadline may end the connection after the last byte of the body.
 		c.lastErr = err
@@ -68,19 +65,38 @@
 // defaultMaxBodyBytes bounds a body if the configuration sets no limit.
 const defaultMaxBodyBytes = 4 << 20
 
-// readUntilDeadline reads a body until the request's deadline.
-func (c *clientRequest) readUntilDeadline(reader io.Reader) ([]byte, error) {
+// readUntilDeadline reads a body until the request's deadline. A client that sends nothing meanwhile may be evicted to
+// make room for others.
+func (c *clientRequest) readUntilDeadline(reader io.Reader, holder *bufferbudget.Holder) ([]byte, error) {
+	body := requestBody{reader: reader, server: c.server, holder: holder}
 	if c.r.ContentLength == 0 {
-		return io.ReadAll(reader)
+		return body.readAll(0)
 	}
 	control := http.NewResponseController(c.w)
 	_ = control.SetReadDeadline(time.Now().Add(c.deadline - c.now()))
-	body, err := io.ReadAll(reader)
-	if err == nil {
+	holder.Evictable(c.now(), c.stopReading)
+	data, err := body.readAll(c.r.ContentLength)
+	holder.Unevictable()
+	c.disconnectMu.Lock()
+	defer c.disconnectMu.Unlock()
+	c.bodyEnded = true
+	if err == nil && !c.evicted.Load() {
 		// A deadline that remained would look as if the client had disconnected.
 		_ = control.SetReadDeadline(time.Time{})
+		return data, nil
+	}
+	return nil, cmp.Or(err, error(&evictedError{}))
+}
+
+// stopReading ends the read of the body of an evicted client. Any goroutine may call it.
+func (c *clientRequest) stopReading() {
+	c.disconnectMu.Lock()
+	defer c.disconnectMu.Unlock()
+	if c.bodyEnded || c.released {
+		return
 	}
-	return body, err
+	c.evicted.Store(true)
+	_ = http.NewResponseController(c.w).SetReadDeadline(time.Unix(1, 0))
 }
 
 // unreadBodyTimeout bounds the time for which net/http waits for the rest of a body that was not read,
