Placement considers the first 256 parts of a prompt

Callers saw: an instance of 64 MB at 112 MB, and 503 for ordinary requests, while clients send well-formed requests whose prompt has some 3,000 parts.

Cause: each part costs a row of the request, a lookup, an entry of the cache directory, an update to other instances and an ID in log lines, all for one header of 16 KB.

Change: parts after the first 256 count as ones that no other request shares. The request is forwarded whole, and its header reserves memory until it has ended. Event 1057 and carawaystile_prompts_of_many_parts_total tell of such prompts.

--- a/dialect/parse.go
+++ b/dialect/parse.go
@@ -28,9 +28,9 @@
 	Tokens int
 }
 
-// ParsePromptParts parses "id:tokens,id:tokens". It stops at the first part that is
+// ParsePromptParts parses "id:tokens,id:tokens", limit parts at most. It stops at the first part that is
 // malformed, because the parts before it can still be shared.
-func ParsePromptParts(text string) []PromptPart {
+func ParsePromptParts(text string, limit int) []PromptPart {
 	if text == "" {
 		return nil
 	}
@@ -41,6 +41,9 @@
 		if !found || err != nil || tokens < 0 {
 			return parts
 		}
+		if len(parts) == limit {
+			return parts
+		}
 		parts = append(parts, PromptPart{ID: id, Tokens: tokens})
 	}
 	return parts
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -66,7 +66,7 @@
 		return nil
 	}
 	fields := []zap.Field{zap.Stringer("part", c.quarantinedPart)}
-	for n, part := range dialect.ParsePromptParts(c.r.Header.Get(c.server.headers.PromptParts)) {
+	for n, part := range dialect.ParsePromptParts(c.r.Header.Get(c.server.headers.PromptParts), maxSharedParts) {
 		if n < len(c.contentIDs) && c.contentIDs[n] == c.quarantinedPart {
 			return append(fields, zap.String("part_hash", part.ID))
 		}
--- a/forward/request.go
+++ b/forward/request.go
@@ -241,7 +241,7 @@
 	if c.service.Slots > 0 {
 		c.dispatchRequest.Model = c.r.Header.Get(h.Model)
 		c.dispatchRequest.PromptTokens, c.dispatchRequest.OutputTokens = dialect.ParseTokenCounts(c.r.Header.Get(h.TokenCounts))
-		c.addSharedParts(dialect.ParsePromptParts(c.r.Header.Get(h.PromptParts)), c.cacheScope())
+		c.addSharedParts(dialect.ParsePromptParts(c.r.Header.Get(h.PromptParts), maxSharedParts+1), c.cacheScope())
 	}
 	c.setUrgentTarget()
 	c.fingerprint = fingerprintOf(c.r.Method, c.r.RequestURI, organisation, c.body)
@@ -282,6 +282,9 @@
 // addSharedParts adds the prompt parts that other requests may share: all but the last,
 // which belongs to this request or its session alone.
 func (c *clientRequest) addSharedParts(promptParts []dialect.PromptPart, scope string) {
+	if len(promptParts) > maxSharedParts {
+		c.server.reportLongPrompt(c)
+	}
 	endTokens := 0
 	for _, part := range promptParts[:max(0, len(promptParts)-1)] {
 		endTokens = min(endTokens+part.Tokens, c.dispatchRequest.PromptTokens)
--- a/forward/server.go
+++ b/forward/server.go
@@ -117,6 +117,8 @@
 	unusableSlowdowns logLimiter
 	// foreignResponses limits the log lines about responses that belong to no waiting request.
 	foreignResponses logLimiter
+	// longPrompts limits the log lines about prompts of more parts than placement considers.
+	longPrompts logLimiter
 	// attemptCount numbers the attempts for their IDs.
 	attemptCount atomic.Uint64
 
@@ -157,11 +159,11 @@
 	if o.MaxBufferedBytes == 0 {
 		o.MaxBufferedBytes = defaultMaxBufferedBytes
 	}
-	if o.ShareSuspects == nil {
-		o.ShareSuspects = func([]quarantine.Suspect) {}
 	if o.Buffers == nil {
 		o.Buffers = bufferbudget.New(o.MaxBufferedBytes)
 	}
+	if o.ShareSuspects == nil {
+		o.ShareSuspects = func([]quarantine.Suspect) {}
 	}
 	if o.Context == nil {
 		o.Context = context.Background()
