logs: fields are truncated, and lines below warning have a budget

Callers saw: nothing, but a log of 119 MB in 6 s while 600 clients send request IDs of 13 KB: disks fill, and the processor is spent on lines.

Cause: sampling bounds lines, a thousand a second for each event, not their bytes, and clients choose IDs, paths and last events.

Change: texts and errors of a field end after 256 bytes, after 16 KB at error level; stacks stay whole. Lines below warning level share 512 KB a second after a burst of 1 MB. Those beyond are dropped and counted in the line of event 6010, as those of a stalled output are. Warnings are not dropped: they tell of work that may run twice.

--- a/logs/sampling.go
+++ b/logs/sampling.go
@@ -86,10 +86,15 @@
 func (s splitCore) Sync() error { return s.important.Sync() }
 
 // syncedCore is a zapcore.Core that returns from a line at warning level or above once that is written,
-// so that the line outlives a kill of the process.
-type syncedCore struct{ zapcore.Core }
+// so that the line outlives a kill of the process. Lines below share a budget of bytes.
+type syncedCore struct {
+	zapcore.Core
+	budgeted zapcore.Core
+}
 
-func (s syncedCore) With(fields []zapcore.Field) zapcore.Core { return syncedCore{s.Core.With(fields)} }
+func (s syncedCore) With(fields []zapcore.Field) zapcore.Core {
+	return syncedCore{Core: s.Core.With(fields), budgeted: s.budgeted.With(fields)}
+}
 
 func (s syncedCore) Check(entry zapcore.Entry, checked *zapcore.CheckedEntry) *zapcore.CheckedEntry {
 	if s.Enabled(entry.Level) {
@@ -99,12 +104,16 @@
 }
 
 func (s syncedCore) Write(entry zapcore.Entry, fields []zapcore.Field) error {
-	err := s.Core.Write(entry, fields)
-	if err == nil && entry.Level >= zapcore.WarnLevel {
-		// A stalled output is reported in the log once it accepts data again, if lines were lost.
-		_ = s.Sync()
+	fields = truncateFields(entry.Level, fields)
+	if entry.Level < zapcore.WarnLevel {
+		return s.budgeted.Write(entry, fields)
 	}
-	return err
+	if err := s.Core.Write(entry, fields); err != nil {
+		return err
+	}
+	// A stalled output is reported in the log once it accepts data again, if lines were lost.
+	_ = s.Sync()
+	return nil
 }
 
 // New returns a logger that writes one JSON object per line. The fields are added to every
@@ -113,7 +122,10 @@
 	config := zap.NewProductionEncoderConfig()
 	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	config.EncodeDuration = zapcore.StringDurationEncoder
-	core := syncedCore{zapcore.NewCore(zapcore.NewJSONEncoder(config), w, level)}
+	core := syncedCore{
+		Core:     zapcore.NewCore(zapcore.NewJSONEncoder(config), w, level),
+		budgeted: zapcore.NewCore(zapcore.NewJSONEncoder(config), &budgetedWriter{Writer: w, now: time.Now}, level),
+	}
 	sampled := func(first int) zapcore.Core {
 		return zapcore.NewSamplerWithOptions(core, samplePeriod, first, sampleThereafter, zapcore.SamplerHook(w.sampledOut.countDropped))
 	}
--- a/logs/servererrors.go
+++ b/logs/servererrors.go
@@ -1,8 +1,8 @@
 package logs
 
 import (
+	"bytes"
 	"log"
-	"strings"
 
 	"go.uber.org/zap"
 
@@ -13,9 +13,17 @@
 // of a handler, becomes a numbered event.
 func ServerErrors(to *zap.Logger) *log.Logger { return log.New(serverErrors{to}, "", 0) }
 
+// panicPrefix is the start of what http.Server logs of a panic, with its stack.
+const panicPrefix = "http: panic serving"
+
 type serverErrors struct{ log *zap.Logger }
 
 func (w serverErrors) Write(line []byte) (int, error) {
-	events.ServerError.Log(w.log, zap.String("error", strings.TrimSpace(string(line))))
+	text := bytes.TrimSpace(line)
+	field := zap.String("error", string(text))
+	if bytes.HasPrefix(text, []byte(panicPrefix)) {
+		field = zap.ByteString("error", text) // is not truncated
+	}
+	events.ServerError.Log(w.log, field)
 	return len(line), nil
 }
