bufferbudget: long bodies leave room for small ones

Callers saw: 503 for 27 of 30 ordinary requests with bodies of some bytes beside 600 clients that declare 4 MB, send 200 KB and stop (measured with the account of bodies in force).

Cause: what evicted bodies gave back went to the next long one at once.

Change: a request body above 64 KB leaves an eighth of the budget to small ones while others hold bytes. Alone it may use all of it, so that one of the largest size is served in calm.

Evidence: TestLongBodiesLeaveRoomForSmallOnes fails without the change. Tests of the share of headers and of evicted bodies are added.

--- a/bufferbudget/budget.go
+++ b/bufferbudget/budget.go
@@ -48,6 +48,14 @@
 // theirs also while the rest of the budget is used up: a request without a body is served then.
 const headerShareDivisor = 4
 
+const (
+	// smallBodyBytes is the size up to which a request body may use the whole budget. Larger ones leave a part of it to
+	// small ones while others hold bytes: a few callers that stop in long bodies would otherwise have all requests
+	// rejected. smallBodyDivisor is the inverse of that part.
+	smallBodyBytes   = 64 << 10
+	smallBodyDivisor = 8
+)
+
 // Budget is a number of bytes that holders share. It is safe for concurrent use.
 type Budget struct {
 	limit, queueLimit, headerLimit int64
@@ -112,6 +120,16 @@
 	return b.used-givenBack+bytes <= b.limit
 }
 
+// fitsBody does what fits does for a holder's next bytes, and leaves room for small bodies if it is a large one. The
+// caller holds the mutex.
+func (b *Budget) fitsBody(held, bytes, givenBack int64) bool {
+	others := b.used - b.byKind[Header] - givenBack - held
+	if held+bytes > smallBodyBytes && others > 0 && b.used-givenBack+bytes > b.limit-b.limit/smallBodyDivisor {
+		return false
+	}
+	return b.fits(RequestBody, bytes, givenBack)
+}
+
 // FirstWaiting returns the bytes of the reservation that is served next; 0 for none.
 func (b *Budget) FirstWaiting() int64 {
 	b.mu.Lock()
@@ -158,7 +176,13 @@
 	if bytes > b.limit || kind.mayWait() && bytes > b.queueLimit {
 		return nil
 	}
-	for !b.fits(kind, bytes, b.evicting) {
+	fits := func() bool {
+		if kind == RequestBody {
+			return b.fitsBody(0, bytes, b.evicting)
+		}
+		return b.fits(kind, bytes, b.evicting)
+	}
+	for !fits() {
 		h := b.nextVictim(now)
 		if h == nil {
 			break
--- a/bufferbudget/budget_test.go
+++ b/bufferbudget/budget_test.go
@@ -145,3 +145,55 @@
 	third.Close()
 	assert.Equal(t, b.Used(), int64(0))
 }
+
+// Guards against small bodies that are rejected while a few callers stop in long ones, and against a long one that is
+// rejected though nobody else holds anything.
+func TestLongBodiesLeaveRoomForSmallOnes(t *testing.T) {
+	const limit = 8 << 20
+	b := New(limit)
+	alone := b.Open("o", RequestBody)
+	assert.Assert(t, alone.Reserve(limit))
+	assert.Assert(t, !b.Open("o", RequestBody).Reserve(1))
+	alone.Close()
+
+	long := b.Open("o", RequestBody)
+	assert.Assert(t, long.Reserve(limit/2))
+	assert.Assert(t, !b.Open("o", RequestBody).Reserve(limit/2))
+	assert.Assert(t, b.Open("o", RequestBody).Reserve(limit/2-limit/smallBodyDivisor))
+	for range limit / smallBodyDivisor / smallBodyBytes {
+		assert.Assert(t, b.Open("o", RequestBody).Reserve(smallBodyBytes))
+	}
+	assert.Equal(t, b.Used(), int64(limit))
+}
+
+// Guards against headers that use up the budget of bodies, and against requests that are rejected for their headers
+// while bodies use it up.
+func TestHeadersHaveAShareOfTheirOwn(t *testing.T) {
+	const limit = 1 << 20
+	b := New(limit)
+	headers, body := b.Open("", Header), b.Open("o", RequestBody)
+	assert.Assert(t, body.Reserve(limit))
+	assert.Assert(t, headers.Reserve(limit/headerShareDivisor))
+	assert.Assert(t, !headers.Reserve(1))
+	body.Close()
+	assert.Assert(t, !b.Open("o", RequestBody).Reserve(limit))
+	assert.Assert(t, b.Open("o", RequestBody).Reserve(limit-limit/headerShareDivisor))
+}
+
+// Guards against a caller that stops in its body and holds its bytes until its deadline.
+func TestStalledBodyIsEvictedForAnother(t *testing.T) {
+	b := New(1 << 20)
+	stalled := b.Open("o", RequestBody)
+	assert.Assert(t, stalled.Reserve(900<<10))
+	disconnected := false
+	stalled.Evictable(0, func() { disconnected = true })
+	assert.Equal(t, len(b.Evict(minStall-1, RequestBody, 500<<10)), 0)
+	for _, victim := range b.Evict(minStall, RequestBody, 500<<10) {
+		victim.Disconnect()
+	}
+	assert.Assert(t, disconnected)
+	read := b.Open("o", RequestBody)
+	read.Evictable(0, func() { t.Error("a body that was read is evicted") })
+	read.Unevictable()
+	assert.Equal(t, len(b.Evict(time.Hour, RequestBody, 1<<20)), 0)
+}
--- a/bufferbudget/holder.go
+++ b/bufferbudget/holder.go
@@ -63,6 +63,9 @@
 	if h.closed || h.evicted {
 		return false
 	}
+	if h.kind == RequestBody && !b.fitsBody(h.bytes, bytes, 0) {
+		return false
+	}
 	overtakes := h.kind.mayWait() && len(b.waiters) > 0
 	if h != b.overLimit && (overtakes || !b.fits(h.kind, bytes, 0)) {
 		return false
