callerconn: connections that are being closed take no place

Cause: net/http keeps a connection for half a second after its last response if the request's body was not read. 600 clients held more than 910 connections that way; each new one closed another, some 13,000 in a second, among them those of ordinary callers before their header was read.

Change: connections that have ended their writes, were evicted or aborted do not count towards the limit. Beyond an eighth more than the limit, Accept leaves new ones to the kernel for up to a second while some are being closed. The listeners' limits are shares of the descriptors too, a half, an eighth and 32nd parts, since all may be at their limits at once.

Also: net/http takes a part of a first line for a malformed request when a read fails, and answers 400, which callers do not send again; after a refusal it sent that as a second response. Nothing is written any more once a header was refused or has not come in time.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -12,6 +12,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -29,6 +30,9 @@
 	owner *Connections
 	// holder accounts for the header until the response to its request has ended.
 	holder *bufferbudget.Holder
+	// silenced is set once nothing more is written: net/http takes a part of a first line for a malformed request, and
+	// would answer it with 400, which callers do not send again.
+	silenced atomic.Bool
 
 	mu sync.Mutex
 	// inHeader is set while the server waits for a request or reads its header, receiving once something was
@@ -53,18 +57,42 @@
 		n, err = c.Conn.Read(p)
 	}
 	if n == 0 {
+		if errors.Is(err, os.ErrDeadlineExceeded) && c.isInHeader() {
+			c.silenced.Store(true)
+		}
 		return 0, err
 	}
 	if c.endEviction() {
 		c.owner.beginHeader(c)
 	}
 	if r := c.admit(p[:n]); r != nil {
+		c.silenced.Store(true)
 		c.owner.refuse(c, r, p)
 		return 0, &refusedError{reason: r.reason}
 	}
 	return n, err
 }
 
+// Write writes to the connection, unless its header was refused or has not come in time.
+func (c *conn) Write(p []byte) (int, error) {
+	if c.silenced.Load() {
+		return 0, &silencedError{}
+	}
+	return c.Conn.Write(p)
+}
+
+// silencedError means that a connection is closed without a response of net/http.
+type silencedError struct{}
+
+func (*silencedError) Error() string { return "the connection is closed without a response" }
+
+// isInHeader reports whether the server waits for a request or reads its header.
+func (c *conn) isInHeader() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.inHeader
+}
+
 // allowLateRead gives a header whose deadline has passed a moment for what arrived while the process did not run.
 func (c *conn) allowLateRead() bool {
 	c.mu.Lock()
@@ -218,6 +246,7 @@
 
 // CloseWrite ends what is sent, while the peer's bytes can still be read.
 func (c *conn) CloseWrite() error {
+	c.owner.endWrites(c)
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
--- a/internal/callerconn/limit.go
+++ b/internal/callerconn/limit.go
@@ -80,6 +80,8 @@
 	// idle lists the idle connections, the longest idle first, and reading those that wait for their first request or
 	// have begun to read one, the oldest first.
 	idle, reading *list.List
+	// leaving holds the connections that are being closed. They do not count towards the limit.
+	leaving map[*conn]bool
 	// closing is set once idle connections are closed at once. allClosed is closed when no connection is
 	// open any more; nil if nothing waits for that.
 	closing   bool
@@ -100,7 +102,7 @@
 	}
 	return &Connections{
 		options: o, open: map[*conn]*list.Element{}, idle: list.New(), reading: list.New(), loggedAt: -logInterval,
-		refused: map[string]int{}, refusalsLoggedAt: -logInterval,
+		leaving: map[*conn]bool{}, refused: map[string]int{}, refusalsLoggedAt: -logInterval,
 	}
 }
 
@@ -115,12 +117,13 @@
 	switch state {
 	case http.StateNew:
 		l.open[c] = l.reading.PushBack(c)
-		if len(l.open) > l.options.Max {
+		if len(l.open)-len(l.leaving) > l.options.Max {
 			l.makeRoom(c)
 		}
 	case http.StateActive:
 		c.endHeader()
 		l.unlist(c)
+		delete(l.leaving, c)
 	case http.StateIdle:
 		c.awaitRequest()
 		l.unlist(c)
@@ -130,6 +133,7 @@
 		}
 	default:
 		l.unlist(c)
+		delete(l.leaving, c)
 		delete(l.open, c)
 		c.holder.Close()
 		if len(l.open) == 0 && l.allClosed != nil {
@@ -143,9 +147,17 @@
 func (l *Connections) beginHeader(c *conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.open[c] != nil {
-		l.unlist(c)
-		l.open[c] = l.reading.PushBack(c)
+	l.unlist(c)
+	delete(l.leaving, c)
+	l.open[c] = l.reading.PushBack(c)
+}
+
+// endWrites records that a connection is closed soon: net/http waits for the peer to read the last response.
+func (l *Connections) endWrites(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, open := l.open[c]; open {
+		l.leaving[c] = true
 	}
 }
 
@@ -205,10 +217,12 @@
 	case idlest != nil:
 		c := idlest.Value.(*conn)
 		l.unlist(c)
+		l.leaving[c] = true
 		c.evict()
 	case oldest != added:
 		l.abort(oldest, reasonConnections)
 	default:
+		l.leaving[added] = true
 		_ = added.Close()
 	}
 	if now := l.options.Now(); now-l.loggedAt >= logInterval {
@@ -221,6 +235,7 @@
 // abort closes a connection that sends a header.
 func (l *Connections) abort(c *conn, reason string) {
 	l.unlist(c)
+	l.leaving[c] = true
 	c.abort()
 	l.count(reason)
 }
--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -8,13 +8,13 @@
 )
 
 const (
-	// closingDivisor is the inverse of how many connections, as a fraction of the limit, may exist beyond it until they
-	// are closed.
-	closingDivisor = 4
-	// acceptPause is the pause after which a listener with too many connections looks again, and acceptPauses how often
-	// it does before it closes a new one.
-	acceptPause  = 5 * time.Millisecond
-	acceptPauses = 10
+	// leavingDivisor is the inverse of how many connections beyond the limit, as a fraction of it, there may be while
+	// some are being closed.
+	leavingDivisor = 8
+	// acceptPause is the pause after which a listener that waits for connections to close looks again, and
+	// acceptTimeout how long it does so at most. net/http closes one half a second after its last response.
+	acceptPause   = 5 * time.Millisecond
+	acceptTimeout = time.Second
 )
 
 // Listener accepts connections that Connections observes.
@@ -28,34 +28,26 @@
 	return Listener{Listener: listener, connections: l}
 }
 
-// Accept returns the next connection. While too many wait to be closed, it leaves new ones to the kernel for a moment.
+// Accept returns the next connection. While too many are being closed, it leaves new ones to the kernel.
 func (l Listener) Accept() (net.Conn, error) {
-	for {
-		for range acceptPauses {
-			if !l.connections.isFull() {
-				break
-			}
-			time.Sleep(acceptPause)
-		}
-		accepted, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		if l.connections.isFull() {
-			l.connections.count(reasonConnections)
-			_ = accepted.Close()
-			continue
-		}
-		return &conn{
-			Conn: accepted, owner: l.connections, inHeader: true, first: true, waitingSince: time.Now(),
-			holder: l.connections.options.Budget.Open("", bufferbudget.Header),
-		}, nil
+	for end := time.Now().Add(acceptTimeout); l.connections.awaitsClosing() && time.Now().Before(end); {
+		time.Sleep(acceptPause)
 	}
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{
+		Conn: accepted, owner: l.connections, inHeader: true, first: true, waitingSince: time.Now(),
+		holder: l.connections.options.Budget.Open("", bufferbudget.Header),
+	}
+	_ = c.SetReadDeadline(time.Time{}) // fails only if the connection is closed
+	return c, nil
 }
 
-// isFull reports whether there are more connections than the limit and those that are being closed.
-func (l *Connections) isFull() bool {
+// awaitsClosing reports whether there are too many connections, of which some are being closed.
+func (l *Connections) awaitsClosing() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.open) >= l.options.Max+l.options.Max/closingDivisor+1
+	return len(l.leaving) > 0 && len(l.open) >= l.options.Max+l.options.Max/leavingDivisor
 }
--- a/node/callerlimit.go
+++ b/node/callerlimit.go
@@ -7,32 +7,42 @@
 	"github.com/carawaystile/carawaystile/internal/readlimit"
 )
 
-const (
-	// callerMemoryDivisor is the inverse of the fraction of an instance's memory that callers'
-	// connections may occupy, and connectionBytes is the memory of one without its header.
-	callerMemoryDivisor = 3
-	connectionBytes     = 24 << 10
-	// peerConnectionDivisor is the inverse of the same fraction for connections of other instances.
-	peerConnectionDivisor = 8
-	// maxServiceConnections is the limit for a listener that few clients need: load balancers, scrapers and operators.
-	maxServiceConnections = 128
+// connectionBytes is the memory of a connection without its header, in bytes.
+const connectionBytes = 24 << 10
+
+// connectionShare bounds the connections of a listener by fractions of an instance's resources.
+type connectionShare struct {
+	// memoryDivisor and descriptorDivisor are the inverses of the fractions of the memory and of the descriptors.
+	memoryDivisor, descriptorDivisor int
+	// most bounds the number; 0 for no bound.
+	most int
+}
+
+// The listeners' shares. A quarter of the descriptors stays for connections to endpoints and other instances.
+var (
+	callerShare = connectionShare{memoryDivisor: 3, descriptorDivisor: 2}
+	peerShare   = connectionShare{memoryDivisor: 8, descriptorDivisor: 8}
+	// serviceShare is for a listener that few clients need: load balancers, scrapers and operators.
+	serviceShare = connectionShare{memoryDivisor: 16, descriptorDivisor: 32, most: 128}
 )
 
-// maxConnections returns the number of connections whose memory is a fraction of an instance's memory. Half of the
-// process's descriptors stay for other connections.
-func maxConnections(memoryMB, divisor int) int {
-	limit := memoryMB << 20 / divisor / connectionBytes
+// connections returns the number of connections for an instance with the given memory.
+func (c connectionShare) connections(memoryMB int) int {
+	limit := memoryMB << 20 / c.memoryDivisor / connectionBytes
 	var files unix.Rlimit
 	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &files); err == nil {
-		limit = int(min(uint64(limit), files.Cur/2))
+		limit = int(min(uint64(limit), files.Cur/uint64(c.descriptorDivisor)))
+	}
+	if c.most > 0 {
+		limit = min(limit, c.most)
 	}
 	return limit
 }
 
 // newConnections returns the connections of a listener. Their headers and those of the other listeners share a budget.
-func (n *Node) newConnections(name string, limit int, limits func() callerconn.Limits) *callerconn.Connections {
+func (n *Node) newConnections(name string, share connectionShare, limits func() callerconn.Limits) *callerconn.Connections {
 	return callerconn.New(callerconn.Options{
-		Name: name, Max: limit, Budget: n.buffers, Limits: limits, Registry: n.registry, Log: n.log, Now: n.now,
+		Name: name, Max: share.connections(n.options.Settings.MemoryMB), Budget: n.buffers, Limits: limits, Registry: n.registry, Log: n.log, Now: n.now,
 	})
 }
 
--- a/node/control.go
+++ b/node/control.go
@@ -101,7 +101,7 @@
 	}
 	handler := n.options.Platform.OperatorHandler(n.deployment, n.log)
 	return n.serve(&http.Server{Handler: n.limitBodies(handler, operatorBodyBytes)}, s.Listen.Operators, keepalive.Clients,
-		n.newConnections("operators", maxServiceConnections, headerLimits))
+		n.newConnections("operators", serviceShare, headerLimits))
 }
 
 // startRollout runs the rollout until the instance stops or stopRollout is called.
--- a/node/entry.go
+++ b/node/entry.go
@@ -95,7 +95,7 @@
 		}
 	})
 	n.startCacheSync()
-	n.callerConnections = n.newConnections("callers", maxConnections(s.MemoryMB, callerMemoryDivisor), n.callerLimits)
+	n.callerConnections = n.newConnections("callers", callerShare, n.callerLimits)
 	n.callerServer = &http.Server{Handler: n.entry, ConnContext: forward.WithConn}
 	callers, err := n.listen(s.Listen.Callers, keepalive.Clients)
 	if err != nil {
@@ -105,7 +105,7 @@
 	ready := http.NewServeMux()
 	ready.HandleFunc("/", n.entry.ServeReady)
 	return n.serve(&http.Server{Handler: n.limitBodies(ready, emptyBodyBytes)}, s.Listen.Ready, keepalive.Clients,
-		n.newConnections("ready", maxServiceConnections, headerLimits))
+		n.newConnections("ready", serviceShare, headerLimits))
 }
 
 // capacityOptions returns the configured decisions for contended services.
--- a/node/listen.go
+++ b/node/listen.go
@@ -86,7 +86,7 @@
 		mux.Handle(rpc.PeerPathPrefix, rpc.NewPeerServer(n.peerService()))
 	}
 	if err := n.serve(&http.Server{Handler: n.limitBodies(mux, n.peerBodyBytes())}, s.Listen.Instances, keepalive.Peers,
-		n.newConnections("instances", maxConnections(s.MemoryMB, peerConnectionDivisor), headerLimits)); err != nil {
+		n.newConnections("instances", peerShare, headerLimits)); err != nil {
 		return err
 	}
 	if !s.Listen.Metrics.IsValid() {
@@ -105,7 +105,7 @@
 		metrics.HandleFunc("GET "+server.QuorumPath, n.writeQuorum)
 	}
 	return n.serve(&http.Server{Handler: n.limitBodies(metrics, emptyBodyBytes)}, s.Listen.Metrics, keepalive.Clients,
-		n.newConnections("metrics", maxServiceConnections, headerLimits))
+		n.newConnections("metrics", serviceShare, headerLimits))
 }
 
 // listInstances writes the sizes and loads of the known instances as JSON.
