--- a/hostileclients/crowd_test.go
+++ b/hostileclients/crowd_test.go
@@ -2,11 +2,13 @@
 package hostileclients
 
 import (
+	"flag"
 	"fmt"
 	"io"
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,6 +29,9 @@
 	logBound = 1 << 20
 )
 
+// reportOrdinary has the tests report how ordinary requests fare beside the crowd, one each 0.2 s.
+var reportOrdinary = flag.Bool("hostile.ordinary", false, "report how ordinary requests fare beside the crowd")
+
 // form is what each client of a crowd sends on a connection, until an error.
 type form func(w io.Writer) error
 
@@ -121,13 +126,47 @@
 	<-sent
 }
 
+// startOrdinary sends ordinary requests, if that is asked for. The function that it returns reports how many were answered.
+func startOrdinary(answered func() bool) (report func() string) {
+	if !*reportOrdinary {
+		return func() string { return "no ordinary requests beside the crowd" }
+	}
+	var served, sent atomic.Int64
+	stop := make(chan struct{})
+	var senders sync.WaitGroup
+	senders.Go(func() {
+		ticker := time.NewTicker(200 * time.Millisecond)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-stop:
+				return
+			case <-ticker.C:
+				senders.Go(func() {
+					sent.Add(1)
+					if answered() {
+						served.Add(1)
+					}
+				})
+			}
+		}
+	})
+	return func() string {
+		close(stop)
+		senders.Wait()
+		return fmt.Sprintf("%d of %d ordinary requests were answered beside the crowd", served.Load(), sent.Load())
+	}
+}
+
 // withstand runs a crowd against a process, and checks what must hold during and after it. answered
 // sends an ordinary request and reports whether it was answered.
 func withstand(t *testing.T, p *process, c crowd, answered func() bool) {
 	t.Helper()
 	descriptors, logged := 0, p.logBytes()
 	before := p.peakMemory()
+	ordinary := startOrdinary(answered)
 	c.run(func() { descriptors = max(descriptors, p.descriptors()) })
+	t.Log(ordinary())
 	assert.Assert(t, p.isAlive(), "the process has ended: %s", p.logTail())
 	peak, lines := p.peakMemory(), p.logBytes()-logged
 	t.Logf("peak %d MB, %d MB before; %d descriptors; %d KB of log", peak>>20, before>>20, descriptors, lines>>10)
