callerconn: connections chosen to give way neither fail nor take room

Cause: an abort stayed in force after the header was complete, with a read deadline in the past that ends the request and a closed holder that refuses the next header. The reserve of an aborted connection fails whatever is freed, and so went through all others.

Change: a connection whose header was read is kept, with its deadline and a new holder; an aborted one takes nothing from others.

Evidence: TestConnectionAbortedAfterItsHeaderIsKept and TestAbortedConnectionTakesNoRoomFromOthers.

--- a/internal/callerconn/budget_test.go
+++ b/internal/callerconn/budget_test.go
@@ -132,7 +132,7 @@
 	server, client := net.Pipe()
 	defer server.Close()
 	l := New(Options{Max: 1, Log: zap.NewNop(), Now: func() tables.Instant { return 0 }})
-	c := &conn{Conn: server, owner: l, inHeader: true, holder: l.options.Budget.Open("", bufferbudget.Header)}
+	c := &conn{Conn: server, owner: l, inHeader: true, holder: l.newHolder()}
 	assert.NilError(t, c.SetReadDeadline(time.Unix(1, 0)))
 	go func() { _, _ = io.WriteString(client, "G") }()
 	n := 0
@@ -154,7 +154,7 @@
 		Max: 1, Log: zap.NewNop(), Now: func() tables.Instant { return 0 },
 		Limits: func() Limits { return Limits{HeaderTimeout: time.Second, IdleTimeout: time.Minute} },
 	})
-	c := &conn{Conn: server, owner: l, inHeader: true, holder: l.options.Budget.Open("", bufferbudget.Header)}
+	c := &conn{Conn: server, owner: l, inHeader: true, holder: l.newHolder()}
 	c.awaitRequest()
 	idleUntil := c.waitingSince.Add(time.Minute)
 	assert.NilError(t, c.SetReadDeadline(time.Now().Add(time.Hour)))
@@ -170,3 +170,39 @@
 	assert.NilError(t, c.SetReadDeadline(time.Time{}))
 	assert.Assert(t, c.deadline.IsZero())
 }
+
+// Guards against a request that fails since its header was complete when its connection was chosen to give way.
+func TestConnectionAbortedAfterItsHeaderIsKept(t *testing.T) {
+	server, client := net.Pipe()
+	defer server.Close()
+	defer client.Close()
+	l := New(Options{Max: 1, Log: zap.NewNop(), Now: func() tables.Instant { return 0 }})
+	c := &conn{Conn: server, owner: l, inHeader: true, first: true, holder: l.newHolder()}
+	c.abort()
+	c.endHeader()
+	assert.NilError(t, c.SetReadDeadline(time.Time{}))
+	go func() { _, _ = io.WriteString(client, "body") }()
+	_, err := io.ReadFull(c, make([]byte, len("body")))
+	assert.NilError(t, err)
+	c.awaitRequest()
+	assert.Assert(t, l.reserve(c, 1))
+}
+
+// Guards against a connection that was chosen to give way while it reads on, and has all others closed for itself.
+func TestAbortedConnectionTakesNoRoomFromOthers(t *testing.T) {
+	l := New(Options{Max: 2, Budget: bufferbudget.New(budgetBytes), Log: zap.NewNop(), Now: func() tables.Instant { return 0 }})
+	open := func() *conn {
+		server, client := net.Pipe()
+		t.Cleanup(func() { _, _ = server.Close(), client.Close() })
+		c := &conn{Conn: server, owner: l, inHeader: true, first: true, waitingSince: time.Now(), holder: l.newHolder()}
+		l.Observe(c, http.StateNew)
+		return c
+	}
+	other, aborted := open(), open()
+	assert.Assert(t, l.reserve(other, 1000))
+	l.mu.Lock()
+	l.abort(aborted, reasonSlow)
+	l.mu.Unlock()
+	assert.Assert(t, !l.reserve(aborted, 1))
+	assert.Assert(t, !other.isAborted())
+}
--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -193,6 +193,13 @@
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 }
 
+// isAborted reports whether no header is read on.
+func (c *conn) isAborted() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.aborted
+}
+
 // awaitRequest records that the next request has not begun to arrive.
 func (c *conn) awaitRequest() {
 	c.mu.Lock()
@@ -203,12 +210,17 @@
 	c.holder.Release(c.holder.Bytes())
 }
 
-// endHeader records that a header was read.
+// endHeader records that a header was read. It keeps a connection that was aborted just before.
 func (c *conn) endHeader() {
 	c.endEviction()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inHeader = false
+	if c.aborted {
+		c.aborted = false
+		c.holder = c.owner.newHolder()
+		_ = c.Conn.SetReadDeadline(c.deadline)
+	}
 }
 
 // endEviction keeps a connection on which a request has begun to arrive. It reports whether this is the first
--- a/internal/callerconn/limit.go
+++ b/internal/callerconn/limit.go
@@ -248,7 +248,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for {
+	for !c.isAborted() {
 		victim := l.victim(c, c.holder.Bytes()+bytes)
 		if victim == nil {
 			return false
@@ -258,6 +258,7 @@
 			return true
 		}
 	}
+	return false
 }
 
 // victim returns the connection whose header gives way to that of another, which holds so many bytes, or nil.
--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -39,12 +39,17 @@
 	}
 	c := &conn{
 		Conn: accepted, owner: l.connections, inHeader: true, first: true, waitingSince: time.Now(),
-		holder: l.connections.options.Budget.Open("", bufferbudget.Header),
+		holder: l.connections.newHolder(),
 	}
 	_ = c.SetReadDeadline(time.Time{}) // fails only if the connection is closed
 	return c, nil
 }
 
+// newHolder returns a holder for the headers of a connection.
+func (l *Connections) newHolder() *bufferbudget.Holder {
+	return l.options.Budget.Open("", bufferbudget.Header)
+}
+
 // awaitsClosing reports whether there are too many connections, of which some are being closed.
 func (l *Connections) awaitsClosing() bool {
 	l.mu.Lock()
