--- a/hostileclients/forwarding_test.go
+++ b/hostileclients/forwarding_test.go
@@ -15,6 +15,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/carawaystile/carawaystile/platform"
 	"github.com/carawaystile/carawaystile/platform/platformtest"
 	"github.com/carawaystile/carawaystile/routes"
 	"github.com/carawaystile/carawaystile/tables"
@@ -150,9 +151,15 @@
 	return request.CheckResponse(resp).Complete
 }
 
+// names are the names of the platform's headers.
+var names = platform.Headers()
+
+// field returns a line of a header.
+func field(name, value string) string { return name + ": " + value + "\r\n" }
+
 // head returns the start of a request with a valid key.
 func head(path string) string {
-	return "POST " + path + " HTTP/1.1\r\nHost: " + host + "\r\nAuthorization: Bearer " + key + "\r\nX-Carawaystile-Deadline-Ms: 4000\r\n"
+	return "POST " + path + " HTTP/1.1\r\n" + field("Host", host) + field("Authorization", names.AuthScheme+" "+key) + field(names.Deadline, "4000")
 }
 
 // promptParts returns a list of parts of a prompt, of so many bytes.
@@ -166,8 +173,8 @@
 
 // manyParts returns a request whose header is just within the limit and lists some 3,000 prompt parts.
 func manyParts() string {
-	start := head("/draft/x") + "X-Carawaystile-Attempt-Id: 00000000000000aa\r\nX-Carawaystile-Model: m\r\nX-Carawaystile-Token-Usage: 4000,4\r\n" +
-		"Content-Length: 0\r\nX-Carawaystile-Prefix-Hash: "
+	start := head("/draft/x") + field(names.RequestID, "00000000000000aa") + field(names.Model, "m") + field(names.TokenCounts, "4000,4") +
+		field("Content-Length", "0") + names.PromptParts + ": "
 	return start + promptParts(headerBytes-len(start)-len("\r\n\r\n")-8) + "\r\n\r\n"
 }
 
@@ -193,9 +200,9 @@
 	{name: "trailers_without_end", send: endless(head("/safe/x")+"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n", shortFields(4000)+"\r\n")},
 	{name: "bodies_that_stop", send: once(head("/safe/x") + "Content-Length: 4000000\r\n\r\n" + strings.Repeat("x", 200_000))},
 	{name: "prompts_of_many_parts", send: endless("", manyParts())},
-	{name: "request_IDs_of_13_KB", send: endless("", head("/safe/x")+"Content-Length: 0\r\nX-Carawaystile-Attempt-Id: "+strings.Repeat("a", 13_000)+"\r\n\r\n")},
+	{name: "request_IDs_of_13_KB", send: endless("", head("/safe/x")+"Content-Length: 0\r\n"+field(names.RequestID, strings.Repeat("a", 13_000))+"\r\n")},
 	{name: "answers_that_are_not_read", send: endless("", head("/safe/x")+"Content-Length: 0\r\n\r\n"), deaf: true},
-	{name: "streams_that_are_not_read", send: endless("", head("/draft/x")+"X-Carawaystile-Model: m\r\nX-Carawaystile-Token-Usage: 10,1000\r\nContent-Length: 0\r\n\r\n"), deaf: true},
+	{name: "streams_that_are_not_read", send: endless("", head("/draft/x")+field(names.Model, "m")+field(names.TokenCounts, "10,1000")+"Content-Length: 0\r\n\r\n"), deaf: true},
 	{name: "silence", send: once("")},
 	{name: "a_byte_at_a_time", send: dribble(head("/safe/x"), 300*time.Millisecond)},
 }
@@ -280,7 +287,7 @@
 		"folded":        func(bytes int) string { return "X: y\r\n " + strings.Repeat("x", bytes-9) + "\r\n" },
 		"spaces around": func(bytes int) string { return "X:" + strings.Repeat(" ", bytes-5) + "x\r\n" },
 	} {
-		start := head("/safe/x") + "X-Carawaystile-Attempt-Id: 00000000000000aa\r\nConnection: close\r\nContent-Length: 0\r\n"
+		start := head("/safe/x") + field(names.RequestID, "00000000000000aa") + "Connection: close\r\nContent-Length: 0\r\n"
 		for _, beyond := range []int{0, 1} {
 			request := start + fill(headerBytes+beyond-len(start)-len("\r\n")) + "\r\n"
 			assert.Equal(t, len(request), headerBytes+beyond)
