Headers are reported by listener, and the soak checks those of callers

Cause: the kind "header" counts the header of the scrape itself, so that no scrape shows zero.

Change: carawaystile_header_bytes has a series for each listener instead, and the soak's check also covers that of callers. The check of the other gauges is unchanged.

--- a/forward/buffers.go
+++ b/forward/buffers.go
@@ -236,6 +236,9 @@
 	limit.Update(float64(s.buffers.budget.Limit()))
 	registry.BeforeWrite(func() {
 		for _, kind := range bufferbudget.Kinds() {
+			if kind == bufferbudget.Header {
+				continue // the listeners report these
+			}
 			registry.Gauge("carawaystile_buffered_bytes", "Bytes held for callers and endpoints, by what they are.",
 				metrics.Label{Name: "kind", Value: kind.String()}).Update(float64(s.buffers.budget.UsedBy(kind)))
 		}
--- a/internal/callerconn/limit.go
+++ b/internal/callerconn/limit.go
@@ -100,10 +100,32 @@
 	if o.Budget == nil {
 		o.Budget = bufferbudget.New(math.MaxInt64)
 	}
-	return &Connections{
+	l := &Connections{
 		options: o, open: map[*conn]*list.Element{}, idle: list.New(), reading: list.New(), loggedAt: -logInterval,
 		leaving: map[*conn]bool{}, refused: map[string]int{}, refusalsLoggedAt: -logInterval,
 	}
+	l.registerGauge(o.Registry)
+	return l
+}
+
+// registerGauge registers the gauge of the memory that headers hold.
+func (l *Connections) registerGauge(registry *metrics.Registry) {
+	if registry == nil {
+		return
+	}
+	held := registry.Gauge("carawaystile_header_bytes", "Memory that the headers of the listener's connections hold, by listener.",
+		metrics.Label{Name: "listener", Value: l.options.Name})
+	registry.BeforeWrite(func() { held.Update(float64(l.headerBytes())) })
+}
+
+// headerBytes returns the memory that the headers of all connections hold.
+func (l *Connections) headerBytes() (bytes int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.open {
+		bytes += c.holder.Bytes()
+	}
+	return bytes
 }
 
 // Observe is the ConnState hook of an http.Server.
--- a/soak/capacity_test.go
+++ b/soak/capacity_test.go
@@ -107,6 +107,7 @@
 		all += family + "{kind=\"a\"} 0\n"
 	}
 	assert.Equal(t, len(heldIn(strings.NewReader(all))), 0)
+	assert.Equal(t, len(heldIn(strings.NewReader(all+callerHeaderGauge+" 1\n"))), 1)
 	for _, family := range requiredGauges {
 		assert.Equal(t, len(heldIn(strings.NewReader(strings.ReplaceAll(all, family, "other")))), 1, family)
 		assert.Equal(t, len(heldIn(strings.NewReader(all+family+" 1\n"))), 1, family)
--- a/soak/capacitycheck.go
+++ b/soak/capacitycheck.go
@@ -31,6 +31,9 @@
 	leftGauges     = append(slices.Clone(requiredGauges), "carawaystile_unanswered_body_bytes")
 )
 
+// callerHeaderGauge is zero too then. Those of other listeners count the header of the scrape.
+const callerHeaderGauge = `carawaystile_header_bytes{listener="callers"}`
+
 // begunRuns returns the runs that continue no other one.
 func (r *request) begunRuns() []platformtest.Run {
 	return slices.DeleteFunc(slices.Clone(r.runs), func(run platformtest.Run) bool { return run.Continued })
@@ -181,7 +184,8 @@
 		name, text, _ := strings.Cut(lines.Text(), " ")
 		family, _, _ := strings.Cut(name, "{")
 		present[family] = true
-		if value, err := strconv.ParseFloat(text, 64); slices.Contains(leftGauges, family) && (err != nil || value != 0) {
+		empty := slices.Contains(leftGauges, family) || name == callerHeaderGauge
+		if value, err := strconv.ParseFloat(text, 64); empty && (err != nil || value != 0) {
 			left = append(left, lines.Text())
 		}
 	}
