daemon: the bytes of callers' bodies are half of what they occupy

Cause: a router counted the bytes of bodies, a quarter of limits.memory. The generated server reads a body into a buffer that grows, and keeps the old one until the bytes are copied, so that they occupy up to twice that; a busy collector frees it late.

Ruled out: retrying until it passes, and the bound.

Change: all bodies together have an eighth of limits.memory, or the largest body if that is more.

--- a/daemon/connections.go
+++ b/daemon/connections.go
@@ -7,15 +7,25 @@
 )
 
 const (
-	// bufferMemoryDivisor is the inverse of the fraction of an instance's memory that the bodies of callers'
-	// requests may occupy, and also that of the budget of which headers have a part. callerMemoryDivisor is that of
-	// the connections of each listener, and connectionBytes the memory of one without its header.
+	// bodyMemoryDivisor is the inverse of the fraction of an instance's memory that the bytes of callers' bodies may
+	// reach. They occupy twice that: each is read into a buffer that grows, beside its predecessor until the bytes
+	// are copied. bufferMemoryDivisor is that of the budget of which headers have a part, callerMemoryDivisor
+	// that of the connections of each listener, and connectionBytes the memory of one without its header.
+	bodyMemoryDivisor   = 8
 	bufferMemoryDivisor = 4
 	callerMemoryDivisor = 3
 	connectionBytes     = 24 << 10
 )
 
-// bufferBytes returns the memory for callers' bodies, and for the budget of headers.
+// bodyBytes returns the bound of callers' bodies together. One of the largest size fits in any case.
+func (d *Daemon) bodyBytes() int64 {
+	if limits := d.options.Process.Limits; limits.MemoryBytes > 0 {
+		return max(limits.MemoryBytes/bodyMemoryDivisor, limits.BodyBytes)
+	}
+	return entry.DefaultLimits().MaxBufferedBytes
+}
+
+// bufferBytes returns the budget of which headers have a part.
 func (d *Daemon) bufferBytes() int64 {
 	if memory := d.options.Process.Limits.MemoryBytes; memory > 0 {
 		return memory / bufferMemoryDivisor
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -19,7 +19,7 @@
 	d.router = router.New(router.Options{Instance: p.Instance, Zone: p.Zone, Seed: d.randomSeed()})
 	limits := entry.DefaultLimits()
 	limits.MaxBodyBytes = p.Limits.BodyBytes
-	limits.MaxBufferedBytes = d.bufferBytes()
+	limits.MaxBufferedBytes = d.bodyBytes()
 	limits.MaxInFlight = p.Limits.Requests
 	limits.MaxInFlightPerOrganisation = p.Limits.OrganisationRequests
 	limits.DrainDelay = p.Drain.Announce
