--- a/hostileclients/crowd_test.go
+++ b/hostileclients/crowd_test.go
@@ -23,7 +23,7 @@
 	// memoryMB is the memory of the machine in the settings of an instance. memoryBound is the same in bytes.
 	memoryMB    = 64
 	memoryBound = memoryMB << 20
-	// descriptorBound is the smallest limit on the users' machines less what they reserve for files.
+	// descriptorBound bounds the open descriptors of an instance.
 	descriptorBound = 3075 - 200
 	// logBound is what an instance may log while a crowd is there, in bytes a second.
 	logBound = 1 << 20
