httpresponse: what is not a response of HTTP/1 is no answer

Callers got: bytes that are no response. With 600 and 999, HTTP/2.0, an upgrade that nobody asked for, a name with a blank, a folded line behind the signature and chunks of HTTP/1.0 a status 200 (or 600, 999) with that line passed on, or with the chunks' framing as the body. A blank before the colon of Content-Length or Transfer-Encoding made the body end with the connection. Status 000 and 099 ended in a panic of the handler: 502, also for work that another endpoint could have answered. Control bytes in a name were refused already.

Cause: net/http.ReadResponse takes any three characters that strconv reads as a number that is not negative, any version, blanks in names, folded lines, and ignores the transfer encoding of HTTP/1.0. We took what it returns for checked.

Ruled out: a check of the parsed response alone, since net/http joins folded lines and drops the transfer encoding; a parser of our own.

Change: exchange checks the bytes of a header as net/http reads them, also those of interim responses, and treats a malformed one as an interrupted response: 502, or a retry where work may be repeated. Relays check what they observe by the same code. Readers on http.Transport (router, platform calls, other instances) check the parsed response. A header that is too large is still reported as that.

--- a/engine/client.go
+++ b/engine/client.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/carawaystile/carawaystile/internal/defaults"
+	"github.com/carawaystile/carawaystile/internal/httpresponse"
 	"github.com/carawaystile/carawaystile/internal/keepalive"
 )
 
@@ -89,8 +90,8 @@
 	// connection per request. Calls to plain services use it, because their work may have
 	// to run at most once: if an endpoint closes a reused connection during a request,
 	// the client cannot know whether the request was read.
-	pooled   *http.Transport
-	unpooled *http.Transport
+	pooled   httpresponse.Transport
+	unpooled httpresponse.Transport
 
 	unresponsive unresponsiveEndpoints
 
@@ -112,8 +113,8 @@
 
 // newTransport returns an HTTP transport, with a connection pool unless disableKeepAlives
 // is set.
-func newTransport(o Options, disableKeepAlives bool) *http.Transport {
-	return &http.Transport{
+func newTransport(o Options, disableKeepAlives bool) httpresponse.Transport {
+	return httpresponse.Transport{Transport: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, o.ConnectTimeout)
 			defer cancel()
@@ -124,7 +125,7 @@
 		MaxIdleConnsPerHost:    o.MaxIdleConnsPerEndpoint,
 		IdleConnTimeout:        o.IdleConnTimeout,
 		MaxResponseHeaderBytes: maxHeaderBytes,
-	}
+	}}
 }
 
 // Counters returns a snapshot of the counters.
--- a/engine/exchange/headersource.go
+++ b/engine/exchange/headersource.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 
+	"github.com/carawaystile/carawaystile/internal/httpresponse"
 	"github.com/carawaystile/carawaystile/internal/readlimit"
 )
 
@@ -15,6 +16,8 @@
 	// limited is set while a header is read, and exceeded once it needed more than remaining bytes.
 	limited, exceeded bool
 	remaining         int
+	// head checks the header that is read.
+	head httpresponse.Head
 	// received counts the bytes that were read from the connection.
 	received int64
 }
@@ -33,18 +36,22 @@
 	n, err := s.Conn.Read(p[:min(len(p), s.remaining)])
 	s.remaining -= n
 	s.received += int64(n)
+	s.head.Add(p[:n])
 	return n, err
 }
 
 var errHeaderTooLarge = &readlimit.TooLargeError{What: "response header", Limit: readlimit.HeaderBytes}
 
 // readHeader reads the header of the next response. The interim responses before it count towards
-// its limit. It fails with *readlimit.TooLargeError or *readlimit.TooManyError; the connection
-// must be closed after any error.
+// its limit. It fails with *readlimit.TooLargeError, *readlimit.TooManyError or
+// *httpresponse.MalformedError; the connection must be closed after any error.
 func (c *connection) readHeader(request *http.Request) (*http.Response, error) {
 	c.source.limited, c.source.remaining = true, readlimit.HeaderBytes-c.reader.Buffered()
 	defer func() { c.source.limited = false }()
 	for interim := 0; ; interim++ {
+		c.source.head = httpresponse.Head{}
+		buffered, _ := c.reader.Peek(c.reader.Buffered()) // does not fail for what is buffered
+		c.source.head.Add(buffered)
 		resp, err := http.ReadResponse(c.reader, request)
 		if c.source.exceeded {
 			// A cut line may have been reported as malformed, or taken for whole.
@@ -53,9 +60,15 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode < http.StatusContinue || resp.StatusCode >= http.StatusOK {
+		if err := c.source.head.Err(); err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
+		if resp.StatusCode == http.StatusSwitchingProtocols {
+			return nil, &httpresponse.MalformedError{What: "upgrade that was not requested"}
+		}
 		if interim == readlimit.InterimResponses {
 			return nil, &readlimit.TooManyError{What: "interim responses", Limit: readlimit.InterimResponses}
 		}
--- a/engine/unresponsive.go
+++ b/engine/unresponsive.go
@@ -2,9 +2,10 @@
 
 import (
 	"errors"
-	"net/http"
 	"net/netip"
 	"sync"
+
+	"github.com/carawaystile/carawaystile/internal/httpresponse"
 )
 
 // unresponsiveEndpoints is the set of endpoints whose last attempt timed out. Attempts at
@@ -37,7 +38,7 @@
 
 // transportFor returns the transport with the connection pool, or the one without for an
 // unresponsive endpoint.
-func (c *HTTPClient) transportFor(at netip.AddrPort) *http.Transport {
+func (c *HTTPClient) transportFor(at netip.AddrPort) httpresponse.Transport {
 	if c.unresponsive.contains(at) {
 		return c.unpooled
 	}
--- a/internal/readlimit/reader.go
+++ b/internal/readlimit/reader.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"net/http"
+
+	"github.com/carawaystile/carawaystile/internal/httpresponse"
 )
 
 // Reader fails with *TooLargeError after so many bytes. It reads one byte beyond them at most.
@@ -49,17 +51,17 @@
 
 // transport is the http.RoundTripper of NewTransport.
 type transport struct {
-	*http.Transport
+	httpresponse.Transport
 	what  string
 	bytes int64
 }
 
 // NewTransport bounds the header of a response to HeaderBytes and its body to so many bytes. Reads
 // of a longer body, decompressed if the transport does that, fail with *TooLargeError, which names
-// what.
+// what. A response that is malformed fails with *httpresponse.MalformedError.
 func NewTransport(base *http.Transport, what string, bodyBytes int64) http.RoundTripper {
 	base.MaxResponseHeaderBytes = HeaderBytes
-	return &transport{Transport: base, what: what, bytes: bodyBytes}
+	return &transport{Transport: httpresponse.Transport{Transport: base}, what: what, bytes: bodyBytes}
 }
 
 // RoundTrip implements http.RoundTripper.
--- a/relay/carry.go
+++ b/relay/carry.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httputil"
 
+	"github.com/carawaystile/carawaystile/internal/httpresponse"
 	"github.com/carawaystile/carawaystile/tables"
 )
 
@@ -85,8 +86,11 @@
 			t.done = len(t.head) == maxHeaderBytes
 			return
 		}
-		response, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(t.head[:end+len(endOfHeader)])), nil)
-		if err != nil {
+		raw := t.head[:end+len(endOfHeader)]
+		var checked httpresponse.Head
+		checked.Add(raw)
+		response, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(raw)), nil)
+		if err != nil || checked.Err() != nil {
 			t.done, t.head = true, nil
 			return
 		}
@@ -96,6 +100,6 @@
 			t.done, t.head = true, nil
 			return
 		}
-		t.head = t.head[end+len(endOfHeader):]
+		t.head = t.head[len(raw):]
 	}
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -226,6 +226,23 @@
 	assert.DeepEqual(t, r.observedStatuses(), []int{503})
 }
 
+// Guards against a relay that learns of a back-off or a load from bytes that are not a response.
+func TestRelayObservesNoMalformedResponse(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 999 A\r\n", "HTTP/2.0 503 A\r\n", "HTTP/1.1 503 A\r\nA b: c\r\n"} {
+		e := startEndpoint(t, func(conn net.Conn) {
+			readRequest(conn)
+			_, _ = io.WriteString(conn, head+"Retry-After: 3\r\nContent-Length: 0\r\n\r\n")
+			_ = conn.Close()
+		})
+		r := newTestRelay(t, engine.DialTCP)
+		conn, _, err := newTestDialer(Instance{ID: "r", Address: r.address()}).Dial(t.Context(), e)
+		assert.NilError(t, err)
+		_, err = exchange(t, conn)
+		assert.NilError(t, err)
+		assert.Equal(t, len(r.observedStatuses()), 0, "%q", head)
+	}
+}
+
 // Guards against a relay that its own clients or its operator need serving other instances.
 func TestBusyAndDrainingRelaysRejectConnections(t *testing.T) {
 	release := make(chan struct{})
