resetconn: a reset that a write meets first is no orderly end

Callers got: a part of a response as a whole one, status 200 with a length that we computed, from an endpoint that answers a long upload at once, without a length, and resets the connection while the upload is written.

Cause: the kernel reports a reset once. The write that went on in the background took the error, and the read after it returned io.EOF, which ends a response without a length. The result of the write was looked at only to decide whether the connection is kept. The same holds where a relay copies both ways, so that it sent the last chunk that stands for an orderly end, and for net/http's transport, which the router's calls to plain services use.

Ruled out: the result of the write alone, since it may come after the io.EOF; to refuse all responses without a length.

Change: the readers of endpoints (exchange, relay, the router's engine client, platform calls) wrap their connections. A read that meets io.EOF waits for a write that goes on and returns its error if it failed. A peer that has ended what it sends and takes no more for 1 s counts as broken.

--- a/engine/client.go
+++ b/engine/client.go
@@ -12,6 +12,7 @@
 	"github.com/carawaystile/carawaystile/internal/defaults"
 	"github.com/carawaystile/carawaystile/internal/httpresponse"
 	"github.com/carawaystile/carawaystile/internal/keepalive"
+	"github.com/carawaystile/carawaystile/internal/resetconn"
 )
 
 // Options limit the time and memory that an endpoint can cost a client. Zero fields take
@@ -118,7 +119,11 @@
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, o.ConnectTimeout)
 			defer cancel()
-			return o.Dial(ctx, network, address)
+			conn, err := o.Dial(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return resetconn.New(conn), nil
 		},
 		DisableKeepAlives:      disableKeepAlives,
 		DisableCompression:     true,
--- a/engine/exchange/connection.go
+++ b/engine/exchange/connection.go
@@ -14,12 +14,15 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/carawaystile/carawaystile/engine"
+	"github.com/carawaystile/carawaystile/internal/resetconn"
 )
 
 // connection is one TCP connection to an endpoint. It carries one request at a time and
 // is used by one goroutine.
 type connection struct {
 	net.Conn
+	// dialed is the connection below Conn.
+	dialed net.Conn
 	to     netip.AddrPort
 	reader *bufio.Reader
 	source *headerSource
@@ -137,8 +140,9 @@
 }
 
 func newConnection(conn net.Conn, to netip.AddrPort) *connection {
-	source := &headerSource{Conn: conn}
-	return &connection{Conn: conn, to: to, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}
+	kept := resetconn.New(conn)
+	source := &headerSource{Conn: kept}
+	return &connection{Conn: kept, dialed: conn, to: to, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}
 }
 
 // consumed returns how many of the bytes received on the connection were used for responses.
@@ -150,7 +154,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	raw, ok := c.Conn.(syscall.Conn)
+	raw, ok := c.dialed.(syscall.Conn)
 	if !ok {
 		return true
 	}
--- a/engine/exchange/malformed_test.go
+++ b/engine/exchange/malformed_test.go
@@ -89,3 +89,25 @@
 		})
 	}
 }
+
+// Guards against a part of a response that is taken for whole because the write of the request met the reset of the connection first.
+func TestResponseResetDuringItsUploadIsInterrupted(t *testing.T) {
+	const attempts = 50
+	to := startEndpoint(t, func(_ int, conn net.Conn) {
+		_, _ = io.ReadFull(conn, make([]byte, 1<<10))
+		_, _ = io.WriteString(conn, okHeader+"\r\n"+tenBytes)
+		_, _ = io.ReadFull(conn, make([]byte, 256<<10))
+		_ = conn.(*net.TCPConn).SetLinger(0)
+	})
+	client := NewClient(Options{Headers: headers()})
+	for range attempts {
+		upload := request("r-1")
+		upload.Body = make([]byte, 32<<20)
+		answer, err := send(t, client, to, upload)
+		if err == nil {
+			_, err = answer.ReadAll()
+		}
+		var interrupted *engine.InterruptedError
+		assert.Assert(t, errors.As(err, &interrupted), "%v", err)
+	}
+}
--- a/engine/malformed_test.go
+++ b/engine/malformed_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"testing"
 
@@ -36,3 +37,21 @@
 		})
 	}
 }
+
+// Guards against a part of a response that is taken for whole, since the upload has met the reset of the connection.
+func TestResponseOfCallResetDuringItsUploadIsInterrupted(t *testing.T) {
+	at := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		conn, buffered, err := http.NewResponseController(w).Hijack()
+		assert.Check(t, err)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+engine.HeaderAttempt+": a1\r\n"+engine.HeaderBoot+": b\r\n\r\npart")
+		_, _ = io.ReadFull(buffered, make([]byte, 64<<10))
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	})
+	body := make([]byte, 32<<20)
+	for range 20 {
+		_, err := engine.NewHTTPClient(engine.Options{}).Call(context.Background(), at, engine.CallRequest{Attempt: "a1", Path: "/x", Body: body})
+		var interrupted *engine.InterruptedError
+		assert.Assert(t, errors.As(err, &interrupted), "%v", err)
+	}
+}
--- a/forward/malformed_test.go
+++ b/forward/malformed_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/routes"
 )
 
 // rawResponse returns a handler that sends bytes and closes the connection. ID in them stands for the request ID.
@@ -56,3 +59,22 @@
 		})
 	}
 }
+
+// Guards against a part of a response that reaches a client as a whole one, since the upload has met the reset of the connection.
+func TestResponseResetDuringItsUploadIsNoAnswer(t *testing.T) {
+	h := newHarness(t, func(w http.ResponseWriter, r *http.Request) {
+		conn, buffered, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Signature: s\r\nX-Request: "+r.Header.Get("X-Request")+"\r\n\r\npart")
+		_, _ = io.ReadFull(buffered, make([]byte, 64<<10))
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	})
+	h.configure(t, initialRevision+1, func(c *routes.Configuration) { c.Limits.BodyBytes = 64 << 20 })
+	upload := strings.Repeat("a", 32<<20)
+	for range 10 {
+		assert.Equal(t, h.send(t, "POST", "/once/x", upload).StatusCode, http.StatusBadGateway)
+	}
+}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -189,6 +189,32 @@
 	}
 }
 
+// Guards against a part of a response that looks complete through a relay, since the reset of its connection has ended the upload first.
+func TestResponseResetDuringItsUploadDoesNotLookComplete(t *testing.T) {
+	e := startEndpoint(t, func(conn net.Conn) {
+		_, _ = io.ReadFull(conn, make([]byte, 1<<10))
+		_, _ = io.WriteString(conn, okHeader+"part")
+		_, _ = io.ReadFull(conn, make([]byte, 256<<10))
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	})
+	r := newTestRelay(t, engine.DialTCP)
+	for range 50 {
+		conn, _, err := newTestDialer(Instance{ID: "r", Zone: "a", Address: r.address()}).Dial(t.Context(), e)
+		assert.NilError(t, err)
+		uploaded := make(chan struct{})
+		go func() {
+			defer close(uploaded)
+			_, _ = conn.Write(make([]byte, 32<<20))
+		}()
+		_, err = io.Copy(io.Discard, conn)
+		assert.Assert(t, err != nil, "the response looks complete")
+		_ = conn.Close()
+		<-uploaded
+		r.awaitNoConnections(t)
+	}
+}
+
 // Guards against an endpoint that continues a request after its client has disconnected.
 func TestEndOfTheRequestReachesTheEndpoint(t *testing.T) {
 	ended := make(chan struct{})
--- a/relay/server.go
+++ b/relay/server.go
@@ -13,6 +13,7 @@
 
 	"github.com/carawaystile/carawaystile/engine"
 	"github.com/carawaystile/carawaystile/fleet"
+	"github.com/carawaystile/carawaystile/internal/resetconn"
 	"github.com/carawaystile/carawaystile/metrics"
 	"github.com/carawaystile/carawaystile/tables"
 )
@@ -153,13 +154,15 @@
 func (s *Server) connect(ctx context.Context, to *fleet.Endpoint) (net.Conn, Reason) {
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
-	conn, err := s.options.Dial(ctx, to.Address)
+	dialed, err := s.options.Dial(ctx, to.Address)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return nil, Refused
 	case err != nil:
 		return nil, Unreachable
-	case !s.track(conn):
+	}
+	conn := resetconn.New(dialed)
+	if !s.track(conn) {
 		return nil, Draining
 	}
 	return conn, ""
