exchange: headers of responses are accounted for, and bodies as buffers

Callers got: nothing any more, since the process ends: 600 ordinary requests to endpoints that send fields without end take 689 MB in an instance with memory_mb 64 (448 MB for an unfinished header, 623 MB for a whole one before a body that stops, 98 MB for one line of 60 KB).

Cause: a header is limited to 64 KB, but a field of five bytes costs some 270 in net/http's map, and no account held the headers of all responses together. Bodies were counted by their bytes, while io.ReadAll holds its old buffer beside the new one. Each such response was a warning in the log, over 1 MB a second.

Ruled out: a limit on the fields of one header, since the sum stays unbounded; to wait for room, since endpoints that stop in headers would hold up the others.

Change: what the parsed header of a response costs beyond 16 KB is reserved as it is read, from a quarter of the buffer budget of its own, and refused beyond that (event 1060, "response headers together"). A body is read into pieces that are reserved before they are allocated and written to the caller as they are. Event 1060 is logged once a second; the metric counts all.

--- a/bufferbudget/budget.go
+++ b/bufferbudget/budget.go
@@ -22,16 +22,18 @@
 	Response
 	Stream
 	Relay
-	// Header is what connections hold for the headers of their requests.
+	// Header is what connections hold for the headers of their requests, and ResponseHeader what requests hold for
+	// those of their responses.
 	Header
+	ResponseHeader
 	kindCount
 )
 
 // Kinds returns all kinds.
-func Kinds() []Kind { return []Kind{RequestBody, Response, Stream, Relay, Header} }
+func Kinds() []Kind { return []Kind{RequestBody, Response, Stream, Relay, Header, ResponseHeader} }
 
 func (k Kind) String() string {
-	return [kindCount]string{"request", "response", "stream", "relay", "header"}[k]
+	return [kindCount]string{"request", "response", "stream", "relay", "header", "response_header"}[k]
 }
 
 // minStall is how long a reader must have made no progress before it is evicted. A caller that
@@ -44,7 +46,7 @@
 // slow readers would have the requests of all organisations rejected.
 const maxQueueShare = 0.75
 
-// headerShareDivisor is the inverse of the share of the budget that headers may occupy. This share is
+// headerShareDivisor is the inverse of the share of the budget that headers of each kind may occupy. This share is
 // theirs also while the rest of the budget is used up: a request without a body is served then.
 const headerShareDivisor = 4
 
@@ -90,6 +92,9 @@
 // Limit returns the size of the budget in bytes.
 func (b *Budget) Limit() int64 { return b.limit }
 
+// HeaderLimit returns the bytes that headers of each kind may occupy.
+func (b *Budget) HeaderLimit() int64 { return b.headerLimit }
+
 // Used returns the bytes that all holders have reserved.
 func (b *Budget) Used() int64 {
 	b.mu.Lock()
@@ -111,8 +116,8 @@
 // fits reports whether there is room for so many bytes, given that others are given back soon.
 // The caller holds the mutex.
 func (b *Budget) fits(kind Kind, bytes, givenBack int64) bool {
-	if kind == Header {
-		return b.byKind[Header]+bytes <= b.headerLimit
+	if kind == Header || kind == ResponseHeader {
+		return b.byKind[kind]+bytes <= b.headerLimit
 	}
 	if kind.mayWait() && b.byKind[Response]+b.byKind[Stream]-givenBack+bytes > b.queueLimit {
 		return false
@@ -123,7 +128,7 @@
 // fitsBody does what fits does for a holder's next bytes, and leaves room for small bodies if it is a large one. The
 // caller holds the mutex.
 func (b *Budget) fitsBody(held, bytes, givenBack int64) bool {
-	others := b.used - b.byKind[Header] - givenBack - held
+	others := b.used - b.byKind[Header] - b.byKind[ResponseHeader] - givenBack - held
 	if held+bytes > smallBodyBytes && others > 0 && b.used-givenBack+bytes > b.limit-b.limit/smallBodyDivisor {
 		return false
 	}
--- a/engine/exchange/client.go
+++ b/engine/exchange/client.go
@@ -111,6 +111,9 @@
 	// OnResend is called before the request is sent on another connection because nothing was written
 	// on the first one; nil for nothing.
 	OnResend func(cause error)
+	// ReserveHeader reserves memory for the headers of responses, in bytes, beyond that of ordinary ones. Its error
+	// ends the request. Nil for no bound.
+	ReserveHeader func(bytes int64) error
 	// OnForeign is called for each response that is skipped since it is not the request's own; nil for
 	// nothing.
 	OnForeign func(status int, evidence Evidence)
--- a/engine/exchange/headersource.go
+++ b/engine/exchange/headersource.go
@@ -18,10 +18,19 @@
 	remaining         int
 	// head checks the header that is read.
 	head httpresponse.Head
+	// reserve reserves memory for the header beyond freeHeaderBytes, of which reserved bytes are; nil for no bound.
+	reserve  func(bytes int64) error
+	reserved int64
+	// refused is the error of reserve.
+	refused error
 	// received counts the bytes that were read from the connection.
 	received int64
 }
 
+// freeHeaderBytes is the memory of the headers of a response that is not reserved, in bytes. Those of an ordinary
+// response take less.
+const freeHeaderBytes = 16 << 10
+
 // Read reads from the connection, and fails once a header exceeds its limit.
 func (s *headerSource) Read(p []byte) (int, error) {
 	if !s.limited {
@@ -37,9 +46,25 @@
 	s.remaining -= n
 	s.received += int64(n)
 	s.head.Add(p[:n])
+	if s.refused = s.reserveMore(); s.refused != nil {
+		return 0, s.refused
+	}
 	return n, err
 }
 
+// reserveMore reserves memory for what was read of the header.
+func (s *headerSource) reserveMore() error {
+	more := s.head.Cost() - freeHeaderBytes - s.reserved
+	if s.reserve == nil || more <= 0 {
+		return nil
+	}
+	if err := s.reserve(more); err != nil {
+		return err
+	}
+	s.reserved += more
+	return nil
+}
+
 var errHeaderTooLarge = &readlimit.TooLargeError{What: "response header", Limit: readlimit.HeaderBytes}
 
 // readHeader reads the header of the next response. The interim responses before it count towards
@@ -53,6 +78,9 @@
 		buffered, _ := c.reader.Peek(c.reader.Buffered()) // does not fail for what is buffered
 		c.source.head.Add(buffered)
 		resp, err := http.ReadResponse(c.reader, request)
+		if c.source.refused != nil {
+			return nil, c.source.refused
+		}
 		if c.source.exceeded {
 			// A cut line may have been reported as malformed, or taken for whole.
 			return nil, errHeaderTooLarge
--- a/engine/exchange/response.go
+++ b/engine/exchange/response.go
@@ -4,7 +4,6 @@
 	"io"
 	"net/http"
 
-	"github.com/carawaystile/carawaystile/engine"
 	"github.com/carawaystile/carawaystile/tables"
 )
 
@@ -29,44 +28,6 @@
 	finished    bool
 }
 
-// ReadAll returns the whole body, or *engine.InterruptedError if the body is truncated or
-// exceeds the client's limit.
-func (res *Response) ReadAll() ([]byte, error) {
-	return res.ReadAllMetered(func(int) error { return nil })
-}
-
-// ReadAllMetered is ReadAll with a function that is called with the number of bytes after each
-// read. It may block, and the endpoint is not read meanwhile. Its error ends the response.
-func (res *Response) ReadAllMetered(meter func(bytes int) error) ([]byte, error) {
-	limited := io.LimitReader(res.resp.Body, res.client.maxResponseBytes+1)
-	body, err := io.ReadAll(&meteredReader{Reader: limited, meter: meter})
-	if err == nil && int64(len(body)) > res.client.maxResponseBytes {
-		err = &engine.TooLargeError{What: "response", Limit: res.client.maxResponseBytes}
-	}
-	if err != nil {
-		res.Close()
-		return nil, &engine.InterruptedError{Attempt: res.attempt, Cause: err}
-	}
-	res.finish()
-	return body, nil
-}
-
-// meteredReader calls a function after each read.
-type meteredReader struct {
-	io.Reader
-	meter func(bytes int) error
-}
-
-func (r *meteredReader) Read(p []byte) (int, error) {
-	n, err := r.Reader.Read(p)
-	if n > 0 {
-		if failed := r.meter(n); failed != nil {
-			return n, failed
-		}
-	}
-	return n, err
-}
-
 // EndsWithConnection reports whether the body has neither a length nor chunks, so that only the end
 // of the connection ends it. It may be truncated then without an error.
 func (res *Response) EndsWithConnection() bool { return endsWithConnection(res.resp) }
--- a/engine/exchange/send.go
+++ b/engine/exchange/send.go
@@ -59,6 +59,7 @@
 	if r.OnSend != nil {
 		r.OnSend()
 	}
+	conn.source.reserve, conn.source.reserved = r.ReserveHeader, 0
 	res := &Response{client: c, conn: conn, attempt: r.Attempt, evidence: newEvidence(conn)}
 	res.stopCancellation = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	if err := res.write(r); err != nil {
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/carawaystile/carawaystile/bufferbudget"
 	"github.com/carawaystile/carawaystile/dispatch"
 	"github.com/carawaystile/carawaystile/engine"
 	"github.com/carawaystile/carawaystile/engine/exchange"
@@ -76,6 +77,8 @@
 	weightsChanged bool
 	// targetError is why the target weights could not be read before a continuation.
 	targetError error
+	// headerHolder holds the bytes of a large response header; nil for an ordinary one.
+	headerHolder *bufferbudget.Holder
 	// isContinuation is set if the attempt continues the run of an ended one.
 	// continuationOutcome is its outcome for the metrics if that of the attempt does not say it.
 	isContinuation      bool
@@ -206,6 +209,8 @@
 		Body:       c.body,
 		AtMostOnce: !c.route.SafeToRetry(),
 		Repeated:   slices.Contains(c.sentTo, a.placement.Endpoint.Address),
+
+		ReserveHeader: a.reserveHeader,
 	}
 }
 
@@ -270,6 +275,7 @@
 	c := a.request
 	result := a.classifyError(err)
 	a.recordOutcome(result)
+	a.releaseHeader()
 	c.lastErr = err
 	if proof, ok := outcome.ProofFromError(err); ok && !a.isContinuation {
 		if state, dispatched := c.state.(*outcome.Dispatched); dispatched {
--- a/forward/buffers.go
+++ b/forward/buffers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/carawaystile/carawaystile/bufferbudget"
 	"github.com/carawaystile/carawaystile/engine/exchange"
 	"github.com/carawaystile/carawaystile/events"
+	"github.com/carawaystile/carawaystile/internal/readlimit"
 	"github.com/carawaystile/carawaystile/metrics"
 )
 
@@ -86,20 +88,22 @@
 }
 
 // writePieces writes data to a client that may read slowly.
-func (c *clientRequest) writePieces(holder *bufferbudget.Holder, data []byte) error {
+func (c *clientRequest) writePieces(holder *bufferbudget.Holder, data ...[]byte) error {
 	control := http.NewResponseController(c.w)
-	accepted := 0
-	for len(data) > 0 {
-		piece := data[:min(len(data), maxPieceBytes)]
-		if err := c.extendWriteDeadline(control); err != nil {
-			return err
-		}
-		if _, err := c.w.Write(piece); err != nil {
-			return err
-		}
-		data = data[len(piece):]
-		if accepted += len(piece); accepted%progressBytes == 0 || len(data) == 0 {
-			holder.Progress(c.now())
+	accepted, length := 0, exchange.Body(data).Len()
+	for _, buffer := range data {
+		for piece := range slices.Chunk(buffer, maxPieceBytes) {
+			if err := c.extendWriteDeadline(control); err != nil {
+				return err
+			}
+			if _, err := c.w.Write(piece); err != nil {
+				return err
+			}
+			before := accepted
+			accepted += len(piece)
+			if before/progressBytes < accepted/progressBytes || accepted == length {
+				holder.Progress(c.now())
+			}
 		}
 	}
 	return nil
@@ -132,48 +136,81 @@
 // readBuffered reads a whole response and reserves its bytes. All attempts of a request use one
 // holder: a retry that waited for the bytes of the fallback response would wait for its own
 // request.
-func (a *attempt) readBuffered(response *exchange.Response) ([]byte, error) {
+func (a *attempt) readBuffered(response *exchange.Response) (exchange.Body, error) {
 	c := a.request
 	if c.responseHolder == nil {
 		c.responseHolder = c.openBuffer(bufferbudget.Response)
 	}
-	reserved := int64(0)
-	body, err := response.ReadAllMetered(func(bytes int) error {
-		if err := a.reserveResponse(c.responseHolder, int64(bytes)); err != nil {
-			return err
-		}
-		reserved += int64(bytes)
-		return nil
-	})
+	meter := &bodyMeter{attempt: a, holder: c.responseHolder}
+	body, err := response.ReadAllMetered(meter)
 	if err != nil {
-		c.responseHolder.Release(reserved)
+		c.responseHolder.Release(meter.reserved)
 	}
 	return body, err
 }
 
-// dropFallback gives back the bytes of the fallback response, which a later response replaces.
-func (c *clientRequest) dropFallback() {
-	if c.fallbackResponse != nil {
-		c.responseHolder.Release(int64(len(c.fallbackResponse.body)))
-		c.fallbackResponse = nil
-	}
+// bodyMeter reserves the bytes of a response that is buffered. While they do not fit, the endpoint is not read, and the
+// attempt's response timer is stopped. It starts anew after that and with each read: an endpoint that stops in the
+// middle of a response would hold the request until its deadline otherwise.
+type bodyMeter struct {
+	attempt  *attempt
+	holder   *bufferbudget.Holder
+	reserved int64
 }
 
-// reserveResponse reserves bytes of a response that is buffered. While they do not fit, the
-// endpoint is not read, and the attempt's response timer is stopped. It starts anew after that: an
-// endpoint that stops in the middle of a response would hold the request until its deadline
-// otherwise.
-func (a *attempt) reserveResponse(holder *bufferbudget.Holder, bytes int64) error {
-	a.stopResponseTimer()
-	if !holder.Reserve(bytes) {
-		if err := a.request.server.awaitRoom(a.ctx, holder, bytes); err != nil {
+// Reserve implements exchange.Meter.
+func (m *bodyMeter) Reserve(bytes int) error {
+	a := m.attempt
+	if !m.holder.Reserve(int64(bytes)) {
+		a.stopResponseTimer()
+		if err := a.request.server.awaitRoom(a.ctx, m.holder, int64(bytes)); err != nil {
 			return err
 		}
+		a.armResponseTimer(a.firstResponseTimeout())
 	}
-	a.armResponseTimer(a.firstResponseTimeout())
+	m.reserved += int64(bytes)
 	return nil
 }
 
+// Release implements exchange.Meter.
+func (m *bodyMeter) Release(bytes int) {
+	m.reserved -= int64(bytes)
+	m.holder.Release(int64(bytes))
+}
+
+// Progress implements exchange.Meter.
+func (m *bodyMeter) Progress() {
+	m.attempt.stopResponseTimer()
+	m.attempt.armResponseTimer(m.attempt.firstResponseTimeout())
+}
+
+// reserveHeader reserves bytes of a response header that is being read. It does not wait: an endpoint that stops in
+// headers would hold up the others.
+func (a *attempt) reserveHeader(bytes int64) error {
+	if a.headerHolder == nil {
+		a.headerHolder = a.request.openBuffer(bufferbudget.ResponseHeader)
+	}
+	if a.headerHolder.Reserve(bytes) {
+		return nil
+	}
+	return &readlimit.TooLargeError{What: "response headers together", Limit: a.request.server.buffers.budget.HeaderLimit()}
+}
+
+// releaseHeader gives back the bytes of the response header of an attempt that has failed.
+func (a *attempt) releaseHeader() {
+	if a.headerHolder != nil {
+		a.headerHolder.Close()
+	}
+}
+
+// dropFallback gives back the bytes of the fallback response, which a later response replaces.
+func (c *clientRequest) dropFallback() {
+	if c.fallbackResponse != nil {
+		c.responseHolder.Release(int64(c.fallbackResponse.body.Len()))
+		c.fallbackResponse = nil
+	}
+}
+
 // armEviction searches for stalled readers for as long as reservations wait.
 func (s *Server) armEviction() {
 	if !s.buffers.checkArmed.CompareAndSwap(false, true) {
--- a/forward/oversized.go
+++ b/forward/oversized.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -9,7 +10,10 @@
 	"github.com/carawaystile/carawaystile/internal/readlimit"
 )
 
-// reportTooLarge logs and counts an attempt that failed because its endpoint sent more than a
+// largeResponseInterval is the shortest time between two log lines about responses that are too large.
+const largeResponseInterval = time.Second
+
+// reportTooLarge counts, and now and then logs, an attempt that failed because its endpoint sent more than a
 // limit.
 func (a *attempt) reportTooLarge(err error) {
 	what := tooLargePart(err)
@@ -18,6 +22,9 @@
 	}
 	s := a.request.server
 	s.metrics.countTooLarge(a.request, what)
+	if !s.largeResponses.allow(s.options.Now(), largeResponseInterval) {
+		return
+	}
 	events.ResponseTooLarge.Log(s.log, append(a.logFields(), zap.String("what", what), zap.Error(err))...)
 }
 
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -67,21 +67,21 @@
 type bufferedResponse struct {
 	status  int
 	header  http.Header
-	body    []byte
+	body    exchange.Body
 	attempt *attempt
 }
 
 // writeResponse sends a buffered response to the client unchanged.
 func (c *clientRequest) writeResponse(buffered *bufferedResponse) {
 	c.server.headers.CopyResponseHeaders(c.w.Header(), buffered.header)
-	c.w.Header().Set("Content-Length", strconv.Itoa(len(buffered.body)))
+	c.w.Header().Set("Content-Length", strconv.Itoa(buffered.body.Len()))
 	c.suppressContentTypeSniffing(buffered.header)
 	c.w.WriteHeader(buffered.status)
 	c.responseHolder.Evictable(c.now(), c.disconnect)
-	if len(buffered.body) > maxUnsentBytes {
+	if buffered.body.Len() > maxUnsentBytes {
 		defer c.limitUnsent()()
 	}
-	err := c.writePieces(c.responseHolder, buffered.body)
+	err := c.writePieces(c.responseHolder, buffered.body...)
 	if err != nil && (c.evicted.Load() || errors.Is(err, os.ErrDeadlineExceeded)) {
 		c.abortDisconnected(err)
 	}
--- a/forward/server.go
+++ b/forward/server.go
@@ -117,6 +117,8 @@
 	unusableSlowdowns logLimiter
 	// foreignResponses limits the log lines about responses that belong to no waiting request.
 	foreignResponses logLimiter
+	// largeResponses limits the log lines about responses that are too large.
+	largeResponses logLimiter
 	// longPrompts limits the log lines about prompts of more parts than placement considers.
 	longPrompts logLimiter
 	// attemptCount numbers the attempts for their IDs.
--- a/hostileclients/forwarding_test.go
+++ b/hostileclients/forwarding_test.go
@@ -54,6 +54,12 @@
 
 // newForwardingDeployment starts all but the entry instances.
 func newForwardingDeployment(t *testing.T) *forwardingDeployment {
+	t.Helper()
+	return newForwardingDeploymentBehind(t, portEndpoint)
+}
+
+// newForwardingDeploymentBehind is newForwardingDeployment with endpoints that listen on another port than the list names.
+func newForwardingDeploymentBehind(t *testing.T, portListened int) *forwardingDeployment {
 	t.Helper()
 	d := &forwardingDeployment{t: t, daemon: filepath.Join(build(t, "carawaystiled"), "carawaystiled"), subnet: freeSubnet(t)}
 	fleet := platformtest.NewFleet()
@@ -62,7 +68,7 @@
 	for i, service := range []string{"desk", "desk", "models", "models"} {
 		o := platformtest.Options{
 			ID: tables.EndpointID(fmt.Sprintf("e%d", i)), Service: service, Zone: "z", Slots: 8, ServiceTime: 5 * time.Millisecond,
-			Listen: d.at(100+i, portEndpoint), Address: d.at(100+i, portEndpoint),
+			Listen: d.at(100+i, portListened), Address: d.at(100+i, portEndpoint),
 		}
 		if service == "models" {
 			o.Model, o.Weights, o.EventInterval = "m", 1, 5*time.Millisecond
--- a/internal/httpresponse/head.go
+++ b/internal/httpresponse/head.go
@@ -12,6 +12,8 @@
 // transferEncoding is the name of a field in lower case.
 const transferEncoding = "transfer-encoding"
 
+var lineFeed = []byte{'\n'}
+
 // headState is a position in the head of a response.
 type headState uint8
 
@@ -35,25 +37,48 @@
 	column int
 	// isOldVersion is set for HTTP/1.0, and namesEncoding while the current name may be transferEncoding.
 	isOldVersion, namesEncoding bool
+	bytes, lines                int
 	err                         *MalformedError
 }
 
+const (
+	// byteCost is the memory of a byte of a header, in bytes: net/http buffers a line and copies it into strings.
+	// fieldCost is that of a field beside its bytes: its entries in the map of net/http and in its copy.
+	byteCost  = 2
+	fieldCost = 256
+)
+
+// Cost returns the memory that the parsed form of what was added occupies at most, in bytes.
+func (h *Head) Cost() int64 { return int64(h.bytes)*byteCost + int64(h.lines)*fieldCost }
+
 // Add checks the next bytes. What follows the head is ignored.
 func (h *Head) Add(p []byte) {
 	for len(p) > 0 && h.err == nil && h.state != afterHead {
-		if h.state == inReason || h.state == inValue {
-			end := bytes.IndexByte(p, '\n')
-			if end < 0 {
-				return
-			}
-			h.state, p = atLineStart, p[end+1:]
+		if h.state != inReason && h.state != inValue {
+			h.next(p[0])
+			p = h.count(p, 1)
 			continue
 		}
-		h.next(p[0])
-		p = p[1:]
+		end := bytes.IndexByte(p, '\n')
+		if end < 0 {
+			h.count(p, len(p))
+			return
+		}
+		h.state = atLineStart
+		p = h.count(p, end+1)
+	}
+	if h.err != nil { // net/http may read on
+		h.count(p, len(p))
 	}
 }
 
+// count counts the first n bytes and returns those after them.
+func (h *Head) count(p []byte, n int) []byte {
+	h.bytes += n
+	h.lines += bytes.Count(p[:n], lineFeed)
+	return p[n:]
+}
+
 // Err returns a *MalformedError if the head is malformed or not complete, and nil otherwise.
 func (h *Head) Err() error {
 	switch {
