forward: a request whose body comes late in a drain is refused

Callers would see: a request that is cut off without an answer at the end of a planned stop, also one that must run once, if its body was complete only after the instance had begun to refuse new requests.

Cause: whether the instance drains was looked at when the header had come, and a body may take until the request's deadline.

Ruled out: the reported form itself, new requests late in the grace: they are refused with 5031 after drain.announce (TestDrainCompletesOpenRequests). To pass such a request on if enough time is left: how long it takes is not known.

Change: the gate is looked at again before the first attempt. Nothing has run, so the answer is 503 with 5031 not_run, and the caller retries elsewhere.

Evidence: TestRequestWhoseBodyComesLateInADrainIsRefused fails without the change (200, passed on), for work that may run once and any other.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -87,6 +87,11 @@
 
 // forward makes attempts until the request is finished.
 func (c *clientRequest) forward() {
+	if !c.server.gate.State().AcceptsRequests() {
+		// Its body has come late: nothing has run, and the end of the drain would cut it off.
+		c.rejectRetryable(tables.CodeDraining, minRetryAfter)
+		return
+	}
 	c.server.recordRequest(c.service.Name)
 	c.dispatchRequest.WantsBackup = c.wantsBackup()
 	for !c.finished {
