--- a/engine/exchange/headersource.go
+++ b/engine/exchange/headersource.go
@@ -27,8 +27,7 @@
 	received int64
 }
 
-// freeHeaderBytes is the memory of the headers of a response that is not reserved, in bytes. Those of an ordinary
-// response take less.
+// freeHeaderBytes is the memory of the headers of a response that is not reserved, in bytes.
 const freeHeaderBytes = 16 << 10
 
 // Read reads from the connection, and fails once a header exceeds its limit.
--- a/forward/buffers.go
+++ b/forward/buffers.go
@@ -21,9 +21,8 @@
 	// wait. It is a tenth of the time after which a reader counts as stalled.
 	evictionInterval = 100 * time.Millisecond
 	// maxPieceBytes is the size of the pieces in which a long response is written, each with a
-	// write deadline of its own: a client that reads 1 KB/s took 16 s for a piece of 16 KB and was
-	// disconnected. It is the size of the write buffer of net/http, below which smaller pieces
-	// have no effect.
+	// write deadline of its own: a slow client would exceed that of a larger piece. It is the size of
+	// the write buffer of net/http, below which smaller pieces have no effect.
 	maxPieceBytes = 4 << 10
 	// progressBytes is what a client must have accepted of a response or event to count as a
 	// reader that makes progress, and is not evicted then.
