--- a/review/stand2/engine.go
+++ b/review/stand2/engine.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -25,7 +24,6 @@
 	ordersMu sync.Mutex
 	events   int
 	gap      time.Duration
-	boot     int64
 	software string
 }
 
@@ -41,7 +39,7 @@
 }
 
 func (l *lab) newEngine(id string, host int, zone string) *engine {
-	e := &engine{server: l.newServer(id, "llais", host, zone), model: "daka510000", version: 1, events: 5, gap: 20 * time.Millisecond, boot: time.Now().UnixMilli(), software: "v1"}
+	e := &engine{server: l.newServer(id, "llais", host, zone), model: "daka510000", version: 1, events: 5, gap: 20 * time.Millisecond, software: "v1"}
 	e.slots = 48
 	e.handle = e.stream
 	return e
@@ -65,19 +63,15 @@
 func (e *engine) entry(state string) string {
 	e.ordersMu.Lock()
 	defer e.ordersMu.Unlock()
-	born := ""
-	if os.Getenv("BORN") != "" { // the page of the list names no such field
-		born = fmt.Sprintf(`,"born":%d`, e.boot)
-	}
-	return fmt.Sprintf(`{"service":%q,"address":"%s:%d","zone":%q,"version":%q,"slots":%d,"state":%q,"cold_remaining_ms":0,"stage":"colocated","models":[{"name":%q,"version":%d,"adapters":[]}],"id":%q%s}`,
-		e.service, e.ip, portServer, e.zone, e.software, e.slots, state, e.model, e.version, e.id, born)
+	return fmt.Sprintf(`{"service":%q,"address":"%s:%d","zone":%q,"version":%q,"slots":%d,"state":%q,"cold_remaining_ms":0,"stage":"colocated","models":[{"name":%q,"version":%d,"adapters":[]}],"id":%q,"born":%d}`,
+		e.service, e.ip, portServer, e.zone, e.software, e.slots, state, e.model, e.version, e.id, e.born)
 }
 
 func (e *engine) report(w http.ResponseWriter, _ *http.Request) {
 	e.ordersMu.Lock()
 	defer e.ordersMu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
-	fmt.Fprintf(w, `{"stage":"colocated","models":[{"name":%q,"version":%d,"adapters":[]}],"busy":false,"sequence":%d,"queued":0,"running":0,"kv_used":0,"kv_total":100079,"handles":0,"born":%d}`, e.model, e.version, e.sequence, e.boot)
+	fmt.Fprintf(w, `{"stage":"colocated","models":[{"name":%q,"version":%d,"adapters":[]}],"busy":false,"sequence":%d,"queued":0,"running":0,"kv_used":0,"kv_total":100079,"handles":0,"born":%d}`, e.model, e.version, e.sequence, e.born)
 }
 
 func (e *engine) order(w http.ResponseWriter, r *http.Request) {
@@ -109,12 +103,12 @@
 func (e *engine) kvEvents(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(800 * time.Millisecond)
 	w.Header().Set("Content-Type", "application/json")
-	fmt.Fprintf(w, `{"boot_epoch":%d,"born":%d,"next":0,"lost":false,"events":[]}`, e.boot, e.boot)
+	fmt.Fprintf(w, `{"boot_epoch":%d,"born":%d,"next":0,"lost":false,"events":[]}`, e.born, e.born)
 }
 
 func (e *engine) kvList(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
-	fmt.Fprintf(w, `{"boot_epoch":%d,"born":%d,"next":0,"held":[]}`, e.boot, e.boot)
+	fmt.Fprintf(w, `{"boot_epoch":%d,"born":%d,"next":0,"held":[]}`, e.born, e.born)
 }
 
 func (e *engine) stream(w http.ResponseWriter, r *http.Request) {
--- a/review/stand2/poison.go
+++ b/review/stand2/poison.go
@@ -105,7 +105,7 @@
 		})
 	}
 	paths := []string{"/issue/crash-a", "/issue/crash-b", "/issue/crash-c"}
-	tries := []int{8, 12, 20}
+	tries := []int{8, 12, 14}
 	if !trouble {
 		tries = []int{0, 0, 0}
 		time.Sleep(20 * time.Second)
@@ -160,5 +160,6 @@
 		if err := s.server.start(); err != nil {
 			s.lab.note("%s: %v", s.id, err)
 		}
+		s.lab.setEntry(s.id, s.entry("ready"))
 	}()
 }
--- a/review/stand2/server.go
+++ b/review/stand2/server.go
@@ -30,6 +30,9 @@
 	// quiet leaves the runs out of the record.
 	quiet bool
 
+	// born is the Unix millisecond of its start.
+	born int64
+
 	mu      sync.Mutex
 	running int
 	leaving bool
@@ -45,7 +48,7 @@
 	if err != nil {
 		return err
 	}
-	s.listener = listener
+	s.listener, s.born = listener, time.Now().UnixMilli()
 	s.http = &http.Server{Handler: http.HandlerFunc(s.serve)}
 	go s.http.Serve(listener)
 	s.lab.closers = append(s.lab.closers, func() { s.http.Close() })
@@ -54,8 +57,8 @@
 
 // entry is the entry of the list.
 func (s *server) entry(state string) string {
-	return fmt.Sprintf(`{"service":%q,"address":"%s:%d","zone":%q,"version":"v1","slots":%d,"state":%q,"cold_remaining_ms":0,"id":%q}`,
-		s.service, s.ip, portServer, s.zone, s.slots, state, s.id)
+	return fmt.Sprintf(`{"service":%q,"address":"%s:%d","zone":%q,"version":"v1","slots":%d,"state":%q,"cold_remaining_ms":0,"id":%q,"born":%d}`,
+		s.service, s.ip, portServer, s.zone, s.slots, state, s.id, s.born)
 }
 
 func (s *server) serve(w http.ResponseWriter, r *http.Request) {
