--- a/review/stand2/engine.go
+++ b/review/stand2/engine.go
@@ -25,6 +25,7 @@
 	events   int
 	gap      time.Duration
 	software string
+	down     bool // has crashed
 }
 
 type order struct {
