--- a/review/stand2/unreadable.go
+++ b/review/stand2/unreadable.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"os"
 	"time"
 )
 
@@ -50,7 +51,11 @@
 		}
 	}
 	if trouble {
-		l.setEntry("foreign", "\x93q:\xfe}\x01")
+		entry := "\x93q:\xfe\x01"
+		if os.Getenv("ENTRY") == "open" { // the form that the code's own pages name
+			entry = `{"id":"i-9`
+		}
+		l.setEntry("foreign", entry)
 		l.note("an entry of another writer is on the list: bytes that can't be read")
 	}
 	time.Sleep(1500 * time.Millisecond)
