--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the scripts of the second review: one program without dependencies beyond the Go library.
+# Builds the stand-ins of the scripts of the second review: one program.
 set -e
 cd "$(dirname "$0")/.."
-go build -tags review -o target/review2/ ./review/stand2
+go build -tags review -o target/review2/stand2 ./review/stand2/platform
--- a/review/stand2/lab.go
+++ b/review/stand2/platform/lab.go
@@ -10,8 +10,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -19,6 +19,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/carawaystile/carawaystile/platform/platformtest"
 )
 
 // record is the file of what was sent, answered and run.
@@ -80,7 +82,7 @@
 	}
 	for i := range 200 {
 		subnet := fmt.Sprintf("127.%d.%d", 201+i%50, (os.Getpid()+i)%250)
-		held, err := net.Listen("tcp", subnet+".254:9")
+		held, err := platformtest.Listen(netip.MustParseAddrPort(subnet + ".254:9009"))
 		if err == nil {
 			l.subnet = subnet
 			l.closers = append(l.closers, func() { held.Close() })
@@ -251,7 +253,7 @@
 }
 
 func (l *lab) serve(ip string, port int, handler http.Handler) error {
-	listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port))
+	listener, err := platformtest.Listen(netip.MustParseAddrPort(fmt.Sprintf("%s:%d", ip, port)))
 	if err != nil {
 		return err
 	}
--- a/review/stand2/server.go
+++ b/review/stand2/platform/server.go
@@ -7,8 +7,11 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"time"
+
+	"github.com/carawaystile/carawaystile/platform/platformtest"
 )
 
 // server is a stand-in of a server of a plain service.
@@ -44,7 +47,7 @@
 }
 
 func (s *server) start() error {
-	listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", s.ip, portServer))
+	listener, err := platformtest.Listen(netip.MustParseAddrPort(fmt.Sprintf("%s:%d", s.ip, portServer)))
 	if err != nil {
 		return err
 	}
