--- a/review/stand2/platform/poison.go
+++ b/review/stand2/platform/poison.go
@@ -17,6 +17,8 @@
 	// crashTime is how long a server that crashed is down.
 	crashTime = 2 * time.Second
 	contact   = 3 * time.Second
+	// maxTime is when no more requests are sent.
+	maxTime = 105 * time.Second
 )
 
 // crashing is a server that a request with "crash" in its path ends, and that starts again under its id.
@@ -113,7 +115,7 @@
 	broken := false
 	for p, path := range paths {
 		refused := 0
-		for try := 0; try < tries[p] && refused < 3; try++ {
+		for try := 0; try < tries[p] && refused < 3 && time.Since(l.start) < maxTime; try++ {
 			a := l.entry((p+try)%3).send("POST", "desg.example", path, fmt.Sprintf("%s-%d", path[7:], try), 1500*time.Millisecond, key, "body of "+path)
 			l.note("%s, try %d: %v", path, try+1, a)
 			if a.status == 503 {
