Removing the last organisation closes the routes, and no longer opens them

Cause: Table.RequiresKey counted organisations, and the parsed configuration kept no trace of whether the document has the field.

Change: Configuration.KeysRequired says that the field is there. On related paths: an empty key that an organisation declares belonged to requests without a key; an empty list of allowed profiles meant all of them and is now refused with its line.

TestRemovedLastOrganisationLetsNobodyIn in entry passes on both: the router deployment was closed already. While daemons of both versions run, those of the earlier one still let everybody in.

--- a/entry/api_test.go
+++ b/entry/api_test.go
@@ -21,6 +21,19 @@
 	return f.Error
 }
 
+// Guards against an entry that lets everybody in once the last organisation is removed.
+func TestRemovedLastOrganisationLetsNobodyIn(t *testing.T) {
+	r := newHarness(t, nil)
+	c := testConfiguration()
+	c.Revision, c.Organisations = 2, nil
+	r.server.Configure(c)
+	for _, authorization := range []string{"Bearer " + testToken, "Bearer", ""} {
+		resp := r.post(t, t.Context(), "/v1/completions", `{"prompt":"p"}`, "Authorization", authorization)
+		assert.Equal(t, resp.StatusCode, 401)
+		assert.Equal(t, tables.ErrorCode(failureIn(t, read(t, resp)).Code), tables.CodeUnauthorised)
+	}
+}
+
 // Guards against invalid requests that reach an endpoint or are reported with
 // an outcome other than not run.
 func TestInvalidRequestsAreNotDispatched(t *testing.T) {
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -200,6 +200,33 @@
 	assert.Equal(t, h.send(t, "GET", "/read/x", "").StatusCode, 401)
 }
 
+// Guards against instances that let everybody in once the last organisation is removed, and against a
+// rejection of its callers once it is declared again.
+func TestRemovedLastOrganisationClosesRoutes(t *testing.T) {
+	h := newHarness(t, respond(200, ""))
+	h.configure(t, 5, func(c *routes.Configuration) { c.Organisations, c.KeysRequired = nil, true })
+	for _, authorization := range []string{"Bearer key", "Bearer other", "Bearer", ""} {
+		assert.Equal(t, h.send(t, "POST", "/once/x", "", "Authorization", authorization).StatusCode, 401)
+		assert.Equal(t, h.send(t, "POST", "/resume/x", "", "Authorization", authorization, "Last-Event-Id", "1").StatusCode, 401)
+		assert.Equal(t, h.send(t, "GET", "/public/x", "", "Authorization", authorization).StatusCode, 200)
+	}
+	assert.Equal(t, h.deliveredCount(), 4)
+	h.configure(t, 6, nil)
+	assert.Equal(t, h.send(t, "GET", "/read/x", "").StatusCode, 200)
+	h.configure(t, 7, func(c *routes.Configuration) { c.Organisations = nil })
+	assert.Equal(t, h.send(t, "GET", "/read/x", "", "Authorization", "").StatusCode, 200)
+}
+
+// Guards against an empty key that an organisation declares and every request without a key has.
+func TestEmptyKeyLetsNobodyIn(t *testing.T) {
+	h := newHarness(t, respond(200, ""))
+	h.configure(t, 5, func(c *routes.Configuration) { c.Organisations[0].Keys = []string{""} })
+	for _, authorization := range []string{"Bearer", "Bearer ", ""} {
+		assert.Equal(t, h.send(t, "GET", "/read/x", "", "Authorization", authorization).StatusCode, 401)
+	}
+	assert.Equal(t, h.deliveredCount(), 0)
+}
+
 // Prompts that were cached for an isolated organisation, or by another version of the
 // weights, must not be reused for other requests. A client must not be able to set the
 // salt.
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -156,7 +156,10 @@
 	Routes        []Route
 	Services      []Service
 	Organisations []Organisation
-	Limits        ClientLimits
+	// KeysRequired closes all routes that are not public to requests without the API key of an
+	// organisation, also while no organisation is declared.
+	KeysRequired bool
+	Limits       ClientLimits
 }
 
 // Table is the routing table built from a configuration. It looks up the route and the
@@ -274,15 +277,21 @@
 	return nil
 }
 
-// OrganisationByKey returns the organisation that an API key belongs to, or nil.
-func (t *Table) OrganisationByKey(key string) *Organisation { return t.byKey[key] }
+// OrganisationByKey returns the organisation that an API key belongs to, or nil. The empty key belongs
+// to none, even if an organisation declares it.
+func (t *Table) OrganisationByKey(key string) *Organisation {
+	if key == "" {
+		return nil
+	}
+	return t.byKey[key]
+}
 
 // SharesCache reports whether an organisation of the configuration shares cached prompts with others.
 func (t *Table) SharesCache(id tables.OrganisationID) bool { return t.sharing[id] }
 
 // RequiresKey reports whether requests to routes that are not public need an API key.
-// They do as soon as any organisation is declared.
-func (t *Table) RequiresKey() bool { return len(t.Organisations) > 0 }
+// Without KeysRequired they do if any organisation is declared.
+func (t *Table) RequiresKey() bool { return t.KeysRequired || len(t.Organisations) > 0 }
 
 // ServiceByName returns the service of a name, or nil.
 func (t *Table) ServiceByName(name string) *Service { return t.services[name] }
--- a/settings/declarations.go
+++ b/settings/declarations.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"go.yaml.in/yaml/v3"
 
 	"github.com/carawaystile/carawaystile/tables"
 )
@@ -217,13 +218,25 @@
 		field{key: "share", read: integer(&o.Share, 1, maxShare)},
 		field{key: "requests_per_second", read: number(&o.RequestsPerSecond, 0, maxRate)},
 		field{key: "concurrent", read: integer(&o.Concurrent, 0, maxConcurrent)},
-		field{key: "profiles", read: names(&o.Profiles)},
+		field{key: "profiles", read: allowedProfiles(&o.Profiles)},
 	)
 	declare(d.organisations, "organisation", o.ID, n)
 	d.configuration.Organisations = append(d.configuration.Organisations, o)
 	d.checks = append(d.checks, func() { d.checkOrganisation(n, o) })
 }
 
+// allowedProfiles reads the profiles that an organisation may use. It refuses an empty list, since
+// without the key an organisation may use all of them.
+func allowedProfiles(dst *[]tables.ProfileName) func(node) {
+	return func(n node) {
+		if n.Kind == yaml.SequenceNode && len(n.Content) == 0 {
+			n.problem("this list is empty", "at least one profile; leave the key out to allow all")
+			return
+		}
+		names(dst)(n)
+	}
+}
+
 // tokenHashes reads one to four SHA-256 hashes in hexadecimal. Files never contain the
 // tokens themselves.
 func tokenHashes(dst *[]string) func(node) {
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -66,6 +66,7 @@
 		{"nobody serves", "models: [m]}", "service: s}", "no endpoint serves", "an endpoint that lists"},
 		{"token in clear", "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855", "secret", "not a SHA-256", "64 hexadecimal"},
 		{"not a name", "name: o,", "name: 'o p',", "not a name", "letters"},
+		{"no profile allowed", "name: o,", "name: o, profiles: [],", "empty", "leave the key out"},
 		{"name twice", "- {name: p,", "- {name: p, model: m, may_repeat: true}\n  - {name: p,", "declared twice, first at d.yaml:5", "another name"},
 		{"unknown adapter", "model: m,", "model: m, adapter: b,", "no adapter b", "the model lists"},
 		{"no mapping", "- {name: m, weights: w1, adapters: [a]}", "- m", `this is "m"`, "a mapping"},
