Answers that go on prove their prompts, and convictions end with the proof

One request of many callers was rejected likewise, for ten minutes.

Cause: a part was proven by completed answers only, so that answers of ten seconds prove nothing for ten seconds. For requests besides: 0 tokens were told for each crash, so that all crashes were at the same point; a conviction ended only with time, also if the request was completed meanwhile.

Hypothesis that a part of all prompts is in question at any crash: holds in the first two seconds of a part, so a conviction has to end by later evidence.

Change: Detector.Progressed takes each event. An answer that has gone on for 2 s, of which at most 1 s between two events counts, proves the parts of its prompt. A proof ends a conviction that did not know of it, unless the crashes suffice against a proven part; who still spreads such a conviction is told. A request is cleared, here and elsewhere, when it is completed or has gone on well beyond the points of its crashes; the furthest attempt at an endpoint counts. The product's own front reports progress twice a second.

--- a/entry/responsereader.go
+++ b/entry/responsereader.go
@@ -57,8 +57,13 @@
 	tokenTimer *time.Timer
 	// lastToken is when the previous token was returned.
 	lastToken tables.Instant
+	// progressReportedAt is when the router was last told of the current attempt's progress.
+	progressReportedAt tables.Instant
 }
 
+// progressInterval is the time between two reports of an attempt's progress to the router.
+const progressInterval = 500 * time.Millisecond
+
 // next returns the text of the next token, and io.EOF after the last one. Other
 // errors are *outcome.Failure and *callerGoneError.
 func (r *responseReader) next() (string, error) {
@@ -119,6 +124,7 @@
 	f := r.request
 	r.current = started
 	r.firstPending = !started.complete
+	r.progressReportedAt = f.server.now()
 	f.winner.Store(started.attempt)
 	if started.attempt.dispatch.ResumeFrom > 0 {
 		f.server.metrics.CountResumedStream(f.spec.Organisation)
@@ -166,9 +172,20 @@
 	}
 	f.recordToken(t.Text)
 	r.observeLatency(next)
+	r.reportProgress()
 	return t.Text, true
 }
 
+// reportProgress tells the router, from time to time, how far the current attempt is.
+func (r *responseReader) reportProgress() {
+	if r.lastToken-r.progressReportedAt < progressInterval {
+		return
+	}
+	r.progressReportedAt = r.lastToken
+	d := r.current.attempt.dispatch
+	r.request.server.Observe(router.AttemptProgressed{Attempt: d.Attempt, Tokens: r.request.deliveredTokens - d.ResumeFrom})
+}
+
 // observeLatency records the time to first token, or the time between two
 // tokens.
 func (r *responseReader) observeLatency(index int) {
--- a/entry/stream_test.go
+++ b/entry/stream_test.go
@@ -4,11 +4,14 @@
 	"bufio"
 	"context"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/carawaystile/carawaystile/engine"
+	"github.com/carawaystile/carawaystile/router"
+	"github.com/carawaystile/carawaystile/tables"
 )
 
 // texts returns the text of each event of a completion stream.
@@ -56,6 +59,46 @@
 	assert.Assert(t, strings.HasSuffix(rest.String(), doneEvent), rest)
 }
 
+// progressRouter passes on the reports of progress that a Router gets.
+type progressRouter struct {
+	Router
+	progressed chan router.AttemptProgressed
+}
+
+func (p *progressRouter) Observe(now tables.Instant, in router.Input) {
+	if progress, ok := in.(router.AttemptProgressed); ok {
+		p.progressed <- progress
+	}
+	p.Router.Observe(now, in)
+}
+
+// Guards against a router that is not told of answers that go on, or is told of each token.
+func TestProgressOfAnswersIsReportedNowAndThen(t *testing.T) {
+	const words = 20
+	var clock atomic.Int64
+	progress := &progressRouter{Router: newRetryingRouter(1), progressed: make(chan router.AttemptProgressed, words)}
+	r := newHarness(t, func(o *Options) {
+		o.Router = progress
+		o.Now = func() tables.Instant { return tables.Instant(clock.Load()) }
+	})
+	tokens := make(chan engine.Token)
+	r.client.generate = []generateFunc{func(ctx context.Context, req engine.GenerateRequest) (engine.Stream, error) {
+		return r.client.stream(ctx, req, tokens, nil), nil
+	}}
+	go func() {
+		for n := range words {
+			tokens <- engine.Token{Index: n, Text: "w"}
+			clock.Add(int64(progressInterval / 4))
+		}
+		close(tokens)
+	}()
+	resp := r.post(t, t.Context(), "/v1/completions", `{"model":"m","prompt":"p","stream":true}`)
+	assert.Equal(t, len(texts(t, read(t, resp))), words)
+	first := <-progress.progressed
+	assert.Assert(t, first.Tokens > 0 && first.Tokens < words, "first reported after %d tokens", first.Tokens)
+	assert.Assert(t, len(progress.progressed) <= words/4, "%d more reports", len(progress.progressed))
+}
+
 // Guards against missing or repeated tokens after an engine crashes in the
 // middle of a stream. The caller sees a pause and then the rest.
 func TestStreamResumesOnAnotherEndpointAfterCrash(t *testing.T) {
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -67,7 +67,9 @@
 	// complete response does not prove that it could answer the prompt: a failure, or a response
 	// whose end is that of its connection.
 	firstResponseAt tables.Instant
-	noProof         bool
+	// responses counts the events of the response; 1 for one that is not a stream.
+	responses int
+	noProof   bool
 	// via is the instance through which a relayed attempt has gone; empty otherwise.
 	via tables.InstanceID
 	// retryAfter is the Retry-After header of a response with status 503, for the log.
--- a/forward/attemptoutcome.go
+++ b/forward/attemptoutcome.go
@@ -47,10 +47,17 @@
 	return result == dispatch.ConnectionRefused || result == dispatch.ConnectTimeout || result == dispatch.RelayUnavailable
 }
 
-// recordResponseStart records that the endpoint has responded, with the scheduler, the load
-// balancer and the crash detector.
-func (a *attempt) recordResponseStart() {
+// recordResponse records that the endpoint has responded, or has sent one more event, with the
+// scheduler, the load balancer and the crash detector.
+func (a *attempt) recordResponse() {
 	a.assignment.NotifyStarted()
+	if cleared := a.recordResponseLocked(); len(cleared) > 0 {
+		a.request.server.options.ShareSuspects(cleared)
+	}
+}
+
+// recordResponseLocked returns what the other instances must be told.
+func (a *attempt) recordResponseLocked() (cleared []quarantine.Suspect) {
 	s := a.request.server
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -60,5 +67,8 @@
 	}
 	s.dispatch.RecordResponseStart(now, a.placement)
 	a.queuedPrefill = s.dispatch.QueuedPrefill(now, a.placement)
-	s.crashDetector.FirstToken(now, a.id)
+	a.responses++
+	cleared = s.crashDetector.Progressed(now, a.id, a.responses)
+	s.logPartChanges()
+	return cleared
 }
--- a/forward/crashing_part_test.go
+++ b/forward/crashing_part_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -10,6 +11,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/systems/quarantine"
 )
 
 // maxPartCrashes is how many endpoints a part may crash before requests with it are kept off.
@@ -80,3 +83,86 @@
 		})
 	}
 }
+
+// longFleet is a harness whose endpoints answer with an event every 40 ms until they are told to stop.
+type longFleet struct {
+	*harness
+	running []atomic.Int32
+	streams atomic.Int32
+	stop    chan struct{}
+}
+
+func newLongFleet(t *testing.T, endpoints int) *longFleet {
+	t.Helper()
+	f := &longFleet{running: make([]atomic.Int32, endpoints), stop: make(chan struct{})}
+	handlers := make([]http.HandlerFunc, endpoints)
+	for i := range handlers {
+		handlers[i] = func(w http.ResponseWriter, r *http.Request) {
+			f.running[i].Add(1)
+			defer f.running[i].Add(-1)
+			w.Header().Set("X-Signature", "s")
+			w.Header().Set("Content-Type", "text/event-stream")
+			for n := 1; ; n++ {
+				select {
+				case <-f.stop:
+					return
+				case <-r.Context().Done():
+					return
+				case <-time.After(40 * time.Millisecond):
+				}
+				_, _ = fmt.Fprintf(w, "id: %d\ndata: t\n\n", n)
+				_ = http.NewResponseController(w).Flush()
+			}
+		}
+	}
+	f.harness = newHarness(t, handlers...)
+	t.Cleanup(sync.OnceFunc(func() { close(f.stop) }))
+	return f
+}
+
+// begin starts streams whose prompts share a part, and returns once each has brought so many events.
+func (f *longFleet) begin(t *testing.T, streams, events int) {
+	started := make(chan struct{})
+	for range streams {
+		n := f.streams.Add(1)
+		go func() {
+			resp := f.send(t, "POST", fmt.Sprintf("/stream/%d", n), fmt.Sprintf("body %d", n),
+				"X-Request", fmt.Sprintf("l%d", n), "X-Model", "m", "X-Tokens", "400,200", "X-Prefix", fmt.Sprintf("new:100,u%d:40", n))
+			_, _ = io.CopyN(io.Discard, resp.Body, int64(events*len("id: 1\ndata: t\n\n")))
+			started <- struct{}{}
+			_, _ = io.Copy(io.Discard, resp.Body)
+		}()
+	}
+	for range streams {
+		<-started
+	}
+}
+
+// endBusiest ends the endpoint that runs most requests, and leaves time to notice the crash.
+func (f *longFleet) endBusiest() {
+	busiest := 0
+	for i := range f.running {
+		if f.running[i].Load() > f.running[busiest].Load() {
+			busiest = i
+		}
+	}
+	server := f.endpointServers[busiest]
+	_ = server.Listener.Close()
+	server.CloseClientConnections()
+	time.Sleep(300 * time.Millisecond)
+}
+
+// Guards against a shared part of prompts that is blamed for two unrelated crashes while no answer with it has ended yet.
+func TestSharedPartOfLongAnswersSurvivesUnrelatedCrashes(t *testing.T) {
+	f := newLongFleet(t, 6)
+	const streams = 12
+	const longEnough = 60 // events, more than two seconds
+	f.begin(t, streams, longEnough)
+	f.begin(t, streams, 1)
+	f.endBusiest()
+	f.endBusiest()
+	time.Sleep(2 * quarantine.DefaultSettleDelay)
+	resp := f.send(t, "POST", "/stream/new", "another body", "X-Request", "new", "X-Model", "m", "X-Tokens", "400,20", "X-Prefix", "new:100,unew:40")
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	assert.Equal(t, len(f.server.Convictions()), 0)
+}
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -85,7 +85,7 @@
 		cleared = s.crashDetector.Completed(now, a.id)
 		s.logPartChanges()
 	case result == dispatch.Broken:
-		s.crashDetector.Interrupted(now, a.id, 0, int(a.request.lastEventNumber))
+		s.crashDetector.Interrupted(now, a.id, a.responses, int(a.request.lastEventNumber))
 	default:
 		s.crashDetector.Ended(a.id)
 	}
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -47,7 +47,7 @@
 	}
 	c.dropFallback()
 	a.stopResponseTimer()
-	a.recordResponseStart()
+	a.recordResponse()
 	buffered := &bufferedResponse{status: response.Status, header: response.Header, body: body, attempt: a}
 	if response.Status >= http.StatusInternalServerError && a.retryServerError(buffered) {
 		return
--- a/forward/streamwriter.go
+++ b/forward/streamwriter.go
@@ -139,7 +139,7 @@
 			continue
 		}
 		a.stopResponseTimer()
-		a.recordResponseStart()
+		a.recordResponse()
 		if event.HasID && c.hasLastEventNumber && event.ID <= c.lastEventNumber {
 			continue // an earlier attempt has contributed it
 		}
@@ -165,7 +165,7 @@
 	switch {
 	case err == io.EOF:
 		a.stopResponseTimer()
-		a.recordResponseStart()
+		a.recordResponse()
 		a.recordOutcome(dispatch.Completed)
 		return &streamEnd{complete: true}
 	case r.isAborted():
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -46,6 +46,9 @@
 
 // encodeSuspect returns the message for a suspect.
 func encodeSuspect(s quarantine.Suspect) *rpc.CrashSuspect {
+	if s.Cleared && s.Part == 0 {
+		return &rpc.CrashSuspect{ClearedRequest: uint64(s.Fingerprint), AgeNanos: int64(s.Age)}
+	}
 	return &rpc.CrashSuspect{
 		Fingerprint: uint64(s.Fingerprint),
 		Endpoint:    string(s.Incarnation.Endpoint),
@@ -75,6 +78,10 @@
 
 // decodeSuspect is the inverse of encodeSuspect. Negative durations become 0.
 func decodeSuspect(s *rpc.CrashSuspect) quarantine.Suspect {
+	age := time.Duration(max(s.GetAgeNanos(), 0))
+	if f := s.GetClearedRequest(); f != 0 {
+		return quarantine.Suspect{Fingerprint: tables.Fingerprint(f), Cleared: true, Age: age}
+	}
 	return quarantine.Suspect{
 		Fingerprint: tables.Fingerprint(s.GetFingerprint()),
 		Incarnation: quarantine.Incarnation{
@@ -88,7 +95,7 @@
 			SinceFirstToken: time.Duration(max(s.GetRanNanos(), 0)),
 		},
 		Convicted:   s.GetConvicted(),
-		Age:         time.Duration(max(s.GetAgeNanos(), 0)),
+		Age:         age,
 		Part:        quarantine.Part(s.GetPart()),
 		Proven:      s.GetProven(),
 		Cleared:     s.GetCleared(),
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -34,3 +34,12 @@
 	}
 	assert.Equal(t, decodeSuspect(encodeSuspect(s)), s)
 }
+
+// Guards against a cleared request that instances of an earlier version take for a suspect.
+func TestClearedRequestHasNoFingerprintOfSuspect(t *testing.T) {
+	s := quarantine.Suspect{Fingerprint: 7, Cleared: true, Age: time.Minute}
+	message := encodeSuspect(s)
+	assert.Equal(t, decodeSuspect(message), s)
+	assert.Equal(t, message.GetFingerprint(), uint64(0))
+	assert.Equal(t, message.GetCleared(), false)
+}
--- a/router/messages.go
+++ b/router/messages.go
@@ -67,6 +67,12 @@
 	CachedTokens int
 }
 
+// AttemptProgressed reports that an attempt has generated so many tokens. It is not sent for each one.
+type AttemptProgressed struct {
+	Attempt tables.AttemptID
+	Tokens  int
+}
+
 // AttemptResult is the way in which an attempt ended.
 type AttemptResult uint8
 
@@ -136,6 +142,7 @@
 func (PeerPlacement) input()     {}
 func (AttemptStarted) input()    {}
 func (FirstToken) input()        {}
+func (AttemptProgressed) input() {}
 func (AttemptEnded) input()      {}
 func (CrashDetected) input()     {}
 func (EndpointWithdrawn) input() {}
--- a/router/observe.go
+++ b/router/observe.go
@@ -21,6 +21,8 @@
 		r.observeAttemptStarted(now, in)
 	case FirstToken:
 		r.observeFirstToken(now, in)
+	case AttemptProgressed:
+		r.broadcastSuspects(r.suspects.Progressed(now, in.Attempt, in.Tokens))
 	case AttemptEnded:
 		r.observeAttemptEnded(now, in)
 	case CrashDetected:
@@ -34,9 +36,7 @@
 		}
 		r.suspects.SetRank(in.Rank, in.Count)
 	case PeerSuspect:
-		if vouched := r.suspects.Merge(now, in.Suspect); len(vouched) > 0 {
-			r.actions = append(r.actions, BroadcastSuspects{Suspects: vouched})
-		}
+		r.broadcastSuspects(r.suspects.Merge(now, in.Suspect))
 	}
 }
 
@@ -159,7 +159,7 @@
 		return
 	}
 	a.FirstTokenAt = now
-	r.suspects.FirstToken(now, a.ID)
+	r.broadcastSuspects(r.suspects.Progressed(now, a.ID, 1))
 	r.endpoints.Row(a.Endpoint).LastProgress = now
 	r.releasePrefill(a)
 	r.recordFirstToken(now, a, in.CachedTokens)
--- a/router/quarantine.go
+++ b/router/quarantine.go
@@ -60,9 +60,7 @@
 func (r *Router) updateQuarantine(now tables.Instant, a *tables.AttemptRow, in AttemptEnded) {
 	switch in.Result {
 	case Completed:
-		if cleared := r.suspects.Completed(now, a.ID); len(cleared) > 0 {
-			r.actions = append(r.actions, BroadcastSuspects{Suspects: cleared})
-		}
+		r.broadcastSuspects(r.suspects.Completed(now, a.ID))
 	case Interrupted:
 		r.suspects.Interrupted(now, a.ID, in.GeneratedTokens, in.DeliveredTokens)
 	case Crashed:
@@ -107,7 +105,12 @@
 // then suspects the requests that were running there. The resulting suspects
 // are broadcast to the other instances.
 func (r *Router) recordCrash(now tables.Instant, incarnation quarantine.Incarnation) {
-	if suspects := r.suspects.Crashed(now, incarnation); len(suspects) > 0 {
+	r.broadcastSuspects(r.suspects.Crashed(now, incarnation))
+}
+
+// broadcastSuspects adds the action that sends reports to the other instances, if there are any.
+func (r *Router) broadcastSuspects(suspects []quarantine.Suspect) {
+	if len(suspects) > 0 {
 		r.actions = append(r.actions, BroadcastSuspects{Suspects: suspects})
 	}
 }
--- a/systems/quarantine/conviction.go
+++ b/systems/quarantine/conviction.go
@@ -26,6 +26,8 @@
 	at tables.Instant
 	// count counts the convictions in a row, between which no prompt with the part was completed.
 	count int
+	// proven is set if the part was proven when it was convicted.
+	proven bool
 	// released is set once an operator has ended the conviction early.
 	released bool
 }
@@ -101,7 +103,8 @@
 			return
 		}
 		main := &suspects[0]
-		d.convictPart(main.part, d.parts[main.part], conviction{at: main.crashes[len(main.crashes)-1].at, count: 1})
+		r := d.parts[main.part]
+		d.convictPart(main.part, r, conviction{at: main.crashes[len(main.crashes)-1].at, count: 1, proven: d.isProven(main.part, r.crashes)})
 	}
 }
 
@@ -175,13 +178,16 @@
 		return
 	}
 	c.count++
+	c.proven = d.isProven(part, r.crashes)
 	d.convictPart(part, r, c)
 }
 
-// mergeConviction applies another instance's conviction.
-func (d *Detector) mergeConviction(part Part, c conviction) {
-	if begun, proven := d.uses.provenAt(part); proven && c.at <= begun {
-		return
+// mergeConviction applies another instance's conviction. If that is refuted here, it returns the report
+// that says so.
+func (d *Detector) mergeConviction(now tables.Instant, part Part, c conviction) []Suspect {
+	begun, proven := d.uses.provenAt(part)
+	if proven && (c.at <= begun || d.isAcquitted(part, c)) {
+		return []Suspect{{Part: part, Cleared: true, Age: now - begun}}
 	}
 	r := d.partRecord(part)
 	switch {
@@ -190,8 +196,20 @@
 		d.convictPart(part, r, c)
 	case c.count == r.conviction.count:
 		r.conviction.at = max(c.at, r.conviction.at)
+		r.conviction.proven = r.conviction.proven || c.proven
 		r.conviction.released = r.conviction.released || c.released
 	}
+	return nil
+}
+
+// isAcquitted reports whether a conviction does not hold since the part is proven: that was not known
+// when it was convicted, and its crashes do not suffice to convict a proven part.
+func (d *Detector) isAcquitted(part Part, c conviction) bool {
+	var crashes []partCrash
+	if r := d.parts[part]; r != nil {
+		crashes = r.crashes
+	}
+	return !c.proven && d.isProven(part, crashes) && !d.isConvictable(part, crashes)
 }
 
 // release ends a conviction.
@@ -214,7 +232,7 @@
 
 // report returns the report of a conviction for other instances.
 func (c conviction) report(now tables.Instant, part Part) Suspect {
-	return Suspect{Part: part, Convicted: true, Convictions: c.count, Released: c.released, Age: now - c.at}
+	return Suspect{Part: part, Convicted: true, Convictions: c.count, Proven: c.proven, Released: c.released, Age: now - c.at}
 }
 
 // partVerdict returns the restriction under which a request with the part may run now.
--- a/systems/quarantine/incident.go
+++ b/systems/quarantine/incident.go
@@ -40,11 +40,24 @@
 	incidents, likely int
 }
 
-// addCandidate makes a request a candidate of an incident and reports whether it
-// was added.
+// addCandidate makes a request a candidate of an incident and reports whether that is
+// new. If several of its attempts were running, the furthest one counts: the others would
+// have crashed the endpoint later.
 func (d *Detector) addCandidate(at tables.Instant, incarnation Incarnation, f tables.Fingerprint, point CrashPoint) bool {
 	i := d.incidentFor(at, incarnation)
-	if i.find(f) != nil || len(i.candidates) >= d.options.MaxCandidates {
+	if c := i.find(f); c != nil {
+		if c.cleared || point.SinceFirstToken <= c.crashPoint.SinceFirstToken {
+			return false
+		}
+		if c.crashPoint.Likely && !point.Likely {
+			e := d.evidence[f]
+			e.likely--
+			d.evidence[f] = e
+		}
+		c.crashPoint = point
+		return true
+	}
+	if len(i.candidates) >= d.options.MaxCandidates {
 		return false
 	}
 	i.candidates = append(i.candidates, candidate{fingerprint: f, crashPoint: point})
@@ -123,39 +136,16 @@
 	}
 	clear(d.incidents[len(kept):])
 	d.incidents = kept
-	for f, at := range d.convicted {
-		if now-at > d.options.Retention {
-			delete(d.convicted, f)
+	for _, times := range []map[tables.Fingerprint]tables.Instant{d.convicted, d.cleared} {
+		for f, at := range times {
+			if now-at > d.options.Retention {
+				delete(times, f)
+			}
 		}
 	}
 	d.expireParts(now)
 }
 
-// convict records a conviction, unless a later one is known, and evicts the oldest
-// one at the limit.
-func (d *Detector) convict(at tables.Instant, f tables.Fingerprint) {
-	if known, ok := d.convicted[f]; ok && known >= at {
-		return
-	}
-	if len(d.convicted) >= d.options.MaxConvictions {
-		d.evictOldestConviction()
-	}
-	d.convicted[f] = at
-}
-
-// evictOldestConviction drops the oldest conviction. The lower fingerprint goes
-// first among equals, so that the choice does not depend on the order of the map.
-func (d *Detector) evictOldestConviction() {
-	var oldest tables.Fingerprint
-	first := true
-	for f, at := range d.convicted {
-		if first || at < d.convicted[oldest] || at == d.convicted[oldest] && f < oldest {
-			oldest, first = f, false
-		}
-	}
-	delete(d.convicted, oldest)
-}
-
 // Verdict returns the restriction under which a request may run now. It convicts
 // the request, or parts of its prompt, if the evidence suffices.
 func (d *Detector) Verdict(now tables.Instant, work Work) Verdict {
--- a/systems/quarantine/part_simulation_test.go
+++ b/systems/quarantine/part_simulation_test.go
@@ -30,11 +30,14 @@
 	soundRate     float64
 	soundDuration time.Duration
 	// bad holds the bad parts, which take turns; empty for none.
-	bad       []Part
-	nextBad   tables.Instant
-	badCount  int
-	sessionOf Part
-	gossipAt  tables.Instant
+	bad []Part
+	// badDuration is how long an attempt with a bad part runs before it crashes its endpoint; 0 for a
+	// random time of at most 350 ms.
+	badDuration time.Duration
+	nextBad     tables.Instant
+	badCount    int
+	sessionOf   Part
+	gossipAt    tables.Instant
 }
 
 func newPartFleet(seed uint64, instances, endpoints int) *partFleet {
@@ -76,10 +79,14 @@
 	parts := f.soundParts()
 	parts[f.rand.IntN(2)+1] = f.bad[f.badCount%len(f.bad)]
 	f.badCount++
-	f.submit(&fakeRequest{
+	r := &fakeRequest{
 		work: Work{Request: tables.Fingerprint(f.rand.Uint64() &^ 1), Parts: parts}, isPoison: true, instance: f.rand.IntN(len(f.instances)), maxAttempts: 2,
 		duration: 50*time.Millisecond + time.Duration(f.rand.Int64N(int64(300*time.Millisecond))),
-	})
+	}
+	if f.badDuration > 0 {
+		r.duration = f.badDuration
+	}
+	f.submit(r)
 }
 
 // gossip has each instance send its convictions to two others.
--- a/systems/quarantine/parts.go
+++ b/systems/quarantine/parts.go
@@ -52,7 +52,7 @@
 	endpoint tables.EndpointID
 	at       tables.Instant
 	request  tables.Fingerprint
-	// proven is set if an instance that reported the crash had completed prompts with the part.
+	// proven is set if the part was proven at an instance that reported the crash.
 	proven bool
 }
 
@@ -144,28 +144,39 @@
 	return oldest
 }
 
-// clearPart refutes the crashes of a part up to the time at which an answer began that was completed.
-// It reports whether other instances should know: they may be about to convict the part, or have
-// convicted it.
-func (d *Detector) clearPart(part Part, begun tables.Instant) (report bool) {
-	d.uses.prove(part, begun)
+// provePart records that an answer to a prompt with the part began at the given time and was completed,
+// or has gone on for answerStartWindow. That refutes the crashes up to then. It reports whether other
+// instances should know: they may be about to convict the part, or have convicted it.
+func (d *Detector) provePart(part Part, begun tables.Instant) (report bool) {
 	r := d.parts[part]
 	if r == nil {
+		d.uses.prove(part, begun)
 		return false
 	}
-	kept := slices.DeleteFunc(slices.Clone(r.crashes), func(c partCrash) bool { return c.at <= begun })
-	if len(kept) == len(r.crashes) && r.conviction.at > begun {
-		return false
-	}
-	report = r.conviction.count > 0 || len(r.crashes) >= newPartCrashes
-	r.crashes = kept
+	suspected := r.conviction.count > 0 || len(r.crashes) >= newPartCrashes
+	wasProven := d.isProven(part, r.crashes)
+	d.uses.prove(part, begun)
+	crashes := len(r.crashes)
+	r.crashes = slices.DeleteFunc(r.crashes, func(c partCrash) bool { return c.at <= begun })
+	refuted := len(r.crashes) < crashes
 	if r.conviction.count > 0 && r.conviction.at <= begun {
 		d.release(part, r)
 	}
+	acquitted := d.acquitPart(part)
 	if len(r.crashes) == 0 && r.conviction.count == 0 {
 		d.dropPart(part)
 	}
-	return report
+	return suspected && (refuted || acquitted || !wasProven)
+}
+
+// acquitPart ends the conviction of a part that is acquitted, and reports whether it did.
+func (d *Detector) acquitPart(part Part) bool {
+	r := d.parts[part]
+	if r.conviction.count == 0 || !d.isAcquitted(part, r.conviction) {
+		return false
+	}
+	d.release(part, r)
+	return true
 }
 
 // partExpiryInterval is the interval between two calls of expireParts that have an effect.
@@ -231,14 +242,14 @@
 	if len(requests) < minPartRequests {
 		return false
 	}
-	if d.isProven(part, d.parts[part].crashes) {
+	if r := d.parts[part]; r != nil && d.isProven(part, r.crashes) {
 		return moments >= provenPartCrashes && crashes[len(crashes)-1].at-crashes[0].at >= provenPartSpan
 	}
 	return moments >= newPartCrashes || len(crashes) >= manyPartCrashes
 }
 
-// isProven reports whether answers to prompts with the part were completed lately, here or at an
-// instance that has said so.
+// isProven reports whether answers to prompts with the part were completed lately, or went on for
+// answerStartWindow, here or at an instance that has said so.
 func (d *Detector) isProven(part Part, crashes []partCrash) bool {
 	_, proven := d.uses.provenAt(part)
 	return proven || slices.ContainsFunc(crashes, func(c partCrash) bool { return c.proven })
--- a/systems/quarantine/quarantine.go
+++ b/systems/quarantine/quarantine.go
@@ -32,8 +32,12 @@
 	incarnation Incarnation
 	verdict     Verdict
 	startedAt   tables.Instant
-	// firstToken is the time of the first token; zero before it.
-	firstToken tables.Instant
+	// firstToken and lastToken are the times of the first and the latest token; zero before the first.
+	firstToken, lastToken tables.Instant
+	// progress is the time for which the answer has gone on, see maxProgressGap.
+	progress time.Duration
+	// provedParts is set once the answer has proven the parts of the prompt.
+	provedParts bool
 	// safeAfter is how long after its first token a suspect has outlived its
 	// earlier crashes. It need not be kept apart from other suspects from then on.
 	safeAfter time.Duration
@@ -52,6 +56,8 @@
 	interrupted []tables.AttemptID
 	incidents   []*incident
 	convicted   map[tables.Fingerprint]tables.Instant
+	// cleared holds when requests were cleared that other instances may have convicted.
+	cleared map[tables.Fingerprint]tables.Instant
 	// evidence sums up the incidents of each suspected request.
 	evidence map[tables.Fingerprint]evidence
 	// parts holds the parts that were in question at a crash or are convicted, uses those of the
@@ -77,6 +83,7 @@
 		options:   o.withDefaults(),
 		attempts:  make(map[tables.AttemptID]*attempt),
 		convicted: make(map[tables.Fingerprint]tables.Instant),
+		cleared:   make(map[tables.Fingerprint]tables.Instant),
 		evidence:  make(map[tables.Fingerprint]evidence),
 		parts:     make(map[Part]*partRecord),
 
@@ -136,13 +143,6 @@
 	}
 }
 
-// FirstToken records that an attempt has produced its first token. Later calls have no effect.
-func (d *Detector) FirstToken(now tables.Instant, id tables.AttemptID) {
-	if r := d.attempts[id]; r != nil && r.firstToken == 0 {
-		r.firstToken = max(now, 1)
-	}
-}
-
 // Completed records that an attempt ran to its end with success, which clears its request and the
 // parts of its prompt. It returns the reports for the other instances.
 func (d *Detector) Completed(now tables.Instant, id tables.AttemptID) []Suspect {
@@ -151,14 +151,7 @@
 		return nil
 	}
 	delete(d.attempts, id)
-	d.exonerate(r.work.Request)
-	var reports []Suspect
-	for _, part := range r.work.Parts {
-		if d.clearPart(part, r.firstToken) {
-			reports = append(reports, Suspect{Part: part, Cleared: true, Age: now - r.firstToken})
-		}
-	}
-	return reports
+	return append(d.clearRequest(now, r.work.Request), d.proveParts(now, r)...)
 }
 
 // Failed records that an attempt ran to its end with a failure that the endpoint reported. It
@@ -183,7 +176,7 @@
 		return
 	}
 	r.interruptedAt = max(now, 1)
-	r.attemptTokens, r.answerTokens = tokens, position
+	r.attemptTokens, r.answerTokens = max(r.attemptTokens, tokens), position
 	d.interrupted = append(d.interrupted, id)
 	d.expireInterrupted(now)
 }
@@ -215,11 +208,7 @@
 	for _, id := range d.attemptsOn(incarnation) {
 		r := d.attempts[id]
 		delete(d.attempts, id)
-		point := CrashPoint{AttemptTokens: r.attemptTokens, AnswerTokens: r.answerTokens}
-		if r.firstToken != 0 {
-			point.SinceFirstToken = now - r.firstToken
-		}
-		point.Likely = point.SinceFirstToken < d.options.LikelyWindow
+		point := d.crashPointOf(now, r)
 		if d.addCandidate(now, incarnation, r.work.Request, point) {
 			reports = append(reports, Suspect{Fingerprint: r.work.Request, Incarnation: incarnation, CrashPoint: point})
 		}
@@ -228,14 +217,35 @@
 	return reports
 }
 
+// crashPointOf returns the progress of an attempt whose endpoint has crashed by now.
+func (d *Detector) crashPointOf(now tables.Instant, r *attempt) CrashPoint {
+	point := CrashPoint{AttemptTokens: r.attemptTokens, AnswerTokens: r.answerTokens}
+	if r.firstToken != 0 {
+		point.SinceFirstToken = r.endedBy(now) - r.firstToken
+	}
+	point.Likely = point.SinceFirstToken < d.options.LikelyWindow
+	return point
+}
+
+// endedBy returns when the attempt was interrupted, or now if it has not been noticed yet.
+func (r *attempt) endedBy(now tables.Instant) tables.Instant {
+	if r.interruptedAt != 0 {
+		return r.interruptedAt
+	}
+	return now
+}
+
+// mayHaveCrashedByStart reports whether the endpoint of an attempt that was interrupted by the given
+// time may have crashed since it was about to begin the answer or had just begun it.
+func (r *attempt) mayHaveCrashedByStart(at tables.Instant) bool {
+	return r.firstToken == 0 || !r.outlastedStart() && at-r.lastToken <= answerStartWindow
+}
+
 // questionParts records the crash of an attempt's endpoint against the parts of its prompt, if the
 // attempt was about to begin its answer or had just begun it. It returns the new reports.
 func (d *Detector) questionParts(now tables.Instant, r *attempt) []Suspect {
-	at := now
-	if r.interruptedAt != 0 {
-		at = r.interruptedAt
-	}
-	if r.firstToken != 0 && at-r.firstToken > answerStartWindow {
+	at := r.endedBy(now)
+	if !r.mayHaveCrashedByStart(at) {
 		return nil
 	}
 	var reports []Suspect
@@ -285,8 +295,10 @@
 	switch {
 	case report.Part != 0:
 		return d.mergePart(now, at, report)
+	case report.Cleared:
+		d.clearRequest(at, report.Fingerprint)
 	case report.Convicted:
-		d.convict(at, report.Fingerprint)
+		return d.mergeRequestConviction(now, at, report.Fingerprint)
 	default:
 		d.addCandidate(at, report.Incarnation, report.Fingerprint, report.CrashPoint)
 	}
@@ -297,12 +309,13 @@
 func (d *Detector) mergePart(now, at tables.Instant, report Suspect) []Suspect {
 	switch {
 	case report.Cleared:
-		d.clearPart(report.Part, at)
+		d.provePart(report.Part, at)
 	case report.Convicted:
-		d.mergeConviction(report.Part, conviction{at: at, count: max(report.Convictions, 1), released: report.Released})
+		return d.mergeConviction(now, report.Part, conviction{at: at, count: max(report.Convictions, 1), proven: report.Proven, released: report.Released})
 	default:
 		crash := partCrash{endpoint: report.Incarnation.Endpoint, at: at, request: report.Fingerprint, proven: report.Proven}
 		if d.addPartCrash(report.Part, crash) {
+			d.acquitPart(report.Part)
 			return d.vouch(now, report.Part, crash)
 		}
 	}
--- a/systems/quarantine/report.go
+++ b/systems/quarantine/report.go
@@ -30,12 +30,13 @@
 	Convicted   bool
 	Convictions int
 	Released    bool
-	// Proven is set if the instance has completed prompts with the part lately.
+	// Proven is set if the part is proven at the instance: answers to prompts with it were completed
+	// lately, or went on for a while. For a conviction it says that the part was proven before.
 	Proven bool
-	// Cleared is set in place of Incarnation if a prompt with the part was completed.
+	// Cleared is set in place of Incarnation if such an answer clears the part or the request.
 	Cleared bool
-	// Age is the time since the incident, the conviction, or the beginning of the answer that
-	// clears the part.
+	// Age is the time since the incident, the conviction, the beginning of the answer that clears
+	// the part, or the clearance of the request.
 	Age time.Duration
 }
 
--- /dev/null
+++ b/systems/quarantine/requestconviction.go
@@ -0,0 +1,55 @@
+package quarantine
+
+import "github.com/carawaystile/carawaystile/tables"
+
+// convict records a conviction, unless a later one is known, and evicts the oldest
+// one at the limit.
+func (d *Detector) convict(at tables.Instant, f tables.Fingerprint) {
+	if known, ok := d.convicted[f]; ok && known >= at {
+		return
+	}
+	if len(d.convicted) >= d.options.MaxConvictions {
+		deleteOldest(d.convicted)
+	}
+	d.convicted[f] = at
+}
+
+// deleteOldest deletes the entry with the earliest time. The lower fingerprint goes
+// first among equals, so that the choice does not depend on the order of the map.
+func deleteOldest(times map[tables.Fingerprint]tables.Instant) {
+	var oldest tables.Fingerprint
+	first := true
+	for f, at := range times {
+		if first || at < times[oldest] || at == times[oldest] && f < oldest {
+			oldest, first = f, false
+		}
+	}
+	delete(times, oldest)
+}
+
+// clearRequest clears a request and ends its conviction. It returns the report for the other instances
+// if they may be about to convict the request, or have convicted it.
+func (d *Detector) clearRequest(now tables.Instant, f tables.Fingerprint) []Suspect {
+	_, convicted := d.convicted[f]
+	report := convicted || d.evidence[f].incidents >= convictionThreshold
+	d.exonerate(f)
+	delete(d.convicted, f)
+	if !report {
+		return nil
+	}
+	if len(d.cleared) >= d.options.MaxConvictions {
+		deleteOldest(d.cleared)
+	}
+	d.cleared[f] = now
+	return []Suspect{{Fingerprint: f, Cleared: true}}
+}
+
+// mergeRequestConviction applies another instance's conviction of a request. If that is older than the
+// clearance of the request, it returns the report of the latter.
+func (d *Detector) mergeRequestConviction(now, at tables.Instant, f tables.Fingerprint) []Suspect {
+	if cleared, ok := d.cleared[f]; ok && at <= cleared {
+		return []Suspect{{Fingerprint: f, Cleared: true, Age: now - cleared}}
+	}
+	d.convict(at, f)
+	return nil
+}
--- a/systems/quarantine/simulation_test.go
+++ b/systems/quarantine/simulation_test.go
@@ -170,8 +170,9 @@
 		f.send(r.instance, f.instances[r.instance].Completed(f.now, r.attempt))
 		r.ended = true
 		f.completed++
-	case f.now-r.started == firstToken:
-		f.instances[r.instance].FirstToken(f.now, r.attempt)
+	case f.now-r.started >= firstToken && (f.now-r.started-firstToken)%tokenTime == 0:
+		tokens := int((f.now - r.started - firstToken) / tokenTime)
+		f.send(r.instance, f.instances[r.instance].Progressed(f.now, r.attempt, tokens))
 	}
 }
 
--- a/systems/quarantine/trial.go
+++ b/systems/quarantine/trial.go
@@ -33,7 +33,7 @@
 // holds reports whether requests with an unproven part must wait: for a while after its last crash,
 // and while another attempt of this instance tries it.
 func (d *Detector) holds(now tables.Instant, part Part, r *partRecord) bool {
-	if len(r.crashes) < newPartCrashes || d.isProven(part, r.crashes) || d.outlives(now, part, r) {
+	if len(r.crashes) < newPartCrashes || d.isProven(part, r.crashes) {
 		return false
 	}
 	spread := holdSpread * time.Duration(d.turn(part)) / time.Duration(d.instances)
@@ -51,14 +51,6 @@
 	})
 }
 
-// outlives reports whether an answer to a prompt with the part, begun after the part's crashes, has
-// gone on for longer than answerStartWindow.
-func (d *Detector) outlives(now tables.Instant, part Part, r *partRecord) bool {
-	return d.anyRunning(part, func(a *attempt) bool {
-		return a.firstToken > r.latest() && now-a.firstToken > answerStartWindow
-	})
-}
-
 // anyRunning reports whether the condition holds for a running attempt with the part.
 func (d *Detector) anyRunning(part Part, condition func(*attempt) bool) bool {
 	for _, a := range d.attempts {
