A crash is told from others of its endpoint by time, not by the endpoint's ID

Cause: a forwarding deployment knows a process by the ID of its endpoint, so all crashes of an endpoint were one incident for ten minutes: a further crash added no evidence, and requests that crashed it at other times were candidates of the same incident.

Ruled out: the thresholds (unchanged; with the new identity each request is rejected after two crashes) and reports that are lost (the first request is rejected at all instances). The start in the list is not used: it comes late, and instances know different ones at the same moment.

Change: a crash lies between the start of the latest attempt that ran at the process and the time when it was noticed. Reports whose times overlap within a second are about one crash, however late it was noticed; an attempt that started after a crash ran at a later process. Known boot IDs decide where there are any. Parts of prompts and mass failures, which were told apart by a second, use the same identity: one crash that was noticed further apart counted twice. The end of an endpoint that is draining is no crash.

--- a/dispatch/announcements.go
+++ b/dispatch/announcements.go
@@ -127,6 +127,13 @@
 	return first
 }
 
+// IsLeaving reports whether an endpoint is known to be about to stop, by the platform's list or by what
+// it has announced.
+func (d *Dispatcher) IsLeaving(id tables.EndpointID) bool {
+	row := d.endpoints[id]
+	return row != nil && row.isLeaving()
+}
+
 // AnnouncedDraining returns the endpoints of a service that are known to be about to stop
 // though the platform's list does not say so, at most limit of them.
 func (d *Dispatcher) AnnouncedDraining(service string, limit int) []tables.EndpointID {
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -23,7 +23,8 @@
 	return work
 }
 
-// incarnationOf returns the endpoint process of a placement.
+// incarnationOf returns the endpoint process of a placement. Its boot is not known: endpoints do not
+// name it in their responses, and the list shows a new start late.
 func incarnationOf(placement *dispatch.Attempt) quarantine.Incarnation {
 	return quarantine.Incarnation{Endpoint: placement.Endpoint.ID}
 }
@@ -92,6 +93,13 @@
 	return cleared
 }
 
+// isLeaving reports whether an endpoint is known to be about to stop.
+func (s *Server) isLeaving(id tables.EndpointID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dispatch.IsLeaving(id)
+}
+
 // recordCrash records the crash of an endpoint with the crash detector, and notifies the other
 // instances of what was running there.
 func (s *Server) recordCrash(incarnation quarantine.Incarnation) {
--- a/forward/timeout.go
+++ b/forward/timeout.go
@@ -134,7 +134,8 @@
 // probeForCrash tests whether the process of an endpoint whose connection broke has ended:
 // a connection that is refused to this instance and to others means that it has. The crash
 // detector then records the requests that were running there as suspects, and the other instances
-// are notified of them. The returned channel is closed after that.
+// are notified of them. The end of an endpoint that was about to stop is no crash. The returned
+// channel is closed after that.
 func (a *attempt) probeForCrash() <-chan struct{} {
 	s, endpoint := a.request.server, a.placement.Endpoint
 	probed := make(chan struct{})
@@ -146,6 +147,9 @@
 		if !errors.Is(err, syscall.ECONNREFUSED) || !s.refusesAll(s.options.Context, &endpoint) {
 			return
 		}
+		if s.isLeaving(endpoint.ID) {
+			return
+		}
 		s.recordCrash(incarnationOf(a.placement))
 	}()
 	return probed
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -64,6 +64,7 @@
 		Cleared:     s.Cleared,
 		Convictions: int64(s.Convictions),
 		Released:    s.Released,
+		UpNanos:     int64(s.UpBefore),
 	}
 }
 
@@ -88,6 +89,7 @@
 			Endpoint: tables.EndpointID(s.GetEndpoint()),
 			Boot:     tables.BootID(s.GetBoot()),
 		},
+		UpBefore: time.Duration(max(s.GetUpNanos(), 0)),
 		CrashPoint: quarantine.CrashPoint{
 			Likely:          s.GetLikely(),
 			AttemptTokens:   int(s.GetTokens()),
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -17,6 +17,7 @@
 	s := quarantine.Suspect{
 		Fingerprint: 7,
 		Incarnation: quarantine.Incarnation{Endpoint: "e", Boot: "b"},
+		UpBefore:    time.Hour,
 		CrashPoint:  quarantine.CrashPoint{Likely: true, AttemptTokens: 3, AnswerTokens: 9, SinceFirstToken: time.Second},
 		Convicted:   true,
 		Part:        8,
--- a/systems/quarantine/conviction.go
+++ b/systems/quarantine/conviction.go
@@ -161,8 +161,8 @@
 	r.conviction, r.convictable = c, false
 	d.convictedParts[part] = r
 	change := PartChange{Part: part, Length: c.length(d.options.Retention), Count: c.count}
-	for _, crash := range r.crashes {
-		change.Endpoints = append(change.Endpoints, crash.endpoint)
+	for n := range r.crashes {
+		change.Endpoints = append(change.Endpoints, r.crashes[n].incarnation.Endpoint)
 	}
 	d.partChanges = append(d.partChanges, change)
 }
@@ -270,8 +270,8 @@
 			PartChange: PartChange{Part: part, Length: r.conviction.length(d.options.Retention), Count: r.conviction.count},
 			ReleaseIn:  max(0, d.releaseAt(part, r)-now),
 		}
-		for _, crash := range r.crashes {
-			c.Endpoints = append(c.Endpoints, crash.endpoint)
+		for n := range r.crashes {
+			c.Endpoints = append(c.Endpoints, r.crashes[n].incarnation.Endpoint)
 		}
 		all = append(all, c)
 	}
--- a/systems/quarantine/incident.go
+++ b/systems/quarantine/incident.go
@@ -9,9 +9,8 @@
 
 // incident is the crash of one endpoint process.
 type incident struct {
-	incarnation Incarnation
-	at          tables.Instant
-	candidates  []candidate
+	crash
+	candidates []candidate
 }
 
 // candidate is a request that was running when the endpoint crashed.
@@ -43,8 +42,7 @@
 // addCandidate makes a request a candidate of an incident and reports whether that is
 // new. If several of its attempts were running, the furthest one counts: the others would
 // have crashed the endpoint later.
-func (d *Detector) addCandidate(at tables.Instant, incarnation Incarnation, f tables.Fingerprint, point CrashPoint) bool {
-	i := d.incidentFor(at, incarnation)
+func (d *Detector) addCandidate(i *incident, f tables.Fingerprint, point CrashPoint) bool {
 	if c := i.find(f); c != nil {
 		if c.cleared || point.SinceFirstToken <= c.crashPoint.SinceFirstToken {
 			return false
@@ -70,20 +68,30 @@
 	return true
 }
 
-// incidentFor returns the incident of an endpoint process. It records a new one if
-// there is none, and evicts the oldest one at the limit.
-func (d *Detector) incidentFor(at tables.Instant, incarnation Incarnation) *incident {
+// findIncident returns the first incident that may be the given crash, nil if there is none.
+func (d *Detector) findIncident(c crash) *incident {
+	var first *incident
 	for _, i := range d.incidents {
-		if i.incarnation == incarnation {
-			return i
+		if i.isSame(&c) && (first == nil || i.at < first.at) {
+			first = i
 		}
 	}
+	return first
+}
+
+// incidentFor returns the incident of a crash. It records a new one if there is none, and evicts
+// the oldest one at the limit.
+func (d *Detector) incidentFor(c crash) *incident {
+	if i := d.findIncident(c); i != nil {
+		i.narrow(&c)
+		return i
+	}
 	if len(d.incidents) >= d.options.MaxIncidents {
 		d.removeEvidence(d.incidents[0])
 		d.incidents = d.incidents[1:]
 	}
-	d.endpointCrashes.add(incarnation.Endpoint, at)
-	i := &incident{incarnation: incarnation, at: at}
+	d.endpointCrashes.add(c)
+	i := &incident{crash: c}
 	d.incidents = append(d.incidents, i)
 	return i
 }
@@ -360,9 +368,8 @@
 
 // hasConvictedPart reports whether a convicted part was in question at an incident.
 func (d *Detector) hasConvictedPart(i *incident) bool {
-	crash := partCrash{endpoint: i.incarnation.Endpoint, at: i.at}
 	for _, r := range d.convictedParts {
-		if r.has(&crash) {
+		if r.has(&i.crash) {
 			return true
 		}
 	}
--- a/systems/quarantine/massfailure.go
+++ b/systems/quarantine/massfailure.go
@@ -21,14 +21,9 @@
 	maxEndpointCrashes = 1024
 )
 
-// endpointCrash is a crash of an endpoint process, whatever was running there.
-type endpointCrash struct {
-	endpoint tables.EndpointID
-	at       tables.Instant
-}
-
-// endpointCrashes holds the latest crashes, ordered by time.
-type endpointCrashes []endpointCrash
+// endpointCrashes holds the latest crashes of endpoint processes, whatever was running there, ordered by
+// time.
+type endpointCrashes []crash
 
 // between returns the crashes from one time to another, both included.
 func (c endpointCrashes) between(from, to tables.Instant) endpointCrashes {
@@ -38,13 +33,12 @@
 }
 
 // add adds a crash unless it is known.
-func (c *endpointCrashes) add(endpoint tables.EndpointID, at tables.Instant) {
-	isSame := func(known endpointCrash) bool { return known.endpoint == endpoint }
-	if slices.ContainsFunc(c.between(at-sameCrashWindow, at+sameCrashWindow), isSame) {
+func (c *endpointCrashes) add(added crash) {
+	if slices.ContainsFunc(*c, func(known crash) bool { return known.isSame(&added) }) {
 		return
 	}
-	place, _ := slices.BinarySearchFunc(*c, at, func(known endpointCrash, at tables.Instant) int { return cmp.Compare(known.at, at) })
-	*c = slices.Insert(*c, place, endpointCrash{endpoint: endpoint, at: at})
+	place, _ := slices.BinarySearchFunc(*c, added.at, func(known crash, at tables.Instant) int { return cmp.Compare(known.at, at) })
+	*c = slices.Insert(*c, place, added)
 	if len(*c) > maxEndpointCrashes {
 		*c = slices.Delete(*c, 0, 1)
 	}
@@ -52,15 +46,15 @@
 
 // isMassFailure reports whether a crash is one of many at the same time, at most of which the part
 // of the record was not in question.
-func (d *Detector) isMassFailure(r *partRecord, crash *partCrash) bool {
-	from, to := crash.at-massFailureWindow/2, crash.at+massFailureWindow/2
+func (d *Detector) isMassFailure(r *partRecord, c *crash) bool {
+	from, to := c.at-massFailureWindow/2, c.at+massFailureWindow/2
 	all := len(d.endpointCrashes.between(from, to))
 	if all < massFailureCrashes {
 		return false
 	}
 	own := 0
-	for _, c := range r.crashes {
-		if c.at >= from && c.at <= to {
+	for _, crash := range r.crashes {
+		if crash.at >= from && crash.at <= to {
 			own++
 		}
 	}
--- a/systems/quarantine/parts.go
+++ b/systems/quarantine/parts.go
@@ -49,18 +49,12 @@
 // partCrash is a crash of an endpoint that was about to begin, or had just begun, an answer to a
 // prompt with the part.
 type partCrash struct {
-	endpoint tables.EndpointID
-	at       tables.Instant
-	request  tables.Fingerprint
+	crash
+	request tables.Fingerprint
 	// proven is set if the part was proven at an instance that reported the crash.
 	proven bool
 }
 
-// isSame reports whether two reports are about one crash.
-func (c *partCrash) isSame(other *partCrash) bool {
-	return c.endpoint == other.endpoint && (c.at-other.at).Abs() <= sameCrashWindow
-}
-
 // partRecord is what speaks against a part.
 type partRecord struct {
 	// crashes are ordered by time.
@@ -84,30 +78,35 @@
 
 // addPartCrash records that a part was in question at a crash, and reports whether that is new. A
 // completed answer that began after the crash has refuted it already.
-func (d *Detector) addPartCrash(part Part, crash partCrash) (isNew bool) {
-	if begun, proven := d.uses.provenAt(part); proven && crash.at <= begun {
+func (d *Detector) addPartCrash(part Part, added partCrash) (isNew bool) {
+	if begun, proven := d.uses.provenAt(part); proven && added.at <= begun {
 		return false
 	}
 	r := d.partRecord(part)
 	for n := range r.crashes {
-		if known := &r.crashes[n]; known.isSame(&crash) {
-			isNew = crash.proven && !known.proven
-			known.proven = known.proven || crash.proven
+		if known := &r.crashes[n]; known.isSame(&added.crash) {
+			isNew = added.proven && !known.proven
+			known.proven = known.proven || added.proven
+			known.narrow(&added.crash)
+			r.sortCrashes()
 			return isNew
 		}
 	}
-	d.endpointCrashes.add(crash.endpoint, crash.at)
-	r.crashes = append(r.crashes, crash)
-	slices.SortStableFunc(r.crashes, func(a, b partCrash) int { return cmp.Compare(a.at, b.at) })
+	r.crashes = append(r.crashes, added)
+	r.sortCrashes()
 	if len(r.crashes) > maxCrashesOfPart {
 		r.crashes = slices.Delete(r.crashes, 0, 1)
 	}
 	if r.conviction.count > 0 {
-		d.extendConviction(part, r, crash.at)
+		d.extendConviction(part, r, added.at)
 	}
 	return true
 }
 
+func (r *partRecord) sortCrashes() {
+	slices.SortStableFunc(r.crashes, func(a, b partCrash) int { return cmp.Compare(a.at, b.at) })
+}
+
 // partRecord returns the record of a part, and makes one if there is none. At the limit it drops the
 // record with the oldest crash.
 func (d *Detector) partRecord(part Part) *partRecord {
@@ -201,16 +200,16 @@
 func (d *Detector) unexplained(part Part, r *partRecord) []partCrash {
 	var crashes []partCrash
 	for n := range r.crashes {
-		if crash := &r.crashes[n]; !d.isExplained(part, crash) && !d.isMassFailure(r, crash) {
-			crashes = append(crashes, *crash)
+		if c := &r.crashes[n]; !d.isExplained(part, &c.crash) && !d.isMassFailure(r, &c.crash) {
+			crashes = append(crashes, *c)
 		}
 	}
 	return crashes
 }
 
-func (d *Detector) isExplained(part Part, crash *partCrash) bool {
+func (d *Detector) isExplained(part Part, c *crash) bool {
 	for other, r := range d.convictedParts {
-		if other != part && r.has(crash) {
+		if other != part && r.has(c) {
 			return true
 		}
 	}
@@ -218,15 +217,15 @@
 		return false
 	}
 	for _, i := range d.incidents {
-		if i.incarnation.Endpoint == crash.endpoint && (i.at-crash.at).Abs() <= sameCrashWindow && d.hasConvictedCandidate(i) {
+		if i.isSame(c) && d.hasConvictedCandidate(i) {
 			return true
 		}
 	}
 	return false
 }
 
-func (r *partRecord) has(crash *partCrash) bool {
-	return slices.ContainsFunc(r.crashes, func(c partCrash) bool { return c.isSame(crash) })
+func (r *partRecord) has(c *crash) bool {
+	return slices.ContainsFunc(r.crashes, func(known partCrash) bool { return known.isSame(c) })
 }
 
 // isConvictable reports whether the given crashes suffice to convict a part.
@@ -257,7 +256,7 @@
 
 // vouch returns the report that the part of a merged crash is proven, if this instance knows that
 // and the others, who may be about to convict the part, do not.
-func (d *Detector) vouch(now tables.Instant, part Part, crash partCrash) []Suspect {
+func (d *Detector) vouch(now tables.Instant, part Part, merged partCrash) []Suspect {
 	r := d.parts[part]
 	if r == nil || slices.ContainsFunc(r.crashes, func(c partCrash) bool { return c.proven }) {
 		return nil
@@ -272,7 +271,7 @@
 		r.crashes[n].proven = true
 	}
 	return []Suspect{{
-		Part: part, Fingerprint: crash.request, Incarnation: Incarnation{Endpoint: crash.endpoint}, Proven: true, Age: now - crash.at,
+		Part: part, Fingerprint: merged.request, Incarnation: merged.incarnation, UpBefore: max(0, merged.at-merged.upAt), Proven: true, Age: now - merged.at,
 	}}
 }
 
--- a/systems/quarantine/quarantine.go
+++ b/systems/quarantine/quarantine.go
@@ -204,15 +204,23 @@
 func (d *Detector) Crashed(now tables.Instant, incarnation Incarnation) []Suspect {
 	d.expireInterrupted(now)
 	d.expire(now)
+	ids := d.attemptsOn(incarnation)
+	if len(ids) == 0 {
+		return nil
+	}
+	i := d.incidentFor(d.crashOf(now, incarnation, ids))
+	report := Suspect{Incarnation: incarnation, UpBefore: max(0, i.at-i.upAt), Age: now - i.at}
 	var reports []Suspect
-	for _, id := range d.attemptsOn(incarnation) {
+	for _, id := range ids {
 		r := d.attempts[id]
 		delete(d.attempts, id)
-		point := d.crashPointOf(now, r)
-		if d.addCandidate(now, incarnation, r.work.Request, point) {
-			reports = append(reports, Suspect{Fingerprint: r.work.Request, Incarnation: incarnation, CrashPoint: point})
+		report.Fingerprint = r.work.Request
+		if point := d.crashPointOf(now, r); d.addCandidate(i, r.work.Request, point) {
+			candidate := report
+			candidate.CrashPoint = point
+			reports = append(reports, candidate)
 		}
-		reports = append(reports, d.questionParts(now, r)...)
+		reports = append(reports, d.questionParts(now, r, i, report)...)
 	}
 	return reports
 }
@@ -243,18 +251,16 @@
 
 // questionParts records the crash of an attempt's endpoint against the parts of its prompt, if the
 // attempt was about to begin its answer or had just begun it. It returns the new reports.
-func (d *Detector) questionParts(now tables.Instant, r *attempt) []Suspect {
-	at := r.endedBy(now)
-	if !r.mayHaveCrashedByStart(at) {
+func (d *Detector) questionParts(now tables.Instant, r *attempt, i *incident, report Suspect) []Suspect {
+	if !r.mayHaveCrashedByStart(r.endedBy(now)) {
 		return nil
 	}
 	var reports []Suspect
 	for _, part := range r.work.Parts {
 		_, proven := d.uses.provenAt(part)
-		if d.addPartCrash(part, partCrash{endpoint: r.incarnation.Endpoint, at: at, request: r.work.Request, proven: proven}) {
-			reports = append(reports, Suspect{
-				Part: part, Fingerprint: r.work.Request, Incarnation: r.incarnation, Proven: proven, Age: now - at,
-			})
+		if d.addPartCrash(part, partCrash{crash: i.crash, request: r.work.Request, proven: proven}) {
+			report.Part, report.Proven = part, proven
+			reports = append(reports, report)
 		}
 	}
 	return reports
@@ -300,7 +306,7 @@
 	case report.Convicted:
 		return d.mergeRequestConviction(now, at, report.Fingerprint)
 	default:
-		d.addCandidate(at, report.Incarnation, report.Fingerprint, report.CrashPoint)
+		d.addCandidate(d.incidentFor(report.crash(at)), report.Fingerprint, report.CrashPoint)
 	}
 	return nil
 }
@@ -313,10 +319,10 @@
 	case report.Convicted:
 		return d.mergeConviction(now, report.Part, conviction{at: at, count: max(report.Convictions, 1), proven: report.Proven, released: report.Released})
 	default:
-		crash := partCrash{endpoint: report.Incarnation.Endpoint, at: at, request: report.Fingerprint, proven: report.Proven}
-		if d.addPartCrash(report.Part, crash) {
+		merged := partCrash{crash: d.incidentFor(report.crash(at)).crash, request: report.Fingerprint, proven: report.Proven}
+		if d.addPartCrash(report.Part, merged) {
 			d.acquitPart(report.Part)
-			return d.vouch(now, report.Part, crash)
+			return d.vouch(now, report.Part, merged)
 		}
 	}
 	return nil
--- a/systems/quarantine/report.go
+++ b/systems/quarantine/report.go
@@ -6,7 +6,8 @@
 	"github.com/carawaystile/carawaystile/tables"
 )
 
-// Incarnation is one process of an endpoint. It crashes at most once.
+// Incarnation is one process of an endpoint, as far as it is known: without a Boot it may be any
+// process of the endpoint.
 type Incarnation struct {
 	Endpoint tables.EndpointID
 	Boot     tables.BootID
@@ -23,6 +24,9 @@
 	Part Part
 	// Incarnation identifies the incident. It is empty for a conviction.
 	Incarnation Incarnation
+	// UpBefore is how long before the crash the latest attempt that is known to have run at the process
+	// had started.
+	UpBefore time.Duration
 	// CrashPoint is the progress of the attempt at the time of the crash.
 	CrashPoint CrashPoint
 	// Convicted is set for a conviction, in place of Incarnation. Convictions counts those of a
@@ -40,6 +44,11 @@
 	Age time.Duration
 }
 
+// crash returns the crash that the report is about.
+func (s *Suspect) crash(at tables.Instant) crash {
+	return crash{incarnation: s.Incarnation, upAt: at - s.UpBefore, at: at}
+}
+
 // CrashPoint is the progress of an attempt when its endpoint crashed. A poison
 // request crashes endpoints at the same point each time; a request that merely runs
 // beside it is at an arbitrary point.
--- a/systems/quarantine/simulation_test.go
+++ b/systems/quarantine/simulation_test.go
@@ -38,13 +38,18 @@
 // fakeEndpoint is a simulated endpoint with the requests that it runs. It is down
 // until downAt after a crash.
 type fakeEndpoint struct {
-	id     tables.EndpointID
-	boot   int
-	downAt tables.Instant
-	runs   []*fakeRequest
+	id   tables.EndpointID
+	boot int
+	// bootUnknown is set if the instances know the endpoint by its ID alone.
+	bootUnknown bool
+	downAt      tables.Instant
+	runs        []*fakeRequest
 }
 
 func (e *fakeEndpoint) incarnation() Incarnation {
+	if e.bootUnknown {
+		return Incarnation{Endpoint: e.id}
+	}
 	return Incarnation{Endpoint: e.id, Boot: tables.BootID(fmt.Sprint(e.boot))}
 }
 
