Streams are remembered by a hash where callers choose long IDs

Cause: the origin of each stream on a resumable route is kept under the ID that its caller chose. The number of origins is bounded, the length of an ID only by that of a header: up to 1 GB, besides 64 MB that wait for an archive. The archives at control instances kept them too, in memory and on disk.

Change: an ID of more than 64 bytes, or one that is no UTF-8, is replaced by its hash where it enters: in the table, in what waits for archives, in questions to other instances and in archives. An ID that is no text no longer fails the message that holds those of other streams. Earlier versions find a stream with a long ID only if they began it.

--- a/streamorigin/archive.go
+++ b/streamorigin/archive.go
@@ -70,6 +70,7 @@
 
 // Receive records the origins that an entry instance has sent.
 func (a *Archive) Receive(message *rpc.StreamOrigins) {
+	identifyAll(message.GetOrigins())
 	a.record(message)
 	if a.file == nil {
 		return
--- a/streamorigin/directory.go
+++ b/streamorigin/directory.go
@@ -68,6 +68,7 @@
 // Record remembers the origin of a stream, and sends it to its owners if publish is set. The archives
 // get it with the next batch.
 func (d *Directory) Record(o Origin, publish bool) {
+	o.Request = identify(o.Request)
 	d.table.Record(d.options.Now(), o)
 	d.mu.Lock()
 	if len(d.unsent) < maxUnsent {
--- a/streamorigin/lookup.go
+++ b/streamorigin/lookup.go
@@ -48,6 +48,7 @@
 // Find looks up which version began a request's stream, at all instances and archives that may know it.
 // It returns as soon as one does.
 func (d *Directory) Find(ctx context.Context, request, service string) Finding {
+	request = identify(request)
 	if software, known := d.table.Find(request); known && request != "" {
 		return Finding{Software: software, Known: true}
 	}
--- a/streamorigin/table.go
+++ b/streamorigin/table.go
@@ -45,13 +45,14 @@
 		t.older, t.newer = t.newer, map[string]string{}
 		t.newerStartedAt, t.newerHasStarted = now, true
 	}
-	t.newer[o.Request] = o.Software
+	t.newer[identify(o.Request)] = o.Software
 }
 
 // Find returns the version of a request's origin, and whether it is known.
 func (t *Table) Find(request string) (software string, known bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	request = identify(request)
 	if software, known = t.newer[request]; known {
 		return software, true
 	}
