Clearances have a time, refutations a rate, and crashes only attempts that ran

- A report that clears a request, told once more to somebody who missed it, ended a later conviction and cleared later incidents.
It refutes what came before it only.
- An instance that knows better answered each repeated conviction with a report to all others.
There is one in 200 ms now.
- A request that was sent to an endpoint after its crash, and waited when the crash was noticed, made it look like that of a later process.
Only attempts that were interrupted or have begun their answers count.

TestOldClearanceDoesNotEndLaterConviction, TestRefutationsAreBounded (2,000 replies to 2,000 convictions) and TestAttemptThatWasNotDeliveredDoesNotMoveCrash failed before.

--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -81,7 +81,7 @@
 	s := a.request.server
 	switch {
 	case result == dispatch.Completed && a.noProof:
-		s.crashDetector.Failed(a.id)
+		s.crashDetector.Failed(now, a.id)
 	case result == dispatch.Completed:
 		cleared = s.crashDetector.Completed(now, a.id)
 		s.logPartChanges()
--- a/systems/quarantine/conviction.go
+++ b/systems/quarantine/conviction.go
@@ -187,7 +187,7 @@
 func (d *Detector) mergeConviction(now tables.Instant, part Part, c conviction) []Suspect {
 	begun, proven := d.uses.provenAt(part)
 	if proven && (c.at <= begun || d.isAcquitted(part, c)) {
-		return []Suspect{{Part: part, Cleared: true, Age: now - begun}}
+		return d.refute(now, Suspect{Part: part, Cleared: true, Age: now - begun})
 	}
 	r := d.partRecord(part)
 	switch {
--- a/systems/quarantine/crash.go
+++ b/systems/quarantine/crash.go
@@ -1,6 +1,10 @@
 package quarantine
 
-import "github.com/carawaystile/carawaystile/tables"
+import (
+	"slices"
+
+	"github.com/carawaystile/carawaystile/tables"
+)
 
 // crash is the end of one endpoint process, as far as it is known. An endpoint that is started again
 // may keep its ID, and what instances know of its start may be late and differ. So unless both boot
@@ -35,12 +39,16 @@
 // crashOf returns the crash that ended attempts at an endpoint process.
 func (d *Detector) crashOf(now tables.Instant, incarnation Incarnation, ids []tables.AttemptID) crash {
 	c := crash{incarnation: incarnation, at: now}
-	for n, id := range ids {
+	delivered := slices.DeleteFunc(slices.Clone(ids), func(id tables.AttemptID) bool { return !d.attempts[id].wasDelivered() })
+	if len(delivered) == 0 {
+		delivered = ids
+	}
+	for n, id := range delivered {
 		if startedAt := d.attempts[id].startedAt; n == 0 || startedAt > c.upAt {
 			c.upAt = startedAt
 		}
 	}
-	for _, id := range ids {
+	for _, id := range delivered {
 		// An attempt that was interrupted before another one started was not interrupted by the crash.
 		if at := d.attempts[id].endedBy(now); at >= c.upAt {
 			c.at = min(c.at, at)
@@ -48,3 +56,7 @@
 	}
 	return c
 }
+
+// wasDelivered reports whether the attempt has certainly reached a process. One that still waits may have
+// been sent after the crash.
+func (r *attempt) wasDelivered() bool { return r.interruptedAt != 0 || r.firstToken != 0 }
--- a/systems/quarantine/incident.go
+++ b/systems/quarantine/incident.go
@@ -119,17 +119,17 @@
 	d.evidence[c.fingerprint] = e
 }
 
-// exonerate clears a request in all incidents.
-func (d *Detector) exonerate(f tables.Fingerprint) {
+// exonerate clears a request in all incidents up to the given time.
+func (d *Detector) exonerate(at tables.Instant, f tables.Fingerprint) {
 	if d.evidence[f].incidents == 0 {
 		return
 	}
 	for _, i := range d.incidents {
-		if c := i.find(f); c != nil {
+		if c := i.find(f); c != nil && !c.cleared && i.at <= at {
 			c.cleared = true
+			d.subtractEvidence(*c)
 		}
 	}
-	delete(d.evidence, f)
 }
 
 // expire drops incidents and convictions that are older than Options.Retention.
--- a/systems/quarantine/progress_test.go
+++ b/systems/quarantine/progress_test.go
@@ -206,3 +206,35 @@
 	d.Merge(1000, Suspect{Fingerprint: 7, Convicted: true, Age: 1})
 	assert.Equal(t, d.Verdict(1000, Work{Request: 7}), Reject)
 }
+
+// Guards against an old clearance, told to somebody who missed it, that ends a later conviction.
+func TestOldClearanceDoesNotEndLaterConviction(t *testing.T) {
+	d := New(Options{})
+	now := tables.Instant(100 * time.Second)
+	for n := range 2 {
+		d.Merge(now+tables.Instant(n)*time.Second*4, Suspect{Fingerprint: 7, Incarnation: Incarnation{Endpoint: tables.EndpointID(fmt.Sprint("e", n))}, CrashPoint: CrashPoint{Likely: true}})
+	}
+	now += 5 * time.Second
+	assert.Equal(t, d.Verdict(now, Work{Request: 7}), Reject)
+	d.Merge(now, Suspect{Fingerprint: 7, Cleared: true, Age: 10 * time.Second})
+	assert.Equal(t, d.Verdict(now, Work{Request: 7}), Reject)
+	d.Merge(now, Suspect{Fingerprint: 7, Cleared: true, Age: 3 * time.Second})
+	assert.Equal(t, d.Verdict(now, Work{Request: 7}), Reject)
+	d.Merge(now, Suspect{Fingerprint: 7, Cleared: true})
+	assert.Equal(t, d.Verdict(now, Work{Request: 7}), Allow)
+}
+
+// Guards against an instance that answers each repeated conviction with a report to all others.
+func TestRefutationsAreBounded(t *testing.T) {
+	d := New(Options{})
+	answer(d, tables.Instant(time.Second), "x", "z", 5*time.Second)
+	d.Merge(tables.Instant(6*time.Second), Suspect{Fingerprint: 7, Convicted: true})
+	d.Merge(tables.Instant(6*time.Second), Suspect{Fingerprint: 7, Cleared: true})
+	replies := 0
+	for n := range 1000 {
+		now := tables.Instant(7*time.Second + time.Duration(n)*time.Millisecond)
+		replies += len(d.Merge(now, Suspect{Part: 9, Convicted: true, Convictions: 1, Age: 3 * time.Second}))
+		replies += len(d.Merge(now, Suspect{Fingerprint: 7, Convicted: true, Age: 2 * time.Second}))
+	}
+	assert.Assert(t, replies > 0 && replies <= 6, "%d replies", replies)
+}
--- a/systems/quarantine/quarantine.go
+++ b/systems/quarantine/quarantine.go
@@ -68,6 +68,8 @@
 	partChanges    []PartChange
 	// endpointCrashes holds the crashes by which mass failures are recognised.
 	endpointCrashes endpointCrashes
+	// refutedAt is when this instance last refuted a conviction of another one.
+	refutedAt tables.Instant
 	// partsScannedAt and partsExpiredAt are the times of the last scanParts and expireParts.
 	partsScannedAt, partsExpiredAt tables.Instant
 	// rank and instances select the endpoints that this instance owns, see SetRank, by their
@@ -156,10 +158,10 @@
 
 // Failed records that an attempt ran to its end with a failure that the endpoint reported. It
 // clears the request, but no part: the endpoint need not have begun an answer.
-func (d *Detector) Failed(id tables.AttemptID) {
+func (d *Detector) Failed(now tables.Instant, id tables.AttemptID) {
 	if r := d.attempts[id]; r != nil {
 		delete(d.attempts, id)
-		d.exonerate(r.work.Request)
+		d.exonerate(now, r.work.Request)
 	}
 }
 
--- a/systems/quarantine/requestconviction.go
+++ b/systems/quarantine/requestconviction.go
@@ -1,6 +1,10 @@
 package quarantine
 
-import "github.com/carawaystile/carawaystile/tables"
+import (
+	"time"
+
+	"github.com/carawaystile/carawaystile/tables"
+)
 
 // convict records a conviction, unless a later one is known, and evicts the oldest
 // one at the limit.
@@ -27,20 +31,22 @@
 	delete(times, oldest)
 }
 
-// clearRequest clears a request and ends its conviction. It returns the report for the other instances
-// if they may be about to convict the request, or have convicted it.
-func (d *Detector) clearRequest(now tables.Instant, f tables.Fingerprint) []Suspect {
-	_, convicted := d.convicted[f]
+// clearRequest refutes the incidents and the conviction of a request up to the given time. It returns the
+// report for the other instances if they may be about to convict the request, or have convicted it.
+func (d *Detector) clearRequest(at tables.Instant, f tables.Fingerprint) []Suspect {
+	convictedAt, convicted := d.convicted[f]
 	report := convicted || d.evidence[f].incidents >= convictionThreshold
-	d.exonerate(f)
-	delete(d.convicted, f)
+	d.exonerate(at, f)
+	if convictedAt <= at {
+		delete(d.convicted, f)
+	}
 	if !report {
 		return nil
 	}
 	if len(d.cleared) >= d.options.MaxConvictions {
 		deleteOldest(d.cleared)
 	}
-	d.cleared[f] = now
+	d.cleared[f] = max(at, d.cleared[f])
 	return []Suspect{{Fingerprint: f, Cleared: true}}
 }
 
@@ -48,8 +54,21 @@
 // clearance of the request, it returns the report of the latter.
 func (d *Detector) mergeRequestConviction(now, at tables.Instant, f tables.Fingerprint) []Suspect {
 	if cleared, ok := d.cleared[f]; ok && at <= cleared {
-		return []Suspect{{Fingerprint: f, Cleared: true, Age: now - cleared}}
+		return d.refute(now, Suspect{Fingerprint: f, Cleared: true, Age: now - cleared})
 	}
 	d.convict(at, f)
 	return nil
 }
+
+// refutationInterval is the minimum time between two reports that refute convictions of other instances.
+// Each of them goes to all instances, and those that have missed it repeat their convictions every second.
+const refutationInterval = 200 * time.Millisecond
+
+// refute returns the report unless the last one was shortly before.
+func (d *Detector) refute(now tables.Instant, report Suspect) []Suspect {
+	if d.refutedAt != 0 && now-d.refutedAt < refutationInterval {
+		return nil
+	}
+	d.refutedAt = now
+	return []Suspect{report}
+}
--- a/systems/quarantine/restart_test.go
+++ b/systems/quarantine/restart_test.go
@@ -124,3 +124,17 @@
 	d.Merge(3, Suspect{Fingerprint: 8, Incarnation: Incarnation{Endpoint: "a"}})
 	assert.Equal(t, len(d.incidents), 2)
 }
+
+// Guards against a request that was sent to an endpoint after its crash and makes the crash look like that of a later process.
+func TestAttemptThatWasNotDeliveredDoesNotMoveCrash(t *testing.T) {
+	d := New(Options{})
+	endpoint := Incarnation{Endpoint: "a"}
+	crashed := tables.Instant(10 * time.Second)
+	d.Started(crashed-100*time.Millisecond, "running", endpoint, Work{Request: 1})
+	d.Interrupted(crashed, "running", 0, 0)
+	d.Started(crashed+1500*time.Millisecond, "waiting", endpoint, Work{Request: 2})
+	d.Crashed(crashed+1500*time.Millisecond, endpoint)
+	d.Merge(crashed+1500*time.Millisecond, Suspect{Fingerprint: 1, Incarnation: endpoint, Age: 1500 * time.Millisecond, UpBefore: time.Second})
+	assert.Equal(t, len(d.incidents), 1)
+	assert.Equal(t, d.incidents[0].at, crashed)
+}
