--- a/entry/responsereader.go
+++ b/entry/responsereader.go
@@ -57,7 +57,7 @@
 	tokenTimer *time.Timer
 	// lastToken is when the previous token was returned.
 	lastToken tables.Instant
-	// progressReportedAt is when the router was last told of the current attempt's progress.
+	// progressReportedAt is when the current attempt's progress was last reported to the router.
 	progressReportedAt tables.Instant
 }
 
--- a/entry/stream_test.go
+++ b/entry/stream_test.go
@@ -72,7 +72,7 @@
 	p.Router.Observe(now, in)
 }
 
-// Guards against a router that is not told of answers that go on, or is told of each token.
+// Guards against answers whose progress is never reported to the router, or is reported with each token.
 func TestProgressOfAnswersIsReportedNowAndThen(t *testing.T) {
 	const words = 20
 	var clock atomic.Int64
