--- a/control/rollout/controller.go
+++ b/control/rollout/controller.go
@@ -157,6 +157,13 @@
 	if left < minLeaseLeft {
 		return
 	}
+	for _, action := range r.plan(r.options.Now()) {
+		r.start(ctx, action)
+	}
+}
+
+// plan passes the targets and the endpoints to the planner and returns the actions that are due.
+func (r *Controller) plan(now tables.Instant) []Action {
 	for model, version := range r.options.TargetVersions() {
 		r.planner.SetTarget(model, version)
 	}
@@ -164,12 +171,16 @@
 		r.planner.UpdateEndpoints(r.options.Fleet.Endpoints())
 		r.plannedFleetVersion = version
 	}
-	for _, action := range r.planner.NextActions(r.options.Now()) {
-		r.start(ctx, action)
+	actions := r.planner.NextActions(now)
+	for _, action := range actions {
+		if action.Version != 0 {
+			r.options.Fleet.SetLoading(action.Endpoint.ID, true)
+		}
 	}
 	for _, id := range r.planner.Cordoned() {
 		r.options.Fleet.SetLoading(id, true)
 	}
+	return actions
 }
 
 // delayAnnouncedEngines delays orders to the engines that an earlier holder may
@@ -225,7 +236,6 @@
 		Model: action.Model, Version: action.Version, Strategy: r.options.Strategy,
 		Holder: string(r.options.Instance), Fence: fence, Sequence: action.Sequence,
 	}
-	r.options.Fleet.SetLoading(action.Endpoint.ID, true)
 	events.RolloutOrdered.Log(r.options.Log, zap.String("endpoint", string(action.Endpoint.ID)),
 		zap.String("model", order.Model), zap.Uint64("weights", order.Version),
 		zap.Uint64("fence", uint64(fence)), zap.Uint64("sequence", order.Sequence))
@@ -237,41 +247,43 @@
 	bounded, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	report, err := r.options.Engines.Report(bounded, action.Endpoint)
-	r.post(ctx, planner, func(now tables.Instant) {
-		id := action.Endpoint.ID
-		if r.handlePushback(now, planner, id, err) {
-			return
-		}
-		if err != nil {
-			events.RolloutUnanswered.Log(r.options.Log, zap.String("endpoint", string(id)), zap.Error(err))
-			planner.HandleReport(now, id, nil)
-			return
-		}
-		done := planner.HandleReport(now, id, &report)
-		for model, version := range report.Weights {
-			r.options.Fleet.RecordWeights(id, model, version)
-		}
-		if report.Draining {
-			planner.HandleDraining(id)
-			r.options.Fleet.SetDraining(id, report.Born)
-		}
-		if done {
-			events.RolloutDone.Log(r.options.Log, zap.String("endpoint", string(id)), zap.Any("weights", report.Weights))
-		}
-		r.options.Fleet.SetLoading(id, planner.Updating(id))
-	})
+	r.post(ctx, planner, func(now tables.Instant) { r.handleReport(now, action.Endpoint.ID, report, err) })
+}
+
+// handleReport passes the answer to a poll to the planner and the fleet table.
+func (r *Controller) handleReport(now tables.Instant, id tables.EndpointID, report Report, err error) {
+	if r.handlePushback(now, id, err) {
+		return
+	}
+	if err != nil {
+		events.RolloutUnanswered.Log(r.options.Log, zap.String("endpoint", string(id)), zap.Error(err))
+		r.planner.HandleReport(now, id, nil)
+		return
+	}
+	done := r.planner.HandleReport(now, id, &report)
+	for model, version := range report.Weights {
+		r.options.Fleet.RecordWeights(id, model, version)
+	}
+	if report.Draining {
+		r.planner.HandleDraining(id)
+		r.options.Fleet.SetDraining(id, report.Born)
+	}
+	if done {
+		events.RolloutDone.Log(r.options.Log, zap.String("endpoint", string(id)), zap.Any("weights", report.Weights))
+	}
+	r.options.Fleet.SetLoading(id, r.planner.Updating(id))
 }
 
 // handlePushback delays the calls to an engine that has requested a back-off, and reports
 // whether the error is one.
-func (r *Controller) handlePushback(now tables.Instant, planner *Planner, id tables.EndpointID, err error) bool {
+func (r *Controller) handlePushback(now tables.Instant, id tables.EndpointID, err error) bool {
 	var pushback *engine.PushbackError
 	if !errors.As(err, &pushback) {
 		return false
 	}
 	events.EndpointPushedBack.Log(r.options.Log, zap.String("endpoint", string(id)), zap.Duration("retry_after", pushback.RetryAfter))
-	planner.HandlePushback(now, id, pushback.RetryAfter)
-	r.options.Fleet.SetLoading(id, planner.Updating(id))
+	r.planner.HandlePushback(now, id, pushback.RetryAfter)
+	r.options.Fleet.SetLoading(id, r.planner.Updating(id))
 	return true
 }
 
@@ -296,23 +308,25 @@
 // executeOrder sends an order and passes its result to the planner.
 func (r *Controller) executeOrder(ctx context.Context, planner *Planner, action Action, order Order) {
 	result, err := r.announceAndSend(ctx, action, order)
-	r.post(ctx, planner, func(now tables.Instant) {
-		id := action.Endpoint.ID
-		planner.HandleOrderResult(now, id, result)
-		switch {
-		case r.handlePushback(now, planner, id, err):
-		case result == Fenced:
-			// Further orders under the same fencing token could undo the
-			// changes of a newer holder. The next lease has a higher token.
-			events.RolloutFenced.Log(r.options.Log, zap.String("endpoint", string(id)), zap.Uint64("fence", uint64(order.Fence)))
-			r.release()
-		case result == Rejected && err != nil:
-			events.OrderNotAnnounced.Log(r.options.Log, zap.String("endpoint", string(id)), zap.Error(err))
-		case result == 0:
-			events.RolloutUnanswered.Log(r.options.Log, zap.String("endpoint", string(id)), zap.Error(err))
-		}
-		r.options.Fleet.SetLoading(id, planner.Updating(id))
-	})
+	r.post(ctx, planner, func(now tables.Instant) { r.handleOrderResult(now, action.Endpoint.ID, order.Fence, result, err) })
+}
+
+// handleOrderResult passes the answer to an order to the planner and the fleet table.
+func (r *Controller) handleOrderResult(now tables.Instant, id tables.EndpointID, fence tables.FencingToken, result OrderResult, err error) {
+	r.planner.HandleOrderResult(now, id, result)
+	switch {
+	case r.handlePushback(now, id, err):
+	case result == Fenced:
+		// Further orders under the same fencing token could undo the
+		// changes of a newer holder. The next lease has a higher token.
+		events.RolloutFenced.Log(r.options.Log, zap.String("endpoint", string(id)), zap.Uint64("fence", uint64(fence)))
+		r.release()
+	case result == Rejected && err != nil:
+		events.OrderNotAnnounced.Log(r.options.Log, zap.String("endpoint", string(id)), zap.Error(err))
+	case result == 0:
+		events.RolloutUnanswered.Log(r.options.Log, zap.String("endpoint", string(id)), zap.Error(err))
+	}
+	r.options.Fleet.SetLoading(id, r.planner.Updating(id))
 }
 
 // post passes a result to the control loop. It is dropped if its planner
