Endpoints that keep replaced weights are logged with what their update waits for

Event 3044 names an endpoint that has been behind for 5 s, with the phase of its update, who holds the slots, its back-off and what the list shows, at most 8 endpoints every 5 s. Event 3045 is the leader's, while it may not send orders. Two gauges have the number of endpoints behind and the lag of the oldest, at each control instance. The list's own word on weights is kept in the table, since the table itself only raises versions.

No decision is changed.

--- a/control/rollout/controller.go
+++ b/control/rollout/controller.go
@@ -92,6 +92,9 @@
 	// renewing is set while a renewal of the lease is in flight.
 	renewing       bool
 	renewNotBefore tables.Instant
+	// lastHolder is the instance that held the lease when this one last requested it in vain.
+	lastHolder tables.InstanceID
+	lags       lagTracker
 }
 
 // NewController returns a controller that does not hold the lease.
@@ -154,6 +157,7 @@
 			r.options.Fleet.ClearLoading()
 		}
 	}
+	r.observeLag(r.options.Now())
 	if left < minLeaseLeft {
 		return
 	}
@@ -218,7 +222,7 @@
 	var held *client.LeaseHeldError
 	switch {
 	case errors.As(err, &held):
-		r.renewNotBefore = r.options.Now() + held.RetryAfter
+		r.renewNotBefore, r.lastHolder = r.options.Now()+held.RetryAfter, held.Holder
 	case err != nil:
 		events.OrdersLeaseNotRenewed.Log(r.options.Log, zap.Error(err))
 	}
--- a/control/rollout/planner.go
+++ b/control/rollout/planner.go
@@ -110,6 +110,11 @@
 	updating
 )
 
+// String returns the name of the phase.
+func (p phase) String() string {
+	return [...]string{"idle", "cordoned", "order sent", "updating"}[p]
+}
+
 type engineState struct {
 	fleet.Endpoint
 	phase phase
@@ -210,7 +215,7 @@
 		case cordoned:
 			cordonedCount++
 		case orderSent, updating:
-			if !r.unconfirmed {
+			if r.holdsSlot() {
 				updatingCount++
 			}
 		}
@@ -238,6 +243,11 @@
 	return actions
 }
 
+// holdsSlot reports whether an engine counts against the limit of concurrent updates.
+func (r *engineState) holdsSlot() bool {
+	return (r.phase == orderSent || r.phase == updating) && !r.unconfirmed
+}
+
 // startOrder moves an engine to orderSent and returns its order.
 func (p *Planner) startOrder(now tables.Instant, r *engineState) Action {
 	model, version := p.pendingUpdate(r)
--- a/events/control.go
+++ b/events/control.go
@@ -47,5 +47,7 @@
 	StreamOriginsNotWritten        = define(3040, zapcore.WarnLevel, "The origins of streams cannot be saved; this instance keeps them in memory.")
 	StreamOriginsWritten           = define(3041, zapcore.InfoLevel, "The origins of streams can be saved again.")
 	ListEntrySkipped               = define(3043, zapcore.WarnLevel, "The platform's list has entries that name no endpoint to use; they are skipped.")
+	RolloutLagging                 = define(3044, zapcore.WarnLevel, "An endpoint has served older weights than their target for seconds.")
+	RolloutWithoutLease            = define(3045, zapcore.WarnLevel, "Endpoints have served older weights than their target for seconds, and this leader may not send orders.")
 	PlatformListReadable           = define(3029, zapcore.InfoLevel, "The platform's list can be read again.")
 )
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -34,6 +34,9 @@
 	// oldestDeltaBase is the oldest version from which a delta can be computed.
 	oldestDeltaBase uint64
 	changed         chan struct{}
+	// listed is what the list showed when it was last applied, listsApplied how often it was.
+	listed       map[tables.EndpointID]map[string]uint64
+	listsApplied uint64
 	// cachedDeltas holds the deltas computed since the last change, by base version, and
 	// cachedFull the full update. Replicas share them, since most request the same one.
 	cachedDeltas map[uint64]*rpc.Fleet
@@ -72,6 +75,7 @@
 func (t *Table) ApplyList(listed []Endpoint) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.listed, t.listsApplied = listedWeights(listed), t.listsApplied+1
 	changed := t.markSynced()
 	chosen := t.uniqueByID(listed)
 	for i, e := range listed {
--- a/node/controlmetrics.go
+++ b/node/controlmetrics.go
@@ -15,7 +15,12 @@
 	orders := n.registry.Gauge("carawaystile_orders_lease_held", "1 if this instance gives orders to endpoints.")
 	lag := n.registry.Gauge("carawaystile_replica_lag_seconds", "How long ago the state of this control replica was known to be the newest of its group; -1 if it never was.")
 	listed := n.registry.Gauge("carawaystile_list_age_seconds", "Time since this instance last read the platform's list, or heard it from the leader.")
+	behind := n.registry.Gauge("carawaystile_rollout_endpoints_behind", "Endpoints that serve older weights than their target.")
+	oldest := n.registry.Gauge("carawaystile_rollout_lag_seconds", "How long the endpoint that lags longest has served older weights than their target.")
 	n.registry.BeforeWrite(func() {
+		weights := n.rollout.Lag()
+		behind.Update(float64(weights.Endpoints))
+		oldest.Update(weights.Oldest.Seconds())
 		status := n.replica.Status()
 		leads.Update(boolToFloat(status.IsLeader))
 		voter.Update(boolToFloat(status.IsVoter))
