--- /dev/null
+++ b/control/rollout/simulation_test.go
@@ -0,0 +1,336 @@
+package rollout
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/carawaystile/carawaystile/engine"
+	"github.com/carawaystile/carawaystile/fleet"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// Delays of the simulated platform.
+const (
+	simStep        = 10 * time.Millisecond
+	simListLag     = 800 * time.Millisecond
+	simListPeriod  = 500 * time.Millisecond
+	simReportLag   = 200 * time.Millisecond
+	simRoundTrip   = 2 * time.Millisecond
+	simListedAfter = 2 * time.Second // how long a crashed engine stays on the list
+)
+
+// simProcess is a process of an engine, by the rules of the platform.
+type simProcess struct {
+	id      tables.EndpointID
+	address int
+	start   int64
+	bornAt  tables.Instant
+	version uint64
+	// loading is the version that is being loaded until loadedAt, 0 if there is none.
+	loading  uint64
+	loadedAt tables.Instant
+	sequence uint64
+	// reports holds the latest states, oldest first.
+	reports []simState
+	// silentUntil, sheddingUntil and lateUntil end the troubles of the process; troubledAt is when it was last
+	// in one.
+	silentUntil, sheddingUntil, lateUntil, troubledAt tables.Instant
+	goneAt                                            tables.Instant
+}
+
+// simState is what a report shows.
+type simState struct {
+	at      tables.Instant
+	version uint64
+	seq     uint64
+	busy    bool
+}
+
+func (p *simProcess) gone() bool { return p.goneAt != 0 }
+
+// simTrouble says what a seed may draw.
+type simTrouble struct {
+	late, crash, silence, shed, handover bool
+	// sameID is the share of crashed engines that start again under their ID.
+	sameID float64
+	// lateOutlivesProcess lets a late order reach the process that starts again under the ID.
+	lateOutlivesProcess bool
+}
+
+type simEvent struct {
+	at tables.Instant
+	do func()
+}
+
+// simulation runs the decisions of a Controller against simulated engines in virtual time.
+type simulation struct {
+	random     *rand.Rand
+	trouble    simTrouble
+	now        tables.Instant
+	table      *fleet.Table
+	controller *Controller
+	processes  []*simProcess
+	events     []simEvent
+	named      []simVersion
+	starts     int64
+	loads      int
+	orders     int
+	polls      int
+	maxLoading int
+}
+
+type simVersion struct {
+	version uint64
+	ackedAt tables.Instant
+}
+
+func newSimulation(seed uint64, engines int, trouble simTrouble) *simulation {
+	s := &simulation{random: rand.New(rand.NewPCG(seed, 91)), trouble: trouble, table: fleet.NewTable(1), named: []simVersion{{version: 1}}}
+	for i := range engines {
+		s.startProcess(i, tables.EndpointID(fmt.Sprintf("e%02d", i)), 1)
+	}
+	s.newHolder()
+	return s
+}
+
+// newHolder replaces the planner, as a change of the lease's holder does.
+func (s *simulation) newHolder() {
+	s.controller = NewController(Options{
+		Fleet: s.table, Log: zap.NewNop(), IsLeader: func() bool { return true }, EnginesCheckFence: true,
+		Now: func() tables.Instant { return s.now },
+		TargetVersions: func() map[string]uint64 {
+			return map[string]uint64{"m": s.named[len(s.named)-1].version}
+		},
+	})
+}
+
+func (s *simulation) startProcess(address int, id tables.EndpointID, version uint64) *simProcess {
+	s.starts++
+	p := &simProcess{id: id, address: address, start: s.starts, bornAt: s.now, version: version, troubledAt: s.now}
+	s.processes = append(s.processes, p)
+	return p
+}
+
+func (s *simulation) after(d time.Duration, do func()) {
+	s.events = append(s.events, simEvent{at: s.now + d, do: do})
+}
+
+func (s *simulation) process(id tables.EndpointID) *simProcess {
+	for _, p := range s.processes {
+		if p.id == id && !p.gone() {
+			return p
+		}
+	}
+	return nil
+}
+
+// step advances the time by simStep.
+func (s *simulation) step() {
+	s.now += simStep
+	s.runEvents()
+	loading := 0
+	for _, p := range s.processes {
+		loading += s.stepProcess(p)
+	}
+	s.maxLoading = max(s.maxLoading, loading)
+	s.stepList()
+	if s.now%stepInterval == 0 {
+		for _, action := range s.controller.plan(s.now) {
+			s.execute(action)
+		}
+	}
+}
+
+// runEvents runs the events that are due, in the order in which they were added.
+func (s *simulation) runEvents() {
+	isDue := func(e simEvent) bool { return e.at <= s.now }
+	if !slices.ContainsFunc(s.events, isDue) {
+		return
+	}
+	all := s.events
+	s.events = nil
+	for _, e := range all {
+		if isDue(e) {
+			e.do()
+		} else {
+			s.events = append(s.events, e)
+		}
+	}
+}
+
+// stepProcess completes a load that is due and records the state. It returns 1 if the process loads.
+func (s *simulation) stepProcess(p *simProcess) int {
+	if p.gone() {
+		return 0
+	}
+	if p.loading != 0 && s.now >= p.loadedAt {
+		p.version, p.loading = p.loading, 0
+	}
+	if s.now < max(p.silentUntil, p.sheddingUntil, p.lateUntil) {
+		p.troubledAt = s.now
+	}
+	p.reports = append(p.reports, simState{at: s.now, version: p.version, seq: p.sequence, busy: p.loading != 0})
+	for len(p.reports) > 1 && p.reports[1].at <= s.now-simReportLag {
+		p.reports = p.reports[1:]
+	}
+	if p.loading != 0 {
+		return 1
+	}
+	return 0
+}
+
+// stepList has a list that is read now applied after simListLag.
+func (s *simulation) stepList() {
+	if s.now%simListPeriod != 0 {
+		return
+	}
+	var list []fleet.Endpoint
+	for _, p := range s.processes {
+		if p.gone() && (s.now-p.goneAt > simListedAfter || s.process(p.id) != nil) {
+			continue
+		}
+		list = append(list, fleet.Endpoint{
+			ID: p.id, Zone: tables.Zone([]string{"a", "b", "c"}[p.address%3]), StartUnixMilli: p.start, Weights: map[string]uint64{"m": p.version},
+		})
+	}
+	s.after(simListLag, func() { s.table.ApplyList(list) })
+}
+
+// execute sends an action to its engine and passes the answer on.
+func (s *simulation) execute(action Action) {
+	id, planner := action.Endpoint.ID, s.controller.planner
+	answer := func(d time.Duration, handle func()) {
+		s.after(d, func() {
+			if s.controller.planner == planner {
+				handle()
+			}
+		})
+	}
+	p := s.process(id)
+	silent := p == nil || s.now < p.silentUntil
+	if action.Version == 0 {
+		s.polls++
+		if silent {
+			answer(pollTimeout, func() { s.controller.handleReport(s.now, id, Report{}, context.DeadlineExceeded) })
+			return
+		}
+		if err := s.shed(p); err != nil {
+			answer(simRoundTrip, func() { s.controller.handleReport(s.now, id, Report{}, err) })
+			return
+		}
+		shown := p.reports[0]
+		report := Report{Sequence: shown.seq, Busy: shown.busy, Weights: map[string]uint64{"m": shown.version}, Born: p.start}
+		answer(simRoundTrip, func() { s.controller.handleReport(s.now, id, report, nil) })
+		return
+	}
+	s.orders++
+	unanswered := func() {
+		answer(orderTimeout, func() { s.controller.handleOrderResult(s.now, id, 1, 0, context.DeadlineExceeded) })
+	}
+	switch {
+	case silent:
+		unanswered()
+	case s.now < p.lateUntil && s.random.Float64() < 0.8:
+		unanswered()
+		s.after(2*time.Second+time.Duration(s.random.Int64N(int64(10*time.Second))), func() { s.carryOutLate(p, action) })
+	default:
+		if err := s.shed(p); err != nil {
+			answer(simRoundTrip, func() { s.controller.handleOrderResult(s.now, id, 1, Rejected, err) })
+			return
+		}
+		result := s.carryOut(p, action)
+		answer(simRoundTrip, func() { s.controller.handleOrderResult(s.now, id, 1, result, nil) })
+	}
+}
+
+// shed returns the pushback of an engine that asks for a rest, nil if it does not.
+func (s *simulation) shed(p *simProcess) error {
+	if s.now >= p.sheddingUntil || s.random.Float64() < 0.1 {
+		return nil
+	}
+	return &engine.PushbackError{RetryAfter: time.Duration(500+s.random.IntN(1500)) * time.Millisecond, Cause: context.Canceled}
+}
+
+func (s *simulation) carryOutLate(sentTo *simProcess, action Action) {
+	p := s.process(action.Endpoint.ID)
+	if p == nil || s.now < p.silentUntil || p != sentTo && !s.trouble.lateOutlivesProcess {
+		return
+	}
+	if s.carryOut(p, action) == Accepted {
+		p.troubledAt = s.now
+	}
+}
+
+func (s *simulation) carryOut(p *simProcess, action Action) OrderResult {
+	switch {
+	case p.loading != 0 || p.sequence != action.Sequence:
+		return Conflict
+	case p.version == action.Version:
+		return AlreadyServing
+	}
+	s.loads++
+	p.sequence++
+	p.loading, p.loadedAt = action.Version, s.now+400*time.Millisecond+time.Duration(s.random.IntN(300))*time.Millisecond
+	return Accepted
+}
+
+// crash ends a process, which starts again after a time, under its ID or another one.
+func (s *simulation) crash(p *simProcess) {
+	if p.gone() {
+		return
+	}
+	p.goneAt = s.now
+	s.after(time.Duration(500+s.random.IntN(3000))*time.Millisecond, func() {
+		id := p.id
+		if s.random.Float64() >= s.trouble.sameID {
+			id = tables.EndpointID(fmt.Sprintf("e%02d-%d", p.address, s.starts))
+		}
+		s.startProcess(p.address, id, p.version)
+	})
+}
+
+// live returns the processes that run, by ID.
+func (s *simulation) live() []*simProcess {
+	live := slices.DeleteFunc(slices.Clone(s.processes), (*simProcess).gone)
+	slices.SortFunc(live, func(a, b *simProcess) int { return a.address - b.address })
+	return live
+}
+
+// draw adds troubles and new versions until the given time.
+func (s *simulation) draw(until tables.Instant) {
+	chance := func(perSecond float64) bool { return s.random.Float64() < perSecond*simStep.Seconds() }
+	pick := func() *simProcess {
+		live := s.live()
+		return live[s.random.IntN(len(live))]
+	}
+	duration := func() time.Duration { return time.Duration(500+s.random.IntN(4500)) * time.Millisecond }
+	if s.now >= until {
+		return
+	}
+	if chance(0.3) && len(s.named) < 8 {
+		s.named = append(s.named, simVersion{version: uint64(len(s.named) + 1), ackedAt: s.now})
+	}
+	if s.trouble.late && chance(0.3) {
+		end := s.now + duration()
+		for _, p := range s.live() {
+			p.lateUntil = max(p.lateUntil, end)
+		}
+	}
+	if s.trouble.crash && chance(0.6) {
+		s.crash(pick())
+	}
+	if p := pick(); s.trouble.silence && chance(0.8) {
+		p.silentUntil = max(p.silentUntil, s.now+duration())
+	}
+	if p := pick(); s.trouble.shed && chance(0.8) {
+		p.sheddingUntil = max(p.sheddingUntil, s.now+duration())
+	}
+	if s.trouble.handover && chance(0.1) {
+		s.newHolder()
+	}
+}
--- /dev/null
+++ b/control/rollout/stall_test.go
@@ -0,0 +1,41 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/fleet"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// cordonedEngine returns a planner whose only engine, at version 1, is cordoned for its order to load version 2.
+func cordonedEngine(t *testing.T) (*Planner, tables.Instant) {
+	t.Helper()
+	p := NewPlanner()
+	p.UpdateEndpoints(outdatedEngine(1))
+	p.SetTarget("m", 2)
+	now := time.Second
+	assert.Equal(t, len(p.NextActions(now)), 1, "a poll")
+	p.HandleReport(now, "e", &Report{Weights: map[string]uint64{"m": 1}, Born: 1})
+	now += stepInterval
+	assert.Equal(t, len(p.NextActions(now)), 0)
+	assert.DeepEqual(t, p.Cordoned(), []tables.EndpointID{"e"})
+	return p, now
+}
+
+// Guards against a slot that is lost for good because an engine gets its weights between cordon and order.
+func TestEngineThatIsUpToDateBeforeItsOrderKeepsNoSlot(t *testing.T) {
+	p, now := cordonedEngine(t)
+	p.UpdateEndpoints([]fleet.Endpoint{{ID: "e", StartUnixMilli: 1, Weights: map[string]uint64{"m": 2}}})
+	for range 40 {
+		now += stepInterval
+		for _, action := range p.NextActions(now) {
+			assert.Equal(t, action.Version, uint64(0), "an order for weights that it has")
+			p.HandleReport(now, "e", &Report{Sequence: 1, Weights: map[string]uint64{"m": 2}, Born: 1})
+		}
+	}
+	assert.Assert(t, !p.Updating("e"), "entry instances would send it nothing")
+	assert.Assert(t, p.Converged())
+}
