A rollout loses no slot to an engine that needs no order any more

Callers saw replaced weights for good, and endpoints that got no requests.

Cause: an engine is cordoned 0.15 s and more before its order, as long as all slots are taken. If the list shows the target meanwhile, since an older order was carried out late, the order was sent for no model and version 0. The controller takes that for a poll, whose report does not end the phase "order sent": the engine kept its slot, and its mark as loading, until it restarted or the lease changed hands. Two of them stop the rollout of nine engines. Nothing was logged from then on.

Change: an engine that may get no order any more goes back to idle before slots are counted, also if it drains or asks for a back-off while it is cordoned. The marks of endpoints that load are what the planner says in each step, so that none outlives its update or the holder that set it.

Ruled out: sending the order with the version of the cordon; the engine has it, and orders cost.

The simulation draws nothing while no engine runs; before, it panicked.

--- a/control/rollout/controller.go
+++ b/control/rollout/controller.go
@@ -176,14 +176,7 @@
 		r.plannedFleetVersion = version
 	}
 	actions := r.planner.NextActions(now)
-	for _, action := range actions {
-		if action.Version != 0 {
-			r.options.Fleet.SetLoading(action.Endpoint.ID, true)
-		}
-	}
-	for _, id := range r.planner.Cordoned() {
-		r.options.Fleet.SetLoading(id, true)
-	}
+	r.options.Fleet.ReplaceLoading(r.planner.AllUpdating())
 	return actions
 }
 
--- a/control/rollout/planner.go
+++ b/control/rollout/planner.go
@@ -211,6 +211,9 @@
 	var actions []Action
 	updatingCount, cordonedCount := 0, 0
 	for _, r := range engines {
+		if r.phase == cordoned && !p.isOrderable(now, r) {
+			r.phase = idle
+		}
 		switch r.phase {
 		case cordoned:
 			cordonedCount++
@@ -233,8 +236,7 @@
 		}
 	}
 	for _, r := range engines {
-		_, version := p.pendingUpdate(r)
-		if cordonedCount >= p.maxConcurrent()/2 || version == 0 || r.phase != idle || !r.sequenceKnown || r.polling || r.Draining || now < max(r.pausedUntil, p.notBefore[r.ID]) {
+		if cordonedCount >= p.maxConcurrent()/2 || r.phase != idle || !r.sequenceKnown || r.polling || !p.isOrderable(now, r) {
 			continue
 		}
 		cordonedCount++
@@ -243,6 +245,12 @@
 	return actions
 }
 
+// isOrderable reports whether an engine is to get an order and may get one now.
+func (p *Planner) isOrderable(now tables.Instant, r *engineState) bool {
+	_, version := p.pendingUpdate(r)
+	return version != 0 && !r.Draining && now >= max(r.pausedUntil, p.notBefore[r.ID])
+}
+
 // holdsSlot reports whether an engine counts against the limit of concurrent updates.
 func (r *engineState) holdsSlot() bool {
 	return (r.phase == orderSent || r.phase == updating) && !r.unconfirmed
@@ -397,14 +405,13 @@
 	return r != nil && r.phase != idle && !r.unconfirmed
 }
 
-// Cordoned returns the engines that will receive an order soon, sorted by ID.
-func (p *Planner) Cordoned() []tables.EndpointID {
-	var ids []tables.EndpointID
-	for id, r := range p.engineStates {
-		if r.phase == cordoned {
-			ids = append(ids, id)
+// AllUpdating returns the engines for which Updating is true.
+func (p *Planner) AllUpdating() map[tables.EndpointID]bool {
+	ids := map[tables.EndpointID]bool{}
+	for id := range p.engineStates {
+		if p.Updating(id) {
+			ids[id] = true
 		}
 	}
-	slices.Sort(ids)
 	return ids
 }
--- a/control/rollout/simulation_test.go
+++ b/control/rollout/simulation_test.go
@@ -306,6 +306,9 @@
 	chance := func(perSecond float64) bool { return s.random.Float64() < perSecond*simStep.Seconds() }
 	pick := func() *simProcess {
 		live := s.live()
+		if len(live) == 0 {
+			return &simProcess{goneAt: s.now}
+		}
 		return live[s.random.IntN(len(live))]
 	}
 	duration := func() time.Duration { return time.Duration(500+s.random.IntN(4500)) * time.Millisecond }
--- a/control/rollout/stall_test.go
+++ b/control/rollout/stall_test.go
@@ -21,7 +21,7 @@
 	p.HandleReport(now, "e", &Report{Weights: map[string]uint64{"m": 1}, Born: 1})
 	now += stepInterval
 	assert.Equal(t, len(p.NextActions(now)), 0)
-	assert.DeepEqual(t, p.Cordoned(), []tables.EndpointID{"e"})
+	assert.Assert(t, p.Updating("e"), "cordoned")
 	return p, now
 }
 
@@ -39,3 +39,16 @@
 	assert.Assert(t, !p.Updating("e"), "entry instances would send it nothing")
 	assert.Assert(t, p.Converged())
 }
+
+// Guards against an endpoint that entry instances avoid for good: its order was dropped, or belongs to an earlier
+// holder of the lease.
+func TestLoadingIsResetForEndpointsWithoutAnUpdate(t *testing.T) {
+	r, table, _ := observedController()
+	table.SetLoading("e", true)
+	newer := outdatedEngine(1)
+	newer[0].Weights["m"] = 2
+	table.ApplyList(newer)
+	assert.Assert(t, table.Endpoints()[0].Loading)
+	assert.Equal(t, len(r.plan(time.Second)), 0)
+	assert.Assert(t, !table.Endpoints()[0].Loading)
+}
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -174,22 +174,25 @@
 	t.commit(changed)
 }
 
-// ClearLoading resets Loading of all endpoints. It is called when no instance is
-// known to send orders.
-func (t *Table) ClearLoading() {
+// ReplaceLoading sets Loading of the given endpoints and resets it for all others.
+func (t *Table) ReplaceLoading(loading map[tables.EndpointID]bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	changed := false
-	for _, r := range t.rows {
-		if r.Loading {
+	for id, r := range t.rows {
+		if r.Loading != loading[id] {
 			e := r.Clone()
-			e.Loading = false
+			e.Loading = loading[id]
 			changed = t.upsert(e) || changed
 		}
 	}
 	t.commit(changed)
 }
 
+// ClearLoading resets Loading of all endpoints. It is called when no instance is
+// known to send orders.
+func (t *Table) ClearLoading() { t.ReplaceLoading(nil) }
+
 // mutate applies f to a row and commits the result; an unknown endpoint is ignored.
 func (t *Table) mutate(id tables.EndpointID, f func(*Endpoint)) {
 	t.mu.Lock()
