An update ends once another order has taken its sequence

Callers got answers of replaced weights, and refusals while endpoints waited for their order.

Cause: an order of version 2 without an answer is given up, the order of version 3 expects the same sequence, and then the first one is carried out. The report shows the sequence that was expected and an older version.

Change: a report with the expected sequence, or a higher one, that shows the engine neither loading nor at the version proves that the order will be rejected. The engine is ordered again, with the sequence of the report. This needs no time: sequence, busy and version are of one moment.

--- a/control/rollout/planner.go
+++ b/control/rollout/planner.go
@@ -349,6 +349,10 @@
 		return true
 	case r.phase == updating && report.Busy:
 		r.phaseSince, r.unconfirmed = now, false
+	case r.phase == updating && report.Sequence >= r.acceptedSequence:
+		// An earlier order was delayed and has taken the sequence that the latest one expects, which the
+		// engine will therefore reject.
+		r.phase, r.sequenceKnown, r.sequence = idle, true, report.Sequence
 	case r.phase == updating && report.Sequence < r.acceptedSequence && now-r.phaseSince > maxReportAge:
 		// The order was lost or is delayed. The next order uses the same sequence, so whichever
 		// arrives first makes the other one outdated.
--- a/control/rollout/stall_test.go
+++ b/control/rollout/stall_test.go
@@ -52,3 +52,39 @@
 	assert.Equal(t, len(r.plan(time.Second)), 0)
 	assert.Assert(t, !table.Endpoints()[0].Loading)
 }
+
+// nextOrder steps until the planner orders the engine, answers polls with the report, and returns the order and
+// the time that it took.
+func nextOrder(t *testing.T, p *Planner, now tables.Instant, report func() *Report) (Action, time.Duration) {
+	t.Helper()
+	for began := now; now-began < time.Minute; now += stepInterval {
+		for _, action := range p.NextActions(now) {
+			if action.Version != 0 {
+				return action, now - began
+			}
+			p.HandleReport(now, action.Endpoint.ID, report())
+		}
+	}
+	t.Fatal("no order within a minute")
+	return Action{}, 0
+}
+
+// Guards against an update that waits for its timeout because a delayed order of an older version came first.
+func TestDelayedOrderThatTakesTheSequenceEndsTheUpdate(t *testing.T) {
+	p, now := cordonedEngine(t)
+	report := &Report{Weights: map[string]uint64{"m": 1}, Born: 1}
+	answer := func() *Report { return report }
+	_, took := nextOrder(t, p, now, answer)
+	now += took
+	p.HandleOrderResult(now, "e", 0)
+	p.SetTarget("m", 3)
+	_, took = nextOrder(t, p, now, answer)
+	now += took
+	p.HandleOrderResult(now, "e", 0)
+
+	report = &Report{Sequence: 1, Weights: map[string]uint64{"m": 2}, Born: 1}
+	order, took := nextOrder(t, p, now, answer)
+	assert.Equal(t, order.Sequence, uint64(1))
+	assert.Equal(t, order.Version, uint64(3))
+	assert.Assert(t, took < time.Second, "took %v", took)
+}
