An engine that falls silent in its update holds no slot

Callers got answers of replaced weights from sound engines.

Cause: an engine that accepts an order and then answers no poll, since it crashed, hangs or is cut off, held its slot of the rollout until updateTimeout, 6 s. Two of nine engines are all slots, and the next two that fall silent hold them again.

Change: a poll without an answer makes the update unconfirmed, as an order without an answer does: the engine is polled on, and counts as loading again once a report shows it. A poll is given up 1.15 s after the order at the earliest, which is longer than a load, so that the limit on concurrent loads holds also if the engine is loading unseen; endpoints that do decline requests themselves.

Ruled out: a shorter updateTimeout, which would move the stall and count engines with long loads as done.

--- a/control/rollout/planner.go
+++ b/control/rollout/planner.go
@@ -131,9 +131,9 @@
 	phaseSince tables.Instant
 	// acceptedSequence is the engine's sequence after it accepts the latest order.
 	acceptedSequence uint64
-	// unconfirmed is set while an order that got no answer has not been seen to be executed. Most
-	// such orders are lost, or wait for seconds. The engine then still serves its old weights, and
-	// if it does not, it declines requests itself.
+	// unconfirmed is set while an order that got no answer has not been seen to be executed, or the engine
+	// has not answered the latest poll. Most such orders are lost, or wait for seconds. The engine then still
+	// serves its old weights, and if it does not, it declines requests itself.
 	unconfirmed bool
 	// pausedUntil is when the back-off that the engine has requested ends.
 	pausedUntil tables.Instant
@@ -335,6 +335,7 @@
 	r.polling = false
 	if report == nil {
 		r.nextPollAt = now + pollRetryDelay
+		r.unconfirmed = r.unconfirmed || r.phase == updating
 		p.expireUpdate(now, r)
 		return false
 	}
--- a/control/rollout/simulation_test.go
+++ b/control/rollout/simulation_test.go
@@ -82,6 +82,8 @@
 	orders     int
 	polls      int
 	maxLoading int
+	// onAccepted is called when an engine has accepted an order.
+	onAccepted func(*simProcess)
 }
 
 type simVersion struct {
@@ -276,6 +278,9 @@
 	s.loads++
 	p.sequence++
 	p.loading, p.loadedAt = action.Version, s.now+400*time.Millisecond+time.Duration(s.random.IntN(300))*time.Millisecond
+	if s.onAccepted != nil {
+		s.onAccepted(p)
+	}
 	return Accepted
 }
 
--- a/control/rollout/stall_test.go
+++ b/control/rollout/stall_test.go
@@ -88,3 +88,48 @@
 	assert.Equal(t, order.Version, uint64(3))
 	assert.Assert(t, took < time.Second, "took %v", took)
 }
+
+// updateAllBut names version 2 to nine engines and returns how long it takes until all have it but those for which
+// onAccepted, which is called at each accepted order, returned true.
+func updateAllBut(t *testing.T, onAccepted func(s *simulation, p *simProcess) bool) time.Duration {
+	t.Helper()
+	s := newSimulation(1, 9, simTrouble{})
+	stuck := map[*simProcess]bool{}
+	s.onAccepted = func(p *simProcess) { stuck[p] = onAccepted(s, p) }
+	for s.now < 2*time.Second {
+		s.step()
+	}
+	s.named = append(s.named, simVersion{version: 2, ackedAt: s.now})
+	began := s.now
+	for s.now-began < time.Minute {
+		s.step()
+		behind := 0
+		for _, p := range s.processes {
+			if p.version < 2 && !stuck[p] {
+				behind++
+			}
+		}
+		if behind == 0 {
+			return s.now - began
+		}
+	}
+	t.Fatal("not updated within a minute")
+	return 0
+}
+
+// maxVersionDelay is the platform's bound for requests: none begins on replaced weights after it.
+const maxVersionDelay = 8 * time.Second
+
+// Guards against engines that fall silent just after they accepted an order and keep the others from theirs.
+func TestEnginesThatFallSilentAfterTheirOrderHoldNoSlots(t *testing.T) {
+	silent := 0
+	took := updateAllBut(t, func(s *simulation, p *simProcess) bool {
+		if silent == 4 {
+			return false
+		}
+		silent++
+		p.silentUntil, p.loadedAt = s.now+time.Hour, s.now+time.Hour
+		return true
+	})
+	assert.Assert(t, took < maxVersionDelay, "the other five were updated after %v", took)
+}
