A load that never ends holds no slot of the rollout

The same class as the engine that falls silent: here the engine answers polls, and says that it is loading, for ever. Each such report renewed the time after which its update was given up.

Evidence: TestEnginesWhoseLoadNeverEndsHoldNoSlots: two of nine engines hang, and before no other was ordered within a minute.

Change: a load that takes eight times as long as loads do on average, and longer than updateTimeout, is overdue and does not count against the limit. Before any load has ended nobody knows what is long: then one overdue load is left out, and the engine that is ordered in its place shows it. So loads that are all long, 10 s in TestLongLoadsStayWithinTheLimit, stay within the limit plus one.

Ruled out: a fixed time, after which a fleet whose loads take a minute would load all engines at once.

--- a/control/rollout/planner.go
+++ b/control/rollout/planner.go
@@ -14,62 +14,6 @@
 	"github.com/carawaystile/carawaystile/tables"
 )
 
-// Strategy is how a change of weights treats the requests that run on the engine.
-type Strategy uint8
-
-// The strategies for running requests.
-const (
-	// DrainRequests completes running requests first; new requests are declined meanwhile.
-	DrainRequests Strategy = iota
-	// AbortRequests aborts running requests.
-	AbortRequests
-	// RetainRequests continues running requests under the new weights.
-	RetainRequests
-)
-
-// Report is the status of an engine as of a moment ago.
-type Report struct {
-	// Sequence counts the orders that the engine process has accepted since its start; Busy is set
-	// while one is being executed. Weights holds the version of each model. Running and Queued
-	// count requests. Born is the start of the process, in Unix milliseconds.
-	Sequence uint64
-	Busy     bool
-	Weights  map[string]uint64
-	Running  int
-	Queued   int
-	Born     int64
-	// Draining is set if the engine announces that it is about to stop.
-	Draining bool
-}
-
-// Order tells an engine to load a version of a model's weights.
-type Order struct {
-	Model    string
-	Version  uint64
-	Strategy Strategy
-	Holder   string
-	Fence    tables.FencingToken
-	// Sequence makes the order a compare-and-set: an engine at another sequence rejects it.
-	Sequence uint64
-}
-
-// OrderResult is an engine's answer to an order.
-type OrderResult uint8
-
-// The answers. Zero means none: the order may have been accepted, or may be executed later.
-const (
-	// Accepted means that the order is being executed.
-	Accepted OrderResult = iota + 1
-	// AlreadyServing means that the engine already serves the version.
-	AlreadyServing
-	// Conflict means that another order is being executed or the sequence differs.
-	Conflict
-	// Fenced means that the engine has seen a higher fencing token.
-	Fenced
-	// Rejected means that the order was refused for another reason, or not sent.
-	Rejected
-)
-
 const (
 	// firstPollDelay is the time between the acceptance of an order and the first poll of its
 	// engine. Loading takes 0.4 s at least.
@@ -88,11 +32,6 @@
 	// updateTimeout is how long an update is considered in progress while no report shows it.
 	// Engines finish running requests first.
 	updateTimeout = 6 * time.Second
-	// concurrencyDivisor limits the engines that load at once to a fraction of all engines, at
-	// least minConcurrent. More than about a fifth slow each load down where weights come from one
-	// place, and requests need engines meanwhile.
-	concurrencyDivisor = 5
-	minConcurrent      = 2
 )
 
 // phase is the stage of an engine in its update.
@@ -137,6 +76,8 @@
 	unconfirmed bool
 	// pausedUntil is when the back-off that the engine has requested ends.
 	pausedUntil tables.Instant
+	// loadingSince is when the load that is in progress was accepted or first seen, 0 if none is.
+	loadingSince tables.Instant
 }
 
 // Planner decides which engines to poll and which to update, as a state machine per engine. It
@@ -148,6 +89,9 @@
 	notBefore map[tables.EndpointID]tables.Instant
 	// MaxConcurrent overrides how many engines load at once; zero derives it from their number.
 	MaxConcurrent int
+	// loadTime is the moving average of the time from the acceptance of an order to the report that shows it
+	// done, 0 before the first.
+	loadTime time.Duration
 }
 
 // NewPlanner returns a planner without engines and targets.
@@ -209,25 +153,20 @@
 	}
 	engines := p.inUpdateOrder()
 	var actions []Action
-	updatingCount, cordonedCount := 0, 0
+	cordonedCount := 0
 	for _, r := range engines {
 		if r.phase == cordoned && !p.isOrderable(now, r) {
 			r.phase = idle
 		}
-		switch r.phase {
-		case cordoned:
+		if r.phase == cordoned {
 			cordonedCount++
-		case orderSent, updating:
-			if r.holdsSlot() {
-				updatingCount++
-			}
 		}
 		if p.shouldPoll(now, r) {
 			r.polling = true
 			actions = append(actions, Action{Endpoint: r.Endpoint})
 		}
 	}
-	freeSlots := p.maxConcurrent() - updatingCount
+	freeSlots := p.maxConcurrent() - p.slotsInUse(now)
 	for _, r := range engines {
 		if r.phase == cordoned && freeSlots > 0 && now-r.phaseSince >= cordonTime {
 			freeSlots--
@@ -251,15 +190,10 @@
 	return version != 0 && !r.Draining && now >= max(r.pausedUntil, p.notBefore[r.ID])
 }
 
-// holdsSlot reports whether an engine counts against the limit of concurrent updates.
-func (r *engineState) holdsSlot() bool {
-	return (r.phase == orderSent || r.phase == updating) && !r.unconfirmed
-}
-
 // startOrder moves an engine to orderSent and returns its order.
 func (p *Planner) startOrder(now tables.Instant, r *engineState) Action {
 	model, version := p.pendingUpdate(r)
-	r.phase, r.orderedModel, r.orderedVersion, r.phaseSince, r.unconfirmed = orderSent, model, version, now, false
+	r.phase, r.orderedModel, r.orderedVersion, r.phaseSince, r.unconfirmed, r.loadingSince = orderSent, model, version, now, false, 0
 	r.acceptedSequence = r.sequence + 1
 	return Action{Endpoint: r.Endpoint, Model: model, Version: version, Sequence: r.sequence}
 }
@@ -318,13 +252,6 @@
 	return lowest
 }
 
-func (p *Planner) maxConcurrent() int {
-	if p.MaxConcurrent > 0 {
-		return p.MaxConcurrent
-	}
-	return max(minConcurrent, (len(p.engineStates)+concurrencyDivisor-1)/concurrencyDivisor)
-}
-
 // HandleReport processes the report of a poll, nil if the engine did not answer. It returns whether
 // the report completes an update.
 func (p *Planner) HandleReport(now tables.Instant, id tables.EndpointID, report *Report) bool {
@@ -347,9 +274,13 @@
 	case r.phase == updating && r.Weights[r.orderedModel] >= r.orderedVersion && !report.Busy:
 		r.phase, r.sequenceKnown = idle, true
 		r.sequence = max(report.Sequence, r.acceptedSequence)
+		p.recordLoad(now, r)
 		return true
 	case r.phase == updating && report.Busy:
 		r.phaseSince, r.unconfirmed = now, false
+		if r.loadingSince == 0 {
+			r.loadingSince = now
+		}
 	case r.phase == updating && report.Sequence >= r.acceptedSequence:
 		// An earlier order was delayed and has taken the sequence that the latest one expects, which the
 		// engine will therefore reject.
@@ -381,7 +312,7 @@
 	}
 	switch result {
 	case Accepted:
-		r.phase, r.phaseSince, r.nextPollAt = updating, now, now+firstPollDelay
+		r.phase, r.phaseSince, r.loadingSince, r.nextPollAt = updating, now, now, now+firstPollDelay
 	case AlreadyServing:
 		r.phase = idle
 		r.Weights[r.orderedModel] = max(r.Weights[r.orderedModel], r.orderedVersion)
--- /dev/null
+++ b/control/rollout/slots.go
@@ -0,0 +1,62 @@
+package rollout
+
+import "github.com/carawaystile/carawaystile/tables"
+
+const (
+	// overdueFactor is by how much a load exceeds the average one, and updateTimeout, before it is overdue.
+	overdueFactor = 8
+	// concurrencyDivisor limits the engines that load at once to a fraction of all engines, at
+	// least minConcurrent. More than about a fifth slow each load down where weights come from one
+	// place, and requests need engines meanwhile.
+	concurrencyDivisor = 5
+	minConcurrent      = 2
+)
+
+// holdsSlot reports whether an engine counts against the limit of concurrent updates unless it is overdue.
+func (r *engineState) holdsSlot() bool {
+	return (r.phase == orderSent || r.phase == updating) && !r.unconfirmed
+}
+
+// slotsInUse returns the number of engines that count against the limit of concurrent updates. Overdue loads do
+// not; as long as no load has ended, all may take that long, and only one of them is left out.
+func (p *Planner) slotsInUse(now tables.Instant) int {
+	inUse, overdue := 0, 0
+	for _, r := range p.engineStates {
+		switch {
+		case !r.holdsSlot():
+		case p.isOverdue(now, r):
+			overdue++
+		default:
+			inUse++
+		}
+	}
+	if p.loadTime == 0 {
+		inUse += max(0, overdue-1)
+	}
+	return inUse
+}
+
+// isOverdue reports whether an engine has been loading for far longer than the others do.
+func (p *Planner) isOverdue(now tables.Instant, r *engineState) bool {
+	return r.loadingSince != 0 && now-r.loadingSince > max(updateTimeout, overdueFactor*p.loadTime)
+}
+
+// recordLoad adds the load that has just ended to the average.
+func (p *Planner) recordLoad(now tables.Instant, r *engineState) {
+	if r.loadingSince == 0 {
+		return
+	}
+	took := now - r.loadingSince
+	if p.loadTime == 0 {
+		p.loadTime = took
+	}
+	p.loadTime += (took - p.loadTime) / 4
+	r.loadingSince = 0
+}
+
+func (p *Planner) maxConcurrent() int {
+	if p.MaxConcurrent > 0 {
+		return p.MaxConcurrent
+	}
+	return max(minConcurrent, (len(p.engineStates)+concurrencyDivisor-1)/concurrencyDivisor)
+}
--- a/control/rollout/stall_test.go
+++ b/control/rollout/stall_test.go
@@ -133,3 +133,29 @@
 	})
 	assert.Assert(t, took < maxVersionDelay, "the other five were updated after %v", took)
 }
+
+// Guards against engines whose load never ends and keep the others from theirs.
+func TestEnginesWhoseLoadNeverEndsHoldNoSlots(t *testing.T) {
+	hung := 0
+	took := updateAllBut(t, func(s *simulation, p *simProcess) bool {
+		if hung == 2 {
+			return false
+		}
+		hung++
+		p.loadedAt = s.now + time.Hour
+		return true
+	})
+	assert.Assert(t, took < maxVersionLag, "the other seven were updated after %v", took)
+}
+
+// Guards against a rollout that takes loads which are all long for hung ones, and has most engines load at once.
+func TestLongLoadsStayWithinTheLimit(t *testing.T) {
+	var s *simulation
+	took := updateAllBut(t, func(running *simulation, p *simProcess) bool {
+		s = running
+		p.loadedAt = s.now + 10*time.Second
+		return false
+	})
+	assert.Assert(t, took > 30*time.Second, "took %v", took)
+	assert.Assert(t, s.maxLoading <= minConcurrent+1, "%d loaded at once", s.maxLoading)
+}
