--- a/control/rollout/planner.go
+++ b/control/rollout/planner.go
@@ -179,7 +179,7 @@
 			continue
 		}
 		cordonedCount++
-		r.phase, r.phaseSince = cordoned, now
+		r.phase, r.phaseSince, r.unconfirmed = cordoned, now, false
 	}
 	return actions
 }
--- a/control/rollout/stall_test.go
+++ b/control/rollout/stall_test.go
@@ -89,6 +89,23 @@
 	assert.Assert(t, took < time.Second, "took %v", took)
 }
 
+// Guards against requests that wait at an engine when its order arrives, since its earlier order got no answer.
+func TestEngineIsCordonedAgainAfterAnOrderWithoutAnAnswer(t *testing.T) {
+	p, now := cordonedEngine(t)
+	report := func() *Report { return &Report{Weights: map[string]uint64{"m": 1}, Born: 1} }
+	_, took := nextOrder(t, p, now, report)
+	now += took
+	p.HandleOrderResult(now, "e", 0)
+	assert.Assert(t, !p.Updating("e"))
+	for p.engineStates["e"].phase != cordoned {
+		now += stepInterval
+		for _, action := range p.NextActions(now) {
+			p.HandleReport(now, action.Endpoint.ID, report())
+		}
+	}
+	assert.Assert(t, p.Updating("e"))
+}
+
 // updateAllBut names version 2 to nine engines and returns how long it takes until all have it but those for which
 // onAccepted, which is called at each accepted order, returned true.
 func updateAllBut(t *testing.T, onAccepted func(s *simulation, p *simProcess) bool) time.Duration {
