An engine's own report decides which weights it has, also if they are older

Callers would get answers of replaced weights for good from engines that count as up to date, and rejections of requests that expect the newer ones.

Cause: within one start, planner, endpoint table, replicas and placement kept the highest version that anybody had named. An engine goes back, though: an order that it had not answered is carried out after it has restarted under its ID, where the sequence is 0 again. An entry of another writer may claim a version once. Nobody asks an engine that counts as up to date. In the same way a report of the process before raised the row of the next one, since polls were known by the ID alone.

Change: the list is a hint and the report decides. An engine that the list shows with newer weights, or with older ones 3 s after it reported, is polled before anything else; a report that was requested later than reports lag after the known weights were shown outranks them. The table takes what the planner has found, lower or not, followers and entry instances take deltas as they are, and the list does not restore what a report refuted. Calls are known by the start of their process, and a report of a new process begins its state anew, before the list shows it.

Ruled out: polls of all engines at an interval, which cost probes for what the list shows for nothing; the list alone, whose lag would undo each update for a second.

--- a/control/deployment/service_test.go
+++ b/control/deployment/service_test.go
@@ -82,7 +82,7 @@
 	waits := 0
 	s := NewService(Options{Fleet: table, After: func(time.Duration) <-chan time.Time {
 		waits++
-		table.RecordWeights("e2", "m", 2)
+		table.RecordWeights("e2", 0, "m", 2)
 		passed := make(chan time.Time)
 		close(passed)
 		return passed
@@ -91,7 +91,7 @@
 		update, endpointsChanged := table.UpdateSince(1, version)
 		return pendingUpdate{answer: &rpc.FollowAnswer{Fleet: update}, endpointsChanged: endpointsChanged}
 	}
-	table.RecordWeights("e1", "m", 2)
+	table.RecordWeights("e1", 0, "m", 2)
 	answer := s.awaitUpdate(t.Context(), nil, poll)
 	assert.Equal(t, waits, 1)
 	assert.Equal(t, len(answer.GetFleet().GetEndpoints()), 2)
--- /dev/null
+++ b/control/rollout/belief.go
@@ -0,0 +1,56 @@
+package rollout
+
+import (
+	"maps"
+	"time"
+
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// maxListAge bounds how far the platform's list lags behind an engine in general. Weights that it still shows as
+// older then may be what the engine has gone back to.
+const maxListAge = 3 * time.Second
+
+// confirm takes the weights over that an engine reports. They may be older than those known: an engine goes back
+// if an order of an earlier version reaches it after it has restarted, and what an entry of the list claimed may
+// be wrong. A report that was requested soon after the known weights were shown may just be older than these.
+func (r *engineState) confirm(now tables.Instant, report *Report) {
+	outranks := r.confirmedAt == 0 || r.polledAt-maxReportAge > r.confirmedAt
+	confirmed := true
+	for model, version := range report.Weights {
+		if version < r.Weights[model] && !outranks {
+			confirmed = false
+			continue
+		}
+		r.Weights[model] = version
+	}
+	if confirmed {
+		r.confirmedAt = now
+	}
+}
+
+// ObserveList compares the versions of weights that the platform's list shows with those known. An engine that
+// the list shows with others is polled, at once if the list has just begun to show newer ones: its own report
+// decides.
+func (p *Planner) ObserveList(now tables.Instant, listed map[tables.EndpointID]map[string]uint64) {
+	for id, r := range p.engineStates {
+		for model, version := range listed[id] {
+			known, serves := r.Weights[model]
+			isNewer := version > known && version != r.listed[model]
+			if serves && version != known && (isNewer || now-r.confirmedAt > maxListAge) {
+				r.doubted = true
+			}
+		}
+		r.listed = listed[id]
+	}
+}
+
+// Weights returns the version of each model's weights that an engine is known to serve, and whether the state is
+// about the given process; 0 is any.
+func (p *Planner) Weights(id tables.EndpointID, process int64) (map[string]uint64, bool) {
+	r := p.engineStates[id]
+	if r == nil || process != 0 && r.process != 0 && process != r.process {
+		return nil, false
+	}
+	return maps.Clone(r.Weights), true
+}
--- /dev/null
+++ b/control/rollout/belief_test.go
@@ -0,0 +1,107 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/fleet"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// upToDateEngine returns a planner whose only engine has shown a moment ago that it serves the target, version 3.
+func upToDateEngine(t *testing.T) (*Planner, tables.Instant) {
+	t.Helper()
+	p := NewPlanner()
+	p.SetTarget("m", 3)
+	p.UpdateEndpoints(outdatedEngine(1))
+	now := time.Second
+	assert.Equal(t, len(p.NextActions(now)), 1)
+	p.HandleReport(now, "e", &Report{Sequence: 2, Weights: map[string]uint64{"m": 3}, Born: 1})
+	assert.Assert(t, p.Converged())
+	return p, now
+}
+
+// showList passes a list to the planner that shows a version of the engine "e".
+func showList(p *Planner, now tables.Instant, startUnixMilli int64, version uint64) {
+	weights := map[string]uint64{"m": version}
+	p.UpdateEndpoints([]fleet.Endpoint{{ID: "e", StartUnixMilli: startUnixMilli, Weights: weights}})
+	p.ObserveList(now, map[tables.EndpointID]map[string]uint64{"e": weights})
+}
+
+// Guards against an engine that went back to older weights and counts as up to date for good.
+func TestEngineThatGoesBackIsOrderedAgain(t *testing.T) {
+	p, now := upToDateEngine(t)
+	now += maxListAge + time.Second
+	showList(p, now, 1, 2)
+	order, took := nextOrder(t, p, now, func() *Report {
+		return &Report{Sequence: 3, Weights: map[string]uint64{"m": 2}, Born: 1}
+	})
+	assert.Equal(t, order.Version, uint64(3))
+	assert.Equal(t, order.Sequence, uint64(3))
+	assert.Assert(t, took < time.Second, "took %v", took)
+}
+
+// Guards against an engine that is polled, or taken for one that went back, while the list lags.
+func TestListThatLagsIsNotAReasonToPoll(t *testing.T) {
+	p, now := upToDateEngine(t)
+	for range 20 {
+		now += 100 * time.Millisecond
+		showList(p, now, 1, 1)
+		assert.Equal(t, len(p.NextActions(now)), 0)
+	}
+}
+
+// Guards against a report from before the update that is taken for an engine that went back.
+func TestReportThatLagsDoesNotRevertWeights(t *testing.T) {
+	p, now := upToDateEngine(t)
+	p.engineStates["e"].doubted = true
+	now += maxReportAge / 2
+	assert.Equal(t, len(p.NextActions(now)), 1)
+	p.HandleReport(now, "e", &Report{Sequence: 1, Weights: map[string]uint64{"m": 2}, Born: 1})
+	weights, _ := p.Weights("e", 1)
+	assert.Equal(t, weights["m"], uint64(3))
+}
+
+// Guards against an entry of another writer whose claim makes an engine count as up to date.
+func TestClaimOfTheListIsNotBelievedAgainstTheEngine(t *testing.T) {
+	p, now := cordonedEngine(t)
+	showList(p, now, 1, 9)
+	order, took := nextOrder(t, p, now, func() *Report {
+		return &Report{Weights: map[string]uint64{"m": 1}, Born: 1}
+	})
+	assert.Equal(t, order.Version, uint64(2))
+	assert.Assert(t, took < time.Second, "took %v", took)
+}
+
+// Guards against a report of the process before, which shows newer weights than the one that has started.
+func TestReportOfAnEarlierProcessIsDropped(t *testing.T) {
+	r, table, _ := observedController()
+	actions := r.plan(time.Second)
+	assert.Equal(t, len(actions), 1)
+	table.ApplyList(outdatedEngine(2))
+	r.plan(time.Second + stepInterval)
+	r.handleReport(time.Second+stepInterval, actions[0], Report{Sequence: 4, Weights: map[string]uint64{"m": 2}, Born: 1, Draining: true}, nil)
+	weights, _ := r.planner.Weights("e", 2)
+	assert.Equal(t, weights["m"], uint64(1))
+	assert.Equal(t, table.Endpoints()[0].Weights["m"], uint64(1))
+	assert.Assert(t, !r.planner.engineStates["e"].Draining)
+}
+
+// Guards against an update that waits for an order to the process before, or for the list to show the new one.
+func TestReportOfANewProcessBeginsItsUpdate(t *testing.T) {
+	p, now := cordonedEngine(t)
+	reports := func() *Report { return &Report{Weights: map[string]uint64{"m": 1}, Born: 2} }
+	_, took := nextOrder(t, p, now, reports)
+	now += took
+	p.HandleOrderResult(now, "e", Accepted)
+	now += firstPollDelay
+	order, took := nextOrder(t, p, now, reports)
+	assert.Equal(t, order.Process, int64(2))
+	assert.Assert(t, took < time.Second, "took %v", took)
+	showList(p, now, 1, 1)
+	assert.Equal(t, p.engineStates["e"].process, int64(2), "the list lags")
+	showList(p, now, 2, 1)
+	assert.Equal(t, p.engineStates["e"].phase, orderSent, "the list has caught up")
+}
--- a/control/rollout/controller.go
+++ b/control/rollout/controller.go
@@ -86,9 +86,11 @@
 	// plannedFleetVersion is the version of the endpoint table that the planner
 	// has.
 	plannedFleetVersion uint64
-	results             chan func()
-	holdsLease          atomic.Bool
-	renewals            chan error
+	// plannedLists counts the reads of the platform's list that the planner has seen.
+	plannedLists uint64
+	results      chan func()
+	holdsLease   atomic.Bool
+	renewals     chan error
 	// renewing is set while a renewal of the lease is in flight.
 	renewing       bool
 	renewNotBefore tables.Instant
@@ -150,11 +152,12 @@
 	r.renew(ctx)
 	_, left := r.lease.TokenAndTTL()
 	if held := left > 0; held != r.holdsLease.Swap(held) {
-		r.planner, r.plannedFleetVersion = NewPlanner(), 0
+		r.planner, r.plannedFleetVersion, r.plannedLists = NewPlanner(), 0, 0
 		if held {
 			r.delayAnnouncedEngines()
 		} else {
 			r.options.Fleet.ClearLoading()
+			r.options.Fleet.ForgetReports()
 		}
 	}
 	r.observeLag(r.options.Now())
@@ -175,6 +178,10 @@
 		r.planner.UpdateEndpoints(r.options.Fleet.Endpoints())
 		r.plannedFleetVersion = version
 	}
+	if listed, applied := r.options.Fleet.Listed(); applied != r.plannedLists {
+		r.planner.ObserveList(now, listed)
+		r.plannedLists = applied
+	}
 	actions := r.planner.NextActions(now)
 	r.options.Fleet.ReplaceLoading(r.planner.AllUpdating())
 	return actions
@@ -244,12 +251,15 @@
 	bounded, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	report, err := r.options.Engines.Report(bounded, action.Endpoint)
-	r.post(ctx, planner, func(now tables.Instant) { r.handleReport(now, action.Endpoint.ID, report, err) })
+	r.post(ctx, planner, func(now tables.Instant) { r.handleReport(now, action, report, err) })
 }
 
-// handleReport passes the answer to a poll to the planner and the fleet table.
-func (r *Controller) handleReport(now tables.Instant, id tables.EndpointID, report Report, err error) {
-	if r.handlePushback(now, id, err) {
+// handleReport passes the answer to a poll to the planner and the fleet table, unless the poll was meant for an
+// earlier process.
+func (r *Controller) handleReport(now tables.Instant, action Action, report Report, err error) {
+	id := action.Endpoint.ID
+	before, current := r.planner.Weights(id, action.Process)
+	if !current || r.handlePushback(now, id, err) {
 		return
 	}
 	if err != nil {
@@ -258,9 +268,7 @@
 		return
 	}
 	done := r.planner.HandleReport(now, id, &report)
-	for model, version := range report.Weights {
-		r.options.Fleet.RecordWeights(id, model, version)
-	}
+	r.recordWeights(id, report.Born, before)
 	if report.Draining {
 		r.planner.HandleDraining(id)
 		r.options.Fleet.SetDraining(id, report.Born)
@@ -271,6 +279,19 @@
 	r.options.Fleet.SetLoading(id, r.planner.Updating(id))
 }
 
+// recordWeights passes the weights that an engine is now known to serve to the fleet table, and logs those that are
+// older than before.
+func (r *Controller) recordWeights(id tables.EndpointID, startUnixMilli int64, before map[string]uint64) {
+	weights, _ := r.planner.Weights(id, 0)
+	for model, version := range weights {
+		r.options.Fleet.RecordWeights(id, startUnixMilli, model, version)
+		if version < before[model] {
+			events.RolloutWentBack.Log(r.options.Log, zap.String("endpoint", string(id)), zap.String("model", model),
+				zap.Uint64("weights", version), zap.Uint64("known", before[model]))
+		}
+	}
+}
+
 // handlePushback delays the calls to an engine that has requested a back-off, and reports
 // whether the error is one.
 func (r *Controller) handlePushback(now tables.Instant, id tables.EndpointID, err error) bool {
--- a/control/rollout/lag_test.go
+++ b/control/rollout/lag_test.go
@@ -67,7 +67,7 @@
 // Guards against a gauge that counts an endpoint as up to date while the list shows that it went back.
 func TestEndpointThatTheListShowsOlderCountsAsBehind(t *testing.T) {
 	r, table, _ := observedController()
-	table.RecordWeights("e", "m", 2)
+	table.RecordWeights("e", 0, "m", 2)
 	r.observeLag(time.Second)
 	assert.Equal(t, r.Lag().Endpoints, 1)
 	newer := outdatedEngine(1)
--- a/control/rollout/planner.go
+++ b/control/rollout/planner.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -63,11 +64,19 @@
 	// sequence is the engine's sequence, valid if sequenceKnown is set.
 	sequence      uint64
 	sequenceKnown bool
-	// polling is set while a poll is in flight; nextPollAt is when the next one is due. phaseSince
-	// is when the phase began, or when a report last showed the update in progress.
+	// polling is set while a poll is in flight, which was sent at polledAt; nextPollAt is when the next one is
+	// due. phaseSince is when the phase began, or when a report last showed the update in progress.
 	polling    bool
+	polledAt   tables.Instant
 	nextPollAt tables.Instant
 	phaseSince tables.Instant
+	// confirmedAt is when the engine itself last showed the weights that are known; doubted is set once the
+	// list shows others since then. listed is what the list showed last.
+	confirmedAt tables.Instant
+	doubted     bool
+	listed      map[string]uint64
+	// process is the start of the process that the state is about, in Unix milliseconds; 0 if it is unknown.
+	process int64
 	// acceptedSequence is the engine's sequence after it accepts the latest order.
 	acceptedSequence uint64
 	// unconfirmed is set while an order that got no answer has not been seen to be executed, or the engine
@@ -110,8 +119,8 @@
 }
 
 // UpdateEndpoints replaces the list of known endpoints. Endpoints without weights are ignored. A
-// restarted endpoint loses its update state; for the others the highest known version of each model
-// is kept.
+// restarted endpoint loses its update state. For the others what they have shown themselves is kept: the
+// list lags, and may have entries of other writers.
 func (p *Planner) UpdateEndpoints(endpoints []fleet.Endpoint) {
 	present := make(map[tables.EndpointID]bool, len(endpoints))
 	for _, e := range endpoints {
@@ -120,15 +129,13 @@
 		}
 		present[e.ID] = true
 		known := p.engineStates[e.ID]
-		if known == nil || known.StartUnixMilli != e.StartUnixMilli && e.StartUnixMilli != 0 {
-			p.engineStates[e.ID] = &engineState{Endpoint: e.Clone()}
+		if known == nil || known.restartedAs(e.StartUnixMilli) {
+			p.engineStates[e.ID] = &engineState{Endpoint: e.Clone(), process: e.StartUnixMilli}
 			continue
 		}
 		weights := known.Weights
 		known.Endpoint = e.Clone()
-		for model, version := range weights {
-			known.Weights[model] = max(known.Weights[model], version)
-		}
+		maps.Copy(known.Weights, weights)
 	}
 	for id := range p.engineStates {
 		if !present[id] {
@@ -137,9 +144,17 @@
 	}
 }
 
+// restartedAs reports whether a listed start is that of another process. The list may still show the process
+// before the known one.
+func (r *engineState) restartedAs(startUnixMilli int64) bool {
+	return startUnixMilli != 0 && startUnixMilli != r.StartUnixMilli && startUnixMilli != r.process
+}
+
 // Action is a call to an engine: an order if Version is set, a poll otherwise.
 type Action struct {
 	Endpoint fleet.Endpoint
+	// Process is the start of the process that the call is meant for, 0 if it is unknown.
+	Process  int64
 	Model    string
 	Version  uint64
 	Sequence uint64
@@ -162,8 +177,8 @@
 			cordonedCount++
 		}
 		if p.shouldPoll(now, r) {
-			r.polling = true
-			actions = append(actions, Action{Endpoint: r.Endpoint})
+			r.polling, r.polledAt = true, now
+			actions = append(actions, Action{Endpoint: r.Endpoint, Process: r.process})
 		}
 	}
 	freeSlots := p.maxConcurrent() - p.slotsInUse(now)
@@ -187,7 +202,7 @@
 // isOrderable reports whether an engine is to get an order and may get one now.
 func (p *Planner) isOrderable(now tables.Instant, r *engineState) bool {
 	_, version := p.pendingUpdate(r)
-	return version != 0 && !r.Draining && now >= max(r.pausedUntil, p.notBefore[r.ID])
+	return version != 0 && !r.doubted && !r.Draining && now >= max(r.pausedUntil, p.notBefore[r.ID])
 }
 
 // startOrder moves an engine to orderSent and returns its order.
@@ -195,7 +210,7 @@
 	model, version := p.pendingUpdate(r)
 	r.phase, r.orderedModel, r.orderedVersion, r.phaseSince, r.unconfirmed, r.loadingSince = orderSent, model, version, now, false, 0
 	r.acceptedSequence = r.sequence + 1
-	return Action{Endpoint: r.Endpoint, Model: model, Version: version, Sequence: r.sequence}
+	return Action{Endpoint: r.Endpoint, Process: r.process, Model: model, Version: version, Sequence: r.sequence}
 }
 
 func (p *Planner) shouldPoll(now tables.Instant, r *engineState) bool {
@@ -206,7 +221,7 @@
 		return true
 	}
 	_, version := p.pendingUpdate(r)
-	return r.phase == idle && version != 0 && !r.sequenceKnown && !r.Draining
+	return r.phase == idle && !r.Draining && (r.doubted || version != 0 && !r.sequenceKnown)
 }
 
 // pendingUpdate returns a model that the engine serves in an older version than its target, and the
@@ -266,9 +281,12 @@
 		p.expireUpdate(now, r)
 		return false
 	}
-	for model, version := range report.Weights {
-		r.Weights[model] = max(r.Weights[model], version)
+	if report.Born != 0 && r.process != 0 && report.Born != r.process {
+		*r = engineState{Endpoint: r.Endpoint}
 	}
+	r.process = cmp.Or(report.Born, r.process)
+	r.confirm(now, report)
+	r.doubted = false
 	r.nextPollAt = now + pollInterval
 	switch {
 	case r.phase == updating && r.Weights[r.orderedModel] >= r.orderedVersion && !report.Busy:
@@ -290,7 +308,7 @@
 		// arrives first makes the other one outdated.
 		r.phase, r.sequenceKnown, r.sequence = idle, true, report.Sequence
 	case r.phase == idle:
-		r.sequenceKnown = !report.Busy
+		r.sequenceKnown, r.doubted = !report.Busy, report.Busy
 		r.sequence = report.Sequence
 	default:
 		p.expireUpdate(now, r)
@@ -314,7 +332,7 @@
 	case Accepted:
 		r.phase, r.phaseSince, r.loadingSince, r.nextPollAt = updating, now, now, now+firstPollDelay
 	case AlreadyServing:
-		r.phase = idle
+		r.phase, r.confirmedAt = idle, now
 		r.Weights[r.orderedModel] = max(r.Weights[r.orderedModel], r.orderedVersion)
 	case Conflict, Rejected, Fenced:
 		r.phase, r.sequenceKnown, r.nextPollAt = idle, false, now+pollInterval
@@ -328,7 +346,7 @@
 // Converged reports whether no update runs and every engine not draining serves the targets.
 func (p *Planner) Converged() bool {
 	for _, r := range p.engineStates {
-		if _, version := p.pendingUpdate(r); version != 0 && !r.Draining || r.phase != idle {
+		if _, version := p.pendingUpdate(r); (version != 0 || r.doubted) && !r.Draining || r.phase != idle {
 			return false
 		}
 	}
--- a/control/rollout/search_test.go
+++ b/control/rollout/search_test.go
@@ -39,6 +39,8 @@
 	"all":                       {late: true, crash: true, silence: true, shed: true, sameID: 0.3},
 	"all, holders that change":  {late: true, crash: true, silence: true, shed: true, handover: true, sameID: 0.3},
 	"all, orders that outlive":  {late: true, crash: true, silence: true, shed: true, handover: true, sameID: 0.8, lateOutlivesProcess: true},
+	"odd entries":               {odd: true},
+	"all, odd entries":          {late: true, crash: true, silence: true, shed: true, handover: true, odd: true, sameID: 0.8, lateOutlivesProcess: true},
 	"crashes, silence, release": {crash: true, silence: true, handover: true, sameID: 0},
 }
 
--- a/control/rollout/simulation_test.go
+++ b/control/rollout/simulation_test.go
@@ -38,8 +38,10 @@
 	// reports holds the latest states, oldest first.
 	reports []simState
 	// silentUntil, sheddingUntil and lateUntil end the troubles of the process; troubledAt is when it was last
-	// in one.
+	// in one. Until oddUntil the list shows the version claimed instead of its own.
 	silentUntil, sheddingUntil, lateUntil, troubledAt tables.Instant
+	oddUntil                                          tables.Instant
+	claimed                                           uint64
 	goneAt                                            tables.Instant
 }
 
@@ -55,7 +57,7 @@
 
 // simTrouble says what a seed may draw.
 type simTrouble struct {
-	late, crash, silence, shed, handover bool
+	late, crash, silence, shed, handover, odd bool
 	// sameID is the share of crashed engines that start again under their ID.
 	sameID float64
 	// lateOutlivesProcess lets a late order reach the process that starts again under the ID.
@@ -196,8 +198,12 @@
 		if p.gone() && (s.now-p.goneAt > simListedAfter || s.process(p.id) != nil) {
 			continue
 		}
+		version := p.version
+		if s.now < p.oddUntil {
+			version = p.claimed
+		}
 		list = append(list, fleet.Endpoint{
-			ID: p.id, Zone: tables.Zone([]string{"a", "b", "c"}[p.address%3]), StartUnixMilli: p.start, Weights: map[string]uint64{"m": p.version},
+			ID: p.id, Zone: tables.Zone([]string{"a", "b", "c"}[p.address%3]), StartUnixMilli: p.start, Weights: map[string]uint64{"m": version},
 		})
 	}
 	s.after(simListLag, func() { s.table.ApplyList(list) })
@@ -218,16 +224,16 @@
 	if action.Version == 0 {
 		s.polls++
 		if silent {
-			answer(pollTimeout, func() { s.controller.handleReport(s.now, id, Report{}, context.DeadlineExceeded) })
+			answer(pollTimeout, func() { s.controller.handleReport(s.now, action, Report{}, context.DeadlineExceeded) })
 			return
 		}
 		if err := s.shed(p); err != nil {
-			answer(simRoundTrip, func() { s.controller.handleReport(s.now, id, Report{}, err) })
+			answer(simRoundTrip, func() { s.controller.handleReport(s.now, action, Report{}, err) })
 			return
 		}
 		shown := p.reports[0]
 		report := Report{Sequence: shown.seq, Busy: shown.busy, Weights: map[string]uint64{"m": shown.version}, Born: p.start}
-		answer(simRoundTrip, func() { s.controller.handleReport(s.now, id, report, nil) })
+		answer(simRoundTrip, func() { s.controller.handleReport(s.now, action, report, nil) })
 		return
 	}
 	s.orders++
@@ -338,6 +344,9 @@
 	if p := pick(); s.trouble.shed && chance(0.8) {
 		p.sheddingUntil = max(p.sheddingUntil, s.now+duration())
 	}
+	if p := pick(); s.trouble.odd && chance(0.8) {
+		p.oddUntil, p.claimed = max(p.oddUntil, s.now+duration()), 1+s.random.Uint64N(uint64(len(s.named)+2))
+	}
 	if s.trouble.handover && chance(0.1) {
 		s.newHolder()
 	}
--- a/control/rollout/stall_test.go
+++ b/control/rollout/stall_test.go
@@ -28,7 +28,9 @@
 // Guards against a slot that is lost for good because an engine gets its weights between cordon and order.
 func TestEngineThatIsUpToDateBeforeItsOrderKeepsNoSlot(t *testing.T) {
 	p, now := cordonedEngine(t)
-	p.UpdateEndpoints([]fleet.Endpoint{{ID: "e", StartUnixMilli: 1, Weights: map[string]uint64{"m": 2}}})
+	listed := map[string]uint64{"m": 2}
+	p.UpdateEndpoints([]fleet.Endpoint{{ID: "e", StartUnixMilli: 1, Weights: listed}})
+	p.ObserveList(now, map[tables.EndpointID]map[string]uint64{"e": listed})
 	for range 40 {
 		now += stepInterval
 		for _, action := range p.NextActions(now) {
--- a/dispatch/endpoints.go
+++ b/dispatch/endpoints.go
@@ -153,8 +153,10 @@
 	if known.listed.Equal(&e) {
 		return false
 	}
+	before := known.listed.Weights
 	known.listed = e
-	// A version shown by an answer is more recent than the version in the list.
+	// A version shown by an answer is more recent than the version in the table, unless that has
+	// been lowered.
 	shown := known.Weights
 	known.halfOpen = known.halfOpen || known.Loading && !e.Loading
 	if !maps.Equal(shown, e.Weights) {
@@ -162,7 +164,9 @@
 	}
 	known.Endpoint = e.Clone()
 	for model, version := range shown {
-		known.Weights[model] = max(known.Weights[model], version)
+		if e.Weights[model] >= before[model] {
+			known.Weights[model] = max(known.Weights[model], version)
+		}
 	}
 	return false
 }
--- a/fleet/bench_test.go
+++ b/fleet/bench_test.go
@@ -21,7 +21,7 @@
 			for i := range b.N {
 				_, before := position(table)
 				weights++
-				table.RecordWeights(all[i%endpoints].ID, "m", weights)
+				table.RecordWeights(all[i%endpoints].ID, 0, "m", weights)
 				for range replicas {
 					update, _ := table.UpdateSince(1, before)
 					if len(update.GetEndpoints()) != 1 {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -49,6 +49,12 @@
 	return e
 }
 
+// mayStartAt reports whether the endpoint can be the process with a start time, in Unix milliseconds. Zero is
+// unknown.
+func (e *Endpoint) mayStartAt(startUnixMilli int64) bool {
+	return e.StartUnixMilli == startUnixMilli || e.StartUnixMilli == 0 || startUnixMilli == 0
+}
+
 // Equal reports whether two endpoints agree in every field.
 func (e *Endpoint) Equal(other *Endpoint) bool {
 	return e.ID == other.ID && e.Service == other.Service && e.Address == other.Address && e.Zone == other.Zone &&
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -69,7 +69,7 @@
 func TestRestartedEndpointTakesWeightsFromList(t *testing.T) {
 	table := NewTable(1)
 	table.ApplyList([]Endpoint{engine("a", 1)})
-	table.RecordWeights("a", "m", 3)
+	table.RecordWeights("a", 0, "m", 3)
 	assert.Equal(t, table.Endpoints()[0].Weights["m"], uint64(3))
 	restarted := engine("a", 2)
 	restarted.StartUnixMilli = 2
@@ -139,7 +139,7 @@
 				}
 				table.ApplyList(all)
 			case 1:
-				table.RecordWeights(tables.EndpointID(fmt.Sprint(id)), "m", 1+rng.Uint64N(50))
+				table.RecordWeights(tables.EndpointID(fmt.Sprint(id)), 0, "m", 1+rng.Uint64N(50))
 			case 2:
 				table.SetLoading(tables.EndpointID(fmt.Sprint(id)), rng.IntN(2) == 0)
 			default:
--- a/fleet/replica.go
+++ b/fleet/replica.go
@@ -29,9 +29,10 @@
 // returned as errors of type *DecodeError; the rest of the update takes effect.
 //
 // A full update may come from another control instance whose list is older.
-// Within one incarnation of an endpoint, Draining therefore stays set and the
-// versions of weights never decrease. Otherwise a change of the source would send
-// requests to an endpoint that is known to be leaving.
+// Within one incarnation of an endpoint, Draining therefore stays set, and a full
+// update never lowers the versions of weights. Otherwise a change of the source
+// would send requests to an endpoint that is known to be leaving. A delta lowers
+// them if the endpoint has gone back.
 func (r *Replica) Apply(update *rpc.Fleet) error {
 	if update == nil {
 		return nil
@@ -50,7 +51,9 @@
 		if before, ok := known[e.ID]; ok && before.StartUnixMilli == e.StartUnixMilli {
 			e.Draining = e.Draining || before.Draining
 			for model, version := range before.Weights {
-				e.Weights[model] = max(e.Weights[model], version)
+				if update.GetFull() {
+					e.Weights[model] = max(e.Weights[model], version)
+				}
 			}
 		}
 		r.rows[e.ID] = e
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -37,6 +37,8 @@
 	// listed is what the list showed when it was last applied, listsApplied how often it was.
 	listed       map[tables.EndpointID]map[string]uint64
 	listsApplied uint64
+	// reports holds what endpoints have reported to this instance itself.
+	reports map[tables.EndpointID]*reportedWeights
 	// cachedDeltas holds the deltas computed since the last change, by base version, and
 	// cachedFull the full update. Replicas share them, since most request the same one.
 	cachedDeltas map[uint64]*rpc.Fleet
@@ -66,12 +68,13 @@
 func NewTable(source uint64) *Table {
 	return &Table{
 		source: source, rows: map[tables.EndpointID]*row{}, changed: make(chan struct{}), cachedDeltas: map[uint64]*rpc.Fleet{},
+		reports: map[tables.EndpointID]*reportedWeights{},
 	}
 }
 
 // ApplyList replaces the rows by the platform's list. The list lags, and an older
 // page of it must not revert newer information: within one incarnation, Draining
-// stays set and the versions of weights never decrease.
+// stays set and the list never lowers the versions of weights.
 func (t *Table) ApplyList(listed []Endpoint) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -128,17 +131,15 @@
 	}
 	e.Draining = e.Draining || known.Draining
 	e.Loading = known.Loading
+	report := t.reportOf(&e)
 	for model, version := range known.Weights {
-		e.Weights[model] = max(e.Weights[model], version)
+		if claimed := e.Weights[model]; claimed < version || report.refutes(model, claimed) {
+			e.Weights[model] = version
+		}
 	}
 	return e
 }
 
-// RecordWeights raises the version of a model's weights that an endpoint has reported.
-func (t *Table) RecordWeights(id tables.EndpointID, model string, version uint64) {
-	t.mutate(id, func(e *Endpoint) { e.Weights[model] = max(e.Weights[model], version) })
-}
-
 // SetLoading sets whether an endpoint is executing an order to load weights.
 func (t *Table) SetLoading(id tables.EndpointID, loading bool) {
 	t.mutate(id, func(e *Endpoint) { e.Loading = loading })
@@ -148,21 +149,26 @@
 // is of a process with another start time than the given one. Zero is unknown.
 func (t *Table) SetDraining(id tables.EndpointID, startUnixMilli int64) {
 	t.mutate(id, func(e *Endpoint) {
-		if e.StartUnixMilli == startUnixMilli || e.StartUnixMilli == 0 || startUnixMilli == 0 {
+		if e.mayStartAt(startUnixMilli) {
 			e.Draining = true
 		}
 	})
 }
 
 // Mirror replaces the rows by those of the leader, which sends the orders. Unlike
-// ApplyList, it takes Loading from them.
+// ApplyList, it takes Loading from them, and lower versions of weights unless the endpoint
+// has reported its own to this instance.
 func (t *Table) Mirror(leaderEndpoints map[tables.EndpointID]Endpoint) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	changed := t.markSynced()
 	for _, id := range slices.Sorted(maps.Keys(leaderEndpoints)) {
-		e := t.merge(leaderEndpoints[id])
-		e.Loading = leaderEndpoints[id].Loading
+		leaders := leaderEndpoints[id]
+		e := t.merge(leaders)
+		e.Loading = leaders.Loading
+		if t.reportOf(&e) == nil {
+			e.Weights = leaders.Clone().Weights
+		}
 		changed = t.upsert(e) || changed
 	}
 	for _, id := range slices.Sorted(maps.Keys(t.rows)) {
@@ -243,6 +249,7 @@
 // the oldest tombstone; deltas from versions before that removal are then impossible.
 func (t *Table) remove(id tables.EndpointID) {
 	delete(t.rows, id)
+	delete(t.reports, id)
 	t.tombstones = append(t.tombstones, tombstone{id: id, version: t.version + 1})
 	if len(t.tombstones) > maxTombstones {
 		t.oldestDeltaBase = t.tombstones[0].version
--- a/fleet/table_test.go
+++ b/fleet/table_test.go
@@ -29,3 +29,44 @@
 	all := table.Endpoints()
 	return len(all) == 1 && all[0].Equal(&e)
 }
+
+// endpointAt returns an endpoint that serves a version of its model's weights.
+func endpointAt(version uint64) Endpoint {
+	return Endpoint{ID: "e", Service: "s", Address: netip.MustParseAddrPort("127.0.0.1:80"), StartUnixMilli: 7, Weights: map[string]uint64{"m": version}}
+}
+
+// Guards against an endpoint that counts as up to date on other instances after it went back to older weights.
+func TestReportedWeightsMayBeLower(t *testing.T) {
+	table, follower, replica := NewTable(1), NewTable(2), NewReplica()
+	table.ApplyList([]Endpoint{endpointAt(3)})
+	follower.ApplyList([]Endpoint{endpointAt(3)})
+	syncReplica(t, replica, table)
+	table.RecordWeights("e", 7, "m", 2)
+	assert.Assert(t, isOnly(table, endpointAt(2)))
+	syncReplica(t, replica, table)
+	assert.Equal(t, replica.Endpoints()["e"].Weights["m"], uint64(2))
+	follower.Mirror(replica.Endpoints())
+	assert.Assert(t, isOnly(follower, endpointAt(2)))
+
+	table.RecordWeights("e", 6, "m", 1)
+	assert.Assert(t, isOnly(table, endpointAt(2)), "another process")
+}
+
+// Guards against a claim of the list that the endpoint has refuted and that the next read of the list restores.
+func TestListDoesNotRestoreRefutedWeights(t *testing.T) {
+	table := NewTable(1)
+	table.ApplyList([]Endpoint{endpointAt(9)})
+	table.RecordWeights("e", 7, "m", 1)
+	table.ApplyList([]Endpoint{endpointAt(9)})
+	assert.Assert(t, isOnly(table, endpointAt(1)))
+	table.ApplyList([]Endpoint{endpointAt(2)})
+	assert.Assert(t, isOnly(table, endpointAt(2)))
+	table.RecordWeights("e", 7, "m", 9)
+	table.ApplyList([]Endpoint{endpointAt(1)})
+	assert.Assert(t, isOnly(table, endpointAt(9)))
+
+	table.RecordWeights("e", 7, "m", 1)
+	table.ForgetReports()
+	table.ApplyList([]Endpoint{endpointAt(9)})
+	assert.Assert(t, isOnly(table, endpointAt(9)), "this instance asks no endpoint any more")
+}
