Engines are ordered in turn, whatever weights they have

Cause: engines with the oldest weights came first in each step. One that answers polls but no order stays oldest, and is cordoned and ordered anew every 1.2 s. Enough of them take all turns.

Change: the engine whose latest order is longest ago comes first, the version decides among those that have had none. The result of an order to an earlier process of an engine is dropped as its reports are.

--- a/control/rollout/controller.go
+++ b/control/rollout/controller.go
@@ -326,11 +326,16 @@
 // executeOrder sends an order and passes its result to the planner.
 func (r *Controller) executeOrder(ctx context.Context, planner *Planner, action Action, order Order) {
 	result, err := r.announceAndSend(ctx, action, order)
-	r.post(ctx, planner, func(now tables.Instant) { r.handleOrderResult(now, action.Endpoint.ID, order.Fence, result, err) })
+	r.post(ctx, planner, func(now tables.Instant) { r.handleOrderResult(now, action, order.Fence, result, err) })
 }
 
-// handleOrderResult passes the answer to an order to the planner and the fleet table.
-func (r *Controller) handleOrderResult(now tables.Instant, id tables.EndpointID, fence tables.FencingToken, result OrderResult, err error) {
+// handleOrderResult passes the answer to an order to the planner and the fleet table, unless the order was meant
+// for an earlier process.
+func (r *Controller) handleOrderResult(now tables.Instant, action Action, fence tables.FencingToken, result OrderResult, err error) {
+	id := action.Endpoint.ID
+	if _, current := r.planner.Weights(id, action.Process); !current {
+		return
+	}
 	r.planner.HandleOrderResult(now, id, result)
 	switch {
 	case r.handlePushback(now, id, err):
--- a/control/rollout/planner.go
+++ b/control/rollout/planner.go
@@ -77,6 +77,8 @@
 	listed      map[string]uint64
 	// process is the start of the process that the state is about, in Unix milliseconds; 0 if it is unknown.
 	process int64
+	// orderedAt is when the latest order was sent, 0 if none was.
+	orderedAt tables.Instant
 	// acceptedSequence is the engine's sequence after it accepts the latest order.
 	acceptedSequence uint64
 	// unconfirmed is set while an order that got no answer has not been seen to be executed, or the engine
@@ -209,7 +211,7 @@
 func (p *Planner) startOrder(now tables.Instant, r *engineState) Action {
 	model, version := p.pendingUpdate(r)
 	r.phase, r.orderedModel, r.orderedVersion, r.phaseSince, r.unconfirmed, r.loadingSince = orderSent, model, version, now, false, 0
-	r.acceptedSequence = r.sequence + 1
+	r.acceptedSequence, r.orderedAt = r.sequence+1, now
 	return Action{Endpoint: r.Endpoint, Process: r.process, Model: model, Version: version, Sequence: r.sequence}
 }
 
@@ -236,10 +238,10 @@
 	return best, p.targets[best]
 }
 
-// inUpdateOrder sorts the engines by the age of their weights, oldest first. Otherwise a newer
-// target in the middle of a rollout would update the engines that come first again, and the last
-// ones never. Engines with equal weights alternate between zones, so that no zone loses all its
-// engines at once.
+// inUpdateOrder sorts the engines by the time of their latest order, so that each gets its turn: otherwise a
+// newer target in the middle of a rollout would update the engines that come first again, and engines that answer
+// no order would come before all others. Among those that were not ordered yet the oldest weights come first.
+// Engines with equal weights alternate between zones, so that no zone loses all its engines at once.
 func (p *Planner) inUpdateOrder() []*engineState {
 	engines := make([]*engineState, 0, len(p.engineStates))
 	for _, r := range p.engineStates {
@@ -253,7 +255,7 @@
 		zoneCount[r.Zone]++
 	}
 	slices.SortStableFunc(engines, func(a, b *engineState) int {
-		return cmp.Or(cmp.Compare(lowestVersion(a), lowestVersion(b)), cmp.Compare(zoneRank[a.ID], zoneRank[b.ID]))
+		return cmp.Or(cmp.Compare(a.orderedAt, b.orderedAt), cmp.Compare(lowestVersion(a), lowestVersion(b)), cmp.Compare(zoneRank[a.ID], zoneRank[b.ID]))
 	})
 	return engines
 }
--- a/control/rollout/simulation_test.go
+++ b/control/rollout/simulation_test.go
@@ -238,7 +238,7 @@
 	}
 	s.orders++
 	unanswered := func() {
-		answer(orderTimeout, func() { s.controller.handleOrderResult(s.now, id, 1, 0, context.DeadlineExceeded) })
+		answer(orderTimeout, func() { s.controller.handleOrderResult(s.now, action, 1, 0, context.DeadlineExceeded) })
 	}
 	switch {
 	case silent:
@@ -248,11 +248,11 @@
 		s.after(2*time.Second+time.Duration(s.random.Int64N(int64(10*time.Second))), func() { s.carryOutLate(p, action) })
 	default:
 		if err := s.shed(p); err != nil {
-			answer(simRoundTrip, func() { s.controller.handleOrderResult(s.now, id, 1, Rejected, err) })
+			answer(simRoundTrip, func() { s.controller.handleOrderResult(s.now, action, 1, Rejected, err) })
 			return
 		}
 		result := s.carryOut(p, action)
-		answer(simRoundTrip, func() { s.controller.handleOrderResult(s.now, id, 1, result, nil) })
+		answer(simRoundTrip, func() { s.controller.handleOrderResult(s.now, action, 1, result, nil) })
 	}
 }
 
--- a/control/rollout/stall_test.go
+++ b/control/rollout/stall_test.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -178,3 +179,36 @@
 	assert.Assert(t, took > 30*time.Second, "took %v", took)
 	assert.Assert(t, s.maxLoading <= minConcurrent+1, "%d loaded at once", s.maxLoading)
 }
+
+// Guards against engines that answer no order, come first with their old weights and take all turns.
+func TestEnginesThatAnswerNoOrderDoNotTakeAllTurns(t *testing.T) {
+	const engines, sound = 140, 10
+	p := NewPlanner()
+	p.SetTarget("m", 3)
+	var all []fleet.Endpoint
+	for i := range engines {
+		all = append(all, fleet.Endpoint{ID: tables.EndpointID(fmt.Sprintf("e%03d", i)), StartUnixMilli: 1, Weights: map[string]uint64{"m": 1}})
+		if i < sound {
+			all[i].Weights["m"] = 2
+		}
+	}
+	p.UpdateEndpoints(all)
+	updated := map[tables.EndpointID]bool{}
+	now := time.Second
+	for ; len(updated) < sound && now < time.Minute; now += stepInterval {
+		for _, action := range p.NextActions(now) {
+			id := action.Endpoint.ID
+			serves := action.Endpoint.Weights["m"]
+			switch {
+			case action.Version == 0:
+				p.HandleReport(now, id, &Report{Weights: map[string]uint64{"m": serves}})
+			case serves == 2:
+				updated[id] = true
+				p.HandleOrderResult(now, id, AlreadyServing)
+			default:
+				p.HandleOrderResult(now, id, 0)
+			}
+		}
+	}
+	assert.Assert(t, now < maxVersionDelay, "the sound ones were updated after %v", now)
+}
