A model whose order is rejected does not hold up the engine's other models

The first model by name whose version an engine rejects, since it was not named there, was ordered again and again.

Evidence: TestModelThatIsRejectedDoesNotHoldUpTheOthers: the models b and c had no order before. Change: after a rejection the other models come first.

--- a/control/rollout/planner.go
+++ b/control/rollout/planner.go
@@ -61,6 +61,8 @@
 	// orderedModel and orderedVersion are the subject of the latest order.
 	orderedModel   string
 	orderedVersion uint64
+	// rejectedModel is the model whose order the engine rejected last; its other models come first then.
+	rejectedModel string
 	// sequence is the engine's sequence, valid if sequenceKnown is set.
 	sequence      uint64
 	sequenceKnown bool
@@ -231,7 +233,8 @@
 func (p *Planner) pendingUpdate(r *engineState) (string, uint64) {
 	best := ""
 	for model, version := range r.Weights {
-		if version < p.targets[model] && (best == "" || model < best) {
+		isBefore := best == "" || best == r.rejectedModel || model != r.rejectedModel && model < best
+		if version < p.targets[model] && isBefore {
 			best = model
 		}
 	}
@@ -332,12 +335,16 @@
 	}
 	switch result {
 	case Accepted:
+		r.rejectedModel = ""
 		r.phase, r.phaseSince, r.loadingSince, r.nextPollAt = updating, now, now, now+firstPollDelay
 	case AlreadyServing:
-		r.phase, r.confirmedAt = idle, now
+		r.phase, r.confirmedAt, r.rejectedModel = idle, now, ""
 		r.Weights[r.orderedModel] = max(r.Weights[r.orderedModel], r.orderedVersion)
 	case Conflict, Rejected, Fenced:
 		r.phase, r.sequenceKnown, r.nextPollAt = idle, false, now+pollInterval
+		if result == Rejected {
+			r.rejectedModel = r.orderedModel
+		}
 	default:
 		// phaseSince stays at the time when the order was sent. A later report without the order
 		// proves that the order was lost or is delayed.
--- a/control/rollout/stall_test.go
+++ b/control/rollout/stall_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -212,3 +213,26 @@
 	}
 	assert.Assert(t, now < maxVersionDelay, "the sound ones were updated after %v", now)
 }
+
+// Guards against a model whose order an engine always rejects and that keeps its other models from theirs.
+func TestModelThatIsRejectedDoesNotHoldUpTheOthers(t *testing.T) {
+	p := NewPlanner()
+	weights := map[string]uint64{"a": 1, "b": 1, "c": 1}
+	p.UpdateEndpoints([]fleet.Endpoint{{ID: "e", StartUnixMilli: 1, Weights: weights}})
+	for model := range weights {
+		p.SetTarget(model, 2)
+	}
+	now := time.Second
+	report := func() *Report { return &Report{Weights: maps.Clone(weights), Born: 1} }
+	for range 8 {
+		order, took := nextOrder(t, p, now, report)
+		now += took
+		if order.Model == "a" {
+			p.HandleOrderResult(now, "e", Rejected)
+			continue
+		}
+		weights[order.Model] = 2
+		p.HandleOrderResult(now, "e", AlreadyServing)
+	}
+	assert.DeepEqual(t, weights, map[string]uint64{"a": 1, "b": 2, "c": 2})
+}
