An engine that always claims a newer fencing token holds up no other

Each such answer released the lease at once, which ends the rollout's plan for all engines; an engine that always answers so leaves it a fraction of a second at a time.

Evidence: TestEngineThatAlwaysFencesDoesNotHoldUpTheOthers; before, each answer released the lease.

Change: the lease is released for that reason at most every 5 s. Until then the engine gets no order, as before never two under one token, and the others go on. What has to do with the lease has a file of its own.

--- a/control/rollout/controller.go
+++ b/control/rollout/controller.go
@@ -40,6 +40,9 @@
 	renewTimeout = 800 * time.Millisecond
 	// The lease is renewed once 1/renewDivisor of its duration has passed.
 	renewDivisor = 3
+	// fencedReleaseInterval is the minimum time between two releases of the lease for a newer fencing token.
+	// Each one interrupts the rollout to all engines.
+	fencedReleaseInterval = 5 * time.Second
 )
 
 // EngineClient sends requests to engines.
@@ -94,6 +97,9 @@
 	// renewing is set while a renewal of the lease is in flight.
 	renewing       bool
 	renewNotBefore tables.Instant
+	// fencedAt is when the lease was last released since an engine had seen a newer fencing token; releaseAt is
+	// when it is released for another such engine, 0 if it is not.
+	fencedAt, releaseAt tables.Instant
 	// lastHolder is the instance that held the lease when this one last requested it in vain.
 	lastHolder tables.InstanceID
 	lags       lagTracker
@@ -136,19 +142,11 @@
 	}
 }
 
-func (r *Controller) release() {
-	if _, left := r.lease.TokenAndTTL(); left <= 0 {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), renewTimeout)
-	defer cancel()
-	if err := r.lease.Release(ctx); err != nil {
-		events.OrdersLeaseNotRenewed.Log(r.options.Log, zap.Error(err))
-	}
-}
-
 // step renews the lease if it is due and starts the actions that are due.
 func (r *Controller) step(ctx context.Context) {
+	if r.releaseAt != 0 && r.options.Now() >= r.releaseAt {
+		r.releaseFenced(r.options.Now())
+	}
 	r.renew(ctx)
 	_, left := r.lease.TokenAndTTL()
 	if held := left > 0; held != r.holdsLease.Swap(held) {
@@ -187,47 +185,6 @@
 	return actions
 }
 
-// delayAnnouncedEngines delays orders to the engines that an earlier holder may
-// just have sent one. Without the announcements a new holder would have to
-// delay its orders to all engines for the duration of a lease. When a holder
-// froze right after new weights were published, the rest of the fleet then
-// served replaced weights for 7 s, and ran with few engines after that.
-func (r *Controller) delayAnnouncedEngines() {
-	if r.options.EnginesCheckFence {
-		return
-	}
-	for id, at := range r.lease.AnnouncedByOthers() {
-		r.planner.DelayOrders(id, at+r.options.HandoverDelay+maxOrderDelay)
-	}
-}
-
-// renew acquires or extends the lease in the background, so that orders
-// continue while the control group decides.
-func (r *Controller) renew(ctx context.Context) {
-	_, left := r.lease.TokenAndTTL()
-	due := left < r.options.LeaseDuration*(renewDivisor-1)/renewDivisor
-	if !due || r.renewing || r.options.Now() < r.renewNotBefore || !r.options.IsLeader() {
-		return
-	}
-	r.renewing = true
-	go func() {
-		bounded, cancel := context.WithTimeout(ctx, renewTimeout)
-		defer cancel()
-		r.renewals <- r.lease.AcquireOrRenew(bounded)
-	}()
-}
-
-func (r *Controller) handleRenewal(err error) {
-	r.renewing = false
-	var held *client.LeaseHeldError
-	switch {
-	case errors.As(err, &held):
-		r.renewNotBefore, r.lastHolder = r.options.Now()+held.RetryAfter, held.Holder
-	case err != nil:
-		events.OrdersLeaseNotRenewed.Log(r.options.Log, zap.Error(err))
-	}
-}
-
 // start executes an action in the background.
 func (r *Controller) start(ctx context.Context, action Action) {
 	planner := r.planner
@@ -340,10 +297,7 @@
 	switch {
 	case r.handlePushback(now, id, err):
 	case result == Fenced:
-		// Further orders under the same fencing token could undo the
-		// changes of a newer holder. The next lease has a higher token.
-		events.RolloutFenced.Log(r.options.Log, zap.String("endpoint", string(id)), zap.Uint64("fence", uint64(fence)))
-		r.release()
+		r.handleFenced(now, id, fence)
 	case result == Rejected && err != nil:
 		events.OrderNotAnnounced.Log(r.options.Log, zap.String("endpoint", string(id)), zap.Error(err))
 	case result == 0:
