An engine that the list shows without weights is asked for them

A row without weights counted as a plain service: the engine was never polled, and kept what it had.

Evidence: TestEngineThatIsListedWithoutWeightsIsUpdated, no call before. Change: an endpoint of a service that has others with weights is an engine; it is polled first. Ruled out: polls of all endpoints without weights, which plain services would get as requests.

--- a/control/rollout/belief_test.go
+++ b/control/rollout/belief_test.go
@@ -105,3 +105,26 @@
 	showList(p, now, 2, 1)
 	assert.Equal(t, p.engineStates["e"].phase, orderSent, "the list has caught up")
 }
+
+// Guards against an engine that is never updated since the list shows it without its weights.
+func TestEngineThatIsListedWithoutWeightsIsUpdated(t *testing.T) {
+	table := fleet.NewTable(1)
+	r, _, _ := observedController()
+	r.options.Fleet = table
+	table.ApplyList([]fleet.Endpoint{
+		{ID: "a", Service: "models", StartUnixMilli: 1, Weights: map[string]uint64{"m": 2}},
+		{ID: "e", Service: "models", StartUnixMilli: 1},
+		{ID: "plain", Service: "desk", StartUnixMilli: 1},
+	})
+	actions := r.plan(time.Second)
+	assert.Equal(t, len(actions), 1)
+	assert.Equal(t, actions[0].Endpoint.ID, tables.EndpointID("e"))
+	r.handleReport(time.Second, actions[0], Report{Weights: map[string]uint64{"m": 1}, Born: 1}, nil)
+	order, _ := nextOrder(t, r.planner, time.Second, func() *Report {
+		return &Report{Weights: map[string]uint64{"m": 1}, Born: 1}
+	})
+	assert.Equal(t, order.Endpoint.ID, tables.EndpointID("e"))
+	for _, e := range table.Endpoints() {
+		assert.Equal(t, e.Weights["m"], map[tables.EndpointID]uint64{"a": 2, "e": 1}[e.ID], "%s", e.ID)
+	}
+}
--- a/control/rollout/planner.go
+++ b/control/rollout/planner.go
@@ -98,6 +98,8 @@
 type Planner struct {
 	engineStates map[tables.EndpointID]*engineState
 	targets      map[string]uint64
+	// engineServices are the services that had an endpoint with weights.
+	engineServices map[string]bool
 	// notBefore is the earliest time for orders to an endpoint.
 	notBefore map[tables.EndpointID]tables.Instant
 	// MaxConcurrent overrides how many engines load at once; zero derives it from their number.
@@ -110,7 +112,8 @@
 // NewPlanner returns a planner without engines and targets.
 func NewPlanner() *Planner {
 	return &Planner{
-		engineStates: map[tables.EndpointID]*engineState{}, targets: map[string]uint64{}, notBefore: map[tables.EndpointID]tables.Instant{},
+		engineStates: map[tables.EndpointID]*engineState{}, targets: map[string]uint64{}, engineServices: map[string]bool{},
+		notBefore: map[tables.EndpointID]tables.Instant{},
 	}
 }
 
@@ -122,23 +125,28 @@
 	p.targets[model] = max(p.targets[model], version)
 }
 
-// UpdateEndpoints replaces the list of known endpoints. Endpoints without weights are ignored. A
-// restarted endpoint loses its update state. For the others what they have shown themselves is kept: the
+// UpdateEndpoints replaces the list of known endpoints. Endpoints without weights are ignored, unless others of
+// their service have some: those are engines, and a poll tells what they serve. A restarted endpoint loses its update state. For the others what they have shown themselves is kept: the
 // list lags, and may have entries of other writers.
 func (p *Planner) UpdateEndpoints(endpoints []fleet.Endpoint) {
 	present := make(map[tables.EndpointID]bool, len(endpoints))
 	for _, e := range endpoints {
-		if len(e.Weights) == 0 {
-			continue // a plain service
+		if len(e.Weights) > 0 {
+			p.engineServices[e.Service] = true
+		}
+	}
+	for _, e := range endpoints {
+		if !p.engineServices[e.Service] {
+			continue
 		}
 		present[e.ID] = true
 		known := p.engineStates[e.ID]
 		if known == nil || known.restartedAs(e.StartUnixMilli) {
-			p.engineStates[e.ID] = &engineState{Endpoint: e.Clone(), process: e.StartUnixMilli}
+			p.engineStates[e.ID] = newEngineState(e)
 			continue
 		}
 		weights := known.Weights
-		known.Endpoint = e.Clone()
+		known.Endpoint = newEngineState(e).Endpoint
 		maps.Copy(known.Weights, weights)
 	}
 	for id := range p.engineStates {
@@ -148,6 +156,15 @@
 	}
 }
 
+// newEngineState returns the state of a listed process of which nothing else is known.
+func newEngineState(e fleet.Endpoint) *engineState {
+	e = e.Clone()
+	if e.Weights == nil {
+		e.Weights = map[string]uint64{}
+	}
+	return &engineState{Endpoint: e, process: e.StartUnixMilli, doubted: len(e.Weights) == 0}
+}
+
 // restartedAs reports whether a listed start is that of another process. The list may still show the process
 // before the known one.
 func (r *engineState) restartedAs(startUnixMilli int64) bool {
--- a/fleet/reports.go
+++ b/fleet/reports.go
@@ -37,6 +37,9 @@
 			report = &reportedWeights{startUnixMilli: e.StartUnixMilli, refuted: map[string]uint64{}}
 			t.reports[id] = report
 		}
+		if e.Weights == nil {
+			e.Weights = map[string]uint64{}
+		}
 		switch known := e.Weights[model]; {
 		case known > version:
 			report.refuted[model] = known
