--- a/control/rollout/simulation_test.go
+++ b/control/rollout/simulation_test.go
@@ -94,7 +94,10 @@
 }
 
 func newSimulation(seed uint64, engines int, trouble simTrouble) *simulation {
-	s := &simulation{random: rand.New(rand.NewPCG(seed, 91)), trouble: trouble, table: fleet.NewTable(1), named: []simVersion{{version: 1}}}
+	s := &simulation{
+		random: rand.New(rand.NewPCG(seed, 91)), trouble: trouble, table: fleet.NewTable(1), named: []simVersion{{version: 1}},
+		now: simStep, // goneAt is 0 as long as a process runs
+	}
 	for i := range engines {
 		s.startProcess(i, tables.EndpointID(fmt.Sprintf("e%02d", i)), 1)
 	}
