The rollout's upkeep does not copy the endpoint table

The lag of endpoints is computed over the rows themselves, and the marks of loading endpoints are set while some load or the table has changed.

--- a/control/rollout/controller.go
+++ b/control/rollout/controller.go
@@ -89,6 +89,8 @@
 	// plannedFleetVersion is the version of the endpoint table that the planner
 	// has.
 	plannedFleetVersion uint64
+	// markedVersion is that version after the marks of loading endpoints were last set.
+	markedVersion uint64
 	// plannedLists counts the reads of the platform's list that the planner has seen.
 	plannedLists uint64
 	results      chan func()
@@ -150,7 +152,7 @@
 	r.renew(ctx)
 	_, left := r.lease.TokenAndTTL()
 	if held := left > 0; held != r.holdsLease.Swap(held) {
-		r.planner, r.plannedFleetVersion, r.plannedLists = NewPlanner(), 0, 0
+		r.planner, r.plannedFleetVersion, r.markedVersion, r.plannedLists = NewPlanner(), 0, 0, 0
 		if held {
 			r.delayAnnouncedEngines()
 		} else {
@@ -181,7 +183,10 @@
 		r.plannedLists = applied
 	}
 	actions := r.planner.NextActions(now)
-	r.options.Fleet.ReplaceLoading(r.planner.AllUpdating())
+	if loading := r.planner.AllUpdating(); len(loading) > 0 || r.options.Fleet.Version() != r.markedVersion {
+		r.options.Fleet.ReplaceLoading(loading)
+		r.markedVersion = r.options.Fleet.Version()
+	}
 	return actions
 }
 
--- a/control/rollout/lag.go
+++ b/control/rollout/lag.go
@@ -40,10 +40,11 @@
 
 // lagging is an endpoint that serves older weights than their target.
 type lagging struct {
-	id              tables.EndpointID
-	model           string
-	version, target uint64
-	since           tables.Instant
+	id    tables.EndpointID
+	model string
+	// version is the older one of the version that is known and of the one that the list shows, listed.
+	version, listed, target uint64
+	since                   tables.Instant
 }
 
 // lagTracker records since when endpoints have been behind the targets.
@@ -56,13 +57,14 @@
 
 // observe updates the tracker and returns the endpoints that are behind, those that have been so for
 // longest first. Weights that the list shows as older than those known count as such.
-func (t *lagTracker) observe(now tables.Instant, endpoints []fleet.Endpoint, listed map[tables.EndpointID]map[string]uint64, targets map[string]uint64) []lagging {
+func (t *lagTracker) observe(now tables.Instant, table *fleet.Table, targets map[string]uint64) []lagging {
 	var behind []lagging
 	since := make(map[lagKey]tables.Instant)
-	for _, e := range endpoints {
+	listed, _ := table.Listed()
+	table.Each(func(e *fleet.Endpoint) {
 		model, version := olderThanTarget(e.Weights, listed[e.ID], targets)
 		if model == "" || e.Draining {
-			continue
+			return
 		}
 		key := lagKey{id: e.ID, startUnixMilli: e.StartUnixMilli}
 		began, known := t.since[key]
@@ -70,8 +72,8 @@
 			began = now
 		}
 		since[key] = began
-		behind = append(behind, lagging{id: e.ID, model: model, version: version, target: targets[model], since: began})
-	}
+		behind = append(behind, lagging{id: e.ID, model: model, version: version, listed: listed[e.ID][model], target: targets[model], since: began})
+	})
 	t.since = since
 	slices.SortFunc(behind, func(a, b lagging) int {
 		return cmp.Or(cmp.Compare(a.since, b.since), cmp.Compare(a.id, b.id))
@@ -113,8 +115,7 @@
 		return
 	}
 	r.lags.computedAt = now
-	listed, _ := r.options.Fleet.Listed()
-	behind := r.lags.observe(now, r.options.Fleet.Endpoints(), listed, r.options.TargetVersions())
+	behind := r.lags.observe(now, r.options.Fleet, r.options.TargetVersions())
 	if len(behind) == 0 || now-behind[0].since < lagLogAfter || r.lags.loggedAt != 0 && now-r.lags.loggedAt < lagLogInterval {
 		return
 	}
@@ -127,7 +128,7 @@
 		if now-l.since >= lagLogAfter {
 			events.RolloutLagging.Log(r.options.Log, append([]zap.Field{
 				zap.String("endpoint", string(l.id)), zap.String("model", l.model), zap.Uint64("weights", l.version),
-				zap.Uint64("target", l.target), zap.Duration("behind_for", now-l.since), zap.Uint64("listed", listed[l.id][l.model]),
+				zap.Uint64("target", l.target), zap.Duration("behind_for", now-l.since), zap.Uint64("listed", l.listed),
 				zap.Int("behind", len(behind)),
 			}, r.planner.describe(now, l.id)...)...)
 		}
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -297,6 +297,15 @@
 	return all
 }
 
+// Each calls visit for each endpoint, in any order. visit must neither modify nor keep it, nor call the table.
+func (t *Table) Each(visit func(*Endpoint)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.rows {
+		visit(&r.Endpoint)
+	}
+}
+
 // UpdateSince returns the update that brings a replica at the given position up to date, or nil
 // if there is none, and a channel that is closed at the next change. Callers share the update
 // and must not modify it. A table that is not synced yet returns no update, since a replica
