A request is placed by when its weights allow it to begin

Callers got answers of replaced weights later than the platform allows: requests that were sent in time waited in the queue of an engine that still had them, and began there after StaleWeightsTimeout.

Cause: placement asked whether a request may be placed now, 1.5 s before the timeout at the latest, and not when it would begin. The wait was known.

Change: an endpoint with replaced weights takes a request only if the expected begin, the time of the placement plus the expected wait, lies before the timeout less staleMargin. Other endpoints with replaced weights are used as long as they begin in time. A scheduler's decision is checked in the same way when it arrives.

A test is replaced: TestNewerVersionsDoNotExtendTheTimeoutOfStaleWeights placed a request 1 ms before the limit although it was expected to begin after it. The new one is as strict: 1 ms before the limit less the expected wait the request is placed, and at that time it is refused.

Not changed: a request that waits at an endpoint when its time runs out stays there.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -174,13 +174,17 @@
 // are announced every three seconds while an engine stays at the first, and callers would
 // be answered from weights that were replaced long before.
 func TestNewerVersionsDoNotExtendTheTimeoutOfStaleWeights(t *testing.T) {
-	d, _ := newTestDispatcher(1)
-	for version := uint64(2); version <= 4; version++ {
-		recordVersion(d, version, time.Duration(version)*3*time.Second)
+	newDispatcher := func() *Dispatcher {
+		d, _ := newTestDispatcher(1)
+		for version := uint64(2); version <= 4; version++ {
+			recordVersion(d, version, time.Duration(version)*3*time.Second)
+		}
+		return d
 	}
 	limit := 6*time.Second + 8*time.Second - staleMargin
-	mustPlace(t, d, limit-time.Millisecond, newTestRequest(7))
-	_, reason := d.Place(limit, newTestRequest(8))
+	expected := mustPlace(t, newDispatcher(), 6*time.Second, newTestRequest(7)).ExpectedLatency
+	mustPlace(t, newDispatcher(), limit-expected-time.Millisecond, newTestRequest(7))
+	_, reason := newDispatcher().Place(limit-expected, newTestRequest(8))
 	assert.Equal(t, reason, NoEndpoint)
 }
 
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -33,13 +33,6 @@
 	lateSteepness = 3.0
 	// failureCost is the cost of one recent failure.
 	failureCost = 250.0
-	// staleGrace is how long after newer weights were announced older ones cost nothing,
-	// and staleCost the cost of older weights after that.
-	staleGrace = 1200 * time.Millisecond
-	staleCost  = 150.0
-	// staleMargin is the safety margin before the time from which no request may begin on
-	// older weights.
-	staleMargin = 1500 * time.Millisecond
 	// maxMemoryFraction is the fraction of an engine's memory that placement may fill;
 	// beyond it running requests preempt each other.
 	maxMemoryFraction = 0.95
@@ -73,6 +66,14 @@
 	// one holds or is computing them, and readyAt is when all of them can be reused.
 	recomputedTokens int
 	readyAt          tables.Instant
+	// beginsTooLate is set if the endpoint's weights may no longer be used when the request is
+	// expected to begin.
+	beginsTooLate bool
+}
+
+// expectedLatency returns the expected time to the first event.
+func (c *candidate) expectedLatency() time.Duration {
+	return time.Duration(c.wait * float64(time.Millisecond))
 }
 
 // Place chooses the cheapest endpoint for a request and counts the attempt as load there.
@@ -139,6 +140,7 @@
 		}
 		c := d.evaluate(now, r, row, rows)
 		switch {
+		case c.beginsTooLate:
 		case !limit.admits(now, &c):
 		case evictions:
 			lowest.add(&c)
@@ -183,7 +185,7 @@
 		return true
 	}
 	version, serves := row.Weights[r.Model]
-	return serves && !row.Loading && d.versionAllowed(now, r.Model, version)
+	return serves && !row.Loading && d.mayBeginAt(now, r.Model, version)
 }
 
 // acceptsRequests reports whether the endpoint is neither draining nor unavailable, apart from
@@ -202,14 +204,6 @@
 	return r.halfOpen && r.probes > 0 || r.announced.unproven && r.probes >= max(1, r.Slots/probeSlotsDivisor)
 }
 
-// versionAllowed reports whether requests may still begin on a version of a model's
-// weights.
-func (d *Dispatcher) versionAllowed(now tables.Instant, model string, version uint64) bool {
-	since, outdated := d.weights.OutdatedSince(model, version)
-	limit := d.options.StaleWeightsTimeout
-	return !outdated || limit == 0 || now-since < limit-staleMargin
-}
-
 // hasCapacity reports whether the endpoint has a free slot, enough memory, and room in
 // its rate limit. Memory is not checked while this instance has no attempt there.
 func (d *Dispatcher) hasCapacity(now tables.Instant, r *Request, row *endpointRow) bool {
@@ -280,7 +274,8 @@
 	}
 	c.uncachedTokens = float64(r.PromptTokens - availableTokens)
 	c.wait += baseFirstEventTime + c.row.prefillTime(now, c.row.queuedPrefill(now)+c.uncachedTokens)
-	c.cost = r.latenessCost(now, c.wait) + copyCost*float64(availableTokens-cachedTokens) + d.staleWeightsCost(now, r, c.row) + d.pauseCost(now, r, c)
+	c.cost = r.latenessCost(now, c.wait) + copyCost*float64(availableTokens-cachedTokens) + d.pauseCost(now, r, c)
+	d.evaluateStaleWeights(now, r, c)
 	if recomputed := max(0, v.heldTokens-availableTokens); recomputed > 0 {
 		c.recomputedTokens, c.readyAt = recomputed, v.readyAt
 		c.cost += recomputeCost * float64(recomputed)
@@ -321,20 +316,11 @@
 	return known + r.unreportedQueued*decay(now-r.unreportedAt, loadDecay)*r.averages.prefillTokens
 }
 
-// staleWeightsCost returns the cost of running on weights that have been replaced.
-func (d *Dispatcher) staleWeightsCost(now tables.Instant, r *Request, row *endpointRow) float64 {
-	since, outdated := d.weights.OutdatedSince(r.Model, row.Weights[r.Model])
-	if !outdated || now-since < staleGrace {
-		return 0
-	}
-	return staleCost
-}
-
 // startAttempt creates the attempt and counts it as load of its endpoint.
 func (d *Dispatcher) startAttempt(now tables.Instant, r *Request, c candidate) *Attempt {
 	a := &Attempt{
 		Endpoint:        c.row.Endpoint,
-		ExpectedLatency: time.Duration(c.wait * float64(time.Millisecond)),
+		ExpectedLatency: c.expectedLatency(),
 		UncachedTokens:  int(c.uncachedTokens),
 		Rationale:       rationaleOf(now, r, &c),
 		row:             c.row,
--- a/dispatch/rationale.go
+++ b/dispatch/rationale.go
@@ -61,7 +61,8 @@
 // instance back, accepting no connections from it, absent by another instance's report,
 // unavailable after an observation of its own, loading weights, serving other weights,
 // rate limited, or at capacity. Listed is the total, Available the rest. OtherWeights
-// includes half-open endpoints whose probe is in flight.
+// includes half-open endpoints whose probe is in flight, and endpoints that would begin the request
+// when their weights may no longer be used.
 type EndpointCounts struct {
 	Listed, Tried, Draining, PushingBack, Unreachable, ReportedAbsent, Unavailable, Loading, OtherWeights, RateLimited, AtCapacity, Available int
 }
@@ -93,6 +94,8 @@
 			c.RateLimited++
 		case !d.hasCapacity(now, r, row):
 			c.AtCapacity++
+		case d.beginsTooLate(now, r, row):
+			c.OtherWeights++
 		default:
 			c.Available++
 		}
--- a/dispatch/remote.go
+++ b/dispatch/remote.go
@@ -72,7 +72,7 @@
 	// Whether the endpoint is loading weights now is not checked: the two instances learn
 	// of the start and the end of loading at different times, and the scheduler has
 	// checked it.
-	if !row.acceptsRequests(now) || !row.hasPath(now) || row.limit.exhausted(now) || !d.versionAllowed(now, r.Model, chosen.WeightsVersion) {
+	if !row.acceptsRequests(now) || !row.hasPath(now) || row.limit.exhausted(now) || !d.mayBeginAt(now+chosen.ExpectedLatency, r.Model, chosen.WeightsVersion) {
 		return nil
 	}
 	a := &Attempt{
