--- a/control/rollout/controller.go
+++ b/control/rollout/controller.go
@@ -40,6 +40,9 @@
 	renewTimeout = 800 * time.Millisecond
 	// The lease is renewed once 1/renewDivisor of its duration has passed.
 	renewDivisor = 3
+	// fencedReleaseInterval is the minimum time between two releases of the lease for a newer fencing token.
+	// Each one interrupts the rollout to all engines.
+	fencedReleaseInterval = 5 * time.Second
 )
 
 // EngineClient sends requests to engines.
@@ -86,12 +89,17 @@
 	// plannedFleetVersion is the version of the endpoint table that the planner
 	// has.
 	plannedFleetVersion uint64
-	results             chan func()
-	holdsLease          atomic.Bool
-	renewals            chan error
+	// plannedLists counts the reads of the platform's list that the planner has seen.
+	plannedLists uint64
+	results      chan func()
+	holdsLease   atomic.Bool
+	renewals     chan error
 	// renewing is set while a renewal of the lease is in flight.
 	renewing       bool
 	renewNotBefore tables.Instant
+	// fencedAt is when the lease was last released since an engine had seen a newer fencing token; releaseAt is
+	// when it is released for another such engine, 0 if it is not.
+	fencedAt, releaseAt tables.Instant
 	// lastHolder is the instance that held the lease when this one last requested it in vain.
 	lastHolder tables.InstanceID
 	lags       lagTracker
@@ -134,27 +142,20 @@
 	}
 }
 
-func (r *Controller) release() {
-	if _, left := r.lease.TokenAndTTL(); left <= 0 {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), renewTimeout)
-	defer cancel()
-	if err := r.lease.Release(ctx); err != nil {
-		events.OrdersLeaseNotRenewed.Log(r.options.Log, zap.Error(err))
-	}
-}
-
 // step renews the lease if it is due and starts the actions that are due.
 func (r *Controller) step(ctx context.Context) {
+	if r.releaseAt != 0 && r.options.Now() >= r.releaseAt {
+		r.releaseFenced(r.options.Now())
+	}
 	r.renew(ctx)
 	_, left := r.lease.TokenAndTTL()
 	if held := left > 0; held != r.holdsLease.Swap(held) {
-		r.planner, r.plannedFleetVersion = NewPlanner(), 0
+		r.planner, r.plannedFleetVersion, r.plannedLists = NewPlanner(), 0, 0
 		if held {
 			r.delayAnnouncedEngines()
 		} else {
 			r.options.Fleet.ClearLoading()
+			r.options.Fleet.ForgetReports()
 		}
 	}
 	r.observeLag(r.options.Now())
@@ -175,52 +176,15 @@
 		r.planner.UpdateEndpoints(r.options.Fleet.Endpoints())
 		r.plannedFleetVersion = version
 	}
+	if listed, applied := r.options.Fleet.Listed(); applied != r.plannedLists {
+		r.planner.ObserveList(now, listed)
+		r.plannedLists = applied
+	}
 	actions := r.planner.NextActions(now)
 	r.options.Fleet.ReplaceLoading(r.planner.AllUpdating())
 	return actions
 }
 
-// delayAnnouncedEngines delays orders to the engines that an earlier holder may
-// just have sent one. Without the announcements a new holder would have to
-// delay its orders to all engines for the duration of a lease. When a holder
-// froze right after new weights were published, the rest of the fleet then
-// served replaced weights for 7 s, and ran with few engines after that.
-func (r *Controller) delayAnnouncedEngines() {
-	if r.options.EnginesCheckFence {
-		return
-	}
-	for id, at := range r.lease.AnnouncedByOthers() {
-		r.planner.DelayOrders(id, at+r.options.HandoverDelay+maxOrderDelay)
-	}
-}
-
-// renew acquires or extends the lease in the background, so that orders
-// continue while the control group decides.
-func (r *Controller) renew(ctx context.Context) {
-	_, left := r.lease.TokenAndTTL()
-	due := left < r.options.LeaseDuration*(renewDivisor-1)/renewDivisor
-	if !due || r.renewing || r.options.Now() < r.renewNotBefore || !r.options.IsLeader() {
-		return
-	}
-	r.renewing = true
-	go func() {
-		bounded, cancel := context.WithTimeout(ctx, renewTimeout)
-		defer cancel()
-		r.renewals <- r.lease.AcquireOrRenew(bounded)
-	}()
-}
-
-func (r *Controller) handleRenewal(err error) {
-	r.renewing = false
-	var held *client.LeaseHeldError
-	switch {
-	case errors.As(err, &held):
-		r.renewNotBefore, r.lastHolder = r.options.Now()+held.RetryAfter, held.Holder
-	case err != nil:
-		events.OrdersLeaseNotRenewed.Log(r.options.Log, zap.Error(err))
-	}
-}
-
 // start executes an action in the background.
 func (r *Controller) start(ctx context.Context, action Action) {
 	planner := r.planner
@@ -244,12 +208,15 @@
 	bounded, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	report, err := r.options.Engines.Report(bounded, action.Endpoint)
-	r.post(ctx, planner, func(now tables.Instant) { r.handleReport(now, action.Endpoint.ID, report, err) })
+	r.post(ctx, planner, func(now tables.Instant) { r.handleReport(now, action, report, err) })
 }
 
-// handleReport passes the answer to a poll to the planner and the fleet table.
-func (r *Controller) handleReport(now tables.Instant, id tables.EndpointID, report Report, err error) {
-	if r.handlePushback(now, id, err) {
+// handleReport passes the answer to a poll to the planner and the fleet table, unless the poll was meant for an
+// earlier process.
+func (r *Controller) handleReport(now tables.Instant, action Action, report Report, err error) {
+	id := action.Endpoint.ID
+	before, current := r.planner.Weights(id, action.Process)
+	if !current || r.handlePushback(now, id, err) {
 		return
 	}
 	if err != nil {
@@ -258,9 +225,7 @@
 		return
 	}
 	done := r.planner.HandleReport(now, id, &report)
-	for model, version := range report.Weights {
-		r.options.Fleet.RecordWeights(id, model, version)
-	}
+	r.recordWeights(id, report.Born, before)
 	if report.Draining {
 		r.planner.HandleDraining(id)
 		r.options.Fleet.SetDraining(id, report.Born)
@@ -271,6 +236,19 @@
 	r.options.Fleet.SetLoading(id, r.planner.Updating(id))
 }
 
+// recordWeights passes the weights that an engine is now known to serve to the fleet table, and logs those that are
+// older than before.
+func (r *Controller) recordWeights(id tables.EndpointID, startUnixMilli int64, before map[string]uint64) {
+	weights, _ := r.planner.Weights(id, 0)
+	for model, version := range weights {
+		r.options.Fleet.RecordWeights(id, startUnixMilli, model, version)
+		if version < before[model] {
+			events.RolloutWentBack.Log(r.options.Log, zap.String("endpoint", string(id)), zap.String("model", model),
+				zap.Uint64("weights", version), zap.Uint64("known", before[model]))
+		}
+	}
+}
+
 // handlePushback delays the calls to an engine that has requested a back-off, and reports
 // whether the error is one.
 func (r *Controller) handlePushback(now tables.Instant, id tables.EndpointID, err error) bool {
@@ -305,19 +283,21 @@
 // executeOrder sends an order and passes its result to the planner.
 func (r *Controller) executeOrder(ctx context.Context, planner *Planner, action Action, order Order) {
 	result, err := r.announceAndSend(ctx, action, order)
-	r.post(ctx, planner, func(now tables.Instant) { r.handleOrderResult(now, action.Endpoint.ID, order.Fence, result, err) })
+	r.post(ctx, planner, func(now tables.Instant) { r.handleOrderResult(now, action, order.Fence, result, err) })
 }
 
-// handleOrderResult passes the answer to an order to the planner and the fleet table.
-func (r *Controller) handleOrderResult(now tables.Instant, id tables.EndpointID, fence tables.FencingToken, result OrderResult, err error) {
+// handleOrderResult passes the answer to an order to the planner and the fleet table, unless the order was meant
+// for an earlier process.
+func (r *Controller) handleOrderResult(now tables.Instant, action Action, fence tables.FencingToken, result OrderResult, err error) {
+	id := action.Endpoint.ID
+	if _, current := r.planner.Weights(id, action.Process); !current {
+		return
+	}
 	r.planner.HandleOrderResult(now, id, result)
 	switch {
 	case r.handlePushback(now, id, err):
 	case result == Fenced:
-		// Further orders under the same fencing token could undo the
-		// changes of a newer holder. The next lease has a higher token.
-		events.RolloutFenced.Log(r.options.Log, zap.String("endpoint", string(id)), zap.Uint64("fence", uint64(fence)))
-		r.release()
+		r.handleFenced(now, id, fence)
 	case result == Rejected && err != nil:
 		events.OrderNotAnnounced.Log(r.options.Log, zap.String("endpoint", string(id)), zap.Error(err))
 	case result == 0:
