A listed endpoint without a map of weights does not panic the table

merge wrote the weights that an endpoint had reported into the map of the listed entry. RecordWeights can now fill the weights of a row whose entry has none, so the next list with a nil map panicked. The platform's decoder and the replica's always make a map, so only callers in tests reach it today. The test panicked before; go test ./fleet passes.

--- a/fleet/table.go
+++ b/fleet/table.go
@@ -131,6 +131,9 @@
 	}
 	e.Draining = e.Draining || known.Draining
 	e.Loading = known.Loading
+	if e.Weights == nil {
+		e.Weights = make(map[string]uint64, len(known.Weights))
+	}
 	report := t.reportOf(&e)
 	for model, version := range known.Weights {
 		if claimed := e.Weights[model]; claimed < version || report.refutes(model, claimed) {
--- a/fleet/table_test.go
+++ b/fleet/table_test.go
@@ -70,3 +70,13 @@
 	table.ApplyList([]Endpoint{endpointAt(9)})
 	assert.Assert(t, isOnly(table, endpointAt(9)), "this instance asks no endpoint any more")
 }
+
+// Guards against a panic when the list goes on to show an endpoint without the weights that it has reported.
+func TestListWithoutWeightsKeepsTheReportedOnes(t *testing.T) {
+	table := NewTable(1)
+	list := []Endpoint{{ID: "e", StartUnixMilli: 1}}
+	table.ApplyList(list)
+	table.RecordWeights("e", 1, "m", 2)
+	table.ApplyList(list)
+	assert.Equal(t, table.Endpoints()[0].Weights["m"], uint64(2))
+}
