Weights that the table has newer than the planner are asked for

Listed shows the lowest version of several entries with one ID, while the table takes the entry that it chose. If the chosen one claims newer weights, the planner saw no difference: the row, and so all entry instances, kept the claim for good, also after the odd entry was gone. The planner now compares the rows that it is passed with what the engine has shown.

--- a/control/rollout/belief.go
+++ b/control/rollout/belief.go
@@ -4,6 +4,7 @@
 	"maps"
 	"time"
 
+	"github.com/carawaystile/carawaystile/fleet"
 	"github.com/carawaystile/carawaystile/tables"
 )
 
@@ -45,6 +46,20 @@
 	}
 }
 
+// isClaimedNewer reports whether the fleet table has newer weights for the process than the engine is known to serve.
+// Entry instances follow the table until the engine's own report corrects it.
+func (r *engineState) isClaimedNewer(e fleet.Endpoint) bool {
+	if e.StartUnixMilli != 0 && r.process != 0 && e.StartUnixMilli != r.process {
+		return false
+	}
+	for model, version := range e.Weights {
+		if known, serves := r.Weights[model]; serves && version > known {
+			return true
+		}
+	}
+	return false
+}
+
 // Weights returns the version of each model's weights that an engine is known to serve, and whether the state is
 // about the given process; 0 is any.
 func (p *Planner) Weights(id tables.EndpointID, process int64) (map[string]uint64, bool) {
--- a/control/rollout/belief_test.go
+++ b/control/rollout/belief_test.go
@@ -128,3 +128,22 @@
 		assert.Equal(t, e.Weights["m"], map[tables.EndpointID]uint64{"a": 2, "e": 1}[e.ID], "%s", e.ID)
 	}
 }
+
+// Guards against weights that one of two entries of an endpoint claims and that entry instances believe for good.
+func TestClaimOfOneOfTwoEntriesIsNotBelievedForGood(t *testing.T) {
+	r, table, _ := observedController()
+	right, odd := outdatedEngine(1)[0], outdatedEngine(1)[0]
+	right.Weights["m"], odd.Weights["m"] = 2, 9
+	table.ApplyList([]fleet.Endpoint{right})
+	r.plan(time.Second)
+	for _, list := range [][]fleet.Endpoint{{odd, right}, {right}} {
+		table.ApplyList(list)
+		for now := 2 * time.Second; now < 12*time.Second; now += stepInterval {
+			for _, action := range r.plan(now) {
+				assert.Equal(t, action.Version, uint64(0))
+				r.handleReport(now, action, Report{Weights: map[string]uint64{"m": 2}, Born: 1}, nil)
+			}
+		}
+		assert.Equal(t, table.Endpoints()[0].Weights["m"], uint64(2))
+	}
+}
--- a/control/rollout/planner.go
+++ b/control/rollout/planner.go
@@ -145,6 +145,7 @@
 			p.engineStates[e.ID] = newEngineState(e)
 			continue
 		}
+		known.doubted = known.doubted || known.isClaimedNewer(e)
 		weights := known.Weights
 		known.Endpoint = newEngineState(e).Endpoint
 		maps.Copy(known.Weights, weights)
