--- a/control/rollout/simulation_test.go
+++ b/control/rollout/simulation_test.go
@@ -107,6 +107,8 @@
 
 // newHolder replaces the planner, as a change of the lease's holder does.
 func (s *simulation) newHolder() {
+	s.table.ClearLoading()
+	s.table.ForgetReports()
 	s.controller = NewController(Options{
 		Fleet: s.table, Log: zap.NewNop(), IsLeader: func() bool { return true }, EnginesCheckFence: true,
 		Now: func() tables.Instant { return s.now },
