A silent probe does not hold its endpoint until the request's deadline

What callers see: an endpoint that is back from an absence, a lost link or a load, or whose back-off has ended, gets no request of an instance, while the others are full or requests wait.

Cause: such an endpoint is given one request, or a sixteenth of its slots, until it has answered one. Nothing ended that place but the end of the request. One that is not safe to retry is never given up before its client's deadline, and neither is one for which no other endpoint has room, or one that a scheduler placed for an instance that has crashed since. An endpoint that was silent for a moment just after it took the probe was out for that long.

Change: the probes hold the endpoint for a while only, a second or four times the expected latency; then one more is sent, and the time doubles with each that stays unanswered, up to 16 s. Back-offs and absences are asked before, as they were, and no request is sent twice.

Ruled out: to give up the probe's request, which may be running; to end the probe's place for good, which would let the whole load follow.

--- a/dispatch/availability.go
+++ b/dispatch/availability.go
@@ -62,10 +62,9 @@
 	unreachable bool
 	// halfOpen is set for an endpoint that was absent, unreachable or loading weights, or
 	// that is new. Many queued requests may be waiting for exactly this endpoint, so it
-	// receives a single attempt as a probe until it has responded to one. probes counts
-	// the probes in flight.
+	// receives a single attempt as a probe until it has responded to one.
 	halfOpen bool
-	probes   int
+	probing
 }
 
 // accepting reports whether the endpoint may receive requests, apart from the path to it.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -360,14 +360,6 @@
 	}
 }
 
-// endProbe stops counting the attempt as a probe of its endpoint.
-func (a *Attempt) endProbe() {
-	if a.isProbe {
-		a.isProbe = false
-		a.row.probes--
-	}
-}
-
 // RecordEndpointLoad records the load that an endpoint reported in an answer.
 func (d *Dispatcher) RecordEndpointLoad(now tables.Instant, a *Attempt, load dialect.EndpointLoad) {
 	a.row.recordLoad(now, load)
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -172,7 +172,7 @@
 // isEligible reports whether the endpoint may run the request that comes over a path, apart from
 // its capacity.
 func (d *Dispatcher) isEligible(now tables.Instant, r *Request, row *endpointRow, p path) bool {
-	if !row.acceptsRequests(now) || !row.reachableOver(now, p) || row.isBeingProbed() {
+	if !row.acceptsRequests(now) || !row.reachableOver(now, p) || row.isBeingProbed(now) {
 		return false
 	}
 	// A request of another instance names the endpoints that have pushed that instance back.
@@ -196,12 +196,6 @@
 // its own announcement, which comes earlier.
 func (r *endpointRow) isLeaving() bool { return r.Draining || r.announced.draining }
 
-// isBeingProbed reports whether the endpoint has as many attempts as it may have until it has
-// answered one: a single one if it is half-open, a fraction of its slots after a pushback.
-func (r *endpointRow) isBeingProbed() bool {
-	return r.halfOpen && r.probes > 0 || r.announced.unproven && r.probes >= max(1, r.Slots/probeSlotsDivisor)
-}
-
 // versionAllowed reports whether requests may still begin on a version of a model's
 // weights.
 func (d *Dispatcher) versionAllowed(now tables.Instant, model string, version uint64) bool {
@@ -359,10 +353,7 @@
 		a.CacheSource = c.source.Endpoint
 		d.reserveLink(now, c.row, c.transfer)
 	}
-	if c.row.halfOpen || c.row.announced.unproven {
-		a.isProbe = true
-		c.row.probes++
-	}
+	a.startProbe(now)
 	if r.DeliveredAttempts > 0 && !r.Remote && !d.addressConfirmed(now, c.row) {
 		d.countUnconfirmed(now, a)
 	}
