Load reports do not repeat the reports of others

What callers see: prompts computed again beside an idle link, and endpoints that get no requests though they are back.

Cause: LinkBusy and AbsentFor are the time left, without an age. A receiver took them as of the arrival, so later by the time in transit, and repeated them in its own reports, whose receivers did the same. Where reports come about as often as they travel, the time left never shrinks.

Change: an instance reports the end of its own last transfer, which waits behind those that it knew, and the absences that it has observed itself. What it knows from others still counts where it places. Hints go to all instances directly, or to those of the zone and its schedulers, so none depended on the repetition.

Ruled out: an age in the message, which clocks that differ and hints that wait in queues would make wrong again; a bound, which would keep the echo.

--- a/dispatch/availability.go
+++ b/dispatch/availability.go
@@ -98,6 +98,15 @@
 	return max(0, a.absentUntil-now)
 }
 
+// observedAbsentFor is absentFor of an absence that this instance has observed. That of others is
+// left out of reports: reports of reports would renew each other.
+func (a *availability) observedAbsentFor(now tables.Instant) time.Duration {
+	if a.absenceReported {
+		return 0
+	}
+	return a.absentFor(now)
+}
+
 // markResponded records a response of the endpoint under its own identity, whatever its
 // status.
 func (a *availability) markResponded(now tables.Instant) {
--- a/dispatch/endpoints.go
+++ b/dispatch/endpoints.go
@@ -83,8 +83,9 @@
 	slowdown slowdown
 	// announced is what the endpoint has announced in responses.
 	announced *announcements
-	// linkFreeAt is when the known transfers on the endpoint's link have ended.
-	linkFreeAt tables.Instant
+	// linkFreeAt is when the known transfers on the endpoint's link have ended, and
+	// ownTransfersEndAt when those of this instance have.
+	linkFreeAt, ownTransfersEndAt tables.Instant
 	// viewID identifies the last prompt view in which the endpoint held a prefix of the
 	// prompt, and cachedParts counts the parts of that prefix.
 	viewID      uint64
--- a/dispatch/links.go
+++ b/dispatch/links.go
@@ -41,8 +41,15 @@
 // reserveLink appends a transfer of ms milliseconds to the queue of an endpoint's link.
 func (d *Dispatcher) reserveLink(now tables.Instant, row *endpointRow, ms float64) {
 	row.linkFreeAt = max(row.linkFreeAt, now) + time.Duration(ms*float64(time.Millisecond))
+	row.ownTransfersEndAt = row.linkFreeAt
 	d.markDirty(row)
 }
 
+// ownLinkUse returns for how much longer the link is busy until the end of this instance's last
+// transfer. What others have reported is left out: reports of reports would renew each other.
+func (r *endpointRow) ownLinkUse(now tables.Instant) time.Duration {
+	return max(0, r.ownTransfersEndAt-now)
+}
+
 // milliseconds converts a duration to milliseconds.
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/dispatch/load_reports.go
+++ b/dispatch/load_reports.go
@@ -17,10 +17,10 @@
 	// sent an event and have not ended. A scheduler that placed one of the sender's own attempts
 	// reports that attempt instead.
 	Streams int
-	// LinkBusy is for how long the endpoint's link is busy with transfers.
+	// LinkBusy is for how long the endpoint's link is busy until the sender's transfers have ended.
 	LinkBusy time.Duration
 	// AbsentFor is for how long the endpoint counts as absent from its address, where another
-	// process answered.
+	// process answered the sender.
 	AbsentFor time.Duration
 	// Limit is what is known of the endpoint's rate limit; nil if nothing is.
 	Limit *RateLimitReport
@@ -133,7 +133,7 @@
 		if !row.removed {
 			loads = append(loads, LoadReport{
 				Endpoint: row.ID, Running: row.reportedAttempts(), MemoryTokens: row.memoryTokens - row.remotelyPlaced.memoryTokens,
-				PrefillTokens: int(row.prefillTokens - row.remotelyPlaced.prefillTokens), LinkBusy: row.linkBusyFor(now), AbsentFor: row.absentFor(now),
+				PrefillTokens: int(row.prefillTokens - row.remotelyPlaced.prefillTokens), LinkBusy: row.ownLinkUse(now), AbsentFor: row.observedAbsentFor(now),
 				Streams: row.streams.reportedStreams(), Limit: row.limit.report(now), Notice: row.notice(now),
 			})
 			row.addSlowdown(now, &loads[len(loads)-1])
