An assignment whose answer is lost is cancelled

What callers see: endpoints that count as full, or as being probed, while nobody uses them.

Cause: a scheduler counts an attempt from its answer until the instance that asked reports the end. An instance that gets no answer in time, or whose request ends meanwhile, makes no attempt and reported nothing, unless the answer came late. With the datagram lost the scheduler counted the attempt, its memory and its probe until the client's deadline, and told the others of it.

Change: the instance cancels the assignment when it stops waiting, as it returns a permit then. A late answer is still cancelled when it comes, since the scheduler may have placed the attempt after it got the cancellation.

Ruled out: an expiry of attempts that do not begin, since a request may wait for its first event for as long as its client does.

--- a/schedule/client.go
+++ b/schedule/client.go
@@ -119,14 +119,24 @@
 	return datagram.PickRendezvous(key, c.options.Schedulers(), func(id tables.InstanceID) bool { return c.backoffs.IsBackingOff(id, now) })
 }
 
-// askScheduler asks one scheduler. The answer is nil if none came in time.
+// askScheduler asks one scheduler. The answer is nil if none came in time; the scheduler may have
+// placed an attempt all the same, which is cancelled.
 func (c *Client) askScheduler(ctx context.Context, s membership.EntryInstance, r *dispatch.Request) (*rpc.ScheduleAnswer, uint64) {
-	answer, number, _ := c.calls.Call(ctx, answerTimeout, func(number uint64) {
+	answer, number, found := c.calls.Call(ctx, answerTimeout, func(number uint64) {
 		c.options.Send(s.Address, &rpc.ScheduleMessage{Number: number, Question: encodeQuestion(c.options.Now(), r)})
 	})
+	if !found {
+		c.cancelAssignment(s.Address, number)
+	}
 	return answer, number
 }
 
+// cancelAssignment has a scheduler stop counting an attempt that is never made.
+func (c *Client) cancelAssignment(scheduler netip.AddrPort, number uint64) {
+	unused := &Assignment{client: c, scheduler: scheduler, number: number}
+	unused.NotifyEnded(dispatch.Cancelled)
+}
+
 // backOff stops asking a scheduler for a while, longer after a timeout than if it was not
 // ready.
 func (c *Client) backOff(s membership.EntryInstance, timedOut bool) {
@@ -140,15 +150,14 @@
 }
 
 // HandleAnswer hands a scheduler's answer to the call that waits for it. If the call has
-// timed out, HandleAnswer cancels the assignment, so that the scheduler does not go on
-// counting an attempt that is never made.
+// timed out, HandleAnswer cancels the assignment: the scheduler may have made it after the
+// cancellation at the timeout.
 func (c *Client) HandleAnswer(from netip.AddrPort, number uint64, answer *rpc.ScheduleAnswer) {
 	if c.calls.Deliver(number, answer) {
 		return
 	}
 	if answer.GetEndpoint() != "" {
-		late := &Assignment{client: c, scheduler: from, number: number}
-		late.NotifyEnded(dispatch.Cancelled)
+		c.cancelAssignment(from, number)
 	}
 }
 
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -89,6 +89,8 @@
 	// lost reports whether a message to a scheduler is lost.
 	lost  func(*rpc.ScheduleMessage) bool
 	asked []netip.AddrPort
+	// answersLost is set while the schedulers' answers are lost.
+	answersLost bool
 }
 
 func address(n uint16) netip.AddrPort {
@@ -129,7 +131,10 @@
 	}
 	switch {
 	case in.GetQuestion() != nil:
-		z.client.HandleAnswer(to, in.GetNumber(), z.servers[to].Choose("asker", in.GetNumber(), in.GetQuestion()))
+		answer := z.servers[to].Choose("asker", in.GetNumber(), in.GetQuestion())
+		if !z.answersLost {
+			z.client.HandleAnswer(to, in.GetNumber(), answer)
+		}
 	case in.GetProgress() != nil:
 		z.servers[to].HandleProgress("asker", in.GetNumber(), in.GetProgress())
 	}
@@ -246,6 +251,22 @@
 	assert.Equal(t, p.running(), 0)
 }
 
+// Guards against a scheduler counting an attempt that no instance makes until the deadline of its
+// request, since the answer was lost or the request has ended meanwhile.
+func TestAttemptOfLostAnswerIsCancelled(t *testing.T) {
+	p := newDispatcherPlacer(3)
+	z := newTestZone(func() tables.Instant { return p.now }, p)
+	z.answersLost = true
+	assert.Assert(t, z.client.Ask(t.Context(), generationRequest(p, 1)) == nil)
+	assert.Equal(t, p.running(), 0)
+	p.now += silentBackoff
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.Assert(t, z.client.Ask(ended, generationRequest(p, 2)) == nil)
+	assert.Equal(t, len(z.asked), 2)
+	assert.Equal(t, p.running(), 0)
+}
+
 // Guards against an attempt counting twice because its datagram was delivered twice.
 func TestDuplicateQuestionCountsOnce(t *testing.T) {
 	p := newDispatcherPlacer(3)
