A scheduler forgets the attempts of crashed instances

What callers see: endpoints that count as full, or as being probed, though an instance's crash has ended what ran there.

Cause: a scheduler counts an attempt until the instance that asked reports its end. One that crashes just after it asked reports nothing, and the attempt was counted, and told to the others in load reports, until the client's deadline and half a second. Load that an instance places itself ends 2.5 s after its last report.

Evidence: TestAttemptsOfACrashedInstanceEnd, 4 attempts counted without the call.

Change: a change of the members ends the attempts of the processes that have ended. An instance that was only cut off goes on with its attempts; the scheduler then counts too few, as it does with the load reports of such an instance, and placement depends on no scheduler's count for a promise.

Ruled out: the same for permits of brittle endpoints. There an instance that was only cut off would make the endpoint reject requests, which it does not stand, so permits stay until the deadlines of their attempts.

--- a/node/entry.go
+++ b/node/entry.go
@@ -70,6 +70,7 @@
 	n.startRelayServer()
 	n.registerSizeGauges()
 	n.scheduleServer = schedule.NewServer(n.entry, n.now)
+	n.processes = processRecord{}
 	n.deploymentClient = deployment.NewClient(deployment.ClientOptions{
 		Instance:   string(s.Instance),
 		Sources:    n.controlSources,
--- a/node/members.go
+++ b/node/members.go
@@ -104,6 +104,7 @@
 	n.entry.SetRelayAvailable(count > 1)
 	n.permitServer.SetMembers(entryIDs(members))
 	n.relayDialer.Forget(isGone(members))
+	n.endAttemptsOfLostInstances(members)
 	n.entry.SetSchedulerCounts(membership.CountSchedulers(members, n.options.Settings.Zone))
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -153,6 +153,8 @@
 	// for other instances.
 	scheduleClient *schedule.Client
 	scheduleServer *schedule.Server
+	// processes tells when the process of another instance has ended.
+	processes processRecord
 	// streamOrigins is shared with the other entry instances; nil without the entry role.
 	streamOrigins *streamorigin.Directory
 	// usageServer holds replicas of the token buckets of organisations, and usageClient admits
--- a/node/scheduling.go
+++ b/node/scheduling.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"maps"
 	"math"
 	"net/netip"
 	"slices"
@@ -9,6 +10,7 @@
 	"github.com/carawaystile/carawaystile/rpc"
 	"github.com/carawaystile/carawaystile/schedule"
 	"github.com/carawaystile/carawaystile/systems/membership"
+	"github.com/carawaystile/carawaystile/tables"
 )
 
 // schedulerWarmUp is the time after initialisation during which an instance does not select
@@ -97,3 +99,29 @@
 	initializedAt := n.initializedAt.Load()
 	return initializedAt > 0 && n.now()-time.Duration(initializedAt) >= schedulerWarmUp
 }
+
+// processRecord holds the boot epoch of each member's process. It is used by handleMembersChanged only.
+type processRecord map[tables.InstanceID]uint64
+
+// observe records the processes of the members, and returns those members whose earlier process has
+// ended: they are dead, have left or have started again.
+func (p processRecord) observe(members []membership.Member) map[tables.InstanceID]bool {
+	ended := map[tables.InstanceID]bool{}
+	for _, m := range members {
+		boot, known := p[m.Instance]
+		if m.State >= membership.Dead || known && boot != m.Boot {
+			ended[m.Instance] = true
+		}
+		p[m.Instance] = m.Boot
+	}
+	maps.DeleteFunc(p, func(id tables.InstanceID, _ uint64) bool {
+		return !slices.ContainsFunc(members, func(m membership.Member) bool { return m.Instance == id })
+	})
+	return ended
+}
+
+// endAttemptsOfLostInstances has the scheduler forget the attempts of processes that have ended.
+func (n *Node) endAttemptsOfLostInstances(members []membership.Member) {
+	ended := n.processes.observe(members)
+	n.scheduleServer.EndAttemptsOf(func(id tables.InstanceID) bool { return ended[id] })
+}
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -251,6 +251,22 @@
 	assert.Equal(t, p.running(), 0)
 }
 
+// Guards against a scheduler counting the attempts of an instance that has crashed until the deadlines
+// of its requests.
+func TestAttemptsOfACrashedInstanceEnd(t *testing.T) {
+	p := newDispatcherPlacer(1)
+	z := newTestZone(func() tables.Instant { return p.now }, p)
+	for i := range 4 {
+		z.client.Ask(t.Context(), generationRequest(p, parts.ID(i)))
+	}
+	server := z.servers[address(1)]
+	server.EndAttemptsOf(func(id tables.InstanceID) bool { return id == "another" })
+	assert.Equal(t, z.client.Ask(t.Context(), generationRequest(p, 9)).Reason, dispatch.NoCapacity)
+	server.EndAttemptsOf(func(id tables.InstanceID) bool { return id == "asker" })
+	assert.Equal(t, p.running(), 0)
+	assert.Equal(t, z.client.Ask(t.Context(), generationRequest(p, 9)).Reason, dispatch.RejectReason(""))
+}
+
 // Guards against a scheduler counting an attempt that no instance makes until the deadline of its
 // request, since the answer was lost or the request has ended meanwhile.
 func TestAttemptOfLostAnswerIsCancelled(t *testing.T) {
--- a/schedule/server.go
+++ b/schedule/server.go
@@ -110,6 +110,19 @@
 	}
 }
 
+// EndAttemptsOf ends the attempts of instances whose processes have ended: the endpoints have
+// cancelled them, and nobody reports their end.
+func (s *Server) EndAttemptsOf(hasEnded func(tables.InstanceID) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, tracked := range s.attempts {
+		if hasEnded(key.instance) {
+			delete(s.attempts, key)
+			s.placer.AttemptEnded(tracked.attempt, dispatch.Cancelled)
+		}
+	}
+}
+
 // ExpireAttempts ends attempts whose end was not reported in time, because the message was
 // lost or the asking instance is gone. It must be called regularly even if no instance asks
 // any more: attempts that stay counted would keep other instances away from free endpoints.
