What an endpoint announces anew is not undone by repeated reports

What callers see: requests spread over an endpoint's rate limit that has been lifted or lowered, and permits for endpoints that are no longer brittle.

Cause: rate limits and brittleness are registers in which the latest observation wins, by its age in reports. Instances pass on what others have reported, and the age does not include the time that a report takes. So a value that instances report to each other seems more recent each time, up to now, and replaces what the endpoint has announced since.

Evidence: TestRepeatedReportsDoNotUndoAnAnnouncement failed before.

Change: an observation that another instance has reported is passed on as 250 ms older, which is longer than a report takes. It still reaches instances that have not heard of the endpoint, such as new ones, and never replaces a later one.

Ruled out: to pass nothing on, as for slowdowns: after a restart of all instances in turn none would know a limit that none of them has observed.

--- a/dispatch/announcements.go
+++ b/dispatch/announcements.go
@@ -99,7 +99,7 @@
 	}
 	row.announced.draining = row.announced.draining || n.Draining
 	if b := n.Brittleness; b != nil {
-		row.announced.brittle.update(now-max(0, b.Age), b.Brittleness)
+		row.announced.brittle.update(now-max(0, b.Age), b.Brittleness, true)
 	}
 	if n.PushbackFor > 0 {
 		row.announced.recordPeerPushback(now, min(n.PushbackFor, maxPushback)+d.pushbackJitter(row, n.PushbackFor))
--- a/dispatch/brittleness.go
+++ b/dispatch/brittleness.go
@@ -26,16 +26,18 @@
 	Brittleness
 	known bool
 	at    tables.Instant
+	// fromReport is set if another instance has reported it.
+	fromReport bool
 }
 
 // update sets what a process announced at the given time unless something more recent is known,
 // and reports whether that changed.
-func (b *brittleness) update(at tables.Instant, announced Brittleness) (changed bool) {
+func (b *brittleness) update(at tables.Instant, announced Brittleness, fromReport bool) (changed bool) {
 	if b.known && at < b.at || !b.known && !announced.Brittle {
 		return false
 	}
 	changed = b.Brittleness != announced
-	b.Brittleness, b.known, b.at = announced, true, at
+	b.Brittleness, b.known, b.at, b.fromReport = announced, true, at, fromReport
 	return changed
 }
 
@@ -47,7 +49,7 @@
 	if !b.known || !b.Brittle && now-b.at > brittlenessNews {
 		return nil
 	}
-	return &BrittlenessReport{Brittleness: b.Brittleness, Age: now - b.at}
+	return &BrittlenessReport{Brittleness: b.Brittleness, Age: ageOf(now, b.at, b.fromReport)}
 }
 
 // expectBrittleness takes a process that has announced nothing yet to be like the others of its
@@ -67,7 +69,7 @@
 // RecordBrittleness records what an endpoint announced in an answer to the attempt, and reports
 // whether that changed.
 func (d *Dispatcher) RecordBrittleness(now tables.Instant, a *Attempt, announced Brittleness) (changed bool) {
-	if a.row.announced.brittle.update(now, announced) {
+	if a.row.announced.brittle.update(now, announced, false) {
 		d.markDirty(a.row)
 		return true
 	}
--- a/dispatch/echo_test.go
+++ b/dispatch/echo_test.go
@@ -53,3 +53,27 @@
 		assert.Equal(t, d.endpoints["e0"].absentFor(end), time.Duration(0))
 	}
 }
+
+// Guards against what an endpoint has announced anew being replaced by what it announced before, which
+// instances repeat to each other and which seems more recent each time.
+func TestRepeatedReportsDoNotUndoAnAnnouncement(t *testing.T) {
+	for _, limits := range [][2]RateLimit{{perSecond(5), {}}, {perSecond(5), perSecond(2)}, {perSecond(2), perSecond(5)}} {
+		one, _ := newTestDispatcher(1)
+		other, _ := newTestDispatcher(1)
+		announce := func(at tables.Instant, d *Dispatcher, limit RateLimit, brittle bool) {
+			a := mustPlace(t, d, at, requestWithoutParts())
+			d.RecordRateLimit(at, a, limit)
+			d.RecordBrittleness(at, a, Brittleness{Brittle: brittle})
+			d.RecordOutcome(at, a, Completed)
+		}
+		announce(time.Second, one, limits[0], true)
+		exchangeReports(one, other, time.Second, 2*time.Second)
+		assert.Equal(t, other.RateLimit("e0"), limits[0])
+		announce(2*time.Second, one, limits[1], false)
+		exchangeReports(one, other, 2*time.Second, 3*time.Second)
+		for _, d := range []*Dispatcher{one, other} {
+			assert.Equal(t, d.RateLimit("e0"), limits[1])
+			assert.Equal(t, d.CountBrittle(), 0)
+		}
+	}
+}
--- a/dispatch/load_reports.go
+++ b/dispatch/load_reports.go
@@ -43,6 +43,19 @@
 	loadSweepInterval = 500 * time.Millisecond
 )
 
+// maxReportDelay exceeds the time that a report takes. Its age does not include that, so an old value
+// that instances report to each other would seem more recent each time, and replace a new one.
+const maxReportDelay = 250 * time.Millisecond
+
+// ageOf returns the age with which an observation is reported. One that another instance has reported
+// counts as older than it can be.
+func ageOf(now, at tables.Instant, fromReport bool) time.Duration {
+	if fromReport {
+		return now - at + maxReportDelay
+	}
+	return now - at
+}
+
 // reportedLoads holds the latest load report of every other instance for one endpoint.
 type reportedLoads struct {
 	byInstance map[tables.InstanceID]reportedLoad
--- a/dispatch/rate_limits.go
+++ b/dispatch/rate_limits.go
@@ -37,18 +37,20 @@
 	RateLimit
 	known bool
 	at    tables.Instant
+	// fromReport is set if another instance has reported it.
+	fromReport bool
 	// exhaustedUntil is the time until which the limit admits no request.
 	exhaustedUntil tables.Instant
 }
 
 // update sets the limit that an endpoint named at the given time unless a more recent one
 // is known, and reports whether the limit changed.
-func (l *rateLimitState) update(at tables.Instant, limit RateLimit) (changed bool) {
+func (l *rateLimitState) update(at tables.Instant, limit RateLimit, fromReport bool) (changed bool) {
 	if l.known && at < l.at {
 		return false
 	}
 	changed = l.RateLimit != limit
-	l.RateLimit, l.known, l.at = limit, true, at
+	l.RateLimit, l.known, l.at, l.fromReport = limit, true, at, fromReport
 	if !limit.Limited {
 		l.exhaustedUntil = 0
 	}
@@ -61,13 +63,13 @@
 	if !l.known {
 		return nil
 	}
-	return &RateLimitReport{RateLimit: l.RateLimit, Age: now - l.at}
+	return &RateLimitReport{RateLimit: l.RateLimit, Age: ageOf(now, l.at, l.fromReport)}
 }
 
 // merge applies another instance's report.
 func (l *rateLimitState) merge(now tables.Instant, r *RateLimitReport) {
 	if r != nil {
-		l.update(now-max(0, r.Age), r.RateLimit)
+		l.update(now-max(0, r.Age), r.RateLimit, true)
 	}
 }
 
@@ -87,7 +89,7 @@
 	if !limit.Limited && !row.limit.known {
 		return before
 	}
-	if row.limit.update(now, limit) {
+	if row.limit.update(now, limit, false) {
 		d.markDirty(row)
 	}
 	return before
