A retry that the budget refuses holds no place

What callers see: endpoints whose slots and memory count as taken by requests that do not exist, for as long as the process of the endpoint runs; where slots bound placement, refusals for want of capacity.

Cause: an attempt whose endpoint is silent reserves its retry: it asked whether the retry budget permits one, counted an attempt at another endpoint, and then took the retry. An attempt at an endpoint that is not confirmed uses up a part of the budget itself. Where the budget had exactly one retry left it was refused, and the place stayed. The timer then tried again, and each time took one more place; only the last is ended with the request, and only if it got a retry.

Change: the retry is taken first, as for a retry after a failure, and given back if there is no endpoint for it. So a place has a retry at all times, and the end of the request gives both back.

Ruled out: to end the place when the retry is refused, which would leave two orders in which the budget is asked.

--- a/forward/retry.go
+++ b/forward/retry.go
@@ -48,20 +48,27 @@
 	s := c.server
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.options.Now()
-	if !s.dispatch.CanRetry(now, c.service.Name) || s.quarantineVerdictLocked(c) >= quarantine.Defer {
+	if s.quarantineVerdictLocked(c) >= quarantine.Defer || !c.takeRetry() {
 		return false
 	}
-	if elsewhere {
-		request := *retry
-		if len(c.body) > longBodyBytes {
-			request.Tried = slices.Concat(request.Tried, s.unanswered.full())
-		}
-		if c.reserved, _ = s.dispatch.Place(now, &request); c.reserved == nil {
-			return false
-		}
+	if !elsewhere || c.reservePlace(retry) {
+		return true
 	}
-	return c.takeRetry()
+	c.returnRetryLocked()
+	return false
+}
+
+// reservePlace counts the retry at an endpoint, and reports whether there is one. The retry must be taken
+// before: a place may use up the retry budget too, and one without a retry would be held for ever. The
+// caller holds the server's mu.
+func (c *clientRequest) reservePlace(retry *dispatch.Request) bool {
+	s := c.server
+	request := *retry
+	if len(c.body) > longBodyBytes {
+		request.Tried = slices.Concat(request.Tried, s.unanswered.full())
+	}
+	c.reserved, _ = s.dispatch.Place(s.options.Now(), &request)
+	return c.reserved != nil
 }
 
 // takeReserved returns the placement that was reserved for a retry. It returns nil if there is none, the
@@ -105,9 +112,14 @@
 	if c.retryTakenAt == 0 {
 		return
 	}
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	c.returnRetryLocked()
+}
+
+// returnRetryLocked is returnRetry for a caller that holds the server's mu.
+func (c *clientRequest) returnRetryLocked() {
 	s := c.server
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	now := s.options.Now()
 	s.dispatch.ReturnRetry(now, c.retryTakenAt, c.service.Name)
 	c.retryTakenAt = 0
