Convictions that instances repeat to each other end in time

What callers see: requests rejected as quarantined beyond the sentence of the part of their prompts, or beyond the ten minutes after which a request is run again.

Cause: instances repeat the convictions in force to two others each second, with their ages. The age does not include the time that the report takes, and the latest time counts. So a conviction becomes more recent with each repetition.

Change: a conviction that another instance has reported is passed on as 0.5 s older, which is longer than a report to a sound instance takes. A crash that an instance has learned of itself, and its own convictions, keep their ages.

Ruled out: to pass on only own convictions: instances that have started since would not learn of those whose instance has ended. Not changed: clearances, which are reported only in reply to a conviction.

--- a/systems/quarantine/conviction.go
+++ b/systems/quarantine/conviction.go
@@ -30,6 +30,8 @@
 	proven bool
 	// released is set once an operator has ended the conviction early.
 	released bool
+	// fromReport is set if at is that of another instance's conviction.
+	fromReport bool
 }
 
 // length returns how long the conviction lasts, counted from the last request if isFinal.
@@ -172,7 +174,10 @@
 func (d *Detector) extendConviction(part Part, r *partRecord, at tables.Instant) {
 	c := r.conviction
 	inForce := !c.released && (at < c.at+c.length(d.options.Retention) || c.isFinal())
-	c.at, c.released = max(c.at, at), false
+	if at >= c.at {
+		c.at, c.fromReport = at, false
+	}
+	c.released = false
 	if inForce {
 		r.conviction = c
 		return
@@ -192,10 +197,14 @@
 	r := d.partRecord(part)
 	switch {
 	case c.count > r.conviction.count:
-		c.at = max(c.at, r.conviction.at)
+		if r.conviction.at >= c.at {
+			c.at, c.fromReport = r.conviction.at, r.conviction.fromReport
+		}
 		d.convictPart(part, r, c)
 	case c.count == r.conviction.count:
-		r.conviction.at = max(c.at, r.conviction.at)
+		if c.at > r.conviction.at {
+			r.conviction.at, r.conviction.fromReport = c.at, true
+		}
 		r.conviction.proven = r.conviction.proven || c.proven
 		r.conviction.released = r.conviction.released || c.released
 	}
@@ -232,7 +241,7 @@
 
 // report returns the report of a conviction for other instances.
 func (c conviction) report(now tables.Instant, part Part) Suspect {
-	return Suspect{Part: part, Convicted: true, Convictions: c.count, Proven: c.proven, Released: c.released, Age: now - c.at}
+	return Suspect{Part: part, Convicted: true, Convictions: c.count, Proven: c.proven, Released: c.released, Age: ageOf(now, c.at, c.fromReport)}
 }
 
 // partVerdict returns the restriction under which a request with the part may run now.
--- a/systems/quarantine/incident.go
+++ b/systems/quarantine/incident.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -151,6 +152,10 @@
 			}
 		}
 	}
+	maps.DeleteFunc(d.reportedConvictions, func(f tables.Fingerprint, _ bool) bool {
+		_, convicted := d.convicted[f]
+		return !convicted
+	})
 	d.expireParts(now)
 }
 
@@ -194,7 +199,7 @@
 		}
 	}
 	if len(incidents) >= unconditionalThreshold {
-		d.convict(now, f)
+		d.convict(now, f, false)
 		return Reject
 	}
 	if convicting < d.requiredIncidents(f) {
@@ -203,7 +208,7 @@
 	if now-latest < d.settleDelay(f) {
 		return Defer
 	}
-	d.convict(now, f)
+	d.convict(now, f, false)
 	return Reject
 }
 
--- a/systems/quarantine/quarantine.go
+++ b/systems/quarantine/quarantine.go
@@ -58,6 +58,8 @@
 	convicted   map[tables.Fingerprint]tables.Instant
 	// cleared holds when requests were cleared that other instances may have convicted.
 	cleared map[tables.Fingerprint]tables.Instant
+	// reportedConvictions holds those of convicted that another instance has reported.
+	reportedConvictions map[tables.Fingerprint]bool
 	// evidence sums up the incidents of each suspected request.
 	evidence map[tables.Fingerprint]evidence
 	// parts holds the parts that were in question at a crash or are convicted, uses those of the
@@ -86,8 +88,10 @@
 		attempts:  make(map[tables.AttemptID]*attempt),
 		convicted: make(map[tables.Fingerprint]tables.Instant),
 		cleared:   make(map[tables.Fingerprint]tables.Instant),
-		evidence:  make(map[tables.Fingerprint]evidence),
-		parts:     make(map[Part]*partRecord),
+
+		reportedConvictions: make(map[tables.Fingerprint]bool),
+		evidence:            make(map[tables.Fingerprint]evidence),
+		parts:               make(map[Part]*partRecord),
 
 		convictedParts: make(map[Part]*partRecord),
 		instances:      1,
@@ -319,7 +323,7 @@
 	case report.Cleared:
 		d.provePart(report.Part, at)
 	case report.Convicted:
-		return d.mergeConviction(now, report.Part, conviction{at: at, count: max(report.Convictions, 1), proven: report.Proven, released: report.Released})
+		return d.mergeConviction(now, report.Part, conviction{at: at, count: max(report.Convictions, 1), proven: report.Proven, released: report.Released, fromReport: true})
 	default:
 		merged := partCrash{crash: d.incidentFor(report.crash(at)).crash, request: report.Fingerprint, proven: report.Proven}
 		if d.addPartCrash(report.Part, merged) {
@@ -336,7 +340,7 @@
 	d.expire(now)
 	var all []Suspect
 	for f, at := range d.convicted {
-		all = append(all, Suspect{Fingerprint: f, Convicted: true, Age: now - at})
+		all = append(all, Suspect{Fingerprint: f, Convicted: true, Age: ageOf(now, at, d.reportedConvictions[f])})
 	}
 	for part, r := range d.convictedParts {
 		all = append(all, r.conviction.report(now, part))
--- a/systems/quarantine/report.go
+++ b/systems/quarantine/report.go
@@ -44,6 +44,19 @@
 	Age time.Duration
 }
 
+// maxReportDelay is the time that a report to a sound instance takes at most. Its age does not include
+// that, so a conviction that instances report to each other would seem more recent each time.
+const maxReportDelay = 500 * time.Millisecond
+
+// ageOf returns the age with which a conviction is reported. One that another instance has reported
+// counts as older than it can be.
+func ageOf(now, at tables.Instant, fromReport bool) time.Duration {
+	if fromReport {
+		return now - at + maxReportDelay
+	}
+	return now - at
+}
+
 // crash returns the crash that the report is about.
 func (s *Suspect) crash(at tables.Instant) crash {
 	return crash{incarnation: s.Incarnation, upAt: at - s.UpBefore, at: at}
--- a/systems/quarantine/requestconviction.go
+++ b/systems/quarantine/requestconviction.go
@@ -7,8 +7,8 @@
 )
 
 // convict records a conviction, unless a later one is known, and evicts the oldest
-// one at the limit.
-func (d *Detector) convict(at tables.Instant, f tables.Fingerprint) {
+// one at the limit. fromReport is set if another instance has reported it.
+func (d *Detector) convict(at tables.Instant, f tables.Fingerprint, fromReport bool) {
 	if known, ok := d.convicted[f]; ok && known >= at {
 		return
 	}
@@ -16,6 +16,10 @@
 		deleteOldest(d.convicted)
 	}
 	d.convicted[f] = at
+	delete(d.reportedConvictions, f)
+	if fromReport {
+		d.reportedConvictions[f] = true
+	}
 }
 
 // deleteOldest deletes the entry with the earliest time. The lower fingerprint goes
@@ -56,7 +60,7 @@
 	if cleared, ok := d.cleared[f]; ok && at <= cleared {
 		return d.refute(now, Suspect{Fingerprint: f, Cleared: true, Age: now - cleared})
 	}
-	d.convict(at, f)
+	d.convict(at, f, true)
 	return nil
 }
 
