A late report does not count an owner's total again

What callers see: an organisation is refused in one zone for as long as all that it has used since its bucket was opened is worth, for hours after hours of use, though it stays below its limit.

Cause: an owner takes the bucket of another zone's owner to be a new one if it seems opened a second later than before. The time of opening is computed from its age and the time of arrival, so a report that arrives more than a second late looks like one of a new bucket, whose whole total counts. An instance that is frozen for some seconds reads such reports from its socket when it goes on.

Evidence: TestLateReportDoesNotCountATotalAgain, a minute of use at half of the limit and one report that is 3 s late: level -2,493,000 before, where 90,000 is the burst.

Change: a new bucket was opened after the last report of the one before, which a late report of the same one cannot seem. TestTotalOfReopenedBucketCountsFromZero passes before and after: use of a bucket that was opened anew counts in whole. What remains: a report that is late by more than the age of its bucket counts the use of that time again.

Ruled out: a larger slack, which a longer freeze exceeds.

go test -race ./usage passes.

--- /dev/null
+++ b/usage/late_report_test.go
@@ -0,0 +1,47 @@
+package usage
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// Guards against an organisation that is refused for as long as its total is worth, since a report that
+// an instance got late, after it was frozen, counted the whole total again.
+func TestLateReportDoesNotCountATotalAgain(t *testing.T) {
+	const start, length, frozen = tables.Instant(time.Hour), time.Minute, 3 * time.Second
+	o := NewBucketOwner(start-time.Hour, "a", 1)
+	o.SetLimits(limitsOf(limit))
+	report := func(sentAt tables.Instant) Report {
+		total := int64(0.5 * limit.Rate * (sentAt - start).Seconds())
+		return Report{Subject: org, Zone: "b", BootEpoch: 1, Admitted: total, Demand: int64(0.5 * limit.Rate), OpenedKnown: true, OpenedAgo: sentAt - start}
+	}
+	o.Debit(start, "x", Debit{Subject: org, Cost: 1})
+	for now := start; now <= start+length; now += reportInterval {
+		o.ApplyReport(now, "b", report(now))
+	}
+	now := start + length + frozen
+	o.ApplyReport(now, "b", report(now-frozen))
+	o.ApplyReport(now, "b", report(now))
+	reply, _ := o.Debit(now, "x", Debit{Subject: org})
+	usedMeanwhile := 0.5 * limit.Rate * frozen.Seconds()
+	assert.Assert(t, float64(reply.Level) >= limit.Burst-usedMeanwhile, "level %d", reply.Level)
+}
+
+// Guards against use that does not count since the owner of another zone has opened its bucket anew.
+func TestTotalOfReopenedBucketCountsFromZero(t *testing.T) {
+	const start = tables.Instant(time.Hour)
+	o := NewBucketOwner(start-time.Hour, "a", 1)
+	o.SetLimits(limitsOf(limit))
+	o.Debit(start, "x", Debit{Subject: org, Cost: 1})
+	o.ApplyReport(start, "b", Report{Subject: org, Zone: "b", BootEpoch: 1, OpenedKnown: true})
+	o.ApplyReport(start+time.Second, "b", Report{Subject: org, Zone: "b", BootEpoch: 1, Admitted: int64(limit.Burst), OpenedKnown: true, OpenedAgo: time.Second})
+	reopened := start + time.Second + bucketIdleTimeout
+	o.Debit(reopened, "x", Debit{Subject: org, Cost: 1})
+	o.ApplyReport(reopened+reportInterval, "b", Report{Subject: org, Zone: "b", BootEpoch: 1, Admitted: int64(limit.Burst), OpenedKnown: true, OpenedAgo: reportInterval})
+	reply, _ := o.Debit(reopened+reportInterval, "x", Debit{Subject: org})
+	assert.Assert(t, float64(reply.Level) < 0.5*limit.Burst, "level %d", reply.Level)
+}
--- a/usage/shared_bucket.go
+++ b/usage/shared_bucket.go
@@ -77,11 +77,13 @@
 }
 
 // restartTotal starts the running total of a peer anew if the peer has restarted or has
-// evicted its bucket meanwhile.
+// evicted its bucket meanwhile. A new bucket was opened after the last report of the one before. A late
+// report makes its bucket seem opened later than it was, but not later than reports of the same one.
 func (p *peerOwner) restartTotal(now tables.Instant, in Report) {
-	reopened := in.OpenedKnown && now-in.OpenedAgo > p.openedAt+openedSlack
+	openedAt := now - in.OpenedAgo
+	reopened := in.OpenedKnown && openedAt > max(p.openedAt+openedSlack, p.reportedAt)
 	if p.bootEpoch != in.BootEpoch || reopened {
-		p.bootEpoch, p.admitted, p.openedAt = in.BootEpoch, 0, now-in.OpenedAgo
+		p.bootEpoch, p.admitted, p.openedAt = in.BootEpoch, 0, openedAt
 	}
 }
 
