Attempts that did not run occupy no link

What callers see: prompts computed again, or requests refused as too late for their deadline, since an idle link counts as busy for minutes.

Cause: a placed attempt reserves the time in which its endpoint fetches parts of the prompt. Attempts that got no permit, or were beyond a rate limit, declined or not delivered, kept theirs, and a request that waits for such an endpoint makes one every 30 ms. So the link's queue grew faster than time passes, and was told to the other instances.

Change: the end of an attempt gives its fetch back if the endpoint cannot have begun it. Where other instances' transfers determine the end of the queue, that stays. A cancelled attempt keeps its fetch, which may be under way.

Ruled out: to reserve when the attempt is sent, since placements in between would all choose the same link.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -185,6 +185,9 @@
 	// endpoint's link for storeTransfer milliseconds once they are computed.
 	storeRow      *endpointRow
 	storeTransfer float64
+	// fetchTransfer is for how long the fetch from CacheSource occupies the endpoint's link, in
+	// milliseconds; 0 if there is none.
+	fetchTransfer float64
 	// countedShare is the share that counts the attempt, among the most urgent work if
 	// countedUrgent is set; nil if none does.
 	countedShare  *placedShare
@@ -317,6 +320,7 @@
 	d.accountRecomputed(now, a)
 	a.endStream()
 	a.releaseAdmitted(now, outcome)
+	a.releaseLink(outcome)
 	a.endProbe()
 	if !a.responseStarted {
 		a.row.prefillTokens -= a.prefillTokens
--- a/dispatch/links.go
+++ b/dispatch/links.go
@@ -45,6 +45,21 @@
 	d.markDirty(row)
 }
 
+// releaseLink takes back the fetch of an attempt that has ended before its endpoint can have begun it.
+func (a *Attempt) releaseLink(outcome Outcome) {
+	row, transfer := a.row, time.Duration(a.fetchTransfer*float64(time.Millisecond))
+	if transfer == 0 || a.responseStarted {
+		return
+	}
+	switch outcome {
+	case RateLimited, Declined, Misdirected, ConnectionRefused, ConnectTimeout, RelayUnavailable:
+		if row.linkFreeAt == row.ownTransfersEndAt {
+			row.linkFreeAt -= transfer
+		}
+		row.ownTransfersEndAt -= transfer
+	}
+}
+
 // ownLinkUse returns for how much longer the link is busy until the end of this instance's last
 // transfer. What others have reported is left out: reports of reports would renew each other.
 func (r *endpointRow) ownLinkUse(now tables.Instant) time.Duration {
--- a/dispatch/links_test.go
+++ b/dispatch/links_test.go
@@ -69,3 +69,22 @@
 	d.RecordResponseStart(2*time.Second, a)
 	assert.Equal(t, a.row.linkBusyFor(2*time.Second), 500*time.Millisecond)
 }
+
+// Guards against a link that counts as busy for ever longer, with the transfers of attempts that did not run.
+func TestAttemptsThatDidNotRunOccupyNoLink(t *testing.T) {
+	for _, outcome := range []Outcome{RateLimited, Declined, Misdirected, ConnectionRefused, ConnectTimeout, RelayUnavailable} {
+		d, _ := newTestDispatcher(2)
+		id := runRequest(t, d, time.Second, slowLinkRequest(7))
+		d.endpoints[id].attempts = models.Slots // the endpoint that holds the prompt is at capacity
+		running := mustPlace(t, d, 2*time.Second, slowLinkRequest(7))
+		assert.Equal(t, running.CacheSource.ID, id)
+		before := running.row.linkBusyFor(2 * time.Second)
+		assert.Assert(t, before > 0)
+		a := mustPlace(t, d, 2*time.Second, slowLinkRequest(7))
+		assert.Assert(t, a.row == running.row && a.row.linkBusyFor(2*time.Second) > before)
+		d.RecordOutcome(2*time.Second, a, outcome)
+		d.RecordOutcome(2*time.Second, a, outcome)
+		assert.Equal(t, running.row.linkBusyFor(2*time.Second), before, outcome.String())
+		assert.Equal(t, running.row.ownLinkUse(2*time.Second), before)
+	}
+}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -350,7 +350,7 @@
 		a.WeightsVersion = c.row.Weights[r.Model]
 	}
 	if c.source != nil {
-		a.CacheSource = c.source.Endpoint
+		a.CacheSource, a.fetchTransfer = c.source.Endpoint, c.transfer
 		d.reserveLink(now, c.row, c.transfer)
 	}
 	a.startProbe(now)
