--- a/dispatch/availability.go
+++ b/dispatch/availability.go
@@ -62,10 +62,9 @@
 	unreachable bool
 	// halfOpen is set for an endpoint that was absent, unreachable or loading weights, or
 	// that is new. Many queued requests may be waiting for exactly this endpoint, so it
-	// receives a single attempt as a probe until it has responded to one. probes counts
-	// the probes in flight.
+	// receives a single attempt as a probe until it has responded to one.
 	halfOpen bool
-	probes   int
+	probing
 }
 
 // accepting reports whether the endpoint may receive requests, apart from the path to it.
@@ -99,6 +98,15 @@
 	return max(0, a.absentUntil-now)
 }
 
+// observedAbsentFor is absentFor of an absence that this instance has observed. That of others is
+// left out of reports: reports of reports would renew each other.
+func (a *availability) observedAbsentFor(now tables.Instant) time.Duration {
+	if a.absenceReported {
+		return 0
+	}
+	return a.absentFor(now)
+}
+
 // markResponded records a response of the endpoint under its own identity, whatever its
 // status.
 func (a *availability) markResponded(now tables.Instant) {
--- a/dispatch/load_reports.go
+++ b/dispatch/load_reports.go
@@ -17,10 +17,10 @@
 	// sent an event and have not ended. A scheduler that placed one of the sender's own attempts
 	// reports that attempt instead.
 	Streams int
-	// LinkBusy is for how long the endpoint's link is busy with transfers.
+	// LinkBusy is for how long the endpoint's link is busy until the sender's transfers have ended.
 	LinkBusy time.Duration
 	// AbsentFor is for how long the endpoint counts as absent from its address, where another
-	// process answered.
+	// process answered the sender.
 	AbsentFor time.Duration
 	// Limit is what is known of the endpoint's rate limit; nil if nothing is.
 	Limit *RateLimitReport
@@ -43,6 +43,19 @@
 	loadSweepInterval = 500 * time.Millisecond
 )
 
+// maxReportDelay exceeds the time that a report takes. Its age does not include that, so an old value
+// that instances report to each other would seem more recent each time, and replace a new one.
+const maxReportDelay = 250 * time.Millisecond
+
+// ageOf returns the age with which an observation is reported. One that another instance has reported
+// counts as older than it can be.
+func ageOf(now, at tables.Instant, fromReport bool) time.Duration {
+	if fromReport {
+		return now - at + maxReportDelay
+	}
+	return now - at
+}
+
 // reportedLoads holds the latest load report of every other instance for one endpoint.
 type reportedLoads struct {
 	byInstance map[tables.InstanceID]reportedLoad
@@ -133,7 +146,7 @@
 		if !row.removed {
 			loads = append(loads, LoadReport{
 				Endpoint: row.ID, Running: row.reportedAttempts(), MemoryTokens: row.memoryTokens - row.remotelyPlaced.memoryTokens,
-				PrefillTokens: int(row.prefillTokens - row.remotelyPlaced.prefillTokens), LinkBusy: row.linkBusyFor(now), AbsentFor: row.absentFor(now),
+				PrefillTokens: int(row.prefillTokens - row.remotelyPlaced.prefillTokens), LinkBusy: row.ownLinkUse(now), AbsentFor: row.observedAbsentFor(now),
 				Streams: row.streams.reportedStreams(), Limit: row.limit.report(now), Notice: row.notice(now),
 			})
 			row.addSlowdown(now, &loads[len(loads)-1])
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -174,7 +174,7 @@
 // isEligible reports whether the endpoint may run the request that comes over a path, apart from
 // its capacity.
 func (d *Dispatcher) isEligible(now tables.Instant, r *Request, row *endpointRow, p path) bool {
-	if !row.acceptsRequests(now) || !row.reachableOver(now, p) || row.isBeingProbed() {
+	if !row.acceptsRequests(now) || !row.reachableOver(now, p) || row.isBeingProbed(now) {
 		return false
 	}
 	// A request of another instance names the endpoints that have pushed that instance back.
@@ -198,12 +198,6 @@
 // its own announcement, which comes earlier.
 func (r *endpointRow) isLeaving() bool { return r.Draining || r.announced.draining }
 
-// isBeingProbed reports whether the endpoint has as many attempts as it may have until it has
-// answered one: a single one if it is half-open, a fraction of its slots after a pushback.
-func (r *endpointRow) isBeingProbed() bool {
-	return r.halfOpen && r.probes > 0 || r.announced.unproven && r.probes >= max(1, r.Slots/probeSlotsDivisor)
-}
-
 // hasCapacity reports whether the endpoint has a free slot, enough memory, and room in
 // its rate limit. Memory is not checked while this instance has no attempt there.
 func (d *Dispatcher) hasCapacity(now tables.Instant, r *Request, row *endpointRow) bool {
@@ -342,13 +336,10 @@
 		a.WeightsVersion = c.row.Weights[r.Model]
 	}
 	if c.source != nil {
-		a.CacheSource = c.source.Endpoint
+		a.CacheSource, a.fetchTransfer = c.source.Endpoint, c.transfer
 		d.reserveLink(now, c.row, c.transfer)
 	}
-	if c.row.halfOpen || c.row.announced.unproven {
-		a.isProbe = true
-		c.row.probes++
-	}
+	a.startProbe(now)
 	if r.DeliveredAttempts > 0 && !r.Remote && !d.addressConfirmed(now, c.row) {
 		d.countUnconfirmed(now, a)
 	}
