Silent engines do not keep others from being read for orders

Callers get older weights from sound engines for as long as 16 engines are silent.

Cause: the places of concurrent reads are held by silent engines until the step's time ends. Engines behind them in the configuration were never asked, and recorded as unreachable all the same. They were due again together with the silent ones, which come first again: no load was ordered at them. A counted load there would have lost its slot, though its engine may be loading.

Change: reads begin in the first half of a step, so that each has a second; an engine that was not asked is not recorded and stays due; those that were not read for longest come first. An order drops what was read before it, since a read may now be left for the next step.

Ruled out: more places, which moves the number of silent engines that it takes.

--- a/control/orders/controller.go
+++ b/control/orders/controller.go
@@ -1,9 +1,11 @@
 package orders
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,6 +30,8 @@
 	// lease lasts at least this much longer, so that its answer arrives within
 	// the lease.
 	orderTimeout = 2 * time.Second
+	// readAdmission is the time of a step in which reads begin, so that each has the rest of orderTimeout.
+	readAdmission = orderTimeout / 2
 	// stepInterval is the interval of the control loop.
 	stepInterval = 500 * time.Millisecond
 	// readsPerSecond limits the rate at which endpoints without a counted load
@@ -139,7 +143,9 @@
 	var orders sync.WaitGroup
 	for _, load := range append(plan.Resend, plan.Start...) {
 		address := addresses[load.Endpoint]
+		// What was read before the order does not show its load.
 		delete(r.lastRead, load.Endpoint)
+		delete(r.observations, load.Endpoint)
 		orders.Go(func() { r.orderLoad(ctx, address, load) })
 	}
 	orders.Wait()
@@ -243,15 +249,25 @@
 }
 
 // readEndpoints reads the state of the endpoints that are due: those with a
-// counted load in every step, the others at a limited rate.
+// counted load in every step, the others at a limited rate. Endpoints whose read
+// cannot begin in this step, since silent ones take all places, stay due.
 func (r *Controller) readEndpoints(ctx context.Context, c *tables.Configuration) {
 	bounded, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
+	admission, stop := context.WithTimeout(bounded, readAdmission)
+	defer stop()
 	var mu sync.Mutex
 	var reads sync.WaitGroup
+	defer reads.Wait()
 	slots := make(chan struct{}, maxConcurrentReads)
 	for _, endpoint := range r.dueForRead(c) {
-		slots <- struct{}{}
+		select {
+		case slots <- struct{}{}:
+		case <-admission.Done():
+		}
+		if admission.Err() != nil {
+			return
+		}
 		reads.Go(func() {
 			defer func() { <-slots }()
 			state, err := r.options.Engines.OrderState(bounded, endpoint.Address)
@@ -260,10 +276,10 @@
 			r.recordRead(endpoint.ID, state, err)
 		})
 	}
-	reads.Wait()
 }
 
-// dueForRead returns the engines to read in this step.
+// dueForRead returns the engines to read in this step, those that were not read
+// for longest first.
 func (r *Controller) dueForRead(c *tables.Configuration) []tables.Endpoint {
 	loading := map[tables.EndpointID]bool{}
 	for _, row := range r.options.CountedLoads() {
@@ -279,9 +295,25 @@
 			endpoints = append(endpoints, endpoint)
 		}
 	}
+	slices.SortStableFunc(endpoints, func(a, b tables.Endpoint) int { return r.compareLastRead(a.ID, b.ID) })
 	return endpoints
 }
 
+// compareLastRead orders endpoints by when they were last read, with those that were not read first.
+func (r *Controller) compareLastRead(a, b tables.EndpointID) int {
+	lastA, knownA := r.lastRead[a]
+	lastB, knownB := r.lastRead[b]
+	switch {
+	case knownA && knownB:
+		return cmp.Compare(lastA, lastB)
+	case knownA:
+		return 1
+	case knownB:
+		return -1
+	}
+	return 0
+}
+
 // recordRead stores the result of a read.
 func (r *Controller) recordRead(endpoint tables.EndpointID, state engine.OrderState, err error) {
 	now := r.options.Now()
--- a/control/orders/orders_test.go
+++ b/control/orders/orders_test.go
@@ -50,6 +50,8 @@
 	loading     tables.WeightsVersion
 	loadedAt    time.Duration
 	unreachable bool
+	// hangs is set if the engine accepts connections and answers nothing.
+	hangs bool
 }
 
 const loadTime = 3 * time.Second
@@ -119,10 +121,18 @@
 	return engine.OrderState{}, nil
 }
 
-func (s *simulatedInstance) OrderState(_ context.Context, at netip.AddrPort) (engine.OrderState, error) {
+func (s *simulatedInstance) OrderState(ctx context.Context, at netip.AddrPort) (engine.OrderState, error) {
 	s.simulation.mu.Lock()
 	defer s.simulation.mu.Unlock()
 	e := s.simulation.engines[at]
+	if e.hangs {
+		s.simulation.mu.Unlock()
+		<-ctx.Done()
+		s.simulation.mu.Lock()
+	}
+	if ctx.Err() != nil {
+		return engine.OrderState{}, ctx.Err()
+	}
 	if e.unreachable {
 		return engine.OrderState{}, context.DeadlineExceeded
 	}
