A load whose end nobody sees holds its slot by its age

Callers get older weights from all other engines, as no load starts while the slots of the weight store are held.

Cause: a slot of an endpoint that does not answer ended 10 minutes after the holder of the lease had seen it fall silent. That count began anew with each holder. And an endpoint that is removed from the configuration while it loads is never read again, so that it is not seen to be silent: its slot was held for good, by all later holders too.

Evidence: TestRemovedEndpointsHoldNoLoadSlotForGood (two removed endpoints, two slots) and TestSilentEndpointsHoldNoLoadSlotAcrossHolders (the lease moves each minute) fail before.

Change: rows of loads are dated in the log's time already. A load whose endpoint does not answer or was removed ends 10 minutes after its last order by that time, whoever holds the lease. Log time runs no faster than real time, so no slot is freed earlier than the longest load takes. An operator reads of it in event 3050. An endpoint that was read after its load ended and is removed then frees its slot at once, as before.

Ruled out: freeing the slot of a removed or silent endpoint at once; its load may be running, and the limit on concurrent loads must hold.

--- a/control/orders/controller.go
+++ b/control/orders/controller.go
@@ -66,7 +66,7 @@
 	Configuration func() *tables.Configuration
 	// CountedLoads returns the loads that hold a slot of the weight store, as
 	// far as this replica knows them.
-	CountedLoads func() []*rpc.Load
+	CountedLoads func() CountedLoads
 	Log          *zap.Logger
 }
 
@@ -81,9 +81,6 @@
 	// acquireNotBefore is the time before which the lease is not requested,
 	// because another instance holds it.
 	acquireNotBefore tables.Instant
-	// unreachableSince holds, by endpoint, the time of the first failed read
-	// since its last answer.
-	unreachableSince map[tables.EndpointID]tables.Instant
 }
 
 // NewController returns a controller that does not hold the lease.
@@ -101,9 +98,8 @@
 			Duration: LeaseDuration,
 			Now:      options.Now,
 		}),
-		observations:     map[tables.EndpointID]Observation{},
-		lastRead:         map[tables.EndpointID]tables.Instant{},
-		unreachableSince: map[tables.EndpointID]tables.Instant{},
+		observations: map[tables.EndpointID]Observation{},
+		lastRead:     map[tables.EndpointID]tables.Instant{},
 	}
 }
 
@@ -139,6 +135,10 @@
 	for _, endpoint := range plan.Ended {
 		r.unregisterLoad(ctx, endpoint)
 	}
+	for _, endpoint := range plan.Expired {
+		events.OrderLoadExpired.Log(r.options.Log, zap.String("endpoint", string(endpoint)))
+		r.unregisterLoad(ctx, endpoint)
+	}
 	addresses := endpointAddresses(c)
 	var orders sync.WaitGroup
 	for _, load := range append(plan.Resend, plan.Start...) {
@@ -174,7 +174,6 @@
 			// Observations from an earlier lease are outdated.
 			clear(r.observations)
 			clear(r.lastRead)
-			clear(r.unreachableSince)
 		}
 	}
 	_, left = r.lease.TokenAndTTL()
@@ -282,7 +281,7 @@
 // for longest first.
 func (r *Controller) dueForRead(c *tables.Configuration) []tables.Endpoint {
 	loading := map[tables.EndpointID]bool{}
-	for _, row := range r.options.CountedLoads() {
+	for _, row := range r.options.CountedLoads().Rows {
 		loading[tables.EndpointID(row.GetEndpoint())] = true
 	}
 	interval := max(minReadInterval, time.Duration(len(c.Endpoints))*time.Second/readsPerSecond)
@@ -316,20 +315,13 @@
 
 // recordRead stores the result of a read.
 func (r *Controller) recordRead(endpoint tables.EndpointID, state engine.OrderState, err error) {
-	now := r.options.Now()
-	r.lastRead[endpoint] = now
+	r.lastRead[endpoint] = r.options.Now()
 	if err == nil {
-		delete(r.unreachableSince, endpoint)
 		r.observations[endpoint] = Observation{Known: true, State: state}
 		return
 	}
-	since, lost := r.unreachableSince[endpoint]
-	if !lost {
-		since = now
-		r.unreachableSince[endpoint] = now
-	}
 	observation := r.observations[endpoint]
-	observation.UnreachableFor = max(1, now-since)
+	observation.Unreachable = true
 	r.observations[endpoint] = observation
 }
 
--- a/control/orders/orders_test.go
+++ b/control/orders/orders_test.go
@@ -78,7 +78,7 @@
 			Boot:          1,
 			Now:           func() tables.Instant { return time.Duration(float64(f.now) * s.clockRate) },
 			Configuration: func() *tables.Configuration { return f.configuration },
-			CountedLoads:  func() []*rpc.Load { return f.state.Loads() },
+			CountedLoads:  func() CountedLoads { return CountedLoads{Rows: f.state.Loads(), LogTime: f.state.Now()} },
 		})
 		f.instances = append(f.instances, s)
 	}
--- a/control/orders/plan.go
+++ b/control/orders/plan.go
@@ -16,9 +16,8 @@
 	"github.com/carawaystile/carawaystile/tables"
 )
 
-// maxLoadDuration is how long the load of an unreachable endpoint keeps its
-// slot of the weight store. No load takes this long, so the load has ended by
-// then.
+// maxLoadDuration is how long a load keeps its slot of the weight store while
+// nobody sees whether it has ended. No load takes this long.
 const maxLoadDuration = 10 * time.Minute
 
 // Observation is the last observed state of an endpoint.
@@ -26,9 +25,24 @@
 	// Known is set once the endpoint has answered. State is its last answer.
 	Known bool
 	State engine.OrderState
-	// UnreachableFor is how long the endpoint has not answered, zero if it
-	// answers.
-	UnreachableFor time.Duration
+	// Unreachable is set if the endpoint did not answer the last read.
+	Unreachable bool
+}
+
+// answers reports whether the last read of the endpoint got an answer.
+func (o Observation) answers() bool { return o.Known && !o.Unreachable }
+
+// CountedLoads are the loads that hold a slot of the weight store, whichever
+// instance started them.
+type CountedLoads struct {
+	Rows []*rpc.Load
+	// LogTime is the time of the replicated log, in which rows are dated.
+	LogTime time.Duration
+}
+
+// isExpired reports whether a load must have ended since it started.
+func (l CountedLoads) isExpired(row *rpc.Load) bool {
+	return l.LogTime-time.Duration(row.GetStarted()) >= maxLoadDuration
 }
 
 // Load is one model or adapter that an endpoint has to load.
@@ -66,38 +80,44 @@
 // Plan is the set of actions due in one reconciliation step.
 type Plan struct {
 	// Ended lists endpoints whose loads have ended, so that their slots are
-	// freed.
-	Ended []tables.EndpointID
+	// freed. Expired lists those whose loads nobody saw end within
+	// maxLoadDuration.
+	Ended   []tables.EndpointID
+	Expired []tables.EndpointID
 	// Resend lists counted loads whose order has to be sent again. Start lists
 	// new loads for which slots are free.
 	Resend []Load
 	Start  []Load
 }
 
-// ComputePlan compares the desired with the observed state. The rows are the
-// loads that count against the limit, whichever instance started them.
+// ComputePlan compares the desired with the observed state.
 //
 // The load of a reachable endpoint ends only by the endpoint's own report: the
 // endpoint is loading nothing and what was loaded is not missing any more. If
 // it is loading nothing and the load is still missing, the order was lost or
 // the endpoint restarted. The load then keeps its slot and the order is sent
 // again.
-func ComputePlan(c *tables.Configuration, observations map[tables.EndpointID]Observation, rows []*rpc.Load) Plan {
+//
+// The load of an endpoint that does not answer, or is not in the configuration
+// any more, may be running until it expires.
+func ComputePlan(c *tables.Configuration, observations map[tables.EndpointID]Observation, counted CountedLoads) Plan {
 	var plan Plan
 	busy := map[tables.EndpointID]bool{}
 	missing := map[tables.EndpointID][]Load{}
+	isRead := map[tables.EndpointID]bool{}
 	for _, endpoint := range c.Endpoints {
+		isRead[endpoint.ID] = endpoint.Kind == tables.Engine
 		if endpoint.Kind == tables.Engine && !endpoint.Leaving {
 			missing[endpoint.ID] = missingLoads(c, endpoint, observations[endpoint.ID])
 		}
 	}
-	for _, row := range rows {
+	for _, row := range counted.Rows {
 		load := loadFromRow(row)
 		observation := observations[load.Endpoint]
 		switch {
-		case !observation.Known || observation.UnreachableFor > 0:
-			if observation.UnreachableFor >= maxLoadDuration {
-				plan.Ended = append(plan.Ended, load.Endpoint)
+		case !observation.answers() || observation.State.Loading > 0 && !isRead[load.Endpoint]:
+			if counted.isExpired(row) {
+				plan.Expired = append(plan.Expired, load.Endpoint)
 				continue
 			}
 			busy[load.Endpoint] = true
@@ -122,7 +142,7 @@
 // returns nothing for an endpoint that could not be read. A model is loaded
 // before its adapters.
 func missingLoads(c *tables.Configuration, endpoint tables.Endpoint, observation Observation) []Load {
-	if !observation.Known || observation.UnreachableFor > 0 {
+	if !observation.answers() {
 		return nil
 	}
 	var loads []Load
--- a/control/orders/stall_test.go
+++ b/control/orders/stall_test.go
@@ -1,13 +1,36 @@
 package orders
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/tables"
 )
 
+// loading returns the endpoints that hold a slot of the weight store.
+func (f *simulation) loading() []tables.Endpoint {
+	var endpoints []tables.Endpoint
+	for _, row := range f.state.Loads() {
+		i := slices.IndexFunc(f.configuration.Endpoints, func(e tables.Endpoint) bool { return string(e.ID) == row.GetEndpoint() })
+		endpoints = append(endpoints, f.configuration.Endpoints[i])
+	}
+	return endpoints
+}
+
+// othersServe reports whether all engines but those at the given endpoints serve the weights.
+func (f *simulation) othersServe(want tables.WeightsVersion, but []tables.Endpoint) bool {
+	for at, e := range f.engines {
+		if e.weights != want && !slices.ContainsFunc(but, func(b tables.Endpoint) bool { return b.Address == at }) {
+			return false
+		}
+	}
+	return true
+}
+
 // Guards against engines that are counted as unreachable since reads of silent ones take the whole step.
 func TestSilentEnginesDoNotKeepOthersFromBeingRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -21,3 +44,39 @@
 		}
 	})
 }
+
+// Guards against a slot that nobody frees since its endpoint was removed, and is read no more, while it loaded.
+func TestRemovedEndpointsHoldNoLoadSlotForGood(t *testing.T) {
+	for name, seenLoading := range map[string]time.Duration{"ordered": stepInterval, "seen loading": 2 * stepInterval} {
+		f := newSimulation(t, 1, 6)
+		f.advance(seenLoading)
+		removed := f.loading()
+		assert.Equal(t, len(removed), 2, name)
+		f.configuration.Endpoints = slices.DeleteFunc(slices.Clone(f.configuration.Endpoints), func(e tables.Endpoint) bool {
+			return slices.ContainsFunc(removed, func(r tables.Endpoint) bool { return r.ID == e.ID })
+		})
+		f.advance(maxLoadDuration - time.Minute)
+		assert.Equal(t, len(f.state.Loads()), 2, name)
+		f.advance(2 * time.Minute)
+		assert.Assert(t, f.othersServe("w1", removed), name)
+	}
+}
+
+// Guards against a slot of a silent endpoint that each new holder of the lease keeps anew.
+func TestSilentEndpointsHoldNoLoadSlotAcrossHolders(t *testing.T) {
+	f := newSimulation(t, 2, 6)
+	f.advance(stepInterval)
+	silent := f.loading()
+	assert.Equal(t, len(silent), 2)
+	for _, endpoint := range silent {
+		f.engines[endpoint.Address].unreachable = true
+	}
+	for passed := time.Duration(0); passed < maxLoadDuration+time.Minute; passed += time.Minute {
+		holder := f.leaseHolder()
+		for _, s := range f.instances {
+			s.partitioned = s == holder
+		}
+		f.advance(time.Minute)
+	}
+	assert.Assert(t, f.othersServe("w1", silent))
+}
--- a/daemon/orders.go
+++ b/daemon/orders.go
@@ -9,7 +9,6 @@
 	"github.com/carawaystile/carawaystile/control/state"
 	"github.com/carawaystile/carawaystile/engine"
 	"github.com/carawaystile/carawaystile/router"
-	"github.com/carawaystile/carawaystile/rpc"
 	"github.com/carawaystile/carawaystile/systems/membership"
 	"github.com/carawaystile/carawaystile/tables"
 )
@@ -49,9 +48,9 @@
 
 // activeWeightLoads returns the weight loads that the control state counts against
 // the limit.
-func (d *Daemon) activeWeightLoads() []*rpc.Load {
-	var loads []*rpc.Load
-	d.replica.View(func(s *state.State) { loads = s.Loads() })
+func (d *Daemon) activeWeightLoads() orders.CountedLoads {
+	var loads orders.CountedLoads
+	d.replica.View(func(s *state.State) { loads = orders.CountedLoads{Rows: s.Loads(), LogTime: s.Now()} })
 	return loads
 }
 
--- a/events/control.go
+++ b/events/control.go
@@ -49,5 +49,6 @@
 	ListEntrySkipped               = define(3043, zapcore.WarnLevel, "The platform's list has entries that name no endpoint to use; they are skipped.")
 	RolloutLagging                 = define(3044, zapcore.WarnLevel, "An endpoint has served older weights than their target for seconds.")
 	RolloutWithoutLease            = define(3045, zapcore.WarnLevel, "Endpoints have served older weights than their target for seconds, and this leader may not send orders.")
+	OrderLoadExpired               = define(3050, zapcore.WarnLevel, "A load that nobody saw end holds its slot of the weight store no more.")
 	PlatformListReadable           = define(3029, zapcore.InfoLevel, "The platform's list can be read again.")
 )
