A load that never ends holds no slot of the weight store for good

Callers get older weights from all other engines.

Cause: an engine whose load hangs answers every read that it is loading, and only silence for 10 minutes ended a load. As many such engines as there are slots, two by default, stopped all loads for good. So did engines that hang in a load which an operator has ordered, whether they answer or fall silent then: they have no row, and took a slot whenever they were last seen loading.

Evidence: TestLoadsThatNeverEndHoldNoSlotForGood and TestLoadsOfOthersThatNeverEndTakeNoSlotForGood (answering, and silent with the mend for answering engines alone) fail before.

Change: the time after which a load must have ended holds for engines that answer as well: by the row's date in the log's time, or, for loads without a row, by how long the holder has seen the engine loading. An engine that is still loading is not ordered again. The plan asks first whether an answer shows the load ended, then whether it has expired.

Remains: the time without a row begins anew with each holder of the lease.

--- a/control/orders/controller.go
+++ b/control/orders/controller.go
@@ -315,14 +315,13 @@
 
 // recordRead stores the result of a read.
 func (r *Controller) recordRead(endpoint tables.EndpointID, state engine.OrderState, err error) {
-	r.lastRead[endpoint] = r.options.Now()
-	if err == nil {
-		r.observations[endpoint] = Observation{Known: true, State: state}
+	now := r.options.Now()
+	r.lastRead[endpoint] = now
+	if err != nil {
+		r.observations[endpoint] = r.observations[endpoint].unanswered(now)
 		return
 	}
-	observation := r.observations[endpoint]
-	observation.Unreachable = true
-	r.observations[endpoint] = observation
+	r.observations[endpoint] = r.observations[endpoint].answered(now, state)
 }
 
 func endpointAddresses(c *tables.Configuration) map[tables.EndpointID]netip.AddrPort {
--- a/control/orders/plan.go
+++ b/control/orders/plan.go
@@ -17,7 +17,7 @@
 )
 
 // maxLoadDuration is how long a load keeps its slot of the weight store while
-// nobody sees whether it has ended. No load takes this long.
+// nobody sees it end. No load takes this long.
 const maxLoadDuration = 10 * time.Minute
 
 // Observation is the last observed state of an endpoint.
@@ -27,6 +27,26 @@
 	State engine.OrderState
 	// Unreachable is set if the endpoint did not answer the last read.
 	Unreachable bool
+	// LoadingSince is when the first of the answers in a row that show a load in
+	// progress came, and LoadingFor how long that was before the last read.
+	LoadingSince tables.Instant
+	LoadingFor   time.Duration
+}
+
+// answered returns the observation after a read that got an answer.
+func (o Observation) answered(now tables.Instant, state engine.OrderState) Observation {
+	next := Observation{Known: true, State: state, LoadingSince: now}
+	if o.State.Loading > 0 && state.Loading > 0 {
+		next.LoadingSince = o.LoadingSince
+	}
+	next.LoadingFor = now - next.LoadingSince
+	return next
+}
+
+// unanswered returns the observation after a read that got no answer.
+func (o Observation) unanswered(now tables.Instant) Observation {
+	o.Unreachable, o.LoadingFor = true, now-o.LoadingSince
+	return o
 }
 
 // answers reports whether the last read of the endpoint got an answer.
@@ -98,15 +118,14 @@
 // the endpoint restarted. The load then keeps its slot and the order is sent
 // again.
 //
-// The load of an endpoint that does not answer, or is not in the configuration
-// any more, may be running until it expires.
+// The load of an endpoint that does not answer, is not in the configuration
+// any more, or reports for ever that it is loading, may be running until it
+// expires.
 func ComputePlan(c *tables.Configuration, observations map[tables.EndpointID]Observation, counted CountedLoads) Plan {
 	var plan Plan
 	busy := map[tables.EndpointID]bool{}
 	missing := map[tables.EndpointID][]Load{}
-	isRead := map[tables.EndpointID]bool{}
 	for _, endpoint := range c.Endpoints {
-		isRead[endpoint.ID] = endpoint.Kind == tables.Engine
 		if endpoint.Kind == tables.Engine && !endpoint.Leaving {
 			missing[endpoint.ID] = missingLoads(c, endpoint, observations[endpoint.ID])
 		}
@@ -115,24 +134,17 @@
 		load := loadFromRow(row)
 		observation := observations[load.Endpoint]
 		switch {
-		case !observation.answers() || observation.State.Loading > 0 && !isRead[load.Endpoint]:
-			if counted.isExpired(row) {
-				plan.Expired = append(plan.Expired, load.Endpoint)
-				continue
-			}
-			busy[load.Endpoint] = true
-		case !slices.Contains(missing[load.Endpoint], load):
-			if observation.State.Loading == 0 {
+		case observation.answers() && observation.State.Loading == 0:
+			if !slices.Contains(missing[load.Endpoint], load) {
 				plan.Ended = append(plan.Ended, load.Endpoint)
 				continue
 			}
-			busy[load.Endpoint] = true
-		default:
-			busy[load.Endpoint] = true
-			if observation.State.Loading == 0 {
-				plan.Resend = append(plan.Resend, load)
-			}
+			plan.Resend = append(plan.Resend, load)
+		case counted.isExpired(row):
+			plan.Expired = append(plan.Expired, load.Endpoint)
+			continue
 		}
+		busy[load.Endpoint] = true
 	}
 	plan.Start = admissibleLoads(c, observations, missing, busy)
 	return plan
@@ -167,7 +179,8 @@
 
 // admissibleLoads returns the first load of each endpoint that is not busy, up
 // to the number of free slots of the weight store. Loads that an endpoint runs
-// without a row take slots too; operators can order such loads directly.
+// without a row take slots too, for as long as a load can take; operators can
+// order such loads directly.
 func admissibleLoads(c *tables.Configuration, observations map[tables.EndpointID]Observation, missing map[tables.EndpointID][]Load, busy map[tables.EndpointID]bool) []Load {
 	freeSlots := max(1, c.WeightLoads) - len(busy)
 	var candidates []Load
@@ -175,8 +188,10 @@
 		if busy[id] {
 			continue
 		}
-		if observations[id].State.Loading > 0 {
-			freeSlots--
+		if observation := observations[id]; observation.State.Loading > 0 {
+			if observation.LoadingFor < maxLoadDuration {
+				freeSlots--
+			}
 			continue
 		}
 		if len(loads) > 0 {
--- a/control/orders/stall_test.go
+++ b/control/orders/stall_test.go
@@ -80,3 +80,35 @@
 	}
 	assert.Assert(t, f.othersServe("w1", silent))
 }
+
+// Guards against a slot of an endpoint that answers for ever that it is loading.
+func TestLoadsThatNeverEndHoldNoSlotForGood(t *testing.T) {
+	f := newSimulation(t, 1, 6)
+	hung := f.configuration.Endpoints[:2]
+	for _, endpoint := range hung {
+		f.engines[endpoint.Address].loadTime = 1000 * time.Hour
+	}
+	f.advance(maxLoadDuration - time.Minute)
+	assert.Equal(t, len(f.state.Loads()), 2)
+	f.advance(3 * time.Minute)
+	assert.Assert(t, f.othersServe("w1", hung))
+	assert.Equal(t, f.instances[0].orders, len(f.engines), "a hung engine is ordered again")
+}
+
+// Guards against a load that an operator has ordered and that takes a slot for good.
+func TestLoadsOfOthersThatNeverEndTakeNoSlotForGood(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		f := newSimulation(t, 1, 6)
+		hung := f.configuration.Endpoints[:2]
+		for _, endpoint := range hung {
+			e := f.engines[endpoint.Address]
+			e.loading, e.loadTime, e.loadedAt = "other", 1000*time.Hour, 1000*time.Hour
+		}
+		f.advance(time.Minute)
+		for _, endpoint := range hung {
+			f.engines[endpoint.Address].unreachable = silent
+		}
+		f.advance(maxLoadDuration + time.Minute)
+		assert.Assert(t, f.othersServe("w1", hung), "silent: %v", silent)
+	}
+}
