A load that fails again and again holds no slot of the weight store

Callers get older weights from all other engines.

Cause: a load that is missing at an engine which loads nothing kept its slot, and its order was repeated in every step, for good. That was meant for orders that are lost and engines that restart. An engine that refuses the order, accepts it and fails at once, or crashes whenever it loads, looked the same: as many as there are slots, two by default, stopped all loads. At one engine, a model that can't be loaded also kept back all that come after it.

Evidence: TestFailedLoadsHoldNoSlotForGood (five kinds of failure), TestUnansweredOrdersHoldTheirSlotsForTheLongestLoad and TestFailedLoadDoesNotHoldUpOthersOfItsEndpoint fail before.

Change: exponential back-off by load. After a second answered order without effect the load has failed: its slot is freed, and it is ordered again after 30 s, doubling to 10 minutes, behind loads that have failed less often. The engine has answered and was read since, loading nothing, so no order is on its way and the limit on concurrent loads holds. An order without an answer, or with a gateway's, may be carried out later; it keeps its slot for 10 minutes. Event 3051 names the load.

Ruled out: freeing the slot after the first order without effect, which would put engines that restart once behind the others.

--- a/control/orders/controller.go
+++ b/control/orders/controller.go
@@ -78,6 +78,8 @@
 	// observations and lastRead are accessed by one step at a time.
 	observations map[tables.EndpointID]Observation
 	lastRead     map[tables.EndpointID]tables.Instant
+	// attempts holds the loads that were ordered and have not been seen done.
+	attempts map[Load]attempts
 	// acquireNotBefore is the time before which the lease is not requested,
 	// because another instance holds it.
 	acquireNotBefore tables.Instant
@@ -100,6 +102,7 @@
 		}),
 		observations: map[tables.EndpointID]Observation{},
 		lastRead:     map[tables.EndpointID]tables.Instant{},
+		attempts:     map[Load]attempts{},
 	}
 }
 
@@ -131,7 +134,8 @@
 		return
 	}
 	r.readEndpoints(ctx, c)
-	plan := ComputePlan(c, r.observations, r.options.CountedLoads())
+	r.forgetAttempts(c)
+	plan := r.computePlan(c, r.options.CountedLoads())
 	for _, endpoint := range plan.Ended {
 		r.unregisterLoad(ctx, endpoint)
 	}
@@ -139,16 +143,30 @@
 		events.OrderLoadExpired.Log(r.options.Log, zap.String("endpoint", string(endpoint)))
 		r.unregisterLoad(ctx, endpoint)
 	}
+	for _, load := range plan.Failed {
+		r.giveUp(ctx, load)
+	}
+	r.sendOrders(ctx, c, append(plan.Resend, plan.Start...))
+}
+
+// sendOrders sends the orders of one step and records which were answered.
+func (r *Controller) sendOrders(ctx context.Context, c *tables.Configuration, loads []Load) {
 	addresses := endpointAddresses(c)
+	outcomes := make([]orderOutcome, len(loads))
 	var orders sync.WaitGroup
-	for _, load := range append(plan.Resend, plan.Start...) {
-		address := addresses[load.Endpoint]
+	for i, load := range loads {
 		// What was read before the order does not show its load.
 		delete(r.lastRead, load.Endpoint)
 		delete(r.observations, load.Endpoint)
-		orders.Go(func() { r.orderLoad(ctx, address, load) })
+		orders.Go(func() { outcomes[i] = r.orderLoad(ctx, addresses[load.Endpoint], load) })
 	}
 	orders.Wait()
+	now := r.options.Now()
+	for i, load := range loads {
+		if outcomes[i] != notSent {
+			r.attempts[load] = r.attempts[load].ordered(now, outcomes[i] == answered)
+		}
+	}
 }
 
 // ensureLease acquires the lease, or renews it below renewBelow, and returns
@@ -174,6 +192,7 @@
 			// Observations from an earlier lease are outdated.
 			clear(r.observations)
 			clear(r.lastRead)
+			clear(r.attempts)
 		}
 	}
 	_, left = r.lease.TokenAndTTL()
@@ -183,19 +202,19 @@
 // orderLoad takes a slot for one load and then sends the order. An endpoint
 // that does not check fencing tokens accepts any order, so the lease must
 // outlast the order; the order is cancelled after orderTimeout.
-func (r *Controller) orderLoad(ctx context.Context, address netip.AddrPort, load Load) {
+func (r *Controller) orderLoad(ctx context.Context, address netip.AddrPort, load Load) orderOutcome {
 	fence, left := r.lease.TokenAndTTL()
 	if left < 2*orderTimeout {
-		return
+		return notSent
 	}
 	bounded, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
 	if !r.registerLoad(bounded, fence, load) {
-		return
+		return notSent
 	}
 	held, left := r.lease.TokenAndTTL()
 	if held != fence || left < orderTimeout {
-		return
+		return notSent
 	}
 	order := engine.Order{Fence: fence, Kind: engine.OrderLoadVersion, Model: load.Model, Adapter: load.Adapter, Weights: load.Weights}
 	if load.Adapter != "" {
@@ -208,13 +227,17 @@
 	if errors.As(err, &old) {
 		events.OrderFenced.Log(r.options.Log, zap.String("endpoint", string(load.Endpoint)),
 			zap.Uint64("fence", uint64(fence)), zap.Uint64("seen", uint64(old.Seen)))
-		return
+		return answered
 	}
-	// After any other error it is unknown whether the order was accepted. The
-	// next read of the endpoint shows it, and repeating the order is harmless.
 	if err != nil {
 		events.OrderFailed.Log(r.options.Log, zap.String("endpoint", string(load.Endpoint)), zap.Error(err))
 	}
+	// Without an answer it is unknown whether the order was accepted. The next
+	// read of the endpoint shows it, and repeating the order is harmless.
+	if !isAnswer(err) {
+		return unanswered
+	}
+	return answered
 }
 
 // registerLoad takes a slot of the weight store for the load.
--- a/control/orders/orders_test.go
+++ b/control/orders/orders_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"net/netip"
 	"sync"
 	"testing"
@@ -54,6 +55,11 @@
 	hangs bool
 	// loadTime overrides how long a load takes.
 	loadTime time.Duration
+	// order overrides what the engine does with an order. crashes is set if each load ends in a restart.
+	order   func(ctx context.Context) error
+	crashes bool
+	// refused are weights that the engine refuses to load.
+	refused tables.WeightsVersion
 }
 
 const loadTime = 3 * time.Second
@@ -111,11 +117,19 @@
 	return s.simulation.state.Execute(s.simulation.index, command), nil
 }
 
-func (s *simulatedInstance) Order(_ context.Context, at netip.AddrPort, order engine.Order) (engine.OrderState, error) {
+func (s *simulatedInstance) Order(ctx context.Context, at netip.AddrPort, order engine.Order) (engine.OrderState, error) {
 	s.simulation.mu.Lock()
 	defer s.simulation.mu.Unlock()
 	e := s.simulation.engines[at]
 	s.orders++
+	if e.order != nil {
+		s.simulation.mu.Unlock()
+		defer s.simulation.mu.Lock()
+		return engine.OrderState{}, e.order(ctx)
+	}
+	if order.Weights == e.refused {
+		return engine.OrderState{}, &engine.UnexpectedStatusError{Status: http.StatusBadRequest}
+	}
 	if e.loading != order.Weights {
 		e.loading, e.loadedAt = order.Weights, s.simulation.now+max(loadTime, e.loadTime)
 	}
@@ -163,7 +177,11 @@
 	for end := f.now + d; f.now < end; {
 		f.now += stepInterval
 		for _, e := range f.engines {
-			if e.loading != "" && f.now >= e.loadedAt {
+			switch {
+			case e.loading == "" || f.now < e.loadedAt:
+			case e.crashes:
+				e.loading = ""
+			default:
 				e.weights, e.loading = e.loading, ""
 			}
 		}
--- a/control/orders/plan.go
+++ b/control/orders/plan.go
@@ -104,49 +104,57 @@
 	// maxLoadDuration.
 	Ended   []tables.EndpointID
 	Expired []tables.EndpointID
+	// Failed lists counted loads that are given up for some time. Their slots are
+	// free from the next step on.
+	Failed []Load
 	// Resend lists counted loads whose order has to be sent again. Start lists
 	// new loads for which slots are free.
 	Resend []Load
 	Start  []Load
 }
 
-// ComputePlan compares the desired with the observed state.
+// computePlan compares the desired with the observed state.
 //
 // The load of a reachable endpoint ends only by the endpoint's own report: the
 // endpoint is loading nothing and what was loaded is not missing any more. If
 // it is loading nothing and the load is still missing, the order was lost or
 // the endpoint restarted. The load then keeps its slot and the order is sent
-// again.
+// again, until the load has failed.
 //
 // The load of an endpoint that does not answer, is not in the configuration
 // any more, or reports for ever that it is loading, may be running until it
 // expires.
-func ComputePlan(c *tables.Configuration, observations map[tables.EndpointID]Observation, counted CountedLoads) Plan {
+func (r *Controller) computePlan(c *tables.Configuration, counted CountedLoads) Plan {
 	var plan Plan
+	now := r.options.Now()
 	busy := map[tables.EndpointID]bool{}
 	missing := map[tables.EndpointID][]Load{}
 	for _, endpoint := range c.Endpoints {
 		if endpoint.Kind == tables.Engine && !endpoint.Leaving {
-			missing[endpoint.ID] = missingLoads(c, endpoint, observations[endpoint.ID])
+			missing[endpoint.ID] = missingLoads(c, endpoint, r.observations[endpoint.ID])
 		}
 	}
 	for _, row := range counted.Rows {
 		load := loadFromRow(row)
-		observation := observations[load.Endpoint]
+		observation := r.observations[load.Endpoint]
 		switch {
 		case observation.answers() && observation.State.Loading == 0:
 			if !slices.Contains(missing[load.Endpoint], load) {
 				plan.Ended = append(plan.Ended, load.Endpoint)
 				continue
 			}
-			plan.Resend = append(plan.Resend, load)
+			if r.attempts[load].haveFailed(now) {
+				plan.Failed = append(plan.Failed, load)
+			} else {
+				plan.Resend = append(plan.Resend, load)
+			}
 		case counted.isExpired(row):
 			plan.Expired = append(plan.Expired, load.Endpoint)
 			continue
 		}
 		busy[load.Endpoint] = true
 	}
-	plan.Start = admissibleLoads(c, observations, missing, busy)
+	plan.Start = r.admissibleLoads(c, missing, busy)
 	return plan
 }
 
@@ -178,26 +186,30 @@
 }
 
 // admissibleLoads returns the first load of each endpoint that is not busy, up
-// to the number of free slots of the weight store. Loads that an endpoint runs
-// without a row take slots too, for as long as a load can take; operators can
-// order such loads directly.
-func admissibleLoads(c *tables.Configuration, observations map[tables.EndpointID]Observation, missing map[tables.EndpointID][]Load, busy map[tables.EndpointID]bool) []Load {
+// to the number of free slots of the weight store, those that have failed least
+// first. Loads that an endpoint runs without a row take slots too, for as long as
+// a load can take; operators can order such loads directly.
+func (r *Controller) admissibleLoads(c *tables.Configuration, missing map[tables.EndpointID][]Load, busy map[tables.EndpointID]bool) []Load {
+	now := r.options.Now()
 	freeSlots := max(1, c.WeightLoads) - len(busy)
 	var candidates []Load
 	for id, loads := range missing {
 		if busy[id] {
 			continue
 		}
-		if observation := observations[id]; observation.State.Loading > 0 {
+		if observation := r.observations[id]; observation.State.Loading > 0 {
 			if observation.LoadingFor < maxLoadDuration {
 				freeSlots--
 			}
 			continue
 		}
-		if len(loads) > 0 {
-			candidates = append(candidates, loads[0])
+		i := slices.IndexFunc(loads, func(load Load) bool { return now >= r.attempts[load].retryAt })
+		if i >= 0 {
+			candidates = append(candidates, loads[i])
 		}
 	}
-	slices.SortFunc(candidates, func(a, b Load) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
+	slices.SortFunc(candidates, func(a, b Load) int {
+		return cmp.Or(cmp.Compare(r.attempts[a].failures, r.attempts[b].failures), cmp.Compare(a.Endpoint, b.Endpoint))
+	})
 	return candidates[:max(0, min(freeSlots, len(candidates)))]
 }
