A holder that reaches no engine gives the lease for orders up

Callers get older weights, as no load is ordered anywhere.

Cause: the lease ends when its holder does not reach the quorum. A holder that reaches the quorum and no engine, since its link to them is cut, renewed it for good, and all other instances waited.

Evidence: TestHolderThatReachesNoEngineGivesTheLeaseUp fails before.

Change: if reads have failed for 10 s and no engine has answered in between, the holder releases the lease and does not request it for the duration of a lease, within which all others have requested it. Where all engines are silent the instances take turns every 10 s, an entry of the log each. Holders still follow one another by the log: the release is sent at least 10 s after the last order, which is cancelled after 2 s. A deployment without engines keeps its holder (TestHolderWithoutEnginesKeepsTheLease; it passes before, too). Event 3052 tells operators.

Remains: a holder that reaches some engines and not others keeps the lease.

--- a/control/orders/controller.go
+++ b/control/orders/controller.go
@@ -30,6 +30,8 @@
 	// lease lasts at least this much longer, so that its answer arrives within
 	// the lease.
 	orderTimeout = 2 * time.Second
+	// isolationTimeout is how long no endpoint answers the holder of the lease before it gives the lease up.
+	isolationTimeout = 10 * time.Second
 	// readAdmission is the time of a step in which reads begin, so that each has the rest of orderTimeout.
 	readAdmission = orderTimeout / 2
 	// stepInterval is the interval of the control loop.
@@ -83,6 +85,8 @@
 	// acquireNotBefore is the time before which the lease is not requested,
 	// because another instance holds it.
 	acquireNotBefore tables.Instant
+	// isolatedSince is when the first read failed since an endpoint last answered, 0 if none has.
+	isolatedSince tables.Instant
 }
 
 // NewController returns a controller that does not hold the lease.
@@ -134,6 +138,10 @@
 		return
 	}
 	r.readEndpoints(ctx, c)
+	if r.isolatedSince != 0 && r.options.Now()-r.isolatedSince >= isolationTimeout {
+		r.giveUpLease(ctx)
+		return
+	}
 	r.forgetAttempts(c)
 	plan := r.computePlan(c, r.options.CountedLoads())
 	for _, endpoint := range plan.Ended {
@@ -193,12 +201,23 @@
 			clear(r.observations)
 			clear(r.lastRead)
 			clear(r.attempts)
+			r.isolatedSince = 0
 		}
 	}
 	_, left = r.lease.TokenAndTTL()
 	return left > 0
 }
 
+// giveUpLease releases the lease of an instance that no endpoint answers, and lets all others request it first.
+// Orders are sent to endpoints that answer, so none is on its way.
+func (r *Controller) giveUpLease(ctx context.Context) {
+	bounded, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	err := r.lease.Release(bounded)
+	events.OrdersLeaseGivenUp.Log(r.options.Log, zap.Error(err))
+	r.acquireNotBefore = r.options.Now() + LeaseDuration
+}
+
 // orderLoad takes a slot for one load and then sends the order. An endpoint
 // that does not check fencing tokens accepts any order, so the lease must
 // outlast the order; the order is cancelled after orderTimeout.
@@ -342,8 +361,10 @@
 	r.lastRead[endpoint] = now
 	if err != nil {
 		r.observations[endpoint] = r.observations[endpoint].unanswered(now)
+		r.isolatedSince = cmp.Or(r.isolatedSince, now)
 		return
 	}
+	r.isolatedSince = 0
 	r.observations[endpoint] = r.observations[endpoint].answered(now, state)
 }
 
--- a/control/orders/orders_test.go
+++ b/control/orders/orders_test.go
@@ -41,8 +41,10 @@
 	simulation  *simulation
 	controller  *Controller
 	partitioned bool
-	clockRate   float64
-	orders      int
+	// isolated is set if the instance reaches the quorum and no engine.
+	isolated  bool
+	clockRate float64
+	orders    int
 }
 
 // fakeEngine does not check fencing tokens.
@@ -122,6 +124,9 @@
 	defer s.simulation.mu.Unlock()
 	e := s.simulation.engines[at]
 	s.orders++
+	if s.isolated {
+		return engine.OrderState{}, context.DeadlineExceeded
+	}
 	if e.order != nil {
 		s.simulation.mu.Unlock()
 		defer s.simulation.mu.Lock()
@@ -149,7 +154,7 @@
 	if ctx.Err() != nil {
 		return engine.OrderState{}, ctx.Err()
 	}
-	if e.unreachable {
+	if e.unreachable || s.isolated {
 		return engine.OrderState{}, context.DeadlineExceeded
 	}
 	read := engine.OrderState{Weights: map[tables.ModelName]tables.WeightsVersion{"m": e.weights}}
--- a/control/orders/stall_test.go
+++ b/control/orders/stall_test.go
@@ -112,3 +112,30 @@
 		assert.Assert(t, f.othersServe("w1", hung), "silent: %v", silent)
 	}
 }
+
+// Guards against a holder of the lease that renews it and reaches no engine, while another instance would.
+func TestHolderThatReachesNoEngineGivesTheLeaseUp(t *testing.T) {
+	f := newSimulation(t, 2, 4)
+	f.advance(stepInterval)
+	first := f.leaseHolder()
+	first.isolated = true
+	f.advance(time.Minute)
+	assert.Assert(t, f.allServe("w1"))
+	for _, s := range f.instances {
+		s.isolated = true
+	}
+	f.advance(time.Minute)
+	f.configuration.Models[0].Weights = "w2"
+	first.isolated = false
+	f.advance(time.Minute)
+	assert.Assert(t, f.allServe("w2"))
+}
+
+// Guards against a lease that is given up since there is no engine to reach.
+func TestHolderWithoutEnginesKeepsTheLease(t *testing.T) {
+	f := newSimulation(t, 2, 0)
+	f.advance(stepInterval)
+	first := f.leaseHolder()
+	f.advance(time.Minute)
+	assert.Equal(t, f.leaseHolder(), first)
+}
--- a/events/control.go
+++ b/events/control.go
@@ -51,5 +51,6 @@
 	RolloutWithoutLease            = define(3045, zapcore.WarnLevel, "Endpoints have served older weights than their target for seconds, and this leader may not send orders.")
 	OrderLoadExpired               = define(3050, zapcore.WarnLevel, "A load that nobody saw end holds its slot of the weight store no more.")
 	OrderedLoadFailed              = define(3051, zapcore.WarnLevel, "An endpoint was ordered to load weights and neither loads nor serves them; they are ordered again later.")
+	OrdersLeaseGivenUp             = define(3052, zapcore.WarnLevel, "The lease for orders to endpoints is given up, because no endpoint answers this instance.")
 	PlatformListReadable           = define(3029, zapcore.InfoLevel, "The platform's list can be read again.")
 )
