A leader that is cut off from the platform's list hides no endpoint

Callers get no answer from endpoints that joined, and requests go to endpoints that left, for as long as one instance cannot reach the list.

Cause: the leader reads the list for all. The others mirror its table for as long as it answers them, whether or not it can read the list, and a leader that cannot keeps its place.

Change: answers carry the age of the leader's list already. An instance that hears of a list older than 3 s reads the list itself; all that do share the leader's rate of calls. An instance that cannot read the list asks the other members of the control group for theirs and uses the newest one, if that is newer than its own, under its own age. So the leader's table follows the list, some seconds later than otherwise, and all mirror it. The gauge of the list's age counted answers of the leader in place of its list; it now shows the list. Event 3053 tells where the list comes from.

Ruled out: handing leadership over, since leadership would move about while the list is down for all, and the log decides by other links.

Limits: a relayed list shows the weights that the other instance knows, not what the platform's list shows.

--- a/events/control.go
+++ b/events/control.go
@@ -52,5 +52,6 @@
 	OrderLoadExpired               = define(3050, zapcore.WarnLevel, "A load that nobody saw end holds its slot of the weight store no more.")
 	OrderedLoadFailed              = define(3051, zapcore.WarnLevel, "An endpoint was ordered to load weights and neither loads nor serves them; they are ordered again later.")
 	OrdersLeaseGivenUp             = define(3052, zapcore.WarnLevel, "The lease for orders to endpoints is given up, because no endpoint answers this instance.")
+	PlatformListRelayed            = define(3053, zapcore.InfoLevel, "The platform's list cannot be read here; the list that another control instance has read is used if there is one.")
 	PlatformListReadable           = define(3029, zapcore.InfoLevel, "The platform's list can be read again.")
 )
--- a/node/control.go
+++ b/node/control.go
@@ -130,21 +130,23 @@
 
 // pollList keeps the endpoint table up to date from the platform's list. The list limits the
 // rate of calls of all instances together, so only the leader polls it. The other control
-// instances mirror the leader's table, and poll the list while they cannot reach the leader.
+// instances mirror the leader's table, and poll the list while they cannot reach the leader or
+// the leader cannot read it.
 func (n *Node) pollList(ctx context.Context) {
 	list := n.options.Platform.NewLister(n.options.Settings.List)
 	ticker := time.NewTicker(listPollInterval)
 	defer ticker.Stop()
-	failing := false
+	failing, relayedFrom := false, ""
+	var readAt tables.Instant
 	for {
-		if n.shouldPollList() {
-			readAt := n.now()
+		if n.shouldPollList() && n.isListDue(readAt) {
+			readAt = n.now()
 			endpoints, err := list.Endpoints(ctx)
 			if err == nil {
-				endpoints = slices.DeleteFunc(endpoints, func(e fleet.Endpoint) bool { return n.isOwnAddress(e.Address) })
-				n.fleet.ApplyList(append(endpoints, n.kvStores.endpoints()...))
-				n.listReadAt.Store(int64(readAt))
-				n.observeSoftware(endpoints, readAt)
+				n.applyList(endpoints, readAt)
+				relayedFrom = ""
+			} else {
+				relayedFrom = n.relayList(ctx, relayedFrom)
 			}
 			n.logListTransition(ctx, failing, err)
 			failing = err != nil
@@ -157,6 +159,14 @@
 	}
 }
 
+// applyList puts a list in force that was read at the given time.
+func (n *Node) applyList(endpoints []fleet.Endpoint, readAt tables.Instant) {
+	endpoints = slices.DeleteFunc(endpoints, func(e fleet.Endpoint) bool { return n.isOwnAddress(e.Address) })
+	n.fleet.ApplyList(append(endpoints, n.kvStores.endpoints()...))
+	n.listReadAt.Store(int64(readAt))
+	n.observeSoftware(endpoints, readAt)
+}
+
 // observeSoftware records the versions of the endpoints on a list that was read at the given time.
 func (n *Node) observeSoftware(listed []fleet.Endpoint, readAt tables.Instant) {
 	endpoints := make(map[tables.EndpointID]fleet.Endpoint, len(listed))
@@ -177,14 +187,26 @@
 	}
 }
 
-// shouldPollList reports whether this instance leads or has not heard from the leader within
-// leaderTimeout.
+// shouldPollList reports whether this instance leads, does not hear the leader, or has heard that
+// the leader's list is old.
 func (n *Node) shouldPollList() bool {
-	if n.replica.Status().IsLeader {
+	return n.replica.Status().IsLeader || !n.hearsLeader() || n.now()-time.Duration(n.leaderListAt.Load()) > maxLeaderListAge
+}
+
+// isListDue reports whether this instance may read the list again after its last read began. All
+// instances that read it in place of a leader that they hear share the leader's rate.
+func (n *Node) isListDue(lastRead tables.Instant) bool {
+	status := n.replica.Status()
+	if status.IsLeader || !n.hearsLeader() {
 		return true
 	}
+	return n.now()-lastRead >= time.Duration(len(status.Members))*listPollInterval
+}
+
+// hearsLeader reports whether the leader has answered within leaderTimeout.
+func (n *Node) hearsLeader() bool {
 	heardAt := n.leaderHeardAt.Load()
-	return heardAt == 0 || n.now()-time.Duration(heardAt) > leaderTimeout
+	return heardAt != 0 && n.now()-time.Duration(heardAt) <= leaderTimeout
 }
 
 // followLeader mirrors the leader's endpoint table until the context ends.
@@ -202,7 +224,9 @@
 				n.leaderHeardAt.Store(int64(n.now()))
 			}
 			if answer.ListAgeNanos != nil {
-				n.software.RecordListRead(n.now() - time.Duration(answer.GetListAgeNanos()))
+				readAt := n.now() - time.Duration(answer.GetListAgeNanos())
+				n.leaderListAt.Store(int64(readAt))
+				n.software.RecordListRead(readAt)
 			}
 		},
 		Log: n.log,
--- a/node/controlmetrics.go
+++ b/node/controlmetrics.go
@@ -14,7 +14,7 @@
 	voter := n.registry.Gauge("carawaystile_votes", "1 if this control replica votes.")
 	orders := n.registry.Gauge("carawaystile_orders_lease_held", "1 if this instance gives orders to endpoints.")
 	lag := n.registry.Gauge("carawaystile_replica_lag_seconds", "How long ago the state of this control replica was known to be the newest of its group; -1 if it never was.")
-	listed := n.registry.Gauge("carawaystile_list_age_seconds", "Time since this instance last read the platform's list, or heard it from the leader.")
+	listed := n.registry.Gauge("carawaystile_list_age_seconds", "Time since this instance last read the platform's list, or the leader did whose endpoints it has.")
 	behind := n.registry.Gauge("carawaystile_rollout_endpoints_behind", "Endpoints that serve older weights than their target.")
 	oldest := n.registry.Gauge("carawaystile_rollout_lag_seconds", "How long the endpoint that lags longest has served older weights than their target.")
 	n.registry.BeforeWrite(func() {
@@ -26,7 +26,7 @@
 		voter.Update(boolToFloat(status.IsVoter))
 		lag.Update(lagSeconds(status.Lag))
 		orders.Update(boolToFloat(n.rollout.HoldsLease()))
-		latest := max(n.listReadAt.Load(), n.leaderHeardAt.Load())
+		latest := max(n.listReadAt.Load(), n.leaderListAt.Load())
 		listed.Update((n.now() - time.Duration(latest)).Seconds())
 		n.replica.View(func(st *state.State) {
 			for _, document := range st.Documents() {
--- a/node/node.go
+++ b/node/node.go
@@ -186,6 +186,9 @@
 	initializedAt atomic.Int64
 	// leaderHeardAt is when the leader last answered; 0 if it has not yet.
 	leaderHeardAt atomic.Int64
+	// leaderListAt is when the leader had read the platform's list, by its latest answer; 0 if it
+	// is not known.
+	leaderListAt atomic.Int64
 	// listReadAt is when the platform's list was last read; 0 if it has not been read yet.
 	listReadAt atomic.Int64
 
