A leader that stops hands over to a voter that answers heartbeats

Callers are refused with 5032 while the control group has no leader after a planned stop.

Cause: the successor was the voter with the longest log among those that had responded within an election timeout, 0.8 s, the first one at equal logs. A voter that has just fallen silent counts, and with few commands its log is as long as any. It takes no leadership, the leader waits 0.5 s for it and ends, and the group notices that by an election timeout.

Change: voters that have answered one of the last two heartbeats come first; among them, and among the others, the log decides. A voter whose log is behind gets the rest of it before it is told to start an election, as before.

Ruled out: a second transfer after the first has failed; it takes an election timeout to know that, which is longer than Close may wait.

--- a/control/server/close.go
+++ b/control/server/close.go
@@ -50,6 +50,34 @@
 	}
 }
 
+// maxMissedHeartbeats is how many heartbeats in a row a voter may leave unanswered before one that answers
+// them is a better successor.
+const maxMissedHeartbeats = 2
+
+// chooseSuccessor returns the voter whose log is most up to date among those that answer heartbeats, or else
+// among those that have responded within an election timeout. One that has fallen silent since takes no
+// leadership, and the group would have no leader until that is noticed.
+func chooseSuccessor(status replog.Status, electionTicks int) replog.ReplicaID {
+	best := replog.None
+	for _, voter := range status.Members.Voters() {
+		progress, known := status.Progress[voter]
+		responds := known && voter != status.ID && progress.TicksSinceResponse <= electionTicks
+		if responds && (best == replog.None || isBetterSuccessor(progress, status.Progress[best])) {
+			best = voter
+		}
+	}
+	return best
+}
+
+func isBetterSuccessor(a, b replog.Progress) bool {
+	answersA, answersB := answersHeartbeats(a), answersHeartbeats(b)
+	return answersA && !answersB || answersA == answersB && a.Match > b.Match
+}
+
+func answersHeartbeats(p replog.Progress) bool {
+	return p.TicksSinceResponse <= maxMissedHeartbeats*defaultHeartbeatTicks
+}
+
 // HandOver prepares the end of this replica. It is called while the other control instances can still
 // reach it: another replica takes over leadership, and a learner, if there is one, votes in place of
 // this one. The instance may be gone for good, and until the learner votes, the group tolerates one
--- a/control/server/event_loop.go
+++ b/control/server/event_loop.go
@@ -82,19 +82,10 @@
 	}
 }
 
-// transferLeadership transfers leadership to the voter whose log is most up to date
-// among those that respond.
+// transferLeadership transfers leadership to a successor, if there is one.
 func (s *Server) transferLeadership() {
-	status := s.node.Status()
-	best := replog.None
-	for _, voter := range status.Members.Voters() {
-		progress, known := status.Progress[voter]
-		responds := known && voter != status.ID && progress.TicksSinceResponse <= s.options.ElectionTicks
-		if responds && (best == replog.None || progress.Match > status.Progress[best].Match) {
-			best = voter
-		}
-	}
-	if best == replog.None || s.node.TransferLeadership(best) != nil {
+	to := chooseSuccessor(s.node.Status(), s.options.ElectionTicks)
+	if to == replog.None || s.node.TransferLeadership(to) != nil {
 		s.finishTransfer()
 	}
 }
