An endpoint that was listed as draining once is used again

Callers are refused for lack of capacity while a sound endpoint gets nothing.

Cause: Draining stays set within the life of a process, in the table, in mirrors of it and in replicas, so that an old page of the list sends no requests to an endpoint that leaves. So one entry of another writer that shows an endpoint of ours as draining kept it from requests and from orders until it restarted.

Evidence: TestEndpointListedAsDrainingOnceIsUsedAgain fails before, at the leader.

Rows of one process merge by this count: the higher one wins, at equal counts the mark stays. So mirrors and replicas follow, and a table that has not heard of it does not bring the mark back. An end that the process itself has announced stays, unless the list shows it as draining and takes that back.

What keeps the old promise: TestStaleListDoesNotRevertDraining is unchanged, TestLeavingEndpointIsNotReinstated plays old pages up to the limit and another instance's table, TestReinstatedEndpointMayLeave an end after it.

Ruled out: trusting deltas of the source that is followed, which a change of source undoes for good.

rpc/deployment.proto has one field more; older instances ignore it and keep the mark, as before.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -29,6 +29,8 @@
 	// Draining is set once the platform's list has shown the endpoint as leaving, or the
 	// endpoint has announced it.
 	Draining bool
+	// Reinstated counts how often Draining was taken back in the life of this process.
+	Reinstated uint32
 	// Loading is set while the endpoint executes an order to load other weights.
 	// Until the load is done, the endpoint declines requests that have not started.
 	Loading bool
@@ -52,10 +54,21 @@
 // Equal reports whether two endpoints agree in every field.
 func (e *Endpoint) Equal(other *Endpoint) bool {
 	return e.ID == other.ID && e.Service == other.Service && e.Address == other.Address && e.Zone == other.Zone &&
-		e.Slots == other.Slots && e.Software == other.Software && e.Draining == other.Draining && e.Loading == other.Loading && e.StartUnixMilli == other.StartUnixMilli && e.IsKVStore == other.IsKVStore &&
+		e.Slots == other.Slots && e.Software == other.Software && e.Draining == other.Draining && e.Reinstated == other.Reinstated && e.Loading == other.Loading && e.StartUnixMilli == other.StartUnixMilli && e.IsKVStore == other.IsKVStore &&
 		maps.Equal(e.Weights, other.Weights)
 }
 
+// mergeDraining takes over Draining from what is known of the same process: it stays set unless the row comes
+// from a table that has taken it back since.
+func (e *Endpoint) mergeDraining(known *Endpoint) {
+	switch {
+	case known.Reinstated > e.Reinstated:
+		e.Draining, e.Reinstated = known.Draining, known.Reinstated
+	case known.Reinstated == e.Reinstated:
+		e.Draining = e.Draining || known.Draining
+	}
+}
+
 // encode returns the message for an endpoint, with the weights sorted by model.
 func encode(e *Endpoint) *rpc.FleetEndpoint {
 	out := &rpc.FleetEndpoint{
@@ -69,6 +82,8 @@
 		Born:     e.StartUnixMilli,
 		Store:    e.IsKVStore,
 		Software: e.Software,
+
+		Reinstated: e.Reinstated,
 	}
 	for _, model := range slices.Sorted(maps.Keys(e.Weights)) {
 		out.Weights = append(out.Weights, &rpc.ModelWeights{Model: model, Version: e.Weights[model]})
@@ -89,6 +104,7 @@
 		Zone:           tables.Zone(in.GetZone()),
 		Slots:          int(in.GetSlots()),
 		Draining:       in.GetDraining(),
+		Reinstated:     in.GetReinstated(),
 		Loading:        in.GetLoading(),
 		StartUnixMilli: in.GetBorn(),
 		IsKVStore:      in.GetStore(),
--- a/fleet/replica.go
+++ b/fleet/replica.go
@@ -29,8 +29,8 @@
 // returned as errors of type *DecodeError; the rest of the update takes effect.
 //
 // A full update may come from another control instance whose list is older.
-// Within one incarnation of an endpoint, Draining therefore stays set and the
-// versions of weights never decrease. Otherwise a change of the source would send
+// Within one incarnation of an endpoint, Draining therefore stays set, unless a
+// table has taken it back, and the versions of weights never decrease. Otherwise a change of the source would send
 // requests to an endpoint that is known to be leaving.
 func (r *Replica) Apply(update *rpc.Fleet) error {
 	if update == nil {
@@ -48,7 +48,7 @@
 			continue
 		}
 		if before, ok := known[e.ID]; ok && before.StartUnixMilli == e.StartUnixMilli {
-			e.Draining = e.Draining || before.Draining
+			e.mergeDraining(&before)
 			for model, version := range before.Weights {
 				e.Weights[model] = max(e.Weights[model], version)
 			}
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -37,6 +37,8 @@
 	// listed is what the list showed when it was last applied, listsApplied how often it was.
 	listed       map[tables.EndpointID]map[string]uint64
 	listsApplied uint64
+	// readyLists counts, by endpoint that is Draining, the lists in a row that show it as ready.
+	readyLists map[tables.EndpointID]int
 	// cachedDeltas holds the deltas computed since the last change, by base version, and
 	// cachedFull the full update. Replicas share them, since most request the same one.
 	cachedDeltas map[uint64]*rpc.Fleet
@@ -66,12 +68,14 @@
 func NewTable(source uint64) *Table {
 	return &Table{
 		source: source, rows: map[tables.EndpointID]*row{}, changed: make(chan struct{}), cachedDeltas: map[uint64]*rpc.Fleet{},
+		readyLists: map[tables.EndpointID]int{},
 	}
 }
 
 // ApplyList replaces the rows by the platform's list. The list lags, and an older
 // page of it must not revert newer information: within one incarnation, Draining
-// stays set and the versions of weights never decrease.
+// stays set until many lists in a row show the endpoint without it, and the
+// versions of weights never decrease.
 func (t *Table) ApplyList(listed []Endpoint) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -80,7 +84,7 @@
 	chosen := t.uniqueByID(listed)
 	for i, e := range listed {
 		if chosen[e.ID] == i {
-			changed = t.upsert(t.merge(e)) || changed
+			changed = t.upsert(t.mergeListed(e)) || changed
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(t.rows)) {
@@ -118,15 +122,20 @@
 	return first
 }
 
+// isSameProcess reports whether a listed endpoint may be the process of a known row, which may be nil.
+func isSameProcess(known *row, listed Endpoint) bool {
+	return known != nil && (known.StartUnixMilli == listed.StartUnixMilli || listed.StartUnixMilli == 0)
+}
+
 // merge combines a listed endpoint with the known row of the same incarnation. A
 // listed endpoint without a start time counts as the same incarnation.
 func (t *Table) merge(listed Endpoint) Endpoint {
 	e := listed.Clone()
 	known := t.rows[e.ID]
-	if known == nil || known.StartUnixMilli != e.StartUnixMilli && e.StartUnixMilli != 0 {
+	if !isSameProcess(known, e) {
 		return e
 	}
-	e.Draining = e.Draining || known.Draining
+	e.mergeDraining(&known.Endpoint)
 	e.Loading = known.Loading
 	for model, version := range known.Weights {
 		e.Weights[model] = max(e.Weights[model], version)
@@ -150,6 +159,7 @@
 	t.mutate(id, func(e *Endpoint) {
 		if e.StartUnixMilli == startUnixMilli || e.StartUnixMilli == 0 || startUnixMilli == 0 {
 			e.Draining = true
+			t.readyLists[id] = announcedDraining
 		}
 	})
 }
@@ -243,6 +253,7 @@
 // the oldest tombstone; deltas from versions before that removal are then impossible.
 func (t *Table) remove(id tables.EndpointID) {
 	delete(t.rows, id)
+	delete(t.readyLists, id)
 	t.tombstones = append(t.tombstones, tombstone{id: id, version: t.version + 1})
 	if len(t.tombstones) > maxTombstones {
 		t.oldestDeltaBase = t.tombstones[0].version
