A control instance that falls silent is left by the next call

Claims are lost, and callers are told that the outcome of their work is unknown.

Cause: each call begins at the control instance that answered last, and goes on after 2 s. The deadline of keep-alives is 2 s as well, so one that begins at a silent instance asks no other, and nothing was learned from that: the next one begins there again. Claims that are not kept alive are taken over after 6 s.

Evidence: TestSilentControlInstanceIsLeftByTheNextCall fails before, with deadlines up to that of an attempt; with twice that it passes before.

Change: an instance that has failed is preferred no more, by whichever call notices first.

Ruled out: shorter attempts; a live instance would be abandoned while its group elects a leader.

--- a/control/client/executor.go
+++ b/control/client/executor.go
@@ -28,11 +28,12 @@
 
 // FailoverExecutor is a client-side failover over several control instances: it
 // prefers the instance that responded last, and moves on to the next one after a
-// failure. It is safe for concurrent use.
+// failure, also for later calls. It is safe for concurrent use.
 type FailoverExecutor struct {
 	executors []Executor
-	// lastResponder is the index of the executor that responded last.
-	lastResponder atomic.Uint64
+	// preferred is the index of the executor that responded last, or of the next one
+	// after that has failed.
+	preferred atomic.Uint64
 }
 
 // NewFailoverExecutor returns a FailoverExecutor over control instances in order of
@@ -45,7 +46,7 @@
 // ends. Retrying a command is safe, because every command identifies its sender and
 // request. The error is *tables.NoQuorumError.
 func (f *FailoverExecutor) Execute(ctx context.Context, command *rpc.Command) (*rpc.Result, error) {
-	start := f.lastResponder.Load()
+	start := f.preferred.Load()
 	var lastErr error = &NoControlInstancesError{}
 	for attempt := uint64(0); len(f.executors) > 0; attempt++ {
 		i := (start + attempt) % uint64(len(f.executors))
@@ -53,9 +54,11 @@
 		result, err := f.executors[i].Execute(bounded, command)
 		cancel()
 		if err == nil {
-			f.lastResponder.Store(i)
+			f.preferred.Store(i)
 			return result, nil
 		}
+		// A caller's deadline may allow for one attempt only.
+		f.preferred.CompareAndSwap(i, (i+1)%uint64(len(f.executors)))
 		lastErr = err
 		if !sleep(ctx, retryDelay) {
 			break
