--- a/fleet/table.go
+++ b/fleet/table.go
@@ -39,6 +39,8 @@
 	listsApplied uint64
 	// reports holds what endpoints have reported to this instance itself.
 	reports map[tables.EndpointID]*reportedWeights
+	// readyLists counts, by endpoint that is Draining, the lists in a row that show it as ready.
+	readyLists map[tables.EndpointID]int
 	// cachedDeltas holds the deltas computed since the last change, by base version, and
 	// cachedFull the full update. Replicas share them, since most request the same one.
 	cachedDeltas map[uint64]*rpc.Fleet
@@ -68,13 +70,15 @@
 func NewTable(source uint64) *Table {
 	return &Table{
 		source: source, rows: map[tables.EndpointID]*row{}, changed: make(chan struct{}), cachedDeltas: map[uint64]*rpc.Fleet{},
-		reports: map[tables.EndpointID]*reportedWeights{},
+		reports:    map[tables.EndpointID]*reportedWeights{},
+		readyLists: map[tables.EndpointID]int{},
 	}
 }
 
 // ApplyList replaces the rows by the platform's list. The list lags, and an older
 // page of it must not revert newer information: within one incarnation, Draining
-// stays set and the list never lowers the versions of weights.
+// stays set until many lists in a row show the endpoint without it, and the list
+// never lowers the versions of weights.
 func (t *Table) ApplyList(listed []Endpoint) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -83,7 +87,7 @@
 	chosen := t.uniqueByID(listed)
 	for i, e := range listed {
 		if chosen[e.ID] == i {
-			changed = t.upsert(t.merge(e)) || changed
+			changed = t.upsert(t.mergeListed(e)) || changed
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(t.rows)) {
@@ -121,15 +125,20 @@
 	return first
 }
 
+// isSameProcess reports whether a listed endpoint may be the process of a known row, which may be nil.
+func isSameProcess(known *row, listed Endpoint) bool {
+	return known != nil && (known.StartUnixMilli == listed.StartUnixMilli || listed.StartUnixMilli == 0)
+}
+
 // merge combines a listed endpoint with the known row of the same incarnation. A
 // listed endpoint without a start time counts as the same incarnation.
 func (t *Table) merge(listed Endpoint) Endpoint {
 	e := listed.Clone()
 	known := t.rows[e.ID]
-	if known == nil || known.StartUnixMilli != e.StartUnixMilli && e.StartUnixMilli != 0 {
+	if !isSameProcess(known, e) {
 		return e
 	}
-	e.Draining = e.Draining || known.Draining
+	e.mergeDraining(&known.Endpoint)
 	e.Loading = known.Loading
 	if e.Weights == nil {
 		e.Weights = make(map[string]uint64, len(known.Weights))
@@ -154,6 +163,7 @@
 	t.mutate(id, func(e *Endpoint) {
 		if e.mayStartAt(startUnixMilli) {
 			e.Draining = true
+			t.readyLists[id] = announcedDraining
 		}
 	})
 }
@@ -253,6 +263,7 @@
 func (t *Table) remove(id tables.EndpointID) {
 	delete(t.rows, id)
 	delete(t.reports, id)
+	delete(t.readyLists, id)
 	t.tombstones = append(t.tombstones, tombstone{id: id, version: t.version + 1})
 	if len(t.tombstones) > maxTombstones {
 		t.oldestDeltaBase = t.tombstones[0].version
