Links that are back by the first probe are used again

What callers see: all requests of an instance go through other instances, or are refused where these have no room, for good, though its own links work.

Cause: an instance takes its links as lost once four endpoints have accepted no connection with no response in between. It then sends nothing over them, and watchLinks finds out when they are back; that begins with a probe that fails. If the links are back by the first probe after the attempts that failed, no probe fails, nobody watches, and the probes that succeeded were not recorded. Attempts through others say nothing of the links.

Evidence: TestLinksThatAreBackByTheFirstProbeAreUsed failed before.

Change: a probe that succeeds at once is recorded as a response over the link, as those of watchLinks are.

Ruled out: to begin to watch with the attempts that failed: the probes of their endpoints answer the question already.

go test -race ./forward passes.

--- a/forward/healthcheck.go
+++ b/forward/healthcheck.go
@@ -177,10 +177,12 @@
 			return
 		}
 	}
-	if unreachable {
-		events.EndpointReached.Log(h.server.log, zap.String("endpoint", string(e.ID)))
-		h.server.setReachable(e.ID, true)
+	if !unreachable {
+		h.server.recordLinkResponse()
+		return
 	}
+	events.EndpointReached.Log(h.server.log, zap.String("endpoint", string(e.ID)))
+	h.server.setReachable(e.ID, true)
 }
 
 // reroutePending cancels the attempts that wait for a response of an endpoint, if their requests
--- a/forward/healthcheck_test.go
+++ b/forward/healthcheck_test.go
@@ -133,3 +133,22 @@
 	assert.Equal(t, <-answer, "ok")
 	assert.Equal(t, h.deliveredCount(), 1)
 }
+
+// Guards against an instance that sends everything through others for good, since its links are back by the
+// first probe after the attempts that failed, and no other one is made.
+func TestLinksThatAreBackByTheFirstProbeAreUsed(t *testing.T) {
+	h := newHarness(t, respond(200, "ok"), respond(200, "ok"), respond(200, "ok"), respond(200, "ok"))
+	s := h.server
+	r := &dispatch.Request{Service: s.Service("desk"), Route: &routes.Route{}, Deadline: time.Hour}
+	for range 4 {
+		a, reason := s.PlaceRequest(r)
+		assert.Assert(t, a != nil, "%s", reason)
+		s.recordOutcome(a, dispatch.ConnectTimeout)
+		r.Tried = append(r.Tried, a.Endpoint.ID)
+	}
+	assert.Assert(t, s.LinksLost())
+	for _, id := range r.Tried {
+		s.healthChecker.probeUntilReachable(s.Endpoints()[id])
+	}
+	assert.Assert(t, !s.LinksLost())
+}
