A run whose endpoint went back to older weights is not continued

An endpoint with retained runs that a late order takes back to an older version makes the rest of their memory by it. Any other known version now counts; 0 is unknown. The test fails with the condition of before; go test ./dispatch ./forward passes.

--- a/dispatch/backups.go
+++ b/dispatch/backups.go
@@ -196,10 +196,11 @@
 	return known
 }
 
-// MayHaveChanged reports whether the endpoint may have made a part of the run's memory by newer weights. It
-// may load the target at any time, and the first event after that may not have arrived.
+// MayHaveChanged reports whether the endpoint may have made a part of the run's memory by other weights. It
+// may load the target at any time, and the first event after that may not have arrived. An order that is carried
+// out late takes it back to older ones.
 func (w RunWeights) MayHaveChanged() bool {
-	return w.Loading || w.Endpoint > w.Run || w.Target > w.Run
+	return w.Loading || w.Endpoint != 0 && w.Endpoint != w.Run || w.Target > w.Run
 }
 
 // Continue counts an attempt that continues the run of an ended attempt at its backup endpoint.
--- a/dispatch/backups_test.go
+++ b/dispatch/backups_test.go
@@ -255,3 +255,11 @@
 	_, refusal := d.Continue(time.Second, r, a)
 	assert.Equal(t, refusal, BackupUnavailable)
 }
+
+// Guards against a run that goes on from memory which its endpoint has made in part by older weights, after a late
+// order took it back.
+func TestRunIsNotContinuedOnceItsEndpointWentBack(t *testing.T) {
+	assert.Assert(t, !RunWeights{Run: 3, Endpoint: 3, Backup: 3, Target: 3}.MayHaveChanged())
+	assert.Assert(t, RunWeights{Run: 3, Endpoint: 2, Backup: 3, Target: 3}.MayHaveChanged())
+	assert.Assert(t, !RunWeights{Run: 3, Target: 3}.MayHaveChanged(), "not known")
+}
