Loads that the planner has not ordered itself hold slots

A new holder of the lease polls the engines that its predecessor has ordered, finds them busy, and left them out of slotsInUse: each change of the holder, and each release for a newer fencing token, added up to a fifth of the engines to those that load. In virtual time, nine engines with loads of 3 s and a change of the holder a second after every second order: 6 loaded at once before, at most 3 now, the limit being 2 and one order under way. The slot ends with a report that shows no load, a poll without an answer, a back-off, draining, or once the load is overdue.

--- a/control/rollout/announcements.go
+++ b/control/rollout/announcements.go
@@ -14,7 +14,7 @@
 	if r == nil {
 		return
 	}
-	r.polling = false
+	r.polling, r.loadsUnordered = false, false
 	r.pausedUntil = max(r.pausedUntil, now+d)
 	if r.phase == updating {
 		r.unconfirmed = true
--- a/control/rollout/belief.go
+++ b/control/rollout/belief.go
@@ -12,6 +12,12 @@
 // older then may be what the engine has gone back to.
 const maxListAge = 3 * time.Second
 
+// restartedAs reports whether a listed start is that of another process. The list may still show the process
+// before the known one.
+func (r *engineState) restartedAs(startUnixMilli int64) bool {
+	return startUnixMilli != 0 && startUnixMilli != r.StartUnixMilli && startUnixMilli != r.process
+}
+
 // confirm takes the weights over that an engine reports. They may be older than those known: an engine goes back
 // if an order of an earlier version reaches it after it has restarted, and what an entry of the list claimed may
 // be wrong. A report that was requested soon after the known weights were shown may just be older than these.
--- a/control/rollout/planner.go
+++ b/control/rollout/planner.go
@@ -89,6 +89,9 @@
 	unconfirmed bool
 	// pausedUntil is when the back-off that the engine has requested ends.
 	pausedUntil tables.Instant
+	// loadsUnordered is set while an idle engine reports a load: an earlier holder of the lease has ordered it, or
+	// the order was carried out late.
+	loadsUnordered bool
 	// loadingSince is when the load that is in progress was accepted or first seen, 0 if none is.
 	loadingSince tables.Instant
 }
@@ -126,8 +129,9 @@
 }
 
 // UpdateEndpoints replaces the list of known endpoints. Endpoints without weights are ignored, unless others of
-// their service have some: those are engines, and a poll tells what they serve. A restarted endpoint loses its update state. For the others what they have shown themselves is kept: the
-// list lags, and may have entries of other writers.
+// their service have some: those are engines, and a poll tells what they serve. A restarted endpoint loses its
+// update state. For the others what they have shown themselves is kept: the list lags, and may have entries of
+// other writers.
 func (p *Planner) UpdateEndpoints(endpoints []fleet.Endpoint) {
 	present := make(map[tables.EndpointID]bool, len(endpoints))
 	for _, e := range endpoints {
@@ -166,12 +170,6 @@
 	return &engineState{Endpoint: e, process: e.StartUnixMilli, doubted: len(e.Weights) == 0}
 }
 
-// restartedAs reports whether a listed start is that of another process. The list may still show the process
-// before the known one.
-func (r *engineState) restartedAs(startUnixMilli int64) bool {
-	return startUnixMilli != 0 && startUnixMilli != r.StartUnixMilli && startUnixMilli != r.process
-}
-
 // Action is a call to an engine: an order if Version is set, a poll otherwise.
 type Action struct {
 	Endpoint fleet.Endpoint
@@ -297,7 +295,7 @@
 	if r == nil {
 		return false
 	}
-	r.polling = false
+	r.polling, r.loadsUnordered = false, false
 	if report == nil {
 		r.nextPollAt = now + pollRetryDelay
 		r.unconfirmed = r.unconfirmed || r.phase == updating
@@ -332,6 +330,7 @@
 		r.phase, r.sequenceKnown, r.sequence = idle, true, report.Sequence
 	case r.phase == idle:
 		r.sequenceKnown, r.doubted = !report.Busy, report.Busy
+		r.recordUnorderedLoad(now, report.Busy)
 		r.sequence = report.Sequence
 	default:
 		p.expireUpdate(now, r)
--- a/control/rollout/slots.go
+++ b/control/rollout/slots.go
@@ -14,7 +14,21 @@
 
 // holdsSlot reports whether an engine counts against the limit of concurrent updates unless it is overdue.
 func (r *engineState) holdsSlot() bool {
-	return (r.phase == orderSent || r.phase == updating) && !r.unconfirmed
+	if r.phase == idle {
+		return r.loadsUnordered && !r.Draining
+	}
+	return r.phase != cordoned && !r.unconfirmed
+}
+
+// recordUnorderedLoad records whether an idle engine reports a load.
+func (r *engineState) recordUnorderedLoad(now tables.Instant, busy bool) {
+	r.loadsUnordered = busy
+	switch {
+	case !busy:
+		r.loadingSince = 0
+	case r.loadingSince == 0:
+		r.loadingSince = now
+	}
 }
 
 // slotsInUse returns the number of engines that count against the limit of concurrent updates. Overdue loads do
--- a/control/rollout/stall_test.go
+++ b/control/rollout/stall_test.go
@@ -236,3 +236,18 @@
 	}
 	assert.DeepEqual(t, weights, map[string]uint64{"a": 1, "b": 2, "c": 2})
 }
+
+// Guards against a new holder of the lease that has engines load beside those that the holder before has ordered.
+func TestNewHolderCountsTheLoadsInProgress(t *testing.T) {
+	var s *simulation
+	accepted := 0
+	updateAllBut(t, func(running *simulation, p *simProcess) bool {
+		s = running
+		p.loadedAt = s.now + 3*time.Second
+		if accepted++; accepted%minConcurrent == 0 {
+			s.after(time.Second, s.newHolder)
+		}
+		return false
+	})
+	assert.Assert(t, s.maxLoading <= minConcurrent+1, "%d loaded at once", s.maxLoading)
+}
