A new holder asks engines whose weights are beyond the target

The lease's loss clears what engines have refuted (ForgetReports), and a new planner takes the claim of an entry from the table. The list shows the same claim, so nothing differed, and an engine at version 1 with a claim of 9 counted as up to date as long as the entry was there. Versions that nobody has named are now asked for once. The test saw no poll before. Not covered: a claim of exactly the target.

--- a/control/rollout/belief.go
+++ b/control/rollout/belief.go
@@ -38,13 +38,14 @@
 
 // ObserveList compares the versions of weights that the platform's list shows with those known. An engine that
 // the list shows with others is polled, at once if the list has just begun to show newer ones: its own report
-// decides.
+// decides. So is one that has shown nothing itself and whose weights are beyond the target.
 func (p *Planner) ObserveList(now tables.Instant, listed map[tables.EndpointID]map[string]uint64) {
 	for id, r := range p.engineStates {
 		for model, version := range listed[id] {
 			known, serves := r.Weights[model]
 			isNewer := version > known && version != r.listed[model]
-			if serves && version != known && (isNewer || now-r.confirmedAt > maxListAge) {
+			isUnnamed := r.confirmedAt == 0 && p.targets[model] != 0 && known > p.targets[model]
+			if serves && (isUnnamed || version != known && (isNewer || now-r.confirmedAt > maxListAge)) {
 				r.doubted = true
 			}
 		}
--- a/control/rollout/belief_test.go
+++ b/control/rollout/belief_test.go
@@ -147,3 +147,23 @@
 		assert.Equal(t, table.Endpoints()[0].Weights["m"], uint64(2))
 	}
 }
+
+// Guards against an entry that claims weights nobody has named and that a new holder of the lease takes over for good.
+func TestNewHolderAsksForWeightsBeyondTheTarget(t *testing.T) {
+	r, table, _ := observedController()
+	odd := outdatedEngine(1)
+	odd[0].Weights["m"] = 9
+	table.ApplyList(odd)
+	polls := 0
+	for now := time.Second; now < 2*time.Second; now += stepInterval {
+		for _, action := range r.plan(now) {
+			if action.Version == 0 {
+				polls++
+				r.handleReport(now, action, Report{Weights: map[string]uint64{"m": 1}, Born: 1}, nil)
+			}
+		}
+	}
+	assert.Equal(t, polls, 1)
+	assert.Equal(t, r.planner.engineStates["e"].orderedVersion, uint64(2))
+	assert.Equal(t, table.Endpoints()[0].Weights["m"], uint64(1))
+}
