Known red: long loads that count as overdue, and weights that a replica never lowers

The first wants a bound on how many overdue loads are left out of slotsInUse at once, which trades against loads that never end; the second a full update that can say that a version was refuted.

--- a/control/rollout/stall_test.go
+++ b/control/rollout/stall_test.go
@@ -251,3 +251,17 @@
 	})
 	assert.Assert(t, s.maxLoading <= minConcurrent+1, "%d loaded at once", s.maxLoading)
 }
+
+// Guards against loads that follow a quick one, are all long, and count as hung one after the other.
+func TestLongLoadsAfterAQuickOneStayWithinTheLimit(t *testing.T) {
+	var s *simulation
+	accepted := 0
+	updateAllBut(t, func(running *simulation, p *simProcess) bool {
+		s = running
+		if accepted++; accepted > 1 {
+			p.loadedAt = s.now + 20*time.Second
+		}
+		return false
+	})
+	assert.Assert(t, s.maxLoading <= 2*minConcurrent, "%d loaded at once", s.maxLoading)
+}
--- a/fleet/table_test.go
+++ b/fleet/table_test.go
@@ -80,3 +80,18 @@
 	table.ApplyList(list)
 	assert.Equal(t, table.Endpoints()[0].Weights["m"], uint64(2))
 }
+
+// Guards against refuted weights that an entry instance keeps for good after it changed to another control instance.
+func TestReplicaFollowsLowerWeightsOfAnotherSource(t *testing.T) {
+	before, after, replica := NewTable(1), NewTable(2), NewReplica()
+	before.ApplyList([]Endpoint{endpointAt(9)})
+	syncReplica(t, replica, before)
+	after.ApplyList([]Endpoint{endpointAt(9)})
+	after.RecordWeights("e", 7, "m", 2)
+	replica.RequestFullUpdate()
+	syncReplica(t, replica, after)
+	syncReplica(t, replica, after)
+	after.ApplyList([]Endpoint{endpointAt(2)})
+	syncReplica(t, replica, after)
+	assert.Equal(t, replica.Endpoints()["e"].Weights["m"], uint64(2))
+}
