An announced leave outlives a list that shows the process before

Planner.HandleDraining set Draining in the state, and SetDraining left the row alone since it was of another start; the next change of the table put the row's value back, and the endpoint that leaves got an order (seen in the test before).

--- a/control/rollout/announcements.go
+++ b/control/rollout/announcements.go
@@ -24,6 +24,6 @@
 // HandleDraining records that an engine announces that it is about to stop. It gets no orders.
 func (p *Planner) HandleDraining(id tables.EndpointID) {
 	if r := p.engineStates[id]; r != nil {
-		r.Draining = true
+		r.Draining, r.announcedLeave = true, true
 	}
 }
--- a/control/rollout/belief.go
+++ b/control/rollout/belief.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"time"
 
 	"github.com/carawaystile/carawaystile/fleet"
@@ -76,3 +77,12 @@
 	}
 	return maps.Clone(r.Weights), true
 }
+
+// lowestVersion returns the lowest version that an engine serves of any model.
+func lowestVersion(r *engineState) uint64 {
+	lowest := uint64(math.MaxUint64)
+	for _, version := range r.Weights {
+		lowest = min(lowest, version)
+	}
+	return lowest
+}
--- a/control/rollout/belief_test.go
+++ b/control/rollout/belief_test.go
@@ -167,3 +167,20 @@
 	assert.Equal(t, r.planner.engineStates["e"].orderedVersion, uint64(2))
 	assert.Equal(t, table.Endpoints()[0].Weights["m"], uint64(1))
 }
+
+// Guards against an order to an endpoint that has announced that it leaves, while the list shows the process before.
+func TestAnnouncedLeaveOutlivesAListThatLags(t *testing.T) {
+	r, table, _ := observedController()
+	actions := r.plan(time.Second)
+	assert.Equal(t, len(actions), 1)
+	r.handleReport(time.Second, actions[0], Report{Weights: map[string]uint64{"m": 1}, Born: 2, Draining: true}, nil)
+	other := fleet.Endpoint{ID: "f", StartUnixMilli: 1, Weights: map[string]uint64{"m": 2}}
+	table.ApplyList(append(outdatedEngine(1), other))
+	for now := 2 * time.Second; now < 4*time.Second; now += stepInterval {
+		for _, action := range r.plan(now) {
+			assert.Equal(t, action.Version, uint64(0), "an order to an endpoint that leaves")
+			r.handleReport(now, action, Report{Weights: map[string]uint64{"m": 1}, Born: 2, Draining: true}, nil)
+		}
+	}
+	assert.Assert(t, r.planner.engineStates["e"].Draining)
+}
--- a/control/rollout/planner.go
+++ b/control/rollout/planner.go
@@ -7,7 +7,6 @@
 import (
 	"cmp"
 	"maps"
-	"math"
 	"slices"
 	"time"
 
@@ -79,6 +78,8 @@
 	listed      map[string]uint64
 	// process is the start of the process that the state is about, in Unix milliseconds; 0 if it is unknown.
 	process int64
+	// announcedLeave is set once the process itself has announced that it is about to stop.
+	announcedLeave bool
 	// orderedAt is when the latest order was sent, 0 if none was.
 	orderedAt tables.Instant
 	// acceptedSequence is the engine's sequence after it accepts the latest order.
@@ -152,6 +153,7 @@
 		known.doubted = known.doubted || known.isClaimedNewer(e)
 		weights := known.Weights
 		known.Endpoint = newEngineState(e).Endpoint
+		known.Draining = known.Draining || known.announcedLeave
 		maps.Copy(known.Weights, weights)
 	}
 	for id := range p.engineStates {
@@ -279,15 +281,6 @@
 	return engines
 }
 
-// lowestVersion returns the lowest version that an engine serves of any model.
-func lowestVersion(r *engineState) uint64 {
-	lowest := uint64(math.MaxUint64)
-	for _, version := range r.Weights {
-		lowest = min(lowest, version)
-	}
-	return lowest
-}
-
 // HandleReport processes the report of a poll, nil if the engine did not answer. It returns whether
 // the report completes an update.
 func (p *Planner) HandleReport(now tables.Instant, id tables.EndpointID, report *Report) bool {
