A replica follows lower weights of another source after some answers

An entry instance kept a version that its endpoint had refuted, for good, if it had it from a control instance that it followed before: a full update never lowers versions, and no change followed. It then expects that version of the endpoint, which rejects each request.

Change: higher versions are kept for two answers of the new source, which covers a list that it read earlier, and then follow what it has sent. Ruled out: a mark for refuted versions in the messages, which each mirror would have to keep and to end.

--- a/control/deployment/client.go
+++ b/control/deployment/client.go
@@ -185,7 +185,7 @@
 			zap.Duration("lag", time.Duration(answer.GetLagNanos())))
 		c.options.OnDocument(document)
 	}
-	if answer.GetFleet() != nil {
+	if answer.GetFleet() != nil || c.endpoints.HoldsWeights() {
 		if err := c.endpoints.Apply(answer.GetFleet()); err != nil {
 			events.EndpointUnreadable.Log(c.options.Log, zap.String("source", source.Name), zap.Error(err))
 		}
