--- a/control/rollout/planner.go
+++ b/control/rollout/planner.go
@@ -111,6 +111,10 @@
 	// loadTime is the moving average of the time from the acceptance of an order to the report that shows it
 	// done, 0 before the first.
 	loadTime time.Duration
+	// overdueSince is since when there has been an overdue load, 0 if there is none, and endedBesideOverdue
+	// counts the loads that have begun and ended since.
+	overdueSince       tables.Instant
+	endedBesideOverdue int
 }
 
 // NewPlanner returns a planner without engines and targets.
