A back-off outlives the lease under which it was requested; a pause that only time ends

The planner of the next lease forgot the back-offs that engines had requested of this instance, and called them at once: TestBackOffOutlivesTheLease failed before.

Handing the lease over lets two holders order one engine within lease_ms, which the platform forbids; the lease would have to rest that long.

--- a/control/rollout/announcements_test.go
+++ b/control/rollout/announcements_test.go
@@ -124,3 +124,45 @@
 	assert.Assert(t, table.Endpoints()[0].Draining)
 	assert.Assert(t, r.planner.Converged())
 }
+
+// Guards against calls during a back-off by a holder that has lost the lease and has it again.
+func TestBackOffOutlivesTheLease(t *testing.T) {
+	p := NewPlanner()
+	p.SetTarget("m", 2)
+	p.UpdateEndpoints(outdatedEngine(1))
+	now := time.Second
+	assert.Equal(t, len(p.NextActions(now)), 1)
+	p.HandlePushback(now, "e", time.Minute)
+	p = p.NextPlanner()
+	p.SetTarget("m", 2)
+	p.UpdateEndpoints(outdatedEngine(1))
+	assert.Equal(t, len(p.NextActions(now+59*time.Second)), 0)
+	assert.Equal(t, len(p.NextActions(now+time.Minute)), 1)
+
+	p = p.NextPlanner()
+	p.SetTarget("m", 2)
+	p.UpdateEndpoints(outdatedEngine(2))
+	assert.Equal(t, len(p.NextActions(now+59*time.Second)), 1, "another process")
+}
+
+// Guards against an engine that keeps replaced weights for as long as it has asked one instance for a back-off, while
+// others could send it the order.
+func TestEngineThatAsksTheHolderForALongBackOffIsLeftToAnother(t *testing.T) {
+	now := time.Second
+	table := fleet.NewTable(1)
+	table.ApplyList(outdatedEngine(1))
+	r := NewController(Options{
+		Executor: &fakeControlGroup{}, Instance: "c", Boot: 1, LeaseDuration: time.Minute, EnginesCheckFence: true, Fleet: table,
+		IsLeader: func() bool { return false }, TargetVersions: func() map[string]uint64 { return map[string]uint64{"m": 2} },
+		Engines: announcingEngine{err: &engine.PushbackError{RetryAfter: time.Minute, Cause: context.Canceled}},
+		Now:     func() tables.Instant { return now }, Log: zap.NewNop(),
+	})
+	assert.NilError(t, r.lease.AcquireOrRenew(t.Context()))
+	r.step(t.Context())
+	(<-r.results)()
+	for ; now < time.Second+maxVersionLag; now += stepInterval {
+		r.step(t.Context())
+	}
+	_, left := r.lease.TokenAndTTL()
+	assert.Assert(t, left <= 0, "nobody else may send the order")
+}
--- a/control/rollout/controller.go
+++ b/control/rollout/controller.go
@@ -152,7 +152,7 @@
 	r.renew(ctx)
 	_, left := r.lease.TokenAndTTL()
 	if held := left > 0; held != r.holdsLease.Swap(held) {
-		r.planner, r.plannedFleetVersion, r.markedVersion, r.plannedLists = NewPlanner(), 0, 0, 0
+		r.planner, r.plannedFleetVersion, r.markedVersion, r.plannedLists = r.planner.NextPlanner(), 0, 0, 0
 		if held {
 			r.delayAnnouncedEngines()
 		} else {
--- a/control/rollout/planner.go
+++ b/control/rollout/planner.go
@@ -106,6 +106,7 @@
 	engineServices map[string]bool
 	// notBefore is the earliest time for orders to an endpoint.
 	notBefore map[tables.EndpointID]tables.Instant
+	pauses    map[tables.EndpointID]pause
 	// MaxConcurrent overrides how many engines load at once; zero derives it from their number.
 	MaxConcurrent int
 	// loadTime is the moving average of the time from the acceptance of an order to the report that shows it
@@ -121,7 +122,7 @@
 func NewPlanner() *Planner {
 	return &Planner{
 		engineStates: map[tables.EndpointID]*engineState{}, targets: map[string]uint64{}, engineServices: map[string]bool{},
-		notBefore: map[tables.EndpointID]tables.Instant{},
+		notBefore: map[tables.EndpointID]tables.Instant{}, pauses: map[tables.EndpointID]pause{},
 	}
 }
 
@@ -152,6 +153,7 @@
 		known := p.engineStates[e.ID]
 		if known == nil || known.restartedAs(e.StartUnixMilli) {
 			p.engineStates[e.ID] = newEngineState(e)
+			p.resumePause(p.engineStates[e.ID])
 			continue
 		}
 		known.doubted = known.doubted || known.isClaimedNewer(e)
@@ -163,6 +165,7 @@
 	for id := range p.engineStates {
 		if !present[id] {
 			delete(p.engineStates, id)
+			delete(p.pauses, id)
 		}
 	}
 }
