Every other turn of the rollout goes to the oldest weights

Change: one turn for the engine with the oldest weights, the next one for the engine whose latest order is longest ago. TestEnginesThatAnswerNoOrderDoNotTakeAllTurns still holds: engines that do not follow their orders have half of the turns at most. Cordoned engines are ordered first come, first served.

--- a/control/rollout/planner.go
+++ b/control/rollout/planner.go
@@ -112,6 +112,8 @@
 	// loadTime is the moving average of the time from the acceptance of an order to the report that shows it
 	// done, 0 before the first.
 	loadTime time.Duration
+	// turns counts the engines that were cordoned.
+	turns int
 	// overdueSince is since when there has been an overdue load, 0 if there is none, and endedBesideOverdue
 	// counts the loads that have begun and ended since.
 	overdueSince       tables.Instant
@@ -195,36 +197,32 @@
 	if p.Converged() {
 		return nil
 	}
-	engines := p.inUpdateOrder()
+	engines := p.oldestFirst()
 	var actions []Action
-	cordonedCount := 0
+	var waiting []*engineState
 	for _, r := range engines {
 		if r.phase == cordoned && !p.isOrderable(now, r) {
 			r.phase = idle
 		}
 		if r.phase == cordoned {
-			cordonedCount++
+			waiting = append(waiting, r)
 		}
 		if p.shouldPoll(now, r) {
 			r.polling, r.polledAt = true, now
 			actions = append(actions, Action{Endpoint: r.Endpoint, Process: r.process})
 		}
 	}
+	cordonedCount := len(waiting)
 	freeSlots := p.maxConcurrent() - p.slotsInUse(now)
-	for _, r := range engines {
-		if r.phase == cordoned && freeSlots > 0 && now-r.phaseSince >= cordonTime {
+	slices.SortStableFunc(waiting, func(a, b *engineState) int { return cmp.Compare(a.phaseSince, b.phaseSince) })
+	for _, r := range waiting {
+		if freeSlots > 0 && now-r.phaseSince >= cordonTime {
 			freeSlots--
 			cordonedCount--
 			actions = append(actions, p.startOrder(now, r))
 		}
 	}
-	for _, r := range engines {
-		if cordonedCount >= p.maxConcurrent()/2 || r.phase != idle || !r.sequenceKnown || r.polling || !p.isOrderable(now, r) {
-			continue
-		}
-		cordonedCount++
-		r.phase, r.phaseSince, r.unconfirmed = cordoned, now, false
-	}
+	p.cordon(now, engines, p.maxConcurrent()/2-cordonedCount)
 	return actions
 }
 
@@ -266,28 +264,6 @@
 	return best, p.targets[best]
 }
 
-// inUpdateOrder sorts the engines by the time of their latest order, so that each gets its turn: otherwise a
-// newer target in the middle of a rollout would update the engines that come first again, and engines that answer
-// no order would come before all others. Among those that were not ordered yet the oldest weights come first.
-// Engines with equal weights alternate between zones, so that no zone loses all its engines at once.
-func (p *Planner) inUpdateOrder() []*engineState {
-	engines := make([]*engineState, 0, len(p.engineStates))
-	for _, r := range p.engineStates {
-		engines = append(engines, r)
-	}
-	slices.SortFunc(engines, func(a, b *engineState) int { return cmp.Compare(a.ID, b.ID) })
-	zoneRank := make(map[tables.EndpointID]int, len(engines))
-	zoneCount := map[tables.Zone]int{}
-	for _, r := range engines {
-		zoneRank[r.ID] = zoneCount[r.Zone]
-		zoneCount[r.Zone]++
-	}
-	slices.SortStableFunc(engines, func(a, b *engineState) int {
-		return cmp.Or(cmp.Compare(a.orderedAt, b.orderedAt), cmp.Compare(lowestVersion(a), lowestVersion(b)), cmp.Compare(zoneRank[a.ID], zoneRank[b.ID]))
-	})
-	return engines
-}
-
 // HandleReport processes the report of a poll, nil if the engine did not answer. It returns whether
 // the report completes an update.
 func (p *Planner) HandleReport(now tables.Instant, id tables.EndpointID, report *Report) bool {
