Engines that have waited long for their order come before those with older weights

Loads spent on engines that are one version behind leave those out that no request may begin on.

Change: the oldest weights come first, as before; an engine that has waited for 5 s without an order comes before them.

--- a/control/rollout/planner.go
+++ b/control/rollout/planner.go
@@ -80,8 +80,9 @@
 	process int64
 	// announcedLeave is set once the process itself has announced that it is about to stop.
 	announcedLeave bool
-	// orderedAt is when the latest order was sent, 0 if none was.
-	orderedAt tables.Instant
+	// orderedAt is when the latest order was sent, 0 if none was, and pendingSince since when the engine has
+	// been behind a target, 0 if it is not.
+	orderedAt, pendingSince tables.Instant
 	// acceptedSequence is the engine's sequence after it accepts the latest order.
 	acceptedSequence uint64
 	// unconfirmed is set while an order that got no answer has not been seen to be executed, or the engine
@@ -112,8 +113,6 @@
 	// loadTime is the moving average of the time from the acceptance of an order to the report that shows it
 	// done, 0 before the first.
 	loadTime time.Duration
-	// turns counts the engines that were cordoned.
-	turns int
 	// overdueSince is since when there has been an overdue load, 0 if there is none, and endedBesideOverdue
 	// counts the loads that have begun and ended since.
 	overdueSince       tables.Instant
--- a/control/rollout/turns.go
+++ b/control/rollout/turns.go
@@ -3,10 +3,15 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/carawaystile/carawaystile/tables"
 )
 
+// maxTurnWait is how long an engine waits for its order while others with older weights come first. It leaves time
+// for the load before requests may no longer begin on replaced weights.
+const maxTurnWait = 5 * time.Second
+
 // oldestFirst sorts the engines by the age of their weights, oldest first. Otherwise a newer
 // target in the middle of a rollout would update the engines that come first again, and the last
 // ones never. Engines with equal weights alternate between zones, so that no zone loses all its
@@ -29,31 +34,37 @@
 	return engines
 }
 
-// cordon cordons up to n engines that need an order, of those given, oldest first. Every other turn goes to the
-// engine whose latest order is longest ago: engines that do not follow their orders keep the oldest weights, and
-// would take all turns.
+// cordon cordons up to n engines that need an order, of those given, oldest first. Engines that have waited for
+// maxTurnWait come before them: engines that do not follow their orders keep the oldest weights, and would take
+// all turns.
 func (p *Planner) cordon(now tables.Instant, engines []*engineState, n int) {
-	if n <= 0 {
-		return
-	}
-	var oldest []*engineState
+	var overdue, others []*engineState
 	for _, r := range engines {
-		if r.phase == idle && r.sequenceKnown && !r.polling && p.isOrderable(now, r) {
-			oldest = append(oldest, r)
+		switch {
+		case !p.needsTurn(now, r):
+		case now-max(r.pendingSince, r.orderedAt) > maxTurnWait:
+			overdue = append(overdue, r)
+		default:
+			others = append(others, r)
 		}
 	}
-	longestAgo := slices.Clone(oldest)
-	slices.SortStableFunc(longestAgo, func(a, b *engineState) int { return cmp.Compare(a.orderedAt, b.orderedAt) })
-	for ; n > 0 && len(oldest) > 0; n-- {
-		queue := &oldest
-		if p.turns%2 == 1 {
-			queue = &longestAgo
-		}
-		p.turns++
-		r := (*queue)[0]
+	slices.SortStableFunc(overdue, func(a, b *engineState) int {
+		return cmp.Compare(max(a.pendingSince, a.orderedAt), max(b.pendingSince, b.orderedAt))
+	})
+	queue := append(overdue, others...)
+	for _, r := range queue[:max(0, min(n, len(queue)))] {
 		r.phase, r.phaseSince, r.unconfirmed = cordoned, now, false
-		isCordoned := func(e *engineState) bool { return e.phase == cordoned }
-		oldest = slices.DeleteFunc(oldest, isCordoned)
-		longestAgo = slices.DeleteFunc(longestAgo, isCordoned)
 	}
 }
+
+// needsTurn reports whether an engine waits to be cordoned, and records since when it has needed an order.
+func (p *Planner) needsTurn(now tables.Instant, r *engineState) bool {
+	if _, version := p.pendingUpdate(r); version == 0 {
+		r.pendingSince = 0
+		return false
+	}
+	if r.pendingSince == 0 {
+		r.pendingSince = now
+	}
+	return r.phase == idle && r.sequenceKnown && !r.polling && p.isOrderable(now, r)
+}
