--- a/control/rollout/belief.go
+++ b/control/rollout/belief.go
@@ -13,6 +13,23 @@
 // older then may be what the engine has gone back to.
 const maxListAge = 3 * time.Second
 
+// engineServices returns the services most of whose endpoints have weights.
+func engineServices(endpoints []fleet.Endpoint) map[string]bool {
+	balance := map[string]int{}
+	for _, e := range endpoints {
+		if len(e.Weights) > 0 {
+			balance[e.Service]++
+		} else {
+			balance[e.Service]--
+		}
+	}
+	engines := map[string]bool{}
+	for service, surplus := range balance {
+		engines[service] = surplus > 0
+	}
+	return engines
+}
+
 // restartedAs reports whether a listed start is that of another process. The list may still show the process
 // before the known one.
 func (r *engineState) restartedAs(startUnixMilli int64) bool {
--- a/control/rollout/belief_test.go
+++ b/control/rollout/belief_test.go
@@ -113,7 +113,9 @@
 	r.options.Fleet = table
 	table.ApplyList([]fleet.Endpoint{
 		{ID: "a", Service: "models", StartUnixMilli: 1, Weights: map[string]uint64{"m": 2}},
+		{ID: "b", Service: "models", StartUnixMilli: 1, Weights: map[string]uint64{"m": 2}},
 		{ID: "e", Service: "models", StartUnixMilli: 1},
+		{ID: "odd", Service: "desk", StartUnixMilli: 1, Weights: map[string]uint64{"m": 2}},
 		{ID: "plain", Service: "desk", StartUnixMilli: 1},
 	})
 	actions := r.plan(time.Second)
@@ -125,7 +127,7 @@
 	})
 	assert.Equal(t, order.Endpoint.ID, tables.EndpointID("e"))
 	for _, e := range table.Endpoints() {
-		assert.Equal(t, e.Weights["m"], map[tables.EndpointID]uint64{"a": 2, "e": 1}[e.ID], "%s", e.ID)
+		assert.Equal(t, e.Weights["m"], map[tables.EndpointID]uint64{"a": 2, "b": 2, "e": 1, "odd": 2}[e.ID], "%s", e.ID)
 	}
 }
 
--- a/control/rollout/controller.go
+++ b/control/rollout/controller.go
@@ -156,6 +156,7 @@
 		if held {
 			r.delayAnnouncedEngines()
 		} else {
+			r.releaseAt = 0
 			r.options.Fleet.ClearLoading()
 			r.options.Fleet.ForgetReports()
 		}
--- a/control/rollout/lag.go
+++ b/control/rollout/lag.go
@@ -148,19 +148,24 @@
 // describe returns log fields that tell why an engine gets no order.
 func (p *Planner) describe(now tables.Instant, id tables.EndpointID) []zap.Field {
 	var holders []string
+	overdue := 0
 	for other, r := range p.engineStates {
-		if r.holdsSlot() {
+		switch {
+		case !r.holdsSlot():
+		case p.isOverdue(now, r):
+			overdue++
+		default:
 			holders = append(holders, string(other))
 		}
 	}
 	slices.Sort(holders)
-	fields := []zap.Field{zap.Int("slots", p.maxConcurrent()), zap.Strings("slot_holders", holders[:min(len(holders), maxLoggedLags)])}
+	fields := []zap.Field{zap.Int("slots", p.maxConcurrent()), zap.Strings("slot_holders", holders[:min(len(holders), maxLoggedLags)]), zap.Int("overdue", overdue)}
 	r := p.engineStates[id]
 	if r == nil {
 		return append(fields, zap.String("phase", "unknown"))
 	}
 	return append(fields, zap.String("phase", r.phase.String()), zap.Duration("in_phase", now-r.phaseSince),
-		zap.Bool("sequence_known", r.sequenceKnown), zap.Uint64("sequence", r.sequence), zap.Bool("polling", r.polling),
+		zap.Bool("sequence_known", r.sequenceKnown), zap.Uint64("sequence", r.sequence), zap.Bool("polling", r.polling), zap.Bool("doubted", r.doubted),
 		zap.Bool("unconfirmed", r.unconfirmed), zap.Bool("draining", r.Draining),
 		zap.Duration("paused_for", max(0, r.pausedUntil-now)), zap.Duration("delayed_for", max(0, p.notBefore[id]-now)))
 }
--- a/control/rollout/planner.go
+++ b/control/rollout/planner.go
@@ -71,8 +71,8 @@
 	polledAt   tables.Instant
 	nextPollAt tables.Instant
 	phaseSince tables.Instant
-	// confirmedAt is when the engine itself last showed the weights that are known; doubted is set once the
-	// list shows others since then. listed is what the list showed last.
+	// confirmedAt is when the engine itself last showed the weights that are known. doubted is set if these may be
+	// wrong, so that its report is needed before anything else. listed is what the list showed last.
 	confirmedAt tables.Instant
 	doubted     bool
 	listed      map[string]uint64
@@ -85,9 +85,9 @@
 	orderedAt, pendingSince tables.Instant
 	// acceptedSequence is the engine's sequence after it accepts the latest order.
 	acceptedSequence uint64
-	// unconfirmed is set while an order that got no answer has not been seen to be executed, or the engine
-	// has not answered the latest poll. Most such orders are lost, or wait for seconds. The engine then still
-	// serves its old weights, and if it does not, it declines requests itself.
+	// unconfirmed is set in an update that is not seen: the order got no answer, or the latest poll got none.
+	// Most such orders are lost, or wait for seconds. The engine then still serves its old weights, and if it
+	// does not, it declines requests itself.
 	unconfirmed bool
 	// pausedUntil is when the back-off that the engine has requested ends.
 	pausedUntil tables.Instant
@@ -103,8 +103,6 @@
 type Planner struct {
 	engineStates map[tables.EndpointID]*engineState
 	targets      map[string]uint64
-	// engineServices are the services that had an endpoint with weights.
-	engineServices map[string]bool
 	// notBefore is the earliest time for orders to an endpoint.
 	notBefore map[tables.EndpointID]tables.Instant
 	pauses    map[tables.EndpointID]pause
@@ -122,7 +120,7 @@
 // NewPlanner returns a planner without engines and targets.
 func NewPlanner() *Planner {
 	return &Planner{
-		engineStates: map[tables.EndpointID]*engineState{}, targets: map[string]uint64{}, engineServices: map[string]bool{},
+		engineStates: map[tables.EndpointID]*engineState{}, targets: map[string]uint64{},
 		notBefore: map[tables.EndpointID]tables.Instant{}, pauses: map[tables.EndpointID]pause{},
 	}
 }
@@ -135,19 +133,15 @@
 	p.targets[model] = max(p.targets[model], version)
 }
 
-// UpdateEndpoints replaces the list of known endpoints. Endpoints without weights are ignored, unless others of
-// their service have some: those are engines, and a poll tells what they serve. A restarted endpoint loses its
+// UpdateEndpoints replaces the list of known endpoints. Endpoints without weights are ignored, unless most others
+// of their service have some: those are engines, and a poll tells what they serve. A restarted endpoint loses its
 // update state. For the others what they have shown themselves is kept: the list lags, and may have entries of
 // other writers.
 func (p *Planner) UpdateEndpoints(endpoints []fleet.Endpoint) {
 	present := make(map[tables.EndpointID]bool, len(endpoints))
+	engines := engineServices(endpoints)
 	for _, e := range endpoints {
-		if len(e.Weights) > 0 {
-			p.engineServices[e.Service] = true
-		}
-	}
-	for _, e := range endpoints {
-		if !p.engineServices[e.Service] {
+		if len(e.Weights) == 0 && !engines[e.Service] {
 			continue
 		}
 		present[e.ID] = true
