--- a/control/rollout/planner.go
+++ b/control/rollout/planner.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -60,14 +61,26 @@
 	// orderedModel and orderedVersion are the subject of the latest order.
 	orderedModel   string
 	orderedVersion uint64
+	// rejectedModel is the model whose order the engine rejected last; its other models come first then.
+	rejectedModel string
 	// sequence is the engine's sequence, valid if sequenceKnown is set.
 	sequence      uint64
 	sequenceKnown bool
-	// polling is set while a poll is in flight; nextPollAt is when the next one is due. phaseSince
-	// is when the phase began, or when a report last showed the update in progress.
+	// polling is set while a poll is in flight, which was sent at polledAt; nextPollAt is when the next one is
+	// due. phaseSince is when the phase began, or when a report last showed the update in progress.
 	polling    bool
+	polledAt   tables.Instant
 	nextPollAt tables.Instant
 	phaseSince tables.Instant
+	// confirmedAt is when the engine itself last showed the weights that are known; doubted is set once the
+	// list shows others since then. listed is what the list showed last.
+	confirmedAt tables.Instant
+	doubted     bool
+	listed      map[string]uint64
+	// process is the start of the process that the state is about, in Unix milliseconds; 0 if it is unknown.
+	process int64
+	// orderedAt is when the latest order was sent, 0 if none was.
+	orderedAt tables.Instant
 	// acceptedSequence is the engine's sequence after it accepts the latest order.
 	acceptedSequence uint64
 	// unconfirmed is set while an order that got no answer has not been seen to be executed, or the engine
@@ -85,6 +98,8 @@
 type Planner struct {
 	engineStates map[tables.EndpointID]*engineState
 	targets      map[string]uint64
+	// engineServices are the services that had an endpoint with weights.
+	engineServices map[string]bool
 	// notBefore is the earliest time for orders to an endpoint.
 	notBefore map[tables.EndpointID]tables.Instant
 	// MaxConcurrent overrides how many engines load at once; zero derives it from their number.
@@ -97,7 +112,8 @@
 // NewPlanner returns a planner without engines and targets.
 func NewPlanner() *Planner {
 	return &Planner{
-		engineStates: map[tables.EndpointID]*engineState{}, targets: map[string]uint64{}, notBefore: map[tables.EndpointID]tables.Instant{},
+		engineStates: map[tables.EndpointID]*engineState{}, targets: map[string]uint64{}, engineServices: map[string]bool{},
+		notBefore: map[tables.EndpointID]tables.Instant{},
 	}
 }
 
@@ -109,26 +125,29 @@
 	p.targets[model] = max(p.targets[model], version)
 }
 
-// UpdateEndpoints replaces the list of known endpoints. Endpoints without weights are ignored. A
-// restarted endpoint loses its update state; for the others the highest known version of each model
-// is kept.
+// UpdateEndpoints replaces the list of known endpoints. Endpoints without weights are ignored, unless others of
+// their service have some: those are engines, and a poll tells what they serve. A restarted endpoint loses its update state. For the others what they have shown themselves is kept: the
+// list lags, and may have entries of other writers.
 func (p *Planner) UpdateEndpoints(endpoints []fleet.Endpoint) {
 	present := make(map[tables.EndpointID]bool, len(endpoints))
 	for _, e := range endpoints {
-		if len(e.Weights) == 0 {
-			continue // a plain service
+		if len(e.Weights) > 0 {
+			p.engineServices[e.Service] = true
+		}
+	}
+	for _, e := range endpoints {
+		if !p.engineServices[e.Service] {
+			continue
 		}
 		present[e.ID] = true
 		known := p.engineStates[e.ID]
-		if known == nil || known.StartUnixMilli != e.StartUnixMilli && e.StartUnixMilli != 0 {
-			p.engineStates[e.ID] = &engineState{Endpoint: e.Clone()}
+		if known == nil || known.restartedAs(e.StartUnixMilli) {
+			p.engineStates[e.ID] = newEngineState(e)
 			continue
 		}
 		weights := known.Weights
-		known.Endpoint = e.Clone()
-		for model, version := range weights {
-			known.Weights[model] = max(known.Weights[model], version)
-		}
+		known.Endpoint = newEngineState(e).Endpoint
+		maps.Copy(known.Weights, weights)
 	}
 	for id := range p.engineStates {
 		if !present[id] {
@@ -137,9 +156,26 @@
 	}
 }
 
+// newEngineState returns the state of a listed process of which nothing else is known.
+func newEngineState(e fleet.Endpoint) *engineState {
+	e = e.Clone()
+	if e.Weights == nil {
+		e.Weights = map[string]uint64{}
+	}
+	return &engineState{Endpoint: e, process: e.StartUnixMilli, doubted: len(e.Weights) == 0}
+}
+
+// restartedAs reports whether a listed start is that of another process. The list may still show the process
+// before the known one.
+func (r *engineState) restartedAs(startUnixMilli int64) bool {
+	return startUnixMilli != 0 && startUnixMilli != r.StartUnixMilli && startUnixMilli != r.process
+}
+
 // Action is a call to an engine: an order if Version is set, a poll otherwise.
 type Action struct {
 	Endpoint fleet.Endpoint
+	// Process is the start of the process that the call is meant for, 0 if it is unknown.
+	Process  int64
 	Model    string
 	Version  uint64
 	Sequence uint64
@@ -162,8 +198,8 @@
 			cordonedCount++
 		}
 		if p.shouldPoll(now, r) {
-			r.polling = true
-			actions = append(actions, Action{Endpoint: r.Endpoint})
+			r.polling, r.polledAt = true, now
+			actions = append(actions, Action{Endpoint: r.Endpoint, Process: r.process})
 		}
 	}
 	freeSlots := p.maxConcurrent() - p.slotsInUse(now)
@@ -187,15 +223,15 @@
 // isOrderable reports whether an engine is to get an order and may get one now.
 func (p *Planner) isOrderable(now tables.Instant, r *engineState) bool {
 	_, version := p.pendingUpdate(r)
-	return version != 0 && !r.Draining && now >= max(r.pausedUntil, p.notBefore[r.ID])
+	return version != 0 && !r.doubted && !r.Draining && now >= max(r.pausedUntil, p.notBefore[r.ID])
 }
 
 // startOrder moves an engine to orderSent and returns its order.
 func (p *Planner) startOrder(now tables.Instant, r *engineState) Action {
 	model, version := p.pendingUpdate(r)
 	r.phase, r.orderedModel, r.orderedVersion, r.phaseSince, r.unconfirmed, r.loadingSince = orderSent, model, version, now, false, 0
-	r.acceptedSequence = r.sequence + 1
-	return Action{Endpoint: r.Endpoint, Model: model, Version: version, Sequence: r.sequence}
+	r.acceptedSequence, r.orderedAt = r.sequence+1, now
+	return Action{Endpoint: r.Endpoint, Process: r.process, Model: model, Version: version, Sequence: r.sequence}
 }
 
 func (p *Planner) shouldPoll(now tables.Instant, r *engineState) bool {
@@ -206,7 +242,7 @@
 		return true
 	}
 	_, version := p.pendingUpdate(r)
-	return r.phase == idle && version != 0 && !r.sequenceKnown && !r.Draining
+	return r.phase == idle && !r.Draining && (r.doubted || version != 0 && !r.sequenceKnown)
 }
 
 // pendingUpdate returns a model that the engine serves in an older version than its target, and the
@@ -214,17 +250,18 @@
 func (p *Planner) pendingUpdate(r *engineState) (string, uint64) {
 	best := ""
 	for model, version := range r.Weights {
-		if version < p.targets[model] && (best == "" || model < best) {
+		isBefore := best == "" || best == r.rejectedModel || model != r.rejectedModel && model < best
+		if version < p.targets[model] && isBefore {
 			best = model
 		}
 	}
 	return best, p.targets[best]
 }
 
-// inUpdateOrder sorts the engines by the age of their weights, oldest first. Otherwise a newer
-// target in the middle of a rollout would update the engines that come first again, and the last
-// ones never. Engines with equal weights alternate between zones, so that no zone loses all its
-// engines at once.
+// inUpdateOrder sorts the engines by the time of their latest order, so that each gets its turn: otherwise a
+// newer target in the middle of a rollout would update the engines that come first again, and engines that answer
+// no order would come before all others. Among those that were not ordered yet the oldest weights come first.
+// Engines with equal weights alternate between zones, so that no zone loses all its engines at once.
 func (p *Planner) inUpdateOrder() []*engineState {
 	engines := make([]*engineState, 0, len(p.engineStates))
 	for _, r := range p.engineStates {
@@ -238,7 +275,7 @@
 		zoneCount[r.Zone]++
 	}
 	slices.SortStableFunc(engines, func(a, b *engineState) int {
-		return cmp.Or(cmp.Compare(lowestVersion(a), lowestVersion(b)), cmp.Compare(zoneRank[a.ID], zoneRank[b.ID]))
+		return cmp.Or(cmp.Compare(a.orderedAt, b.orderedAt), cmp.Compare(lowestVersion(a), lowestVersion(b)), cmp.Compare(zoneRank[a.ID], zoneRank[b.ID]))
 	})
 	return engines
 }
@@ -266,9 +303,12 @@
 		p.expireUpdate(now, r)
 		return false
 	}
-	for model, version := range report.Weights {
-		r.Weights[model] = max(r.Weights[model], version)
+	if report.Born != 0 && r.process != 0 && report.Born != r.process {
+		*r = engineState{Endpoint: r.Endpoint}
 	}
+	r.process = cmp.Or(report.Born, r.process)
+	r.confirm(now, report)
+	r.doubted = false
 	r.nextPollAt = now + pollInterval
 	switch {
 	case r.phase == updating && r.Weights[r.orderedModel] >= r.orderedVersion && !report.Busy:
@@ -290,7 +330,7 @@
 		// arrives first makes the other one outdated.
 		r.phase, r.sequenceKnown, r.sequence = idle, true, report.Sequence
 	case r.phase == idle:
-		r.sequenceKnown = !report.Busy
+		r.sequenceKnown, r.doubted = !report.Busy, report.Busy
 		r.sequence = report.Sequence
 	default:
 		p.expireUpdate(now, r)
@@ -312,12 +352,16 @@
 	}
 	switch result {
 	case Accepted:
+		r.rejectedModel = ""
 		r.phase, r.phaseSince, r.loadingSince, r.nextPollAt = updating, now, now, now+firstPollDelay
 	case AlreadyServing:
-		r.phase = idle
+		r.phase, r.confirmedAt, r.rejectedModel = idle, now, ""
 		r.Weights[r.orderedModel] = max(r.Weights[r.orderedModel], r.orderedVersion)
 	case Conflict, Rejected, Fenced:
 		r.phase, r.sequenceKnown, r.nextPollAt = idle, false, now+pollInterval
+		if result == Rejected {
+			r.rejectedModel = r.orderedModel
+		}
 	default:
 		// phaseSince stays at the time when the order was sent. A later report without the order
 		// proves that the order was lost or is delayed.
@@ -328,7 +372,7 @@
 // Converged reports whether no update runs and every engine not draining serves the targets.
 func (p *Planner) Converged() bool {
 	for _, r := range p.engineStates {
-		if _, version := p.pendingUpdate(r); version != 0 && !r.Draining || r.phase != idle {
+		if _, version := p.pendingUpdate(r); (version != 0 || r.doubted) && !r.Draining || r.phase != idle {
 			return false
 		}
 	}
--- a/control/rollout/stall_test.go
+++ b/control/rollout/stall_test.go
@@ -1,6 +1,8 @@
 package rollout
 
 import (
+	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -28,7 +30,9 @@
 // Guards against a slot that is lost for good because an engine gets its weights between cordon and order.
 func TestEngineThatIsUpToDateBeforeItsOrderKeepsNoSlot(t *testing.T) {
 	p, now := cordonedEngine(t)
-	p.UpdateEndpoints([]fleet.Endpoint{{ID: "e", StartUnixMilli: 1, Weights: map[string]uint64{"m": 2}}})
+	listed := map[string]uint64{"m": 2}
+	p.UpdateEndpoints([]fleet.Endpoint{{ID: "e", StartUnixMilli: 1, Weights: listed}})
+	p.ObserveList(now, map[tables.EndpointID]map[string]uint64{"e": listed})
 	for range 40 {
 		now += stepInterval
 		for _, action := range p.NextActions(now) {
@@ -176,3 +180,59 @@
 	assert.Assert(t, took > 30*time.Second, "took %v", took)
 	assert.Assert(t, s.maxLoading <= minConcurrent+1, "%d loaded at once", s.maxLoading)
 }
+
+// Guards against engines that answer no order, come first with their old weights and take all turns.
+func TestEnginesThatAnswerNoOrderDoNotTakeAllTurns(t *testing.T) {
+	const engines, sound = 140, 10
+	p := NewPlanner()
+	p.SetTarget("m", 3)
+	var all []fleet.Endpoint
+	for i := range engines {
+		all = append(all, fleet.Endpoint{ID: tables.EndpointID(fmt.Sprintf("e%03d", i)), StartUnixMilli: 1, Weights: map[string]uint64{"m": 1}})
+		if i < sound {
+			all[i].Weights["m"] = 2
+		}
+	}
+	p.UpdateEndpoints(all)
+	updated := map[tables.EndpointID]bool{}
+	now := time.Second
+	for ; len(updated) < sound && now < time.Minute; now += stepInterval {
+		for _, action := range p.NextActions(now) {
+			id := action.Endpoint.ID
+			serves := action.Endpoint.Weights["m"]
+			switch {
+			case action.Version == 0:
+				p.HandleReport(now, id, &Report{Weights: map[string]uint64{"m": serves}})
+			case serves == 2:
+				updated[id] = true
+				p.HandleOrderResult(now, id, AlreadyServing)
+			default:
+				p.HandleOrderResult(now, id, 0)
+			}
+		}
+	}
+	assert.Assert(t, now < maxVersionDelay, "the sound ones were updated after %v", now)
+}
+
+// Guards against a model whose order an engine always rejects and that keeps its other models from theirs.
+func TestModelThatIsRejectedDoesNotHoldUpTheOthers(t *testing.T) {
+	p := NewPlanner()
+	weights := map[string]uint64{"a": 1, "b": 1, "c": 1}
+	p.UpdateEndpoints([]fleet.Endpoint{{ID: "e", StartUnixMilli: 1, Weights: weights}})
+	for model := range weights {
+		p.SetTarget(model, 2)
+	}
+	now := time.Second
+	report := func() *Report { return &Report{Weights: maps.Clone(weights), Born: 1} }
+	for range 8 {
+		order, took := nextOrder(t, p, now, report)
+		now += took
+		if order.Model == "a" {
+			p.HandleOrderResult(now, "e", Rejected)
+			continue
+		}
+		weights[order.Model] = 2
+		p.HandleOrderResult(now, "e", AlreadyServing)
+	}
+	assert.DeepEqual(t, weights, map[string]uint64{"a": 1, "b": 2, "c": 2})
+}
