--- a/control/orders/controller.go
+++ b/control/orders/controller.go
@@ -1,9 +1,11 @@
 package orders
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,6 +30,10 @@
 	// lease lasts at least this much longer, so that its answer arrives within
 	// the lease.
 	orderTimeout = 2 * time.Second
+	// isolationTimeout is how long no endpoint answers the holder of the lease before it gives the lease up.
+	isolationTimeout = 10 * time.Second
+	// readAdmission is the time of a step in which reads begin, so that each has the rest of orderTimeout.
+	readAdmission = orderTimeout / 2
 	// stepInterval is the interval of the control loop.
 	stepInterval = 500 * time.Millisecond
 	// readsPerSecond limits the rate at which endpoints without a counted load
@@ -62,7 +68,7 @@
 	Configuration func() *tables.Configuration
 	// CountedLoads returns the loads that hold a slot of the weight store, as
 	// far as this replica knows them.
-	CountedLoads func() []*rpc.Load
+	CountedLoads func() CountedLoads
 	Log          *zap.Logger
 }
 
@@ -74,12 +80,13 @@
 	// observations and lastRead are accessed by one step at a time.
 	observations map[tables.EndpointID]Observation
 	lastRead     map[tables.EndpointID]tables.Instant
+	// attempts holds the loads that were ordered and have not been seen done.
+	attempts map[Load]attempts
 	// acquireNotBefore is the time before which the lease is not requested,
 	// because another instance holds it.
 	acquireNotBefore tables.Instant
-	// unreachableSince holds, by endpoint, the time of the first failed read
-	// since its last answer.
-	unreachableSince map[tables.EndpointID]tables.Instant
+	// isolatedSince is when the first read failed since an endpoint last answered, 0 if none has.
+	isolatedSince tables.Instant
 }
 
 // NewController returns a controller that does not hold the lease.
@@ -97,9 +104,9 @@
 			Duration: LeaseDuration,
 			Now:      options.Now,
 		}),
-		observations:     map[tables.EndpointID]Observation{},
-		lastRead:         map[tables.EndpointID]tables.Instant{},
-		unreachableSince: map[tables.EndpointID]tables.Instant{},
+		observations: map[tables.EndpointID]Observation{},
+		lastRead:     map[tables.EndpointID]tables.Instant{},
+		attempts:     map[Load]attempts{},
 	}
 }
 
@@ -131,18 +138,43 @@
 		return
 	}
 	r.readEndpoints(ctx, c)
-	plan := ComputePlan(c, r.observations, r.options.CountedLoads())
+	if r.isolatedSince != 0 && r.options.Now()-r.isolatedSince >= isolationTimeout {
+		r.giveUpLease(ctx)
+		return
+	}
+	r.forgetAttempts(c)
+	plan := r.computePlan(c, r.options.CountedLoads())
 	for _, endpoint := range plan.Ended {
 		r.unregisterLoad(ctx, endpoint)
 	}
+	for _, endpoint := range plan.Expired {
+		events.OrderLoadExpired.Log(r.options.Log, zap.String("endpoint", string(endpoint)))
+		r.unregisterLoad(ctx, endpoint)
+	}
+	for _, load := range plan.Failed {
+		r.giveUp(ctx, load)
+	}
+	r.sendOrders(ctx, c, append(plan.Resend, plan.Start...))
+}
+
+// sendOrders sends the orders of one step and records which were answered.
+func (r *Controller) sendOrders(ctx context.Context, c *tables.Configuration, loads []Load) {
 	addresses := endpointAddresses(c)
+	outcomes := make([]orderOutcome, len(loads))
 	var orders sync.WaitGroup
-	for _, load := range append(plan.Resend, plan.Start...) {
-		address := addresses[load.Endpoint]
+	for i, load := range loads {
+		// What was read before the order does not show its load.
 		delete(r.lastRead, load.Endpoint)
-		orders.Go(func() { r.orderLoad(ctx, address, load) })
+		delete(r.observations, load.Endpoint)
+		orders.Go(func() { outcomes[i] = r.orderLoad(ctx, addresses[load.Endpoint], load) })
 	}
 	orders.Wait()
+	now := r.options.Now()
+	for i, load := range loads {
+		if outcomes[i] != notSent {
+			r.attempts[load] = r.attempts[load].ordered(now, outcomes[i] == answered)
+		}
+	}
 }
 
 // ensureLease acquires the lease, or renews it below renewBelow, and returns
@@ -168,29 +200,40 @@
 			// Observations from an earlier lease are outdated.
 			clear(r.observations)
 			clear(r.lastRead)
-			clear(r.unreachableSince)
+			clear(r.attempts)
+			r.isolatedSince = 0
 		}
 	}
 	_, left = r.lease.TokenAndTTL()
 	return left > 0
 }
 
+// giveUpLease releases the lease of an instance that no endpoint answers, and lets all others request it first.
+// Orders are sent to endpoints that answer, so none is on its way.
+func (r *Controller) giveUpLease(ctx context.Context) {
+	bounded, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	err := r.lease.Release(bounded)
+	events.OrdersLeaseGivenUp.Log(r.options.Log, zap.Error(err))
+	r.acquireNotBefore = r.options.Now() + LeaseDuration
+}
+
 // orderLoad takes a slot for one load and then sends the order. An endpoint
 // that does not check fencing tokens accepts any order, so the lease must
 // outlast the order; the order is cancelled after orderTimeout.
-func (r *Controller) orderLoad(ctx context.Context, address netip.AddrPort, load Load) {
+func (r *Controller) orderLoad(ctx context.Context, address netip.AddrPort, load Load) orderOutcome {
 	fence, left := r.lease.TokenAndTTL()
 	if left < 2*orderTimeout {
-		return
+		return notSent
 	}
 	bounded, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
 	if !r.registerLoad(bounded, fence, load) {
-		return
+		return notSent
 	}
 	held, left := r.lease.TokenAndTTL()
 	if held != fence || left < orderTimeout {
-		return
+		return notSent
 	}
 	order := engine.Order{Fence: fence, Kind: engine.OrderLoadVersion, Model: load.Model, Adapter: load.Adapter, Weights: load.Weights}
 	if load.Adapter != "" {
@@ -203,13 +246,17 @@
 	if errors.As(err, &old) {
 		events.OrderFenced.Log(r.options.Log, zap.String("endpoint", string(load.Endpoint)),
 			zap.Uint64("fence", uint64(fence)), zap.Uint64("seen", uint64(old.Seen)))
-		return
+		return answered
 	}
-	// After any other error it is unknown whether the order was accepted. The
-	// next read of the endpoint shows it, and repeating the order is harmless.
 	if err != nil {
 		events.OrderFailed.Log(r.options.Log, zap.String("endpoint", string(load.Endpoint)), zap.Error(err))
 	}
+	// Without an answer it is unknown whether the order was accepted. The next
+	// read of the endpoint shows it, and repeating the order is harmless.
+	if !isAnswer(err) {
+		return unanswered
+	}
+	return answered
 }
 
 // registerLoad takes a slot of the weight store for the load.
@@ -243,15 +290,25 @@
 }
 
 // readEndpoints reads the state of the endpoints that are due: those with a
-// counted load in every step, the others at a limited rate.
+// counted load in every step, the others at a limited rate. Endpoints whose read
+// cannot begin in this step, since silent ones take all places, stay due.
 func (r *Controller) readEndpoints(ctx context.Context, c *tables.Configuration) {
 	bounded, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
+	admission, stop := context.WithTimeout(bounded, readAdmission)
+	defer stop()
 	var mu sync.Mutex
 	var reads sync.WaitGroup
+	defer reads.Wait()
 	slots := make(chan struct{}, maxConcurrentReads)
 	for _, endpoint := range r.dueForRead(c) {
-		slots <- struct{}{}
+		select {
+		case slots <- struct{}{}:
+		case <-admission.Done():
+		}
+		if admission.Err() != nil {
+			return
+		}
 		reads.Go(func() {
 			defer func() { <-slots }()
 			state, err := r.options.Engines.OrderState(bounded, endpoint.Address)
@@ -260,13 +317,13 @@
 			r.recordRead(endpoint.ID, state, err)
 		})
 	}
-	reads.Wait()
 }
 
-// dueForRead returns the engines to read in this step.
+// dueForRead returns the engines to read in this step, those that were not read
+// for longest first.
 func (r *Controller) dueForRead(c *tables.Configuration) []tables.Endpoint {
 	loading := map[tables.EndpointID]bool{}
-	for _, row := range r.options.CountedLoads() {
+	for _, row := range r.options.CountedLoads().Rows {
 		loading[tables.EndpointID(row.GetEndpoint())] = true
 	}
 	interval := max(minReadInterval, time.Duration(len(c.Endpoints))*time.Second/readsPerSecond)
@@ -279,26 +336,36 @@
 			endpoints = append(endpoints, endpoint)
 		}
 	}
+	slices.SortStableFunc(endpoints, func(a, b tables.Endpoint) int { return r.compareLastRead(a.ID, b.ID) })
 	return endpoints
 }
 
+// compareLastRead orders endpoints by when they were last read, with those that were not read first.
+func (r *Controller) compareLastRead(a, b tables.EndpointID) int {
+	lastA, knownA := r.lastRead[a]
+	lastB, knownB := r.lastRead[b]
+	switch {
+	case knownA && knownB:
+		return cmp.Compare(lastA, lastB)
+	case knownA:
+		return 1
+	case knownB:
+		return -1
+	}
+	return 0
+}
+
 // recordRead stores the result of a read.
 func (r *Controller) recordRead(endpoint tables.EndpointID, state engine.OrderState, err error) {
 	now := r.options.Now()
 	r.lastRead[endpoint] = now
-	if err == nil {
-		delete(r.unreachableSince, endpoint)
-		r.observations[endpoint] = Observation{Known: true, State: state}
+	if err != nil {
+		r.observations[endpoint] = r.observations[endpoint].unanswered(now)
+		r.isolatedSince = cmp.Or(r.isolatedSince, now)
 		return
 	}
-	since, lost := r.unreachableSince[endpoint]
-	if !lost {
-		since = now
-		r.unreachableSince[endpoint] = now
-	}
-	observation := r.observations[endpoint]
-	observation.UnreachableFor = max(1, now-since)
-	r.observations[endpoint] = observation
+	r.isolatedSince = 0
+	r.observations[endpoint] = r.observations[endpoint].answered(now, state)
 }
 
 func endpointAddresses(c *tables.Configuration) map[tables.EndpointID]netip.AddrPort {
--- a/control/orders/plan.go
+++ b/control/orders/plan.go
@@ -16,9 +16,8 @@
 	"github.com/carawaystile/carawaystile/tables"
 )
 
-// maxLoadDuration is how long the load of an unreachable endpoint keeps its
-// slot of the weight store. No load takes this long, so the load has ended by
-// then.
+// maxLoadDuration is how long a load keeps its slot of the weight store while
+// nobody sees it end. No load takes this long.
 const maxLoadDuration = 10 * time.Minute
 
 // Observation is the last observed state of an endpoint.
@@ -26,9 +25,44 @@
 	// Known is set once the endpoint has answered. State is its last answer.
 	Known bool
 	State engine.OrderState
-	// UnreachableFor is how long the endpoint has not answered, zero if it
-	// answers.
-	UnreachableFor time.Duration
+	// Unreachable is set if the endpoint did not answer the last read.
+	Unreachable bool
+	// LoadingSince is when the first of the answers in a row that show a load in
+	// progress came, and LoadingFor how long that was before the last read.
+	LoadingSince tables.Instant
+	LoadingFor   time.Duration
+}
+
+// answered returns the observation after a read that got an answer.
+func (o Observation) answered(now tables.Instant, state engine.OrderState) Observation {
+	next := Observation{Known: true, State: state, LoadingSince: now}
+	if o.State.Loading > 0 && state.Loading > 0 {
+		next.LoadingSince = o.LoadingSince
+	}
+	next.LoadingFor = now - next.LoadingSince
+	return next
+}
+
+// unanswered returns the observation after a read that got no answer.
+func (o Observation) unanswered(now tables.Instant) Observation {
+	o.Unreachable, o.LoadingFor = true, now-o.LoadingSince
+	return o
+}
+
+// answers reports whether the last read of the endpoint got an answer.
+func (o Observation) answers() bool { return o.Known && !o.Unreachable }
+
+// CountedLoads are the loads that hold a slot of the weight store, whichever
+// instance started them.
+type CountedLoads struct {
+	Rows []*rpc.Load
+	// LogTime is the time of the replicated log, in which rows are dated.
+	LogTime time.Duration
+}
+
+// isExpired reports whether a load must have ended since it started.
+func (l CountedLoads) isExpired(row *rpc.Load) bool {
+	return l.LogTime-time.Duration(row.GetStarted()) >= maxLoadDuration
 }
 
 // Load is one model or adapter that an endpoint has to load.
@@ -66,55 +100,61 @@
 // Plan is the set of actions due in one reconciliation step.
 type Plan struct {
 	// Ended lists endpoints whose loads have ended, so that their slots are
-	// freed.
-	Ended []tables.EndpointID
+	// freed. Expired lists those whose loads nobody saw end within
+	// maxLoadDuration.
+	Ended   []tables.EndpointID
+	Expired []tables.EndpointID
+	// Failed lists counted loads that are given up for some time. Their slots are
+	// free from the next step on.
+	Failed []Load
 	// Resend lists counted loads whose order has to be sent again. Start lists
 	// new loads for which slots are free.
 	Resend []Load
 	Start  []Load
 }
 
-// ComputePlan compares the desired with the observed state. The rows are the
-// loads that count against the limit, whichever instance started them.
+// computePlan compares the desired with the observed state.
 //
 // The load of a reachable endpoint ends only by the endpoint's own report: the
 // endpoint is loading nothing and what was loaded is not missing any more. If
 // it is loading nothing and the load is still missing, the order was lost or
 // the endpoint restarted. The load then keeps its slot and the order is sent
-// again.
-func ComputePlan(c *tables.Configuration, observations map[tables.EndpointID]Observation, rows []*rpc.Load) Plan {
+// again, until the load has failed.
+//
+// The load of an endpoint that does not answer, is not in the configuration
+// any more, or reports for ever that it is loading, may be running until it
+// expires.
+func (r *Controller) computePlan(c *tables.Configuration, counted CountedLoads) Plan {
 	var plan Plan
+	now := r.options.Now()
 	busy := map[tables.EndpointID]bool{}
 	missing := map[tables.EndpointID][]Load{}
 	for _, endpoint := range c.Endpoints {
 		if endpoint.Kind == tables.Engine && !endpoint.Leaving {
-			missing[endpoint.ID] = missingLoads(c, endpoint, observations[endpoint.ID])
+			missing[endpoint.ID] = missingLoads(c, endpoint, r.observations[endpoint.ID])
 		}
 	}
-	for _, row := range rows {
+	for _, row := range counted.Rows {
 		load := loadFromRow(row)
-		observation := observations[load.Endpoint]
+		observation := r.observations[load.Endpoint]
 		switch {
-		case !observation.Known || observation.UnreachableFor > 0:
-			if observation.UnreachableFor >= maxLoadDuration {
-				plan.Ended = append(plan.Ended, load.Endpoint)
-				continue
-			}
-			busy[load.Endpoint] = true
-		case !slices.Contains(missing[load.Endpoint], load):
-			if observation.State.Loading == 0 {
+		case observation.answers() && observation.State.Loading == 0:
+			if !slices.Contains(missing[load.Endpoint], load) {
 				plan.Ended = append(plan.Ended, load.Endpoint)
 				continue
 			}
-			busy[load.Endpoint] = true
-		default:
-			busy[load.Endpoint] = true
-			if observation.State.Loading == 0 {
+			if r.attempts[load].haveFailed(now) {
+				plan.Failed = append(plan.Failed, load)
+			} else {
 				plan.Resend = append(plan.Resend, load)
 			}
+		case counted.isExpired(row):
+			plan.Expired = append(plan.Expired, load.Endpoint)
+			continue
 		}
+		busy[load.Endpoint] = true
 	}
-	plan.Start = admissibleLoads(c, observations, missing, busy)
+	plan.Start = r.admissibleLoads(c, missing, busy)
 	return plan
 }
 
@@ -122,7 +162,7 @@
 // returns nothing for an endpoint that could not be read. A model is loaded
 // before its adapters.
 func missingLoads(c *tables.Configuration, endpoint tables.Endpoint, observation Observation) []Load {
-	if !observation.Known || observation.UnreachableFor > 0 {
+	if !observation.answers() {
 		return nil
 	}
 	var loads []Load
@@ -146,23 +186,30 @@
 }
 
 // admissibleLoads returns the first load of each endpoint that is not busy, up
-// to the number of free slots of the weight store. Loads that an endpoint runs
-// without a row take slots too; operators can order such loads directly.
-func admissibleLoads(c *tables.Configuration, observations map[tables.EndpointID]Observation, missing map[tables.EndpointID][]Load, busy map[tables.EndpointID]bool) []Load {
+// to the number of free slots of the weight store, those that have failed least
+// first. Loads that an endpoint runs without a row take slots too, for as long as
+// a load can take; operators can order such loads directly.
+func (r *Controller) admissibleLoads(c *tables.Configuration, missing map[tables.EndpointID][]Load, busy map[tables.EndpointID]bool) []Load {
+	now := r.options.Now()
 	freeSlots := max(1, c.WeightLoads) - len(busy)
 	var candidates []Load
 	for id, loads := range missing {
 		if busy[id] {
 			continue
 		}
-		if observations[id].State.Loading > 0 {
-			freeSlots--
+		if observation := r.observations[id]; observation.State.Loading > 0 {
+			if observation.LoadingFor < maxLoadDuration {
+				freeSlots--
+			}
 			continue
 		}
-		if len(loads) > 0 {
-			candidates = append(candidates, loads[0])
+		i := slices.IndexFunc(loads, func(load Load) bool { return now >= r.attempts[load].retryAt })
+		if i >= 0 {
+			candidates = append(candidates, loads[i])
 		}
 	}
-	slices.SortFunc(candidates, func(a, b Load) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
+	slices.SortFunc(candidates, func(a, b Load) int {
+		return cmp.Or(cmp.Compare(r.attempts[a].failures, r.attempts[b].failures), cmp.Compare(a.Endpoint, b.Endpoint))
+	})
 	return candidates[:max(0, min(freeSlots, len(candidates)))]
 }
--- a/control/rollout/announcements.go
+++ b/control/rollout/announcements.go
@@ -14,7 +14,7 @@
 	if r == nil {
 		return
 	}
-	r.polling = false
+	r.polling, r.loadsUnordered = false, false
 	r.pausedUntil = max(r.pausedUntil, now+d)
 	if r.phase == updating {
 		r.unconfirmed = true
@@ -24,6 +24,6 @@
 // HandleDraining records that an engine announces that it is about to stop. It gets no orders.
 func (p *Planner) HandleDraining(id tables.EndpointID) {
 	if r := p.engineStates[id]; r != nil {
-		r.Draining = true
+		r.Draining, r.announcedLeave = true, true
 	}
 }
--- a/control/rollout/belief.go
+++ b/control/rollout/belief.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"time"
 
 	"github.com/carawaystile/carawaystile/fleet"
@@ -12,6 +13,12 @@
 // older then may be what the engine has gone back to.
 const maxListAge = 3 * time.Second
 
+// restartedAs reports whether a listed start is that of another process. The list may still show the process
+// before the known one.
+func (r *engineState) restartedAs(startUnixMilli int64) bool {
+	return startUnixMilli != 0 && startUnixMilli != r.StartUnixMilli && startUnixMilli != r.process
+}
+
 // confirm takes the weights over that an engine reports. They may be older than those known: an engine goes back
 // if an order of an earlier version reaches it after it has restarted, and what an entry of the list claimed may
 // be wrong. A report that was requested soon after the known weights were shown may just be older than these.
@@ -32,13 +39,14 @@
 
 // ObserveList compares the versions of weights that the platform's list shows with those known. An engine that
 // the list shows with others is polled, at once if the list has just begun to show newer ones: its own report
-// decides.
+// decides. So is one that has shown nothing itself and whose weights are beyond the target.
 func (p *Planner) ObserveList(now tables.Instant, listed map[tables.EndpointID]map[string]uint64) {
 	for id, r := range p.engineStates {
 		for model, version := range listed[id] {
 			known, serves := r.Weights[model]
 			isNewer := version > known && version != r.listed[model]
-			if serves && version != known && (isNewer || now-r.confirmedAt > maxListAge) {
+			isUnnamed := r.confirmedAt == 0 && p.targets[model] != 0 && known > p.targets[model]
+			if serves && (isUnnamed || version != known && (isNewer || now-r.confirmedAt > maxListAge)) {
 				r.doubted = true
 			}
 		}
@@ -69,3 +77,12 @@
 	}
 	return maps.Clone(r.Weights), true
 }
+
+// lowestVersion returns the lowest version that an engine serves of any model.
+func lowestVersion(r *engineState) uint64 {
+	lowest := uint64(math.MaxUint64)
+	for _, version := range r.Weights {
+		lowest = min(lowest, version)
+	}
+	return lowest
+}
--- a/control/rollout/planner.go
+++ b/control/rollout/planner.go
@@ -7,7 +7,6 @@
 import (
 	"cmp"
 	"maps"
-	"math"
 	"slices"
 	"time"
 
@@ -79,6 +78,8 @@
 	listed      map[string]uint64
 	// process is the start of the process that the state is about, in Unix milliseconds; 0 if it is unknown.
 	process int64
+	// announcedLeave is set once the process itself has announced that it is about to stop.
+	announcedLeave bool
 	// orderedAt is when the latest order was sent, 0 if none was.
 	orderedAt tables.Instant
 	// acceptedSequence is the engine's sequence after it accepts the latest order.
@@ -89,6 +90,9 @@
 	unconfirmed bool
 	// pausedUntil is when the back-off that the engine has requested ends.
 	pausedUntil tables.Instant
+	// loadsUnordered is set while an idle engine reports a load: an earlier holder of the lease has ordered it, or
+	// the order was carried out late.
+	loadsUnordered bool
 	// loadingSince is when the load that is in progress was accepted or first seen, 0 if none is.
 	loadingSince tables.Instant
 }
@@ -126,8 +130,9 @@
 }
 
 // UpdateEndpoints replaces the list of known endpoints. Endpoints without weights are ignored, unless others of
-// their service have some: those are engines, and a poll tells what they serve. A restarted endpoint loses its update state. For the others what they have shown themselves is kept: the
-// list lags, and may have entries of other writers.
+// their service have some: those are engines, and a poll tells what they serve. A restarted endpoint loses its
+// update state. For the others what they have shown themselves is kept: the list lags, and may have entries of
+// other writers.
 func (p *Planner) UpdateEndpoints(endpoints []fleet.Endpoint) {
 	present := make(map[tables.EndpointID]bool, len(endpoints))
 	for _, e := range endpoints {
@@ -148,6 +153,7 @@
 		known.doubted = known.doubted || known.isClaimedNewer(e)
 		weights := known.Weights
 		known.Endpoint = newEngineState(e).Endpoint
+		known.Draining = known.Draining || known.announcedLeave
 		maps.Copy(known.Weights, weights)
 	}
 	for id := range p.engineStates {
@@ -166,12 +172,6 @@
 	return &engineState{Endpoint: e, process: e.StartUnixMilli, doubted: len(e.Weights) == 0}
 }
 
-// restartedAs reports whether a listed start is that of another process. The list may still show the process
-// before the known one.
-func (r *engineState) restartedAs(startUnixMilli int64) bool {
-	return startUnixMilli != 0 && startUnixMilli != r.StartUnixMilli && startUnixMilli != r.process
-}
-
 // Action is a call to an engine: an order if Version is set, a poll otherwise.
 type Action struct {
 	Endpoint fleet.Endpoint
@@ -281,15 +281,6 @@
 	return engines
 }
 
-// lowestVersion returns the lowest version that an engine serves of any model.
-func lowestVersion(r *engineState) uint64 {
-	lowest := uint64(math.MaxUint64)
-	for _, version := range r.Weights {
-		lowest = min(lowest, version)
-	}
-	return lowest
-}
-
 // HandleReport processes the report of a poll, nil if the engine did not answer. It returns whether
 // the report completes an update.
 func (p *Planner) HandleReport(now tables.Instant, id tables.EndpointID, report *Report) bool {
@@ -297,7 +288,7 @@
 	if r == nil {
 		return false
 	}
-	r.polling = false
+	r.polling, r.loadsUnordered = false, false
 	if report == nil {
 		r.nextPollAt = now + pollRetryDelay
 		r.unconfirmed = r.unconfirmed || r.phase == updating
@@ -332,6 +323,7 @@
 		r.phase, r.sequenceKnown, r.sequence = idle, true, report.Sequence
 	case r.phase == idle:
 		r.sequenceKnown, r.doubted = !report.Busy, report.Busy
+		r.recordUnorderedLoad(now, report.Busy)
 		r.sequence = report.Sequence
 	default:
 		p.expireUpdate(now, r)
