--- a/control/rollout/lease.go
+++ b/control/rollout/lease.go
@@ -40,9 +40,7 @@
 
 // delayAnnouncedEngines delays orders to the engines that an earlier holder may
 // just have sent one. Without the announcements a new holder would have to
-// delay its orders to all engines for the duration of a lease. When a holder
-// froze right after new weights were published, the rest of the fleet then
-// served replaced weights for 7 s, and ran with few engines after that.
+// delay its orders to all engines for the duration of a lease.
 func (r *Controller) delayAnnouncedEngines() {
 	if r.options.EnginesCheckFence {
 		return
--- a/fleet/draining_test.go
+++ b/fleet/draining_test.go
@@ -56,7 +56,7 @@
 	}
 }
 
-// Guards against a source that has not heard of it and reverts that an endpoint is used again, and against an
+// Guards against a source without that update which reverts that an endpoint is used again, and against an
 // endpoint that leaves after it was.
 func TestReinstatedEndpointMayLeave(t *testing.T) {
 	table, old, replica := NewTable(1), NewTable(2), NewReplica()
