The simulated engines check fencing tokens, and get orders as the controller builds them

The simulation compared the planner's actions with the sequence itself, so that nothing about tokens could be tested.

--- a/control/rollout/simulation_test.go
+++ b/control/rollout/simulation_test.go
@@ -35,6 +35,8 @@
 	loading  uint64
 	loadedAt tables.Instant
 	sequence uint64
+	// fence is the highest fencing token that the process has seen.
+	fence tables.FencingToken
 	// reports holds the latest states, oldest first.
 	reports []simState
 	// silentUntil, sheddingUntil and lateUntil end the troubles of the process; troubledAt is when it was last
@@ -80,6 +82,7 @@
 	events     []simEvent
 	named      []simVersion
 	starts     int64
+	leases     tables.FencingToken
 	loads      int
 	orders     int
 	polls      int
@@ -107,6 +110,7 @@
 
 // newHolder replaces the planner, as a change of the lease's holder does.
 func (s *simulation) newHolder() {
+	s.leases++
 	s.table.ClearLoading()
 	s.table.ForgetReports()
 	s.controller = NewController(Options{
@@ -242,6 +246,7 @@
 		return
 	}
 	s.orders++
+	order := s.controller.newOrder(action, s.leases)
 	unanswered := func() {
 		answer(orderTimeout, func() { s.controller.handleOrderResult(s.now, action, 1, 0, context.DeadlineExceeded) })
 	}
@@ -250,13 +255,13 @@
 		unanswered()
 	case s.now < p.lateUntil && s.random.Float64() < 0.8:
 		unanswered()
-		s.after(2*time.Second+time.Duration(s.random.Int64N(int64(10*time.Second))), func() { s.carryOutLate(p, action) })
+		s.after(2*time.Second+time.Duration(s.random.Int64N(int64(10*time.Second))), func() { s.carryOutLate(p, id, order) })
 	default:
 		if err := s.shed(p); err != nil {
 			answer(simRoundTrip, func() { s.controller.handleOrderResult(s.now, action, 1, Rejected, err) })
 			return
 		}
-		result := s.carryOut(p, action)
+		result := s.carryOut(p, order)
 		answer(simRoundTrip, func() { s.controller.handleOrderResult(s.now, action, 1, result, nil) })
 	}
 }
@@ -269,26 +274,30 @@
 	return &engine.PushbackError{RetryAfter: time.Duration(500+s.random.IntN(1500)) * time.Millisecond, Cause: context.Canceled}
 }
 
-func (s *simulation) carryOutLate(sentTo *simProcess, action Action) {
-	p := s.process(action.Endpoint.ID)
+func (s *simulation) carryOutLate(sentTo *simProcess, id tables.EndpointID, order Order) {
+	p := s.process(id)
 	if p == nil || s.now < p.silentUntil || p != sentTo && !s.trouble.lateOutlivesProcess {
 		return
 	}
-	if s.carryOut(p, action) == Accepted {
+	if s.carryOut(p, order) == Accepted {
 		p.troubledAt = s.now
 	}
 }
 
-func (s *simulation) carryOut(p *simProcess, action Action) OrderResult {
+func (s *simulation) carryOut(p *simProcess, order Order) OrderResult {
+	if order.Fence < p.fence {
+		return Fenced
+	}
+	p.fence = order.Fence
 	switch {
-	case p.loading != 0 || p.sequence != action.Sequence:
+	case p.loading != 0 || p.sequence != order.Sequence:
 		return Conflict
-	case p.version == action.Version:
+	case p.version == order.Version:
 		return AlreadyServing
 	}
 	s.loads++
 	p.sequence++
-	p.loading, p.loadedAt = action.Version, s.now+400*time.Millisecond+time.Duration(s.random.IntN(300))*time.Millisecond
+	p.loading, p.loadedAt = order.Version, s.now+400*time.Millisecond+time.Duration(s.random.IntN(300))*time.Millisecond
 	if s.onAccepted != nil {
 		s.onAccepted(p)
 	}
