A search by the platform's clock fails: versions are in place too late beside late orders

What callers saw: VERSION, 'N of N servers still have an older version than N, acked'.

The platform's rule stops no clock for them: it counts for each version from its acknowledgement and the start of the engine, and is broken once more than one engine and over a tenth lack the version for 11 s.

--- a/control/rollout/simulation_test.go
+++ b/control/rollout/simulation_test.go
@@ -66,6 +66,25 @@
 	lateOutlivesProcess bool
 }
 
+// simPlatform holds the figures of a simulated platform.
+type simPlatform struct {
+	// lateShare is the share of orders that get no answer while orders are late. They are carried out between
+	// lateMin and lateMax later.
+	lateShare        float64
+	lateMin, lateMax time.Duration
+	// loadTime is the shortest time of a load; loadSpread is added to it at random.
+	loadTime, loadSpread time.Duration
+	// checksFence is set if engines carry out no order under a lower fencing token than they have seen.
+	checksFence bool
+	// slowsLoads is set if loads take longer while more than a fifth of the engines load.
+	slowsLoads bool
+}
+
+var defaultPlatform = simPlatform{
+	lateShare: 0.8, lateMin: 2 * time.Second, lateMax: 12 * time.Second,
+	loadTime: 400 * time.Millisecond, loadSpread: 300 * time.Millisecond, checksFence: true,
+}
+
 type simEvent struct {
 	at tables.Instant
 	do func()
@@ -75,6 +94,7 @@
 type simulation struct {
 	random     *rand.Rand
 	trouble    simTrouble
+	platform   simPlatform
 	now        tables.Instant
 	table      *fleet.Table
 	controller *Controller
@@ -97,8 +117,12 @@
 }
 
 func newSimulation(seed uint64, engines int, trouble simTrouble) *simulation {
+	return newSimulationOn(defaultPlatform, seed, engines, trouble)
+}
+
+func newSimulationOn(platform simPlatform, seed uint64, engines int, trouble simTrouble) *simulation {
 	s := &simulation{
-		random: rand.New(rand.NewPCG(seed, 91)), trouble: trouble, table: fleet.NewTable(1), named: []simVersion{{version: 1}},
+		random: rand.New(rand.NewPCG(seed, 91)), trouble: trouble, platform: platform, table: fleet.NewTable(1), named: []simVersion{{version: 1}},
 		now: simStep, // goneAt is 0 as long as a process runs
 	}
 	for i := range engines {
@@ -114,7 +138,7 @@
 	s.table.ClearLoading()
 	s.table.ForgetReports()
 	s.controller = NewController(Options{
-		Fleet: s.table, Log: zap.NewNop(), IsLeader: func() bool { return true }, EnginesCheckFence: true,
+		Fleet: s.table, Log: zap.NewNop(), IsLeader: func() bool { return true }, EnginesCheckFence: s.platform.checksFence,
 		Now: func() tables.Instant { return s.now },
 		TargetVersions: func() map[string]uint64 {
 			return map[string]uint64{"m": s.named[len(s.named)-1].version}
@@ -253,9 +277,9 @@
 	switch {
 	case silent:
 		unanswered()
-	case s.now < p.lateUntil && s.random.Float64() < 0.8:
+	case s.now < p.lateUntil && s.random.Float64() < s.platform.lateShare:
 		unanswered()
-		s.after(2*time.Second+time.Duration(s.random.Int64N(int64(10*time.Second))), func() { s.carryOutLate(p, id, order) })
+		s.after(s.platform.lateMin+time.Duration(s.random.Int64N(int64(s.platform.lateMax-s.platform.lateMin))), func() { s.carryOutLate(p, id, order) })
 	default:
 		if err := s.shed(p); err != nil {
 			answer(simRoundTrip, func() { s.controller.handleOrderResult(s.now, action, 1, Rejected, err) })
@@ -285,10 +309,10 @@
 }
 
 func (s *simulation) carryOut(p *simProcess, order Order) OrderResult {
-	if order.Fence < p.fence {
+	if s.platform.checksFence && order.Fence < p.fence {
 		return Fenced
 	}
-	p.fence = order.Fence
+	p.fence = max(p.fence, order.Fence)
 	switch {
 	case p.loading != 0 || p.sequence != order.Sequence:
 		return Conflict
@@ -297,13 +321,30 @@
 	}
 	s.loads++
 	p.sequence++
-	p.loading, p.loadedAt = order.Version, s.now+400*time.Millisecond+time.Duration(s.random.IntN(300))*time.Millisecond
+	p.loading, p.loadedAt = order.Version, s.now+s.loadDuration()
 	if s.onAccepted != nil {
 		s.onAccepted(p)
 	}
 	return Accepted
 }
 
+// loadDuration returns the time of a load that begins now.
+func (s *simulation) loadDuration() time.Duration {
+	spread := time.Duration(s.random.Int64N(int64(s.platform.loadSpread/time.Millisecond))) * time.Millisecond
+	took := s.platform.loadTime + spread
+	if !s.platform.slowsLoads {
+		return took
+	}
+	live, loading := s.live(), 1
+	for _, p := range live {
+		if p.loading != 0 {
+			loading++
+		}
+	}
+	slowdown := max(1, float64(loading*concurrencyDivisor)/float64(len(live)))
+	return time.Duration(float64(took) * slowdown)
+}
+
 // crash ends a process, which starts again after a time, under its ID or another one.
 func (s *simulation) crash(p *simProcess) {
 	if p.gone() {
