Lag of each target version in the log and the metrics

Cause: an on-call engineer could not hold the log against the rule for versions. Event 3044 and the gauges give behind_for per endpoint, counted from the first target missed; the rule runs a clock for each version, and counts two or more endpoints and over a tenth of them.

Ruled out: deriving it from 3044, which bounds the endpoints that are logged and does not name the versions in between; a structure of its own, since weights.History keeps up to 32 versions a model.

Change: each control instance records since when it has known each target (Controller.targets), also without the lease. Event 3054 names versions that have lagged for 5 s, with the endpoints that lack them, the age, and its share of orders.weights_timeout; at most 4 versions every 5 s, at the holder of the lease and the leader.

--- a/control/rollout/controller.go
+++ b/control/rollout/controller.go
@@ -14,6 +14,7 @@
 	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/fleet"
 	"github.com/carawaystile/carawaystile/tables"
+	"github.com/carawaystile/carawaystile/weights"
 )
 
 const (
@@ -75,6 +76,9 @@
 	HandoverDelay     time.Duration
 	EnginesCheckFence bool
 	Strategy          Strategy
+	// WeightsTimeout is how long requests may begin on replaced weights. The log gives the lag of versions as a
+	// share of it; 0 is none.
+	WeightsTimeout time.Duration
 	// Now is a monotonic clock that continues while the machine is suspended.
 	Now func() tables.Instant
 	Log *zap.Logger
@@ -105,6 +109,9 @@
 	// lastHolder is the instance that held the lease when this one last requested it in vain.
 	lastHolder tables.InstanceID
 	lags       lagTracker
+	// targets records since when each target version has been known to this instance.
+	targets  *weights.History
+	versions versionTracker
 }
 
 // NewController returns a controller that does not hold the lease.
@@ -112,6 +119,7 @@
 	return &Controller{
 		options:  options,
 		planner:  NewPlanner(),
+		targets:  &weights.History{},
 		results:  make(chan func(), 64),
 		renewals: make(chan error, 1),
 		lease: client.NewLease(client.LeaseOptions{
--- a/control/rollout/lag.go
+++ b/control/rollout/lag.go
@@ -111,11 +111,14 @@
 // observeLag computes the lag of the endpoints when that is due, and logs those that have been behind for long
 // at the instance that holds the lease, or leads while no instance is known to hold it.
 func (r *Controller) observeLag(now tables.Instant) {
+	targets := r.options.TargetVersions()
+	r.recordTargets(now, targets)
 	if r.lags.computedAt != 0 && now-r.lags.computedAt < lagInterval {
 		return
 	}
 	r.lags.computedAt = now
-	behind := r.lags.observe(now, r.options.Fleet, r.options.TargetVersions())
+	behind := r.lags.observe(now, r.options.Fleet, targets)
+	r.observeVersions(now)
 	if len(behind) == 0 || now-behind[0].since < lagLogAfter || r.lags.loggedAt != 0 && now-r.lags.loggedAt < lagLogInterval {
 		return
 	}
--- a/node/control.go
+++ b/node/control.go
@@ -83,6 +83,7 @@
 		HandoverDelay:     s.Orders.Lease,
 		EnginesCheckFence: s.Orders.Fenced,
 		Strategy:          rollout.RetainRequests,
+		WeightsTimeout:    s.Orders.WeightsTimeout,
 		Now:               boottime.Now,
 		Log:               n.log,
 	})
