Orders that are overtaken or unanswered in the log and the metrics

Cause: an order that an older one has made void could not be told from one that is lost, nor an endpoint that gets no orders from one whose orders come to nothing; orders without an answer were not counted.

Ruled out: taking every sequence beyond the expected one for a race. An order that was accepted has taken the sequence itself, even if its load comes to nothing; a report that shows a load in progress shows no outcome; a report of a restarted process has a sequence of its own.

Change: event 3055 names an order that an older one has overtaken, once an order. Event 3023 has the version that was ordered last and whether the report shows an older one, 3024 the order that got no answer, 3044 the orders sent since the endpoint began to lag and the time since the last one. Three counters: orders sent, unanswered, overtaken. What an earlier holder of the lease had ordered is not known to the next one, so that its races are not logged.

Seven mutants of races.go fail a test each: no check of the sequence, of the version, of accepted orders, of loads in progress, of the process, of repeats, and orders that are never forgotten.

--- a/control/rollout/controller.go
+++ b/control/rollout/controller.go
@@ -13,6 +13,7 @@
 	"github.com/carawaystile/carawaystile/engine"
 	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/fleet"
+	"github.com/carawaystile/carawaystile/metrics"
 	"github.com/carawaystile/carawaystile/tables"
 	"github.com/carawaystile/carawaystile/weights"
 )
@@ -82,6 +83,8 @@
 	// Now is a monotonic clock that continues while the machine is suspended.
 	Now func() tables.Instant
 	Log *zap.Logger
+	// Registry takes the counts of orders if it is set.
+	Registry *metrics.Registry
 }
 
 // Controller runs the control loop of a rollout while it holds the lease: it
@@ -112,6 +115,7 @@
 	// targets records since when each target version has been known to this instance.
 	targets  *weights.History
 	versions versionTracker
+	counters orderCounters
 }
 
 // NewController returns a controller that does not hold the lease.
@@ -120,6 +124,7 @@
 		options:  options,
 		planner:  NewPlanner(),
 		targets:  &weights.History{},
+		counters: newOrderCounters(options.Registry),
 		results:  make(chan func(), 64),
 		renewals: make(chan error, 1),
 		lease: client.NewLease(client.LeaseOptions{
@@ -208,6 +213,7 @@
 	}
 	fence, _ := r.lease.TokenAndTTL()
 	order := r.newOrder(action, fence)
+	r.recordOrder(r.options.Now(), action.Endpoint.ID)
 	events.RolloutOrdered.Log(r.options.Log, zap.String("endpoint", string(action.Endpoint.ID)),
 		zap.String("model", order.Model), zap.Uint64("weights", order.Version),
 		zap.Uint64("fence", uint64(fence)), zap.Uint64("sequence", order.Sequence))
@@ -243,15 +249,14 @@
 		r.planner.HandleReport(now, id, nil)
 		return
 	}
+	latest := r.planner.latestOrder(id)
 	done := r.planner.HandleReport(now, id, &report)
 	r.recordWeights(id, report.Born, before)
 	if report.Draining {
 		r.planner.HandleDraining(id)
 		r.options.Fleet.SetDraining(id, report.Born)
 	}
-	if done {
-		events.RolloutDone.Log(r.options.Log, zap.String("endpoint", string(id)), zap.Any("weights", report.Weights))
-	}
+	r.logReport(id, latest, &report, done)
 	r.options.Fleet.SetLoading(id, r.planner.Updating(id))
 }
 
@@ -313,6 +318,7 @@
 		return
 	}
 	r.planner.HandleOrderResult(now, id, result)
+	r.planner.noteAnswer(id, action.Version, result)
 	switch {
 	case r.handlePushback(now, id, err):
 	case result == Fenced:
@@ -320,7 +326,9 @@
 	case result == Rejected && err != nil:
 		events.OrderNotAnnounced.Log(r.options.Log, zap.String("endpoint", string(id)), zap.Error(err))
 	case result == 0:
-		events.RolloutUnanswered.Log(r.options.Log, zap.String("endpoint", string(id)), zap.Error(err))
+		r.counters.unanswered.Inc(1)
+		events.RolloutUnanswered.Log(r.options.Log, zap.String("endpoint", string(id)), zap.String("model", action.Model),
+			zap.Uint64("weights", action.Version), zap.Uint64("sequence", action.Sequence), zap.Error(err))
 	}
 	r.options.Fleet.SetLoading(id, r.planner.Updating(id))
 }
--- a/control/rollout/lag.go
+++ b/control/rollout/lag.go
@@ -52,7 +52,9 @@
 	since      map[lagKey]tables.Instant
 	computedAt tables.Instant
 	loggedAt   tables.Instant
-	current    atomic.Pointer[Lag]
+	// orders holds the orders to the endpoints that are behind.
+	orders  map[tables.EndpointID]orderHistory
+	current atomic.Pointer[Lag]
 }
 
 // observe updates the tracker and returns the endpoints that are behind, those that have been so for
@@ -75,6 +77,7 @@
 		behind = append(behind, lagging{id: e.ID, model: model, version: version, listed: listed[e.ID][model], target: targets[model], since: began})
 	})
 	t.since = since
+	t.forgetOrders(behind)
 	slices.SortFunc(behind, func(a, b lagging) int {
 		return cmp.Or(cmp.Compare(a.since, b.since), cmp.Compare(a.id, b.id))
 	})
@@ -129,11 +132,12 @@
 	r.lags.loggedAt = now
 	for _, l := range behind[:min(len(behind), maxLoggedLags)] {
 		if now-l.since >= lagLogAfter {
+			fields := append(r.lags.describeOrders(now, l.id), r.planner.describe(now, l.id)...)
 			events.RolloutLagging.Log(r.options.Log, append([]zap.Field{
 				zap.String("endpoint", string(l.id)), zap.String("model", l.model), zap.Uint64("weights", l.version),
 				zap.Uint64("target", l.target), zap.Duration("behind_for", now-l.since), zap.Uint64("listed", l.listed),
 				zap.Int("behind", len(behind)),
-			}, r.planner.describe(now, l.id)...)...)
+			}, fields...)...)
 		}
 	}
 }
--- a/node/control.go
+++ b/node/control.go
@@ -84,6 +84,7 @@
 		EnginesCheckFence: s.Orders.Fenced,
 		Strategy:          rollout.RetainRequests,
 		WeightsTimeout:    s.Orders.WeightsTimeout,
+		Registry:          n.registry,
 		Now:               boottime.Now,
 		Log:               n.log,
 	})
