No pass over the endpoints for versions while none is behind

Cause: the lag of versions walked the endpoint table twice a second at each control instance, also when all serve their targets.

Ruled out: leaving out the start of endpoints, which the rule counts from.

Change: processes are recorded when the table has changed, and versions compared when an endpoint is behind.

--- a/control/rollout/lag.go
+++ b/control/rollout/lag.go
@@ -121,7 +121,7 @@
 	}
 	r.lags.computedAt = now
 	behind := r.lags.observe(now, r.options.Fleet, targets)
-	r.observeVersions(now)
+	r.observeVersions(now, len(behind) > 0)
 	if len(behind) == 0 || now-behind[0].since < lagLogAfter || r.lags.loggedAt != 0 && now-r.lags.loggedAt < lagLogInterval {
 		return
 	}
--- a/control/rollout/versions.go
+++ b/control/rollout/versions.go
@@ -48,12 +48,19 @@
 // versionTracker computes the lag of each target version.
 type versionTracker struct {
 	knownFrom map[lagKey]tables.Instant
-	loggedAt  tables.Instant
-	current   atomic.Pointer[VersionLag]
+	// tableVersion is the version of the endpoint table that knownFrom was computed for.
+	tableVersion uint64
+	loggedAt     tables.Instant
+	current      atomic.Pointer[VersionLag]
 }
 
-// observe returns the versions that lag, those that have lagged longest first.
-func (t *versionTracker) observe(now tables.Instant, table *fleet.Table, targets *weights.History) []VersionLag {
+// observe returns the versions that lag, those that have lagged longest first. Unless an endpoint is behind, there are none.
+func (t *versionTracker) observe(now tables.Instant, table *fleet.Table, targets *weights.History, isAnyBehind bool) []VersionLag {
+	t.recordEndpoints(now, table)
+	if !isAnyBehind {
+		t.current.Store(nil)
+		return nil
+	}
 	var lags []VersionLag
 	for model, endpoints := range t.endpointsByModel(now, table) {
 		lags = append(lags, versionLags(now, model, endpoints, targets)...)
@@ -73,18 +80,15 @@
 // those known count as such.
 func (t *versionTracker) endpointsByModel(now tables.Instant, table *fleet.Table) map[string][]servingEndpoint {
 	models := map[string][]servingEndpoint{}
-	knownFrom := make(map[lagKey]tables.Instant)
 	listed, _ := table.Listed()
 	table.Each(func(e *fleet.Endpoint) {
-		key := lagKey{id: e.ID, startUnixMilli: e.StartUnixMilli}
-		from, known := t.knownFrom[key]
-		if !known {
-			from = now
-		}
-		knownFrom[key] = from
 		if e.Draining {
 			return
 		}
+		from, known := t.knownFrom[lagKey{id: e.ID, startUnixMilli: e.StartUnixMilli}]
+		if !known {
+			from = now
+		}
 		for model, version := range e.Weights {
 			if shown, named := listed[e.ID][model]; named {
 				version = min(version, shown)
@@ -92,10 +96,27 @@
 			models[model] = append(models[model], servingEndpoint{version: version, knownFrom: from})
 		}
 	})
-	t.knownFrom = knownFrom
 	return models
 }
 
+// recordEndpoints records since when each process of an endpoint has been known, if the table has changed.
+func (t *versionTracker) recordEndpoints(now tables.Instant, table *fleet.Table) {
+	version := table.Version()
+	if t.knownFrom != nil && version == t.tableVersion {
+		return
+	}
+	knownFrom := make(map[lagKey]tables.Instant, len(t.knownFrom))
+	table.Each(func(e *fleet.Endpoint) {
+		key := lagKey{id: e.ID, startUnixMilli: e.StartUnixMilli}
+		from, known := t.knownFrom[key]
+		if !known {
+			from = now
+		}
+		knownFrom[key] = from
+	})
+	t.knownFrom, t.tableVersion = knownFrom, version
+}
+
 // versionLags returns the versions of a model that lag, among those that the history keeps.
 func versionLags(now tables.Instant, model string, endpoints []servingEndpoint, targets *weights.History) []VersionLag {
 	allowed := max(1, len(endpoints)/maxLaggingShare)
@@ -143,8 +164,8 @@
 
 // observeVersions computes the lag of the versions, and logs those that have lagged for long at the instance that
 // holds the lease, and at the leader.
-func (r *Controller) observeVersions(now tables.Instant) {
-	lags := r.versions.observe(now, r.options.Fleet, r.targets)
+func (r *Controller) observeVersions(now tables.Instant, isAnyBehind bool) {
+	lags := r.versions.observe(now, r.options.Fleet, r.targets, isAnyBehind)
 	if len(lags) == 0 || lags[0].Age < versionLogAfter || r.versions.loggedAt != 0 && now-r.versions.loggedAt < lagLogInterval {
 		return
 	}
