Event 3055 does not claim that the overtaken order is void

Cause: an order that does not expect a sequence can be carried out after an older one; the text of the event and the counter said that it is void.

--- a/control/rollout/planner.go
+++ b/control/rollout/planner.go
@@ -85,7 +85,7 @@
 	orderedAt, pendingSince tables.Instant
 	// acceptedSequence is the engine's sequence after it accepts the latest order.
 	acceptedSequence uint64
-	// settledSequence is the sequence of the last order that is known to be accepted, or to be void.
+	// settledSequence is the sequence of the last order that is known to be accepted, or to come after an older one.
 	settledSequence uint64
 	// unconfirmed is set in an update that is not seen: the order got no answer, or the latest poll got none.
 	// Most such orders are lost, or wait for seconds. The engine then still serves its old weights, and if it
--- a/control/rollout/races.go
+++ b/control/rollout/races.go
@@ -22,7 +22,7 @@
 	return orderCounters{
 		sent:       registry.Counter("carawaystile_rollout_orders_total", "Orders to load weights that this instance sent to endpoints."),
 		unanswered: registry.Counter("carawaystile_rollout_orders_unanswered_total", "Orders to load weights that got no answer in time."),
-		overtaken:  registry.Counter("carawaystile_rollout_orders_overtaken_total", "Orders to load weights that are void, since an older order was carried out first."),
+		overtaken:  registry.Counter("carawaystile_rollout_orders_overtaken_total", "Orders to load weights before which an older order was carried out."),
 	}
 }
 
@@ -92,7 +92,7 @@
 }
 
 // noteOvertaken reports whether a report is the first one to show that an older order has taken the sequence that
-// the latest one expects. Orders without an answer may be carried out in another order than they were sent in.
+// the latest one was to take. Orders without an answer may be carried out in another order than they were sent in.
 func (p *Planner) noteOvertaken(id tables.EndpointID, latest latestOrder, report *Report) bool {
 	r := p.engineStates[id]
 	if r == nil || latest.version == 0 || r.orderedVersion != latest.version || r.acceptedSequence != latest.acceptedSequence {
--- a/events/control.go
+++ b/events/control.go
@@ -51,7 +51,7 @@
 	RolloutWithoutLease            = define(3045, zapcore.WarnLevel, "Endpoints have served older weights than their target for seconds, and this leader may not send orders.")
 	RolloutWentBack                = define(3046, zapcore.WarnLevel, "An endpoint serves older weights than it was known to serve.")
 	RolloutVersionLagging          = define(3054, zapcore.WarnLevel, "Two or more endpoints, and over a tenth of a model's, have lacked a target version for seconds.")
-	RolloutOvertaken               = define(3055, zapcore.WarnLevel, "An older order was carried out first, so that the latest one to the endpoint is void.")
+	RolloutOvertaken               = define(3055, zapcore.WarnLevel, "An endpoint carried out an older order before the latest one.")
 	OrderLoadExpired               = define(3050, zapcore.WarnLevel, "A load that nobody saw end holds its slot of the weight store no more.")
 	OrderedLoadFailed              = define(3051, zapcore.WarnLevel, "An endpoint was ordered to load weights and neither loads nor serves them; they are ordered again later.")
 	OrdersLeaseGivenUp             = define(3052, zapcore.WarnLevel, "The lease for orders to endpoints is given up, because no endpoint answers this instance.")
