A newer order is carried out whatever older ones are still under way

What callers saw: VERSION, 'N of N servers still have an older version than N, acked'.

Cause: an order without an answer may be carried out seconds later. Orders for several targets named the same sequence of their engine, as long as none of them was seen to be carried out, so whichever came first voided all others.

So the token is checked when an order is carried out.

Change: where engines check tokens, an order's token is that of the lease in its high bits and the number of changes of the targets in the low 20; it names no sequence. A newer order wins whether it comes before or after an older one. The sequence stays where engines check no tokens: there an older order without it would restore older weights. TestFencedControllerReacquiresLease compared the token with the plain one of the lease; it holds the same tokens against each other in their new form.

Ruled out: orders for the sequences that follow as well. An older one of these could replace a newer version later.

Compatibility: tokens are 2^20 times as large as before, so that a control instance of an earlier version that takes the lease over gets its orders refused until engines restart.

--- a/control/rollout/controller.go
+++ b/control/rollout/controller.go
@@ -202,16 +202,20 @@
 	order := r.newOrder(action, fence)
 	events.RolloutOrdered.Log(r.options.Log, zap.String("endpoint", string(action.Endpoint.ID)),
 		zap.String("model", order.Model), zap.Uint64("weights", order.Version),
-		zap.Uint64("fence", uint64(fence)), zap.Uint64("sequence", order.Sequence))
+		zap.Uint64("fence", uint64(order.Fence)), zap.Uint64("sequence", order.Sequence))
 	go r.executeOrder(ctx, planner, action, order)
 }
 
 // newOrder returns the order of an action under a lease's fencing token.
 func (r *Controller) newOrder(action Action, fence tables.FencingToken) Order {
-	return Order{
+	order := Order{
 		Model: action.Model, Version: action.Version, Strategy: r.options.Strategy,
 		Holder: string(r.options.Instance), Fence: fence, Sequence: action.Sequence,
 	}
+	if r.options.EnginesCheckFence {
+		order.Fence, order.Unconditional = orderToken(fence, action.Generation), true
+	}
+	return order
 }
 
 // poll reads an engine's report and passes it to the planner and the fleet table.
--- a/control/rollout/controller_test.go
+++ b/control/rollout/controller_test.go
@@ -114,11 +114,11 @@
 // under the lower token could undo that holder's changes, so the controller
 // must acquire the lease again first.
 func TestFencedControllerReacquiresLease(t *testing.T) {
-	engine := &fakeEngine{minFence: 2}
+	engine := &fakeEngine{minFence: orderToken(2, 0)}
 	runUntilUpdated(t, engine, &fakeControlGroup{}, true)
-	assert.Equal(t, engine.orders[0].Fence, tables.FencingToken(1))
+	assert.Equal(t, engine.orders[0].Fence, orderToken(1, 1))
 	for _, order := range engine.orders[1:] {
-		assert.Assert(t, order.Fence >= 2, "fence %d after a refusal", order.Fence)
+		assert.Assert(t, order.Fence >= orderToken(2, 0), "fence %d after a refusal", order.Fence)
 	}
 }
 
--- a/control/rollout/planner.go
+++ b/control/rollout/planner.go
@@ -106,6 +106,8 @@
 	// notBefore is the earliest time for orders to an endpoint.
 	notBefore map[tables.EndpointID]tables.Instant
 	pauses    map[tables.EndpointID]pause
+	// generation counts the changes of the targets.
+	generation uint64
 	// MaxConcurrent overrides how many engines load at once; zero derives it from their number.
 	MaxConcurrent int
 	// loadTime is the moving average of the time from the acceptance of an order to the report that shows it
@@ -130,7 +132,10 @@
 
 // SetTarget sets the version that a model should be served with. A target is never lowered.
 func (p *Planner) SetTarget(model string, version uint64) {
-	p.targets[model] = max(p.targets[model], version)
+	if version > p.targets[model] {
+		p.targets[model] = version
+		p.generation++
+	}
 }
 
 // UpdateEndpoints replaces the list of known endpoints. Endpoints without weights are ignored, unless most others
@@ -182,6 +187,8 @@
 	Model    string
 	Version  uint64
 	Sequence uint64
+	// Generation counts the changes of the targets up to those that the order is for.
+	Generation uint64
 }
 
 // NextActions returns the actions that are due. The result of each must be passed to HandleReport
@@ -230,7 +237,7 @@
 	model, version := p.pendingUpdate(r)
 	r.phase, r.orderedModel, r.orderedVersion, r.phaseSince, r.unconfirmed, r.loadingSince = orderSent, model, version, now, false, 0
 	r.acceptedSequence, r.orderedAt = r.sequence+1, now
-	return Action{Endpoint: r.Endpoint, Process: r.process, Model: model, Version: version, Sequence: r.sequence}
+	return Action{Endpoint: r.Endpoint, Process: r.process, Model: model, Version: version, Sequence: r.sequence, Generation: p.generation}
 }
 
 func (p *Planner) shouldPoll(now tables.Instant, r *engineState) bool {
--- a/control/rollout/protocol.go
+++ b/control/rollout/protocol.go
@@ -37,8 +37,10 @@
 	Strategy Strategy
 	Holder   string
 	Fence    tables.FencingToken
-	// Sequence makes the order a compare-and-set: an engine at another sequence rejects it.
-	Sequence uint64
+	// Sequence makes the order a compare-and-set, unless Unconditional is set: an engine at another sequence
+	// rejects it.
+	Sequence      uint64
+	Unconditional bool
 }
 
 // OrderResult is an engine's answer to an order.
--- a/control/rollout/simulation_test.go
+++ b/control/rollout/simulation_test.go
@@ -314,7 +314,7 @@
 	}
 	p.fence = max(p.fence, order.Fence)
 	switch {
-	case p.loading != 0 || p.sequence != order.Sequence:
+	case p.loading != 0 || !order.Unconditional && p.sequence != order.Sequence:
 		return Conflict
 	case p.version == order.Version:
 		return AlreadyServing
