Engines that got no order come before those that left one unanswered

What callers saw: VERSION, 'N of N servers still have an older version than N, acked'.

Cause: of the engines with the oldest weights the first by zone and ID had the next turn, also when they had just left an order unanswered.

Change: engines with equal weights come in the order of their latest orders.

--- a/control/rollout/turns.go
+++ b/control/rollout/turns.go
@@ -14,8 +14,8 @@
 
 // oldestFirst sorts the engines by the age of their weights, oldest first. Otherwise a newer
 // target in the middle of a rollout would update the engines that come first again, and the last
-// ones never. Engines with equal weights alternate between zones, so that no zone loses all its
-// engines at once.
+// ones never. Of engines with equal weights those come first whose latest order was longest ago; then they
+// alternate between zones, so that no zone loses all its engines at once.
 func (p *Planner) oldestFirst() []*engineState {
 	engines := make([]*engineState, 0, len(p.engineStates))
 	for _, r := range p.engineStates {
@@ -29,7 +29,8 @@
 		zoneCount[r.Zone]++
 	}
 	slices.SortStableFunc(engines, func(a, b *engineState) int {
-		return cmp.Or(cmp.Compare(lowestVersion(a), lowestVersion(b)), cmp.Compare(zoneRank[a.ID], zoneRank[b.ID]))
+		return cmp.Or(cmp.Compare(lowestVersion(a), lowestVersion(b)), cmp.Compare(a.orderedAt, b.orderedAt),
+			cmp.Compare(zoneRank[a.ID], zoneRank[b.ID]))
 	})
 	return engines
 }
--- /dev/null
+++ b/control/rollout/turns_test.go
@@ -0,0 +1,63 @@
+package rollout
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/fleet"
+	"github.com/carawaystile/carawaystile/tables"
+)
+
+// silentEngines returns engines at version 1 that lack a target. They answer polls, and no orders.
+func silentEngines(engines int) *silentFleet {
+	f := &silentFleet{planner: NewPlanner(), now: time.Second, orders: map[tables.EndpointID][]tables.Instant{}}
+	var all []fleet.Endpoint
+	for i := range engines {
+		all = append(all, fleet.Endpoint{ID: tables.EndpointID(fmt.Sprintf("e%02d", i)), StartUnixMilli: 1, Weights: map[string]uint64{"m": 1}})
+	}
+	f.planner.UpdateEndpoints(all)
+	f.planner.SetTarget("m", 2)
+	return f
+}
+
+type silentFleet struct {
+	planner *Planner
+	now     tables.Instant
+	// orders holds when each engine got its orders.
+	orders map[tables.EndpointID][]tables.Instant
+}
+
+// run steps for a time. Orders end without an answer after orderTimeout.
+func (f *silentFleet) run(d time.Duration) {
+	var ending []Action
+	for end := f.now + d; f.now < end; f.now += stepInterval {
+		for len(ending) > 0 && f.now-f.lastOrder(ending[0]) >= orderTimeout {
+			f.planner.HandleOrderResult(f.now, ending[0].Endpoint.ID, 0)
+			ending = ending[1:]
+		}
+		for _, action := range f.planner.NextActions(f.now) {
+			id := action.Endpoint.ID
+			if action.Version == 0 {
+				f.planner.HandleReport(f.now, id, &Report{Weights: map[string]uint64{"m": 1}, Born: 1})
+				continue
+			}
+			f.orders[id] = append(f.orders[id], f.now)
+			ending = append(ending, action)
+		}
+	}
+}
+
+func (f *silentFleet) lastOrder(action Action) tables.Instant {
+	orders := f.orders[action.Endpoint.ID]
+	return orders[len(orders)-1]
+}
+
+// Guards against engines that get no order while others, which leave theirs unanswered, get one after the other.
+func TestEnginesThatGotNoOrderComeBeforeThoseThatDidNotAnswer(t *testing.T) {
+	f := silentEngines(9)
+	f.run(2500 * time.Millisecond)
+	assert.Equal(t, len(f.orders), 9)
+}
