An engine that declines its order need not be polled before the next one

What callers saw: VERSION, 'N of N servers still have an older version than N, acked'; this is a way to it that was read in the code, not the one that was reproduced.

Cause: each order that was refused ended the knowledge of the engine's sequence, also one that the engine declined because it takes no calls. After the back-off a poll came first, and had to be answered before the order was: an engine that declines nine of ten calls takes one of a hundred pairs, where one of ten would do.

Result: TestDeclinedOrderKeepsTheSequence fails without the change (polled).

--- a/control/rollout/planner.go
+++ b/control/rollout/planner.go
@@ -333,6 +333,8 @@
 	case AlreadyServing:
 		r.phase, r.confirmedAt, r.rejectedModel = idle, now, ""
 		r.Weights[r.orderedModel] = max(r.Weights[r.orderedModel], r.orderedVersion)
+	case Declined:
+		r.phase = idle
 	case Conflict, Rejected, Fenced:
 		r.phase, r.sequenceKnown, r.nextPollAt = idle, false, now+pollInterval
 		if result == Rejected {
--- a/control/rollout/protocol.go
+++ b/control/rollout/protocol.go
@@ -58,4 +58,6 @@
 	Fenced
 	// Rejected means that the order was refused for another reason, or not sent.
 	Rejected
+	// Declined means that the engine takes no calls now. The order was not accepted and will not be.
+	Declined
 )
--- a/control/rollout/simulation_test.go
+++ b/control/rollout/simulation_test.go
@@ -282,7 +282,7 @@
 		s.after(s.platform.lateMin+time.Duration(s.random.Int64N(int64(s.platform.lateMax-s.platform.lateMin))), func() { s.carryOutLate(p, id, order) })
 	default:
 		if err := s.shed(p); err != nil {
-			answer(simRoundTrip, func() { s.controller.handleOrderResult(s.now, action, 1, Rejected, err) })
+			answer(simRoundTrip, func() { s.controller.handleOrderResult(s.now, action, 1, Declined, err) })
 			return
 		}
 		result := s.carryOut(p, order)
--- a/control/rollout/stall_test.go
+++ b/control/rollout/stall_test.go
@@ -277,3 +277,17 @@
 		return true
 	})
 }
+
+// Guards against a poll that an engine must answer before each order, though a declined order changes nothing.
+func TestDeclinedOrderKeepsTheSequence(t *testing.T) {
+	p, now := cordonedEngine(t)
+	report := func() *Report { return &Report{Weights: map[string]uint64{"m": 1}, Born: 1} }
+	_, took := nextOrder(t, p, now, report)
+	now += took
+	p.HandleOrderResult(now, "e", Declined)
+	p.HandlePushback(now, "e", time.Second)
+	nextOrder(t, p, now, func() *Report {
+		t.Fatal("polled")
+		return nil
+	})
+}
