--- a/control/rollout/controller.go
+++ b/control/rollout/controller.go
@@ -76,10 +76,10 @@
 	// orders to the engines that an earlier holder has announced.
 	HandoverDelay     time.Duration
 	EnginesCheckFence bool
-	Strategy          Strategy
-	// WeightsTimeout is how long requests may begin on replaced weights. The log gives the lag of versions as a
-	// share of it; 0 is none.
+	// WeightsTimeout is how long requests may begin on outdated weights; 0 is without a limit.
+	// The log gives the lag of versions as a share of it.
 	WeightsTimeout time.Duration
+	Strategy       Strategy
 	// Now is a monotonic clock that continues while the machine is suspended.
 	Now func() tables.Instant
 	Log *zap.Logger
@@ -120,9 +120,11 @@
 
 // NewController returns a controller that does not hold the lease.
 func NewController(options Options) *Controller {
+	planner := NewPlanner()
+	planner.EnginesCheckFence, planner.WeightsTimeout = options.EnginesCheckFence, options.WeightsTimeout
 	return &Controller{
 		options:  options,
-		planner:  NewPlanner(),
+		planner:  planner,
 		targets:  &weights.History{},
 		counters: newOrderCounters(options.Registry),
 		results:  make(chan func(), 64),
@@ -216,16 +218,20 @@
 	r.recordOrder(r.options.Now(), action.Endpoint.ID)
 	events.RolloutOrdered.Log(r.options.Log, zap.String("endpoint", string(action.Endpoint.ID)),
 		zap.String("model", order.Model), zap.Uint64("weights", order.Version),
-		zap.Uint64("fence", uint64(fence)), zap.Uint64("sequence", order.Sequence))
+		zap.Uint64("fence", uint64(order.Fence)), zap.Uint64("sequence", order.Sequence))
 	go r.executeOrder(ctx, planner, action, order)
 }
 
 // newOrder returns the order of an action under a lease's fencing token.
 func (r *Controller) newOrder(action Action, fence tables.FencingToken) Order {
-	return Order{
+	order := Order{
 		Model: action.Model, Version: action.Version, Strategy: r.options.Strategy,
 		Holder: string(r.options.Instance), Fence: fence, Sequence: action.Sequence,
 	}
+	if r.options.EnginesCheckFence {
+		order.Fence, order.Unconditional = orderToken(fence, action.Generation), true
+	}
+	return order
 }
 
 // poll reads an engine's report and passes it to the planner and the fleet table.
--- a/control/rollout/lag.go
+++ b/control/rollout/lag.go
@@ -120,6 +120,7 @@
 		return
 	}
 	r.lags.computedAt = now
+	r.planner.recordTargets(now, targets)
 	behind := r.lags.observe(now, r.options.Fleet, targets)
 	r.observeVersions(now, len(behind) > 0)
 	if len(behind) == 0 || now-behind[0].since < lagLogAfter || r.lags.loggedAt != 0 && now-r.lags.loggedAt < lagLogInterval {
