One record of since when each target has been known

The planner and the lag of versions each kept one; the planner's is shared, and filled at each step of every control instance.

--- a/control/rollout/controller.go
+++ b/control/rollout/controller.go
@@ -15,7 +15,6 @@
 	"github.com/carawaystile/carawaystile/fleet"
 	"github.com/carawaystile/carawaystile/metrics"
 	"github.com/carawaystile/carawaystile/tables"
-	"github.com/carawaystile/carawaystile/weights"
 )
 
 const (
@@ -112,10 +111,8 @@
 	// lastHolder is the instance that held the lease when this one last requested it in vain.
 	lastHolder tables.InstanceID
 	lags       lagTracker
-	// targets records since when each target version has been known to this instance.
-	targets  *weights.History
-	versions versionTracker
-	counters orderCounters
+	versions   versionTracker
+	counters   orderCounters
 }
 
 // NewController returns a controller that does not hold the lease.
@@ -125,7 +122,6 @@
 	return &Controller{
 		options:  options,
 		planner:  planner,
-		targets:  &weights.History{},
 		counters: newOrderCounters(options.Registry),
 		results:  make(chan func(), 64),
 		renewals: make(chan error, 1),
--- a/control/rollout/lag.go
+++ b/control/rollout/lag.go
@@ -115,12 +115,11 @@
 // at the instance that holds the lease, or leads while no instance is known to hold it.
 func (r *Controller) observeLag(now tables.Instant) {
 	targets := r.options.TargetVersions()
-	r.recordTargets(now, targets)
+	r.planner.recordTargets(now, targets)
 	if r.lags.computedAt != 0 && now-r.lags.computedAt < lagInterval {
 		return
 	}
 	r.lags.computedAt = now
-	r.planner.recordTargets(now, targets)
 	behind := r.lags.observe(now, r.options.Fleet, targets)
 	r.observeVersions(now, len(behind) > 0)
 	if len(behind) == 0 || now-behind[0].since < lagLogAfter || r.lags.loggedAt != 0 && now-r.lags.loggedAt < lagLogInterval {
--- a/control/rollout/versions.go
+++ b/control/rollout/versions.go
@@ -145,15 +145,6 @@
 	return slices.MinFunc(endpoints, func(a, b servingEndpoint) int { return cmp.Compare(a.version, b.version) }).version
 }
 
-// recordTargets records since when each target has been known.
-func (r *Controller) recordTargets(now tables.Instant, targets map[string]uint64) {
-	for model, version := range targets {
-		if version != r.targets.Latest(model) {
-			r.targets.Record(weights.TargetVersion{Model: model, Version: version, SetAt: now})
-		}
-	}
-}
-
 // VersionLag returns the version that has lagged longest, the zero value if none does. It is safe for concurrent use.
 func (r *Controller) VersionLag() VersionLag {
 	if lag := r.versions.current.Load(); lag != nil {
@@ -165,7 +156,7 @@
 // observeVersions computes the lag of the versions, and logs those that have lagged for long at the instance that
 // holds the lease, and at the leader.
 func (r *Controller) observeVersions(now tables.Instant, isAnyBehind bool) {
-	lags := r.versions.observe(now, r.options.Fleet, r.targets, isAnyBehind)
+	lags := r.versions.observe(now, r.options.Fleet, r.planner.history, isAnyBehind)
 	if len(lags) == 0 || lags[0].Age < versionLogAfter || r.versions.loggedAt != 0 && now-r.versions.loggedAt < lagLogInterval {
 		return
 	}
--- a/control/rollout/versions_test.go
+++ b/control/rollout/versions_test.go
@@ -64,7 +64,7 @@
 	f.target = 3
 	f.observe(5*time.Second, 6*time.Second)
 	assert.Equal(t, f.controller.VersionLag(), VersionLag{Model: "m", Version: 2, Lacking: 3, Endpoints: 3, Age: 4 * time.Second, TargetAge: 4 * time.Second})
-	lags := f.controller.versions.observe(6*time.Second, f.table, f.controller.targets, true)
+	lags := f.controller.versions.observe(6*time.Second, f.table, f.controller.planner.history, true)
 	assert.Equal(t, len(lags), 2)
 	assert.Equal(t, lags[1], VersionLag{Model: "m", Version: 3, Lacking: 3, Endpoints: 3, Age: time.Second, TargetAge: time.Second})
 
