A released lease is not held again under its token

Cause: a release and the renewals before and after it name the same fencing token. A release without an answer may be committed after the renewal that followed it, and a renewal that is committed before a release may be answered after it. In both cases the control group has freed the lease and grants it to another instance while the first one takes itself for the holder, for up to the lease's duration. A release that was lost had the next lease renewed under the token that was to be replaced, so that an engine that has seen a newer one gets no order.

Ruled out: a check in the replicated state. It would tell the two apart by another number in both commands; all that is needed is that the holder never uses a token again that it has given up.

Change: answers that grant a token which was given up are refused (LeaseReleasedError), and a release that has no answer is repeated before the lease is requested again.

--- a/control/client/lease.go
+++ b/control/client/lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -35,6 +36,10 @@
 	mu        sync.Mutex
 	token     tables.FencingToken
 	expiresAt tables.Instant
+	// released is the highest token that was given up, and releaseUnconfirmed is set until the control group has
+	// answered its release. A release without an answer may be committed after any later command.
+	released           tables.FencingToken
+	releaseUnconfirmed bool
 	// announcedByOthers are the endpoints that other holders may have sent orders
 	// to, with the time of each announcement.
 	announcedByOthers map[tables.EndpointID]tables.Instant
@@ -52,9 +57,21 @@
 // Error names the current holder.
 func (e *LeaseHeldError) Error() string { return "lease is held by instance " + string(e.Holder) }
 
+// LeaseReleasedError means that the lease was granted under a fencing token that this instance has given up.
+type LeaseReleasedError struct{ Token tables.FencingToken }
+
+// Error names the token.
+func (e *LeaseReleasedError) Error() string {
+	return fmt.Sprintf("lease was granted under the released token %d", e.Token)
+}
+
 // AcquireOrRenew requests the lease, or extends it if this instance holds it. Its
-// errors are *LeaseHeldError, *tables.NoQuorumError and *UnexpectedResultError.
+// errors are *LeaseHeldError, *LeaseReleasedError, *tables.NoQuorumError and
+// *UnexpectedResultError.
 func (l *Lease) AcquireOrRenew(ctx context.Context) error {
+	if err := l.confirmRelease(ctx); err != nil {
+		return trace.Wrap(err)
+	}
 	// The validity is measured from before the request is sent. The reply may be
 	// slow, and the control state measures it from the commit of the command.
 	sent := l.options.Now()
@@ -80,7 +97,11 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if fence := tables.FencingToken(answer.GetFence()); fence != l.token {
+	fence := tables.FencingToken(answer.GetFence())
+	if fence <= l.released {
+		return trace.Wrap(&LeaseReleasedError{Token: fence})
+	}
+	if fence != l.token {
 		l.token = fence
 		l.announcedByOthers = announcementTimes(answer, l.options.Now())
 	}
@@ -137,14 +158,34 @@
 }
 
 // Release gives the lease up immediately. The holder calls it after the reply to
-// its last order.
+// its last order. The token is not used again, whether or not the release succeeds.
 func (l *Lease) Release(ctx context.Context) error {
 	l.mu.Lock()
-	fence := l.token
+	l.released, l.releaseUnconfirmed = max(l.released, l.token), true
 	l.expiresAt = 0
 	l.mu.Unlock()
+	return trace.Wrap(l.confirmRelease(ctx))
+}
+
+// confirmRelease repeats the release of the token that was given up last, unless the control group has answered it. A
+// lease under that token would end with the release that is still on its way.
+func (l *Lease) confirmRelease(ctx context.Context) error {
+	l.mu.Lock()
+	token, unconfirmed := l.released, l.releaseUnconfirmed
+	l.mu.Unlock()
+	if !unconfirmed {
+		return nil
+	}
 	_, err := l.options.Executor.Execute(ctx, &rpc.Command{Action: &rpc.Command_ReleaseLease{
-		ReleaseLease: &rpc.ReleaseLease{Name: l.options.Name, Fence: uint64(fence)},
+		ReleaseLease: &rpc.ReleaseLease{Name: l.options.Name, Fence: uint64(token)},
 	}})
-	return trace.Wrap(err)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.released == token {
+		l.releaseUnconfirmed = false
+	}
+	return nil
 }
