Late usage reports of a peer's earlier process are not counted

Cause: an owner starts a peer's total anew when a report names another boot epoch. A report of the process before a restart that comes after one of the new process starts the total anew as well: the whole total of the earlier process is deducted once more, and with the next report that of the new one. An organisation is refused for as long as that takes to refill.

Ruled out: to ignore lower epochs. An epoch is a start time, and the wall clock may have been set back between two starts.

Change: an owner remembers the epoch of the process before, and ignores its reports. A peer that restarts twice while a report is on its way is not covered.

--- a/usage/late_report_test.go
+++ b/usage/late_report_test.go
@@ -45,3 +45,33 @@
 	reply, _ := o.Debit(reopened+reportInterval, "x", Debit{Subject: org})
 	assert.Assert(t, float64(reply.Level) < 0.5*limit.Burst, "level %d", reply.Level)
 }
+
+// Guards against an organisation that is refused, since a report of a peer's process before its restart came after
+// one of the new process: the totals of both were counted again.
+func TestLateReportOfAnEarlierProcessIsNotCounted(t *testing.T) {
+	const start = tables.Instant(time.Hour)
+	total := int64(10 * limit.Burst)
+	for name, late := range map[string]Report{
+		"opened long ago":           {Subject: org, Zone: "b", BootEpoch: 1, Admitted: total, OpenedKnown: true, OpenedAgo: time.Minute},
+		"opened at an unknown time": {Subject: org, Zone: "b", BootEpoch: 1, Admitted: total},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := NewBucketOwner(start-time.Hour, "a", 1)
+			o.SetLimits(limitsOf(limit))
+			o.Debit(start, "x", Debit{Subject: org, Cost: 1})
+			now := start + time.Second
+			level := func() int64 {
+				reply, _ := o.Debit(now, "x", Debit{Subject: org})
+				return reply.Level
+			}
+			o.ApplyReport(now, "b", late)
+			now += time.Minute
+			restarted := Report{Subject: org, Zone: "b", BootEpoch: 2, Admitted: 100, OpenedKnown: true, OpenedAgo: time.Second}
+			o.ApplyReport(now, "b", restarted)
+			before := level()
+			o.ApplyReport(now, "b", late)
+			o.ApplyReport(now, "b", restarted)
+			assert.Equal(t, level(), before)
+		})
+	}
+}
--- a/usage/owner.go
+++ b/usage/owner.go
@@ -236,6 +236,9 @@
 	if peer == nil {
 		peer = bucket.addPeer(now, from, in, known)
 	}
+	if peer.isFromEndedProcess(in) {
+		return
+	}
 	peer.restartTotal(now, in)
 	if in.Admitted > peer.admitted || peer.silent {
 		bucket.level -= float64(in.Admitted-peer.admitted) - peer.assumedUse
--- a/usage/shared_bucket.go
+++ b/usage/shared_bucket.go
@@ -47,6 +47,8 @@
 	admitted   int64
 	demand     float64
 	reportedAt tables.Instant
+	// endedEpoch is the boot epoch of the process before, whose reports may still be on their way.
+	endedEpoch uint64
 	// openedAt is when the peer began to count admitted.
 	openedAt tables.Instant
 	// silent is set while no report arrives. The peer is then assumed to use the given share
@@ -76,12 +78,20 @@
 	return peer
 }
 
+// isFromEndedProcess reports whether a report is one of the process before the one that reported last.
+func (p *peerOwner) isFromEndedProcess(in Report) bool {
+	return in.BootEpoch != p.bootEpoch && in.BootEpoch == p.endedEpoch
+}
+
 // restartTotal starts the running total of a peer anew if the peer has restarted or has
 // evicted its bucket meanwhile. A new bucket was opened after the last report of the one before. A late
 // report makes its bucket seem opened later than it was, but not later than reports of the same one.
 func (p *peerOwner) restartTotal(now tables.Instant, in Report) {
 	openedAt := now - in.OpenedAgo
 	reopened := in.OpenedKnown && openedAt > max(p.openedAt+openedSlack, p.reportedAt)
+	if p.bootEpoch != in.BootEpoch {
+		p.endedEpoch = p.bootEpoch
+	}
 	if p.bootEpoch != in.BootEpoch || reopened {
 		p.bootEpoch, p.admitted, p.openedAt = in.BootEpoch, 0, openedAt
 	}
