An older usage report of a silent peer gives no tokens back

Cause: a report of a peer that counts as silent replaces the assumed use by the difference between its total and the last one known. If the report is older than the last one, the difference is negative: what the peer had admitted in between goes back into the bucket, and is not deducted again, since the highest total known is kept.

Ruled out: to ignore such a report. A total also falls when use is given back, so that a lower one is no proof of an older report.

Change: only the growth of a total is deducted, for silent peers as for others.

--- a/usage/late_report_test.go
+++ b/usage/late_report_test.go
@@ -75,3 +75,25 @@
 		})
 	}
 }
+
+// Guards against tokens that are admitted twice, since a report that is older than the last one came while its
+// sender was silent: what the sender had admitted in between was given back.
+func TestOlderReportOfASilentPeerGivesNothingBack(t *testing.T) {
+	const start = tables.Instant(time.Hour)
+	slow := Limit{Rate: limit.Rate / 10, Burst: limit.Burst}
+	o := NewBucketOwner(start-time.Hour, "a", 1)
+	o.SetLimits(limitsOf(slow))
+	o.Debit(start, "x", Debit{Subject: org, Cost: 1})
+	report := func(admitted int64, openedAgo time.Duration) Report {
+		return Report{Subject: org, Zone: "b", BootEpoch: 1, Admitted: admitted, Demand: int64(0.1 * slow.Rate), Level: int64(slow.Burst), OpenedKnown: true, OpenedAgo: openedAgo}
+	}
+	used := int64(slow.Burst)
+	o.ApplyReport(start, "b", report(0, time.Minute))
+	o.ApplyReport(start+reportInterval, "b", report(used, time.Minute+reportInterval))
+	now := start + reportInterval + partitionTimeout + 10*time.Millisecond
+	o.Debit(now, "x", Debit{Subject: org})
+	o.ApplyReport(now, "b", report(0, time.Minute))
+	reply, _ := o.Debit(now, "x", Debit{Subject: org})
+	refilled := 1.01 * slow.Rate * (now - start).Seconds()
+	assert.Assert(t, float64(reply.Level) <= slow.Burst-float64(used)+refilled, "level %d", reply.Level)
+}
--- a/usage/owner.go
+++ b/usage/owner.go
@@ -240,9 +240,7 @@
 		return
 	}
 	peer.restartTotal(now, in)
-	if in.Admitted > peer.admitted || peer.silent {
-		bucket.level -= float64(in.Admitted-peer.admitted) - peer.assumedUse
-	}
+	bucket.level -= float64(max(0, in.Admitted-peer.admitted)) - peer.assumedUse
 	peer.admitted = max(peer.admitted, in.Admitted)
 	peer.silent, peer.assumedUse, peer.replaced = false, 0, false
 	peer.demand, peer.reportedAt = float64(in.Demand), now
