An order of older weights that comes late is refused by endpoints that check fencing tokens

Cause: all orders of one holder carry the fencing token of its lease. An order without an answer may be executed later; if other weights are configured meanwhile, and ordered, the older order is executed after the newer one. The endpoint serves the older weights until it is read again, every 5 s or, with many endpoints, every 20th of their number in seconds, and has to load twice.

Ruled out: a sequence number in orders. The protocol of endpoints has none, only the token. To wait until the older order cannot come any more takes as long as the longest load.

Change: before an endpoint is ordered another load than the one whose order it has not answered, the lease is released and taken again under a newer token. An order that is only repeated keeps its token. Endpoints that check no tokens are as before: reading back finds the older weights.

--- a/control/orders/attempts.go
+++ b/control/orders/attempts.go
@@ -5,6 +5,7 @@
 	"errors"
 	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -73,6 +74,33 @@
 	maps.DeleteFunc(r.attempts, func(load Load, _ attempts) bool {
 		return !inUse[load.Endpoint] || r.observations[load.Endpoint].answers() && !missing[load]
 	})
+	maps.DeleteFunc(r.unanswered, func(id tables.EndpointID, _ Load) bool { return !inUse[id] })
+}
+
+// replacesUnanswered reports whether one of the loads is another one than the endpoint was last ordered without an
+// answer. That order may still be executed, after the new one.
+func (r *Controller) replacesUnanswered(loads []Load) bool {
+	return slices.ContainsFunc(loads, func(load Load) bool {
+		late, found := r.unanswered[load.Endpoint]
+		return found && late != load
+	})
+}
+
+// replaceToken acquires the lease under a newer fencing token, so that endpoints that check tokens refuse the orders
+// that are still on their way. It returns whether this instance holds the lease.
+func (r *Controller) replaceToken(ctx context.Context) bool {
+	bounded, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	err := r.lease.Release(bounded)
+	if err == nil {
+		err = r.lease.AcquireOrRenew(bounded)
+	}
+	if err != nil {
+		events.OrdersLeaseNotRenewed.Log(r.options.Log, zap.Error(err))
+		return false
+	}
+	clear(r.unanswered)
+	return true
 }
 
 // giveUp frees the slot of a failed load until its back-off has passed.
--- a/control/orders/controller.go
+++ b/control/orders/controller.go
@@ -82,6 +82,8 @@
 	lastRead     map[tables.EndpointID]tables.Instant
 	// attempts holds the loads that were ordered and have not been seen done.
 	attempts map[Load]attempts
+	// unanswered holds the load whose order under the current fencing token an endpoint has not answered.
+	unanswered map[tables.EndpointID]Load
 	// acquireNotBefore is the time before which the lease is not requested,
 	// because another instance holds it.
 	acquireNotBefore tables.Instant
@@ -107,6 +109,7 @@
 		observations: map[tables.EndpointID]Observation{},
 		lastRead:     map[tables.EndpointID]tables.Instant{},
 		attempts:     map[Load]attempts{},
+		unanswered:   map[tables.EndpointID]Load{},
 	}
 }
 
@@ -154,7 +157,11 @@
 	for _, load := range plan.Failed {
 		r.giveUp(ctx, load)
 	}
-	r.sendOrders(ctx, c, append(plan.Resend, plan.Start...))
+	loads := append(plan.Resend, plan.Start...)
+	if r.replacesUnanswered(loads) && !r.replaceToken(ctx) {
+		return
+	}
+	r.sendOrders(ctx, c, loads)
 }
 
 // sendOrders sends the orders of one step and records which were answered.
@@ -171,6 +178,9 @@
 	orders.Wait()
 	now := r.options.Now()
 	for i, load := range loads {
+		if outcomes[i] == unanswered {
+			r.unanswered[load.Endpoint] = load
+		}
 		if outcomes[i] != notSent {
 			r.attempts[load] = r.attempts[load].ordered(now, outcomes[i] == answered)
 		}
@@ -201,6 +211,7 @@
 			clear(r.observations)
 			clear(r.lastRead)
 			clear(r.attempts)
+			clear(r.unanswered)
 			r.isolatedSince = 0
 		}
 	}
