Keep-alives of claims do not wait for repeated commands

Cause: one goroutine sends the keep-alives of an entry instance with open claims and repeats the commands that the control group has missed, one after the other. After an outage the queue holds up to 4,096. While it is worked off no keep-alive is sent, and after 6 s the control group takes the instance for lost: callers are told that the outcome of work is unknown while it runs.

Ruled out: to repeat several at once. That shortens the time, and has no bound either.

Change: keep-alives have a goroutine of their own.

--- a/control/client/claim_client.go
+++ b/control/client/claim_client.go
@@ -12,7 +12,6 @@
 	"go.uber.org/zap"
 
 	"github.com/carawaystile/carawaystile/control/state"
-	"github.com/carawaystile/carawaystile/events"
 	"github.com/carawaystile/carawaystile/rpc"
 	"github.com/carawaystile/carawaystile/tables"
 )
@@ -124,7 +123,8 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &ClaimClient{options: options, cancel: cancel, openClaims: map[claimID]bool{}, activeByKey: map[claimKey]int{}}
-	c.running.Go(func() { c.run(ctx) })
+	c.running.Go(func() { c.keepAliveLoop(ctx) })
+	c.running.Go(func() { c.resendLoop(ctx) })
 	return c
 }
 
@@ -301,55 +301,6 @@
 	}
 }
 
-// queueCommand queues the end of a claim for a retry. Without the retry, later
-// requests with the key would be told that the outcome is unknown although the
-// response is available here.
-func (c *ClaimClient) queueCommand(command *rpc.Command) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.pendingCommands) < maxPendingCommands {
-		c.pendingCommands = append(c.pendingCommands, command)
-	}
-}
-
-// run periodically sends a keep-alive while there are open claims, and retries
-// queued commands.
-func (c *ClaimClient) run(ctx context.Context) {
-	for sleep(ctx, keepAliveInterval) {
-		c.mu.Lock()
-		open, pending := len(c.openClaims), c.pendingCommands
-		c.pendingCommands = nil
-		c.mu.Unlock()
-		if open > 0 {
-			bounded, cancel := context.WithTimeout(ctx, keepAliveInterval)
-			_, err := c.options.Executor.Execute(bounded, &rpc.Command{Action: &rpc.Command_KeepAlive{
-				KeepAlive: &rpc.KeepAlive{Owner: c.claimOwner()},
-			}})
-			cancel()
-			if err != nil {
-				events.ClaimKeepAliveFailed.Log(c.options.Log, zap.Error(err))
-			}
-		}
-		c.resendPending(ctx, pending)
-	}
-}
-
-// resendPending executes queued commands in order, and requeues the rest at the
-// first failure.
-func (c *ClaimClient) resendPending(ctx context.Context, pending []*rpc.Command) {
-	for i, command := range pending {
-		bounded, cancel := context.WithTimeout(ctx, keepAliveInterval)
-		_, err := c.options.Executor.Execute(bounded, command)
-		cancel()
-		if err != nil {
-			c.mu.Lock()
-			c.pendingCommands = append(c.pendingCommands, pending[i:]...)
-			c.mu.Unlock()
-			return
-		}
-	}
-}
-
 // withClockDriftMargin shortens a duration that is measured in log time, so that it
 // elapses on this process's clock before it can elapse on any leader's clock.
 func withClockDriftMargin(d time.Duration) time.Duration {
