Keep-alives of claims reach the control group before their owner counts as lost

Cause: an owner of claims counts as lost 6 s after its last keep-alive. One is sent every 2 s, may take 2 s, and is followed by another 2 s of waiting when it has failed; one that meets a silent control instance takes all of them. With two silent control instances of five, which the group survives, the third attempt comes too late: a running claim is reported as unknown.

Ruled out: a shorter interval for all. Each keep-alive is an entry of the log.

Change: a keep-alive may take 1 s, and is repeated after 0.25 s when it has failed. Event 3008 comes up to once in 1.25 s without a quorum, every 4 s before.

--- a/control/client/claim_background.go
+++ b/control/client/claim_background.go
@@ -20,21 +20,24 @@
 	}
 }
 
-// keepAliveLoop periodically sends a keep-alive while there are open claims.
+// keepAliveLoop sends a keep-alive every keepAliveInterval while there are open claims, and soon after one that has
+// failed.
 func (c *ClaimClient) keepAliveLoop(ctx context.Context) {
-	for sleep(ctx, keepAliveInterval) {
+	for pause := keepAliveInterval; sleep(ctx, pause); {
+		pause = keepAliveInterval
 		c.mu.Lock()
 		open := len(c.openClaims)
 		c.mu.Unlock()
 		if open == 0 {
 			continue
 		}
-		bounded, cancel := context.WithTimeout(ctx, keepAliveInterval)
+		bounded, cancel := context.WithTimeout(ctx, keepAliveTimeout)
 		_, err := c.options.Executor.Execute(bounded, &rpc.Command{Action: &rpc.Command_KeepAlive{
 			KeepAlive: &rpc.KeepAlive{Owner: c.claimOwner()},
 		}})
 		cancel()
 		if err != nil {
+			pause = keepAliveRetryDelay
 			events.ClaimKeepAliveFailed.Log(c.options.Log, zap.Error(err))
 		}
 	}
--- a/control/client/claim_client.go
+++ b/control/client/claim_client.go
@@ -21,6 +21,10 @@
 	// with open claims. Three of them fit into the time after which the control
 	// state considers an owner lost.
 	keepAliveInterval = 2 * time.Second
+	// keepAliveTimeout bounds one keep-alive, and keepAliveRetryDelay is the delay after one that has failed.
+	// Attempts at two silent control instances, of five at most, and one at another fit into the same time.
+	keepAliveTimeout    = time.Second
+	keepAliveRetryDelay = 250 * time.Millisecond
 	// dispatchedClaimTTL is how long dispatched work may run before its claim
 	// expires. It exceeds the longest timeout of a profile.
 	dispatchedClaimTTL = 5 * time.Hour
--- a/control/client/claim_client_test.go
+++ b/control/client/claim_client_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -88,3 +89,52 @@
 		assert.Equal(t, claim(other, "999").State, tables.ClaimCompleted)
 	})
 }
+
+// silentExecutor is a control instance that answers nothing while it is silent.
+type silentExecutor struct {
+	Executor
+	silent atomic.Bool
+}
+
+func (e *silentExecutor) Execute(ctx context.Context, command *rpc.Command) (*rpc.Result, error) {
+	if e.silent.Load() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return e.Executor.Execute(ctx, command)
+}
+
+// Guards against claims of a living instance that count as lost, since its keep-alives go to control instances that
+// have fallen silent, one after the other.
+func TestSilentControlInstancesDoNotLoseClaims(t *testing.T) {
+	for silent := 1; silent <= 2; silent++ {
+		t.Run(fmt.Sprint(silent), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := &slowGroup{commitTime: 10 * time.Millisecond, started: time.Now(), state: state.New(state.DefaultLimits())}
+				var controls []Executor
+				for range 5 {
+					controls = append(controls, &silentExecutor{Executor: g})
+				}
+				owner := NewClaimClient(ClaimClientOptions{
+					Executor: NewFailoverExecutor(controls...), Instance: "i1", Boot: 1,
+					Now: func() tables.Instant { return time.Since(g.started) },
+				})
+				defer owner.Close()
+				other := g.client("i2")
+				defer other.Close()
+				grant, err := owner.Claim(t.Context(), "o", "k", tables.BodyHash{})
+				assert.NilError(t, err)
+				assert.NilError(t, owner.MarkDispatched(t.Context(), grant))
+				for _, control := range controls[:silent] {
+					control.(*silentExecutor).silent.Store(true)
+				}
+				for range 200 {
+					time.Sleep(100 * time.Millisecond)
+					again, err := other.Claim(t.Context(), "o", "k", tables.BodyHash{})
+					assert.NilError(t, err)
+					assert.Equal(t, again.State, tables.ClaimInProgress, "after %v", time.Since(g.started))
+				}
+			})
+		})
+	}
+}
