Queued loads of endpoints age until they are sent

Cause: a load carries ages (of a rate limit, of brittleness, of a slowdown) and remaining times (of a back-off, of a busy link, of an absence) as of when it was queued. Over the byte limit it waits, and is sent as it was. A receiver orders what it hears of by age, so that an old rate limit wins against a newer one of another instance, and a back-off lasts longer than the endpoint asked for.

Ruled out: to collect loads only when there is room for them. The queue keeps the newest load of each endpoint, and the collection clears what has changed.

Change: the queue keeps when each load was queued, and adds the time it has waited when it is sent.

--- a/control/gossip/hint_queue.go
+++ b/control/gossip/hint_queue.go
@@ -38,11 +38,43 @@
 	placements []membership.Placement
 	// loads holds only the latest load of each endpoint, because a newer load
 	// supersedes one that is still queued.
-	loads map[tables.EndpointID]membership.Load
+	loads map[tables.EndpointID]queuedLoad
 	// loadOrder lists the endpoints in loads, those that have waited longest first.
 	loadOrder []tables.EndpointID
 }
 
+// queuedLoad is a load as of the time at which it was queued.
+type queuedLoad struct {
+	membership.Load
+	at time.Time
+}
+
+// load returns the load as of now: ages have grown, and what remains has become less. Receivers would otherwise
+// prefer it to newer observations of others.
+func (q queuedLoad) load(now time.Time) membership.Load {
+	l, waited := q.Load, now.Sub(q.at)
+	l.LinkBusy, l.AbsentFor = max(0, l.LinkBusy-waited), max(0, l.AbsentFor-waited)
+	if l.SlowdownPercent != 0 {
+		l.SlowdownAge += waited
+	}
+	if l.Limit != nil {
+		limit := *l.Limit
+		limit.Age += waited
+		l.Limit = &limit
+	}
+	if l.Notice != nil {
+		notice := *l.Notice
+		notice.PushbackFor = max(0, notice.PushbackFor-waited)
+		if notice.Brittleness != nil {
+			brittleness := *notice.Brittleness
+			brittleness.Age += waited
+			notice.Brittleness = &brittleness
+		}
+		l.Notice = &notice
+	}
+	return l
+}
+
 // Add queues hints of this instance. It does not block.
 func (h *HintQueue) Add(more membership.Hints) {
 	h.mu.Lock()
@@ -52,13 +84,14 @@
 		h.placements = append(h.placements[:0], h.placements[over:]...)
 	}
 	if h.loads == nil {
-		h.loads = map[tables.EndpointID]membership.Load{}
+		h.loads = map[tables.EndpointID]queuedLoad{}
 	}
+	now := time.Now()
 	for _, l := range more.Loads {
 		if _, waits := h.loads[l.Endpoint]; !waits {
 			h.loadOrder = append(h.loadOrder, l.Endpoint)
 		}
-		h.loads[l.Endpoint] = l
+		h.loads[l.Endpoint] = queuedLoad{Load: l, at: now}
 	}
 }
 
@@ -76,9 +109,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var taken membership.Hints
-	loads := min(limit, len(h.loadOrder))
+	loads, now := min(limit, len(h.loadOrder)), time.Now()
 	for _, id := range h.loadOrder[:loads] {
-		taken.Loads = append(taken.Loads, h.loads[id])
+		taken.Loads = append(taken.Loads, h.loads[id].load(now))
 		delete(h.loads, id)
 	}
 	h.loadOrder = append(h.loadOrder[:0], h.loadOrder[loads:]...)
--- a/control/gossip/hint_queue_test.go
+++ b/control/gossip/hint_queue_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -110,3 +111,27 @@
 	}
 	assert.Equal(t, len(sent), endpoints, "%v", sent)
 }
+
+// Guards against an old rate limit that wins against a newer one elsewhere, since the time for which it was queued
+// did not count.
+func TestQueuedLoadsAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const waited = 1500 * time.Millisecond
+		load := membership.Load{
+			Endpoint: "e", Limit: &membership.RateLimit{Age: time.Second}, SlowdownPercent: 200, SlowdownAge: time.Second,
+			LinkBusy: 2 * time.Second, AbsentFor: time.Second,
+			Notice: &membership.EndpointNotice{PushbackFor: 2 * time.Second, Brittleness: &membership.EndpointBrittleness{Age: time.Second}},
+		}
+		var h HintQueue
+		h.Add(membership.Hints{Loads: []membership.Load{load}})
+		time.Sleep(waited)
+		sent := h.dequeue(1).Loads[0]
+		assert.Equal(t, sent.Limit.Age, time.Second+waited)
+		assert.Equal(t, sent.SlowdownAge, time.Second+waited)
+		assert.Equal(t, sent.Notice.Brittleness.Age, time.Second+waited)
+		assert.Equal(t, sent.Notice.PushbackFor, 500*time.Millisecond)
+		assert.Equal(t, sent.LinkBusy, 500*time.Millisecond)
+		assert.Equal(t, sent.AbsentFor, time.Duration(0))
+		assert.Equal(t, load.Limit.Age, time.Second, "the queued load is shared")
+	})
+}
