--- a/control/gossip/hint_queue_test.go
+++ b/control/gossip/hint_queue_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -88,3 +90,48 @@
 	assert.Equal(t, sends, 3)
 	assert.Equal(t, sentHints, 60)
 }
+
+// Guards against the drain notice of an endpoint that is never sent, since the loads of others are queued anew
+// before each send and their identities come first.
+func TestLoadsThatWaitLongestAreSentFirst(t *testing.T) {
+	const endpoints, perSend = 30, 4
+	var h HintQueue
+	var all []membership.Load
+	for i := range endpoints {
+		all = append(all, membership.Load{Endpoint: tables.EndpointID(fmt.Sprintf("e%02d", i))})
+	}
+	all[endpoints-1].Notice = &membership.EndpointNotice{Draining: true}
+	sent := map[tables.EndpointID]int{}
+	rounds := endpoints/perSend + 1
+	for range rounds {
+		h.Add(membership.Hints{Loads: all})
+		for _, load := range h.dequeue(perSend).Loads {
+			sent[load.Endpoint]++
+		}
+	}
+	assert.Equal(t, len(sent), endpoints, "%v", sent)
+}
+
+// Guards against an old rate limit that wins against a newer one elsewhere, since the time for which it was queued
+// did not count.
+func TestQueuedLoadsAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const waited = 1500 * time.Millisecond
+		load := membership.Load{
+			Endpoint: "e", Limit: &membership.RateLimit{Age: time.Second}, SlowdownPercent: 200, SlowdownAge: time.Second,
+			LinkBusy: 2 * time.Second, AbsentFor: time.Second,
+			Notice: &membership.EndpointNotice{PushbackFor: 2 * time.Second, Brittleness: &membership.EndpointBrittleness{Age: time.Second}},
+		}
+		var h HintQueue
+		h.Add(membership.Hints{Loads: []membership.Load{load}})
+		time.Sleep(waited)
+		sent := h.dequeue(1).Loads[0]
+		assert.Equal(t, sent.Limit.Age, time.Second+waited)
+		assert.Equal(t, sent.SlowdownAge, time.Second+waited)
+		assert.Equal(t, sent.Notice.Brittleness.Age, time.Second+waited)
+		assert.Equal(t, sent.Notice.PushbackFor, 500*time.Millisecond)
+		assert.Equal(t, sent.LinkBusy, 500*time.Millisecond)
+		assert.Equal(t, sent.AbsentFor, time.Duration(0))
+		assert.Equal(t, load.Limit.Age, time.Second, "the queued load is shared")
+	})
+}
--- a/usage/owner.go
+++ b/usage/owner.go
@@ -236,10 +236,11 @@
 	if peer == nil {
 		peer = bucket.addPeer(now, from, in, known)
 	}
-	peer.restartTotal(now, in)
-	if in.Admitted > peer.admitted || peer.silent {
-		bucket.level -= float64(in.Admitted-peer.admitted) - peer.assumedUse
+	if peer.isFromEndedProcess(in) {
+		return
 	}
+	peer.restartTotal(now, in)
+	bucket.level -= float64(max(0, in.Admitted-peer.admitted)) - peer.assumedUse
 	peer.admitted = max(peer.admitted, in.Admitted)
 	peer.silent, peer.assumedUse, peer.replaced = false, 0, false
 	peer.demand, peer.reportedAt = float64(in.Demand), now
