A search beside any trouble fails: versions are in place too late

Cause: the draws held against the platform's bound had late orders alone. Untested beside them: engines that shed load or lose a share of the calls, partitions, crashes, engines that join and drain, holders that change, a list that is stale for seconds, two models.

Change: TestVersionsAreInPlaceWithinTheBound draws these, each kind with probability one half, beside the figures of late orders, loads and versions. -rollout.engines sets the number of engines. Only a partition stops the clock; a change of the holder alone does not.

The draw leaves each run a chance: no late order is carried out later than the bound, engines that shed or hang serve a fifth of the calls or more and for 6 s at a time, lists are stale for 3 s at most, and loads of engines with two models take 0.6 s at most, since a fifth of the engines load at once.

Ruled out: a change of the existing runs.

--- a/control/rollout/oracle_test.go
+++ b/control/rollout/oracle_test.go
@@ -44,18 +44,31 @@
 
 func (s *simulation) isCut(p *simProcess) bool { return !p.gone() && s.now < p.cutUntil }
 
+// running returns the processes that serve requests and do not drain.
+func (s *simulation) running() []*simProcess {
+	return slices.DeleteFunc(s.live(), func(p *simProcess) bool { return p.draining })
+}
+
 // versionLag returns the longest calm time for which more than one engine and over a tenth of them have served an
 // older version than one that has been acknowledged, counted for each version and from the start of each engine,
 // and that version. Engines that drain do not count.
 func (s *simulation) versionLag() (time.Duration, uint64) {
-	engines := slices.DeleteFunc(s.live(), func(p *simProcess) bool { return p.draining })
+	engines := s.running()
+	worst, of := s.modelLag(engines, s.named, func(p *simProcess) uint64 { return p.version })
+	if lag, version := s.modelLag(engines, s.namedSecond, func(p *simProcess) uint64 { return p.second }); lag > worst {
+		return lag, version
+	}
+	return worst, of
+}
+
+// modelLag returns the lag of the versions of one model.
+func (s *simulation) modelLag(engines []*simProcess, named []simVersion, served func(*simProcess) uint64) (worst time.Duration, of uint64) {
 	allowed := max(1, len(engines)/10)
-	var worst time.Duration
-	var of uint64
-	for _, named := range s.named {
-		var lags []time.Duration
+	var lags []time.Duration
+	for _, named := range named {
+		lags = lags[:0]
 		for _, p := range engines {
-			if p.version < named.version {
+			if served(p) < named.version {
 				lags = append(lags, s.calm.since(max(named.ackedAt, p.bornAt)))
 			}
 		}
--- a/control/rollout/simulation_test.go
+++ b/control/rollout/simulation_test.go
@@ -24,43 +24,6 @@
 	simListedAfter = 2 * time.Second // how long a crashed engine stays on the list
 )
 
-// simProcess is a process of an engine, by the rules of the platform.
-type simProcess struct {
-	id      tables.EndpointID
-	address int
-	start   int64
-	bornAt  tables.Instant
-	version uint64
-	// loading is the version that is being loaded until loadedAt, 0 if there is none.
-	loading  uint64
-	loadedAt tables.Instant
-	sequence uint64
-	// fence is the highest fencing token that the process has seen.
-	fence tables.FencingToken
-	// reports holds the latest states, oldest first.
-	reports []simState
-	// silentUntil, sheddingUntil and lateUntil end the troubles of the process; troubledAt is when it was last
-	// in one. Until oddUntil the list shows the version claimed instead of its own.
-	silentUntil, sheddingUntil, lateUntil, troubledAt tables.Instant
-	oddUntil                                          tables.Instant
-	claimed                                           uint64
-	// Until cutUntil no link reaches the process; until hangingUntil it leaves a share of the calls unanswered.
-	cutUntil, hangingUntil tables.Instant
-	// draining is set once the process is about to stop for good.
-	draining bool
-	goneAt   tables.Instant
-}
-
-// simState is what a report shows.
-type simState struct {
-	at      tables.Instant
-	version uint64
-	seq     uint64
-	busy    bool
-}
-
-func (p *simProcess) gone() bool { return p.goneAt != 0 }
-
 // simTrouble says what a seed may draw.
 type simTrouble struct {
 	late, crash, silence, shed, handover, odd bool
@@ -84,11 +47,13 @@
 	slowsLoads bool
 	// hangShare is the share of calls that an engine that hangs loses.
 	hangShare float64
+	// answeredShare is the share of calls that an engine that sheds load answers.
+	answeredShare float64
 }
 
 var defaultPlatform = simPlatform{
 	lateShare: 0.8, lateMin: 2 * time.Second, lateMax: 12 * time.Second,
-	loadTime: 400 * time.Millisecond, loadSpread: 300 * time.Millisecond, checksFence: true,
+	loadTime: 400 * time.Millisecond, loadSpread: 300 * time.Millisecond, checksFence: true, answeredShare: 0.1,
 }
 
 type simEvent struct {
@@ -108,12 +73,21 @@
 	events     []simEvent
 	calm       calmClock
 	named      []simVersion
-	starts     int64
-	leases     tables.FencingToken
-	loads      int
-	orders     int
-	polls      int
-	maxLoading int
+	// namedSecond holds the versions of simSecondModel.
+	namedSecond []simVersion
+	// listed is the list as it was last read; until staleUntil no newer one is.
+	listed     []fleet.Endpoint
+	staleUntil tables.Instant
+	// addresses is the highest address of an engine.
+	addresses int
+	// dropsOrders holds the addresses of engines that no order reaches.
+	dropsOrders map[int]bool
+	starts      int64
+	leases      tables.FencingToken
+	loads       int
+	orders      int
+	polls       int
+	maxLoading  int
 	// onAccepted is called when an engine has accepted an order.
 	onAccepted func(*simProcess)
 }
@@ -135,6 +109,7 @@
 	for i := range engines {
 		s.startProcess(i, tables.EndpointID(fmt.Sprintf("e%02d", i)), 1)
 	}
+	s.addresses = engines - 1
 	s.newHolder()
 	return s
 }
@@ -148,7 +123,11 @@
 		Fleet: s.table, Log: zap.NewNop(), IsLeader: func() bool { return true }, EnginesCheckFence: s.platform.checksFence,
 		Now: func() tables.Instant { return s.now },
 		TargetVersions: func() map[string]uint64 {
-			return map[string]uint64{"m": s.named[len(s.named)-1].version}
+			targets := map[string]uint64{simModel: s.named[len(s.named)-1].version}
+			if n := len(s.namedSecond); n > 0 {
+				targets[simSecondModel] = s.namedSecond[n-1].version
+			}
+			return targets
 		},
 	})
 }
@@ -214,12 +193,12 @@
 		return 0
 	}
 	if p.loading != 0 && s.now >= p.loadedAt {
-		p.version, p.loading = p.loading, 0
+		p.completeLoad()
 	}
 	if s.now < max(p.silentUntil, p.sheddingUntil, p.lateUntil) {
 		p.troubledAt = s.now
 	}
-	p.reports = append(p.reports, simState{at: s.now, version: p.version, seq: p.sequence, busy: p.loading != 0})
+	p.reports = append(p.reports, simState{at: s.now, version: p.version, second: p.second, seq: p.sequence, busy: p.loading != 0})
 	for len(p.reports) > 1 && p.reports[1].at <= s.now-simReportLag {
 		p.reports = p.reports[1:]
 	}
@@ -234,20 +213,26 @@
 	if s.now%simListPeriod != 0 {
 		return
 	}
+	if s.now < s.staleUntil {
+		list := s.listed
+		s.after(simListLag, func() { s.table.ApplyList(list) })
+		return
+	}
 	var list []fleet.Endpoint
 	for _, p := range s.processes {
 		if p.gone() && (s.now-p.goneAt > simListedAfter || s.process(p.id) != nil) {
 			continue
 		}
-		version := p.version
+		weights := p.weights()
 		if s.now < p.oddUntil {
-			version = p.claimed
+			weights[simModel] = p.claimed
 		}
 		list = append(list, fleet.Endpoint{
-			ID: p.id, Zone: tables.Zone([]string{"a", "b", "c"}[p.address%3]), StartUnixMilli: p.start, Weights: map[string]uint64{"m": version},
+			ID: p.id, Zone: tables.Zone([]string{"a", "b", "c"}[p.address%3]), StartUnixMilli: p.start, Weights: weights,
 			Draining: p.draining,
 		})
 	}
+	s.listed = list
 	s.after(simListLag, func() { s.table.ApplyList(list) })
 }
 
@@ -274,7 +259,7 @@
 			return
 		}
 		shown := p.reports[0]
-		report := Report{Sequence: shown.seq, Busy: shown.busy, Weights: map[string]uint64{"m": shown.version}, Born: p.start, Draining: p.draining}
+		report := Report{Sequence: shown.seq, Busy: shown.busy, Weights: simWeights(shown.version, shown.second), Born: p.start, Draining: p.draining}
 		answer(simRoundTrip, func() { s.controller.handleReport(s.now, action, report, nil) })
 		return
 	}
@@ -284,7 +269,7 @@
 		answer(orderTimeout, func() { s.controller.handleOrderResult(s.now, action, 1, 0, context.DeadlineExceeded) })
 	}
 	switch {
-	case silent:
+	case silent || s.dropsOrders[p.address]:
 		unanswered()
 	case s.now < p.lateUntil && s.random.Float64() < s.platform.lateShare:
 		unanswered()
@@ -301,7 +286,7 @@
 
 // shed returns the pushback of an engine that asks for a rest, nil if it does not.
 func (s *simulation) shed(p *simProcess) error {
-	if s.now >= p.sheddingUntil || s.random.Float64() < 0.1 {
+	if s.now >= p.sheddingUntil || s.random.Float64() < s.platform.answeredShare {
 		return nil
 	}
 	return &engine.PushbackError{RetryAfter: time.Duration(500+s.random.IntN(1500)) * time.Millisecond, Cause: context.Canceled}
@@ -325,12 +310,12 @@
 	switch {
 	case p.loading != 0 || p.sequence != order.Sequence:
 		return Conflict
-	case p.version == order.Version:
+	case p.weights()[order.Model] == order.Version:
 		return AlreadyServing
 	}
 	s.loads++
 	p.sequence++
-	p.loading, p.loadedAt = order.Version, s.now+s.loadDuration()
+	p.loading, p.loadingModel, p.loadedAt = order.Version, order.Model, s.now+s.loadDuration()
 	if s.onAccepted != nil {
 		s.onAccepted(p)
 	}
--- a/control/rollout/simulation_troubles_test.go
+++ b/control/rollout/simulation_troubles_test.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -14,15 +15,36 @@
 		return
 	}
 	p.goneAt = s.now
+	if p.draining {
+		return
+	}
 	s.after(time.Duration(500+s.random.IntN(3000))*time.Millisecond, func() {
 		id := p.id
 		if s.random.Float64() >= s.trouble.sameID {
 			id = tables.EndpointID(fmt.Sprintf("e%02d-%d", p.address, s.starts))
 		}
-		s.startProcess(p.address, id, p.version)
+		s.startProcess(p.address, id, p.version).second = p.second
 	})
 }
 
+// join starts an engine at a new address, with the newest versions.
+func (s *simulation) join() {
+	s.addresses++
+	p := s.startProcess(s.addresses, tables.EndpointID(fmt.Sprintf("e%02d", s.addresses)), s.named[len(s.named)-1].version)
+	if n := len(s.namedSecond); n > 0 {
+		p.second = s.namedSecond[n-1].version
+	}
+}
+
+// release has a process drain, and stop for good at the given time.
+func (s *simulation) release(p *simProcess, at tables.Instant) {
+	if s.dropsOrders[p.address] {
+		return
+	}
+	p.draining = true
+	s.after(at-s.now, func() { p.goneAt = cmp.Or(p.goneAt, s.now) })
+}
+
 // live returns the processes that run, by ID.
 func (s *simulation) live() []*simProcess {
 	live := slices.DeleteFunc(slices.Clone(s.processes), (*simProcess).gone)
