--- a/control/rollout/simulation_test.go
+++ b/control/rollout/simulation_test.go
@@ -24,39 +24,6 @@
 	simListedAfter = 2 * time.Second // how long a crashed engine stays on the list
 )
 
-// simProcess is a process of an engine, by the rules of the platform.
-type simProcess struct {
-	id      tables.EndpointID
-	address int
-	start   int64
-	bornAt  tables.Instant
-	version uint64
-	// loading is the version that is being loaded until loadedAt, 0 if there is none.
-	loading  uint64
-	loadedAt tables.Instant
-	sequence uint64
-	// fence is the highest fencing token that the process has seen.
-	fence tables.FencingToken
-	// reports holds the latest states, oldest first.
-	reports []simState
-	// silentUntil, sheddingUntil and lateUntil end the troubles of the process; troubledAt is when it was last
-	// in one. Until oddUntil the list shows the version claimed instead of its own.
-	silentUntil, sheddingUntil, lateUntil, troubledAt tables.Instant
-	oddUntil                                          tables.Instant
-	claimed                                           uint64
-	goneAt                                            tables.Instant
-}
-
-// simState is what a report shows.
-type simState struct {
-	at      tables.Instant
-	version uint64
-	seq     uint64
-	busy    bool
-}
-
-func (p *simProcess) gone() bool { return p.goneAt != 0 }
-
 // simTrouble says what a seed may draw.
 type simTrouble struct {
 	late, crash, silence, shed, handover, odd bool
@@ -78,11 +45,15 @@
 	checksFence bool
 	// slowsLoads is set if loads take longer while more than a fifth of the engines load.
 	slowsLoads bool
+	// hangShare is the share of calls that an engine that hangs loses.
+	hangShare float64
+	// answeredShare is the share of calls that an engine that sheds load answers.
+	answeredShare float64
 }
 
 var defaultPlatform = simPlatform{
 	lateShare: 0.8, lateMin: 2 * time.Second, lateMax: 12 * time.Second,
-	loadTime: 400 * time.Millisecond, loadSpread: 300 * time.Millisecond, checksFence: true,
+	loadTime: 400 * time.Millisecond, loadSpread: 300 * time.Millisecond, checksFence: true, answeredShare: 0.1,
 }
 
 type simEvent struct {
@@ -100,15 +71,27 @@
 	controller *Controller
 	processes  []*simProcess
 	events     []simEvent
+	calm       calmClock
 	named      []simVersion
-	starts     int64
-	leases     tables.FencingToken
-	loads      int
-	orders     int
-	polls      int
-	maxLoading int
+	// namedSecond holds the versions of simSecondModel.
+	namedSecond []simVersion
+	// listed is the list as it was last read; until staleUntil no newer one is.
+	listed     []fleet.Endpoint
+	staleUntil tables.Instant
+	// addresses is the highest address of an engine.
+	addresses int
+	// dropsOrders holds the addresses of engines that no order reaches.
+	dropsOrders map[int]bool
+	starts      int64
+	leases      tables.FencingToken
+	loads       int
+	orders      int
+	polls       int
+	maxLoading  int
 	// crowded is for how long more than a fifth of the engines loaded.
 	crowded time.Duration
+	// decide is called every stepInterval; it is plan unless a test replaces it.
+	decide func()
 	// onAccepted is called when an engine has accepted an order.
 	onAccepted func(*simProcess)
 }
@@ -130,6 +113,7 @@
 	for i := range engines {
 		s.startProcess(i, tables.EndpointID(fmt.Sprintf("e%02d", i)), 1)
 	}
+	s.addresses, s.decide = engines-1, s.plan
 	s.newHolder()
 	return s
 }
@@ -143,7 +127,11 @@
 		Fleet: s.table, Log: zap.NewNop(), IsLeader: func() bool { return true }, EnginesCheckFence: s.platform.checksFence,
 		WeightsTimeout: maxVersionDelay, Now: func() tables.Instant { return s.now },
 		TargetVersions: func() map[string]uint64 {
-			return map[string]uint64{"m": s.named[len(s.named)-1].version}
+			targets := map[string]uint64{simModel: s.named[len(s.named)-1].version}
+			if n := len(s.namedSecond); n > 0 {
+				targets[simSecondModel] = s.namedSecond[n-1].version
+			}
+			return targets
 		},
 	})
 }
@@ -172,6 +160,7 @@
 func (s *simulation) step() {
 	s.now += simStep
 	s.runEvents()
+	s.calm.observe(s.now, !slices.ContainsFunc(s.processes, s.isCut))
 	loading := 0
 	for _, p := range s.processes {
 		loading += s.stepProcess(p)
@@ -182,9 +171,14 @@
 	}
 	s.stepList()
 	if s.now%stepInterval == 0 {
-		for _, action := range s.controller.plan(s.now) {
-			s.execute(action)
-		}
+		s.decide()
+	}
+}
+
+// plan executes the actions that the controller plans.
+func (s *simulation) plan() {
+	for _, action := range s.controller.plan(s.now) {
+		s.execute(action)
 	}
 }
 
@@ -211,12 +205,12 @@
 		return 0
 	}
 	if p.loading != 0 && s.now >= p.loadedAt {
-		p.version, p.loading = p.loading, 0
+		p.completeLoad()
 	}
 	if s.now < max(p.silentUntil, p.sheddingUntil, p.lateUntil) {
 		p.troubledAt = s.now
 	}
-	p.reports = append(p.reports, simState{at: s.now, version: p.version, seq: p.sequence, busy: p.loading != 0})
+	p.reports = append(p.reports, simState{at: s.now, version: p.version, second: p.second, seq: p.sequence, busy: p.loading != 0})
 	for len(p.reports) > 1 && p.reports[1].at <= s.now-simReportLag {
 		p.reports = p.reports[1:]
 	}
@@ -231,19 +225,26 @@
 	if s.now%simListPeriod != 0 {
 		return
 	}
+	if s.now < s.staleUntil {
+		list := s.listed
+		s.after(simListLag, func() { s.table.ApplyList(list) })
+		return
+	}
 	var list []fleet.Endpoint
 	for _, p := range s.processes {
 		if p.gone() && (s.now-p.goneAt > simListedAfter || s.process(p.id) != nil) {
 			continue
 		}
-		version := p.version
+		weights := p.weights()
 		if s.now < p.oddUntil {
-			version = p.claimed
+			weights[simModel] = p.claimed
 		}
 		list = append(list, fleet.Endpoint{
-			ID: p.id, Zone: tables.Zone([]string{"a", "b", "c"}[p.address%3]), StartUnixMilli: p.start, Weights: map[string]uint64{"m": version},
+			ID: p.id, Zone: tables.Zone([]string{"a", "b", "c"}[p.address%3]), StartUnixMilli: p.start, Weights: weights,
+			Draining: p.draining,
 		})
 	}
+	s.listed = list
 	s.after(simListLag, func() { s.table.ApplyList(list) })
 }
 
@@ -258,7 +259,7 @@
 		})
 	}
 	p := s.process(id)
-	silent := p == nil || s.now < p.silentUntil
+	silent := p == nil || s.now < p.silentUntil || s.isCut(p) || s.now < p.hangingUntil && s.random.Float64() < s.platform.hangShare
 	if action.Version == 0 {
 		s.polls++
 		if silent {
@@ -270,7 +271,7 @@
 			return
 		}
 		shown := p.reports[0]
-		report := Report{Sequence: shown.seq, Busy: shown.busy, Weights: map[string]uint64{"m": shown.version}, Born: p.start}
+		report := Report{Sequence: shown.seq, Busy: shown.busy, Weights: simWeights(shown.version, shown.second), Born: p.start, Draining: p.draining}
 		answer(simRoundTrip, func() { s.controller.handleReport(s.now, action, report, nil) })
 		return
 	}
@@ -280,7 +281,7 @@
 		answer(orderTimeout, func() { s.controller.handleOrderResult(s.now, action, 1, 0, context.DeadlineExceeded) })
 	}
 	switch {
-	case silent:
+	case silent || s.dropsOrders[p.address]:
 		unanswered()
 	case s.now < p.lateUntil && s.random.Float64() < s.platform.lateShare:
 		unanswered()
@@ -297,7 +298,7 @@
 
 // shed returns the pushback of an engine that asks for a rest, nil if it does not.
 func (s *simulation) shed(p *simProcess) error {
-	if s.now >= p.sheddingUntil || s.random.Float64() < 0.1 {
+	if s.now >= p.sheddingUntil || s.random.Float64() < s.platform.answeredShare {
 		return nil
 	}
 	return &engine.PushbackError{RetryAfter: time.Duration(500+s.random.IntN(1500)) * time.Millisecond, Cause: context.Canceled}
@@ -321,12 +322,12 @@
 	switch {
 	case p.loading != 0 || !order.Unconditional && p.sequence != order.Sequence:
 		return Conflict
-	case p.version == order.Version:
+	case p.weights()[order.Model] == order.Version:
 		return AlreadyServing
 	}
 	s.loads++
 	p.sequence++
-	p.loading, p.loadedAt = order.Version, s.now+s.loadDuration()
+	p.loading, p.loadingModel, p.loadedAt = order.Version, order.Model, s.now+s.loadDuration()
 	if s.onAccepted != nil {
 		s.onAccepted(p)
 	}
@@ -349,65 +350,3 @@
 	slowdown := max(1, float64(loading*concurrencyDivisor)/float64(len(live)))
 	return time.Duration(float64(took) * slowdown)
 }
-
-// crash ends a process, which starts again after a time, under its ID or another one.
-func (s *simulation) crash(p *simProcess) {
-	if p.gone() {
-		return
-	}
-	p.goneAt = s.now
-	s.after(time.Duration(500+s.random.IntN(3000))*time.Millisecond, func() {
-		id := p.id
-		if s.random.Float64() >= s.trouble.sameID {
-			id = tables.EndpointID(fmt.Sprintf("e%02d-%d", p.address, s.starts))
-		}
-		s.startProcess(p.address, id, p.version)
-	})
-}
-
-// live returns the processes that run, by ID.
-func (s *simulation) live() []*simProcess {
-	live := slices.DeleteFunc(slices.Clone(s.processes), (*simProcess).gone)
-	slices.SortFunc(live, func(a, b *simProcess) int { return a.address - b.address })
-	return live
-}
-
-// draw adds troubles and new versions until the given time.
-func (s *simulation) draw(until tables.Instant) {
-	chance := func(perSecond float64) bool { return s.random.Float64() < perSecond*simStep.Seconds() }
-	pick := func() *simProcess {
-		live := s.live()
-		if len(live) == 0 {
-			return &simProcess{goneAt: s.now}
-		}
-		return live[s.random.IntN(len(live))]
-	}
-	duration := func() time.Duration { return time.Duration(500+s.random.IntN(4500)) * time.Millisecond }
-	if s.now >= until {
-		return
-	}
-	if chance(0.3) && len(s.named) < 8 {
-		s.named = append(s.named, simVersion{version: uint64(len(s.named) + 1), ackedAt: s.now})
-	}
-	if s.trouble.late && chance(0.3) {
-		end := s.now + duration()
-		for _, p := range s.live() {
-			p.lateUntil = max(p.lateUntil, end)
-		}
-	}
-	if s.trouble.crash && chance(0.6) {
-		s.crash(pick())
-	}
-	if p := pick(); s.trouble.silence && chance(0.8) {
-		p.silentUntil = max(p.silentUntil, s.now+duration())
-	}
-	if p := pick(); s.trouble.shed && chance(0.8) {
-		p.sheddingUntil = max(p.sheddingUntil, s.now+duration())
-	}
-	if p := pick(); s.trouble.odd && chance(0.8) {
-		p.oddUntil, p.claimed = max(p.oddUntil, s.now+duration()), 1+s.random.Uint64N(uint64(len(s.named)+2))
-	}
-	if s.trouble.handover && chance(0.1) {
-		s.newHolder()
-	}
-}
