Of the models that an engine lacks the one comes first whose target it has lacked longest

Cause: the first model by name was ordered first, so that new versions of it kept the others from theirs, in calm too.

Change: the model whose target has been lacked longest comes first. One whose order was rejected last still comes after the others.

Ruled out: to alternate between models while orders are not answered.

TestModelWhoseTargetIsLackedLongestComesFirst fails without the change.

--- a/control/rollout/planner.go
+++ b/control/rollout/planner.go
@@ -267,13 +267,12 @@
 	return r.phase == idle && !r.Draining && (r.doubted || version != 0 && !r.sequenceKnown)
 }
 
-// pendingUpdate returns a model that the engine serves in an older version than its target, and the
-// target version, which is 0 if there is no such model.
+// pendingUpdate returns the model to order next of those that the engine serves in an older version than their
+// targets, and its target, which is 0 if there is no such model.
 func (p *Planner) pendingUpdate(r *engineState) (string, uint64) {
 	best := ""
 	for model, version := range r.Weights {
-		isBefore := best == "" || best == r.rejectedModel || model != r.rejectedModel && model < best
-		if version < p.targets[model] && isBefore {
+		if version < p.targets[model] && (best == "" || p.compareModels(r, model, best) < 0) {
 			best = model
 		}
 	}
--- a/control/rollout/turns.go
+++ b/control/rollout/turns.go
@@ -69,3 +69,19 @@
 	}
 	return r.phase == idle && r.sequenceKnown && !r.polling && p.isOrderable(now, r)
 }
+
+// compareModels orders the models that an engine lacks: one whose order it rejected last comes after the others, and
+// then the one first whose target it has lacked longest.
+func (p *Planner) compareModels(r *engineState, a, b string) int {
+	rejected := func(model string) int {
+		if model == r.rejectedModel {
+			return 1
+		}
+		return 0
+	}
+	lackedSince := func(model string) tables.Instant {
+		since, _ := p.history.OutdatedSince(model, r.Weights[model])
+		return since
+	}
+	return cmp.Or(cmp.Compare(rejected(a), rejected(b)), cmp.Compare(lackedSince(a), lackedSince(b)), cmp.Compare(a, b))
+}
--- a/control/rollout/turns_test.go
+++ b/control/rollout/turns_test.go
@@ -62,3 +62,16 @@
 	f.run(2500 * time.Millisecond)
 	assert.Equal(t, len(f.orders), 9)
 }
+
+// Guards against a model that waits for newer versions of another one since its name comes later.
+func TestModelWhoseTargetIsLackedLongestComesFirst(t *testing.T) {
+	p := NewPlanner()
+	p.UpdateEndpoints([]fleet.Endpoint{{ID: "e", StartUnixMilli: 1, Weights: map[string]uint64{"a": 1, "b": 1}}})
+	report := func() *Report { return &Report{Weights: map[string]uint64{"a": 1, "b": 1}, Born: 1} }
+	p.SetTarget("b", 2)
+	assert.Equal(t, len(p.NextActions(time.Second)), 1)
+	p.HandleReport(time.Second, "e", report())
+	p.SetTarget("a", 2)
+	order, _ := nextOrder(t, p, 2*time.Second, report)
+	assert.Equal(t, order.Model, "b")
+}
