An engine whose time runs out gets its next order beside the allowed loads

What callers saw: VERSION, 'N of N servers still have an older version than N, acked'.

Cause: while more than a quarter of the orders are answered, engines that leave theirs unanswered wait for a free slot. Engines that newer versions reach take the slots again and again.

Change: once half of the time for which requests may begin on outdated weights has passed, such an engine needs no slot.

TestEngineWhoseTimeRunsOutNeedsNoSlot fails without the change.

--- a/control/rollout/resend.go
+++ b/control/rollout/resend.go
@@ -12,11 +12,12 @@
 const (
 	// resendInterval is the time between two orders to an engine that leaves them unanswered.
 	resendInterval = 300 * time.Millisecond
-	// Such an engine gets the next order without a turn when 1/urgentDivisor of the allowed time has passed, beside
-	// more loads than usual when 1/pressingDivisor has, and waits for its turns again when all its targets have been
-	// known for overdueTargetFactor times that time.
+	// Such an engine gets the next order without a turn when 1/urgentDivisor of the allowed time has passed, and beside
+	// more loads than usual when 1/criticalDivisor has, or 1/pressingDivisor while hardly any order is answered. It waits
+	// for its turns again when all its targets have been known for overdueTargetFactor times that time.
 	urgentDivisor       = 4
 	pressingDivisor     = 3
+	criticalDivisor     = 2
 	overdueTargetFactor = 2
 	// minAnsweredShare is the share of answered orders below which a further one most likely begins no load now.
 	// answeredWeight is the weight of the latest order in it.
@@ -37,7 +38,7 @@
 	slices.SortStableFunc(due, func(a, b *engineState) int { return cmp.Compare(a.orderedAt, b.orderedAt) })
 	var actions []Action
 	for _, r := range due {
-		if freeSlots > 0 || p.answeredShare < minAnsweredShare && p.hasPassed(now, r, pressingDivisor) {
+		if freeSlots > 0 || p.needsNoSlot(now, r) {
 			freeSlots--
 			actions = append(actions, p.startOrder(now, r))
 			r.unconfirmed = true
@@ -57,6 +58,11 @@
 // fencing tokens its sequence is not needed, and an order for weights that it serves changes nothing.
 func (p *Planner) needsNoReport(r *engineState) bool { return p.EnginesCheckFence && r.unreported }
 
+// needsNoSlot reports whether an engine gets its next order beside as many loads as are allowed.
+func (p *Planner) needsNoSlot(now tables.Instant, r *engineState) bool {
+	return p.hasPassed(now, r, criticalDivisor) || p.answeredShare < minAnsweredShare && p.hasPassed(now, r, pressingDivisor)
+}
+
 // hasPassed reports whether 1/divisor of the time for which an engine may serve outdated weights has passed, and it
 // may still get its newest target in time.
 func (p *Planner) hasPassed(now tables.Instant, r *engineState, divisor time.Duration) bool {
--- a/control/rollout/resend_test.go
+++ b/control/rollout/resend_test.go
@@ -54,3 +54,18 @@
 	oldest, _ := r.planner.outdatedFor(now, r.planner.engineStates["e"])
 	assert.Equal(t, oldest, maxVersionDelay)
 }
+
+// Guards against an engine that waits for slots until its weights are overdue, while others with newer ones take them.
+func TestEngineWhoseTimeRunsOutNeedsNoSlot(t *testing.T) {
+	for passed, want := range map[time.Duration]bool{maxVersionDelay/2 - stepInterval: false, maxVersionDelay / 2: true} {
+		f := silentEngines(3, maxVersionDelay)
+		f.run(3 * time.Second)
+		for id := range f.orders {
+			f.planner.HandleOrderResult(f.now, id, 0)
+		}
+		f.planner.answeredShare = 1
+		f.now = time.Second + passed
+		engines := f.planner.oldestFirst()
+		assert.Equal(t, len(f.planner.resendOrders(f.now, engines, 0)) > 0, want, "%v", passed)
+	}
+}
