--- a/control/rollout/bound_troubles_test.go
+++ b/control/rollout/bound_troubles_test.go
@@ -195,3 +195,16 @@
 		})
 	}
 }
+
+// Guards against versions that are late on draws of which one was once in place after maxVersionLag.
+func TestVersionsAreInPlaceWithinTheBoundOnLateDraws(t *testing.T) {
+	for name, draw := range map[string]struct {
+		seed        uint64
+		checksFence bool
+	}{"fenced_127": {127, true}, "unfenced_339": {339, false}} {
+		t.Run(name, func(t *testing.T) {
+			lag, s := drawTroubled(draw.seed, draw.checksFence, anyKinds).run(draw.seed, func(*simulation) {})
+			assert.Assert(t, lag <= maxVersionLag, "%v, %d orders", lag, s.orders)
+		})
+	}
+}
