A lease that is renewed too late keeps its token, and its orders lose against earlier ones: a failing test

Cause: the holder counts the lease from before its request and less a margin, the control state from the commit and in log time. A renewal between the two ends gets the same token (leaseTable.acquire). The controller has replaced its planner meanwhile, twice, and NextPlanner does not keep the generation, so that the order for a newer target has a lower token than those for older targets before.

Shown: TestTokensRiseWhenTheLeaseIsRenewedTooLate. No product code is changed.

--- a/control/rollout/fence_test.go
+++ b/control/rollout/fence_test.go
@@ -4,7 +4,11 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/fleet"
+	"github.com/carawaystile/carawaystile/tables"
 )
 
 // racingOrders returns an engine that checks fencing tokens, and the orders for two targets that were sent while
@@ -59,3 +63,45 @@
 		assert.Equal(t, ordered, want, "fenced %v", fenced)
 	}
 }
+
+// heldController returns a controller that holds the lease of a control group that regards it as held for good.
+func heldController(t *testing.T, now *tables.Instant, target *uint64) *Controller {
+	t.Helper()
+	table := fleet.NewTable(1)
+	table.ApplyList(outdatedEngine(1))
+	r := NewController(Options{
+		Engines: &fakeEngine{now: func() tables.Instant { return *now }}, Executor: &fakeControlGroup{},
+		Fleet: table, Log: zap.NewNop(), IsLeader: func() bool { return false }, EnginesCheckFence: true,
+		TargetVersions: func() map[string]uint64 { return map[string]uint64{"m": *target} },
+		Instance:       "c", Boot: 1, LeaseDuration: 1500 * time.Millisecond, Now: func() tables.Instant { return *now },
+	})
+	assert.NilError(t, r.lease.AcquireOrRenew(t.Context()))
+	return r
+}
+
+// Guards against a lease that is renewed too late and under its token, and whose orders lose against earlier ones.
+func TestTokensRiseWhenTheLeaseIsRenewedTooLate(t *testing.T) {
+	now, target := time.Second, uint64(2)
+	r := heldController(t, &now, &target)
+	nextOrder := func() Order {
+		r.step(t.Context())
+		fence, _ := r.lease.TokenAndTTL()
+		return r.newOrder(Action{Model: "m", Version: target, Generation: r.planner.generation}, fence)
+	}
+	nextOrder()
+	target = 3
+	older := nextOrder()
+	now += 2 * time.Second
+	r.step(t.Context())
+	assert.Assert(t, !r.HoldsLease(), "the lease has ended by the clock of its holder")
+	assert.NilError(t, r.lease.AcquireOrRenew(t.Context()))
+	target = 4
+	newer := nextOrder()
+
+	s := newSimulation(1, 1, simTrouble{})
+	p := s.processes[0]
+	assert.Equal(t, s.carryOut(p, newer), Accepted)
+	s.now += time.Second
+	s.stepProcess(p)
+	assert.Equal(t, s.carryOut(p, older), Fenced, "tokens %d, then %d: the engine goes back to version %d", older.Fence, newer.Fence, p.loading)
+}
