Engines that get one order after the other are not polled: two failing tests

Cause: an order without an answer ends after 0.3 s and sets the next poll 0.15 s later; the next order is due 0.3 s after the one before, so it always comes first, and an engine with an order under way is not polled.

Shown: nine engines that leave all orders unanswered were polled last at 2.7 to 3.6 s, at 9 s. Where engines check no tokens an older order that takes the sequence is not seen: all 27 orders of 8 s expect the old one and are void. Only the platform's list ends it, if it can be read. No product code is changed.

--- a/control/rollout/resend_test.go
+++ b/control/rollout/resend_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/carawaystile/carawaystile/tables"
 )
 
 // Guards against engines that leave orders unanswered and wait for turns until their weights are overdue.
@@ -54,3 +56,39 @@
 	oldest, _ := r.planner.outdatedFor(now, r.planner.engineStates["e"])
 	assert.Equal(t, oldest, maxVersionDelay)
 }
+
+// Guards against an engine that is not polled while it gets one order after the other.
+func TestEngineThatLeavesOrdersUnansweredIsPolled(t *testing.T) {
+	f := silentEngines(9, maxVersionDelay)
+	f.run(maxVersionDelay)
+	for id, r := range f.planner.engineStates {
+		assert.Check(t, f.now-r.polledAt < 2*time.Second, "%s was last polled at %v, it is %v", id, r.polledAt, f.now)
+	}
+}
+
+// Guards against orders that all expect a sequence which a delayed order has taken long since.
+func TestDelayedOrderThatTakesTheSequenceIsNoticedBesideFurtherOrders(t *testing.T) {
+	f := silentEngines(1, maxVersionDelay)
+	f.run(3 * time.Second)
+	f.planner.SetTarget("m", 3)
+	report := &Report{Sequence: 1, Weights: map[string]uint64{"m": 2}, Born: 1}
+	var orders, void int
+	var noticed tables.Instant
+	began, orderedAt := f.now, tables.Instant(0)
+	for ; noticed == 0 && f.now < began+maxVersionDelay; f.now += stepInterval {
+		if r := f.planner.engineStates["e00"]; r.phase == orderSent && f.now-r.orderedAt >= orderTimeout {
+			f.planner.HandleOrderResult(f.now, "e00", 0)
+		}
+		for _, action := range f.planner.NextActions(f.now) {
+			switch {
+			case action.Version == 0:
+				f.planner.HandleReport(f.now, "e00", report)
+			case action.Sequence == 1:
+				noticed = f.now
+			default:
+				orders, void, orderedAt = orders+1, void+1, f.now
+			}
+		}
+	}
+	assert.Check(t, noticed != 0 && noticed-began < 2*time.Second, "after %v: %d orders, %d void, the last at %v", f.now-began, orders, void, orderedAt)
+}
