A report of before an accepted order ends its update: a failing test

Cause: an order under a fencing token expects no sequence, so the engine's may be beyond the one that the planner knows, and that report.Sequence >= acceptedSequence no longer shows that the order came to nothing.

Shown: a late order for version 2 has taken sequence 1; the order for version 3, sent at sequence 0, is accepted; a report from before it shows sequence 1 and version 2, and the engine counts as idle while it loads. It loses its slot and its cordon, and is ordered again. No product code is changed.

--- a/control/rollout/fence_test.go
+++ b/control/rollout/fence_test.go
@@ -105,3 +105,28 @@
 	s.stepProcess(p)
 	assert.Equal(t, s.carryOut(p, older), Fenced, "tokens %d, then %d: the engine goes back to version %d", older.Fence, newer.Fence, p.loading)
 }
+
+// Guards against an accepted order that counts as overtaken since a report of before shows a later sequence.
+func TestReportOfBeforeTheOrderDoesNotEndTheUpdate(t *testing.T) {
+	p := NewPlanner()
+	p.EnginesCheckFence, p.WeightsTimeout = true, maxVersionDelay
+	p.UpdateEndpoints(outdatedEngine(1))
+	p.SetTarget("m", 2)
+	order, took := nextOrder(t, p, time.Second, func() *Report { return &Report{Weights: map[string]uint64{"m": 1}, Born: 1} })
+	assert.Equal(t, order.Sequence, uint64(0))
+	now := time.Second + took
+	p.SetTarget("m", 3)
+	// The order for version 2 is carried out late, and the next one is accepted after it, with sequence 2.
+	p.HandleOrderResult(now+orderTimeout, "e", 0)
+	order, took = nextOrder(t, p, now+orderTimeout, func() *Report { return &Report{Weights: map[string]uint64{"m": 1}, Born: 1} })
+	assert.Equal(t, order.Version, uint64(3))
+	now += orderTimeout + took
+	p.HandleOrderResult(now, "e", Accepted)
+	for until := now + maxReportAge; now < until; now += stepInterval {
+		for _, action := range p.NextActions(now) {
+			assert.Equal(t, action.Version, uint64(0), "ordered during the load")
+			p.HandleReport(now, "e", &Report{Sequence: 1, Weights: map[string]uint64{"m": 2}, Born: 1})
+			assert.Equal(t, p.engineStates["e"].phase, updating, "the engine loads")
+		}
+	}
+}
