Resent orders in flight are not counted against the limit of loads: a failing test

Cause: resendOrders takes free slots at each step, but an order in flight holds none until it is answered.

Shown: with two slots, eight orders go out within four steps while orders count as answered; accepted after 0.2 s, eight of nine engines load at once. No product code is changed.

--- a/control/rollout/resend_test.go
+++ b/control/rollout/resend_test.go
@@ -92,3 +92,30 @@
 	}
 	assert.Check(t, noticed != 0 && noticed-began < 2*time.Second, "after %v: %d orders, %d void, the last at %v", f.now-began, orders, void, orderedAt)
 }
+
+// Guards against more loads than allowed while orders are answered, if the answers take a while.
+func TestResentOrdersInFlightCountAgainstTheLimit(t *testing.T) {
+	f := silentEngines(9, maxVersionDelay)
+	f.run(3 * time.Second)
+	f.planner.answeredShare = 1
+	for id, r := range f.planner.engineStates {
+		if r.phase == orderSent {
+			f.planner.HandleOrderResult(f.now, id, 0)
+		}
+	}
+	f.now += resendInterval
+	ordered := 0
+	for end := f.now + 200*time.Millisecond; f.now < end; f.now += stepInterval {
+		for _, action := range f.planner.NextActions(f.now) {
+			if action.Version != 0 {
+				ordered++
+			}
+		}
+	}
+	for id, r := range f.planner.engineStates {
+		if r.phase == orderSent {
+			f.planner.HandleOrderResult(f.now, id, Accepted)
+		}
+	}
+	assert.Assert(t, ordered <= minConcurrent+1, "%d orders are in flight, and accepted after 0.2 s", ordered)
+}
