Engines that start late, or had no holder, get the next orders at the old pace: two failing tests

Cause: hasPassed counts from the target alone and ends after twice the allowed time, whoever could have ordered the engine until then. The platform counts from the start of an engine, and not while the core is unstable.

Shown: targets known for 20 s, nine engines that leave all orders unanswered get 5 or 6 orders each in 8 s, with an earlier process as without a holder. No product code is changed.

--- a/control/rollout/resend_test.go
+++ b/control/rollout/resend_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/carawaystile/carawaystile/fleet"
 	"github.com/carawaystile/carawaystile/tables"
 )
 
@@ -119,3 +120,30 @@
 	}
 	assert.Assert(t, ordered <= minConcurrent+1, "%d orders are in flight, and accepted after 0.2 s", ordered)
 }
+
+// Guards against engines that wait for turns since the target has been known for long, though no holder could order them.
+func TestEnginesGetTheNextOrdersInTimeAfterATimeWithoutAHolder(t *testing.T) {
+	f := silentEngines(9, maxVersionDelay)
+	f.planner.recordTargets(f.now, f.planner.targets)
+	f.now += 20 * time.Second
+	f.run(maxVersionDelay)
+	for id, orders := range f.orders {
+		assert.Check(t, len(orders) >= 12, "%s got %d orders", id, len(orders))
+	}
+}
+
+// Guards against engines that start with replaced weights long after the target and wait for turns.
+func TestEnginesThatStartLateGetTheNextOrdersInTime(t *testing.T) {
+	f := silentEngines(9, maxVersionDelay)
+	f.planner.recordTargets(f.now, f.planner.targets)
+	f.now += 20 * time.Second
+	var restarted []fleet.Endpoint
+	for id := range f.planner.engineStates {
+		restarted = append(restarted, fleet.Endpoint{ID: id, StartUnixMilli: 2, Weights: map[string]uint64{"m": 1}})
+	}
+	f.planner.UpdateEndpoints(restarted)
+	f.run(maxVersionDelay)
+	for id, orders := range f.orders {
+		assert.Check(t, len(orders) >= 12, "%s got %d orders", id, len(orders))
+	}
+}
