Engines of one zone that had no order come one after the other: a failing test

Cause: oldestFirst compares the time of the latest order before the rank within the zone.

Shown: two engines of zone a had no order, those of b and c had one: both of a come first, and zone a has no engine left that does not load. No product code is changed.

--- a/control/rollout/turns_test.go
+++ b/control/rollout/turns_test.go
@@ -62,3 +62,18 @@
 	f.run(2500 * time.Millisecond)
 	assert.Equal(t, len(f.orders), 9)
 }
+
+// Guards against a zone that loses all its engines at once since they have had no order yet.
+func TestZonesAlternateAmongEnginesThatHadNoOrder(t *testing.T) {
+	p := NewPlanner()
+	var all []fleet.Endpoint
+	for i, zone := range []tables.Zone{"a", "a", "b", "b", "c", "c"} {
+		all = append(all, fleet.Endpoint{ID: tables.EndpointID([]string{"a0", "a1", "b0", "b1", "c0", "c1"}[i]), Zone: zone, StartUnixMilli: 1, Weights: map[string]uint64{"m": 1}})
+	}
+	p.UpdateEndpoints(all)
+	for i, id := range []tables.EndpointID{"b0", "b1", "c0", "c1"} {
+		p.engineStates[id].orderedAt = time.Duration(i+1) * time.Millisecond
+	}
+	engines := p.oldestFirst()
+	assert.Assert(t, engines[0].Zone != engines[1].Zone, "%s and %s load at once, their zone has no other engine", engines[0].ID, engines[1].ID)
+}
