A late order reaches the engine's next process and is carried out: a failing test

Cause: a restart clears the fencing token, and the order expects no sequence. Before, an order at a sequence above 0 was void. Whether the platform passes an order with the ID on to the next process is not known; the simulation can (lateOutlivesProcess).

Shown: an engine at version 5 restarts under its ID, and a late order for version 4 is accepted. No product code is changed.

--- a/control/rollout/fence_test.go
+++ b/control/rollout/fence_test.go
@@ -130,3 +130,18 @@
 		}
 	}
 }
+
+// Guards against an order to the process before that brings older weights back after a restart.
+func TestLateOrderToTheProcessBeforeIsVoidAfterARestart(t *testing.T) {
+	s := newSimulation(1, 1, simTrouble{lateOutlivesProcess: true})
+	p := s.processes[0]
+	p.sequence, p.version = 3, 4
+	late := s.controller.newOrder(Action{Model: "m", Version: 4, Sequence: 3, Generation: 3}, s.leases)
+	newer := s.controller.newOrder(Action{Model: "m", Version: 5, Sequence: 3, Generation: 4}, s.leases)
+	assert.Equal(t, s.carryOut(p, newer), Accepted)
+	s.now += time.Second
+	s.stepProcess(p)
+	p.goneAt = s.now
+	restarted := s.startProcess(0, p.id, p.version)
+	assert.Assert(t, s.carryOut(restarted, late) != Accepted, "goes back to version %d", restarted.loading)
+}
