The answer that a version is served does not reach the table of endpoints: a failing test

Cause: handleOrderResult passes no weights on. The planner then counts the engine as up to date and polls it no more; the others learn it from the list alone.

No product code is changed.

--- a/control/rollout/races_test.go
+++ b/control/rollout/races_test.go
@@ -129,3 +129,11 @@
 		t.Logf("seed %d: %d unanswered, %d overtaken", seed, late.unanswered.Count(), late.overtaken.Count())
 	}
 }
+
+// Guards against instances that take an engine for outdated which has answered that it serves the version.
+func TestAnswerThatTheVersionIsServedReachesTheTable(t *testing.T) {
+	f, order := orderedController(t)
+	f.controller.handleOrderResult(2*time.Second, order, 1, AlreadyServing, nil)
+	assert.Assert(t, f.controller.planner.Converged())
+	assert.Equal(t, f.table.Endpoints()[0].Weights["m"], uint64(3))
+}
