An order that was not sent counts as answered: a failing test

Cause: an order that can't be announced ends with Rejected, which recordAnswer takes for an answer. Where engines check no tokens each resent order is announced first, and failing announcements keep the share above minAnsweredShare.

No product code is changed.

--- a/control/rollout/resend_test.go
+++ b/control/rollout/resend_test.go
@@ -147,3 +147,11 @@
 		assert.Check(t, len(orders) >= 12, "%s got %d orders", id, len(orders))
 	}
 }
+
+// Guards against a share of answered orders that counts those which were not sent.
+func TestOrderThatWasNotSentIsNotAnswered(t *testing.T) {
+	f, order := orderedController(t)
+	f.controller.planner.answeredShare = 0
+	f.controller.handleOrderResult(2*time.Second, order, 1, Rejected, &tables.NoQuorumError{})
+	assert.Equal(t, f.controller.planner.answeredShare, 0.0)
+}
