An engine that declines without a time gets five orders a second: a failing test

Cause: Declined sets no time for the next call; 429, and 503 without Retry-After, are no back-off.

No product code is changed.

--- a/control/rollout/stall_test.go
+++ b/control/rollout/stall_test.go
@@ -291,3 +291,20 @@
 		return nil
 	})
 }
+
+// Guards against an engine that declines its order without a time and gets one after the other.
+func TestEngineThatDeclinesWithoutATimeIsNotOrderedAtFullPace(t *testing.T) {
+	p, now := cordonedEngine(t)
+	orders := 0
+	for until := now + 2*time.Second; now < until; now += stepInterval {
+		for _, action := range p.NextActions(now) {
+			if action.Version == 0 {
+				p.HandleReport(now, "e", &Report{Weights: map[string]uint64{"m": 1}, Born: 1})
+				continue
+			}
+			orders++
+			p.HandleOrderResult(now, "e", Declined)
+		}
+	}
+	assert.Assert(t, orders <= 6, "%d orders in 2 s", orders)
+}
