An engine whose polls fail after an accepted order waits for the next one: a failing test

Cause: an accepted order is in progress until a report shows it or updateTimeout of 6 s ends, also when the polls get no answer or a back-off. The engine has answered its order, so it is not sent the next one either; where engines check tokens an order needs no report.

Shown: version 2 is accepted, version 3 named, polls get no answer: the order for version 3 follows after 6.4 s of the 8 s. No product code is changed.

--- a/control/rollout/fence_test.go
+++ b/control/rollout/fence_test.go
@@ -145,3 +145,18 @@
 	restarted := s.startProcess(0, p.id, p.version)
 	assert.Assert(t, s.carryOut(restarted, late) != Accepted, "goes back to version %d", restarted.loading)
 }
+
+// Guards against a newer order that waits for the report of an accepted one, though engines that check tokens need none.
+func TestEngineWhosePollsGetNoAnswerAfterItsOrderIsOrderedUnderAFence(t *testing.T) {
+	p := NewPlanner()
+	p.EnginesCheckFence, p.WeightsTimeout = true, maxVersionDelay
+	p.UpdateEndpoints(outdatedEngine(1))
+	p.SetTarget("m", 2)
+	_, took := nextOrder(t, p, time.Second, func() *Report { return &Report{Weights: map[string]uint64{"m": 1}, Born: 1} })
+	now := time.Second + took
+	p.HandleOrderResult(now, "e", Accepted)
+	p.SetTarget("m", 3)
+	order, took := nextOrder(t, p, now, func() *Report { return nil })
+	assert.Equal(t, order.Version, uint64(3))
+	assert.Assert(t, took < maxVersionDelay/2, "ordered after %v", took)
+}
