A model whose orders are unanswered holds up the other models of its engine: a failing test

Cause: pendingUpdate takes the first model by name until it is updated or rejected; no answer is neither.

No product code is changed.

--- a/control/rollout/resend_test.go
+++ b/control/rollout/resend_test.go
@@ -155,3 +155,26 @@
 	f.controller.handleOrderResult(2*time.Second, order, 1, Rejected, &tables.NoQuorumError{})
 	assert.Equal(t, f.controller.planner.answeredShare, 0.0)
 }
+
+// Guards against a model that gets no order while those for another model of its engine are left unanswered.
+func TestUnansweredOrdersOfOneModelDoNotHoldUpAnother(t *testing.T) {
+	p := NewPlanner()
+	p.EnginesCheckFence, p.WeightsTimeout = true, maxVersionDelay
+	p.UpdateEndpoints([]fleet.Endpoint{{ID: "e", StartUnixMilli: 1, Weights: map[string]uint64{"a": 1, "b": 1}}})
+	p.SetTarget("a", 2)
+	p.SetTarget("b", 2)
+	orders := map[string]int{}
+	for now := time.Second; now < time.Second+maxVersionDelay; now += stepInterval {
+		if r := p.engineStates["e"]; r.phase == orderSent && now-r.orderedAt >= orderTimeout {
+			p.HandleOrderResult(now, "e", 0)
+		}
+		for _, action := range p.NextActions(now) {
+			if action.Version == 0 {
+				p.HandleReport(now, "e", &Report{Weights: map[string]uint64{"a": 1, "b": 1}, Born: 1})
+				continue
+			}
+			orders[action.Model]++
+		}
+	}
+	assert.Assert(t, orders["b"] > 0, "orders: %v", orders)
+}
