Tokens rise also when a lease is renewed after its end by the holder's clock

What callers would see: an engine that goes back to older weights, or orders that are refused.

Cause: a lease that is renewed between its end at the holder and its end in the log keeps its token. The holder has a new planner by then, which counted the changes of the targets anew, so that its tokens were lower than those before.

Change: the count goes on at the next planner.

--- a/control/rollout/announcements.go
+++ b/control/rollout/announcements.go
@@ -17,6 +17,8 @@
 func (p *Planner) NextPlanner() *Planner {
 	next := NewPlanner()
 	next.EnginesCheckFence, next.WeightsTimeout, next.history = p.EnginesCheckFence, p.WeightsTimeout, p.history
+	// The next lease may have the same token, if this one ends by the clock of its holder alone.
+	next.generation = p.generation
 	next.pauses = p.pauses
 	return next
 }
