The answer that an engine serves a version reaches the table of endpoints

Cause: an engine that answers an order so counted as up to date and was not polled; the other instances learned it from the list alone. Orders that are sent again get this answer more often.

--- a/control/rollout/controller.go
+++ b/control/rollout/controller.go
@@ -316,10 +316,14 @@
 // for an earlier process.
 func (r *Controller) handleOrderResult(now tables.Instant, action Action, fence tables.FencingToken, result OrderResult, err error) {
 	id := action.Endpoint.ID
-	if _, current := r.planner.Weights(id, action.Process); !current {
+	before, current := r.planner.Weights(id, action.Process)
+	if !current {
 		return
 	}
 	r.planner.HandleOrderResult(now, id, result)
+	if result == AlreadyServing {
+		r.recordWeights(id, action.Process, before)
+	}
 	r.planner.noteAnswer(id, action.Version, result)
 	switch {
 	case r.handlePushback(now, id, err):
