--- a/control/rollout/planner.go
+++ b/control/rollout/planner.go
@@ -100,6 +100,8 @@
 	// unanswered is set if the engine has left an order unanswered since it last answered one; unreported is set if
 	// the latest poll got no report.
 	unanswered, unreported bool
+	// unansweredInARow counts the latest orders for orderedModel without an answer.
+	unansweredInARow int
 	// loadingSince is when the load that is in progress was accepted or first seen, 0 if none is.
 	loadingSince tables.Instant
 }
@@ -251,6 +253,9 @@
 // startOrder moves an engine to orderSent and returns its order.
 func (p *Planner) startOrder(now tables.Instant, r *engineState) Action {
 	model, version := p.pendingUpdate(r)
+	if model != r.orderedModel {
+		r.unansweredInARow = 0
+	}
 	r.phase, r.orderedModel, r.orderedVersion, r.phaseSince, r.unconfirmed, r.loadingSince = orderSent, model, version, now, false, 0
 	r.acceptedSequence, r.orderedAt = r.sequence+1, now
 	return Action{Endpoint: r.Endpoint, Process: r.process, Model: model, Version: version, Sequence: r.sequence, Generation: p.generation}
@@ -303,7 +308,7 @@
 	r.nextPollAt = now + pollInterval
 	switch {
 	case r.phase == updating && r.Weights[r.orderedModel] >= r.orderedVersion && !report.Busy:
-		r.phase, r.sequenceKnown, r.unanswered = idle, true, false
+		r.phase, r.sequenceKnown, r.unanswered, r.unansweredInARow = idle, true, false, 0
 		r.sequence = max(report.Sequence, r.acceptedSequence)
 		p.recordLoad(now, r)
 		return true
@@ -312,7 +317,7 @@
 		if r.loadingSince == 0 {
 			r.loadingSince = now
 		}
-	case r.phase == updating && report.Sequence >= r.acceptedSequence:
+	case r.phase == updating && report.Sequence >= r.acceptedSequence && !p.mayPrecede(now, r):
 		// An earlier order was delayed and has taken the sequence that the latest one expects, which the
 		// engine will therefore reject.
 		r.phase, r.sequenceKnown, r.sequence = idle, true, report.Sequence
@@ -330,6 +335,12 @@
 	return false
 }
 
+// mayPrecede reports whether a report may be of before the order that the engine accepted last. An order without a
+// sequence may be accepted at a later one than the planner knows, so that the report's sequence does not tell.
+func (p *Planner) mayPrecede(now tables.Instant, r *engineState) bool {
+	return p.EnginesCheckFence && !r.unanswered && now-r.phaseSince <= maxReportAge
+}
+
 func (p *Planner) expireUpdate(now tables.Instant, r *engineState) {
 	if r.phase == updating && now-r.phaseSince > updateTimeout {
 		r.phase, r.sequenceKnown = idle, false
@@ -342,16 +353,18 @@
 	if r == nil || r.phase != orderSent {
 		return
 	}
-	p.recordAnswer(result != 0)
+	if result != Rejected {
+		p.recordAnswer(result != 0)
+	}
 	switch result {
 	case Accepted:
-		r.rejectedModel, r.unanswered, r.unconfirmed = "", false, false
+		r.rejectedModel, r.unanswered, r.unansweredInARow, r.unconfirmed = "", false, 0, false
 		r.phase, r.phaseSince, r.loadingSince, r.nextPollAt = updating, now, now, now+firstPollDelay
 	case AlreadyServing:
-		r.phase, r.confirmedAt, r.rejectedModel, r.unanswered = idle, now, "", false
+		r.phase, r.confirmedAt, r.rejectedModel, r.unanswered, r.unansweredInARow = idle, now, "", false, 0
 		r.Weights[r.orderedModel] = max(r.Weights[r.orderedModel], r.orderedVersion)
 	case Declined:
-		r.phase = idle
+		r.phase, r.pausedUntil = idle, max(r.pausedUntil, now+pollRetryDelay)
 	case Conflict, Rejected, Fenced:
 		r.phase, r.sequenceKnown, r.nextPollAt = idle, false, now+pollInterval
 		if result == Rejected {
@@ -360,7 +373,8 @@
 	default:
 		// phaseSince stays at the time when the order was sent. A later report without the order
 		// proves that the order was lost or is delayed.
-		r.phase, r.nextPollAt, r.unconfirmed, r.unanswered = updating, now+pollInterval, true, true
+		r.phase, r.nextPollAt, r.unconfirmed, r.unanswered = updating, now, true, true
+		r.unansweredInARow++
 	}
 }
 
--- a/control/rollout/resend.go
+++ b/control/rollout/resend.go
@@ -19,6 +19,11 @@
 	pressingDivisor     = 3
 	criticalDivisor     = 2
 	overdueTargetFactor = 2
+	// maxResendsPerStep bounds the orders without a turn that one step of the control loop begins, whatever the number
+	// of engines.
+	maxResendsPerStep = 10
+	// maxOrdersInARow is how many orders for one model an engine leaves unanswered before its other models come first.
+	maxOrdersInARow = 4
 	// minAnsweredShare is the share of answered orders below which a further one most likely begins no load now.
 	// answeredWeight is the weight of the latest order in it.
 	minAnsweredShare = 0.25
@@ -31,6 +36,9 @@
 func (p *Planner) resendOrders(now tables.Instant, engines []*engineState, freeSlots int) []Action {
 	var due []*engineState
 	for _, r := range engines {
+		if r.phase == orderSent && r.unconfirmed {
+			freeSlots--
+		}
 		if p.isResendDue(now, r) {
 			due = append(due, r)
 		}
@@ -38,7 +46,7 @@
 	slices.SortStableFunc(due, func(a, b *engineState) int { return cmp.Compare(a.orderedAt, b.orderedAt) })
 	var actions []Action
 	for _, r := range due {
-		if freeSlots > 0 || p.needsNoSlot(now, r) {
+		if len(actions) < maxResendsPerStep && (freeSlots > 0 || p.needsNoSlot(now, r)) {
 			freeSlots--
 			actions = append(actions, p.startOrder(now, r))
 			r.unconfirmed = true
@@ -49,9 +57,10 @@
 
 // isResendDue reports whether an engine that leaves its orders or polls unanswered is to get the next order.
 func (p *Planner) isResendDue(now tables.Instant, r *engineState) bool {
-	awaitsOrder := r.phase == updating && r.unconfirmed || r.phase == idle && r.sequenceKnown && !r.polling
-	isSilent := r.unanswered && awaitsOrder || r.phase == idle && p.needsNoReport(r)
-	return isSilent && p.hasPassed(now, r, urgentDivisor) && now-r.orderedAt >= resendInterval && p.isOrderable(now, r)
+	awaitsOrder := r.phase == updating && r.unconfirmed || r.phase == idle
+	hasReport := (p.EnginesCheckFence || !r.polling) && (r.phase == updating || r.sequenceKnown)
+	isSilent := r.unanswered && hasReport || p.needsNoReport(r)
+	return awaitsOrder && isSilent && p.hasPassed(now, r, urgentDivisor) && now-r.orderedAt >= resendInterval && p.isOrderable(now, r)
 }
 
 // needsNoReport reports whether an engine that has left a poll unanswered gets its order all the same. If it checks
@@ -70,8 +79,8 @@
 	return oldest >= p.WeightsTimeout/divisor && newest < overdueTargetFactor*p.WeightsTimeout
 }
 
-// outdatedFor returns for how long an engine has lacked the oldest and the newest target version that it does not
-// serve, 0 if there is none.
+// outdatedFor returns for how long an engine has lacked the oldest target version that it does not serve, and the newest
+// one since this planner knows that the engine lacks it; 0 if there is none.
 func (p *Planner) outdatedFor(now tables.Instant, r *engineState) (oldest, newest time.Duration) {
 	for model, version := range r.Weights {
 		lacking := p.history.NewerThan(model, version)
@@ -79,8 +88,9 @@
 			continue
 		}
 		oldest = max(oldest, now-lacking[0].SetAt)
-		if since := now - lacking[len(lacking)-1].SetAt; newest == 0 || since < newest {
-			newest = since
+		since := max(lacking[len(lacking)-1].SetAt, r.pendingSince)
+		if newest == 0 || now-since < newest {
+			newest = now - since
 		}
 	}
 	return oldest, newest
--- a/control/rollout/turns.go
+++ b/control/rollout/turns.go
@@ -14,8 +14,8 @@
 
 // oldestFirst sorts the engines by the age of their weights, oldest first. Otherwise a newer
 // target in the middle of a rollout would update the engines that come first again, and the last
-// ones never. Of engines with equal weights those come first whose latest order was longest ago; then they
-// alternate between zones, so that no zone loses all its engines at once.
+// ones never. Of engines with equal weights those come last that have just left an order unanswered; the
+// others alternate between zones, so that no zone loses all its engines at once.
 func (p *Planner) oldestFirst() []*engineState {
 	engines := make([]*engineState, 0, len(p.engineStates))
 	for _, r := range p.engineStates {
@@ -29,12 +29,20 @@
 		zoneCount[r.Zone]++
 	}
 	slices.SortStableFunc(engines, func(a, b *engineState) int {
-		return cmp.Or(cmp.Compare(lowestVersion(a), lowestVersion(b)), cmp.Compare(a.orderedAt, b.orderedAt),
+		return cmp.Or(cmp.Compare(lowestVersion(a), lowestVersion(b)), cmp.Compare(a.unansweredAt(), b.unansweredAt()),
 			cmp.Compare(zoneRank[a.ID], zoneRank[b.ID]))
 	})
 	return engines
 }
 
+// unansweredAt returns when the latest order was sent if it got no answer, otherwise 0.
+func (r *engineState) unansweredAt() tables.Instant {
+	if !r.unanswered {
+		return 0
+	}
+	return r.orderedAt
+}
+
 // cordon cordons up to n engines that need an order, of those given, oldest first. Engines that have waited for
 // maxTurnWait come before them: engines that do not follow their orders keep the oldest weights, and would take
 // all turns.
@@ -70,11 +78,11 @@
 	return r.phase == idle && r.sequenceKnown && !r.polling && p.isOrderable(now, r)
 }
 
-// compareModels orders the models that an engine lacks: one whose order it rejected last comes after the others, and
-// then the one first whose target it has lacked longest.
+// compareModels orders the models that an engine lacks: one whose order it rejected last, or left unanswered several
+// times, comes after the others, and then the one first whose target it has lacked longest.
 func (p *Planner) compareModels(r *engineState, a, b string) int {
-	rejected := func(model string) int {
-		if model == r.rejectedModel {
+	rank := func(model string) int {
+		if model == r.rejectedModel || model == r.orderedModel && r.unansweredInARow >= maxOrdersInARow {
 			return 1
 		}
 		return 0
@@ -83,5 +91,5 @@
 		since, _ := p.history.OutdatedSince(model, r.Weights[model])
 		return since
 	}
-	return cmp.Or(cmp.Compare(rejected(a), rejected(b)), cmp.Compare(lackedSince(a), lackedSince(b)), cmp.Compare(a, b))
+	return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(lackedSince(a), lackedSince(b)), cmp.Compare(a, b))
 }
