--- a/control/rollout/bound_troubles_test.go
+++ b/control/rollout/bound_troubles_test.go
@@ -196,14 +196,33 @@
 	}
 }
 
+// drawHardlyAnswered draws a run of nine engines that leave 19 of 20 orders unanswered, with the given other kinds of
+// trouble.
+func drawHardlyAnswered(seed uint64, checksFence bool, others ...string) troubledDraw {
+	d := drawTroubled(seed, checksFence, func(kind string, _ bool) bool {
+		return kind == "late orders" || slices.Contains(others, kind)
+	})
+	d.engines, d.platform.lateShare, d.lateFor = 9, 0.95, d.spacing*time.Duration(d.versions)+simCalm
+	d.platform.loadTime = min(d.platform.loadTime, 600*time.Millisecond)
+	return d
+}
+
 // Guards against versions that are late on draws of which one was once in place after maxVersionLag.
 func TestVersionsAreInPlaceWithinTheBoundOnLateDraws(t *testing.T) {
 	for name, draw := range map[string]struct {
-		seed        uint64
-		checksFence bool
-	}{"fenced_127": {127, true}, "unfenced_339": {339, false}} {
+		seed uint64
+		troubledDraw
+	}{
+		"fenced_127":             {127, drawTroubled(127, true, anyKinds)},
+		"unfenced_339":           {339, drawTroubled(339, false, anyKinds)},
+		"fenced_holders_4003":    {4003, drawHardlyAnswered(4003, true, "holders that change")},
+		"unfenced_holders_4162":  {4162, drawHardlyAnswered(4162, false, "holders that change")},
+		"unfenced_shedding_4003": {4003, drawHardlyAnswered(4003, false, "pushbacks")},
+		"unfenced_hangs_4162":    {4162, drawHardlyAnswered(4162, false, "hangs")},
+		"unfenced_crashes_4028":  {4028, drawHardlyAnswered(4028, false, "pushbacks", "holders that change", "crashes")},
+	} {
 		t.Run(name, func(t *testing.T) {
-			lag, s := drawTroubled(draw.seed, draw.checksFence, anyKinds).run(draw.seed, func(*simulation) {})
+			lag, s := draw.run(draw.seed, func(*simulation) {})
 			assert.Assert(t, lag <= maxVersionLag, "%v, %d orders", lag, s.orders)
 		})
 	}
