What a report proves of an update stands beside the other beliefs

Two functions move to belief.go, and a comment says what is now true of an order without a sequence.

--- a/control/rollout/belief.go
+++ b/control/rollout/belief.go
@@ -54,6 +54,18 @@
 	}
 }
 
+// mayPrecede reports whether a report may be of before the order that the engine accepted last. An order without a
+// sequence may be accepted at a later one than the planner knows, so that the report's sequence does not tell.
+func (p *Planner) mayPrecede(now tables.Instant, r *engineState) bool {
+	return p.EnginesCheckFence && !r.unanswered && now-r.phaseSince <= maxReportAge
+}
+
+func (p *Planner) expireUpdate(now tables.Instant, r *engineState) {
+	if r.phase == updating && now-r.phaseSince > updateTimeout {
+		r.phase, r.sequenceKnown = idle, false
+	}
+}
+
 // ObserveList compares the versions of weights that the platform's list shows with those known. An engine that
 // the list shows with others is polled, at once if the list has just begun to show newer ones: its own report
 // decides. So is one that has shown nothing itself and whose weights are beyond the target.
--- a/control/rollout/planner.go
+++ b/control/rollout/planner.go
@@ -318,8 +318,8 @@
 			r.loadingSince = now
 		}
 	case r.phase == updating && report.Sequence >= r.acceptedSequence && !p.mayPrecede(now, r):
-		// An earlier order was delayed and has taken the sequence that the latest one expects, which the
-		// engine will therefore reject.
+		// An earlier order was delayed and has taken the sequence. The engine rejects the latest one if that
+		// names it.
 		r.phase, r.sequenceKnown, r.sequence = idle, true, report.Sequence
 	case r.phase == updating && report.Sequence < r.acceptedSequence && now-r.phaseSince > maxReportAge:
 		// The order was lost or is delayed. The next order uses the same sequence, so whichever
@@ -335,18 +335,6 @@
 	return false
 }
 
-// mayPrecede reports whether a report may be of before the order that the engine accepted last. An order without a
-// sequence may be accepted at a later one than the planner knows, so that the report's sequence does not tell.
-func (p *Planner) mayPrecede(now tables.Instant, r *engineState) bool {
-	return p.EnginesCheckFence && !r.unanswered && now-r.phaseSince <= maxReportAge
-}
-
-func (p *Planner) expireUpdate(now tables.Instant, r *engineState) {
-	if r.phase == updating && now-r.phaseSince > updateTimeout {
-		r.phase, r.sequenceKnown = idle, false
-	}
-}
-
 // HandleOrderResult processes an engine's answer to an order; zero means none.
 func (p *Planner) HandleOrderResult(now tables.Instant, id tables.EndpointID, result OrderResult) {
 	r := p.engineStates[id]
